--- a/include/ebonyhollow/ledger.h
+++ b/include/ebonyhollow/ledger.h
@@ -119,6 +119,9 @@
     EB_LEDGER_LOCAL_FINISHED /* finished here; outcome and body are set */
 } EbLedgerLocalState;
 
+/* A FINISHED claim with outcome FAILED is still held by this daemon; it is
+ * about to be released. Whoever learns of it claims the key again: by the
+ * time it could repeat "failed", another daemon may have run the call. */
 typedef struct {
     EbLedgerLocalState state;
     EbOutcome outcome;
--- /dev/null
+++ b/src/libebonyhollow/ledger_sweep.c
@@ -0,0 +1,154 @@
+#include "ledger_private.h"
+
+#include <string.h>
+
+#define KIND_COUNT 256
+#define SWEEP_INTERVAL_US (60LL * 1000 * 1000)
+/* Clocks of the instances may differ, and an early delete would let a key run
+ * twice. */
+#define SWEEP_MARGIN_US (3600LL * 1000 * 1000)
+#define EXPIRED_MAX 256
+#define DELETE_INTERVAL_US (200LL * 1000) /* 5 deletes a second */
+
+static void
+free_expired(gpointer pointer)
+{
+    ExpiredObject *object = pointer;
+    g_free(object->kind);
+    g_free(object->name);
+    g_free(object);
+}
+
+void
+EbLedger_FreeExpired(EbLedger *ledger)
+{
+    ExpiredObject *object;
+    while ((object = g_queue_pop_head(&ledger->expired)) != NULL) {
+        free_expired(object);
+    }
+}
+
+static uint64_t
+push_operation(EbLedger *ledger, EbStoreOperation operation, char *kind,
+               char *name, uint64_t version)
+{
+    uint64_t id = ++ledger->next_operation;
+    EbActionQueue_Push(ledger->options.actions,
+                       &(EbAction){.kind = EB_ACTION_STORE,
+                                   .as.store = {
+                                       .owner = EB_STORE_OWNER_LEDGER,
+                                       .operation_id = id,
+                                       .operation = operation,
+                                       .kind = kind,
+                                       .name = name,
+                                       .version = version,
+                                   }});
+    return id;
+}
+
+static void
+delete_next(EbLedger *ledger)
+{
+    ExpiredObject *object = g_queue_pop_head(&ledger->expired);
+    ledger->delete_operation =
+        push_operation(ledger, EB_STORE_DELETE, g_strdup(object->kind),
+                       g_strdup(object->name), object->version);
+    free_expired(object);
+}
+
+static void
+list_some_kind(EbLedger *ledger)
+{
+    uint64_t number = EbRandom_Below(ledger->options.random, KIND_COUNT);
+    char *kind = g_strdup_printf("claims-%02x", (unsigned)number);
+    ledger->sweep_operation =
+        push_operation(ledger, EB_STORE_LIST, kind, g_strdup(""), 0);
+}
+
+/* Jitter keeps the daemons from listing at the same time. */
+static void
+schedule(EbLedger *ledger, int64_t interval_us, int64_t now_us)
+{
+    uint64_t jitter_us =
+        EbRandom_Below(ledger->options.random, (uint64_t)interval_us);
+    ledger->sweep_at_us = now_us + interval_us / 2 + (int64_t)jitter_us;
+    EbLedger_Arm(ledger, ledger->sweep_at_us);
+}
+
+void
+EbLedger_Sweep(EbLedger *ledger, int64_t now_us)
+{
+    if (ledger->options.wall_clock_us == NULL) {
+        ledger->sweep_at_us = INT64_MAX;
+        return;
+    }
+    if (ledger->sweep_at_us == 0) {
+        schedule(ledger, SWEEP_INTERVAL_US, now_us);
+    }
+    if (now_us < ledger->sweep_at_us) {
+        return;
+    }
+    bool busy = ledger->sweep_operation != 0 || ledger->delete_operation != 0;
+    if (!busy && ledger->expired.length > 0) {
+        delete_next(ledger);
+    }
+    else if (!busy) {
+        list_some_kind(ledger);
+    }
+    schedule(ledger,
+             ledger->expired.length > 0 ? DELETE_INTERVAL_US
+                                        : SWEEP_INTERVAL_US,
+             now_us);
+}
+
+static void
+collect_expired(EbLedger *ledger, json_t *value)
+{
+    int64_t oldest_us =
+        ledger->options.wall_clock_us(ledger->options.context) -
+        EB_LEDGER_RETENTION_US - SWEEP_MARGIN_US;
+    size_t index;
+    json_t *item;
+    json_array_foreach(json_object_get(value, "items"), index, item)
+    {
+        ClaimObject object;
+        const char *name = json_string_value(json_object_get(item, "name"));
+        json_t *content = json_object_get(item, "value");
+        if (ledger->expired.length >= EXPIRED_MAX || name == NULL ||
+            !EbLedgerObject_Decode(content, &object) ||
+            object.created_us >= oldest_us) {
+            continue;
+        }
+        const char *digest = strrchr(name, '.');
+        if (digest == NULL) {
+            continue;
+        }
+        ExpiredObject *expired = g_new0(ExpiredObject, 1);
+        expired->kind = EbLedgerObject_Kind(digest + 1);
+        expired->name = g_strdup(name);
+        expired->version =
+            (uint64_t)json_integer_value(json_object_get(item, "version"));
+        g_queue_push_tail(&ledger->expired, expired);
+    }
+}
+
+bool
+EbLedger_SweepReply(EbLedger *ledger, const EbStoreReply *reply,
+                    int64_t now_us)
+{
+    if (reply->operation_id == ledger->delete_operation) {
+        ledger->delete_operation = 0;
+        return true;
+    }
+    if (reply->operation_id != ledger->sweep_operation) {
+        return false;
+    }
+    ledger->sweep_operation = 0;
+    if (reply->status == EB_STORE_OK) {
+        collect_expired(ledger, reply->value);
+    }
+    if (ledger->expired.length > 0) {
+        schedule(ledger, DELETE_INTERVAL_US, now_us);
+    }
+    return true;
+}
