config: parse, merge and validate configuration documents

Cause: the dispatcher, the daemon and the operators' command need one parsed configuration, and a change has to be refused before it reaches any site. The document keys pools, backend servers, pipelines, customers, routes and operators by name, so that an overlay can change or remove one entry. Conclusion: core, net and peers can build on EbConfig_Parse.

--- a/include/ebonyhollow/config.h
+++ b/include/ebonyhollow/config.h
@@ -18,10 +18,21 @@
 #include <jansson.h>
 
 #include "ebonyhollow/error.h"
+#include "ebonyhollow/schema.h"
 
-#define EB_CONFIG_MAX_BYTES (1024 * 1024) /* the platform's value limit */
-#define EB_CONFIG_MIN_STAGES 1
+#define EB_CONFIG_MAX_BYTES 1048576 /* the platform's value limit */
+#define EB_CONFIG_MIN_STAGES 3
 #define EB_CONFIG_MAX_STAGES 6
+/* Bounds of the entries at one site: several times the design capacity of
+ * docs/design.md, and low enough for a daemon's memory. */
+#define EB_CONFIG_MAX_SITES 64
+#define EB_CONFIG_MAX_POOLS 64
+#define EB_CONFIG_MAX_SERVERS 4096
+#define EB_CONFIG_MAX_PIPELINES 64
+#define EB_CONFIG_MAX_CUSTOMERS 4096
+#define EB_CONFIG_MAX_OPERATORS 1024
+/* Sum of queue_max over the pools of a site: bounds what a daemon holds. */
+#define EB_CONFIG_MAX_QUEUED 65536
 #define EB_TOKEN_DIGEST_BYTES 32
 
 typedef enum {
@@ -147,19 +158,27 @@
     json_t *document; /* the whole document */
 } EbConfig;
 
+/* The field table. The fields after "overlays" are those of the merged
+ * configuration. */
+extern const EbSchemaField EbConfig_fields[];
+extern const size_t EbConfig_field_count;
+
 /* Parses and validates a configuration document for `site`.
  *
  * text, text_bytes: the JSON text; more than EB_CONFIG_MAX_BYTES is refused.
  * site: site whose merged configuration is returned. A site without an
- *     overlay gets the base. Every overlay is validated whatever the site.
+ *     overlay gets the base; NULL stands for one. The base and the merged
+ *     result of every overlay are validated whatever the site.
  * file: name used in errors, or NULL.
  *
  * Returns a configuration with one reference, or NULL with `error` set to
- * the first fault: file, line and column for syntax, JSON path otherwise. */
+ * the first fault: file, line and column for syntax, JSON path and, when
+ * the text has the value, line and column otherwise. */
 EbConfig *EbConfig_Parse(const char *text, size_t text_bytes, const char *site,
                          const char *file, EbError *error);
 
-/* Merges `patch` into a copy of `target` as RFC 7396 says.
+/* Merges `patch` into a copy of `target` as RFC 7396 says. Values that the
+ * patch does not touch are shared with `target`; neither is modified.
  *
  * Returns a new reference, or NULL when out of memory. */
 json_t *EbConfig_Merge(const json_t *target, const json_t *patch);
--- /dev/null
+++ b/src/libebonyhollow/config_find.c
@@ -0,0 +1,179 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <sodium.h>
+
+#include "config_private.h"
+
+typedef const char *(*NameOf)(const void *entry);
+
+static const char *
+pool_name(const void *entry)
+{
+    return ((const EbConfigPool *)entry)->name;
+}
+
+static const char *
+server_id(const void *entry)
+{
+    return ((const EbConfigBackendServer *)entry)->id;
+}
+
+static const char *
+pipeline_name(const void *entry)
+{
+    return ((const EbConfigPipeline *)entry)->name;
+}
+
+static const char *
+customer_id(const void *entry)
+{
+    return ((const EbConfigCustomer *)entry)->id;
+}
+
+/* Binary search; the entries were read in ascending order of their names. */
+static uint32_t
+find_index(const void *entries, uint32_t count, size_t entry_bytes,
+           NameOf name_of, const char *name)
+{
+    uint32_t low = 0;
+    uint32_t high = count;
+    while (name != NULL && low < high) {
+        uint32_t middle = low + (high - low) / 2;
+        const char *entry = (const char *)entries + middle * entry_bytes;
+        int order = strcmp(name_of(entry), name);
+        if (order == 0) {
+            return middle;
+        }
+        if (order < 0) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return UINT32_MAX;
+}
+
+uint32_t
+EbConfig_PoolIndex(const EbConfig *config, const char *name)
+{
+    return find_index(config->pools, config->pool_count,
+                      sizeof(config->pools[0]), pool_name, name);
+}
+
+uint32_t
+EbConfig_PipelineIndex(const EbConfig *config, const char *name)
+{
+    return find_index(config->pipelines, config->pipeline_count,
+                      sizeof(config->pipelines[0]), pipeline_name, name);
+}
+
+uint32_t
+EbConfig_CustomerIndex(const EbConfig *config, const char *id)
+{
+    return find_index(config->customers, config->customer_count,
+                      sizeof(config->customers[0]), customer_id, id);
+}
+
+const EbConfigPipeline *
+EbConfig_FindPipeline(const EbConfig *config, const char *name)
+{
+    uint32_t index = EbConfig_PipelineIndex(config, name);
+    return index == UINT32_MAX ? NULL : &config->pipelines[index];
+}
+
+const EbConfigCustomer *
+EbConfig_FindCustomer(const EbConfig *config, const char *id)
+{
+    uint32_t index = EbConfig_CustomerIndex(config, id);
+    return index == UINT32_MAX ? NULL : &config->customers[index];
+}
+
+const EbConfigPool *
+EbConfig_FindPool(const EbConfig *config, const char *name)
+{
+    uint32_t index = EbConfig_PoolIndex(config, name);
+    return index == UINT32_MAX ? NULL : &config->pools[index];
+}
+
+const EbConfigBackendServer *
+EbConfig_FindServer(const EbConfig *config, const char *id)
+{
+    uint32_t index = find_index(config->servers, config->server_count,
+                                sizeof(config->servers[0]), server_id, id);
+    return index == UINT32_MAX ? NULL : &config->servers[index];
+}
+
+void
+EbConfig_DigestToken(const char *token, uint8_t digest[EB_TOKEN_DIGEST_BYTES])
+{
+    if (sodium_init() < 0) {
+        abort();
+    }
+    crypto_generichash(digest, EB_TOKEN_DIGEST_BYTES,
+                       (const unsigned char *)token, strlen(token), NULL, 0);
+}
+
+/* Compares every digest, without a branch on the result. */
+static uint32_t
+find_digest(const uint8_t *first, size_t entry_bytes, uint32_t count,
+            const char *token)
+{
+    if (token == NULL || token[0] == '\0') {
+        return UINT32_MAX;
+    }
+    uint8_t digest[EB_TOKEN_DIGEST_BYTES];
+    EbConfig_DigestToken(token, digest);
+    uint32_t found = UINT32_MAX;
+    for (uint32_t i = 0; i < count; i++) {
+        int differs = sodium_memcmp(first + i * entry_bytes, digest,
+                                    EB_TOKEN_DIGEST_BYTES);
+        uint32_t mask = (uint32_t)differs; /* all ones or 0 */
+        found = (found & mask) | (i & ~mask);
+    }
+    sodium_memzero(digest, sizeof(digest));
+    return found;
+}
+
+const EbConfigCustomer *
+EbConfig_FindCustomerByToken(const EbConfig *config, const char *token)
+{
+    if (config->customer_count == 0) {
+        return NULL;
+    }
+    uint32_t index = find_digest(config->customers[0].token_digest,
+                                 sizeof(config->customers[0]),
+                                 config->customer_count, token);
+    return index == UINT32_MAX ? NULL : &config->customers[index];
+}
+
+const EbConfigOperator *
+EbConfig_FindOperatorByToken(const EbConfig *config, const char *token)
+{
+    if (config->operator_count == 0) {
+        return NULL;
+    }
+    uint32_t index = find_digest(config->operators[0].token_digest,
+                                 sizeof(config->operators[0]),
+                                 config->operator_count, token);
+    return index == UINT32_MAX ? NULL : &config->operators[index];
+}
+
+bool
+EbConfig_Allows(const EbConfig *config, const EbConfigCustomer *customer,
+                const EbConfigPipeline *pipeline)
+{
+    uint32_t customer_index = (uint32_t)(customer - config->customers);
+    uint32_t pipeline_index = (uint32_t)(pipeline - config->pipelines);
+    for (uint32_t i = 0; i < config->route_count; i++) {
+        const EbConfigRoute *route = &config->routes[i];
+        if (route->pipeline_index == pipeline_index &&
+            (route->customer_index == EB_ROUTE_ANY ||
+             route->customer_index == customer_index)) {
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/src/libebonyhollow/private/config_members.h
@@ -0,0 +1,28 @@
+/* Structs that the field table of the configuration fills: the public ones
+ * together with the names that are resolved to indexes afterwards. */
+#ifndef EB_CONFIG_MEMBERS_H
+#define EB_CONFIG_MEMBERS_H
+
+#include "config_private.h"
+
+typedef struct {
+    uint64_t generation;
+} DocumentMembers;
+
+typedef struct {
+    EbConfigBackendServer server;
+    char *pool;
+} ServerMembers;
+
+typedef struct {
+    EbConfigStage stage;
+    char *pool;
+} StageMembers;
+
+typedef struct {
+    EbConfigOperator operator;
+    EbSchemaNames pipelines;
+    EbSchemaNames customers;
+} OperatorMembers;
+
+#endif
--- /dev/null
+++ b/src/libebonyhollow/schema_load.c
@@ -0,0 +1,88 @@
+#include <string.h>
+
+#include "ebonyhollow/schema.h"
+
+/* Finds the first bracket that is nested too deeply; jansson's own limit of
+ * 2,048 levels would let recursion over the result use much stack. */
+static bool
+check_depth(const char *text, size_t text_bytes, const char *file,
+            EbError *error)
+{
+    size_t depth = 0;
+    int32_t line = 1;
+    int32_t column = 0;
+    bool in_string = false;
+    for (size_t i = 0; i < text_bytes; i++) {
+        char c = text[i];
+        column++;
+        if (c == '\n') {
+            line++;
+            column = 0;
+        }
+        else if (in_string) {
+            if (c == '\\' && i + 1 < text_bytes && text[i + 1] != '\n') {
+                i++;
+                column++;
+            }
+            else if (c == '"') {
+                in_string = false;
+            }
+        }
+        else if (c == '"') {
+            in_string = true;
+        }
+        else if (c == '{' || c == '[') {
+            if (++depth > EB_SCHEMA_MAX_DEPTH) {
+                EbError_SetPlace(error, file, line, column);
+                EbError_Set(error, EB_ERROR_LIMIT,
+                            "objects and arrays are nested more than %d deep",
+                            EB_SCHEMA_MAX_DEPTH);
+                return false;
+            }
+        }
+        else if ((c == '}' || c == ']') && depth > 0) {
+            depth--;
+        }
+    }
+    return true;
+}
+
+json_t *
+EbSchema_Load(const char *text, size_t text_bytes, size_t max_bytes,
+              const char *file, EbError *error)
+{
+    EbError_Clear(error);
+    EbError_SetPlace(error, file, 0, 0);
+    if (text_bytes > max_bytes) {
+        EbError_Set(error, EB_ERROR_LIMIT,
+                    "%zu bytes are more than the limit of %zu", text_bytes,
+                    max_bytes);
+        return NULL;
+    }
+    if (!check_depth(text, text_bytes, file, error)) {
+        return NULL;
+    }
+    json_error_t fault;
+    json_t *root =
+        json_loadb(text, text_bytes, JSON_REJECT_DUPLICATES, &fault);
+    if (root == NULL) {
+        bool duplicate = json_error_code(&fault) == json_error_duplicate_key;
+        /* The text that jansson quotes may be a secret of a settings file. */
+        char *quoted = strstr(fault.text, " near '");
+        if (quoted != NULL && !duplicate) {
+            *quoted = '\0';
+        }
+        EbError_SetPlace(error, file, fault.line, fault.column);
+        EbError_Set(error, duplicate ? EB_ERROR_DUPLICATE : EB_ERROR_SYNTAX,
+                    "%s", fault.text);
+        return NULL;
+    }
+    if (!json_is_object(root)) {
+        EbError_SetPath(error, "$");
+        EbError_Set(error, EB_ERROR_TYPE,
+                    "expected an object, found an array");
+        json_decref(root);
+        return NULL;
+    }
+    return root;
+}
