quarantine: score requests that crash backend servers

Cause: a single request can crash every backend server that runs it, and the dispatcher needs to know which requests to hold back. Change: EbQuarantine with scores, expiry, merging of peers' entries and operator's release. The fingerprint is BLAKE2b cut to 64 bits, since a customer must not be able to craft the fingerprint of another customer's request. A clear entry from a peer is an operator's release; a success is not told. Conclusion: at most three servers crash one after another; memory is bounded.

--- /dev/null
+++ b/src/libebonyhollow/quarantine.c
@@ -0,0 +1,354 @@
+#include "ebonyhollow/quarantine.h"
+
+#include <assert.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+#include <sodium.h>
+
+#define MAX_ENTRIES_DEFAULT 4096
+#define FINGERPRINT_HEX_BYTES 17
+
+const char *const EbFingerprintState_names[EB_FINGERPRINT_STATE_COUNT] = {
+    [EB_FINGERPRINT_CLEAR] = "clear",
+    [EB_FINGERPRINT_SUSPECTED] = "suspected",
+    [EB_FINGERPRINT_QUARANTINED] = "quarantined",
+};
+
+/* A clear entry is a release that has not been told yet. */
+typedef struct {
+    EbFingerprint fingerprint; /* first: the table's key points to it */
+    uint32_t points;
+    EbFingerprintState state;
+    int64_t until_us;
+    bool untold;
+} Entry;
+
+struct EbQuarantine {
+    uint32_t max_entries;
+    EbEventSink events;
+    GHashTable *entries; /* of Entry, by fingerprint */
+    uint32_t untold_count;
+};
+
+EbQuarantine *
+EbQuarantine_New(const EbQuarantineOptions *options)
+{
+    EbQuarantine *quarantine = g_new0(EbQuarantine, 1);
+    quarantine->max_entries =
+        options->max_entries > 0 ? options->max_entries : MAX_ENTRIES_DEFAULT;
+    if (options->events != NULL) {
+        quarantine->events = *options->events;
+    }
+    quarantine->entries =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    return quarantine;
+}
+
+void
+EbQuarantine_Free(EbQuarantine *quarantine)
+{
+    if (quarantine == NULL) {
+        return;
+    }
+    g_hash_table_destroy(quarantine->entries);
+    g_free(quarantine);
+}
+
+static void
+hash_part(crypto_generichash_state *state, const void *bytes,
+          size_t byte_count)
+{
+    uint64_t length = byte_count;
+    crypto_generichash_update(state, (const unsigned char *)&length,
+                              sizeof(length));
+    crypto_generichash_update(state, bytes, byte_count);
+}
+
+/* A cryptographic hash, so that no customer can craft a body that has the
+ * fingerprint of another customer's request. */
+EbFingerprint
+EbQuarantine_Fingerprint(const char *customer, const char *pipeline,
+                         const char *body, size_t body_bytes)
+{
+    crypto_generichash_state state;
+    unsigned char digest[crypto_generichash_BYTES_MIN];
+    crypto_generichash_init(&state, NULL, 0, sizeof(digest));
+    hash_part(&state, customer, strlen(customer));
+    hash_part(&state, pipeline, strlen(pipeline));
+    hash_part(&state, body, body_bytes);
+    crypto_generichash_final(&state, digest, sizeof(digest));
+    EbFingerprint fingerprint;
+    memcpy(&fingerprint, digest, sizeof(fingerprint));
+    return GUINT64_FROM_LE(fingerprint);
+}
+
+static void
+format_fingerprint(EbFingerprint fingerprint, char text[FINGERPRINT_HEX_BYTES])
+{
+    snprintf(text, FINGERPRINT_HEX_BYTES, "%016" PRIx64, fingerprint);
+}
+
+static void
+set_untold(EbQuarantine *quarantine, Entry *entry, bool untold)
+{
+    if (entry->untold != untold) {
+        entry->untold = untold;
+        quarantine->untold_count += untold ? 1 : UINT32_MAX;
+    }
+}
+
+static void
+remove_entry(EbQuarantine *quarantine, Entry *entry)
+{
+    set_untold(quarantine, entry, false);
+    g_hash_table_remove(quarantine->entries, &entry->fingerprint);
+}
+
+static void
+emit_released(EbQuarantine *quarantine, EbFingerprint fingerprint,
+              const char *cause)
+{
+    char text[FINGERPRINT_HEX_BYTES];
+    format_fingerprint(fingerprint, text);
+    EB_EMIT(&quarantine->events, EB_EVENT_REQUEST_RELEASED,
+            EB_STRING_FIELD("fingerprint", text),
+            EB_STRING_FIELD("cause", cause));
+}
+
+static void
+emit_state(EbQuarantine *quarantine, const Entry *entry)
+{
+    char text[FINGERPRINT_HEX_BYTES];
+    format_fingerprint(entry->fingerprint, text);
+    if (entry->state == EB_FINGERPRINT_QUARANTINED) {
+        EB_EMIT(&quarantine->events, EB_EVENT_REQUEST_QUARANTINED,
+                EB_STRING_FIELD("fingerprint", text),
+                EB_INTEGER_FIELD("crashes", entry->points),
+                EB_INTEGER_FIELD("until_us", entry->until_us));
+    }
+    else {
+        EB_EMIT(&quarantine->events, EB_EVENT_REQUEST_SUSPECTED,
+                EB_STRING_FIELD("fingerprint", text),
+                EB_INTEGER_FIELD("crashes", entry->points));
+    }
+}
+
+/* Finds an entry that has not expired; removes one that has. */
+static Entry *
+find_entry(EbQuarantine *quarantine, EbFingerprint fingerprint, int64_t now_us)
+{
+    Entry *entry = g_hash_table_lookup(quarantine->entries, &fingerprint);
+    if (entry == NULL || entry->state == EB_FINGERPRINT_CLEAR ||
+        now_us < entry->until_us) {
+        return entry;
+    }
+    if (entry->state == EB_FINGERPRINT_QUARANTINED) {
+        emit_released(quarantine, fingerprint, "expired");
+    }
+    remove_entry(quarantine, entry);
+    return NULL;
+}
+
+/* Whether `left` is given up before `right` when the table is full. */
+static bool
+goes_before(const Entry *left, const Entry *right)
+{
+    if (left->state != right->state) {
+        return left->state < right->state;
+    }
+    return left->until_us < right->until_us;
+}
+
+static void
+make_room(EbQuarantine *quarantine)
+{
+    while (g_hash_table_size(quarantine->entries) >= quarantine->max_entries) {
+        GHashTableIter iterator;
+        gpointer value;
+        Entry *first = NULL;
+        g_hash_table_iter_init(&iterator, quarantine->entries);
+        while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+            Entry *entry = value;
+            if (first == NULL || goes_before(entry, first)) {
+                first = entry;
+            }
+        }
+        assert(first != NULL);
+        remove_entry(quarantine, first);
+    }
+}
+
+static Entry *
+add_entry(EbQuarantine *quarantine, EbFingerprint fingerprint)
+{
+    make_room(quarantine);
+    Entry *entry = g_new0(Entry, 1);
+    entry->fingerprint = fingerprint;
+    g_hash_table_insert(quarantine->entries, &entry->fingerprint, entry);
+    return entry;
+}
+
+EbFingerprintState
+EbQuarantine_State(EbQuarantine *quarantine, EbFingerprint fingerprint,
+                   int64_t now_us)
+{
+    const Entry *entry = find_entry(quarantine, fingerprint, now_us);
+    return entry == NULL ? EB_FINGERPRINT_CLEAR : entry->state;
+}
+
+EbFingerprintState
+EbQuarantine_Crash(EbQuarantine *quarantine, EbFingerprint fingerprint,
+                   bool alone, int64_t now_us)
+{
+    Entry *entry = find_entry(quarantine, fingerprint, now_us);
+    if (entry == NULL) {
+        entry = add_entry(quarantine, fingerprint);
+    }
+    if (entry->points < UINT32_MAX - EB_CRASH_POINTS_ALONE) {
+        entry->points +=
+            alone ? EB_CRASH_POINTS_ALONE : EB_CRASH_POINTS_SHARED;
+    }
+    bool quarantined = entry->points >= EB_QUARANTINE_POINTS;
+    entry->state =
+        quarantined ? EB_FINGERPRINT_QUARANTINED : EB_FINGERPRINT_SUSPECTED;
+    entry->until_us =
+        now_us + (quarantined ? EB_QUARANTINE_US : EB_SUSPICION_US);
+    set_untold(quarantine, entry, true);
+    emit_state(quarantine, entry);
+    return entry->state;
+}
+
+void
+EbQuarantine_Success(EbQuarantine *quarantine, EbFingerprint fingerprint,
+                     int64_t now_us)
+{
+    Entry *entry = find_entry(quarantine, fingerprint, now_us);
+    if (entry != NULL && entry->state == EB_FINGERPRINT_SUSPECTED) {
+        remove_entry(quarantine, entry);
+    }
+}
+
+static bool
+merge_release(EbQuarantine *quarantine, EbFingerprint fingerprint,
+              int64_t now_us)
+{
+    Entry *entry = find_entry(quarantine, fingerprint, now_us);
+    if (entry == NULL) {
+        return false;
+    }
+    bool changed = entry->state != EB_FINGERPRINT_CLEAR;
+    if (changed) {
+        emit_released(quarantine, fingerprint, "peer");
+    }
+    remove_entry(quarantine, entry);
+    return changed;
+}
+
+bool
+EbQuarantine_Merge(EbQuarantine *quarantine, const EbQuarantineEntry *given,
+                   int64_t now_us)
+{
+    if (given->state == EB_FINGERPRINT_CLEAR) {
+        return merge_release(quarantine, given->fingerprint, now_us);
+    }
+    if (given->state >= EB_FINGERPRINT_STATE_COUNT ||
+        given->remaining_us <= 0) {
+        return false;
+    }
+    EbFingerprintState state = given->points >= EB_QUARANTINE_POINTS
+                                   ? EB_FINGERPRINT_QUARANTINED
+                                   : given->state;
+    int64_t longest = state == EB_FINGERPRINT_QUARANTINED ? EB_QUARANTINE_US
+                                                          : EB_SUSPICION_US;
+    int64_t until_us = now_us + MIN(given->remaining_us, longest);
+    Entry *entry = find_entry(quarantine, given->fingerprint, now_us);
+    if (entry == NULL) {
+        entry = add_entry(quarantine, given->fingerprint);
+    }
+    bool stronger = state > entry->state;
+    bool longer = state == entry->state && until_us > entry->until_us;
+    bool higher = given->points > entry->points;
+    if (stronger || longer) {
+        entry->state = state;
+        entry->until_us = until_us;
+    }
+    if (higher) {
+        entry->points = given->points;
+    }
+    if (stronger) {
+        set_untold(quarantine, entry, false);
+        emit_state(quarantine, entry);
+    }
+    return stronger || longer || higher;
+}
+
+bool
+EbQuarantine_Release(EbQuarantine *quarantine, EbFingerprint fingerprint,
+                     int64_t now_us)
+{
+    Entry *entry = find_entry(quarantine, fingerprint, now_us);
+    if (entry == NULL || entry->state == EB_FINGERPRINT_CLEAR) {
+        return false;
+    }
+    entry->state = EB_FINGERPRINT_CLEAR;
+    entry->points = 0;
+    set_untold(quarantine, entry, true);
+    emit_released(quarantine, fingerprint, "operator");
+    return true;
+}
+
+static EbQuarantineEntry
+describe_entry(const Entry *entry, int64_t now_us)
+{
+    bool clear = entry->state == EB_FINGERPRINT_CLEAR;
+    return (EbQuarantineEntry){entry->fingerprint, entry->points, entry->state,
+                               clear ? 0 : entry->until_us - now_us};
+}
+
+size_t
+EbQuarantine_List(EbQuarantine *quarantine, EbQuarantineEntry *entries,
+                  size_t max, int64_t now_us)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    size_t count = 0;
+    g_hash_table_iter_init(&iterator, quarantine->entries);
+    while (count < max && g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const Entry *entry = value;
+        if (entry->state != EB_FINGERPRINT_CLEAR && now_us < entry->until_us) {
+            entries[count++] = describe_entry(entry, now_us);
+        }
+    }
+    return count;
+}
+
+bool
+EbQuarantine_NextChange(EbQuarantine *quarantine, EbQuarantineEntry *told,
+                        int64_t now_us)
+{
+    if (quarantine->untold_count == 0) {
+        return false;
+    }
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, quarantine->entries);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        Entry *entry = value;
+        if (!entry->untold) {
+            continue;
+        }
+        set_untold(quarantine, entry, false);
+        *told = describe_entry(entry, now_us);
+        bool clear = entry->state == EB_FINGERPRINT_CLEAR;
+        if (clear) {
+            g_hash_table_iter_remove(&iterator);
+        }
+        if (clear || told->remaining_us > 0) {
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/src/test_quarantine/main.c
@@ -0,0 +1,180 @@
+/* Tests of the quarantine for requests that crash backend servers. */
+#include <string.h>
+
+#include "ebonyhollow/quarantine.h"
+#include "test_runner.h"
+
+#define TABLE_COUNT(table) (sizeof(table) / sizeof((table)[0]))
+#define SECOND_US 1000000LL
+
+static EbQuarantine *
+new_quarantine(uint32_t max_entries)
+{
+    return EbQuarantine_New(
+        &(EbQuarantineOptions){.max_entries = max_entries});
+}
+
+/* Guards against requests of different customers, pipelines or bodies that
+ * are taken for one, also when the parts are only split differently. */
+static void
+test_fingerprint(void)
+{
+    EbFingerprint base = EbQuarantine_Fingerprint("ab", "cd", "ef", 2);
+    CU_ASSERT_EQUAL(base, EbQuarantine_Fingerprint("ab", "cd", "efg", 2));
+    CU_ASSERT_NOT_EQUAL(base, EbQuarantine_Fingerprint("abc", "d", "ef", 2));
+    CU_ASSERT_NOT_EQUAL(base, EbQuarantine_Fingerprint("ab", "c", "def", 3));
+    CU_ASSERT_NOT_EQUAL(base, EbQuarantine_Fingerprint("ab", "cd", "eg", 2));
+    CU_ASSERT_NOT_EQUAL(base, EbQuarantine_Fingerprint("ab", "cd", "", 0));
+}
+
+/* Guards against a request that crashes more than three servers and against
+ * blame after two crashes in company. `a`: alone, `s`: shared, `+`: success,
+ * `w`: wait until suspicions have expired. */
+static void
+test_scores(void)
+{
+    static const struct {
+        const char *steps;
+        EbFingerprintState expected;
+    } rows[] = {
+        {"a", EB_FINGERPRINT_SUSPECTED},
+        {"s", EB_FINGERPRINT_SUSPECTED},
+        {"ss", EB_FINGERPRINT_SUSPECTED},
+        {"aa", EB_FINGERPRINT_QUARANTINED},
+        {"as", EB_FINGERPRINT_QUARANTINED},
+        {"sa", EB_FINGERPRINT_QUARANTINED},
+        {"sss", EB_FINGERPRINT_QUARANTINED},
+        {"a+", EB_FINGERPRINT_CLEAR},
+        {"ss+s", EB_FINGERPRINT_SUSPECTED},
+        {"aw", EB_FINGERPRINT_CLEAR},
+        {"awa", EB_FINGERPRINT_SUSPECTED},
+        {"aa+", EB_FINGERPRINT_QUARANTINED},
+        {"aaw", EB_FINGERPRINT_QUARANTINED},
+    };
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        EbQuarantine *quarantine = new_quarantine(0);
+        int64_t now_us = 5;
+        for (const char *step = rows[i].steps; *step != '\0'; step++) {
+            if (*step == '+') {
+                EbQuarantine_Success(quarantine, 7, now_us);
+            }
+            else if (*step == 'w') {
+                now_us += EB_SUSPICION_US;
+            }
+            else {
+                EbQuarantine_Crash(quarantine, 7, *step == 'a', now_us);
+            }
+        }
+        CU_ASSERT_EQUAL(EbQuarantine_State(quarantine, 7, now_us),
+                        rows[i].expected);
+        CU_ASSERT_EQUAL(EbQuarantine_State(quarantine, 8, now_us),
+                        EB_FINGERPRINT_CLEAR);
+        EbQuarantine_Free(quarantine);
+    }
+}
+
+/* Guards against a quarantine that never ends. */
+static void
+test_expiry(void)
+{
+    EbQuarantine *quarantine = new_quarantine(0);
+    EbQuarantine_Crash(quarantine, 7, true, 0);
+    EbQuarantine_Crash(quarantine, 7, true, 10);
+    CU_ASSERT_EQUAL(EbQuarantine_State(quarantine, 7, 9 + EB_QUARANTINE_US),
+                    EB_FINGERPRINT_QUARANTINED);
+    CU_ASSERT_EQUAL(EbQuarantine_State(quarantine, 7, 10 + EB_QUARANTINE_US),
+                    EB_FINGERPRINT_CLEAR);
+    EbQuarantine_Free(quarantine);
+}
+
+/* Guards against a peer's entry that weakens a stronger one, that lasts
+ * longer than the limits, or that is told to the peers again. */
+static void
+test_merge(void)
+{
+    EbQuarantine *quarantine = new_quarantine(0);
+    EbQuarantineEntry entry = {7, 2, EB_FINGERPRINT_SUSPECTED, INT64_MAX};
+    CU_ASSERT_TRUE(EbQuarantine_Merge(quarantine, &entry, 0));
+    CU_ASSERT_FALSE(EbQuarantine_Merge(quarantine, &entry, 0));
+    EbQuarantineEntry told;
+    CU_ASSERT_FALSE(EbQuarantine_NextChange(quarantine, &told, 0));
+    CU_ASSERT_EQUAL(EbQuarantine_Crash(quarantine, 7, false, 0),
+                    EB_FINGERPRINT_QUARANTINED);
+    CU_ASSERT_FALSE(EbQuarantine_Merge(quarantine, &entry, 0));
+    CU_ASSERT_EQUAL(EbQuarantine_State(quarantine, 7, SECOND_US),
+                    EB_FINGERPRINT_QUARANTINED);
+    entry = (EbQuarantineEntry){8, 9, EB_FINGERPRINT_SUSPECTED, INT64_MAX};
+    CU_ASSERT_TRUE(EbQuarantine_Merge(quarantine, &entry, 0));
+    CU_ASSERT_EQUAL(EbQuarantine_State(quarantine, 8, 0),
+                    EB_FINGERPRINT_QUARANTINED);
+    CU_ASSERT_EQUAL(EbQuarantine_State(quarantine, 8, EB_QUARANTINE_US),
+                    EB_FINGERPRINT_CLEAR);
+    entry.remaining_us = 0;
+    CU_ASSERT_FALSE(EbQuarantine_Merge(quarantine, &entry, 0));
+    EbQuarantine_Free(quarantine);
+}
+
+/* Guards against changes that the other daemons never learn, among them an
+ * operator's release. */
+static void
+test_changes(void)
+{
+    EbQuarantine *here = new_quarantine(0), *there = new_quarantine(0);
+    EbQuarantine_Crash(here, 7, true, 0);
+    EbQuarantine_Crash(here, 7, true, 0);
+    EbQuarantineEntry told;
+    CU_ASSERT_TRUE_FATAL(EbQuarantine_NextChange(here, &told, SECOND_US));
+    CU_ASSERT_EQUAL(told.points, 4);
+    CU_ASSERT_EQUAL(told.remaining_us, EB_QUARANTINE_US - SECOND_US);
+    CU_ASSERT_FALSE(EbQuarantine_NextChange(here, &told, SECOND_US));
+    CU_ASSERT_TRUE(EbQuarantine_Merge(there, &told, 0));
+    CU_ASSERT_EQUAL(EbQuarantine_State(there, 7, 0),
+                    EB_FINGERPRINT_QUARANTINED);
+    CU_ASSERT_TRUE(EbQuarantine_Release(here, 7, SECOND_US));
+    CU_ASSERT_FALSE(EbQuarantine_Release(here, 7, SECOND_US));
+    CU_ASSERT_EQUAL(EbQuarantine_List(here, &told, 1, SECOND_US), 0);
+    CU_ASSERT_TRUE_FATAL(EbQuarantine_NextChange(here, &told, SECOND_US));
+    CU_ASSERT_TRUE(EbQuarantine_Merge(there, &told, 0));
+    CU_ASSERT_EQUAL(EbQuarantine_State(there, 7, 0), EB_FINGERPRINT_CLEAR);
+    CU_ASSERT_FALSE(EbQuarantine_NextChange(here, &told, SECOND_US));
+    EbQuarantine_Free(here);
+    EbQuarantine_Free(there);
+}
+
+/* Guards against unbounded memory and against a flood of suspicions that
+ * drives quarantined fingerprints out. */
+static void
+test_bounded(void)
+{
+    enum { MAX = 16 };
+    EbQuarantine *quarantine = new_quarantine(MAX);
+    EbQuarantine_Crash(quarantine, 1, true, 0);
+    EbQuarantine_Crash(quarantine, 1, true, 0);
+    for (EbFingerprint i = 2; i < 100; i++) {
+        EbQuarantine_Crash(quarantine, i, false, (int64_t)i);
+    }
+    EbQuarantineEntry entries[100], told;
+    CU_ASSERT_EQUAL(EbQuarantine_List(quarantine, entries, 100, 100), MAX);
+    CU_ASSERT_EQUAL(EbQuarantine_State(quarantine, 1, 100),
+                    EB_FINGERPRINT_QUARANTINED);
+    CU_ASSERT_EQUAL(EbQuarantine_State(quarantine, 2, 100),
+                    EB_FINGERPRINT_CLEAR);
+    CU_ASSERT_EQUAL(EbQuarantine_State(quarantine, 99, 100),
+                    EB_FINGERPRINT_SUSPECTED);
+    for (int i = 0; i < MAX; i++) {
+        CU_ASSERT_TRUE(EbQuarantine_NextChange(quarantine, &told, 100));
+    }
+    CU_ASSERT_FALSE(EbQuarantine_NextChange(quarantine, &told, 100));
+    EbQuarantine_Free(quarantine);
+}
+
+int
+main(void)
+{
+    static const EbTestCase cases[] = {
+        {"fingerprint", test_fingerprint}, {"scores", test_scores},
+        {"expiry", test_expiry},           {"merge", test_merge},
+        {"changes", test_changes},         {"bounded", test_bounded},
+    };
+    return EbTest_Run("test_quarantine", cases, TABLE_COUNT(cases));
+}
