message: msgpack codec of the messages between daemons

Cause: daemons exchange membership, configuration, outcomes, shares and notices, and every byte of them is untrusted. Change: one field table drives encoder and decoder. Before the library's decoder runs, which allocates by the lengths that the input declares, a scan checks that every length fits into the input and that nesting, elements and total values are bounded. EbMessageMember gets a sequence, with which a member refutes a wrong state, and heartbeats a digest of the member records. MEMBERS is merged and passed on as news instead of flooded by origin and sequence. A message of an unknown kind has its own error code, so that a later version does not break a link.

--- a/include/ebonyhollow/message.h
+++ b/include/ebonyhollow/message.h
@@ -15,13 +15,13 @@
 #include "ebonyhollow/quarantine.h"
 
 #define EB_MESSAGE_VERSION 1
-#define EB_MESSAGE_MAX_BYTES (1280 * 1024)
+#define EB_MESSAGE_MAX_BYTES ((size_t)1280 * 1024)
 #define EB_MESSAGE_MAX_NAME_BYTES 127
 #define EB_MESSAGE_MAX_ITEMS 4096 /* elements of one array */
 
 typedef enum {
     EB_MESSAGE_HEARTBEAT,      /* on every link, twice a second */
-    EB_MESSAGE_MEMBERS,        /* changes in membership, flooded */
+    EB_MESSAGE_MEMBERS,        /* member records, passed on when news */
     EB_MESSAGE_CONFIG_REQUEST, /* asks for the configuration body */
     EB_MESSAGE_CONFIG_BODY,
     EB_MESSAGE_OUTCOME_QUERY, /* asks the owner of a claim */
@@ -51,6 +51,8 @@
     char *address; /* "host:port" of the peer listener */
     char *failure_domain;
     EbMemberState state;
+    /* Raised by the member itself when it refutes a state or leaves. */
+    uint64_t sequence;
 } EbMessageMember;
 
 typedef struct {
@@ -69,8 +71,13 @@
     uint64_t origin_incarnation;
     uint64_t sequence;
 
-    /* HEARTBEAT, MEMBERS */
-    uint64_t generation; /* highest configuration; also CONFIG_* */
+    /* HEARTBEAT, CONFIG_REQUEST, CONFIG_BODY */
+    uint64_t generation; /* of the configuration */
+
+    /* HEARTBEAT: digest of the member records, to notice differences */
+    uint64_t digest;
+
+    /* MEMBERS */
     EbMessageMember *members;
     uint32_t member_count;
 
@@ -99,18 +106,22 @@
     bool leaving;
 } EbMessage;
 
-/* Returns whether a kind is flooded to all daemons. */
+/* Returns whether a kind is flooded to all daemons with origin and sequence.
+ * MEMBERS is not: a record is passed on when it is news to the receiver. */
 bool EbMessage_IsFlooded(EbMessageKind kind);
 
 /* Encodes a message into new memory that the caller frees with free().
  *
- * Returns false when it exceeds EB_MESSAGE_MAX_BYTES. */
+ * Returns false when it exceeds a limit or lacks a field that its kind
+ * requires. */
 bool EbMessage_Encode(const EbMessage *message, uint8_t **bytes,
                       size_t *byte_count);
 
 /* Decodes one message.
  *
- * Returns a message for EbMessage_Free, or NULL with `error` set. */
+ * Returns a message for EbMessage_Free, or NULL with `error` set. The error is
+ * EB_ERROR_UNKNOWN_FIELD for a well-formed message of an unknown kind, which
+ * a later version may send and which is to be ignored. */
 EbMessage *EbMessage_Decode(const uint8_t *bytes, size_t byte_count,
                             EbError *error);
 
--- /dev/null
+++ b/src/libebonyhollow/message.c
@@ -0,0 +1,328 @@
+#include "ebonyhollow/message.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <msgpack.h>
+
+#include "message_fields.h"
+
+#define BIT(kind) (1U << EB_MESSAGE_##kind)
+#define FLOODED (BIT(QUARANTINE) | BIT(SERVER_LEAVING))
+#define OUTCOMES (BIT(OUTCOME_QUERY) | BIT(OUTCOME_REPLY))
+#define CONFIGS (BIT(CONFIG_REQUEST) | BIT(CONFIG_BODY))
+#define SHARES (BIT(USAGE) | BIT(GRANT))
+#define FIELD(key, type, member, kinds, required, limit)                      \
+    {                                                                         \
+        key, EB_MESSAGE_FIELD_##type, offsetof(EbMessage, member), kinds,     \
+            required, limit, #member                                          \
+    }
+
+const char *const EbMessageKind_names[EB_MESSAGE_KIND_COUNT] = {
+    [EB_MESSAGE_HEARTBEAT] = "heartbeat",
+    [EB_MESSAGE_MEMBERS] = "members",
+    [EB_MESSAGE_CONFIG_REQUEST] = "config-request",
+    [EB_MESSAGE_CONFIG_BODY] = "config-body",
+    [EB_MESSAGE_OUTCOME_QUERY] = "outcome-query",
+    [EB_MESSAGE_OUTCOME_REPLY] = "outcome-reply",
+    [EB_MESSAGE_USAGE] = "usage",
+    [EB_MESSAGE_GRANT] = "grant",
+    [EB_MESSAGE_QUARANTINE] = "quarantine",
+    [EB_MESSAGE_SERVER_LEAVING] = "server-leaving",
+};
+
+const char *const EbMemberState_names[EB_MEMBER_STATE_COUNT] = {
+    [EB_MEMBER_ALIVE] = "alive",
+    [EB_MEMBER_SUSPECTED] = "suspected",
+    [EB_MEMBER_LEAVING] = "leaving",
+    [EB_MEMBER_DEAD] = "dead",
+};
+
+const EbMessageField EbMessage_fields[] = {
+    FIELD(2, NAME, origin, FLOODED, FLOODED, 0),
+    FIELD(3, UINT64, origin_incarnation, FLOODED, 0, 0),
+    FIELD(4, UINT64, sequence, FLOODED, 0, 0),
+    FIELD(5, UINT64, generation, BIT(HEARTBEAT) | CONFIGS, 0, 0),
+    FIELD(6, UINT64, digest, BIT(HEARTBEAT), 0, 0),
+    FIELD(7, MEMBERS, members, BIT(MEMBERS), 0, 0),
+    FIELD(8, TEXT, text, BIT(CONFIG_BODY) | BIT(OUTCOME_REPLY),
+          BIT(CONFIG_BODY), 0),
+    FIELD(9, UINT64, query, OUTCOMES, 0, 0),
+    FIELD(10, NAME, customer, OUTCOMES, BIT(OUTCOME_QUERY), 0),
+    FIELD(11, NAME, key_digest, OUTCOMES, BIT(OUTCOME_QUERY), 0),
+    FIELD(12, UINT32, local_state, BIT(OUTCOME_REPLY), 0, UINT32_MAX),
+    FIELD(13, UINT32, outcome, BIT(OUTCOME_REPLY), 0, EB_OUTCOME_COUNT),
+    FIELD(14, UINT32, reason, BIT(OUTCOME_REPLY), 0, EB_REASON_COUNT),
+    FIELD(15, SHARES, shares, SHARES, 0, 0),
+    FIELD(16, ENTRIES, entries, BIT(QUARANTINE), 0, 0),
+    FIELD(17, NAME, server, BIT(SERVER_LEAVING), BIT(SERVER_LEAVING), 0),
+    FIELD(18, BOOL, leaving, BIT(SERVER_LEAVING), 0, 0),
+};
+
+const size_t EbMessage_field_count =
+    sizeof(EbMessage_fields) / sizeof(EbMessage_fields[0]);
+
+bool
+EbMessage_IsFlooded(EbMessageKind kind)
+{
+    assert(kind < EB_MESSAGE_KIND_COUNT);
+    return (FLOODED & 1U << kind) != 0;
+}
+
+bool
+EbMessageField_IsOf(const EbMessageField *field, EbMessageKind kind)
+{
+    return (field->kinds & 1U << kind) != 0;
+}
+
+static void
+pack_string(msgpack_packer *packer, const char *string, size_t length)
+{
+    msgpack_pack_str(packer, length);
+    msgpack_pack_str_body(packer, string, length);
+}
+
+static void
+pack_name(msgpack_packer *packer, const char *name)
+{
+    pack_string(packer, name == NULL ? "" : name,
+                name == NULL ? 0 : strlen(name));
+}
+
+static void
+pack_members(msgpack_packer *packer, const EbMessage *message)
+{
+    msgpack_pack_array(packer, message->member_count);
+    for (uint32_t i = 0; i < message->member_count; i++) {
+        const EbMessageMember *member = &message->members[i];
+        msgpack_pack_array(packer, EB_MESSAGE_MEMBER_ELEMENTS);
+        pack_name(packer, member->instance);
+        msgpack_pack_uint64(packer, member->incarnation);
+        pack_name(packer, member->address);
+        pack_name(packer, member->failure_domain);
+        msgpack_pack_uint32(packer, member->state);
+        msgpack_pack_uint64(packer, member->sequence);
+    }
+}
+
+static void
+pack_shares(msgpack_packer *packer, const EbMessage *message)
+{
+    msgpack_pack_array(packer, message->share_count);
+    for (uint32_t i = 0; i < message->share_count; i++) {
+        const EbMessageShare *share = &message->shares[i];
+        msgpack_pack_array(packer, EB_MESSAGE_SHARE_ELEMENTS);
+        pack_name(packer, share->customer);
+        msgpack_pack_uint64(packer, share->requests_per_s_milli);
+        msgpack_pack_uint32(packer, share->concurrent_requests);
+        msgpack_pack_uint64(packer, share->tokens_per_s);
+    }
+}
+
+static void
+pack_entries(msgpack_packer *packer, const EbMessage *message)
+{
+    msgpack_pack_array(packer, message->entry_count);
+    for (uint32_t i = 0; i < message->entry_count; i++) {
+        const EbQuarantineEntry *entry = &message->entries[i];
+        msgpack_pack_array(packer, EB_MESSAGE_ENTRY_ELEMENTS);
+        msgpack_pack_uint64(packer, entry->fingerprint);
+        msgpack_pack_uint32(packer, entry->points);
+        msgpack_pack_uint32(packer, entry->state);
+        msgpack_pack_int64(packer, entry->remaining_us);
+    }
+}
+
+static const void *
+field_value(const EbMessage *message, const EbMessageField *field)
+{
+    return (const char *)message + field->offset;
+}
+
+static const char *
+field_string(const EbMessage *message, const EbMessageField *field)
+{
+    return *(char *const *)field_value(message, field);
+}
+
+static uint32_t
+field_uint32(const EbMessage *message, const EbMessageField *field)
+{
+    uint32_t value;
+    memcpy(&value, field_value(message, field), sizeof(value));
+    return value;
+}
+
+/* Whether a field is left out, because it has the value that the decoder
+ * assumes for an absent one. */
+static bool
+is_absent(const EbMessage *message, const EbMessageField *field)
+{
+    switch (field->type) {
+    case EB_MESSAGE_FIELD_NAME:
+    case EB_MESSAGE_FIELD_TEXT:
+        return field_string(message, field) == NULL;
+    case EB_MESSAGE_FIELD_UINT64:
+        return *(const uint64_t *)field_value(message, field) == 0;
+    case EB_MESSAGE_FIELD_UINT32:
+        return field_uint32(message, field) == 0;
+    case EB_MESSAGE_FIELD_BOOL:
+        return !*(const bool *)field_value(message, field);
+    case EB_MESSAGE_FIELD_MEMBERS:
+        return message->member_count == 0;
+    case EB_MESSAGE_FIELD_SHARES:
+        return message->share_count == 0;
+    case EB_MESSAGE_FIELD_ENTRIES:
+        return message->entry_count == 0;
+    }
+    return true;
+}
+
+static void
+pack_field(msgpack_packer *packer, const EbMessage *message,
+           const EbMessageField *field)
+{
+    msgpack_pack_uint8(packer, field->key);
+    switch (field->type) {
+    case EB_MESSAGE_FIELD_NAME:
+        pack_name(packer, field_string(message, field));
+        break;
+    case EB_MESSAGE_FIELD_TEXT:
+        pack_string(packer, message->text, message->text_bytes);
+        break;
+    case EB_MESSAGE_FIELD_UINT64:
+        msgpack_pack_uint64(packer,
+                            *(const uint64_t *)field_value(message, field));
+        break;
+    case EB_MESSAGE_FIELD_UINT32:
+        msgpack_pack_uint32(packer, field_uint32(message, field));
+        break;
+    case EB_MESSAGE_FIELD_BOOL:
+        msgpack_pack_true(packer);
+        break;
+    case EB_MESSAGE_FIELD_MEMBERS:
+        pack_members(packer, message);
+        break;
+    case EB_MESSAGE_FIELD_SHARES:
+        pack_shares(packer, message);
+        break;
+    case EB_MESSAGE_FIELD_ENTRIES:
+        pack_entries(packer, message);
+        break;
+    }
+}
+
+static bool
+is_name_short(const char *name)
+{
+    return name == NULL || strnlen(name, EB_MESSAGE_MAX_NAME_BYTES + 1) <=
+                               EB_MESSAGE_MAX_NAME_BYTES;
+}
+
+static bool
+are_elements_in_limits(const EbMessage *message)
+{
+    if (message->member_count > EB_MESSAGE_MAX_ITEMS ||
+        message->share_count > EB_MESSAGE_MAX_ITEMS ||
+        message->entry_count > EB_MESSAGE_MAX_ITEMS) {
+        return false;
+    }
+    for (uint32_t i = 0; i < message->member_count; i++) {
+        const EbMessageMember *member = &message->members[i];
+        if (!is_name_short(member->instance) ||
+            !is_name_short(member->address) ||
+            !is_name_short(member->failure_domain)) {
+            return false;
+        }
+    }
+    for (uint32_t i = 0; i < message->share_count; i++) {
+        if (!is_name_short(message->shares[i].customer)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Checks required fields and limits; counts the fields to write. */
+static bool
+count_fields(const EbMessage *message, uint32_t *count)
+{
+    *count = 0;
+    for (size_t i = 0; i < EbMessage_field_count; i++) {
+        const EbMessageField *field = &EbMessage_fields[i];
+        if (!EbMessageField_IsOf(field, message->kind)) {
+            continue;
+        }
+        bool absent = is_absent(message, field);
+        if (absent && (field->required_kinds & 1U << message->kind) != 0) {
+            return false;
+        }
+        if (field->type == EB_MESSAGE_FIELD_NAME &&
+            !is_name_short(field_string(message, field))) {
+            return false;
+        }
+        *count += !absent;
+    }
+    return message->text_bytes <= EB_MESSAGE_MAX_BYTES &&
+           are_elements_in_limits(message);
+}
+
+bool
+EbMessage_Encode(const EbMessage *message, uint8_t **bytes, size_t *byte_count)
+{
+    assert(message->kind < EB_MESSAGE_KIND_COUNT);
+    uint32_t count;
+    if (!count_fields(message, &count)) {
+        return false;
+    }
+    msgpack_sbuffer buffer;
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer packer;
+    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+    msgpack_pack_map(&packer, count + 2);
+    msgpack_pack_uint8(&packer, EB_MESSAGE_KEY_VERSION);
+    msgpack_pack_uint8(&packer, EB_MESSAGE_VERSION);
+    msgpack_pack_uint8(&packer, EB_MESSAGE_KEY_KIND);
+    msgpack_pack_uint32(&packer, message->kind);
+    for (size_t i = 0; i < EbMessage_field_count; i++) {
+        const EbMessageField *field = &EbMessage_fields[i];
+        if (EbMessageField_IsOf(field, message->kind) &&
+            !is_absent(message, field)) {
+            pack_field(&packer, message, field);
+        }
+    }
+    if (buffer.size > EB_MESSAGE_MAX_BYTES) {
+        msgpack_sbuffer_destroy(&buffer);
+        return false;
+    }
+    *byte_count = buffer.size;
+    *bytes = (uint8_t *)msgpack_sbuffer_release(&buffer);
+    return true;
+}
+
+void
+EbMessage_Free(EbMessage *message)
+{
+    if (message == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < message->member_count; i++) {
+        g_free(message->members[i].instance);
+        g_free(message->members[i].address);
+        g_free(message->members[i].failure_domain);
+    }
+    for (uint32_t i = 0; i < message->share_count; i++) {
+        g_free(message->shares[i].customer);
+    }
+    g_free(message->members);
+    g_free(message->shares);
+    g_free(message->entries);
+    g_free(message->origin);
+    g_free(message->text);
+    g_free(message->customer);
+    g_free(message->key_digest);
+    g_free(message->server);
+    g_free(message);
+}
--- /dev/null
+++ b/src/test_message/main.c
@@ -0,0 +1,302 @@
+/* Tests of the peer messages' codec. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ebonyhollow/message.h"
+#include "ebonyhollow/random.h"
+#include "test_runner.h"
+
+#define TABLE_COUNT(table) (sizeof(table) / sizeof((table)[0]))
+#define SEED 20260401
+#define ROUNDS 20000
+
+static EbMessageMember sample_members[] = {
+    {"i-1", 7, "10.0.0.1:7000", "recife", EB_MEMBER_LEAVING, 3},
+    {"i-2", UINT64_MAX, "", "", EB_MEMBER_ALIVE, 0}};
+static EbMessageShare sample_shares[] = {{"c-1", 1500, 4, UINT64_MAX}};
+static EbQuarantineEntry sample_entries[] = {
+    {UINT64_MAX, 3, EB_FINGERPRINT_QUARANTINED, EB_QUARANTINE_US},
+    {5, 1, EB_FINGERPRINT_SUSPECTED, -1}};
+
+/* One message of each kind, with all fields of the kind. */
+static const EbMessage samples[] = {
+    {.kind = EB_MESSAGE_HEARTBEAT, .generation = 4, .digest = 1ULL << 60},
+    {.kind = EB_MESSAGE_MEMBERS, .members = sample_members, .member_count = 2},
+    {.kind = EB_MESSAGE_CONFIG_REQUEST, .generation = 9},
+    {.kind = EB_MESSAGE_CONFIG_BODY,
+     .generation = 9,
+     .text = "{\0}",
+     .text_bytes = 3},
+    {.kind = EB_MESSAGE_OUTCOME_QUERY,
+     .query = 8,
+     .customer = "c-1",
+     .key_digest = "00ff"},
+    {.kind = EB_MESSAGE_OUTCOME_REPLY,
+     .query = 8,
+     .customer = "c-1",
+     .key_digest = "00ff",
+     .local_state = 2,
+     .outcome = EB_OUTCOME_UNKNOWN,
+     .reason = EB_REASON_SHUTDOWN,
+     .text = "{}",
+     .text_bytes = 2},
+    {.kind = EB_MESSAGE_USAGE, .shares = sample_shares, .share_count = 1},
+    {.kind = EB_MESSAGE_GRANT, .shares = sample_shares, .share_count = 1},
+    {.kind = EB_MESSAGE_QUARANTINE,
+     .origin = "i-1",
+     .origin_incarnation = 7,
+     .sequence = 11,
+     .entries = sample_entries,
+     .entry_count = 2},
+    {.kind = EB_MESSAGE_SERVER_LEAVING,
+     .origin = "i-1",
+     .origin_incarnation = 7,
+     .sequence = 12,
+     .server = "s-1",
+     .leaving = true},
+};
+
+static void
+check_arrays(const EbMessage *got, const EbMessage *sent)
+{
+    CU_ASSERT_EQUAL_FATAL(got->member_count, sent->member_count);
+    for (uint32_t i = 0; i < got->member_count; i++) {
+        const EbMessageMember *left = &got->members[i];
+        const EbMessageMember *right = &sent->members[i];
+        CU_ASSERT_STRING_EQUAL(left->instance, right->instance);
+        CU_ASSERT_STRING_EQUAL(left->address, right->address);
+        CU_ASSERT_STRING_EQUAL(left->failure_domain, right->failure_domain);
+        CU_ASSERT_EQUAL(left->incarnation, right->incarnation);
+        CU_ASSERT_EQUAL(left->state, right->state);
+        CU_ASSERT_EQUAL(left->sequence, right->sequence);
+    }
+    CU_ASSERT_EQUAL_FATAL(got->share_count, sent->share_count);
+    if (got->share_count > 0) {
+        CU_ASSERT_STRING_EQUAL(got->shares->customer, sent->shares->customer);
+        CU_ASSERT_EQUAL(got->shares->tokens_per_s, sent->shares->tokens_per_s);
+        CU_ASSERT_EQUAL(got->shares->requests_per_s_milli, 1500);
+        CU_ASSERT_EQUAL(got->shares->concurrent_requests, 4);
+    }
+    CU_ASSERT_EQUAL_FATAL(got->entry_count, sent->entry_count);
+    for (uint32_t i = 0; i < got->entry_count; i++) {
+        CU_ASSERT_EQUAL(got->entries[i].fingerprint,
+                        sent->entries[i].fingerprint);
+        CU_ASSERT_EQUAL(got->entries[i].points, sent->entries[i].points);
+        CU_ASSERT_EQUAL(got->entries[i].state, sent->entries[i].state);
+        CU_ASSERT_EQUAL(got->entries[i].remaining_us,
+                        sent->entries[i].remaining_us);
+    }
+}
+
+static void
+check_string(const char *got, const char *sent)
+{
+    CU_ASSERT_STRING_EQUAL(got == NULL ? "" : got, sent == NULL ? "" : sent);
+}
+
+/* Guards against a field that is lost or changed on the wire. */
+static void
+test_round_trip(void)
+{
+    CU_ASSERT_EQUAL(TABLE_COUNT(samples), EB_MESSAGE_KIND_COUNT);
+    for (size_t i = 0; i < TABLE_COUNT(samples); i++) {
+        const EbMessage *sent = &samples[i];
+        uint8_t *bytes;
+        size_t count;
+        CU_ASSERT_TRUE_FATAL(EbMessage_Encode(sent, &bytes, &count));
+        EbMessage *got = EbMessage_Decode(bytes, count, NULL);
+        free(bytes);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(got);
+        CU_ASSERT_EQUAL(got->kind, sent->kind);
+        CU_ASSERT_EQUAL(got->origin_incarnation, sent->origin_incarnation);
+        CU_ASSERT_EQUAL(got->sequence, sent->sequence);
+        CU_ASSERT_EQUAL(got->generation, sent->generation);
+        CU_ASSERT_EQUAL(got->digest, sent->digest);
+        CU_ASSERT_EQUAL(got->query, sent->query);
+        CU_ASSERT_EQUAL(got->local_state, sent->local_state);
+        CU_ASSERT_EQUAL(got->outcome, sent->outcome);
+        CU_ASSERT_EQUAL(got->reason, sent->reason);
+        CU_ASSERT_EQUAL(got->leaving, sent->leaving);
+        check_string(got->origin, sent->origin);
+        check_string(got->customer, sent->customer);
+        check_string(got->key_digest, sent->key_digest);
+        check_string(got->server, sent->server);
+        CU_ASSERT_EQUAL_FATAL(got->text_bytes, sent->text_bytes);
+        CU_ASSERT_TRUE(got->text_bytes == 0 ||
+                       memcmp(got->text, sent->text, got->text_bytes) == 0);
+        check_arrays(got, sent);
+        EbMessage_Free(got);
+    }
+}
+
+/* Guards against malformed input that is accepted, and against a later
+ * version's additions that are refused. */
+static void
+test_fixed_inputs(void)
+{
+    static const struct {
+        const char *bytes;
+        size_t count;
+        EbErrorCode expected; /* EB_ERROR_NONE: accepted */
+    } rows[] = {
+        {"", 0, EB_ERROR_SYNTAX},
+        {"\x82\x00\x01\x01\x00", 5, EB_ERROR_NONE},
+        {"\x82\x01\x00\x00\x07", 5, EB_ERROR_NONE}, /* order, version 7 */
+        {"\x83\x00\x01\x01\x00\x7f\x92\xc0\x90", 9, EB_ERROR_NONE},
+        {"\x83\x00\x01\x01\x00\xa1x\xc3", 8, EB_ERROR_NONE},
+        {"\x82\x00\x01\x01\x7f", 5, EB_ERROR_UNKNOWN_FIELD},
+        {"\x82\x00\x01\x01\x00\x00", 6, EB_ERROR_SYNTAX}, /* trailing */
+        {"\x82\x00\x01\x01", 4, EB_ERROR_SYNTAX},
+        {"\x81\x00\x01", 3, EB_ERROR_MISSING_FIELD},
+        {"\x82\x00\x00\x01\x00", 5, EB_ERROR_MISSING_FIELD}, /* version 0 */
+        {"\x83\x00\x01\x01\x00\x01\x00", 7, EB_ERROR_MISSING_FIELD},
+        {"\x82\x00\x01\x01\x03", 5, EB_ERROR_MISSING_FIELD}, /* no text */
+        {"\x83\x00\x01\x01\x00\x05\xff", 7, EB_ERROR_TYPE},
+        {"\x84\x00\x01\x01\x00\x05\x01\x05\x01", 9, EB_ERROR_DUPLICATE},
+        {"\x83\x00\x01\x01\x01\x07\x91\x90", 8, EB_ERROR_TYPE},
+        {"\x83\x00\x01\x01\x05\x0d\x04", 7, EB_ERROR_TYPE}, /* outcome 4 */
+        {"\x84\x00\x01\x01\x04\x0a\xa2\xc3\x28\x0b\xa0", 11, EB_ERROR_TYPE},
+        {"\x84\x00\x01\x01\x04\x0a\xa2"
+         "a\0\x0b\xa0",
+         11, EB_ERROR_TYPE},
+        {"\x83\x00\x01\x01\x09\x12\x2a", 7, EB_ERROR_MISSING_FIELD},
+        {"\x91\xc1", 2, EB_ERROR_SYNTAX},
+        {"\xdd\xff\xff\xff\xff", 5, EB_ERROR_LIMIT},
+        {"\xdf\x00\x00\x0f\xff\x00", 6, EB_ERROR_SYNTAX},
+        {"\xdb\xff\xff\xff\xff", 5, EB_ERROR_SYNTAX},
+        {"\xc9\xff\xff\xff\xff\x00", 6, EB_ERROR_SYNTAX},
+        {"\x91\x91\x91\x91\x91\x91\x91\x91\x91\x90", 10, EB_ERROR_LIMIT},
+    };
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        EbError error = {0};
+        EbMessage *message = EbMessage_Decode((const uint8_t *)rows[i].bytes,
+                                              rows[i].count, &error);
+        CU_ASSERT_EQUAL(message != NULL, rows[i].expected == EB_ERROR_NONE);
+        CU_ASSERT_EQUAL(error.code, rows[i].expected);
+        if (error.code != rows[i].expected) {
+            printf("row %zu: %s\n", i, error.message);
+        }
+        EbMessage_Free(message);
+    }
+}
+
+/* Decodes a copy whose end is the end of its memory, so that the sanitizer
+ * finds a read beyond it, and encodes what was accepted once more. */
+static bool
+decode_exactly(const uint8_t *bytes, size_t count)
+{
+    uint8_t *copy = malloc(count > 0 ? count : 1);
+    memcpy(copy, bytes, count);
+    EbMessage *message = EbMessage_Decode(copy, count, NULL);
+    free(copy);
+    uint8_t *again = NULL;
+    size_t again_count;
+    if (message != NULL && EbMessage_Encode(message, &again, &again_count)) {
+        free(again);
+    }
+    EbMessage_Free(message);
+    return message != NULL;
+}
+
+/* Guards against memory errors on truncated, altered and random input. */
+static void
+test_hostile_input(void)
+{
+    EbRandom random;
+    EbRandom_Init(&random, SEED);
+    for (size_t i = 0; i < TABLE_COUNT(samples); i++) {
+        uint8_t *bytes;
+        size_t count;
+        CU_ASSERT_TRUE_FATAL(EbMessage_Encode(&samples[i], &bytes, &count));
+        for (size_t cut = 0; cut < count; cut++) {
+            CU_ASSERT_FALSE(decode_exactly(bytes, cut));
+        }
+        for (int round = 0; round < ROUNDS / 10; round++) {
+            size_t at = EbRandom_Below(&random, count);
+            uint8_t old = bytes[at];
+            bytes[at] = (uint8_t)EbRandom_Next(&random);
+            decode_exactly(bytes, count);
+            bytes[at] = old;
+        }
+        free(bytes);
+    }
+    for (int round = 0; round < ROUNDS; round++) {
+        uint8_t bytes[96] = {0x83, 0x00, 0x01, 0x01};
+        size_t count = 4 + EbRandom_Below(&random, sizeof(bytes) - 4);
+        size_t start = round % 2 == 0 ? 0 : 4;
+        for (size_t i = start; i < count; i++) {
+            bytes[i] = (uint8_t)EbRandom_Next(&random);
+        }
+        decode_exactly(bytes, count);
+    }
+}
+
+/* Guards against messages beyond the limits on either side, and against deep
+ * nesting that overflows a stack. */
+static void
+test_limits(void)
+{
+    size_t count = EB_MESSAGE_MAX_BYTES + 1;
+    uint8_t *bytes = malloc(count);
+    EbError error = {0};
+    memset(bytes, 0x91, count);
+    CU_ASSERT_PTR_NULL(EbMessage_Decode(bytes, count, &error));
+    CU_ASSERT_EQUAL(error.code, EB_ERROR_LIMIT);
+    CU_ASSERT_FALSE(decode_exactly(bytes, count - 1));
+    memset(bytes, 'x', count);
+    EbMessage body = {.kind = EB_MESSAGE_CONFIG_BODY, .text = (char *)bytes};
+    uint8_t *encoded = NULL;
+    size_t encoded_count;
+    body.text_bytes = EB_MESSAGE_MAX_BYTES;
+    CU_ASSERT_FALSE(EbMessage_Encode(&body, &encoded, &encoded_count));
+    body.text_bytes = EB_MESSAGE_MAX_BYTES - 100;
+    CU_ASSERT_TRUE_FATAL(EbMessage_Encode(&body, &encoded, &encoded_count));
+    CU_ASSERT_TRUE(decode_exactly(encoded, encoded_count));
+    free(encoded);
+    bytes[EB_MESSAGE_MAX_NAME_BYTES + 1] = '\0';
+    EbMessage leaving = {.kind = EB_MESSAGE_SERVER_LEAVING, .origin = "i"};
+    CU_ASSERT_FALSE(EbMessage_Encode(&leaving, &encoded, &encoded_count));
+    leaving.server = (char *)bytes;
+    CU_ASSERT_FALSE(EbMessage_Encode(&leaving, &encoded, &encoded_count));
+    leaving.server++;
+    CU_ASSERT_TRUE_FATAL(EbMessage_Encode(&leaving, &encoded, &encoded_count));
+    free(encoded);
+    free(bytes);
+}
+
+/* Guards against a list of the largest allowed number of members that the
+ * decoder's limits refuse. */
+static void
+test_largest_list(void)
+{
+    EbMessageMember *members =
+        calloc(EB_MESSAGE_MAX_ITEMS + 1, sizeof(*members));
+    for (size_t i = 0; i <= EB_MESSAGE_MAX_ITEMS; i++) {
+        members[i] = sample_members[0];
+    }
+    EbMessage message = {.kind = EB_MESSAGE_MEMBERS,
+                         .members = members,
+                         .member_count = EB_MESSAGE_MAX_ITEMS};
+    uint8_t *bytes;
+    size_t count;
+    CU_ASSERT_TRUE_FATAL(EbMessage_Encode(&message, &bytes, &count));
+    CU_ASSERT_TRUE(decode_exactly(bytes, count));
+    free(bytes);
+    message.member_count++;
+    CU_ASSERT_FALSE(EbMessage_Encode(&message, &bytes, &count));
+    free(members);
+}
+
+int
+main(void)
+{
+    static const EbTestCase cases[] = {
+        {"round trip", test_round_trip},
+        {"fixed inputs", test_fixed_inputs},
+        {"hostile input", test_hostile_input},
+        {"limits", test_limits},
+        {"largest list", test_largest_list},
+    };
+    return EbTest_Run("test_message", cases, TABLE_COUNT(cases));
+}
