--- /dev/null
+++ b/src/test_retry/main.c
@@ -0,0 +1,93 @@
+/* Tests of the retry budget and backoff. */
+#include "ebonyhollow/retry.h"
+
+#include "test_runner.h"
+
+#define TABLE_COUNT(table) (sizeof(table) / sizeof((table)[0]))
+
+/* Guards against extra calls that multiply the load when every call fails. */
+static void
+test_budget_share(void)
+{
+    static const struct {
+        EbRetryOptions options;
+        uint32_t share_permille;
+        uint32_t reserve;
+    } rows[] = {
+        {{0}, 100, 3},
+        {{.share_permille = 250, .reserve = 1, .max_saved = 5}, 250, 1},
+        {{.reserve = 50, .max_saved = 4}, 100, 4},
+    };
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        EbRetry retry;
+        EbRetry_Init(&retry, &rows[i].options);
+        uint64_t taken = 0;
+        for (int call = 0; call < 10000; call++) {
+            EbRetry_Fresh(&retry);
+            while (EbRetry_Take(&retry)) {
+                taken++;
+            }
+        }
+        uint64_t share = 10 * rows[i].share_permille;
+        CU_ASSERT_TRUE(taken <= share + rows[i].reserve);
+        CU_ASSERT_TRUE(taken >= share);
+        CU_ASSERT_EQUAL(retry.extra_calls, taken);
+        CU_ASSERT_EQUAL(retry.refused_calls, 10000);
+    }
+}
+
+/* Guards against a quiet period that saves up an unbounded burst, and against
+ * a budget that is lost when a taken call is not sent. */
+static void
+test_budget_bound(void)
+{
+    EbRetry retry;
+    EbRetry_Init(&retry, &(EbRetryOptions){0});
+    for (int i = 0; i < 100000; i++) {
+        EbRetry_Fresh(&retry);
+    }
+    int taken = 0;
+    while (EbRetry_Take(&retry)) {
+        taken++;
+    }
+    CU_ASSERT_EQUAL(taken, 20);
+    EbRetry_Return(&retry);
+    CU_ASSERT_EQUAL(retry.extra_calls, 19);
+    CU_ASSERT_TRUE(EbRetry_Take(&retry));
+    CU_ASSERT_FALSE(EbRetry_Take(&retry));
+}
+
+/* Guards against synchronised retries and against delays without a bound. */
+static void
+test_backoff(void)
+{
+    static const struct {
+        uint32_t attempt;
+        int64_t bound_us;
+    } rows[] = {{1, 25000},  {2, 50000},   {3, 100000},
+                {6, 800000}, {7, 1000000}, {UINT32_MAX, 1000000}};
+    EbRandom random;
+    EbRandom_Init(&random, 3);
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        int64_t sum_us = 0;
+        for (int draw = 0; draw < 4000; draw++) {
+            int64_t delay_us = EbRetry_Backoff(&random, rows[i].attempt);
+            CU_ASSERT_TRUE(delay_us >= 0 && delay_us <= rows[i].bound_us);
+            sum_us += delay_us;
+        }
+        /* Full jitter has half the bound as its mean. */
+        double mean = (double)sum_us / 4000 / (double)rows[i].bound_us;
+        CU_ASSERT_TRUE(mean > 0.47 && mean < 0.53);
+    }
+}
+
+int
+main(void)
+{
+    static const EbTestCase cases[] = {
+        {"budget share", test_budget_share},
+        {"budget bound", test_budget_bound},
+        {"backoff", test_backoff},
+    };
+    return EbTest_Run("test_retry", cases, TABLE_COUNT(cases));
+}
