queue: add weighted fair queue with deadlines

Attempts of several customers wait for one pool; the burst of one customer must not delay the others.

Start-time fair queuing orders customers by virtual start tag, so that the head of a customer may change with its deadlines without a new tag. Within one customer the earliest feasible deadline goes first. Entries that can't finish in time any more leave the order of service and are handed back. All operations are O(log n) on binary heaps with known positions; first-come order is a row of the same table. A customer that runs empty keeps its finish tag while it is ahead of the virtual time.

The lag between two customers that wait stays within cost/weight of each.

--- /dev/null
+++ b/src/libebonyhollow/queue.c
@@ -0,0 +1,384 @@
+#include "ebonyhollow/queue.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "heap.h"
+
+#define DEFAULT_MAX_ENTRIES 4096
+#define SHARED_FLOW                                                           \
+    "" /* flow of an order that doesn't tell customers apart                  \
+        */
+
+/* One waiting entry. It is in the heap of its flow and in the heap of
+ * expiries, or, once expired, in the list of expired entries. */
+typedef struct {
+    EbQueueEntry entry;
+    struct Flow *flow;
+    uint64_t arrival;
+    int64_t latest_start_us;
+    uint32_t flow_position;
+    uint32_t expiry_position;
+    GList expired_link;
+    char customer[];
+} Waiting;
+
+/* A customer's entries. A flow without entries is kept while its finish tag
+ * is ahead of the virtual time, so that a customer can't shed its past
+ * service by letting its queue run empty for a moment. */
+typedef struct Flow {
+    char *name;
+    EbHeap entries;
+    double start;  /* virtual start tag of its next entry */
+    double finish; /* virtual finish tag of its last served entry */
+    uint64_t turn; /* order among equal tags */
+    uint32_t position;
+} Flow;
+
+typedef struct {
+    const char *(*flow_name)(const EbQueueEntry *entry);
+    const EbHeapClass *entries;
+} Order;
+
+struct EbQueue {
+    const Order *order;
+    uint32_t max_entries;
+    uint32_t count;
+    uint64_t arrivals;
+    uint64_t turns;
+    double virtual_time;
+    GHashTable *flows; /* name to Flow */
+    EbHeap active;     /* flows with entries, by start tag */
+    EbHeap idle;       /* flows without entries, by finish tag */
+    EbHeap expiries;   /* all entries not yet expired, by latest start */
+    GHashTable *by_id; /* id to Waiting */
+    GQueue expired;
+    Waiting *handed_out; /* keeps the last result's customer valid */
+};
+
+static bool
+earlier_deadline(const void *left, const void *right)
+{
+    const Waiting *a = left, *b = right;
+    if (a->entry.deadline_us != b->entry.deadline_us) {
+        return a->entry.deadline_us < b->entry.deadline_us;
+    }
+    return a->arrival < b->arrival;
+}
+
+static bool
+earlier_arrival(const void *left, const void *right)
+{
+    const Waiting *a = left, *b = right;
+    return a->arrival < b->arrival;
+}
+
+static void
+set_flow_position(void *item, uint32_t position)
+{
+    ((Waiting *)item)->flow_position = position;
+}
+
+static bool
+earlier_expiry(const void *left, const void *right)
+{
+    const Waiting *a = left, *b = right;
+    return a->latest_start_us < b->latest_start_us;
+}
+
+static void
+set_expiry_position(void *item, uint32_t position)
+{
+    ((Waiting *)item)->expiry_position = position;
+}
+
+static bool
+earlier_start(const void *left, const void *right)
+{
+    const Flow *a = left, *b = right;
+    if (a->start != b->start) {
+        return a->start < b->start;
+    }
+    return a->turn < b->turn;
+}
+
+static bool
+earlier_finish(const void *left, const void *right)
+{
+    const Flow *a = left, *b = right;
+    return a->finish < b->finish;
+}
+
+static void
+set_position(void *item, uint32_t position)
+{
+    ((Flow *)item)->position = position;
+}
+
+static const EbHeapClass by_deadline = {earlier_deadline, set_flow_position};
+static const EbHeapClass by_arrival = {earlier_arrival, set_flow_position};
+static const EbHeapClass by_expiry = {earlier_expiry, set_expiry_position};
+static const EbHeapClass by_start = {earlier_start, set_position};
+static const EbHeapClass by_finish = {earlier_finish, set_position};
+
+static const char *
+flow_of_customer(const EbQueueEntry *entry)
+{
+    return entry->customer;
+}
+
+static const char *
+shared_flow(const EbQueueEntry *entry)
+{
+    (void)entry;
+    return SHARED_FLOW;
+}
+
+static const Order orders[EB_QUEUE_ORDER_COUNT] = {
+    [EB_QUEUE_WEIGHTED_FAIR] = {flow_of_customer, &by_deadline},
+    [EB_QUEUE_FIRST_COME] = {shared_flow, &by_arrival},
+};
+
+static void
+free_flow(gpointer pointer)
+{
+    Flow *flow = pointer;
+    EbHeap_Clear(&flow->entries);
+    g_free(flow->name);
+    g_free(flow);
+}
+
+EbQueue *
+EbQueue_New(const EbQueueOptions *options)
+{
+    assert(options->order < EB_QUEUE_ORDER_COUNT);
+    EbQueue *queue = g_new0(EbQueue, 1);
+    queue->order = &orders[options->order];
+    queue->max_entries =
+        options->max_entries != 0 ? options->max_entries : DEFAULT_MAX_ENTRIES;
+    queue->flows =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_flow);
+    queue->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+    EbHeap_Init(&queue->active, &by_start);
+    EbHeap_Init(&queue->idle, &by_finish);
+    EbHeap_Init(&queue->expiries, &by_expiry);
+    g_queue_init(&queue->expired);
+    return queue;
+}
+
+void
+EbQueue_Free(EbQueue *queue)
+{
+    if (queue == NULL) {
+        return;
+    }
+    GHashTableIter iterator;
+    gpointer waiting;
+    g_hash_table_iter_init(&iterator, queue->by_id);
+    while (g_hash_table_iter_next(&iterator, NULL, &waiting)) {
+        g_free(waiting);
+    }
+    g_free(queue->handed_out);
+    g_hash_table_destroy(queue->by_id);
+    g_hash_table_destroy(queue->flows);
+    EbHeap_Clear(&queue->active);
+    EbHeap_Clear(&queue->idle);
+    EbHeap_Clear(&queue->expiries);
+    g_free(queue);
+}
+
+static Flow *
+get_flow(EbQueue *queue, const char *name)
+{
+    Flow *flow = g_hash_table_lookup(queue->flows, name);
+    if (flow == NULL) {
+        flow = g_new0(Flow, 1);
+        flow->name = g_strdup(name);
+        flow->position = EB_HEAP_NONE;
+        EbHeap_Init(&flow->entries, queue->order->entries);
+        g_hash_table_insert(queue->flows, flow->name, flow);
+    }
+    else if (flow->entries.count == 0) {
+        EbHeap_RemoveAt(&queue->idle, flow->position);
+    }
+    return flow;
+}
+
+/* Puts a flow with entries into the order of service. */
+static void
+activate(EbQueue *queue, Flow *flow)
+{
+    flow->start = MAX(queue->virtual_time, flow->finish);
+    flow->turn = queue->turns++;
+    EbHeap_Insert(&queue->active, flow);
+}
+
+/* Frees flows whose past service no longer delays them. */
+static void
+forget_idle_flows(EbQueue *queue)
+{
+    Flow *flow;
+    while ((flow = EbHeap_First(&queue->idle)) != NULL &&
+           flow->finish <= queue->virtual_time) {
+        EbHeap_RemoveAt(&queue->idle, 0);
+        g_hash_table_remove(queue->flows, flow->name);
+    }
+}
+
+/* Ends a busy period: tags start from zero, which also bounds the rounding
+ * error of the virtual time. */
+static void
+end_busy_period(EbQueue *queue)
+{
+    while (queue->idle.count > 0) {
+        Flow *flow = EbHeap_RemoveAt(&queue->idle, queue->idle.count - 1);
+        g_hash_table_remove(queue->flows, flow->name);
+    }
+    queue->virtual_time = 0;
+}
+
+/* Takes an entry out of its flow and of the expiries. */
+static void
+detach(EbQueue *queue, Waiting *waiting)
+{
+    Flow *flow = waiting->flow;
+    EbHeap_RemoveAt(&flow->entries, waiting->flow_position);
+    EbHeap_RemoveAt(&queue->expiries, waiting->expiry_position);
+    waiting->flow = NULL;
+    if (flow->entries.count == 0) {
+        EbHeap_RemoveAt(&queue->active, flow->position);
+        EbHeap_Insert(&queue->idle, flow);
+    }
+    if (queue->active.count == 0) {
+        end_busy_period(queue);
+    }
+    else {
+        forget_idle_flows(queue);
+    }
+}
+
+bool
+EbQueue_Push(EbQueue *queue, const EbQueueEntry *entry, int64_t now_us)
+{
+    assert(entry->customer != NULL && entry->weight > 0 && entry->cost > 0);
+    assert(!g_hash_table_contains(queue->by_id, &entry->id));
+    if (queue->count >= queue->max_entries) {
+        return false;
+    }
+    size_t name_bytes = strlen(entry->customer) + 1;
+    Waiting *waiting = g_malloc0(sizeof(Waiting) + name_bytes);
+    waiting->entry = *entry;
+    memcpy(waiting->customer, entry->customer, name_bytes);
+    waiting->entry.customer = waiting->customer;
+    waiting->entry.queued_us = now_us;
+    waiting->latest_start_us = entry->deadline_us - entry->needed_us;
+    waiting->arrival = queue->arrivals++;
+    waiting->expired_link.data = waiting;
+    Flow *flow = get_flow(queue, queue->order->flow_name(entry));
+    waiting->flow = flow;
+    EbHeap_Insert(&flow->entries, waiting);
+    if (flow->entries.count == 1) {
+        activate(queue, flow);
+    }
+    EbHeap_Insert(&queue->expiries, waiting);
+    g_hash_table_insert(queue->by_id, &waiting->entry.id, waiting);
+    queue->count++;
+    return true;
+}
+
+/* Moves entries that can't finish in time out of the order of service. */
+static void
+expire(EbQueue *queue, int64_t now_us)
+{
+    Waiting *waiting;
+    while ((waiting = EbHeap_First(&queue->expiries)) != NULL &&
+           waiting->latest_start_us < now_us) {
+        detach(queue, waiting);
+        g_queue_push_tail_link(&queue->expired, &waiting->expired_link);
+    }
+}
+
+/* Gives an entry that is in no heap any more to the caller. */
+static void
+hand_out(EbQueue *queue, Waiting *waiting, EbQueueEntry *entry)
+{
+    g_hash_table_remove(queue->by_id, &waiting->entry.id);
+    queue->count--;
+    g_free(queue->handed_out);
+    queue->handed_out = waiting;
+    *entry = waiting->entry;
+}
+
+bool
+EbQueue_Pop(EbQueue *queue, int64_t now_us, EbQueueEntry *entry)
+{
+    expire(queue, now_us);
+    Flow *flow = EbHeap_First(&queue->active);
+    if (flow == NULL) {
+        return false;
+    }
+    Waiting *waiting = EbHeap_First(&flow->entries);
+    queue->virtual_time = flow->start;
+    flow->finish = flow->start +
+                   (double)waiting->entry.cost / (double)waiting->entry.weight;
+    if (flow->entries.count > 1) {
+        EbHeap_RemoveAt(&queue->active, flow->position);
+        activate(queue, flow);
+    }
+    detach(queue, waiting);
+    hand_out(queue, waiting, entry);
+    return true;
+}
+
+bool
+EbQueue_PopExpired(EbQueue *queue, int64_t now_us, EbQueueEntry *entry)
+{
+    expire(queue, now_us);
+    GList *link = g_queue_pop_head_link(&queue->expired);
+    if (link == NULL) {
+        return false;
+    }
+    Waiting *waiting = link->data;
+    hand_out(queue, waiting, entry);
+    return true;
+}
+
+bool
+EbQueue_Remove(EbQueue *queue, uint64_t id)
+{
+    Waiting *waiting = g_hash_table_lookup(queue->by_id, &id);
+    if (waiting == NULL) {
+        return false;
+    }
+    if (waiting->flow != NULL) {
+        detach(queue, waiting);
+    }
+    else {
+        g_queue_unlink(&queue->expired, &waiting->expired_link);
+    }
+    g_hash_table_remove(queue->by_id, &id);
+    queue->count--;
+    g_free(waiting);
+    return true;
+}
+
+size_t
+EbQueue_Count(const EbQueue *queue)
+{
+    return queue->count;
+}
+
+int64_t
+EbQueue_NextExpiry(const EbQueue *queue)
+{
+    const Waiting *waiting = g_queue_peek_head((GQueue *)&queue->expired);
+    if (waiting == NULL) {
+        waiting = EbHeap_First(&queue->expiries);
+    }
+    if (waiting == NULL || waiting->latest_start_us == INT64_MAX) {
+        return INT64_MAX;
+    }
+    return waiting->latest_start_us + 1;
+}
--- /dev/null
+++ b/src/test_queue/main.c
@@ -0,0 +1,286 @@
+/* Tests of the queue of waiting attempts. */
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "ebonyhollow/queue.h"
+#include "ebonyhollow/random.h"
+#include "test_runner.h"
+
+#define TABLE_COUNT(table) (sizeof(table) / sizeof((table)[0]))
+#define FAR_US INT64_C(1000000000)
+
+static void
+push(EbQueue *queue, uint64_t id, const char *customer, uint32_t weight,
+     uint32_t cost, int64_t deadline_us)
+{
+    EbQueueEntry entry = {.id = id,
+                          .customer = customer,
+                          .weight = weight,
+                          .cost = cost,
+                          .deadline_us = deadline_us,
+                          .needed_us = 10};
+    CU_ASSERT_TRUE_FATAL(EbQueue_Push(queue, &entry, 0));
+}
+
+static EbQueue *
+new_queue(EbQueueOrder order, uint32_t max_entries)
+{
+    return EbQueue_New(
+        &(EbQueueOptions){.order = order, .max_entries = max_entries});
+}
+
+/* Guards against a customer with a backlog that gets less than its weight.
+ * The bound is that of start-time fair queuing: over any interval in which
+ * two customers wait, their service divided by weight differs by at most the
+ * largest cost of each divided by its weight. */
+static void
+test_lag_bound(void)
+{
+    static const uint32_t weights[] = {1, 1, 2, 5, 10};
+    enum { CUSTOMERS = 5, EACH = 700, MAX_COST = 30 };
+    EbQueue *queue = new_queue(EB_QUEUE_WEIGHTED_FAIR, 0);
+    EbRandom random;
+    EbRandom_Init(&random, 11);
+    uint32_t waiting[CUSTOMERS] = {0};
+    for (uint64_t id = 0; id < (uint64_t)CUSTOMERS * EACH; id++) {
+        uint32_t c = (uint32_t)(id / EACH); /* one burst after another */
+        char name[8];
+        snprintf(name, sizeof(name), "c%u", c);
+        push(queue, id, name, weights[c],
+             1 + (uint32_t)EbRandom_Below(&random, MAX_COST),
+             FAR_US + (int64_t)EbRandom_Below(&random, 1000));
+        waiting[c]++;
+    }
+    double served[CUSTOMERS] = {0};
+    double low[CUSTOMERS][CUSTOMERS] = {{0}},
+           high[CUSTOMERS][CUSTOMERS] = {{0}};
+    EbQueueEntry entry;
+    while (EbQueue_Pop(queue, 0, &entry)) {
+        int c = entry.customer[1] - '0';
+        served[c] += (double)entry.cost / weights[c];
+        waiting[c]--;
+        for (int a = 0; a < CUSTOMERS; a++) {
+            for (int b = 0; b < a; b++) {
+                if (waiting[a] == 0 || waiting[b] == 0) {
+                    continue;
+                }
+                double lag = served[a] - served[b];
+                low[a][b] = fmin(low[a][b], lag);
+                high[a][b] = fmax(high[a][b], lag);
+                double bound = (double)MAX_COST / weights[a] +
+                               (double)MAX_COST / weights[b];
+                CU_ASSERT_TRUE(high[a][b] - low[a][b] <= bound + 1e-6);
+            }
+        }
+    }
+    EbQueue_Free(queue);
+}
+
+/* Guards against a burst of one customer that delays another, and against a
+ * newcomer that is repaid for the time before it came. */
+static void
+test_burst(void)
+{
+    EbQueue *queue = new_queue(EB_QUEUE_WEIGHTED_FAIR, 0);
+    EbQueueEntry entry;
+    for (uint64_t id = 0; id < 3000; id++) {
+        push(queue, id, "large", 1, 5, FAR_US);
+    }
+    for (int i = 0; i < 1000; i++) {
+        CU_ASSERT_TRUE(EbQueue_Pop(queue, 0, &entry));
+    }
+    push(queue, 5000, "small", 1, 5, FAR_US);
+    int served = 0;
+    do {
+        CU_ASSERT_TRUE_FATAL(EbQueue_Pop(queue, 0, &entry));
+        served++;
+    } while (entry.id != 5000);
+    CU_ASSERT_TRUE(served <= 2);
+    /* "small" ran empty and comes back at once: its last service counts. */
+    for (uint64_t id = 6000; id < 6100; id++) {
+        push(queue, id, "small", 1, 5, FAR_US);
+    }
+    int small = 0;
+    for (int i = 0; i < 100; i++) {
+        CU_ASSERT_TRUE(EbQueue_Pop(queue, 0, &entry));
+        small += strcmp(entry.customer, "small") == 0;
+    }
+    CU_ASSERT_TRUE(small >= 49 && small <= 51);
+    EbQueue_Free(queue);
+}
+
+/* Guards against an order other than the one configured. */
+static void
+test_orders(void)
+{
+    static const struct {
+        EbQueueOrder order;
+        uint64_t ids[6];
+    } rows[] = {
+        {EB_QUEUE_WEIGHTED_FAIR, {2, 4, 1, 5, 0, 3}},
+        {EB_QUEUE_FIRST_COME, {0, 1, 2, 3, 4, 5}},
+    };
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        EbQueue *queue = new_queue(rows[i].order, 0);
+        push(queue, 0, "a", 1, 1, 500);
+        push(queue, 1, "a", 1, 1, 400);
+        push(queue, 2, "a", 1, 1, 300);
+        push(queue, 3, "b", 1, 1, 900);
+        push(queue, 4, "b", 1, 1, 700);
+        push(queue, 5, "b", 1, 1, 800);
+        EbQueueEntry entry;
+        for (size_t j = 0; j < TABLE_COUNT(rows[i].ids); j++) {
+            CU_ASSERT_TRUE(EbQueue_Pop(queue, 0, &entry));
+            CU_ASSERT_EQUAL(entry.id, rows[i].ids[j]);
+        }
+        CU_ASSERT_FALSE(EbQueue_Pop(queue, 0, &entry));
+        EbQueue_Free(queue);
+    }
+}
+
+/* Guards against work that is served although it can't finish in time, and
+ * against expired entries that are never handed back. */
+static void
+test_expiry(void)
+{
+    EbQueue *queue = new_queue(EB_QUEUE_WEIGHTED_FAIR, 0);
+    EbQueueEntry entry;
+    CU_ASSERT_EQUAL(EbQueue_NextExpiry(queue), INT64_MAX);
+    push(queue, 1, "a", 1, 1, 100);
+    push(queue, 2, "a", 1, 1, 200);
+    push(queue, 3, "b", 1, 1, 150);
+    CU_ASSERT_EQUAL(EbQueue_NextExpiry(queue), 91);
+    CU_ASSERT_FALSE(EbQueue_PopExpired(queue, 90, &entry));
+    CU_ASSERT_TRUE(EbQueue_Pop(queue, 141, &entry));
+    CU_ASSERT_EQUAL(entry.id, 2);
+    CU_ASSERT_EQUAL(EbQueue_Count(queue), 2);
+    CU_ASSERT_EQUAL(EbQueue_NextExpiry(queue), 91);
+    CU_ASSERT_TRUE(EbQueue_Remove(queue, 1));
+    CU_ASSERT_TRUE(EbQueue_PopExpired(queue, 141, &entry));
+    CU_ASSERT_EQUAL(entry.id, 3);
+    CU_ASSERT_FALSE(EbQueue_PopExpired(queue, 141, &entry));
+    CU_ASSERT_EQUAL(EbQueue_Count(queue), 0);
+    EbQueue_Free(queue);
+}
+
+/* Guards against a queue that grows without bound. */
+static void
+test_bound(void)
+{
+    EbQueue *queue = new_queue(EB_QUEUE_WEIGHTED_FAIR, 3);
+    push(queue, 1, "a", 1, 1, 100);
+    push(queue, 2, "a", 1, 1, 100);
+    push(queue, 3, "a", 1, 1, 100);
+    EbQueueEntry entry = {.id = 4, .customer = "b", .weight = 1, .cost = 1};
+    CU_ASSERT_FALSE(EbQueue_Push(queue, &entry, 0));
+    CU_ASSERT_FALSE(EbQueue_Remove(queue, 4));
+    CU_ASSERT_TRUE(EbQueue_Remove(queue, 2));
+    CU_ASSERT_TRUE(EbQueue_Push(queue, &entry, 0));
+    EbQueue_Free(queue);
+}
+
+enum { MODEL_IDS = 20000 };
+
+typedef struct {
+    int64_t deadline_us[MODEL_IDS];
+    int64_t latest_start_us[MODEL_IDS];
+    char customer[MODEL_IDS];
+    bool waiting[MODEL_IDS];
+    size_t count;
+} Model;
+
+/* Returns whether an id has the earliest feasible deadline of its customer. */
+static bool
+is_first(const Model *model, uint64_t pushed, uint64_t id, int64_t now_us)
+{
+    uint64_t from = pushed > 500 ? pushed - 500 : 0;
+    for (uint64_t other = from; other < pushed; other++) {
+        if (model->waiting[other] &&
+            model->customer[other] == model->customer[id] &&
+            model->latest_start_us[other] >= now_us &&
+            model->deadline_us[other] < model->deadline_us[id]) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Takes an id out of the model; each may come out once only. */
+static void
+take(Model *model, uint64_t id)
+{
+    CU_ASSERT_TRUE(model->waiting[id]);
+    model->waiting[id] = false;
+    model->count--;
+}
+
+/* Guards against entries that are lost, duplicated, served too late or in the
+ * wrong order under a random mix of all operations. */
+static void
+test_random_operations(void)
+{
+    static Model model;
+    EbQueue *queue = new_queue(EB_QUEUE_WEIGHTED_FAIR, 200);
+    EbRandom random;
+    EbRandom_Init(&random, 5);
+    uint64_t pushed = 0;
+    EbQueueEntry entry;
+    for (int64_t now_us = 0; pushed < MODEL_IDS; now_us++) {
+        char name[2] = {(char)('a' + EbRandom_Below(&random, 7)), '\0'};
+        entry = (EbQueueEntry){
+            .id = pushed,
+            .customer = name,
+            .weight = 1 + (uint32_t)EbRandom_Below(&random, 4),
+            .cost = 1 + (uint32_t)EbRandom_Below(&random, 9),
+            .deadline_us = now_us + (int64_t)EbRandom_Below(&random, 400),
+            .needed_us = (int64_t)EbRandom_Below(&random, 50)};
+        model.deadline_us[pushed] = entry.deadline_us;
+        model.latest_start_us[pushed] = entry.deadline_us - entry.needed_us;
+        model.customer[pushed] = name[0];
+        bool added = EbQueue_Push(queue, &entry, now_us);
+        CU_ASSERT_EQUAL(added, model.count < 200);
+        model.waiting[pushed++] = added;
+        model.count += added;
+        switch (EbRandom_Below(&random, 4)) {
+        case 0:
+            if (EbQueue_PopExpired(queue, now_us, &entry)) {
+                CU_ASSERT_TRUE(model.latest_start_us[entry.id] < now_us);
+                take(&model, entry.id);
+            }
+            break;
+        case 1: {
+            uint64_t id = EbRandom_Below(&random, pushed);
+            bool waiting = model.waiting[id];
+            CU_ASSERT_EQUAL(EbQueue_Remove(queue, id), waiting);
+            if (waiting) {
+                take(&model, id);
+            }
+            break;
+        }
+        default:
+            if (EbQueue_Pop(queue, now_us, &entry)) {
+                CU_ASSERT_TRUE(model.latest_start_us[entry.id] >= now_us);
+                CU_ASSERT_TRUE(is_first(&model, pushed, entry.id, now_us));
+                take(&model, entry.id);
+            }
+            break;
+        }
+        CU_ASSERT_EQUAL(EbQueue_Count(queue), model.count);
+    }
+    EbQueue_Free(queue);
+}
+
+int
+main(void)
+{
+    static const EbTestCase cases[] = {
+        {"lag bound", test_lag_bound},
+        {"burst", test_burst},
+        {"orders", test_orders},
+        {"expiry", test_expiry},
+        {"bound", test_bound},
+        {"random operations", test_random_operations},
+    };
+    return EbTest_Run("test_queue", cases, TABLE_COUNT(cases));
+}
--- a/src/test_retry/main.c
+++ b/src/test_retry/main.c
@@ -28,7 +28,7 @@
                 taken++;
             }
         }
-        uint64_t share = 10 * rows[i].share_permille;
+        uint64_t share = (uint64_t)10 * rows[i].share_permille;
         CU_ASSERT_TRUE(taken <= share + rows[i].reserve);
         CU_ASSERT_TRUE(taken >= share);
         CU_ASSERT_EQUAL(retry.extra_calls, taken);
