pool: add server choice, adaptive limits and ejection

A daemon needs to send each call to a server that is able to take it, without a shared view: own calls in flight, load reports with a lag and measured latencies are all it has.

Subsets come from rendezvous hashing per failure-domain group. The choice is power of two on expected time: load by capacity, times latency, divided by the success rate. What is known of a server fades with a half-life of 10 s, so that an avoided server is measured again. Concurrency limits grow by one call a round at the limit, and shrink on overload, errors, latency far above the median and on reports that calls wait at the server, since all daemons share its capacity. Ejection: three failures in a row or four times the median latency, at most a third of the pool, 5 s doubling to 120 s, slow start of 10 s. A call cancelled by the daemon counts as a lower bound of latency, or a server whose slow calls are all hedged away would look fast; pool.h says so. Time in the queue is predicted from the time calls hold a slot.

--- a/include/ebonyhollow/pool.h
+++ b/include/ebonyhollow/pool.h
@@ -51,7 +51,7 @@
     EB_CALL_REJECTED,   /* 4xx: the call is at fault, not the server */
     EB_CALL_BROKEN,     /* connection broke mid-call: the server may be dead */
     EB_CALL_SILENT,     /* no progress within the time-out */
-    EB_CALL_CANCELLED,  /* by this daemon, says nothing about the server */
+    EB_CALL_CANCELLED,  /* by this daemon: its duration is a lower bound */
     EB_CALL_RESULT_COUNT
 } EbCallResult;
 
@@ -109,7 +109,8 @@
 bool EbPool_HasServer(const EbPool *pool);
 
 /* Predicts the time that one more call takes in this pool: the wait behind
- * `waiting` calls in this daemon's queue plus the service itself. */
+ * `waiting` calls in this daemon's queue plus the service itself, both from
+ * the measured time between EbPool_Begin and EbPool_End. */
 int64_t EbPool_Predict(const EbPool *pool, size_t waiting, int64_t now_us);
 
 /* Returns the 95th percentile of successful calls, or 0 before 20 calls. */
--- /dev/null
+++ b/src/libebonyhollow/pool.c
@@ -0,0 +1,373 @@
+#include "ebonyhollow/pool.h"
+
+#include <assert.h>
+#include <math.h>
+#include <string.h>
+
+#include "pool_state.h"
+
+#define QUANTILE_PERMILLE 950
+#define QUANTILE_MIN_CALLS 20
+/* Quantiles cover one to two intervals, and more while calls are rare. */
+#define QUANTILE_INTERVAL_US 30000000
+/* The configured estimate counts as four calls, so that one odd first call
+ * doesn't decide about admission. */
+#define ESTIMATE_CALLS 4
+#define HELD_GAIN 0.03 /* remembers about 30 calls */
+
+const char *const EbServerState_names[EB_SERVER_STATE_COUNT] = {
+    [EB_SERVER_AVAILABLE] = "available",
+    [EB_SERVER_EJECTED] = "ejected",
+    [EB_SERVER_SLOW_START] = "slow-start",
+    [EB_SERVER_LEAVING] = "leaving",
+};
+
+const char *const EbCallResult_names[EB_CALL_RESULT_COUNT] = {
+    [EB_CALL_OK] = "ok",
+    [EB_CALL_REFUSED] = "refused",
+    [EB_CALL_OVERLOADED] = "overloaded",
+    [EB_CALL_ERROR] = "error",
+    [EB_CALL_REJECTED] = "rejected",
+    [EB_CALL_BROKEN] = "broken",
+    [EB_CALL_SILENT] = "silent",
+    [EB_CALL_CANCELLED] = "cancelled",
+};
+
+static void
+free_server(EbPoolServer *server)
+{
+    g_free(server->ring);
+    g_free(server->id);
+    g_free(server);
+}
+
+static EbPoolServer *
+new_server(const EbPool *pool, const EbConfigBackendServer *config)
+{
+    EbPoolServer *server = g_new0(EbPoolServer, 1);
+    server->id = g_strdup(config->id);
+    server->rank = EbPool_Rank(pool->instance, config->id);
+    server->cause = "";
+    server->lowered_us = INT64_MIN / 2;
+    /* Other daemons use the server as well; half of its capacity leaves room
+     * for them until the limit has adapted. */
+    server->limit = ceil(config->capacity / 2.0);
+    return server;
+}
+
+/* Changes the size of the ring of start times and keeps its content. */
+static void
+resize_ring(EbPoolServer *server, uint32_t size)
+{
+    int64_t *ring = g_new(int64_t, size);
+    for (uint32_t i = 0; i < server->in_flight; i++) {
+        ring[i] = server->ring[(server->ring_head + i) % server->ring_size];
+    }
+    g_free(server->ring);
+    server->ring = ring;
+    server->ring_head = 0;
+    server->ring_size = size;
+}
+
+static void
+update_server_config(const EbPool *pool, EbPoolServer *server,
+                     const EbConfigBackendServer *config)
+{
+    assert(config->capacity > 0);
+    server->config = config;
+    server->limit = pool->policy->adapts
+                        ? fmin(server->limit, config->capacity)
+                        : config->capacity;
+    resize_ring(server, MAX(config->capacity, server->in_flight));
+}
+
+void
+EbPool_SetConfig(EbPool *pool, const EbConfig *config, uint32_t pool_index)
+{
+    assert(pool_index < config->pool_count);
+    EbPoolServer **old = pool->servers;
+    GHashTable *old_ids = pool->by_id;
+    uint32_t old_count = pool->server_count;
+    pool->config = &config->pools[pool_index];
+    pool->server_count = pool->config->server_count;
+    pool->servers = g_new(EbPoolServer *, pool->server_count + 1);
+    pool->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    for (uint32_t i = 0; i < pool->server_count; i++) {
+        const EbConfigBackendServer *row =
+            &config->servers[pool->config->server_indexes[i]];
+        EbPoolServer *server =
+            old_ids != NULL ? g_hash_table_lookup(old_ids, row->id) : NULL;
+        if (server == NULL) {
+            server = new_server(pool, row);
+        }
+        update_server_config(pool, server, row);
+        pool->servers[i] = server;
+        g_hash_table_insert(pool->by_id, server->id, server);
+    }
+    for (uint32_t i = 0; i < old_count; i++) {
+        if (g_hash_table_lookup(pool->by_id, old[i]->id) != old[i]) {
+            pool->ejected_count -= old[i]->ejected;
+            free_server(old[i]);
+        }
+    }
+    g_free(old);
+    if (old_ids != NULL) {
+        g_hash_table_destroy(old_ids);
+    }
+    g_free(pool->members);
+    pool->members = g_new(EbPoolServer *, pool->server_count + 1);
+    EbPool_BuildSubset(pool);
+}
+
+EbPool *
+EbPool_New(const EbPoolOptions *options, EbError *error)
+{
+    assert(options->policy < EB_POOL_POLICY_COUNT);
+    assert(options->random != NULL);
+    if (options->pool_index >= options->config->pool_count) {
+        EbError_Set(error, EB_ERROR_RANGE, "pool %u of %u does not exist",
+                    options->pool_index, options->config->pool_count);
+        return NULL;
+    }
+    EbPool *pool = g_new0(EbPool, 1);
+    pool->policy = &EbPool_policies[options->policy];
+    pool->instance = g_strdup(options->instance);
+    pool->failure_domain = g_strdup(options->failure_domain);
+    pool->random = options->random;
+    pool->events = options->events;
+    EbPool_SetConfig(pool, options->config, options->pool_index);
+    return pool;
+}
+
+void
+EbPool_Free(EbPool *pool)
+{
+    if (pool == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < pool->server_count; i++) {
+        free_server(pool->servers[i]);
+    }
+    g_hash_table_destroy(pool->by_id);
+    g_free(pool->servers);
+    g_free(pool->members);
+    g_free(pool->instance);
+    g_free(pool->failure_domain);
+    g_free(pool);
+}
+
+const EbConfigBackendServer *
+EbPool_Begin(EbPool *pool, const EbPoolCriteria *criteria, int64_t now_us)
+{
+    assert(criteria->excluded_count <= EB_POOL_MAX_EXCLUDED);
+    EbPoolServer *server = pool->policy->choose(pool, criteria, now_us);
+    if (server == NULL) {
+        return NULL;
+    }
+    assert(server->in_flight < server->ring_size);
+    uint32_t slot =
+        (server->ring_head + server->in_flight) % server->ring_size;
+    server->ring[slot] = now_us;
+    server->in_flight++;
+    server->calls++;
+    return server->config;
+}
+
+/* Returns how long the oldest call of a server has run and drops its start
+ * time. Ends are not matched to their own starts: the sum over all calls is
+ * the same, and only the average is used. */
+static int64_t
+take_held(EbPoolServer *server, int64_t now_us)
+{
+    int64_t begun_us = server->ring[server->ring_head];
+    server->ring_head = (server->ring_head + 1) % server->ring_size;
+    server->in_flight--;
+    return now_us - begun_us;
+}
+
+static void
+add_held(EbPool *pool, int64_t held_us)
+{
+    if (pool->held_samples == 0) {
+        pool->held_us = (double)pool->config->service_estimate_us;
+    }
+    pool->held_samples++;
+    double gain =
+        fmax(HELD_GAIN, 1.0 / (double)(pool->held_samples + ESTIMATE_CALLS));
+    pool->held_us += gain * ((double)held_us - pool->held_us);
+}
+
+void
+EbPool_End(EbPool *pool, const char *server_id, EbCallResult result,
+           int64_t duration_us, int64_t now_us)
+{
+    assert(result < EB_CALL_RESULT_COUNT);
+    EbPoolServer *server = g_hash_table_lookup(pool->by_id, server_id);
+    /* A server that was removed and added again has no call to end. */
+    if (server == NULL || server->in_flight == 0) {
+        return;
+    }
+    bool at_limit = server->in_flight >= EbPool_Slots(server, now_us);
+    int64_t held_us = take_held(server, now_us);
+    if (result == EB_CALL_OK) {
+        add_held(pool, held_us);
+        EbHistogram_Add(&pool->recent, duration_us);
+    }
+    if (pool->policy->adapts) {
+        EbPool_Observe(pool, server, result, duration_us, at_limit, now_us);
+    }
+    else if (result != EB_CALL_OK && result != EB_CALL_REJECTED &&
+             result != EB_CALL_CANCELLED) {
+        server->failures++;
+    }
+}
+
+void
+EbPool_Report(EbPool *pool, const char *server_id, uint32_t running,
+              uint32_t waiting, int64_t reported_us, int64_t now_us)
+{
+    EbPoolServer *server = g_hash_table_lookup(pool->by_id, server_id);
+    if (server == NULL ||
+        (server->has_report && reported_us < server->reported_us)) {
+        return;
+    }
+    server->has_report = true;
+    server->reported_load =
+        running > UINT32_MAX - waiting ? UINT32_MAX : running + waiting;
+    server->reported_waiting = waiting;
+    server->own_at_report = server->in_flight;
+    server->reported_us = MIN(reported_us, now_us);
+    if (pool->policy->adapts) {
+        EbPool_ObserveReport(server, now_us);
+    }
+}
+
+bool
+EbPool_SetLeaving(EbPool *pool, const char *server_id, bool leaving,
+                  int64_t now_us)
+{
+    (void)now_us;
+    EbPoolServer *server = g_hash_table_lookup(pool->by_id, server_id);
+    if (server == NULL || server->leaving == leaving) {
+        return false;
+    }
+    server->leaving = leaving;
+    if (server->ejected) {
+        server->ejected = false;
+        server->cause = "";
+        server->until_us = 0;
+        pool->ejected_count--;
+    }
+    EbPool_BuildSubset(pool);
+    return true;
+}
+
+void
+EbPool_Tick(EbPool *pool, int64_t now_us)
+{
+    if (pool->policy->adapts) {
+        EbPool_UpdateHealth(pool, now_us);
+    }
+    if (now_us - pool->rotated_us >= QUANTILE_INTERVAL_US &&
+        pool->recent.count >= QUANTILE_MIN_CALLS) {
+        pool->previous = pool->recent;
+        pool->recent = (EbHistogram){0};
+        pool->rotated_us = now_us;
+    }
+}
+
+bool
+EbPool_HasSlot(const EbPool *pool, int64_t now_us)
+{
+    bool has_server = EbPool_HasServer(pool);
+    for (uint32_t i = 0; i < pool->member_count; i++) {
+        const EbPoolServer *server = pool->members[i];
+        if (!server->leaving && !(server->ejected && has_server) &&
+            server->in_flight < EbPool_Slots(server, now_us)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+EbPool_HasServer(const EbPool *pool)
+{
+    for (uint32_t i = 0; i < pool->member_count; i++) {
+        if (!pool->members[i]->leaving && !pool->members[i]->ejected) {
+            return true;
+        }
+    }
+    return false;
+}
+
+int64_t
+EbPool_Predict(const EbPool *pool, size_t waiting, int64_t now_us)
+{
+    double service = pool->held_samples > 0
+                         ? pool->held_us
+                         : (double)pool->config->service_estimate_us;
+    bool has_server = EbPool_HasServer(pool);
+    double slots = 0, busy = 0;
+    for (uint32_t i = 0; i < pool->member_count; i++) {
+        const EbPoolServer *server = pool->members[i];
+        if (!server->leaving && !(server->ejected && has_server)) {
+            uint32_t limit = EbPool_Slots(server, now_us);
+            slots += limit;
+            busy += MIN(server->in_flight, limit);
+        }
+    }
+    /* Departures that have to happen first, at one per service time and
+     * slot. */
+    double ahead = (double)waiting + 1 - (slots - busy);
+    double wait = ahead > 0 ? ahead * service / fmax(slots, 1) : 0;
+    return (int64_t)(wait + service);
+}
+
+int64_t
+EbPool_SlowQuantile(const EbPool *pool)
+{
+    EbHistogram merged = pool->recent;
+    EbHistogram_Merge(&merged, &pool->previous);
+    if (merged.count < QUANTILE_MIN_CALLS) {
+        return 0;
+    }
+    return EbHistogram_Quantile(&merged, QUANTILE_PERMILLE);
+}
+
+size_t
+EbPool_ServerCount(const EbPool *pool)
+{
+    return pool->member_count;
+}
+
+static EbServerState
+find_state(const EbPoolServer *server)
+{
+    if (server->leaving) {
+        return EB_SERVER_LEAVING;
+    }
+    if (server->ejected) {
+        return EB_SERVER_EJECTED;
+    }
+    return server->slow_start ? EB_SERVER_SLOW_START : EB_SERVER_AVAILABLE;
+}
+
+void
+EbPool_View(const EbPool *pool, size_t index, EbServerView *view)
+{
+    assert(index < pool->member_count);
+    const EbPoolServer *server = pool->members[index];
+    *view = (EbServerView){
+        .server = server->config,
+        .state = find_state(server),
+        .cause = server->cause,
+        .in_flight = server->in_flight,
+        .limit = (uint32_t)server->limit,
+        .reported_load = server->reported_load,
+        .latency_us = server->samples > 0 ? (int64_t)server->latency_us : 0,
+        .until_us = server->until_us,
+        .calls = server->calls,
+        .failures = server->failures,
+    };
+}
--- /dev/null
+++ b/src/test_pool/main.c
@@ -0,0 +1,452 @@
+/* Tests of the pool of backend servers. */
+#include <assert.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "ebonyhollow/error.h"
+#include "fixture.h"
+#include "test_runner.h"
+
+#define TABLE_COUNT(table) (sizeof(table) / sizeof((table)[0]))
+#define SECOND_US INT64_C(1000000)
+
+static const EbPoolCriteria no_wishes;
+
+static uint64_t
+read_members(const EbPool *pool)
+{
+    uint64_t members = 0;
+    for (size_t i = 0; i < EbPool_ServerCount(pool); i++) {
+        EbServerView view;
+        EbPool_View(pool, i, &view);
+        unsigned index = 0;
+        CU_ASSERT_EQUAL(sscanf(view.server->id, "s%u", &index), 1);
+        members |= UINT64_C(1) << index;
+    }
+    return members;
+}
+
+static EbServerView
+view_of(const EbPool *pool, const char *id)
+{
+    EbServerView view = {0};
+    for (size_t i = 0; i < EbPool_ServerCount(pool); i++) {
+        EbPool_View(pool, i, &view);
+        if (strcmp(view.server->id, id) == 0) {
+            return view;
+        }
+    }
+    CU_FAIL("no such server");
+    return view;
+}
+
+/* Begins a call that some server has to take. */
+static const EbConfigBackendServer *
+begin(EbPool *pool, const EbPoolCriteria *criteria, int64_t now_us)
+{
+    const EbConfigBackendServer *server = EbPool_Begin(pool, criteria, now_us);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(server);
+    assert(server != NULL);
+    return server;
+}
+
+/* Ends `count` calls at one server, chosen through its prefix affinity. */
+static void
+call(EbPool *pool, const char *id, EbCallResult result, int64_t duration_us,
+     int count, int64_t now_us)
+{
+    for (int i = 0; i < count; i++) {
+        const EbConfigBackendServer *server = NULL;
+        const char *others[EB_POOL_MAX_EXCLUDED];
+        EbPoolCriteria criteria = {.preferred = id};
+        for (int skip = 0; skip < EB_POOL_MAX_EXCLUDED; skip++) {
+            server = begin(pool, &criteria, now_us - duration_us);
+            if (strcmp(server->id, id) == 0) {
+                break;
+            }
+            others[skip] = server->id;
+            EbPool_End(pool, server->id, EB_CALL_CANCELLED, 0, now_us);
+            criteria.excluded[criteria.excluded_count++] = others[skip];
+        }
+        CU_ASSERT_STRING_EQUAL_FATAL(server->id, id);
+        EbPool_End(pool, id, result, duration_us, now_us);
+    }
+}
+
+/* Guards against subsets that lose a failure domain with the own one, and
+ * against a join or leave that moves other servers. */
+static void
+test_subset(void)
+{
+    static const struct {
+        uint32_t servers, domains, subset;
+        int own, others;
+    } rows[] = {
+        {24, 3, 9, 6, 3},   {24, 3, 10, 6, 4}, {24, 3, 0, 8, 16},
+        {24, 3, 18, 8, 10}, {12, 1, 6, 6, 0},  {10, 5, 50, 2, 8},
+    };
+    EbRandom random;
+    EbRandom_Init(&random, 1);
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        for (int daemon = 0; daemon < 20; daemon++) {
+            char name[16];
+            snprintf(name, sizeof(name), "i%d", daemon);
+            Fixture fixture;
+            Fixture_Init(&fixture, rows[i].servers, rows[i].domains,
+                         rows[i].subset, 4);
+            EbPool *pool =
+                Fixture_NewPool(&fixture, name, EB_POOL_ADAPTIVE, &random);
+            uint64_t members = read_members(pool);
+            int own = 0, others = 0;
+            for (uint32_t s = 0; s < rows[i].servers; s++) {
+                if (members >> s & 1) {
+                    (*(s % rows[i].domains == 0 ? &own : &others))++;
+                }
+            }
+            CU_ASSERT_EQUAL(own, rows[i].own);
+            CU_ASSERT_EQUAL(others, rows[i].others);
+            for (uint32_t gone = 0; gone < rows[i].servers; gone++) {
+                Fixture fewer = fixture;
+                fewer.config.servers = fewer.servers;
+                fewer.config.pools = &fewer.pool;
+                fewer.pool.server_indexes = fewer.indexes;
+                fewer.indexes[gone] = rows[i].servers - 1;
+                fewer.pool.server_count--;
+                EbPool_SetConfig(pool, &fewer.config, 0);
+                uint64_t changed = members & ~read_members(pool);
+                changed &= ~(UINT64_C(1) << gone);
+                CU_ASSERT_EQUAL(changed, 0);
+                EbPool_SetConfig(pool, &fixture.config, 0);
+                CU_ASSERT_EQUAL(read_members(pool), members);
+            }
+            EbPool_Free(pool);
+        }
+    }
+}
+
+/* Guards against a straggler that keeps its share of the calls. Its share at
+ * equal utilisation would be a tenth of a peer's; a quarter of the even share
+ * is allowed, for the calls that measure it again. */
+static void
+test_straggler(void)
+{
+    static const double loads[] = {0.2, 0.8, 1.6}; /* of 2 calls a ms */
+    for (size_t i = 0; i < TABLE_COUNT(loads); i++) {
+        SimulationOptions options = {.daemons = 1,
+                                     .policy = EB_POOL_ADAPTIVE,
+                                     .calls_per_ms = loads[i],
+                                     .seed = 17};
+        Fixture_Init(&options.fixture, 8, 2, 0, 16);
+        for (int s = 0; s < 8; s++) {
+            options.service_us[s] = s == 3 ? 600000 : 60000;
+        }
+        SimulationResult result;
+        Simulate(&options, 120 * SECOND_US, &result);
+        double share = (double)result.calls[3] / (double)result.ended;
+        printf("  straggler at %.1f calls/ms: %.2f%% of calls\n", loads[i],
+               100 * share);
+        CU_ASSERT_TRUE(share < 0.25 / 8);
+        for (int s = 0; s < 8; s++) {
+            double peer = (double)result.calls[s] / (double)result.ended;
+            CU_ASSERT_TRUE(s == 3 || (peer > 0.09 && peer < 0.2));
+        }
+    }
+}
+
+/* Guards against daemons that together overfill a server whose capacity they
+ * share, so that calls wait there instead of in the fair queues, and against
+ * limits that leave servers idle. */
+static void
+test_shared_capacity(void)
+{
+    SimulationOptions options = {.daemons = 8,
+                                 .policy = EB_POOL_ADAPTIVE,
+                                 .calls_per_ms = 0.5,
+                                 .seed = 23};
+    Fixture_Init(&options.fixture, 8, 2, 0, 16);
+    for (int s = 0; s < 8; s++) {
+        options.service_us[s] = 60000; /* 2.1 calls a ms, 4 are offered */
+    }
+    SimulationResult result;
+    Simulate(&options, 60 * SECOND_US, &result);
+    printf("  shared capacity 16: %.1f running, %.1f waiting per server\n",
+           result.mean_running, result.mean_waiting);
+    CU_ASSERT_TRUE(result.mean_running > 0.9 * 16);
+    CU_ASSERT_TRUE(result.mean_waiting < 0.5 * 16);
+}
+
+/* Guards against a baseline that isn't even. */
+static void
+test_round_robin(void)
+{
+    Fixture fixture;
+    Fixture_Init(&fixture, 5, 1, 0, 100);
+    EbRandom random;
+    EbRandom_Init(&random, 1);
+    EbPool *pool =
+        Fixture_NewPool(&fixture, "i", EB_POOL_ROUND_ROBIN, &random);
+    for (int i = 0; i < 500; i++) {
+        const EbConfigBackendServer *server =
+            EbPool_Begin(pool, &no_wishes, i);
+        CU_ASSERT_PTR_EQUAL_FATAL(server, &fixture.servers[i % 5]);
+    }
+    CU_ASSERT_FALSE(EbPool_HasSlot(pool, 500));
+    CU_ASSERT_PTR_NULL(EbPool_Begin(pool, &no_wishes, 500));
+    EbPool_Free(pool);
+}
+
+/* Guards against a broken server that stays in use, against ejections that
+ * empty the pool, and against a server that comes back at full load. */
+static void
+test_ejection(void)
+{
+    Fixture fixture;
+    Fixture_Init(&fixture, 6, 1, 0, 16);
+    EbRandom random;
+    EbRandom_Init(&random, 1);
+    EbPool *pool = Fixture_NewPool(&fixture, "i", EB_POOL_ADAPTIVE, &random);
+    int64_t now_us = SECOND_US;
+    int64_t previous_us = 0;
+    for (int round = 0; round < 3; round++) {
+        call(pool, "s0", EB_CALL_BROKEN, 10, round == 0 ? 3 : 1, now_us);
+        EbServerView view = view_of(pool, "s0");
+        CU_ASSERT_EQUAL(view.state, EB_SERVER_EJECTED);
+        CU_ASSERT_STRING_EQUAL(view.cause, "broken");
+        CU_ASSERT_TRUE(view.until_us - now_us > previous_us);
+        previous_us = view.until_us - now_us;
+        for (int i = 0; i < 20; i++) {
+            const EbConfigBackendServer *server =
+                begin(pool, &no_wishes, now_us);
+            CU_ASSERT_STRING_NOT_EQUAL(server->id, "s0");
+        }
+        for (size_t s = 0; s < 6; s++) {
+            while (view_of(pool, fixture.ids[s]).in_flight > 0) {
+                EbPool_End(pool, fixture.ids[s], EB_CALL_OK, 1000, now_us);
+            }
+        }
+        now_us = view.until_us;
+        EbPool_Tick(pool, now_us);
+        CU_ASSERT_EQUAL(view_of(pool, "s0").state, EB_SERVER_SLOW_START);
+    }
+    int begun = 0; /* at the start of slow start, one call at a time */
+    while (EbPool_Begin(pool, &no_wishes, now_us) != NULL) {
+        begun++;
+    }
+    CU_ASSERT_TRUE(begun > 0);
+    CU_ASSERT_EQUAL(view_of(pool, "s0").in_flight, 1);
+    EbPool_Tick(pool, now_us + 10 * SECOND_US);
+    CU_ASSERT_EQUAL(view_of(pool, "s0").state, EB_SERVER_AVAILABLE);
+    EbPool_Free(pool);
+}
+
+/* Guards against more than a third of a pool ejected, and against calls that
+ * find no server although some, however bad, is there. */
+static void
+test_ejection_bound(void)
+{
+    Fixture fixture;
+    Fixture_Init(&fixture, 7, 1, 0, 4);
+    EbRandom random;
+    EbRandom_Init(&random, 1);
+    EbPool *pool = Fixture_NewPool(&fixture, "i", EB_POOL_ADAPTIVE, &random);
+    for (int i = 0; i < 200; i++) {
+        const EbConfigBackendServer *server =
+            begin(pool, &no_wishes, SECOND_US);
+        EbPool_End(pool, server->id, EB_CALL_ERROR, 10, SECOND_US);
+    }
+    EbPool_Tick(pool, SECOND_US);
+    int ejected = 0;
+    for (size_t s = 0; s < 7; s++) {
+        if (view_of(pool, fixture.ids[s]).state == EB_SERVER_EJECTED) {
+            ejected++;
+        }
+        else {
+            EbPool_SetLeaving(pool, fixture.ids[s], true, SECOND_US);
+        }
+    }
+    CU_ASSERT_EQUAL(ejected, 2);
+    CU_ASSERT_FALSE(EbPool_HasServer(pool));
+    CU_ASSERT_TRUE(EbPool_HasSlot(pool, SECOND_US));
+    const EbConfigBackendServer *server = begin(pool, &no_wishes, SECOND_US);
+    CU_ASSERT_EQUAL(view_of(pool, server->id).state, EB_SERVER_EJECTED);
+    EbPool_Free(pool);
+}
+
+static bool
+accept_none(void *context, const char *server_id)
+{
+    (void)context;
+    (void)server_id;
+    return false;
+}
+
+/* Guards against work for a server that leaves, was tried before or is not
+ * accepted, and against calls in flight that are lost with it. */
+static void
+test_criteria(void)
+{
+    Fixture fixture;
+    Fixture_Init(&fixture, 3, 1, 0, 4);
+    EbRandom random;
+    EbRandom_Init(&random, 1);
+    EbPool *pool = Fixture_NewPool(&fixture, "i", EB_POOL_ADAPTIVE, &random);
+    CU_ASSERT_PTR_NOT_NULL(EbPool_Begin(pool, &no_wishes, 0));
+    CU_ASSERT_TRUE(EbPool_SetLeaving(pool, "s0", true, 0));
+    CU_ASSERT_FALSE(EbPool_SetLeaving(pool, "s0", true, 0));
+    CU_ASSERT_FALSE(EbPool_SetLeaving(pool, "s9", true, 0));
+    EbPoolCriteria criteria = {
+        .excluded = {"s1"}, .excluded_count = 1, .preferred = "s0"};
+    for (int i = 0; i < 2; i++) {
+        const EbConfigBackendServer *server = EbPool_Begin(pool, &criteria, 0);
+        if (server != NULL) {
+            CU_ASSERT_STRING_EQUAL(server->id, "s2");
+        }
+    }
+    EbPoolCriteria none = {.accept = accept_none};
+    CU_ASSERT_PTR_NULL(EbPool_Begin(pool, &none, 0));
+    EbPool_SetLeaving(pool, "s1", true, 0);
+    EbPool_SetLeaving(pool, "s2", true, 0);
+    CU_ASSERT_FALSE(EbPool_HasServer(pool));
+    CU_ASSERT_FALSE(EbPool_HasSlot(pool, 0));
+    CU_ASSERT_PTR_NULL(EbPool_Begin(pool, &no_wishes, 0));
+    CU_ASSERT_TRUE(EbPool_SetLeaving(pool, "s0", false, 0));
+    CU_ASSERT_PTR_NOT_NULL(EbPool_Begin(pool, &no_wishes, 0));
+    EbPool_Free(pool);
+}
+
+/* Guards against a new configuration that resets what is known of servers or
+ * that breaks calls in flight on servers that are gone. */
+static void
+test_set_config(void)
+{
+    Fixture fixture, other;
+    Fixture_Init(&fixture, 4, 1, 0, 4);
+    Fixture_Init(&other, 2, 1, 0, 1);
+    EbRandom random;
+    EbRandom_Init(&random, 1);
+    EbPool *pool = Fixture_NewPool(&fixture, "i", EB_POOL_ADAPTIVE, &random);
+    int begun = 0;
+    while (EbPool_Begin(pool, &no_wishes, 0) != NULL) {
+        begun++;
+    }
+    CU_ASSERT_EQUAL(begun, 8);
+    EbPool_SetConfig(pool, &other.config, 0);
+    CU_ASSERT_EQUAL(EbPool_ServerCount(pool), 2);
+    CU_ASSERT_EQUAL(view_of(pool, "s0").in_flight, 2);
+    EbPool_End(pool, "s3", EB_CALL_OK, 10, 10);
+    EbPool_End(pool, "s0", EB_CALL_OK, 10, 10);
+    CU_ASSERT_FALSE(EbPool_HasSlot(pool, 10));
+    EbPool_End(pool, "s0", EB_CALL_OK, 10, 10);
+    CU_ASSERT_TRUE(EbPool_HasSlot(pool, 10));
+    EbPool_Free(pool);
+}
+
+/* Guards against limits outside one to the capacity, and against limits that
+ * ignore overload or a queue at the server. */
+static void
+test_limit(void)
+{
+    Fixture fixture;
+    Fixture_Init(&fixture, 1, 1, 0, 16);
+    EbRandom random;
+    EbRandom_Init(&random, 1);
+    EbPool *pool = Fixture_NewPool(&fixture, "i", EB_POOL_ADAPTIVE, &random);
+    CU_ASSERT_EQUAL(view_of(pool, "s0").limit, 8);
+    int64_t now_us = 0;
+    for (int round = 0; round < 100; round++) {
+        uint32_t begun = 0;
+        while (EbPool_Begin(pool, &no_wishes, now_us) != NULL) {
+            begun++;
+        }
+        CU_ASSERT_TRUE(begun <= 16);
+        now_us += 1000;
+        for (uint32_t i = 0; i < begun; i++) {
+            EbPool_End(pool, "s0", EB_CALL_OK, 1000, now_us);
+        }
+    }
+    CU_ASSERT_EQUAL(view_of(pool, "s0").limit, 16);
+    EbPool_Report(pool, "s0", 16, 10, now_us, now_us);
+    CU_ASSERT_EQUAL(view_of(pool, "s0").limit, 14);
+    for (int i = 0; i < 20; i++) {
+        now_us += SECOND_US;
+        CU_ASSERT_PTR_NOT_NULL(EbPool_Begin(pool, &no_wishes, now_us));
+        EbPool_End(pool, "s0", EB_CALL_OVERLOADED, 1000, now_us);
+    }
+    CU_ASSERT_EQUAL(view_of(pool, "s0").limit, 1);
+    CU_ASSERT_EQUAL(view_of(pool, "s0").state, EB_SERVER_AVAILABLE);
+    EbPool_Free(pool);
+}
+
+/* Guards against prefix affinity that overloads one server. */
+static void
+test_affinity(void)
+{
+    Fixture fixture;
+    Fixture_Init(&fixture, 4, 1, 0, 16);
+    EbRandom random;
+    EbRandom_Init(&random, 1);
+    EbPool *pool = Fixture_NewPool(&fixture, "i", EB_POOL_ADAPTIVE, &random);
+    EbPoolCriteria criteria = {.preferred = "s2"};
+    for (int i = 0; i < 8; i++) {
+        CU_ASSERT_STRING_EQUAL(begin(pool, &criteria, 0)->id, "s2");
+    }
+    CU_ASSERT_STRING_NOT_EQUAL(begin(pool, &criteria, 0)->id, "s2");
+    for (int i = 0; i < 8; i++) {
+        EbPool_End(pool, "s2", EB_CALL_OK, 1000, 1000);
+    }
+    EbPool_Report(pool, "s2", 16, 2, 1000, 1000); /* other daemons' calls */
+    CU_ASSERT_STRING_NOT_EQUAL(begin(pool, &criteria, 1000)->id, "s2");
+    CU_ASSERT_STRING_EQUAL(begin(pool, &criteria, 9 * SECOND_US)->id, "s2");
+    EbPool_Free(pool);
+}
+
+/* Guards against admission that trusts the configured estimate after calls
+ * were measured, or that ignores the queue. */
+static void
+test_predict(void)
+{
+    Fixture fixture;
+    Fixture_Init(&fixture, 2, 1, 0, 8); /* four slots each at first */
+    EbRandom random;
+    EbRandom_Init(&random, 1);
+    EbPool *pool = Fixture_NewPool(&fixture, "i", EB_POOL_ADAPTIVE, &random);
+    CU_ASSERT_EQUAL(EbPool_Predict(pool, 0, 0), 50000);
+    while (EbPool_Begin(pool, &no_wishes, 0) != NULL) {
+    }
+    CU_ASSERT_EQUAL(EbPool_Predict(pool, 7, 0), 100000);
+    CU_ASSERT_EQUAL(EbPool_SlowQuantile(pool), 0);
+    for (size_t s = 0; s < 2; s++) {
+        while (view_of(pool, fixture.ids[s]).in_flight > 0) {
+            EbPool_End(pool, fixture.ids[s], EB_CALL_OK, 200000, 200000);
+        }
+    }
+    for (int i = 0; i < 200; i++) {
+        const EbConfigBackendServer *server =
+            begin(pool, &no_wishes, SECOND_US);
+        EbPool_End(pool, server->id, EB_CALL_OK, 200000, SECOND_US + 200000);
+    }
+    int64_t service_us = EbPool_Predict(pool, 0, 2 * SECOND_US);
+    CU_ASSERT_TRUE(service_us > 190000 && service_us <= 200000);
+    int64_t quantile_us = EbPool_SlowQuantile(pool);
+    CU_ASSERT_TRUE(quantile_us >= 200000 && quantile_us < 240000);
+    EbPool_Free(pool);
+}
+
+int
+main(void)
+{
+    static const EbTestCase cases[] = {
+        {"subset", test_subset},
+        {"straggler", test_straggler},
+        {"shared capacity", test_shared_capacity},
+        {"round robin", test_round_robin},
+        {"ejection", test_ejection},
+        {"ejection bound", test_ejection_bound},
+        {"criteria", test_criteria},
+        {"set config", test_set_config},
+        {"limit", test_limit},
+        {"affinity", test_affinity},
+        {"predict", test_predict},
+    };
+    return EbTest_Run("test_pool", cases, TABLE_COUNT(cases));
+}
