test: stand-ins of platform and backend servers, open-loop load program

Cause: the daemon needs something to talk to, and checks must count runs at the backend servers and not in the code under test. Change: one process serves the object API and every backend server of a configuration, with faults set through a control listener; the load program checks each answer token by token against the request's marker.

--- /dev/null
+++ b/test/load/client.c
@@ -0,0 +1,299 @@
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+
+#include "load.h"
+
+#define EXTRA_WAIT_S                                                          \
+    10 /* beyond the deadline, before a request counts as cut */
+
+/* One request in flight. */
+typedef struct {
+    Load *load;
+    const RequestKind *kind;
+    Tally *tally;
+    Target *target;
+    struct evhttp_connection *connection;
+    char *marker;
+    char *key; /* NULL when not keyed */
+    int64_t sent_us;
+    int64_t last_token_us;
+    uint64_t next_token;
+    GString *unparsed; /* bytes of the stream not parsed yet */
+    GString *streamed; /* text of the token events */
+    bool outcome_event;
+    EbOutcome outcome;
+} Call;
+
+int64_t
+Load_Now(void)
+{
+    struct timespec time;
+    clock_gettime(CLOCK_MONOTONIC, &time);
+    return (int64_t)time.tv_sec * 1000000 + time.tv_nsec / 1000;
+}
+
+static void
+count_reason(Load *load, const char *reason)
+{
+    gpointer count = g_hash_table_lookup(load->reasons, reason);
+    g_hash_table_replace(load->reasons, g_strdup(reason),
+                         GSIZE_TO_POINTER(GPOINTER_TO_SIZE(count) + 1));
+}
+
+/* Checks "m/0 m/1 ... " token by token. */
+static void
+check_text(Call *call, const char *text)
+{
+    char **tokens = g_strsplit(g_strchomp(g_strdup(text)), " ", -1);
+    for (guint i = 0; tokens[i] != NULL; i++) {
+        char expected[160];
+        g_snprintf(expected, sizeof(expected), "%s/%u", call->marker, i);
+        if (strcmp(tokens[i], expected) == 0) {
+            continue;
+        }
+        size_t marker_bytes = strlen(call->marker);
+        bool own = strncmp(tokens[i], call->marker, marker_bytes) == 0 &&
+                   tokens[i][marker_bytes] == '/';
+        call->tally->crossed += !own;
+        call->tally->broken += own;
+        break;
+    }
+    g_strfreev(tokens);
+}
+
+static void
+check_answer(Call *call, json_t *answer)
+{
+    const char *text = json_string_value(json_object_get(answer, "text"));
+    if (text != NULL) {
+        check_text(call, text);
+        if (call->kind->stream && strcmp(text, call->streamed->str) != 0) {
+            call->tally->broken++;
+        }
+    }
+    const char *marker = json_string_value(
+        json_object_get(json_object_get(answer, "result"), "marker"));
+    if (marker != NULL && strcmp(marker, call->marker) != 0) {
+        call->tally->crossed++;
+    }
+}
+
+static void
+take_outcome(Call *call, json_t *body)
+{
+    const char *name = json_string_value(json_object_get(body, "outcome"));
+    const char *reason = json_string_value(json_object_get(body, "reason"));
+    EbOutcome outcome =
+        name != NULL ? EbOutcome_Parse(name) : EB_OUTCOME_COUNT;
+    call->outcome = outcome;
+    if (outcome == EB_OUTCOME_COUNT) {
+        return;
+    }
+    call->tally->outcomes[outcome]++;
+    if (outcome != EB_OUTCOME_DONE) {
+        count_reason(call->load, reason != NULL ? reason : "");
+        return;
+    }
+    int64_t total_us = Load_Now() - call->sent_us;
+    call->tally->done++;
+    call->tally->in_time += total_us <= call->kind->timeout_us;
+    EbHistogram_Add(&call->tally->total_us, total_us);
+    check_answer(call, json_object_get(body, "answer"));
+}
+
+static void
+take_token(Call *call, json_t *data)
+{
+    int64_t now_us = Load_Now();
+    const char *text = json_string_value(json_object_get(data, "text"));
+    if (call->next_token == 0) {
+        EbHistogram_Add(&call->tally->first_token_us, now_us - call->sent_us);
+    }
+    else {
+        EbHistogram_Add(&call->tally->token_gap_us,
+                        now_us - call->last_token_us);
+    }
+    call->last_token_us = now_us;
+    call->next_token++;
+    g_string_append(call->streamed, text != NULL ? text : "");
+}
+
+static void
+take_event(Call *call, const char *block)
+{
+    bool token = strstr(block, "event: token\n") != NULL;
+    const char *data = strstr(block, "data: ");
+    json_t *body =
+        data != NULL ? json_loads(data + strlen("data: "), 0, NULL) : NULL;
+    if (body != NULL && token) {
+        take_token(call, body);
+    }
+    else if (body != NULL) {
+        call->outcome_event = true;
+        take_outcome(call, body);
+    }
+    json_decref(body);
+}
+
+static void
+parse_stream(Call *call)
+{
+    char *end;
+    while ((end = strstr(call->unparsed->str, "\n\n")) != NULL) {
+        *end = '\0';
+        char *block = g_strconcat(call->unparsed->str, "\n", NULL);
+        g_string_erase(call->unparsed, 0, end - call->unparsed->str + 2);
+        take_event(call, block);
+        g_free(block);
+    }
+}
+
+static void
+chunk_arrived(struct evhttp_request *request, void *context)
+{
+    Call *call = context;
+    struct evbuffer *buffer = evhttp_request_get_input_buffer(request);
+    size_t bytes = evbuffer_get_length(buffer);
+    g_string_append_len(call->unparsed,
+                        (const char *)evbuffer_pullup(buffer, -1),
+                        (gssize)bytes);
+    evbuffer_drain(buffer, bytes);
+    parse_stream(call);
+}
+
+static void
+free_call(Call *call)
+{
+    g_string_free(call->unparsed, TRUE);
+    g_string_free(call->streamed, TRUE);
+    g_free(call->marker);
+    g_free(call->key);
+    g_free(call);
+}
+
+static void
+end_call(Call *call)
+{
+    Load *load = call->load;
+    if (call->outcome == EB_OUTCOME_COUNT) {
+        call->tally->cut++;
+    }
+    if (call->key != NULL) {
+        KeyedEnd end = {g_strdup(call->key), call->outcome};
+        g_array_append_val(load->keyed, end);
+    }
+    load->in_flight--;
+    free_call(call);
+    if (load->over && load->in_flight == 0) {
+        event_base_loopbreak(load->base);
+    }
+}
+
+static void
+answered(struct evhttp_request *request, void *context)
+{
+    Call *call = context;
+    if (request == NULL || evhttp_request_get_response_code(request) == 0) {
+        /* The library frees a failed connection's state; the connection
+         * object itself is left to the end of the program. */
+        end_call(call);
+        return;
+    }
+    if (call->kind->stream && call->outcome_event) {
+        g_queue_push_tail(&call->target->idle, call->connection);
+        end_call(call);
+        return;
+    }
+    struct evbuffer *buffer = evhttp_request_get_input_buffer(request);
+    size_t bytes = evbuffer_get_length(buffer);
+    const char *text = (const char *)evbuffer_pullup(buffer, -1);
+    json_t *body = bytes > 0 ? json_loadb(text, bytes, 0, NULL)
+                             : json_loadb(call->unparsed->str,
+                                          call->unparsed->len, 0, NULL);
+    take_outcome(call, body);
+    json_decref(body);
+    g_queue_push_tail(&call->target->idle, call->connection);
+    end_call(call);
+}
+
+static struct evhttp_connection *
+take_connection(Load *load, Target *target)
+{
+    struct evhttp_connection *idle = g_queue_pop_tail(&target->idle);
+    if (idle != NULL) {
+        return idle;
+    }
+    struct evhttp_connection *connection = evhttp_connection_base_new(
+        load->base, NULL, target->host, target->port);
+    evhttp_connection_set_retries(connection, 0);
+    return connection;
+}
+
+static void
+add_headers(Call *call, struct evhttp_request *request)
+{
+    struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
+    char text[160];
+    g_snprintf(text, sizeof(text), "Bearer %s", call->kind->token);
+    evhttp_add_header(headers, "Authorization", text);
+    evhttp_add_header(headers, "Content-Type", "application/json");
+    evhttp_add_header(headers, "Host", call->target->host);
+    g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT,
+               call->kind->timeout_us / 1000);
+    evhttp_add_header(headers, "Eb-Timeout-Ms", text);
+    if (call->key != NULL) {
+        evhttp_add_header(headers, "Idempotency-Key", call->key);
+    }
+    if (call->kind->stream) {
+        evhttp_add_header(headers, "Accept", "text/event-stream");
+    }
+}
+
+static void
+add_body(Call *call, struct evhttp_request *request)
+{
+    char *input = g_strdup_printf("question [id:%s] %s", call->marker,
+                                  call->kind->suffix);
+    json_t *body = json_pack("{s:s}", "input", input);
+    char *text = json_dumps(body, JSON_COMPACT);
+    evbuffer_add(evhttp_request_get_output_buffer(request), text,
+                 strlen(text));
+    free(text);
+    json_decref(body);
+    g_free(input);
+}
+
+void
+Client_Send(Load *load, const RequestKind *kind, uint32_t kind_index)
+{
+    Call *call = g_new0(Call, 1);
+    uint64_t number = load->next_number++;
+    call->load = load;
+    call->kind = kind;
+    call->tally = &load->tallies[kind_index];
+    call->target =
+        &load->targets[EbRandom_Below(&load->random, load->target_count)];
+    call->marker = g_strdup_printf("s%" G_GUINT64_FORMAT "n%" G_GUINT64_FORMAT,
+                                   load->seed, number);
+    call->key = kind->keyed ? g_strdup_printf("key-%s", call->marker) : NULL;
+    call->unparsed = g_string_new(NULL);
+    call->streamed = g_string_new(NULL);
+    call->outcome = EB_OUTCOME_COUNT;
+    call->connection = take_connection(load, call->target);
+    evhttp_connection_set_timeout(
+        call->connection, (int)(kind->timeout_us / 1000000) + EXTRA_WAIT_S);
+    struct evhttp_request *request = evhttp_request_new(answered, call);
+    evhttp_request_set_chunked_cb(request, chunk_arrived);
+    add_headers(call, request);
+    add_body(call, request);
+    char path[256];
+    g_snprintf(path, sizeof(path), "/v1/pipelines/%s", kind->pipeline);
+    call->sent_us = Load_Now();
+    call->tally->sent++;
+    load->in_flight++;
+    evhttp_make_request(call->connection, request, EVHTTP_REQ_POST, path);
+}
--- /dev/null
+++ b/test/load/load.h
@@ -0,0 +1,107 @@
+/* Open-loop load for ebonyhollowd, bounded in count and time.
+ *
+ * Requests are sent at the times of a Poisson process, whether or not earlier
+ * ones were answered. Every answer is checked against the stand-ins' rule
+ * that generated text carries the request's own marker token by token. */
+#ifndef LOAD_H
+#define LOAD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "ebonyhollow/histogram.h"
+#include "ebonyhollow/outcome.h"
+#include "ebonyhollow/random.h"
+
+#define TARGETS_MAX 64
+#define KINDS_MAX 64
+
+/* One kind of request of the plan. */
+typedef struct {
+    char *name;
+    char *customer; /* for the report */
+    char *pipeline;
+    char *token;
+    uint32_t weight;
+    bool keyed;
+    bool stream;
+    int64_t timeout_us;
+    char *suffix; /* text put behind the marker in the input */
+} RequestKind;
+
+/* What was seen of one kind of request. */
+typedef struct {
+    uint64_t sent;
+    uint64_t done;
+    uint64_t in_time;
+    uint64_t outcomes[EB_OUTCOME_COUNT];
+    uint64_t cut;     /* connection ended without an outcome */
+    uint64_t crossed; /* text or result of another request */
+    uint64_t broken;  /* tokens lost, doubled or out of order */
+    EbHistogram total_us;
+    EbHistogram first_token_us;
+    EbHistogram token_gap_us;
+} Tally;
+
+/* A keyed request, for the comparison with the services' own record. */
+typedef struct {
+    char *key;
+    EbOutcome outcome; /* EB_OUTCOME_COUNT: cut */
+} KeyedEnd;
+
+typedef struct {
+    char *host;
+    uint16_t port;
+    GQueue idle; /* of struct evhttp_connection */
+} Target;
+
+typedef struct {
+    struct event_base *base;
+    Target targets[TARGETS_MAX];
+    uint32_t target_count;
+    RequestKind kinds[KINDS_MAX];
+    uint32_t kind_count;
+    uint32_t weight_sum;
+    Tally tallies[KINDS_MAX];
+    GHashTable *reasons; /* name to count */
+    GArray *keyed;       /* of KeyedEnd */
+    double rate_per_s;
+    int64_t end_us;
+    uint64_t max_requests;
+    uint64_t next_number;
+    uint64_t in_flight;
+    uint64_t seed;
+    EbRandom random;
+    struct event *arrival;
+    int64_t next_arrival_us;
+    bool over;
+} Load;
+
+/* plan.c */
+
+/* Reads the kinds of requests from a JSON file; ends the program when the
+ * plan is not valid. */
+void Plan_Read(Load *load, const char *file, const char *only);
+const RequestKind *Plan_Pick(Load *load, uint32_t *index);
+void Plan_Clear(Load *load);
+
+/* client.c */
+int64_t Load_Now(void);
+void Client_Send(Load *load, const RequestKind *kind, uint32_t kind_index);
+
+/* report.c */
+
+/* Compares the keyed requests with the services' record of runs, a JSON
+ * object of key to count. Returns the number of violations. */
+uint64_t Report_CheckRuns(const Load *load, json_t *runs);
+json_t *Report_Json(const Load *load, double seconds);
+void Report_Print(const Load *load, double seconds);
+/* Requests lost, crossed or with broken text. */
+uint64_t Report_Violations(const Load *load);
+
+#endif
--- /dev/null
+++ b/test/load/main.c
@@ -0,0 +1,254 @@
+/* Sends a planned load to daemons and reports attainment.
+ *
+ * Usage: load --plan FILE --targets HOST:PORT[,HOST:PORT...]
+ *             [--rate PER_SECOND] [--seconds N] [--max N] [--only NAME]
+ *             [--seed N] [--control HOST:PORT] [--json FILE]
+ *
+ * --control names the stand-ins' control listener; keyed requests are then
+ * compared with the services' own record of runs. Exit status 0 when no
+ * request was cut, crossed or broken and no key ran more often than its
+ * answer allows; 1 otherwise; 2 for a wrong command line. */
+#include <getopt.h>
+#include <math.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+
+#include "load.h"
+
+#define WAIT_AFTER_S 40
+
+typedef struct {
+    const char *plan;
+    const char *targets;
+    const char *only;
+    const char *control;
+    const char *json;
+    double seconds;
+} Arguments;
+
+static const struct option options[] = {
+    {"plan", required_argument, NULL, 'p'},
+    {"targets", required_argument, NULL, 't'},
+    {"rate", required_argument, NULL, 'r'},
+    {"seconds", required_argument, NULL, 's'},
+    {"max", required_argument, NULL, 'm'},
+    {"only", required_argument, NULL, 'o'},
+    {"seed", required_argument, NULL, 'e'},
+    {"control", required_argument, NULL, 'c'},
+    {"json", required_argument, NULL, 'j'},
+    {NULL, 0, NULL, 0},
+};
+
+static void
+parse_arguments(int argc, char **argv, Arguments *arguments, Load *load)
+{
+    int option;
+    while ((option = getopt_long(argc, argv, "", options, NULL)) != -1) {
+        switch (option) {
+        case 'p':
+            arguments->plan = optarg;
+            break;
+        case 't':
+            arguments->targets = optarg;
+            break;
+        case 'r':
+            load->rate_per_s = g_ascii_strtod(optarg, NULL);
+            break;
+        case 's':
+            arguments->seconds = g_ascii_strtod(optarg, NULL);
+            break;
+        case 'm':
+            load->max_requests = strtoull(optarg, NULL, 10);
+            break;
+        case 'o':
+            arguments->only = optarg;
+            break;
+        case 'e':
+            load->seed = strtoull(optarg, NULL, 10);
+            break;
+        case 'c':
+            arguments->control = optarg;
+            break;
+        case 'j':
+            arguments->json = optarg;
+            break;
+        default:
+            exit(2);
+        }
+    }
+    if (arguments->plan == NULL || arguments->targets == NULL) {
+        fprintf(stderr, "load: --plan and --targets are required\n");
+        exit(2);
+    }
+}
+
+static void
+read_target(Target *target, const char *text)
+{
+    const char *colon = strrchr(text, ':');
+    if (colon == NULL) {
+        fprintf(stderr, "load: %s is not HOST:PORT\n", text);
+        exit(2);
+    }
+    target->host = g_strndup(text, (gsize)(colon - text));
+    target->port = (uint16_t)strtoul(colon + 1, NULL, 10);
+    g_queue_init(&target->idle);
+}
+
+static void
+read_targets(Load *load, const char *text)
+{
+    char **parts = g_strsplit(text, ",", TARGETS_MAX);
+    for (guint i = 0; parts[i] != NULL; i++) {
+        read_target(&load->targets[load->target_count++], parts[i]);
+    }
+    g_strfreev(parts);
+}
+
+static void
+end_load(Load *load)
+{
+    load->over = true;
+    if (load->in_flight == 0) {
+        event_base_loopbreak(load->base);
+        return;
+    }
+    event_base_loopexit(load->base, &(struct timeval){.tv_sec = WAIT_AFTER_S});
+}
+
+static void
+arrive(evutil_socket_t fd, short events, void *context)
+{
+    (void)fd;
+    (void)events;
+    Load *load = context;
+    int64_t now_us = Load_Now();
+    while (load->next_arrival_us <= now_us) {
+        if (now_us >= load->end_us ||
+            (load->max_requests > 0 &&
+             load->next_number >= load->max_requests)) {
+            end_load(load);
+            return;
+        }
+        uint32_t index;
+        const RequestKind *kind = Plan_Pick(load, &index);
+        Client_Send(load, kind, index);
+        double unit =
+            ((double)EbRandom_Below(&load->random, 1000000) + 1.0) / 1000001.0;
+        load->next_arrival_us +=
+            (int64_t)(-log(unit) / load->rate_per_s * 1e6) + 1;
+    }
+    int64_t wait_us = load->next_arrival_us - now_us;
+    event_add(load->arrival, &(struct timeval){.tv_sec = wait_us / 1000000,
+                                               .tv_usec = wait_us % 1000000});
+}
+
+static void
+runs_arrived(struct evhttp_request *request, void *context)
+{
+    json_t **runs = context;
+    if (request == NULL) {
+        return;
+    }
+    struct evbuffer *buffer = evhttp_request_get_input_buffer(request);
+    size_t bytes = evbuffer_get_length(buffer);
+    *runs =
+        json_loadb((const char *)evbuffer_pullup(buffer, -1), bytes, 0, NULL);
+}
+
+static json_t *
+fetch_runs(Load *load, const char *address)
+{
+    Target target = {0};
+    read_target(&target, address);
+    struct evhttp_connection *connection =
+        evhttp_connection_base_new(load->base, NULL, target.host, target.port);
+    json_t *runs = NULL;
+    struct evhttp_request *request = evhttp_request_new(runs_arrived, &runs);
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Connection",
+                      "close");
+    evhttp_make_request(connection, request, EVHTTP_REQ_GET, "/runs");
+    for (int i = 0; i < 200 && runs == NULL; i++) {
+        event_base_loopexit(load->base, &(struct timeval){.tv_usec = 20000});
+        event_base_dispatch(load->base);
+    }
+    evhttp_connection_free(connection);
+    g_free(target.host);
+    return runs;
+}
+
+static uint64_t
+check_runs(Load *load, const char *control)
+{
+    if (control == NULL) {
+        return 0;
+    }
+    json_t *runs = fetch_runs(load, control);
+    if (runs == NULL) {
+        fprintf(stderr, "load: %s does not answer\n", control);
+        return 1;
+    }
+    uint64_t violations = Report_CheckRuns(load, runs);
+    json_decref(runs);
+    return violations;
+}
+
+static void
+free_load(Load *load)
+{
+    for (uint32_t i = 0; i < load->target_count; i++) {
+        struct evhttp_connection *idle;
+        while ((idle = g_queue_pop_head(&load->targets[i].idle)) != NULL) {
+            evhttp_connection_free(idle);
+        }
+        g_free(load->targets[i].host);
+    }
+    for (guint i = 0; i < load->keyed->len; i++) {
+        g_free(g_array_index(load->keyed, KeyedEnd, i).key);
+    }
+    g_array_free(load->keyed, TRUE);
+    g_hash_table_destroy(load->reasons);
+    event_free(load->arrival);
+    event_base_free(load->base);
+    Plan_Clear(load);
+}
+
+int
+main(int argc, char **argv)
+{
+    Arguments arguments = {.seconds = 5.0};
+    Load load = {.rate_per_s = 50.0, .seed = 1};
+    parse_arguments(argc, argv, &arguments, &load);
+    signal(SIGPIPE, SIG_IGN);
+    load.base = event_base_new();
+    load.reasons =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    load.keyed = g_array_new(FALSE, FALSE, sizeof(KeyedEnd));
+    EbRandom_Init(&load.random, load.seed);
+    Plan_Read(&load, arguments.plan, arguments.only);
+    read_targets(&load, arguments.targets);
+    load.arrival = event_new(load.base, -1, 0, arrive, &load);
+    int64_t start_us = Load_Now();
+    load.next_arrival_us = start_us;
+    load.end_us = start_us + (int64_t)(arguments.seconds * 1e6);
+    arrive(-1, 0, &load);
+    event_base_dispatch(load.base);
+    double seconds = (double)(Load_Now() - start_us) / 1e6;
+    Report_Print(&load, seconds);
+    uint64_t violations = Report_Violations(&load) + load.in_flight +
+                          check_runs(&load, arguments.control);
+    printf("violations: %" G_GUINT64_FORMAT "\n", violations);
+    if (arguments.json != NULL) {
+        json_t *report = Report_Json(&load, seconds);
+        json_object_set_new(report, "violations",
+                            json_integer((json_int_t)violations));
+        json_dump_file(report, arguments.json, JSON_INDENT(2));
+        json_decref(report);
+    }
+    free_load(&load);
+    return violations == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/test/standin/reply.c
@@ -0,0 +1,83 @@
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+
+#include "standin.h"
+
+const char *const Fault_names[FAULT_COUNT] = {
+    [FAULT_NONE] = "none",
+    [FAULT_REFUSE] = "refuse",
+    [FAULT_CRASH] = "crash",
+    [FAULT_SILENT] = "silent",
+    [FAULT_SLOW] = "slow",
+    [FAULT_LATE] = "late",
+    [FAULT_WRONG_ECHO] = "wrong-echo",
+    [FAULT_MALFORMED] = "malformed",
+    [FAULT_STATUS] = "status",
+    [FAULT_CUT] = "cut",
+    [FAULT_LEAVING] = "leaving",
+    [FAULT_DOWN] = "down",
+    [FAULT_LOSE_ANSWER] = "lose-answer",
+    [FAULT_STALE] = "stale",
+    [FAULT_GAP] = "gap",
+};
+
+FaultKind
+Fault_Take(Fault *fault, int64_t *amount)
+{
+    if (fault->kind == FAULT_NONE || fault->left == 0) {
+        return FAULT_NONE;
+    }
+    if (fault->left > 0) {
+        fault->left--;
+    }
+    *amount = fault->amount;
+    return fault->kind;
+}
+
+int64_t
+Standin_Now(void)
+{
+    struct timespec time;
+    clock_gettime(CLOCK_MONOTONIC, &time);
+    return (int64_t)time.tv_sec * 1000000 + time.tv_nsec / 1000;
+}
+
+void
+Reply_Json(struct evhttp_request *request, int status, json_t *body)
+{
+    char *text = json_dumps(body, JSON_COMPACT);
+    struct evbuffer *buffer = evbuffer_new();
+    evbuffer_add(buffer, text, strlen(text));
+    evhttp_add_header(evhttp_request_get_output_headers(request),
+                      "Content-Type", "application/json");
+    evhttp_send_reply(request, status, NULL, buffer);
+    evbuffer_free(buffer);
+    free(text);
+    json_decref(body);
+}
+
+json_t *
+Reply_ReadBody(struct evhttp_request *request)
+{
+    struct evbuffer *buffer = evhttp_request_get_input_buffer(request);
+    size_t bytes = evbuffer_get_length(buffer);
+    const char *text = (const char *)evbuffer_pullup(buffer, -1);
+    return text != NULL ? json_loadb(text, bytes, JSON_DECODE_ANY, NULL)
+                        : NULL;
+}
+
+const char *
+Reply_Header(struct evhttp_request *request, const char *name)
+{
+    return evhttp_find_header(evhttp_request_get_input_headers(request), name);
+}
+
+const char *
+Reply_Query(const struct evkeyvalq *query, const char *name)
+{
+    return evhttp_find_header(query, name);
+}
--- /dev/null
+++ b/test/standin/standin.h
@@ -0,0 +1,145 @@
+/* Stand-ins for the platform and the backend servers of one configuration.
+ *
+ * One process serves the platform's object API and every backend server of a
+ * configuration document on its own address, and a control listener through
+ * which a test sets faults and reads what really ran. */
+#ifndef STANDIN_H
+#define STANDIN_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "ebonyhollow/config.h"
+
+typedef enum {
+    FAULT_NONE,
+    FAULT_REFUSE,      /* the listener is closed */
+    FAULT_CRASH,       /* on the next call: drops all calls, then refuses */
+    FAULT_SILENT,      /* reads the call and never answers */
+    FAULT_SLOW,        /* takes `amount` times as long */
+    FAULT_LATE,        /* answers `amount` milliseconds late */
+    FAULT_WRONG_ECHO,  /* answers with another request's id */
+    FAULT_MALFORMED,   /* answers with a body that breaks the protocol */
+    FAULT_STATUS,      /* answers with status `amount`, without running */
+    FAULT_CUT,         /* runs and closes the connection without an answer */
+    FAULT_LEAVING,     /* announces that it leaves */
+    FAULT_DOWN,        /* platform: answers 503 without effect */
+    FAULT_LOSE_ANSWER, /* platform: takes effect and closes the connection */
+    FAULT_STALE,       /* platform: reads return the version before */
+    FAULT_GAP,         /* platform: watches answer 410 */
+    FAULT_COUNT
+} FaultKind;
+
+extern const char *const Fault_names[FAULT_COUNT];
+
+typedef struct {
+    FaultKind kind;
+    int64_t amount;
+    int64_t left; /* calls it still applies to; negative: no bound */
+} Fault;
+
+/* Returns the fault for the next call and counts it. */
+FaultKind Fault_Take(Fault *fault, int64_t *amount);
+
+typedef struct Standin Standin;
+typedef struct Server Server;
+typedef struct Platform Platform;
+
+/* One call that a backend server took. */
+typedef struct {
+    char *server;
+    char *request_id;
+    char *key; /* idempotency key, or NULL */
+    int64_t stage;
+    int64_t attempt;
+    bool ran; /* service began */
+    int64_t at_us;
+} Record;
+
+struct Standin {
+    struct event_base *base;
+    EbConfig *config;
+    GPtrArray *servers; /* of Server */
+    GPtrArray *records; /* of Record */
+    Platform *platform;
+    double time_scale; /* factor on all service times */
+};
+
+/* reply.c */
+int64_t Standin_Now(void);
+void Reply_Json(struct evhttp_request *request, int status, json_t *body);
+json_t *Reply_ReadBody(struct evhttp_request *request);
+const char *Reply_Header(struct evhttp_request *request, const char *name);
+const char *Reply_Query(const struct evkeyvalq *query, const char *name);
+
+/* platform.c */
+Platform *Platform_New(Standin *standin, const char *host, uint16_t port);
+void Platform_SetFault(Platform *platform, Fault fault);
+json_t *Platform_Describe(const Platform *platform);
+/* Writes an entry of the lagging instance list, as the platform does. */
+void Platform_ListInstance(Platform *platform, const char *name,
+                           json_t *value);
+void Platform_Free(Platform *platform);
+
+/* backend.c */
+typedef struct Job Job;
+
+/* A call in service. */
+struct Job {
+    Server *server;
+    struct evhttp_request *request; /* NULL once the caller is gone */
+    json_t *body;
+    Record *record; /* borrowed */
+    char *marker;   /* identification inside the input, see engine.c */
+    struct event *timer;
+    FaultKind fault;
+    int64_t fault_amount;
+    bool started;
+    /* generate */
+    uint64_t token_index;
+    uint64_t token_end;
+};
+
+struct Server {
+    Standin *standin;
+    const EbConfigBackendServer *description;
+    const EbConfigPool *pool;
+    struct evhttp *http;
+    GQueue running;      /* of Job */
+    GQueue waiting;      /* of Job */
+    GHashTable *results; /* key to json_t, services only */
+    GHashTable *fences;  /* key to highest token */
+    Fault fault;
+    bool leaving;
+    uint64_t runs;
+    uint64_t crashes;
+    uint32_t reported_running; /* load report, refreshed with a lag */
+    uint32_t reported_waiting;
+    int64_t reported_us;
+    struct event *restart;
+};
+
+Server *Server_New(Standin *standin, uint32_t index);
+void Server_SetFault(Server *server, Fault fault);
+void Server_Crash(Server *server);
+void Server_Free(Server *server);
+json_t *Server_Describe(const Server *server);
+
+/* Ends a job's service, with a body, or with NULL when it streamed. */
+void Server_Finish(Job *job, int status, json_t *body);
+void Server_AddHeaders(Job *job);
+
+/* engine.c */
+void Engine_Start(Job *job);
+/* Finds "[id:NAME]" in a text; a copy of NAME, or "none". */
+char *Engine_FindMarker(const char *text);
+
+/* control.c */
+struct evhttp *Control_New(Standin *standin, const char *host, uint16_t port);
+
+#endif
