settings: parse and check the settings of a daemon

Cause: a daemon needs its addresses and limits before it opens a socket, and a wrong file has to be refused with its place. Change: EbSettings on the field table reader of EbSchema; every limit has a default, the bytes held under the limits are bounded in sum, secrets may be given as {"file": PATH} and never appear in messages. The public table is of EbSchemaField instead of EbSettingsField. docs/configuration.md lists every field, compared by a test.

--- a/include/ebonyhollow/settings.h
+++ b/include/ebonyhollow/settings.h
@@ -12,8 +12,15 @@
 
 #include "ebonyhollow/error.h"
 #include "ebonyhollow/event.h"
+#include "ebonyhollow/schema.h"
 
+#define EB_SETTINGS_MAX_BYTES 65536
+#define EB_SETTINGS_MAX_SEEDS 64
 #define EB_PEER_KEY_BYTES 32
+#define EB_PLATFORM_TOKEN_MAX_BYTES 1024
+/* Bound of the bodies and unsent output that a daemon may hold, summed over
+ * its limits. */
+#define EB_SETTINGS_MAX_HELD_BYTES INT64_C(1073741824)
 
 typedef struct {
     char *host; /* IP address */
@@ -25,7 +32,7 @@
     char *site;
     char *failure_domain;
     char *region;
-    EbAddress caller;     /* listener for callers */
+    EbAddress caller;     /* listener for callers; port 0: any free one */
     EbAddress admin;      /* listener for operators, probes and metrics */
     EbAddress peer;       /* listener for other daemons */
     EbAddress platform;   /* the platform's object API */
@@ -46,6 +53,10 @@
 } EbSettings;
 
 /* Parses and checks settings.
+ *
+ * file: name used in errors, or NULL. A secret that is given as
+ *     {"file": PATH} is read here; a relative path starts at the directory of
+ *     `file`.
  *
  * Returns settings that the caller frees with EbSettings_Free, or NULL with
  * `error` set to the first fault; an unknown field names the nearest known
@@ -58,16 +69,8 @@
 
 void EbSettings_Free(EbSettings *settings);
 
-/* One row of the field table, for the documentation test. */
-typedef struct {
-    const char *path;          /* such as "caller.port" */
-    const char *type;          /* string, integer, address, array */
-    const char *unit;          /* "" when it has none */
-    const char *range;         /* "" when any value of the type is valid */
-    const char *default_value; /* "required" when there is none */
-} EbSettingsField;
-
-extern const EbSettingsField EbSettings_fields[];
+/* The field table, also for the documentation test. */
+extern const EbSchemaField EbSettings_fields[];
 extern const size_t EbSettings_field_count;
 
 #endif
