examples: deployments of both organisations

Cause: the documentation, the tests and new operators need complete documents that are known to load.

--- a/src/test_config/main.c
+++ b/src/test_config/main.c
@@ -6,7 +6,9 @@
 #include <jansson.h>
 
 #include "ebonyhollow/config.h"
+#include "ebonyhollow/file.h"
 #include "ebonyhollow/random.h"
+#include "ebonyhollow/settings.h"
 #include "test_runner.h"
 
 #define TABLE_COUNT(table) (sizeof(table) / sizeof((table)[0]))
@@ -486,6 +488,104 @@
     g_free(valid);
 }
 
+static EbConfig *
+load_example(const char *deployment, const char *site)
+{
+    char *path = g_strdup_printf("%s/examples/%s/configuration.json",
+                                 EB_SOURCE_DIRECTORY, deployment);
+    EbError error;
+    size_t bytes;
+    char *text = EbFile_Read(path, EB_CONFIG_MAX_BYTES, &bytes, &error);
+    require(text);
+    EbConfig *config = EbConfig_Parse(text, bytes, site, path, &error);
+    if (config == NULL) {
+        printf("\n%s:%d: %s: %s\n", path, error.line, error.path,
+               error.message);
+    }
+    require(config);
+    g_free(text);
+    g_free(path);
+    return config;
+}
+
+static void
+check_example_settings(const char *deployment, const char *site)
+{
+    char *path = g_strdup_printf("%s/examples/%s/settings-%s.json",
+                                 EB_SOURCE_DIRECTORY, deployment, site);
+    EbError error;
+    EbSettings *settings = EbSettings_Load(path, &error);
+    require(settings);
+    CU_ASSERT_STRING_EQUAL(settings->site, site);
+    CU_ASSERT_STRING_EQUAL(settings->failure_domain, site);
+    CU_ASSERT_EQUAL(settings->seed_count, 2);
+    CU_ASSERT_TRUE(settings->drain_limit_us >= 11000000);
+    EbSettings_Free(settings);
+    g_free(path);
+}
+
+/* Guards against examples that don't load, that miss a part of their
+ * deployment (docs/design.md, section 1), or whose sites don't differ. */
+static void
+test_examples(void)
+{
+    static const struct {
+        const char *deployment;
+        const char *sites[3];
+        const char *token;
+        const char *keyed_pipeline;
+        const char *services[3];
+        uint32_t assistants;
+    } rows[] = {
+        {"capas",
+         {"recife", "salvador", "fortaleza"},
+         "demo-capas-agulha-de-caruaru",
+         "reorder-note",
+         {"royalty-billing", "print-scheduling", "shop-directory"},
+         20},
+        {"kernwerk",
+         {"graz", "wien", "eisenstadt"},
+         "demo-kernwerk-cooperative-tanda",
+         "payment-release",
+         {"quality-records", "importer-portal", "cooperative-uploads"},
+         12},
+    };
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        json_t *merged[3];
+        for (size_t j = 0; j < TABLE_COUNT(rows[i].sites); j++) {
+            EbConfig *config =
+                load_example(rows[i].deployment, rows[i].sites[j]);
+            check_example_settings(rows[i].deployment, rows[i].sites[j]);
+            merged[j] = json_incref(config->merged);
+            CU_ASSERT_EQUAL(
+                EbConfig_FindPool(config, "assistants")->server_count,
+                rows[i].assistants);
+            for (size_t k = 0; k < TABLE_COUNT(rows[i].services); k++) {
+                CU_ASSERT_EQUAL(EbConfig_FindPool(config, rows[i].services[k])
+                                    ->server_count,
+                                5);
+            }
+            CU_ASSERT_EQUAL(config->customer_count, 5);
+            CU_ASSERT_PTR_NOT_NULL(
+                EbConfig_FindCustomerByToken(config, rows[i].token));
+            for (uint32_t k = 0; k < config->pipeline_count; k++) {
+                const EbConfigPipeline *pipeline = &config->pipelines[k];
+                CU_ASSERT_EQUAL(pipeline->deadline_us, 11000000);
+                CU_ASSERT_EQUAL(
+                    pipeline->needs_key,
+                    strcmp(pipeline->name, rows[i].keyed_pipeline) == 0);
+            }
+            EbConfig_Unref(config);
+        }
+        CU_ASSERT_FALSE(json_equal(merged[0], merged[1]));
+        CU_ASSERT_FALSE(json_equal(merged[1], merged[2]));
+        CU_ASSERT_FALSE(json_equal(merged[0], merged[2]));
+        for (size_t j = 0; j < TABLE_COUNT(merged); j++) {
+            json_decref(merged[j]);
+        }
+    }
+}
+
 /* Guards against a documentation page that departs from the field table. */
 static void
 test_documentation(void)
@@ -519,6 +619,7 @@
         {"places", test_places},
         {"limits", test_limits},
         {"hostile", test_hostile},
+        {"examples", test_examples},
         {"documentation", test_documentation},
     };
     return EbTest_Run("test_config", cases, TABLE_COUNT(cases));
