--- /dev/null
+++ b/test/process/lib.sh
@@ -0,0 +1,170 @@
+# Functions for tests with real processes. Source it; not a test itself.
+#
+# Addresses of the example deployments (10.x) are mapped to loopback
+# addresses (127.x) with an offset that differs from run to run, so that two
+# runs on one machine do not meet.
+
+eb_root=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
+eb_pids=()
+
+# eb_begin BUILD-DIRECTORY DEPLOYMENT: sets up the work directory.
+eb_begin() {
+    eb_build=$1
+    eb_deployment=$2
+    eb_work=$(mktemp -d)
+    eb_offset=$((RANDOM % 160))
+    eb_token=$eb_work/token
+    eb_admin_token=$eb_work/admin-token
+    printf 'demo-%s-on-call' "$eb_deployment" >"$eb_admin_token"
+    trap eb_end EXIT
+    eb_map <"$eb_root/examples/$eb_deployment/configuration.json" \
+        >"$eb_work/configuration.json"
+}
+
+# Kills what is still running and removes the work directory.
+eb_end() {
+    local pid
+    for pid in "${eb_pids[@]}"; do
+        kill -CONT "$pid" 2>/dev/null
+        kill -KILL "$pid" 2>/dev/null
+    done
+    wait 2>/dev/null
+    if [ -n "${EB_KEEP:-}" ]; then
+        echo "kept $eb_work"
+    else
+        rm -rf "$eb_work"
+    fi
+}
+
+# Maps every "host" of a JSON text to loopback.
+eb_map() {
+    jq --argjson k "$eb_offset" 'def map_host: split(".") | .[0] = "127"
+        | .[1] = ((.[1] | tonumber) + $k | tostring) | join(".");
+        walk(if type == "object" and (.host | type) == "string"
+             then .host |= map_host else . end)'
+}
+
+# eb_standin [OPTIONS]: starts platform and backend servers.
+eb_standin() {
+    eb_platform_host=127.$eb_offset.255.1
+    eb_control=127.$eb_offset.255.2:8600
+    "$eb_build/test/standin/standin" --document "$eb_work/configuration.json" \
+        --site "$eb_site" --platform "$eb_platform_host:8500" \
+        --control "$eb_control" "$@" >"$eb_work/standin.log" 2>&1 &
+    eb_pids+=($!)
+    eb_standin_pid=$!
+    eb_wait 100 curl -fsS "http://$eb_control/status" -o /dev/null
+}
+
+# eb_settings SITE NUMBER: writes the settings of one more instance.
+eb_settings() {
+    local site=$1 number=$2
+    eb_map <"$eb_root/examples/$eb_deployment/settings-$site.json" |
+        jq --arg n "$number" --arg p "$eb_platform_host" \
+            --arg key "$(cat "$eb_root/examples/$eb_deployment/demonstration-peer.key")" \
+            --arg digest "$("$eb_build/src/ebonyhollow/ebonyhollow" digest \
+                <"$eb_admin_token")" '
+            .instance |= sub("-1$"; "-" + $n)
+            | (.caller, .admin, .peer) |= (.host |=
+                (split(".") | .[3] = (10 + ($n | tonumber) | tostring)
+                 | join(".")))
+            | .platform.host = $p | .peer_key = ($key | rtrimstr("\n"))
+            | .bootstrap_token_digest = $digest
+            | .balancer_delay_ms = 500
+            | . + '"${EB_SETTINGS:-{\}}" \
+        >"$eb_work/$site-$number.json"
+}
+
+# eb_daemon SITE NUMBER: starts a daemon; sets eb_pid_SITE_NUMBER.
+eb_daemon() {
+    local site=$1 number=$2
+    [ -e "$eb_work/$site-$number.json" ] || eb_settings "$site" "$number"
+    "$eb_build/src/ebonyhollowd/ebonyhollowd" \
+        --config "$eb_work/$site-$number.json" \
+        >>"$eb_work/$site-$number.log" 2>&1 &
+    eb_pids+=($!)
+    printf -v "eb_pid_${site}_$number" '%s' "$!"
+    eb_wait 200 curl -fsS "http://$(eb_address "$site" "$number" admin)/healthz" \
+        -o /dev/null
+}
+
+# eb_address SITE NUMBER caller|admin|peer
+eb_address() {
+    jq -r ".$3 | .host + \":\" + (.port | tostring)" "$eb_work/$1-$2.json"
+}
+
+# eb_wait TENTHS COMMAND...: repeats a command until it succeeds.
+eb_wait() {
+    local left=$1
+    shift
+    until "$@" >/dev/null 2>&1; do
+        left=$((left - 1))
+        if [ "$left" -le 0 ]; then
+            echo "gave up waiting for: $*" >&2
+            return 1
+        fi
+        sleep 0.1
+    done
+}
+
+# eb_ready SITE NUMBER: waits until the daemon takes requests.
+eb_ready() {
+    eb_wait 200 curl -fsS "http://$(eb_address "$1" "$2" admin)/readyz" \
+        -o /dev/null
+}
+
+# eb_command SITE NUMBER ARGUMENTS...: the operators' command as admin.
+eb_command() {
+    local site=$1 number=$2
+    shift 2
+    "$eb_build/src/ebonyhollow/ebonyhollow" \
+        --admin "$(eb_address "$site" "$number" admin)" \
+        --caller "$(eb_address "$site" "$number" caller)" \
+        --token-file "$eb_admin_token" "$@"
+}
+
+# eb_submit SITE NUMBER CUSTOMER ARGUMENTS...: a caller's request.
+eb_submit() {
+    local site=$1 number=$2 customer=$3
+    shift 3
+    printf 'demo-%s-%s' "$eb_deployment" "$customer" >"$eb_token"
+    "$eb_build/src/ebonyhollow/ebonyhollow" \
+        --caller "$(eb_address "$site" "$number" caller)" \
+        --token-file "$eb_token" submit "$@"
+}
+
+# eb_fault TARGET FAULT [AMOUNT [COUNT]]
+eb_fault() {
+    curl -fsS "http://$eb_control/fault" -o /dev/null -d "$(jq -nc \
+        --arg t "$1" --arg f "$2" --argjson a "${3:-0}" \
+        --argjson c "${4:--1}" \
+        '{target: $t, fault: $f, amount: $a, count: $c}')"
+}
+
+# eb_runs KEY: how often the services ran a key, by their own record.
+eb_runs() {
+    curl -fsS "http://$eb_control/runs" | jq --arg k "$1" '.[$k] // 0'
+}
+
+# eb_plan NAME...: writes plan.json with the named kinds of requests.
+eb_targets() {
+    local list=() pair
+    for pair in "$@"; do
+        list+=("$(eb_address "${pair%-*}" "${pair#*-}" caller)")
+    done
+    local IFS=,
+    echo "${list[*]}"
+}
+
+# eb_check DESCRIPTION COMMAND...: reports one check.
+eb_failures=0
+eb_check() {
+    local description=$1
+    shift
+    if "$@"; then
+        echo "ok: $description"
+    else
+        echo "NOT OK: $description"
+        eb_failures=$((eb_failures + 1))
+    fi
+}
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -368,8 +368,7 @@
         exit(1);
     }
     platform->tick = event_new(standin->base, -1, EV_PERSIST, tick, platform);
-    event_add(platform->tick,
-              &(struct timeval){.tv_usec = WATCH_TICK_US});
+    event_add(platform->tick, &(struct timeval){.tv_usec = WATCH_TICK_US});
     return platform;
 }
 
