config: contracts are the same at every site; bootstrap token in settings

Cause: a contract is divided among the daemons of all sites by one home daemon, so two sites with different contracts for one customer would grant by whichever site the home belongs to; and a daemon without configuration knows no operator who could bring the first one. Conclusion: both are checked when the document is read.

--- a/include/ebonyhollow/settings.h
+++ b/include/ebonyhollow/settings.h
@@ -17,6 +17,7 @@
 #define EB_SETTINGS_MAX_BYTES 65536
 #define EB_SETTINGS_MAX_SEEDS 64
 #define EB_PEER_KEY_BYTES 32
+#define EB_SETTINGS_DIGEST_BYTES 32
 #define EB_PLATFORM_TOKEN_MAX_BYTES 1024
 /* Bound of the bodies and unsent output that a daemon may hold, summed over
  * its limits. */
@@ -40,6 +41,9 @@
     EbAddress *seeds;     /* peer addresses tried at start */
     uint32_t seed_count;
     uint8_t peer_key[EB_PEER_KEY_BYTES];
+    /* Token of an operator with role admin while no configuration, and so no
+     * operator, is known. All zero: there is none. */
+    uint8_t bootstrap_token_digest[EB_SETTINGS_DIGEST_BYTES];
     EbLevel log_level;
     int64_t balancer_delay_us; /* listeners stay open so long in a drain */
     int64_t drain_limit_us;    /* longest drain after that delay */
--- a/src/libebonyhollow/config.c
+++ b/src/libebonyhollow/config.c
@@ -129,22 +129,49 @@
     return NULL;
 }
 
+/* A contract is divided among the daemons of all sites, which therefore need
+ * the same one. */
+static bool
+check_contracts(EbSchemaReader *reader, const EbConfig *base,
+                const EbConfig *config)
+{
+    for (uint32_t i = 0; i < config->customer_count; i++) {
+        const EbConfigCustomer *customer = &config->customers[i];
+        const EbConfigCustomer *common =
+            EbConfig_FindCustomer(base, customer->id);
+        if (common != NULL && memcmp(&common->contract, &customer->contract,
+                                     sizeof(EbContract)) != 0) {
+            reader->path.count = 0;
+            EbSchema_PushKey(reader, "customers");
+            EbSchema_PushKey(reader, customer->id);
+            return EbSchema_FailField(
+                reader, "contract", EB_ERROR_RANGE,
+                "an overlay must not change a contract, which holds across "
+                "the daemons of all sites; change it in the base");
+        }
+    }
+    return true;
+}
+
 /* Parses the base and every overlay; returns the one for `site`. */
 static EbConfig *
 parse_sites(EbSchemaReader *reader, json_t *document, const char *site)
 {
     json_t *overlays = json_object_get(document, "overlays");
-    EbConfig *chosen = parse_site(reader, document, NULL);
-    if (chosen == NULL) {
+    EbConfig *base = parse_site(reader, document, NULL);
+    if (base == NULL) {
         return NULL;
     }
+    EbConfig *chosen = EbConfig_Ref(base);
     const char *name;
     json_t *overlay;
     json_object_foreach(overlays, name, overlay)
     {
         EbConfig *config = parse_site(reader, document, name);
-        if (config == NULL) {
+        if (config == NULL || !check_contracts(reader, base, config)) {
+            EbConfig_Unref(config);
             EbConfig_Unref(chosen);
+            EbConfig_Unref(base);
             return NULL;
         }
         if (site != NULL && strcmp(name, site) == 0) {
@@ -155,6 +182,7 @@
             EbConfig_Unref(config);
         }
     }
+    EbConfig_Unref(base);
     return chosen;
 }
 
--- a/src/libebonyhollow/settings_fields.c
+++ b/src/libebonyhollow/settings_fields.c
@@ -72,6 +72,10 @@
     PART_ROW("peer_key", SECRET, EB_SCHEMA_REQUIRED, 0,
              "Key of the links between daemons: 64 hex digits or "
              "{\"file\": PATH}."),
+    ROW("bootstrap_token_digest", DIGEST, "", 0, 0, EB_SCHEMA_NONE, EbSettings,
+        bootstrap_token_digest,
+        "BLAKE2b-256 of a token that acts as admin until a configuration is "
+        "in force, 64 hex digits."),
     CHOICE_ROW("log_level", EbLevel_names, EB_LEVEL_COUNT, false, "\"info\"",
                log_level, "Least severe level that is logged."),
     ROW("balancer_delay_ms", MILLISECONDS, "ms", 0, HOUR_MS, "10000",
--- a/src/test_config/main.c
+++ b/src/test_config/main.c
@@ -271,6 +271,10 @@
      EB_ERROR_RANGE, "$.base.pools.orders.outcome_path", "begins with /"},
     {"{\"overlays\":{\"recife\":{\"pools\":{\"enc\":{\"queue_max\":0}}}}}",
      EB_ERROR_RANGE, "$.overlays.recife.pools.enc.queue_max", "site recife"},
+    {"{\"overlays\":{\"recife\":{\"customers\":{\"large\":{\"contract\":"
+     "{\"weight\":9}}}}}}",
+     EB_ERROR_RANGE, "$.overlays.recife.customers.large.contract",
+     "all sites"},
     {"{\"base\":{\"backend_servers\":{\"e1\":{\"host\":\"localhost\"}}}}",
      EB_ERROR_RANGE, "$.base.backend_servers.e1.host", "IPv4 or IPv6"},
     {"{\"base\":{\"backend_servers\":{\"e1\":{\"port\":65536}}}}",
