dispatcher: requests from submission to outcome; stage protocols

EbLedgerResult gains 'reopened': a key that an earlier copy released must not be answered not-run, because its stages may have run.

--- a/include/ebonyhollow/ledger.h
+++ b/include/ebonyhollow/ledger.h
@@ -65,6 +65,8 @@
     uint64_t claim;
     EbLedgerResultKind kind;
     uint64_t fencing_token; /* OWNED: version of the object */
+    bool reopened;          /* OWNED: an earlier copy released the key, so
+                               that stages may have run for it */
     EbOutcome outcome;      /* RECORDED */
     EbReason reason;        /* RECORDED */
     json_t *body;           /* RECORDED: new reference, or NULL */
--- /dev/null
+++ b/src/libebonyhollow/dispatcher.c
@@ -0,0 +1,596 @@
+/* Construction, configuration, pools, timers and shutdown. */
+#include "ebonyhollow/dispatcher.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "dispatcher_private.h"
+
+#define DEFAULT_MAX_REQUESTS 4096
+#define POOL_TICK_US 500000
+/* More servers than two deployments of the planned size. */
+#define MAX_LEAVING 2048
+
+const char *const EbPolicy_names[EB_POLICY_COUNT] = {
+    [EB_POLICY_ADAPTIVE] = "adaptive",
+    [EB_POLICY_PLAIN] = "plain",
+};
+
+const char *const EbAttemptEventKind_names[EB_ATTEMPT_EVENT_COUNT] = {
+    [EB_ATTEMPT_REFUSED] = "refused", [EB_ATTEMPT_ANSWERED] = "answered",
+    [EB_ATTEMPT_TOKENS] = "tokens",   [EB_ATTEMPT_ENDED] = "ended",
+    [EB_ATTEMPT_BROKEN] = "broken",   [EB_ATTEMPT_MALFORMED] = "malformed",
+};
+
+static void
+free_pool(gpointer pointer)
+{
+    EbPoolState *pool = pointer;
+    EbPool_Free(pool->pool);
+    EbQueue_Free(pool->queue);
+    if (pool->prefix != NULL) {
+        EbPrefix_Free(pool->prefix);
+    }
+    EbConfig_Unref(pool->config);
+    g_free(pool->key);
+    g_free(pool);
+}
+
+static void
+free_attempt(gpointer pointer)
+{
+    EbAttempt *attempt = pointer;
+    g_free(attempt->server_id);
+    g_free(attempt);
+}
+
+static void
+free_attempt_list(gpointer list)
+{
+    g_ptr_array_free(list, TRUE);
+}
+
+static void
+free_asked(gpointer pointer)
+{
+    EbAsked *asked = pointer;
+    EbAsked_Clear(asked);
+    g_free(asked);
+}
+
+static void
+free_request(gpointer pointer)
+{
+    EbRequest *request = pointer;
+    for (uint32_t i = 0; i < EB_CONFIG_MAX_STAGES; i++) {
+        json_decref(request->results[i]);
+    }
+    for (uint32_t i = 0; i < request->excluded_count; i++) {
+        g_free(request->excluded[i]);
+    }
+    if (request->summary != NULL) {
+        EbRequestSummary_Free(request->summary);
+    }
+    g_array_free(request->waiters, TRUE);
+    g_queue_clear_full(&request->asked, free_asked);
+    g_string_free(request->text, TRUE);
+    json_decref(request->body);
+    g_free(request->key);
+    g_free(request->traceparent);
+    g_free(request->claim_text);
+    EbConfig_Unref(request->config);
+    g_free(request);
+}
+
+static gint
+compare_timers(gconstpointer left, gconstpointer right, gpointer data)
+{
+    (void)data;
+    const EbRequest *a = left;
+    const EbRequest *b = right;
+    if (a->wake_us != b->wake_us) {
+        return a->wake_us < b->wake_us ? -1 : 1;
+    }
+    return a->id < b->id ? -1 : a->id > b->id;
+}
+
+EbDispatcher *
+EbDispatcher_New(const EbDispatcherOptions *options)
+{
+    assert(options->actions != NULL && options->random != NULL);
+    assert(options->ledger != NULL && options->limiter != NULL);
+    assert(options->quarantine != NULL && options->metrics != NULL);
+    EbDispatcher *dispatcher = g_new0(EbDispatcher, 1);
+    dispatcher->options = *options;
+    if (options->max_requests == 0) {
+        dispatcher->options.max_requests = DEFAULT_MAX_REQUESTS;
+    }
+    dispatcher->instance = g_strdup(options->instance);
+    dispatcher->failure_domain = g_strdup(options->failure_domain);
+    dispatcher->pools =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
+    dispatcher->pool_order = g_ptr_array_new();
+    dispatcher->leaving =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    dispatcher->requests =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_request);
+    dispatcher->attempts =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_attempt);
+    dispatcher->claims =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    dispatcher->queries =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    dispatcher->holders =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    dispatcher->servers = g_hash_table_new_full(g_str_hash, g_str_equal,
+                                                g_free, free_attempt_list);
+    dispatcher->fingerprints =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    dispatcher->timers = g_tree_new_full(compare_timers, NULL, NULL, NULL);
+    dispatcher->touched = g_ptr_array_new();
+    dispatcher->finished = g_ptr_array_new_with_free_func(free_request);
+    g_queue_init(&dispatcher->recent);
+    g_queue_init(&dispatcher->asked);
+    return dispatcher;
+}
+
+void
+EbDispatcher_Free(EbDispatcher *dispatcher)
+{
+    if (dispatcher == NULL) {
+        return;
+    }
+    g_hash_table_destroy(dispatcher->attempts);
+    g_hash_table_destroy(dispatcher->requests);
+    g_hash_table_destroy(dispatcher->pools);
+    g_hash_table_destroy(dispatcher->leaving);
+    g_hash_table_destroy(dispatcher->claims);
+    g_hash_table_destroy(dispatcher->queries);
+    g_hash_table_destroy(dispatcher->holders);
+    g_hash_table_destroy(dispatcher->servers);
+    g_hash_table_destroy(dispatcher->fingerprints);
+    g_tree_destroy(dispatcher->timers);
+    g_ptr_array_free(dispatcher->pool_order, TRUE);
+    g_ptr_array_free(dispatcher->touched, TRUE);
+    g_ptr_array_free(dispatcher->finished, TRUE);
+    g_queue_clear_full(&dispatcher->recent,
+                       (GDestroyNotify)EbRequestSummary_Free);
+    g_queue_clear_full(&dispatcher->asked, free_asked);
+    EbConfig_Unref(dispatcher->config);
+    g_free(dispatcher->instance);
+    g_free(dispatcher->failure_domain);
+    g_free(dispatcher);
+}
+
+/* A pool whose kind changes under the same name is another pool: its queue
+ * and statistics describe other work. */
+static char *
+pool_key(const EbConfigPool *pool)
+{
+    return g_strdup_printf("%s %s", EbStageKind_names[pool->kind], pool->name);
+}
+
+EbPoolState *
+EbDispatcher_FindPool(EbDispatcher *dispatcher, const EbConfigPool *pool)
+{
+    char *key = pool_key(pool);
+    EbPoolState *state = g_hash_table_lookup(dispatcher->pools, key);
+    g_free(key);
+    return state;
+}
+
+static EbPoolState *
+create_pool(EbDispatcher *dispatcher, EbConfig *config, uint32_t index)
+{
+    bool plain = EbDispatcher_IsPlain(dispatcher);
+    EbPoolState *state = g_new0(EbPoolState, 1);
+    state->key = pool_key(&config->pools[index]);
+    state->pool = EbPool_New(
+        &(EbPoolOptions){
+            .config = config,
+            .pool_index = index,
+            .instance = dispatcher->instance,
+            .failure_domain = dispatcher->failure_domain,
+            .policy = plain ? EB_POOL_ROUND_ROBIN : EB_POOL_ADAPTIVE,
+            .random = dispatcher->options.random,
+            .events = dispatcher->options.events,
+        },
+        NULL);
+    assert(state->pool != NULL);
+    /* Each request waits at most once, so that the bound of requests bounds
+     * the queue; queue_max is checked apart, as it may change later. */
+    state->queue = EbQueue_New(&(EbQueueOptions){
+        .order = plain ? EB_QUEUE_FIRST_COME : EB_QUEUE_WEIGHTED_FAIR,
+        .max_entries = dispatcher->options.max_requests,
+    });
+    if (config->pools[index].kind == EB_STAGE_GENERATE) {
+        state->prefix = EbPrefix_New(&(EbPrefixOptions){0});
+    }
+    EbRetry_Init(&state->budget, &(EbRetryOptions){0});
+    g_hash_table_insert(dispatcher->pools, state->key, state);
+    return state;
+}
+
+static gboolean
+is_unused_pool(gpointer key, gpointer value, gpointer data)
+{
+    (void)key;
+    (void)data;
+    const EbPoolState *pool = value;
+    return !pool->current && pool->users == 0;
+}
+
+static void
+apply_leaving(EbDispatcher *dispatcher, EbPoolState *pool, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer id;
+    g_hash_table_iter_init(&iter, dispatcher->leaving);
+    while (g_hash_table_iter_next(&iter, &id, NULL)) {
+        EbPool_SetLeaving(pool->pool, id, true, now_us);
+    }
+}
+
+static void
+apply_pool(EbDispatcher *dispatcher, EbConfig *config, uint32_t index,
+           int64_t now_us)
+{
+    EbPoolState *pool =
+        EbDispatcher_FindPool(dispatcher, &config->pools[index]);
+    if (pool == NULL) {
+        pool = create_pool(dispatcher, config, index);
+    }
+    else {
+        EbPool_SetConfig(pool->pool, config, index);
+        EbConfig_Unref(pool->config);
+    }
+    pool->config = EbConfig_Ref(config);
+    pool->queue_max = config->pools[index].queue_max;
+    pool->current = true;
+    pool->dirty = true;
+    apply_leaving(dispatcher, pool, now_us);
+    g_ptr_array_add(dispatcher->pool_order, pool);
+}
+
+void
+EbDispatcher_SetConfig(EbDispatcher *dispatcher, EbConfig *config,
+                       int64_t now_us)
+{
+    assert(config != NULL);
+    for (guint i = 0; i < dispatcher->pool_order->len; i++) {
+        EbPoolState *pool = g_ptr_array_index(dispatcher->pool_order, i);
+        pool->current = false;
+    }
+    g_ptr_array_set_size(dispatcher->pool_order, 0);
+    for (uint32_t i = 0; i < config->pool_count; i++) {
+        apply_pool(dispatcher, config, i, now_us);
+    }
+    g_hash_table_foreach_remove(dispatcher->pools, is_unused_pool, NULL);
+    EbConfig *previous = dispatcher->config;
+    dispatcher->config = EbConfig_Ref(config);
+    EbConfig_Unref(previous);
+    EbDispatcher_Settle(dispatcher, now_us);
+}
+
+void
+EbDispatcher_ReleasePools(EbDispatcher *dispatcher, EbRequest *request)
+{
+    bool unused = false;
+    for (uint32_t i = 0; i < EB_CONFIG_MAX_STAGES; i++) {
+        EbPoolState *pool = request->pools[i];
+        if (pool != NULL) {
+            pool->users--;
+            unused = unused || is_unused_pool(NULL, pool, NULL);
+        }
+        request->pools[i] = NULL;
+    }
+    if (unused) {
+        g_hash_table_foreach_remove(dispatcher->pools, is_unused_pool, NULL);
+    }
+}
+
+/* Timers */
+
+void
+EbRequest_Touch(EbRequest *request)
+{
+    if (!request->touched) {
+        request->touched = true;
+        g_ptr_array_add(request->dispatcher->touched, request);
+    }
+}
+
+static int64_t
+next_wake(const EbRequest *request)
+{
+    int64_t wake_us = request->answered ? INT64_MAX : request->deadline_us;
+    if (request->retry_us > 0) {
+        wake_us = MIN(wake_us, request->retry_us);
+    }
+    if (request->hedge_us > 0) {
+        wake_us = MIN(wake_us, request->hedge_us);
+    }
+    for (uint32_t i = 0; i < request->attempt_count; i++) {
+        wake_us = MIN(wake_us, request->attempts[i]->timeout_us);
+    }
+    return wake_us;
+}
+
+static void
+set_timer(EbDispatcher *dispatcher, EbRequest *request, int64_t wake_us)
+{
+    if (wake_us == request->wake_us) {
+        return;
+    }
+    if (request->wake_us != INT64_MAX) {
+        g_tree_remove(dispatcher->timers, request);
+    }
+    request->wake_us = wake_us;
+    if (wake_us != INT64_MAX) {
+        g_tree_insert(dispatcher->timers, request, request);
+    }
+}
+
+static bool
+pump_pools(EbDispatcher *dispatcher, int64_t now_us)
+{
+    bool pumped = false;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, dispatcher->pools);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        EbPoolState *pool = value;
+        if (pool->dirty) {
+            pool->dirty = false;
+            EbPoolState_Pump(dispatcher, pool, now_us);
+            pumped = true;
+        }
+    }
+    return pumped;
+}
+
+static void
+remember(EbDispatcher *dispatcher, EbRequest *request)
+{
+    g_queue_push_head(&dispatcher->recent, request->summary);
+    request->summary = NULL;
+    if (dispatcher->recent.length > EB_REQUEST_RECENT) {
+        EbRequestSummary_Free(g_queue_pop_tail(&dispatcher->recent));
+    }
+}
+
+void
+EbDispatcher_Settle(EbDispatcher *dispatcher, int64_t now_us)
+{
+    bool progress = true;
+    while (progress) {
+        progress = EbDispatcher_TakeLedgerResults(dispatcher, now_us);
+        progress = pump_pools(dispatcher, now_us) || progress;
+    }
+    for (guint i = 0; i < dispatcher->touched->len; i++) {
+        EbRequest *request = g_ptr_array_index(dispatcher->touched, i);
+        request->touched = false;
+        set_timer(dispatcher, request,
+                  EbRequest_IsOver(request) ? INT64_MAX : next_wake(request));
+    }
+    g_ptr_array_set_size(dispatcher->touched, 0);
+    for (guint i = 0; i < dispatcher->finished->len; i++) {
+        EbRequest *request = g_ptr_array_index(dispatcher->finished, i);
+        EbDispatcher_ReleasePools(dispatcher, request);
+        remember(dispatcher, request);
+    }
+    g_ptr_array_set_size(dispatcher->finished, 0);
+}
+
+/* Something for the request to do at retry_us: what depends on its state. */
+static void
+retry_now(EbRequest *request, int64_t now_us)
+{
+    request->retry_us = 0;
+    if (request->call_sent || request->summary->state == EB_REQUEST_DETACHED) {
+        EbRequest_LookUp(request, now_us);
+    }
+    else if (request->summary->state == EB_REQUEST_CLAIMING) {
+        EbRequest_Claim(request, now_us);
+    }
+    else if (request->summary->state == EB_REQUEST_ASKING_OWNER) {
+        EbRequest_LookUp(request, now_us);
+    }
+    else {
+        EbRequest_Enqueue(request, now_us);
+    }
+}
+
+static void
+reach_deadline(EbRequest *request, int64_t now_us)
+{
+    if (EbRequest_HasCallOut(request)) {
+        EbRequest_Detach(request, EB_REASON_DEADLINE_EXCEEDED, now_us);
+    }
+    else {
+        EbRequest_Fail(request, EB_REASON_DEADLINE_EXCEEDED, NULL, now_us);
+    }
+}
+
+/* Does what is due. Each step clears its own timer, so that a request whose
+ * timer is set again waits for a later time. */
+static void
+wake(EbRequest *request, int64_t now_us)
+{
+    EbRequest_Touch(request);
+    if (!request->answered && request->deadline_us <= now_us) {
+        reach_deadline(request, now_us);
+    }
+    for (uint32_t i = request->attempt_count; i > 0; i--) {
+        /* A time-out may end several attempts at once. */
+        if (EbRequest_IsOver(request) || i > request->attempt_count) {
+            continue;
+        }
+        if (request->attempts[i - 1]->timeout_us <= now_us) {
+            EbAttempt_Overdue(request->attempts[i - 1], now_us);
+        }
+    }
+    if (!EbRequest_IsOver(request) && request->hedge_us > 0 &&
+        request->hedge_us <= now_us) {
+        EbRequest_Hedge(request, now_us);
+    }
+    if (!EbRequest_IsOver(request) && request->retry_us > 0 &&
+        request->retry_us <= now_us) {
+        retry_now(request, now_us);
+    }
+}
+
+static void
+tick_pools(EbDispatcher *dispatcher, int64_t now_us)
+{
+    bool tick = now_us >= dispatcher->pool_tick_us;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, dispatcher->pools);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        EbPoolState *pool = value;
+        if (tick) {
+            EbPool_Tick(pool->pool, now_us);
+        }
+        pool->dirty = pool->dirty || EbQueue_Count(pool->queue) > 0;
+    }
+    if (tick) {
+        dispatcher->pool_tick_us = now_us + POOL_TICK_US;
+    }
+}
+
+void
+EbDispatcher_Tick(EbDispatcher *dispatcher, int64_t now_us)
+{
+    GTreeNode *node = g_tree_node_first(dispatcher->timers);
+    while (node != NULL) {
+        EbRequest *request = g_tree_node_key(node);
+        if (request->wake_us > now_us) {
+            break;
+        }
+        set_timer(dispatcher, request, INT64_MAX);
+        wake(request, now_us);
+        node = g_tree_node_first(dispatcher->timers);
+    }
+    tick_pools(dispatcher, now_us);
+    EbDispatcher_Settle(dispatcher, now_us);
+}
+
+int64_t
+EbDispatcher_NextTimer(const EbDispatcher *dispatcher)
+{
+    int64_t next_us =
+        dispatcher->pool_order->len > 0 ? dispatcher->pool_tick_us : INT64_MAX;
+    GTreeNode *node = g_tree_node_first(dispatcher->timers);
+    if (node != NULL) {
+        const EbRequest *request = g_tree_node_key(node);
+        next_us = MIN(next_us, request->wake_us);
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, dispatcher->pools);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const EbPoolState *pool = value;
+        next_us = MIN(next_us, EbQueue_NextExpiry(pool->queue));
+    }
+    return next_us;
+}
+
+/* Leaving servers */
+
+void
+EbDispatcher_MarkLeaving(EbDispatcher *dispatcher, const char *server_id,
+                         bool leaving, const char *source, int64_t now_us)
+{
+    if (!leaving) {
+        g_hash_table_remove(dispatcher->leaving, server_id);
+    }
+    else if (g_hash_table_size(dispatcher->leaving) < MAX_LEAVING) {
+        g_hash_table_add(dispatcher->leaving, g_strdup(server_id));
+    }
+    bool changed = false;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, dispatcher->pools);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        EbPoolState *pool = value;
+        if (EbPool_SetLeaving(pool->pool, server_id, leaving, now_us)) {
+            changed = true;
+            pool->dirty = true;
+            if (leaving && pool->prefix != NULL) {
+                EbPrefix_Forget(pool->prefix, server_id);
+            }
+        }
+    }
+    if (changed && leaving) {
+        EB_EMIT(dispatcher->options.events, EB_EVENT_SERVER_LEAVING,
+                EB_STRING_FIELD("backend_server", server_id),
+                EB_STRING_FIELD("source", source));
+    }
+    if (changed && leaving && dispatcher->options.server_leaving != NULL &&
+        strcmp(source, "response") == 0) {
+        dispatcher->options.server_leaving(dispatcher->options.context,
+                                           server_id, now_us);
+    }
+}
+
+void
+EbDispatcher_ServerLeaving(EbDispatcher *dispatcher, const char *server_id,
+                           bool leaving, const char *source, int64_t now_us)
+{
+    EbDispatcher_MarkLeaving(dispatcher, server_id, leaving, source, now_us);
+    EbDispatcher_Settle(dispatcher, now_us);
+}
+
+/* Shutdown */
+
+void
+EbDispatcher_Drain(EbDispatcher *dispatcher, int64_t now_us)
+{
+    (void)now_us;
+    if (dispatcher->draining) {
+        return;
+    }
+    dispatcher->draining = true;
+    EB_EMIT(
+        dispatcher->options.events, EB_EVENT_DRAIN_STARTED,
+        EB_STRING_FIELD("instance", dispatcher->instance),
+        EB_INTEGER_FIELD("live_requests", EbDispatcher_LiveCount(dispatcher)));
+}
+
+void
+EbDispatcher_Abort(EbDispatcher *dispatcher, int64_t now_us)
+{
+    dispatcher->draining = true;
+    GList *requests = g_hash_table_get_values(dispatcher->requests);
+    for (GList *item = requests; item != NULL; item = item->next) {
+        EbRequest *request = item->data;
+        if (!EbRequest_IsOver(request)) {
+            EbRequest_Fail(request, EB_REASON_SHUTDOWN, NULL, now_us);
+        }
+    }
+    g_list_free(requests);
+    EbDispatcher_Settle(dispatcher, now_us);
+}
+
+size_t
+EbDispatcher_LiveCount(const EbDispatcher *dispatcher)
+{
+    return g_hash_table_size(dispatcher->requests);
+}
+
+size_t
+EbDispatcher_PoolCount(const EbDispatcher *dispatcher)
+{
+    return dispatcher->pool_order->len;
+}
+
+const EbPool *
+EbDispatcher_Pool(const EbDispatcher *dispatcher, size_t index)
+{
+    assert(index < dispatcher->pool_order->len);
+    const EbPoolState *pool = g_ptr_array_index(dispatcher->pool_order, index);
+    return pool->pool;
+}
--- /dev/null
+++ b/src/libebonyhollow/dispatcher_crash.c
@@ -0,0 +1,81 @@
+/* Requests in flight on backend servers that crash. */
+#include <glib.h>
+
+#include "dispatcher_private.h"
+
+bool
+EbRequest_IsSuspected(EbRequest *request, int64_t now_us)
+{
+    EbDispatcher *dispatcher = request->dispatcher;
+    return !EbDispatcher_IsPlain(dispatcher) &&
+           EbQuarantine_State(dispatcher->options.quarantine,
+                              request->fingerprint,
+                              now_us) == EB_FINGERPRINT_SUSPECTED;
+}
+
+bool
+EbRequest_IsQuarantined(EbRequest *request, int64_t now_us)
+{
+    EbDispatcher *dispatcher = request->dispatcher;
+    return !EbDispatcher_IsPlain(dispatcher) &&
+           EbQuarantine_State(dispatcher->options.quarantine,
+                              request->fingerprint,
+                              now_us) == EB_FINGERPRINT_QUARANTINED;
+}
+
+bool
+EbRequest_HasRunningCopy(EbRequest *request, int64_t now_us)
+{
+    return EbRequest_IsSuspected(request, now_us) &&
+           g_hash_table_contains(request->dispatcher->fingerprints,
+                                 &request->fingerprint);
+}
+
+bool
+EbRequest_AcceptsServer(void *context, const char *server_id)
+{
+    EbRequest *request = context;
+    EbDispatcher *dispatcher = request->dispatcher;
+    GPtrArray *running = g_hash_table_lookup(dispatcher->servers, server_id);
+    for (guint i = 0; running != NULL && i < running->len; i++) {
+        EbAttempt *attempt = g_ptr_array_index(running, i);
+        if (!attempt->lookup &&
+            attempt->request->fingerprint != request->fingerprint &&
+            EbRequest_IsSuspected(attempt->request, dispatcher->now_us)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+EbAttempt_Crashed(EbAttempt *attempt, int64_t now_us)
+{
+    EbDispatcher *dispatcher = attempt->request->dispatcher;
+    /* One crash breaks many connections; the first report counts for all. */
+    if (EbDispatcher_IsPlain(dispatcher) || attempt->crash_scored) {
+        return;
+    }
+    GPtrArray *running =
+        g_hash_table_lookup(dispatcher->servers, attempt->server_id);
+    GHashTable *suspects = g_hash_table_new(g_int64_hash, g_int64_equal);
+    for (guint i = 0; i < running->len; i++) {
+        EbAttempt *other = g_ptr_array_index(running, i);
+        if (!other->lookup) {
+            other->crash_scored = true;
+            g_hash_table_add(suspects, &other->request->fingerprint);
+        }
+    }
+    EB_EMIT(dispatcher->options.events, EB_EVENT_SERVER_CRASHED,
+            EB_STRING_FIELD("backend_server", attempt->server_id),
+            EB_INTEGER_FIELD("in_flight", running->len));
+    bool alone = g_hash_table_size(suspects) == 1;
+    GHashTableIter iter;
+    gpointer fingerprint;
+    g_hash_table_iter_init(&iter, suspects);
+    while (g_hash_table_iter_next(&iter, &fingerprint, NULL)) {
+        EbQuarantine_Crash(dispatcher->options.quarantine,
+                           *(EbFingerprint *)fingerprint, alone, now_us);
+    }
+    g_hash_table_destroy(suspects);
+}
--- /dev/null
+++ b/src/libebonyhollow/dispatcher_stage.c
@@ -0,0 +1,275 @@
+/* Queueing of stages and dispatch of attempts and hedges. */
+#include <assert.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "dispatcher_private.h"
+
+/* How long a request that no allowed server can take waits before it is
+ * tried again, and after how many tries a server that failed is allowed. */
+#define PARK_US 20000
+#define MAX_PARKS_EXCLUDED 3
+
+static void
+reset_stage(EbRequest *request)
+{
+    for (uint32_t i = 0; i < request->excluded_count; i++) {
+        g_free(request->excluded[i]);
+    }
+    request->excluded_count = 0;
+    request->failures = 0;
+    request->parks = 0;
+    request->hedged = false;
+    request->retry_us = 0;
+    request->hedge_us = 0;
+    g_string_truncate(request->text, 0);
+    request->token_count = 0;
+    request->relayed_count = 0;
+    request->token_us = 0;
+}
+
+void
+EbRequest_StartStage(EbRequest *request, int64_t now_us)
+{
+    reset_stage(request);
+    request->summary->stage = request->stage;
+    EbRetry_Fresh(&request->pools[request->stage]->budget);
+    EbRequest_Enqueue(request, now_us);
+}
+
+/* Predicted time from the start of the current stage to the end. What a
+ * retry still needs of its own stage is not known and counts as nothing. */
+static int64_t
+predict_rest(const EbRequest *request, int64_t now_us)
+{
+    int64_t total_us = 0;
+    uint32_t first = request->stage + (request->failures > 0 ? 1 : 0);
+    for (uint32_t i = first; i < request->pipeline->stage_count; i++) {
+        total_us += EbPool_Predict(request->pools[i]->pool, 0, now_us);
+        total_us += request->pools[i]->stream_us;
+    }
+    return total_us;
+}
+
+static uint32_t
+stage_cost(const EbRequest *request)
+{
+    const EbConfigStage *stage = EbRequest_Stage(request);
+    return stage->kind == EB_STAGE_GENERATE ? MAX(stage->max_tokens, 1) : 1;
+}
+
+void
+EbRequest_Enqueue(EbRequest *request, int64_t now_us)
+{
+    EbPoolState *pool = request->pools[request->stage];
+    EbRequest_Touch(request);
+    request->summary->state = EB_REQUEST_QUEUED;
+    if (EbQueue_Count(pool->queue) >= pool->queue_max) {
+        EbRequest_Fail(request, EB_REASON_OVERLOADED, NULL, now_us);
+        return;
+    }
+    bool plain = EbDispatcher_IsPlain(request->dispatcher);
+    EbQueueEntry entry = {
+        .id = request->id,
+        .customer = request->customer->id,
+        .weight = MAX(request->customer->contract.weight, 1),
+        .cost = stage_cost(request),
+        .deadline_us = request->deadline_us,
+        .needed_us = plain ? 0 : predict_rest(request, now_us),
+    };
+    if (!EbQueue_Push(pool->queue, &entry, now_us)) {
+        EbRequest_Fail(request, EB_REASON_OVERLOADED, NULL, now_us);
+        return;
+    }
+    request->waiting = true;
+    request->queued_us = now_us;
+    pool->dirty = true;
+}
+
+static void
+park(EbRequest *request, int64_t now_us)
+{
+    request->parks++;
+    request->retry_us = now_us + PARK_US;
+    EbRequest_Touch(request);
+}
+
+static json_t *
+build_body(EbRequest *request, EbError *error)
+{
+    EbStageInput input = {
+        .pipeline = request->pipeline,
+        .stage = request->stage,
+        .request = request->body,
+        .results = request->results,
+        .resume_token_index = request->token_count,
+        .resume_text = request->text->str,
+    };
+    return EbStage_protocols[EbRequest_Stage(request)->kind].build(&input,
+                                                                   error);
+}
+
+static void
+add_exclusions(EbRequest *request, EbPoolCriteria *criteria)
+{
+    for (uint32_t i = 0; i < request->excluded_count; i++) {
+        criteria->excluded[criteria->excluded_count++] = request->excluded[i];
+    }
+}
+
+static const EbConfigBackendServer *
+choose_server(EbRequest *request, json_t *body, int64_t now_us)
+{
+    EbPoolState *pool = request->pools[request->stage];
+    EbPoolCriteria criteria = {0};
+    if (request->parks < MAX_PARKS_EXCLUDED) {
+        add_exclusions(request, &criteria);
+    }
+    if (EbRequest_IsSuspected(request, now_us)) {
+        request->dispatcher->now_us = now_us;
+        criteria.accept = EbRequest_AcceptsServer;
+        criteria.context = request;
+    }
+    const char *prompt = EbStage_Prompt(body);
+    bool affinity = pool->prefix != NULL && prompt != NULL &&
+                    !EbDispatcher_IsPlain(request->dispatcher);
+    if (affinity) {
+        criteria.preferred =
+            EbPrefix_Find(pool->prefix, prompt, strlen(prompt), now_us, NULL);
+    }
+    const EbConfigBackendServer *server =
+        EbPool_Begin(pool->pool, &criteria, now_us);
+    if (server != NULL && affinity) {
+        EbPrefix_Record(pool->prefix, prompt, strlen(prompt), server->id,
+                        now_us);
+    }
+    return server;
+}
+
+static void
+count_queue_time(EbRequest *request, int64_t now_us)
+{
+    int64_t queue_us = now_us - request->queued_us;
+    request->runs[request->stage].queue_us += queue_us;
+    EbMetrics_Observe(request->dispatcher->options.metrics,
+                      EB_METRIC_QUEUE_TIME_US, queue_us,
+                      request->pipeline->name, EbRequest_Stage(request)->name,
+                      NULL);
+}
+
+/* Checks what may have changed while the request waited. Returns false when
+ * it may not be dispatched now. */
+static bool
+may_dispatch(EbRequest *request, int64_t now_us)
+{
+    EbDispatcher *dispatcher = request->dispatcher;
+    if (request->deadline_us <= now_us) {
+        EbRequest_Fail(request, EB_REASON_DEADLINE_EXCEEDED, NULL, now_us);
+        return false;
+    }
+    if (EbRequest_IsQuarantined(request, now_us)) {
+        EbRequest_Fail(request, EB_REASON_QUARANTINED, NULL, now_us);
+        return false;
+    }
+    if (!EbRequest_Stage(request)->idempotent &&
+        !EbLedger_MayHandOut(dispatcher->options.ledger, request->claim,
+                             now_us)) {
+        EB_EMIT(dispatcher->options.events, EB_EVENT_HOLD_EXPIRED,
+                EB_STRING_FIELD("request_id", request->summary->request_id),
+                EB_STRING_FIELD("customer", request->customer->id),
+                EB_INTEGER_FIELD("overdue_us", now_us - request->queued_us));
+        EbRequest_Fail(request, EB_REASON_HOLD_EXPIRED, NULL, now_us);
+        return false;
+    }
+    if (EbRequest_HasRunningCopy(request, now_us)) {
+        park(request, now_us);
+        return false;
+    }
+    return true;
+}
+
+static void
+dispatch(EbRequest *request, int64_t now_us)
+{
+    EbRequest_Touch(request);
+    request->waiting = false;
+    count_queue_time(request, now_us);
+    if (!may_dispatch(request, now_us)) {
+        return;
+    }
+    EbError error;
+    EbError_Clear(&error);
+    json_t *body = build_body(request, &error);
+    if (body == NULL) {
+        EbRequest_Fail(request, EB_REASON_BAD_REQUEST, error.message, now_us);
+        return;
+    }
+    const EbConfigBackendServer *server = choose_server(request, body, now_us);
+    if (server == NULL) {
+        json_decref(body);
+        park(request, now_us);
+        return;
+    }
+    EbAttempt_Start(request, server, &(EbAttemptStart){.body = body}, now_us);
+    int64_t slow_us =
+        EbPool_SlowQuantile(request->pools[request->stage]->pool);
+    const EbConfigStage *stage = EbRequest_Stage(request);
+    if (slow_us > 0 && stage->idempotent && !request->hedged &&
+        EbStage_protocols[stage->kind].hedged &&
+        !EbDispatcher_IsPlain(request->dispatcher)) {
+        request->hedge_us = now_us + slow_us;
+    }
+}
+
+void
+EbRequest_Hedge(EbRequest *request, int64_t now_us)
+{
+    EbPoolState *pool = request->pools[request->stage];
+    request->hedge_us = 0;
+    if (request->attempt_count != 1 || request->hedged ||
+        EbRequest_IsSuspected(request, now_us) ||
+        !EbRetry_Take(&pool->budget)) {
+        return;
+    }
+    EbPoolCriteria criteria = {0};
+    add_exclusions(request, &criteria);
+    if (criteria.excluded_count < EB_POOL_MAX_EXCLUDED) {
+        criteria.excluded[criteria.excluded_count++] =
+            request->attempts[0]->server_id;
+    }
+    const EbConfigBackendServer *server =
+        EbPool_Begin(pool->pool, &criteria, now_us);
+    if (server == NULL) {
+        EbRetry_Return(&pool->budget);
+        return;
+    }
+    request->hedged = true;
+    json_t *body = build_body(request, NULL);
+    assert(body != NULL); /* it was built for the first attempt */
+    EbMetrics_Add(request->dispatcher->options.metrics, EB_METRIC_HEDGES, 1,
+                  request->pipeline->name, EbRequest_Stage(request)->name,
+                  NULL);
+    EbAttempt_Start(request, server,
+                    &(EbAttemptStart){.body = body, .hedge = true}, now_us);
+}
+
+void
+EbPoolState_Pump(EbDispatcher *dispatcher, EbPoolState *pool, int64_t now_us)
+{
+    EbQueueEntry entry;
+    while (EbQueue_PopExpired(pool->queue, now_us, &entry)) {
+        EbRequest *request =
+            g_hash_table_lookup(dispatcher->requests, &entry.id);
+        assert(request != NULL && request->waiting);
+        request->waiting = false;
+        EbRequest_Fail(request, EB_REASON_DEADLINE_INFEASIBLE, NULL, now_us);
+    }
+    while (EbPool_HasSlot(pool->pool, now_us) &&
+           EbQueue_Pop(pool->queue, now_us, &entry)) {
+        EbRequest *request =
+            g_hash_table_lookup(dispatcher->requests, &entry.id);
+        assert(request != NULL && request->waiting);
+        dispatch(request, now_us);
+    }
+}
--- /dev/null
+++ b/src/libebonyhollow/private/dispatcher_private.h
@@ -0,0 +1,293 @@
+/* Requests, attempts and pools inside the dispatcher.
+ *
+ * Public functions of dispatcher.h end with EbDispatcher_Settle, which starts
+ * waiting attempts, sets timers and releases finished requests. Everything
+ * else only marks: a finished request stays readable until then. */
+#ifndef EBONYHOLLOW_DISPATCHER_PRIVATE_H
+#define EBONYHOLLOW_DISPATCHER_PRIVATE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "ebonyhollow/dispatcher.h"
+#include "ebonyhollow/prefix.h"
+#include "ebonyhollow/queue.h"
+#include "ebonyhollow/retry.h"
+#include "ebonyhollow/stage.h"
+
+#define EB_REQUEST_MAX_ATTEMPTS 3 /* at once: call, hedge, look-up */
+#define EB_REQUEST_MAX_TRACE 64
+#define EB_REQUEST_RECENT 256
+
+/* A pool with everything the dispatcher keeps for it. One is kept for each
+ * name and kind, across configurations. */
+typedef struct {
+    char *key;
+    EbConfig *config; /* referenced while `pool` uses it */
+    EbPool *pool;
+    EbQueue *queue;
+    EbPrefix *prefix; /* NULL unless the pool generates */
+    EbRetry budget;
+    uint32_t queue_max;
+    int64_t stream_us; /* moving average from first token to end */
+    uint32_t users;    /* stages of live requests */
+    bool current;      /* in the configuration in force */
+    bool dirty;        /* a slot or an entry may have become available */
+} EbPoolState;
+
+typedef struct EbRequest EbRequest;
+
+typedef struct {
+    uint64_t id;
+    EbRequest *request;
+    EbPoolState *pool;
+    char *server_id;
+    uint32_t stage;
+    uint32_t number; /* in the request, sent as Eb-Attempt */
+    bool hedge;
+    bool lookup;
+    bool echo_checked;
+    bool has_tokens;
+    bool overdue;      /* a non-idempotent call past its time-out */
+    bool crash_scored; /* its fingerprint was counted for a crash */
+    int64_t started_us;
+    int64_t first_token_us;
+    int64_t timeout_us; /* when it counts as silent */
+} EbAttempt;
+
+/* What is kept of a stage for the answer's usage. */
+typedef struct {
+    uint32_t attempts;
+    int64_t queue_us;
+    int64_t server_us;
+} EbStageRun;
+
+typedef struct {
+    int64_t at_us;
+    const char *event; /* static */
+    uint32_t stage;
+    uint32_t attempt;
+    char detail[48]; /* server or cause */
+} EbTraceEntry;
+
+/* The part of a request that outlives it in the ring of recent ones. */
+typedef struct {
+    char *request_id;
+    char *customer; /* "" before authentication */
+    char *pipeline;
+    EbRequestState state;
+    uint32_t stage;
+    int64_t received_us;
+    int64_t finished_us;
+    EbOutcome outcome; /* EB_OUTCOME_COUNT until it is known */
+    EbReason reason;
+    GArray *trace; /* of EbTraceEntry */
+} EbRequestSummary;
+
+struct EbRequest {
+    uint64_t id;
+    EbDispatcher *dispatcher;
+    EbRequestSummary *summary;
+    EbConfig *config; /* the one in force at submission; may be NULL */
+    const EbConfigPipeline *pipeline;
+    const EbConfigCustomer *customer;
+    EbPoolState *pools[EB_CONFIG_MAX_STAGES];
+    char *key;
+    char key_digest[EB_KEY_DIGEST_HEX_BYTES];
+    char *traceparent;
+    json_t *body;
+    char *claim_text; /* pipeline and body, digested by the ledger */
+    size_t claim_text_bytes;
+    EbFingerprint fingerprint;
+    int64_t deadline_us;
+    bool stream;
+
+    int64_t retry_after_us; /* hint for the answer; 0: derived */
+    bool keyed;             /* the pipeline needs a claim */
+    bool admitted;          /* owes an EbLimiter_Finish */
+    bool answered;
+    bool replayed;
+    bool touched; /* its timer has to be set */
+    int64_t wake_us;
+
+    uint64_t claim; /* 0 when there is none */
+    bool owned;
+    bool reopened;
+    uint64_t fencing_token;
+    uint32_t claim_count;
+    uint64_t owner_query; /* 0 when the owner is not being asked */
+    GArray *waiters;      /* ids of requests that wait for this one's key */
+    GQueue asked;         /* of EbAsked, peers that wait for it */
+
+    uint32_t stage;
+    json_t *results[EB_CONFIG_MAX_STAGES];
+    EbStageRun runs[EB_CONFIG_MAX_STAGES];
+    EbAttempt *attempts[EB_REQUEST_MAX_ATTEMPTS];
+    uint32_t attempt_count;
+    uint32_t next_number;
+    uint32_t sent_count; /* attempts whose call may have reached a server */
+    bool call_sent;      /* one of them is the non-idempotent call */
+    char *excluded[EB_POOL_MAX_EXCLUDED]; /* servers that failed this stage */
+    uint32_t excluded_count;
+    uint32_t failures; /* of this stage */
+    uint32_t parks;
+    bool hedged;
+    int64_t queued_us;
+    int64_t retry_us; /* next try to claim, queue or look up */
+    int64_t hedge_us;
+    bool waiting; /* in its pool's queue */
+
+    EbReason unknown_reason; /* of the answer when a look-up tells nothing */
+    bool lookup_over;
+    uint32_t lookup_count;
+
+    GString *text; /* of the running generate stage */
+    uint64_t token_count;
+    uint64_t relayed_count;
+    int64_t token_us; /* last token */
+    uint64_t total_tokens;
+};
+
+struct EbDispatcher {
+    EbDispatcherOptions options;
+    char *instance;
+    char *failure_domain;
+    EbConfig *config;
+    GHashTable *pools;     /* key to EbPoolState */
+    GPtrArray *pool_order; /* those in force, in the configuration's order */
+    GHashTable *leaving;   /* ids of leaving servers */
+    GHashTable *requests;  /* id to EbRequest */
+    GHashTable *attempts;  /* id to EbAttempt */
+    GHashTable *claims;    /* claim handle to EbRequest */
+    GHashTable *queries;   /* owner query to EbRequest */
+    GHashTable *holders;   /* customer and key digest to owning EbRequest */
+    GHashTable *servers;   /* id to GPtrArray of EbAttempt in flight */
+    GHashTable *fingerprints; /* to the number of attempts in flight */
+    GTree *timers;            /* requests by wake_us */
+    GPtrArray *touched;
+    GPtrArray *finished;
+    GQueue recent; /* of EbRequestSummary, newest first */
+    GQueue asked;  /* of EbAsked that can be answered */
+    uint64_t next_request;
+    uint64_t next_attempt;
+    uint64_t next_query;
+    int64_t pool_tick_us;
+    int64_t now_us; /* for EbRequest_AcceptsServer, which is given no time */
+    bool draining;
+};
+
+/* dispatcher.c */
+
+/* Marks a request so that its timer is set by EbDispatcher_Settle. */
+void EbRequest_Touch(EbRequest *request);
+void EbDispatcher_Settle(EbDispatcher *dispatcher, int64_t now_us);
+void EbDispatcher_ReleasePools(EbDispatcher *dispatcher, EbRequest *request);
+EbPoolState *EbDispatcher_FindPool(EbDispatcher *dispatcher,
+                                   const EbConfigPool *pool);
+void EbDispatcher_MarkLeaving(EbDispatcher *dispatcher, const char *server_id,
+                              bool leaving, const char *source,
+                              int64_t now_us);
+
+static inline bool
+EbDispatcher_IsPlain(const EbDispatcher *dispatcher)
+{
+    return dispatcher->options.policy == EB_POLICY_PLAIN;
+}
+
+static inline const EbConfigStage *
+EbRequest_Stage(const EbRequest *request)
+{
+    return &request->pipeline->stages[request->stage];
+}
+
+static inline bool
+EbRequest_IsOver(const EbRequest *request)
+{
+    return request->summary->state == EB_REQUEST_FINISHED;
+}
+
+/* dispatcher_request.c */
+
+/* Claims the request's key, again after an earlier holder released it. */
+void EbRequest_Claim(EbRequest *request, int64_t now_us);
+/* Takes the outcome of the holder that the request waited for. */
+void EbRequest_HolderFinished(EbRequest *request, EbOutcome outcome,
+                              EbReason reason, json_t *body, int64_t now_us);
+/* Takes all results that the ledger has. Returns true when there were any. */
+bool EbDispatcher_TakeLedgerResults(EbDispatcher *dispatcher, int64_t now_us);
+
+/* dispatcher_stage.c */
+void EbRequest_StartStage(EbRequest *request, int64_t now_us);
+/* Puts the request into its stage's queue. */
+void EbRequest_Enqueue(EbRequest *request, int64_t now_us);
+void EbRequest_Hedge(EbRequest *request, int64_t now_us);
+/* Starts waiting attempts while the pool has slots. */
+void EbPoolState_Pump(EbDispatcher *dispatcher, EbPoolState *pool,
+                      int64_t now_us);
+
+/* dispatcher_attempt.c */
+typedef struct {
+    json_t *body;
+    const char *path;
+    bool hedge;
+    bool lookup;
+} EbAttemptStart;
+
+/* Sends a call to a server that EbPool_Begin chose. Takes over `body`. */
+EbAttempt *EbAttempt_Start(EbRequest *request,
+                           const EbConfigBackendServer *server,
+                           const EbAttemptStart *start, int64_t now_us);
+/* Forgets an attempt and reports its result to its pool. */
+void EbAttempt_End(EbAttempt *attempt, EbCallResult result, int64_t now_us);
+/* Ends an attempt whose answer is not wanted any more. */
+void EbAttempt_Cancel(EbAttempt *attempt, int64_t now_us);
+/* Takes the time-out of an attempt. */
+void EbAttempt_Overdue(EbAttempt *attempt, int64_t now_us);
+
+/* dispatcher_crash.c */
+/* Counts a crash for all fingerprints in flight on the attempt's server. */
+void EbAttempt_Crashed(EbAttempt *attempt, int64_t now_us);
+/* Returns whether a suspected request has to wait for its other copy. */
+bool EbRequest_HasRunningCopy(EbRequest *request, int64_t now_us);
+/* Criterion that keeps suspects apart; `context` is the EbRequest. */
+bool EbRequest_AcceptsServer(void *context, const char *server_id);
+bool EbRequest_IsSuspected(EbRequest *request, int64_t now_us);
+bool EbRequest_IsQuarantined(EbRequest *request, int64_t now_us);
+
+/* dispatcher_outcome.c */
+
+/* Returns whether the non-idempotent call, or the look-up after it, may still
+ * tell its outcome. */
+bool EbRequest_HasCallOut(const EbRequest *request);
+/* What is true of the request now. */
+EbOutcome EbRequest_TrueOutcome(const EbRequest *request);
+/* Ends a request: answers it unless it was answered, records its outcome and
+ * cancels what runs. `body` and `detail` are borrowed and may be NULL. */
+void EbRequest_Finish(EbRequest *request, EbOutcome outcome, EbReason reason,
+                      const char *detail, json_t *body, int64_t now_us);
+/* Ends a request that is not done with its true outcome. */
+void EbRequest_Fail(EbRequest *request, EbReason reason, const char *detail,
+                    int64_t now_us);
+/* Ends a request whose last stage has its result. */
+void EbRequest_Complete(EbRequest *request, int64_t now_us);
+/* Answers `unknown` and goes on without the caller while calls are out. */
+void EbRequest_Detach(EbRequest *request, EbReason reason, int64_t now_us);
+/* The non-idempotent call ended without a usable answer. */
+void EbRequest_CallLost(EbRequest *request, int64_t now_us);
+/* Asks the service for the key's outcome. */
+void EbRequest_LookUp(EbRequest *request, int64_t now_us);
+/* Takes a look-up's answer; `body` NULL when it failed. */
+void EbRequest_LookedUp(EbRequest *request, json_t *body, int64_t now_us);
+
+/* dispatcher_describe.c */
+void EbRequest_Trace(EbRequest *request, const char *event, const char *detail,
+                     uint32_t attempt, int64_t now_us);
+EbRequestSummary *EbRequestSummary_New(const EbSubmission *submission,
+                                       int64_t now_us);
+void EbRequestSummary_Free(EbRequestSummary *summary);
+
+#endif
