dispatcher: let repeats wait for a claim that is not confirmed yet

A repeat that met an unconfirmed claim of this daemon polled the ledger and could end as unknown; it now waits for the holder from the start of its claim. The ledger reports a claim that reopened a released key.

--- a/src/libebonyhollow/dispatcher_outcome.c
+++ b/src/libebonyhollow/dispatcher_outcome.c
@@ -162,10 +162,19 @@
     EbLedger_Finish(dispatcher->options.ledger, request->claim, outcome,
                     reason, body, now_us);
     request->claim = 0;
+}
+
+static void
+leave_holders(EbRequest *request)
+{
+    GHashTable *holders = request->dispatcher->holders;
+    if (!request->keyed || request->customer == NULL) {
+        return;
+    }
     char *name =
         g_strdup_printf("%s %s", request->customer->id, request->key_digest);
-    if (g_hash_table_lookup(dispatcher->holders, name) == request) {
-        g_hash_table_remove(dispatcher->holders, name);
+    if (g_hash_table_lookup(holders, name) == request) {
+        g_hash_table_remove(holders, name);
     }
     g_free(name);
 }
@@ -235,6 +244,7 @@
     /* `body` may belong to what is released below. */
     json_incref(body);
     settle_claim(request, recorded, reason, body, now_us);
+    leave_holders(request);
     answer(request, outcome, reason, detail, body, now_us);
     stop_work(request, outcome, now_us);
     request->summary->state = EB_REQUEST_FINISHED;
--- a/src/libebonyhollow/dispatcher_request.c
+++ b/src/libebonyhollow/dispatcher_request.c
@@ -230,6 +230,13 @@
 
 /* Claims */
 
+static char *
+holder_name(const EbRequest *request)
+{
+    return g_strdup_printf("%s %s", request->customer->id,
+                           request->key_digest);
+}
+
 void
 EbRequest_Claim(EbRequest *request, int64_t now_us)
 {
@@ -244,6 +251,13 @@
     g_hash_table_insert(dispatcher->claims,
                         g_memdup2(&request->claim, sizeof(request->claim)),
                         request);
+    char *name = holder_name(request);
+    if (g_hash_table_contains(dispatcher->holders, name)) {
+        g_free(name);
+    }
+    else {
+        g_hash_table_insert(dispatcher->holders, name, request);
+    }
     EbRequest_Trace(request, "claim", "", 0, now_us);
 }
 
@@ -285,13 +299,6 @@
     EbRequest_Finish(request, outcome, reason, NULL, body, now_us);
 }
 
-static char *
-holder_name(const EbRequest *request)
-{
-    return g_strdup_printf("%s %s", request->customer->id,
-                           request->key_digest);
-}
-
 static void
 wait_for_local(EbRequest *request, int64_t now_us)
 {
@@ -299,7 +306,7 @@
     char *name = holder_name(request);
     EbRequest *holder = g_hash_table_lookup(dispatcher->holders, name);
     g_free(name);
-    if (holder == NULL) {
+    if (holder == NULL || holder == request) {
         EbLedgerLocal local = {0};
         EbLedger_Local(dispatcher->options.ledger, request->customer->id,
                        request->key_digest, &local);
@@ -474,7 +481,7 @@
     char *name = g_strdup_printf("%s %s", customer, key_digest);
     EbRequest *holder = g_hash_table_lookup(dispatcher->holders, name);
     g_free(name);
-    if (holder != NULL && holder->asked.length < MAX_ASKED) {
+    if (holder != NULL && holder->owned && holder->asked.length < MAX_ASKED) {
         g_queue_push_tail(&holder->asked, asked);
     }
     else {
--- a/src/libebonyhollow/ledger.c
+++ b/src/libebonyhollow/ledger.c
@@ -163,6 +163,7 @@
 start_reopen(EbLedger *ledger, Claim *claim, int64_t now_us)
 {
     claim->phase = CLAIM_REOPENING;
+    claim->reopened = true;
     if (!claim->maybe_effective) {
         claim->hold_until_us = now_us + EB_LEDGER_HOLD_US;
     }
@@ -239,7 +240,8 @@
     claim->failures = 0;
     if (give_result(ledger, claim,
                     (EbLedgerResult){.kind = EB_LEDGER_OWNED,
-                                     .fencing_token = version})) {
+                                     .fencing_token = version,
+                                     .reopened = claim->reopened})) {
         return;
     }
     /* Nobody waits for the claim any more, so nothing was handed out. */
--- a/src/libebonyhollow/private/dispatcher_private.h
+++ b/src/libebonyhollow/private/dispatcher_private.h
@@ -164,7 +164,8 @@
     GHashTable *attempts;  /* id to EbAttempt */
     GHashTable *claims;    /* claim handle to EbRequest */
     GHashTable *queries;   /* owner query to EbRequest */
-    GHashTable *holders;   /* customer and key digest to owning EbRequest */
+    GHashTable *holders;   /* customer and key digest to the EbRequest
+                              that claims or owns the key */
     GHashTable *servers;   /* id to GPtrArray of EbAttempt in flight */
     GHashTable *fingerprints; /* to the number of attempts in flight */
     GTree *timers;            /* requests by wake_us */
--- a/src/libebonyhollow/private/ledger_private.h
+++ b/src/libebonyhollow/private/ledger_private.h
@@ -37,6 +37,7 @@
     int64_t retry_at_us;  /* next try of the phase's operation, or 0 */
     uint32_t failures;    /* of the phase's operation, in a row */
     bool answered;        /* the result was given, or nobody wants it */
+    bool reopened;        /* an earlier claim released the key */
     bool maybe_effective; /* an unanswered write may have made it ours */
     bool write_lost;      /* an unanswered end may have been written */
     EbOutcome outcome;    /* of a finished claim */
