limiter: add contract limits across daemons

Contracts hold across daemons that share no state and see unevenly spread, changing demand.

Each daemon admits from local buckets; the home of a customer divides the contract by reported demand. Steady demand is reported every 2 s only. A report without demand ends the grant.

--- a/include/ebonyhollow/limiter.h
+++ b/include/ebonyhollow/limiter.h
@@ -4,7 +4,24 @@
  * contract. Shares come from the customer's home daemon, which divides the
  * contract in proportion to reported demand. The home of a customer is the
  * live daemon with the highest rendezvous hash. The module is both sides:
- * local admission and, for the customers homed here, division. */
+ * local admission and, for the customers homed here, division.
+ *
+ * Bounds, for a limit L and n live daemons:
+ *
+ * - The last grants that one home sent and that have not lapsed add up to at
+ *   most L plus one floor for each daemon. The floor is a tenth of the equal
+ *   share L / n, or one request in flight, so the floors add up to L / 10, or
+ *   n requests in flight. A daemon uses an older, larger grant while the new
+ *   one is on its way.
+ *   When the limit is lowered, grants of the old one hold until the next
+ *   report, 2 s at most while daemon and home are connected.
+ * - A daemon without a grant uses L / n, at least one request in flight, until
+ *   its first report is answered.
+ * - In a partition with k sides, each side has homes of its own and knows its
+ *   own daemons only: at most k times the limit.
+ * - On top of the rates, buckets hold at most 3 times the contract's burst and
+ * 3 requests for each daemon; token buckets hold 4 s of the limit and the
+ *   tokens of 2 requests for each daemon. */
 #ifndef EBONYHOLLOW_LIMITER_H
 #define EBONYHOLLOW_LIMITER_H
 
@@ -17,6 +34,7 @@
 
 #define EB_LIMITER_GRANT_US 5000000 /* validity of a grant */
 #define EB_LIMITER_REPORT_US 500000 /* interval of reports */
+#define EB_LIMITER_URGENT_US 100000 /* least interval of urgent reports */
 
 typedef struct EbLimiter EbLimiter;
 
@@ -62,20 +80,35 @@
 /* Home daemon of a customer; valid until SetMembers. */
 const char *EbLimiter_Home(const EbLimiter *limiter, const char *customer);
 
-/* Writes this daemon's reports for customers active since the last call and
- * homed at `home`.
+/* Returns a home to which a report should go now instead of at the next
+ * interval, because demand there has grown beyond what was reported, or NULL.
+ * Ask after EbLimiter_Admit. Valid until SetMembers. */
+const char *EbLimiter_UrgentHome(EbLimiter *limiter, int64_t now_us);
+
+/* Writes this daemon's reports for customers homed at `home` whose demand has
+ * changed or was last reported 2 s ago; a customer that fell idle gets one
+ * last report without demand. Call it for each home at every interval.
  *
  * Returns the number written, at most `max`. */
 size_t EbLimiter_Report(EbLimiter *limiter, const char *home,
                         EbLimiterShare *shares, size_t max, int64_t now_us);
 
 /* Takes a report of daemon `instance` as the home of its customers and writes
- * the grants that answer it. Returns the number of grants. */
+ * the grants that answer it; a report without demand ends a grant and gets
+ * none. Returns the number of grants. */
 size_t EbLimiter_Divide(EbLimiter *limiter, const char *instance,
                         const EbLimiterShare *reports, size_t report_count,
                         EbLimiterShare *grants, int64_t now_us);
 
-/* Takes grants from a home daemon. */
+/* Raises a grant that was short of its daemon's demand, once another daemon's
+ * report has freed some of the contract. Call it after EbLimiter_Divide until
+ * it returns false, and send each grant.
+ *
+ * instance: set to the daemon; valid until the next call. */
+bool EbLimiter_Push(EbLimiter *limiter, const char **instance,
+                    EbLimiterShare *grant, int64_t now_us);
+
+/* Takes grants from a home daemon, whether asked for or pushed. */
 void EbLimiter_Grant(EbLimiter *limiter, const EbLimiterShare *grants,
                      size_t count, int64_t now_us);
 
--- /dev/null
+++ b/src/libebonyhollow/limiter_home.c
@@ -0,0 +1,231 @@
+#include <math.h>
+#include <string.h>
+
+#include "limiter_state.h"
+
+/* Floors of all daemons together are a tenth of the contract. */
+#define FLOOR_SHARE 0.1
+/* Part of the unused contract that is divided; the rest answers the next
+ * report of grown demand at once. */
+#define SLACK_SHARE 0.75
+/* A grant is raised without a report if it grows at least by this factor. */
+#define PUSH_GAIN 1.1
+
+/* What every reporter is granted at least. Reporters may outnumber the live
+ * daemons for a while when members are lost. */
+static double
+find_floor(const EbLimiter *limiter, const EbLimiterCustomer *customer,
+           EbLimitKind kind)
+{
+    if (kind == EB_LIMIT_CONCURRENT) {
+        return 1;
+    }
+    uint32_t reporters = g_hash_table_size(customer->reporters);
+    return FLOOR_SHARE * customer->limits[kind] /
+           MAX(limiter->member_count, reporters);
+}
+
+typedef struct {
+    double demand;  /* of all reporters */
+    double granted; /* to the others */
+    uint32_t reporters;
+} Totals;
+
+static gboolean
+has_expired(gpointer key, gpointer value, gpointer now_us)
+{
+    (void)key;
+    return ((EbLimiterReporter *)value)->expires_us <= *(int64_t *)now_us;
+}
+
+static void
+add_up(const EbLimiterCustomer *customer, const EbLimiterReporter *asking,
+       Totals totals[EB_LIMIT_COUNT])
+{
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, customer->reporters);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const EbLimiterReporter *reporter = value;
+        for (int kind = 0; kind < EB_LIMIT_COUNT; kind++) {
+            totals[kind].demand += reporter->demand[kind];
+            totals[kind].reporters += reporter->demand[kind] > 0;
+            if (reporter != asking) {
+                totals[kind].granted += reporter->granted[kind];
+            }
+        }
+    }
+}
+
+/* The share of one reporter: its demand and a part of what is unused, half
+ * of it in proportion to demand and half equally, since small demands
+ * fluctuate more. Above the contract, the proportion of its demand. */
+static double
+find_target(double limit, double demand, double equal, const Totals *totals)
+{
+    if (demand <= 0) {
+        return 0;
+    }
+    if (totals->demand > limit) {
+        return limit * demand / totals->demand;
+    }
+    double mean = totals->demand / totals->reporters;
+    double slack = SLACK_SHARE * (limit - totals->demand);
+    double target = demand + slack * (demand + mean) / (2 * totals->demand);
+    /* The first reporter must not take everything before others report. */
+    return fmin(target, 2 * demand + equal);
+}
+
+/* Computes what each limit of a reporter could be now. */
+static void
+find_grants(const EbLimiter *limiter, const EbLimiterCustomer *customer,
+            const EbLimiterReporter *reporter, double grants[EB_LIMIT_COUNT])
+{
+    Totals totals[EB_LIMIT_COUNT] = {{0}};
+    add_up(customer, reporter, totals);
+    for (int i = 0; i < EB_LIMIT_COUNT; i++) {
+        EbLimitKind kind = (EbLimitKind)i;
+        double limit = customer->limits[kind];
+        double lowest = find_floor(limiter, customer, kind);
+        double target = find_target(
+            limit, reporter->demand[kind],
+            EbLimiter_EqualShare(limiter, customer, kind), &totals[kind]);
+        double free_share = limit - totals[kind].granted;
+        double grant = fmax(fmin(target, free_share), lowest);
+        grants[kind] = kind == EB_LIMIT_CONCURRENT ? floor(grant) : grant;
+    }
+}
+
+static EbLimiterShare
+grant(const EbLimiter *limiter, const EbLimiterCustomer *customer,
+      EbLimiterReporter *reporter, int64_t now_us)
+{
+    find_grants(limiter, customer, reporter, reporter->granted);
+    reporter->granted_us = now_us;
+    const double *granted = reporter->granted;
+    return (EbLimiterShare){
+        .customer = customer->id,
+        .requests_per_s_milli = (uint64_t)(granted[EB_LIMIT_REQUESTS] * 1000),
+        .concurrent_requests = (uint32_t)granted[EB_LIMIT_CONCURRENT],
+        .tokens_per_s = (uint64_t)granted[EB_LIMIT_TOKENS],
+    };
+}
+
+static EbLimiterReporter *
+get_reporter(EbLimiterCustomer *customer, const char *instance, int64_t now_us)
+{
+    if (customer->reporters == NULL) {
+        customer->reporters =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    }
+    g_hash_table_foreach_remove(customer->reporters, has_expired, &now_us);
+    EbLimiterReporter *reporter =
+        g_hash_table_lookup(customer->reporters, instance);
+    if (reporter == NULL) {
+        reporter = g_new0(EbLimiterReporter, 1);
+        g_hash_table_insert(customer->reporters, g_strdup(instance), reporter);
+    }
+    return reporter;
+}
+
+size_t
+EbLimiter_Divide(EbLimiter *limiter, const char *instance,
+                 const EbLimiterShare *reports, size_t report_count,
+                 EbLimiterShare *grants, int64_t now_us)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < report_count; i++) {
+        EbLimiterCustomer *customer =
+            g_hash_table_lookup(limiter->customers, reports[i].customer);
+        if (customer == NULL) {
+            continue; /* not in this generation of the configuration */
+        }
+        EbLimiterReporter *reporter = get_reporter(customer, instance, now_us);
+        reporter->demand[EB_LIMIT_REQUESTS] =
+            (double)reports[i].requests_per_s_milli / 1000;
+        reporter->demand[EB_LIMIT_CONCURRENT] = reports[i].concurrent_requests;
+        reporter->demand[EB_LIMIT_TOKENS] = (double)reports[i].tokens_per_s;
+        reporter->expires_us = now_us + EB_LIMITER_GRANT_US;
+        if (EbLimiter_IsIdle(reporter->demand)) {
+            g_hash_table_remove(customer->reporters, instance);
+        }
+        else {
+            grants[count++] = grant(limiter, customer, reporter, now_us);
+        }
+        if (!customer->owes) {
+            customer->owes = true;
+            g_queue_push_tail(&limiter->owing, customer);
+        }
+    }
+    return count;
+}
+
+static bool
+is_short(const EbLimiterCustomer *customer, const EbLimiterReporter *reporter)
+{
+    for (int kind = 0; kind < EB_LIMIT_COUNT; kind++) {
+        if (customer->limits[kind] > 0 &&
+            reporter->granted[kind] < reporter->demand[kind]) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns whether a reporter that got less than its demand could get more, by
+ * enough to be worth a message. */
+static bool
+may_raise(const EbLimiter *limiter, const EbLimiterCustomer *customer,
+          const EbLimiterReporter *reporter)
+{
+    if (!is_short(customer, reporter)) {
+        return false;
+    }
+    double grants[EB_LIMIT_COUNT];
+    find_grants(limiter, customer, reporter, grants);
+    for (int kind = 0; kind < EB_LIMIT_COUNT; kind++) {
+        if (customer->limits[kind] > 0 &&
+            grants[kind] > PUSH_GAIN * reporter->granted[kind]) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Finds a reporter whose grant may be raised. */
+static EbLimiterReporter *
+find_short(const EbLimiter *limiter, const EbLimiterCustomer *customer,
+           const char **instance, int64_t now_us)
+{
+    GHashTableIter iterator;
+    gpointer key, value;
+    g_hash_table_iter_init(&iterator, customer->reporters);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        EbLimiterReporter *reporter = value;
+        if (now_us < reporter->expires_us &&
+            now_us - reporter->granted_us >= EB_LIMITER_URGENT_US &&
+            may_raise(limiter, customer, reporter)) {
+            *instance = key;
+            return reporter;
+        }
+    }
+    return NULL;
+}
+
+bool
+EbLimiter_Push(EbLimiter *limiter, const char **instance,
+               EbLimiterShare *share, int64_t now_us)
+{
+    EbLimiterCustomer *customer;
+    while ((customer = g_queue_peek_head(&limiter->owing)) != NULL) {
+        EbLimiterReporter *reporter =
+            find_short(limiter, customer, instance, now_us);
+        if (reporter != NULL) {
+            *share = grant(limiter, customer, reporter, now_us);
+            return true;
+        }
+        customer->owes = false;
+        g_queue_pop_head(&limiter->owing);
+    }
+    return false;
+}
--- /dev/null
+++ b/src/test_limiter/main.c
@@ -0,0 +1,258 @@
+/* Tests of the limiter. */
+#include <stdio.h>
+
+#include "cluster.h"
+#include "test_runner.h"
+
+#define TABLE_COUNT(table) (sizeof(table) / sizeof((table)[0]))
+#define SECOND_US INT64_C(1000000)
+
+static const EbContract contract_100 = {.weight = 1,
+                                        .requests_per_s_milli = 100000,
+                                        .burst_requests = 100,
+                                        .concurrent_requests = 64,
+                                        .tokens_per_s = 5000};
+
+static void
+print_cluster(const char *name, const Cluster *cluster)
+{
+    printf("  %s: %.2f%% of %lu admitted (one bucket: %.2f%%), refused rate "
+           "%lu concurrency %lu tokens %lu, %.1f messages/s, grants up to "
+           "%.2f of the limit\n",
+           name, 100 * Cluster_AdmittedShare(cluster),
+           (unsigned long)cluster->offered,
+           100 * (double)cluster->central_admitted / (double)cluster->offered,
+           (unsigned long)cluster->refused[EB_REASON_RATE_LIMITED],
+           (unsigned long)cluster->refused[EB_REASON_CONCURRENCY_LIMITED],
+           (unsigned long)cluster->refused[EB_REASON_TOKENS_LIMITED],
+           (double)cluster->message_count / ((double)cluster->now_us / 1e6),
+           cluster->highest_granted);
+}
+
+/* Guards against a customer inside its contract that is refused because its
+ * requests come to a few of the daemons, or move between them. */
+static void
+test_inside_contract(void)
+{
+    static const struct {
+        const char *name;
+        double rate;
+        int64_t shift_us; /* 0: the spread stays */
+    } rows[] = {
+        {"uneven, 50% of the contract", 50, 0},
+        {"uneven, 80% of the contract", 80, 0},
+        {"uneven, 90% of the contract", 90, 0},
+        {"shift every 60 s, 80%", 80, 60 * SECOND_US},
+        {"shift every 20 s, 80%", 80, 20 * SECOND_US},
+        {"shift every 20 s, 90%", 90, 20 * SECOND_US},
+    };
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        static Cluster cluster;
+        Cluster_Init(&cluster, &(ClusterOptions){.daemons = 8,
+                                                 .contract = contract_100,
+                                                 .rate = rows[i].rate,
+                                                 .request_us = 200000,
+                                                 .tokens = 50,
+                                                 .seed = 41 + i});
+        int64_t part_us =
+            rows[i].shift_us > 0 ? rows[i].shift_us : 240 * SECOND_US;
+        for (uint32_t first = 0; cluster.now_us < 240 * SECOND_US;
+             first += 3) {
+            Cluster_Skew(&cluster, first);
+            Cluster_Run(&cluster, part_us);
+        }
+        print_cluster(rows[i].name, &cluster);
+        CU_ASSERT_TRUE(Cluster_AdmittedShare(&cluster) >= 0.99);
+        Cluster_Clear(&cluster);
+    }
+}
+
+/* Upper bound of admissions in a time without a change of members: the rates
+ * granted and the content of the buckets, by the bounds of limiter.h. */
+static double
+admission_bound(const Cluster *cluster, double seconds)
+{
+    const EbContract *contract = &cluster->options.contract;
+    double limit = (double)contract->requests_per_s_milli / 1000;
+    return 1.1 * limit * seconds + 3.0 * contract->burst_requests +
+           3.0 * cluster->options.daemons;
+}
+
+/* Guards against daemons that together exceed the contract: at overload with
+ * a changing spread, after the death of the home, and on k sides. */
+static void
+test_bounds(void)
+{
+    static const struct {
+        const char *name;
+        bool kill_home;
+        uint32_t sides;
+    } rows[] = {
+        {"overload", false, 1},
+        {"overload, home dies", true, 1},
+        {"overload, two sides", false, 2},
+        {"overload, four sides", false, 4},
+    };
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        static Cluster cluster;
+        Cluster_Init(&cluster, &(ClusterOptions){.daemons = 8,
+                                                 .contract = contract_100,
+                                                 .rate = 300,
+                                                 .request_us = 20000,
+                                                 .tokens = 10,
+                                                 .seed = 51 + i});
+        Cluster_Skew(&cluster, 0);
+        Cluster_Run(&cluster, 20 * SECOND_US);
+        CU_ASSERT_TRUE((double)cluster.admitted <=
+                       admission_bound(&cluster, 20));
+        CU_ASSERT_TRUE((double)cluster.admitted >= 0.9 * 100 * 20);
+        double messages_per_s = (double)cluster.message_count / 20;
+        /* A report and a grant at every interval for the 7 daemons that are
+         * not the home: overload must not cause urgent reports. */
+        CU_ASSERT_TRUE(messages_per_s <= 2.0 * 2 * 7);
+        uint64_t before = cluster.admitted;
+        cluster.daemons[Cluster_Home(&cluster)].dead = rows[i].kill_home;
+        /* Until the others notice, reports go to the dead home. */
+        Cluster_Skew(&cluster, 3);
+        Cluster_Run(&cluster, 3 * SECOND_US);
+        for (uint32_t d = 0; d < 8; d++) {
+            cluster.daemons[d].side = d % rows[i].sides;
+        }
+        Cluster_UpdateMembers(&cluster);
+        Cluster_Run(&cluster, 17 * SECOND_US);
+        double admitted = (double)(cluster.admitted - before);
+        double bound = admission_bound(&cluster, 20) * rows[i].sides;
+        printf("  %s: %.0f admitted in 20 s, bound %.0f, %.1f messages/s\n",
+               rows[i].name, admitted, bound, messages_per_s);
+        CU_ASSERT_TRUE(admitted <= bound);
+        CU_ASSERT_TRUE(admitted >= 0.8 * 100 * 20);
+        Cluster_Clear(&cluster);
+    }
+}
+
+/* Guards against a customer with sparse traffic that is refused because its
+ * share at each of many daemons is far below one request. */
+static void
+test_sparse(void)
+{
+    static Cluster cluster;
+    Cluster_Init(&cluster,
+                 &(ClusterOptions){.daemons = 330,
+                                   .contract = {.weight = 1,
+                                                .requests_per_s_milli = 6000,
+                                                .burst_requests = 12,
+                                                .concurrent_requests = 30,
+                                                .tokens_per_s = 1200},
+                                   .rate = 5,
+                                   .request_us = 2 * SECOND_US,
+                                   .tokens = 200,
+                                   .seed = 61});
+    Cluster_Run(&cluster, 600 * SECOND_US);
+    print_cluster("5 requests/s over 330 daemons", &cluster);
+    CU_ASSERT_TRUE(Cluster_AdmittedShare(&cluster) >= 0.99);
+    Cluster_Clear(&cluster);
+}
+
+static EbLimiter *
+new_limiter(const EbConfig *config, uint32_t members)
+{
+    static const char *const names[] = {"a", "b", "c", "d"};
+    EbLimiter *limiter =
+        EbLimiter_New(&(EbLimiterOptions){.instance = "a", .config = config});
+    EbLimiter_SetMembers(limiter, names, members, 0);
+    return limiter;
+}
+
+/* Guards against a limit that is not applied, a wrong reason and a time to
+ * retry at which the request is refused again. */
+static void
+test_local_limits(void)
+{
+    static const struct {
+        EbContract contract;
+        EbReason reason;
+        int admitted;
+    } rows[] = {
+        {{.requests_per_s_milli = 8000, .burst_requests = 24},
+         EB_REASON_RATE_LIMITED,
+         12},
+        {{.requests_per_s_milli = 8000, .burst_requests = 2},
+         EB_REASON_RATE_LIMITED,
+         2},
+        {{.concurrent_requests = 20}, EB_REASON_CONCURRENCY_LIMITED, 5},
+        {{.concurrent_requests = 2}, EB_REASON_CONCURRENCY_LIMITED, 1},
+        {{.tokens_per_s = 400}, EB_REASON_TOKENS_LIMITED, 2},
+        {{0}, EB_REASON_NONE, 1000},
+    };
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        EbConfigCustomer customer = {.id = "c", .contract = rows[i].contract};
+        EbConfig config = {.customers = &customer, .customer_count = 1};
+        EbLimiter *limiter = new_limiter(&config, 4);
+        int admitted = 0;
+        int64_t retry_us = 0;
+        EbReason reason = EB_REASON_NONE;
+        while (admitted < 1000) {
+            reason = EbLimiter_Admit(limiter, "c", SECOND_US, &retry_us);
+            if (reason != EB_REASON_NONE) {
+                break;
+            }
+            EbLimiter_ChargeTokens(limiter, "c", 150, SECOND_US);
+            admitted++;
+        }
+        CU_ASSERT_EQUAL(reason, rows[i].reason);
+        CU_ASSERT_EQUAL(admitted, rows[i].admitted);
+        if (reason == EB_REASON_CONCURRENCY_LIMITED) {
+            EbLimiter_Finish(limiter, "c", SECOND_US);
+        }
+        CU_ASSERT_EQUAL(
+            EbLimiter_Admit(limiter, "c", SECOND_US + retry_us, NULL),
+            EB_REASON_NONE);
+        EbLimiter_Free(limiter);
+    }
+}
+
+/* Guards against a grant that outlives its validity or is lost with a new
+ * configuration, and against an unknown customer that is admitted. */
+static void
+test_grant_validity(void)
+{
+    EbConfigCustomer customer = {.id = "c",
+                                 .contract = {.requests_per_s_milli = 8000}};
+    EbConfig config = {.customers = &customer, .customer_count = 1};
+    EbLimiter *limiter = new_limiter(&config, 4);
+    EbLimiterView view;
+    CU_ASSERT_TRUE(EbLimiter_View(limiter, "c", 0, &view));
+    CU_ASSERT_FALSE(view.granted);
+    CU_ASSERT_EQUAL(view.share_requests_per_s_milli, 2000);
+    CU_ASSERT_EQUAL(EbLimiter_Admit(limiter, "c", 0, NULL), EB_REASON_NONE);
+    EbLimiterShare share;
+    size_t count = EbLimiter_Report(limiter, EbLimiter_Home(limiter, "c"),
+                                    &share, 1, SECOND_US);
+    CU_ASSERT_EQUAL_FATAL(count, 1);
+    EbLimiterShare grant = {.customer = "c", .requests_per_s_milli = 7000};
+    EbLimiter_Grant(limiter, &grant, 1, 2 * SECOND_US);
+    EbLimiter_SetConfig(limiter, &config);
+    EbLimiter_View(limiter, "c", SECOND_US + EB_LIMITER_GRANT_US - 1, &view);
+    CU_ASSERT_TRUE(view.granted);
+    CU_ASSERT_EQUAL(view.in_flight, 1);
+    CU_ASSERT_EQUAL(view.share_requests_per_s_milli, 7000);
+    EbLimiter_View(limiter, "c", SECOND_US + EB_LIMITER_GRANT_US, &view);
+    CU_ASSERT_FALSE(view.granted);
+    CU_ASSERT_FALSE(EbLimiter_View(limiter, "d", 0, &view));
+    CU_ASSERT_EQUAL(EbLimiter_Admit(limiter, "d", 0, NULL),
+                    EB_REASON_FORBIDDEN);
+    EbLimiter_Free(limiter);
+}
+
+int
+main(void)
+{
+    static const EbTestCase cases[] = {
+        {"inside contract", test_inside_contract},
+        {"bounds", test_bounds},
+        {"sparse", test_sparse},
+        {"local limits", test_local_limits},
+        {"grant validity", test_grant_validity},
+    };
+    return EbTest_Run("test_limiter", cases, TABLE_COUNT(cases));
+}
