backend_client: calls to backend servers over evhttp

The dispatcher's attempts need a client that tells a refused connect from a call that may have been sent. evhttp does not report that itself, so a callback on the connection's output buffer notes the first byte of a call: without one the attempt is refused, with one it is broken. evhttp's retries are off. Event streams are parsed from chunks split at any byte.

build/src/test_backend_client/test_backend_client: 9 passed, 0 failed (address and undefined-behaviour sanitizers).

--- /dev/null
+++ b/src/libebonyhollow_net/backend_client.c
@@ -0,0 +1,730 @@
+#include "ebonyhollow/backend_client.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <glib.h>
+
+#include "clock.h"
+#include "event_stream.h"
+
+#define DEFAULT_MAX_IDLE 32
+#define DEFAULT_IDLE_LIMIT_US (30LL * 1000 * 1000)
+#define DEFAULT_CONNECT_TIMEOUT_US (1000LL * 1000)
+#define DEFAULT_SILENCE_LIMIT_US (60LL * 1000 * 1000)
+#define DEFAULT_MAX_HEADER_BYTES 16384
+#define DEFAULT_MAX_BODY_BYTES 4194304
+#define MAX_LINE_BYTES 65536
+#define SWEEP_US (1000LL * 1000)
+/* A stream's connection is reused if its answer ends so soon after [DONE]. */
+#define STREAM_TAIL_US (1000LL * 1000)
+
+typedef struct {
+    char *id;
+    char *host;
+    uint16_t port;
+    GQueue idle; /* of Connection, the most recently used first */
+} Server;
+
+typedef struct Connection {
+    EbBackendClient *client;
+    Server *server;
+    struct evhttp_connection *evcon;
+    struct Attempt *attempt; /* NULL while idle or closing */
+    GList *idle_link;        /* in Server.idle, NULL while not idle */
+    bool wrote;       /* a byte of the current call went to the buffer */
+    bool closed;      /* evhttp closed the socket */
+    bool doomed;      /* freed in the next loop turn */
+    int64_t since_us; /* start of idling or of a stream's tail */
+} Connection;
+
+typedef struct Attempt {
+    uint64_t id;
+    Connection *connection;
+    struct evhttp_request *request; /* valid within its callbacks only */
+    bool stream;
+    bool paused;
+    struct event *connect_timer; /* NULL on a reused connection */
+    EbEventStream *parser;       /* set once a stream's headers arrived */
+    bool stream_done;            /* [DONE] arrived */
+    bool malformed;
+    GString *text; /* tokens of the current read */
+    uint64_t token_index;
+    uint32_t token_count;
+} Attempt;
+
+struct EbBackendClient {
+    EbBackendClientOptions options;
+    GHashTable *servers;     /* id -> Server */
+    GHashTable *attempts;    /* id -> Attempt */
+    GHashTable *connections; /* set of Connection */
+    GQueue doomed;           /* of Connection */
+    struct event *doom_event;
+    struct event *sweep_event;
+    bool in_event; /* evhttp's callbacks are on the stack */
+};
+
+static struct timeval
+to_timeval(int64_t us)
+{
+    return (struct timeval){us / 1000000, us % 1000000};
+}
+
+static void
+free_server(void *data)
+{
+    Server *server = data;
+    g_queue_clear(&server->idle);
+    g_free(server->id);
+    g_free(server->host);
+    g_free(server);
+}
+
+static void
+free_attempt(void *data)
+{
+    Attempt *attempt = data;
+    if (attempt->connect_timer != NULL) {
+        event_free(attempt->connect_timer);
+    }
+    EbEventStream_Free(attempt->parser);
+    g_string_free(attempt->text, TRUE);
+    g_free(attempt);
+}
+
+/* Takes a connection out of the idle list. */
+static void
+leave_idle(Connection *connection)
+{
+    if (connection->idle_link != NULL) {
+        g_queue_delete_link(&connection->server->idle, connection->idle_link);
+        connection->idle_link = NULL;
+    }
+}
+
+static void
+free_connection(Connection *connection)
+{
+    leave_idle(connection);
+    connection->doomed = true;
+    g_hash_table_remove(connection->client->connections, connection);
+    evhttp_connection_free(connection->evcon);
+    g_free(connection);
+}
+
+/* Closes a connection in the next loop turn: evhttp still uses it when one
+ * of its callbacks returns. */
+static void
+doom_connection(Connection *connection)
+{
+    if (connection->doomed) {
+        return;
+    }
+    leave_idle(connection);
+    connection->doomed = true;
+    connection->attempt = NULL;
+    struct bufferevent *bufev =
+        evhttp_connection_get_bufferevent(connection->evcon);
+    bufferevent_disable(bufev, EV_READ);
+    g_queue_push_tail(&connection->client->doomed, connection);
+    event_active(connection->client->doom_event, EV_TIMEOUT, 0);
+}
+
+static void
+on_doom(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    EbBackendClient *client = arg;
+    Connection *connection;
+    while ((connection = g_queue_pop_head(&client->doomed)) != NULL) {
+        free_connection(connection);
+    }
+}
+
+/* Closes connections that were idle for too long. */
+static void
+on_sweep(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    EbBackendClient *client = arg;
+    int64_t now_us = EbClock_Monotonic();
+    GHashTableIter iter;
+    void *key;
+    g_hash_table_iter_init(&iter, client->connections);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        Connection *connection = key;
+        int64_t age_us = now_us - connection->since_us;
+        int64_t limit_us = connection->idle_link != NULL
+                               ? client->options.idle_limit_us
+                               : STREAM_TAIL_US;
+        if (connection->attempt == NULL && age_us >= limit_us) {
+            doom_connection(connection);
+        }
+    }
+}
+
+/* Notes that bytes of a call went into the connection's output buffer. */
+static void
+on_output(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+          void *arg)
+{
+    (void)buffer;
+    Connection *connection = arg;
+    if (info->n_added > 0) {
+        connection->wrote = true;
+    }
+}
+
+static void
+on_closed(struct evhttp_connection *evcon, void *arg)
+{
+    (void)evcon;
+    Connection *connection = arg;
+    connection->closed = true;
+    if (connection->attempt == NULL) {
+        doom_connection(connection);
+    }
+}
+
+static Server *
+find_server(EbBackendClient *client, const EbSendAttempt *send)
+{
+    Server *server = g_hash_table_lookup(client->servers, send->server_id);
+    if (server == NULL) {
+        server = g_new0(Server, 1);
+        server->id = g_strdup(send->server_id);
+        g_queue_init(&server->idle);
+        g_hash_table_insert(client->servers, server->id, server);
+    }
+    if (server->host == NULL || strcmp(server->host, send->host) != 0 ||
+        server->port != send->port) {
+        EbBackendClient_Retire(client, send->server_id);
+        g_free(server->host);
+        server->host = g_strdup(send->host);
+        server->port = send->port;
+    }
+    return server;
+}
+
+static Connection *
+open_connection(EbBackendClient *client, Server *server)
+{
+    const EbBackendClientOptions *options = &client->options;
+    Connection *connection = g_new0(Connection, 1);
+    connection->client = client;
+    connection->server = server;
+    connection->evcon = evhttp_connection_base_new(options->base, NULL,
+                                                   server->host, server->port);
+    assert(connection->evcon != NULL);
+    struct timeval silence = to_timeval(options->silence_limit_us);
+    evhttp_connection_set_timeout_tv(connection->evcon, &silence);
+    evhttp_connection_set_retries(connection->evcon, 0);
+    evhttp_connection_set_max_headers_size(
+        connection->evcon, (ev_ssize_t)options->max_header_bytes);
+    evhttp_connection_set_max_body_size(connection->evcon,
+                                        (ev_ssize_t)options->max_body_bytes);
+    evhttp_connection_set_closecb(connection->evcon, on_closed, connection);
+    struct bufferevent *bufev =
+        evhttp_connection_get_bufferevent(connection->evcon);
+    evbuffer_add_cb(bufferevent_get_output(bufev), on_output, connection);
+    g_hash_table_add(client->connections, connection);
+    return connection;
+}
+
+/* Puts a connection whose answer is complete back, or closes it. */
+static void
+release_connection(Connection *connection)
+{
+    EbBackendClient *client = connection->client;
+    Server *server = connection->server;
+    if (connection->closed || connection->doomed ||
+        g_queue_get_length(&server->idle) >=
+            client->options.max_idle_per_server) {
+        doom_connection(connection);
+        return;
+    }
+    connection->since_us = EbClock_Monotonic();
+    g_queue_push_head(&server->idle, connection);
+    connection->idle_link = server->idle.head;
+}
+
+/* Fills in what the answer's headers say. */
+static void
+read_headers(const Attempt *attempt, EbAttemptEvent *event)
+{
+    event->echo_stage = -1;
+    event->echo_attempt = -1;
+    if (attempt->request == NULL) {
+        return;
+    }
+    struct evkeyvalq *headers =
+        evhttp_request_get_input_headers(attempt->request);
+    event->http_status =
+        (uint16_t)evhttp_request_get_response_code(attempt->request);
+    event->echo_request_id = evhttp_find_header(headers, "Eb-Request-Id");
+    const char *value = evhttp_find_header(headers, "Eb-Stage");
+    if (value != NULL) {
+        event->echo_stage = g_ascii_strtoll(value, NULL, 10);
+    }
+    value = evhttp_find_header(headers, "Eb-Attempt");
+    if (value != NULL) {
+        event->echo_attempt = g_ascii_strtoll(value, NULL, 10);
+    }
+    value = evhttp_find_header(headers, "Eb-Leaving");
+    event->leaving = value != NULL && strcmp(value, "1") == 0;
+    value = evhttp_find_header(headers, "Eb-Load");
+    if (value != NULL) {
+        char *end = NULL;
+        guint64 running = g_ascii_strtoull(value, &end, 10);
+        if (end != value && *end == '/') {
+            event->has_load = true;
+            event->load_running = (uint32_t)MIN(running, UINT32_MAX);
+            guint64 waiting = g_ascii_strtoull(end + 1, NULL, 10);
+            event->load_waiting = (uint32_t)MIN(waiting, UINT32_MAX);
+        }
+    }
+}
+
+static void
+emit(const Attempt *attempt, EbAttemptEvent *event)
+{
+    EbBackendClient *client = attempt->connection->client;
+    event->attempt_id = attempt->id;
+    read_headers(attempt, event);
+    client->in_event = true;
+    client->options.event(client->options.context, event);
+    client->in_event = false;
+}
+
+/* Reports the tokens of the current read as one event. */
+static void
+flush_tokens(Attempt *attempt)
+{
+    if (attempt->token_count == 0) {
+        return;
+    }
+    EbAttemptEvent event = {.kind = EB_ATTEMPT_TOKENS,
+                            .token_index = attempt->token_index,
+                            .token_count = attempt->token_count,
+                            .text = attempt->text->str};
+    attempt->token_count = 0;
+    emit(attempt, &event);
+    g_string_truncate(attempt->text, 0);
+}
+
+/* Ends an attempt with its last event. The caller releases or closes the
+ * connection. */
+static void
+finish_attempt(Attempt *attempt, EbAttemptEventKind kind, json_t *body)
+{
+    Connection *connection = attempt->connection;
+    EbBackendClient *client = connection->client;
+    connection->attempt = NULL;
+    connection->since_us = EbClock_Monotonic();
+    g_hash_table_steal(client->attempts, &attempt->id);
+    EbAttemptEvent event = {.kind = kind, .body = body};
+    emit(attempt, &event);
+    free_attempt(attempt);
+}
+
+static void
+fail_attempt(Attempt *attempt)
+{
+    Connection *connection = attempt->connection;
+    attempt->request = NULL;
+    finish_attempt(attempt,
+                   connection->wrote ? EB_ATTEMPT_BROKEN : EB_ATTEMPT_REFUSED,
+                   NULL);
+}
+
+static void
+append_token(Attempt *attempt, uint64_t index, const char *text)
+{
+    if (attempt->token_count > 0 &&
+        index != attempt->token_index + attempt->token_count) {
+        flush_tokens(attempt);
+    }
+    if (attempt->token_count == 0) {
+        attempt->token_index = index;
+    }
+    attempt->token_count++;
+    g_string_append(attempt->text, text);
+}
+
+/* Takes one chunk of a completion; false when it breaks the protocol. */
+static bool
+take_chunk(Attempt *attempt, json_t *chunk)
+{
+    json_t *choice = json_array_get(json_object_get(chunk, "choices"), 0);
+    const char *text = json_string_value(json_object_get(choice, "text"));
+    json_t *index = json_object_get(chunk, "token_index");
+    if (text == NULL) {
+        return false;
+    }
+    if (text[0] == '\0' &&
+        json_is_string(json_object_get(choice, "finish_reason"))) {
+        return true;
+    }
+    if (!json_is_integer(index) || json_integer_value(index) < 0) {
+        return false;
+    }
+    append_token(attempt, (uint64_t)json_integer_value(index), text);
+    return true;
+}
+
+static bool
+on_data_line(void *context, const char *value, size_t value_bytes)
+{
+    Attempt *attempt = context;
+    if (value_bytes == 6 && memcmp(value, "[DONE]", 6) == 0) {
+        attempt->stream_done = true;
+        return false;
+    }
+    json_t *chunk = json_loadb(value, value_bytes, 0, NULL);
+    bool valid = chunk != NULL && take_chunk(attempt, chunk);
+    json_decref(chunk);
+    attempt->malformed = !valid;
+    return valid;
+}
+
+static void
+on_chunk(struct evhttp_request *request, void *arg)
+{
+    Connection *connection = arg;
+    Attempt *attempt = connection->attempt;
+    if (attempt == NULL) {
+        return;
+    }
+    attempt->request = request;
+    struct evbuffer *input = evhttp_request_get_input_buffer(request);
+    size_t length = evbuffer_get_length(input);
+    const char *bytes = (const char *)evbuffer_pullup(input, -1);
+    bool more = EbEventStream_Feed(attempt->parser, bytes, length);
+    flush_tokens(attempt);
+    if (attempt->stream_done) {
+        finish_attempt(attempt, EB_ATTEMPT_ENDED, NULL);
+    }
+    else if (!more) {
+        finish_attempt(attempt, EB_ATTEMPT_MALFORMED, NULL);
+        doom_connection(connection);
+    }
+    else {
+        attempt->request = NULL;
+    }
+}
+
+/* Streams with status 200 are parsed as they arrive; every other answer is
+ * collected by evhttp. */
+static int
+on_headers(struct evhttp_request *request, void *arg)
+{
+    Connection *connection = arg;
+    Attempt *attempt = connection->attempt;
+    if (attempt != NULL && attempt->stream &&
+        evhttp_request_get_response_code(request) == HTTP_OK) {
+        attempt->parser =
+            EbEventStream_New(MAX_LINE_BYTES, on_data_line, attempt);
+        evhttp_request_set_chunked_cb(request, on_chunk);
+    }
+    return 0;
+}
+
+/* Ends an attempt whose answer arrived completely. */
+static void
+finish_answer(Attempt *attempt, struct evhttp_request *request)
+{
+    attempt->request = request;
+    if (attempt->parser != NULL) {
+        finish_attempt(attempt, EB_ATTEMPT_BROKEN, NULL);
+        return;
+    }
+    struct evbuffer *input = evhttp_request_get_input_buffer(request);
+    size_t length = evbuffer_get_length(input);
+    const char *bytes = (const char *)evbuffer_pullup(input, -1);
+    json_t *body = length > 0 ? json_loadb(bytes, length, 0, NULL) : NULL;
+    struct evkeyvalq *headers = evhttp_request_get_input_headers(request);
+    EbAttemptEventKind kind = EB_ATTEMPT_ANSWERED;
+    if (body == NULL && evhttp_request_get_response_code(request) == HTTP_OK) {
+        /* An answer that ends with the connection may have been cut. */
+        bool framed = evhttp_find_header(headers, "Content-Length") != NULL ||
+                      evhttp_find_header(headers, "Transfer-Encoding") != NULL;
+        kind = framed ? EB_ATTEMPT_MALFORMED : EB_ATTEMPT_BROKEN;
+    }
+    finish_attempt(attempt, kind, body);
+    json_decref(body);
+}
+
+/* evhttp's last callback for a request. A failed connect comes with status 0,
+ * a failure on an established connection with a NULL request. */
+static void
+on_done(struct evhttp_request *request, void *arg)
+{
+    Connection *connection = arg;
+    Attempt *attempt = connection->attempt;
+    bool complete =
+        request != NULL && evhttp_request_get_response_code(request) != 0;
+    if (connection->doomed) {
+        return;
+    }
+    if (attempt == NULL) {
+        if (complete) {
+            release_connection(connection);
+        }
+        else {
+            doom_connection(connection);
+        }
+        return;
+    }
+    if (!complete) {
+        fail_attempt(attempt);
+        doom_connection(connection);
+        return;
+    }
+    bool reusable = attempt->parser == NULL;
+    finish_answer(attempt, request);
+    if (reusable) {
+        release_connection(connection);
+    }
+    else {
+        doom_connection(connection);
+    }
+}
+
+static void
+on_connect_timeout(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    Attempt *attempt = arg;
+    Connection *connection = attempt->connection;
+    if (!connection->wrote) {
+        fail_attempt(attempt);
+        free_connection(connection);
+    }
+}
+
+static void
+add_integer_header(struct evkeyvalq *headers, const char *name, uint64_t value)
+{
+    char text[24];
+    snprintf(text, sizeof(text), "%llu", (unsigned long long)value);
+    evhttp_add_header(headers, name, text);
+}
+
+static struct evhttp_request *
+build_request(Connection *connection, const EbSendAttempt *send)
+{
+    struct evhttp_request *request = evhttp_request_new(on_done, connection);
+    assert(request != NULL);
+    evhttp_request_set_header_cb(request, on_headers);
+    struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
+    char host[80];
+    snprintf(host, sizeof(host), "%s:%u", send->host, (unsigned)send->port);
+    evhttp_add_header(headers, "Host", host);
+    evhttp_add_header(headers, "Eb-Request-Id", send->request_id);
+    add_integer_header(headers, "Eb-Stage", send->stage);
+    add_integer_header(headers, "Eb-Attempt", send->attempt);
+    if (send->idempotency_key != NULL) {
+        evhttp_add_header(headers, "Idempotency-Key", send->idempotency_key);
+    }
+    if (send->fencing_token != 0) {
+        add_integer_header(headers, "Eb-Fencing-Token", send->fencing_token);
+    }
+    if (send->traceparent != NULL) {
+        evhttp_add_header(headers, "traceparent", send->traceparent);
+    }
+    if (!send->lookup) {
+        evhttp_add_header(headers, "Content-Type", "application/json");
+        char *text = json_dumps(send->body, JSON_COMPACT | JSON_ENCODE_ANY);
+        if (text != NULL) {
+            evbuffer_add(evhttp_request_get_output_buffer(request), text,
+                         strlen(text));
+            free(text);
+        }
+    }
+    return request;
+}
+
+/* Returns the path of a call; a look-up gets its key unless it has one. */
+static char *
+build_path(const EbSendAttempt *send)
+{
+    if (!send->lookup || send->idempotency_key == NULL ||
+        strchr(send->path, '?') != NULL) {
+        return g_strdup(send->path);
+    }
+    char *key = evhttp_encode_uri(send->idempotency_key);
+    char *path = g_strdup_printf("%s?key=%s", send->path, key);
+    free(key);
+    return path;
+}
+
+static Connection *
+take_connection(EbBackendClient *client, const EbSendAttempt *send)
+{
+    Server *server = find_server(client, send);
+    Connection *connection = NULL;
+    if (!send->fresh_connection) {
+        connection = g_queue_peek_head(&server->idle);
+    }
+    if (connection == NULL) {
+        return open_connection(client, server);
+    }
+    leave_idle(connection);
+    return connection;
+}
+
+void
+EbBackendClient_Send(EbBackendClient *client, const EbSendAttempt *send)
+{
+    size_t known = g_hash_table_size(client->connections);
+    Connection *connection = take_connection(client, send);
+    Attempt *attempt = g_new0(Attempt, 1);
+    attempt->id = send->attempt_id;
+    attempt->connection = connection;
+    attempt->stream = send->stream;
+    attempt->text = g_string_new(NULL);
+    connection->attempt = attempt;
+    connection->wrote = false;
+    g_hash_table_insert(client->attempts, &attempt->id, attempt);
+    if (g_hash_table_size(client->connections) > known) {
+        struct timeval limit = to_timeval(client->options.connect_timeout_us);
+        attempt->connect_timer =
+            evtimer_new(client->options.base, on_connect_timeout, attempt);
+        evtimer_add(attempt->connect_timer, &limit);
+    }
+    struct evhttp_request *request = build_request(connection, send);
+    char *path = build_path(send);
+    enum evhttp_cmd_type type =
+        send->lookup ? EVHTTP_REQ_GET : EVHTTP_REQ_POST;
+    int status = evhttp_make_request(connection->evcon, request, type, path);
+    g_free(path);
+    /* A failure inside of evhttp_make_request may have ended the attempt. */
+    if (status != 0 &&
+        g_hash_table_lookup(client->attempts, &send->attempt_id) == attempt) {
+        fail_attempt(attempt);
+        doom_connection(connection);
+    }
+}
+
+void
+EbBackendClient_Cancel(EbBackendClient *client, uint64_t attempt_id)
+{
+    Attempt *attempt = g_hash_table_lookup(client->attempts, &attempt_id);
+    if (attempt == NULL) {
+        return;
+    }
+    assert(!client->in_event);
+    Connection *connection = attempt->connection;
+    g_hash_table_remove(client->attempts, &attempt_id);
+    connection->attempt = NULL;
+    free_connection(connection);
+}
+
+void
+EbBackendClient_Retire(EbBackendClient *client, const char *server_id)
+{
+    Server *server = g_hash_table_lookup(client->servers, server_id);
+    Connection *connection;
+    while (server != NULL &&
+           (connection = g_queue_peek_head(&server->idle)) != NULL) {
+        doom_connection(connection);
+    }
+}
+
+void
+EbBackendClient_Pause(EbBackendClient *client, uint64_t attempt_id,
+                      bool paused)
+{
+    Attempt *attempt = g_hash_table_lookup(client->attempts, &attempt_id);
+    if (attempt == NULL || attempt->paused == paused) {
+        return;
+    }
+    assert(!client->in_event);
+    attempt->paused = paused;
+    struct bufferevent *bufev =
+        evhttp_connection_get_bufferevent(attempt->connection->evcon);
+    if (paused) {
+        bufferevent_disable(bufev, EV_READ);
+    }
+    else {
+        bufferevent_enable(bufev, EV_READ);
+    }
+}
+
+size_t
+EbBackendClient_ActiveCount(const EbBackendClient *client)
+{
+    return g_hash_table_size(client->attempts);
+}
+
+size_t
+EbBackendClient_IdleCount(const EbBackendClient *client, const char *server_id)
+{
+    const Server *server = g_hash_table_lookup(client->servers, server_id);
+    return server != NULL ? server->idle.length : 0;
+}
+
+#define SET_DEFAULT(field, value)                                             \
+    if ((field) == 0) {                                                       \
+        (field) = (value);                                                    \
+    }
+
+EbBackendClient *
+EbBackendClient_New(const EbBackendClientOptions *options)
+{
+    assert(options->base != NULL && options->event != NULL);
+    EbBackendClient *client = g_new0(EbBackendClient, 1);
+    client->options = *options;
+    EbBackendClientOptions *own = &client->options;
+    SET_DEFAULT(own->max_idle_per_server, DEFAULT_MAX_IDLE);
+    SET_DEFAULT(own->idle_limit_us, DEFAULT_IDLE_LIMIT_US);
+    SET_DEFAULT(own->connect_timeout_us, DEFAULT_CONNECT_TIMEOUT_US);
+    SET_DEFAULT(own->silence_limit_us, DEFAULT_SILENCE_LIMIT_US);
+    SET_DEFAULT(own->max_header_bytes, DEFAULT_MAX_HEADER_BYTES);
+    SET_DEFAULT(own->max_body_bytes, DEFAULT_MAX_BODY_BYTES);
+    client->servers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_server);
+    client->attempts =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_attempt);
+    client->connections = g_hash_table_new(NULL, NULL);
+    g_queue_init(&client->doomed);
+    client->doom_event = event_new(own->base, -1, 0, on_doom, client);
+    client->sweep_event =
+        event_new(own->base, -1, EV_PERSIST, on_sweep, client);
+    int64_t sweep_us = MIN(SWEEP_US, own->idle_limit_us);
+    struct timeval interval = to_timeval(sweep_us);
+    event_add(client->sweep_event, &interval);
+    return client;
+}
+
+void
+EbBackendClient_Free(EbBackendClient *client)
+{
+    if (client == NULL) {
+        return;
+    }
+    event_free(client->sweep_event);
+    event_free(client->doom_event);
+    g_queue_clear(&client->doomed);
+    g_hash_table_destroy(client->attempts);
+    GList *connections = g_hash_table_get_keys(client->connections);
+    for (GList *item = connections; item != NULL; item = item->next) {
+        Connection *connection = item->data;
+        connection->attempt = NULL;
+        free_connection(connection);
+    }
+    g_list_free(connections);
+    g_hash_table_destroy(client->connections);
+    g_hash_table_destroy(client->servers);
+    g_free(client);
+}
--- /dev/null
+++ b/src/test_backend_client/main.c
@@ -0,0 +1,471 @@
+/* Tests of EbBackendClient, and of the evhttp properties that it rests on. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/event.h>
+#include <glib.h>
+
+#include "ebonyhollow/backend_client.h"
+#include "net_fixture.h"
+#include "test_runner.h"
+
+#define MAX_EVENTS 256
+#define STREAM_HEAD                                                           \
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"                  \
+    "Transfer-Encoding: chunked\r\nEb-Request-Id: r-1\r\nEb-Stage: 2\r\n"     \
+    "Eb-Attempt: 7\r\nEb-Load: 3/4\r\nEb-Leaving: 1\r\n\r\n"
+
+typedef struct {
+    uint64_t id;
+    EbAttemptEventKind kind;
+    uint16_t status;
+    uint64_t token_index;
+    uint32_t token_count;
+    bool leaving;
+    bool has_body;
+} Seen;
+
+typedef struct {
+    struct event_base *base;
+    EbBackendClient *client;
+    RawServer *server;
+    Seen seen[MAX_EVENTS];
+    unsigned seen_count;
+    unsigned ends; /* events other than tokens */
+    GString *text;
+    char echo_request[32];
+    int64_t echo_stage, echo_attempt;
+    uint32_t load_running, load_waiting;
+    unsigned wanted_ends;
+    unsigned wanted_closed;
+    unsigned split; /* bytes of a chunk in the stream tests */
+} Fixture;
+
+static void
+on_event(void *context, const EbAttemptEvent *event)
+{
+    Fixture *fixture = context;
+    if (fixture->seen_count < MAX_EVENTS) {
+        fixture->seen[fixture->seen_count++] =
+            (Seen){event->attempt_id,  event->kind,        event->http_status,
+                   event->token_index, event->token_count, event->leaving,
+                   event->body != NULL};
+    }
+    fixture->ends += event->kind != EB_ATTEMPT_TOKENS;
+    if (event->kind == EB_ATTEMPT_TOKENS) {
+        g_string_append(fixture->text, event->text);
+    }
+    g_strlcpy(fixture->echo_request,
+              event->echo_request_id ? event->echo_request_id : "",
+              sizeof(fixture->echo_request));
+    fixture->echo_stage = event->echo_stage;
+    fixture->echo_attempt = event->echo_attempt;
+    fixture->load_running = event->load_running;
+    fixture->load_waiting = event->load_waiting;
+}
+
+static void
+open_fixture(Fixture *fixture, RawHandler handler)
+{
+    memset(fixture, 0, sizeof(*fixture));
+    fixture->base = event_base_new();
+    fixture->text = g_string_new(NULL);
+    fixture->server = RawServer_New(fixture->base, handler, fixture);
+    fixture->client =
+        EbBackendClient_New(&(EbBackendClientOptions){.base = fixture->base,
+                                                      .max_body_bytes = 100000,
+                                                      .idle_limit_us = 200000,
+                                                      .event = on_event,
+                                                      .context = fixture});
+}
+
+static void
+close_fixture(Fixture *fixture)
+{
+    EbBackendClient_Free(fixture->client);
+    RawServer_Free(fixture->server);
+    g_string_free(fixture->text, TRUE);
+    event_base_free(fixture->base);
+}
+
+static bool
+has_ends(void *context)
+{
+    Fixture *fixture = context;
+    return fixture->ends >= fixture->wanted_ends;
+}
+
+static bool
+has_closed(void *context)
+{
+    Fixture *fixture = context;
+    return fixture->server->closed >= fixture->wanted_closed;
+}
+
+static void
+send_call(Fixture *fixture, uint64_t id, uint16_t port, bool stream,
+          bool fresh)
+{
+    json_t *body = json_pack("{s:s}", "input", "sleeve");
+    EbSendAttempt send = {.attempt_id = id,
+                          .request_id = "r-1",
+                          .stage = 2,
+                          .attempt = 7,
+                          .server_id = "s-1",
+                          .host = "127.0.0.1",
+                          .port = port,
+                          .path = "/v1/x",
+                          .body = body,
+                          .stream = stream,
+                          .fresh_connection = fresh};
+    EbBackendClient_Send(fixture->client, &send);
+    json_decref(body);
+}
+
+/* Sends one call and waits for its end. */
+static EbAttemptEventKind
+run_call(Fixture *fixture, uint64_t id, bool stream)
+{
+    fixture->wanted_ends = fixture->ends + 1;
+    send_call(fixture, id, fixture->server->port, stream, false);
+    CU_ASSERT_TRUE(Loop_Until(fixture->base, has_ends, fixture));
+    return fixture->seen[fixture->seen_count - 1].kind;
+}
+
+static void
+answer_plain(RawPeer *peer, const char *request)
+{
+    CU_ASSERT_PTR_NOT_NULL(strstr(request, "Eb-Request-Id: r-1\r\n"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(request, "Eb-Stage: 2\r\n"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(request, "Eb-Attempt: 7\r\n"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(request, "{\"input\":\"sleeve\"}"));
+    RawPeer_Answer(peer, "{\"vectors\": []}");
+}
+
+/* Guards against wrong headers, and connections that are not reused, not
+ * retired or not closed when idle. */
+static void
+test_reuse(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, answer_plain);
+    CU_ASSERT_EQUAL(run_call(&fixture, 1, false), EB_ATTEMPT_ANSWERED);
+    CU_ASSERT_TRUE(fixture.seen[0].has_body);
+    CU_ASSERT_EQUAL(fixture.seen[0].status, 200);
+    CU_ASSERT_EQUAL(fixture.echo_stage, -1);
+    CU_ASSERT_EQUAL(run_call(&fixture, 2, false), EB_ATTEMPT_ANSWERED);
+    CU_ASSERT_EQUAL(fixture.server->accepted, 1);
+    fixture.wanted_ends = 3;
+    send_call(&fixture, 3, fixture.server->port, false, true);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_ends, &fixture));
+    CU_ASSERT_EQUAL(fixture.server->accepted, 2);
+    CU_ASSERT_EQUAL(EbBackendClient_IdleCount(fixture.client, "s-1"), 2);
+    EbBackendClient_Retire(fixture.client, "s-1");
+    CU_ASSERT_EQUAL(EbBackendClient_IdleCount(fixture.client, "s-1"), 0);
+    fixture.wanted_closed = 2;
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_closed, &fixture));
+    run_call(&fixture, 4, false);
+    fixture.wanted_closed = 3;
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_closed, &fixture));
+    CU_ASSERT_EQUAL(EbBackendClient_IdleCount(fixture.client, "s-1"), 0);
+    close_fixture(&fixture);
+}
+
+/* Guards against a refused connect that is taken for a sent call. */
+static void
+test_refused(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, NULL);
+    fixture.wanted_ends = 1;
+    send_call(&fixture, 1, Port_Closed(), false, true);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_ends, &fixture));
+    CU_ASSERT_EQUAL(fixture.seen[0].kind, EB_ATTEMPT_REFUSED);
+    CU_ASSERT_EQUAL(fixture.seen_count, 1);
+    close_fixture(&fixture);
+}
+
+static void
+reset_connection(RawPeer *peer, const char *request)
+{
+    (void)request;
+    RawPeer_Close(peer, true);
+}
+
+/* Guards against a reset after sending that is taken for a refused connect,
+ * and against evhttp sending the call again. */
+static void
+test_reset(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, reset_connection);
+    CU_ASSERT_EQUAL(run_call(&fixture, 1, false), EB_ATTEMPT_BROKEN);
+    CU_ASSERT_EQUAL(run_call(&fixture, 2, true), EB_ATTEMPT_BROKEN);
+    Loop_For(fixture.base, 300000);
+    CU_ASSERT_EQUAL(fixture.server->requests, 2);
+    CU_ASSERT_EQUAL(fixture.seen_count, 2);
+    close_fixture(&fixture);
+}
+
+static void
+answer_first_only(RawPeer *peer, const char *request)
+{
+    (void)request;
+    if (peer->requests == 1) {
+        RawPeer_Answer(peer, "{}");
+    }
+    else {
+        RawPeer_Close(peer, false);
+    }
+}
+
+/* Guards against a call on a reused connection that is reported as unsent or
+ * sent again after the server closed the connection. */
+static void
+test_reused_closed(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, answer_first_only);
+    CU_ASSERT_EQUAL(run_call(&fixture, 1, false), EB_ATTEMPT_ANSWERED);
+    CU_ASSERT_EQUAL(run_call(&fixture, 2, false), EB_ATTEMPT_BROKEN);
+    Loop_For(fixture.base, 300000);
+    CU_ASSERT_EQUAL(fixture.server->requests, 2);
+    CU_ASSERT_EQUAL(fixture.server->accepted, 1);
+    close_fixture(&fixture);
+}
+
+static void
+answer_and_close(RawPeer *peer, const char *request)
+{
+    (void)request;
+    RawPeer_Send(peer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                       "Connection: close\r\n\r\n{}");
+}
+
+/* Guards against reuse of a connection that the server announced to close. */
+static void
+test_connection_close(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, answer_and_close);
+    CU_ASSERT_EQUAL(run_call(&fixture, 1, false), EB_ATTEMPT_ANSWERED);
+    CU_ASSERT_EQUAL(EbBackendClient_IdleCount(fixture.client, "s-1"), 0);
+    CU_ASSERT_EQUAL(run_call(&fixture, 2, false), EB_ATTEMPT_ANSWERED);
+    CU_ASSERT_EQUAL(fixture.server->accepted, 2);
+    close_fixture(&fixture);
+}
+
+static const char stream_text[] =
+    ": comment\r\n\r\n"
+    "data: {\"choices\": [{\"index\": 0, \"text\": \"Gate\"}],"
+    " \"token_index\": 5}\r\n\r\n"
+    "data:{\"choices\":[{\"index\":0,\"text\":\"fold\"}],"
+    "\"token_index\":6}\n\n"
+    "event: x\nid: 3\n"
+    "data: {\"choices\": [{\"index\": 0, \"text\": \" \\u00e9\"}],"
+    " \"token_index\": 7}\n\n"
+    "data: {\"choices\": [{\"index\": 0, \"text\": \"\","
+    " \"finish_reason\": \"stop\"}]}\n\n"
+    "data: [DONE]\n\n";
+
+/* Sends stream_text in chunks of fixture->split bytes. */
+static void
+answer_stream(RawPeer *peer, const char *request)
+{
+    (void)request;
+    const Fixture *fixture = peer->server->context;
+    RawPeer_Send(peer, STREAM_HEAD);
+    for (size_t at = 0; at < strlen(stream_text); at += fixture->split) {
+        char chunk[1024];
+        size_t length = MIN(fixture->split, strlen(stream_text) - at);
+        snprintf(chunk, sizeof(chunk), "%zx\r\n%.*s\r\n", length, (int)length,
+                 stream_text + at);
+        RawPeer_Send(peer, chunk);
+    }
+    RawPeer_Send(peer, "0\r\n\r\n");
+}
+
+/* Guards against tokens lost, joined or reordered by chunk boundaries. */
+static void
+test_stream_split(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, answer_stream);
+    for (fixture.split = 1; fixture.split <= sizeof(stream_text);
+         fixture.split += 1 + fixture.split / 8) {
+        g_string_truncate(fixture.text, 0);
+        unsigned before = fixture.seen_count;
+        EbAttemptEventKind kind = run_call(&fixture, fixture.split, true);
+        CU_ASSERT_EQUAL(kind, EB_ATTEMPT_ENDED);
+        CU_ASSERT_STRING_EQUAL(fixture.text->str, "Gatefold \xc3\xa9");
+        uint64_t next = 5;
+        for (unsigned i = before; i + 1 < fixture.seen_count; i++) {
+            CU_ASSERT_EQUAL(fixture.seen[i].token_index, next);
+            next += fixture.seen[i].token_count;
+        }
+        CU_ASSERT_EQUAL(next, 8);
+    }
+    CU_ASSERT_STRING_EQUAL(fixture.echo_request, "r-1");
+    CU_ASSERT_EQUAL(fixture.echo_stage, 2);
+    CU_ASSERT_EQUAL(fixture.echo_attempt, 7);
+    CU_ASSERT_EQUAL(fixture.load_running, 3);
+    CU_ASSERT_EQUAL(fixture.load_waiting, 4);
+    CU_ASSERT_TRUE(fixture.seen[0].leaving);
+    CU_ASSERT_EQUAL(fixture.server->accepted, 1);
+    close_fixture(&fixture);
+}
+
+static const char *scripted_answer;
+
+static void
+answer_script(RawPeer *peer, const char *request)
+{
+    (void)request;
+    RawPeer_Send(peer, scripted_answer);
+}
+
+/* Guards against broken answers that are taken for whole ones, and against
+ * answers without a bound. */
+static void
+test_bad_answers(void)
+{
+    static const char big_head[] =
+        "HTTP/1.1 200 OK\r\nContent-Length: 900000000\r\n\r\n{";
+    GString *long_header = g_string_new("HTTP/1.1 200 OK\r\nX: ");
+    for (int i = 0; i < 40000; i++) {
+        g_string_append_c(long_header, 'x');
+    }
+    g_string_append(long_header, "\r\nContent-Length: 2\r\n\r\n{}");
+    GString *long_line = g_string_new(STREAM_HEAD "11176\r\ndata: ");
+    for (int i = 0; i < 70000; i++) {
+        g_string_append_c(long_line, 'x');
+    }
+    const struct {
+        const char *answer;
+        bool stream;
+        EbAttemptEventKind kind;
+    } rows[] = {
+        {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{xx}", false,
+         EB_ATTEMPT_MALFORMED},
+        {"HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\n{xx}", false,
+         EB_ATTEMPT_ANSWERED},
+        {"HTTP/1.1 429 Busy\r\nContent-Length: 2\r\n\r\n{}", true,
+         EB_ATTEMPT_ANSWERED},
+        {STREAM_HEAD "9\r\ndata: {}\n\r\n", true, EB_ATTEMPT_MALFORMED},
+        {STREAM_HEAD "3\r\n: x\r\n0\r\n\r\n", true, EB_ATTEMPT_BROKEN},
+        {STREAM_HEAD "fffffff\r\n", true, EB_ATTEMPT_BROKEN},
+        {STREAM_HEAD "zz\r\n", true, EB_ATTEMPT_BROKEN},
+        {"SSH-2.0-x\r\n\r\n", false, EB_ATTEMPT_BROKEN},
+        {big_head, false, EB_ATTEMPT_BROKEN},
+        {long_header->str, false, EB_ATTEMPT_BROKEN},
+        {long_line->str, true, EB_ATTEMPT_MALFORMED},
+    };
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        Fixture fixture;
+        open_fixture(&fixture, answer_script);
+        scripted_answer = rows[i].answer;
+        EbAttemptEventKind kind = run_call(&fixture, 1, rows[i].stream);
+        CU_ASSERT_EQUAL(kind, rows[i].kind);
+        CU_ASSERT_EQUAL(fixture.ends, 1);
+        close_fixture(&fixture);
+    }
+    g_string_free(long_header, TRUE);
+    g_string_free(long_line, TRUE);
+}
+
+/* Guards against a silent server that stops the loop or other calls, and
+ * against a cancelled call that still reports. */
+static void
+test_silent_and_cancel(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, NULL);
+    RawServer *other = RawServer_New(fixture.base, answer_plain, &fixture);
+    for (uint64_t id = 1; id <= 100; id++) {
+        send_call(&fixture, id, fixture.server->port, false, true);
+    }
+    Loop_For(fixture.base, 50000);
+    CU_ASSERT_EQUAL(fixture.server->accepted, 100);
+    fixture.wanted_ends = 1;
+    send_call(&fixture, 1000, other->port, false, false);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_ends, &fixture));
+    for (uint64_t id = 1; id <= 100; id++) {
+        EbBackendClient_Cancel(fixture.client, id);
+    }
+    fixture.wanted_closed = 100;
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_closed, &fixture));
+    CU_ASSERT_EQUAL(EbBackendClient_ActiveCount(fixture.client), 0);
+    CU_ASSERT_EQUAL(fixture.seen_count, 1);
+    RawServer_Free(other);
+    close_fixture(&fixture);
+}
+
+/* Streams one megabyte. */
+static void
+answer_flood(RawPeer *peer, const char *request)
+{
+    (void)request;
+    RawPeer_Send(peer, STREAM_HEAD);
+    GString *line = g_string_new("data: {\"choices\": [{\"text\": \"");
+    for (int i = 0; i < 1000; i++) {
+        g_string_append_c(line, 'x');
+    }
+    for (int i = 0; i < 90; i++) {
+        char *chunk =
+            g_strdup_printf("%s\"}], \"token_index\": %d}\n\n", line->str, i);
+        char *framed = g_strdup_printf("%zx\r\n%s\r\n", strlen(chunk), chunk);
+        RawPeer_Send(peer, framed);
+        g_free(chunk);
+        g_free(framed);
+    }
+    g_string_free(line, TRUE);
+    RawPeer_Send(peer, "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n");
+}
+
+static bool
+has_tokens(void *context)
+{
+    Fixture *fixture = context;
+    return fixture->seen_count > 0;
+}
+
+/* Guards against a pause that reads on, and a resume that loses tokens. */
+static void
+test_pause(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, answer_flood);
+    fixture.wanted_ends = 1;
+    send_call(&fixture, 1, fixture.server->port, true, false);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_tokens, &fixture));
+    EbBackendClient_Pause(fixture.client, 1, true);
+    unsigned before = fixture.seen_count;
+    Loop_For(fixture.base, 200000);
+    CU_ASSERT_EQUAL(fixture.ends, 0);
+    CU_ASSERT_TRUE(fixture.seen_count <= before + 1);
+    EbBackendClient_Pause(fixture.client, 1, false);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_ends, &fixture));
+    CU_ASSERT_EQUAL(fixture.seen[fixture.seen_count - 1].kind,
+                    EB_ATTEMPT_ENDED);
+    CU_ASSERT_EQUAL(fixture.text->len, 90000);
+    close_fixture(&fixture);
+}
+
+int
+main(void)
+{
+    static const EbTestCase cases[] = {
+        {"reuse", test_reuse},
+        {"refused", test_refused},
+        {"reset", test_reset},
+        {"reused closed", test_reused_closed},
+        {"connection close", test_connection_close},
+        {"stream split", test_stream_split},
+        {"bad answers", test_bad_answers},
+        {"silent and cancel", test_silent_and_cancel},
+        {"pause", test_pause},
+    };
+    return EbTest_Run("test_backend_client", cases,
+                      sizeof(cases) / sizeof(cases[0]));
+}
--- /dev/null
+++ b/src/test_net_support/net_fixture.h
@@ -0,0 +1,77 @@
+/* Raw sockets for tests of HTTP clients and servers, all in one event loop.
+ * Listeners bind port 0 on 127.0.0.1. */
+#ifndef EB_NET_FIXTURE_H
+#define EB_NET_FIXTURE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+struct bufferevent;
+struct event_base;
+
+typedef struct RawServer RawServer;
+
+/* One accepted connection of a raw server. */
+typedef struct {
+    RawServer *server;
+    struct bufferevent *bufev;
+    unsigned number;   /* 1 for the first connection */
+    unsigned requests; /* requests received on it so far */
+} RawPeer;
+
+/* Called with each whole request (head and body by Content-Length). */
+typedef void (*RawHandler)(RawPeer *peer, const char *request);
+
+struct RawServer {
+    struct event_base *base;
+    struct evconnlistener *listener;
+    uint16_t port;
+    RawHandler handler; /* NULL: never answers */
+    void *context;
+    unsigned accepted;
+    unsigned requests;
+    unsigned closed; /* connections that the other side closed */
+    struct RawPeerList *peers;
+};
+
+RawServer *RawServer_New(struct event_base *base, RawHandler handler,
+                         void *context);
+void RawServer_Free(RawServer *server);
+
+void RawPeer_Send(RawPeer *peer, const char *bytes);
+
+/* Sends a 200 answer with a JSON body. */
+void RawPeer_Answer(RawPeer *peer, const char *json);
+
+/* Closes; with `reset` the other side sees a connection reset. */
+void RawPeer_Close(RawPeer *peer, bool reset);
+
+/* A client that collects what it receives. */
+typedef struct {
+    struct bufferevent *bufev;
+    char *text; /* terminated */
+    size_t text_bytes;
+    bool closed; /* by the other side */
+    bool paused;
+} RawClient;
+
+RawClient *RawClient_New(struct event_base *base, uint16_t port);
+void RawClient_Free(RawClient *client);
+void RawClient_Send(RawClient *client, const char *bytes);
+
+/* Stops or resumes reading. */
+void RawClient_Pause(RawClient *client, bool paused);
+
+/* Runs the loop until `done` holds. Returns false after 30 s, which only a
+ * hang reaches. */
+bool Loop_Until(struct event_base *base, bool (*done)(void *context),
+                void *context);
+
+/* Runs the loop for a time, to see that something does not happen. */
+void Loop_For(struct event_base *base, int64_t us);
+
+/* A port on which nothing listens. */
+uint16_t Port_Closed(void);
+
+#endif
