platform_client: object calls and watches of the platform's API

The daemon needs the platform's conditional writes with a status that says whether a write may have taken effect. A write whose bytes went to a connection and that no answer settles is lost; a refused connect, 429 and 503 are unavailable. Calls and the queue behind them are bounded, a call ends after 2 s, and a time-out closes the idle connections too.

--- /dev/null
+++ b/src/libebonyhollow_net/platform_client.c
@@ -0,0 +1,481 @@
+#include "ebonyhollow/platform_client.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include "clock.h"
+#include "platform_internal.h"
+
+#define DEFAULT_MAX_CALLS 16
+#define DEFAULT_MAX_WAITING 256
+#define DEFAULT_CALL_TIMEOUT_US 2000000
+#define DEFAULT_WATCH_TIMEOUT_US 5000000
+#define MAX_HEADER_BYTES 16384
+#define MAX_BODY_BYTES 8388608
+/* One failed call may be a single broken connection. */
+#define FAILURES_UNTIL_DOWN 2
+
+typedef struct {
+    EbStoreOwner owner;
+    uint64_t operation_id;
+    EbStoreOperation operation;
+    char *path;
+    char *body; /* JSON text, NULL when there is none */
+    int64_t deadline_us;
+} Call;
+
+/* One connection for calls; keeps its evhttp connection between them. */
+typedef struct {
+    EbPlatformClient *client;
+    struct evhttp_connection *evcon; /* NULL until used */
+    Call *call;                      /* NULL while idle */
+    struct event *timer;
+    bool wrote; /* a byte of the current call went to the buffer */
+} Slot;
+
+struct timeval
+EbPlatform_Time(int64_t us)
+{
+    return (struct timeval){us / 1000000, us % 1000000};
+}
+
+static void
+free_call(void *data)
+{
+    Call *call = data;
+    g_free(call->path);
+    free(call->body);
+    g_free(call);
+}
+
+static void
+close_slot(Slot *slot)
+{
+    if (slot->evcon != NULL) {
+        evhttp_connection_free(slot->evcon);
+        slot->evcon = NULL;
+    }
+}
+
+static void
+free_slot(void *data)
+{
+    Slot *slot = data;
+    close_slot(slot);
+    event_free(slot->timer);
+    if (slot->call != NULL) {
+        free_call(slot->call);
+    }
+    g_free(slot);
+}
+
+static bool
+is_write(EbStoreOperation operation)
+{
+    return operation == EB_STORE_CREATE || operation == EB_STORE_UPDATE ||
+           operation == EB_STORE_DELETE;
+}
+
+void
+EbPlatform_Count(EbPlatformClient *client, const char *operation,
+                 const char *status, const char *cause)
+{
+    EbMetrics_Add(client->options.metrics, EB_METRIC_PLATFORM_CALLS, 1,
+                  operation, status, NULL);
+    int64_t now_us = EbClock_Monotonic();
+    if (cause == NULL) {
+        client->failures = 0;
+        if (!client->up) {
+            client->up = true;
+            EB_EMIT(
+                client->options.events, EB_EVENT_PLATFORM_UP,
+                EB_INTEGER_FIELD("down_us", now_us - client->down_since_us));
+        }
+        return;
+    }
+    client->failures++;
+    if (client->up && client->failures >= FAILURES_UNTIL_DOWN) {
+        client->up = false;
+        client->down_since_us = now_us;
+        EB_EMIT(client->options.events, EB_EVENT_PLATFORM_DOWN,
+                EB_STRING_FIELD("cause", cause));
+    }
+}
+
+struct evhttp_connection *
+EbPlatform_Connect(EbPlatformClient *client, int64_t timeout_us)
+{
+    struct evhttp_connection *evcon = evhttp_connection_base_new(
+        client->options.base, NULL, client->host, client->options.port);
+    assert(evcon != NULL);
+    struct timeval limit = EbPlatform_Time(timeout_us);
+    evhttp_connection_set_timeout_tv(evcon, &limit);
+    evhttp_connection_set_retries(evcon, 0);
+    evhttp_connection_set_max_headers_size(evcon, MAX_HEADER_BYTES);
+    evhttp_connection_set_max_body_size(evcon, MAX_BODY_BYTES);
+    return evcon;
+}
+
+struct evhttp_request *
+EbPlatform_Request(EbPlatformClient *client,
+                   void (*done)(struct evhttp_request *, void *), void *arg)
+{
+    struct evhttp_request *request = evhttp_request_new(done, arg);
+    assert(request != NULL);
+    struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
+    char host[80];
+    snprintf(host, sizeof(host), "%s:%u", client->host,
+             (unsigned)client->options.port);
+    evhttp_add_header(headers, "Host", host);
+    if (client->token != NULL) {
+        char *value = g_strconcat("Bearer ", client->token, NULL);
+        evhttp_add_header(headers, "Authorization", value);
+        g_free(value);
+    }
+    return request;
+}
+
+json_t *
+EbPlatform_Body(struct evhttp_request *request)
+{
+    struct evbuffer *input = evhttp_request_get_input_buffer(request);
+    size_t length = evbuffer_get_length(input);
+    if (length == 0) {
+        return NULL;
+    }
+    const char *bytes = (const char *)evbuffer_pullup(input, -1);
+    return json_loadb(bytes, length, JSON_DECODE_ANY, NULL);
+}
+
+static void
+reply_to(EbPlatformClient *client, const Call *call, EbStoreStatus status,
+         uint64_t version, json_t *value)
+{
+    EbStoreReply reply = {.owner = call->owner,
+                          .operation_id = call->operation_id,
+                          .status = status,
+                          .version = version,
+                          .value = value};
+    client->options.reply(client->options.context, &reply);
+}
+
+static void start_waiting(EbPlatformClient *client);
+
+/* Ends the call of a slot and starts the next one that waits. */
+static void
+finish_call(Slot *slot, EbStoreStatus status, const char *cause, json_t *body)
+{
+    EbPlatformClient *client = slot->client;
+    Call *call = slot->call;
+    slot->call = NULL;
+    client->running--;
+    event_del(slot->timer);
+    EbPlatform_Count(client, EbStoreOperation_names[call->operation],
+                     EbStoreStatus_names[status], cause);
+    bool list = call->operation == EB_STORE_LIST;
+    uint64_t version = (uint64_t)json_integer_value(
+        json_object_get(body, list ? "revision" : "version"));
+    reply_to(client, call, status, version,
+             json_object_get(body, list ? "items" : "value"));
+    free_call(call);
+    start_waiting(client);
+}
+
+static void
+fail_call(Slot *slot, const char *cause)
+{
+    bool lost = slot->wrote && is_write(slot->call->operation);
+    finish_call(slot, lost ? EB_STORE_LOST : EB_STORE_UNAVAILABLE, cause,
+                NULL);
+}
+
+/* Returns whether a 200 answer has what its operation needs. */
+static bool
+is_valid_answer(EbStoreOperation operation, const json_t *body)
+{
+    switch (operation) {
+    case EB_STORE_GET:
+        return json_is_integer(json_object_get(body, "version")) &&
+               json_object_get(body, "value") != NULL;
+    case EB_STORE_CREATE:
+    case EB_STORE_UPDATE:
+        return json_is_integer(json_object_get(body, "version"));
+    case EB_STORE_LIST:
+        return json_is_integer(json_object_get(body, "revision")) &&
+               json_is_array(json_object_get(body, "items"));
+    case EB_STORE_DELETE:
+    case EB_STORE_OPERATION_COUNT:
+        break;
+    }
+    return true;
+}
+
+static void
+on_call_done(struct evhttp_request *request, void *arg)
+{
+    Slot *slot = arg;
+    if (slot->call == NULL) {
+        return;
+    }
+    int status = request ? evhttp_request_get_response_code(request) : 0;
+    if (status == 0) {
+        fail_call(slot, slot->wrote ? "connection broke" : "connect failed");
+        return;
+    }
+    json_t *body = EbPlatform_Body(request);
+    if (status == 200 && is_valid_answer(slot->call->operation, body)) {
+        finish_call(slot, EB_STORE_OK, NULL, body);
+    }
+    else if (status == 404) {
+        finish_call(slot, EB_STORE_NOT_FOUND, NULL, NULL);
+    }
+    else if (status == 409) {
+        finish_call(slot, EB_STORE_CONFLICT, NULL, body);
+    }
+    else if (status == 429) {
+        /* Refused by the rate limit: the platform itself is up. */
+        finish_call(slot, EB_STORE_UNAVAILABLE, NULL, NULL);
+    }
+    else if (status == 503) {
+        finish_call(slot, EB_STORE_UNAVAILABLE, "status 503", NULL);
+    }
+    else {
+        fail_call(slot, "unexpected answer");
+    }
+    json_decref(body);
+}
+
+/* A call without an answer says that its connection is silent; the idle ones
+ * may be as well and are closed. */
+static void
+on_call_timeout(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    Slot *slot = arg;
+    EbPlatformClient *client = slot->client;
+    close_slot(slot);
+    for (guint i = 0; i < client->slots->len; i++) {
+        Slot *other = g_ptr_array_index(client->slots, i);
+        if (other->call == NULL) {
+            close_slot(other);
+        }
+    }
+    fail_call(slot, "no answer");
+}
+
+static void
+on_output(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+          void *arg)
+{
+    (void)buffer;
+    Slot *slot = arg;
+    if (info->n_added > 0) {
+        slot->wrote = true;
+    }
+}
+
+static enum evhttp_cmd_type
+command_of(EbStoreOperation operation)
+{
+    switch (operation) {
+    case EB_STORE_CREATE:
+    case EB_STORE_UPDATE:
+        return EVHTTP_REQ_PUT;
+    case EB_STORE_DELETE:
+        return EVHTTP_REQ_DELETE;
+    case EB_STORE_GET:
+    case EB_STORE_LIST:
+    case EB_STORE_OPERATION_COUNT:
+        break;
+    }
+    return EVHTTP_REQ_GET;
+}
+
+static void
+start_call(Slot *slot, Call *call)
+{
+    EbPlatformClient *client = slot->client;
+    slot->call = call;
+    slot->wrote = false;
+    client->running++;
+    if (slot->evcon == NULL) {
+        slot->evcon =
+            EbPlatform_Connect(client, client->options.call_timeout_us);
+        struct bufferevent *bufev =
+            evhttp_connection_get_bufferevent(slot->evcon);
+        evbuffer_add_cb(bufferevent_get_output(bufev), on_output, slot);
+    }
+    struct evhttp_request *request =
+        EbPlatform_Request(client, on_call_done, slot);
+    if (call->body != NULL) {
+        evhttp_add_header(evhttp_request_get_output_headers(request),
+                          "Content-Type", "application/json");
+        evbuffer_add(evhttp_request_get_output_buffer(request), call->body,
+                     strlen(call->body));
+    }
+    struct timeval limit =
+        EbPlatform_Time(MAX(call->deadline_us - EbClock_Monotonic(), 1000));
+    event_add(slot->timer, &limit);
+    uint64_t id = call->operation_id;
+    if (evhttp_make_request(slot->evcon, request, command_of(call->operation),
+                            call->path) != 0 &&
+        slot->call == call && call->operation_id == id) {
+        fail_call(slot, "connect failed");
+    }
+}
+
+static Slot *
+find_free_slot(EbPlatformClient *client)
+{
+    for (guint i = 0; i < client->slots->len; i++) {
+        Slot *slot = g_ptr_array_index(client->slots, i);
+        if (slot->call == NULL) {
+            return slot;
+        }
+    }
+    return NULL;
+}
+
+static void
+start_waiting(EbPlatformClient *client)
+{
+    Slot *slot;
+    while (client->waiting.length > 0 &&
+           (slot = find_free_slot(client)) != NULL) {
+        Call *call = g_queue_pop_head(&client->waiting);
+        if (call->deadline_us <= EbClock_Monotonic()) {
+            EbPlatform_Count(client, EbStoreOperation_names[call->operation],
+                             "expired", "no free connection");
+            reply_to(client, call, EB_STORE_UNAVAILABLE, 0, NULL);
+            free_call(call);
+            continue;
+        }
+        start_call(slot, call);
+    }
+}
+
+static char *
+build_path(const EbStoreRequest *request)
+{
+    char *kind = evhttp_encode_uri(request->kind);
+    char *name = evhttp_encode_uri(request->name ? request->name : "");
+    char *path = NULL;
+    switch (request->operation) {
+    case EB_STORE_LIST:
+        path = g_strdup_printf("/v1/objects/%s", kind);
+        break;
+    case EB_STORE_CREATE:
+        path = g_strdup_printf("/v1/objects/%s/%s?version=0", kind, name);
+        break;
+    case EB_STORE_UPDATE:
+    case EB_STORE_DELETE:
+        path = g_strdup_printf("/v1/objects/%s/%s?version=%" G_GUINT64_FORMAT,
+                               kind, name, request->version);
+        break;
+    case EB_STORE_GET:
+    case EB_STORE_OPERATION_COUNT:
+        path = g_strdup_printf("/v1/objects/%s/%s", kind, name);
+        break;
+    }
+    free(kind);
+    free(name);
+    return path;
+}
+
+void
+EbPlatformClient_Store(EbPlatformClient *client, const EbStoreRequest *request)
+{
+    Call *call = g_new0(Call, 1);
+    call->owner = request->owner;
+    call->operation_id = request->operation_id;
+    call->operation = request->operation;
+    call->deadline_us = EbClock_Monotonic() + client->options.call_timeout_us;
+    if (client->waiting.length >= client->options.max_waiting) {
+        EbPlatform_Count(client, EbStoreOperation_names[call->operation],
+                         "not-queued", NULL);
+        reply_to(client, call, EB_STORE_UNAVAILABLE, 0, NULL);
+        free_call(call);
+        return;
+    }
+    call->path = build_path(request);
+    if (request->operation == EB_STORE_CREATE ||
+        request->operation == EB_STORE_UPDATE) {
+        call->body =
+            json_dumps(request->value, JSON_COMPACT | JSON_ENCODE_ANY);
+    }
+    g_queue_push_tail(&client->waiting, call);
+    start_waiting(client);
+}
+
+bool
+EbPlatformClient_IsUp(const EbPlatformClient *client)
+{
+    return client->up;
+}
+
+size_t
+EbPlatformClient_PendingCount(const EbPlatformClient *client)
+{
+    return client->waiting.length + client->running;
+}
+
+static void
+set_defaults(EbPlatformClientOptions *options)
+{
+    if (options->max_calls == 0) {
+        options->max_calls = DEFAULT_MAX_CALLS;
+    }
+    if (options->max_waiting == 0) {
+        options->max_waiting = DEFAULT_MAX_WAITING;
+    }
+    if (options->call_timeout_us == 0) {
+        options->call_timeout_us = DEFAULT_CALL_TIMEOUT_US;
+    }
+    if (options->watch_timeout_us == 0) {
+        options->watch_timeout_us = DEFAULT_WATCH_TIMEOUT_US;
+    }
+}
+
+EbPlatformClient *
+EbPlatformClient_New(const EbPlatformClientOptions *options)
+{
+    assert(options->base != NULL && options->reply != NULL);
+    assert(options->random != NULL && options->metrics != NULL);
+    EbPlatformClient *client = g_new0(EbPlatformClient, 1);
+    client->options = *options;
+    set_defaults(&client->options);
+    client->host = g_strdup(options->host);
+    client->token = g_strdup(options->token);
+    client->up = true;
+    g_queue_init(&client->waiting);
+    client->slots = g_ptr_array_new_with_free_func(free_slot);
+    for (uint32_t i = 0; i < client->options.max_calls; i++) {
+        Slot *slot = g_new0(Slot, 1);
+        slot->client = client;
+        slot->timer = evtimer_new(options->base, on_call_timeout, slot);
+        g_ptr_array_add(client->slots, slot);
+    }
+    client->watches = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                            EbPlatformWatch_Free);
+    return client;
+}
+
+void
+EbPlatformClient_Free(EbPlatformClient *client)
+{
+    if (client == NULL) {
+        return;
+    }
+    g_hash_table_destroy(client->watches);
+    g_ptr_array_free(client->slots, TRUE);
+    g_queue_clear_full(&client->waiting, free_call);
+    g_free(client->host);
+    g_free(client->token);
+    g_free(client);
+}
--- /dev/null
+++ b/src/libebonyhollow_net/private/platform_internal.h
@@ -0,0 +1,46 @@
+/* Parts of EbPlatformClient shared by its calls and its watches. */
+#ifndef EB_PLATFORM_INTERNAL_H
+#define EB_PLATFORM_INTERNAL_H
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <glib.h>
+
+#include "ebonyhollow/platform_client.h"
+
+struct EbPlatformClient {
+    EbPlatformClientOptions options;
+    char *host;
+    char *token;
+    GPtrArray *slots; /* of Slot: connections for calls */
+    GQueue waiting;   /* of Call */
+    uint32_t running;
+    GHashTable *watches; /* kind -> Watch */
+    uint32_t failures;   /* one after another */
+    bool up;
+    int64_t down_since_us;
+};
+
+/* Opens a connection with the client's limits and evhttp's retries off. */
+struct evhttp_connection *EbPlatform_Connect(EbPlatformClient *client,
+                                             int64_t timeout_us);
+
+/* Creates a request with the headers that every call carries. */
+struct evhttp_request *
+EbPlatform_Request(EbPlatformClient *client,
+                   void (*done)(struct evhttp_request *, void *), void *arg);
+
+/* Parses the JSON body of an answer; NULL when there is none. */
+json_t *EbPlatform_Body(struct evhttp_request *request);
+
+/* Counts a call and tracks whether the platform answers. `cause` is NULL for
+ * a call that was answered. */
+void EbPlatform_Count(EbPlatformClient *client, const char *operation,
+                      const char *status, const char *cause);
+
+struct timeval EbPlatform_Time(int64_t us);
+
+/* For the table of watches. */
+void EbPlatformWatch_Free(void *watch);
+
+#endif
--- /dev/null
+++ b/src/test_platform_client/main.c
@@ -0,0 +1,346 @@
+/* Tests of EbPlatformClient against a scripted server. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/event.h>
+#include <glib.h>
+
+#include "ebonyhollow/platform_client.h"
+#include "net_fixture.h"
+#include "test_runner.h"
+
+typedef struct {
+    struct event_base *base;
+    RawServer *server;
+    EbPlatformClient *client;
+    EbMetrics *metrics;
+    EbRandom random;
+    EbEventSink sink;
+    EbStoreReply last;
+    char *last_value;
+    unsigned replies, wanted_replies;
+    unsigned statuses[EB_STORE_STATUS_COUNT];
+    unsigned listed, wanted_listed;
+    unsigned changed, wanted_changed;
+    unsigned events[EB_EVENT_COUNT];
+    const char *answer; /* raw bytes; NULL: none */
+    bool close_after;
+    char *request; /* last one received */
+    unsigned polls;
+} Fixture;
+
+static void
+on_reply(void *context, const EbStoreReply *reply)
+{
+    Fixture *fixture = context;
+    fixture->last = *reply;
+    g_free(fixture->last_value);
+    fixture->last_value =
+        reply->value ? json_dumps(reply->value, JSON_COMPACT) : NULL;
+    fixture->last.value = NULL;
+    fixture->statuses[reply->status]++;
+    fixture->replies++;
+}
+
+static void
+on_listed(void *context, const char *kind, json_t *items)
+{
+    CU_ASSERT_STRING_EQUAL(kind, "instances");
+    CU_ASSERT_TRUE(json_is_array(items));
+    ((Fixture *)context)->listed++;
+}
+
+static void
+on_changed(void *context, const char *kind, json_t *events)
+{
+    CU_ASSERT_STRING_EQUAL(kind, "instances");
+    CU_ASSERT_EQUAL(json_array_size(events), 1);
+    ((Fixture *)context)->changed++;
+}
+
+static void
+on_log(void *context, EbEventId event, const EbEventField *fields,
+       size_t field_count)
+{
+    (void)fields;
+    (void)field_count;
+    ((Fixture *)context)->events[event]++;
+}
+
+static void
+answer_script(RawPeer *peer, const char *request)
+{
+    Fixture *fixture = peer->server->context;
+    g_free(fixture->request);
+    fixture->request = g_strdup(request);
+    if (fixture->answer != NULL) {
+        RawPeer_Send(peer, fixture->answer);
+    }
+    if (fixture->close_after) {
+        RawPeer_Close(peer, true);
+    }
+}
+
+static void
+open_fixture(Fixture *fixture, RawHandler handler, uint16_t port)
+{
+    memset(fixture, 0, sizeof(*fixture));
+    fixture->base = event_base_new();
+    fixture->server = RawServer_New(fixture->base, handler, fixture);
+    fixture->metrics = EbMetrics_New();
+    fixture->sink = (EbEventSink){on_log, fixture};
+    EbRandom_Init(&fixture->random, 1);
+    fixture->client = EbPlatformClient_New(
+        &(EbPlatformClientOptions){.base = fixture->base,
+                                   .host = "127.0.0.1",
+                                   .port = port ? port : fixture->server->port,
+                                   .token = "secret",
+                                   .max_calls = 2,
+                                   .max_waiting = 3,
+                                   .call_timeout_us = 300000,
+                                   .watch_timeout_us = 200000,
+                                   .random = &fixture->random,
+                                   .metrics = fixture->metrics,
+                                   .events = &fixture->sink,
+                                   .reply = on_reply,
+                                   .listed = on_listed,
+                                   .changed = on_changed,
+                                   .context = fixture});
+}
+
+static void
+close_fixture(Fixture *fixture)
+{
+    EbPlatformClient_Free(fixture->client);
+    EbMetrics_Free(fixture->metrics);
+    RawServer_Free(fixture->server);
+    g_free(fixture->last_value);
+    g_free(fixture->request);
+    event_base_free(fixture->base);
+}
+
+static bool
+has_replies(void *context)
+{
+    Fixture *fixture = context;
+    return fixture->replies >= fixture->wanted_replies;
+}
+
+static void
+store(Fixture *fixture, EbStoreOperation operation)
+{
+    json_t *value = json_pack("{s:i}", "a", 1);
+    EbStoreRequest request = {.owner = EB_STORE_OWNER_LEDGER,
+                              .operation_id = 9,
+                              .operation = operation,
+                              .kind = "claims",
+                              .name = "c-1.ab/c",
+                              .version = 17,
+                              .value = value};
+    EbPlatformClient_Store(fixture->client, &request);
+    json_decref(value);
+}
+
+#define HEAD(status, length)                                                  \
+    "HTTP/1.1 " status " X\r\nContent-Length: " length "\r\n\r\n"
+
+/* Guards against a write whose effect is not known that is reported as
+ * refused, and against wrong paths, methods and headers. */
+static void
+test_statuses(void)
+{
+    static const struct {
+        EbStoreOperation operation;
+        const char *answer;
+        bool close;
+        EbStoreStatus status;
+        uint64_t version;
+        const char *request; /* start of the request line */
+    } rows[] = {
+        {EB_STORE_GET, HEAD("200", "29") "{\"version\": 12, \"value\": \"x\"}",
+         false, EB_STORE_OK, 12, "GET /v1/objects/claims/c-1.ab%2Fc HTTP"},
+        {EB_STORE_GET, HEAD("404", "0"), false, EB_STORE_NOT_FOUND, 0, "GET"},
+        {EB_STORE_GET, HEAD("500", "0"), false, EB_STORE_UNAVAILABLE, 0,
+         "GET"},
+        {EB_STORE_GET, "", true, EB_STORE_UNAVAILABLE, 0, "GET"},
+        {EB_STORE_CREATE, HEAD("200", "13") "{\"version\":3}", false,
+         EB_STORE_OK, 3, "PUT /v1/objects/claims/c-1.ab%2Fc?version=0 HTTP"},
+        {EB_STORE_CREATE, HEAD("200", "1") "{", false, EB_STORE_LOST, 0,
+         "PUT"},
+        {EB_STORE_CREATE, HEAD("409", "13") "{\"version\":4}", false,
+         EB_STORE_CONFLICT, 4, "PUT"},
+        {EB_STORE_CREATE, HEAD("429", "0"), false, EB_STORE_UNAVAILABLE, 0,
+         "PUT"},
+        {EB_STORE_CREATE, HEAD("503", "0"), false, EB_STORE_UNAVAILABLE, 0,
+         "PUT"},
+        {EB_STORE_CREATE, HEAD("500", "0"), false, EB_STORE_LOST, 0, "PUT"},
+        {EB_STORE_UPDATE, "", true, EB_STORE_LOST, 0,
+         "PUT /v1/objects/claims/c-1.ab%2Fc?version=17 HTTP"},
+        {EB_STORE_UPDATE, NULL, false, EB_STORE_LOST, 0, "PUT"},
+        {EB_STORE_UPDATE, "HTTP/1.1 200 OK\r\nContent-Le", true, EB_STORE_LOST,
+         0, "PUT"},
+        {EB_STORE_DELETE, HEAD("200", "2") "{}", false, EB_STORE_OK, 0,
+         "DELETE /v1/objects/claims/c-1.ab%2Fc?version=17 HTTP"},
+        {EB_STORE_DELETE, "", true, EB_STORE_LOST, 0, "DELETE"},
+        {EB_STORE_LIST, HEAD("200", "28") "{\"revision\": 5, \"items\":[1]}",
+         false, EB_STORE_OK, 5, "GET /v1/objects/claims HTTP"},
+    };
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        Fixture fixture;
+        open_fixture(&fixture, answer_script, 0);
+        fixture.answer = rows[i].answer;
+        fixture.close_after = rows[i].close;
+        fixture.wanted_replies = 1;
+        store(&fixture, rows[i].operation);
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_replies, &fixture));
+        CU_ASSERT_EQUAL(fixture.last.status, rows[i].status);
+        CU_ASSERT_EQUAL(fixture.last.version, rows[i].version);
+        CU_ASSERT_EQUAL(fixture.last.operation_id, 9);
+        CU_ASSERT_EQUAL(
+            strncmp(fixture.request, rows[i].request, strlen(rows[i].request)),
+            0);
+        CU_ASSERT_PTR_NOT_NULL(
+            strstr(fixture.request, "Authorization: Bearer secret\r\n"));
+        Loop_For(fixture.base, 20000);
+        CU_ASSERT_EQUAL(fixture.server->requests, 1);
+        CU_ASSERT_EQUAL(
+            EbMetrics_Read(fixture.metrics, EB_METRIC_PLATFORM_CALLS,
+                           EbStoreOperation_names[rows[i].operation],
+                           EbStoreStatus_names[rows[i].status], NULL),
+            1);
+        close_fixture(&fixture);
+    }
+}
+
+/* Guards against a refused connect that is reported as lost, and against a
+ * platform outage that is not logged once with its end. */
+static void
+test_refused(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, answer_script, Port_Closed());
+    for (unsigned i = 1; i <= 4; i++) {
+        fixture.wanted_replies = i;
+        store(&fixture, EB_STORE_CREATE);
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_replies, &fixture));
+        CU_ASSERT_EQUAL(fixture.last.status, EB_STORE_UNAVAILABLE);
+    }
+    CU_ASSERT_FALSE(EbPlatformClient_IsUp(fixture.client));
+    CU_ASSERT_EQUAL(fixture.events[EB_EVENT_PLATFORM_DOWN], 1);
+    CU_ASSERT_EQUAL(fixture.events[EB_EVENT_PLATFORM_UP], 0);
+    close_fixture(&fixture);
+}
+
+/* Guards against a silent platform that holds more calls than the bounds, a
+ * call without a reply, and a client that does not recover. */
+static void
+test_silent(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, answer_script, 0);
+    for (unsigned i = 0; i < 20; i++) {
+        store(&fixture, EB_STORE_CREATE);
+    }
+    CU_ASSERT_EQUAL(fixture.replies, 15);
+    CU_ASSERT_EQUAL(fixture.statuses[EB_STORE_UNAVAILABLE], 15);
+    CU_ASSERT_EQUAL(EbPlatformClient_PendingCount(fixture.client), 5);
+    fixture.wanted_replies = 20;
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_replies, &fixture));
+    CU_ASSERT_EQUAL(fixture.statuses[EB_STORE_LOST], 2);
+    CU_ASSERT_EQUAL(fixture.server->requests, 2);
+    CU_ASSERT_FALSE(EbPlatformClient_IsUp(fixture.client));
+    fixture.answer = HEAD("200", "13") "{\"version\":3}";
+    fixture.wanted_replies = 21;
+    store(&fixture, EB_STORE_CREATE);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_replies, &fixture));
+    CU_ASSERT_EQUAL(fixture.last.status, EB_STORE_OK);
+    CU_ASSERT_TRUE(EbPlatformClient_IsUp(fixture.client));
+    CU_ASSERT_EQUAL(fixture.events[EB_EVENT_PLATFORM_DOWN], 1);
+    CU_ASSERT_EQUAL(fixture.events[EB_EVENT_PLATFORM_UP], 1);
+    close_fixture(&fixture);
+}
+
+/* Lists, one change, a gap, list again, refused, silent. */
+static void
+answer_watch(RawPeer *peer, const char *request)
+{
+    Fixture *fixture = peer->server->context;
+    if (strncmp(request, "GET /v1/objects/instances ", 26) == 0) {
+        RawPeer_Answer(peer, "{\"revision\": 7, \"items\": []}");
+        return;
+    }
+    switch (++fixture->polls) {
+    case 1:
+        CU_ASSERT_EQUAL(strncmp(request,
+                                "GET /v1/watch/instances?since=7"
+                                "&timeout_ms=200 ",
+                                47),
+                        0);
+        RawPeer_Answer(peer, "{\"revision\": 8, \"events\": [{}]}");
+        break;
+    case 2:
+        CU_ASSERT_PTR_NOT_NULL(strstr(request, "since=8&"));
+        RawPeer_Answer(peer, "{\"revision\": 8, \"events\": []}");
+        break;
+    case 3:
+        RawPeer_Send(peer, HEAD("410", "0"));
+        break;
+    case 4:
+        RawPeer_Send(peer, HEAD("503", "0"));
+        break;
+    case 5:
+        RawPeer_Close(peer, true);
+        break;
+    case 6:
+        break; /* silent: the client gives this connection up */
+    case 7:
+        RawPeer_Answer(peer, "{\"revision\": 9, \"events\": [{}]}");
+        break;
+    default:
+        break;
+    }
+}
+
+static bool
+has_watched(void *context)
+{
+    Fixture *fixture = context;
+    return fixture->listed >= fixture->wanted_listed &&
+           fixture->changed >= fixture->wanted_changed;
+}
+
+/* Guards against a watch that stops after a gap, an error, a broken or a
+ * silent connection. */
+static void
+test_watch(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, answer_watch, 0);
+    EbPlatformClient_Watch(fixture.client, "instances");
+    EbPlatformClient_Watch(fixture.client, "instances");
+    fixture.wanted_listed = 2;
+    fixture.wanted_changed = 2;
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_watched, &fixture));
+    CU_ASSERT_EQUAL(fixture.listed, 2);
+    CU_ASSERT_EQUAL(fixture.polls, 7);
+    CU_ASSERT_EQUAL(fixture.events[EB_EVENT_WATCH_GAP], 1);
+    EbPlatformClient_Unwatch(fixture.client, "instances");
+    unsigned requests = fixture.server->requests;
+    Loop_For(fixture.base, 100000);
+    CU_ASSERT_EQUAL(fixture.server->requests, requests);
+    close_fixture(&fixture);
+}
+
+int
+main(void)
+{
+    static const EbTestCase cases[] = {
+        {"statuses", test_statuses},
+        {"refused", test_refused},
+        {"silent", test_silent},
+        {"watch", test_watch},
+    };
+    return EbTest_Run("test_platform_client", cases,
+                      sizeof(cases) / sizeof(cases[0]));
+}
