caller_server: the callers' HTTP listener

Callers need the interface of docs/api.md with bounds for each of them. evhttp has no bound of connections, restarts its time-out with each byte and does not read while a request is handled, so EbHttpServer keeps a table of sockets with one deadline for a whole request, and the caller server watches the socket of an open request for its end without reading it. Tokens of one loop turn become one event; unsent output above half of max_buffer_bytes pauses the backend, output above the limit cuts the caller.

--- /dev/null
+++ b/src/libebonyhollow_net/caller_server.c
@@ -0,0 +1,603 @@
+#include "ebonyhollow/caller_server.h"
+
+#include <assert.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/keyvalq_struct.h>
+#include <glib.h>
+#include <sodium.h>
+
+#include "http_server.h"
+
+#define PATH_PREFIX "/v1/pipelines/"
+#define REQUEST_ID_MAX_BYTES 64
+#define KEY_MAX_BYTES 255
+#define TRACEPARENT_MAX_BYTES 128
+#define GENERATED_ID_BYTES 16
+#define PROBLEM_TYPE "application/problem+json"
+
+/* A request that waits for its answer. */
+typedef struct {
+    EbCallerServer *server;
+    uint64_t handle;
+    struct evhttp_request *request;
+    struct evhttp_connection *evcon;
+    char *request_id;
+    bool keyed;
+    bool stream;          /* the caller asked for a stream */
+    bool started;         /* the stream's head was sent */
+    bool paused;          /* the backend is held back */
+    struct event *watch;  /* sees the caller's disconnect */
+    GString *text;        /* tokens of this loop turn */
+    uint64_t token_index; /* of the first in `text` */
+    uint32_t token_count; /* 0 when `text` is empty */
+} Open;
+
+struct EbCallerServer {
+    EbCallerServerOptions options;
+    EbHttpServer *http;
+    GHashTable *by_handle; /* handle -> Open */
+    GHashTable *by_evcon;  /* evhttp_connection -> Open */
+    GPtrArray *unflushed;  /* of Open with waiting tokens */
+    struct event *flush_event;
+};
+
+static void
+free_open(void *data)
+{
+    Open *open = data;
+    event_free(open->watch);
+    g_string_free(open->text, TRUE);
+    g_free(open->request_id);
+    g_free(open);
+}
+
+/* Forgets a request; its evhttp request is not touched. */
+static void
+forget(Open *open)
+{
+    EbCallerServer *server = open->server;
+    g_ptr_array_remove_fast(server->unflushed, open);
+    g_hash_table_remove(server->by_evcon, open->evcon);
+    g_hash_table_remove(server->by_handle, &open->handle);
+}
+
+/* evhttp leaves a request whose connection failed to its user; one that is
+ * freed with its connection still points to it. */
+static void
+on_connection_closed(struct evhttp_connection *evcon, void *context)
+{
+    EbCallerServer *server = context;
+    Open *open = g_hash_table_lookup(server->by_evcon, evcon);
+    if (open == NULL) {
+        return;
+    }
+    struct evhttp_request *request = open->request;
+    uint64_t handle = open->handle;
+    forget(open);
+    if (evhttp_request_get_connection(request) == NULL) {
+        evhttp_request_free(request);
+    }
+    server->options.gone(server->options.context, handle);
+}
+
+/* Looks for the end of the input without reading it. evhttp does not read
+ * while a request is handled, so it would not see the caller go. A caller
+ * that sends more before its answer is no longer watched; a failed write
+ * ends it. */
+static void
+on_watch(evutil_socket_t fd, short what, void *arg)
+{
+    (void)what;
+    Open *open = arg;
+    char byte;
+    ssize_t got = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got > 0) {
+        event_del(open->watch);
+    }
+    else if (got == 0 || (errno != EAGAIN && errno != EINTR)) {
+        evhttp_connection_free(open->evcon);
+    }
+}
+
+static size_t
+unsent_bytes(const Open *open)
+{
+    struct bufferevent *bufev = evhttp_connection_get_bufferevent(open->evcon);
+    return evbuffer_get_length(bufferevent_get_output(bufev));
+}
+
+/* Output fell below the low mark. */
+static void
+on_written(struct evhttp_connection *evcon, void *arg)
+{
+    EbCallerServer *server = arg;
+    Open *open = g_hash_table_lookup(server->by_evcon, evcon);
+    if (open != NULL && open->paused) {
+        open->paused = false;
+        server->options.flow(server->options.context, open->handle, false);
+    }
+}
+
+static void
+add_header(Open *open, const char *name, const char *value)
+{
+    evhttp_add_header(evhttp_request_get_output_headers(open->request), name,
+                      value);
+}
+
+static void
+start_stream(Open *open)
+{
+    if (open->started) {
+        return;
+    }
+    open->started = true;
+    add_header(open, "Content-Type", "text/event-stream");
+    add_header(open, "Cache-Control", "no-store");
+    add_header(open, "Eb-Request-Id", open->request_id);
+    struct bufferevent *bufev = evhttp_connection_get_bufferevent(open->evcon);
+    uint32_t limit = open->server->options.settings->max_buffer_bytes;
+    bufferevent_setwatermark(bufev, EV_WRITE, limit / 4, 0);
+    evhttp_send_reply_start(open->request, HTTP_OK, NULL);
+}
+
+/* Sends one event as a chunk. */
+static void
+send_event(Open *open, const char *name, const json_t *data)
+{
+    struct evbuffer *chunk = evbuffer_new();
+    char *text = json_dumps(data, JSON_COMPACT);
+    evbuffer_add_printf(chunk, "event: %s\ndata: %s\n\n", name,
+                        text ? text : "{}");
+    free(text);
+    evhttp_send_reply_chunk_with_cb(open->request, chunk, on_written,
+                                    open->server);
+    evbuffer_free(chunk);
+}
+
+static void
+send_tokens(Open *open)
+{
+    if (open->token_count == 0) {
+        return;
+    }
+    start_stream(open);
+    json_t *data =
+        json_pack("{s:I, s:s%}", "index", (json_int_t)open->token_index,
+                  "text", open->text->str, open->text->len);
+    send_event(open, "token", data);
+    json_decref(data);
+    open->token_count = 0;
+    g_string_truncate(open->text, 0);
+}
+
+/* Sends waiting tokens, then holds the backend back above the high mark. A
+ * caller whose output grows beyond the limit all the same is cut. */
+static void
+flush_open(Open *open)
+{
+    EbCallerServer *server = open->server;
+    send_tokens(open);
+    size_t unsent = unsent_bytes(open);
+    uint32_t limit = server->options.settings->max_buffer_bytes;
+    if (unsent > limit) {
+        evhttp_connection_free(open->evcon);
+    }
+    else if (unsent > limit / 2 && !open->paused) {
+        open->paused = true;
+        server->options.flow(server->options.context, open->handle, true);
+    }
+}
+
+static void
+on_flush(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    EbCallerServer *server = arg;
+    while (server->unflushed->len > 0) {
+        Open *open = g_ptr_array_remove_index(server->unflushed,
+                                              server->unflushed->len - 1);
+        flush_open(open);
+    }
+}
+
+void
+EbCallerServer_Relay(EbCallerServer *server, const EbRelay *relay)
+{
+    Open *open = g_hash_table_lookup(server->by_handle, &relay->request);
+    if (open == NULL || !open->stream || relay->token_count == 0) {
+        return;
+    }
+    if (open->token_count > 0 &&
+        relay->token_index != open->token_index + open->token_count) {
+        send_tokens(open);
+    }
+    if (open->token_count == 0) {
+        open->token_index = relay->token_index;
+        if (!g_ptr_array_find(server->unflushed, open, NULL)) {
+            g_ptr_array_add(server->unflushed, open);
+        }
+        event_active(server->flush_event, EV_TIMEOUT, 0);
+    }
+    open->token_count += relay->token_count;
+    g_string_append(open->text, relay->text);
+}
+
+/* Document of a whole answer, or data of a stream's outcome event. */
+static json_t *
+build_done(const Open *open, const EbAnswer *answer)
+{
+    json_t *document = json_object();
+    json_object_set_new(document, "request_id", json_string(open->request_id));
+    json_object_set_new(document, "outcome",
+                        json_string(EbOutcome_names[answer->outcome]));
+    if (open->started) {
+        json_object_set_new(document, "reason",
+                            json_string(EbReason_table[answer->reason].name));
+    }
+    if (json_is_object(answer->body)) {
+        json_object_update(document, answer->body);
+    }
+    return document;
+}
+
+static json_t *
+build_problem(const char *request_id, const EbAnswer *answer)
+{
+    const EbReasonInfo *info = &EbReason_table[answer->reason];
+    json_t *document = json_object();
+    json_object_set_new(
+        document, "type",
+        json_sprintf("urn:ebonyhollow:problem:%s", info->name));
+    json_object_set_new(document, "title", json_string(info->title));
+    json_object_set_new(document, "status", json_integer(info->http_status));
+    if (answer->detail != NULL) {
+        json_object_set_new(document, "detail", json_string(answer->detail));
+    }
+    json_object_set_new(document, "request_id", json_string(request_id));
+    json_object_set_new(document, "outcome",
+                        json_string(EbOutcome_names[answer->outcome]));
+    json_object_set_new(document, "reason", json_string(info->name));
+    return document;
+}
+
+static void
+send_problem(EbCallerServer *server, struct evhttp_request *request,
+             const char *request_id, const EbAnswer *answer)
+{
+    struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Eb-Request-Id", request_id);
+    evhttp_add_header(headers, "Eb-Outcome", EbOutcome_names[answer->outcome]);
+    if (answer->retry_after_us > 0) {
+        char text[24];
+        snprintf(text, sizeof(text), "%lld",
+                 (long long)((answer->retry_after_us + 999999) / 1000000));
+        evhttp_add_header(headers, "Retry-After", text);
+    }
+    json_t *document = build_problem(request_id, answer);
+    EbHttpServer_SendJson(server->http, request,
+                          EbReason_table[answer->reason].http_status,
+                          PROBLEM_TYPE, document);
+    json_decref(document);
+}
+
+/* Ends a stream with its outcome event. */
+static void
+finish_stream(Open *open, const EbAnswer *answer)
+{
+    EbCallerServer *server = open->server;
+    send_tokens(open);
+    start_stream(open);
+    json_t *data = build_done(open, answer);
+    send_event(open, "outcome", data);
+    json_decref(data);
+    /* evhttp must see the output empty before it closes the connection. */
+    bufferevent_setwatermark(evhttp_connection_get_bufferevent(open->evcon),
+                             EV_WRITE, 0, 0);
+    struct evhttp_request *request = open->request;
+    EbHttpServer_Answered(server->http, request);
+    forget(open);
+    evhttp_send_reply_end(request);
+}
+
+void
+EbCallerServer_Answer(EbCallerServer *server, const EbAnswer *answer)
+{
+    Open *open = g_hash_table_lookup(server->by_handle, &answer->request);
+    if (open == NULL) {
+        return;
+    }
+    bool done = answer->outcome == EB_OUTCOME_DONE;
+    if (answer->replayed && !open->started) {
+        add_header(open, "Eb-Replayed", "true");
+    }
+    if (open->started || (open->stream && done) || open->token_count > 0) {
+        finish_stream(open, answer);
+        return;
+    }
+    struct evhttp_request *request = open->request;
+    if (done) {
+        add_header(open, "Eb-Request-Id", open->request_id);
+        add_header(open, "Eb-Outcome", EbOutcome_names[answer->outcome]);
+        json_t *document = build_done(open, answer);
+        forget(open);
+        EbHttpServer_SendJson(server->http, request, HTTP_OK,
+                              "application/json", document);
+        json_decref(document);
+    }
+    else {
+        char *request_id = g_strdup(open->request_id);
+        forget(open);
+        send_problem(server, request, request_id, answer);
+        g_free(request_id);
+    }
+}
+
+static bool
+is_valid_id(const char *id)
+{
+    if (id == NULL || id[0] == '\0' || strlen(id) > REQUEST_ID_MAX_BYTES) {
+        return false;
+    }
+    for (const char *at = id; *at != '\0'; at++) {
+        if (!g_ascii_isalnum(*at) && strchr("._-", *at) == NULL) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static char *
+choose_request_id(struct evhttp_request *request)
+{
+    const char *given = EbHttp_Header(request, "Eb-Request-Id");
+    if (is_valid_id(given)) {
+        return g_strdup(given);
+    }
+    unsigned char bytes[GENERATED_ID_BYTES];
+    char hex[GENERATED_ID_BYTES * 2 + 1];
+    randombytes_buf(bytes, sizeof(bytes));
+    return g_strdup(sodium_bin2hex(hex, sizeof(hex), bytes, sizeof(bytes)));
+}
+
+/* Reads the key, with or without quotes. Returns false when it is invalid;
+ * `key` is NULL when there is none. */
+static bool
+read_key(struct evhttp_request *request, char **key)
+{
+    *key = NULL;
+    const char *value = EbHttp_Header(request, "Idempotency-Key");
+    if (value == NULL) {
+        return true;
+    }
+    size_t length = strlen(value);
+    if (length >= 2 && value[0] == '"' && value[length - 1] == '"') {
+        value++;
+        length -= 2;
+    }
+    if (length == 0 || length > KEY_MAX_BYTES) {
+        return false;
+    }
+    *key = g_strndup(value, length);
+    return true;
+}
+
+static bool
+read_timeout(struct evhttp_request *request, int64_t *timeout_us)
+{
+    *timeout_us = 0;
+    const char *value = EbHttp_Header(request, "Eb-Timeout-Ms");
+    if (value == NULL) {
+        return true;
+    }
+    guint64 ms;
+    if (!g_ascii_string_to_unsigned(value, 10, 1, INT64_MAX / 1000, &ms,
+                                    NULL)) {
+        return false;
+    }
+    *timeout_us = (int64_t)ms * 1000;
+    return true;
+}
+
+/* Checks what does not need the configuration. Returns NULL or the fault. */
+static const char *
+check_request(struct evhttp_request *request)
+{
+    const char *type = EbHttp_Header(request, "Content-Type");
+    if (evhttp_request_get_command(request) != EVHTTP_REQ_POST) {
+        return "only POST is supported";
+    }
+    if (type == NULL || g_ascii_strncasecmp(type, "application/json", 16)) {
+        return "Content-Type must be application/json";
+    }
+    return NULL;
+}
+
+/* Refuses a request before it is submitted. Nothing is known of other copies
+ * of a keyed request, so only one without a key is "not run". */
+static void
+refuse(EbCallerServer *server, struct evhttp_request *request,
+       const char *request_id, EbReason reason, const char *detail)
+{
+    bool keyed = EbHttp_Header(request, "Idempotency-Key") != NULL;
+    EbAnswer answer = {.outcome =
+                           keyed ? EB_OUTCOME_UNKNOWN : EB_OUTCOME_NOT_RUN,
+                       .reason = reason,
+                       .detail = (char *)detail};
+    send_problem(server, request, request_id, &answer);
+}
+
+/* Enters a request in the tables and watches its connection. */
+static void
+open_request(EbCallerServer *server, struct evhttp_request *request,
+             uint64_t handle, const char *request_id, bool stream)
+{
+    Open *open = g_new0(Open, 1);
+    open->server = server;
+    open->handle = handle;
+    open->request = request;
+    open->evcon = evhttp_request_get_connection(request);
+    open->request_id = g_strdup(request_id);
+    open->stream = stream;
+    open->text = g_string_new(NULL);
+    evutil_socket_t fd =
+        bufferevent_getfd(evhttp_connection_get_bufferevent(open->evcon));
+    open->watch = event_new(server->options.base, fd, EV_READ | EV_PERSIST,
+                            on_watch, open);
+    event_add(open->watch, NULL);
+    g_hash_table_insert(server->by_handle, &open->handle, open);
+    g_hash_table_insert(server->by_evcon, open->evcon, open);
+}
+
+static void
+submit_request(EbCallerServer *server, struct evhttp_request *request,
+               const char *pipeline, const char *request_id)
+{
+    char *key;
+    int64_t timeout_us;
+    if (!read_key(request, &key)) {
+        refuse(server, request, request_id, EB_REASON_BAD_REQUEST,
+               "Idempotency-Key must have 1 to 255 bytes");
+        return;
+    }
+    if (!read_timeout(request, &timeout_us)) {
+        refuse(server, request, request_id, EB_REASON_BAD_REQUEST,
+               "Eb-Timeout-Ms must be a positive integer");
+        g_free(key);
+        return;
+    }
+    struct evbuffer *input = evhttp_request_get_input_buffer(request);
+    const char *accept = EbHttp_Header(request, "Accept");
+    const char *trace = EbHttp_Header(request, "traceparent");
+    bool stream =
+        accept != NULL && strstr(accept, "text/event-stream") != NULL;
+    const char *body = (const char *)evbuffer_pullup(input, -1);
+    EbSubmission submission = {
+        .request_id = request_id,
+        .token = EbHttp_BearerToken(request),
+        .pipeline = pipeline,
+        .body = body != NULL ? body : "",
+        .body_bytes = evbuffer_get_length(input),
+        .idempotency_key = key,
+        .traceparent =
+            trace && strlen(trace) <= TRACEPARENT_MAX_BYTES ? trace : NULL,
+        .timeout_us = timeout_us,
+        .stream = stream};
+    uint64_t handle =
+        server->options.submit(server->options.context, &submission);
+    open_request(server, request, handle, request_id, stream);
+    g_free(key);
+}
+
+static void
+on_request(struct evhttp_request *request, void *context)
+{
+    EbCallerServer *server = context;
+    const char *path =
+        evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
+    char *request_id = choose_request_id(request);
+    const char *fault = check_request(request);
+    size_t length =
+        evbuffer_get_length(evhttp_request_get_input_buffer(request));
+    if (path == NULL || strncmp(path, PATH_PREFIX, strlen(PATH_PREFIX)) != 0 ||
+        path[strlen(PATH_PREFIX)] == '\0') {
+        refuse(server, request, request_id, EB_REASON_UNKNOWN_PIPELINE,
+               "the path must be " PATH_PREFIX "{pipeline}");
+    }
+    else if (fault != NULL) {
+        refuse(server, request, request_id, EB_REASON_BAD_REQUEST, fault);
+    }
+    else if (length > server->options.settings->max_body_bytes) {
+        refuse(server, request, request_id, EB_REASON_BODY_TOO_LARGE, NULL);
+    }
+    else {
+        char *pipeline = evhttp_uridecode(path + strlen(PATH_PREFIX), 0, NULL);
+        submit_request(server, request, pipeline ? pipeline : "", request_id);
+        free(pipeline);
+    }
+    g_free(request_id);
+}
+
+uint16_t
+EbCallerServer_Port(const EbCallerServer *server)
+{
+    return EbHttpServer_Port(server->http);
+}
+
+void
+EbCallerServer_StopAccepting(EbCallerServer *server)
+{
+    EbHttpServer_StopAccepting(server->http);
+}
+
+size_t
+EbCallerServer_OpenCount(const EbCallerServer *server)
+{
+    return g_hash_table_size(server->by_handle);
+}
+
+bool
+EbCallerServer_HasUnsent(const EbCallerServer *server)
+{
+    return EbHttpServer_HasUnsent(server->http);
+}
+
+size_t
+EbCallerServer_ConnectionCount(const EbCallerServer *server)
+{
+    return EbHttpServer_ConnectionCount(server->http);
+}
+
+EbCallerServer *
+EbCallerServer_New(const EbCallerServerOptions *options, EbError *error)
+{
+    assert(options->submit != NULL && options->gone != NULL);
+    assert(options->flow != NULL);
+    EbCallerServer *server = g_new0(EbCallerServer, 1);
+    const EbSettings *settings = options->settings;
+    server->options = *options;
+    server->by_handle =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_open);
+    server->by_evcon = g_hash_table_new(NULL, NULL);
+    server->unflushed = g_ptr_array_new();
+    server->flush_event = event_new(options->base, -1, 0, on_flush, server);
+    EbHttpServerOptions http = {.base = options->base,
+                                .address = &settings->caller,
+                                .max_body_bytes = settings->max_body_bytes,
+                                .max_header_bytes = settings->max_header_bytes,
+                                .max_connections = settings->max_connections,
+                                .header_timeout_us =
+                                    settings->header_timeout_us,
+                                .request = on_request,
+                                .closed = on_connection_closed,
+                                .context = server};
+    server->http = EbHttpServer_New(&http, error);
+    if (server->http == NULL) {
+        EbCallerServer_Free(server);
+        return NULL;
+    }
+    return server;
+}
+
+void
+EbCallerServer_Free(EbCallerServer *server)
+{
+    if (server == NULL) {
+        return;
+    }
+    event_free(server->flush_event);
+    /* The watches are removed before evhttp closes their descriptors. */
+    g_hash_table_destroy(server->by_evcon);
+    g_hash_table_destroy(server->by_handle);
+    g_ptr_array_free(server->unflushed, TRUE);
+    EbHttpServer_Free(server->http);
+    g_free(server);
+}
--- /dev/null
+++ b/src/libebonyhollow_net/http_server.c
@@ -0,0 +1,399 @@
+#include "http_server.h"
+
+#include <arpa/inet.h>
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+#include <glib.h>
+
+#include "clock.h"
+
+#define SWEEP_US 100000
+/* Bodies a little above the limit reach the request callback, so that they
+ * can be answered with a problem document. evhttp refuses larger ones with
+ * its own page. */
+#define BODY_SLACK_BYTES 65536
+#define BACKLOG 1024
+
+/* One accepted connection. evhttp does not tell when it closes a connection
+ * that never sent a request, so the socket's cookie is compared before the
+ * descriptor is used. */
+typedef struct {
+    evutil_socket_t fd;
+    uint64_t cookie;
+    struct evhttp_connection *evcon; /* NULL until the first request */
+    bool busy;                       /* a request waits for its answer */
+    int64_t deadline_us;             /* unless busy */
+} Entry;
+
+struct EbHttpServer {
+    EbHttpServerOptions options;
+    struct evhttp *http;
+    struct evhttp_bound_socket *bound; /* NULL when not accepting */
+    uint16_t port;
+    GHashTable *entries; /* fd -> Entry */
+    GQueue accepted;     /* of bufferevent, not yet in the table */
+    struct event *register_event;
+    struct event *sweep_event;
+    int64_t pruned_us;
+    bool freeing;
+};
+
+static bool
+read_cookie(evutil_socket_t fd, uint64_t *cookie)
+{
+    socklen_t length = sizeof(*cookie);
+    return getsockopt(fd, SOL_SOCKET, SO_COOKIE, cookie, &length) == 0;
+}
+
+static bool
+is_open(const Entry *entry)
+{
+    uint64_t cookie;
+    return read_cookie(entry->fd, &cookie) && cookie == entry->cookie;
+}
+
+static gboolean
+drop_if_closed(gpointer key, gpointer value, gpointer context)
+{
+    (void)key;
+    (void)context;
+    const Entry *entry = value;
+    return entry->evcon == NULL && !is_open(entry);
+}
+
+/* Forgets connections that evhttp closed without a callback. */
+static void
+prune(EbHttpServer *server)
+{
+    int64_t now_us = EbClock_Monotonic();
+    if (now_us - server->pruned_us >= SWEEP_US) {
+        server->pruned_us = now_us;
+        g_hash_table_foreach_remove(server->entries, drop_if_closed, NULL);
+    }
+}
+
+static void
+register_connection(EbHttpServer *server, struct bufferevent *bufev)
+{
+    evutil_socket_t fd = bufferevent_getfd(bufev);
+    uint64_t cookie;
+    if (fd < 0 || !read_cookie(fd, &cookie)) {
+        return;
+    }
+    uint32_t limit = server->options.max_connections;
+    if (g_hash_table_size(server->entries) >= limit) {
+        prune(server);
+    }
+    if (g_hash_table_size(server->entries) >= limit) {
+        shutdown(fd, SHUT_RDWR);
+        return;
+    }
+    Entry *entry = g_new0(Entry, 1);
+    entry->fd = fd;
+    entry->cookie = cookie;
+    entry->deadline_us =
+        EbClock_Monotonic() + server->options.header_timeout_us;
+    g_hash_table_replace(server->entries, GINT_TO_POINTER(fd), entry);
+}
+
+static void
+on_register(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    EbHttpServer *server = arg;
+    struct bufferevent *bufev;
+    while ((bufev = g_queue_pop_head(&server->accepted)) != NULL) {
+        register_connection(server, bufev);
+    }
+}
+
+/* evhttp sets the descriptor after this returns, so the connection is entered
+ * in the table later in the same loop turn. */
+static struct bufferevent *
+on_accepted(struct event_base *base, void *arg)
+{
+    EbHttpServer *server = arg;
+    struct bufferevent *bufev = bufferevent_socket_new(base, -1, 0);
+    if (bufev != NULL) {
+        g_queue_push_tail(&server->accepted, bufev);
+        event_active(server->register_event, EV_TIMEOUT, 0);
+    }
+    return bufev;
+}
+
+/* Shuts down connections whose request did not arrive in time; evhttp sees
+ * the end of the input and frees them. */
+static void
+on_sweep(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    EbHttpServer *server = arg;
+    int64_t now_us = EbClock_Monotonic();
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, server->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Entry *entry = value;
+        if (entry->busy || now_us < entry->deadline_us) {
+            continue;
+        }
+        if (is_open(entry)) {
+            shutdown(entry->fd, SHUT_RDWR);
+            entry->deadline_us = now_us + server->options.header_timeout_us;
+        }
+        else if (entry->evcon == NULL) {
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
+static Entry *
+find_entry(const EbHttpServer *server, struct evhttp_connection *evcon)
+{
+    evutil_socket_t fd =
+        bufferevent_getfd(evhttp_connection_get_bufferevent(evcon));
+    return g_hash_table_lookup(server->entries, GINT_TO_POINTER(fd));
+}
+
+static gboolean
+has_connection(gpointer key, gpointer value, gpointer evcon)
+{
+    (void)key;
+    return ((const Entry *)value)->evcon == evcon;
+}
+
+static void
+on_closed(struct evhttp_connection *evcon, void *arg)
+{
+    EbHttpServer *server = arg;
+    if (server->freeing) {
+        return;
+    }
+    Entry *entry = find_entry(server, evcon);
+    if (entry != NULL && entry->evcon == evcon) {
+        g_hash_table_remove(server->entries, GINT_TO_POINTER(entry->fd));
+    }
+    else {
+        g_hash_table_foreach_remove(server->entries, has_connection, evcon);
+    }
+    if (server->options.closed != NULL) {
+        server->options.closed(evcon, server->options.context);
+    }
+}
+
+static void
+on_request(struct evhttp_request *request, void *arg)
+{
+    EbHttpServer *server = arg;
+    struct evhttp_connection *evcon = evhttp_request_get_connection(request);
+    Entry *entry = find_entry(server, evcon);
+    if (entry != NULL) {
+        entry->evcon = evcon;
+        entry->busy = true;
+    }
+    evhttp_connection_set_closecb(evcon, on_closed, server);
+    server->options.request(request, server->options.context);
+}
+
+void
+EbHttpServer_Answered(EbHttpServer *server, struct evhttp_request *request)
+{
+    struct evhttp_connection *evcon = evhttp_request_get_connection(request);
+    Entry *entry = evcon ? find_entry(server, evcon) : NULL;
+    if (entry != NULL) {
+        entry->busy = false;
+        entry->deadline_us =
+            EbClock_Monotonic() + server->options.header_timeout_us;
+    }
+    if (server->bound == NULL) {
+        struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
+        evhttp_remove_header(headers, "Connection");
+        evhttp_add_header(headers, "Connection", "close");
+    }
+}
+
+bool
+EbHttpServer_HasUnsent(const EbHttpServer *server)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, server->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Entry *entry = value;
+        if (entry->evcon == NULL) {
+            continue;
+        }
+        struct bufferevent *bufev =
+            evhttp_connection_get_bufferevent(entry->evcon);
+        if (evbuffer_get_length(bufferevent_get_output(bufev)) > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+EbHttpServer_SendJson(EbHttpServer *server, struct evhttp_request *request,
+                      int status, const char *content_type,
+                      const json_t *document)
+{
+    evhttp_add_header(evhttp_request_get_output_headers(request),
+                      "Content-Type", content_type);
+    struct evbuffer *body = evbuffer_new();
+    char *text = json_dumps(document, JSON_COMPACT | JSON_ENCODE_ANY);
+    if (text != NULL) {
+        evbuffer_add(body, text, strlen(text));
+        free(text);
+    }
+    EbHttpServer_Answered(server, request);
+    evhttp_send_reply(request, status, NULL, body);
+    evbuffer_free(body);
+}
+
+const char *
+EbHttp_Header(struct evhttp_request *request, const char *name)
+{
+    return evhttp_find_header(evhttp_request_get_input_headers(request), name);
+}
+
+const char *
+EbHttp_BearerToken(struct evhttp_request *request)
+{
+    static const char scheme[] = "Bearer ";
+    const char *value = EbHttp_Header(request, "Authorization");
+    if (value == NULL ||
+        g_ascii_strncasecmp(value, scheme, sizeof(scheme) - 1) != 0) {
+        return NULL;
+    }
+    value += sizeof(scheme) - 1;
+    return value[0] != '\0' ? value : NULL;
+}
+
+uint16_t
+EbHttpServer_Port(const EbHttpServer *server)
+{
+    return server->port;
+}
+
+size_t
+EbHttpServer_ConnectionCount(const EbHttpServer *server)
+{
+    return g_hash_table_size(server->entries);
+}
+
+void
+EbHttpServer_StopAccepting(EbHttpServer *server)
+{
+    if (server->bound != NULL) {
+        evhttp_del_accept_socket(server->http, server->bound);
+        server->bound = NULL;
+    }
+}
+
+/* Writes the socket address of a listener; returns its length, 0 when the
+ * host is no IP address. Port 0 is allowed, unlike in libevent's parser. */
+static int
+parse_address(const EbAddress *address, struct sockaddr_storage *storage)
+{
+    struct sockaddr_in *v4 = (struct sockaddr_in *)storage;
+    struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)storage;
+    if (inet_pton(AF_INET, address->host, &v4->sin_addr) == 1) {
+        v4->sin_family = AF_INET;
+        v4->sin_port = htons(address->port);
+        return sizeof(*v4);
+    }
+    if (inet_pton(AF_INET6, address->host, &v6->sin6_addr) == 1) {
+        v6->sin6_family = AF_INET6;
+        v6->sin6_port = htons(address->port);
+        return sizeof(*v6);
+    }
+    return 0;
+}
+
+/* Binds the listener. The backlog holds a burst of connects. */
+static bool
+listen_on(EbHttpServer *server, EbError *error)
+{
+    const EbAddress *address = server->options.address;
+    struct sockaddr_storage storage = {0};
+    int length = parse_address(address, &storage);
+    if (length == 0) {
+        EbError_Set(error, EB_ERROR_IO, "%s is not an IP address",
+                    address->host);
+        return false;
+    }
+    struct evconnlistener *listener = evconnlistener_new_bind(
+        server->options.base, NULL, NULL,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+        BACKLOG, (struct sockaddr *)&storage, length);
+    if (listener == NULL) {
+        EbError_Set(error, EB_ERROR_IO, "cannot listen on %s:%u: %s",
+                    address->host, (unsigned)address->port,
+                    evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
+        return false;
+    }
+    socklen_t got = sizeof(storage);
+    getsockname(evconnlistener_get_fd(listener), (struct sockaddr *)&storage,
+                &got);
+    server->port = ntohs(((struct sockaddr_in *)&storage)->sin_port);
+    server->bound = evhttp_bind_listener(server->http, listener);
+    assert(server->bound != NULL);
+    return true;
+}
+
+EbHttpServer *
+EbHttpServer_New(const EbHttpServerOptions *options, EbError *error)
+{
+    assert(options->base != NULL && options->request != NULL);
+    EbHttpServer *server = g_new0(EbHttpServer, 1);
+    server->options = *options;
+    server->entries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    g_queue_init(&server->accepted);
+    server->http = evhttp_new(options->base);
+    assert(server->http != NULL);
+    evhttp_set_bevcb(server->http, on_accepted, server);
+    evhttp_set_gencb(server->http, on_request, server);
+    evhttp_set_default_content_type(server->http, NULL);
+    evhttp_set_max_headers_size(server->http, options->max_header_bytes);
+    evhttp_set_max_body_size(
+        server->http, (ev_ssize_t)options->max_body_bytes + BODY_SLACK_BYTES);
+    struct timeval timeout = {options->header_timeout_us / 1000000,
+                              options->header_timeout_us % 1000000};
+    evhttp_set_timeout_tv(server->http, &timeout);
+    server->register_event =
+        event_new(options->base, -1, 0, on_register, server);
+    server->sweep_event =
+        event_new(options->base, -1, EV_PERSIST, on_sweep, server);
+    struct timeval interval = {0, SWEEP_US};
+    event_add(server->sweep_event, &interval);
+    if (!listen_on(server, error)) {
+        EbHttpServer_Free(server);
+        return NULL;
+    }
+    return server;
+}
+
+void
+EbHttpServer_Free(EbHttpServer *server)
+{
+    if (server == NULL) {
+        return;
+    }
+    server->freeing = true;
+    event_free(server->register_event);
+    event_free(server->sweep_event);
+    evhttp_free(server->http);
+    g_queue_clear(&server->accepted);
+    g_hash_table_destroy(server->entries);
+    g_free(server);
+}
