--- a/src/test_caller_server/main.c
+++ b/src/test_caller_server/main.c
@@ -430,6 +430,9 @@
     static const char slow_body[] =
         "POST /v1/pipelines/a HTTP/1.1\r\nContent-Type: application/json\r\n"
         "Content-Length: 500\r\n\r\n{";
+    static const char bad_chunk[] =
+        "POST /v1/pipelines/a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "zz\r\n";
     GString *long_header = g_string_new("POST / HTTP/1.1\r\nX: ");
     for (int i = 0; i < 9000; i++) {
         g_string_append_c(long_header, 'x');
@@ -451,8 +454,7 @@
         "POST / HTTP/9.9\r\nA\r\n\r\n",
         "POST /v1/pipelines/a HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
         "POST /v1/pipelines/a HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n",
-        "POST /v1/pipelines/a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
-        "zz\r\n",
+        bad_chunk,
         long_header->str};
     enum { COUNT = sizeof(requests) / sizeof(requests[0]) };
     RawClient *clients[COUNT];
