standin: forget a stream's caller when the stream ends

The close callback of a finished stream's connection pointed to the freed job; the address sanitizer stopped the stand-in when the caller closed its idle connection (backend.c, caller_gone). end_stream now removes the callback, as Server_Finish does for its own answers.

--- a/test/standin/engine.c
+++ b/test/standin/engine.c
@@ -73,6 +73,8 @@
     send_chunk(job, "{\"choices\":[{\"index\":0,\"text\":\"\","
                     "\"finish_reason\":\"stop\"}]}");
     send_chunk(job, "[DONE]");
+    evhttp_connection_set_closecb(evhttp_request_get_connection(job->request),
+                                  NULL, NULL);
     evhttp_send_reply_end(job->request);
     job->request = NULL;
     Server_Finish(job, HTTP_OK, NULL);
