ebonyhollow: operators' command and manual pages

Cause: operators need to check, compare and apply configurations, look at a daemon, and submit requests, with exit codes that scripts can rely on. A lost answer to "config apply" is settled by reading back, and a lost answer to "submit" is the outcome unknown.

--- /dev/null
+++ b/src/ebonyhollow/private/command.h
@@ -0,0 +1,125 @@
+/* EbCommand: the operators' command, its invocation and subcommands. */
+#ifndef EB_COMMAND_H
+#define EB_COMMAND_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "ebonyhollow/error.h"
+#include "http_client.h"
+
+typedef enum {
+    EB_EXIT_DONE,
+    EB_EXIT_FAILED,
+    EB_EXIT_USAGE,
+    EB_EXIT_CONFLICT,
+    EB_EXIT_UNREACHABLE,
+    EB_EXIT_NOT_RUN,
+    EB_EXIT_OUTCOME_FAILED,
+    EB_EXIT_UNKNOWN,
+    EB_EXIT_COUNT
+} EbExit;
+
+/* Meanings parallel to EbExit, for --help. */
+extern const char *const EbExit_meanings[EB_EXIT_COUNT];
+
+#define EB_COMMAND_MAX_ARGUMENTS 4
+#define EB_COMMAND_MAX_PEERS 64
+#define EB_COMMAND_TOKEN_MAX_BYTES 4096
+
+struct EbCommand;
+
+/* One run of the command. Strings are borrowed from the argument vector. */
+typedef struct {
+    const struct EbCommand *command;
+    const char *arguments[EB_COMMAND_MAX_ARGUMENTS];
+    int argument_count;
+    const char *admin;
+    const char *caller;
+    const char *token_file; /* NULL: the environment */
+    bool json;
+    int64_t timeout_us;
+    bool merged;
+    bool wait;           /* drain */
+    uint32_t wait_count; /* config apply; 0: don't wait */
+    const char *peers[EB_COMMAND_MAX_PEERS];
+    uint32_t peer_count;
+    const char *id;
+    const char *input;
+    const char *body_file;
+    const char *key;
+    bool stream;
+    int64_t caller_timeout_ms; /* 0: the pipeline's deadline */
+    bool help;
+    bool version;
+    char *token; /* read on demand, wiped at the end */
+    FILE *in;
+    FILE *out;
+    FILE *err;
+    /* Replaced by tests. */
+    EbHttpResult (*call)(struct event_base *base, const EbHttpRequest *request,
+                         EbHttpResponse *response, EbError *error);
+    void (*sleep_ms)(uint32_t ms);
+    int64_t (*now_us)(void);
+    struct event_base *base;
+} EbInvocation;
+
+typedef struct EbCommand {
+    const char *group; /* first word */
+    const char *name;  /* second word, or NULL */
+    const char *usage; /* arguments and options, for --help */
+    int min_arguments;
+    int max_arguments;
+    unsigned options; /* set of EB_OPTION_... */
+    EbExit (*run)(EbInvocation *invocation);
+    const char *summary;
+} EbCommand;
+
+/* Options that only some commands have. */
+#define EB_OPTION_MERGED 1U
+#define EB_OPTION_WAIT_COUNT 2U
+#define EB_OPTION_ID 4U
+#define EB_OPTION_WAIT 8U
+#define EB_OPTION_SUBMIT 16U
+
+extern const EbCommand EbCommand_table[];
+extern const size_t EbCommand_count;
+
+/* Parses the arguments into `invocation`, whose streams are set.
+ *
+ * Returns false after a message on the error stream. */
+bool EbCommand_Parse(int argc, char **argv, EbInvocation *invocation);
+
+/* Parses and runs; returns the exit code. */
+int EbCommand_Main(int argc, char **argv, EbInvocation *invocation);
+
+void EbCommand_PrintHelp(FILE *out);
+
+/* Reads the token from --token-file or EBONYHOLLOW_TOKEN. Returns false after
+ * a message. */
+bool EbCommand_ReadToken(EbInvocation *invocation);
+
+/* Subcommands, one file per group. */
+EbExit EbCommand_ConfigCheck(EbInvocation *invocation);
+EbExit EbCommand_ConfigShow(EbInvocation *invocation);
+EbExit EbCommand_ConfigDiff(EbInvocation *invocation);
+EbExit EbCommand_ConfigApply(EbInvocation *invocation);
+EbExit EbCommand_ConfigHistory(EbInvocation *invocation);
+EbExit EbCommand_Status(EbInvocation *invocation);
+EbExit EbCommand_Servers(EbInvocation *invocation);
+EbExit EbCommand_Peers(EbInvocation *invocation);
+EbExit EbCommand_Customers(EbInvocation *invocation);
+EbExit EbCommand_Requests(EbInvocation *invocation);
+EbExit EbCommand_QuarantineList(EbInvocation *invocation);
+EbExit EbCommand_QuarantineRelease(EbInvocation *invocation);
+EbExit EbCommand_Drain(EbInvocation *invocation);
+EbExit EbCommand_Outcome(EbInvocation *invocation);
+EbExit EbCommand_Submit(EbInvocation *invocation);
+EbExit EbCommand_Digest(EbInvocation *invocation);
+EbExit EbCommand_SettingsCheck(EbInvocation *invocation);
+
+#endif
