--- a/test/process/lib.sh
+++ b/test/process/lib.sh
@@ -168,3 +168,36 @@
         eb_failures=$((eb_failures + 1))
     fi
 }
+
+# eb_start_three: stand-ins, one daemon per site, configuration in force.
+eb_start_three() {
+    eb_standin "$@" || return 1
+    local site
+    for site in "${eb_sites[@]}"; do
+        eb_daemon "$site" 1 || return 1
+    done
+    eb_command "${eb_sites[0]}" 1 config apply "$eb_work/configuration.json" \
+        >"$eb_work/apply.log" 2>&1 || { cat "$eb_work/apply.log"; return 1; }
+    for site in "${eb_sites[@]}"; do
+        eb_ready "$site" 1 || return 1
+    done
+}
+
+# eb_pid SITE NUMBER
+eb_pid() {
+    local name=eb_pid_$1_$2
+    echo "${!name}"
+}
+
+# eb_outcome FILE: the outcome in a JSON answer of `submit --output json`.
+eb_outcome() {
+    jq -r '.outcome // "none"' "$1" 2>/dev/null || echo none
+}
+
+# eb_finish: ends a test with the number of failed checks.
+eb_finish() {
+    if [ "$eb_failures" -ne 0 ]; then
+        tail -n 5 "$eb_work"/*.log
+        exit 1
+    fi
+}
--- /dev/null
+++ b/test/process/test_outage.sh
@@ -0,0 +1,42 @@
+#!/usr/bin/env bash
+# The platform's store is down under load: idempotent work goes on, keyed work
+# is refused truthfully, and what was decided is written when it is back.
+#
+# Usage: test_outage.sh BUILD-DIRECTORY [SECONDS]
+set -uo pipefail
+. "$(dirname "$0")/lib.sh"
+seconds=${2:-12}
+eb_begin "$1" kernwerk
+eb_site=graz
+eb_sites=(graz wien eisenstadt)
+eb_start_three || exit 1
+
+"$eb_build/test/load/load" --plan "$eb_root/test/load/kernwerk.json" \
+    --targets "$(eb_targets graz-1 wien-1 eisenstadt-1)" \
+    --control "$eb_control" --rate 40 --seconds "$((seconds + 6))" \
+    --seed 31 --json "$eb_work/load.json" &
+pid=$!
+sleep 2
+eb_fault platform down
+sleep "$seconds"
+eb_fault platform none
+wait "$pid"
+eb_check "no answer was cut, crossed or false" [ $? -eq 0 ]
+kind_share() { # filter: share of requests done
+    jq "[.kinds[] | select($1)] | (map(.done) | add) / (map(.sent) | add)" \
+        "$eb_work/load.json"
+}
+share=$(kind_share '.name | startswith("release") | not')
+eb_check "idempotent requests go on (done: $share)" \
+    jq -en --argjson s "$share" '$s >= 0.99'
+eb_check "keyed requests are refused as unknown only" \
+    jq -e '[.kinds[] | select(.name | startswith("release"))
+        | .not_run + .failed] | add == 0' "$eb_work/load.json" -o /dev/null
+
+echo "== the store is slow to answer and loses answers"
+eb_fault platform lose-answer 0 40
+"$eb_build/test/load/load" --plan "$eb_root/test/load/kernwerk.json" \
+    --targets "$(eb_targets graz-1 wien-1 eisenstadt-1)" \
+    --control "$eb_control" --rate 30 --seconds 6 --seed 32
+eb_check "no key ran twice with answers lost" [ $? -eq 0 ]
+eb_finish
