test_fault_matrix: faults at every step, pairs and random sequences

A store, backend servers and two daemons on a virtual clock are driven by the actions of the dispatcher and the ledger.

--- /dev/null
+++ b/src/test_fault_matrix/main.c
@@ -0,0 +1,42 @@
+/* Faults at every step, alone, in pairs and in random sequences. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "matrix.h"
+#include "sequences.h"
+#include "test_runner.h"
+
+static int
+write_page(const char *file)
+{
+    GString *text = Matrix_Format();
+    GError *error = NULL;
+    bool written =
+        g_file_set_contents(file, text->str, (gssize)text->len, &error);
+    if (!written) {
+        fprintf(stderr, "%s\n", error->message);
+        g_error_free(error);
+    }
+    g_string_free(text, TRUE);
+    return written ? 0 : 1;
+}
+
+int
+main(int argc, char **argv)
+{
+    if (argc == 3 && strcmp(argv[1], "--seed") == 0) {
+        return Sequences_Run(strtoull(argv[2], NULL, 10), 1) ? 0 : 1;
+    }
+    if (argc == 3 && strcmp(argv[1], "--write") == 0) {
+        return write_page(argv[2]);
+    }
+    static const EbTestCase cases[] = {
+        {"single faults", test_single_faults},
+        {"repeated faults", test_repeated_faults},
+        {"pairs", test_pairs},
+        {"page", test_page},
+        {"random sequences", test_sequences},
+    };
+    return EbTest_Run("test_fault_matrix", cases, TABLE_COUNT(cases));
+}
--- /dev/null
+++ b/src/test_fault_matrix/matrix.c
@@ -0,0 +1,561 @@
+/* The table of faults and steps.
+ *
+ * Every row is one run: a keyed request with a non-idempotent call goes to
+ * one daemon, the fault happens, and when the request is settled the caller
+ * repeats it with the same key at the other daemon. */
+#include "matrix.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "sequences.h"
+#include "test_runner.h"
+#include "world.h"
+
+#define SECOND_US 1000000
+#define SETTLE_US (120LL * SECOND_US)
+#define PAGE EB_SOURCE_DIRECTORY "/docs/fault-matrix.md"
+#define OUTCOME_CUT EB_OUTCOME_COUNT /* the caller left or was cut off */
+
+/* What has to be true once the request is settled, and of its repeat. */
+typedef struct {
+    EbOutcome outcome;
+    uint32_t runs;
+    const char *claim;
+    EbOutcome repeat;
+    uint32_t total_runs;
+} Expected;
+
+#define DONE                                                                  \
+    {                                                                         \
+        EB_OUTCOME_DONE, 1, "done", EB_OUTCOME_DONE, 1                        \
+    }
+#define RELEASED                                                              \
+    {                                                                         \
+        EB_OUTCOME_FAILED, 0, "open", EB_OUTCOME_DONE, 1                      \
+    }
+#define RELEASED_TWICE                                                        \
+    {                                                                         \
+        EB_OUTCOME_FAILED, 0, "open", EB_OUTCOME_FAILED, 0                    \
+    }
+#define VOID                                                                  \
+    {                                                                         \
+        EB_OUTCOME_NOT_RUN, 0, "void", EB_OUTCOME_NOT_RUN, 0                  \
+    }
+#define UNKNOWN                                                               \
+    {                                                                         \
+        EB_OUTCOME_UNKNOWN, 0, "unknown", EB_OUTCOME_UNKNOWN, 0               \
+    }
+#define UNKNOWN_RAN                                                           \
+    {                                                                         \
+        EB_OUTCOME_UNKNOWN, 1, "unknown", EB_OUTCOME_UNKNOWN, 1               \
+    }
+#define LATE_DONE                                                             \
+    {                                                                         \
+        EB_OUTCOME_UNKNOWN, 1, "done", EB_OUTCOME_DONE, 1                     \
+    }
+#define REFUSED                                                               \
+    {                                                                         \
+        EB_OUTCOME_UNKNOWN, 0, "absent", EB_OUTCOME_DONE, 1                   \
+    }
+#define ABANDONED                                                             \
+    {                                                                         \
+        EB_OUTCOME_UNKNOWN, 0, "open", EB_OUTCOME_DONE, 1                     \
+    }
+#define LEFT                                                                  \
+    {                                                                         \
+        OUTCOME_CUT, 0, "open", EB_OUTCOME_DONE, 1                            \
+    }
+#define LEFT_RAN                                                              \
+    {                                                                         \
+        OUTCOME_CUT, 1, "done", EB_OUTCOME_DONE, 1                            \
+    }
+#define ORPHANED                                                              \
+    {                                                                         \
+        OUTCOME_CUT, 0, "claimed", EB_OUTCOME_UNKNOWN, 0                      \
+    }
+#define ORPHANED_RAN                                                          \
+    {                                                                         \
+        OUTCOME_CUT, 1, "claimed", EB_OUTCOME_UNKNOWN, 1                      \
+    }
+#define FOUND_LATER                                                           \
+    {                                                                         \
+        OUTCOME_CUT, 1, "claimed", EB_OUTCOME_DONE, 1                         \
+    }
+#define UNKNOWN_FOUND                                                         \
+    {                                                                         \
+        EB_OUTCOME_UNKNOWN, 1, "unknown", EB_OUTCOME_DONE, 1                  \
+    }
+#define NEVER_SUBMITTED                                                       \
+    {                                                                         \
+        OUTCOME_CUT, 0, "absent", EB_OUTCOME_DONE, 1                          \
+    }
+
+typedef struct {
+    Fault fault;
+    Step first; /* the row stands for the steps first to last */
+    Step last;
+    bool lookup; /* the service can be asked for a key */
+    bool once;   /* the fault can't happen twice */
+    Expected expected;
+    Expected twice;
+} Row;
+
+/* Two crashes quarantine the request at the daemon that saw them. */
+static const Row rows[] = {
+    {FAULT_REFUSED, STEP_ENCODE, STEP_CALL, false, false, DONE, DONE},
+    {FAULT_BROKEN, STEP_ENCODE, STEP_GENERATE, false, false, DONE, RELEASED},
+    {FAULT_BROKEN_RAN, STEP_ENCODE, STEP_GENERATE, false, false, DONE,
+     RELEASED},
+    {FAULT_SILENT, STEP_ENCODE, STEP_GENERATE, false, false, DONE, DONE},
+    {FAULT_SILENT_RAN, STEP_ENCODE, STEP_GENERATE, false, false, DONE, DONE},
+    {FAULT_SLOW, STEP_ENCODE, STEP_CALL, false, false, DONE, DONE},
+    {FAULT_LATE, STEP_ENCODE, STEP_GENERATE, false, false, DONE, DONE},
+    {FAULT_WRONG_ECHO, STEP_ENCODE, STEP_GENERATE, false, false, DONE, DONE},
+    {FAULT_MALFORMED, STEP_ENCODE, STEP_GENERATE, false, false, DONE, DONE},
+    {FAULT_STATUS_429, STEP_ENCODE, STEP_GENERATE, false, false, DONE, DONE},
+    {FAULT_STATUS_503, STEP_ENCODE, STEP_GENERATE, false, false, DONE, DONE},
+    {FAULT_STATUS_500, STEP_ENCODE, STEP_GENERATE, false, false, DONE, DONE},
+    {FAULT_STATUS_400, STEP_ENCODE, STEP_GENERATE, false, false, RELEASED,
+     RELEASED_TWICE},
+    {FAULT_LEAVING, STEP_ENCODE, STEP_CALL, false, false, DONE, DONE},
+    {FAULT_CRASH, STEP_ENCODE, STEP_GENERATE, false, false, DONE, RELEASED},
+    {FAULT_BROKEN, STEP_CALL, STEP_CALL, false, false, UNKNOWN, UNKNOWN},
+    {FAULT_BROKEN_RAN, STEP_CALL, STEP_CALL, false, false, UNKNOWN_RAN,
+     UNKNOWN_RAN},
+    {FAULT_SILENT, STEP_CALL, STEP_CALL, false, false, UNKNOWN, UNKNOWN},
+    {FAULT_SILENT_RAN, STEP_CALL, STEP_CALL, false, false, UNKNOWN_RAN,
+     UNKNOWN_RAN},
+    {FAULT_LATE, STEP_CALL, STEP_CALL, false, false, LATE_DONE, LATE_DONE},
+    {FAULT_WRONG_ECHO, STEP_CALL, STEP_CALL, false, false, UNKNOWN_RAN,
+     UNKNOWN_RAN},
+    {FAULT_MALFORMED, STEP_CALL, STEP_CALL, false, false, UNKNOWN_RAN,
+     UNKNOWN_RAN},
+    {FAULT_STATUS_429, STEP_CALL, STEP_CALL, false, false, UNKNOWN, UNKNOWN},
+    {FAULT_STATUS_503, STEP_CALL, STEP_CALL, false, false, UNKNOWN, UNKNOWN},
+    {FAULT_STATUS_500, STEP_CALL, STEP_CALL, false, false, UNKNOWN_RAN,
+     UNKNOWN_RAN},
+    {FAULT_STATUS_400, STEP_CALL, STEP_CALL, false, false, UNKNOWN, UNKNOWN},
+    {FAULT_CRASH, STEP_CALL, STEP_CALL, false, false, UNKNOWN, UNKNOWN},
+    {FAULT_BROKEN, STEP_CALL, STEP_CALL, true, false, UNKNOWN, UNKNOWN},
+    {FAULT_BROKEN_RAN, STEP_CALL, STEP_CALL, true, false, DONE, DONE},
+    {FAULT_SILENT, STEP_CALL, STEP_CALL, true, false, UNKNOWN, UNKNOWN},
+    {FAULT_SILENT_RAN, STEP_CALL, STEP_CALL, true, false, DONE, DONE},
+    {FAULT_LATE, STEP_CALL, STEP_CALL, true, false, DONE, DONE},
+    {FAULT_WRONG_ECHO, STEP_CALL, STEP_CALL, true, false, DONE, DONE},
+    {FAULT_MALFORMED, STEP_CALL, STEP_CALL, true, false, DONE, DONE},
+    {FAULT_STATUS_500, STEP_CALL, STEP_CALL, true, false, DONE, DONE},
+    {FAULT_OWNER_DEAD, STEP_CALL, STEP_CALL, true, true, FOUND_LATER, DONE},
+    {FAULT_ABORT, STEP_CALL, STEP_CALL, true, true, UNKNOWN_FOUND, DONE},
+    {FAULT_STORE_UNAVAILABLE, STEP_CLAIM, STEP_CLAIM, false, false, DONE,
+     DONE},
+    {FAULT_STORE_SLOW, STEP_CLAIM, STEP_CLAIM, false, false, DONE, DONE},
+    {FAULT_STORE_LOST, STEP_CLAIM, STEP_CLAIM, false, false, DONE, DONE},
+    {FAULT_STORE_LOST_EFFECT, STEP_CLAIM, STEP_CLAIM, false, false, DONE,
+     DONE},
+    {FAULT_STORE_LOST_LATE, STEP_CLAIM, STEP_CLAIM, false, false, DONE, DONE},
+    {FAULT_STORE_STALE, STEP_CLAIM, STEP_CLAIM, false, false, DONE, DONE},
+    {FAULT_STORE_UNAVAILABLE, STEP_RECORD, STEP_RECORD, false, false, DONE,
+     DONE},
+    {FAULT_STORE_SLOW, STEP_RECORD, STEP_RECORD, false, false, DONE, DONE},
+    {FAULT_STORE_LOST, STEP_RECORD, STEP_RECORD, false, false, DONE, DONE},
+    {FAULT_STORE_LOST_EFFECT, STEP_RECORD, STEP_RECORD, false, false, DONE,
+     DONE},
+    {FAULT_STORE_LOST_LATE, STEP_RECORD, STEP_RECORD, false, false, DONE,
+     DONE},
+    {FAULT_OWNER_DEAD, STEP_ADMIT, STEP_ADMIT, false, true, NEVER_SUBMITTED,
+     DONE},
+    {FAULT_OWNER_DEAD, STEP_QUEUE, STEP_GENERATE, false, true, ORPHANED, DONE},
+    {FAULT_OWNER_DEAD, STEP_CALL, STEP_CALL, false, true, ORPHANED_RAN, DONE},
+    {FAULT_OWNER_DEAD, STEP_RECORD, STEP_ANSWER, false, true, DONE, DONE},
+    {FAULT_OWNER_PAUSED, STEP_QUEUE, STEP_GENERATE, false, true, RELEASED,
+     DONE},
+    {FAULT_OWNER_PAUSED, STEP_CALL, STEP_ANSWER, false, true, DONE, DONE},
+    {FAULT_CALLER_GONE, STEP_QUEUE, STEP_GENERATE, false, true, LEFT, DONE},
+    {FAULT_CALLER_GONE, STEP_CALL, STEP_CALL, false, true, LEFT_RAN, DONE},
+    {FAULT_CALLER_GONE, STEP_RECORD, STEP_ANSWER, false, true, DONE, DONE},
+    {FAULT_DEADLINE, STEP_ADMIT, STEP_ADMIT, false, true, REFUSED, DONE},
+    {FAULT_DEADLINE, STEP_QUEUE, STEP_CLAIM, false, true, VOID, DONE},
+    {FAULT_DEADLINE, STEP_ENCODE, STEP_GENERATE, false, true, RELEASED, DONE},
+    {FAULT_DEADLINE, STEP_CALL, STEP_ANSWER, false, true, DONE, DONE},
+    {FAULT_DRAIN, STEP_ADMIT, STEP_ADMIT, false, true, REFUSED, DONE},
+    {FAULT_DRAIN, STEP_QUEUE, STEP_ANSWER, false, true, DONE, DONE},
+    {FAULT_ABORT, STEP_QUEUE, STEP_QUEUE, false, true, VOID, DONE},
+    {FAULT_ABORT, STEP_CLAIM, STEP_CLAIM, false, true, ABANDONED, DONE},
+    {FAULT_ABORT, STEP_ENCODE, STEP_GENERATE, false, true, RELEASED, DONE},
+    {FAULT_ABORT, STEP_CALL, STEP_CALL, false, true, UNKNOWN_RAN, DONE},
+    {FAULT_ABORT, STEP_RECORD, STEP_ANSWER, false, true, DONE, DONE},
+    {FAULT_CONFIG, STEP_ADMIT, STEP_ANSWER, false, true, DONE, DONE},
+};
+
+/* One cell: a row at one of its steps. */
+typedef struct {
+    const Row *row;
+    Step step;
+} Cell;
+
+static GArray *
+all_cells(void)
+{
+    GArray *cells = g_array_new(FALSE, FALSE, sizeof(Cell));
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        for (Step step = rows[i].first; step <= rows[i].last; step++) {
+            Cell cell = {&rows[i], step};
+            g_array_append_val(cells, cell);
+        }
+    }
+    return cells;
+}
+
+typedef struct {
+    Expected found;
+    bool hit[2]; /* which faults happened before the repeat */
+    World *world;
+} Run;
+
+static void
+step_until(World *world, int64_t until_us)
+{
+    while (!world->failed && World_Step(world, until_us)) {
+    }
+}
+
+/* A request without a key that keeps the only server of the first pool. */
+static void
+occupy_server(World *world)
+{
+    WorldRequest *request = World_Submit(
+        world, &(WorldSubmit){.pipeline = "ask", .input = "other"});
+    step_until(world, world->now_us + 3000);
+    world->spared = request->request_id;
+}
+
+static WorldRequest *
+submit(World *world, uint32_t daemon, int64_t timeout_us)
+{
+    if (!world->daemons[daemon].alive) {
+        return NULL;
+    }
+    return World_Submit(world, &(WorldSubmit){.daemon = daemon,
+                                              .pipeline = "pay",
+                                              .key = "key",
+                                              .input = "text",
+                                              .timeout_us = timeout_us,
+                                              .stream = daemon == 0});
+}
+
+static EbOutcome
+outcome_of(const WorldRequest *request)
+{
+    return request != NULL && request->answered ? request->outcome
+                                                : OUTCOME_CUT;
+}
+
+static bool
+has_fault(const Injection *injections, uint32_t count, Fault fault, Step step)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        if ((fault == FAULT_NONE || injections[i].fault == fault) &&
+            (step == STEP_COUNT || injections[i].step == step)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static Run
+run_faults(const Injection *injections, uint32_t count, bool lookup)
+{
+    bool queued = has_fault(injections, count, FAULT_NONE, STEP_QUEUE);
+    bool paused = has_fault(injections, count, FAULT_OWNER_PAUSED, STEP_COUNT);
+    World *world = World_New(
+        &(WorldOptions){.seed = 1,
+                        .config = {.lookup = lookup,
+                                   .servers = queued ? 1 : 0,
+                                   .capacity = queued ? 1 : 0,
+                                   .deadline_ms = paused ? 60000 : 0}});
+    if (queued) {
+        world->injections[0] = (Injection){FAULT_SLOW, STEP_ENCODE, 1};
+        world->injection_count = 1;
+        occupy_server(world);
+    }
+    memcpy(world->injections, injections, count * sizeof(*injections));
+    world->injection_count = count;
+    bool hurried = has_fault(injections, count, FAULT_DEADLINE, STEP_ADMIT);
+    World_Trigger(world, STEP_ADMIT, 0, NULL);
+    step_until(world, world->now_us);
+    WorldRequest *first = submit(world, 0, hurried ? 1000 : 0);
+    if (queued) {
+        step_until(world, world->now_us + 10000);
+        World_Trigger(world, STEP_QUEUE, 0, NULL);
+    }
+    World_Run(world, world->now_us + SETTLE_US);
+    step_until(world, world->now_us + 3 * SECOND_US);
+    WorldRecord *record = World_Record(world, "key");
+    Expected found = {outcome_of(first), record->runs,
+                      World_ClaimState(world, "key"), 0, 0};
+    Run run = {.world = world};
+    for (uint32_t i = 0; i < count; i++) {
+        run.hit[i] = world->injections[i].count < injections[i].count;
+    }
+    WorldRequest *repeat = submit(world, 1, 0);
+    World_Run(world, world->now_us + SETTLE_US);
+    World_CheckEnd(world);
+    found.repeat = outcome_of(repeat);
+    found.total_runs = World_Record(world, "key")->runs;
+    run.found = found;
+    return run;
+}
+
+static const char *
+outcome_name(EbOutcome outcome)
+{
+    return outcome == OUTCOME_CUT ? "cut" : EbOutcome_names[outcome];
+}
+
+static bool
+same(const Expected *left, const Expected *right)
+{
+    return left->outcome == right->outcome && left->runs == right->runs &&
+           strcmp(left->claim, right->claim) == 0 &&
+           left->repeat == right->repeat &&
+           left->total_runs == right->total_runs;
+}
+
+static void
+print_expected(const char *title, const Expected *expected)
+{
+    printf("  %s: %s, %u runs, claim %s; repeat %s, %u runs\n", title,
+           outcome_name(expected->outcome), expected->runs, expected->claim,
+           outcome_name(expected->repeat), expected->total_runs);
+}
+
+static bool
+check(const Cell *cell, uint32_t count, const Expected *expected)
+{
+    Injection injection = {cell->row->fault, cell->step, count};
+    Run run = run_faults(&injection, 1, cell->row->lookup);
+    bool passed = !run.world->failed && same(&run.found, expected);
+    if (!passed) {
+        printf("%s at %s, %u times%s: %s\n", Fault_names[cell->row->fault],
+               Step_names[cell->step], count,
+               cell->row->lookup ? ", with look-up" : "", run.world->failure);
+        print_expected("expected", expected);
+        print_expected("found", &run.found);
+        printf("%s", run.world->trace->str);
+    }
+    World_Free(run.world);
+    return passed;
+}
+
+static void
+check_cells(uint32_t count)
+{
+    GArray *cells = all_cells();
+    uint32_t wrong = 0;
+    for (guint i = 0; i < cells->len; i++) {
+        const Cell *cell = &g_array_index(cells, Cell, i);
+        if (count > 1 && cell->row->once) {
+            continue;
+        }
+        wrong += !check(cell, count,
+                        count > 1 ? &cell->row->twice : &cell->row->expected);
+    }
+    printf("%u cells, %u times each, %u wrong\n", cells->len, count, wrong);
+    CU_ASSERT_EQUAL(wrong, 0);
+    g_array_free(cells, TRUE);
+}
+
+void
+test_single_faults(void)
+{
+    check_cells(1);
+}
+
+void
+test_repeated_faults(void)
+{
+    check_cells(2);
+}
+
+static bool
+stops_daemon(const Cell *cell)
+{
+    return cell->row->fault == FAULT_DEADLINE ||
+           cell->row->fault == FAULT_OWNER_PAUSED ||
+           cell->row->fault == FAULT_ABORT;
+}
+
+/* Returns whether the two may keep the claim from being confirmed. */
+static bool
+unconfirmed(const Cell *a, const Cell *b)
+{
+    bool delayed =
+        a->step == STEP_CLAIM &&
+        (stops_daemon(a) || a->row->fault >= FAULT_STORE_UNAVAILABLE);
+    return delayed && stops_daemon(b) && b->step <= STEP_CLAIM;
+}
+
+/* Returns whether an outcome follows from two faults that both happened: it
+ * is that of one of them, with the exceptions named. */
+static bool
+follows(const Cell *a, const Cell *b, EbOutcome outcome)
+{
+    EbOutcome first = a->row->expected.outcome;
+    EbOutcome second = b->row->expected.outcome;
+    if (outcome == EB_OUTCOME_DONE) {
+        /* A late answer is in time for a daemon that stood still. */
+        return first == second ||
+               (a->row->fault == FAULT_LATE && stops_daemon(b));
+    }
+    if (outcome == EB_OUTCOME_UNKNOWN && unconfirmed(a, b)) {
+        return true;
+    }
+    if (outcome == EB_OUTCOME_FAILED && a->row->fault <= FAULT_CRASH) {
+        /* Both use up the retries or quarantine the request, or the deadline
+         * passes before a refused call is sent to another server. */
+        return b->row->fault <= FAULT_CRASH ||
+               (a->row->fault == FAULT_REFUSED && stops_daemon(b));
+    }
+    if (outcome == EB_OUTCOME_NOT_RUN && a->row->fault == FAULT_REFUSED) {
+        return stops_daemon(b); /* nothing was sent before the deadline */
+    }
+    return outcome == first || outcome == second;
+}
+
+static bool
+is_allowed(const Cell *a, const Cell *b, const Run *run)
+{
+    EbOutcome outcome = run->found.outcome;
+    if (run->hit[0] && run->hit[1]) {
+        return follows(a, b, outcome) || follows(b, a, outcome);
+    }
+    return outcome == (run->hit[0] ? a : b)->row->expected.outcome;
+}
+
+static bool
+check_pair(const Cell *a, const Cell *b)
+{
+    Injection both[2] = {{a->row->fault, a->step, 1},
+                         {b->row->fault, b->step, 1}};
+    Run run = run_faults(both, 2, a->row->lookup);
+    bool passed = !run.world->failed && is_allowed(a, b, &run);
+    if (!passed) {
+        printf("%s at %s and %s at %s: %s\n", Fault_names[a->row->fault],
+               Step_names[a->step], Fault_names[b->row->fault],
+               Step_names[b->step], run.world->failure);
+        print_expected("found", &run.found);
+        printf("%s", run.world->trace->str);
+    }
+    World_Free(run.world);
+    return passed;
+}
+
+void
+test_pairs(void)
+{
+    GArray *cells = all_cells();
+    uint32_t pairs = 0;
+    uint32_t wrong = 0;
+    for (guint i = 0; i < cells->len; i++) {
+        for (guint k = i + 1; k < cells->len; k++) {
+            const Cell *a = &g_array_index(cells, Cell, i);
+            const Cell *b = &g_array_index(cells, Cell, k);
+            if (a->row->lookup == b->row->lookup) {
+                pairs++;
+                wrong += !check_pair(a, b);
+            }
+        }
+    }
+    printf("%u pairs, %u wrong\n", pairs, wrong);
+    CU_ASSERT_EQUAL(wrong, 0);
+    g_array_free(cells, TRUE);
+}
+
+/* The page */
+
+static void
+append_expected(GString *text, const Expected *expected)
+{
+    g_string_append_printf(text, " %s | %u | %s | %s | %u |",
+                           outcome_name(expected->outcome), expected->runs,
+                           expected->claim, outcome_name(expected->repeat),
+                           expected->total_runs);
+}
+
+static void
+append_cells(GString *text, uint32_t count)
+{
+    GArray *cells = all_cells();
+    g_string_append(text,
+                    "| fault | step | outcome | runs | claim | repeat | total "
+                    "runs |\n|---|---|---|---|---|---|---|\n");
+    for (guint i = 0; i < cells->len; i++) {
+        const Cell *cell = &g_array_index(cells, Cell, i);
+        if (count > 1 && cell->row->once) {
+            continue;
+        }
+        g_string_append_printf(
+            text, "| %s | %s%s |", Fault_names[cell->row->fault],
+            Step_names[cell->step], cell->row->lookup ? ", look-up" : "");
+        append_expected(text,
+                        count > 1 ? &cell->row->twice : &cell->row->expected);
+        g_string_append_c(text, '\n');
+    }
+    g_array_free(cells, TRUE);
+}
+
+GString *
+Matrix_Format(void)
+{
+    GString *text = g_string_new(
+        "# Fault matrix\n\n"
+        "Generated by `test_fault_matrix --write docs/fault-matrix.md` from "
+        "the table in\n`src/test_fault_matrix/matrix.c`; a test compares this "
+        "page with the table and the\ntable with what the dispatcher does.\n\n"
+        "Each row is one run. A keyed request of the stages encode, retrieve, "
+        "rerank,\ngenerate and a non-idempotent call goes to one daemon and "
+        "the fault happens at\nthe step. `outcome` is what the caller is "
+        "told (`cut`: it left, or its daemon\ndied), `runs` how often the "
+        "service ran the call by its own record, and `claim`\nthe state left "
+        "in the store. Then the caller repeats the request with the same\n"
+        "key at another daemon: `repeat` and `total runs`. `look-up` marks a "
+        "service that\ncan be asked for a key.\n\n"
+        "Steps: admit and queue are inside the daemon, claim and record are "
+        "writes to\nthe store, encode to call are calls to backend servers, "
+        "answer is the moment\nafter the answer was given. A drain is a "
+        "fault that begins at any step and is\ncombined with every other "
+        "fault in the pairs.\n\n## One fault\n\n");
+    append_cells(text, 1);
+    g_string_append(text, "\n## The same fault twice\n\n"
+                          "A fault that the first request does not meet a "
+                          "second time meets its repeat.\n\n");
+    append_cells(text, 2);
+    g_string_append(
+        text,
+        "\n## Pairs\n\n"
+        "Every pair of cells above with the same kind of service runs "
+        "as well. Where only\none fault happens, the outcome must be its "
+        "own. Otherwise it must be one of the two,\nand `done` only "
+        "where both are, with these exceptions: two faults of backend\n"
+        "servers may use up the retries or quarantine the request "
+        "(`failed`); a refused\ncall and a deadline give `failed` or "
+        "`not-run`; a "
+        "late answer is in time for a daemon that\nstood still; a "
+        "request whose claim is not confirmed when it ends is "
+        "`unknown`.\nIn every run the call runs at most once, each "
+        "request is\nanswered once and with its own result, and no "
+        "`not-run` or `failed` is false.\n");
+    return text;
+}
+
+void
+test_page(void)
+{
+    GString *expected = Matrix_Format();
+    gchar *committed = NULL;
+    CU_ASSERT_TRUE(g_file_get_contents(PAGE, &committed, NULL, NULL));
+    CU_ASSERT_EQUAL(g_strcmp0(committed, expected->str), 0);
+    g_free(committed);
+    g_string_free(expected, TRUE);
+}
--- /dev/null
+++ b/src/test_world/world_private.h
@@ -0,0 +1,76 @@
+#ifndef EB_TEST_WORLD_PRIVATE_H
+#define EB_TEST_WORLD_PRIVATE_H
+
+#include "world.h"
+
+/* A call at a backend server. */
+typedef struct {
+    uint32_t daemon;
+    uint64_t incarnation;
+    uint64_t attempt_id;
+    char *request_id;
+    char *server_id;
+    char *key;
+    json_t *body;
+    EbStageKind kind;
+    uint32_t stage;
+    uint32_t number;
+    bool lookup;
+    bool at_most_once; /* the non-idempotent call */
+    bool over;         /* broken, or its last event was delivered */
+    Fault fault;
+} Call;
+
+typedef enum {
+    EVENT_ARRIVE,      /* a call reaches its server */
+    EVENT_RUN,         /* the server runs the non-idempotent call */
+    EVENT_REPLY,       /* what the server sends reaches the daemon */
+    EVENT_STORE,       /* an operation reaches the store */
+    EVENT_STORE_APPLY, /* it takes effect after its answer was lost */
+    EVENT_STORE_REPLY,
+    EVENT_QUESTION,    /* a daemon asks a claim's owner */
+    EVENT_ANSWER,      /* the owner answers */
+    EVENT_CHECK_OWNER, /* the link to a silent owner is noticed */
+    EVENT_TRIGGER,     /* a fault of a whole daemon or caller */
+} WorldEventKind;
+
+typedef struct {
+    int64_t time_us;
+    uint64_t sequence;
+    WorldEventKind kind;
+    uint32_t daemon; /* receiver */
+    uint64_t incarnation;
+    Call *call;
+    EbAttemptEvent attempt;
+    EbStoreRequest store;
+    EbStoreReply reply;
+    Fault fault;
+    bool reached;
+    uint64_t query;
+    uint32_t peer; /* the other daemon of a question */
+    char *customer;
+    char *key_digest;
+    char *request_id;
+    EbLedgerLocal local;
+    json_t *body; /* owned: of attempt, reply or local */
+    char *text;   /* owned: of attempt */
+} WorldEvent;
+
+WorldEvent *World_Schedule(World *world, int64_t delay_us, WorldEventKind kind,
+                           uint32_t daemon);
+int64_t World_Latency(World *world);
+Fault World_ChooseFault(World *world, Step step, bool store);
+
+/* world_backend.c */
+void World_Send(World *world, uint32_t daemon, const EbSendAttempt *send);
+void World_Arrive(World *world, Call *call);
+void World_RunCall(World *world, Call *call);
+void World_FreeCall(gpointer call);
+
+/* world_store.c */
+void World_Store(World *world, uint32_t daemon, EbStoreRequest *store);
+void World_ApplyStore(World *world, WorldEvent *event);
+void World_StoreArrives(World *world, WorldEvent *event);
+void World_FreeObject(gpointer object);
+
+#endif
