membership: daemons, links, failure detection and flooding

Cause: daemons need one view of who lives, and a way to reach all of them, from 8 in a mesh to 330 on a ring. Change: EbMembership keeps one record for each daemon, ordered by incarnation, the daemon's own sequence and state. Records that are news are passed on in batches; heartbeats carry a digest of all records, and a peer with another digest is sent the whole list, on a new link at once. A neighbour without a link is suspected after a second, declared dead after the dead time, and refutes with a higher sequence. Addresses behind which nobody lives are dialled one at a time, so that a healed partition joins. Floods are told apart by origin, incarnation and a window of 1,024 sequences, and repeated to links that come up.

--- /dev/null
+++ b/src/libebonyhollow/membership.c
@@ -0,0 +1,394 @@
+#include "ebonyhollow/membership.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "membership_private.h"
+
+/* A neighbour gets this time to come back before it is suspected. */
+#define REDIAL_US 1000000
+/* Heartbeats in a row with another digest after which the records are sent. */
+#define MISMATCHES_MAX 4
+#define STABLE_US 1000000
+#define ANNOUNCE_AGAIN_US 2000000
+#define PENDING_MAX 32
+#define PENDING_US 5000000
+
+static void
+free_member(gpointer member)
+{
+    EbMembership_FreeMember(member);
+}
+
+static void
+free_dial(gpointer dial)
+{
+    EbMembership_FreeDial(dial);
+}
+
+EbMembership *
+EbMembership_New(const EbMembershipOptions *options)
+{
+    EbMembership *membership = g_new0(EbMembership, 1);
+    membership->options = *options;
+    if (options->events != NULL) {
+        membership->events = *options->events;
+    }
+    membership->members = g_ptr_array_new();
+    membership->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+    membership->dials =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_dial);
+    membership->origins =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    membership->live = g_ptr_array_new();
+    membership->news_due_us = INT64_MAX;
+    g_queue_init(&membership->recent);
+    EbMember *self = EbMembership_AddMember(membership, options->instance,
+                                            options->address, 0);
+    membership->self = self;
+    self->incarnation = options->incarnation;
+    self->sequence = 1;
+    g_free(self->failure_domain);
+    self->failure_domain = g_strdup(options->failure_domain);
+    EbMembership_UpdateMember(membership, self, 0);
+    EbMembership_UpdateTopology(membership, 0);
+    membership->live_changed = false;
+    return membership;
+}
+
+void
+EbMembership_Free(EbMembership *membership)
+{
+    if (membership == NULL) {
+        return;
+    }
+    EbMembership_FreeFloods(membership);
+    g_hash_table_destroy(membership->by_name);
+    g_ptr_array_set_free_func(membership->members, free_member);
+    g_ptr_array_free(membership->members, TRUE);
+    g_hash_table_destroy(membership->dials);
+    g_ptr_array_free(membership->live, TRUE);
+    g_free(membership);
+}
+
+void
+EbMembership_ClearPending(EbMember *member)
+{
+    EbPendingSend *send;
+    while ((send = g_queue_pop_head(&member->pending)) != NULL) {
+        free(send->bytes);
+        g_free(send);
+    }
+}
+
+void
+EbMembership_SendBytes(EbMembership *membership, const EbMember *peer,
+                       const uint8_t *bytes, size_t byte_count)
+{
+    EbActionQueue_Push(
+        membership->options.actions,
+        &(EbAction){.kind = EB_ACTION_PEER_SEND,
+                    .as.peer = {.peer = g_strdup(peer->name),
+                                .bytes = g_memdup2(bytes, byte_count),
+                                .byte_count = byte_count}});
+}
+
+void
+EbMembership_SendMessage(EbMembership *membership, const EbMember *peer,
+                         const EbMessage *message)
+{
+    uint8_t *bytes;
+    size_t byte_count;
+    if (EbMessage_Encode(message, &bytes, &byte_count)) {
+        EbMembership_SendBytes(membership, peer, bytes, byte_count);
+        free(bytes);
+    }
+}
+
+static EbMessage
+describe_heartbeat(const EbMembership *membership)
+{
+    return (EbMessage){.kind = EB_MESSAGE_HEARTBEAT,
+                       .generation = membership->generation,
+                       .digest = membership->digest};
+}
+
+void
+EbMembership_SendHeartbeats(EbMembership *membership)
+{
+    membership->heartbeat_now = false;
+    EbMessage heartbeat = describe_heartbeat(membership);
+    uint8_t *bytes;
+    size_t byte_count;
+    if (membership->link_count == 0 ||
+        !EbMessage_Encode(&heartbeat, &bytes, &byte_count)) {
+        return;
+    }
+    for (guint i = 0; i < membership->members->len; i++) {
+        const EbMember *peer = membership->members->pdata[i];
+        if (peer->link.up) {
+            EbMembership_SendBytes(membership, peer, bytes, byte_count);
+        }
+    }
+    free(bytes);
+}
+
+void
+EbMembership_Settle(EbMembership *membership, int64_t now_us)
+{
+    EbMembership_UpdateTopology(membership, now_us);
+    if (membership->live_changed) {
+        membership->live_changed = false;
+        membership->options.changed(membership->options.context, now_us);
+    }
+}
+
+static void
+take_link_down(EbMembership *membership, EbMember *member, int64_t now_us)
+{
+    member->link.up = false;
+    membership->link_count--;
+    member->dial->next_us =
+        now_us +
+        (int64_t)EbRandom_Below(membership->options.random, EB_HEARTBEAT_US);
+    member->dial->pending_until_us = 0;
+    if (member->neighbour) {
+        member->suspect_due_us = now_us + REDIAL_US;
+    }
+}
+
+void
+EbMembership_CloseLink(EbMembership *membership, EbMember *member,
+                       int64_t now_us)
+{
+    EbActionQueue_Push(
+        membership->options.actions,
+        &(EbAction){.kind = EB_ACTION_PEER_CLOSE,
+                    .as.peer = {.peer = g_strdup(member->name)}});
+    take_link_down(membership, member, now_us);
+}
+
+void
+EbMembership_LinkDown(EbMembership *membership, const char *peer,
+                      int64_t now_us)
+{
+    EbMember *member = EbMembership_FindMember(membership, peer);
+    if (member != NULL && member->link.up) {
+        take_link_down(membership, member, now_us);
+    }
+}
+
+static void
+send_pending(EbMembership *membership, EbMember *member)
+{
+    EbPendingSend *send;
+    while ((send = g_queue_pop_head(&member->pending)) != NULL) {
+        EbMembership_SendBytes(membership, member, send->bytes,
+                               send->byte_count);
+        free(send->bytes);
+        g_free(send);
+    }
+}
+
+/* Notes a link's peer. Its own record, which also names its failure domain,
+ * follows as the first message. */
+static EbMember *
+note_peer(EbMembership *membership, const char *peer, uint64_t incarnation,
+          const char *address, int64_t now_us)
+{
+    EbMember *member = EbMembership_FindMember(membership, peer);
+    if (member == NULL) {
+        member = EbMembership_AddMember(membership, peer, address, now_us);
+    }
+    if (member != NULL && incarnation > member->incarnation) {
+        EbMembership_SetAddress(membership, member, address);
+        member->incarnation = incarnation;
+        member->sequence = 0;
+        member->state = EB_MEMBER_ALIVE;
+        member->state_since_us = now_us;
+        EbMembership_UpdateMember(membership, member, now_us);
+    }
+    return member;
+}
+
+void
+EbMembership_LinkUp(EbMembership *membership, const char *peer,
+                    uint64_t incarnation, const char *address, int64_t now_us)
+{
+    EbMember *member =
+        note_peer(membership, peer, incarnation, address, now_us);
+    if (member == NULL || member == membership->self) {
+        return;
+    }
+    if (!member->link.up) {
+        membership->link_count++;
+    }
+    member->link = (EbMemberLink){
+        .up = true, .heard_us = now_us, .used_us = now_us, .fresh = true};
+    member->suspect_due_us = INT64_MAX;
+    member->dial->failures = 0;
+    member->dial->pending_until_us = 0;
+    EbMembership_TellSelf(membership, member);
+    EbMessage heartbeat = describe_heartbeat(membership);
+    EbMembership_SendMessage(membership, member, &heartbeat);
+    EbMembership_ResendFloods(membership, member, now_us);
+    send_pending(membership, member);
+    EbMembership_Settle(membership, now_us);
+}
+
+/* Sends the records to a peer whose digest differs: at once on a new link,
+ * otherwise only if neither news nor other links settle it. */
+static void
+compare_digest(EbMembership *membership, EbMember *peer, uint64_t digest,
+               int64_t now_us)
+{
+    bool fresh = peer->link.fresh;
+    peer->link.fresh = false;
+    if (digest == membership->digest) {
+        peer->link.mismatches = 0;
+        return;
+    }
+    if (now_us - membership->digest_changed_us >= STABLE_US) {
+        peer->link.mismatches++;
+    }
+    if (fresh || peer->link.mismatches >= MISMATCHES_MAX) {
+        peer->link.mismatches = 0;
+        EbMembership_TellAll(membership, peer);
+    }
+}
+
+static void
+take_heartbeat(EbMembership *membership, EbMember *peer,
+               const EbMessage *message, int64_t now_us)
+{
+    compare_digest(membership, peer, message->digest, now_us);
+    if (message->generation > membership->generation &&
+        (peer->link.announced_us == 0 ||
+         now_us - peer->link.announced_us >= ANNOUNCE_AGAIN_US)) {
+        peer->link.announced_us = now_us;
+        membership->options.announced(membership->options.context, peer->name,
+                                      message->generation, now_us);
+    }
+}
+
+void
+EbMembership_Receive(EbMembership *membership, const char *peer,
+                     const EbMessage *message, int64_t now_us)
+{
+    EbMember *member = EbMembership_FindMember(membership, peer);
+    if (member == NULL || !member->link.up) {
+        return;
+    }
+    member->link.heard_us = now_us;
+    if (message->kind == EB_MESSAGE_HEARTBEAT) {
+        take_heartbeat(membership, member, message, now_us);
+    }
+    else if (message->kind == EB_MESSAGE_MEMBERS) {
+        for (uint32_t i = 0; i < message->member_count; i++) {
+            EbMembership_MergeRecord(membership, &message->members[i], now_us);
+        }
+    }
+    else if (EbMessage_IsFlooded(message->kind)) {
+        EbMembership_ReceiveFlood(membership, member, message, now_us);
+    }
+    else {
+        member->link.used_us = now_us;
+        membership->options.deliver(membership->options.context, member->name,
+                                    message, now_us);
+    }
+    EbMembership_Settle(membership, now_us);
+}
+
+static bool
+queue_send(EbMembership *membership, EbMember *member,
+           const EbMessage *message, int64_t now_us)
+{
+    uint8_t *bytes;
+    size_t byte_count;
+    if (member->pending.length >= PENDING_MAX ||
+        !EbMessage_Encode(message, &bytes, &byte_count)) {
+        return false;
+    }
+    EbPendingSend *send = g_new0(EbPendingSend, 1);
+    *send = (EbPendingSend){bytes, byte_count, now_us + PENDING_US};
+    g_queue_push_tail(&member->pending, send);
+    EbMembership_Dial(membership, member->dial, member->name, now_us);
+    return true;
+}
+
+bool
+EbMembership_Send(EbMembership *membership, const char *instance,
+                  const EbMessage *message, int64_t now_us)
+{
+    EbMember *member = EbMembership_FindMember(membership, instance);
+    if (member == NULL || member == membership->self ||
+        (member->visible == EB_MEMBER_DEAD && !member->link.up)) {
+        return false;
+    }
+    if (!member->link.up) {
+        return queue_send(membership, member, message, now_us);
+    }
+    member->link.used_us = now_us;
+    EbMembership_SendMessage(membership, member, message);
+    return true;
+}
+
+void
+EbMembership_SetGeneration(EbMembership *membership, uint64_t generation)
+{
+    if (generation > membership->generation) {
+        membership->generation = generation;
+        membership->heartbeat_now = true;
+    }
+}
+
+void
+EbMembership_Leave(EbMembership *membership, int64_t now_us)
+{
+    membership->self->state = EB_MEMBER_LEAVING;
+    EbMembership_RenewSelf(membership, 0, now_us);
+    EbMembership_TellNews(membership);
+    EbMembership_Settle(membership, now_us);
+}
+
+size_t
+EbMembership_Count(const EbMembership *membership)
+{
+    return membership->members->len;
+}
+
+static void
+fill_view(const EbMember *member, int64_t now_us, EbMemberView *view)
+{
+    *view = (EbMemberView){
+        .instance = member->name,
+        .incarnation = member->incarnation,
+        .address = member->address,
+        .failure_domain = member->failure_domain,
+        .state = member->visible,
+        .linked = member->link.up,
+        .idle_us = member->link.up ? now_us - member->link.heard_us : 0,
+    };
+}
+
+void
+EbMembership_View(const EbMembership *membership, size_t index, int64_t now_us,
+                  EbMemberView *view)
+{
+    g_assert(index < membership->members->len);
+    fill_view(membership->members->pdata[index], now_us, view);
+}
+
+bool
+EbMembership_Find(const EbMembership *membership, const char *instance,
+                  int64_t now_us, EbMemberView *view)
+{
+    const EbMember *member = EbMembership_FindMember(membership, instance);
+    if (member == NULL) {
+        return false;
+    }
+    fill_view(member, now_us, view);
+    return true;
+}
--- /dev/null
+++ b/src/libebonyhollow/membership_flood.c
@@ -0,0 +1,203 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "membership_private.h"
+
+#define WINDOW_WORDS (EB_FLOOD_WINDOW / 64)
+/* Floods are repeated to a link that comes up, since its peer may have had
+ * no link while they passed. */
+#define RECENT_US 10000000
+#define RECENT_MAX 64
+#define RECENT_MAX_BYTES ((size_t)256 * 1024)
+
+/* Sequences seen from one origin: a bit for each of the highest
+ * EB_FLOOD_WINDOW, at the sequence modulo the window. Older ones are taken
+ * for duplicates. */
+typedef struct {
+    uint64_t incarnation;
+    uint64_t highest;
+    uint64_t seen[WINDOW_WORDS];
+    int64_t used_us;
+} Origin;
+
+typedef struct {
+    uint8_t *bytes;
+    size_t byte_count;
+    int64_t expires_us;
+} RecentFlood;
+
+static void
+free_recent(gpointer data)
+{
+    RecentFlood *flood = data;
+    free(flood->bytes);
+    g_free(flood);
+}
+
+void
+EbMembership_FreeFloods(EbMembership *membership)
+{
+    g_queue_clear_full(&membership->recent, free_recent);
+    g_hash_table_destroy(membership->origins);
+}
+
+static void
+drop_oldest_recent(EbMembership *membership)
+{
+    RecentFlood *oldest = g_queue_pop_head(&membership->recent);
+    membership->recent_bytes -= oldest->byte_count;
+    free_recent(oldest);
+}
+
+/* Keeps a flood for links that come up; takes over the bytes. */
+static void
+keep_recent(EbMembership *membership, uint8_t *bytes, size_t byte_count,
+            int64_t now_us)
+{
+    RecentFlood *flood = g_new0(RecentFlood, 1);
+    *flood = (RecentFlood){bytes, byte_count, now_us + RECENT_US};
+    g_queue_push_tail(&membership->recent, flood);
+    membership->recent_bytes += byte_count;
+    while (membership->recent.length > RECENT_MAX ||
+           membership->recent_bytes > RECENT_MAX_BYTES) {
+        drop_oldest_recent(membership);
+    }
+}
+
+void
+EbMembership_ResendFloods(EbMembership *membership, EbMember *peer,
+                          int64_t now_us)
+{
+    while (membership->recent.length > 0 &&
+           ((RecentFlood *)membership->recent.head->data)->expires_us <=
+               now_us) {
+        drop_oldest_recent(membership);
+    }
+    for (GList *item = membership->recent.head; item != NULL;
+         item = item->next) {
+        const RecentFlood *flood = item->data;
+        EbMembership_SendBytes(membership, peer, flood->bytes,
+                               flood->byte_count);
+    }
+}
+
+static void
+drop_oldest_origin(EbMembership *membership)
+{
+    GHashTableIter iterator;
+    gpointer key, value;
+    gpointer oldest_key = NULL;
+    int64_t oldest_us = INT64_MAX;
+    g_hash_table_iter_init(&iterator, membership->origins);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        if (((const Origin *)value)->used_us < oldest_us) {
+            oldest_us = ((const Origin *)value)->used_us;
+            oldest_key = key;
+        }
+    }
+    if (oldest_key != NULL) {
+        g_hash_table_remove(membership->origins, oldest_key);
+    }
+}
+
+static Origin *
+find_origin(EbMembership *membership, const EbMessage *message, int64_t now_us)
+{
+    Origin *origin = g_hash_table_lookup(membership->origins, message->origin);
+    if (origin == NULL) {
+        if (g_hash_table_size(membership->origins) >= EB_ORIGINS_MAX) {
+            drop_oldest_origin(membership);
+        }
+        origin = g_new0(Origin, 1);
+        origin->incarnation = message->origin_incarnation;
+        g_hash_table_insert(membership->origins, g_strdup(message->origin),
+                            origin);
+    }
+    else if (message->origin_incarnation > origin->incarnation) {
+        *origin = (Origin){.incarnation = message->origin_incarnation};
+    }
+    origin->used_us = now_us;
+    return origin;
+}
+
+/* Raises the highest sequence and forgets those that leave the window. */
+static void
+advance_window(Origin *origin, uint64_t sequence)
+{
+    if (sequence - origin->highest >= EB_FLOOD_WINDOW) {
+        memset(origin->seen, 0, sizeof(origin->seen));
+    }
+    else {
+        for (uint64_t i = origin->highest + 1; i <= sequence; i++) {
+            uint64_t bit = i % EB_FLOOD_WINDOW;
+            origin->seen[bit / 64] &= ~(1ULL << (bit % 64));
+        }
+    }
+    origin->highest = sequence;
+}
+
+/* Whether a flood was not seen before; remembers it. */
+static bool
+is_first(Origin *origin, const EbMessage *message)
+{
+    uint64_t sequence = message->sequence;
+    if (message->origin_incarnation < origin->incarnation || sequence == 0) {
+        return false;
+    }
+    if (sequence > origin->highest) {
+        advance_window(origin, sequence);
+    }
+    else if (origin->highest - sequence >= EB_FLOOD_WINDOW) {
+        return false;
+    }
+    uint64_t bit = sequence % EB_FLOOD_WINDOW;
+    uint64_t mask = 1ULL << (bit % 64);
+    bool first = (origin->seen[bit / 64] & mask) == 0;
+    origin->seen[bit / 64] |= mask;
+    return first;
+}
+
+/* Sends a flood to every link but the one that it came from. */
+static void
+pass_on(EbMembership *membership, const EbMember *source,
+        const EbMessage *message, int64_t now_us)
+{
+    uint8_t *bytes;
+    size_t byte_count;
+    if (!EbMessage_Encode(message, &bytes, &byte_count)) {
+        return;
+    }
+    for (guint i = 0; i < membership->members->len; i++) {
+        const EbMember *peer = membership->members->pdata[i];
+        if (peer->link.up && peer != source) {
+            EbMembership_SendBytes(membership, peer, bytes, byte_count);
+        }
+    }
+    keep_recent(membership, bytes, byte_count, now_us);
+}
+
+void
+EbMembership_ReceiveFlood(EbMembership *membership, EbMember *peer,
+                          const EbMessage *message, int64_t now_us)
+{
+    if (strcmp(message->origin, membership->self->name) == 0 ||
+        !is_first(find_origin(membership, message, now_us), message)) {
+        return;
+    }
+    pass_on(membership, peer, message, now_us);
+    membership->options.deliver(membership->options.context, peer->name,
+                                message, now_us);
+}
+
+void
+EbMembership_Flood(EbMembership *membership, EbMessage *message,
+                   int64_t now_us)
+{
+    char *given_origin = message->origin;
+    message->origin = membership->self->name;
+    message->origin_incarnation = membership->self->incarnation;
+    message->sequence = ++membership->flood_sequence;
+    pass_on(membership, NULL, message, now_us);
+    message->origin = given_origin;
+}
--- /dev/null
+++ b/src/libebonyhollow/membership_topology.c
@@ -0,0 +1,141 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "membership_private.h"
+
+/* Time for the first dial of a new neighbour before it is suspected. */
+#define FIRST_LINK_US 5000000
+
+static int
+compare_ring(gconstpointer left, gconstpointer right)
+{
+    const EbMember *first = *(const EbMember *const *)left;
+    const EbMember *second = *(const EbMember *const *)right;
+    if (first->ring_position != second->ring_position) {
+        return first->ring_position < second->ring_position ? -1 : 1;
+    }
+    return strcmp(first->name, second->name);
+}
+
+/* Members that are not dead, in ring order. */
+static GPtrArray *
+collect_ring(const EbMembership *membership)
+{
+    GPtrArray *ring = g_ptr_array_new();
+    for (guint i = 0; i < membership->members->len; i++) {
+        EbMember *member = membership->members->pdata[i];
+        if (member->visible != EB_MEMBER_DEAD) {
+            g_ptr_array_add(ring, member);
+        }
+    }
+    g_ptr_array_sort(ring, compare_ring);
+    return ring;
+}
+
+static void
+mark_mesh(const EbMembership *membership, const GPtrArray *ring)
+{
+    const EbMember *self = membership->self;
+    for (guint i = 0; i < ring->len; i++) {
+        EbMember *member = ring->pdata[i];
+        if (member != self) {
+            member->neighbour = true;
+            member->dials = strcmp(self->name, member->name) < 0;
+        }
+    }
+}
+
+static void
+mark_ring(const EbMembership *membership, const GPtrArray *ring)
+{
+    guint own = 0;
+    while (ring->pdata[own] != membership->self) {
+        own++;
+    }
+    for (guint distance = 1; distance < ring->len; distance *= 2) {
+        EbMember *before =
+            ring->pdata[(own + ring->len - distance) % ring->len];
+        before->neighbour = true;
+    }
+    for (guint distance = 1; distance < ring->len; distance *= 2) {
+        EbMember *after = ring->pdata[(own + distance) % ring->len];
+        after->neighbour = true;
+        after->dials = true;
+    }
+}
+
+static void
+collect_live(EbMembership *membership)
+{
+    g_ptr_array_set_size(membership->live, 0);
+    for (guint i = 0; i < membership->members->len; i++) {
+        EbMember *member = membership->members->pdata[i];
+        if (member->visible < EB_MEMBER_LEAVING) {
+            g_ptr_array_add(membership->live, member->name);
+        }
+    }
+}
+
+void
+EbMembership_UpdateTopology(EbMembership *membership, int64_t now_us)
+{
+    if (!membership->topology_stale) {
+        return;
+    }
+    membership->topology_stale = false;
+    for (guint i = 0; i < membership->members->len; i++) {
+        EbMember *member = membership->members->pdata[i];
+        member->neighbour = false;
+        member->dials = false;
+    }
+    GPtrArray *ring = collect_ring(membership);
+    membership->ring_count = ring->len;
+    if (ring->len <= EB_MEMBERSHIP_MESH_MAX) {
+        mark_mesh(membership, ring);
+    }
+    else {
+        mark_ring(membership, ring);
+    }
+    g_ptr_array_free(ring, TRUE);
+    for (guint i = 0; i < membership->members->len; i++) {
+        EbMember *member = membership->members->pdata[i];
+        if (!member->neighbour || member->link.up) {
+            member->suspect_due_us = INT64_MAX;
+        }
+        else if (member->suspect_due_us == INT64_MAX) {
+            member->suspect_due_us = now_us + FIRST_LINK_US;
+        }
+    }
+    collect_live(membership);
+}
+
+size_t
+EbMembership_Live(const EbMembership *membership, const char **names,
+                  size_t max)
+{
+    size_t count = MIN(max, membership->live->len);
+    for (size_t i = 0; i < count; i++) {
+        names[i] = membership->live->pdata[i];
+    }
+    return membership->live->len;
+}
+
+bool
+EbMembership_IsWatcher(const EbMembership *membership)
+{
+    const EbMember *self = membership->self;
+    if (membership->ring_count <= EB_MEMBERSHIP_MESH_MAX) {
+        return true;
+    }
+    uint32_t before = 0;
+    for (guint i = 0; i < membership->members->len; i++) {
+        EbMember *member = membership->members->pdata[i];
+        if (member != self && member->visible < EB_MEMBER_LEAVING &&
+            strcmp(member->failure_domain, self->failure_domain) == 0 &&
+            compare_ring(&member, &self) < 0) {
+            before++;
+        }
+    }
+    return before < EB_WATCHERS_PER_DOMAIN;
+}
--- /dev/null
+++ b/src/test_membership/main.c
@@ -0,0 +1,352 @@
+/* Tests of membership in an in-memory network with a virtual clock. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "network.h"
+#include "test_runner.h"
+
+#define TABLE_COUNT(table) (sizeof(table) / sizeof((table)[0]))
+#define SEED 20260402
+#define SECOND_US 1000000LL
+/* The brief's bound of control traffic for each daemon. */
+#define BYTES_PER_S_MAX 13000
+/* Four missed intervals, checked every interval, a second to dial again, the
+ * dead time, and two seconds for the flood. */
+#define DEATH_MAX_US                                                          \
+    ((EB_HEARTBEAT_MISSED_MAX + 2LL) * EB_HEARTBEAT_US + SECOND_US +          \
+     EB_MEMBER_DEAD_US + 2 * SECOND_US)
+#define FLOODS 20
+
+static uint32_t size;
+
+static bool
+is_flooded(void)
+{
+    for (uint32_t i = 0; i < size; i++) {
+        for (uint32_t j = 0; j < FLOODS; j++) {
+            if (network.nodes[i].running && i != j % size &&
+                network.nodes[i].floods[j] == 0) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+static void
+run_until_converged(const char *step, int64_t limit_us)
+{
+    int64_t took_us = Network_RunUntil(Network_IsConverged, limit_us);
+    printf("  %u daemons, %s: %.2f s\n", size, step, (double)took_us / 1e6);
+    CU_ASSERT_TRUE(took_us >= 0);
+}
+
+static void
+check_traffic(void)
+{
+    enum { SECONDS = 20 };
+    Network_Run(40 * SECOND_US); /* links of the start are idle and closed */
+    for (uint32_t i = 0; i < size; i++) {
+        network.nodes[i].messages = network.nodes[i].bytes = 0;
+    }
+    Network_Run(SECONDS * SECOND_US);
+    uint64_t most = 0, messages = 0;
+    for (uint32_t i = 0; i < size; i++) {
+        most = network.nodes[i].bytes > most ? network.nodes[i].bytes : most;
+        messages += network.nodes[i].messages;
+    }
+    printf("  %u daemons, quiet: %.1f messages/s each, at most %" PRIu64
+           " bytes/s (both directions, with TCP/IP headers)\n",
+           size, (double)messages / SECONDS / size, most / SECONDS);
+    CU_ASSERT_TRUE(most / SECONDS <= BYTES_PER_S_MAX);
+}
+
+static void
+check_flood(void)
+{
+    for (uint32_t i = 0; i < size; i++) {
+        memset(network.nodes[i].floods, 0, sizeof(network.nodes[i].floods));
+    }
+    for (uint32_t i = 0; i < FLOODS; i++) {
+        Network_Flood(i % size, i);
+    }
+    int64_t took_us = Network_RunUntil(is_flooded, 2 * SECOND_US);
+    printf("  %u daemons, %d floods: %.2f s\n", size, FLOODS,
+           (double)took_us / 1e6);
+    CU_ASSERT_TRUE(took_us >= 0);
+    Network_Run(2 * SECOND_US);
+    for (uint32_t i = 0; i < size; i++) {
+        for (uint32_t j = 0; j < FLOODS; j++) {
+            CU_ASSERT_EQUAL(network.nodes[i].floods[j], i != j % size);
+        }
+    }
+}
+
+static void
+check_watchers(void)
+{
+    uint32_t watchers[DOMAINS] = {0};
+    for (uint32_t i = 0; i < size; i++) {
+        watchers[i % DOMAINS] +=
+            EbMembership_IsWatcher(network.nodes[i].membership);
+    }
+    for (uint32_t i = 0; i < DOMAINS && i < size; i++) {
+        uint32_t daemons = (size - i + DOMAINS - 1) / DOMAINS;
+        CU_ASSERT_EQUAL(watchers[i], size <= EB_MEMBERSHIP_MESH_MAX ||
+                                             daemons < EB_WATCHERS_PER_DOMAIN
+                                         ? daemons
+                                         : EB_WATCHERS_PER_DOMAIN);
+    }
+}
+
+static bool
+is_announced(void)
+{
+    for (uint32_t i = 1; i < size; i++) {
+        if (network.nodes[i].announced != 9) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+check_announced(void)
+{
+    EbMembership_SetGeneration(network.nodes[0].membership, 9);
+    Network_Drain(0);
+    int64_t took_us = Network_RunUntil(is_announced, 2 * SECOND_US);
+    printf("  %u daemons, generation announced: %.2f s\n", size,
+           (double)took_us / 1e6);
+    CU_ASSERT_TRUE(took_us >= 0);
+}
+
+static void
+check_deaths(void)
+{
+    Network_KillNode(size - 1);
+    run_until_converged("one death", DEATH_MAX_US);
+    Network_StartNode(size - 1);
+    run_until_converged("its restart", 10 * SECOND_US);
+    for (uint32_t i = 1; i < size; i += DOMAINS) {
+        Network_KillNode(i);
+    }
+    run_until_converged("death of a failure domain", DEATH_MAX_US);
+    for (uint32_t i = 1; i < size; i += DOMAINS) {
+        Network_StartNode(i);
+    }
+    run_until_converged("its restart", 10 * SECOND_US);
+}
+
+static void
+check_partition(void)
+{
+    for (uint32_t i = 0; i < size; i += 3) {
+        network.nodes[i].side = 1;
+    }
+    /* A side finds the neighbours that it gets as the others die. */
+    run_until_converged("partition", 2 * DEATH_MAX_US);
+    Network_Run(20 * SECOND_US);
+    for (uint32_t i = 0; i < size; i++) {
+        network.nodes[i].side = 0;
+        network.nodes[i].bytes = 0;
+    }
+    run_until_converged("its healing", 10 * SECOND_US);
+    uint64_t most = 0;
+    for (uint32_t i = 0; i < size; i++) {
+        most = network.nodes[i].bytes > most ? network.nodes[i].bytes : most;
+    }
+    printf("  %u daemons, healing: at most %" PRIu64 " bytes\n", size, most);
+}
+
+static void
+run_scenario(uint32_t count)
+{
+    size = count;
+    Network_Start(size, SEED);
+    run_until_converged("start", 10 * SECOND_US);
+    check_traffic();
+    check_watchers();
+    check_flood();
+    check_announced();
+    check_deaths();
+    check_partition();
+    Network_Run(5 * SECOND_US);
+    check_flood();
+    CU_ASSERT_TRUE(Network_IsConverged());
+    Network_Stop();
+}
+
+/* Guards against daemons that disagree on who lives after deaths, restarts
+ * and partitions, floods that are lost, late or delivered twice, and control
+ * traffic above the bound: in the smallest network, a mesh, the smallest
+ * ring and the design capacity. */
+static void
+test_two(void)
+{
+    run_scenario(2);
+}
+
+static void
+test_mesh(void)
+{
+    run_scenario(8);
+}
+
+static void
+test_small_ring(void)
+{
+    run_scenario(EB_MEMBERSHIP_MESH_MAX + 1);
+}
+
+static void
+test_large_ring(void)
+{
+    run_scenario(NETWORK_MAX);
+}
+
+static EbMemberState
+state_of(uint32_t viewer, const char *name)
+{
+    EbMemberView view;
+    CU_ASSERT_TRUE(EbMembership_Find(network.nodes[viewer].membership, name,
+                                     network.now_us, &view));
+    return view.state;
+}
+
+/* Guards against a daemon that is declared dead although others reach it. */
+static void
+test_refutation(void)
+{
+    size = 8;
+    Network_Start(size, SEED);
+    run_until_converged("start", 10 * SECOND_US);
+    uint32_t changed = network.nodes[0].changed;
+    for (int i = 0; i < 300; i++) {
+        Network_CutLink(0, 1);
+        Network_Run(SECOND_US / 10);
+        CU_ASSERT_NOT_EQUAL(state_of(0, "n1"), EB_MEMBER_DEAD);
+        CU_ASSERT_NOT_EQUAL(state_of(5, "n1"), EB_MEMBER_DEAD);
+    }
+    CU_ASSERT_EQUAL(network.nodes[0].changed, changed);
+    EbMessageMember rumour = {"n1", 1, "n1", "d1", EB_MEMBER_DEAD, 900};
+    EbMessage message = {
+        .kind = EB_MESSAGE_MEMBERS, .members = &rumour, .member_count = 1};
+    EbMembership_Receive(network.nodes[0].membership, "n2", &message,
+                         network.now_us);
+    Network_Drain(0);
+    Network_Run(SECOND_US);
+    for (uint32_t i = 0; i < size; i++) {
+        CU_ASSERT_EQUAL(state_of(i, "n1"), EB_MEMBER_ALIVE);
+    }
+    Network_Stop();
+}
+
+/* Guards against a leaving daemon that still counts as live, and against the
+ * platform's lagging list that marks the next incarnation as leaving. */
+static void
+test_leaving(void)
+{
+    size = 8;
+    Network_Start(size, SEED);
+    run_until_converged("start", 10 * SECOND_US);
+    EbMembership_Leave(network.nodes[3].membership, network.now_us);
+    Network_Drain(3);
+    Network_Run(SECOND_US);
+    const char *names[8];
+    CU_ASSERT_EQUAL(state_of(0, "n3"), EB_MEMBER_LEAVING);
+    CU_ASSERT_EQUAL(EbMembership_Live(network.nodes[0].membership, names, 8),
+                    7);
+    EbMessageMember listed[] = {{"n5", 0, "n5", "d5", EB_MEMBER_LEAVING, 0},
+                                {"n6", 0, "n6", "d6", EB_MEMBER_ALIVE, 0}};
+    EbMembership_SetListed(network.nodes[0].membership, listed, 2,
+                           network.now_us);
+    CU_ASSERT_EQUAL(state_of(0, "n5"), EB_MEMBER_LEAVING);
+    CU_ASSERT_EQUAL(state_of(0, "n7"), EB_MEMBER_ALIVE); /* not listed */
+    Network_KillNode(5);
+    Network_StartNode(5);
+    Network_Run(5 * SECOND_US);
+    EbMembership_SetListed(network.nodes[0].membership, listed, 2,
+                           network.now_us);
+    CU_ASSERT_EQUAL(state_of(0, "n5"), EB_MEMBER_ALIVE);
+    Network_Stop();
+}
+
+/* Guards against sequences that are dropped or delivered twice when they
+ * arrive out of order, again, or for another incarnation. */
+static void
+test_duplicates(void)
+{
+    static const struct {
+        uint64_t incarnation, sequence;
+        bool delivered;
+    } rows[] = {
+        {2, 5, true},     {2, 5, false},    {2, 4, true},
+        {2, 4, false},    {2, 1028, true},  {2, 5, false},
+        {2, 6, true},     {2, 4, false},    {2, 90000, true},
+        {2, 1028, false}, {2, 89999, true}, {1, 90001, false},
+        {3, 1, true},     {3, 1, false},    {3, 0, false},
+    };
+    size = 2;
+    Network_Start(size, SEED);
+    run_until_converged("start", 10 * SECOND_US);
+    uint8_t *deliveries = &network.nodes[0].floods[1];
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        EbMessage message = {.kind = EB_MESSAGE_SERVER_LEAVING,
+                             .origin = "x",
+                             .server = "s1",
+                             .origin_incarnation = rows[i].incarnation,
+                             .sequence = rows[i].sequence};
+        *deliveries = 0;
+        EbMembership_Receive(network.nodes[0].membership, "n1", &message,
+                             network.now_us);
+        CU_ASSERT_EQUAL(*deliveries, rows[i].delivered);
+    }
+    Network_Stop();
+}
+
+/* Guards against a daemon that can't be reached unless it is a neighbour, and
+ * against links opened on demand that stay for ever. */
+static void
+test_on_demand(void)
+{
+    size = EB_MEMBERSHIP_MESH_MAX * 2;
+    Network_Start(size, SEED);
+    run_until_converged("start", 10 * SECOND_US);
+    Network_Run(40 * SECOND_US);
+    EbMembership *membership = network.nodes[0].membership;
+    EbMessage message = {.kind = EB_MESSAGE_CONFIG_REQUEST, .generation = 3};
+    uint32_t links[2] = {0, 0};
+    for (int round = 0; round < 2; round++) {
+        for (size_t i = 0; i < EbMembership_Count(membership); i++) {
+            EbMemberView view;
+            EbMembership_View(membership, i, network.now_us, &view);
+            links[round] += view.linked;
+            CU_ASSERT_EQUAL(EbMembership_Send(membership, view.instance,
+                                              &message, network.now_us),
+                            strcmp(view.instance, "n0") != 0);
+            Network_Drain(0);
+        }
+        Network_Run(40 * SECOND_US);
+        for (uint32_t i = 1; i < size; i++) {
+            CU_ASSERT_EQUAL(network.nodes[i].direct, (uint32_t)round + 1);
+        }
+    }
+    CU_ASSERT_EQUAL(links[0], links[1]);
+    CU_ASSERT_FALSE(EbMembership_Send(membership, "n99", &message, 0));
+    Network_Stop();
+}
+
+int
+main(void)
+{
+    static const EbTestCase cases[] = {
+        {"two daemons", test_two},       {"mesh", test_mesh},
+        {"small ring", test_small_ring}, {"large ring", test_large_ring},
+        {"refutation", test_refutation}, {"leaving", test_leaving},
+        {"duplicates", test_duplicates}, {"on demand", test_on_demand},
+    };
+    return EbTest_Run("test_membership", cases, TABLE_COUNT(cases));
+}
--- /dev/null
+++ b/src/test_membership/network.h
@@ -0,0 +1,63 @@
+/* An in-memory network of EbMembership objects on a virtual clock. */
+#ifndef EB_TEST_NETWORK_H
+#define EB_TEST_NETWORK_H
+
+#include "ebonyhollow/membership.h"
+
+#define NETWORK_MAX 330
+#define HOP_US 10000
+#define DOMAINS 8
+/* Frame (length and keyed hash) and TCP/IP headers with time stamps. */
+#define OVERHEAD_BYTES (4 + 16 + 52)
+
+typedef struct {
+    EbMembership *membership;
+    EbActionQueue *actions;
+    EbRandom random;
+    uint64_t incarnation;
+    bool running;
+    int side; /* daemons on different sides can't reach each other */
+    int64_t timer_us;
+    uint32_t changed;
+    uint64_t announced;
+    uint32_t direct;   /* messages that were sent to this daemon alone */
+    uint64_t messages; /* sent and received */
+    uint64_t bytes;
+    uint8_t floods[64]; /* deliveries by number of the flood */
+} Node;
+
+typedef struct {
+    uint32_t count;
+    int64_t now_us;
+    Node nodes[NETWORK_MAX];
+} Network;
+
+extern Network network;
+
+/* Starts `count` daemons that know the first three as seeds. */
+void Network_Start(uint32_t count, uint64_t seed);
+void Network_Stop(void);
+
+/* Starts one daemon with the next incarnation. */
+void Network_StartNode(uint32_t index);
+
+/* Stops one daemon without a sign to its peers. */
+void Network_KillNode(uint32_t index);
+
+/* Breaks one link without a sign to its ends, until they dial again. */
+void Network_CutLink(uint32_t left, uint32_t right);
+
+/* Runs until `done` holds or `limit_us` have passed; checks every 10 ms.
+ * Returns the time taken, or -1. */
+int64_t Network_RunUntil(bool (*done)(void), int64_t limit_us);
+void Network_Run(int64_t time_us);
+
+/* Drains a daemon's actions after a call from a test. */
+void Network_Drain(uint32_t index);
+
+/* Whether every running daemon sees exactly those on its side as live. */
+bool Network_IsConverged(void);
+
+void Network_Flood(uint32_t origin, uint32_t number);
+
+#endif
