pool: treat scores within a tenth as equal

At low load a pool of two always used the server with the lower score, so that a single failure kept the other one idle for good: test two servers saw 1 call in 6,000 for a server and none after its recovery could follow.

The second candidate is taken only if its score is a tenth lower.

--- a/src/libebonyhollow/pool_choice.c
+++ b/src/libebonyhollow/pool_choice.c
@@ -8,6 +8,10 @@
 #define REPORT_HALF_LIFE_US 1000000
 #define MAX_FAILURE_RATE 0.9
 #define RANDOM_PROBES 6
+/* Scores closer than this are equal. Otherwise a pool of two at low load would
+ * always use one server, and never measure the other again after a single
+ * failure. */
+#define CHOICE_MARGIN 0.9
 /* A server with a cached prefix is used up to this share of its capacity in
  * any case, and beyond it while it is not much busier than the alternative. */
 #define AFFINITY_FREE_LOAD 0.5
@@ -170,8 +174,8 @@
     }
     EbPoolServer *second = draw(pool, criteria, first, now_us);
     EbPoolServer *best = first;
-    if (second != NULL &&
-        score(pool, second, now_us) < score(pool, first, now_us)) {
+    if (second != NULL && score(pool, second, now_us) <
+                              CHOICE_MARGIN * score(pool, first, now_us)) {
         best = second;
     }
     EbPoolServer *preferred = NULL;
--- a/src/test_pool/main.c
+++ b/src/test_pool/main.c
@@ -272,6 +272,73 @@
     EbPool_Free(pool);
 }
 
+/* Guards against a slow server that is kept, against ejecting on jitter, and
+ * against a median of too few servers. */
+static void
+test_latency_ejection(void)
+{
+    static const struct {
+        uint32_t servers;
+        int64_t slow_us, typical_us;
+        EbServerState state;
+    } rows[] = {
+        {6, 300000, 50000, EB_SERVER_EJECTED},
+        {6, 150000, 50000, EB_SERVER_AVAILABLE},
+        {6, 10000, 1000, EB_SERVER_AVAILABLE},
+        {2, 300000, 50000, EB_SERVER_AVAILABLE},
+    };
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        Fixture fixture;
+        Fixture_Init(&fixture, rows[i].servers, 1, 0, 4);
+        EbRandom random;
+        EbRandom_Init(&random, 1);
+        EbPool *pool =
+            Fixture_NewPool(&fixture, "i", EB_POOL_ADAPTIVE, &random);
+        for (uint32_t s = 0; s < rows[i].servers; s++) {
+            call(pool, fixture.ids[s], EB_CALL_OK,
+                 s == 0 ? rows[i].slow_us : rows[i].typical_us, 20, SECOND_US);
+        }
+        EbPool_Tick(pool, SECOND_US);
+        EbServerView view = view_of(pool, "s0");
+        CU_ASSERT_EQUAL(view.state, rows[i].state);
+        if (view.state == EB_SERVER_EJECTED) {
+            CU_ASSERT_STRING_EQUAL(view.cause, "latency");
+        }
+        EbPool_Free(pool);
+    }
+}
+
+/* Guards against a dead server of two, which is never ejected, that keeps
+ * half of the calls or is not used again once it has recovered. */
+static void
+test_two_servers(void)
+{
+    Fixture fixture;
+    Fixture_Init(&fixture, 2, 1, 0, 4);
+    EbRandom random;
+    EbRandom_Init(&random, 1);
+    EbPool *pool = Fixture_NewPool(&fixture, "i", EB_POOL_ADAPTIVE, &random);
+    int dead = 0, recovered = 0;
+    for (int i = 0; i < 12000; i++) {
+        int64_t now_us = i * INT64_C(10000);
+        const EbConfigBackendServer *server = begin(pool, &no_wishes, now_us);
+        bool is_first = strcmp(server->id, "s0") == 0;
+        bool is_dead = is_first && i < 6000;
+        dead += is_dead;
+        recovered += is_first && i >= 9000;
+        EbPool_End(pool, server->id, is_dead ? EB_CALL_REFUSED : EB_CALL_OK,
+                   is_dead ? 100 : 9000, now_us + 9000);
+        if (i % 100 == 0) {
+            EbPool_Tick(pool, now_us);
+        }
+    }
+    printf("  dead server of two: %.2f%% of calls, recovered: %.1f%%\n",
+           dead / 60.0, recovered / 30.0);
+    CU_ASSERT_TRUE(dead < 6000 * 0.25 / 2); /* a quarter of its even share */
+    CU_ASSERT_TRUE(recovered > 3000 * 0.4);
+    EbPool_Free(pool);
+}
+
 static bool
 accept_none(void *context, const char *server_id)
 {
@@ -442,6 +509,8 @@
         {"round robin", test_round_robin},
         {"ejection", test_ejection},
         {"ejection bound", test_ejection_bound},
+        {"latency ejection", test_latency_ejection},
+        {"two servers", test_two_servers},
         {"criteria", test_criteria},
         {"set config", test_set_config},
         {"limit", test_limit},
