limiter: count a grant's validity from the report it answers

A grant pushed by the home, or one whose report was lost, was counted from the daemon's last report and could outlive the home's own count. After a change of home, a daemon with steady demand reported to the new one only after 2 s.

A grant is valid from the oldest report without an answer, a pushed one keeps the validity of the one it replaces, and a new home is reported to at once.

--- a/include/ebonyhollow/limiter.h
+++ b/include/ebonyhollow/limiter.h
@@ -108,7 +108,9 @@
 bool EbLimiter_Push(EbLimiter *limiter, const char **instance,
                     EbLimiterShare *grant, int64_t now_us);
 
-/* Takes grants from a home daemon, whether asked for or pushed. */
+/* Takes grants from a home daemon. One that answers a report is valid for
+ * EB_LIMITER_GRANT_US from the oldest report not answered before; a pushed one
+ * doesn't change the validity. Before any report, grants have no effect. */
 void EbLimiter_Grant(EbLimiter *limiter, const EbLimiterShare *grants,
                      size_t count, int64_t now_us);
 
--- a/src/libebonyhollow/limiter.c
+++ b/src/libebonyhollow/limiter.c
@@ -59,6 +59,7 @@
             customer = g_new0(EbLimiterCustomer, 1);
             customer->id = g_strdup(row->id);
             customer->reported_us = -1;
+            customer->unanswered_us = -1;
         }
         customer->urgent = false;
         customer->owes = false;
@@ -103,28 +104,6 @@
     g_free(limiter);
 }
 
-void
-EbLimiter_SetMembers(EbLimiter *limiter, const char *const *instances,
-                     size_t count, int64_t now_us)
-{
-    (void)now_us;
-    assert(count > 0);
-    g_hash_table_remove_all(limiter->member_names);
-    g_strfreev(limiter->members);
-    limiter->members = g_new0(char *, count + 1);
-    limiter->member_count = (uint32_t)count;
-    for (size_t i = 0; i < count; i++) {
-        limiter->members[i] = g_strdup(instances[i]);
-        g_hash_table_add(limiter->member_names, limiter->members[i]);
-    }
-    GHashTableIter iterator;
-    gpointer customer;
-    g_hash_table_iter_init(&iterator, limiter->customers);
-    while (g_hash_table_iter_next(&iterator, NULL, &customer)) {
-        ((EbLimiterCustomer *)customer)->home = NULL;
-    }
-}
-
 static EbLimiterCustomer *
 find_customer(const EbLimiter *limiter, const char *id)
 {
@@ -149,6 +128,48 @@
     return home;
 }
 
+/* Looks the home of an active customer up again. A new home knows nothing of
+ * its demand, so the next report is due at once. */
+static void
+update_home(const EbLimiter *limiter, EbLimiterCustomer *customer)
+{
+    const char *old = customer->home;
+    customer->home = find_home(limiter, customer->id);
+    if (old == NULL || strcmp(old, customer->home) != 0) {
+        customer->reported_us = -1;
+        customer->unanswered_us = -1;
+    }
+}
+
+void
+EbLimiter_SetMembers(EbLimiter *limiter, const char *const *instances,
+                     size_t count, int64_t now_us)
+{
+    (void)now_us;
+    assert(count > 0);
+    char **old = limiter->members;
+    g_hash_table_remove_all(limiter->member_names);
+    limiter->members = g_new0(char *, count + 1);
+    limiter->member_count = (uint32_t)count;
+    for (size_t i = 0; i < count; i++) {
+        limiter->members[i] = g_strdup(instances[i]);
+        g_hash_table_add(limiter->member_names, limiter->members[i]);
+    }
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, limiter->customers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        EbLimiterCustomer *customer = value;
+        if (customer->active) {
+            update_home(limiter, customer);
+        }
+        else {
+            customer->home = NULL;
+        }
+    }
+    g_strfreev(old);
+}
+
 const char *
 EbLimiter_HomeOf(const EbLimiter *limiter, EbLimiterCustomer *customer)
 {
@@ -360,11 +381,14 @@
             (double)grants[i].requests_per_s_milli / 1000;
         customer->grant[EB_LIMIT_CONCURRENT] = grants[i].concurrent_requests;
         customer->grant[EB_LIMIT_TOKENS] = (double)grants[i].tokens_per_s;
-        /* Counted from the report, so that the grant lapses here before the
-         * home hands its share to others. */
-        int64_t from_us =
-            customer->reported_us >= 0 ? customer->reported_us : now_us;
-        customer->grant_until_us = from_us + EB_LIMITER_GRANT_US;
+        /* Counted from the oldest report that it may answer, so that the grant
+         * lapses here before the home hands its share to others. A pushed
+         * grant doesn't prolong the one it replaces. */
+        if (customer->unanswered_us >= 0) {
+            customer->grant_until_us =
+                customer->unanswered_us + EB_LIMITER_GRANT_US;
+            customer->unanswered_us = -1;
+        }
     }
 }
 
--- a/src/libebonyhollow/limiter_demand.c
+++ b/src/libebonyhollow/limiter_demand.c
@@ -239,7 +239,11 @@
     }
     memcpy(customer->reported, wanted, sizeof(customer->reported));
     customer->reported_us = now_us;
+    if (customer->unanswered_us < 0) {
+        customer->unanswered_us = now_us;
+    }
     if (EbLimiter_IsIdle(wanted)) {
+        customer->unanswered_us = -1;
         customer->grant_until_us = now_us;
         customer->active = false;
         g_ptr_array_remove_fast(limiter->active, customer);
--- a/src/libebonyhollow/private/limiter_state.h
+++ b/src/libebonyhollow/private/limiter_state.h
@@ -52,7 +52,8 @@
     double window_tokens;
     double demand[EB_LIMIT_COUNT];
     double token_rate;
-    int64_t reported_us; /* time of the last report, or -1 */
+    int64_t reported_us;   /* last report to this home, or -1 */
+    int64_t unanswered_us; /* oldest report without a grant since, or -1 */
     double reported[EB_LIMIT_COUNT];
 
     /* As its home: instance name to EbLimiterReporter, or NULL. */
--- a/src/test_limiter/main.c
+++ b/src/test_limiter/main.c
@@ -211,7 +211,8 @@
     }
 }
 
-/* Guards against a grant that outlives its validity or is lost with a new
+/* Guards against a grant that outlives the validity counted by its home, also
+ * when it is raised without a report, or that is lost with a new
  * configuration, and against an unknown customer that is admitted. */
 static void
 test_grant_validity(void)
@@ -231,6 +232,7 @@
     CU_ASSERT_EQUAL_FATAL(count, 1);
     EbLimiterShare grant = {.customer = "c", .requests_per_s_milli = 7000};
     EbLimiter_Grant(limiter, &grant, 1, 2 * SECOND_US);
+    EbLimiter_Grant(limiter, &grant, 1, 4 * SECOND_US); /* pushed */
     EbLimiter_SetConfig(limiter, &config);
     EbLimiter_View(limiter, "c", SECOND_US + EB_LIMITER_GRANT_US - 1, &view);
     CU_ASSERT_TRUE(view.granted);
