--- a/include/ebonyhollow/limiter.h
+++ b/include/ebonyhollow/limiter.h
@@ -19,9 +19,9 @@
  *   its first report is answered.
  * - In a partition with k sides, each side has homes of its own and knows its
  *   own daemons only: at most k times the limit.
- * - On top of the rates, buckets hold at most 3 times the contract's burst and
- * 3 requests for each daemon; token buckets hold 4 s of the limit and the
- *   tokens of 2 requests for each daemon. */
+ * - On top of the rates, request buckets hold at most 3.1 times the burst of
+ *   the contract and three requests for each daemon; token buckets hold 4.2 s
+ *   of the limit and the tokens of two requests for each daemon. */
 #ifndef EBONYHOLLOW_LIMITER_H
 #define EBONYHOLLOW_LIMITER_H
 
