--- a/include/ebonyhollow/limiter.h
+++ b/include/ebonyhollow/limiter.h
@@ -19,9 +19,9 @@
  *   its first report is answered.
  * - In a partition with k sides, each side has homes of its own and knows its
  *   own daemons only: at most k times the limit.
- * - On top of the rates, buckets hold at most 3 times the contract's burst and
- * 3 requests for each daemon; token buckets hold 4 s of the limit and the
- *   tokens of 2 requests for each daemon. */
+ * - On top of the rates, request buckets hold at most 3.1 times the burst of
+ *   the contract and three requests for each daemon; token buckets hold 4.2 s
+ *   of the limit and the tokens of two requests for each daemon. */
 #ifndef EBONYHOLLOW_LIMITER_H
 #define EBONYHOLLOW_LIMITER_H
 
@@ -108,7 +108,9 @@
 bool EbLimiter_Push(EbLimiter *limiter, const char **instance,
                     EbLimiterShare *grant, int64_t now_us);
 
-/* Takes grants from a home daemon, whether asked for or pushed. */
+/* Takes grants from a home daemon. One that answers a report is valid for
+ * EB_LIMITER_GRANT_US from the oldest report not answered before; a pushed one
+ * doesn't change the validity. Before any report, grants have no effect. */
 void EbLimiter_Grant(EbLimiter *limiter, const EbLimiterShare *grants,
                      size_t count, int64_t now_us);
 
