--- a/src/libebonyhollow/limiter.c
+++ b/src/libebonyhollow/limiter.c
@@ -59,6 +59,7 @@
             customer = g_new0(EbLimiterCustomer, 1);
             customer->id = g_strdup(row->id);
             customer->reported_us = -1;
+            customer->unanswered_us = -1;
         }
         customer->urgent = false;
         customer->owes = false;
@@ -79,6 +80,7 @@
     EbLimiter *limiter = g_new0(EbLimiter, 1);
     limiter->instance = g_strdup(options->instance);
     limiter->active = g_ptr_array_new();
+    limiter->member_names = g_hash_table_new(g_str_hash, g_str_equal);
     g_queue_init(&limiter->urgent);
     g_queue_init(&limiter->owing);
     EbLimiter_SetConfig(limiter, options->config);
@@ -96,31 +98,12 @@
     g_queue_clear(&limiter->owing);
     g_ptr_array_free(limiter->active, TRUE);
     g_hash_table_destroy(limiter->customers);
+    g_hash_table_destroy(limiter->member_names);
     g_strfreev(limiter->members);
     g_free(limiter->instance);
     g_free(limiter);
 }
 
-void
-EbLimiter_SetMembers(EbLimiter *limiter, const char *const *instances,
-                     size_t count, int64_t now_us)
-{
-    (void)now_us;
-    assert(count > 0);
-    g_strfreev(limiter->members);
-    limiter->members = g_new0(char *, count + 1);
-    limiter->member_count = (uint32_t)count;
-    for (size_t i = 0; i < count; i++) {
-        limiter->members[i] = g_strdup(instances[i]);
-    }
-    GHashTableIter iterator;
-    gpointer customer;
-    g_hash_table_iter_init(&iterator, limiter->customers);
-    while (g_hash_table_iter_next(&iterator, NULL, &customer)) {
-        ((EbLimiterCustomer *)customer)->home = NULL;
-    }
-}
-
 static EbLimiterCustomer *
 find_customer(const EbLimiter *limiter, const char *id)
 {
@@ -145,17 +128,69 @@
     return home;
 }
 
+/* Looks the home of an active customer up again. A new home knows nothing of
+ * its demand, so the next report is due at once. */
+static void
+update_home(const EbLimiter *limiter, EbLimiterCustomer *customer)
+{
+    const char *old = customer->home;
+    customer->home = find_home(limiter, customer->id);
+    if (old == NULL || strcmp(old, customer->home) != 0) {
+        customer->reported_us = -1;
+        customer->unanswered_us = -1;
+    }
+}
+
+void
+EbLimiter_SetMembers(EbLimiter *limiter, const char *const *instances,
+                     size_t count, int64_t now_us)
+{
+    (void)now_us;
+    assert(count > 0);
+    char **old = limiter->members;
+    g_hash_table_remove_all(limiter->member_names);
+    limiter->members = g_new0(char *, count + 1);
+    limiter->member_count = (uint32_t)count;
+    for (size_t i = 0; i < count; i++) {
+        limiter->members[i] = g_strdup(instances[i]);
+        g_hash_table_add(limiter->member_names, limiter->members[i]);
+    }
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, limiter->customers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        EbLimiterCustomer *customer = value;
+        if (customer->active) {
+            update_home(limiter, customer);
+        }
+        else {
+            customer->home = NULL;
+        }
+    }
+    g_strfreev(old);
+}
+
+const char *
+EbLimiter_HomeOf(const EbLimiter *limiter, EbLimiterCustomer *customer)
+{
+    if (customer->home == NULL) {
+        customer->home = find_home(limiter, customer->id);
+    }
+    return customer->home;
+}
+
 const char *
 EbLimiter_Home(const EbLimiter *limiter, const char *customer)
 {
     EbLimiterCustomer *found = find_customer(limiter, customer);
-    if (found == NULL) {
-        return find_home(limiter, customer);
-    }
-    if (found->home == NULL) {
-        found->home = find_home(limiter, customer);
-    }
-    return found->home;
+    return found != NULL ? EbLimiter_HomeOf(limiter, found)
+                         : find_home(limiter, customer);
+}
+
+const char *
+EbLimiter_FindMember(const EbLimiter *limiter, const char *instance)
+{
+    return g_hash_table_lookup(limiter->member_names, instance);
 }
 
 double
@@ -346,11 +381,14 @@
             (double)grants[i].requests_per_s_milli / 1000;
         customer->grant[EB_LIMIT_CONCURRENT] = grants[i].concurrent_requests;
         customer->grant[EB_LIMIT_TOKENS] = (double)grants[i].tokens_per_s;
-        /* Counted from the report, so that the grant lapses here before the
-         * home hands its share to others. */
-        int64_t from_us =
-            customer->reported_us >= 0 ? customer->reported_us : now_us;
-        customer->grant_until_us = from_us + EB_LIMITER_GRANT_US;
+        /* Counted from the oldest report that it may answer, so that the grant
+         * lapses here before the home hands its share to others. A pushed
+         * grant doesn't prolong the one it replaces. */
+        if (customer->unanswered_us >= 0) {
+            customer->grant_until_us =
+                customer->unanswered_us + EB_LIMITER_GRANT_US;
+            customer->unanswered_us = -1;
+        }
     }
 }
 
@@ -362,7 +400,7 @@
     if (customer == NULL) {
         return false;
     }
-    double shares[EB_LIMIT_COUNT];
+    double shares[EB_LIMIT_COUNT] = {0};
     for (int kind = 0; kind < EB_LIMIT_COUNT; kind++) {
         shares[kind] =
             find_share(limiter, customer, (EbLimitKind)kind, now_us);
