--- a/src/libebonyhollow/dispatcher.c
+++ b/src/libebonyhollow/dispatcher.c
@@ -389,15 +389,14 @@
 retry_now(EbRequest *request, int64_t now_us)
 {
     request->retry_us = 0;
-    if (request->call_sent || request->summary->state == EB_REQUEST_DETACHED) {
+    EbRequestState state = request->summary->state;
+    if (request->call_sent || state == EB_REQUEST_DETACHED ||
+        state == EB_REQUEST_ASKING_OWNER) {
         EbRequest_LookUp(request, now_us);
     }
-    else if (request->summary->state == EB_REQUEST_CLAIMING) {
+    else if (state == EB_REQUEST_CLAIMING) {
         EbRequest_Claim(request, now_us);
     }
-    else if (request->summary->state == EB_REQUEST_ASKING_OWNER) {
-        EbRequest_LookUp(request, now_us);
-    }
     else {
         EbRequest_Enqueue(request, now_us);
     }
--- a/src/libebonyhollow/dispatcher_attempt.c
+++ b/src/libebonyhollow/dispatcher_attempt.c
@@ -12,7 +12,7 @@
  * time-out, so that its outcome can still be recorded. */
 #define GENEROUS_TIMEOUTS 3
 #define LOOKUP_TIMEOUT_US 1000000
-#define MAX_TEXT_BYTES (192 * 1024)
+#define MAX_TEXT_BYTES ((size_t)192 * 1024)
 
 static void
 push_send(const EbAttempt *attempt, const EbConfigBackendServer *server,
@@ -152,11 +152,11 @@
         request->summary->state =
             stage->idempotent ? EB_REQUEST_RUNNING : EB_REQUEST_CALLING;
     }
-    EbRequest_Trace(request,
-                    start->lookup  ? "look-up"
-                    : start->hedge ? "hedge"
-                                   : "attempt",
-                    server->id, attempt->number, now_us);
+    const char *event = start->hedge ? "hedge" : "attempt";
+    if (start->lookup) {
+        event = "look-up";
+    }
+    EbRequest_Trace(request, event, server->id, attempt->number, now_us);
     EbRequest_Touch(request);
     return attempt;
 }
--- a/src/libebonyhollow/stage.c
+++ b/src/libebonyhollow/stage.c
@@ -8,7 +8,7 @@
 /* Bound of one stage's result. Text, documents and result together stay below
  * the platform's value limit of 1 MB, so that a finished answer can always be
  * recorded. */
-#define MAX_RESULT_BYTES (256 * 1024)
+#define MAX_RESULT_BYTES ((size_t)256 * 1024)
 
 static const EbConfigStage *
 stage_of(const EbStageInput *input)
@@ -35,7 +35,7 @@
 {
     if (result != NULL &&
         json_dumpb(result, NULL, 0, JSON_COMPACT) > MAX_RESULT_BYTES) {
-        EbError_Set(error, EB_ERROR_LIMIT, "the answer exceeds %d bytes",
+        EbError_Set(error, EB_ERROR_LIMIT, "the answer exceeds %zu bytes",
                     MAX_RESULT_BYTES);
         json_decref(result);
         return NULL;
--- a/src/test_dispatcher/main.c
+++ b/src/test_dispatcher/main.c
@@ -7,8 +7,7 @@
 #include "world.h"
 
 #define TABLE_COUNT(table) (sizeof(table) / sizeof((table)[0]))
-#define SECOND_US 1000000
-#define END_US (60LL * SECOND_US)
+#define END_US (60LL * 1000000)
 
 static void
 finish(World *world)
@@ -21,6 +20,27 @@
     CU_ASSERT_FALSE(world->failed);
 }
 
+static void
+inject(World *world, Fault fault, Step step, uint32_t count)
+{
+    world->injections[world->injection_count++] =
+        (Injection){fault, step, count};
+}
+
+static WorldRequest *
+submit(World *world, const char *pipeline, const char *key)
+{
+    return World_Submit(
+        world,
+        &(WorldSubmit){.pipeline = pipeline, .key = key, .input = "sleeve"});
+}
+
+static uint64_t
+metric(const World *world, EbMetricId id, const char *stage)
+{
+    return EbMetrics_Read(world->daemons[0].metrics, id, "ask", stage, NULL);
+}
+
 /* Guards against a stage whose result does not reach the next one. */
 static void
 test_normal_path(void)
@@ -28,11 +48,11 @@
     static const char *const pipelines[] = {"ask", "full", "pay"};
     for (size_t i = 0; i < TABLE_COUNT(pipelines); i++) {
         World *world = World_New(&(WorldOptions){.seed = i});
-        WorldRequest *request = World_Submit(
-            world, &(WorldSubmit){.pipeline = pipelines[i],
-                                  .key = i == 2 ? "k" : NULL,
-                                  .input = "sleeve",
-                                  .stream = i == 1});
+        WorldSubmit wanted = {.pipeline = pipelines[i],
+                              .key = i == 2 ? "k" : NULL,
+                              .input = "sleeve",
+                              .stream = i == 1};
+        WorldRequest *request = World_Submit(world, &wanted);
         finish(world);
         CU_ASSERT_EQUAL(request->outcome, EB_OUTCOME_DONE);
         CU_ASSERT_EQUAL(request->relayed, i == 1 ? WORLD_TOKENS : 0);
@@ -42,11 +62,326 @@
     }
 }
 
+typedef struct {
+    const char *pipeline;
+    const char *key;
+    const char *token;
+    const char *input;
+    int64_t timeout_us;
+    EbOutcome outcome;
+    EbReason reason;
+} Refusal;
+
+/* Guards against `not-run` for a key whose state is not known, and against a
+ * refused request that reaches a server. */
+static void
+test_refusals(void)
+{
+    static const Refusal refusals[] = {
+        {"ask", NULL, "wrong", "a", 0, EB_OUTCOME_NOT_RUN,
+         EB_REASON_UNAUTHENTICATED},
+        {"pay", "k", "wrong", "a", 0, EB_OUTCOME_UNKNOWN,
+         EB_REASON_UNAUTHENTICATED},
+        {"none", NULL, NULL, "a", 0, EB_OUTCOME_NOT_RUN,
+         EB_REASON_UNKNOWN_PIPELINE},
+        {"none", "k", NULL, "a", 0, EB_OUTCOME_UNKNOWN,
+         EB_REASON_UNKNOWN_PIPELINE},
+        {"pay", NULL, NULL, "a", 0, EB_OUTCOME_NOT_RUN,
+         EB_REASON_KEY_REQUIRED},
+        {"ask", NULL, NULL, "", 0, EB_OUTCOME_NOT_RUN, EB_REASON_BAD_REQUEST},
+        {"pay", "k", NULL, "", 0, EB_OUTCOME_UNKNOWN, EB_REASON_BAD_REQUEST},
+        {"ask", NULL, NULL, "\" x", 0, EB_OUTCOME_NOT_RUN,
+         EB_REASON_BAD_REQUEST},
+        {"ask", "k", NULL, "a", 3000, EB_OUTCOME_NOT_RUN,
+         EB_REASON_DEADLINE_INFEASIBLE},
+        {"pay", "k", NULL, "a", 3000, EB_OUTCOME_UNKNOWN,
+         EB_REASON_DEADLINE_INFEASIBLE},
+    };
+    World *world = World_New(&(WorldOptions){.seed = 1});
+    for (size_t i = 0; i < TABLE_COUNT(refusals); i++) {
+        const Refusal *row = &refusals[i];
+        WorldSubmit wanted = {.pipeline = row->pipeline,
+                              .key = row->key,
+                              .token = row->token,
+                              .input = row->input,
+                              .timeout_us = row->timeout_us};
+        WorldRequest *request = World_Submit(world, &wanted);
+        CU_ASSERT_TRUE(request->answered);
+        CU_ASSERT_EQUAL(request->outcome, row->outcome);
+        CU_ASSERT_EQUAL(request->reason, row->reason);
+        CU_ASSERT_EQUAL(request->retry_after_us > 0,
+                        EbReason_table[row->reason].retry_after == 1);
+    }
+    CU_ASSERT_EQUAL(g_hash_table_size(world->calls), 0);
+    CU_ASSERT_STRING_EQUAL(World_ClaimState(world, "k"), "absent");
+    finish(world);
+    World_Free(world);
+}
+
+/* Guards against unbounded state: live requests, a customer's contract and
+ * the ring of recent requests. */
+static void
+count_request(void *context, json_t *request)
+{
+    CU_ASSERT_TRUE(json_array_size(json_object_get(request, "trace")) > 0);
+    CU_ASSERT_PTR_NOT_NULL(json_object_get(request, "state"));
+    (*(uint32_t *)context)++;
+}
+
+static void
+test_bounds(void)
+{
+    World *world = World_New(
+        &(WorldOptions){.seed = 1,
+                        .max_requests = 4,
+                        .config = {.contract = "\"concurrent_requests\": 6"}});
+    uint32_t limited = 0;
+    uint32_t overloaded = 0;
+    for (int i = 0; i < 400; i++) {
+        WorldRequest *request = submit(world, "ask", NULL);
+        limited += request->answered &&
+                   request->reason == EB_REASON_CONCURRENCY_LIMITED;
+        overloaded +=
+            request->answered && request->reason == EB_REASON_OVERLOADED;
+    }
+    /* Half of the contract is this daemon's share. */
+    CU_ASSERT_EQUAL(limited, 397);
+    CU_ASSERT_EQUAL(overloaded, 0);
+    finish(world);
+    uint32_t described = 0;
+    EbDispatcher_Describe(world->daemons[0].dispatcher, NULL, world->now_us,
+                          count_request, &described);
+    CU_ASSERT_EQUAL(described, 256);
+    World_Free(world);
+
+    world = World_New(&(WorldOptions){.seed = 1, .max_requests = 4});
+    for (int i = 0; i < 6; i++) {
+        overloaded +=
+            submit(world, "ask", NULL)->reason == EB_REASON_OVERLOADED;
+    }
+    CU_ASSERT_EQUAL(overloaded, 2);
+    finish(world);
+    World_Free(world);
+}
+
+/* Guards against tokens lost or sent twice when a stream breaks, and against
+ * a restart after tokens were relayed. */
+static void
+test_streams(void)
+{
+    for (int i = 0; i < 4; i++) {
+        bool restarts = i >= 2;
+        bool stream = i % 2 == 1;
+        World *world = World_New(
+            &(WorldOptions){.seed = 1, .config = {.restarts = restarts}});
+        inject(world, FAULT_BROKEN_RAN, STEP_GENERATE, 1);
+        WorldSubmit wanted = {
+            .pipeline = "ask", .input = "sleeve", .stream = stream};
+        WorldRequest *request = World_Submit(world, &wanted);
+        finish(world);
+        bool lost = restarts && stream;
+        CU_ASSERT_EQUAL(request->outcome,
+                        lost ? EB_OUTCOME_FAILED : EB_OUTCOME_DONE);
+        CU_ASSERT_EQUAL(request->relayed, !stream ? 0
+                                          : lost  ? WORLD_TOKENS / 2
+                                                  : WORLD_TOKENS);
+        CU_ASSERT_EQUAL(metric(world, EB_METRIC_RESUMES, "generate"),
+                        restarts ? 0 : 1);
+        World_Free(world);
+    }
+}
+
+/* Guards against a caller that waits for one slow server, and against a
+ * hedge whose answer is delivered as well. */
+static void
+test_hedge(void)
+{
+    World *world = World_New(&(WorldOptions){.seed = 3});
+    for (int i = 0; i < 40; i++) {
+        submit(world, "ask", NULL);
+        finish(world);
+    }
+    CU_ASSERT_EQUAL(metric(world, EB_METRIC_HEDGES, "retrieve"), 0);
+    inject(world, FAULT_LATE, STEP_RETRIEVE, 1);
+    WorldRequest *request = submit(world, "ask", NULL);
+    finish(world);
+    CU_ASSERT_EQUAL(request->outcome, EB_OUTCOME_DONE);
+    CU_ASSERT_TRUE(request->total_us < 100000);
+    CU_ASSERT_EQUAL(metric(world, EB_METRIC_HEDGES, "retrieve"), 1);
+    CU_ASSERT_EQUAL(metric(world, EB_METRIC_WASTED_CALLS, "retrieve"), 1);
+    World_Free(world);
+}
+
+/* Guards against connections that stay in use after one proved silent. */
+static void
+test_silence(void)
+{
+    World *world = World_New(&(WorldOptions){.seed = 1});
+    inject(world, FAULT_SILENT, STEP_ENCODE, 1);
+    WorldRequest *request = submit(world, "ask", NULL);
+    finish(world);
+    CU_ASSERT_EQUAL(request->outcome, EB_OUTCOME_DONE);
+    CU_ASSERT_EQUAL(world->retired, 1);
+    World_Free(world);
+}
+
+/* Guards against a request that crashes every server: it is refused after
+ * three crashes, however often its caller sends it, and others are served. */
+static void
+test_poison(void)
+{
+    World *world = World_New(&(WorldOptions){.seed = 1});
+    WorldRequest *last = NULL;
+    for (int i = 0; i < 6; i++) {
+        WorldSubmit wanted = {.pipeline = "ask", .input = "poison"};
+        last = World_Submit(world, &wanted);
+        World_Submit(world, &wanted);
+        WorldRequest *other = submit(world, "ask", NULL);
+        finish(world);
+        CU_ASSERT_EQUAL(other->outcome, EB_OUTCOME_DONE);
+    }
+    /* Both first copies were in flight at the first crash. */
+    CU_ASSERT_TRUE(world->crashes <= 4);
+    CU_ASSERT_EQUAL(last->outcome, EB_OUTCOME_NOT_RUN);
+    CU_ASSERT_EQUAL(last->reason, EB_REASON_QUARANTINED);
+    World_Free(world);
+}
+
+/* Guards against a second run when the same key arrives while the first
+ * request is running, here or at the other daemon. */
+static void
+test_repeats(void)
+{
+    for (uint32_t daemon = 0; daemon < 2; daemon++) {
+        for (int faulty = 0; faulty < 2; faulty++) {
+            World *world = World_New(&(WorldOptions){.seed = 1});
+            if (faulty) {
+                inject(world, FAULT_STATUS_400, STEP_RERANK, 1);
+            }
+            WorldRequest *first = submit(world, "pay", "k");
+            World_Step(world, world->now_us + 3000);
+            WorldSubmit wanted = {.daemon = daemon,
+                                  .pipeline = "pay",
+                                  .key = "k",
+                                  .input = "sleeve"};
+            WorldRequest *second = World_Submit(world, &wanted);
+            wanted.input = "another body";
+            WorldRequest *third = World_Submit(world, &wanted);
+            finish(world);
+            CU_ASSERT_EQUAL(first->outcome,
+                            faulty ? EB_OUTCOME_FAILED : EB_OUTCOME_DONE);
+            CU_ASSERT_EQUAL(second->outcome, EB_OUTCOME_DONE);
+            CU_ASSERT_EQUAL(second->replayed, !faulty);
+            CU_ASSERT_EQUAL(third->reason, EB_REASON_KEY_REUSED);
+            CU_ASSERT_EQUAL(World_Record(world, "k")->runs, 1);
+            World_Free(world);
+        }
+    }
+}
+
+/* Guards against new work for a server that leaves. */
+static void
+test_leaving(void)
+{
+    World *world = World_New(&(WorldOptions){.seed = 1});
+    EbDispatcher_ServerLeaving(world->daemons[0].dispatcher, "encode0", true,
+                               "peer", world->now_us);
+    for (int i = 0; i < 20; i++) {
+        submit(world, "ask", NULL);
+    }
+    World_ChangeConfig(world);
+    for (int i = 0; i < 20; i++) {
+        submit(world, "ask", NULL);
+    }
+    finish(world);
+    CU_ASSERT_PTR_NULL(strstr(world->trace->str, "to encode0"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(world->trace->str, "to encode1"));
+    World_Free(world);
+}
+
+/* Guards against requests interrupted by a drain or by a configuration that
+ * removes the servers on which they run. */
+static void
+test_drain_and_config(void)
+{
+    World *world = World_New(&(WorldOptions){.seed = 1});
+    WorldRequest *requests[20];
+    for (size_t i = 0; i < TABLE_COUNT(requests); i++) {
+        requests[i] = submit(world, "ask", NULL);
+    }
+    world->config_options.servers = 1;
+    World_ChangeConfig(world);
+    EbDispatcher_Drain(world->daemons[0].dispatcher, world->now_us);
+    WorldRequest *late = submit(world, "ask", NULL);
+    CU_ASSERT_EQUAL(late->reason, EB_REASON_DRAINING);
+    finish(world);
+    for (size_t i = 0; i < TABLE_COUNT(requests); i++) {
+        CU_ASSERT_EQUAL(requests[i]->outcome, EB_OUTCOME_DONE);
+    }
+    CU_ASSERT_EQUAL(EbDispatcher_PoolCount(world->daemons[0].dispatcher),
+                    EB_STAGE_KIND_COUNT);
+    World_Free(world);
+}
+
+/* Guards against a baseline that is better or worse than described: three
+ * retries without a budget, no hedges, no admission, calls at most once. */
+static void
+test_plain_policy(void)
+{
+    World *world =
+        World_New(&(WorldOptions){.seed = 1, .policy = EB_POLICY_PLAIN});
+    for (int i = 0; i < 12; i++) {
+        inject(world, FAULT_STATUS_500, STEP_ENCODE, 3);
+        WorldRequest *request = submit(world, "ask", NULL);
+        finish(world);
+        CU_ASSERT_EQUAL(request->outcome, EB_OUTCOME_DONE);
+        world->injection_count = 0;
+    }
+    CU_ASSERT_EQUAL(metric(world, EB_METRIC_RETRIES, "encode"), 36);
+    inject(world, FAULT_STATUS_500, STEP_ENCODE, 4);
+    WorldRequest *failed = submit(world, "ask", NULL);
+    finish(world);
+    CU_ASSERT_EQUAL(failed->outcome, EB_OUTCOME_FAILED);
+    inject(world, FAULT_BROKEN_RAN, STEP_CALL, 1);
+    WorldRequest *call = submit(world, "pay", "k");
+    finish(world);
+    CU_ASSERT_EQUAL(call->outcome, EB_OUTCOME_UNKNOWN);
+    CU_ASSERT_EQUAL(World_Record(world, "k")->runs, 1);
+    World_Free(world);
+}
+
+/* Guards against retries that multiply load when everything fails: beyond
+ * the reserve, extra calls stay a tenth of the fresh ones. */
+static void
+test_budget(void)
+{
+    World *world = World_New(&(WorldOptions){.seed = 1});
+    inject(world, FAULT_STATUS_500, STEP_ENCODE, 100000);
+    for (int i = 0; i < 200; i++) {
+        submit(world, "ask", NULL);
+        finish(world);
+    }
+    uint64_t retries = metric(world, EB_METRIC_RETRIES, "encode");
+    CU_ASSERT_TRUE(retries >= 20 && retries <= 23);
+    World_Free(world);
+}
+
 int
 main(void)
 {
     static const EbTestCase cases[] = {
         {"normal path", test_normal_path},
+        {"refusals", test_refusals},
+        {"bounds", test_bounds},
+        {"streams", test_streams},
+        {"hedge", test_hedge},
+        {"silence", test_silence},
+        {"poison", test_poison},
+        {"repeats", test_repeats},
+        {"leaving", test_leaving},
+        {"drain and configuration", test_drain_and_config},
+        {"plain policy", test_plain_policy},
+        {"budget", test_budget},
     };
     return EbTest_Run("test_dispatcher", cases, TABLE_COUNT(cases));
 }
--- a/src/test_fault_matrix/matrix.c
+++ b/src/test_fault_matrix/matrix.c
@@ -12,8 +12,8 @@
 #include "test_runner.h"
 #include "world.h"
 
-#define SECOND_US 1000000
-#define SETTLE_US (120LL * SECOND_US)
+#define SECOND_US 1000000LL
+#define SETTLE_US (120 * SECOND_US)
 #define PAGE EB_SOURCE_DIRECTORY "/docs/fault-matrix.md"
 #define OUTCOME_CUT EB_OUTCOME_COUNT /* the caller left or was cut off */
 
--- a/src/test_fault_matrix/sequences.c
+++ b/src/test_fault_matrix/sequences.c
@@ -9,8 +9,8 @@
 #include "world.h"
 
 #define NORMAL_SEEDS 2500
-#define SECOND_US 1000000
-#define SETTLE_US (180LL * SECOND_US)
+#define SECOND_US 1000000LL
+#define SETTLE_US (180 * SECOND_US)
 #define KEYS 4
 
 typedef struct {
@@ -45,15 +45,17 @@
     if (!pay && below(world, 25) == 0) {
         snprintf(input, sizeof(input), "poison");
     }
+    int64_t timeout_us = 0;
+    if (below(world, 4) == 0) {
+        timeout_us = (int64_t)below(world, 600000);
+    }
     World_Submit(world, &(WorldSubmit){
                             .daemon = daemon,
                             .pipeline = pipeline,
                             .key = pay ? key : NULL,
                             .input = input,
                             .stream = below(world, 2) == 0,
-                            .timeout_us = below(world, 4) == 0
-                                              ? (int64_t)below(world, 600000)
-                                              : 0,
+                            .timeout_us = timeout_us,
                         });
 }
 
--- a/src/test_world/world.c
+++ b/src/test_world/world.c
@@ -8,7 +8,7 @@
 #include "world_private.h"
 
 #define OWNER_CHECK_US 2000000
-#define MAX_TRACE_BYTES (64 * 1024)
+#define MAX_TRACE_BYTES ((size_t)64 * 1024)
 
 const char *const Step_names[STEP_COUNT] = {
     "admit",    "queue", "claim",  "encode", "retrieve", "rerank",
@@ -155,7 +155,7 @@
     Fault last = store ? FAULT_STORE_STALE : FAULT_CRASH;
     world->faults_hit++;
     return first +
-           (Fault)EbRandom_Below(&world->random, (uint64_t)(last - first + 1));
+           (Fault)EbRandom_Below(&world->random, (uint64_t)last - first + 1);
 }
 
 void
