--- a/include/ebonyhollow/membership.h
+++ b/include/ebonyhollow/membership.h
@@ -38,7 +38,7 @@
      * HEARTBEAT and MEMBERS, each flooded message once. */
     void (*deliver)(void *context, const char *peer, const EbMessage *message,
                     int64_t now_us);
-    /* Called when the set of live daemons changed. */
+    /* Called when the set of live daemons or an incarnation changed. */
     void (*changed)(void *context, int64_t now_us);
     /* Called when a peer announces a configuration generation. */
     void (*announced)(void *context, const char *peer, uint64_t generation,
--- a/include/ebonyhollow/message.h
+++ b/include/ebonyhollow/message.h
@@ -117,6 +117,10 @@
 bool EbMessage_Encode(const EbMessage *message, uint8_t **bytes,
                       size_t *byte_count);
 
+/* Returns the kind of a message that EbMessage_Encode made, or
+ * EB_MESSAGE_KIND_COUNT for other bytes. */
+EbMessageKind EbMessage_PeekKind(const uint8_t *bytes, size_t byte_count);
+
 /* Decodes one message.
  *
  * Returns a message for EbMessage_Free, or NULL with `error` set. The error is
--- a/src/libebonyhollow/membership.c
+++ b/src/libebonyhollow/membership.c
@@ -204,6 +204,7 @@
     }
     if (member != NULL && incarnation > member->incarnation) {
         EbMembership_SetAddress(membership, member, address);
+        membership->live_changed = true;
         member->incarnation = incarnation;
         member->sequence = 0;
         member->state = EB_MEMBER_ALIVE;
--- a/src/libebonyhollow/membership_record.c
+++ b/src/libebonyhollow/membership_record.c
@@ -270,6 +270,9 @@
     bool sudden = record->state == EB_MEMBER_DEAD &&
                   member->state == EB_MEMBER_ALIVE &&
                   record->incarnation == member->incarnation;
+    if (record->incarnation != member->incarnation) {
+        membership->live_changed = true;
+    }
     EbMembership_SetAddress(membership, member, record->address);
     g_free(member->failure_domain);
     member->failure_domain = g_strdup(record->failure_domain);
--- a/src/libebonyhollow/message.c
+++ b/src/libebonyhollow/message.c
@@ -302,6 +302,17 @@
     return true;
 }
 
+EbMessageKind
+EbMessage_PeekKind(const uint8_t *bytes, size_t byte_count)
+{
+    /* Map head, version key and value, kind key and value: a byte each. */
+    if (byte_count < 5 || bytes[1] != EB_MESSAGE_KEY_VERSION ||
+        bytes[3] != EB_MESSAGE_KEY_KIND || bytes[4] >= EB_MESSAGE_KIND_COUNT) {
+        return EB_MESSAGE_KIND_COUNT;
+    }
+    return (EbMessageKind)bytes[4];
+}
+
 void
 EbMessage_Free(EbMessage *message)
 {
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -105,6 +105,7 @@
         uint8_t *bytes;
         size_t count;
         CU_ASSERT_TRUE_FATAL(EbMessage_Encode(sent, &bytes, &count));
+        CU_ASSERT_EQUAL(EbMessage_PeekKind(bytes, count), sent->kind);
         EbMessage *got = EbMessage_Decode(bytes, count, NULL);
         free(bytes);
         CU_ASSERT_PTR_NOT_NULL_FATAL(got);
