admin_server: the administration listener

Operators need the interface of docs/api.md. Routes are a table of method, path, role and handler. A change of the configuration is compared with the one in force and refused when a differing path lies outside of the operator's scope; operators themselves are changed by admins only, since another role could raise itself. The settings' bootstrap token acts as admin until a configuration is in force.

--- /dev/null
+++ b/src/libebonyhollow_net/admin_server.c
@@ -0,0 +1,420 @@
+#include "ebonyhollow/admin_server.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <sodium.h>
+
+#include "admin_internal.h"
+#include "clock.h"
+
+#define MAX_BODY_BYTES (EB_CONFIG_MAX_BYTES + 65536)
+#define MAX_CONNECTIONS 256
+#define PROBLEM_TYPE "application/problem+json"
+
+typedef enum {
+    ACCESS_NONE,
+    ACCESS_VIEWER,
+    ACCESS_OPERATOR,
+    ACCESS_ADMIN
+} Access;
+
+typedef struct {
+    enum evhttp_cmd_type command;
+    const char *path;
+    bool prefix; /* the path goes on behind it */
+    Access access;
+    bool needs_config;
+    void (*handle)(const EbAdminCall *call);
+} Route;
+
+void
+EbAdmin_Reply(EbAdminServer *server, struct evhttp_request *request,
+              int status, json_t *document)
+{
+    EbHttpServer_SendJson(server->http, request, status, "application/json",
+                          document);
+    json_decref(document);
+}
+
+static const char *
+status_name(int status)
+{
+    switch (status) {
+    case 400:
+        return "bad-request";
+    case 401:
+        return "unauthenticated";
+    case 403:
+        return "forbidden";
+    case 404:
+        return "not-found";
+    case 405:
+        return "method-not-allowed";
+    case 409:
+        return "conflict";
+    case 422:
+        return "invalid";
+    default:
+        return "unavailable";
+    }
+}
+
+void
+EbAdmin_Problem(EbAdminServer *server, struct evhttp_request *request,
+                int status, const char *detail, const EbError *error)
+{
+    const char *name = status_name(status);
+    json_t *document =
+        json_pack("{s:o, s:s, s:i, s:s}", "type",
+                  json_sprintf("urn:ebonyhollow:problem:%s", name), "title",
+                  name, "status", status, "detail", detail);
+    if (error != NULL) {
+        json_object_set_new(document, "code",
+                            json_string(EbErrorCode_names[error->code]));
+        json_object_set_new(document, "message", json_string(error->message));
+        json_object_set_new(document, "path", json_string(error->path));
+        json_object_set_new(document, "line", json_integer(error->line));
+        json_object_set_new(document, "column", json_integer(error->column));
+    }
+    EbHttpServer_SendJson(server->http, request, status, PROBLEM_TYPE,
+                          document);
+    json_decref(document);
+}
+
+EbAdminPending *
+EbAdmin_Wait(const EbAdminCall *call, const char *object,
+             uint64_t from_version)
+{
+    EbAdminPending *pending = g_new0(EbAdminPending, 1);
+    pending->server = call->server;
+    pending->request = call->request;
+    pending->evcon = evhttp_request_get_connection(call->request);
+    pending->operator_id = g_strdup(call->operator->id);
+    pending->object = g_strdup(object);
+    pending->from_version = from_version;
+    g_hash_table_add(call->server->pending, pending);
+    return pending;
+}
+
+static void
+free_pending(void *data)
+{
+    EbAdminPending *pending = data;
+    g_free(pending->operator_id);
+    g_free(pending->object);
+    g_free(pending);
+}
+
+void
+EbAdmin_FreePending(EbAdminPending *pending)
+{
+    g_hash_table_remove(pending->server->pending, pending);
+}
+
+void
+EbAdmin_Audit(EbAdminServer *server, const char *operator_id,
+              const char *action, const char *object, uint64_t from_version,
+              const char *result)
+{
+    EB_EMIT(server->options.events, EB_EVENT_AUDIT,
+            EB_STRING_FIELD("operator", operator_id),
+            EB_STRING_FIELD("action", action),
+            EB_STRING_FIELD("object", object),
+            EB_INTEGER_FIELD("from_version", from_version),
+            EB_STRING_FIELD("result", result));
+}
+
+static void
+emit_denied(const EbAdminCall *call)
+{
+    EB_EMIT(call->server->options.events, EB_EVENT_ADMIN_DENIED,
+            EB_STRING_FIELD("operator",
+                            call->operator ? call->operator->id : ""),
+            EB_STRING_FIELD("action", call->path));
+}
+
+void
+EbAdmin_Deny(const EbAdminCall *call, const char *detail)
+{
+    emit_denied(call);
+    EbAdmin_Problem(call->server, call->request, 403, detail, NULL);
+}
+
+static void
+reply_health(const EbAdminCall *call)
+{
+    EbAdmin_Reply(call->server, call->request, 200,
+                  json_pack("{s:s}", "status", "ok"));
+}
+
+static void
+reply_ready(const EbAdminCall *call)
+{
+    const EbAdminServerOptions *options = &call->server->options;
+    const char *status = "ready";
+    if (options->draining(options->context)) {
+        status = "draining";
+    }
+    else if (EbGeneration_Current(options->generation) == NULL) {
+        status = "no-configuration";
+    }
+    EbAdmin_Reply(call->server, call->request,
+                  strcmp(status, "ready") == 0 ? 200 : 503,
+                  json_pack("{s:s}", "status", status));
+}
+
+static void
+reply_metrics(const EbAdminCall *call)
+{
+    size_t length;
+    char *text = EbMetrics_Format(call->server->options.metrics, &length);
+    struct evbuffer *body = evbuffer_new();
+    evbuffer_add(body, text, length);
+    free(text);
+    evhttp_add_header(evhttp_request_get_output_headers(call->request),
+                      "Content-Type", "text/plain; version=0.0.4");
+    EbHttpServer_Answered(call->server->http, call->request);
+    evhttp_send_reply(call->request, 200, NULL, body);
+    evbuffer_free(body);
+}
+
+/* A fingerprint does not tell its customer, so that an operator with a scope
+ * may not release it. */
+static void
+release_fingerprint(const EbAdminCall *call)
+{
+    const EbAdminServerOptions *options = &call->server->options;
+    char *end = NULL;
+    EbFingerprint fingerprint = g_ascii_strtoull(call->rest, &end, 16);
+    if (call->operator->pipeline_count + call->operator->customer_count> 0) {
+        EbAdmin_Deny(call, "the operator's scope does not cover quarantine");
+        return;
+    }
+    bool released = end != call->rest && *end == '\0' &&
+                    EbQuarantine_Release(options->quarantine, fingerprint,
+                                         EbClock_Monotonic());
+    EbAdmin_Audit(call->server, call->operator->id, "quarantine-release",
+                  call->rest, 0, released ? "released" : "not-found");
+    if (!released) {
+        EbAdmin_Problem(call->server, call->request, 404,
+                        "the fingerprint is not in quarantine", NULL);
+        return;
+    }
+    EbAdmin_Reply(call->server, call->request, 200,
+                  json_pack("{s:s}", "released", call->rest));
+    options->wake(options->context);
+}
+
+static void
+start_drain(const EbAdminCall *call)
+{
+    const EbAdminServerOptions *options = &call->server->options;
+    EbAdmin_Audit(call->server, call->operator->id, "drain",
+                  options->settings->instance, 0, "started");
+    options->drain(options->context);
+    EbAdmin_Reply(
+        call->server, call->request, 202,
+        json_pack("{s:s}", "drain", options->drain_state(options->context)));
+}
+
+static const Route routes[] = {
+    {EVHTTP_REQ_GET, "/healthz", false, ACCESS_NONE, false, reply_health},
+    {EVHTTP_REQ_GET, "/readyz", false, ACCESS_NONE, false, reply_ready},
+    {EVHTTP_REQ_GET, "/metrics", false, ACCESS_NONE, false, reply_metrics},
+    {EVHTTP_REQ_GET, "/v1/status", false, ACCESS_VIEWER, false,
+     EbAdmin_Status},
+    {EVHTTP_REQ_GET, "/v1/config", false, ACCESS_VIEWER, true, EbAdmin_Config},
+    {EVHTTP_REQ_PUT, "/v1/config", false, ACCESS_OPERATOR, false,
+     EbAdmin_ChangeConfig},
+    {EVHTTP_REQ_GET, "/v1/config/merged", false, ACCESS_VIEWER, true,
+     EbAdmin_MergedConfig},
+    {EVHTTP_REQ_GET, "/v1/config/history", false, ACCESS_VIEWER, false,
+     EbAdmin_History},
+    {EVHTTP_REQ_POST, "/v1/config/check", false, ACCESS_VIEWER, false,
+     EbAdmin_CheckConfig},
+    {EVHTTP_REQ_GET, "/v1/servers", false, ACCESS_VIEWER, true,
+     EbAdmin_Servers},
+    {EVHTTP_REQ_GET, "/v1/peers", false, ACCESS_VIEWER, false, EbAdmin_Peers},
+    {EVHTTP_REQ_GET, "/v1/customers", false, ACCESS_VIEWER, true,
+     EbAdmin_Customers},
+    {EVHTTP_REQ_GET, "/v1/requests", false, ACCESS_VIEWER, false,
+     EbAdmin_Requests},
+    {EVHTTP_REQ_GET, "/v1/quarantine", false, ACCESS_VIEWER, false,
+     EbAdmin_Quarantine},
+    {EVHTTP_REQ_DELETE, "/v1/quarantine/", true, ACCESS_OPERATOR, false,
+     release_fingerprint},
+    {EVHTTP_REQ_GET, "/v1/outcomes/", true, ACCESS_VIEWER, false,
+     EbAdmin_Outcome},
+    {EVHTTP_REQ_POST, "/v1/drain", false, ACCESS_ADMIN, false, start_drain},
+};
+
+/* Finds the route of a call. `known` tells whether the path exists. */
+static const Route *
+find_route(const char *path, enum evhttp_cmd_type command, bool *known)
+{
+    *known = false;
+    for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
+        const Route *route = &routes[i];
+        bool matches = route->prefix ? g_str_has_prefix(path, route->path)
+                                     : strcmp(path, route->path) == 0;
+        *known = *known || matches;
+        if (matches && route->command == command) {
+            return route;
+        }
+    }
+    return NULL;
+}
+
+/* Admin that acts until a configuration names operators; NULL when the token
+ * is not the one of the settings. */
+static const EbConfigOperator *
+find_bootstrap(const EbSettings *settings, const char *token)
+{
+    static const EbConfigOperator bootstrap = {.id = (char *)"bootstrap",
+                                               .role = EB_ROLE_ADMIN};
+    uint8_t digest[EB_TOKEN_DIGEST_BYTES];
+    if (sodium_is_zero(settings->bootstrap_token_digest,
+                       sizeof(settings->bootstrap_token_digest))) {
+        return NULL;
+    }
+    EbConfig_DigestToken(token, digest);
+    return sodium_memcmp(digest, settings->bootstrap_token_digest,
+                         sizeof(digest)) == 0
+               ? &bootstrap
+               : NULL;
+}
+
+/* Authenticates the caller of a route; answers the call when it fails. */
+static bool
+authorize(EbAdminCall *call, const Route *route)
+{
+    if (route->access == ACCESS_NONE) {
+        return true;
+    }
+    const EbConfig *config =
+        EbGeneration_Current(call->server->options.generation);
+    const char *token = EbHttp_BearerToken(call->request);
+    if (token != NULL) {
+        call->operator= config != NULL
+            ? EbConfig_FindOperatorByToken(config, token)
+            : find_bootstrap(call->server->options.settings, token);
+    }
+    if (call->operator== NULL) {
+        emit_denied(call);
+        EbAdmin_Problem(call->server, call->request, 401,
+                        config == NULL
+                            ? "no configuration is in force, so that no "
+                              "operator is known"
+                            : "an operator's bearer token is required",
+                        NULL);
+        return false;
+    }
+    if ((int)call->operator->role<(int) route->access - ACCESS_VIEWER) {
+        EbAdmin_Deny(call, "the operator's role does not allow this");
+        return false;
+    }
+    return true;
+}
+
+static void
+on_request(struct evhttp_request *request, void *context)
+{
+    EbAdminServer *server = context;
+    const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
+    const char *path = evhttp_uri_get_path(uri);
+    EbAdminCall call = {.server = server,
+                        .request = request,
+                        .path = path ? path : "",
+                        .query = evhttp_uri_get_query(uri)};
+    bool known;
+    const Route *route =
+        find_route(call.path, evhttp_request_get_command(request), &known);
+    if (route == NULL) {
+        EbAdmin_Problem(server, request, known ? 405 : 404,
+                        known ? "the path does not support this method"
+                              : "there is no such path",
+                        NULL);
+        return;
+    }
+    call.rest = call.path + strlen(route->path);
+    if (!authorize(&call, route)) {
+        return;
+    }
+    if (route->needs_config &&
+        EbGeneration_Current(server->options.generation) == NULL) {
+        EbAdmin_Problem(server, request, 503, "no configuration is in force",
+                        NULL);
+        return;
+    }
+    route->handle(&call);
+}
+
+static void
+on_closed(struct evhttp_connection *evcon, void *context)
+{
+    EbAdminServer *server = context;
+    GHashTableIter iter;
+    void *key;
+    g_hash_table_iter_init(&iter, server->pending);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        EbAdminPending *pending = key;
+        if (pending->evcon != evcon || pending->request == NULL) {
+            continue;
+        }
+        if (evhttp_request_get_connection(pending->request) == NULL) {
+            evhttp_request_free(pending->request);
+        }
+        pending->request = NULL;
+    }
+}
+
+uint16_t
+EbAdminServer_Port(const EbAdminServer *server)
+{
+    return EbHttpServer_Port(server->http);
+}
+
+EbAdminServer *
+EbAdminServer_New(const EbAdminServerOptions *options, EbError *error)
+{
+    assert(options->base != NULL && options->generation != NULL);
+    EbAdminServer *server = g_new0(EbAdminServer, 1);
+    server->options = *options;
+    g_queue_init(&server->history);
+    server->pending = g_hash_table_new_full(NULL, NULL, free_pending, NULL);
+    EbHttpServerOptions http = {
+        .base = options->base,
+        .address = &options->settings->admin,
+        .max_body_bytes = MAX_BODY_BYTES,
+        .max_header_bytes = options->settings->max_header_bytes,
+        .max_connections = MAX_CONNECTIONS,
+        .header_timeout_us = options->settings->header_timeout_us,
+        .request = on_request,
+        .closed = on_closed,
+        .context = server};
+    server->http = EbHttpServer_New(&http, error);
+    if (server->http == NULL) {
+        EbAdminServer_Free(server);
+        return NULL;
+    }
+    return server;
+}
+
+void
+EbAdminServer_Free(EbAdminServer *server)
+{
+    if (server == NULL) {
+        return;
+    }
+    EbHttpServer_Free(server->http);
+    g_hash_table_destroy(server->pending);
+    json_t *entry;
+    while ((entry = g_queue_pop_head(&server->history)) != NULL) {
+        json_decref(entry);
+    }
+    g_free(server);
+}
--- /dev/null
+++ b/src/test_admin_server/main.c
@@ -0,0 +1,601 @@
+/* Tests of EbAdminServer over raw sockets, with the real modules and a
+ * platform that answers from memory. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/event.h>
+#include <glib.h>
+#include <sodium.h>
+
+#include "ebonyhollow/admin_server.h"
+#include "net_fixture.h"
+#include "test_runner.h"
+
+#define DOCUMENT EB_SOURCE_DIRECTORY "/examples/capas/configuration.json"
+#define ADMIN "demo-capas-on-call"
+#define EDITOR "demo-capas-editor"
+#define VIEWER "demo-capas-dashboard"
+
+typedef struct {
+    struct event_base *base;
+    EbSettings settings;
+    EbEventSink sink;
+    EbRandom random;
+    EbActionQueue *actions;
+    EbMetrics *metrics;
+    EbLedger *ledger;
+    EbLimiter *limiter;
+    EbQuarantine *quarantine;
+    EbGeneration *generation;
+    EbMembership *membership;
+    EbDispatcher *dispatcher;
+    EbPlatformClient *platform;
+    EbAdminServer *server;
+    json_t *document;        /* example, with generation 1 */
+    json_t *stored;          /* configuration object of the platform */
+    uint64_t stored_version; /* 0 while absent */
+    bool hold;               /* the platform does not answer */
+    EbAdminStored done;      /* of the last read */
+    void *done_context;
+    char *read_name;
+    bool draining;
+    unsigned drains, audits, denials;
+    const RawClient *client;
+} Fixture;
+
+static void
+on_event(void *context, EbEventId event, const EbEventField *fields,
+         size_t field_count)
+{
+    (void)fields;
+    (void)field_count;
+    Fixture *fixture = context;
+    fixture->audits += event == EB_EVENT_AUDIT;
+    fixture->denials += event == EB_EVENT_ADMIN_DENIED;
+}
+
+static void
+on_applied(void *context, EbConfig *config, int64_t now_us)
+{
+    Fixture *fixture = context;
+    EbLimiter_SetConfig(fixture->limiter, config);
+    EbDispatcher_SetConfig(fixture->dispatcher, config, now_us);
+}
+
+static void
+ignore_message(void *context, const char *peer, const EbMessage *message,
+               int64_t now_us)
+{
+    (void)context;
+    (void)peer;
+    (void)message;
+    (void)now_us;
+}
+
+static void
+ignore_change(void *context, int64_t now_us)
+{
+    (void)context;
+    (void)now_us;
+}
+
+static void
+ignore_announcement(void *context, const char *peer, uint64_t generation,
+                    int64_t now_us)
+{
+    (void)context;
+    (void)peer;
+    (void)generation;
+    (void)now_us;
+}
+
+static void
+ignore_reply(void *context, const EbStoreReply *reply)
+{
+    (void)context;
+    (void)reply;
+}
+
+static int64_t
+read_clock(void *context)
+{
+    (void)context;
+    return 0;
+}
+
+static bool
+is_draining(void *context)
+{
+    return ((Fixture *)context)->draining;
+}
+
+static const char *
+drain_state(void *context)
+{
+    return is_draining(context) ? "delay" : "none";
+}
+
+static void
+start_drain(void *context)
+{
+    Fixture *fixture = context;
+    fixture->drains++;
+    fixture->draining = true;
+}
+
+static void
+store(void *context, EbStoreOperation operation, const char *kind,
+      const char *name, EbAdminStored done, void *done_context)
+{
+    Fixture *fixture = context;
+    CU_ASSERT_EQUAL(operation, EB_STORE_GET);
+    CU_ASSERT_EQUAL(strncmp(kind, "claims-", 7), 0);
+    CU_ASSERT_EQUAL(strncmp(kind + 7, strchr(name, '.') + 1, 2), 0);
+    fixture->done = done;
+    fixture->done_context = done_context;
+    g_free(fixture->read_name);
+    fixture->read_name = g_strdup(name);
+}
+
+/* Answers one store operation of the generation module from memory. */
+static void
+answer_store(Fixture *fixture, const EbStoreRequest *request)
+{
+    EbStoreReply reply = {.owner = request->owner,
+                          .operation_id = request->operation_id,
+                          .status = EB_STORE_OK};
+    bool write = request->operation == EB_STORE_CREATE ||
+                 request->operation == EB_STORE_UPDATE;
+    uint64_t expected =
+        request->operation == EB_STORE_UPDATE ? request->version : 0;
+    if (write && expected != fixture->stored_version) {
+        reply.status = EB_STORE_CONFLICT;
+    }
+    else if (write) {
+        json_decref(fixture->stored);
+        fixture->stored = json_incref(request->value);
+        fixture->stored_version++;
+    }
+    else if (fixture->stored_version == 0) {
+        reply.status = EB_STORE_NOT_FOUND;
+    }
+    else {
+        reply.value = fixture->stored;
+    }
+    reply.version = fixture->stored_version;
+    EbGeneration_StoreReply(fixture->generation, &reply, 0);
+}
+
+static void
+wake(void *context)
+{
+    Fixture *fixture = context;
+    EbAction action;
+    while (!fixture->hold && EbActionQueue_Pop(fixture->actions, &action)) {
+        if (action.kind == EB_ACTION_STORE &&
+            action.as.store.owner == EB_STORE_OWNER_GENERATION) {
+            answer_store(fixture, &action.as.store);
+        }
+        EbAction_Clear(&action);
+    }
+}
+
+static void
+create_modules(Fixture *fixture)
+{
+    static const EbConfig no_config;
+    fixture->actions = EbActionQueue_New();
+    fixture->metrics = EbMetrics_New();
+    EbRandom_Init(&fixture->random, 1);
+    fixture->ledger =
+        EbLedger_New(&(EbLedgerOptions){.instance = "i-1",
+                                        .peer_address = "127.0.0.1:1",
+                                        .actions = fixture->actions,
+                                        .random = &fixture->random,
+                                        .wall_clock_us = read_clock});
+    fixture->limiter = EbLimiter_New(
+        &(EbLimiterOptions){.instance = "i-1", .config = &no_config});
+    fixture->quarantine = EbQuarantine_New(&(EbQuarantineOptions){0});
+    fixture->generation =
+        EbGeneration_New(&(EbGenerationOptions){.site = "recife",
+                                                .actions = fixture->actions,
+                                                .applied = on_applied,
+                                                .context = fixture});
+    fixture->membership = EbMembership_New(
+        &(EbMembershipOptions){.instance = "i-1",
+                               .incarnation = 1,
+                               .address = "127.0.0.1:1",
+                               .failure_domain = "recife",
+                               .actions = fixture->actions,
+                               .random = &fixture->random,
+                               .deliver = ignore_message,
+                               .changed = ignore_change,
+                               .announced = ignore_announcement,
+                               .context = fixture});
+    fixture->dispatcher = EbDispatcher_New(
+        &(EbDispatcherOptions){.instance = "i-1",
+                               .failure_domain = "recife",
+                               .actions = fixture->actions,
+                               .random = &fixture->random,
+                               .ledger = fixture->ledger,
+                               .limiter = fixture->limiter,
+                               .quarantine = fixture->quarantine,
+                               .metrics = fixture->metrics});
+    fixture->platform = EbPlatformClient_New(
+        &(EbPlatformClientOptions){.base = fixture->base,
+                                   .host = "127.0.0.1",
+                                   .port = 1,
+                                   .random = &fixture->random,
+                                   .metrics = fixture->metrics,
+                                   .reply = ignore_reply});
+}
+
+static void
+open_fixture(Fixture *fixture)
+{
+    memset(fixture, 0, sizeof(*fixture));
+    fixture->base = event_base_new();
+    fixture->sink = (EbEventSink){on_event, fixture};
+    fixture->settings = (EbSettings){.instance = "i-1",
+                                     .site = "recife",
+                                     .failure_domain = "recife",
+                                     .admin = {"127.0.0.1", 0},
+                                     .max_header_bytes = 16384,
+                                     .header_timeout_us = 5000000};
+    create_modules(fixture);
+    EbError error = {0};
+    fixture->server = EbAdminServer_New(
+        &(EbAdminServerOptions){.base = fixture->base,
+                                .settings = &fixture->settings,
+                                .incarnation = 1,
+                                .events = &fixture->sink,
+                                .metrics = fixture->metrics,
+                                .dispatcher = fixture->dispatcher,
+                                .generation = fixture->generation,
+                                .membership = fixture->membership,
+                                .limiter = fixture->limiter,
+                                .quarantine = fixture->quarantine,
+                                .platform = fixture->platform,
+                                .draining = is_draining,
+                                .drain_state = drain_state,
+                                .drain = start_drain,
+                                .store = store,
+                                .wake = wake,
+                                .context = fixture},
+        &error);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture->server);
+    fixture->document = json_load_file(DOCUMENT, 0, NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture->document);
+    json_object_set_new(fixture->document, "generation", json_integer(1));
+}
+
+/* Puts the example configuration in force. */
+static void
+apply_document(Fixture *fixture)
+{
+    char *text = json_dumps(fixture->document, 0);
+    EbError error = {0};
+    EbGenerationResult result = EbGeneration_Offer(
+        fixture->generation, text, strlen(text), 1, "test", &error, 0);
+    CU_ASSERT_EQUAL_FATAL(result, EB_GENERATION_APPLIED);
+    free(text);
+    fixture->stored = json_incref(fixture->document);
+    fixture->stored_version = 1;
+}
+
+static void
+close_fixture(Fixture *fixture)
+{
+    EbAdminServer_Free(fixture->server);
+    EbPlatformClient_Free(fixture->platform);
+    EbDispatcher_Free(fixture->dispatcher);
+    EbMembership_Free(fixture->membership);
+    EbGeneration_Free(fixture->generation);
+    EbQuarantine_Free(fixture->quarantine);
+    EbLimiter_Free(fixture->limiter);
+    EbLedger_Free(fixture->ledger);
+    EbMetrics_Free(fixture->metrics);
+    EbActionQueue_Free(fixture->actions);
+    json_decref(fixture->document);
+    json_decref(fixture->stored);
+    g_free(fixture->read_name);
+    event_base_free(fixture->base);
+}
+
+static bool
+is_closed(void *context)
+{
+    return ((Fixture *)context)->client->closed;
+}
+
+static RawClient *
+send_call(Fixture *fixture, const char *method, const char *path,
+          const char *token, const char *body)
+{
+    RawClient *client =
+        RawClient_New(fixture->base, EbAdminServer_Port(fixture->server));
+    char *text = g_strdup_printf(
+        "%s %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        "Authorization: Bearer %s\r\nContent-Length: %zu\r\n\r\n%s",
+        method, path, token, strlen(body), body);
+    RawClient_Send(client, text);
+    g_free(text);
+    return client;
+}
+
+/* Makes a call and returns its status; `answer` gets the parsed body. */
+static int
+call(Fixture *fixture, const char *method, const char *path, const char *token,
+     const char *body, json_t **answer)
+{
+    RawClient *client = send_call(fixture, method, path, token, body);
+    fixture->client = client;
+    CU_ASSERT_TRUE(Loop_Until(fixture->base, is_closed, fixture));
+    int status = 0;
+    if (client->text_bytes > 12) {
+        status = atoi(client->text + strlen("HTTP/1.1 "));
+    }
+    const char *end = strstr(client->text, "\r\n\r\n");
+    if (answer != NULL) {
+        *answer = end ? json_loads(end + 4, 0, NULL) : NULL;
+    }
+    RawClient_Free(client);
+    return status;
+}
+
+/* Guards against a route that needs less than its role, or a wrong status. */
+static void
+test_roles(void)
+{
+    static const struct {
+        const char *method, *path;
+        int nobody, viewer, editor, admin;
+    } rows[] = {
+        {"GET", "/healthz", 200, 200, 200, 200},
+        {"GET", "/readyz", 200, 200, 200, 200},
+        {"GET", "/metrics", 200, 200, 200, 200},
+        {"GET", "/v1/status", 401, 200, 200, 200},
+        {"GET", "/v1/config", 401, 200, 200, 200},
+        {"GET", "/v1/config/merged", 401, 200, 200, 200},
+        {"GET", "/v1/config/history", 401, 200, 200, 200},
+        {"POST", "/v1/config/check", 401, 422, 422, 422},
+        {"PUT", "/v1/config", 401, 403, 400, 400},
+        {"GET", "/v1/servers", 401, 200, 200, 200},
+        {"GET", "/v1/peers", 401, 200, 200, 200},
+        {"GET", "/v1/customers", 401, 200, 200, 200},
+        {"GET", "/v1/requests", 401, 200, 200, 200},
+        {"GET", "/v1/requests?id=r-1", 401, 200, 200, 200},
+        {"GET", "/v1/quarantine", 401, 200, 200, 200},
+        {"DELETE", "/v1/quarantine/0123", 401, 403, 403, 404},
+        {"GET", "/v1/outcomes/c-1", 401, 404, 404, 404},
+        {"DELETE", "/v1/config", 405, 405, 405, 405},
+        {"GET", "/v1/nothing", 404, 404, 404, 404},
+    };
+    Fixture fixture;
+    open_fixture(&fixture);
+    apply_document(&fixture);
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        const int expected[] = {rows[i].nobody, rows[i].viewer, rows[i].editor,
+                                rows[i].admin};
+        static const char *const tokens[] = {"wrong", VIEWER, EDITOR, ADMIN};
+        for (int j = 0; j < 4; j++) {
+            int status = call(&fixture, rows[i].method, rows[i].path,
+                              tokens[j], "", NULL);
+            if (status != expected[j]) {
+                printf("%s %s as %s: %d\n", rows[i].method, rows[i].path,
+                       tokens[j], status);
+            }
+            CU_ASSERT_EQUAL(status, expected[j]);
+        }
+    }
+    CU_ASSERT_EQUAL(fixture.audits, 1);
+    CU_ASSERT_EQUAL(call(&fixture, "POST", "/v1/drain", EDITOR, "", NULL),
+                    403);
+    CU_ASSERT_EQUAL(call(&fixture, "POST", "/v1/drain", ADMIN, "", NULL), 202);
+    CU_ASSERT_EQUAL(fixture.drains, 1);
+    CU_ASSERT_EQUAL(fixture.audits, 2);
+    CU_ASSERT_EQUAL(call(&fixture, "GET", "/readyz", "", "", NULL), 503);
+    close_fixture(&fixture);
+}
+
+/* Body of a PUT made from the example with one change. */
+static char *
+build_change(const Fixture *fixture, uint64_t from, const char *section,
+             const char *entry, json_t *value)
+{
+    json_t *body = json_deep_copy(fixture->document);
+    json_object_del(body, "generation");
+    json_object_set_new(body, "from_generation",
+                        json_integer((json_int_t)from));
+    json_t *target = json_object_get(json_object_get(body, "base"), section);
+    json_object_set_new(target, entry, value);
+    char *text = json_dumps(body, 0);
+    json_decref(body);
+    return text;
+}
+
+static json_t *
+changed_deadline(const Fixture *fixture, const char *pipeline)
+{
+    json_t *base = json_object_get(fixture->document, "base");
+    json_t *value = json_deep_copy(
+        json_object_get(json_object_get(base, "pipelines"), pipeline));
+    json_object_set_new(value, "deadline_ms", json_integer(9000));
+    return value;
+}
+
+static int
+put_change(Fixture *fixture, const char *token, uint64_t from,
+           const char *section, const char *entry, json_t *value)
+{
+    char *body = build_change(fixture, from, section, entry, value);
+    int status = call(fixture, "PUT", "/v1/config", token, body, NULL);
+    free(body);
+    return status;
+}
+
+/* Guards against a change outside of an operator's scope, a lost conflict, an
+ * invalid document in force and a change without an audit event. */
+static void
+test_change(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture);
+    apply_document(&fixture);
+    json_t *viewer = json_pack("{s:s, s:s}", "token_digest",
+                               "75b2f46d0b4aed005f77b1c842853b85fea95a3dd434d6"
+                               "5c664d693139f37ccd",
+                               "role", "admin");
+    CU_ASSERT_EQUAL(put_change(&fixture, EDITOR, 1, "operators", "editor",
+                               json_incref(viewer)),
+                    403);
+    json_decref(viewer);
+    CU_ASSERT_EQUAL(put_change(&fixture, EDITOR, 1, "pipelines",
+                               "stock-question",
+                               changed_deadline(&fixture, "stock-question")),
+                    403);
+    CU_ASSERT_EQUAL(fixture.denials, 2);
+    CU_ASSERT_EQUAL(fixture.audits, 0);
+    CU_ASSERT_EQUAL(put_change(&fixture, EDITOR, 0, "pipelines",
+                               "liner-text-draft",
+                               changed_deadline(&fixture, "liner-text-draft")),
+                    409);
+    CU_ASSERT_EQUAL(put_change(&fixture, ADMIN, 1, "pipelines",
+                               "liner-text-draft", json_integer(3)),
+                    422);
+    CU_ASSERT_EQUAL(EbGeneration_Number(fixture.generation), 1);
+    CU_ASSERT_EQUAL(put_change(&fixture, EDITOR, 1, "pipelines",
+                               "liner-text-draft",
+                               changed_deadline(&fixture, "liner-text-draft")),
+                    200);
+    CU_ASSERT_EQUAL(EbGeneration_Number(fixture.generation), 2);
+    CU_ASSERT_EQUAL(fixture.stored_version, 2);
+    CU_ASSERT_EQUAL(fixture.audits, 3);
+    json_t *answer;
+    CU_ASSERT_EQUAL(call(&fixture, "GET", "/v1/config", VIEWER, "", &answer),
+                    200);
+    CU_ASSERT_EQUAL(json_integer_value(json_object_get(answer, "generation")),
+                    2);
+    json_decref(answer);
+    close_fixture(&fixture);
+}
+
+/* Guards against a check that does not list what a document changes. */
+static void
+test_check(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture);
+    apply_document(&fixture);
+    json_t *document = json_deep_copy(fixture.document);
+    json_object_set_new(document, "generation", json_integer(2));
+    json_t *base = json_object_get(document, "base");
+    json_object_set_new(json_object_get(base, "pipelines"), "liner-text-draft",
+                        changed_deadline(&fixture, "liner-text-draft"));
+    char *text = json_dumps(document, 0);
+    json_t *answer;
+    CU_ASSERT_EQUAL(
+        call(&fixture, "POST", "/v1/config/check", VIEWER, text, &answer),
+        200);
+    json_t *changes = json_object_get(answer, "changes");
+    CU_ASSERT_TRUE(json_is_true(json_object_get(answer, "valid")));
+    CU_ASSERT_EQUAL(json_array_size(changes), 2);
+    const char *path =
+        json_string_value(json_object_get(json_array_get(changes, 1), "path"));
+    const char *kind = json_string_value(
+        json_object_get(json_array_get(changes, 1), "change"));
+    CU_ASSERT_STRING_EQUAL(kind, "changed");
+    CU_ASSERT_STRING_EQUAL(path,
+                           "$.base.pipelines.liner-text-draft.deadline_ms");
+    free(text);
+    json_decref(answer);
+    json_decref(document);
+    close_fixture(&fixture);
+}
+
+/* Guards against a first configuration that nobody can bring, and a
+ * bootstrap token that stays valid. */
+static void
+test_bootstrap(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture);
+    CU_ASSERT_EQUAL(call(&fixture, "GET", "/readyz", "", "", NULL), 503);
+    CU_ASSERT_EQUAL(call(&fixture, "GET", "/v1/status", "boot", "", NULL),
+                    401);
+    EbConfig_DigestToken("boot", fixture.settings.bootstrap_token_digest);
+    CU_ASSERT_EQUAL(call(&fixture, "GET", "/v1/status", "boo", "", NULL), 401);
+    CU_ASSERT_EQUAL(call(&fixture, "GET", "/v1/config", "boot", "", NULL),
+                    503);
+    CU_ASSERT_EQUAL(put_change(&fixture, "boot", 0, "pipelines",
+                               "liner-text-draft",
+                               changed_deadline(&fixture, "liner-text-draft")),
+                    200);
+    CU_ASSERT_EQUAL(call(&fixture, "GET", "/readyz", "", "", NULL), 200);
+    CU_ASSERT_EQUAL(call(&fixture, "GET", "/v1/status", "boot", "", NULL),
+                    401);
+    close_fixture(&fixture);
+}
+
+/* Guards against a release that does not reach the module, and an outcome
+ * read under a wrong name or answered to a caller that is gone. */
+static void
+test_quarantine_and_outcome(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture);
+    apply_document(&fixture);
+    EbQuarantine_Crash(fixture.quarantine, 0xabc, true, INT64_MAX / 4);
+    EbQuarantine_Crash(fixture.quarantine, 0xabc, true, INT64_MAX / 4);
+    CU_ASSERT_EQUAL(call(&fixture, "DELETE", "/v1/quarantine/0000000000000abc",
+                         ADMIN, "", NULL),
+                    200);
+    EbQuarantineEntry entry;
+    CU_ASSERT_TRUE(EbQuarantine_NextChange(fixture.quarantine, &entry, 0));
+    CU_ASSERT_EQUAL(entry.state, EB_FINGERPRINT_CLEAR);
+
+    RawClient *client =
+        send_call(&fixture, "GET", "/v1/outcomes/c-1/k%2F1", VIEWER, "");
+    Loop_For(fixture.base, 50000);
+    char digest[EB_KEY_DIGEST_HEX_BYTES];
+    EbLedger_KeyDigest("k/1", digest);
+    char *name = g_strconcat("c-1.", digest, NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture.done);
+    CU_ASSERT_STRING_EQUAL(fixture.read_name, name);
+    g_free(name);
+    EbStoreReply reply = {.status = EB_STORE_OK,
+                          .value = json_pack("{s:s}", "state", "void")};
+    fixture.done(fixture.done_context, &reply);
+    fixture.client = client;
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, is_closed, &fixture));
+    CU_ASSERT_PTR_NOT_NULL(strstr(client->text, "\"outcome\":\"not-run\""));
+    RawClient_Free(client);
+
+    client = send_call(&fixture, "GET", "/v1/outcomes/c-1/k", VIEWER, "");
+    Loop_For(fixture.base, 50000);
+    RawClient_Free(client);
+    Loop_For(fixture.base, 50000);
+    fixture.done(fixture.done_context, &reply);
+    Loop_For(fixture.base, 50000);
+    json_decref(reply.value);
+    CU_ASSERT_EQUAL(call(&fixture, "GET", "/healthz", "", "", NULL), 200);
+    close_fixture(&fixture);
+}
+
+int
+main(void)
+{
+    static const EbTestCase cases[] = {
+        {"roles", test_roles},
+        {"change", test_change},
+        {"check", test_check},
+        {"bootstrap", test_bootstrap},
+        {"quarantine and outcome", test_quarantine_and_outcome},
+    };
+    if (sodium_init() < 0) {
+        return 1;
+    }
+    return EbTest_Run("test_admin_server", cases,
+                      sizeof(cases) / sizeof(cases[0]));
+}
