--- /dev/null
+++ b/src/libebonyhollow_net/daemon.c
@@ -0,0 +1,443 @@
+#include "ebonyhollow/daemon.h"
+
+#include <assert.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <sodium.h>
+
+#include "daemon_internal.h"
+
+static void
+on_suppressed(void *context, EbEventId event)
+{
+    EbDaemon *daemon = context;
+    EbMetrics_Add(daemon->metrics, EB_METRIC_EVENTS_SUPPRESSED, 1,
+                  EbEvent_table[event].name, NULL, NULL);
+}
+
+/* Events go to the log. A generation's source is known only to its event, so
+ * the history is kept from it. */
+static void
+on_event(void *context, EbEventId event, const EbEventField *fields,
+         size_t field_count)
+{
+    EbDaemon *daemon = context;
+    EbEvent_Emit(EbLog_Sink(daemon->log), event, fields, field_count);
+    if (event != EB_EVENT_CONFIGURATION_APPLIED || daemon->admin == NULL) {
+        return;
+    }
+    uint64_t generation = 0;
+    const char *source = "";
+    for (size_t i = 0; i < field_count; i++) {
+        if (strcmp(fields[i].name, "generation") == 0) {
+            generation = (uint64_t)fields[i].integer;
+        }
+        else if (strcmp(fields[i].name, "source") == 0) {
+            source = fields[i].string;
+        }
+    }
+    EbAdminServer_Applied(daemon->admin, generation, source);
+}
+
+static int64_t
+read_wall_clock(void *context)
+{
+    (void)context;
+    return EbClock_Wall();
+}
+
+static void
+on_applied(void *context, EbConfig *config, int64_t now_us)
+{
+    EbDaemon *daemon = context;
+    EbLimiter_SetConfig(daemon->limiter, config);
+    EbDispatcher_SetConfig(daemon->dispatcher, config, now_us);
+    EbMembership_SetGeneration(daemon->membership, config->generation);
+    EbDaemon_MarkLeaving(daemon, now_us);
+    EbDaemon_Wake(daemon);
+}
+
+static void
+on_link_up(void *context, const char *peer, uint64_t incarnation,
+           const char *address)
+{
+    EbDaemon *daemon = context;
+    EbMembership_LinkUp(daemon->membership, peer, incarnation, address,
+                        EbClock_Monotonic());
+    EbDaemon_Wake(daemon);
+}
+
+static void
+on_link_down(void *context, const char *peer)
+{
+    EbDaemon *daemon = context;
+    int64_t now_us = EbClock_Monotonic();
+    EbMembership_LinkDown(daemon->membership, peer, now_us);
+    EbDaemon_PeerGone(daemon, peer, now_us);
+}
+
+static void
+on_dial_failed(void *context, const char *address)
+{
+    EbDaemon *daemon = context;
+    EbMembership_DialFailed(daemon->membership, address, EbClock_Monotonic());
+    EbDaemon_Wake(daemon);
+}
+
+static void
+on_message(void *context, const char *peer, const EbMessage *message)
+{
+    EbDaemon *daemon = context;
+    EbMembership_Receive(daemon->membership, peer, message,
+                         EbClock_Monotonic());
+    EbDaemon_Wake(daemon);
+}
+
+static void
+create_tables(EbDaemon *daemon)
+{
+    g_queue_init(&daemon->staged);
+    daemon->flows =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    daemon->queries =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    daemon->stores =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    daemon->leaving =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+static void
+create_basics(EbDaemon *daemon)
+{
+    const EbSettings *settings = daemon->settings;
+    uint64_t seed;
+    randombytes_buf(&seed, sizeof(seed));
+    EbRandom_Init(&daemon->random, seed);
+    daemon->incarnation = (uint64_t)EbClock_Wall();
+    daemon->drain_us = INT64_MAX;
+    daemon->base = event_base_new();
+    assert(daemon->base != NULL);
+    daemon->metrics = EbMetrics_New();
+    daemon->log = EbLog_New(&(EbLogOptions){.level = settings->log_level,
+                                            .instance = settings->instance,
+                                            .descriptor = STDERR_FILENO,
+                                            .suppressed = on_suppressed,
+                                            .context = daemon});
+    daemon->sink = (EbEventSink){on_event, daemon};
+    daemon->events = &daemon->sink;
+    daemon->actions = EbActionQueue_New();
+    daemon->drain_event =
+        event_new(daemon->base, -1, 0, EbDaemon_OnDrainEvent, daemon);
+    daemon->timer = evtimer_new(daemon->base, EbDaemon_OnTimer, daemon);
+    create_tables(daemon);
+}
+
+static bool
+create_links(EbDaemon *daemon, EbError *error)
+{
+    const EbSettings *settings = daemon->settings;
+    daemon->links = EbPeerLinks_New(
+        &(EbPeerLinksOptions){.base = daemon->base,
+                              .instance = settings->instance,
+                              .incarnation = daemon->incarnation,
+                              .listen = &settings->peer,
+                              .key = settings->peer_key,
+                              .metrics = daemon->metrics,
+                              .events = daemon->events,
+                              .link_up = on_link_up,
+                              .link_down = on_link_down,
+                              .dial_failed = on_dial_failed,
+                              .message = on_message,
+                              .context = daemon},
+        error);
+    if (daemon->links == NULL) {
+        return false;
+    }
+    daemon->peer_address = g_strdup(EbPeerLinks_Address(daemon->links));
+    return true;
+}
+
+static void
+create_keepers(EbDaemon *daemon)
+{
+    static const EbConfig no_config;
+    const EbSettings *settings = daemon->settings;
+    daemon->ledger =
+        EbLedger_New(&(EbLedgerOptions){.instance = settings->instance,
+                                        .incarnation = daemon->incarnation,
+                                        .peer_address = daemon->peer_address,
+                                        .actions = daemon->actions,
+                                        .random = &daemon->random,
+                                        .events = daemon->events,
+                                        .wall_clock_us = read_wall_clock});
+    daemon->limiter = EbLimiter_New(&(EbLimiterOptions){
+        .instance = settings->instance, .config = &no_config});
+    daemon->quarantine =
+        EbQuarantine_New(&(EbQuarantineOptions){.events = daemon->events});
+    daemon->generation =
+        EbGeneration_New(&(EbGenerationOptions){.site = settings->site,
+                                                .actions = daemon->actions,
+                                                .events = daemon->events,
+                                                .applied = on_applied,
+                                                .context = daemon});
+    daemon->membership = EbMembership_New(
+        &(EbMembershipOptions){.instance = settings->instance,
+                               .incarnation = daemon->incarnation,
+                               .address = daemon->peer_address,
+                               .failure_domain = settings->failure_domain,
+                               .actions = daemon->actions,
+                               .random = &daemon->random,
+                               .events = daemon->events,
+                               .deliver = EbDaemon_OnDeliver,
+                               .changed = EbDaemon_OnMembersChanged,
+                               .announced = EbDaemon_OnAnnounced,
+                               .context = daemon});
+}
+
+static void
+create_dispatcher(EbDaemon *daemon)
+{
+    const EbSettings *settings = daemon->settings;
+    EbPolicy policy = EB_POLICY_ADAPTIVE;
+    if (settings->policy != NULL &&
+        strcmp(settings->policy, EbPolicy_names[EB_POLICY_PLAIN]) == 0) {
+        policy = EB_POLICY_PLAIN;
+    }
+    daemon->dispatcher = EbDispatcher_New(
+        &(EbDispatcherOptions){.instance = settings->instance,
+                               .incarnation = daemon->incarnation,
+                               .failure_domain = settings->failure_domain,
+                               .policy = policy,
+                               .max_requests = settings->max_requests,
+                               .actions = daemon->actions,
+                               .random = &daemon->random,
+                               .events = daemon->events,
+                               .ledger = daemon->ledger,
+                               .limiter = daemon->limiter,
+                               .quarantine = daemon->quarantine,
+                               .metrics = daemon->metrics,
+                               .ask_owner = EbDaemon_AskOwner,
+                               .server_leaving = EbDaemon_OnServerLeaving,
+                               .context = daemon});
+}
+
+static void
+create_clients(EbDaemon *daemon)
+{
+    const EbSettings *settings = daemon->settings;
+    daemon->backend = EbBackendClient_New(&(EbBackendClientOptions){
+        .base = daemon->base, .event = EbDaemon_OnAttempt, .context = daemon});
+    daemon->platform = EbPlatformClient_New(
+        &(EbPlatformClientOptions){.base = daemon->base,
+                                   .host = settings->platform.host,
+                                   .port = settings->platform.port,
+                                   .token = settings->platform_token,
+                                   .random = &daemon->random,
+                                   .metrics = daemon->metrics,
+                                   .events = daemon->events,
+                                   .reply = EbDaemon_OnStoreReply,
+                                   .listed = EbDaemon_OnListed,
+                                   .changed = EbDaemon_OnChanged,
+                                   .context = daemon});
+}
+
+static bool
+is_draining(void *context)
+{
+    return ((EbDaemon *)context)->drain_state != EB_DRAIN_NONE;
+}
+
+static const char *
+drain_state(void *context)
+{
+    return EbDrainState_names[((EbDaemon *)context)->drain_state];
+}
+
+static void
+wake(void *context)
+{
+    EbDaemon_Wake(context);
+}
+
+static void
+store_for_admin(void *context, EbStoreOperation operation, const char *kind,
+                const char *name, EbAdminStored done, void *done_context)
+{
+    EbDaemon_Store(context, operation, kind, name, 0, NULL, done,
+                   done_context);
+}
+
+static bool
+create_servers(EbDaemon *daemon, EbError *error)
+{
+    daemon->callers = EbCallerServer_New(
+        &(EbCallerServerOptions){.base = daemon->base,
+                                 .settings = daemon->settings,
+                                 .submit = EbDaemon_OnSubmit,
+                                 .gone = EbDaemon_OnGone,
+                                 .flow = EbDaemon_OnFlow,
+                                 .context = daemon},
+        error);
+    if (daemon->callers == NULL) {
+        return false;
+    }
+    daemon->admin = EbAdminServer_New(
+        &(EbAdminServerOptions){.base = daemon->base,
+                                .settings = daemon->settings,
+                                .incarnation = daemon->incarnation,
+                                .events = daemon->events,
+                                .metrics = daemon->metrics,
+                                .dispatcher = daemon->dispatcher,
+                                .generation = daemon->generation,
+                                .membership = daemon->membership,
+                                .limiter = daemon->limiter,
+                                .quarantine = daemon->quarantine,
+                                .platform = daemon->platform,
+                                .draining = is_draining,
+                                .drain_state = drain_state,
+                                .drain = EbDaemon_StartDrain,
+                                .store = store_for_admin,
+                                .wake = wake,
+                                .context = daemon},
+        error);
+    return daemon->admin != NULL;
+}
+
+static void
+add_signals(EbDaemon *daemon)
+{
+    static const int numbers[] = {SIGTERM, SIGINT};
+    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+        daemon->signals[i] =
+            evsignal_new(daemon->base, numbers[i], EbDaemon_OnSignal, daemon);
+        event_add(daemon->signals[i], NULL);
+    }
+}
+
+/* Starts what runs on its own: seeds, membership, the first reads of the
+ * platform. */
+static void
+start(EbDaemon *daemon)
+{
+    const EbSettings *settings = daemon->settings;
+    int64_t now_us = EbClock_Monotonic();
+    for (uint32_t i = 0; i < settings->seed_count; i++) {
+        char *address = g_strdup_printf("%s:%u", settings->seeds[i].host,
+                                        (unsigned)settings->seeds[i].port);
+        EbMembership_AddSeed(daemon->membership, address, now_us);
+        g_free(address);
+    }
+    EbDaemon_OnMembersChanged(daemon, now_us);
+    EbGeneration_Refresh(daemon->generation, now_us);
+    EbDaemon_CheckWatches(daemon, now_us);
+    daemon->report_us = now_us + EB_LIMITER_REPORT_US;
+    add_signals(daemon);
+    EB_EMIT(daemon->events, EB_EVENT_DAEMON_STARTED,
+            EB_STRING_FIELD("instance", settings->instance),
+            EB_INTEGER_FIELD("incarnation", daemon->incarnation),
+            EB_STRING_FIELD("failure_domain", settings->failure_domain));
+    EbDaemon_Wake(daemon);
+}
+
+EbDaemon *
+EbDaemon_New(const EbSettings *settings, EbError *error)
+{
+    if (sodium_init() < 0) {
+        EbError_Set(error, EB_ERROR_IO, "libsodium cannot be initialized");
+        return NULL;
+    }
+    /* A write to a closed connection is an error of that connection only. */
+    signal(SIGPIPE, SIG_IGN);
+    EbDaemon *daemon = g_new0(EbDaemon, 1);
+    daemon->settings = settings;
+    create_basics(daemon);
+    if (!create_links(daemon, error)) {
+        EbDaemon_Free(daemon);
+        return NULL;
+    }
+    create_keepers(daemon);
+    create_dispatcher(daemon);
+    create_clients(daemon);
+    if (!create_servers(daemon, error)) {
+        EbDaemon_Free(daemon);
+        return NULL;
+    }
+    start(daemon);
+    return daemon;
+}
+
+EbExitStatus
+EbDaemon_Run(EbDaemon *daemon)
+{
+    event_base_dispatch(daemon->base);
+    EB_EMIT(daemon->events, EB_EVENT_DAEMON_STOPPED,
+            EB_STRING_FIELD("instance", daemon->settings->instance),
+            EB_INTEGER_FIELD("cut_requests", daemon->cut_requests));
+    return daemon->cut_requests > 0 ? EB_EXIT_CUT : EB_EXIT_OK;
+}
+
+static void
+free_modules(EbDaemon *daemon)
+{
+    EbDispatcher_Free(daemon->dispatcher);
+    EbLedger_Free(daemon->ledger);
+    EbLimiter_Free(daemon->limiter);
+    EbQuarantine_Free(daemon->quarantine);
+    EbGeneration_Free(daemon->generation);
+    EbMembership_Free(daemon->membership);
+}
+
+void
+EbDaemon_Free(EbDaemon *daemon)
+{
+    if (daemon == NULL) {
+        return;
+    }
+    EbAdminServer_Free(daemon->admin);
+    EbCallerServer_Free(daemon->callers);
+    EbPeerLinks_Free(daemon->links);
+    EbBackendClient_Free(daemon->backend);
+    EbPlatformClient_Free(daemon->platform);
+    if (daemon->dispatcher != NULL) {
+        free_modules(daemon);
+    }
+    EbDaemon_FreeStaged(daemon);
+    EbActionQueue_Free(daemon->actions);
+    for (size_t i = 0; i < G_N_ELEMENTS(daemon->signals); i++) {
+        if (daemon->signals[i] != NULL) {
+            event_free(daemon->signals[i]);
+        }
+    }
+    event_free(daemon->drain_event);
+    event_free(daemon->timer);
+    g_hash_table_destroy(daemon->flows);
+    g_hash_table_destroy(daemon->queries);
+    g_hash_table_destroy(daemon->stores);
+    g_hash_table_destroy(daemon->leaving);
+    EbLog_Free(daemon->log);
+    EbMetrics_Free(daemon->metrics);
+    g_free(daemon->peer_address);
+    event_base_free(daemon->base);
+    g_free(daemon);
+}
+
+uint16_t
+EbDaemon_CallerPort(const EbDaemon *daemon)
+{
+    return EbCallerServer_Port(daemon->callers);
+}
+
+uint16_t
+EbDaemon_AdminPort(const EbDaemon *daemon)
+{
+    return EbAdminServer_Port(daemon->admin);
+}
+
+uint16_t
+EbDaemon_PeerPort(const EbDaemon *daemon)
+{
+    return EbPeerLinks_Port(daemon->links);
+}
--- /dev/null
+++ b/src/libebonyhollow_net/daemon_action.c
@@ -0,0 +1,236 @@
+/* Routes actions to clients, and the clients' events to the decisions. */
+#include <assert.h>
+
+#include "daemon_internal.h"
+
+/* Actions performed before the loop looks at sockets again. */
+#define MAX_ACTIONS_PER_TURN 4096
+
+typedef struct {
+    EbAction action;
+    uint64_t attempt_id;
+} Staged;
+
+/* The stream of a request, for backpressure. */
+typedef struct {
+    uint64_t request;
+    uint64_t attempt_id; /* whose tokens were relayed last */
+    bool paused;
+} Flow;
+
+typedef struct {
+    uint64_t operation_id;
+    EbDaemonStored done;
+    void *context;
+} StoreCall;
+
+void
+EbDaemon_Stage(EbDaemon *daemon, uint64_t attempt_id)
+{
+    EbAction action;
+    while (EbActionQueue_Pop(daemon->actions, &action)) {
+        Staged *staged = g_new0(Staged, 1);
+        staged->action = action;
+        staged->attempt_id = attempt_id;
+        g_queue_push_tail(&daemon->staged, staged);
+    }
+}
+
+void
+EbDaemon_FreeStaged(EbDaemon *daemon)
+{
+    Staged *staged;
+    while ((staged = g_queue_pop_head(&daemon->staged)) != NULL) {
+        EbAction_Clear(&staged->action);
+        g_free(staged);
+    }
+}
+
+void
+EbDaemon_Wake(EbDaemon *daemon)
+{
+    event_active(daemon->drain_event, EV_TIMEOUT, 0);
+}
+
+static void
+relay(EbDaemon *daemon, const EbRelay *tokens, uint64_t attempt_id)
+{
+    Flow *flow = g_hash_table_lookup(daemon->flows, &tokens->request);
+    if (flow == NULL) {
+        flow = g_new0(Flow, 1);
+        flow->request = tokens->request;
+        g_hash_table_insert(daemon->flows, &flow->request, flow);
+    }
+    if (attempt_id != 0 && attempt_id != flow->attempt_id) {
+        flow->attempt_id = attempt_id;
+        EbBackendClient_Pause(daemon->backend, attempt_id, flow->paused);
+    }
+    EbCallerServer_Relay(daemon->callers, tokens);
+}
+
+static void
+perform(EbDaemon *daemon, const Staged *staged)
+{
+    const EbAction *action = &staged->action;
+    switch (action->kind) {
+    case EB_ACTION_SEND_ATTEMPT:
+        EbBackendClient_Send(daemon->backend, &action->as.send);
+        break;
+    case EB_ACTION_CANCEL_ATTEMPT:
+        EbBackendClient_Cancel(daemon->backend, action->as.cancel_attempt_id);
+        break;
+    case EB_ACTION_RETIRE_CONNECTIONS:
+        EbBackendClient_Retire(daemon->backend, action->as.retire_server_id);
+        break;
+    case EB_ACTION_RELAY:
+        relay(daemon, &action->as.relay, staged->attempt_id);
+        break;
+    case EB_ACTION_ANSWER:
+        g_hash_table_remove(daemon->flows, &action->as.answer.request);
+        EbCallerServer_Answer(daemon->callers, &action->as.answer);
+        break;
+    case EB_ACTION_STORE:
+        EbPlatformClient_Store(daemon->platform, &action->as.store);
+        break;
+    case EB_ACTION_PEER_SEND:
+        EbPeerLinks_Send(daemon->links, action->as.peer.peer,
+                         action->as.peer.bytes, action->as.peer.byte_count);
+        break;
+    case EB_ACTION_PEER_CONNECT:
+        EbPeerLinks_Connect(daemon->links, action->as.peer.address);
+        break;
+    case EB_ACTION_PEER_CLOSE:
+        EbPeerLinks_Close(daemon->links, action->as.peer.peer);
+        break;
+    case EB_ACTION_COUNT:
+        assert(false);
+    }
+}
+
+/* Collects what the modules have ready. */
+static void
+collect(EbDaemon *daemon, int64_t now_us)
+{
+    EbDispatcher_LedgerResults(daemon->dispatcher, now_us);
+    EbDaemon_ReplyAsked(daemon, now_us);
+    EbDaemon_TellQuarantine(daemon, now_us);
+    EbDaemon_Stage(daemon, 0);
+}
+
+void
+EbDaemon_OnDrainEvent(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    EbDaemon *daemon = arg;
+    collect(daemon, EbClock_Monotonic());
+    Staged *staged;
+    for (int i = 0; i < MAX_ACTIONS_PER_TURN &&
+                    (staged = g_queue_pop_head(&daemon->staged)) != NULL;
+         i++) {
+        perform(daemon, staged);
+        EbAction_Clear(&staged->action);
+        g_free(staged);
+        if (daemon->staged.length == 0) {
+            collect(daemon, EbClock_Monotonic());
+        }
+    }
+    if (daemon->staged.length > 0) {
+        EbDaemon_Wake(daemon);
+    }
+    EbDaemon_CheckDrain(daemon, EbClock_Monotonic());
+    EbDaemon_ArmTimer(daemon);
+}
+
+void
+EbDaemon_OnAttempt(void *context, const EbAttemptEvent *event)
+{
+    EbDaemon *daemon = context;
+    EbDaemon_Stage(daemon, 0);
+    EbDispatcher_Attempt(daemon->dispatcher, event, EbClock_Monotonic());
+    EbDaemon_Stage(daemon,
+                   event->kind == EB_ATTEMPT_TOKENS ? event->attempt_id : 0);
+    EbDaemon_Wake(daemon);
+}
+
+uint64_t
+EbDaemon_OnSubmit(void *context, const EbSubmission *submission)
+{
+    EbDaemon *daemon = context;
+    int64_t now_us = EbClock_Monotonic();
+    uint64_t handle =
+        EbDispatcher_Submit(daemon->dispatcher, submission, now_us);
+    EbDaemon_ReportUrgent(daemon, now_us);
+    EbDaemon_Wake(daemon);
+    return handle;
+}
+
+void
+EbDaemon_OnGone(void *context, uint64_t request)
+{
+    EbDaemon *daemon = context;
+    g_hash_table_remove(daemon->flows, &request);
+    EbDispatcher_CallerGone(daemon->dispatcher, request, EbClock_Monotonic());
+    EbDaemon_Wake(daemon);
+}
+
+void
+EbDaemon_OnFlow(void *context, uint64_t request, bool paused)
+{
+    EbDaemon *daemon = context;
+    Flow *flow = g_hash_table_lookup(daemon->flows, &request);
+    if (flow != NULL) {
+        flow->paused = paused;
+        EbBackendClient_Pause(daemon->backend, flow->attempt_id, paused);
+    }
+}
+
+void
+EbDaemon_Store(EbDaemon *daemon, EbStoreOperation operation, const char *kind,
+               const char *name, uint64_t version, json_t *value,
+               EbDaemonStored done, void *context)
+{
+    StoreCall *call = g_new0(StoreCall, 1);
+    call->operation_id = ++daemon->last_operation_id;
+    call->done = done;
+    call->context = context;
+    g_hash_table_insert(daemon->stores, &call->operation_id, call);
+    EbAction action = {.kind = EB_ACTION_STORE};
+    action.as.store = (EbStoreRequest){.owner = EB_STORE_OWNER_ADMIN,
+                                       .operation_id = call->operation_id,
+                                       .operation = operation,
+                                       .kind = g_strdup(kind),
+                                       .name = g_strdup(name),
+                                       .version = version,
+                                       .value = json_incref(value)};
+    EbActionQueue_Push(daemon->actions, &action);
+    EbDaemon_Wake(daemon);
+}
+
+void
+EbDaemon_OnStoreReply(void *context, const EbStoreReply *reply)
+{
+    EbDaemon *daemon = context;
+    int64_t now_us = EbClock_Monotonic();
+    StoreCall *call;
+    switch (reply->owner) {
+    case EB_STORE_OWNER_LEDGER:
+        EbLedger_StoreReply(daemon->ledger, reply, now_us);
+        break;
+    case EB_STORE_OWNER_GENERATION:
+        EbGeneration_StoreReply(daemon->generation, reply, now_us);
+        break;
+    case EB_STORE_OWNER_QUARANTINE:
+    case EB_STORE_OWNER_ADMIN:
+        call = g_hash_table_lookup(daemon->stores, &reply->operation_id);
+        if (call != NULL) {
+            g_hash_table_steal(daemon->stores, &reply->operation_id);
+            call->done(call->context, reply);
+            g_free(call);
+        }
+        break;
+    case EB_STORE_OWNER_COUNT:
+        assert(false);
+    }
+    EbDaemon_Wake(daemon);
+}
--- /dev/null
+++ b/src/libebonyhollow_net/daemon_drain.c
@@ -0,0 +1,118 @@
+/* Graceful shutdown, as docs/design.md, section 5.6, describes it. */
+#include "daemon_internal.h"
+
+/* Time for the announcement to leave through the links. */
+#define LEAVE_US 200000
+/* Time for the answers of an abort to be written. */
+#define ABORT_US 2000000
+
+const char *const EbDrainState_names[EB_DRAIN_STATE_COUNT] = {
+    [EB_DRAIN_NONE] = "none",
+    [EB_DRAIN_DELAY] = "delay",
+    [EB_DRAIN_FINISHING] = "finishing",
+    [EB_DRAIN_LEAVING] = "leaving",
+};
+
+static void
+stop_accepting(EbDaemon *daemon, int64_t now_us)
+{
+    daemon->drain_state = EB_DRAIN_FINISHING;
+    daemon->drain_us = now_us + daemon->settings->drain_limit_us;
+    EbCallerServer_StopAccepting(daemon->callers);
+    EbDispatcher_Drain(daemon->dispatcher, now_us);
+}
+
+static void
+leave(EbDaemon *daemon, int64_t now_us)
+{
+    daemon->drain_state = EB_DRAIN_LEAVING;
+    daemon->drain_us = now_us + LEAVE_US;
+    EbMembership_Leave(daemon->membership, now_us);
+    EbDaemon_Wake(daemon);
+}
+
+/* Ends every request with its true outcome and waits a little for the
+ * answers to be written. */
+static void
+abort_requests(EbDaemon *daemon, int64_t now_us)
+{
+    if (daemon->drain_state < EB_DRAIN_FINISHING) {
+        stop_accepting(daemon, now_us);
+    }
+    if (daemon->aborted || daemon->drain_state == EB_DRAIN_LEAVING) {
+        return;
+    }
+    daemon->aborted = true;
+    daemon->cut_requests = EbDispatcher_LiveCount(daemon->dispatcher);
+    EbDispatcher_Abort(daemon->dispatcher, now_us);
+    daemon->drain_us = now_us + ABORT_US;
+    EbDaemon_Wake(daemon);
+}
+
+void
+EbDaemon_StartDrain(void *context)
+{
+    EbDaemon *daemon = context;
+    if (daemon->drain_state != EB_DRAIN_NONE) {
+        return;
+    }
+    daemon->drain_state = EB_DRAIN_DELAY;
+    daemon->drain_us =
+        EbClock_Monotonic() + daemon->settings->balancer_delay_us;
+    EbDaemon_Wake(daemon);
+}
+
+void
+EbDaemon_OnSignal(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    EbDaemon *daemon = arg;
+    if (daemon->drain_state == EB_DRAIN_NONE) {
+        EbDaemon_StartDrain(daemon);
+    }
+    else {
+        abort_requests(daemon, EbClock_Monotonic());
+    }
+}
+
+/* Whether nothing is left: requests, answers on their way, records of
+ * outcomes. */
+static bool
+is_finished(const EbDaemon *daemon)
+{
+    return EbDispatcher_LiveCount(daemon->dispatcher) == 0 &&
+           EbCallerServer_OpenCount(daemon->callers) == 0 &&
+           EbLedger_UnwrittenCount(daemon->ledger) == 0 &&
+           !EbCallerServer_HasUnsent(daemon->callers);
+}
+
+void
+EbDaemon_CheckDrain(EbDaemon *daemon, int64_t now_us)
+{
+    bool expired = now_us >= daemon->drain_us;
+    switch (daemon->drain_state) {
+    case EB_DRAIN_NONE:
+    case EB_DRAIN_STATE_COUNT:
+        break;
+    case EB_DRAIN_DELAY:
+        if (expired) {
+            stop_accepting(daemon, now_us);
+            EbDaemon_Wake(daemon);
+        }
+        break;
+    case EB_DRAIN_FINISHING:
+        if (is_finished(daemon) || (expired && daemon->aborted)) {
+            leave(daemon, now_us);
+        }
+        else if (expired) {
+            abort_requests(daemon, now_us);
+        }
+        break;
+    case EB_DRAIN_LEAVING:
+        if (expired) {
+            event_base_loopbreak(daemon->base);
+        }
+        break;
+    }
+}
--- /dev/null
+++ b/src/libebonyhollow_net/daemon_peer.c
@@ -0,0 +1,353 @@
+/* Messages between daemons. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "daemon_internal.h"
+
+/* A body is asked for again after so long, when the peer did not send it. */
+#define REQUEST_INTERVAL_US 500000
+
+static void
+send_message(EbDaemon *daemon, const char *peer, const EbMessage *message,
+             int64_t now_us)
+{
+    EbMembership_Send(daemon->membership, peer, message, now_us);
+    EbDaemon_Wake(daemon);
+}
+
+void
+EbDaemon_OnAnnounced(void *context, const char *peer, uint64_t generation,
+                     int64_t now_us)
+{
+    EbDaemon *daemon = context;
+    if (generation <= EbGeneration_Number(daemon->generation) ||
+        now_us - daemon->requested_us < REQUEST_INTERVAL_US) {
+        return;
+    }
+    daemon->requested_us = now_us;
+    EbMessage message = {.kind = EB_MESSAGE_CONFIG_REQUEST,
+                         .generation = generation};
+    send_message(daemon, peer, &message, now_us);
+}
+
+static void
+send_config(EbDaemon *daemon, const char *peer, int64_t now_us)
+{
+    EbMessage message = {.kind = EB_MESSAGE_CONFIG_BODY,
+                         .generation =
+                             EbGeneration_Number(daemon->generation)};
+    const char *text =
+        EbGeneration_Text(daemon->generation, &message.text_bytes);
+    if (text != NULL) {
+        message.text = (char *)text;
+        send_message(daemon, peer, &message, now_us);
+    }
+}
+
+bool
+EbDaemon_AskOwner(void *context, const EbLedgerResult *held, uint64_t query,
+                  const char *customer, const char *key_digest, int64_t now_us)
+{
+    EbDaemon *daemon = context;
+    EbMemberView view;
+    if (!EbMembership_Find(daemon->membership, held->instance, now_us,
+                           &view) ||
+        view.incarnation != held->incarnation) {
+        return false;
+    }
+    EbMessage message = {.kind = EB_MESSAGE_OUTCOME_QUERY,
+                         .query = query,
+                         .customer = (char *)customer,
+                         .key_digest = (char *)key_digest};
+    if (!EbMembership_Send(daemon->membership, held->instance, &message,
+                           now_us)) {
+        return false;
+    }
+    g_hash_table_insert(daemon->queries, g_memdup2(&query, sizeof(query)),
+                        g_strdup(held->instance));
+    return true;
+}
+
+static void
+take_outcome(EbDaemon *daemon, const EbMessage *message, int64_t now_us)
+{
+    if (!g_hash_table_remove(daemon->queries, &message->query)) {
+        return;
+    }
+    json_t *body = NULL;
+    if (message->text != NULL) {
+        body = json_loadb(message->text, message->text_bytes, 0, NULL);
+    }
+    EbLedgerLocal local = {.state = (EbLedgerLocalState)message->local_state,
+                           .outcome = message->outcome,
+                           .reason = message->reason,
+                           .body = body};
+    EbDispatcher_OwnerReply(daemon->dispatcher, message->query, true, &local,
+                            now_us);
+    json_decref(body);
+}
+
+static void
+send_outcome(EbDaemon *daemon, const EbAsked *asked, int64_t now_us)
+{
+    EbLedgerLocal local;
+    EbLedger_Local(daemon->ledger, asked->customer, asked->key_digest, &local);
+    EbMessage message = {.kind = EB_MESSAGE_OUTCOME_REPLY,
+                         .query = asked->query,
+                         .customer = asked->customer,
+                         .key_digest = asked->key_digest,
+                         .local_state = local.state,
+                         .outcome = local.outcome,
+                         .reason = local.reason};
+    char *text = NULL;
+    if (local.body != NULL) {
+        text = json_dumps(local.body, JSON_COMPACT);
+        message.text = text;
+        message.text_bytes = text ? strlen(text) : 0;
+    }
+    send_message(daemon, asked->peer, &message, now_us);
+    free(text);
+}
+
+void
+EbDaemon_ReplyAsked(EbDaemon *daemon, int64_t now_us)
+{
+    EbAsked asked;
+    while (EbDispatcher_NextAsked(daemon->dispatcher, &asked)) {
+        send_outcome(daemon, &asked, now_us);
+        EbAsked_Clear(&asked);
+    }
+}
+
+static gboolean
+take_query_of_peer(gpointer key, gpointer value, gpointer context)
+{
+    struct {
+        const char *peer;
+        GArray *queries;
+    } *wanted = context;
+    if (strcmp(value, wanted->peer) != 0) {
+        return FALSE;
+    }
+    g_array_append_val(wanted->queries, *(uint64_t *)key);
+    return TRUE;
+}
+
+void
+EbDaemon_PeerGone(EbDaemon *daemon, const char *peer, int64_t now_us)
+{
+    struct {
+        const char *peer;
+        GArray *queries;
+    } wanted = {peer, g_array_new(FALSE, FALSE, sizeof(uint64_t))};
+    g_hash_table_foreach_remove(daemon->queries, take_query_of_peer, &wanted);
+    for (guint i = 0; i < wanted.queries->len; i++) {
+        EbLedgerLocal absent = {.state = EB_LEDGER_LOCAL_ABSENT};
+        EbDispatcher_OwnerReply(daemon->dispatcher,
+                                g_array_index(wanted.queries, uint64_t, i),
+                                false, &absent, now_us);
+    }
+    g_array_free(wanted.queries, TRUE);
+    EbDaemon_Wake(daemon);
+}
+
+/* Sends shares in one message of the given kind. */
+static void
+send_shares(EbDaemon *daemon, const char *peer, EbMessageKind kind,
+            const EbLimiterShare *shares, size_t count, int64_t now_us)
+{
+    EbMessageShare *copies = g_new0(EbMessageShare, count);
+    for (size_t i = 0; i < count; i++) {
+        copies[i] = (EbMessageShare){
+            .customer = (char *)shares[i].customer,
+            .requests_per_s_milli = shares[i].requests_per_s_milli,
+            .concurrent_requests = shares[i].concurrent_requests,
+            .tokens_per_s = shares[i].tokens_per_s};
+    }
+    EbMessage message = {
+        .kind = kind, .shares = copies, .share_count = (uint32_t)count};
+    send_message(daemon, peer, &message, now_us);
+    g_free(copies);
+}
+
+static void
+send_grants(EbDaemon *daemon, const char *peer, const EbLimiterShare *grants,
+            size_t count, int64_t now_us)
+{
+    if (strcmp(peer, daemon->settings->instance) == 0) {
+        EbLimiter_Grant(daemon->limiter, grants, count, now_us);
+    }
+    else if (count > 0) {
+        send_shares(daemon, peer, EB_MESSAGE_GRANT, grants, count, now_us);
+    }
+}
+
+/* Divides contracts as the home of the reported customers, then raises the
+ * grants of other daemons that were short. */
+static void
+divide(EbDaemon *daemon, const char *peer, const EbLimiterShare *reports,
+       size_t count, int64_t now_us)
+{
+    EbLimiterShare *grants = g_new0(EbLimiterShare, count);
+    size_t granted = EbLimiter_Divide(daemon->limiter, peer, reports, count,
+                                      grants, now_us);
+    send_grants(daemon, peer, grants, granted, now_us);
+    g_free(grants);
+    const char *instance;
+    EbLimiterShare raised;
+    while (EbLimiter_Push(daemon->limiter, &instance, &raised, now_us)) {
+        send_grants(daemon, instance, &raised, 1, now_us);
+    }
+}
+
+static void
+take_shares(EbDaemon *daemon, const char *peer, const EbMessage *message,
+            int64_t now_us)
+{
+    EbLimiterShare *shares = g_new0(EbLimiterShare, message->share_count);
+    for (uint32_t i = 0; i < message->share_count; i++) {
+        const EbMessageShare *given = &message->shares[i];
+        shares[i] = (EbLimiterShare){
+            .customer = given->customer,
+            .requests_per_s_milli = given->requests_per_s_milli,
+            .concurrent_requests = given->concurrent_requests,
+            .tokens_per_s = given->tokens_per_s};
+    }
+    if (message->kind == EB_MESSAGE_USAGE) {
+        divide(daemon, peer, shares, message->share_count, now_us);
+    }
+    else {
+        EbLimiter_Grant(daemon->limiter, shares, message->share_count, now_us);
+    }
+    g_free(shares);
+}
+
+static void
+report_to(EbDaemon *daemon, const char *home, size_t max, int64_t now_us)
+{
+    EbLimiterShare *shares = g_new0(EbLimiterShare, max);
+    size_t count =
+        EbLimiter_Report(daemon->limiter, home, shares, max, now_us);
+    if (count > 0 && strcmp(home, daemon->settings->instance) == 0) {
+        divide(daemon, home, shares, count, now_us);
+    }
+    else if (count > 0) {
+        send_shares(daemon, home, EB_MESSAGE_USAGE, shares, count, now_us);
+    }
+    g_free(shares);
+}
+
+void
+EbDaemon_ReportUsage(EbDaemon *daemon, int64_t now_us)
+{
+    const EbConfig *config = EbGeneration_Current(daemon->generation);
+    if (config == NULL || config->customer_count == 0) {
+        return;
+    }
+    GHashTable *homes = g_hash_table_new(g_str_hash, g_str_equal);
+    for (uint32_t i = 0; i < config->customer_count; i++) {
+        const char *home =
+            EbLimiter_Home(daemon->limiter, config->customers[i].id);
+        if (home != NULL && g_hash_table_add(homes, (gpointer)home)) {
+            report_to(daemon, home,
+                      MIN(config->customer_count, EB_MESSAGE_MAX_ITEMS),
+                      now_us);
+        }
+    }
+    g_hash_table_destroy(homes);
+}
+
+void
+EbDaemon_ReportUrgent(EbDaemon *daemon, int64_t now_us)
+{
+    const EbConfig *config = EbGeneration_Current(daemon->generation);
+    const char *home = EbLimiter_UrgentHome(daemon->limiter, now_us);
+    if (config != NULL && home != NULL) {
+        report_to(daemon, home,
+                  MIN(config->customer_count, EB_MESSAGE_MAX_ITEMS), now_us);
+    }
+}
+
+void
+EbDaemon_OnServerLeaving(void *context, const char *server_id, int64_t now_us)
+{
+    EbDaemon *daemon = context;
+    EbMessage message = {.kind = EB_MESSAGE_SERVER_LEAVING,
+                         .server = (char *)server_id,
+                         .leaving = true};
+    EbMembership_Flood(daemon->membership, &message, now_us);
+    EbDaemon_Wake(daemon);
+}
+
+static void
+take_config(EbDaemon *daemon, const char *peer, const EbMessage *message,
+            int64_t now_us)
+{
+    EbError error = {0};
+    EbGeneration_Offer(daemon->generation, message->text, message->text_bytes,
+                       0, peer, &error, now_us);
+}
+
+void
+EbDaemon_OnDeliver(void *context, const char *peer, const EbMessage *message,
+                   int64_t now_us)
+{
+    EbDaemon *daemon = context;
+    switch (message->kind) {
+    case EB_MESSAGE_CONFIG_REQUEST:
+        send_config(daemon, peer, now_us);
+        break;
+    case EB_MESSAGE_CONFIG_BODY:
+        take_config(daemon, peer, message, now_us);
+        break;
+    case EB_MESSAGE_OUTCOME_QUERY:
+        EbDispatcher_Asked(daemon->dispatcher, peer, message->query,
+                           message->customer, message->key_digest, now_us);
+        break;
+    case EB_MESSAGE_OUTCOME_REPLY:
+        take_outcome(daemon, message, now_us);
+        break;
+    case EB_MESSAGE_USAGE:
+    case EB_MESSAGE_GRANT:
+        take_shares(daemon, peer, message, now_us);
+        break;
+    case EB_MESSAGE_QUARANTINE:
+        for (uint32_t i = 0; i < message->entry_count; i++) {
+            EbQuarantine_Merge(daemon->quarantine, &message->entries[i],
+                               now_us);
+        }
+        break;
+    case EB_MESSAGE_SERVER_LEAVING:
+        EbDispatcher_ServerLeaving(daemon->dispatcher, message->server,
+                                   message->leaving, "peer", now_us);
+        break;
+    case EB_MESSAGE_HEARTBEAT:
+    case EB_MESSAGE_MEMBERS:
+    case EB_MESSAGE_KIND_COUNT:
+        break;
+    }
+    EbDaemon_Wake(daemon);
+}
+
+void
+EbDaemon_OnMembersChanged(void *context, int64_t now_us)
+{
+    EbDaemon *daemon = context;
+    size_t count = EbMembership_Count(daemon->membership);
+    const char **names = g_new0(const char *, count + 1);
+    size_t live = EbMembership_Live(daemon->membership, names, count + 1);
+    /* None is live once this daemon has announced its shutdown. */
+    if (live > 0) {
+        EbLimiter_SetMembers(daemon->limiter, names, live, now_us);
+    }
+    g_free(names);
+    for (size_t i = 0; i < count; i++) {
+        EbMemberView view;
+        EbMembership_View(daemon->membership, i, now_us, &view);
+        if (view.state == EB_MEMBER_DEAD) {
+            EbDaemon_PeerGone(daemon, view.instance, now_us);
+        }
+    }
+    daemon->watch_us = now_us;
+    EbDaemon_Wake(daemon);
+}
--- /dev/null
+++ b/src/libebonyhollow_net/daemon_platform.c
@@ -0,0 +1,279 @@
+/* What the platform's lists say, and the quarantine kept there. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "daemon_internal.h"
+
+#define WATCH_CHECK_US 1000000
+#define POLL_US 60000000
+#define NAME_BYTES 17
+
+static const char *
+get_string(const json_t *object, const char *key)
+{
+    const char *value = json_string_value(json_object_get(object, key));
+    return value != NULL ? value : "";
+}
+
+/* Finds the configured server of a listed instance, by name or address. */
+static const EbConfigBackendServer *
+find_server(const EbConfig *config, const char *name, const char *address)
+{
+    const EbConfigBackendServer *server = EbConfig_FindServer(config, name);
+    for (uint32_t i = 0; server == NULL && i < config->server_count; i++) {
+        char text[80];
+        snprintf(text, sizeof(text), "%s:%u", config->servers[i].host,
+                 (unsigned)config->servers[i].port);
+        if (strcmp(text, address) == 0) {
+            server = &config->servers[i];
+        }
+    }
+    return server;
+}
+
+static void
+mark_server(EbDaemon *daemon, const char *name, const char *address,
+            bool leaving, int64_t now_us)
+{
+    const EbConfig *config = EbGeneration_Current(daemon->generation);
+    if (config == NULL) {
+        return;
+    }
+    const EbConfigBackendServer *server = find_server(config, name, address);
+    if (server != NULL) {
+        EbDispatcher_ServerLeaving(daemon->dispatcher, server->id, leaving,
+                                   "platform", now_us);
+    }
+}
+
+void
+EbDaemon_MarkLeaving(EbDaemon *daemon, int64_t now_us)
+{
+    GHashTableIter iter;
+    void *name;
+    void *address;
+    g_hash_table_iter_init(&iter, daemon->leaving);
+    while (g_hash_table_iter_next(&iter, &name, &address)) {
+        mark_server(daemon, name, address, true, now_us);
+    }
+}
+
+/* The list lags behind notices of servers and peers. It takes a server back
+ * only when it listed the server as leaving itself. */
+static void
+take_backend(EbDaemon *daemon, const char *name, const json_t *value,
+             int64_t now_us)
+{
+    bool leaving = strcmp(get_string(value, "state"), "leaving") == 0;
+    bool known = g_hash_table_contains(daemon->leaving, name);
+    const char *address = get_string(value, "address");
+    if (leaving == known) {
+        return;
+    }
+    if (leaving) {
+        g_hash_table_insert(daemon->leaving, g_strdup(name),
+                            g_strdup(address));
+    }
+    else {
+        g_hash_table_remove(daemon->leaving, name);
+    }
+    mark_server(daemon, name, address, leaving, now_us);
+}
+
+static void
+take_instances(EbDaemon *daemon, json_t *items)
+{
+    int64_t now_us = EbClock_Monotonic();
+    GArray *members = g_array_new(FALSE, TRUE, sizeof(EbMessageMember));
+    size_t index;
+    json_t *item;
+    json_array_foreach(items, index, item)
+    {
+        const char *name = get_string(item, "name");
+        const json_t *value = json_object_get(item, "value");
+        const char *role = get_string(value, "role");
+        if (strcmp(role, "backend") == 0) {
+            take_backend(daemon, name, value, now_us);
+        }
+        else if (strcmp(role, "daemon") == 0) {
+            bool leaving = strcmp(get_string(value, "state"), "leaving") == 0;
+            EbMessageMember member = {
+                .instance = (char *)name,
+                .address = (char *)get_string(value, "address"),
+                .failure_domain = (char *)get_string(value, "failure_domain"),
+                .state = leaving ? EB_MEMBER_LEAVING : EB_MEMBER_ALIVE};
+            g_array_append_val(members, member);
+        }
+    }
+    EbMembership_SetListed(daemon->membership,
+                           (EbMessageMember *)members->data, members->len,
+                           now_us);
+    g_array_free(members, TRUE);
+}
+
+/* Entries are stored with the end of their quarantine by the wall clock,
+ * since monotonic clocks of instances have nothing in common. */
+static void
+take_stored(EbDaemon *daemon, json_t *items)
+{
+    int64_t now_us = EbClock_Monotonic();
+    int64_t wall_us = EbClock_Wall();
+    size_t index;
+    json_t *item;
+    json_array_foreach(items, index, item)
+    {
+        const char *name = get_string(item, "name");
+        const json_t *value = json_object_get(item, "value");
+        EbQuarantineEntry entry = {
+            .fingerprint = g_ascii_strtoull(name, NULL, 16),
+            .points =
+                (uint32_t)json_integer_value(json_object_get(value, "points")),
+            .state = EB_FINGERPRINT_QUARANTINED,
+            .remaining_us =
+                json_integer_value(json_object_get(value, "until_wall_us")) -
+                wall_us};
+        if (entry.remaining_us > 0) {
+            EbQuarantine_Merge(daemon->quarantine, &entry, now_us);
+        }
+    }
+}
+
+void
+EbDaemon_OnListed(void *context, const char *kind, json_t *items)
+{
+    EbDaemon *daemon = context;
+    if (strcmp(kind, EB_INSTANCES_KIND) == 0) {
+        take_instances(daemon, items);
+    }
+    else if (strcmp(kind, EB_QUARANTINE_KIND) == 0) {
+        take_stored(daemon, items);
+    }
+    else if (strcmp(kind, EB_GENERATION_KIND) == 0) {
+        EbGeneration_Refresh(daemon->generation, EbClock_Monotonic());
+    }
+    EbDaemon_Wake(daemon);
+}
+
+static void
+on_instances(void *context, const EbStoreReply *reply)
+{
+    if (reply->status == EB_STORE_OK) {
+        EbDaemon_OnListed(context, EB_INSTANCES_KIND, reply->value);
+    }
+}
+
+static void
+on_quarantine(void *context, const EbStoreReply *reply)
+{
+    if (reply->status == EB_STORE_OK) {
+        EbDaemon_OnListed(context, EB_QUARANTINE_KIND, reply->value);
+    }
+}
+
+static void
+list_kind(EbDaemon *daemon, const char *kind)
+{
+    bool instances = strcmp(kind, EB_INSTANCES_KIND) == 0;
+    EbDaemon_Store(daemon, EB_STORE_LIST, kind, "", 0, NULL,
+                   instances ? on_instances : on_quarantine, daemon);
+}
+
+void
+EbDaemon_OnChanged(void *context, const char *kind, json_t *events)
+{
+    (void)events;
+    EbDaemon *daemon = context;
+    if (strcmp(kind, EB_GENERATION_KIND) == 0) {
+        EbGeneration_Refresh(daemon->generation, EbClock_Monotonic());
+        EbDaemon_Wake(daemon);
+    }
+    else {
+        list_kind(daemon, kind);
+    }
+}
+
+void
+EbDaemon_CheckWatches(EbDaemon *daemon, int64_t now_us)
+{
+    static const char *const kinds[] = {EB_GENERATION_KIND, EB_INSTANCES_KIND,
+                                        EB_QUARANTINE_KIND};
+    bool watcher = EbMembership_IsWatcher(daemon->membership);
+    daemon->watch_us = now_us + WATCH_CHECK_US;
+    for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+        if (watcher && !daemon->watching) {
+            EbPlatformClient_Watch(daemon->platform, kinds[i]);
+        }
+        else if (!watcher && daemon->watching) {
+            EbPlatformClient_Unwatch(daemon->platform, kinds[i]);
+        }
+    }
+    daemon->watching = watcher;
+    /* EbGeneration polls its object itself. */
+    if (!watcher && now_us >= daemon->poll_us) {
+        daemon->poll_us = now_us + POLL_US;
+        list_kind(daemon, EB_INSTANCES_KIND);
+        list_kind(daemon, EB_QUARANTINE_KIND);
+    }
+}
+
+static void
+on_stored(void *context, const EbStoreReply *reply)
+{
+    (void)context;
+    (void)reply;
+}
+
+typedef struct {
+    EbDaemon *daemon;
+    char name[NAME_BYTES];
+} Removal;
+
+static void
+on_found(void *context, const EbStoreReply *reply)
+{
+    Removal *removal = context;
+    if (reply->status == EB_STORE_OK) {
+        EbDaemon_Store(removal->daemon, EB_STORE_DELETE, EB_QUARANTINE_KIND,
+                       removal->name, reply->version, NULL, on_stored, NULL);
+    }
+    g_free(removal);
+}
+
+/* Stores a quarantined fingerprint, or removes a released one. The store only
+ * serves daemons that start later, so a failed write is not repeated. */
+static void
+store_entry(EbDaemon *daemon, const EbQuarantineEntry *entry)
+{
+    char name[NAME_BYTES];
+    snprintf(name, sizeof(name), "%016" PRIx64, entry->fingerprint);
+    if (entry->state == EB_FINGERPRINT_CLEAR) {
+        Removal *removal = g_new0(Removal, 1);
+        removal->daemon = daemon;
+        g_strlcpy(removal->name, name, sizeof(removal->name));
+        EbDaemon_Store(daemon, EB_STORE_GET, EB_QUARANTINE_KIND, name, 0, NULL,
+                       on_found, removal);
+    }
+    else if (entry->state == EB_FINGERPRINT_QUARANTINED) {
+        int64_t until_us = EbClock_Wall() + entry->remaining_us;
+        json_t *value =
+            json_pack("{s:I, s:I}", "points", (json_int_t)entry->points,
+                      "until_wall_us", (json_int_t)until_us);
+        EbDaemon_Store(daemon, EB_STORE_CREATE, EB_QUARANTINE_KIND, name, 0,
+                       value, on_stored, NULL);
+        json_decref(value);
+    }
+}
+
+void
+EbDaemon_TellQuarantine(EbDaemon *daemon, int64_t now_us)
+{
+    EbQuarantineEntry entry;
+    while (EbQuarantine_NextChange(daemon->quarantine, &entry, now_us)) {
+        EbMessage message = {.kind = EB_MESSAGE_QUARANTINE,
+                             .entries = &entry,
+                             .entry_count = 1};
+        EbMembership_Flood(daemon->membership, &message, now_us);
+        store_entry(daemon, &entry);
+    }
+}
--- /dev/null
+++ b/src/libebonyhollow_net/daemon_timer.c
@@ -0,0 +1,50 @@
+/* One timer for all modules. */
+#include "daemon_internal.h"
+
+/* Shorter waits are rounded up, so that a module whose time has come but that
+ * has nothing to do cannot keep the loop busy. */
+#define MIN_WAIT_US 1000
+#define MAX_WAIT_US 500000
+
+static int64_t
+next_timer(const EbDaemon *daemon)
+{
+    int64_t next_us = MIN(daemon->report_us, daemon->watch_us);
+    next_us = MIN(next_us, daemon->drain_us);
+    next_us = MIN(next_us, EbDispatcher_NextTimer(daemon->dispatcher));
+    next_us = MIN(next_us, EbLedger_NextTimer(daemon->ledger));
+    next_us = MIN(next_us, EbGeneration_NextTimer(daemon->generation));
+    return MIN(next_us, EbMembership_NextTimer(daemon->membership));
+}
+
+void
+EbDaemon_ArmTimer(EbDaemon *daemon)
+{
+    int64_t wait_us = next_timer(daemon) - EbClock_Monotonic();
+    wait_us = CLAMP(wait_us, MIN_WAIT_US, MAX_WAIT_US);
+    struct timeval wait = {0, wait_us};
+    event_add(daemon->timer, &wait);
+}
+
+void
+EbDaemon_OnTimer(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    EbDaemon *daemon = arg;
+    int64_t now_us = EbClock_Monotonic();
+    EbLedger_Tick(daemon->ledger, now_us);
+    EbDispatcher_LedgerResults(daemon->dispatcher, now_us);
+    EbDispatcher_Tick(daemon->dispatcher, now_us);
+    EbGeneration_Tick(daemon->generation, now_us);
+    EbMembership_Tick(daemon->membership, now_us);
+    if (now_us >= daemon->report_us) {
+        daemon->report_us = now_us + EB_LIMITER_REPORT_US;
+        EbDaemon_ReportUsage(daemon, now_us);
+        EbLog_Tick(daemon->log);
+    }
+    if (now_us >= daemon->watch_us) {
+        EbDaemon_CheckWatches(daemon, now_us);
+    }
+    EbDaemon_Wake(daemon);
+}
--- /dev/null
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -0,0 +1,164 @@
+/* Parts of EbDaemon shared by its files. */
+#ifndef EB_DAEMON_INTERNAL_H
+#define EB_DAEMON_INTERNAL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <event2/event.h>
+#include <glib.h>
+
+#include "clock.h"
+#include "ebonyhollow/action.h"
+#include "ebonyhollow/admin_server.h"
+#include "ebonyhollow/backend_client.h"
+#include "ebonyhollow/caller_server.h"
+#include "ebonyhollow/daemon.h"
+#include "ebonyhollow/dispatcher.h"
+#include "ebonyhollow/generation.h"
+#include "ebonyhollow/ledger.h"
+#include "ebonyhollow/limiter.h"
+#include "ebonyhollow/log.h"
+#include "ebonyhollow/membership.h"
+#include "ebonyhollow/metrics.h"
+#include "ebonyhollow/peer_link.h"
+#include "ebonyhollow/platform_client.h"
+#include "ebonyhollow/quarantine.h"
+#include "ebonyhollow/random.h"
+
+#define EB_INSTANCES_KIND "instances"
+#define EB_QUARANTINE_KIND "quarantine"
+
+typedef enum {
+    EB_DRAIN_NONE,
+    EB_DRAIN_DELAY,     /* not ready; listeners stay open */
+    EB_DRAIN_FINISHING, /* no new requests; the others finish */
+    EB_DRAIN_LEAVING,   /* peers are told */
+    EB_DRAIN_STATE_COUNT
+} EbDrainState;
+
+extern const char *const EbDrainState_names[EB_DRAIN_STATE_COUNT];
+
+struct EbDaemon {
+    const EbSettings *settings;
+    uint64_t incarnation;
+    char *peer_address;
+    EbRandom random;
+    struct event_base *base;
+    EbLog *log;
+    EbEventSink sink; /* to the log, and to the history of generations */
+    const EbEventSink *events;
+    EbMetrics *metrics;
+
+    EbActionQueue *actions;
+    GQueue staged; /* of Staged: actions with the attempt they stem from */
+    struct event *drain_event; /* works the actions off */
+    struct event *timer;
+
+    EbLedger *ledger;
+    EbLimiter *limiter;
+    EbQuarantine *quarantine;
+    EbDispatcher *dispatcher;
+    EbGeneration *generation;
+    EbMembership *membership;
+
+    EbBackendClient *backend;
+    EbPlatformClient *platform;
+    EbCallerServer *callers;
+    EbAdminServer *admin;
+    EbPeerLinks *links;
+
+    GHashTable *flows;   /* request handle -> Flow */
+    GHashTable *queries; /* outcome query -> peer */
+    GHashTable *stores;  /* operation id -> StoreCall */
+    GHashTable *leaving; /* backend instance that the platform listed as
+                            leaving -> its address */
+    uint64_t last_operation_id;
+    int64_t report_us;    /* next usage reports */
+    int64_t watch_us;     /* next check of watches */
+    int64_t poll_us;      /* next poll of a daemon without watches */
+    int64_t requested_us; /* last request of a configuration body */
+    bool watching;
+
+    EbDrainState drain_state;
+    int64_t drain_us; /* end of the state, or INT64_MAX */
+    bool aborted;
+    uint64_t cut_requests;
+    struct event *signals[2];
+};
+
+/* Action routing: daemon_action.c */
+
+/* Moves new actions to the staged ones; `attempt_id` is the attempt whose
+ * event caused them, or 0. */
+void EbDaemon_Stage(EbDaemon *daemon, uint64_t attempt_id);
+
+/* Has the actions worked off before the loop waits again. Actions are never
+ * performed from within a client's callback, since evhttp still uses the
+ * connection there. */
+void EbDaemon_Wake(EbDaemon *daemon);
+
+void EbDaemon_OnDrainEvent(evutil_socket_t fd, short what, void *arg);
+void EbDaemon_OnAttempt(void *context, const EbAttemptEvent *event);
+void EbDaemon_OnStoreReply(void *context, const EbStoreReply *reply);
+uint64_t EbDaemon_OnSubmit(void *context, const EbSubmission *submission);
+void EbDaemon_OnGone(void *context, uint64_t request);
+void EbDaemon_OnFlow(void *context, uint64_t request, bool paused);
+void EbDaemon_FreeStaged(EbDaemon *daemon);
+
+/* A store operation of the daemon itself or of the administration API.
+ * Exactly one call of `done` follows; `reply` is borrowed. */
+typedef void (*EbDaemonStored)(void *context, const EbStoreReply *reply);
+
+void EbDaemon_Store(EbDaemon *daemon, EbStoreOperation operation,
+                    const char *kind, const char *name, uint64_t version,
+                    json_t *value, EbDaemonStored done, void *context);
+
+/* Peer messages: daemon_peer.c */
+void EbDaemon_OnDeliver(void *context, const char *peer,
+                        const EbMessage *message, int64_t now_us);
+void EbDaemon_OnMembersChanged(void *context, int64_t now_us);
+void EbDaemon_OnAnnounced(void *context, const char *peer, uint64_t generation,
+                          int64_t now_us);
+bool EbDaemon_AskOwner(void *context, const EbLedgerResult *held,
+                       uint64_t query, const char *customer,
+                       const char *key_digest, int64_t now_us);
+void EbDaemon_OnServerLeaving(void *context, const char *server_id,
+                              int64_t now_us);
+
+/* Answers queries that can be answered now. */
+void EbDaemon_ReplyAsked(EbDaemon *daemon, int64_t now_us);
+
+/* Fails queries to a peer that can't be reached any more. */
+void EbDaemon_PeerGone(EbDaemon *daemon, const char *peer, int64_t now_us);
+
+/* Reports the demand of customers to their home daemons. */
+void EbDaemon_ReportUsage(EbDaemon *daemon, int64_t now_us);
+
+/* Reports to the home daemon whose customers' demand outgrew its report. */
+void EbDaemon_ReportUrgent(EbDaemon *daemon, int64_t now_us);
+
+/* Platform: daemon_platform.c */
+void EbDaemon_OnListed(void *context, const char *kind, json_t *items);
+void EbDaemon_OnChanged(void *context, const char *kind, json_t *events);
+
+/* Holds watches, or polls, as the membership says. */
+void EbDaemon_CheckWatches(EbDaemon *daemon, int64_t now_us);
+
+/* Marks servers that the platform lists as leaving, after a change of the
+ * configuration. */
+void EbDaemon_MarkLeaving(EbDaemon *daemon, int64_t now_us);
+
+/* Floods and stores changed quarantine entries. */
+void EbDaemon_TellQuarantine(EbDaemon *daemon, int64_t now_us);
+
+/* Timers: daemon_timer.c */
+void EbDaemon_OnTimer(evutil_socket_t fd, short what, void *arg);
+void EbDaemon_ArmTimer(EbDaemon *daemon);
+
+/* Shutdown: daemon_drain.c */
+void EbDaemon_OnSignal(evutil_socket_t fd, short what, void *arg);
+void EbDaemon_StartDrain(void *context);
+void EbDaemon_CheckDrain(EbDaemon *daemon, int64_t now_us);
+
+#endif
