backend_client: report paused streams as in progress

A stream that is not read because its caller is slow delivers no tokens, so the dispatcher counted its server as silent: a slow caller could get a healthy server ejected and its connections closed. The client now reports a paused stream several times a second with an EB_ATTEMPT_TOKENS without tokens.

--- a/include/ebonyhollow/backend_client.h
+++ b/include/ebonyhollow/backend_client.h
@@ -54,7 +54,9 @@
 
 /* Stops or resumes reading an attempt's answer. While it is stopped, the
  * kernel's buffers fill and hold the server back;
- * at most one read of the connection is still delivered afterwards. */
+ * at most one read of the connection is still delivered afterwards. Several
+ * times a second an EB_ATTEMPT_TOKENS without tokens says that the attempt is
+ * held back and not silent. */
 void EbBackendClient_Pause(EbBackendClient *client, uint64_t attempt_id,
                            bool paused);
 
--- a/src/libebonyhollow_net/backend_client.c
+++ b/src/libebonyhollow_net/backend_client.c
@@ -25,6 +25,9 @@
 #define SWEEP_US (1000LL * 1000)
 /* A stream's connection is reused if its answer ends so soon after [DONE]. */
 #define STREAM_TAIL_US (1000LL * 1000)
+/* Interval of the events of paused streams; below the shortest sensible
+ * time-out between tokens. */
+#define PAUSED_EVENT_US 100000
 
 typedef struct {
     char *id;
@@ -68,6 +71,8 @@
     GQueue doomed;           /* of Connection */
     struct event *doom_event;
     struct event *sweep_event;
+    struct event *paused_event; /* pending while a stream is paused */
+    uint32_t paused_count;
     bool in_event; /* evhttp's callbacks are on the stack */
 };
 
@@ -321,6 +326,37 @@
     g_string_truncate(attempt->text, 0);
 }
 
+/* Counts a paused attempt that ends or is resumed. */
+static void
+count_resumed(Attempt *attempt)
+{
+    EbBackendClient *client = attempt->connection->client;
+    if (attempt->paused && --client->paused_count == 0) {
+        event_del(client->paused_event);
+    }
+    attempt->paused = false;
+}
+
+/* Reports paused streams as in progress: that nothing is read from them is
+ * not their server's fault and must not count as silence. */
+static void
+on_paused(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    const EbBackendClient *client = arg;
+    GList *ids = g_hash_table_get_keys(client->attempts);
+    for (GList *item = ids; item != NULL; item = item->next) {
+        const Attempt *attempt =
+            g_hash_table_lookup(client->attempts, item->data);
+        if (attempt != NULL && attempt->paused) {
+            EbAttemptEvent event = {.kind = EB_ATTEMPT_TOKENS, .text = ""};
+            emit(attempt, &event);
+        }
+    }
+    g_list_free(ids);
+}
+
 /* Ends an attempt with its last event. The caller releases or closes the
  * connection. */
 static void
@@ -330,6 +366,7 @@
     EbBackendClient *client = connection->client;
     connection->attempt = NULL;
     connection->since_us = EbClock_Monotonic();
+    count_resumed(attempt);
     g_hash_table_steal(client->attempts, &attempt->id);
     EbAttemptEvent event = {.kind = kind, .body = body};
     emit(attempt, &event);
@@ -625,6 +662,7 @@
     }
     assert(!client->in_event);
     Connection *connection = attempt->connection;
+    count_resumed(attempt);
     g_hash_table_remove(client->attempts, &attempt_id);
     connection->attempt = NULL;
     free_connection(connection);
@@ -650,13 +688,17 @@
         return;
     }
     assert(!client->in_event);
-    attempt->paused = paused;
     struct bufferevent *bufev =
         evhttp_connection_get_bufferevent(attempt->connection->evcon);
     if (paused) {
+        struct timeval interval = to_timeval(PAUSED_EVENT_US);
         bufferevent_disable(bufev, EV_READ);
+        attempt->paused = true;
+        client->paused_count++;
+        event_add(client->paused_event, &interval);
     }
     else {
+        count_resumed(attempt);
         bufferevent_enable(bufev, EV_READ);
     }
 }
@@ -701,6 +743,8 @@
     client->doom_event = event_new(own->base, -1, 0, on_doom, client);
     client->sweep_event =
         event_new(own->base, -1, EV_PERSIST, on_sweep, client);
+    client->paused_event =
+        event_new(own->base, -1, EV_PERSIST, on_paused, client);
     int64_t sweep_us = MIN(SWEEP_US, own->idle_limit_us);
     struct timeval interval = to_timeval(sweep_us);
     event_add(client->sweep_event, &interval);
@@ -714,6 +758,7 @@
         return;
     }
     event_free(client->sweep_event);
+    event_free(client->paused_event);
     event_free(client->doom_event);
     g_queue_clear(&client->doomed);
     g_hash_table_destroy(client->attempts);
