config: validate large documents in less time

Cause: a change is validated for every site on the daemon's one thread; a document near the limits (65 sites, 4,096 customers) took 2.4 s, long enough for peers to take the daemon for dead. Change: the rows of the field table are selected once per kind of object, numeric defaults need no JSON, duplicate tokens and addresses are found by sorting binary keys, and EB_CONFIG_MAX_SITES is 16, twice the design capacity.

--- a/include/ebonyhollow/config.h
+++ b/include/ebonyhollow/config.h
@@ -23,9 +23,10 @@
 #define EB_CONFIG_MAX_BYTES 1048576 /* the platform's value limit */
 #define EB_CONFIG_MIN_STAGES 3
 #define EB_CONFIG_MAX_STAGES 6
-/* Bounds of the entries at one site: several times the design capacity of
- * docs/design.md, and low enough for a daemon's memory. */
-#define EB_CONFIG_MAX_SITES 64
+/* Bounds of the entries: at least twice the design capacity of docs/design.md.
+ * Every change is validated for all sites on the daemon's one thread, so that
+ * sites times entries bounds how long it answers nothing else. */
+#define EB_CONFIG_MAX_SITES 16
 #define EB_CONFIG_MAX_POOLS 64
 #define EB_CONFIG_MAX_SERVERS 4096
 #define EB_CONFIG_MAX_PIPELINES 64
--- a/include/ebonyhollow/schema.h
+++ b/include/ebonyhollow/schema.h
@@ -15,6 +15,8 @@
 
 #define EB_SCHEMA_MAX_DEPTH 16 /* nesting of objects and arrays */
 #define EB_SCHEMA_NAME_MAX_BYTES 64
+#define EB_SCHEMA_MAX_ROWS 32 /* fields of one object */
+#define EB_SCHEMA_MAX_SETS 12 /* kinds of objects in one table */
 
 /* Type of a field; the comment is the type of the struct member. */
 typedef enum {
@@ -73,6 +75,20 @@
     size_t count;
 } EbSchemaPath;
 
+/* A row and the field's own name, which is the end of its path. */
+typedef struct {
+    const EbSchemaField *field;
+    const char *name;
+} EbSchemaRow;
+
+/* The rows directly below one prefix, selected once per reader. */
+typedef struct {
+    const EbSchemaField *fields;
+    const char *prefix;
+    EbSchemaRow rows[EB_SCHEMA_MAX_ROWS];
+    size_t count;
+} EbSchemaRows;
+
 /* State of reading one JSON text. `path` leads to the current value. Its
  * place in the text is looked for under each of the roots in turn, since a
  * value of a merged document may come from the overlay or from the base. */
@@ -87,6 +103,8 @@
     size_t root_count;
     const char *site; /* named in messages, or NULL */
     EbError *error;
+    EbSchemaRows sets[EB_SCHEMA_MAX_SETS]; /* private */
+    size_t set_count;
 } EbSchemaReader;
 
 /* Parses a JSON text within limits of size and nesting; duplicate keys are
@@ -95,7 +113,7 @@
                       const char *file, EbError *error);
 
 /* Reads the fields of the table that are directly below `prefix` ("" for the
- * top) from a JSON object into a struct.
+ * top) from a JSON object into a struct. `prefix` lives as long as the reader.
  *
  * Returns false with the reader's error set to the first fault. Strings that
  * were read before the fault are in the struct and are freed with it. */
--- a/src/libebonyhollow/config_check.c
+++ b/src/libebonyhollow/config_check.c
@@ -1,5 +1,6 @@
 #include <arpa/inet.h>
 #include <inttypes.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
@@ -203,92 +204,102 @@
     return true;
 }
 
-/* Adds a key to the set of those seen; `owner` is borrowed. Returns the owner
- * of an equal key, or NULL. */
-static const char *
-add_unique(GHashTable *seen, char *key, const char *owner)
+/* A fixed-size key and who has it; the order of the bytes finds duplicates
+ * without allocating for each entry. */
+#define KEY_BYTES 32
+
+typedef struct {
+    uint8_t bytes[KEY_BYTES];
+    const char *section;
+    const char *id;
+} UniqueKey;
+
+static int
+compare_unique(const void *left, const void *right)
+{
+    const UniqueKey *first = left;
+    const UniqueKey *second = right;
+    int order = memcmp(first->bytes, second->bytes, KEY_BYTES);
+    if (order != 0) {
+        return order;
+    }
+    /* Equal keys stay in the order of the document's sections and names, so
+     * that the same entry is reported on every daemon. */
+    order = strcmp(first->section, second->section);
+    return order != 0 ? order : strcmp(first->id, second->id);
+}
+
+/* Sorts the keys and reports the second of two equal ones. */
+static bool
+check_unique(UniqueKey *keys, size_t count, const char *field,
+             const char *what, EbSchemaReader *reader)
 {
-    const char *other = g_hash_table_lookup(seen, key);
-    if (other != NULL) {
-        g_free(key);
-        return other;
+    qsort(keys, count, sizeof(keys[0]), compare_unique);
+    for (size_t i = 1; i < count; i++) {
+        if (memcmp(keys[i - 1].bytes, keys[i].bytes, KEY_BYTES) == 0) {
+            EbSchema_PushKey(reader, keys[i].section);
+            EbSchema_PushKey(reader, keys[i].id);
+            return EbSchema_FailField(reader, field, EB_ERROR_DUPLICATE,
+                                      "\"%s\" has the same %s", keys[i - 1].id,
+                                      what);
+        }
     }
-    g_hash_table_insert(seen, key, (char *)owner);
-    return NULL;
+    return true;
 }
 
-/* Writes the address in one form, since IPv6 has several for one. */
-static char *
-server_address(const EbConfigBackendServer *server)
+/* Writes the address in binary form, since IPv6 has several texts for one. */
+static UniqueKey
+address_key(const EbConfigBackendServer *server)
 {
-    unsigned char binary[sizeof(struct in6_addr)] = {0};
-    char host[INET6_ADDRSTRLEN] = "";
-    int family = strchr(server->host, ':') != NULL ? AF_INET6 : AF_INET;
-    inet_pton(family, server->host, binary);
-    inet_ntop(family, binary, host, sizeof(host));
-    return g_strdup_printf("%s %u", host, server->port);
+    UniqueKey key = {.section = "backend_servers", .id = server->id};
+    bool is_ipv6 = strchr(server->host, ':') != NULL;
+    key.bytes[0] = is_ipv6;
+    key.bytes[1] = (uint8_t)(server->port >> 8);
+    key.bytes[2] = (uint8_t)(server->port & 0xFF);
+    inet_pton(is_ipv6 ? AF_INET6 : AF_INET, server->host, key.bytes + 3);
+    return key;
 }
 
 /* Two servers at one address would count its capacity twice. */
 static bool
 check_servers(const EbConfig *config, EbSchemaReader *reader)
 {
-    GHashTable *seen =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    bool valid = true;
-    EbSchema_PushKey(reader, "backend_servers");
-    for (uint32_t i = 0; valid && i < config->server_count; i++) {
-        const EbConfigBackendServer *server = &config->servers[i];
-        char *address = server_address(server);
-        const char *other = add_unique(seen, address, server->id);
-        if (other != NULL) {
-            EbSchema_PushKey(reader, server->id);
-            valid = EbSchema_FailField(reader, "host", EB_ERROR_DUPLICATE,
-                                       "backend server \"%s\" has the same "
-                                       "address and port",
-                                       other);
-            EbSchema_Pop(reader);
-        }
+    UniqueKey *keys = g_new0(UniqueKey, config->server_count);
+    for (uint32_t i = 0; i < config->server_count; i++) {
+        keys[i] = address_key(&config->servers[i]);
     }
-    EbSchema_Pop(reader);
-    g_hash_table_destroy(seen);
+    bool valid = check_unique(keys, config->server_count, "host",
+                              "address and port", reader);
+    g_free(keys);
     return valid;
 }
 
-static bool
-check_digest(GHashTable *seen, const char *section, const char *id,
-             const uint8_t *digest, EbSchemaReader *reader)
+static UniqueKey
+digest_key(const uint8_t *digest, const char *section, const char *id)
 {
-    GString *key = g_string_new(NULL);
-    for (size_t i = 0; i < EB_TOKEN_DIGEST_BYTES; i++) {
-        g_string_append_printf(key, "%02x", digest[i]);
-    }
-    const char *other = add_unique(seen, g_string_free(key, FALSE), id);
-    if (other == NULL) {
-        return true;
-    }
-    EbSchema_PushKey(reader, section);
-    EbSchema_PushKey(reader, id);
-    return EbSchema_FailField(reader, "token_digest", EB_ERROR_DUPLICATE,
-                              "\"%s\" has the same token", other);
+    UniqueKey key = {.section = section, .id = id};
+    memcpy(key.bytes, digest, KEY_BYTES);
+    return key;
 }
 
 /* No token may identify two parties. */
 static bool
 check_tokens(const EbConfig *config, EbSchemaReader *reader)
 {
-    GHashTable *seen =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    bool valid = true;
-    for (uint32_t i = 0; valid && i < config->customer_count; i++) {
-        valid = check_digest(seen, "customers", config->customers[i].id,
-                             config->customers[i].token_digest, reader);
+    size_t count = (size_t)config->customer_count + config->operator_count;
+    UniqueKey *keys = g_new0(UniqueKey, count);
+    for (uint32_t i = 0; i < config->customer_count; i++) {
+        const EbConfigCustomer *customer = &config->customers[i];
+        keys[i] =
+            digest_key(customer->token_digest, "customers", customer->id);
     }
-    for (uint32_t i = 0; valid && i < config->operator_count; i++) {
-        valid = check_digest(seen, "operators", config->operators[i].id,
-                             config->operators[i].token_digest, reader);
+    for (uint32_t i = 0; i < config->operator_count; i++) {
+        const EbConfigOperator *operator= & config->operators[i];
+        keys[config->customer_count + i] =
+            digest_key(operator->token_digest, "operators", operator->id);
     }
-    g_hash_table_destroy(seen);
+    bool valid = check_unique(keys, count, "token_digest", "token", reader);
+    g_free(keys);
     return valid;
 }
 
--- a/src/libebonyhollow/schema.c
+++ b/src/libebonyhollow/schema.c
@@ -88,6 +88,11 @@
 read_integer(EbSchemaReader *reader, const EbSchemaField *field, json_t *value,
              int64_t *number)
 {
+    *number = json_integer_value(value);
+    if (json_is_integer(value) && *number >= field->min &&
+        *number <= field->max) {
+        return true;
+    }
     char expected[128];
     snprintf(expected, sizeof(expected),
              "an integer of %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT "%s%s",
@@ -95,23 +100,23 @@
     if (!json_is_integer(value)) {
         return fail_type(reader, value, expected);
     }
-    *number = json_integer_value(value);
-    if (*number < field->min || *number > field->max) {
-        return EbSchema_Fail(reader, EB_ERROR_RANGE,
-                             "expected %s, found %" G_GINT64_FORMAT, expected,
-                             *number);
-    }
-    return true;
+    return EbSchema_Fail(reader, EB_ERROR_RANGE,
+                         "expected %s, found %" G_GINT64_FORMAT, expected,
+                         *number);
 }
 
 static bool
-store_number(EbSchemaReader *reader, const EbSchemaField *field, json_t *value,
-             void *member)
+is_number(const EbSchemaField *field)
+{
+    return field->type == EB_SCHEMA_UINT16 ||
+           field->type == EB_SCHEMA_UINT32 ||
+           field->type == EB_SCHEMA_UINT64 ||
+           field->type == EB_SCHEMA_MILLISECONDS;
+}
+
+static void
+put_number(const EbSchemaField *field, int64_t number, void *member)
 {
-    int64_t number = 0;
-    if (!read_integer(reader, field, value, &number)) {
-        return false;
-    }
     switch (field->type) {
     case EB_SCHEMA_UINT16:
         *(uint16_t *)member = (uint16_t)number;
@@ -126,6 +131,17 @@
         *(int64_t *)member = number * 1000;
         break;
     }
+}
+
+static bool
+store_number(EbSchemaReader *reader, const EbSchemaField *field, json_t *value,
+             void *member)
+{
+    int64_t number = 0;
+    if (!read_integer(reader, field, value, &number)) {
+        return false;
+    }
+    put_number(field, number, member);
     return true;
 }
 
@@ -301,10 +317,17 @@
     return true;
 }
 
-/* Stores a default as if it had been written in the document. */
+/* Stores a default as if it had been written in the document. Numbers, the
+ * most frequent ones, go without JSON: a document of many customers takes
+ * their defaults at each site. */
 static void
 store_default(EbSchemaReader *reader, const EbSchemaField *field, void *member)
 {
+    if (is_number(field)) {
+        put_number(field, g_ascii_strtoll(field->default_value, NULL, 10),
+                   member);
+        return;
+    }
     json_t *value = json_loads(field->default_value, JSON_DECODE_ANY, NULL);
     assert(value != NULL);
     bool stored = store_value(reader, field, value, member);
@@ -356,18 +379,14 @@
 }
 
 static bool
-fail_unknown(EbSchemaReader *reader, const char *key, const char *prefix)
+fail_unknown(EbSchemaReader *reader, const EbSchemaRows *set, const char *key)
 {
     const char *nearest = NULL;
     size_t nearest_distance = SIZE_MAX;
-    for (size_t i = 0; i < reader->field_count; i++) {
-        const char *name = name_below(&reader->fields[i], prefix);
-        if (name == NULL) {
-            continue;
-        }
-        size_t distance = edit_distance(key, name);
+    for (size_t i = 0; i < set->count; i++) {
+        size_t distance = edit_distance(key, set->rows[i].name);
         if (distance < nearest_distance) {
-            nearest = name;
+            nearest = set->rows[i].name;
             nearest_distance = distance;
         }
     }
@@ -381,12 +400,36 @@
                               nearest);
 }
 
-static bool
-is_known(const EbSchemaReader *reader, const char *key, const char *prefix)
+/* Returns the rows directly below a prefix. A document has thousands of
+ * entries of one kind, so that the table is searched only once for each. */
+static const EbSchemaRows *
+select_rows(EbSchemaReader *reader, const char *prefix)
 {
+    for (size_t i = 0; i < reader->set_count; i++) {
+        if (reader->sets[i].fields == reader->fields &&
+            strcmp(reader->sets[i].prefix, prefix) == 0) {
+            return &reader->sets[i];
+        }
+    }
+    assert(reader->set_count < EB_SCHEMA_MAX_SETS);
+    EbSchemaRows *set = &reader->sets[reader->set_count++];
+    set->fields = reader->fields;
+    set->prefix = prefix;
     for (size_t i = 0; i < reader->field_count; i++) {
         const char *name = name_below(&reader->fields[i], prefix);
-        if (name != NULL && strcmp(name, key) == 0) {
+        if (name != NULL) {
+            assert(set->count < EB_SCHEMA_MAX_ROWS);
+            set->rows[set->count++] = (EbSchemaRow){&reader->fields[i], name};
+        }
+    }
+    return set;
+}
+
+static bool
+is_known(const EbSchemaRows *set, const char *key)
+{
+    for (size_t i = 0; i < set->count; i++) {
+        if (strcmp(set->rows[i].name, key) == 0) {
             return true;
         }
     }
@@ -394,9 +437,11 @@
 }
 
 static bool
-read_field(EbSchemaReader *reader, const EbSchemaField *field,
-           const char *name, json_t *object, void *members)
+read_field(EbSchemaReader *reader, const EbSchemaRow *row, json_t *object,
+           void *members)
 {
+    const EbSchemaField *field = row->field;
+    const char *name = row->name;
     void *member = (char *)members + field->offset;
     json_t *value = json_object_get(object, name);
     if (value != NULL) {
@@ -422,19 +467,17 @@
     if (!json_is_object(object)) {
         return fail_type(reader, object, "an object");
     }
+    const EbSchemaRows *set = select_rows(reader, prefix);
     const char *key;
     json_t *value;
     json_object_foreach(object, key, value)
     {
-        if (!is_known(reader, key, prefix)) {
-            return fail_unknown(reader, key, prefix);
+        if (!is_known(set, key)) {
+            return fail_unknown(reader, set, key);
         }
     }
-    for (size_t i = 0; i < reader->field_count; i++) {
-        const EbSchemaField *field = &reader->fields[i];
-        const char *name = name_below(field, prefix);
-        if (name != NULL &&
-            !read_field(reader, field, name, object, members)) {
+    for (size_t i = 0; i < set->count; i++) {
+        if (!read_field(reader, &set->rows[i], object, members)) {
             return false;
         }
     }
