dispatcher: do not wait for an owner that answered 'running'

A daemon that asks a claim's owner forgets the query with the first reply, so that a reply 'running' left the repeat waiting until its deadline. A question that meets an unconfirmed claim now waits there, any other 'running' leads to another claim. An answer without its body is read from the store instead of being passed on as done.

--- a/src/libebonyhollow/dispatcher_attempt.c
+++ b/src/libebonyhollow/dispatcher_attempt.c
@@ -198,9 +198,9 @@
 static void
 push_cancel(const EbAttempt *attempt)
 {
-    EbActionQueue_Push(attempt->request->dispatcher->options.actions,
-                       &(EbAction){.kind = EB_ACTION_CANCEL_ATTEMPT,
-                                   .as.cancel_attempt_id = attempt->id});
+    EbAction action = {.kind = EB_ACTION_CANCEL_ATTEMPT};
+    action.as.cancel_attempt_id = attempt->id;
+    EbActionQueue_Push(attempt->request->dispatcher->options.actions, &action);
 }
 
 void
@@ -376,10 +376,9 @@
             EB_STRING_FIELD("backend_server", attempt->server_id),
             EB_STRING_FIELD("stage",
                             request->pipeline->stages[attempt->stage].name));
-    EbActionQueue_Push(
-        request->dispatcher->options.actions,
-        &(EbAction){.kind = EB_ACTION_RETIRE_CONNECTIONS,
-                    .as.retire_server_id = g_strdup(attempt->server_id)});
+    EbAction action = {.kind = EB_ACTION_RETIRE_CONNECTIONS};
+    action.as.retire_server_id = g_strdup(attempt->server_id);
+    EbActionQueue_Push(request->dispatcher->options.actions, &action);
 }
 
 void
--- a/src/libebonyhollow/dispatcher_request.c
+++ b/src/libebonyhollow/dispatcher_request.c
@@ -289,9 +289,11 @@
                          EbReason reason, json_t *body, int64_t now_us)
 {
     EbRequest_Touch(request);
-    if (outcome == EB_OUTCOME_FAILED) {
-        /* The key was released. Answering `failed` could be overtaken by
-         * another copy that claims it and dispatches the call. */
+    /* After `failed` the key is released: answering that could be overtaken
+     * by another copy that claims it and dispatches the call. An answer that
+     * did not come along is read from the store. */
+    if (outcome == EB_OUTCOME_FAILED ||
+        (outcome == EB_OUTCOME_DONE && body == NULL)) {
         claim_later(request, now_us);
         return;
     }
@@ -445,8 +447,7 @@
                         const EbLedgerLocal *local, int64_t now_us)
 {
     EbRequest *request = g_hash_table_lookup(dispatcher->queries, &query);
-    if (request == NULL ||
-        (reached && local->state == EB_LEDGER_LOCAL_RUNNING)) {
+    if (request == NULL) {
         return;
     }
     g_hash_table_remove(dispatcher->queries, &query);
@@ -481,7 +482,7 @@
     char *name = g_strdup_printf("%s %s", customer, key_digest);
     EbRequest *holder = g_hash_table_lookup(dispatcher->holders, name);
     g_free(name);
-    if (holder != NULL && holder->owned && holder->asked.length < MAX_ASKED) {
+    if (holder != NULL && holder->asked.length < MAX_ASKED) {
         g_queue_push_tail(&holder->asked, asked);
     }
     else {
--- a/src/test_fault_matrix/sequences.c
+++ b/src/test_fault_matrix/sequences.c
@@ -49,14 +49,15 @@
     if (below(world, 4) == 0) {
         timeout_us = (int64_t)below(world, 600000);
     }
-    World_Submit(world, &(WorldSubmit){
-                            .daemon = daemon,
-                            .pipeline = pipeline,
-                            .key = pay ? key : NULL,
-                            .input = input,
-                            .stream = below(world, 2) == 0,
-                            .timeout_us = timeout_us,
-                        });
+    WorldSubmit wanted = {.daemon = daemon,
+                          .pipeline = pipeline,
+                          .input = input,
+                          .stream = below(world, 2) == 0,
+                          .timeout_us = timeout_us};
+    if (pay) {
+        wanted.key = key;
+    }
+    World_Submit(world, &wanted);
 }
 
 static void
--- a/src/test_world/world.c
+++ b/src/test_world/world.c
@@ -554,6 +554,29 @@
     g_free(expected);
 }
 
+/* Another daemon may answer too early or without the body. */
+static void
+disturb_answer(World *world, WorldEvent *event)
+{
+    if (EbRandom_Below(&world->random, 1000) >= world->fault_permille) {
+        return;
+    }
+    switch (EbRandom_Below(&world->random, 4)) {
+    case 0:
+        event->reached = false;
+        break;
+    case 1:
+        event->local.state = EB_LEDGER_LOCAL_RUNNING;
+        break;
+    case 2:
+        event->local.state = EB_LEDGER_LOCAL_ABSENT;
+        break;
+    default:
+        event->local.body = NULL;
+        break;
+    }
+}
+
 void
 World_Drain(World *world, uint32_t index)
 {
@@ -594,6 +617,7 @@
         event->reached = true;
         event->local = local;
         event->body = json_incref(local.body);
+        disturb_answer(world, event);
         EbAsked_Clear(&asked);
     }
 }
--- a/src/test_world/world_backend.c
+++ b/src/test_world/world_backend.c
@@ -162,6 +162,9 @@
     json_int_t first =
         json_integer_value(json_object_get(resume, "token_index"));
     json_int_t last = WORLD_TOKENS;
+    if (first > 0 && EbRandom_Below(&world->random, 4) == 0) {
+        first--; /* the engine repeats a token */
+    }
     if (call->fault == FAULT_BROKEN_RAN || call->fault == FAULT_SILENT_RAN) {
         last = MAX(first, WORLD_TOKENS / 2);
     }
