--- a/src/libebonyhollow/config.c
+++ b/src/libebonyhollow/config.c
@@ -129,6 +129,16 @@
     return NULL;
 }
 
+static bool
+same_contract(const EbContract *left, const EbContract *right)
+{
+    return left->weight == right->weight &&
+           left->requests_per_s_milli == right->requests_per_s_milli &&
+           left->burst_requests == right->burst_requests &&
+           left->concurrent_requests == right->concurrent_requests &&
+           left->tokens_per_s == right->tokens_per_s;
+}
+
 /* A contract is divided among the daemons of all sites, which therefore need
  * the same one. */
 static bool
@@ -139,8 +149,8 @@
         const EbConfigCustomer *customer = &config->customers[i];
         const EbConfigCustomer *common =
             EbConfig_FindCustomer(base, customer->id);
-        if (common != NULL && memcmp(&common->contract, &customer->contract,
-                                     sizeof(EbContract)) != 0) {
+        if (common != NULL &&
+            !same_contract(&common->contract, &customer->contract)) {
             reader->path.count = 0;
             EbSchema_PushKey(reader, "customers");
             EbSchema_PushKey(reader, customer->id);
--- a/test/load/main.c
+++ b/test/load/main.c
@@ -123,7 +123,7 @@
 read_health(Load *load, const char *text)
 {
     char **parts = g_strsplit(text, ",", TARGETS_MAX);
-    for (guint i = 0; parts[i] != NULL && i < load->target_count; i++) {
+    for (guint i = 0; i < load->target_count && parts[i] != NULL; i++) {
         Target *target = &load->targets[i];
         target->health_host = read_address(parts[i], &target->health_port);
     }
