--- a/include/ebonyhollow/config.h
+++ b/include/ebonyhollow/config.h
@@ -95,7 +95,8 @@
     bool needs_key;      /* its last stage is a non-idempotent call */
 } EbConfigPipeline;
 
-/* What a customer may use, across all daemons of the site. 0: no limit. */
+/* What a customer may use, across the daemons of all sites; the same at each
+ * site. 0: no limit. */
 typedef struct {
     uint32_t weight; /* share of a contended pool, at least 1 */
     uint64_t requests_per_s_milli;
--- a/src/libebonyhollow/config.c
+++ b/src/libebonyhollow/config.c
@@ -129,18 +129,31 @@
     return NULL;
 }
 
+static bool
+same_contract(const EbContract *left, const EbContract *right)
+{
+    return left->weight == right->weight &&
+           left->requests_per_s_milli == right->requests_per_s_milli &&
+           left->burst_requests == right->burst_requests &&
+           left->concurrent_requests == right->concurrent_requests &&
+           left->tokens_per_s == right->tokens_per_s;
+}
+
 /* A contract is divided among the daemons of all sites, which therefore need
- * the same one. */
+ * the same one. `contracts` has those of the sites read so far, by id. */
 static bool
-check_contracts(EbSchemaReader *reader, const EbConfig *base,
-                const EbConfig *config)
+check_contracts(EbSchemaReader *reader, const EbConfig *config,
+                GHashTable *contracts)
 {
     for (uint32_t i = 0; i < config->customer_count; i++) {
         const EbConfigCustomer *customer = &config->customers[i];
-        const EbConfigCustomer *common =
-            EbConfig_FindCustomer(base, customer->id);
-        if (common != NULL && memcmp(&common->contract, &customer->contract,
-                                     sizeof(EbContract)) != 0) {
+        const EbContract *other = g_hash_table_lookup(contracts, customer->id);
+        if (other == NULL) {
+            g_hash_table_insert(
+                contracts, g_strdup(customer->id),
+                g_memdup2(&customer->contract, sizeof(EbContract)));
+        }
+        else if (!same_contract(other, &customer->contract)) {
             reader->path.count = 0;
             EbSchema_PushKey(reader, "customers");
             EbSchema_PushKey(reader, customer->id);
@@ -153,36 +166,43 @@
     return true;
 }
 
+/* Parses the site and compares its contracts with the others'. */
+static EbConfig *
+parse_consistent_site(EbSchemaReader *reader, json_t *document,
+                      const char *overlay_name, GHashTable *contracts)
+{
+    EbConfig *config = parse_site(reader, document, overlay_name);
+    if (config != NULL && !check_contracts(reader, config, contracts)) {
+        EbConfig_Unref(config);
+        return NULL;
+    }
+    return config;
+}
+
 /* Parses the base and every overlay; returns the one for `site`. */
 static EbConfig *
 parse_sites(EbSchemaReader *reader, json_t *document, const char *site)
 {
+    GHashTable *contracts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     json_t *overlays = json_object_get(document, "overlays");
-    EbConfig *base = parse_site(reader, document, NULL);
-    if (base == NULL) {
-        return NULL;
-    }
-    EbConfig *chosen = EbConfig_Ref(base);
-    const char *name;
-    json_t *overlay;
-    json_object_foreach(overlays, name, overlay)
-    {
-        EbConfig *config = parse_site(reader, document, name);
-        if (config == NULL || !check_contracts(reader, base, config)) {
-            EbConfig_Unref(config);
-            EbConfig_Unref(chosen);
-            EbConfig_Unref(base);
-            return NULL;
-        }
-        if (site != NULL && strcmp(name, site) == 0) {
+    EbConfig *chosen =
+        parse_consistent_site(reader, document, NULL, contracts);
+    void *iterator = json_object_iter(overlays);
+    while (chosen != NULL && iterator != NULL) {
+        const char *name = json_object_iter_key(iterator);
+        EbConfig *config =
+            parse_consistent_site(reader, document, name, contracts);
+        if (config == NULL || (site != NULL && strcmp(name, site) == 0)) {
             EbConfig_Unref(chosen);
             chosen = config;
         }
         else {
             EbConfig_Unref(config);
         }
+        iterator = json_object_iter_next(overlays, iterator);
     }
-    EbConfig_Unref(base);
+    g_hash_table_destroy(contracts);
     return chosen;
 }
 
--- a/src/libebonyhollow/config_fields.c
+++ b/src/libebonyhollow/config_fields.c
@@ -121,7 +121,7 @@
         EbConfigCustomer, token_digest,
         "BLAKE2b-256 of the customer's token, 64 hex digits."),
     PART_ROW("customers.<id>.contract", OBJECT, EB_SCHEMA_NONE, 0,
-             "What the customer may use across all daemons of the site."),
+             "What the customer may use across the daemons of all sites."),
     ROW("customers.<id>.contract.weight", UINT32, "", 1, 1000, "1", EbContract,
         weight, "Share of a contended pool."),
     ROW("customers.<id>.contract.requests_per_s_milli", UINT64,
--- a/src/test_config/main.c
+++ b/src/test_config/main.c
@@ -239,6 +239,8 @@
     "{\"name\":\"find\",\"kind\":\"retrieve\",\"pool\":\"ret\"},"             \
     "{" fields "}]}}}}"
 #define GENERATE "\"kind\":\"generate\",\"pool\":\"gen\",\"model\":\"m\""
+#define DIGEST                                                                \
+    "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
 #define STAGE_PATH "$.base.pipelines.note.stages"
 
 static const Fault faults[] = {
@@ -275,6 +277,10 @@
      "{\"weight\":9}}}}}}",
      EB_ERROR_RANGE, "$.overlays.recife.customers.large.contract",
      "all sites"},
+    {"{\"overlays\":{\"a\":{\"customers\":{\"new\":{\"token_digest\":\"" DIGEST
+     "\"}}},\"b\":{\"customers\":{\"new\":{\"token_digest\":\"" DIGEST
+     "\",\"contract\":{\"weight\":2}}}}}}",
+     EB_ERROR_RANGE, "$.overlays.b.customers.new.contract", "(site b)"},
     {"{\"base\":{\"backend_servers\":{\"e1\":{\"host\":\"localhost\"}}}}",
      EB_ERROR_RANGE, "$.base.backend_servers.e1.host", "IPv4 or IPv6"},
     {"{\"base\":{\"backend_servers\":{\"e1\":{\"port\":65536}}}}",
