config: accept a base without servers and customers under the sanitizers

Cause: sorting the keys of an empty list passed NULL to qsort, which is undefined; a document such as {"generation": 1, "base": {}} ended a sanitized build. Change: lists of fewer than two keys are not sorted. test_config gains a test that puts values of other types and ranges at random places of a well-formed document, which found it (seed 4120). Conclusion: well-formed documents with wrong values are refused with a path.

--- a/src/libebonyhollow/config_check.c
+++ b/src/libebonyhollow/config_check.c
@@ -234,6 +234,9 @@
 check_unique(UniqueKey *keys, size_t count, const char *field,
              const char *what, EbSchemaReader *reader)
 {
+    if (count < 2) {
+        return true; /* `keys` is NULL when there are none */
+    }
     qsort(keys, count, sizeof(keys[0]), compare_unique);
     for (size_t i = 1; i < count; i++) {
         if (memcmp(keys[i - 1].bytes, keys[i].bytes, KEY_BYTES) == 0) {
--- a/src/test_config/main.c
+++ b/src/test_config/main.c
@@ -534,6 +534,78 @@
     g_free(path);
 }
 
+/* Replaces or removes a random value below `node`, which is not empty. */
+static void
+mutate_value(json_t *node, EbRandom *random)
+{
+    static const char *const values[] = {"null",
+                                         "true",
+                                         "-1",
+                                         "0",
+                                         "9223372036854775807",
+                                         "1.5",
+                                         "\"\"",
+                                         "\"*\"",
+                                         "\"x\"",
+                                         "[]",
+                                         "{}",
+                                         "[[]]",
+                                         "{\"kind\":\"call\"}"};
+    size_t size =
+        json_is_object(node) ? json_object_size(node) : json_array_size(node);
+    size_t index = EbRandom_Below(random, size);
+    void *iterator = json_object_iter(node);
+    for (size_t i = 0; json_is_object(node) && i < index; i++) {
+        iterator = json_object_iter_next(node, iterator);
+    }
+    const char *key = json_object_iter_key(iterator);
+    json_t *child = json_is_object(node) ? json_object_iter_value(iterator)
+                                         : json_array_get(node, index);
+    if (json_object_size(child) + json_array_size(child) > 0 &&
+        EbRandom_Below(random, 8) > 0) {
+        mutate_value(child, random);
+        return;
+    }
+    json_t *value =
+        json_loads(values[EbRandom_Below(random, TABLE_COUNT(values))],
+                   JSON_DECODE_ANY, NULL);
+    if (json_is_array(node)) {
+        json_array_set_new(node, index, value);
+    }
+    else if (EbRandom_Below(random, 4) > 0) {
+        json_object_set_new(node, key, value);
+    }
+    else {
+        json_decref(value);
+        json_object_del(node, key);
+    }
+}
+
+/* Guards against a crash, a leak or an error without a path on well-formed
+ * documents with values of another type or range, at any place. */
+static void
+test_hostile_values(void)
+{
+    char *valid = make_document();
+    EbRandom random;
+    EbRandom_Init(&random, 4120);
+    for (int i = 0; i < 4000; i++) {
+        json_t *document = json_loads(valid, 0, NULL);
+        mutate_value(document, &random);
+        char *text = json_dumps(document, 0);
+        EbError error;
+        EbConfig *config =
+            EbConfig_Parse(text, strlen(text), "recife", "f", &error);
+        CU_ASSERT_EQUAL(config == NULL, error.code != EB_ERROR_NONE);
+        CU_ASSERT_EQUAL(config == NULL, error.path[0] == '$');
+        CU_ASSERT_NOT_EQUAL(error.code, EB_ERROR_SYNTAX);
+        EbConfig_Unref(config);
+        free(text);
+        json_decref(document);
+    }
+    g_free(valid);
+}
+
 /* Guards against examples that don't load, that miss a part of their
  * deployment (docs/design.md, section 1), or whose sites don't differ. */
 static void
@@ -637,6 +709,7 @@
         {"places", test_places},
         {"limits", test_limits},
         {"hostile", test_hostile},
+        {"hostile values", test_hostile_values},
         {"examples", test_examples},
         {"documentation", test_documentation},
     };
