ebonyhollow: tell a lost answer from an unreachable daemon

Cause: a call whose answer was lost was reported as an unreachable daemon, also when it may have taken effect (seen with 'outcome' against the administration server while the store did not answer).

--- a/src/ebonyhollow/admin.c
+++ b/src/ebonyhollow/admin.c
@@ -149,10 +149,19 @@
     }
     EbError error;
     int status;
+    bool lost;
     EbExit code = EbAdmin_Try(invocation, NULL, method, path, body, answer,
-                              &status, NULL, &error);
+                              &status, &lost, &error);
+    const char *next = EbAdmin_Next(code, status);
+    if (lost && strcmp(method, "GET") == 0) {
+        next = "try again, or with a longer --timeout";
+    }
+    else if (lost) {
+        code = EB_EXIT_FAILED;
+        next = "the call may have taken effect; look at the state first";
+    }
     if (code != EB_EXIT_DONE) {
-        EbOutput_Error(invocation, code, &error, EbAdmin_Next(code, status));
+        EbOutput_Error(invocation, code, &error, next);
     }
     return code;
 }
