--- a/include/ebonyhollow/event_table.h
+++ b/include/ebonyhollow/event_table.h
@@ -8,111 +8,174 @@
 
 #define EB_EVENT_TABLE(X)                                                     \
     X(DAEMON_STARTED, 100, "daemon-started", EB_LEVEL_NOTICE,                 \
-      "The daemon is listening.", "instance,incarnation,failure_domain",      \
-      "None.")                                                                \
+      "The daemon is listening. Readiness follows once a configuration "      \
+      "is in force.",                                                         \
+      "instance,incarnation,failure_domain",                                  \
+      "None. Without a later configuration-applied, look at the platform "    \
+      "and the peers.")                                                       \
     X(DAEMON_STOPPED, 101, "daemon-stopped", EB_LEVEL_NOTICE,                 \
-      "The daemon ended.", "instance,cut_requests",                           \
-      "If cut_requests is not 0, check why the drain limit was reached.")     \
+      "The daemon ended. The exit status is 0 when cut_requests is 0.",       \
+      "instance,cut_requests",                                                \
+      "If cut_requests is not 0, requests were ended by a second signal "     \
+      "or by drain_limit_ms; raise the limit above the longest deadline.")    \
     X(DRAIN_STARTED, 102, "drain-started", EB_LEVEL_NOTICE,                   \
-      "Readiness is false and the daemon finishes its requests.",             \
+      "The balancer delay is over: the daemon takes no new requests and "     \
+      "finishes live_requests.",                                              \
       "instance,live_requests", "None.")                                      \
     X(EVENTS_SUPPRESSED, 103, "events-suppressed", EB_LEVEL_WARNING,          \
-      "Repeated events were held back by the log's rate limit.",              \
-      "suppressed_event,count", "Look at the metrics for the event's cause.") \
+      "An event came more often than the log's limit of 200 lines a "         \
+      "second; count of them were not written.",                              \
+      "suppressed_event,count",                                               \
+      "Look the event up here and at ebonyhollow_events_suppressed_total.")   \
     X(REQUEST_FINISHED, 200, "request-finished", EB_LEVEL_INFO,               \
-      "A request was answered.",                                              \
-      "request_id,customer,pipeline,outcome,reason,total_us", "None.")        \
+      "A request was answered, or its caller left.",                          \
+      "request_id,customer,pipeline,outcome,reason,total_us",                 \
+      "None. The trace is in 'ebonyhollow requests --id ID'.")                \
     X(ECHO_MISMATCH, 201, "echo-mismatch", EB_LEVEL_ERROR,                    \
-      "A backend server answered with another request's identification; the " \
-      "answer was discarded.",                                                \
+      "A backend server did not echo the request id, stage and attempt "      \
+      "of the call; the answer was discarded and the connection closed.",     \
       "request_id,stage,attempt,backend_server",                              \
-      "Take the backend server out of the pool and inspect it.")              \
+      "Remove the backend server from the configuration and inspect it: "     \
+      "it may mix up answers.")                                               \
     X(ATTEMPT_FAILED, 202, "attempt-failed", EB_LEVEL_INFO,                   \
-      "An attempt at a stage failed.",                                        \
+      "A call to a backend server failed.",                                   \
       "request_id,customer,pipeline,stage,attempt,backend_server,cause",      \
-      "None, unless it is frequent for one backend server.")                  \
+      "None, unless one backend server or one cause dominates; then "         \
+      "inspect that server.")                                                 \
     X(LATE_ANSWER_DROPPED, 203, "late-answer-dropped", EB_LEVEL_DEBUG,        \
       "An answer for an attempt that is no longer current was dropped.",      \
       "attempt_id", "None.")                                                  \
     X(OUTCOME_UNKNOWN, 204, "outcome-unknown", EB_LEVEL_WARNING,              \
-      "A non-idempotent call may have run and its answer is not known.",      \
+      "A non-idempotent call was sent and its result is not known; it "       \
+      "may have run.",                                                        \
       "request_id,customer,pipeline,backend_server",                          \
-      "Compare with the service's own record for the key.")                   \
+      "Compare with the service's own record for the key; see "               \
+      "docs/operations.md, outcomes unknown.")                                \
     X(CLAIM_SETTLED, 300, "claim-settled", EB_LEVEL_NOTICE,                   \
-      "A claim write whose answer was lost was settled by reading back.",     \
-      "customer,key_digest,result", "None.")                                  \
+      "A claim write without a certain answer was settled from what the "     \
+      "store holds: owned, written or changed.",                              \
+      "customer,key_digest,result",                                           \
+      "None for owned and written. For changed, find out who changed the "    \
+      "claim object.")                                                        \
     X(LEDGER_QUEUE_FULL, 301, "ledger-queue-full", EB_LEVEL_ERROR,            \
-      "An outcome could not be queued for writing; later repeats of its key " \
-      "are answered unknown.",                                                \
-      "customer,key_digest", "Restore the platform's store.")                 \
+      "1,024 outcomes wait for the store and this one is not kept; later "    \
+      "repeats of its key are answered unknown.",                             \
+      "customer,key_digest",                                                  \
+      "Restore the platform's store, then compare the customer's keys "       \
+      "with the service's record.")                                           \
     X(HOLD_EXPIRED, 302, "hold-expired", EB_LEVEL_WARNING,                    \
-      "A claim's hold ran out before the call was handed out.",               \
+      "A claim's hold time ran out before the call was dispatched; it is "    \
+      "not dispatched any more. overdue_us is the time since the call "       \
+      "was queued.",                                                          \
       "request_id,customer,overdue_us",                                       \
-      "Check the instance for pauses or processor starvation.")               \
+      "Check the instance for pauses or a starved processor, and the "        \
+      "pool of the call for queueing.")                                       \
     X(KEY_REUSED, 303, "key-reused", EB_LEVEL_WARNING,                        \
-      "An idempotency key was sent again with another body.",                 \
-      "request_id,customer", "Tell the customer.")                            \
+      "An idempotency key was sent again with another body or pipeline "      \
+      "and refused with status 422.",                                         \
+      "request_id,customer",                                                  \
+      "Tell the customer: its client has to choose a new key for a new "      \
+      "request.")                                                             \
     X(SERVER_EJECTED, 400, "backend-server-ejected", EB_LEVEL_WARNING,        \
-      "A backend server receives no work for a while.",                       \
-      "backend_server,pool,cause,until_us", "Inspect the backend server.")    \
+      "This daemon gives a backend server no work until until_us by its "     \
+      "monotonic clock; cause is failures or latency.",                       \
+      "backend_server,pool,cause,until_us",                                   \
+      "Compare 'ebonyhollow servers' of several daemons. Ejected by all: "    \
+      "inspect the server. By one: inspect the network path.")                \
     X(SERVER_RETURNED, 401, "backend-server-returned", EB_LEVEL_NOTICE,       \
-      "A backend server receives work again.", "backend_server,pool",         \
-      "None.")                                                                \
+      "A backend server receives work again, little at first.",               \
+      "backend_server,pool", "None.")                                         \
     X(SERVER_LEAVING, 402, "backend-server-leaving", EB_LEVEL_NOTICE,         \
       "A backend server is leaving and receives no new work.",                \
-      "backend_server,source", "None.")                                       \
+      "backend_server,source",                                                \
+      "None. When it is gone for good, remove it from the configuration.")    \
     X(SERVER_SILENT, 403, "backend-server-silent", EB_LEVEL_WARNING,          \
-      "A connection made no progress; idle connections to the backend "       \
-      "server were closed.",                                                  \
-      "backend_server,stage", "Check the network path if it is frequent.")    \
+      "A call made no progress within its time-out; idle connections to "     \
+      "the backend server were closed.",                                      \
+      "backend_server,stage",                                                 \
+      "If it is frequent for one server, check the server and the "           \
+      "network path; for all, check the time-outs of the stage.")             \
     X(SERVER_CRASHED, 404, "backend-server-crashed", EB_LEVEL_ERROR,          \
-      "A backend server broke off calls in flight.",                          \
-      "backend_server,in_flight", "Check the quarantine list.")               \
+      "Connections of a backend server broke with in_flight calls of "        \
+      "this daemon on it; their requests are suspected.",                     \
+      "backend_server,in_flight",                                             \
+      "Check that the server came back, and 'ebonyhollow quarantine "         \
+      "list' for the request that caused it.")                                \
     X(REQUEST_SUSPECTED, 410, "request-suspected", EB_LEVEL_WARNING,          \
-      "A request was in flight on a backend server that crashed.",            \
-      "fingerprint,crashes", "None.")                                         \
+      "A request was in flight on a backend server that crashed. crashes "    \
+      "counts points: 2 when it was alone there, 1 otherwise.",               \
+      "fingerprint,crashes",                                                  \
+      "None. It runs without other suspects until it succeeds, is "           \
+      "quarantined or 60 s have passed.")                                     \
     X(REQUEST_QUARANTINED, 411, "request-quarantined", EB_LEVEL_ERROR,        \
-      "A request crashed backend servers and is refused from now on.",        \
+      "A request reached 3 crash points and is refused by every daemon "      \
+      "for 10 minutes.",                                                      \
       "fingerprint,crashes,until_us",                                         \
-      "Tell the customer; release with 'ebonyhollow quarantine'.")            \
+      "Find the customer by its refusals with reason quarantined and "        \
+      "tell it; release with 'ebonyhollow quarantine release' once the "      \
+      "engine is repaired.")                                                  \
     X(REQUEST_RELEASED, 412, "request-released", EB_LEVEL_NOTICE,             \
-      "A fingerprint left quarantine.", "fingerprint,cause", "None.")         \
+      "A fingerprint left quarantine; cause is expired, operator or peer.",   \
+      "fingerprint,cause", "None.")                                           \
     X(PEER_ALIVE, 500, "peer-alive", EB_LEVEL_NOTICE,                         \
-      "A daemon was heard from.", "peer,incarnation", "None.")                \
+      "A daemon is known to be alive.", "peer,incarnation", "None.")          \
     X(PEER_SUSPECTED, 501, "peer-suspected", EB_LEVEL_WARNING,                \
-      "A daemon missed its heartbeats.", "peer,idle_us", "None.")             \
+      "A daemon missed its heartbeats or was reported by another daemon; "    \
+      "without a sign of life it is declared dead.",                          \
+      "peer,idle_us",                                                         \
+      "None, unless it repeats for one instance: check it for pauses and "    \
+      "its network path.")                                                    \
     X(PEER_DEAD, 502, "peer-dead", EB_LEVEL_WARNING,                          \
-      "A daemon is taken for dead.", "peer,incarnation",                      \
-      "Check the instance.")                                                  \
+      "A daemon is declared dead. Keys that it held are answered unknown "    \
+      "until it is back or the service knows them.",                          \
+      "peer,incarnation",                                                     \
+      "Check the instance and replace it. Many at once: see "                 \
+      "docs/operations.md, partition.")                                       \
     X(PEER_LEAVING, 503, "peer-leaving", EB_LEVEL_NOTICE,                     \
-      "A daemon announced its shutdown.", "peer", "None.")                    \
+      "A daemon announced its shutdown or is listed as leaving.", "peer",     \
+      "None.")                                                                \
     X(PEER_LINK_UP, 504, "peer-link-up", EB_LEVEL_INFO,                       \
       "A link to a daemon is authenticated.", "peer,address", "None.")        \
     X(PEER_LINK_DOWN, 505, "peer-link-down", EB_LEVEL_INFO,                   \
-      "A link to a daemon closed.", "peer,address,cause", "None.")            \
+      "A link to a daemon closed.", "peer,address,cause",                     \
+      "None, unless one peer or one path flaps.")                             \
     X(PEER_BAD_FRAME, 506, "peer-bad-frame", EB_LEVEL_ERROR,                  \
-      "A frame was malformed or failed authentication; its link was closed.", \
-      "address,cause", "Check the peer key and versions on both sides.")      \
+      "A frame was malformed or failed authentication; its link was "         \
+      "closed.",                                                              \
+      "address,cause",                                                        \
+      "Check that both sides have the same peer_key and version. An "         \
+      "address that is no daemon's: someone else is connecting.")             \
     X(CONFIGURATION_APPLIED, 600, "configuration-applied", EB_LEVEL_NOTICE,   \
       "A configuration generation is in force.", "generation,source",         \
       "None.")                                                                \
     X(CONFIGURATION_REJECTED, 601, "configuration-rejected", EB_LEVEL_ERROR,  \
-      "A configuration does not validate; the one in force stays.",           \
-      "generation,error", "Correct it with 'ebonyhollow config apply'.")      \
+      "A configuration does not validate here; the one in force stays.",      \
+      "generation,error",                                                     \
+      "Correct it with 'ebonyhollow config apply'. If only one daemon "       \
+      "rejects it, compare the versions of the daemons.")                     \
     X(CONFIGURATION_STALE, 602, "configuration-stale", EB_LEVEL_INFO,         \
       "An older configuration generation was offered and ignored.",           \
-      "generation,current", "None.")                                          \
+      "generation,current",                                                   \
+      "None. If it repeats, the platform's object or a daemon was set "       \
+      "back by hand.")                                                        \
     X(PLATFORM_DOWN, 700, "platform-down", EB_LEVEL_WARNING,                  \
-      "The platform's API does not answer.", "cause",                         \
+      "Two calls to the platform's API in a row failed.", "cause",            \
       "See docs/operations.md, store outage.")                                \
     X(PLATFORM_UP, 701, "platform-up", EB_LEVEL_NOTICE,                       \
       "The platform's API answers again.", "down_us", "None.")                \
     X(WATCH_GAP, 702, "watch-gap", EB_LEVEL_INFO,                             \
-      "A watch lost events; the objects are listed again.", "kind", "None.")  \
-    X(AUDIT, 800, "audit", EB_LEVEL_NOTICE, "An operator changed something.", \
-      "operator,action,object,from_version,result", "None.")                  \
+      "A watch lost events; the objects are listed again.", "kind",           \
+      "None, unless it is frequent: the platform keeps too few events.")      \
+    X(AUDIT, 800, "audit", EB_LEVEL_NOTICE,                                   \
+      "An operator changed something or tried to; result tells which.",       \
+      "operator,action,object,from_version,result",                           \
+      "None. Keep these lines as the record of changes.")                     \
     X(ADMIN_DENIED, 801, "admin-denied", EB_LEVEL_WARNING,                    \
-      "An administration call was refused.", "operator,action",               \
-      "Check the operator's role.")
+      "An administration call had no known token, or its operator's role "    \
+      "or scope does not allow it. operator is empty when the token is "      \
+      "not known.",                                                           \
+      "operator,action",                                                      \
+      "Check the operator's token, role and scope; repeated calls "           \
+      "without an operator may be an attack.")
 
 #endif
--- a/src/libebonyhollow/metrics.c
+++ b/src/libebonyhollow/metrics.c
@@ -26,7 +26,7 @@
                            SERIES_BY_CUSTOMER_PIPELINE},
     [EB_METRIC_REFUSALS] = {"ebonyhollow_refusals_total",
                             EB_METRIC_COUNTER,
-                            "Requests not done, by reason.",
+                            "Answers other than done, by reason.",
                             {"reason", NULL, NULL},
                             SERIES_DEFAULT},
     [EB_METRIC_ATTEMPTS] = {"ebonyhollow_attempts_total",
@@ -41,7 +41,7 @@
                            SERIES_DEFAULT},
     [EB_METRIC_HEDGES] = {"ebonyhollow_hedges_total",
                           EB_METRIC_COUNTER,
-                          "Calls sent to a second server while slow.",
+                          "Second calls sent while the first was slow.",
                           {"pipeline", "stage", NULL},
                           SERIES_DEFAULT},
     [EB_METRIC_RESUMES] = {"ebonyhollow_resumes_total",
@@ -51,7 +51,8 @@
                            SERIES_DEFAULT},
     [EB_METRIC_WASTED_CALLS] = {"ebonyhollow_wasted_calls_total",
                                 EB_METRIC_COUNTER,
-                                "Calls whose answer was not used.",
+                                "Calls that were sent and did not succeed, "
+                                "cancelled ones included.",
                                 {"pipeline", "stage", NULL},
                                 SERIES_DEFAULT},
     [EB_METRIC_SERVER_TIME_US] =
@@ -67,7 +68,8 @@
                           SERIES_BY_CUSTOMER_PIPELINE},
     [EB_METRIC_PLATFORM_CALLS] = {"ebonyhollow_platform_calls_total",
                                   EB_METRIC_COUNTER,
-                                  "Calls to the platform's object API.",
+                                  "Calls to the platform's object API, "
+                                  "watches included.",
                                   {"operation", "status", NULL},
                                   SERIES_DEFAULT},
     [EB_METRIC_PEER_BYTES] = {"ebonyhollow_peer_bytes_total",
@@ -82,7 +84,7 @@
                                  SERIES_DEFAULT},
     [EB_METRIC_EVENTS_SUPPRESSED] = {"ebonyhollow_events_suppressed_total",
                                      EB_METRIC_COUNTER,
-                                     "Log events held back.",
+                                     "Log events held back by the rate limit.",
                                      {"event", NULL, NULL},
                                      SERIES_DEFAULT},
     [EB_METRIC_TOTAL_TIME_US] =
