--- a/include/ebonyhollow/event_table.h
+++ b/include/ebonyhollow/event_table.h
@@ -78,7 +78,8 @@
       "request.")                                                             \
     X(SERVER_EJECTED, 400, "backend-server-ejected", EB_LEVEL_WARNING,        \
       "This daemon gives a backend server no work until until_us by its "     \
-      "monotonic clock; cause is failures or latency.",                       \
+      "monotonic clock; cause is latency, failures or the result of the "     \
+      "last call.",                                                           \
       "backend_server,pool,cause,until_us",                                   \
       "Compare 'ebonyhollow servers' of several daemons. Ejected by all: "    \
       "inspect the server. By one: inspect the network path.")                \
