--- a/include/ebonyhollow/event_table.h
+++ b/include/ebonyhollow/event_table.h
@@ -112,9 +112,9 @@
       "A request reached 3 crash points and is refused by every daemon "      \
       "for 10 minutes.",                                                      \
       "fingerprint,crashes,until_us",                                         \
-      "Find the customer by its refusals with reason quarantined and "        \
-      "tell it; release with 'ebonyhollow quarantine release' once the "      \
-      "engine is repaired.")                                                  \
+      "Find the customer in request-finished events with reason "             \
+      "quarantined and tell it; release with 'ebonyhollow quarantine "        \
+      "release' once the engine is repaired.")                                \
     X(REQUEST_RELEASED, 412, "request-released", EB_LEVEL_NOTICE,             \
       "A fingerprint left quarantine; cause is expired, operator or peer.",   \
       "fingerprint,cause", "None.")                                           \
