standin: servers of one service share what ran

Cause: a trial of test_at_most_once failed because the look-up of a key reached another order server than the one that ran it; the servers of a real service share one database. Change: results and fencing tokens are kept by pool; protocols.md says that any server of the pool answers for the service. Conclusion: the fault was in the stand-in.

--- a/test/process/lib.sh
+++ b/test/process/lib.sh
@@ -146,7 +146,7 @@
     curl -fsS "http://$eb_control/runs" | jq --arg k "$1" '.[$k] // 0'
 }
 
-# eb_plan NAME...: writes plan.json with the named kinds of requests.
+# eb_targets SITE-NUMBER...: caller listeners of daemons, comma-separated.
 eb_targets() {
     local list=() pair
     for pair in "$@"; do
@@ -194,6 +194,11 @@
     jq -r '.outcome // "none"' "$1" 2>/dev/null || echo none
 }
 
+# eb_at_least VALUE BOUND: compares two decimal numbers.
+eb_at_least() {
+    awk -v value="$1" -v bound="$2" 'BEGIN { exit !(value >= bound) }'
+}
+
 # eb_finish: ends a test with the number of failed checks.
 eb_finish() {
     if [ "$eb_failures" -ne 0 ]; then
--- a/test/process/test_outage.sh
+++ b/test/process/test_outage.sh
@@ -28,10 +28,10 @@
 }
 share=$(kind_share '.name | startswith("release") | not')
 eb_check "idempotent requests go on (done: $share)" \
-    jq -en --argjson s "$share" '$s >= 0.99'
-eb_check "keyed requests are refused as unknown only" \
-    jq -e '[.kinds[] | select(.name | startswith("release"))
-        | .not_run + .failed] | add == 0' "$eb_work/load.json" -o /dev/null
+    eb_at_least "$share" 0.99
+other=$(jq '[.kinds[] | select(.name | startswith("release"))
+    | .not_run + .failed] | add' "$eb_work/load.json")
+eb_check "keyed requests are refused as unknown only" [ "$other" = 0 ]
 
 echo "== the store is slow to answer and loses answers"
 eb_fault platform lose-answer 0 40
--- a/test/process/test_poison.sh
+++ b/test/process/test_poison.sh
@@ -29,6 +29,6 @@
 eb_check "at most 3 servers crashed (got $crashes)" [ "$crashes" -le 3 ]
 attainment=$(jq .attainment "$eb_work/load.json")
 eb_check "the others attain at least 99% (got $attainment)" \
-    jq -en --argjson a "$attainment" '$a >= 0.99'
+    eb_at_least "$attainment" 0.99
 eb_command recife 1 quarantine list
 eb_finish
--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -164,9 +164,9 @@
         return;
     }
     json_t *body = answers[job->server->pool->kind](job);
-    if (job->record->key != NULL && job->server->results != NULL) {
-        g_hash_table_replace(job->server->results, g_strdup(job->record->key),
-                             json_incref(body));
+    if (job->record->key != NULL) {
+        g_hash_table_replace(job->server->service->results,
+                             g_strdup(job->record->key), json_incref(body));
     }
     if (job->fault == FAULT_MALFORMED) {
         json_decref(body);
@@ -271,11 +271,11 @@
     }
     uint64_t number = token != NULL ? strtoull(token, NULL, 10) : 0;
     uint64_t highest =
-        GPOINTER_TO_SIZE(g_hash_table_lookup(server->fences, key));
+        GPOINTER_TO_SIZE(g_hash_table_lookup(server->service->fences, key));
     if (number < highest) {
         return true;
     }
-    g_hash_table_replace(server->fences, g_strdup(key),
+    g_hash_table_replace(server->service->fences, g_strdup(key),
                          GSIZE_TO_POINTER(number));
     return false;
 }
@@ -288,8 +288,8 @@
         evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request));
     evhttp_parse_query_str(text != NULL ? text : "", &query);
     const char *key = Reply_Query(&query, "key");
-    json_t *result = key != NULL && server->results != NULL
-                         ? g_hash_table_lookup(server->results, key)
+    json_t *result = key != NULL
+                         ? g_hash_table_lookup(server->service->results, key)
                          : NULL;
     Job job = {.server = server, .request = request};
     Server_AddHeaders(&job);
@@ -434,6 +434,30 @@
     }
 }
 
+void
+Service_Free(void *pointer)
+{
+    Service *service = pointer;
+    g_hash_table_destroy(service->results);
+    g_hash_table_destroy(service->fences);
+    g_free(service);
+}
+
+static Service *
+get_service(Standin *standin, const char *pool)
+{
+    Service *service = g_hash_table_lookup(standin->services, pool);
+    if (service == NULL) {
+        service = g_new0(Service, 1);
+        service->results = g_hash_table_new_full(
+            g_str_hash, g_str_equal, g_free, (GDestroyNotify)json_decref);
+        service->fences =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        g_hash_table_insert(standin->services, g_strdup(pool), service);
+    }
+    return service;
+}
+
 Server *
 Server_New(Standin *standin, uint32_t index)
 {
@@ -443,10 +467,7 @@
     server->pool = &standin->config->pools[server->description->pool_index];
     g_queue_init(&server->running);
     g_queue_init(&server->waiting);
-    server->results = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                            (GDestroyNotify)json_decref);
-    server->fences =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    server->service = get_service(standin, server->pool->name);
     server->restart = event_new(standin->base, -1, 0, restart, server);
     listen_again(server);
     return server;
@@ -457,8 +478,6 @@
 {
     stop_listening(server);
     event_free(server->restart);
-    g_hash_table_destroy(server->results);
-    g_hash_table_destroy(server->fences);
     g_free(server);
 }
 
--- a/test/standin/main.c
+++ b/test/standin/main.c
@@ -123,6 +123,8 @@
                        .config = load_config(&arguments),
                        .servers = g_ptr_array_new(),
                        .records = g_ptr_array_new_with_free_func(free_record),
+                       .services = g_hash_table_new_full(
+                           g_str_hash, g_str_equal, g_free, Service_Free),
                        .time_scale = arguments.time_scale};
     char host[64];
     uint16_t port;
@@ -151,6 +153,7 @@
     Platform_Free(standin.platform);
     g_ptr_array_free(standin.servers, TRUE);
     g_ptr_array_free(standin.records, TRUE);
+    g_hash_table_destroy(standin.services);
     EbConfig_Unref(standin.config);
     event_base_free(standin.base);
     return 0;
--- a/test/standin/standin.h
+++ b/test/standin/standin.h
@@ -64,12 +64,19 @@
 struct Standin {
     struct event_base *base;
     EbConfig *config;
-    GPtrArray *servers; /* of Server */
-    GPtrArray *records; /* of Record */
+    GPtrArray *servers;   /* of Server */
+    GPtrArray *records;   /* of Record */
+    GHashTable *services; /* pool name to Service */
     Platform *platform;
     double time_scale; /* factor on all service times */
 };
 
+/* What the servers of one pool share, as a service shares its database. */
+typedef struct {
+    GHashTable *results; /* key to json_t */
+    GHashTable *fences;  /* key to highest fencing token */
+} Service;
+
 /* reply.c */
 int64_t Standin_Now(void);
 void Reply_Json(struct evhttp_request *request, int status, json_t *body);
@@ -110,10 +117,9 @@
     const EbConfigBackendServer *description;
     const EbConfigPool *pool;
     struct evhttp *http;
-    GQueue running;      /* of Job */
-    GQueue waiting;      /* of Job */
-    GHashTable *results; /* key to json_t, services only */
-    GHashTable *fences;  /* key to highest token */
+    GQueue running; /* of Job */
+    GQueue waiting; /* of Job */
+    Service *service;
     Fault fault;
     bool leaving;
     uint64_t runs;
@@ -128,6 +134,8 @@
 void Server_SetFault(Server *server, Fault fault);
 void Server_Crash(Server *server);
 void Server_Free(Server *server);
+/* Frees an entry of Standin.services. */
+void Service_Free(void *pointer);
 json_t *Server_Describe(const Server *server);
 
 /* Ends a job's service, with a body, or with NULL when it streamed. */
