--- a/src/test_dispatcher/main.c
+++ b/src/test_dispatcher/main.c
@@ -279,6 +279,37 @@
     }
 }
 
+/* Guards against `failed` for a key that another request has run since: the
+ * owner's answer reaches a daemon that stood still. */
+static void
+test_overtaken_release(void)
+{
+    World *world = World_New(
+        &(WorldOptions){.seed = 1, .config = {.deadline_ms = 60000}});
+    inject(world, FAULT_STATUS_400, STEP_RERANK, 1);
+    WorldRequest *first = submit(world, "pay", "k");
+    while (g_hash_table_size(world->calls) == 0) {
+        World_Step(world, INT64_MAX);
+    }
+    WorldSubmit wanted = {
+        .daemon = 1, .pipeline = "pay", .key = "k", .input = "sleeve"};
+    WorldRequest *second = World_Submit(world, &wanted);
+    for (int64_t until_us = world->now_us + 6000;
+         World_Step(world, until_us);) {
+    }
+    world->daemons[1].paused_until_us = world->now_us + 5000000;
+    while (!first->answered) {
+        World_Step(world, INT64_MAX);
+    }
+    CU_ASSERT_EQUAL(first->outcome, EB_OUTCOME_FAILED);
+    WorldRequest *third = submit(world, "pay", "k");
+    finish(world);
+    CU_ASSERT_EQUAL(third->outcome, EB_OUTCOME_DONE);
+    CU_ASSERT_EQUAL(second->outcome, EB_OUTCOME_DONE);
+    CU_ASSERT_TRUE(second->replayed);
+    World_Free(world);
+}
+
 /* Guards against new work for a server that leaves. */
 static void
 test_leaving(void)
@@ -378,6 +409,7 @@
         {"silence", test_silence},
         {"poison", test_poison},
         {"repeats", test_repeats},
+        {"overtaken release", test_overtaken_release},
         {"leaving", test_leaving},
         {"drain and configuration", test_drain_and_config},
         {"plain policy", test_plain_policy},
