dispatcher: tell daemons of leaving servers that the platform lists

The event of an expired hold gives the time since its end. A fifth of the random sequences uses the plain policy.

--- a/include/ebonyhollow/dispatcher.h
+++ b/include/ebonyhollow/dispatcher.h
@@ -53,7 +53,8 @@
     bool (*ask_owner)(void *context, const EbLedgerResult *held,
                       uint64_t query, const char *customer,
                       const char *key_digest, int64_t now_us);
-    /* Tells the other daemons that a backend server is leaving. */
+    /* Tells the other daemons that a backend server is leaving, unless the
+     * notice came from one of them. */
     void (*server_leaving)(void *context, const char *server_id,
                            int64_t now_us);
     void *context;
@@ -152,8 +153,8 @@
 bool EbDispatcher_NextAsked(EbDispatcher *dispatcher, EbAsked *asked);
 void EbAsked_Clear(EbAsked *asked);
 
-/* A backend server leaves, or is back, according to the platform's list or
- * a peer. */
+/* A backend server leaves, or is back, according to `source`: "platform", or
+ * "peer" for a notice that is not passed on. */
 void EbDispatcher_ServerLeaving(EbDispatcher *dispatcher,
                                 const char *server_id, bool leaving,
                                 const char *source, int64_t now_us);
--- a/src/libebonyhollow/dispatcher.c
+++ b/src/libebonyhollow/dispatcher.c
@@ -529,7 +529,7 @@
                 EB_STRING_FIELD("source", source));
     }
     if (changed && leaving && dispatcher->options.server_leaving != NULL &&
-        strcmp(source, "response") == 0) {
+        strcmp(source, "peer") != 0) {
         dispatcher->options.server_leaving(dispatcher->options.context,
                                            server_id, now_us);
     }
--- a/src/libebonyhollow/dispatcher_request.c
+++ b/src/libebonyhollow/dispatcher_request.c
@@ -244,6 +244,7 @@
     assert(request->keyed && request->claim == 0);
     request->summary->state = EB_REQUEST_CLAIMING;
     request->claim_count++;
+    request->claimed_us = now_us;
     request->claim = EbLedger_Claim(
         dispatcher->options.ledger, request->customer->id, request->key,
         request->claim_text, request->claim_text_bytes, request->deadline_us,
--- a/src/libebonyhollow/dispatcher_stage.c
+++ b/src/libebonyhollow/dispatcher_stage.c
@@ -178,7 +178,8 @@
         EB_EMIT(dispatcher->options.events, EB_EVENT_HOLD_EXPIRED,
                 EB_STRING_FIELD("request_id", request->summary->request_id),
                 EB_STRING_FIELD("customer", request->customer->id),
-                EB_INTEGER_FIELD("overdue_us", now_us - request->queued_us));
+                EB_INTEGER_FIELD("overdue_us", now_us - request->claimed_us -
+                                                   EB_LEDGER_HOLD_US));
         EbRequest_Fail(request, EB_REASON_HOLD_EXPIRED, NULL, now_us);
         return false;
     }
--- a/src/libebonyhollow/private/dispatcher_private.h
+++ b/src/libebonyhollow/private/dispatcher_private.h
@@ -119,6 +119,7 @@
     bool reopened;
     uint64_t fencing_token;
     uint32_t claim_count;
+    int64_t claimed_us;   /* when the last claim began */
     uint64_t owner_query; /* 0 when the owner is not being asked */
     GArray *waiters;      /* ids of requests that wait for this one's key */
     GQueue asked;         /* of EbAsked, peers that wait for it */
--- a/src/test_fault_matrix/sequences.c
+++ b/src/test_fault_matrix/sequences.c
@@ -136,6 +136,7 @@
     static const uint32_t latencies[] = {1000, 5000, 40000};
     World *world = World_New(&(WorldOptions){
         .seed = seed,
+        .policy = seed % 5 == 0 ? EB_POLICY_PLAIN : EB_POLICY_ADAPTIVE,
         .latency_us =
             latencies[EbRandom_Below(&random, TABLE_COUNT(latencies))],
         .config = {.lookup = EbRandom_Below(&random, 2) == 0,
