--- a/include/ebonyhollow/peer_link.h
+++ b/include/ebonyhollow/peer_link.h
@@ -24,8 +24,9 @@
 
 #define EB_PEER_HANDSHAKE_US 2000000 /* from connecting to authenticated */
 #define EB_PEER_HANDSHAKE_MAX_BYTES 512
-#define EB_PEER_HANDSHAKES_MAX 512 /* at once; beyond, the oldest is closed   \
-                                    */
+#define EB_PEER_HANDSHAKES_MAX                                                \
+    512 /* at once; beyond, the oldest is closed                              \
+         */
 #define EB_PEER_OUTPUT_MAX_BYTES (2 * (EB_MESSAGE_MAX_BYTES + 1024))
 
 struct event_base;
@@ -41,13 +42,16 @@
     const char *address;     /* told to peers; NULL: the listener's */
     const uint8_t *key;      /* EB_PEER_KEY_BYTES */
     size_t max_output_bytes; /* unsent, by link; 0: the default above */
-    EbMetrics *metrics;      /* may be NULL */
+    /* Accepted connections that are not authenticated; beyond it the oldest
+     * is closed. 0: the default above. */
+    uint32_t max_handshakes;
+    EbMetrics *metrics; /* may be NULL */
     const EbEventSink *events;
     void (*link_up)(void *context, const char *peer, uint64_t incarnation,
                     const char *address);
     /* Called for each link that was up, also after Close. */
     void (*link_down)(void *context, const char *peer);
-    /* A dial ended without a link. */
+    /* A dial ended without a link; may be called from within Connect. */
     void (*dial_failed)(void *context, const char *address);
     /* `message` is borrowed for the call. */
     void (*message)(void *context, const char *peer, const EbMessage *message);
