net: bound the kernel's buffer of a caller, check replies of peers

A caller that does not read held as much kernel memory as the system's automatic buffer allows; its socket's output buffer is now max_buffer_bytes. An outcome reply is taken only from the peer that was asked and only with a known state.

--- a/src/libebonyhollow_net/backend_client.c
+++ b/src/libebonyhollow_net/backend_client.c
@@ -34,6 +34,7 @@
     char *host;
     uint16_t port;
     GQueue idle; /* of Connection, the most recently used first */
+    uint32_t connections;
 } Server;
 
 typedef struct Connection {
@@ -119,6 +120,7 @@
 {
     leave_idle(connection);
     connection->doomed = true;
+    connection->server->connections--;
     g_hash_table_remove(connection->client->connections, connection);
     evhttp_connection_free(connection->evcon);
     g_free(connection);
@@ -154,7 +156,16 @@
     }
 }
 
-/* Closes connections that were idle for too long. */
+static gboolean
+is_unused(gpointer id, gpointer server, gpointer context)
+{
+    (void)id;
+    (void)context;
+    return ((const Server *)server)->connections == 0;
+}
+
+/* Closes connections that were idle for too long, and forgets servers without
+ * connections: configurations come and go. */
 static void
 on_sweep(evutil_socket_t fd, short what, void *arg)
 {
@@ -175,6 +186,7 @@
             doom_connection(connection);
         }
     }
+    g_hash_table_foreach_remove(client->servers, is_unused, NULL);
 }
 
 /* Notes that bytes of a call went into the connection's output buffer. */
@@ -242,6 +254,7 @@
         evhttp_connection_get_bufferevent(connection->evcon);
     evbuffer_add_cb(bufferevent_get_output(bufev), on_output, connection);
     g_hash_table_add(client->connections, connection);
+    server->connections++;
     return connection;
 }
 
--- a/src/libebonyhollow_net/caller_server.c
+++ b/src/libebonyhollow_net/caller_server.c
@@ -569,16 +569,17 @@
     server->by_evcon = g_hash_table_new(NULL, NULL);
     server->unflushed = g_ptr_array_new();
     server->flush_event = event_new(options->base, -1, 0, on_flush, server);
-    EbHttpServerOptions http = {.base = options->base,
-                                .address = &settings->caller,
-                                .max_body_bytes = settings->max_body_bytes,
-                                .max_header_bytes = settings->max_header_bytes,
-                                .max_connections = settings->max_connections,
-                                .header_timeout_us =
-                                    settings->header_timeout_us,
-                                .request = on_request,
-                                .closed = on_connection_closed,
-                                .context = server};
+    EbHttpServerOptions http = {
+        .base = options->base,
+        .address = &settings->caller,
+        .max_body_bytes = settings->max_body_bytes,
+        .max_header_bytes = settings->max_header_bytes,
+        .max_connections = settings->max_connections,
+        .send_buffer_bytes = settings->max_buffer_bytes,
+        .header_timeout_us = settings->header_timeout_us,
+        .request = on_request,
+        .closed = on_connection_closed,
+        .context = server};
     server->http = EbHttpServer_New(&http, error);
     if (server->http == NULL) {
         EbCallerServer_Free(server);
--- a/src/libebonyhollow_net/daemon_peer.c
+++ b/src/libebonyhollow_net/daemon_peer.c
@@ -69,11 +69,14 @@
 }
 
 static void
-take_outcome(EbDaemon *daemon, const EbMessage *message, int64_t now_us)
+take_outcome(EbDaemon *daemon, const char *peer, const EbMessage *message,
+             int64_t now_us)
 {
-    if (!g_hash_table_remove(daemon->queries, &message->query)) {
+    const char *asked = g_hash_table_lookup(daemon->queries, &message->query);
+    if (asked == NULL || strcmp(asked, peer) != 0) {
         return;
     }
+    g_hash_table_remove(daemon->queries, &message->query);
     json_t *body = NULL;
     if (message->text != NULL) {
         body = json_loadb(message->text, message->text_bytes, 0, NULL);
@@ -82,7 +85,8 @@
                            .outcome = message->outcome,
                            .reason = message->reason,
                            .body = body};
-    EbDispatcher_OwnerReply(daemon->dispatcher, message->query, true, &local,
+    bool known = message->local_state <= EB_LEDGER_LOCAL_FINISHED;
+    EbDispatcher_OwnerReply(daemon->dispatcher, message->query, known, &local,
                             now_us);
     json_decref(body);
 }
@@ -305,7 +309,7 @@
                            message->customer, message->key_digest, now_us);
         break;
     case EB_MESSAGE_OUTCOME_REPLY:
-        take_outcome(daemon, message, now_us);
+        take_outcome(daemon, peer, message, now_us);
         break;
     case EB_MESSAGE_USAGE:
     case EB_MESSAGE_GRANT:
--- a/src/libebonyhollow_net/http_server.c
+++ b/src/libebonyhollow_net/http_server.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <assert.h>
+#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -96,6 +97,10 @@
         shutdown(fd, SHUT_RDWR);
         return;
     }
+    if (server->options.send_buffer_bytes > 0) {
+        int bytes = (int)MIN(server->options.send_buffer_bytes, INT_MAX);
+        setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
+    }
     Entry *entry = g_new0(Entry, 1);
     entry->fd = fd;
     entry->cookie = cookie;
--- a/src/libebonyhollow_net/private/http_server.h
+++ b/src/libebonyhollow_net/private/http_server.h
@@ -25,6 +25,9 @@
     uint32_t max_body_bytes;
     uint32_t max_header_bytes;
     uint32_t max_connections;
+    /* Socket buffer for output; 0: the system's. A caller that does not read
+     * holds that much of the kernel's memory besides the process's. */
+    uint32_t send_buffer_bytes;
     int64_t header_timeout_us; /* for a whole request, and while idle */
     void (*request)(struct evhttp_request *request, void *context);
     /* A connection on which a request arrived is going down. */
