ledger: rate-limit first writes of ends while the store fails

Change: while the last end write was not confirmed, new ones join the deferred writes; EbLedger_SetWriteRate for the daemon. Conclusion: an outage costs one probing write and the rate limit.

--- a/include/ebonyhollow/ledger.h
+++ b/include/ebonyhollow/ledger.h
@@ -138,6 +138,10 @@
 /* Hex digest of an idempotency key, the last part of the object's name. */
 void EbLedger_KeyDigest(const char *key, char digest[EB_KEY_DIGEST_HEX_BYTES]);
 
+/* Sets the bound of deferred writes a second, which the daemon divides by the
+ * number of live daemons. 0: 50. */
+void EbLedger_SetWriteRate(EbLedger *ledger, uint32_t writes_per_s);
+
 /* Retries deferred writes and times out claims. */
 void EbLedger_Tick(EbLedger *ledger, int64_t now_us);
 
--- a/src/libebonyhollow/ledger_write.c
+++ b/src/libebonyhollow/ledger_write.c
@@ -25,6 +25,20 @@
         EbLedgerObject_Encode(ledger, claim, end_states[claim->outcome]));
 }
 
+static void
+defer_write(EbLedger *ledger, Claim *claim, int64_t now_us)
+{
+    claim->retry_at_us = now_us + EbLedger_Backoff(ledger, claim->failures);
+    claim->failures++;
+    EbLedger_Arm(ledger, claim->retry_at_us);
+}
+
+void
+EbLedger_SetWriteRate(EbLedger *ledger, uint32_t writes_per_s)
+{
+    ledger->options.writes_per_s = writes_per_s;
+}
+
 void
 EbLedger_StartWrite(EbLedger *ledger, Claim *claim, int64_t now_us)
 {
@@ -39,17 +53,15 @@
     }
     ledger->unwritten++;
     claim->failures = 0;
+    if (ledger->store_failing) {
+        /* Joins the rate-limited writes, so that the store is not met by a
+         * burst when it answers again. */
+        defer_write(ledger, claim, now_us);
+        return;
+    }
     send_write(ledger, claim);
 }
 
-static void
-defer_write(EbLedger *ledger, Claim *claim, int64_t now_us)
-{
-    claim->retry_at_us = now_us + EbLedger_Backoff(ledger, claim->failures);
-    claim->failures++;
-    EbLedger_Arm(ledger, claim->retry_at_us);
-}
-
 static void
 finish_write(EbLedger *ledger, Claim *claim, int64_t now_us)
 {
@@ -72,6 +84,8 @@
 EbLedger_WriteReply(EbLedger *ledger, Claim *claim, const EbStoreReply *reply,
                     int64_t now_us)
 {
+    ledger->store_failing = reply->status == EB_STORE_LOST ||
+                            reply->status == EB_STORE_UNAVAILABLE;
     switch (reply->status) {
     case EB_STORE_OK:
         finish_write(ledger, claim, now_us);
--- a/src/libebonyhollow/private/ledger_private.h
+++ b/src/libebonyhollow/private/ledger_private.h
@@ -58,8 +58,9 @@
     GQueue expired;           /* objects to delete */
     uint64_t next_id;
     uint64_t next_operation;
-    size_t unwritten;              /* claims in phase CLAIM_WRITING */
-    int64_t next_timer_us;         /* no timer is due before */
+    size_t unwritten;      /* claims in phase CLAIM_WRITING */
+    bool store_failing;    /* the last write of an end was not confirmed */
+    int64_t next_timer_us; /* no timer is due before */
     int64_t write_allowance_micro; /* token bucket of deferred writes */
     int64_t write_refill_us;
     int64_t sweep_at_us;
--- a/src/test_ledger/main.c
+++ b/src/test_ledger/main.c
@@ -424,11 +424,42 @@
     settle(world, 0, 4 * SECOND_US);
     uint32_t per_s = (world->writes - before) / 4;
     CU_ASSERT_TRUE(per_s <= 50 + 50 / 4 + 1);
+    EbLedger_SetWriteRate(ledger, 10);
+    before = world->writes;
+    settle(world, 0, 4 * SECOND_US);
+    CU_ASSERT_TRUE(world->writes - before <= 5 * 10);
+    CU_ASSERT_TRUE(world->writes - before >= 3 * 10);
+    EbLedger_SetWriteRate(ledger, 0);
     settle(world, 0, 60 * SECOND_US);
     CU_ASSERT_EQUAL(EbLedger_UnwrittenCount(ledger), 0);
     free_world(world);
 }
 
+/* Guards against ends that meet a failing store at once, one write each. */
+static void
+test_failing_store(void)
+{
+    World *world = new_world(1);
+    EbLedger *ledger = world->daemons[0].ledger;
+    uint64_t claims[20];
+    for (int i = 0; i < 20; i++) {
+        char key[32];
+        snprintf(key, sizeof(key), "k%d", i);
+        claims[i] = claim_key(world, 0, key, "{}");
+        serve(world, 0, STORE_WORKS);
+        take_result(world, 0);
+    }
+    for (int i = 0; i < 20; i++) {
+        EbLedger_Finish(ledger, claims[i], EB_OUTCOME_DONE, EB_REASON_NONE,
+                        NULL, world->now_us);
+        bool sent = serve(world, 0, STORE_DOWN);
+        CU_ASSERT_EQUAL(sent, i == 0);
+    }
+    settle(world, 0, 30 * SECOND_US);
+    CU_ASSERT_EQUAL(EbLedger_UnwrittenCount(ledger), 0);
+    free_world(world);
+}
+
 /* Guards against records that stay for ever or go before their retention. */
 static void
 test_retention(void)
@@ -614,6 +645,7 @@
         {"hold", test_hold},
         {"same daemon", test_same_daemon},
         {"unwritten bound", test_unwritten_bound},
+        {"failing store", test_failing_store},
         {"retention", test_retention},
         {"foreign object", test_foreign_object},
         {"sequences", test_sequences},
