dispatcher: a stream held back by its caller is not silent

When a slow caller stopped the reading of a stream for the rest of the stage's time, the attempt ended as silent: the server's connections were closed and it was ejected. The backend client reports a paused stream with TOKENS events without tokens; after such an event the time-out of the stage ends the attempt as cancelled.

--- a/include/ebonyhollow/dispatcher.h
+++ b/include/ebonyhollow/dispatcher.h
@@ -113,7 +113,8 @@
     int64_t echo_stage;          /* -1 when absent */
     int64_t echo_attempt;        /* -1 when absent */
     uint64_t token_index;        /* TOKENS: index of the first */
-    uint32_t token_count;        /* TOKENS */
+    uint32_t token_count; /* TOKENS; 0: the attempt is not read, since its
+                             caller is slow, and is no silent server */
     const char *text;            /* TOKENS */
     bool leaving;  /* the answer announced that the server leaves */
     bool has_load; /* the answer carried a load report */
--- a/src/libebonyhollow/dispatcher_attempt.c
+++ b/src/libebonyhollow/dispatcher_attempt.c
@@ -386,6 +386,12 @@
 {
     EbRequest *request = attempt->request;
     const EbConfigStage *stage = &request->pipeline->stages[attempt->stage];
+    if (attempt->held_back) {
+        push_cancel(attempt);
+        fail_attempt(attempt, EB_CALL_CANCELLED, "held back by its caller",
+                     now_us);
+        return;
+    }
     if (stage->idempotent || attempt->lookup || attempt->overdue) {
         push_cancel(attempt);
         retire_connections(attempt);
@@ -567,6 +573,7 @@
     EbRequest *request = attempt->request;
     uint64_t next = request->token_count;
     uint64_t end = event->token_index + event->token_count;
+    attempt->held_back = event->token_count == 0;
     if (end <= next) {
         /* Sent before the resume, or twice. */
         note_progress(attempt, now_us);
--- a/src/libebonyhollow/private/dispatcher_private.h
+++ b/src/libebonyhollow/private/dispatcher_private.h
@@ -57,6 +57,7 @@
     int64_t started_us;
     int64_t first_token_us;
     int64_t timeout_us; /* when it counts as silent */
+    bool held_back;     /* not read, since its caller is slow */
 } EbAttempt;
 
 /* What is kept of a stage for the answer's usage. */
--- /dev/null
+++ b/src/test_held_back/main.c
@@ -0,0 +1,182 @@
+/* Tests of streams that are held back by their caller: the dispatcher's side
+ * of backpressure. */
+#include <string.h>
+
+#include "test_runner.h"
+#include "world.h"
+
+typedef struct {
+    World *world;
+    EbDispatcher *dispatcher;
+    uint64_t attempt_id; /* of the generate stage, 0 before it starts */
+    uint32_t stage, attempt;
+    char server_id[32];
+    uint32_t generated; /* attempts of the generate stage */
+    uint32_t retired;
+    uint32_t cancelled;
+} Fixture;
+
+static void
+answer(Fixture *fixture, const EbSendAttempt *send, const char *json)
+{
+    json_t *body = json_loads(json, 0, NULL);
+    EbAttemptEvent event = {.attempt_id = send->attempt_id,
+                            .kind = EB_ATTEMPT_ANSWERED,
+                            .http_status = 200,
+                            .body = body,
+                            .echo_request_id = send->request_id,
+                            .echo_stage = send->stage,
+                            .echo_attempt = send->attempt};
+    EbDispatcher_Attempt(fixture->dispatcher, &event, fixture->world->now_us);
+    json_decref(body);
+}
+
+static void
+send_tokens(Fixture *fixture, uint32_t count, const char *echo)
+{
+    EbAttemptEvent event = {.attempt_id = fixture->attempt_id,
+                            .kind = EB_ATTEMPT_TOKENS,
+                            .http_status = 200,
+                            .echo_request_id = echo,
+                            .echo_stage = echo ? (int64_t)fixture->stage : -1,
+                            .echo_attempt =
+                                echo ? (int64_t)fixture->attempt : -1,
+                            .token_count = count,
+                            .text = count > 0 ? "a" : ""};
+    EbDispatcher_Attempt(fixture->dispatcher, &event, fixture->world->now_us);
+}
+
+/* Answers encode and retrieve, and notes what happens to the others. */
+static void
+take_actions(Fixture *fixture)
+{
+    EbAction action;
+    EbActionQueue *actions = fixture->world->daemons[0].actions;
+    while (EbActionQueue_Pop(actions, &action)) {
+        const EbSendAttempt *send = &action.as.send;
+        fixture->retired += action.kind == EB_ACTION_RETIRE_CONNECTIONS;
+        fixture->cancelled += action.kind == EB_ACTION_CANCEL_ATTEMPT;
+        if (action.kind == EB_ACTION_SEND_ATTEMPT &&
+            send->kind == EB_STAGE_ENCODE) {
+            answer(fixture, send, "{\"vectors\": [[0.5]]}");
+        }
+        else if (action.kind == EB_ACTION_SEND_ATTEMPT &&
+                 send->kind == EB_STAGE_RETRIEVE) {
+            answer(fixture, send,
+                   "{\"documents\": [{\"id\": \"d\", \"text\": \"t\", "
+                   "\"score\": 1.0}]}");
+        }
+        else if (action.kind == EB_ACTION_SEND_ATTEMPT &&
+                 ++fixture->generated == 1) {
+            fixture->attempt_id = send->attempt_id;
+            fixture->stage = send->stage;
+            fixture->attempt = send->attempt;
+            g_strlcpy(fixture->server_id, send->server_id,
+                      sizeof(fixture->server_id));
+        }
+        EbAction_Clear(&action);
+    }
+}
+
+static void
+open_fixture(Fixture *fixture)
+{
+    memset(fixture, 0, sizeof(*fixture));
+    fixture->world =
+        World_New(&(WorldOptions){.seed = 1, .config = {.generation = 1}});
+    fixture->dispatcher = fixture->world->daemons[0].dispatcher;
+    static const char body[] = "{\"input\": \"sleeve\"}";
+    EbSubmission submission = {.request_id = "r-1",
+                               .token = WORLD_TOKEN,
+                               .pipeline = "ask",
+                               .body = body,
+                               .body_bytes = sizeof(body) - 1,
+                               .stream = true};
+    EbDispatcher_Submit(fixture->dispatcher, &submission,
+                        fixture->world->now_us);
+    take_actions(fixture);
+    CU_ASSERT_NOT_EQUAL_FATAL(fixture->attempt_id, 0);
+    send_tokens(fixture, 1, "r-1");
+    take_actions(fixture);
+}
+
+static void
+wait_us(Fixture *fixture, int64_t us)
+{
+    fixture->world->now_us += us;
+    EbDispatcher_Tick(fixture->dispatcher, fixture->world->now_us);
+    take_actions(fixture);
+}
+
+static uint64_t
+failures_of(const Fixture *fixture)
+{
+    for (size_t i = 0; i < EbDispatcher_PoolCount(fixture->dispatcher); i++) {
+        const EbPool *pool = EbDispatcher_Pool(fixture->dispatcher, i);
+        for (size_t j = 0; j < EbPool_ServerCount(pool); j++) {
+            EbServerView view;
+            EbPool_View(pool, j, &view);
+            if (strcmp(view.server->id, fixture->server_id) == 0) {
+                return view.failures;
+            }
+        }
+    }
+    return UINT64_MAX;
+}
+
+/* Guards against a slow caller for which the server is taken for silent,
+ * between tokens and at the end of the stage's time. */
+static void
+test_held_back(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture);
+    for (int i = 0; i < 8; i++) {
+        send_tokens(&fixture, 0, NULL);
+        wait_us(&fixture, 100000);
+    }
+    CU_ASSERT_EQUAL(fixture.cancelled, 0);
+    for (int i = 0; i < 5; i++) {
+        send_tokens(&fixture, 0, NULL);
+        wait_us(&fixture, 100000);
+    }
+    CU_ASSERT_EQUAL(fixture.cancelled, 1);
+    CU_ASSERT_EQUAL(fixture.retired, 0);
+    CU_ASSERT_EQUAL(failures_of(&fixture), 0);
+    World_Free(fixture.world);
+}
+
+/* Guards against a held-back stream whose server falls silent after the
+ * caller went on reading. */
+static void
+test_silent_afterwards(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture);
+    send_tokens(&fixture, 0, NULL);
+    wait_us(&fixture, 100000);
+    EbAttemptEvent more = {.attempt_id = fixture.attempt_id,
+                           .kind = EB_ATTEMPT_TOKENS,
+                           .echo_stage = -1,
+                           .echo_attempt = -1,
+                           .token_index = 1,
+                           .token_count = 1,
+                           .text = "b"};
+    EbDispatcher_Attempt(fixture.dispatcher, &more, fixture.world->now_us);
+    wait_us(&fixture, 400000);
+    CU_ASSERT_EQUAL(fixture.cancelled, 1);
+    CU_ASSERT_EQUAL(fixture.retired, 1);
+    CU_ASSERT_EQUAL(failures_of(&fixture), 1);
+    World_Free(fixture.world);
+}
+
+int
+main(void)
+{
+    static const EbTestCase cases[] = {
+        {"held back", test_held_back},
+        {"silent afterwards", test_silent_afterwards},
+    };
+    return EbTest_Run("test_held_back", cases,
+                      sizeof(cases) / sizeof(cases[0]));
+}
