--- a/test/load/client.c
+++ b/test/load/client.c
@@ -54,7 +54,8 @@
 static void
 check_text(Call *call, const char *text)
 {
-    char **tokens = g_strsplit(g_strchomp(g_strdup(text)), " ", -1);
+    char *trimmed = g_strchomp(g_strdup(text));
+    char **tokens = g_strsplit(trimmed, " ", -1);
     for (guint i = 0; tokens[i] != NULL; i++) {
         char expected[160];
         g_snprintf(expected, sizeof(expected), "%s/%u", call->marker, i);
@@ -69,6 +70,7 @@
         break;
     }
     g_strfreev(tokens);
+    g_free(trimmed);
 }
 
 static void
