--- a/src/test_dispatcher/main.c
+++ b/src/test_dispatcher/main.c
@@ -185,6 +185,8 @@
         CU_ASSERT_EQUAL(request->relayed, !stream ? 0
                                           : lost  ? WORLD_TOKENS / 2
                                                   : WORLD_TOKENS);
+        /* A resumed stream repeats at most one token. */
+        CU_ASSERT_TRUE(restarts || world->tokens_sent <= WORLD_TOKENS + 1);
         CU_ASSERT_EQUAL(metric(world, EB_METRIC_RESUMES, "generate"),
                         restarts ? 0 : 1);
         World_Free(world);
--- a/src/test_world/world.h
+++ b/src/test_world/world.h
@@ -170,6 +170,7 @@
     uint32_t faults_hit;
     uint32_t retired; /* RETIRE_CONNECTIONS actions */
     uint32_t crashes;
+    uint32_t tokens_sent; /* by all engines */
     EbEventSink sink;
     uint32_t latency_us;
     int64_t deadline_us; /* length of a pause that FAULT_DEADLINE causes */
--- a/src/test_world/world_backend.c
+++ b/src/test_world/world_backend.c
@@ -176,6 +176,7 @@
         token->attempt.token_index = (uint64_t)i;
         token->attempt.token_count = 1;
         time_us += TOKEN_US;
+        world->tokens_sent++;
     }
     if (call->fault == FAULT_BROKEN_RAN) {
         reply(world, call, time_us, EB_ATTEMPT_BROKEN);
