--- a/src/ebonyhollowd/main.c
+++ b/src/ebonyhollowd/main.c
@@ -1,8 +1,160 @@
+/* ebonyhollowd: the daemon between callers and backend servers. */
+#include <getopt.h>
+#include <stdbool.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ebonyhollow/daemon.h"
+#include "ebonyhollow/log.h"
+#include "ebonyhollow/settings.h"
+
+#define ERROR_TEXT_BYTES 1100
+
+typedef struct {
+    const char *config;
+    const char *log_level;
+    bool check;
+    bool version;
+    bool help;
+} Arguments;
+
+static const struct option long_options[] = {
+    {"config", required_argument, NULL, 'c'},
+    {"check", no_argument, NULL, 'k'},
+    {"log-level", required_argument, NULL, 'l'},
+    {"version", no_argument, NULL, 'v'},
+    {"help", no_argument, NULL, 'h'},
+    {NULL, 0, NULL, 0},
+};
+
+static const char usage[] =
+    "Usage: ebonyhollowd --config FILE [--check] [--log-level LEVEL]\n"
+    "       ebonyhollowd --version | --help\n"
+    "\n"
+    "  --config FILE      settings of this process, JSON\n"
+    "  --check            check the settings and exit\n"
+    "  --log-level LEVEL  error, warning, notice, info or debug; overrides\n"
+    "                     the settings\n"
+    "  --version          print the version and exit\n"
+    "  --help             print this text and exit\n"
+    "\n"
+    "SIGTERM and SIGINT start a graceful shutdown; a second one ends it.\n"
+    "\n"
+    "Exit status:\n"
+    "  0  every request was finished, or the settings are valid\n"
+    "  1  the daemon could not start\n"
+    "  2  wrong command line or settings\n"
+    "  3  requests were ended before they were finished\n";
+
+static bool
+parse_arguments(int argc, char **argv, Arguments *arguments)
+{
+    int option;
+    while ((option = getopt_long(argc, argv, "", long_options, NULL)) != -1) {
+        switch (option) {
+        case 'c':
+            arguments->config = optarg;
+            break;
+        case 'k':
+            arguments->check = true;
+            break;
+        case 'l':
+            arguments->log_level = optarg;
+            break;
+        case 'v':
+            arguments->version = true;
+            break;
+        case 'h':
+            arguments->help = true;
+            break;
+        default:
+            return false;
+        }
+    }
+    if (optind < argc) {
+        fprintf(stderr, "ebonyhollowd: unexpected argument '%s'\n",
+                argv[optind]);
+        return false;
+    }
+    if (arguments->config == NULL && !arguments->version && !arguments->help) {
+        fprintf(stderr, "ebonyhollowd: --config is required\n");
+        return false;
+    }
+    return true;
+}
+
+static void
+print_error(const EbError *error)
+{
+    char text[ERROR_TEXT_BYTES];
+    EbError_Format(error, text, sizeof(text));
+    fprintf(stderr, "ebonyhollowd: %s\n", text);
+}
+
+static EbSettings *
+load_settings(const Arguments *arguments)
+{
+    EbError error = {0};
+    EbSettings *settings = EbSettings_Load(arguments->config, &error);
+    if (settings == NULL) {
+        print_error(&error);
+        return NULL;
+    }
+    if (arguments->log_level != NULL) {
+        EbLevel level = EbLevel_Parse(arguments->log_level);
+        if (level == EB_LEVEL_COUNT) {
+            fprintf(stderr, "ebonyhollowd: unknown log level '%s'\n",
+                    arguments->log_level);
+            EbSettings_Free(settings);
+            return NULL;
+        }
+        settings->log_level = level;
+    }
+    return settings;
+}
+
+static EbExitStatus
+serve(const EbSettings *settings)
+{
+    EbError error = {0};
+    EbDaemon *daemon = EbDaemon_New(settings, &error);
+    if (daemon == NULL) {
+        print_error(&error);
+        return EB_EXIT_FAILURE;
+    }
+    EbExitStatus status = EbDaemon_Run(daemon);
+    EbDaemon_Free(daemon);
+    return status;
+}
 
 int
-main(void)
+main(int argc, char **argv)
 {
-    fputs("ebonyhollowd: not built yet\n", stderr);
-    return 1;
+    Arguments arguments = {0};
+    if (!parse_arguments(argc, argv, &arguments)) {
+        fputs(usage, stderr);
+        return EB_EXIT_USAGE;
+    }
+    if (arguments.help) {
+        fputs(usage, stdout);
+        return EB_EXIT_OK;
+    }
+    if (arguments.version) {
+        puts("ebonyhollowd " EB_DAEMON_VERSION);
+        return EB_EXIT_OK;
+    }
+    EbSettings *settings = load_settings(&arguments);
+    if (settings == NULL) {
+        return EB_EXIT_USAGE;
+    }
+    EbExitStatus status = EB_EXIT_OK;
+    if (arguments.check) {
+        printf("%s: valid\n", arguments.config);
+    }
+    else {
+        status = serve(settings);
+    }
+    EbSettings_Free(settings);
+    return status;
 }
