--- a/include/ebonyhollow/dispatcher.h
+++ b/include/ebonyhollow/dispatcher.h
@@ -115,9 +115,9 @@
     uint64_t token_index;        /* TOKENS: index of the first */
     uint32_t token_count; /* TOKENS; 0: the attempt is not read, since its
                              caller is slow, and is no silent server */
-    const char *text;            /* TOKENS */
-    bool leaving;  /* the answer announced that the server leaves */
-    bool has_load; /* the answer carried a load report */
+    const char *text;     /* TOKENS */
+    bool leaving;         /* the answer announced that the server leaves */
+    bool has_load;        /* the answer carried a load report */
     uint32_t load_running;
     uint32_t load_waiting;
 } EbAttemptEvent;
