--- a/include/ebonyhollow/ledger.h
+++ b/include/ebonyhollow/ledger.h
@@ -65,6 +65,8 @@
     uint64_t claim;
     EbLedgerResultKind kind;
     uint64_t fencing_token; /* OWNED: version of the object */
+    bool reopened;          /* OWNED: an earlier copy released the key, so
+                               that stages may have run for it */
     EbOutcome outcome;      /* RECORDED */
     EbReason reason;        /* RECORDED */
     json_t *body;           /* RECORDED: new reference, or NULL */
@@ -119,6 +121,9 @@
     EB_LEDGER_LOCAL_FINISHED /* finished here; outcome and body are set */
 } EbLedgerLocalState;
 
+/* A FINISHED claim with outcome FAILED is still held by this daemon; it is
+ * about to be released. Whoever learns of it claims the key again: by the
+ * time it could repeat "failed", another daemon may have run the call. */
 typedef struct {
     EbLedgerLocalState state;
     EbOutcome outcome;
@@ -133,6 +138,10 @@
 /* Hex digest of an idempotency key, the last part of the object's name. */
 void EbLedger_KeyDigest(const char *key, char digest[EB_KEY_DIGEST_HEX_BYTES]);
 
+/* Sets the bound of deferred writes a second, which the daemon divides by the
+ * number of live daemons. 0: 50. */
+void EbLedger_SetWriteRate(EbLedger *ledger, uint32_t writes_per_s);
+
 /* Retries deferred writes and times out claims. */
 void EbLedger_Tick(EbLedger *ledger, int64_t now_us);
 
--- a/src/test_config/main.c
+++ b/src/test_config/main.c
@@ -6,7 +6,9 @@
 #include <jansson.h>
 
 #include "ebonyhollow/config.h"
+#include "ebonyhollow/file.h"
 #include "ebonyhollow/random.h"
+#include "ebonyhollow/settings.h"
 #include "test_runner.h"
 
 #define TABLE_COUNT(table) (sizeof(table) / sizeof((table)[0]))
@@ -237,6 +239,8 @@
     "{\"name\":\"find\",\"kind\":\"retrieve\",\"pool\":\"ret\"},"             \
     "{" fields "}]}}}}"
 #define GENERATE "\"kind\":\"generate\",\"pool\":\"gen\",\"model\":\"m\""
+#define DIGEST                                                                \
+    "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
 #define STAGE_PATH "$.base.pipelines.note.stages"
 
 static const Fault faults[] = {
@@ -269,6 +273,14 @@
      EB_ERROR_RANGE, "$.base.pools.orders.outcome_path", "begins with /"},
     {"{\"overlays\":{\"recife\":{\"pools\":{\"enc\":{\"queue_max\":0}}}}}",
      EB_ERROR_RANGE, "$.overlays.recife.pools.enc.queue_max", "site recife"},
+    {"{\"overlays\":{\"recife\":{\"customers\":{\"large\":{\"contract\":"
+     "{\"weight\":9}}}}}}",
+     EB_ERROR_RANGE, "$.overlays.recife.customers.large.contract",
+     "all sites"},
+    {"{\"overlays\":{\"a\":{\"customers\":{\"new\":{\"token_digest\":\"" DIGEST
+     "\"}}},\"b\":{\"customers\":{\"new\":{\"token_digest\":\"" DIGEST
+     "\",\"contract\":{\"weight\":2}}}}}}",
+     EB_ERROR_RANGE, "$.overlays.b.customers.new.contract", "(site b)"},
     {"{\"base\":{\"backend_servers\":{\"e1\":{\"host\":\"localhost\"}}}}",
      EB_ERROR_RANGE, "$.base.backend_servers.e1.host", "IPv4 or IPv6"},
     {"{\"base\":{\"backend_servers\":{\"e1\":{\"port\":65536}}}}",
@@ -486,27 +498,201 @@
     g_free(valid);
 }
 
-/* Guards against a documentation page that departs from the field table. */
+static EbConfig *
+load_example(const char *deployment, const char *site)
+{
+    char *path = g_strdup_printf("%s/examples/%s/configuration.json",
+                                 EB_SOURCE_DIRECTORY, deployment);
+    EbError error;
+    size_t bytes;
+    char *text = EbFile_Read(path, EB_CONFIG_MAX_BYTES, &bytes, &error);
+    require(text);
+    EbConfig *config = EbConfig_Parse(text, bytes, site, path, &error);
+    if (config == NULL) {
+        printf("\n%s:%d: %s: %s\n", path, error.line, error.path,
+               error.message);
+    }
+    require(config);
+    g_free(text);
+    g_free(path);
+    return config;
+}
+
+static void
+check_example_settings(const char *deployment, const char *site)
+{
+    char *path = g_strdup_printf("%s/examples/%s/settings-%s.json",
+                                 EB_SOURCE_DIRECTORY, deployment, site);
+    EbError error;
+    EbSettings *settings = EbSettings_Load(path, &error);
+    require(settings);
+    CU_ASSERT_STRING_EQUAL(settings->site, site);
+    CU_ASSERT_STRING_EQUAL(settings->failure_domain, site);
+    CU_ASSERT_EQUAL(settings->seed_count, 2);
+    CU_ASSERT_TRUE(settings->drain_limit_us >= 11000000);
+    EbSettings_Free(settings);
+    g_free(path);
+}
+
+/* Replaces or removes a random value below `node`, which is not empty. */
+static void
+mutate_value(json_t *node, EbRandom *random)
+{
+    static const char *const values[] = {"null",
+                                         "true",
+                                         "-1",
+                                         "0",
+                                         "9223372036854775807",
+                                         "1.5",
+                                         "\"\"",
+                                         "\"*\"",
+                                         "\"x\"",
+                                         "[]",
+                                         "{}",
+                                         "[[]]",
+                                         "{\"kind\":\"call\"}"};
+    size_t size =
+        json_is_object(node) ? json_object_size(node) : json_array_size(node);
+    size_t index = EbRandom_Below(random, size);
+    void *iterator = json_object_iter(node);
+    for (size_t i = 0; json_is_object(node) && i < index; i++) {
+        iterator = json_object_iter_next(node, iterator);
+    }
+    const char *key = json_object_iter_key(iterator);
+    json_t *child = json_is_object(node) ? json_object_iter_value(iterator)
+                                         : json_array_get(node, index);
+    if (json_object_size(child) + json_array_size(child) > 0 &&
+        EbRandom_Below(random, 8) > 0) {
+        mutate_value(child, random);
+        return;
+    }
+    json_t *value =
+        json_loads(values[EbRandom_Below(random, TABLE_COUNT(values))],
+                   JSON_DECODE_ANY, NULL);
+    if (json_is_array(node)) {
+        json_array_set_new(node, index, value);
+    }
+    else if (EbRandom_Below(random, 4) > 0) {
+        json_object_set_new(node, key, value);
+    }
+    else {
+        json_decref(value);
+        json_object_del(node, key);
+    }
+}
+
+/* Guards against a crash, a leak or an error without a path on well-formed
+ * documents with values of another type or range, at any place. */
+static void
+test_hostile_values(void)
+{
+    char *valid = make_document();
+    EbRandom random;
+    EbRandom_Init(&random, 4120);
+    for (int i = 0; i < 4000; i++) {
+        json_t *document = json_loads(valid, 0, NULL);
+        mutate_value(document, &random);
+        char *text = json_dumps(document, 0);
+        EbError error;
+        EbConfig *config =
+            EbConfig_Parse(text, strlen(text), "recife", "f", &error);
+        CU_ASSERT_EQUAL(config == NULL, error.code != EB_ERROR_NONE);
+        CU_ASSERT_EQUAL(config == NULL, error.path[0] == '$');
+        CU_ASSERT_NOT_EQUAL(error.code, EB_ERROR_SYNTAX);
+        EbConfig_Unref(config);
+        free(text);
+        json_decref(document);
+    }
+    g_free(valid);
+}
+
+/* Guards against examples that don't load, that miss a part of their
+ * deployment (docs/design.md, section 1), or whose sites don't differ. */
+static void
+test_examples(void)
+{
+    static const struct {
+        const char *deployment;
+        const char *sites[3];
+        const char *token;
+        const char *keyed_pipeline;
+        const char *services[3];
+        uint32_t assistants;
+    } rows[] = {
+        {"capas",
+         {"recife", "salvador", "fortaleza"},
+         "demo-capas-agulha-de-caruaru",
+         "reorder-note",
+         {"royalty-billing", "print-scheduling", "shop-directory"},
+         20},
+        {"kernwerk",
+         {"graz", "wien", "eisenstadt"},
+         "demo-kernwerk-cooperative-tanda",
+         "payment-release",
+         {"quality-records", "importer-portal", "cooperative-uploads"},
+         12},
+    };
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        json_t *merged[3];
+        for (size_t j = 0; j < TABLE_COUNT(rows[i].sites); j++) {
+            EbConfig *config =
+                load_example(rows[i].deployment, rows[i].sites[j]);
+            check_example_settings(rows[i].deployment, rows[i].sites[j]);
+            merged[j] = json_incref(config->merged);
+            CU_ASSERT_EQUAL(
+                EbConfig_FindPool(config, "assistants")->server_count,
+                rows[i].assistants);
+            for (size_t k = 0; k < TABLE_COUNT(rows[i].services); k++) {
+                CU_ASSERT_EQUAL(EbConfig_FindPool(config, rows[i].services[k])
+                                    ->server_count,
+                                5);
+            }
+            CU_ASSERT_EQUAL(config->customer_count, 5);
+            CU_ASSERT_PTR_NOT_NULL(
+                EbConfig_FindCustomerByToken(config, rows[i].token));
+            for (uint32_t k = 0; k < config->pipeline_count; k++) {
+                const EbConfigPipeline *pipeline = &config->pipelines[k];
+                CU_ASSERT_EQUAL(pipeline->deadline_us, 11000000);
+                CU_ASSERT_EQUAL(
+                    pipeline->needs_key,
+                    strcmp(pipeline->name, rows[i].keyed_pipeline) == 0);
+            }
+            EbConfig_Unref(config);
+        }
+        CU_ASSERT_FALSE(json_equal(merged[0], merged[1]));
+        CU_ASSERT_FALSE(json_equal(merged[1], merged[2]));
+        CU_ASSERT_FALSE(json_equal(merged[0], merged[2]));
+        for (size_t j = 0; j < TABLE_COUNT(merged); j++) {
+            json_decref(merged[j]);
+        }
+    }
+}
+
+/* Guards against a documentation page that departs from the field table, and
+ * against a manual page that lacks a field. */
 static void
 test_documentation(void)
 {
-    char *page;
+    char *page = NULL;
+    char *manual = NULL;
     CU_ASSERT_TRUE_FATAL(g_file_get_contents(
         EB_SOURCE_DIRECTORY "/docs/configuration.md", &page, NULL, NULL));
-    char *start = strstr(page, "<!-- configuration fields -->");
-    require(start);
-    char *end = strstr(start, "<!-- end -->");
-    require(end);
-    *end = '\0';
+    CU_ASSERT_TRUE_FATAL(g_file_get_contents(
+        EB_SOURCE_DIRECTORY "/man/ebonyhollow-config.5", &manual, NULL, NULL));
     GString *expected =
         g_string_new("<!-- configuration fields -->\n" EB_SCHEMA_ROW_HEADER);
     for (size_t i = 0; i < EbConfig_field_count; i++) {
         char row[1024];
         EbSchema_FormatRow(&EbConfig_fields[i], row, sizeof(row));
         g_string_append_printf(expected, "%s\n", row);
+        char *entry = g_strdup_printf(".B %s\n", EbConfig_fields[i].path);
+        CU_ASSERT_PTR_NOT_NULL(strstr(manual, entry));
+        g_free(entry);
     }
-    CU_ASSERT_STRING_EQUAL(start, expected->str);
+    g_string_append(expected, "<!-- end -->");
+    CU_ASSERT_PTR_NOT_NULL(strstr(page, expected->str));
     g_string_free(expected, TRUE);
+    g_free(manual);
     g_free(page);
 }
 
@@ -523,6 +709,8 @@
         {"places", test_places},
         {"limits", test_limits},
         {"hostile", test_hostile},
+        {"hostile values", test_hostile_values},
+        {"examples", test_examples},
         {"documentation", test_documentation},
     };
     return EbTest_Run("test_config", cases, TABLE_COUNT(cases));
