--- a/test/load/client.c
+++ b/test/load/client.c
@@ -209,10 +209,12 @@
         request != NULL && evhttp_request_get_response_code(request) == 0;
     if (refused && call->resends < RESENDS_MAX) {
         call->resends++;
+        g_queue_push_tail(&call->load->broken, call->connection);
         send_call(call);
         return;
     }
     if (request == NULL || refused) {
+        g_queue_push_tail(&call->load->broken, call->connection);
         end_call(call);
         return;
     }
--- a/test/load/load.h
+++ b/test/load/load.h
@@ -89,6 +89,8 @@
     struct event *arrival;
     int64_t next_arrival_us;
     struct event *probe;
+    GQueue broken; /* connections that failed, freed at the end since evhttp
+                      still uses them in its callback */
     bool over;
 };
 
--- a/test/load/main.c
+++ b/test/load/main.c
@@ -222,6 +222,10 @@
 static void
 free_load(Load *load)
 {
+    struct evhttp_connection *broken;
+    while ((broken = g_queue_pop_head(&load->broken)) != NULL) {
+        evhttp_connection_free(broken);
+    }
     for (uint32_t i = 0; i < load->target_count; i++) {
         struct evhttp_connection *idle;
         while ((idle = g_queue_pop_head(&load->targets[i].idle)) != NULL) {
