--- a/test/load/client.c
+++ b/test/load/client.c
@@ -358,15 +358,18 @@
 static void
 probe_target(Load *load, Target *target)
 {
-    struct evhttp_connection *connection = evhttp_connection_base_new(
-        load->base, NULL, target->health_host, target->health_port);
-    evhttp_connection_set_timeout(connection, PROBE_TIMEOUT_S);
-    evhttp_connection_free_on_completion(connection);
+    if (target->probe_connection == NULL) {
+        target->probe_connection = evhttp_connection_base_new(
+            load->base, NULL, target->health_host, target->health_port);
+        evhttp_connection_set_timeout(target->probe_connection,
+                                      PROBE_TIMEOUT_S);
+    }
     struct evhttp_request *request = evhttp_request_new(probed, target);
     evhttp_add_header(evhttp_request_get_output_headers(request), "Connection",
                       "close");
     target->probing = true;
-    evhttp_make_request(connection, request, EVHTTP_REQ_GET, "/readyz");
+    evhttp_make_request(target->probe_connection, request, EVHTTP_REQ_GET,
+                        "/readyz");
 }
 
 static void
--- a/test/load/load.h
+++ b/test/load/load.h
@@ -66,6 +66,7 @@
     uint16_t health_port;
     bool ready;
     bool probing;
+    struct evhttp_connection *probe_connection;
     Load *load;
 } Target;
 
--- a/test/load/main.c
+++ b/test/load/main.c
@@ -231,6 +231,9 @@
         while ((idle = g_queue_pop_head(&load->targets[i].idle)) != NULL) {
             evhttp_connection_free(idle);
         }
+        if (load->targets[i].probe_connection != NULL) {
+            evhttp_connection_free(load->targets[i].probe_connection);
+        }
         g_free(load->targets[i].host);
         g_free(load->targets[i].health_host);
     }
