--- a/src/ebonyhollow/view_commands.c
+++ b/src/ebonyhollow/view_commands.c
@@ -38,32 +38,55 @@
                      G_N_ELEMENTS(columns));
 }
 
+/* Prints an array of an object as a table below a title, unless it is empty. */
+static void
+print_part(FILE *out, json_t *object, const char *name, const char *title,
+           const EbOutputColumn *columns, size_t column_count)
+{
+    json_t *rows = json_incref(json_object_get(object, name));
+    if (json_array_size(rows) > 0) {
+        fprintf(out, "\n%s\n", title);
+        EbOutput_Table(out, rows, columns, column_count);
+    }
+    json_decref(rows);
+}
+
+static void
+print_status(FILE *out, json_t *status)
+{
+    static const EbOutputColumn attained[] = {{"CUSTOMER", "customer"},
+                                              {"PIPELINE", "pipeline"},
+                                              {"OUTCOME", "outcome"},
+                                              {"REQUESTS", "requests"}};
+    static const EbOutputColumn costs[] = {{"STAGE", "stage"},
+                                           {"CALLS", "calls"},
+                                           {"ATTEMPTS", "attempts"},
+                                           {"SERVER_MS", "server_ms"}};
+    json_t *pairs = json_copy(status);
+    json_object_del(pairs, "attainment");
+    json_object_del(pairs, "stages");
+    EbOutput_Pairs(out, pairs);
+    json_decref(pairs);
+    json_t *attainment = json_object_get(status, "attainment");
+    print_part(out, attainment, "requests", "requests answered:", attained,
+               G_N_ELEMENTS(attained));
+    print_part(out, attainment, "in_time",
+               "answered once and in time:", attained, G_N_ELEMENTS(attained));
+    print_part(out, status, "stages", "cost by stage:", costs,
+               G_N_ELEMENTS(costs));
+}
+
 EbExit
 EbCommand_Status(EbInvocation *invocation)
 {
-    static const EbOutputColumn columns[] = {{"STAGE", "stage"},
-                                             {"CALLS", "calls"},
-                                             {"ATTEMPTS", "attempts"},
-                                             {"SERVER_MS", "server_ms"}};
     json_t *answer;
     EbExit code = EbAdmin_Call(invocation, "GET", "/v1/status", NULL, &answer);
-    if (code != EB_EXIT_DONE) {
-        return code;
-    }
-    if (invocation->json) {
+    if (code == EB_EXIT_DONE && invocation->json) {
         EbOutput_Json(invocation->out, answer, 0);
-        json_decref(answer);
-        return code;
     }
-    json_t *stages = json_incref(json_object_get(answer, "stages"));
-    json_object_del(answer, "stages");
-    EbOutput_Pairs(invocation->out, answer);
-    if (json_array_size(stages) > 0) {
-        fputc('\n', invocation->out);
-        EbOutput_Table(invocation->out, stages, columns,
-                       G_N_ELEMENTS(columns));
+    else if (code == EB_EXIT_DONE) {
+        print_status(invocation->out, answer);
     }
-    json_decref(stages);
     json_decref(answer);
     return code;
 }
--- a/src/test_command/main.c
+++ b/src/test_command/main.c
@@ -243,6 +243,11 @@
          SAME(OK("{\"instance\":\"i\",\"drain\":{\"state\":\"no\"},"
                  "\"stages\":[{\"stage\":\"encode\"}]}")),
          0, "drain.state                   no", "", "GET /v1/status"},
+        {"status",
+         SAME(
+             OK("{\"attainment\":{\"requests\":[{\"customer\":\"c\",\"pipeline"
+                "\":\"p\",\"outcome\":\"done\",\"requests\":4}]}}")),
+         0, "c         p         done     4\n", "", ""},
         {"status --output json", SAME(OK("{\"instance\":\"i\"}")), 0, "\"i\"",
          "", ""},
         {"status", SAME(REFUSED), 4, "", "check --admin", ""},
