--- a/src/ebonyhollow/view_commands.c
+++ b/src/ebonyhollow/view_commands.c
@@ -38,7 +38,8 @@
                      G_N_ELEMENTS(columns));
 }
 
-/* Prints an array of an object as a table below a title, unless it is empty. */
+/* Prints an array of an object as a table below a title; nothing when empty.
+ */
 static void
 print_part(FILE *out, json_t *object, const char *name, const char *title,
            const EbOutputColumn *columns, size_t column_count)
