--- /dev/null
+++ b/test/measure/daemon.sh
@@ -0,0 +1,117 @@
+#!/usr/bin/env bash
+# Measures real daemons with stand-ins for the platform and the backend
+# servers: processor time at rest, per request and per token, added latency,
+# resident memory and control bytes. Not run by CTest.
+#
+# Usage: daemon.sh BUILD-DIRECTORY [DAEMONS [REST-SECONDS [LOAD-SECONDS]]]
+#
+# Processor time is utime + stime of /proc/PID/stat (ticks of 10 ms), so that
+# a loaded machine disturbs it little. Latency is elapsed time and is not
+# comparable between loads of the machine.
+set -uo pipefail
+cd "$(dirname "$0")/../process" || exit 1
+. ./lib.sh
+daemons=${2:-3}
+rest_s=${3:-20}
+load_s=${4:-12}
+rate=${EB_RATE:-30}
+eb_begin "$1" capas
+eb_site=recife
+eb_sites=(recife salvador fortaleza)
+ticks_per_s=$(getconf CLK_TCK)
+instances=()
+
+# Processor ticks of all daemons together.
+ticks() {
+    local pair sum=0 one
+    for pair in "${instances[@]}"; do
+        one=$(sed 's/.*) //' "/proc/$(eb_pid "${pair%-*}" "${pair#*-}")/stat" |
+            awk '{print $12 + $13}')
+        sum=$((sum + one))
+    done
+    echo "$sum"
+}
+# metric REGEX: sum of the matching series over all daemons.
+metric() {
+    local pair
+    for pair in "${instances[@]}"; do
+        curl -fsS "http://$(eb_address "${pair%-*}" "${pair#*-}" admin)/metrics"
+    done | awk -v pattern="$1" '$0 ~ pattern { sum += $NF }
+        END { printf "%.0f\n", sum }'
+}
+# Resident memory in kB, least and greatest.
+resident() {
+    local pair
+    for pair in "${instances[@]}"; do
+        awk '/^VmRSS/ { print $2 }' \
+            "/proc/$(eb_pid "${pair%-*}" "${pair#*-}")/status"
+    done | sort -n | sed -n '1p;$p' | paste -sd' '
+}
+per() { # value divisor
+    awk -v v="$1" -v d="$2" 'BEGIN { if (d > 0) printf "%.2f", v / d
+        else printf "not measured" }'
+}
+snapshot() { # sets the variables with the given prefix
+    printf -v "$1_ticks" '%s' "$(ticks)"
+    printf -v "$1_bytes" '%s' "$(metric '^ebonyhollow_peer_bytes_total')"
+    printf -v "$1_messages" '%s' "$(metric '^ebonyhollow_peer_messages_total')"
+    printf -v "$1_calls" '%s' "$(metric '^ebonyhollow_platform_calls_total')"
+    printf -v "$1_requests" '%s' "$(metric '^ebonyhollow_requests_total')"
+    printf -v "$1_tokens" '%s' "$(metric '^ebonyhollow_generated_tokens_total')"
+    printf -v "$1_time" '%s' \
+        "$(metric '^ebonyhollow_request_time_microseconds_sum')"
+    printf -v "$1_server" '%s' \
+        "$(metric '^ebonyhollow_server_time_microseconds_total')"
+    printf -v "$1_queue" '%s' \
+        "$(metric '^ebonyhollow_queue_time_microseconds_sum')"
+}
+
+eb_start_three || exit 1
+instances=(recife-1 salvador-1 fortaleza-1)
+for pair in recife-2 salvador-2 fortaleza-2 recife-3 salvador-3; do
+    [ "${#instances[@]}" -lt "$daemons" ] || break
+    eb_daemon "${pair%-*}" "${pair#*-}" || exit 1
+    instances+=("$pair")
+done
+for pair in "${instances[@]}"; do
+    eb_ready "${pair%-*}" "${pair#*-}" || exit 1
+done
+echo "daemons: ${#instances[@]}, $(nproc) cores, load $(cut -d' ' -f1-3 /proc/loadavg)"
+echo "resident memory after the start, kB, least and greatest: $(resident)"
+
+sleep 3
+snapshot a
+sleep "$rest_s"
+snapshot b
+# The metrics themselves cost the daemon time; they are read before the ticks
+# of the interval begin and after they end.
+echo "at rest, each: $(per $(((b_ticks - a_ticks) * 1000000 / ticks_per_s)) \
+    $((rest_s * ${#instances[@]}))) us of processor time a second"
+echo "at rest, each: $(per $((b_bytes - a_bytes)) \
+    $((rest_s * ${#instances[@]}))) bytes/s, $(per \
+    $((b_messages - a_messages)) $((rest_s * ${#instances[@]}))) messages/s, \
+both directions; $(per $((b_calls - a_calls)) \
+    $((rest_s * ${#instances[@]}))) platform calls/s"
+
+targets=$(eb_targets "${instances[@]}")
+# The kinds differ in stages and tokens, so that the slopes can be separated.
+for kind in "schedule mucuripe" "stock vinil" "catalogue vinil" \
+    "reorder vinil"; do
+    snapshot a
+    "$eb_build/test/load/load" --plan "$eb_root/test/load/capas.json" \
+        --targets "$targets" --rate "$rate" --seconds "$load_s" \
+        --only "$kind" --json "$eb_work/load.json" >"$eb_work/load.out" 2>&1
+    sleep 1
+    snapshot b
+    requests=$((b_requests - a_requests))
+    echo "$kind: $requests requests, tokens per request \
+$(per $((b_tokens - a_tokens)) "$requests"), processor time per request \
+$(per $(((b_ticks - a_ticks) * 1000000 / ticks_per_s)) "$requests") us; \
+time in the daemon $(per $((b_time - a_time)) "$requests") us, of it at \
+servers $(per $((b_server - a_server)) "$requests") us, in queues \
+$(per $((b_queue - a_queue)) "$requests") us; platform calls per request \
+$(per $((b_calls - a_calls)) "$requests"); peer bytes/s each \
+$(per $((b_bytes - a_bytes)) $(((load_s + 1) * ${#instances[@]})))"
+done
+echo "resident memory after the load, kB, least and greatest: $(resident)"
+echo "load $(cut -d' ' -f1-3 /proc/loadavg)"
--- /dev/null
+++ b/test/measure_membership.c
@@ -0,0 +1,261 @@
+/* Measures membership in the in-memory network of src/test_membership:
+ * messages, bytes and processor time of one daemon at rest, after the loss
+ * of a failure domain and for one flood, and the times of convergence.
+ *
+ * Processor time is that of EbMembership_Receive, EbMembership_Tick,
+ * EbMembership_LinkUp, EbMembership_LinkDown and EbMessage_Decode, which the
+ * linker wraps here; the time of the network itself does not count. Keyed
+ * hashes and sockets belong to EbPeerLink and are not in it.
+ *
+ * Usage: measure_membership [DAEMONS...] */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "network.h"
+
+#define SECOND_US 1000000LL
+#define REST_S 10
+#define LOSS_S 30
+#define FLOODS 20
+#define RUNS 3
+#define CALIBRATION 100000
+
+static int64_t spent_ns;
+static int64_t clock_ns; /* of one pair of clock readings */
+static uint32_t size;
+static int depth;
+
+static int64_t
+processor_ns(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+    return (int64_t)now.tv_sec * 1000000000 + now.tv_nsec;
+}
+
+static int64_t
+begin(void)
+{
+    depth++;
+    return depth == 1 ? processor_ns() : 0;
+}
+
+static void
+end(int64_t begun_ns)
+{
+    depth--;
+    if (depth == 0) {
+        spent_ns += processor_ns() - begun_ns - clock_ns;
+    }
+}
+
+void __real_EbMembership_Receive(EbMembership *membership, const char *peer,
+                                 const EbMessage *message, int64_t now_us);
+void __wrap_EbMembership_Receive(EbMembership *membership, const char *peer,
+                                 const EbMessage *message, int64_t now_us);
+void
+__wrap_EbMembership_Receive(EbMembership *membership, const char *peer,
+                            const EbMessage *message, int64_t now_us)
+{
+    int64_t begun_ns = begin();
+    __real_EbMembership_Receive(membership, peer, message, now_us);
+    end(begun_ns);
+}
+
+void __real_EbMembership_Tick(EbMembership *membership, int64_t now_us);
+void __wrap_EbMembership_Tick(EbMembership *membership, int64_t now_us);
+void
+__wrap_EbMembership_Tick(EbMembership *membership, int64_t now_us)
+{
+    int64_t begun_ns = begin();
+    __real_EbMembership_Tick(membership, now_us);
+    end(begun_ns);
+}
+
+void __real_EbMembership_LinkUp(EbMembership *membership, const char *peer,
+                                uint64_t incarnation, const char *address,
+                                int64_t now_us);
+void __wrap_EbMembership_LinkUp(EbMembership *membership, const char *peer,
+                                uint64_t incarnation, const char *address,
+                                int64_t now_us);
+void
+__wrap_EbMembership_LinkUp(EbMembership *membership, const char *peer,
+                           uint64_t incarnation, const char *address,
+                           int64_t now_us)
+{
+    int64_t begun_ns = begin();
+    __real_EbMembership_LinkUp(membership, peer, incarnation, address, now_us);
+    end(begun_ns);
+}
+
+void __real_EbMembership_LinkDown(EbMembership *membership, const char *peer,
+                                  int64_t now_us);
+void __wrap_EbMembership_LinkDown(EbMembership *membership, const char *peer,
+                                  int64_t now_us);
+void
+__wrap_EbMembership_LinkDown(EbMembership *membership, const char *peer,
+                             int64_t now_us)
+{
+    int64_t begun_ns = begin();
+    __real_EbMembership_LinkDown(membership, peer, now_us);
+    end(begun_ns);
+}
+
+EbMessage *__real_EbMessage_Decode(const uint8_t *bytes, size_t byte_count,
+                                   EbError *error);
+EbMessage *__wrap_EbMessage_Decode(const uint8_t *bytes, size_t byte_count,
+                                   EbError *error);
+EbMessage *
+__wrap_EbMessage_Decode(const uint8_t *bytes, size_t byte_count,
+                        EbError *error)
+{
+    int64_t begun_ns = begin();
+    EbMessage *message = __real_EbMessage_Decode(bytes, byte_count, error);
+    end(begun_ns);
+    return message;
+}
+
+static void
+calibrate(void)
+{
+    int64_t begun_ns = processor_ns();
+    for (int i = 0; i < CALIBRATION; i++) {
+        processor_ns();
+    }
+    clock_ns = (processor_ns() - begun_ns) / CALIBRATION;
+}
+
+static void
+reset(void)
+{
+    spent_ns = 0;
+    for (uint32_t i = 0; i < size; i++) {
+        network.nodes[i].messages = network.nodes[i].bytes = 0;
+    }
+}
+
+/* Prints what one running daemon used since the last reset. */
+static void
+print_use(const char *step, double seconds)
+{
+    uint64_t messages = 0, bytes = 0, most = 0;
+    uint32_t running = 0;
+    for (uint32_t i = 0; i < size; i++) {
+        const Node *node = &network.nodes[i];
+        if (node->running) {
+            running++;
+            messages += node->messages;
+            bytes += node->bytes;
+            most = node->bytes > most ? node->bytes : most;
+        }
+    }
+    printf("%u daemons, %s, each: %.1f messages/s, %.0f bytes/s (at most "
+           "%.0f), %.1f us/s\n",
+           size, step, (double)messages / seconds / running,
+           (double)bytes / seconds / running, (double)most / seconds,
+           (double)spent_ns / 1000 / seconds / running);
+    fflush(stdout);
+}
+
+static bool
+is_flooded(void)
+{
+    for (uint32_t i = 0; i < size; i++) {
+        for (uint32_t j = 0; j < FLOODS; j++) {
+            if (network.nodes[i].running && i != j % size &&
+                network.nodes[i].floods[j] == 0) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+static void
+measure_floods(void)
+{
+    reset();
+    for (uint32_t i = 0; i < FLOODS; i++) {
+        Network_Flood(i % size, i);
+    }
+    int64_t took_us = Network_RunUntil(is_flooded, 5 * SECOND_US);
+    int64_t flood_ns = spent_ns;
+    uint64_t messages = 0, bytes = 0;
+    for (uint32_t i = 0; i < size; i++) {
+        messages += network.nodes[i].messages;
+        bytes += network.nodes[i].bytes;
+    }
+    printf("%u daemons, %d floods at once: %.2f s, each flood at each daemon "
+           "%.2f messages, %.0f bytes, %.1f us\n",
+           size, FLOODS, (double)took_us / 1e6,
+           (double)messages / FLOODS / size, (double)bytes / FLOODS / size,
+           (double)flood_ns / 1000 / FLOODS / size);
+}
+
+static bool
+is_announced(void)
+{
+    for (uint32_t i = 1; i < size; i++) {
+        if (network.nodes[i].announced != 9) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+measure_size(uint64_t seed)
+{
+    Network_Start(size, seed);
+    reset();
+    int64_t took_us = Network_RunUntil(Network_IsConverged, 60 * SECOND_US);
+    printf("%u daemons, all started at once: converged in %.2f s, %.0f us "
+           "each\n",
+           size, (double)took_us / 1e6, (double)spent_ns / 1000 / size);
+    Network_Run(40 * SECOND_US); /* links of the start are idle and closed */
+    reset();
+    Network_Run(REST_S * SECOND_US);
+    print_use("at rest", REST_S);
+    measure_floods();
+    EbMembership_SetGeneration(network.nodes[0].membership, 9);
+    Network_Drain(0);
+    took_us = Network_RunUntil(is_announced, 5 * SECOND_US);
+    printf("%u daemons: a generation is announced to all in %.2f s\n", size,
+           (double)took_us / 1e6);
+    reset();
+    for (uint32_t i = 0; i < size; i += DOMAINS) {
+        Network_KillNode(i);
+    }
+    took_us = Network_RunUntil(Network_IsConverged, LOSS_S * SECOND_US);
+    printf("%u daemons, a domain lost: converged in %.2f s\n", size,
+           (double)took_us / 1e6);
+    if (took_us >= 0) {
+        Network_Run(LOSS_S * SECOND_US - took_us);
+    }
+    print_use("30 s after the loss", LOSS_S);
+    Network_Stop();
+}
+
+int
+main(int argc, char **argv)
+{
+    static const uint32_t sizes[] = {8, 17, 64, NETWORK_MAX};
+    calibrate();
+    printf("one pair of clock readings: %" PRId64 " ns, subtracted\n",
+           clock_ns);
+    for (int run = 0; run < RUNS; run++) {
+        for (int i = 0; i < (argc > 1 ? argc - 1 : 4); i++) {
+            size =
+                argc > 1 ? (uint32_t)strtoul(argv[1 + i], NULL, 10) : sizes[i];
+            if (size < 4 || size > NETWORK_MAX) {
+                fprintf(stderr, "4 to %d daemons\n", NETWORK_MAX);
+                return 1;
+            }
+            measure_size(20260402 + (uint64_t)run);
+        }
+    }
+    return 0;
+}
