ledger: divide deferred writes, deletes and listings by live daemons

Each daemon deferred up to 50 writes a second, deleted up to 5 expired claims a second and listed one kind of claims a minute, whatever the number of daemons: EbLedger_SetWriteRate had no caller. At 330 daemons that allows 16,500 writes and 1,650 deletes a second against several hundred that the platform takes.

No test covers the call in daemon_peer.c, which needs more than 8 daemons.

--- a/include/ebonyhollow/ledger.h
+++ b/include/ebonyhollow/ledger.h
@@ -139,7 +139,8 @@
 void EbLedger_KeyDigest(const char *key, char digest[EB_KEY_DIGEST_HEX_BYTES]);
 
 /* Sets the bound of deferred writes a second, which the daemon divides by the
- * number of live daemons. 0: 50. */
+ * number of live daemons. 0: 50. Deletes of expired claims and their listings
+ * keep their proportion to it. */
 void EbLedger_SetWriteRate(EbLedger *ledger, uint32_t writes_per_s);
 
 /* Retries deferred writes and times out claims. */
--- a/src/libebonyhollow/ledger_sweep.c
+++ b/src/libebonyhollow/ledger_sweep.c
@@ -8,7 +8,8 @@
  * twice. */
 #define SWEEP_MARGIN_US (3600LL * 1000 * 1000)
 #define EXPIRED_MAX 256
-#define DELETE_INTERVAL_US (200LL * 1000) /* 5 deletes a second */
+/* 5 deletes a second, a tenth of the writes. */
+#define DELETE_INTERVAL_US (200LL * 1000)
 
 static void
 free_expired(gpointer pointer)
@@ -65,10 +66,14 @@
         push_operation(ledger, EB_STORE_LIST, kind, g_strdup(""), 0);
 }
 
-/* Jitter keeps the daemons from listing at the same time. */
+/* Intervals grow as the write rate falls, so that the deletes and the
+ * listings of all daemons together do not grow with their number. Jitter
+ * keeps the daemons from listing at the same time. */
 static void
 schedule(EbLedger *ledger, int64_t interval_us, int64_t now_us)
 {
+    interval_us =
+        interval_us * EB_LEDGER_WRITES_PER_S / EbLedger_WriteRate(ledger);
     uint64_t jitter_us =
         EbRandom_Below(ledger->options.random, (uint64_t)interval_us);
     ledger->sweep_at_us = now_us + interval_us / 2 + (int64_t)jitter_us;
--- a/src/libebonyhollow/ledger_write.c
+++ b/src/libebonyhollow/ledger_write.c
@@ -2,7 +2,6 @@
 
 #include <assert.h>
 
-#define WRITES_PER_S_DEFAULT 50
 #define ALLOWANCE_MICRO 1000000LL /* of one write */
 #define ALLOWANCE_MAX_S 1
 /* Peers that read the claim before its end was written ask for it shortly
@@ -39,6 +38,13 @@
     ledger->options.writes_per_s = writes_per_s;
 }
 
+uint32_t
+EbLedger_WriteRate(const EbLedger *ledger)
+{
+    return ledger->options.writes_per_s > 0 ? ledger->options.writes_per_s
+                                            : EB_LEDGER_WRITES_PER_S;
+}
+
 void
 EbLedger_StartWrite(EbLedger *ledger, Claim *claim, int64_t now_us)
 {
@@ -116,9 +122,7 @@
 static bool
 take_write(EbLedger *ledger, int64_t now_us)
 {
-    int64_t rate = ledger->options.writes_per_s > 0
-                       ? ledger->options.writes_per_s
-                       : WRITES_PER_S_DEFAULT;
+    int64_t rate = EbLedger_WriteRate(ledger);
     int64_t passed_us = now_us - ledger->write_refill_us;
     int64_t room = rate * ALLOWANCE_MAX_S * ALLOWANCE_MICRO -
                    ledger->write_allowance_micro;
--- a/src/libebonyhollow/private/ledger_private.h
+++ b/src/libebonyhollow/private/ledger_private.h
@@ -118,6 +118,11 @@
 
 /* ledger_write.c */
 
+#define EB_LEDGER_WRITES_PER_S 50
+
+/* Bound of this daemon's deferred writes a second. */
+uint32_t EbLedger_WriteRate(const EbLedger *ledger);
+
 /* Writes the end of a finished claim, now or later. */
 void EbLedger_StartWrite(EbLedger *ledger, Claim *claim, int64_t now_us);
 
--- a/src/libebonyhollow_net/daemon_peer.c
+++ b/src/libebonyhollow_net/daemon_peer.c
@@ -6,6 +6,10 @@
 
 /* A body is asked for again after so long, when the peer did not send it. */
 #define REQUEST_INTERVAL_US 500000
+/* Deferred writes of all daemons a second, below the several hundred writes
+ * that the platform takes, and those of one daemon in a small deployment. */
+#define WRITES_PER_S 400
+#define WRITES_PER_S_EACH 50
 
 static void
 send_message(EbDaemon *daemon, const char *peer, const EbMessage *message,
@@ -343,6 +347,9 @@
     /* None is live once this daemon has announced its shutdown. */
     if (live > 0) {
         EbLimiter_SetMembers(daemon->limiter, names, live, now_us);
+        EbLedger_SetWriteRate(
+            daemon->ledger,
+            CLAMP(WRITES_PER_S / (uint32_t)live, 1, WRITES_PER_S_EACH));
     }
     g_free(names);
     for (size_t i = 0; i < count; i++) {
--- a/src/test_ledger/main.c
+++ b/src/test_ledger/main.c
@@ -37,6 +37,7 @@
     GHashTable *objects;
     EbAction late; /* operation that takes effect late */
     bool has_late;
+    uint32_t lists;
     uint32_t writes;
     Daemon daemons[DAEMON_COUNT];
     int64_t now_us;
@@ -125,6 +126,7 @@
     Object *object = g_hash_table_lookup(world->objects, path);
     reply->status = EB_STORE_OK;
     if (request->operation == EB_STORE_LIST) {
+        world->lists++;
         list_objects(world, request->kind, reply);
     }
     else if (request->operation == EB_STORE_GET) {
@@ -490,6 +492,56 @@
     free_world(world);
 }
 
+/* Claims and finishes keys, lets them expire and counts what a daemon with
+ * the given write rate sends in an hour. */
+static void
+count_sweep(uint32_t writes_per_s, uint32_t *lists, uint32_t *deletes)
+{
+    enum { KEYS = 2000, STEP_US = 100000, HOUR_S = 3600 };
+    World *world = new_world(1);
+    EbLedger *ledger = world->daemons[0].ledger;
+    for (int i = 0; i < KEYS; i++) {
+        char key[32];
+        snprintf(key, sizeof(key), "k%d", i);
+        uint64_t claim = claim_key(world, 0, key, "{}");
+        serve(world, 0, STORE_WORKS);
+        take_result(world, 0);
+        EbLedger_Finish(ledger, claim, EB_OUTCOME_DONE, EB_REASON_NONE, NULL,
+                        world->now_us);
+        serve(world, 0, STORE_WORKS);
+    }
+    EbLedger_SetWriteRate(ledger, writes_per_s);
+    world->wall_us += EB_LEDGER_RETENTION_US + 7200 * SECOND_US;
+    uint32_t lists_before = world->lists;
+    guint objects = g_hash_table_size(world->objects);
+    for (int i = 0; i < HOUR_S * (int)(SECOND_US / STEP_US); i++) {
+        world->now_us += STEP_US;
+        EbLedger_Tick(ledger, world->now_us);
+        while (serve(world, 0, STORE_WORKS)) {
+        }
+    }
+    *lists = world->lists - lists_before;
+    *deletes = objects - g_hash_table_size(world->objects);
+    free_world(world);
+}
+
+/* Guards against deletes and listings that grow with the number of daemons:
+ * 330 daemons have a write rate of 1 each. */
+static void
+test_sweep_rate(void)
+{
+    uint32_t lists, deletes;
+    count_sweep(50, &lists, &deletes);
+    printf("  50 writes/s: %u lists, %u deletes an hour\n", lists, deletes);
+    /* Once a minute, and after each list at most 5 deletes a second. */
+    CU_ASSERT_TRUE(lists >= 40 && lists <= 80);
+    count_sweep(1, &lists, &deletes);
+    printf("  1 write/s: %u lists, %u deletes an hour\n", lists, deletes);
+    /* A list in 50 minutes and a tenth of a write a second. */
+    CU_ASSERT_TRUE(lists <= 3);
+    CU_ASSERT_TRUE(deletes <= 360 + 36);
+}
+
 /* Guards against an object that is not ours being taken for a free key. */
 static void
 test_foreign_object(void)
@@ -647,6 +699,7 @@
         {"unwritten bound", test_unwritten_bound},
         {"failing store", test_failing_store},
         {"retention", test_retention},
+        {"sweep rate", test_sweep_rate},
         {"foreign object", test_foreign_object},
         {"sequences", test_sequences},
     };
--- a/test/measure/daemon.sh
+++ b/test/measure/daemon.sh
@@ -5,9 +5,14 @@
 #
 # Usage: daemon.sh BUILD-DIRECTORY [DAEMONS [REST-SECONDS [LOAD-SECONDS]]]
 #
+# EB_TOKENS: tokens of a stream, 12 by default; two runs with different values
+# give the slope by tokens. EB_TIME_SCALE: factor on the service times of the
+# stand-ins; with 0.001 the time of a request is that of daemon, sockets and
+# stand-ins alone. EB_RATE: requests a second, 30 by default.
+#
 # Processor time is utime + stime of /proc/PID/stat (ticks of 10 ms), so that
-# a loaded machine disturbs it little. Latency is elapsed time and is not
-# comparable between loads of the machine.
+# a loaded machine disturbs it little. The time per request is net of what the
+# daemons used at rest. Latency is elapsed time and suffers from the load.
 set -uo pipefail
 cd "$(dirname "$0")/../process" || exit 1
 . ./lib.sh
@@ -51,8 +56,11 @@
     awk -v v="$1" -v d="$2" 'BEGIN { if (d > 0) printf "%.2f", v / d
         else printf "not measured" }'
 }
-snapshot() { # sets the variables with the given prefix
-    printf -v "$1_ticks" '%s' "$(ticks)"
+# Sets the variables with the given prefix. Reading metrics costs the daemons
+# time: ticks are read after them at the start of an interval, before them at
+# its end.
+snapshot() {
+    [ "$1" = a ] || printf -v "$1_ticks" '%s' "$(ticks)"
     printf -v "$1_bytes" '%s' "$(metric '^ebonyhollow_peer_bytes_total')"
     printf -v "$1_messages" '%s' "$(metric '^ebonyhollow_peer_messages_total')"
     printf -v "$1_calls" '%s' "$(metric '^ebonyhollow_platform_calls_total')"
@@ -64,9 +72,11 @@
         "$(metric '^ebonyhollow_server_time_microseconds_total')"
     printf -v "$1_queue" '%s' \
         "$(metric '^ebonyhollow_queue_time_microseconds_sum')"
+    [ "$1" = b ] || printf -v "$1_ticks" '%s' "$(ticks)"
 }
 
-eb_start_three || exit 1
+eb_start_three --tokens "${EB_TOKENS:-12}" \
+    --time-scale "${EB_TIME_SCALE:-1}" || exit 1
 instances=(recife-1 salvador-1 fortaleza-1)
 for pair in recife-2 salvador-2 fortaleza-2 recife-3 salvador-3; do
     [ "${#instances[@]}" -lt "$daemons" ] || break
@@ -76,15 +86,15 @@
 for pair in "${instances[@]}"; do
     eb_ready "${pair%-*}" "${pair#*-}" || exit 1
 done
-echo "daemons: ${#instances[@]}, $(nproc) cores, load $(cut -d' ' -f1-3 /proc/loadavg)"
+echo "daemons: ${#instances[@]}, tokens ${EB_TOKENS:-12}, time scale \
+${EB_TIME_SCALE:-1}, $(nproc) cores, load $(cut -d' ' -f1-3 /proc/loadavg)"
 echo "resident memory after the start, kB, least and greatest: $(resident)"
 
 sleep 3
 snapshot a
 sleep "$rest_s"
 snapshot b
-# The metrics themselves cost the daemon time; they are read before the ticks
-# of the interval begin and after they end.
+rest_ticks=$((b_ticks - a_ticks))
 echo "at rest, each: $(per $(((b_ticks - a_ticks) * 1000000 / ticks_per_s)) \
     $((rest_s * ${#instances[@]}))) us of processor time a second"
 echo "at rest, each: $(per $((b_bytes - a_bytes)) \
@@ -95,8 +105,7 @@
 
 targets=$(eb_targets "${instances[@]}")
 # The kinds differ in stages and tokens, so that the slopes can be separated.
-for kind in "schedule mucuripe" "stock vinil" "catalogue vinil" \
-    "reorder vinil"; do
+for kind in "catalogue vinil" "liner vinil" "stock vinil" "reorder vinil"; do
     snapshot a
     "$eb_build/test/load/load" --plan "$eb_root/test/load/capas.json" \
         --targets "$targets" --rate "$rate" --seconds "$load_s" \
@@ -106,7 +115,9 @@
     requests=$((b_requests - a_requests))
     echo "$kind: $requests requests, tokens per request \
 $(per $((b_tokens - a_tokens)) "$requests"), processor time per request \
-$(per $(((b_ticks - a_ticks) * 1000000 / ticks_per_s)) "$requests") us; \
+$(per "$(((b_ticks - a_ticks - \
+        rest_ticks * (load_s + 1) / rest_s) * 1000000 / ticks_per_s))" \
+        "$requests") us; \
 time in the daemon $(per $((b_time - a_time)) "$requests") us, of it at \
 servers $(per $((b_server - a_server)) "$requests") us, in queues \
 $(per $((b_queue - a_queue)) "$requests") us; platform calls per request \
--- a/test/measure_decisions.c
+++ b/test/measure_decisions.c
@@ -49,9 +49,9 @@
     GQueue calls; /* of Call, not answered */
     uint64_t version;
     uint64_t done;
-    uint64_t store_operations;
-    uint32_t tokens; /* of each stream */
-    bool silent;     /* backend servers do not answer */
+    size_t value_bytes; /* of the last written object as JSON */
+    uint32_t tokens;    /* of each stream */
+    bool silent;        /* backend servers do not answer */
     json_t *answers[EB_STAGE_KIND_COUNT];
 } Daemon;
 
@@ -321,7 +321,9 @@
 static void
 reply_store(Daemon *daemon, const EbStoreRequest *store)
 {
-    daemon->store_operations++;
+    if (store->value != NULL) {
+        daemon->value_bytes = json_dumpb(store->value, NULL, 0, JSON_COMPACT);
+    }
     EbStoreReply reply = {.owner = store->owner,
                           .operation_id = store->operation_id,
                           .status = EB_STORE_OK,
@@ -476,9 +478,10 @@
     Daemon *daemon = start_daemon(660, 400, 10);
     size_t before = allocated();
     for (uint32_t j = 0; j < KEYS; j++) {
-        uint64_t claim = EbLedger_Claim(daemon->ledger, "customer-0",
-                                        g_strdup_printf("key-%u", j), "{}", 2,
-                                        INT64_MAX, daemon->now_us);
+        char key[32];
+        snprintf(key, sizeof(key), "key-%u", j);
+        uint64_t claim = EbLedger_Claim(daemon->ledger, "customer-0", key,
+                                        "{}", 2, INT64_MAX, daemon->now_us);
         drain(daemon);
         json_t *body = json_pack("{s:s}", "text", "a short answer");
         EbLedger_Finish(daemon->ledger, claim, EB_OUTCOME_DONE, EB_REASON_NONE,
@@ -488,6 +491,9 @@
     }
     printf("key in the ledger, kept after its write: %.0f bytes\n",
            (double)(allocated() - before) / KEYS);
+    printf("object of a claim that is done: %zu bytes of JSON with an answer "
+           "of 14 bytes\n",
+           daemon->value_bytes);
     before = allocated();
     for (uint32_t j = 0; j < ENTRIES; j++) {
         EbQuarantine_Crash(daemon->quarantine, j + 1, false, daemon->now_us);
--- a/test/measure_membership.c
+++ b/test/measure_membership.c
@@ -7,7 +7,12 @@
  * linker wraps here; the time of the network itself does not count. Keyed
  * hashes and sockets belong to EbPeerLink and are not in it.
  *
- * Usage: measure_membership [DAEMONS...] */
+ * Usage: measure_membership [DAEMONS...]
+ *        measure_membership --reports DAEMONS REPORTS
+ *
+ * The second form lets each daemon send REPORTS reports of usage a second to
+ * home daemons chosen at random, each answered by a grant: the traffic of
+ * customers whose requests are spread over all daemons. */
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -21,6 +26,9 @@
 #define LOSS_S 30
 #define FLOODS 20
 #define RUNS 3
+#define REPORT_WARM_S 40 /* longer than idle links stay open */
+#define REPORT_S 3
+#define STEP_US 10000
 #define CALIBRATION 100000
 
 static int64_t spent_ns;
@@ -239,6 +247,66 @@
     Network_Stop();
 }
 
+/* Sends one message with a share to another daemon. */
+static void
+send_share(uint32_t from, uint32_t to, EbMessageKind kind)
+{
+    char name[16];
+    snprintf(name, sizeof(name), "n%u", to);
+    EbMessageShare share = {(char *)"customer-17", 12000, 4, 2000};
+    EbMessage message = {.kind = kind, .shares = &share, .share_count = 1};
+    int64_t begun_ns = begin();
+    EbMembership_Send(network.nodes[from].membership, name, &message,
+                      network.now_us);
+    end(begun_ns);
+    Network_Drain(from);
+}
+
+static void
+run_reports(EbRandom *random, double reports_per_s, int64_t time_us)
+{
+    double due = 0;
+    for (int64_t us = 0; us < time_us; us += STEP_US) {
+        due += reports_per_s * size * STEP_US / SECOND_US;
+        for (; due >= 1; due--) {
+            uint32_t from = (uint32_t)EbRandom_Below(random, size);
+            uint32_t to = (uint32_t)EbRandom_Below(random, size - 1);
+            to += to >= from;
+            send_share(from, to, EB_MESSAGE_USAGE);
+            send_share(to, from, EB_MESSAGE_GRANT);
+        }
+        Network_Run(STEP_US);
+    }
+}
+
+static void
+measure_reports(double reports_per_s)
+{
+    EbRandom random;
+    EbRandom_Init(&random, 20260402);
+    Network_Start(size, 20260402);
+    Network_RunUntil(Network_IsConverged, 60 * SECOND_US);
+    run_reports(&random, reports_per_s, REPORT_WARM_S * SECOND_US);
+    reset();
+    run_reports(&random, reports_per_s, REPORT_S * SECOND_US);
+    char step[64];
+    snprintf(step, sizeof(step), "%.1f reports/s each", reports_per_s);
+    print_use(step, REPORT_S);
+    uint64_t links = 0;
+    for (uint32_t i = 0; i < size; i++) {
+        EbMemberView view;
+        size_t count = EbMembership_Count(network.nodes[i].membership);
+        for (size_t j = 0; j < count; j++) {
+            EbMembership_View(network.nodes[i].membership, j, network.now_us,
+                              &view);
+            links += view.linked;
+        }
+    }
+    printf("%u daemons, %.1f reports/s each: %.1f links each\n", size,
+           reports_per_s, (double)links / size);
+    Network_Stop();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -246,6 +314,11 @@
     calibrate();
     printf("one pair of clock readings: %" PRId64 " ns, subtracted\n",
            clock_ns);
+    if (argc == 4 && strcmp(argv[1], "--reports") == 0) {
+        size = (uint32_t)strtoul(argv[2], NULL, 10);
+        measure_reports(strtod(argv[3], NULL));
+        return 0;
+    }
     for (int run = 0; run < RUNS; run++) {
         for (int i = 0; i < (argc > 1 ? argc - 1 : 4); i++) {
             size =
--- a/test/standin/engine.c
+++ b/test/standin/engine.c
@@ -10,7 +10,6 @@
 #define FIRST_TOKEN_MS 20.0
 #define PROMPT_KB_MS 2.0 /* prefill time of a kilobyte */
 #define TOKEN_MS 4.0
-#define TOKENS_DEFAULT 12
 #define MARKER_OPEN "[id:"
 
 char *
@@ -113,9 +112,10 @@
         json_string_value(json_object_get(job->body, "prompt"));
     json_t *limit = json_object_get(job->body, "max_tokens");
     json_t *resume = json_object_get(job->body, "resume");
-    job->token_end = limit != NULL ? MIN((uint64_t)json_integer_value(limit),
-                                         TOKENS_DEFAULT)
-                                   : TOKENS_DEFAULT;
+    uint64_t tokens = job->server->standin->tokens;
+    job->token_end = limit != NULL
+                         ? MIN((uint64_t)json_integer_value(limit), tokens)
+                         : tokens;
     job->token_index =
         (uint64_t)json_integer_value(json_object_get(resume, "token_index"));
     Server_AddHeaders(job);
--- a/test/standin/main.c
+++ b/test/standin/main.c
@@ -1,7 +1,7 @@
 /* Starts the stand-ins of one configuration document.
  *
  * Usage: standin --document FILE --site SITE --platform HOST:PORT
- *        --control HOST:PORT [--time-scale FACTOR] */
+ *        --control HOST:PORT [--time-scale FACTOR] [--tokens N] */
 #include <getopt.h>
 #include <signal.h>
 #include <stdio.h>
@@ -16,6 +16,7 @@
     const char *platform;
     const char *control;
     double time_scale;
+    uint32_t tokens;
 } Arguments;
 
 static const struct option options[] = {
@@ -24,6 +25,7 @@
     {"platform", required_argument, NULL, 'p'},
     {"control", required_argument, NULL, 'c'},
     {"time-scale", required_argument, NULL, 't'},
+    {"tokens", required_argument, NULL, 'n'},
     {NULL, 0, NULL, 0},
 };
 
@@ -48,6 +50,9 @@
         case 't':
             arguments->time_scale = g_ascii_strtod(optarg, NULL);
             break;
+        case 'n':
+            arguments->tokens = (uint32_t)strtoul(optarg, NULL, 10);
+            break;
         default:
             exit(2);
         }
@@ -116,7 +121,7 @@
 int
 main(int argc, char **argv)
 {
-    Arguments arguments = {.time_scale = 1.0};
+    Arguments arguments = {.time_scale = 1.0, .tokens = TOKENS_DEFAULT};
     parse_arguments(argc, argv, &arguments);
     signal(SIGPIPE, SIG_IGN);
     Standin standin = {.base = event_base_new(),
@@ -125,7 +130,8 @@
                        .records = g_ptr_array_new_with_free_func(free_record),
                        .services = g_hash_table_new_full(
                            g_str_hash, g_str_equal, g_free, Service_Free),
-                       .time_scale = arguments.time_scale};
+                       .time_scale = arguments.time_scale,
+                       .tokens = arguments.tokens};
     char host[64];
     uint16_t port;
     split_address(arguments.platform, host, sizeof(host), &port);
--- a/test/standin/standin.h
+++ b/test/standin/standin.h
@@ -37,6 +37,8 @@
 
 extern const char *const Fault_names[FAULT_COUNT];
 
+#define TOKENS_DEFAULT 12
+
 typedef struct {
     FaultKind kind;
     int64_t amount;
@@ -69,6 +71,7 @@
     GHashTable *services; /* pool name to Service */
     Platform *platform;
     double time_scale; /* factor on all service times */
+    uint32_t tokens;   /* of a stream without a lower limit */
 };
 
 /* What the servers of one pool share, as a service shares its database. */
