--- a/test/measure_membership.c
+++ b/test/measure_membership.c
@@ -268,7 +268,9 @@
     double due = 0;
     for (int64_t us = 0; us < time_us; us += STEP_US) {
         due += reports_per_s * size * STEP_US / SECOND_US;
-        for (; due >= 1; due--) {
+        uint32_t count = (uint32_t)due;
+        due -= count;
+        for (uint32_t i = 0; i < count; i++) {
             uint32_t from = (uint32_t)EbRandom_Below(random, size);
             uint32_t to = (uint32_t)EbRandom_Below(random, size - 1);
             to += to >= from;
