daemon: replace and expire stored quarantines; gauges of the daemon's state

Change: the object is read before it is written; expired ones are deleted a minute later; seven gauges, set twice a second. Conclusion: a quarantine survives the replacement of every daemon.

--- a/include/ebonyhollow/metrics.h
+++ b/include/ebonyhollow/metrics.h
@@ -1,4 +1,4 @@
-/* EbMetrics: counters and histograms of a daemon, with bounded series.
+/* EbMetrics: counters, gauges and histograms of a daemon, with bounded series.
  *
  * Metrics are fixed rows of a table in metrics.c, from which docs/metrics.md
  * is checked. Each has up to three labels. Beyond the limit of series a
@@ -14,29 +14,43 @@
 #define EB_METRIC_MAX_LABELS 3
 
 typedef enum {
-    EB_METRIC_REQUESTS,          /* customer, pipeline, outcome */
-    EB_METRIC_IN_TIME,           /* customer, pipeline: done in time */
-    EB_METRIC_REFUSALS,          /* reason */
-    EB_METRIC_ATTEMPTS,          /* pipeline, stage, result */
-    EB_METRIC_RETRIES,           /* pipeline, stage */
-    EB_METRIC_HEDGES,            /* pipeline, stage */
-    EB_METRIC_RESUMES,           /* pipeline, stage */
-    EB_METRIC_WASTED_CALLS,      /* pipeline, stage */
-    EB_METRIC_SERVER_TIME_US,    /* customer, pipeline, stage */
-    EB_METRIC_TOKENS,            /* customer, pipeline */
-    EB_METRIC_PLATFORM_CALLS,    /* operation, status */
-    EB_METRIC_PEER_BYTES,        /* direction */
-    EB_METRIC_PEER_MESSAGES,     /* direction, kind */
-    EB_METRIC_EVENTS_SUPPRESSED, /* event */
-    EB_METRIC_TOTAL_TIME_US,     /* histogram: customer */
-    EB_METRIC_STAGE_TIME_US,     /* histogram: pipeline, stage */
-    EB_METRIC_QUEUE_TIME_US,     /* histogram: pipeline, stage */
-    EB_METRIC_FIRST_TOKEN_US,    /* histogram: customer */
-    EB_METRIC_TOKEN_GAP_US,      /* histogram: customer */
+    EB_METRIC_REQUESTS,           /* customer, pipeline, outcome */
+    EB_METRIC_IN_TIME,            /* customer, pipeline: done in time */
+    EB_METRIC_REFUSALS,           /* reason */
+    EB_METRIC_ATTEMPTS,           /* pipeline, stage, result */
+    EB_METRIC_RETRIES,            /* pipeline, stage */
+    EB_METRIC_HEDGES,             /* pipeline, stage */
+    EB_METRIC_RESUMES,            /* pipeline, stage */
+    EB_METRIC_WASTED_CALLS,       /* pipeline, stage */
+    EB_METRIC_SERVER_TIME_US,     /* customer, pipeline, stage */
+    EB_METRIC_TOKENS,             /* customer, pipeline */
+    EB_METRIC_PLATFORM_CALLS,     /* operation, status */
+    EB_METRIC_PEER_BYTES,         /* direction */
+    EB_METRIC_PEER_MESSAGES,      /* direction, kind */
+    EB_METRIC_EVENTS_SUPPRESSED,  /* event */
+    EB_METRIC_TOTAL_TIME_US,      /* histogram: customer */
+    EB_METRIC_STAGE_TIME_US,      /* histogram: pipeline, stage */
+    EB_METRIC_QUEUE_TIME_US,      /* histogram: pipeline, stage */
+    EB_METRIC_FIRST_TOKEN_US,     /* histogram: customer */
+    EB_METRIC_TOKEN_GAP_US,       /* histogram: customer */
+    EB_METRIC_READY,              /* gauge */
+    EB_METRIC_GENERATION,         /* gauge */
+    EB_METRIC_LIVE_REQUESTS,      /* gauge */
+    EB_METRIC_PLATFORM_UP,        /* gauge */
+    EB_METRIC_UNWRITTEN_OUTCOMES, /* gauge */
+    EB_METRIC_LIVE_DAEMONS,       /* gauge */
+    EB_METRIC_QUARANTINED,        /* gauge */
     EB_METRIC_COUNT
 } EbMetricId;
 
-typedef enum { EB_METRIC_COUNTER, EB_METRIC_HISTOGRAM } EbMetricType;
+typedef enum {
+    EB_METRIC_COUNTER,
+    EB_METRIC_HISTOGRAM,
+    EB_METRIC_GAUGE,
+    EB_METRIC_TYPE_COUNT
+} EbMetricType;
+
+extern const char *const EbMetricType_names[EB_METRIC_TYPE_COUNT];
 
 typedef struct {
     const char *name; /* ends in its unit */
@@ -62,7 +76,10 @@
                        const char *label1, const char *label2,
                        const char *label3);
 
-/* Reads a counter back; 0 for an absent series. */
+/* Sets a gauge, which has no labels. */
+void EbMetrics_Set(EbMetrics *metrics, EbMetricId metric, uint64_t value);
+
+/* Reads a counter or gauge back; 0 for an absent series. */
 uint64_t EbMetrics_Read(const EbMetrics *metrics, EbMetricId metric,
                         const char *label1, const char *label2,
                         const char *label3);
--- a/include/ebonyhollow/quarantine.h
+++ b/include/ebonyhollow/quarantine.h
@@ -88,6 +88,10 @@
 size_t EbQuarantine_List(EbQuarantine *quarantine, EbQuarantineEntry *entries,
                          size_t max, int64_t now_us);
 
+/* Number of entries in a state. */
+size_t EbQuarantine_Count(const EbQuarantine *quarantine,
+                          EbFingerprintState state, int64_t now_us);
+
 /* Takes the next entry whose state changed here and has to be told to the
  * other daemons. Returns false when there is none. */
 bool EbQuarantine_NextChange(EbQuarantine *quarantine,
--- a/src/libebonyhollow/metrics.c
+++ b/src/libebonyhollow/metrics.c
@@ -116,6 +116,48 @@
                                 "Time between tokens of a stream.",
                                 {"customer", NULL, NULL},
                                 SERIES_BY_CUSTOMER},
+    [EB_METRIC_READY] = {"ebonyhollow_ready",
+                         EB_METRIC_GAUGE,
+                         "1 while the daemon takes requests.",
+                         {NULL, NULL, NULL},
+                         1},
+    [EB_METRIC_GENERATION] = {"ebonyhollow_configuration_generation",
+                              EB_METRIC_GAUGE,
+                              "Configuration generation in force.",
+                              {NULL, NULL, NULL},
+                              1},
+    [EB_METRIC_LIVE_REQUESTS] = {"ebonyhollow_live_requests",
+                                 EB_METRIC_GAUGE,
+                                 "Requests not finished.",
+                                 {NULL, NULL, NULL},
+                                 1},
+    [EB_METRIC_PLATFORM_UP] = {"ebonyhollow_platform_up",
+                               EB_METRIC_GAUGE,
+                               "1 while the platform's API answers.",
+                               {NULL, NULL, NULL},
+                               1},
+    [EB_METRIC_UNWRITTEN_OUTCOMES] =
+        {"ebonyhollow_unwritten_outcomes",
+         EB_METRIC_GAUGE,
+         "Outcomes of keyed requests that the store does not have yet.",
+         {NULL, NULL, NULL},
+         1},
+    [EB_METRIC_LIVE_DAEMONS] = {"ebonyhollow_live_daemons",
+                                EB_METRIC_GAUGE,
+                                "Daemons taken for live, this one included.",
+                                {NULL, NULL, NULL},
+                                1},
+    [EB_METRIC_QUARANTINED] = {"ebonyhollow_quarantined_fingerprints",
+                               EB_METRIC_GAUGE,
+                               "Requests refused because they crash servers.",
+                               {NULL, NULL, NULL},
+                               1},
+};
+
+const char *const EbMetricType_names[EB_METRIC_TYPE_COUNT] = {
+    [EB_METRIC_COUNTER] = "counter",
+    [EB_METRIC_HISTOGRAM] = "histogram",
+    [EB_METRIC_GAUGE] = "gauge",
 };
 
 typedef struct {
@@ -223,6 +265,13 @@
     EbHistogram_Add(series->histogram, value);
 }
 
+void
+EbMetrics_Set(EbMetrics *metrics, EbMetricId metric, uint64_t value)
+{
+    assert(EbMetrics_table[metric].type == EB_METRIC_GAUGE);
+    get_series(metrics, metric, NULL, NULL, NULL)->value = value;
+}
+
 uint64_t
 EbMetrics_Read(const EbMetrics *metrics, EbMetricId metric, const char *label1,
                const char *label2, const char *label3)
@@ -352,11 +401,10 @@
     FormatContext format = {g_string_new(NULL), NULL};
     for (int i = 0; i < EB_METRIC_COUNT; i++) {
         format.info = &EbMetrics_table[i];
-        bool histogram = format.info->type == EB_METRIC_HISTOGRAM;
         g_string_append_printf(format.text, "# HELP %s %s\n# TYPE %s %s\n",
                                format.info->name, format.info->help,
                                format.info->name,
-                               histogram ? "histogram" : "counter");
+                               EbMetricType_names[format.info->type]);
         EbMetrics_Each(metrics, (EbMetricId)i, append_series, &format);
     }
     if (byte_count != NULL) {
--- a/src/libebonyhollow/quarantine.c
+++ b/src/libebonyhollow/quarantine.c
@@ -325,6 +325,21 @@
     return count;
 }
 
+size_t
+EbQuarantine_Count(const EbQuarantine *quarantine, EbFingerprintState state,
+                   int64_t now_us)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    size_t count = 0;
+    g_hash_table_iter_init(&iterator, quarantine->entries);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const Entry *entry = value;
+        count += entry->state == state && now_us < entry->until_us;
+    }
+    return count;
+}
+
 bool
 EbQuarantine_NextChange(EbQuarantine *quarantine, EbQuarantineEntry *told,
                         int64_t now_us)
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -107,6 +107,8 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     daemon->leaving =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    daemon->entry_writes =
+        g_ptr_array_new_with_free_func(EbDaemon_FreeEntryWrite);
 }
 
 static void
@@ -417,6 +419,7 @@
     g_hash_table_destroy(daemon->queries);
     g_hash_table_destroy(daemon->stores);
     g_hash_table_destroy(daemon->leaving);
+    g_ptr_array_free(daemon->entry_writes, TRUE);
     EbLog_Free(daemon->log);
     EbMetrics_Free(daemon->metrics);
     g_free(daemon->peer_address);
--- a/src/libebonyhollow_net/daemon_platform.c
+++ b/src/libebonyhollow_net/daemon_platform.c
@@ -8,6 +8,9 @@
 #define WATCH_CHECK_US 1000000
 #define POLL_US 60000000
 #define NAME_BYTES 17
+/* Clocks of instances differ, so that an expired entry is kept for a while
+ * before any daemon deletes it. */
+#define EXPIRED_KEPT_US 60000000
 
 static const char *
 get_string(const json_t *object, const char *key)
@@ -112,6 +115,13 @@
     g_array_free(members, TRUE);
 }
 
+static void
+on_stored(void *context, const EbStoreReply *reply)
+{
+    (void)context;
+    (void)reply;
+}
+
 /* Entries are stored with the end of their quarantine by the wall clock,
  * since monotonic clocks of instances have nothing in common. */
 static void
@@ -136,6 +146,12 @@
         if (entry.remaining_us > 0) {
             EbQuarantine_Merge(daemon->quarantine, &entry, now_us);
         }
+        else if (entry.remaining_us < -EXPIRED_KEPT_US) {
+            uint64_t version =
+                (uint64_t)json_integer_value(json_object_get(item, "version"));
+            EbDaemon_Store(daemon, EB_STORE_DELETE, EB_QUARANTINE_KIND, name,
+                           version, NULL, on_stored, NULL);
+        }
     }
 }
 
@@ -217,27 +233,37 @@
     }
 }
 
-static void
-on_stored(void *context, const EbStoreReply *reply)
-{
-    (void)context;
-    (void)reply;
-}
-
 typedef struct {
     EbDaemon *daemon;
     char name[NAME_BYTES];
-} Removal;
+    json_t *value; /* NULL: the object is to be deleted */
+} EntryWrite;
 
 static void
 on_found(void *context, const EbStoreReply *reply)
 {
-    Removal *removal = context;
-    if (reply->status == EB_STORE_OK) {
-        EbDaemon_Store(removal->daemon, EB_STORE_DELETE, EB_QUARANTINE_KIND,
-                       removal->name, reply->version, NULL, on_stored, NULL);
+    EntryWrite *write = context;
+    bool found = reply->status == EB_STORE_OK;
+    if (write->value == NULL && found) {
+        EbDaemon_Store(write->daemon, EB_STORE_DELETE, EB_QUARANTINE_KIND,
+                       write->name, reply->version, NULL, on_stored, NULL);
+    }
+    else if (write->value != NULL) {
+        /* An older quarantine of the same fingerprint may be stored. */
+        EbDaemon_Store(
+            write->daemon, found ? EB_STORE_UPDATE : EB_STORE_CREATE,
+            EB_QUARANTINE_KIND, write->name, found ? reply->version : 0,
+            write->value, on_stored, NULL);
     }
-    g_free(removal);
+    g_ptr_array_remove_fast(write->daemon->entry_writes, write);
+}
+
+void
+EbDaemon_FreeEntryWrite(void *pointer)
+{
+    EntryWrite *write = pointer;
+    json_decref(write->value);
+    g_free(write);
 }
 
 /* Stores a quarantined fingerprint, or removes a released one. The store only
@@ -245,24 +271,22 @@
 static void
 store_entry(EbDaemon *daemon, const EbQuarantineEntry *entry)
 {
-    char name[NAME_BYTES];
-    snprintf(name, sizeof(name), "%016" PRIx64, entry->fingerprint);
-    if (entry->state == EB_FINGERPRINT_CLEAR) {
-        Removal *removal = g_new0(Removal, 1);
-        removal->daemon = daemon;
-        g_strlcpy(removal->name, name, sizeof(removal->name));
-        EbDaemon_Store(daemon, EB_STORE_GET, EB_QUARANTINE_KIND, name, 0, NULL,
-                       on_found, removal);
+    if (entry->state == EB_FINGERPRINT_SUSPECTED) {
+        return;
     }
-    else if (entry->state == EB_FINGERPRINT_QUARANTINED) {
+    EntryWrite *write = g_new0(EntryWrite, 1);
+    write->daemon = daemon;
+    g_ptr_array_add(daemon->entry_writes, write);
+    snprintf(write->name, sizeof(write->name), "%016" PRIx64,
+             entry->fingerprint);
+    if (entry->state == EB_FINGERPRINT_QUARANTINED) {
         int64_t until_us = EbClock_Wall() + entry->remaining_us;
-        json_t *value =
+        write->value =
             json_pack("{s:I, s:I}", "points", (json_int_t)entry->points,
                       "until_wall_us", (json_int_t)until_us);
-        EbDaemon_Store(daemon, EB_STORE_CREATE, EB_QUARANTINE_KIND, name, 0,
-                       value, on_stored, NULL);
-        json_decref(value);
     }
+    EbDaemon_Store(daemon, EB_STORE_GET, EB_QUARANTINE_KIND, write->name, 0,
+                   NULL, on_found, write);
 }
 
 void
--- a/src/libebonyhollow_net/daemon_timer.c
+++ b/src/libebonyhollow_net/daemon_timer.c
@@ -26,6 +26,28 @@
     event_add(daemon->timer, &wait);
 }
 
+static void
+set_gauges(EbDaemon *daemon, int64_t now_us)
+{
+    EbMetrics *metrics = daemon->metrics;
+    bool ready = daemon->drain_state == EB_DRAIN_NONE &&
+                 EbGeneration_Current(daemon->generation) != NULL;
+    EbMetrics_Set(metrics, EB_METRIC_READY, ready);
+    EbMetrics_Set(metrics, EB_METRIC_GENERATION,
+                  EbGeneration_Number(daemon->generation));
+    EbMetrics_Set(metrics, EB_METRIC_LIVE_REQUESTS,
+                  EbDispatcher_LiveCount(daemon->dispatcher));
+    EbMetrics_Set(metrics, EB_METRIC_PLATFORM_UP,
+                  EbPlatformClient_IsUp(daemon->platform));
+    EbMetrics_Set(metrics, EB_METRIC_UNWRITTEN_OUTCOMES,
+                  EbLedger_UnwrittenCount(daemon->ledger));
+    EbMetrics_Set(metrics, EB_METRIC_LIVE_DAEMONS,
+                  EbMembership_Live(daemon->membership, NULL, 0));
+    EbMetrics_Set(metrics, EB_METRIC_QUARANTINED,
+                  EbQuarantine_Count(daemon->quarantine,
+                                     EB_FINGERPRINT_QUARANTINED, now_us));
+}
+
 void
 EbDaemon_OnTimer(evutil_socket_t fd, short what, void *arg)
 {
@@ -41,6 +63,7 @@
     if (now_us >= daemon->report_us) {
         daemon->report_us = now_us + EB_LIMITER_REPORT_US;
         EbDaemon_ReportUsage(daemon, now_us);
+        set_gauges(daemon, now_us);
         EbLog_Tick(daemon->log);
     }
     if (now_us >= daemon->watch_us) {
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -68,11 +68,13 @@
     EbAdminServer *admin;
     EbPeerLinks *links;
 
-    GHashTable *flows;   /* request handle -> Flow */
-    GHashTable *queries; /* outcome query -> peer */
-    GHashTable *stores;  /* operation id -> StoreCall */
-    GHashTable *leaving; /* backend instance that the platform listed as
-                            leaving -> its address */
+    GHashTable *flows;       /* request handle -> Flow */
+    GHashTable *queries;     /* outcome query -> peer */
+    GHashTable *stores;      /* operation id -> StoreCall */
+    GHashTable *leaving;     /* backend instance that the platform listed as
+                                leaving -> its address */
+    GPtrArray *entry_writes; /* quarantine entries on their way to the
+                                platform */
     uint64_t last_operation_id;
     int64_t report_us;    /* next usage reports */
     int64_t watch_us;     /* next check of watches */
@@ -145,6 +147,9 @@
 /* Holds watches, or polls, as the membership says. */
 void EbDaemon_CheckWatches(EbDaemon *daemon, int64_t now_us);
 
+/* Frees an element of entry_writes. */
+void EbDaemon_FreeEntryWrite(void *pointer);
+
 /* Marks servers that the platform lists as leaving, after a change of the
  * configuration. */
 void EbDaemon_MarkLeaving(EbDaemon *daemon, int64_t now_us);
--- a/src/test_metrics/main.c
+++ b/src/test_metrics/main.c
@@ -87,6 +87,8 @@
     EbMetrics_Add(metrics, EB_METRIC_REFUSALS, 3, "a\"b\\c\nd", NULL, NULL);
     EbMetrics_Observe(metrics, EB_METRIC_TOTAL_TIME_US, 2, "c1", NULL, NULL);
     EbMetrics_Observe(metrics, EB_METRIC_TOTAL_TIME_US, 900, "c1", NULL, NULL);
+    EbMetrics_Set(metrics, EB_METRIC_READY, 1);
+    EbMetrics_Set(metrics, EB_METRIC_READY, 0);
     size_t bytes = 0;
     char *text = EbMetrics_Format(metrics, &bytes);
     CU_ASSERT_EQUAL(bytes, strlen(text));
@@ -96,6 +98,7 @@
         "_bucket{customer=\"c1\",le=\"+Inf\"} 2\n",
         "ebonyhollow_request_time_microseconds_sum{customer=\"c1\"} 902\n",
         "# TYPE ebonyhollow_request_time_microseconds histogram\n",
+        "# TYPE ebonyhollow_ready gauge\nebonyhollow_ready{} 0\n",
     };
     for (size_t i = 0; i < TABLE_COUNT(expected); i++) {
         CU_ASSERT_PTR_NOT_NULL(strstr(text, expected[i]));
@@ -110,11 +113,12 @@
 {
     for (int i = 0; i < EB_METRIC_COUNT; i++) {
         const EbMetricInfo *info = &EbMetrics_table[i];
-        const char *suffix =
-            info->type == EB_METRIC_COUNTER ? "_total" : "_microseconds";
-        size_t length = strlen(info->name);
-        CU_ASSERT_TRUE(length > strlen(suffix));
-        CU_ASSERT_STRING_EQUAL(info->name + length - strlen(suffix), suffix);
+        bool total = g_str_has_suffix(info->name, "_total");
+        bool time = g_str_has_suffix(info->name, "_microseconds");
+        CU_ASSERT_EQUAL(total, info->type == EB_METRIC_COUNTER);
+        CU_ASSERT_EQUAL(time, info->type == EB_METRIC_HISTOGRAM);
+        CU_ASSERT_TRUE(info->type != EB_METRIC_GAUGE ||
+                       info->labels[0] == NULL);
         CU_ASSERT_TRUE(strlen(info->help) > 0);
         CU_ASSERT_PTR_NULL(strchr(info->help, '|'));
     }
@@ -130,7 +134,8 @@
     "start at 0\n"
     "when the daemon starts. Times are microseconds. A series appears with "
     "its first\n"
-    "value. Metrics are of one daemon; add them up over the daemons.\n\n"
+    "value; gauges are set twice a second. Metrics are of one daemon; add\n"
+    "counters and histograms up over the daemons.\n\n"
     "The bound of series limits the memory of a daemon: label values beyond "
     "it are\n"
     "counted in one series whose labels are all `other`. A histogram leaves "
@@ -145,8 +150,7 @@
 append_metric(GString *text, const EbMetricInfo *info)
 {
     g_string_append_printf(text, "| `%s` | %s | ", info->name,
-                           info->type == EB_METRIC_HISTOGRAM ? "histogram"
-                                                             : "counter");
+                           EbMetricType_names[info->type]);
     for (int i = 0; i < EB_METRIC_MAX_LABELS; i++) {
         if (info->labels[i] != NULL) {
             g_string_append_printf(text, "%s`%s`", i > 0 ? ", " : "",
--- a/test/process/lib.sh
+++ b/test/process/lib.sh
@@ -189,6 +189,12 @@
     echo "${!name}"
 }
 
+# eb_kill SITE NUMBER: kills a daemon and waits until its sockets are gone.
+eb_kill() {
+    kill -KILL "$(eb_pid "$1" "$2")"
+    wait "$(eb_pid "$1" "$2")" 2>/dev/null
+}
+
 # eb_outcome FILE: the outcome in a JSON answer of `submit --output json`.
 eb_outcome() {
     jq -r '.outcome // "none"' "$1" 2>/dev/null || echo none
--- a/test/process/test_at_most_once.sh
+++ b/test/process/test_at_most_once.sh
@@ -22,7 +22,7 @@
 note recife killed "$eb_work/first" &
 submit=$!
 eb_check "the service began to run the key" eb_wait 80 ran killed
-kill -KILL "$(eb_pid recife 1)"
+eb_kill recife 1
 wait "$submit"
 note fortaleza killed "$eb_work/second"
 eb_check "the repeat is answered unknown or done" \
@@ -40,7 +40,7 @@
 note recife early "$eb_work/early-first" &
 submit=$!
 sleep 1
-kill -KILL "$(eb_pid recife 1)"
+eb_kill recife 1
 wait "$submit"
 eb_fault retrievers none
 note fortaleza early "$eb_work/early-second"
--- a/test/process/test_poison.sh
+++ b/test/process/test_poison.sh
@@ -31,4 +31,30 @@
 eb_check "the others attain at least 99% (got $attainment)" \
     eb_at_least "$attainment" 0.99
 eb_command recife 1 quarantine list
+
+echo "== every daemon is replaced"
+for site in "${eb_sites[@]}"; do
+    eb_kill "$site" 1
+done
+for site in "${eb_sites[@]}"; do
+    eb_daemon "$site" 1 && eb_ready "$site" 1 || exit 1
+done
+listed() {
+    [ "$(eb_command salvador 1 --output json quarantine list |
+        jq '[.. | objects | select(.state? == "quarantined")] | length')" \
+        -ge 1 ]
+}
+eb_check "the replaced daemons know the quarantine" eb_wait 40 listed
+eb_submit salvador 1 selo-pelourinho catalogue-question \
+    --input "CRASH-THE-SERVER [id:poison]" >/dev/null 2>&1
+eb_check "the request is refused as not-run" [ $? -eq 5 ]
+after=$(curl -fsS "http://$eb_control/status" |
+    jq '[.servers[].crashes] | add')
+eb_check "no further server crashed" [ "$after" = "$crashes" ]
+fingerprint=$(eb_command salvador 1 --output json quarantine list |
+    jq -r '[.. | objects | select(.state? == "quarantined")][0].fingerprint')
+eb_check "an operator releases it" \
+    eb_command fortaleza 1 quarantine release "$fingerprint"
+released() { ! listed; }
+eb_check "it is released on the other daemons" eb_wait 40 released
 eb_finish
