platform_client: do not send a call with hardly any time left

Cause: test_platform_client, case 'silent', failed now and then under load: a call that waited for a slot was sent in the last millisecond of its time and counted as lost instead of not sent. Change: a waiting call with less than a quarter of its time-out left is answered unavailable. dispatcher: key-reused is also logged when the key is held by a request of the same daemon. Conclusion: such a call is now truthfully reported as not sent.

--- a/src/libebonyhollow/dispatcher_request.c
+++ b/src/libebonyhollow/dispatcher_request.c
@@ -302,6 +302,15 @@
     EbRequest_Finish(request, outcome, reason, NULL, body, now_us);
 }
 
+static void
+refuse_reused_key(EbRequest *request, int64_t now_us)
+{
+    EB_EMIT(request->dispatcher->options.events, EB_EVENT_KEY_REUSED,
+            EB_STRING_FIELD("request_id", request->summary->request_id),
+            EB_STRING_FIELD("customer", request->customer->id));
+    EbRequest_Fail(request, EB_REASON_KEY_REUSED, NULL, now_us);
+}
+
 static void
 wait_for_local(EbRequest *request, int64_t now_us)
 {
@@ -325,8 +334,7 @@
     if (holder->claim_text_bytes != request->claim_text_bytes ||
         memcmp(holder->claim_text, request->claim_text,
                request->claim_text_bytes) != 0) {
-        EbRequest_Finish(request, EB_OUTCOME_UNKNOWN, EB_REASON_KEY_REUSED,
-                         NULL, NULL, now_us);
+        refuse_reused_key(request, now_us);
         return;
     }
     g_array_append_val(holder->waiters, request->id);
@@ -403,10 +411,7 @@
         replay(request, result, now_us);
         break;
     case EB_LEDGER_BODY_DIFFERS:
-        EB_EMIT(request->dispatcher->options.events, EB_EVENT_KEY_REUSED,
-                EB_STRING_FIELD("request_id", request->summary->request_id),
-                EB_STRING_FIELD("customer", request->customer->id));
-        EbRequest_Fail(request, EB_REASON_KEY_REUSED, NULL, now_us);
+        refuse_reused_key(request, now_us);
         break;
     case EB_LEDGER_HELD:
         wait_for_holder(request, result, now_us);
--- a/src/libebonyhollow_net/platform_client.c
+++ b/src/libebonyhollow_net/platform_client.c
@@ -13,6 +13,7 @@
 
 #define DEFAULT_MAX_CALLS 16
 #define DEFAULT_MAX_WAITING 256
+#define LEAST_TIME_SHARE 4 /* of the call time-out, to send at all */
 #define DEFAULT_CALL_TIMEOUT_US 2000000
 #define DEFAULT_WATCH_TIMEOUT_US 5000000
 #define MAX_HEADER_BYTES 16384
@@ -349,7 +350,10 @@
     while (client->waiting.length > 0 &&
            (slot = find_free_slot(client)) != NULL) {
         Call *call = g_queue_pop_head(&client->waiting);
-        if (call->deadline_us <= EbClock_Monotonic()) {
+        /* A call sent with hardly any time left would most probably be lost,
+         * which says less to its owner than that it was not sent. */
+        int64_t least_us = client->options.call_timeout_us / LEAST_TIME_SHARE;
+        if (call->deadline_us - EbClock_Monotonic() < least_us) {
             EbPlatform_Count(client, EbStoreOperation_names[call->operation],
                              "expired", "no free connection");
             reply_to(client, call, EB_STORE_UNAVAILABLE, 0, NULL);
