test_leaving: compute the present in microseconds without overflow

mawk's %d ends at 2^31 - 1, so that the check of the last call failed on a machine that was up for more than 2,147 s ("last call 551355 ms after the notice" in a run in which the load saw no violation). %.0f has no such bound; the check itself is unchanged.

--- a/test/process/test_leaving.sh
+++ b/test/process/test_leaving.sh
@@ -22,7 +22,7 @@
     curl -fsS "http://$eb_control/records" |
         jq --arg s "$1" '[.[] | select(.server == $s) | .at_us] | max // 0'
 }
-now_us() { awk '{printf "%d", $1 * 1000000}' /proc/uptime; }
+now_us() { awk '{printf "%.0f", $1 * 1000000}' /proc/uptime; }
 
 echo "== a backend server announces that it leaves"
 load 60 8 21 >"$eb_work/load-21.out" &
