--- a/src/libebonyhollow/ledger_write.c
+++ b/src/libebonyhollow/ledger_write.c
@@ -2,7 +2,6 @@
 
 #include <assert.h>
 
-#define WRITES_PER_S_DEFAULT 50
 #define ALLOWANCE_MICRO 1000000LL /* of one write */
 #define ALLOWANCE_MAX_S 1
 /* Peers that read the claim before its end was written ask for it shortly
@@ -25,6 +24,27 @@
         EbLedgerObject_Encode(ledger, claim, end_states[claim->outcome]));
 }
 
+static void
+defer_write(EbLedger *ledger, Claim *claim, int64_t now_us)
+{
+    claim->retry_at_us = now_us + EbLedger_Backoff(ledger, claim->failures);
+    claim->failures++;
+    EbLedger_Arm(ledger, claim->retry_at_us);
+}
+
+void
+EbLedger_SetWriteRate(EbLedger *ledger, uint32_t writes_per_s)
+{
+    ledger->options.writes_per_s = writes_per_s;
+}
+
+uint32_t
+EbLedger_WriteRate(const EbLedger *ledger)
+{
+    return ledger->options.writes_per_s > 0 ? ledger->options.writes_per_s
+                                            : EB_LEDGER_WRITES_PER_S;
+}
+
 void
 EbLedger_StartWrite(EbLedger *ledger, Claim *claim, int64_t now_us)
 {
@@ -39,17 +59,15 @@
     }
     ledger->unwritten++;
     claim->failures = 0;
+    if (ledger->store_failing) {
+        /* Joins the rate-limited writes, so that the store is not met by a
+         * burst when it answers again. */
+        defer_write(ledger, claim, now_us);
+        return;
+    }
     send_write(ledger, claim);
 }
 
-static void
-defer_write(EbLedger *ledger, Claim *claim, int64_t now_us)
-{
-    claim->retry_at_us = now_us + EbLedger_Backoff(ledger, claim->failures);
-    claim->failures++;
-    EbLedger_Arm(ledger, claim->retry_at_us);
-}
-
 static void
 finish_write(EbLedger *ledger, Claim *claim, int64_t now_us)
 {
@@ -72,6 +90,8 @@
 EbLedger_WriteReply(EbLedger *ledger, Claim *claim, const EbStoreReply *reply,
                     int64_t now_us)
 {
+    ledger->store_failing = reply->status == EB_STORE_LOST ||
+                            reply->status == EB_STORE_UNAVAILABLE;
     switch (reply->status) {
     case EB_STORE_OK:
         finish_write(ledger, claim, now_us);
@@ -102,9 +122,7 @@
 static bool
 take_write(EbLedger *ledger, int64_t now_us)
 {
-    int64_t rate = ledger->options.writes_per_s > 0
-                       ? ledger->options.writes_per_s
-                       : WRITES_PER_S_DEFAULT;
+    int64_t rate = EbLedger_WriteRate(ledger);
     int64_t passed_us = now_us - ledger->write_refill_us;
     int64_t room = rate * ALLOWANCE_MAX_S * ALLOWANCE_MICRO -
                    ledger->write_allowance_micro;
--- a/src/libebonyhollow/private/ledger_private.h
+++ b/src/libebonyhollow/private/ledger_private.h
@@ -58,8 +58,9 @@
     GQueue expired;           /* objects to delete */
     uint64_t next_id;
     uint64_t next_operation;
-    size_t unwritten;              /* claims in phase CLAIM_WRITING */
-    int64_t next_timer_us;         /* no timer is due before */
+    size_t unwritten;      /* claims in phase CLAIM_WRITING */
+    bool store_failing;    /* the last write of an end was not confirmed */
+    int64_t next_timer_us; /* no timer is due before */
     int64_t write_allowance_micro; /* token bucket of deferred writes */
     int64_t write_refill_us;
     int64_t sweep_at_us;
@@ -117,6 +118,11 @@
 
 /* ledger_write.c */
 
+#define EB_LEDGER_WRITES_PER_S 50
+
+/* Bound of this daemon's deferred writes a second. */
+uint32_t EbLedger_WriteRate(const EbLedger *ledger);
+
 /* Writes the end of a finished claim, now or later. */
 void EbLedger_StartWrite(EbLedger *ledger, Claim *claim, int64_t now_us);
 
--- a/test/load/client.c
+++ b/test/load/client.c
@@ -54,7 +54,8 @@
 static void
 check_text(Call *call, const char *text)
 {
-    char **tokens = g_strsplit(g_strchomp(g_strdup(text)), " ", -1);
+    char *trimmed = g_strchomp(g_strdup(text));
+    char **tokens = g_strsplit(trimmed, " ", -1);
     for (guint i = 0; tokens[i] != NULL; i++) {
         char expected[160];
         g_snprintf(expected, sizeof(expected), "%s/%u", call->marker, i);
@@ -69,6 +70,7 @@
         break;
     }
     g_strfreev(tokens);
+    g_free(trimmed);
 }
 
 static void
@@ -207,10 +209,12 @@
         request != NULL && evhttp_request_get_response_code(request) == 0;
     if (refused && call->resends < RESENDS_MAX) {
         call->resends++;
+        g_queue_push_tail(&call->load->broken, call->connection);
         send_call(call);
         return;
     }
     if (request == NULL || refused) {
+        g_queue_push_tail(&call->load->broken, call->connection);
         end_call(call);
         return;
     }
@@ -354,15 +358,18 @@
 static void
 probe_target(Load *load, Target *target)
 {
-    struct evhttp_connection *connection = evhttp_connection_base_new(
-        load->base, NULL, target->health_host, target->health_port);
-    evhttp_connection_set_timeout(connection, PROBE_TIMEOUT_S);
-    evhttp_connection_free_on_completion(connection);
+    if (target->probe_connection == NULL) {
+        target->probe_connection = evhttp_connection_base_new(
+            load->base, NULL, target->health_host, target->health_port);
+        evhttp_connection_set_timeout(target->probe_connection,
+                                      PROBE_TIMEOUT_S);
+    }
     struct evhttp_request *request = evhttp_request_new(probed, target);
     evhttp_add_header(evhttp_request_get_output_headers(request), "Connection",
                       "close");
     target->probing = true;
-    evhttp_make_request(connection, request, EVHTTP_REQ_GET, "/readyz");
+    evhttp_make_request(target->probe_connection, request, EVHTTP_REQ_GET,
+                        "/readyz");
 }
 
 static void
--- a/test/load/load.h
+++ b/test/load/load.h
@@ -66,6 +66,7 @@
     uint16_t health_port;
     bool ready;
     bool probing;
+    struct evhttp_connection *probe_connection;
     Load *load;
 } Target;
 
@@ -89,6 +90,8 @@
     struct event *arrival;
     int64_t next_arrival_us;
     struct event *probe;
+    GQueue broken; /* connections that failed, freed at the end since evhttp
+                      still uses them in its callback */
     bool over;
 };
 
--- a/test/load/main.c
+++ b/test/load/main.c
@@ -222,11 +222,18 @@
 static void
 free_load(Load *load)
 {
+    struct evhttp_connection *broken;
+    while ((broken = g_queue_pop_head(&load->broken)) != NULL) {
+        evhttp_connection_free(broken);
+    }
     for (uint32_t i = 0; i < load->target_count; i++) {
         struct evhttp_connection *idle;
         while ((idle = g_queue_pop_head(&load->targets[i].idle)) != NULL) {
             evhttp_connection_free(idle);
         }
+        if (load->targets[i].probe_connection != NULL) {
+            evhttp_connection_free(load->targets[i].probe_connection);
+        }
         g_free(load->targets[i].host);
         g_free(load->targets[i].health_host);
     }
