--- a/include/ebonyhollow/event.h
+++ b/include/ebonyhollow/event.h
@@ -1,7 +1,7 @@
 /* EbEvent: the numbered events of the system and the sink they go to.
  *
  * The decisions emit events through an EbEventSink and never write a log
- * themselves. The table in event.c is the source of docs/events.md. */
+ * themselves. The table in event_table.h is the source of docs/events.md. */
 #ifndef EBONYHOLLOW_EVENT_H
 #define EBONYHOLLOW_EVENT_H
 
--- a/src/test_share/main.c
+++ b/src/test_share/main.c
@@ -208,6 +208,25 @@
     CU_ASSERT_EQUAL(EbReason_Parse(""), EB_REASON_COUNT);
 }
 
+/* Guards against reasons whose wire names the interface page does not list,
+ * or lists with another status. */
+static void
+test_reasons_page(void)
+{
+    char *page = NULL;
+    CU_ASSERT_TRUE_FATAL(g_file_get_contents(
+        EB_SOURCE_DIRECTORY "/docs/api.md", &page, NULL, NULL));
+    for (int i = 0; i < EB_REASON_COUNT; i++) {
+        const EbReasonInfo *info = &EbReason_table[i];
+        char *row = g_strdup_printf(
+            "| `%s` | %d | %s | %s |\n", info->name, info->http_status,
+            info->retry_after ? "yes" : "no", info->title);
+        CU_ASSERT_PTR_NOT_NULL(strstr(page, row));
+        g_free(row);
+    }
+    g_free(page);
+}
+
 /* Guards against a generator that leaves its range or ignores its seed. */
 static void
 test_random(void)
@@ -318,6 +337,7 @@
         {"event table", test_event_table},
         {"event page", test_event_page},
         {"outcome names", test_outcome_names},
+        {"reasons page", test_reasons_page},
         {"random", test_random},
         {"log lines", test_log_lines},
         {"log rate limit", test_log_rate_limit},
