--- a/test/process/lib.sh
+++ b/test/process/lib.sh
@@ -1,8 +1,7 @@
 # Functions for tests with real processes. Source it; not a test itself.
 #
 # Addresses of the example deployments (10.x) are mapped to loopback
-# addresses (127.x) with an offset that differs from run to run, so that two
-# runs on one machine do not meet.
+# addresses (127.x).
 
 eb_root=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 eb_pids=()
@@ -12,7 +11,7 @@
     eb_build=$1
     eb_deployment=$2
     eb_work=$(mktemp -d)
-    eb_offset=$((RANDOM % 160))
+    eb_take_lock || exit 1
     eb_token=$eb_work/token
     eb_admin_token=$eb_work/admin-token
     printf 'demo-%s-on-call' "$eb_deployment" >"$eb_admin_token"
@@ -21,6 +20,27 @@
         >"$eb_work/configuration.json"
 }
 
+# Waits until no other test with real processes runs on this machine: the
+# addresses of the examples are fixed, and daemons of two runs would meet. A
+# directory names the holder; one whose holder is gone is taken over.
+eb_lock=/tmp/ebonyhollow-process-test
+eb_take_lock() {
+    local left=900 holder
+    until mkdir "$eb_lock" 2>/dev/null; do
+        holder=$(cat "$eb_lock/pid" 2>/dev/null)
+        if [ -n "$holder" ] && ! kill -0 "$holder" 2>/dev/null; then
+            rm -rf "$eb_lock"
+        fi
+        left=$((left - 1))
+        if [ "$left" -le 0 ]; then
+            echo "another test with real processes does not end" >&2
+            return 1
+        fi
+        sleep 1
+    done
+    echo $$ >"$eb_lock/pid"
+}
+
 # Kills what is still running and removes the work directory.
 eb_end() {
     local pid
@@ -29,6 +49,7 @@
         kill -KILL "$pid" 2>/dev/null
     done
     wait 2>/dev/null
+    rm -rf "$eb_lock"
     if [ -n "${EB_KEEP:-}" ]; then
         echo "kept $eb_work"
     else
@@ -38,16 +59,14 @@
 
 # Maps every "host" of a JSON text to loopback.
 eb_map() {
-    jq --argjson k "$eb_offset" 'def map_host: split(".") | .[0] = "127"
-        | .[1] = ((.[1] | tonumber) + $k | tostring) | join(".");
-        walk(if type == "object" and (.host | type) == "string"
-             then .host |= map_host else . end)'
+    jq 'walk(if type == "object" and (.host | type) == "string"
+             then .host |= sub("^10[.]"; "127.") else . end)'
 }
 
 # eb_standin [OPTIONS]: starts platform and backend servers.
 eb_standin() {
-    eb_platform_host=127.$eb_offset.255.1
-    eb_control=127.$eb_offset.255.2:8600
+    eb_platform_host=127.0.255.1
+    eb_control=127.0.255.2:8600
     "$eb_build/test/standin/standin" --document "$eb_work/configuration.json" \
         --site "$eb_site" --platform "$eb_platform_host:8500" \
         --control "$eb_control" "$@" >"$eb_work/standin.log" 2>&1 &
