test: exposition and lists in measure_decisions

The platform's lists and the exposition are handled in one turn of the event loop, so their time is a pause for every stream of the daemon.

--- a/test/measure_decisions.c
+++ b/test/measure_decisions.c
@@ -764,6 +764,109 @@
     g_free(records);
 }
 
+/* Metrics */
+
+/* All series that a number of customers can have, and their exposition. */
+static void
+measure_metrics(uint32_t customers)
+{
+    char customer[32], pipeline[8], label[96];
+    size_t before = allocated();
+    EbMetrics *metrics = EbMetrics_New();
+    for (uint32_t i = 0; i < customers; i++) {
+        snprintf(customer, sizeof(customer), "customer-%u", i);
+        EbMetrics_Observe(metrics, EB_METRIC_TOTAL_TIME_US, 1000 + i, customer,
+                          NULL, NULL);
+        EbMetrics_Observe(metrics, EB_METRIC_FIRST_TOKEN_US, 1000 + i,
+                          customer, NULL, NULL);
+        EbMetrics_Observe(metrics, EB_METRIC_TOKEN_GAP_US, 1000 + i, customer,
+                          NULL, NULL);
+        for (int j = 0; j < PIPELINES; j++) {
+            snprintf(pipeline, sizeof(pipeline), "p%d", j);
+            EbMetrics_Add(metrics, EB_METRIC_IN_TIME, 1, customer, pipeline,
+                          NULL);
+            EbMetrics_Add(metrics, EB_METRIC_TOKENS, 1, customer, pipeline,
+                          NULL);
+            for (int k = 0; k < EB_OUTCOME_COUNT; k++) {
+                EbMetrics_Add(metrics, EB_METRIC_REQUESTS, 1, customer,
+                              pipeline, EbOutcome_names[k]);
+            }
+            for (int k = 0; k < EB_STAGE_KIND_COUNT; k++) {
+                EbMetrics_Add(metrics, EB_METRIC_SERVER_TIME_US, 1, customer,
+                              pipeline, EbStageKind_names[k]);
+            }
+        }
+    }
+    size_t bytes = allocated() - before;
+    double format[RUNS];
+    size_t text_bytes = 0;
+    for (int run = 0; run < RUNS; run++) {
+        int64_t begun_ns = processor_ns();
+        free(EbMetrics_Format(metrics, &text_bytes));
+        format[run] = (double)(processor_ns() - begun_ns) / 1e6;
+    }
+    printf("metrics, %u customers, %d pipelines: %zu bytes, exposition %zu "
+           "bytes\n",
+           customers, PIPELINES, bytes, text_bytes);
+    snprintf(label, sizeof(label), "EbMetrics_Format, %u customers",
+             customers);
+    print_range(label, format, "ms");
+    EbMetrics_Free(metrics);
+}
+
+/* Lists of the platform */
+
+/* Parses a list of objects as the platform client does. */
+static void
+measure_list(const char *kind, const char *name, const char *value,
+             uint32_t items)
+{
+    char label[96];
+    double parsed[RUNS];
+    GString *text = g_string_new("{\"revision\":1,\"items\":[");
+    for (uint32_t i = 0; i < items; i++) {
+        g_string_append_printf(
+            text, "%s{\"name\":\"%s-%05u\",\"version\":%u,\"value\":%s}",
+            i ? "," : "", name, i, 100000 + i, value);
+    }
+    g_string_append(text, "]}");
+    size_t bytes = 0;
+    for (int run = 0; run < RUNS; run++) {
+        size_t before = allocated();
+        int64_t begun_ns = processor_ns();
+        json_t *list = json_loadb(text->str, text->len, 0, NULL);
+        parsed[run] = (double)(processor_ns() - begun_ns) / 1e6;
+        bytes = allocated() - before;
+        json_decref(list);
+    }
+    printf("list of %u %s: %zu bytes, parsed %zu bytes\n", items, kind,
+           text->len, bytes);
+    snprintf(label, sizeof(label), "parsing of it");
+    print_range(label, parsed, "ms");
+    g_string_free(text, TRUE);
+}
+
+static void
+measure_lists(void)
+{
+    static const char instance[] =
+        "{\"role\":\"backend\",\"state\":\"live\",\"address\":"
+        "\"10.0.1.17:9000\",\"failure_domain\":\"domain-1\"}";
+    measure_list("instances", "instance", instance, 60);
+    measure_list("instances", "instance", instance, 990);
+    /* A claim as EbLedger writes it, without an answer. */
+    static const char claim[] =
+        "{\"state\":\"done\",\"nonce\":\"0123456789abcdef0123456789abcdef\","
+        "\"body_digest\":\"0123456789abcdef0123456789abcdef\",\"instance\":"
+        "\"capas-recife-1\",\"incarnation\":1700000000000000,\"address\":"
+        "\"10.81.0.11:8082\",\"created_us\":1700000000000000,\"outcome\":"
+        "\"done\",\"reason\":\"none\"}";
+    measure_list("claims",
+                 "customer-17.0123456789abcdef0123456789abcdef0123456789abcdef"
+                 "0123456789a",
+                 claim, 4570);
+}
+
 int
 main(void)
 {
@@ -789,5 +892,8 @@
     measure_rest(50, 5);
     measure_rest(660, 400);
     measure_messages();
+    measure_metrics(5);
+    measure_metrics(400);
+    measure_lists();
     return 0;
 }
