--- a/test/measure_decisions.c
+++ b/test/measure_decisions.c
@@ -854,17 +854,24 @@
         "\"10.0.1.17:9000\",\"failure_domain\":\"domain-1\"}";
     measure_list("instances", "instance", instance, 60);
     measure_list("instances", "instance", instance, 990);
-    /* A claim as EbLedger writes it, without an answer. */
+    /* A claim as EbLedger writes it. test/measure/daemon.sh shows 1,145 bytes
+     * in a list for an answer of 12 tokens and a receipt. */
     static const char claim[] =
         "{\"state\":\"done\",\"nonce\":\"0123456789abcdef0123456789abcdef\","
         "\"body_digest\":\"0123456789abcdef0123456789abcdef\",\"instance\":"
         "\"capas-recife-1\",\"incarnation\":1700000000000000,\"address\":"
         "\"10.81.0.11:8082\",\"created_us\":1700000000000000,\"outcome\":"
-        "\"done\",\"reason\":\"none\"}";
-    measure_list("claims",
-                 "customer-17.0123456789abcdef0123456789abcdef0123456789abcdef"
-                 "0123456789a",
-                 claim, 4570);
+        "\"done\",\"reason\":\"none\",\"body\":{\"answer\":\"%s\"}}";
+    static const char name[] =
+        "customer-17.0123456789abcdef0123456789abcdef0123456789abcdef"
+        "0123456789a";
+    char answer[750];
+    memset(answer, 'x', sizeof(answer) - 1);
+    answer[sizeof(answer) - 1] = '\0';
+    char *value = g_strdup_printf(claim, answer);
+    measure_list("claims", name, value, 457);
+    measure_list("claims", name, value, 4570);
+    g_free(value);
 }
 
 int
