--- a/test/measure/daemon.sh
+++ b/test/measure/daemon.sh
@@ -36,13 +36,10 @@
     done
     echo "$sum"
 }
-# metric REGEX: sum of the matching series over all daemons.
+# metric FILE REGEX: sum of the matching series.
 metric() {
-    local pair
-    for pair in "${instances[@]}"; do
-        curl -fsS "http://$(eb_address "${pair%-*}" "${pair#*-}" admin)/metrics"
-    done | awk -v pattern="$1" '$0 ~ pattern { sum += $NF }
-        END { printf "%.0f\n", sum }'
+    awk -v pattern="$2" '$0 ~ pattern { sum += $NF }
+        END { printf "%.0f\n", sum }' "$1"
 }
 # Resident memory in kB, least and greatest.
 resident() {
@@ -56,23 +53,35 @@
     awk -v v="$1" -v d="$2" 'BEGIN { if (d > 0) printf "%.2f", v / d
         else printf "not measured" }'
 }
-# Sets the variables with the given prefix. Reading metrics costs the daemons
-# time: ticks are read after them at the start of an interval, before them at
-# its end.
+# Reads the metrics of all daemons and sets the variables with the given
+# prefix. Reading metrics costs the daemons time: ticks are read after them at
+# the start of an interval, before them at its end.
 snapshot() {
+    local pair file=$eb_work/metrics
     [ "$1" = a ] || printf -v "$1_ticks" '%s' "$(ticks)"
-    printf -v "$1_bytes" '%s' "$(metric '^ebonyhollow_peer_bytes_total')"
-    printf -v "$1_messages" '%s' "$(metric '^ebonyhollow_peer_messages_total')"
-    printf -v "$1_calls" '%s' "$(metric '^ebonyhollow_platform_calls_total')"
-    printf -v "$1_requests" '%s' "$(metric '^ebonyhollow_requests_total')"
-    printf -v "$1_tokens" '%s' "$(metric '^ebonyhollow_generated_tokens_total')"
+    for pair in "${instances[@]}"; do
+        curl -fsS "http://$(eb_address "${pair%-*}" "${pair#*-}" admin)/metrics"
+    done >"$file"
+    printf -v "$1_us" '%s' "${EPOCHREALTIME/./}"
+    [ "$1" = b ] || printf -v "$1_ticks" '%s' "$(ticks)"
+    printf -v "$1_bytes" '%s' "$(metric "$file" '^ebonyhollow_peer_bytes_total')"
+    printf -v "$1_messages" '%s' \
+        "$(metric "$file" '^ebonyhollow_peer_messages_total')"
+    printf -v "$1_calls" '%s' \
+        "$(metric "$file" '^ebonyhollow_platform_calls_total')"
+    printf -v "$1_requests" '%s' \
+        "$(metric "$file" '^ebonyhollow_requests_total')"
+    printf -v "$1_tokens" '%s' \
+        "$(metric "$file" '^ebonyhollow_generated_tokens_total')"
     printf -v "$1_time" '%s' \
-        "$(metric '^ebonyhollow_request_time_microseconds_sum')"
+        "$(metric "$file" '^ebonyhollow_request_time_microseconds_sum')"
     printf -v "$1_server" '%s' \
-        "$(metric '^ebonyhollow_server_time_microseconds_total')"
-    printf -v "$1_queue" '%s' \
-        "$(metric '^ebonyhollow_queue_time_microseconds_sum')"
-    [ "$1" = b ] || printf -v "$1_ticks" '%s' "$(ticks)"
+        "$(metric "$file" '^ebonyhollow_server_time_microseconds_total')"
+}
+# Rate of a counter between the snapshots, for each daemon and second.
+each() { # before after
+    awk -v n="$(($2 - $1))" -v us="$((b_us - a_us))" -v d="${#instances[@]}" \
+        'BEGIN { printf "%.2f", n * 1e6 / us / d }'
 }
 
 eb_start_three --tokens "${EB_TOKENS:-12}" \
@@ -97,11 +106,9 @@
 rest_ticks=$((b_ticks - a_ticks))
 echo "at rest, each: $(per $(((b_ticks - a_ticks) * 1000000 / ticks_per_s)) \
     $((rest_s * ${#instances[@]}))) us of processor time a second"
-echo "at rest, each: $(per $((b_bytes - a_bytes)) \
-    $((rest_s * ${#instances[@]}))) bytes/s, $(per \
-    $((b_messages - a_messages)) $((rest_s * ${#instances[@]}))) messages/s, \
-both directions; $(per $((b_calls - a_calls)) \
-    $((rest_s * ${#instances[@]}))) platform calls/s"
+echo "at rest, each: $(each "$a_bytes" "$b_bytes") bytes/s and $(each \
+    "$a_messages" "$b_messages") messages/s in both directions, $(each \
+    "$a_calls" "$b_calls") platform calls/s"
 
 targets=$(eb_targets "${instances[@]}")
 # The kinds differ in stages and tokens, so that the slopes can be separated.
@@ -115,14 +122,20 @@
     requests=$((b_requests - a_requests))
     echo "$kind: $requests requests, tokens per request \
 $(per $((b_tokens - a_tokens)) "$requests"), processor time per request \
-$(per "$(((b_ticks - a_ticks - \
-        rest_ticks * (load_s + 1) / rest_s) * 1000000 / ticks_per_s))" \
-        "$requests") us; \
-time in the daemon $(per $((b_time - a_time)) "$requests") us, of it at \
-servers $(per $((b_server - a_server)) "$requests") us, in queues \
-$(per $((b_queue - a_queue)) "$requests") us; platform calls per request \
-$(per $((b_calls - a_calls)) "$requests"); peer bytes/s each \
-$(per $((b_bytes - a_bytes)) $(((load_s + 1) * ${#instances[@]})))"
+$(per "$(((b_ticks - a_ticks - rest_ticks * (load_s + 1) / rest_s) \
+        * 1000000 / ticks_per_s))" "$requests") us; time in the daemon \
+$(per $((b_time - a_time)) "$requests") us, of it at servers \
+$(per $((b_server - a_server)) "$requests") us; platform calls per request \
+$(per $((b_calls - a_calls)) "$requests"); peer bytes/s each $(each \
+    "$a_bytes" "$b_bytes")"
 done
+# Size of the stored claims, as the sweep lists them.
+for digits in {0..9} {a..f}; do
+    for second in {0..9} {a..f}; do
+        curl -fsS "http://$eb_platform_host:8500/v1/objects/claims-$digits$second"
+    done
+done | jq -s -r '[.[].items[]] | map(tojson | length) | sort
+    | "stored claims: \(length), bytes in a list: mean \(add / ([length, 1]
+      | max) | floor), greatest \(last)"'
 echo "resident memory after the load, kB, least and greatest: $(resident)"
 echo "load $(cut -d' ' -f1-3 /proc/loadavg)"
