ledger: 4,096 kinds of claims, listed one after another

Cause: CAPACITY.md measured one listing of a 256th of the claims at 162 ms and 5.2 MB with 13 keyed requests a second, once a minute in each daemon, and a random choice of the kind gives no bound on when a kind is visited. Change: three hex digits instead of two; a daemon goes through the kinds in order from a random start.

--- a/include/ebonyhollow/ledger.h
+++ b/include/ebonyhollow/ledger.h
@@ -23,6 +23,8 @@
 #define EB_LEDGER_RETENTION_US (24LL * 3600 * 1000 * 1000)
 #define EB_LEDGER_MAX_UNWRITTEN 1024
 #define EB_KEY_DIGEST_HEX_BYTES 65
+#define EB_LEDGER_KIND_HEX_DIGITS 3
+#define EB_LEDGER_KIND_COUNT 4096
 
 typedef struct EbLedger EbLedger;
 
@@ -143,6 +145,11 @@
  * keep their proportion to it. */
 void EbLedger_SetWriteRate(EbLedger *ledger, uint32_t writes_per_s);
 
+/* Kind that holds the claim of a key: claims are spread over
+ * EB_LEDGER_KIND_COUNT kinds by the first digits of the key's digest, so that
+ * one listing of expired claims stays small. Free with g_free. */
+char *EbLedger_Kind(const char *key_digest);
+
 /* Retries deferred writes and times out claims. */
 void EbLedger_Tick(EbLedger *ledger, int64_t now_us);
 
--- a/src/libebonyhollow/ledger_object.c
+++ b/src/libebonyhollow/ledger_object.c
@@ -17,9 +17,10 @@
 };
 
 char *
-EbLedgerObject_Kind(const char *key_digest)
+EbLedger_Kind(const char *key_digest)
 {
-    return g_strdup_printf("claims-%.2s", key_digest);
+    return g_strdup_printf("claims-%.*s", EB_LEDGER_KIND_HEX_DIGITS,
+                           key_digest);
 }
 
 json_t *
--- a/src/libebonyhollow/ledger_sweep.c
+++ b/src/libebonyhollow/ledger_sweep.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#define KIND_COUNT 256
 #define SWEEP_INTERVAL_US (60LL * 1000 * 1000)
 /* Clocks of the instances may differ, and an early delete would let a key run
  * twice. */
@@ -58,10 +57,11 @@
 }
 
 static void
-list_some_kind(EbLedger *ledger)
+list_next_kind(EbLedger *ledger)
 {
-    uint64_t number = EbRandom_Below(ledger->options.random, KIND_COUNT);
-    char *kind = g_strdup_printf("claims-%02x", (unsigned)number);
+    char *kind = g_strdup_printf("claims-%0*x", EB_LEDGER_KIND_HEX_DIGITS,
+                                 (unsigned)ledger->sweep_kind);
+    ledger->sweep_kind = (ledger->sweep_kind + 1) % EB_LEDGER_KIND_COUNT;
     ledger->sweep_operation =
         push_operation(ledger, EB_STORE_LIST, kind, g_strdup(""), 0);
 }
@@ -88,6 +88,10 @@
         return;
     }
     if (ledger->sweep_at_us == 0) {
+        /* Each daemon starts elsewhere, so that together they go through all
+         * kinds in a fraction of the time. */
+        ledger->sweep_kind = (uint32_t)EbRandom_Below(ledger->options.random,
+                                                      EB_LEDGER_KIND_COUNT);
         schedule(ledger, SWEEP_INTERVAL_US, now_us);
     }
     if (now_us < ledger->sweep_at_us) {
@@ -98,7 +102,7 @@
         delete_next(ledger);
     }
     else if (!busy) {
-        list_some_kind(ledger);
+        list_next_kind(ledger);
     }
     schedule(ledger,
              ledger->expired.length > 0 ? DELETE_INTERVAL_US
@@ -129,7 +133,7 @@
             continue;
         }
         ExpiredObject *expired = g_new0(ExpiredObject, 1);
-        expired->kind = EbLedgerObject_Kind(digest + 1);
+        expired->kind = EbLedger_Kind(digest + 1);
         expired->name = g_strdup(name);
         expired->version =
             (uint64_t)json_integer_value(json_object_get(item, "version"));
--- a/src/libebonyhollow/private/ledger_private.h
+++ b/src/libebonyhollow/private/ledger_private.h
@@ -64,6 +64,7 @@
     int64_t write_allowance_micro; /* token bucket of deferred writes */
     int64_t write_refill_us;
     int64_t sweep_at_us;
+    uint32_t sweep_kind; /* next of the kinds to list */
     uint64_t sweep_operation;
     uint64_t delete_operation;
 };
@@ -91,10 +92,6 @@
 
 /* ledger_object.c */
 
-/* Kind that holds a key's claim: claims are spread over 256 kinds by digest,
- * so that one listing of expired claims stays small. */
-char *EbLedgerObject_Kind(const char *key_digest);
-
 json_t *EbLedgerObject_Encode(const EbLedger *ledger, const Claim *claim,
                               EbClaimState state);
 
--- a/src/test_ledger/main.c
+++ b/src/test_ledger/main.c
@@ -11,6 +11,8 @@
 #define TABLE_COUNT(table) (sizeof(table) / sizeof((table)[0]))
 #define SECOND_US 1000000LL
 #define DAEMON_COUNT 2
+/* Ticks of 30 s in which one daemon lists every kind of claims. */
+#define SWEEP_TICKS (4 * EB_LEDGER_KIND_COUNT)
 
 /* What the store does with one operation. */
 typedef enum {
@@ -474,7 +476,7 @@
                     EB_REASON_NONE, NULL, world->now_us);
     settle(world, 0, 20000);
     world->wall_us += EB_LEDGER_RETENTION_US;
-    for (int i = 0; i < 3000; i++) {
+    for (int i = 0; i < SWEEP_TICKS; i++) {
         world->now_us += 30 * SECOND_US;
         EbLedger_Tick(world->daemons[0].ledger, world->now_us);
         while (serve(world, 0, STORE_WORKS)) {
@@ -482,7 +484,7 @@
     }
     CU_ASSERT_EQUAL(g_hash_table_size(world->objects), 1);
     world->wall_us += 7200 * SECOND_US;
-    for (int i = 0; i < 6000; i++) {
+    for (int i = 0; i < SWEEP_TICKS; i++) {
         world->now_us += 30 * SECOND_US;
         EbLedger_Tick(world->daemons[0].ledger, world->now_us);
         while (serve(world, 0, STORE_WORKS)) {
@@ -553,7 +555,7 @@
     object->version = 4;
     object->value = json_string("x");
     g_hash_table_insert(world->objects,
-                        g_strdup_printf("claims-%.2s/c.%s", digest, digest),
+                        g_strdup_printf("claims-%.3s/c.%s", digest, digest),
                         object);
     claim_key(world, 0, "k", "{}");
     settle(world, 0, 20000);
