measure: scripts that compare the policies under load and faults

run_scenario.sh starts stand-ins and three daemons, computes the capacity of the bottleneck pool for the plan's mix and runs the baseline and the adaptive policy with the same seed.

--- /dev/null
+++ b/test/measure/run_scenario.sh
@@ -0,0 +1,126 @@
+#!/usr/bin/env bash
+# Runs one scenario with the baseline and with the adaptive policy, with the
+# same seed, and prints a table and the figures as JSON. Not run by CI.
+#
+# Usage: run_scenario.sh BUILD-DIRECTORY SCENARIO
+#
+# SCENARIO is slow, overload, refuse, cut, silent or latency.
+# Environment: MEASURE_SECONDS (30), MEASURE_SCALE (24), MEASURE_SEED (7),
+# MEASURE_POLICIES ("plain adaptive"), MEASURE_OUT (directory for the JSON).
+#
+# The capacities of the example are divided by three and the stand-ins slowed
+# down by MEASURE_SCALE, so that the stand-ins' slots and not the machine's
+# processors bound the throughput.
+set -uo pipefail
+measure_directory=$(cd "$(dirname "$0")" && pwd)
+. "$measure_directory/../process/lib.sh"
+build=$1
+scenario=$2
+seconds=${MEASURE_SECONDS:-30}
+scale=${MEASURE_SCALE:-24}
+seed=${MEASURE_SEED:-7}
+plan=$measure_directory/plan.json
+fault=none
+amount=0
+case $scenario in
+slow) share=0.8 fault=slow amount=10 ;;
+overload) share=1.5 plan=$measure_directory/plan-overload.json ;;
+refuse | cut | silent) share=0.6 fault=$scenario ;;
+latency) share=0.1 ;;
+*)
+    echo "unknown scenario $scenario" >&2
+    exit 2
+    ;;
+esac
+
+# Processor time of a process in seconds.
+cpu_seconds() {
+    awk -v hz="$(getconf CLK_TCK)" '{ print ($14 + $15) / hz }' "/proc/$1/stat"
+}
+
+set_faults() {
+    [ "$fault" = none ] && return
+    local server
+    for server in $(jq -r '[.base.backend_servers | to_entries[]]
+        | group_by(.value.pool)[] | .[0].key' "$eb_work/configuration.json"); do
+        eb_fault "$server" "$fault" "$amount"
+    done
+}
+
+describe_cpu() {
+    jq -nc --argjson standin "$(cpu_seconds "$eb_standin_pid")" \
+        --argjson daemon "$(cpu_seconds "$(eb_pid recife 1)")" \
+        '{standin: $standin, one_daemon: $daemon}'
+}
+
+# run_policy POLICY FILE: one run in a deployment of its own.
+run_policy() {
+    EB_SETTINGS="{policy: \"$1\"}"
+    eb_begin "$build" capas
+    eb_site=recife
+    eb_sites=(recife salvador fortaleza)
+    jq '.base.backend_servers[].capacity |= (. / 3 | floor)' \
+        "$eb_work/configuration.json" >"$eb_work/scaled.json"
+    mv "$eb_work/scaled.json" "$eb_work/configuration.json"
+    local capacity rate
+    capacity=$(jq --slurpfile plan "$plan" --argjson scale "$scale" \
+        -f "$measure_directory/capacity.jq" "$eb_work/configuration.json" |
+        jq .per_s)
+    rate=$(jq -n "$capacity * $share")
+    # 75: another run on this machine may use the same loopback addresses.
+    eb_start_three --time-scale "$scale" ||
+        { tail -n 3 "$eb_work"/*.log >&2; exit 75; }
+    "$eb_build/test/load/load" --plan "$plan" --control "$eb_control" \
+        --targets "$(eb_targets recife-1 salvador-1 fortaleza-1)" \
+        --rate "$rate" --seconds "$seconds" --seed "$seed" \
+        --json "$eb_work/load.json" >"$eb_work/load.out" &
+    local load_pid=$!
+    sleep 3
+    set_faults
+    wait "$load_pid"
+    curl -fsS "http://$eb_control/records" >"$eb_work/records.json"
+    jq --arg name "$scenario" --arg policy "$1" \
+        --argjson capacity "$capacity" --argjson rate "$rate" \
+        --argjson window "$seconds" --argjson cpu "$(describe_cpu)" \
+        --slurpfile records "$eb_work/records.json" \
+        -f "$measure_directory/summary.jq" "$eb_work/load.json" >"$2"
+    if [ -n "${MEASURE_INSPECT:-}" ]; then
+        eb_inspect "$1"
+    fi
+}
+
+# Keeps the daemons' view of servers and requests beside the figures.
+eb_inspect() {
+    local site
+    for site in "${eb_sites[@]}"; do
+        eb_command "$site" 1 servers --output json \
+            >"$out/$scenario-$1-$site-servers.json" 2>&1
+        eb_command "$site" 1 requests --output json \
+            >"$out/$scenario-$1-$site-requests.json" 2>&1
+        curl -fsS "http://$(eb_address "$site" 1 admin)/metrics" \
+            >"$out/$scenario-$1-$site-metrics" 2>&1
+    done
+    cp "$eb_work/load.out" "$out/$scenario-$1-load.out"
+}
+
+out=${MEASURE_OUT:-$(mktemp -d)}
+files=()
+echo "load average $(cut -d' ' -f1-3 /proc/loadavg), $(date -Is)"
+for policy in ${MEASURE_POLICIES:-plain adaptive}; do
+    file=$out/$scenario-$policy.json
+    rm -f "$file"
+    for _ in 1 2 3; do
+        (run_policy "$policy" "$file")
+        status=$?
+        [ "$status" -eq 75 ] || break
+    done
+    [ "$status" -eq 0 ] || exit 1
+    files+=("$file")
+done
+jq -rs '["policy", "rate/s", "capacity/s", "sent", "attain %", "in time/s",
+    "of cap %", "extra %"], (.[] | [.policy, (.rate_per_s * 10 | round / 10),
+    (.capacity_per_s * 10 | round / 10), .sent, .attainment,
+    (.in_time_per_s_whole * 10 | round / 10), .of_capacity, .extra_share])
+    | @tsv' "${files[@]}" | column -t -s "$(printf '\t')"
+jq -c '{policy, customers, outcomes, reasons, violations, cpu_s}' \
+    "${files[@]}"
