dispatcher: a stage that succeeds after a break clears its request

Cause: with one server of each pool that breaks connections mid-call, a request alone on such an encoder scores 2 points, and 1 or 2 more on such a retriever, which quarantines it although it harms no server.

Change: the success of a stage clears the suspicion when a call of that stage broke before, or when the attempt was in flight during a break. A success without a break still clears nothing, since a poison request may crash the servers of a later stage.

--- a/src/libebonyhollow/dispatcher_attempt.c
+++ b/src/libebonyhollow/dispatcher_attempt.c
@@ -339,6 +339,7 @@
     bool idempotent = request->pipeline->stages[attempt->stage].idempotent;
     report_failure(attempt, cause);
     if (result == EB_CALL_BROKEN && !lookup) {
+        request->broken = true;
         EbAttempt_Crashed(attempt, now_us);
         if (attempt->pool->prefix != NULL) {
             EbPrefix_Forget(attempt->pool->prefix, attempt->server_id);
@@ -423,9 +424,26 @@
     };
 }
 
+/* Clears the suspicion of a request whose stage succeeded after a server
+ * broke a call of it. Otherwise a faulty server in each of two pools is enough
+ * to quarantine a request that harms none. A success without a break says
+ * nothing, since a poison request may crash the servers of a later stage. */
+static void
+clear_suspicion(const EbAttempt *attempt, int64_t now_us)
+{
+    const EbRequest *request = attempt->request;
+    EbDispatcher *dispatcher = request->dispatcher;
+    if ((request->broken || attempt->crash_scored) &&
+        !EbDispatcher_IsPlain(dispatcher)) {
+        EbQuarantine_Success(dispatcher->options.quarantine,
+                             request->fingerprint, now_us);
+    }
+}
+
 static void
 complete_stage(EbAttempt *attempt, json_t *result, int64_t now_us)
 {
+    clear_suspicion(attempt, now_us);
     EbRequest *request = attempt->request;
     const EbConfigStage *stage = EbRequest_Stage(request);
     EbMetrics_Observe(request->dispatcher->options.metrics,
--- a/src/libebonyhollow/dispatcher_stage.c
+++ b/src/libebonyhollow/dispatcher_stage.c
@@ -19,6 +19,7 @@
     }
     request->excluded_count = 0;
     request->failures = 0;
+    request->broken = false;
     request->parks = 0;
     request->hedged = false;
     request->retry_us = 0;
--- a/src/libebonyhollow/private/dispatcher_private.h
+++ b/src/libebonyhollow/private/dispatcher_private.h
@@ -136,6 +136,7 @@
     char *excluded[EB_POOL_MAX_EXCLUDED]; /* servers that failed this stage */
     uint32_t excluded_count;
     uint32_t failures; /* of this stage */
+    bool broken;       /* a call of this stage broke mid-call */
     uint32_t parks;
     bool hedged;
     int64_t queued_us;
--- a/src/test_dispatcher/main.c
+++ b/src/test_dispatcher/main.c
@@ -249,6 +249,22 @@
     World_Free(world);
 }
 
+/* Guards against the quarantine of a request that meets one server that breaks
+ * connections in each of two pools and harms none. */
+static void
+test_breaks_of_two_pools(void)
+{
+    World *world = World_New(&(WorldOptions){.seed = 1});
+    inject(world, FAULT_BROKEN, STEP_ENCODE, 1);
+    inject(world, FAULT_BROKEN, STEP_RETRIEVE, 1);
+    WorldRequest *request = submit(world, "ask", NULL);
+    finish(world);
+    CU_ASSERT_EQUAL(world->faults_hit, 2);
+    CU_ASSERT_EQUAL(request->outcome, EB_OUTCOME_DONE);
+    CU_ASSERT_EQUAL(request->reason, EB_REASON_NONE);
+    World_Free(world);
+}
+
 /* Guards against a second run when the same key arrives while the first
  * request is running, here or at the other daemon. */
 static void
@@ -410,6 +426,7 @@
         {"hedge", test_hedge},
         {"silence", test_silence},
         {"poison", test_poison},
+        {"breaks of two pools", test_breaks_of_two_pools},
         {"repeats", test_repeats},
         {"overtaken release", test_overtaken_release},
         {"leaving", test_leaving},
