dispatcher: the fair queue's cost is the measured number of tokens

Cause: the cost of a generation was the pipeline's max_tokens, a bound far above what is generated. A customer whose pipelines have high bounds (liner texts: 900) was charged for more work than it caused, got less than its share of the assistants and reached its limit of concurrent requests while waiting.

Change: the cost is the moving average of the tokens that the pipeline generated in this pool, and max_tokens until the first answer. test_dispatcher's "cost" fails without it.

--- a/src/libebonyhollow/dispatcher.c
+++ b/src/libebonyhollow/dispatcher.c
@@ -30,6 +30,7 @@
     EbPoolState *pool = pointer;
     EbPool_Free(pool->pool);
     EbQueue_Free(pool->queue);
+    g_hash_table_destroy(pool->tokens);
     if (pool->prefix != NULL) {
         EbPrefix_Free(pool->prefix);
     }
@@ -208,6 +209,8 @@
     if (config->pools[index].kind == EB_STAGE_GENERATE) {
         state->prefix = EbPrefix_New(&(EbPrefixOptions){0});
     }
+    state->tokens =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     EbRetry_Init(&state->budget, &(EbRetryOptions){0});
     g_hash_table_insert(dispatcher->pools, state->key, state);
     return state;
--- a/src/libebonyhollow/dispatcher_attempt.c
+++ b/src/libebonyhollow/dispatcher_attempt.c
@@ -453,6 +453,7 @@
         EbPoolState *pool = attempt->pool;
         int64_t stream_us = now_us - attempt->first_token_us;
         pool->stream_us += (stream_us - pool->stream_us) / 8;
+        EbRequest_ObserveTokens(request, request->token_count);
     }
     EbAttempt_End(attempt, EB_CALL_OK, now_us);
     while (request->attempt_count > 0) {
--- a/src/libebonyhollow/dispatcher_stage.c
+++ b/src/libebonyhollow/dispatcher_stage.c
@@ -10,6 +10,7 @@
  * tried again, and after how many tries a server that failed is allowed. */
 #define PARK_US 20000
 #define MAX_PARKS_EXCLUDED 3
+#define TOKENS_GAIN 0.05 /* remembers about 20 answers */
 
 static void
 reset_stage(EbRequest *request)
@@ -53,11 +54,34 @@
     return total_us;
 }
 
+void
+EbRequest_ObserveTokens(const EbRequest *request, uint64_t tokens)
+{
+    GHashTable *means = request->pools[request->stage]->tokens;
+    double *mean = g_hash_table_lookup(means, request->pipeline->name);
+    if (mean == NULL) {
+        mean = g_new(double, 1);
+        *mean = (double)tokens;
+        g_hash_table_insert(means, g_strdup(request->pipeline->name), mean);
+    }
+    *mean += TOKENS_GAIN * ((double)tokens - *mean);
+}
+
+/* Expected work for the fair queue: the mean tokens that the pipeline
+ * generated so far. Its max_tokens is a bound far above what most answers
+ * take, so that a customer whose pipelines have high bounds would get less
+ * than its share. */
 static uint32_t
 stage_cost(const EbRequest *request)
 {
     const EbConfigStage *stage = EbRequest_Stage(request);
-    return stage->kind == EB_STAGE_GENERATE ? MAX(stage->max_tokens, 1) : 1;
+    if (stage->kind != EB_STAGE_GENERATE) {
+        return 1;
+    }
+    const double *mean = g_hash_table_lookup(
+        request->pools[request->stage]->tokens, request->pipeline->name);
+    return mean != NULL ? MAX((uint32_t)(*mean + 0.5), 1)
+                        : MAX(stage->max_tokens, 1);
 }
 
 void
--- a/src/libebonyhollow/private/dispatcher_private.h
+++ b/src/libebonyhollow/private/dispatcher_private.h
@@ -33,10 +33,11 @@
     EbPrefix *prefix; /* NULL unless the pool generates */
     EbRetry budget;
     uint32_t queue_max;
-    int64_t stream_us; /* moving average from first token to end */
-    uint32_t users;    /* stages of live requests */
-    bool current;      /* in the configuration in force */
-    bool dirty;        /* a slot or an entry may have become available */
+    int64_t stream_us;  /* moving average from first token to end */
+    GHashTable *tokens; /* pipeline name to double: mean generated tokens */
+    uint32_t users;     /* stages of live requests */
+    bool current;       /* in the configuration in force */
+    bool dirty;         /* a slot or an entry may have become available */
 } EbPoolState;
 
 typedef struct EbRequest EbRequest;
@@ -228,6 +229,9 @@
 void EbRequest_StartStage(EbRequest *request, int64_t now_us);
 /* Puts the request into its stage's queue. */
 void EbRequest_Enqueue(EbRequest *request, int64_t now_us);
+/* Takes the tokens of a finished generate stage for the cost of the next. */
+void EbRequest_ObserveTokens(const EbRequest *request, uint64_t tokens);
+
 void EbRequest_Hedge(EbRequest *request, int64_t now_us);
 /* Starts waiting attempts while the pool has slots. */
 void EbPoolState_Pump(EbDispatcher *dispatcher, EbPoolState *pool,
--- a/src/test_dispatcher/main.c
+++ b/src/test_dispatcher/main.c
@@ -8,6 +8,7 @@
 
 #define TABLE_COUNT(table) (sizeof(table) / sizeof((table)[0]))
 #define END_US (60LL * 1000000)
+#define COST_REQUESTS 30
 
 static void
 finish(World *world)
@@ -415,6 +416,47 @@
     World_Free(world);
 }
 
+/* Guards against a customer that gets less than its share of a pool because
+ * its pipeline's bound of tokens is far above what is generated: 30 requests
+ * of each of two customers with equal weights wait for one slot at a time. */
+static void
+test_cost(void)
+{
+    World *world =
+        World_New(&(WorldOptions){.seed = 1,
+                                  .config = {.servers = 1,
+                                             .capacity = 1,
+                                             .deadline_ms = 60000,
+                                             .full_max_tokens = 6400}});
+    WorldSubmit wanted[] = {
+        {.pipeline = "ask", .input = "sleeve"},
+        {.pipeline = "full", .input = "sleeve", .token = WORLD_OTHER_TOKEN},
+    };
+    WorldRequest *requests[2][COST_REQUESTS];
+    for (int i = 0; i < 2; i++) {
+        World_Submit(world, &wanted[i]);
+    }
+    finish(world);
+    for (int i = 0; i < COST_REQUESTS; i++) {
+        for (int j = 0; j < 2; j++) {
+            requests[j][i] = World_Submit(world, &wanted[j]);
+        }
+    }
+    int answered[2] = {0};
+    while (answered[0] < COST_REQUESTS && World_Step(world, INT64_MAX)) {
+        for (int j = 0; j < 2; j++) {
+            answered[j] = 0;
+            for (int i = 0; i < COST_REQUESTS; i++) {
+                answered[j] += requests[j][i]->answered;
+            }
+        }
+    }
+    CU_ASSERT_TRUE(answered[1] >= COST_REQUESTS / 2);
+    finish(world);
+    CU_ASSERT_EQUAL(requests[1][0]->outcome, EB_OUTCOME_DONE);
+    World_Free(world);
+}
+
 int
 main(void)
 {
@@ -433,6 +475,7 @@
         {"drain and configuration", test_drain_and_config},
         {"plain policy", test_plain_policy},
         {"budget", test_budget},
+        {"cost", test_cost},
     };
     return EbTest_Run("test_dispatcher", cases, TABLE_COUNT(cases));
 }
--- a/src/test_world/world.h
+++ b/src/test_world/world.h
@@ -17,6 +17,7 @@
 #define WORLD_DAEMONS 2
 #define WORLD_TOKENS 6 /* generated for every request */
 #define WORLD_TOKEN "caller-token"
+#define WORLD_OTHER_TOKEN "other-caller-token" /* of customer `d` */
 
 /* What a message to the store or a server belongs to. */
 typedef enum {
@@ -138,11 +139,12 @@
 typedef struct {
     uint64_t generation;
     bool lookup;
-    bool restarts;        /* the engines can't resume streams */
-    uint32_t deadline_ms; /* 0: 4000 */
-    uint32_t servers;     /* per pool; 0: 3 */
-    uint32_t capacity;    /* per server; 0: 8 */
-    const char *contract; /* members of the customer's contract, or NULL */
+    bool restarts;            /* the engines can't resume streams */
+    uint32_t deadline_ms;     /* 0: 4000 */
+    uint32_t servers;         /* per pool; 0: 3 */
+    uint32_t capacity;        /* per server; 0: 8 */
+    const char *contract;     /* members of the customer's contract, or NULL */
+    uint32_t full_max_tokens; /* of pipeline `full`; 0: 64 */
 } WorldConfig;
 
 char *World_Config(const WorldConfig *config);
--- a/src/test_world/world_config.c
+++ b/src/test_world/world_config.c
@@ -1,4 +1,6 @@
 /* The configuration document of the tests. */
+#include <string.h>
+
 #include <sodium.h>
 
 #include "world_private.h"
@@ -48,6 +50,9 @@
 {
     uint32_t deadline_ms =
         config->deadline_ms > 0 ? config->deadline_ms : 4000;
+    bool is_full = strcmp(name, "full") == 0;
+    uint32_t max_tokens =
+        is_full && config->full_max_tokens > 0 ? config->full_max_tokens : 64;
     g_string_append_printf(text, "\"%s\": {\"deadline_ms\": %u, \"stages\": [",
                            name, deadline_ms);
     for (size_t i = 0; i < count; i++) {
@@ -57,10 +62,12 @@
                                "\"pool\": \"%s\", \"timeout_ms\": 1000",
                                i > 0 ? ", " : "", kind, kind, kind);
         if (kinds[i] == EB_STAGE_GENERATE) {
-            g_string_append(text, ", \"model\": \"m\", \"prompt\": \"Write:\""
-                                  ", \"first_token_timeout_ms\": 500"
-                                  ", \"token_gap_timeout_ms\": 300"
-                                  ", \"max_tokens\": 64");
+            g_string_append_printf(text,
+                                   ", \"model\": \"m\", \"prompt\": \"Write:\""
+                                   ", \"first_token_timeout_ms\": 500"
+                                   ", \"token_gap_timeout_ms\": 300"
+                                   ", \"max_tokens\": %u",
+                                   max_tokens);
         }
         else if (kinds[i] == EB_STAGE_CALL) {
             g_string_append(text, ", \"path\": \"/pay\", "
@@ -71,6 +78,14 @@
     g_string_append(text, "]}");
 }
 
+static void
+digest_token(const char *token, char *hex, size_t hex_bytes)
+{
+    uint8_t digest[EB_TOKEN_DIGEST_BYTES];
+    EbConfig_DigestToken(token, digest);
+    sodium_bin2hex(hex, hex_bytes, digest, sizeof(digest));
+}
+
 char *
 World_Config(const WorldConfig *config)
 {
@@ -79,10 +94,10 @@
     static const EbStageKind pay[] = {EB_STAGE_ENCODE, EB_STAGE_RETRIEVE,
                                       EB_STAGE_RERANK, EB_STAGE_GENERATE,
                                       EB_STAGE_CALL};
-    uint8_t digest[EB_TOKEN_DIGEST_BYTES];
     char hex[2 * EB_TOKEN_DIGEST_BYTES + 1];
-    EbConfig_DigestToken(WORLD_TOKEN, digest);
-    sodium_bin2hex(hex, sizeof(hex), digest, sizeof(digest));
+    char other_hex[2 * EB_TOKEN_DIGEST_BYTES + 1];
+    digest_token(WORLD_TOKEN, hex, sizeof(hex));
+    digest_token(WORLD_OTHER_TOKEN, other_hex, sizeof(other_hex));
     GString *text = g_string_new(NULL);
     g_string_append_printf(text,
                            "{\"generation\": %" G_GUINT64_FORMAT
@@ -98,8 +113,9 @@
     g_string_append_printf(
         text,
         "}, \"customers\": {\"c\": {\"token_digest\": \"%s\", \"contract\": "
-        "{%s}}}, \"routes\": {\"ask\": [\"*\"], \"full\": [\"c\"], "
+        "{%s}}, \"d\": {\"token_digest\": \"%s\", \"contract\": {}}}, "
+        "\"routes\": {\"ask\": [\"*\"], \"full\": [\"*\"], "
         "\"pay\": [\"c\"]}}}",
-        hex, config->contract != NULL ? config->contract : "");
+        hex, config->contract != NULL ? config->contract : "", other_hex);
     return g_string_free(text, FALSE);
 }
