net: small writes are sent at once, timers are exact to the millisecond

Cause: docs/CAPACITY.md found 60 to 64 ms per request with service times near 0. Two causes: sockets without TCP_NODELAY wait for delayed acknowledgements (40 ms), and libevent's default clock advances every 4 ms, so that every timer of a stand-in was late.

--- a/src/libebonyhollow_net/backend_client.c
+++ b/src/libebonyhollow_net/backend_client.c
@@ -14,6 +14,7 @@
 
 #include "clock.h"
 #include "event_stream.h"
+#include "socket.h"
 
 #define DEFAULT_MAX_IDLE 32
 #define DEFAULT_IDLE_LIMIT_US (30LL * 1000 * 1000)
@@ -659,11 +660,17 @@
     int status = evhttp_make_request(connection->evcon, request, type, path);
     g_free(path);
     /* A failure inside of evhttp_make_request may have ended the attempt. */
-    if (status != 0 &&
-        g_hash_table_lookup(client->attempts, &send->attempt_id) == attempt) {
+    if (g_hash_table_lookup(client->attempts, &send->attempt_id) != attempt) {
+        return;
+    }
+    if (status != 0) {
         fail_attempt(attempt);
         doom_connection(connection);
     }
+    else if (attempt->connect_timer != NULL) {
+        EbSocket_SetNoDelay(bufferevent_getfd(
+            evhttp_connection_get_bufferevent(connection->evcon)));
+    }
 }
 
 void
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -8,6 +8,7 @@
 #include <sodium.h>
 
 #include "daemon_internal.h"
+#include "socket.h"
 
 static void
 on_suppressed(void *context, EbEventId event)
@@ -120,8 +121,7 @@
     EbRandom_Init(&daemon->random, seed);
     daemon->incarnation = (uint64_t)EbClock_Wall();
     daemon->drain_us = INT64_MAX;
-    daemon->base = event_base_new();
-    assert(daemon->base != NULL);
+    daemon->base = EbSocket_NewBase();
     daemon->metrics = EbMetrics_New();
     daemon->log = EbLog_New(&(EbLogOptions){.level = settings->log_level,
                                             .instance = settings->instance,
--- a/src/libebonyhollow_net/http_server.c
+++ b/src/libebonyhollow_net/http_server.c
@@ -15,6 +15,7 @@
 #include <glib.h>
 
 #include "clock.h"
+#include "socket.h"
 
 #define SWEEP_US 100000
 /* Bodies a little above the limit reach the request callback, so that they
@@ -347,6 +348,7 @@
                     evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
         return false;
     }
+    EbSocket_SetNoDelay(evconnlistener_get_fd(listener));
     socklen_t got = sizeof(storage);
     getsockname(evconnlistener_get_fd(listener), (struct sockaddr *)&storage,
                 &got);
--- a/src/libebonyhollow_net/peer_link.c
+++ b/src/libebonyhollow_net/peer_link.c
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -14,6 +13,7 @@
 
 #include "clock.h"
 #include "peer_link_private.h"
+#include "socket.h"
 
 #define BACKLOG 512
 /* Two links whose ends came up within this time were dialled at once. */
@@ -174,13 +174,6 @@
     return link;
 }
 
-static void
-set_no_delay(evutil_socket_t socket)
-{
-    int on = 1;
-    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-}
-
 /* Writes "host:port" or "[host]:port". */
 static char *
 format_address(const struct sockaddr *address)
@@ -230,7 +223,7 @@
         evutil_closesocket(socket);
         return;
     }
-    set_no_delay(socket);
+    EbSocket_SetNoDelay(socket);
     char *remote = format_address(address);
     EbPeerLink_Start(new_link(links, NULL, remote), stream);
     g_free(remote);
@@ -410,7 +403,7 @@
         EbPeerLink_Close(link, "connect failed", false);
     }
     else if (link->state != EB_LINK_CLOSED) {
-        set_no_delay(bufferevent_getfd(stream));
+        EbSocket_SetNoDelay(bufferevent_getfd(stream));
     }
 }
 
--- /dev/null
+++ b/src/libebonyhollow_net/private/socket.h
@@ -0,0 +1,18 @@
+/* EbSocket: options of TCP sockets and of the event loop. */
+#ifndef EB_SOCKET_H
+#define EB_SOCKET_H
+
+#include <event2/event.h>
+#include <event2/util.h>
+
+/* Makes an event loop whose timers are exact to the millisecond. libevent's
+ * default reads a coarse clock that advances every 4 ms on common kernels,
+ * longer than a fast stage. */
+struct event_base *EbSocket_NewBase(void);
+
+/* Sends small writes at once. Without it a token waits for the receiver's
+ * delayed acknowledgement of the one before, about 40 ms. Sockets accepted by
+ * a listener inherit the option from it. A negative socket is ignored. */
+void EbSocket_SetNoDelay(evutil_socket_t socket);
+
+#endif
--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -360,12 +360,8 @@
     server->http = evhttp_new(server->standin->base);
     evhttp_set_allowed_methods(server->http, EVHTTP_REQ_POST | EVHTTP_REQ_GET);
     evhttp_set_gencb(server->http, handle_call, server);
-    if (evhttp_bind_socket(server->http, server->description->host,
-                           server->description->port) != 0) {
-        g_printerr("standin: cannot listen on %s:%u\n",
-                   server->description->host, server->description->port);
-        exit(1);
-    }
+    Standin_Listen(server->http, server->description->host,
+                   server->description->port);
 }
 
 /* Closes the listener and every connection, and forgets all calls. */
--- a/test/standin/control.c
+++ b/test/standin/control.c
@@ -155,9 +155,6 @@
 {
     struct evhttp *http = evhttp_new(standin->base);
     evhttp_set_gencb(http, handle_request, standin);
-    if (evhttp_bind_socket(http, host, port) != 0) {
-        g_printerr("standin: cannot listen on %s:%u\n", host, port);
-        exit(1);
-    }
+    Standin_Listen(http, host, port);
     return http;
 }
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -363,10 +363,7 @@
     evhttp_set_allowed_methods(
         platform->http, EVHTTP_REQ_GET | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
     evhttp_set_gencb(platform->http, handle_request, platform);
-    if (evhttp_bind_socket(platform->http, host, port) != 0) {
-        g_printerr("standin: cannot listen on %s:%u\n", host, port);
-        exit(1);
-    }
+    Standin_Listen(platform->http, host, port);
     platform->tick = event_new(standin->base, -1, EV_PERSIST, tick, platform);
     event_add(platform->tick, &(struct timeval){.tv_usec = WATCH_TICK_US});
     return platform;
--- a/test/standin/reply.c
+++ b/test/standin/reply.c
@@ -2,6 +2,10 @@
 #include <string.h>
 #include <time.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
 
@@ -46,6 +50,20 @@
     return (int64_t)time.tv_sec * 1000000 + time.tv_nsec / 1000;
 }
 
+void
+Standin_Listen(struct evhttp *http, const char *host, uint16_t port)
+{
+    struct evhttp_bound_socket *bound =
+        evhttp_bind_socket_with_handle(http, host, port);
+    if (bound == NULL) {
+        g_printerr("standin: cannot listen on %s:%u\n", host, port);
+        exit(1);
+    }
+    int on = 1;
+    setsockopt(evhttp_bound_socket_get_fd(bound), IPPROTO_TCP, TCP_NODELAY,
+               &on, sizeof(on));
+}
+
 void
 Reply_Json(struct evhttp_request *request, int status, json_t *body)
 {
--- a/test/standin/standin.h
+++ b/test/standin/standin.h
@@ -85,6 +85,9 @@
 void Reply_Json(struct evhttp_request *request, int status, json_t *body);
 json_t *Reply_ReadBody(struct evhttp_request *request);
 const char *Reply_Header(struct evhttp_request *request, const char *name);
+/* Listens on an address, without delay of small writes; ends the program when
+ * that fails. */
+void Standin_Listen(struct evhttp *http, const char *host, uint16_t port);
 const char *Reply_Query(const struct evkeyvalq *query, const char *name);
 
 /* platform.c */
