daemon: merge the lists that changes of the platform trigger

Cause: each watch event started a list of its kind; the loss of a failure domain would have caused up to 2,583 lists of the instances within seconds (docs/CAPACITY.md). Change: one list of a kind at a time, at least 250 ms apart, which takes in the changes that came meanwhile. Conclusion: lists are bounded by time and no longer by changes.

--- a/src/libebonyhollow_net/daemon_platform.c
+++ b/src/libebonyhollow_net/daemon_platform.c
@@ -8,6 +8,9 @@
 #define WATCH_CHECK_US 1000000
 #define POLL_US 60000000
 #define NAME_BYTES 17
+/* Least time between two lists of a kind; an eighth of the 2 s in which a
+ * leaving server has to be known. */
+#define LIST_INTERVAL_US 250000
 /* Clocks of instances differ, so that an expired entry is kept for a while
  * before any daemon deletes it. */
 #define EXPIRED_KEPT_US 60000000
@@ -171,28 +174,78 @@
     EbDaemon_Wake(daemon);
 }
 
+/* Kinds that are listed whole after a change. */
+static const char *const listed_kinds[EB_LISTED_KIND_COUNT] = {
+    [EB_LISTED_INSTANCES] = EB_INSTANCES_KIND,
+    [EB_LISTED_QUARANTINE] = EB_QUARANTINE_KIND,
+};
+
 static void
-on_instances(void *context, const EbStoreReply *reply)
+finish_list(EbDaemon *daemon, EbListedKind kind, const EbStoreReply *reply)
 {
+    daemon->lists[kind].running = false;
     if (reply->status == EB_STORE_OK) {
-        EbDaemon_OnListed(context, EB_INSTANCES_KIND, reply->value);
+        EbDaemon_OnListed(daemon, listed_kinds[kind], reply->value);
     }
 }
 
+static void
+on_instances(void *context, const EbStoreReply *reply)
+{
+    finish_list(context, EB_LISTED_INSTANCES, reply);
+}
+
 static void
 on_quarantine(void *context, const EbStoreReply *reply)
 {
-    if (reply->status == EB_STORE_OK) {
-        EbDaemon_OnListed(context, EB_QUARANTINE_KIND, reply->value);
+    finish_list(context, EB_LISTED_QUARANTINE, reply);
+}
+
+/* Lists the kinds that changed. The loss of a failure domain changes hundreds
+ * of instances within seconds: one list at a time, at intervals, takes in all
+ * changes that came meanwhile. */
+void
+EbDaemon_ListChanged(EbDaemon *daemon, int64_t now_us)
+{
+    static const EbDaemonStored finished[EB_LISTED_KIND_COUNT] = {
+        [EB_LISTED_INSTANCES] = on_instances,
+        [EB_LISTED_QUARANTINE] = on_quarantine,
+    };
+    for (int i = 0; i < EB_LISTED_KIND_COUNT; i++) {
+        EbDaemonList *list = &daemon->lists[i];
+        if (!list->wanted || list->running || now_us < list->earliest_us) {
+            continue;
+        }
+        list->wanted = false;
+        list->running = true;
+        list->earliest_us = now_us + LIST_INTERVAL_US;
+        EbDaemon_Store(daemon, EB_STORE_LIST, listed_kinds[i], "", 0, NULL,
+                       finished[i], daemon);
+    }
+}
+
+int64_t
+EbDaemon_NextList(const EbDaemon *daemon)
+{
+    int64_t next_us = INT64_MAX;
+    for (int i = 0; i < EB_LISTED_KIND_COUNT; i++) {
+        const EbDaemonList *list = &daemon->lists[i];
+        if (list->wanted && !list->running) {
+            next_us = MIN(next_us, list->earliest_us);
+        }
     }
+    return next_us;
 }
 
 static void
 list_kind(EbDaemon *daemon, const char *kind)
 {
-    bool instances = strcmp(kind, EB_INSTANCES_KIND) == 0;
-    EbDaemon_Store(daemon, EB_STORE_LIST, kind, "", 0, NULL,
-                   instances ? on_instances : on_quarantine, daemon);
+    for (int i = 0; i < EB_LISTED_KIND_COUNT; i++) {
+        if (strcmp(kind, listed_kinds[i]) == 0) {
+            daemon->lists[i].wanted = true;
+        }
+    }
+    EbDaemon_ListChanged(daemon, EbClock_Monotonic());
 }
 
 void
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -39,6 +39,19 @@
 
 extern const char *const EbDrainState_names[EB_DRAIN_STATE_COUNT];
 
+typedef enum {
+    EB_LISTED_INSTANCES,
+    EB_LISTED_QUARANTINE,
+    EB_LISTED_KIND_COUNT
+} EbListedKind;
+
+/* Listing of one kind after changes. */
+typedef struct {
+    bool wanted; /* something changed since the last list began */
+    bool running;
+    int64_t earliest_us; /* of the next list */
+} EbDaemonList;
+
 struct EbDaemon {
     const EbSettings *settings;
     uint64_t incarnation;
@@ -68,11 +81,12 @@
     EbAdminServer *admin;
     EbPeerLinks *links;
 
-    GHashTable *flows;       /* request handle -> Flow */
-    GHashTable *queries;     /* outcome query -> peer */
-    GHashTable *stores;      /* operation id -> StoreCall */
-    GHashTable *leaving;     /* backend instance that the platform listed as
-                                leaving -> its address */
+    GHashTable *flows;   /* request handle -> Flow */
+    GHashTable *queries; /* outcome query -> peer */
+    GHashTable *stores;  /* operation id -> StoreCall */
+    GHashTable *leaving; /* backend instance that the platform listed as
+                            leaving -> its address */
+    EbDaemonList lists[EB_LISTED_KIND_COUNT];
     GPtrArray *entry_writes; /* quarantine entries on their way to the
                                 platform */
     uint64_t last_operation_id;
@@ -147,6 +161,10 @@
 /* Holds watches, or polls, as the membership says. */
 void EbDaemon_CheckWatches(EbDaemon *daemon, int64_t now_us);
 
+/* Starts the lists that are due. */
+void EbDaemon_ListChanged(EbDaemon *daemon, int64_t now_us);
+int64_t EbDaemon_NextList(const EbDaemon *daemon);
+
 /* Frees an element of entry_writes. */
 void EbDaemon_FreeEntryWrite(void *pointer);
 
--- a/test/process/test_leaving.sh
+++ b/test/process/test_leaving.sh
@@ -54,6 +54,21 @@
 echo "last call $((late / 1000)) ms after the notice"
 eb_check "no new call later than 2 s after the notice" [ "$late" -le 2000000 ]
 
+echo "== the list of instances changes 100 times in a row"
+lists() { curl -fsS "http://$eb_control/status" | jq .platform.list; }
+before=$(lists)
+start=$(now_us)
+for i in $(seq 100); do
+    curl -fsS "http://$eb_control/instance" -o /dev/null -d "$(jq -nc \
+        --arg n "gone-$i" '{name: $n, value: {role: "daemon", state: "leaving",
+         address: "127.0.1.1:9", failure_domain: "recife"}}')"
+done
+sleep 1
+count=$(($(lists) - before))
+most=$((3 * (($(now_us) - start) / 250000 + 3)))
+eb_check "each daemon lists at most every 250 ms ($count of $most)" \
+    [ "$count" -le "$most" ]
+
 echo "== all daemons are restarted one by one under load"
 load 60 14 23 >"$eb_work/load-23.out" &
 pid=$!
