test: a lock's holder is a script, not any process with its number

Cause: a process number can be given again, and a stale lock would then block every test with real processes. Change: the holder's command line has to be a script's. Conclusion: a stale lock is taken over.

--- a/test/process/lib.sh
+++ b/test/process/lib.sh
@@ -24,11 +24,18 @@
 # addresses of the examples are fixed, and daemons of two runs would meet. A
 # directory names the holder; one whose holder is gone is taken over.
 eb_lock=/tmp/ebonyhollow-process-test
+
+# eb_runs_test PID: whether a process is a script, and not another program that
+# was given the number of one that ended.
+eb_runs_test() {
+    tr '\0' ' ' <"/proc/$1/cmdline" 2>/dev/null | grep -q 'bash '
+}
+
 eb_take_lock() {
     local left=900 holder
     until mkdir "$eb_lock" 2>/dev/null; do
         holder=$(cat "$eb_lock/pid" 2>/dev/null)
-        if [ -n "$holder" ] && ! kill -0 "$holder" 2>/dev/null; then
+        if [ -n "$holder" ] && ! eb_runs_test "$holder"; then
             rm -rf "$eb_lock"
         fi
         left=$((left - 1))
