--- a/src/libebonyhollow/queue.c
+++ b/src/libebonyhollow/queue.c
@@ -8,9 +8,8 @@
 #include "heap.h"
 
 #define DEFAULT_MAX_ENTRIES 4096
-#define SHARED_FLOW                                                           \
-    "" /* flow of an order that doesn't tell customers apart                  \
-        */
+/* Flow of an order that does not tell customers apart. */
+#define SHARED_FLOW ""
 
 /* One waiting entry. It is in the heap of its flow and in the heap of
  * expiries, or, once expired, in the list of expired entries. */
