tidy: one piece of code for rows, fingerprint states, clock and sockets

Cause: read of the whole change: the two field tables defined the same row macros, two quarantine predicates differed in one constant, and the stand-ins and the load program had their own monotonic clock, exact event loop and TCP_NODELAY beside those of libebonyhollow_net. Change: private/schema_rows.h; one predicate with the state as parameter; the test programs call EbClock_Monotonic, EbSocket_NewBase and EbSocket_SetNoDelay. Conclusion: no behaviour changed; no check was touched.

--- a/src/libebonyhollow/config_fields.c
+++ b/src/libebonyhollow/config_fields.c
@@ -1,27 +1,17 @@
 #include <glib.h>
 
 #include "config_members.h"
+#include "schema_rows.h"
 
 /* Longest deadline; far below the ledger's retention of 24 hours. */
 #define DEADLINE_MAX_MS 600000 /* 10 minutes */
 #define COUNT_MAX 1000000
 
-/* Rows: path, type, unit, min, max, default, struct, member, meaning. */
-#define ROW(path, type, unit, min, max, initial, holder, member, meaning)     \
-    {                                                                         \
-        path, EB_SCHEMA_##type, unit, min, max, NULL, 0, false, initial,      \
-            offsetof(holder, member), meaning                                 \
-    }
 #define CHOICE_ROW(path, names, count, initial, holder, member, meaning)      \
     {                                                                         \
         path, EB_SCHEMA_CHOICE, "", 0, 0, names, count, false, initial,       \
             offsetof(holder, member), meaning                                 \
     }
-#define PART_ROW(path, type, initial, max, meaning)                           \
-    {                                                                         \
-        path, EB_SCHEMA_##type, "", 0, max, NULL, 0, false, initial, 0,       \
-            meaning                                                           \
-    }
 
 const EbSchemaField EbConfig_fields[] = {
     ROW("generation", UINT64, "", 0, INT64_C(1) << 53, EB_SCHEMA_REQUIRED,
--- a/src/libebonyhollow/dispatcher_crash.c
+++ b/src/libebonyhollow/dispatcher_crash.c
@@ -3,24 +3,27 @@
 
 #include "dispatcher_private.h"
 
-bool
-EbRequest_IsSuspected(EbRequest *request, int64_t now_us)
+/* The plain policy keeps no quarantine. */
+static bool
+has_fingerprint_state(EbRequest *request, EbFingerprintState state,
+                      int64_t now_us)
 {
     EbDispatcher *dispatcher = request->dispatcher;
     return !EbDispatcher_IsPlain(dispatcher) &&
            EbQuarantine_State(dispatcher->options.quarantine,
-                              request->fingerprint,
-                              now_us) == EB_FINGERPRINT_SUSPECTED;
+                              request->fingerprint, now_us) == state;
+}
+
+bool
+EbRequest_IsSuspected(EbRequest *request, int64_t now_us)
+{
+    return has_fingerprint_state(request, EB_FINGERPRINT_SUSPECTED, now_us);
 }
 
 bool
 EbRequest_IsQuarantined(EbRequest *request, int64_t now_us)
 {
-    EbDispatcher *dispatcher = request->dispatcher;
-    return !EbDispatcher_IsPlain(dispatcher) &&
-           EbQuarantine_State(dispatcher->options.quarantine,
-                              request->fingerprint,
-                              now_us) == EB_FINGERPRINT_QUARANTINED;
+    return has_fingerprint_state(request, EB_FINGERPRINT_QUARANTINED, now_us);
 }
 
 bool
--- a/src/libebonyhollow/settings_fields.c
+++ b/src/libebonyhollow/settings_fields.c
@@ -2,28 +2,19 @@
 
 #include "ebonyhollow/settings.h"
 
+#include "schema_rows.h"
+
 static const char *const policy_names[] = {"adaptive", "plain"};
 
 #define HOUR_MS 3600000
 #define MB 1048576
 #define MB_16 16777216
 
-/* Rows: path, type, unit, min, max, default, struct, member, meaning. */
-#define ROW(path, type, unit, min, max, initial, holder, member, meaning)     \
-    {                                                                         \
-        path, EB_SCHEMA_##type, unit, min, max, NULL, 0, false, initial,      \
-            offsetof(holder, member), meaning                                 \
-    }
 #define CHOICE_ROW(path, names, count, text, initial, member, meaning)        \
     {                                                                         \
         path, EB_SCHEMA_CHOICE, "", 0, 0, names, count, text, initial,        \
             offsetof(EbSettings, member), meaning                             \
     }
-#define PART_ROW(path, type, initial, max, meaning)                           \
-    {                                                                         \
-        path, EB_SCHEMA_##type, "", 0, max, NULL, 0, false, initial, 0,       \
-            meaning                                                           \
-    }
 #define ADDRESS_ROWS(name, min_port, meaning)                                 \
     PART_ROW(#name, OBJECT, EB_SCHEMA_REQUIRED, 0, meaning),                  \
         {#name ".host",                                                       \
--- a/test/load/client.c
+++ b/test/load/client.c
@@ -1,6 +1,5 @@
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
@@ -34,14 +33,6 @@
 
 static void send_call(Call *call);
 
-int64_t
-Load_Now(void)
-{
-    struct timespec time;
-    clock_gettime(CLOCK_MONOTONIC, &time);
-    return (int64_t)time.tv_sec * 1000000 + time.tv_nsec / 1000;
-}
-
 static void
 count_reason(Load *load, const char *reason)
 {
@@ -106,11 +97,12 @@
         count_reason(call->load, reason != NULL ? reason : "");
         return;
     }
-    int64_t total_us = Load_Now() - call->sent_us;
+    int64_t total_us = EbClock_Monotonic() - call->sent_us;
     call->tally->done++;
     bool in_time = total_us <= call->kind->timeout_us;
     call->tally->in_time += in_time;
-    call->tally->in_window += in_time && Load_Now() <= call->load->end_us;
+    call->tally->in_window +=
+        in_time && EbClock_Monotonic() <= call->load->end_us;
     EbHistogram_Add(&call->tally->total_us, total_us);
     check_answer(call, json_object_get(body, "answer"));
 }
@@ -118,7 +110,7 @@
 static void
 take_token(Call *call, json_t *data)
 {
-    int64_t now_us = Load_Now();
+    int64_t now_us = EbClock_Monotonic();
     const char *text = json_string_value(json_object_get(data, "text"));
     if (call->next_token == 0) {
         EbHistogram_Add(&call->tally->first_token_us, now_us - call->sent_us);
@@ -329,7 +321,7 @@
     call->unparsed = g_string_new(NULL);
     call->streamed = g_string_new(NULL);
     call->outcome = EB_OUTCOME_COUNT;
-    call->sent_us = Load_Now();
+    call->sent_us = EbClock_Monotonic();
     call->tally->sent++;
     load->in_flight++;
     send_call(call);
--- a/test/load/load.h
+++ b/test/load/load.h
@@ -14,6 +14,7 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "clock.h"
 #include "ebonyhollow/histogram.h"
 #include "ebonyhollow/outcome.h"
 #include "ebonyhollow/random.h"
@@ -105,7 +106,6 @@
 void Plan_Clear(Load *load);
 
 /* client.c */
-int64_t Load_Now(void);
 void Client_Send(Load *load, const RequestKind *kind, uint32_t kind_index);
 
 /* Starts to probe the readiness of the targets that name a health address. */
--- a/test/load/main.c
+++ b/test/load/main.c
@@ -148,7 +148,7 @@
     (void)fd;
     (void)events;
     Load *load = context;
-    int64_t now_us = Load_Now();
+    int64_t now_us = EbClock_Monotonic();
     while (load->next_arrival_us <= now_us) {
         if (now_us >= load->end_us ||
             (load->max_requests > 0 &&
@@ -268,12 +268,12 @@
         read_health(&load, arguments.health);
     }
     load.arrival = event_new(load.base, -1, 0, arrive, &load);
-    int64_t start_us = Load_Now();
+    int64_t start_us = EbClock_Monotonic();
     load.next_arrival_us = start_us;
     load.end_us = start_us + (int64_t)(arguments.seconds * 1e6);
     arrive(-1, 0, &load);
     event_base_dispatch(load.base);
-    double seconds = (double)(Load_Now() - start_us) / 1e6;
+    double seconds = (double)(EbClock_Monotonic() - start_us) / 1e6;
     Report_Print(&load, seconds);
     uint64_t violations = Report_Violations(&load) + load.in_flight +
                           check_runs(&load, arguments.control);
--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -112,8 +112,8 @@
     if (server->leaving) {
         evhttp_add_header(headers, "Eb-Leaving", "1");
     }
-    if (Standin_Now() - server->reported_us > REPORT_LAG_US) {
-        server->reported_us = Standin_Now();
+    if (EbClock_Monotonic() - server->reported_us > REPORT_LAG_US) {
+        server->reported_us = EbClock_Monotonic();
         server->reported_running = server->running.length;
         server->reported_waiting = server->waiting.length;
     }
@@ -241,7 +241,7 @@
     record->key = g_strdup(Reply_Header(request, "Idempotency-Key"));
     record->stage = stage != NULL ? atoll(stage) : -1;
     record->attempt = attempt != NULL ? atoll(attempt) : -1;
-    record->at_us = Standin_Now();
+    record->at_us = EbClock_Monotonic();
     g_ptr_array_add(server->standin->records, record);
     return record;
 }
--- a/test/standin/control.c
+++ b/test/standin/control.c
@@ -41,9 +41,9 @@
         json_array_append_new(
             servers, Server_Describe(g_ptr_array_index(standin->servers, i)));
     }
-    return json_pack("{s:I, s:o, s:o}", "now_us", (json_int_t)Standin_Now(),
-                     "platform", Platform_Describe(standin->platform),
-                     "servers", servers);
+    return json_pack("{s:I, s:o, s:o}", "now_us",
+                     (json_int_t)EbClock_Monotonic(), "platform",
+                     Platform_Describe(standin->platform), "servers", servers);
 }
 
 static json_t *
--- a/test/standin/main.c
+++ b/test/standin/main.c
@@ -100,18 +100,6 @@
     return config;
 }
 
-/* The default clock of libevent is too coarse for service times of a few
- * milliseconds. */
-static struct event_base *
-new_base(void)
-{
-    struct event_config *config = event_config_new();
-    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
-    struct event_base *base = event_base_new_with_config(config);
-    event_config_free(config);
-    return base;
-}
-
 static void
 stop(evutil_socket_t signal_number, short events, void *context)
 {
@@ -136,7 +124,7 @@
     Arguments arguments = {.time_scale = 1.0, .tokens = TOKENS_DEFAULT};
     parse_arguments(argc, argv, &arguments);
     signal(SIGPIPE, SIG_IGN);
-    Standin standin = {.base = new_base(),
+    Standin standin = {.base = EbSocket_NewBase(),
                        .config = load_config(&arguments),
                        .servers = g_ptr_array_new(),
                        .records = g_ptr_array_new_with_free_func(free_record),
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -250,7 +250,8 @@
                                   "deleted", change->deleted));
         }
     }
-    if (json_array_size(events) == 0 && Standin_Now() < watch->until_us) {
+    if (json_array_size(events) == 0 &&
+        EbClock_Monotonic() < watch->until_us) {
         json_decref(events);
         return false;
     }
@@ -299,7 +300,7 @@
     watch->kind = g_strdup(kind);
     watch->since = read_number(query, "since");
     watch->until_us =
-        Standin_Now() + (int64_t)read_number(query, "timeout_ms") * 1000;
+        EbClock_Monotonic() + (int64_t)read_number(query, "timeout_ms") * 1000;
     g_queue_push_tail(&platform->watches, watch);
     end_watch(watch);
 }
--- a/test/standin/reply.c
+++ b/test/standin/reply.c
@@ -1,10 +1,5 @@
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
-
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
@@ -42,14 +37,6 @@
     return fault->kind;
 }
 
-int64_t
-Standin_Now(void)
-{
-    struct timespec time;
-    clock_gettime(CLOCK_MONOTONIC, &time);
-    return (int64_t)time.tv_sec * 1000000 + time.tv_nsec / 1000;
-}
-
 void
 Standin_Listen(struct evhttp *http, const char *host, uint16_t port)
 {
@@ -59,9 +46,7 @@
         g_printerr("standin: cannot listen on %s:%u\n", host, port);
         exit(1);
     }
-    int on = 1;
-    setsockopt(evhttp_bound_socket_get_fd(bound), IPPROTO_TCP, TCP_NODELAY,
-               &on, sizeof(on));
+    EbSocket_SetNoDelay(evhttp_bound_socket_get_fd(bound));
 }
 
 void
--- a/test/standin/standin.h
+++ b/test/standin/standin.h
@@ -14,7 +14,9 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "clock.h"
 #include "ebonyhollow/config.h"
+#include "socket.h"
 
 typedef enum {
     FAULT_NONE,
@@ -81,7 +83,6 @@
 } Service;
 
 /* reply.c */
-int64_t Standin_Now(void);
 void Reply_Json(struct evhttp_request *request, int status, json_t *body);
 json_t *Reply_ReadBody(struct evhttp_request *request);
 const char *Reply_Header(struct evhttp_request *request, const char *name);
