--- a/include/ebonyhollow/action.h
+++ b/include/ebonyhollow/action.h
@@ -11,17 +11,27 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <glib.h>
 #include <jansson.h>
 
 #include "ebonyhollow/config.h"
+#include "ebonyhollow/forward.h"
 #include "ebonyhollow/outcome.h"
 
+/* Set in the attempt ids of calls with work items, which the dispatcher does
+ * not know. */
+#define EB_PIECES_ATTEMPT_BIT (UINT64_C(1) << 63)
+
 typedef enum {
     EB_ACTION_SEND_ATTEMPT,
     EB_ACTION_CANCEL_ATTEMPT,
     EB_ACTION_RETIRE_CONNECTIONS,
     EB_ACTION_RELAY,
     EB_ACTION_ANSWER,
+    EB_ACTION_PREPARE,
+    EB_ACTION_END_PREPARATION,
+    EB_ACTION_SEND_PIECES,
+    EB_ACTION_RELEASE_RESULTS,
     EB_ACTION_STORE,
     EB_ACTION_PEER_SEND,
     EB_ACTION_PEER_CONNECT,
@@ -50,8 +60,50 @@
     bool lookup;            /* GET that asks a service for a key's outcome */
     bool stream;
     bool fresh_connection; /* must not use an idle connection */
+
+    /* A forwarded call: the fields above but the server, `stream` and
+     * `fresh_connection` are not used. */
+    EbForwardCall *forward; /* NULL for other calls */
+    char *customer;         /* NULL: not authenticated */
+    int64_t left_us;        /* until the request's deadline */
+    int64_t resume_after;   /* event id or EB_FORWARD_NO_EVENT */
+    uint8_t priority;       /* 0 is the most urgent */
+    GPtrArray *inputs;      /* of char *, handles of prepared results */
 } EbSendAttempt;
 
+/* A stage of a forwarded request that has to be prepared: its work items go,
+ * together with those of other requests, to the servers of a service. */
+typedef struct {
+    uint64_t job; /* unique in this daemon */
+    char *request_id;
+    char *service;
+    uint32_t stage;
+    uint32_t piece_count;
+    char *key;          /* of a stage without an earlier one */
+    GPtrArray *inputs;  /* of char *, handles of earlier results otherwise */
+    int64_t due_us;      /* when it should be done, for the order */
+    int64_t deadline_us; /* when nobody waits for it any more */
+} EbPrepare;
+
+/* A call to a server of a stage with work items of several requests. */
+typedef struct {
+    uint64_t attempt_id; /* has EB_PIECES_ATTEMPT_BIT set */
+    char *server_id;
+    char *host;
+    uint16_t port;
+    GArray *items;    /* of EbPieceItem; their memory is in `strings` */
+    GPtrArray *strings;
+} EbSendPieces;
+
+/* Results that are not needed any more, all at one server. */
+typedef struct {
+    uint64_t attempt_id;
+    char *server_id;
+    char *host;
+    uint16_t port;
+    GPtrArray *handles; /* of char * */
+} EbReleaseResults;
+
 typedef enum {
     EB_STORE_GET,
     EB_STORE_CREATE, /* only if it does not exist */
@@ -108,6 +160,7 @@
     EbReason reason;
     char *detail;           /* sentence for people, may be NULL */
     json_t *body;           /* {"answer": ..., "usage": ...} */
+    EbHttpMessage *reply;   /* a server's answer to a forwarded request */
     int64_t retry_after_us; /* 0 when none */
     bool replayed;          /* answered from the ledger */
 } EbAnswer;
@@ -118,6 +171,10 @@
     uint64_t token_index; /* of the first token in `text` */
     uint32_t token_count;
     char *text;
+    /* A forwarded stream: its head, once, or whole events. */
+    EbHttpMessage *head; /* NULL when absent */
+    uint8_t *bytes;
+    size_t byte_count;
 } EbRelay;
 
 /* A message to another daemon; the bytes are one encoded EbMessage. */
@@ -136,6 +193,10 @@
         char *retire_server_id;
         EbRelay relay;
         EbAnswer answer;
+        EbPrepare prepare;
+        uint64_t end_job; /* END_PREPARATION: stop it, free its results */
+        EbSendPieces pieces;
+        EbReleaseResults release;
         EbStoreRequest store;
         EbPeerSend peer;
     } as;
--- a/include/ebonyhollow/config.h
+++ b/include/ebonyhollow/config.h
@@ -58,6 +58,16 @@
     uint32_t capacity; /* calls that it runs at once */
 } EbConfigBackendServer;
 
+/* How a pool takes work items of several requests in one call. */
+typedef struct {
+    uint32_t max_items; /* in a call; 0: the pool takes none */
+    uint32_t max_calls; /* running at one server at once */
+    int64_t call_us;    /* time of a call without items */
+    int64_t item_us;    /* and of each item, about */
+    uint64_t room_bytes; /* for the results that lie at one server */
+    int64_t result_us;   /* how long a result lasts */
+} EbConfigBatch;
+
 /* A pool of backend servers that answer the same kind of call. */
 typedef struct {
     char *name;
@@ -70,6 +80,7 @@
     bool resumes_streams; /* generate only */
     char *outcome_path;   /* asks a service for a key; NULL when it can't */
     int64_t service_estimate_us; /* used until calls were measured */
+    EbConfigBatch batch;         /* zero unless work items are sent to it */
 } EbConfigPool;
 
 typedef struct {
@@ -87,12 +98,42 @@
     int64_t token_gap_timeout_us;   /* generate */
 } EbConfigStage;
 
+/* A share of a forwarded route's requests. */
+typedef struct {
+    uint32_t pool_index;
+    uint32_t weight;
+} EbConfigSplit;
+
+/* A stage whose results a forwarded request needs before it can run. */
+typedef struct {
+    uint32_t pool_index;
+    uint32_t after; /* bit i: needs the results of preparation i */
+    uint64_t result_bytes;
+    int64_t rest_us; /* expected time of what follows it */
+} EbConfigPreparation;
+
+/* What a pipeline that forwards requests has beside its one stage. */
+typedef struct {
+    char *host;        /* lower case */
+    char *path_prefix; /* begins and ends with a slash */
+    bool anonymous;    /* callers need no token */
+    bool resumable;    /* a stream may go on at another server */
+    uint8_t priority;  /* 0 is the most urgent */
+    uint32_t max_attempts;
+    int64_t goal_us; /* answers within it are in time */
+    EbConfigSplit *splits;
+    uint32_t split_count;
+    EbConfigPreparation *preparations;
+    uint32_t preparation_count;
+} EbConfigForward;
+
 typedef struct {
     char *name;
     EbConfigStage *stages;
     uint32_t stage_count;
     int64_t deadline_us; /* default and upper bound of a request's deadline */
     bool needs_key;      /* its last stage is a non-idempotent call */
+    EbConfigForward *forward; /* NULL unless it forwards requests */
 } EbConfigPipeline;
 
 /* What a customer may use, across the daemons of all sites; the same at each
@@ -108,9 +149,16 @@
 typedef struct {
     char *id;
     uint8_t token_digest[EB_TOKEN_DIGEST_BYTES]; /* BLAKE2b-256 */
+    /* Further tokens of the same customer. */
+    uint8_t (*more_digests)[EB_TOKEN_DIGEST_BYTES];
+    uint32_t more_digest_count;
     EbContract contract;
+    int16_t priority; /* of its forwarded requests; -1: the route's */
 } EbConfigCustomer;
 
+/* Customer of requests on routes that need no token. */
+#define EB_CUSTOMER_ANONYMOUS "anonymous"
+
 /* Allows a customer, or all with customer_index EB_ROUTE_ANY, a pipeline. */
 #define EB_ROUTE_ANY UINT32_MAX
 
@@ -203,6 +251,18 @@
 const EbConfigCustomer *EbConfig_FindCustomerByToken(const EbConfig *config,
                                                      const char *token);
 
+/* Finds the pipeline that forwards requests to `host` with the longest prefix
+ * of `path`. */
+const EbConfigPipeline *EbConfig_FindRoute(const EbConfig *config,
+                                           const char *host, const char *path);
+
+/* Returns an empty configuration with one reference, to be filled by a
+ * deployment's own reader. */
+EbConfig *EbConfig_New(const char *site, uint64_t generation);
+
+/* Fills in EbConfigPreparation.rest_us. */
+void EbConfig_PlanPreparations(EbConfig *config);
+
 /* Finds the operator with this bearer token, as above. */
 const EbConfigOperator *EbConfig_FindOperatorByToken(const EbConfig *config,
                                                      const char *token);
--- a/include/ebonyhollow/daemon.h
+++ b/include/ebonyhollow/daemon.h
@@ -8,6 +8,7 @@
 
 #include <stdint.h>
 
+#include "ebonyhollow/adapter.h"
 #include "ebonyhollow/error.h"
 #include "ebonyhollow/settings.h"
 
@@ -24,8 +25,10 @@
 typedef struct EbDaemon EbDaemon;
 
 /* Binds the listeners and starts every module. `settings` must outlive the
- * daemon. Returns NULL with `error` set when something can't be started. */
-EbDaemon *EbDaemon_New(const EbSettings *settings, EbError *error);
+ * daemon; `adapter` says what its platform speaks, NULL: docs/protocols.md.
+ * Returns NULL with `error` set when something can't be started. */
+EbDaemon *EbDaemon_New(const EbSettings *settings, const EbAdapter *adapter,
+                       EbError *error);
 
 /* Closes everything at once. */
 void EbDaemon_Free(EbDaemon *daemon);
--- a/include/ebonyhollow/dispatcher.h
+++ b/include/ebonyhollow/dispatcher.h
@@ -78,6 +78,9 @@
     const char *traceparent;     /* NULL when absent */
     int64_t timeout_us;          /* 0: the pipeline's deadline */
     bool stream;                 /* relay generated tokens */
+    /* A forwarded request; the other fields are not used then. The
+     * dispatcher keeps a reference. */
+    EbForwardCall *forward;
 } EbSubmission;
 
 /* Takes a request. Returns its handle, never 0. The answer may be in the
@@ -99,6 +102,8 @@
     EB_ATTEMPT_ENDED,     /* orderly end of a stream */
     EB_ATTEMPT_BROKEN,    /* closed or reset before the end */
     EB_ATTEMPT_MALFORMED, /* the answer breaks the protocol */
+    EB_ATTEMPT_STREAMING, /* head of a forwarded stream */
+    EB_ATTEMPT_EVENTS,    /* whole events of a forwarded stream */
     EB_ATTEMPT_EVENT_COUNT
 } EbAttemptEventKind;
 
@@ -120,12 +125,36 @@
     bool has_load;        /* the answer carried a load report */
     uint32_t load_running;
     uint32_t load_waiting;
+    /* Forwarded calls. */
+    EbHttpMessage *reply;   /* ANSWERED: whole; STREAMING: head; borrowed */
+    EbForwardReply forward; /* what that head says */
+    int64_t first_event_id; /* EVENTS; -1: without id */
+    int64_t last_event_id;
+    const uint8_t *bytes; /* EVENTS */
+    size_t byte_count;
 } EbAttemptEvent;
 
 /* Takes an attempt's event. Events of attempts that ended are ignored. */
 void EbDispatcher_Attempt(EbDispatcher *dispatcher,
                           const EbAttemptEvent *event, int64_t now_us);
 
+/* How a preparation ended. */
+typedef enum {
+    EB_PREPARED_OK,
+    EB_PREPARED_INPUT_GONE, /* an earlier result no longer exists */
+    EB_PREPARED_LATE,
+    EB_PREPARED_FAILED,
+    EB_PREPARED_STATUS_COUNT
+} EbPreparedStatus;
+
+extern const char *const EbPreparedStatus_names[EB_PREPARED_STATUS_COUNT];
+
+/* Takes the end of a preparation: one handle for each piece, in order, when
+ * it succeeded. Unknown jobs are ignored. */
+void EbDispatcher_Prepared(EbDispatcher *dispatcher, uint64_t job,
+                           EbPreparedStatus status, char *const *handles,
+                           uint32_t handle_count, int64_t now_us);
+
 /* Takes the results that the ledger has ready. Call it after each event
  * given to the ledger. */
 void EbDispatcher_LedgerResults(EbDispatcher *dispatcher, int64_t now_us);
@@ -182,6 +211,7 @@
     EB_REQUEST_RECEIVED,
     EB_REQUEST_CLAIMING,
     EB_REQUEST_ASKING_OWNER,
+    EB_REQUEST_PREPARING, /* stages before a forwarded request run */
     EB_REQUEST_QUEUED,
     EB_REQUEST_RUNNING,
     EB_REQUEST_CALLING, /* a non-idempotent call is handed out */
--- a/include/ebonyhollow/event_table.h
+++ b/include/ebonyhollow/event_table.h
@@ -27,6 +27,9 @@
       "second; count of them were not written.",                              \
       "suppressed_event,count",                                               \
       "Look the event up here and at ebonyhollow_events_suppressed_total.")   \
+    X(RELOAD_REQUESTED, 104, "reload-requested", EB_LEVEL_NOTICE,             \
+      "SIGHUP arrived. Settings are read at the start of a process only.",    \
+      "instance", "Restart the daemon when its settings have to change.")     \
     X(REQUEST_FINISHED, 200, "request-finished", EB_LEVEL_INFO,               \
       "A request was answered, or its caller left.",                          \
       "request_id,customer,pipeline,outcome,reason,total_us",                 \
@@ -51,6 +54,23 @@
       "request_id,customer,pipeline,backend_server",                          \
       "Compare with the service's own record for the key; see "               \
       "docs/operations.md, outcomes unknown.")                                \
+    X(REQUEST_MALFORMED, 205, "request-malformed", EB_LEVEL_WARNING,          \
+      "A request to be forwarded was answered 400 or 431 and not passed "     \
+      "on; cause says what is wrong with it.",                                \
+      "cause", "Tell the caller what its client sends.")                      \
+    X(CONNECTION_REFUSED, 206, "connection-refused", EB_LEVEL_WARNING,        \
+      "A caller's connection was closed at once, since max_connections are "  \
+      "open.",                                                                \
+      "max_connections",                                                      \
+      "Add instances, or raise max_connections in the settings.")             \
+    X(PREPARATION_RETRIED, 207, "preparation-retried", EB_LEVEL_INFO,         \
+      "Work items of a stage were not done by the server they were sent to "  \
+      "and are sent again.",                                                  \
+      "backend_server,service,pieces,cause",                                  \
+      "None, unless one server or one cause dominates.")                      \
+    X(PREPARATION_ENDED, 208, "preparation-ended", EB_LEVEL_INFO,             \
+      "The work items of one stage of a request ended after wait_us.",        \
+      "request_id,service,stage,pieces,status,wait_us", "None.")              \
     X(CLAIM_SETTLED, 300, "claim-settled", EB_LEVEL_NOTICE,                   \
       "A claim write without a certain answer was settled from what the "     \
       "store holds: owned, written or changed.",                              \
@@ -76,6 +96,11 @@
       "request_id,customer",                                                  \
       "Tell the customer: its client has to choose a new key for a new "      \
       "request.")                                                             \
+    X(SERVER_LISTED, 420, "backend-server-listed", EB_LEVEL_NOTICE,           \
+      "The platform's store says that a backend server is ready, leaving or " \
+      "gone; lapsed: its entry went during an outage of the store and the "   \
+      "server stays in use for two seconds.",                                 \
+      "backend_server,service,state", "None.")                                \
     X(SERVER_EJECTED, 400, "backend-server-ejected", EB_LEVEL_WARNING,        \
       "This daemon gives a backend server no work until until_us by its "     \
       "monotonic clock; cause is latency, failures or the result of the "     \
@@ -159,6 +184,10 @@
       "generation,current",                                                   \
       "None. If it repeats, the platform's object or a daemon was set "       \
       "back by hand.")                                                        \
+    X(OBJECT_IGNORED, 710, "object-ignored", EB_LEVEL_WARNING,                \
+      "An object of the platform's store could not be read and is not used; " \
+      "of a configuration, the one before stays in force.",                   \
+      "kind,name,cause", "Correct the object, or find out who wrote it.")     \
     X(PLATFORM_DOWN, 700, "platform-down", EB_LEVEL_WARNING,                  \
       "Two calls to the platform's API in a row failed.", "cause",            \
       "See docs/operations.md, store outage.")                                \
--- a/include/ebonyhollow/generation.h
+++ b/include/ebonyhollow/generation.h
@@ -48,6 +48,13 @@
                                       uint64_t version, const char *source,
                                       EbError *error, int64_t now_us);
 
+/* Takes a configuration that a deployment's own reader made; it keeps a
+ * reference. One of the generation in force replaces it, since its servers may
+ * differ; one of a lower generation does not. */
+EbGenerationResult EbGeneration_Adopt(EbGeneration *generation,
+                                      EbConfig *config, const char *source,
+                                      int64_t now_us);
+
 /* The configuration in force, or NULL before the first. Borrowed. */
 EbConfig *EbGeneration_Current(const EbGeneration *generation);
 
--- a/include/ebonyhollow/message.h
+++ b/include/ebonyhollow/message.h
@@ -10,7 +10,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "ebonyhollow/dispatcher.h"
 #include "ebonyhollow/error.h"
+#include "ebonyhollow/forward.h"
 #include "ebonyhollow/outcome.h"
 #include "ebonyhollow/quarantine.h"
 
@@ -30,6 +32,9 @@
     EB_MESSAGE_GRANT,          /* shares, from the home */
     EB_MESSAGE_QUARANTINE,     /* fingerprints, flooded */
     EB_MESSAGE_SERVER_LEAVING, /* a backend server's leaving, flooded */
+    EB_MESSAGE_PREPARE,         /* work items, to the home of their service */
+    EB_MESSAGE_PREPARED,        /* their results, from the home */
+    EB_MESSAGE_END_PREPARATION, /* results are not needed any more */
     EB_MESSAGE_KIND_COUNT
 } EbMessageKind;
 
@@ -104,6 +109,23 @@
     /* SERVER_LEAVING */
     char *server;
     bool leaving;
+
+    /* PREPARE, PREPARED, END_PREPARATION; `job` is the asking daemon's */
+    uint64_t job;
+    char *request_id;
+    char *service;
+    uint32_t stage;
+    uint32_t piece_count;
+    char *piece_key;
+    /* Times from the sending, since monotonic clocks of instances have nothing
+     * in common; `late_us` is how long the due time has passed. */
+    uint64_t due_in_us;
+    uint64_t late_us;
+    uint64_t left_us;
+    uint32_t prepared; /* EbPreparedStatus */
+    /* PREPARE: inputs; PREPARED: results */
+    char **handles;
+    uint32_t handle_count;
 } EbMessage;
 
 /* Returns whether a kind is flooded to all daemons with origin and sequence.
--- a/src/ebonyhollowd/main.c
+++ b/src/ebonyhollowd/main.c
@@ -8,11 +8,13 @@
 #include "ebonyhollow/daemon.h"
 #include "ebonyhollow/log.h"
 #include "ebonyhollow/settings.h"
+#include "platform.h"
 
 #define ERROR_TEXT_BYTES 1100
 
 typedef struct {
     const char *config;
+    bool platform;
     const char *log_level;
     bool check;
     bool version;
@@ -21,6 +23,7 @@
 
 static const struct option long_options[] = {
     {"config", required_argument, NULL, 'c'},
+    {"platform", no_argument, NULL, 'p'},
     {"check", no_argument, NULL, 'k'},
     {"log-level", required_argument, NULL, 'l'},
     {"version", no_argument, NULL, 'v'},
@@ -30,9 +33,12 @@
 
 static const char usage[] =
     "Usage: ebonyhollowd --config FILE [--check] [--log-level LEVEL]\n"
+    "       ebonyhollowd --platform [--check] [--log-level LEVEL]\n"
     "       ebonyhollowd --version | --help\n"
     "\n"
     "  --config FILE      settings of this process, JSON\n"
+    "  --platform         run on the users' platform, with the settings file\n"
+    "                     that " EB_PLATFORM_FILE_VARIABLE " names\n"
     "  --check            check the settings and exit\n"
     "  --log-level LEVEL  error, warning, notice, info or debug; overrides\n"
     "                     the settings\n"
@@ -56,6 +62,9 @@
         case 'c':
             arguments->config = optarg;
             break;
+        case 'p':
+            arguments->platform = true;
+            break;
         case 'k':
             arguments->check = true;
             break;
@@ -77,8 +86,16 @@
                 argv[optind]);
         return false;
     }
+    if (arguments->platform) {
+        arguments->config = getenv(EB_PLATFORM_FILE_VARIABLE);
+        if (arguments->config == NULL) {
+            fprintf(stderr, "ebonyhollowd: %s is not set\n",
+                    EB_PLATFORM_FILE_VARIABLE);
+            return false;
+        }
+    }
     if (arguments->config == NULL && !arguments->version && !arguments->help) {
-        fprintf(stderr, "ebonyhollowd: --config is required\n");
+        fprintf(stderr, "ebonyhollowd: --config or --platform is required\n");
         return false;
     }
     return true;
@@ -96,7 +113,10 @@
 load_settings(const Arguments *arguments)
 {
     EbError error = {0};
-    EbSettings *settings = EbSettings_Load(arguments->config, &error);
+    EbSettings *settings =
+        arguments->platform
+            ? EbPlatform_LoadSettings(arguments->config, &error)
+            : EbSettings_Load(arguments->config, &error);
     if (settings == NULL) {
         print_error(&error);
         return NULL;
@@ -115,10 +135,10 @@
 }
 
 static EbExitStatus
-serve(const EbSettings *settings)
+serve(const EbSettings *settings, const EbAdapter *adapter)
 {
     EbError error = {0};
-    EbDaemon *daemon = EbDaemon_New(settings, &error);
+    EbDaemon *daemon = EbDaemon_New(settings, adapter, &error);
     if (daemon == NULL) {
         print_error(&error);
         return EB_EXIT_FAILURE;
@@ -153,7 +173,8 @@
         printf("%s: valid\n", arguments.config);
     }
     else {
-        status = serve(settings);
+        status =
+            serve(settings, arguments.platform ? &EbPlatform_adapter : NULL);
     }
     EbSettings_Free(settings);
     return status;
--- a/src/libebonyhollow/action.c
+++ b/src/libebonyhollow/action.c
@@ -10,6 +10,10 @@
     [EB_ACTION_RETIRE_CONNECTIONS] = "retire-connections",
     [EB_ACTION_RELAY] = "relay",
     [EB_ACTION_ANSWER] = "answer",
+    [EB_ACTION_PREPARE] = "prepare",
+    [EB_ACTION_END_PREPARATION] = "end-preparation",
+    [EB_ACTION_SEND_PIECES] = "send-pieces",
+    [EB_ACTION_RELEASE_RESULTS] = "release-results",
     [EB_ACTION_STORE] = "store",
     [EB_ACTION_PEER_SEND] = "peer-send",
     [EB_ACTION_PEER_CONNECT] = "peer-connect",
@@ -80,6 +84,14 @@
     return queue->actions.length;
 }
 
+static void
+clear_strings(GPtrArray *strings)
+{
+    if (strings != NULL) {
+        g_ptr_array_unref(strings);
+    }
+}
+
 static void
 clear_send(EbSendAttempt *send)
 {
@@ -90,6 +102,35 @@
     g_free(send->idempotency_key);
     g_free(send->traceparent);
     json_decref(send->body);
+    EbForwardCall_Unref(send->forward);
+    g_free(send->customer);
+    clear_strings(send->inputs);
+}
+
+static void
+clear_prepare(EbPrepare *prepare)
+{
+    g_free(prepare->request_id);
+    g_free(prepare->service);
+    g_free(prepare->key);
+    clear_strings(prepare->inputs);
+}
+
+static void
+clear_pieces(EbSendPieces *pieces)
+{
+    g_free(pieces->server_id);
+    g_free(pieces->host);
+    g_array_free(pieces->items, TRUE);
+    clear_strings(pieces->strings);
+}
+
+static void
+clear_release(EbReleaseResults *release)
+{
+    g_free(release->server_id);
+    g_free(release->host);
+    clear_strings(release->handles);
 }
 
 static void
@@ -112,10 +153,22 @@
         break;
     case EB_ACTION_RELAY:
         g_free(action->as.relay.text);
+        g_free(action->as.relay.bytes);
+        EbHttpMessage_Unref(action->as.relay.head);
         break;
     case EB_ACTION_ANSWER:
         g_free(action->as.answer.detail);
         json_decref(action->as.answer.body);
+        EbHttpMessage_Unref(action->as.answer.reply);
+        break;
+    case EB_ACTION_PREPARE:
+        clear_prepare(&action->as.prepare);
+        break;
+    case EB_ACTION_SEND_PIECES:
+        clear_pieces(&action->as.pieces);
+        break;
+    case EB_ACTION_RELEASE_RESULTS:
+        clear_release(&action->as.release);
         break;
     case EB_ACTION_STORE:
         g_free(action->as.store.kind);
@@ -128,6 +181,7 @@
         clear_peer(&action->as.peer);
         break;
     case EB_ACTION_CANCEL_ATTEMPT:
+    case EB_ACTION_END_PREPARATION:
     case EB_ACTION_COUNT:
         break;
     }
--- a/src/libebonyhollow/config.c
+++ b/src/libebonyhollow/config.c
@@ -20,9 +20,23 @@
     [EB_ROLE_ADMIN] = "admin",
 };
 
+static void
+free_forward(EbConfigForward *forward)
+{
+    if (forward == NULL) {
+        return;
+    }
+    g_free(forward->host);
+    g_free(forward->path_prefix);
+    g_free(forward->splits);
+    g_free(forward->preparations);
+    g_free(forward);
+}
+
 static void
 free_pipeline(EbConfigPipeline *pipeline)
 {
+    free_forward(pipeline->forward);
     for (uint32_t i = 0; i < pipeline->stage_count; i++) {
         g_free(pipeline->stages[i].name);
         g_free(pipeline->stages[i].model);
@@ -61,6 +75,7 @@
     }
     for (uint32_t i = 0; i < config->customer_count; i++) {
         g_free(config->customers[i].id);
+        g_free(config->customers[i].more_digests);
     }
     for (uint32_t i = 0; i < config->operator_count; i++) {
         free_operator(&config->operators[i]);
@@ -77,6 +92,16 @@
     g_free(config);
 }
 
+EbConfig *
+EbConfig_New(const char *site, uint64_t generation)
+{
+    EbConfig *config = g_new0(EbConfig, 1);
+    config->references = 1;
+    config->site = g_strdup(site);
+    config->generation = generation;
+    return config;
+}
+
 EbConfig *
 EbConfig_Ref(EbConfig *config)
 {
--- a/src/libebonyhollow/config_find.c
+++ b/src/libebonyhollow/config_find.c
@@ -146,6 +146,14 @@
     uint32_t index = find_digest(config->customers[0].token_digest,
                                  sizeof(config->customers[0]),
                                  config->customer_count, token);
+    for (uint32_t i = 0; i < config->customer_count; i++) {
+        const EbConfigCustomer *customer = &config->customers[i];
+        if (customer->more_digest_count > 0 &&
+            find_digest(customer->more_digests[0], EB_TOKEN_DIGEST_BYTES,
+                        customer->more_digest_count, token) != UINT32_MAX) {
+            index = i;
+        }
+    }
     return index == UINT32_MAX ? NULL : &config->customers[index];
 }
 
--- a/src/libebonyhollow/dispatcher.c
+++ b/src/libebonyhollow/dispatcher.c
@@ -22,6 +22,7 @@
     [EB_ATTEMPT_REFUSED] = "refused", [EB_ATTEMPT_ANSWERED] = "answered",
     [EB_ATTEMPT_TOKENS] = "tokens",   [EB_ATTEMPT_ENDED] = "ended",
     [EB_ATTEMPT_BROKEN] = "broken",   [EB_ATTEMPT_MALFORMED] = "malformed",
+    [EB_ATTEMPT_STREAMING] = "streaming", [EB_ATTEMPT_EVENTS] = "events",
 };
 
 static void
@@ -81,6 +82,7 @@
     g_free(request->key);
     g_free(request->traceparent);
     g_free(request->claim_text);
+    EbForwardState_Free(request->forward);
     EbConfig_Unref(request->config);
     g_free(request);
 }
@@ -123,6 +125,8 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     dispatcher->queries =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    dispatcher->jobs =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     dispatcher->holders =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     dispatcher->servers = g_hash_table_new_full(g_str_hash, g_str_equal,
@@ -149,6 +153,7 @@
     g_hash_table_destroy(dispatcher->leaving);
     g_hash_table_destroy(dispatcher->claims);
     g_hash_table_destroy(dispatcher->queries);
+    g_hash_table_destroy(dispatcher->jobs);
     g_hash_table_destroy(dispatcher->holders);
     g_hash_table_destroy(dispatcher->servers);
     g_hash_table_destroy(dispatcher->fingerprints);
@@ -400,7 +405,8 @@
     else if (state == EB_REQUEST_CLAIMING) {
         EbRequest_Claim(request, now_us);
     }
-    else {
+    else if (request->forward == NULL ||
+             !EbRequest_PrepareAgain(request, now_us)) {
         EbRequest_Enqueue(request, now_us);
     }
 }
@@ -408,7 +414,9 @@
 static void
 reach_deadline(EbRequest *request, int64_t now_us)
 {
-    if (EbRequest_HasCallOut(request)) {
+    bool stream = request->forward != NULL &&
+                  EbRequest_Stage(request)->kind == EB_STAGE_GENERATE;
+    if (EbRequest_HasCallOut(request) && !stream) {
         EbRequest_Detach(request, EB_REASON_DEADLINE_EXCEEDED, now_us);
     }
     else {
--- a/src/libebonyhollow/dispatcher_attempt.c
+++ b/src/libebonyhollow/dispatcher_attempt.c
@@ -14,6 +14,28 @@
 #define LOOKUP_TIMEOUT_US 1000000
 #define MAX_TEXT_BYTES ((size_t)192 * 1024)
 
+static void
+push_forward(const EbAttempt *attempt, const EbConfigBackendServer *server,
+             int64_t now_us)
+{
+    EbRequest *request = attempt->request;
+    const EbConfigStage *stage = EbRequest_Stage(request);
+    EbAction action = {
+        .kind = EB_ACTION_SEND_ATTEMPT,
+        .as.send = {
+            .attempt_id = attempt->id,
+            .attempt = attempt->number,
+            .kind = stage->kind,
+            .server_id = g_strdup(server->id),
+            .host = g_strdup(server->host),
+            .port = server->port,
+            .stream = EbStage_protocols[stage->kind].stream,
+            .fresh_connection = !stage->idempotent,
+        }};
+    EbRequest_FillForward(request, &action.as.send, now_us);
+    EbActionQueue_Push(request->dispatcher->options.actions, &action);
+}
+
 static void
 push_send(const EbAttempt *attempt, const EbConfigBackendServer *server,
           const EbAttemptStart *start)
@@ -129,7 +151,7 @@
     const EbConfigStage *stage = EbRequest_Stage(request);
     const char *path = EbStage_protocols[stage->kind].path;
     EbAttemptStart sent = *start;
-    if (sent.path == NULL) {
+    if (sent.path == NULL && request->forward == NULL) {
         sent.path = path != NULL ? path : stage->path;
     }
     EbAttempt *attempt = g_new0(EbAttempt, 1);
@@ -144,7 +166,12 @@
     attempt->started_us = now_us;
     attempt->timeout_us = first_timeout(stage, start->lookup, now_us);
     register_attempt(attempt);
-    push_send(attempt, server, &sent);
+    if (request->forward != NULL) {
+        push_forward(attempt, server, now_us);
+    }
+    else {
+        push_send(attempt, server, &sent);
+    }
     if (!start->lookup) {
         request->sent_count++;
         request->call_sent = request->call_sent || !stage->idempotent;
@@ -228,6 +255,10 @@
 static bool
 prepare_stream(EbRequest *request)
 {
+    if (request->forward != NULL) {
+        return request->forward->head == NULL ||
+               request->pipeline->forward->resumable;
+    }
     const EbConfigStage *stage = EbRequest_Stage(request);
     if (request->token_count == 0 ||
         request->config->pools[stage->pool_index].resumes_streams) {
@@ -276,6 +307,7 @@
         EbRequest_Fail(request, EB_REASON_QUARANTINED, NULL, now_us);
     }
     else if (request->failures >= MAX_FAILURES ||
+             EbRequest_SpentAttempts(request) ||
              now_us + delay_us >= request->deadline_us) {
         EbRequest_Fail(request, reason, NULL, now_us);
     }
@@ -298,6 +330,14 @@
     }
 }
 
+/* The attempt did not run: the request is as if it had not been sent. */
+static void
+take_back_send(EbRequest *request)
+{
+    request->sent_count--;
+    request->call_sent = false;
+}
+
 /* A non-idempotent call whose connect was refused: nothing was sent. */
 static void
 retry_refused_call(EbRequest *request, int64_t now_us)
@@ -329,16 +369,15 @@
             EB_STRING_FIELD("cause", cause));
 }
 
-/* Ends an attempt that failed and decides what follows. */
-static void
-fail_attempt(EbAttempt *attempt, EbCallResult result, const char *cause,
+void
+EbAttempt_Fail(EbAttempt *attempt, EbCallResult result, const char *cause,
              int64_t now_us)
 {
     EbRequest *request = attempt->request;
     bool lookup = attempt->lookup;
     bool idempotent = request->pipeline->stages[attempt->stage].idempotent;
     report_failure(attempt, cause);
-    if (result == EB_CALL_BROKEN && !lookup) {
+    if (result == EB_CALL_BROKEN && !lookup && request->forward == NULL) {
         request->broken = true;
         EbAttempt_Crashed(attempt, now_us);
         if (attempt->pool->prefix != NULL) {
@@ -349,8 +388,7 @@
         exclude(request, attempt->server_id);
     }
     if (!lookup && result == EB_CALL_REFUSED) {
-        request->sent_count--;
-        request->call_sent = false;
+        take_back_send(request);
     }
     EbAttempt_End(attempt, result, now_us);
     if (lookup) {
@@ -369,6 +407,27 @@
     }
 }
 
+void
+EbAttempt_NotRun(EbAttempt *attempt, EbCallResult result, const char *cause,
+                 int64_t now_us)
+{
+    EbRequest *request = attempt->request;
+    report_failure(attempt, cause);
+    exclude(request, attempt->server_id);
+    take_back_send(request);
+    EbAttempt_End(attempt, result, now_us);
+    if (request->attempt_count == 0) {
+        retry(request, result, now_us);
+    }
+}
+
+void
+EbAttempt_Refuse(EbAttempt *attempt, const char *cause, int64_t now_us)
+{
+    push_cancel(attempt);
+    EbAttempt_Fail(attempt, EB_CALL_ERROR, cause, now_us);
+}
+
 static void
 retire_connections(const EbAttempt *attempt)
 {
@@ -389,14 +448,14 @@
     const EbConfigStage *stage = &request->pipeline->stages[attempt->stage];
     if (attempt->held_back) {
         push_cancel(attempt);
-        fail_attempt(attempt, EB_CALL_CANCELLED, "held back by its caller",
+        EbAttempt_Fail(attempt, EB_CALL_CANCELLED, "held back by its caller",
                      now_us);
         return;
     }
     if (stage->idempotent || attempt->lookup || attempt->overdue) {
         push_cancel(attempt);
         retire_connections(attempt);
-        fail_attempt(attempt, EB_CALL_SILENT, "no progress in time", now_us);
+        EbAttempt_Fail(attempt, EB_CALL_SILENT, "no progress in time", now_us);
         return;
     }
     attempt->overdue = true;
@@ -480,7 +539,7 @@
     json_t *result =
         EbStage_protocols[stage->kind].read(&input, answer, &error);
     if (result == NULL) {
-        fail_attempt(attempt, EB_CALL_ERROR, error.message, now_us);
+        EbAttempt_Fail(attempt, EB_CALL_ERROR, error.message, now_us);
         return;
     }
     complete_stage(attempt, result, now_us);
@@ -507,14 +566,14 @@
     if (result != EB_CALL_OK) {
         char cause[32];
         g_snprintf(cause, sizeof(cause), "status %u", event->http_status);
-        fail_attempt(attempt, result, cause, now_us);
+        EbAttempt_Fail(attempt, result, cause, now_us);
     }
     else if (attempt->lookup) {
         EbAttempt_End(attempt, EB_CALL_OK, now_us);
         EbRequest_LookedUp(request, event->body, now_us);
     }
     else if (EbStage_protocols[stage->kind].stream) {
-        fail_attempt(attempt, EB_CALL_ERROR, "no stream", now_us);
+        EbAttempt_Fail(attempt, EB_CALL_ERROR, "no stream", now_us);
     }
     else {
         read_answer(attempt, event->body, now_us);
@@ -573,8 +632,15 @@
                                    }});
 }
 
-static void
-note_progress(EbAttempt *attempt, int64_t now_us)
+void
+EbAttempt_NoteHead(EbAttempt *attempt, int64_t now_us)
+{
+    EbRequest_Trace(attempt->request, "head", attempt->server_id,
+                    attempt->number, now_us);
+}
+
+void
+EbAttempt_NoteProgress(EbAttempt *attempt, int64_t now_us)
 {
     const EbConfigStage *stage = EbRequest_Stage(attempt->request);
     if (!attempt->has_tokens) {
@@ -595,18 +661,18 @@
     attempt->held_back = event->token_count == 0;
     if (end <= next) {
         /* Sent before the resume, or twice. */
-        note_progress(attempt, now_us);
+        EbAttempt_NoteProgress(attempt, now_us);
         return;
     }
     /* The text of an event can't be divided among its tokens. */
     if (event->token_index != next || event->text == NULL ||
         request->text->len + strlen(event->text) > MAX_TEXT_BYTES) {
         push_cancel(attempt);
-        fail_attempt(attempt, EB_CALL_ERROR, "token index out of order",
+        EbAttempt_Fail(attempt, EB_CALL_ERROR, "token index out of order",
                      now_us);
         return;
     }
-    note_progress(attempt, now_us);
+    EbAttempt_NoteProgress(attempt, now_us);
     g_string_append(request->text, event->text);
     request->token_count = end;
     request->total_tokens += event->token_count;
@@ -663,16 +729,20 @@
 static void
 take_event(EbAttempt *attempt, const EbAttemptEvent *event, int64_t now_us)
 {
+    if (attempt->request->forward != NULL) {
+        EbAttempt_TakeForward(attempt, event, now_us);
+        return;
+    }
     const EbConfigStage *stage = EbRequest_Stage(attempt->request);
     bool stream = EbStage_protocols[stage->kind].stream;
     if (carries_echo(event->kind) && !check_echo(attempt, event)) {
         push_cancel(attempt); /* closes the connection */
-        fail_attempt(attempt, EB_CALL_ERROR, "echo mismatch", now_us);
+        EbAttempt_Fail(attempt, EB_CALL_ERROR, "echo mismatch", now_us);
         return;
     }
     switch (event->kind) {
     case EB_ATTEMPT_REFUSED:
-        fail_attempt(attempt, EB_CALL_REFUSED, "connect refused", now_us);
+        EbAttempt_Fail(attempt, EB_CALL_REFUSED, "connect refused", now_us);
         break;
     case EB_ATTEMPT_ANSWERED:
         take_answer(attempt, event, now_us);
@@ -680,7 +750,7 @@
     case EB_ATTEMPT_TOKENS:
     case EB_ATTEMPT_ENDED:
         if (!stream) {
-            fail_attempt(attempt, EB_CALL_ERROR, "unexpected stream", now_us);
+            EbAttempt_Fail(attempt, EB_CALL_ERROR, "unexpected stream", now_us);
         }
         else if (event->kind == EB_ATTEMPT_TOKENS) {
             take_tokens(attempt, event, now_us);
@@ -690,11 +760,13 @@
         }
         break;
     case EB_ATTEMPT_BROKEN:
-        fail_attempt(attempt, EB_CALL_BROKEN, "connection broken", now_us);
+        EbAttempt_Fail(attempt, EB_CALL_BROKEN, "connection broken", now_us);
         break;
     case EB_ATTEMPT_MALFORMED:
+    case EB_ATTEMPT_STREAMING:
+    case EB_ATTEMPT_EVENTS:
     case EB_ATTEMPT_EVENT_COUNT:
-        fail_attempt(attempt, EB_CALL_ERROR, "malformed answer", now_us);
+        EbAttempt_Fail(attempt, EB_CALL_ERROR, "malformed answer", now_us);
         break;
     }
 }
--- a/src/libebonyhollow/dispatcher_outcome.c
+++ b/src/libebonyhollow/dispatcher_outcome.c
@@ -14,6 +14,7 @@
     [EB_REQUEST_RECEIVED] = "received",
     [EB_REQUEST_CLAIMING] = "claiming",
     [EB_REQUEST_ASKING_OWNER] = "asking-owner",
+    [EB_REQUEST_PREPARING] = "preparing",
     [EB_REQUEST_QUEUED] = "queued",
     [EB_REQUEST_RUNNING] = "running",
     [EB_REQUEST_CALLING] = "calling",
@@ -111,6 +112,14 @@
     }
 }
 
+static EbHttpMessage *
+forward_reply(const EbRequest *request)
+{
+    return request->forward != NULL && request->forward->reply != NULL
+               ? EbHttpMessage_Ref(request->forward->reply)
+               : NULL;
+}
+
 /* Answers once. A caller that is gone is only counted. */
 static void
 answer(EbRequest *request, EbOutcome outcome, EbReason reason,
@@ -139,6 +148,9 @@
                         .reason = reason,
                         .detail = g_strdup(detail),
                         .body = json_incref(body),
+                        .reply = outcome != EB_OUTCOME_NOT_RUN
+                                     ? forward_reply(request)
+                                     : NULL,
                         .retry_after_us = retry_after(request, reason),
                         .replayed = request->replayed,
                     }});
@@ -187,7 +199,9 @@
         EbAttempt *attempt = request->attempts[0];
         const EbConfigStage *stage =
             &request->pipeline->stages[attempt->stage];
-        if (!stage->idempotent && !attempt->lookup &&
+        bool stream = request->forward != NULL &&
+                      stage->kind == EB_STAGE_GENERATE;
+        if (!stage->idempotent && !attempt->lookup && !stream &&
             outcome == EB_OUTCOME_UNKNOWN) {
             /* A call that may be running is not broken off. */
             EbAttempt_End(attempt, EB_CALL_CANCELLED, now_us);
@@ -200,6 +214,9 @@
         EbQueue_Remove(request->pools[request->stage]->queue, request->id);
         request->waiting = false;
     }
+    if (request->forward != NULL) {
+        EbRequest_EndPreparations(request);
+    }
     if (request->owner_query != 0) {
         g_hash_table_remove(dispatcher->queries, &request->owner_query);
         request->owner_query = 0;
@@ -265,6 +282,17 @@
                      NULL, now_us);
 }
 
+void
+EbRequest_CompleteForward(EbRequest *request, EbHttpMessage *reply,
+                          int64_t now_us)
+{
+    if (reply != NULL) {
+        request->forward->reply = EbHttpMessage_Ref(reply);
+    }
+    EbRequest_Finish(request, EB_OUTCOME_DONE, EB_REASON_NONE, NULL, NULL,
+                     now_us);
+}
+
 /* Answer and usage */
 
 static json_t *
@@ -362,7 +390,10 @@
 {
     request->stage = request->pipeline->stage_count - 1;
     const EbConfigStage *stage = EbRequest_Stage(request);
-    const char *path = request->config->pools[stage->pool_index].outcome_path;
+    const char *path =
+        request->forward == NULL
+            ? request->config->pools[stage->pool_index].outcome_path
+            : NULL;
     if (path == NULL || request->lookup_over ||
         request->lookup_count >= MAX_LOOKUPS) {
         give_up_lookup(request, now_us);
--- /dev/null
+++ b/src/libebonyhollow/dispatcher_prepare.c
@@ -0,0 +1,270 @@
+/* Preparations: the stages whose results a forwarded request needs. */
+#include <assert.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "dispatcher_private.h"
+
+/* Lost results are made again this often for one request. */
+#define MAX_RESTARTS 2
+
+const char *const EbPreparedStatus_names[EB_PREPARED_STATUS_COUNT] = {
+    [EB_PREPARED_OK] = "ok",
+    [EB_PREPARED_INPUT_GONE] = "input-gone",
+    [EB_PREPARED_LATE] = "late",
+    [EB_PREPARED_FAILED] = "failed",
+};
+
+static const EbConfigForward *
+forward_of(const EbRequest *request)
+{
+    return request->pipeline->forward;
+}
+
+static uint32_t
+piece_count(const EbRequest *request, uint32_t index)
+{
+    const EbForwardCall *call = request->forward->call;
+    return index < call->piece_stage_count ? call->piece_counts[index] : 0;
+}
+
+/* Bits of the preparations that others need, without those left out. */
+static uint32_t
+followed_bits(const EbRequest *request)
+{
+    uint32_t followed = 0;
+    for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
+        if (request->forward->preparations[i].needed) {
+            followed |= forward_of(request)->preparations[i].after;
+        }
+    }
+    return followed;
+}
+
+static void
+add_handles(GPtrArray *inputs, const EbPreparation *preparation)
+{
+    for (guint i = 0;
+         preparation->handles != NULL && i < preparation->handles->len; i++) {
+        g_ptr_array_add(
+            inputs, g_strdup(g_ptr_array_index(preparation->handles, i)));
+    }
+}
+
+static GPtrArray *
+collect(const EbRequest *request, uint32_t bits)
+{
+    GPtrArray *inputs = g_ptr_array_new_with_free_func(g_free);
+    for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
+        if ((bits & 1U << i) != 0) {
+            add_handles(inputs, &request->forward->preparations[i]);
+        }
+    }
+    return inputs;
+}
+
+GPtrArray *
+EbRequest_Inputs(const EbRequest *request)
+{
+    return collect(request, ~followed_bits(request));
+}
+
+static bool
+is_startable(const EbRequest *request, uint32_t index)
+{
+    const EbPreparation *rows = request->forward->preparations;
+    if (!rows[index].needed || rows[index].done || rows[index].job != 0) {
+        return false;
+    }
+    uint32_t after = forward_of(request)->preparations[index].after;
+    for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
+        if ((after & 1U << i) != 0 && rows[i].needed && !rows[i].done) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+start_preparation(EbRequest *request, uint32_t index, int64_t now_us)
+{
+    EbDispatcher *dispatcher = request->dispatcher;
+    const EbConfigPreparation *row = &forward_of(request)->preparations[index];
+    EbPreparation *state = &request->forward->preparations[index];
+    state->job = ++dispatcher->next_job;
+    g_hash_table_insert(dispatcher->jobs,
+                        g_memdup2(&state->job, sizeof(state->job)), request);
+    EbAction action = {
+        .kind = EB_ACTION_PREPARE,
+        .as.prepare = {
+            .job = state->job,
+            .request_id = g_strdup(request->forward->call->request_id),
+            .service =
+                g_strdup(request->config->pools[row->pool_index].name),
+            .stage = index,
+            .piece_count = piece_count(request, index),
+            .due_us = request->summary->received_us +
+                      forward_of(request)->goal_us - row->rest_us,
+            .deadline_us = request->deadline_us,
+        }};
+    if (row->after == 0) {
+        action.as.prepare.key = g_strdup(request->forward->call->piece_key);
+    }
+    else {
+        action.as.prepare.inputs = collect(request, row->after);
+    }
+    EbActionQueue_Push(dispatcher->options.actions, &action);
+    EbRequest_Trace(request, "prepare", action.as.prepare.service, index,
+                    now_us);
+}
+
+/* Starts what can start, or the call itself when nothing is missing. */
+static void
+go_on(EbRequest *request, int64_t now_us)
+{
+    EbPreparation *rows = request->forward->preparations;
+    bool missing = false;
+    for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
+        if (is_startable(request, i)) {
+            start_preparation(request, i, now_us);
+        }
+        missing = missing || (rows[i].needed && !rows[i].done);
+    }
+    if (missing) {
+        request->summary->state = EB_REQUEST_PREPARING;
+        EbRequest_Touch(request);
+    }
+    else if (request->next_number == 0) {
+        EbRequest_StartStage(request, now_us);
+    }
+    else {
+        EbRequest_Enqueue(request, now_us);
+    }
+}
+
+void
+EbRequest_Prepare(EbRequest *request, int64_t now_us)
+{
+    EbPreparation *rows = request->forward->preparations;
+    for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
+        rows[i].needed = piece_count(request, i) > 0;
+    }
+    go_on(request, now_us);
+}
+
+static void
+end_preparation(EbRequest *request, EbPreparation *row)
+{
+    EbDispatcher *dispatcher = request->dispatcher;
+    if (row->job == 0) {
+        return;
+    }
+    g_hash_table_remove(dispatcher->jobs, &row->job);
+    EbActionQueue_Push(dispatcher->options.actions,
+                       &(EbAction){.kind = EB_ACTION_END_PREPARATION,
+                                   .as.end_job = row->job});
+    row->job = 0;
+}
+
+void
+EbRequest_EndPreparations(EbRequest *request)
+{
+    for (size_t i = 0; i < EB_FORWARD_MAX_PREPARATIONS; i++) {
+        end_preparation(request, &request->forward->preparations[i]);
+    }
+}
+
+void
+EbRequest_DropPreparations(EbRequest *request)
+{
+    EbRequest_EndPreparations(request);
+    for (size_t i = 0; i < EB_FORWARD_MAX_PREPARATIONS; i++) {
+        EbPreparation *row = &request->forward->preparations[i];
+        row->done = false;
+        if (row->handles != NULL) {
+            g_ptr_array_unref(row->handles);
+            row->handles = NULL;
+        }
+    }
+}
+
+/* Returns whether results that the call needs were given up. */
+static bool
+lacks_results(const EbRequest *request)
+{
+    const EbPreparation *rows = request->forward->preparations;
+    for (size_t i = 0; i < EB_FORWARD_MAX_PREPARATIONS; i++) {
+        if (rows[i].needed && rows[i].job == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+EbRequest_PrepareAgain(EbRequest *request, int64_t now_us)
+{
+    if (!lacks_results(request)) {
+        return false;
+    }
+    EbRequest_DropPreparations(request);
+    if (++request->forward->restarts > MAX_RESTARTS) {
+        EbRequest_Fail(request, EB_REASON_BACKEND_FAILED,
+                       "Results of earlier stages were lost.", now_us);
+        return true;
+    }
+    go_on(request, now_us);
+    return true;
+}
+
+static void
+take_failure(EbRequest *request, EbPreparedStatus status, int64_t now_us)
+{
+    EbRequest_Trace(request, "not-prepared", EbPreparedStatus_names[status], 0,
+                    now_us);
+    if (status == EB_PREPARED_INPUT_GONE) {
+        EbRequest_DropPreparations(request);
+        if (!EbRequest_PrepareAgain(request, now_us)) {
+            go_on(request, now_us);
+        }
+        return;
+    }
+    EbRequest_Fail(request,
+                   status == EB_PREPARED_LATE ? EB_REASON_DEADLINE_INFEASIBLE
+                                              : EB_REASON_BACKEND_FAILED,
+                   NULL, now_us);
+}
+
+void
+EbDispatcher_Prepared(EbDispatcher *dispatcher, uint64_t job,
+                      EbPreparedStatus status, char *const *handles,
+                      uint32_t handle_count, int64_t now_us)
+{
+    EbRequest *request = g_hash_table_lookup(dispatcher->jobs, &job);
+    if (request == NULL) {
+        return;
+    }
+    EbRequest_Touch(request);
+    EbPreparation *row = request->forward->preparations;
+    while (row->job != job) {
+        row++;
+    }
+    uint32_t index = (uint32_t)(row - request->forward->preparations);
+    if (status != EB_PREPARED_OK ||
+        handle_count != piece_count(request, index)) {
+        take_failure(request,
+                     status == EB_PREPARED_OK ? EB_PREPARED_FAILED : status,
+                     now_us);
+        EbDispatcher_Settle(dispatcher, now_us);
+        return;
+    }
+    row->done = true;
+    row->handles = g_ptr_array_new_with_free_func(g_free);
+    for (uint32_t i = 0; i < handle_count; i++) {
+        g_ptr_array_add(row->handles, g_strdup(handles[i]));
+    }
+    EbRequest_Trace(request, "prepared", "", index, now_us);
+    go_on(request, now_us);
+    EbDispatcher_Settle(dispatcher, now_us);
+}
--- a/src/libebonyhollow/dispatcher_stage.c
+++ b/src/libebonyhollow/dispatcher_stage.c
@@ -143,6 +143,27 @@
     }
 }
 
+/* Prefers the server that has most of the request's prompt cached. */
+static const EbConfigBackendServer *
+choose_for_forward(EbRequest *request, EbPoolCriteria *criteria,
+                   int64_t now_us)
+{
+    EbPoolState *pool = request->pools[request->stage];
+    const EbForwardCall *call = request->forward->call;
+    bool affinity = pool->prefix != NULL && call->part_count > 0;
+    if (affinity) {
+        criteria->preferred = EbPrefix_FindParts(pool->prefix, call->parts,
+                                                 call->part_count, now_us);
+    }
+    const EbConfigBackendServer *server =
+        EbPool_Begin(pool->pool, criteria, now_us);
+    if (server != NULL && affinity) {
+        EbPrefix_RecordParts(pool->prefix, call->parts, call->part_count,
+                             server->id, now_us);
+    }
+    return server;
+}
+
 static const EbConfigBackendServer *
 choose_server(EbRequest *request, json_t *body, int64_t now_us)
 {
@@ -156,6 +177,9 @@
         criteria.accept = EbRequest_AcceptsServer;
         criteria.context = request;
     }
+    if (request->forward != NULL) {
+        return choose_for_forward(request, &criteria, now_us);
+    }
     const char *prompt = EbStage_Prompt(body);
     bool affinity = pool->prefix != NULL && prompt != NULL &&
                     !EbDispatcher_IsPlain(request->dispatcher);
@@ -197,7 +221,7 @@
         EbRequest_Fail(request, EB_REASON_QUARANTINED, NULL, now_us);
         return false;
     }
-    if (!EbRequest_Stage(request)->idempotent &&
+    if (!EbRequest_Stage(request)->idempotent && request->forward == NULL &&
         !EbLedger_MayHandOut(dispatcher->options.ledger, request->claim,
                              now_us)) {
         EB_EMIT(dispatcher->options.events, EB_EVENT_HOLD_EXPIRED,
@@ -226,8 +250,9 @@
     }
     EbError error;
     EbError_Clear(&error);
-    json_t *body = build_body(request, &error);
-    if (body == NULL) {
+    json_t *body =
+        request->forward == NULL ? build_body(request, &error) : NULL;
+    if (body == NULL && request->forward == NULL) {
         EbRequest_Fail(request, EB_REASON_BAD_REQUEST, error.message, now_us);
         return;
     }
@@ -254,6 +279,7 @@
     EbPoolState *pool = request->pools[request->stage];
     request->hedge_us = 0;
     if (request->attempt_count != 1 || request->hedged ||
+        EbRequest_SpentAttempts(request) ||
         EbRequest_IsSuspected(request, now_us) ||
         !EbRetry_Take(&pool->budget)) {
         return;
@@ -271,8 +297,11 @@
         return;
     }
     request->hedged = true;
-    json_t *body = build_body(request, NULL);
-    assert(body != NULL); /* it was built for the first attempt */
+    json_t *body = NULL;
+    if (request->forward == NULL) {
+        body = build_body(request, NULL);
+        assert(body != NULL); /* it was built for the first attempt */
+    }
     EbMetrics_Add(request->dispatcher->options.metrics, EB_METRIC_HEDGES, 1,
                   request->pipeline->name, EbRequest_Stage(request)->name,
                   NULL);
--- /dev/null
+++ b/src/libebonyhollow/forward.c
@@ -0,0 +1,35 @@
+#include "ebonyhollow/forward.h"
+
+#include <assert.h>
+
+#include <glib.h>
+
+const char *const EbPieceResultKind_names[EB_PIECE_RESULT_COUNT] = {
+    [EB_PIECE_DONE] = "done",         [EB_PIECE_LATE] = "late",
+    [EB_PIECE_GONE] = "gone",         [EB_PIECE_NO_ROOM] = "no-room",
+    [EB_PIECE_ERROR] = "error",
+};
+
+EbForwardCall *
+EbForwardCall_Ref(EbForwardCall *call)
+{
+    assert(call->references > 0);
+    call->references++;
+    return call;
+}
+
+void
+EbForwardCall_Unref(EbForwardCall *call)
+{
+    if (call == NULL || --call->references > 0) {
+        return;
+    }
+    EbHttpMessage_Unref(call->message);
+    g_free(call->request_id);
+    g_free(call->token);
+    g_free(call->host);
+    g_free(call->path);
+    g_free(call->parts);
+    g_free(call->piece_key);
+    g_free(call);
+}
--- a/src/libebonyhollow/generation.c
+++ b/src/libebonyhollow/generation.c
@@ -209,6 +209,26 @@
     }
 }
 
+EbGenerationResult
+EbGeneration_Adopt(EbGeneration *generation, EbConfig *config,
+                   const char *source, int64_t now_us)
+{
+    uint64_t number = EbGeneration_Number(generation);
+    if (config->generation < number) {
+        return EB_GENERATION_STALE;
+    }
+    if (config->generation > number) {
+        apply_config(generation, EbConfig_Ref(config), "", 0, source, now_us);
+        return EB_GENERATION_APPLIED;
+    }
+    EbConfig_Unref(generation->current);
+    generation->current = EbConfig_Ref(config);
+    if (generation->applied != NULL) {
+        generation->applied(generation->context, config, now_us);
+    }
+    return EB_GENERATION_SAME;
+}
+
 static void
 emit_rejected(EbGeneration *generation, const char *text, size_t text_bytes,
               const EbError *error)
--- a/src/libebonyhollow/message.c
+++ b/src/libebonyhollow/message.c
@@ -14,6 +14,8 @@
 #define OUTCOMES (BIT(OUTCOME_QUERY) | BIT(OUTCOME_REPLY))
 #define CONFIGS (BIT(CONFIG_REQUEST) | BIT(CONFIG_BODY))
 #define SHARES (BIT(USAGE) | BIT(GRANT))
+#define PREPARATIONS                                                          \
+    (BIT(PREPARE) | BIT(PREPARED) | BIT(END_PREPARATION))
 #define FIELD(key, type, member, kinds, required, limit)                      \
     {                                                                         \
         key, EB_MESSAGE_FIELD_##type, offsetof(EbMessage, member), kinds,     \
@@ -31,6 +33,9 @@
     [EB_MESSAGE_GRANT] = "grant",
     [EB_MESSAGE_QUARANTINE] = "quarantine",
     [EB_MESSAGE_SERVER_LEAVING] = "server-leaving",
+    [EB_MESSAGE_PREPARE] = "prepare",
+    [EB_MESSAGE_PREPARED] = "prepared",
+    [EB_MESSAGE_END_PREPARATION] = "end-preparation",
 };
 
 const char *const EbMemberState_names[EB_MEMBER_STATE_COUNT] = {
@@ -59,6 +64,18 @@
     FIELD(16, ENTRIES, entries, BIT(QUARANTINE), 0, 0),
     FIELD(17, NAME, server, BIT(SERVER_LEAVING), BIT(SERVER_LEAVING), 0),
     FIELD(18, BOOL, leaving, BIT(SERVER_LEAVING), 0, 0),
+    FIELD(19, UINT64, job, PREPARATIONS, PREPARATIONS, 0),
+    FIELD(20, NAME, request_id, BIT(PREPARE), BIT(PREPARE), 0),
+    FIELD(21, NAME, service, BIT(PREPARE), BIT(PREPARE), 0),
+    FIELD(22, UINT32, stage, BIT(PREPARE), 0, EB_FORWARD_MAX_PREPARATIONS),
+    FIELD(23, UINT32, piece_count, BIT(PREPARE), BIT(PREPARE),
+          EB_FORWARD_MAX_PIECES + 1),
+    FIELD(24, NAME, piece_key, BIT(PREPARE), 0, 0),
+    FIELD(25, UINT64, due_in_us, BIT(PREPARE), 0, 0),
+    FIELD(26, UINT64, late_us, BIT(PREPARE), 0, 0),
+    FIELD(27, UINT64, left_us, BIT(PREPARE), 0, 0),
+    FIELD(28, UINT32, prepared, BIT(PREPARED), 0, EB_PREPARED_STATUS_COUNT),
+    FIELD(29, HANDLES, handles, BIT(PREPARE) | BIT(PREPARED), 0, 0),
 };
 
 const size_t EbMessage_field_count =
@@ -135,6 +152,15 @@
     }
 }
 
+static void
+pack_handles(msgpack_packer *packer, const EbMessage *message)
+{
+    msgpack_pack_array(packer, message->handle_count);
+    for (uint32_t i = 0; i < message->handle_count; i++) {
+        pack_name(packer, message->handles[i]);
+    }
+}
+
 static const void *
 field_value(const EbMessage *message, const EbMessageField *field)
 {
@@ -176,6 +202,8 @@
         return message->share_count == 0;
     case EB_MESSAGE_FIELD_ENTRIES:
         return message->entry_count == 0;
+    case EB_MESSAGE_FIELD_HANDLES:
+        return message->handle_count == 0;
     }
     return true;
 }
@@ -211,6 +239,9 @@
     case EB_MESSAGE_FIELD_ENTRIES:
         pack_entries(packer, message);
         break;
+    case EB_MESSAGE_FIELD_HANDLES:
+        pack_handles(packer, message);
+        break;
     }
 }
 
@@ -226,9 +257,15 @@
 {
     if (message->member_count > EB_MESSAGE_MAX_ITEMS ||
         message->share_count > EB_MESSAGE_MAX_ITEMS ||
-        message->entry_count > EB_MESSAGE_MAX_ITEMS) {
+        message->entry_count > EB_MESSAGE_MAX_ITEMS ||
+        message->handle_count > EB_MESSAGE_MAX_ITEMS) {
         return false;
     }
+    for (uint32_t i = 0; i < message->handle_count; i++) {
+        if (!is_name_short(message->handles[i])) {
+            return false;
+        }
+    }
     for (uint32_t i = 0; i < message->member_count; i++) {
         const EbMessageMember *member = &message->members[i];
         if (!is_name_short(member->instance) ||
@@ -327,6 +364,13 @@
     for (uint32_t i = 0; i < message->share_count; i++) {
         g_free(message->shares[i].customer);
     }
+    for (uint32_t i = 0; i < message->handle_count; i++) {
+        g_free(message->handles[i]);
+    }
+    g_free(message->handles);
+    g_free(message->request_id);
+    g_free(message->service);
+    g_free(message->piece_key);
     g_free(message->members);
     g_free(message->shares);
     g_free(message->entries);
--- a/src/libebonyhollow/message_decode.c
+++ b/src/libebonyhollow/message_decode.c
@@ -135,6 +135,12 @@
     return true;
 }
 
+static bool
+read_handle(const msgpack_object *object, void *target)
+{
+    return read_name(object, target);
+}
+
 /* Reads an array; what was read before a fault stays for EbMessage_Free. */
 static bool
 read_array(const msgpack_object *object, size_t element_bytes, void **array,
@@ -198,6 +204,9 @@
         return read_array(object, sizeof(EbQuarantineEntry),
                           (void **)&message->entries, &message->entry_count,
                           read_entry);
+    case EB_MESSAGE_FIELD_HANDLES:
+        return read_array(object, sizeof(char *), (void **)&message->handles,
+                          &message->handle_count, read_handle);
     }
     return false;
 }
--- a/src/libebonyhollow/private/dispatcher_private.h
+++ b/src/libebonyhollow/private/dispatcher_private.h
@@ -42,6 +42,24 @@
 
 typedef struct EbRequest EbRequest;
 
+/* One preparation of a forwarded request. */
+typedef struct {
+    uint64_t job; /* 0: not started, or not needed */
+    bool needed;
+    bool done;
+    GPtrArray *handles; /* of char *, when done */
+} EbPreparation;
+
+/* What a forwarded request has beside the others. */
+typedef struct {
+    EbForwardCall *call;
+    EbPreparation preparations[EB_FORWARD_MAX_PREPARATIONS];
+    uint32_t restarts;     /* of preparations whose results were lost */
+    EbHttpMessage *head;   /* of the relayed stream */
+    EbHttpMessage *reply;  /* a server's answer without stream */
+    int64_t last_event_id; /* relayed, or EB_FORWARD_NO_EVENT */
+} EbForwardState;
+
 typedef struct {
     uint64_t id;
     EbRequest *request;
@@ -154,6 +172,8 @@
     uint64_t relayed_count;
     int64_t token_us; /* last token */
     uint64_t total_tokens;
+
+    EbForwardState *forward; /* NULL unless the request is forwarded */
 };
 
 struct EbDispatcher {
@@ -168,6 +188,7 @@
     GHashTable *attempts;  /* id to EbAttempt */
     GHashTable *claims;    /* claim handle to EbRequest */
     GHashTable *queries;   /* owner query to EbRequest */
+    GHashTable *jobs;      /* preparation job to EbRequest */
     GHashTable *holders;   /* customer and key digest to the EbRequest
                               that claims or owns the key */
     GHashTable *servers;   /* id to GPtrArray of EbAttempt in flight */
@@ -180,6 +201,7 @@
     uint64_t next_request;
     uint64_t next_attempt;
     uint64_t next_query;
+    uint64_t next_job;
     int64_t pool_tick_us;
     int64_t now_us; /* for EbRequest_AcceptsServer, which is given no time */
     bool draining;
@@ -209,6 +231,15 @@
     return &request->pipeline->stages[request->stage];
 }
 
+/* Returns whether a forwarded request was run by as many servers as its route
+ * allows. */
+static inline bool
+EbRequest_SpentAttempts(const EbRequest *request)
+{
+    return request->forward != NULL &&
+           request->sent_count >= request->pipeline->forward->max_attempts;
+}
+
 static inline bool
 EbRequest_IsOver(const EbRequest *request)
 {
@@ -256,6 +287,48 @@
 /* Takes the time-out of an attempt. */
 void EbAttempt_Overdue(EbAttempt *attempt, int64_t now_us);
 
+/* Ends an attempt that failed and decides what follows. */
+void EbAttempt_Fail(EbAttempt *attempt, EbCallResult result, const char *cause,
+                    int64_t now_us);
+/* As above, for a call that its server states it did not run. */
+void EbAttempt_NotRun(EbAttempt *attempt, EbCallResult result,
+                      const char *cause, int64_t now_us);
+/* As EbAttempt_Fail for an answer at fault: closes the connection. */
+void EbAttempt_Refuse(EbAttempt *attempt, const char *cause, int64_t now_us);
+/* Notes that the head of a stream arrived. */
+void EbAttempt_NoteHead(EbAttempt *attempt, int64_t now_us);
+/* Notes that a stream goes on and moves its time-out. */
+void EbAttempt_NoteProgress(EbAttempt *attempt, int64_t now_us);
+
+/* dispatcher_forward.c */
+EbForwardState *EbForwardState_New(EbForwardCall *call);
+void EbForwardState_Free(EbForwardState *state);
+/* Checks who asks and finds the route. */
+EbReason EbRequest_AuthorizeForward(EbRequest *request);
+/* Chooses the pool of a forwarded request by the weights of its route. */
+uint32_t EbRequest_ForwardPool(const EbRequest *request);
+/* Fills in what an attempt of a forwarded request sends. */
+void EbRequest_FillForward(EbRequest *request, EbSendAttempt *send,
+                           int64_t now_us);
+/* Takes an event of a forwarded request's attempt. */
+void EbAttempt_TakeForward(EbAttempt *attempt, const EbAttemptEvent *event,
+                           int64_t now_us);
+
+/* dispatcher_prepare.c */
+
+/* Starts the preparations that a forwarded request needs, and its call when
+ * all are done. */
+void EbRequest_Prepare(EbRequest *request, int64_t now_us);
+/* Ends preparations and gives their results up. */
+void EbRequest_EndPreparations(EbRequest *request);
+/* The same, and forgets what they gave: the results no longer exist. */
+void EbRequest_DropPreparations(EbRequest *request);
+/* Prepares anew what the call needs and was given up. Returns false when
+ * nothing is missing. */
+bool EbRequest_PrepareAgain(EbRequest *request, int64_t now_us);
+/* Handles of the results that the call needs; to be unreferenced. */
+GPtrArray *EbRequest_Inputs(const EbRequest *request);
+
 /* dispatcher_crash.c */
 /* Counts a crash for all fingerprints in flight on the attempt's server. */
 void EbAttempt_Crashed(EbAttempt *attempt, int64_t now_us);
@@ -280,6 +353,9 @@
 /* Ends a request that is not done with its true outcome. */
 void EbRequest_Fail(EbRequest *request, EbReason reason, const char *detail,
                     int64_t now_us);
+/* Ends a forwarded request with a server's answer; NULL after a stream. */
+void EbRequest_CompleteForward(EbRequest *request, EbHttpMessage *reply,
+                               int64_t now_us);
 /* Ends a request whose last stage has its result. */
 void EbRequest_Complete(EbRequest *request, int64_t now_us);
 /* Answers `unknown` and goes on without the caller while calls are out. */
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -55,8 +55,13 @@
     EbDaemon *daemon = context;
     EbLimiter_SetConfig(daemon->limiter, config);
     EbDispatcher_SetConfig(daemon->dispatcher, config, now_us);
-    EbMembership_SetGeneration(daemon->membership, config->generation);
-    EbDaemon_MarkLeaving(daemon, now_us);
+    if (daemon->adapter != NULL) {
+        EbPieces_SetConfig(daemon->pieces, config, now_us);
+    }
+    else {
+        EbMembership_SetGeneration(daemon->membership, config->generation);
+        EbDaemon_MarkLeaving(daemon, now_us);
+    }
     EbDaemon_Wake(daemon);
 }
 
@@ -125,7 +130,7 @@
     daemon->metrics = EbMetrics_New();
     daemon->log = EbLog_New(&(EbLogOptions){.level = settings->log_level,
                                             .instance = settings->instance,
-                                            .descriptor = STDERR_FILENO,
+                                            .descriptor = STDOUT_FILENO,
                                             .suppressed = on_suppressed,
                                             .context = daemon});
     daemon->sink = (EbEventSink){on_event, daemon};
@@ -236,6 +241,9 @@
         &(EbPlatformClientOptions){.base = daemon->base,
                                    .host = settings->platform.host,
                                    .port = settings->platform.port,
+                                   .dialect = daemon->adapter != NULL
+                                                  ? daemon->adapter->store
+                                                  : NULL,
                                    .token = settings->platform_token,
                                    .random = &daemon->random,
                                    .metrics = daemon->metrics,
@@ -275,16 +283,23 @@
 static bool
 create_servers(EbDaemon *daemon, EbError *error)
 {
-    daemon->callers = EbCallerServer_New(
-        &(EbCallerServerOptions){.base = daemon->base,
-                                 .settings = daemon->settings,
-                                 .submit = EbDaemon_OnSubmit,
-                                 .gone = EbDaemon_OnGone,
-                                 .flow = EbDaemon_OnFlow,
-                                 .context = daemon},
-        error);
-    if (daemon->callers == NULL) {
-        return false;
+    if (daemon->adapter != NULL) {
+        if (!EbDaemon_CreateForward(daemon, error)) {
+            return false;
+        }
+    }
+    else {
+        daemon->callers = EbCallerServer_New(
+            &(EbCallerServerOptions){.base = daemon->base,
+                                     .settings = daemon->settings,
+                                     .submit = EbDaemon_OnSubmit,
+                                     .gone = EbDaemon_OnGone,
+                                     .flow = EbDaemon_OnFlow,
+                                     .context = daemon},
+            error);
+        if (daemon->callers == NULL) {
+            return false;
+        }
     }
     daemon->admin = EbAdminServer_New(
         &(EbAdminServerOptions){.base = daemon->base,
@@ -311,7 +326,7 @@
 static void
 add_signals(EbDaemon *daemon)
 {
-    static const int numbers[] = {SIGTERM, SIGINT};
+    static const int numbers[] = {SIGTERM, SIGINT, SIGHUP};
     for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
         daemon->signals[i] =
             evsignal_new(daemon->base, numbers[i], EbDaemon_OnSignal, daemon);
@@ -333,8 +348,14 @@
         g_free(address);
     }
     EbDaemon_OnMembersChanged(daemon, now_us);
-    EbGeneration_Refresh(daemon->generation, now_us);
-    EbDaemon_CheckWatches(daemon, now_us);
+    if (daemon->adapter != NULL) {
+        EbDeployment_Watch(daemon);
+        daemon->watch_us = INT64_MAX;
+    }
+    else {
+        EbGeneration_Refresh(daemon->generation, now_us);
+        EbDaemon_CheckWatches(daemon, now_us);
+    }
     daemon->report_us = now_us + EB_LIMITER_REPORT_US;
     add_signals(daemon);
     EB_EMIT(daemon->events, EB_EVENT_DAEMON_STARTED,
@@ -345,7 +366,8 @@
 }
 
 EbDaemon *
-EbDaemon_New(const EbSettings *settings, EbError *error)
+EbDaemon_New(const EbSettings *settings, const EbAdapter *adapter,
+             EbError *error)
 {
     if (sodium_init() < 0) {
         EbError_Set(error, EB_ERROR_IO, "libsodium cannot be initialized");
@@ -355,6 +377,7 @@
     signal(SIGPIPE, SIG_IGN);
     EbDaemon *daemon = g_new0(EbDaemon, 1);
     daemon->settings = settings;
+    daemon->adapter = adapter;
     create_basics(daemon);
     if (!create_links(daemon, error)) {
         EbDaemon_Free(daemon);
@@ -400,6 +423,7 @@
     }
     EbAdminServer_Free(daemon->admin);
     EbCallerServer_Free(daemon->callers);
+    EbDaemon_FreeForward(daemon);
     EbPeerLinks_Free(daemon->links);
     EbBackendClient_Free(daemon->backend);
     EbPlatformClient_Free(daemon->platform);
@@ -430,7 +454,9 @@
 uint16_t
 EbDaemon_CallerPort(const EbDaemon *daemon)
 {
-    return EbCallerServer_Port(daemon->callers);
+    return daemon->adapter != NULL
+               ? EbForwardServer_Port(daemon->forward_server)
+               : EbCallerServer_Port(daemon->callers);
 }
 
 uint16_t
--- a/src/libebonyhollow_net/daemon_action.c
+++ b/src/libebonyhollow_net/daemon_action.c
@@ -52,6 +52,62 @@
     event_active(daemon->drain_event, EV_TIMEOUT, 0);
 }
 
+static void
+pause_attempt(EbDaemon *daemon, uint64_t attempt_id, bool paused)
+{
+    if (daemon->adapter != NULL) {
+        EbForwardClient_Pause(daemon->forward_client, attempt_id, paused);
+    }
+    else {
+        EbBackendClient_Pause(daemon->backend, attempt_id, paused);
+    }
+}
+
+static void
+send_attempt(EbDaemon *daemon, const EbSendAttempt *send)
+{
+    if (send->forward != NULL) {
+        EbDaemon_SendForward(daemon, send);
+    }
+    else {
+        EbBackendClient_Send(daemon->backend, send);
+    }
+}
+
+static void
+cancel_attempt(EbDaemon *daemon, uint64_t attempt_id)
+{
+    if (daemon->adapter != NULL) {
+        EbForwardClient_Cancel(daemon->forward_client, attempt_id);
+    }
+    else {
+        EbBackendClient_Cancel(daemon->backend, attempt_id);
+    }
+}
+
+static void
+retire_connections(EbDaemon *daemon, const char *server_id)
+{
+    if (daemon->adapter != NULL) {
+        EbForwardClient_Retire(daemon->forward_client, server_id);
+    }
+    else {
+        EbBackendClient_Retire(daemon->backend, server_id);
+    }
+}
+
+static void
+give_answer(EbDaemon *daemon, const EbAnswer *answer)
+{
+    g_hash_table_remove(daemon->flows, &answer->request);
+    if (daemon->adapter != NULL) {
+        EbForwardServer_Answer(daemon->forward_server, answer);
+    }
+    else {
+        EbCallerServer_Answer(daemon->callers, answer);
+    }
+}
+
 static void
 relay(EbDaemon *daemon, const EbRelay *tokens, uint64_t attempt_id)
 {
@@ -63,9 +119,14 @@
     }
     if (attempt_id != 0 && attempt_id != flow->attempt_id) {
         flow->attempt_id = attempt_id;
-        EbBackendClient_Pause(daemon->backend, attempt_id, flow->paused);
+        pause_attempt(daemon, attempt_id, flow->paused);
+    }
+    if (daemon->adapter != NULL) {
+        EbForwardServer_Relay(daemon->forward_server, tokens);
+    }
+    else {
+        EbCallerServer_Relay(daemon->callers, tokens);
     }
-    EbCallerServer_Relay(daemon->callers, tokens);
 }
 
 static void
@@ -74,20 +135,31 @@
     const EbAction *action = &staged->action;
     switch (action->kind) {
     case EB_ACTION_SEND_ATTEMPT:
-        EbBackendClient_Send(daemon->backend, &action->as.send);
+        send_attempt(daemon, &action->as.send);
         break;
     case EB_ACTION_CANCEL_ATTEMPT:
-        EbBackendClient_Cancel(daemon->backend, action->as.cancel_attempt_id);
+        cancel_attempt(daemon, action->as.cancel_attempt_id);
         break;
     case EB_ACTION_RETIRE_CONNECTIONS:
-        EbBackendClient_Retire(daemon->backend, action->as.retire_server_id);
+        retire_connections(daemon, action->as.retire_server_id);
         break;
     case EB_ACTION_RELAY:
         relay(daemon, &action->as.relay, staged->attempt_id);
         break;
     case EB_ACTION_ANSWER:
-        g_hash_table_remove(daemon->flows, &action->as.answer.request);
-        EbCallerServer_Answer(daemon->callers, &action->as.answer);
+        give_answer(daemon, &action->as.answer);
+        break;
+    case EB_ACTION_PREPARE:
+        EbDaemon_Prepare(daemon, &action->as.prepare);
+        break;
+    case EB_ACTION_END_PREPARATION:
+        EbDaemon_EndPreparation(daemon, action->as.end_job);
+        break;
+    case EB_ACTION_SEND_PIECES:
+        EbDaemon_SendPieces(daemon, &action->as.pieces);
+        break;
+    case EB_ACTION_RELEASE_RESULTS:
+        EbDaemon_ReleaseResults(daemon, &action->as.release);
         break;
     case EB_ACTION_STORE:
         EbPlatformClient_Store(daemon->platform, &action->as.store);
@@ -111,6 +183,10 @@
 static void
 collect(EbDaemon *daemon, int64_t now_us)
 {
+    if (daemon->adapter != NULL) {
+        EbDeployment_Work(daemon, now_us);
+    }
+    EbDaemon_TellPrepared(daemon, now_us);
     EbDispatcher_LedgerResults(daemon->dispatcher, now_us);
     EbDaemon_ReplyAsked(daemon, now_us);
     EbDaemon_TellQuarantine(daemon, now_us);
@@ -149,7 +225,10 @@
     EbDaemon_Stage(daemon, 0);
     EbDispatcher_Attempt(daemon->dispatcher, event, EbClock_Monotonic());
     EbDaemon_Stage(daemon,
-                   event->kind == EB_ATTEMPT_TOKENS ? event->attempt_id : 0);
+                   event->kind == EB_ATTEMPT_TOKENS ||
+                           event->kind == EB_ATTEMPT_EVENTS
+                       ? event->attempt_id
+                       : 0);
     EbDaemon_Wake(daemon);
 }
 
@@ -181,7 +260,7 @@
     Flow *flow = g_hash_table_lookup(daemon->flows, &request);
     if (flow != NULL) {
         flow->paused = paused;
-        EbBackendClient_Pause(daemon->backend, flow->attempt_id, paused);
+        pause_attempt(daemon, flow->attempt_id, paused);
     }
 }
 
--- a/src/libebonyhollow_net/daemon_drain.c
+++ b/src/libebonyhollow_net/daemon_drain.c
@@ -1,4 +1,6 @@
 /* Graceful shutdown, as docs/design.md, section 5.6, describes it. */
+#include <signal.h>
+
 #include "daemon_internal.h"
 
 /* Time for the announcement to leave through the links. */
@@ -18,7 +20,12 @@
 {
     daemon->drain_state = EB_DRAIN_FINISHING;
     daemon->drain_us = now_us + daemon->settings->drain_limit_us;
-    EbCallerServer_StopAccepting(daemon->callers);
+    if (daemon->adapter != NULL) {
+        EbForwardServer_StopAccepting(daemon->forward_server);
+    }
+    else {
+        EbCallerServer_StopAccepting(daemon->callers);
+    }
     EbDispatcher_Drain(daemon->dispatcher, now_us);
 }
 
@@ -59,15 +66,22 @@
     daemon->drain_state = EB_DRAIN_DELAY;
     daemon->drain_us =
         EbClock_Monotonic() + daemon->settings->balancer_delay_us;
+    if (daemon->forward_server != NULL) {
+        EbForwardServer_AnnounceClose(daemon->forward_server);
+    }
     EbDaemon_Wake(daemon);
 }
 
 void
 EbDaemon_OnSignal(evutil_socket_t fd, short what, void *arg)
 {
-    (void)fd;
     (void)what;
     EbDaemon *daemon = arg;
+    if (fd == SIGHUP) {
+        EB_EMIT(daemon->events, EB_EVENT_RELOAD_REQUESTED,
+                EB_STRING_FIELD("instance", daemon->settings->instance));
+        return;
+    }
     if (daemon->drain_state == EB_DRAIN_NONE) {
         EbDaemon_StartDrain(daemon);
     }
@@ -76,15 +90,24 @@
     }
 }
 
+static bool
+has_callers(const EbDaemon *daemon)
+{
+    if (daemon->adapter != NULL) {
+        return EbForwardServer_OpenCount(daemon->forward_server) > 0;
+    }
+    return EbCallerServer_OpenCount(daemon->callers) > 0 ||
+           EbCallerServer_HasUnsent(daemon->callers);
+}
+
 /* Whether nothing is left: requests, answers on their way, records of
  * outcomes. */
 static bool
 is_finished(const EbDaemon *daemon)
 {
     return EbDispatcher_LiveCount(daemon->dispatcher) == 0 &&
-           EbCallerServer_OpenCount(daemon->callers) == 0 &&
            EbLedger_UnwrittenCount(daemon->ledger) == 0 &&
-           !EbCallerServer_HasUnsent(daemon->callers);
+           !has_callers(daemon);
 }
 
 void
--- /dev/null
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -0,0 +1,380 @@
+/* Forwarded requests: between the listener, the decisions, the servers and
+ * the daemons that gather work items. */
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "daemon_internal.h"
+
+/* A preparation that goes on at the home of its service. */
+typedef struct {
+    EbPrepare prepare; /* its own copy */
+    char *home;        /* instance; this one's name when it is here */
+} Job;
+
+static void
+free_job(gpointer pointer)
+{
+    Job *job = pointer;
+    g_free(job->prepare.request_id);
+    g_free(job->prepare.service);
+    g_free(job->prepare.key);
+    if (job->prepare.inputs != NULL) {
+        g_ptr_array_unref(job->prepare.inputs);
+    }
+    g_free(job->home);
+    g_free(job);
+}
+
+static uint64_t
+on_submit(void *context, EbForwardCall *call)
+{
+    EbDaemon *daemon = context;
+    return EbDaemon_OnSubmit(daemon, &(EbSubmission){
+                                         .request_id = call->request_id,
+                                         .pipeline = "",
+                                         .forward = call});
+}
+
+static void
+take_pieces(EbDaemon *daemon, const EbAttemptEvent *event, int64_t now_us)
+{
+    size_t count = EbPieces_ItemCount(daemon->pieces, event->attempt_id);
+    if (count == 0) {
+        return; /* a release of results, or a call that was given up */
+    }
+    if (event->kind != EB_ATTEMPT_ANSWERED) {
+        EbPieces_Failed(daemon->pieces, event->attempt_id,
+                        event->kind == EB_ATTEMPT_REFUSED ? EB_CALL_REFUSED
+                                                          : EB_CALL_BROKEN,
+                        EbAttemptEventKind_names[event->kind], now_us);
+        return;
+    }
+    if (event->http_status != 200) {
+        char cause[32];
+        g_snprintf(cause, sizeof(cause), "status %u", event->http_status);
+        EbPieces_Failed(daemon->pieces, event->attempt_id,
+                        event->http_status == 503 ? EB_CALL_OVERLOADED
+                                                  : EB_CALL_ERROR,
+                        cause, now_us);
+        return;
+    }
+    EbPieceResult *results = g_new0(EbPieceResult, count);
+    EbError error = {0};
+    if (daemon->adapter->forward->read_pieces(event->reply, results, count,
+                                              &error)) {
+        EbPieces_Answered(daemon->pieces, event->attempt_id, results, count,
+                          now_us);
+    }
+    else {
+        EbPieces_Failed(daemon->pieces, event->attempt_id, EB_CALL_ERROR,
+                        error.message, now_us);
+    }
+    for (size_t i = 0; i < count; i++) {
+        g_free(results[i].handle);
+    }
+    g_free(results);
+}
+
+static void
+on_event(void *context, const EbAttemptEvent *event)
+{
+    EbDaemon *daemon = context;
+    if ((event->attempt_id & EB_PIECES_ATTEMPT_BIT) == 0) {
+        EbDaemon_OnAttempt(daemon, event);
+        return;
+    }
+    take_pieces(daemon, event, EbClock_Monotonic());
+    EbDaemon_Wake(daemon);
+}
+
+bool
+EbDaemon_CreateForward(EbDaemon *daemon, EbError *error)
+{
+    EbDeployment_Init(&daemon->deployment);
+    daemon->jobs =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_job);
+    daemon->pieces = EbPieces_New(&(EbPiecesOptions){
+        .actions = daemon->actions, .events = daemon->events});
+    daemon->forward_client = EbForwardClient_New(
+        &(EbForwardClientOptions){.base = daemon->base,
+                                  .protocol = daemon->adapter->forward,
+                                  .event = on_event,
+                                  .context = daemon});
+    daemon->forward_server = EbForwardServer_New(
+        &(EbForwardServerOptions){.base = daemon->base,
+                                  .settings = daemon->settings,
+                                  .protocol = daemon->adapter->forward,
+                                  .events = daemon->events,
+                                  .submit = on_submit,
+                                  .gone = EbDaemon_OnGone,
+                                  .flow = EbDaemon_OnFlow,
+                                  .context = daemon},
+        error);
+    return daemon->forward_server != NULL;
+}
+
+void
+EbDaemon_FreeForward(EbDaemon *daemon)
+{
+    EbForwardServer_Free(daemon->forward_server);
+    EbForwardClient_Free(daemon->forward_client);
+    EbPieces_Free(daemon->pieces);
+    if (daemon->jobs != NULL) {
+        g_hash_table_destroy(daemon->jobs);
+    }
+    EbDeployment_Clear(&daemon->deployment);
+}
+
+/* Actions */
+
+void
+EbDaemon_SendForward(EbDaemon *daemon, const EbSendAttempt *send)
+{
+    const EbForwardProtocol *protocol = daemon->adapter->forward;
+    EbForwardHop hop = {
+        .server_id = send->server_id,
+        .customer = send->customer,
+        .left_us = send->left_us,
+        .resume_after = send->resume_after,
+        .priority = send->priority,
+    };
+    GPtrArray *inputs = g_ptr_array_new();
+    if (send->inputs != NULL) {
+        hop.input_count = send->inputs->len;
+        g_ptr_array_extend(inputs, send->inputs, NULL, NULL);
+    }
+    g_ptr_array_add(inputs, NULL);
+    hop.inputs = (const char *const *)inputs->pdata;
+    EbHttpMessage *message = protocol->write_call(send->forward, &hop);
+    EbForwardClient_Send(daemon->forward_client,
+                         &(EbForwardSend){
+                             .attempt_id = send->attempt_id,
+                             .server_id = send->server_id,
+                             .host = send->host,
+                             .port = send->port,
+                             .request_id = send->request_id,
+                             .stream = send->stream,
+                             .fresh_connection = send->fresh_connection,
+                         },
+                         message);
+    EbHttpMessage_Unref(message);
+    g_ptr_array_unref(inputs);
+}
+
+void
+EbDaemon_SendPieces(EbDaemon *daemon, const EbSendPieces *send)
+{
+    EbHttpMessage *message = daemon->adapter->forward->write_pieces(
+        send->server_id, (const EbPieceItem *)send->items->data,
+        send->items->len);
+    EbForwardClient_Send(daemon->forward_client,
+                         &(EbForwardSend){.attempt_id = send->attempt_id,
+                                          .server_id = send->server_id,
+                                          .host = send->host,
+                                          .port = send->port},
+                         message);
+    EbHttpMessage_Unref(message);
+}
+
+void
+EbDaemon_ReleaseResults(EbDaemon *daemon, const EbReleaseResults *release)
+{
+    EbHttpMessage *message = daemon->adapter->forward->write_release(
+        (const char *const *)release->handles->pdata, release->handles->len);
+    EbForwardClient_Send(daemon->forward_client,
+                         &(EbForwardSend){.attempt_id = release->attempt_id,
+                                          .server_id = release->server_id,
+                                          .host = release->host,
+                                          .port = release->port},
+                         message);
+    EbHttpMessage_Unref(message);
+}
+
+/* Preparations */
+
+/* Returns the live daemon that gathers the work items of a service, by
+ * rendezvous hashing (Thaler, Ravishankar 1998); this one when no other can be
+ * reached. */
+static const char *
+find_home(const EbDaemon *daemon, const char *service, int64_t now_us)
+{
+    const char *own = daemon->settings->instance;
+    const char *home = own;
+    uint64_t seed = XXH64(service, strlen(service), 0);
+    uint64_t highest = XXH64(own, strlen(own), seed);
+    size_t count = EbMembership_Count(daemon->membership);
+    for (size_t i = 0; i < count; i++) {
+        EbMemberView view;
+        EbMembership_View(daemon->membership, i, now_us, &view);
+        uint64_t weight = XXH64(view.instance, strlen(view.instance), seed);
+        if (view.state == EB_MEMBER_ALIVE && view.linked &&
+            weight > highest) {
+            highest = weight;
+            home = view.instance;
+        }
+    }
+    return home;
+}
+
+static bool
+is_here(const EbDaemon *daemon, const char *home)
+{
+    return strcmp(home, daemon->settings->instance) == 0;
+}
+
+static bool
+send_prepare(EbDaemon *daemon, const Job *job, int64_t now_us)
+{
+    const EbPrepare *prepare = &job->prepare;
+    int64_t due_us = prepare->due_us - now_us;
+    EbMessage message = {
+        .kind = EB_MESSAGE_PREPARE,
+        .job = prepare->job,
+        .request_id = prepare->request_id,
+        .service = prepare->service,
+        .stage = prepare->stage,
+        .piece_count = prepare->piece_count,
+        .piece_key = prepare->key,
+        .due_in_us = due_us > 0 ? (uint64_t)due_us : 0,
+        .late_us = due_us < 0 ? (uint64_t)-due_us : 0,
+        .left_us = (uint64_t)MAX(prepare->deadline_us - now_us, 0),
+    };
+    if (prepare->inputs != NULL) {
+        message.handles = (char **)prepare->inputs->pdata;
+        message.handle_count = prepare->inputs->len;
+    }
+    return EbMembership_Send(daemon->membership, job->home, &message, now_us);
+}
+
+static void
+place_job(EbDaemon *daemon, Job *job, int64_t now_us)
+{
+    g_free(job->home);
+    job->home =
+        g_strdup(find_home(daemon, job->prepare.service, now_us));
+    if (!is_here(daemon, job->home) && !send_prepare(daemon, job, now_us)) {
+        g_free(job->home);
+        job->home = g_strdup(daemon->settings->instance);
+    }
+    if (is_here(daemon, job->home)) {
+        EbPieces_Add(daemon->pieces, job->home, &job->prepare, now_us);
+    }
+    EbDaemon_Wake(daemon);
+}
+
+void
+EbDaemon_Prepare(EbDaemon *daemon, const EbPrepare *prepare)
+{
+    Job *job = g_new0(Job, 1);
+    job->prepare = *prepare;
+    job->prepare.request_id = g_strdup(prepare->request_id);
+    job->prepare.service = g_strdup(prepare->service);
+    job->prepare.key = g_strdup(prepare->key);
+    if (prepare->inputs != NULL) {
+        g_ptr_array_ref(prepare->inputs);
+    }
+    g_hash_table_insert(daemon->jobs, &job->prepare.job, job);
+    place_job(daemon, job, EbClock_Monotonic());
+}
+
+void
+EbDaemon_EndPreparation(EbDaemon *daemon, uint64_t number)
+{
+    int64_t now_us = EbClock_Monotonic();
+    const Job *job = g_hash_table_lookup(daemon->jobs, &number);
+    if (job == NULL) {
+        return;
+    }
+    if (is_here(daemon, job->home)) {
+        EbPieces_End(daemon->pieces, job->home, number, now_us);
+    }
+    else {
+        EbMessage message = {.kind = EB_MESSAGE_END_PREPARATION,
+                             .job = number};
+        EbMembership_Send(daemon->membership, job->home, &message, now_us);
+    }
+    g_hash_table_remove(daemon->jobs, &number);
+    EbDaemon_Wake(daemon);
+}
+
+void
+EbDaemon_TakePrepare(EbDaemon *daemon, const char *peer,
+                     const EbMessage *message, int64_t now_us)
+{
+    EbPrepare prepare = {
+        .job = message->job,
+        .request_id = message->request_id,
+        .service = message->service,
+        .stage = message->stage,
+        .piece_count = message->piece_count,
+        .key = message->piece_key,
+        .due_us = now_us + (int64_t)message->due_in_us -
+                  (int64_t)message->late_us,
+        .deadline_us = now_us + (int64_t)message->left_us,
+    };
+    if (message->piece_key == NULL) {
+        prepare.inputs = g_ptr_array_new_with_free_func(g_free);
+        for (uint32_t i = 0; i < message->handle_count; i++) {
+            g_ptr_array_add(prepare.inputs, g_strdup(message->handles[i]));
+        }
+    }
+    EbPieces_Add(daemon->pieces, peer, &prepare, now_us);
+    if (prepare.inputs != NULL) {
+        g_ptr_array_unref(prepare.inputs);
+    }
+}
+
+void
+EbDaemon_TakePrepared(EbDaemon *daemon, const char *peer,
+                      const EbMessage *message, int64_t now_us)
+{
+    const Job *job = g_hash_table_lookup(daemon->jobs, &message->job);
+    if (job != NULL && strcmp(job->home, peer) == 0) {
+        EbDispatcher_Prepared(daemon->dispatcher, message->job,
+                              (EbPreparedStatus)message->prepared,
+                              message->handles, message->handle_count, now_us);
+    }
+}
+
+void
+EbDaemon_TellPrepared(EbDaemon *daemon, int64_t now_us)
+{
+    EbPiecesResult result;
+    while (daemon->pieces != NULL &&
+           EbPieces_NextResult(daemon->pieces, &result)) {
+        if (is_here(daemon, result.origin)) {
+            EbDispatcher_Prepared(daemon->dispatcher, result.job,
+                                  result.status, result.handles,
+                                  result.handle_count, now_us);
+        }
+        else {
+            EbMessage message = {.kind = EB_MESSAGE_PREPARED,
+                                 .job = result.job,
+                                 .prepared = result.status,
+                                 .handles = result.handles,
+                                 .handle_count = result.handle_count};
+            EbMembership_Send(daemon->membership, result.origin, &message,
+                              now_us);
+        }
+        EbPiecesResult_Clear(&result);
+    }
+}
+
+void
+EbDaemon_ForwardPeerGone(EbDaemon *daemon, const char *peer, int64_t now_us)
+{
+    if (daemon->pieces == NULL) {
+        return;
+    }
+    EbPieces_EndOrigin(daemon->pieces, peer, now_us);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, daemon->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Job *job = value;
+        if (strcmp(job->home, peer) == 0) {
+            place_job(daemon, job, now_us);
+        }
+    }
+}
--- a/src/libebonyhollow_net/daemon_peer.c
+++ b/src/libebonyhollow_net/daemon_peer.c
@@ -156,6 +156,7 @@
                                 false, &absent, now_us);
     }
     g_array_free(wanted.queries, TRUE);
+    EbDaemon_ForwardPeerGone(daemon, peer, now_us);
     EbDaemon_Wake(daemon);
 }
 
@@ -296,6 +297,25 @@
                        0, peer, &error, now_us);
 }
 
+/* Daemons without adapter gather no work items. */
+static void
+take_preparation(EbDaemon *daemon, const char *peer, const EbMessage *message,
+                 int64_t now_us)
+{
+    if (daemon->adapter == NULL) {
+        return;
+    }
+    if (message->kind == EB_MESSAGE_PREPARE) {
+        EbDaemon_TakePrepare(daemon, peer, message, now_us);
+    }
+    else if (message->kind == EB_MESSAGE_PREPARED) {
+        EbDaemon_TakePrepared(daemon, peer, message, now_us);
+    }
+    else {
+        EbPieces_End(daemon->pieces, peer, message->job, now_us);
+    }
+}
+
 void
 EbDaemon_OnDeliver(void *context, const char *peer, const EbMessage *message,
                    int64_t now_us)
@@ -329,6 +349,11 @@
         EbDispatcher_ServerLeaving(daemon->dispatcher, message->server,
                                    message->leaving, "peer", now_us);
         break;
+    case EB_MESSAGE_PREPARE:
+    case EB_MESSAGE_PREPARED:
+    case EB_MESSAGE_END_PREPARATION:
+        take_preparation(daemon, peer, message, now_us);
+        break;
     case EB_MESSAGE_HEARTBEAT:
     case EB_MESSAGE_MEMBERS:
     case EB_MESSAGE_KIND_COUNT:
@@ -359,6 +384,6 @@
             EbDaemon_PeerGone(daemon, view.instance, now_us);
         }
     }
-    daemon->watch_us = now_us;
+    daemon->watch_us = daemon->adapter != NULL ? INT64_MAX : now_us;
     EbDaemon_Wake(daemon);
 }
--- a/src/libebonyhollow_net/daemon_platform.c
+++ b/src/libebonyhollow_net/daemon_platform.c
@@ -162,6 +162,10 @@
 EbDaemon_OnListed(void *context, const char *kind, json_t *items)
 {
     EbDaemon *daemon = context;
+    if (daemon->adapter != NULL) {
+        EbDeployment_Listed(daemon, kind, items);
+        return;
+    }
     if (strcmp(kind, EB_INSTANCES_KIND) == 0) {
         take_instances(daemon, items);
     }
@@ -251,8 +255,11 @@
 void
 EbDaemon_OnChanged(void *context, const char *kind, json_t *events)
 {
-    (void)events;
     EbDaemon *daemon = context;
+    if (daemon->adapter != NULL) {
+        EbDeployment_Changed(daemon, kind, events);
+        return;
+    }
     if (strcmp(kind, EB_GENERATION_KIND) == 0) {
         EbGeneration_Refresh(daemon->generation, EbClock_Monotonic());
         EbDaemon_Wake(daemon);
--- a/src/libebonyhollow_net/daemon_timer.c
+++ b/src/libebonyhollow_net/daemon_timer.c
@@ -14,7 +14,13 @@
     next_us = MIN(next_us, EbDaemon_NextList(daemon));
     next_us = MIN(next_us, EbDispatcher_NextTimer(daemon->dispatcher));
     next_us = MIN(next_us, EbLedger_NextTimer(daemon->ledger));
-    next_us = MIN(next_us, EbGeneration_NextTimer(daemon->generation));
+    if (daemon->adapter != NULL) {
+        next_us = MIN(next_us, EbPieces_NextTimer(daemon->pieces));
+        next_us = MIN(next_us, EbDeployment_NextTimer(daemon));
+    }
+    else {
+        next_us = MIN(next_us, EbGeneration_NextTimer(daemon->generation));
+    }
     return MIN(next_us, EbMembership_NextTimer(daemon->membership));
 }
 
@@ -59,7 +65,12 @@
     EbLedger_Tick(daemon->ledger, now_us);
     EbDispatcher_LedgerResults(daemon->dispatcher, now_us);
     EbDispatcher_Tick(daemon->dispatcher, now_us);
-    EbGeneration_Tick(daemon->generation, now_us);
+    if (daemon->adapter != NULL) {
+        EbPieces_Tick(daemon->pieces, now_us);
+    }
+    else {
+        EbGeneration_Tick(daemon->generation, now_us);
+    }
     EbMembership_Tick(daemon->membership, now_us);
     if (now_us >= daemon->report_us) {
         daemon->report_us = now_us + EB_LIMITER_REPORT_US;
--- /dev/null
+++ b/src/libebonyhollow_net/forward_client.c
@@ -0,0 +1,479 @@
+#include "ebonyhollow/forward_client.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <glib.h>
+
+#include "clock.h"
+#include "event_blocks.h"
+#include "http_reader.h"
+#include "socket.h"
+
+#define DEFAULT_MAX_IDLE 8
+#define DEFAULT_IDLE_LIMIT_US 10000000
+#define DEFAULT_CONNECT_TIMEOUT_US 500000
+#define DEFAULT_MAX_HEADER_BYTES 32768
+#define DEFAULT_MAX_BODY_BYTES ((size_t)8 * 1024 * 1024)
+/* Idle connections are given up this long before the server closes them. */
+#define IDLE_MARGIN_US 500000
+#define MAX_HOST_BYTES 64
+
+typedef struct {
+    EbForwardClient *client;
+    char *server_id;
+    struct bufferevent *bufev;
+    EbHttpReader *reader;
+    bool connected;
+
+    uint64_t attempt_id; /* 0: idle */
+    char *request_id;
+    bool stream;
+    bool wrote;           /* a byte of the call may have been sent */
+    EbHttpMessage *answer;
+    EbForwardReply reply;
+    bool streaming;       /* the answer is an event stream */
+    bool foreign;         /* the answer belongs to an earlier call */
+    EbEventBlocks *blocks;
+    int64_t idle_since_us;
+    int64_t idle_limit_us;
+    bool done; /* the call was reported; to be reused or freed */
+    bool reusable;
+} Connection;
+
+struct EbForwardClient {
+    EbForwardClientOptions options;
+    GHashTable *calls; /* attempt id to Connection */
+    GHashTable *idle;  /* server id to GQueue of Connection, newest first */
+    GHashTable *all;   /* set of Connection */
+};
+
+static void
+free_connection(gpointer data)
+{
+    Connection *connection = data;
+    bufferevent_free(connection->bufev);
+    EbHttpReader_Free(connection->reader);
+    EbEventBlocks_Free(connection->blocks);
+    EbHttpMessage_Unref(connection->answer);
+    g_free(connection->request_id);
+    g_free(connection->server_id);
+    g_free(connection);
+}
+
+static void
+free_queue(gpointer queue)
+{
+    g_queue_free(queue);
+}
+
+static void
+forget(Connection *connection)
+{
+    EbForwardClient *client = connection->client;
+    if (connection->attempt_id != 0) {
+        g_hash_table_remove(client->calls, &connection->attempt_id);
+        connection->attempt_id = 0;
+    }
+    GQueue *idle = g_hash_table_lookup(client->idle, connection->server_id);
+    if (idle != NULL) {
+        g_queue_remove(idle, connection);
+        if (idle->length == 0) {
+            g_hash_table_remove(client->idle, connection->server_id);
+        }
+    }
+    g_hash_table_remove(client->all, connection);
+}
+
+static void
+report(Connection *connection, EbAttemptEvent *event)
+{
+    EbForwardClient *client = connection->client;
+    event->attempt_id = connection->attempt_id;
+    event->reply = connection->answer;
+    event->forward = connection->reply;
+    event->has_load = connection->reply.has_load;
+    event->load_running = connection->reply.load_running;
+    event->load_waiting = connection->reply.load_waiting;
+    client->options.event(client->options.context, event);
+}
+
+/* Reports the last event of a call and takes it off the connection. */
+static void
+end_call(Connection *connection, EbAttemptEventKind kind)
+{
+    if (connection->attempt_id == 0) {
+        return;
+    }
+    EbAttemptEvent event = {.kind = kind};
+    report(connection, &event);
+    g_hash_table_remove(connection->client->calls, &connection->attempt_id);
+    connection->attempt_id = 0;
+    connection->done = true;
+}
+
+static bool
+is_event_stream(const EbHttpMessage *head)
+{
+    const char *type = EbHttpMessage_FindHeader(head, "Content-Type");
+    return head->status == 200 && type != NULL &&
+           g_ascii_strncasecmp(type, "text/event-stream", 17) == 0;
+}
+
+static void
+read_keep_alive(Connection *connection, const EbHttpMessage *head)
+{
+    const char *value = EbHttpMessage_FindHeader(head, "Keep-Alive");
+    const char *timeout = value != NULL ? strstr(value, "timeout=") : NULL;
+    connection->idle_limit_us = connection->client->options.idle_limit_us;
+    if (timeout != NULL) {
+        int64_t told_us =
+            g_ascii_strtoll(timeout + strlen("timeout="), NULL, 10) * 1000000;
+        connection->idle_limit_us =
+            MIN(connection->idle_limit_us, told_us - IDLE_MARGIN_US);
+    }
+}
+
+static bool
+on_head(void *context, EbHttpMessage *message)
+{
+    Connection *connection = context;
+    EbHttpMessage_Unref(connection->answer);
+    connection->answer = message;
+    connection->client->options.protocol->read_reply(message,
+                                                     &connection->reply);
+    connection->foreign =
+        connection->request_id != NULL &&
+        connection->reply.request_id != NULL &&
+        strcmp(connection->reply.request_id, connection->request_id) != 0;
+    if (connection->foreign) {
+        return true;
+    }
+    read_keep_alive(connection, message);
+    connection->streaming = connection->stream && is_event_stream(message);
+    if (connection->streaming) {
+        EbAttemptEvent event = {.kind = EB_ATTEMPT_STREAMING};
+        report(connection, &event);
+    }
+    return true;
+}
+
+static void
+on_blocks(void *context, int64_t first_id, int64_t last_id,
+          const uint8_t *bytes, size_t byte_count)
+{
+    Connection *connection = context;
+    if (connection->attempt_id == 0) {
+        return;
+    }
+    EbAttemptEvent event = {.kind = EB_ATTEMPT_EVENTS,
+                            .first_event_id = first_id,
+                            .last_event_id = last_id,
+                            .bytes = bytes,
+                            .byte_count = byte_count};
+    report(connection, &event);
+}
+
+static bool
+on_body(void *context, const uint8_t *bytes, size_t byte_count)
+{
+    Connection *connection = context;
+    if (connection->foreign) {
+        return true;
+    }
+    if (connection->streaming) {
+        return EbEventBlocks_Feed(connection->blocks, bytes, byte_count);
+    }
+    if (connection->answer->body_bytes + byte_count >
+        connection->client->options.max_body_bytes) {
+        return false;
+    }
+    EbHttpMessage_AddBody(connection->answer, bytes, byte_count);
+    return true;
+}
+
+static void
+on_complete(void *context, bool reusable)
+{
+    Connection *connection = context;
+    if (connection->foreign) {
+        return;
+    }
+    connection->reusable = reusable;
+    bool whole = !connection->streaming ||
+                 EbEventBlocks_IsEmpty(connection->blocks);
+    if (!whole) {
+        end_call(connection, EB_ATTEMPT_BROKEN);
+        return;
+    }
+    end_call(connection, connection->streaming ? EB_ATTEMPT_ENDED
+                                               : EB_ATTEMPT_ANSWERED);
+}
+
+static void
+keep_idle(Connection *connection)
+{
+    EbForwardClient *client = connection->client;
+    GQueue *idle = g_hash_table_lookup(client->idle, connection->server_id);
+    struct evbuffer *input = bufferevent_get_input(connection->bufev);
+    struct evbuffer *output = bufferevent_get_output(connection->bufev);
+    bool clean = connection->reusable && evbuffer_get_length(input) == 0 &&
+                 evbuffer_get_length(output) == 0 &&
+                 connection->idle_limit_us > 0;
+    if (!clean || (idle != NULL &&
+                   idle->length >= client->options.max_idle_per_server)) {
+        forget(connection);
+        return;
+    }
+    EbHttpMessage_Unref(connection->answer);
+    connection->answer = NULL;
+    connection->reply = (EbForwardReply){0};
+    connection->done = false;
+    connection->idle_since_us = EbClock_Monotonic();
+    struct timeval limit = {connection->idle_limit_us / 1000000,
+                            connection->idle_limit_us % 1000000};
+    bufferevent_set_timeouts(connection->bufev, &limit, NULL);
+    bufferevent_enable(connection->bufev, EV_READ);
+    if (idle == NULL) {
+        idle = g_queue_new();
+        g_hash_table_insert(client->idle, g_strdup(connection->server_id),
+                            idle);
+    }
+    g_queue_push_head(idle, connection);
+}
+
+static void
+on_read(struct bufferevent *bufev, void *context)
+{
+    Connection *connection = context;
+    if (connection->attempt_id == 0) {
+        forget(connection); /* bytes that belong to no call */
+        return;
+    }
+    struct evbuffer *input = bufferevent_get_input(bufev);
+    while (connection->attempt_id != 0 && evbuffer_get_length(input) > 0) {
+        size_t length = evbuffer_get_contiguous_space(input);
+        const uint8_t *bytes = evbuffer_pullup(input, (ev_ssize_t)length);
+        size_t consumed = 0;
+        EbHttpReadResult result =
+            EbHttpReader_Feed(connection->reader, bytes, length, &consumed);
+        evbuffer_drain(input, consumed);
+        if (result == EB_HTTP_READ_INVALID ||
+            result == EB_HTTP_READ_TOO_LARGE) {
+            end_call(connection, EB_ATTEMPT_MALFORMED);
+            forget(connection);
+            return;
+        }
+    }
+    if (connection->done) {
+        keep_idle(connection);
+    }
+}
+
+static void
+on_event(struct bufferevent *bufev, short what, void *context)
+{
+    (void)bufev;
+    Connection *connection = context;
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        connection->connected = true;
+        connection->wrote = true;
+        bufferevent_set_timeouts(connection->bufev, NULL, NULL);
+        return;
+    }
+    if (connection->attempt_id != 0 && (what & BEV_EVENT_EOF) != 0 &&
+        EbHttpReader_End(connection->reader)) {
+        forget(connection); /* the end of the connection ended the answer */
+        return;
+    }
+    end_call(connection,
+             connection->wrote ? EB_ATTEMPT_BROKEN : EB_ATTEMPT_REFUSED);
+    forget(connection);
+}
+
+static Connection *
+take_idle(EbForwardClient *client, const char *server_id)
+{
+    GQueue *idle = g_hash_table_lookup(client->idle, server_id);
+    if (idle == NULL) {
+        return NULL;
+    }
+    Connection *connection = g_queue_pop_head(idle);
+    if (idle->length == 0) {
+        g_hash_table_remove(client->idle, server_id);
+    }
+    bufferevent_set_timeouts(connection->bufev, NULL, NULL);
+    return connection;
+}
+
+static Connection *
+open_connection(EbForwardClient *client, const EbForwardSend *send)
+{
+    Connection *connection = g_new0(Connection, 1);
+    connection->client = client;
+    connection->server_id = g_strdup(send->server_id);
+    connection->idle_limit_us = client->options.idle_limit_us;
+    connection->bufev = bufferevent_socket_new(client->options.base, -1,
+                                               BEV_OPT_CLOSE_ON_FREE);
+    connection->blocks = EbEventBlocks_New(on_blocks, connection);
+    connection->reader = EbHttpReader_New(&(EbHttpReaderOptions){
+        .kind = EB_HTTP_ANSWERS,
+        .max_header_bytes = client->options.max_header_bytes,
+        .head = on_head,
+        .body = on_body,
+        .complete = on_complete,
+        .context = connection});
+    bufferevent_setcb(connection->bufev, on_read, NULL, on_event, connection);
+    struct timeval limit = {client->options.connect_timeout_us / 1000000,
+                            client->options.connect_timeout_us % 1000000};
+    bufferevent_set_timeouts(connection->bufev, &limit, &limit);
+    g_hash_table_add(client->all, connection);
+    return connection;
+}
+
+static bool
+dial(const Connection *connection, const EbForwardSend *send)
+{
+    char text[MAX_HOST_BYTES + 8];
+    snprintf(text, sizeof(text), strchr(send->host, ':') ? "[%s]:%u" : "%s:%u",
+             send->host, (unsigned)send->port);
+    struct sockaddr_storage storage;
+    int length = sizeof(storage);
+    if (evutil_parse_sockaddr_port(text, (struct sockaddr *)&storage,
+                                   &length) != 0 ||
+        bufferevent_socket_connect(connection->bufev,
+                                   (struct sockaddr *)&storage, length) != 0) {
+        return false;
+    }
+    EbSocket_SetNoDelay(bufferevent_getfd(connection->bufev));
+    return true;
+}
+
+static void
+write_call(Connection *connection, const EbHttpMessage *message)
+{
+    struct evbuffer *output = bufferevent_get_output(connection->bufev);
+    evbuffer_add_printf(output, "%s %s HTTP/1.1\r\n", message->method,
+                        message->target);
+    for (uint32_t i = 0; i < message->header_count; i++) {
+        evbuffer_add_printf(output, "%s: %s\r\n", message->headers[i].name,
+                            message->headers[i].value);
+    }
+    bool has_length = message->body_bytes > 0 ||
+                      strcmp(message->method, "POST") == 0 ||
+                      strcmp(message->method, "PUT") == 0;
+    if (has_length) {
+        evbuffer_add_printf(output, "Content-Length: %zu\r\n",
+                            message->body_bytes);
+    }
+    evbuffer_add(output, "\r\n", 2);
+    if (message->body_bytes > 0) {
+        evbuffer_add(output, message->body, message->body_bytes);
+    }
+}
+
+void
+EbForwardClient_Send(EbForwardClient *client, const EbForwardSend *send,
+                     EbHttpMessage *message)
+{
+    Connection *connection = send->fresh_connection
+                                 ? NULL
+                                 : take_idle(client, send->server_id);
+    bool opened = connection == NULL;
+    if (opened) {
+        connection = open_connection(client, send);
+    }
+    connection->attempt_id = send->attempt_id;
+    g_free(connection->request_id);
+    connection->request_id = g_strdup(send->request_id);
+    connection->stream = send->stream;
+    connection->streaming = false;
+    connection->foreign = false;
+    connection->done = false;
+    EbEventBlocks_Reset(connection->blocks);
+    EbHttpReader_SkipBody(connection->reader,
+                          strcmp(message->method, "HEAD") == 0);
+    g_hash_table_insert(client->calls, &connection->attempt_id, connection);
+    if (opened && !dial(connection, send)) {
+        end_call(connection, EB_ATTEMPT_REFUSED);
+        forget(connection);
+        return;
+    }
+    write_call(connection, message);
+    bufferevent_enable(connection->bufev, EV_READ | EV_WRITE);
+}
+
+void
+EbForwardClient_Cancel(EbForwardClient *client, uint64_t attempt_id)
+{
+    Connection *connection = g_hash_table_lookup(client->calls, &attempt_id);
+    if (connection != NULL) {
+        forget(connection);
+    }
+}
+
+void
+EbForwardClient_Retire(EbForwardClient *client, const char *server_id)
+{
+    GQueue *idle;
+    while ((idle = g_hash_table_lookup(client->idle, server_id)) != NULL) {
+        forget(g_queue_peek_head(idle));
+    }
+}
+
+void
+EbForwardClient_Pause(EbForwardClient *client, uint64_t attempt_id,
+                      bool paused)
+{
+    Connection *connection = g_hash_table_lookup(client->calls, &attempt_id);
+    if (connection == NULL) {
+        return;
+    }
+    if (paused) {
+        bufferevent_disable(connection->bufev, EV_READ);
+    }
+    else {
+        bufferevent_enable(connection->bufev, EV_READ);
+    }
+}
+
+EbForwardClient *
+EbForwardClient_New(const EbForwardClientOptions *options)
+{
+    assert(options->base != NULL && options->event != NULL);
+    EbForwardClient *client = g_new0(EbForwardClient, 1);
+    client->options = *options;
+    EbForwardClientOptions *set = &client->options;
+    set->max_idle_per_server =
+        set->max_idle_per_server ? set->max_idle_per_server : DEFAULT_MAX_IDLE;
+    set->idle_limit_us =
+        set->idle_limit_us ? set->idle_limit_us : DEFAULT_IDLE_LIMIT_US;
+    set->connect_timeout_us = set->connect_timeout_us
+                                  ? set->connect_timeout_us
+                                  : DEFAULT_CONNECT_TIMEOUT_US;
+    set->max_header_bytes = set->max_header_bytes ? set->max_header_bytes
+                                                  : DEFAULT_MAX_HEADER_BYTES;
+    set->max_body_bytes =
+        set->max_body_bytes ? set->max_body_bytes : DEFAULT_MAX_BODY_BYTES;
+    client->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+    client->idle =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_queue);
+    client->all = g_hash_table_new_full(NULL, NULL, free_connection, NULL);
+    return client;
+}
+
+void
+EbForwardClient_Free(EbForwardClient *client)
+{
+    if (client == NULL) {
+        return;
+    }
+    g_hash_table_destroy(client->calls);
+    g_hash_table_destroy(client->idle);
+    g_hash_table_destroy(client->all);
+    g_free(client);
+}
--- /dev/null
+++ b/src/libebonyhollow_net/forward_server.c
@@ -0,0 +1,554 @@
+#include "ebonyhollow/forward_server.h"
+
+#include <assert.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <glib.h>
+#include <netinet/in.h>
+
+#include "http_reader.h"
+#include "socket.h"
+
+/* Bytes of a pipelined request that are kept while one runs. */
+#define MAX_READ_AHEAD_BYTES 65536
+/* A caller that does not read its answer is closed after this. */
+#define WRITE_TIMEOUT_S 20
+#define LISTEN_BACKLOG 1024
+
+typedef struct {
+    EbForwardServer *server;
+    struct bufferevent *bufev;
+    EbHttpReader *reader;
+    EbHttpMessage *message; /* being read */
+    uint64_t request;       /* 0: none runs */
+    char *request_id;       /* of the running request */
+    bool head_sent;         /* of a stream */
+    bool reusable;          /* the caller may send another request */
+    bool paused;            /* the stream's source is held back */
+    bool closing;           /* once the output is sent */
+    uint16_t refusal;       /* status for the message being read, or 0 */
+} Connection;
+
+struct EbForwardServer {
+    EbForwardServerOptions options;
+    struct evconnlistener *listener;
+    GHashTable *connections; /* set of Connection */
+    GHashTable *requests;    /* handle to Connection */
+    bool announce_close;
+    bool stopped;
+};
+
+static void read_requests(Connection *connection);
+
+static void
+free_connection(gpointer data)
+{
+    Connection *connection = data;
+    bufferevent_free(connection->bufev);
+    EbHttpReader_Free(connection->reader);
+    EbHttpMessage_Unref(connection->message);
+    g_free(connection->request_id);
+    g_free(connection);
+}
+
+static void
+close_connection(Connection *connection)
+{
+    EbForwardServer *server = connection->server;
+    uint64_t request = connection->request;
+    if (request != 0) {
+        g_hash_table_remove(server->requests, &connection->request);
+    }
+    g_hash_table_remove(server->connections, connection);
+    if (request != 0) {
+        server->options.gone(server->options.context, request);
+    }
+}
+
+static const char *
+reason_phrase(uint16_t status)
+{
+    static const struct {
+        uint16_t status;
+        const char *phrase;
+    } phrases[] = {
+        {200, "OK"},
+        {400, "Bad Request"},
+        {401, "Unauthorized"},
+        {404, "Not Found"},
+        {413, "Content Too Large"},
+        {429, "Too Many Requests"},
+        {431, "Request Header Fields Too Large"},
+        {500, "Internal Server Error"},
+        {502, "Bad Gateway"},
+        {503, "Service Unavailable"},
+        {504, "Gateway Timeout"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(phrases); i++) {
+        if (phrases[i].status == status) {
+            return phrases[i].phrase;
+        }
+    }
+    return "Status";
+}
+
+static bool
+closes_after_answer(const Connection *connection)
+{
+    return !connection->reusable || connection->server->announce_close ||
+           connection->server->stopped;
+}
+
+static void
+write_head(Connection *connection, const EbHttpMessage *answer,
+           const char *framing)
+{
+    struct evbuffer *output = bufferevent_get_output(connection->bufev);
+    evbuffer_add_printf(output, "HTTP/1.1 %u %s\r\n", (unsigned)answer->status,
+                        reason_phrase(answer->status));
+    for (uint32_t i = 0; i < answer->header_count; i++) {
+        const EbHttpHeader *header = &answer->headers[i];
+        if (!EbHttpMessage_IsConnectionHeader(answer, header->name)) {
+            evbuffer_add_printf(output, "%s: %s\r\n", header->name,
+                                header->value);
+        }
+    }
+    if (closes_after_answer(connection)) {
+        evbuffer_add_printf(output, "Connection: close\r\n");
+    }
+    evbuffer_add_printf(output, "%s\r\n", framing);
+}
+
+static void
+write_whole(Connection *connection, const EbHttpMessage *answer)
+{
+    char framing[64];
+    snprintf(framing, sizeof(framing), "Content-Length: %zu\r\n",
+             answer->body_bytes);
+    write_head(connection, answer, framing);
+    if (answer->body_bytes > 0) {
+        bufferevent_write(connection->bufev, answer->body, answer->body_bytes);
+    }
+}
+
+/* Closes once the output is sent; closes at once when there is none. */
+static void
+close_when_sent(Connection *connection)
+{
+    connection->closing = true;
+    struct evbuffer *output = bufferevent_get_output(connection->bufev);
+    if (evbuffer_get_length(output) == 0) {
+        close_connection(connection);
+    }
+}
+
+/* Forgets the running request and reads the next one. The connection may be
+ * freed when this returns. */
+static void
+finish_request(Connection *connection)
+{
+    g_hash_table_remove(connection->server->requests, &connection->request);
+    connection->request = 0;
+    connection->head_sent = false;
+    connection->paused = false;
+    g_free(connection->request_id);
+    connection->request_id = NULL;
+    if (closes_after_answer(connection)) {
+        close_when_sent(connection);
+        return;
+    }
+    read_requests(connection);
+}
+
+/* Answers a request that was not submitted. */
+static void
+refuse(Connection *connection, uint16_t status, bool reusable)
+{
+    connection->reusable = connection->reusable && reusable;
+    EbHttpMessage *answer = EbHttpMessage_NewAnswer(status);
+    const char *name = connection->server->options.protocol->request_id_header;
+    const char *id = connection->message != NULL
+                         ? EbHttpMessage_FindHeader(connection->message, name)
+                         : NULL;
+    if (id != NULL) {
+        EbHttpMessage_AddHeader(answer, name, id);
+    }
+    write_whole(connection, answer);
+    EbHttpMessage_Unref(answer);
+    if (closes_after_answer(connection)) {
+        close_when_sent(connection);
+    }
+}
+
+static bool
+on_head(void *context, EbHttpMessage *message)
+{
+    Connection *connection = context;
+    EbHttpMessage_Unref(connection->message);
+    connection->message = message;
+    const char *expect = EbHttpMessage_FindHeader(message, "Expect");
+    if (expect != NULL && g_ascii_strcasecmp(expect, "100-continue") == 0) {
+        evbuffer_add_printf(bufferevent_get_output(connection->bufev),
+                            "HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    return true;
+}
+
+static bool
+on_body(void *context, const uint8_t *bytes, size_t byte_count)
+{
+    Connection *connection = context;
+    EbHttpMessage *message = connection->message;
+    if (message->body_bytes + byte_count >
+        connection->server->options.settings->max_body_bytes) {
+        connection->refusal = 413;
+        return false;
+    }
+    EbHttpMessage_AddBody(message, bytes, byte_count);
+    return true;
+}
+
+static void
+report_malformed(const Connection *connection, const EbError *error)
+{
+    char text[EB_ERROR_MESSAGE_MAX_BYTES + EB_ERROR_PATH_MAX_BYTES];
+    EbError_Format(error, text, sizeof(text));
+    EB_EMIT(connection->server->options.events, EB_EVENT_REQUEST_MALFORMED,
+            EB_STRING_FIELD("cause", text));
+}
+
+static void
+on_complete(void *context, bool reusable)
+{
+    Connection *connection = context;
+    EbForwardServer *server = connection->server;
+    connection->reusable = reusable;
+    EbError error;
+    EbError_Clear(&error);
+    EbForwardCall *call =
+        server->options.protocol->read_call(connection->message, &error);
+    if (call == NULL) {
+        report_malformed(connection, &error);
+        connection->refusal = 400;
+        return;
+    }
+    EbHttpMessage_Unref(connection->message);
+    connection->message = NULL;
+    connection->request_id = g_strdup(call->request_id);
+    connection->request =
+        server->options.submit(server->options.context, call);
+    g_hash_table_insert(server->requests, &connection->request, connection);
+    EbForwardCall_Unref(call);
+}
+
+/* Reads as long as no request runs. The connection may be freed when this
+ * returns. */
+static void
+read_requests(Connection *connection)
+{
+    struct evbuffer *input = bufferevent_get_input(connection->bufev);
+    while (connection->request == 0 && !connection->closing &&
+           evbuffer_get_length(input) > 0) {
+        size_t length = evbuffer_get_contiguous_space(input);
+        const uint8_t *bytes = evbuffer_pullup(input, (ev_ssize_t)length);
+        size_t consumed = 0;
+        connection->refusal = 0;
+        EbHttpReadResult result =
+            EbHttpReader_Feed(connection->reader, bytes, length, &consumed);
+        evbuffer_drain(input, consumed);
+        if (result == EB_HTTP_READ_TOO_LARGE) {
+            refuse(connection, 431, false);
+            return;
+        }
+        if (result == EB_HTTP_READ_INVALID) {
+            if (connection->refusal == 0) {
+                EbError error = {0};
+                EbError_Set(&error, EB_ERROR_SYNTAX,
+                            "the request is no valid HTTP/1.1 message");
+                report_malformed(connection, &error);
+            }
+            uint16_t status = connection->refusal;
+            refuse(connection, status != 0 ? status : 400, false);
+            return;
+        }
+        if (connection->refusal != 0) {
+            refuse(connection, connection->refusal, true);
+            if (closes_after_answer(connection)) {
+                return;
+            }
+        }
+    }
+}
+
+static void
+on_read(struct bufferevent *bufev, void *context)
+{
+    (void)bufev;
+    read_requests(context);
+}
+
+static void
+on_written(struct bufferevent *bufev, void *context)
+{
+    (void)bufev;
+    Connection *connection = context;
+    if (connection->closing) {
+        close_connection(connection);
+        return;
+    }
+    if (connection->paused) {
+        connection->paused = false;
+        const EbForwardServerOptions *options = &connection->server->options;
+        options->flow(options->context, connection->request, false);
+    }
+}
+
+static void
+on_event(struct bufferevent *bufev, short what, void *context)
+{
+    Connection *connection = context;
+    if ((what & BEV_EVENT_TIMEOUT) != 0 && (what & BEV_EVENT_READING) != 0 &&
+        connection->request != 0) {
+        /* A caller says nothing while its request runs. */
+        bufferevent_enable(bufev, EV_READ);
+        return;
+    }
+    close_connection(connection);
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t socket,
+          struct sockaddr *address, int length, void *context)
+{
+    (void)address;
+    (void)length;
+    EbForwardServer *server = context;
+    const EbSettings *settings = server->options.settings;
+    if (g_hash_table_size(server->connections) >= settings->max_connections) {
+        EB_EMIT(server->options.events, EB_EVENT_CONNECTION_REFUSED,
+                EB_INTEGER_FIELD("max_connections",
+                                 settings->max_connections));
+        evutil_closesocket(socket);
+        return;
+    }
+    EbSocket_SetNoDelay(socket);
+    Connection *connection = g_new0(Connection, 1);
+    connection->server = server;
+    connection->reusable = true;
+    connection->bufev =
+        bufferevent_socket_new(evconnlistener_get_base(listener), socket,
+                               BEV_OPT_CLOSE_ON_FREE);
+    connection->reader = EbHttpReader_New(&(EbHttpReaderOptions){
+        .kind = EB_HTTP_REQUESTS,
+        .max_header_bytes = settings->max_header_bytes,
+        .head = on_head,
+        .body = on_body,
+        .complete = on_complete,
+        .context = connection});
+    bufferevent_setcb(connection->bufev, on_read, on_written, on_event,
+                      connection);
+    bufferevent_setwatermark(connection->bufev, EV_READ, 0,
+                             MAX_READ_AHEAD_BYTES);
+    struct timeval idle = {settings->header_timeout_us / 1000000,
+                           settings->header_timeout_us % 1000000};
+    struct timeval write = {WRITE_TIMEOUT_S, 0};
+    bufferevent_set_timeouts(connection->bufev, &idle, &write);
+    bufferevent_enable(connection->bufev, EV_READ | EV_WRITE);
+    g_hash_table_add(server->connections, connection);
+}
+
+EbForwardServer *
+EbForwardServer_New(const EbForwardServerOptions *options, EbError *error)
+{
+    const EbAddress *address = &options->settings->caller;
+    struct sockaddr_storage storage;
+    int length = sizeof(storage);
+    char *text =
+        g_strdup_printf(strchr(address->host, ':') != NULL ? "[%s]:%u"
+                                                           : "%s:%u",
+                        address->host, (unsigned)address->port);
+    bool parsed = evutil_parse_sockaddr_port(
+                      text, (struct sockaddr *)&storage, &length) == 0;
+    g_free(text);
+    EbForwardServer *server = g_new0(EbForwardServer, 1);
+    server->options = *options;
+    server->connections = g_hash_table_new_full(NULL, NULL, free_connection,
+                                                NULL);
+    server->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
+    if (parsed) {
+        server->listener = evconnlistener_new_bind(
+            options->base, on_accept, server,
+            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, LISTEN_BACKLOG,
+            (struct sockaddr *)&storage, length);
+    }
+    if (server->listener == NULL) {
+        EbError_Set(error, EB_ERROR_IO, "cannot listen on %s port %u",
+                    address->host, (unsigned)address->port);
+        EbForwardServer_Free(server);
+        return NULL;
+    }
+    return server;
+}
+
+void
+EbForwardServer_Free(EbForwardServer *server)
+{
+    if (server == NULL) {
+        return;
+    }
+    if (server->listener != NULL) {
+        evconnlistener_free(server->listener);
+    }
+    g_hash_table_destroy(server->requests);
+    g_hash_table_destroy(server->connections);
+    g_free(server);
+}
+
+uint16_t
+EbForwardServer_Port(const EbForwardServer *server)
+{
+    struct sockaddr_storage storage = {0};
+    socklen_t length = sizeof(storage);
+    getsockname(evconnlistener_get_fd(server->listener),
+                (struct sockaddr *)&storage, &length);
+    return ntohs(storage.ss_family == AF_INET6
+                     ? ((struct sockaddr_in6 *)&storage)->sin6_port
+                     : ((struct sockaddr_in *)&storage)->sin_port);
+}
+
+static void
+write_chunk(Connection *connection, const uint8_t *bytes, size_t byte_count)
+{
+    struct evbuffer *output = bufferevent_get_output(connection->bufev);
+    evbuffer_add_printf(output, "%zx\r\n", byte_count);
+    evbuffer_add(output, bytes, byte_count);
+    evbuffer_add(output, "\r\n", 2);
+}
+
+static void
+hold_back(Connection *connection)
+{
+    const EbForwardServerOptions *options = &connection->server->options;
+    size_t unsent =
+        evbuffer_get_length(bufferevent_get_output(connection->bufev));
+    if (!connection->paused && unsent > options->settings->max_buffer_bytes) {
+        connection->paused = true;
+        options->flow(options->context, connection->request, true);
+    }
+}
+
+void
+EbForwardServer_Relay(EbForwardServer *server, const EbRelay *relay)
+{
+    Connection *connection =
+        g_hash_table_lookup(server->requests, &relay->request);
+    if (connection == NULL) {
+        return;
+    }
+    if (relay->head != NULL && !connection->head_sent) {
+        connection->head_sent = true;
+        write_head(connection, relay->head, "Transfer-Encoding: chunked\r\n");
+    }
+    if (relay->byte_count > 0) {
+        write_chunk(connection, relay->bytes, relay->byte_count);
+        hold_back(connection);
+    }
+}
+
+/* Builds the answer to a request that no server answered. */
+static EbHttpMessage *
+build_own_answer(const Connection *connection, const EbAnswer *answer)
+{
+    const EbReasonInfo *info = &EbReason_table[answer->reason];
+    uint16_t status = info->http_status;
+    bool may_have_run = answer->outcome != EB_OUTCOME_NOT_RUN;
+    /* 429 and 503 promise that the request has not run. */
+    if (may_have_run && (status == 429 || status == 503)) {
+        status = 502;
+    }
+    else if (!may_have_run && status >= 500) {
+        status = 503;
+    }
+    EbHttpMessage *message = EbHttpMessage_NewAnswer(status);
+    EbHttpMessage_AddHeader(
+        message, connection->server->options.protocol->request_id_header,
+        connection->request_id);
+    if (answer->retry_after_us > 0 && !may_have_run) {
+        char seconds[32];
+        g_snprintf(seconds, sizeof(seconds), "%" PRId64 ".%03" PRId64,
+                   answer->retry_after_us / 1000000,
+                   answer->retry_after_us / 1000 % 1000);
+        EbHttpMessage_AddHeader(message, "Retry-After", seconds);
+    }
+    EbHttpMessage_AddHeader(message, "Content-Type", "text/plain");
+    EbHttpMessage_AddBody(message, info->title, strlen(info->title));
+    return message;
+}
+
+void
+EbForwardServer_Answer(EbForwardServer *server, const EbAnswer *answer)
+{
+    Connection *connection =
+        g_hash_table_lookup(server->requests, &answer->request);
+    if (connection == NULL) {
+        return;
+    }
+    if (connection->head_sent && answer->outcome == EB_OUTCOME_DONE) {
+        bufferevent_write(connection->bufev, "0\r\n\r\n", 5);
+    }
+    else if (connection->head_sent) {
+        /* The missing last chunk tells that the stream is not complete. */
+        connection->reusable = false;
+    }
+    else if (answer->reply != NULL) {
+        write_whole(connection, answer->reply);
+    }
+    else {
+        EbHttpMessage *own = build_own_answer(connection, answer);
+        write_whole(connection, own);
+        EbHttpMessage_Unref(own);
+    }
+    finish_request(connection);
+}
+
+void
+EbForwardServer_AnnounceClose(EbForwardServer *server)
+{
+    server->announce_close = true;
+}
+
+void
+EbForwardServer_StopAccepting(EbForwardServer *server)
+{
+    server->stopped = true;
+    evconnlistener_disable(server->listener);
+    GList *connections = g_hash_table_get_keys(server->connections);
+    for (GList *item = connections; item != NULL; item = item->next) {
+        Connection *connection = item->data;
+        if (connection->request == 0 &&
+            !EbHttpReader_IsInside(connection->reader)) {
+            close_when_sent(connection);
+        }
+    }
+    g_list_free(connections);
+}
+
+size_t
+EbForwardServer_OpenCount(const EbForwardServer *server)
+{
+    size_t open = 0;
+    GHashTableIter iter;
+    gpointer key;
+    g_hash_table_iter_init(&iter, server->connections);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        const Connection *connection = key;
+        open += connection->request != 0 || connection->closing;
+    }
+    return open;
+}
--- /dev/null
+++ b/src/libebonyhollow_net/http_reader.c
@@ -0,0 +1,233 @@
+#include "http_reader.h"
+
+#include <glib.h>
+#include <http_parser.h>
+
+#define FIRST_FINAL_STATUS 200
+
+struct EbHttpReader {
+    EbHttpReaderOptions options;
+    http_parser parser;
+    EbHttpMessage *message; /* while its head is read */
+    GString *target;
+    GString *name;
+    GString *value;
+    size_t header_bytes;
+    bool in_value;
+    bool inside;
+    bool head_done;
+    bool interim;
+    bool complete;
+    bool too_large;
+    bool skip_body;
+};
+
+static void
+finish_header(EbHttpReader *reader)
+{
+    if (reader->name->len > 0 && !reader->head_done) {
+        EbHttpMessage_AddHeader(reader->message, reader->name->str,
+                                reader->value->str);
+    }
+    g_string_truncate(reader->name, 0);
+    g_string_truncate(reader->value, 0);
+    reader->in_value = false;
+}
+
+static int
+count_bytes(EbHttpReader *reader, size_t bytes)
+{
+    reader->header_bytes += bytes;
+    reader->too_large =
+        reader->header_bytes > reader->options.max_header_bytes;
+    return reader->too_large ? 1 : 0;
+}
+
+static int
+on_begin(http_parser *parser)
+{
+    EbHttpReader *reader = parser->data;
+    reader->inside = true;
+    reader->head_done = false;
+    reader->interim = false;
+    reader->header_bytes = 0;
+    g_string_truncate(reader->target, 0);
+    finish_header(reader);
+    EbHttpMessage_Unref(reader->message);
+    reader->message = EbHttpMessage_NewAnswer(0);
+    return 0;
+}
+
+static int
+on_url(http_parser *parser, const char *at, size_t length)
+{
+    EbHttpReader *reader = parser->data;
+    g_string_append_len(reader->target, at, (gssize)length);
+    return count_bytes(reader, length);
+}
+
+static int
+on_header_field(http_parser *parser, const char *at, size_t length)
+{
+    EbHttpReader *reader = parser->data;
+    if (reader->in_value) {
+        finish_header(reader);
+    }
+    g_string_append_len(reader->name, at, (gssize)length);
+    return count_bytes(reader, length);
+}
+
+static int
+on_header_value(http_parser *parser, const char *at, size_t length)
+{
+    EbHttpReader *reader = parser->data;
+    reader->in_value = true;
+    g_string_append_len(reader->value, at, (gssize)length);
+    return count_bytes(reader, length);
+}
+
+static int
+on_headers_complete(http_parser *parser)
+{
+    EbHttpReader *reader = parser->data;
+    finish_header(reader);
+    EbHttpMessage *message = reader->message;
+    reader->head_done = true;
+    reader->message = NULL;
+    if (reader->options.kind == EB_HTTP_ANSWERS) {
+        message->status = (uint16_t)parser->status_code;
+        reader->interim = message->status < FIRST_FINAL_STATUS;
+    }
+    else {
+        message->method =
+            g_strdup(http_method_str((enum http_method)parser->method));
+        message->target = g_strdup(reader->target->str);
+    }
+    if (parser->upgrade != 0) {
+        EbHttpMessage_Unref(message);
+        return -1;
+    }
+    if (reader->interim) {
+        EbHttpMessage_Unref(message);
+        return 0;
+    }
+    if (!reader->options.head(reader->options.context, message)) {
+        return -1;
+    }
+    return reader->skip_body ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t length)
+{
+    EbHttpReader *reader = parser->data;
+    return reader->options.body(reader->options.context, (const uint8_t *)at,
+                                length)
+               ? 0
+               : 1;
+}
+
+static int
+on_message_complete(http_parser *parser)
+{
+    EbHttpReader *reader = parser->data;
+    reader->inside = false;
+    if (reader->interim) {
+        return 0;
+    }
+    reader->complete = true;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings callbacks = {
+    .on_message_begin = on_begin,
+    .on_url = on_url,
+    .on_header_field = on_header_field,
+    .on_header_value = on_header_value,
+    .on_headers_complete = on_headers_complete,
+    .on_body = on_body,
+    .on_message_complete = on_message_complete,
+};
+
+EbHttpReader *
+EbHttpReader_New(const EbHttpReaderOptions *options)
+{
+    EbHttpReader *reader = g_new0(EbHttpReader, 1);
+    reader->options = *options;
+    http_parser_init(&reader->parser, options->kind == EB_HTTP_REQUESTS
+                                          ? HTTP_REQUEST
+                                          : HTTP_RESPONSE);
+    reader->parser.data = reader;
+    reader->target = g_string_new(NULL);
+    reader->name = g_string_new(NULL);
+    reader->value = g_string_new(NULL);
+    return reader;
+}
+
+void
+EbHttpReader_Free(EbHttpReader *reader)
+{
+    if (reader == NULL) {
+        return;
+    }
+    EbHttpMessage_Unref(reader->message);
+    g_string_free(reader->target, TRUE);
+    g_string_free(reader->name, TRUE);
+    g_string_free(reader->value, TRUE);
+    g_free(reader);
+}
+
+static bool
+report_complete(EbHttpReader *reader)
+{
+    if (!reader->complete) {
+        return false;
+    }
+    reader->complete = false;
+    bool reusable = http_should_keep_alive(&reader->parser) != 0;
+    reader->options.complete(reader->options.context, reusable);
+    return true;
+}
+
+EbHttpReadResult
+EbHttpReader_Feed(EbHttpReader *reader, const uint8_t *bytes,
+                  size_t byte_count, size_t *consumed)
+{
+    http_parser *parser = &reader->parser;
+    if (HTTP_PARSER_ERRNO(parser) == HPE_PAUSED) {
+        http_parser_pause(parser, 0);
+    }
+    *consumed = http_parser_execute(parser, &callbacks, (const char *)bytes,
+                                    byte_count);
+    enum http_errno code = HTTP_PARSER_ERRNO(parser);
+    if (reader->too_large || code == HPE_HEADER_OVERFLOW) {
+        return EB_HTTP_READ_TOO_LARGE;
+    }
+    if (code != HPE_OK && code != HPE_PAUSED) {
+        return EB_HTTP_READ_INVALID;
+    }
+    return report_complete(reader) ? EB_HTTP_READ_COMPLETE : EB_HTTP_READ_MORE;
+}
+
+bool
+EbHttpReader_End(EbHttpReader *reader)
+{
+    if (!reader->inside || !reader->head_done) {
+        return false;
+    }
+    http_parser_execute(&reader->parser, &callbacks, NULL, 0);
+    return report_complete(reader);
+}
+
+bool
+EbHttpReader_IsInside(const EbHttpReader *reader)
+{
+    return reader->inside;
+}
+
+void
+EbHttpReader_SkipBody(EbHttpReader *reader, bool skip)
+{
+    reader->skip_body = skip;
+}
--- a/src/libebonyhollow_net/platform_client.c
+++ b/src/libebonyhollow_net/platform_client.c
@@ -195,26 +195,6 @@
                 NULL);
 }
 
-/* Returns whether a 200 answer has what its operation needs. */
-static bool
-is_valid_answer(EbStoreOperation operation, const json_t *body)
-{
-    switch (operation) {
-    case EB_STORE_GET:
-        return json_is_integer(json_object_get(body, "version")) &&
-               json_object_get(body, "value") != NULL;
-    case EB_STORE_CREATE:
-    case EB_STORE_UPDATE:
-        return json_is_integer(json_object_get(body, "version"));
-    case EB_STORE_LIST:
-        return json_is_integer(json_object_get(body, "revision")) &&
-               json_is_array(json_object_get(body, "items"));
-    case EB_STORE_DELETE:
-    case EB_STORE_OPERATION_COUNT:
-        break;
-    }
-    return true;
-}
 
 static void
 on_call_done(struct evhttp_request *request, void *arg)
@@ -229,8 +209,12 @@
         return;
     }
     json_t *body = EbPlatform_Body(request);
-    if (status == 200 && is_valid_answer(slot->call->operation, body)) {
-        finish_call(slot, EB_STORE_OK, NULL, body);
+    bool success = status == 200 || status == 201;
+    json_t *answer = success ? slot->client->options.dialect->read(
+                                   slot->call->operation, body)
+                             : NULL;
+    if (answer != NULL) {
+        finish_call(slot, EB_STORE_OK, NULL, answer);
     }
     else if (status == 404) {
         finish_call(slot, EB_STORE_NOT_FOUND, NULL, NULL);
@@ -248,6 +232,7 @@
     else {
         fail_call(slot, "unexpected answer");
     }
+    json_decref(answer);
     json_decref(body);
 }
 
@@ -282,10 +267,12 @@
 }
 
 static enum evhttp_cmd_type
-command_of(EbStoreOperation operation)
+command_of(const EbPlatformClient *client, EbStoreOperation operation)
 {
     switch (operation) {
     case EB_STORE_CREATE:
+        return client->options.dialect->creates_with_post ? EVHTTP_REQ_POST
+                                                          : EVHTTP_REQ_PUT;
     case EB_STORE_UPDATE:
         return EVHTTP_REQ_PUT;
     case EB_STORE_DELETE:
@@ -324,7 +311,8 @@
         EbPlatform_Time(MAX(call->deadline_us - EbClock_Monotonic(), 1000));
     event_add(slot->timer, &limit);
     uint64_t id = call->operation_id;
-    if (evhttp_make_request(slot->evcon, request, command_of(call->operation),
+    if (evhttp_make_request(slot->evcon, request,
+                            command_of(client, call->operation),
                             call->path) != 0 &&
         slot->call == call && call->operation_id == id) {
         fail_call(slot, "connect failed");
@@ -364,34 +352,6 @@
     }
 }
 
-static char *
-build_path(const EbStoreRequest *request)
-{
-    char *kind = evhttp_encode_uri(request->kind);
-    char *name = evhttp_encode_uri(request->name ? request->name : "");
-    char *path = NULL;
-    switch (request->operation) {
-    case EB_STORE_LIST:
-        path = g_strdup_printf("/v1/objects/%s", kind);
-        break;
-    case EB_STORE_CREATE:
-        path = g_strdup_printf("/v1/objects/%s/%s?version=0", kind, name);
-        break;
-    case EB_STORE_UPDATE:
-    case EB_STORE_DELETE:
-        path = g_strdup_printf("/v1/objects/%s/%s?version=%" G_GUINT64_FORMAT,
-                               kind, name, request->version);
-        break;
-    case EB_STORE_GET:
-    case EB_STORE_OPERATION_COUNT:
-        path = g_strdup_printf("/v1/objects/%s/%s", kind, name);
-        break;
-    }
-    free(kind);
-    free(name);
-    return path;
-}
-
 void
 EbPlatformClient_Store(EbPlatformClient *client, const EbStoreRequest *request)
 {
@@ -407,11 +367,12 @@
         free_call(call);
         return;
     }
-    call->path = build_path(request);
+    call->path = client->options.dialect->path(request);
     if (request->operation == EB_STORE_CREATE ||
         request->operation == EB_STORE_UPDATE) {
-        call->body =
-            json_dumps(request->value, JSON_COMPACT | JSON_ENCODE_ANY);
+        json_t *body = client->options.dialect->body(request);
+        call->body = json_dumps(body, JSON_COMPACT | JSON_ENCODE_ANY);
+        json_decref(body);
     }
     g_queue_push_tail(&client->waiting, call);
     start_waiting(client);
@@ -432,6 +393,9 @@
 static void
 set_defaults(EbPlatformClientOptions *options)
 {
+    if (options->dialect == NULL) {
+        options->dialect = &EbStoreDialect_own;
+    }
     if (options->max_calls == 0) {
         options->max_calls = DEFAULT_MAX_CALLS;
     }
--- a/src/libebonyhollow_net/platform_watch.c
+++ b/src/libebonyhollow_net/platform_watch.c
@@ -1,6 +1,5 @@
 /* Watches of the platform client: list, then long polls. */
 #include <assert.h>
-#include <stdlib.h>
 
 #include "platform_internal.h"
 
@@ -18,6 +17,8 @@
     bool listed;         /* `revision` is valid */
     uint64_t revision;
     uint32_t failures; /* one after another */
+    json_t *items;     /* of a list that is not complete yet */
+    char *after;       /* name after which it goes on */
 } Watch;
 
 static void poll_kind(Watch *watch);
@@ -30,6 +31,8 @@
         evhttp_connection_free(watch->evcon);
     }
     event_free(watch->timer);
+    json_decref(watch->items);
+    g_free(watch->after);
     g_free(watch->kind);
     g_free(watch);
 }
@@ -56,28 +59,66 @@
 }
 
 static void
+start_list(Watch *watch)
+{
+    json_decref(watch->items);
+    watch->items = NULL;
+    g_free(watch->after);
+    watch->after = NULL;
+}
+
+/* Takes one page. The revision is that of the first one, so that changes made
+ * while the list was read come again as events. */
+static bool
 take_list(Watch *watch, json_t *body)
 {
     EbPlatformClient *client = watch->client;
-    json_t *items = json_object_get(body, "items");
-    watch->revision =
-        (uint64_t)json_integer_value(json_object_get(body, "revision"));
-    watch->listed = true;
-    if (client->options.listed != NULL && json_is_array(items)) {
-        client->options.listed(client->options.context, watch->kind, items);
+    bool more = false;
+    json_t *page = client->options.dialect->read_list(body, &more);
+    if (page == NULL) {
+        return false;
     }
+    json_t *items = json_object_get(page, "items");
+    if (watch->items == NULL) {
+        watch->items = json_array();
+        watch->revision =
+            (uint64_t)json_integer_value(json_object_get(page, "revision"));
+    }
+    json_array_extend(watch->items, items);
+    size_t count = json_array_size(items);
+    if (more && count > 0) {
+        g_free(watch->after);
+        watch->after = g_strdup(json_string_value(
+            json_object_get(json_array_get(items, count - 1), "name")));
+    }
+    else {
+        watch->listed = true;
+        if (client->options.listed != NULL) {
+            client->options.listed(client->options.context, watch->kind,
+                                   watch->items);
+        }
+        start_list(watch);
+    }
+    json_decref(page);
+    return true;
 }
 
-static void
+static bool
 take_events(Watch *watch, json_t *body)
 {
     EbPlatformClient *client = watch->client;
-    json_t *events = json_object_get(body, "events");
+    json_t *changes = client->options.dialect->read_changes(body);
+    if (changes == NULL) {
+        return false;
+    }
+    json_t *events = json_object_get(changes, "events");
     watch->revision =
-        (uint64_t)json_integer_value(json_object_get(body, "revision"));
+        (uint64_t)json_integer_value(json_object_get(changes, "revision"));
     if (client->options.changed != NULL && json_array_size(events) > 0) {
         client->options.changed(client->options.context, watch->kind, events);
     }
+    json_decref(changes);
+    return true;
 }
 
 static void
@@ -85,17 +126,11 @@
 {
     EbPlatformClient *client = watch->client;
     const char *operation = watch->listed ? "watch" : "list";
-    bool valid =
-        status == 200 && json_is_integer(json_object_get(body, "revision"));
+    bool valid = status == 200 && (watch->listed ? take_events(watch, body)
+                                                 : take_list(watch, body));
     if (valid) {
         EbPlatform_Count(client, operation, "ok", NULL);
         watch->failures = 0;
-        if (watch->listed) {
-            take_events(watch, body);
-        }
-        else {
-            take_list(watch, body);
-        }
         schedule(watch, 0);
     }
     else if (status == 410 && watch->listed) {
@@ -103,6 +138,7 @@
         EB_EMIT(client->options.events, EB_EVENT_WATCH_GAP,
                 EB_STRING_FIELD("kind", watch->kind));
         watch->listed = false;
+        start_list(watch);
         schedule(watch, 0);
     }
     else {
@@ -131,13 +167,10 @@
     if (watch->evcon == NULL) {
         watch->evcon = EbPlatform_Connect(client, poll_us + POLL_GRACE_US);
     }
-    char *kind = evhttp_encode_uri(watch->kind);
-    char *path = watch->listed
-                     ? g_strdup_printf("/v1/watch/%s?since=%" G_GUINT64_FORMAT
-                                       "&timeout_ms=%" G_GINT64_FORMAT,
-                                       kind, watch->revision, poll_us / 1000)
-                     : g_strdup_printf("/v1/objects/%s", kind);
-    free(kind);
+    const EbStoreDialect *dialect = client->options.dialect;
+    char *path = watch->listed ? dialect->watch_path(watch->kind,
+                                                     watch->revision, poll_us)
+                               : dialect->list_path(watch->kind, watch->after);
     struct evhttp_request *request =
         EbPlatform_Request(client, on_poll_done, watch);
     if (evhttp_make_request(watch->evcon, request, EVHTTP_REQ_GET, path) !=
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -10,11 +10,14 @@
 
 #include "clock.h"
 #include "ebonyhollow/action.h"
+#include "ebonyhollow/adapter.h"
 #include "ebonyhollow/admin_server.h"
 #include "ebonyhollow/backend_client.h"
 #include "ebonyhollow/caller_server.h"
 #include "ebonyhollow/daemon.h"
 #include "ebonyhollow/dispatcher.h"
+#include "ebonyhollow/forward_client.h"
+#include "ebonyhollow/forward_server.h"
 #include "ebonyhollow/generation.h"
 #include "ebonyhollow/ledger.h"
 #include "ebonyhollow/limiter.h"
@@ -22,6 +25,7 @@
 #include "ebonyhollow/membership.h"
 #include "ebonyhollow/metrics.h"
 #include "ebonyhollow/peer_link.h"
+#include "ebonyhollow/pieces.h"
 #include "ebonyhollow/platform_client.h"
 #include "ebonyhollow/quarantine.h"
 #include "ebonyhollow/random.h"
@@ -52,8 +56,23 @@
     int64_t earliest_us; /* of the next list */
 } EbDaemonList;
 
+/* What the store of a platform with an adapter says of the deployment. */
+typedef struct {
+    json_t *config;      /* newest configuration object, or NULL */
+    GHashTable *servers; /* name to the entry of a server */
+    bool servers_listed; /* a whole list was read */
+    bool daemons_listed;
+    bool changed;         /* to be put into force */
+    bool was_up;          /* the store answered last */
+    int64_t returned_us;  /* end of the store's last outage */
+    int64_t settle_us;    /* next server to be taken as gone */
+    int64_t register_us;  /* next write of this daemon's entry */
+    uint64_t own_version; /* of that entry, 0 when there is none */
+} EbDeployment;
+
 struct EbDaemon {
     const EbSettings *settings;
+    const EbAdapter *adapter; /* NULL: docs/protocols.md and docs/api.md */
     uint64_t incarnation;
     char *peer_address;
     EbRandom random;
@@ -81,6 +100,13 @@
     EbAdminServer *admin;
     EbPeerLinks *links;
 
+    /* With an adapter; they take the place of `callers` and `backend`. */
+    EbDeployment deployment;
+    EbForwardServer *forward_server;
+    EbForwardClient *forward_client;
+    EbPieces *pieces;
+    GHashTable *jobs; /* number to a preparation of this daemon's requests */
+
     GHashTable *flows;   /* request handle -> Flow */
     GHashTable *queries; /* outcome query -> peer */
     GHashTable *stores;  /* operation id -> StoreCall */
@@ -100,7 +126,7 @@
     int64_t drain_us; /* end of the state, or INT64_MAX */
     bool aborted;
     uint64_t cut_requests;
-    struct event *signals[2];
+    struct event *signals[3];
 };
 
 /* Action routing: daemon_action.c */
@@ -175,6 +201,38 @@
 /* Floods and stores changed quarantine entries. */
 void EbDaemon_TellQuarantine(EbDaemon *daemon, int64_t now_us);
 
+/* Deployment of a platform with an adapter: daemon_deployment.c */
+void EbDeployment_Init(EbDeployment *deployment);
+void EbDeployment_Clear(EbDeployment *deployment);
+void EbDeployment_Watch(EbDaemon *daemon);
+void EbDeployment_Listed(EbDaemon *daemon, const char *kind, json_t *items);
+void EbDeployment_Changed(EbDaemon *daemon, const char *kind, json_t *events);
+
+/* Puts changes into force and does what is due. */
+void EbDeployment_Work(EbDaemon *daemon, int64_t now_us);
+int64_t EbDeployment_NextTimer(const EbDaemon *daemon);
+
+/* Forwarded requests: daemon_forward.c */
+bool EbDaemon_CreateForward(EbDaemon *daemon, EbError *error);
+void EbDaemon_FreeForward(EbDaemon *daemon);
+void EbDaemon_SendForward(EbDaemon *daemon, const EbSendAttempt *send);
+void EbDaemon_SendPieces(EbDaemon *daemon, const EbSendPieces *send);
+void EbDaemon_ReleaseResults(EbDaemon *daemon,
+                             const EbReleaseResults *release);
+void EbDaemon_Prepare(EbDaemon *daemon, const EbPrepare *prepare);
+void EbDaemon_EndPreparation(EbDaemon *daemon, uint64_t job);
+void EbDaemon_TakePrepare(EbDaemon *daemon, const char *peer,
+                          const EbMessage *message, int64_t now_us);
+void EbDaemon_TakePrepared(EbDaemon *daemon, const char *peer,
+                           const EbMessage *message, int64_t now_us);
+
+/* Passes ended preparations on to the daemons whose requests need them. */
+void EbDaemon_TellPrepared(EbDaemon *daemon, int64_t now_us);
+
+/* Takes back what a peer gathered that can't be reached any more. */
+void EbDaemon_ForwardPeerGone(EbDaemon *daemon, const char *peer,
+                              int64_t now_us);
+
 /* Timers: daemon_timer.c */
 void EbDaemon_OnTimer(evutil_socket_t fd, short what, void *arg);
 void EbDaemon_ArmTimer(EbDaemon *daemon);
--- /dev/null
+++ b/src/libebonyhollow_net/store_dialect.c
@@ -0,0 +1,113 @@
+/* The platform's object API as docs/protocols.md describes it. */
+#include <stdlib.h>
+
+#include <event2/http.h>
+#include <glib.h>
+
+#include "ebonyhollow/platform_client.h"
+
+static char *
+build_path(const EbStoreRequest *request)
+{
+    char *kind = evhttp_encode_uri(request->kind);
+    char *name = evhttp_encode_uri(request->name ? request->name : "");
+    char *path = NULL;
+    switch (request->operation) {
+    case EB_STORE_LIST:
+        path = g_strdup_printf("/v1/objects/%s", kind);
+        break;
+    case EB_STORE_CREATE:
+        path = g_strdup_printf("/v1/objects/%s/%s?version=0", kind, name);
+        break;
+    case EB_STORE_UPDATE:
+    case EB_STORE_DELETE:
+        path = g_strdup_printf("/v1/objects/%s/%s?version=%" G_GUINT64_FORMAT,
+                               kind, name, request->version);
+        break;
+    case EB_STORE_GET:
+    case EB_STORE_OPERATION_COUNT:
+        path = g_strdup_printf("/v1/objects/%s/%s", kind, name);
+        break;
+    }
+    free(kind);
+    free(name);
+    return path;
+}
+
+static json_t *
+build_body(const EbStoreRequest *request)
+{
+    return json_incref(request->value);
+}
+
+static json_t *
+read_answer(EbStoreOperation operation, json_t *answer)
+{
+    bool valid = true;
+    switch (operation) {
+    case EB_STORE_GET:
+        valid = json_is_integer(json_object_get(answer, "version")) &&
+                json_object_get(answer, "value") != NULL;
+        break;
+    case EB_STORE_CREATE:
+    case EB_STORE_UPDATE:
+        valid = json_is_integer(json_object_get(answer, "version"));
+        break;
+    case EB_STORE_LIST:
+        valid = json_is_integer(json_object_get(answer, "revision")) &&
+                json_is_array(json_object_get(answer, "items"));
+        break;
+    case EB_STORE_DELETE:
+        return answer != NULL ? json_incref(answer) : json_object();
+    case EB_STORE_OPERATION_COUNT:
+        break;
+    }
+    return valid ? json_incref(answer) : NULL;
+}
+
+static char *
+build_list_path(const char *kind, const char *after)
+{
+    (void)after; /* lists come whole */
+    char *encoded = evhttp_encode_uri(kind);
+    char *path = g_strdup_printf("/v1/objects/%s", encoded);
+    free(encoded);
+    return path;
+}
+
+static char *
+build_watch_path(const char *kind, uint64_t revision, int64_t wait_us)
+{
+    char *encoded = evhttp_encode_uri(kind);
+    char *path = g_strdup_printf("/v1/watch/%s?since=%" G_GUINT64_FORMAT
+                                 "&timeout_ms=%" G_GINT64_FORMAT,
+                                 encoded, revision, wait_us / 1000);
+    free(encoded);
+    return path;
+}
+
+static json_t *
+read_list(json_t *answer, bool *more)
+{
+    *more = false;
+    return read_answer(EB_STORE_LIST, answer);
+}
+
+static json_t *
+read_changes(json_t *answer)
+{
+    return json_is_integer(json_object_get(answer, "revision"))
+               ? json_incref(answer)
+               : NULL;
+}
+
+const EbStoreDialect EbStoreDialect_own = {
+    .creates_with_post = false,
+    .path = build_path,
+    .body = build_body,
+    .read = read_answer,
+    .list_path = build_list_path,
+    .watch_path = build_watch_path,
+    .read_list = read_list,
+    .read_changes = read_changes,
+};
