--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -51,8 +51,10 @@
         return;
     }
     if (event->http_status != 200) {
-        char cause[32];
-        g_snprintf(cause, sizeof(cause), "status %u", event->http_status);
+        char cause[80];
+        g_snprintf(cause, sizeof(cause), "status %u %.*s", event->http_status,
+                   (int)MIN(event->reply->body_bytes, 60),
+                   (const char *)event->reply->body);
         EbPieces_Failed(daemon->pieces, event->attempt_id,
                         event->http_status == 503 ? EB_CALL_OVERLOADED
                                                   : EB_CALL_ERROR,
--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -95,6 +95,8 @@
     EbForwardClient *client = connection->client;
     event->attempt_id = connection->attempt_id;
     event->reply = connection->answer;
+    event->http_status =
+        connection->answer != NULL ? connection->answer->status : 0;
     event->forward = connection->reply;
     event->has_load = connection->reply.has_load;
     event->load_running = connection->reply.load_running;
@@ -354,7 +356,8 @@
 }
 
 static void
-write_call(Connection *connection, const EbHttpMessage *message)
+write_call(Connection *connection, const EbForwardSend *send,
+           const EbHttpMessage *message)
 {
     struct evbuffer *output = bufferevent_get_output(connection->bufev);
     evbuffer_add_printf(output, "%s %s HTTP/1.1\r\n", message->method,
@@ -363,6 +366,10 @@
         evbuffer_add_printf(output, "%s: %s\r\n", message->headers[i].name,
                             message->headers[i].value);
     }
+    if (EbHttpMessage_FindHeader(message, "Host") == NULL) {
+        evbuffer_add_printf(output, "Host: %s:%u\r\n", send->host,
+                            (unsigned)send->port);
+    }
     bool has_length = message->body_bytes > 0 ||
                       strcmp(message->method, "POST") == 0 ||
                       strcmp(message->method, "PUT") == 0;
@@ -403,7 +410,7 @@
         forget(connection);
         return;
     }
-    write_call(connection, message);
+    write_call(connection, send, message);
     bufferevent_enable(connection->bufev, EV_READ | EV_WRITE);
 }
 
