pieces: count room at stage servers, free intermediate results at once

Change: results that no later stage needs are given up when the stage after them is done; the home counts the bytes that lie at each server and sends no piece without room.

--- a/include/ebonyhollow/action.h
+++ b/include/ebonyhollow/action.h
@@ -79,6 +79,7 @@
     char *service;
     uint32_t stage;
     uint32_t piece_count;
+    uint64_t result_bytes; /* of one piece, about */
     char *key;          /* of a stage without an earlier one */
     GPtrArray *inputs;  /* of char *, handles of earlier results otherwise */
     int64_t due_us;      /* when it should be done, for the order */
--- a/include/ebonyhollow/message.h
+++ b/include/ebonyhollow/message.h
@@ -116,6 +116,7 @@
     char *service;
     uint32_t stage;
     uint32_t piece_count;
+    uint64_t result_bytes;
     char *piece_key;
     /* Times from the sending, since monotonic clocks of instances have nothing
      * in common; `late_us` is how long the due time has passed. */
--- a/src/libebonyhollow/dispatcher_prepare.c
+++ b/src/libebonyhollow/dispatcher_prepare.c
@@ -104,6 +104,7 @@
                 g_strdup(request->config->pools[row->pool_index].name),
             .stage = index,
             .piece_count = piece_count(request, index),
+            .result_bytes = row->result_bytes,
             .due_us = request->summary->received_us +
                       forward_of(request)->goal_us - row->rest_us,
             .deadline_us = request->deadline_us,
@@ -119,12 +120,51 @@
                     now_us);
 }
 
+static void
+end_preparation(EbRequest *request, EbPreparation *row)
+{
+    EbDispatcher *dispatcher = request->dispatcher;
+    if (row->job == 0) {
+        return;
+    }
+    g_hash_table_remove(dispatcher->jobs, &row->job);
+    EbActionQueue_Push(dispatcher->options.actions,
+                       &(EbAction){.kind = EB_ACTION_END_PREPARATION,
+                                   .as.end_job = row->job});
+    row->job = 0;
+}
+
+/* Gives up results that only preparations needed which are done: memory for
+ * results is scarce at the servers. */
+static void
+end_used(EbRequest *request)
+{
+    EbPreparation *rows = request->forward->preparations;
+    uint32_t used = 0;
+    uint32_t wanted = ~followed_bits(request);
+    for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
+        uint32_t after = forward_of(request)->preparations[i].after;
+        if (rows[i].needed && rows[i].done) {
+            used |= after;
+        }
+        else if (rows[i].needed) {
+            wanted |= after;
+        }
+    }
+    for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
+        if (rows[i].done && (used & ~wanted & 1U << i) != 0) {
+            end_preparation(request, &rows[i]);
+        }
+    }
+}
+
 /* Starts what can start, or the call itself when nothing is missing. */
 static void
 go_on(EbRequest *request, int64_t now_us)
 {
     EbPreparation *rows = request->forward->preparations;
     bool missing = false;
+    end_used(request);
     for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
         if (is_startable(request, i)) {
             start_preparation(request, i, now_us);
@@ -153,20 +193,6 @@
     go_on(request, now_us);
 }
 
-static void
-end_preparation(EbRequest *request, EbPreparation *row)
-{
-    EbDispatcher *dispatcher = request->dispatcher;
-    if (row->job == 0) {
-        return;
-    }
-    g_hash_table_remove(dispatcher->jobs, &row->job);
-    EbActionQueue_Push(dispatcher->options.actions,
-                       &(EbAction){.kind = EB_ACTION_END_PREPARATION,
-                                   .as.end_job = row->job});
-    row->job = 0;
-}
-
 void
 EbRequest_EndPreparations(EbRequest *request)
 {
@@ -194,8 +220,9 @@
 lacks_results(const EbRequest *request)
 {
     const EbPreparation *rows = request->forward->preparations;
+    uint32_t followed = followed_bits(request);
     for (size_t i = 0; i < EB_FORWARD_MAX_PREPARATIONS; i++) {
-        if (rows[i].needed && rows[i].job == 0) {
+        if (rows[i].needed && rows[i].job == 0 && (followed & 1U << i) == 0) {
             return true;
         }
     }
--- a/src/libebonyhollow/message.c
+++ b/src/libebonyhollow/message.c
@@ -75,6 +75,7 @@
     FIELD(26, UINT64, late_us, BIT(PREPARE), 0, 0),
     FIELD(27, UINT64, left_us, BIT(PREPARE), 0, 0),
     FIELD(28, UINT32, prepared, BIT(PREPARED), 0, EB_PREPARED_STATUS_COUNT),
+    FIELD(30, UINT64, result_bytes, BIT(PREPARE), 0, 0),
     FIELD(29, HANDLES, handles, BIT(PREPARE) | BIT(PREPARED), 0, 0),
 };
 
--- a/src/libebonyhollow/pieces.c
+++ b/src/libebonyhollow/pieces.c
@@ -18,7 +18,7 @@
 /* A server that has no place or no memory free is asked again after this. */
 #define BLOCK_FULL_US 50000
 /* Results to be freed are gathered for so long. */
-#define RELEASE_INTERVAL_US 50000
+#define RELEASE_INTERVAL_US 15000
 /* A server this much slower than the fastest gets calls only when all items
  * could not be in time otherwise. */
 #define SLOW_RATIO 2.5
@@ -32,6 +32,7 @@
     uint32_t tries;
     char *handle;    /* when done */
     char *server_id; /* that made the result */
+    bool holds_room; /* its result takes memory there */
 } Piece;
 
 struct Job {
@@ -58,8 +59,8 @@
     uint32_t failures;
     int64_t blocked_us; /* no call before */
     double pace;        /* time of calls as a multiple of what is expected */
-    uint64_t held_bytes;
-    uint64_t room_bytes;
+    uint64_t held_bytes; /* of results that lie there or are being made */
+    uint64_t released_bytes; /* of those in `releases` */
     bool current;      /* in the configuration in force */
     GPtrArray *releases; /* of char *, handles to be freed */
 } Server;
@@ -224,7 +225,6 @@
     server->host = g_strdup(row->host);
     server->failure_domain = g_strdup(row->failure_domain);
     server->port = row->port;
-    server->room_bytes = service->batch.room_bytes;
     server->current = true;
 }
 
@@ -360,6 +360,17 @@
     return true;
 }
 
+/* Counts memory as free again that the piece's result took. */
+static void
+free_room(const Job *job, Piece *piece, Server *server)
+{
+    if (piece->holds_room) {
+        piece->holds_room = false;
+        server->held_bytes -=
+            MIN(server->held_bytes, job->prepare.result_bytes);
+    }
+}
+
 static void
 release_result(EbPieces *pieces, const Job *job, Piece *piece, int64_t now_us)
 {
@@ -367,6 +378,10 @@
         g_hash_table_lookup(job->service->servers, piece->server_id);
     if (server != NULL && piece->handle != NULL) {
         g_ptr_array_add(server->releases, g_strdup(piece->handle));
+        if (piece->holds_room) {
+            piece->holds_room = false;
+            server->released_bytes += job->prepare.result_bytes;
+        }
         pieces->release_us =
             MIN(pieces->release_us, now_us + RELEASE_INTERVAL_US);
     }
@@ -426,11 +441,24 @@
 
 /* Calls */
 
+/* Returns whether one more result of the most urgent job fits. */
+static bool
+has_room(const Service *service, const Server *server)
+{
+    GSequenceIter *first = g_sequence_get_begin_iter(service->queue);
+    if (service->batch.room_bytes == 0 || g_sequence_iter_is_end(first)) {
+        return true;
+    }
+    const Job *job = g_sequence_get(first);
+    return server->held_bytes + job->prepare.result_bytes <=
+           service->batch.room_bytes;
+}
+
 static bool
 is_free(const Service *service, const Server *server, int64_t now_us)
 {
     return server->current && server->running < service->batch.max_calls &&
-           server->blocked_us <= now_us;
+           server->blocked_us <= now_us && has_room(service, server);
 }
 
 /* Returns the free server that is expected to be fastest; of equals one in
@@ -472,10 +500,17 @@
 static void
 take_items(Call *call, Job *job, uint32_t max_items)
 {
-    while (call->pieces->len < max_items && job->waiting.length > 0) {
+    Server *server = call->server;
+    uint64_t room_bytes = job->service->batch.room_bytes;
+    while (call->pieces->len < max_items && job->waiting.length > 0 &&
+           (room_bytes == 0 || server->held_bytes +
+                                       job->prepare.result_bytes <=
+                                   room_bytes)) {
         Piece *piece = g_queue_pop_head(&job->waiting);
         job->service->waiting_count--;
         job->running_count++;
+        piece->holds_room = true;
+        server->held_bytes += job->prepare.result_bytes;
         g_ptr_array_add(call->pieces, piece);
     }
     if (job->waiting.length == 0) {
@@ -570,6 +605,7 @@
     call->server = server;
     call->pieces = g_ptr_array_new();
     gather(call, now_us);
+    assert(call->pieces->len > 0);
     call->started_us = now_us;
     call->expected_us = expected_time(service, call->pieces->len);
     call->timeout_us =
@@ -639,6 +675,18 @@
     pump(pieces, job->service, now_us);
 }
 
+/* Forgets the room of a piece that was not done. */
+static void
+give_up_room(const Call *call)
+{
+    for (guint i = 0; i < call->pieces->len; i++) {
+        Piece *piece = g_ptr_array_index(call->pieces, i);
+        if (piece->handle == NULL) {
+            free_room(piece->job, piece, call->server);
+        }
+    }
+}
+
 /* Takes a call off its server. */
 static Call *
 take_call(EbPieces *pieces, uint64_t attempt_id)
@@ -730,6 +778,9 @@
     server->failures = 0;
     for (size_t i = 0; i < count; i++) {
         Piece *piece = g_ptr_array_index(call->pieces, i);
+        if (results[i].kind != EB_PIECE_DONE) {
+            free_room(piece->job, piece, server);
+        }
         if (results[i].kind == EB_PIECE_DONE) {
             finish_piece(pieces, piece, server, &results[i], now_us);
         }
@@ -762,6 +813,7 @@
             EB_STRING_FIELD("service", call->service->name),
             EB_INTEGER_FIELD("pieces", call->pieces->len),
             EB_STRING_FIELD("cause", cause));
+    give_up_room(call);
     bool full = result == EB_CALL_OVERLOADED;
     if (full) {
         block(call->server, BLOCK_FULL_US, now_us);
@@ -819,6 +871,9 @@
                                 .handles = server->releases,
                             }});
             server->releases = g_ptr_array_new_with_free_func(g_free);
+            server->held_bytes -=
+                MIN(server->held_bytes, server->released_bytes);
+            server->released_bytes = 0;
         }
     }
 }
@@ -840,6 +895,21 @@
     g_list_free(calls);
 }
 
+static void
+forget_rooms(Job *job)
+{
+    for (uint32_t i = 0; i < job->prepare.piece_count; i++) {
+        Piece *piece = &job->pieces[i];
+        Server *server =
+            piece->server_id != NULL
+                ? g_hash_table_lookup(job->service->servers, piece->server_id)
+                : NULL;
+        if (server != NULL) {
+            free_room(job, piece, server);
+        }
+    }
+}
+
 static void
 forget_expired(EbPieces *pieces, int64_t now_us)
 {
@@ -848,6 +918,7 @@
         Job *job = item->data;
         if (job->expires_us <= now_us && job->running_count == 0) {
             drop_waiting(job);
+            forget_rooms(job);
             forget_job(pieces, job);
         }
     }
