--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -19,6 +19,8 @@
     {UINT64_MAX, 3, EB_FINGERPRINT_QUARANTINED, EB_QUARANTINE_US},
     {5, 1, EB_FINGERPRINT_SUSPECTED, -1}};
 
+static char *sample_handles[] = {"10.0.0.1:7000/ab", "10.0.0.2:7000/cd"};
+
 /* One message of each kind, with all fields of the kind. */
 static const EbMessage samples[] = {
     {.kind = EB_MESSAGE_HEARTBEAT, .generation = 4, .digest = 1ULL << 60},
@@ -55,6 +57,24 @@
      .sequence = 12,
      .server = "s-1",
      .leaving = true},
+    {.kind = EB_MESSAGE_PREPARE,
+     .job = 3,
+     .request_id = "r-1",
+     .service = "retrieve",
+     .stage = 2,
+     .piece_count = EB_FORWARD_MAX_PIECES,
+     .result_bytes = 1500000,
+     .due_in_us = 400000,
+     .late_us = 0,
+     .left_us = 5000000,
+     .handles = sample_handles,
+     .handle_count = 2},
+    {.kind = EB_MESSAGE_PREPARED,
+     .job = 3,
+     .prepared = EB_PREPARED_LATE,
+     .handles = sample_handles,
+     .handle_count = 2},
+    {.kind = EB_MESSAGE_END_PREPARATION, .job = UINT64_MAX},
 };
 
 static void
@@ -89,6 +109,23 @@
     }
 }
 
+static void
+check_preparation(const EbMessage *got, const EbMessage *sent)
+{
+    CU_ASSERT_EQUAL(got->job, sent->job);
+    CU_ASSERT_EQUAL(got->stage, sent->stage);
+    CU_ASSERT_EQUAL(got->piece_count, sent->piece_count);
+    CU_ASSERT_EQUAL(got->result_bytes, sent->result_bytes);
+    CU_ASSERT_EQUAL(got->due_in_us, sent->due_in_us);
+    CU_ASSERT_EQUAL(got->late_us, sent->late_us);
+    CU_ASSERT_EQUAL(got->left_us, sent->left_us);
+    CU_ASSERT_EQUAL(got->prepared, sent->prepared);
+    CU_ASSERT_EQUAL_FATAL(got->handle_count, sent->handle_count);
+    for (uint32_t i = 0; i < got->handle_count; i++) {
+        CU_ASSERT_STRING_EQUAL(got->handles[i], sent->handles[i]);
+    }
+}
+
 static void
 check_string(const char *got, const char *sent)
 {
@@ -127,6 +164,9 @@
         CU_ASSERT_TRUE(got->text_bytes == 0 ||
                        memcmp(got->text, sent->text, got->text_bytes) == 0);
         check_arrays(got, sent);
+        check_preparation(got, sent);
+        check_string(got->request_id, sent->request_id);
+        check_string(got->service, sent->service);
         EbMessage_Free(got);
     }
 }
