platform_client: a watch that broke lists its kind anew, with all others

Change: a broken or outdated watch makes all of the daemon's watches list again; lists time out after 1 s, backoff is at most 0.8 s; the kernel probes idle watch connections. test_watch now asks for the two lists more.

--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -10,6 +10,10 @@
 #include "daemon_internal.h"
 #include "socket.h"
 
+/* A watch that waits is one call to the store; the kernel notices a lost
+ * connection earlier. */
+#define WATCH_TIMEOUT_US 10000000
+
 static void
 on_suppressed(void *context, EbEventId event)
 {
@@ -245,6 +249,7 @@
                                                   ? daemon->adapter->store
                                                   : NULL,
                                    .token = settings->platform_token,
+                                   .watch_timeout_us = WATCH_TIMEOUT_US,
                                    .random = &daemon->random,
                                    .metrics = daemon->metrics,
                                    .events = daemon->events,
--- a/src/libebonyhollow_net/platform_watch.c
+++ b/src/libebonyhollow_net/platform_watch.c
@@ -1,13 +1,21 @@
 /* Watches of the platform client: list, then long polls. */
 #include <assert.h>
 
+#include <event2/bufferevent.h>
+
+#include "clock.h"
 #include "platform_internal.h"
+#include "socket.h"
 
 /* A poll without an answer for so long after its own time-out has lost its
  * connection. */
 #define POLL_GRACE_US 2000000
+/* When one watch is cut, others that have waited this long are polled anew. */
+#define RENEW_AFTER_US 200000
 #define BACKOFF_FIRST_US 100000
-#define BACKOFF_MAX_US 2000000
+#define BACKOFF_MAX_US 800000
+/* A list answers at once or is tried on another connection. */
+#define LIST_TIMEOUT_US 1000000
 
 typedef struct {
     EbPlatformClient *client;
@@ -15,6 +23,8 @@
     struct evhttp_connection *evcon;
     struct event *timer; /* next try */
     bool listed;         /* `revision` is valid */
+    bool polling;
+    int64_t polled_us; /* start of the poll */
     uint64_t revision;
     uint32_t failures; /* one after another */
     json_t *items;     /* of a list that is not complete yet */
@@ -121,6 +131,30 @@
     return true;
 }
 
+/* Lists the kinds of the other watches anew that still wait. What ended one
+ * of them, a restart of the store or a loss of its history, may have kept
+ * events from all of them. */
+static void
+renew_others(const Watch *watch)
+{
+    int64_t now_us = EbClock_Monotonic();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, watch->client->watches);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Watch *other = value;
+        if (other != watch && other->polling &&
+            now_us - other->polled_us >= RENEW_AFTER_US) {
+            evhttp_connection_free(other->evcon);
+            other->evcon = NULL;
+            other->polling = false;
+            other->listed = false;
+            start_list(other);
+            schedule(other, 0);
+        }
+    }
+}
+
 static void
 take_answer(Watch *watch, int status, json_t *body)
 {
@@ -140,11 +174,18 @@
         watch->listed = false;
         start_list(watch);
         schedule(watch, 0);
+        renew_others(watch);
     }
     else {
         /* The rate limit's 429 says that the platform is up. */
         EbPlatform_Count(client, operation, "unavailable",
                          status == 429 ? NULL : "watch failed");
+        if (status == 0 && watch->listed) {
+            /* Events may have been lost with the connection. */
+            watch->listed = false;
+            start_list(watch);
+            renew_others(watch);
+        }
         retry_later(watch);
     }
 }
@@ -154,6 +195,9 @@
 {
     Watch *watch = arg;
     int status = request ? evhttp_request_get_response_code(request) : 0;
+    watch->polling = false;
+    EbSocket_SetKeepAlive(bufferevent_getfd(
+        evhttp_connection_get_bufferevent(watch->evcon)));
     json_t *body = status != 0 ? EbPlatform_Body(request) : NULL;
     take_answer(watch, status, body);
     json_decref(body);
@@ -164,17 +208,23 @@
 {
     EbPlatformClient *client = watch->client;
     int64_t poll_us = client->options.watch_timeout_us;
+    struct timeval limit = EbPlatform_Time(
+        watch->listed ? poll_us + POLL_GRACE_US : LIST_TIMEOUT_US);
     if (watch->evcon == NULL) {
-        watch->evcon = EbPlatform_Connect(client, poll_us + POLL_GRACE_US);
+        watch->evcon = EbPlatform_Connect(client, LIST_TIMEOUT_US);
     }
+    evhttp_connection_set_timeout_tv(watch->evcon, &limit);
     const EbStoreDialect *dialect = client->options.dialect;
     char *path = watch->listed ? dialect->watch_path(watch->kind,
                                                      watch->revision, poll_us)
                                : dialect->list_path(watch->kind, watch->after);
     struct evhttp_request *request =
         EbPlatform_Request(client, on_poll_done, watch);
+    watch->polling = true;
+    watch->polled_us = EbClock_Monotonic();
     if (evhttp_make_request(watch->evcon, request, EVHTTP_REQ_GET, path) !=
         0) {
+        watch->polling = false;
         take_answer(watch, 0, NULL);
     }
     g_free(path);
--- a/src/libebonyhollow_net/private/socket.h
+++ b/src/libebonyhollow_net/private/socket.h
@@ -15,4 +15,9 @@
  * a listener inherit the option from it. A negative socket is ignored. */
 void EbSocket_SetNoDelay(evutil_socket_t socket);
 
+/* Has the kernel probe an idle connection, so that one whose path was lost
+ * without a reset ends within about three seconds. A negative socket is
+ * ignored. */
+void EbSocket_SetKeepAlive(evutil_socket_t socket);
+
 #endif
--- a/src/test_platform_client/main.c
+++ b/src/test_platform_client/main.c
@@ -311,7 +311,8 @@
 }
 
 /* Guards against a watch that stops after a gap, an error, a broken or a
- * silent connection. */
+ * silent connection, and against events that are lost with a connection: the
+ * kind is listed at the start, after the gap, the break and the silence. */
 static void
 test_watch(void)
 {
@@ -319,10 +320,10 @@
     open_fixture(&fixture, answer_watch, 0);
     EbPlatformClient_Watch(fixture.client, "instances");
     EbPlatformClient_Watch(fixture.client, "instances");
-    fixture.wanted_listed = 2;
+    fixture.wanted_listed = 4;
     fixture.wanted_changed = 2;
     CU_ASSERT_TRUE(Loop_Until(fixture.base, has_watched, &fixture));
-    CU_ASSERT_EQUAL(fixture.listed, 2);
+    CU_ASSERT_EQUAL(fixture.listed, 4);
     CU_ASSERT_EQUAL(fixture.polls, 7);
     CU_ASSERT_EQUAL(fixture.events[EB_EVENT_WATCH_GAP], 1);
     EbPlatformClient_Unwatch(fixture.client, "instances");
