--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -141,13 +141,10 @@
         .resume_after = send->resume_after,
         .priority = send->priority,
     };
-    GPtrArray *inputs = g_ptr_array_new();
     if (send->inputs != NULL) {
         hop.input_count = send->inputs->len;
-        g_ptr_array_extend(inputs, send->inputs, NULL, NULL);
+        hop.inputs = (const char *const *)send->inputs->pdata;
     }
-    g_ptr_array_add(inputs, NULL);
-    hop.inputs = (const char *const *)inputs->pdata;
     EbHttpMessage *message = protocol->write_call(send->forward, &hop);
     EbForwardClient_Send(daemon->forward_client,
                          &(EbForwardSend){
@@ -161,7 +158,6 @@
                          },
                          message);
     EbHttpMessage_Unref(message);
-    g_ptr_array_unref(inputs);
 }
 
 void
--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -1,7 +1,6 @@
 #include "ebonyhollow/forward_client.h"
 
 #include <assert.h>
-#include <stdio.h>
 #include <string.h>
 
 #include <event2/buffer.h>
@@ -21,7 +20,6 @@
 #define DEFAULT_MAX_BODY_BYTES ((size_t)8 * 1024 * 1024)
 /* Idle connections are given up this long before the server closes them. */
 #define IDLE_MARGIN_US 500000
-#define MAX_HOST_BYTES 64
 
 typedef struct {
     EbForwardClient *client;
@@ -340,13 +338,9 @@
 static bool
 dial(const Connection *connection, const EbForwardSend *send)
 {
-    char text[MAX_HOST_BYTES + 8];
-    snprintf(text, sizeof(text), strchr(send->host, ':') ? "[%s]:%u" : "%s:%u",
-             send->host, (unsigned)send->port);
     struct sockaddr_storage storage;
-    int length = sizeof(storage);
-    if (evutil_parse_sockaddr_port(text, (struct sockaddr *)&storage,
-                                   &length) != 0 ||
+    int length = EbSocket_Address(send->host, send->port, &storage);
+    if (length == 0 ||
         bufferevent_socket_connect(connection->bufev,
                                    (struct sockaddr *)&storage, length) != 0) {
         return false;
--- a/src/libebonyhollow_net/forward_server.c
+++ b/src/libebonyhollow_net/forward_server.c
@@ -368,20 +368,13 @@
 {
     const EbAddress *address = &options->settings->caller;
     struct sockaddr_storage storage;
-    int length = sizeof(storage);
-    char *text =
-        g_strdup_printf(strchr(address->host, ':') != NULL ? "[%s]:%u"
-                                                           : "%s:%u",
-                        address->host, (unsigned)address->port);
-    bool parsed = evutil_parse_sockaddr_port(
-                      text, (struct sockaddr *)&storage, &length) == 0;
-    g_free(text);
+    int length = EbSocket_Address(address->host, address->port, &storage);
     EbForwardServer *server = g_new0(EbForwardServer, 1);
     server->options = *options;
     server->connections = g_hash_table_new_full(NULL, NULL, free_connection,
                                                 NULL);
     server->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
-    if (parsed) {
+    if (length > 0) {
         server->listener = evconnlistener_new_bind(
             options->base, on_accept, server,
             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, LISTEN_BACKLOG,
--- a/src/libebonyhollow_net/http_reader.c
+++ b/src/libebonyhollow_net/http_reader.c
@@ -1,5 +1,7 @@
 #include "http_reader.h"
 
+#include <string.h>
+
 #include <glib.h>
 #include <http_parser.h>
 
@@ -19,12 +21,28 @@
     bool interim;
     bool complete;
     bool too_large;
+    bool bad_name; /* a header's name is no token */
     bool skip_body;
 };
 
+/* RFC 9110, section 5.6.2. The parser lets spaces pass, by which "Length :"
+ * would be another header for the next recipient. */
+static bool
+is_token(const char *name)
+{
+    static const char others[] = "!#$%&'*+-.^_`|~";
+    for (; *name != '\0'; name++) {
+        if (!g_ascii_isalnum(*name) && strchr(others, *name) == NULL) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static void
 finish_header(EbHttpReader *reader)
 {
+    reader->bad_name = reader->bad_name || !is_token(reader->name->str);
     if (reader->name->len > 0 && !reader->head_done) {
         EbHttpMessage_AddHeader(reader->message, reader->name->str,
                                 reader->value->str);
@@ -50,6 +68,7 @@
     reader->inside = true;
     reader->head_done = false;
     reader->interim = false;
+    reader->bad_name = false;
     reader->header_bytes = 0;
     g_string_truncate(reader->target, 0);
     finish_header(reader);
@@ -103,7 +122,7 @@
             g_strdup(http_method_str((enum http_method)parser->method));
         message->target = g_strdup(reader->target->str);
     }
-    if (parser->upgrade != 0) {
+    if (parser->upgrade != 0 || reader->bad_name) {
         EbHttpMessage_Unref(message);
         return -1;
     }
--- a/src/libebonyhollow_net/private/socket.h
+++ b/src/libebonyhollow_net/private/socket.h
@@ -2,6 +2,8 @@
 #ifndef EB_SOCKET_H
 #define EB_SOCKET_H
 
+#include <stdint.h>
+
 #include <event2/event.h>
 #include <event2/util.h>
 
@@ -10,6 +12,12 @@
  * longer than a fast stage. */
 struct event_base *EbSocket_NewBase(void);
 
+/* Fills in the address of an IP address and a port.
+ *
+ * Returns its length, or 0 when the host is no IP address. */
+int EbSocket_Address(const char *host, uint16_t port,
+                     struct sockaddr_storage *address);
+
 /* Sends small writes at once. Without it a token waits for the receiver's
  * delayed acknowledgement of the one before, about 40 ms. Sockets accepted by
  * a listener inherit the option from it. A negative socket is ignored. */
--- a/src/libebonyhollow_net/socket.c
+++ b/src/libebonyhollow_net/socket.c
@@ -2,6 +2,7 @@
 
 #include <assert.h>
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -22,6 +23,26 @@
     return base;
 }
 
+int
+EbSocket_Address(const char *host, uint16_t port,
+                 struct sockaddr_storage *address)
+{
+    *address = (struct sockaddr_storage){0};
+    struct sockaddr_in *v4 = (struct sockaddr_in *)address;
+    struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)address;
+    if (inet_pton(AF_INET, host, &v4->sin_addr) == 1) {
+        v4->sin_family = AF_INET;
+        v4->sin_port = htons(port);
+        return sizeof(*v4);
+    }
+    if (inet_pton(AF_INET6, host, &v6->sin6_addr) == 1) {
+        v6->sin6_family = AF_INET6;
+        v6->sin6_port = htons(port);
+        return sizeof(*v6);
+    }
+    return 0;
+}
+
 void
 EbSocket_SetNoDelay(evutil_socket_t socket)
 {
--- /dev/null
+++ b/src/test_forward/main.c
@@ -0,0 +1,602 @@
+/* Tests of forwarded requests in the dispatcher, on a virtual clock: what is
+ * sent, how often, and what the caller is told. */
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "ebonyhollow/dispatcher.h"
+#include "test_runner.h"
+
+#define SECOND_US 1000000
+#define TOKEN "caller-token"
+#define MAX_SENDS 16
+
+typedef struct {
+    EbActionQueue *actions;
+    EbRandom random;
+    EbLedger *ledger;
+    EbLimiter *limiter;
+    EbQuarantine *quarantine;
+    EbMetrics *metrics;
+    EbDispatcher *dispatcher;
+    EbConfig *config;
+    int64_t now_us;
+    uint64_t sends[MAX_SENDS]; /* attempt ids */
+    char servers[MAX_SENDS][8];
+    int64_t resumed_after[MAX_SENDS];
+    unsigned send_count;
+    unsigned cancel_count;
+    uint64_t prepares[MAX_SENDS];
+    uint32_t prepare_stages[MAX_SENDS];
+    unsigned prepare_count;
+    unsigned ended_count;
+    char *inputs; /* of the last send */
+    GString *relayed;
+    unsigned heads;
+    bool answered;
+    EbOutcome outcome;
+    EbReason reason;
+    uint16_t status; /* of the relayed answer, 0: none */
+} Fixture;
+
+static int64_t
+no_clock(void *context)
+{
+    (void)context;
+    return 0;
+}
+
+static void
+add_route(EbConfig *config, const char *name, EbStageKind kind,
+          bool idempotent, uint32_t max_attempts)
+{
+    EbConfigForward *forward = g_new0(EbConfigForward, 1);
+    *forward = (EbConfigForward){
+        .host = g_strdup("h.example"),
+        .path_prefix = g_strdup_printf("/%s/", name),
+        .resumable = kind == EB_STAGE_GENERATE && idempotent,
+        .max_attempts = max_attempts,
+        .goal_us = SECOND_US};
+    EbConfigPipeline *pipeline = &config->pipelines[config->pipeline_count++];
+    *pipeline = (EbConfigPipeline){.name = g_strdup(name),
+                                   .stages = g_new0(EbConfigStage, 1),
+                                   .stage_count = 1,
+                                   .deadline_us = 6 * SECOND_US,
+                                   .forward = forward};
+    pipeline->stages[0] = (EbConfigStage){.name = g_strdup("forward"),
+                                          .kind = kind,
+                                          .idempotent = idempotent,
+                                          .timeout_us = 6 * SECOND_US};
+}
+
+static EbConfig *
+make_config(void)
+{
+    EbConfig *config = EbConfig_New("site", 1);
+    config->pools = g_new0(EbConfigPool, 2);
+    config->pool_count = 2;
+    config->servers = g_new0(EbConfigBackendServer, 3);
+    config->server_count = 3;
+    config->pools[0] = (EbConfigPool){.name = g_strdup("model"),
+                                      .kind = EB_STAGE_GENERATE,
+                                      .queue_max = 8,
+                                      .service_estimate_us = 100000,
+                                      .server_indexes = g_new0(uint32_t, 3),
+                                      .server_count = 3};
+    config->pools[1] =
+        (EbConfigPool){.name = g_strdup("encode"),
+                       .kind = EB_STAGE_CALL,
+                       .batch = {.max_items = 4, .max_calls = 1}};
+    for (uint32_t i = 0; i < 3; i++) {
+        config->pools[0].server_indexes[i] = i;
+        config->servers[i] =
+            (EbConfigBackendServer){.id = g_strdup_printf("s-%u", i),
+                                    .host = g_strdup("10.0.0.1"),
+                                    .port = (uint16_t)(7000 + i),
+                                    .failure_domain = g_strdup("recife"),
+                                    .capacity = 4};
+    }
+    config->customers = g_new0(EbConfigCustomer, 1);
+    config->customer_count = 1;
+    config->customers[0] = (EbConfigCustomer){.id = g_strdup("c-1"),
+                                              .contract = {.weight = 1},
+                                              .priority = -1};
+    EbConfig_DigestToken(TOKEN, config->customers[0].token_digest);
+    config->pipelines = g_new0(EbConfigPipeline, 8);
+    add_route(config, "read", EB_STAGE_CALL, true, 2);
+    add_route(config, "pay", EB_STAGE_CALL, false, 2);
+    add_route(config, "resumable", EB_STAGE_GENERATE, true, 2);
+    add_route(config, "once", EB_STAGE_GENERATE, false, 2);
+    add_route(config, "staged", EB_STAGE_CALL, true, 2);
+    EbConfigForward *staged = config->pipelines[4].forward;
+    staged->preparations = g_new0(EbConfigPreparation, 3);
+    staged->preparation_count = 3;
+    staged->preparations[0] = (EbConfigPreparation){.pool_index = 1};
+    staged->preparations[1] = (EbConfigPreparation){.pool_index = 1};
+    staged->preparations[2] =
+        (EbConfigPreparation){.pool_index = 1, .after = 1U << 1};
+    return config;
+}
+
+static void
+open_fixture(Fixture *fixture)
+{
+    *fixture = (Fixture){.actions = EbActionQueue_New(),
+                         .now_us = SECOND_US,
+                         .config = make_config(),
+                         .relayed = g_string_new(NULL)};
+    EbRandom_Init(&fixture->random, 7);
+    fixture->metrics = EbMetrics_New();
+    fixture->ledger =
+        EbLedger_New(&(EbLedgerOptions){.instance = "i-1",
+                                        .peer_address = "10.0.0.9:1",
+                                        .actions = fixture->actions,
+                                        .random = &fixture->random,
+                                        .wall_clock_us = no_clock});
+    fixture->limiter = EbLimiter_New(&(EbLimiterOptions){
+        .instance = "i-1", .config = fixture->config});
+    fixture->quarantine = EbQuarantine_New(&(EbQuarantineOptions){0});
+    fixture->dispatcher = EbDispatcher_New(
+        &(EbDispatcherOptions){.instance = "i-1",
+                               .failure_domain = "recife",
+                               .actions = fixture->actions,
+                               .random = &fixture->random,
+                               .ledger = fixture->ledger,
+                               .limiter = fixture->limiter,
+                               .quarantine = fixture->quarantine,
+                               .metrics = fixture->metrics});
+    EbDispatcher_SetConfig(fixture->dispatcher, fixture->config,
+                           fixture->now_us);
+}
+
+static void
+close_fixture(Fixture *fixture)
+{
+    EbDispatcher_Free(fixture->dispatcher);
+    EbLedger_Free(fixture->ledger);
+    EbLimiter_Free(fixture->limiter);
+    EbQuarantine_Free(fixture->quarantine);
+    EbMetrics_Free(fixture->metrics);
+    EbActionQueue_Free(fixture->actions);
+    EbConfig_Unref(fixture->config);
+    g_string_free(fixture->relayed, TRUE);
+    g_free(fixture->inputs);
+}
+
+static void
+note_send(Fixture *fixture, const EbSendAttempt *send)
+{
+    CU_ASSERT_TRUE_FATAL(fixture->send_count < MAX_SENDS);
+    g_strlcpy(fixture->servers[fixture->send_count], send->server_id,
+              sizeof(fixture->servers[0]));
+    fixture->resumed_after[fixture->send_count] = send->resume_after;
+    fixture->sends[fixture->send_count++] = send->attempt_id;
+    g_free(fixture->inputs);
+    GString *inputs = g_string_new(NULL);
+    for (guint i = 0; i < send->inputs->len; i++) {
+        g_string_append_printf(inputs, "%s ",
+                               (char *)g_ptr_array_index(send->inputs, i));
+    }
+    fixture->inputs = g_string_free(inputs, FALSE);
+}
+
+static void
+note_answer(Fixture *fixture, const EbAnswer *answer)
+{
+    CU_ASSERT_FALSE(fixture->answered);
+    fixture->answered = true;
+    fixture->outcome = answer->outcome;
+    fixture->reason = answer->reason;
+    fixture->status = answer->reply != NULL ? answer->reply->status : 0;
+}
+
+static void
+take_actions(Fixture *fixture)
+{
+    EbAction action;
+    while (EbActionQueue_Pop(fixture->actions, &action)) {
+        switch (action.kind) {
+        case EB_ACTION_SEND_ATTEMPT:
+            note_send(fixture, &action.as.send);
+            break;
+        case EB_ACTION_CANCEL_ATTEMPT:
+            fixture->cancel_count++;
+            break;
+        case EB_ACTION_RELAY:
+            fixture->heads += action.as.relay.head != NULL;
+            g_string_append_len(fixture->relayed,
+                                (const char *)action.as.relay.bytes,
+                                (gssize)action.as.relay.byte_count);
+            break;
+        case EB_ACTION_ANSWER:
+            note_answer(fixture, &action.as.answer);
+            break;
+        case EB_ACTION_PREPARE:
+            fixture->prepare_stages[fixture->prepare_count] =
+                action.as.prepare.stage;
+            fixture->prepares[fixture->prepare_count++] =
+                action.as.prepare.job;
+            break;
+        case EB_ACTION_END_PREPARATION:
+            fixture->ended_count++;
+            break;
+        default:
+            break;
+        }
+        EbAction_Clear(&action);
+    }
+}
+
+static uint64_t
+submit(Fixture *fixture, const char *path, const char *token)
+{
+    EbForwardCall *call = g_new0(EbForwardCall, 1);
+    call->references = 1;
+    call->message = EbHttpMessage_NewRequest("POST", path);
+    call->request_id = g_strdup("r-1");
+    call->token = g_strdup(token);
+    call->host = g_strdup("h.example");
+    call->path = g_strdup(path);
+    call->last_event_id = EB_FORWARD_NO_EVENT;
+    call->piece_stage_count = 3;
+    call->piece_counts[0] = 1;
+    call->piece_counts[1] = 2;
+    call->piece_counts[2] = 1;
+    uint64_t id = EbDispatcher_Submit(
+        fixture->dispatcher, &(EbSubmission){.forward = call},
+        fixture->now_us);
+    EbForwardCall_Unref(call);
+    take_actions(fixture);
+    return id;
+}
+
+static void
+advance(Fixture *fixture, int64_t by_us)
+{
+    int64_t end_us = fixture->now_us + by_us;
+    while (fixture->now_us < end_us) {
+        int64_t next_us = EbDispatcher_NextTimer(fixture->dispatcher);
+        fixture->now_us = MIN(MAX(next_us, fixture->now_us + 1000), end_us);
+        EbDispatcher_Tick(fixture->dispatcher, fixture->now_us);
+        take_actions(fixture);
+    }
+}
+
+typedef struct {
+    EbAttemptEventKind kind;
+    uint16_t status;
+    bool not_run;
+    bool unsigned_answer;
+    bool wrong_id;
+    int64_t event_id;
+    const char *bytes;
+} Event;
+
+/* Gives an event to the newest attempt. */
+static void
+give(Fixture *fixture, const Event *given)
+{
+    EbHttpMessage *reply = EbHttpMessage_NewAnswer(given->status);
+    EbDispatcher_Attempt(
+        fixture->dispatcher,
+        &(EbAttemptEvent){
+            .attempt_id = fixture->sends[fixture->send_count - 1],
+            .kind = given->kind,
+            .http_status = given->status,
+            .reply = reply,
+            .forward = {.request_id = given->wrong_id ? "r-0" : "r-1",
+                        .sealed = !given->unsigned_answer,
+                        .not_run = given->not_run},
+            .first_event_id = given->event_id,
+            .last_event_id = given->event_id,
+            .bytes = (const uint8_t *)given->bytes,
+            .byte_count = given->bytes != NULL ? strlen(given->bytes) : 0},
+        fixture->now_us);
+    EbHttpMessage_Unref(reply);
+    take_actions(fixture);
+}
+
+/* Guards against a request that passes without route or key, and a refusal
+ * after something was sent. */
+static void
+test_refusals(void)
+{
+    static const struct {
+        const char *path;
+        const char *token;
+        EbReason reason;
+    } rows[] = {
+        {"/unknown/x", TOKEN, EB_REASON_UNKNOWN_PIPELINE},
+        {"/read", TOKEN, EB_REASON_UNKNOWN_PIPELINE},
+        {"/read/x", NULL, EB_REASON_UNAUTHENTICATED},
+        {"/read/x", "other", EB_REASON_UNAUTHENTICATED},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Fixture fixture;
+        open_fixture(&fixture);
+        submit(&fixture, rows[i].path, rows[i].token);
+        CU_ASSERT_TRUE(fixture.answered);
+        CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_NOT_RUN);
+        CU_ASSERT_EQUAL(fixture.reason, rows[i].reason);
+        CU_ASSERT_EQUAL(fixture.send_count, 0);
+        close_fixture(&fixture);
+    }
+}
+
+typedef struct {
+    const char *name;
+    const char *path;
+    Event first;         /* given to the first attempt */
+    unsigned sends;      /* in all, when the second attempt succeeds */
+    EbOutcome outcome;   /* of the first event alone, if it ends it */
+    uint16_t status;     /* of the answer */
+} FaultRow;
+
+/* Guards against a request that must not be repeated and runs twice, a
+ * success without signature or of another request, and "not run" for one that
+ * may have run. */
+static void
+test_first_attempt(void)
+{
+    static const FaultRow rows[] = {
+        {"read ok", "/read/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 200}, 1, EB_OUTCOME_DONE,
+         200},
+        {"read not found", "/read/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 404}, 1,
+         EB_OUTCOME_DONE, 404},
+        {"read refused", "/read/x", {.kind = EB_ATTEMPT_REFUSED}, 2, EB_OUTCOME_DONE,
+         200},
+        {"read broken", "/read/x", {.kind = EB_ATTEMPT_BROKEN}, 2, EB_OUTCOME_DONE,
+         200},
+        {"read 500", "/read/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 500}, 2,
+         EB_OUTCOME_DONE, 200},
+        {"read shed", "/read/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 503, .not_run = true},
+         2, EB_OUTCOME_DONE, 200},
+        {"read misdirected", "/read/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 421}, 2,
+         EB_OUTCOME_DONE, 200},
+        {"read unsigned", "/read/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 200, .unsigned_answer = true}, 2,
+         EB_OUTCOME_DONE, 200},
+        {"read of another", "/read/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 200, .wrong_id = true}, 2, EB_OUTCOME_DONE,
+         200},
+        {"pay ok", "/pay/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 200}, 1, EB_OUTCOME_DONE,
+         200},
+        {"pay refused", "/pay/x", {.kind = EB_ATTEMPT_REFUSED}, 2, EB_OUTCOME_DONE,
+         200},
+        {"pay shed", "/pay/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 503, .not_run = true}, 2,
+         EB_OUTCOME_DONE, 200},
+        {"pay misdirected", "/pay/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 421}, 2,
+         EB_OUTCOME_DONE, 200},
+        {"pay broken", "/pay/x", {.kind = EB_ATTEMPT_BROKEN}, 1, EB_OUTCOME_UNKNOWN,
+         0},
+        {"pay malformed", "/pay/x", {.kind = EB_ATTEMPT_MALFORMED}, 1,
+         EB_OUTCOME_UNKNOWN, 0},
+        {"pay unsigned", "/pay/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 200, .unsigned_answer = true}, 1,
+         EB_OUTCOME_UNKNOWN, 0},
+        {"pay 500", "/pay/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 500}, 1,
+         EB_OUTCOME_UNKNOWN, 500},
+        {"pay 503 that ran", "/pay/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 503}, 1,
+         EB_OUTCOME_UNKNOWN, 0},
+        {"once broken", "/once/x", {.kind = EB_ATTEMPT_BROKEN}, 1, EB_OUTCOME_UNKNOWN,
+         0},
+        {"resumable broken", "/resumable/x", {.kind = EB_ATTEMPT_BROKEN}, 2,
+         EB_OUTCOME_DONE, 200},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Fixture fixture;
+        open_fixture(&fixture);
+        submit(&fixture, rows[i].path, TOKEN);
+        CU_ASSERT_EQUAL_FATAL(fixture.send_count, 1);
+        give(&fixture, &rows[i].first);
+        advance(&fixture, SECOND_US);
+        if (!fixture.answered && fixture.send_count == 2) {
+            CU_ASSERT_STRING_NOT_EQUAL(fixture.servers[0],
+                                       fixture.servers[1]);
+            give(&fixture, &(Event){.kind = EB_ATTEMPT_ANSWERED, .status = 200});
+        }
+        advance(&fixture, 7 * SECOND_US);
+        bool expected = fixture.answered &&
+                        fixture.send_count == rows[i].sends &&
+                        fixture.outcome == rows[i].outcome &&
+                        fixture.status == rows[i].status;
+        if (!expected) {
+            printf("%s: %u sends, outcome %s, status %u\n", rows[i].name,
+                   fixture.send_count, EbOutcome_names[fixture.outcome],
+                   fixture.status);
+        }
+        CU_ASSERT_TRUE(expected);
+        close_fixture(&fixture);
+    }
+}
+
+/* Guards against more servers that run a request than its route allows. */
+static void
+test_attempts_end(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture);
+    submit(&fixture, "/read/x", TOKEN);
+    for (int i = 0; i < 5 && !fixture.answered; i++) {
+        give(&fixture, &(Event){.kind = EB_ATTEMPT_ANSWERED, .status = 500});
+        advance(&fixture, SECOND_US / 2);
+    }
+    CU_ASSERT_TRUE(fixture.answered);
+    CU_ASSERT_EQUAL(fixture.send_count, 2);
+    CU_ASSERT_EQUAL(fixture.status, 500);
+    CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_FAILED);
+    close_fixture(&fixture);
+}
+
+/* Guards against events that are lost or doubled by a resume, and against a
+ * second head. */
+static void
+test_resume(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture);
+    submit(&fixture, "/resumable/x", TOKEN);
+    CU_ASSERT_EQUAL(fixture.resumed_after[0], EB_FORWARD_NO_EVENT);
+    give(&fixture, &(Event){.kind = EB_ATTEMPT_STREAMING, .status = 200});
+    CU_ASSERT_EQUAL(fixture.heads, 0);
+    give(&fixture, &(Event){.kind = EB_ATTEMPT_EVENTS, .status = 200, .event_id = 0,
+                            .bytes = "a"});
+    give(&fixture, &(Event){.kind = EB_ATTEMPT_EVENTS, .status = 200, .event_id = 1,
+                            .bytes = "b"});
+    give(&fixture, &(Event){.kind = EB_ATTEMPT_BROKEN, .status = 200});
+    advance(&fixture, SECOND_US);
+    CU_ASSERT_EQUAL_FATAL(fixture.send_count, 2);
+    CU_ASSERT_EQUAL(fixture.resumed_after[1], 1);
+    give(&fixture, &(Event){.kind = EB_ATTEMPT_STREAMING, .status = 200});
+    give(&fixture, &(Event){.kind = EB_ATTEMPT_EVENTS, .status = 200, .event_id = 1,
+                            .bytes = "b"});
+    give(&fixture, &(Event){.kind = EB_ATTEMPT_EVENTS, .status = 200, .event_id = 2,
+                            .bytes = "c"});
+    give(&fixture, &(Event){.kind = EB_ATTEMPT_ENDED, .status = 200});
+    CU_ASSERT_STRING_EQUAL(fixture.relayed->str, "abc");
+    CU_ASSERT_EQUAL(fixture.heads, 1);
+    CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_DONE);
+    close_fixture(&fixture);
+}
+
+/* Guards against a stream that must not be repeated and is continued by
+ * another run. */
+static void
+test_no_resume(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture);
+    submit(&fixture, "/once/x", TOKEN);
+    give(&fixture, &(Event){.kind = EB_ATTEMPT_STREAMING, .status = 200});
+    give(&fixture, &(Event){.kind = EB_ATTEMPT_EVENTS, .status = 200, .event_id = 0,
+                            .bytes = "a"});
+    give(&fixture, &(Event){.kind = EB_ATTEMPT_BROKEN, .status = 200});
+    advance(&fixture, 7 * SECOND_US);
+    CU_ASSERT_EQUAL(fixture.send_count, 1);
+    CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_UNKNOWN);
+    close_fixture(&fixture);
+}
+
+/* Guards against a server that works on for a caller that left; a call that
+ * must not be repeated goes on to its end. */
+static void
+test_caller_gone(void)
+{
+    static const struct {
+        const char *path;
+        unsigned cancels;
+    } rows[] = {{"/read/x", 1}, {"/resumable/x", 1}, {"/once/x", 1},
+                {"/pay/x", 0}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Fixture fixture;
+        open_fixture(&fixture);
+        uint64_t id = submit(&fixture, rows[i].path, TOKEN);
+        EbDispatcher_CallerGone(fixture.dispatcher, id, fixture.now_us);
+        take_actions(&fixture);
+        CU_ASSERT_EQUAL(fixture.cancel_count, rows[i].cancels);
+        CU_ASSERT_FALSE(fixture.answered);
+        close_fixture(&fixture);
+    }
+}
+
+/* Guards against a caller that is kept waiting past its deadline. */
+static void
+test_deadline(void)
+{
+    static const char *const paths[] = {"/read/x", "/pay/x", "/once/x",
+                                        "/staged/x"};
+    for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+        Fixture fixture;
+        open_fixture(&fixture);
+        submit(&fixture, paths[i], TOKEN);
+        advance(&fixture, 6 * SECOND_US + 10000);
+        CU_ASSERT_TRUE(fixture.answered);
+        CU_ASSERT_NOT_EQUAL(fixture.outcome, EB_OUTCOME_DONE);
+        close_fixture(&fixture);
+    }
+}
+
+static void
+prepared(Fixture *fixture, unsigned index, EbPreparedStatus status,
+         char *const *handles, uint32_t count)
+{
+    EbDispatcher_Prepared(fixture->dispatcher, fixture->prepares[index],
+                          status, handles, count, fixture->now_us);
+    take_actions(fixture);
+}
+
+/* Guards against a request that runs before its inputs are there, with the
+ * inputs of an inner stage or in the wrong order, and against results that
+ * are kept after they were used. */
+static void
+test_preparations(void)
+{
+    static char *a[] = {"a0"};
+    static char *b[] = {"b0", "b1"};
+    static char *c[] = {"c0"};
+    Fixture fixture;
+    open_fixture(&fixture);
+    submit(&fixture, "/staged/x", TOKEN);
+    CU_ASSERT_EQUAL_FATAL(fixture.prepare_count, 2);
+    prepared(&fixture, 1, EB_PREPARED_OK, b, 2);
+    CU_ASSERT_EQUAL_FATAL(fixture.prepare_count, 3);
+    CU_ASSERT_EQUAL(fixture.prepare_stages[2], 2);
+    prepared(&fixture, 2, EB_PREPARED_OK, c, 1);
+    CU_ASSERT_EQUAL(fixture.ended_count, 1); /* b is used */
+    CU_ASSERT_EQUAL(fixture.send_count, 0);
+    prepared(&fixture, 0, EB_PREPARED_OK, a, 1);
+    CU_ASSERT_EQUAL_FATAL(fixture.send_count, 1);
+    CU_ASSERT_STRING_EQUAL(fixture.inputs, "a0 c0 ");
+    give(&fixture, &(Event){.kind = EB_ATTEMPT_ANSWERED, .status = 200});
+    CU_ASSERT_EQUAL(fixture.ended_count, 3);
+    CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_DONE);
+    close_fixture(&fixture);
+}
+
+/* Guards against a request that fails because a result was lost, and against
+ * one that is refused as not run after a server ran it. */
+static void
+test_lost_results(void)
+{
+    static char *a[] = {"a0"};
+    static char *b[] = {"b0", "b1"};
+    static char *c[] = {"c0"};
+    Fixture fixture;
+    open_fixture(&fixture);
+    submit(&fixture, "/staged/x", TOKEN);
+    prepared(&fixture, 1, EB_PREPARED_OK, b, 2);
+    prepared(&fixture, 0, EB_PREPARED_OK, a, 1);
+    prepared(&fixture, 2, EB_PREPARED_INPUT_GONE, NULL, 0);
+    CU_ASSERT_EQUAL_FATAL(fixture.prepare_count, 5);
+    prepared(&fixture, 3, EB_PREPARED_OK, a, 1);
+    prepared(&fixture, 4, EB_PREPARED_OK, b, 2);
+    prepared(&fixture, 5, EB_PREPARED_OK, c, 1);
+    CU_ASSERT_EQUAL_FATAL(fixture.send_count, 1);
+    give(&fixture,
+         &(Event){.kind = EB_ATTEMPT_ANSWERED, .status = 409, .not_run = true});
+    advance(&fixture, SECOND_US);
+    CU_ASSERT_EQUAL_FATAL(fixture.prepare_count, 8);
+    prepared(&fixture, 6, EB_PREPARED_FAILED, NULL, 0);
+    CU_ASSERT_TRUE(fixture.answered);
+    CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_NOT_RUN);
+    CU_ASSERT_EQUAL(fixture.send_count, 1);
+    close_fixture(&fixture);
+}
+
+int
+main(void)
+{
+    static const EbTestCase cases[] = {
+        {"refusals", test_refusals},
+        {"first attempt", test_first_attempt},
+        {"attempts end", test_attempts_end},
+        {"resume", test_resume},
+        {"no resume", test_no_resume},
+        {"caller gone", test_caller_gone},
+        {"deadline", test_deadline},
+        {"preparations", test_preparations},
+        {"lost results", test_lost_results},
+    };
+    return EbTest_Run("test_forward", cases, G_N_ELEMENTS(cases));
+}
--- /dev/null
+++ b/src/test_forward_net/main.c
@@ -0,0 +1,742 @@
+/* Tests of the transport of forwarded requests: EbHttpReader, EbEventBlocks,
+ * EbForwardClient and EbForwardServer. */
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <glib.h>
+
+#include "ebonyhollow/forward_client.h"
+#include "ebonyhollow/forward_server.h"
+#include "event_blocks.h"
+#include "http_reader.h"
+#include "net_fixture.h"
+#include "test_runner.h"
+
+#define MAX_EVENTS 16
+#define ID "X-Id"
+
+/* A protocol of these tests: one header with the request id. */
+
+static EbForwardCall *
+read_call(EbHttpMessage *message, EbError *error)
+{
+    const char *id = EbHttpMessage_FindHeader(message, ID);
+    if (id == NULL) {
+        EbError_Set(error, EB_ERROR_MISSING_FIELD, "no " ID);
+        return NULL;
+    }
+    EbForwardCall *call = g_new0(EbForwardCall, 1);
+    call->references = 1;
+    call->message = EbHttpMessage_Ref(message);
+    call->request_id = g_strdup(id);
+    return call;
+}
+
+static void
+read_reply(const EbHttpMessage *head, EbForwardReply *reply)
+{
+    *reply =
+        (EbForwardReply){.request_id = EbHttpMessage_FindHeader(head, ID)};
+}
+
+static const EbForwardProtocol protocol = {
+    .request_id_header = ID,
+    .read_call = read_call,
+    .read_reply = read_reply,
+};
+
+/* Reader */
+
+typedef struct {
+    GString *body;
+    unsigned heads;
+    unsigned completes;
+    bool reusable;
+} Read;
+
+static bool
+on_head(void *context, EbHttpMessage *message)
+{
+    ((Read *)context)->heads++;
+    EbHttpMessage_Unref(message);
+    return true;
+}
+
+static bool
+on_body(void *context, const uint8_t *bytes, size_t byte_count)
+{
+    g_string_append_len(((Read *)context)->body, (const char *)bytes,
+                        (gssize)byte_count);
+    return true;
+}
+
+static void
+on_complete(void *context, bool reusable)
+{
+    Read *read = context;
+    read->completes++;
+    read->reusable = reusable;
+}
+
+typedef struct {
+    EbHttpReaderKind kind;
+    const char *bytes;
+    EbHttpReadResult result;
+    const char *body;
+    const char *rest; /* not consumed */
+    bool ends;        /* the connection's end completes it */
+} ReaderRow;
+
+/* Guards against ambiguous framing that is passed on, and against bytes after
+ * a message that are taken for a part of it. */
+static void
+test_reader(void)
+{
+    static const ReaderRow rows[] = {
+        {EB_HTTP_REQUESTS, "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET",
+         EB_HTTP_READ_COMPLETE, "", "GET", false},
+        {EB_HTTP_REQUESTS,
+         "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcd",
+         EB_HTTP_READ_COMPLETE, "abc", "d", false},
+        {EB_HTTP_REQUESTS,
+         "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "2\r\nab\r\n1\r\nc\r\n0\r\n\r\nX",
+         EB_HTTP_READ_COMPLETE, "abc", "X", false},
+        {EB_HTTP_REQUESTS,
+         "POST /a HTTP/1.1\r\nContent-Length: 3\r\n"
+         "Content-Length: 4\r\n\r\nabcd",
+         EB_HTTP_READ_INVALID, "", NULL, false},
+        {EB_HTTP_REQUESTS,
+         "POST /a HTTP/1.1\r\nContent-Length: 3\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         EB_HTTP_READ_INVALID, "", NULL, false},
+        {EB_HTTP_REQUESTS,
+         "POST /a HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\n",
+         EB_HTTP_READ_INVALID, "", NULL, false},
+        {EB_HTTP_REQUESTS, "GET /a HTTP/1.1\r\nBad Name: x\r\n\r\n",
+         EB_HTTP_READ_INVALID, "", NULL, false},
+        {EB_HTTP_ANSWERS, "HTTP/1.1 200 OK\r\n\r\nabc", EB_HTTP_READ_MORE,
+         "abc", "", true},
+        {EB_HTTP_ANSWERS,
+         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", EB_HTTP_READ_MORE,
+         "abc", "", false},
+        {EB_HTTP_ANSWERS,
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+         EB_HTTP_READ_MORE, "abc", "", false},
+        {EB_HTTP_ANSWERS,
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+         "Content-Length: 1\r\n\r\na",
+         EB_HTTP_READ_COMPLETE, "a", "", false},
+        {EB_HTTP_ANSWERS, "nonsense", EB_HTTP_READ_INVALID, "", NULL, false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Read read = {.body = g_string_new(NULL)};
+        EbHttpReader *reader = EbHttpReader_New(&(EbHttpReaderOptions){
+            .kind = rows[i].kind,
+            .max_header_bytes = 200,
+            .head = on_head,
+            .body = on_body,
+            .complete = on_complete,
+            .context = &read});
+        size_t consumed = 0;
+        size_t length = strlen(rows[i].bytes);
+        EbHttpReadResult result = EbHttpReader_Feed(
+            reader, (const uint8_t *)rows[i].bytes, length, &consumed);
+        if (result != rows[i].result) {
+            printf("row %zu: result %d\n", i, (int)result);
+        }
+        CU_ASSERT_EQUAL(result, rows[i].result);
+        CU_ASSERT_STRING_EQUAL(read.body->str, rows[i].body);
+        CU_ASSERT_EQUAL(read.completes, result == EB_HTTP_READ_COMPLETE);
+        if (rows[i].rest != NULL) {
+            CU_ASSERT_STRING_EQUAL(rows[i].bytes + consumed, rows[i].rest);
+        }
+        if (result == EB_HTTP_READ_MORE) {
+            CU_ASSERT_EQUAL(EbHttpReader_End(reader), rows[i].ends);
+        }
+        EbHttpReader_Free(reader);
+        g_string_free(read.body, TRUE);
+    }
+}
+
+/* Guards against memory that a caller's endless header takes. */
+static void
+test_header_limit(void)
+{
+    Read read = {.body = g_string_new(NULL)};
+    EbHttpReader *reader =
+        EbHttpReader_New(&(EbHttpReaderOptions){.kind = EB_HTTP_REQUESTS,
+                                                .max_header_bytes = 64,
+                                                .head = on_head,
+                                                .body = on_body,
+                                                .complete = on_complete,
+                                                .context = &read});
+    char *value = g_strnfill(200, 'a');
+    char *bytes = g_strconcat("GET / HTTP/1.1\r\nX: ", value, NULL);
+    size_t consumed = 0;
+    CU_ASSERT_EQUAL(EbHttpReader_Feed(reader, (const uint8_t *)bytes,
+                                      strlen(bytes), &consumed),
+                    EB_HTTP_READ_TOO_LARGE);
+    g_free(bytes);
+    g_free(value);
+    EbHttpReader_Free(reader);
+    g_string_free(read.body, TRUE);
+}
+
+/* Event blocks */
+
+typedef struct {
+    GString *text;
+    int64_t last_id;
+    unsigned count;
+} Blocks;
+
+static void
+on_block(void *context, int64_t first_id, int64_t last_id,
+         const uint8_t *bytes, size_t byte_count)
+{
+    Blocks *blocks = context;
+    CU_ASSERT_EQUAL(first_id, last_id);
+    blocks->last_id = last_id;
+    blocks->count++;
+    g_string_append_len(blocks->text, (const char *)bytes,
+                        (gssize)byte_count);
+}
+
+/* Guards against an event that is cut, changed or passed on unfinished,
+ * however the stream is divided into reads. */
+static void
+test_event_blocks(void)
+{
+    static const char stream[] =
+        "id: 3\ndata: a\n\nversion: 2\nid: 4\ndata: b\n\ndata: c\r\n\r\nid: 9";
+    static const size_t whole = sizeof(stream) - 1 - strlen("id: 9");
+    for (size_t step = 1; step < sizeof(stream); step++) {
+        Blocks seen = {.text = g_string_new(NULL)};
+        EbEventBlocks *blocks = EbEventBlocks_New(on_block, &seen);
+        for (size_t at = 0; at < sizeof(stream) - 1; at += step) {
+            size_t count = MIN(step, sizeof(stream) - 1 - at);
+            CU_ASSERT_TRUE(EbEventBlocks_Feed(
+                blocks, (const uint8_t *)stream + at, count));
+        }
+        CU_ASSERT_EQUAL(seen.count, 3);
+        CU_ASSERT_EQUAL(seen.last_id, -1);
+        CU_ASSERT_EQUAL(seen.text->len, whole);
+        CU_ASSERT_EQUAL(memcmp(seen.text->str, stream, whole), 0);
+        CU_ASSERT_FALSE(EbEventBlocks_IsEmpty(blocks));
+        EbEventBlocks_Free(blocks);
+        g_string_free(seen.text, TRUE);
+    }
+}
+
+/* Client */
+
+typedef struct {
+    struct event_base *base;
+    EbForwardClient *client;
+    RawServer *server;
+    const char *answer;
+    bool closes;
+    bool resets;
+    EbAttemptEventKind kinds[MAX_EVENTS];
+    unsigned count;
+    GString *body;
+    GString *events;
+    uint16_t status;
+} ClientFixture;
+
+static void
+on_attempt(void *context, const EbAttemptEvent *event)
+{
+    ClientFixture *fixture = context;
+    CU_ASSERT_TRUE_FATAL(fixture->count < MAX_EVENTS);
+    fixture->kinds[fixture->count++] = event->kind;
+    fixture->status = event->http_status;
+    if (event->kind == EB_ATTEMPT_ANSWERED) {
+        g_string_append_len(fixture->body, (const char *)event->reply->body,
+                            (gssize)event->reply->body_bytes);
+    }
+    if (event->kind == EB_ATTEMPT_EVENTS) {
+        g_string_append_len(fixture->events, (const char *)event->bytes,
+                            (gssize)event->byte_count);
+    }
+}
+
+static void
+give_answer(RawPeer *peer, const char *request)
+{
+    ClientFixture *fixture = peer->server->context;
+    CU_ASSERT_PTR_NOT_NULL(strstr(request, "Host: "));
+    if (fixture->closes || fixture->resets) {
+        /* Closing drops what the buffer has not sent. */
+        ssize_t sent = send(bufferevent_getfd(peer->bufev), fixture->answer,
+                            strlen(fixture->answer), 0);
+        CU_ASSERT_EQUAL(sent, (ssize_t)strlen(fixture->answer));
+        RawPeer_Close(peer, fixture->resets);
+        return;
+    }
+    RawPeer_Send(peer, fixture->answer);
+}
+
+static bool
+has_ended(void *context)
+{
+    const ClientFixture *fixture = context;
+    if (fixture->count == 0) {
+        return false;
+    }
+    EbAttemptEventKind last = fixture->kinds[fixture->count - 1];
+    return last != EB_ATTEMPT_STREAMING && last != EB_ATTEMPT_EVENTS;
+}
+
+static void
+open_client(ClientFixture *fixture)
+{
+    *fixture = (ClientFixture){.base = event_base_new(),
+                               .body = g_string_new(NULL),
+                               .events = g_string_new(NULL)};
+    fixture->server = RawServer_New(fixture->base, give_answer, fixture);
+    fixture->client = EbForwardClient_New(
+        &(EbForwardClientOptions){.base = fixture->base,
+                                  .protocol = &protocol,
+                                  .event = on_attempt,
+                                  .context = fixture});
+}
+
+static void
+close_client(ClientFixture *fixture)
+{
+    EbForwardClient_Free(fixture->client);
+    RawServer_Free(fixture->server);
+    g_string_free(fixture->body, TRUE);
+    g_string_free(fixture->events, TRUE);
+    event_base_free(fixture->base);
+}
+
+static void
+send_call(ClientFixture *fixture, uint64_t id, uint16_t port, bool stream)
+{
+    EbHttpMessage *message = EbHttpMessage_NewRequest("POST", "/x?y=1");
+    EbHttpMessage_AddHeader(message, ID, "r-1");
+    EbHttpMessage_AddBody(message, "body", 4);
+    EbForwardClient_Send(fixture->client,
+                         &(EbForwardSend){.attempt_id = id,
+                                          .server_id = "s-1",
+                                          .host = "127.0.0.1",
+                                          .port = port,
+                                          .request_id = "r-1",
+                                          .stream = stream},
+                         message);
+    EbHttpMessage_Unref(message);
+}
+
+#define HEAD "HTTP/1.1 200 OK\r\n" ID ": r-1\r\n"
+#define STREAM_HEAD                                                           \
+    HEAD "Content-Type: text/event-stream\r\n"                                \
+         "Transfer-Encoding: chunked\r\n\r\n"
+
+typedef struct {
+    const char *name;
+    const char *answer;
+    bool stream;
+    bool closes;
+    bool resets;
+    EbAttemptEventKind last;
+    const char *body;
+    const char *events;
+    unsigned connections; /* after a second, equal call */
+} ClientRow;
+
+/* Guards against an answer that looks complete and is not, an answer to
+ * another call, and the reuse of a connection that carries more bytes. */
+static void
+test_client_answers(void)
+{
+    static const ClientRow rows[] = {
+        {"whole", HEAD "Content-Length: 2\r\n\r\nab", false, false, false,
+         EB_ATTEMPT_ANSWERED, "ab", "", 1},
+        {"close announced",
+         HEAD "Connection: close\r\nContent-Length: 2\r\n\r\nab", false, true,
+         false, EB_ATTEMPT_ANSWERED, "ab", "", 2},
+        {"ended by the connection", HEAD "\r\nab", false, true, false,
+         EB_ATTEMPT_ANSWERED, "ab", "", 2},
+        {"reset before the end", HEAD "\r\nab", false, false, true,
+         EB_ATTEMPT_BROKEN, "", "", 2},
+        {"cut", HEAD "Content-Length: 9\r\n\r\nab", false, true, false,
+         EB_ATTEMPT_BROKEN, "", "", 2},
+        {"bytes after it", HEAD "Content-Length: 2\r\n\r\nabHTTP/1.1", false,
+         false, false, EB_ATTEMPT_ANSWERED, "ab", "", 2},
+        {"late answer to another call",
+         "HTTP/1.1 200 OK\r\n" ID ": r-0\r\nContent-Length: 1\r\n\r\nz" HEAD
+         "Content-Length: 2\r\n\r\nab",
+         false, false, false, EB_ATTEMPT_ANSWERED, "ab", "", 1},
+        {"no HTTP", "nonsense\r\n\r\n", false, false, false,
+         EB_ATTEMPT_MALFORMED, "", "", 2},
+        {"stream", STREAM_HEAD "8\r\nid: 1\n\n\n\r\n0\r\n\r\n", true, false,
+         false, EB_ATTEMPT_BROKEN, "", "id: 1\n\n", 1},
+        {"whole stream", STREAM_HEAD "7\r\nid: 1\n\n\r\n0\r\n\r\n", true,
+         false, false, EB_ATTEMPT_ENDED, "", "id: 1\n\n", 1},
+        {"stream without its end", STREAM_HEAD "7\r\nid: 1\n\n\r\n", true,
+         true, false, EB_ATTEMPT_BROKEN, "", "id: 1\n\n", 2},
+        {"stream cut in an event", STREAM_HEAD "9\r\nid: 1\n\nid\r\n", true,
+         true, false, EB_ATTEMPT_BROKEN, "", "id: 1\n\n", 2},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        ClientFixture fixture;
+        open_client(&fixture);
+        fixture.answer = rows[i].answer;
+        fixture.closes = rows[i].closes;
+        fixture.resets = rows[i].resets;
+        send_call(&fixture, 1, fixture.server->port, rows[i].stream);
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_ended, &fixture));
+        bool expected =
+            fixture.kinds[fixture.count - 1] == rows[i].last &&
+            strcmp(fixture.body->str, rows[i].body) == 0 &&
+            strcmp(fixture.events->str, rows[i].events) == 0;
+        CU_ASSERT_TRUE(expected);
+        fixture.count = 0;
+        send_call(&fixture, 2, fixture.server->port, rows[i].stream);
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_ended, &fixture));
+        if (fixture.server->accepted != rows[i].connections || !expected) {
+            printf("%s: %u connections, kind %s, events %s\n", rows[i].name,
+                   fixture.server->accepted,
+                   EbAttemptEventKind_names[fixture.kinds[0]],
+                   fixture.events->str);
+        }
+        CU_ASSERT_EQUAL(fixture.server->accepted, rows[i].connections);
+        close_client(&fixture);
+    }
+}
+
+/* Guards against a refused connect that is taken for a sent call: a request
+ * that must not be repeated could not go to another server. */
+static void
+test_client_refused(void)
+{
+    ClientFixture fixture;
+    open_client(&fixture);
+    send_call(&fixture, 1, Port_Closed(), false);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_ended, &fixture));
+    CU_ASSERT_EQUAL(fixture.kinds[0], EB_ATTEMPT_REFUSED);
+    close_client(&fixture);
+}
+
+static bool
+peer_closed(void *context)
+{
+    return ((ClientFixture *)context)->server->closed > 0;
+}
+
+/* Guards against a server that works on for a caller that left. */
+static void
+test_client_cancel(void)
+{
+    ClientFixture fixture;
+    open_client(&fixture);
+    fixture.answer = "";
+    send_call(&fixture, 1, fixture.server->port, false);
+    Loop_For(fixture.base, 50000);
+    EbForwardClient_Cancel(fixture.client, 1);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, peer_closed, &fixture));
+    CU_ASSERT_EQUAL(fixture.count, 0);
+    close_client(&fixture);
+}
+
+/* Server */
+
+typedef struct {
+    struct event_base *base;
+    EbSettings settings;
+    EbForwardServer *server;
+    RawClient *client;
+    unsigned submitted;
+    unsigned gone;
+    char *body;
+    const char *wanted;
+} ServerFixture;
+
+static uint64_t
+on_submit(void *context, EbForwardCall *call)
+{
+    ServerFixture *fixture = context;
+    g_free(fixture->body);
+    fixture->body = g_strndup((const char *)call->message->body,
+                              call->message->body_bytes);
+    return ++fixture->submitted;
+}
+
+static void
+on_gone(void *context, uint64_t request)
+{
+    (void)request;
+    ((ServerFixture *)context)->gone++;
+}
+
+static void
+on_flow(void *context, uint64_t request, bool paused)
+{
+    (void)context;
+    (void)request;
+    (void)paused;
+}
+
+static void
+open_server(ServerFixture *fixture)
+{
+    *fixture = (ServerFixture){
+        .base = event_base_new(),
+        .settings = {.caller = {.host = "127.0.0.1", .port = 0},
+                     .max_body_bytes = 16,
+                     .max_header_bytes = 512,
+                     .max_connections = 4,
+                     .max_buffer_bytes = 1000,
+                     .header_timeout_us = 5000000}};
+    fixture->server = EbForwardServer_New(
+        &(EbForwardServerOptions){.base = fixture->base,
+                                  .settings = &fixture->settings,
+                                  .protocol = &protocol,
+                                  .submit = on_submit,
+                                  .gone = on_gone,
+                                  .flow = on_flow,
+                                  .context = fixture},
+        NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture->server);
+    fixture->client = RawClient_New(fixture->base,
+                                    EbForwardServer_Port(fixture->server));
+}
+
+static void
+close_server(ServerFixture *fixture)
+{
+    RawClient_Free(fixture->client);
+    EbForwardServer_Free(fixture->server);
+    g_free(fixture->body);
+    event_base_free(fixture->base);
+}
+
+static bool
+has_text(void *context)
+{
+    const ServerFixture *fixture = context;
+    return strstr(fixture->client->text, fixture->wanted) != NULL;
+}
+
+static bool
+is_closed(void *context)
+{
+    return ((ServerFixture *)context)->client->closed;
+}
+
+static bool
+is_submitted(void *context)
+{
+    return ((ServerFixture *)context)->submitted > 0;
+}
+
+static bool
+is_gone(void *context)
+{
+    return ((ServerFixture *)context)->gone > 0;
+}
+
+#define REQUEST "POST /a HTTP/1.1\r\nHost: h\r\n" ID ": r-1\r\n"
+
+/* Guards against malformed requests that are passed on, and against a refusal
+ * without status. */
+static void
+test_server_refuses(void)
+{
+    static const struct {
+        const char *bytes;
+        const char *status;
+    } rows[] = {
+        {"nonsense\r\n\r\n", "HTTP/1.1 400 "},
+        {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
+         "HTTP/1.1 400 "},
+        {REQUEST "Content-Length: 1\r\nContent-Length: 2\r\n\r\na",
+         "HTTP/1.1 400 "},
+        {REQUEST "Content-Length: 17\r\n\r\n01234567890123456",
+         "HTTP/1.1 413 "},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        ServerFixture fixture;
+        open_server(&fixture);
+        RawClient_Send(fixture.client, rows[i].bytes);
+        fixture.wanted = rows[i].status;
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_text, &fixture));
+        CU_ASSERT_EQUAL(fixture.submitted, 0);
+        close_server(&fixture);
+    }
+}
+
+static void
+answer(ServerFixture *fixture, EbOutcome outcome, EbReason reason,
+       EbHttpMessage *reply)
+{
+    EbForwardServer_Answer(fixture->server,
+                           &(EbAnswer){.request = fixture->submitted,
+                                       .outcome = outcome,
+                                       .reason = reason,
+                                       .reply = reply,
+                                       .retry_after_us = 1250000});
+}
+
+/* Guards against a status that promises "not run" for a request that may have
+ * run, and the other way round. */
+static void
+test_server_own_answers(void)
+{
+    static const struct {
+        EbOutcome outcome;
+        EbReason reason;
+        const char *status;
+        bool retry_after;
+    } rows[] = {
+        {EB_OUTCOME_NOT_RUN, EB_REASON_OVERLOADED, "HTTP/1.1 503 ", true},
+        {EB_OUTCOME_NOT_RUN, EB_REASON_BACKEND_FAILED, "HTTP/1.1 503 ", true},
+        {EB_OUTCOME_NOT_RUN, EB_REASON_UNAUTHENTICATED, "HTTP/1.1 401 ", true},
+        {EB_OUTCOME_NOT_RUN, EB_REASON_UNKNOWN_PIPELINE, "HTTP/1.1 404 ",
+         true},
+        {EB_OUTCOME_FAILED, EB_REASON_NO_BACKEND_SERVER, "HTTP/1.1 502 ",
+         false},
+        {EB_OUTCOME_UNKNOWN, EB_REASON_SHUTDOWN, "HTTP/1.1 502 ", false},
+        {EB_OUTCOME_UNKNOWN, EB_REASON_DEADLINE_EXCEEDED, "HTTP/1.1 504 ",
+         false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        ServerFixture fixture;
+        open_server(&fixture);
+        RawClient_Send(fixture.client, REQUEST "Content-Length: 2\r\n\r\nab");
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, is_submitted, &fixture));
+        CU_ASSERT_STRING_EQUAL(fixture.body, "ab");
+        answer(&fixture, rows[i].outcome, rows[i].reason, NULL);
+        fixture.wanted = rows[i].status;
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_text, &fixture));
+        CU_ASSERT_PTR_NOT_NULL(strstr(fixture.client->text, ID ": r-1\r\n"));
+        CU_ASSERT_EQUAL(
+            strstr(fixture.client->text, "Retry-After: 1.250\r\n") != NULL,
+            rows[i].retry_after);
+        close_server(&fixture);
+    }
+}
+
+static void
+relay(ServerFixture *fixture, EbHttpMessage *head, const char *bytes)
+{
+    EbForwardServer_Relay(fixture->server,
+                          &(EbRelay){.request = fixture->submitted,
+                                     .head = head,
+                                     .bytes = (uint8_t *)bytes,
+                                     .byte_count = strlen(bytes)});
+}
+
+/* Guards against a broken stream that looks complete, and a whole one that
+ * does not. */
+static void
+test_server_stream(void)
+{
+    for (int whole = 0; whole < 2; whole++) {
+        ServerFixture fixture;
+        open_server(&fixture);
+        RawClient_Send(fixture.client, REQUEST "Content-Length: 0\r\n\r\n");
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, is_submitted, &fixture));
+        EbHttpMessage *head = EbHttpMessage_NewAnswer(200);
+        EbHttpMessage_AddHeader(head, "Seal", "s");
+        EbHttpMessage_AddHeader(head, "Content-Length", "5");
+        relay(&fixture, head, "id: 1\n\n");
+        EbHttpMessage_Unref(head);
+        fixture.wanted = "7\r\nid: 1\n\n\r\n";
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_text, &fixture));
+        CU_ASSERT_PTR_NOT_NULL(strstr(fixture.client->text, "Seal: s\r\n"));
+        CU_ASSERT_PTR_NULL(strstr(fixture.client->text, "Content-Length"));
+        answer(&fixture, whole ? EB_OUTCOME_DONE : EB_OUTCOME_UNKNOWN,
+               whole ? EB_REASON_NONE : EB_REASON_BACKEND_FAILED, NULL);
+        fixture.wanted = "0\r\n\r\n";
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, whole ? has_text : is_closed,
+                                  &fixture));
+        CU_ASSERT_EQUAL(has_text(&fixture), whole);
+        close_server(&fixture);
+    }
+}
+
+/* Guards against a second request that overtakes the first, and one that is
+ * lost because it came early. */
+static void
+test_server_pipelined(void)
+{
+    ServerFixture fixture;
+    open_server(&fixture);
+    RawClient_Send(fixture.client, REQUEST "Content-Length: 1\r\n\r\na" REQUEST
+                                           "Content-Length: 1\r\n\r\nb");
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, is_submitted, &fixture));
+    Loop_For(fixture.base, 20000);
+    CU_ASSERT_EQUAL(fixture.submitted, 1);
+    EbHttpMessage *reply = EbHttpMessage_NewAnswer(200);
+    answer(&fixture, EB_OUTCOME_DONE, EB_REASON_NONE, reply);
+    EbHttpMessage_Unref(reply);
+    CU_ASSERT_EQUAL(fixture.submitted, 2);
+    CU_ASSERT_STRING_EQUAL(fixture.body, "b");
+    close_server(&fixture);
+}
+
+/* Guards against work for a caller that left before its answer. */
+static void
+test_server_gone(void)
+{
+    ServerFixture fixture;
+    open_server(&fixture);
+    RawClient_Send(fixture.client, REQUEST "Content-Length: 0\r\n\r\n");
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, is_submitted, &fixture));
+    RawClient_Free(fixture.client);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, is_gone, &fixture));
+    CU_ASSERT_EQUAL(EbForwardServer_OpenCount(fixture.server), 0);
+    fixture.client = RawClient_New(fixture.base,
+                                   EbForwardServer_Port(fixture.server));
+    close_server(&fixture);
+}
+
+/* Guards against a drain that cuts a request, and against a connection that
+ * stays open after it. */
+static void
+test_server_drain(void)
+{
+    ServerFixture fixture;
+    open_server(&fixture);
+    RawClient_Send(fixture.client, REQUEST "Content-Length: 0\r\n\r\n");
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, is_submitted, &fixture));
+    EbForwardServer_StopAccepting(fixture.server);
+    CU_ASSERT_EQUAL(EbForwardServer_OpenCount(fixture.server), 1);
+    EbHttpMessage *reply = EbHttpMessage_NewAnswer(200);
+    EbHttpMessage_AddBody(reply, "done", 4);
+    answer(&fixture, EB_OUTCOME_DONE, EB_REASON_NONE, reply);
+    EbHttpMessage_Unref(reply);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, is_closed, &fixture));
+    CU_ASSERT_PTR_NOT_NULL(strstr(fixture.client->text, "done"));
+    CU_ASSERT_PTR_NOT_NULL(
+        strstr(fixture.client->text, "Connection: close\r\n"));
+    CU_ASSERT_EQUAL(EbForwardServer_OpenCount(fixture.server), 0);
+    close_server(&fixture);
+}
+
+int
+main(void)
+{
+    static const EbTestCase cases[] = {
+        {"reader", test_reader},
+        {"header limit", test_header_limit},
+        {"event blocks", test_event_blocks},
+        {"client answers", test_client_answers},
+        {"client refused", test_client_refused},
+        {"client cancel", test_client_cancel},
+        {"server refuses", test_server_refuses},
+        {"server own answers", test_server_own_answers},
+        {"server stream", test_server_stream},
+        {"server pipelined", test_server_pipelined},
+        {"server gone", test_server_gone},
+        {"server drain", test_server_drain},
+    };
+    return EbTest_Run("test_forward_net", cases, G_N_ELEMENTS(cases));
+}
--- /dev/null
+++ b/src/test_pieces/main.c
@@ -0,0 +1,395 @@
+/* Tests of EbPieces on a virtual clock. */
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "ebonyhollow/pieces.h"
+#include "test_runner.h"
+
+#define SERVICE "encode"
+#define CALL_US 200000
+#define ITEM_US 10000
+#define BATCH 8
+#define SECOND_US 1000000
+
+typedef struct {
+    EbActionQueue *actions;
+    EbPieces *pieces;
+    EbConfig *config;
+    int64_t now_us;
+    EbAction call; /* the last one sent */
+    unsigned call_count;
+    GPtrArray *released; /* of char *, handles */
+} Fixture;
+
+static EbConfig *
+make_config(uint32_t servers, uint64_t room_bytes)
+{
+    EbConfig *config = EbConfig_New("site", 1);
+    config->pools = g_new0(EbConfigPool, 1);
+    config->pool_count = 1;
+    config->servers = g_new0(EbConfigBackendServer, servers + 1);
+    config->pools[0] = (EbConfigPool){
+        .name = g_strdup(SERVICE),
+        .batch = {.max_items = BATCH,
+                  .max_calls = 1,
+                  .call_us = CALL_US,
+                  .item_us = ITEM_US,
+                  .room_bytes = room_bytes,
+                  .result_us = 4 * SECOND_US},
+    };
+    config->pools[0].server_indexes = g_new0(uint32_t, servers + 1);
+    for (uint32_t i = 0; i < servers; i++) {
+        config->pools[0].server_indexes[i] = i;
+        config->servers[i] =
+            (EbConfigBackendServer){.id = g_strdup_printf("s-%u", i),
+                                    .host = g_strdup("10.0.0.1"),
+                                    .port = (uint16_t)(7000 + i),
+                                    .failure_domain = g_strdup("recife"),
+                                    .capacity = 1};
+    }
+    config->pools[0].server_count = servers;
+    config->server_count = servers;
+    return config;
+}
+
+static void
+open_fixture(Fixture *fixture, uint32_t servers, uint64_t room_bytes)
+{
+    *fixture = (Fixture){.actions = EbActionQueue_New(),
+                         .now_us = SECOND_US,
+                         .config = make_config(servers, room_bytes),
+                         .released = g_ptr_array_new_with_free_func(g_free)};
+    fixture->pieces =
+        EbPieces_New(&(EbPiecesOptions){.actions = fixture->actions});
+    EbPieces_SetConfig(fixture->pieces, fixture->config, fixture->now_us);
+}
+
+static void
+close_fixture(Fixture *fixture)
+{
+    EbPieces_Free(fixture->pieces);
+    EbAction_Clear(&fixture->call);
+    EbActionQueue_Free(fixture->actions);
+    EbConfig_Unref(fixture->config);
+    g_ptr_array_unref(fixture->released);
+}
+
+/* Takes the actions; returns the number of calls sent. */
+static unsigned
+take_actions(Fixture *fixture)
+{
+    unsigned calls = 0;
+    EbAction action;
+    while (EbActionQueue_Pop(fixture->actions, &action)) {
+        if (action.kind == EB_ACTION_SEND_PIECES) {
+            EbAction_Clear(&fixture->call);
+            fixture->call = action;
+            calls++;
+            continue;
+        }
+        if (action.kind == EB_ACTION_RELEASE_RESULTS) {
+            for (guint i = 0; i < action.as.release.handles->len; i++) {
+                g_ptr_array_add(
+                    fixture->released,
+                    g_strdup(g_ptr_array_index(action.as.release.handles, i)));
+            }
+        }
+        EbAction_Clear(&action);
+    }
+    fixture->call_count += calls;
+    return calls;
+}
+
+static void
+add(Fixture *fixture, uint64_t job, uint32_t pieces, int64_t due_us)
+{
+    char id[24];
+    snprintf(id, sizeof(id), "r-%u", (unsigned)job);
+    EbPieces_Add(fixture->pieces, "i-1",
+                 &(EbPrepare){.job = job,
+                              .request_id = id,
+                              .service = SERVICE,
+                              .piece_count = pieces,
+                              .result_bytes = 100,
+                              .key = "key",
+                              .due_us = due_us,
+                              .deadline_us = fixture->now_us + 10 * SECOND_US},
+                 fixture->now_us);
+}
+
+static const EbPieceItem *
+item(const Fixture *fixture, guint index)
+{
+    return &g_array_index(fixture->call.as.pieces.items, EbPieceItem, index);
+}
+
+static guint
+item_count(const Fixture *fixture)
+{
+    return fixture->call.as.pieces.items->len;
+}
+
+/* Answers the last call with the same kind for all items. */
+static void
+answer(Fixture *fixture, EbPieceResultKind kind)
+{
+    uint64_t id = fixture->call.as.pieces.attempt_id;
+    guint count = item_count(fixture);
+    EbPieceResult *results = g_new0(EbPieceResult, count);
+    for (guint i = 0; i < count; i++) {
+        results[i].kind = kind;
+        if (kind == EB_PIECE_DONE) {
+            results[i].handle =
+                g_strdup_printf("%s/%u", item(fixture, i)->request_id,
+                                item(fixture, i)->piece);
+        }
+    }
+    EbPieces_Answered(fixture->pieces, id, results, count, fixture->now_us);
+    for (guint i = 0; i < count; i++) {
+        g_free(results[i].handle);
+    }
+    g_free(results);
+}
+
+static EbPreparedStatus
+take_status(Fixture *fixture, uint64_t job)
+{
+    EbPiecesResult result;
+    CU_ASSERT_TRUE_FATAL(EbPieces_NextResult(fixture->pieces, &result));
+    CU_ASSERT_EQUAL(result.job, job);
+    CU_ASSERT_STRING_EQUAL(result.origin, "i-1");
+    EbPreparedStatus status = result.status;
+    EbPiecesResult_Clear(&result);
+    return status;
+}
+
+/* Guards against results handed to another request or out of order, and
+ * against calls that go out half empty while items wait. */
+static void
+test_batch(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, 1, 0);
+    add(&fixture, 1, 1, 5 * SECOND_US);
+    CU_ASSERT_EQUAL(take_actions(&fixture), 1);
+    add(&fixture, 2, 3, 5 * SECOND_US);
+    add(&fixture, 3, 9, 4 * SECOND_US);
+    CU_ASSERT_EQUAL(take_actions(&fixture), 0); /* the server is busy */
+    answer(&fixture, EB_PIECE_DONE);
+    CU_ASSERT_EQUAL(take_status(&fixture, 1), EB_PREPARED_OK);
+    CU_ASSERT_EQUAL(take_actions(&fixture), 1);
+    CU_ASSERT_EQUAL(item_count(&fixture), BATCH);
+    CU_ASSERT_STRING_EQUAL(item(&fixture, 0)->request_id, "r-3");
+    answer(&fixture, EB_PIECE_DONE);
+    CU_ASSERT_EQUAL(take_actions(&fixture), 1);
+    CU_ASSERT_EQUAL(item_count(&fixture), 4);
+    answer(&fixture, EB_PIECE_DONE);
+    for (int i = 0; i < 2; i++) {
+        EbPiecesResult result;
+        CU_ASSERT_TRUE_FATAL(EbPieces_NextResult(fixture.pieces, &result));
+        CU_ASSERT_EQUAL(result.handle_count, result.job == 2 ? 3 : 9);
+        for (uint32_t k = 0; k < result.handle_count; k++) {
+            char expected[24];
+            snprintf(expected, sizeof(expected), "r-%u/%u",
+                     (unsigned)result.job, k);
+            CU_ASSERT_STRING_EQUAL(result.handles[k], expected);
+        }
+        EbPiecesResult_Clear(&result);
+    }
+    close_fixture(&fixture);
+}
+
+/* Guards against hopeless items that take the place of those that can still
+ * be in time. */
+static void
+test_hopeless_last(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, 1, 0);
+    add(&fixture, 1, 1, 5 * SECOND_US);
+    take_actions(&fixture);
+    add(&fixture, 2, BATCH, fixture.now_us - 1);
+    add(&fixture, 3, 1, 5 * SECOND_US);
+    answer(&fixture, EB_PIECE_DONE);
+    take_actions(&fixture);
+    CU_ASSERT_STRING_EQUAL(item(&fixture, 0)->request_id, "r-3");
+    CU_ASSERT_STRING_EQUAL(item(&fixture, 1)->request_id, "r-2");
+    close_fixture(&fixture);
+}
+
+/* Guards against items that are lost with the call that carried them, and
+ * against one that is tried for ever. */
+static void
+test_failures(void)
+{
+    static const struct {
+        EbPieceResultKind kind; /* COUNT: the call broke */
+        bool sent_again;
+        EbPreparedStatus status; /* when it is not */
+    } rows[] = {
+        {EB_PIECE_RESULT_COUNT, true, EB_PREPARED_OK},
+        {EB_PIECE_ERROR, true, EB_PREPARED_OK},
+        {EB_PIECE_NO_ROOM, true, EB_PREPARED_OK},
+        {EB_PIECE_GONE, false, EB_PREPARED_INPUT_GONE},
+        {EB_PIECE_LATE, false, EB_PREPARED_LATE},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Fixture fixture;
+        open_fixture(&fixture, 2, 0);
+        add(&fixture, 1, 2, 5 * SECOND_US);
+        take_actions(&fixture);
+        if (rows[i].kind == EB_PIECE_RESULT_COUNT) {
+            EbPieces_Failed(fixture.pieces,
+                            fixture.call.as.pieces.attempt_id,
+                            EB_CALL_BROKEN, "reset", fixture.now_us);
+        }
+        else {
+            answer(&fixture, rows[i].kind);
+        }
+        fixture.now_us += SECOND_US;
+        EbPieces_Tick(fixture.pieces, fixture.now_us);
+        CU_ASSERT_EQUAL(take_actions(&fixture), rows[i].sent_again);
+        if (rows[i].sent_again) {
+            CU_ASSERT_EQUAL(item_count(&fixture), 2);
+            answer(&fixture, EB_PIECE_DONE);
+        }
+        CU_ASSERT_EQUAL(take_status(&fixture, 1), rows[i].status);
+        close_fixture(&fixture);
+    }
+}
+
+/* Guards against an item that crashes servers and is sent for ever. */
+static void
+test_tries_end(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, 1, 0);
+    add(&fixture, 1, 1, 100 * SECOND_US);
+    unsigned sent = take_actions(&fixture);
+    for (int i = 0; i < 20; i++) {
+        EbPieces_Failed(fixture.pieces, fixture.call.as.pieces.attempt_id,
+                        EB_CALL_BROKEN, "reset", fixture.now_us);
+        fixture.now_us += SECOND_US / 4;
+        EbPieces_Tick(fixture.pieces, fixture.now_us);
+        sent += take_actions(&fixture);
+    }
+    CU_ASSERT_EQUAL(sent, 4);
+    CU_ASSERT_EQUAL(take_status(&fixture, 1), EB_PREPARED_FAILED);
+    close_fixture(&fixture);
+}
+
+/* Guards against a silent server that keeps its items, and against its late
+ * answer. */
+static void
+test_silent(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, 2, 0);
+    add(&fixture, 1, 1, 5 * SECOND_US);
+    take_actions(&fixture);
+    char *first = g_strdup(fixture.call.as.pieces.server_id);
+    fixture.now_us += 2 * SECOND_US;
+    EbPieces_Tick(fixture.pieces, fixture.now_us);
+    CU_ASSERT_EQUAL(take_actions(&fixture), 1);
+    CU_ASSERT_STRING_NOT_EQUAL(fixture.call.as.pieces.server_id, first);
+    g_free(first);
+    answer(&fixture, EB_PIECE_DONE);
+    CU_ASSERT_EQUAL(take_status(&fixture, 1), EB_PREPARED_OK);
+    close_fixture(&fixture);
+}
+
+/* Guards against results that stay at their servers after their request is
+ * over, whether they were done before or come later. */
+static void
+test_release(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, 2, 0);
+    add(&fixture, 1, 2, 5 * SECOND_US);
+    take_actions(&fixture);
+    answer(&fixture, EB_PIECE_DONE);
+    CU_ASSERT_EQUAL(take_status(&fixture, 1), EB_PREPARED_OK);
+    EbPieces_End(fixture.pieces, "i-2", 1, fixture.now_us); /* not its job */
+    add(&fixture, 2, 1, 5 * SECOND_US);
+    take_actions(&fixture);
+    EbPieces_End(fixture.pieces, "i-1", 1, fixture.now_us);
+    EbPieces_End(fixture.pieces, "i-1", 2, fixture.now_us);
+    answer(&fixture, EB_PIECE_DONE);
+    EbPiecesResult result;
+    CU_ASSERT_FALSE(EbPieces_NextResult(fixture.pieces, &result));
+    fixture.now_us += SECOND_US;
+    EbPieces_Tick(fixture.pieces, fixture.now_us);
+    take_actions(&fixture);
+    CU_ASSERT_EQUAL(fixture.released->len, 3);
+    close_fixture(&fixture);
+}
+
+/* Guards against calls whose results do not fit, and against room that is
+ * never free again. */
+static void
+test_room(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, 1, 300);
+    add(&fixture, 1, 5, 5 * SECOND_US);
+    take_actions(&fixture);
+    CU_ASSERT_EQUAL(item_count(&fixture), 3);
+    answer(&fixture, EB_PIECE_DONE);
+    CU_ASSERT_EQUAL(take_actions(&fixture), 0);
+    EbPieces_End(fixture.pieces, "i-1", 1, fixture.now_us);
+    fixture.now_us += SECOND_US;
+    EbPieces_Tick(fixture.pieces, fixture.now_us);
+    add(&fixture, 2, 2, 5 * SECOND_US);
+    CU_ASSERT_EQUAL(take_actions(&fixture), 1);
+    CU_ASSERT_EQUAL(item_count(&fixture), 2);
+    close_fixture(&fixture);
+}
+
+/* Guards against items sent to a server that leaves. */
+static void
+test_server_leaves(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, 2, 0);
+    EbConfig *smaller = make_config(1, 0);
+    EbPieces_SetConfig(fixture.pieces, smaller, fixture.now_us);
+    add(&fixture, 1, 2 * BATCH, 5 * SECOND_US);
+    CU_ASSERT_EQUAL(take_actions(&fixture), 1);
+    CU_ASSERT_STRING_EQUAL(fixture.call.as.pieces.server_id, "s-0");
+    EbConfig_Unref(smaller);
+    close_fixture(&fixture);
+}
+
+/* Guards against work for daemons that are gone. */
+static void
+test_origin_gone(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, 1, 0);
+    add(&fixture, 1, 1, 5 * SECOND_US);
+    take_actions(&fixture);
+    add(&fixture, 2, 1, 5 * SECOND_US);
+    EbPieces_EndOrigin(fixture.pieces, "i-1", fixture.now_us);
+    answer(&fixture, EB_PIECE_DONE);
+    CU_ASSERT_EQUAL(take_actions(&fixture), 0);
+    close_fixture(&fixture);
+}
+
+int
+main(void)
+{
+    static const EbTestCase cases[] = {
+        {"batch", test_batch},
+        {"hopeless last", test_hopeless_last},
+        {"failures", test_failures},
+        {"tries end", test_tries_end},
+        {"silent server", test_silent},
+        {"release", test_release},
+        {"room", test_room},
+        {"server leaves", test_server_leaves},
+        {"origin gone", test_origin_gone},
+    };
+    return EbTest_Run("test_pieces", cases, G_N_ELEMENTS(cases));
+}
--- /dev/null
+++ b/src/test_platform/main.c
@@ -0,0 +1,493 @@
+/* Tests of the adapter of the users' platform: what its wire, objects and
+ * settings become. */
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+#include <glib/gstdio.h>
+
+#include "platform.h"
+#include "test_runner.h"
+
+static const char config_text[] =
+    "{\"version\":7,\"routes\":[{\"name\":\"draft\",\"host\":\"H.example\","
+    "\"path_prefix\":\"/d/\",\"route_kind\":\"streaming\","
+    "\"timeout_ms\":6000,\"goal_ms\":1100,\"priority\":1,"
+    "\"split\":[{\"service\":\"model\",\"weight\":90},"
+    "{\"service\":\"orders\",\"weight\":10}],\"max_attempts\":2,"
+    "\"stages\":[{\"service\":\"encode\",\"after\":[],"
+    "\"byte_count\":1500000},{\"service\":\"encode\",\"after\":[0],"
+    "\"byte_count\":10}],\"anonymous\":false,\"sticky\":true,"
+    "\"resumable\":true,\"gap_target_ms\":300},"
+    "{\"name\":\"order\",\"host\":\"h.example\",\"path_prefix\":\"/d/o/\","
+    "\"route_kind\":\"non_idempotent\",\"timeout_ms\":800,"
+    "\"service\":\"orders\",\"max_attempts\":1,\"anonymous\":true},"
+    "{\"name\":\"read\",\"host\":\"h.example\",\"path_prefix\":\"/r/\","
+    "\"route_kind\":\"idempotent\",\"timeout_ms\":800,"
+    "\"service\":\"orders\",\"max_attempts\":2}],"
+    "\"services\":[{\"name\":\"model\",\"engine\":{\"slots\":96}},"
+    "{\"name\":\"encode\",\"pieces\":{\"slots\":1,\"queue\":2,\"batch\":16,"
+    "\"call_ms\":200.0,\"item_ms\":11.5,\"headroom_mb\":36.0,"
+    "\"handle_s\":4.0}},{\"name\":\"orders\"}],"
+    "\"tenants\":[{\"name\":\"c-1\",\"api_keys\":[\"k1\",\"k2\"],"
+    "\"priority\":2}],\"unknown\":{}}";
+
+static const char server_text[] =
+    "{\"service\":\"orders\",\"address\":\"10.0.0.9:8080\","
+    "\"zone\":\"recife\",\"slots\":6,\"state\":\"ready\",\"seq\":4}";
+
+static EbConfig *
+read_config(const EbServerEntry *const *entries, size_t count)
+{
+    json_t *value = json_loads(config_text, 0, NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(value);
+    EbError error = {0};
+    EbConfig *config =
+        EbPlatform_ReadConfig(value, "site", entries, count, &error);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(config);
+    json_decref(value);
+    return config;
+}
+
+/* Guards against a kind, time, key or stage that is read as another. */
+static void
+test_config(void)
+{
+    EbServerEntry ready = {.id = "s-1",
+                           .service = "orders",
+                           .host = "10.0.0.9",
+                           .port = 8080,
+                           .failure_domain = "recife",
+                           .slots = 6};
+    EbServerEntry leaving = ready;
+    leaving.id = "s-2";
+    leaving.leaving = true;
+    EbServerEntry stray = ready;
+    stray.service = "gone";
+    const EbServerEntry *entries[] = {&ready, &leaving, &stray};
+    EbConfig *config = read_config(entries, G_N_ELEMENTS(entries));
+    CU_ASSERT_EQUAL(config->generation, 7);
+    CU_ASSERT_EQUAL(config->server_count, 1);
+    CU_ASSERT_EQUAL(config->servers[0].capacity, 6);
+    const EbConfigPipeline *draft =
+        EbConfig_FindRoute(config, "h.example", "/d/x");
+    const EbConfigPipeline *order =
+        EbConfig_FindRoute(config, "h.example", "/d/o/x");
+    const EbConfigPipeline *read =
+        EbConfig_FindRoute(config, "h.example", "/r/");
+    CU_ASSERT_PTR_NULL(EbConfig_FindRoute(config, "h.example", "/d"));
+    CU_ASSERT_PTR_NULL(EbConfig_FindRoute(config, "other", "/d/x"));
+    CU_ASSERT_STRING_EQUAL(draft->name, "draft");
+    CU_ASSERT_TRUE(draft->stages[0].idempotent);
+    CU_ASSERT_EQUAL(draft->stages[0].kind, EB_STAGE_GENERATE);
+    CU_ASSERT_EQUAL(draft->deadline_us, 6000000);
+    CU_ASSERT_EQUAL(draft->forward->goal_us, 1100000);
+    CU_ASSERT_EQUAL(draft->forward->split_count, 2);
+    CU_ASSERT_EQUAL(draft->forward->preparation_count, 2);
+    CU_ASSERT_EQUAL(draft->forward->preparations[1].after, 1);
+    CU_ASSERT_TRUE(draft->forward->preparations[0].rest_us >
+                   draft->forward->preparations[1].rest_us);
+    CU_ASSERT_STRING_EQUAL(order->name, "order");
+    CU_ASSERT_FALSE(order->stages[0].idempotent);
+    CU_ASSERT_TRUE(order->forward->anonymous);
+    CU_ASSERT_TRUE(read->stages[0].idempotent);
+    CU_ASSERT_FALSE(read->forward->anonymous);
+    const EbConfigPool *encode = EbConfig_FindPool(config, "encode");
+    CU_ASSERT_EQUAL(encode->batch.max_items, 16);
+    CU_ASSERT_EQUAL(encode->batch.item_us, 11500);
+    CU_ASSERT_EQUAL(encode->batch.room_bytes, 36000000);
+    CU_ASSERT_EQUAL(EbConfig_FindPool(config, "orders")->batch.max_items, 0);
+    CU_ASSERT_STRING_EQUAL(EbConfig_FindCustomerByToken(config, "k2")->id,
+                           "c-1");
+    CU_ASSERT_PTR_NULL(EbConfig_FindCustomerByToken(config, "k3"));
+    CU_ASSERT_PTR_NULL(EbConfig_FindCustomerByToken(config, ""));
+    EbConfig_Unref(config);
+}
+
+/* Guards against a damaged configuration that takes the place of a good one.
+ */
+static void
+test_bad_config(void)
+{
+    static const char *const texts[] = {
+        "{}",
+        "{\"version\":\"7\"}",
+        "{\"version\":7,\"routes\":[{\"name\":\"a\"}]}",
+        "{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
+        "\"path_prefix\":\"/\",\"route_kind\":\"idempotent\","
+        "\"timeout_ms\":5,\"service\":\"none\"}]}",
+        "{\"version\":7,\"services\":[{}]}",
+        "{\"version\":7,\"tenants\":[{\"api_keys\":[]}]}",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        json_t *value = json_loads(texts[i], 0, NULL);
+        EbError error = {0};
+        CU_ASSERT_PTR_NULL(
+            EbPlatform_ReadConfig(value, "site", NULL, 0, &error));
+        CU_ASSERT_NOT_EQUAL(error.code, EB_ERROR_NONE);
+        json_decref(value);
+    }
+}
+
+/* Guards against an entry of another writer that names a server to use. */
+static void
+test_servers(void)
+{
+    EbServerEntry entry;
+    EbError error = {0};
+    json_t *value = json_loads(server_text, 0, NULL);
+    CU_ASSERT_TRUE(EbPlatform_ReadServer("s-1", value, &entry, &error));
+    CU_ASSERT_STRING_EQUAL(entry.host, "10.0.0.9");
+    CU_ASSERT_EQUAL(entry.port, 8080);
+    CU_ASSERT_FALSE(entry.leaving);
+    EbServerEntry_Clear(&entry);
+    json_object_set_new(value, "state", json_string("draining"));
+    CU_ASSERT_TRUE(EbPlatform_ReadServer("s-1", value, &entry, &error));
+    CU_ASSERT_TRUE(entry.leaving);
+    EbServerEntry_Clear(&entry);
+    json_decref(value);
+    static const struct {
+        const char *field;
+        const char *value; /* JSON; NULL: the field is missing */
+    } rows[] = {
+        {"service", NULL},     {"service", "3"},
+        {"state", "\"odd\""},  {"state", "null"},
+        {"slots", "\"6\""},    {"slots", "0"},
+        {"slots", "1.5"},      {"address", "\"10.0.0.9\""},
+        {"address", "\"10.0.0.9:0\""}, {"address", "\":80\""},
+        {"address", "\"10.0.0.9:99999\""}, {"address", "[]"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        value = json_loads(server_text, 0, NULL);
+        json_object_del(value, rows[i].field);
+        if (rows[i].value != NULL) {
+            json_object_set_new(
+                value, rows[i].field,
+                json_loads(rows[i].value, JSON_DECODE_ANY, NULL));
+        }
+        CU_ASSERT_FALSE(EbPlatform_ReadServer("s-1", value, &entry, &error));
+        EbServerEntry_Clear(&entry);
+        json_decref(value);
+    }
+    CU_ASSERT_FALSE(EbPlatform_ReadServer("s-1", NULL, &entry, &error));
+    EbServerEntry_Clear(&entry);
+}
+
+static EbHttpMessage *
+caller_message(void)
+{
+    static const char *const headers[][2] = {
+        {"Host", "H.example:80"},
+        {"Attempt-Id", "9c41"},
+        {"Model", "m"},
+        {"Token-Count", "1460,80"},
+        {"Prefix-Hash", "5c1e07a2:800,91bd3f06:410"},
+        {"Deadline-Ms", "8000"},
+        {"Authorization", "Bearer secret"},
+        {"Pieces", "2,0,6"},
+        {"Piece-Key", "7c1e"},
+        {"Tenant", "forged"},
+        {"Hold", "h"},
+        {"Pin-Ms", "9"},
+        {"Kv-From", "x"},
+        {"Kv-Backup", "x"},
+        {"Inputs", "x"},
+        {"Connection", "keep-alive, x-hop"},
+        {"X-Hop", "1"},
+    };
+    EbHttpMessage *message =
+        EbHttpMessage_NewRequest("POST", "/d/x?q=1");
+    for (size_t i = 0; i < G_N_ELEMENTS(headers); i++) {
+        EbHttpMessage_AddHeader(message, headers[i][0], headers[i][1]);
+    }
+    EbHttpMessage_AddBody(message, "body", 4);
+    return message;
+}
+
+static void
+check_header(const EbHttpMessage *message, const char *name,
+             const char *expected)
+{
+    const char *value = EbHttpMessage_FindHeader(message, name);
+    CU_ASSERT_EQUAL(value != NULL, expected != NULL);
+    if (value != NULL && expected != NULL) {
+        CU_ASSERT_STRING_EQUAL(value, expected);
+    }
+}
+
+/* Guards against a key, a forged customer or a header that only the system
+ * sets which reaches a server, and against a changed request. */
+static void
+test_call(void)
+{
+    static const char *const inputs[] = {"10.0.0.1:1/a", "10.0.0.2:1/b"};
+    EbHttpMessage *message = caller_message();
+    EbError error = {0};
+    EbForwardCall *call = EbPlatform_wire.read_call(message, &error);
+    EbHttpMessage_Unref(message);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(call);
+    CU_ASSERT_STRING_EQUAL(call->request_id, "9c41");
+    CU_ASSERT_STRING_EQUAL(call->host, "h.example");
+    CU_ASSERT_STRING_EQUAL(call->path, "/d/x");
+    CU_ASSERT_STRING_EQUAL(call->token, "secret");
+    CU_ASSERT_EQUAL(call->timeout_us, 8000000);
+    CU_ASSERT_EQUAL(call->last_event_id, EB_FORWARD_NO_EVENT);
+    CU_ASSERT_EQUAL(call->prompt_tokens, 1460);
+    CU_ASSERT_EQUAL(call->output_tokens, 80);
+    CU_ASSERT_EQUAL_FATAL(call->part_count, 2);
+    CU_ASSERT_EQUAL(call->parts[1].id, 0x91bd3f06);
+    CU_ASSERT_EQUAL(call->parts[1].tokens, 410);
+    CU_ASSERT_EQUAL_FATAL(call->piece_stage_count, 3);
+    CU_ASSERT_EQUAL(call->piece_counts[2], 6);
+    EbHttpMessage *sent = EbPlatform_wire.write_call(
+        call, &(EbForwardHop){.server_id = "s-1",
+                              .customer = "c-1",
+                              .left_us = 7500900,
+                              .resume_after = 12,
+                              .priority = 2,
+                              .inputs = inputs,
+                              .input_count = 1});
+    CU_ASSERT_STRING_EQUAL(sent->target, "/d/x?q=1");
+    CU_ASSERT_EQUAL(sent->body_bytes, 4);
+    check_header(sent, "Attempt-Id", "9c41");
+    check_header(sent, "Prefix-Hash", "5c1e07a2:800,91bd3f06:410");
+    check_header(sent, "Deadline-Ms", "7500");
+    check_header(sent, "Expected-Instance", "s-1");
+    check_header(sent, "Tenant", "c-1");
+    check_header(sent, "Request-Priority", "2");
+    check_header(sent, "Last-Event-Id", "12");
+    check_header(sent, "Inputs", "10.0.0.1:1/a");
+    check_header(sent, "Authorization", NULL);
+    check_header(sent, "Hold", NULL);
+    check_header(sent, "Pin-Ms", NULL);
+    check_header(sent, "Kv-From", NULL);
+    check_header(sent, "Kv-Backup", NULL);
+    check_header(sent, "Connection", NULL);
+    check_header(sent, "X-Hop", NULL);
+    EbHttpMessage_Unref(sent);
+    EbForwardCall_Unref(call);
+}
+
+/* Guards against a call that is guessed from damaged headers. */
+static void
+test_bad_calls(void)
+{
+    static const char *const rows[][2] = {
+        {"X", "no id"},          {"Attempt-Id", ""},
+        {"Pieces", "1,x"},       {"Pieces", "-1"},
+        {"Pieces", "1000"},      {"Pieces", "1,1,1,1,1,1,1,1,1"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        EbHttpMessage *message = EbHttpMessage_NewRequest("GET", "/");
+        if (i >= 2) {
+            EbHttpMessage_AddHeader(message, "Attempt-Id", "9c41");
+        }
+        EbHttpMessage_AddHeader(message, rows[i][0], rows[i][1]);
+        EbError error = {0};
+        CU_ASSERT_PTR_NULL(EbPlatform_wire.read_call(message, &error));
+        CU_ASSERT_NOT_EQUAL(error.code, EB_ERROR_NONE);
+        EbHttpMessage_Unref(message);
+    }
+}
+
+/* Guards against results that go to another piece. */
+static void
+test_pieces(void)
+{
+    static const char answer_text[] =
+        "{\"items\":[{\"handle\":\"10.0.0.1:1/a\"},{\"reason\":\"gone\"},"
+        "{\"reason\":\"late\"},{\"reason\":\"room\"},{\"reason\":\"odd\"},{}]}";
+    static const EbPieceResultKind kinds[] = {
+        EB_PIECE_DONE,    EB_PIECE_GONE,  EB_PIECE_LATE,
+        EB_PIECE_NO_ROOM, EB_PIECE_ERROR, EB_PIECE_ERROR};
+    EbHttpMessage *answer = EbHttpMessage_NewAnswer(200);
+    EbHttpMessage_AddBody(answer, answer_text, strlen(answer_text));
+    EbPieceResult results[6];
+    EbError error = {0};
+    CU_ASSERT_TRUE_FATAL(
+        EbPlatform_wire.read_pieces(answer, results, 6, &error));
+    for (size_t i = 0; i < 6; i++) {
+        CU_ASSERT_EQUAL(results[i].kind, kinds[i]);
+        g_free(results[i].handle);
+    }
+    CU_ASSERT_FALSE(EbPlatform_wire.read_pieces(answer, results, 5, &error));
+    EbHttpMessage_Unref(answer);
+    static const char *const inputs[] = {"10.0.0.1:1/a"};
+    const EbPieceItem items[] = {
+        {.request_id = "r-1", .stage = 0, .piece = 2, .left_us = 900000,
+         .key = "7c1e"},
+        {.request_id = "r-2", .stage = 2, .left_us = -5, .inputs = inputs,
+         .input_count = 1}};
+    EbHttpMessage *sent = EbPlatform_wire.write_pieces("s-1", items, 2);
+    check_header(sent, "Expected-Instance", "s-1");
+    json_t *body =
+        json_loadb((const char *)sent->body, sent->body_bytes, 0, NULL);
+    json_t *expected = json_loads(
+        "{\"items\":[{\"id\":\"r-1\",\"stage\":0,\"piece\":2,"
+        "\"left_ms\":900,\"key\":\"7c1e\"},{\"id\":\"r-2\",\"stage\":2,"
+        "\"piece\":0,\"left_ms\":1,\"inputs\":[\"10.0.0.1:1/a\"]}]}",
+        0, NULL);
+    CU_ASSERT_TRUE(json_equal(body, expected));
+    json_decref(body);
+    json_decref(expected);
+    EbHttpMessage_Unref(sent);
+}
+
+/* Guards against a store call with the wrong path or condition. */
+static void
+test_store(void)
+{
+    json_t *value = json_pack("{s:i}", "a", 1);
+    static const struct {
+        EbStoreOperation operation;
+        const char *path;
+        const char *body;
+    } rows[] = {
+        {EB_STORE_GET, "/ebonyhollow/objects/k/n%20m", NULL},
+        {EB_STORE_CREATE, "/ebonyhollow/objects/k",
+         "{\"metadata\":{\"name\":\"n m\"},\"spec\":{\"a\":1}}"},
+        {EB_STORE_UPDATE, "/ebonyhollow/objects/k/n%20m",
+         "{\"metadata\":{\"name\":\"n m\",\"revision\":5},"
+         "\"spec\":{\"a\":1}}"},
+        {EB_STORE_DELETE, "/ebonyhollow/objects/k/n%20m?revision=5", NULL},
+        {EB_STORE_LIST, "/ebonyhollow/objects/k", NULL},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        EbStoreRequest request = {.operation = rows[i].operation,
+                                  .kind = "k",
+                                  .name = "n m",
+                                  .version = 5,
+                                  .value = value};
+        char *path = EbPlatform_store.path(&request);
+        CU_ASSERT_STRING_EQUAL(path, rows[i].path);
+        g_free(path);
+        if (rows[i].body != NULL) {
+            json_t *body = EbPlatform_store.body(&request);
+            json_t *expected = json_loads(rows[i].body, 0, NULL);
+            CU_ASSERT_TRUE(json_equal(body, expected));
+            json_decref(expected);
+            json_decref(body);
+        }
+    }
+    json_decref(value);
+    char *path = EbPlatform_store.watch_path("k", 9, 2000000);
+    CU_ASSERT_STRING_EQUAL(path,
+                           "/ebonyhollow/objects/k?watch=9&wait_ms=2000");
+    g_free(path);
+    path = EbPlatform_store.list_path("k", "n");
+    CU_ASSERT_STRING_EQUAL(path, "/ebonyhollow/objects/k?after=n");
+    g_free(path);
+}
+
+/* Guards against objects of a page that are lost, and damaged ones that are
+ * taken for good. */
+static void
+test_store_answers(void)
+{
+    json_t *answer = json_loads(
+        "{\"items\":[{\"metadata\":{\"name\":\"n\",\"revision\":3},"
+        "\"spec\":{\"a\":1}},{\"metadata\":{}},7],\"has_more\":true,"
+        "\"current_rev\":9}",
+        0, NULL);
+    bool more = false;
+    json_t *list = EbPlatform_store.read_list(answer, &more);
+    json_t *expected = json_loads(
+        "{\"revision\":9,\"items\":[{\"name\":\"n\",\"version\":3,"
+        "\"value\":{\"a\":1}}]}",
+        0, NULL);
+    CU_ASSERT_TRUE(json_equal(list, expected));
+    CU_ASSERT_TRUE(more);
+    json_decref(list);
+    json_decref(expected);
+    json_decref(answer);
+    answer = json_loads(
+        "{\"events\":[{\"deleted\":true,\"object\":{\"metadata\":{"
+        "\"name\":\"n\",\"revision\":4}}}],\"current_rev\":10}",
+        0, NULL);
+    json_t *changes = EbPlatform_store.read_changes(answer);
+    expected = json_loads(
+        "{\"revision\":10,\"events\":[{\"name\":\"n\",\"version\":4,"
+        "\"value\":null,\"deleted\":true}]}",
+        0, NULL);
+    CU_ASSERT_TRUE(json_equal(changes, expected));
+    json_decref(changes);
+    json_decref(expected);
+    json_decref(answer);
+    CU_ASSERT_PTR_NULL(EbPlatform_store.read_changes(NULL));
+    CU_ASSERT_PTR_NULL(EbPlatform_store.read_list(NULL, &more));
+    CU_ASSERT_PTR_NULL(EbPlatform_store.read(EB_STORE_GET, NULL));
+}
+
+static const char node_text[] =
+    "node: \"front-1\"\nzone: \"recife\"\nregion: \"nordeste\"\n"
+    "listen:\n  front: \"10.1.0.41:8625\"\n  ready: \"10.1.0.41:8621\"\n"
+    "  control: \"10.1.0.41:8628\"\nseeds:\n  - \"10.1.0.41:8628\"\n"
+    "  - \"10.2.0.25:8628\"\nlimits:\n  max_fds: 4100\n"
+    "bounds:\n  grace_s: 8\nplatform:\n  address: \"10.200.1.7:8624\"\n"
+    "new_field: [1, {a: b}]\n";
+
+static EbSettings *
+load_settings(const char *text, EbError *error)
+{
+    char *file = NULL;
+    int descriptor = g_file_open_tmp("eb-node-XXXXXX", &file, NULL);
+    CU_ASSERT_TRUE_FATAL(descriptor >= 0);
+    g_close(descriptor, NULL);
+    CU_ASSERT_TRUE(g_file_set_contents(file, text, -1, NULL));
+    EbSettings *settings = EbPlatform_LoadSettings(file, error);
+    g_remove(file);
+    g_free(file);
+    return settings;
+}
+
+/* Guards against a wrong address, and a new field that stops a daemon. */
+static void
+test_settings(void)
+{
+    EbError error = {0};
+    EbSettings *settings = load_settings(node_text, &error);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(settings);
+    CU_ASSERT_STRING_EQUAL(settings->instance, "front-1");
+    CU_ASSERT_STRING_EQUAL(settings->failure_domain, "recife");
+    CU_ASSERT_STRING_EQUAL(settings->caller.host, "10.1.0.41");
+    CU_ASSERT_EQUAL(settings->caller.port, 8625);
+    CU_ASSERT_EQUAL(settings->admin.port, 8621);
+    CU_ASSERT_EQUAL(settings->peer.port, 8628);
+    CU_ASSERT_EQUAL(settings->platform.port, 8624);
+    CU_ASSERT_EQUAL(settings->seed_count, 1); /* without itself */
+    CU_ASSERT_TRUE(settings->balancer_delay_us + settings->drain_limit_us <
+                   8000000);
+    EbSettings_Free(settings);
+}
+
+/* Guards against a daemon that starts with settings it can't read. */
+static void
+test_bad_settings(void)
+{
+    static const char *const texts[] = {
+        "", "- a\n", "a: [", "node: \"x\"\n",
+        "node: \"x\"\nzone: z\nregion: r\nlisten:\n  front: \"nonsense\"\n"};
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        EbError error = {0};
+        CU_ASSERT_PTR_NULL(load_settings(texts[i], &error));
+        CU_ASSERT_NOT_EQUAL(error.code, EB_ERROR_NONE);
+    }
+}
+
+int
+main(void)
+{
+    static const EbTestCase cases[] = {
+        {"config", test_config},
+        {"bad config", test_bad_config},
+        {"servers", test_servers},
+        {"call", test_call},
+        {"bad calls", test_bad_calls},
+        {"pieces", test_pieces},
+        {"store", test_store},
+        {"store answers", test_store_answers},
+        {"settings", test_settings},
+        {"bad settings", test_bad_settings},
+    };
+    return EbTest_Run("test_platform", cases, G_N_ELEMENTS(cases));
+}
