dispatcher: the end of a preparation is taken once

Change: an end told again is ignored, and a request with a call waiting or running starts none. test_forward 'prepared twice' failed before.

--- a/src/libebonyhollow/dispatcher_prepare.c
+++ b/src/libebonyhollow/dispatcher_prepare.c
@@ -175,6 +175,9 @@
         request->summary->state = EB_REQUEST_PREPARING;
         EbRequest_Touch(request);
     }
+    else if (request->waiting || request->attempt_count > 0) {
+        return;
+    }
     else if (request->next_number == 0) {
         EbRequest_StartStage(request, now_us);
     }
@@ -278,6 +281,9 @@
         row++;
     }
     uint32_t index = (uint32_t)(row - request->forward->preparations);
+    if (row->done) {
+        return; /* told again, by a home whose link broke in between */
+    }
     if (status != EB_PREPARED_OK ||
         handle_count != piece_count(request, index)) {
         take_failure(request,
--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -554,6 +554,28 @@
     close_fixture(&fixture);
 }
 
+/* Guards against a second call when the end of a preparation is told twice,
+ * by a home before and after its link broke. */
+static void
+test_prepared_twice(void)
+{
+    static char *a[] = {"a0"};
+    static char *b[] = {"b0", "b1"};
+    static char *c[] = {"c0"};
+    Fixture fixture;
+    open_fixture(&fixture);
+    submit(&fixture, "/staged/x", TOKEN);
+    prepared(&fixture, 1, EB_PREPARED_OK, b, 2);
+    prepared(&fixture, 2, EB_PREPARED_OK, c, 1);
+    prepared(&fixture, 0, EB_PREPARED_OK, a, 1);
+    CU_ASSERT_EQUAL(fixture.send_count, 1);
+    prepared(&fixture, 0, EB_PREPARED_OK, a, 1);
+    prepared(&fixture, 2, EB_PREPARED_LATE, NULL, 0);
+    CU_ASSERT_EQUAL(fixture.send_count, 1);
+    CU_ASSERT_FALSE(fixture.answered);
+    close_fixture(&fixture);
+}
+
 /* Guards against a request that fails because a result was lost, and against
  * one that is refused as not run after a server ran it. */
 static void
@@ -596,6 +618,7 @@
         {"caller gone", test_caller_gone},
         {"deadline", test_deadline},
         {"preparations", test_preparations},
+        {"prepared twice", test_prepared_twice},
         {"lost results", test_lost_results},
     };
     return EbTest_Run("test_forward", cases, G_N_ELEMENTS(cases));
