pool, pieces: prompts go to one server over all daemons, results near it

Change: requests whose prompts share their first parts go to one server, by rendezvous hashing with bounded load; work items of a stage are made in that server's failure domain where a server is free. The per-daemon memory of parts is removed again.

--- a/include/ebonyhollow/action.h
+++ b/include/ebonyhollow/action.h
@@ -80,6 +80,7 @@
     uint32_t stage;
     uint32_t piece_count;
     uint64_t result_bytes; /* of one piece, about */
+    char *failure_domain; /* where the results will be used; NULL: unknown */
     char *key;          /* of a stage without an earlier one */
     GPtrArray *inputs;  /* of char *, handles of earlier results otherwise */
     int64_t due_us;      /* when it should be done, for the order */
--- a/include/ebonyhollow/forward.h
+++ b/include/ebonyhollow/forward.h
@@ -46,6 +46,10 @@
 /* Accepts NULL. */
 void EbForwardCall_Unref(EbForwardCall *call);
 
+/* Returns a hash of the parts of the prompt that other requests may share,
+ * all but the last one, or 0 when the call names none. */
+uint64_t EbForwardCall_PromptKey(const EbForwardCall *call);
+
 /* What one sending of a call adds to it. */
 typedef struct {
     const char *server_id; /* any other server refuses the call */
--- a/include/ebonyhollow/message.h
+++ b/include/ebonyhollow/message.h
@@ -117,6 +117,7 @@
     uint32_t stage;
     uint32_t piece_count;
     uint64_t result_bytes;
+    char *failure_domain;
     char *piece_key;
     /* Times from the sending, since monotonic clocks of instances have nothing
      * in common; `late_us` is how long the due time has passed. */
--- a/include/ebonyhollow/pool.h
+++ b/include/ebonyhollow/pool.h
@@ -84,6 +84,14 @@
 const EbConfigBackendServer *
 EbPool_Begin(EbPool *pool, const EbPoolCriteria *criteria, int64_t now_us);
 
+/* Returns the server on which all daemons put calls with this key, by
+ * rendezvous hashing (Thaler, Ravishankar 1998), so that what the calls share
+ * is cached once. Servers that are slow, ejected or far busier than others are
+ * passed over. Returns NULL when none is left; valid until SetConfig. */
+const EbConfigBackendServer *EbPool_Affine(const EbPool *pool,
+                                           const EbPoolCriteria *criteria,
+                                           uint64_t key, int64_t now_us);
+
 /* Ends a call that EbPool_Begin counted. duration_us is from Begin to the
  * end, or to the first token of a stream. Unknown ids are ignored. */
 void EbPool_End(EbPool *pool, const char *server_id, EbCallResult result,
--- a/include/ebonyhollow/prefix.h
+++ b/include/ebonyhollow/prefix.h
@@ -10,8 +10,6 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "ebonyhollow/forward.h"
-
 typedef struct EbPrefix EbPrefix;
 
 typedef struct {
@@ -37,14 +35,6 @@
                           size_t prompt_bytes, int64_t now_us,
                           size_t *matched_bytes);
 
-/* The same for a prompt that is known by its parts only: each part counts as
- * one block. */
-void EbPrefix_RecordParts(EbPrefix *prefix, const EbPromptPart *parts,
-                          uint32_t part_count, const char *server_id,
-                          int64_t now_us);
-const char *EbPrefix_FindParts(EbPrefix *prefix, const EbPromptPart *parts,
-                               uint32_t part_count, int64_t now_us);
-
 /* Takes a cache event: block `hash` stored or evicted at a server.
  *
  * Returns false when `sequence` shows a gap: the server's entries are
--- a/src/libebonyhollow/action.c
+++ b/src/libebonyhollow/action.c
@@ -112,6 +112,7 @@
 {
     g_free(prepare->request_id);
     g_free(prepare->service);
+    g_free(prepare->failure_domain);
     g_free(prepare->key);
     clear_strings(prepare->inputs);
 }
--- a/src/libebonyhollow/dispatcher_prepare.c
+++ b/src/libebonyhollow/dispatcher_prepare.c
@@ -86,6 +86,18 @@
     return true;
 }
 
+/* Where the request's server will probably be. */
+static const char *
+expected_domain(const EbRequest *request, int64_t now_us)
+{
+    uint64_t key = EbForwardCall_PromptKey(request->forward->call);
+    const EbConfigBackendServer *server =
+        key != 0 ? EbPool_Affine(request->pools[0]->pool,
+                                 &(EbPoolCriteria){0}, key, now_us)
+                 : NULL;
+    return server != NULL ? server->failure_domain : NULL;
+}
+
 static void
 start_preparation(EbRequest *request, uint32_t index, int64_t now_us)
 {
@@ -105,6 +117,7 @@
             .stage = index,
             .piece_count = piece_count(request, index),
             .result_bytes = row->result_bytes,
+            .failure_domain = g_strdup(expected_domain(request, now_us)),
             .due_us = request->summary->received_us +
                       forward_of(request)->goal_us - row->rest_us,
             .deadline_us = request->deadline_us,
--- a/src/libebonyhollow/dispatcher_stage.c
+++ b/src/libebonyhollow/dispatcher_stage.c
@@ -143,25 +143,20 @@
     }
 }
 
-/* Prefers the server that has most of the request's prompt cached. */
+/* Prefers the server on which all daemons put requests that share their
+ * prompt's beginning. */
 static const EbConfigBackendServer *
 choose_for_forward(EbRequest *request, EbPoolCriteria *criteria,
                    int64_t now_us)
 {
-    EbPoolState *pool = request->pools[request->stage];
-    const EbForwardCall *call = request->forward->call;
-    bool affinity = pool->prefix != NULL && call->part_count > 0;
-    if (affinity) {
-        criteria->preferred = EbPrefix_FindParts(pool->prefix, call->parts,
-                                                 call->part_count, now_us);
-    }
-    const EbConfigBackendServer *server =
-        EbPool_Begin(pool->pool, criteria, now_us);
-    if (server != NULL && affinity) {
-        EbPrefix_RecordParts(pool->prefix, call->parts, call->part_count,
-                             server->id, now_us);
+    EbPool *pool = request->pools[request->stage]->pool;
+    uint64_t key = EbForwardCall_PromptKey(request->forward->call);
+    const EbConfigBackendServer *affine =
+        key != 0 ? EbPool_Affine(pool, criteria, key, now_us) : NULL;
+    if (affine != NULL) {
+        criteria->preferred = affine->id;
     }
-    return server;
+    return EbPool_Begin(pool, criteria, now_us);
 }
 
 static const EbConfigBackendServer *
--- a/src/libebonyhollow/forward.c
+++ b/src/libebonyhollow/forward.c
@@ -3,6 +3,7 @@
 #include <assert.h>
 
 #include <glib.h>
+#include <xxhash.h>
 
 const char *const EbPieceResultKind_names[EB_PIECE_RESULT_COUNT] = {
     [EB_PIECE_DONE] = "done",         [EB_PIECE_LATE] = "late",
@@ -33,3 +34,15 @@
     g_free(call->piece_key);
     g_free(call);
 }
+
+uint64_t
+EbForwardCall_PromptKey(const EbForwardCall *call)
+{
+    uint32_t count = call->part_count > 1 ? call->part_count - 1
+                                          : call->part_count;
+    uint64_t key = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        key = XXH64(&call->parts[i].id, sizeof(call->parts[i].id), key);
+    }
+    return key;
+}
--- a/src/libebonyhollow/message.c
+++ b/src/libebonyhollow/message.c
@@ -76,6 +76,7 @@
     FIELD(27, UINT64, left_us, BIT(PREPARE), 0, 0),
     FIELD(28, UINT32, prepared, BIT(PREPARED), 0, EB_PREPARED_STATUS_COUNT),
     FIELD(30, UINT64, result_bytes, BIT(PREPARE), 0, 0),
+    FIELD(31, NAME, failure_domain, BIT(PREPARE), 0, 0),
     FIELD(29, HANDLES, handles, BIT(PREPARE) | BIT(PREPARED), 0, 0),
 };
 
@@ -372,6 +373,7 @@
     g_free(message->request_id);
     g_free(message->service);
     g_free(message->piece_key);
+    g_free(message->failure_domain);
     g_free(message->members);
     g_free(message->shares);
     g_free(message->entries);
--- a/src/libebonyhollow/pieces.c
+++ b/src/libebonyhollow/pieces.c
@@ -22,6 +22,9 @@
 /* A server this much slower than the fastest gets calls only when all items
  * could not be in time otherwise. */
 #define SLOW_RATIO 2.5
+/* A server elsewhere is chosen when those near the results' use are this much
+ * slower. */
+#define CROSSING_PACE 1.5
 #define PACE_GAIN 0.3 /* remembers about three calls */
 
 typedef struct Job Job;
@@ -133,6 +136,7 @@
     g_queue_clear(&job->waiting);
     g_free(job->prepare.request_id);
     g_free(job->prepare.service);
+    g_free(job->prepare.failure_domain);
     g_free(job->prepare.key);
     if (job->prepare.inputs != NULL) {
         g_ptr_array_unref(job->prepare.inputs);
@@ -461,11 +465,28 @@
            server->blocked_us <= now_us && has_room(service, server);
 }
 
-/* Returns the free server that is expected to be fastest; of equals one in
- * the failure domain that is not there for others. */
+static bool
+is_wanted_at(const Job *job, const Server *server)
+{
+    return job->prepare.failure_domain == NULL ||
+           strcmp(job->prepare.failure_domain, server->failure_domain) == 0;
+}
+
+/* Rates a server for a call that begins with a job, lower is better: its pace,
+ * raised when the results would cross failure domains. */
+static double
+rate(const Job *job, const Server *server)
+{
+    return is_wanted_at(job, server) ? server->pace
+                                     : server->pace * CROSSING_PACE;
+}
+
+/* Returns the free server that is best for the most urgent job. */
 static Server *
 choose_server(const Service *service, int64_t now_us)
 {
+    const Job *first =
+        g_sequence_get(g_sequence_get_begin_iter(service->queue));
     Server *best = NULL;
     double fastest = 0;
     GHashTableIter iter;
@@ -478,7 +499,8 @@
             fastest = server->pace;
         }
         if (is_free(service, server, now_us) &&
-            (best == NULL || server->pace < best->pace)) {
+            (best == NULL ||
+             rate(first, server) < rate(first, best))) {
             best = server;
         }
     }
@@ -519,20 +541,23 @@
 }
 
 /* Takes the most urgent items: first those whose requests can be in time,
- * then the others. */
+ * among them those whose results are used near this server, then the
+ * others. */
 static void
 gather(Call *call, int64_t now_us)
 {
     Service *service = call->service;
     uint32_t max_items = service->batch.max_items;
     int64_t done_us = now_us + expected_time(service, 1);
-    for (int pass = 0; pass < 2; pass++) {
+    for (int pass = 0; pass < 3; pass++) {
         GSequenceIter *iter = g_sequence_get_begin_iter(service->queue);
         while (!g_sequence_iter_is_end(iter) &&
                call->pieces->len < max_items) {
             GSequenceIter *next = g_sequence_iter_next(iter);
             Job *job = g_sequence_get(iter);
-            if (pass == 1 || job->prepare.due_us >= done_us) {
+            bool in_time = job->prepare.due_us >= done_us;
+            if (pass == 2 || (in_time && (pass == 1 ||
+                                          is_wanted_at(job, call->server)))) {
                 take_items(call, job, max_items);
             }
             iter = next;
@@ -658,6 +683,7 @@
     job->prepare = *prepare;
     job->prepare.request_id = g_strdup(prepare->request_id);
     job->prepare.service = g_strdup(prepare->service);
+    job->prepare.failure_domain = g_strdup(prepare->failure_domain);
     job->prepare.key = g_strdup(prepare->key);
     if (prepare->inputs != NULL) {
         g_ptr_array_ref(prepare->inputs);
--- a/src/libebonyhollow/pool_choice.c
+++ b/src/libebonyhollow/pool_choice.c
@@ -1,6 +1,8 @@
 #include <math.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "pool_state.h"
 
 /* Load reports arrive with a lag; half of a report's weight is lost in the
@@ -16,6 +18,11 @@
  * any case, and beyond it while it is not much busier than the alternative. */
 #define AFFINITY_FREE_LOAD 0.5
 #define AFFINITY_TOLERANCE 1.25
+/* Bounds of a server that calls with the same key go to: bounded loads
+ * (Mirrokni, Thorup, Zadimoghaddam 2018). */
+#define AFFINE_BOUND 1.5
+#define AFFINE_FREE_CALLS 3
+#define AFFINE_MAX_SLOWNESS 2.0 /* of the pool's median latency */
 
 static bool
 is_excluded(const EbPoolCriteria *criteria, const EbPoolServer *server)
@@ -165,6 +172,43 @@
     return NULL;
 }
 
+/* Whether a server is fit for calls with affinity: neither much slower nor
+ * much busier with own calls than the others. */
+static bool
+takes_affine(const EbPool *pool, const EbPoolServer *server, double mean_calls,
+             int64_t now_us)
+{
+    bool slow = pool->median_us > 0 &&
+                EbPool_Latency(pool, server, now_us) >
+                    AFFINE_MAX_SLOWNESS * pool->median_us;
+    return !slow &&
+           server->in_flight <= AFFINE_FREE_CALLS + AFFINE_BOUND * mean_calls;
+}
+
+const EbConfigBackendServer *
+EbPool_Affine(const EbPool *pool, const EbPoolCriteria *criteria, uint64_t key,
+              int64_t now_us)
+{
+    double calls = 0;
+    for (uint32_t i = 0; i < pool->member_count; i++) {
+        calls += pool->members[i]->in_flight;
+    }
+    double mean_calls = calls / fmax(pool->member_count, 1);
+    const EbPoolServer *best = NULL;
+    uint64_t highest = 0;
+    for (uint32_t i = 0; i < pool->member_count; i++) {
+        const EbPoolServer *server = pool->members[i];
+        uint64_t weight = XXH64(server->id, strlen(server->id), key);
+        if ((best == NULL || weight > highest) &&
+            is_usable(server, criteria, now_us) &&
+            takes_affine(pool, server, mean_calls, now_us)) {
+            best = server;
+            highest = weight;
+        }
+    }
+    return best != NULL ? best->config : NULL;
+}
+
 static EbPoolServer *
 choose_adaptive(EbPool *pool, const EbPoolCriteria *criteria, int64_t now_us)
 {
--- a/src/libebonyhollow/prefix.c
+++ b/src/libebonyhollow/prefix.c
@@ -296,44 +296,6 @@
     return found != NULL ? found->id : NULL;
 }
 
-static uint64_t
-hash_part(const EbPromptPart *part, uint64_t before)
-{
-    return XXH64(&part->id, sizeof(part->id), before);
-}
-
-void
-EbPrefix_RecordParts(EbPrefix *prefix, const EbPromptPart *parts,
-                     uint32_t part_count, const char *server_id,
-                     int64_t now_us)
-{
-    Server *server = get_server(prefix, server_id);
-    uint64_t hash = 0;
-    for (uint32_t i = 0; i < part_count; i++) {
-        hash = hash_part(&parts[i], hash);
-        use_entry(prefix, hash, server)->routed_us = now_us;
-    }
-}
-
-const char *
-EbPrefix_FindParts(EbPrefix *prefix, const EbPromptPart *parts,
-                   uint32_t part_count, int64_t now_us)
-{
-    const Server *found = NULL;
-    uint64_t hash = 0;
-    prefix->marks++;
-    for (uint32_t i = 0; i < part_count; i++) {
-        hash = hash_part(&parts[i], hash);
-        Server *server =
-            match_block(prefix, hash, ++prefix->marks, i == 0, now_us);
-        if (server == NULL) {
-            break;
-        }
-        found = server;
-    }
-    return found != NULL ? found->id : NULL;
-}
-
 /* Forgets what cache events said of a server; own routing memory stays. */
 static void
 forget_events(EbPrefix *prefix, Server *server)
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -18,6 +18,7 @@
     Job *job = pointer;
     g_free(job->prepare.request_id);
     g_free(job->prepare.service);
+    g_free(job->prepare.failure_domain);
     g_free(job->prepare.key);
     if (job->prepare.inputs != NULL) {
         g_ptr_array_unref(job->prepare.inputs);
@@ -234,6 +235,7 @@
         .stage = prepare->stage,
         .piece_count = prepare->piece_count,
         .result_bytes = prepare->result_bytes,
+        .failure_domain = prepare->failure_domain,
         .piece_key = prepare->key,
         .due_in_us = due_us > 0 ? (uint64_t)due_us : 0,
         .late_us = due_us < 0 ? (uint64_t)-due_us : 0,
@@ -269,6 +271,7 @@
     job->prepare = *prepare;
     job->prepare.request_id = g_strdup(prepare->request_id);
     job->prepare.service = g_strdup(prepare->service);
+    job->prepare.failure_domain = g_strdup(prepare->failure_domain);
     job->prepare.key = g_strdup(prepare->key);
     if (prepare->inputs != NULL) {
         g_ptr_array_ref(prepare->inputs);
@@ -308,6 +311,7 @@
         .stage = message->stage,
         .piece_count = message->piece_count,
         .result_bytes = message->result_bytes,
+        .failure_domain = message->failure_domain,
         .key = message->piece_key,
         .due_us = now_us + (int64_t)message->due_in_us -
                   (int64_t)message->late_us,
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -64,6 +64,7 @@
      .stage = 2,
      .piece_count = EB_FORWARD_MAX_PIECES,
      .result_bytes = 1500000,
+     .failure_domain = "recife",
      .due_in_us = 400000,
      .late_us = 0,
      .left_us = 5000000,
@@ -167,6 +168,7 @@
         check_preparation(got, sent);
         check_string(got->request_id, sent->request_id);
         check_string(got->service, sent->service);
+        check_string(got->failure_domain, sent->failure_domain);
         EbMessage_Free(got);
     }
 }
