pieces: large results wait a little for a server where they are used

Change: while it keeps them in time by 200 ms, items with results of 100 kB and more wait for a server in the failure domain of their use.

--- a/src/libebonyhollow/pieces.c
+++ b/src/libebonyhollow/pieces.c
@@ -25,6 +25,12 @@
 /* A server elsewhere is chosen when those near the results' use are this much
  * slower. */
 #define CROSSING_PACE 1.5
+/* Results from this size on are made where they are used while that keeps
+ * them in time by this margin. */
+#define PLACED_RESULT_BYTES 100000
+#define PLACED_SLACK_US 200000
+/* How soon a free server is looked at again that no item was for. */
+#define REVIEW_US 20000
 #define PACE_GAIN 0.3 /* remembers about three calls */
 
 typedef struct Job Job;
@@ -61,6 +67,7 @@
     uint32_t running;
     uint32_t failures;
     int64_t blocked_us; /* no call before */
+    int64_t passed_us;  /* when it was free and no item was for it */
     double pace;        /* time of calls as a multiple of what is expected */
     uint64_t held_bytes; /* of results that lie there or are being made */
     uint64_t released_bytes; /* of those in `releases` */
@@ -462,7 +469,8 @@
 is_free(const Service *service, const Server *server, int64_t now_us)
 {
     return server->current && server->running < service->batch.max_calls &&
-           server->blocked_us <= now_us && has_room(service, server);
+           server->blocked_us <= now_us && server->passed_us != now_us &&
+           has_room(service, server);
 }
 
 static bool
@@ -540,6 +548,28 @@
     }
 }
 
+/* Returns whether a job with large results can wait for a server where they
+ * are used. */
+static bool
+can_wait(const Service *service, const Job *job, int64_t done_us)
+{
+    if (job->prepare.result_bytes < PLACED_RESULT_BYTES ||
+        job->prepare.due_us - done_us < PLACED_SLACK_US) {
+        return false;
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, service->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Server *server = value;
+        if (server->current && server->failures == 0 &&
+            is_wanted_at(job, server)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Takes the most urgent items: first those whose requests can be in time,
  * among them those whose results are used near this server, then the
  * others. */
@@ -556,8 +586,10 @@
             GSequenceIter *next = g_sequence_iter_next(iter);
             Job *job = g_sequence_get(iter);
             bool in_time = job->prepare.due_us >= done_us;
-            if (pass == 2 || (in_time && (pass == 1 ||
-                                          is_wanted_at(job, call->server)))) {
+            bool here = is_wanted_at(job, call->server);
+            if (pass == 0 ? in_time && here
+                          : !can_wait(service, job, done_us) &&
+                                (pass == 2 || in_time)) {
                 take_items(call, job, max_items);
             }
             iter = next;
@@ -621,7 +653,8 @@
     EbActionQueue_Push(pieces->options.actions, &action);
 }
 
-static void
+/* Starts a call. Returns false when no item should be made there now. */
+static bool
 start_call(EbPieces *pieces, Service *service, Server *server, int64_t now_us)
 {
     Call *call = g_new0(Call, 1);
@@ -630,7 +663,10 @@
     call->server = server;
     call->pieces = g_ptr_array_new();
     gather(call, now_us);
-    assert(call->pieces->len > 0);
+    if (call->pieces->len == 0) {
+        free_call(call);
+        return false;
+    }
     call->started_us = now_us;
     call->expected_us = expected_time(service, call->pieces->len);
     call->timeout_us =
@@ -638,6 +674,7 @@
     server->running++;
     g_hash_table_insert(pieces->calls, &call->id, call);
     send_call(pieces, call, now_us);
+    return true;
 }
 
 /* Drops jobs that nobody waits for any more. */
@@ -665,7 +702,9 @@
         if (server == NULL) {
             return;
         }
-        start_call(pieces, service, server, now_us);
+        if (!start_call(pieces, service, server, now_us)) {
+            server->passed_us = now_us;
+        }
     }
 }
 
@@ -977,7 +1016,8 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const Server *server = value;
         if (server->current && server->running < service->batch.max_calls) {
-            next_us = MIN(next_us, server->blocked_us);
+            next_us = MIN(next_us, MAX(server->blocked_us,
+                                       server->passed_us + REVIEW_US));
         }
     }
     return next_us;
