dispatcher: a stage beside a longer chain starts when the chain is nearly done

Cause: the 1.5 MB results of counter-chat's first stage lay for the time of the three others and took a fifth of the memory of royalties' servers.

--- a/include/ebonyhollow/config.h
+++ b/include/ebonyhollow/config.h
@@ -260,6 +260,9 @@
  * deployment's own reader. */
 EbConfig *EbConfig_New(const char *site, uint64_t generation);
 
+/* Expected time of a half full call of a pool, with the wait before it. */
+int64_t EbConfig_CallTime(const EbConfigBatch *batch);
+
 /* Fills in EbConfigPreparation.rest_us. */
 void EbConfig_PlanPreparations(EbConfig *config);
 
--- a/src/libebonyhollow/config_forward.c
+++ b/src/libebonyhollow/config_forward.c
@@ -30,9 +30,8 @@
     return found;
 }
 
-/* Expected time of a full call of a pool, with the wait before it. */
-static int64_t
-call_time(const EbConfigBatch *batch)
+int64_t
+EbConfig_CallTime(const EbConfigBatch *batch)
 {
     int64_t call_us = batch->call_us + batch->max_items / 2 * batch->item_us;
     return call_us + call_us / WAIT_SHARE;
@@ -55,7 +54,7 @@
                 if ((next->after & 1U << (k - 1)) != 0) {
                     int64_t after_us =
                         next->rest_us +
-                        call_time(&config->pools[next->pool_index].batch);
+                        EbConfig_CallTime(&config->pools[next->pool_index].batch);
                     row->rest_us = MAX(row->rest_us, after_us);
                 }
             }
--- a/src/libebonyhollow/dispatcher_prepare.c
+++ b/src/libebonyhollow/dispatcher_prepare.c
@@ -8,6 +8,8 @@
 
 /* Lost results are made again this often for one request. */
 #define MAX_RESTARTS 2
+/* A preparation starts when others take at most this much longer. */
+#define EARLY_MARGIN_US 100000
 
 const char *const EbPreparedStatus_names[EB_PREPARED_STATUS_COUNT] = {
     [EB_PREPARED_OK] = "ok",
@@ -70,6 +72,31 @@
     return collect(request, ~followed_bits(request));
 }
 
+/* Expected time from the start of a preparation to the request's call. */
+static int64_t
+time_to_call(const EbRequest *request, uint32_t index)
+{
+    const EbConfigPreparation *row = &forward_of(request)->preparations[index];
+    return EbConfig_CallTime(&request->config->pools[row->pool_index].batch) +
+           row->rest_us;
+}
+
+/* Whether others take so much longer that results made now would only lie
+ * there: memory for results is scarce at the servers. */
+static bool
+is_early(const EbRequest *request, uint32_t index)
+{
+    const EbPreparation *rows = request->forward->preparations;
+    int64_t own_us = time_to_call(request, index);
+    for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
+        if (rows[i].needed && !rows[i].done &&
+            time_to_call(request, i) > own_us + EARLY_MARGIN_US) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 is_startable(const EbRequest *request, uint32_t index)
 {
@@ -83,7 +110,7 @@
             return false;
         }
     }
-    return true;
+    return !is_early(request, index);
 }
 
 /* Where the request's server will probably be. */
