pieces: crowded stages go by priority, late items by what was done before

Change: while more items wait than all servers take in their next calls, the request's priority comes before its due time; of requests that are late already, those furthest on go first, so that less work is thrown away.

--- a/include/ebonyhollow/action.h
+++ b/include/ebonyhollow/action.h
@@ -83,6 +83,7 @@
     char *failure_domain; /* where the results will be used; NULL: unknown */
     char *key;          /* of a stage without an earlier one */
     GPtrArray *inputs;  /* of char *, handles of earlier results otherwise */
+    uint8_t priority;    /* of its request, 0 is the most urgent */
     int64_t due_us;      /* when it should be done, for the order */
     int64_t deadline_us; /* when nobody waits for it any more */
 } EbPrepare;
--- a/include/ebonyhollow/message.h
+++ b/include/ebonyhollow/message.h
@@ -116,6 +116,7 @@
     char *service;
     uint32_t stage;
     uint32_t piece_count;
+    uint32_t priority;
     uint64_t result_bytes;
     char *failure_domain;
     char *piece_key;
--- a/src/libebonyhollow/dispatcher_forward.c
+++ b/src/libebonyhollow/dispatcher_forward.c
@@ -83,6 +83,14 @@
     return forward->splits[index].pool_index;
 }
 
+uint8_t
+EbRequest_Priority(const EbRequest *request)
+{
+    return request->customer->priority >= 0
+               ? (uint8_t)request->customer->priority
+               : request->pipeline->forward->priority;
+}
+
 void
 EbRequest_FillForward(EbRequest *request, EbSendAttempt *send, int64_t now_us)
 {
@@ -94,9 +102,7 @@
     }
     send->left_us = request->deadline_us - now_us;
     send->resume_after = state->last_event_id;
-    send->priority = request->customer->priority >= 0
-                         ? (uint8_t)request->customer->priority
-                         : request->pipeline->forward->priority;
+    send->priority = EbRequest_Priority(request);
     send->inputs = EbRequest_Inputs(request);
 }
 
--- a/src/libebonyhollow/dispatcher_prepare.c
+++ b/src/libebonyhollow/dispatcher_prepare.c
@@ -145,6 +145,7 @@
             .piece_count = piece_count(request, index),
             .result_bytes = row->result_bytes,
             .failure_domain = g_strdup(expected_domain(request, now_us)),
+            .priority = EbRequest_Priority(request),
             .due_us = request->summary->received_us +
                       forward_of(request)->goal_us - row->rest_us,
             .deadline_us = request->deadline_us,
--- a/src/libebonyhollow/pieces.c
+++ b/src/libebonyhollow/pieces.c
@@ -1,6 +1,7 @@
 #include "ebonyhollow/pieces.h"
 
 #include <assert.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
@@ -570,31 +571,81 @@
     return false;
 }
 
-/* Takes the most urgent items: first those whose requests can be in time,
- * among them those whose results are used near this server, then the
- * others. */
+/* Place of a job in a call, by its fields from first to last. */
+typedef struct {
+    Job *job;
+    bool late;      /* its request can't be in time any more */
+    bool elsewhere; /* its results are used in another failure domain */
+    int32_t rank;   /* while servers are crowded, the request's priority */
+    int32_t left;   /* of late ones, the stages before are worth most */
+    int64_t due_us;
+} Turn;
+
+static int
+compare_turns(const void *left, const void *right)
+{
+    const Turn *a = left;
+    const Turn *b = right;
+    if (a->late != b->late) {
+        return a->late ? 1 : -1;
+    }
+    if (a->rank != b->rank) {
+        return a->rank < b->rank ? -1 : 1;
+    }
+    if (a->elsewhere != b->elsewhere) {
+        return a->elsewhere ? 1 : -1;
+    }
+    if (a->left != b->left) {
+        return a->left < b->left ? -1 : 1;
+    }
+    return a->due_us < b->due_us ? -1 : a->due_us > b->due_us;
+}
+
+/* Whether more items wait than all servers take in their next calls. */
+static bool
+is_crowded(const Service *service)
+{
+    return service->waiting_count >
+           (size_t)service->batch.max_items *
+               g_hash_table_size(service->servers);
+}
+
+/* Takes the most urgent items: first those whose requests can be in time, in
+ * the order of priorities while servers are crowded, then those whose results
+ * are used near this server. */
 static void
 gather(Call *call, int64_t now_us)
 {
     Service *service = call->service;
-    uint32_t max_items = service->batch.max_items;
+    bool crowded = is_crowded(service);
     int64_t done_us = now_us + expected_time(service, 1);
-    for (int pass = 0; pass < 3; pass++) {
-        GSequenceIter *iter = g_sequence_get_begin_iter(service->queue);
-        while (!g_sequence_iter_is_end(iter) &&
-               call->pieces->len < max_items) {
-            GSequenceIter *next = g_sequence_iter_next(iter);
-            Job *job = g_sequence_get(iter);
-            bool in_time = job->prepare.due_us >= done_us;
-            bool here = is_wanted_at(job, call->server);
-            if (pass == 0 ? in_time && here
-                          : !can_wait(service, job, done_us) &&
-                                (pass == 2 || in_time)) {
-                take_items(call, job, max_items);
-            }
-            iter = next;
+    GArray *turns = g_array_new(FALSE, FALSE, sizeof(Turn));
+    for (GSequenceIter *iter = g_sequence_get_begin_iter(service->queue);
+         !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter)) {
+        Job *job = g_sequence_get(iter);
+        bool late = job->prepare.due_us < done_us;
+        bool elsewhere = !is_wanted_at(job, call->server);
+        if (elsewhere && can_wait(service, job, done_us)) {
+            continue;
         }
-    }
+        Turn turn = {
+            .job = job,
+            .late = late,
+            .elsewhere = !late && elsewhere,
+            .rank = crowded || late ? job->prepare.priority : 0,
+            .left = late ? -(int32_t)job->prepare.stage : 0,
+            .due_us = job->prepare.due_us,
+        };
+        g_array_append_val(turns, turn);
+    }
+    qsort(turns->data, turns->len, sizeof(Turn), compare_turns);
+    for (guint i = 0;
+         i < turns->len && call->pieces->len < service->batch.max_items;
+         i++) {
+        take_items(call, g_array_index(turns, Turn, i).job,
+                   service->batch.max_items);
+    }
+    g_array_free(turns, TRUE);
 }
 
 static const char *
--- a/src/libebonyhollow/private/dispatcher_private.h
+++ b/src/libebonyhollow/private/dispatcher_private.h
@@ -307,6 +307,9 @@
 EbReason EbRequest_AuthorizeForward(EbRequest *request);
 /* Chooses the pool of a forwarded request by the weights of its route. */
 uint32_t EbRequest_ForwardPool(const EbRequest *request);
+/* Rank of a forwarded request, 0 is the most urgent: the customer's, else the
+ * route's. */
+uint8_t EbRequest_Priority(const EbRequest *request);
 /* Fills in what an attempt of a forwarded request sends. */
 void EbRequest_FillForward(EbRequest *request, EbSendAttempt *send,
                            int64_t now_us);
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -63,6 +63,7 @@
      .service = "retrieve",
      .stage = 2,
      .piece_count = EB_FORWARD_MAX_PIECES,
+     .priority = 2,
      .result_bytes = 1500000,
      .failure_domain = "recife",
      .due_in_us = 400000,
@@ -116,6 +117,7 @@
     CU_ASSERT_EQUAL(got->job, sent->job);
     CU_ASSERT_EQUAL(got->stage, sent->stage);
     CU_ASSERT_EQUAL(got->piece_count, sent->piece_count);
+    CU_ASSERT_EQUAL(got->priority, sent->priority);
     CU_ASSERT_EQUAL(got->result_bytes, sent->result_bytes);
     CU_ASSERT_EQUAL(got->due_in_us, sent->due_in_us);
     CU_ASSERT_EQUAL(got->late_us, sent->late_us);
