daemon: one home a service among all live daemons; fewer calls to the store

Change: any live daemon is a home, over a link opened on demand; links whose bytes are not acknowledged for a second break; a home without link is passed over for 1.5 s; watches wait 400 ms after changes and 25 s otherwise; the list of daemons is read every 30 s and not watched.

--- a/include/ebonyhollow/platform_client.h
+++ b/include/ebonyhollow/platform_client.h
@@ -52,6 +52,9 @@
     uint32_t max_waiting;     /* calls; 0: 256 */
     int64_t call_timeout_us;  /* 0: 2 s */
     int64_t watch_timeout_us; /* of one long poll; 0: 5 s */
+    /* Wait after a poll that found changes, so that those that follow one
+     * another are read together; 0: none. */
+    int64_t gather_us;
     EbRandom *random;
     EbMetrics *metrics;
     const EbEventSink *events;
@@ -78,6 +81,9 @@
  * polls are repeated with jittered backoff. Watching it twice is the same as
  * once. */
 void EbPlatformClient_Watch(EbPlatformClient *client, const char *kind);
+/* Lists a kind now and again every `interval_us`, without watching it. */
+void EbPlatformClient_ListOften(EbPlatformClient *client, const char *kind,
+                                int64_t interval_us);
 void EbPlatformClient_Unwatch(EbPlatformClient *client, const char *kind);
 
 /* Returns false while calls fail one after another. */
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -12,7 +12,9 @@
 
 /* A watch that waits is one call to the store; the kernel notices a lost
  * connection earlier. */
-#define WATCH_TIMEOUT_US 10000000
+#define WATCH_TIMEOUT_US 25000000
+/* Far below the time in which a change has to be in force. */
+#define WATCH_GATHER_US 400000
 
 static void
 on_suppressed(void *context, EbEventId event)
@@ -250,6 +252,7 @@
                                                   : NULL,
                                    .token = settings->platform_token,
                                    .watch_timeout_us = WATCH_TIMEOUT_US,
+                                   .gather_us = WATCH_GATHER_US,
                                    .random = &daemon->random,
                                    .metrics = daemon->metrics,
                                    .events = daemon->events,
--- a/src/libebonyhollow_net/daemon_deployment.c
+++ b/src/libebonyhollow_net/daemon_deployment.c
@@ -7,9 +7,10 @@
 /* After an outage of the store, entries that lapsed meanwhile come back within
  * this; until then their servers stay in use. */
 #define RETURN_US 2000000
-/* A store that answered nothing for so long may have let entries lapse. */
-#define OUTAGE_US 1000000
 #define REGISTER_RETRY_US 1000000
+/* The list of daemons serves those that know no other one; they learn of each
+ * other through their links. */
+#define DAEMONS_LIST_US 30000000
 
 typedef struct {
     EbServerEntry entry;
@@ -283,7 +284,8 @@
     const EbAdapter *adapter = daemon->adapter;
     EbPlatformClient_Watch(daemon->platform, adapter->config_kind);
     EbPlatformClient_Watch(daemon->platform, adapter->servers_kind);
-    EbPlatformClient_Watch(daemon->platform, adapter->daemons_kind);
+    EbPlatformClient_ListOften(daemon->platform, adapter->daemons_kind,
+                               DAEMONS_LIST_US);
 }
 
 /* Notes outages of the store from the pauses between its answers. */
@@ -334,11 +336,6 @@
     size_t index;
     const json_t *event;
     note_answer(daemon, now_us);
-    if (strcmp(kind, daemon->adapter->daemons_kind) == 0) {
-        take_daemons(daemon, events, now_us);
-        EbDaemon_Wake(daemon);
-        return;
-    }
     bool config = strcmp(kind, daemon->adapter->config_kind) == 0;
     json_array_foreach(events, index, event)
     {
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -6,10 +6,16 @@
 
 #include "daemon_internal.h"
 
+/* A home whose link broke or did not come up is passed over for so long. */
+#define UNREACHABLE_US 1500000
+/* A link to the home of a service is up within this, or another is taken. */
+#define LINK_LIMIT_US 700000
+
 /* A preparation that goes on at the home of its service. */
 typedef struct {
     EbPrepare prepare; /* its own copy */
     char *home;        /* instance; this one's name when it is here */
+    int64_t placed_us; /* when it was sent there */
 } Job;
 
 static void
@@ -97,6 +103,8 @@
     EbDeployment_Init(&daemon->deployment);
     daemon->jobs =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_job);
+    daemon->unreachable =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     daemon->pieces = EbPieces_New(&(EbPiecesOptions){
         .actions = daemon->actions, .events = daemon->events});
     daemon->forward_client = EbForwardClient_New(
@@ -125,6 +133,7 @@
     EbPieces_Free(daemon->pieces);
     if (daemon->jobs != NULL) {
         g_hash_table_destroy(daemon->jobs);
+        g_hash_table_destroy(daemon->unreachable);
     }
     EbDeployment_Clear(&daemon->deployment);
 }
@@ -195,6 +204,14 @@
 /* Returns the live daemon that gathers the work items of a service, by
  * rendezvous hashing (Thaler, Ravishankar 1998); this one when no other can be
  * reached. */
+static bool
+is_reachable(const EbDaemon *daemon, const char *instance, int64_t now_us)
+{
+    const int64_t *until_us =
+        g_hash_table_lookup(daemon->unreachable, instance);
+    return until_us == NULL || *until_us <= now_us;
+}
+
 static const char *
 find_home(const EbDaemon *daemon, const char *service, int64_t now_us)
 {
@@ -207,8 +224,8 @@
         EbMemberView view;
         EbMembership_View(daemon->membership, i, now_us, &view);
         uint64_t weight = XXH64(view.instance, strlen(view.instance), seed);
-        if (view.state == EB_MEMBER_ALIVE && view.linked &&
-            weight > highest) {
+        if (view.state == EB_MEMBER_ALIVE && weight > highest &&
+            is_reachable(daemon, view.instance, now_us)) {
             highest = weight;
             home = view.instance;
         }
@@ -253,6 +270,7 @@
 place_job(EbDaemon *daemon, Job *job, int64_t now_us)
 {
     g_free(job->home);
+    job->placed_us = now_us;
     job->home =
         g_strdup(find_home(daemon, job->prepare.service, now_us));
     if (!is_here(daemon, job->home) && !send_prepare(daemon, job, now_us)) {
@@ -367,6 +385,24 @@
     }
 }
 
+/* Moves the preparations of a home that can't be reached to the next one. */
+static void
+leave_home(EbDaemon *daemon, const char *home, int64_t now_us)
+{
+    int64_t until_us = now_us + UNREACHABLE_US;
+    g_hash_table_replace(daemon->unreachable, g_strdup(home),
+                         g_memdup2(&until_us, sizeof(until_us)));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, daemon->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Job *job = value;
+        if (strcmp(job->home, home) == 0) {
+            place_job(daemon, job, now_us);
+        }
+    }
+}
+
 void
 EbDaemon_ForwardPeerGone(EbDaemon *daemon, const char *peer, int64_t now_us)
 {
@@ -374,13 +410,29 @@
         return;
     }
     EbPieces_EndOrigin(daemon->pieces, peer, now_us);
+    leave_home(daemon, peer, now_us);
+}
+
+void
+EbDaemon_CheckHomes(EbDaemon *daemon, int64_t now_us)
+{
     GHashTableIter iter;
     gpointer value;
+    GPtrArray *silent = g_ptr_array_new_with_free_func(g_free);
     g_hash_table_iter_init(&iter, daemon->jobs);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        Job *job = value;
-        if (strcmp(job->home, peer) == 0) {
-            place_job(daemon, job, now_us);
+        const Job *job = value;
+        EbMemberView view;
+        if (!is_here(daemon, job->home) &&
+            now_us - job->placed_us >= LINK_LIMIT_US &&
+            !(EbMembership_Find(daemon->membership, job->home, now_us,
+                                &view) &&
+              view.linked)) {
+            g_ptr_array_add(silent, g_strdup(job->home));
         }
     }
+    for (guint i = 0; i < silent->len; i++) {
+        leave_home(daemon, g_ptr_array_index(silent, i), now_us);
+    }
+    g_ptr_array_unref(silent);
 }
--- a/src/libebonyhollow_net/daemon_timer.c
+++ b/src/libebonyhollow_net/daemon_timer.c
@@ -67,6 +67,7 @@
     EbDispatcher_Tick(daemon->dispatcher, now_us);
     if (daemon->adapter != NULL) {
         EbPieces_Tick(daemon->pieces, now_us);
+        EbDaemon_CheckHomes(daemon, now_us);
     }
     else {
         EbGeneration_Tick(daemon->generation, now_us);
--- a/src/libebonyhollow_net/peer_link.c
+++ b/src/libebonyhollow_net/peer_link.c
@@ -224,6 +224,7 @@
         return;
     }
     EbSocket_SetNoDelay(socket);
+    EbSocket_SetUserTimeout(socket);
     char *remote = format_address(address);
     EbPeerLink_Start(new_link(links, NULL, remote), stream);
     g_free(remote);
@@ -404,6 +405,7 @@
     }
     else if (link->state != EB_LINK_CLOSED) {
         EbSocket_SetNoDelay(bufferevent_getfd(stream));
+        EbSocket_SetUserTimeout(bufferevent_getfd(stream));
     }
 }
 
--- a/src/libebonyhollow_net/platform_watch.c
+++ b/src/libebonyhollow_net/platform_watch.c
@@ -29,6 +29,7 @@
     uint32_t failures; /* one after another */
     json_t *items;     /* of a list that is not complete yet */
     char *after;       /* name after which it goes on */
+    int64_t relist_us; /* listed this often and not watched; 0: watched */
 } Watch;
 
 static void poll_kind(Watch *watch);
@@ -114,7 +115,7 @@
 }
 
 static bool
-take_events(Watch *watch, json_t *body)
+take_events(Watch *watch, json_t *body, bool *found)
 {
     EbPlatformClient *client = watch->client;
     json_t *changes = client->options.dialect->read_changes(body);
@@ -124,7 +125,8 @@
     json_t *events = json_object_get(changes, "events");
     watch->revision =
         (uint64_t)json_integer_value(json_object_get(changes, "revision"));
-    if (client->options.changed != NULL && json_array_size(events) > 0) {
+    *found = json_array_size(events) > 0;
+    if (client->options.changed != NULL && *found) {
         client->options.changed(client->options.context, watch->kind, events);
     }
     json_decref(changes);
@@ -155,17 +157,31 @@
     }
 }
 
+/* Goes on after an answer: with the next page, the next list or a poll. */
+static void
+schedule_next(Watch *watch, bool found_changes)
+{
+    if (watch->listed && watch->relist_us > 0) {
+        watch->listed = false;
+        schedule(watch, watch->relist_us);
+        return;
+    }
+    schedule(watch, found_changes ? watch->client->options.gather_us : 0);
+}
+
 static void
 take_answer(Watch *watch, int status, json_t *body)
 {
     EbPlatformClient *client = watch->client;
     const char *operation = watch->listed ? "watch" : "list";
-    bool valid = status == 200 && (watch->listed ? take_events(watch, body)
-                                                 : take_list(watch, body));
+    bool found = false;
+    bool valid =
+        status == 200 && (watch->listed ? take_events(watch, body, &found)
+                                        : take_list(watch, body));
     if (valid) {
         EbPlatform_Count(client, operation, "ok", NULL);
         watch->failures = 0;
-        schedule(watch, 0);
+        schedule_next(watch, found);
     }
     else if (status == 410 && watch->listed) {
         EbPlatform_Count(client, operation, "gap", NULL);
@@ -240,6 +256,13 @@
 
 void
 EbPlatformClient_Watch(EbPlatformClient *client, const char *kind)
+{
+    EbPlatformClient_ListOften(client, kind, 0);
+}
+
+void
+EbPlatformClient_ListOften(EbPlatformClient *client, const char *kind,
+                           int64_t interval_us)
 {
     if (g_hash_table_contains(client->watches, kind)) {
         return;
@@ -247,6 +270,7 @@
     Watch *watch = g_new0(Watch, 1);
     watch->client = client;
     watch->kind = g_strdup(kind);
+    watch->relist_us = interval_us;
     watch->timer = evtimer_new(client->options.base, on_timer, watch);
     g_hash_table_insert(client->watches, watch->kind, watch);
     schedule(watch, 0);
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -106,6 +106,8 @@
     EbForwardClient *forward_client;
     EbPieces *pieces;
     GHashTable *jobs; /* number to a preparation of this daemon's requests */
+    GHashTable *unreachable; /* instance to the time until which it is no
+                                home of preparations */
 
     GHashTable *flows;   /* request handle -> Flow */
     GHashTable *queries; /* outcome query -> peer */
@@ -229,6 +231,9 @@
 /* Passes ended preparations on to the daemons whose requests need them. */
 void EbDaemon_TellPrepared(EbDaemon *daemon, int64_t now_us);
 
+/* Moves preparations away from homes to which no link came up. */
+void EbDaemon_CheckHomes(EbDaemon *daemon, int64_t now_us);
+
 /* Takes back what a peer gathered that can't be reached any more. */
 void EbDaemon_ForwardPeerGone(EbDaemon *daemon, const char *peer,
                               int64_t now_us);
--- a/src/libebonyhollow_net/private/socket.h
+++ b/src/libebonyhollow_net/private/socket.h
@@ -23,6 +23,10 @@
  * a listener inherit the option from it. A negative socket is ignored. */
 void EbSocket_SetNoDelay(evutil_socket_t socket);
 
+/* Ends a connection whose sent bytes are not acknowledged for about a second:
+ * its peer has lost its power or its path. A negative socket is ignored. */
+void EbSocket_SetUserTimeout(evutil_socket_t socket);
+
 /* Has the kernel probe an idle connection, so that one whose path was lost
  * without a reset ends within about three seconds. A negative socket is
  * ignored. */
--- a/src/libebonyhollow_net/socket.c
+++ b/src/libebonyhollow_net/socket.c
@@ -10,6 +10,7 @@
 #define PROBE_AFTER_S 1
 #define PROBE_INTERVAL_S 1
 #define PROBES 2
+#define UNACKNOWLEDGED_MS 1000
 
 struct event_base *
 EbSocket_NewBase(void)
@@ -68,3 +69,13 @@
         setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
     }
 }
+
+void
+EbSocket_SetUserTimeout(evutil_socket_t socket)
+{
+    unsigned limit_ms = UNACKNOWLEDGED_MS;
+    if (socket >= 0) {
+        setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms,
+                   sizeof(limit_ms));
+    }
+}
