membership: duties go to instances with room

Change: member records carry a capacity from the settings; homes are chosen among live daemons with at least half of the largest.

--- a/include/ebonyhollow/membership.h
+++ b/include/ebonyhollow/membership.h
@@ -31,6 +31,7 @@
     uint64_t incarnation;
     const char *address;
     const char *failure_domain;
+    uint32_t capacity; /* for duties, told to the others */
     EbActionQueue *actions;
     EbRandom *random;
     const EbEventSink *events;
@@ -99,6 +100,7 @@
     uint64_t incarnation;
     const char *address;
     const char *failure_domain;
+    uint32_t capacity;
     EbMemberState state;
     bool linked;
     int64_t idle_us;       /* since the last message on its link */
--- a/include/ebonyhollow/message.h
+++ b/include/ebonyhollow/message.h
@@ -58,6 +58,7 @@
     EbMemberState state;
     /* Raised by the member itself when it refutes a state or leaves. */
     uint64_t sequence;
+    uint32_t capacity; /* for duties, by EbSettings.capacity */
 } EbMessageMember;
 
 typedef struct {
--- a/include/ebonyhollow/settings.h
+++ b/include/ebonyhollow/settings.h
@@ -47,6 +47,7 @@
     EbLevel log_level;
     int64_t balancer_delay_us; /* listeners stay open so long in a drain */
     int64_t drain_limit_us;    /* longest drain after that delay */
+    uint32_t capacity;
     uint32_t max_body_bytes;
     uint32_t max_header_bytes;
     uint32_t max_connections;
--- a/src/libebonyhollow/membership.c
+++ b/src/libebonyhollow/membership.c
@@ -52,6 +52,7 @@
     self->sequence = 1;
     g_free(self->failure_domain);
     self->failure_domain = g_strdup(options->failure_domain);
+    self->capacity = options->capacity;
     EbMembership_UpdateMember(membership, self, 0);
     EbMembership_UpdateTopology(membership, 0);
     membership->live_changed = false;
@@ -368,6 +369,7 @@
         .incarnation = member->incarnation,
         .address = member->address,
         .failure_domain = member->failure_domain,
+        .capacity = member->capacity,
         .state = member->visible,
         .linked = member->link.up,
         .idle_us = member->link.up ? now_us - member->link.heard_us : 0,
--- a/src/libebonyhollow/membership_record.c
+++ b/src/libebonyhollow/membership_record.c
@@ -276,6 +276,7 @@
     EbMembership_SetAddress(membership, member, record->address);
     g_free(member->failure_domain);
     member->failure_domain = g_strdup(record->failure_domain);
+    member->capacity = record->capacity;
     member->incarnation = record->incarnation;
     member->sequence = record->sequence;
     EbMembership_SetState(membership, member, record->state, now_us);
@@ -320,6 +321,7 @@
                              .incarnation = member->incarnation,
                              .address = member->address,
                              .failure_domain = member->failure_domain,
+                             .capacity = member->capacity,
                              .state = member->state,
                              .sequence = member->sequence};
 }
--- a/src/libebonyhollow/message.c
+++ b/src/libebonyhollow/message.c
@@ -124,6 +124,7 @@
         pack_name(packer, member->failure_domain);
         msgpack_pack_uint32(packer, member->state);
         msgpack_pack_uint64(packer, member->sequence);
+        msgpack_pack_uint32(packer, member->capacity);
     }
 }
 
--- a/src/libebonyhollow/message_decode.c
+++ b/src/libebonyhollow/message_decode.c
@@ -92,7 +92,7 @@
 {
     EbMessageMember *member = target;
     const msgpack_object *elements =
-        read_elements(object, EB_MESSAGE_MEMBER_ELEMENTS);
+        read_elements(object, EB_MESSAGE_MEMBER_LEAST);
     uint64_t state;
     if (elements == NULL || !read_name(&elements[0], &member->instance) ||
         !read_uint(&elements[1], 0, &member->incarnation) ||
@@ -103,6 +103,10 @@
         return false;
     }
     member->state = (EbMemberState)state;
+    if (object->via.array.size > EB_MESSAGE_MEMBER_LEAST &&
+        !read_uint32(&elements[EB_MESSAGE_MEMBER_LEAST], &member->capacity)) {
+        return false;
+    }
     return member->instance[0] != '\0';
 }
 
--- a/src/libebonyhollow/private/membership_private.h
+++ b/src/libebonyhollow/private/membership_private.h
@@ -43,6 +43,7 @@
     uint64_t ring_position;
     char *address;
     char *failure_domain;
+    uint32_t capacity;
     uint64_t incarnation;
     uint64_t sequence;
     EbMemberState state;   /* of the record, as told to others */
--- a/src/libebonyhollow/private/message_fields.h
+++ b/src/libebonyhollow/private/message_fields.h
@@ -13,7 +13,9 @@
 #define EB_MESSAGE_KEY_KIND 1
 
 /* Elements of the arrays that stand for one member, share or entry. */
-#define EB_MESSAGE_MEMBER_ELEMENTS 6
+#define EB_MESSAGE_MEMBER_ELEMENTS 7
+/* Without the capacity, which earlier versions do not send. */
+#define EB_MESSAGE_MEMBER_LEAST 6
 #define EB_MESSAGE_SHARE_ELEMENTS 4
 #define EB_MESSAGE_ENTRY_ELEMENTS 4
 
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -201,6 +201,7 @@
                                .incarnation = daemon->incarnation,
                                .address = daemon->peer_address,
                                .failure_domain = settings->failure_domain,
+                               .capacity = settings->capacity,
                                .actions = daemon->actions,
                                .random = &daemon->random,
                                .events = daemon->events,
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -201,9 +201,6 @@
 
 /* Preparations */
 
-/* Returns the live daemon that gathers the work items of a service, by
- * rendezvous hashing (Thaler, Ravishankar 1998); this one when no other can be
- * reached. */
 static bool
 is_reachable(const EbDaemon *daemon, const char *instance, int64_t now_us)
 {
@@ -212,20 +209,40 @@
     return until_us == NULL || *until_us <= now_us;
 }
 
+/* Reads a live member that can be reached, this daemon included. */
+static bool
+read_candidate(const EbDaemon *daemon, size_t index, int64_t now_us,
+               EbMemberView *view)
+{
+    EbMembership_View(daemon->membership, index, now_us, view);
+    return view->state == EB_MEMBER_ALIVE &&
+           is_reachable(daemon, view->instance, now_us);
+}
+
+/* Returns the daemon that gathers the work items of a service: of the live
+ * ones with at least half of the largest capacity the first by rendezvous
+ * hashing (Thaler, Ravishankar 1998); this one when there is none. */
 static const char *
 find_home(const EbDaemon *daemon, const char *service, int64_t now_us)
 {
-    const char *own = daemon->settings->instance;
-    const char *home = own;
+    const char *home = daemon->settings->instance;
     uint64_t seed = XXH64(service, strlen(service), 0);
-    uint64_t highest = XXH64(own, strlen(own), seed);
+    uint64_t highest = 0;
+    uint32_t largest = 0;
+    EbMemberView view;
     size_t count = EbMembership_Count(daemon->membership);
     for (size_t i = 0; i < count; i++) {
-        EbMemberView view;
-        EbMembership_View(daemon->membership, i, now_us, &view);
+        if (read_candidate(daemon, i, now_us, &view)) {
+            largest = MAX(largest, view.capacity);
+        }
+    }
+    for (size_t i = 0; i < count; i++) {
+        if (!read_candidate(daemon, i, now_us, &view) ||
+            view.capacity < largest / 2) {
+            continue;
+        }
         uint64_t weight = XXH64(view.instance, strlen(view.instance), seed);
-        if (view.state == EB_MEMBER_ALIVE && weight > highest &&
-            is_reachable(daemon, view.instance, now_us)) {
+        if (weight > highest) {
             highest = weight;
             home = view.instance;
         }
--- a/src/test_membership/main.c
+++ b/src/test_membership/main.c
@@ -231,7 +231,7 @@
         CU_ASSERT_NOT_EQUAL(state_of(5, "n1"), EB_MEMBER_DEAD);
     }
     CU_ASSERT_EQUAL(network.nodes[0].changed, changed);
-    EbMessageMember rumour = {"n1", 1, "n1", "d1", EB_MEMBER_DEAD, 900};
+    EbMessageMember rumour = {"n1", 1, "n1", "d1", EB_MEMBER_DEAD, 900, 0};
     EbMessage message = {
         .kind = EB_MESSAGE_MEMBERS, .members = &rumour, .member_count = 1};
     EbMembership_Receive(network.nodes[0].membership, "n2", &message,
@@ -259,8 +259,8 @@
     CU_ASSERT_EQUAL(state_of(0, "n3"), EB_MEMBER_LEAVING);
     CU_ASSERT_EQUAL(EbMembership_Live(network.nodes[0].membership, names, 8),
                     7);
-    EbMessageMember listed[] = {{"n5", 0, "n5", "d5", EB_MEMBER_LEAVING, 0},
-                                {"n6", 0, "n6", "d6", EB_MEMBER_ALIVE, 0}};
+    EbMessageMember listed[] = {{"n5", 0, "n5", "d5", EB_MEMBER_LEAVING, 0, 0},
+                                {"n6", 0, "n6", "d6", EB_MEMBER_ALIVE, 0, 0}};
     EbMembership_SetListed(network.nodes[0].membership, listed, 2,
                            network.now_us);
     CU_ASSERT_EQUAL(state_of(0, "n5"), EB_MEMBER_LEAVING);
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -12,8 +12,9 @@
 #define ROUNDS 20000
 
 static EbMessageMember sample_members[] = {
-    {"i-1", 7, "10.0.0.1:7000", "recife", EB_MEMBER_LEAVING, 3},
-    {"i-2", UINT64_MAX, "", "", EB_MEMBER_ALIVE, 0}};
+    {"i-1", 7, "10.0.0.1:7000", "recife", EB_MEMBER_LEAVING, 3,
+     500},
+    {"i-2", UINT64_MAX, "", "", EB_MEMBER_ALIVE, 0, 0}};
 static EbMessageShare sample_shares[] = {{"c-1", 1500, 4, UINT64_MAX}};
 static EbQuarantineEntry sample_entries[] = {
     {UINT64_MAX, 3, EB_FINGERPRINT_QUARANTINED, EB_QUARANTINE_US},
@@ -92,6 +93,7 @@
         CU_ASSERT_EQUAL(left->incarnation, right->incarnation);
         CU_ASSERT_EQUAL(left->state, right->state);
         CU_ASSERT_EQUAL(left->sequence, right->sequence);
+        CU_ASSERT_EQUAL(left->capacity, right->capacity);
     }
     CU_ASSERT_EQUAL_FATAL(got->share_count, sent->share_count);
     if (got->share_count > 0) {
