--- a/src/libebonyhollow/settings_fields.c
+++ b/src/libebonyhollow/settings_fields.c
@@ -75,7 +75,7 @@
     ROW("drain_limit_ms", MILLISECONDS, "ms", 0, HOUR_MS, "30000", EbSettings,
         drain_limit_us,
         "Longest drain after that delay; at least the longest deadline."),
-    ROW("capacity", UINT32, "", 1, MB, "100", EbSettings, capacity,
+    ROW("capacity", UINT32, "units", 1, MB, "100", EbSettings, capacity,
         "Room of this instance for duties that it does for all daemons, in "
         "any unit; instances with less than half of the largest get none."),
     ROW("max_body_bytes", UINT32, "bytes", 1024, MB_16, "262144", EbSettings,
