--- a/include/ebonyhollow/action.h
+++ b/include/ebonyhollow/action.h
@@ -80,9 +80,9 @@
     uint32_t stage;
     uint32_t piece_count;
     uint64_t result_bytes; /* of one piece, about */
-    char *failure_domain; /* where the results will be used; NULL: unknown */
-    char *key;          /* of a stage without an earlier one */
-    GPtrArray *inputs;  /* of char *, handles of earlier results otherwise */
+    char *failure_domain;  /* where the results will be used; NULL: unknown */
+    char *key;             /* of a stage without an earlier one */
+    GPtrArray *inputs;   /* of char *, handles of earlier results otherwise */
     uint8_t priority;    /* of its request, 0 is the most urgent */
     int64_t due_us;      /* when it should be done, for the order */
     int64_t deadline_us; /* when nobody waits for it any more */
@@ -94,7 +94,7 @@
     char *server_id;
     char *host;
     uint16_t port;
-    GArray *items;    /* of EbPieceItem; their memory is in `strings` */
+    GArray *items; /* of EbPieceItem; their memory is in `strings` */
     GPtrArray *strings;
 } EbSendPieces;
 
--- a/include/ebonyhollow/config.h
+++ b/include/ebonyhollow/config.h
@@ -60,10 +60,10 @@
 
 /* How a pool takes work items of several requests in one call. */
 typedef struct {
-    uint32_t max_items; /* in a call; 0: the pool takes none */
-    uint32_t max_calls; /* running at one server at once */
-    int64_t call_us;    /* time of a call without items */
-    int64_t item_us;    /* and of each item, about */
+    uint32_t max_items;  /* in a call; 0: the pool takes none */
+    uint32_t max_calls;  /* running at one server at once */
+    int64_t call_us;     /* time of a call without items */
+    int64_t item_us;     /* and of each item, about */
     uint64_t room_bytes; /* for the results that lie at one server */
     int64_t result_us;   /* how long a result lasts */
 } EbConfigBatch;
--- a/include/ebonyhollow/event_table.h
+++ b/include/ebonyhollow/event_table.h
@@ -31,8 +31,11 @@
       "SIGHUP arrived. Settings are read at the start of a process only.",    \
       "instance", "Restart the daemon when its settings have to change.")     \
     X(REQUEST_FINISHED, 200, "request-finished", EB_LEVEL_INFO,               \
-      "A request was answered, or its caller left.",                          \
-      "request_id,customer,pipeline,outcome,reason,total_us",                 \
+      "A request was answered, or its caller left. generation is that of "    \
+      "the "                                                                  \
+      "configuration it was decided by, sent the number of calls that may "   \
+      "have run.",                                                            \
+      "request_id,customer,pipeline,outcome,reason,generation,sent,total_us", \
       "None. The trace is in 'ebonyhollow requests --id ID'.")                \
     X(ECHO_MISMATCH, 201, "echo-mismatch", EB_LEVEL_ERROR,                    \
       "A backend server did not echo the request id, stage and attempt "      \
@@ -71,6 +74,17 @@
     X(PREPARATION_ENDED, 208, "preparation-ended", EB_LEVEL_INFO,             \
       "The work items of one stage of a request ended after wait_us.",        \
       "request_id,service,stage,pieces,status,wait_us", "None.")              \
+    X(ATTEMPT_STARTED, 209, "attempt-started", EB_LEVEL_INFO,                 \
+      "A forwarded request is sent to a backend server. in_flight is the "    \
+      "number of this daemon's calls there, left_us the time to its "         \
+      "deadline; affine tells whether its prompt belongs there.",             \
+      "request_id,customer,pipeline,attempt,backend_server,in_flight,"        \
+      "affine,left_us",                                                       \
+      "None.")                                                                \
+    X(PREPARATION_PLACED, 210, "preparation-placed", EB_LEVEL_INFO,           \
+      "The work items of one stage of a request are given to the daemon "     \
+      "that gathers them; due_in_us is when they should be done.",            \
+      "request_id,service,stage,pieces,home,due_in_us", "None.")              \
     X(CLAIM_SETTLED, 300, "claim-settled", EB_LEVEL_NOTICE,                   \
       "A claim write without a certain answer was settled from what the "     \
       "store holds: owned, written or changed.",                              \
--- a/include/ebonyhollow/forward.h
+++ b/include/ebonyhollow/forward.h
@@ -27,15 +27,15 @@
     uint32_t references;
     EbHttpMessage *message;
     char *request_id;
-    char *token; /* bearer token, NULL when absent */
-    char *host;  /* without port, lower case */
-    char *path;  /* without query */
+    char *token;           /* bearer token, NULL when absent */
+    char *host;            /* without port, lower case */
+    char *path;            /* without query */
     int64_t timeout_us;    /* how long the caller waits; 0: not said */
     int64_t last_event_id; /* a stream goes on after it, or NO_EVENT */
     EbPromptPart *parts;
     uint32_t part_count;
     uint32_t prompt_tokens;
-    uint32_t output_tokens; /* upper bound */
+    uint32_t output_tokens;                             /* upper bound */
     uint32_t piece_counts[EB_FORWARD_MAX_PREPARATIONS]; /* by stage */
     uint32_t piece_stage_count;
     char *piece_key; /* input of stages without an earlier one */
@@ -52,11 +52,11 @@
 
 /* What one sending of a call adds to it. */
 typedef struct {
-    const char *server_id; /* any other server refuses the call */
-    const char *customer;  /* NULL: not authenticated */
-    int64_t left_us;       /* until the request's deadline */
-    int64_t resume_after;  /* event id, or NO_EVENT */
-    uint8_t priority;      /* 0 is the most urgent */
+    const char *server_id;     /* any other server refuses the call */
+    const char *customer;      /* NULL: not authenticated */
+    int64_t left_us;           /* until the request's deadline */
+    int64_t resume_after;      /* event id, or NO_EVENT */
+    uint8_t priority;          /* 0 is the most urgent */
     const char *const *inputs; /* handles of prepared results */
     uint32_t input_count;
 } EbForwardHop;
--- a/include/ebonyhollow/message.h
+++ b/include/ebonyhollow/message.h
@@ -28,10 +28,10 @@
     EB_MESSAGE_CONFIG_BODY,
     EB_MESSAGE_OUTCOME_QUERY, /* asks the owner of a claim */
     EB_MESSAGE_OUTCOME_REPLY,
-    EB_MESSAGE_USAGE,          /* demand of customers, to their home */
-    EB_MESSAGE_GRANT,          /* shares, from the home */
-    EB_MESSAGE_QUARANTINE,     /* fingerprints, flooded */
-    EB_MESSAGE_SERVER_LEAVING, /* a backend server's leaving, flooded */
+    EB_MESSAGE_USAGE,           /* demand of customers, to their home */
+    EB_MESSAGE_GRANT,           /* shares, from the home */
+    EB_MESSAGE_QUARANTINE,      /* fingerprints, flooded */
+    EB_MESSAGE_SERVER_LEAVING,  /* a backend server's leaving, flooded */
     EB_MESSAGE_PREPARE,         /* work items, to the home of their service */
     EB_MESSAGE_PREPARED,        /* their results, from the home */
     EB_MESSAGE_END_PREPARATION, /* results are not needed any more */
--- a/include/ebonyhollow/platform_client.h
+++ b/include/ebonyhollow/platform_client.h
@@ -47,11 +47,11 @@
     const char *host;
     uint16_t port;
     const EbStoreDialect *dialect; /* NULL: the one of docs/protocols.md */
-    const char *token;        /* bearer token, NULL when none is needed */
-    uint32_t max_calls;       /* at once, without watches; 0: 16 */
-    uint32_t max_waiting;     /* calls; 0: 256 */
-    int64_t call_timeout_us;  /* 0: 2 s */
-    int64_t watch_timeout_us; /* of one long poll; 0: 5 s */
+    const char *token;             /* bearer token, NULL when none is needed */
+    uint32_t max_calls;            /* at once, without watches; 0: 16 */
+    uint32_t max_waiting;          /* calls; 0: 256 */
+    int64_t call_timeout_us;       /* 0: 2 s */
+    int64_t watch_timeout_us;      /* of one long poll; 0: 5 s */
     /* Wait after a poll that found changes, so that those that follow one
      * another are read together; 0: none. */
     int64_t gather_us;
--- a/include/ebonyhollow/pool.h
+++ b/include/ebonyhollow/pool.h
@@ -124,6 +124,10 @@
 /* Returns the 95th percentile of successful calls, or 0 before 20 calls. */
 int64_t EbPool_SlowQuantile(const EbPool *pool);
 
+/* Calls that EbPool_Begin counted and that have not ended; 0 for an unknown
+ * id. */
+uint32_t EbPool_InFlight(const EbPool *pool, const char *server_id);
+
 /* State of one server, for the administration API. */
 typedef struct {
     const EbConfigBackendServer *server;
--- a/src/libebonyhollow/config_forward.c
+++ b/src/libebonyhollow/config_forward.c
@@ -54,7 +54,8 @@
                 if ((next->after & 1U << (k - 1)) != 0) {
                     int64_t after_us =
                         next->rest_us +
-                        EbConfig_CallTime(&config->pools[next->pool_index].batch);
+                        EbConfig_CallTime(
+                            &config->pools[next->pool_index].batch);
                     row->rest_us = MAX(row->rest_us, after_us);
                 }
             }
--- a/src/libebonyhollow/dispatcher.c
+++ b/src/libebonyhollow/dispatcher.c
@@ -19,9 +19,9 @@
 };
 
 const char *const EbAttemptEventKind_names[EB_ATTEMPT_EVENT_COUNT] = {
-    [EB_ATTEMPT_REFUSED] = "refused", [EB_ATTEMPT_ANSWERED] = "answered",
-    [EB_ATTEMPT_TOKENS] = "tokens",   [EB_ATTEMPT_ENDED] = "ended",
-    [EB_ATTEMPT_BROKEN] = "broken",   [EB_ATTEMPT_MALFORMED] = "malformed",
+    [EB_ATTEMPT_REFUSED] = "refused",     [EB_ATTEMPT_ANSWERED] = "answered",
+    [EB_ATTEMPT_TOKENS] = "tokens",       [EB_ATTEMPT_ENDED] = "ended",
+    [EB_ATTEMPT_BROKEN] = "broken",       [EB_ATTEMPT_MALFORMED] = "malformed",
     [EB_ATTEMPT_STREAMING] = "streaming", [EB_ATTEMPT_EVENTS] = "events",
 };
 
--- a/src/libebonyhollow/dispatcher_attempt.c
+++ b/src/libebonyhollow/dispatcher_attempt.c
@@ -20,18 +20,17 @@
 {
     EbRequest *request = attempt->request;
     const EbConfigStage *stage = EbRequest_Stage(request);
-    EbAction action = {
-        .kind = EB_ACTION_SEND_ATTEMPT,
-        .as.send = {
-            .attempt_id = attempt->id,
-            .attempt = attempt->number,
-            .kind = stage->kind,
-            .server_id = g_strdup(server->id),
-            .host = g_strdup(server->host),
-            .port = server->port,
-            .stream = EbStage_protocols[stage->kind].stream,
-            .fresh_connection = !stage->idempotent,
-        }};
+    EbAction action = {.kind = EB_ACTION_SEND_ATTEMPT,
+                       .as.send = {
+                           .attempt_id = attempt->id,
+                           .attempt = attempt->number,
+                           .kind = stage->kind,
+                           .server_id = g_strdup(server->id),
+                           .host = g_strdup(server->host),
+                           .port = server->port,
+                           .stream = EbStage_protocols[stage->kind].stream,
+                           .fresh_connection = !stage->idempotent,
+                       }};
     EbRequest_FillForward(request, &action.as.send, now_us);
     EbActionQueue_Push(request->dispatcher->options.actions, &action);
 }
@@ -371,7 +370,7 @@
 
 void
 EbAttempt_Fail(EbAttempt *attempt, EbCallResult result, const char *cause,
-             int64_t now_us)
+               int64_t now_us)
 {
     EbRequest *request = attempt->request;
     bool lookup = attempt->lookup;
@@ -449,7 +448,7 @@
     if (attempt->held_back) {
         push_cancel(attempt);
         EbAttempt_Fail(attempt, EB_CALL_CANCELLED, "held back by its caller",
-                     now_us);
+                       now_us);
         return;
     }
     if (stage->idempotent || attempt->lookup || attempt->overdue) {
@@ -669,7 +668,7 @@
         request->text->len + strlen(event->text) > MAX_TEXT_BYTES) {
         push_cancel(attempt);
         EbAttempt_Fail(attempt, EB_CALL_ERROR, "token index out of order",
-                     now_us);
+                       now_us);
         return;
     }
     EbAttempt_NoteProgress(attempt, now_us);
@@ -750,7 +749,8 @@
     case EB_ATTEMPT_TOKENS:
     case EB_ATTEMPT_ENDED:
         if (!stream) {
-            EbAttempt_Fail(attempt, EB_CALL_ERROR, "unexpected stream", now_us);
+            EbAttempt_Fail(attempt, EB_CALL_ERROR, "unexpected stream",
+                           now_us);
         }
         else if (event->kind == EB_ATTEMPT_TOKENS) {
             take_tokens(attempt, event, now_us);
--- a/src/libebonyhollow/dispatcher_forward.c
+++ b/src/libebonyhollow/dispatcher_forward.c
@@ -41,9 +41,8 @@
     if (request->pipeline->forward->anonymous) {
         return EbConfig_FindCustomer(request->config, EB_CUSTOMER_ANONYMOUS);
     }
-    return token != NULL
-               ? EbConfig_FindCustomerByToken(request->config, token)
-               : NULL;
+    return token != NULL ? EbConfig_FindCustomerByToken(request->config, token)
+                         : NULL;
 }
 
 EbReason
@@ -148,8 +147,7 @@
 {
     EbRequest *request = attempt->request;
     char cause[48];
-    g_snprintf(cause, sizeof(cause), "not run, status %u",
-               event->http_status);
+    g_snprintf(cause, sizeof(cause), "not run, status %u", event->http_status);
     if (event->http_status == 409) {
         EbRequest_DropPreparations(request);
     }
@@ -205,14 +203,14 @@
 {
     EbActionQueue_Push(
         request->dispatcher->options.actions,
-        &(EbAction){.kind = EB_ACTION_RELAY,
-                    .as.relay = {
-                        .request = request->id,
-                        .head = head != NULL ? EbHttpMessage_Ref(head) : NULL,
-                        .bytes = byte_count > 0 ? g_memdup2(bytes, byte_count)
-                                                : NULL,
-                        .byte_count = byte_count,
-                    }});
+        &(EbAction){
+            .kind = EB_ACTION_RELAY,
+            .as.relay = {
+                .request = request->id,
+                .head = head != NULL ? EbHttpMessage_Ref(head) : NULL,
+                .bytes = byte_count > 0 ? g_memdup2(bytes, byte_count) : NULL,
+                .byte_count = byte_count,
+            }});
 }
 
 /* Relays the head with the first event: until then another server's answer
--- a/src/libebonyhollow/dispatcher_outcome.c
+++ b/src/libebonyhollow/dispatcher_outcome.c
@@ -102,6 +102,10 @@
             EB_STRING_FIELD("pipeline", summary->pipeline),
             EB_STRING_FIELD("outcome", EbOutcome_names[outcome]),
             EB_STRING_FIELD("reason", EbReason_table[reason].name),
+            EB_INTEGER_FIELD("generation", request->config != NULL
+                                               ? request->config->generation
+                                               : 0),
+            EB_INTEGER_FIELD("sent", request->sent_count),
             EB_INTEGER_FIELD("total_us", now_us - summary->received_us));
     if (outcome == EB_OUTCOME_UNKNOWN && request->call_sent) {
         EB_EMIT(events, EB_EVENT_OUTCOME_UNKNOWN,
@@ -199,8 +203,8 @@
         EbAttempt *attempt = request->attempts[0];
         const EbConfigStage *stage =
             &request->pipeline->stages[attempt->stage];
-        bool stream = request->forward != NULL &&
-                      stage->kind == EB_STAGE_GENERATE;
+        bool stream =
+            request->forward != NULL && stage->kind == EB_STAGE_GENERATE;
         if (!stage->idempotent && !attempt->lookup && !stream &&
             outcome == EB_OUTCOME_UNKNOWN) {
             /* A call that may be running is not broken off. */
--- a/src/libebonyhollow/dispatcher_prepare.c
+++ b/src/libebonyhollow/dispatcher_prepare.c
@@ -49,8 +49,8 @@
 {
     for (guint i = 0;
          preparation->handles != NULL && i < preparation->handles->len; i++) {
-        g_ptr_array_add(
-            inputs, g_strdup(g_ptr_array_index(preparation->handles, i)));
+        g_ptr_array_add(inputs,
+                        g_strdup(g_ptr_array_index(preparation->handles, i)));
     }
 }
 
@@ -119,8 +119,8 @@
 {
     uint64_t key = EbForwardCall_PromptKey(request->forward->call);
     const EbConfigBackendServer *server =
-        key != 0 ? EbPool_Affine(request->pools[0]->pool,
-                                 &(EbPoolCriteria){0}, key, now_us)
+        key != 0 ? EbPool_Affine(request->pools[0]->pool, &(EbPoolCriteria){0},
+                                 key, now_us)
                  : NULL;
     return server != NULL ? server->failure_domain : NULL;
 }
@@ -139,8 +139,7 @@
         .as.prepare = {
             .job = state->job,
             .request_id = g_strdup(request->forward->call->request_id),
-            .service =
-                g_strdup(request->config->pools[row->pool_index].name),
+            .service = g_strdup(request->config->pools[row->pool_index].name),
             .stage = index,
             .piece_count = piece_count(request, index),
             .result_bytes = row->result_bytes,
--- a/src/libebonyhollow/dispatcher_request.c
+++ b/src/libebonyhollow/dispatcher_request.c
@@ -41,8 +41,7 @@
                 ? EbConfig_FindRoute(request->config,
                                      submission->forward->host,
                                      submission->forward->path)
-                : EbConfig_FindPipeline(request->config,
-                                        submission->pipeline);
+                : EbConfig_FindPipeline(request->config, submission->pipeline);
     }
     /* Until the pipeline is known, a key may belong to a claimed request. */
     request->keyed = request->key != NULL && (request->pipeline == NULL ||
--- a/src/libebonyhollow/dispatcher_stage.c
+++ b/src/libebonyhollow/dispatcher_stage.c
@@ -143,6 +143,24 @@
     }
 }
 
+static void
+report_choice(const EbRequest *request, const EbConfigBackendServer *server,
+              bool affine, int64_t now_us)
+{
+    EB_EMIT(
+        request->dispatcher->options.events, EB_EVENT_ATTEMPT_STARTED,
+        EB_STRING_FIELD("request_id", request->summary->request_id),
+        EB_STRING_FIELD("customer", request->customer->id),
+        EB_STRING_FIELD("pipeline", request->pipeline->name),
+        EB_INTEGER_FIELD("attempt", request->next_number + 1),
+        EB_STRING_FIELD("backend_server", server->id),
+        EB_INTEGER_FIELD(
+            "in_flight",
+            EbPool_InFlight(request->pools[request->stage]->pool, server->id)),
+        EB_INTEGER_FIELD("affine", affine),
+        EB_INTEGER_FIELD("left_us", request->deadline_us - now_us));
+}
+
 /* Prefers the server on which all daemons put requests that share their
  * prompt's beginning. */
 static const EbConfigBackendServer *
@@ -156,7 +174,11 @@
     if (affine != NULL) {
         criteria->preferred = affine->id;
     }
-    return EbPool_Begin(pool, criteria, now_us);
+    const EbConfigBackendServer *server = EbPool_Begin(pool, criteria, now_us);
+    if (server != NULL) {
+        report_choice(request, server, server == affine, now_us);
+    }
+    return server;
 }
 
 static const EbConfigBackendServer *
--- a/src/libebonyhollow/forward.c
+++ b/src/libebonyhollow/forward.c
@@ -6,8 +6,8 @@
 #include <xxhash.h>
 
 const char *const EbPieceResultKind_names[EB_PIECE_RESULT_COUNT] = {
-    [EB_PIECE_DONE] = "done",         [EB_PIECE_LATE] = "late",
-    [EB_PIECE_GONE] = "gone",         [EB_PIECE_NO_ROOM] = "no-room",
+    [EB_PIECE_DONE] = "done",   [EB_PIECE_LATE] = "late",
+    [EB_PIECE_GONE] = "gone",   [EB_PIECE_NO_ROOM] = "no-room",
     [EB_PIECE_ERROR] = "error",
 };
 
@@ -38,8 +38,8 @@
 uint64_t
 EbForwardCall_PromptKey(const EbForwardCall *call)
 {
-    uint32_t count = call->part_count > 1 ? call->part_count - 1
-                                          : call->part_count;
+    uint32_t count =
+        call->part_count > 1 ? call->part_count - 1 : call->part_count;
     uint64_t key = 0;
     for (uint32_t i = 0; i < count; i++) {
         key = XXH64(&call->parts[i].id, sizeof(call->parts[i].id), key);
--- a/src/libebonyhollow/http_message.c
+++ b/src/libebonyhollow/http_message.c
@@ -8,9 +8,8 @@
 /* RFC 9110, section 7.6.1; Content-Length and Expect are set anew for each
  * connection. */
 static const char *const connection_headers[] = {
-    "Connection", "Keep-Alive", "Proxy-Connection",  "TE",
-    "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length",
-    "Expect",
+    "Connection", "Keep-Alive",        "Proxy-Connection", "TE",     "Trailer",
+    "Upgrade",    "Transfer-Encoding", "Content-Length",   "Expect",
 };
 
 static EbHttpMessage *
--- a/src/libebonyhollow/message.c
+++ b/src/libebonyhollow/message.c
@@ -14,8 +14,7 @@
 #define OUTCOMES (BIT(OUTCOME_QUERY) | BIT(OUTCOME_REPLY))
 #define CONFIGS (BIT(CONFIG_REQUEST) | BIT(CONFIG_BODY))
 #define SHARES (BIT(USAGE) | BIT(GRANT))
-#define PREPARATIONS                                                          \
-    (BIT(PREPARE) | BIT(PREPARED) | BIT(END_PREPARATION))
+#define PREPARATIONS (BIT(PREPARE) | BIT(PREPARED) | BIT(END_PREPARATION))
 #define FIELD(key, type, member, kinds, required, limit)                      \
     {                                                                         \
         key, EB_MESSAGE_FIELD_##type, offsetof(EbMessage, member), kinds,     \
--- a/src/libebonyhollow/pieces.c
+++ b/src/libebonyhollow/pieces.c
@@ -67,13 +67,13 @@
     char *failure_domain;
     uint32_t running;
     uint32_t failures;
-    int64_t blocked_us; /* no call before */
-    int64_t passed_us;  /* when it was free and no item was for it */
-    double pace;        /* time of calls as a multiple of what is expected */
+    int64_t blocked_us;  /* no call before */
+    int64_t passed_us;   /* when it was free and no item was for it */
+    double pace;         /* time of calls as a multiple of what is expected */
     uint64_t held_bytes; /* of results that lie there or are being made */
     uint64_t released_bytes; /* of those in `releases` */
-    bool current;      /* in the configuration in force */
-    GPtrArray *releases; /* of char *, handles to be freed */
+    bool current;            /* in the configuration in force */
+    GPtrArray *releases;     /* of char *, handles to be freed */
 } Server;
 
 typedef struct Service {
@@ -508,8 +508,7 @@
             fastest = server->pace;
         }
         if (is_free(service, server, now_us) &&
-            (best == NULL ||
-             rate(first, server) < rate(first, best))) {
+            (best == NULL || rate(first, server) < rate(first, best))) {
             best = server;
         }
     }
@@ -523,8 +522,7 @@
 static int64_t
 expected_time(const Service *service, size_t items)
 {
-    return service->batch.call_us +
-           (int64_t)items * service->batch.item_us;
+    return service->batch.call_us + (int64_t)items * service->batch.item_us;
 }
 
 /* Moves items of one job into a call. */
@@ -534,9 +532,8 @@
     Server *server = call->server;
     uint64_t room_bytes = job->service->batch.room_bytes;
     while (call->pieces->len < max_items && job->waiting.length > 0 &&
-           (room_bytes == 0 || server->held_bytes +
-                                       job->prepare.result_bytes <=
-                                   room_bytes)) {
+           (room_bytes == 0 ||
+            server->held_bytes + job->prepare.result_bytes <= room_bytes)) {
         Piece *piece = g_queue_pop_head(&job->waiting);
         job->service->waiting_count--;
         job->running_count++;
@@ -605,9 +602,8 @@
 static bool
 is_crowded(const Service *service)
 {
-    return service->waiting_count >
-           (size_t)service->batch.max_items *
-               g_hash_table_size(service->servers);
+    return service->waiting_count > (size_t)service->batch.max_items *
+                                        g_hash_table_size(service->servers);
 }
 
 /* Takes the most urgent items: first those whose requests can be in time, in
@@ -640,8 +636,7 @@
     }
     qsort(turns->data, turns->len, sizeof(Turn), compare_turns);
     for (guint i = 0;
-         i < turns->len && call->pieces->len < service->batch.max_items;
-         i++) {
+         i < turns->len && call->pieces->len < service->batch.max_items; i++) {
         take_items(call, g_array_index(turns, Turn, i).job,
                    service->batch.max_items);
     }
@@ -685,20 +680,19 @@
 send_call(EbPieces *pieces, const Call *call, int64_t now_us)
 {
     const Server *server = call->server;
-    EbAction action = {.kind = EB_ACTION_SEND_PIECES,
-                       .as.pieces = {
-                           .attempt_id = call->id,
-                           .server_id = g_strdup(server->id),
-                           .host = g_strdup(server->host),
-                           .port = server->port,
-                           .items = g_array_new(FALSE, FALSE,
-                                                sizeof(EbPieceItem)),
-                           .strings = g_ptr_array_new_with_free_func(g_free),
-                       }};
+    EbAction action = {
+        .kind = EB_ACTION_SEND_PIECES,
+        .as.pieces = {
+            .attempt_id = call->id,
+            .server_id = g_strdup(server->id),
+            .host = g_strdup(server->host),
+            .port = server->port,
+            .items = g_array_new(FALSE, FALSE, sizeof(EbPieceItem)),
+            .strings = g_ptr_array_new_with_free_func(g_free),
+        }};
     for (guint i = 0; i < call->pieces->len; i++) {
-        EbPieceItem item =
-            describe_item(g_ptr_array_index(call->pieces, i),
-                          action.as.pieces.strings, now_us);
+        EbPieceItem item = describe_item(g_ptr_array_index(call->pieces, i),
+                                         action.as.pieces.strings, now_us);
         g_array_append_val(action.as.pieces.items, item);
     }
     EbActionQueue_Push(pieces->options.actions, &action);
@@ -736,8 +730,7 @@
     while (!g_sequence_iter_is_end(iter)) {
         GSequenceIter *next = g_sequence_iter_next(iter);
         Job *job = g_sequence_get(iter);
-        if (job->prepare.deadline_us <=
-            now_us + expected_time(service, 1)) {
+        if (job->prepare.deadline_us <= now_us + expected_time(service, 1)) {
             report(pieces, job, EB_PREPARED_LATE, now_us);
         }
         iter = next;
@@ -908,8 +901,7 @@
         }
     }
     for (size_t i = 0; i < count; i++) {
-        leave_call(pieces,
-                   ((Piece *)g_ptr_array_index(call->pieces, i))->job);
+        leave_call(pieces, ((Piece *)g_ptr_array_index(call->pieces, i))->job);
     }
     Service *service = call->service;
     free_call(call);
@@ -942,8 +934,7 @@
                     full ? EB_PIECE_NO_ROOM : EB_PIECE_ERROR, now_us);
     }
     for (guint i = 0; i < call->pieces->len; i++) {
-        leave_call(pieces,
-                   ((Piece *)g_ptr_array_index(call->pieces, i))->job);
+        leave_call(pieces, ((Piece *)g_ptr_array_index(call->pieces, i))->job);
     }
     Service *service = call->service;
     free_call(call);
@@ -1110,10 +1101,10 @@
         const Server *server = value;
         servers += server->current && server->failures == 0;
     }
-    int64_t calls = (int64_t)(service->waiting_count /
-                              service->batch.max_items);
-    return servers > 0 ? calls *
-                             expected_time(service, service->batch.max_items) /
-                             servers
-                       : INT64_MAX / 4;
+    int64_t calls =
+        (int64_t)(service->waiting_count / service->batch.max_items);
+    return servers > 0
+               ? calls * expected_time(service, service->batch.max_items) /
+                     servers
+               : INT64_MAX / 4;
 }
--- a/src/libebonyhollow/pool.c
+++ b/src/libebonyhollow/pool.c
@@ -335,6 +335,13 @@
     return EbHistogram_Quantile(&merged, QUANTILE_PERMILLE);
 }
 
+uint32_t
+EbPool_InFlight(const EbPool *pool, const char *server_id)
+{
+    const EbPoolServer *server = g_hash_table_lookup(pool->by_id, server_id);
+    return server != NULL ? server->in_flight : 0;
+}
+
 size_t
 EbPool_ServerCount(const EbPool *pool)
 {
--- a/src/libebonyhollow/pool_choice.c
+++ b/src/libebonyhollow/pool_choice.c
@@ -178,9 +178,9 @@
 takes_affine(const EbPool *pool, const EbPoolServer *server, double mean_calls,
              int64_t now_us)
 {
-    bool slow = pool->median_us > 0 &&
-                EbPool_Latency(pool, server, now_us) >
-                    AFFINE_MAX_SLOWNESS * pool->median_us;
+    bool slow =
+        pool->median_us > 0 && EbPool_Latency(pool, server, now_us) >
+                                   AFFINE_MAX_SLOWNESS * pool->median_us;
     return !slow &&
            server->in_flight <= AFFINE_FREE_CALLS + AFFINE_BOUND * mean_calls;
 }
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -244,23 +244,21 @@
     const EbSettings *settings = daemon->settings;
     daemon->backend = EbBackendClient_New(&(EbBackendClientOptions){
         .base = daemon->base, .event = EbDaemon_OnAttempt, .context = daemon});
-    daemon->platform = EbPlatformClient_New(
-        &(EbPlatformClientOptions){.base = daemon->base,
-                                   .host = settings->platform.host,
-                                   .port = settings->platform.port,
-                                   .dialect = daemon->adapter != NULL
-                                                  ? daemon->adapter->store
-                                                  : NULL,
-                                   .token = settings->platform_token,
-                                   .watch_timeout_us = WATCH_TIMEOUT_US,
-                                   .gather_us = WATCH_GATHER_US,
-                                   .random = &daemon->random,
-                                   .metrics = daemon->metrics,
-                                   .events = daemon->events,
-                                   .reply = EbDaemon_OnStoreReply,
-                                   .listed = EbDaemon_OnListed,
-                                   .changed = EbDaemon_OnChanged,
-                                   .context = daemon});
+    daemon->platform = EbPlatformClient_New(&(EbPlatformClientOptions){
+        .base = daemon->base,
+        .host = settings->platform.host,
+        .port = settings->platform.port,
+        .dialect = daemon->adapter != NULL ? daemon->adapter->store : NULL,
+        .token = settings->platform_token,
+        .watch_timeout_us = WATCH_TIMEOUT_US,
+        .gather_us = WATCH_GATHER_US,
+        .random = &daemon->random,
+        .metrics = daemon->metrics,
+        .events = daemon->events,
+        .reply = EbDaemon_OnStoreReply,
+        .listed = EbDaemon_OnListed,
+        .changed = EbDaemon_OnChanged,
+        .context = daemon});
 }
 
 static bool
--- a/src/libebonyhollow_net/daemon_deployment.c
+++ b/src/libebonyhollow_net/daemon_deployment.c
@@ -222,9 +222,9 @@
 register_daemon(EbDaemon *daemon)
 {
     EbDeployment *deployment = &daemon->deployment;
-    json_t *value = json_pack("{s:s, s:s}", "address", daemon->peer_address,
-                              "failure_domain",
-                              daemon->settings->failure_domain);
+    json_t *value =
+        json_pack("{s:s, s:s}", "address", daemon->peer_address,
+                  "failure_domain", daemon->settings->failure_domain);
     bool known = deployment->own_version > 0;
     deployment->register_us = INT64_MAX;
     EbDaemon_Store(daemon, known ? EB_STORE_UPDATE : EB_STORE_CREATE,
@@ -257,8 +257,8 @@
             .failure_domain = (char *)get_string(value, "failure_domain"),
             .state = EB_MEMBER_ALIVE};
         if (strcmp(member.instance, daemon->settings->instance) == 0) {
-            deployment->own_version = (uint64_t)json_integer_value(
-                json_object_get(item, "version"));
+            deployment->own_version =
+                (uint64_t)json_integer_value(json_object_get(item, "version"));
             current = strcmp(member.address, daemon->peer_address) == 0;
         }
         else if (member.address[0] != '\0' &&
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -37,10 +37,10 @@
 on_submit(void *context, EbForwardCall *call)
 {
     EbDaemon *daemon = context;
-    return EbDaemon_OnSubmit(daemon, &(EbSubmission){
-                                         .request_id = call->request_id,
-                                         .pipeline = "",
-                                         .forward = call});
+    return EbDaemon_OnSubmit(daemon,
+                             &(EbSubmission){.request_id = call->request_id,
+                                             .pipeline = "",
+                                             .forward = call});
 }
 
 static void
@@ -288,12 +288,18 @@
 {
     g_free(job->home);
     job->placed_us = now_us;
-    job->home =
-        g_strdup(find_home(daemon, job->prepare.service, now_us));
+    job->home = g_strdup(find_home(daemon, job->prepare.service, now_us));
     if (!is_here(daemon, job->home) && !send_prepare(daemon, job, now_us)) {
         g_free(job->home);
         job->home = g_strdup(daemon->settings->instance);
     }
+    EB_EMIT(daemon->events, EB_EVENT_PREPARATION_PLACED,
+            EB_STRING_FIELD("request_id", job->prepare.request_id),
+            EB_STRING_FIELD("service", job->prepare.service),
+            EB_INTEGER_FIELD("stage", job->prepare.stage),
+            EB_INTEGER_FIELD("pieces", job->prepare.piece_count),
+            EB_STRING_FIELD("home", job->home),
+            EB_INTEGER_FIELD("due_in_us", job->prepare.due_us - now_us));
     if (is_here(daemon, job->home)) {
         EbPieces_Add(daemon->pieces, job->home, &job->prepare, now_us);
     }
@@ -350,8 +356,8 @@
         .result_bytes = message->result_bytes,
         .failure_domain = message->failure_domain,
         .key = message->piece_key,
-        .due_us = now_us + (int64_t)message->due_in_us -
-                  (int64_t)message->late_us,
+        .due_us =
+            now_us + (int64_t)message->due_in_us - (int64_t)message->late_us,
         .deadline_us = now_us + (int64_t)message->left_us,
     };
     if (message->piece_key == NULL) {
--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -31,11 +31,11 @@
     uint64_t attempt_id; /* 0: idle */
     char *request_id;
     bool stream;
-    bool wrote;           /* a byte of the call may have been sent */
+    bool wrote; /* a byte of the call may have been sent */
     EbHttpMessage *answer;
     EbForwardReply reply;
-    bool streaming;       /* the answer is an event stream */
-    bool foreign;         /* the answer belongs to an earlier call */
+    bool streaming; /* the answer is an event stream */
+    bool foreign;   /* the answer belongs to an earlier call */
     EbEventBlocks *blocks;
     int64_t idle_since_us;
     int64_t idle_limit_us;
@@ -204,14 +204,14 @@
         return;
     }
     connection->reusable = reusable;
-    bool whole = !connection->streaming ||
-                 EbEventBlocks_IsEmpty(connection->blocks);
+    bool whole =
+        !connection->streaming || EbEventBlocks_IsEmpty(connection->blocks);
     if (!whole) {
         end_call(connection, EB_ATTEMPT_BROKEN);
         return;
     }
-    end_call(connection, connection->streaming ? EB_ATTEMPT_ENDED
-                                               : EB_ATTEMPT_ANSWERED);
+    end_call(connection,
+             connection->streaming ? EB_ATTEMPT_ENDED : EB_ATTEMPT_ANSWERED);
 }
 
 static void
@@ -381,9 +381,8 @@
 EbForwardClient_Send(EbForwardClient *client, const EbForwardSend *send,
                      EbHttpMessage *message)
 {
-    Connection *connection = send->fresh_connection
-                                 ? NULL
-                                 : take_idle(client, send->server_id);
+    Connection *connection =
+        send->fresh_connection ? NULL : take_idle(client, send->server_id);
     bool opened = connection == NULL;
     if (opened) {
         connection = open_connection(client, send);
--- a/src/libebonyhollow_net/forward_server.c
+++ b/src/libebonyhollow_net/forward_server.c
@@ -331,9 +331,9 @@
     EbForwardServer *server = context;
     const EbSettings *settings = server->options.settings;
     if (g_hash_table_size(server->connections) >= settings->max_connections) {
-        EB_EMIT(server->options.events, EB_EVENT_CONNECTION_REFUSED,
-                EB_INTEGER_FIELD("max_connections",
-                                 settings->max_connections));
+        EB_EMIT(
+            server->options.events, EB_EVENT_CONNECTION_REFUSED,
+            EB_INTEGER_FIELD("max_connections", settings->max_connections));
         evutil_closesocket(socket);
         return;
     }
@@ -341,16 +341,15 @@
     Connection *connection = g_new0(Connection, 1);
     connection->server = server;
     connection->reusable = true;
-    connection->bufev =
-        bufferevent_socket_new(evconnlistener_get_base(listener), socket,
-                               BEV_OPT_CLOSE_ON_FREE);
-    connection->reader = EbHttpReader_New(&(EbHttpReaderOptions){
-        .kind = EB_HTTP_REQUESTS,
-        .max_header_bytes = settings->max_header_bytes,
-        .head = on_head,
-        .body = on_body,
-        .complete = on_complete,
-        .context = connection});
+    connection->bufev = bufferevent_socket_new(
+        evconnlistener_get_base(listener), socket, BEV_OPT_CLOSE_ON_FREE);
+    connection->reader = EbHttpReader_New(
+        &(EbHttpReaderOptions){.kind = EB_HTTP_REQUESTS,
+                               .max_header_bytes = settings->max_header_bytes,
+                               .head = on_head,
+                               .body = on_body,
+                               .complete = on_complete,
+                               .context = connection});
     bufferevent_setcb(connection->bufev, on_read, on_written, on_event,
                       connection);
     bufferevent_setwatermark(connection->bufev, EV_READ, 0,
@@ -371,8 +370,8 @@
     int length = EbSocket_Address(address->host, address->port, &storage);
     EbForwardServer *server = g_new0(EbForwardServer, 1);
     server->options = *options;
-    server->connections = g_hash_table_new_full(NULL, NULL, free_connection,
-                                                NULL);
+    server->connections =
+        g_hash_table_new_full(NULL, NULL, free_connection, NULL);
     server->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
     if (length > 0) {
         server->listener = evconnlistener_new_bind(
--- a/src/libebonyhollow_net/platform_client.c
+++ b/src/libebonyhollow_net/platform_client.c
@@ -195,7 +195,6 @@
                 NULL);
 }
 
-
 static void
 on_call_done(struct evhttp_request *request, void *arg)
 {
@@ -210,9 +209,10 @@
     }
     json_t *body = EbPlatform_Body(request);
     bool success = status == 200 || status == 201;
-    json_t *answer = success ? slot->client->options.dialect->read(
-                                   slot->call->operation, body)
-                             : NULL;
+    json_t *answer =
+        success
+            ? slot->client->options.dialect->read(slot->call->operation, body)
+            : NULL;
     if (answer != NULL) {
         finish_call(slot, EB_STORE_OK, NULL, answer);
     }
--- a/src/libebonyhollow_net/platform_watch.c
+++ b/src/libebonyhollow_net/platform_watch.c
@@ -212,8 +212,8 @@
     Watch *watch = arg;
     int status = request ? evhttp_request_get_response_code(request) : 0;
     watch->polling = false;
-    EbSocket_SetKeepAlive(bufferevent_getfd(
-        evhttp_connection_get_bufferevent(watch->evcon)));
+    EbSocket_SetKeepAlive(
+        bufferevent_getfd(evhttp_connection_get_bufferevent(watch->evcon)));
     json_t *body = status != 0 ? EbPlatform_Body(request) : NULL;
     take_answer(watch, status, body);
     json_decref(body);
--- a/src/share/log.c
+++ b/src/share/log.c
@@ -2,7 +2,10 @@
 
 #include <assert.h>
 #include <errno.h>
+#include <fcntl.h>
+#include <stdbool.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -22,6 +25,7 @@
     EbLogOptions options;
     EbEventSink sink;
     EventWindow windows[EB_EVENT_COUNT];
+    uint64_t lost; /* lines that the output did not take */
 };
 
 /* GLib accepts one writer function a process. */
@@ -44,13 +48,29 @@
     return g_get_real_time();
 }
 
+/* Writes a line or counts it as lost: a reader that stands still must not hold
+ * the daemon back. */
 static void
-write_line(const EbLog *log, const char *line, size_t line_bytes)
+write_line(EbLog *log, const char *line, size_t line_bytes)
 {
     ssize_t written;
     do {
         written = write(log->options.descriptor, line, line_bytes);
     } while (written < 0 && errno == EINTR);
+    log->lost += written < (ssize_t)line_bytes;
+}
+
+/* Pipes and sockets are written without waiting. Files don't hold a writer
+ * back, and a terminal is shared with other programs. */
+static void
+avoid_waiting(int descriptor)
+{
+    struct stat status;
+    int flags = fcntl(descriptor, F_GETFL);
+    if (flags >= 0 && fstat(descriptor, &status) == 0 &&
+        (S_ISFIFO(status.st_mode) || S_ISSOCK(status.st_mode))) {
+        fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+    }
 }
 
 /* Writes a record of GLib's structured logging: the field EB_LINE holds the
@@ -149,6 +169,14 @@
                 time_us);
 }
 
+/* A time of day that went back begins a new second as well. */
+static bool
+is_over(const EventWindow *window, int64_t time_us)
+{
+    return time_us - window->window_us >= SECOND_US ||
+           time_us < window->window_us;
+}
+
 static void
 emit(void *context, EbEventId event, const EbEventField *fields,
      size_t field_count)
@@ -160,7 +188,7 @@
     }
     int64_t time_us = now_us(log);
     EventWindow *window = &log->windows[event];
-    if (time_us - window->window_us >= SECOND_US) {
+    if (is_over(window, time_us)) {
         report_held_back(log, event, time_us);
         window->window_us = time_us;
         window->written = 0;
@@ -184,6 +212,7 @@
     log->options = *options;
     log->sink = (EbEventSink){emit, log};
     active_log = log;
+    avoid_waiting(options->descriptor);
     static gboolean writer_set = FALSE;
     if (!writer_set) {
         g_log_set_writer_func(write_record, NULL, NULL);
@@ -217,12 +246,28 @@
     log->options.level = level;
 }
 
+static void
+report_lost(EbLog *log, int64_t time_us)
+{
+    if (log->lost == 0) {
+        return;
+    }
+    const EbEventField fields[] = {
+        EB_STRING_FIELD("suppressed_event", "any, the output was full"),
+        EB_INTEGER_FIELD("count", log->lost),
+    };
+    log->lost = 0;
+    write_event(log, EB_EVENT_EVENTS_SUPPRESSED, fields, G_N_ELEMENTS(fields),
+                time_us);
+}
+
 void
 EbLog_Tick(EbLog *log)
 {
     int64_t time_us = now_us(log);
+    report_lost(log, time_us);
     for (int event = 0; event < EB_EVENT_COUNT; event++) {
-        if (time_us - log->windows[event].window_us >= SECOND_US) {
+        if (is_over(&log->windows[event], time_us)) {
             report_held_back(log, (EbEventId)event, time_us);
         }
     }
--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -52,12 +52,12 @@
           bool idempotent, uint32_t max_attempts)
 {
     EbConfigForward *forward = g_new0(EbConfigForward, 1);
-    *forward = (EbConfigForward){
-        .host = g_strdup("h.example"),
-        .path_prefix = g_strdup_printf("/%s/", name),
-        .resumable = kind == EB_STAGE_GENERATE && idempotent,
-        .max_attempts = max_attempts,
-        .goal_us = SECOND_US};
+    *forward =
+        (EbConfigForward){.host = g_strdup("h.example"),
+                          .path_prefix = g_strdup_printf("/%s/", name),
+                          .resumable = kind == EB_STAGE_GENERATE && idempotent,
+                          .max_attempts = max_attempts,
+                          .goal_us = SECOND_US};
     EbConfigPipeline *pipeline = &config->pipelines[config->pipeline_count++];
     *pipeline = (EbConfigPipeline){.name = g_strdup(name),
                                    .stages = g_new0(EbConfigStage, 1),
@@ -99,9 +99,8 @@
     }
     config->customers = g_new0(EbConfigCustomer, 1);
     config->customer_count = 1;
-    config->customers[0] = (EbConfigCustomer){.id = g_strdup("c-1"),
-                                              .contract = {.weight = 1},
-                                              .priority = -1};
+    config->customers[0] = (EbConfigCustomer){
+        .id = g_strdup("c-1"), .contract = {.weight = 1}, .priority = -1};
     EbConfig_DigestToken(TOKEN, config->customers[0].token_digest);
     config->pipelines = g_new0(EbConfigPipeline, 8);
     add_route(config, "read", EB_STAGE_CALL, true, 2);
@@ -134,8 +133,8 @@
                                         .actions = fixture->actions,
                                         .random = &fixture->random,
                                         .wall_clock_us = no_clock});
-    fixture->limiter = EbLimiter_New(&(EbLimiterOptions){
-        .instance = "i-1", .config = fixture->config});
+    fixture->limiter = EbLimiter_New(
+        &(EbLimiterOptions){.instance = "i-1", .config = fixture->config});
     fixture->quarantine = EbQuarantine_New(&(EbQuarantineOptions){0});
     fixture->dispatcher = EbDispatcher_New(
         &(EbDispatcherOptions){.instance = "i-1",
@@ -243,9 +242,9 @@
     call->piece_counts[0] = 1;
     call->piece_counts[1] = 2;
     call->piece_counts[2] = 1;
-    uint64_t id = EbDispatcher_Submit(
-        fixture->dispatcher, &(EbSubmission){.forward = call},
-        fixture->now_us);
+    uint64_t id =
+        EbDispatcher_Submit(fixture->dispatcher,
+                            &(EbSubmission){.forward = call}, fixture->now_us);
     EbForwardCall_Unref(call);
     take_actions(fixture);
     return id;
@@ -327,10 +326,10 @@
 typedef struct {
     const char *name;
     const char *path;
-    Event first;         /* given to the first attempt */
-    unsigned sends;      /* in all, when the second attempt succeeds */
-    EbOutcome outcome;   /* of the first event alone, if it ends it */
-    uint16_t status;     /* of the answer */
+    Event first;       /* given to the first attempt */
+    unsigned sends;    /* in all, when the second attempt succeeds */
+    EbOutcome outcome; /* of the first event alone, if it ends it */
+    uint16_t status;   /* of the answer */
 } FaultRow;
 
 /* Guards against a request that must not be repeated and runs twice, a
@@ -340,49 +339,126 @@
 test_first_attempt(void)
 {
     static const FaultRow rows[] = {
-        {"read ok", "/read/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 200}, 1, EB_OUTCOME_DONE,
+        {"read ok",
+         "/read/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 200},
+         1,
+         EB_OUTCOME_DONE,
+         200},
+        {"read not found",
+         "/read/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 404},
+         1,
+         EB_OUTCOME_DONE,
+         404},
+        {"read refused",
+         "/read/x",
+         {.kind = EB_ATTEMPT_REFUSED},
+         2,
+         EB_OUTCOME_DONE,
+         200},
+        {"read broken",
+         "/read/x",
+         {.kind = EB_ATTEMPT_BROKEN},
+         2,
+         EB_OUTCOME_DONE,
+         200},
+        {"read 500",
+         "/read/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 500},
+         2,
+         EB_OUTCOME_DONE,
+         200},
+        {"read shed",
+         "/read/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 503, .not_run = true},
+         2,
+         EB_OUTCOME_DONE,
+         200},
+        {"read misdirected",
+         "/read/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 421},
+         2,
+         EB_OUTCOME_DONE,
          200},
-        {"read not found", "/read/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 404}, 1,
-         EB_OUTCOME_DONE, 404},
-        {"read refused", "/read/x", {.kind = EB_ATTEMPT_REFUSED}, 2, EB_OUTCOME_DONE,
+        {"read unsigned",
+         "/read/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 200, .unsigned_answer = true},
+         2,
+         EB_OUTCOME_DONE,
          200},
-        {"read broken", "/read/x", {.kind = EB_ATTEMPT_BROKEN}, 2, EB_OUTCOME_DONE,
+        {"read of another",
+         "/read/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 200, .wrong_id = true},
+         2,
+         EB_OUTCOME_DONE,
          200},
-        {"read 500", "/read/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 500}, 2,
-         EB_OUTCOME_DONE, 200},
-        {"read shed", "/read/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 503, .not_run = true},
-         2, EB_OUTCOME_DONE, 200},
-        {"read misdirected", "/read/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 421}, 2,
-         EB_OUTCOME_DONE, 200},
-        {"read unsigned", "/read/x",
-         {.kind = EB_ATTEMPT_ANSWERED, .status = 200, .unsigned_answer = true}, 2,
-         EB_OUTCOME_DONE, 200},
-        {"read of another", "/read/x",
-         {.kind = EB_ATTEMPT_ANSWERED, .status = 200, .wrong_id = true}, 2, EB_OUTCOME_DONE,
+        {"pay ok",
+         "/pay/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 200},
+         1,
+         EB_OUTCOME_DONE,
          200},
-        {"pay ok", "/pay/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 200}, 1, EB_OUTCOME_DONE,
+        {"pay refused",
+         "/pay/x",
+         {.kind = EB_ATTEMPT_REFUSED},
+         2,
+         EB_OUTCOME_DONE,
          200},
-        {"pay refused", "/pay/x", {.kind = EB_ATTEMPT_REFUSED}, 2, EB_OUTCOME_DONE,
+        {"pay shed",
+         "/pay/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 503, .not_run = true},
+         2,
+         EB_OUTCOME_DONE,
          200},
-        {"pay shed", "/pay/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 503, .not_run = true}, 2,
-         EB_OUTCOME_DONE, 200},
-        {"pay misdirected", "/pay/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 421}, 2,
-         EB_OUTCOME_DONE, 200},
-        {"pay broken", "/pay/x", {.kind = EB_ATTEMPT_BROKEN}, 1, EB_OUTCOME_UNKNOWN,
+        {"pay misdirected",
+         "/pay/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 421},
+         2,
+         EB_OUTCOME_DONE,
+         200},
+        {"pay broken",
+         "/pay/x",
+         {.kind = EB_ATTEMPT_BROKEN},
+         1,
+         EB_OUTCOME_UNKNOWN,
+         0},
+        {"pay malformed",
+         "/pay/x",
+         {.kind = EB_ATTEMPT_MALFORMED},
+         1,
+         EB_OUTCOME_UNKNOWN,
+         0},
+        {"pay unsigned",
+         "/pay/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 200, .unsigned_answer = true},
+         1,
+         EB_OUTCOME_UNKNOWN,
          0},
-        {"pay malformed", "/pay/x", {.kind = EB_ATTEMPT_MALFORMED}, 1,
-         EB_OUTCOME_UNKNOWN, 0},
-        {"pay unsigned", "/pay/x",
-         {.kind = EB_ATTEMPT_ANSWERED, .status = 200, .unsigned_answer = true}, 1,
-         EB_OUTCOME_UNKNOWN, 0},
-        {"pay 500", "/pay/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 500}, 1,
-         EB_OUTCOME_UNKNOWN, 500},
-        {"pay 503 that ran", "/pay/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 503}, 1,
-         EB_OUTCOME_UNKNOWN, 0},
-        {"once broken", "/once/x", {.kind = EB_ATTEMPT_BROKEN}, 1, EB_OUTCOME_UNKNOWN,
+        {"pay 500",
+         "/pay/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 500},
+         1,
+         EB_OUTCOME_UNKNOWN,
+         500},
+        {"pay 503 that ran",
+         "/pay/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 503},
+         1,
+         EB_OUTCOME_UNKNOWN,
          0},
-        {"resumable broken", "/resumable/x", {.kind = EB_ATTEMPT_BROKEN}, 2,
-         EB_OUTCOME_DONE, 200},
+        {"once broken",
+         "/once/x",
+         {.kind = EB_ATTEMPT_BROKEN},
+         1,
+         EB_OUTCOME_UNKNOWN,
+         0},
+        {"resumable broken",
+         "/resumable/x",
+         {.kind = EB_ATTEMPT_BROKEN},
+         2,
+         EB_OUTCOME_DONE,
+         200},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         Fixture fixture;
@@ -392,9 +468,9 @@
         give(&fixture, &rows[i].first);
         advance(&fixture, SECOND_US);
         if (!fixture.answered && fixture.send_count == 2) {
-            CU_ASSERT_STRING_NOT_EQUAL(fixture.servers[0],
-                                       fixture.servers[1]);
-            give(&fixture, &(Event){.kind = EB_ATTEMPT_ANSWERED, .status = 200});
+            CU_ASSERT_STRING_NOT_EQUAL(fixture.servers[0], fixture.servers[1]);
+            give(&fixture,
+                 &(Event){.kind = EB_ATTEMPT_ANSWERED, .status = 200});
         }
         advance(&fixture, 7 * SECOND_US);
         bool expected = fixture.answered &&
@@ -440,18 +516,26 @@
     CU_ASSERT_EQUAL(fixture.resumed_after[0], EB_FORWARD_NO_EVENT);
     give(&fixture, &(Event){.kind = EB_ATTEMPT_STREAMING, .status = 200});
     CU_ASSERT_EQUAL(fixture.heads, 0);
-    give(&fixture, &(Event){.kind = EB_ATTEMPT_EVENTS, .status = 200, .event_id = 0,
+    give(&fixture, &(Event){.kind = EB_ATTEMPT_EVENTS,
+                            .status = 200,
+                            .event_id = 0,
                             .bytes = "a"});
-    give(&fixture, &(Event){.kind = EB_ATTEMPT_EVENTS, .status = 200, .event_id = 1,
+    give(&fixture, &(Event){.kind = EB_ATTEMPT_EVENTS,
+                            .status = 200,
+                            .event_id = 1,
                             .bytes = "b"});
     give(&fixture, &(Event){.kind = EB_ATTEMPT_BROKEN, .status = 200});
     advance(&fixture, SECOND_US);
     CU_ASSERT_EQUAL_FATAL(fixture.send_count, 2);
     CU_ASSERT_EQUAL(fixture.resumed_after[1], 1);
     give(&fixture, &(Event){.kind = EB_ATTEMPT_STREAMING, .status = 200});
-    give(&fixture, &(Event){.kind = EB_ATTEMPT_EVENTS, .status = 200, .event_id = 1,
+    give(&fixture, &(Event){.kind = EB_ATTEMPT_EVENTS,
+                            .status = 200,
+                            .event_id = 1,
                             .bytes = "b"});
-    give(&fixture, &(Event){.kind = EB_ATTEMPT_EVENTS, .status = 200, .event_id = 2,
+    give(&fixture, &(Event){.kind = EB_ATTEMPT_EVENTS,
+                            .status = 200,
+                            .event_id = 2,
                             .bytes = "c"});
     give(&fixture, &(Event){.kind = EB_ATTEMPT_ENDED, .status = 200});
     CU_ASSERT_STRING_EQUAL(fixture.relayed->str, "abc");
@@ -469,7 +553,9 @@
     open_fixture(&fixture);
     submit(&fixture, "/once/x", TOKEN);
     give(&fixture, &(Event){.kind = EB_ATTEMPT_STREAMING, .status = 200});
-    give(&fixture, &(Event){.kind = EB_ATTEMPT_EVENTS, .status = 200, .event_id = 0,
+    give(&fixture, &(Event){.kind = EB_ATTEMPT_EVENTS,
+                            .status = 200,
+                            .event_id = 0,
                             .bytes = "a"});
     give(&fixture, &(Event){.kind = EB_ATTEMPT_BROKEN, .status = 200});
     advance(&fixture, 7 * SECOND_US);
@@ -486,8 +572,8 @@
     static const struct {
         const char *path;
         unsigned cancels;
-    } rows[] = {{"/read/x", 1}, {"/resumable/x", 1}, {"/once/x", 1},
-                {"/pay/x", 0}};
+    } rows[] = {
+        {"/read/x", 1}, {"/resumable/x", 1}, {"/once/x", 1}, {"/pay/x", 0}};
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         Fixture fixture;
         open_fixture(&fixture);
@@ -595,8 +681,9 @@
     prepared(&fixture, 4, EB_PREPARED_OK, b, 2);
     prepared(&fixture, 5, EB_PREPARED_OK, c, 1);
     CU_ASSERT_EQUAL_FATAL(fixture.send_count, 1);
-    give(&fixture,
-         &(Event){.kind = EB_ATTEMPT_ANSWERED, .status = 409, .not_run = true});
+    give(
+        &fixture,
+        &(Event){.kind = EB_ATTEMPT_ANSWERED, .status = 409, .not_run = true});
     advance(&fixture, SECOND_US);
     CU_ASSERT_EQUAL_FATAL(fixture.prepare_count, 8);
     prepared(&fixture, 6, EB_PREPARED_FAILED, NULL, 0);
--- a/src/test_forward_net/main.c
+++ b/src/test_forward_net/main.c
@@ -98,8 +98,7 @@
     static const ReaderRow rows[] = {
         {EB_HTTP_REQUESTS, "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET",
          EB_HTTP_READ_COMPLETE, "", "GET", false},
-        {EB_HTTP_REQUESTS,
-         "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcd",
+        {EB_HTTP_REQUESTS, "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcd",
          EB_HTTP_READ_COMPLETE, "abc", "d", false},
         {EB_HTTP_REQUESTS,
          "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -120,9 +119,8 @@
          EB_HTTP_READ_INVALID, "", NULL, false},
         {EB_HTTP_ANSWERS, "HTTP/1.1 200 OK\r\n\r\nabc", EB_HTTP_READ_MORE,
          "abc", "", true},
-        {EB_HTTP_ANSWERS,
-         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", EB_HTTP_READ_MORE,
-         "abc", "", false},
+        {EB_HTTP_ANSWERS, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+         EB_HTTP_READ_MORE, "abc", "", false},
         {EB_HTTP_ANSWERS,
          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
          EB_HTTP_READ_MORE, "abc", "", false},
@@ -134,13 +132,13 @@
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         Read read = {.body = g_string_new(NULL)};
-        EbHttpReader *reader = EbHttpReader_New(&(EbHttpReaderOptions){
-            .kind = rows[i].kind,
-            .max_header_bytes = 200,
-            .head = on_head,
-            .body = on_body,
-            .complete = on_complete,
-            .context = &read});
+        EbHttpReader *reader =
+            EbHttpReader_New(&(EbHttpReaderOptions){.kind = rows[i].kind,
+                                                    .max_header_bytes = 200,
+                                                    .head = on_head,
+                                                    .body = on_body,
+                                                    .complete = on_complete,
+                                                    .context = &read});
         size_t consumed = 0;
         size_t length = strlen(rows[i].bytes);
         EbHttpReadResult result = EbHttpReader_Feed(
@@ -202,8 +200,7 @@
     CU_ASSERT_EQUAL(first_id, last_id);
     blocks->last_id = last_id;
     blocks->count++;
-    g_string_append_len(blocks->text, (const char *)bytes,
-                        (gssize)byte_count);
+    g_string_append_len(blocks->text, (const char *)bytes, (gssize)byte_count);
 }
 
 /* Guards against an event that is cut, changed or passed on unfinished,
@@ -299,11 +296,11 @@
                                .body = g_string_new(NULL),
                                .events = g_string_new(NULL)};
     fixture->server = RawServer_New(fixture->base, give_answer, fixture);
-    fixture->client = EbForwardClient_New(
-        &(EbForwardClientOptions){.base = fixture->base,
-                                  .protocol = &protocol,
-                                  .event = on_attempt,
-                                  .context = fixture});
+    fixture->client =
+        EbForwardClient_New(&(EbForwardClientOptions){.base = fixture->base,
+                                                      .protocol = &protocol,
+                                                      .event = on_attempt,
+                                                      .context = fixture});
 }
 
 static void
@@ -392,10 +389,9 @@
         fixture.resets = rows[i].resets;
         send_call(&fixture, 1, fixture.server->port, rows[i].stream);
         CU_ASSERT_TRUE(Loop_Until(fixture.base, has_ended, &fixture));
-        bool expected =
-            fixture.kinds[fixture.count - 1] == rows[i].last &&
-            strcmp(fixture.body->str, rows[i].body) == 0 &&
-            strcmp(fixture.events->str, rows[i].events) == 0;
+        bool expected = fixture.kinds[fixture.count - 1] == rows[i].last &&
+                        strcmp(fixture.body->str, rows[i].body) == 0 &&
+                        strcmp(fixture.events->str, rows[i].events) == 0;
         CU_ASSERT_TRUE(expected);
         fixture.count = 0;
         send_call(&fixture, 2, fixture.server->port, rows[i].stream);
@@ -504,8 +500,8 @@
                                   .context = fixture},
         NULL);
     CU_ASSERT_PTR_NOT_NULL_FATAL(fixture->server);
-    fixture->client = RawClient_New(fixture->base,
-                                    EbForwardServer_Port(fixture->server));
+    fixture->client =
+        RawClient_New(fixture->base, EbForwardServer_Port(fixture->server));
 }
 
 static void
@@ -655,8 +651,8 @@
         answer(&fixture, whole ? EB_OUTCOME_DONE : EB_OUTCOME_UNKNOWN,
                whole ? EB_REASON_NONE : EB_REASON_BACKEND_FAILED, NULL);
         fixture.wanted = "0\r\n\r\n";
-        CU_ASSERT_TRUE(Loop_Until(fixture.base, whole ? has_text : is_closed,
-                                  &fixture));
+        CU_ASSERT_TRUE(
+            Loop_Until(fixture.base, whole ? has_text : is_closed, &fixture));
         CU_ASSERT_EQUAL(has_text(&fixture), whole);
         close_server(&fixture);
     }
@@ -693,8 +689,8 @@
     RawClient_Free(fixture.client);
     CU_ASSERT_TRUE(Loop_Until(fixture.base, is_gone, &fixture));
     CU_ASSERT_EQUAL(EbForwardServer_OpenCount(fixture.server), 0);
-    fixture.client = RawClient_New(fixture.base,
-                                   EbForwardServer_Port(fixture.server));
+    fixture.client =
+        RawClient_New(fixture.base, EbForwardServer_Port(fixture.server));
     close_server(&fixture);
 }
 
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -12,8 +12,7 @@
 #define ROUNDS 20000
 
 static EbMessageMember sample_members[] = {
-    {"i-1", 7, "10.0.0.1:7000", "recife", EB_MEMBER_LEAVING, 3,
-     500},
+    {"i-1", 7, "10.0.0.1:7000", "recife", EB_MEMBER_LEAVING, 3, 500},
     {"i-2", UINT64_MAX, "", "", EB_MEMBER_ALIVE, 0, 0}};
 static EbMessageShare sample_shares[] = {{"c-1", 1500, 4, UINT64_MAX}};
 static EbQuarantineEntry sample_entries[] = {
--- a/src/test_pieces/main.c
+++ b/src/test_pieces/main.c
@@ -241,8 +241,7 @@
         add(&fixture, 1, 2, 5 * SECOND_US);
         take_actions(&fixture);
         if (rows[i].kind == EB_PIECE_RESULT_COUNT) {
-            EbPieces_Failed(fixture.pieces,
-                            fixture.call.as.pieces.attempt_id,
+            EbPieces_Failed(fixture.pieces, fixture.call.as.pieces.attempt_id,
                             EB_CALL_BROKEN, "reset", fixture.now_us);
         }
         else {
--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -150,12 +150,18 @@
         const char *field;
         const char *value; /* JSON; NULL: the field is missing */
     } rows[] = {
-        {"service", NULL},     {"service", "3"},
-        {"state", "\"odd\""},  {"state", "null"},
-        {"slots", "\"6\""},    {"slots", "0"},
-        {"slots", "1.5"},      {"address", "\"10.0.0.9\""},
-        {"address", "\"10.0.0.9:0\""}, {"address", "\":80\""},
-        {"address", "\"10.0.0.9:99999\""}, {"address", "[]"},
+        {"service", NULL},
+        {"service", "3"},
+        {"state", "\"odd\""},
+        {"state", "null"},
+        {"slots", "\"6\""},
+        {"slots", "0"},
+        {"slots", "1.5"},
+        {"address", "\"10.0.0.9\""},
+        {"address", "\"10.0.0.9:0\""},
+        {"address", "\":80\""},
+        {"address", "\"10.0.0.9:99999\""},
+        {"address", "[]"},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         value = json_loads(server_text, 0, NULL);
@@ -195,8 +201,7 @@
         {"Connection", "keep-alive, x-hop"},
         {"X-Hop", "1"},
     };
-    EbHttpMessage *message =
-        EbHttpMessage_NewRequest("POST", "/d/x?q=1");
+    EbHttpMessage *message = EbHttpMessage_NewRequest("POST", "/d/x?q=1");
     for (size_t i = 0; i < G_N_ELEMENTS(headers); i++) {
         EbHttpMessage_AddHeader(message, headers[i][0], headers[i][1]);
     }
@@ -239,14 +244,14 @@
     CU_ASSERT_EQUAL(call->parts[1].tokens, 410);
     CU_ASSERT_EQUAL_FATAL(call->piece_stage_count, 3);
     CU_ASSERT_EQUAL(call->piece_counts[2], 6);
-    EbHttpMessage *sent = EbPlatform_wire.write_call(
-        call, &(EbForwardHop){.server_id = "s-1",
-                              .customer = "c-1",
-                              .left_us = 7500900,
-                              .resume_after = 12,
-                              .priority = 2,
-                              .inputs = inputs,
-                              .input_count = 1});
+    EbHttpMessage *sent =
+        EbPlatform_wire.write_call(call, &(EbForwardHop){.server_id = "s-1",
+                                                         .customer = "c-1",
+                                                         .left_us = 7500900,
+                                                         .resume_after = 12,
+                                                         .priority = 2,
+                                                         .inputs = inputs,
+                                                         .input_count = 1});
     CU_ASSERT_STRING_EQUAL(sent->target, "/d/x?q=1");
     CU_ASSERT_EQUAL(sent->body_bytes, 4);
     check_header(sent, "Attempt-Id", "9c41");
@@ -273,9 +278,8 @@
 test_bad_calls(void)
 {
     static const char *const rows[][2] = {
-        {"X", "no id"},          {"Attempt-Id", ""},
-        {"Pieces", "1,x"},       {"Pieces", "-1"},
-        {"Pieces", "1000"},      {"Pieces", "1,1,1,1,1,1,1,1,1"},
+        {"X", "no id"},   {"Attempt-Id", ""}, {"Pieces", "1,x"},
+        {"Pieces", "-1"}, {"Pieces", "1000"}, {"Pieces", "1,1,1,1,1,1,1,1,1"},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         EbHttpMessage *message = EbHttpMessage_NewRequest("GET", "/");
@@ -296,10 +300,11 @@
 {
     static const char answer_text[] =
         "{\"items\":[{\"handle\":\"10.0.0.1:1/a\"},{\"reason\":\"gone\"},"
-        "{\"reason\":\"late\"},{\"reason\":\"room\"},{\"reason\":\"odd\"},{}]}";
-    static const EbPieceResultKind kinds[] = {
-        EB_PIECE_DONE,    EB_PIECE_GONE,  EB_PIECE_LATE,
-        EB_PIECE_NO_ROOM, EB_PIECE_ERROR, EB_PIECE_ERROR};
+        "{\"reason\":\"late\"},{\"reason\":\"room\"},{\"reason\":\"odd\"},{}]"
+        "}";
+    static const EbPieceResultKind kinds[] = {EB_PIECE_DONE,  EB_PIECE_GONE,
+                                              EB_PIECE_LATE,  EB_PIECE_NO_ROOM,
+                                              EB_PIECE_ERROR, EB_PIECE_ERROR};
     EbHttpMessage *answer = EbHttpMessage_NewAnswer(200);
     EbHttpMessage_AddBody(answer, answer_text, strlen(answer_text));
     EbPieceResult results[6];
@@ -313,11 +318,16 @@
     CU_ASSERT_FALSE(EbPlatform_wire.read_pieces(answer, results, 5, &error));
     EbHttpMessage_Unref(answer);
     static const char *const inputs[] = {"10.0.0.1:1/a"};
-    const EbPieceItem items[] = {
-        {.request_id = "r-1", .stage = 0, .piece = 2, .left_us = 900000,
-         .key = "7c1e"},
-        {.request_id = "r-2", .stage = 2, .left_us = -5, .inputs = inputs,
-         .input_count = 1}};
+    const EbPieceItem items[] = {{.request_id = "r-1",
+                                  .stage = 0,
+                                  .piece = 2,
+                                  .left_us = 900000,
+                                  .key = "7c1e"},
+                                 {.request_id = "r-2",
+                                  .stage = 2,
+                                  .left_us = -5,
+                                  .inputs = inputs,
+                                  .input_count = 1}};
     EbHttpMessage *sent = EbPlatform_wire.write_pieces("s-1", items, 2);
     check_header(sent, "Expected-Instance", "s-1");
     json_t *body =
@@ -391,19 +401,19 @@
         0, NULL);
     bool more = false;
     json_t *list = EbPlatform_store.read_list(answer, &more);
-    json_t *expected = json_loads(
-        "{\"revision\":9,\"items\":[{\"name\":\"n\",\"version\":3,"
-        "\"value\":{\"a\":1}}]}",
-        0, NULL);
+    json_t *expected =
+        json_loads("{\"revision\":9,\"items\":[{\"name\":\"n\",\"version\":3,"
+                   "\"value\":{\"a\":1}}]}",
+                   0, NULL);
     CU_ASSERT_TRUE(json_equal(list, expected));
     CU_ASSERT_TRUE(more);
     json_decref(list);
     json_decref(expected);
     json_decref(answer);
-    answer = json_loads(
-        "{\"events\":[{\"deleted\":true,\"object\":{\"metadata\":{"
-        "\"name\":\"n\",\"revision\":4}}}],\"current_rev\":10}",
-        0, NULL);
+    answer =
+        json_loads("{\"events\":[{\"deleted\":true,\"object\":{\"metadata\":{"
+                   "\"name\":\"n\",\"revision\":4}}}],\"current_rev\":10}",
+                   0, NULL);
     json_t *changes = EbPlatform_store.read_changes(answer);
     expected = json_loads(
         "{\"revision\":10,\"events\":[{\"name\":\"n\",\"version\":4,"
@@ -478,16 +488,11 @@
 main(void)
 {
     static const EbTestCase cases[] = {
-        {"config", test_config},
-        {"bad config", test_bad_config},
-        {"servers", test_servers},
-        {"call", test_call},
-        {"bad calls", test_bad_calls},
-        {"pieces", test_pieces},
-        {"store", test_store},
-        {"store answers", test_store_answers},
-        {"settings", test_settings},
-        {"bad settings", test_bad_settings},
+        {"config", test_config},       {"bad config", test_bad_config},
+        {"servers", test_servers},     {"call", test_call},
+        {"bad calls", test_bad_calls}, {"pieces", test_pieces},
+        {"store", test_store},         {"store answers", test_store_answers},
+        {"settings", test_settings},   {"bad settings", test_bad_settings},
     };
     return EbTest_Run("test_platform", cases, G_N_ELEMENTS(cases));
 }
--- a/src/test_share/main.c
+++ b/src/test_share/main.c
@@ -312,6 +312,60 @@
     g_strfreev(lines);
 }
 
+/* Guards against a log whose reader stands still and that holds the daemon
+ * back, or that loses lines without saying so. */
+static void
+test_log_full_output(void)
+{
+    int ends[2];
+    CU_ASSERT_EQUAL_FATAL(pipe(ends), 0);
+    EbLog *log = EbLog_New(&(EbLogOptions){.level = EB_LEVEL_DEBUG,
+                                           .descriptor = ends[1],
+                                           .clock_us = read_virtual_time});
+    virtual_time_us = 5000000;
+    for (int i = 0; i < 2000; i++) { /* far more than a pipe holds */
+        virtual_time_us += 10000;
+        EB_EMIT(EbLog_Sink(log), EB_EVENT_LATE_ANSWER_DROPPED,
+                EB_INTEGER_FIELD("attempt_id", i));
+    }
+    static char text[1024 * 1024];
+    ssize_t got = read(ends[0], text, sizeof(text));
+    CU_ASSERT_TRUE_FATAL(got > 0);
+    EbLog_Tick(log);
+    got = read(ends[0], text, sizeof(text) - 1);
+    text[got > 0 ? got : 0] = '\0';
+    CU_ASSERT_PTR_NOT_NULL(strstr(text, "the output was full"));
+    EbLog_Free(log);
+    close(ends[1]);
+    close(ends[0]);
+}
+
+/* Guards against events that are held back for as long as the time of day was
+ * set back. */
+static void
+test_log_time_back(void)
+{
+    int ends[2];
+    CU_ASSERT_EQUAL_FATAL(pipe(ends), 0);
+    EbLog *log = EbLog_New(&(EbLogOptions){.level = EB_LEVEL_DEBUG,
+                                           .descriptor = ends[1],
+                                           .clock_us = read_virtual_time});
+    virtual_time_us = 900000000;
+    for (int i = 0; i < EB_LOG_EVENT_BURST + 5; i++) {
+        EB_EMIT(EbLog_Sink(log), EB_EVENT_LATE_ANSWER_DROPPED,
+                EB_INTEGER_FIELD("attempt_id", i));
+    }
+    virtual_time_us = 5000000;
+    EB_EMIT(EbLog_Sink(log), EB_EVENT_LATE_ANSWER_DROPPED,
+            EB_INTEGER_FIELD("attempt_id", 4711));
+    EbLog_Free(log);
+    close(ends[1]);
+    static char text[256 * 1024];
+    read_pipe(ends[0], text, sizeof(text));
+    close(ends[0]);
+    CU_ASSERT_PTR_NOT_NULL(strstr(text, "4711"));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -328,6 +382,8 @@
         {"random", test_random},
         {"log lines", test_log_lines},
         {"log rate limit", test_log_rate_limit},
+        {"log full output", test_log_full_output},
+        {"log time back", test_log_time_back},
     };
     return EbTest_Run("test_share", cases, TABLE_COUNT(cases));
 }
