--- a/include/ebonyhollow/event_table.h
+++ b/include/ebonyhollow/event_table.h
@@ -56,7 +56,7 @@
       "may have run.",                                                        \
       "request_id,customer,pipeline,backend_server",                          \
       "Compare with the service's own record for the key; see "               \
-      "docs/operations.md, outcomes unknown.")                                \
+      "docs/OPERATIONS.md, outcomes unknown.")                                \
     X(REQUEST_MALFORMED, 205, "request-malformed", EB_LEVEL_WARNING,          \
       "A request to be forwarded was answered 400 or 431 and not passed "     \
       "on; cause says what is wrong with it.",                                \
@@ -170,7 +170,7 @@
       "until it is back or the service knows them.",                          \
       "peer,incarnation",                                                     \
       "Check the instance and replace it. Many at once: see "                 \
-      "docs/operations.md, partition.")                                       \
+      "docs/OPERATIONS.md, partition.")                                       \
     X(PEER_LEAVING, 503, "peer-leaving", EB_LEVEL_NOTICE,                     \
       "A daemon announced its shutdown or is listed as leaving.", "peer",     \
       "None.")                                                                \
@@ -204,7 +204,7 @@
       "kind,name,cause", "Correct the object, or find out who wrote it.")     \
     X(PLATFORM_DOWN, 700, "platform-down", EB_LEVEL_WARNING,                  \
       "Two calls to the platform's API in a row failed.", "cause",            \
-      "See docs/operations.md, store outage.")                                \
+      "See docs/OPERATIONS.md, store outage.")                                \
     X(PLATFORM_UP, 701, "platform-up", EB_LEVEL_NOTICE,                       \
       "The platform's API answers again.", "down_us", "None.")                \
     X(WATCH_GAP, 702, "watch-gap", EB_LEVEL_INFO,                             \
--- a/src/test_share/main.c
+++ b/src/test_share/main.c
@@ -114,7 +114,7 @@
     "look\n"
     "if it lasts or repeats), `notice` (a change of state), `info` and "
     "`debug`.\n"
-    "[operations.md](operations.md) says what to look at for each warning and "
+    "[OPERATIONS.md](OPERATIONS.md) says what to look at for each warning and "
     "error.\n";
 
 /* Appends a comma-separated list as code words. */
