soak: real daemons under faults from outside, against an emulated platform

Signals (kill, pause, terminate, hang-up), harmed paths to the store, servers that shed, fail, reset, fall silent or answer for others, draining servers and new configurations, drawn from a seed and overlapping. Callers keep their connections; checked are whole answers of the own request, one run of what must not be repeated, true 'not run', answers in time, own inputs, drains and that service comes back.

--- /dev/null
+++ b/test/soak/daemons.c
@@ -0,0 +1,186 @@
+/* The daemons: settings files, starts and signals. Only processes that this
+ * program started are signalled, by their ids. */
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "soak.h"
+
+#define RESTART_US 300000
+#define EXIT_LIMIT_US 9000000
+
+static const char node_format[] =
+    "node: \"%s\"\nzone: \"z%u\"\nregion: \"r\"\nlisten:\n"
+    "  front: \"" SOAK_HOST ":%u\"\n  ready: \"" SOAK_HOST ":%u\"\n"
+    "  control: \"" SOAK_HOST ":%u\"\nseeds:\n  - \"" SOAK_HOST ":%u\"\n"
+    "limits:\n  cpu_share: 1.0\n  max_fds: 1024\n  link_mbps: 1000\n"
+    "bounds:\n  grace_s: 6\nplatform:\n  address: \"" SOAK_HOST ":%u\"\n";
+
+static void
+schedule(Daemon *daemon, int64_t after_us)
+{
+    struct timeval delay = {after_us / 1000000, after_us % 1000000};
+    event_add(daemon->timer, &delay);
+}
+
+static void
+start(Daemon *daemon)
+{
+    Soak *soak = daemon->soak;
+    char *log = g_strdup_printf("%s/%s.log", soak->directory, daemon->name);
+    daemon->pid = fork();
+    g_assert(daemon->pid >= 0);
+    if (daemon->pid == 0) {
+        int output =
+            open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+        dup2(output, STDOUT_FILENO);
+        dup2(output, STDERR_FILENO);
+        setenv("EBONYHOLLOW_NODE_FILE", daemon->node_file, 1);
+        execl(soak->program, soak->program, "--platform", (char *)NULL);
+        _exit(127);
+    }
+    g_free(log);
+    daemon->disturbed_us = Soak_Now();
+}
+
+/* Takes note of an exit. Returns whether the process has ended. */
+static bool
+has_ended(Daemon *daemon)
+{
+    int status;
+    if (daemon->pid != 0 &&
+        waitpid(daemon->pid, &status, WNOHANG) == daemon->pid) {
+        daemon->pid = 0;
+        if (WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL) {
+            char detail[64];
+            snprintf(detail, sizeof(detail), "%s ended by signal %d",
+                     daemon->name, WTERMSIG(status));
+            Soak_Violation(daemon->soak, "no daemon crashes", "", detail);
+        }
+    }
+    return daemon->pid == 0;
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    Daemon *daemon = context;
+    if (daemon->paused) {
+        daemon->paused = false;
+        kill(daemon->pid, SIGCONT);
+        daemon->disturbed_us = Soak_Now();
+        return;
+    }
+    if (has_ended(daemon)) {
+        start(daemon);
+    }
+    else {
+        schedule(daemon, RESTART_US); /* it still drains */
+    }
+}
+
+void
+Daemons_Start(Soak *soak)
+{
+    soak->daemons = g_new0(Daemon, soak->daemon_count);
+    for (uint32_t i = 0; i < soak->daemon_count; i++) {
+        Daemon *daemon = &soak->daemons[i];
+        daemon->soak = soak;
+        daemon->name = g_strdup_printf("d%u", i);
+        daemon->front_port = Soak_FreePort();
+        daemon->ready_port = Soak_FreePort();
+        daemon->control_port = Soak_FreePort();
+        daemon->store = Proxy_New(soak->base, soak->store_port);
+        daemon->timer = evtimer_new(soak->base, on_timer, daemon);
+        daemon->node_file =
+            g_strdup_printf("%s/%s.yaml", soak->directory, daemon->name);
+        char *text = g_strdup_printf(
+            node_format, daemon->name, i % 3, (unsigned)daemon->front_port,
+            (unsigned)daemon->ready_port, (unsigned)daemon->control_port,
+            (unsigned)soak->daemons[0].control_port,
+            (unsigned)Proxy_Port(daemon->store));
+        g_assert(g_file_set_contents(daemon->node_file, text, -1, NULL));
+        g_free(text);
+        start(daemon);
+    }
+}
+
+void
+Daemon_Kill(Daemon *daemon)
+{
+    if (daemon->pid == 0 || daemon->paused) {
+        return;
+    }
+    daemon->disturbed_us = Soak_Now();
+    kill(daemon->pid, SIGKILL);
+    schedule(daemon, RESTART_US);
+}
+
+void
+Daemon_Pause(Daemon *daemon, int64_t for_us)
+{
+    if (daemon->pid == 0 || daemon->paused ||
+        evtimer_pending(daemon->timer, NULL)) {
+        return;
+    }
+    daemon->paused = true;
+    daemon->disturbed_us = Soak_Now();
+    kill(daemon->pid, SIGSTOP);
+    schedule(daemon, for_us);
+}
+
+void
+Daemon_Terminate(Daemon *daemon)
+{
+    if (daemon->pid == 0 || daemon->paused ||
+        evtimer_pending(daemon->timer, NULL)) {
+        return;
+    }
+    daemon->disturbed_us = Soak_Now();
+    kill(daemon->pid, SIGTERM);
+    schedule(daemon, RESTART_US);
+}
+
+void
+Daemon_Hup(Daemon *daemon)
+{
+    if (daemon->pid != 0 && !daemon->paused) {
+        kill(daemon->pid, SIGHUP);
+    }
+}
+
+void
+Daemons_Stop(Soak *soak)
+{
+    for (uint32_t i = 0; i < soak->daemon_count; i++) {
+        Daemon *daemon = &soak->daemons[i];
+        event_del(daemon->timer);
+        if (!has_ended(daemon)) {
+            kill(daemon->pid, SIGCONT);
+            kill(daemon->pid, SIGTERM);
+        }
+    }
+    int64_t limit_us = Soak_Now() + EXIT_LIMIT_US;
+    for (uint32_t i = 0; i < soak->daemon_count; i++) {
+        Daemon *daemon = &soak->daemons[i];
+        while (!has_ended(daemon) && Soak_Now() < limit_us) {
+            event_base_loop(soak->base, EVLOOP_NONBLOCK);
+            g_usleep(10000);
+        }
+        if (daemon->pid != 0) {
+            Soak_Violation(soak, "a drain ends in time", "", daemon->name);
+            kill(daemon->pid, SIGKILL);
+            waitpid(daemon->pid, NULL, 0);
+        }
+        Proxy_Free(daemon->store);
+        event_free(daemon->timer);
+        g_free(daemon->name);
+        g_free(daemon->node_file);
+    }
+    g_free(soak->daemons);
+}
--- /dev/null
+++ b/test/soak/emulator.c
@@ -0,0 +1,630 @@
+/* The emulated platform: its store, model servers, services and stages. */
+#include <stdio.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
+
+#include "soak.h"
+
+#define WORK_US 15000
+#define EVENT_GAP_US 8000
+#define LEAVE_US 4000000 /* from draining to gone */
+#define DRAIN_LIMIT_US 2000000
+
+struct Server {
+    Soak *soak;
+    struct evhttp *http;
+    uint16_t port;
+    char *id;
+    char *service;
+    ServerFault fault;
+    int64_t draining_us; /* 0: not draining */
+    struct event *leave;
+};
+
+/* A request that a server works on. */
+typedef struct {
+    Server *server;
+    struct evhttp_request *request;
+    struct event *timer;
+    char *id;
+    int64_t next_event;
+    bool started;
+    bool stream;
+} Work;
+
+typedef struct {
+    struct evhttp_request *request;
+    struct event *timer;
+    Soak *soak;
+    char *kind;
+    uint64_t since;
+} Watch;
+
+static const char *
+header(struct evhttp_request *request, const char *name)
+{
+    return evhttp_find_header(evhttp_request_get_input_headers(request), name);
+}
+
+static void
+add_header(struct evhttp_request *request, const char *name, const char *value)
+{
+    evhttp_add_header(evhttp_request_get_output_headers(request), name, value);
+}
+
+static void
+reply_json(struct evhttp_request *request, int status, json_t *body)
+{
+    char *text = json_dumps(body, JSON_COMPACT);
+    struct evbuffer *buffer = evbuffer_new();
+    evbuffer_add(buffer, text, strlen(text));
+    add_header(request, "Content-Type", "application/json");
+    evhttp_send_reply(request, status, "Status", buffer);
+    evbuffer_free(buffer);
+    free(text);
+    json_decref(body);
+}
+
+static json_t *
+read_body(struct evhttp_request *request)
+{
+    struct evbuffer *input = evhttp_request_get_input_buffer(request);
+    size_t length = evbuffer_get_length(input);
+    return length > 0 ? json_loadb((char *)evbuffer_pullup(input, -1), length,
+                                   0, NULL)
+                      : NULL;
+}
+
+/* Store */
+
+static char *
+object_key(const char *kind, const char *name)
+{
+    return g_strdup_printf("%s/%s", kind, name);
+}
+
+static json_t *
+list_kind(Soak *soak, const char *kind, uint64_t since)
+{
+    json_t *items = json_array();
+    char *prefix = g_strdup_printf("%s/", kind);
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iter, soak->objects);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        json_int_t revision = json_integer_value(
+            json_object_get(json_object_get(value, "metadata"), "revision"));
+        bool deleted = json_is_true(json_object_get(value, "deleted"));
+        if (!g_str_has_prefix(key, prefix) || (uint64_t)revision <= since ||
+            (since == 0 && deleted)) {
+            continue;
+        }
+        json_array_append_new(items, since == 0 ? json_incref(value)
+                                                : json_pack("{s:b, s:O}",
+                                                            "deleted", deleted,
+                                                            "object", value));
+    }
+    g_free(prefix);
+    return items;
+}
+
+static void
+finish_watch(Watch *watch, json_t *events)
+{
+    g_ptr_array_remove_fast(watch->soak->watches, watch);
+    evhttp_connection_set_closecb(
+        evhttp_request_get_connection(watch->request), NULL, NULL);
+    reply_json(watch->request, 200,
+               json_pack("{s:o, s:I}", "events", events, "current_rev",
+                         (json_int_t)watch->soak->revision));
+    event_free(watch->timer);
+    g_free(watch->kind);
+    g_free(watch);
+}
+
+static void
+on_watch_time(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    finish_watch(context, json_array());
+}
+
+static void
+on_watch_closed(struct evhttp_connection *connection, void *context)
+{
+    (void)connection;
+    Watch *watch = context;
+    g_ptr_array_remove_fast(watch->soak->watches, watch);
+    event_free(watch->timer);
+    g_free(watch->kind);
+    g_free(watch);
+}
+
+static void
+put(Soak *soak, const char *kind, const char *name, json_t *spec, bool deleted)
+{
+    json_t *object = json_pack("{s:{s:s, s:I}, s:o, s:b}", "metadata", "name",
+                               name, "revision", (json_int_t)++soak->revision,
+                               "spec", spec, "deleted", deleted);
+    g_hash_table_replace(soak->objects, object_key(kind, name), object);
+    for (guint i = soak->watches->len; i > 0; i--) {
+        Watch *watch = g_ptr_array_index(soak->watches, i - 1);
+        if (strcmp(watch->kind, kind) == 0) {
+            finish_watch(watch, list_kind(soak, kind, watch->since));
+        }
+    }
+}
+
+static void
+start_watch(Soak *soak, struct evhttp_request *request, const char *kind,
+            uint64_t since, int64_t wait_ms)
+{
+    json_t *events = list_kind(soak, kind, since);
+    Watch *watch = g_new0(Watch, 1);
+    *watch = (Watch){.request = request,
+                     .soak = soak,
+                     .kind = g_strdup(kind),
+                     .since = since};
+    watch->timer = evtimer_new(soak->base, on_watch_time, watch);
+    g_ptr_array_add(soak->watches, watch);
+    if (json_array_size(events) > 0) {
+        finish_watch(watch, events);
+        return;
+    }
+    json_decref(events);
+    struct timeval wait = {wait_ms / 1000, wait_ms % 1000 * 1000};
+    event_add(watch->timer, &wait);
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request),
+                                  on_watch_closed, watch);
+}
+
+static void
+write_object(Soak *soak, struct evhttp_request *request, const char *kind,
+             const char *path_name)
+{
+    json_t *body = read_body(request);
+    json_t *metadata = json_object_get(body, "metadata");
+    const char *name =
+        path_name != NULL
+            ? path_name
+            : json_string_value(json_object_get(metadata, "name"));
+    char *key = object_key(kind, name != NULL ? name : "");
+    json_t *known = g_hash_table_lookup(soak->objects, key);
+    json_int_t revision = json_integer_value(
+        json_object_get(json_object_get(known, "metadata"), "revision"));
+    json_t *asked = json_object_get(metadata, "revision");
+    bool conflict =
+        path_name == NULL
+            ? known != NULL
+            : asked != NULL && json_integer_value(asked) != revision;
+    if (!conflict) {
+        put(soak, kind, name, json_incref(json_object_get(body, "spec")),
+            false);
+        known = g_hash_table_lookup(soak->objects, key);
+    }
+    reply_json(request, conflict ? 409 : 200, json_incref(known));
+    g_free(key);
+    json_decref(body);
+}
+
+static void
+on_store(struct evhttp_request *request, void *context)
+{
+    Soak *soak = context;
+    const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
+    char **parts = g_strsplit(evhttp_uri_get_path(uri), "/", 5);
+    struct evkeyvalq query = {0};
+    const char *text = evhttp_uri_get_query(uri);
+    evhttp_parse_query_str(text != NULL ? text : "", &query);
+    const char *kind = g_strv_length(parts) > 3 ? parts[3] : "";
+    const char *name = g_strv_length(parts) > 4 ? parts[4] : NULL;
+    const char *since = evhttp_find_header(&query, "watch");
+    const char *wait = evhttp_find_header(&query, "wait_ms");
+    if (evhttp_request_get_command(request) != EVHTTP_REQ_GET) {
+        write_object(soak, request, kind, name);
+    }
+    else if (since != NULL) {
+        start_watch(soak, request, kind, g_ascii_strtoull(since, NULL, 10),
+                    wait != NULL ? g_ascii_strtoll(wait, NULL, 10) : 1000);
+    }
+    else {
+        reply_json(request, 200,
+                   json_pack("{s:o, s:b, s:I}", "items",
+                             list_kind(soak, kind, 0), "has_more", 0,
+                             "current_rev", (json_int_t)soak->revision));
+    }
+    evhttp_clear_headers(&query);
+    g_strfreev(parts);
+}
+
+void
+Emulator_PutConfig(Soak *soak)
+{
+    static const char routes[] =
+        "[{\"name\":\"read\",\"host\":\"h\",\"path_prefix\":\"/read/\","
+        "\"route_kind\":\"idempotent\",\"timeout_ms\":3000,\"goal_ms\":300,"
+        "\"service\":\"orders\",\"max_attempts\":3},"
+        "{\"name\":\"order\",\"host\":\"h\",\"path_prefix\":\"/order/\","
+        "\"route_kind\":\"non_idempotent\",\"timeout_ms\":3000,"
+        "\"goal_ms\":300,\"service\":\"orders\",\"max_attempts\":2},"
+        "{\"name\":\"draft\",\"host\":\"h\",\"path_prefix\":\"/draft/\","
+        "\"route_kind\":\"streaming\",\"timeout_ms\":3000,\"goal_ms\":900,"
+        "\"service\":\"model\",\"max_attempts\":3,\"resumable\":true,"
+        "\"stages\":[{\"service\":\"encode\",\"after\":[],"
+        "\"byte_count\":1000}]},"
+        "{\"name\":\"answer\",\"host\":\"h\",\"path_prefix\":\"/answer/\","
+        "\"route_kind\":\"streaming\",\"timeout_ms\":3000,\"goal_ms\":900,"
+        "\"service\":\"model\",\"max_attempts\":1,\"resumable\":false,"
+        "\"stages\":[{\"service\":\"encode\",\"after\":[],"
+        "\"byte_count\":1000},{\"service\":\"encode\",\"after\":[0],"
+        "\"byte_count\":1000}]}]";
+    static const char services[] =
+        "[{\"name\":\"model\",\"engine\":{\"slots\":16}},"
+        "{\"name\":\"orders\"},{\"name\":\"encode\",\"pieces\":{\"slots\":1,"
+        "\"queue\":2,\"batch\":8,\"call_ms\":20,\"item_ms\":1,"
+        "\"headroom_mb\":4,\"handle_s\":4}}]";
+    soak->config_version += 1 + EbRandom_Below(&soak->random, 3);
+    put(soak, "config", "main",
+        json_pack("{s:I, s:o, s:o, s:[{s:s, s:[s]}]}", "version",
+                  (json_int_t)soak->config_version, "routes",
+                  json_loads(routes, 0, NULL), "services",
+                  json_loads(services, 0, NULL), "tenants", "name", "c-1",
+                  "api_keys", SOAK_KEY),
+        false);
+}
+
+/* Servers */
+
+static void
+free_work(Work *work)
+{
+    event_free(work->timer);
+    g_free(work->id);
+    g_free(work);
+}
+
+static void
+close_connection(struct evhttp_request *request)
+{
+    struct evhttp_connection *connection =
+        evhttp_request_get_connection(request);
+    if (connection != NULL) {
+        shutdown(
+            bufferevent_getfd(evhttp_connection_get_bufferevent(connection)),
+            SHUT_RDWR);
+    }
+}
+
+static void
+on_caller_left(struct evhttp_connection *connection, void *context)
+{
+    (void)connection;
+    Work *work = context;
+    free_work(work);
+}
+
+static void
+note_run(Work *work)
+{
+    GHashTable *runs = work->server->soak->runs;
+    guint count = GPOINTER_TO_UINT(g_hash_table_lookup(runs, work->id)) + 1;
+    g_hash_table_replace(runs, g_strdup(work->id), GUINT_TO_POINTER(count));
+    if (g_hash_table_contains(work->server->soak->promised, work->id)) {
+        Soak_Violation(work->server->soak, "'not run' is true", work->id,
+                       "it runs after the promise");
+    }
+}
+
+static void
+sign(const Work *work, const char *id)
+{
+    add_header(work->request, "Attempt-Id", id);
+    add_header(work->request, "Server-Seal", work->server->id);
+}
+
+static void
+schedule(const Work *work, int64_t after_us)
+{
+    struct timeval delay = {0, after_us};
+    event_add(work->timer, &delay);
+}
+
+static void
+end_work(Work *work)
+{
+    evhttp_connection_set_closecb(evhttp_request_get_connection(work->request),
+                                  NULL, NULL);
+    free_work(work);
+}
+
+static void
+send_event(Work *work)
+{
+    if (!work->started) {
+        work->started = true;
+        sign(work, work->id);
+        add_header(work->request, "Content-Type", "text/event-stream");
+        evhttp_send_reply_start(work->request, 200, "OK");
+    }
+    struct evbuffer *buffer = evbuffer_new();
+    evbuffer_add_printf(buffer, "id: %d\ndata: %s\n\n", (int)work->next_event,
+                        work->id);
+    evhttp_send_reply_chunk(work->request, buffer);
+    evbuffer_free(buffer);
+    work->next_event++;
+}
+
+static void
+finish_plain(Work *work)
+{
+    bool error = work->server->fault == SERVER_ERRORS;
+    bool confused = work->server->fault == SERVER_CONFUSED;
+    char *body = Soak_Body(work->id);
+    struct evbuffer *buffer = evbuffer_new();
+    evbuffer_add(buffer, body, strlen(body));
+    sign(work, confused ? "another" : work->id);
+    struct evhttp_request *request = work->request;
+    end_work(work);
+    evhttp_send_reply(request, error ? 500 : 200, "Status", buffer);
+    evbuffer_free(buffer);
+    g_free(body);
+}
+
+static void
+on_work(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    Work *work = context;
+    ServerFault fault = work->server->fault;
+    if (fault == SERVER_SILENT) {
+        schedule(work, WORK_US); /* until it is sound again */
+        return;
+    }
+    if (fault == SERVER_RESETS && (!work->stream || work->next_event > 3)) {
+        close_connection(work->request);
+        return; /* the close frees it */
+    }
+    if (!work->stream || (fault == SERVER_ERRORS && !work->started)) {
+        finish_plain(work);
+        return;
+    }
+    if (work->next_event < SOAK_EVENTS) {
+        send_event(work);
+        schedule(work, EVENT_GAP_US);
+        return;
+    }
+    struct evhttp_request *request = work->request;
+    bool started = work->started;
+    if (!started) {
+        send_event(work); /* resumed after the last one */
+    }
+    end_work(work);
+    evhttp_send_reply_end(request);
+}
+
+static void
+refuse(struct evhttp_request *request, int status)
+{
+    add_header(request, "Not-Executed", "1");
+    evhttp_send_reply(request, status, "Refused", NULL);
+}
+
+/* Every handle names the request that it was made for. */
+static bool
+check_inputs(Server *server, const char *id, const char *inputs)
+{
+    char **handles = g_strsplit(inputs != NULL ? inputs : "", ",", -1);
+    bool own = handles[0] != NULL;
+    for (size_t i = 0; handles[i] != NULL; i++) {
+        const char *made_for = strchr(handles[i], '/');
+        own = own && made_for != NULL && g_str_has_prefix(made_for + 1, id);
+    }
+    g_strfreev(handles);
+    if (!own) {
+        Soak_Violation(server->soak, "inputs are the request's own", id,
+                       inputs != NULL ? inputs : "none");
+    }
+    return own;
+}
+
+static void
+run_pieces(Server *server, struct evhttp_request *request)
+{
+    json_t *body = read_body(request);
+    json_t *results = json_array();
+    size_t index;
+    json_t *item;
+    json_array_foreach(json_object_get(body, "items"), index, item)
+    {
+        const char *id = json_string_value(json_object_get(item, "id"));
+        json_int_t stage = json_integer_value(json_object_get(item, "stage"));
+        json_t *inputs = json_object_get(item, "inputs");
+        if (stage == 1) {
+            check_inputs(server, id,
+                         json_string_value(json_array_get(inputs, 0)));
+        }
+        char *handle = g_strdup_printf(
+            SOAK_HOST ":%u/%s.%d.%d", (unsigned)server->port, id, (int)stage,
+            (int)json_integer_value(json_object_get(item, "piece")));
+        json_array_append_new(results, json_pack("{s:s}", "handle", handle));
+        g_free(handle);
+    }
+    json_decref(body);
+    reply_json(request, 200, json_pack("{s:o}", "items", results));
+}
+
+static void
+check_drain(const Server *server, const char *id)
+{
+    if (server->draining_us != 0 &&
+        Soak_Now() > server->draining_us + DRAIN_LIMIT_US) {
+        Soak_Violation(server->soak, "a leaving server gets no new work", id,
+                       server->id);
+    }
+}
+
+static void
+start_work(Server *server, struct evhttp_request *request, const char *id)
+{
+    const char *path = evhttp_request_get_uri(request);
+    const char *after = header(request, "Last-Event-Id");
+    Work *work = g_new0(Work, 1);
+    work->server = server;
+    work->request = request;
+    work->id = g_strdup(id);
+    work->stream = g_str_has_prefix(path, "/draft/") ||
+                   g_str_has_prefix(path, "/answer/");
+    work->next_event =
+        after != NULL ? g_ascii_strtoll(after, NULL, 10) + 1 : 0;
+    work->timer = evtimer_new(server->soak->base, on_work, work);
+    if (work->stream) {
+        check_inputs(server, id, header(request, "Inputs"));
+    }
+    if (header(request, "Authorization") != NULL ||
+        g_strcmp0(header(request, "Tenant"), "c-1") != 0) {
+        Soak_Violation(server->soak, "the key stays here", id, server->id);
+    }
+    note_run(work);
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request),
+                                  on_caller_left, work);
+    schedule(work, WORK_US);
+}
+
+static void
+on_server(struct evhttp_request *request, void *context)
+{
+    Server *server = context;
+    const char *path = evhttp_request_get_uri(request);
+    const char *expected = header(request, "Expected-Instance");
+    const char *id = header(request, "Attempt-Id");
+    if (expected != NULL && strcmp(expected, server->id) != 0) {
+        refuse(request, 421);
+    }
+    else if (strcmp(path, "/ebonyhollow/stage-free") == 0) {
+        evhttp_send_reply(request, 200, "OK", NULL);
+    }
+    else if (server->fault == SERVER_SHEDS) {
+        refuse(request, 503);
+    }
+    else if (strcmp(path, "/ebonyhollow/stage-run") == 0) {
+        if (server->fault == SERVER_RESETS || server->fault == SERVER_SILENT) {
+            close_connection(request);
+            return;
+        }
+        check_drain(server, "stage-run");
+        run_pieces(server, request);
+    }
+    else if (id == NULL) {
+        refuse(request, 400);
+    }
+    else {
+        check_drain(server, id);
+        start_work(server, request, id);
+    }
+}
+
+static void
+put_entry(const Server *server)
+{
+    char address[32];
+    snprintf(address, sizeof(address), SOAK_HOST ":%u",
+             (unsigned)server->port);
+    put(server->soak, "servers", server->id,
+        json_pack("{s:s, s:s, s:s, s:i, s:s}", "service", server->service,
+                  "address", address, "zone", "z0", "slots", 16, "state",
+                  server->draining_us != 0 ? "draining" : "ready"),
+        false);
+}
+
+static void
+on_leave(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    Server *server = context;
+    put(server->soak, "servers", server->id, json_null(), true);
+}
+
+Server *
+Emulator_AddServer(Soak *soak, const char *service)
+{
+    Server *server = g_new0(Server, 1);
+    server->soak = soak;
+    server->service = g_strdup(service);
+    server->id = g_strdup_printf("s-%u", (unsigned)++soak->next_server);
+    server->port = Soak_FreePort();
+    server->http = evhttp_new(soak->base);
+    server->leave = evtimer_new(soak->base, on_leave, server);
+    evhttp_set_gencb(server->http, on_server, server);
+    g_assert(evhttp_bind_socket(server->http, SOAK_HOST, server->port) == 0);
+    g_ptr_array_add(soak->servers, server);
+    put_entry(server);
+    return server;
+}
+
+void
+Emulator_Drain(Soak *soak, Server *server)
+{
+    (void)soak;
+    if (server->draining_us == 0) {
+        server->draining_us = Soak_Now();
+        put_entry(server);
+        struct timeval delay = {LEAVE_US / 1000000, 0};
+        event_add(server->leave, &delay);
+        Emulator_AddServer(soak, server->service);
+    }
+}
+
+void
+Server_SetFault(Server *server, ServerFault fault)
+{
+    server->fault = fault;
+}
+
+void
+Emulator_Start(Soak *soak)
+{
+    static const char *const services[] = {"model",  "model",  "model",
+                                           "orders", "orders", "orders",
+                                           "encode", "encode"};
+    soak->servers = g_ptr_array_new();
+    soak->watches = g_ptr_array_new();
+    soak->objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                          (GDestroyNotify)json_decref);
+    soak->store_port = Soak_FreePort();
+    soak->store = evhttp_new(soak->base);
+    evhttp_set_allowed_methods(soak->store, EVHTTP_REQ_GET | EVHTTP_REQ_PUT |
+                                                EVHTTP_REQ_POST |
+                                                EVHTTP_REQ_DELETE);
+    evhttp_set_gencb(soak->store, on_store, soak);
+    g_assert(evhttp_bind_socket(soak->store, SOAK_HOST, soak->store_port) ==
+             0);
+    Emulator_PutConfig(soak);
+    for (size_t i = 0; i < G_N_ELEMENTS(services); i++) {
+        Emulator_AddServer(soak, services[i]);
+    }
+}
+
+void
+Emulator_Stop(Soak *soak)
+{
+    for (guint i = 0; i < soak->servers->len; i++) {
+        Server *server = g_ptr_array_index(soak->servers, i);
+        event_free(server->leave);
+        evhttp_free(server->http);
+        g_free(server->id);
+        g_free(server->service);
+        g_free(server);
+    }
+    g_ptr_array_unref(soak->servers);
+    evhttp_free(soak->store);
+    g_ptr_array_unref(soak->watches);
+    g_hash_table_destroy(soak->objects);
+}
--- /dev/null
+++ b/test/soak/main.c
@@ -0,0 +1,316 @@
+#include "soak.h"
+
+#include <getopt.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <netinet/in.h>
+
+#define START_US 1500000 /* for the daemons to be ready */
+#define FAULT_GAP_MIN_US 100000
+#define FAULT_GAP_MAX_US 900000
+#define FAULT_MAX_US 2500000
+/* Calm time after the faults; requests of its second half must succeed. */
+#define CALM_US 16000000
+#define CALM_SHARE_PERCENT 95
+#define LAST_ANSWER_US 5000000
+
+typedef enum {
+    FAULT_KILL,
+    FAULT_KILL_ALL,
+    FAULT_PAUSE,
+    FAULT_TERMINATE,
+    FAULT_HUP,
+    FAULT_STORE_PATH,
+    FAULT_STORE_PATHS, /* of all daemons */
+    FAULT_SERVER,
+    FAULT_DRAIN,
+    FAULT_CONFIG,
+    FAULT_COUNT
+} Fault;
+
+static const char *const Fault_names[FAULT_COUNT] = {
+    [FAULT_KILL] = "kill",
+    [FAULT_KILL_ALL] = "kill-all",
+    [FAULT_PAUSE] = "pause",
+    [FAULT_TERMINATE] = "terminate",
+    [FAULT_HUP] = "hup",
+    [FAULT_STORE_PATH] = "store-path",
+    [FAULT_STORE_PATHS] = "store-paths",
+    [FAULT_SERVER] = "server",
+    [FAULT_DRAIN] = "drain",
+    [FAULT_CONFIG] = "config",
+};
+
+/* The end of a fault that passes. */
+typedef struct {
+    Soak *soak;
+    Server *server;
+    Proxy *proxy;
+    struct event *timer;
+} Healing;
+
+static int64_t start_us;
+
+int64_t
+Soak_Now(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    return now.tv_sec * 1000000LL + now.tv_nsec / 1000;
+}
+
+void
+Soak_Violation(Soak *soak, const char *promise, const char *request_id,
+               const char *detail)
+{
+    soak->violations++;
+    printf("%.3f s VIOLATION: %s: request %s: %.200s\n",
+           (double)(Soak_Now() - start_us) / 1e6, promise, request_id, detail);
+}
+
+uint16_t
+Soak_FreePort(void)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t length = sizeof(address);
+    int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    g_assert(bind(descriptor, (struct sockaddr *)&address, length) == 0);
+    getsockname(descriptor, (struct sockaddr *)&address, &length);
+    close(descriptor);
+    return ntohs(address.sin_port);
+}
+
+char *
+Soak_Body(const char *request_id)
+{
+    return g_strdup_printf("answer to %s", request_id);
+}
+
+static uint64_t
+below(Soak *soak, uint64_t bound)
+{
+    return EbRandom_Below(&soak->random, bound);
+}
+
+static void
+on_healed(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    Healing *healing = context;
+    if (healing->server != NULL) {
+        Server_SetFault(healing->server, SERVER_SOUND);
+    }
+    if (healing->proxy != NULL) {
+        Proxy_SetFault(healing->proxy, PATH_SOUND);
+    }
+    event_free(healing->timer);
+    g_free(healing);
+}
+
+static void
+heal_later(Soak *soak, Server *server, Proxy *proxy)
+{
+    Healing *healing = g_new0(Healing, 1);
+    *healing = (Healing){.soak = soak, .server = server, .proxy = proxy};
+    healing->timer = evtimer_new(soak->base, on_healed, healing);
+    int64_t after_us = 100000 + (int64_t)below(soak, FAULT_MAX_US);
+    struct timeval delay = {after_us / 1000000, after_us % 1000000};
+    event_add(healing->timer, &delay);
+}
+
+static void
+harm_path(Soak *soak, Proxy *proxy)
+{
+    Proxy_SetFault(proxy, (PathFault)(1 + below(soak, PATH_FAULT_COUNT - 1)));
+    heal_later(soak, NULL, proxy);
+}
+
+static void
+inject(Soak *soak, Fault fault)
+{
+    Daemon *daemon = &soak->daemons[below(soak, soak->daemon_count)];
+    Server *server =
+        g_ptr_array_index(soak->servers, below(soak, soak->servers->len));
+    switch (fault) {
+    case FAULT_KILL:
+        Daemon_Kill(daemon);
+        break;
+    case FAULT_KILL_ALL:
+        for (uint32_t i = 0; i < soak->daemon_count; i++) {
+            Daemon_Kill(&soak->daemons[i]);
+        }
+        break;
+    case FAULT_PAUSE:
+        Daemon_Pause(daemon, (int64_t)below(soak, FAULT_MAX_US));
+        break;
+    case FAULT_TERMINATE:
+        Daemon_Terminate(daemon);
+        break;
+    case FAULT_HUP:
+        Daemon_Hup(daemon);
+        break;
+    case FAULT_STORE_PATH:
+        harm_path(soak, daemon->store);
+        break;
+    case FAULT_STORE_PATHS:
+        for (uint32_t i = 0; i < soak->daemon_count; i++) {
+            harm_path(soak, soak->daemons[i].store);
+        }
+        break;
+    case FAULT_SERVER:
+        Server_SetFault(
+            server, (ServerFault)(1 + below(soak, SERVER_FAULT_COUNT - 1)));
+        heal_later(soak, server, NULL);
+        break;
+    case FAULT_DRAIN:
+        Emulator_Drain(soak, server);
+        break;
+    case FAULT_CONFIG:
+        Emulator_PutConfig(soak);
+        break;
+    case FAULT_COUNT:
+        break;
+    }
+}
+
+/* Runs the loop until a time. */
+static void
+run_until(Soak *soak, int64_t until_us)
+{
+    while (Soak_Now() < until_us) {
+        struct timeval slice = {0, 20000};
+        event_base_loopexit(soak->base, &slice);
+        event_base_dispatch(soak->base);
+    }
+}
+
+static void
+run_faults(Soak *soak, bool verbose)
+{
+    while (Soak_Now() < soak->end_us) {
+        /* Killing all is rare, or nothing would ever run. */
+        Fault fault = (Fault)below(soak, FAULT_COUNT);
+        if (fault == FAULT_KILL_ALL && below(soak, 6) != 0) {
+            fault = FAULT_CONFIG;
+        }
+        if (verbose) {
+            printf("%.3f s %s\n", (double)(Soak_Now() - start_us) / 1e6,
+                   Fault_names[fault]);
+        }
+        inject(soak, fault);
+        run_until(soak, Soak_Now() + FAULT_GAP_MIN_US +
+                            (int64_t)below(soak, FAULT_GAP_MAX_US));
+    }
+}
+
+static const char usage[] =
+    "Usage: soak --program FILE [--seed N] [--seconds N] [--daemons N]\n"
+    "            [--callers N] [--directory DIR] [--verbose]\n"
+    "\n"
+    "Runs daemons between callers and an emulated platform, injects faults\n"
+    "for so many seconds and checks the promises. Logs of the daemons are in\n"
+    "DIR. The exit status is 0 when no promise was broken.\n";
+
+static const struct option long_options[] = {
+    {"program", required_argument, NULL, 'p'},
+    {"seed", required_argument, NULL, 's'},
+    {"seconds", required_argument, NULL, 't'},
+    {"daemons", required_argument, NULL, 'd'},
+    {"callers", required_argument, NULL, 'c'},
+    {"directory", required_argument, NULL, 'o'},
+    {"verbose", no_argument, NULL, 'v'},
+    {NULL, 0, NULL, 0},
+};
+
+static void
+report(Soak *soak, uint64_t seed)
+{
+    if (soak->calm_sent == 0 ||
+        soak->calm_succeeded * 100 < soak->calm_sent * CALM_SHARE_PERCENT) {
+        char detail[64];
+        snprintf(detail, sizeof(detail), "%u of %u after the faults",
+                 (unsigned)soak->calm_succeeded, (unsigned)soak->calm_sent);
+        Soak_Violation(soak, "service comes back", "", detail);
+    }
+    printf("seed %u: %u sent, %u succeeded, %u refused, %u failed, "
+           "%u of %u after the faults, %u violations\n",
+           (unsigned)seed, (unsigned)soak->sent, (unsigned)soak->succeeded,
+           (unsigned)soak->refused, (unsigned)soak->failed,
+           (unsigned)soak->calm_succeeded, (unsigned)soak->calm_sent,
+           soak->violations);
+}
+
+int
+main(int argc, char **argv)
+{
+    Soak soak = {.daemon_count = 3};
+    uint64_t seed = 1;
+    uint32_t callers = 24;
+    int64_t seconds = 10;
+    bool verbose = false;
+    int option;
+    while ((option = getopt_long(argc, argv, "", long_options, NULL)) != -1) {
+        switch (option) {
+        case 'p':
+            soak.program = optarg;
+            break;
+        case 's':
+            seed = strtoull(optarg, NULL, 10);
+            break;
+        case 't':
+            seconds = strtoll(optarg, NULL, 10);
+            break;
+        case 'd':
+            soak.daemon_count = (uint32_t)strtoul(optarg, NULL, 10);
+            break;
+        case 'c':
+            callers = (uint32_t)strtoul(optarg, NULL, 10);
+            break;
+        case 'o':
+            soak.directory = g_strdup(optarg);
+            break;
+        case 'v':
+            verbose = true;
+            break;
+        default:
+            fputs(usage, stderr);
+            return 2;
+        }
+    }
+    if (soak.program == NULL || soak.daemon_count == 0 || callers == 0) {
+        fputs(usage, stderr);
+        return 2;
+    }
+    if (soak.directory == NULL) {
+        soak.directory = g_dir_make_tmp("eb-soak-XXXXXX", NULL);
+    }
+    g_mkdir_with_parents(soak.directory, 0700);
+    setvbuf(stdout, NULL, _IOLBF, 0);
+    signal(SIGPIPE, SIG_IGN);
+    EbRandom_Init(&soak.random, seed);
+    soak.base = event_base_new();
+    soak.runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    soak.promised =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    start_us = Soak_Now();
+    soak.end_us = start_us + START_US + seconds * 1000000;
+    soak.stop_us = soak.end_us + CALM_US;
+    Emulator_Start(&soak);
+    Daemons_Start(&soak);
+    run_until(&soak, start_us + START_US);
+    Callers_Start(&soak, callers);
+    run_faults(&soak, verbose);
+    soak.end_us = Soak_Now() + CALM_US / 2;
+    run_until(&soak, soak.stop_us + LAST_ANSWER_US);
+    Daemons_Stop(&soak);
+    report(&soak, seed);
+    return soak.violations == 0 ? 0 : 1;
+}
