--- a/include/ebonyhollow/action.h
+++ b/include/ebonyhollow/action.h
@@ -220,6 +220,12 @@
 
 size_t EbActionQueue_Count(const EbActionQueue *queue);
 
+/* Copies a preparation; its inputs are shared. */
+EbPrepare EbPrepare_Copy(const EbPrepare *prepare);
+
+/* Releases what a preparation owns. */
+void EbPrepare_Clear(EbPrepare *prepare);
+
 /* Releases what an action owns. */
 void EbAction_Clear(EbAction *action);
 
--- a/src/libebonyhollow/action.c
+++ b/src/libebonyhollow/action.c
@@ -107,14 +107,29 @@
     clear_strings(send->inputs);
 }
 
-static void
-clear_prepare(EbPrepare *prepare)
+EbPrepare
+EbPrepare_Copy(const EbPrepare *prepare)
+{
+    EbPrepare copy = *prepare;
+    copy.request_id = g_strdup(prepare->request_id);
+    copy.service = g_strdup(prepare->service);
+    copy.failure_domain = g_strdup(prepare->failure_domain);
+    copy.key = g_strdup(prepare->key);
+    if (prepare->inputs != NULL) {
+        g_ptr_array_ref(prepare->inputs);
+    }
+    return copy;
+}
+
+void
+EbPrepare_Clear(EbPrepare *prepare)
 {
     g_free(prepare->request_id);
     g_free(prepare->service);
     g_free(prepare->failure_domain);
     g_free(prepare->key);
     clear_strings(prepare->inputs);
+    *prepare = (EbPrepare){0};
 }
 
 static void
@@ -163,7 +178,7 @@
         EbHttpMessage_Unref(action->as.answer.reply);
         break;
     case EB_ACTION_PREPARE:
-        clear_prepare(&action->as.prepare);
+        EbPrepare_Clear(&action->as.prepare);
         break;
     case EB_ACTION_SEND_PIECES:
         clear_pieces(&action->as.pieces);
--- a/src/libebonyhollow/pieces.c
+++ b/src/libebonyhollow/pieces.c
@@ -142,13 +142,7 @@
     }
     g_free(job->pieces);
     g_queue_clear(&job->waiting);
-    g_free(job->prepare.request_id);
-    g_free(job->prepare.service);
-    g_free(job->prepare.failure_domain);
-    g_free(job->prepare.key);
-    if (job->prepare.inputs != NULL) {
-        g_ptr_array_unref(job->prepare.inputs);
-    }
+    EbPrepare_Clear(&job->prepare);
     g_free(job->origin);
     g_free(job);
 }
@@ -763,14 +757,7 @@
     }
     Job *job = g_new0(Job, 1);
     job->origin = g_strdup(origin);
-    job->prepare = *prepare;
-    job->prepare.request_id = g_strdup(prepare->request_id);
-    job->prepare.service = g_strdup(prepare->service);
-    job->prepare.failure_domain = g_strdup(prepare->failure_domain);
-    job->prepare.key = g_strdup(prepare->key);
-    if (prepare->inputs != NULL) {
-        g_ptr_array_ref(prepare->inputs);
-    }
+    job->prepare = EbPrepare_Copy(prepare);
     job->service = get_service(pieces, prepare->service);
     job->pieces = g_new0(Piece, prepare->piece_count);
     job->added_us = now_us;
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -22,13 +22,7 @@
 free_job(gpointer pointer)
 {
     Job *job = pointer;
-    g_free(job->prepare.request_id);
-    g_free(job->prepare.service);
-    g_free(job->prepare.failure_domain);
-    g_free(job->prepare.key);
-    if (job->prepare.inputs != NULL) {
-        g_ptr_array_unref(job->prepare.inputs);
-    }
+    EbPrepare_Clear(&job->prepare);
     g_free(job->home);
     g_free(job);
 }
@@ -310,14 +304,7 @@
 EbDaemon_Prepare(EbDaemon *daemon, const EbPrepare *prepare)
 {
     Job *job = g_new0(Job, 1);
-    job->prepare = *prepare;
-    job->prepare.request_id = g_strdup(prepare->request_id);
-    job->prepare.service = g_strdup(prepare->service);
-    job->prepare.failure_domain = g_strdup(prepare->failure_domain);
-    job->prepare.key = g_strdup(prepare->key);
-    if (prepare->inputs != NULL) {
-        g_ptr_array_ref(prepare->inputs);
-    }
+    job->prepare = EbPrepare_Copy(prepare);
     g_hash_table_insert(daemon->jobs, &job->prepare.job, job);
     place_job(daemon, job, EbClock_Monotonic());
 }
--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -640,6 +640,24 @@
     close_fixture(&fixture);
 }
 
+/* Guards against results that take memory at their server while a longer
+ * chain of stages is not nearly done. */
+static void
+test_early_preparation(void)
+{
+    static char *b[] = {"b0", "b1"};
+    Fixture fixture;
+    open_fixture(&fixture);
+    fixture.config->pools[1].batch.call_us = SECOND_US / 4;
+    EbConfig_PlanPreparations(fixture.config);
+    submit(&fixture, "/staged/x", TOKEN);
+    CU_ASSERT_EQUAL(fixture.prepare_count, 1);
+    CU_ASSERT_EQUAL(fixture.prepare_stages[0], 1);
+    prepared(&fixture, 0, EB_PREPARED_OK, b, 2);
+    CU_ASSERT_EQUAL(fixture.prepare_count, 3);
+    close_fixture(&fixture);
+}
+
 /* Guards against a second call when the end of a preparation is told twice,
  * by a home before and after its link broke. */
 static void
@@ -705,6 +723,7 @@
         {"caller gone", test_caller_gone},
         {"deadline", test_deadline},
         {"preparations", test_preparations},
+        {"early preparation", test_early_preparation},
         {"prepared twice", test_prepared_twice},
         {"lost results", test_lost_results},
     };
