--- a/test/soak/daemons.c
+++ b/test/soak/daemons.c
@@ -74,6 +74,7 @@
         daemon->paused = false;
         kill(daemon->pid, SIGCONT);
         daemon->disturbed_us = Soak_Now();
+        daemon->soak->out_of_touch_us = Soak_Now();
         return;
     }
     if (has_ended(daemon)) {
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -110,6 +110,7 @@
     }
     if (healing->proxy != NULL) {
         Proxy_SetFault(healing->proxy, PATH_SOUND);
+        healing->soak->out_of_touch_us = Soak_Now();
     }
     event_free(healing->timer);
     g_free(healing);
@@ -129,6 +130,7 @@
 static void
 harm_path(Soak *soak, Proxy *proxy)
 {
+    soak->out_of_touch_us = Soak_Now() + FAULT_MAX_US;
     Proxy_SetFault(proxy, (PathFault)(1 + below(soak, PATH_FAULT_COUNT - 1)));
     heal_later(soak, NULL, proxy);
 }
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -76,8 +76,10 @@
     EbRandom random;
     const char *program;
     char *directory;
-    int64_t end_us;  /* faults end */
-    int64_t stop_us; /* callers end */
+    int64_t out_of_touch_us; /* when a path to the store or a daemon was
+                                harmed last */
+    int64_t end_us;          /* faults end */
+    int64_t stop_us;         /* callers end */
     uint32_t daemon_count;
     Daemon *daemons;
     GPtrArray *servers;  /* of Server */
