pool, forward_client: daemons share the connections that a server takes

Change: a daemon has its share of four fifths of a server's connections, idle ones are closed for a new one, and no more calls than that run there.

--- a/include/ebonyhollow/action.h
+++ b/include/ebonyhollow/action.h
@@ -69,6 +69,7 @@
     int64_t resume_after;   /* event id or EB_FORWARD_NO_EVENT */
     uint8_t priority;       /* 0 is the most urgent */
     GPtrArray *inputs;      /* of char *, handles of prepared results */
+    uint32_t max_connections; /* to the server, with this one */
 } EbSendAttempt;
 
 /* A stage of a forwarded request that has to be prepared: its work items go,
--- a/include/ebonyhollow/dispatcher.h
+++ b/include/ebonyhollow/dispatcher.h
@@ -67,6 +67,11 @@
 void EbDispatcher_SetConfig(EbDispatcher *dispatcher, EbConfig *config,
                             int64_t now_us);
 
+/* Sets the number of live daemons, which share the connections that backend
+ * servers take. */
+void EbDispatcher_SetDaemons(EbDispatcher *dispatcher, uint32_t daemons,
+                             int64_t now_us);
+
 /* A caller's request. Everything is borrowed for the call. */
 typedef struct {
     const char *request_id;
--- a/include/ebonyhollow/forward_client.h
+++ b/include/ebonyhollow/forward_client.h
@@ -45,6 +45,9 @@
     const char *request_id; /* echo that the answer must have, or NULL */
     bool stream;            /* report events of an event stream as they come */
     bool fresh_connection;  /* must not use an idle connection */
+    /* To the server, with this one; idle ones are closed to keep it. 0: no
+     * limit. */
+    uint32_t max_connections;
 } EbForwardSend;
 
 /* Sends a message, of which it keeps a reference while it needs one. */
--- a/include/ebonyhollow/pool.h
+++ b/include/ebonyhollow/pool.h
@@ -77,6 +77,13 @@
 void EbPool_SetConfig(EbPool *pool, const EbConfig *config,
                       uint32_t pool_index);
 
+/* Sets the number of live daemons, which share a server's connections. */
+void EbPool_SetDaemons(EbPool *pool, uint32_t daemons);
+
+/* Connections that this daemon may have to each server, UINT32_MAX without
+ * limit. */
+uint32_t EbPool_ConnectionShare(const EbPool *pool);
+
 /* Chooses a server with a free slot and counts the call as in flight.
  *
  * Returns the server, valid until SetConfig, or NULL when no server can take
--- a/src/libebonyhollow/dispatcher.c
+++ b/src/libebonyhollow/dispatcher.c
@@ -107,6 +107,7 @@
     assert(options->quarantine != NULL && options->metrics != NULL);
     EbDispatcher *dispatcher = g_new0(EbDispatcher, 1);
     dispatcher->options = *options;
+    dispatcher->daemons = 1;
     if (options->max_requests == 0) {
         dispatcher->options.max_requests = DEFAULT_MAX_REQUESTS;
     }
@@ -205,6 +206,7 @@
         },
         NULL);
     assert(state->pool != NULL);
+    EbPool_SetDaemons(state->pool, dispatcher->daemons);
     /* Each request waits at most once, so that the bound of requests bounds
      * the queue; queue_max is checked apart, as it may change later. */
     state->queue = EbQueue_New(&(EbQueueOptions){
@@ -282,6 +284,22 @@
     EbDispatcher_Settle(dispatcher, now_us);
 }
 
+void
+EbDispatcher_SetDaemons(EbDispatcher *dispatcher, uint32_t daemons,
+                        int64_t now_us)
+{
+    dispatcher->daemons = daemons;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, dispatcher->pools);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        EbPoolState *pool = value;
+        EbPool_SetDaemons(pool->pool, daemons);
+        pool->dirty = true;
+    }
+    EbDispatcher_Settle(dispatcher, now_us);
+}
+
 void
 EbDispatcher_ReleasePools(EbDispatcher *dispatcher, EbRequest *request)
 {
--- a/src/libebonyhollow/pool.c
+++ b/src/libebonyhollow/pool.c
@@ -13,6 +13,9 @@
 /* The configured estimate counts as four calls, so that one odd first call
  * doesn't decide about admission. */
 #define ESTIMATE_CALLS 4
+/* Part of a server's connections that daemons share out; the rest is for those
+ * that join or that do not see each other. */
+#define CONNECTIONS_USED 0.8
 #define HELD_GAIN 0.03 /* remembers about 30 calls */
 
 const char *const EbServerState_names[EB_SERVER_STATE_COUNT] = {
@@ -79,6 +82,28 @@
                         ? fmin(server->limit, config->capacity)
                         : config->capacity;
     resize_ring(server, MAX(config->capacity, server->in_flight));
+    server->connection_share = EbPool_ConnectionShare(pool);
+}
+
+uint32_t
+EbPool_ConnectionShare(const EbPool *pool)
+{
+    uint32_t max_connections = pool->config->max_connections;
+    if (max_connections == 0) {
+        return UINT32_MAX;
+    }
+    double share =
+        max_connections * CONNECTIONS_USED / fmax(pool->daemons, 1);
+    return MAX((uint32_t)share, 1);
+}
+
+void
+EbPool_SetDaemons(EbPool *pool, uint32_t daemons)
+{
+    pool->daemons = daemons;
+    for (uint32_t i = 0; i < pool->server_count; i++) {
+        pool->servers[i]->connection_share = EbPool_ConnectionShare(pool);
+    }
 }
 
 void
@@ -134,6 +159,7 @@
     pool->instance = g_strdup(options->instance);
     pool->failure_domain = g_strdup(options->failure_domain);
     pool->random = options->random;
+    pool->daemons = 1;
     pool->events = options->events;
     EbPool_SetConfig(pool, options->config, options->pool_index);
     return pool;
--- a/src/libebonyhollow/pool_choice.c
+++ b/src/libebonyhollow/pool_choice.c
@@ -48,7 +48,7 @@
 EbPool_Slots(const EbPoolServer *server, int64_t now_us)
 {
     double slots = server->limit * EbPool_SlowStartShare(server, now_us);
-    return slots < 1 ? 1 : (uint32_t)slots;
+    return slots < 1 ? 1 : MIN((uint32_t)slots, server->connection_share);
 }
 
 static bool
--- a/src/libebonyhollow/private/dispatcher_private.h
+++ b/src/libebonyhollow/private/dispatcher_private.h
@@ -202,6 +202,7 @@
     uint64_t next_attempt;
     uint64_t next_query;
     uint64_t next_job;
+    uint32_t daemons; /* live ones */
     int64_t pool_tick_us;
     int64_t now_us; /* for EbRequest_AcceptsServer, which is given no time */
     bool draining;
--- a/src/libebonyhollow/private/pool_state.h
+++ b/src/libebonyhollow/private/pool_state.h
@@ -10,6 +10,7 @@
 /* One backend server as this daemon sees it. */
 typedef struct {
     char *id;
+    uint32_t connection_share; /* that this daemon may have to it */
     const EbConfigBackendServer *config;
     uint64_t rank; /* rendezvous hash of daemon and server */
     bool leaving;
@@ -68,6 +69,7 @@
     EbPoolServer **members; /* the subset this daemon uses */
     uint32_t member_count;
     GHashTable *by_id;
+    uint32_t daemons;     /* live ones, this one included */
     uint32_t next_member; /* round robin */
     uint32_t ejected_count;
     double median_us; /* latency of measured members; 0 before any */
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -159,6 +159,7 @@
                              .request_id = send->request_id,
                              .stream = send->stream,
                              .fresh_connection = send->fresh_connection,
+                             .max_connections = send->max_connections,
                          },
                          message);
     EbHttpMessage_Unref(message);
--- a/src/libebonyhollow_net/daemon_peer.c
+++ b/src/libebonyhollow_net/daemon_peer.c
@@ -372,6 +372,7 @@
     /* None is live once this daemon has announced its shutdown. */
     if (live > 0) {
         EbLimiter_SetMembers(daemon->limiter, names, live, now_us);
+        EbDispatcher_SetDaemons(daemon->dispatcher, (uint32_t)live, now_us);
         EbLedger_SetWriteRate(
             daemon->ledger,
             CLAMP(WRITES_PER_S / (uint32_t)live, 1, WRITES_PER_S_EACH));
--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -310,6 +310,34 @@
     return connection;
 }
 
+static uint32_t
+count_connections(const EbForwardClient *client, const char *server_id)
+{
+    uint32_t count = 0;
+    GHashTableIter iter;
+    gpointer key;
+    g_hash_table_iter_init(&iter, client->all);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        count += strcmp(((const Connection *)key)->server_id, server_id) == 0;
+    }
+    return count;
+}
+
+/* Closes idle connections until one more stays within the limit: a server
+ * resets those beyond its own, with what was sent on them. */
+static void
+make_place(EbForwardClient *client, const EbForwardSend *send)
+{
+    uint32_t count = count_connections(client, send->server_id);
+    GQueue *idle;
+    while (count >= send->max_connections &&
+           (idle = g_hash_table_lookup(client->idle, send->server_id)) !=
+               NULL) {
+        forget(g_queue_peek_tail(idle));
+        count--;
+    }
+}
+
 static Connection *
 open_connection(EbForwardClient *client, const EbForwardSend *send)
 {
@@ -385,6 +413,9 @@
         send->fresh_connection ? NULL : take_idle(client, send->server_id);
     bool opened = connection == NULL;
     if (opened) {
+        if (send->max_connections > 0) {
+            make_place(client, send);
+        }
         connection = open_connection(client, send);
     }
     connection->attempt_id = send->attempt_id;
--- a/src/test_forward_net/main.c
+++ b/src/test_forward_net/main.c
@@ -407,6 +407,41 @@
     }
 }
 
+static bool
+has_closed_one(void *context)
+{
+    return ((ClientFixture *)context)->server->closed == 1;
+}
+
+/* Guards against more connections than the server takes from this daemon,
+ * which it would reset together with the call on them. */
+static void
+test_client_connection_limit(void)
+{
+    ClientFixture fixture;
+    open_client(&fixture);
+    fixture.answer = HEAD "Content-Length: 2\r\n\r\nab";
+    for (uint64_t id = 1; id <= 2; id++) {
+        EbHttpMessage *message = EbHttpMessage_NewRequest("GET", "/");
+        EbForwardClient_Send(
+            fixture.client,
+            &(EbForwardSend){.attempt_id = id,
+                             .server_id = "s-1",
+                             .host = "127.0.0.1",
+                             .port = fixture.server->port,
+                             .request_id = "r-1",
+                             .fresh_connection = true,
+                             .max_connections = 1},
+            message);
+        EbHttpMessage_Unref(message);
+        fixture.count = 0;
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_ended, &fixture));
+    }
+    CU_ASSERT_EQUAL(fixture.server->accepted, 2);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_closed_one, &fixture));
+    close_client(&fixture);
+}
+
 /* Guards against a refused connect that is taken for a sent call: a request
  * that must not be repeated could not go to another server. */
 static void
@@ -725,6 +760,7 @@
         {"header limit", test_header_limit},
         {"event blocks", test_event_blocks},
         {"client answers", test_client_answers},
+        {"client connection limit", test_client_connection_limit},
         {"client refused", test_client_refused},
         {"client cancel", test_client_cancel},
         {"server refuses", test_server_refuses},
