--- a/include/ebonyhollow/config.h
+++ b/include/ebonyhollow/config.h
@@ -111,7 +111,7 @@
     uint32_t pool_index;
     uint32_t after; /* bit i: needs the results of preparation i */
     uint64_t result_bytes;
-    int64_t rest_us; /* expected time of what follows it */
+    int64_t rest_us; /* expected time of the preparations after it */
 } EbConfigPreparation;
 
 /* What a pipeline that forwards requests has beside its one stage. */
--- a/src/libebonyhollow/config_forward.c
+++ b/src/libebonyhollow/config_forward.c
@@ -5,8 +5,6 @@
 
 #include "ebonyhollow/config.h"
 
-/* Expected time of a model server or service after the last preparation. */
-#define FORWARD_TIME_US 250000
 /* A preparation waits about half a call for a free server. */
 #define WAIT_SHARE 2
 
@@ -48,7 +46,7 @@
         /* A preparation comes after those it needs. */
         for (uint32_t k = forward->preparation_count; k > 0; k--) {
             EbConfigPreparation *row = &forward->preparations[k - 1];
-            row->rest_us = FORWARD_TIME_US;
+            row->rest_us = 0;
             for (uint32_t n = k; n < forward->preparation_count; n++) {
                 const EbConfigPreparation *next = &forward->preparations[n];
                 if ((next->after & 1U << (k - 1)) != 0) {
--- a/src/libebonyhollow/dispatcher.c
+++ b/src/libebonyhollow/dispatcher.c
@@ -32,6 +32,7 @@
     EbPool_Free(pool->pool);
     EbQueue_Free(pool->queue);
     g_hash_table_destroy(pool->tokens);
+    g_hash_table_destroy(pool->answer_times);
     if (pool->prefix != NULL) {
         EbPrefix_Free(pool->prefix);
     }
@@ -218,6 +219,8 @@
     }
     state->tokens =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    state->answer_times =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     EbRetry_Init(&state->budget, &(EbRetryOptions){0});
     g_hash_table_insert(dispatcher->pools, state->key, state);
     return state;
--- a/src/libebonyhollow/dispatcher_forward.c
+++ b/src/libebonyhollow/dispatcher_forward.c
@@ -1,5 +1,6 @@
 /* Forwarded requests: who may send them, what is sent and what comes back. */
 #include <assert.h>
+#include <math.h>
 #include <string.h>
 
 #include <glib.h>
@@ -122,6 +123,41 @@
     return head->encoded ? "answer with a content coding" : NULL;
 }
 
+/* Until calls of a pipeline were measured. */
+#define ANSWER_TIME_US 250000
+#define ANSWER_TIME_GAIN 0.1 /* remembers about ten calls */
+#define ANSWER_TIME_MARGIN 1.5 /* deviations above the mean */
+
+int64_t
+EbRequest_AnswerTime(const EbRequest *request)
+{
+    const EbAnswerTime *time = g_hash_table_lookup(
+        request->pools[0]->answer_times, request->pipeline->name);
+    return time != NULL ? (int64_t)(time->mean_us +
+                                    ANSWER_TIME_MARGIN * time->deviation_us)
+                        : ANSWER_TIME_US;
+}
+
+static void
+observe_answer_time(const EbAttempt *attempt, int64_t now_us)
+{
+    const EbRequest *request = attempt->request;
+    double took_us = (double)(now_us - attempt->started_us);
+    EbAnswerTime *time = g_hash_table_lookup(attempt->pool->answer_times,
+                                             request->pipeline->name);
+    if (time == NULL) {
+        time = g_new0(EbAnswerTime, 1);
+        *time = (EbAnswerTime){.mean_us = took_us,
+                               .deviation_us = took_us / 4};
+        g_hash_table_insert(attempt->pool->answer_times,
+                            g_strdup(request->pipeline->name), time);
+    }
+    double error_us = took_us - time->mean_us;
+    time->mean_us += ANSWER_TIME_GAIN * error_us;
+    time->deviation_us +=
+        ANSWER_TIME_GAIN * (fabs(error_us) - time->deviation_us);
+}
+
 static void
 complete(EbAttempt *attempt, EbHttpMessage *reply, int64_t now_us)
 {
@@ -251,6 +287,7 @@
     EbRequest *request = attempt->request;
     EbForwardState *state = request->forward;
     if (!attempt->has_tokens) {
+        observe_answer_time(attempt, now_us);
         /* The server has fetched its inputs. */
         EbRequest_EndPreparations(request);
         observe_first(request, now_us);
--- a/src/libebonyhollow/dispatcher_prepare.c
+++ b/src/libebonyhollow/dispatcher_prepare.c
@@ -146,7 +146,8 @@
             .failure_domain = g_strdup(expected_domain(request, now_us)),
             .priority = EbRequest_Priority(request),
             .due_us = request->summary->received_us +
-                      forward_of(request)->goal_us - row->rest_us,
+                      forward_of(request)->goal_us - row->rest_us -
+                      EbRequest_AnswerTime(request),
             .deadline_us = request->deadline_us,
         }};
     if (row->after == 0) {
--- a/src/libebonyhollow/private/dispatcher_private.h
+++ b/src/libebonyhollow/private/dispatcher_private.h
@@ -23,6 +23,13 @@
 #define EB_REQUEST_MAX_TRACE 64
 #define EB_REQUEST_RECENT 256
 
+/* Time from a forwarded call's sending to its answer or first event: moving
+ * averages of it and of its deviation. */
+typedef struct {
+    double mean_us;
+    double deviation_us;
+} EbAnswerTime;
+
 /* A pool with everything the dispatcher keeps for it. One is kept for each
  * name and kind, across configurations. */
 typedef struct {
@@ -35,6 +42,7 @@
     uint32_t queue_max;
     int64_t stream_us;  /* moving average from first token to end */
     GHashTable *tokens; /* pipeline name to double: mean generated tokens */
+    GHashTable *answer_times; /* pipeline name to EbAnswerTime */
     uint32_t users;     /* stages of live requests */
     bool current;       /* in the configuration in force */
     bool dirty;         /* a slot or an entry may have become available */
@@ -314,6 +322,9 @@
 /* Fills in what an attempt of a forwarded request sends. */
 void EbRequest_FillForward(EbRequest *request, EbSendAttempt *send,
                            int64_t now_us);
+/* Time that the call of a forwarded request will probably take to its answer
+ * or first event, with a margin. */
+int64_t EbRequest_AnswerTime(const EbRequest *request);
 /* Takes an event of a forwarded request's attempt. */
 void EbAttempt_TakeForward(EbAttempt *attempt, const EbAttemptEvent *event,
                            int64_t now_us);
