--- a/test/soak/callers.c
+++ b/test/soak/callers.c
@@ -99,6 +99,13 @@
     bool promise = status == 503 || status == 429;
     char detail[64];
     snprintf(detail, sizeof(detail), "status %d", status);
+    if (caller->calm && status != 200) {
+        printf("after the faults: request %s of %s to %s: status %d after "
+               "%d ms\n",
+               caller->id, Route_prefixes[caller->route],
+               soak->daemons[caller->daemon].name, status,
+               (int)((Soak_Now() - caller->sent_us) / 1000));
+    }
     if (status == 200) {
         check_success(caller, request);
     }
