--- a/src/libebonyhollow/dispatcher_prepare.c
+++ b/src/libebonyhollow/dispatcher_prepare.c
@@ -228,12 +228,29 @@
 }
 
 void
-EbRequest_Prepare(EbRequest *request, int64_t now_us)
+EbRequest_PlanPreparations(EbRequest *request)
 {
-    EbPreparation *rows = request->forward->preparations;
     for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
-        rows[i].needed = piece_count(request, i) > 0;
+        request->forward->preparations[i].needed =
+            piece_count(request, i) > 0;
+    }
+}
+
+int64_t
+EbRequest_PreparationTime(const EbRequest *request)
+{
+    int64_t longest_us = 0;
+    for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
+        if (request->forward->preparations[i].needed) {
+            longest_us = MAX(longest_us, time_to_call(request, i));
+        }
     }
+    return longest_us;
+}
+
+void
+EbRequest_Prepare(EbRequest *request, int64_t now_us)
+{
     go_on(request, now_us);
 }
 
--- a/src/libebonyhollow/dispatcher_request.c
+++ b/src/libebonyhollow/dispatcher_request.c
@@ -140,6 +140,11 @@
         total_us += EbPool_Predict(pool->pool, waiting, now_us);
         total_us += pool->stream_us;
     }
+    if (request->forward != NULL) {
+        /* Calls of other routes in the pool may last far longer or shorter. */
+        total_us = EbRequest_PreparationTime(request) +
+                   EbRequest_AnswerTime(request);
+    }
     if (now_us + total_us <= request->deadline_us) {
         return EB_REASON_NONE;
     }
@@ -222,6 +227,9 @@
     request->deadline_us = now_us + timeout_us;
     identify(request, submission);
     bind_pools(request);
+    if (request->forward != NULL) {
+        EbRequest_PlanPreparations(request);
+    }
     return admit(request, now_us);
 }
 
--- a/src/libebonyhollow/private/dispatcher_private.h
+++ b/src/libebonyhollow/private/dispatcher_private.h
@@ -331,6 +331,10 @@
 
 /* dispatcher_prepare.c */
 
+/* Notes which preparations a forwarded request needs. */
+void EbRequest_PlanPreparations(EbRequest *request);
+/* Expected time of those, without the wait for crowded servers. */
+int64_t EbRequest_PreparationTime(const EbRequest *request);
 /* Starts the preparations that a forwarded request needs, and its call when
  * all are done. */
 void EbRequest_Prepare(EbRequest *request, int64_t now_us);
