--- a/src/libebonyhollow/dispatcher_forward.c
+++ b/src/libebonyhollow/dispatcher_forward.c
@@ -125,7 +125,7 @@
 
 /* Until calls of a pipeline were measured. */
 #define ANSWER_TIME_US 250000
-#define ANSWER_TIME_GAIN 0.1 /* remembers about ten calls */
+#define ANSWER_TIME_GAIN 0.1   /* remembers about ten calls */
 #define ANSWER_TIME_MARGIN 1.5 /* deviations above the mean */
 
 int64_t
@@ -147,8 +147,8 @@
                                              request->pipeline->name);
     if (time == NULL) {
         time = g_new0(EbAnswerTime, 1);
-        *time = (EbAnswerTime){.mean_us = took_us,
-                               .deviation_us = took_us / 4};
+        *time =
+            (EbAnswerTime){.mean_us = took_us, .deviation_us = took_us / 4};
         g_hash_table_insert(attempt->pool->answer_times,
                             g_strdup(request->pipeline->name), time);
     }
--- a/src/libebonyhollow/dispatcher_prepare.c
+++ b/src/libebonyhollow/dispatcher_prepare.c
@@ -231,8 +231,7 @@
 EbRequest_PlanPreparations(EbRequest *request)
 {
     for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
-        request->forward->preparations[i].needed =
-            piece_count(request, i) > 0;
+        request->forward->preparations[i].needed = piece_count(request, i) > 0;
     }
 }
 
--- a/src/libebonyhollow/dispatcher_request.c
+++ b/src/libebonyhollow/dispatcher_request.c
@@ -142,8 +142,8 @@
     }
     if (request->forward != NULL) {
         /* Calls of other routes in the pool may last far longer or shorter. */
-        total_us = EbRequest_PreparationTime(request) +
-                   EbRequest_AnswerTime(request);
+        total_us =
+            EbRequest_PreparationTime(request) + EbRequest_AnswerTime(request);
     }
     if (now_us + total_us <= request->deadline_us) {
         return EB_REASON_NONE;
--- a/src/libebonyhollow/pool.c
+++ b/src/libebonyhollow/pool.c
@@ -92,8 +92,7 @@
     if (max_connections == 0) {
         return UINT32_MAX;
     }
-    double share =
-        max_connections * CONNECTIONS_USED / fmax(pool->daemons, 1);
+    double share = max_connections * CONNECTIONS_USED / fmax(pool->daemons, 1);
     return MAX((uint32_t)share, 1);
 }
 
--- a/src/libebonyhollow/private/dispatcher_private.h
+++ b/src/libebonyhollow/private/dispatcher_private.h
@@ -43,9 +43,9 @@
     int64_t stream_us;  /* moving average from first token to end */
     GHashTable *tokens; /* pipeline name to double: mean generated tokens */
     GHashTable *answer_times; /* pipeline name to EbAnswerTime */
-    uint32_t users;     /* stages of live requests */
-    bool current;       /* in the configuration in force */
-    bool dirty;         /* a slot or an entry may have become available */
+    uint32_t users;           /* stages of live requests */
+    bool current;             /* in the configuration in force */
+    bool dirty; /* a slot or an entry may have become available */
 } EbPoolState;
 
 typedef struct EbRequest EbRequest;
@@ -309,6 +309,16 @@
 /* Notes that a stream goes on and moves its time-out. */
 void EbAttempt_NoteProgress(EbAttempt *attempt, int64_t now_us);
 
+/* Reads the whole answer of an attempt and ends its stage. */
+void EbAttempt_ReadAnswer(EbAttempt *attempt, json_t *answer, int64_t now_us);
+
+/* dispatcher_stream.c */
+
+/* Takes generated tokens, and the end of their stream. */
+void EbAttempt_TakeTokens(EbAttempt *attempt, const EbAttemptEvent *event,
+                          int64_t now_us);
+void EbAttempt_TakeEnd(EbAttempt *attempt, int64_t now_us);
+
 /* dispatcher_forward.c */
 EbForwardState *EbForwardState_New(EbForwardCall *call);
 void EbForwardState_Free(EbForwardState *state);
--- a/test/process/test_soak.sh
+++ b/test/process/test_soak.sh
@@ -12,12 +12,11 @@
 seeds=("$@")
 [ ${#seeds[@]} -gt 0 ] || seeds=(1 107 112 132)
 directory=$(mktemp -d)
-trap 'rm -rf "$directory"' EXIT
 
 status=0
 for seed in "${seeds[@]}"; do
     if ! "$build/test/soak/soak" --seed "$seed" --seconds "$seconds" \
-        --program "$build/src/ebonyhollowd/ebonyhollowd" \
+        --verbose --program "$build/src/ebonyhollowd/ebonyhollowd" \
         --directory "$directory/$seed" >"$directory/$seed.txt" 2>&1; then
         status=1
         cat "$directory/$seed.txt"
@@ -25,4 +24,9 @@
     fi
     tail -n 1 "$directory/$seed.txt"
 done
+if [ $status -eq 0 ]; then
+    rm -rf "$directory"
+else
+    echo "the daemons' logs are in $directory"
+fi
 exit $status
--- a/test/soak/callers.c
+++ b/test/soak/callers.c
@@ -39,7 +39,8 @@
 pause_then_send(Caller *caller)
 {
     struct timeval delay = {
-        0, 1 + (int)EbRandom_Below(&caller->soak->random, PAUSE_MAX_US)};
+        0,
+        1 + (int)EbRandom_Below(&caller->soak->caller_random, PAUSE_MAX_US)};
     event_add(caller->timer, &delay);
 }
 
@@ -187,13 +188,13 @@
 {
     Soak *soak = caller->soak;
     caller->daemon =
-        (uint32_t)EbRandom_Below(&soak->random, soak->daemon_count);
-    caller->route = (Route)EbRandom_Below(&soak->random, ROUTE_COUNT);
+        (uint32_t)EbRandom_Below(&soak->caller_random, soak->daemon_count);
+    caller->route = (Route)EbRandom_Below(&soak->caller_random, ROUTE_COUNT);
     caller->id = g_strdup_printf("r%08u", (unsigned)++soak->next_request);
     caller->sent_us = Soak_Now();
     caller->calm = caller->sent_us >= soak->calm_us;
-    caller->gives_up =
-        !caller->calm && EbRandom_Below(&soak->random, GIVE_UP_ONE_IN) == 0;
+    caller->gives_up = !caller->calm && EbRandom_Below(&soak->caller_random,
+                                                       GIVE_UP_ONE_IN) == 0;
     caller->busy = true;
     soak->sent++;
     soak->calm_sent += caller->calm;
@@ -219,9 +220,10 @@
                         caller->id);
     char *path =
         g_strdup_printf("%s%s", Route_prefixes[caller->route], caller->id);
-    int64_t limit_us = caller->gives_up
-                           ? (int64_t)EbRandom_Below(&soak->random, 100000)
-                           : SOAK_DEADLINE_MS * 1000 + ANSWER_SLACK_US;
+    int64_t limit_us =
+        caller->gives_up
+            ? (int64_t)EbRandom_Below(&soak->caller_random, 100000)
+            : SOAK_DEADLINE_MS * 1000 + ANSWER_SLACK_US;
     struct timeval limit = {limit_us / 1000000, limit_us % 1000000};
     event_add(caller->timer, &limit);
     if (evhttp_make_request(*connection, request, EVHTTP_REQ_POST, path) !=
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -298,6 +298,7 @@
     setvbuf(stdout, NULL, _IOLBF, 0);
     signal(SIGPIPE, SIG_IGN);
     EbRandom_Init(&soak.random, seed);
+    EbRandom_Init(&soak.caller_random, ~seed);
     soak.base = event_base_new();
     soak.runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     soak.promised =
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -73,7 +73,8 @@
 
 struct Soak {
     struct event_base *base;
-    EbRandom random;
+    EbRandom random; /* of the faults, so that a seed gives one plan */
+    EbRandom caller_random;
     const char *program;
     char *directory;
     int64_t out_of_touch_us; /* when a path to the store or a daemon was
