--- a/include/ebonyhollow/dispatcher.h
+++ b/include/ebonyhollow/dispatcher.h
@@ -108,7 +108,7 @@
     EB_ATTEMPT_BROKEN,    /* closed or reset before the end */
     EB_ATTEMPT_MALFORMED, /* the answer breaks the protocol */
     EB_ATTEMPT_STREAMING, /* head of a forwarded stream */
-    EB_ATTEMPT_EVENTS,    /* whole events of a forwarded stream */
+    EB_ATTEMPT_EVENTS,    /* a whole event of a forwarded stream */
     EB_ATTEMPT_EVENT_COUNT
 } EbAttemptEventKind;
 
@@ -133,9 +133,8 @@
     /* Forwarded calls. */
     EbHttpMessage *reply;   /* ANSWERED: whole; STREAMING: head; borrowed */
     EbForwardReply forward; /* what that head says */
-    int64_t first_event_id; /* EVENTS; -1: without id */
-    int64_t last_event_id;
-    const uint8_t *bytes; /* EVENTS */
+    int64_t event_id;       /* EVENTS; -1: without id */
+    const uint8_t *bytes;   /* EVENTS */
     size_t byte_count;
 } EbAttemptEvent;
 
--- a/include/ebonyhollow/http_message.h
+++ b/include/ebonyhollow/http_message.h
@@ -47,12 +47,9 @@
 void EbHttpMessage_AddBody(EbHttpMessage *message, const void *bytes,
                            size_t byte_count);
 
-/* Copies the headers that concern more than one connection (RFC 9110, section
- * 7.6.1): neither the fields that describe a connection or its framing nor
- * those that `from` lists in Connection. */
-void EbHttpMessage_CopyEndToEnd(EbHttpMessage *to, const EbHttpMessage *from);
-
-/* Returns whether a header of this name belongs to one connection. */
+/* Returns whether a header of this name belongs to one connection only (RFC
+ * 9110, section 7.6.1): those that describe it or its framing, and those that
+ * the message lists in Connection. */
 bool EbHttpMessage_IsConnectionHeader(const EbHttpMessage *message,
                                       const char *name);
 
--- a/include/ebonyhollow/pieces.h
+++ b/include/ebonyhollow/pieces.h
@@ -73,9 +73,4 @@
 void EbPieces_Tick(EbPieces *pieces, int64_t now_us);
 int64_t EbPieces_NextTimer(const EbPieces *pieces);
 
-/* Time that one more item of the service would wait for its call to begin,
- * for admission. */
-int64_t EbPieces_PredictWait(const EbPieces *pieces, const char *service,
-                             int64_t now_us);
-
 #endif
--- a/src/libebonyhollow/dispatcher_forward.c
+++ b/src/libebonyhollow/dispatcher_forward.c
@@ -293,14 +293,13 @@
         observe_first(request, now_us);
     }
     EbAttempt_NoteProgress(attempt, now_us);
-    if (event->last_event_id >= 0 &&
-        event->last_event_id <= state->last_event_id) {
+    if (event->event_id >= 0 && event->event_id <= state->last_event_id) {
         return; /* sent before the resume */
     }
     relay_head(request, event->reply);
     request->relayed_count++;
-    if (event->last_event_id >= 0) {
-        state->last_event_id = event->last_event_id;
+    if (event->event_id >= 0) {
+        state->last_event_id = event->event_id;
     }
     push_relay(request, NULL, event->bytes, event->byte_count);
 }
--- a/src/libebonyhollow/http_message.c
+++ b/src/libebonyhollow/http_message.c
@@ -119,14 +119,3 @@
     const char *connection = EbHttpMessage_FindHeader(message, "Connection");
     return connection != NULL && is_listed(connection, name);
 }
-
-void
-EbHttpMessage_CopyEndToEnd(EbHttpMessage *to, const EbHttpMessage *from)
-{
-    for (uint32_t i = 0; i < from->header_count; i++) {
-        const EbHttpHeader *header = &from->headers[i];
-        if (!EbHttpMessage_IsConnectionHeader(from, header->name)) {
-            EbHttpMessage_AddHeader(to, header->name, header->value);
-        }
-    }
-}
--- a/src/libebonyhollow/pieces.c
+++ b/src/libebonyhollow/pieces.c
@@ -82,7 +82,6 @@
     GHashTable *servers; /* id to Server */
     GSequence *queue;    /* of Job with waiting items, by due time */
     size_t waiting_count;
-    bool dirty;
 } Service;
 
 typedef struct {
@@ -1071,27 +1070,3 @@
     }
     return next_us;
 }
-
-int64_t
-EbPieces_PredictWait(const EbPieces *pieces, const char *name, int64_t now_us)
-{
-    (void)now_us;
-    const Service *service = g_hash_table_lookup(pieces->services, name);
-    if (service == NULL || service->batch.max_items == 0) {
-        return 0;
-    }
-    int64_t servers = 0;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, service->servers);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const Server *server = value;
-        servers += server->current && server->failures == 0;
-    }
-    int64_t calls =
-        (int64_t)(service->waiting_count / service->batch.max_items);
-    return servers > 0
-               ? calls * expected_time(service, service->batch.max_items) /
-                     servers
-               : INT64_MAX / 4;
-}
--- a/src/libebonyhollow_net/event_blocks.c
+++ b/src/libebonyhollow_net/event_blocks.c
@@ -97,7 +97,7 @@
     size_t end;
     while ((end = find_end(blocks)) > 0) {
         int64_t id = find_id(blocks->held->data, end);
-        blocks->found(blocks->context, id, id, blocks->held->data, end);
+        blocks->found(blocks->context, id, blocks->held->data, end);
         if (blocks->held->len < end) {
             return true; /* reset by the callee */
         }
--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -163,16 +163,14 @@
 }
 
 static void
-on_blocks(void *context, int64_t first_id, int64_t last_id,
-          const uint8_t *bytes, size_t byte_count)
+on_block(void *context, int64_t id, const uint8_t *bytes, size_t byte_count)
 {
     Connection *connection = context;
     if (connection->attempt_id == 0) {
         return;
     }
     EbAttemptEvent event = {.kind = EB_ATTEMPT_EVENTS,
-                            .first_event_id = first_id,
-                            .last_event_id = last_id,
+                            .event_id = id,
                             .bytes = bytes,
                             .byte_count = byte_count};
     report(connection, &event);
@@ -347,7 +345,7 @@
     connection->idle_limit_us = client->options.idle_limit_us;
     connection->bufev = bufferevent_socket_new(client->options.base, -1,
                                                BEV_OPT_CLOSE_ON_FREE);
-    connection->blocks = EbEventBlocks_New(on_blocks, connection);
+    connection->blocks = EbEventBlocks_New(on_block, connection);
     connection->reader = EbHttpReader_New(&(EbHttpReaderOptions){
         .kind = EB_HTTP_ANSWERS,
         .max_header_bytes = client->options.max_header_bytes,
--- a/src/libebonyhollow_net/forward_server.c
+++ b/src/libebonyhollow_net/forward_server.c
@@ -1,6 +1,5 @@
 #include "ebonyhollow/forward_server.h"
 
-#include <assert.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
--- a/src/libebonyhollow_net/private/event_blocks.h
+++ b/src/libebonyhollow_net/private/event_blocks.h
@@ -14,9 +14,8 @@
 
 /* Takes one whole event with its empty line. An event without an id has the
  * id -1. */
-typedef void (*EbEventBlocksFound)(void *context, int64_t first_id,
-                                   int64_t last_id, const uint8_t *bytes,
-                                   size_t byte_count);
+typedef void (*EbEventBlocksFound)(void *context, int64_t id,
+                                   const uint8_t *bytes, size_t byte_count);
 
 EbEventBlocks *EbEventBlocks_New(EbEventBlocksFound found, void *context);
 void EbEventBlocks_Free(EbEventBlocks *blocks);
--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -287,8 +287,7 @@
             .forward = {.request_id = given->wrong_id ? "r-0" : "r-1",
                         .sealed = !given->unsigned_answer,
                         .not_run = given->not_run},
-            .first_event_id = given->event_id,
-            .last_event_id = given->event_id,
+            .event_id = given->event_id,
             .bytes = (const uint8_t *)given->bytes,
             .byte_count = given->bytes != NULL ? strlen(given->bytes) : 0},
         fixture->now_us);
--- a/src/test_forward_net/main.c
+++ b/src/test_forward_net/main.c
@@ -193,12 +193,10 @@
 } Blocks;
 
 static void
-on_block(void *context, int64_t first_id, int64_t last_id,
-         const uint8_t *bytes, size_t byte_count)
+on_block(void *context, int64_t id, const uint8_t *bytes, size_t byte_count)
 {
     Blocks *blocks = context;
-    CU_ASSERT_EQUAL(first_id, last_id);
-    blocks->last_id = last_id;
+    blocks->last_id = id;
     blocks->count++;
     g_string_append_len(blocks->text, (const char *)bytes, (gssize)byte_count);
 }
