soak: restarted daemons inherit no connections of the soak process

Cause: the soak forks daemons, and sockets that libevent accepts or connects are not close-on-exec. A restarted daemon held 49 sockets of the soak process, among them the other daemons' connections to the store, so that a path that was cut stayed open for its daemon. That daemon kept a leaving server until its poll was overdue (27 s after its start, to the millisecond).

Change: close_range() with CLOSE_RANGE_CLOEXEC in the child.

The product notices a connection that passes nothing only by the overdue poll; docs/platform.md says so.

--- a/test/process/test_soak.sh
+++ b/test/process/test_soak.sh
@@ -1,16 +1,18 @@
 #!/usr/bin/env bash
 # Short seeded runs of the fault soak. Seeds that failed before, with the
 # cause: 107 and 112, an emulator that sent an event too many after a resume;
-# 132, a check that counted requests sent before the faults had ended.
+# 132, a check that counted requests sent before the faults had ended; 345,
+# restarted daemons that inherited the other daemons' connections to the store,
+# which kept them open when the path was cut.
 #
 # Usage: test/process/test_soak.sh BUILD-DIRECTORY [SECONDS [SEED...]]
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 build=$1
-seconds=${2:-5}
+seconds=${2:-6}
 shift $(($# < 2 ? $# : 2))
 seeds=("$@")
-[ ${#seeds[@]} -gt 0 ] || seeds=(1 107 112 132)
+[ ${#seeds[@]} -gt 0 ] || seeds=(1 107 112 132 345)
 directory=$(mktemp -d)
 
 status=0
--- a/test/soak/daemons.c
+++ b/test/soak/daemons.c
@@ -41,6 +41,9 @@
             open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
         dup2(output, STDOUT_FILENO);
         dup2(output, STDERR_FILENO);
+        /* A daemon that held connections of this process would keep them open
+         * for their peers after they are closed here. */
+        close_range(STDERR_FILENO + 1, UINT32_MAX, CLOSE_RANGE_CLOEXEC);
         setenv("EBONYHOLLOW_NODE_FILE", daemon->node_file, 1);
         execl(soak->program, soak->program, "--platform", (char *)NULL);
         _exit(127);
