dispatcher: release the failure kept as answer when another server succeeds

Cause: a 500 of a server is kept as the answer in case no other server succeeds; on a success the kept message was overwritten without a release. One message was lost with each retried read.

Change: it is released first, and a streamed success keeps no message.

--- a/src/libebonyhollow/dispatcher_outcome.c
+++ b/src/libebonyhollow/dispatcher_outcome.c
@@ -290,9 +290,9 @@
 EbRequest_CompleteForward(EbRequest *request, EbHttpMessage *reply,
                           int64_t now_us)
 {
-    if (reply != NULL) {
-        request->forward->reply = EbHttpMessage_Ref(reply);
-    }
+    /* An earlier server's failure may be kept here as the answer. */
+    EbHttpMessage_Unref(request->forward->reply);
+    request->forward->reply = reply != NULL ? EbHttpMessage_Ref(reply) : NULL;
     EbRequest_Finish(request, EB_OUTCOME_DONE, EB_REASON_NONE, NULL, NULL,
                      now_us);
 }
