--- a/test/soak/callers.c
+++ b/test/soak/callers.c
@@ -253,12 +253,32 @@
 void
 Callers_Start(Soak *soak, uint32_t count)
 {
+    soak->callers = g_ptr_array_new();
     for (uint32_t i = 0; i < count; i++) {
         Caller *caller = g_new0(Caller, 1);
         caller->soak = soak;
         caller->connections =
             g_new0(struct evhttp_connection *, soak->daemon_count);
         caller->timer = evtimer_new(soak->base, on_timer, caller);
+        g_ptr_array_add(soak->callers, caller);
         pause_then_send(caller);
     }
 }
+
+void
+Callers_Stop(Soak *soak)
+{
+    for (guint i = 0; i < soak->callers->len; i++) {
+        Caller *caller = g_ptr_array_index(soak->callers, i);
+        for (uint32_t j = 0; j < soak->daemon_count; j++) {
+            if (caller->connections[j] != NULL) {
+                evhttp_connection_free(caller->connections[j]);
+            }
+        }
+        event_free(caller->timer);
+        g_free(caller->connections);
+        g_free(caller->id);
+        g_free(caller);
+    }
+    g_ptr_array_unref(soak->callers);
+}
--- a/test/soak/emulator.c
+++ b/test/soak/emulator.c
@@ -136,11 +136,21 @@
     finish_watch(context, json_array());
 }
 
+/* Of a connection that failed, evhttp leaves a request to its handler. */
+static void
+free_left_request(struct evhttp_request *request)
+{
+    if (evhttp_request_get_connection(request) == NULL) {
+        evhttp_request_free(request);
+    }
+}
+
 static void
 on_watch_closed(struct evhttp_connection *connection, void *context)
 {
     (void)connection;
     Watch *watch = context;
+    free_left_request(watch->request);
     g_ptr_array_remove_fast(watch->soak->watches, watch);
     event_free(watch->timer);
     g_free(watch->kind);
@@ -307,6 +317,7 @@
 {
     (void)connection;
     Work *work = context;
+    free_left_request(work->request);
     free_work(work);
 }
 
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -328,7 +328,13 @@
     /* A drain that has just begun lasts up to the grace time. */
     soak.calm_us = Soak_Now() + CALM_US / 2;
     run_until(&soak, soak.stop_us + LAST_ANSWER_US);
+    Callers_Stop(&soak);
     Daemons_Stop(&soak);
+    Emulator_Stop(&soak);
     report(&soak, seed);
+    event_base_free(soak.base);
+    g_hash_table_destroy(soak.runs);
+    g_hash_table_destroy(soak.promised);
+    g_free(soak.directory);
     return soak.violations == 0 ? 0 : 1;
 }
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -77,6 +77,7 @@
     EbRandom caller_random;
     const char *program;
     char *directory;
+    GPtrArray *callers;
     int64_t out_of_touch_us; /* when a path to the store or a daemon was
                                 harmed last */
     int64_t end_us;          /* faults end */
@@ -135,6 +136,7 @@
 
 /* callers.c: requests and what callers check. */
 void Callers_Start(Soak *soak, uint32_t count);
+void Callers_Stop(Soak *soak);
 
 /* Bodies by which callers and servers know a request. */
 char *Soak_Body(const char *request_id);
