--- a/src/libebonyhollow_net/clock.c
+++ b/src/libebonyhollow_net/clock.c
@@ -21,3 +21,9 @@
 {
     return read_clock(CLOCK_REALTIME);
 }
+
+struct timeval
+EbClock_Timeval(int64_t duration_us)
+{
+    return (struct timeval){duration_us / 1000000, duration_us % 1000000};
+}
--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -232,8 +232,7 @@
     connection->reply = (EbForwardReply){0};
     connection->done = false;
     connection->idle_since_us = EbClock_Monotonic();
-    struct timeval limit = {connection->idle_limit_us / 1000000,
-                            connection->idle_limit_us % 1000000};
+    struct timeval limit = EbClock_Timeval(connection->idle_limit_us);
     bufferevent_set_timeouts(connection->bufev, &limit, NULL);
     bufferevent_enable(connection->bufev, EV_READ);
     if (idle == NULL) {
@@ -354,8 +353,7 @@
         .complete = on_complete,
         .context = connection});
     bufferevent_setcb(connection->bufev, on_read, NULL, on_event, connection);
-    struct timeval limit = {client->options.connect_timeout_us / 1000000,
-                            client->options.connect_timeout_us % 1000000};
+    struct timeval limit = EbClock_Timeval(client->options.connect_timeout_us);
     bufferevent_set_timeouts(connection->bufev, &limit, &limit);
     g_hash_table_add(client->all, connection);
     return connection;
--- a/src/libebonyhollow_net/forward_server.c
+++ b/src/libebonyhollow_net/forward_server.c
@@ -11,6 +11,7 @@
 #include <glib.h>
 #include <netinet/in.h>
 
+#include "clock.h"
 #include "http_reader.h"
 #include "socket.h"
 
@@ -353,8 +354,7 @@
                       connection);
     bufferevent_setwatermark(connection->bufev, EV_READ, 0,
                              MAX_READ_AHEAD_BYTES);
-    struct timeval idle = {settings->header_timeout_us / 1000000,
-                           settings->header_timeout_us % 1000000};
+    struct timeval idle = EbClock_Timeval(settings->header_timeout_us);
     struct timeval write = {WRITE_TIMEOUT_S, 0};
     bufferevent_set_timeouts(connection->bufev, &idle, &write);
     bufferevent_enable(connection->bufev, EV_READ | EV_WRITE);
--- a/src/libebonyhollow_net/http_server.c
+++ b/src/libebonyhollow_net/http_server.c
@@ -374,8 +374,7 @@
     evhttp_set_max_headers_size(server->http, options->max_header_bytes);
     evhttp_set_max_body_size(
         server->http, (ev_ssize_t)options->max_body_bytes + BODY_SLACK_BYTES);
-    struct timeval timeout = {options->header_timeout_us / 1000000,
-                              options->header_timeout_us % 1000000};
+    struct timeval timeout = EbClock_Timeval(options->header_timeout_us);
     evhttp_set_timeout_tv(server->http, &timeout);
     server->register_event =
         event_new(options->base, -1, 0, on_register, server);
--- a/src/libebonyhollow_net/peer_link.c
+++ b/src/libebonyhollow_net/peer_link.c
@@ -168,8 +168,7 @@
     g_queue_push_tail(&links->handshakes, link);
     link->place = links->handshakes.tail;
     link->timer = evtimer_new(links->options.base, on_handshake_end, link);
-    const struct timeval limit = {EB_PEER_HANDSHAKE_US / 1000000,
-                                  EB_PEER_HANDSHAKE_US % 1000000};
+    const struct timeval limit = EbClock_Timeval(EB_PEER_HANDSHAKE_US);
     evtimer_add(link->timer, &limit);
     return link;
 }
--- a/src/libebonyhollow_net/platform_client.c
+++ b/src/libebonyhollow_net/platform_client.c
@@ -39,12 +39,6 @@
     bool wrote; /* a byte of the current call went to the buffer */
 } Slot;
 
-struct timeval
-EbPlatform_Time(int64_t us)
-{
-    return (struct timeval){us / 1000000, us % 1000000};
-}
-
 static void
 free_call(void *data)
 {
@@ -114,7 +108,7 @@
     struct evhttp_connection *evcon = evhttp_connection_base_new(
         client->options.base, NULL, client->host, client->options.port);
     assert(evcon != NULL);
-    struct timeval limit = EbPlatform_Time(timeout_us);
+    struct timeval limit = EbClock_Timeval(timeout_us);
     evhttp_connection_set_timeout_tv(evcon, &limit);
     evhttp_connection_set_retries(evcon, 0);
     evhttp_connection_set_max_headers_size(evcon, MAX_HEADER_BYTES);
@@ -308,7 +302,7 @@
                      strlen(call->body));
     }
     struct timeval limit =
-        EbPlatform_Time(MAX(call->deadline_us - EbClock_Monotonic(), 1000));
+        EbClock_Timeval(MAX(call->deadline_us - EbClock_Monotonic(), 1000));
     event_add(slot->timer, &limit);
     uint64_t id = call->operation_id;
     if (evhttp_make_request(slot->evcon, request,
--- a/src/libebonyhollow_net/platform_watch.c
+++ b/src/libebonyhollow_net/platform_watch.c
@@ -51,7 +51,7 @@
 static void
 schedule(Watch *watch, int64_t delay_us)
 {
-    struct timeval delay = EbPlatform_Time(delay_us);
+    struct timeval delay = EbClock_Timeval(delay_us);
     event_add(watch->timer, &delay);
 }
 
@@ -224,7 +224,7 @@
 {
     EbPlatformClient *client = watch->client;
     int64_t poll_us = client->options.watch_timeout_us;
-    struct timeval limit = EbPlatform_Time(
+    struct timeval limit = EbClock_Timeval(
         watch->listed ? poll_us + POLL_GRACE_US : LIST_TIMEOUT_US);
     if (watch->evcon == NULL) {
         watch->evcon = EbPlatform_Connect(client, LIST_TIMEOUT_US);
--- a/src/libebonyhollow_net/private/platform_internal.h
+++ b/src/libebonyhollow_net/private/platform_internal.h
@@ -38,8 +38,6 @@
 void EbPlatform_Count(EbPlatformClient *client, const char *operation,
                       const char *status, const char *cause);
 
-struct timeval EbPlatform_Time(int64_t us);
-
 /* For the table of watches. */
 void EbPlatformWatch_Free(void *watch);
 
