--- a/src/libebonyhollow_net/backend_client.c
+++ b/src/libebonyhollow_net/backend_client.c
@@ -12,6 +12,7 @@
 #include <event2/keyvalq_struct.h>
 #include <glib.h>
 
+#include "backend_connection.h"
 #include "clock.h"
 #include "event_stream.h"
 #include "socket.h"
@@ -23,36 +24,14 @@
 #define DEFAULT_MAX_HEADER_BYTES 16384
 #define DEFAULT_MAX_BODY_BYTES 4194304
 #define MAX_LINE_BYTES 65536
-#define SWEEP_US (1000LL * 1000)
-/* A stream's connection is reused if its answer ends so soon after [DONE]. */
-#define STREAM_TAIL_US (1000LL * 1000)
 /* Interval of the events of paused streams; below the shortest sensible
  * time-out between tokens. */
 #define PAUSED_EVENT_US 100000
 
-typedef struct {
-    char *id;
-    char *host;
-    uint16_t port;
-    GQueue idle; /* of Connection, the most recently used first */
-    uint32_t connections;
-} Server;
-
-typedef struct Connection {
-    EbBackendClient *client;
-    Server *server;
-    struct evhttp_connection *evcon;
-    struct Attempt *attempt; /* NULL while idle or closing */
-    GList *idle_link;        /* in Server.idle, NULL while not idle */
-    bool wrote;       /* a byte of the current call went to the buffer */
-    bool closed;      /* evhttp closed the socket */
-    bool doomed;      /* freed in the next loop turn */
-    int64_t since_us; /* start of idling or of a stream's tail */
-} Connection;
-
-typedef struct Attempt {
+typedef struct EbBackendAttempt {
     uint64_t id;
-    Connection *connection;
+    EbBackendClient *client;
+    EbBackendConnection *connection;
     struct evhttp_request *request; /* valid within its callbacks only */
     bool stream;
     bool paused;
@@ -67,33 +46,13 @@
 
 struct EbBackendClient {
     EbBackendClientOptions options;
-    GHashTable *servers;     /* id -> Server */
-    GHashTable *attempts;    /* id -> Attempt */
-    GHashTable *connections; /* set of Connection */
-    GQueue doomed;           /* of Connection */
-    struct event *doom_event;
-    struct event *sweep_event;
+    GHashTable *attempts; /* id -> Attempt */
+    EbBackendConnections *connections;
     struct event *paused_event; /* pending while a stream is paused */
     uint32_t paused_count;
     bool in_event; /* evhttp's callbacks are on the stack */
 };
 
-static struct timeval
-to_timeval(int64_t us)
-{
-    return (struct timeval){us / 1000000, us % 1000000};
-}
-
-static void
-free_server(void *data)
-{
-    Server *server = data;
-    g_queue_clear(&server->idle);
-    g_free(server->id);
-    g_free(server->host);
-    g_free(server);
-}
-
 static void
 free_attempt(void *data)
 {
@@ -106,176 +65,6 @@
     g_free(attempt);
 }
 
-/* Takes a connection out of the idle list. */
-static void
-leave_idle(Connection *connection)
-{
-    if (connection->idle_link != NULL) {
-        g_queue_delete_link(&connection->server->idle, connection->idle_link);
-        connection->idle_link = NULL;
-    }
-}
-
-static void
-free_connection(Connection *connection)
-{
-    leave_idle(connection);
-    connection->doomed = true;
-    connection->server->connections--;
-    g_hash_table_remove(connection->client->connections, connection);
-    evhttp_connection_free(connection->evcon);
-    g_free(connection);
-}
-
-/* Closes a connection in the next loop turn: evhttp still uses it when one
- * of its callbacks returns. */
-static void
-doom_connection(Connection *connection)
-{
-    if (connection->doomed) {
-        return;
-    }
-    leave_idle(connection);
-    connection->doomed = true;
-    connection->attempt = NULL;
-    struct bufferevent *bufev =
-        evhttp_connection_get_bufferevent(connection->evcon);
-    bufferevent_disable(bufev, EV_READ);
-    g_queue_push_tail(&connection->client->doomed, connection);
-    event_active(connection->client->doom_event, EV_TIMEOUT, 0);
-}
-
-static void
-on_doom(evutil_socket_t fd, short what, void *arg)
-{
-    (void)fd;
-    (void)what;
-    EbBackendClient *client = arg;
-    Connection *connection;
-    while ((connection = g_queue_pop_head(&client->doomed)) != NULL) {
-        free_connection(connection);
-    }
-}
-
-static gboolean
-is_unused(gpointer id, gpointer server, gpointer context)
-{
-    (void)id;
-    (void)context;
-    return ((const Server *)server)->connections == 0;
-}
-
-/* Closes connections that were idle for too long, and forgets servers without
- * connections: configurations come and go. */
-static void
-on_sweep(evutil_socket_t fd, short what, void *arg)
-{
-    (void)fd;
-    (void)what;
-    EbBackendClient *client = arg;
-    int64_t now_us = EbClock_Monotonic();
-    GHashTableIter iter;
-    void *key;
-    g_hash_table_iter_init(&iter, client->connections);
-    while (g_hash_table_iter_next(&iter, &key, NULL)) {
-        Connection *connection = key;
-        int64_t age_us = now_us - connection->since_us;
-        int64_t limit_us = connection->idle_link != NULL
-                               ? client->options.idle_limit_us
-                               : STREAM_TAIL_US;
-        if (connection->attempt == NULL && age_us >= limit_us) {
-            doom_connection(connection);
-        }
-    }
-    g_hash_table_foreach_remove(client->servers, is_unused, NULL);
-}
-
-/* Notes that bytes of a call went into the connection's output buffer. */
-static void
-on_output(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
-          void *arg)
-{
-    (void)buffer;
-    Connection *connection = arg;
-    if (info->n_added > 0) {
-        connection->wrote = true;
-    }
-}
-
-static void
-on_closed(struct evhttp_connection *evcon, void *arg)
-{
-    (void)evcon;
-    Connection *connection = arg;
-    connection->closed = true;
-    if (connection->attempt == NULL) {
-        doom_connection(connection);
-    }
-}
-
-static Server *
-find_server(EbBackendClient *client, const EbSendAttempt *send)
-{
-    Server *server = g_hash_table_lookup(client->servers, send->server_id);
-    if (server == NULL) {
-        server = g_new0(Server, 1);
-        server->id = g_strdup(send->server_id);
-        g_queue_init(&server->idle);
-        g_hash_table_insert(client->servers, server->id, server);
-    }
-    if (server->host == NULL || strcmp(server->host, send->host) != 0 ||
-        server->port != send->port) {
-        EbBackendClient_Retire(client, send->server_id);
-        g_free(server->host);
-        server->host = g_strdup(send->host);
-        server->port = send->port;
-    }
-    return server;
-}
-
-static Connection *
-open_connection(EbBackendClient *client, Server *server)
-{
-    const EbBackendClientOptions *options = &client->options;
-    Connection *connection = g_new0(Connection, 1);
-    connection->client = client;
-    connection->server = server;
-    connection->evcon = evhttp_connection_base_new(options->base, NULL,
-                                                   server->host, server->port);
-    assert(connection->evcon != NULL);
-    struct timeval silence = to_timeval(options->silence_limit_us);
-    evhttp_connection_set_timeout_tv(connection->evcon, &silence);
-    evhttp_connection_set_retries(connection->evcon, 0);
-    evhttp_connection_set_max_headers_size(
-        connection->evcon, (ev_ssize_t)options->max_header_bytes);
-    evhttp_connection_set_max_body_size(connection->evcon,
-                                        (ev_ssize_t)options->max_body_bytes);
-    evhttp_connection_set_closecb(connection->evcon, on_closed, connection);
-    struct bufferevent *bufev =
-        evhttp_connection_get_bufferevent(connection->evcon);
-    evbuffer_add_cb(bufferevent_get_output(bufev), on_output, connection);
-    g_hash_table_add(client->connections, connection);
-    server->connections++;
-    return connection;
-}
-
-/* Puts a connection whose answer is complete back, or closes it. */
-static void
-release_connection(Connection *connection)
-{
-    EbBackendClient *client = connection->client;
-    Server *server = connection->server;
-    if (connection->closed || connection->doomed ||
-        g_queue_get_length(&server->idle) >=
-            client->options.max_idle_per_server) {
-        doom_connection(connection);
-        return;
-    }
-    connection->since_us = EbClock_Monotonic();
-    g_queue_push_head(&server->idle, connection);
-    connection->idle_link = server->idle.head;
-}
-
 /* Fills in what the answer's headers say. */
 static void
 read_headers(const Attempt *attempt, EbAttemptEvent *event)
@@ -316,7 +105,7 @@
 static void
 emit(const Attempt *attempt, EbAttemptEvent *event)
 {
-    EbBackendClient *client = attempt->connection->client;
+    EbBackendClient *client = attempt->client;
     event->attempt_id = attempt->id;
     read_headers(attempt, event);
     client->in_event = true;
@@ -344,7 +133,7 @@
 static void
 count_resumed(Attempt *attempt)
 {
-    EbBackendClient *client = attempt->connection->client;
+    EbBackendClient *client = attempt->client;
     if (attempt->paused && --client->paused_count == 0) {
         event_del(client->paused_event);
     }
@@ -376,8 +165,8 @@
 static void
 finish_attempt(Attempt *attempt, EbAttemptEventKind kind, json_t *body)
 {
-    Connection *connection = attempt->connection;
-    EbBackendClient *client = connection->client;
+    EbBackendConnection *connection = attempt->connection;
+    EbBackendClient *client = attempt->client;
     connection->attempt = NULL;
     connection->since_us = EbClock_Monotonic();
     count_resumed(attempt);
@@ -390,7 +179,7 @@
 static void
 fail_attempt(Attempt *attempt)
 {
-    Connection *connection = attempt->connection;
+    EbBackendConnection *connection = attempt->connection;
     attempt->request = NULL;
     finish_attempt(attempt,
                    connection->wrote ? EB_ATTEMPT_BROKEN : EB_ATTEMPT_REFUSED,
@@ -450,7 +239,7 @@
 static void
 on_chunk(struct evhttp_request *request, void *arg)
 {
-    Connection *connection = arg;
+    EbBackendConnection *connection = arg;
     Attempt *attempt = connection->attempt;
     if (attempt == NULL) {
         return;
@@ -466,7 +255,7 @@
     }
     else if (!more) {
         finish_attempt(attempt, EB_ATTEMPT_MALFORMED, NULL);
-        doom_connection(connection);
+        EbBackendConnection_CloseLater(connection);
     }
     else {
         attempt->request = NULL;
@@ -478,7 +267,7 @@
 static int
 on_headers(struct evhttp_request *request, void *arg)
 {
-    Connection *connection = arg;
+    EbBackendConnection *connection = arg;
     Attempt *attempt = connection->attempt;
     if (attempt != NULL && attempt->stream &&
         evhttp_request_get_response_code(request) == HTTP_OK) {
@@ -519,7 +308,7 @@
 static void
 on_done(struct evhttp_request *request, void *arg)
 {
-    Connection *connection = arg;
+    EbBackendConnection *connection = arg;
     Attempt *attempt = connection->attempt;
     bool complete =
         request != NULL && evhttp_request_get_response_code(request) != 0;
@@ -528,25 +317,25 @@
     }
     if (attempt == NULL) {
         if (complete) {
-            release_connection(connection);
+            EbBackendConnection_Release(connection);
         }
         else {
-            doom_connection(connection);
+            EbBackendConnection_CloseLater(connection);
         }
         return;
     }
     if (!complete) {
         fail_attempt(attempt);
-        doom_connection(connection);
+        EbBackendConnection_CloseLater(connection);
         return;
     }
     bool reusable = attempt->parser == NULL;
     finish_answer(attempt, request);
     if (reusable) {
-        release_connection(connection);
+        EbBackendConnection_Release(connection);
     }
     else {
-        doom_connection(connection);
+        EbBackendConnection_CloseLater(connection);
     }
 }
 
@@ -556,10 +345,10 @@
     (void)fd;
     (void)what;
     Attempt *attempt = arg;
-    Connection *connection = attempt->connection;
+    EbBackendConnection *connection = attempt->connection;
     if (!connection->wrote) {
         fail_attempt(attempt);
-        free_connection(connection);
+        EbBackendConnection_Close(connection);
     }
 }
 
@@ -572,7 +361,7 @@
 }
 
 static struct evhttp_request *
-build_request(Connection *connection, const EbSendAttempt *send)
+build_request(EbBackendConnection *connection, const EbSendAttempt *send)
 {
     struct evhttp_request *request = evhttp_request_new(on_done, connection);
     assert(request != NULL);
@@ -619,36 +408,24 @@
     return path;
 }
 
-static Connection *
-take_connection(EbBackendClient *client, const EbSendAttempt *send)
-{
-    Server *server = find_server(client, send);
-    Connection *connection = NULL;
-    if (!send->fresh_connection) {
-        connection = g_queue_peek_head(&server->idle);
-    }
-    if (connection == NULL) {
-        return open_connection(client, server);
-    }
-    leave_idle(connection);
-    return connection;
-}
-
 void
 EbBackendClient_Send(EbBackendClient *client, const EbSendAttempt *send)
 {
-    size_t known = g_hash_table_size(client->connections);
-    Connection *connection = take_connection(client, send);
+    bool opened;
+    EbBackendConnection *connection =
+        EbBackendConnections_Take(client->connections, send, &opened);
     Attempt *attempt = g_new0(Attempt, 1);
     attempt->id = send->attempt_id;
+    attempt->client = client;
     attempt->connection = connection;
     attempt->stream = send->stream;
     attempt->text = g_string_new(NULL);
     connection->attempt = attempt;
     connection->wrote = false;
     g_hash_table_insert(client->attempts, &attempt->id, attempt);
-    if (g_hash_table_size(client->connections) > known) {
-        struct timeval limit = to_timeval(client->options.connect_timeout_us);
+    if (opened) {
+        struct timeval limit =
+            EbClock_Timeval(client->options.connect_timeout_us);
         attempt->connect_timer =
             evtimer_new(client->options.base, on_connect_timeout, attempt);
         evtimer_add(attempt->connect_timer, &limit);
@@ -665,7 +442,7 @@
     }
     if (status != 0) {
         fail_attempt(attempt);
-        doom_connection(connection);
+        EbBackendConnection_CloseLater(connection);
     }
     else if (attempt->connect_timer != NULL) {
         EbSocket_SetNoDelay(bufferevent_getfd(
@@ -681,22 +458,17 @@
         return;
     }
     assert(!client->in_event);
-    Connection *connection = attempt->connection;
+    EbBackendConnection *connection = attempt->connection;
     count_resumed(attempt);
     g_hash_table_remove(client->attempts, &attempt_id);
     connection->attempt = NULL;
-    free_connection(connection);
+    EbBackendConnection_Close(connection);
 }
 
 void
 EbBackendClient_Retire(EbBackendClient *client, const char *server_id)
 {
-    Server *server = g_hash_table_lookup(client->servers, server_id);
-    Connection *connection;
-    while (server != NULL &&
-           (connection = g_queue_peek_head(&server->idle)) != NULL) {
-        doom_connection(connection);
-    }
+    EbBackendConnections_Retire(client->connections, server_id);
 }
 
 void
@@ -711,7 +483,7 @@
     struct bufferevent *bufev =
         evhttp_connection_get_bufferevent(attempt->connection->evcon);
     if (paused) {
-        struct timeval interval = to_timeval(PAUSED_EVENT_US);
+        struct timeval interval = EbClock_Timeval(PAUSED_EVENT_US);
         bufferevent_disable(bufev, EV_READ);
         attempt->paused = true;
         client->paused_count++;
@@ -732,8 +504,7 @@
 size_t
 EbBackendClient_IdleCount(const EbBackendClient *client, const char *server_id)
 {
-    const Server *server = g_hash_table_lookup(client->servers, server_id);
-    return server != NULL ? server->idle.length : 0;
+    return EbBackendConnections_IdleCount(client->connections, server_id);
 }
 
 #define SET_DEFAULT(field, value)                                             \
@@ -754,20 +525,11 @@
     SET_DEFAULT(own->silence_limit_us, DEFAULT_SILENCE_LIMIT_US);
     SET_DEFAULT(own->max_header_bytes, DEFAULT_MAX_HEADER_BYTES);
     SET_DEFAULT(own->max_body_bytes, DEFAULT_MAX_BODY_BYTES);
-    client->servers =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_server);
     client->attempts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_attempt);
-    client->connections = g_hash_table_new(NULL, NULL);
-    g_queue_init(&client->doomed);
-    client->doom_event = event_new(own->base, -1, 0, on_doom, client);
-    client->sweep_event =
-        event_new(own->base, -1, EV_PERSIST, on_sweep, client);
+    client->connections = EbBackendConnections_New(own);
     client->paused_event =
         event_new(own->base, -1, EV_PERSIST, on_paused, client);
-    int64_t sweep_us = MIN(SWEEP_US, own->idle_limit_us);
-    struct timeval interval = to_timeval(sweep_us);
-    event_add(client->sweep_event, &interval);
     return client;
 }
 
@@ -777,19 +539,8 @@
     if (client == NULL) {
         return;
     }
-    event_free(client->sweep_event);
     event_free(client->paused_event);
-    event_free(client->doom_event);
-    g_queue_clear(&client->doomed);
     g_hash_table_destroy(client->attempts);
-    GList *connections = g_hash_table_get_keys(client->connections);
-    for (GList *item = connections; item != NULL; item = item->next) {
-        Connection *connection = item->data;
-        connection->attempt = NULL;
-        free_connection(connection);
-    }
-    g_list_free(connections);
-    g_hash_table_destroy(client->connections);
-    g_hash_table_destroy(client->servers);
+    EbBackendConnections_Free(client->connections);
     g_free(client);
 }
--- /dev/null
+++ b/src/libebonyhollow_net/backend_connection.c
@@ -0,0 +1,280 @@
+/* Connections to backend servers. */
+#include <assert.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include "backend_connection.h"
+#include "clock.h"
+
+#define SWEEP_US (1000LL * 1000)
+/* A stream's connection is reused if its answer ends so soon after [DONE]. */
+#define STREAM_TAIL_US (1000LL * 1000)
+
+typedef struct EbBackendServer {
+    char *id;
+    char *host;
+    uint16_t port;
+    GQueue idle; /* of EbBackendConnection, the most recently used first */
+    uint32_t connections;
+} Server;
+
+struct EbBackendConnections {
+    const EbBackendClientOptions *options;
+    GHashTable *servers;     /* id -> Server */
+    GHashTable *connections; /* set of EbBackendConnection */
+    GQueue doomed; /* of EbBackendConnection, closed in the next loop turn */
+    struct event *doom_event;
+    struct event *sweep_event;
+};
+
+static void
+free_server(void *data)
+{
+    Server *server = data;
+    g_queue_clear(&server->idle);
+    g_free(server->id);
+    g_free(server->host);
+    g_free(server);
+}
+
+/* Takes a connection out of the idle list. */
+static void
+leave_idle(EbBackendConnection *connection)
+{
+    if (connection->idle_link != NULL) {
+        g_queue_delete_link(&connection->server->idle, connection->idle_link);
+        connection->idle_link = NULL;
+    }
+}
+
+void
+EbBackendConnection_Close(EbBackendConnection *connection)
+{
+    leave_idle(connection);
+    connection->doomed = true;
+    connection->server->connections--;
+    g_hash_table_remove(connection->pool->connections, connection);
+    evhttp_connection_free(connection->evcon);
+    g_free(connection);
+}
+
+void
+EbBackendConnection_CloseLater(EbBackendConnection *connection)
+{
+    if (connection->doomed) {
+        return;
+    }
+    leave_idle(connection);
+    connection->doomed = true;
+    connection->attempt = NULL;
+    struct bufferevent *bufev =
+        evhttp_connection_get_bufferevent(connection->evcon);
+    bufferevent_disable(bufev, EV_READ);
+    g_queue_push_tail(&connection->pool->doomed, connection);
+    event_active(connection->pool->doom_event, EV_TIMEOUT, 0);
+}
+
+static void
+on_doom(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    EbBackendConnections *pool = arg;
+    EbBackendConnection *connection;
+    while ((connection = g_queue_pop_head(&pool->doomed)) != NULL) {
+        EbBackendConnection_Close(connection);
+    }
+}
+
+static gboolean
+is_unused(gpointer id, gpointer server, gpointer context)
+{
+    (void)id;
+    (void)context;
+    return ((const Server *)server)->connections == 0;
+}
+
+/* Closes connections that were idle for too long, and forgets servers without
+ * connections: configurations come and go. */
+static void
+on_sweep(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    EbBackendConnections *pool = arg;
+    int64_t now_us = EbClock_Monotonic();
+    GHashTableIter iter;
+    void *key;
+    g_hash_table_iter_init(&iter, pool->connections);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        EbBackendConnection *connection = key;
+        int64_t age_us = now_us - connection->since_us;
+        int64_t limit_us = connection->idle_link != NULL
+                               ? pool->options->idle_limit_us
+                               : STREAM_TAIL_US;
+        if (connection->attempt == NULL && age_us >= limit_us) {
+            EbBackendConnection_CloseLater(connection);
+        }
+    }
+    g_hash_table_foreach_remove(pool->servers, is_unused, NULL);
+}
+
+/* Notes that bytes of a call went into the connection's output buffer. */
+static void
+on_output(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+          void *arg)
+{
+    (void)buffer;
+    EbBackendConnection *connection = arg;
+    if (info->n_added > 0) {
+        connection->wrote = true;
+    }
+}
+
+static void
+on_closed(struct evhttp_connection *evcon, void *arg)
+{
+    (void)evcon;
+    EbBackendConnection *connection = arg;
+    connection->closed = true;
+    if (connection->attempt == NULL) {
+        EbBackendConnection_CloseLater(connection);
+    }
+}
+
+static Server *
+find_server(EbBackendConnections *pool, const EbSendAttempt *send)
+{
+    Server *server = g_hash_table_lookup(pool->servers, send->server_id);
+    if (server == NULL) {
+        server = g_new0(Server, 1);
+        server->id = g_strdup(send->server_id);
+        g_queue_init(&server->idle);
+        g_hash_table_insert(pool->servers, server->id, server);
+    }
+    if (server->host == NULL || strcmp(server->host, send->host) != 0 ||
+        server->port != send->port) {
+        EbBackendConnections_Retire(pool, send->server_id);
+        g_free(server->host);
+        server->host = g_strdup(send->host);
+        server->port = send->port;
+    }
+    return server;
+}
+
+static EbBackendConnection *
+open_connection(EbBackendConnections *pool, Server *server)
+{
+    const EbBackendClientOptions *options = pool->options;
+    EbBackendConnection *connection = g_new0(EbBackendConnection, 1);
+    connection->pool = pool;
+    connection->server = server;
+    connection->evcon = evhttp_connection_base_new(options->base, NULL,
+                                                   server->host, server->port);
+    assert(connection->evcon != NULL);
+    struct timeval silence = EbClock_Timeval(options->silence_limit_us);
+    evhttp_connection_set_timeout_tv(connection->evcon, &silence);
+    evhttp_connection_set_retries(connection->evcon, 0);
+    evhttp_connection_set_max_headers_size(
+        connection->evcon, (ev_ssize_t)options->max_header_bytes);
+    evhttp_connection_set_max_body_size(connection->evcon,
+                                        (ev_ssize_t)options->max_body_bytes);
+    evhttp_connection_set_closecb(connection->evcon, on_closed, connection);
+    struct bufferevent *bufev =
+        evhttp_connection_get_bufferevent(connection->evcon);
+    evbuffer_add_cb(bufferevent_get_output(bufev), on_output, connection);
+    g_hash_table_add(pool->connections, connection);
+    server->connections++;
+    return connection;
+}
+
+void
+EbBackendConnection_Release(EbBackendConnection *connection)
+{
+    EbBackendConnections *pool = connection->pool;
+    Server *server = connection->server;
+    if (connection->closed || connection->doomed ||
+        g_queue_get_length(&server->idle) >=
+            pool->options->max_idle_per_server) {
+        EbBackendConnection_CloseLater(connection);
+        return;
+    }
+    connection->since_us = EbClock_Monotonic();
+    g_queue_push_head(&server->idle, connection);
+    connection->idle_link = server->idle.head;
+}
+
+EbBackendConnection *
+EbBackendConnections_Take(EbBackendConnections *pool,
+                          const EbSendAttempt *send, bool *opened)
+{
+    Server *server = find_server(pool, send);
+    EbBackendConnection *connection = NULL;
+    if (!send->fresh_connection) {
+        connection = g_queue_peek_head(&server->idle);
+    }
+    *opened = connection == NULL;
+    if (*opened) {
+        return open_connection(pool, server);
+    }
+    leave_idle(connection);
+    return connection;
+}
+
+void
+EbBackendConnections_Retire(EbBackendConnections *pool, const char *server_id)
+{
+    Server *server = g_hash_table_lookup(pool->servers, server_id);
+    EbBackendConnection *connection;
+    while (server != NULL &&
+           (connection = g_queue_peek_head(&server->idle)) != NULL) {
+        EbBackendConnection_CloseLater(connection);
+    }
+}
+
+size_t
+EbBackendConnections_IdleCount(const EbBackendConnections *pool,
+                               const char *server_id)
+{
+    const Server *server = g_hash_table_lookup(pool->servers, server_id);
+    return server != NULL ? server->idle.length : 0;
+}
+
+EbBackendConnections *
+EbBackendConnections_New(const EbBackendClientOptions *options)
+{
+    EbBackendConnections *pool = g_new0(EbBackendConnections, 1);
+    pool->options = options;
+    pool->servers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_server);
+    pool->connections = g_hash_table_new(NULL, NULL);
+    g_queue_init(&pool->doomed);
+    pool->doom_event = event_new(options->base, -1, 0, on_doom, pool);
+    pool->sweep_event =
+        event_new(options->base, -1, EV_PERSIST, on_sweep, pool);
+    struct timeval interval =
+        EbClock_Timeval(MIN(SWEEP_US, options->idle_limit_us));
+    event_add(pool->sweep_event, &interval);
+    return pool;
+}
+
+void
+EbBackendConnections_Free(EbBackendConnections *pool)
+{
+    event_free(pool->sweep_event);
+    event_free(pool->doom_event);
+    g_queue_clear(&pool->doomed);
+    GList *connections = g_hash_table_get_keys(pool->connections);
+    for (GList *item = connections; item != NULL; item = item->next) {
+        EbBackendConnection *connection = item->data;
+        connection->attempt = NULL;
+        EbBackendConnection_Close(connection);
+    }
+    g_list_free(connections);
+    g_hash_table_destroy(pool->connections);
+    g_hash_table_destroy(pool->servers);
+    g_free(pool);
+}
