--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -134,6 +134,15 @@
 
 /* Actions */
 
+/* Sends a call to a server and drops the reference to its message. */
+static void
+send_message(EbDaemon *daemon, const EbForwardSend *call,
+             EbHttpMessage *message)
+{
+    EbForwardClient_Send(daemon->forward_client, call, message);
+    EbHttpMessage_Unref(message);
+}
+
 void
 EbDaemon_SendForward(EbDaemon *daemon, const EbSendAttempt *send)
 {
@@ -149,7 +158,6 @@
         hop.input_count = send->inputs->len;
         hop.inputs = (const char *const *)send->inputs->pdata;
     }
-    EbHttpMessage *message = protocol->write_call(send->forward, &hop);
     EbForwardSend call = {0};
     call.attempt_id = send->attempt_id;
     call.server_id = send->server_id;
@@ -159,37 +167,40 @@
     call.stream = send->stream;
     call.fresh_connection = send->fresh_connection;
     call.max_connections = send->max_connections;
-    EbForwardClient_Send(daemon->forward_client, &call, message);
-    EbHttpMessage_Unref(message);
+    send_message(daemon, &call, protocol->write_call(send->forward, &hop));
+}
+
+/* Sends a call of the stages' home. */
+static void
+send_stage_call(EbDaemon *daemon, uint64_t attempt_id, const char *server_id,
+                const char *host, uint16_t port, EbHttpMessage *message)
+{
+    EbForwardSend call = {0};
+    call.attempt_id = attempt_id;
+    call.server_id = server_id;
+    call.host = host;
+    call.port = port;
+    send_message(daemon, &call, message);
 }
 
 void
 EbDaemon_SendPieces(EbDaemon *daemon, const EbSendPieces *send)
 {
-    EbHttpMessage *message = daemon->adapter->forward->write_pieces(
-        send->server_id, (const EbPieceItem *)send->items->data,
-        send->items->len);
-    EbForwardSend call = {0};
-    call.attempt_id = send->attempt_id;
-    call.server_id = send->server_id;
-    call.host = send->host;
-    call.port = send->port;
-    EbForwardClient_Send(daemon->forward_client, &call, message);
-    EbHttpMessage_Unref(message);
+    send_stage_call(
+        daemon, send->attempt_id, send->server_id, send->host, send->port,
+        daemon->adapter->forward->write_pieces(
+            send->server_id, (const EbPieceItem *)send->items->data,
+            send->items->len));
 }
 
 void
 EbDaemon_ReleaseResults(EbDaemon *daemon, const EbReleaseResults *release)
 {
-    EbHttpMessage *message = daemon->adapter->forward->write_release(
-        (const char *const *)release->handles->pdata, release->handles->len);
-    EbForwardSend call = {0};
-    call.attempt_id = release->attempt_id;
-    call.server_id = release->server_id;
-    call.host = release->host;
-    call.port = release->port;
-    EbForwardClient_Send(daemon->forward_client, &call, message);
-    EbHttpMessage_Unref(message);
+    send_stage_call(daemon, release->attempt_id, release->server_id,
+                    release->host, release->port,
+                    daemon->adapter->forward->write_release(
+                        (const char *const *)release->handles->pdata,
+                        release->handles->len));
 }
 
 /* Preparations */
