--- a/test/soak/emulator.c
+++ b/test/soak/emulator.c
@@ -589,7 +589,6 @@
 void
 Emulator_Drain(Soak *soak, Server *server)
 {
-    (void)soak;
     if (server->draining_us == 0) {
         server->draining_us = Soak_Now();
         put_entry(server);
