libebonyhollow: divide it into packages, each its own library

Cause: one flat folder held 57 files; nothing showed or kept which module may use which. Change: ten folders of moves, each a library in CMake with its headers under include/PACKAGE, which only those that link it see, so that a use that is not named does not build. Tests link the package they test. The store's dialect has a header of its own in calls, since the adapter took it from a header of the network package. A lint glob covers the new include folders, and clang-tidy checks headers of platform/ as well.

--- a/include/ebonyhollow/adapter.h
+++ b/include/deployment/ebonyhollow/adapter.h
@@ -15,7 +15,7 @@
 #include "ebonyhollow/config.h"
 #include "ebonyhollow/error.h"
 #include "ebonyhollow/forward.h"
-#include "ebonyhollow/platform_client.h"
+#include "ebonyhollow/store_dialect.h"
 
 /* A backend server as it registered itself in the platform's store. */
 typedef struct {
