--- a/test/load/client.c
+++ b/test/load/client.c
@@ -34,10 +34,12 @@
 static void send_call(Call *call);
 
 static void
-count_reason(Load *load, const char *reason)
+count_reason(const Call *call, const char *reason)
 {
-    gpointer count = g_hash_table_lookup(load->reasons, reason);
-    g_hash_table_replace(load->reasons, g_strdup(reason),
+    GHashTable *reasons = call->load->reasons;
+    char *name = g_strdup_printf("%s %s", call->kind->customer, reason);
+    gpointer count = g_hash_table_lookup(reasons, name);
+    g_hash_table_replace(reasons, name,
                          GSIZE_TO_POINTER(GPOINTER_TO_SIZE(count) + 1));
 }
 
@@ -94,7 +96,7 @@
     }
     call->tally->outcomes[outcome]++;
     if (outcome != EB_OUTCOME_DONE) {
-        count_reason(call->load, reason != NULL ? reason : "");
+        count_reason(call, reason != NULL ? reason : "");
         return;
     }
     int64_t total_us = EbClock_Monotonic() - call->sent_us;
--- a/test/load/load.h
+++ b/test/load/load.h
@@ -80,7 +80,7 @@
     uint32_t kind_count;
     uint32_t weight_sum;
     Tally tallies[KINDS_MAX];
-    GHashTable *reasons; /* name to count */
+    GHashTable *reasons; /* "customer reason" to count */
     GArray *keyed;       /* of KeyedEnd */
     double rate_per_s;
     int64_t end_us;
