limiter: a home takes back slack that another daemon lacks

A grant that covered the demand was not raised either when all others fell idle. Traced with the cluster of test_limiter: 4 requests/s divided over 3 daemons, refusals at grants of 1 in flight while others held 13 of 16. Change: a daemon that lacks its share makes the home lower the grants above their target, then raise its own; a grant is raised also when it covers the demand but is below half of its target. The cluster of the test delivered messages of a daemon to itself in reverse order; they keep their order now.

--- a/include/limits/ebonyhollow/limiter.h
+++ b/include/limits/ebonyhollow/limiter.h
@@ -100,9 +100,10 @@
                         const EbLimiterShare *reports, size_t report_count,
                         EbLimiterShare *grants, int64_t now_us);
 
-/* Raises a grant that was short of its daemon's demand, once another daemon's
- * report has freed some of the contract. Call it after EbLimiter_Divide until
- * it returns false, and send each grant.
+/* Changes a grant before its daemon's next report: raises one that is short of
+ * its daemon's demand or far below its share of a free contract, and lowers
+ * one above its share when another daemon lacks what it holds. Call it after
+ * EbLimiter_Divide until it returns false, and send the grants in that order.
  *
  * instance: set to the daemon; valid until the next call. */
 bool EbLimiter_Push(EbLimiter *limiter, const char **instance,
--- a/src/libebonyhollow/limits/limiter_home.c
+++ b/src/libebonyhollow/limits/limiter_home.c
@@ -8,8 +8,10 @@
 /* Part of the unused contract that is divided; the rest answers the next
  * report of grown demand at once. */
 #define SLACK_SHARE 0.75
-/* A grant is raised without a report if it grows at least by this factor. */
+/* A grant is changed without a report if it changes at least by this factor.
+ */
 #define PUSH_GAIN 1.1
+#define SLACK_GAIN 2.0 /* where the grant covers the demand */
 #define PUSH_FREE_SHARE 0.01
 #define PUSH_INTERVAL_US 300 /* for each reporter */
 
@@ -161,33 +163,29 @@
     return count;
 }
 
+/* Returns whether a higher grant is worth a message. One that covers the
+ * demand leaves room for fluctuations, unless it is far below the target. */
 static bool
-is_short(const EbLimiterCustomer *customer, const EbLimiterReporter *reporter)
+is_worth_raising(const EbLimiterReporter *reporter, EbLimitKind kind,
+                 double grant)
 {
-    for (int kind = 0; kind < EB_LIMIT_COUNT; kind++) {
-        if (customer->limits[kind] > 0 &&
-            reporter->granted[kind] < reporter->demand[kind]) {
-            return true;
-        }
-    }
-    return false;
+    double granted = reporter->granted[kind];
+    double gain = granted < reporter->demand[kind] ? PUSH_GAIN : SLACK_GAIN;
+    return grant > gain * granted;
 }
 
-/* Returns whether a reporter that got less than its demand could get more, by
- * enough to be worth a message. */
+/* Returns whether a reporter's grant could be raised now. */
 static bool
 may_raise(const EbLimiter *limiter, const EbLimiterCustomer *customer,
           const EbLimiterReporter *reporter,
           const Totals totals[EB_LIMIT_COUNT])
 {
-    if (!is_short(customer, reporter)) {
-        return false;
-    }
     double grants[EB_LIMIT_COUNT];
     find_grants(limiter, customer, reporter, totals, grants);
-    for (int kind = 0; kind < EB_LIMIT_COUNT; kind++) {
+    for (int i = 0; i < EB_LIMIT_COUNT; i++) {
+        EbLimitKind kind = (EbLimitKind)i;
         if (customer->limits[kind] > 0 &&
-            grants[kind] > PUSH_GAIN * reporter->granted[kind]) {
+            is_worth_raising(reporter, kind, grants[kind])) {
             return true;
         }
     }
@@ -208,13 +206,103 @@
     return false;
 }
 
+static double
+target_of(const EbLimiter *limiter, const EbLimiterCustomer *customer,
+          const EbLimiterReporter *reporter, EbLimitKind kind,
+          const Totals *totals)
+{
+    return find_target(customer->limits[kind], reporter->demand[kind],
+                       EbLimiter_EqualShare(limiter, customer, kind), totals);
+}
+
+/* Returns whether a reporter would get more of a limit if others held no more
+ * than their targets, while all demand fits into the contract. */
+static bool
+lacks_share(const EbLimiter *limiter, const EbLimiterCustomer *customer,
+            const EbLimiterReporter *reporter, EbLimitKind kind,
+            const Totals *totals)
+{
+    return customer->limits[kind] > 0 &&
+           totals->demand <= customer->limits[kind] &&
+           is_worth_raising(
+               reporter, kind,
+               target_of(limiter, customer, reporter, kind, totals));
+}
+
+/* How much a reporter holds above its target; 0 if it is not worth a message.
+ */
+static double
+find_excess(const EbLimiter *limiter, const EbLimiterCustomer *customer,
+            const EbLimiterReporter *reporter, EbLimitKind kind,
+            const Totals *totals)
+{
+    double target = target_of(limiter, customer, reporter, kind, totals);
+    double granted = reporter->granted[kind];
+    return granted > PUSH_GAIN * target ? granted - target : 0;
+}
+
+/* Finds the reporter that holds most above its target. */
+static EbLimiterReporter *
+find_holder(const EbLimiter *limiter, const EbLimiterCustomer *customer,
+            EbLimitKind kind, const Totals *totals, const char **instance,
+            int64_t now_us)
+{
+    EbLimiterReporter *holder = NULL;
+    double most = 0;
+    GHashTableIter iterator;
+    gpointer key, value;
+    g_hash_table_iter_init(&iterator, customer->reporters);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        EbLimiterReporter *reporter = value;
+        double excess = find_excess(limiter, customer, reporter, kind, totals);
+        if (excess > most && now_us < reporter->expires_us &&
+            now_us - reporter->granted_us >= EB_LIMITER_URGENT_US) {
+            *instance = key;
+            holder = reporter;
+            most = excess;
+        }
+    }
+    return holder;
+}
+
+/* Finds a reporter whose grant may be lowered, because another one lacks
+ * its share. Without it a daemon where requests
+ * begin to arrive has the floor only, until those that hold the slack report
+ * again. */
+static EbLimiterReporter *
+find_reclaimable(const EbLimiter *limiter, const EbLimiterCustomer *customer,
+                 const Totals totals[EB_LIMIT_COUNT], const char **instance,
+                 int64_t now_us)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, customer->reporters);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        EbLimiterReporter *reporter = value;
+        for (int i = 0; i < EB_LIMIT_COUNT; i++) {
+            EbLimitKind kind = (EbLimitKind)i;
+            if (!lacks_share(limiter, customer, reporter, kind,
+                             &totals[kind])) {
+                continue;
+            }
+            EbLimiterReporter *holder = find_holder(
+                limiter, customer, kind, &totals[kind], instance, now_us);
+            if (holder != NULL) {
+                /* It gets what is freed at once. */
+                reporter->granted_us = now_us - EB_LIMITER_URGENT_US;
+                return holder;
+            }
+        }
+    }
+    return NULL;
+}
+
 /* Finds a reporter whose grant may be raised. */
 static EbLimiterReporter *
-find_short(const EbLimiter *limiter, const EbLimiterCustomer *customer,
-           const char **instance, int64_t now_us)
+find_raisable(const EbLimiter *limiter, const EbLimiterCustomer *customer,
+              const Totals totals[EB_LIMIT_COUNT], const char **instance,
+              int64_t now_us)
 {
-    Totals totals[EB_LIMIT_COUNT] = {{0}};
-    add_up(customer, totals);
     if (!has_free_share(customer, totals)) {
         return NULL;
     }
@@ -233,6 +321,20 @@
     return NULL;
 }
 
+/* Finds a reporter whose grant should change before its next report. */
+static EbLimiterReporter *
+find_due(const EbLimiter *limiter, const EbLimiterCustomer *customer,
+         const char **instance, int64_t now_us)
+{
+    Totals totals[EB_LIMIT_COUNT] = {{0}};
+    add_up(customer, totals);
+    EbLimiterReporter *reporter =
+        find_raisable(limiter, customer, totals, instance, now_us);
+    return reporter != NULL
+               ? reporter
+               : find_reclaimable(limiter, customer, totals, instance, now_us);
+}
+
 /* Looking at all reporters after each report would cost time in proportion to
  * their square. */
 static bool
@@ -254,7 +356,7 @@
         if (is_look_due(customer, now_us)) {
             customer->looked_us = now_us;
             EbLimiterReporter *reporter =
-                find_short(limiter, customer, instance, now_us);
+                find_due(limiter, customer, instance, now_us);
             if (reporter != NULL) {
                 *share = grant(limiter, customer, reporter, now_us);
                 return true;
--- a/src/libebonyhollow_net/daemon_peer.c
+++ b/src/libebonyhollow_net/daemon_peer.c
@@ -191,8 +191,8 @@
     }
 }
 
-/* Divides contracts as the home of the reported customers, then raises the
- * grants of other daemons that were short. */
+/* Divides contracts as the home of the reported customers, then changes the
+ * grants of daemons that would have to wait for their next report. */
 static void
 divide(EbDaemon *daemon, const char *peer, const EbLimiterShare *reports,
        size_t count, int64_t now_us)
@@ -203,9 +203,9 @@
     send_grants(daemon, peer, grants, granted, now_us);
     g_free(grants);
     const char *instance;
-    EbLimiterShare raised;
-    while (EbLimiter_Push(daemon->limiter, &instance, &raised, now_us)) {
-        send_grants(daemon, instance, &raised, 1, now_us);
+    EbLimiterShare changed;
+    while (EbLimiter_Push(daemon->limiter, &instance, &changed, now_us)) {
+        send_grants(daemon, instance, &changed, 1, now_us);
     }
 }
 
--- a/src/test_limiter/cluster.c
+++ b/src/test_limiter/cluster.c
@@ -107,13 +107,15 @@
     Message *message = g_new0(Message, 1);
     *message = (Message){cluster->now_us + (from == to ? 0 : MESSAGE_DELAY_US),
                          from, to, is_grant, *share};
-    /* Insertion in order of due time: a message to itself takes no time. */
-    if (from == to) {
-        g_queue_push_head(&cluster->messages, message);
-        return;
+    /* In order of due time, those of one time in the order of sending: a
+     * message to itself takes no time. */
+    GList *later = cluster->messages.head;
+    while (later != NULL &&
+           ((Message *)later->data)->due_us <= message->due_us) {
+        later = later->next;
     }
-    g_queue_push_tail(&cluster->messages, message);
-    cluster->message_count++;
+    g_queue_insert_before(&cluster->messages, later, message);
+    cluster->message_count += from != to;
 }
 
 static void
--- a/src/test_limiter/main.c
+++ b/src/test_limiter/main.c
@@ -153,6 +153,42 @@
     Cluster_Clear(&cluster);
 }
 
+/* Guards against a small customer inside its contract that is refused since
+ * its contract is divided into shares of about one request. */
+static void
+test_small_contracts(void)
+{
+    static const struct {
+        const char *name;
+        uint32_t rate_milli;
+        uint32_t concurrent;
+        double offered;
+    } rows[] = {
+        {"1.6 of 4 requests/s, 3 daemons", 4000, 16, 1.6},
+        {"3.1 of 6 requests/s, 3 daemons", 6000, 24, 3.1},
+        {"12 of 15 requests/s, 3 daemons", 15000, 60, 12},
+    };
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        static Cluster cluster;
+        const EbContract contract = {
+            .weight = 1,
+            .requests_per_s_milli = rows[i].rate_milli,
+            .burst_requests = rows[i].rate_milli / 1000,
+            .concurrent_requests = rows[i].concurrent,
+            .tokens_per_s = 200 * rows[i].rate_milli / 1000};
+        Cluster_Init(&cluster, &(ClusterOptions){.daemons = 3,
+                                                 .contract = contract,
+                                                 .rate = rows[i].offered,
+                                                 .request_us = 2200000,
+                                                 .tokens = 60,
+                                                 .seed = 71 + i});
+        Cluster_Run(&cluster, 1200 * SECOND_US);
+        print_cluster(rows[i].name, &cluster);
+        CU_ASSERT_TRUE(Cluster_AdmittedShare(&cluster) >= 0.99);
+        Cluster_Clear(&cluster);
+    }
+}
+
 static EbLimiter *
 new_limiter(const EbConfig *config, uint32_t members)
 {
@@ -253,6 +289,7 @@
         {"inside contract", test_inside_contract},
         {"bounds", test_bounds},
         {"sparse", test_sparse},
+        {"small contracts", test_small_contracts},
         {"local limits", test_local_limits},
         {"grant validity", test_grant_validity},
     };
