--- a/src/libebonyhollow/configuration/config_fields.c
+++ b/src/libebonyhollow/configuration/config_fields.c
@@ -29,8 +29,7 @@
                "Kind of call that the pool's servers answer."),
     ROW("pools.<name>.subset_size", UINT32, "servers", 0,
         EB_CONFIG_MAX_SERVERS, "0", EbConfigPool, subset_size,
-        "Servers that one daemon uses, up to twice as many while all are "
-        "busy; 0 means all."),
+        "Servers that one daemon uses; 0 means all."),
     ROW("pools.<name>.queue_max", UINT32, "attempts", 1, EB_CONFIG_MAX_QUEUED,
         "256", EbConfigPool, queue_max,
         "Waiting attempts that one daemon holds."),
--- a/src/libebonyhollow/servers/pool.c
+++ b/src/libebonyhollow/servers/pool.c
@@ -292,7 +292,6 @@
 {
     if (pool->policy->adapts) {
         EbPool_UpdateHealth(pool, now_us);
-        EbPool_ResizeSubset(pool, now_us);
     }
     if (now_us - pool->rotated_us >= QUANTILE_INTERVAL_US &&
         pool->recent.count >= QUANTILE_MIN_CALLS) {
--- a/src/libebonyhollow/servers/private/pool_state.h
+++ b/src/libebonyhollow/servers/private/pool_state.h
@@ -68,10 +68,6 @@
     uint32_t server_count;
     EbPoolServer **members; /* the subset this daemon uses */
     uint32_t member_count;
-    uint32_t extra_members; /* above the configured size */
-    double full_share;      /* moving average, of the time without a slot */
-    int64_t full_us;        /* of the last sample; 0 before any */
-    int64_t resized_us;     /* last change of extra_members */
     GHashTable *by_id;
     uint32_t daemons;     /* live ones, this one included */
     uint32_t next_member; /* round robin */
@@ -89,7 +85,6 @@
 /* pool_subset.c */
 uint64_t EbPool_Rank(const char *instance, const char *server_id);
 void EbPool_BuildSubset(EbPool *pool);
-void EbPool_ResizeSubset(EbPool *pool, int64_t now_us);
 
 /* pool_choice.c */
 extern const EbPoolPolicyRow EbPool_policies[EB_POOL_POLICY_COUNT];
