--- a/src/libebonyhollow/requests/dispatcher.c
+++ b/src/libebonyhollow/requests/dispatcher.c
@@ -1,4 +1,4 @@
-/* Construction, configuration, pools, timers and shutdown. */
+/* The public functions: what comes in is passed on and settled. */
 #include "ebonyhollow/dispatcher.h"
 
 #include <assert.h>
@@ -10,8 +10,6 @@
 
 #define DEFAULT_MAX_REQUESTS 4096
 #define POOL_TICK_US 500000
-/* More servers than two deployments of the planned size. */
-#define MAX_LEAVING 2048
 
 const char *const EbPolicy_names[EB_POLICY_COUNT] = {
     [EB_POLICY_ADAPTIVE] = "adaptive",
@@ -25,22 +23,6 @@
     [EB_ATTEMPT_STREAMING] = "streaming", [EB_ATTEMPT_EVENTS] = "events",
 };
 
-static void
-free_pool(gpointer pointer)
-{
-    EbPoolState *pool = pointer;
-    EbPool_Free(pool->pool);
-    EbQueue_Free(pool->queue);
-    g_hash_table_destroy(pool->tokens);
-    g_hash_table_destroy(pool->answer_times);
-    if (pool->prefix != NULL) {
-        EbPrefix_Free(pool->prefix);
-    }
-    EbConfig_Unref(pool->config);
-    g_free(pool->key);
-    g_free(pool);
-}
-
 static void
 free_attempt(gpointer pointer)
 {
@@ -115,7 +97,7 @@
     dispatcher->instance = g_strdup(options->instance);
     dispatcher->failure_domain = g_strdup(options->failure_domain);
     dispatcher->pools =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, EbPoolState_Free);
     dispatcher->pool_order = g_ptr_array_new();
     dispatcher->leaving =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -172,115 +154,12 @@
     g_free(dispatcher);
 }
 
-/* A pool whose kind changes under the same name is another pool: its queue
- * and statistics describe other work. */
-static char *
-pool_key(const EbConfigPool *pool)
-{
-    return g_strdup_printf("%s %s", EbStageKind_names[pool->kind], pool->name);
-}
-
-EbPoolState *
-EbDispatcher_FindPool(EbDispatcher *dispatcher, const EbConfigPool *pool)
-{
-    char *key = pool_key(pool);
-    EbPoolState *state = g_hash_table_lookup(dispatcher->pools, key);
-    g_free(key);
-    return state;
-}
-
-static EbPoolState *
-create_pool(EbDispatcher *dispatcher, EbConfig *config, uint32_t index)
-{
-    bool plain = EbDispatcher_IsPlain(dispatcher);
-    EbPoolState *state = g_new0(EbPoolState, 1);
-    state->key = pool_key(&config->pools[index]);
-    state->pool = EbPool_New(
-        &(EbPoolOptions){
-            .config = config,
-            .pool_index = index,
-            .instance = dispatcher->instance,
-            .failure_domain = dispatcher->failure_domain,
-            .policy = plain ? EB_POOL_ROUND_ROBIN : EB_POOL_ADAPTIVE,
-            .random = dispatcher->options.random,
-            .events = dispatcher->options.events,
-        },
-        NULL);
-    assert(state->pool != NULL);
-    EbPool_SetDaemons(state->pool, dispatcher->daemons);
-    /* Each request waits at most once, so that the bound of requests bounds
-     * the queue; queue_max is checked apart, as it may change later. */
-    state->queue = EbQueue_New(&(EbQueueOptions){
-        .order = plain ? EB_QUEUE_FIRST_COME : EB_QUEUE_WEIGHTED_FAIR,
-        .max_entries = dispatcher->options.max_requests,
-    });
-    if (config->pools[index].kind == EB_STAGE_GENERATE) {
-        state->prefix = EbPrefix_New(&(EbPrefixOptions){0});
-    }
-    state->tokens =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    state->answer_times =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    EbRetry_Init(&state->budget, &(EbRetryOptions){0});
-    g_hash_table_insert(dispatcher->pools, state->key, state);
-    return state;
-}
-
-static gboolean
-is_unused_pool(gpointer key, gpointer value, gpointer data)
-{
-    (void)key;
-    (void)data;
-    const EbPoolState *pool = value;
-    return !pool->current && pool->users == 0;
-}
-
-static void
-apply_leaving(EbDispatcher *dispatcher, EbPoolState *pool, int64_t now_us)
-{
-    GHashTableIter iter;
-    gpointer id;
-    g_hash_table_iter_init(&iter, dispatcher->leaving);
-    while (g_hash_table_iter_next(&iter, &id, NULL)) {
-        EbPool_SetLeaving(pool->pool, id, true, now_us);
-    }
-}
-
-static void
-apply_pool(EbDispatcher *dispatcher, EbConfig *config, uint32_t index,
-           int64_t now_us)
-{
-    EbPoolState *pool =
-        EbDispatcher_FindPool(dispatcher, &config->pools[index]);
-    if (pool == NULL) {
-        pool = create_pool(dispatcher, config, index);
-    }
-    else {
-        EbPool_SetConfig(pool->pool, config, index);
-        EbConfig_Unref(pool->config);
-    }
-    pool->config = EbConfig_Ref(config);
-    pool->queue_max = config->pools[index].queue_max;
-    pool->current = true;
-    pool->dirty = true;
-    apply_leaving(dispatcher, pool, now_us);
-    g_ptr_array_add(dispatcher->pool_order, pool);
-}
-
 void
 EbDispatcher_SetConfig(EbDispatcher *dispatcher, EbConfig *config,
                        int64_t now_us)
 {
     assert(config != NULL);
-    for (guint i = 0; i < dispatcher->pool_order->len; i++) {
-        EbPoolState *pool = g_ptr_array_index(dispatcher->pool_order, i);
-        pool->current = false;
-    }
-    g_ptr_array_set_size(dispatcher->pool_order, 0);
-    for (uint32_t i = 0; i < config->pool_count; i++) {
-        apply_pool(dispatcher, config, i, now_us);
-    }
-    g_hash_table_foreach_remove(dispatcher->pools, is_unused_pool, NULL);
+    EbDispatcher_ApplyPools(dispatcher, config, now_us);
     EbConfig *previous = dispatcher->config;
     dispatcher->config = EbConfig_Ref(config);
     EbConfig_Unref(previous);
@@ -303,34 +182,8 @@
     EbDispatcher_Settle(dispatcher, now_us);
 }
 
-void
-EbDispatcher_ReleasePools(EbDispatcher *dispatcher, EbRequest *request)
-{
-    bool unused = false;
-    for (uint32_t i = 0; i < EB_CONFIG_MAX_STAGES; i++) {
-        EbPoolState *pool = request->pools[i];
-        if (pool != NULL) {
-            pool->users--;
-            unused = unused || is_unused_pool(NULL, pool, NULL);
-        }
-        request->pools[i] = NULL;
-    }
-    if (unused) {
-        g_hash_table_foreach_remove(dispatcher->pools, is_unused_pool, NULL);
-    }
-}
-
 /* Timers */
 
-void
-EbRequest_Touch(EbRequest *request)
-{
-    if (!request->touched) {
-        request->touched = true;
-        g_ptr_array_add(request->dispatcher->touched, request);
-    }
-}
-
 static int64_t
 next_wake(const EbRequest *request)
 {
@@ -529,44 +382,74 @@
     return next_us;
 }
 
-/* Leaving servers */
+/* What comes in */
+
+uint64_t
+EbDispatcher_Submit(EbDispatcher *dispatcher, const EbSubmission *submission,
+                    int64_t now_us)
+{
+    uint64_t id = EbRequest_Submit(dispatcher, submission, now_us);
+    EbDispatcher_Settle(dispatcher, now_us);
+    return id;
+}
 
 void
-EbDispatcher_MarkLeaving(EbDispatcher *dispatcher, const char *server_id,
-                         bool leaving, const char *source, int64_t now_us)
+EbDispatcher_CallerGone(EbDispatcher *dispatcher, uint64_t id, int64_t now_us)
 {
-    if (!leaving) {
-        g_hash_table_remove(dispatcher->leaving, server_id);
+    EbRequest *request = g_hash_table_lookup(dispatcher->requests, &id);
+    if (request != NULL && !request->answered) {
+        EbRequest_CallerGone(request, now_us);
+        EbDispatcher_Settle(dispatcher, now_us);
     }
-    else if (g_hash_table_size(dispatcher->leaving) < MAX_LEAVING) {
-        g_hash_table_add(dispatcher->leaving, g_strdup(server_id));
-    }
-    bool changed = false;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, dispatcher->pools);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        EbPoolState *pool = value;
-        if (EbPool_SetLeaving(pool->pool, server_id, leaving, now_us)) {
-            changed = true;
-            pool->dirty = true;
-            if (leaving && pool->prefix != NULL) {
-                EbPrefix_Forget(pool->prefix, server_id);
-            }
-        }
+}
+
+void
+EbDispatcher_Attempt(EbDispatcher *dispatcher, const EbAttemptEvent *event,
+                     int64_t now_us)
+{
+    EbAttempt *attempt =
+        g_hash_table_lookup(dispatcher->attempts, &event->attempt_id);
+    if (attempt == NULL) {
+        EB_EMIT(dispatcher->options.events, EB_EVENT_LATE_ANSWER_DROPPED,
+                EB_INTEGER_FIELD("attempt_id", event->attempt_id));
+        return;
     }
-    if (changed && leaving) {
-        EB_EMIT(dispatcher->options.events, EB_EVENT_SERVER_LEAVING,
-                EB_STRING_FIELD("backend_server", server_id),
-                EB_STRING_FIELD("source", source));
+    EbAttempt_TakeEvent(attempt, event, now_us);
+    EbDispatcher_Settle(dispatcher, now_us);
+}
+
+void
+EbDispatcher_Prepared(EbDispatcher *dispatcher, uint64_t job,
+                      EbPreparedStatus status, char *const *handles,
+                      uint32_t handle_count, int64_t now_us)
+{
+    EbRequest *request = g_hash_table_lookup(dispatcher->jobs, &job);
+    if (request != NULL) {
+        EbRequest_Prepared(request, job, status, handles, handle_count,
+                           now_us);
+        EbDispatcher_Settle(dispatcher, now_us);
     }
-    if (changed && leaving && dispatcher->options.server_leaving != NULL &&
-        strcmp(source, "peer") != 0) {
-        dispatcher->options.server_leaving(dispatcher->options.context,
-                                           server_id, now_us);
+}
+
+void
+EbDispatcher_LedgerResults(EbDispatcher *dispatcher, int64_t now_us)
+{
+    EbDispatcher_Settle(dispatcher, now_us);
+}
+
+void
+EbDispatcher_OwnerReply(EbDispatcher *dispatcher, uint64_t query, bool reached,
+                        const EbLedgerLocal *local, int64_t now_us)
+{
+    EbRequest *request = g_hash_table_lookup(dispatcher->queries, &query);
+    if (request != NULL) {
+        EbRequest_OwnerReplied(request, reached ? local : NULL, now_us);
+        EbDispatcher_Settle(dispatcher, now_us);
     }
 }
 
+/* Leaving servers */
+
 void
 EbDispatcher_ServerLeaving(EbDispatcher *dispatcher, const char *server_id,
                            bool leaving, const char *source, int64_t now_us)
--- /dev/null
+++ b/src/libebonyhollow/requests/dispatcher_event.c
@@ -0,0 +1,141 @@
+/* Events of attempts: what came from a server, and for which call. */
+#include <assert.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "dispatcher_private.h"
+
+static EbCallResult
+result_of_status(uint16_t status)
+{
+    if (status == 429 || status == 503) {
+        return EB_CALL_OVERLOADED;
+    }
+    if (status >= 200 && status < 300) {
+        return EB_CALL_OK;
+    }
+    return status >= 400 && status < 500 ? EB_CALL_REJECTED : EB_CALL_ERROR;
+}
+
+static void
+take_answer(EbAttempt *attempt, const EbAttemptEvent *event, int64_t now_us)
+{
+    EbRequest *request = attempt->request;
+    const EbConfigStage *stage = EbRequest_Stage(request);
+    EbCallResult result = result_of_status(event->http_status);
+    if (result != EB_CALL_OK) {
+        char cause[32];
+        g_snprintf(cause, sizeof(cause), "status %u", event->http_status);
+        EbAttempt_Fail(attempt, result, cause, now_us);
+    }
+    else if (attempt->lookup) {
+        EbAttempt_End(attempt, EB_CALL_OK, now_us);
+        EbRequest_LookedUp(request, event->body, now_us);
+    }
+    else if (EbStage_protocols[stage->kind].stream) {
+        EbAttempt_Fail(attempt, EB_CALL_ERROR, "no stream", now_us);
+    }
+    else {
+        EbAttempt_ReadAnswer(attempt, event->body, now_us);
+    }
+}
+
+static bool
+carries_echo(EbAttemptEventKind kind)
+{
+    return kind == EB_ATTEMPT_ANSWERED || kind == EB_ATTEMPT_TOKENS ||
+           kind == EB_ATTEMPT_ENDED;
+}
+
+/* Checks that the answer is for this call. The headers of a stream come once,
+ * so that later events of it may lack them. */
+static bool
+check_echo(EbAttempt *attempt, const EbAttemptEvent *event)
+{
+    const EbRequest *request = attempt->request;
+    bool absent = event->echo_request_id == NULL && event->echo_stage < 0 &&
+                  event->echo_attempt < 0;
+    if (absent && attempt->echo_checked) {
+        return true;
+    }
+    attempt->echo_checked = true;
+    if (event->echo_request_id != NULL &&
+        strcmp(event->echo_request_id, request->summary->request_id) == 0 &&
+        event->echo_stage == (int64_t)attempt->stage &&
+        event->echo_attempt == (int64_t)attempt->number) {
+        return true;
+    }
+    EB_EMIT(request->dispatcher->options.events, EB_EVENT_ECHO_MISMATCH,
+            EB_STRING_FIELD("request_id", request->summary->request_id),
+            EB_STRING_FIELD("stage",
+                            request->pipeline->stages[attempt->stage].name),
+            EB_INTEGER_FIELD("attempt", attempt->number),
+            EB_STRING_FIELD("backend_server", attempt->server_id));
+    return false;
+}
+
+static void
+take_event(EbAttempt *attempt, const EbAttemptEvent *event, int64_t now_us)
+{
+    if (attempt->request->forward != NULL) {
+        EbAttempt_TakeForward(attempt, event, now_us);
+        return;
+    }
+    const EbConfigStage *stage = EbRequest_Stage(attempt->request);
+    bool stream = EbStage_protocols[stage->kind].stream;
+    if (carries_echo(event->kind) && !check_echo(attempt, event)) {
+        EbAttempt_PushCancel(attempt); /* closes the connection */
+        EbAttempt_Fail(attempt, EB_CALL_ERROR, "echo mismatch", now_us);
+        return;
+    }
+    switch (event->kind) {
+    case EB_ATTEMPT_REFUSED:
+        EbAttempt_Fail(attempt, EB_CALL_REFUSED, "connect refused", now_us);
+        break;
+    case EB_ATTEMPT_ANSWERED:
+        take_answer(attempt, event, now_us);
+        break;
+    case EB_ATTEMPT_TOKENS:
+    case EB_ATTEMPT_ENDED:
+        if (!stream) {
+            EbAttempt_Fail(attempt, EB_CALL_ERROR, "unexpected stream",
+                           now_us);
+        }
+        else if (event->kind == EB_ATTEMPT_TOKENS) {
+            EbAttempt_TakeTokens(attempt, event, now_us);
+        }
+        else {
+            EbAttempt_TakeEnd(attempt, now_us);
+        }
+        break;
+    case EB_ATTEMPT_BROKEN:
+        EbAttempt_Fail(attempt, EB_CALL_BROKEN, "connection broken", now_us);
+        break;
+    case EB_ATTEMPT_MALFORMED:
+    case EB_ATTEMPT_STREAMING:
+    case EB_ATTEMPT_EVENTS:
+    case EB_ATTEMPT_EVENT_COUNT:
+        EbAttempt_Fail(attempt, EB_CALL_ERROR, "malformed answer", now_us);
+        break;
+    }
+}
+
+void
+EbAttempt_TakeEvent(EbAttempt *attempt, const EbAttemptEvent *event,
+                    int64_t now_us)
+{
+    EbRequest_Touch(attempt->request);
+    if (event->has_load) {
+        EbPool_Report(attempt->pool->pool, attempt->server_id,
+                      event->load_running, event->load_waiting, now_us,
+                      now_us);
+    }
+    if (event->leaving) {
+        char *server_id = g_strdup(attempt->server_id);
+        EbDispatcher_MarkLeaving(attempt->request->dispatcher, server_id, true,
+                                 "response", now_us);
+        g_free(server_id);
+    }
+    take_event(attempt, event, now_us);
+}
--- a/src/libebonyhollow/requests/dispatcher_forward.c
+++ b/src/libebonyhollow/requests/dispatcher_forward.c
@@ -1,4 +1,4 @@
-/* Forwarded requests: who may send them, what is sent and what comes back. */
+/* Forwarded requests: who may send them and what is sent. */
 #include <assert.h>
 #include <math.h>
 #include <string.h>
@@ -7,7 +7,9 @@
 
 #include "dispatcher_private.h"
 
-#define STATUS_MISDIRECTED 421
+/* Until calls of a pipeline were measured. */
+#define ANSWER_TIME_US 250000
+#define ANSWER_TIME_MARGIN 1.5 /* deviations above the mean */
 
 EbForwardState *
 EbForwardState_New(EbForwardCall *call)
@@ -107,27 +109,6 @@
     send->inputs = EbRequest_Inputs(request);
 }
 
-/* Returns what is wrong with the head of an answer that a server ran, or
- * NULL. */
-static const char *
-check_head(const EbRequest *request, const EbAttemptEvent *event)
-{
-    const EbForwardReply *head = &event->forward;
-    if (head->request_id == NULL ||
-        strcmp(head->request_id, request->forward->call->request_id) != 0) {
-        return "answer without the request's id";
-    }
-    if (!head->sealed) {
-        return "answer without signature";
-    }
-    return head->encoded ? "answer with a content coding" : NULL;
-}
-
-/* Until calls of a pipeline were measured. */
-#define ANSWER_TIME_US 250000
-#define ANSWER_TIME_GAIN 0.1   /* remembers about ten calls */
-#define ANSWER_TIME_MARGIN 1.5 /* deviations above the mean */
-
 int64_t
 EbRequest_AnswerTime(const EbRequest *request)
 {
@@ -137,201 +118,3 @@
                                     ANSWER_TIME_MARGIN * time->deviation_us)
                         : ANSWER_TIME_US;
 }
-
-static void
-observe_answer_time(const EbAttempt *attempt, int64_t now_us)
-{
-    const EbRequest *request = attempt->request;
-    double took_us = (double)(now_us - attempt->started_us);
-    EbAnswerTime *time = g_hash_table_lookup(attempt->pool->answer_times,
-                                             request->pipeline->name);
-    if (time == NULL) {
-        time = g_new0(EbAnswerTime, 1);
-        *time =
-            (EbAnswerTime){.mean_us = took_us, .deviation_us = took_us / 4};
-        g_hash_table_insert(attempt->pool->answer_times,
-                            g_strdup(request->pipeline->name), time);
-    }
-    double error_us = took_us - time->mean_us;
-    time->mean_us += ANSWER_TIME_GAIN * error_us;
-    time->deviation_us +=
-        ANSWER_TIME_GAIN * (fabs(error_us) - time->deviation_us);
-}
-
-static void
-complete(EbAttempt *attempt, EbHttpMessage *reply, int64_t now_us)
-{
-    EbRequest *request = attempt->request;
-    EbMetrics_Observe(request->dispatcher->options.metrics,
-                      EB_METRIC_STAGE_TIME_US, now_us - attempt->started_us,
-                      request->pipeline->name, EbRequest_Stage(request)->name,
-                      NULL);
-    if (attempt->has_tokens) {
-        EbPoolState *pool = attempt->pool;
-        pool->stream_us +=
-            (now_us - attempt->first_token_us - pool->stream_us) / 8;
-    }
-    EbAttempt_End(attempt, EB_CALL_OK, now_us);
-    while (request->attempt_count > 0) {
-        EbAttempt_Cancel(request->attempts[0], now_us);
-    }
-    EbRequest_CompleteForward(request, reply, now_us);
-}
-
-/* A server that did not run the call says so. */
-static void
-take_not_run(EbAttempt *attempt, const EbAttemptEvent *event, int64_t now_us)
-{
-    EbRequest *request = attempt->request;
-    char cause[48];
-    g_snprintf(cause, sizeof(cause), "not run, status %u", event->http_status);
-    if (event->http_status == 409) {
-        EbRequest_DropPreparations(request);
-    }
-    EbCallResult result = EB_CALL_OVERLOADED;
-    if (event->http_status == STATUS_MISDIRECTED) {
-        result = EB_CALL_REFUSED;
-    }
-    else if (event->http_status == 400) {
-        result = EB_CALL_REJECTED;
-    }
-    EbAttempt_NotRun(attempt, result, cause, now_us);
-}
-
-/* Statuses that promise the caller that its request has not run. */
-static bool
-promises_not_run(uint16_t status)
-{
-    return status == 408 || status == STATUS_MISDIRECTED || status == 429 ||
-           status == 503;
-}
-
-static void
-take_answer(EbAttempt *attempt, const EbAttemptEvent *event, int64_t now_us)
-{
-    EbRequest *request = attempt->request;
-    uint16_t status = event->http_status;
-    if (event->forward.not_run || status == STATUS_MISDIRECTED) {
-        take_not_run(attempt, event, now_us);
-        return;
-    }
-    const char *fault = check_head(request, event);
-    if (fault != NULL) {
-        EbAttempt_Fail(attempt, EB_CALL_ERROR, fault, now_us);
-        return;
-    }
-    if (status < 500 && !promises_not_run(status)) {
-        complete(attempt, event->reply, now_us);
-        return;
-    }
-    /* The server's failure is the answer unless another one succeeds. */
-    if (!promises_not_run(status) && request->forward->head == NULL) {
-        EbHttpMessage_Unref(request->forward->reply);
-        request->forward->reply = EbHttpMessage_Ref(event->reply);
-    }
-    char cause[32];
-    g_snprintf(cause, sizeof(cause), "status %u", status);
-    EbAttempt_Fail(attempt, EB_CALL_ERROR, cause, now_us);
-}
-
-static void
-push_relay(EbRequest *request, EbHttpMessage *head, const uint8_t *bytes,
-           size_t byte_count)
-{
-    EbActionQueue_Push(
-        request->dispatcher->options.actions,
-        &(EbAction){
-            .kind = EB_ACTION_RELAY,
-            .as.relay = {
-                .request = request->id,
-                .head = head != NULL ? EbHttpMessage_Ref(head) : NULL,
-                .bytes = byte_count > 0 ? g_memdup2(bytes, byte_count) : NULL,
-                .byte_count = byte_count,
-            }});
-}
-
-/* Relays the head with the first event: until then another server's answer
- * can take its place. */
-static void
-relay_head(EbRequest *request, EbHttpMessage *head)
-{
-    if (request->forward->head == NULL) {
-        request->forward->head = EbHttpMessage_Ref(head);
-        push_relay(request, head, NULL, 0);
-    }
-}
-
-static void
-take_head(EbAttempt *attempt, const EbAttemptEvent *event, int64_t now_us)
-{
-    const char *fault = check_head(attempt->request, event);
-    if (fault != NULL) {
-        EbAttempt_Refuse(attempt, fault, now_us);
-        return;
-    }
-    EbAttempt_NoteHead(attempt, now_us);
-}
-
-static void
-observe_first(const EbRequest *request, int64_t now_us)
-{
-    EbMetrics_Observe(request->dispatcher->options.metrics,
-                      EB_METRIC_FIRST_TOKEN_US,
-                      now_us - request->summary->received_us,
-                      request->customer->id, NULL, NULL);
-}
-
-static void
-take_events(EbAttempt *attempt, const EbAttemptEvent *event, int64_t now_us)
-{
-    EbRequest *request = attempt->request;
-    EbForwardState *state = request->forward;
-    if (!attempt->has_tokens) {
-        observe_answer_time(attempt, now_us);
-        /* The server has fetched its inputs. */
-        EbRequest_EndPreparations(request);
-        observe_first(request, now_us);
-    }
-    EbAttempt_NoteProgress(attempt, now_us);
-    if (event->event_id >= 0 && event->event_id <= state->last_event_id) {
-        return; /* sent before the resume */
-    }
-    relay_head(request, event->reply);
-    request->relayed_count++;
-    if (event->event_id >= 0) {
-        state->last_event_id = event->event_id;
-    }
-    push_relay(request, NULL, event->bytes, event->byte_count);
-}
-
-void
-EbAttempt_TakeForward(EbAttempt *attempt, const EbAttemptEvent *event,
-                      int64_t now_us)
-{
-    switch (event->kind) {
-    case EB_ATTEMPT_REFUSED:
-        EbAttempt_Fail(attempt, EB_CALL_REFUSED, "connect failed", now_us);
-        break;
-    case EB_ATTEMPT_ANSWERED:
-        take_answer(attempt, event, now_us);
-        break;
-    case EB_ATTEMPT_STREAMING:
-        take_head(attempt, event, now_us);
-        break;
-    case EB_ATTEMPT_EVENTS:
-        take_events(attempt, event, now_us);
-        break;
-    case EB_ATTEMPT_ENDED:
-        relay_head(attempt->request, event->reply);
-        complete(attempt, NULL, now_us);
-        break;
-    case EB_ATTEMPT_BROKEN:
-        EbAttempt_Fail(attempt, EB_CALL_BROKEN, "connection broken", now_us);
-        break;
-    case EB_ATTEMPT_TOKENS:
-    case EB_ATTEMPT_MALFORMED:
-    case EB_ATTEMPT_EVENT_COUNT:
-        EbAttempt_Fail(attempt, EB_CALL_ERROR, "malformed answer", now_us);
-        break;
-    }
-}
--- a/src/libebonyhollow/requests/dispatcher_outcome.c
+++ b/src/libebonyhollow/requests/dispatcher_outcome.c
@@ -9,6 +9,10 @@
 #define MAX_LOOKUPS 3
 #define LOOKUP_RETRY_US 50000
 #define RETRY_AFTER_US 1000000
+/* Claims of one request: an owner that forgot the key or released it sends
+ * its repeats back to the store, which must end. */
+#define MAX_CLAIMS 6
+#define RECLAIM_US 50000
 
 const char *const EbRequestState_names[EB_REQUEST_STATE_COUNT] = {
     [EB_REQUEST_RECEIVED] = "received",
@@ -445,3 +449,44 @@
     request->replayed = !request->owned;
     EbRequest_Complete(request, now_us);
 }
+
+/* Repeats of a key */
+
+void
+EbRequest_LoseHolder(EbRequest *request, int64_t now_us)
+{
+    EbRequest_Trace(request, "holder-lost", "", 0, now_us);
+    request->summary->state = EB_REQUEST_ASKING_OWNER;
+    request->unknown_reason = EB_REASON_OWNER_UNREACHABLE;
+    EbRequest_LookUp(request, now_us);
+}
+
+void
+EbRequest_ClaimLater(EbRequest *request, int64_t now_us)
+{
+    if (request->claim_count >= MAX_CLAIMS) {
+        EbRequest_LoseHolder(request, now_us);
+        return;
+    }
+    request->summary->state = EB_REQUEST_CLAIMING;
+    request->retry_us =
+        now_us + ((int64_t)RECLAIM_US << MIN(request->claim_count, 4));
+    EbRequest_Touch(request);
+}
+
+void
+EbRequest_HolderFinished(EbRequest *request, EbOutcome outcome,
+                         EbReason reason, json_t *body, int64_t now_us)
+{
+    EbRequest_Touch(request);
+    /* After `failed` the key is released: answering that could be overtaken
+     * by another copy that claims it and dispatches the call. An answer that
+     * did not come along is read from the store. */
+    if (outcome == EB_OUTCOME_FAILED ||
+        (outcome == EB_OUTCOME_DONE && body == NULL)) {
+        EbRequest_ClaimLater(request, now_us);
+        return;
+    }
+    request->replayed = true;
+    EbRequest_Finish(request, outcome, reason, NULL, body, now_us);
+}
--- /dev/null
+++ b/src/libebonyhollow/requests/dispatcher_pool.c
@@ -0,0 +1,189 @@
+/* Pools across configurations, and servers that leave. */
+#include <assert.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "dispatcher_private.h"
+
+/* More servers than two deployments of the planned size. */
+#define MAX_LEAVING 2048
+
+void
+EbPoolState_Free(gpointer pointer)
+{
+    EbPoolState *pool = pointer;
+    EbPool_Free(pool->pool);
+    EbQueue_Free(pool->queue);
+    g_hash_table_destroy(pool->tokens);
+    g_hash_table_destroy(pool->answer_times);
+    if (pool->prefix != NULL) {
+        EbPrefix_Free(pool->prefix);
+    }
+    EbConfig_Unref(pool->config);
+    g_free(pool->key);
+    g_free(pool);
+}
+
+/* A pool whose kind changes under the same name is another pool: its queue
+ * and statistics describe other work. */
+static char *
+pool_key(const EbConfigPool *pool)
+{
+    return g_strdup_printf("%s %s", EbStageKind_names[pool->kind], pool->name);
+}
+
+EbPoolState *
+EbDispatcher_FindPool(EbDispatcher *dispatcher, const EbConfigPool *pool)
+{
+    char *key = pool_key(pool);
+    EbPoolState *state = g_hash_table_lookup(dispatcher->pools, key);
+    g_free(key);
+    return state;
+}
+
+static EbPoolState *
+create_pool(EbDispatcher *dispatcher, EbConfig *config, uint32_t index)
+{
+    bool plain = EbDispatcher_IsPlain(dispatcher);
+    EbPoolState *state = g_new0(EbPoolState, 1);
+    state->key = pool_key(&config->pools[index]);
+    state->pool = EbPool_New(
+        &(EbPoolOptions){
+            .config = config,
+            .pool_index = index,
+            .instance = dispatcher->instance,
+            .failure_domain = dispatcher->failure_domain,
+            .policy = plain ? EB_POOL_ROUND_ROBIN : EB_POOL_ADAPTIVE,
+            .random = dispatcher->options.random,
+            .events = dispatcher->options.events,
+        },
+        NULL);
+    assert(state->pool != NULL);
+    EbPool_SetDaemons(state->pool, dispatcher->daemons);
+    /* Each request waits at most once, so that the bound of requests bounds
+     * the queue; queue_max is checked apart, as it may change later. */
+    state->queue = EbQueue_New(&(EbQueueOptions){
+        .order = plain ? EB_QUEUE_FIRST_COME : EB_QUEUE_WEIGHTED_FAIR,
+        .max_entries = dispatcher->options.max_requests,
+    });
+    if (config->pools[index].kind == EB_STAGE_GENERATE) {
+        state->prefix = EbPrefix_New(&(EbPrefixOptions){0});
+    }
+    state->tokens =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    state->answer_times =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    EbRetry_Init(&state->budget, &(EbRetryOptions){0});
+    g_hash_table_insert(dispatcher->pools, state->key, state);
+    return state;
+}
+
+static gboolean
+is_unused_pool(gpointer key, gpointer value, gpointer data)
+{
+    (void)key;
+    (void)data;
+    const EbPoolState *pool = value;
+    return !pool->current && pool->users == 0;
+}
+
+static void
+apply_leaving(EbDispatcher *dispatcher, EbPoolState *pool, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer id;
+    g_hash_table_iter_init(&iter, dispatcher->leaving);
+    while (g_hash_table_iter_next(&iter, &id, NULL)) {
+        EbPool_SetLeaving(pool->pool, id, true, now_us);
+    }
+}
+
+static void
+apply_pool(EbDispatcher *dispatcher, EbConfig *config, uint32_t index,
+           int64_t now_us)
+{
+    EbPoolState *pool =
+        EbDispatcher_FindPool(dispatcher, &config->pools[index]);
+    if (pool == NULL) {
+        pool = create_pool(dispatcher, config, index);
+    }
+    else {
+        EbPool_SetConfig(pool->pool, config, index);
+        EbConfig_Unref(pool->config);
+    }
+    pool->config = EbConfig_Ref(config);
+    pool->queue_max = config->pools[index].queue_max;
+    pool->current = true;
+    pool->dirty = true;
+    apply_leaving(dispatcher, pool, now_us);
+    g_ptr_array_add(dispatcher->pool_order, pool);
+}
+
+void
+EbDispatcher_ApplyPools(EbDispatcher *dispatcher, EbConfig *config,
+                        int64_t now_us)
+{
+    for (guint i = 0; i < dispatcher->pool_order->len; i++) {
+        EbPoolState *pool = g_ptr_array_index(dispatcher->pool_order, i);
+        pool->current = false;
+    }
+    g_ptr_array_set_size(dispatcher->pool_order, 0);
+    for (uint32_t i = 0; i < config->pool_count; i++) {
+        apply_pool(dispatcher, config, i, now_us);
+    }
+    g_hash_table_foreach_remove(dispatcher->pools, is_unused_pool, NULL);
+}
+
+void
+EbDispatcher_ReleasePools(EbDispatcher *dispatcher, EbRequest *request)
+{
+    bool unused = false;
+    for (uint32_t i = 0; i < EB_CONFIG_MAX_STAGES; i++) {
+        EbPoolState *pool = request->pools[i];
+        if (pool != NULL) {
+            pool->users--;
+            unused = unused || is_unused_pool(NULL, pool, NULL);
+        }
+        request->pools[i] = NULL;
+    }
+    if (unused) {
+        g_hash_table_foreach_remove(dispatcher->pools, is_unused_pool, NULL);
+    }
+}
+
+void
+EbDispatcher_MarkLeaving(EbDispatcher *dispatcher, const char *server_id,
+                         bool leaving, const char *source, int64_t now_us)
+{
+    if (!leaving) {
+        g_hash_table_remove(dispatcher->leaving, server_id);
+    }
+    else if (g_hash_table_size(dispatcher->leaving) < MAX_LEAVING) {
+        g_hash_table_add(dispatcher->leaving, g_strdup(server_id));
+    }
+    bool changed = false;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, dispatcher->pools);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        EbPoolState *pool = value;
+        if (EbPool_SetLeaving(pool->pool, server_id, leaving, now_us)) {
+            changed = true;
+            pool->dirty = true;
+            if (leaving && pool->prefix != NULL) {
+                EbPrefix_Forget(pool->prefix, server_id);
+            }
+        }
+    }
+    if (changed && leaving) {
+        EB_EMIT(dispatcher->options.events, EB_EVENT_SERVER_LEAVING,
+                EB_STRING_FIELD("backend_server", server_id),
+                EB_STRING_FIELD("source", source));
+    }
+    if (changed && leaving && dispatcher->options.server_leaving != NULL &&
+        strcmp(source, "peer") != 0) {
+        dispatcher->options.server_leaving(dispatcher->options.context,
+                                           server_id, now_us);
+    }
+}
--- a/src/libebonyhollow/requests/dispatcher_prepare.c
+++ b/src/libebonyhollow/requests/dispatcher_prepare.c
@@ -18,12 +18,6 @@
     [EB_PREPARED_FAILED] = "failed",
 };
 
-static const EbConfigForward *
-forward_of(const EbRequest *request)
-{
-    return request->pipeline->forward;
-}
-
 static uint32_t
 piece_count(const EbRequest *request, uint32_t index)
 {
@@ -31,52 +25,12 @@
     return index < call->piece_stage_count ? call->piece_counts[index] : 0;
 }
 
-/* Bits of the preparations that others need, without those left out. */
-static uint32_t
-followed_bits(const EbRequest *request)
-{
-    uint32_t followed = 0;
-    for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
-        if (request->forward->preparations[i].needed) {
-            followed |= forward_of(request)->preparations[i].after;
-        }
-    }
-    return followed;
-}
-
-static void
-add_handles(GPtrArray *inputs, const EbPreparation *preparation)
-{
-    for (guint i = 0;
-         preparation->handles != NULL && i < preparation->handles->len; i++) {
-        g_ptr_array_add(inputs,
-                        g_strdup(g_ptr_array_index(preparation->handles, i)));
-    }
-}
-
-static GPtrArray *
-collect(const EbRequest *request, uint32_t bits)
-{
-    GPtrArray *inputs = g_ptr_array_new_with_free_func(g_free);
-    for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
-        if ((bits & 1U << i) != 0) {
-            add_handles(inputs, &request->forward->preparations[i]);
-        }
-    }
-    return inputs;
-}
-
-GPtrArray *
-EbRequest_Inputs(const EbRequest *request)
-{
-    return collect(request, ~followed_bits(request));
-}
-
 /* Expected time from the start of a preparation to the request's call. */
 static int64_t
 time_to_call(const EbRequest *request, uint32_t index)
 {
-    const EbConfigPreparation *row = &forward_of(request)->preparations[index];
+    const EbConfigPreparation *row =
+        &EbRequest_Route(request)->preparations[index];
     return EbConfig_CallTime(&request->config->pools[row->pool_index].batch) +
            row->rest_us;
 }
@@ -88,7 +42,8 @@
 {
     const EbPreparation *rows = request->forward->preparations;
     int64_t own_us = time_to_call(request, index);
-    for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
+    for (uint32_t i = 0; i < EbRequest_Route(request)->preparation_count;
+         i++) {
         if (rows[i].needed && !rows[i].done &&
             time_to_call(request, i) > own_us + EARLY_MARGIN_US) {
             return true;
@@ -104,8 +59,9 @@
     if (!rows[index].needed || rows[index].done || rows[index].job != 0) {
         return false;
     }
-    uint32_t after = forward_of(request)->preparations[index].after;
-    for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
+    uint32_t after = EbRequest_Route(request)->preparations[index].after;
+    for (uint32_t i = 0; i < EbRequest_Route(request)->preparation_count;
+         i++) {
         if ((after & 1U << i) != 0 && rows[i].needed && !rows[i].done) {
             return false;
         }
@@ -129,7 +85,8 @@
 start_preparation(EbRequest *request, uint32_t index, int64_t now_us)
 {
     EbDispatcher *dispatcher = request->dispatcher;
-    const EbConfigPreparation *row = &forward_of(request)->preparations[index];
+    const EbConfigPreparation *row =
+        &EbRequest_Route(request)->preparations[index];
     EbPreparation *state = &request->forward->preparations[index];
     state->job = ++dispatcher->next_job;
     g_hash_table_insert(dispatcher->jobs,
@@ -146,7 +103,7 @@
             .failure_domain = g_strdup(expected_domain(request, now_us)),
             .priority = EbRequest_Priority(request),
             .due_us = request->summary->received_us +
-                      forward_of(request)->goal_us - row->rest_us -
+                      EbRequest_Route(request)->goal_us - row->rest_us -
                       EbRequest_AnswerTime(request),
             .deadline_us = request->deadline_us,
         }};
@@ -154,27 +111,14 @@
         action.as.prepare.key = g_strdup(request->forward->call->piece_key);
     }
     else {
-        action.as.prepare.inputs = collect(request, row->after);
+        action.as.prepare.inputs =
+            EbRequest_CollectHandles(request, row->after);
     }
     EbActionQueue_Push(dispatcher->options.actions, &action);
     EbRequest_Trace(request, "prepare", action.as.prepare.service, index,
                     now_us);
 }
 
-static void
-end_preparation(EbRequest *request, EbPreparation *row)
-{
-    EbDispatcher *dispatcher = request->dispatcher;
-    if (row->job == 0) {
-        return;
-    }
-    g_hash_table_remove(dispatcher->jobs, &row->job);
-    EbAction action = {.kind = EB_ACTION_END_PREPARATION};
-    action.as.end_job = row->job;
-    EbActionQueue_Push(dispatcher->options.actions, &action);
-    row->job = 0;
-}
-
 /* Gives up results that only preparations needed which are done: memory for
  * results is scarce at the servers. */
 static void
@@ -182,9 +126,10 @@
 {
     EbPreparation *rows = request->forward->preparations;
     uint32_t used = 0;
-    uint32_t wanted = ~followed_bits(request);
-    for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
-        uint32_t after = forward_of(request)->preparations[i].after;
+    uint32_t wanted = ~EbRequest_FollowedPreparations(request);
+    for (uint32_t i = 0; i < EbRequest_Route(request)->preparation_count;
+         i++) {
+        uint32_t after = EbRequest_Route(request)->preparations[i].after;
         if (rows[i].needed && rows[i].done) {
             used |= after;
         }
@@ -192,21 +137,22 @@
             wanted |= after;
         }
     }
-    for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
+    for (uint32_t i = 0; i < EbRequest_Route(request)->preparation_count;
+         i++) {
         if (rows[i].done && (used & ~wanted & 1U << i) != 0) {
-            end_preparation(request, &rows[i]);
+            EbRequest_EndPreparation(request, &rows[i]);
         }
     }
 }
 
-/* Starts what can start, or the call itself when nothing is missing. */
-static void
-go_on(EbRequest *request, int64_t now_us)
+void
+EbRequest_Prepare(EbRequest *request, int64_t now_us)
 {
     EbPreparation *rows = request->forward->preparations;
     bool missing = false;
     end_used(request);
-    for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
+    for (uint32_t i = 0; i < EbRequest_Route(request)->preparation_count;
+         i++) {
         if (is_startable(request, i)) {
             start_preparation(request, i, now_us);
         }
@@ -230,7 +176,8 @@
 void
 EbRequest_PlanPreparations(EbRequest *request)
 {
-    for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
+    for (uint32_t i = 0; i < EbRequest_Route(request)->preparation_count;
+         i++) {
         request->forward->preparations[i].needed = piece_count(request, i) > 0;
     }
 }
@@ -239,7 +186,8 @@
 EbRequest_PreparationTime(const EbRequest *request)
 {
     int64_t longest_us = 0;
-    for (uint32_t i = 0; i < forward_of(request)->preparation_count; i++) {
+    for (uint32_t i = 0; i < EbRequest_Route(request)->preparation_count;
+         i++) {
         if (request->forward->preparations[i].needed) {
             longest_us = MAX(longest_us, time_to_call(request, i));
         }
@@ -247,40 +195,12 @@
     return longest_us;
 }
 
-void
-EbRequest_Prepare(EbRequest *request, int64_t now_us)
-{
-    go_on(request, now_us);
-}
-
-void
-EbRequest_EndPreparations(EbRequest *request)
-{
-    for (size_t i = 0; i < EB_FORWARD_MAX_PREPARATIONS; i++) {
-        end_preparation(request, &request->forward->preparations[i]);
-    }
-}
-
-void
-EbRequest_DropPreparations(EbRequest *request)
-{
-    EbRequest_EndPreparations(request);
-    for (size_t i = 0; i < EB_FORWARD_MAX_PREPARATIONS; i++) {
-        EbPreparation *row = &request->forward->preparations[i];
-        row->done = false;
-        if (row->handles != NULL) {
-            g_ptr_array_unref(row->handles);
-            row->handles = NULL;
-        }
-    }
-}
-
 /* Returns whether results that the call needs were given up. */
 static bool
 lacks_results(const EbRequest *request)
 {
     const EbPreparation *rows = request->forward->preparations;
-    uint32_t followed = followed_bits(request);
+    uint32_t followed = EbRequest_FollowedPreparations(request);
     for (size_t i = 0; i < EB_FORWARD_MAX_PREPARATIONS; i++) {
         if (rows[i].needed && rows[i].job == 0 && (followed & 1U << i) == 0) {
             return true;
@@ -301,7 +221,7 @@
                        "Results of earlier stages were lost.", now_us);
         return true;
     }
-    go_on(request, now_us);
+    EbRequest_Prepare(request, now_us);
     return true;
 }
 
@@ -313,7 +233,7 @@
     if (status == EB_PREPARED_INPUT_GONE) {
         EbRequest_DropPreparations(request);
         if (!EbRequest_PrepareAgain(request, now_us)) {
-            go_on(request, now_us);
+            EbRequest_Prepare(request, now_us);
         }
         return;
     }
@@ -324,14 +244,9 @@
 }
 
 void
-EbDispatcher_Prepared(EbDispatcher *dispatcher, uint64_t job,
-                      EbPreparedStatus status, char *const *handles,
-                      uint32_t handle_count, int64_t now_us)
+EbRequest_Prepared(EbRequest *request, uint64_t job, EbPreparedStatus status,
+                   char *const *handles, uint32_t handle_count, int64_t now_us)
 {
-    EbRequest *request = g_hash_table_lookup(dispatcher->jobs, &job);
-    if (request == NULL) {
-        return;
-    }
     EbRequest_Touch(request);
     EbPreparation *row = request->forward->preparations;
     while (row->job != job) {
@@ -346,7 +261,6 @@
         take_failure(request,
                      status == EB_PREPARED_OK ? EB_PREPARED_FAILED : status,
                      now_us);
-        EbDispatcher_Settle(dispatcher, now_us);
         return;
     }
     row->done = true;
@@ -355,6 +269,5 @@
         g_ptr_array_add(row->handles, g_strdup(handles[i]));
     }
     EbRequest_Trace(request, "prepared", "", index, now_us);
-    go_on(request, now_us);
-    EbDispatcher_Settle(dispatcher, now_us);
+    EbRequest_Prepare(request, now_us);
 }
--- a/src/libebonyhollow/requests/dispatcher_request.c
+++ b/src/libebonyhollow/requests/dispatcher_request.c
@@ -1,4 +1,4 @@
-/* Submission, admission, claims and repeats of a key. */
+/* Submission and admission. */
 #include <assert.h>
 #include <string.h>
 
@@ -7,12 +7,7 @@
 #include "dispatcher_private.h"
 
 #define MAX_KEY_BYTES 255
-/* Claims of one request: an owner that forgot the key or released it sends
- * its repeats back to the store, which must end. */
-#define MAX_CLAIMS 6
-#define RECLAIM_US 50000
 #define RETRY_AFTER_MIN_US 1000000
-#define MAX_ASKED 64 /* peers that wait for one request */
 
 static EbRequest *
 create_request(EbDispatcher *dispatcher, const EbSubmission *submission,
@@ -207,7 +202,7 @@
 {
     EbReason reason = authorize(request, submission);
     if (reason == EB_REASON_NONE &&
-        EbDispatcher_LiveCount(request->dispatcher) >
+        g_hash_table_size(request->dispatcher->requests) >
             request->dispatcher->options.max_requests) {
         reason = EB_REASON_OVERLOADED;
     }
@@ -234,8 +229,8 @@
 }
 
 uint64_t
-EbDispatcher_Submit(EbDispatcher *dispatcher, const EbSubmission *submission,
-                    int64_t now_us)
+EbRequest_Submit(EbDispatcher *dispatcher, const EbSubmission *submission,
+                 int64_t now_us)
 {
     assert(submission->forward != NULL ||
            (submission->request_id != NULL && submission->pipeline != NULL));
@@ -260,306 +255,12 @@
     else {
         EbRequest_StartStage(request, now_us);
     }
-    EbDispatcher_Settle(dispatcher, now_us);
     return id;
 }
 
-/* Claims */
-
-static char *
-holder_name(const EbRequest *request)
-{
-    return g_strdup_printf("%s %s", request->customer->id,
-                           request->key_digest);
-}
-
-void
-EbRequest_Claim(EbRequest *request, int64_t now_us)
-{
-    EbDispatcher *dispatcher = request->dispatcher;
-    assert(request->keyed && request->claim == 0);
-    request->summary->state = EB_REQUEST_CLAIMING;
-    request->claim_count++;
-    request->claimed_us = now_us;
-    request->claim = EbLedger_Claim(
-        dispatcher->options.ledger, request->customer->id, request->key,
-        request->claim_text, request->claim_text_bytes, request->deadline_us,
-        now_us);
-    g_hash_table_insert(dispatcher->claims,
-                        g_memdup2(&request->claim, sizeof(request->claim)),
-                        request);
-    char *name = holder_name(request);
-    if (g_hash_table_contains(dispatcher->holders, name)) {
-        g_free(name);
-    }
-    else {
-        g_hash_table_insert(dispatcher->holders, name, request);
-    }
-    EbRequest_Trace(request, "claim", "", 0, now_us);
-}
-
-/* The holder can't be asked: the service may know the key. */
-static void
-lose_holder(EbRequest *request, int64_t now_us)
-{
-    EbRequest_Trace(request, "holder-lost", "", 0, now_us);
-    request->summary->state = EB_REQUEST_ASKING_OWNER;
-    request->unknown_reason = EB_REASON_OWNER_UNREACHABLE;
-    EbRequest_LookUp(request, now_us);
-}
-
-static void
-claim_later(EbRequest *request, int64_t now_us)
-{
-    if (request->claim_count >= MAX_CLAIMS) {
-        lose_holder(request, now_us);
-        return;
-    }
-    request->summary->state = EB_REQUEST_CLAIMING;
-    request->retry_us =
-        now_us + ((int64_t)RECLAIM_US << MIN(request->claim_count, 4));
-    EbRequest_Touch(request);
-}
-
-void
-EbRequest_HolderFinished(EbRequest *request, EbOutcome outcome,
-                         EbReason reason, json_t *body, int64_t now_us)
-{
-    EbRequest_Touch(request);
-    /* After `failed` the key is released: answering that could be overtaken
-     * by another copy that claims it and dispatches the call. An answer that
-     * did not come along is read from the store. */
-    if (outcome == EB_OUTCOME_FAILED ||
-        (outcome == EB_OUTCOME_DONE && body == NULL)) {
-        claim_later(request, now_us);
-        return;
-    }
-    request->replayed = true;
-    EbRequest_Finish(request, outcome, reason, NULL, body, now_us);
-}
-
-static void
-refuse_reused_key(EbRequest *request, int64_t now_us)
-{
-    EB_EMIT(request->dispatcher->options.events, EB_EVENT_KEY_REUSED,
-            EB_STRING_FIELD("request_id", request->summary->request_id),
-            EB_STRING_FIELD("customer", request->customer->id));
-    EbRequest_Fail(request, EB_REASON_KEY_REUSED, NULL, now_us);
-}
-
-static void
-wait_for_local(EbRequest *request, int64_t now_us)
-{
-    EbDispatcher *dispatcher = request->dispatcher;
-    char *name = holder_name(request);
-    EbRequest *holder = g_hash_table_lookup(dispatcher->holders, name);
-    g_free(name);
-    if (holder == NULL || holder == request) {
-        EbLedgerLocal local = {0};
-        EbLedger_Local(dispatcher->options.ledger, request->customer->id,
-                       request->key_digest, &local);
-        if (local.state == EB_LEDGER_LOCAL_FINISHED) {
-            EbRequest_HolderFinished(request, local.outcome, local.reason,
-                                     local.body, now_us);
-        }
-        else {
-            claim_later(request, now_us);
-        }
-        return;
-    }
-    if (holder->claim_text_bytes != request->claim_text_bytes ||
-        memcmp(holder->claim_text, request->claim_text,
-               request->claim_text_bytes) != 0) {
-        refuse_reused_key(request, now_us);
-        return;
-    }
-    g_array_append_val(holder->waiters, request->id);
-}
-
-static void
-wait_for_holder(EbRequest *request, const EbLedgerResult *held, int64_t now_us)
-{
-    EbDispatcher *dispatcher = request->dispatcher;
-    const EbDispatcherOptions *options = &dispatcher->options;
-    request->summary->state = EB_REQUEST_ASKING_OWNER;
-    EbRequest_Trace(request, "held", held->instance, 0, now_us);
-    bool same_instance = strcmp(held->instance, dispatcher->instance) == 0;
-    if (same_instance && held->incarnation == options->incarnation) {
-        wait_for_local(request, now_us);
-        return;
-    }
-    uint64_t query = ++dispatcher->next_query;
-    /* An earlier incarnation of this instance is dead. */
-    if (same_instance || options->ask_owner == NULL ||
-        !options->ask_owner(options->context, held, query,
-                            request->customer->id, request->key_digest,
-                            now_us)) {
-        lose_holder(request, now_us);
-        return;
-    }
-    request->owner_query = query;
-    g_hash_table_insert(dispatcher->queries, g_memdup2(&query, sizeof(query)),
-                        request);
-}
-
-static void
-own_claim(EbRequest *request, const EbLedgerResult *result, int64_t now_us)
-{
-    request->owned = true;
-    request->reopened = result->reopened;
-    request->fencing_token = result->fencing_token;
-    g_hash_table_replace(request->dispatcher->holders, holder_name(request),
-                         request);
-    EbRequest_Trace(request, "claimed", "", 0, now_us);
-    if (EbRequest_IsQuarantined(request, now_us)) {
-        EbRequest_Fail(request, EB_REASON_QUARANTINED, NULL, now_us);
-        return;
-    }
-    EbRequest_StartStage(request, now_us);
-}
-
-static void
-replay(EbRequest *request, const EbLedgerResult *result, int64_t now_us)
-{
-    if (result->outcome == EB_OUTCOME_UNKNOWN) {
-        /* The service may have learned more since it was recorded. */
-        request->summary->state = EB_REQUEST_ASKING_OWNER;
-        request->unknown_reason = result->reason;
-        EbRequest_LookUp(request, now_us);
-        return;
-    }
-    EbRequest_HolderFinished(request, result->outcome, result->reason,
-                             result->body, now_us);
-}
-
-static void
-take_result(EbRequest *request, const EbLedgerResult *result, int64_t now_us)
-{
-    EbRequest_Touch(request);
-    if (result->kind != EB_LEDGER_OWNED) {
-        request->claim = 0;
-    }
-    switch (result->kind) {
-    case EB_LEDGER_OWNED:
-        own_claim(request, result, now_us);
-        break;
-    case EB_LEDGER_RECORDED:
-        replay(request, result, now_us);
-        break;
-    case EB_LEDGER_BODY_DIFFERS:
-        refuse_reused_key(request, now_us);
-        break;
-    case EB_LEDGER_HELD:
-        wait_for_holder(request, result, now_us);
-        break;
-    case EB_LEDGER_UNAVAILABLE:
-    case EB_LEDGER_RESULT_COUNT:
-        EbRequest_Fail(request, EB_REASON_STORE_UNAVAILABLE, NULL, now_us);
-        break;
-    }
-}
-
-bool
-EbDispatcher_TakeLedgerResults(EbDispatcher *dispatcher, int64_t now_us)
-{
-    bool taken = false;
-    EbLedgerResult result = {0};
-    while (EbLedger_NextResult(dispatcher->options.ledger, &result)) {
-        taken = true;
-        EbRequest *request =
-            g_hash_table_lookup(dispatcher->claims, &result.claim);
-        if (request != NULL) {
-            g_hash_table_remove(dispatcher->claims, &result.claim);
-            take_result(request, &result, now_us);
-        }
-        json_decref(result.body);
-        result = (EbLedgerResult){0};
-    }
-    return taken;
-}
-
 void
-EbDispatcher_LedgerResults(EbDispatcher *dispatcher, int64_t now_us)
+EbRequest_CallerGone(EbRequest *request, int64_t now_us)
 {
-    EbDispatcher_Settle(dispatcher, now_us);
-}
-
-void
-EbDispatcher_OwnerReply(EbDispatcher *dispatcher, uint64_t query, bool reached,
-                        const EbLedgerLocal *local, int64_t now_us)
-{
-    EbRequest *request = g_hash_table_lookup(dispatcher->queries, &query);
-    if (request == NULL) {
-        return;
-    }
-    g_hash_table_remove(dispatcher->queries, &query);
-    request->owner_query = 0;
-    EbRequest_Touch(request);
-    if (!reached) {
-        lose_holder(request, now_us);
-    }
-    else if (local->state == EB_LEDGER_LOCAL_FINISHED) {
-        EbRequest_HolderFinished(request, local->outcome, local->reason,
-                                 local->body, now_us);
-    }
-    else {
-        claim_later(request, now_us);
-    }
-    EbDispatcher_Settle(dispatcher, now_us);
-}
-
-/* Questions of other daemons */
-
-void
-EbDispatcher_Asked(EbDispatcher *dispatcher, const char *peer, uint64_t query,
-                   const char *customer, const char *key_digest,
-                   int64_t now_us)
-{
-    (void)now_us;
-    EbAsked *asked = g_new0(EbAsked, 1);
-    asked->peer = g_strdup(peer);
-    asked->query = query;
-    asked->customer = g_strdup(customer);
-    asked->key_digest = g_strdup(key_digest);
-    char *name = g_strdup_printf("%s %s", customer, key_digest);
-    EbRequest *holder = g_hash_table_lookup(dispatcher->holders, name);
-    g_free(name);
-    if (holder != NULL && holder->asked.length < MAX_ASKED) {
-        g_queue_push_tail(&holder->asked, asked);
-    }
-    else {
-        g_queue_push_tail(&dispatcher->asked, asked);
-    }
-}
-
-bool
-EbDispatcher_NextAsked(EbDispatcher *dispatcher, EbAsked *asked)
-{
-    EbAsked *next = g_queue_pop_head(&dispatcher->asked);
-    if (next == NULL) {
-        return false;
-    }
-    *asked = *next;
-    g_free(next);
-    return true;
-}
-
-void
-EbAsked_Clear(EbAsked *asked)
-{
-    g_free(asked->peer);
-    g_free(asked->customer);
-    g_free(asked->key_digest);
-    *asked = (EbAsked){0};
-}
-
-void
-EbDispatcher_CallerGone(EbDispatcher *dispatcher, uint64_t id, int64_t now_us)
-{
-    EbRequest *request = g_hash_table_lookup(dispatcher->requests, &id);
-    if (request == NULL || request->answered) {
-        return;
-    }
     EbRequest_Touch(request);
     request->answered = true;
     request->summary->reason = EB_REASON_CALLER_GONE;
@@ -574,5 +275,4 @@
     else {
         EbRequest_Fail(request, EB_REASON_CALLER_GONE, NULL, now_us);
     }
-    EbDispatcher_Settle(dispatcher, now_us);
 }
--- a/src/libebonyhollow/requests/dispatcher_stream.c
+++ b/src/libebonyhollow/requests/dispatcher_stream.c
@@ -57,26 +57,6 @@
                                    }});
 }
 
-void
-EbAttempt_NoteHead(EbAttempt *attempt, int64_t now_us)
-{
-    EbRequest_Trace(attempt->request, "head", attempt->server_id,
-                    attempt->number, now_us);
-}
-
-void
-EbAttempt_NoteProgress(EbAttempt *attempt, int64_t now_us)
-{
-    const EbConfigStage *stage = EbRequest_Stage(attempt->request);
-    if (!attempt->has_tokens) {
-        attempt->has_tokens = true;
-        attempt->first_token_us = now_us;
-    }
-    int64_t gap_us = stage->token_gap_timeout_us;
-    int64_t end_us = attempt->started_us + stage->timeout_us;
-    attempt->timeout_us = gap_us > 0 ? MIN(now_us + gap_us, end_us) : end_us;
-}
-
 void
 EbAttempt_TakeTokens(EbAttempt *attempt, const EbAttemptEvent *event,
                      int64_t now_us)
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -216,17 +216,15 @@
     bool draining;
 };
 
-/* dispatcher.c */
-
 /* Marks a request so that its timer is set by EbDispatcher_Settle. */
-void EbRequest_Touch(EbRequest *request);
-void EbDispatcher_Settle(EbDispatcher *dispatcher, int64_t now_us);
-void EbDispatcher_ReleasePools(EbDispatcher *dispatcher, EbRequest *request);
-EbPoolState *EbDispatcher_FindPool(EbDispatcher *dispatcher,
-                                   const EbConfigPool *pool);
-void EbDispatcher_MarkLeaving(EbDispatcher *dispatcher, const char *server_id,
-                              bool leaving, const char *source,
-                              int64_t now_us);
+static inline void
+EbRequest_Touch(EbRequest *request)
+{
+    if (!request->touched) {
+        request->touched = true;
+        g_ptr_array_add(request->dispatcher->touched, request);
+    }
+}
 
 static inline bool
 EbDispatcher_IsPlain(const EbDispatcher *dispatcher)
@@ -255,69 +253,57 @@
     return request->summary->state == EB_REQUEST_FINISHED;
 }
 
-/* dispatcher_request.c */
-
-/* Claims the request's key, again after an earlier holder released it. */
-void EbRequest_Claim(EbRequest *request, int64_t now_us);
-/* Takes the outcome of the holder that the request waited for. */
-void EbRequest_HolderFinished(EbRequest *request, EbOutcome outcome,
-                              EbReason reason, json_t *body, int64_t now_us);
-/* Takes all results that the ledger has. Returns true when there were any. */
-bool EbDispatcher_TakeLedgerResults(EbDispatcher *dispatcher, int64_t now_us);
-
-/* dispatcher_stage.c */
-void EbRequest_StartStage(EbRequest *request, int64_t now_us);
-/* Puts the request into its stage's queue. */
-void EbRequest_Enqueue(EbRequest *request, int64_t now_us);
-/* Takes the tokens of a finished generate stage for the cost of the next. */
-void EbRequest_ObserveTokens(const EbRequest *request, uint64_t tokens);
-
-void EbRequest_Hedge(EbRequest *request, int64_t now_us);
-/* Starts waiting attempts while the pool has slots. */
-void EbPoolState_Pump(EbDispatcher *dispatcher, EbPoolState *pool,
-                      int64_t now_us);
+static inline const EbConfigForward *
+EbRequest_Route(const EbRequest *request)
+{
+    return request->pipeline->forward;
+}
 
-/* dispatcher_attempt.c */
-typedef struct {
-    json_t *body;
-    const char *path;
-    bool hedge;
-    bool lookup;
-} EbAttemptStart;
+/* The files call in one direction: each uses those above its section only. */
 
-/* Sends a call to a server that EbPool_Begin chose. Takes over `body`. */
-EbAttempt *EbAttempt_Start(EbRequest *request,
-                           const EbConfigBackendServer *server,
-                           const EbAttemptStart *start, int64_t now_us);
-/* Forgets an attempt and reports its result to its pool. */
-void EbAttempt_End(EbAttempt *attempt, EbCallResult result, int64_t now_us);
-/* Ends an attempt whose answer is not wanted any more. */
-void EbAttempt_Cancel(EbAttempt *attempt, int64_t now_us);
-/* Takes the time-out of an attempt. */
-void EbAttempt_Overdue(EbAttempt *attempt, int64_t now_us);
+/* dispatcher_describe.c */
+void EbRequest_Trace(EbRequest *request, const char *event, const char *detail,
+                     uint32_t attempt, int64_t now_us);
+EbRequestSummary *EbRequestSummary_New(const EbSubmission *submission,
+                                       int64_t now_us);
+void EbRequestSummary_Free(EbRequestSummary *summary);
 
-/* Ends an attempt that failed and decides what follows. */
-void EbAttempt_Fail(EbAttempt *attempt, EbCallResult result, const char *cause,
-                    int64_t now_us);
-/* As above, for a call that its server states it did not run. */
-void EbAttempt_NotRun(EbAttempt *attempt, EbCallResult result,
-                      const char *cause, int64_t now_us);
-/* As EbAttempt_Fail for an answer at fault: closes the connection. */
-void EbAttempt_Refuse(EbAttempt *attempt, const char *cause, int64_t now_us);
-/* Notes that the head of a stream arrived. */
-void EbAttempt_NoteHead(EbAttempt *attempt, int64_t now_us);
-/* Notes that a stream goes on and moves its time-out. */
-void EbAttempt_NoteProgress(EbAttempt *attempt, int64_t now_us);
+/* dispatcher_pool.c */
+void EbPoolState_Free(gpointer pool);
+EbPoolState *EbDispatcher_FindPool(EbDispatcher *dispatcher,
+                                   const EbConfigPool *pool);
+/* Creates and changes pools as a configuration says. */
+void EbDispatcher_ApplyPools(EbDispatcher *dispatcher, EbConfig *config,
+                             int64_t now_us);
+void EbDispatcher_ReleasePools(EbDispatcher *dispatcher, EbRequest *request);
+void EbDispatcher_MarkLeaving(EbDispatcher *dispatcher, const char *server_id,
+                              bool leaving, const char *source,
+                              int64_t now_us);
 
-/* Reads the whole answer of an attempt and ends its stage. */
-void EbAttempt_ReadAnswer(EbAttempt *attempt, json_t *answer, int64_t now_us);
+/* dispatcher_crash.c */
+/* Counts a crash for all fingerprints in flight on the attempt's server. */
+void EbAttempt_Crashed(EbAttempt *attempt, int64_t now_us);
+/* Returns whether a suspected request has to wait for its other copy. */
+bool EbRequest_HasRunningCopy(EbRequest *request, int64_t now_us);
+/* Criterion that keeps suspects apart; `context` is the EbRequest. */
+bool EbRequest_AcceptsServer(void *context, const char *server_id);
+bool EbRequest_IsSuspected(EbRequest *request, int64_t now_us);
+bool EbRequest_IsQuarantined(EbRequest *request, int64_t now_us);
 
-/* dispatcher_stream.c */
+/* dispatcher_preparation.c */
 
-/* Takes generated tokens, and the end of their stream. */
-void EbAttempt_TakeTokens(EbAttempt *attempt, const EbAttemptEvent *event,
-                          int64_t now_us);
-void EbAttempt_TakeEnd(EbAttempt *attempt, int64_t now_us);
+/* Bits of the preparations that others need, without those left out. */
+uint32_t EbRequest_FollowedPreparations(const EbRequest *request);
+/* Handles of the results of preparations, by their bits; to be unreferenced.
+ */
+GPtrArray *EbRequest_CollectHandles(const EbRequest *request, uint32_t bits);
+/* Handles of the results that the call needs; to be unreferenced. */
+GPtrArray *EbRequest_Inputs(const EbRequest *request);
+/* Ends one preparation, or all of them, and gives the results up. */
+void EbRequest_EndPreparation(EbRequest *request, EbPreparation *row);
+void EbRequest_EndPreparations(EbRequest *request);
+/* The same, and forgets what they gave: the results no longer exist. */
+void EbRequest_DropPreparations(EbRequest *request);
 
 /* dispatcher_forward.c */
 EbForwardState *EbForwardState_New(EbForwardCall *call);
@@ -335,41 +321,27 @@
 /* Time that the call of a forwarded request will probably take to its answer
  * or first event, with a margin. */
 int64_t EbRequest_AnswerTime(const EbRequest *request);
-/* Takes an event of a forwarded request's attempt. */
-void EbAttempt_TakeForward(EbAttempt *attempt, const EbAttemptEvent *event,
-                           int64_t now_us);
-
-/* dispatcher_prepare.c */
 
-/* Notes which preparations a forwarded request needs. */
-void EbRequest_PlanPreparations(EbRequest *request);
-/* Expected time of those, without the wait for crowded servers. */
-int64_t EbRequest_PreparationTime(const EbRequest *request);
-/* Starts the preparations that a forwarded request needs, and its call when
- * all are done. */
-void EbRequest_Prepare(EbRequest *request, int64_t now_us);
-/* Ends preparations and gives their results up. */
-void EbRequest_EndPreparations(EbRequest *request);
-/* The same, and forgets what they gave: the results no longer exist. */
-void EbRequest_DropPreparations(EbRequest *request);
-/* Prepares anew what the call needs and was given up. Returns false when
- * nothing is missing. */
-bool EbRequest_PrepareAgain(EbRequest *request, int64_t now_us);
-/* Handles of the results that the call needs; to be unreferenced. */
-GPtrArray *EbRequest_Inputs(const EbRequest *request);
+/* dispatcher_call.c */
+typedef struct {
+    json_t *body;
+    const char *path;
+    bool hedge;
+    bool lookup;
+} EbAttemptStart;
 
-/* dispatcher_crash.c */
-/* Counts a crash for all fingerprints in flight on the attempt's server. */
-void EbAttempt_Crashed(EbAttempt *attempt, int64_t now_us);
-/* Returns whether a suspected request has to wait for its other copy. */
-bool EbRequest_HasRunningCopy(EbRequest *request, int64_t now_us);
-/* Criterion that keeps suspects apart; `context` is the EbRequest. */
-bool EbRequest_AcceptsServer(void *context, const char *server_id);
-bool EbRequest_IsSuspected(EbRequest *request, int64_t now_us);
-bool EbRequest_IsQuarantined(EbRequest *request, int64_t now_us);
+/* Sends a call to a server that EbPool_Begin chose. Takes over `body`. */
+EbAttempt *EbAttempt_Start(EbRequest *request,
+                           const EbConfigBackendServer *server,
+                           const EbAttemptStart *start, int64_t now_us);
+/* Forgets an attempt and reports its result to its pool. */
+void EbAttempt_End(EbAttempt *attempt, EbCallResult result, int64_t now_us);
+/* Ends an attempt whose answer is not wanted any more. */
+void EbAttempt_Cancel(EbAttempt *attempt, int64_t now_us);
+/* Closes the connection of an attempt. */
+void EbAttempt_PushCancel(const EbAttempt *attempt);
 
 /* dispatcher_outcome.c */
-
 /* Returns whether the non-idempotent call, or the look-up after it, may still
  * tell its outcome. */
 bool EbRequest_HasCallOut(const EbRequest *request);
@@ -396,11 +368,97 @@
 /* Takes a look-up's answer; `body` NULL when it failed. */
 void EbRequest_LookedUp(EbRequest *request, json_t *body, int64_t now_us);
 
-/* dispatcher_describe.c */
-void EbRequest_Trace(EbRequest *request, const char *event, const char *detail,
-                     uint32_t attempt, int64_t now_us);
-EbRequestSummary *EbRequestSummary_New(const EbSubmission *submission,
-                                       int64_t now_us);
-void EbRequestSummary_Free(EbRequestSummary *summary);
+/* Takes the outcome of the holder that the request waited for. */
+void EbRequest_HolderFinished(EbRequest *request, EbOutcome outcome,
+                              EbReason reason, json_t *body, int64_t now_us);
+/* Claims the key again after a while. */
+void EbRequest_ClaimLater(EbRequest *request, int64_t now_us);
+/* The holder can't be asked: the service may know the key. */
+void EbRequest_LoseHolder(EbRequest *request, int64_t now_us);
+
+/* dispatcher_stage.c */
+void EbRequest_StartStage(EbRequest *request, int64_t now_us);
+/* Puts the request into its stage's queue. */
+void EbRequest_Enqueue(EbRequest *request, int64_t now_us);
+/* Takes the tokens of a finished generate stage for the cost of the next. */
+void EbRequest_ObserveTokens(const EbRequest *request, uint64_t tokens);
+
+void EbRequest_Hedge(EbRequest *request, int64_t now_us);
+/* Starts waiting attempts while the pool has slots. */
+void EbPoolState_Pump(EbDispatcher *dispatcher, EbPoolState *pool,
+                      int64_t now_us);
+
+/* dispatcher_prepare.c */
+
+/* Notes which preparations a forwarded request needs. */
+void EbRequest_PlanPreparations(EbRequest *request);
+/* Expected time of those, without the wait for crowded servers. */
+int64_t EbRequest_PreparationTime(const EbRequest *request);
+/* Starts the preparations that a forwarded request needs and that can start,
+ * and its call when all are done. */
+void EbRequest_Prepare(EbRequest *request, int64_t now_us);
+/* Prepares anew what the call needs and was given up. Returns false when
+ * nothing is missing. */
+bool EbRequest_PrepareAgain(EbRequest *request, int64_t now_us);
+/* Takes the end of a preparation. */
+void EbRequest_Prepared(EbRequest *request, uint64_t job,
+                        EbPreparedStatus status, char *const *handles,
+                        uint32_t handle_count, int64_t now_us);
+
+/* dispatcher_claim.c */
+
+/* Claims the request's key, again after an earlier holder released it. */
+void EbRequest_Claim(EbRequest *request, int64_t now_us);
+/* Takes all results that the ledger has. Returns true when there were any. */
+bool EbDispatcher_TakeLedgerResults(EbDispatcher *dispatcher, int64_t now_us);
+/* Takes what the owner of the key says; NULL when it was not reached. */
+void EbRequest_OwnerReplied(EbRequest *request, const EbLedgerLocal *local,
+                            int64_t now_us);
+
+/* dispatcher_request.c */
+
+/* Starts or refuses a request. Returns its id. */
+uint64_t EbRequest_Submit(EbDispatcher *dispatcher,
+                          const EbSubmission *submission, int64_t now_us);
+void EbRequest_CallerGone(EbRequest *request, int64_t now_us);
+
+/* dispatcher_attempt.c */
+/* Takes the time-out of an attempt. */
+void EbAttempt_Overdue(EbAttempt *attempt, int64_t now_us);
+
+/* Ends an attempt that failed and decides what follows. */
+void EbAttempt_Fail(EbAttempt *attempt, EbCallResult result, const char *cause,
+                    int64_t now_us);
+/* As above, for a call that its server states it did not run. */
+void EbAttempt_NotRun(EbAttempt *attempt, EbCallResult result,
+                      const char *cause, int64_t now_us);
+/* As EbAttempt_Fail for an answer at fault: closes the connection. */
+void EbAttempt_Refuse(EbAttempt *attempt, const char *cause, int64_t now_us);
+/* Notes that the head of a stream arrived. */
+void EbAttempt_NoteHead(EbAttempt *attempt, int64_t now_us);
+/* Notes that a stream goes on and moves its time-out. */
+void EbAttempt_NoteProgress(EbAttempt *attempt, int64_t now_us);
+
+/* Reads the whole answer of an attempt and ends its stage. */
+void EbAttempt_ReadAnswer(EbAttempt *attempt, json_t *answer, int64_t now_us);
+
+/* dispatcher_stream.c */
+/* Takes generated tokens, and the end of their stream. */
+void EbAttempt_TakeTokens(EbAttempt *attempt, const EbAttemptEvent *event,
+                          int64_t now_us);
+void EbAttempt_TakeEnd(EbAttempt *attempt, int64_t now_us);
+
+/* dispatcher_relay.c */
+
+/* Takes an event of a forwarded request's attempt. */
+void EbAttempt_TakeForward(EbAttempt *attempt, const EbAttemptEvent *event,
+                           int64_t now_us);
+
+/* dispatcher_event.c */
+void EbAttempt_TakeEvent(EbAttempt *attempt, const EbAttemptEvent *event,
+                         int64_t now_us);
+
+/* dispatcher.c */
+void EbDispatcher_Settle(EbDispatcher *dispatcher, int64_t now_us);
 
 #endif
