--- a/src/libebonyhollow/ledger/ledger.c
+++ b/src/libebonyhollow/ledger/ledger.c
@@ -9,9 +9,6 @@
 
 /* Longest time that a claim is settled before its request is refused. */
 #define SETTLE_US (5LL * 1000 * 1000)
-/* Time for which a claim that nobody waits for any more is still settled, so
- * that a write that took effect late does not leave the key held. */
-#define ABANDONED_SETTLE_US (30LL * 1000 * 1000)
 #define BACKOFF_FIRST_US (50LL * 1000)
 #define BACKOFF_MAX_US (8LL * 1000 * 1000)
 #define BACKOFF_MAX_SHIFT 8
@@ -109,12 +106,6 @@
                     }});
 }
 
-static bool
-is_settling(const Claim *claim)
-{
-    return claim->phase < CLAIM_OWNED;
-}
-
 static void
 push_result(EbLedger *ledger, const EbLedgerResult *result)
 {
@@ -249,10 +240,8 @@
                     now_us);
 }
 
-/* The store can't be reached: refuses the request. A claim that may have
- * taken effect is settled all the same. */
-static void
-give_up(EbLedger *ledger, Claim *claim, int64_t now_us)
+void
+EbLedger_GiveUp(EbLedger *ledger, Claim *claim, int64_t now_us)
 {
     give_result(ledger, claim,
                 (EbLedgerResult){.kind = EB_LEDGER_UNAVAILABLE});
@@ -580,8 +569,8 @@
     sodium_bin2hex(digest, EB_KEY_DIGEST_HEX_BYTES, bytes, sizeof(bytes));
 }
 
-static void
-run_retry(EbLedger *ledger, Claim *claim, int64_t now_us)
+void
+EbLedger_RunRetry(EbLedger *ledger, Claim *claim, int64_t now_us)
 {
     switch (claim->phase) {
     case CLAIM_CREATING:
@@ -601,88 +590,6 @@
     }
 }
 
-static void
-tick_claim(EbLedger *ledger, Claim *claim, int64_t now_us)
-{
-    if (is_settling(claim)) {
-        bool first = !claim->answered && now_us >= claim->give_up_us;
-        bool last = now_us >= claim->give_up_us + ABANDONED_SETTLE_US;
-        if (first || last) {
-            uint64_t id = claim->id;
-            give_up(ledger, claim, now_us);
-            if (g_hash_table_lookup(ledger->by_id, &id) == NULL) {
-                return;
-            }
-        }
-    }
-    if (claim->retry_at_us != 0 && now_us >= claim->retry_at_us &&
-        claim->operation == 0) {
-        claim->retry_at_us = 0;
-        run_retry(ledger, claim, now_us);
-    }
-}
-
-static int64_t
-claim_timer(const Claim *claim)
-{
-    int64_t timer_us = INT64_MAX;
-    if (is_settling(claim)) {
-        timer_us = claim->answered ? claim->give_up_us + ABANDONED_SETTLE_US
-                                   : claim->give_up_us;
-    }
-    if (claim->retry_at_us != 0) {
-        timer_us = MIN(timer_us, claim->retry_at_us);
-    }
-    return timer_us;
-}
-
-void
-EbLedger_Tick(EbLedger *ledger, int64_t now_us)
-{
-    if (now_us < ledger->next_timer_us) {
-        return;
-    }
-    EbLedger_ForgetWritten(ledger, now_us);
-    EbLedger_Sweep(ledger, now_us);
-    GList *ids = g_hash_table_get_keys(ledger->by_id);
-    GArray *due = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-    for (GList *item = ids; item != NULL; item = item->next) {
-        const Claim *claim = g_hash_table_lookup(ledger->by_id, item->data);
-        if (claim_timer(claim) <= now_us) {
-            g_array_append_val(due, *(uint64_t *)item->data);
-        }
-    }
-    g_list_free(ids);
-    for (guint i = 0; i < due->len; i++) {
-        Claim *claim = g_hash_table_lookup(ledger->by_id,
-                                           &g_array_index(due, uint64_t, i));
-        if (claim != NULL) {
-            tick_claim(ledger, claim, now_us);
-        }
-    }
-    g_array_free(due, TRUE);
-    ledger->next_timer_us = ledger->sweep_at_us;
-    GHashTableIter iterator;
-    gpointer claim;
-    g_hash_table_iter_init(&iterator, ledger->by_id);
-    while (g_hash_table_iter_next(&iterator, NULL, &claim)) {
-        EbLedger_Arm(ledger, claim_timer(claim));
-    }
-    if (ledger->written.length > 0) {
-        EbLedger_ForgetWritten(ledger, now_us);
-        const Claim *oldest = g_queue_peek_head(&ledger->written);
-        if (oldest != NULL) {
-            EbLedger_Arm(ledger, oldest->give_up_us);
-        }
-    }
-}
-
-int64_t
-EbLedger_NextTimer(const EbLedger *ledger)
-{
-    return ledger->next_timer_us;
-}
-
 size_t
 EbLedger_UnwrittenCount(const EbLedger *ledger)
 {
--- a/src/libebonyhollow/ledger/private/ledger_private.h
+++ b/src/libebonyhollow/ledger/private/ledger_private.h
@@ -90,6 +90,17 @@
     json_t *body; /* borrowed */
 } ClaimObject;
 
+/* Time for which a claim that nobody waits for any more is still settled, so
+ * that a write that took effect late does not leave the key held. */
+#define ABANDONED_SETTLE_US (30LL * 1000 * 1000)
+
+/* Whether the store has still to tell whose the key is. */
+static inline bool
+EbLedger_IsSettling(const Claim *claim)
+{
+    return claim->phase < CLAIM_OWNED;
+}
+
 /* ledger_object.c */
 
 json_t *EbLedgerObject_Encode(const EbLedger *ledger, const Claim *claim,
@@ -113,6 +124,13 @@
 /* Delay with full jitter before try number `failures`. */
 int64_t EbLedger_Backoff(EbLedger *ledger, uint32_t failures);
 
+/* Repeats the operation of the claim's phase. */
+void EbLedger_RunRetry(EbLedger *ledger, Claim *claim, int64_t now_us);
+
+/* The store can't be reached: refuses the request. A claim that may have
+ * taken effect is settled all the same. */
+void EbLedger_GiveUp(EbLedger *ledger, Claim *claim, int64_t now_us);
+
 /* ledger_write.c */
 
 #define EB_LEDGER_WRITES_PER_S 50
