--- a/include/calls/ebonyhollow/store_dialect.h
+++ b/include/calls/ebonyhollow/store_dialect.h
@@ -9,9 +9,10 @@
 
 #include "ebonyhollow/action.h"
 
-/* A table of function pointers. Objects are {"name", "version", "value"}, a list {"revision", "items"} and
- * changes {"revision", "events"} whose elements are objects with "deleted" as
- * well. Paths are freed with g_free; JSON results are new references. */
+/* A table of function pointers. Objects are {"name", "version", "value"}, a
+ * list {"revision", "items"} and changes {"revision", "events"} whose elements
+ * are objects with "deleted" as well. Paths are freed with g_free; JSON
+ * results are new references. */
 typedef struct {
     bool creates_with_post; /* PUT otherwise */
     char *(*path)(const EbStoreRequest *request);
--- a/src/test_pool/fixture.c
+++ b/src/test_pool/fixture.c
@@ -51,6 +51,15 @@
     return pool;
 }
 
+EbPool *
+Fixture_Open(Fixture *fixture, uint32_t servers, uint32_t domains,
+             uint32_t subset, uint32_t capacity)
+{
+    Fixture_Init(fixture, servers, domains, subset, capacity);
+    EbRandom_Init(&fixture->random, 1);
+    return Fixture_NewPool(fixture, "i", EB_POOL_ADAPTIVE, &fixture->random);
+}
+
 typedef struct {
     uint32_t daemon;
     int64_t begun_us;
--- a/src/test_pool/fixture.h
+++ b/src/test_pool/fixture.h
@@ -14,6 +14,7 @@
     uint32_t indexes[MAX_SERVERS];
     char ids[MAX_SERVERS][16];
     char domains[MAX_SERVERS][16];
+    EbRandom random; /* of the pool that Fixture_Open creates */
 } Fixture;
 
 /* Servers s0, s1, ... in turn in the failure domains d0, d1, ... */
@@ -23,6 +24,10 @@
 EbPool *Fixture_NewPool(const Fixture *fixture, const char *instance,
                         EbPoolPolicy policy, EbRandom *random);
 
+/* Fixture_Init and an adaptive pool of the daemon "i"; to be freed. */
+EbPool *Fixture_Open(Fixture *fixture, uint32_t servers, uint32_t domains,
+                     uint32_t subset, uint32_t capacity);
+
 typedef struct {
     Fixture fixture;
     uint32_t daemons;
--- a/src/test_pool/main.c
+++ b/src/test_pool/main.c
@@ -201,10 +201,7 @@
 test_ejection(void)
 {
     Fixture fixture;
-    Fixture_Init(&fixture, 6, 1, 0, 16);
-    EbRandom random;
-    EbRandom_Init(&random, 1);
-    EbPool *pool = Fixture_NewPool(&fixture, "i", EB_POOL_ADAPTIVE, &random);
+    EbPool *pool = Fixture_Open(&fixture, 6, 1, 0, 16);
     int64_t now_us = SECOND_US;
     int64_t previous_us = 0;
     for (int round = 0; round < 3; round++) {
@@ -245,10 +242,7 @@
 test_ejection_bound(void)
 {
     Fixture fixture;
-    Fixture_Init(&fixture, 7, 1, 0, 4);
-    EbRandom random;
-    EbRandom_Init(&random, 1);
-    EbPool *pool = Fixture_NewPool(&fixture, "i", EB_POOL_ADAPTIVE, &random);
+    EbPool *pool = Fixture_Open(&fixture, 7, 1, 0, 4);
     for (int i = 0; i < 200; i++) {
         const EbConfigBackendServer *server =
             begin(pool, &no_wishes, SECOND_US);
@@ -289,11 +283,7 @@
     };
     for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
         Fixture fixture;
-        Fixture_Init(&fixture, rows[i].servers, 1, 0, 4);
-        EbRandom random;
-        EbRandom_Init(&random, 1);
-        EbPool *pool =
-            Fixture_NewPool(&fixture, "i", EB_POOL_ADAPTIVE, &random);
+        EbPool *pool = Fixture_Open(&fixture, rows[i].servers, 1, 0, 4);
         for (uint32_t s = 0; s < rows[i].servers; s++) {
             call(pool, fixture.ids[s], EB_CALL_OK,
                  s == 0 ? rows[i].slow_us : rows[i].typical_us, 20, SECOND_US);
@@ -314,10 +304,7 @@
 test_two_servers(void)
 {
     Fixture fixture;
-    Fixture_Init(&fixture, 2, 1, 0, 4);
-    EbRandom random;
-    EbRandom_Init(&random, 1);
-    EbPool *pool = Fixture_NewPool(&fixture, "i", EB_POOL_ADAPTIVE, &random);
+    EbPool *pool = Fixture_Open(&fixture, 2, 1, 0, 4);
     int dead = 0, recovered = 0;
     for (int i = 0; i < 12000; i++) {
         int64_t now_us = i * INT64_C(10000);
@@ -353,10 +340,7 @@
 test_criteria(void)
 {
     Fixture fixture;
-    Fixture_Init(&fixture, 3, 1, 0, 4);
-    EbRandom random;
-    EbRandom_Init(&random, 1);
-    EbPool *pool = Fixture_NewPool(&fixture, "i", EB_POOL_ADAPTIVE, &random);
+    EbPool *pool = Fixture_Open(&fixture, 3, 1, 0, 4);
     CU_ASSERT_PTR_NOT_NULL(EbPool_Begin(pool, &no_wishes, 0));
     CU_ASSERT_TRUE(EbPool_SetLeaving(pool, "s0", true, 0));
     CU_ASSERT_FALSE(EbPool_SetLeaving(pool, "s0", true, 0));
@@ -387,11 +371,8 @@
 test_set_config(void)
 {
     Fixture fixture, other;
-    Fixture_Init(&fixture, 4, 1, 0, 4);
+    EbPool *pool = Fixture_Open(&fixture, 4, 1, 0, 4);
     Fixture_Init(&other, 2, 1, 0, 1);
-    EbRandom random;
-    EbRandom_Init(&random, 1);
-    EbPool *pool = Fixture_NewPool(&fixture, "i", EB_POOL_ADAPTIVE, &random);
     int begun = 0;
     while (EbPool_Begin(pool, &no_wishes, 0) != NULL) {
         begun++;
@@ -414,10 +395,7 @@
 test_limit(void)
 {
     Fixture fixture;
-    Fixture_Init(&fixture, 1, 1, 0, 16);
-    EbRandom random;
-    EbRandom_Init(&random, 1);
-    EbPool *pool = Fixture_NewPool(&fixture, "i", EB_POOL_ADAPTIVE, &random);
+    EbPool *pool = Fixture_Open(&fixture, 1, 1, 0, 16);
     CU_ASSERT_EQUAL(view_of(pool, "s0").limit, 8);
     int64_t now_us = 0;
     for (int round = 0; round < 100; round++) {
@@ -449,10 +427,7 @@
 test_affinity(void)
 {
     Fixture fixture;
-    Fixture_Init(&fixture, 4, 1, 0, 16);
-    EbRandom random;
-    EbRandom_Init(&random, 1);
-    EbPool *pool = Fixture_NewPool(&fixture, "i", EB_POOL_ADAPTIVE, &random);
+    EbPool *pool = Fixture_Open(&fixture, 4, 1, 0, 16);
     EbPoolCriteria criteria = {.preferred = "s2"};
     for (int i = 0; i < 8; i++) {
         CU_ASSERT_STRING_EQUAL(begin(pool, &criteria, 0)->id, "s2");
@@ -473,10 +448,8 @@
 test_predict(void)
 {
     Fixture fixture;
-    Fixture_Init(&fixture, 2, 1, 0, 8); /* four slots each at first */
-    EbRandom random;
-    EbRandom_Init(&random, 1);
-    EbPool *pool = Fixture_NewPool(&fixture, "i", EB_POOL_ADAPTIVE, &random);
+    /* Four slots each at first. */
+    EbPool *pool = Fixture_Open(&fixture, 2, 1, 0, 8);
     CU_ASSERT_EQUAL(EbPool_Predict(pool, 0, 0), 50000);
     while (EbPool_Begin(pool, &no_wishes, 0) != NULL) {
     }
