--- a/src/libebonyhollow/pieces/pieces.c
+++ b/src/libebonyhollow/pieces/pieces.c
@@ -62,9 +62,6 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
     pieces->jobs =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_job);
-    pieces->ended = g_hash_table_new_full(NULL, NULL, free_job, NULL);
-    pieces->origins =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     pieces->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                           EbPieceCall_Free);
     g_queue_init(&pieces->results);
@@ -95,8 +92,6 @@
     }
     g_hash_table_destroy(pieces->calls);
     g_hash_table_destroy(pieces->jobs);
-    g_hash_table_destroy(pieces->ended);
-    g_hash_table_destroy(pieces->origins);
     g_hash_table_destroy(pieces->services);
     g_free(pieces);
 }
@@ -227,27 +222,29 @@
     EbPieceJob_LeaveQueue(job);
 }
 
-static bool
-is_prepared(const EbPieceJob *job)
-{
-    return !job->ended && job->done_count == job->prepare.piece_count;
-}
-
-static void
-push_result(EbPieces *pieces, const EbPieceJob *job, EbPreparedStatus status)
+void
+EbPieces_Add(EbPieces *pieces, const char *origin, const EbPrepare *prepare,
+             int64_t now_us)
 {
-    EbPiecesResult *result = g_new0(EbPiecesResult, 1);
-    result->origin = g_strdup(job->origin);
-    result->job = job->prepare.job;
-    result->status = status;
-    if (status == EB_PREPARED_OK) {
-        result->handle_count = job->prepare.piece_count;
-        result->handles = g_new0(char *, result->handle_count);
-        for (uint32_t i = 0; i < result->handle_count; i++) {
-            result->handles[i] = g_strdup(job->pieces[i].handle);
-        }
+    char *key = job_key(origin, prepare->job);
+    if (g_hash_table_contains(pieces->jobs, key)) {
+        g_free(key); /* repeated by its origin */
+        return;
     }
-    g_queue_push_tail(&pieces->results, result);
+    EbPieceJob *job = g_new0(EbPieceJob, 1);
+    job->origin = g_strdup(origin);
+    job->prepare = EbPrepare_Copy(prepare);
+    job->service = get_service(pieces, prepare->service);
+    job->pieces = g_new0(EbPiece, prepare->piece_count);
+    job->added_us = now_us;
+    job->expires_us = prepare->deadline_us + job->service->batch.result_us;
+    g_queue_init(&job->waiting);
+    g_hash_table_insert(pieces->jobs, key, job);
+    for (uint32_t i = 0; i < prepare->piece_count; i++) {
+        job->pieces[i] = (EbPiece){.job = job, .piece = i};
+        EbPieceJob_WaitAgain(job, &job->pieces[i]);
+    }
+    EbPieceService_Pump(pieces, job->service, now_us);
 }
 
 /* Results */
@@ -265,7 +262,18 @@
             EB_INTEGER_FIELD("pieces", job->prepare.piece_count),
             EB_STRING_FIELD("status", EbPreparedStatus_names[status]),
             EB_INTEGER_FIELD("wait_us", now_us - job->added_us));
-    push_result(pieces, job, status);
+    EbPiecesResult *result = g_new0(EbPiecesResult, 1);
+    result->origin = g_strdup(job->origin);
+    result->job = job->prepare.job;
+    result->status = status;
+    if (status == EB_PREPARED_OK) {
+        result->handle_count = job->prepare.piece_count;
+        result->handles = g_new0(char *, result->handle_count);
+        for (uint32_t i = 0; i < result->handle_count; i++) {
+            result->handles[i] = g_strdup(job->pieces[i].handle);
+        }
+    }
+    g_queue_push_tail(&pieces->results, result);
 }
 
 bool
@@ -320,9 +328,6 @@
 void
 EbPieceJob_Forget(EbPieces *pieces, EbPieceJob *job)
 {
-    if (g_hash_table_remove(pieces->ended, job)) {
-        return;
-    }
     char *key = job_key(job->origin, job->prepare.job);
     g_hash_table_remove(pieces->jobs, key);
     g_free(key);
@@ -342,64 +347,11 @@
             EbPieceJob_ReleaseResult(pieces, job, &job->pieces[i], now_us);
         }
     }
-    /* Its number is free for another job of its origin at once. */
-    char *key = job_key(job->origin, job->prepare.job);
-    gpointer owned_key = NULL;
-    g_hash_table_steal_extended(pieces->jobs, key, &owned_key, NULL);
-    g_free(owned_key);
-    g_free(key);
-    g_hash_table_add(pieces->ended, job);
     if (job->running_count == 0) {
         EbPieceJob_Forget(pieces, job);
     }
 }
 
-/* Jobs */
-
-/* Whether a job is the same piece of work: an origin that was started again
- * uses its numbers again. */
-static bool
-is_same(const EbPrepare *left, const EbPrepare *right)
-{
-    return left->stage == right->stage &&
-           strcmp(left->request_id, right->request_id) == 0;
-}
-
-void
-EbPieces_Add(EbPieces *pieces, const char *origin, const EbPrepare *prepare,
-             int64_t now_us)
-{
-    char *key = job_key(origin, prepare->job);
-    EbPieceJob *job = g_hash_table_lookup(pieces->jobs, key);
-    if (job != NULL && is_same(&job->prepare, prepare)) {
-        /* Asked for again by its origin after the link broke. */
-        job->kept_until_us = INT64_MAX;
-        if (is_prepared(job)) {
-            push_result(pieces, job, EB_PREPARED_OK);
-        }
-        g_free(key);
-        return;
-    }
-    if (job != NULL) {
-        end_job(pieces, job, now_us);
-    }
-    job = g_new0(EbPieceJob, 1);
-    job->origin = g_strdup(origin);
-    job->prepare = EbPrepare_Copy(prepare);
-    job->service = get_service(pieces, prepare->service);
-    job->pieces = g_new0(EbPiece, prepare->piece_count);
-    job->added_us = now_us;
-    job->kept_until_us = INT64_MAX;
-    job->expires_us = prepare->deadline_us + job->service->batch.result_us;
-    g_queue_init(&job->waiting);
-    g_hash_table_insert(pieces->jobs, key, job);
-    for (uint32_t i = 0; i < prepare->piece_count; i++) {
-        job->pieces[i] = (EbPiece){.job = job, .piece = i};
-        EbPieceJob_WaitAgain(job, &job->pieces[i]);
-    }
-    EbPieceService_Pump(pieces, job->service, now_us);
-}
-
 void
 EbPieces_End(EbPieces *pieces, const char *origin, uint64_t number,
              int64_t now_us)
@@ -413,46 +365,16 @@
 }
 
 void
-EbPieces_OriginGone(EbPieces *pieces, const char *origin, int64_t now_us)
-{
-    GList *jobs = g_hash_table_get_values(pieces->jobs);
-    for (GList *item = jobs; item != NULL; item = item->next) {
-        EbPieceJob *job = item->data;
-        if (strcmp(job->origin, origin) != 0) {
-            continue;
-        }
-        if (is_prepared(job)) {
-            job->kept_until_us = now_us + EB_PIECES_ORIGIN_GRACE_US;
-        }
-        else {
-            end_job(pieces, job, now_us);
-        }
-    }
-    g_list_free(jobs);
-}
-
-void
-EbPieces_OriginBack(EbPieces *pieces, const char *origin, uint64_t incarnation,
-                    int64_t now_us)
+EbPieces_EndOrigin(EbPieces *pieces, const char *origin, int64_t now_us)
 {
-    const uint64_t *known = g_hash_table_lookup(pieces->origins, origin);
-    bool restarted = known != NULL && *known != incarnation;
     GList *jobs = g_hash_table_get_values(pieces->jobs);
     for (GList *item = jobs; item != NULL; item = item->next) {
         EbPieceJob *job = item->data;
-        if (strcmp(job->origin, origin) != 0) {
-            continue;
-        }
-        if (restarted) {
+        if (strcmp(job->origin, origin) == 0) {
             end_job(pieces, job, now_us);
         }
-        else {
-            job->kept_until_us = INT64_MAX;
-        }
     }
     g_list_free(jobs);
-    g_hash_table_replace(pieces->origins, g_strdup(origin),
-                         g_memdup2(&incarnation, sizeof(incarnation)));
 }
 
 /* Timers */
@@ -504,18 +426,13 @@
     }
 }
 
-/* Ends the jobs of instances that did not come back, and forgets those whose
- * results no longer exist. */
 static void
 forget_expired(EbPieces *pieces, int64_t now_us)
 {
     GList *jobs = g_hash_table_get_values(pieces->jobs);
     for (GList *item = jobs; item != NULL; item = item->next) {
         EbPieceJob *job = item->data;
-        if (job->kept_until_us <= now_us) {
-            end_job(pieces, job, now_us);
-        }
-        else if (job->expires_us <= now_us && job->running_count == 0) {
+        if (job->expires_us <= now_us && job->running_count == 0) {
             drop_waiting(job);
             forget_rooms(job);
             EbPieceJob_Forget(pieces, job);
