pieces: an ended job gives its number back at once

Cause: a job that was ended while its items ran kept its place in the table. A daemon that was started again within that time and used the number again was ignored, and its request waited until its deadline. Change: ended jobs leave the table and are freed when their items have run.

--- a/src/libebonyhollow/pieces/pieces.c
+++ b/src/libebonyhollow/pieces/pieces.c
@@ -62,6 +62,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
     pieces->jobs =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_job);
+    pieces->ended = g_hash_table_new_full(NULL, NULL, free_job, NULL);
     pieces->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                           EbPieceCall_Free);
     g_queue_init(&pieces->results);
@@ -92,6 +93,7 @@
     }
     g_hash_table_destroy(pieces->calls);
     g_hash_table_destroy(pieces->jobs);
+    g_hash_table_destroy(pieces->ended);
     g_hash_table_destroy(pieces->services);
     g_free(pieces);
 }
@@ -328,6 +330,9 @@
 void
 EbPieceJob_Forget(EbPieces *pieces, EbPieceJob *job)
 {
+    if (g_hash_table_remove(pieces->ended, job)) {
+        return;
+    }
     char *key = job_key(job->origin, job->prepare.job);
     g_hash_table_remove(pieces->jobs, key);
     g_free(key);
@@ -347,6 +352,14 @@
             EbPieceJob_ReleaseResult(pieces, job, &job->pieces[i], now_us);
         }
     }
+    /* Its number is free at once: an origin that was started again uses its
+     * numbers again. */
+    char *key = job_key(job->origin, job->prepare.job);
+    gpointer owned_key = NULL;
+    g_hash_table_steal_extended(pieces->jobs, key, &owned_key, NULL);
+    g_free(owned_key);
+    g_free(key);
+    g_hash_table_add(pieces->ended, job);
     if (job->running_count == 0) {
         EbPieceJob_Forget(pieces, job);
     }
--- a/src/libebonyhollow/pieces/private/pieces_state.h
+++ b/src/libebonyhollow/pieces/private/pieces_state.h
@@ -71,6 +71,7 @@
     EbPiecesOptions options;
     GHashTable *services; /* name to EbPieceService */
     GHashTable *jobs;     /* origin and number to EbPieceJob */
+    GHashTable *ended;    /* set of EbPieceJob whose items still run */
     GHashTable *calls;    /* attempt id to EbPieceCall */
     GQueue results;       /* of EbPiecesResult */
     uint64_t next_attempt;
--- a/src/test_pieces/main.c
+++ b/src/test_pieces/main.c
@@ -103,13 +103,14 @@
 }
 
 static void
-add(Fixture *fixture, uint64_t job, uint32_t pieces, int64_t due_us)
+add_request(Fixture *fixture, const char *id, uint64_t job, uint32_t pieces,
+            int64_t due_us)
 {
-    char id[24];
-    snprintf(id, sizeof(id), "r-%u", (unsigned)job);
+    char request_id[24];
+    g_strlcpy(request_id, id, sizeof(request_id));
     EbPieces_Add(fixture->pieces, "i-1",
                  &(EbPrepare){.job = job,
-                              .request_id = id,
+                              .request_id = request_id,
                               .service = SERVICE,
                               .piece_count = pieces,
                               .result_bytes = 100,
@@ -119,6 +120,14 @@
                  fixture->now_us);
 }
 
+static void
+add(Fixture *fixture, uint64_t job, uint32_t pieces, int64_t due_us)
+{
+    char id[24];
+    snprintf(id, sizeof(id), "r-%u", (unsigned)job);
+    add_request(fixture, id, job, pieces, due_us);
+}
+
 static const EbPieceItem *
 item(const Fixture *fixture, guint index)
 {
@@ -377,6 +386,30 @@
     close_fixture(&fixture);
 }
 
+/* Guards against a request that is never prepared: its daemon was started
+ * again and counts its jobs from the beginning, while items of the job that had
+ * the number still run. */
+static void
+test_number_used_again(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, 1, 0);
+    add_request(&fixture, "old", 1, 2, 5 * SECOND_US);
+    take_actions(&fixture);
+    EbPieces_EndOrigin(fixture.pieces, "i-1", fixture.now_us);
+    add_request(&fixture, "new", 1, 3, 5 * SECOND_US);
+    answer(&fixture, EB_PIECE_DONE);
+    CU_ASSERT_EQUAL(take_actions(&fixture), 1);
+    CU_ASSERT_EQUAL(item_count(&fixture), 3);
+    answer(&fixture, EB_PIECE_DONE);
+    CU_ASSERT_EQUAL(take_status(&fixture, 1), EB_PREPARED_OK);
+    fixture.now_us += SECOND_US;
+    EbPieces_Tick(fixture.pieces, fixture.now_us);
+    take_actions(&fixture);
+    CU_ASSERT_EQUAL(fixture.released->len, 2);
+    close_fixture(&fixture);
+}
+
 int
 main(void)
 {
@@ -390,6 +423,7 @@
         {"room", test_room},
         {"server leaves", test_server_leaves},
         {"origin gone", test_origin_gone},
+        {"number used again", test_number_used_again},
     };
     return EbTest_Run("test_pieces", cases, G_N_ELEMENTS(cases));
 }
