pieces: prepared results outlive the link to their home, and are released

When a home leaves, its service finishes nothing from 9.0 s to 10.5 s: every daemon has all its results made again, also those that it has, and the ones of the old home lie at the servers until handle_s (4 s) has passed, since only the home released results. Change: a home that is left keeps or has forgotten what it prepared; the daemon goes on with these results and has the servers free them itself, by the address in the handle, which platform/ reads. Unfinished jobs move as before. A home keeps prepared results for 1 s for a daemon whose link broke, gives them again if asked, and ends them when a new incarnation links.

--- a/include/calls/ebonyhollow/forward.h
+++ b/include/calls/ebonyhollow/forward.h
@@ -117,6 +117,9 @@
      * Returns false with `error` set when it is malformed. */
     bool (*read_pieces)(const EbHttpMessage *answer, EbPieceResult *results,
                         size_t count, EbError *error);
+    /* Reads the address of the server that made a result from its handle.
+     * `host` is to be freed. Returns false when the handle names none. */
+    bool (*read_handle)(const char *handle, char **host, uint16_t *port);
 } EbForwardProtocol;
 
 #endif
--- a/include/pieces/ebonyhollow/pieces.h
+++ b/include/pieces/ebonyhollow/pieces.h
@@ -18,6 +18,9 @@
 #include "ebonyhollow/event.h"
 #include "ebonyhollow/forward.h"
 
+/* An instance without a link for so long takes its results no more. */
+#define EB_PIECES_ORIGIN_GRACE_US 1000000
+
 typedef struct EbPieces EbPieces;
 
 typedef struct {
@@ -31,7 +34,8 @@
 /* Takes the configuration in force: services and their servers. */
 void EbPieces_SetConfig(EbPieces *pieces, EbConfig *config, int64_t now_us);
 
-/* Adds the items of one preparation. Everything is borrowed.
+/* Adds the items of one preparation. Everything is borrowed. The results of
+ * a job that is prepared already are given again.
  *
  * origin: instance whose request needs them; job numbers are its own. */
 void EbPieces_Add(EbPieces *pieces, const char *origin,
@@ -42,8 +46,20 @@
 void EbPieces_End(EbPieces *pieces, const char *origin, uint64_t job,
                   int64_t now_us);
 
-/* Ends all jobs of an instance that is gone. */
-void EbPieces_EndOrigin(EbPieces *pieces, const char *origin, int64_t now_us);
+/* Has a server of a service free a result that another daemon had made.
+ * Unknown servers are ignored. */
+void EbPieces_Release(EbPieces *pieces, const char *service, const char *host,
+                      uint16_t port, const char *handle, int64_t now_us);
+
+/* The link to an instance broke. Its jobs that wait for results end; the
+ * results of the others are kept for EB_PIECES_ORIGIN_GRACE_US, since its
+ * requests go on with them if only the link broke. */
+void EbPieces_OriginGone(EbPieces *pieces, const char *origin, int64_t now_us);
+
+/* A link to an instance is up. A new incarnation knows no jobs of the one
+ * before, which are ended. */
+void EbPieces_OriginBack(EbPieces *pieces, const char *origin,
+                         uint64_t incarnation, int64_t now_us);
 
 /* Takes the whole answer to a call: one result for each item. Handles are
  * taken over. */
--- a/src/libebonyhollow/pieces/pieces.c
+++ b/src/libebonyhollow/pieces/pieces.c
@@ -63,6 +63,8 @@
     pieces->jobs =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_job);
     pieces->ended = g_hash_table_new_full(NULL, NULL, free_job, NULL);
+    pieces->origins =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     pieces->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                           EbPieceCall_Free);
     g_queue_init(&pieces->results);
@@ -94,6 +96,7 @@
     g_hash_table_destroy(pieces->calls);
     g_hash_table_destroy(pieces->jobs);
     g_hash_table_destroy(pieces->ended);
+    g_hash_table_destroy(pieces->origins);
     g_hash_table_destroy(pieces->services);
     g_free(pieces);
 }
@@ -224,29 +227,27 @@
     EbPieceJob_LeaveQueue(job);
 }
 
-void
-EbPieces_Add(EbPieces *pieces, const char *origin, const EbPrepare *prepare,
-             int64_t now_us)
+static bool
+is_prepared(const EbPieceJob *job)
 {
-    char *key = job_key(origin, prepare->job);
-    if (g_hash_table_contains(pieces->jobs, key)) {
-        g_free(key); /* repeated by its origin */
-        return;
-    }
-    EbPieceJob *job = g_new0(EbPieceJob, 1);
-    job->origin = g_strdup(origin);
-    job->prepare = EbPrepare_Copy(prepare);
-    job->service = get_service(pieces, prepare->service);
-    job->pieces = g_new0(EbPiece, prepare->piece_count);
-    job->added_us = now_us;
-    job->expires_us = prepare->deadline_us + job->service->batch.result_us;
-    g_queue_init(&job->waiting);
-    g_hash_table_insert(pieces->jobs, key, job);
-    for (uint32_t i = 0; i < prepare->piece_count; i++) {
-        job->pieces[i] = (EbPiece){.job = job, .piece = i};
-        EbPieceJob_WaitAgain(job, &job->pieces[i]);
+    return !job->ended && job->done_count == job->prepare.piece_count;
+}
+
+static void
+push_result(EbPieces *pieces, const EbPieceJob *job, EbPreparedStatus status)
+{
+    EbPiecesResult *result = g_new0(EbPiecesResult, 1);
+    result->origin = g_strdup(job->origin);
+    result->job = job->prepare.job;
+    result->status = status;
+    if (status == EB_PREPARED_OK) {
+        result->handle_count = job->prepare.piece_count;
+        result->handles = g_new0(char *, result->handle_count);
+        for (uint32_t i = 0; i < result->handle_count; i++) {
+            result->handles[i] = g_strdup(job->pieces[i].handle);
+        }
     }
-    EbPieceService_Pump(pieces, job->service, now_us);
+    g_queue_push_tail(&pieces->results, result);
 }
 
 /* Results */
@@ -264,18 +265,7 @@
             EB_INTEGER_FIELD("pieces", job->prepare.piece_count),
             EB_STRING_FIELD("status", EbPreparedStatus_names[status]),
             EB_INTEGER_FIELD("wait_us", now_us - job->added_us));
-    EbPiecesResult *result = g_new0(EbPiecesResult, 1);
-    result->origin = g_strdup(job->origin);
-    result->job = job->prepare.job;
-    result->status = status;
-    if (status == EB_PREPARED_OK) {
-        result->handle_count = job->prepare.piece_count;
-        result->handles = g_new0(char *, result->handle_count);
-        for (uint32_t i = 0; i < result->handle_count; i++) {
-            result->handles[i] = g_strdup(job->pieces[i].handle);
-        }
-    }
-    g_queue_push_tail(&pieces->results, result);
+    push_result(pieces, job, status);
 }
 
 bool
@@ -352,8 +342,7 @@
             EbPieceJob_ReleaseResult(pieces, job, &job->pieces[i], now_us);
         }
     }
-    /* Its number is free at once: an origin that was started again uses its
-     * numbers again. */
+    /* Its number is free for another job of its origin at once. */
     char *key = job_key(job->origin, job->prepare.job);
     gpointer owned_key = NULL;
     g_hash_table_steal_extended(pieces->jobs, key, &owned_key, NULL);
@@ -365,6 +354,52 @@
     }
 }
 
+/* Jobs */
+
+/* Whether a job is the same piece of work: an origin that was started again
+ * uses its numbers again. */
+static bool
+is_same(const EbPrepare *left, const EbPrepare *right)
+{
+    return left->stage == right->stage &&
+           strcmp(left->request_id, right->request_id) == 0;
+}
+
+void
+EbPieces_Add(EbPieces *pieces, const char *origin, const EbPrepare *prepare,
+             int64_t now_us)
+{
+    char *key = job_key(origin, prepare->job);
+    EbPieceJob *job = g_hash_table_lookup(pieces->jobs, key);
+    if (job != NULL && is_same(&job->prepare, prepare)) {
+        /* Asked for again by its origin after the link broke. */
+        job->kept_until_us = INT64_MAX;
+        if (is_prepared(job)) {
+            push_result(pieces, job, EB_PREPARED_OK);
+        }
+        g_free(key);
+        return;
+    }
+    if (job != NULL) {
+        end_job(pieces, job, now_us);
+    }
+    job = g_new0(EbPieceJob, 1);
+    job->origin = g_strdup(origin);
+    job->prepare = EbPrepare_Copy(prepare);
+    job->service = get_service(pieces, prepare->service);
+    job->pieces = g_new0(EbPiece, prepare->piece_count);
+    job->added_us = now_us;
+    job->kept_until_us = INT64_MAX;
+    job->expires_us = prepare->deadline_us + job->service->batch.result_us;
+    g_queue_init(&job->waiting);
+    g_hash_table_insert(pieces->jobs, key, job);
+    for (uint32_t i = 0; i < prepare->piece_count; i++) {
+        job->pieces[i] = (EbPiece){.job = job, .piece = i};
+        EbPieceJob_WaitAgain(job, &job->pieces[i]);
+    }
+    EbPieceService_Pump(pieces, job->service, now_us);
+}
+
 void
 EbPieces_End(EbPieces *pieces, const char *origin, uint64_t number,
              int64_t now_us)
@@ -378,18 +413,71 @@
 }
 
 void
-EbPieces_EndOrigin(EbPieces *pieces, const char *origin, int64_t now_us)
+EbPieces_OriginGone(EbPieces *pieces, const char *origin, int64_t now_us)
 {
     GList *jobs = g_hash_table_get_values(pieces->jobs);
     for (GList *item = jobs; item != NULL; item = item->next) {
         EbPieceJob *job = item->data;
-        if (strcmp(job->origin, origin) == 0) {
+        if (strcmp(job->origin, origin) != 0) {
+            continue;
+        }
+        if (is_prepared(job)) {
+            job->kept_until_us = now_us + EB_PIECES_ORIGIN_GRACE_US;
+        }
+        else {
             end_job(pieces, job, now_us);
         }
     }
     g_list_free(jobs);
 }
 
+void
+EbPieces_OriginBack(EbPieces *pieces, const char *origin, uint64_t incarnation,
+                    int64_t now_us)
+{
+    const uint64_t *known = g_hash_table_lookup(pieces->origins, origin);
+    bool restarted = known != NULL && *known != incarnation;
+    GList *jobs = g_hash_table_get_values(pieces->jobs);
+    for (GList *item = jobs; item != NULL; item = item->next) {
+        EbPieceJob *job = item->data;
+        if (strcmp(job->origin, origin) != 0) {
+            continue;
+        }
+        if (restarted) {
+            end_job(pieces, job, now_us);
+        }
+        else {
+            job->kept_until_us = INT64_MAX;
+        }
+    }
+    g_list_free(jobs);
+    g_hash_table_replace(pieces->origins, g_strdup(origin),
+                         g_memdup2(&incarnation, sizeof(incarnation)));
+}
+
+void
+EbPieces_Release(EbPieces *pieces, const char *service, const char *host,
+                 uint16_t port, const char *handle, int64_t now_us)
+{
+    const EbPieceService *found =
+        g_hash_table_lookup(pieces->services, service);
+    GHashTableIter iter;
+    gpointer value;
+    if (found == NULL) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, found->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const EbPieceServer *server = value;
+        if (server->port == port && strcmp(server->host, host) == 0) {
+            g_ptr_array_add(server->releases, g_strdup(handle));
+            pieces->release_us =
+                MIN(pieces->release_us, now_us + RELEASE_INTERVAL_US);
+            return;
+        }
+    }
+}
+
 /* Timers */
 
 static void
@@ -439,13 +527,18 @@
     }
 }
 
+/* Ends the jobs of instances that did not come back, and forgets those whose
+ * results no longer exist. */
 static void
 forget_expired(EbPieces *pieces, int64_t now_us)
 {
     GList *jobs = g_hash_table_get_values(pieces->jobs);
     for (GList *item = jobs; item != NULL; item = item->next) {
         EbPieceJob *job = item->data;
-        if (job->expires_us <= now_us && job->running_count == 0) {
+        if (job->kept_until_us <= now_us) {
+            end_job(pieces, job, now_us);
+        }
+        else if (job->expires_us <= now_us && job->running_count == 0) {
             drop_waiting(job);
             forget_rooms(job);
             EbPieceJob_Forget(pieces, job);
--- a/src/libebonyhollow/pieces/private/pieces_state.h
+++ b/src/libebonyhollow/pieces/private/pieces_state.h
@@ -29,6 +29,9 @@
     bool ended; /* ended by its origin; freed when nothing runs */
     int64_t added_us;
     int64_t expires_us; /* its results no longer exist */
+    /* When it is ended unless its origin comes back; INT64_MAX while that is
+     * there. */
+    int64_t kept_until_us;
     EbPieceService *service;
     GSequenceIter *place; /* in the service's queue, or NULL */
 };
@@ -73,6 +76,7 @@
     GHashTable *jobs;     /* origin and number to EbPieceJob */
     GHashTable *ended;    /* set of EbPieceJob whose items still run */
     GHashTable *calls;    /* attempt id to EbPieceCall */
+    GHashTable *origins;  /* instance to the incarnation of its last link */
     GQueue results;       /* of EbPiecesResult */
     uint64_t next_attempt;
     int64_t release_us; /* next release of results, or INT64_MAX */
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -76,8 +76,10 @@
            const char *address)
 {
     EbDaemon *daemon = context;
+    int64_t now_us = EbClock_Monotonic();
     EbMembership_LinkUp(daemon->membership, peer, incarnation, address,
-                        EbClock_Monotonic());
+                        now_us);
+    EbDaemon_ForwardPeerUp(daemon, peer, incarnation, now_us);
     EbDaemon_Wake(daemon);
 }
 
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -11,22 +11,6 @@
 /* A link to the home of a service is up within this, or another is taken. */
 #define LINK_LIMIT_US 700000
 
-/* A preparation that goes on at the home of its service. */
-typedef struct {
-    EbPrepare prepare; /* its own copy */
-    char *home;        /* instance; this one's name when it is here */
-    int64_t placed_us; /* when it was sent there */
-} Job;
-
-static void
-free_job(gpointer pointer)
-{
-    Job *job = pointer;
-    EbPrepare_Clear(&job->prepare);
-    g_free(job->home);
-    g_free(job);
-}
-
 static uint64_t
 on_submit(void *context, EbForwardCall *call)
 {
@@ -95,8 +79,7 @@
 EbDaemon_CreateForward(EbDaemon *daemon, EbError *error)
 {
     EbDeployment_Init(&daemon->deployment);
-    daemon->jobs =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_job);
+    daemon->placement = EbPlacement_New();
     daemon->unreachable =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     daemon->pieces = EbPieces_New(&(EbPiecesOptions){
@@ -125,8 +108,8 @@
     EbForwardServer_Free(daemon->forward_server);
     EbForwardClient_Free(daemon->forward_client);
     EbPieces_Free(daemon->pieces);
-    if (daemon->jobs != NULL) {
-        g_hash_table_destroy(daemon->jobs);
+    EbPlacement_Free(daemon->placement);
+    if (daemon->unreachable != NULL) {
         g_hash_table_destroy(daemon->unreachable);
     }
     EbDeployment_Clear(&daemon->deployment);
@@ -261,7 +244,7 @@
 }
 
 static bool
-send_prepare(EbDaemon *daemon, const Job *job, int64_t now_us)
+send_prepare(EbDaemon *daemon, const EbPlacedJob *job, int64_t now_us)
 {
     const EbPrepare *prepare = &job->prepare;
     int64_t due_us = prepare->due_us - now_us;
@@ -288,14 +271,12 @@
 }
 
 static void
-place_job(EbDaemon *daemon, Job *job, int64_t now_us)
+place_job(EbDaemon *daemon, EbPlacedJob *job, int64_t now_us)
 {
-    g_free(job->home);
-    job->placed_us = now_us;
-    job->home = g_strdup(find_home(daemon, job->prepare.service, now_us));
+    EbPlacedJob_SetHome(job, find_home(daemon, job->prepare.service, now_us),
+                        now_us);
     if (!is_here(daemon, job->home) && !send_prepare(daemon, job, now_us)) {
-        g_free(job->home);
-        job->home = g_strdup(daemon->settings->instance);
+        EbPlacedJob_SetHome(job, daemon->settings->instance, now_us);
     }
     EB_EMIT(daemon->events, EB_EVENT_PREPARATION_PLACED,
             EB_STRING_FIELD("request_id", job->prepare.request_id),
@@ -313,17 +294,31 @@
 void
 EbDaemon_Prepare(EbDaemon *daemon, const EbPrepare *prepare)
 {
-    Job *job = g_new0(Job, 1);
-    job->prepare = EbPrepare_Copy(prepare);
-    g_hash_table_insert(daemon->jobs, &job->prepare.job, job);
-    place_job(daemon, job, EbClock_Monotonic());
+    place_job(daemon, EbPlacement_Add(daemon->placement, prepare),
+              EbClock_Monotonic());
+}
+
+/* Has the servers free the results of a job whose home was left. */
+static void
+release_job(EbDaemon *daemon, const EbPlacedJob *job, int64_t now_us)
+{
+    for (guint i = 0; i < job->handles->len; i++) {
+        const char *handle = g_ptr_array_index(job->handles, i);
+        char *host = NULL;
+        uint16_t port = 0;
+        if (daemon->adapter->forward->read_handle(handle, &host, &port)) {
+            EbPieces_Release(daemon->pieces, job->prepare.service, host, port,
+                             handle, now_us);
+        }
+        g_free(host);
+    }
 }
 
 void
 EbDaemon_EndPreparation(EbDaemon *daemon, uint64_t number)
 {
     int64_t now_us = EbClock_Monotonic();
-    const Job *job = g_hash_table_lookup(daemon->jobs, &number);
+    const EbPlacedJob *job = EbPlacement_Find(daemon->placement, number);
     if (job == NULL) {
         return;
     }
@@ -335,7 +330,10 @@
                              .job = number};
         EbMembership_Send(daemon->membership, job->home, &message, now_us);
     }
-    g_hash_table_remove(daemon->jobs, &number);
+    if (job->homeless) {
+        release_job(daemon, job, now_us);
+    }
+    EbPlacement_Remove(daemon->placement, number);
     EbDaemon_Wake(daemon);
 }
 
@@ -373,8 +371,9 @@
 EbDaemon_TakePrepared(EbDaemon *daemon, const char *peer,
                       const EbMessage *message, int64_t now_us)
 {
-    const Job *job = g_hash_table_lookup(daemon->jobs, &message->job);
-    if (job != NULL && strcmp(job->home, peer) == 0) {
+    if (EbPlacement_Prepared(daemon->placement, peer, message->job,
+                             (EbPreparedStatus)message->prepared,
+                             message->handles, message->handle_count)) {
         EbDispatcher_Prepared(daemon->dispatcher, message->job,
                               (EbPreparedStatus)message->prepared,
                               message->handles, message->handle_count, now_us);
@@ -388,6 +387,9 @@
     while (daemon->pieces != NULL &&
            EbPieces_NextResult(daemon->pieces, &result)) {
         if (is_here(daemon, result.origin)) {
+            EbPlacement_Prepared(daemon->placement, result.origin, result.job,
+                                 result.status, result.handles,
+                                 result.handle_count);
             EbDispatcher_Prepared(daemon->dispatcher, result.job,
                                   result.status, result.handles,
                                   result.handle_count, now_us);
@@ -412,15 +414,11 @@
     int64_t until_us = now_us + UNREACHABLE_US;
     g_hash_table_replace(daemon->unreachable, g_strdup(home),
                          g_memdup2(&until_us, sizeof(until_us)));
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, daemon->jobs);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        Job *job = value;
-        if (strcmp(job->home, home) == 0) {
-            place_job(daemon, job, now_us);
-        }
+    GPtrArray *jobs = EbPlacement_Leave(daemon->placement, home);
+    for (guint i = 0; i < jobs->len; i++) {
+        place_job(daemon, g_ptr_array_index(jobs, i), now_us);
     }
+    g_ptr_array_unref(jobs);
 }
 
 void
@@ -429,28 +427,42 @@
     if (daemon->pieces == NULL) {
         return;
     }
-    EbPieces_EndOrigin(daemon->pieces, peer, now_us);
+    EbPieces_OriginGone(daemon->pieces, peer, now_us);
     leave_home(daemon, peer, now_us);
 }
 
+void
+EbDaemon_ForwardPeerUp(EbDaemon *daemon, const char *peer,
+                       uint64_t incarnation, int64_t now_us)
+{
+    if (daemon->pieces != NULL) {
+        EbPieces_OriginBack(daemon->pieces, peer, incarnation, now_us);
+    }
+}
+
+static bool
+is_linked(const EbDaemon *daemon, const char *instance, int64_t now_us)
+{
+    EbMemberView view;
+    return EbMembership_Find(daemon->membership, instance, now_us, &view) &&
+           view.linked;
+}
+
 void
 EbDaemon_CheckHomes(EbDaemon *daemon, int64_t now_us)
 {
-    GHashTableIter iter;
-    gpointer value;
     GPtrArray *silent = g_ptr_array_new_with_free_func(g_free);
-    g_hash_table_iter_init(&iter, daemon->jobs);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const Job *job = value;
-        EbMemberView view;
-        if (!is_here(daemon, job->home) &&
-            now_us - job->placed_us >= LINK_LIMIT_US &&
-            !(EbMembership_Find(daemon->membership, job->home, now_us,
-                                &view) &&
-              view.linked)) {
-            g_ptr_array_add(silent, g_strdup(job->home));
+    GHashTable *homes =
+        EbPlacement_Homes(daemon->placement, now_us - LINK_LIMIT_US);
+    GHashTableIter iter;
+    gpointer home;
+    g_hash_table_iter_init(&iter, homes);
+    while (g_hash_table_iter_next(&iter, &home, NULL)) {
+        if (!is_here(daemon, home) && !is_linked(daemon, home, now_us)) {
+            g_ptr_array_add(silent, g_strdup(home));
         }
     }
+    g_hash_table_destroy(homes);
     for (guint i = 0; i < silent->len; i++) {
         leave_home(daemon, g_ptr_array_index(silent, i), now_us);
     }
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -26,6 +26,7 @@
 #include "ebonyhollow/metrics.h"
 #include "ebonyhollow/peer_link.h"
 #include "ebonyhollow/pieces.h"
+#include "ebonyhollow/placement.h"
 #include "ebonyhollow/platform_client.h"
 #include "ebonyhollow/quarantine.h"
 #include "ebonyhollow/random.h"
@@ -105,7 +106,7 @@
     EbForwardServer *forward_server;
     EbForwardClient *forward_client;
     EbPieces *pieces;
-    GHashTable *jobs; /* number to a preparation of this daemon's requests */
+    EbPlacement *placement;
     GHashTable *unreachable; /* instance to the time until which it is no
                                 home of preparations */
 
@@ -238,6 +239,10 @@
 void EbDaemon_ForwardPeerGone(EbDaemon *daemon, const char *peer,
                               int64_t now_us);
 
+/* Takes up again what a peer is linked for. */
+void EbDaemon_ForwardPeerUp(EbDaemon *daemon, const char *peer,
+                            uint64_t incarnation, int64_t now_us);
+
 /* Timers: daemon_timer.c */
 void EbDaemon_OnTimer(evutil_socket_t fd, short what, void *arg);
 void EbDaemon_ArmTimer(EbDaemon *daemon);
--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -299,6 +299,39 @@
     }
 }
 
+/* Guards against a result that is released at another server than its maker,
+ * and against a handle that is read beyond its end. */
+static void
+test_handles(void)
+{
+    static const struct {
+        const char *handle;
+        const char *host; /* NULL: no address */
+        uint16_t port;
+    } rows[] = {
+        {"10.1.64.7:8080/91bd3f06e44", "10.1.64.7", 8080},
+        {"10.1.64.7:8080/a/b:9", "10.1.64.7", 8080},
+        {"10.1.64.7:8080", NULL, 0},
+        {"10.1.64.7/8080", NULL, 0},
+        {":8080/91bd", NULL, 0},
+        {"10.1.64.7:/91bd", NULL, 0},
+        {"10.1.64.7:70000/91bd", NULL, 0},
+        {"", NULL, 0},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        char *host = NULL;
+        uint16_t port = 0;
+        CU_ASSERT_EQUAL(
+            EbPlatform_wire.read_handle(rows[i].handle, &host, &port),
+            rows[i].host != NULL);
+        if (rows[i].host != NULL) {
+            CU_ASSERT_STRING_EQUAL(host, rows[i].host);
+        }
+        CU_ASSERT_EQUAL(port, rows[i].port);
+        g_free(host);
+    }
+}
+
 /* Guards against results that go to another piece. */
 static void
 test_pieces(void)
@@ -496,11 +529,17 @@
 main(void)
 {
     static const EbTestCase cases[] = {
-        {"config", test_config},       {"bad config", test_bad_config},
-        {"servers", test_servers},     {"call", test_call},
-        {"bad calls", test_bad_calls}, {"pieces", test_pieces},
-        {"store", test_store},         {"store answers", test_store_answers},
-        {"settings", test_settings},   {"bad settings", test_bad_settings},
+        {"config", test_config},
+        {"bad config", test_bad_config},
+        {"servers", test_servers},
+        {"call", test_call},
+        {"bad calls", test_bad_calls},
+        {"pieces", test_pieces},
+        {"handles", test_handles},
+        {"store", test_store},
+        {"store answers", test_store_answers},
+        {"settings", test_settings},
+        {"bad settings", test_bad_settings},
     };
     return EbTest_Run("test_platform", cases, G_N_ELEMENTS(cases));
 }
