drain: a daemon that shuts down takes no duties, and ends what it gathered

Change: with SIGTERM a daemon tells the others that its capacity for duties is 0, and homes need one above it; it exits when what others gave it is prepared, or 2 s after its listener was closed.

--- a/include/membership/ebonyhollow/membership.h
+++ b/include/membership/ebonyhollow/membership.h
@@ -88,6 +88,9 @@
 /* Sets the generation that heartbeats announce. */
 void EbMembership_SetGeneration(EbMembership *membership, uint64_t generation);
 
+/* Tells all that this daemon takes no duties any more: its capacity is 0. */
+void EbMembership_GiveUpDuties(EbMembership *membership, int64_t now_us);
+
 /* Announces this daemon's shutdown to all. */
 void EbMembership_Leave(EbMembership *membership, int64_t now_us);
 
--- a/include/pieces/ebonyhollow/pieces.h
+++ b/include/pieces/ebonyhollow/pieces.h
@@ -70,6 +70,9 @@
 void EbPieces_Failed(EbPieces *pieces, uint64_t attempt_id,
                      EbCallResult result, const char *cause, int64_t now_us);
 
+/* Jobs that are neither prepared nor failed nor ended. */
+size_t EbPieces_PendingCount(const EbPieces *pieces);
+
 /* Items in a running call, 0 for an unknown one. */
 size_t EbPieces_ItemCount(const EbPieces *pieces, uint64_t attempt_id);
 
--- a/src/libebonyhollow/membership/membership.c
+++ b/src/libebonyhollow/membership/membership.c
@@ -346,6 +346,15 @@
     }
 }
 
+void
+EbMembership_GiveUpDuties(EbMembership *membership, int64_t now_us)
+{
+    membership->self->capacity = 0;
+    EbMembership_RenewSelf(membership, 0, now_us);
+    EbMembership_TellNews(membership);
+    EbMembership_Settle(membership, now_us);
+}
+
 void
 EbMembership_Leave(EbMembership *membership, int64_t now_us)
 {
--- a/src/libebonyhollow/pieces/pieces.c
+++ b/src/libebonyhollow/pieces/pieces.c
@@ -478,6 +478,19 @@
     }
 }
 
+size_t
+EbPieces_PendingCount(const EbPieces *pieces)
+{
+    size_t count = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, pieces->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        count += !((const EbPieceJob *)value)->over;
+    }
+    return count;
+}
+
 /* Timers */
 
 static void
--- a/src/libebonyhollow_net/daemon_drain.c
+++ b/src/libebonyhollow_net/daemon_drain.c
@@ -3,6 +3,8 @@
 
 #include "daemon_internal.h"
 
+/* How long a daemon without own requests prepares what others gave it. */
+#define HANDOVER_US 2000000
 /* Time for the announcement to leave through the links. */
 #define LEAVE_US 200000
 /* Time for the answers of an abort to be written. */
@@ -19,6 +21,7 @@
 stop_accepting(EbDaemon *daemon, int64_t now_us)
 {
     daemon->drain_state = EB_DRAIN_FINISHING;
+    daemon->finishing_us = now_us;
     daemon->drain_us = now_us + daemon->settings->drain_limit_us;
     if (daemon->adapter != NULL) {
         EbForwardServer_StopAccepting(daemon->forward_server);
@@ -69,6 +72,7 @@
     if (daemon->forward_server != NULL) {
         EbForwardServer_AnnounceClose(daemon->forward_server);
     }
+    EbMembership_GiveUpDuties(daemon->membership, EbClock_Monotonic());
     EbDaemon_Wake(daemon);
 }
 
@@ -100,12 +104,22 @@
            EbCallerServer_HasUnsent(daemon->callers);
 }
 
+/* Whether other daemons wait for what this one gathered. */
+static bool
+is_home(const EbDaemon *daemon, int64_t now_us)
+{
+    return daemon->pieces != NULL &&
+           now_us < daemon->finishing_us + HANDOVER_US &&
+           EbPieces_PendingCount(daemon->pieces) > 0;
+}
+
 /* Whether nothing is left: requests, answers on their way, records of
- * outcomes. */
+ * outcomes, work for others. */
 static bool
-is_finished(const EbDaemon *daemon)
+is_finished(const EbDaemon *daemon, int64_t now_us)
 {
-    return EbDispatcher_LiveCount(daemon->dispatcher) == 0 &&
+    return !is_home(daemon, now_us) &&
+           EbDispatcher_LiveCount(daemon->dispatcher) == 0 &&
            EbLedger_UnwrittenCount(daemon->ledger) == 0 &&
            !has_callers(daemon);
 }
@@ -125,7 +139,7 @@
         }
         break;
     case EB_DRAIN_FINISHING:
-        if (is_finished(daemon) || (expired && daemon->aborted)) {
+        if (is_finished(daemon, now_us) || (expired && daemon->aborted)) {
             leave(daemon, now_us);
         }
         else if (expired) {
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -208,7 +208,8 @@
 
 /* Returns the daemon that gathers the work items of a service: of the live
  * ones with at least half of the largest capacity the first by rendezvous
- * hashing (Thaler, Ravishankar 1998); this one when there is none. */
+ * hashing (Thaler, Ravishankar 1998); this one when there is none. One that
+ * is shutting down has no capacity. */
 static const char *
 find_home(const EbDaemon *daemon, const char *service, int64_t now_us)
 {
@@ -225,7 +226,7 @@
     }
     for (size_t i = 0; i < count; i++) {
         if (!read_candidate(daemon, i, now_us, &view) ||
-            view.capacity < largest / 2) {
+            view.capacity < MAX(largest / 2, MIN(largest, 1))) {
             continue;
         }
         uint64_t weight = XXH64(view.instance, strlen(view.instance), seed);
--- a/src/test_membership/main.c
+++ b/src/test_membership/main.c
@@ -244,6 +244,28 @@
     Network_Stop();
 }
 
+/* Guards against duties that are given to a daemon that shuts down. */
+static void
+test_give_up_duties(void)
+{
+    Network_Start(8, SEED);
+    Network_Run(2 * SECOND_US);
+    EbMemberView view;
+    CU_ASSERT_TRUE(EbMembership_Find(network.nodes[0].membership, "n3",
+                                     network.now_us, &view));
+    CU_ASSERT_EQUAL(view.capacity, NETWORK_CAPACITY);
+    EbMembership_GiveUpDuties(network.nodes[3].membership, network.now_us);
+    Network_Drain(3);
+    Network_Run(SECOND_US / 10);
+    for (uint32_t i = 0; i < 8; i++) {
+        CU_ASSERT_TRUE(EbMembership_Find(network.nodes[i].membership, "n3",
+                                         network.now_us, &view));
+        CU_ASSERT_EQUAL(view.capacity, 0);
+        CU_ASSERT_EQUAL(view.state, EB_MEMBER_ALIVE);
+    }
+    Network_Stop();
+}
+
 /* Guards against a leaving daemon that still counts as live, and against the
  * platform's lagging list that marks the next incarnation as leaving. */
 static void
@@ -343,10 +365,16 @@
 main(void)
 {
     static const EbTestCase cases[] = {
-        {"two daemons", test_two},       {"mesh", test_mesh},
-        {"small ring", test_small_ring}, {"large ring", test_large_ring},
-        {"refutation", test_refutation}, {"leaving", test_leaving},
-        {"duplicates", test_duplicates}, {"on demand", test_on_demand},
+        {"two daemons", test_two},
+        {"mesh", test_mesh},
+        {"small ring", test_small_ring},
+        {"large ring", test_large_ring},
+        {"refutation", test_refutation},
+        {"leaving", test_leaving},
+        {"give up duties", test_give_up_duties},
+        {"give up duties", test_give_up_duties},
+        {"duplicates", test_duplicates},
+        {"on demand", test_on_demand},
     };
     return EbTest_Run("test_membership", cases, TABLE_COUNT(cases));
 }
--- a/src/test_membership/network.c
+++ b/src/test_membership/network.c
@@ -283,6 +283,7 @@
                                .incarnation = node->incarnation,
                                .address = name,
                                .failure_domain = domain,
+                               .capacity = NETWORK_CAPACITY,
                                .actions = node->actions,
                                .random = &node->random,
                                .deliver = take_delivery,
--- a/src/test_membership/network.h
+++ b/src/test_membership/network.h
@@ -7,6 +7,7 @@
 #define NETWORK_MAX 330
 #define HOP_US 10000
 #define DOMAINS 8
+#define NETWORK_CAPACITY 100 /* of each daemon */
 /* Frame (length and keyed hash) and TCP/IP headers with time stamps. */
 #define OVERHEAD_BYTES (4 + 16 + 52)
 
--- a/src/test_pieces/main.c
+++ b/src/test_pieces/main.c
@@ -318,9 +318,11 @@
     Fixture fixture;
     open_fixture(&fixture, 2, 0);
     add(&fixture, 1, 2, 5 * SECOND_US);
+    CU_ASSERT_EQUAL(EbPieces_PendingCount(fixture.pieces), 1);
     take_actions(&fixture);
     answer(&fixture, EB_PIECE_DONE);
     CU_ASSERT_EQUAL(take_status(&fixture, 1), EB_PREPARED_OK);
+    CU_ASSERT_EQUAL(EbPieces_PendingCount(fixture.pieces), 0);
     EbPieces_End(fixture.pieces, "i-2", 1, fixture.now_us); /* not its job */
     add(&fixture, 2, 1, 5 * SECOND_US);
     take_actions(&fixture);
