--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -126,7 +126,7 @@
     bool watching;
 
     EbDrainState drain_state;
-    int64_t drain_us; /* end of the state, or INT64_MAX */
+    int64_t drain_us;     /* end of the state, or INT64_MAX */
     int64_t finishing_us; /* when the listener was closed */
     bool aborted;
     uint64_t cut_requests;
