--- a/src/libebonyhollow_net/forward_server.c
+++ b/src/libebonyhollow_net/forward_server.c
@@ -9,7 +9,6 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <glib.h>
-#include <netinet/in.h>
 
 #include "clock.h"
 #include "http_reader.h"
@@ -404,13 +403,7 @@
 uint16_t
 EbForwardServer_Port(const EbForwardServer *server)
 {
-    struct sockaddr_storage storage = {0};
-    socklen_t length = sizeof(storage);
-    getsockname(evconnlistener_get_fd(server->listener),
-                (struct sockaddr *)&storage, &length);
-    return ntohs(storage.ss_family == AF_INET6
-                     ? ((struct sockaddr_in6 *)&storage)->sin6_port
-                     : ((struct sockaddr_in *)&storage)->sin_port);
+    return EbSocket_Port(evconnlistener_get_fd(server->listener));
 }
 
 static void
--- a/src/libebonyhollow_net/http_server.c
+++ b/src/libebonyhollow_net/http_server.c
@@ -1,6 +1,5 @@
 #include "http_server.h"
 
-#include <arpa/inet.h>
 #include <assert.h>
 #include <limits.h>
 #include <stdio.h>
@@ -306,33 +305,13 @@
     }
 }
 
-/* Writes the socket address of a listener; returns its length, 0 when the
- * host is no IP address. Port 0 is allowed, unlike in libevent's parser. */
-static int
-parse_address(const EbAddress *address, struct sockaddr_storage *storage)
-{
-    struct sockaddr_in *v4 = (struct sockaddr_in *)storage;
-    struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)storage;
-    if (inet_pton(AF_INET, address->host, &v4->sin_addr) == 1) {
-        v4->sin_family = AF_INET;
-        v4->sin_port = htons(address->port);
-        return sizeof(*v4);
-    }
-    if (inet_pton(AF_INET6, address->host, &v6->sin6_addr) == 1) {
-        v6->sin6_family = AF_INET6;
-        v6->sin6_port = htons(address->port);
-        return sizeof(*v6);
-    }
-    return 0;
-}
-
 /* Binds the listener. The backlog holds a burst of connects. */
 static bool
 listen_on(EbHttpServer *server, EbError *error)
 {
     const EbAddress *address = server->options.address;
-    struct sockaddr_storage storage = {0};
-    int length = parse_address(address, &storage);
+    struct sockaddr_storage storage;
+    int length = EbSocket_Address(address->host, address->port, &storage);
     if (length == 0) {
         EbError_Set(error, EB_ERROR_IO, "%s is not an IP address",
                     address->host);
@@ -349,10 +328,7 @@
         return false;
     }
     EbSocket_SetNoDelay(evconnlistener_get_fd(listener));
-    socklen_t got = sizeof(storage);
-    getsockname(evconnlistener_get_fd(listener), (struct sockaddr *)&storage,
-                &got);
-    server->port = ntohs(((struct sockaddr_in *)&storage)->sin_port);
+    server->port = EbSocket_Port(evconnlistener_get_fd(listener));
     server->bound = evhttp_bind_listener(server->http, listener);
     assert(server->bound != NULL);
     return true;
--- a/src/libebonyhollow_net/private/socket.h
+++ b/src/libebonyhollow_net/private/socket.h
@@ -14,10 +14,14 @@
 
 /* Fills in the address of an IP address and a port.
  *
- * Returns its length, or 0 when the host is no IP address. */
+ * Returns its length, or 0 when the host is no IP address. Port 0 is allowed,
+ * unlike in libevent's parser. */
 int EbSocket_Address(const char *host, uint16_t port,
                      struct sockaddr_storage *address);
 
+/* Returns the port to which a socket is bound. */
+uint16_t EbSocket_Port(evutil_socket_t socket);
+
 /* Sends small writes at once. Without it a token waits for the receiver's
  * delayed acknowledgement of the one before, about 40 ms. Sockets accepted by
  * a listener inherit the option from it. A negative socket is ignored. */
--- a/src/libebonyhollow_net/socket.c
+++ b/src/libebonyhollow_net/socket.c
@@ -44,6 +44,17 @@
     return 0;
 }
 
+uint16_t
+EbSocket_Port(evutil_socket_t socket)
+{
+    struct sockaddr_storage storage = {0};
+    socklen_t length = sizeof(storage);
+    getsockname(socket, (struct sockaddr *)&storage, &length);
+    return ntohs(storage.ss_family == AF_INET6
+                     ? ((struct sockaddr_in6 *)&storage)->sin6_port
+                     : ((struct sockaddr_in *)&storage)->sin_port);
+}
+
 void
 EbSocket_SetNoDelay(evutil_socket_t socket)
 {
