--- a/src/libebonyhollow/pieces/pieces.c
+++ b/src/libebonyhollow/pieces/pieces.c
@@ -301,19 +301,25 @@
     }
 }
 
+static void
+queue_release(EbPieces *pieces, const EbPieceServer *server,
+              const char *handle, int64_t now_us)
+{
+    g_ptr_array_add(server->releases, g_strdup(handle));
+    pieces->release_us = MIN(pieces->release_us, now_us + RELEASE_INTERVAL_US);
+}
+
 void
 EbPieceJob_ReleaseResult(EbPieces *pieces, const EbPieceJob *job,
                          EbPiece *piece, int64_t now_us)
 {
     EbPieceServer *server = server_of(job, piece);
     if (server != NULL && piece->handle != NULL) {
-        g_ptr_array_add(server->releases, g_strdup(piece->handle));
+        queue_release(pieces, server, piece->handle, now_us);
         if (piece->holds_room) {
             piece->holds_room = false;
             server->released_bytes += job->prepare.result_bytes;
         }
-        pieces->release_us =
-            MIN(pieces->release_us, now_us + RELEASE_INTERVAL_US);
     }
 }
 
@@ -470,9 +476,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const EbPieceServer *server = value;
         if (server->port == port && strcmp(server->host, host) == 0) {
-            g_ptr_array_add(server->releases, g_strdup(handle));
-            pieces->release_us =
-                MIN(pieces->release_us, now_us + RELEASE_INTERVAL_US);
+            queue_release(pieces, server, handle, now_us);
             return;
         }
     }
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -224,9 +224,10 @@
             largest = MAX(largest, view.capacity);
         }
     }
+    uint32_t least = largest > 0 ? MAX(largest / 2, 1) : 0;
     for (size_t i = 0; i < count; i++) {
         if (!read_candidate(daemon, i, now_us, &view) ||
-            view.capacity < MAX(largest / 2, MIN(largest, 1))) {
+            view.capacity < least) {
             continue;
         }
         uint64_t weight = XXH64(view.instance, strlen(view.instance), seed);
@@ -368,17 +369,28 @@
     }
 }
 
+/* Takes what the home of a job says of it; another instance is ignored. */
+static void
+take_result(EbDaemon *daemon, const char *instance,
+            const EbPiecesResult *result, int64_t now_us)
+{
+    if (EbPlacement_Prepared(daemon->placement, instance, result->job,
+                             result->status, result->handles,
+                             result->handle_count)) {
+        EbDispatcher_Prepared(daemon->dispatcher, result->job, result->status,
+                              result->handles, result->handle_count, now_us);
+    }
+}
+
 void
 EbDaemon_TakePrepared(EbDaemon *daemon, const char *peer,
                       const EbMessage *message, int64_t now_us)
 {
-    if (EbPlacement_Prepared(daemon->placement, peer, message->job,
-                             (EbPreparedStatus)message->prepared,
-                             message->handles, message->handle_count)) {
-        EbDispatcher_Prepared(daemon->dispatcher, message->job,
-                              (EbPreparedStatus)message->prepared,
-                              message->handles, message->handle_count, now_us);
-    }
+    EbPiecesResult result = {.job = message->job,
+                             .status = (EbPreparedStatus)message->prepared,
+                             .handles = message->handles,
+                             .handle_count = message->handle_count};
+    take_result(daemon, peer, &result, now_us);
 }
 
 void
@@ -388,12 +400,7 @@
     while (daemon->pieces != NULL &&
            EbPieces_NextResult(daemon->pieces, &result)) {
         if (is_here(daemon, result.origin)) {
-            EbPlacement_Prepared(daemon->placement, result.origin, result.job,
-                                 result.status, result.handles,
-                                 result.handle_count);
-            EbDispatcher_Prepared(daemon->dispatcher, result.job,
-                                  result.status, result.handles,
-                                  result.handle_count, now_us);
+            take_result(daemon, result.origin, &result, now_us);
         }
         else {
             EbMessage message = {.kind = EB_MESSAGE_PREPARED,
