limiter: holders of slack are found once a limit, not once a reporter

find_reclaimable searched all reporters for each one that lacks its share, so that a look cost time in proportion to their square. The holder of a limit is the same for all of them. Targets are computed by one function.

--- a/src/libebonyhollow/limits/limiter_home.c
+++ b/src/libebonyhollow/limits/limiter_home.c
@@ -77,6 +77,15 @@
     return fmin(target, 2 * demand + equal);
 }
 
+static double
+target_of(const EbLimiter *limiter, const EbLimiterCustomer *customer,
+          const EbLimiterReporter *reporter, EbLimitKind kind,
+          const Totals *totals)
+{
+    return find_target(customer->limits[kind], reporter->demand[kind],
+                       EbLimiter_EqualShare(limiter, customer, kind), totals);
+}
+
 /* Computes what each limit of a reporter could be now. */
 static void
 find_grants(const EbLimiter *limiter, const EbLimiterCustomer *customer,
@@ -87,9 +96,8 @@
         EbLimitKind kind = (EbLimitKind)i;
         double limit = customer->limits[kind];
         double lowest = find_floor(limiter, customer, kind);
-        double target = find_target(
-            limit, reporter->demand[kind],
-            EbLimiter_EqualShare(limiter, customer, kind), &totals[kind]);
+        double target =
+            target_of(limiter, customer, reporter, kind, &totals[kind]);
         double others = totals[kind].granted - reporter->granted[kind];
         double free_share = limit - others;
         double grant = fmax(fmin(target, free_share), lowest);
@@ -206,15 +214,6 @@
     return false;
 }
 
-static double
-target_of(const EbLimiter *limiter, const EbLimiterCustomer *customer,
-          const EbLimiterReporter *reporter, EbLimitKind kind,
-          const Totals *totals)
-{
-    return find_target(customer->limits[kind], reporter->demand[kind],
-                       EbLimiter_EqualShare(limiter, customer, kind), totals);
-}
-
 /* Returns whether a reporter would get more of a limit if others held no more
  * than their targets, while all demand fits into the contract. */
 static bool
@@ -265,15 +264,20 @@
     return holder;
 }
 
-/* Finds a reporter whose grant may be lowered, because another one lacks
- * its share. Without it a daemon where requests
- * begin to arrive has the floor only, until those that hold the slack report
- * again. */
+/* Finds a reporter whose grant may be lowered, because another one lacks its
+ * share. Without it a daemon where requests begin to arrive has the floor
+ * only, until those that hold the slack report again. */
 static EbLimiterReporter *
 find_reclaimable(const EbLimiter *limiter, const EbLimiterCustomer *customer,
                  const Totals totals[EB_LIMIT_COUNT], const char **instance,
                  int64_t now_us)
 {
+    EbLimiterReporter *holders[EB_LIMIT_COUNT];
+    const char *names[EB_LIMIT_COUNT] = {NULL};
+    for (int i = 0; i < EB_LIMIT_COUNT; i++) {
+        holders[i] = find_holder(limiter, customer, (EbLimitKind)i, &totals[i],
+                                 &names[i], now_us);
+    }
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, customer->reporters);
@@ -281,16 +285,13 @@
         EbLimiterReporter *reporter = value;
         for (int i = 0; i < EB_LIMIT_COUNT; i++) {
             EbLimitKind kind = (EbLimitKind)i;
-            if (!lacks_share(limiter, customer, reporter, kind,
-                             &totals[kind])) {
-                continue;
-            }
-            EbLimiterReporter *holder = find_holder(
-                limiter, customer, kind, &totals[kind], instance, now_us);
-            if (holder != NULL) {
+            if (holders[kind] != NULL &&
+                lacks_share(limiter, customer, reporter, kind,
+                            &totals[kind])) {
                 /* It gets what is freed at once. */
                 reporter->granted_us = now_us - EB_LIMITER_URGENT_US;
-                return holder;
+                *instance = names[kind];
+                return holders[kind];
             }
         }
     }
