--- a/src/libebonyhollow/requests/dispatcher_claim.c
+++ b/src/libebonyhollow/requests/dispatcher_claim.c
@@ -11,8 +11,7 @@
 static char *
 holder_name(const EbRequest *request)
 {
-    return g_strdup_printf("%s %s", request->customer->id,
-                           request->key_digest);
+    return EbDispatcher_HolderName(request->customer->id, request->key_digest);
 }
 
 void
@@ -212,7 +211,7 @@
     asked->query = query;
     asked->customer = g_strdup(customer);
     asked->key_digest = g_strdup(key_digest);
-    char *name = g_strdup_printf("%s %s", customer, key_digest);
+    char *name = EbDispatcher_HolderName(customer, key_digest);
     EbRequest *holder = g_hash_table_lookup(dispatcher->holders, name);
     g_free(name);
     if (holder != NULL && holder->asked.length < MAX_ASKED) {
--- a/src/libebonyhollow/requests/dispatcher_outcome.c
+++ b/src/libebonyhollow/requests/dispatcher_outcome.c
@@ -192,7 +192,7 @@
         return;
     }
     char *name =
-        g_strdup_printf("%s %s", request->customer->id, request->key_digest);
+        EbDispatcher_HolderName(request->customer->id, request->key_digest);
     if (g_hash_table_lookup(holders, name) == request) {
         g_hash_table_remove(holders, name);
     }
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -253,6 +253,13 @@
     return request->summary->state == EB_REQUEST_FINISHED;
 }
 
+/* Key of EbDispatcher.holders; to be freed. */
+static inline char *
+EbDispatcher_HolderName(const char *customer, const char *key_digest)
+{
+    return g_strdup_printf("%s %s", customer, key_digest);
+}
+
 static inline const EbConfigForward *
 EbRequest_Route(const EbRequest *request)
 {
