--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -612,26 +612,34 @@
     take_actions(fixture);
 }
 
+static char *results_a[] = {"a0"};
+static char *results_b[] = {"b0", "b1"};
+static char *results_c[] = {"c0"};
+
+/* Submits a request with three stages: a, b, and c that needs b. */
+static void
+open_staged(Fixture *fixture)
+{
+    open_fixture(fixture);
+    submit(fixture, "/staged/x", TOKEN);
+}
+
 /* Guards against a request that runs before its inputs are there, with the
  * inputs of an inner stage or in the wrong order, and against results that
  * are kept after they were used. */
 static void
 test_preparations(void)
 {
-    static char *a[] = {"a0"};
-    static char *b[] = {"b0", "b1"};
-    static char *c[] = {"c0"};
     Fixture fixture;
-    open_fixture(&fixture);
-    submit(&fixture, "/staged/x", TOKEN);
+    open_staged(&fixture);
     CU_ASSERT_EQUAL_FATAL(fixture.prepare_count, 2);
-    prepared(&fixture, 1, EB_PREPARED_OK, b, 2);
+    prepared(&fixture, 1, EB_PREPARED_OK, results_b, 2);
     CU_ASSERT_EQUAL_FATAL(fixture.prepare_count, 3);
     CU_ASSERT_EQUAL(fixture.prepare_stages[2], 2);
-    prepared(&fixture, 2, EB_PREPARED_OK, c, 1);
+    prepared(&fixture, 2, EB_PREPARED_OK, results_c, 1);
     CU_ASSERT_EQUAL(fixture.ended_count, 1); /* b is used */
     CU_ASSERT_EQUAL(fixture.send_count, 0);
-    prepared(&fixture, 0, EB_PREPARED_OK, a, 1);
+    prepared(&fixture, 0, EB_PREPARED_OK, results_a, 1);
     CU_ASSERT_EQUAL_FATAL(fixture.send_count, 1);
     CU_ASSERT_STRING_EQUAL(fixture.inputs, "a0 c0 ");
     give(&fixture, &(Event){.kind = EB_ATTEMPT_ANSWERED, .status = 200});
@@ -645,7 +653,6 @@
 static void
 test_early_preparation(void)
 {
-    static char *b[] = {"b0", "b1"};
     Fixture fixture;
     open_fixture(&fixture);
     fixture.config->pools[1].batch.call_us = SECOND_US / 4;
@@ -653,7 +660,7 @@
     submit(&fixture, "/staged/x", TOKEN);
     CU_ASSERT_EQUAL(fixture.prepare_count, 1);
     CU_ASSERT_EQUAL(fixture.prepare_stages[0], 1);
-    prepared(&fixture, 0, EB_PREPARED_OK, b, 2);
+    prepared(&fixture, 0, EB_PREPARED_OK, results_b, 2);
     CU_ASSERT_EQUAL(fixture.prepare_count, 3);
     close_fixture(&fixture);
 }
@@ -663,17 +670,13 @@
 static void
 test_prepared_twice(void)
 {
-    static char *a[] = {"a0"};
-    static char *b[] = {"b0", "b1"};
-    static char *c[] = {"c0"};
     Fixture fixture;
-    open_fixture(&fixture);
-    submit(&fixture, "/staged/x", TOKEN);
-    prepared(&fixture, 1, EB_PREPARED_OK, b, 2);
-    prepared(&fixture, 2, EB_PREPARED_OK, c, 1);
-    prepared(&fixture, 0, EB_PREPARED_OK, a, 1);
+    open_staged(&fixture);
+    prepared(&fixture, 1, EB_PREPARED_OK, results_b, 2);
+    prepared(&fixture, 2, EB_PREPARED_OK, results_c, 1);
+    prepared(&fixture, 0, EB_PREPARED_OK, results_a, 1);
     CU_ASSERT_EQUAL(fixture.send_count, 1);
-    prepared(&fixture, 0, EB_PREPARED_OK, a, 1);
+    prepared(&fixture, 0, EB_PREPARED_OK, results_a, 1);
     prepared(&fixture, 2, EB_PREPARED_LATE, NULL, 0);
     CU_ASSERT_EQUAL(fixture.send_count, 1);
     CU_ASSERT_FALSE(fixture.answered);
@@ -685,19 +688,15 @@
 static void
 test_lost_results(void)
 {
-    static char *a[] = {"a0"};
-    static char *b[] = {"b0", "b1"};
-    static char *c[] = {"c0"};
     Fixture fixture;
-    open_fixture(&fixture);
-    submit(&fixture, "/staged/x", TOKEN);
-    prepared(&fixture, 1, EB_PREPARED_OK, b, 2);
-    prepared(&fixture, 0, EB_PREPARED_OK, a, 1);
+    open_staged(&fixture);
+    prepared(&fixture, 1, EB_PREPARED_OK, results_b, 2);
+    prepared(&fixture, 0, EB_PREPARED_OK, results_a, 1);
     prepared(&fixture, 2, EB_PREPARED_INPUT_GONE, NULL, 0);
     CU_ASSERT_EQUAL_FATAL(fixture.prepare_count, 5);
-    prepared(&fixture, 3, EB_PREPARED_OK, a, 1);
-    prepared(&fixture, 4, EB_PREPARED_OK, b, 2);
-    prepared(&fixture, 5, EB_PREPARED_OK, c, 1);
+    prepared(&fixture, 3, EB_PREPARED_OK, results_a, 1);
+    prepared(&fixture, 4, EB_PREPARED_OK, results_b, 2);
+    prepared(&fixture, 5, EB_PREPARED_OK, results_c, 1);
     CU_ASSERT_EQUAL_FATAL(fixture.send_count, 1);
     give(
         &fixture,
