http_reader: bytes that never become a response end with an error

Cause: the limit on header bytes counts names and values only and starts again with each interim response. Endless interim responses, and chunks with long extensions, were read until the caller's deadline.

Change: all bytes outside of the body count against twice the header limit, with 64 bytes more for each chunk; interim responses count together with the response that follows.

Test: test_forward_net 'endless bytes', 14 rows; on the code before, three fail (interim responses, the same with headers, long chunk extensions). 'small chunks' guards against a limit that ends sound responses.

--- a/src/libebonyhollow_net/http_reader.c
+++ b/src/libebonyhollow_net/http_reader.c
@@ -6,6 +6,11 @@
 #include <http_parser.h>
 
 #define FIRST_FINAL_STATUS 200
+/* Bytes of a message outside of its body, as a multiple of the limit on names
+ * and values: separators, empty lines and interim responses count too. */
+#define FRAMING_FACTOR 2
+/* Bytes that each chunk may take in addition for its size and extensions. */
+#define CHUNK_FRAMING_BYTES 64
 
 struct EbHttpReader {
     EbHttpReaderOptions options;
@@ -15,6 +20,10 @@
     GString *name;
     GString *value;
     size_t header_bytes;
+    size_t body_bytes;    /* passed to the callback by the current call */
+    size_t framing_bytes; /* parsed and not of the body, interim responses
+                             before this message included */
+    size_t chunk_count;
     bool in_value;
     bool in_message;
     bool headers_complete;
@@ -142,12 +151,21 @@
 on_body(http_parser *parser, const char *at, size_t length)
 {
     EbHttpReader *reader = parser->data;
+    reader->body_bytes += length;
     return reader->options.body(reader->options.context, (const uint8_t *)at,
                                 length)
                ? 0
                : 1;
 }
 
+static int
+on_chunk_header(http_parser *parser)
+{
+    EbHttpReader *reader = parser->data;
+    reader->chunk_count++;
+    return 0;
+}
+
 static int
 on_message_complete(http_parser *parser)
 {
@@ -169,6 +187,7 @@
     .on_headers_complete = on_headers_complete,
     .on_body = on_body,
     .on_message_complete = on_message_complete,
+    .on_chunk_header = on_chunk_header,
 };
 
 EbHttpReader *
@@ -199,6 +218,16 @@
     g_free(reader);
 }
 
+/* Returns whether a message has so many bytes outside of its body that it
+ * might never end. The parser reports some of them to no callback. */
+static bool
+exceeds_framing(const EbHttpReader *reader)
+{
+    return reader->framing_bytes >
+           FRAMING_FACTOR * reader->options.max_header_bytes +
+               CHUNK_FRAMING_BYTES * reader->chunk_count;
+}
+
 static bool
 report_complete(EbHttpReader *reader)
 {
@@ -206,6 +235,8 @@
         return false;
     }
     reader->complete = false;
+    reader->framing_bytes = 0;
+    reader->chunk_count = 0;
     bool reusable = http_should_keep_alive(&reader->parser) != 0;
     reader->options.complete(reader->options.context, reusable);
     return true;
@@ -219,10 +250,15 @@
     if (HTTP_PARSER_ERRNO(parser) == HPE_PAUSED) {
         http_parser_pause(parser, 0);
     }
+    reader->body_bytes = 0;
     *consumed = http_parser_execute(parser, &callbacks, (const char *)bytes,
                                     byte_count);
+    if (*consumed > reader->body_bytes) {
+        reader->framing_bytes += *consumed - reader->body_bytes;
+    }
     enum http_errno code = HTTP_PARSER_ERRNO(parser);
-    if (reader->too_large || code == HPE_HEADER_OVERFLOW) {
+    if (reader->too_large || code == HPE_HEADER_OVERFLOW ||
+        (!reader->complete && exceeds_framing(reader))) {
         return EB_HTTP_READ_TOO_LARGE;
     }
     if (code != HPE_OK && code != HPE_PAUSED) {
--- a/src/libebonyhollow_net/private/http_reader.h
+++ b/src/libebonyhollow_net/private/http_reader.h
@@ -36,7 +36,9 @@
     EB_HTTP_READ_MORE,     /* the message is not complete yet */
     EB_HTTP_READ_COMPLETE, /* complete; bytes after it were not consumed */
     EB_HTTP_READ_INVALID,  /* not valid HTTP, or rejected by a callback */
-    EB_HTTP_READ_TOO_LARGE /* the header section exceeds its limit */
+    /* The header section exceeds its limit, or so much else outside of the
+     * body comes that the message might never end. */
+    EB_HTTP_READ_TOO_LARGE
 } EbHttpReadResult;
 
 EbHttpReader *EbHttpReader_New(const EbHttpReaderOptions *options);
--- a/src/test_forward_net/main.c
+++ b/src/test_forward_net/main.c
@@ -17,6 +17,10 @@
 
 #define MAX_EVENTS 16
 #define ID "X-Id"
+#define HEAD "HTTP/1.1 200 OK\r\n" ID ": r-1\r\n"
+#define STREAM_HEAD                                                           \
+    HEAD "Content-Type: text/event-stream\r\n"                                \
+         "Transfer-Encoding: chunked\r\n\r\n"
 
 /* The protocol of these tests has a single header with the request id. */
 static EbForwardCall *
@@ -181,6 +185,104 @@
     g_string_free(read.body, TRUE);
 }
 
+/* Guards against reading for ever what is no response: each row's unit comes
+ * again and again, and reading must end with an error within a few times the
+ * header limit. */
+static void
+test_endless_bytes(void)
+{
+    static const struct {
+        const char *name;
+        const char *start;
+        const char *unit;
+    } rows[] = {
+        {"empty lines before the status line", "", "\r\n"},
+        {"status line", "HTTP/1.1 200 ", "aaaaaaaa"},
+        {"header name", "HTTP/1.1 200 OK\r\n", "aaaaaaaa"},
+        {"header value", "HTTP/1.1 200 OK\r\nX: ", "aaaaaaaa"},
+        {"space before a header value", "HTTP/1.1 200 OK\r\nX:", "        "},
+        {"headers", "HTTP/1.1 200 OK\r\n", "X: a\r\n"},
+        {"empty headers", "HTTP/1.1 200 OK\r\n", "X:\r\n"},
+        {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"interim responses with headers", "",
+         "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
+        {"chunk size", HEAD "Transfer-Encoding: chunked\r\n\r\n", "00000000"},
+        {"chunk extension", HEAD "Transfer-Encoding: chunked\r\n\r\n1;",
+         "aaaaaaaa"},
+        {"long chunk extensions", HEAD "Transfer-Encoding: chunked\r\n\r\n",
+         "1;aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+         "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+         "\r\na\r\n"},
+        {"trailers", HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+         "X: a\r\n"},
+        {"empty trailers", HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+         "X:\r\n"},
+    };
+    static const size_t max_header_bytes = 4096;
+    static const size_t limit_bytes = 64 * 4096;
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        ReadResult read = {.body = g_string_new(NULL)};
+        EbHttpReader *reader = EbHttpReader_New(
+            &(EbHttpReaderOptions){.kind = EB_HTTP_RESPONSES,
+                                   .max_header_bytes = max_header_bytes,
+                                   .head = on_head,
+                                   .body = on_body,
+                                   .complete = on_complete,
+                                   .context = &read});
+        size_t fed = 0;
+        size_t consumed = 0;
+        const char *bytes = rows[i].start;
+        EbHttpReadResult result = EB_HTTP_READ_MORE;
+        while (result == EB_HTTP_READ_MORE && fed < limit_bytes) {
+            result = EbHttpReader_Feed(reader, (const uint8_t *)bytes,
+                                       strlen(bytes), &consumed);
+            fed += strlen(bytes);
+            bytes = rows[i].unit;
+        }
+        bool ended =
+            result == EB_HTTP_READ_TOO_LARGE || result == EB_HTTP_READ_INVALID;
+        if (!ended) {
+            printf("%s: still read after %zu bytes\n", rows[i].name, fed);
+        }
+        CU_ASSERT_TRUE(ended);
+        CU_ASSERT_EQUAL(read.completes, 0);
+        EbHttpReader_Free(reader);
+        g_string_free(read.body, TRUE);
+    }
+}
+
+/* Guards against a limit that also ends a sound response: many small chunks
+ * take more bytes for their sizes than for their contents. */
+static void
+test_small_chunks(void)
+{
+    static const unsigned chunks = 20000;
+    ReadResult read = {.body = g_string_new(NULL)};
+    EbHttpReader *reader =
+        EbHttpReader_New(&(EbHttpReaderOptions){.kind = EB_HTTP_RESPONSES,
+                                                .max_header_bytes = 4096,
+                                                .head = on_head,
+                                                .body = on_body,
+                                                .complete = on_complete,
+                                                .context = &read});
+    static const char head[] = HEAD "Transfer-Encoding: chunked\r\n\r\n";
+    static const char chunk[] = "1;a=b\r\nx\r\n";
+    static const char end[] = "0\r\n\r\n";
+    size_t consumed = 0;
+    EbHttpReader_Feed(reader, (const uint8_t *)head, strlen(head), &consumed);
+    for (unsigned i = 0; i < chunks; i++) {
+        CU_ASSERT_EQUAL(EbHttpReader_Feed(reader, (const uint8_t *)chunk,
+                                          strlen(chunk), &consumed),
+                        EB_HTTP_READ_MORE);
+    }
+    CU_ASSERT_EQUAL(EbHttpReader_Feed(reader, (const uint8_t *)end,
+                                      strlen(end), &consumed),
+                    EB_HTTP_READ_COMPLETE);
+    CU_ASSERT_EQUAL(read.body->len, chunks);
+    EbHttpReader_Free(reader);
+    g_string_free(read.body, TRUE);
+}
+
 typedef struct {
     GString *text;
     int64_t last_id;
@@ -323,11 +425,6 @@
     EbHttpMessage_Unref(message);
 }
 
-#define HEAD "HTTP/1.1 200 OK\r\n" ID ": r-1\r\n"
-#define STREAM_HEAD                                                           \
-    HEAD "Content-Type: text/event-stream\r\n"                                \
-         "Transfer-Encoding: chunked\r\n\r\n"
-
 typedef struct {
     const char *name;
     const char *response;
@@ -752,6 +849,8 @@
     static const EbTestCase cases[] = {
         {"reader", test_reader},
         {"header limit", test_header_limit},
+        {"endless bytes", test_endless_bytes},
+        {"small chunks", test_small_chunks},
         {"event splitter", test_event_splitter},
         {"client responses", test_client_responses},
         {"client connection limit", test_client_connection_limit},
