forward_client: a late second copy is no answer to a stage call

Cause: responses to stage calls carry no request id. A second copy of an earlier response that came late, on a connection that was in use again, was taken for the response to the next call, whose items got the handles of other requests. The body of a late response was discarded without a limit.

Change: calls without an id get a connection of their own. Discarded bytes count against the limit of a body.

The unused member 'connected' is removed.

--- a/include/net/ebonyhollow/forward_client.h
+++ b/include/net/ebonyhollow/forward_client.h
@@ -50,7 +50,8 @@
     const char *server_id;
     const char *host;
     uint16_t port;
-    const char *request_id; /* expected in the response; NULL: any */
+    const char *request_id; /* expected in the response; NULL: none, the call
+                              gets a connection of its own */
     bool stream;            /* report events of a stream as they arrive */
     bool fresh_connection;  /* must not use an idle connection */
     /* Largest number of connections to the server, including this one. Idle
--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -26,7 +26,6 @@
     char *server_id;
     struct bufferevent *bufev;
     EbHttpReader *reader;
-    bool connected;
 
     uint64_t attempt_id; /* 0: no call */
     char *request_id;
@@ -36,6 +35,7 @@
     EbForwardReply reply;
     bool streaming;     /* the response is an event stream */
     bool late_response; /* the response belongs to an earlier call */
+    size_t late_bytes;  /* of the bodies of such responses */
     EbEventSplitter *splitter;
     int64_t idle_since_us;
     int64_t idle_timeout_us;
@@ -182,7 +182,9 @@
 {
     Connection *connection = context;
     if (connection->late_response) {
-        return true;
+        connection->late_bytes += byte_count;
+        return connection->late_bytes <=
+               connection->client->options.max_body_bytes;
     }
     if (connection->streaming) {
         return EbEventSplitter_Feed(connection->splitter, bytes, byte_count);
@@ -202,7 +204,7 @@
     if (connection->late_response) {
         return;
     }
-    connection->reusable = reusable;
+    connection->reusable = reusable && connection->request_id != NULL;
     bool stream_complete = !connection->streaming ||
                            EbEventSplitter_IsEmpty(connection->splitter);
     if (!stream_complete) {
@@ -279,7 +281,6 @@
     (void)bufev;
     Connection *connection = context;
     if ((what & BEV_EVENT_CONNECTED) != 0) {
-        connection->connected = true;
         connection->wrote = true;
         bufferevent_set_timeouts(connection->bufev, NULL, NULL);
         return;
@@ -409,8 +410,10 @@
 EbForwardClient_Send(EbForwardClient *client, const EbForwardSend *send,
                      EbHttpMessage *message)
 {
-    Connection *connection =
-        send->fresh_connection ? NULL : pop_idle(client, send->server_id);
+    /* Without an id a late second copy of an earlier response could not be
+     * told from the response to this call. */
+    bool fresh = send->fresh_connection || send->request_id == NULL;
+    Connection *connection = fresh ? NULL : pop_idle(client, send->server_id);
     bool opened = connection == NULL;
     if (opened) {
         if (send->max_connections > 0) {
@@ -424,6 +427,7 @@
     connection->stream = send->stream;
     connection->streaming = false;
     connection->late_response = false;
+    connection->late_bytes = 0;
     connection->done = false;
     EbEventSplitter_Reset(connection->splitter);
     EbHttpReader_SkipBody(connection->reader,
--- a/src/test_forward_net/main.c
+++ b/src/test_forward_net/main.c
@@ -500,6 +500,77 @@
     }
 }
 
+/* Answers the first request twice: the second copy comes late, when the next
+ * request has arrived on the same connection, and before its own answer. */
+static void
+send_late_copy(RawPeer *peer, const char *request)
+{
+    ClientFixture *fixture = peer->server->context;
+    (void)request;
+    if (peer->server->requests > 1 && peer->requests > 1) {
+        RawPeer_Send(peer, fixture->response);
+    }
+    RawPeer_Send(peer, peer->server->requests == 1
+                           ? fixture->response
+                           : "HTTP/1.1 200 OK\r\n"
+                             "Content-Length: 3\r\n\r\nown");
+}
+
+/* Guards against taking a late second copy of an earlier answer for the answer
+ * to a call whose answers carry no request id. */
+static void
+test_client_late_copy(void)
+{
+    ClientFixture fixture;
+    open_client(&fixture);
+    fixture.server->handler = send_late_copy;
+    fixture.response = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold";
+    for (uint64_t id = 1; id <= 2; id++) {
+        EbHttpMessage *message = EbHttpMessage_NewRequest("POST", "/");
+        g_string_truncate(fixture.body, 0);
+        fixture.count = 0;
+        EbForwardClient_Send(fixture.client,
+                             &(EbForwardSend){.attempt_id = id,
+                                              .server_id = "s-1",
+                                              .host = "127.0.0.1",
+                                              .port = fixture.server->port},
+                             message);
+        EbHttpMessage_Unref(message);
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_ended, &fixture));
+        CU_ASSERT_EQUAL(fixture.kinds[0], EB_ATTEMPT_ANSWERED);
+        CU_ASSERT_STRING_EQUAL(fixture.body->str, id == 1 ? "old" : "own");
+    }
+    close_client(&fixture);
+}
+
+/* Sends a response to another call whose body never ends. */
+static void
+send_endless_late_body(RawPeer *peer, const char *request)
+{
+    static const size_t part_bytes = 65536;
+    (void)request;
+    RawPeer_Send(peer, "HTTP/1.1 200 OK\r\n" ID ": r-0\r\n\r\n");
+    char *part = g_strnfill(part_bytes, 'a');
+    for (int i = 0; i < 256; i++) {
+        RawPeer_Send(peer, part);
+    }
+    g_free(part);
+}
+
+/* Guards against discarding a late response for ever: 16 MiB come, twice the
+ * limit of a body, and the call must end without waiting for its time-out. */
+static void
+test_client_endless_late_body(void)
+{
+    ClientFixture fixture;
+    open_client(&fixture);
+    fixture.server->handler = send_endless_late_body;
+    send_call(&fixture, 1, fixture.server->port, false);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_ended, &fixture));
+    CU_ASSERT_EQUAL(fixture.kinds[0], EB_ATTEMPT_MALFORMED);
+    close_client(&fixture);
+}
+
 static bool
 has_closed_one(void *context)
 {
@@ -853,6 +924,8 @@
         {"small chunks", test_small_chunks},
         {"event splitter", test_event_splitter},
         {"client responses", test_client_responses},
+        {"client late copy", test_client_late_copy},
+        {"client endless late body", test_client_endless_late_body},
         {"client connection limit", test_client_connection_limit},
         {"client refused", test_client_refused},
         {"client cancel", test_client_cancel},
