--- a/include/actions/ebonyhollow/store_protocol.h
+++ b/include/actions/ebonyhollow/store_protocol.h
@@ -24,8 +24,9 @@
      * the operation needs is missing. */
     json_t *(*read)(EbStoreOperation operation, json_t *answer);
     /* Returns the path that lists the objects of a kind, from the one that
-     * follows the name `after`, or from the first when `after` is NULL. */
-    char *(*list_path)(const char *kind, const char *after);
+     * follows the name `after`, or from the first when `after` is NULL.
+     * `stale` allows a list that is some seconds old, if that costs less. */
+    char *(*list_path)(const char *kind, const char *after, bool stale);
     /* Returns the path that waits up to `wait_us` for changes after
      * `revision`. */
     char *(*watch_path)(const char *kind, uint64_t revision, int64_t wait_us);
--- /dev/null
+++ b/include/feed/ebonyhollow/store_feed.h
@@ -0,0 +1,104 @@
+/* EbStoreFeed: what this daemon knows of the objects in the platform's store,
+ * and from whom it learns of changes.
+ *
+ * In a large deployment only some daemons, the sources, watch the store. Each
+ * other daemon asks one of them for changes every EB_FEED_REQUEST_INTERVAL_US
+ * and is sent them as they occur. A daemon whose knowledge was not confirmed
+ * for EB_FEED_CONFIRMED_US reads the store itself until it is confirmed again.
+ * A daemon answers requests only while it reads the store itself, so that
+ * nothing that is known only from another daemon counts as confirmed.
+ *
+ * The objects of one kind are a stream. Their state is that of a revision of
+ * the store, which never decreases. Changes apply to a range of revisions and
+ * are ignored unless the known revision lies in that range, so that an old
+ * message can't bring back an object that was removed.
+ *
+ * Objects are {"name", "value"}, events have "deleted" in addition, as in
+ * EbStoreProtocol. Times are in microseconds on the monotonic clock. */
+#ifndef EBONYHOLLOW_STORE_FEED_H
+#define EBONYHOLLOW_STORE_FEED_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <jansson.h>
+
+#include "ebonyhollow/event.h"
+#include "ebonyhollow/message.h"
+
+/* Together with a hop to the source it is below the 2 s within which a change
+ * of the store must be in force in the strictest deployment. */
+#define EB_FEED_CONFIRMED_US 1500000
+#define EB_FEED_REQUEST_INTERVAL_US 500000
+/* Larger changes are not sent; the other daemons read them from the store. */
+#define EB_FEED_MAX_TEXT_BYTES ((size_t)64 * 1024)
+
+typedef struct EbStoreFeed EbStoreFeed;
+
+typedef struct {
+    const EbEventSink *events; /* may be NULL */
+    /* Sends a message to a daemon. Returns false when it can't be sent. */
+    bool (*send)(void *context, const char *instance, const EbMessage *message,
+                 int64_t now_us);
+    /* Called with the objects of a stream that changed, as an array of events
+     * that is valid during the call. */
+    void (*changed)(void *context, EbFeedStream stream, const json_t *events,
+                    int64_t now_us);
+    void *context;
+} EbStoreFeedOptions;
+
+/* Creates a feed that knows no objects. `events` is copied. Free it with
+ * EbStoreFeed_Free. */
+EbStoreFeed *EbStoreFeed_New(const EbStoreFeedOptions *options);
+
+/* Frees a feed. Accepts NULL. */
+void EbStoreFeed_Free(EbStoreFeed *feed);
+
+/* Sets which daemons read the store.
+ *
+ * is_source: this daemon is one of them.
+ * sources: the others, in the order in which this daemon asks them; copied. */
+void EbStoreFeed_SetSources(EbStoreFeed *feed, bool is_source,
+                            const char *const *sources, size_t count,
+                            int64_t now_us);
+
+/* Handles a complete list of a stream's objects that the store returned as of
+ * `revision`. Ignores a list that is older than the known state. */
+void EbStoreFeed_HandleList(EbStoreFeed *feed, EbFeedStream stream,
+                            uint64_t revision, const json_t *items,
+                            int64_t now_us);
+
+/* Handles the store's response to a watch: all changes after `base_revision`
+ * up to `revision`, possibly none. */
+void EbStoreFeed_HandleChanges(EbStoreFeed *feed, EbFeedStream stream,
+                               uint64_t base_revision, uint64_t revision,
+                               const json_t *events, int64_t now_us);
+
+/* Reports that a list or a watch of a stream failed. */
+void EbStoreFeed_HandleFailure(EbStoreFeed *feed, EbFeedStream stream,
+                               int64_t now_us);
+
+/* Returns the end of the store's last outage, as seen by this daemon or by the
+ * source that it asks; INT64_MIN when there was none. */
+int64_t EbStoreFeed_RecoveredAt(const EbStoreFeed *feed);
+
+/* Handles a FEED_* message. */
+void EbStoreFeed_Receive(EbStoreFeed *feed, const char *peer,
+                         const EbMessage *message, int64_t now_us);
+
+/* Sends the request that is due, and decides whether to read the store. */
+void EbStoreFeed_Tick(EbStoreFeed *feed, int64_t now_us);
+
+/* Returns the earliest time at which EbStoreFeed_Tick has work to do. */
+int64_t EbStoreFeed_NextTimer(const EbStoreFeed *feed);
+
+/* Returns whether this daemon is to list and watch a stream's objects at the
+ * store, as decided by the last EbStoreFeed_Tick. */
+bool EbStoreFeed_MustRead(const EbStoreFeed *feed, EbFeedStream stream);
+
+/* Returns the revision of the known state of a stream, from which a watch
+ * continues; 0 when its objects must be listed first. */
+uint64_t EbStoreFeed_Revision(const EbStoreFeed *feed, EbFeedStream stream);
+
+#endif
--- a/include/membership/ebonyhollow/membership.h
+++ b/include/membership/ebonyhollow/membership.h
@@ -153,6 +153,16 @@
 size_t EbMembership_LiveInstances(const EbMembership *membership,
                                   const char **names, size_t max);
 
+/* Writes the names of up to `max` other live daemons that keep watches open at
+ * the platform when there are more than EB_MEMBERSHIP_MESH_MAX daemons: those
+ * of this daemon's failure domain first. Within and outside of the domain each
+ * daemon has an order of its own, so that asking the first one divides the
+ * load. Names are borrowed until the next change.
+ *
+ * Returns the number of names written; 0 in a full mesh. */
+size_t EbMembership_ListWatchers(const EbMembership *membership,
+                                 const char **names, size_t max);
+
 /* Returns whether this daemon keeps watches open at the platform. Up to
  * EB_MEMBERSHIP_MESH_MAX daemons all do; beyond that only the first
  * EB_WATCHERS_PER_FAILURE_DOMAIN live daemons of each failure domain, in hash
--- a/include/membership/ebonyhollow/message.h
+++ b/include/membership/ebonyhollow/message.h
@@ -36,6 +36,9 @@
     EB_MESSAGE_PREPARE,         /* work items, to the service's home */
     EB_MESSAGE_PREPARED,        /* their results, from the home */
     EB_MESSAGE_END_PREPARATION, /* the results are no longer needed */
+    EB_MESSAGE_FEED_REQUEST,    /* asks a reader of the store for changes */
+    EB_MESSAGE_FEED_CHANGES, /* changes of one kind of the store's objects */
+    EB_MESSAGE_FEED_STATUS,  /* what the reader knows; ends its response */
     EB_MESSAGE_KIND_COUNT
 } EbMessageKind;
 
@@ -51,6 +54,21 @@
 
 extern const char *const EbMemberState_names[EB_MEMBER_STATE_COUNT];
 
+/* Kinds of the store's objects that one daemon passes to others. */
+typedef enum {
+    EB_FEED_CONFIG,
+    EB_FEED_SERVERS,
+    EB_FEED_STREAM_COUNT
+} EbFeedStream;
+
+/* Whether a daemon reads the store and may therefore pass on its changes. */
+typedef enum {
+    EB_FEED_NOT_READING, /* has not started to, or is no source */
+    EB_FEED_READING,
+    EB_FEED_FAILING, /* tries to, but its last read failed */
+    EB_FEED_STATE_COUNT
+} EbFeedState;
+
 typedef struct {
     char *instance;
     uint64_t incarnation;
@@ -91,7 +109,8 @@
     EbMessageMember *members;
     uint32_t member_count;
 
-    /* CONFIG_BODY: text of the document; OUTCOME_REPLY: body as JSON text */
+    /* CONFIG_BODY: text of the document; OUTCOME_REPLY: body as JSON text;
+     * FEED_CHANGES: the events as a JSON array, absent when there are none */
     char *text;
     size_t text_bytes;
 
@@ -134,6 +153,23 @@
     /* PREPARE: inputs; PREPARED: results */
     char **handles;
     uint32_t handle_count;
+
+    /* FEED_REQUEST, FEED_STATUS: `feed_request` numbers a request and is
+     * repeated in its response. The revisions are those up to which the sender
+     * knows the store's objects, see EbStoreFeed. */
+    uint64_t feed_request;
+    uint64_t config_revision;
+    uint64_t servers_revision;
+    uint32_t feed_state; /* FEED_STATUS: EbFeedState of the sender */
+    /* FEED_CHANGES: the changes after `base_revision` up to `revision`;
+     * `exact_base` when they lead there from that revision only */
+    uint32_t feed_stream; /* EbFeedStream */
+    uint64_t base_revision;
+    uint64_t revision;
+    bool exact_base;
+    /* FEED_CHANGES, FEED_STATUS: time since the end of the store's last
+     * outage; 0: unknown or long ago */
+    uint64_t recovered_ago_us;
 } EbMessage;
 
 /* Returns whether a kind is flooded to all daemons with origin and sequence.
--- a/include/net/ebonyhollow/platform_client.h
+++ b/include/net/ebonyhollow/platform_client.h
@@ -44,13 +44,19 @@
     /* Called with the reply to each call, which is valid only during the
      * callback. */
     void (*reply)(void *context, const EbStoreReply *reply);
-    /* Called with all objects of a kind: when its watch starts, after changes
-     * may have been missed, and for each periodic listing. `items` is
-     * borrowed. May be NULL. */
-    void (*listed)(void *context, const char *kind, json_t *items);
-    /* Called when objects of a watched kind changed. `events` is borrowed.
+    /* Called with all objects of a kind as of a revision: when its watch
+     * starts, after changes may have been missed, and for each periodic
+     * listing. `items` is borrowed. May be NULL. */
+    void (*listed)(void *context, const char *kind, uint64_t revision,
+                   json_t *items);
+    /* Called after each poll of a watched kind, with the changes after
+     * `base_revision` up to `revision`, possibly none. `events` is borrowed.
      * May be NULL. */
-    void (*changed)(void *context, const char *kind, json_t *events);
+    void (*changed)(void *context, const char *kind, uint64_t base_revision,
+                    uint64_t revision, json_t *events);
+    /* Called after a list or a poll failed, other than by a gap, which is
+     * followed by a list. May be NULL. */
+    void (*failed)(void *context, const char *kind);
     void *context;
 } EbPlatformClientOptions;
 
@@ -72,9 +78,15 @@
  * the kind is watched or listed periodically already. */
 void EbPlatformClient_Watch(EbPlatformClient *client, const char *kind);
 
+/* Watches a kind whose objects are known as of `revision`, without listing
+ * them. The first poll is short, so that `changed` soon tells whether that is
+ * still so. Does nothing if the kind is watched already. */
+void EbPlatformClient_WatchFrom(EbPlatformClient *client, const char *kind,
+                                uint64_t revision);
+
 /* Lists a kind now and then every `interval_us` without watching it, until
- * EbPlatformClient_Unwatch. Does nothing if the kind is watched or listed
- * periodically already. */
+ * EbPlatformClient_Unwatch. The lists may be seconds old. Does nothing if the
+ * kind is watched or listed periodically already. */
 void EbPlatformClient_ListPeriodically(EbPlatformClient *client,
                                        const char *kind, int64_t interval_us);
 
--- a/include/share/ebonyhollow/event_table.h
+++ b/include/share/ebonyhollow/event_table.h
@@ -214,6 +214,17 @@
     X(WATCH_GAP, 702, "watch-gap", EB_LEVEL_INFO,                             \
       "A watch lost events; the objects are listed again.", "kind",           \
       "None, unless it is frequent: the platform keeps too few events.")      \
+    X(STORE_READS, 703, "store-reads", EB_LEVEL_NOTICE,                       \
+      "This daemon starts or stops reading the objects of a kind from the "   \
+      "platform's store; cause is start, source (it passes changes on to "    \
+      "others), unconfirmed (no source confirmed what it knows), behind (a "  \
+      "source knows more than it can send) or confirmed (it stops).",         \
+      "kind,cause,revision",                                                  \
+      "None. If unconfirmed repeats, check the links between the daemons.")   \
+    X(FEED_INVALID, 704, "feed-invalid", EB_LEVEL_WARNING,                    \
+      "A peer sent changes of the store's objects that can't be read; they "  \
+      "are read from the store instead.",                                     \
+      "peer,kind", "Compare the versions of the two daemons.")                \
     X(AUDIT, 800, "audit", EB_LEVEL_NOTICE,                                   \
       "An operator made or attempted a change; result says which.",           \
       "operator,action,object,from_version,result",                           \
--- /dev/null
+++ b/src/libebonyhollow/feed/store_feed.c
@@ -0,0 +1,598 @@
+#include "ebonyhollow/store_feed.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "object_stream.h"
+
+/* A source starts to watch the store this long after it listed its objects. By
+ * then most daemons that started together know each other, and those that are
+ * no sources have found out. */
+#define SOURCE_START_US 700000
+/* Sources asked in a row before a pause. */
+#define REFUSALS_MAX 6
+/* Failed reads of a stream in a row that count as an outage of the store. */
+#define OUTAGE_FAILURES 2
+/* From the second failed read in a row a daemon that is no source pauses
+ * before it tries again, so that in an outage the calls of all daemons don't
+ * add up. It is below the 3 s that a deployment allows for finding out that
+ * the store is back. */
+#define READ_PAUSE_US 2500000
+/* A daemon that sent no request for this time is sent no more changes. */
+#define SUBSCRIBER_US (3LL * EB_FEED_REQUEST_INTERVAL_US)
+/* The end of an outage is passed on for this time. */
+#define RECOVERY_TOLD_US 10000000
+
+typedef struct {
+    EbObjectStream objects;
+    bool must_read;
+    bool readable;   /* the last read succeeded */
+    int64_t read_us; /* time of the last successful read */
+    int64_t listed_us;
+    uint32_t failures;        /* of reads, in a row */
+    int64_t pause_until_us;   /* no reads before this time */
+    uint64_t wanted_revision; /* a source knows it, but can't send what led
+                                 there */
+} Stream;
+
+/* A daemon that gets its changes from this one. */
+typedef struct {
+    uint64_t revisions[EB_FEED_STREAM_COUNT];
+    int64_t expires_us;
+} Subscriber;
+
+struct EbStoreFeed {
+    EbStoreFeedOptions options;
+    EbEventSink events;
+    Stream streams[EB_FEED_STREAM_COUNT];
+    GHashTable *subscribers; /* instance -> Subscriber */
+
+    bool is_source;
+    GPtrArray *sources; /* instances */
+    guint current;      /* index of the source that is asked */
+    uint64_t request;   /* number of the last request */
+    bool awaiting_status;
+    int64_t requested_us;
+    int64_t next_request_us;
+    guint refusals;       /* in a row */
+    int64_t confirmed_us; /* by a source */
+    int64_t recovered_us;
+};
+
+static const char *const stream_names[EB_FEED_STREAM_COUNT] = {
+    [EB_FEED_CONFIG] = "configuration",
+    [EB_FEED_SERVERS] = "servers",
+};
+
+EbStoreFeed *
+EbStoreFeed_New(const EbStoreFeedOptions *options)
+{
+    EbStoreFeed *feed = g_new0(EbStoreFeed, 1);
+    feed->options = *options;
+    if (options->events != NULL) {
+        feed->events = *options->events;
+    }
+    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+        feed->streams[i] = (Stream){.must_read = true, .read_us = INT64_MIN};
+        EbObjectStream_Init(&feed->streams[i].objects);
+    }
+    feed->subscribers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    feed->is_source = true;
+    feed->sources = g_ptr_array_new_with_free_func(g_free);
+    feed->confirmed_us = INT64_MIN;
+    feed->recovered_us = INT64_MIN;
+    return feed;
+}
+
+void
+EbStoreFeed_Free(EbStoreFeed *feed)
+{
+    if (feed == NULL) {
+        return;
+    }
+    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+        EbObjectStream_Clear(&feed->streams[i].objects);
+    }
+    g_hash_table_destroy(feed->subscribers);
+    g_ptr_array_free(feed->sources, TRUE);
+    g_free(feed);
+}
+
+void
+EbStoreFeed_SetSources(EbStoreFeed *feed, bool is_source,
+                       const char *const *sources, size_t count,
+                       int64_t now_us)
+{
+    char *asked = feed->sources->len > 0
+                      ? g_strdup(feed->sources->pdata[feed->current])
+                      : NULL;
+    bool kept = false;
+    feed->is_source = is_source;
+    feed->current = 0;
+    g_ptr_array_set_size(feed->sources, 0);
+    for (size_t i = 0; i < count; i++) {
+        g_ptr_array_add(feed->sources, g_strdup(sources[i]));
+        if (asked != NULL && strcmp(asked, sources[i]) == 0) {
+            feed->current = (guint)i;
+            kept = true;
+        }
+    }
+    g_free(asked);
+    if (!kept) {
+        feed->awaiting_status = false;
+        feed->next_request_us = now_us;
+    }
+}
+
+static bool
+all_listed(const EbStoreFeed *feed)
+{
+    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+        if (!feed->streams[i].objects.listed) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static EbFeedState
+stream_state(const Stream *stream)
+{
+    if (stream->failures > 0) {
+        return EB_FEED_FAILING;
+    }
+    bool reading = stream->objects.listed && stream->must_read &&
+                   stream->readable &&
+                   stream->objects.revision >= stream->wanted_revision;
+    return reading ? EB_FEED_READING : EB_FEED_NOT_READING;
+}
+
+/* Returns EB_FEED_READING if this daemon reads every stream and may therefore
+ * answer others. */
+static EbFeedState
+feed_state(const EbStoreFeed *feed)
+{
+    EbFeedState state = EB_FEED_READING;
+    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+        EbFeedState of_stream = stream_state(&feed->streams[i]);
+        if (of_stream == EB_FEED_FAILING) {
+            return EB_FEED_FAILING;
+        }
+        if (of_stream == EB_FEED_NOT_READING) {
+            state = EB_FEED_NOT_READING;
+        }
+    }
+    return state;
+}
+
+/* Sending changes to other daemons */
+
+static uint64_t
+recovered_ago(const EbStoreFeed *feed, int64_t now_us)
+{
+    if (feed->recovered_us == INT64_MIN ||
+        now_us - feed->recovered_us > RECOVERY_TOLD_US) {
+        return 0;
+    }
+    return (uint64_t)MAX(now_us - feed->recovered_us, 1);
+}
+
+/* Sends a subscriber the changes since the revision that it has. Changes that
+ * are no longer kept or are too large are not sent; the status tells the
+ * subscriber that it lacks something. */
+static void
+send_changes(const EbStoreFeed *feed, const char *instance,
+             Subscriber *subscriber, EbFeedStream index, int64_t now_us)
+{
+    const EbObjectStream *objects = &feed->streams[index].objects;
+    uint64_t base = subscriber->revisions[index];
+    bool exact_base = false;
+    json_t *events =
+        base < objects->revision
+            ? EbObjectStream_ChangesSince(objects, base, &exact_base)
+            : NULL;
+    if (events == NULL) {
+        return;
+    }
+    char *text =
+        json_array_size(events) > 0 ? json_dumps(events, JSON_COMPACT) : NULL;
+    json_decref(events);
+    EbMessage message = {.kind = EB_MESSAGE_FEED_CHANGES,
+                         .feed_stream = index,
+                         .base_revision = base,
+                         .revision = objects->revision,
+                         .exact_base = exact_base,
+                         .recovered_ago_us = recovered_ago(feed, now_us),
+                         .text = text,
+                         .text_bytes = text != NULL ? strlen(text) : 0};
+    if (message.text_bytes <= EB_FEED_MAX_TEXT_BYTES &&
+        feed->options.send(feed->options.context, instance, &message,
+                           now_us)) {
+        subscriber->revisions[index] = objects->revision;
+    }
+    free(text);
+}
+
+static gboolean
+has_expired(gpointer key, gpointer value, gpointer context)
+{
+    (void)key;
+    return ((const Subscriber *)value)->expires_us <=
+           *(const int64_t *)context;
+}
+
+static void
+send_to_subscribers(const EbStoreFeed *feed, EbFeedStream index,
+                    int64_t now_us)
+{
+    if (feed_state(feed) != EB_FEED_READING) {
+        return;
+    }
+    g_hash_table_foreach_remove(feed->subscribers, has_expired, &now_us);
+    GHashTableIter iter;
+    gpointer instance;
+    gpointer subscriber;
+    g_hash_table_iter_init(&iter, feed->subscribers);
+    while (g_hash_table_iter_next(&iter, &instance, &subscriber)) {
+        send_changes(feed, instance, subscriber, index, now_us);
+    }
+}
+
+static void
+answer_request(EbStoreFeed *feed, const char *peer, const EbMessage *request,
+               int64_t now_us)
+{
+    EbMessage status = {.kind = EB_MESSAGE_FEED_STATUS,
+                        .feed_request = request->feed_request,
+                        .feed_state = feed_state(feed),
+                        .recovered_ago_us = recovered_ago(feed, now_us)};
+    if (status.feed_state == EB_FEED_READING) {
+        Subscriber *subscriber = g_hash_table_lookup(feed->subscribers, peer);
+        if (subscriber == NULL) {
+            subscriber = g_new0(Subscriber, 1);
+            g_hash_table_insert(feed->subscribers, g_strdup(peer), subscriber);
+        }
+        *subscriber = (Subscriber){
+            .revisions = {[EB_FEED_CONFIG] = request->config_revision,
+                          [EB_FEED_SERVERS] = request->servers_revision},
+            .expires_us = now_us + SUBSCRIBER_US};
+        for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+            send_changes(feed, peer, subscriber, (EbFeedStream)i, now_us);
+        }
+        status.config_revision =
+            feed->streams[EB_FEED_CONFIG].objects.revision;
+        status.servers_revision =
+            feed->streams[EB_FEED_SERVERS].objects.revision;
+    }
+    feed->options.send(feed->options.context, peer, &status, now_us);
+}
+
+/* What the store returned */
+
+/* Reports the events that an update of a stream returned and passes them on.
+ * Takes over the reference. */
+static void
+publish(EbStoreFeed *feed, EbFeedStream index, json_t *events, int64_t now_us)
+{
+    if (json_array_size(events) > 0) {
+        feed->options.changed(feed->options.context, index, events, now_us);
+        send_to_subscribers(feed, index, now_us);
+    }
+    json_decref(events);
+}
+
+static void
+mark_read(EbStoreFeed *feed, Stream *stream, int64_t now_us)
+{
+    if (stream->failures >= OUTAGE_FAILURES) {
+        feed->recovered_us = now_us;
+    }
+    stream->readable = true;
+    stream->read_us = now_us;
+    stream->failures = 0;
+}
+
+void
+EbStoreFeed_HandleList(EbStoreFeed *feed, EbFeedStream index,
+                       uint64_t revision, const json_t *items, int64_t now_us)
+{
+    Stream *stream = &feed->streams[index];
+    if (!stream->objects.listed) {
+        stream->listed_us = now_us;
+    }
+    mark_read(feed, stream, now_us);
+    publish(
+        feed, index,
+        EbObjectStream_ApplyList(&stream->objects, revision, items, now_us),
+        now_us);
+}
+
+void
+EbStoreFeed_HandleChanges(EbStoreFeed *feed, EbFeedStream index,
+                          uint64_t base_revision, uint64_t revision,
+                          const json_t *events, int64_t now_us)
+{
+    Stream *stream = &feed->streams[index];
+    mark_read(feed, stream, now_us);
+    EbObjectChanges changes = {.base_revision = base_revision,
+                               .revision = revision,
+                               .events = events};
+    publish(feed, index,
+            EbObjectStream_ApplyChanges(&stream->objects, &changes, now_us),
+            now_us);
+}
+
+void
+EbStoreFeed_HandleFailure(EbStoreFeed *feed, EbFeedStream index,
+                          int64_t now_us)
+{
+    Stream *stream = &feed->streams[index];
+    stream->readable = false;
+    stream->failures++;
+    if (!feed->is_source && stream->objects.listed && stream->failures > 1) {
+        stream->pause_until_us = now_us + READ_PAUSE_US;
+    }
+}
+
+int64_t
+EbStoreFeed_RecoveredAt(const EbStoreFeed *feed)
+{
+    return feed->recovered_us;
+}
+
+/* Asking a source */
+
+static void
+ask_next_source(EbStoreFeed *feed)
+{
+    if (feed->sources->len > 0) {
+        feed->current = (feed->current + 1) % feed->sources->len;
+    }
+}
+
+/* Asks the current source, or the next one to which a message can be sent. */
+static void
+send_request(EbStoreFeed *feed, int64_t now_us)
+{
+    EbMessage request = {
+        .kind = EB_MESSAGE_FEED_REQUEST,
+        .feed_request = ++feed->request,
+        .config_revision = feed->streams[EB_FEED_CONFIG].objects.revision,
+        .servers_revision = feed->streams[EB_FEED_SERVERS].objects.revision};
+    guint attempts = MIN(feed->sources->len, REFUSALS_MAX);
+    feed->awaiting_status = false;
+    for (guint i = 0; i < attempts && !feed->awaiting_status; i++) {
+        feed->awaiting_status = feed->options.send(
+            feed->options.context, feed->sources->pdata[feed->current],
+            &request, now_us);
+        if (!feed->awaiting_status) {
+            ask_next_source(feed);
+        }
+    }
+    feed->requested_us = now_us;
+    feed->next_request_us = now_us + EB_FEED_REQUEST_INTERVAL_US;
+}
+
+/* Asks the next source at once, unless a round of them has refused. */
+static void
+handle_refusal(EbStoreFeed *feed, int64_t now_us)
+{
+    ask_next_source(feed);
+    feed->refusals++;
+    if (feed->refusals < MIN(feed->sources->len, REFUSALS_MAX)) {
+        send_request(feed, now_us);
+        return;
+    }
+    feed->refusals = 0;
+}
+
+static void
+note_recovery(EbStoreFeed *feed, const EbMessage *message, int64_t now_us)
+{
+    if (message->recovered_ago_us > 0 &&
+        message->recovered_ago_us <= RECOVERY_TOLD_US) {
+        feed->recovered_us = MAX(feed->recovered_us,
+                                 now_us - (int64_t)message->recovered_ago_us);
+    }
+}
+
+/* The state is confirmed as of the time of the request: the source had it, or
+ * more, when it answered. */
+static void
+handle_status(EbStoreFeed *feed, const EbMessage *message, int64_t now_us)
+{
+    if (!feed->awaiting_status || message->feed_request != feed->request) {
+        return;
+    }
+    feed->awaiting_status = false;
+    if (message->feed_state != EB_FEED_READING) {
+        handle_refusal(feed, now_us);
+        return;
+    }
+    feed->refusals = 0;
+    note_recovery(feed, message, now_us);
+    const uint64_t revisions[EB_FEED_STREAM_COUNT] = {
+        [EB_FEED_CONFIG] = message->config_revision,
+        [EB_FEED_SERVERS] = message->servers_revision};
+    bool complete = true;
+    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+        Stream *stream = &feed->streams[i];
+        if (stream->objects.revision < revisions[i]) {
+            stream->wanted_revision = revisions[i];
+            complete = false;
+        }
+    }
+    if (complete) {
+        feed->confirmed_us = feed->requested_us;
+    }
+}
+
+/* Returns the events of a message as a new reference, or NULL when it holds
+ * something else. */
+static json_t *
+parse_events(const EbMessage *message)
+{
+    if (message->text == NULL) {
+        return json_array();
+    }
+    json_t *events = json_loadb(message->text, message->text_bytes,
+                                JSON_REJECT_DUPLICATES, NULL);
+    bool valid = json_is_array(events);
+    for (size_t i = 0; valid && i < json_array_size(events); i++) {
+        valid =
+            json_is_string(json_object_get(json_array_get(events, i), "name"));
+    }
+    if (!valid) {
+        json_decref(events);
+        return NULL;
+    }
+    return events;
+}
+
+static void
+handle_changes(EbStoreFeed *feed, const char *peer, const EbMessage *message,
+               int64_t now_us)
+{
+    EbFeedStream index = (EbFeedStream)message->feed_stream;
+    Stream *stream = &feed->streams[index];
+    json_t *events = parse_events(message);
+    if (events == NULL) {
+        EB_EMIT(&feed->events, EB_EVENT_FEED_INVALID,
+                EB_STRING_FIELD("peer", peer),
+                EB_STRING_FIELD("kind", stream_names[index]));
+        stream->wanted_revision =
+            MAX(stream->wanted_revision, message->revision);
+        return;
+    }
+    note_recovery(feed, message, now_us);
+    EbObjectChanges changes = {.base_revision = message->base_revision,
+                               .revision = message->revision,
+                               .exact_base = message->exact_base,
+                               .events = events};
+    publish(feed, index,
+            EbObjectStream_ApplyChanges(&stream->objects, &changes, now_us),
+            now_us);
+    json_decref(events);
+}
+
+void
+EbStoreFeed_Receive(EbStoreFeed *feed, const char *peer,
+                    const EbMessage *message, int64_t now_us)
+{
+    switch (message->kind) {
+    case EB_MESSAGE_FEED_REQUEST:
+        answer_request(feed, peer, message, now_us);
+        break;
+    case EB_MESSAGE_FEED_CHANGES:
+        handle_changes(feed, peer, message, now_us);
+        break;
+    case EB_MESSAGE_FEED_STATUS:
+        handle_status(feed, message, now_us);
+        break;
+    default:
+        break;
+    }
+}
+
+/* Whether to read the store */
+
+static int64_t
+confirmed_until(const EbStoreFeed *feed)
+{
+    int64_t own_us = INT64_MAX;
+    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+        own_us = MIN(own_us, feed->streams[i].read_us);
+    }
+    int64_t confirmed_us = MAX(own_us, feed->confirmed_us);
+    return confirmed_us == INT64_MIN ? INT64_MIN
+                                     : confirmed_us + EB_FEED_CONFIRMED_US;
+}
+
+/* Returns why a stream is to be read from the store, or NULL. */
+static const char *
+read_cause(const EbStoreFeed *feed, const Stream *stream, int64_t now_us)
+{
+    if (!stream->objects.listed) {
+        return "start";
+    }
+    if (feed->is_source) {
+        return now_us >= stream->listed_us + SOURCE_START_US ? "source" : NULL;
+    }
+    if (now_us < stream->pause_until_us) {
+        return NULL;
+    }
+    if (stream->objects.revision < stream->wanted_revision) {
+        return "behind";
+    }
+    return now_us >= confirmed_until(feed) ? "unconfirmed" : NULL;
+}
+
+static void
+decide_reads(EbStoreFeed *feed, int64_t now_us)
+{
+    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+        Stream *stream = &feed->streams[i];
+        const char *cause = read_cause(feed, stream, now_us);
+        if ((cause != NULL) == stream->must_read) {
+            continue;
+        }
+        stream->must_read = cause != NULL;
+        stream->readable = false;
+        EB_EMIT(&feed->events, EB_EVENT_STORE_READS,
+                EB_STRING_FIELD("kind", stream_names[i]),
+                EB_STRING_FIELD("cause", cause != NULL ? cause : "confirmed"),
+                EB_INTEGER_FIELD("revision", stream->objects.revision));
+    }
+}
+
+void
+EbStoreFeed_Tick(EbStoreFeed *feed, int64_t now_us)
+{
+    if (!feed->is_source && feed->sources->len > 0 && all_listed(feed) &&
+        now_us >= feed->next_request_us) {
+        if (feed->awaiting_status) {
+            ask_next_source(feed);
+        }
+        send_request(feed, now_us);
+    }
+    decide_reads(feed, now_us);
+}
+
+int64_t
+EbStoreFeed_NextTimer(const EbStoreFeed *feed)
+{
+    int64_t next_us = INT64_MAX;
+    if (!all_listed(feed)) {
+        return next_us;
+    }
+    if (!feed->is_source && feed->sources->len > 0) {
+        next_us = feed->next_request_us;
+    }
+    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+        const Stream *stream = &feed->streams[i];
+        if (stream->must_read) {
+            continue;
+        }
+        int64_t due_us = feed->is_source ? stream->listed_us + SOURCE_START_US
+                                         : MAX(confirmed_until(feed),
+                                               stream->pause_until_us);
+        next_us = MIN(next_us, due_us);
+    }
+    return next_us;
+}
+
+bool
+EbStoreFeed_MustRead(const EbStoreFeed *feed, EbFeedStream stream)
+{
+    return feed->streams[stream].must_read;
+}
+
+uint64_t
+EbStoreFeed_Revision(const EbStoreFeed *feed, EbFeedStream stream)
+{
+    const EbObjectStream *objects = &feed->streams[stream].objects;
+    return objects->listed ? objects->revision : 0;
+}
--- a/src/libebonyhollow/membership/membership_topology.c
+++ b/src/libebonyhollow/membership/membership_topology.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include <glib.h>
+#include <xxhash.h>
 
 #include "membership_private.h"
 
@@ -140,3 +141,98 @@
     }
     return before < EB_WATCHERS_PER_FAILURE_DOMAIN;
 }
+
+static int
+compare_domains(gconstpointer left, gconstpointer right)
+{
+    const EbMember *first = *(const EbMember *const *)left;
+    const EbMember *second = *(const EbMember *const *)right;
+    int order = strcmp(first->failure_domain, second->failure_domain);
+    return order != 0 ? order : compare_ring(left, right);
+}
+
+/* Collects the first EB_WATCHERS_PER_FAILURE_DOMAIN live daemons of each
+ * failure domain. */
+static GPtrArray *
+collect_watchers(const EbMembership *membership)
+{
+    GPtrArray *live = g_ptr_array_new();
+    for (guint i = 0; i < membership->members->len; i++) {
+        EbMember *member = membership->members->pdata[i];
+        if (member->visible < EB_MEMBER_LEAVING) {
+            g_ptr_array_add(live, member);
+        }
+    }
+    g_ptr_array_sort(live, compare_domains);
+    GPtrArray *watchers = g_ptr_array_new();
+    const char *domain = "";
+    uint32_t of_domain = 0;
+    for (guint i = 0; i < live->len; i++) {
+        EbMember *member = live->pdata[i];
+        bool same = i > 0 && strcmp(member->failure_domain, domain) == 0;
+        domain = member->failure_domain;
+        of_domain = same ? of_domain + 1 : 0;
+        if (of_domain < EB_WATCHERS_PER_FAILURE_DOMAIN) {
+            g_ptr_array_add(watchers, member);
+        }
+    }
+    g_ptr_array_free(live, TRUE);
+    return watchers;
+}
+
+typedef struct {
+    const char *name;
+    bool other_domain;
+    uint64_t rank; /* differs between the daemons that ask */
+} Watcher;
+
+static int
+compare_watchers(gconstpointer left, gconstpointer right)
+{
+    const Watcher *first = left;
+    const Watcher *second = right;
+    if (first->other_domain != second->other_domain) {
+        return first->other_domain ? 1 : -1;
+    }
+    return first->rank < second->rank ? -1 : first->rank > second->rank;
+}
+
+static Watcher
+describe_watcher(const EbMember *self, const EbMember *member)
+{
+    char *pair = g_strdup_printf("%s/%s", self->name, member->name);
+    Watcher watcher = {
+        .name = member->name,
+        .other_domain =
+            strcmp(member->failure_domain, self->failure_domain) != 0,
+        .rank = XXH3_64bits(pair, strlen(pair)),
+    };
+    g_free(pair);
+    return watcher;
+}
+
+size_t
+EbMembership_ListWatchers(const EbMembership *membership, const char **names,
+                          size_t max)
+{
+    if (membership->ring_count <= EB_MEMBERSHIP_MESH_MAX) {
+        return 0;
+    }
+    GPtrArray *members = collect_watchers(membership);
+    GArray *watchers = g_array_new(FALSE, FALSE, sizeof(Watcher));
+    for (guint i = 0; i < members->len; i++) {
+        if (members->pdata[i] != membership->self) {
+            Watcher watcher =
+                describe_watcher(membership->self, members->pdata[i]);
+            g_array_append_val(watchers, watcher);
+        }
+    }
+    g_array_sort(watchers, compare_watchers);
+    size_t count = MIN(max, watchers->len);
+    for (size_t i = 0; i < count; i++) {
+        names[i] = g_array_index(watchers, Watcher, i).name;
+    }
+    g_array_free(watchers, TRUE);
+    g_ptr_array_free(members, TRUE);
+    return count;
+}
--- a/src/libebonyhollow/membership/message.c
+++ b/src/libebonyhollow/membership/message.c
@@ -15,6 +15,8 @@
 #define CONFIGS (BIT(CONFIG_REQUEST) | BIT(CONFIG_BODY))
 #define SHARES (BIT(USAGE) | BIT(GRANT))
 #define PREPARATIONS (BIT(PREPARE) | BIT(PREPARED) | BIT(END_PREPARATION))
+#define FEED_POSITIONS (BIT(FEED_REQUEST) | BIT(FEED_STATUS))
+#define FEED_RESPONSES (BIT(FEED_CHANGES) | BIT(FEED_STATUS))
 #define FIELD(key, type, member, kinds, required, limit)                      \
     {                                                                         \
         key, EB_MESSAGE_FIELD_##type, offsetof(EbMessage, member), kinds,     \
@@ -35,6 +37,9 @@
     [EB_MESSAGE_PREPARE] = "prepare",
     [EB_MESSAGE_PREPARED] = "prepared",
     [EB_MESSAGE_END_PREPARATION] = "end-preparation",
+    [EB_MESSAGE_FEED_REQUEST] = "feed-request",
+    [EB_MESSAGE_FEED_CHANGES] = "feed-changes",
+    [EB_MESSAGE_FEED_STATUS] = "feed-status",
 };
 
 const char *const EbMemberState_names[EB_MEMBER_STATE_COUNT] = {
@@ -51,7 +56,8 @@
     FIELD(5, UINT64, generation, BIT(HEARTBEAT) | CONFIGS, 0, 0),
     FIELD(6, UINT64, digest, BIT(HEARTBEAT), 0, 0),
     FIELD(7, MEMBERS, members, BIT(MEMBERS), 0, 0),
-    FIELD(8, TEXT, text, BIT(CONFIG_BODY) | BIT(OUTCOME_REPLY),
+    FIELD(8, TEXT, text,
+          BIT(CONFIG_BODY) | BIT(OUTCOME_REPLY) | BIT(FEED_CHANGES),
           BIT(CONFIG_BODY), 0),
     FIELD(9, UINT64, query, OUTCOMES, 0, 0),
     FIELD(10, NAME, customer, OUTCOMES, BIT(OUTCOME_QUERY), 0),
@@ -78,6 +84,15 @@
     FIELD(31, NAME, failure_domain, BIT(PREPARE), 0, 0),
     FIELD(32, UINT32, priority, BIT(PREPARE), 0, UINT8_MAX + 1),
     FIELD(29, HANDLES, handles, BIT(PREPARE) | BIT(PREPARED), 0, 0),
+    FIELD(33, UINT64, feed_request, FEED_POSITIONS, FEED_POSITIONS, 0),
+    FIELD(34, UINT64, config_revision, FEED_POSITIONS, 0, 0),
+    FIELD(35, UINT64, servers_revision, FEED_POSITIONS, 0, 0),
+    FIELD(36, UINT32, feed_state, BIT(FEED_STATUS), 0, EB_FEED_STATE_COUNT),
+    FIELD(37, UINT32, feed_stream, BIT(FEED_CHANGES), 0, EB_FEED_STREAM_COUNT),
+    FIELD(38, UINT64, base_revision, BIT(FEED_CHANGES), 0, 0),
+    FIELD(39, UINT64, revision, BIT(FEED_CHANGES), BIT(FEED_CHANGES), 0),
+    FIELD(40, UINT64, recovered_ago_us, FEED_RESPONSES, 0, 0),
+    FIELD(41, BOOL, exact_base, BIT(FEED_CHANGES), 0, 0),
 };
 
 const size_t EbMessage_field_count =
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -14,6 +14,10 @@
  * call, so the time-out is long. TCP keepalive detects a lost connection
  * earlier. */
 #define WATCH_TIMEOUT_US 25000000
+/* The same where changes are passed from daemon to daemon, so that few daemons
+ * poll. A connection that stays open but transmits nothing is detected when a
+ * poll is overdue. */
+#define FEED_WATCH_TIMEOUT_US 3000000
 /* Delay of the next long poll after changes, so that changes in quick
  * succession cost one poll. It is far shorter than the time within which a
  * change must be in force. */
@@ -259,7 +263,8 @@
         .port = settings->platform.port,
         .protocol = daemon->adapter != NULL ? daemon->adapter->store : NULL,
         .token = settings->platform_token,
-        .watch_timeout_us = WATCH_TIMEOUT_US,
+        .watch_timeout_us =
+            daemon->adapter != NULL ? FEED_WATCH_TIMEOUT_US : WATCH_TIMEOUT_US,
         .batch_delay_us = WATCH_BATCH_DELAY_US,
         .random = &daemon->random,
         .metrics = daemon->metrics,
@@ -267,6 +272,7 @@
         .reply = EbDaemon_OnStoreReply,
         .listed = EbDaemon_OnObjectsListed,
         .changed = EbDaemon_OnObjectsChanged,
+        .failed = EbDaemon_OnReadFailed,
         .context = daemon});
 }
 
--- a/src/libebonyhollow_net/daemon_discovery.c
+++ b/src/libebonyhollow_net/daemon_discovery.c
@@ -1,5 +1,6 @@
-/* Discovery for a platform with an adapter: watches the configuration and the
- * backend servers in the platform's store and puts them into force together.
+/* Discovery for a platform with an adapter: learns the configuration and the
+ * backend servers from the platform's store or from other daemons, and puts
+ * them into force together.
  */
 #include <string.h>
 
@@ -12,6 +13,10 @@
 /* The list of daemons is only needed by a daemon that knows no other one; the
  * others learn of each other through their links. */
 #define DAEMONS_LIST_INTERVAL_US 30000000
+/* Membership changes come in series. The sources are chosen anew at most this
+ * often. */
+#define SOURCES_INTERVAL_US 250000
+#define SOURCES_MAX 64
 
 typedef struct {
     EbServerRegistration registration;
@@ -26,9 +31,41 @@
     g_free(server);
 }
 
+static const char *
+stream_kind(const EbDaemon *daemon, EbFeedStream stream)
+{
+    return stream == EB_FEED_CONFIG ? daemon->adapter->config_kind
+                                    : daemon->adapter->servers_kind;
+}
+
+static EbFeedStream
+kind_stream(const EbDaemon *daemon, const char *kind)
+{
+    return strcmp(kind, daemon->adapter->config_kind) == 0 ? EB_FEED_CONFIG
+                                                           : EB_FEED_SERVERS;
+}
+
+static bool
+send_feed_message(void *context, const char *instance,
+                  const EbMessage *message, int64_t now_us)
+{
+    EbDaemon *daemon = context;
+    EbDaemon_ScheduleActions(daemon);
+    return EbMembership_Send(daemon->membership, instance, message, now_us);
+}
+
+static void on_feed_changed(void *context, EbFeedStream stream,
+                            const json_t *events, int64_t now_us);
+
 void
-EbDiscovery_Init(EbDiscovery *discovery)
+EbDiscovery_Init(EbDaemon *daemon)
 {
+    EbDiscovery *discovery = &daemon->discovery;
+    discovery->feed =
+        EbStoreFeed_New(&(EbStoreFeedOptions){.events = daemon->events,
+                                              .send = send_feed_message,
+                                              .changed = on_feed_changed,
+                                              .context = daemon});
     discovery->servers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                                free_listed_server);
     discovery->removal_due_us = INT64_MAX;
@@ -38,6 +75,7 @@
 void
 EbDiscovery_Clear(EbDiscovery *discovery)
 {
+    EbStoreFeed_Free(discovery->feed);
     if (discovery->servers != NULL) {
         g_hash_table_destroy(discovery->servers);
     }
@@ -166,10 +204,11 @@
     if (server == NULL) {
         return;
     }
-    if (now_us < discovery->store_recovered_us + REREGISTRATION_GRACE_US &&
+    int64_t recovered_us = EbStoreFeed_RecoveredAt(discovery->feed);
+    if (recovered_us != INT64_MIN &&
+        now_us < recovered_us + REREGISTRATION_GRACE_US &&
         !server->registration.leaving) {
-        server->removal_us =
-            discovery->store_recovered_us + REREGISTRATION_GRACE_US;
+        server->removal_us = recovered_us + REREGISTRATION_GRACE_US;
         discovery->removal_due_us =
             MIN(discovery->removal_due_us, server->removal_us);
         report_server(daemon, &server->registration, "lapsed");
@@ -192,28 +231,6 @@
     }
 }
 
-/* Removes the servers that are missing from a complete list. */
-static void
-remove_unlisted(EbDaemon *daemon, const json_t *items, int64_t now_us)
-{
-    GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
-    size_t index;
-    const json_t *item;
-    json_array_foreach(items, index, item)
-    {
-        g_hash_table_add(listed, (gpointer)json_string_value(
-                                     json_object_get(item, "name")));
-    }
-    GList *names = g_hash_table_get_keys(daemon->discovery.servers);
-    for (GList *name = names; name != NULL; name = name->next) {
-        if (!g_hash_table_contains(listed, name->data)) {
-            remove_server(daemon, name->data, now_us);
-        }
-    }
-    g_list_free(names);
-    g_hash_table_destroy(listed);
-}
-
 /* Registration and listing of daemons */
 
 static void
@@ -290,106 +307,179 @@
     }
 }
 
-/* Watches */
+/* Watches and the feed */
+
+static void
+start_read(EbDaemon *daemon, EbFeedStream stream)
+{
+    const char *kind = stream_kind(daemon, stream);
+    uint64_t revision = EbStoreFeed_Revision(daemon->discovery.feed, stream);
+    if (revision > 0) {
+        EbPlatformClient_WatchFrom(daemon->platform_client, kind, revision);
+    }
+    else {
+        EbPlatformClient_Watch(daemon->platform_client, kind);
+    }
+}
+
+/* Starts and stops watches as the feed decided. */
+static void
+follow_feed(EbDaemon *daemon)
+{
+    EbDiscovery *discovery = &daemon->discovery;
+    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+        EbFeedStream stream = (EbFeedStream)i;
+        bool read = EbStoreFeed_MustRead(discovery->feed, stream);
+        if (read == discovery->reading[i]) {
+            continue;
+        }
+        discovery->reading[i] = read;
+        if (read) {
+            start_read(daemon, stream);
+        }
+        else {
+            EbPlatformClient_Unwatch(daemon->platform_client,
+                                     stream_kind(daemon, stream));
+        }
+    }
+}
 
 void
 EbDiscovery_Watch(EbDaemon *daemon)
 {
-    const EbPlatformAdapter *adapter = daemon->adapter;
-    EbPlatformClient_Watch(daemon->platform_client, adapter->config_kind);
-    EbPlatformClient_Watch(daemon->platform_client, adapter->servers_kind);
+    follow_feed(daemon);
     EbPlatformClient_ListPeriodically(daemon->platform_client,
-                                      adapter->daemons_kind,
+                                      daemon->adapter->daemons_kind,
                                       DAEMONS_LIST_INTERVAL_US);
 }
 
-/* Records the end of an outage of the store. The platform client tells from
- * the results of its calls whether the store is up. */
+void
+EbDiscovery_MembersChanged(EbDaemon *daemon)
+{
+    daemon->discovery.sources_stale = true;
+}
+
 static void
-track_store_outages(EbDaemon *daemon, int64_t now_us)
+update_sources(EbDaemon *daemon, int64_t now_us)
 {
-    EbDiscovery *discovery = &daemon->discovery;
-    bool up = EbPlatformClient_IsUp(daemon->platform_client);
-    if (!discovery->store_was_up && up) {
-        discovery->store_recovered_us = now_us;
+    const char *names[SOURCES_MAX];
+    size_t count =
+        EbMembership_ListWatchers(daemon->membership, names, SOURCES_MAX);
+    daemon->discovery.sources_stale = false;
+    daemon->discovery.sources_due_us = now_us + SOURCES_INTERVAL_US;
+    EbStoreFeed_SetSources(daemon->discovery.feed,
+                           EbMembership_IsWatcher(daemon->membership), names,
+                           count, now_us);
+}
+
+static void
+on_feed_changed(void *context, EbFeedStream stream, const json_t *events,
+                int64_t now_us)
+{
+    EbDaemon *daemon = context;
+    size_t index;
+    const json_t *event;
+    json_array_foreach(events, index, event)
+    {
+        if (stream == EB_FEED_CONFIG) {
+            handle_config_object(daemon, event);
+        }
+        else {
+            handle_server_object(daemon, event, now_us);
+        }
     }
-    discovery->store_was_up = up;
 }
 
 void
-EbDiscovery_HandleList(EbDaemon *daemon, const char *kind, json_t *items)
+EbDiscovery_HandleList(EbDaemon *daemon, const char *kind, uint64_t revision,
+                       json_t *items)
 {
     EbDiscovery *discovery = &daemon->discovery;
     int64_t now_us = EbClock_Monotonic();
-    size_t index;
-    const json_t *item;
-    track_store_outages(daemon, now_us);
     if (strcmp(kind, daemon->adapter->daemons_kind) == 0) {
         handle_daemons_list(daemon, items, now_us);
     }
-    else if (strcmp(kind, daemon->adapter->config_kind) == 0) {
-        json_array_foreach(items, index, item)
-        {
-            handle_config_object(daemon, item);
-        }
-    }
     else {
-        json_array_foreach(items, index, item)
-        {
-            handle_server_object(daemon, item, now_us);
+        EbFeedStream stream = kind_stream(daemon, kind);
+        EbStoreFeed_HandleList(discovery->feed, stream, revision, items,
+                               now_us);
+        if (stream == EB_FEED_SERVERS && !discovery->servers_listed) {
+            discovery->servers_listed = true;
+            discovery->needs_apply = true;
         }
-        remove_unlisted(daemon, items, now_us);
-        discovery->needs_apply = true;
-        discovery->servers_listed = true;
     }
     EbDaemon_ScheduleActions(daemon);
 }
 
 void
-EbDiscovery_HandleChanges(EbDaemon *daemon, const char *kind, json_t *events)
+EbDiscovery_HandleChanges(EbDaemon *daemon, const char *kind,
+                          uint64_t base_revision, uint64_t revision,
+                          json_t *events)
 {
     int64_t now_us = EbClock_Monotonic();
-    size_t index;
-    const json_t *event;
-    track_store_outages(daemon, now_us);
-    bool config = strcmp(kind, daemon->adapter->config_kind) == 0;
-    json_array_foreach(events, index, event)
-    {
-        if (config) {
-            handle_config_object(daemon, event);
+    EbStoreFeed_HandleChanges(daemon->discovery.feed,
+                              kind_stream(daemon, kind), base_revision,
+                              revision, events, now_us);
+    EbDaemon_ScheduleActions(daemon);
+}
+
+void
+EbDiscovery_HandleFailure(EbDaemon *daemon, const char *kind)
+{
+    if (strcmp(kind, daemon->adapter->daemons_kind) != 0) {
+        EbStoreFeed_HandleFailure(daemon->discovery.feed,
+                                  kind_stream(daemon, kind),
+                                  EbClock_Monotonic());
+        EbDaemon_ScheduleActions(daemon);
+    }
+}
+
+void
+EbDiscovery_HandleMessage(EbDaemon *daemon, const char *peer,
+                          const EbMessage *message, int64_t now_us)
+{
+    if (daemon->adapter != NULL) {
+        EbStoreFeed_Receive(daemon->discovery.feed, peer, message, now_us);
+    }
+}
+
+/* Removes the servers whose removal is due. */
+static void
+remove_due_servers(EbDaemon *daemon, int64_t now_us)
+{
+    EbDiscovery *discovery = &daemon->discovery;
+    GHashTableIter iter;
+    gpointer value;
+    discovery->removal_due_us = INT64_MAX;
+    g_hash_table_iter_init(&iter, discovery->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const ListedServer *server = value;
+        if (server->removal_us <= now_us) {
+            report_server(daemon, &server->registration, "gone");
+            g_hash_table_iter_remove(&iter);
+            discovery->needs_apply = true;
         }
         else {
-            handle_server_object(daemon, event, now_us);
+            discovery->removal_due_us =
+                MIN(discovery->removal_due_us, server->removal_us);
         }
     }
-    EbDaemon_ScheduleActions(daemon);
 }
 
 void
 EbDiscovery_ApplyChanges(EbDaemon *daemon, int64_t now_us)
 {
     EbDiscovery *discovery = &daemon->discovery;
-    track_store_outages(daemon, now_us);
+    if (discovery->sources_stale && now_us >= discovery->sources_due_us) {
+        update_sources(daemon, now_us);
+    }
+    EbStoreFeed_Tick(discovery->feed, now_us);
+    follow_feed(daemon);
     if (now_us >= discovery->next_registration_us) {
         register_daemon(daemon);
     }
     if (now_us >= discovery->removal_due_us) {
-        discovery->removal_due_us = INT64_MAX;
-        GHashTableIter iter;
-        gpointer value;
-        g_hash_table_iter_init(&iter, discovery->servers);
-        while (g_hash_table_iter_next(&iter, NULL, &value)) {
-            const ListedServer *server = value;
-            if (server->removal_us <= now_us) {
-                report_server(daemon, &server->registration, "gone");
-                g_hash_table_iter_remove(&iter);
-                discovery->needs_apply = true;
-            }
-            else {
-                discovery->removal_due_us =
-                    MIN(discovery->removal_due_us, server->removal_us);
-            }
-        }
+        remove_due_servers(daemon, now_us);
     }
     if (discovery->needs_apply) {
         apply_config(daemon, now_us);
@@ -399,6 +489,11 @@
 int64_t
 EbDiscovery_NextTimer(const EbDaemon *daemon)
 {
-    return MIN(daemon->discovery.removal_due_us,
-               daemon->discovery.next_registration_us);
+    const EbDiscovery *discovery = &daemon->discovery;
+    int64_t next_us =
+        MIN(discovery->removal_due_us, discovery->next_registration_us);
+    if (discovery->sources_stale) {
+        next_us = MIN(next_us, discovery->sources_due_us);
+    }
+    return MIN(next_us, EbStoreFeed_NextTimer(discovery->feed));
 }
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -82,7 +82,7 @@
 bool
 EbDaemon_CreateForward(EbDaemon *daemon, EbError *error)
 {
-    EbDiscovery_Init(&daemon->discovery);
+    EbDiscovery_Init(daemon);
     daemon->preparations = EbPreparationTable_New();
     daemon->excluded_homes =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/src/libebonyhollow_net/daemon_peer.c
+++ b/src/libebonyhollow_net/daemon_peer.c
@@ -370,6 +370,11 @@
     case EB_MESSAGE_END_PREPARATION:
         handle_preparation(daemon, peer, message, now_us);
         break;
+    case EB_MESSAGE_FEED_REQUEST:
+    case EB_MESSAGE_FEED_CHANGES:
+    case EB_MESSAGE_FEED_STATUS:
+        EbDiscovery_HandleMessage(daemon, peer, message, now_us);
+        break;
     case EB_MESSAGE_HEARTBEAT: /* the membership handles these two itself */
     case EB_MESSAGE_MEMBERS:
     case EB_MESSAGE_KIND_COUNT:
@@ -404,6 +409,9 @@
             EbDaemon_PeerUnreachable(daemon, view.instance, now_us);
         }
     }
+    if (daemon->adapter != NULL) {
+        EbDiscovery_MembersChanged(daemon);
+    }
     daemon->next_watch_check_us = daemon->adapter != NULL ? INT64_MAX : now_us;
     EbDaemon_ScheduleActions(daemon);
 }
--- a/src/libebonyhollow_net/daemon_platform.c
+++ b/src/libebonyhollow_net/daemon_platform.c
@@ -163,11 +163,12 @@
 }
 
 void
-EbDaemon_OnObjectsListed(void *context, const char *kind, json_t *items)
+EbDaemon_OnObjectsListed(void *context, const char *kind, uint64_t revision,
+                         json_t *items)
 {
     EbDaemon *daemon = context;
     if (daemon->adapter != NULL) {
-        EbDiscovery_HandleList(daemon, kind, items);
+        EbDiscovery_HandleList(daemon, kind, revision, items);
         return;
     }
     if (strcmp(kind, EB_INSTANCES_KIND) == 0) {
@@ -192,7 +193,8 @@
 {
     daemon->listings[kind].running = false;
     if (reply->status == EB_STORE_OK) {
-        EbDaemon_OnObjectsListed(daemon, listed_kinds[kind], reply->value);
+        EbDaemon_OnObjectsListed(daemon, listed_kinds[kind], reply->version,
+                                 reply->value);
     }
 }
 
@@ -256,11 +258,17 @@
 }
 
 void
-EbDaemon_OnObjectsChanged(void *context, const char *kind, json_t *events)
+EbDaemon_OnObjectsChanged(void *context, const char *kind,
+                          uint64_t base_revision, uint64_t revision,
+                          json_t *events)
 {
     EbDaemon *daemon = context;
     if (daemon->adapter != NULL) {
-        EbDiscovery_HandleChanges(daemon, kind, events);
+        EbDiscovery_HandleChanges(daemon, kind, base_revision, revision,
+                                  events);
+        return;
+    }
+    if (json_array_size(events) == 0) {
         return;
     }
     if (strcmp(kind, EB_CONFIG_OBJECT_KIND) == 0) {
@@ -272,6 +280,15 @@
     }
 }
 
+void
+EbDaemon_OnReadFailed(void *context, const char *kind)
+{
+    EbDaemon *daemon = context;
+    if (daemon->adapter != NULL) {
+        EbDiscovery_HandleFailure(daemon, kind);
+    }
+}
+
 void
 EbDaemon_CheckWatches(EbDaemon *daemon, int64_t now_us)
 {
--- a/src/libebonyhollow_net/platform_watch.c
+++ b/src/libebonyhollow_net/platform_watch.c
@@ -15,6 +15,8 @@
 #define RELIST_MIN_POLL_US 200000
 #define BACKOFF_FIRST_US 100000
 #define BACKOFF_MAX_US 800000
+/* Time-out of the first poll that continues from a known revision. */
+#define FIRST_POLL_US 20000
 /* A listing is expected to return at once; otherwise it is retried on another
  * connection. */
 #define LIST_TIMEOUT_US 1000000
@@ -26,6 +28,7 @@
     struct event *timer; /* next request */
     bool listed;         /* the listing is complete, `revision` is valid */
     bool polling;
+    bool confirming; /* the next poll is the first one from a known revision */
     int64_t poll_started_us;
     uint64_t revision;
     uint32_t consecutive_failures;
@@ -109,7 +112,7 @@
         watch->listed = true;
         if (client->options.listed != NULL) {
             client->options.listed(client->options.context, watch->kind,
-                                   watch->items);
+                                   watch->revision, watch->items);
         }
         reset_listing(watch);
     }
@@ -126,11 +129,14 @@
         return false;
     }
     json_t *events = json_object_get(changes, "events");
+    uint64_t base_revision = watch->revision;
     watch->revision =
         (uint64_t)json_integer_value(json_object_get(changes, "revision"));
+    watch->confirming = false;
     *found_changes = json_array_size(events) > 0;
-    if (client->options.changed != NULL && *found_changes) {
-        client->options.changed(client->options.context, watch->kind, events);
+    if (client->options.changed != NULL) {
+        client->options.changed(client->options.context, watch->kind,
+                                base_revision, watch->revision, events);
     }
     json_decref(changes);
     return true;
@@ -197,6 +203,9 @@
         relist_others(watch);
     }
     else {
+        if (client->options.failed != NULL) {
+            client->options.failed(client->options.context, watch->kind);
+        }
         /* Status 429 comes from the rate limit, so the platform is up. */
         EbPlatformClient_RecordCall(client, operation, "unavailable",
                                     status == 429 ? NULL : "watch failed");
@@ -227,7 +236,8 @@
 send_request(Watch *watch)
 {
     EbPlatformClient *client = watch->client;
-    int64_t poll_us = client->options.watch_timeout_us;
+    int64_t poll_us =
+        watch->confirming ? FIRST_POLL_US : client->options.watch_timeout_us;
     struct timeval timeout = EbClock_Timeval(
         watch->listed ? poll_us + POLL_GRACE_US : LIST_TIMEOUT_US);
     if (watch->evcon == NULL) {
@@ -239,7 +249,8 @@
     char *path =
         watch->listed
             ? protocol->watch_path(watch->kind, watch->revision, poll_us)
-            : protocol->list_path(watch->kind, watch->after);
+            : protocol->list_path(watch->kind, watch->after,
+                                  watch->relist_interval_us > 0);
     struct evhttp_request *request =
         EbPlatformClient_NewRequest(client, on_request_done, watch);
     watch->polling = true;
@@ -260,26 +271,49 @@
     send_request(arg);
 }
 
+/* Adds a watch that starts with a listing. Returns NULL when the kind has one.
+ */
+static Watch *
+add_watch(EbPlatformClient *client, const char *kind)
+{
+    if (g_hash_table_contains(client->watches, kind)) {
+        return NULL;
+    }
+    Watch *watch = g_new0(Watch, 1);
+    watch->client = client;
+    watch->kind = g_strdup(kind);
+    watch->timer = evtimer_new(client->options.base, on_timer, watch);
+    g_hash_table_insert(client->watches, watch->kind, watch);
+    schedule(watch, 0);
+    return watch;
+}
+
 void
 EbPlatformClient_Watch(EbPlatformClient *client, const char *kind)
 {
-    EbPlatformClient_ListPeriodically(client, kind, 0);
+    add_watch(client, kind);
+}
+
+void
+EbPlatformClient_WatchFrom(EbPlatformClient *client, const char *kind,
+                           uint64_t revision)
+{
+    Watch *watch = add_watch(client, kind);
+    if (watch != NULL) {
+        watch->listed = true;
+        watch->confirming = true;
+        watch->revision = revision;
+    }
 }
 
 void
 EbPlatformClient_ListPeriodically(EbPlatformClient *client, const char *kind,
                                   int64_t interval_us)
 {
-    if (g_hash_table_contains(client->watches, kind)) {
-        return;
+    Watch *watch = add_watch(client, kind);
+    if (watch != NULL) {
+        watch->relist_interval_us = interval_us;
     }
-    Watch *watch = g_new0(Watch, 1);
-    watch->client = client;
-    watch->kind = g_strdup(kind);
-    watch->relist_interval_us = interval_us;
-    watch->timer = evtimer_new(client->options.base, on_timer, watch);
-    g_hash_table_insert(client->watches, watch->kind, watch);
-    schedule(watch, 0);
 }
 
 void
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -30,6 +30,7 @@
 #include "ebonyhollow/preparation_table.h"
 #include "ebonyhollow/quarantine.h"
 #include "ebonyhollow/random.h"
+#include "ebonyhollow/store_feed.h"
 
 #define EB_INSTANCES_KIND "instances"
 #define EB_QUARANTINE_KIND "quarantine"
@@ -62,13 +63,15 @@
 /* Configuration, backend servers and daemons as read from the store of a
  * platform with an adapter. */
 typedef struct {
+    EbStoreFeed *feed;                  /* from whom changes are learned */
+    bool reading[EB_FEED_STREAM_COUNT]; /* the stream's kind is watched */
+    bool sources_stale;                 /* the members changed */
+    int64_t sources_due_us;             /* earliest time to look at them */
     json_t *config;                /* newest configuration object, or NULL */
     GHashTable *servers;           /* object name -> ListedServer */
     bool servers_listed;           /* a complete list was read */
     bool daemons_listed;           /* a complete list was read */
     bool needs_apply;              /* there are changes not yet in force */
-    bool store_was_up;             /* at the last check */
-    int64_t store_recovered_us;    /* end of the store's last outage */
     int64_t removal_due_us;        /* next removal of a server, or INT64_MAX */
     int64_t next_registration_us;  /* next write of this daemon's entry, or
                                       INT64_MAX */
@@ -214,9 +217,12 @@
 /* The platform's objects: daemon_platform.c */
 
 /* Callbacks of the platform client's watches. */
-void EbDaemon_OnObjectsListed(void *context, const char *kind, json_t *items);
+void EbDaemon_OnObjectsListed(void *context, const char *kind,
+                              uint64_t revision, json_t *items);
 void EbDaemon_OnObjectsChanged(void *context, const char *kind,
+                               uint64_t base_revision, uint64_t revision,
                                json_t *events);
+void EbDaemon_OnReadFailed(void *context, const char *kind);
 
 /* Watches the platform's objects if the membership chose this daemon as a
  * watcher; otherwise polls them. */
@@ -240,7 +246,7 @@
 void EbDaemon_PublishQuarantine(EbDaemon *daemon, int64_t now_us);
 
 /* Discovery for a platform with an adapter: daemon_discovery.c */
-void EbDiscovery_Init(EbDiscovery *discovery);
+void EbDiscovery_Init(EbDaemon *daemon);
 void EbDiscovery_Clear(EbDiscovery *discovery);
 
 /* Starts watching the configuration and the servers, and listing the daemons
@@ -248,12 +254,24 @@
 void EbDiscovery_Watch(EbDaemon *daemon);
 
 /* Handles a complete list of the objects of a kind; `items` is borrowed. */
-void EbDiscovery_HandleList(EbDaemon *daemon, const char *kind, json_t *items);
+void EbDiscovery_HandleList(EbDaemon *daemon, const char *kind,
+                            uint64_t revision, json_t *items);
 
-/* Handles changed objects of a kind; `events` is borrowed. */
+/* Handles the response to a watch; `events` is borrowed. */
 void EbDiscovery_HandleChanges(EbDaemon *daemon, const char *kind,
+                               uint64_t base_revision, uint64_t revision,
                                json_t *events);
 
+/* Handles a failed list or watch. */
+void EbDiscovery_HandleFailure(EbDaemon *daemon, const char *kind);
+
+/* Handles a FEED_* message. */
+void EbDiscovery_HandleMessage(EbDaemon *daemon, const char *peer,
+                               const EbMessage *message, int64_t now_us);
+
+/* Must be called when the set of live daemons changed. */
+void EbDiscovery_MembersChanged(EbDaemon *daemon);
+
 /* Removes servers that are due for removal, registers this daemon when that is
  * due and puts all changes into force. */
 void EbDiscovery_ApplyChanges(EbDaemon *daemon, int64_t now_us);
--- a/src/libebonyhollow_net/store_protocol.c
+++ b/src/libebonyhollow_net/store_protocol.c
@@ -66,9 +66,10 @@
 }
 
 static char *
-build_list_path(const char *kind, const char *after)
+build_list_path(const char *kind, const char *after, bool stale)
 {
     (void)after; /* lists are not paged */
+    (void)stale;
     char *encoded = evhttp_encode_uri(kind);
     char *path = g_strdup_printf("/v1/objects/%s", encoded);
     free(encoded);
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -77,6 +77,24 @@
      .handles = sample_handles,
      .handle_count = 2},
     {.kind = EB_MESSAGE_END_PREPARATION, .job = UINT64_MAX},
+    {.kind = EB_MESSAGE_FEED_REQUEST,
+     .feed_request = 1,
+     .config_revision = 9,
+     .servers_revision = UINT64_MAX},
+    {.kind = EB_MESSAGE_FEED_CHANGES,
+     .feed_stream = EB_FEED_SERVERS,
+     .base_revision = 8,
+     .revision = 12,
+     .exact_base = true,
+     .recovered_ago_us = 5,
+     .text = "[]",
+     .text_bytes = 2},
+    {.kind = EB_MESSAGE_FEED_STATUS,
+     .feed_request = 7,
+     .config_revision = 9,
+     .servers_revision = 12,
+     .feed_state = EB_FEED_FAILING,
+     .recovered_ago_us = UINT64_MAX},
 };
 
 static void
@@ -130,6 +148,20 @@
     }
 }
 
+static void
+check_feed(const EbMessage *got, const EbMessage *sent)
+{
+    CU_ASSERT_EQUAL(got->feed_request, sent->feed_request);
+    CU_ASSERT_EQUAL(got->config_revision, sent->config_revision);
+    CU_ASSERT_EQUAL(got->servers_revision, sent->servers_revision);
+    CU_ASSERT_EQUAL(got->feed_state, sent->feed_state);
+    CU_ASSERT_EQUAL(got->feed_stream, sent->feed_stream);
+    CU_ASSERT_EQUAL(got->base_revision, sent->base_revision);
+    CU_ASSERT_EQUAL(got->revision, sent->revision);
+    CU_ASSERT_EQUAL(got->exact_base, sent->exact_base);
+    CU_ASSERT_EQUAL(got->recovered_ago_us, sent->recovered_ago_us);
+}
+
 static void
 check_string(const char *got, const char *sent)
 {
@@ -169,6 +201,7 @@
                        memcmp(got->text, sent->text, got->text_bytes) == 0);
         check_arrays(got, sent);
         check_preparation(got, sent);
+        check_feed(got, sent);
         check_string(got->request_id, sent->request_id);
         check_string(got->service, sent->service);
         check_string(got->failure_domain, sent->failure_domain);
--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -433,9 +433,22 @@
     CU_ASSERT_STRING_EQUAL(path,
                            "/ebonyhollow/objects/k?watch=9&wait_ms=2000");
     g_free(path);
-    path = EbPlatform_store_protocol.list_path("k", "n");
-    CU_ASSERT_STRING_EQUAL(path, "/ebonyhollow/objects/k?after=n");
-    g_free(path);
+    static const struct {
+        const char *after;
+        bool stale;
+        const char *path;
+    } lists[] = {
+        {NULL, false, "/ebonyhollow/objects/k"},
+        {"n", false, "/ebonyhollow/objects/k?after=n"},
+        {NULL, true, "/ebonyhollow/objects/k?serializable=1"},
+        {"n", true, "/ebonyhollow/objects/k?serializable=1&after=n"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(lists); i++) {
+        path = EbPlatform_store_protocol.list_path("k", lists[i].after,
+                                                   lists[i].stale);
+        CU_ASSERT_STRING_EQUAL(path, lists[i].path);
+        g_free(path);
+    }
 }
 
 /* Guards against losing objects of a page, and against accepting malformed
--- a/src/test_platform_client/main.c
+++ b/src/test_platform_client/main.c
@@ -23,6 +23,8 @@
     unsigned statuses[EB_STORE_STATUS_COUNT];
     unsigned listed, wanted_listed;
     unsigned changed, wanted_changed;
+    unsigned unchanged, failed;
+    uint64_t revision; /* reported last */
     unsigned events[EB_EVENT_COUNT];
     const char *response; /* raw bytes; NULL: no response */
     bool close_after;
@@ -44,19 +46,38 @@
 }
 
 static void
-on_listed(void *context, const char *kind, json_t *items)
+on_listed(void *context, const char *kind, uint64_t revision, json_t *items)
 {
+    Fixture *fixture = context;
     CU_ASSERT_STRING_EQUAL(kind, "instances");
     CU_ASSERT_TRUE(json_is_array(items));
-    ((Fixture *)context)->listed++;
+    CU_ASSERT_EQUAL(revision, 7);
+    fixture->revision = revision;
+    fixture->listed++;
 }
 
 static void
-on_changed(void *context, const char *kind, json_t *events)
+on_changed(void *context, const char *kind, uint64_t base_revision,
+           uint64_t revision, json_t *events)
 {
+    Fixture *fixture = context;
     CU_ASSERT_STRING_EQUAL(kind, "instances");
+    CU_ASSERT_EQUAL(base_revision, fixture->revision);
+    CU_ASSERT_TRUE(revision >= base_revision);
+    fixture->revision = revision;
+    if (json_array_size(events) == 0) {
+        fixture->unchanged++;
+        return;
+    }
     CU_ASSERT_EQUAL(json_array_size(events), 1);
-    ((Fixture *)context)->changed++;
+    fixture->changed++;
+}
+
+static void
+on_failed(void *context, const char *kind)
+{
+    CU_ASSERT_STRING_EQUAL(kind, "instances");
+    ((Fixture *)context)->failed++;
 }
 
 static void
@@ -106,6 +127,7 @@
                                    .reply = on_reply,
                                    .listed = on_listed,
                                    .changed = on_changed,
+                                   .failed = on_failed,
                                    .context = fixture});
 }
 
@@ -328,6 +350,8 @@
     CU_ASSERT_TRUE(Loop_Until(fixture.base, has_watched, &fixture));
     CU_ASSERT_EQUAL(fixture.listed, 4);
     CU_ASSERT_EQUAL(fixture.polls, 7);
+    CU_ASSERT_EQUAL(fixture.unchanged, 1);
+    CU_ASSERT_EQUAL(fixture.failed, 3);
     CU_ASSERT_EQUAL(fixture.events[EB_EVENT_WATCH_GAP], 1);
     EbPlatformClient_Unwatch(fixture.client, "instances");
     unsigned requests = fixture.server->requests;
@@ -336,6 +360,42 @@
     close_fixture(&fixture);
 }
 
+/* The first poll must come at once, be short and continue from the given
+ * revision, the second one must have the usual time-out. */
+static void
+respond_to_known_watch(RawPeer *peer, const char *request)
+{
+    Fixture *fixture = peer->server->context;
+    switch (++fixture->polls) {
+    case 1:
+        CU_ASSERT_PTR_NOT_NULL(strstr(request, "since=7&timeout_ms=20 "));
+        RawPeer_SendJson(peer, "{\"revision\": 7, \"events\": []}");
+        break;
+    case 2:
+        CU_ASSERT_PTR_NOT_NULL(strstr(request, "since=7&timeout_ms=200 "));
+        RawPeer_SendJson(peer, "{\"revision\": 8, \"events\": [{}]}");
+        break;
+    default:
+        break;
+    }
+}
+
+/* Guards against a listing where the objects are known, and against a watch
+ * that does not tell soon whether they changed meanwhile. */
+static void
+test_watch_from(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, respond_to_known_watch, 0);
+    fixture.revision = 7;
+    EbPlatformClient_WatchFrom(fixture.client, "instances", 7);
+    fixture.wanted_changed = 1;
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_watched, &fixture));
+    CU_ASSERT_EQUAL(fixture.listed, 0);
+    CU_ASSERT_EQUAL(fixture.unchanged, 1);
+    close_fixture(&fixture);
+}
+
 int
 main(void)
 {
@@ -344,6 +404,7 @@
         {"refused", test_refused},
         {"silent", test_silent},
         {"watch", test_watch},
+        {"watch from a known revision", test_watch_from},
     };
     return EbTest_Run("test_platform_client", cases,
                       sizeof(cases) / sizeof(cases[0]));
--- /dev/null
+++ b/src/test_store_feed/fleet.c
@@ -0,0 +1,448 @@
+#include "fleet.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#define HOP_US 10000
+#define STORE_US 10000
+#define LONG_POLL_US 3000000
+#define FIRST_POLL_US 20000
+#define RETRY_US 400000
+
+typedef struct {
+    int64_t due_us;
+    uint32_t from;
+    uint32_t to;
+    uint8_t *bytes;
+    size_t byte_count;
+} Delivery;
+
+Fleet fleet;
+
+static void
+free_delivery(gpointer data)
+{
+    Delivery *delivery = data;
+    free(delivery->bytes);
+    g_free(delivery);
+}
+
+static char *
+daemon_name(uint32_t index)
+{
+    return g_strdup_printf("i-%02u", index);
+}
+
+static bool
+runs(uint32_t index)
+{
+    return fleet.daemons[index].feed != NULL;
+}
+
+static bool
+can_talk(uint32_t left, uint32_t right)
+{
+    return runs(left) && runs(right) &&
+           fleet.daemons[left].side == fleet.daemons[right].side;
+}
+
+static bool
+send_message(void *context, const char *instance, const EbMessage *message,
+             int64_t now_us)
+{
+    uint32_t from = (uint32_t)((FleetDaemon *)context - fleet.daemons);
+    uint32_t to = (uint32_t)atoi(instance + 2);
+    if (!can_talk(from, to)) {
+        /* A link that broke is noticed half of the time. */
+        return runs(to) && EbRandom_Below(&fleet.random, 2) == 0;
+    }
+    Delivery *delivery = g_new0(Delivery, 1);
+    *delivery = (Delivery){.due_us = now_us + HOP_US, .from = from, .to = to};
+    if (!EbMessage_Encode(message, &delivery->bytes, &delivery->byte_count)) {
+        fleet.violations++;
+        g_free(delivery);
+        return false;
+    }
+    g_queue_push_tail(&fleet.messages, delivery);
+    return true;
+}
+
+static void
+on_changed(void *context, EbFeedStream stream, const json_t *events,
+           int64_t now_us)
+{
+    FleetDaemon *daemon = context;
+    (void)now_us;
+    size_t index;
+    const json_t *event;
+    json_array_foreach(events, index, event)
+    {
+        const char *name = json_string_value(json_object_get(event, "name"));
+        uint32_t object = (uint32_t)atoi(name + 2);
+        bool deleted = json_is_true(json_object_get(event, "deleted"));
+        daemon->known.values[stream][object] =
+            deleted ? 0
+                    : (uint32_t)json_integer_value(
+                          json_object_get(event, "value"));
+    }
+}
+
+static void
+set_sources(uint32_t index)
+{
+    const char *names[FLEET_MAX] = {NULL};
+    char *owned[FLEET_MAX];
+    size_t count = 0;
+    uint32_t found = 0;
+    bool is_source = false;
+    for (uint32_t i = 0; i < fleet.count && found < fleet.source_count; i++) {
+        if (!runs(i)) {
+            continue;
+        }
+        found++;
+        if (i == index) {
+            is_source = true;
+            continue;
+        }
+        owned[count] = daemon_name(i);
+        names[count] = owned[count];
+        count++;
+    }
+    EbStoreFeed_SetSources(fleet.daemons[index].feed, is_source, names, count,
+                           fleet.now_us);
+    for (size_t i = 0; i < count; i++) {
+        g_free(owned[i]);
+    }
+}
+
+static void
+set_all_sources(void)
+{
+    for (uint32_t i = 0; i < fleet.count; i++) {
+        if (runs(i)) {
+            set_sources(i);
+        }
+    }
+}
+
+void
+Fleet_StartDaemon(uint32_t index)
+{
+    FleetDaemon *daemon = &fleet.daemons[index];
+    if (daemon->feed != NULL) {
+        return;
+    }
+    int side = daemon->side;
+    bool reachable = daemon->store_reachable;
+    *daemon = (FleetDaemon){.side = side,
+                            .store_reachable = reachable,
+                            .sound_since_us = fleet.now_us};
+    daemon->feed = EbStoreFeed_New(&(EbStoreFeedOptions){
+        .send = send_message, .changed = on_changed, .context = daemon});
+    set_all_sources();
+}
+
+void
+Fleet_KillDaemon(uint32_t index)
+{
+    EbStoreFeed_Free(fleet.daemons[index].feed);
+    fleet.daemons[index].feed = NULL;
+    set_all_sources();
+}
+
+void
+Fleet_ReachStore(uint32_t index, bool reachable)
+{
+    fleet.daemons[index].store_reachable = reachable;
+    fleet.daemons[index].sound_since_us = fleet.now_us;
+}
+
+void
+Fleet_SetStoreUp(bool up)
+{
+    fleet.store_up = up;
+    fleet.store_up_since_us = fleet.now_us;
+}
+
+void
+Fleet_Move(uint32_t index, int side)
+{
+    fleet.daemons[index].side = side;
+}
+
+void
+Fleet_Write(EbFeedStream stream, uint32_t object, uint32_t value)
+{
+    if (fleet.revision + 1 >= FLEET_REVISIONS_MAX) {
+        return;
+    }
+    fleet.revision++;
+    fleet.states[fleet.revision] = fleet.states[fleet.revision - 1];
+    fleet.states[fleet.revision].values[stream][object] = value;
+    fleet.changed_us[fleet.revision] = fleet.now_us;
+}
+
+void
+Fleet_Compact(void)
+{
+    fleet.oldest_revision = fleet.revision;
+}
+
+static void
+add_object(json_t *array, uint32_t object, uint32_t value, bool event)
+{
+    char name[16];
+    snprintf(name, sizeof(name), "o-%02u", object);
+    json_t *item = json_pack("{s:s, s:i}", "name", name, "value", (int)value);
+    if (event) {
+        json_object_set_new(item, "deleted", json_boolean(value == 0));
+    }
+    json_array_append_new(array, item);
+}
+
+static json_t *
+list_objects(EbFeedStream stream)
+{
+    json_t *items = json_array();
+    for (uint32_t i = 0; i < FLEET_OBJECTS; i++) {
+        uint32_t value = fleet.states[fleet.revision].values[stream][i];
+        if (value != 0) {
+            add_object(items, i, value, false);
+        }
+    }
+    return items;
+}
+
+static json_t *
+list_events(EbFeedStream stream, uint64_t base)
+{
+    json_t *events = json_array();
+    for (uint64_t revision = base + 1; revision <= fleet.revision;
+         revision++) {
+        for (uint32_t i = 0; i < FLEET_OBJECTS; i++) {
+            uint32_t before = fleet.states[revision - 1].values[stream][i];
+            uint32_t after = fleet.states[revision].values[stream][i];
+            if (before != after) {
+                add_object(events, i, after, true);
+            }
+        }
+    }
+    return events;
+}
+
+/* Starts the read that a daemon's feed asks for. */
+static void
+start_read(FleetDaemon *daemon, EbFeedStream stream, int64_t poll_us)
+{
+    uint64_t revision = EbStoreFeed_Revision(daemon->feed, stream);
+    fleet.reads++;
+    daemon->reads[stream].active = true;
+    daemon->reads[stream].poll = revision > 0;
+    daemon->reads[stream].base = revision;
+    daemon->reads[stream].sent_us = fleet.now_us;
+    daemon->reads[stream].due_us =
+        fleet.now_us + (revision > 0 ? poll_us : STORE_US);
+}
+
+static void
+finish_read(FleetDaemon *daemon, EbFeedStream stream)
+{
+    uint64_t base = daemon->reads[stream].base;
+    daemon->reads[stream].active = false;
+    if (!daemon->reads[stream].poll || base < fleet.oldest_revision) {
+        json_t *items = list_objects(stream);
+        EbStoreFeed_HandleList(daemon->feed, stream, fleet.revision, items,
+                               fleet.now_us);
+        json_decref(items);
+    }
+    else {
+        json_t *events = list_events(stream, base);
+        EbStoreFeed_HandleChanges(daemon->feed, stream, base, fleet.revision,
+                                  events, fleet.now_us);
+        json_decref(events);
+    }
+}
+
+static void
+run_read(FleetDaemon *daemon, EbFeedStream stream)
+{
+    bool must = EbStoreFeed_MustRead(daemon->feed, stream);
+    if (must != daemon->watching[stream]) {
+        daemon->watching[stream] = must;
+        daemon->reads[stream].active = false;
+        if (must) {
+            start_read(daemon, stream, FIRST_POLL_US);
+        }
+        return;
+    }
+    if (!must) {
+        return;
+    }
+    if (!daemon->reads[stream].active) {
+        if (fleet.now_us >= daemon->reads[stream].due_us) {
+            start_read(daemon, stream, LONG_POLL_US);
+        }
+        return;
+    }
+    if (!fleet.store_up || !daemon->store_reachable) {
+        daemon->reads[stream].active = false;
+        daemon->reads[stream].due_us =
+            fleet.now_us + (int64_t)EbRandom_Below(&fleet.random, RETRY_US);
+        EbStoreFeed_HandleFailure(daemon->feed, stream, fleet.now_us);
+        return;
+    }
+    bool news = daemon->reads[stream].poll &&
+                fleet.now_us >= daemon->reads[stream].sent_us + STORE_US &&
+                fleet.revision > daemon->reads[stream].base;
+    if (news || fleet.now_us >= daemon->reads[stream].due_us) {
+        finish_read(daemon, stream);
+        daemon->reads[stream].due_us = fleet.now_us;
+    }
+}
+
+static void
+deliver_due(void)
+{
+    Delivery *delivery;
+    while ((delivery = g_queue_peek_head(&fleet.messages)) != NULL &&
+           delivery->due_us <= fleet.now_us) {
+        g_queue_pop_head(&fleet.messages);
+        FleetDaemon *to = &fleet.daemons[delivery->to];
+        if (can_talk(delivery->from, delivery->to)) {
+            if (to->paused_until_us > fleet.now_us) {
+                delivery->due_us = to->paused_until_us + HOP_US;
+                g_queue_push_tail(&fleet.messages, delivery);
+                continue;
+            }
+            EbMessage *message =
+                EbMessage_Decode(delivery->bytes, delivery->byte_count, NULL);
+            char *name = daemon_name(delivery->from);
+            EbStoreFeed_Receive(to->feed, name, message, fleet.now_us);
+            g_free(name);
+            EbMessage_Free(message);
+        }
+        free_delivery(delivery);
+    }
+}
+
+static void
+report(uint32_t index, EbFeedStream stream, const char *what)
+{
+    const FleetDaemon *daemon = &fleet.daemons[index];
+    fleet.violations++;
+    if (fleet.violations <= 5) {
+        printf("at %.2f s: daemon %u, stream %d, revision %u of %u: %s\n",
+               (double)fleet.now_us / 1e6, index, (int)stream,
+               (unsigned)daemon->revisions[stream], (unsigned)fleet.revision,
+               what);
+    }
+}
+
+/* Returns whether a stream changed after `revision` and no later than a time.
+ */
+static bool
+has_missed(EbFeedStream stream, uint64_t revision, int64_t until_us)
+{
+    for (uint64_t i = revision + 1; i <= fleet.revision; i++) {
+        if (fleet.changed_us[i] <= until_us &&
+            memcmp(fleet.states[i].values[stream],
+                   fleet.states[i - 1].values[stream],
+                   sizeof(fleet.states[i].values[stream])) != 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+check_daemon(uint32_t index, int64_t bound_us)
+{
+    FleetDaemon *daemon = &fleet.daemons[index];
+    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+        EbFeedStream stream = (EbFeedStream)i;
+        uint64_t revision = EbStoreFeed_Revision(daemon->feed, stream);
+        if (revision < daemon->revisions[i]) {
+            report(index, stream, "the revision decreased");
+        }
+        daemon->revisions[i] = revision;
+        if (revision > 0 &&
+            memcmp(daemon->known.values[i], fleet.states[revision].values[i],
+                   sizeof(daemon->known.values[i])) != 0) {
+            report(index, stream, "the state isn't that of the revision");
+        }
+        int64_t since_us =
+            MAX(daemon->sound_since_us, daemon->paused_until_us);
+        since_us = MAX(since_us, fleet.store_up_since_us);
+        bool sound = fleet.store_up && daemon->store_reachable &&
+                     fleet.now_us - since_us >= FLEET_CONTACT_US + bound_us;
+        if (sound && has_missed(stream, revision, fleet.now_us - bound_us)) {
+            report(index, stream, "a change came too late");
+        }
+    }
+}
+
+void
+Fleet_Run(int64_t time_us, int64_t bound_us)
+{
+    int64_t end_us = fleet.now_us + time_us;
+    while (fleet.now_us < end_us) {
+        fleet.now_us += FLEET_STEP_US;
+        deliver_due();
+        for (uint32_t i = 0; i < fleet.count; i++) {
+            FleetDaemon *daemon = &fleet.daemons[i];
+            if (daemon->feed == NULL ||
+                daemon->paused_until_us > fleet.now_us) {
+                continue;
+            }
+            EbStoreFeed_Tick(daemon->feed, fleet.now_us);
+            for (int stream = 0; stream < EB_FEED_STREAM_COUNT; stream++) {
+                run_read(daemon, (EbFeedStream)stream);
+            }
+            check_daemon(i, bound_us);
+        }
+    }
+}
+
+bool
+Fleet_IsCurrent(void)
+{
+    for (uint32_t i = 0; i < fleet.count; i++) {
+        if (runs(i) &&
+            memcmp(&fleet.daemons[i].known, &fleet.states[fleet.revision],
+                   sizeof(FleetState)) != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+Fleet_Start(uint32_t count, uint32_t sources, uint64_t seed)
+{
+    memset(&fleet, 0, sizeof(fleet));
+    fleet.count = count;
+    fleet.source_count = sources;
+    fleet.now_us = 1000000;
+    fleet.store_up = true;
+    fleet.revision = 1;
+    fleet.oldest_revision = 1;
+    EbRandom_Init(&fleet.random, seed);
+    g_queue_init(&fleet.messages);
+    for (uint32_t i = 0; i < count; i++) {
+        fleet.daemons[i].store_reachable = true;
+        Fleet_StartDaemon(i);
+    }
+}
+
+void
+Fleet_Stop(void)
+{
+    for (uint32_t i = 0; i < fleet.count; i++) {
+        EbStoreFeed_Free(fleet.daemons[i].feed);
+        fleet.daemons[i].feed = NULL;
+    }
+    g_queue_clear_full(&fleet.messages, free_delivery);
+}
--- /dev/null
+++ b/src/test_store_feed/fleet.h
@@ -0,0 +1,92 @@
+/* A store and daemons with an EbStoreFeed each, on a virtual clock, with links
+ * that delay, break and split. */
+#ifndef EB_TEST_FLEET_H
+#define EB_TEST_FLEET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ebonyhollow/random.h"
+#include "ebonyhollow/store_feed.h"
+
+#define FLEET_MAX 24
+#define FLEET_OBJECTS 12 /* names per stream */
+#define FLEET_STEP_US 10000
+/* After a fault of the store, or of a daemon or its path to the store, bounds
+ * hold again from this time on: the strictest contact_ms of a deployment. */
+#define FLEET_CONTACT_US 3000000
+/* Revisions whose state is remembered for comparison. */
+#define FLEET_REVISIONS_MAX 4096
+
+/* The value of each object as of a revision; 0: there is none. */
+typedef struct {
+    uint32_t values[EB_FEED_STREAM_COUNT][FLEET_OBJECTS];
+} FleetState;
+
+typedef struct {
+    EbStoreFeed *feed; /* NULL while the daemon is stopped */
+    FleetState known;  /* as reported by the feed */
+    uint64_t revisions[EB_FEED_STREAM_COUNT];
+    bool store_reachable;
+    int side;                /* daemons on different sides can't talk */
+    int64_t paused_until_us; /* the process doesn't run before */
+    int64_t sound_since_us;  /* runs and reaches the store since */
+    /* Read in progress of each stream. */
+    struct {
+        bool active;
+        int64_t sent_us;
+        int64_t due_us; /* of the response */
+        bool poll;
+        uint64_t base;
+    } reads[EB_FEED_STREAM_COUNT];
+    bool watching[EB_FEED_STREAM_COUNT];
+} FleetDaemon;
+
+typedef struct {
+    uint32_t count;
+    uint32_t source_count; /* the first daemons that run are sources */
+    int64_t now_us;
+    EbRandom random;
+    bool store_up;
+    int64_t store_up_since_us;
+    uint64_t revision;
+    uint64_t oldest_revision; /* a watch from an older one is a gap */
+    FleetState states[FLEET_REVISIONS_MAX];
+    int64_t changed_us[FLEET_REVISIONS_MAX]; /* when a revision was made */
+    FleetDaemon daemons[FLEET_MAX];
+    GQueue messages; /* of Delivery, in order of their time */
+    uint64_t reads;  /* calls to the store */
+    uint32_t violations;
+} Fleet;
+
+extern Fleet fleet;
+
+void Fleet_Start(uint32_t count, uint32_t sources, uint64_t seed);
+void Fleet_Stop(void);
+
+/* Starts or ends the process of a daemon. */
+void Fleet_StartDaemon(uint32_t index);
+void Fleet_KillDaemon(uint32_t index);
+
+/* Sets whether a daemon reaches the store, or all of them. */
+void Fleet_ReachStore(uint32_t index, bool reachable);
+void Fleet_SetStoreUp(bool up);
+
+/* Moves a daemon to a side of a split; messages on the way are lost. */
+void Fleet_Move(uint32_t index, int side);
+
+/* Sets, or deletes when `value` is 0, an object in the store. */
+void Fleet_Write(EbFeedStream stream, uint32_t object, uint32_t value);
+
+/* Drops the store's history. */
+void Fleet_Compact(void);
+
+/* Runs for a time. Counts a violation when a daemon's state isn't that of its
+ * revision, when its revision decreases, or when it has run and reached the
+ * store for FLEET_CONTACT_US and then lacks a change for `bound_us`. */
+void Fleet_Run(int64_t time_us, int64_t bound_us);
+
+/* Returns whether every running daemon has the store's state. */
+bool Fleet_IsCurrent(void);
+
+#endif
--- /dev/null
+++ b/src/test_store_feed/main.c
@@ -0,0 +1,446 @@
+/* Tests of EbStoreFeed: how changes of the store reach daemons that don't
+ * watch it. With --seeds FIRST COUNT the program plays random sequences of
+ * faults by hand. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "fleet.h"
+#include "test_runner.h"
+
+#define TABLE_COUNT(table) (sizeof(table) / sizeof((table)[0]))
+/* The strictest bound of a deployment within which a change must be in force.
+ */
+#define BOUND_US 2000000
+#define SECOND_US 1000000
+#define SEEDS_IN_CI 300
+
+static void
+write_some(uint32_t changes)
+{
+    for (uint32_t i = 0; i < changes; i++) {
+        Fleet_Write(
+            (EbFeedStream)EbRandom_Below(&fleet.random, EB_FEED_STREAM_COUNT),
+            (uint32_t)EbRandom_Below(&fleet.random, FLEET_OBJECTS),
+            (uint32_t)EbRandom_Below(&fleet.random, 4));
+    }
+}
+
+/* Guards against a change that costs each daemon a call to the store: 20
+ * daemons with 3 sources, one change a second for 30 s. Three sources make two
+ * calls for each change and stream; the other 17 make none after they listed
+ * both streams. */
+static void
+test_calls(void)
+{
+    Fleet_Start(20, 3, 1);
+    Fleet_Run(3 * SECOND_US, BOUND_US);
+    uint64_t before = fleet.reads;
+    for (int i = 0; i < 30; i++) {
+        write_some(1);
+        Fleet_Run(SECOND_US, BOUND_US);
+    }
+    CU_ASSERT_TRUE(Fleet_IsCurrent());
+    CU_ASSERT_EQUAL(fleet.violations, 0);
+    CU_ASSERT_TRUE(before <= 20 * 2 + 3 * 2 * 4);
+    CU_ASSERT_TRUE(fleet.reads - before <= 3 * 2 * 2 * 30);
+    Fleet_Stop();
+}
+
+typedef enum {
+    FAULT_NONE,
+    FAULT_SOURCES_KILLED,
+    FAULT_SOURCES_PAUSED,
+    FAULT_SOURCES_CUT_FROM_STORE,
+    FAULT_SOURCES_CUT_FROM_PEERS,
+    FAULT_HISTORY_LOST,
+    FAULT_STORE_DOWN
+} Fault;
+
+static void
+apply_fault(Fault fault, uint32_t sources)
+{
+    if (fault == FAULT_HISTORY_LOST) {
+        Fleet_Compact();
+    }
+    if (fault == FAULT_STORE_DOWN) {
+        Fleet_SetStoreUp(false);
+    }
+    for (uint32_t i = 0; i < sources; i++) {
+        switch (fault) {
+        case FAULT_SOURCES_KILLED:
+            Fleet_KillDaemon(i);
+            break;
+        case FAULT_SOURCES_PAUSED:
+            fleet.daemons[i].paused_until_us = fleet.now_us + 20 * SECOND_US;
+            break;
+        case FAULT_SOURCES_CUT_FROM_STORE:
+            Fleet_ReachStore(i, false);
+            break;
+        case FAULT_SOURCES_CUT_FROM_PEERS:
+            Fleet_Move(i, 1);
+            break;
+        default:
+            break;
+        }
+    }
+}
+
+/* Guards against a daemon that stays behind when the source that it asks, or
+ * all of them, die, pause, or lose the store or their peers: each change must
+ * be known within the bound at every daemon that runs and reaches the store.
+ */
+static void
+test_lost_sources(void)
+{
+    static const struct {
+        Fault fault;
+        uint32_t sources; /* that have the fault, of 6 */
+    } rows[] = {
+        {FAULT_NONE, 0},
+        {FAULT_SOURCES_KILLED, 1},
+        {FAULT_SOURCES_KILLED, 6},
+        {FAULT_SOURCES_PAUSED, 1},
+        {FAULT_SOURCES_PAUSED, 6},
+        {FAULT_SOURCES_CUT_FROM_STORE, 1},
+        {FAULT_SOURCES_CUT_FROM_STORE, 5},
+        {FAULT_SOURCES_CUT_FROM_PEERS, 1},
+        {FAULT_SOURCES_CUT_FROM_PEERS, 6},
+        {FAULT_HISTORY_LOST, 0},
+    };
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        Fleet_Start(20, 6, i + 1);
+        write_some(5);
+        Fleet_Run(4 * SECOND_US, BOUND_US);
+        apply_fault(rows[i].fault, rows[i].sources);
+        for (int change = 0; change < 40; change++) {
+            write_some(1);
+            Fleet_Run(SECOND_US / 4, BOUND_US);
+        }
+        CU_ASSERT_EQUAL(fleet.violations, 0);
+        if (fleet.violations > 0) {
+            printf("row %zu\n", i);
+        }
+        Fleet_Stop();
+    }
+}
+
+/* Guards against daemons that all call a store that is down: while it is, the
+ * 17 daemons that are no sources may make a few calls in 10 s each, and they
+ * must know of a change soon after it returned. */
+static void
+test_store_down(void)
+{
+    Fleet_Start(20, 3, 7);
+    Fleet_Run(4 * SECOND_US, BOUND_US);
+    apply_fault(FAULT_STORE_DOWN, 0);
+    Fleet_Run(SECOND_US, BOUND_US);
+    uint64_t before = fleet.reads;
+    Fleet_Run(10 * SECOND_US, BOUND_US);
+    uint64_t of_sources = 3 * 2 * 10 * SECOND_US / 200000;
+    CU_ASSERT_TRUE(fleet.reads - before <= of_sources + 17 * 2 * 6);
+    Fleet_SetStoreUp(true);
+    write_some(3);
+    Fleet_Run(FLEET_CONTACT_US, BOUND_US);
+    CU_ASSERT_TRUE(Fleet_IsCurrent());
+    CU_ASSERT_EQUAL(fleet.violations, 0);
+    Fleet_Stop();
+}
+
+static void
+random_fault(void)
+{
+    uint32_t index = (uint32_t)EbRandom_Below(&fleet.random, fleet.count);
+    switch (EbRandom_Below(&fleet.random, 10)) {
+    case 0:
+        Fleet_KillDaemon(index);
+        break;
+    case 1:
+        Fleet_StartDaemon(index);
+        break;
+    case 2:
+        Fleet_ReachStore(index, false);
+        break;
+    case 3:
+        for (uint32_t i = 0; i < fleet.count; i++) {
+            Fleet_ReachStore(i, true);
+        }
+        break;
+    case 4:
+        Fleet_Move(index, 1);
+        break;
+    case 5:
+        for (uint32_t i = 0; i < fleet.count; i++) {
+            Fleet_Move(i, 0);
+        }
+        break;
+    case 6:
+        fleet.daemons[index].paused_until_us =
+            fleet.now_us +
+            (int64_t)EbRandom_Below(&fleet.random, 6 * SECOND_US);
+        break;
+    case 7:
+        Fleet_Compact();
+        break;
+    case 8:
+        Fleet_SetStoreUp(!fleet.store_up);
+        break;
+    default:
+        for (uint32_t i = 0; i < fleet.count; i += 2) {
+            Fleet_KillDaemon(i);
+        }
+        break;
+    }
+}
+
+/* Plays 20 s of random faults and changes, then 6 s of calm. Returns the
+ * number of violations. */
+static uint32_t
+play_seed(uint64_t seed)
+{
+    Fleet_Start(18, 1 + (uint32_t)(seed % 5), seed);
+    Fleet_Run(SECOND_US, BOUND_US);
+    for (int i = 0; i < 60; i++) {
+        write_some((uint32_t)EbRandom_Below(&fleet.random, 4));
+        if (EbRandom_Below(&fleet.random, 3) == 0) {
+            random_fault();
+        }
+        Fleet_Run((int64_t)EbRandom_Below(&fleet.random, 700000), BOUND_US);
+    }
+    Fleet_SetStoreUp(true);
+    for (uint32_t i = 0; i < fleet.count; i++) {
+        Fleet_ReachStore(i, true);
+        Fleet_Move(i, 0);
+        Fleet_StartDaemon(i);
+        fleet.daemons[i].paused_until_us = fleet.now_us;
+    }
+    Fleet_Run(6 * SECOND_US, BOUND_US);
+    uint32_t violations = fleet.violations + !Fleet_IsCurrent();
+    Fleet_Stop();
+    return violations;
+}
+
+static uint32_t
+play_seeds(uint64_t first, uint64_t count)
+{
+    uint32_t violations = 0;
+    for (uint64_t seed = first; seed < first + count; seed++) {
+        uint32_t found = play_seed(seed);
+        if (found > 0) {
+            printf("seed %u: %u violations\n", (unsigned)seed, found);
+        }
+        violations += found;
+    }
+    return violations;
+}
+
+/* Guards against a removed object that returns, a state that mixes revisions
+ * and changes that come too late, over random orders of relays, losses,
+ * restarts, splits, outages and lost histories. */
+static void
+test_random_faults(void)
+{
+    CU_ASSERT_EQUAL(play_seeds(1, SEEDS_IN_CI), 0);
+}
+
+typedef struct {
+    EbMessage sent[8]; /* texts are not kept */
+    uint32_t sent_count;
+    uint32_t events;
+    uint32_t log_events[EB_EVENT_COUNT];
+} Recorder;
+
+static bool
+record_send(void *context, const char *instance, const EbMessage *message,
+            int64_t now_us)
+{
+    Recorder *recorder = context;
+    (void)instance;
+    (void)now_us;
+    if (recorder->sent_count < TABLE_COUNT(recorder->sent)) {
+        recorder->sent[recorder->sent_count++] = *message;
+    }
+    return true;
+}
+
+static void
+record_change(void *context, EbFeedStream stream, const json_t *events,
+              int64_t now_us)
+{
+    (void)stream;
+    (void)now_us;
+    ((Recorder *)context)->events += (uint32_t)json_array_size(events);
+}
+
+static void
+record_log_event(void *context, EbEventId event, const EbEventField *fields,
+                 size_t field_count)
+{
+    (void)fields;
+    (void)field_count;
+    ((Recorder *)context)->log_events[event]++;
+}
+
+static EbStoreFeed *
+new_recorded_feed(Recorder *recorder, EbEventSink *sink)
+{
+    *sink = (EbEventSink){record_log_event, recorder};
+    EbStoreFeed *feed =
+        EbStoreFeed_New(&(EbStoreFeedOptions){.events = sink,
+                                              .send = record_send,
+                                              .changed = record_change,
+                                              .context = recorder});
+    json_t *items = json_pack("[{s:s, s:i}]", "name", "a", "value", 1);
+    EbStoreFeed_HandleList(feed, EB_FEED_CONFIG, 10, items, 0);
+    EbStoreFeed_HandleList(feed, EB_FEED_SERVERS, 10, items, 0);
+    json_decref(items);
+    recorder->events = 0;
+    return feed;
+}
+
+/* Guards against relayed changes that bring back what was removed, skip
+ * changes or can't be read. */
+static void
+test_relayed_changes(void)
+{
+    static const struct {
+        uint64_t base;
+        uint64_t revision;
+        const char *text;
+        uint32_t events;
+        uint64_t known; /* revision afterwards */
+        bool invalid;
+    } rows[] = {
+        {10, 12, "[{\"name\":\"a\",\"deleted\":true}]", 1, 12, false},
+        {8, 12, "[{\"name\":\"a\",\"deleted\":true}]", 1, 12, false},
+        {10, 12, NULL, 0, 12, false},
+        {10, 12, "[{\"name\":\"a\",\"value\":1}]", 0, 12, false},
+        {11, 12, "[{\"name\":\"a\",\"deleted\":true}]", 0, 10, false},
+        {8, 10, "[{\"name\":\"b\",\"value\":2}]", 0, 10, false},
+        {8, 9, "[{\"name\":\"b\",\"value\":2}]", 0, 10, false},
+        {10, 12, "[{\"name\":", 0, 10, true},
+        {10, 12, "{}", 0, 10, true},
+        {10, 12, "[{\"value\":2}]", 0, 10, true},
+        {10, 12, "[7]", 0, 10, true},
+    };
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        Recorder recorder = {0};
+        EbEventSink sink;
+        EbStoreFeed *feed = new_recorded_feed(&recorder, &sink);
+        EbMessage message = {
+            .kind = EB_MESSAGE_FEED_CHANGES,
+            .feed_stream = EB_FEED_SERVERS,
+            .base_revision = rows[i].base,
+            .revision = rows[i].revision,
+            .text = (char *)rows[i].text,
+            .text_bytes = rows[i].text != NULL ? strlen(rows[i].text) : 0};
+        EbStoreFeed_SetSources(feed, false, NULL, 0, 0);
+        EbStoreFeed_Receive(feed, "i-1", &message, 100);
+        EbStoreFeed_Tick(feed, 100);
+        CU_ASSERT_EQUAL(recorder.events, rows[i].events);
+        CU_ASSERT_EQUAL(EbStoreFeed_Revision(feed, EB_FEED_SERVERS),
+                        rows[i].known);
+        CU_ASSERT_EQUAL(recorder.log_events[EB_EVENT_FEED_INVALID],
+                        rows[i].invalid);
+        CU_ASSERT_EQUAL(EbStoreFeed_MustRead(feed, EB_FEED_SERVERS),
+                        rows[i].invalid);
+        EbStoreFeed_Free(feed);
+    }
+}
+
+/* Guards against a daemon that answers with what it knows only from another
+ * one, or after its own reads failed. */
+static void
+test_answers(void)
+{
+    static const struct {
+        bool is_source;
+        bool read;   /* a poll succeeded after the start */
+        bool failed; /* the next one didn't */
+        EbFeedState state;
+    } rows[] = {
+        {true, true, false, EB_FEED_READING},
+        {true, false, false, EB_FEED_NOT_READING},
+        {true, true, true, EB_FEED_FAILING},
+        {false, false, false, EB_FEED_NOT_READING},
+        {false, true, false, EB_FEED_NOT_READING},
+    };
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        Recorder recorder = {0};
+        EbEventSink sink;
+        EbStoreFeed *feed = new_recorded_feed(&recorder, &sink);
+        json_t *none = json_array();
+        EbStoreFeed_SetSources(feed, rows[i].is_source, NULL, 0, 0);
+        EbStoreFeed_Tick(feed, 0);
+        EbStoreFeed_Tick(feed, SECOND_US);
+        for (int stream = 0; rows[i].read && stream < EB_FEED_STREAM_COUNT;
+             stream++) {
+            EbStoreFeed_HandleChanges(feed, (EbFeedStream)stream, 10, 11, none,
+                                      SECOND_US);
+        }
+        json_decref(none);
+        if (rows[i].failed) {
+            EbStoreFeed_HandleFailure(feed, EB_FEED_CONFIG, SECOND_US);
+        }
+        EbStoreFeed_Tick(feed, SECOND_US);
+        EbMessage request = {.kind = EB_MESSAGE_FEED_REQUEST,
+                             .feed_request = 5,
+                             .config_revision = 11,
+                             .servers_revision = 11};
+        EbStoreFeed_Receive(feed, "i-9", &request, SECOND_US);
+        CU_ASSERT_EQUAL_FATAL(recorder.sent_count, 1);
+        CU_ASSERT_EQUAL(recorder.sent[0].kind, EB_MESSAGE_FEED_STATUS);
+        CU_ASSERT_EQUAL(recorder.sent[0].feed_request, 5);
+        CU_ASSERT_EQUAL(recorder.sent[0].feed_state, rows[i].state);
+        EbStoreFeed_Free(feed);
+    }
+}
+
+/* Guards against servers that are taken for gone at daemons that did not see
+ * the store's outage themselves: its end must reach them with the changes. */
+static void
+test_recovery_is_passed_on(void)
+{
+    Recorder recorder = {0};
+    EbEventSink sink;
+    EbStoreFeed *feed = new_recorded_feed(&recorder, &sink);
+    CU_ASSERT_EQUAL(EbStoreFeed_RecoveredAt(feed), INT64_MIN);
+    EbMessage message = {.kind = EB_MESSAGE_FEED_CHANGES,
+                         .feed_stream = EB_FEED_SERVERS,
+                         .base_revision = 10,
+                         .revision = 11,
+                         .recovered_ago_us = 300000};
+    EbStoreFeed_Receive(feed, "i-1", &message, 9 * SECOND_US);
+    CU_ASSERT_EQUAL(EbStoreFeed_RecoveredAt(feed), 8700000);
+    EbStoreFeed_HandleFailure(feed, EB_FEED_SERVERS, 20 * SECOND_US);
+    EbStoreFeed_HandleFailure(feed, EB_FEED_SERVERS, 21 * SECOND_US);
+    json_t *none = json_array();
+    EbStoreFeed_HandleChanges(feed, EB_FEED_SERVERS, 11, 12, none,
+                              22 * SECOND_US);
+    json_decref(none);
+    CU_ASSERT_EQUAL(EbStoreFeed_RecoveredAt(feed), 22 * SECOND_US);
+    EbStoreFeed_Free(feed);
+}
+
+int
+main(int argc, char **argv)
+{
+    static const EbTestCase cases[] = {
+        {"calls to the store", test_calls},
+        {"lost sources", test_lost_sources},
+        {"store down", test_store_down},
+        {"random faults", test_random_faults},
+        {"relayed changes", test_relayed_changes},
+        {"answers", test_answers},
+        {"recovery is passed on", test_recovery_is_passed_on},
+    };
+    if (argc == 4 && strcmp(argv[1], "--seeds") == 0) {
+        uint32_t violations = play_seeds(strtoull(argv[2], NULL, 10),
+                                         strtoull(argv[3], NULL, 10));
+        printf("%u violations\n", violations);
+        return violations > 0;
+    }
+    return EbTest_Run("test_store_feed", cases, TABLE_COUNT(cases));
+}
