forward_server: a planned stop answers requests that just arrived

Cause: the listener was only disabled, so that connections which the kernel had established were reset at the exit with the requests on them; kept connections were closed although bytes of a next request had arrived, which resets them too. Neither kept the daemon from leaving.

Change: a stopping server accepts what is established, keeps connections with unread bytes until these are answered, gives a new connection a second for its first request, closes the listener, and counts all of these as pending.

--- a/include/net/ebonyhollow/forward_server.h
+++ b/include/net/ebonyhollow/forward_server.h
@@ -63,8 +63,10 @@
  * chunk. Unknown handles are ignored. */
 void EbForwardServer_Answer(EbForwardServer *server, const EbAnswer *answer);
 
-/* Stops accepting connections and closes idle ones. The others are closed
- * after their next answer. */
+/* Accepts the connections that callers have established already, then closes
+ * the listener and all idle connections. A connection on which a request has
+ * arrived in part or as a whole is closed after its answer. One on which no
+ * request has come yet is closed if none comes within a second. */
 void EbForwardServer_StopAccepting(EbForwardServer *server);
 
 /* Sends "Connection: close" with the next answer on each connection (RFC 9112,
@@ -72,7 +74,8 @@
 void EbForwardServer_AnnounceClose(EbForwardServer *server);
 
 /* Returns the number of connections on which a request is running or an
- * answer has not been sent completely. */
+ * answer has not been sent completely; after EbForwardServer_StopAccepting,
+ * of all that are still open. */
 size_t EbForwardServer_PendingCount(const EbForwardServer *server);
 
 #endif
--- a/src/libebonyhollow_net/forward_server.c
+++ b/src/libebonyhollow_net/forward_server.c
@@ -4,6 +4,9 @@
 #include <stdio.h>
 #include <string.h>
 
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -20,12 +23,16 @@
 /* The connection of a caller that does not read is closed after this time. */
 #define WRITE_TIMEOUT_S 20
 #define LISTEN_BACKLOG 1024
+/* When the server stops, a caller that has just connected has this long to
+ * send its first request. */
+#define FIRST_REQUEST_GRACE_US 1000000
 
 typedef struct {
     EbForwardServer *server;
     struct bufferevent *bufev;
     EbHttpReader *reader;
     EbHttpMessage *message;    /* being read */
+    bool used;                 /* a request came on it */
     uint64_t request;          /* handle; 0: none is running */
     char *request_id;          /* of the running request */
     bool head_sent;            /* of a stream */
@@ -37,7 +44,8 @@
 
 struct EbForwardServer {
     EbForwardServerOptions options;
-    struct evconnlistener *listener;
+    struct evconnlistener *listener; /* NULL after the server was stopped */
+    uint16_t port;
     GHashTable *connections; /* set of Connection */
     GHashTable *requests;    /* handle -> Connection */
     bool announce_close;
@@ -232,6 +240,7 @@
     Connection *connection = context;
     EbForwardServer *server = connection->server;
     connection->reusable = reusable;
+    connection->used = true;
     EbError error;
     EbError_Clear(&error);
     EbForwardCall *call =
@@ -387,6 +396,7 @@
         EbForwardServer_Free(server);
         return NULL;
     }
+    server->port = EbSocket_Port(evconnlistener_get_fd(server->listener));
     return server;
 }
 
@@ -407,7 +417,7 @@
 uint16_t
 EbForwardServer_Port(const EbForwardServer *server)
 {
-    return EbSocket_Port(evconnlistener_get_fd(server->listener));
+    return server->port;
 }
 
 static void
@@ -512,18 +522,61 @@
     server->announce_close = true;
 }
 
+/* Accepts the connections that the kernel has established already. Closing the
+ * listener would reset them, with the requests on them. */
+static void
+accept_established(EbForwardServer *server)
+{
+    evutil_socket_t listener = evconnlistener_get_fd(server->listener);
+    evutil_socket_t socket;
+    while ((socket = accept(listener, NULL, NULL)) >= 0) {
+        evutil_make_socket_nonblocking(socket);
+        evutil_make_socket_closeonexec(socket);
+        on_accept(server->listener, socket, NULL, 0, server);
+    }
+}
+
+static bool
+has_unread_bytes(const Connection *connection)
+{
+    int waiting = 0;
+    return evbuffer_get_length(bufferevent_get_input(connection->bufev)) > 0 ||
+           (ioctl(bufferevent_getfd(connection->bufev), FIONREAD, &waiting) ==
+                0 &&
+            waiting > 0);
+}
+
+/* Closes a connection that is idle. One on which a request has arrived in part
+ * or as a whole, or on which the first one may be on its way, stays open until
+ * it is answered. */
+static void
+stop_connection(Connection *connection)
+{
+    if (connection->request != 0 || has_unread_bytes(connection) ||
+        EbHttpReader_IsInMessage(connection->reader)) {
+        return;
+    }
+    if (connection->used) {
+        close_after_output(connection);
+        return;
+    }
+    struct timeval grace = EbClock_Timeval(FIRST_REQUEST_GRACE_US);
+    bufferevent_set_timeouts(connection->bufev, &grace, NULL);
+}
+
 void
 EbForwardServer_StopAccepting(EbForwardServer *server)
 {
+    if (server->stopped) {
+        return;
+    }
+    accept_established(server);
     server->stopped = true;
-    evconnlistener_disable(server->listener);
+    evconnlistener_free(server->listener);
+    server->listener = NULL;
     GList *connections = g_hash_table_get_keys(server->connections);
     for (GList *item = connections; item != NULL; item = item->next) {
-        Connection *connection = item->data;
-        if (connection->request == 0 &&
-            !EbHttpReader_IsInMessage(connection->reader)) {
-            close_after_output(connection);
-        }
+        stop_connection(item->data);
     }
     g_list_free(connections);
 }
@@ -531,6 +584,10 @@
 size_t
 EbForwardServer_PendingCount(const EbForwardServer *server)
 {
+    /* A stopped server keeps only connections that wait for something. */
+    if (server->stopped) {
+        return g_hash_table_size(server->connections);
+    }
     size_t open = 0;
     GHashTableIter iter;
     gpointer key;
--- a/src/test_forward_net/main.c
+++ b/src/test_forward_net/main.c
@@ -2,6 +2,9 @@
  * EbEventSplitter, EbForwardClient and EbForwardServer. */
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
+
+#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <event2/bufferevent.h>
@@ -644,7 +647,7 @@
     EbSettings settings;
     EbForwardServer *server;
     RawClient *client;
-    unsigned submitted;
+    unsigned submitted, wanted_submitted;
     unsigned gone;
     char *body;
     const char *wanted;
@@ -914,6 +917,85 @@
     close_server(&fixture);
 }
 
+/* Connects and sends a request without running the event loop, so that the
+ * server has neither accepted the connection nor read from it. */
+static int
+send_unseen(uint16_t port, int socket_fd)
+{
+    static const char request[] = REQUEST "Content-Length: 0\r\n\r\n";
+    if (socket_fd < 0) {
+        struct sockaddr_in address = {.sin_family = AF_INET,
+                                      .sin_port = htons(port),
+                                      .sin_addr = {htonl(INADDR_LOOPBACK)}};
+        socket_fd = socket(AF_INET, SOCK_STREAM, 0);
+        CU_ASSERT_EQUAL_FATAL(
+            connect(socket_fd, (struct sockaddr *)&address, sizeof(address)),
+            0);
+    }
+    CU_ASSERT_EQUAL(send(socket_fd, request, strlen(request), 0),
+                    (ssize_t)strlen(request));
+    return socket_fd;
+}
+
+static void
+answer_done(ServerFixture *fixture)
+{
+    EbHttpMessage *reply = EbHttpMessage_NewResponse(200);
+    answer(fixture, EB_OUTCOME_DONE, EB_REASON_NONE, reply);
+    EbHttpMessage_Unref(reply);
+}
+
+/* Returns whether the next bytes on a socket are a response with status 200.
+ */
+static bool
+receives_success(int socket_fd)
+{
+    char text[256] = "";
+    ssize_t count = recv(socket_fd, text, sizeof(text) - 1, MSG_DONTWAIT);
+    return count > 0 && strncmp(text, "HTTP/1.1 200 ", 13) == 0;
+}
+
+static bool
+has_all_submitted(void *context)
+{
+    const ServerFixture *fixture = context;
+    return fixture->submitted >= fixture->wanted_submitted;
+}
+
+/* Guards against a planned stop that cuts off requests that have just arrived:
+ * on a connection that is not accepted yet, and on a kept connection whose
+ * bytes are not read yet. */
+static void
+test_server_drain_arrived(void)
+{
+    static const int rounds = 300;
+    for (int i = 0; i < rounds; i++) {
+        bool kept = i % 2 == 1;
+        ServerFixture fixture;
+        open_server(&fixture);
+        uint16_t port = EbForwardServer_Port(fixture.server);
+        int fd = send_unseen(port, -1);
+        fixture.wanted_submitted = 1;
+        if (kept) {
+            CU_ASSERT_TRUE(
+                Loop_Until(fixture.base, has_all_submitted, &fixture));
+            answer_done(&fixture);
+            Loop_For(fixture.base, 1000);
+            CU_ASSERT_TRUE(receives_success(fd));
+            send_unseen(port, fd);
+            fixture.wanted_submitted = 2;
+        }
+        EbForwardServer_StopAccepting(fixture.server);
+        CU_ASSERT_TRUE(EbForwardServer_PendingCount(fixture.server) > 0);
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_all_submitted, &fixture));
+        answer_done(&fixture);
+        Loop_For(fixture.base, 1000);
+        CU_ASSERT_TRUE(receives_success(fd));
+        close(fd);
+        close_server(&fixture);
+    }
+}
+
 int
 main(void)
 {
@@ -935,6 +1017,8 @@
         {"server pipelined", test_server_pipelined},
         {"server caller gone", test_server_caller_gone},
         {"server drain", test_server_drain},
+        {"server drain, requests that just arrived",
+         test_server_drain_arrived},
     };
     return EbTest_Run("test_forward_net", cases, G_N_ELEMENTS(cases));
 }
