store_feed: a daemon that starts in an outage takes over what others know

Change: a daemon without lists asks live daemons for everything they know and uses it unconfirmed. While one watch of the platform client tries again, the others wait for it.

Test: test_store_feed 'start in an outage'; removed objects don't return.

--- a/include/feed/ebonyhollow/store_feed.h
+++ b/include/feed/ebonyhollow/store_feed.h
@@ -8,6 +8,9 @@
  * A daemon answers requests only while it reads the store itself, so that
  * nothing that is known only from another daemon counts as confirmed.
  *
+ * A daemon that starts while the store can't be read asks the sources for all
+ * they know, and uses it until it can read the store.
+ *
  * The objects of one kind are a stream. Their state is that of a revision of
  * the store, which never decreases. Changes apply to a range of revisions and
  * are ignored unless the known revision lies in that range, so that an old
@@ -33,6 +36,8 @@
 #define EB_FEED_REQUEST_INTERVAL_US 500000
 /* Larger changes are not sent; the other daemons read them from the store. */
 #define EB_FEED_MAX_TEXT_BYTES ((size_t)64 * 1024)
+/* The same for all objects of a stream. */
+#define EB_FEED_MAX_SNAPSHOT_BYTES ((size_t)1024 * 1024)
 
 typedef struct EbStoreFeed EbStoreFeed;
 
@@ -55,10 +60,12 @@
 /* Frees a feed. Accepts NULL. */
 void EbStoreFeed_Free(EbStoreFeed *feed);
 
-/* Sets which daemons read the store.
+/* Sets whom this daemon asks.
  *
- * is_source: this daemon is one of them.
- * sources: the others, in the order in which this daemon asks them; copied. */
+ * is_source: this daemon is to read the store for others.
+ * sources: the other daemons that do, in the order in which this daemon asks
+ *     them; copied. For a daemon that has listed nothing yet they may be any
+ *     daemons. */
 void EbStoreFeed_SetSources(EbStoreFeed *feed, bool is_source,
                             const char *const *sources, size_t count,
                             int64_t now_us);
--- a/include/membership/ebonyhollow/membership.h
+++ b/include/membership/ebonyhollow/membership.h
@@ -154,12 +154,11 @@
                                   const char **names, size_t max);
 
 /* Writes the names of up to `max` other live daemons that keep watches open at
- * the platform when there are more than EB_MEMBERSHIP_MESH_MAX daemons: those
- * of this daemon's failure domain first. Within and outside of the domain each
- * daemon has an order of its own, so that asking the first one divides the
- * load. Names are borrowed until the next change.
+ * the platform, those of this daemon's failure domain first. Within and
+ * outside of the domain each daemon has an order of its own, so that asking
+ * the first one divides the load. Names are borrowed until the next change.
  *
- * Returns the number of names written; 0 in a full mesh. */
+ * Returns the number of names written. */
 size_t EbMembership_ListWatchers(const EbMembership *membership,
                                  const char **names, size_t max);
 
--- a/include/membership/ebonyhollow/message.h
+++ b/include/membership/ebonyhollow/message.h
@@ -161,8 +161,9 @@
     uint64_t config_revision;
     uint64_t servers_revision;
     uint32_t feed_state; /* FEED_STATUS: EbFeedState of the sender */
-    /* FEED_CHANGES: the changes after `base_revision` up to `revision`;
-     * `exact_base` when they lead there from that revision only */
+    /* FEED_CHANGES: the changes after `base_revision` up to `revision`, or all
+     * objects when `base_revision` is 0; `exact_base` when they lead there
+     * from that revision only */
     uint32_t feed_stream; /* EbFeedStream */
     uint64_t base_revision;
     uint64_t revision;
--- a/src/libebonyhollow/feed/object_stream.c
+++ b/src/libebonyhollow/feed/object_stream.c
@@ -218,3 +218,17 @@
     }
     return events;
 }
+
+json_t *
+EbObjectStream_ListAll(const EbObjectStream *stream)
+{
+    json_t *items = json_array();
+    GHashTableIter iter;
+    gpointer name;
+    gpointer value;
+    g_hash_table_iter_init(&iter, stream->objects);
+    while (g_hash_table_iter_next(&iter, &name, &value)) {
+        json_array_append_new(items, new_event(name, value, false));
+    }
+    return items;
+}
--- a/src/libebonyhollow/feed/private/object_stream.h
+++ b/src/libebonyhollow/feed/private/object_stream.h
@@ -62,4 +62,7 @@
 json_t *EbObjectStream_ChangesSince(const EbObjectStream *stream,
                                     uint64_t revision, bool *exact_base);
 
+/* Returns all known objects as a list, as a new reference. */
+json_t *EbObjectStream_ListAll(const EbObjectStream *stream);
+
 #endif
--- a/src/libebonyhollow/feed/store_feed.c
+++ b/src/libebonyhollow/feed/store_feed.c
@@ -180,6 +180,27 @@
     return (uint64_t)MAX(now_us - feed->recovered_us, 1);
 }
 
+/* Sends events of a stream unless they are too large. Completes the message
+ * and takes over the reference to the events. */
+static bool
+send_events(const EbStoreFeed *feed, const char *instance, EbMessage *message,
+            json_t *events, size_t max_bytes, int64_t now_us)
+{
+    char *text =
+        json_array_size(events) > 0 ? json_dumps(events, JSON_COMPACT) : NULL;
+    json_decref(events);
+    message->kind = EB_MESSAGE_FEED_CHANGES;
+    message->revision = feed->streams[message->feed_stream].objects.revision;
+    message->recovered_ago_us = recovered_ago(feed, now_us);
+    message->text = text;
+    message->text_bytes = text != NULL ? strlen(text) : 0;
+    bool sent =
+        message->text_bytes <= max_bytes &&
+        feed->options.send(feed->options.context, instance, message, now_us);
+    free(text);
+    return sent;
+}
+
 /* Sends a subscriber the changes since the revision that it has. Changes that
  * are no longer kept or are too large are not sent; the status tells the
  * subscriber that it lacks something. */
@@ -188,32 +209,30 @@
              Subscriber *subscriber, EbFeedStream index, int64_t now_us)
 {
     const EbObjectStream *objects = &feed->streams[index].objects;
-    uint64_t base = subscriber->revisions[index];
-    bool exact_base = false;
-    json_t *events =
-        base < objects->revision
-            ? EbObjectStream_ChangesSince(objects, base, &exact_base)
-            : NULL;
-    if (events == NULL) {
+    EbMessage message = {.feed_stream = index,
+                         .base_revision = subscriber->revisions[index]};
+    if (message.base_revision >= objects->revision) {
         return;
     }
-    char *text =
-        json_array_size(events) > 0 ? json_dumps(events, JSON_COMPACT) : NULL;
-    json_decref(events);
-    EbMessage message = {.kind = EB_MESSAGE_FEED_CHANGES,
-                         .feed_stream = index,
-                         .base_revision = base,
-                         .revision = objects->revision,
-                         .exact_base = exact_base,
-                         .recovered_ago_us = recovered_ago(feed, now_us),
-                         .text = text,
-                         .text_bytes = text != NULL ? strlen(text) : 0};
-    if (message.text_bytes <= EB_FEED_MAX_TEXT_BYTES &&
-        feed->options.send(feed->options.context, instance, &message,
-                           now_us)) {
+    json_t *events = EbObjectStream_ChangesSince(
+        objects, message.base_revision, &message.exact_base);
+    if (events != NULL && send_events(feed, instance, &message, events,
+                                      EB_FEED_MAX_TEXT_BYTES, now_us)) {
         subscriber->revisions[index] = objects->revision;
     }
-    free(text);
+}
+
+/* Sends a daemon that has no list of a stream all that is known. */
+static void
+send_all_objects(const EbStoreFeed *feed, const char *instance,
+                 EbFeedStream index, int64_t now_us)
+{
+    const EbObjectStream *objects = &feed->streams[index].objects;
+    if (objects->listed) {
+        EbMessage message = {.feed_stream = index};
+        send_events(feed, instance, &message, EbObjectStream_ListAll(objects),
+                    EB_FEED_MAX_SNAPSHOT_BYTES, now_us);
+    }
 }
 
 static gboolean
@@ -241,32 +260,51 @@
     }
 }
 
+/* Sends the changes that a daemon asks for, and from now on those that come.
+ */
+static void
+add_subscriber(const EbStoreFeed *feed, const char *peer,
+               const uint64_t revisions[EB_FEED_STREAM_COUNT], int64_t now_us)
+{
+    Subscriber *subscriber = g_hash_table_lookup(feed->subscribers, peer);
+    if (subscriber == NULL) {
+        subscriber = g_new0(Subscriber, 1);
+        g_hash_table_insert(feed->subscribers, g_strdup(peer), subscriber);
+    }
+    subscriber->expires_us = now_us + SUBSCRIBER_US;
+    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+        subscriber->revisions[i] = revisions[i];
+        send_changes(feed, peer, subscriber, (EbFeedStream)i, now_us);
+    }
+}
+
 static void
 answer_request(EbStoreFeed *feed, const char *peer, const EbMessage *request,
                int64_t now_us)
 {
+    const uint64_t revisions[EB_FEED_STREAM_COUNT] = {
+        [EB_FEED_CONFIG] = request->config_revision,
+        [EB_FEED_SERVERS] = request->servers_revision};
+    bool all_listed_there = true;
+    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+        if (revisions[i] == 0) {
+            send_all_objects(feed, peer, (EbFeedStream)i, now_us);
+            all_listed_there = false;
+        }
+    }
     EbMessage status = {.kind = EB_MESSAGE_FEED_STATUS,
                         .feed_request = request->feed_request,
                         .feed_state = feed_state(feed),
                         .recovered_ago_us = recovered_ago(feed, now_us)};
     if (status.feed_state == EB_FEED_READING) {
-        Subscriber *subscriber = g_hash_table_lookup(feed->subscribers, peer);
-        if (subscriber == NULL) {
-            subscriber = g_new0(Subscriber, 1);
-            g_hash_table_insert(feed->subscribers, g_strdup(peer), subscriber);
-        }
-        *subscriber = (Subscriber){
-            .revisions = {[EB_FEED_CONFIG] = request->config_revision,
-                          [EB_FEED_SERVERS] = request->servers_revision},
-            .expires_us = now_us + SUBSCRIBER_US};
-        for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
-            send_changes(feed, peer, subscriber, (EbFeedStream)i, now_us);
-        }
         status.config_revision =
             feed->streams[EB_FEED_CONFIG].objects.revision;
         status.servers_revision =
             feed->streams[EB_FEED_SERVERS].objects.revision;
     }
+    if (status.feed_state == EB_FEED_READING && all_listed_there) {
+        add_subscriber(feed, peer, revisions, now_us);
+    }
     feed->options.send(feed->options.context, peer, &status, now_us);
 }
 
@@ -452,6 +490,23 @@
     return events;
 }
 
+/* Takes over another daemon's list of a stream if there is none yet. It counts
+ * as unconfirmed. */
+static void
+take_all_objects(EbStoreFeed *feed, EbFeedStream index, uint64_t revision,
+                 const json_t *items, int64_t now_us)
+{
+    Stream *stream = &feed->streams[index];
+    if (stream->objects.listed) {
+        return;
+    }
+    stream->listed_us = now_us;
+    publish(
+        feed, index,
+        EbObjectStream_ApplyList(&stream->objects, revision, items, now_us),
+        now_us);
+}
+
 static void
 handle_changes(EbStoreFeed *feed, const char *peer, const EbMessage *message,
                int64_t now_us)
@@ -468,6 +523,11 @@
         return;
     }
     note_recovery(feed, message, now_us);
+    if (message->base_revision == 0) {
+        take_all_objects(feed, index, message->revision, events, now_us);
+        json_decref(events);
+        return;
+    }
     EbObjectChanges changes = {.base_revision = message->base_revision,
                                .revision = message->revision,
                                .exact_base = message->exact_base,
@@ -548,11 +608,29 @@
     }
 }
 
+/* Returns whether this daemon asks other daemons: for changes unless it is a
+ * source, or for everything when it could not list the objects itself. */
+static bool
+must_ask(const EbStoreFeed *feed)
+{
+    if (feed->sources->len == 0) {
+        return false;
+    }
+    if (all_listed(feed)) {
+        return !feed->is_source;
+    }
+    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+        if (feed->streams[i].failures > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 EbStoreFeed_Tick(EbStoreFeed *feed, int64_t now_us)
 {
-    if (!feed->is_source && feed->sources->len > 0 && all_listed(feed) &&
-        now_us >= feed->next_request_us) {
+    if (must_ask(feed) && now_us >= feed->next_request_us) {
         if (feed->awaiting_status) {
             ask_next_source(feed);
         }
@@ -564,13 +642,10 @@
 int64_t
 EbStoreFeed_NextTimer(const EbStoreFeed *feed)
 {
-    int64_t next_us = INT64_MAX;
+    int64_t next_us = must_ask(feed) ? feed->next_request_us : INT64_MAX;
     if (!all_listed(feed)) {
         return next_us;
     }
-    if (!feed->is_source && feed->sources->len > 0) {
-        next_us = feed->next_request_us;
-    }
     for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
         const Stream *stream = &feed->streams[i];
         if (stream->must_read) {
--- a/src/libebonyhollow/membership/membership_topology.c
+++ b/src/libebonyhollow/membership/membership_topology.c
@@ -151,8 +151,8 @@
     return order != 0 ? order : compare_ring(left, right);
 }
 
-/* Collects the first EB_WATCHERS_PER_FAILURE_DOMAIN live daemons of each
- * failure domain. */
+/* Collects the live daemons that watch: in a full mesh all, otherwise the
+ * first EB_WATCHERS_PER_FAILURE_DOMAIN of each failure domain. */
 static GPtrArray *
 collect_watchers(const EbMembership *membership)
 {
@@ -163,6 +163,9 @@
             g_ptr_array_add(live, member);
         }
     }
+    if (membership->ring_count <= EB_MEMBERSHIP_MESH_MAX) {
+        return live;
+    }
     g_ptr_array_sort(live, compare_domains);
     GPtrArray *watchers = g_ptr_array_new();
     const char *domain = "";
@@ -215,9 +218,6 @@
 EbMembership_ListWatchers(const EbMembership *membership, const char **names,
                           size_t max)
 {
-    if (membership->ring_count <= EB_MEMBERSHIP_MESH_MAX) {
-        return 0;
-    }
     GPtrArray *members = collect_watchers(membership);
     GArray *watchers = g_array_new(FALSE, FALSE, sizeof(Watcher));
     for (guint i = 0; i < members->len; i++) {
--- a/src/libebonyhollow_net/daemon_discovery.c
+++ b/src/libebonyhollow_net/daemon_discovery.c
@@ -359,15 +359,39 @@
     daemon->discovery.sources_stale = true;
 }
 
+/* Lists other live daemons, beginning at a random one. */
+static size_t
+list_live_daemons(EbDaemon *daemon, const char **names, size_t max)
+{
+    size_t live = EbMembership_LiveInstances(daemon->membership, NULL, 0);
+    const char **all = g_new0(const char *, live + 1);
+    EbMembership_LiveInstances(daemon->membership, all, live);
+    size_t first = live > 0 ? EbRandom_Below(&daemon->random, live) : 0;
+    size_t count = 0;
+    for (size_t i = 0; i < live && count < max; i++) {
+        const char *name = all[(first + i) % live];
+        if (strcmp(name, daemon->settings->instance) != 0) {
+            names[count++] = name;
+        }
+    }
+    g_free(all);
+    return count;
+}
+
+/* Chooses whom the feed asks: the daemons that watch the store, or any while
+ * nothing is known here yet. */
 static void
 update_sources(EbDaemon *daemon, int64_t now_us)
 {
+    EbDiscovery *discovery = &daemon->discovery;
     const char *names[SOURCES_MAX];
     size_t count =
-        EbMembership_ListWatchers(daemon->membership, names, SOURCES_MAX);
-    daemon->discovery.sources_stale = false;
-    daemon->discovery.sources_due_us = now_us + SOURCES_INTERVAL_US;
-    EbStoreFeed_SetSources(daemon->discovery.feed,
+        discovery->servers_listed
+            ? EbMembership_ListWatchers(daemon->membership, names, SOURCES_MAX)
+            : list_live_daemons(daemon, names, SOURCES_MAX);
+    discovery->sources_stale = false;
+    discovery->sources_due_us = now_us + SOURCES_INTERVAL_US;
+    EbStoreFeed_SetSources(discovery->feed,
                            EbMembership_IsWatcher(daemon->membership), names,
                            count, now_us);
 }
@@ -394,19 +418,14 @@
 EbDiscovery_HandleList(EbDaemon *daemon, const char *kind, uint64_t revision,
                        json_t *items)
 {
-    EbDiscovery *discovery = &daemon->discovery;
     int64_t now_us = EbClock_Monotonic();
     if (strcmp(kind, daemon->adapter->daemons_kind) == 0) {
         handle_daemons_list(daemon, items, now_us);
     }
     else {
-        EbFeedStream stream = kind_stream(daemon, kind);
-        EbStoreFeed_HandleList(discovery->feed, stream, revision, items,
+        EbStoreFeed_HandleList(daemon->discovery.feed,
+                               kind_stream(daemon, kind), revision, items,
                                now_us);
-        if (stream == EB_FEED_SERVERS && !discovery->servers_listed) {
-            discovery->servers_listed = true;
-            discovery->needs_apply = true;
-        }
     }
     EbDaemon_ScheduleActions(daemon);
 }
@@ -481,6 +500,12 @@
     if (now_us >= discovery->removal_due_us) {
         remove_due_servers(daemon, now_us);
     }
+    if (!discovery->servers_listed &&
+        EbStoreFeed_Revision(discovery->feed, EB_FEED_SERVERS) > 0) {
+        discovery->servers_listed = true;
+        discovery->sources_stale = true;
+        discovery->needs_apply = true;
+    }
     if (discovery->needs_apply) {
         apply_config(daemon, now_us);
     }
--- a/src/libebonyhollow_net/platform_watch.c
+++ b/src/libebonyhollow_net/platform_watch.c
@@ -15,6 +15,9 @@
 #define RELIST_MIN_POLL_US 200000
 #define BACKOFF_FIRST_US 100000
 #define BACKOFF_MAX_US 800000
+/* While one watch tries to reach the platform again, the others wait for it,
+ * at most this long. */
+#define HELD_RETRY_US 4000000
 /* Time-out of the first poll that continues from a known revision. */
 #define FIRST_POLL_US 20000
 /* A listing is expected to return at once; otherwise it is retried on another
@@ -28,6 +31,7 @@
     struct event *timer; /* next request */
     bool listed;         /* the listing is complete, `revision` is valid */
     bool polling;
+    bool held;       /* waits for the retry of another watch */
     bool confirming; /* the next poll is the first one from a known revision */
     int64_t poll_started_us;
     uint64_t revision;
@@ -44,6 +48,9 @@
 EbPlatformWatch_Free(void *data)
 {
     Watch *watch = data;
+    if (watch->client->probe == watch) {
+        watch->client->probe = NULL;
+    }
     if (watch->evcon != NULL) {
         evhttp_connection_free(watch->evcon);
     }
@@ -62,17 +69,44 @@
 }
 
 /* Retries after a delay with full jitter, because many daemons lose the
- * platform at the same time. */
+ * platform at the same time. Only one watch retries soon. */
 static void
 retry_later(Watch *watch)
 {
+    EbPlatformClient *client = watch->client;
+    if (client->probe != NULL && client->probe != watch) {
+        watch->consecutive_failures++;
+        watch->held = true;
+        schedule(watch, HELD_RETRY_US);
+        return;
+    }
+    client->probe = watch;
     uint32_t doublings = MIN(watch->consecutive_failures, 10);
     int64_t limit_us =
         MIN((int64_t)BACKOFF_FIRST_US << doublings, BACKOFF_MAX_US);
     watch->consecutive_failures++;
-    schedule(watch,
-             1000 + (int64_t)EbRandom_Below(watch->client->options.random,
-                                            (uint64_t)limit_us));
+    schedule(watch, 1000 + (int64_t)EbRandom_Below(client->options.random,
+                                                   (uint64_t)limit_us));
+}
+
+/* The platform answered: the watches that waited for that retry now. */
+static void
+release_held(Watch *watch)
+{
+    EbPlatformClient *client = watch->client;
+    GHashTableIter iter;
+    gpointer value;
+    if (client->probe == watch) {
+        client->probe = NULL;
+    }
+    g_hash_table_iter_init(&iter, client->watches);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Watch *other = value;
+        if (other->held) {
+            other->held = false;
+            schedule(other, 0);
+        }
+    }
 }
 
 static void
@@ -191,6 +225,7 @@
     if (valid) {
         EbPlatformClient_RecordCall(client, operation, "ok", NULL);
         watch->consecutive_failures = 0;
+        release_held(watch);
         schedule_next(watch, found_changes);
     }
     else if (status == 410 && watch->listed) {
@@ -266,9 +301,11 @@
 static void
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
+    Watch *watch = arg;
     (void)fd;
     (void)what;
-    send_request(arg);
+    watch->held = false;
+    send_request(watch);
 }
 
 /* Adds a watch that starts with a listing. Returns NULL when the kind has one.
--- a/src/test_store_feed/fleet.c
+++ b/src/test_store_feed/fleet.c
@@ -90,6 +90,14 @@
     }
 }
 
+static bool
+is_listed(uint32_t index)
+{
+    const EbStoreFeed *feed = fleet.daemons[index].feed;
+    return EbStoreFeed_Revision(feed, EB_FEED_CONFIG) > 0 &&
+           EbStoreFeed_Revision(feed, EB_FEED_SERVERS) > 0;
+}
+
 static void
 set_sources(uint32_t index)
 {
@@ -98,13 +106,14 @@
     size_t count = 0;
     uint32_t found = 0;
     bool is_source = false;
-    for (uint32_t i = 0; i < fleet.count && found < fleet.source_count; i++) {
+    bool ask_any = !is_listed(index);
+    for (uint32_t i = 0; i < fleet.count; i++) {
         if (!runs(i)) {
             continue;
         }
-        found++;
-        if (i == index) {
-            is_source = true;
+        bool of_sources = found++ < fleet.source_count;
+        is_source = is_source || (of_sources && i == index);
+        if (i == index || !(of_sources || ask_any)) {
             continue;
         }
         owned[count] = daemon_name(i);
@@ -397,6 +406,10 @@
                 daemon->paused_until_us > fleet.now_us) {
                 continue;
             }
+            if (!daemon->listed && is_listed(i)) {
+                daemon->listed = true;
+                set_sources(i);
+            }
             EbStoreFeed_Tick(daemon->feed, fleet.now_us);
             for (int stream = 0; stream < EB_FEED_STREAM_COUNT; stream++) {
                 run_read(daemon, (EbFeedStream)stream);
--- a/src/test_store_feed/fleet.h
+++ b/src/test_store_feed/fleet.h
@@ -40,6 +40,7 @@
         uint64_t base;
     } reads[EB_FEED_STREAM_COUNT];
     bool watching[EB_FEED_STREAM_COUNT];
+    bool listed; /* every stream */
 } FleetDaemon;
 
 typedef struct {
--- a/src/test_store_feed/main.c
+++ b/src/test_store_feed/main.c
@@ -149,6 +149,41 @@
     Fleet_Stop();
 }
 
+/* Guards against a daemon that is useless when it restarts while the store is
+ * down, and against objects that were removed before and return with it: it
+ * must take over what a source or another daemon knows, in a full mesh too. */
+static void
+test_start_in_outage(void)
+{
+    static const struct {
+        uint32_t sources;
+        uint32_t restarted; /* daemons, from the first */
+    } rows[] = {{3, 1}, {3, 3}, {3, 10}, {20, 1}, {20, 19}};
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        Fleet_Start(20, rows[i].sources, i + 1);
+        write_some(20);
+        Fleet_Run(3 * SECOND_US, BOUND_US);
+        for (uint32_t object = 0; object < FLEET_OBJECTS / 2; object++) {
+            Fleet_Write(EB_FEED_CONFIG, object, 0);
+        }
+        Fleet_Run(SECOND_US, BOUND_US);
+        Fleet_SetStoreUp(false);
+        Fleet_Run(SECOND_US, BOUND_US);
+        for (uint32_t index = 0; index < rows[i].restarted; index++) {
+            Fleet_KillDaemon(index);
+            Fleet_StartDaemon(index);
+        }
+        Fleet_Run(3 * SECOND_US, BOUND_US);
+        bool current = Fleet_IsCurrent();
+        CU_ASSERT_TRUE(current);
+        CU_ASSERT_EQUAL(fleet.violations, 0);
+        if (!current) {
+            printf("row %zu\n", i);
+        }
+        Fleet_Stop();
+    }
+}
+
 static void
 random_fault(void)
 {
@@ -431,6 +466,7 @@
         {"calls to the store", test_calls},
         {"lost sources", test_lost_sources},
         {"store down", test_store_down},
+        {"start in an outage", test_start_in_outage},
         {"random faults", test_random_faults},
         {"relayed changes", test_relayed_changes},
         {"answers", test_answers},
