store_feed: sources prove that they reach the store; changes are encoded once

A source that was cut off from the store went on confirming until its watch was overdue, 5 s later. And a source encoded a configuration of several hundred kilobytes once for each subscriber, only to find it too large: it was silent for 0.8 s.

Change: a source that is asked calls the store every 0.4 s with a cheap read and tells the age of the last answer; a confirmation counts from that time. Events are encoded once, whoever asks for them.

--- a/include/actions/ebonyhollow/store_protocol.h
+++ b/include/actions/ebonyhollow/store_protocol.h
@@ -30,6 +30,9 @@
     /* Returns the path that waits up to `wait_us` for changes after
      * `revision`. */
     char *(*watch_path)(const char *kind, uint64_t revision, int64_t wait_us);
+    /* Returns the path of a cheap read that shows whether the store answers.
+     * Whether the object exists does not matter. */
+    char *(*probe_path)(const char *kind, const char *name);
     /* Converts a list. more: set when another page follows. */
     json_t *(*read_list)(json_t *answer, bool *more);
     /* Converts the changes that a watch returned. */
--- a/include/feed/ebonyhollow/store_feed.h
+++ b/include/feed/ebonyhollow/store_feed.h
@@ -6,7 +6,9 @@
  * and is sent them as they occur. A daemon whose knowledge was not confirmed
  * for EB_FEED_CONFIRMED_US reads the store itself until it is confirmed again.
  * A daemon answers requests only while it reads the store itself, so that
- * nothing that is known only from another daemon counts as confirmed.
+ * nothing that is known only from another daemon counts as confirmed. Its
+ * watches can't show that the store is out of reach before they are overdue,
+ * so it calls the store every EB_FEED_PROBE_INTERVAL_US while others ask it.
  *
  * A daemon that starts while the store can't be read asks the sources for all
  * they know, and uses it until it can read the store.
@@ -34,6 +36,7 @@
  * of the store must be in force in the strictest deployment. */
 #define EB_FEED_CONFIRMED_US 1500000
 #define EB_FEED_REQUEST_INTERVAL_US 500000
+#define EB_FEED_PROBE_INTERVAL_US 400000
 /* Larger changes are not sent; the other daemons read them from the store. */
 #define EB_FEED_MAX_TEXT_BYTES ((size_t)64 * 1024)
 /* The same for all objects of a stream. */
@@ -82,6 +85,10 @@
                                uint64_t base_revision, uint64_t revision,
                                const json_t *events, int64_t now_us);
 
+/* Reports that the store answered a probe after `latency_us`. */
+void EbStoreFeed_HandleProbe(EbStoreFeed *feed, int64_t latency_us,
+                             int64_t now_us);
+
 /* Reports that a list or a watch of a stream failed. */
 void EbStoreFeed_HandleFailure(EbStoreFeed *feed, EbFeedStream stream,
                                int64_t now_us);
@@ -104,6 +111,10 @@
  * store, as decided by the last EbStoreFeed_Tick. */
 bool EbStoreFeed_MustRead(const EbStoreFeed *feed, EbFeedStream stream);
 
+/* Returns whether this daemon is to call the store every
+ * EB_FEED_PROBE_INTERVAL_US, since others ask it. */
+bool EbStoreFeed_MustProbe(const EbStoreFeed *feed);
+
 /* Returns the revision of the known state of a stream, from which a watch
  * continues; 0 when its objects must be listed first. */
 uint64_t EbStoreFeed_Revision(const EbStoreFeed *feed, EbFeedStream stream);
--- a/include/membership/ebonyhollow/message.h
+++ b/include/membership/ebonyhollow/message.h
@@ -61,14 +61,6 @@
     EB_FEED_STREAM_COUNT
 } EbFeedStream;
 
-/* Whether a daemon reads the store and may therefore pass on its changes. */
-typedef enum {
-    EB_FEED_NOT_READING, /* has not started to, or is no source */
-    EB_FEED_READING,
-    EB_FEED_FAILING, /* tries to, but its last read failed */
-    EB_FEED_STATE_COUNT
-} EbFeedState;
-
 typedef struct {
     char *instance;
     uint64_t incarnation;
@@ -160,7 +152,9 @@
     uint64_t feed_request;
     uint64_t config_revision;
     uint64_t servers_revision;
-    uint32_t feed_state; /* FEED_STATUS: EbFeedState of the sender */
+    bool feed_reading; /* FEED_STATUS: the sender reads the store itself */
+    /* FEED_STATUS: time since the store last answered the sender */
+    uint64_t confirmed_ago_us;
     /* FEED_CHANGES: the changes after `base_revision` up to `revision`, or all
      * objects when `base_revision` is 0; `exact_base` when they lead there
      * from that revision only */
--- a/include/net/ebonyhollow/platform_client.h
+++ b/include/net/ebonyhollow/platform_client.h
@@ -57,6 +57,8 @@
     /* Called after a list or a poll failed, other than by a gap, which is
      * followed by a list. May be NULL. */
     void (*failed)(void *context, const char *kind);
+    /* Called when the platform answered a probe. May be NULL. */
+    void (*probed)(void *context, int64_t latency_us);
     void *context;
 } EbPlatformClientOptions;
 
@@ -90,6 +92,13 @@
 void EbPlatformClient_ListPeriodically(EbPlatformClient *client,
                                        const char *kind, int64_t interval_us);
 
+/* Calls the platform every `interval_us` to see whether it answers, until
+ * EbPlatformClient_StopProbes. The calls read one object. Does nothing if this
+ * has started already. */
+void EbPlatformClient_StartProbes(EbPlatformClient *client, const char *kind,
+                                  const char *name, int64_t interval_us);
+void EbPlatformClient_StopProbes(EbPlatformClient *client);
+
 /* Stops watching a kind or listing it periodically. */
 void EbPlatformClient_Unwatch(EbPlatformClient *client, const char *kind);
 
--- a/src/libebonyhollow/feed/object_stream.c
+++ b/src/libebonyhollow/feed/object_stream.c
@@ -1,5 +1,6 @@
 #include "object_stream.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 typedef struct {
@@ -7,6 +8,9 @@
     uint64_t revision;      /* after them */
     bool exact_base;        /* as in EbObjectChanges */
     json_t *events;
+    char *text; /* of the events without the array's brackets, or NULL while
+                   nobody asked for it */
+    size_t text_bytes;
     int64_t applied_us;
 } Batch;
 
@@ -21,6 +25,7 @@
 {
     Batch *batch = data;
     json_decref(batch->events);
+    free(batch->text);
     g_free(batch);
 }
 
@@ -194,33 +199,72 @@
     return effective;
 }
 
-json_t *
-EbObjectStream_ChangesSince(const EbObjectStream *stream, uint64_t revision,
-                            bool *exact_base)
+/* Writes a batch's events once for all daemons that ask for them. */
+static void
+write_batch(Batch *batch)
+{
+    if (batch->text != NULL) {
+        return;
+    }
+    char *array = json_dumps(batch->events, JSON_COMPACT);
+    batch->text_bytes = strlen(array) - strlen("[]");
+    memmove(array, array + 1, batch->text_bytes);
+    array[batch->text_bytes] = '\0';
+    batch->text = array;
+}
+
+static void
+append_batch(GString *text, const Batch *batch)
+{
+    if (batch->text_bytes > 0) {
+        g_string_append_c(text, text->len > 0 ? ',' : '[');
+        g_string_append_len(text, batch->text, (gssize)batch->text_bytes);
+    }
+}
+
+/* Ends the array of a text that append_batch began. */
+static char *
+finish_array(GString *text)
+{
+    g_string_append(text, text->len > 0 ? "]" : "[]");
+    char *copy = strdup(text->str);
+    g_string_free(text, TRUE);
+    return copy;
+}
+
+char *
+EbObjectStream_WriteChanges(EbObjectStream *stream, uint64_t revision,
+                            size_t max_bytes, bool *exact_base)
 {
     *exact_base = false;
     if (!stream->listed || revision < stream->log_revision) {
         return NULL;
     }
-    json_t *events = json_array();
-    for (const GList *item = stream->batches.head; item != NULL;
+    GString *text = g_string_new(NULL);
+    bool possible = true;
+    for (const GList *item = stream->batches.head; item != NULL && possible;
          item = item->next) {
-        const Batch *batch = item->data;
+        Batch *batch = item->data;
         if (batch->revision <= revision) {
             continue;
         }
-        if (batch->exact_base && batch->base_revision < revision) {
-            json_decref(events);
-            return NULL;
-        }
+        write_batch(batch);
         *exact_base = *exact_base || batch->exact_base;
-        json_array_extend(events, batch->events);
+        possible = (!batch->exact_base || batch->base_revision >= revision) &&
+                   text->len + batch->text_bytes + strlen("[]") <= max_bytes;
+        if (possible) {
+            append_batch(text, batch);
+        }
     }
-    return events;
+    if (!possible) {
+        g_string_free(text, TRUE);
+        return NULL;
+    }
+    return finish_array(text);
 }
 
-json_t *
-EbObjectStream_ListAll(const EbObjectStream *stream)
+char *
+EbObjectStream_WriteAll(const EbObjectStream *stream, size_t max_bytes)
 {
     json_t *items = json_array();
     GHashTableIter iter;
@@ -230,5 +274,11 @@
     while (g_hash_table_iter_next(&iter, &name, &value)) {
         json_array_append_new(items, new_event(name, value, false));
     }
-    return items;
+    char *text = json_dumps(items, JSON_COMPACT);
+    json_decref(items);
+    if (strlen(text) > max_bytes) {
+        free(text);
+        return NULL;
+    }
+    return text;
 }
--- a/src/libebonyhollow/feed/private/object_stream.h
+++ b/src/libebonyhollow/feed/private/object_stream.h
@@ -56,13 +56,17 @@
                                     const EbObjectChanges *changes,
                                     int64_t now_us);
 
-/* Returns the events that lead from `revision` to the known state, as a new
- * reference, or NULL when they are not kept. `exact_base` is set as in
- * EbObjectChanges. */
-json_t *EbObjectStream_ChangesSince(const EbObjectStream *stream,
-                                    uint64_t revision, bool *exact_base);
+/* Writes the events that lead from `revision` to the known state as the text
+ * of a JSON array.
+ *
+ * exact_base: set as in EbObjectChanges.
+ *
+ * Returns the text, which the caller frees, or NULL when the events are not
+ * kept or the text would exceed `max_bytes`. */
+char *EbObjectStream_WriteChanges(EbObjectStream *stream, uint64_t revision,
+                                  size_t max_bytes, bool *exact_base);
 
-/* Returns all known objects as a list, as a new reference. */
-json_t *EbObjectStream_ListAll(const EbObjectStream *stream);
+/* Writes all known objects as events, as above. */
+char *EbObjectStream_WriteAll(const EbObjectStream *stream, size_t max_bytes);
 
 #endif
--- a/src/libebonyhollow/feed/store_feed.c
+++ b/src/libebonyhollow/feed/store_feed.c
@@ -22,6 +22,13 @@
 #define READ_PAUSE_US 2500000
 /* A daemon that sent no request for this time is sent no more changes. */
 #define SUBSCRIBER_US (3LL * EB_FEED_REQUEST_INTERVAL_US)
+/* A source without an answer of the store for this time answers no requests.
+ * While the store is slow, the time of its answers does not count up to the
+ * maximum. */
+#define ANSWER_AGE_MAX_US (2LL * EB_FEED_PROBE_INTERVAL_US)
+#define LATENCY_MAX_US 4000000
+/* A daemon that nobody asked for this time needs no probes. */
+#define ASKED_US 3000000
 /* The end of an outage is passed on for this time. */
 #define RECOVERY_TOLD_US 10000000
 
@@ -59,6 +66,10 @@
     guint refusals;       /* in a row */
     int64_t confirmed_us; /* by a source */
     int64_t recovered_us;
+    int64_t answered_us;       /* last answer of the store to this daemon */
+    int64_t answer_latency_us; /* of the last probe */
+    int64_t asked_us;          /* last request of another daemon */
+    bool probing;              /* as decided by the last Tick */
 };
 
 static const char *const stream_names[EB_FEED_STREAM_COUNT] = {
@@ -84,6 +95,8 @@
     feed->sources = g_ptr_array_new_with_free_func(g_free);
     feed->confirmed_us = INT64_MIN;
     feed->recovered_us = INT64_MIN;
+    feed->answered_us = INT64_MIN;
+    feed->asked_us = INT64_MIN;
     return feed;
 }
 
@@ -138,34 +151,38 @@
     return true;
 }
 
-static EbFeedState
-stream_state(const Stream *stream)
+static bool
+is_stream_current(const Stream *stream)
 {
-    if (stream->failures > 0) {
-        return EB_FEED_FAILING;
-    }
-    bool reading = stream->objects.listed && stream->must_read &&
-                   stream->readable &&
-                   stream->objects.revision >= stream->wanted_revision;
-    return reading ? EB_FEED_READING : EB_FEED_NOT_READING;
+    return stream->objects.listed && stream->must_read && stream->readable &&
+           stream->failures == 0 &&
+           stream->objects.revision >= stream->wanted_revision;
+}
+
+/* Returns the time since the store last answered, not counting the time that
+ * it took for that answer. */
+static int64_t
+answer_age(const EbStoreFeed *feed, int64_t now_us)
+{
+    int64_t latency_us = MIN(feed->answer_latency_us, LATENCY_MAX_US);
+    return MAX(now_us - feed->answered_us - latency_us, 0);
 }
 
-/* Returns EB_FEED_READING if this daemon reads every stream and may therefore
- * answer others. */
-static EbFeedState
-feed_state(const EbStoreFeed *feed)
+/* Returns whether this daemon reads every stream and the store answered
+ * lately, so that it may answer others. */
+static bool
+is_reading(const EbStoreFeed *feed, int64_t now_us)
 {
-    EbFeedState state = EB_FEED_READING;
+    if (feed->answered_us == INT64_MIN ||
+        answer_age(feed, now_us) > ANSWER_AGE_MAX_US) {
+        return false;
+    }
     for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
-        EbFeedState of_stream = stream_state(&feed->streams[i]);
-        if (of_stream == EB_FEED_FAILING) {
-            return EB_FEED_FAILING;
-        }
-        if (of_stream == EB_FEED_NOT_READING) {
-            state = EB_FEED_NOT_READING;
+        if (!is_stream_current(&feed->streams[i])) {
+            return false;
         }
     }
-    return state;
+    return true;
 }
 
 /* Sending changes to other daemons */
@@ -180,22 +197,17 @@
     return (uint64_t)MAX(now_us - feed->recovered_us, 1);
 }
 
-/* Sends events of a stream unless they are too large. Completes the message
- * and takes over the reference to the events. */
+/* Sends events of a stream and frees their text. Completes the message. */
 static bool
 send_events(const EbStoreFeed *feed, const char *instance, EbMessage *message,
-            json_t *events, size_t max_bytes, int64_t now_us)
+            char *text, int64_t now_us)
 {
-    char *text =
-        json_array_size(events) > 0 ? json_dumps(events, JSON_COMPACT) : NULL;
-    json_decref(events);
     message->kind = EB_MESSAGE_FEED_CHANGES;
     message->revision = feed->streams[message->feed_stream].objects.revision;
     message->recovered_ago_us = recovered_ago(feed, now_us);
     message->text = text;
-    message->text_bytes = text != NULL ? strlen(text) : 0;
+    message->text_bytes = strlen(text);
     bool sent =
-        message->text_bytes <= max_bytes &&
         feed->options.send(feed->options.context, instance, message, now_us);
     free(text);
     return sent;
@@ -205,19 +217,19 @@
  * are no longer kept or are too large are not sent; the status tells the
  * subscriber that it lacks something. */
 static void
-send_changes(const EbStoreFeed *feed, const char *instance,
-             Subscriber *subscriber, EbFeedStream index, int64_t now_us)
+send_changes(EbStoreFeed *feed, const char *instance, Subscriber *subscriber,
+             EbFeedStream index, int64_t now_us)
 {
-    const EbObjectStream *objects = &feed->streams[index].objects;
+    EbObjectStream *objects = &feed->streams[index].objects;
     EbMessage message = {.feed_stream = index,
                          .base_revision = subscriber->revisions[index]};
     if (message.base_revision >= objects->revision) {
         return;
     }
-    json_t *events = EbObjectStream_ChangesSince(
-        objects, message.base_revision, &message.exact_base);
-    if (events != NULL && send_events(feed, instance, &message, events,
-                                      EB_FEED_MAX_TEXT_BYTES, now_us)) {
+    char *text = EbObjectStream_WriteChanges(objects, message.base_revision,
+                                             EB_FEED_MAX_TEXT_BYTES,
+                                             &message.exact_base);
+    if (text != NULL && send_events(feed, instance, &message, text, now_us)) {
         subscriber->revisions[index] = objects->revision;
     }
 }
@@ -228,10 +240,13 @@
                  EbFeedStream index, int64_t now_us)
 {
     const EbObjectStream *objects = &feed->streams[index].objects;
-    if (objects->listed) {
+    char *text =
+        objects->listed
+            ? EbObjectStream_WriteAll(objects, EB_FEED_MAX_SNAPSHOT_BYTES)
+            : NULL;
+    if (text != NULL) {
         EbMessage message = {.feed_stream = index};
-        send_events(feed, instance, &message, EbObjectStream_ListAll(objects),
-                    EB_FEED_MAX_SNAPSHOT_BYTES, now_us);
+        send_events(feed, instance, &message, text, now_us);
     }
 }
 
@@ -244,10 +259,9 @@
 }
 
 static void
-send_to_subscribers(const EbStoreFeed *feed, EbFeedStream index,
-                    int64_t now_us)
+send_to_subscribers(EbStoreFeed *feed, EbFeedStream index, int64_t now_us)
 {
-    if (feed_state(feed) != EB_FEED_READING) {
+    if (!is_reading(feed, now_us)) {
         return;
     }
     g_hash_table_foreach_remove(feed->subscribers, has_expired, &now_us);
@@ -263,7 +277,7 @@
 /* Sends the changes that a daemon asks for, and from now on those that come.
  */
 static void
-add_subscriber(const EbStoreFeed *feed, const char *peer,
+add_subscriber(EbStoreFeed *feed, const char *peer,
                const uint64_t revisions[EB_FEED_STREAM_COUNT], int64_t now_us)
 {
     Subscriber *subscriber = g_hash_table_lookup(feed->subscribers, peer);
@@ -286,6 +300,7 @@
         [EB_FEED_CONFIG] = request->config_revision,
         [EB_FEED_SERVERS] = request->servers_revision};
     bool all_listed_there = true;
+    feed->asked_us = now_us;
     for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
         if (revisions[i] == 0) {
             send_all_objects(feed, peer, (EbFeedStream)i, now_us);
@@ -294,15 +309,16 @@
     }
     EbMessage status = {.kind = EB_MESSAGE_FEED_STATUS,
                         .feed_request = request->feed_request,
-                        .feed_state = feed_state(feed),
+                        .feed_reading = is_reading(feed, now_us),
                         .recovered_ago_us = recovered_ago(feed, now_us)};
-    if (status.feed_state == EB_FEED_READING) {
+    if (status.feed_reading) {
+        status.confirmed_ago_us = (uint64_t)answer_age(feed, now_us);
         status.config_revision =
             feed->streams[EB_FEED_CONFIG].objects.revision;
         status.servers_revision =
             feed->streams[EB_FEED_SERVERS].objects.revision;
     }
-    if (status.feed_state == EB_FEED_READING && all_listed_there) {
+    if (status.feed_reading && all_listed_there) {
         add_subscriber(feed, peer, revisions, now_us);
     }
     feed->options.send(feed->options.context, peer, &status, now_us);
@@ -330,6 +346,7 @@
     }
     stream->readable = true;
     stream->read_us = now_us;
+    feed->answered_us = now_us;
     stream->failures = 0;
 }
 
@@ -363,6 +380,13 @@
             now_us);
 }
 
+void
+EbStoreFeed_HandleProbe(EbStoreFeed *feed, int64_t latency_us, int64_t now_us)
+{
+    feed->answered_us = now_us;
+    feed->answer_latency_us = latency_us;
+}
+
 void
 EbStoreFeed_HandleFailure(EbStoreFeed *feed, EbFeedStream index,
                           int64_t now_us)
@@ -437,8 +461,8 @@
     }
 }
 
-/* The state is confirmed as of the time of the request: the source had it, or
- * more, when it answered. */
+/* The state is confirmed as of the time at which the store last answered the
+ * source, reckoned back from the request, since clocks are unrelated. */
 static void
 handle_status(EbStoreFeed *feed, const EbMessage *message, int64_t now_us)
 {
@@ -446,7 +470,7 @@
         return;
     }
     feed->awaiting_status = false;
-    if (message->feed_state != EB_FEED_READING) {
+    if (!message->feed_reading) {
         handle_refusal(feed, now_us);
         return;
     }
@@ -464,7 +488,9 @@
         }
     }
     if (complete) {
-        feed->confirmed_us = feed->requested_us;
+        feed->confirmed_us =
+            feed->requested_us -
+            (int64_t)MIN(message->confirmed_ago_us, EB_FEED_CONFIRMED_US);
     }
 }
 
@@ -637,6 +663,8 @@
         send_request(feed, now_us);
     }
     decide_reads(feed, now_us);
+    feed->probing = feed->is_source && feed->asked_us != INT64_MIN &&
+                    now_us - feed->asked_us < ASKED_US;
 }
 
 int64_t
@@ -665,6 +693,12 @@
     return feed->streams[stream].must_read;
 }
 
+bool
+EbStoreFeed_MustProbe(const EbStoreFeed *feed)
+{
+    return feed->probing;
+}
+
 uint64_t
 EbStoreFeed_Revision(const EbStoreFeed *feed, EbFeedStream stream)
 {
--- a/src/libebonyhollow/membership/message.c
+++ b/src/libebonyhollow/membership/message.c
@@ -87,12 +87,13 @@
     FIELD(33, UINT64, feed_request, FEED_POSITIONS, FEED_POSITIONS, 0),
     FIELD(34, UINT64, config_revision, FEED_POSITIONS, 0, 0),
     FIELD(35, UINT64, servers_revision, FEED_POSITIONS, 0, 0),
-    FIELD(36, UINT32, feed_state, BIT(FEED_STATUS), 0, EB_FEED_STATE_COUNT),
+    FIELD(36, BOOL, feed_reading, BIT(FEED_STATUS), 0, 0),
     FIELD(37, UINT32, feed_stream, BIT(FEED_CHANGES), 0, EB_FEED_STREAM_COUNT),
     FIELD(38, UINT64, base_revision, BIT(FEED_CHANGES), 0, 0),
     FIELD(39, UINT64, revision, BIT(FEED_CHANGES), BIT(FEED_CHANGES), 0),
     FIELD(40, UINT64, recovered_ago_us, FEED_RESPONSES, 0, 0),
     FIELD(41, BOOL, exact_base, BIT(FEED_CHANGES), 0, 0),
+    FIELD(42, UINT64, confirmed_ago_us, BIT(FEED_STATUS), 0, 0),
 };
 
 const size_t EbMessage_field_count =
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -273,6 +273,7 @@
         .listed = EbDaemon_OnObjectsListed,
         .changed = EbDaemon_OnObjectsChanged,
         .failed = EbDaemon_OnReadFailed,
+        .probed = EbDaemon_OnProbed,
         .context = daemon});
 }
 
--- a/src/libebonyhollow_net/daemon_discovery.c
+++ b/src/libebonyhollow_net/daemon_discovery.c
@@ -342,6 +342,21 @@
                                      stream_kind(daemon, stream));
         }
     }
+    if (EbStoreFeed_MustProbe(discovery->feed)) {
+        EbPlatformClient_StartProbes(
+            daemon->platform_client, daemon->adapter->daemons_kind,
+            daemon->settings->instance, EB_FEED_PROBE_INTERVAL_US);
+    }
+    else {
+        EbPlatformClient_StopProbes(daemon->platform_client);
+    }
+}
+
+void
+EbDiscovery_HandleProbe(EbDaemon *daemon, int64_t latency_us)
+{
+    EbStoreFeed_HandleProbe(daemon->discovery.feed, latency_us,
+                            EbClock_Monotonic());
 }
 
 void
--- a/src/libebonyhollow_net/daemon_platform.c
+++ b/src/libebonyhollow_net/daemon_platform.c
@@ -289,6 +289,12 @@
     }
 }
 
+void
+EbDaemon_OnProbed(void *context, int64_t latency_us)
+{
+    EbDiscovery_HandleProbe(context, latency_us);
+}
+
 void
 EbDaemon_CheckWatches(EbDaemon *daemon, int64_t now_us)
 {
--- a/src/libebonyhollow_net/platform_client.c
+++ b/src/libebonyhollow_net/platform_client.c
@@ -446,6 +446,7 @@
     if (client == NULL) {
         return;
     }
+    EbPlatformClient_StopProbes(client);
     g_hash_table_destroy(client->watches);
     g_ptr_array_free(client->slots, TRUE);
     g_queue_clear_full(&client->waiting, free_call);
--- a/src/libebonyhollow_net/platform_watch.c
+++ b/src/libebonyhollow_net/platform_watch.c
@@ -48,8 +48,8 @@
 EbPlatformWatch_Free(void *data)
 {
     Watch *watch = data;
-    if (watch->client->probe == watch) {
-        watch->client->probe = NULL;
+    if (watch->client->retrying == watch) {
+        watch->client->retrying = NULL;
     }
     if (watch->evcon != NULL) {
         evhttp_connection_free(watch->evcon);
@@ -74,13 +74,13 @@
 retry_later(Watch *watch)
 {
     EbPlatformClient *client = watch->client;
-    if (client->probe != NULL && client->probe != watch) {
+    if (client->retrying != NULL && client->retrying != watch) {
         watch->consecutive_failures++;
         watch->held = true;
         schedule(watch, HELD_RETRY_US);
         return;
     }
-    client->probe = watch;
+    client->retrying = watch;
     uint32_t doublings = MIN(watch->consecutive_failures, 10);
     int64_t limit_us =
         MIN((int64_t)BACKOFF_FIRST_US << doublings, BACKOFF_MAX_US);
@@ -96,8 +96,8 @@
     EbPlatformClient *client = watch->client;
     GHashTableIter iter;
     gpointer value;
-    if (client->probe == watch) {
-        client->probe = NULL;
+    if (client->retrying == watch) {
+        client->retrying = NULL;
     }
     g_hash_table_iter_init(&iter, client->watches);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -223,6 +223,7 @@
                                uint64_t base_revision, uint64_t revision,
                                json_t *events);
 void EbDaemon_OnReadFailed(void *context, const char *kind);
+void EbDaemon_OnProbed(void *context, int64_t latency_us);
 
 /* Watches the platform's objects if the membership chose this daemon as a
  * watcher; otherwise polls them. */
@@ -262,6 +263,9 @@
                                uint64_t base_revision, uint64_t revision,
                                json_t *events);
 
+/* Handles the store's answer to a probe. */
+void EbDiscovery_HandleProbe(EbDaemon *daemon, int64_t latency_us);
+
 /* Handles a failed list or watch. */
 void EbDiscovery_HandleFailure(EbDaemon *daemon, const char *kind);
 
--- a/src/libebonyhollow_net/private/platform_internal.h
+++ b/src/libebonyhollow_net/private/platform_internal.h
@@ -16,7 +16,8 @@
     GQueue waiting;   /* of Call */
     uint32_t running_count;
     GHashTable *watches; /* kind -> Watch */
-    void *probe; /* the Watch that retries while others wait, or NULL */
+    void *retrying; /* the Watch that retries while others wait, or NULL */
+    void *probe;    /* the Probe, or NULL */
     uint32_t consecutive_failures;
     bool up;
     int64_t down_since_us;
--- a/src/libebonyhollow_net/store_protocol.c
+++ b/src/libebonyhollow_net/store_protocol.c
@@ -87,6 +87,14 @@
     return path;
 }
 
+static char *
+build_probe_path(const char *kind, const char *name)
+{
+    return build_path(&(EbStoreRequest){.operation = EB_STORE_GET,
+                                        .kind = (char *)kind,
+                                        .name = (char *)name});
+}
+
 static json_t *
 read_list(json_t *response, bool *more)
 {
@@ -109,6 +117,7 @@
     .read = read_response,
     .list_path = build_list_path,
     .watch_path = build_watch_path,
+    .probe_path = build_probe_path,
     .read_list = read_list,
     .read_changes = read_changes,
 };
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -93,7 +93,8 @@
      .feed_request = 7,
      .config_revision = 9,
      .servers_revision = 12,
-     .feed_state = EB_FEED_FAILING,
+     .feed_reading = true,
+     .confirmed_ago_us = 17,
      .recovered_ago_us = UINT64_MAX},
 };
 
@@ -154,7 +155,8 @@
     CU_ASSERT_EQUAL(got->feed_request, sent->feed_request);
     CU_ASSERT_EQUAL(got->config_revision, sent->config_revision);
     CU_ASSERT_EQUAL(got->servers_revision, sent->servers_revision);
-    CU_ASSERT_EQUAL(got->feed_state, sent->feed_state);
+    CU_ASSERT_EQUAL(got->feed_reading, sent->feed_reading);
+    CU_ASSERT_EQUAL(got->confirmed_ago_us, sent->confirmed_ago_us);
     CU_ASSERT_EQUAL(got->feed_stream, sent->feed_stream);
     CU_ASSERT_EQUAL(got->base_revision, sent->base_revision);
     CU_ASSERT_EQUAL(got->revision, sent->revision);
--- a/src/test_store_feed/fleet.c
+++ b/src/test_store_feed/fleet.c
@@ -11,6 +11,7 @@
 #define LONG_POLL_US 3000000
 #define FIRST_POLL_US 20000
 #define RETRY_US 400000
+#define POLL_GRACE_US 2000000
 
 typedef struct {
     int64_t due_us;
@@ -146,7 +147,9 @@
     }
     int side = daemon->side;
     bool reachable = daemon->store_reachable;
+    bool cut_silently = daemon->cut_silently;
     *daemon = (FleetDaemon){.side = side,
+                            .cut_silently = cut_silently,
                             .store_reachable = reachable,
                             .sound_since_us = fleet.now_us};
     daemon->feed = EbStoreFeed_New(&(EbStoreFeedOptions){
@@ -166,6 +169,7 @@
 Fleet_ReachStore(uint32_t index, bool reachable)
 {
     fleet.daemons[index].store_reachable = reachable;
+    fleet.daemons[index].cut_silently = EbRandom_Below(&fleet.random, 2) == 0;
     fleet.daemons[index].sound_since_us = fleet.now_us;
 }
 
@@ -296,7 +300,12 @@
         }
         return;
     }
-    if (!fleet.store_up || !daemon->store_reachable) {
+    bool reachable = fleet.store_up && daemon->store_reachable;
+    if (!reachable && daemon->cut_silently &&
+        fleet.now_us < daemon->reads[stream].due_us + POLL_GRACE_US) {
+        return;
+    }
+    if (!reachable) {
         daemon->reads[stream].active = false;
         daemon->reads[stream].due_us =
             fleet.now_us + (int64_t)EbRandom_Below(&fleet.random, RETRY_US);
@@ -312,6 +321,20 @@
     }
 }
 
+static void
+run_probe(FleetDaemon *daemon)
+{
+    if (!EbStoreFeed_MustProbe(daemon->feed) ||
+        fleet.now_us < daemon->probe_us) {
+        return;
+    }
+    daemon->probe_us = fleet.now_us + EB_FEED_PROBE_INTERVAL_US;
+    if (fleet.store_up && daemon->store_reachable) {
+        fleet.probes++;
+        EbStoreFeed_HandleProbe(daemon->feed, STORE_US, fleet.now_us);
+    }
+}
+
 static void
 deliver_due(void)
 {
@@ -414,6 +437,7 @@
             for (int stream = 0; stream < EB_FEED_STREAM_COUNT; stream++) {
                 run_read(daemon, (EbFeedStream)stream);
             }
+            run_probe(daemon);
             check_daemon(i, bound_us);
         }
     }
--- a/src/test_store_feed/fleet.h
+++ b/src/test_store_feed/fleet.h
@@ -28,6 +28,9 @@
     FleetState known;  /* as reported by the feed */
     uint64_t revisions[EB_FEED_STREAM_COUNT];
     bool store_reachable;
+    /* Reads and probes hang while the store can't be reached, instead of
+     * failing at once. */
+    bool cut_silently;
     int side;                /* daemons on different sides can't talk */
     int64_t paused_until_us; /* the process doesn't run before */
     int64_t sound_since_us;  /* runs and reaches the store since */
@@ -40,7 +43,8 @@
         uint64_t base;
     } reads[EB_FEED_STREAM_COUNT];
     bool watching[EB_FEED_STREAM_COUNT];
-    bool listed; /* every stream */
+    int64_t probe_us; /* time of the next probe */
+    bool listed;      /* every stream */
 } FleetDaemon;
 
 typedef struct {
@@ -56,7 +60,8 @@
     int64_t changed_us[FLEET_REVISIONS_MAX]; /* when a revision was made */
     FleetDaemon daemons[FLEET_MAX];
     GQueue messages; /* of Delivery, in order of their time */
-    uint64_t reads;  /* calls to the store */
+    uint64_t reads;  /* calls to the store that list or watch */
+    uint64_t probes; /* calls that only show that it answers */
     uint32_t violations;
 } Fleet;
 
--- a/src/test_store_feed/main.c
+++ b/src/test_store_feed/main.c
@@ -54,6 +54,7 @@
     FAULT_SOURCES_KILLED,
     FAULT_SOURCES_PAUSED,
     FAULT_SOURCES_CUT_FROM_STORE,
+    FAULT_SOURCES_SILENTLY_CUT,
     FAULT_SOURCES_CUT_FROM_PEERS,
     FAULT_HISTORY_LOST,
     FAULT_STORE_DOWN
@@ -78,6 +79,11 @@
             break;
         case FAULT_SOURCES_CUT_FROM_STORE:
             Fleet_ReachStore(i, false);
+            fleet.daemons[i].cut_silently = false;
+            break;
+        case FAULT_SOURCES_SILENTLY_CUT:
+            Fleet_ReachStore(i, false);
+            fleet.daemons[i].cut_silently = true;
             break;
         case FAULT_SOURCES_CUT_FROM_PEERS:
             Fleet_Move(i, 1);
@@ -106,6 +112,8 @@
         {FAULT_SOURCES_PAUSED, 6},
         {FAULT_SOURCES_CUT_FROM_STORE, 1},
         {FAULT_SOURCES_CUT_FROM_STORE, 5},
+        {FAULT_SOURCES_SILENTLY_CUT, 1},
+        {FAULT_SOURCES_SILENTLY_CUT, 6},
         {FAULT_SOURCES_CUT_FROM_PEERS, 1},
         {FAULT_SOURCES_CUT_FROM_PEERS, 6},
         {FAULT_HISTORY_LOST, 0},
@@ -386,21 +394,27 @@
 }
 
 /* Guards against a daemon that answers with what it knows only from another
- * one, or after its own reads failed. */
+ * one, after its own reads failed, or when the store may be out of its reach
+ * while its watch still waits. */
 static void
 test_answers(void)
 {
     static const struct {
         bool is_source;
-        bool read;   /* a poll succeeded after the start */
-        bool failed; /* the next one didn't */
-        EbFeedState state;
+        bool read;         /* a poll succeeded after the start */
+        bool failed;       /* the next one didn't */
+        int64_t asked_us;  /* after that */
+        int64_t probed_us; /* before the request; -1: no probe */
+        bool reading;
     } rows[] = {
-        {true, true, false, EB_FEED_READING},
-        {true, false, false, EB_FEED_NOT_READING},
-        {true, true, true, EB_FEED_FAILING},
-        {false, false, false, EB_FEED_NOT_READING},
-        {false, true, false, EB_FEED_NOT_READING},
+        {true, true, false, 0, -1, true},
+        {true, true, false, 700000, -1, true},
+        {true, true, false, 900000, -1, false},
+        {true, true, false, 2900000, 400000, true},
+        {true, false, false, 0, 0, false},
+        {true, true, true, 0, 0, false},
+        {false, false, false, 0, 0, false},
+        {false, true, false, 0, 0, false},
     };
     for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
         Recorder recorder = {0};
@@ -424,11 +438,15 @@
                              .feed_request = 5,
                              .config_revision = 11,
                              .servers_revision = 11};
-        EbStoreFeed_Receive(feed, "i-9", &request, SECOND_US);
+        int64_t asked_us = SECOND_US + rows[i].asked_us;
+        if (rows[i].probed_us >= 0) {
+            EbStoreFeed_HandleProbe(feed, 5000, asked_us - rows[i].probed_us);
+        }
+        EbStoreFeed_Receive(feed, "i-9", &request, asked_us);
         CU_ASSERT_EQUAL_FATAL(recorder.sent_count, 1);
         CU_ASSERT_EQUAL(recorder.sent[0].kind, EB_MESSAGE_FEED_STATUS);
         CU_ASSERT_EQUAL(recorder.sent[0].feed_request, 5);
-        CU_ASSERT_EQUAL(recorder.sent[0].feed_state, rows[i].state);
+        CU_ASSERT_EQUAL(recorder.sent[0].feed_reading, rows[i].reading);
         EbStoreFeed_Free(feed);
     }
 }
