--- a/include/membership/ebonyhollow/message.h
+++ b/include/membership/ebonyhollow/message.h
@@ -153,6 +153,7 @@
     uint64_t config_revision;
     uint64_t servers_revision;
     bool feed_reading; /* FEED_STATUS: the sender reads the store itself */
+    bool feed_failing; /* FEED_STATUS: it tries to, and its last read failed */
     /* FEED_STATUS: time since the store last answered the sender */
     uint64_t confirmed_ago_us;
     /* FEED_CHANGES: the changes after `base_revision` up to `revision`, or all
--- a/src/libebonyhollow/feed/store_feed.c
+++ b/src/libebonyhollow/feed/store_feed.c
@@ -20,6 +20,9 @@
  * add up. It is below the 3 s that a deployment allows for finding out that
  * the store is back. */
 #define READ_PAUSE_US 2500000
+/* The pause when a whole round of sources could not read the store either. The
+ * first of them that can again answers the next request. */
+#define OUTAGE_PAUSE_US 8000000
 /* A daemon that sent no request for this time is sent no more changes. */
 #define SUBSCRIBER_US (3LL * EB_FEED_REQUEST_INTERVAL_US)
 /* A source without an answer of the store for this time answers no requests.
@@ -63,7 +66,10 @@
     bool awaiting_status;
     int64_t requested_us;
     int64_t next_request_us;
-    guint refusals;       /* in a row */
+    guint refusals;         /* in a row */
+    guint failing_refusals; /* of these, for a failed read of the store */
+    /* Every source of the last round of REFUSALS_MAX had a failed read. */
+    bool sources_failing;
     int64_t confirmed_us; /* by a source */
     int64_t recovered_us;
     int64_t answered_us;       /* last answer of the store to this daemon */
@@ -185,6 +191,13 @@
     return true;
 }
 
+static bool
+has_failed(const EbStoreFeed *feed)
+{
+    return feed->streams[EB_FEED_CONFIG].failures > 0 ||
+           feed->streams[EB_FEED_SERVERS].failures > 0;
+}
+
 /* Sending changes to other daemons */
 
 static uint64_t
@@ -310,6 +323,7 @@
     EbMessage status = {.kind = EB_MESSAGE_FEED_STATUS,
                         .feed_request = request->feed_request,
                         .feed_reading = is_reading(feed, now_us),
+                        .feed_failing = has_failed(feed),
                         .recovered_ago_us = recovered_ago(feed, now_us)};
     if (status.feed_reading) {
         status.confirmed_ago_us = (uint64_t)answer_age(feed, now_us);
@@ -395,7 +409,8 @@
     stream->readable = false;
     stream->failures++;
     if (!feed->is_source && stream->objects.listed && stream->failures > 1) {
-        stream->pause_until_us = now_us + READ_PAUSE_US;
+        stream->pause_until_us =
+            now_us + (feed->sources_failing ? OUTAGE_PAUSE_US : READ_PAUSE_US);
     }
 }
 
@@ -440,15 +455,18 @@
 
 /* Asks the next source at once, unless a round of them has refused. */
 static void
-handle_refusal(EbStoreFeed *feed, int64_t now_us)
+handle_refusal(EbStoreFeed *feed, bool failing, int64_t now_us)
 {
     ask_next_source(feed);
     feed->refusals++;
+    feed->failing_refusals += failing;
     if (feed->refusals < MIN(feed->sources->len, REFUSALS_MAX)) {
         send_request(feed, now_us);
         return;
     }
+    feed->sources_failing = feed->failing_refusals >= REFUSALS_MAX;
     feed->refusals = 0;
+    feed->failing_refusals = 0;
 }
 
 static void
@@ -471,10 +489,12 @@
     }
     feed->awaiting_status = false;
     if (!message->feed_reading) {
-        handle_refusal(feed, now_us);
+        handle_refusal(feed, message->feed_failing, now_us);
         return;
     }
     feed->refusals = 0;
+    feed->failing_refusals = 0;
+    feed->sources_failing = false;
     note_recovery(feed, message, now_us);
     const uint64_t revisions[EB_FEED_STREAM_COUNT] = {
         [EB_FEED_CONFIG] = message->config_revision,
@@ -597,6 +617,15 @@
                                      : confirmed_us + EB_FEED_CONFIRMED_US;
 }
 
+/* Returns whether a stream is not read since another one shows whether the
+ * store answers. While it fails, one stream is enough to find out. */
+static bool
+waits_for_other(const EbStoreFeed *feed, const Stream *stream)
+{
+    const Stream *first = &feed->streams[EB_FEED_CONFIG];
+    return stream != first && stream->objects.listed && first->failures > 0;
+}
+
 /* Returns why a stream is to be read from the store, or NULL. */
 static const char *
 read_cause(const EbStoreFeed *feed, const Stream *stream, int64_t now_us)
@@ -613,7 +642,9 @@
     if (stream->objects.revision < stream->wanted_revision) {
         return "behind";
     }
-    return now_us >= confirmed_until(feed) ? "unconfirmed" : NULL;
+    return now_us >= confirmed_until(feed) && !waits_for_other(feed, stream)
+               ? "unconfirmed"
+               : NULL;
 }
 
 static void
@@ -645,12 +676,7 @@
     if (all_listed(feed)) {
         return !feed->is_source;
     }
-    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
-        if (feed->streams[i].failures > 0) {
-            return true;
-        }
-    }
-    return false;
+    return has_failed(feed);
 }
 
 void
@@ -676,7 +702,8 @@
     }
     for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
         const Stream *stream = &feed->streams[i];
-        if (stream->must_read) {
+        if (stream->must_read ||
+            (!feed->is_source && waits_for_other(feed, stream))) {
             continue;
         }
         int64_t due_us = feed->is_source ? stream->listed_us + SOURCE_START_US
--- a/src/libebonyhollow/membership/message.c
+++ b/src/libebonyhollow/membership/message.c
@@ -94,6 +94,7 @@
     FIELD(40, UINT64, recovered_ago_us, FEED_RESPONSES, 0, 0),
     FIELD(41, BOOL, exact_base, BIT(FEED_CHANGES), 0, 0),
     FIELD(42, UINT64, confirmed_ago_us, BIT(FEED_STATUS), 0, 0),
+    FIELD(43, BOOL, feed_failing, BIT(FEED_STATUS), 0, 0),
 };
 
 const size_t EbMessage_field_count =
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -94,6 +94,7 @@
      .config_revision = 9,
      .servers_revision = 12,
      .feed_reading = true,
+     .feed_failing = true,
      .confirmed_ago_us = 17,
      .recovered_ago_us = UINT64_MAX},
 };
@@ -156,6 +157,7 @@
     CU_ASSERT_EQUAL(got->config_revision, sent->config_revision);
     CU_ASSERT_EQUAL(got->servers_revision, sent->servers_revision);
     CU_ASSERT_EQUAL(got->feed_reading, sent->feed_reading);
+    CU_ASSERT_EQUAL(got->feed_failing, sent->feed_failing);
     CU_ASSERT_EQUAL(got->confirmed_ago_us, sent->confirmed_ago_us);
     CU_ASSERT_EQUAL(got->feed_stream, sent->feed_stream);
     CU_ASSERT_EQUAL(got->base_revision, sent->base_revision);
