configuration: allow for full calls and a longer wait in due times

Cause: work of a stage is ordered by the time at which it is due, reckoned back from the request's goal by the expected time of the stages after it. Half-full calls and half a call's wait were assumed. In a burst calls are full and servers busy, so that requests that were just in time at one stage were late at the end.

Change: a full call and two thirds of it for the wait.

--- a/include/configuration/ebonyhollow/config.h
+++ b/include/configuration/ebonyhollow/config.h
@@ -273,8 +273,9 @@
  */
 EbConfig *EbConfig_New(const char *site, uint64_t generation);
 
-/* Returns the expected time in microseconds of a half-full batched call,
- * including the wait for a free server. */
+/* Returns the time in microseconds to allow for a batched call: that of a full
+ * one and the wait for a free server, as in a burst. Work that is ordered by
+ * due times from shorter ones is late when servers are busy. */
 int64_t EbConfig_BatchCallTime(const EbConfigBatch *batch);
 
 /* Computes EbConfigPreparation.downstream_us of all preparations. */
--- a/src/libebonyhollow/configuration/config_forward.c
+++ b/src/libebonyhollow/configuration/config_forward.c
@@ -6,8 +6,10 @@
 
 #include "ebonyhollow/config.h"
 
-/* Waiting for a free server takes about half the time of a call. */
-#define WAIT_DIVISOR 2
+/* Waiting for a server that is busy with another call, as a part of the time
+ * of a full call: two thirds. */
+#define WAIT_NUMERATOR 2
+#define WAIT_DENOMINATOR 3
 
 const EbConfigPipeline *
 EbConfig_FindForwardPipeline(const EbConfig *config, const char *host,
@@ -33,8 +35,8 @@
 int64_t
 EbConfig_BatchCallTime(const EbConfigBatch *batch)
 {
-    int64_t call_us = batch->call_us + batch->max_items / 2 * batch->item_us;
-    return call_us + call_us / WAIT_DIVISOR;
+    int64_t call_us = batch->call_us + batch->max_items * batch->item_us;
+    return call_us + call_us * WAIT_NUMERATOR / WAIT_DENOMINATOR;
 }
 
 void
