store_feed: a reading source ends the pause of an outage

Change: a confirmation by a source ends the pause and clears the failures, which belong to the outage.

Test: test_store_feed 'large change after an outage', which fails on the commit before.

--- a/src/libebonyhollow/feed/store_feed.c
+++ b/src/libebonyhollow/feed/store_feed.c
@@ -502,6 +502,9 @@
     bool complete = true;
     for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
         Stream *stream = &feed->streams[i];
+        /* The store is back, if it was away. */
+        stream->pause_until_us = 0;
+        stream->failures = stream->must_read ? stream->failures : 0;
         if (stream->objects.revision < revisions[i]) {
             stream->wanted_revision = revisions[i];
             complete = false;
--- a/src/test_store_feed/fleet.c
+++ b/src/test_store_feed/fleet.c
@@ -86,8 +86,8 @@
         bool deleted = json_is_true(json_object_get(event, "deleted"));
         daemon->known.values[stream][object] =
             deleted ? 0
-                    : (uint32_t)json_integer_value(
-                          json_object_get(event, "value"));
+                    : (uint32_t)json_integer_value(json_object_get(
+                          json_object_get(event, "value"), "number"));
     }
 }
 
@@ -209,7 +209,10 @@
 {
     char name[16];
     snprintf(name, sizeof(name), "o-%02u", object);
-    json_t *item = json_pack("{s:s, s:i}", "name", name, "value", (int)value);
+    char *padding = g_strnfill(fleet.padding_bytes, 'x');
+    json_t *item = json_pack("{s:s, s:{s:i, s:s}}", "name", name, "value",
+                             "number", (int)value, "padding", padding);
+    g_free(padding);
     if (event) {
         json_object_set_new(item, "deleted", json_boolean(value == 0));
     }
--- a/src/test_store_feed/fleet.h
+++ b/src/test_store_feed/fleet.h
@@ -59,9 +59,10 @@
     FleetState states[FLEET_REVISIONS_MAX];
     int64_t changed_us[FLEET_REVISIONS_MAX]; /* when a revision was made */
     FleetDaemon daemons[FLEET_MAX];
-    GQueue messages; /* of Delivery, in order of their time */
-    uint64_t reads;  /* calls to the store that list or watch */
-    uint64_t probes; /* calls that only show that it answers */
+    GQueue messages;        /* of Delivery, in order of their time */
+    uint32_t padding_bytes; /* in each value, to exceed limits of messages */
+    uint64_t reads;         /* calls to the store that list or watch */
+    uint64_t probes;        /* calls that only show that it answers */
     uint32_t violations;
 } Fleet;
 
--- a/src/test_store_feed/main.c
+++ b/src/test_store_feed/main.c
@@ -136,21 +136,48 @@
 }
 
 /* Guards against daemons that all call a store that is down: while it is, the
- * 17 daemons that are no sources may make a few calls in 10 s each, and they
- * must know of a change soon after it returned. */
+ * daemons that are no sources may make a few calls in 10 s each, and they must
+ * know of a change soon after it returned. */
 static void
 test_store_down(void)
 {
-    Fleet_Start(20, 3, 7);
+    static const struct {
+        uint32_t sources;
+        uint32_t calls_of_another; /* in 10 s */
+    } rows[] = {{3, 12}, {8, 6}};
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        Fleet_Start(20, rows[i].sources, 7);
+        Fleet_Run(4 * SECOND_US, BOUND_US);
+        apply_fault(FAULT_STORE_DOWN, 0);
+        Fleet_Run(SECOND_US, BOUND_US);
+        uint64_t before = fleet.reads;
+        Fleet_Run(10 * SECOND_US, BOUND_US);
+        uint64_t of_sources =
+            rows[i].sources * EB_FEED_STREAM_COUNT * 10 * SECOND_US / 200000;
+        uint64_t of_others =
+            (uint64_t)(20 - rows[i].sources) * rows[i].calls_of_another;
+        CU_ASSERT_TRUE(fleet.reads - before <= of_sources + of_others);
+        Fleet_SetStoreUp(true);
+        write_some(3);
+        Fleet_Run(FLEET_CONTACT_US, BOUND_US);
+        CU_ASSERT_TRUE(Fleet_IsCurrent());
+        CU_ASSERT_EQUAL(fleet.violations, 0);
+        Fleet_Stop();
+    }
+}
+
+/* Guards against a change that is too large for a message and does not reach
+ * daemons that pause their own reads, since all sources had failed before. */
+static void
+test_large_change_after_outage(void)
+{
+    Fleet_Start(20, 8, 9);
     Fleet_Run(4 * SECOND_US, BOUND_US);
-    apply_fault(FAULT_STORE_DOWN, 0);
-    Fleet_Run(SECOND_US, BOUND_US);
-    uint64_t before = fleet.reads;
-    Fleet_Run(10 * SECOND_US, BOUND_US);
-    uint64_t of_sources = 3 * 2 * 10 * SECOND_US / 200000;
-    CU_ASSERT_TRUE(fleet.reads - before <= of_sources + 17 * 2 * 6);
+    Fleet_SetStoreUp(false);
+    Fleet_Run(5 * SECOND_US, BOUND_US);
     Fleet_SetStoreUp(true);
-    write_some(3);
+    fleet.padding_bytes = 70000;
+    write_some(4);
     Fleet_Run(FLEET_CONTACT_US, BOUND_US);
     CU_ASSERT_TRUE(Fleet_IsCurrent());
     CU_ASSERT_EQUAL(fleet.violations, 0);
@@ -484,6 +511,7 @@
         {"calls to the store", test_calls},
         {"lost sources", test_lost_sources},
         {"store down", test_store_down},
+        {"large change after an outage", test_large_change_after_outage},
         {"start in an outage", test_start_in_outage},
         {"random faults", test_random_faults},
         {"relayed changes", test_relayed_changes},
