test_forward: slow streams go on, stalled ones end with the request's time

Looked for, after reports of operators of similar systems: slow but sound streams that are cut, and stalled ones that send something now and then and never end. Neither happens: a forwarded stream is bounded by its route's time alone. Four rows show it.

--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -293,6 +293,62 @@
     process_actions(fixture);
 }
 
+/* Guards against a slow but sound stream that is cut, and against a stalled one
+ * that goes on for ever since something comes now and then: events without an
+ * id, or the same event again. */
+static void
+test_slow_streams(void)
+{
+    static const struct {
+        const char *path;
+        int64_t first_id;
+        int64_t id_step;
+        int64_t interval_us;
+        unsigned count;
+        bool ends; /* the server ends the stream after the last event */
+    } rows[] = {
+        {"/once/x", 0, 1, 1900000, 4, true},
+        {"/resumable/x", 0, 1, 1900000, 4, true},
+        {"/once/x", -1, 0, 300000, 30, false},
+        {"/resumable/x", 3, 0, 300000, 30, false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Fixture fixture;
+        open_fixture(&fixture);
+        int64_t start_us = fixture.now_us;
+        submit(&fixture, rows[i].path, TOKEN);
+        send_event(&fixture,
+                   &(Event){.kind = EB_ATTEMPT_STREAMING, .status = 200});
+        for (unsigned k = 0; k < rows[i].count && !fixture.answered; k++) {
+            if (k > 0) {
+                advance(&fixture, rows[i].interval_us);
+            }
+            if (!fixture.answered) {
+                send_event(&fixture,
+                           &(Event){.kind = EB_ATTEMPT_EVENTS,
+                                    .status = 200,
+                                    .event_id = rows[i].first_id +
+                                                rows[i].id_step * k,
+                                    .bytes = "a"});
+            }
+        }
+        if (rows[i].ends) {
+            CU_ASSERT_FALSE(fixture.answered);
+            CU_ASSERT_EQUAL(fixture.send_count, 1);
+            send_event(&fixture,
+                       &(Event){.kind = EB_ATTEMPT_ENDED, .status = 200});
+            CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_DONE);
+        }
+        else {
+            CU_ASSERT_TRUE(fixture.answered);
+            CU_ASSERT_NOT_EQUAL(fixture.outcome, EB_OUTCOME_DONE);
+            CU_ASSERT_EQUAL(fixture.cancel_count, 1);
+            CU_ASSERT_TRUE(fixture.now_us - start_us <= 6400000);
+        }
+        close_fixture(&fixture);
+    }
+}
+
 /* Guards against a request that is accepted without a pipeline or a valid
  * token, and against a refused request that is sent to a server. */
 static void
@@ -722,6 +778,7 @@
         {"resume", test_resume},
         {"no resume", test_no_resume},
         {"caller gone", test_caller_gone},
+        {"slow streams", test_slow_streams},
         {"deadline", test_deadline},
         {"preparations", test_preparations},
         {"early preparation", test_early_preparation},
