test_forward: work goes on while its server is missing from the list

Looked for, after reports of operators of similar systems: running work that is started again or given up when its server is silent for a while. Four rows show that it goes on.

--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -293,6 +293,40 @@
     process_actions(fixture);
 }
 
+/* Guards against work that is given up or started again elsewhere when its
+ * server is missing from the list for a while, since it was slow to report or
+ * the list lags. */
+static void
+test_server_missing(void)
+{
+    static const char *const paths[] = {"/read/x", "/pay/x", "/resumable/x",
+                                        "/once/x"};
+    for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+        Fixture fixture;
+        open_fixture(&fixture);
+        submit(&fixture, paths[i], TOKEN);
+        CU_ASSERT_EQUAL(fixture.send_count, 1);
+        EbConfig *without = make_config();
+        without->pools[0].server_count = 0;
+        EbDispatcher_SetConfig(fixture.dispatcher, without, fixture.now_us);
+        process_actions(&fixture);
+        advance(&fixture, 3 * SECOND_US);
+        CU_ASSERT_FALSE(fixture.answered);
+        EbDispatcher_SetConfig(fixture.dispatcher, fixture.config,
+                               fixture.now_us);
+        process_actions(&fixture);
+        advance(&fixture, SECOND_US);
+        CU_ASSERT_FALSE(fixture.answered);
+        CU_ASSERT_EQUAL(fixture.send_count, 1);
+        CU_ASSERT_EQUAL(fixture.cancel_count, 0);
+        send_event(&fixture,
+                   &(Event){.kind = EB_ATTEMPT_ANSWERED, .status = 200});
+        CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_DONE);
+        EbConfig_Unref(without);
+        close_fixture(&fixture);
+    }
+}
+
 /* Guards against a slow but sound stream that is cut, and against a stalled one
  * that goes on for ever since something comes now and then: events without an
  * id, or the same event again. */
@@ -778,6 +812,7 @@
         {"resume", test_resume},
         {"no resume", test_no_resume},
         {"caller gone", test_caller_gone},
+        {"server missing from the list", test_server_missing},
         {"slow streams", test_slow_streams},
         {"deadline", test_deadline},
         {"preparations", test_preparations},
