--- a/include/actions/ebonyhollow/action.h
+++ b/include/actions/ebonyhollow/action.h
@@ -83,12 +83,16 @@
     uint32_t stage; /* index of the preparation in the pipeline */
     uint32_t item_count;
     uint64_t result_bytes; /* approximate size of one work item's result */
-    char *failure_domain;  /* where the results will be used; NULL: unknown */
-    char *key;             /* input, if the stage depends on no other */
-    GPtrArray *inputs;   /* of char *; otherwise handles of earlier results */
-    uint8_t priority;    /* of the request; 0 is the most urgent */
-    int64_t due_us;      /* when it should be done; decides the order */
-    int64_t deadline_us; /* when the results are of no use any more */
+    /* Approximate bytes that are moved between servers for one work item: its
+     * inputs, and its result once for each work item that needs it. */
+    uint64_t transfer_bytes;
+    bool near_inputs;     /* most of these are inputs */
+    char *failure_domain; /* where the work should be done; NULL: unknown */
+    char *key;            /* input, if the stage depends on no other */
+    GPtrArray *inputs;    /* of char *; otherwise handles of earlier results */
+    uint8_t priority;     /* of the request; 0 is the most urgent */
+    int64_t due_us;       /* when it should be done; decides the order */
+    int64_t deadline_us;  /* when the results are of no use any more */
 } EbPreparationJob;
 
 /* A batched call: work items of several requests for one server. */
--- a/include/configuration/ebonyhollow/config.h
+++ b/include/configuration/ebonyhollow/config.h
@@ -253,6 +253,9 @@
                                       const char *name);
 const EbConfigBackendServer *EbConfig_FindServer(const EbConfig *config,
                                                  const char *id);
+const EbConfigBackendServer *
+EbConfig_FindServerByAddress(const EbConfig *config, const char *host,
+                             uint16_t port);
 
 /* Finds the customer with this bearer token. The token's digest is compared
  * with every configured digest in constant time, so that the time taken
--- a/include/membership/ebonyhollow/message.h
+++ b/include/membership/ebonyhollow/message.h
@@ -134,6 +134,7 @@
     uint32_t piece_count;
     uint32_t priority;
     uint64_t result_bytes;
+    uint64_t transfer_bytes;
     char *failure_domain;
     char *piece_key;
     /* Times relative to the sending of the message, since monotonic clocks of
--- a/src/libebonyhollow/batching/batcher_choice.c
+++ b/src/libebonyhollow/batching/batcher_choice.c
@@ -10,11 +10,11 @@
 /* A server in another failure domain than the one where the results are used
  * is chosen only if the local servers are more than this many times slower. */
 #define CROSS_DOMAIN_COST_FACTOR 1.5
-/* Results of at least this size are made in the failure domain where they are
- * used, as long as a call that starts now would end at least this margin
- * before they are due. */
-#define LOCAL_RESULT_MIN_BYTES 100000
-#define LOCAL_RESULT_MARGIN_US 200000
+/* Work that moves at least this many bytes an item is done in its failure
+ * domain, as long as a call that starts now would end at least this margin
+ * before it is due. */
+#define LOCAL_MIN_BYTES 100000
+#define LOCAL_MARGIN_US 200000
 /* While memory for results is short, a server gets its next call when there is
  * room for this share of the items that it could take, or after the wait. */
 #define MIN_CALL_SHARE 0.7
@@ -128,14 +128,14 @@
     }
 }
 
-/* Returns whether a job with large results can wait for a server in the
- * failure domain where they are used. */
+/* Returns whether a job that moves many bytes can wait for a server in its
+ * failure domain. */
 static bool
 can_wait_for_local_server(const EbBatchService *service, const EbBatchJob *job,
                           int64_t done_us)
 {
-    if (job->spec.result_bytes < LOCAL_RESULT_MIN_BYTES ||
-        job->spec.due_us - done_us < LOCAL_RESULT_MARGIN_US) {
+    if (job->spec.transfer_bytes < LOCAL_MIN_BYTES ||
+        job->spec.due_us - done_us < LOCAL_MARGIN_US) {
         return false;
     }
     GHashTableIter iter;
--- a/src/libebonyhollow/batching/private/batcher_state.h
+++ b/src/libebonyhollow/batching/private/batcher_state.h
@@ -113,9 +113,9 @@
                                            int64_t now_us);
 /* Fills a call with waiting items, in this order: those that can still be in
  * time; higher priority, for late items and while more items wait than the
- * servers take; results that are used in the server's failure domain; for late
- * items, later stages; earlier due time. Items with large results are left out
- * while they can wait for a server in the failure domain of their use. */
+ * servers take; work that belongs in the server's failure domain; for late
+ * items, later stages; earlier due time. Items that move many bytes are left
+ * out while they can wait for a server in their failure domain. */
 void EbBatchCall_SelectItems(EbBatchCall *call, int64_t now_us);
 
 /* batcher_call.c */
--- a/src/libebonyhollow/configuration/config_find.c
+++ b/src/libebonyhollow/configuration/config_find.c
@@ -106,6 +106,19 @@
     return index == UINT32_MAX ? NULL : &config->servers[index];
 }
 
+const EbConfigBackendServer *
+EbConfig_FindServerByAddress(const EbConfig *config, const char *host,
+                             uint16_t port)
+{
+    for (uint32_t i = 0; i < config->server_count; i++) {
+        const EbConfigBackendServer *server = &config->servers[i];
+        if (server->port == port && strcmp(server->host, host) == 0) {
+            return server;
+        }
+    }
+    return NULL;
+}
+
 void
 EbConfig_DigestToken(const char *token, uint8_t digest[EB_TOKEN_DIGEST_BYTES])
 {
--- a/src/libebonyhollow/membership/message.c
+++ b/src/libebonyhollow/membership/message.c
@@ -81,6 +81,7 @@
     FIELD(27, UINT64, left_us, BIT(PREPARE), 0, 0),
     FIELD(28, UINT32, prepared, BIT(PREPARED), 0, EB_PREPARED_STATUS_COUNT),
     FIELD(30, UINT64, result_bytes, BIT(PREPARE), 0, 0),
+    FIELD(44, UINT64, transfer_bytes, BIT(PREPARE), 0, 0),
     FIELD(31, NAME, failure_domain, BIT(PREPARE), 0, 0),
     FIELD(32, UINT32, priority, BIT(PREPARE), 0, UINT8_MAX + 1),
     FIELD(29, HANDLES, handles, BIT(PREPARE) | BIT(PREPARED), 0, 0),
--- a/src/libebonyhollow/requests/dispatcher_prepare.c
+++ b/src/libebonyhollow/requests/dispatcher_prepare.c
@@ -88,6 +88,37 @@
     return server != NULL ? server->failure_domain : NULL;
 }
 
+/* Returns the size of all inputs of a preparation, each of whose work items
+ * fetches all of them. */
+static uint64_t
+input_bytes(const EbRequest *request, uint32_t index)
+{
+    const EbConfigForward *forward = EbRequest_ForwardConfig(request);
+    uint64_t total_bytes = 0;
+    for (uint32_t i = 0; i < forward->preparation_count; i++) {
+        if ((forward->preparations[index].dependencies & 1U << i) != 0) {
+            total_bytes +=
+                item_count(request, i) * forward->preparations[i].result_bytes;
+        }
+    }
+    return total_bytes;
+}
+
+/* Returns how often a result of a preparation is fetched: by each work item of
+ * the preparations that depend on it, or once by the call. */
+static uint32_t
+fetch_count(const EbRequest *request, uint32_t index)
+{
+    const EbConfigForward *forward = EbRequest_ForwardConfig(request);
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < forward->preparation_count; i++) {
+        if ((forward->preparations[i].dependencies & 1U << index) != 0) {
+            count += item_count(request, i);
+        }
+    }
+    return MAX(count, 1);
+}
+
 static void
 start_preparation(EbRequest *request, uint32_t index, int64_t now_us)
 {
@@ -98,6 +129,9 @@
     state->job = ++dispatcher->last_job;
     g_hash_table_insert(dispatcher->jobs,
                         g_memdup2(&state->job, sizeof(state->job)), request);
+    uint64_t inputs_bytes = input_bytes(request, index);
+    uint64_t outputs_bytes =
+        fetch_count(request, index) * preparation->result_bytes;
     EbAction action = {
         .kind = EB_ACTION_PREPARE,
         .as.prepare = {
@@ -108,6 +142,8 @@
             .stage = index,
             .item_count = item_count(request, index),
             .result_bytes = preparation->result_bytes,
+            .transfer_bytes = inputs_bytes + outputs_bytes,
+            .near_inputs = inputs_bytes > outputs_bytes,
             .failure_domain = g_strdup(expected_domain(request, now_us)),
             .priority = EbRequest_Priority(request),
             .due_us = request->summary->received_us +
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -65,6 +65,7 @@
      .piece_count = EB_FORWARD_MAX_WORK_ITEMS,
      .priority = 2,
      .result_bytes = 1500000,
+     .transfer_bytes = 2000000,
      .failure_domain = "recife",
      .due_in_us = 400000,
      .late_us = 0,
@@ -140,6 +141,7 @@
     CU_ASSERT_EQUAL(got->piece_count, sent->piece_count);
     CU_ASSERT_EQUAL(got->priority, sent->priority);
     CU_ASSERT_EQUAL(got->result_bytes, sent->result_bytes);
+    CU_ASSERT_EQUAL(got->transfer_bytes, sent->transfer_bytes);
     CU_ASSERT_EQUAL(got->due_in_us, sent->due_in_us);
     CU_ASSERT_EQUAL(got->late_us, sent->late_us);
     CU_ASSERT_EQUAL(got->left_us, sent->left_us);
