--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "daemon_internal.h"
+#include "ebonyhollow/placement.h"
 
 /* A home whose link broke or did not come up is not chosen again for this
  * time. */
@@ -301,57 +302,16 @@
     EbDaemon_ScheduleActions(daemon);
 }
 
-/* Returns the failure domain of the server that keeps a result, or NULL when
- * it is not configured. */
-static const char *
-find_result_domain(const EbDaemon *daemon, const char *handle)
-{
-    const EbConfig *config = EbConfigManager_Current(daemon->config_manager);
-    char *host = NULL;
-    uint16_t port = 0;
-    const char *domain = NULL;
-    if (config != NULL &&
-        daemon->adapter->forward->read_handle(handle, &host, &port)) {
-        const EbConfigBackendServer *server =
-            EbConfig_FindServerByAddress(config, host, port);
-        domain = server != NULL ? server->failure_domain : NULL;
-    }
-    g_free(host);
-    return domain;
-}
-
-/* Returns the failure domain that has the most inputs of a preparation, or
- * NULL when it is unknown. */
-static const char *
-find_input_domain(const EbDaemon *daemon, const EbPreparationJob *spec)
-{
-    GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
-    const char *best = NULL;
-    guint highest = 0;
-    for (guint i = 0; spec->inputs != NULL && i < spec->inputs->len; i++) {
-        const char *domain =
-            find_result_domain(daemon, g_ptr_array_index(spec->inputs, i));
-        if (domain == NULL) {
-            continue;
-        }
-        guint count =
-            GPOINTER_TO_UINT(g_hash_table_lookup(counts, domain)) + 1;
-        g_hash_table_insert(counts, (gpointer)domain, GUINT_TO_POINTER(count));
-        if (count > highest) {
-            highest = count;
-            best = domain;
-        }
-    }
-    g_hash_table_destroy(counts);
-    return best;
-}
-
 void
 EbDaemon_Prepare(EbDaemon *daemon, const EbPreparationJob *spec)
 {
     EbPreparationJob placed = *spec;
+    const EbConfig *config = EbConfigManager_Current(daemon->config_manager);
     const char *domain =
-        spec->near_inputs ? find_input_domain(daemon, spec) : NULL;
+        spec->near_inputs && config != NULL
+            ? EbPlacement_FindInputDomain(
+                  config, daemon->adapter->forward->read_handle, spec->inputs)
+            : NULL;
     if (domain != NULL) {
         placed.failure_domain = (char *)domain;
     }
--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -29,6 +29,8 @@
     unsigned cancel_count;
     uint64_t jobs[MAX_SENDS]; /* preparations that were started */
     uint32_t job_stages[MAX_SENDS];
+    uint64_t job_bytes[MAX_SENDS]; /* that a work item moves */
+    bool job_near_inputs[MAX_SENDS];
     unsigned job_count;
     unsigned ended_count; /* preparations that were ended */
     char *inputs;         /* of the last send, each followed by a blank */
@@ -111,10 +113,12 @@
     EbConfigForward *staged = config->pipelines[4].forward;
     staged->preparations = g_new0(EbConfigPreparation, 3);
     staged->preparation_count = 3;
-    staged->preparations[0] = (EbConfigPreparation){.pool_index = 1};
-    staged->preparations[1] = (EbConfigPreparation){.pool_index = 1};
-    staged->preparations[2] =
-        (EbConfigPreparation){.pool_index = 1, .dependencies = 1U << 1};
+    staged->preparations[0] =
+        (EbConfigPreparation){.pool_index = 1, .result_bytes = 7};
+    staged->preparations[1] =
+        (EbConfigPreparation){.pool_index = 1, .result_bytes = 100};
+    staged->preparations[2] = (EbConfigPreparation){
+        .pool_index = 1, .dependencies = 1U << 1, .result_bytes = 5};
     return config;
 }
 
@@ -213,6 +217,10 @@
             break;
         case EB_ACTION_PREPARE:
             fixture->job_stages[fixture->job_count] = action.as.prepare.stage;
+            fixture->job_bytes[fixture->job_count] =
+                action.as.prepare.transfer_bytes;
+            fixture->job_near_inputs[fixture->job_count] =
+                action.as.prepare.near_inputs;
             fixture->jobs[fixture->job_count++] = action.as.prepare.job;
             break;
         case EB_ACTION_END_PREPARATION:
@@ -327,9 +335,9 @@
     }
 }
 
-/* Guards against a slow but sound stream that is cut, and against a stalled one
- * that goes on for ever since something comes now and then: events without an
- * id, or the same event again. */
+/* Guards against a slow but sound stream that is cut, and against a stalled
+ * one that goes on for ever since something comes now and then: events without
+ * an id, or the same event again. */
 static void
 test_slow_streams(void)
 {
@@ -358,12 +366,11 @@
                 advance(&fixture, rows[i].interval_us);
             }
             if (!fixture.answered) {
-                send_event(&fixture,
-                           &(Event){.kind = EB_ATTEMPT_EVENTS,
-                                    .status = 200,
-                                    .event_id = rows[i].first_id +
-                                                rows[i].id_step * k,
-                                    .bytes = "a"});
+                send_event(&fixture, &(Event){.kind = EB_ATTEMPT_EVENTS,
+                                              .status = 200,
+                                              .event_id = rows[i].first_id +
+                                                          rows[i].id_step * k,
+                                              .bytes = "a"});
             }
         }
         if (rows[i].ends) {
@@ -728,6 +735,13 @@
     end_preparation(&fixture, 1, EB_PREPARED_OK, results_b, 2);
     CU_ASSERT_EQUAL_FATAL(fixture.job_count, 3);
     CU_ASSERT_EQUAL(fixture.job_stages[2], 2);
+    static const uint64_t moved_bytes[] = {7, 100, 2 * 100 + 5};
+    for (unsigned i = 0; i < 3; i++) {
+        CU_ASSERT_EQUAL(fixture.job_bytes[i],
+                        moved_bytes[fixture.job_stages[i]]);
+        CU_ASSERT_EQUAL(fixture.job_near_inputs[i],
+                        fixture.job_stages[i] == 2);
+    }
     end_preparation(&fixture, 2, EB_PREPARED_OK, results_c, 1);
     CU_ASSERT_EQUAL(fixture.ended_count, 1); /* b has been used */
     CU_ASSERT_EQUAL(fixture.send_count, 0);
