--- a/src/libebonyhollow/batching/batcher_choice.c
+++ b/src/libebonyhollow/batching/batcher_choice.c
@@ -1,5 +1,4 @@
 /* Choice of the server for the next call and of the items in it. */
-#include <stdlib.h>
 #include <string.h>
 
 #include "batcher_state.h"
@@ -166,7 +165,7 @@
 } Candidate;
 
 static int
-compare_candidates(const void *left, const void *right)
+compare_candidates(gconstpointer left, gconstpointer right)
 {
     const Candidate *a = left;
     const Candidate *b = right;
@@ -218,8 +217,7 @@
         };
         g_array_append_val(candidates, candidate);
     }
-    qsort(candidates->data, candidates->len, sizeof(Candidate),
-          compare_candidates);
+    g_array_sort(candidates, compare_candidates);
     for (guint i = 0;
          i < candidates->len && call->items->len < service->batch.max_items;
          i++) {
