--- a/src/test_store_feed/main.c
+++ b/src/test_store_feed/main.c
@@ -153,7 +153,7 @@
         uint64_t before = fleet.reads;
         Fleet_Run(10 * SECOND_US, BOUND_US);
         uint64_t of_sources =
-            rows[i].sources * EB_FEED_STREAM_COUNT * 10 * SECOND_US / 200000;
+            (uint64_t)rows[i].sources * EB_FEED_STREAM_COUNT * 50;
         uint64_t of_others =
             (uint64_t)(20 - rows[i].sources) * rows[i].calls_of_another;
         CU_ASSERT_TRUE(fleet.reads - before <= of_sources + of_others);
