dispatcher: no stage works for what can't be answered in time

Cause: a stage's work was given up only when its own call could no longer end before the request's deadline, although the stages after it and the engine need time too.

Change: a stage's deadline leaves the least time of the stages after it and the engine's mean answer time.

Tests: test_forward 'useless preparations'; test_platform 'configuration'.

--- a/include/configuration/ebonyhollow/config.h
+++ b/include/configuration/ebonyhollow/config.h
@@ -110,7 +110,8 @@
     uint32_t pool_index;   /* into EbConfig.pools */
     uint32_t dependencies; /* bit i: needs the results of preparation i */
     uint64_t result_bytes; /* approximate size of a work item's result */
-    int64_t downstream_us; /* expected time of the preparations after it */
+    int64_t downstream_us; /* time to allow for the preparations after it */
+    int64_t downstream_min_us; /* that they take at least */
 } EbConfigPreparation;
 
 /* Further members of a pipeline that forwards requests; it has one stage. */
@@ -281,7 +282,10 @@
  * due times from shorter ones is late when servers are busy. */
 int64_t EbConfig_BatchCallTime(const EbConfigBatch *batch);
 
-/* Computes EbConfigPreparation.downstream_us of all preparations. */
+/* Returns the time in microseconds that a batched call takes at least. */
+int64_t EbConfig_BatchCallMinTime(const EbConfigBatch *batch);
+
+/* Computes the downstream times of all preparations. */
 void EbConfig_PlanPreparations(EbConfig *config);
 
 /* Finds the operator with this bearer token, like
--- a/src/libebonyhollow/configuration/config_forward.c
+++ b/src/libebonyhollow/configuration/config_forward.c
@@ -39,6 +39,25 @@
     return call_us + call_us * WAIT_NUMERATOR / WAIT_DENOMINATOR;
 }
 
+int64_t
+EbConfig_BatchCallMinTime(const EbConfigBatch *batch)
+{
+    return batch->call_us + batch->item_us;
+}
+
+/* Raises a preparation's downstream times to those by way of a dependent. */
+static void
+add_path(EbConfigPreparation *preparation, const EbConfigPreparation *next,
+         const EbConfigBatch *batch)
+{
+    preparation->downstream_us =
+        MAX(preparation->downstream_us,
+            next->downstream_us + EbConfig_BatchCallTime(batch));
+    preparation->downstream_min_us =
+        MAX(preparation->downstream_min_us,
+            next->downstream_min_us + EbConfig_BatchCallMinTime(batch));
+}
+
 void
 EbConfig_PlanPreparations(EbConfig *config)
 {
@@ -53,15 +72,12 @@
         for (uint32_t k = forward->preparation_count; k > 0; k--) {
             EbConfigPreparation *preparation = &forward->preparations[k - 1];
             preparation->downstream_us = 0;
+            preparation->downstream_min_us = 0;
             for (uint32_t n = k; n < forward->preparation_count; n++) {
                 const EbConfigPreparation *next = &forward->preparations[n];
                 if ((next->dependencies & 1U << (k - 1)) != 0) {
-                    int64_t path_us =
-                        next->downstream_us +
-                        EbConfig_BatchCallTime(
-                            &config->pools[next->pool_index].batch);
-                    preparation->downstream_us =
-                        MAX(preparation->downstream_us, path_us);
+                    add_path(preparation, next,
+                             &config->pools[next->pool_index].batch);
                 }
             }
         }
--- a/src/libebonyhollow/requests/dispatcher_forward.c
+++ b/src/libebonyhollow/requests/dispatcher_forward.c
@@ -111,11 +111,24 @@
     send->inputs = EbRequest_CollectInputs(request);
 }
 
+static const EbAnswerTime *
+find_answer_time(const EbRequest *request)
+{
+    return g_hash_table_lookup(request->pools[0]->answer_times,
+                               request->pipeline->name);
+}
+
+int64_t
+EbRequest_MeanAnswerTime(const EbRequest *request)
+{
+    const EbAnswerTime *time = find_answer_time(request);
+    return time != NULL ? (int64_t)time->mean_us : 0;
+}
+
 int64_t
 EbRequest_PredictAnswerTime(const EbRequest *request)
 {
-    const EbAnswerTime *time = g_hash_table_lookup(
-        request->pools[0]->answer_times, request->pipeline->name);
+    const EbAnswerTime *time = find_answer_time(request);
     return time != NULL ? (int64_t)(time->mean_us + ANSWER_TIME_DEVIATIONS *
                                                         time->deviation_us)
                         : INITIAL_ANSWER_TIME_US;
--- a/src/libebonyhollow/requests/dispatcher_prepare.c
+++ b/src/libebonyhollow/requests/dispatcher_prepare.c
@@ -150,7 +150,10 @@
                       EbRequest_ForwardConfig(request)->latency_goal_us -
                       preparation->downstream_us -
                       EbRequest_PredictAnswerTime(request),
-            .deadline_us = request->deadline_us,
+            /* Later results can't lead to an answer in time. */
+            .deadline_us = request->deadline_us -
+                           preparation->downstream_min_us -
+                           EbRequest_MeanAnswerTime(request),
         }};
     if (preparation->dependencies == 0) {
         action.as.prepare.key = g_strdup(request->forward->call->item_key);
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -373,6 +373,9 @@
  * answer or first event, with a margin, in microseconds. */
 int64_t EbRequest_PredictAnswerTime(const EbRequest *request);
 
+/* Returns the mean of that time, 0 before it was measured. */
+int64_t EbRequest_MeanAnswerTime(const EbRequest *request);
+
 /* dispatcher_call.c */
 
 typedef struct {
--- a/src/test_batcher/load.c
+++ b/src/test_batcher/load.c
@@ -161,16 +161,21 @@
     g_hash_table_remove(play->requests, &request->id);
 }
 
-/* Returns the expected time of the stages after one. */
-static int64_t
-downstream_us(const Play *play, const LoadClass *class, uint32_t stage)
+/* Fills in the due time and the deadline of a stage, as the dispatcher does
+ * it. */
+static void
+set_times(const Play *play, const Request *request, EbPreparationJob *job)
 {
-    int64_t total_us = 0;
-    for (uint32_t i = stage + 1; i < class->stage_count; i++) {
-        total_us += EbConfig_BatchCallTime(
-            &play->config->pools[class->stages[i].service].batch);
+    const LoadClass *class = request->class;
+    job->due_us = request->arrived_us + class->goal_us - class->engine_us;
+    job->deadline_us =
+        request->arrived_us + class->deadline_us - class->engine_us;
+    for (uint32_t i = request->stage + 1; i < class->stage_count; i++) {
+        const EbConfigBatch *batch =
+            &play->config->pools[class->stages[i].service].batch;
+        job->due_us -= EbConfig_BatchCallTime(batch);
+        job->deadline_us -= EbConfig_BatchCallMinTime(batch);
     }
-    return total_us;
 }
 
 static void
@@ -190,10 +195,8 @@
         .item_count = stage->items,
         .priority = class->priority,
         .result_bytes = stage->result_bytes,
-        .due_us = request->arrived_us + class->goal_us - class->engine_us -
-                  downstream_us(play, class, request->stage),
-        .deadline_us = request->arrived_us + class->deadline_us,
     };
+    set_times(play, request, &job);
     if (request->stage == 0) {
         job.key = "key";
     }
--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -31,6 +31,7 @@
     uint32_t job_stages[MAX_SENDS];
     uint64_t job_bytes[MAX_SENDS]; /* that a work item moves */
     bool job_near_inputs[MAX_SENDS];
+    int64_t job_deadlines_us[MAX_SENDS];
     unsigned job_count;
     unsigned ended_count; /* preparations that were ended */
     char *inputs;         /* of the last send, each followed by a blank */
@@ -221,6 +222,8 @@
                 action.as.prepare.transfer_bytes;
             fixture->job_near_inputs[fixture->job_count] =
                 action.as.prepare.near_inputs;
+            fixture->job_deadlines_us[fixture->job_count] =
+                action.as.prepare.deadline_us;
             fixture->jobs[fixture->job_count++] = action.as.prepare.job;
             break;
         case EB_ACTION_END_PREPARATION:
@@ -771,6 +774,27 @@
     close_fixture(&fixture);
 }
 
+/* Guards against preparing what can't lead to an answer in time: a stage's
+ * deadline must leave the time that the stages after it take at least. */
+static void
+test_useless_preparations(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture);
+    EbConfigForward *staged = fixture.config->pipelines[4].forward;
+    staged->preparations[1].downstream_min_us = 210000;
+    submit(&fixture, "/staged/x", TOKEN);
+    int64_t deadline_us = fixture.now_us + 6 * SECOND_US;
+    end_preparation(&fixture, 1, EB_PREPARED_OK, results_b, 2);
+    CU_ASSERT_EQUAL_FATAL(fixture.job_count, 3);
+    for (unsigned i = 0; i < 3; i++) {
+        bool has_next = fixture.job_stages[i] == 1;
+        CU_ASSERT_EQUAL(fixture.job_deadlines_us[i],
+                        deadline_us - (has_next ? 210000 : 0));
+    }
+    close_fixture(&fixture);
+}
+
 /* Guards against a second call when a home reports the end of a preparation
  * twice, before and after its link broke. */
 static void
@@ -831,6 +855,7 @@
         {"deadline", test_deadline},
         {"preparations", test_preparations},
         {"early preparation", test_early_preparation},
+        {"useless preparations", test_useless_preparations},
         {"prepared twice", test_prepared_twice},
         {"lost results", test_lost_results},
     };
--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -91,6 +91,10 @@
     CU_ASSERT_EQUAL(draft->forward->preparations[1].dependencies, 1);
     CU_ASSERT_TRUE(draft->forward->preparations[0].downstream_us >
                    draft->forward->preparations[1].downstream_us);
+    CU_ASSERT_TRUE(draft->forward->preparations[0].downstream_min_us >
+                   draft->forward->preparations[1].downstream_min_us);
+    CU_ASSERT_TRUE(draft->forward->preparations[0].downstream_min_us <
+                   draft->forward->preparations[0].downstream_us);
     CU_ASSERT_STRING_EQUAL(order->name, "order");
     CU_ASSERT_FALSE(order->stages[0].idempotent);
     CU_ASSERT_TRUE(order->forward->anonymous);
