batcher: a busy service uses servers of all failure domains

Change: no work waits for its own failure domain while more items wait than a quarter of what all servers take at once.

Test: test_batcher 'local work', its last row.

--- a/src/libebonyhollow/batching/batcher_choice.c
+++ b/src/libebonyhollow/batching/batcher_choice.c
@@ -11,9 +11,11 @@
 #define CROSS_DOMAIN_COST_FACTOR 1.5
 /* Work that moves at least this many bytes an item is done in its failure
  * domain, as long as a call that starts now would end at least this margin
- * before it is due. */
+ * before it is due, and no more items wait than this part of what all servers
+ * take at once: a busy service needs every free server. */
 #define LOCAL_MIN_BYTES 100000
 #define LOCAL_MARGIN_US 200000
+#define LOCAL_BUSY_DIVISOR 4
 /* While memory for results is short, a server gets its next call when there is
  * room for this share of the items that it could take, or after the wait. */
 #define MIN_CALL_SHARE 0.7
@@ -127,13 +129,23 @@
     }
 }
 
+/* Returns the number of items that all servers take in one call each. */
+static size_t
+call_capacity(const EbBatchService *service)
+{
+    return (size_t)service->batch.max_items *
+           g_hash_table_size(service->servers);
+}
+
 /* Returns whether a job that moves many bytes can wait for a server in its
  * failure domain. */
 static bool
 can_wait_for_local_server(const EbBatchService *service, const EbBatchJob *job,
                           int64_t done_us)
 {
-    if (job->spec.transfer_bytes < LOCAL_MIN_BYTES ||
+    bool busy =
+        service->waiting_count > call_capacity(service) / LOCAL_BUSY_DIVISOR;
+    if (busy || job->spec.transfer_bytes < LOCAL_MIN_BYTES ||
         job->spec.due_us - done_us < LOCAL_MARGIN_US) {
         return false;
     }
@@ -184,19 +196,11 @@
     return a->due_us < b->due_us ? -1 : a->due_us > b->due_us;
 }
 
-/* Returns whether more items wait than all servers take in one call each. */
-static bool
-is_backlogged(const EbBatchService *service)
-{
-    return service->waiting_count > (size_t)service->batch.max_items *
-                                        g_hash_table_size(service->servers);
-}
-
 void
 EbBatchCall_SelectItems(EbBatchCall *call, int64_t now_us)
 {
     EbBatchService *service = call->service;
-    bool backlogged = is_backlogged(service);
+    bool backlogged = service->waiting_count > call_capacity(service);
     int64_t done_us = now_us + EbBatchService_ExpectedTime(service, 1);
     GArray *candidates = g_array_new(FALSE, FALSE, sizeof(Candidate));
     for (GSequenceIter *iter = g_sequence_get_begin_iter(service->queue);
--- a/src/test_batcher/main.c
+++ b/src/test_batcher/main.c
@@ -554,7 +554,7 @@
 
 /* Guards against work that moves many bytes and is done in another failure
  * domain although a server of its own would still do it in time, and against
- * such work that waits until it is late. */
+ * such work that waits until it is late or while all servers are needed. */
 static void
 test_local_work(void)
 {
@@ -562,11 +562,16 @@
         uint64_t transfer_bytes;
         int64_t due_in_us;
         const char *domain;
+        uint32_t items;
         unsigned sent; /* while the server of "recife" is busy */
     } rows[] = {
-        {2900000, SECOND_US, "recife", 0}, {2900000, SECOND_US, "natal", 1},
-        {2900000, SECOND_US, NULL, 1},     {50000, SECOND_US, "recife", 1},
-        {2900000, 300000, "recife", 1},
+        {2900000, SECOND_US, "recife", 1, 0},
+        {2900000, SECOND_US, "natal", 1, 1},
+        {2900000, SECOND_US, NULL, 1, 1},
+        {50000, SECOND_US, "recife", 1, 1},
+        {2900000, 300000, "recife", 1, 1},
+        {2900000, SECOND_US, "recife", 2 * MAX_ITEMS / 4, 0},
+        {2900000, SECOND_US, "recife", 2 * MAX_ITEMS / 4 + 1, 1},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         Fixture fixture;
@@ -590,6 +595,7 @@
         EbPreparationJob second = first;
         second.job = 2;
         second.request_id = "r-2";
+        second.item_count = rows[i].items;
         second.transfer_bytes = rows[i].transfer_bytes;
         second.failure_domain = (char *)rows[i].domain;
         second.due_us = fixture.now_us + rows[i].due_in_us;
