--- a/src/test_membership/main.c
+++ b/src/test_membership/main.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <glib.h>
+
 #include "network.h"
 #include "test_runner.h"
 
@@ -85,9 +87,48 @@
     }
 }
 
+/* Guards against a daemon that asks itself, one that does not watch, or one in
+ * another failure domain while its own has watchers, and against daemons that
+ * all ask the same one first. */
+static void
+check_listed_watchers(void)
+{
+    GHashTable *first_names = g_hash_table_new(g_str_hash, g_str_equal);
+    for (uint32_t i = 0; i < size; i++) {
+        const char *names[NETWORK_MAX];
+        const EbMembership *membership = network.nodes[i].membership;
+        char own_domain[16];
+        snprintf(own_domain, sizeof(own_domain), "d%u", i % DOMAINS);
+        size_t count =
+            EbMembership_ListWatchers(membership, names, NETWORK_MAX);
+        size_t expected =
+            size <= EB_MEMBERSHIP_MESH_MAX
+                ? size
+                : MIN(DOMAINS, size) * EB_WATCHERS_PER_FAILURE_DOMAIN;
+        CU_ASSERT_TRUE(count <= expected);
+        CU_ASSERT_TRUE(count + 1 >= expected || size < 3 * DOMAINS);
+        bool in_own_domain = true;
+        for (size_t k = 0; k < count; k++) {
+            EbMemberView view;
+            CU_ASSERT_TRUE_FATAL(EbMembership_Find(membership, names[k],
+                                                   network.now_us, &view));
+            bool own = strcmp(view.failure_domain, own_domain) == 0;
+            CU_ASSERT_TRUE(in_own_domain || !own);
+            in_own_domain = own;
+        }
+        if (count > 0) {
+            g_hash_table_add(first_names, (gpointer)names[0]);
+        }
+    }
+    CU_ASSERT_TRUE(size <= EB_MEMBERSHIP_MESH_MAX ||
+                   g_hash_table_size(first_names) >= DOMAINS);
+    g_hash_table_destroy(first_names);
+}
+
 static void
 check_watchers(void)
 {
+    check_listed_watchers();
     uint32_t watchers[DOMAINS] = {0};
     for (uint32_t i = 0; i < size; i++) {
         watchers[i % DOMAINS] +=
