--- a/src/test_membership/main.c
+++ b/src/test_membership/main.c
@@ -1,4 +1,5 @@
 /* Tests of EbMembership in an in-memory network with a virtual clock. */
+#include <assert.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -69,6 +70,7 @@
 static void
 check_flood(void)
 {
+    assert(size > 0);
     for (uint32_t i = 0; i < size; i++) {
         memset(network.nodes[i].floods, 0, sizeof(network.nodes[i].floods));
     }
