platform_watch: a held watch retries when the one that retries is stopped

Cause: while one watch retries, the others wait for it, at most 4 s.

Change: a watch that waits takes over the retries. The new test of test_platform_client failed before (the waiting watch tried once in 3 s).

--- a/src/libebonyhollow_net/platform_watch.c
+++ b/src/libebonyhollow_net/platform_watch.c
@@ -353,8 +353,30 @@
     }
 }
 
+/* Lets a watch that waits retry in place of one that is stopped. */
+static void
+hand_over_retry(EbPlatformClient *client)
+{
+    GHashTableIter iter;
+    gpointer value;
+    client->retrying = NULL;
+    g_hash_table_iter_init(&iter, client->watches);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Watch *watch = value;
+        if (watch->held) {
+            watch->held = false;
+            retry_later(watch);
+            return;
+        }
+    }
+}
+
 void
 EbPlatformClient_Unwatch(EbPlatformClient *client, const char *kind)
 {
+    const Watch *watch = g_hash_table_lookup(client->watches, kind);
+    if (watch != NULL && client->retrying == watch) {
+        hand_over_retry(client);
+    }
     g_hash_table_remove(client->watches, kind);
 }
--- a/src/test_platform_client/main.c
+++ b/src/test_platform_client/main.c
@@ -485,6 +485,27 @@
     close_fixture(&fixture);
 }
 
+/* Guards against a watch that waits for the retry of another one after that
+ * one was stopped, seconds longer than the platform is away. */
+static void
+test_stopped_retry(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, respond_unavailable, 0);
+    EbPlatformClient_Watch(fixture.client, "instances");
+    EbPlatformClient_Watch(fixture.client, "quarantine");
+    Loop_For(fixture.base, 1000000);
+    bool instances_retry = fixture.instance_lists > fixture.quarantine_lists;
+    unsigned *waiting =
+        instances_retry ? &fixture.quarantine_lists : &fixture.instance_lists;
+    CU_ASSERT_EQUAL(*waiting, 1);
+    EbPlatformClient_Unwatch(fixture.client,
+                             instances_retry ? "instances" : "quarantine");
+    Loop_For(fixture.base, 2000000);
+    CU_ASSERT_TRUE(*waiting >= 3);
+    close_fixture(&fixture);
+}
+
 int
 main(void)
 {
@@ -496,6 +517,7 @@
         {"watch from a known revision", test_watch_from},
         {"probes", test_probes},
         {"one watch retries", test_one_watch_retries},
+        {"the watch that retries is stopped", test_stopped_retry},
     };
     return EbTest_Run("test_platform_client", cases,
                       sizeof(cases) / sizeof(cases[0]));
