store_feed, platform_watch: one way to apply a list or changes, one search for held watches

What the store returned and what a source sent were applied by two copies of the same steps. The search for waiting watches stood twice as well, and freeing a watch cleared a retry that stopping it already hands over. Behaviour is unchanged.

--- a/src/libebonyhollow/feed/private/store_feed_state.h
+++ b/src/libebonyhollow/feed/private/store_feed_state.h
@@ -66,10 +66,13 @@
 
 /* store_feed.c */
 
-/* Reports the events that an update of a stream returned and passes them on.
- * Takes over the reference. */
-void EbStoreFeed_Publish(EbStoreFeed *feed, EbFeedStream index, json_t *events,
-                         int64_t now_us);
+/* Apply what the store or a source told to the known objects, report the
+ * events that change something and pass them on. */
+void EbStoreFeed_ApplyList(EbStoreFeed *feed, EbFeedStream index,
+                           uint64_t revision, const json_t *items,
+                           int64_t now_us);
+void EbStoreFeed_ApplyChanges(EbStoreFeed *feed, EbFeedStream index,
+                              const EbObjectChanges *changes, int64_t now_us);
 
 /* Returns whether every stream was listed. */
 bool EbStoreFeed_IsListed(const EbStoreFeed *feed);
--- a/src/libebonyhollow/feed/store_feed.c
+++ b/src/libebonyhollow/feed/store_feed.c
@@ -110,9 +110,10 @@
 
 /* What the store returned */
 
-void
-EbStoreFeed_Publish(EbStoreFeed *feed, EbFeedStream index, json_t *events,
-                    int64_t now_us)
+/* Reports the events that an update of a stream returned and passes them on.
+ * Takes over the reference. */
+static void
+publish(EbStoreFeed *feed, EbFeedStream index, json_t *events, int64_t now_us)
 {
     if (json_array_size(events) > 0) {
         feed->options.changed(feed->options.context, index, events, now_us);
@@ -121,6 +122,30 @@
     json_decref(events);
 }
 
+void
+EbStoreFeed_ApplyList(EbStoreFeed *feed, EbFeedStream index, uint64_t revision,
+                      const json_t *items, int64_t now_us)
+{
+    EbFeedStreamState *stream = &feed->streams[index];
+    if (!stream->objects.listed) {
+        stream->listed_us = now_us;
+    }
+    publish(
+        feed, index,
+        EbObjectStream_ApplyList(&stream->objects, revision, items, now_us),
+        now_us);
+}
+
+void
+EbStoreFeed_ApplyChanges(EbStoreFeed *feed, EbFeedStream index,
+                         const EbObjectChanges *changes, int64_t now_us)
+{
+    publish(feed, index,
+            EbObjectStream_ApplyChanges(&feed->streams[index].objects, changes,
+                                        now_us),
+            now_us);
+}
+
 static void
 mark_read(EbStoreFeed *feed, EbFeedStreamState *stream, int64_t now_us)
 {
@@ -137,15 +162,8 @@
 EbStoreFeed_HandleList(EbStoreFeed *feed, EbFeedStream index,
                        uint64_t revision, const json_t *items, int64_t now_us)
 {
-    EbFeedStreamState *stream = &feed->streams[index];
-    if (!stream->objects.listed) {
-        stream->listed_us = now_us;
-    }
-    mark_read(feed, stream, now_us);
-    EbStoreFeed_Publish(
-        feed, index,
-        EbObjectStream_ApplyList(&stream->objects, revision, items, now_us),
-        now_us);
+    mark_read(feed, &feed->streams[index], now_us);
+    EbStoreFeed_ApplyList(feed, index, revision, items, now_us);
 }
 
 void
@@ -153,15 +171,11 @@
                           uint64_t base_revision, uint64_t revision,
                           const json_t *events, int64_t now_us)
 {
-    EbFeedStreamState *stream = &feed->streams[index];
-    mark_read(feed, stream, now_us);
     EbObjectChanges changes = {.base_revision = base_revision,
                                .revision = revision,
                                .events = events};
-    EbStoreFeed_Publish(
-        feed, index,
-        EbObjectStream_ApplyChanges(&stream->objects, &changes, now_us),
-        now_us);
+    mark_read(feed, &feed->streams[index], now_us);
+    EbStoreFeed_ApplyChanges(feed, index, &changes, now_us);
 }
 
 void
--- a/src/libebonyhollow/feed/store_feed_ask.c
+++ b/src/libebonyhollow/feed/store_feed_ask.c
@@ -121,23 +121,6 @@
     return events;
 }
 
-/* Takes over another daemon's list of a stream if there is none yet. It counts
- * as unconfirmed. */
-static void
-take_all_objects(EbStoreFeed *feed, EbFeedStream index, uint64_t revision,
-                 const json_t *items, int64_t now_us)
-{
-    EbFeedStreamState *stream = &feed->streams[index];
-    if (stream->objects.listed) {
-        return;
-    }
-    stream->listed_us = now_us;
-    EbStoreFeed_Publish(
-        feed, index,
-        EbObjectStream_ApplyList(&stream->objects, revision, items, now_us),
-        now_us);
-}
-
 void
 EbStoreFeed_HandlePeerChanges(EbStoreFeed *feed, const char *peer,
                               const EbMessage *message, int64_t now_us)
@@ -155,18 +138,20 @@
     }
     note_recovery(feed, message, now_us);
     if (message->base_revision == 0) {
-        take_all_objects(feed, index, message->revision, events, now_us);
-        json_decref(events);
-        return;
+        /* All objects, for a daemon without a list. They count as unconfirmed.
+         */
+        if (!stream->objects.listed) {
+            EbStoreFeed_ApplyList(feed, index, message->revision, events,
+                                  now_us);
+        }
+    }
+    else {
+        EbObjectChanges changes = {.base_revision = message->base_revision,
+                                   .revision = message->revision,
+                                   .exact_base = message->exact_base,
+                                   .events = events};
+        EbStoreFeed_ApplyChanges(feed, index, &changes, now_us);
     }
-    EbObjectChanges changes = {.base_revision = message->base_revision,
-                               .revision = message->revision,
-                               .exact_base = message->exact_base,
-                               .events = events};
-    EbStoreFeed_Publish(
-        feed, index,
-        EbObjectStream_ApplyChanges(&stream->objects, &changes, now_us),
-        now_us);
     json_decref(events);
 }
 
--- a/src/libebonyhollow_net/platform_watch.c
+++ b/src/libebonyhollow_net/platform_watch.c
@@ -48,9 +48,6 @@
 EbPlatformWatch_Free(void *data)
 {
     Watch *watch = data;
-    if (watch->client->retrying == watch) {
-        watch->client->retrying = NULL;
-    }
     if (watch->evcon != NULL) {
         evhttp_connection_free(watch->evcon);
     }
@@ -89,23 +86,46 @@
                                                    (uint64_t)limit_us));
 }
 
+/* Removes a watch from those that wait for a retry. Returns NULL when none
+ * does. */
+static Watch *
+take_held(const EbPlatformClient *client)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, client->watches);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Watch *watch = value;
+        if (watch->held) {
+            watch->held = false;
+            return watch;
+        }
+    }
+    return NULL;
+}
+
 /* The platform answered: the watches that waited for that retry now. */
 static void
-release_held(Watch *watch)
+release_held(const Watch *watch)
 {
     EbPlatformClient *client = watch->client;
-    GHashTableIter iter;
-    gpointer value;
     if (client->retrying == watch) {
         client->retrying = NULL;
     }
-    g_hash_table_iter_init(&iter, client->watches);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        Watch *other = value;
-        if (other->held) {
-            other->held = false;
-            schedule(other, 0);
-        }
+    Watch *other;
+    while ((other = take_held(client)) != NULL) {
+        schedule(other, 0);
+    }
+}
+
+/* Lets a watch that waits retry in place of one that is stopped. */
+static void
+hand_over_retry(EbPlatformClient *client)
+{
+    client->retrying = NULL;
+    Watch *other = take_held(client);
+    if (other != NULL) {
+        retry_later(other);
     }
 }
 
@@ -353,24 +373,6 @@
     }
 }
 
-/* Lets a watch that waits retry in place of one that is stopped. */
-static void
-hand_over_retry(EbPlatformClient *client)
-{
-    GHashTableIter iter;
-    gpointer value;
-    client->retrying = NULL;
-    g_hash_table_iter_init(&iter, client->watches);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        Watch *watch = value;
-        if (watch->held) {
-            watch->held = false;
-            retry_later(watch);
-            return;
-        }
-    }
-}
-
 void
 EbPlatformClient_Unwatch(EbPlatformClient *client, const char *kind)
 {
