platform_watch: event watch-broken, with the time that a poll waited

A watch that ended without a response left no log line, so a daemon that kept an old configuration could not be told from one whose reads failed or whose configuration was refused.

No behaviour is changed.

--- a/include/share/ebonyhollow/event_table.h
+++ b/include/share/ebonyhollow/event_table.h
@@ -225,6 +225,12 @@
       "A peer sent changes of the store's objects that can't be read; they "  \
       "are read from the store instead.",                                     \
       "peer,kind", "Compare the versions of the two daemons.")                \
+    X(WATCH_BROKEN, 705, "watch-broken", EB_LEVEL_INFO,                       \
+      "A poll of a watch ended without a response after waited_us: its "      \
+      "connection was lost, or it stayed open but transmitted nothing. The "  \
+      "objects, known as of revision, are listed again.",                     \
+      "kind,revision,waited_us",                                              \
+      "None, unless it is frequent: check the network path to the platform.") \
     X(AUDIT, 800, "audit", EB_LEVEL_NOTICE,                                   \
       "An operator made or attempted a change; result says which.",           \
       "operator,action,object,from_version,result",                           \
--- a/src/libebonyhollow_net/platform_watch.c
+++ b/src/libebonyhollow_net/platform_watch.c
@@ -265,6 +265,11 @@
         EbPlatformClient_RecordCall(client, operation, "unavailable",
                                     status == 429 ? NULL : "watch failed");
         if (status == 0 && watch->listed) {
+            EB_EMIT(client->options.events, EB_EVENT_WATCH_BROKEN,
+                    EB_STRING_FIELD("kind", watch->kind),
+                    EB_INTEGER_FIELD("revision", watch->revision),
+                    EB_INTEGER_FIELD("waited_us", EbClock_Monotonic() -
+                                                      watch->poll_started_us));
             /* Events may have been lost with the connection. */
             watch->listed = false;
             reset_listing(watch);
