platform_client, settings: a watch without a response is replaced within store_silence_ms

Cause: the response to a long poll is lost in a short outage of the store, and the connection stays open but transmits nothing more. The daemon waited until the poll was overdue, 3 s and 2 s more, although it has to recover within contact_ms, 3 s.

The latency of a slow store is added, so that slow responses don't count as lost.

test_platform_client 'a poll's response is lost' fails with the former grace time of 2 s, 'the platform is slow' without the latency; test_platform compares the setting with contact_ms.

--- a/include/net/ebonyhollow/platform_client.h
+++ b/include/net/ebonyhollow/platform_client.h
@@ -35,6 +35,10 @@
     uint32_t max_waiting;            /* calls in the queue; 0: 256 */
     int64_t call_timeout_us;  /* includes the wait in the queue; 0: 2 s */
     int64_t watch_timeout_us; /* of one long poll; 0: 5 s */
+    /* A poll without a response this long after its time-out is overdue: its
+     * connection is replaced and the kind is listed again. While the platform
+     * answers slowly, the time of its last answer is added. 0: 2 s. */
+    int64_t watch_grace_us;
     /* Delay after a poll that returned changes, so that changes in quick
      * succession are read with one poll; 0: none. */
     int64_t batch_delay_us;
--- a/src/libebonyhollow/configuration/settings_fields.c
+++ b/src/libebonyhollow/configuration/settings_fields.c
@@ -55,6 +55,12 @@
     CUSTOM_ROW("platform_token", SECRET, EB_SCHEMA_NONE, 0,
                "Token for the platform: a string of 1 to 1024 bytes or "
                "{\"file\": PATH}."),
+    ROW("store_silence_ms", MILLISECONDS, "ms", 1000, HOUR_MS, "27000",
+        EbSettings, store_silence_us,
+        "A watch of the platform's store without a response for this long is "
+        "replaced, since its connection may be lost while it stays open; a "
+        "change may be known this much later. Each watch calls the store at "
+        "least this often."),
     CUSTOM_ROW("seeds", ARRAY, "[]", EB_SETTINGS_MAX_SEEDS,
                "Addresses of peers to connect to at start."),
     ROW("seeds[].host", HOST, "", 0, 0, EB_SCHEMA_REQUIRED, EbAddress, host,
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -10,14 +10,10 @@
 #include "daemon_internal.h"
 #include "socket.h"
 
-/* How long the store holds a long poll open. Each poll costs the store one
- * call, so the time-out is long. TCP keepalive detects a lost connection
- * earlier. */
-#define WATCH_TIMEOUT_US 25000000
-/* The same where changes are passed from daemon to daemon, so that few daemons
- * poll. A connection that stays open but transmits nothing is detected when a
- * poll is overdue. */
-#define FEED_WATCH_TIMEOUT_US 3000000
+/* The part of store_silence_ms that is left for the response after a poll's
+ * time-out, at most WATCH_GRACE_MAX_US. */
+#define WATCH_GRACE_DIVISOR 4
+#define WATCH_GRACE_MAX_US 2000000
 /* Delay of the next long poll after changes, so that changes in quick
  * succession cost one poll. It is far shorter than the time within which a
  * change must be in force. */
@@ -253,6 +249,9 @@
 create_clients(EbDaemon *daemon)
 {
     const EbSettings *settings = daemon->settings;
+    int64_t watch_grace_us =
+        MIN(settings->store_silence_us / WATCH_GRACE_DIVISOR,
+            WATCH_GRACE_MAX_US);
     daemon->backend_client = EbBackendClient_New(
         &(EbBackendClientOptions){.base = daemon->base,
                                   .event = EbDaemon_OnAttemptEvent,
@@ -263,8 +262,8 @@
         .port = settings->platform.port,
         .protocol = daemon->adapter != NULL ? daemon->adapter->store : NULL,
         .token = settings->platform_token,
-        .watch_timeout_us =
-            daemon->adapter != NULL ? FEED_WATCH_TIMEOUT_US : WATCH_TIMEOUT_US,
+        .watch_timeout_us = settings->store_silence_us - watch_grace_us,
+        .watch_grace_us = watch_grace_us,
         .batch_delay_us = WATCH_BATCH_DELAY_US,
         .random = &daemon->random,
         .metrics = daemon->metrics,
--- a/src/libebonyhollow_net/platform_client.c
+++ b/src/libebonyhollow_net/platform_client.c
@@ -18,6 +18,7 @@
 #define MIN_REMAINING_DIVISOR 4
 #define DEFAULT_CALL_TIMEOUT_US 2000000
 #define DEFAULT_WATCH_TIMEOUT_US 5000000
+#define DEFAULT_WATCH_GRACE_US 2000000
 #define MAX_HEADER_BYTES 16384
 #define MAX_BODY_BYTES 8388608
 /* The platform counts as down after this number of consecutive failed calls. A
@@ -414,6 +415,9 @@
     if (options->watch_timeout_us == 0) {
         options->watch_timeout_us = DEFAULT_WATCH_TIMEOUT_US;
     }
+    if (options->watch_grace_us == 0) {
+        options->watch_grace_us = DEFAULT_WATCH_GRACE_US;
+    }
 }
 
 EbPlatformClient *
--- a/src/libebonyhollow_net/platform_watch.c
+++ b/src/libebonyhollow_net/platform_watch.c
@@ -7,9 +7,8 @@
 #include "platform_internal.h"
 #include "socket.h"
 
-/* If a poll has no response this long after its time-out, its connection is
- * considered lost. */
-#define POLL_GRACE_US 2000000
+/* Largest latency that is allowed for in addition to the grace time. */
+#define LATENCY_MAX_US 2000000
 /* When one watch is interrupted, the kinds of the other watches whose polls
  * have been pending for at least this long are listed again. */
 #define RELIST_MIN_POLL_US 200000
@@ -34,6 +33,7 @@
     bool held;       /* waits for the retry of another watch */
     bool confirming; /* the next poll is the first one from a known revision */
     int64_t poll_started_us;
+    int64_t wait_us; /* time-out of the poll; 0 for a listing */
     uint64_t revision;
     uint32_t consecutive_failures;
     json_t *items; /* of an incomplete listing */
@@ -279,12 +279,27 @@
     }
 }
 
+/* A response before the poll's time-out carries changes and tells nothing
+ * about the latency. */
+static void
+observe_latency(const Watch *watch)
+{
+    int64_t latency_us =
+        EbClock_Monotonic() - watch->poll_started_us - watch->wait_us;
+    if (latency_us >= 0) {
+        watch->client->watch_latency_us = MIN(latency_us, LATENCY_MAX_US);
+    }
+}
+
 static void
 on_request_done(struct evhttp_request *request, void *arg)
 {
     Watch *watch = arg;
     int status = request ? evhttp_request_get_response_code(request) : 0;
     watch->polling = false;
+    if (status != 0) {
+        observe_latency(watch);
+    }
     EbSocket_SetKeepAlive(
         bufferevent_getfd(evhttp_connection_get_bufferevent(watch->evcon)));
     json_t *body = status != 0 ? EbPlatformClient_ParseBody(request) : NULL;
@@ -298,8 +313,10 @@
     EbPlatformClient *client = watch->client;
     int64_t poll_us =
         watch->confirming ? FIRST_POLL_US : client->options.watch_timeout_us;
-    struct timeval timeout = EbClock_Timeval(
-        watch->listed ? poll_us + POLL_GRACE_US : LIST_TIMEOUT_US);
+    int64_t overdue_us =
+        poll_us + client->options.watch_grace_us + client->watch_latency_us;
+    struct timeval timeout =
+        EbClock_Timeval(watch->listed ? overdue_us : LIST_TIMEOUT_US);
     if (watch->evcon == NULL) {
         watch->evcon =
             EbPlatformClient_OpenConnection(client, LIST_TIMEOUT_US);
@@ -314,6 +331,7 @@
     struct evhttp_request *request =
         EbPlatformClient_NewRequest(client, on_request_done, watch);
     watch->polling = true;
+    watch->wait_us = watch->listed ? poll_us : 0;
     watch->poll_started_us = EbClock_Monotonic();
     if (evhttp_make_request(watch->evcon, request, EVHTTP_REQ_GET, path) !=
         0) {
--- a/src/libebonyhollow_net/private/platform_internal.h
+++ b/src/libebonyhollow_net/private/platform_internal.h
@@ -16,6 +16,7 @@
     GQueue waiting;   /* of Call */
     uint32_t running_count;
     GHashTable *watches; /* kind -> Watch */
+    int64_t watch_latency_us; /* of the last response to a watch */
     void *retrying; /* the Watch that retries while others wait, or NULL */
     void *probe;    /* the Probe, or NULL */
     uint32_t consecutive_failures;
--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -499,7 +499,7 @@
     "listen:\n  front: \"10.1.0.41:8625\"\n  ready: \"10.1.0.41:8621\"\n"
     "  control: \"10.1.0.41:8628\"\nseeds:\n  - \"10.1.0.41:8628\"\n"
     "  - \"10.2.0.25:8628\"\nlimits:\n  max_fds: 4100\n"
-    "bounds:\n  grace_s: 8\nplatform:\n  address: \"10.200.1.7:8624\"\n"
+    "bounds:\n  contact_ms: 3000\n  grace_s: 8\nplatform:\n  address: \"10.200.1.7:8624\"\n"
     "new_field: [1, {a: b}]\n";
 
 static EbSettings *
@@ -516,8 +516,14 @@
     return settings;
 }
 
+/* Longest pause before the store is read again after one lost response, and
+ * the time for reading and applying a large configuration. */
+#define FIRST_RETRY_US 100000
+#define READ_US 500000
+
 /* Guards against wrong addresses, against unknown fields that prevent a daemon
- * from starting, and against a drain that exceeds the grace time. */
+ * from starting, against a drain that exceeds the grace time, and against a
+ * lost watch that is noticed after contact_ms. */
 static void
 test_settings(void)
 {
@@ -537,6 +543,8 @@
     CU_ASSERT_EQUAL(settings->seed_count, 1); /* without its own address */
     CU_ASSERT_TRUE(settings->balancer_delay_us + settings->drain_limit_us <
                    8000000);
+    CU_ASSERT_TRUE(settings->store_silence_us + FIRST_RETRY_US + READ_US <=
+                   3000000);
     EbSettings_Free(settings);
 }
 
--- a/src/test_platform_client/main.c
+++ b/src/test_platform_client/main.c
@@ -131,6 +131,7 @@
                                    .max_waiting = 3,
                                    .call_timeout_us = 300000,
                                    .watch_timeout_us = 200000,
+                                   .watch_grace_us = 200000,
                                    .random = &fixture->random,
                                    .metrics = fixture->metrics,
                                    .events = &fixture->sink,
@@ -407,6 +408,70 @@
     close_fixture(&fixture);
 }
 
+/* Lists, but leaves every poll without a response on an open connection. */
+static void
+respond_only_to_lists(RawPeer *peer, const char *request)
+{
+    Fixture *fixture = peer->server->context;
+    if (strncmp(request, "GET /v1/objects/instances ", 26) == 0) {
+        RawPeer_SendJson(peer, "{\"revision\": 7, \"items\": []}");
+        return;
+    }
+    fixture->polls++;
+}
+
+/* Guards against changes that stay unknown for seconds after a response was
+ * lost on a connection that stays open: the poll takes 0.2 s, the grace time
+ * 0.2 s and the pause before the listing 0.1 s. */
+static void
+test_lost_response(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, respond_only_to_lists, 0);
+    EbPlatformClient_Watch(fixture.client, "instances");
+    fixture.wanted_listed = 1;
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_watched, &fixture));
+    int64_t listed_us = g_get_monotonic_time();
+    fixture.wanted_listed = 2;
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_watched, &fixture));
+    CU_ASSERT_TRUE(g_get_monotonic_time() - listed_us < 1000000);
+    CU_ASSERT_EQUAL(fixture.events[EB_EVENT_WATCH_BROKEN], 1);
+    close_fixture(&fixture);
+}
+
+static void
+send_empty_changes(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    RawPeer_SendJson(arg, "{\"revision\": 7, \"items\": [], \"events\": []}");
+}
+
+/* Responds 0.35 s late: longer than the grace time. */
+static void
+respond_slowly(RawPeer *peer, const char *request)
+{
+    bool poll = strstr(request, "timeout_ms=200 ") != NULL;
+    struct timeval delay = {.tv_usec = poll ? 550000 : 350000};
+    event_base_once(peer->server->base, -1, EV_TIMEOUT, send_empty_changes,
+                    peer, &delay);
+}
+
+/* Guards against watches that are replaced again and again while the platform
+ * answers slowly. */
+static void
+test_slow_platform(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, respond_slowly, 0);
+    EbPlatformClient_Watch(fixture.client, "instances");
+    Loop_For(fixture.base, 2000000);
+    CU_ASSERT_EQUAL(fixture.listed, 1);
+    CU_ASSERT_TRUE(fixture.unchanged >= 2);
+    CU_ASSERT_EQUAL(fixture.failed, 0);
+    close_fixture(&fixture);
+}
+
 /* Answers probes with an object, "no such object", an error and a reset in
  * turn. */
 static void
@@ -515,6 +580,8 @@
         {"silent", test_silent},
         {"watch", test_watch},
         {"watch from a known revision", test_watch_from},
+        {"a poll's response is lost", test_lost_response},
+        {"the platform is slow", test_slow_platform},
         {"probes", test_probes},
         {"one watch retries", test_one_watch_retries},
         {"the watch that retries is stopped", test_stopped_retry},
--- a/src/test_settings/main.c
+++ b/src/test_settings/main.c
@@ -58,6 +58,7 @@
     CU_ASSERT_EQUAL(settings->seed_count, 1);
     CU_ASSERT_EQUAL(settings->peer_key[1], 0x23);
     CU_ASSERT_PTR_NULL(settings->platform_token);
+    CU_ASSERT_EQUAL(settings->store_silence_us, 27000000);
     CU_ASSERT_EQUAL(settings->log_level, EB_LEVEL_INFO);
     CU_ASSERT_EQUAL(settings->balancer_delay_us, 10000000);
     CU_ASSERT_EQUAL(settings->drain_limit_us, 30000000);
