--- a/src/libebonyhollow_net/platform_probe.c
+++ b/src/libebonyhollow_net/platform_probe.c
@@ -5,8 +5,9 @@
 #include "platform_internal.h"
 #include "socket.h"
 
-/* An answer that takes longer counts as none. */
-#define PROBE_TIMEOUT_US 4000000
+/* A probe whose answer takes longer, beyond the latency of the watches, is
+ * repeated on another connection. */
+#define PROBE_TIMEOUT_US 500000
 
 typedef struct {
     EbPlatformClient *client;
@@ -53,6 +54,9 @@
     struct evhttp_request *request =
         EbPlatformClient_NewRequest(probe->client, on_answer, probe);
     probe->sent_us = EbClock_Monotonic();
+    struct timeval timeout = EbClock_Timeval(PROBE_TIMEOUT_US +
+                                             probe->client->watch_latency_us);
+    evhttp_connection_set_timeout_tv(probe->evcon, &timeout);
     if (evhttp_make_request(probe->evcon, request, EVHTTP_REQ_GET,
                             probe->path) != 0) {
         schedule(probe, probe->interval_us);
--- a/src/test_platform_client/main.c
+++ b/src/test_platform_client/main.c
@@ -521,6 +521,33 @@
     close_fixture(&fixture);
 }
 
+/* Leaves the first probe without a response on an open connection. */
+static void
+respond_to_second_probe(RawPeer *peer, const char *request)
+{
+    Fixture *fixture = peer->server->context;
+    (void)request;
+    if (fixture->polls++ > 0) {
+        RawPeer_Send(peer, HEAD("404", "0"));
+    }
+}
+
+/* Guards against a source that refuses requests for seconds, because it waits
+ * for the response to a probe that was lost. */
+static void
+test_lost_probe(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, respond_to_second_probe, 0);
+    int64_t started_us = g_get_monotonic_time();
+    EbPlatformClient_StartProbes(fixture.client, "instances", "i-1", 10000);
+    fixture.wanted_probed = 1;
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_probed, &fixture));
+    CU_ASSERT_TRUE(g_get_monotonic_time() - started_us < 1500000);
+    CU_ASSERT_EQUAL(fixture.polls, 2);
+    close_fixture(&fixture);
+}
+
 /* Refuses every list. */
 static void
 respond_unavailable(RawPeer *peer, const char *request)
@@ -583,6 +610,7 @@
         {"a poll's response is lost", test_lost_response},
         {"the platform is slow", test_slow_platform},
         {"probes", test_probes},
+        {"a probe's response is lost", test_lost_probe},
         {"one watch retries", test_one_watch_retries},
         {"the watch that retries is stopped", test_stopped_retry},
     };
