dispatcher: event call-unanswered names the prompt parts of calls that broke

The logs showed calls that broke and the requests that they belonged to, but not what these have in common.

No behaviour is changed.

--- a/src/libebonyhollow/requests/dispatcher_attempt.c
+++ b/src/libebonyhollow/requests/dispatcher_attempt.c
@@ -166,6 +166,10 @@
                                        attempt->server_id);
         }
     }
+    if (result == EB_CALL_BROKEN && request->forward != NULL &&
+        !attempt->has_tokens) {
+        EbAttempt_RecordUnanswered(attempt);
+    }
     if (!lookup) {
         exclude(request, attempt->server_id);
     }
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -314,6 +314,10 @@
  * flight there. */
 void EbAttempt_RecordCrash(EbAttempt *attempt, int64_t now_us);
 
+/* Records that the connection of a forwarded call broke before its answer
+ * began. */
+void EbAttempt_RecordUnanswered(const EbAttempt *attempt);
+
 /* Returns whether a suspected request has to wait because a request with the
  * same fingerprint is in flight. */
 bool EbRequest_HasRunningCopy(EbRequest *request, int64_t now_us);
