suspects: parts of prompts that crash servers are found and quarantined by all daemons

Cause: crashes were evidence only against whole requests of the own interface; forwarded requests left none. Evidence: call-unanswered names the same three parts at every crash, and nothing is quarantined.

EbSuspects keeps crashes and answers for each part that requests may share, and for each request. A server that begins an answer proves the parts of its request sound, so popular parts stay free; three crashes in a row without an answer quarantine a part. Daemons flood the evidence. Requests that carry only some of the parts that came together at every crash are let through and show which one it is.

test_forward 'a prompt part crashes servers' fails without the evidence (all 20 requests are sent); test_suspects plays fleets of 8 and 100 daemons.

--- a/include/membership/ebonyhollow/message.h
+++ b/include/membership/ebonyhollow/message.h
@@ -16,6 +16,7 @@
 #include "ebonyhollow/forward.h"
 #include "ebonyhollow/outcome.h"
 #include "ebonyhollow/quarantine.h"
+#include "ebonyhollow/suspects.h"
 
 #define EB_MESSAGE_VERSION 1
 #define EB_MESSAGE_MAX_BYTES ((size_t)1280 * 1024)
@@ -39,6 +40,7 @@
     EB_MESSAGE_FEED_REQUEST,    /* asks a reader of the store for changes */
     EB_MESSAGE_FEED_CHANGES, /* changes of one kind of the store's objects */
     EB_MESSAGE_FEED_STATUS,  /* what the reader knows; ends its response */
+    EB_MESSAGE_SUSPICIONS,   /* evidence on what crashes servers, flooded */
     EB_MESSAGE_KIND_COUNT
 } EbMessageKind;
 
@@ -122,6 +124,10 @@
     EbQuarantineEntry *entries;
     uint32_t entry_count;
 
+    /* SUSPICIONS */
+    EbSuspicion *suspicions;
+    uint32_t suspicion_count;
+
     /* SERVER_LEAVING */
     char *server;
     bool leaving;
--- a/include/requests/ebonyhollow/dispatcher.h
+++ b/include/requests/ebonyhollow/dispatcher.h
@@ -26,6 +26,7 @@
 #include "ebonyhollow/pool.h"
 #include "ebonyhollow/quarantine.h"
 #include "ebonyhollow/random.h"
+#include "ebonyhollow/suspects.h"
 
 typedef struct EbDispatcher EbDispatcher;
 
@@ -52,6 +53,7 @@
     EbLedger *ledger;
     EbLimiter *limiter;
     EbQuarantine *quarantine;
+    EbSuspects *suspects; /* NULL: broken forwarded calls are no evidence */
     EbMetrics *metrics;
     /* Asks the owner of a claim for the outcome of a key. Returns false when
      * the owner is dead or unknown. Otherwise EbDispatcher_OwnerReply is
--- a/include/servers/ebonyhollow/quarantine.h
+++ b/include/servers/ebonyhollow/quarantine.h
@@ -92,10 +92,21 @@
 bool EbQuarantine_Merge(EbQuarantine *quarantine,
                         const EbQuarantineEntry *entry, int64_t now_us);
 
-/* Releases a fingerprint on an operator's order. Returns false when it is
- * neither suspected nor quarantined. */
+/* Quarantines a fingerprint that crashed `crashes` servers.
+ *
+ * publish: EbQuarantine_NextChange returns the change, for the other daemons.
+ *
+ * Does nothing when the fingerprint is quarantined already. */
+void EbQuarantine_Add(EbQuarantine *quarantine, EbFingerprint fingerprint,
+                      uint32_t crashes, bool publish, int64_t now_us);
+
+/* Releases a fingerprint, here and at the other daemons.
+ *
+ * cause: for the log, such as "operator".
+ *
+ * Returns false when it is neither suspected nor quarantined. */
 bool EbQuarantine_Release(EbQuarantine *quarantine, EbFingerprint fingerprint,
-                          int64_t now_us);
+                          const char *cause, int64_t now_us);
 
 /* Writes up to `max` suspected or quarantined entries, in no particular order.
  * Returns the number written. */
--- a/include/share/ebonyhollow/event_table.h
+++ b/include/share/ebonyhollow/event_table.h
@@ -89,11 +89,12 @@
       "request_id,service,stage,pieces,home,due_in_us", "None.")              \
     X(CALL_UNANSWERED, 211, "call-unanswered", EB_LEVEL_INFO,                 \
       "The connection of a forwarded call broke before its answer began, as " \
-      "when the request crashes its backend server. parts are the ids of the " \
-      "prompt's parts that other requests may share, as hexadecimal "         \
-      "numbers.",                                                             \
+      "when the request crashes its backend server. parts are the prompt's "  \
+      "parts that other requests may share, each as its id and its "          \
+      "fingerprint.",                                                         \
       "request_id,attempt,backend_server,parts",                              \
-      "None, unless one part dominates: its requests may crash servers.")     \
+      "None, unless one part dominates: see docs/OPERATIONS.md, poison "      \
+      "request.")                                                             \
     X(CLAIM_SETTLED, 300, "claim-settled", EB_LEVEL_NOTICE,                   \
       "The result of a claim write was uncertain and has been resolved by "   \
       "reading the store; result is owned, written or changed.",              \
--- a/src/libebonyhollow/actions/outcome.c
+++ b/src/libebonyhollow/actions/outcome.c
@@ -62,6 +62,9 @@
                                 "The claim on the key ran out.", 0},
     [EB_REASON_QUARANTINED] = {"quarantined", 422,
                                "This request crashed backend servers.", 0},
+    [EB_REASON_SUSPECT_QUARANTINED] =
+        {"suspect-quarantined", 503,
+         "The request or a part of its prompt crashed backend servers.", 1},
     [EB_REASON_CALLER_GONE] = {"caller-gone", 499,
                                "The caller closed its connection.", 0},
     [EB_REASON_SHUTDOWN] = {"shutdown", 503,
--- a/src/libebonyhollow/membership/message.c
+++ b/src/libebonyhollow/membership/message.c
@@ -10,7 +10,7 @@
 #include "message_fields.h"
 
 #define BIT(kind) (1U << EB_MESSAGE_##kind)
-#define FLOODED (BIT(QUARANTINE) | BIT(SERVER_LEAVING))
+#define FLOODED (BIT(QUARANTINE) | BIT(SERVER_LEAVING) | BIT(SUSPICIONS))
 #define OUTCOMES (BIT(OUTCOME_QUERY) | BIT(OUTCOME_REPLY))
 #define CONFIGS (BIT(CONFIG_REQUEST) | BIT(CONFIG_BODY))
 #define SHARES (BIT(USAGE) | BIT(GRANT))
@@ -40,6 +40,7 @@
     [EB_MESSAGE_FEED_REQUEST] = "feed-request",
     [EB_MESSAGE_FEED_CHANGES] = "feed-changes",
     [EB_MESSAGE_FEED_STATUS] = "feed-status",
+    [EB_MESSAGE_SUSPICIONS] = "suspicions",
 };
 
 const char *const EbMemberState_names[EB_MEMBER_STATE_COUNT] = {
@@ -96,6 +97,7 @@
     FIELD(41, BOOL, exact_base, BIT(FEED_CHANGES), 0, 0),
     FIELD(42, UINT64, confirmed_ago_us, BIT(FEED_STATUS), 0, 0),
     FIELD(43, BOOL, feed_failing, BIT(FEED_STATUS), 0, 0),
+    FIELD(45, SUSPICIONS, suspicions, BIT(SUSPICIONS), 0, 0),
 };
 
 const size_t EbMessage_field_count =
@@ -202,6 +204,23 @@
     return value;
 }
 
+static void
+pack_suspicions(msgpack_packer *packer, const EbMessage *message)
+{
+    msgpack_pack_array(packer, message->suspicion_count);
+    for (uint32_t i = 0; i < message->suspicion_count; i++) {
+        const EbSuspicion *suspicion = &message->suspicions[i];
+        msgpack_pack_array(packer, EB_MESSAGE_SUSPICION_ELEMENTS);
+        msgpack_pack_uint64(packer, suspicion->server);
+        msgpack_pack_uint64(packer, suspicion->ago_us);
+        msgpack_pack_uint8(packer, suspicion->alone);
+        msgpack_pack_array(packer, suspicion->set.count);
+        for (uint32_t k = 0; k < suspicion->set.count; k++) {
+            msgpack_pack_uint64(packer, suspicion->set.fingerprints[k]);
+        }
+    }
+}
+
 /* Whether a field is omitted because it has the value that the decoder assumes
  * for an absent one. */
 static bool
@@ -223,6 +242,8 @@
         return message->share_count == 0;
     case EB_MESSAGE_FIELD_ENTRIES:
         return message->entry_count == 0;
+    case EB_MESSAGE_FIELD_SUSPICIONS:
+        return message->suspicion_count == 0;
     case EB_MESSAGE_FIELD_HANDLES:
         return message->handle_count == 0;
     }
@@ -260,6 +281,9 @@
     case EB_MESSAGE_FIELD_ENTRIES:
         pack_entries(packer, message);
         break;
+    case EB_MESSAGE_FIELD_SUSPICIONS:
+        pack_suspicions(packer, message);
+        break;
     case EB_MESSAGE_FIELD_HANDLES:
         pack_handles(packer, message);
         break;
@@ -397,6 +421,7 @@
     g_free(message->members);
     g_free(message->shares);
     g_free(message->entries);
+    g_free(message->suspicions);
     g_free(message->origin);
     g_free(message->text);
     g_free(message->customer);
--- a/src/libebonyhollow/membership/message_decode.c
+++ b/src/libebonyhollow/membership/message_decode.c
@@ -141,6 +141,39 @@
     return true;
 }
 
+static bool
+read_suspect_set(const msgpack_object *object, EbSuspectSet *set)
+{
+    if (object->type != MSGPACK_OBJECT_ARRAY ||
+        object->via.array.size > EB_SUSPECTS_MAX) {
+        return false;
+    }
+    set->count = object->via.array.size;
+    for (uint32_t i = 0; i < set->count; i++) {
+        if (!read_uint(&object->via.array.ptr[i], 0, &set->fingerprints[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+read_suspicion(const msgpack_object *object, void *target)
+{
+    EbSuspicion *suspicion = target;
+    const msgpack_object *elements =
+        read_elements(object, EB_MESSAGE_SUSPICION_ELEMENTS);
+    uint64_t alone;
+    if (elements == NULL || !read_uint(&elements[0], 0, &suspicion->server) ||
+        !read_uint(&elements[1], 0, &suspicion->ago_us) ||
+        !read_uint(&elements[2], 2, &alone) ||
+        !read_suspect_set(&elements[3], &suspicion->set)) {
+        return false;
+    }
+    suspicion->alone = alone != 0;
+    return true;
+}
+
 static bool
 read_handle(const msgpack_object *object, void *target)
 {
@@ -211,6 +244,10 @@
         return read_array(object, sizeof(EbQuarantineEntry),
                           (void **)&message->entries, &message->entry_count,
                           read_entry);
+    case EB_MESSAGE_FIELD_SUSPICIONS:
+        return read_array(object, sizeof(EbSuspicion),
+                          (void **)&message->suspicions,
+                          &message->suspicion_count, read_suspicion);
     case EB_MESSAGE_FIELD_HANDLES:
         return read_array(object, sizeof(char *), (void **)&message->handles,
                           &message->handle_count, read_handle);
--- a/src/libebonyhollow/requests/dispatcher_attempt.c
+++ b/src/libebonyhollow/requests/dispatcher_attempt.c
@@ -71,6 +71,7 @@
 {
     EbReason reason = result == EB_CALL_REFUSED ? EB_REASON_NO_BACKEND_SERVER
                                                 : EB_REASON_BACKEND_FAILED;
+    EbReason quarantine = EbRequest_CheckQuarantine(request, now_us);
     request->failures++;
     request->deferrals = 0;
     int64_t delay_us = 0;
@@ -81,8 +82,8 @@
     if (result == EB_CALL_REJECTED) {
         EbRequest_Fail(request, EB_REASON_BACKEND_REFUSED, NULL, now_us);
     }
-    else if (EbRequest_IsQuarantined(request, now_us)) {
-        EbRequest_Fail(request, EB_REASON_QUARANTINED, NULL, now_us);
+    else if (quarantine != EB_REASON_NONE) {
+        EbRequest_Fail(request, quarantine, NULL, now_us);
     }
     else if (request->failures >= MAX_FAILURES ||
              EbRequest_AttemptsExhausted(request) ||
@@ -166,9 +167,8 @@
                                        attempt->server_id);
         }
     }
-    if (result == EB_CALL_BROKEN && request->forward != NULL &&
-        !attempt->has_tokens) {
-        EbAttempt_RecordUnanswered(attempt);
+    if (result == EB_CALL_BROKEN && request->forward != NULL) {
+        EbAttempt_RecordBroken(attempt, now_us);
     }
     if (!lookup) {
         exclude(request, attempt->server_id);
--- a/src/libebonyhollow/requests/dispatcher_claim.c
+++ b/src/libebonyhollow/requests/dispatcher_claim.c
@@ -114,7 +114,7 @@
     g_hash_table_replace(request->dispatcher->holders, holder_name(request),
                          request);
     EbRequest_Trace(request, "claimed", "", 0, now_us);
-    if (EbRequest_IsQuarantined(request, now_us)) {
+    if (EbRequest_CheckQuarantine(request, now_us) != EB_REASON_NONE) {
         EbRequest_Fail(request, EB_REASON_QUARANTINED, NULL, now_us);
         return;
     }
--- a/src/libebonyhollow/requests/dispatcher_crash.c
+++ b/src/libebonyhollow/requests/dispatcher_crash.c
@@ -1,6 +1,4 @@
 /* Crashes of backend servers and the requests suspected of causing them. */
-#include <inttypes.h>
-
 #include <glib.h>
 
 #include "dispatcher_private.h"
@@ -22,10 +20,22 @@
     return has_fingerprint_state(request, EB_FINGERPRINT_SUSPECTED, now_us);
 }
 
-bool
-EbRequest_IsQuarantined(EbRequest *request, int64_t now_us)
+/* A forwarded request is refused for what it shares with others, which may
+ * turn out to be sound, so its caller may come back. */
+EbReason
+EbRequest_CheckQuarantine(EbRequest *request, int64_t now_us)
 {
-    return has_fingerprint_state(request, EB_FINGERPRINT_QUARANTINED, now_us);
+    EbDispatcher *dispatcher = request->dispatcher;
+    if (request->forward == NULL || dispatcher->options.suspects == NULL) {
+        return has_fingerprint_state(request, EB_FINGERPRINT_QUARANTINED,
+                                     now_us)
+                   ? EB_REASON_QUARANTINED
+                   : EB_REASON_NONE;
+    }
+    bool blocked = !EbDispatcher_IsPlain(dispatcher) &&
+                   EbSuspects_Blocks(dispatcher->options.suspects,
+                                     &request->forward->suspects, now_us);
+    return blocked ? EB_REASON_SUSPECT_QUARANTINED : EB_REASON_NONE;
 }
 
 bool
@@ -86,29 +96,3 @@
     }
     g_hash_table_destroy(suspects);
 }
-
-/* Returns the ids of the parts that other requests may share, separated by
- * blanks. Free with g_free. */
-static char *
-list_shared_parts(const EbForwardCall *call)
-{
-    GString *text = g_string_new(NULL);
-    for (uint32_t i = 0; i + 1 < call->part_count; i++) {
-        g_string_append_printf(text, "%s%" PRIx64, i > 0 ? " " : "",
-                               call->parts[i].id);
-    }
-    return g_string_free(text, FALSE);
-}
-
-void
-EbAttempt_RecordUnanswered(const EbAttempt *attempt)
-{
-    const EbRequest *request = attempt->request;
-    char *parts = list_shared_parts(request->forward->call);
-    EB_EMIT(request->dispatcher->options.events, EB_EVENT_CALL_UNANSWERED,
-            EB_STRING_FIELD("request_id", request->summary->request_id),
-            EB_INTEGER_FIELD("attempt", attempt->number),
-            EB_STRING_FIELD("backend_server", attempt->server_id),
-            EB_STRING_FIELD("parts", parts));
-    g_free(parts);
-}
--- a/src/libebonyhollow/requests/dispatcher_relay.c
+++ b/src/libebonyhollow/requests/dispatcher_relay.c
@@ -108,6 +108,7 @@
         EbAttempt_Fail(attempt, EB_CALL_ERROR, fault, now_us);
         return;
     }
+    EbAttempt_RecordAnswered(attempt, now_us);
     if (status < 500 && !promises_not_run(status)) {
         complete(attempt, event->reply, now_us);
         return;
@@ -176,6 +177,7 @@
     EbForwardState *state = request->forward;
     if (!attempt->has_tokens) {
         observe_answer_time(attempt, now_us);
+        EbAttempt_RecordAnswered(attempt, now_us);
         /* The server has fetched its inputs, so they can be freed. */
         EbRequest_EndPreparations(request);
         observe_first_event(request, now_us);
--- a/src/libebonyhollow/requests/dispatcher_request.c
+++ b/src/libebonyhollow/requests/dispatcher_request.c
@@ -159,10 +159,13 @@
     EbDispatcher *dispatcher = request->dispatcher;
     /* A request with a key is checked after its claim, so that a repeat still
      * gets the recorded answer. */
-    if (!request->keyed && EbRequest_IsQuarantined(request, now_us)) {
-        return EB_REASON_QUARANTINED;
+    EbReason reason = request->keyed
+                          ? EB_REASON_NONE
+                          : EbRequest_CheckQuarantine(request, now_us);
+    if (reason != EB_REASON_NONE) {
+        return reason;
     }
-    EbReason reason =
+    reason =
         EbLimiter_Admit(dispatcher->options.limiter, request->customer->id,
                         now_us, &request->retry_after_us);
     if (reason != EB_REASON_NONE) {
@@ -186,6 +189,7 @@
         request->fingerprint = EbQuarantine_Fingerprint(
             request->customer->id, message->target,
             (const char *)message->body, message->body_bytes);
+        EbRequest_SetSuspects(request);
         return;
     }
     request->fingerprint =
--- a/src/libebonyhollow/requests/dispatcher_stage.c
+++ b/src/libebonyhollow/requests/dispatcher_stage.c
@@ -237,8 +237,9 @@
         EbRequest_Fail(request, EB_REASON_DEADLINE_EXCEEDED, NULL, now_us);
         return false;
     }
-    if (EbRequest_IsQuarantined(request, now_us)) {
-        EbRequest_Fail(request, EB_REASON_QUARANTINED, NULL, now_us);
+    EbReason quarantine = EbRequest_CheckQuarantine(request, now_us);
+    if (quarantine != EB_REASON_NONE) {
+        EbRequest_Fail(request, quarantine, NULL, now_us);
         return false;
     }
     if (!EbRequest_Stage(request)->idempotent && request->forward == NULL &&
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -65,12 +65,24 @@
 typedef struct {
     EbForwardCall *call;
     EbPreparation preparations[EB_FORWARD_MAX_PREPARATIONS];
-    uint32_t restarts;     /* times that lost results were prepared again */
+    uint32_t restarts; /* times that lost results were prepared again */
+    /* What may crash servers: the request, and the parts of its prompt that
+     * other requests may share. */
+    EbSuspectSet suspects;
     EbHttpMessage *head;   /* head of the relayed stream */
     EbHttpMessage *reply;  /* a server's answer that is not a stream */
     int64_t last_event_id; /* last event relayed, or EB_FORWARD_NO_EVENT */
 } EbForwardState;
 
+/* A forwarded call whose connection broke. Whether its server crashed is seen
+ * a little later. */
+typedef struct {
+    char *server_id;
+    int64_t at_us;
+    bool alone;            /* no other call on the server broke with it */
+    EbSuspectSet suspects; /* empty when the call's answer had begun */
+} EbBrokenCall;
+
 typedef struct {
     uint64_t id;
     EbRequest *request;
@@ -209,6 +221,7 @@
     GTree *timers;                       /* EbRequest by timer_us */
     GPtrArray *stale_timers;             /* of EbRequest */
     GPtrArray *finished;                 /* of EbRequest, to be released */
+    GQueue broken_calls;                 /* of EbBrokenCall, oldest first */
     GQueue recent;             /* of EbRequestSummary, newest first */
     GQueue answerable_queries; /* of EbOutcomeQuery that can be answered */
     uint64_t last_request_id;
@@ -314,10 +327,6 @@
  * flight there. */
 void EbAttempt_RecordCrash(EbAttempt *attempt, int64_t now_us);
 
-/* Records that the connection of a forwarded call broke before its answer
- * began. */
-void EbAttempt_RecordUnanswered(const EbAttempt *attempt);
-
 /* Returns whether a suspected request has to wait because a request with the
  * same fingerprint is in flight. */
 bool EbRequest_HasRunningCopy(EbRequest *request, int64_t now_us);
@@ -327,7 +336,30 @@
 bool EbRequest_AcceptsServer(void *context, const char *server_id);
 
 bool EbRequest_IsSuspected(EbRequest *request, int64_t now_us);
-bool EbRequest_IsQuarantined(EbRequest *request, int64_t now_us);
+
+/* Returns why the request must not be sent to servers: it is quarantined, or,
+ * if it is forwarded, it carries suspects that are. Otherwise returns
+ * EB_REASON_NONE. */
+EbReason EbRequest_CheckQuarantine(EbRequest *request, int64_t now_us);
+
+/* dispatcher_suspects.c */
+
+/* Sets what a forwarded request carries that may crash servers. */
+void EbRequest_SetSuspects(EbRequest *request);
+
+/* Records that the connection of a forwarded call broke. */
+void EbAttempt_RecordBroken(const EbAttempt *attempt, int64_t now_us);
+
+/* Records that a forwarded call's answer began. */
+void EbAttempt_RecordAnswered(const EbAttempt *attempt, int64_t now_us);
+
+/* Reports the crashes among the broken calls that are due. */
+void EbDispatcher_CheckBrokenCalls(EbDispatcher *dispatcher, int64_t now_us);
+
+/* Returns the time of the next check, or INT64_MAX. */
+int64_t EbDispatcher_NextBrokenCallCheck(const EbDispatcher *dispatcher);
+
+void EbBrokenCall_Free(gpointer call);
 
 /* dispatcher_preparation.c */
 
--- a/src/libebonyhollow/servers/quarantine.c
+++ b/src/libebonyhollow/servers/quarantine.c
@@ -288,9 +288,27 @@
     return stronger || longer || higher;
 }
 
+void
+EbQuarantine_Add(EbQuarantine *quarantine, EbFingerprint fingerprint,
+                 uint32_t crashes, bool publish, int64_t now_us)
+{
+    Entry *entry = find_entry(quarantine, fingerprint, now_us);
+    if (entry != NULL && entry->state == EB_FINGERPRINT_QUARANTINED) {
+        return;
+    }
+    if (entry == NULL) {
+        entry = add_entry(quarantine, fingerprint);
+    }
+    entry->points = MAX(crashes, EB_QUARANTINE_POINTS);
+    entry->state = EB_FINGERPRINT_QUARANTINED;
+    entry->until_us = now_us + EB_QUARANTINE_DURATION_US;
+    set_change_pending(quarantine, entry, publish);
+    emit_state(quarantine, entry);
+}
+
 bool
 EbQuarantine_Release(EbQuarantine *quarantine, EbFingerprint fingerprint,
-                     int64_t now_us)
+                     const char *cause, int64_t now_us)
 {
     Entry *entry = find_entry(quarantine, fingerprint, now_us);
     if (entry == NULL || entry->state == EB_FINGERPRINT_CLEAR) {
@@ -299,7 +317,7 @@
     entry->state = EB_FINGERPRINT_CLEAR;
     entry->points = 0;
     set_change_pending(quarantine, entry, true);
-    emit_released(quarantine, fingerprint, "operator");
+    emit_released(quarantine, fingerprint, cause);
     return true;
 }
 
--- a/src/libebonyhollow_net/admin_server.c
+++ b/src/libebonyhollow_net/admin_server.c
@@ -197,7 +197,7 @@
     }
     bool released = end != call->path_suffix && *end == '\0' &&
                     EbQuarantine_Release(options->quarantine, fingerprint,
-                                         EbClock_Monotonic());
+                                         "operator", EbClock_Monotonic());
     EbAdmin_EmitAudit(call->server, call->principal->id, "quarantine-release",
                       call->path_suffix, 0,
                       released ? "released" : "not-found");
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -197,6 +197,8 @@
         .instance = settings->instance, .config = &no_config});
     daemon->quarantine =
         EbQuarantine_New(&(EbQuarantineOptions){.events = daemon->events});
+    daemon->suspects = EbSuspects_New(&(EbSuspectsOptions){
+        .random = &daemon->random, .quarantine = daemon->quarantine});
     daemon->config_manager = EbConfigManager_New(
         &(EbConfigManagerOptions){.site = settings->site,
                                   .actions = daemon->actions,
@@ -239,6 +241,7 @@
                                .ledger = daemon->ledger,
                                .limiter = daemon->limiter,
                                .quarantine = daemon->quarantine,
+                               .suspects = daemon->suspects,
                                .metrics = daemon->metrics,
                                .ask_owner = EbDaemon_AskOwner,
                                .server_leaving = EbDaemon_OnServerLeaving,
@@ -249,9 +252,8 @@
 create_clients(EbDaemon *daemon)
 {
     const EbSettings *settings = daemon->settings;
-    int64_t watch_grace_us =
-        MIN(settings->store_silence_us / WATCH_GRACE_DIVISOR,
-            WATCH_GRACE_MAX_US);
+    int64_t watch_grace_us = MIN(
+        settings->store_silence_us / WATCH_GRACE_DIVISOR, WATCH_GRACE_MAX_US);
     daemon->backend_client = EbBackendClient_New(
         &(EbBackendClientOptions){.base = daemon->base,
                                   .event = EbDaemon_OnAttemptEvent,
@@ -434,6 +436,7 @@
     EbDispatcher_Free(daemon->dispatcher);
     EbLedger_Free(daemon->ledger);
     EbLimiter_Free(daemon->limiter);
+    EbSuspects_Free(daemon->suspects);
     EbQuarantine_Free(daemon->quarantine);
     EbConfigManager_Free(daemon->config_manager);
     EbMembership_Free(daemon->membership);
--- a/src/libebonyhollow_net/daemon_discovery.c
+++ b/src/libebonyhollow_net/daemon_discovery.c
@@ -17,6 +17,9 @@
  * often. */
 #define SOURCES_INTERVAL_US 250000
 #define SOURCES_MAX 64
+/* Running daemons tell each other what is quarantined; the list is for those
+ * that start. */
+#define QUARANTINE_LIST_INTERVAL_US 60000000
 
 typedef struct {
     EbServerRegistration registration;
@@ -366,6 +369,9 @@
     EbPlatformClient_ListPeriodically(daemon->platform_client,
                                       daemon->adapter->daemons_kind,
                                       DAEMONS_LIST_INTERVAL_US);
+    EbPlatformClient_ListPeriodically(daemon->platform_client,
+                                      EB_QUARANTINE_KIND,
+                                      QUARANTINE_LIST_INTERVAL_US);
 }
 
 void
--- a/src/libebonyhollow_net/daemon_peer.c
+++ b/src/libebonyhollow_net/daemon_peer.c
@@ -361,6 +361,12 @@
                                now_us);
         }
         break;
+    case EB_MESSAGE_SUSPICIONS:
+        for (uint32_t i = 0; i < message->suspicion_count; i++) {
+            EbSuspects_Merge(daemon->suspects, &message->suspicions[i],
+                             now_us);
+        }
+        break;
     case EB_MESSAGE_SERVER_LEAVING:
         EbDispatcher_ServerLeaving(daemon->dispatcher, message->server,
                                    message->leaving, "peer", now_us);
--- a/src/libebonyhollow_net/daemon_platform.c
+++ b/src/libebonyhollow_net/daemon_platform.c
@@ -16,6 +16,8 @@
 /* The clocks of instances differ, so an expired entry is kept for this time
  * before any daemon deletes it. */
 #define EXPIRED_RETENTION_US 60000000
+/* Evidence that one message carries; the rest follows in the next one. */
+#define MAX_SUSPICIONS 64
 
 static const char *
 get_string(const json_t *object, const char *key)
@@ -167,16 +169,16 @@
                          json_t *items)
 {
     EbDaemon *daemon = context;
-    if (daemon->adapter != NULL) {
+    if (strcmp(kind, EB_QUARANTINE_KIND) == 0) {
+        handle_quarantine_entries(daemon, items);
+    }
+    else if (daemon->adapter != NULL) {
         EbDiscovery_HandleList(daemon, kind, revision, items);
         return;
     }
-    if (strcmp(kind, EB_INSTANCES_KIND) == 0) {
+    else if (strcmp(kind, EB_INSTANCES_KIND) == 0) {
         handle_instances(daemon, items);
     }
-    else if (strcmp(kind, EB_QUARANTINE_KIND) == 0) {
-        handle_quarantine_entries(daemon, items);
-    }
     else if (strcmp(kind, EB_CONFIG_OBJECT_KIND) == 0) {
         EbConfigManager_Refresh(daemon->config_manager, EbClock_Monotonic());
     }
@@ -284,7 +286,7 @@
 EbDaemon_OnReadFailed(void *context, const char *kind)
 {
     EbDaemon *daemon = context;
-    if (daemon->adapter != NULL) {
+    if (daemon->adapter != NULL && strcmp(kind, EB_QUARANTINE_KIND) != 0) {
         EbDiscovery_HandleFailure(daemon, kind);
     }
 }
@@ -377,6 +379,24 @@
                        0, NULL, on_entry_read, write);
 }
 
+void
+EbDaemon_PublishSuspicions(EbDaemon *daemon, int64_t now_us)
+{
+    EbSuspicion suspicions[MAX_SUSPICIONS];
+    uint32_t count = 0;
+    while (
+        count < MAX_SUSPICIONS &&
+        EbSuspects_NextReport(daemon->suspects, &suspicions[count], now_us)) {
+        count++;
+    }
+    if (count > 0) {
+        EbMessage message = {.kind = EB_MESSAGE_SUSPICIONS,
+                             .suspicions = suspicions,
+                             .suspicion_count = count};
+        EbMembership_Flood(daemon->membership, &message, now_us);
+    }
+}
+
 void
 EbDaemon_PublishQuarantine(EbDaemon *daemon, int64_t now_us)
 {
--- a/src/libebonyhollow_net/daemon_timer.c
+++ b/src/libebonyhollow_net/daemon_timer.c
@@ -23,6 +23,7 @@
         next_us =
             MIN(next_us, EbConfigManager_NextTimer(daemon->config_manager));
     }
+    next_us = MIN(next_us, EbSuspects_NextTimer(daemon->suspects));
     return MIN(next_us, EbMembership_NextTimer(daemon->membership));
 }
 
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -31,6 +31,7 @@
 #include "ebonyhollow/quarantine.h"
 #include "ebonyhollow/random.h"
 #include "ebonyhollow/store_feed.h"
+#include "ebonyhollow/suspects.h"
 
 #define EB_INSTANCES_KIND "instances"
 #define EB_QUARANTINE_KIND "quarantine"
@@ -100,6 +101,7 @@
     EbLedger *ledger;
     EbLimiter *limiter;
     EbQuarantine *quarantine;
+    EbSuspects *suspects;
     EbDispatcher *dispatcher;
     EbConfigManager *config_manager;
     EbMembership *membership;
@@ -243,6 +245,9 @@
  * include servers that were not configured before. */
 void EbDaemon_MarkLeavingServers(EbDaemon *daemon, int64_t now_us);
 
+/* Sends evidence on what crashes servers to all peers. */
+void EbDaemon_PublishSuspicions(EbDaemon *daemon, int64_t now_us);
+
 /* Sends changed quarantine entries to all peers and stores them. */
 void EbDaemon_PublishQuarantine(EbDaemon *daemon, int64_t now_us);
 
--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -18,9 +18,13 @@
     EbLedger *ledger;
     EbLimiter *limiter;
     EbQuarantine *quarantine;
+    EbSuspects *suspects;
     EbMetrics *metrics;
     EbDispatcher *dispatcher;
     EbConfig *config;
+    EbPromptPart parts[3]; /* of the prompts of submitted requests */
+    uint32_t part_count;
+    unsigned submit_count;
     int64_t now_us;
     uint64_t sends[MAX_SENDS]; /* attempt ids */
     char servers[MAX_SENDS][8];
@@ -141,6 +145,8 @@
     fixture->limiter = EbLimiter_New(
         &(EbLimiterOptions){.instance = "i-1", .config = fixture->config});
     fixture->quarantine = EbQuarantine_New(&(EbQuarantineOptions){0});
+    fixture->suspects = EbSuspects_New(&(EbSuspectsOptions){
+        .random = &fixture->random, .quarantine = fixture->quarantine});
     fixture->dispatcher = EbDispatcher_New(
         &(EbDispatcherOptions){.instance = "i-1",
                                .failure_domain = "recife",
@@ -149,6 +155,7 @@
                                .ledger = fixture->ledger,
                                .limiter = fixture->limiter,
                                .quarantine = fixture->quarantine,
+                               .suspects = fixture->suspects,
                                .metrics = fixture->metrics});
     EbDispatcher_SetConfig(fixture->dispatcher, fixture->config,
                            fixture->now_us);
@@ -160,6 +167,7 @@
     EbDispatcher_Free(fixture->dispatcher);
     EbLedger_Free(fixture->ledger);
     EbLimiter_Free(fixture->limiter);
+    EbSuspects_Free(fixture->suspects);
     EbQuarantine_Free(fixture->quarantine);
     EbMetrics_Free(fixture->metrics);
     EbActionQueue_Free(fixture->actions);
@@ -247,6 +255,9 @@
     call->host = g_strdup("h.example");
     call->path = g_strdup(path);
     call->last_event_id = EB_FORWARD_NO_EVENT;
+    call->parts =
+        g_memdup2(fixture->parts, sizeof(EbPromptPart) * fixture->part_count);
+    call->part_count = fixture->part_count;
     call->item_stage_count = 3;
     call->item_counts[0] = 1;
     call->item_counts[1] = 2;
@@ -393,6 +404,98 @@
     }
 }
 
+/* Submits a request whose prompt has a common first part, the given one and
+ * one of its own. Its body is its own too. */
+static uint64_t
+submit_prompt(Fixture *fixture, uint64_t part)
+{
+    fixture->submit_count++;
+    fixture->parts[0] = (EbPromptPart){1, 100};
+    fixture->parts[1] = (EbPromptPart){part, 100};
+    fixture->parts[2] = (EbPromptPart){1000 + fixture->submit_count, 100};
+    fixture->part_count = 3;
+    fixture->answered = false;
+    fixture->send_count = 0;
+    char path[32];
+    g_snprintf(path, sizeof(path), "/once/%u", fixture->submit_count);
+    return submit(fixture, path, TOKEN);
+}
+
+/* Breaks the last call, as a crash of its server does. */
+static void
+crash_server(Fixture *fixture)
+{
+    send_event(fixture, &(Event){.kind = EB_ATTEMPT_BROKEN});
+    advance(fixture, SECOND_US / 2);
+}
+
+static void
+answer_request(Fixture *fixture)
+{
+    send_event(fixture, &(Event){.kind = EB_ATTEMPT_STREAMING, .status = 200});
+    send_event(fixture, &(Event){.kind = EB_ATTEMPT_EVENTS,
+                                 .status = 200,
+                                 .event_id = 0,
+                                 .bytes = "a"});
+    send_event(fixture, &(Event){.kind = EB_ATTEMPT_ENDED, .status = 200});
+}
+
+/* Guards against requests that share a part of their prompt and crash one
+ * server after the other, and against the refusal of requests that share only
+ * other parts with them. */
+static void
+test_prompt_part_crashes_servers(void)
+{
+    enum { POISON_PART = 7, SOUND_PART = 8 };
+    Fixture fixture;
+    open_fixture(&fixture);
+    unsigned sent = 0;
+    for (int i = 0; i < 20; i++) {
+        submit_prompt(&fixture, POISON_PART);
+        if (fixture.send_count > 0) {
+            sent++;
+            crash_server(&fixture);
+        }
+        else {
+            CU_ASSERT_EQUAL(fixture.reason, EB_REASON_SUSPECT_QUARANTINED);
+            CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_NOT_RUN);
+        }
+        submit_prompt(&fixture, SOUND_PART);
+        CU_ASSERT_EQUAL_FATAL(fixture.send_count, 1);
+        answer_request(&fixture);
+        CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_DONE);
+        advance(&fixture, SECOND_US / 2);
+    }
+    /* The calls break alone, each counts for one point. */
+    CU_ASSERT_EQUAL(sent, EB_SUSPECT_POINTS);
+    close_fixture(&fixture);
+}
+
+/* Guards against a broken connection that counts as a crash of its server
+ * although another call goes on there. */
+static void
+test_single_broken_call(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture);
+    EbConfig *one_server = make_config();
+    one_server->pools[0].server_count = 1;
+    EbDispatcher_SetConfig(fixture.dispatcher, one_server, fixture.now_us);
+    uint64_t running = submit_prompt(&fixture, 2);
+    advance(&fixture, SECOND_US / 5);
+    submit_prompt(&fixture, 3);
+    CU_ASSERT_EQUAL_FATAL(fixture.send_count, 1);
+    crash_server(&fixture);
+    CU_ASSERT_EQUAL(EbSuspects_NextTimer(fixture.suspects), INT64_MAX);
+    EbDispatcher_CallerGone(fixture.dispatcher, running, fixture.now_us);
+    submit_prompt(&fixture, 3);
+    CU_ASSERT_EQUAL_FATAL(fixture.send_count, 1);
+    crash_server(&fixture);
+    CU_ASSERT_EQUAL(EbSuspects_NextTimer(fixture.suspects), 0);
+    EbConfig_Unref(one_server);
+    close_fixture(&fixture);
+}
+
 /* Guards against a request that is accepted without a pipeline or a valid
  * token, and against a refused request that is sent to a server. */
 static void
@@ -844,6 +947,8 @@
 main(void)
 {
     static const EbTestCase cases[] = {
+        {"a prompt part crashes servers", test_prompt_part_crashes_servers},
+        {"single broken call", test_single_broken_call},
         {"refusals", test_refusals},
         {"first attempt", test_first_attempt},
         {"max attempts", test_max_attempts},
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -15,6 +15,11 @@
     {"i-1", 7, "10.0.0.1:7000", "recife", EB_MEMBER_LEAVING, 3, 500},
     {"i-2", UINT64_MAX, "", "", EB_MEMBER_ALIVE, 0, 0}};
 static EbMessageShare sample_shares[] = {{"c-1", 1500, 4, UINT64_MAX}};
+static EbSuspicion sample_suspicions[] = {
+    {.set = {{UINT64_MAX, 1, 5}, 3}, .server = 17, .alone = true, .ago_us = 3},
+    {.set = {{1}, 1}, .ago_us = UINT64_MAX},
+};
+
 static EbQuarantineEntry sample_entries[] = {
     {UINT64_MAX, 3, EB_FINGERPRINT_QUARANTINED, EB_QUARANTINE_DURATION_US},
     {5, 1, EB_FINGERPRINT_SUSPECTED, -1}};
@@ -98,6 +103,12 @@
      .feed_failing = true,
      .confirmed_ago_us = 17,
      .recovered_ago_us = UINT64_MAX},
+    {.kind = EB_MESSAGE_SUSPICIONS,
+     .origin = "i-2",
+     .origin_incarnation = 5,
+     .sequence = 8,
+     .suspicions = sample_suspicions,
+     .suspicion_count = 2},
 };
 
 static void
@@ -131,6 +142,15 @@
         CU_ASSERT_EQUAL(got->entries[i].remaining_us,
                         sent->entries[i].remaining_us);
     }
+    CU_ASSERT_EQUAL_FATAL(got->suspicion_count, sent->suspicion_count);
+    for (uint32_t i = 0; i < got->suspicion_count; i++) {
+        CU_ASSERT_EQUAL(memcmp(&got->suspicions[i].set,
+                               &sent->suspicions[i].set, sizeof(EbSuspectSet)),
+                        0);
+        CU_ASSERT_EQUAL(got->suspicions[i].server, sent->suspicions[i].server);
+        CU_ASSERT_EQUAL(got->suspicions[i].alone, sent->suspicions[i].alone);
+        CU_ASSERT_EQUAL(got->suspicions[i].ago_us, sent->suspicions[i].ago_us);
+    }
 }
 
 static void
--- a/src/test_quarantine/main.c
+++ b/src/test_quarantine/main.c
@@ -136,8 +136,8 @@
     CU_ASSERT_TRUE(EbQuarantine_Merge(there, &change, 0));
     CU_ASSERT_EQUAL(EbQuarantine_State(there, 7, 0),
                     EB_FINGERPRINT_QUARANTINED);
-    CU_ASSERT_TRUE(EbQuarantine_Release(here, 7, SECOND_US));
-    CU_ASSERT_FALSE(EbQuarantine_Release(here, 7, SECOND_US));
+    CU_ASSERT_TRUE(EbQuarantine_Release(here, 7, "operator", SECOND_US));
+    CU_ASSERT_FALSE(EbQuarantine_Release(here, 7, "operator", SECOND_US));
     CU_ASSERT_EQUAL(EbQuarantine_List(here, &change, 1, SECOND_US), 0);
     CU_ASSERT_TRUE_FATAL(EbQuarantine_NextChange(here, &change, SECOND_US));
     CU_ASSERT_TRUE(EbQuarantine_Merge(there, &change, 0));
--- /dev/null
+++ b/src/test_suspects/main.c
@@ -0,0 +1,358 @@
+/* Tests of the search for what in requests crashes backend servers.
+ *
+ * With --seeds N the simulated fleets are played with N seeds and printed. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "ebonyhollow/suspects.h"
+#include "fleet.h"
+#include "test_runner.h"
+
+#define SECOND_US 1000000LL
+#define SUSPECT 7
+
+typedef struct {
+    EbRandom random;
+    EbQuarantine *quarantine;
+    EbSuspects *suspects;
+    int64_t now_us;
+} Fixture;
+
+static const EbSuspectSet suspect_set = {{SUSPECT}, 1};
+static uint64_t fleet_seeds = 10;
+static bool print_fleets;
+
+static void
+open_fixture(Fixture *fixture, uint32_t max_entries)
+{
+    EbRandom_Init(&fixture->random, 1);
+    fixture->now_us = 100 * SECOND_US;
+    fixture->quarantine = EbQuarantine_New(&(EbQuarantineOptions){0});
+    fixture->suspects = EbSuspects_New(
+        &(EbSuspectsOptions){.max_entries = max_entries,
+                             .random = &fixture->random,
+                             .quarantine = fixture->quarantine});
+}
+
+static void
+close_fixture(Fixture *fixture)
+{
+    EbSuspects_Free(fixture->suspects);
+    EbQuarantine_Free(fixture->quarantine);
+}
+
+static bool
+is_quarantined(Fixture *fixture, EbFingerprint fingerprint)
+{
+    return EbQuarantine_State(fixture->quarantine, fingerprint,
+                              fixture->now_us) == EB_FINGERPRINT_QUARANTINED;
+}
+
+/* Plays steps: a letter is a crash of the server of that name, in upper case
+ * when no other call broke with it, `+` an answer, `.` 0.2 s, `-` 30 s. */
+static void
+play(Fixture *fixture, const char *steps)
+{
+    for (const char *step = steps; *step != '\0'; step++) {
+        char server_id[2] = {*step, '\0'};
+        if (*step == '+') {
+            EbSuspects_RecordAnswer(fixture->suspects, SUSPECT, true,
+                                    fixture->now_us);
+        }
+        else if (*step == '.' || *step == '-') {
+            fixture->now_us += *step == '.' ? SECOND_US / 5 : 30 * SECOND_US;
+        }
+        else {
+            EbSuspects_RecordCrash(fixture->suspects, &suspect_set, server_id,
+                                   g_ascii_isupper(*step), fixture->now_us,
+                                   fixture->now_us);
+        }
+    }
+}
+
+/* Guards against a suspect that crashes more than three servers, against one
+ * crash that counts more than once, and against sound suspects that are
+ * quarantined: after an answer, after joint crashes, long after, or after a
+ * few connections that broke alone. */
+static void
+test_evidence(void)
+{
+    static const struct {
+        const char *steps;
+        bool quarantined;
+    } rows[] = {
+        {"a.b", false},
+        {"a.b.c", true},
+        {"aaa.a.a", false},
+        {"abcdef", false},
+        {"abc.def.ghi", true},
+        {"a.b.+c.d", false},
+        {"a.b.+.c.d.e", false},
+        {"a.b--c", false},
+        {"a-b-c", false},
+        {"A.B.C.D.E", false},
+        {"A.B.C.D.E.F", true},
+        {"a.b.C", false},
+        {"a.b.C.D", true},
+        {"Aa.Bb.C", false},
+        {"Aa.Bb.Cc", true},
+        {"+.a.b.c.d", false},
+        {"+.a.b.c.d.e", true},
+        {"+.A.B.C.D.E.F.G.H.I", false},
+        {"+.A.B.C.D.E.F.G.H.I.J", true},
+        {"+--a.b.c", true},
+        {"a.b.c.+", false},
+        {"a.b.c.+.d.e.f", false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Fixture fixture;
+        open_fixture(&fixture, 0);
+        play(&fixture, rows[i].steps);
+        CU_ASSERT_EQUAL(is_quarantined(&fixture, SUSPECT),
+                        rows[i].quarantined);
+        close_fixture(&fixture);
+    }
+}
+
+/* Guards against evidence of another daemon that is lost, counted twice, or
+ * taken as newer than it is. */
+static void
+test_merge(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, 0);
+    play(&fixture, "a.b.");
+    EbSuspicion other = {suspect_set, 99, false, 0};
+    EbSuspects_Merge(fixture.suspects, &other, fixture.now_us);
+    CU_ASSERT_TRUE(is_quarantined(&fixture, SUSPECT));
+    close_fixture(&fixture);
+
+    open_fixture(&fixture, 0);
+    for (int i = 0; i < 5; i++) {
+        EbSuspects_Merge(fixture.suspects, &other, fixture.now_us);
+        fixture.now_us += SECOND_US / 5;
+        other.ago_us += SECOND_US / 5;
+    }
+    EbSuspicion expired = {suspect_set, 98, false, EB_SUSPECT_MEMORY_US};
+    EbSuspects_Merge(fixture.suspects, &expired, fixture.now_us);
+    expired.ago_us = UINT64_MAX;
+    EbSuspects_Merge(fixture.suspects, &expired, fixture.now_us);
+    play(&fixture, "b");
+    CU_ASSERT_FALSE(is_quarantined(&fixture, SUSPECT));
+    EbSuspicion before_all = {suspect_set, 0, false, 20 * SECOND_US};
+    EbSuspects_Merge(fixture.suspects, &before_all, fixture.now_us);
+    play(&fixture, ".c");
+    CU_ASSERT_FALSE(is_quarantined(&fixture, SUSPECT));
+    play(&fixture, ".d.e.f");
+    CU_ASSERT_TRUE(is_quarantined(&fixture, SUSPECT));
+    close_fixture(&fixture);
+}
+
+/* Guards against sound requests that are refused since they carry a part that
+ * came together with the one that crashes servers at every crash, and against
+ * a part that is never found because of another one. */
+static void
+test_parts_that_come_together(void)
+{
+    const EbSuspectSet both = {{SUSPECT, 8}, 2};
+    const EbSuspectSet first = {{SUSPECT, 9}, 2};
+    const EbSuspectSet second = {{8, 9}, 2};
+    Fixture fixture;
+    open_fixture(&fixture, 0);
+    for (int i = 0; i < 3; i++) {
+        char server_id[] = {(char)('a' + i), '\0'};
+        EbSuspects_RecordCrash(fixture.suspects, &both, server_id, false,
+                               fixture.now_us, fixture.now_us);
+        fixture.now_us += SECOND_US;
+    }
+    CU_ASSERT_TRUE(is_quarantined(&fixture, SUSPECT));
+    CU_ASSERT_TRUE(is_quarantined(&fixture, 8));
+    CU_ASSERT_TRUE(EbSuspects_Blocks(fixture.suspects, &both, fixture.now_us));
+    CU_ASSERT_FALSE(
+        EbSuspects_Blocks(fixture.suspects, &first, fixture.now_us));
+    CU_ASSERT_FALSE(
+        EbSuspects_Blocks(fixture.suspects, &second, fixture.now_us));
+    /* A request with the second part only is answered, one with the first part
+     * only crashes its server. */
+    EbSuspects_RecordAnswer(fixture.suspects, 8, true, fixture.now_us);
+    CU_ASSERT_FALSE(is_quarantined(&fixture, 8));
+    EbSuspects_RecordCrash(fixture.suspects, &first, "d", false,
+                           fixture.now_us, fixture.now_us);
+    CU_ASSERT_TRUE(
+        EbSuspects_Blocks(fixture.suspects, &first, fixture.now_us));
+    CU_ASSERT_TRUE(EbSuspects_Blocks(fixture.suspects, &both, fixture.now_us));
+    CU_ASSERT_FALSE(
+        EbSuspects_Blocks(fixture.suspects, &second, fixture.now_us));
+    close_fixture(&fixture);
+}
+
+static unsigned
+count_reports(Fixture *fixture, bool crashes)
+{
+    EbSuspicion suspicion;
+    unsigned count = 0;
+    while (EbSuspects_NextReport(fixture->suspects, &suspicion,
+                                 fixture->now_us)) {
+        CU_ASSERT_EQUAL(suspicion.set.count, 1);
+        CU_ASSERT_EQUAL(suspicion.set.fingerprints[0], SUSPECT);
+        CU_ASSERT_EQUAL(suspicion.server != 0, crashes);
+        count++;
+    }
+    return count;
+}
+
+/* Guards against reports that are sent twice or never, and against answers of
+ * undoubted suspects that are reported. */
+static void
+test_reports(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, 0);
+    CU_ASSERT_EQUAL(EbSuspects_NextTimer(fixture.suspects), INT64_MAX);
+    play(&fixture, "+++.");
+    CU_ASSERT_EQUAL(count_reports(&fixture, true), 0);
+    play(&fixture, "a");
+    CU_ASSERT_EQUAL(EbSuspects_NextTimer(fixture.suspects), 0);
+    CU_ASSERT_EQUAL(count_reports(&fixture, true), 1);
+    CU_ASSERT_TRUE(EbSuspects_NextTimer(fixture.suspects) <
+                   fixture.now_us + SECOND_US / 5);
+    fixture.now_us += SECOND_US / 5;
+    CU_ASSERT_EQUAL(count_reports(&fixture, false), 1);
+    CU_ASSERT_EQUAL(EbSuspects_NextTimer(fixture.suspects), INT64_MAX);
+    play(&fixture, "b");
+    CU_ASSERT_EQUAL(count_reports(&fixture, true), 1);
+    play(&fixture, ".");
+    CU_ASSERT_EQUAL(count_reports(&fixture, false), 0);
+    close_fixture(&fixture);
+}
+
+/* Guards against an answer that every daemon tells the others about. */
+static void
+test_answer_told_by_another(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, 0);
+    play(&fixture, "+.");
+    EbSuspicion crash = {suspect_set, 5, false, 0};
+    EbSuspicion answer = {suspect_set, 0, false, 1000};
+    EbSuspects_Merge(fixture.suspects, &crash, fixture.now_us);
+    EbSuspects_Merge(fixture.suspects, &answer, fixture.now_us);
+    play(&fixture, ".");
+    CU_ASSERT_EQUAL(count_reports(&fixture, false), 0);
+    close_fixture(&fixture);
+}
+
+/* Guards against a table that grows without a bound, and against the use of an
+ * entry that was evicted while its answer was to be reported. */
+static void
+test_eviction(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, 4);
+    for (EbFingerprint i = 1; i <= 1000; i++) {
+        fixture.now_us += 1000;
+        EbSuspects_RecordAnswer(fixture.suspects, i, true, fixture.now_us);
+        EbSuspectSet set = {{i}, 1};
+        EbSuspects_RecordCrash(fixture.suspects, &set, "a", false,
+                               fixture.now_us + 1, fixture.now_us + 1);
+    }
+    fixture.now_us += SECOND_US;
+    EbSuspicion suspicion;
+    unsigned answers = 0;
+    while (
+        EbSuspects_NextReport(fixture.suspects, &suspicion, fixture.now_us)) {
+        answers += suspicion.server == 0;
+    }
+    CU_ASSERT_EQUAL(answers, 4);
+    close_fixture(&fixture);
+}
+
+/* The rules of the users' platform: at most three requests with such a part
+ * after the fifth crash; sound requests are served at least half as often; at
+ * most 5 and 1 in 500 proper requests are refused. */
+static void
+check_fleet(const FleetOptions *options)
+{
+    FleetResult result = Fleet_Run(options);
+    CU_ASSERT_TRUE(result.late_poison_sends <= 3);
+    CU_ASSERT_TRUE(2 * result.sound_late_refused <= result.sound_late);
+    if (options->poison_percent == 0) {
+        CU_ASSERT_TRUE(result.sound_refused <= 5 + result.sound / 500);
+    }
+    if (print_fleets) {
+        printf("seed %" PRIu64 ", daemons %u, poison %u%%, lost %u%%: "
+               "%u crashes, %u late sends, %u of %u sound requests refused\n",
+               options->seed, options->daemon_count, options->poison_percent,
+               options->lost_percent, result.poison_crashes,
+               result.late_poison_sends, result.sound_refused, result.sound);
+    }
+}
+
+/* Guards against requests with a part that crashes servers which still reach
+ * servers after the fifth crash, and against sound requests that are refused
+ * with them: with a part that was sound before, beside joint crashes, lost
+ * answers and a restarted daemon, in small and large fleets. */
+static void
+test_fleets(void)
+{
+    static const FleetOptions rows[] = {
+        {.daemon_count = 8, .poison_percent = 5},
+        {.daemon_count = 8, .poison_percent = 1},
+        {.daemon_count = 8, .poison_percent = 20},
+        {.daemon_count = 8, .poison_percent = 5, .poison_was_sound = true},
+        {.daemon_count = 8, .poison_percent = 5, .companion = true},
+        {.daemon_count = 100, .poison_percent = 2, .companion = true},
+        {.daemon_count = 8,
+         .poison_percent = 5,
+         .joint_crash_us = 6 * SECOND_US,
+         .lost_percent = 10,
+         .lost_for_us = 30 * SECOND_US},
+        {.daemon_count = 8,
+         .poison_percent = 5,
+         .restart_daemon_us = 4 * SECOND_US},
+        {.daemon_count = 8,
+         .poison_percent = 5,
+         .restart_daemon_us = 10 * SECOND_US},
+        {.daemon_count = 100,
+         .poison_percent = 5,
+         .lost_percent = 3,
+         .lost_for_us = 30 * SECOND_US},
+        {.daemon_count = 8, .joint_crash_us = 6 * SECOND_US},
+        /* Two fifths of the answers of three fifths of the servers, the most
+         * that the deployments' days have. */
+        {.daemon_count = 8,
+         .lost_percent = 24,
+         .lost_from_us = 10 * SECOND_US,
+         .lost_for_us = 6 * SECOND_US},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        for (uint64_t seed = 1; seed <= fleet_seeds; seed++) {
+            FleetOptions options = rows[i];
+            options.seed = seed;
+            check_fleet(&options);
+        }
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    static const EbTestCase cases[] = {
+        {"evidence", test_evidence},
+        {"evidence of other daemons", test_merge},
+        {"parts that come together", test_parts_that_come_together},
+        {"reports", test_reports},
+        {"answer told by another daemon", test_answer_told_by_another},
+        {"eviction", test_eviction},
+        {"fleets with a part that crashes servers", test_fleets},
+    };
+    if (argc == 3 && strcmp(argv[1], "--seeds") == 0) {
+        fleet_seeds = strtoull(argv[2], NULL, 10);
+        print_fleets = true;
+    }
+    return EbTest_Run("test_suspects", cases, G_N_ELEMENTS(cases));
+}
