membership, daemon_platform: a daemon that starts learns what is quarantined

Cause: floods are repeated on new links for 10 s only, a daemon ignores floods of its own earlier process, and a write of the quarantine to the store that got no response was given up, here while the store was down.

--- a/src/libebonyhollow/membership/membership.c
+++ b/src/libebonyhollow/membership/membership.c
@@ -51,6 +51,7 @@
     membership->live = g_ptr_array_new();
     membership->changes_due_us = INT64_MAX;
     g_queue_init(&membership->recent);
+    g_queue_init(&membership->quarantine_floods);
     EbMember *self = EbMembership_AddMember(membership, options->instance,
                                             options->address, 0);
     membership->self = self;
--- a/src/libebonyhollow/membership/membership_flood.c
+++ b/src/libebonyhollow/membership/membership_flood.c
@@ -9,6 +9,8 @@
  * link when they were sent. */
 #define RECENT_US 10000000
 #define RECENT_MAX 64
+/* A daemon that starts needs what is quarantined as long as it lasts. */
+#define QUARANTINE_FLOOD_US EB_QUARANTINE_DURATION_US
 #define RECENT_MAX_BYTES ((size_t)256 * 1024)
 
 /* Sequences seen from one origin: a bit for each of the highest
@@ -39,49 +41,65 @@
 EbMembership_FreeFloods(EbMembership *membership)
 {
     g_queue_clear_full(&membership->recent, free_recent);
+    g_queue_clear_full(&membership->quarantine_floods, free_recent);
     g_hash_table_destroy(membership->origins);
 }
 
 static void
-drop_oldest_recent(EbMembership *membership)
+drop_oldest(EbMembership *membership, GQueue *floods)
 {
-    RecentFlood *oldest = g_queue_pop_head(&membership->recent);
-    membership->recent_bytes -= oldest->byte_count;
+    RecentFlood *oldest = g_queue_pop_head(floods);
+    if (floods == &membership->recent) {
+        membership->recent_bytes -= oldest->byte_count;
+    }
     free_recent(oldest);
 }
 
 /* Stores a flood for new links. Takes ownership of the bytes. */
 static void
-keep_recent(EbMembership *membership, uint8_t *bytes, size_t byte_count,
-            int64_t now_us)
+keep_recent(EbMembership *membership, EbMessageKind kind, uint8_t *bytes,
+            size_t byte_count, int64_t now_us)
 {
+    bool quarantine = kind == EB_MESSAGE_QUARANTINE;
+    GQueue *floods =
+        quarantine ? &membership->quarantine_floods : &membership->recent;
     RecentFlood *flood = g_new0(RecentFlood, 1);
-    *flood = (RecentFlood){bytes, byte_count, now_us + RECENT_US};
-    g_queue_push_tail(&membership->recent, flood);
-    membership->recent_bytes += byte_count;
-    while (membership->recent.length > RECENT_MAX ||
-           membership->recent_bytes > RECENT_MAX_BYTES) {
-        drop_oldest_recent(membership);
+    *flood =
+        (RecentFlood){bytes, byte_count,
+                      now_us + (quarantine ? QUARANTINE_FLOOD_US : RECENT_US)};
+    g_queue_push_tail(floods, flood);
+    if (!quarantine) {
+        membership->recent_bytes += byte_count;
+    }
+    while (floods->length > RECENT_MAX ||
+           (!quarantine && membership->recent_bytes > RECENT_MAX_BYTES)) {
+        drop_oldest(membership, floods);
     }
 }
 
-void
-EbMembership_ResendFloods(EbMembership *membership, EbMember *peer,
-                          int64_t now_us)
+static void
+resend(EbMembership *membership, GQueue *floods, EbMember *peer,
+       int64_t now_us)
 {
-    while (membership->recent.length > 0 &&
-           ((RecentFlood *)membership->recent.head->data)->expires_us <=
-               now_us) {
-        drop_oldest_recent(membership);
+    while (floods->length > 0 &&
+           ((RecentFlood *)floods->head->data)->expires_us <= now_us) {
+        drop_oldest(membership, floods);
     }
-    for (GList *item = membership->recent.head; item != NULL;
-         item = item->next) {
+    for (GList *item = floods->head; item != NULL; item = item->next) {
         const RecentFlood *flood = item->data;
         EbMembership_SendBytes(membership, peer, flood->bytes,
                                flood->byte_count);
     }
 }
 
+void
+EbMembership_ResendFloods(EbMembership *membership, EbMember *peer,
+                          int64_t now_us)
+{
+    resend(membership, &membership->recent, peer, now_us);
+    resend(membership, &membership->quarantine_floods, peer, now_us);
+}
+
 static void
 drop_oldest_origin(EbMembership *membership)
 {
@@ -175,15 +193,17 @@
             EbMembership_SendBytes(membership, peer, bytes, byte_count);
         }
     }
-    keep_recent(membership, bytes, byte_count, now_us);
+    keep_recent(membership, message->kind, bytes, byte_count, now_us);
 }
 
 void
 EbMembership_ReceiveFlood(EbMembership *membership, EbMember *peer,
                           const EbMessage *message, int64_t now_us)
 {
-    if (strcmp(message->origin, membership->self->name) == 0 ||
-        !mark_seen(find_origin(membership, message, now_us), message)) {
+    /* What an earlier process of this instance sent is news to this one. */
+    bool own = strcmp(message->origin, membership->self->name) == 0 &&
+               message->origin_incarnation >= membership->self->incarnation;
+    if (own || !mark_seen(find_origin(membership, message, now_us), message)) {
         return;
     }
     propagate_flood(membership, peer, message, now_us);
--- a/src/libebonyhollow/membership/private/membership_private.h
+++ b/src/libebonyhollow/membership/private/membership_private.h
@@ -78,6 +78,7 @@
     GHashTable *origins; /* name to Origin of floods */
     GQueue recent;       /* of RecentFlood, resent on new links */
     size_t recent_bytes;
+    GQueue quarantine_floods; /* the same for QUARANTINE messages */
     uint64_t flood_sequence;
     uint64_t digest;     /* of all member records */
     uint64_t generation; /* of the configuration, for heartbeats */
--- a/src/libebonyhollow_net/daemon_timer.c
+++ b/src/libebonyhollow_net/daemon_timer.c
@@ -24,6 +24,7 @@
             MIN(next_us, EbConfigManager_NextTimer(daemon->config_manager));
     }
     next_us = MIN(next_us, EbSuspects_NextTimer(daemon->suspects));
+    next_us = MIN(next_us, EbDaemon_NextQuarantineWrite(daemon));
     return MIN(next_us, EbMembership_NextTimer(daemon->membership));
 }
 
@@ -83,6 +84,7 @@
         EbLog_Tick(daemon->log);
     }
     EbDaemon_StartDueListings(daemon, now_us);
+    EbDaemon_RetryQuarantineWrites(daemon, now_us);
     if (now_us >= daemon->next_watch_check_us) {
         EbDaemon_CheckWatches(daemon, now_us);
     }
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -245,6 +245,11 @@
  * include servers that were not configured before. */
 void EbDaemon_MarkLeavingServers(EbDaemon *daemon, int64_t now_us);
 
+/* Repeats the writes of quarantine entries that are due, and returns when the
+ * next one is. */
+void EbDaemon_RetryQuarantineWrites(EbDaemon *daemon, int64_t now_us);
+int64_t EbDaemon_NextQuarantineWrite(const EbDaemon *daemon);
+
 /* Sends evidence on what crashes servers to all peers. */
 void EbDaemon_PublishSuspicions(EbDaemon *daemon, int64_t now_us);
 
--- a/src/test_membership/main.c
+++ b/src/test_membership/main.c
@@ -379,6 +379,41 @@
     Network_Stop();
 }
 
+/* Guards against daemons that don't know what is quarantined since they
+ * started later, also the one that had quarantined it before its restart. */
+static void
+test_quarantine_after_restart(void)
+{
+    enum { ORIGIN = 3, OTHER = 5 };
+    size = 8;
+    Network_Start(size, SEED);
+    run_until_converged("start", 10 * SECOND_US);
+    EbQuarantineEntry entry = {.fingerprint = 9,
+                               .points = EB_QUARANTINE_POINTS,
+                               .state = EB_FINGERPRINT_QUARANTINED,
+                               .remaining_us = EB_QUARANTINE_DURATION_US};
+    EbMessage message = {
+        .kind = EB_MESSAGE_QUARANTINE, .entries = &entry, .entry_count = 1};
+    EbMembership_Flood(network.nodes[ORIGIN].membership, &message,
+                       network.now_us);
+    Network_Drain(ORIGIN);
+    for (uint32_t i = 0; i < 100; i++) {
+        Network_Flood(0, i % 64);
+    }
+    Network_Run(60 * SECOND_US);
+    static const uint32_t restarted[] = {ORIGIN, OTHER};
+    for (size_t i = 0; i < TABLE_COUNT(restarted); i++) {
+        Network_KillNode(restarted[i]);
+        Network_StartNode(restarted[i]);
+        network.nodes[restarted[i]].quarantines = 0;
+    }
+    run_until_converged("restart", 10 * SECOND_US);
+    for (uint32_t i = 0; i < size; i++) {
+        CU_ASSERT_EQUAL(network.nodes[i].quarantines, 1);
+    }
+    Network_Stop();
+}
+
 /* Guards against a daemon that can be reached only by its neighbours, and
  * against links opened on demand that are never closed. */
 static void
@@ -424,6 +459,7 @@
         {"withdraw capacity", test_withdraw_capacity},
         {"withdraw capacity", test_withdraw_capacity},
         {"duplicates", test_duplicates},
+        {"quarantine after a restart", test_quarantine_after_restart},
         {"on-demand links", test_on_demand_links},
     };
     return EbTest_Run("test_membership", cases, TABLE_COUNT(cases));
--- a/src/test_membership/network.c
+++ b/src/test_membership/network.c
@@ -76,6 +76,9 @@
     if (message->kind == EB_MESSAGE_SERVER_LEAVING) {
         ((Node *)context)->floods[parse_index(message->server)]++;
     }
+    else if (message->kind == EB_MESSAGE_QUARANTINE) {
+        ((Node *)context)->quarantines++;
+    }
     else {
         ((Node *)context)->direct++;
     }
--- a/src/test_membership/network.h
+++ b/src/test_membership/network.h
@@ -25,7 +25,8 @@
     uint32_t direct;   /* messages sent to this daemon alone, received */
     uint64_t messages; /* sent and received */
     uint64_t bytes;
-    uint8_t floods[64]; /* deliveries, by number of the flood */
+    uint8_t floods[64];   /* deliveries, by number of the flood */
+    uint32_t quarantines; /* QUARANTINE messages received */
 } Node;
 
 typedef struct {
