--- a/src/test_forward_net/main.c
+++ b/src/test_forward_net/main.c
@@ -24,6 +24,8 @@
 #define STREAM_HEAD                                                           \
     HEAD "Content-Type: text/event-stream\r\n"                                \
          "Transfer-Encoding: chunked\r\n\r\n"
+/* Neither length nor chunks: the stream ends with its connection. */
+#define UNFRAMED_STREAM_HEAD HEAD "Content-Type: text/event-stream\r\n\r\n"
 
 /* The protocol of these tests has a single header with the request id. */
 static EbForwardCall *
@@ -474,6 +476,17 @@
          false, false, EB_ATTEMPT_ENDED, "", "id: 1\n\n", 1},
         {"stream without its end", STREAM_HEAD "7\r\nid: 1\n\n\r\n", true,
          true, false, EB_ATTEMPT_BROKEN, "", "id: 1\n\n", 2},
+        {"stream that ends with its connection",
+         UNFRAMED_STREAM_HEAD "id: 1\n\nid: 2\n\n", true, true, false,
+         EB_ATTEMPT_ENDED, "", "id: 1\n\nid: 2\n\n", 2},
+        {"stream whose connection ends in an event",
+         UNFRAMED_STREAM_HEAD "id: 1\n\nid: 2\n", true, true, false,
+         EB_ATTEMPT_BROKEN, "", "id: 1\n\n", 2},
+        {"stream whose connection ends before an event", UNFRAMED_STREAM_HEAD,
+         true, true, false, EB_ATTEMPT_ENDED, "", "", 2},
+        {"stream whose connection is reset after an event",
+         UNFRAMED_STREAM_HEAD "id: 1\n\n", true, false, true,
+         EB_ATTEMPT_BROKEN, "", "id: 1\n\n", 2},
         {"stream truncated in an event", STREAM_HEAD "9\r\nid: 1\n\nid\r\n",
          true, true, false, EB_ATTEMPT_BROKEN, "", "id: 1\n\n", 2},
     };
