suspects: one type for a crash and its report; memory by the number of crashes

The evidence of a suspect and a report to the others held the same members in two types, and an entry reserved room for ten crashes with the first one. Behaviour is unchanged. Mends two linter findings in the tests.

--- a/include/configuration/ebonyhollow/settings.h
+++ b/include/configuration/ebonyhollow/settings.h
@@ -34,14 +34,14 @@
     char *site;
     char *failure_domain;
     char *region;
-    EbAddress caller;     /* listener for callers; port 0: any free port */
-    EbAddress admin;      /* listener for operators, probes and metrics */
-    EbAddress peer;       /* listener for other daemons */
-    EbAddress platform;   /* the platform's object API */
-    char *platform_token; /* NULL when the platform needs none */
+    EbAddress caller;         /* listener for callers; port 0: any free port */
+    EbAddress admin;          /* listener for operators, probes and metrics */
+    EbAddress peer;           /* listener for other daemons */
+    EbAddress platform;       /* the platform's object API */
+    char *platform_token;     /* NULL when the platform needs none */
     int64_t store_silence_us; /* a watch of the platform's store without a
                                  response for this long is replaced */
-    EbAddress *seeds;     /* peers to connect to at start */
+    EbAddress *seeds;         /* peers to connect to at start */
     uint32_t seed_count;
     uint8_t peer_key[EB_PEER_KEY_BYTES]; /* shared key of the peer links */
     /* Digest of a token that acts as an operator with role admin until a
--- a/src/libebonyhollow/servers/suspects.c
+++ b/src/libebonyhollow/servers/suspects.c
@@ -14,38 +14,31 @@
 #define SAME_CRASH_US 1000000
 #define NEVER_US INT64_MIN
 
-/* A crash of a server that a suspect's call was on. */
+/* A crash of a server. */
 typedef struct {
-    uint64_t server; /* digest of its id */
-    bool alone;
+    EbSuspectSet set; /* of the call that broke; in an entry, of all calls with
+                         its suspect */
+    uint64_t server;  /* digest of its id */
+    bool alone;       /* see EbSuspicion */
     int64_t at_us;
-    EbSuspectSet together; /* all suspects of the suspect's calls on it */
 } Crash;
 
-/* A crash that was seen here and has to be sent. */
-typedef struct {
-    EbSuspectSet set;
-    uint64_t server;
-    bool alone;
-    int64_t at_us;
-} CrashReport;
-
 typedef struct {
     EbFingerprint fingerprint; /* the key in the table points to it */
-    Crash *crashes;            /* MAX_CRASHES; NULL before the first */
+    Crash *crashes;
     uint32_t crash_count;
     int64_t answered_us;      /* last known answer, or NEVER_US */
-    int64_t told_us;          /* last answer that all daemons know of */
+    int64_t announced_us;     /* last answer that all daemons know of */
     int64_t answer_report_us; /* when to tell of answered_us; INT64_MAX */
     GList by_use;
 } Entry;
 
 struct EbSuspects {
     EbSuspectsOptions options;
-    GHashTable *entries; /* of Entry, by fingerprint */
-    GQueue by_use;       /* of Entry, most recently used first */
-    GArray *crash_reports;
-    GPtrArray *answer_reports; /* of Entry: answered_us has to be sent */
+    GHashTable *entries;       /* of Entry, by fingerprint */
+    GQueue by_use;             /* of Entry, most recently used first */
+    GArray *crash_reports;     /* of Crash, to be sent */
+    GPtrArray *answer_reports; /* of Entry whose answered_us is to be sent */
 };
 
 static void
@@ -67,7 +60,7 @@
     suspects->entries =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_entry);
     g_queue_init(&suspects->by_use);
-    suspects->crash_reports = g_array_new(FALSE, FALSE, sizeof(CrashReport));
+    suspects->crash_reports = g_array_new(FALSE, FALSE, sizeof(Crash));
     suspects->answer_reports = g_ptr_array_new();
     return suspects;
 }
@@ -125,7 +118,7 @@
     entry = g_new0(Entry, 1);
     *entry = (Entry){.fingerprint = fingerprint,
                      .answered_us = NEVER_US,
-                     .told_us = NEVER_US,
+                     .announced_us = NEVER_US,
                      .answer_report_us = INT64_MAX,
                      .by_use = {.data = entry}};
     g_hash_table_insert(suspects->entries, &entry->fingerprint, entry);
@@ -133,6 +126,13 @@
     return entry;
 }
 
+static bool
+is_quarantined(EbSuspects *suspects, EbFingerprint fingerprint, int64_t now_us)
+{
+    return EbQuarantine_State(suspects->options.quarantine, fingerprint,
+                              now_us) == EB_FINGERPRINT_QUARANTINED;
+}
+
 static bool
 is_within_memory(int64_t at_us, int64_t now_us)
 {
@@ -177,7 +177,7 @@
 /* Returns the known crash that a report is about, or NULL: several calls with
  * the suspect may have been on the server, also from other daemons. */
 static Crash *
-find_crash(Entry *entry, const CrashReport *report)
+find_crash(Entry *entry, const Crash *report)
 {
     for (uint32_t i = 0; i < entry->crash_count; i++) {
         Crash *crash = &entry->crashes[i];
@@ -191,23 +191,21 @@
 }
 
 static void
-append_crash(Entry *entry, const CrashReport *report)
+append_crash(Entry *entry, const Crash *crash)
 {
-    if (entry->crashes == NULL) {
-        entry->crashes = g_new0(Crash, MAX_CRASHES);
-    }
     if (entry->crash_count == MAX_CRASHES) {
         memmove(&entry->crashes[0], &entry->crashes[1],
                 (MAX_CRASHES - 1) * sizeof(entry->crashes[0]));
         entry->crash_count--;
     }
-    entry->crashes[entry->crash_count++] =
-        (Crash){report->server, report->alone, report->at_us, report->set};
+    entry->crashes =
+        g_renew(Crash, entry->crashes, (gsize)entry->crash_count + 1);
+    entry->crashes[entry->crash_count++] = *crash;
 }
 
 /* Returns whether the crash is new, or counts for more now. */
 static bool
-add_crash(Entry *entry, const CrashReport *report, int64_t now_us)
+add_crash(Entry *entry, const Crash *report, int64_t now_us)
 {
     remove_crashes(entry, now_us - EB_SUSPECT_MEMORY_US);
     if (entry->answered_us >= report->at_us) {
@@ -220,7 +218,7 @@
     }
     bool joined = known->alone;
     known->alone = false;
-    add_all(&known->together, &report->set);
+    add_all(&known->set, &report->set);
     return joined;
 }
 
@@ -258,11 +256,11 @@
 /* Tells the others, half-way through the time for which they remember it, that
  * the suspect was answered before the crash. */
 static void
-vouch(EbSuspects *suspects, Entry *entry, int64_t now_us)
+announce_earlier_answer(EbSuspects *suspects, Entry *entry, int64_t now_us)
 {
     if (is_within_memory(entry->answered_us, now_us) &&
-        (entry->told_us == NEVER_US ||
-         entry->told_us < now_us - EB_SUSPECT_MEMORY_US / 2)) {
+        (entry->announced_us == NEVER_US ||
+         entry->announced_us < now_us - EB_SUSPECT_MEMORY_US / 2)) {
         report_answer(suspects, entry, now_us);
     }
 }
@@ -281,7 +279,7 @@
 }
 
 static void
-merge_crash(EbSuspects *suspects, const CrashReport *report, bool own,
+merge_crash(EbSuspects *suspects, const Crash *report, bool own,
             int64_t now_us)
 {
     bool news = false;
@@ -289,7 +287,7 @@
         Entry *entry = get_entry(suspects, report->set.fingerprints[i]);
         if (add_crash(entry, report, now_us)) {
             news = true;
-            vouch(suspects, entry, now_us);
+            announce_earlier_answer(suspects, entry, now_us);
             quarantine_if_due(suspects, entry, own, now_us);
         }
     }
@@ -303,31 +301,40 @@
                        const char *server_id, bool alone, int64_t at_us,
                        int64_t now_us)
 {
-    CrashReport report = {
-        .set = *set,
-        .server = MAX(XXH3_64bits(server_id, strlen(server_id)), 1),
-        .alone = alone,
-        .at_us = at_us};
+    Crash report = {.set = *set,
+                    .server =
+                        MAX(XXH3_64bits(server_id, strlen(server_id)), 1),
+                    .alone = alone,
+                    .at_us = at_us};
     merge_crash(suspects, &report, true, now_us);
 }
 
-/* Returns whether the request carries all suspects that came together with the
- * entry's one at every crash, and are quarantined as well. */
+/* Returns whether another suspect came with the entry's one at every crash. */
+static bool
+always_came_with(const Entry *entry, EbFingerprint other)
+{
+    for (uint32_t i = 0; i < entry->crash_count; i++) {
+        if (!contains(&entry->crashes[i].set, other)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Returns whether the request carries all quarantined suspects that came with
+ * the entry's one at every crash. */
 static bool
 carries_companions(EbSuspects *suspects, const Entry *entry,
                    const EbSuspectSet *set, int64_t now_us)
 {
-    EbQuarantine *quarantine = suspects->options.quarantine;
-    for (uint32_t i = 0;
-         entry->crash_count > 0 && i < entry->crashes[0].together.count; i++) {
-        EbFingerprint other = entry->crashes[0].together.fingerprints[i];
-        bool always = true;
-        for (uint32_t k = 1; k < entry->crash_count; k++) {
-            always = always && contains(&entry->crashes[k].together, other);
-        }
-        if (always && !contains(set, other) &&
-            EbQuarantine_State(quarantine, other, now_us) ==
-                EB_FINGERPRINT_QUARANTINED) {
+    if (entry->crash_count == 0) {
+        return true;
+    }
+    const EbSuspectSet *first = &entry->crashes[0].set;
+    for (uint32_t i = 0; i < first->count; i++) {
+        EbFingerprint other = first->fingerprints[i];
+        if (!contains(set, other) && always_came_with(entry, other) &&
+            is_quarantined(suspects, other, now_us)) {
             return false;
         }
     }
@@ -340,8 +347,7 @@
 {
     for (uint32_t i = 0; i < set->count; i++) {
         EbFingerprint fingerprint = set->fingerprints[i];
-        if (EbQuarantine_State(suspects->options.quarantine, fingerprint,
-                               now_us) != EB_FINGERPRINT_QUARANTINED) {
+        if (!is_quarantined(suspects, fingerprint, now_us)) {
             continue;
         }
         const Entry *entry = find_entry(suspects, fingerprint);
@@ -369,8 +375,7 @@
     }
     entry->answered_us = now_us;
     remove_crashes(entry, now_us);
-    if (EbQuarantine_State(suspects->options.quarantine, fingerprint,
-                           now_us) == EB_FINGERPRINT_QUARANTINED) {
+    if (is_quarantined(suspects, fingerprint, now_us)) {
         EbQuarantine_Release(suspects->options.quarantine, fingerprint,
                              "answered", now_us);
     }
@@ -381,7 +386,7 @@
 {
     Entry *entry = get_entry(suspects, fingerprint);
     entry->answered_us = MAX(entry->answered_us, at_us);
-    entry->told_us = MAX(entry->told_us, at_us);
+    entry->announced_us = MAX(entry->announced_us, at_us);
     remove_crashes(entry, at_us);
     cancel_answer_report(suspects, entry);
 }
@@ -395,8 +400,8 @@
     }
     int64_t at_us = now_us - (int64_t)suspicion->ago_us;
     if (suspicion->server != 0) {
-        CrashReport report = {suspicion->set, suspicion->server,
-                              suspicion->alone, at_us};
+        Crash report = {suspicion->set, suspicion->server, suspicion->alone,
+                        at_us};
         merge_crash(suspects, &report, false, now_us);
         return;
     }
@@ -412,7 +417,7 @@
         Entry *entry = g_ptr_array_index(suspects->answer_reports, i);
         if (entry->answer_report_us <= now_us) {
             cancel_answer_report(suspects, entry);
-            entry->told_us = entry->answered_us;
+            entry->announced_us = entry->answered_us;
             *suspicion = (EbSuspicion){
                 .set = {{entry->fingerprint}, 1},
                 .ago_us = (uint64_t)MAX(now_us - entry->answered_us, 0)};
@@ -430,8 +435,8 @@
     if (count == 0) {
         return next_answer(suspects, suspicion, now_us);
     }
-    const CrashReport *report =
-        &g_array_index(suspects->crash_reports, CrashReport, count - 1);
+    const Crash *report =
+        &g_array_index(suspects->crash_reports, Crash, count - 1);
     *suspicion =
         (EbSuspicion){.set = report->set,
                       .server = report->server,
--- a/src/libebonyhollow_net/platform_probe.c
+++ b/src/libebonyhollow_net/platform_probe.c
@@ -54,8 +54,8 @@
     struct evhttp_request *request =
         EbPlatformClient_NewRequest(probe->client, on_answer, probe);
     probe->sent_us = EbClock_Monotonic();
-    struct timeval timeout = EbClock_Timeval(PROBE_TIMEOUT_US +
-                                             probe->client->watch_latency_us);
+    struct timeval timeout =
+        EbClock_Timeval(PROBE_TIMEOUT_US + probe->client->watch_latency_us);
     evhttp_connection_set_timeout_tv(probe->evcon, &timeout);
     if (evhttp_make_request(probe->evcon, request, EVHTTP_REQ_GET,
                             probe->path) != 0) {
--- a/src/libebonyhollow_net/private/platform_internal.h
+++ b/src/libebonyhollow_net/private/platform_internal.h
@@ -15,7 +15,7 @@
     GPtrArray *slots; /* of Slot: connections for calls */
     GQueue waiting;   /* of Call */
     uint32_t running_count;
-    GHashTable *watches; /* kind -> Watch */
+    GHashTable *watches;      /* kind -> Watch */
     int64_t watch_latency_us; /* of the last response to a watch */
     void *retrying; /* the Watch that retries while others wait, or NULL */
     void *probe;    /* the Probe, or NULL */
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -144,9 +144,12 @@
     }
     CU_ASSERT_EQUAL_FATAL(got->suspicion_count, sent->suspicion_count);
     for (uint32_t i = 0; i < got->suspicion_count; i++) {
-        CU_ASSERT_EQUAL(memcmp(&got->suspicions[i].set,
-                               &sent->suspicions[i].set, sizeof(EbSuspectSet)),
-                        0);
+        const EbSuspectSet *set = &got->suspicions[i].set;
+        CU_ASSERT_EQUAL_FATAL(set->count, sent->suspicions[i].set.count);
+        for (uint32_t k = 0; k < set->count; k++) {
+            CU_ASSERT_EQUAL(set->fingerprints[k],
+                            sent->suspicions[i].set.fingerprints[k]);
+        }
         CU_ASSERT_EQUAL(got->suspicions[i].server, sent->suspicions[i].server);
         CU_ASSERT_EQUAL(got->suspicions[i].alone, sent->suspicions[i].alone);
         CU_ASSERT_EQUAL(got->suspicions[i].ago_us, sent->suspicions[i].ago_us);
--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -499,7 +499,8 @@
     "listen:\n  front: \"10.1.0.41:8625\"\n  ready: \"10.1.0.41:8621\"\n"
     "  control: \"10.1.0.41:8628\"\nseeds:\n  - \"10.1.0.41:8628\"\n"
     "  - \"10.2.0.25:8628\"\nlimits:\n  max_fds: 4100\n"
-    "bounds:\n  contact_ms: 3000\n  grace_s: 8\nplatform:\n  address: \"10.200.1.7:8624\"\n"
+    "bounds:\n  contact_ms: 3000\n  grace_s: 8\nplatform:\n  address: "
+    "\"10.200.1.7:8624\"\n"
     "new_field: [1, {a: b}]\n";
 
 static EbSettings *
--- a/src/test_suspects/fleet.c
+++ b/src/test_suspects/fleet.c
@@ -23,7 +23,7 @@
 #define MAX_ANSWER_US 4000000  /* from there to its end */
 #define CHECK_DELAY_US 100000  /* from a break to its record as a crash */
 #define MESSAGE_DELAY_US 10000 /* between daemons */
-#define CONTACT_US 3000000
+#define CONTACT_US INT64_C(3000000)
 
 typedef struct {
     EbQuarantine *quarantine;
