daemon_quarantine: split from daemon_platform; one reader of string members

daemon_platform held the instances, the lists and watches, and with the last changes most of what daemons and the store are told of the quarantine. Three files read string members of the store's objects with their own copy. Behaviour is unchanged.

--- a/src/libebonyhollow_net/daemon_discovery.c
+++ b/src/libebonyhollow_net/daemon_discovery.c
@@ -267,13 +267,6 @@
     json_decref(value);
 }
 
-static const char *
-get_string(const json_t *object, const char *name)
-{
-    const char *text = json_string_value(json_object_get(object, name));
-    return text != NULL ? text : "";
-}
-
 static void
 handle_daemons_list(EbDaemon *daemon, const json_t *items, int64_t now_us)
 {
@@ -286,9 +279,10 @@
     {
         const json_t *value = json_object_get(item, "value");
         EbMessageMember member = {
-            .instance = (char *)get_string(item, "name"),
-            .address = (char *)get_string(value, "address"),
-            .failure_domain = (char *)get_string(value, "failure_domain"),
+            .instance = (char *)EbDaemon_GetString(item, "name"),
+            .address = (char *)EbDaemon_GetString(value, "address"),
+            .failure_domain =
+                (char *)EbDaemon_GetString(value, "failure_domain"),
             .state = EB_MEMBER_ALIVE};
         if (strcmp(member.instance, daemon->settings->instance) == 0) {
             discovery->registration_version =
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -227,6 +227,14 @@
 void EbDaemon_OnReadFailed(void *context, const char *kind);
 void EbDaemon_OnProbed(void *context, int64_t latency_us);
 
+/* Returns a string member of an object of the store, "" when there is none. */
+static inline const char *
+EbDaemon_GetString(const json_t *object, const char *key)
+{
+    const char *value = json_string_value(json_object_get(object, key));
+    return value != NULL ? value : "";
+}
+
 /* Watches the platform's objects if the membership chose this daemon as a
  * watcher; otherwise polls them. */
 void EbDaemon_CheckWatches(EbDaemon *daemon, int64_t now_us);
@@ -237,14 +245,19 @@
 /* Returns when the next listing is due, or INT64_MAX. */
 int64_t EbDaemon_NextListingTime(const EbDaemon *daemon);
 
-/* Frees an element of `quarantine_writes`; a GDestroyNotify. */
-void EbDaemon_FreeQuarantineWrite(void *pointer);
-
 /* Tells the dispatcher which backend servers the platform lists as leaving.
  * Must be called after each change of the configuration, because the list may
  * include servers that were not configured before. */
 void EbDaemon_MarkLeavingServers(EbDaemon *daemon, int64_t now_us);
 
+/* Quarantine, at the other daemons and in the store: daemon_quarantine.c */
+
+/* Handles the list of the quarantine entries in the store. */
+void EbDaemon_HandleQuarantineList(EbDaemon *daemon, json_t *items);
+
+/* Frees an element of `quarantine_writes`; a GDestroyNotify. */
+void EbDaemon_FreeQuarantineWrite(void *pointer);
+
 /* Repeats the writes of quarantine entries that are due, and returns when the
  * next one is. */
 void EbDaemon_RetryQuarantineWrites(EbDaemon *daemon, int64_t now_us);
