test/process: concurrent submits no longer read a token file being written

A loop over the last part of that script, "three daemons receive the same key at once", repeats a failure: 1 of 300 submits ended with "the token must be visible ASCII without spaces". Each eb_submit truncated and wrote one shared token file, and another submit that ran at the same time read it empty. The product took no part in it.

The token file is now one per customer and renamed into place.

--- a/test/process/lib.sh
+++ b/test/process/lib.sh
@@ -13,7 +13,6 @@
     eb_deployment=$2
     eb_work=$(mktemp -d)
     eb_acquire_lock || exit 1
-    eb_token=$eb_work/token
     eb_admin_token=$eb_work/admin-token
     printf 'demo-%s-on-call' "$eb_deployment" >"$eb_admin_token"
     trap eb_end EXIT
@@ -155,15 +154,24 @@
         --token-file "$eb_admin_token" "$@"
 }
 
+# eb_token CUSTOMER: writes the customer's token to a file and prints its name.
+# The file is renamed into place, since another submit that runs at the same
+# time may read it.
+eb_token() {
+    local file=$eb_work/token-$1
+    printf 'demo-%s-%s' "$eb_deployment" "$1" >"$file.$BASHPID"
+    mv "$file.$BASHPID" "$file"
+    echo "$file"
+}
+
 # eb_submit SITE NUMBER CUSTOMER ARGUMENTS...: sends a request as a caller of
 # the customer.
 eb_submit() {
     local site=$1 number=$2 customer=$3
     shift 3
-    printf 'demo-%s-%s' "$eb_deployment" "$customer" >"$eb_token"
     "$eb_build/src/ebonyhollow/ebonyhollow" \
         --caller "$(eb_address "$site" "$number" caller)" \
-        --token-file "$eb_token" submit "$@"
+        --token-file "$(eb_token "$customer")" submit "$@"
 }
 
 # eb_fault TARGET FAULT [AMOUNT [COUNT]]: sets a fault of the stand-ins; see
