daemon: signals during the start wait until the daemon handles them

The signals are blocked first in main and unblocked once their handlers stand, in a file of their own, daemon_signal.c.

test_daemon.sh sends them while the daemon waits for its settings; before the change: NOT OK for SIGTERM (ended by the signal), SIGHUP and the exit status.

--- a/include/net/ebonyhollow/daemon.h
+++ b/include/net/ebonyhollow/daemon.h
@@ -24,6 +24,11 @@
 
 typedef struct EbDaemon EbDaemon;
 
+/* Blocks SIGTERM, SIGINT and SIGHUP until EbDaemon_New has installed their
+ * handlers. To be called first in main: otherwise a signal that arrives during
+ * the start ends the process without a shutdown. */
+void EbDaemon_BlockSignals(void);
+
 /* Binds the listeners and starts every module. Ignores SIGPIPE in the whole
  * process.
  *
--- a/src/ebonyhollowd/main.c
+++ b/src/ebonyhollowd/main.c
@@ -155,6 +155,7 @@
 int
 main(int argc, char **argv)
 {
+    EbDaemon_BlockSignals();
     Arguments arguments = {0};
     if (!parse_arguments(argc, argv, &arguments)) {
         fputs(usage, stderr);
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -348,17 +348,6 @@
     return daemon->admin_server != NULL;
 }
 
-static void
-add_signals(EbDaemon *daemon)
-{
-    static const int numbers[] = {SIGTERM, SIGINT, SIGHUP};
-    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
-        daemon->signals[i] =
-            evsignal_new(daemon->base, numbers[i], EbDaemon_OnSignal, daemon);
-        event_add(daemon->signals[i], NULL);
-    }
-}
-
 /* Adds the seeds to the membership, starts to read the platform's objects and
  * handles signals. */
 static void
@@ -382,7 +371,7 @@
         EbDaemon_CheckWatches(daemon, now_us);
     }
     daemon->next_usage_report_us = now_us + EB_LIMITER_REPORT_INTERVAL_US;
-    add_signals(daemon);
+    EbDaemon_AddSignals(daemon);
     EB_EMIT(daemon->events, EB_EVENT_DAEMON_STARTED,
             EB_STRING_FIELD("instance", settings->instance),
             EB_INTEGER_FIELD("incarnation", daemon->incarnation),
@@ -459,11 +448,7 @@
     }
     EbDaemon_FreePendingActions(daemon);
     EbActionQueue_Free(daemon->actions);
-    for (size_t i = 0; i < G_N_ELEMENTS(daemon->signals); i++) {
-        if (daemon->signals[i] != NULL) {
-            event_free(daemon->signals[i]);
-        }
-    }
+    EbDaemon_FreeSignals(daemon);
     event_free(daemon->action_event);
     event_free(daemon->timer);
     g_hash_table_destroy(daemon->relays);
--- a/src/libebonyhollow_net/daemon_drain.c
+++ b/src/libebonyhollow_net/daemon_drain.c
@@ -1,6 +1,4 @@
 /* Graceful shutdown as described in docs/design.md, section 5.6. */
-#include <signal.h>
-
 #include "daemon_internal.h"
 
 /* After a daemon has stopped accepting requests, it waits at most this long
@@ -42,10 +40,8 @@
     EbDaemon_ScheduleActions(daemon);
 }
 
-/* Ends every request with the outcome that is true now, and allows
- * ABORT_TIMEOUT_US for sending the answers. */
-static void
-abort_requests(EbDaemon *daemon, int64_t now_us)
+void
+EbDaemon_AbortRequests(EbDaemon *daemon, int64_t now_us)
 {
     if (daemon->drain_state < EB_DRAIN_FINISHING) {
         stop_accepting(daemon, now_us);
@@ -77,24 +73,6 @@
     EbDaemon_ScheduleActions(daemon);
 }
 
-void
-EbDaemon_OnSignal(evutil_socket_t fd, short what, void *arg)
-{
-    (void)what;
-    EbDaemon *daemon = arg;
-    if (fd == SIGHUP) {
-        EB_EMIT(daemon->events, EB_EVENT_RELOAD_REQUESTED,
-                EB_STRING_FIELD("instance", daemon->settings->instance));
-        return;
-    }
-    if (daemon->drain_state == EB_DRAIN_NONE) {
-        EbDaemon_StartDrain(daemon);
-    }
-    else {
-        abort_requests(daemon, EbClock_Monotonic());
-    }
-}
-
 static bool
 has_open_callers(const EbDaemon *daemon)
 {
@@ -144,7 +122,7 @@
             start_leaving(daemon, now_us);
         }
         else if (expired) {
-            abort_requests(daemon, now_us);
+            EbDaemon_AbortRequests(daemon, now_us);
         }
         break;
     case EB_DRAIN_LEAVING:
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -33,6 +33,7 @@
 #include "ebonyhollow/store_feed.h"
 #include "ebonyhollow/suspects.h"
 
+#define EB_DAEMON_SIGNALS 3 /* SIGTERM, SIGINT, SIGHUP */
 #define EB_INSTANCES_KIND "instances"
 #define EB_QUARANTINE_KIND "quarantine"
 
@@ -143,7 +144,7 @@
     int64_t finishing_since_us; /* when the listener was closed */
     bool aborted; /* the requests still running were ended early */
     uint64_t unfinished_requests; /* number of these requests */
-    struct event *signals[3];
+    struct event *signals[EB_DAEMON_SIGNALS];
 };
 
 /* Actions: daemon_action.c */
@@ -355,15 +356,22 @@
 
 /* Graceful shutdown: daemon_drain.c */
 
-/* Callback of the signals. SIGTERM and SIGINT start the shutdown; once it has
- * started, they end the requests that are still running. SIGHUP only logs an
- * event. */
-void EbDaemon_OnSignal(evutil_socket_t fd, short what, void *arg);
-
 /* Starts the shutdown unless it has started. `context` is the daemon. */
 void EbDaemon_StartDrain(void *context);
 
+/* Ends every request with the outcome that is true now, and allows two seconds
+ * for sending the answers. */
+void EbDaemon_AbortRequests(EbDaemon *daemon, int64_t now_us);
+
 /* Moves on to the next state of a shutdown when its condition is met. */
 void EbDaemon_CheckDrain(EbDaemon *daemon, int64_t now_us);
 
+/* Signals: daemon_signal.c */
+
+/* Handles the signals from the next turn of the event loop on, also those that
+ * came while they were blocked. */
+void EbDaemon_AddSignals(EbDaemon *daemon);
+
+void EbDaemon_FreeSignals(EbDaemon *daemon);
+
 #endif
--- a/test/process/test_daemon.sh
+++ b/test/process/test_daemon.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Guards against wrong exit statuses and messages of the daemon's command line,
-# requests that are cut by a graceful shutdown, and a second signal that does
-# not end the wait.
+# requests that are cut by a graceful shutdown, a second signal that does not
+# end the wait, and a signal during the start that ends the process.
 #
 # Usage: test_daemon.sh BUILD-DIRECTORY
 set -uo pipefail
@@ -81,4 +81,27 @@
     [ "$(eb_outcome "$eb_work/cut.out")" = unknown ]
 wait "$(eb_pid recife 1)"
 eb_check "the exit status is 3" [ $? -eq 3 ]
+
+echo "== signals before the daemon has read its settings"
+mkfifo "$eb_work/late.json"
+start_with_signal() { # signal
+    "$daemon" --config "$eb_work/late.json" >>"$eb_work/late.log" 2>&1 &
+    late=$!
+    eb_pids+=("$late")
+    exec 3>"$eb_work/late.json" # returns once the daemon has opened it
+    kill -s "$1" "$late"
+    cat "$settings" >&3 2>/dev/null
+    exec 3>&-
+}
+start_with_signal TERM
+wait "$late"
+eb_check "SIGTERM during the start is a shutdown with exit status 0" \
+    [ $? -eq 0 ]
+start_with_signal HUP
+eb_check "SIGHUP during the start doesn't end the daemon" \
+    eb_wait 200 curl -fsS "http://$(eb_address recife 1 admin)/healthz" \
+    -o /dev/null
+kill -TERM "$late"
+wait "$late"
+eb_check "the exit status is 0" [ $? -eq 0 ]
 eb_finish
--- a/test/process/test_soak.sh
+++ b/test/process/test_soak.sh
@@ -4,19 +4,23 @@
 # - 132: a check counted requests that were sent before the faults had ended.
 # - 345: restarted daemons inherited the other daemons' connections to the
 #   store, which kept them open when the path was cut.
+# - 834, within 15 s: SIGTERM reached a daemon before it handled signals.
 #
-# Usage: test/process/test_soak.sh BUILD-DIRECTORY [SECONDS [SEED...]]
+# Usage: test/process/test_soak.sh BUILD-DIRECTORY [SECONDS [SEED[:SECONDS]...]]
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 build=$1
-seconds=${2:-6}
+default_seconds=${2:-6}
 shift $(($# < 2 ? $# : 2))
 seeds=("$@")
-[ ${#seeds[@]} -gt 0 ] || seeds=(1 107 112 132 345)
+[ ${#seeds[@]} -gt 0 ] || seeds=(1 107 112 132 345 834:15)
 directory=$(mktemp -d)
 
 status=0
-for seed in "${seeds[@]}"; do
+for entry in "${seeds[@]}"; do
+    seed=${entry%:*}
+    seconds=$default_seconds
+    [ "$seed" = "$entry" ] || seconds=${entry#*:}
     if ! "$build/test/soak/soak" --seed "$seed" --seconds "$seconds" \
         --verbose --program "$build/src/ebonyhollowd/ebonyhollowd" \
         --directory "$directory/$seed" >"$directory/$seed.txt" 2>&1; then
