suspects, quarantine: evidence of others is told if its daemon doesn't tell

Cause: a suspect is quarantined at each daemon by its own count, and only the daemon that reported the last crash told the others and the store. The same holds when it is killed before it has told: the store never has the entry.

A daemon that quarantines a suspect after the report of another one now tells the others and the store after 0.2 s to 0.4 s, unless somebody did before. A pending change has a time instead of a flag.

--- a/include/servers/ebonyhollow/quarantine.h
+++ b/include/servers/ebonyhollow/quarantine.h
@@ -98,11 +98,12 @@
 
 /* Quarantines a fingerprint that crashed `crashes` servers.
  *
- * publish: EbQuarantine_NextChange returns the change, for the other daemons.
+ * publish_us: when EbQuarantine_NextChange returns the change, for the other
+ *     daemons, unless one of them sends it before.
  *
  * Does nothing when the fingerprint is quarantined already. */
 void EbQuarantine_Add(EbQuarantine *quarantine, EbFingerprint fingerprint,
-                      uint32_t crashes, bool publish, int64_t now_us);
+                      uint32_t crashes, int64_t publish_us, int64_t now_us);
 
 /* Releases a fingerprint, here and at the other daemons.
  *
@@ -122,9 +123,13 @@
                           EbFingerprintState state, int64_t now_us);
 
 /* Returns the next change that was made at this daemon and has to be sent to
- * the others; each change is returned once. Returns false when there is none.
- */
+ * the others now; each change is returned once. Returns false when there is
+ * none. */
 bool EbQuarantine_NextChange(EbQuarantine *quarantine,
                              EbQuarantineEntry *entry, int64_t now_us);
 
+/* Returns the earliest time at which EbQuarantine_NextChange has a change to
+ * return, or INT64_MAX. */
+int64_t EbQuarantine_NextTimer(const EbQuarantine *quarantine);
+
 #endif
--- a/src/libebonyhollow/servers/quarantine.c
+++ b/src/libebonyhollow/servers/quarantine.c
@@ -10,6 +10,7 @@
 
 #define MAX_ENTRIES_DEFAULT 4096
 #define FINGERPRINT_HEX_BYTES 17
+#define NOT_PENDING_US INT64_MAX
 
 const char *const EbFingerprintState_names[EB_FINGERPRINT_STATE_COUNT] = {
     [EB_FINGERPRINT_CLEAR] = "clear",
@@ -24,7 +25,7 @@
     uint32_t points;
     EbFingerprintState state;
     int64_t until_us;
-    bool change_pending;
+    int64_t publish_us; /* when its change is sent, or NOT_PENDING_US */
 } Entry;
 
 struct EbQuarantine {
@@ -92,19 +93,24 @@
     snprintf(text, FINGERPRINT_HEX_BYTES, "%016" PRIx64, fingerprint);
 }
 
+static bool
+has_pending_change(const Entry *entry)
+{
+    return entry->publish_us != NOT_PENDING_US;
+}
+
 static void
-set_change_pending(EbQuarantine *quarantine, Entry *entry, bool change_pending)
+set_publish_time(EbQuarantine *quarantine, Entry *entry, int64_t publish_us)
 {
-    if (entry->change_pending != change_pending) {
-        entry->change_pending = change_pending;
-        quarantine->pending_change_count += change_pending ? 1 : UINT32_MAX;
-    }
+    quarantine->pending_change_count -= has_pending_change(entry);
+    entry->publish_us = publish_us;
+    quarantine->pending_change_count += has_pending_change(entry);
 }
 
 static void
 remove_entry(EbQuarantine *quarantine, Entry *entry)
 {
-    set_change_pending(quarantine, entry, false);
+    set_publish_time(quarantine, entry, NOT_PENDING_US);
     g_hash_table_remove(quarantine->entries, &entry->fingerprint);
 }
 
@@ -189,6 +195,7 @@
     evict_entries(quarantine);
     Entry *entry = g_new0(Entry, 1);
     entry->fingerprint = fingerprint;
+    entry->publish_us = NOT_PENDING_US;
     g_hash_table_insert(quarantine->entries, &entry->fingerprint, entry);
     return entry;
 }
@@ -218,7 +225,7 @@
         quarantined ? EB_FINGERPRINT_QUARANTINED : EB_FINGERPRINT_SUSPECTED;
     entry->until_us = now_us + (quarantined ? EB_QUARANTINE_DURATION_US
                                             : EB_SUSPICION_DURATION_US);
-    set_change_pending(quarantine, entry, true);
+    set_publish_time(quarantine, entry, now_us);
     emit_state(quarantine, entry);
     return entry->state;
 }
@@ -281,8 +288,10 @@
     if (higher) {
         entry->points = received->points;
     }
+    if (state == EB_FINGERPRINT_QUARANTINED) {
+        set_publish_time(quarantine, entry, NOT_PENDING_US);
+    }
     if (stronger) {
-        set_change_pending(quarantine, entry, false);
         emit_state(quarantine, entry);
     }
     return stronger || longer || higher;
@@ -290,7 +299,7 @@
 
 void
 EbQuarantine_Add(EbQuarantine *quarantine, EbFingerprint fingerprint,
-                 uint32_t crashes, bool publish, int64_t now_us)
+                 uint32_t crashes, int64_t publish_us, int64_t now_us)
 {
     Entry *entry = find_entry(quarantine, fingerprint, now_us);
     if (entry != NULL && entry->state == EB_FINGERPRINT_QUARANTINED) {
@@ -302,7 +311,7 @@
     entry->points = MAX(crashes, EB_QUARANTINE_POINTS);
     entry->state = EB_FINGERPRINT_QUARANTINED;
     entry->until_us = now_us + EB_QUARANTINE_DURATION_US;
-    set_change_pending(quarantine, entry, publish);
+    set_publish_time(quarantine, entry, publish_us);
     emit_state(quarantine, entry);
 }
 
@@ -316,7 +325,7 @@
     }
     entry->state = EB_FINGERPRINT_CLEAR;
     entry->points = 0;
-    set_change_pending(quarantine, entry, true);
+    set_publish_time(quarantine, entry, now_us);
     emit_released(quarantine, fingerprint, cause);
     return true;
 }
@@ -373,10 +382,10 @@
     g_hash_table_iter_init(&iterator, quarantine->entries);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         Entry *entry = value;
-        if (!entry->change_pending) {
+        if (entry->publish_us > now_us) {
             continue;
         }
-        set_change_pending(quarantine, entry, false);
+        set_publish_time(quarantine, entry, NOT_PENDING_US);
         *change = describe_entry(entry, now_us);
         bool clear = entry->state == EB_FINGERPRINT_CLEAR;
         if (clear) {
@@ -388,3 +397,20 @@
     }
     return false;
 }
+
+int64_t
+EbQuarantine_NextTimer(const EbQuarantine *quarantine)
+{
+    int64_t next_us = INT64_MAX;
+    if (quarantine->pending_change_count == 0) {
+        return next_us;
+    }
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, quarantine->entries);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const Entry *entry = value;
+        next_us = MIN(next_us, entry->publish_us);
+    }
+    return next_us;
+}
--- a/src/libebonyhollow/servers/suspects.c
+++ b/src/libebonyhollow/servers/suspects.c
@@ -10,6 +10,10 @@
 /* An answer is told to the others after a random part of this time, unless
  * another daemon told them first. */
 #define ANSWER_SPREAD_US 100000
+/* A daemon that quarantines a suspect after the report of another one leaves
+ * it to that one to tell the others, and does so itself after this time and a
+ * random part of it. */
+#define QUARANTINE_DELAY_US 200000
 /* Reports of one server that are less than this apart are of one crash. */
 #define SAME_CRASH_US 1000000
 #define NEVER_US INT64_MIN
@@ -272,10 +276,17 @@
     uint32_t limit = is_within_memory(entry->answered_us, now_us)
                          ? EB_SUSPECT_KNOWN_POINTS
                          : EB_SUSPECT_POINTS;
-    if (count_points(entry) >= limit) {
-        EbQuarantine_Add(suspects->options.quarantine, entry->fingerprint,
-                         entry->crash_count, own, now_us);
+    if (count_points(entry) < limit) {
+        return;
+    }
+    int64_t publish_us = now_us;
+    if (!own) {
+        publish_us += QUARANTINE_DELAY_US +
+                      (int64_t)EbRandom_Below(suspects->options.random,
+                                              QUARANTINE_DELAY_US);
     }
+    EbQuarantine_Add(suspects->options.quarantine, entry->fingerprint,
+                     entry->crash_count, publish_us, now_us);
 }
 
 static void
--- a/src/test_admin_server/main.c
+++ b/src/test_admin_server/main.c
@@ -559,7 +559,8 @@
                          ADMIN, "", NULL),
                     200);
     EbQuarantineEntry entry;
-    CU_ASSERT_TRUE(EbQuarantine_NextChange(fixture.quarantine, &entry, 0));
+    CU_ASSERT_TRUE(EbQuarantine_NextChange(fixture.quarantine, &entry,
+                                           INT64_MAX / 4));
     CU_ASSERT_EQUAL(entry.state, EB_FINGERPRINT_CLEAR);
 
     RawClient *client =
--- a/src/test_suspects/main.c
+++ b/src/test_suspects/main.c
@@ -190,6 +190,35 @@
     close_fixture(&fixture);
 }
 
+/* Guards against a quarantine that daemons without the evidence never learn
+ * of, since the daemon that saw the last crash had lost the earlier ones, and
+ * against one that every daemon tells the others about. */
+static void
+test_quarantine_by_evidence_of_others(void)
+{
+    for (int told = 0; told <= 1; told++) {
+        Fixture fixture;
+        open_fixture(&fixture, 0);
+        for (uint64_t server = 1; server <= 3; server++) {
+            EbSuspicion crash = {suspect_set, server, false, 0};
+            EbSuspects_Merge(fixture.suspects, &crash, fixture.now_us);
+            fixture.now_us += SECOND_US;
+        }
+        CU_ASSERT_TRUE(is_quarantined(&fixture, SUSPECT));
+        if (told) {
+            EbQuarantineEntry entry = {SUSPECT, 3, EB_FINGERPRINT_QUARANTINED,
+                                       EB_QUARANTINE_DURATION_US};
+            EbQuarantine_Merge(fixture.quarantine, &entry, fixture.now_us);
+        }
+        EbQuarantineEntry change;
+        bool tells = EbQuarantine_NextChange(fixture.quarantine, &change,
+                                             fixture.now_us);
+        CU_ASSERT_EQUAL(tells, !told);
+        CU_ASSERT_EQUAL(EbQuarantine_NextTimer(fixture.quarantine), INT64_MAX);
+        close_fixture(&fixture);
+    }
+}
+
 static unsigned
 count_reports(Fixture *fixture, bool crashes)
 {
@@ -338,6 +367,22 @@
     }
 }
 
+/* Guards against fleets that failed before:
+ * - the last crash was seen by a daemon that had lost the earlier ones. */
+static void
+test_fleets_that_failed(void)
+{
+    static const FleetOptions rows[] = {
+        {.seed = 323,
+         .daemon_count = 8,
+         .poison_percent = 5,
+         .restart_daemon_us = 4 * SECOND_US},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        check_fleet(&rows[i]);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -345,10 +390,13 @@
         {"evidence", test_evidence},
         {"evidence of other daemons", test_merge},
         {"parts that come together", test_parts_that_come_together},
+        {"quarantine by evidence of others",
+         test_quarantine_by_evidence_of_others},
         {"reports", test_reports},
         {"answer told by another daemon", test_answer_told_by_another},
         {"eviction", test_eviction},
         {"fleets with a part that crashes servers", test_fleets},
+        {"fleets that failed before", test_fleets_that_failed},
     };
     if (argc == 3 && strcmp(argv[1], "--seeds") == 0) {
         fleet_seeds = strtoull(argv[2], NULL, 10);
