--- a/src/libebonyhollow/requests/dispatcher_suspects.c
+++ b/src/libebonyhollow/requests/dispatcher_suspects.c
@@ -7,8 +7,8 @@
 #include "dispatcher_private.h"
 
 /* A crash breaks all connections to a server, but a connection may also break
- * alone. After this time the server counts as crashed unless a call that was
- * on it still runs. */
+ * alone. After this time the server counts as crashed unless another
+ * connection to it has survived. */
 #define CRASH_CHECK_DELAY_US 100000
 
 /* All parts but the last, which belongs to one request or session. */
@@ -60,20 +60,35 @@
     g_free(parts);
 }
 
-/* Marks calls that broke together. */
+/* Marks connections that broke together. */
 static void
-join_broken_calls(const EbDispatcher *dispatcher, EbBrokenCall *call)
+join_broken_connections(const EbDispatcher *dispatcher,
+                        EbBrokenConnection *connection)
 {
-    for (GList *item = dispatcher->broken_calls.head; item != NULL;
+    for (GList *item = dispatcher->broken_connections.head; item != NULL;
          item = item->next) {
-        EbBrokenCall *earlier = item->data;
-        if (strcmp(earlier->server_id, call->server_id) == 0) {
+        EbBrokenConnection *earlier = item->data;
+        if (strcmp(earlier->server_id, connection->server_id) == 0) {
             earlier->alone = false;
-            call->alone = false;
+            connection->alone = false;
         }
     }
 }
 
+/* Returns the new connection, owned by the dispatcher. */
+static EbBrokenConnection *
+add_broken_connection(EbDispatcher *dispatcher, const char *server_id,
+                      int64_t now_us)
+{
+    EbBrokenConnection *connection = g_new0(EbBrokenConnection, 1);
+    connection->server_id = g_strdup(server_id);
+    connection->at_us = now_us;
+    connection->alone = true;
+    join_broken_connections(dispatcher, connection);
+    g_queue_push_tail(&dispatcher->broken_connections, connection);
+    return connection;
+}
+
 void
 EbAttempt_RecordBroken(const EbAttempt *attempt, int64_t now_us)
 {
@@ -85,15 +100,21 @@
     if (dispatcher->options.suspects == NULL) {
         return;
     }
-    EbBrokenCall *call = g_new0(EbBrokenCall, 1);
-    *call = (EbBrokenCall){.server_id = g_strdup(attempt->server_id),
-                           .at_us = now_us,
-                           .alone = true};
+    EbBrokenConnection *connection =
+        add_broken_connection(dispatcher, attempt->server_id, now_us);
+    connection->idle_connections = attempt->idle_connections;
     if (!attempt->has_tokens) {
-        call->suspects = state->suspects;
+        connection->suspects = state->suspects;
+    }
+}
+
+void
+EbDispatcher_IdleConnectionBroken(EbDispatcher *dispatcher,
+                                  const char *server_id, int64_t now_us)
+{
+    if (dispatcher->options.suspects != NULL) {
+        add_broken_connection(dispatcher, server_id, now_us);
     }
-    join_broken_calls(dispatcher, call);
-    g_queue_push_tail(&dispatcher->broken_calls, call);
 }
 
 void
@@ -107,47 +128,59 @@
 }
 
 void
-EbBrokenCall_Free(gpointer pointer)
+EbBrokenConnection_Free(gpointer pointer)
 {
-    EbBrokenCall *call = pointer;
-    g_free(call->server_id);
-    g_free(call);
+    EbBrokenConnection *connection = pointer;
+    g_free(connection->server_id);
+    g_free(connection);
 }
 
-/* Returns whether a call still runs that was on the server when the other one
+/* Returns whether a call still runs that was on the server when the connection
  * broke. */
 static bool
-has_survived(const EbDispatcher *dispatcher, const EbBrokenCall *call)
+has_running_call(const EbDispatcher *dispatcher,
+                 const EbBrokenConnection *connection)
 {
-    const GPtrArray *running =
-        g_hash_table_lookup(dispatcher->attempts_by_server, call->server_id);
+    const GPtrArray *running = g_hash_table_lookup(
+        dispatcher->attempts_by_server, connection->server_id);
     for (guint i = 0; running != NULL && i < running->len; i++) {
         const EbAttempt *attempt = g_ptr_array_index(running, i);
-        if (attempt->started_us < call->at_us) {
+        if (attempt->started_us < connection->at_us) {
             return true;
         }
     }
     return false;
 }
 
+/* Returns whether the server has other connections that did not break. */
+static bool
+has_survived(const EbDispatcher *dispatcher,
+             const EbBrokenConnection *connection)
+{
+    return has_running_call(dispatcher, connection) ||
+           (connection->alone && connection->idle_connections > 0);
+}
+
 void
-EbDispatcher_CheckBrokenCalls(EbDispatcher *dispatcher, int64_t now_us)
+EbDispatcher_CheckBrokenConnections(EbDispatcher *dispatcher, int64_t now_us)
 {
-    while (EbDispatcher_NextBrokenCallCheck(dispatcher) <= now_us) {
-        EbBrokenCall *call = g_queue_pop_head(&dispatcher->broken_calls);
-        if (!has_survived(dispatcher, call)) {
+    while (EbDispatcher_NextBrokenConnectionCheck(dispatcher) <= now_us) {
+        EbBrokenConnection *connection =
+            g_queue_pop_head(&dispatcher->broken_connections);
+        if (!has_survived(dispatcher, connection)) {
             EbSuspects_RecordCrash(dispatcher->options.suspects,
-                                   &call->suspects, call->server_id,
-                                   call->alone, call->at_us, now_us);
+                                   &connection->suspects,
+                                   connection->server_id, connection->alone,
+                                   connection->at_us, now_us);
         }
-        EbBrokenCall_Free(call);
+        EbBrokenConnection_Free(connection);
     }
 }
 
 int64_t
-EbDispatcher_NextBrokenCallCheck(const EbDispatcher *dispatcher)
+EbDispatcher_NextBrokenConnectionCheck(const EbDispatcher *dispatcher)
 {
-    const EbBrokenCall *oldest =
-        g_queue_peek_head((GQueue *)&dispatcher->broken_calls);
+    const EbBrokenConnection *oldest =
+        g_queue_peek_head((GQueue *)&dispatcher->broken_connections);
     return oldest != NULL ? oldest->at_us + CRASH_CHECK_DELAY_US : INT64_MAX;
 }
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -74,14 +74,16 @@
     int64_t last_event_id; /* last event relayed, or EB_FORWARD_NO_EVENT */
 } EbForwardState;
 
-/* A forwarded call whose connection broke. Whether its server crashed is seen
- * a little later. */
+/* A connection of a forwarded call, or an idle one, that broke. Whether its
+ * server crashed is seen a little later. */
 typedef struct {
     char *server_id;
     int64_t at_us;
-    bool alone;            /* no other call on the server broke with it */
-    EbSuspectSet suspects; /* empty when the call's answer had begun */
-} EbBrokenCall;
+    bool alone; /* no other connection to the server broke with it */
+    uint32_t idle_connections; /* others to the server, open at that time */
+    EbSuspectSet suspects;     /* empty without a call, or when the call's
+                                  answer had begun */
+} EbBrokenConnection;
 
 typedef struct {
     uint64_t id;
@@ -93,9 +95,10 @@
     bool hedge;
     bool lookup;
     bool echo_checked;
-    bool has_tokens;     /* a token or forwarded event has arrived */
-    bool overdue;        /* a non-idempotent call past its time-out */
-    bool crash_recorded; /* counted by EbAttempt_RecordCrash */
+    bool has_tokens;           /* a token or forwarded event has arrived */
+    uint32_t idle_connections; /* see EbAttemptEvent */
+    bool overdue;              /* a non-idempotent call past its time-out */
+    bool crash_recorded;       /* counted by EbAttempt_RecordCrash */
     int64_t started_us;
     int64_t first_token_us;
     int64_t timeout_at_us; /* when EbAttempt_TimedOut has to be called */
@@ -221,7 +224,7 @@
     GTree *timers;                       /* EbRequest by timer_us */
     GPtrArray *stale_timers;             /* of EbRequest */
     GPtrArray *finished;                 /* of EbRequest, to be released */
-    GQueue broken_calls;                 /* of EbBrokenCall, oldest first */
+    GQueue broken_connections; /* of EbBrokenConnection, oldest first */
     GQueue recent;             /* of EbRequestSummary, newest first */
     GQueue answerable_queries; /* of EbOutcomeQuery that can be answered */
     uint64_t last_request_id;
@@ -353,13 +356,14 @@
 /* Records that a forwarded call's answer began. */
 void EbAttempt_RecordAnswered(const EbAttempt *attempt, int64_t now_us);
 
-/* Reports the crashes among the broken calls that are due. */
-void EbDispatcher_CheckBrokenCalls(EbDispatcher *dispatcher, int64_t now_us);
+/* Reports the crashes among the broken connections that are due. */
+void EbDispatcher_CheckBrokenConnections(EbDispatcher *dispatcher,
+                                         int64_t now_us);
 
 /* Returns the time of the next check, or INT64_MAX. */
-int64_t EbDispatcher_NextBrokenCallCheck(const EbDispatcher *dispatcher);
+int64_t EbDispatcher_NextBrokenConnectionCheck(const EbDispatcher *dispatcher);
 
-void EbBrokenCall_Free(gpointer call);
+void EbBrokenConnection_Free(gpointer connection);
 
 /* dispatcher_preparation.c */
 
