--- a/include/net/ebonyhollow/forward_client.h
+++ b/include/net/ebonyhollow/forward_client.h
@@ -33,9 +33,6 @@
     /* Called for each event. Pointers in the event are valid only during the
      * call. */
     void (*event)(void *context, const EbAttemptEvent *event);
-    /* Called when a server closed or reset an idle connection. NULL: ignored.
-     */
-    void (*idle_broken)(void *context, const char *server_id);
     void *context;
 } EbForwardClientOptions;
 
--- a/include/requests/ebonyhollow/dispatcher.h
+++ b/include/requests/ebonyhollow/dispatcher.h
@@ -156,7 +156,6 @@
     int64_t event_id;       /* EVENTS; -1: without an id */
     const uint8_t *bytes;   /* EVENTS */
     size_t byte_count;
-    uint32_t idle_connections; /* BROKEN: others to the server, still open */
 } EbAttemptEvent;
 
 /* Handles an event of an attempt. Events of attempts that have ended are
@@ -164,10 +163,6 @@
 void EbDispatcher_AttemptEvent(EbDispatcher *dispatcher,
                                const EbAttemptEvent *event, int64_t now_us);
 
-/* Reports that a backend server closed or reset an idle connection. */
-void EbDispatcher_IdleConnectionBroken(EbDispatcher *dispatcher,
-                                       const char *server_id, int64_t now_us);
-
 /* How a preparation ended. */
 typedef enum {
     EB_PREPARED_OK,
--- a/src/libebonyhollow/requests/dispatcher.c
+++ b/src/libebonyhollow/requests/dispatcher.c
@@ -120,7 +120,7 @@
     dispatcher->timers = g_tree_new_full(compare_timers, NULL, NULL, NULL);
     dispatcher->stale_timers = g_ptr_array_new();
     dispatcher->finished = g_ptr_array_new_with_free_func(free_request);
-    g_queue_init(&dispatcher->broken_connections);
+    g_queue_init(&dispatcher->broken_calls);
     g_queue_init(&dispatcher->recent);
     g_queue_init(&dispatcher->answerable_queries);
     return dispatcher;
@@ -146,8 +146,7 @@
     g_ptr_array_free(dispatcher->current_pools, TRUE);
     g_ptr_array_free(dispatcher->stale_timers, TRUE);
     g_ptr_array_free(dispatcher->finished, TRUE);
-    g_queue_clear_full(&dispatcher->broken_connections,
-                       EbBrokenConnection_Free);
+    g_queue_clear_full(&dispatcher->broken_calls, EbBrokenCall_Free);
     g_queue_clear_full(&dispatcher->recent,
                        (GDestroyNotify)EbRequestSummary_Free);
     g_queue_clear_full(&dispatcher->answerable_queries, free_outcome_query);
@@ -364,7 +363,7 @@
         run_timers(request, now_us);
         node = g_tree_node_first(dispatcher->timers);
     }
-    EbDispatcher_CheckBrokenConnections(dispatcher, now_us);
+    EbDispatcher_CheckBrokenCalls(dispatcher, now_us);
     tick_pools(dispatcher, now_us);
     EbDispatcher_RunPending(dispatcher, now_us);
 }
@@ -380,7 +379,7 @@
         const EbRequest *request = g_tree_node_key(node);
         next_us = MIN(next_us, request->timer_us);
     }
-    next_us = MIN(next_us, EbDispatcher_NextBrokenConnectionCheck(dispatcher));
+    next_us = MIN(next_us, EbDispatcher_NextBrokenCallCheck(dispatcher));
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, dispatcher->pools);
--- a/src/libebonyhollow/requests/dispatcher_relay.c
+++ b/src/libebonyhollow/requests/dispatcher_relay.c
@@ -216,7 +216,6 @@
         complete(attempt, NULL, now_us);
         break;
     case EB_ATTEMPT_BROKEN:
-        attempt->idle_connections = event->idle_connections;
         EbAttempt_Fail(attempt, EB_CALL_BROKEN, "connection broken", now_us);
         break;
     case EB_ATTEMPT_TOKENS:
--- a/src/libebonyhollow/requests/dispatcher_suspects.c
+++ b/src/libebonyhollow/requests/dispatcher_suspects.c
@@ -7,8 +7,8 @@
 #include "dispatcher_private.h"
 
 /* A crash breaks all connections to a server, but a connection may also break
- * alone. After this time the server counts as crashed unless another
- * connection to it has survived. */
+ * alone. After this time the server counts as crashed unless a call that was
+ * on it still runs. */
 #define CRASH_CHECK_DELAY_US 100000
 
 /* All parts but the last, which belongs to one request or session. */
@@ -60,35 +60,20 @@
     g_free(parts);
 }
 
-/* Marks connections that broke together. */
+/* Marks calls that broke together. */
 static void
-join_broken_connections(const EbDispatcher *dispatcher,
-                        EbBrokenConnection *connection)
+join_broken_calls(const EbDispatcher *dispatcher, EbBrokenCall *call)
 {
-    for (GList *item = dispatcher->broken_connections.head; item != NULL;
+    for (GList *item = dispatcher->broken_calls.head; item != NULL;
          item = item->next) {
-        EbBrokenConnection *earlier = item->data;
-        if (strcmp(earlier->server_id, connection->server_id) == 0) {
+        EbBrokenCall *earlier = item->data;
+        if (strcmp(earlier->server_id, call->server_id) == 0) {
             earlier->alone = false;
-            connection->alone = false;
+            call->alone = false;
         }
     }
 }
 
-/* Returns the new connection, owned by the dispatcher. */
-static EbBrokenConnection *
-add_broken_connection(EbDispatcher *dispatcher, const char *server_id,
-                      int64_t now_us)
-{
-    EbBrokenConnection *connection = g_new0(EbBrokenConnection, 1);
-    connection->server_id = g_strdup(server_id);
-    connection->at_us = now_us;
-    connection->alone = true;
-    join_broken_connections(dispatcher, connection);
-    g_queue_push_tail(&dispatcher->broken_connections, connection);
-    return connection;
-}
-
 void
 EbAttempt_RecordBroken(const EbAttempt *attempt, int64_t now_us)
 {
@@ -100,21 +85,15 @@
     if (dispatcher->options.suspects == NULL) {
         return;
     }
-    EbBrokenConnection *connection =
-        add_broken_connection(dispatcher, attempt->server_id, now_us);
-    connection->idle_connections = attempt->idle_connections;
+    EbBrokenCall *call = g_new0(EbBrokenCall, 1);
+    *call = (EbBrokenCall){.server_id = g_strdup(attempt->server_id),
+                           .at_us = now_us,
+                           .alone = true};
     if (!attempt->has_tokens) {
-        connection->suspects = state->suspects;
-    }
-}
-
-void
-EbDispatcher_IdleConnectionBroken(EbDispatcher *dispatcher,
-                                  const char *server_id, int64_t now_us)
-{
-    if (dispatcher->options.suspects != NULL) {
-        add_broken_connection(dispatcher, server_id, now_us);
+        call->suspects = state->suspects;
     }
+    join_broken_calls(dispatcher, call);
+    g_queue_push_tail(&dispatcher->broken_calls, call);
 }
 
 void
@@ -128,59 +107,47 @@
 }
 
 void
-EbBrokenConnection_Free(gpointer pointer)
+EbBrokenCall_Free(gpointer pointer)
 {
-    EbBrokenConnection *connection = pointer;
-    g_free(connection->server_id);
-    g_free(connection);
+    EbBrokenCall *call = pointer;
+    g_free(call->server_id);
+    g_free(call);
 }
 
-/* Returns whether a call still runs that was on the server when the connection
+/* Returns whether a call still runs that was on the server when the other one
  * broke. */
 static bool
-has_running_call(const EbDispatcher *dispatcher,
-                 const EbBrokenConnection *connection)
+has_survived(const EbDispatcher *dispatcher, const EbBrokenCall *call)
 {
-    const GPtrArray *running = g_hash_table_lookup(
-        dispatcher->attempts_by_server, connection->server_id);
+    const GPtrArray *running =
+        g_hash_table_lookup(dispatcher->attempts_by_server, call->server_id);
     for (guint i = 0; running != NULL && i < running->len; i++) {
         const EbAttempt *attempt = g_ptr_array_index(running, i);
-        if (attempt->started_us < connection->at_us) {
+        if (attempt->started_us < call->at_us) {
             return true;
         }
     }
     return false;
 }
 
-/* Returns whether the server has other connections that did not break. */
-static bool
-has_survived(const EbDispatcher *dispatcher,
-             const EbBrokenConnection *connection)
-{
-    return has_running_call(dispatcher, connection) ||
-           (connection->alone && connection->idle_connections > 0);
-}
-
 void
-EbDispatcher_CheckBrokenConnections(EbDispatcher *dispatcher, int64_t now_us)
+EbDispatcher_CheckBrokenCalls(EbDispatcher *dispatcher, int64_t now_us)
 {
-    while (EbDispatcher_NextBrokenConnectionCheck(dispatcher) <= now_us) {
-        EbBrokenConnection *connection =
-            g_queue_pop_head(&dispatcher->broken_connections);
-        if (!has_survived(dispatcher, connection)) {
+    while (EbDispatcher_NextBrokenCallCheck(dispatcher) <= now_us) {
+        EbBrokenCall *call = g_queue_pop_head(&dispatcher->broken_calls);
+        if (!has_survived(dispatcher, call)) {
             EbSuspects_RecordCrash(dispatcher->options.suspects,
-                                   &connection->suspects,
-                                   connection->server_id, connection->alone,
-                                   connection->at_us, now_us);
+                                   &call->suspects, call->server_id,
+                                   call->alone, call->at_us, now_us);
         }
-        EbBrokenConnection_Free(connection);
+        EbBrokenCall_Free(call);
     }
 }
 
 int64_t
-EbDispatcher_NextBrokenConnectionCheck(const EbDispatcher *dispatcher)
+EbDispatcher_NextBrokenCallCheck(const EbDispatcher *dispatcher)
 {
-    const EbBrokenConnection *oldest =
-        g_queue_peek_head((GQueue *)&dispatcher->broken_connections);
+    const EbBrokenCall *oldest =
+        g_queue_peek_head((GQueue *)&dispatcher->broken_calls);
     return oldest != NULL ? oldest->at_us + CRASH_CHECK_DELAY_US : INT64_MAX;
 }
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -74,16 +74,14 @@
     int64_t last_event_id; /* last event relayed, or EB_FORWARD_NO_EVENT */
 } EbForwardState;
 
-/* A connection of a forwarded call, or an idle one, that broke. Whether its
- * server crashed is seen a little later. */
+/* A forwarded call whose connection broke. Whether its server crashed is seen
+ * a little later. */
 typedef struct {
     char *server_id;
     int64_t at_us;
-    bool alone; /* no other connection to the server broke with it */
-    uint32_t idle_connections; /* others to the server, open at that time */
-    EbSuspectSet suspects;     /* empty without a call, or when the call's
-                                  answer had begun */
-} EbBrokenConnection;
+    bool alone;            /* no other call on the server broke with it */
+    EbSuspectSet suspects; /* empty when the call's answer had begun */
+} EbBrokenCall;
 
 typedef struct {
     uint64_t id;
@@ -95,10 +93,9 @@
     bool hedge;
     bool lookup;
     bool echo_checked;
-    bool has_tokens;           /* a token or forwarded event has arrived */
-    uint32_t idle_connections; /* see EbAttemptEvent */
-    bool overdue;              /* a non-idempotent call past its time-out */
-    bool crash_recorded;       /* counted by EbAttempt_RecordCrash */
+    bool has_tokens;     /* a token or forwarded event has arrived */
+    bool overdue;        /* a non-idempotent call past its time-out */
+    bool crash_recorded; /* counted by EbAttempt_RecordCrash */
     int64_t started_us;
     int64_t first_token_us;
     int64_t timeout_at_us; /* when EbAttempt_TimedOut has to be called */
@@ -224,7 +221,7 @@
     GTree *timers;                       /* EbRequest by timer_us */
     GPtrArray *stale_timers;             /* of EbRequest */
     GPtrArray *finished;                 /* of EbRequest, to be released */
-    GQueue broken_connections; /* of EbBrokenConnection, oldest first */
+    GQueue broken_calls;                 /* of EbBrokenCall, oldest first */
     GQueue recent;             /* of EbRequestSummary, newest first */
     GQueue answerable_queries; /* of EbOutcomeQuery that can be answered */
     uint64_t last_request_id;
@@ -356,14 +353,13 @@
 /* Records that a forwarded call's answer began. */
 void EbAttempt_RecordAnswered(const EbAttempt *attempt, int64_t now_us);
 
-/* Reports the crashes among the broken connections that are due. */
-void EbDispatcher_CheckBrokenConnections(EbDispatcher *dispatcher,
-                                         int64_t now_us);
+/* Reports the crashes among the broken calls that are due. */
+void EbDispatcher_CheckBrokenCalls(EbDispatcher *dispatcher, int64_t now_us);
 
 /* Returns the time of the next check, or INT64_MAX. */
-int64_t EbDispatcher_NextBrokenConnectionCheck(const EbDispatcher *dispatcher);
+int64_t EbDispatcher_NextBrokenCallCheck(const EbDispatcher *dispatcher);
 
-void EbBrokenConnection_Free(gpointer connection);
+void EbBrokenCall_Free(gpointer call);
 
 /* dispatcher_preparation.c */
 
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -80,14 +80,6 @@
     EbDaemon_ScheduleActions(daemon);
 }
 
-static void
-on_idle_broken(void *context, const char *server_id)
-{
-    EbDaemon *daemon = context;
-    EbDispatcher_IdleConnectionBroken(daemon->dispatcher, server_id,
-                                      EbClock_Monotonic());
-}
-
 bool
 EbDaemon_CreateForward(EbDaemon *daemon, EbError *error)
 {
@@ -101,7 +93,6 @@
         &(EbForwardClientOptions){.base = daemon->base,
                                   .protocol = daemon->adapter->forward,
                                   .event = on_event,
-                                  .idle_broken = on_idle_broken,
                                   .context = daemon});
     daemon->forward_server = EbForwardServer_New(
         &(EbForwardServerOptions){.base = daemon->base,
--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -102,13 +102,6 @@
     client->options.event(client->options.context, event);
 }
 
-static uint32_t
-count_idle(const EbForwardClient *client, const char *server_id)
-{
-    const GQueue *idle = g_hash_table_lookup(client->idle, server_id);
-    return idle != NULL ? idle->length : 0;
-}
-
 /* Reports the last event of a call and detaches it from the connection. */
 static void
 end_call(Connection *connection, EbAttemptEventKind kind)
@@ -117,10 +110,6 @@
         return;
     }
     EbAttemptEvent event = {.kind = kind};
-    if (kind == EB_ATTEMPT_BROKEN) {
-        event.idle_connections =
-            count_idle(connection->client, connection->server_id);
-    }
     report_event(connection, &event);
     g_hash_table_remove(connection->client->calls, &connection->attempt_id);
     connection->attempt_id = 0;
@@ -286,15 +275,6 @@
     }
 }
 
-static void
-report_idle_broken(const Connection *connection)
-{
-    const EbForwardClientOptions *options = &connection->client->options;
-    if (options->idle_broken != NULL) {
-        options->idle_broken(options->context, connection->server_id);
-    }
-}
-
 static void
 on_event(struct bufferevent *bufev, short what, void *context)
 {
@@ -311,9 +291,6 @@
         close_connection(connection);
         return;
     }
-    if (connection->attempt_id == 0 && (what & BEV_EVENT_TIMEOUT) == 0) {
-        report_idle_broken(connection);
-    }
     end_call(connection,
              connection->wrote ? EB_ATTEMPT_BROKEN : EB_ATTEMPT_REFUSED);
     close_connection(connection);
--- a/src/test_suspects/fleet.c
+++ b/src/test_suspects/fleet.c
@@ -21,7 +21,6 @@
 #define RESTART_US 2000000     /* until a crashed server is back */
 #define MAX_PREFILL_US 300000  /* from sending to the answer's beginning */
 #define MAX_ANSWER_US 4000000  /* from there to its end */
-#define IDLE_US 10000000       /* for which a connection is kept */
 #define CHECK_DELAY_US 100000  /* from a break to its record as a crash */
 #define MESSAGE_DELAY_US 10000 /* between daemons */
 #define CONTACT_US INT64_C(3000000)
@@ -30,7 +29,6 @@
     EbQuarantine *quarantine;
     EbSuspects *suspects;
     EbRandom random;
-    int64_t idle_until_us[SERVER_COUNT]; /* of an idle connection */
 } Daemon;
 
 typedef struct {
@@ -48,7 +46,6 @@
     uint64_t parts[PARTS];
     bool unanswered;
     bool alone;
-    bool idle; /* an idle connection to the server was open */
     int64_t at_us;
 } Broken;
 
@@ -80,7 +77,6 @@
     Daemon *daemon = &fleet->daemons[index];
     EbRandom_Init(&daemon->random, fleet->options->seed * 1000 + index);
     daemon->quarantine = EbQuarantine_New(&(EbQuarantineOptions){0});
-    memset(daemon->idle_until_us, 0, sizeof(daemon->idle_until_us));
     daemon->suspects = EbSuspects_New(&(EbSuspectsOptions){
         .random = &daemon->random, .quarantine = daemon->quarantine});
 }
@@ -105,12 +101,6 @@
     EbQuarantine_Free(daemon->quarantine);
 }
 
-static bool
-has_idle(const Fleet *fleet, uint32_t daemon, uint32_t server)
-{
-    return fleet->daemons[daemon].idle_until_us[server] > fleet->now_us;
-}
-
 static void
 break_call(Fleet *fleet, guint index)
 {
@@ -119,7 +109,6 @@
                      .unanswered = !call->answering,
                      .alone = true,
                      .at_us = fleet->now_us};
-    broken.idle = has_idle(fleet, call->daemon, call->server);
     memcpy(broken.parts, call->parts, sizeof(broken.parts));
     snprintf(broken.server_id, sizeof(broken.server_id), "s-%u-%u",
              call->server, fleet->starts[call->server]);
@@ -145,31 +134,10 @@
     }
 }
 
-/* Marks the calls to a server whose daemons had an idle connection to it,
- * which broke with them. */
-static void
-break_idle(Fleet *fleet, uint32_t server)
-{
-    char server_id[16];
-    snprintf(server_id, sizeof(server_id), "s-%u-%u", server,
-             fleet->starts[server]);
-    for (guint i = 0; i < fleet->broken->len; i++) {
-        Broken *broken = &g_array_index(fleet->broken, Broken, i);
-        if (strcmp(broken->server_id, server_id) == 0 &&
-            has_idle(fleet, broken->daemon, server)) {
-            broken->alone = false;
-        }
-    }
-    for (uint32_t i = 0; i < fleet->options->daemon_count; i++) {
-        fleet->daemons[i].idle_until_us[server] = 0;
-    }
-}
-
 static void
 crash_server(Fleet *fleet, uint32_t server)
 {
     break_calls(fleet, server);
-    break_idle(fleet, server);
     fleet->back_us[server] = fleet->now_us + RESTART_US;
     fleet->starts[server]++;
 }
@@ -231,12 +199,11 @@
     while (fleet->back_us[call.server] > fleet->now_us) {
         call.server = (call.server + 1) % SERVER_COUNT;
     }
-    Daemon *daemon = &fleet->daemons[call.daemon];
+    const Daemon *daemon = &fleet->daemons[call.daemon];
     EbSuspectSet set = make_set(call.parts);
     bool refused = EbSuspects_Blocks(daemon->suspects, &set, fleet->now_us);
     count_request(fleet, &call, refused);
     if (!refused) {
-        daemon->idle_until_us[call.server] = 0;
         g_array_append_val(fleet->calls, call);
     }
 }
@@ -283,8 +250,6 @@
             continue;
         }
         if (call->answering) {
-            fleet->daemons[call->daemon].idle_until_us[call->server] =
-                fleet->now_us + IDLE_US;
             g_array_remove_index_fast(fleet->calls, i);
         }
         else if (call->poison) {
@@ -310,7 +275,7 @@
             continue;
         }
         g_array_remove_index_fast(fleet->broken, i - 1);
-        if (broken.unanswered && !(broken.alone && broken.idle)) {
+        if (broken.unanswered) {
             EbSuspectSet set = make_set(broken.parts);
             EbSuspects_RecordCrash(fleet->daemons[broken.daemon].suspects,
                                    &set, broken.server_id, broken.alone,
