forward_client: streams and bodies without end are read up to a limit

What callers and operators could meet: a server in trouble sends bytes without end. In a stream, empty lines, comments, events without an id and events that come again were all passed on, or dropped, until the request's time ended; bodies were limited to 8 MiB each, so that about 30 of them filled a machine's memory.

Cause: an event counted as part of the answer whatever its id, and the limit of a body had no relation to the other bodies.

A stream ends as malformed after 64 KiB of events whose ids aren't new. Bodies of incomplete responses share 32 MiB, and one may take as much as the others leave free (a dynamic threshold, as for shared buffers of switches), so that small answers arrive beside several without end.

--- a/include/net/ebonyhollow/forward_client.h
+++ b/include/net/ebonyhollow/forward_client.h
@@ -4,7 +4,8 @@
  * their results. It makes no decisions: it never retries a call and never
  * chooses a server. A connection carries one call at a time. A response with a
  * different request id is a late response to an earlier call and is dropped.
- */
+ * What is no response is read only up to a limit: heads, bodies, late
+ * responses, and events of a stream whose ids don't increase. */
 #ifndef EBONYHOLLOW_FORWARD_CLIENT_H
 #define EBONYHOLLOW_FORWARD_CLIENT_H
 
@@ -30,6 +31,10 @@
     int64_t connect_timeout_us; /* 0: 500 ms */
     size_t max_header_bytes;    /* of a response; 0: 32 KiB */
     size_t max_body_bytes;      /* of a response; 0: 8 MiB */
+    /* Of the bodies of all responses that are incomplete. A body may take as
+     * much as the others leave free, so that small ones still arrive beside
+     * several without end. 0: 32 MiB. */
+    size_t max_buffered_bytes;
     /* Called for each event. Pointers in the event are valid only during the
      * call. */
     void (*event)(void *context, const EbAttemptEvent *event);
--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -18,6 +18,9 @@
 #define DEFAULT_CONNECT_TIMEOUT_US 500000
 #define DEFAULT_MAX_HEADER_BYTES 32768
 #define DEFAULT_MAX_BODY_BYTES ((size_t)8 * 1024 * 1024)
+#define DEFAULT_MAX_BUFFERED_BYTES ((size_t)32 * 1024 * 1024)
+/* Of the events of a stream that have no id greater than all before. */
+#define MAX_STALE_EVENT_BYTES 65536
 /* Idle connections are closed this long before the server would close them. */
 #define IDLE_MARGIN_US 500000
 
@@ -33,7 +36,9 @@
     bool wrote; /* bytes of the call may have been sent */
     EbHttpMessage *response;
     EbForwardReply reply;
-    bool streaming;     /* the response is an event stream */
+    bool streaming;        /* the response is an event stream */
+    int64_t last_event_id; /* greatest of the stream, -1: none */
+    size_t stale_event_bytes;
     bool late_response; /* the response belongs to an earlier call */
     size_t late_bytes;  /* of the bodies of such responses */
     EbEventSplitter *splitter;
@@ -48,8 +53,20 @@
     GHashTable *calls; /* attempt id -> Connection */
     GHashTable *idle;  /* server id -> GQueue of Connection, newest first */
     GHashTable *connections; /* set of Connection */
+    size_t buffered_bytes;   /* of the bodies of incomplete responses */
 };
 
+static void
+drop_response(Connection *connection)
+{
+    if (connection->response == NULL) {
+        return;
+    }
+    connection->client->buffered_bytes -= connection->response->body_bytes;
+    EbHttpMessage_Unref(connection->response);
+    connection->response = NULL;
+}
+
 static void
 free_connection(gpointer data)
 {
@@ -57,7 +74,7 @@
     bufferevent_free(connection->bufev);
     EbHttpReader_Free(connection->reader);
     EbEventSplitter_Free(connection->splitter);
-    EbHttpMessage_Unref(connection->response);
+    drop_response(connection);
     g_free(connection->request_id);
     g_free(connection->server_id);
     g_free(connection);
@@ -142,7 +159,7 @@
 on_head(void *context, EbHttpMessage *message)
 {
     Connection *connection = context;
-    EbHttpMessage_Unref(connection->response);
+    drop_response(connection);
     connection->response = message;
     connection->client->options.protocol->read_reply(message,
                                                      &connection->reply);
@@ -162,6 +179,19 @@
     return true;
 }
 
+/* Returns whether the event's id is new. The bytes of other events are
+ * counted, since they may come without end. */
+static bool
+count_event(Connection *connection, int64_t id, size_t byte_count)
+{
+    if (id > connection->last_event_id) {
+        connection->last_event_id = id;
+        return true;
+    }
+    connection->stale_event_bytes += byte_count;
+    return false;
+}
+
 static void
 on_stream_event(void *context, int64_t id, const uint8_t *bytes,
                 size_t byte_count)
@@ -170,6 +200,10 @@
     if (connection->attempt_id == 0) {
         return;
     }
+    if (!count_event(connection, id, byte_count) &&
+        connection->stale_event_bytes > MAX_STALE_EVENT_BYTES) {
+        return;
+    }
     EbAttemptEvent event = {.kind = EB_ATTEMPT_EVENTS,
                             .event_id = id,
                             .bytes = bytes,
@@ -177,6 +211,17 @@
     report_event(connection, &event);
 }
 
+static bool
+has_room(const Connection *connection, size_t byte_count)
+{
+    const EbForwardClient *client = connection->client;
+    size_t body_bytes = connection->response->body_bytes + byte_count;
+    size_t free_bytes =
+        client->options.max_buffered_bytes -
+        MIN(client->buffered_bytes, client->options.max_buffered_bytes);
+    return body_bytes <= MIN(client->options.max_body_bytes, free_bytes);
+}
+
 static bool
 on_body(void *context, const uint8_t *bytes, size_t byte_count)
 {
@@ -187,12 +232,13 @@
                connection->client->options.max_body_bytes;
     }
     if (connection->streaming) {
-        return EbEventSplitter_Feed(connection->splitter, bytes, byte_count);
+        return EbEventSplitter_Feed(connection->splitter, bytes, byte_count) &&
+               connection->stale_event_bytes <= MAX_STALE_EVENT_BYTES;
     }
-    if (connection->response->body_bytes + byte_count >
-        connection->client->options.max_body_bytes) {
+    if (!has_room(connection, byte_count)) {
         return false;
     }
+    connection->client->buffered_bytes += byte_count;
     EbHttpMessage_AddBody(connection->response, bytes, byte_count);
     return true;
 }
@@ -230,8 +276,7 @@
         close_connection(connection);
         return;
     }
-    EbHttpMessage_Unref(connection->response);
-    connection->response = NULL;
+    drop_response(connection);
     connection->reply = (EbForwardReply){0};
     connection->done = false;
     connection->idle_since_us = EbClock_Monotonic();
@@ -428,6 +473,8 @@
     connection->streaming = false;
     connection->late_response = false;
     connection->late_bytes = 0;
+    connection->last_event_id = -1;
+    connection->stale_event_bytes = 0;
     connection->done = false;
     EbEventSplitter_Reset(connection->splitter);
     EbHttpReader_SkipBody(connection->reader,
@@ -498,6 +545,9 @@
     resolved->max_body_bytes = resolved->max_body_bytes
                                    ? resolved->max_body_bytes
                                    : DEFAULT_MAX_BODY_BYTES;
+    resolved->max_buffered_bytes = resolved->max_buffered_bytes
+                                       ? resolved->max_buffered_bytes
+                                       : DEFAULT_MAX_BUFFERED_BYTES;
     client->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
     client->idle =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_queue);
--- a/src/test_forward_net/main.c
+++ b/src/test_forward_net/main.c
@@ -19,6 +19,9 @@
 #include "test_runner.h"
 
 #define MAX_EVENTS 16
+#define ENDLESS_BODIES 12
+#define ENDLESS_PART_BYTES ((size_t)6 * 1024 * 1024)
+#define MAX_BUFFERED_BYTES ((size_t)32 * 1024 * 1024)
 #define ID "X-Id"
 #define HEAD "HTTP/1.1 200 OK\r\n" ID ": r-1\r\n"
 #define STREAM_HEAD                                                           \
@@ -338,19 +341,27 @@
     const char *response;
     bool closes;
     bool resets;
+    const struct EndlessStream *endless;
+    bool unlimited_events; /* `kinds` is not written */
     EbAttemptEventKind kinds[MAX_EVENTS];
+    EbAttemptEventKind last_kind;
     unsigned count;
     GString *body;
     GString *events;
     uint16_t status;
+    unsigned received; /* calls, at the server */
 } ClientFixture;
 
 static void
 on_attempt(void *context, const EbAttemptEvent *event)
 {
     ClientFixture *fixture = context;
-    CU_ASSERT_TRUE_FATAL(fixture->count < MAX_EVENTS);
-    fixture->kinds[fixture->count++] = event->kind;
+    fixture->last_kind = event->kind;
+    if (!fixture->unlimited_events) {
+        CU_ASSERT_TRUE_FATAL(fixture->count < MAX_EVENTS);
+        fixture->kinds[fixture->count] = event->kind;
+    }
+    fixture->count++;
     fixture->status = event->http_status;
     if (event->kind == EB_ATTEMPT_ANSWERED) {
         g_string_append_len(fixture->body, (const char *)event->reply->body,
@@ -382,11 +393,8 @@
 has_ended(void *context)
 {
     const ClientFixture *fixture = context;
-    if (fixture->count == 0) {
-        return false;
-    }
-    EbAttemptEventKind last = fixture->kinds[fixture->count - 1];
-    return last != EB_ATTEMPT_STREAMING && last != EB_ATTEMPT_EVENTS;
+    return fixture->count > 0 && fixture->last_kind != EB_ATTEMPT_STREAMING &&
+           fixture->last_kind != EB_ATTEMPT_EVENTS;
 }
 
 static void
@@ -587,6 +595,100 @@
     close_client(&fixture);
 }
 
+typedef struct EndlessStream {
+    const char *start;
+    const char *unit; /* comes again and again */
+} EndlessStream;
+
+static void
+send_endless_stream(RawPeer *peer, const char *request)
+{
+    static const size_t total_bytes = (size_t)4 * 1024 * 1024;
+    const ClientFixture *fixture = peer->server->context;
+    (void)request;
+    GString *text = g_string_new(fixture->endless->start);
+    while (text->len < total_bytes) {
+        g_string_append(text, fixture->endless->unit);
+    }
+    RawPeer_Send(peer, text->str);
+    g_string_free(text, TRUE);
+}
+
+/* Guards against reading for ever a stream whose bytes are no answer, and
+ * against passing more than a little of it on to the caller. */
+static void
+test_client_endless_stream(void)
+{
+    static const EndlessStream rows[] = {
+        {UNFRAMED_STREAM_HEAD, "aaaaaaaa"},
+        {UNFRAMED_STREAM_HEAD, "\n"},
+        {UNFRAMED_STREAM_HEAD, ":\n\n"},
+        {UNFRAMED_STREAM_HEAD, "data: a\n\n"},
+        {UNFRAMED_STREAM_HEAD "id: 1\ndata: a\n\n", "id: 1\ndata: a\n\n"},
+        {UNFRAMED_STREAM_HEAD "id: 5\ndata: a\n\n",
+         "id: 4\ndata: a\n\nid: 5\ndata: a\n\n"},
+    };
+    static const size_t max_relayed_bytes = 131072;
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        ClientFixture fixture;
+        open_client(&fixture);
+        fixture.unlimited_events = true;
+        fixture.endless = &rows[i];
+        fixture.server->handler = send_endless_stream;
+        send_call(&fixture, 1, fixture.server->port, true);
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_ended, &fixture));
+        CU_ASSERT_EQUAL(fixture.last_kind, EB_ATTEMPT_MALFORMED);
+        CU_ASSERT_TRUE(fixture.events->len < max_relayed_bytes);
+        close_client(&fixture);
+    }
+}
+
+/* Sends a body that never ends to all calls but the last, which gets a whole
+ * answer. */
+static void
+send_endless_bodies(RawPeer *peer, const char *request)
+{
+    ClientFixture *fixture = peer->server->context;
+    (void)request;
+    if (++fixture->received == ENDLESS_BODIES + 1) {
+        RawPeer_Send(peer, HEAD "Content-Length: 2\r\n\r\nab");
+        return;
+    }
+    char *part = g_strnfill(ENDLESS_PART_BYTES, 'a');
+    RawPeer_Send(peer, HEAD "\r\n");
+    RawPeer_Send(peer, part);
+    g_free(part);
+}
+
+static bool
+has_answer(void *context)
+{
+    return ((ClientFixture *)context)->body->len > 0;
+}
+
+/* Guards against bodies without end that take the memory of the process
+ * together although each is below its own limit, and against small answers
+ * that fail beside them. */
+static void
+test_client_endless_bodies(void)
+{
+    ClientFixture fixture;
+    open_client(&fixture);
+    fixture.server->handler = send_endless_bodies;
+    for (uint64_t id = 1; id <= ENDLESS_BODIES; id++) {
+        send_call(&fixture, id, fixture.server->port, false);
+        Loop_For(fixture.base, 20000);
+    }
+    /* Each body alone stays below the limit of 8 MiB. */
+    CU_ASSERT_TRUE((size_t)(ENDLESS_BODIES - fixture.count) *
+                       ENDLESS_PART_BYTES <=
+                   MAX_BUFFERED_BYTES);
+    send_call(&fixture, ENDLESS_BODIES + 1, fixture.server->port, false);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_answer, &fixture));
+    CU_ASSERT_STRING_EQUAL(fixture.body->str, "ab");
+    close_client(&fixture);
+}
+
 static bool
 has_closed_one(void *context)
 {
@@ -1021,6 +1123,8 @@
         {"client responses", test_client_responses},
         {"client late copy", test_client_late_copy},
         {"client endless late body", test_client_endless_late_body},
+        {"client endless stream", test_client_endless_stream},
+        {"client endless bodies", test_client_endless_bodies},
         {"client connection limit", test_client_connection_limit},
         {"client refused", test_client_refused},
         {"client cancel", test_client_cancel},
