quarantine: a request alone on a crashed server counts no more than others

Cause: a fingerprint got 2 points if its daemon had no other call on the server. A daemon doesn't know the calls of the others, so a request that another daemon had there alone looked like the cause, and two such crashes were enough. The class: a conclusion about the fleet from what one daemon sees.

Each crash counts once now, and three quarantine, as the promise says. The quarantine holds a number of crashes instead of points (the name on the wire, in the store and in the API stays "points"), and the event's field is what its name says. The same history gives 2 points today, which is a suspicion.

The rows "aa", "as" and "sa" of test_quarantine demanded the conclusion that was wrong; "cc" now demands that two crashes don't quarantine, "ccc" that three do, and rows for successes and expiry after two crashes are new.

--- a/include/servers/ebonyhollow/quarantine.h
+++ b/include/servers/ebonyhollow/quarantine.h
@@ -3,12 +3,12 @@
  * A fingerprint identifies a request by customer, pipeline and body. The
  * idempotency key is not part of it, since the caller may send the request
  * again with another key. A fingerprint that was in flight on a server when it
- * crashed is suspected and gets points: 2 if no other fingerprint was in
- * flight there from the same daemon, 1 otherwise. At 3 points it is
- * quarantined. So one request crashes at most three servers one after another,
- * and two crashes while other requests were on the server do not quarantine
- * it. A success clears the points. Points are sent to the other daemons; the
- * highest count wins.
+ * crashed is suspected; after three crashes without a success between them it
+ * is quarantined. So one request crashes at most three servers one after
+ * another, and two crashes beside another request do not quarantine it. A
+ * request that is alone on the server counts no more than others, since a
+ * daemon does not know the calls of the other daemons. The number of crashes
+ * is sent to them; the highest wins.
  *
  * EbSuspects finds the parts of prompts that crash servers, and forwarded
  * requests that do, by other evidence. It adds their fingerprints here with
@@ -24,9 +24,8 @@
 
 #include "ebonyhollow/event.h"
 
-#define EB_QUARANTINE_POINTS 3   /* at which a fingerprint is quarantined */
-#define EB_CRASH_POINTS_ALONE 2  /* no other fingerprint was on the server */
-#define EB_CRASH_POINTS_SHARED 1 /* others were on the server */
+#define EB_QUARANTINE_CRASHES 3 /* after which a fingerprint is quarantined   \
+                                 */
 /* Both times count from the last crash. */
 #define EB_QUARANTINE_DURATION_US (600LL * 1000 * 1000)
 #define EB_SUSPICION_DURATION_US (60LL * 1000 * 1000)
@@ -53,7 +52,7 @@
  * platform. The time is relative, since clocks differ between instances. */
 typedef struct {
     EbFingerprint fingerprint;
-    uint32_t points;
+    uint32_t crashes;
     EbFingerprintState state;
     int64_t remaining_us; /* until the entry expires */
 } EbQuarantineEntry;
@@ -76,14 +75,11 @@
                                       EbFingerprint fingerprint,
                                       int64_t now_us);
 
-/* Counts a crash of a server on which the fingerprint was in flight.
- *
- * alone: no other fingerprint was in flight on the server from this daemon.
- *
- * Returns the new state. */
+/* Counts a crash of a server on which the fingerprint was in flight. Returns
+ * the new state. */
 EbFingerprintState EbQuarantine_RecordCrash(EbQuarantine *quarantine,
                                             EbFingerprint fingerprint,
-                                            bool alone, int64_t now_us);
+                                            int64_t now_us);
 
 /* Clears a suspicion after the request succeeded on a server. A quarantined
  * fingerprint stays quarantined. */
@@ -91,7 +87,7 @@
                                 EbFingerprint fingerprint, int64_t now_us);
 
 /* Merges an entry from a peer or the store: the stronger state, the longer
- * time and the higher points win, and a clear entry releases the fingerprint.
+ * time and the more crashes win, and a clear entry releases the fingerprint.
  * Returns true when something changed. */
 bool EbQuarantine_Merge(EbQuarantine *quarantine,
                         const EbQuarantineEntry *entry, int64_t now_us);
--- a/include/share/ebonyhollow/event_table.h
+++ b/include/share/ebonyhollow/event_table.h
@@ -152,15 +152,13 @@
       "quarantine list' for the request that caused it.")                     \
     X(REQUEST_SUSPECTED, 410, "request-suspected", EB_LEVEL_WARNING,          \
       "A request was in flight on a backend server that crashed. crashes "    \
-      "is its crash points: a crash counts 2 if this daemon had no call "     \
-      "with another fingerprint in flight there, look-ups apart, and 1 "      \
-      "otherwise.",                                                           \
+      "counts such servers.",                                                 \
       "fingerprint,crashes",                                                  \
       "None. It runs without other suspects until it succeeds, is "           \
       "quarantined or 60 s have passed.")                                     \
     X(REQUEST_QUARANTINED, 411, "request-quarantined", EB_LEVEL_ERROR,        \
-      "A request reached 3 crash points and is refused by every daemon "      \
-      "for 10 minutes.",                                                      \
+      "A request was in flight on 3 servers that crashed and is refused by "  \
+      "every daemon for 10 minutes.",                                         \
       "fingerprint,crashes,until_us",                                         \
       "Find the customer in request-finished events with reason "             \
       "quarantined and tell it; release with 'ebonyhollow quarantine "        \
--- a/src/libebonyhollow/membership/message.c
+++ b/src/libebonyhollow/membership/message.c
@@ -169,7 +169,7 @@
         const EbQuarantineEntry *entry = &message->entries[i];
         msgpack_pack_array(packer, EB_MESSAGE_ENTRY_ELEMENTS);
         msgpack_pack_uint64(packer, entry->fingerprint);
-        msgpack_pack_uint32(packer, entry->points);
+        msgpack_pack_uint32(packer, entry->crashes);
         msgpack_pack_uint32(packer, entry->state);
         msgpack_pack_int64(packer, entry->remaining_us);
     }
--- a/src/libebonyhollow/membership/message_decode.c
+++ b/src/libebonyhollow/membership/message_decode.c
@@ -132,7 +132,7 @@
         read_elements(object, EB_MESSAGE_ENTRY_ELEMENTS);
     uint64_t state;
     if (elements == NULL || !read_uint(&elements[0], 0, &entry->fingerprint) ||
-        !read_uint32(&elements[1], &entry->points) ||
+        !read_uint32(&elements[1], &entry->crashes) ||
         !read_uint(&elements[2], EB_FINGERPRINT_STATE_COUNT, &state) ||
         !read_int64(&elements[3], &entry->remaining_us)) {
         return false;
--- a/src/libebonyhollow/requests/dispatcher_crash.c
+++ b/src/libebonyhollow/requests/dispatcher_crash.c
@@ -86,13 +86,12 @@
     EB_EMIT(dispatcher->options.events, EB_EVENT_SERVER_CRASHED,
             EB_STRING_FIELD("backend_server", attempt->server_id),
             EB_INTEGER_FIELD("in_flight", running->len));
-    bool alone = g_hash_table_size(suspects) == 1;
     GHashTableIter iter;
     gpointer fingerprint;
     g_hash_table_iter_init(&iter, suspects);
     while (g_hash_table_iter_next(&iter, &fingerprint, NULL)) {
         EbQuarantine_RecordCrash(dispatcher->options.quarantine,
-                                 *(EbFingerprint *)fingerprint, alone, now_us);
+                                 *(EbFingerprint *)fingerprint, now_us);
     }
     g_hash_table_destroy(suspects);
 }
--- a/src/libebonyhollow/servers/quarantine.c
+++ b/src/libebonyhollow/servers/quarantine.c
@@ -22,7 +22,7 @@
  * daemons. */
 typedef struct {
     EbFingerprint fingerprint; /* the key in the table points to it */
-    uint32_t points;
+    uint32_t crashes;
     EbFingerprintState state;
     int64_t until_us;
     int64_t publish_us; /* when its change is sent, or NOT_PENDING_US */
@@ -133,13 +133,13 @@
     if (entry->state == EB_FINGERPRINT_QUARANTINED) {
         EB_EMIT(&quarantine->events, EB_EVENT_REQUEST_QUARANTINED,
                 EB_STRING_FIELD("fingerprint", text),
-                EB_INTEGER_FIELD("crashes", entry->points),
+                EB_INTEGER_FIELD("crashes", entry->crashes),
                 EB_INTEGER_FIELD("until_us", entry->until_us));
     }
     else {
         EB_EMIT(&quarantine->events, EB_EVENT_REQUEST_SUSPECTED,
                 EB_STRING_FIELD("fingerprint", text),
-                EB_INTEGER_FIELD("crashes", entry->points));
+                EB_INTEGER_FIELD("crashes", entry->crashes));
     }
 }
 
@@ -210,17 +210,16 @@
 
 EbFingerprintState
 EbQuarantine_RecordCrash(EbQuarantine *quarantine, EbFingerprint fingerprint,
-                         bool alone, int64_t now_us)
+                         int64_t now_us)
 {
     Entry *entry = find_entry(quarantine, fingerprint, now_us);
     if (entry == NULL) {
         entry = add_entry(quarantine, fingerprint);
     }
-    if (entry->points < UINT32_MAX - EB_CRASH_POINTS_ALONE) {
-        entry->points +=
-            alone ? EB_CRASH_POINTS_ALONE : EB_CRASH_POINTS_SHARED;
+    if (entry->crashes < UINT32_MAX) {
+        entry->crashes++;
     }
-    bool quarantined = entry->points >= EB_QUARANTINE_POINTS;
+    bool quarantined = entry->crashes >= EB_QUARANTINE_CRASHES;
     entry->state =
         quarantined ? EB_FINGERPRINT_QUARANTINED : EB_FINGERPRINT_SUSPECTED;
     entry->until_us = now_us + (quarantined ? EB_QUARANTINE_DURATION_US
@@ -267,7 +266,7 @@
         received->remaining_us <= 0) {
         return false;
     }
-    EbFingerprintState state = received->points >= EB_QUARANTINE_POINTS
+    EbFingerprintState state = received->crashes >= EB_QUARANTINE_CRASHES
                                    ? EB_FINGERPRINT_QUARANTINED
                                    : received->state;
     int64_t max_us = state == EB_FINGERPRINT_QUARANTINED
@@ -280,13 +279,13 @@
     }
     bool stronger = state > entry->state;
     bool longer = state == entry->state && until_us > entry->until_us;
-    bool higher = received->points > entry->points;
+    bool higher = received->crashes > entry->crashes;
     if (stronger || longer) {
         entry->state = state;
         entry->until_us = until_us;
     }
     if (higher) {
-        entry->points = received->points;
+        entry->crashes = received->crashes;
     }
     if (state == EB_FINGERPRINT_QUARANTINED) {
         set_publish_time(quarantine, entry, NOT_PENDING_US);
@@ -308,7 +307,7 @@
     if (entry == NULL) {
         entry = add_entry(quarantine, fingerprint);
     }
-    entry->points = MAX(crashes, EB_QUARANTINE_POINTS);
+    entry->crashes = MAX(crashes, EB_QUARANTINE_CRASHES);
     entry->state = EB_FINGERPRINT_QUARANTINED;
     entry->until_us = now_us + EB_QUARANTINE_DURATION_US;
     set_publish_time(quarantine, entry, publish_us);
@@ -324,7 +323,7 @@
         return false;
     }
     entry->state = EB_FINGERPRINT_CLEAR;
-    entry->points = 0;
+    entry->crashes = 0;
     set_publish_time(quarantine, entry, now_us);
     emit_released(quarantine, fingerprint, cause);
     return true;
@@ -334,7 +333,8 @@
 describe_entry(const Entry *entry, int64_t now_us)
 {
     bool clear = entry->state == EB_FINGERPRINT_CLEAR;
-    return (EbQuarantineEntry){entry->fingerprint, entry->points, entry->state,
+    return (EbQuarantineEntry){entry->fingerprint, entry->crashes,
+                               entry->state,
                                clear ? 0 : entry->until_us - now_us};
 }
 
--- a/src/libebonyhollow_net/admin_view.c
+++ b/src/libebonyhollow_net/admin_view.c
@@ -297,7 +297,7 @@
         json_array_append_new(
             list,
             json_pack("{s:s, s:I, s:s, s:I}", "fingerprint", text, "points",
-                      (json_int_t)entries[i].points, "state",
+                      (json_int_t)entries[i].crashes, "state",
                       EbFingerprintState_names[entries[i].state],
                       "remaining_us", (json_int_t)entries[i].remaining_us));
     }
--- a/src/libebonyhollow_net/daemon_quarantine.c
+++ b/src/libebonyhollow_net/daemon_quarantine.c
@@ -39,7 +39,7 @@
         const json_t *value = json_object_get(item, "value");
         EbQuarantineEntry entry = {
             .fingerprint = g_ascii_strtoull(name, NULL, 16),
-            .points =
+            .crashes =
                 (uint32_t)json_integer_value(json_object_get(value, "points")),
             .state = EB_FINGERPRINT_QUARANTINED,
             .remaining_us =
@@ -205,7 +205,7 @@
     if (entry->state == EB_FINGERPRINT_QUARANTINED) {
         int64_t until_us = EbClock_Wall() + entry->remaining_us;
         write->value =
-            json_pack("{s:I, s:I}", "points", (json_int_t)entry->points,
+            json_pack("{s:I, s:I}", "points", (json_int_t)entry->crashes,
                       "until_wall_us", (json_int_t)until_us);
     }
     start_write(write);
--- a/src/test_admin_server/main.c
+++ b/src/test_admin_server/main.c
@@ -553,14 +553,15 @@
     apply_document(&fixture);
     /* The crashes are dated in the future, so that the entry has not expired
      * by the server's clock. */
-    EbQuarantine_RecordCrash(fixture.quarantine, 0xabc, true, INT64_MAX / 4);
-    EbQuarantine_RecordCrash(fixture.quarantine, 0xabc, true, INT64_MAX / 4);
+    for (int i = 0; i < EB_QUARANTINE_CRASHES; i++) {
+        EbQuarantine_RecordCrash(fixture.quarantine, 0xabc, INT64_MAX / 4);
+    }
     CU_ASSERT_EQUAL(call(&fixture, "DELETE", "/v1/quarantine/0000000000000abc",
                          ADMIN, "", NULL),
                     200);
     EbQuarantineEntry entry;
-    CU_ASSERT_TRUE(EbQuarantine_NextChange(fixture.quarantine, &entry,
-                                           INT64_MAX / 4));
+    CU_ASSERT_TRUE(
+        EbQuarantine_NextChange(fixture.quarantine, &entry, INT64_MAX / 4));
     CU_ASSERT_EQUAL(entry.state, EB_FINGERPRINT_CLEAR);
 
     RawClient *client =
--- a/src/test_membership/main.c
+++ b/src/test_membership/main.c
@@ -389,7 +389,7 @@
     Network_Start(size, SEED);
     run_until_converged("start", 10 * SECOND_US);
     EbQuarantineEntry entry = {.fingerprint = 9,
-                               .points = EB_QUARANTINE_POINTS,
+                               .crashes = EB_QUARANTINE_CRASHES,
                                .state = EB_FINGERPRINT_QUARANTINED,
                                .remaining_us = EB_QUARANTINE_DURATION_US};
     EbMessage message = {
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -137,7 +137,7 @@
     for (uint32_t i = 0; i < got->entry_count; i++) {
         CU_ASSERT_EQUAL(got->entries[i].fingerprint,
                         sent->entries[i].fingerprint);
-        CU_ASSERT_EQUAL(got->entries[i].points, sent->entries[i].points);
+        CU_ASSERT_EQUAL(got->entries[i].crashes, sent->entries[i].crashes);
         CU_ASSERT_EQUAL(got->entries[i].state, sent->entries[i].state);
         CU_ASSERT_EQUAL(got->entries[i].remaining_us,
                         sent->entries[i].remaining_us);
--- a/src/test_quarantine/main.c
+++ b/src/test_quarantine/main.c
@@ -29,29 +29,27 @@
 }
 
 /* Guards against a request that crashes more than three servers, and against
- * the quarantine of a request after two crashes while others were on the
- * server. Steps: `a` crash while alone, `s` crash while shared, `+` success,
- * `w` wait until suspicions have expired. */
+ * the quarantine of a request that was twice on a server which another
+ * daemon's request crashed. Steps: `c` crash, `+` success, `w` wait until
+ * suspicions have expired. */
 static void
-test_scores(void)
+test_crashes(void)
 {
     static const struct {
         const char *steps;
         EbFingerprintState expected;
     } rows[] = {
-        {"a", EB_FINGERPRINT_SUSPECTED},
-        {"s", EB_FINGERPRINT_SUSPECTED},
-        {"ss", EB_FINGERPRINT_SUSPECTED},
-        {"aa", EB_FINGERPRINT_QUARANTINED},
-        {"as", EB_FINGERPRINT_QUARANTINED},
-        {"sa", EB_FINGERPRINT_QUARANTINED},
-        {"sss", EB_FINGERPRINT_QUARANTINED},
-        {"a+", EB_FINGERPRINT_CLEAR},
-        {"ss+s", EB_FINGERPRINT_SUSPECTED},
-        {"aw", EB_FINGERPRINT_CLEAR},
-        {"awa", EB_FINGERPRINT_SUSPECTED},
-        {"aa+", EB_FINGERPRINT_QUARANTINED},
-        {"aaw", EB_FINGERPRINT_QUARANTINED},
+        {"c", EB_FINGERPRINT_SUSPECTED},
+        {"cc", EB_FINGERPRINT_SUSPECTED},
+        {"ccc", EB_FINGERPRINT_QUARANTINED},
+        {"c+", EB_FINGERPRINT_CLEAR},
+        {"cc+", EB_FINGERPRINT_CLEAR},
+        {"cc+cc", EB_FINGERPRINT_SUSPECTED},
+        {"cc+ccc", EB_FINGERPRINT_QUARANTINED},
+        {"cw", EB_FINGERPRINT_CLEAR},
+        {"ccwcc", EB_FINGERPRINT_SUSPECTED},
+        {"ccc+", EB_FINGERPRINT_QUARANTINED},
+        {"cccw", EB_FINGERPRINT_QUARANTINED},
     };
     for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
         EbQuarantine *quarantine = new_quarantine(0);
@@ -64,7 +62,7 @@
                 now_us += EB_SUSPICION_DURATION_US;
             }
             else {
-                EbQuarantine_RecordCrash(quarantine, 7, *step == 'a', now_us);
+                EbQuarantine_RecordCrash(quarantine, 7, now_us);
             }
         }
         CU_ASSERT_EQUAL(EbQuarantine_State(quarantine, 7, now_us),
@@ -80,8 +78,9 @@
 test_expiry(void)
 {
     EbQuarantine *quarantine = new_quarantine(0);
-    EbQuarantine_RecordCrash(quarantine, 7, true, 0);
-    EbQuarantine_RecordCrash(quarantine, 7, true, 10);
+    for (int64_t at_us = 8; at_us <= 10; at_us++) {
+        EbQuarantine_RecordCrash(quarantine, 7, at_us);
+    }
     CU_ASSERT_EQUAL(
         EbQuarantine_State(quarantine, 7, 9 + EB_QUARANTINE_DURATION_US),
         EB_FINGERPRINT_QUARANTINED);
@@ -102,7 +101,7 @@
     CU_ASSERT_FALSE(EbQuarantine_Merge(quarantine, &entry, 0));
     EbQuarantineEntry change;
     CU_ASSERT_FALSE(EbQuarantine_NextChange(quarantine, &change, 0));
-    CU_ASSERT_EQUAL(EbQuarantine_RecordCrash(quarantine, 7, false, 0),
+    CU_ASSERT_EQUAL(EbQuarantine_RecordCrash(quarantine, 7, 0),
                     EB_FINGERPRINT_QUARANTINED);
     CU_ASSERT_FALSE(EbQuarantine_Merge(quarantine, &entry, 0));
     CU_ASSERT_EQUAL(EbQuarantine_State(quarantine, 7, SECOND_US),
@@ -125,11 +124,12 @@
 test_changes(void)
 {
     EbQuarantine *here = new_quarantine(0), *there = new_quarantine(0);
-    EbQuarantine_RecordCrash(here, 7, true, 0);
-    EbQuarantine_RecordCrash(here, 7, true, 0);
+    for (int i = 0; i < EB_QUARANTINE_CRASHES; i++) {
+        EbQuarantine_RecordCrash(here, 7, 0);
+    }
     EbQuarantineEntry change;
     CU_ASSERT_TRUE_FATAL(EbQuarantine_NextChange(here, &change, SECOND_US));
-    CU_ASSERT_EQUAL(change.points, 4);
+    CU_ASSERT_EQUAL(change.crashes, 3);
     CU_ASSERT_EQUAL(change.remaining_us,
                     EB_QUARANTINE_DURATION_US - SECOND_US);
     CU_ASSERT_FALSE(EbQuarantine_NextChange(here, &change, SECOND_US));
@@ -154,10 +154,11 @@
 {
     enum { MAX = 16 };
     EbQuarantine *quarantine = new_quarantine(MAX);
-    EbQuarantine_RecordCrash(quarantine, 1, true, 0);
-    EbQuarantine_RecordCrash(quarantine, 1, true, 0);
+    for (int i = 0; i < EB_QUARANTINE_CRASHES; i++) {
+        EbQuarantine_RecordCrash(quarantine, 1, 0);
+    }
     for (EbFingerprint i = 2; i < 100; i++) {
-        EbQuarantine_RecordCrash(quarantine, i, false, (int64_t)i);
+        EbQuarantine_RecordCrash(quarantine, i, (int64_t)i);
     }
     EbQuarantineEntry entries[100], change;
     CU_ASSERT_EQUAL(EbQuarantine_List(quarantine, entries, 100, 100), MAX);
@@ -178,7 +179,7 @@
 main(void)
 {
     static const EbTestCase cases[] = {
-        {"fingerprint", test_fingerprint}, {"scores", test_scores},
+        {"fingerprint", test_fingerprint}, {"crashes", test_crashes},
         {"expiry", test_expiry},           {"merge", test_merge},
         {"changes", test_changes},         {"bounded", test_bounded},
     };
