--- a/test/measure_decisions.c
+++ b/test/measure_decisions.c
@@ -504,8 +504,7 @@
            daemon->value_bytes);
     before = allocated_bytes();
     for (uint32_t j = 0; j < ENTRIES; j++) {
-        EbQuarantine_RecordCrash(daemon->quarantine, j + 1, false,
-                                 daemon->now_us);
+        EbQuarantine_RecordCrash(daemon->quarantine, j + 1, daemon->now_us);
     }
     printf("fingerprint in the quarantine: %.0f bytes\n",
            (double)(allocated_bytes() - before) / ENTRIES);
