--- a/src/libebonyhollow_net/backend_client.c
+++ b/src/libebonyhollow_net/backend_client.c
@@ -15,6 +15,7 @@
 #include "backend_connection.h"
 #include "clock.h"
 #include "event_stream.h"
+#include "options.h"
 #include "socket.h"
 
 #define DEFAULT_MAX_IDLE 32
@@ -509,11 +510,6 @@
     return EbBackendConnections_IdleCount(client->connections, server_id);
 }
 
-#define SET_DEFAULT(field, value)                                             \
-    if ((field) == 0) {                                                       \
-        (field) = (value);                                                    \
-    }
-
 EbBackendClient *
 EbBackendClient_New(const EbBackendClientOptions *options)
 {
@@ -521,13 +517,13 @@
     EbBackendClient *client = g_new0(EbBackendClient, 1);
     client->options = *options;
     EbBackendClientOptions *resolved = &client->options;
-    SET_DEFAULT(resolved->max_idle_per_server, DEFAULT_MAX_IDLE);
-    SET_DEFAULT(resolved->idle_timeout_us, DEFAULT_IDLE_TIMEOUT_US);
-    SET_DEFAULT(resolved->connect_timeout_us, DEFAULT_CONNECT_TIMEOUT_US);
-    SET_DEFAULT(resolved->inactivity_timeout_us,
-                DEFAULT_INACTIVITY_TIMEOUT_US);
-    SET_DEFAULT(resolved->max_header_bytes, DEFAULT_MAX_HEADER_BYTES);
-    SET_DEFAULT(resolved->max_body_bytes, DEFAULT_MAX_BODY_BYTES);
+    EB_SET_DEFAULT(resolved->max_idle_per_server, DEFAULT_MAX_IDLE);
+    EB_SET_DEFAULT(resolved->idle_timeout_us, DEFAULT_IDLE_TIMEOUT_US);
+    EB_SET_DEFAULT(resolved->connect_timeout_us, DEFAULT_CONNECT_TIMEOUT_US);
+    EB_SET_DEFAULT(resolved->inactivity_timeout_us,
+                   DEFAULT_INACTIVITY_TIMEOUT_US);
+    EB_SET_DEFAULT(resolved->max_header_bytes, DEFAULT_MAX_HEADER_BYTES);
+    EB_SET_DEFAULT(resolved->max_body_bytes, DEFAULT_MAX_BODY_BYTES);
     client->attempts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_attempt);
     client->connections = EbBackendConnections_New(resolved);
--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -11,6 +11,7 @@
 #include "clock.h"
 #include "event_splitter.h"
 #include "http_reader.h"
+#include "options.h"
 #include "socket.h"
 
 #define DEFAULT_MAX_IDLE 8
@@ -530,24 +531,12 @@
     EbForwardClient *client = g_new0(EbForwardClient, 1);
     client->options = *options;
     EbForwardClientOptions *resolved = &client->options;
-    resolved->max_idle_per_server = resolved->max_idle_per_server
-                                        ? resolved->max_idle_per_server
-                                        : DEFAULT_MAX_IDLE;
-    resolved->idle_timeout_us = resolved->idle_timeout_us
-                                    ? resolved->idle_timeout_us
-                                    : DEFAULT_IDLE_TIMEOUT_US;
-    resolved->connect_timeout_us = resolved->connect_timeout_us
-                                       ? resolved->connect_timeout_us
-                                       : DEFAULT_CONNECT_TIMEOUT_US;
-    resolved->max_header_bytes = resolved->max_header_bytes
-                                     ? resolved->max_header_bytes
-                                     : DEFAULT_MAX_HEADER_BYTES;
-    resolved->max_body_bytes = resolved->max_body_bytes
-                                   ? resolved->max_body_bytes
-                                   : DEFAULT_MAX_BODY_BYTES;
-    resolved->max_buffered_bytes = resolved->max_buffered_bytes
-                                       ? resolved->max_buffered_bytes
-                                       : DEFAULT_MAX_BUFFERED_BYTES;
+    EB_SET_DEFAULT(resolved->max_idle_per_server, DEFAULT_MAX_IDLE);
+    EB_SET_DEFAULT(resolved->idle_timeout_us, DEFAULT_IDLE_TIMEOUT_US);
+    EB_SET_DEFAULT(resolved->connect_timeout_us, DEFAULT_CONNECT_TIMEOUT_US);
+    EB_SET_DEFAULT(resolved->max_header_bytes, DEFAULT_MAX_HEADER_BYTES);
+    EB_SET_DEFAULT(resolved->max_body_bytes, DEFAULT_MAX_BODY_BYTES);
+    EB_SET_DEFAULT(resolved->max_buffered_bytes, DEFAULT_MAX_BUFFERED_BYTES);
     client->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
     client->idle =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_queue);
