test_forward_net: one file for each of reader, client and server

The same 20 tests; the functions moved as they were, apart from what they share, now in forward_net.h and protocol.c.

--- /dev/null
+++ b/src/test_forward_net/forward_net.h
@@ -0,0 +1,41 @@
+/* Declarations shared by the files of test_forward_net. */
+#ifndef EB_TEST_FORWARD_NET_H
+#define EB_TEST_FORWARD_NET_H
+
+#include "ebonyhollow/forward.h"
+
+#define ID "X-Id"
+#define HEAD "HTTP/1.1 200 OK\r\n" ID ": r-1\r\n"
+
+extern const EbForwardProtocol test_protocol;
+
+/* reader.c: EbHttpReader and EbEventSplitter */
+
+void test_reader(void);
+void test_header_limit(void);
+void test_endless_bytes(void);
+void test_small_chunks(void);
+void test_event_splitter(void);
+
+/* client.c: EbForwardClient */
+
+void test_client_responses(void);
+void test_client_late_copy(void);
+void test_client_endless_late_body(void);
+void test_client_endless_stream(void);
+void test_client_endless_bodies(void);
+void test_client_connection_limit(void);
+void test_client_refused(void);
+void test_client_cancel(void);
+
+/* server.c: EbForwardServer */
+
+void test_server_rejects(void);
+void test_server_error_responses(void);
+void test_server_stream(void);
+void test_server_pipelined(void);
+void test_server_caller_gone(void);
+void test_server_drain(void);
+void test_server_drain_arrived(void);
+
+#endif
--- /dev/null
+++ b/src/test_forward_net/server.c
@@ -0,0 +1,370 @@
+/* Tests of EbForwardServer. */
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <glib.h>
+
+#include "ebonyhollow/forward_server.h"
+#include "forward_net.h"
+#include "net_fixture.h"
+#include "test_runner.h"
+
+typedef struct {
+    struct event_base *base;
+    EbSettings settings;
+    EbForwardServer *server;
+    RawClient *client;
+    unsigned submitted, wanted_submitted;
+    unsigned gone;
+    char *body;
+    const char *wanted;
+} ServerFixture;
+
+static uint64_t
+on_submit(void *context, EbForwardCall *call)
+{
+    ServerFixture *fixture = context;
+    g_free(fixture->body);
+    fixture->body = g_strndup((const char *)call->message->body,
+                              call->message->body_bytes);
+    return ++fixture->submitted;
+}
+
+static void
+on_caller_gone(void *context, uint64_t request)
+{
+    (void)request;
+    ((ServerFixture *)context)->gone++;
+}
+
+static void
+on_flow_control(void *context, uint64_t request, bool paused)
+{
+    (void)context;
+    (void)request;
+    (void)paused;
+}
+
+static void
+open_server(ServerFixture *fixture)
+{
+    *fixture = (ServerFixture){
+        .base = event_base_new(),
+        .settings = {.caller = {.host = "127.0.0.1", .port = 0},
+                     .max_body_bytes = 16,
+                     .max_header_bytes = 512,
+                     .max_connections = 4,
+                     .max_buffer_bytes = 1000,
+                     .header_timeout_us = 5000000}};
+    fixture->server = EbForwardServer_New(
+        &(EbForwardServerOptions){.base = fixture->base,
+                                  .settings = &fixture->settings,
+                                  .protocol = &test_protocol,
+                                  .submit = on_submit,
+                                  .caller_gone = on_caller_gone,
+                                  .flow_control = on_flow_control,
+                                  .context = fixture},
+        NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture->server);
+    fixture->client =
+        RawClient_New(fixture->base, EbForwardServer_Port(fixture->server));
+}
+
+static void
+close_server(ServerFixture *fixture)
+{
+    RawClient_Free(fixture->client);
+    EbForwardServer_Free(fixture->server);
+    g_free(fixture->body);
+    event_base_free(fixture->base);
+}
+
+static bool
+has_text(void *context)
+{
+    const ServerFixture *fixture = context;
+    return strstr(fixture->client->text, fixture->wanted) != NULL;
+}
+
+static bool
+is_closed(void *context)
+{
+    return ((ServerFixture *)context)->client->closed;
+}
+
+static bool
+is_submitted(void *context)
+{
+    return ((ServerFixture *)context)->submitted > 0;
+}
+
+static bool
+is_caller_gone(void *context)
+{
+    return ((ServerFixture *)context)->gone > 0;
+}
+
+#define REQUEST "POST /a HTTP/1.1\r\nHost: h\r\n" ID ": r-1\r\n"
+
+/* Guards against submitting malformed requests, and against rejecting them
+ * without an error status. */
+void
+test_server_rejects(void)
+{
+    static const struct {
+        const char *bytes;
+        const char *status;
+    } rows[] = {
+        {"nonsense\r\n\r\n", "HTTP/1.1 400 "},
+        {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
+         "HTTP/1.1 400 "},
+        {REQUEST "Content-Length: 1\r\nContent-Length: 2\r\n\r\na",
+         "HTTP/1.1 400 "},
+        {REQUEST "Content-Length: 17\r\n\r\n01234567890123456",
+         "HTTP/1.1 413 "},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        ServerFixture fixture;
+        open_server(&fixture);
+        RawClient_Send(fixture.client, rows[i].bytes);
+        fixture.wanted = rows[i].status;
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_text, &fixture));
+        CU_ASSERT_EQUAL(fixture.submitted, 0);
+        close_server(&fixture);
+    }
+}
+
+static void
+answer(ServerFixture *fixture, EbOutcome outcome, EbReason reason,
+       EbHttpMessage *reply)
+{
+    EbForwardServer_Answer(fixture->server,
+                           &(EbAnswer){.request = fixture->submitted,
+                                       .outcome = outcome,
+                                       .reason = reason,
+                                       .reply = reply,
+                                       .retry_after_us = 1250000});
+}
+
+/* Guards against a status that means "not run" for a request that may have
+ * run, and against one that means "may have run" for a request that did not.
+ */
+void
+test_server_error_responses(void)
+{
+    static const struct {
+        EbOutcome outcome;
+        EbReason reason;
+        const char *status;
+        bool retry_after;
+    } rows[] = {
+        {EB_OUTCOME_NOT_RUN, EB_REASON_OVERLOADED, "HTTP/1.1 503 ", true},
+        {EB_OUTCOME_NOT_RUN, EB_REASON_BACKEND_FAILED, "HTTP/1.1 503 ", true},
+        {EB_OUTCOME_NOT_RUN, EB_REASON_UNAUTHENTICATED, "HTTP/1.1 401 ", true},
+        {EB_OUTCOME_NOT_RUN, EB_REASON_UNKNOWN_PIPELINE, "HTTP/1.1 404 ",
+         true},
+        {EB_OUTCOME_FAILED, EB_REASON_NO_BACKEND_SERVER, "HTTP/1.1 502 ",
+         false},
+        {EB_OUTCOME_UNKNOWN, EB_REASON_SHUTDOWN, "HTTP/1.1 502 ", false},
+        {EB_OUTCOME_UNKNOWN, EB_REASON_DEADLINE_EXCEEDED, "HTTP/1.1 504 ",
+         false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        ServerFixture fixture;
+        open_server(&fixture);
+        RawClient_Send(fixture.client, REQUEST "Content-Length: 2\r\n\r\nab");
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, is_submitted, &fixture));
+        CU_ASSERT_STRING_EQUAL(fixture.body, "ab");
+        answer(&fixture, rows[i].outcome, rows[i].reason, NULL);
+        fixture.wanted = rows[i].status;
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_text, &fixture));
+        CU_ASSERT_PTR_NOT_NULL(strstr(fixture.client->text, ID ": r-1\r\n"));
+        CU_ASSERT_EQUAL(
+            strstr(fixture.client->text, "Retry-After: 1.250\r\n") != NULL,
+            rows[i].retry_after);
+        close_server(&fixture);
+    }
+}
+
+static void
+relay(ServerFixture *fixture, EbHttpMessage *head, const char *bytes)
+{
+    EbForwardServer_Relay(fixture->server,
+                          &(EbRelay){.request = fixture->submitted,
+                                     .head = head,
+                                     .bytes = (uint8_t *)bytes,
+                                     .byte_count = strlen(bytes)});
+}
+
+/* Guards against an incomplete stream that looks complete to the caller, and
+ * against a complete stream that looks incomplete. */
+void
+test_server_stream(void)
+{
+    for (int whole = 0; whole < 2; whole++) {
+        ServerFixture fixture;
+        open_server(&fixture);
+        RawClient_Send(fixture.client, REQUEST "Content-Length: 0\r\n\r\n");
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, is_submitted, &fixture));
+        EbHttpMessage *head = EbHttpMessage_NewResponse(200);
+        EbHttpMessage_AddHeader(head, "Seal", "s");
+        EbHttpMessage_AddHeader(head, "Content-Length", "5");
+        relay(&fixture, head, "id: 1\n\n");
+        EbHttpMessage_Unref(head);
+        fixture.wanted = "7\r\nid: 1\n\n\r\n";
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_text, &fixture));
+        CU_ASSERT_PTR_NOT_NULL(strstr(fixture.client->text, "Seal: s\r\n"));
+        CU_ASSERT_PTR_NULL(strstr(fixture.client->text, "Content-Length"));
+        answer(&fixture, whole ? EB_OUTCOME_DONE : EB_OUTCOME_UNKNOWN,
+               whole ? EB_REASON_NONE : EB_REASON_BACKEND_FAILED, NULL);
+        fixture.wanted = "0\r\n\r\n";
+        CU_ASSERT_TRUE(
+            Loop_Until(fixture.base, whole ? has_text : is_closed, &fixture));
+        CU_ASSERT_EQUAL(has_text(&fixture), whole);
+        close_server(&fixture);
+    }
+}
+
+/* Guards against a pipelined request that is submitted before the first one is
+ * answered, and against losing it. */
+void
+test_server_pipelined(void)
+{
+    ServerFixture fixture;
+    open_server(&fixture);
+    RawClient_Send(fixture.client, REQUEST "Content-Length: 1\r\n\r\na" REQUEST
+                                           "Content-Length: 1\r\n\r\nb");
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, is_submitted, &fixture));
+    Loop_For(fixture.base, 20000);
+    CU_ASSERT_EQUAL(fixture.submitted, 1);
+    EbHttpMessage *reply = EbHttpMessage_NewResponse(200);
+    answer(&fixture, EB_OUTCOME_DONE, EB_REASON_NONE, reply);
+    EbHttpMessage_Unref(reply);
+    CU_ASSERT_EQUAL(fixture.submitted, 2);
+    CU_ASSERT_STRING_EQUAL(fixture.body, "b");
+    close_server(&fixture);
+}
+
+/* Guards against working for a caller that disconnected before its answer. */
+void
+test_server_caller_gone(void)
+{
+    ServerFixture fixture;
+    open_server(&fixture);
+    RawClient_Send(fixture.client, REQUEST "Content-Length: 0\r\n\r\n");
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, is_submitted, &fixture));
+    RawClient_Free(fixture.client);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, is_caller_gone, &fixture));
+    CU_ASSERT_EQUAL(EbForwardServer_PendingCount(fixture.server), 0);
+    fixture.client =
+        RawClient_New(fixture.base, EbForwardServer_Port(fixture.server));
+    close_server(&fixture);
+}
+
+/* Guards against a drain that interrupts a request, and against a connection
+ * that stays open afterwards. */
+void
+test_server_drain(void)
+{
+    ServerFixture fixture;
+    open_server(&fixture);
+    RawClient_Send(fixture.client, REQUEST "Content-Length: 0\r\n\r\n");
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, is_submitted, &fixture));
+    EbForwardServer_StopAccepting(fixture.server);
+    CU_ASSERT_EQUAL(EbForwardServer_PendingCount(fixture.server), 1);
+    EbHttpMessage *reply = EbHttpMessage_NewResponse(200);
+    EbHttpMessage_AddBody(reply, "done", 4);
+    answer(&fixture, EB_OUTCOME_DONE, EB_REASON_NONE, reply);
+    EbHttpMessage_Unref(reply);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, is_closed, &fixture));
+    CU_ASSERT_PTR_NOT_NULL(strstr(fixture.client->text, "done"));
+    CU_ASSERT_PTR_NOT_NULL(
+        strstr(fixture.client->text, "Connection: close\r\n"));
+    CU_ASSERT_EQUAL(EbForwardServer_PendingCount(fixture.server), 0);
+    close_server(&fixture);
+}
+
+/* Connects and sends a request without running the event loop, so that the
+ * server has neither accepted the connection nor read from it. */
+static int
+send_unseen(uint16_t port, int socket_fd)
+{
+    static const char request[] = REQUEST "Content-Length: 0\r\n\r\n";
+    if (socket_fd < 0) {
+        struct sockaddr_in address = {.sin_family = AF_INET,
+                                      .sin_port = htons(port),
+                                      .sin_addr = {htonl(INADDR_LOOPBACK)}};
+        socket_fd = socket(AF_INET, SOCK_STREAM, 0);
+        CU_ASSERT_EQUAL_FATAL(
+            connect(socket_fd, (struct sockaddr *)&address, sizeof(address)),
+            0);
+    }
+    CU_ASSERT_EQUAL(send(socket_fd, request, strlen(request), 0),
+                    (ssize_t)strlen(request));
+    return socket_fd;
+}
+
+static void
+answer_done(ServerFixture *fixture)
+{
+    EbHttpMessage *reply = EbHttpMessage_NewResponse(200);
+    answer(fixture, EB_OUTCOME_DONE, EB_REASON_NONE, reply);
+    EbHttpMessage_Unref(reply);
+}
+
+/* Returns whether the next bytes on a socket are a response with status 200.
+ */
+static bool
+receives_success(int socket_fd)
+{
+    char text[256] = "";
+    ssize_t count = recv(socket_fd, text, sizeof(text) - 1, MSG_DONTWAIT);
+    return count > 0 && strncmp(text, "HTTP/1.1 200 ", 13) == 0;
+}
+
+static bool
+has_all_submitted(void *context)
+{
+    const ServerFixture *fixture = context;
+    return fixture->submitted >= fixture->wanted_submitted;
+}
+
+/* Guards against a planned stop that cuts off requests that have just arrived:
+ * on a connection that is not accepted yet, and on a kept connection whose
+ * bytes are not read yet. */
+void
+test_server_drain_arrived(void)
+{
+    static const int rounds = 300;
+    for (int i = 0; i < rounds; i++) {
+        bool kept = i % 2 == 1;
+        ServerFixture fixture;
+        open_server(&fixture);
+        uint16_t port = EbForwardServer_Port(fixture.server);
+        int fd = send_unseen(port, -1);
+        fixture.wanted_submitted = 1;
+        if (kept) {
+            CU_ASSERT_TRUE(
+                Loop_Until(fixture.base, has_all_submitted, &fixture));
+            answer_done(&fixture);
+            Loop_For(fixture.base, 1000);
+            CU_ASSERT_TRUE(receives_success(fd));
+            send_unseen(port, fd);
+            fixture.wanted_submitted = 2;
+        }
+        EbForwardServer_StopAccepting(fixture.server);
+        CU_ASSERT_TRUE(EbForwardServer_PendingCount(fixture.server) > 0);
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_all_submitted, &fixture));
+        answer_done(&fixture);
+        Loop_For(fixture.base, 1000);
+        CU_ASSERT_TRUE(receives_success(fd));
+        close(fd);
+        close_server(&fixture);
+    }
+}
