--- a/include/servers/ebonyhollow/quarantine.h
+++ b/include/servers/ebonyhollow/quarantine.h
@@ -24,8 +24,8 @@
 
 #include "ebonyhollow/event.h"
 
-#define EB_QUARANTINE_CRASHES 3 /* after which a fingerprint is quarantined   \
-                                 */
+/* Crashes after which a fingerprint is quarantined. */
+#define EB_QUARANTINE_CRASHES 3
 /* Both times count from the last crash. */
 #define EB_QUARANTINE_DURATION_US (600LL * 1000 * 1000)
 #define EB_SUSPICION_DURATION_US (60LL * 1000 * 1000)
