test_suspects: messages between daemons take different times

Simulated messages all took 10 ms, so that they never arrived out of order. They now take 1 ms to 50 ms for each receiver, from a generator of their own.

--- a/src/test_suspects/fleet.c
+++ b/src/test_suspects/fleet.c
@@ -19,11 +19,13 @@
 #define POISON_PART 999
 #define PARTS 3 /* of a prompt; 0: none */
 #define COMPANION_PART 998
-#define RESTART_US 2000000     /* until a crashed server is back */
-#define MAX_PREFILL_US 300000  /* from sending to the answer's beginning */
-#define MAX_ANSWER_US 4000000  /* from there to its end */
-#define CHECK_DELAY_US 100000  /* from a break to its record as a crash */
-#define MESSAGE_DELAY_US 10000 /* between daemons */
+#define RESTART_US 2000000    /* until a crashed server is back */
+#define MAX_PREFILL_US 300000 /* from sending to the answer's beginning */
+#define MAX_ANSWER_US 4000000 /* from there to its end */
+#define CHECK_DELAY_US 100000 /* from a break to its record as a crash */
+/* Between daemons; messages may overtake each other on their paths. */
+#define MIN_MESSAGE_DELAY_US 1000
+#define MAX_MESSAGE_DELAY_US 50000
 #define CONTACT_US INT64_C(3000000)
 
 typedef struct {
@@ -52,7 +54,7 @@
 
 typedef struct {
     int64_t due_us;
-    uint32_t from;
+    uint32_t to;
     EbSuspicion suspicion;
     EbQuarantineEntry entry;
     bool is_entry;
@@ -62,6 +64,7 @@
     const FleetOptions *options;
     FleetResult result;
     EbRandom random;
+    EbRandom delay_random;
     Daemon daemons[MAX_DAEMONS];
     GArray *calls;
     GArray *broken;
@@ -286,20 +289,35 @@
     }
 }
 
+static void
+send_message(Fleet *fleet, uint32_t from, Message *message)
+{
+    for (uint32_t to = 0; to < fleet->options->daemon_count; to++) {
+        if (to == from) {
+            continue;
+        }
+        message->to = to;
+        message->due_us = fleet->now_us + MIN_MESSAGE_DELAY_US +
+                          (int64_t)EbRandom_Below(&fleet->delay_random,
+                                                  MAX_MESSAGE_DELAY_US -
+                                                      MIN_MESSAGE_DELAY_US);
+        g_array_append_val(fleet->messages, *message);
+    }
+}
+
 static void
 collect_messages(Fleet *fleet, uint32_t from)
 {
     const Daemon *daemon = &fleet->daemons[from];
-    Message message = {.due_us = fleet->now_us + MESSAGE_DELAY_US,
-                       .from = from};
+    Message message = {0};
     while (EbSuspects_NextReport(daemon->suspects, &message.suspicion,
                                  fleet->now_us)) {
-        g_array_append_val(fleet->messages, message);
+        send_message(fleet, from, &message);
     }
     message.is_entry = true;
     while (EbQuarantine_NextChange(daemon->quarantine, &message.entry,
                                    fleet->now_us)) {
-        g_array_append_val(fleet->messages, message);
+        send_message(fleet, from, &message);
     }
 }
 
@@ -308,24 +326,18 @@
 {
     guint kept = 0;
     for (guint i = 0; i < fleet->messages->len; i++) {
-        Message message = g_array_index(fleet->messages, Message, i);
-        if (message.due_us > fleet->now_us) {
-            g_array_index(fleet->messages, Message, kept++) = message;
-            continue;
+        const Message *message = &g_array_index(fleet->messages, Message, i);
+        const Daemon *daemon = &fleet->daemons[message->to];
+        if (message->due_us > fleet->now_us) {
+            g_array_index(fleet->messages, Message, kept++) = *message;
         }
-        for (uint32_t to = 0; to < fleet->options->daemon_count; to++) {
-            const Daemon *daemon = &fleet->daemons[to];
-            if (to == message.from) {
-                continue;
-            }
-            if (message.is_entry) {
-                EbQuarantine_Merge(daemon->quarantine, &message.entry,
-                                   fleet->now_us);
-            }
-            else {
-                EbSuspects_Merge(daemon->suspects, &message.suspicion,
-                                 fleet->now_us);
-            }
+        else if (message->is_entry) {
+            EbQuarantine_Merge(daemon->quarantine, &message->entry,
+                               fleet->now_us);
+        }
+        else {
+            EbSuspects_Merge(daemon->suspects, &message->suspicion,
+                             fleet->now_us);
         }
     }
     g_array_set_size(fleet->messages, kept);
@@ -362,6 +374,7 @@
 {
     Fleet fleet = {.options = options};
     EbRandom_Init(&fleet.random, options->seed);
+    EbRandom_Init(&fleet.delay_random, options->seed);
     fleet.calls = g_array_new(FALSE, FALSE, sizeof(Call));
     fleet.broken = g_array_new(FALSE, FALSE, sizeof(Broken));
     fleet.messages = g_array_new(FALSE, FALSE, sizeof(Message));
--- a/src/test_suspects/main.c
+++ b/src/test_suspects/main.c
@@ -401,7 +401,7 @@
 
 /* Guards against fleets that failed before:
  * - 323: the last crash was seen by a daemon that had lost the earlier ones.
- * - 656, 662, 993: an answer had voided the evidence on a part by which a
+ * - 564, 656, 662, 993: an answer had voided the evidence on a part by which a
  *   daemon quarantined it, which the others were told nevertheless. */
 static void
 test_fleets_that_failed(void)
@@ -411,6 +411,12 @@
          .daemon_count = 8,
          .poison_percent = 5,
          .restart_daemon_us = 4 * SECOND_US},
+        {.seed = 564,
+         .daemon_count = 8,
+         .poison_percent = 5,
+         .joint_crash_us = 6 * SECOND_US,
+         .lost_percent = 10,
+         .lost_for_us = 30 * SECOND_US},
         {.seed = 656, .daemon_count = 8, .poison_percent = 20},
         {.seed = 662, .daemon_count = 8, .poison_percent = 20},
         {.seed = 993,
