suspects: a crash that several daemons saw counts in full

In a fleet a daemon rarely has two calls on one server, so a part of a prompt that crashes servers took up to six crashes until it was refused, and ten if it had been answered before.

A daemon that learns of such a call looks, after 50 ms to 150 ms, whether calls of its own broke on that server within 0.1 s of it, also calls whose answer had begun, and then reports the crash again as one of several calls. A report that changes nothing isn't sent, so that mostly one daemon tells the others.

--- a/include/servers/ebonyhollow/suspects.h
+++ b/include/servers/ebonyhollow/suspects.h
@@ -5,10 +5,11 @@
  * answers are evidence:
  *
  * - A server crashed while a call with the suspect was on it whose answer had
- *   not begun. That counts EB_SUSPECT_CRASH_POINTS, or one if no other call is
- *   known to have broken with it, since a single connection may break without
- *   a crash. Crashes of several servers within EB_SUSPECT_SPACING_US count
- *   once, since they have a cause outside of the requests.
+ *   not begun. That counts EB_SUSPECT_CRASH_POINTS, or one if no other call of
+ *   any daemon is known to have broken with it, since a single connection may
+ *   break without a crash. Crashes of several servers within
+ *   EB_SUSPECT_SPACING_US count once, since they have a cause outside of the
+ *   requests.
  * - A server began an answer to a call with the suspect. This voids all
  *   crashes before it, because such a call would have crashed the server.
  *
@@ -22,8 +23,9 @@
  * through: its answer or its crash shows which of them it is.
  *
  * All daemons collect the same evidence: each sends the crashes that it saw,
- * and one of those that know of an answer tells the others about it when a
- * crash puts the suspect in doubt. Times are monotonic microseconds. */
+ * one of those that saw the crash of which another tells confirms it, and one
+ * of those that know of an answer tells the others about it when a crash puts
+ * the suspect in doubt. Times are monotonic microseconds. */
 #ifndef EBONYHOLLOW_SUSPECTS_H
 #define EBONYHOLLOW_SUSPECTS_H
 
@@ -78,6 +80,7 @@
 /* Records that a server crashed at `at_us`, not after `now_us`, while a call
  * with the suspects was on it whose answer had not begun.
  *
+ * set: empty if the answer had begun.
  * alone: no other call of this daemon broke with it. */
 void EbSuspects_RecordCrash(EbSuspects *suspects, const EbSuspectSet *set,
                             const char *server_id, bool alone, int64_t at_us,
--- a/src/libebonyhollow/servers/suspects.c
+++ b/src/libebonyhollow/servers/suspects.c
@@ -5,6 +5,8 @@
 #include <glib.h>
 #include <xxhash.h>
 
+#include "crash_witness.h"
+
 #define MAX_ENTRIES_DEFAULT 8192
 #define MAX_CRASHES EB_SUSPECT_KNOWN_POINTS
 /* An answer is told to the others after a random part of this time, unless
@@ -18,18 +20,9 @@
 #define SAME_CRASH_US 1000000
 #define NEVER_US INT64_MIN
 
-/* A crash of a server. */
-typedef struct {
-    EbSuspectSet set; /* of the call that broke; in an entry, of all calls with
-                         its suspect */
-    uint64_t server;  /* digest of its id */
-    bool alone;       /* see EbSuspicion */
-    int64_t at_us;
-} Crash;
-
 typedef struct {
     EbFingerprint fingerprint; /* the key in the table points to it */
-    Crash *crashes;
+    EbCrash *crashes; /* their sets are of all calls with the suspect */
     uint32_t crash_count;
     int64_t answered_us;      /* last known answer, or NEVER_US */
     int64_t announced_us;     /* last answer that all daemons know of */
@@ -39,9 +32,10 @@
 
 struct EbSuspects {
     EbSuspectsOptions options;
-    GHashTable *entries;       /* of Entry, by fingerprint */
-    GQueue by_use;             /* of Entry, most recently used first */
-    GArray *crash_reports;     /* of Crash, to be sent */
+    GHashTable *entries; /* of Entry, by fingerprint */
+    GQueue by_use;       /* of Entry, most recently used first */
+    EbCrashWitness *witness;
+    GArray *crash_reports;     /* of EbCrash, to be sent */
     GPtrArray *answer_reports; /* of Entry whose answered_us is to be sent */
 };
 
@@ -64,7 +58,8 @@
     suspects->entries =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_entry);
     g_queue_init(&suspects->by_use);
-    suspects->crash_reports = g_array_new(FALSE, FALSE, sizeof(Crash));
+    suspects->witness = EbCrashWitness_New(options->random);
+    suspects->crash_reports = g_array_new(FALSE, FALSE, sizeof(EbCrash));
     suspects->answer_reports = g_ptr_array_new();
     return suspects;
 }
@@ -76,6 +71,7 @@
         return;
     }
     g_hash_table_destroy(suspects->entries);
+    EbCrashWitness_Free(suspects->witness);
     g_array_free(suspects->crash_reports, TRUE);
     g_ptr_array_free(suspects->answer_reports, TRUE);
     g_free(suspects);
@@ -180,11 +176,11 @@
 
 /* Returns the known crash that a report is about, or NULL: several calls with
  * the suspect may have been on the server, also from other daemons. */
-static Crash *
-find_crash(Entry *entry, const Crash *report)
+static EbCrash *
+find_crash(Entry *entry, const EbCrash *report)
 {
     for (uint32_t i = 0; i < entry->crash_count; i++) {
-        Crash *crash = &entry->crashes[i];
+        EbCrash *crash = &entry->crashes[i];
         int64_t apart_us = ABS(crash->at_us - report->at_us);
         if (apart_us < EB_SUSPECT_SPACING_US ||
             (crash->server == report->server && apart_us < SAME_CRASH_US)) {
@@ -195,7 +191,7 @@
 }
 
 static void
-append_crash(Entry *entry, const Crash *crash)
+append_crash(Entry *entry, const EbCrash *crash)
 {
     if (entry->crash_count == MAX_CRASHES) {
         memmove(&entry->crashes[0], &entry->crashes[1],
@@ -203,19 +199,19 @@
         entry->crash_count--;
     }
     entry->crashes =
-        g_renew(Crash, entry->crashes, (gsize)entry->crash_count + 1);
+        g_renew(EbCrash, entry->crashes, (gsize)entry->crash_count + 1);
     entry->crashes[entry->crash_count++] = *crash;
 }
 
 /* Returns whether the crash is new, or counts for more now. */
 static bool
-add_crash(Entry *entry, const Crash *report, int64_t now_us)
+add_crash(Entry *entry, const EbCrash *report, int64_t now_us)
 {
     remove_crashes(entry, now_us - EB_SUSPECT_MEMORY_US);
     if (entry->answered_us >= report->at_us) {
         return false;
     }
-    Crash *known = find_crash(entry, report);
+    EbCrash *known = find_crash(entry, report);
     if (known == NULL) {
         append_crash(entry, report);
         return true;
@@ -298,7 +294,7 @@
 }
 
 static void
-merge_crash(EbSuspects *suspects, const Crash *report, bool own,
+merge_crash(EbSuspects *suspects, const EbCrash *report, bool own,
             int64_t now_us)
 {
     bool news = false;
@@ -320,11 +316,12 @@
                        const char *server_id, bool alone, int64_t at_us,
                        int64_t now_us)
 {
-    Crash report = {.set = *set,
-                    .server =
-                        MAX(XXH3_64bits(server_id, strlen(server_id)), 1),
-                    .alone = alone,
-                    .at_us = at_us};
+    EbCrash report = {.set = *set,
+                      .server =
+                          MAX(XXH3_64bits(server_id, strlen(server_id)), 1),
+                      .alone = alone,
+                      .at_us = at_us};
+    EbCrashWitness_RecordBreak(suspects->witness, report.server, at_us);
     merge_crash(suspects, &report, true, now_us);
 }
 
@@ -431,9 +428,12 @@
     }
     int64_t at_us = now_us - (int64_t)suspicion->ago_us;
     if (suspicion->server != 0) {
-        Crash report = {suspicion->set, suspicion->server, suspicion->alone,
-                        at_us};
+        EbCrash report = {suspicion->set, suspicion->server, suspicion->alone,
+                          at_us};
         merge_crash(suspects, &report, false, now_us);
+        if (report.alone) {
+            EbCrashWitness_AddReport(suspects->witness, &report, now_us);
+        }
         return;
     }
     for (uint32_t i = 0; i < suspicion->set.count; i++) {
@@ -458,16 +458,29 @@
     return false;
 }
 
+/* Reports crashes again that another daemon saw as a call that broke alone and
+ * this one saw too. */
+static void
+confirm_crashes(EbSuspects *suspects, int64_t now_us)
+{
+    EbCrash crash;
+    while (EbCrashWitness_Next(suspects->witness, &crash, now_us)) {
+        crash.alone = false;
+        merge_crash(suspects, &crash, true, now_us);
+    }
+}
+
 bool
 EbSuspects_NextReport(EbSuspects *suspects, EbSuspicion *suspicion,
                       int64_t now_us)
 {
+    confirm_crashes(suspects, now_us);
     guint count = suspects->crash_reports->len;
     if (count == 0) {
         return next_answer(suspects, suspicion, now_us);
     }
-    const Crash *report =
-        &g_array_index(suspects->crash_reports, Crash, count - 1);
+    const EbCrash *report =
+        &g_array_index(suspects->crash_reports, EbCrash, count - 1);
     *suspicion =
         (EbSuspicion){.set = report->set,
                       .server = report->server,
@@ -480,7 +493,9 @@
 int64_t
 EbSuspects_NextTimer(const EbSuspects *suspects)
 {
-    int64_t next_us = suspects->crash_reports->len > 0 ? 0 : INT64_MAX;
+    int64_t next_us = suspects->crash_reports->len > 0
+                          ? 0
+                          : EbCrashWitness_NextTimer(suspects->witness);
     for (guint i = 0; i < suspects->answer_reports->len; i++) {
         const Entry *entry = g_ptr_array_index(suspects->answer_reports, i);
         next_us = MIN(next_us, entry->answer_report_us);
--- a/src/test_suspects/fleet.c
+++ b/src/test_suspects/fleet.c
@@ -280,12 +280,13 @@
             continue;
         }
         g_array_remove_index_fast(fleet->broken, i - 1);
+        EbSuspectSet set = {0};
         if (broken.unanswered) {
-            EbSuspectSet set = make_set(broken.parts);
-            EbSuspects_RecordCrash(fleet->daemons[broken.daemon].suspects,
-                                   &set, broken.server_id, broken.alone,
-                                   broken.at_us, fleet->now_us);
+            set = make_set(broken.parts);
         }
+        EbSuspects_RecordCrash(fleet->daemons[broken.daemon].suspects, &set,
+                               broken.server_id, broken.alone, broken.at_us,
+                               fleet->now_us);
     }
 }
 
@@ -343,18 +344,34 @@
     g_array_set_size(fleet->messages, kept);
 }
 
+/* Crashes that no request causes. */
 static void
-step(Fleet *fleet)
+crash_servers(Fleet *fleet)
 {
     const FleetOptions *options = fleet->options;
-    if (EbRandom_Below(&fleet->random, 1000) < REQUESTS_PER_STEP_PERMILLE) {
-        start_request(fleet);
+    if (fleet->now_us == 0) {
+        return;
     }
-    if (fleet->now_us == options->joint_crash_us && fleet->now_us > 0) {
+    if (fleet->now_us == options->joint_crash_us) {
         for (uint32_t i = 0; i < SERVER_COUNT; i += 3) {
             crash_server(fleet, i);
         }
     }
+    if (options->crash_every_us > 0 &&
+        fleet->now_us % options->crash_every_us == 0) {
+        crash_server(fleet,
+                     (uint32_t)EbRandom_Below(&fleet->random, SERVER_COUNT));
+    }
+}
+
+static void
+step(Fleet *fleet)
+{
+    const FleetOptions *options = fleet->options;
+    if (EbRandom_Below(&fleet->random, 1000) < REQUESTS_PER_STEP_PERMILLE) {
+        start_request(fleet);
+    }
+    crash_servers(fleet);
     if (fleet->now_us == options->restart_daemon_us && fleet->now_us > 0) {
         close_daemon(&fleet->daemons[0]);
         open_daemon(fleet, 0);
--- a/src/test_suspects/fleet.h
+++ b/src/test_suspects/fleet.h
@@ -16,6 +16,8 @@
     bool companion;
     int64_t joint_crash_us; /* a third of the servers crash at this time,
                                not because of a request; 0: never */
+    int64_t crash_every_us; /* one server crashes, not because of a request;
+                               0: never */
     uint32_t lost_percent;  /* of the answers, with the connection */
     int64_t lost_from_us;
     int64_t lost_for_us;
--- a/src/test_suspects/main.c
+++ b/src/test_suspects/main.c
@@ -251,6 +251,73 @@
     }
 }
 
+/* Returns the report of another daemon on a call that broke alone. */
+static EbSuspicion
+report_of_other(const char *server_id, int64_t now_us)
+{
+    Fixture other;
+    open_fixture(&other, 0);
+    EbSuspects_RecordCrash(other.suspects, &suspect_set, server_id, true,
+                           now_us, now_us);
+    EbSuspicion report;
+    CU_ASSERT_TRUE(EbSuspects_NextReport(other.suspects, &report, now_us));
+    close_fixture(&other);
+    return report;
+}
+
+/* Guards against crashes that count for half since each daemon had a single
+ * call on the server, against broken connections that count as crashes since
+ * others broke elsewhere or at another time, and against confirmations that
+ * every daemon sends. */
+static void
+test_crashes_seen_by_several(void)
+{
+    static const struct {
+        const char *own_server;
+        int64_t own_before_us; /* the crash of which the other daemon tells */
+        bool told;             /* by a third daemon */
+        bool confirmed;
+    } rows[] = {
+        {"a", SECOND_US / 50, false, true},
+        {"a", -SECOND_US / 50, false, true},
+        {"a", SECOND_US / 50, true, false},
+        {"b", SECOND_US / 50, false, false},
+        {"a", SECOND_US / 5, false, false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Fixture fixture;
+        open_fixture(&fixture, 0);
+        int64_t crash_us = fixture.now_us;
+        EbSuspicion report = report_of_other("a", crash_us);
+        EbSuspects_Merge(fixture.suspects, &report, crash_us);
+        /* The own call broke after its answer had begun. */
+        EbSuspects_RecordCrash(
+            fixture.suspects, &(EbSuspectSet){0}, rows[i].own_server, true,
+            crash_us - rows[i].own_before_us, crash_us + SECOND_US / 25);
+        if (rows[i].told) {
+            report.alone = false;
+            EbSuspects_Merge(fixture.suspects, &report, crash_us);
+        }
+        EbSuspicion sent;
+        CU_ASSERT_FALSE(EbSuspects_NextReport(fixture.suspects, &sent,
+                                              crash_us + SECOND_US / 25));
+        CU_ASSERT_TRUE(EbSuspects_NextTimer(fixture.suspects) <
+                       crash_us + SECOND_US / 5);
+        int64_t later_us = crash_us + SECOND_US / 5;
+        bool confirmed =
+            EbSuspects_NextReport(fixture.suspects, &sent, later_us);
+        CU_ASSERT_EQUAL(confirmed, rows[i].confirmed);
+        if (confirmed) {
+            CU_ASSERT_EQUAL(sent.server, report.server);
+            CU_ASSERT_EQUAL(sent.set.fingerprints[0], SUSPECT);
+            CU_ASSERT_FALSE(sent.alone);
+            CU_ASSERT_EQUAL(sent.ago_us, SECOND_US / 5);
+        }
+        CU_ASSERT_EQUAL(EbSuspects_NextTimer(fixture.suspects), INT64_MAX);
+        close_fixture(&fixture);
+    }
+}
+
 static unsigned
 count_reports(Fixture *fixture, bool crashes)
 {
@@ -383,6 +450,9 @@
          .lost_percent = 3,
          .lost_for_us = 30 * SECOND_US},
         {.daemon_count = 8, .joint_crash_us = 6 * SECOND_US},
+        /* The deployments' days have up to 2.7 crashes a second of so many
+         * servers, for 6 s, by servers that go down and up by turns. */
+        {.daemon_count = 8, .crash_every_us = 375000},
         /* Two fifths of the answers of three fifths of the servers, the most
          * that the deployments' days have. */
         {.daemon_count = 8,
@@ -400,6 +470,8 @@
 }
 
 /* Guards against fleets that failed before:
+ * - 797: most calls that broke in a crash were alone at their daemon, so the
+ *   part was found only after ten crashes.
  * - 323: the last crash was seen by a daemon that had lost the earlier ones.
  * - 564, 656, 662, 993: an answer had voided the evidence on a part by which a
  *   daemon quarantined it, which the others were told nevertheless. */
@@ -407,6 +479,10 @@
 test_fleets_that_failed(void)
 {
     static const FleetOptions rows[] = {
+        {.seed = 797,
+         .daemon_count = 8,
+         .poison_percent = 5,
+         .poison_was_sound = true},
         {.seed = 323,
          .daemon_count = 8,
          .poison_percent = 5,
@@ -439,6 +515,7 @@
         {"quarantine by evidence of others",
          test_quarantine_by_evidence_of_others},
         {"release by an answer of others", test_release_by_answer_of_others},
+        {"crashes that several daemons saw", test_crashes_seen_by_several},
         {"reports", test_reports},
         {"answer told by another daemon", test_answer_told_by_another},
         {"eviction", test_eviction},
