forward: a repeat waits for evidence if what it carries is doubted

Cause: a request whose connection broke was sent again after 0 ms to 25 ms, but a crash is counted after 100 ms.

If a server crashed before under one of the request's suspects, and none began an answer to it since, the repeat waits for 150 ms: the check of this daemon's own calls, and the reports of the others. Other repeats are sent as before, as are streams whose events were relayed.

test_forward, without the change: 5 assertions of the new test fail.

--- a/include/servers/ebonyhollow/suspects.h
+++ b/include/servers/ebonyhollow/suspects.h
@@ -99,6 +99,11 @@
 bool EbSuspects_Blocks(EbSuspects *suspects, const EbSuspectSet *set,
                        int64_t now_us);
 
+/* Returns whether a server crashed lately under one of the suspects, and none
+ * has begun an answer to it since. */
+bool EbSuspects_AreDoubted(EbSuspects *suspects, const EbSuspectSet *set,
+                           int64_t now_us);
+
 /* Adds evidence from another daemon. */
 void EbSuspects_Merge(EbSuspects *suspects, const EbSuspicion *suspicion,
                       int64_t now_us);
--- a/src/libebonyhollow/requests/dispatcher_attempt.c
+++ b/src/libebonyhollow/requests/dispatcher_attempt.c
@@ -79,6 +79,10 @@
         delay_us = EbRetryBudget_BackoffDelay(
             request->dispatcher->options.random, request->failures);
     }
+    if (result == EB_CALL_BROKEN) {
+        delay_us =
+            MAX(delay_us, EbRequest_CrashEvidenceDelay(request, now_us));
+    }
     if (result == EB_CALL_REJECTED) {
         EbRequest_Fail(request, EB_REASON_BACKEND_REFUSED, NULL, now_us);
     }
--- a/src/libebonyhollow/requests/dispatcher_suspects.c
+++ b/src/libebonyhollow/requests/dispatcher_suspects.c
@@ -10,6 +10,8 @@
  * alone. After this time the server counts as crashed unless a call that was
  * on it still runs. */
 #define CRASH_CHECK_DELAY_US 100000
+/* The same, and until the reports of the other daemons have arrived. */
+#define CRASH_EVIDENCE_DELAY_US 150000
 
 /* All parts but the last, which belongs to one request or session. */
 static uint32_t
@@ -106,6 +108,19 @@
     }
 }
 
+int64_t
+EbRequest_CrashEvidenceDelay(const EbRequest *request, int64_t now_us)
+{
+    EbSuspects *suspects = request->dispatcher->options.suspects;
+    const EbForwardState *state = request->forward;
+    if (state == NULL || state->head != NULL || suspects == NULL) {
+        return 0;
+    }
+    return EbSuspects_AreDoubted(suspects, &state->suspects, now_us)
+               ? CRASH_EVIDENCE_DELAY_US
+               : 0;
+}
+
 void
 EbBrokenCall_Free(gpointer pointer)
 {
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -350,6 +350,11 @@
 /* Records that the connection of a forwarded call broke. */
 void EbAttempt_RecordBroken(const EbAttempt *attempt, int64_t now_us);
 
+/* Returns how long a request whose connection broke has to wait until it is
+ * known whether it carries what crashes servers. Returns 0 unless there is
+ * evidence already. */
+int64_t EbRequest_CrashEvidenceDelay(const EbRequest *request, int64_t now_us);
+
 /* Records that a forwarded call's answer began. */
 void EbAttempt_RecordAnswered(const EbAttempt *attempt, int64_t now_us);
 
--- a/src/libebonyhollow/servers/suspects.c
+++ b/src/libebonyhollow/servers/suspects.c
@@ -385,6 +385,23 @@
     }
 }
 
+bool
+EbSuspects_AreDoubted(EbSuspects *suspects, const EbSuspectSet *set,
+                      int64_t now_us)
+{
+    for (uint32_t i = 0; i < set->count; i++) {
+        Entry *entry = find_entry(suspects, set->fingerprints[i]);
+        if (entry == NULL) {
+            continue;
+        }
+        remove_crashes(entry, now_us - EB_SUSPECT_MEMORY_US);
+        if (count_points(entry) >= EB_SUSPECT_CRASH_POINTS) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 EbSuspects_RecordAnswer(EbSuspects *suspects, EbFingerprint fingerprint,
                         bool shared, int64_t now_us)
--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -407,7 +407,7 @@
 /* Submits a request whose prompt has a common first part, the given one and
  * one of its own. Its body is its own too. */
 static uint64_t
-submit_prompt(Fixture *fixture, uint64_t part)
+submit_prompt(Fixture *fixture, const char *pipeline, uint64_t part)
 {
     fixture->submit_count++;
     fixture->parts[0] = (EbPromptPart){1, 100};
@@ -417,7 +417,7 @@
     fixture->answered = false;
     fixture->send_count = 0;
     char path[32];
-    g_snprintf(path, sizeof(path), "/once/%u", fixture->submit_count);
+    g_snprintf(path, sizeof(path), "/%s/%u", pipeline, fixture->submit_count);
     return submit(fixture, path, TOKEN);
 }
 
@@ -451,7 +451,7 @@
     open_fixture(&fixture);
     unsigned sent = 0;
     for (int i = 0; i < 20; i++) {
-        submit_prompt(&fixture, POISON_PART);
+        submit_prompt(&fixture, "once", POISON_PART);
         if (fixture.send_count > 0) {
             sent++;
             crash_server(&fixture);
@@ -460,7 +460,7 @@
             CU_ASSERT_EQUAL(fixture.reason, EB_REASON_SUSPECT_QUARANTINED);
             CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_NOT_RUN);
         }
-        submit_prompt(&fixture, SOUND_PART);
+        submit_prompt(&fixture, "once", SOUND_PART);
         CU_ASSERT_EQUAL_FATAL(fixture.send_count, 1);
         answer_request(&fixture);
         CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_DONE);
@@ -471,6 +471,51 @@
     close_fixture(&fixture);
 }
 
+/* Guards against a request that is sent again at once although it carries what
+ * may have crashed its server, and against one that waits or is refused
+ * without evidence. */
+static void
+test_repeat_awaits_evidence(void)
+{
+    static const struct {
+        int crashes; /* under the part before */
+        bool delayed;
+        bool refused;
+    } rows[] = {
+        {0, false, false},
+        {1, true, false},
+        {2, true, true}, /* by the crash that broke the call, and a report */
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Fixture fixture;
+        open_fixture(&fixture);
+        EbSuspicion crash = {.set = {{EbSuspects_PartFingerprint(7)}, 1}};
+        for (int j = 0; j < rows[i].crashes; j++) {
+            crash.server = (uint64_t)j + 1;
+            EbSuspects_Merge(fixture.suspects, &crash, fixture.now_us);
+            advance(&fixture, SECOND_US);
+        }
+        submit_prompt(&fixture, "resumable", 7);
+        CU_ASSERT_EQUAL_FATAL(fixture.send_count, 1);
+        advance(&fixture, SECOND_US / 5);
+        int64_t broken_us = fixture.now_us;
+        send_event(&fixture, &(Event){.kind = EB_ATTEMPT_BROKEN});
+        advance(&fixture, SECOND_US / 10);
+        CU_ASSERT_EQUAL(fixture.send_count, rows[i].delayed ? 1 : 2);
+        /* Another daemon saw the crash too. */
+        crash.server = (uint64_t)rows[i].crashes + 1;
+        crash.ago_us = (uint64_t)(fixture.now_us - broken_us);
+        EbSuspects_Merge(fixture.suspects, &crash, fixture.now_us);
+        advance(&fixture, SECOND_US / 5);
+        CU_ASSERT_EQUAL(fixture.send_count, rows[i].refused ? 1 : 2);
+        CU_ASSERT_EQUAL(fixture.answered, rows[i].refused);
+        if (rows[i].refused) {
+            CU_ASSERT_EQUAL(fixture.reason, EB_REASON_SUSPECT_QUARANTINED);
+        }
+        close_fixture(&fixture);
+    }
+}
+
 /* Guards against a broken connection that counts as a crash of its server
  * although another call goes on there. */
 static void
@@ -481,14 +526,14 @@
     EbConfig *one_server = make_config();
     one_server->pools[0].server_count = 1;
     EbDispatcher_SetConfig(fixture.dispatcher, one_server, fixture.now_us);
-    uint64_t running = submit_prompt(&fixture, 2);
+    uint64_t running = submit_prompt(&fixture, "once", 2);
     advance(&fixture, SECOND_US / 5);
-    submit_prompt(&fixture, 3);
+    submit_prompt(&fixture, "once", 3);
     CU_ASSERT_EQUAL_FATAL(fixture.send_count, 1);
     crash_server(&fixture);
     CU_ASSERT_EQUAL(EbSuspects_NextTimer(fixture.suspects), INT64_MAX);
     EbDispatcher_CallerGone(fixture.dispatcher, running, fixture.now_us);
-    submit_prompt(&fixture, 3);
+    submit_prompt(&fixture, "once", 3);
     CU_ASSERT_EQUAL_FATAL(fixture.send_count, 1);
     crash_server(&fixture);
     CU_ASSERT_EQUAL(EbSuspects_NextTimer(fixture.suspects), 0);
@@ -948,6 +993,7 @@
 {
     static const EbTestCase cases[] = {
         {"a prompt part crashes servers", test_prompt_part_crashes_servers},
+        {"a repeat awaits evidence", test_repeat_awaits_evidence},
         {"single broken call", test_single_broken_call},
         {"refusals", test_refusals},
         {"first attempt", test_first_attempt},
--- a/src/test_suspects/fleet.c
+++ b/src/test_suspects/fleet.c
@@ -27,6 +27,10 @@
 #define MIN_MESSAGE_DELAY_US 1000
 #define MAX_MESSAGE_DELAY_US 50000
 #define CONTACT_US INT64_C(3000000)
+/* Until a call that broke before its answer is repeated, and the same if one
+ * of its suspects is doubted. */
+#define REPEAT_DELAY_US 20000
+#define DOUBTED_REPEAT_DELAY_US 150000
 
 typedef struct {
     EbQuarantine *quarantine;
@@ -40,7 +44,8 @@
     uint64_t parts[PARTS];
     bool poison;
     bool answering;
-    int64_t next_us; /* begin or end of the answer */
+    bool repeated;
+    int64_t next_us; /* the repeat, or the begin or end of the answer */
 } Call;
 
 typedef struct {
@@ -67,6 +72,7 @@
     EbRandom delay_random;
     Daemon daemons[MAX_DAEMONS];
     GArray *calls;
+    GArray *repeats; /* of Call */
     GArray *broken;
     GArray *messages;
     int64_t back_us[SERVER_COUNT];
@@ -105,6 +111,32 @@
     EbQuarantine_Free(daemon->quarantine);
 }
 
+static EbSuspectSet
+make_set(const uint64_t parts[PARTS])
+{
+    EbSuspectSet set = {0};
+    for (uint32_t i = 0; i < PARTS; i++) {
+        if (parts[i] != 0) {
+            set.fingerprints[set.count++] =
+                EbSuspects_PartFingerprint(parts[i]);
+        }
+    }
+    return set;
+}
+
+static void
+schedule_repeat(Fleet *fleet, const Call *call)
+{
+    EbSuspectSet set = make_set(call->parts);
+    bool doubted = EbSuspects_AreDoubted(fleet->daemons[call->daemon].suspects,
+                                         &set, fleet->now_us);
+    Call repeat = *call;
+    repeat.repeated = true;
+    repeat.next_us =
+        fleet->now_us + (doubted ? DOUBTED_REPEAT_DELAY_US : REPEAT_DELAY_US);
+    g_array_append_val(fleet->repeats, repeat);
+}
+
 static void
 break_call(Fleet *fleet, guint index)
 {
@@ -125,6 +157,9 @@
         }
     }
     g_array_append_val(fleet->broken, broken);
+    if (!call->answering && !call->repeated) {
+        schedule_repeat(fleet, call);
+    }
     g_array_remove_index_fast(fleet->calls, index);
 }
 
@@ -146,19 +181,6 @@
     fleet->starts[server]++;
 }
 
-static EbSuspectSet
-make_set(const uint64_t parts[PARTS])
-{
-    EbSuspectSet set = {0};
-    for (uint32_t i = 0; i < PARTS; i++) {
-        if (parts[i] != 0) {
-            set.fingerprints[set.count++] =
-                EbSuspects_PartFingerprint(parts[i]);
-        }
-    }
-    return set;
-}
-
 static void
 count_request(Fleet *fleet, const Call *call, bool refused)
 {
@@ -169,6 +191,9 @@
         result->late_poison_sends += !refused && after_us >= CONTACT_US;
         return;
     }
+    if (call->repeated) {
+        return;
+    }
     result->sound++;
     result->sound_refused += refused;
     if (after_us >= 2 * CONTACT_US && call->parts[0] == POISON_FIRST_PART) {
@@ -177,6 +202,35 @@
     }
 }
 
+/* Returns a server that is up, or one that is down if all are. */
+static uint32_t
+choose_server(Fleet *fleet)
+{
+    uint32_t first = (uint32_t)EbRandom_Below(&fleet->random, SERVER_COUNT);
+    for (uint32_t i = 0; i < SERVER_COUNT; i++) {
+        uint32_t server = (first + i) % SERVER_COUNT;
+        if (fleet->back_us[server] <= fleet->now_us) {
+            return server;
+        }
+    }
+    return first;
+}
+
+static void
+send_call(Fleet *fleet, Call *call)
+{
+    call->server = choose_server(fleet);
+    call->next_us = fleet->now_us + 1 +
+                    (int64_t)EbRandom_Below(&fleet->random, MAX_PREFILL_US);
+    EbSuspectSet set = make_set(call->parts);
+    bool refused = EbSuspects_Blocks(fleet->daemons[call->daemon].suspects,
+                                     &set, fleet->now_us);
+    count_request(fleet, call, refused);
+    if (!refused && fleet->back_us[call->server] <= fleet->now_us) {
+        g_array_append_val(fleet->calls, *call);
+    }
+}
+
 static void
 start_request(Fleet *fleet)
 {
@@ -184,11 +238,8 @@
     Call call = {
         .daemon =
             (uint32_t)EbRandom_Below(random, fleet->options->daemon_count),
-        .server = (uint32_t)EbRandom_Below(random, SERVER_COUNT),
         .parts = {POISON_FIRST_PART + EbRandom_Below(random, FIRST_PARTS),
-                  10 + EbRandom_Below(random, MIDDLE_PARTS)},
-        .next_us = fleet->now_us + 1 +
-                   (int64_t)EbRandom_Below(random, MAX_PREFILL_US)};
+                  10 + EbRandom_Below(random, MIDDLE_PARTS)}};
     bool with_part =
         EbRandom_Below(random, 100) < fleet->options->poison_percent;
     call.poison = with_part && fleet->now_us >= POISON_FROM_US;
@@ -201,15 +252,18 @@
         (with_part || EbRandom_Below(random, 100) < 2)) {
         call.parts[1] = COMPANION_PART;
     }
-    while (fleet->back_us[call.server] > fleet->now_us) {
-        call.server = (call.server + 1) % SERVER_COUNT;
-    }
-    const Daemon *daemon = &fleet->daemons[call.daemon];
-    EbSuspectSet set = make_set(call.parts);
-    bool refused = EbSuspects_Blocks(daemon->suspects, &set, fleet->now_us);
-    count_request(fleet, &call, refused);
-    if (!refused) {
-        g_array_append_val(fleet->calls, call);
+    send_call(fleet, &call);
+}
+
+static void
+send_repeats(Fleet *fleet)
+{
+    for (guint i = fleet->repeats->len; i > 0; i--) {
+        Call call = g_array_index(fleet->repeats, Call, i - 1);
+        if (call.next_us <= fleet->now_us) {
+            g_array_remove_index_fast(fleet->repeats, i - 1);
+            send_call(fleet, &call);
+        }
     }
 }
 
@@ -371,6 +425,7 @@
     if (EbRandom_Below(&fleet->random, 1000) < REQUESTS_PER_STEP_PERMILLE) {
         start_request(fleet);
     }
+    send_repeats(fleet);
     crash_servers(fleet);
     if (fleet->now_us == options->restart_daemon_us && fleet->now_us > 0) {
         close_daemon(&fleet->daemons[0]);
@@ -393,6 +448,7 @@
     EbRandom_Init(&fleet.random, options->seed);
     EbRandom_Init(&fleet.delay_random, options->seed);
     fleet.calls = g_array_new(FALSE, FALSE, sizeof(Call));
+    fleet.repeats = g_array_new(FALSE, FALSE, sizeof(Call));
     fleet.broken = g_array_new(FALSE, FALSE, sizeof(Broken));
     fleet.messages = g_array_new(FALSE, FALSE, sizeof(Message));
     for (uint32_t i = 0; i < options->daemon_count; i++) {
@@ -405,6 +461,7 @@
         close_daemon(&fleet.daemons[i]);
     }
     g_array_free(fleet.calls, TRUE);
+    g_array_free(fleet.repeats, TRUE);
     g_array_free(fleet.broken, TRUE);
     g_array_free(fleet.messages, TRUE);
     return fleet.result;
--- a/src/test_suspects/main.c
+++ b/src/test_suspects/main.c
@@ -118,6 +118,30 @@
     }
 }
 
+/* Guards against suspects that are doubted by a single broken connection, or
+ * still after an answer or long after the crash. */
+static void
+test_doubts(void)
+{
+    static const struct {
+        const char *steps;
+        bool doubted;
+    } rows[] = {
+        {"", false},    {"+", false},   {"A", false},    {"A.B", true},
+        {"a", true},    {"a.+", false}, {"a.+.b", true}, {"+.a", true},
+        {"a--", false}, {"Aa", true},   {"a-", true},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Fixture fixture;
+        open_fixture(&fixture, 0);
+        play(&fixture, rows[i].steps);
+        CU_ASSERT_EQUAL(EbSuspects_AreDoubted(fixture.suspects, &suspect_set,
+                                              fixture.now_us),
+                        rows[i].doubted);
+        close_fixture(&fixture);
+    }
+}
+
 /* Guards against evidence of another daemon that is lost, counted twice, or
  * taken as newer than it is. */
 static void
@@ -510,6 +534,7 @@
 {
     static const EbTestCase cases[] = {
         {"evidence", test_evidence},
+        {"doubts", test_doubts},
         {"evidence of other daemons", test_merge},
         {"parts that come together", test_parts_that_come_together},
         {"quarantine by evidence of others",
