backend_client: responses without end are read up to a limit

What callers and operators of the own interface could meet: a backend server in trouble sends bytes without end that are no response. Interim responses, a chunk size, a chunk extension and empty lines between chunks were read until the call's time-out, and a line without end filled the memory.

Cause: evhttp limits the head and the body, but not what comes between them, and it keeps a line until its end arrives. Besides, it takes an interim response other than 100 for the final one, after which the connection was used again while its response could still come.

The connection counts what it received in a call: unread bytes are limited by head and body together, all bytes by the head and eight times the body. Interim responses end the call as malformed, and close the connection.

--- a/src/libebonyhollow_net/backend_client.c
+++ b/src/libebonyhollow_net/backend_client.c
@@ -280,6 +280,13 @@
     return 0;
 }
 
+/* evhttp waits for the final response after status 100 only. */
+static bool
+is_interim(struct evhttp_request *request)
+{
+    return evhttp_request_get_response_code(request) < HTTP_OK;
+}
+
 /* Ends an attempt whose response was received completely. */
 static void
 finish_response(Attempt *attempt, struct evhttp_request *request)
@@ -289,6 +296,10 @@
         finish_attempt(attempt, EB_ATTEMPT_BROKEN, NULL);
         return;
     }
+    if (is_interim(request)) {
+        finish_attempt(attempt, EB_ATTEMPT_MALFORMED, NULL);
+        return;
+    }
     struct evbuffer *input = evhttp_request_get_input_buffer(request);
     size_t length = evbuffer_get_length(input);
     const char *bytes = (const char *)evbuffer_pullup(input, -1);
@@ -331,7 +342,7 @@
         EbBackendConnection_CloseLater(connection);
         return;
     }
-    bool reusable = attempt->parser == NULL;
+    bool reusable = attempt->parser == NULL && !is_interim(request);
     finish_response(attempt, request);
     if (reusable) {
         EbBackendConnection_Release(connection);
@@ -341,6 +352,15 @@
     }
 }
 
+static void
+on_overflow(EbBackendConnection *connection)
+{
+    Attempt *attempt = connection->attempt;
+    attempt->request = NULL;
+    finish_attempt(attempt, EB_ATTEMPT_MALFORMED, NULL);
+    EbBackendConnection_CloseLater(connection);
+}
+
 static void
 on_connect_timeout(evutil_socket_t fd, short what, void *arg)
 {
@@ -425,6 +445,7 @@
     attempt->text = g_string_new(NULL);
     connection->attempt = attempt;
     connection->wrote = false;
+    connection->received_bytes = 0;
     g_hash_table_insert(client->attempts, &attempt->id, attempt);
     if (opened) {
         struct timeval limit =
@@ -526,7 +547,7 @@
     EB_SET_DEFAULT(resolved->max_body_bytes, DEFAULT_MAX_BODY_BYTES);
     client->attempts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_attempt);
-    client->connections = EbBackendConnections_New(resolved);
+    client->connections = EbBackendConnections_New(resolved, on_overflow);
     client->paused_event =
         event_new(resolved->base, -1, EV_PERSIST, on_paused_timer, client);
     return client;
--- a/src/libebonyhollow_net/backend_connection.c
+++ b/src/libebonyhollow_net/backend_connection.c
@@ -13,6 +13,9 @@
  * after [DONE]. */
 #define STREAM_TAIL_TIMEOUT_US (1000LL * 1000)
 
+/* A body may come in chunks of one byte, each with six bytes in all. */
+#define MAX_BYTES_PER_BODY_BYTE 8
+
 typedef struct EbBackendServer {
     char *id;
     char *host;
@@ -23,6 +26,7 @@
 
 struct EbBackendConnections {
     const EbBackendClientOptions *options;
+    EbBackendOverflowHandler overflow;
     GHashTable *servers;     /* id -> Server */
     GHashTable *connections; /* set of EbBackendConnection */
     GQueue close_pending;    /* of EbBackendConnection */
@@ -134,6 +138,28 @@
     }
 }
 
+/* evhttp limits the head and the body of a response, but neither what comes
+ * between them, such as interim responses and chunk extensions, nor a line
+ * that it waits for the end of. */
+static void
+on_input(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+         void *arg)
+{
+    EbBackendConnection *connection = arg;
+    const EbBackendClientOptions *options = connection->pool->options;
+    connection->received_bytes += info->n_added;
+    size_t max_unparsed_bytes =
+        options->max_header_bytes + options->max_body_bytes;
+    size_t max_received_bytes =
+        options->max_header_bytes +
+        MAX_BYTES_PER_BODY_BYTE * options->max_body_bytes;
+    if (info->n_added > 0 && connection->attempt != NULL &&
+        (evbuffer_get_length(buffer) > max_unparsed_bytes ||
+         connection->received_bytes > max_received_bytes)) {
+        connection->pool->overflow(connection);
+    }
+}
+
 static void
 on_closed(struct evhttp_connection *evcon, void *arg)
 {
@@ -186,6 +212,7 @@
     struct bufferevent *bufev =
         evhttp_connection_get_bufferevent(connection->evcon);
     evbuffer_add_cb(bufferevent_get_output(bufev), on_output, connection);
+    evbuffer_add_cb(bufferevent_get_input(bufev), on_input, connection);
     g_hash_table_add(pool->connections, connection);
     server->connections++;
     return connection;
@@ -245,10 +272,12 @@
 }
 
 EbBackendConnections *
-EbBackendConnections_New(const EbBackendClientOptions *options)
+EbBackendConnections_New(const EbBackendClientOptions *options,
+                         EbBackendOverflowHandler overflow)
 {
     EbBackendConnections *pool = g_new0(EbBackendConnections, 1);
     pool->options = options;
+    pool->overflow = overflow;
     pool->servers =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_server);
     pool->connections = g_hash_table_new(NULL, NULL);
--- a/src/libebonyhollow_net/private/backend_connection.h
+++ b/src/libebonyhollow_net/private/backend_connection.h
@@ -18,17 +18,23 @@
     struct EbBackendServer *server;
     struct evhttp_connection *evcon;
     struct EbBackendAttempt *attempt; /* NULL while idle or closing */
-    GList *idle_link;   /* in the server's idle queue; NULL while not idle */
-    bool wrote;         /* a byte of the current call was written */
-    bool closed;        /* evhttp closed the socket */
-    bool close_pending; /* freed in the next iteration of the event loop */
+    GList *idle_link; /* in the server's idle queue; NULL while not idle */
+    bool wrote;       /* a byte of the current call was written */
+    size_t received_bytes; /* in the current call */
+    bool closed;           /* evhttp closed the socket */
+    bool close_pending;    /* freed in the next iteration of the event loop */
     int64_t call_ended_us;
 } EbBackendConnection;
 
+/* Called when more was received in a call than a response can have. The
+ * connection is still in use by evhttp. */
+typedef void (*EbBackendOverflowHandler)(EbBackendConnection *connection);
+
 /* The options must outlive the connections. Members that are 0 must have been
  * replaced by their defaults. */
 EbBackendConnections *
-EbBackendConnections_New(const EbBackendClientOptions *options);
+EbBackendConnections_New(const EbBackendClientOptions *options,
+                         EbBackendOverflowHandler overflow);
 void EbBackendConnections_Free(EbBackendConnections *pool);
 
 /* Returns a connection for a call: an idle one if there is one and the call
--- a/src/test_backend_client/main.c
+++ b/src/test_backend_client/main.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <glib.h>
 
@@ -16,6 +18,8 @@
     "Transfer-Encoding: chunked\r\nEb-Request-Id: r-1\r\nEb-Stage: 2\r\n"     \
     "Eb-Attempt: 7\r\nEb-Load: 3/4\r\nEb-Leaving: 1\r\n\r\n"
 
+#define CHUNKED_HEAD "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 typedef struct {
     uint64_t id;
     EbAttemptEventKind kind;
@@ -40,6 +44,8 @@
     unsigned wanted_ends;
     unsigned wanted_closed;
     unsigned chunk_bytes; /* of the stream test's response */
+    const struct EndlessResponse *endless;
+    RawPeer *endless_peer; /* once the response was sent to it */
 } Fixture;
 
 static void
@@ -469,6 +475,87 @@
     close_fixture(&fixture);
 }
 
+typedef struct EndlessResponse {
+    const char *name;
+    bool stream;
+    const char *start;
+    const char *unit; /* comes again and again */
+} EndlessResponse;
+
+#define ENDLESS_RESPONSE_BYTES 4194304 /* far above every limit */
+
+static void
+send_endless_response(RawPeer *peer, const char *request)
+{
+    Fixture *fixture = peer->server->context;
+    (void)request;
+    GString *text = g_string_new(fixture->endless->start);
+    while (text->len < ENDLESS_RESPONSE_BYTES) {
+        g_string_append(text, fixture->endless->unit);
+    }
+    RawPeer_Send(peer, text->str);
+    fixture->endless_peer = peer;
+    g_string_free(text, TRUE);
+}
+
+/* Returns whether the call has ended, or the client has read everything. */
+static bool
+has_ended_or_read_all(void *context)
+{
+    const Fixture *fixture = context;
+    if (fixture->ends > 0 || fixture->server->closed > 0) {
+        return true;
+    }
+    return fixture->endless_peer != NULL &&
+           evbuffer_get_length(
+               bufferevent_get_output(fixture->endless_peer->bufev)) == 0;
+}
+
+/* Guards against bytes without end that are no response and are read until the
+ * call's time-out, which fills the memory. */
+static void
+test_endless_responses(void)
+{
+    static const EndlessResponse rows[] = {
+        {"empty lines before the status line", false, "", "\r\n"},
+        {"status line", false, "HTTP/1.1 200 ", "aaaaaaaa"},
+        {"header name", false, "HTTP/1.1 200 OK\r\n", "aaaaaaaa"},
+        {"header value", false, "HTTP/1.1 200 OK\r\nX: ", "aaaaaaaa"},
+        {"headers", false, "HTTP/1.1 200 OK\r\n", "X: a\r\n"},
+        {"interim responses", false, "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"interim responses with headers", false, "",
+         "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
+        {"body", false, "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaa"},
+        {"chunk size", false, CHUNKED_HEAD, "00000000"},
+        {"chunk extension", false, CHUNKED_HEAD "1;", "aaaaaaaa"},
+        {"chunk extensions", false, CHUNKED_HEAD,
+         "1;aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\na\r\n"},
+        {"empty lines between chunks", false, CHUNKED_HEAD, "\r\n"},
+        {"trailers", false, CHUNKED_HEAD "0\r\n", "X: a\r\n"},
+        {"stream of comments", true, STREAM_HEAD, "3\r\n:\n\n\r\n"},
+        {"stream of empty lines", true, STREAM_HEAD, "1\r\n\n\r\n"},
+        {"stream of one line", true, STREAM_HEAD, "4\r\naaaa\r\n"},
+        {"stream, chunk extension", true, STREAM_HEAD "1;", "aaaaaaaa"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Fixture fixture;
+        open_fixture(&fixture, send_endless_response);
+        fixture.endless = &rows[i];
+        send_call(&fixture, 1, fixture.server->port, rows[i].stream, false);
+        CU_ASSERT_TRUE(
+            Loop_Until(fixture.base, has_ended_or_read_all, &fixture));
+        bool failed =
+            fixture.ends == 1 && fixture.seen[0].kind != EB_ATTEMPT_ANSWERED;
+        if (!failed) {
+            printf("%s: %u ends, kind %d, status %u\n", rows[i].name,
+                   fixture.ends, (int)fixture.seen[0].kind,
+                   fixture.seen[0].status);
+        }
+        CU_ASSERT_TRUE(failed);
+        close_fixture(&fixture);
+    }
+}
+
 int
 main(void)
 {
@@ -482,6 +569,7 @@
         {"bad responses", test_bad_responses},
         {"silent and cancel", test_silent_and_cancel},
         {"pause", test_pause},
+        {"endless responses", test_endless_responses},
     };
     return EbTest_Run("test_backend_client", cases,
                       sizeof(cases) / sizeof(cases[0]));
