--- /dev/null
+++ b/src/test_forward/preparations.c
@@ -0,0 +1,142 @@
+/* Tests of requests whose inputs are prepared in stages. */
+#include <glib.h>
+
+#include "forward.h"
+#include "test_runner.h"
+
+static void
+end_preparation(Fixture *fixture, unsigned index, EbPreparedStatus status,
+                char *const *handles, uint32_t count)
+{
+    EbDispatcher_PreparationEnded(fixture->dispatcher, fixture->jobs[index],
+                                  status, handles, count, fixture->now_us);
+    Fixture_ProcessActions(fixture);
+}
+
+static char *results_a[] = {"a0"};
+static char *results_b[] = {"b0", "b1"};
+static char *results_c[] = {"c0"};
+
+/* Opens the fixture and submits a request with three preparations: a, b, and
+ * c, which takes the results of b as input. */
+static void
+open_staged(Fixture *fixture)
+{
+    Fixture_Open(fixture);
+    Fixture_Submit(fixture, "/staged/x", TOKEN);
+}
+
+/* Guards against a call that is sent before its inputs are ready, with the
+ * results of a stage that only feeds another stage, or with inputs in the
+ * wrong order, and against results that are kept after their use. */
+void
+test_preparations(void)
+{
+    Fixture fixture;
+    open_staged(&fixture);
+    CU_ASSERT_EQUAL_FATAL(fixture.job_count, 2);
+    end_preparation(&fixture, 1, EB_PREPARED_OK, results_b, 2);
+    CU_ASSERT_EQUAL_FATAL(fixture.job_count, 3);
+    CU_ASSERT_EQUAL(fixture.job_stages[2], 2);
+    static const uint64_t moved_bytes[] = {7, 100, 2 * 100 + 5};
+    for (unsigned i = 0; i < 3; i++) {
+        CU_ASSERT_EQUAL(fixture.job_bytes[i],
+                        moved_bytes[fixture.job_stages[i]]);
+        CU_ASSERT_EQUAL(fixture.job_near_inputs[i],
+                        fixture.job_stages[i] == 2);
+    }
+    end_preparation(&fixture, 2, EB_PREPARED_OK, results_c, 1);
+    CU_ASSERT_EQUAL(fixture.ended_count, 1); /* b has been used */
+    CU_ASSERT_EQUAL(fixture.send_count, 0);
+    end_preparation(&fixture, 0, EB_PREPARED_OK, results_a, 1);
+    CU_ASSERT_EQUAL_FATAL(fixture.send_count, 1);
+    CU_ASSERT_STRING_EQUAL(fixture.inputs, "a0 c0 ");
+    Fixture_SendEvent(&fixture,
+                      &(Event){.kind = EB_ATTEMPT_ANSWERED, .status = 200});
+    CU_ASSERT_EQUAL(fixture.ended_count, 3);
+    CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_DONE);
+    Fixture_Close(&fixture);
+}
+
+/* Guards against results that occupy memory at their server because they were
+ * prepared long before the end of a longer chain of preparations. */
+void
+test_early_preparation(void)
+{
+    Fixture fixture;
+    Fixture_Open(&fixture);
+    fixture.config->pools[1].batch.call_us = SECOND_US / 4;
+    EbConfig_PlanPreparations(fixture.config);
+    Fixture_Submit(&fixture, "/staged/x", TOKEN);
+    CU_ASSERT_EQUAL(fixture.job_count, 1);
+    CU_ASSERT_EQUAL(fixture.job_stages[0], 1);
+    end_preparation(&fixture, 0, EB_PREPARED_OK, results_b, 2);
+    CU_ASSERT_EQUAL(fixture.job_count, 3);
+    Fixture_Close(&fixture);
+}
+
+/* Guards against preparing what can't lead to an answer in time: a stage's
+ * deadline must leave the time that the stages after it take at least. */
+void
+test_useless_preparations(void)
+{
+    Fixture fixture;
+    Fixture_Open(&fixture);
+    EbConfigForward *staged = fixture.config->pipelines[4].forward;
+    staged->preparations[1].downstream_min_us = 210000;
+    Fixture_Submit(&fixture, "/staged/x", TOKEN);
+    int64_t deadline_us = fixture.now_us + 6 * SECOND_US;
+    end_preparation(&fixture, 1, EB_PREPARED_OK, results_b, 2);
+    CU_ASSERT_EQUAL_FATAL(fixture.job_count, 3);
+    for (unsigned i = 0; i < 3; i++) {
+        bool has_next = fixture.job_stages[i] == 1;
+        CU_ASSERT_EQUAL(fixture.job_deadlines_us[i],
+                        deadline_us - (has_next ? 210000 : 0));
+    }
+    Fixture_Close(&fixture);
+}
+
+/* Guards against a second call when a home reports the end of a preparation
+ * twice, before and after its link broke. */
+void
+test_prepared_twice(void)
+{
+    Fixture fixture;
+    open_staged(&fixture);
+    end_preparation(&fixture, 1, EB_PREPARED_OK, results_b, 2);
+    end_preparation(&fixture, 2, EB_PREPARED_OK, results_c, 1);
+    end_preparation(&fixture, 0, EB_PREPARED_OK, results_a, 1);
+    CU_ASSERT_EQUAL(fixture.send_count, 1);
+    end_preparation(&fixture, 0, EB_PREPARED_OK, results_a, 1);
+    end_preparation(&fixture, 2, EB_PREPARED_LATE, NULL, 0);
+    CU_ASSERT_EQUAL(fixture.send_count, 1);
+    CU_ASSERT_FALSE(fixture.answered);
+    Fixture_Close(&fixture);
+}
+
+/* Guards against a request that fails at the first loss of a prepared result,
+ * and against an outcome other than "not run" when no server ran its call. */
+void
+test_lost_results(void)
+{
+    Fixture fixture;
+    open_staged(&fixture);
+    end_preparation(&fixture, 1, EB_PREPARED_OK, results_b, 2);
+    end_preparation(&fixture, 0, EB_PREPARED_OK, results_a, 1);
+    end_preparation(&fixture, 2, EB_PREPARED_INPUT_GONE, NULL, 0);
+    CU_ASSERT_EQUAL_FATAL(fixture.job_count, 5);
+    end_preparation(&fixture, 3, EB_PREPARED_OK, results_a, 1);
+    end_preparation(&fixture, 4, EB_PREPARED_OK, results_b, 2);
+    end_preparation(&fixture, 5, EB_PREPARED_OK, results_c, 1);
+    CU_ASSERT_EQUAL_FATAL(fixture.send_count, 1);
+    Fixture_SendEvent(
+        &fixture,
+        &(Event){.kind = EB_ATTEMPT_ANSWERED, .status = 409, .not_run = true});
+    Fixture_Advance(&fixture, SECOND_US);
+    CU_ASSERT_EQUAL_FATAL(fixture.job_count, 8);
+    end_preparation(&fixture, 6, EB_PREPARED_FAILED, NULL, 0);
+    CU_ASSERT_TRUE(fixture.answered);
+    CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_NOT_RUN);
+    CU_ASSERT_EQUAL(fixture.send_count, 1);
+    Fixture_Close(&fixture);
+}
