--- a/src/test_ledger/main.c
+++ b/src/test_ledger/main.c
@@ -351,14 +351,22 @@
     }
 }
 
+/* Claims the key "k" at the first daemon. Returns the claim. */
+static uint64_t
+own_key(Simulation *simulation)
+{
+    uint64_t claim = claim_key(simulation, 0, "k", "{}");
+    run_for(simulation, 0, 20000);
+    CU_ASSERT_EQUAL(pop_only_result(simulation, 0).kind, EB_LEDGER_OWNED);
+    return claim;
+}
+
 /* Guards against requests with different bodies that run under one key. */
 static void
 test_different_body(void)
 {
     Simulation *simulation = new_simulation(1);
-    uint64_t claim = claim_key(simulation, 0, "k", "{}");
-    run_for(simulation, 0, 20000);
-    pop_only_result(simulation, 0);
+    uint64_t claim = own_key(simulation);
     claim_key(simulation, 0, "k", "{\"a\":1}");
     CU_ASSERT_EQUAL(pop_only_result(simulation, 0).kind,
                     EB_LEDGER_BODY_DIFFERS);
@@ -404,9 +412,7 @@
 test_same_daemon(void)
 {
     Simulation *simulation = new_simulation(1);
-    uint64_t first = claim_key(simulation, 0, "k", "{}");
-    run_for(simulation, 0, 20000);
-    pop_only_result(simulation, 0);
+    uint64_t first = own_key(simulation);
     claim_key(simulation, 0, "k", "{}");
     EbLedgerResult held = pop_only_result(simulation, 0);
     CU_ASSERT_EQUAL(held.kind, EB_LEDGER_HELD);
@@ -486,9 +492,7 @@
 test_retention(void)
 {
     Simulation *simulation = new_simulation(1);
-    uint64_t claim = claim_key(simulation, 0, "k", "{}");
-    run_for(simulation, 0, 20000);
-    pop_only_result(simulation, 0);
+    uint64_t claim = own_key(simulation);
     EbLedger_Finish(simulation->daemons[0].ledger, claim, EB_OUTCOME_DONE,
                     EB_REASON_NONE, NULL, simulation->now_us);
     run_for(simulation, 0, 20000);
--- a/src/test_share/main.c
+++ b/src/test_share/main.c
@@ -287,16 +287,23 @@
     json_decref(line);
 }
 
+/* Returns a log that writes to a pipe. */
+static EbLog *
+open_log(int ends[2])
+{
+    CU_ASSERT_EQUAL_FATAL(pipe(ends), 0);
+    return EbLog_New(&(EbLogOptions){.level = EB_LEVEL_DEBUG,
+                                     .descriptor = ends[1],
+                                     .clock_us = read_virtual_time});
+}
+
 /* Guards against a repeated event that fills the log, and against events that
  * are suppressed without being counted. */
 static void
 test_log_rate_limit(void)
 {
     int ends[2];
-    CU_ASSERT_EQUAL_FATAL(pipe(ends), 0);
-    EbLog *log = EbLog_New(&(EbLogOptions){.level = EB_LEVEL_DEBUG,
-                                           .descriptor = ends[1],
-                                           .clock_us = read_virtual_time});
+    EbLog *log = open_log(ends);
     virtual_time_us = 5000000;
     for (int i = 0; i < EB_LOG_EVENT_BURST + 30; i++) {
         EB_EMIT(EbLog_Sink(log), EB_EVENT_LATE_ANSWER_DROPPED,
@@ -323,10 +330,7 @@
 test_log_full_output(void)
 {
     int ends[2];
-    CU_ASSERT_EQUAL_FATAL(pipe(ends), 0);
-    EbLog *log = EbLog_New(&(EbLogOptions){.level = EB_LEVEL_DEBUG,
-                                           .descriptor = ends[1],
-                                           .clock_us = read_virtual_time});
+    EbLog *log = open_log(ends);
     virtual_time_us = 5000000;
     for (int i = 0; i < 2000; i++) { /* far more than a pipe holds */
         virtual_time_us += 10000;
--- a/src/test_suspects/main.c
+++ b/src/test_suspects/main.c
@@ -214,6 +214,18 @@
     close_fixture(&fixture);
 }
 
+/* Quarantines the suspect by three crashes that other daemons report. */
+static void
+quarantine_by_reports(Fixture *fixture, int64_t between_us)
+{
+    for (uint64_t server = 1; server <= 3; server++) {
+        EbSuspicion crash = {suspect_set, server, false, 0};
+        EbSuspects_Merge(fixture->suspects, &crash, fixture->now_us);
+        fixture->now_us += between_us;
+    }
+    CU_ASSERT_TRUE(is_quarantined(fixture, SUSPECT));
+}
+
 /* Guards against a quarantine that daemons without the evidence never learn
  * of, since the daemon that saw the last crash had lost the earlier ones, and
  * against one that every daemon tells the others about. */
@@ -223,12 +235,7 @@
     for (int told = 0; told <= 1; told++) {
         Fixture fixture;
         open_fixture(&fixture, 0);
-        for (uint64_t server = 1; server <= 3; server++) {
-            EbSuspicion crash = {suspect_set, server, false, 0};
-            EbSuspects_Merge(fixture.suspects, &crash, fixture.now_us);
-            fixture.now_us += SECOND_US;
-        }
-        CU_ASSERT_TRUE(is_quarantined(&fixture, SUSPECT));
+        quarantine_by_reports(&fixture, SECOND_US);
         if (told) {
             EbQuarantineEntry entry = {SUSPECT, 3, EB_FINGERPRINT_QUARANTINED,
                                        EB_QUARANTINE_DURATION_US};
@@ -252,12 +259,7 @@
     for (int told = 0; told <= 1; told++) {
         Fixture fixture;
         open_fixture(&fixture, 0);
-        for (uint64_t server = 1; server <= 3; server++) {
-            EbSuspicion crash = {suspect_set, server, false, 0};
-            EbSuspects_Merge(fixture.suspects, &crash, fixture.now_us);
-            fixture.now_us += SECOND_US / 10;
-        }
-        CU_ASSERT_TRUE(is_quarantined(&fixture, SUSPECT));
+        quarantine_by_reports(&fixture, SECOND_US / 10);
         EbSuspicion answer = {suspect_set, 0, false, 1000};
         EbSuspects_Merge(fixture.suspects, &answer, fixture.now_us);
         CU_ASSERT_FALSE(is_quarantined(&fixture, SUSPECT));
