test_simulation: files of their own for daemons, callers and faults

Functions are moved; those that other files call now are named Simulation_*. Assertions of test_fault_matrix and test_dispatcher as before.

--- a/src/test_simulation/simulation_private.h
+++ b/src/test_simulation/simulation_private.h
@@ -65,12 +65,44 @@
 /* Returns a random delay for one message, in microseconds. */
 int64_t Simulation_Latency(Simulation *simulation);
 
+/* simulation_daemon.c */
+
+/* EbEventSink callback; `context` is the simulation. */
+void Simulation_LogEvent(void *context, EbEventId event,
+                         const EbEventField *fields, size_t field_count);
+void Simulation_StartDaemon(Simulation *simulation, uint32_t index);
+void Simulation_StopDaemon(SimulationDaemon *daemon);
+
+/* Tells a daemon that asked a claim's owner if the owner is unreachable. */
+void Simulation_CheckOwner(Simulation *simulation, SimulationEvent *event);
+
+/* simulation_caller.c */
+
+/* Checks that the outcome agrees with the backend servers' own record. */
+void Simulation_CheckAnswer(Simulation *simulation, uint32_t daemon,
+                            const EbAnswer *answer);
+
+/* Checks that the tokens are the next ones of their request. */
+void Simulation_CheckRelay(Simulation *simulation, uint32_t daemon,
+                           const EbRelay *relay);
+
+/* simulation_fault.c */
+
 /* Returns the fault that happens to a message: the first injected one that
  * remains for the step, otherwise a random one or FAULT_NONE.
  *
  * store: the message goes to the store, not to a backend server. */
 Fault Simulation_ChooseFault(Simulation *simulation, Step step, bool store);
 
+/* With the probability of a random fault, makes the owner unreachable, or its
+ * reply out of date or without a body. */
+void Simulation_InjectOwnerReplyFault(Simulation *simulation,
+                                      SimulationEvent *event);
+
+/* Lets the fault of an EVENT_TRIGGER happen. */
+void Simulation_CauseFault(Simulation *simulation,
+                           const SimulationEvent *event);
+
 /* simulation_backend.c */
 void Simulation_SendCall(Simulation *simulation, uint32_t daemon,
                          const EbSendAttempt *send);
