suspects: what several daemons may tell is spread by their number

Cause: after a crash each daemon that knows of an answer to one of the suspects tells the others after up to 0.1 s, unless it has heard of it; the same holds for releases and confirmations. The more daemons, the more tell before they have heard: of 300 that all know, about half within 50 ms. Each tells all others, so the messages grow with the square of the daemons.

The time is 12.5 ms for each daemon now, 0.1 s at least, so that four daemons tell on average if a message takes 50 ms, in a fleet of any size. The first one tells as early as before if many know.

--- a/include/servers/ebonyhollow/suspects.h
+++ b/include/servers/ebonyhollow/suspects.h
@@ -74,6 +74,11 @@
 /* Accepts NULL. */
 void EbSuspects_Free(EbSuspects *suspects);
 
+/* Sets how many daemons exchange evidence, this one included; 0 at first. What
+ * several of them may tell is spread over a time that grows with their number,
+ * so that a constant number tells it before the others have heard of it. */
+void EbSuspects_SetDaemonCount(EbSuspects *suspects, uint32_t daemon_count);
+
 /* Returns the fingerprint of a part of a prompt. */
 EbFingerprint EbSuspects_PartFingerprint(uint64_t part_id);
 
--- a/src/libebonyhollow/servers/crash_witness.c
+++ b/src/libebonyhollow/servers/crash_witness.c
@@ -7,9 +7,6 @@
 /* The oldest goes first when there are more. */
 #define MAX_BREAKS 256
 #define MAX_REPORTS 256
-/* Time in which this daemon finds out whether its calls broke, too. */
-#define DECISION_DELAY_US 50000
-#define DECISION_SPREAD_US 100000
 
 typedef struct {
     uint64_t server;
@@ -22,16 +19,14 @@
 } Report;
 
 struct EbCrashWitness {
-    EbRandom *random;
     GArray *breaks;  /* of Break, oldest first */
     GArray *reports; /* of Report, in order of arrival */
 };
 
 EbCrashWitness *
-EbCrashWitness_New(EbRandom *random)
+EbCrashWitness_New(void)
 {
     EbCrashWitness *witness = g_new0(EbCrashWitness, 1);
-    witness->random = random;
     witness->breaks = g_array_new(FALSE, FALSE, sizeof(Break));
     witness->reports = g_array_new(FALSE, FALSE, sizeof(Report));
     return witness;
@@ -64,13 +59,10 @@
 
 void
 EbCrashWitness_AddReport(EbCrashWitness *witness, const EbCrash *report,
-                         int64_t now_us)
+                         int64_t due_us)
 {
     make_room(witness->reports, MAX_REPORTS);
-    Report added = {.crash = *report,
-                    .due_us = now_us + DECISION_DELAY_US +
-                              (int64_t)EbRandom_Below(witness->random,
-                                                      DECISION_SPREAD_US)};
+    Report added = {.crash = *report, .due_us = due_us};
     g_array_append_val(witness->reports, added);
 }
 
--- a/src/libebonyhollow/servers/private/crash_witness.h
+++ b/src/libebonyhollow/servers/private/crash_witness.h
@@ -9,7 +9,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "ebonyhollow/random.h"
 #include "ebonyhollow/suspects.h"
 
 /* A crash of a server. */
@@ -22,8 +21,8 @@
 
 typedef struct EbCrashWitness EbCrashWitness;
 
-/* `random` is borrowed. Free the witness with EbCrashWitness_Free. */
-EbCrashWitness *EbCrashWitness_New(EbRandom *random);
+/* Free the witness with EbCrashWitness_Free. */
+EbCrashWitness *EbCrashWitness_New(void);
 
 void EbCrashWitness_Free(EbCrashWitness *witness);
 
@@ -31,13 +30,14 @@
 void EbCrashWitness_RecordBreak(EbCrashWitness *witness, uint64_t server,
                                 int64_t at_us);
 
-/* Adds a crash that another daemon reported of a call which broke alone. */
+/* Adds a crash that another daemon reported of a call which broke alone.
+ *
+ * due_us: when this daemon will know whether its calls broke, too. */
 void EbCrashWitness_AddReport(EbCrashWitness *witness, const EbCrash *report,
-                              int64_t now_us);
+                              int64_t due_us);
 
 /* Returns the next reported crash that is due and was seen here; each is
- * returned once, and at other times at other daemons, so that most learn of it
- * from the first one. Returns false when there is none. */
+ * returned once. Returns false when there is none. */
 bool EbCrashWitness_Next(EbCrashWitness *witness, EbCrash *crash,
                          int64_t now_us);
 
--- a/src/libebonyhollow/servers/suspects.c
+++ b/src/libebonyhollow/servers/suspects.c
@@ -9,13 +9,16 @@
 
 #define MAX_ENTRIES_DEFAULT 8192
 #define MAX_CRASHES EB_SUSPECT_KNOWN_POINTS
-/* An answer is told to the others after a random part of this time, unless
- * another daemon told them first. */
-#define ANSWER_SPREAD_US 100000
+/* What several daemons may tell is told by each after a random part of this
+ * time for each daemon, unless another one told it first. */
+#define SPREAD_PER_DAEMON_US 12500
+#define MIN_SPREAD_US 100000
 /* A daemon that quarantines or releases a suspect after the report of another
  * one leaves it to that one to tell the others, and does so itself after this
- * time and a random part of it. */
+ * time and a random one. */
 #define PUBLISH_DELAY_US 200000
+/* Time in which a daemon finds out whether its calls broke in a crash. */
+#define WITNESS_DELAY_US 50000
 /* Reports of one server that are less than this apart are of one crash. */
 #define SAME_CRASH_US 1000000
 #define NEVER_US INT64_MIN
@@ -35,6 +38,7 @@
     GHashTable *entries; /* of Entry, by fingerprint */
     GQueue by_use;       /* of Entry, most recently used first */
     EbCrashWitness *witness;
+    uint32_t daemon_count;
     GArray *crash_reports;     /* of EbCrash, to be sent */
     GPtrArray *answer_reports; /* of Entry whose answered_us is to be sent */
 };
@@ -58,7 +62,7 @@
     suspects->entries =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_entry);
     g_queue_init(&suspects->by_use);
-    suspects->witness = EbCrashWitness_New(options->random);
+    suspects->witness = EbCrashWitness_New();
     suspects->crash_reports = g_array_new(FALSE, FALSE, sizeof(EbCrash));
     suspects->answer_reports = g_ptr_array_new();
     return suspects;
@@ -77,6 +81,12 @@
     g_free(suspects);
 }
 
+void
+EbSuspects_SetDaemonCount(EbSuspects *suspects, uint32_t daemon_count)
+{
+    suspects->daemon_count = daemon_count;
+}
+
 EbFingerprint
 EbSuspects_PartFingerprint(uint64_t part_id)
 {
@@ -232,14 +242,21 @@
     return points;
 }
 
+/* Returns a random time, so that few daemons tell the same. */
+static int64_t
+spread(EbSuspects *suspects)
+{
+    int64_t max_us = suspects->daemon_count * (int64_t)SPREAD_PER_DAEMON_US;
+    return (int64_t)EbRandom_Below(suspects->options.random,
+                                   (uint64_t)MAX(max_us, MIN_SPREAD_US));
+}
+
 /* Schedules the report of an answer that the others may not know of. */
 static void
 report_answer(EbSuspects *suspects, Entry *entry, int64_t now_us)
 {
     if (entry->answer_report_us == INT64_MAX) {
-        entry->answer_report_us =
-            now_us + (int64_t)EbRandom_Below(suspects->options.random,
-                                             ANSWER_SPREAD_US);
+        entry->answer_report_us = now_us + spread(suspects);
         g_ptr_array_add(suspects->answer_reports, entry);
     }
 }
@@ -271,11 +288,7 @@
 static int64_t
 publish_time(EbSuspects *suspects, bool own, int64_t now_us)
 {
-    if (own) {
-        return now_us;
-    }
-    return now_us + PUBLISH_DELAY_US +
-           (int64_t)EbRandom_Below(suspects->options.random, PUBLISH_DELAY_US);
+    return own ? now_us : now_us + PUBLISH_DELAY_US + spread(suspects);
 }
 
 static void
@@ -449,7 +462,9 @@
                           at_us};
         merge_crash(suspects, &report, false, now_us);
         if (report.alone) {
-            EbCrashWitness_AddReport(suspects->witness, &report, now_us);
+            EbCrashWitness_AddReport(suspects->witness, &report,
+                                     now_us + WITNESS_DELAY_US +
+                                         spread(suspects));
         }
         return;
     }
--- a/src/libebonyhollow_net/daemon_timer.c
+++ b/src/libebonyhollow_net/daemon_timer.c
@@ -39,7 +39,7 @@
 }
 
 static void
-set_gauges(EbDaemon *daemon, int64_t now_us)
+set_gauges(EbDaemon *daemon, uint32_t live_daemons, int64_t now_us)
 {
     EbMetrics *metrics = daemon->metrics;
     bool ready = daemon->drain_state == EB_DRAIN_NONE &&
@@ -53,8 +53,7 @@
                   EbPlatformClient_IsUp(daemon->platform_client));
     EbMetrics_Set(metrics, EB_METRIC_UNWRITTEN_OUTCOMES,
                   EbLedger_UnwrittenCount(daemon->ledger));
-    EbMetrics_Set(metrics, EB_METRIC_LIVE_DAEMONS,
-                  EbMembership_LiveInstances(daemon->membership, NULL, 0));
+    EbMetrics_Set(metrics, EB_METRIC_LIVE_DAEMONS, live_daemons);
     EbMetrics_Set(metrics, EB_METRIC_QUARANTINED,
                   EbQuarantine_Count(daemon->quarantine,
                                      EB_FINGERPRINT_QUARANTINED, now_us));
@@ -81,7 +80,10 @@
     if (now_us >= daemon->next_usage_report_us) {
         daemon->next_usage_report_us = now_us + EB_LIMITER_REPORT_INTERVAL_US;
         EbDaemon_ReportUsage(daemon, now_us);
-        set_gauges(daemon, now_us);
+        uint32_t live_daemons =
+            (uint32_t)EbMembership_LiveInstances(daemon->membership, NULL, 0);
+        EbSuspects_SetDaemonCount(daemon->suspects, live_daemons);
+        set_gauges(daemon, live_daemons, now_us);
         EbLog_Tick(daemon->log);
     }
     EbDaemon_StartDueListings(daemon, now_us);
--- a/src/test_suspects/fleet.c
+++ b/src/test_suspects/fleet.c
@@ -89,6 +89,7 @@
     daemon->quarantine = EbQuarantine_New(&(EbQuarantineOptions){0});
     daemon->suspects = EbSuspects_New(&(EbSuspectsOptions){
         .random = &daemon->random, .quarantine = daemon->quarantine});
+    EbSuspects_SetDaemonCount(daemon->suspects, fleet->options->daemon_count);
 }
 
 /* The quarantined entries of another daemon stand for those in the store,
--- a/src/test_suspects/main.c
+++ b/src/test_suspects/main.c
@@ -400,6 +400,52 @@
     close_fixture(&fixture);
 }
 
+/* Returns how many of the daemons tell the others about an answer that all
+ * know of, after a crash, if messages take 50 ms. */
+static uint32_t
+count_tellers(uint32_t daemon_count)
+{
+    Fixture *fixtures = g_new0(Fixture, daemon_count);
+    int64_t crash_us = 0;
+    EbSuspicion crash = {suspect_set, 5, false, 0};
+    for (uint32_t i = 0; i < daemon_count; i++) {
+        open_fixture(&fixtures[i], 0);
+        EbRandom_Init(&fixtures[i].random, i);
+        EbSuspects_SetDaemonCount(fixtures[i].suspects, daemon_count);
+        play(&fixtures[i], "+.");
+        crash_us = fixtures[i].now_us;
+        EbSuspects_Merge(fixtures[i].suspects, &crash, crash_us);
+    }
+    uint32_t tellers = 0;
+    int64_t heard_us = INT64_MAX;
+    for (int64_t now_us = crash_us; now_us < heard_us; now_us += 1000) {
+        for (uint32_t i = 0; i < daemon_count; i++) {
+            EbSuspicion answer;
+            if (EbSuspects_NextReport(fixtures[i].suspects, &answer, now_us)) {
+                tellers++;
+                heard_us = MIN(heard_us, now_us + SECOND_US / 20);
+            }
+        }
+    }
+    for (uint32_t i = 0; i < daemon_count; i++) {
+        close_fixture(&fixtures[i]);
+    }
+    g_free(fixtures);
+    return tellers;
+}
+
+/* Guards against reports whose number grows with that of the daemons, so that
+ * a crash floods a large fleet. */
+static void
+test_few_tell(void)
+{
+    static const uint32_t daemon_counts[] = {10, 100, 300};
+    for (size_t i = 0; i < G_N_ELEMENTS(daemon_counts); i++) {
+        uint32_t tellers = count_tellers(daemon_counts[i]);
+        CU_ASSERT_TRUE(tellers >= 1 && tellers <= 10);
+    }
+}
+
 /* Guards against a table that grows without a bound, and against the use of an
  * entry that was evicted while its answer was to be reported. */
 static void
@@ -545,6 +591,7 @@
         {"crashes that several daemons saw", test_crashes_seen_by_several},
         {"reports", test_reports},
         {"answer told by another daemon", test_answer_told_by_another},
+        {"few daemons tell the same", test_few_tell},
         {"eviction", test_eviction},
         {"fleets with a part that crashes servers", test_fleets},
         {"fleets that failed before", test_fleets_that_failed},
