dispatcher: a queued forwarded request is measured by its own pipeline

Cause: the queue drops a request when its remaining work no longer fits before the deadline. For that work it took the service and stream times of the whole pool. Where long streams share the servers with short calls, these are longer than the deadline of the short calls, and a refused call can't correct them. Admission already used the answer time of the request's own pipeline; the queue does now, too.

test_forward "short calls beside long streams" fails without the change.

--- a/src/libebonyhollow/requests/dispatcher_stage.c
+++ b/src/libebonyhollow/requests/dispatcher_stage.c
@@ -42,12 +42,18 @@
 }
 
 /* Predicts the time from the start of the current stage to the end of the
- * request. For a retry the current stage is not counted, because the time
- * that it still needs is not known. */
+ * request, or of a forwarded one to its first event: the calls of the other
+ * pipelines of its pool may take far longer or shorter. For a retry the
+ * current stage is not counted, because the time that it still needs is not
+ * known. */
 static int64_t
 predict_remaining(const EbRequest *request, int64_t now_us)
 {
     int64_t total_us = 0;
+    if (request->forward != NULL) {
+        return request->failures > 0 ? 0
+                                     : EbRequest_PredictAnswerTime(request);
+    }
     uint32_t first = request->stage + (request->failures > 0 ? 1 : 0);
     for (uint32_t i = first; i < request->pipeline->stage_count; i++) {
         total_us += EbPool_PredictLatency(request->pools[i]->pool, 0, now_us);
--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -412,6 +412,35 @@
     }
 }
 
+/* Guards against the refusal of short calls because the streams of another
+ * pipeline on the same servers take longer than their deadline. */
+static void
+test_short_calls_beside_streams(void)
+{
+    Fixture fixture;
+    Fixture_Open(&fixture);
+    for (int i = 0; i < 14; i++) {
+        fixture.answered = false;
+        fixture.send_count = 0;
+        Fixture_Submit(&fixture, "/once/x", TOKEN);
+        Fixture_SendEvent(&fixture, &(Event){.kind = EB_ATTEMPT_STREAMING,
+                                             .status = 200});
+        Fixture_SendEvent(&fixture, &(Event){.kind = EB_ATTEMPT_EVENTS,
+                                             .status = 200,
+                                             .bytes = "a"});
+        Fixture_Advance(&fixture, 11 * SECOND_US / 2);
+        Fixture_SendEvent(&fixture,
+                          &(Event){.kind = EB_ATTEMPT_ENDED, .status = 200});
+        CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_DONE);
+    }
+    fixture.answered = false;
+    fixture.send_count = 0;
+    Fixture_Submit(&fixture, "/read/x", TOKEN);
+    CU_ASSERT_FALSE(fixture.answered);
+    CU_ASSERT_EQUAL(fixture.send_count, 1);
+    Fixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -428,6 +457,7 @@
         {"server missing from the list", test_server_missing},
         {"slow streams", test_slow_streams},
         {"deadline", test_deadline},
+        {"short calls beside long streams", test_short_calls_beside_streams},
         {"preparations", test_preparations},
         {"early preparation", test_early_preparation},
         {"useless preparations", test_useless_preparations},
