--- a/include/actions/ebonyhollow/forward.h
+++ b/include/actions/ebonyhollow/forward.h
@@ -12,6 +12,7 @@
 
 #include "ebonyhollow/error.h"
 #include "ebonyhollow/http_message.h"
+#include "ebonyhollow/server_directive.h"
 
 #define EB_FORWARD_MAX_PREPARATIONS 8   /* stages before a forwarded request */
 #define EB_FORWARD_MAX_WORK_ITEMS 256   /* work items of one such stage */
@@ -75,6 +76,7 @@
     bool has_load;         /* the two members below are valid */
     uint32_t load_running; /* calls that run at the server */
     uint32_t load_waiting; /* calls that wait there */
+    EbServerDirective directive;
 } EbForwardReply;
 
 /* A work item of a preparation, as it is sent to a server of its stage. */
--- a/include/batching/ebonyhollow/batcher.h
+++ b/include/batching/ebonyhollow/batcher.h
@@ -31,6 +31,7 @@
 typedef struct {
     EbActionQueue *actions;    /* receives the calls to send; borrowed */
     const EbEventSink *events; /* borrowed; NULL: none */
+    EbDirectives *directives;  /* borrowed; must outlive the batcher */
 } EbBatcherOptions;
 
 /* Creates a batcher without services. Free it with EbBatcher_Free. */
@@ -95,6 +96,15 @@
                           EbCallResult result, const char *cause,
                           int64_t now_us);
 
+/* Handles what the head of the answer to a call asks for. Call it before
+ * EbBatcher_CallAnswered or EbBatcher_CallFailed.
+ *
+ * Returns the id of the call's server, borrowed until the next call of the
+ * module, or NULL for an unknown call. */
+const char *EbBatcher_RecordDirective(EbBatcher *batcher, uint64_t attempt_id,
+                                      const EbServerDirective *directive,
+                                      int64_t now_us);
+
 /* Returns the number of jobs that are not prepared, failed or ended. */
 size_t EbBatcher_PendingJobCount(const EbBatcher *batcher);
 
--- a/include/membership/ebonyhollow/membership.h
+++ b/include/membership/ebonyhollow/membership.h
@@ -153,6 +153,10 @@
 size_t EbMembership_LiveInstances(const EbMembership *membership,
                                   const char **names, size_t max);
 
+/* Returns the number of daemons that count as dead, did not leave in an
+ * orderly way and are not forgotten yet. They may only be cut off. */
+size_t EbMembership_LostCount(const EbMembership *membership);
+
 /* Writes the names of up to `max` other live daemons that keep watches open at
  * the platform, those of this daemon's failure domain first. Within and
  * outside of the domain each daemon has an order of its own, so that asking
--- a/include/membership/ebonyhollow/message.h
+++ b/include/membership/ebonyhollow/message.h
@@ -11,6 +11,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "ebonyhollow/directives.h"
 #include "ebonyhollow/dispatcher.h"
 #include "ebonyhollow/error.h"
 #include "ebonyhollow/forward.h"
@@ -38,9 +39,10 @@
     EB_MESSAGE_PREPARED,        /* their results, from the home */
     EB_MESSAGE_END_PREPARATION, /* the results are no longer needed */
     EB_MESSAGE_FEED_REQUEST,    /* asks a reader of the store for changes */
-    EB_MESSAGE_FEED_CHANGES, /* changes of one kind of the store's objects */
-    EB_MESSAGE_FEED_STATUS,  /* what the reader knows; ends its response */
-    EB_MESSAGE_SUSPICIONS,   /* evidence on what crashes servers, flooded */
+    EB_MESSAGE_FEED_CHANGES,  /* changes of one kind of the store's objects */
+    EB_MESSAGE_FEED_STATUS,   /* what the reader knows; ends its response */
+    EB_MESSAGE_SUSPICIONS,    /* evidence on what crashes servers, flooded */
+    EB_MESSAGE_SERVER_LIMITS, /* limits that servers named, flooded */
     EB_MESSAGE_KIND_COUNT
 } EbMessageKind;
 
@@ -128,6 +130,10 @@
     EbSuspicion *suspicions;
     uint32_t suspicion_count;
 
+    /* SERVER_LIMITS */
+    EbLimitReport *limits;
+    uint32_t limit_count;
+
     /* SERVER_LEAVING */
     char *server;
     bool leaving;
--- a/include/metrics/ebonyhollow/metrics.h
+++ b/include/metrics/ebonyhollow/metrics.h
@@ -30,6 +30,7 @@
     EB_METRIC_PEER_BYTES,         /* direction */
     EB_METRIC_PEER_MESSAGES,      /* direction, kind */
     EB_METRIC_EVENTS_SUPPRESSED,  /* event */
+    EB_METRIC_DIRECTIVES,         /* kind */
     EB_METRIC_TOTAL_TIME_US,      /* histogram: customer */
     EB_METRIC_STAGE_TIME_US,      /* histogram: pipeline, stage */
     EB_METRIC_QUEUE_TIME_US,      /* histogram: pipeline, stage */
--- a/include/requests/ebonyhollow/dispatcher.h
+++ b/include/requests/ebonyhollow/dispatcher.h
@@ -19,6 +19,7 @@
 
 #include "ebonyhollow/action.h"
 #include "ebonyhollow/config.h"
+#include "ebonyhollow/directives.h"
 #include "ebonyhollow/event.h"
 #include "ebonyhollow/ledger.h"
 #include "ebonyhollow/limiter.h"
@@ -53,6 +54,7 @@
     EbLedger *ledger;
     EbLimiter *limiter;
     EbQuarantine *quarantine;
+    EbDirectives *directives;
     EbSuspects *suspects; /* NULL: broken forwarded calls are no evidence */
     EbMetrics *metrics;
     /* Asks the owner of a claim for the outcome of a key. Returns false when
@@ -146,8 +148,8 @@
      * is slow, so the missing progress is not the server's fault. */
     uint32_t token_count;
     const char *text; /* TOKENS */
-    bool leaving;     /* the answer announced that the server leaves */
-    bool has_load;    /* the answer carried a load report */
+    EbServerDirective directive;
+    bool has_load; /* the answer carried a load report */
     uint32_t load_running;
     uint32_t load_waiting;
     /* The members below are for forwarded calls only. */
--- a/include/servers/ebonyhollow/pool.h
+++ b/include/servers/ebonyhollow/pool.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "ebonyhollow/config.h"
+#include "ebonyhollow/directives.h"
 #include "ebonyhollow/event.h"
 #include "ebonyhollow/random.h"
 
@@ -40,6 +41,7 @@
     EbPoolPolicy policy;
     EbRandom *random;
     const EbEventSink *events;
+    EbDirectives *directives; /* NULL: servers don't limit their calls */
 } EbPoolOptions;
 
 /* How a call ended, for the pool's statistics. */
@@ -73,7 +75,8 @@
 } EbPoolCriteria;
 
 /* Creates a pool for a daemon that knows of no others. Strings in `options`
- * are copied; `random` and `events` are borrowed and must outlive the pool.
+ * are copied; `random`, `events` and `directives` are borrowed and must
+ * outlive the pool.
  *
  * Returns a pool to be freed with EbPool_Free, or NULL with `error` set when
  * pool_index is out of range. */
@@ -137,6 +140,15 @@
 /* Returns whether any server could take a call now. */
 bool EbPool_HasFreeSlot(const EbPool *pool, int64_t now_us);
 
+/* Returns how long a call has to wait behind `waiting` others because servers
+ * limit their calls, in microseconds; INT64_MAX when this daemon may send to
+ * none of them. Returns 0 when any server takes calls without a limit. */
+int64_t EbPool_LimitDelay(const EbPool *pool, size_t waiting, int64_t now_us);
+
+/* Returns the earliest time at which a server with a free slot that limits its
+ * calls takes one from this daemon, or INT64_MAX. */
+int64_t EbPool_NextAdmission(const EbPool *pool, int64_t now_us);
+
 /* Returns whether any server of the subset is neither leaving nor ejected. */
 bool EbPool_HasUsableServer(const EbPool *pool);
 
--- a/include/share/ebonyhollow/event_table.h
+++ b/include/share/ebonyhollow/event_table.h
@@ -150,6 +150,20 @@
       "backend_server,in_flight",                                             \
       "Check that the server has restarted, and look in 'ebonyhollow "        \
       "quarantine list' for the request that caused it.")                     \
+    X(SERVER_LIMITED, 405, "backend-server-limited", EB_LEVEL_NOTICE,         \
+      "A backend server named the requests that it takes each second from "   \
+      "all daemons together. share_milli is the part of this daemon, 0 if "   \
+      "others use the limit; source is answer or peer.",                      \
+      "backend_server,requests_per_s_milli,share_milli,source",               \
+      "Find out why the server is in need. If most servers of a service "     \
+      "name limits, add servers.")                                            \
+    X(SERVER_LIMIT_ENDED, 406, "backend-server-limit-ended", EB_LEVEL_NOTICE, \
+      "A backend server answers without a limit again.",                      \
+      "backend_server,requests_per_s_milli,share_milli,source", "None.")      \
+    X(SERVER_PAUSED, 407, "backend-server-paused", EB_LEVEL_INFO,             \
+      "A backend server rejected a call and asked this daemon for a pause.",  \
+      "backend_server,pause_us",                                              \
+      "None, unless it is frequent: the service needs more capacity.")        \
     X(REQUEST_SUSPECTED, 410, "request-suspected", EB_LEVEL_WARNING,          \
       "A request was in flight on a backend server that crashed. crashes "    \
       "counts such servers.",                                                 \
--- a/src/libebonyhollow/batching/batcher.c
+++ b/src/libebonyhollow/batching/batcher.c
@@ -506,9 +506,12 @@
 
 /* Timers */
 
+/* Sends what waits to be released. A server that asks for calls to wait gets
+ * it later; one that leaves takes its results with it. */
 static void
-release_results(EbBatcher *batcher)
+release_results(EbBatcher *batcher, int64_t now_us)
 {
+    EbDirectives *directives = batcher->options.directives;
     GHashTableIter services;
     GHashTableIter servers;
     gpointer service;
@@ -522,6 +525,14 @@
             if (server->releases->len == 0) {
                 continue;
             }
+            int64_t admission_us =
+                EbDirectives_NextAdmission(directives, server->id, now_us);
+            if (admission_us > now_us) {
+                batcher->next_release_us =
+                    MIN(batcher->next_release_us, admission_us);
+                continue;
+            }
+            EbDirectives_RecordCall(directives, server->id, now_us);
             EbActionQueue_Push(
                 batcher->options.actions,
                 &(EbAction){.kind = EB_ACTION_RELEASE_RESULTS,
@@ -578,19 +589,21 @@
 {
     EbBatcher_TimeOutCalls(batcher, now_us);
     remove_expired_jobs(batcher, now_us);
-    if (batcher->next_release_us <= now_us) {
-        release_results(batcher);
-    }
+    /* Before the releases, which may otherwise use up what a server's limit
+     * allows. */
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, batcher->services);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         EbBatchService_StartCalls(batcher, value, now_us);
     }
+    if (batcher->next_release_us <= now_us) {
+        release_results(batcher, now_us);
+    }
 }
 
 static int64_t
-next_server_check(const EbBatchService *service)
+next_server_check(const EbBatcher *batcher, const EbBatchService *service)
 {
     int64_t next_us = INT64_MAX;
     GHashTableIter iter;
@@ -599,9 +612,11 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const EbBatchServer *server = value;
         if (server->current && server->running < service->batch.max_calls) {
-            next_us =
-                MIN(next_us, MAX(server->blocked_until_us,
-                                 server->skipped_us + RECHECK_INTERVAL_US));
+            int64_t check_us = MAX(server->blocked_until_us,
+                                   server->skipped_us + RECHECK_INTERVAL_US);
+            int64_t admission_us = EbDirectives_NextAdmission(
+                batcher->options.directives, server->id, check_us);
+            next_us = MIN(next_us, MAX(check_us, admission_us));
         }
     }
     return next_us;
@@ -621,7 +636,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const EbBatchService *service = value;
         if (service->waiting_count > 0) {
-            next_us = MIN(next_us, next_server_check(service));
+            next_us = MIN(next_us, next_server_check(batcher, service));
         }
     }
     return next_us;
--- a/src/libebonyhollow/batching/batcher_call.c
+++ b/src/libebonyhollow/batching/batcher_call.c
@@ -102,6 +102,7 @@
     call->timeout_at_us =
         now_us + MAX(TIMEOUT_MIN_US, TIMEOUT_FACTOR * call->expected_us);
     server->running++;
+    EbDirectives_RecordCall(batcher->options.directives, server->id, now_us);
     g_hash_table_insert(batcher->calls, &call->id, call);
     send_call(batcher, call, now_us);
     return true;
@@ -129,7 +130,8 @@
 {
     expire_jobs(batcher, service, now_us);
     while (service->waiting_count > 0) {
-        EbBatchServer *server = EbBatchService_ChooseServer(service, now_us);
+        EbBatchServer *server =
+            EbBatchService_ChooseServer(batcher, service, now_us);
         if (server == NULL) {
             return;
         }
@@ -294,6 +296,19 @@
     end_call(batcher, call, now_us);
 }
 
+const char *
+EbBatcher_RecordDirective(EbBatcher *batcher, uint64_t attempt_id,
+                          const EbServerDirective *directive, int64_t now_us)
+{
+    const EbBatchCall *call = g_hash_table_lookup(batcher->calls, &attempt_id);
+    if (call == NULL) {
+        return NULL;
+    }
+    EbDirectives_RecordAnswer(batcher->options.directives, call->server->id,
+                              directive, call->started_us, now_us);
+    return call->server->id;
+}
+
 size_t
 EbBatcher_CallItemCount(const EbBatcher *batcher, uint64_t attempt_id)
 {
--- a/src/libebonyhollow/batching/batcher_choice.c
+++ b/src/libebonyhollow/batching/batcher_choice.c
@@ -45,12 +45,15 @@
 }
 
 static bool
-is_free(const EbBatchService *service, const EbBatchServer *server,
-        int64_t now_us)
+is_free(const EbBatcher *batcher, const EbBatchService *service,
+        const EbBatchServer *server, int64_t now_us)
 {
     return server->current && server->running < service->batch.max_calls &&
            server->blocked_until_us <= now_us &&
-           server->skipped_us != now_us && has_memory(service, server, now_us);
+           server->skipped_us != now_us &&
+           has_memory(service, server, now_us) &&
+           EbDirectives_Admits(batcher->options.directives, server->id,
+                               now_us);
 }
 
 static bool
@@ -70,7 +73,8 @@
 }
 
 EbBatchServer *
-EbBatchService_ChooseServer(const EbBatchService *service, int64_t now_us)
+EbBatchService_ChooseServer(const EbBatcher *batcher,
+                            const EbBatchService *service, int64_t now_us)
 {
     const EbBatchJob *first =
         g_sequence_get(g_sequence_get_begin_iter(service->queue));
@@ -85,7 +89,7 @@
             (fastest == 0 || server->slowdown < fastest)) {
             fastest = server->slowdown;
         }
-        if (is_free(service, server, now_us) &&
+        if (is_free(batcher, service, server, now_us) &&
             (best == NULL ||
              server_cost(first, server) < server_cost(first, best))) {
             best = server;
--- a/src/libebonyhollow/batching/private/batcher_state.h
+++ b/src/libebonyhollow/batching/private/batcher_state.h
@@ -109,7 +109,8 @@
                                     size_t items);
 /* Returns the best free server for the most urgent job, or NULL when none is
  * free or it is so slow that waiting for a faster one is better. */
-EbBatchServer *EbBatchService_ChooseServer(const EbBatchService *service,
+EbBatchServer *EbBatchService_ChooseServer(const EbBatcher *batcher,
+                                           const EbBatchService *service,
                                            int64_t now_us);
 /* Fills a call with waiting items, in this order: those that can still be in
  * time; higher priority, for late items and while more items wait than the
--- a/src/libebonyhollow/membership/membership.c
+++ b/src/libebonyhollow/membership/membership.c
@@ -403,6 +403,17 @@
     fill_view(membership->members->pdata[index], now_us, view);
 }
 
+size_t
+EbMembership_LostCount(const EbMembership *membership)
+{
+    size_t count = 0;
+    for (guint i = 0; i < membership->members->len; i++) {
+        const EbMember *member = membership->members->pdata[i];
+        count += member->visible == EB_MEMBER_DEAD && !member->left;
+    }
+    return count;
+}
+
 bool
 EbMembership_Find(const EbMembership *membership, const char *instance,
                   int64_t now_us, EbMemberView *view)
--- a/src/libebonyhollow/membership/membership_record.c
+++ b/src/libebonyhollow/membership/membership_record.c
@@ -223,6 +223,8 @@
 EbMembership_SetState(EbMembership *membership, EbMember *member,
                       EbMemberState state, int64_t now_us)
 {
+    member->left = state == EB_MEMBER_LEAVING ||
+                   (state == EB_MEMBER_DEAD && member->left);
     member->state = state;
     member->state_since_us = now_us;
     member->dead_from_us = now_us;
--- a/src/libebonyhollow/membership/message.c
+++ b/src/libebonyhollow/membership/message.c
@@ -10,7 +10,9 @@
 #include "message_fields.h"
 
 #define BIT(kind) (1U << EB_MESSAGE_##kind)
-#define FLOODED (BIT(QUARANTINE) | BIT(SERVER_LEAVING) | BIT(SUSPICIONS))
+#define FLOODED                                                               \
+    (BIT(QUARANTINE) | BIT(SERVER_LEAVING) | BIT(SUSPICIONS) |                \
+     BIT(SERVER_LIMITS))
 #define OUTCOMES (BIT(OUTCOME_QUERY) | BIT(OUTCOME_REPLY))
 #define CONFIGS (BIT(CONFIG_REQUEST) | BIT(CONFIG_BODY))
 #define SHARES (BIT(USAGE) | BIT(GRANT))
@@ -41,6 +43,7 @@
     [EB_MESSAGE_FEED_CHANGES] = "feed-changes",
     [EB_MESSAGE_FEED_STATUS] = "feed-status",
     [EB_MESSAGE_SUSPICIONS] = "suspicions",
+    [EB_MESSAGE_SERVER_LIMITS] = "server-limits",
 };
 
 const char *const EbMemberState_names[EB_MEMBER_STATE_COUNT] = {
@@ -98,6 +101,7 @@
     FIELD(42, UINT64, confirmed_ago_us, BIT(FEED_STATUS), 0, 0),
     FIELD(43, BOOL, feed_failing, BIT(FEED_STATUS), 0, 0),
     FIELD(45, SUSPICIONS, suspicions, BIT(SUSPICIONS), 0, 0),
+    FIELD(46, LIMITS, limits, BIT(SERVER_LIMITS), 0, 0),
 };
 
 const size_t EbMessage_field_count =
@@ -221,6 +225,20 @@
     }
 }
 
+static void
+pack_limits(msgpack_packer *packer, const EbMessage *message)
+{
+    msgpack_pack_array(packer, message->limit_count);
+    for (uint32_t i = 0; i < message->limit_count; i++) {
+        const EbLimitReport *report = &message->limits[i];
+        msgpack_pack_array(packer, EB_MESSAGE_LIMIT_ELEMENTS);
+        pack_name(packer, report->server_id);
+        msgpack_pack_uint8(packer, report->limited);
+        msgpack_pack_uint32(packer, report->requests_per_s_milli);
+        msgpack_pack_uint64(packer, report->ago_us);
+    }
+}
+
 /* Whether a field is omitted because it has the value that the decoder assumes
  * for an absent one. */
 static bool
@@ -244,6 +262,8 @@
         return message->entry_count == 0;
     case EB_MESSAGE_FIELD_SUSPICIONS:
         return message->suspicion_count == 0;
+    case EB_MESSAGE_FIELD_LIMITS:
+        return message->limit_count == 0;
     case EB_MESSAGE_FIELD_HANDLES:
         return message->handle_count == 0;
     }
@@ -284,6 +304,9 @@
     case EB_MESSAGE_FIELD_SUSPICIONS:
         pack_suspicions(packer, message);
         break;
+    case EB_MESSAGE_FIELD_LIMITS:
+        pack_limits(packer, message);
+        break;
     case EB_MESSAGE_FIELD_HANDLES:
         pack_handles(packer, message);
         break;
@@ -303,9 +326,15 @@
     if (message->member_count > EB_MESSAGE_MAX_ELEMENTS ||
         message->share_count > EB_MESSAGE_MAX_ELEMENTS ||
         message->entry_count > EB_MESSAGE_MAX_ELEMENTS ||
-        message->handle_count > EB_MESSAGE_MAX_ELEMENTS) {
+        message->handle_count > EB_MESSAGE_MAX_ELEMENTS ||
+        message->limit_count > EB_MESSAGE_MAX_ELEMENTS) {
         return false;
     }
+    for (uint32_t i = 0; i < message->limit_count; i++) {
+        if (!is_name_short(message->limits[i].server_id)) {
+            return false;
+        }
+    }
     for (uint32_t i = 0; i < message->handle_count; i++) {
         if (!is_name_short(message->handles[i])) {
             return false;
@@ -413,6 +442,10 @@
     for (uint32_t i = 0; i < message->handle_count; i++) {
         g_free(message->handles[i]);
     }
+    for (uint32_t i = 0; i < message->limit_count; i++) {
+        g_free(message->limits[i].server_id);
+    }
+    g_free(message->limits);
     g_free(message->handles);
     g_free(message->request_id);
     g_free(message->service);
--- a/src/libebonyhollow/membership/message_decode.c
+++ b/src/libebonyhollow/membership/message_decode.c
@@ -174,6 +174,23 @@
     return true;
 }
 
+static bool
+read_limit(const msgpack_object *object, void *target)
+{
+    EbLimitReport *report = target;
+    const msgpack_object *elements =
+        read_elements(object, EB_MESSAGE_LIMIT_ELEMENTS);
+    uint64_t limited;
+    if (elements == NULL || !read_name(&elements[0], &report->server_id) ||
+        !read_uint(&elements[1], 2, &limited) ||
+        !read_uint32(&elements[2], &report->requests_per_s_milli) ||
+        !read_uint(&elements[3], 0, &report->ago_us)) {
+        return false;
+    }
+    report->limited = limited != 0;
+    return true;
+}
+
 static bool
 read_handle(const msgpack_object *object, void *target)
 {
@@ -248,6 +265,10 @@
         return read_array(object, sizeof(EbSuspicion),
                           (void **)&message->suspicions,
                           &message->suspicion_count, read_suspicion);
+    case EB_MESSAGE_FIELD_LIMITS:
+        return read_array(object, sizeof(EbLimitReport),
+                          (void **)&message->limits, &message->limit_count,
+                          read_limit);
     case EB_MESSAGE_FIELD_HANDLES:
         return read_array(object, sizeof(char *), (void **)&message->handles,
                           &message->handle_count, read_handle);
--- a/src/libebonyhollow/membership/private/membership_private.h
+++ b/src/libebonyhollow/membership/private/membership_private.h
@@ -49,6 +49,7 @@
     uint64_t sequence;
     EbMemberState state;   /* of the record, as sent to peers */
     EbMemberState visible; /* as seen by the application */
+    bool left;             /* it announced that it leaves */
     int64_t state_since_us;
     int64_t dead_from_us; /* a state of DEAD becomes visible at this time */
     uint64_t digest;      /* of this record, combined into the table's */
--- a/src/libebonyhollow/metrics/metrics.c
+++ b/src/libebonyhollow/metrics/metrics.c
@@ -88,6 +88,13 @@
                                      "Log events held back by the rate limit.",
                                      {"event", NULL, NULL},
                                      SERIES_DEFAULT},
+    [EB_METRIC_DIRECTIVES] = {"ebonyhollow_server_directives_total",
+                              EB_METRIC_COUNTER,
+                              "Answers of backend servers that name a limit, "
+                              "ask for a pause or announce that the server "
+                              "leaves.",
+                              {"kind", NULL, NULL},
+                              SERIES_DEFAULT},
     [EB_METRIC_TOTAL_TIME_US] =
         {"ebonyhollow_request_time_microseconds",
          EB_METRIC_HISTOGRAM,
--- a/src/libebonyhollow/requests/dispatcher.c
+++ b/src/libebonyhollow/requests/dispatcher.c
@@ -88,6 +88,7 @@
     assert(options->actions != NULL && options->random != NULL);
     assert(options->ledger != NULL && options->limiter != NULL);
     assert(options->quarantine != NULL && options->metrics != NULL);
+    assert(options->directives != NULL);
     EbDispatcher *dispatcher = g_new0(EbDispatcher, 1);
     dispatcher->options = *options;
     dispatcher->daemon_count = 1;
@@ -99,8 +100,6 @@
     dispatcher->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                               EbDispatcherPool_Free);
     dispatcher->current_pools = g_ptr_array_new();
-    dispatcher->leaving =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     dispatcher->requests =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_request);
     dispatcher->attempts =
@@ -135,7 +134,6 @@
     g_hash_table_destroy(dispatcher->attempts);
     g_hash_table_destroy(dispatcher->requests);
     g_hash_table_destroy(dispatcher->pools);
-    g_hash_table_destroy(dispatcher->leaving);
     g_hash_table_destroy(dispatcher->claims);
     g_hash_table_destroy(dispatcher->queries);
     g_hash_table_destroy(dispatcher->jobs);
@@ -386,6 +384,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const EbDispatcherPool *pool = value;
         next_us = MIN(next_us, EbQueue_NextExpiry(pool->queue));
+        next_us = MIN(next_us, pool->admission_us);
     }
     return next_us;
 }
--- a/src/libebonyhollow/requests/dispatcher_event.c
+++ b/src/libebonyhollow/requests/dispatcher_event.c
@@ -121,6 +121,41 @@
     }
 }
 
+/* Returns whether the head of the answer is from the server that was called
+ * and belongs to this call, so that what it asks for is current. */
+static bool
+has_own_head(const EbAttempt *attempt, const EbAttemptEvent *event)
+{
+    const EbRequest *request = attempt->request;
+    const char *sent = request->summary->request_id;
+    const char *echoed = event->echo_request_id;
+    if (request->forward != NULL) {
+        sent = request->forward->call->request_id;
+        echoed = event->forward.request_id;
+    }
+    return event->http_status != 0 &&
+           event->http_status != EB_STATUS_MISDIRECTED && echoed != NULL &&
+           strcmp(echoed, sent) == 0;
+}
+
+static void
+record_directive(EbAttempt *attempt, const EbAttemptEvent *event,
+                 int64_t now_us)
+{
+    EbDispatcher *dispatcher = attempt->request->dispatcher;
+    if (attempt->directive_recorded || !has_own_head(attempt, event)) {
+        return;
+    }
+    attempt->directive_recorded = true;
+    EbDirectives_RecordAnswer(dispatcher->options.directives,
+                              attempt->server_id, &event->directive,
+                              attempt->started_us, now_us);
+    if (event->directive.leaving) {
+        EbDispatcher_MarkLeaving(dispatcher, attempt->server_id, true,
+                                 "response", now_us);
+    }
+}
+
 void
 EbAttempt_HandleEvent(EbAttempt *attempt, const EbAttemptEvent *event,
                       int64_t now_us)
@@ -131,11 +166,6 @@
                           event->load_running, event->load_waiting, now_us,
                           now_us);
     }
-    if (event->leaving) {
-        char *server_id = g_strdup(attempt->server_id);
-        EbDispatcher_MarkLeaving(attempt->request->dispatcher, server_id, true,
-                                 "response", now_us);
-        g_free(server_id);
-    }
+    record_directive(attempt, event, now_us);
     handle_event(attempt, event, now_us);
 }
--- a/src/libebonyhollow/requests/dispatcher_outcome.c
+++ b/src/libebonyhollow/requests/dispatcher_outcome.c
@@ -50,6 +50,13 @@
                                                         : EB_OUTCOME_NOT_RUN;
 }
 
+void
+EbRequest_SetRetryAfter(EbRequest *request, int64_t delay_us)
+{
+    request->retry_after_us =
+        delay_us < INT64_MAX ? MAX(delay_us, MIN_RETRY_AFTER_US) : 0;
+}
+
 static int64_t
 retry_after(EbRequest *request, EbReason reason)
 {
--- a/src/libebonyhollow/requests/dispatcher_pool.c
+++ b/src/libebonyhollow/requests/dispatcher_pool.c
@@ -6,10 +6,6 @@
 
 #include "dispatcher_private.h"
 
-/* Bound on the leaving servers that are remembered: more than the servers of
- * two deployments of the planned size. */
-#define MAX_LEAVING 2048
-
 void
 EbDispatcherPool_Free(gpointer pointer)
 {
@@ -58,9 +54,11 @@
             .policy = plain ? EB_POOL_ROUND_ROBIN : EB_POOL_ADAPTIVE,
             .random = dispatcher->options.random,
             .events = dispatcher->options.events,
+            .directives = dispatcher->options.directives,
         },
         NULL);
     assert(state->pool != NULL);
+    state->admission_us = INT64_MAX;
     EbPool_SetDaemonCount(state->pool, dispatcher->daemon_count);
     /* A request is in a queue at most once, so max_requests bounds the queue.
      * queue_max is checked on enqueueing, because it may change later. */
@@ -92,11 +90,12 @@
 static void
 apply_leaving(EbDispatcher *dispatcher, EbDispatcherPool *pool, int64_t now_us)
 {
-    GHashTableIter iter;
-    gpointer id;
-    g_hash_table_iter_init(&iter, dispatcher->leaving);
-    while (g_hash_table_iter_next(&iter, &id, NULL)) {
-        EbPool_SetLeaving(pool->pool, id, true, now_us);
+    const EbDirectives *directives = dispatcher->options.directives;
+    for (uint32_t i = 0; i < pool->config->server_count; i++) {
+        const char *id = pool->config->servers[i].id;
+        if (EbDirectives_IsLeaving(directives, id)) {
+            EbPool_SetLeaving(pool->pool, id, true, now_us);
+        }
     }
 }
 
@@ -158,12 +157,8 @@
 EbDispatcher_MarkLeaving(EbDispatcher *dispatcher, const char *server_id,
                          bool leaving, const char *source, int64_t now_us)
 {
-    if (!leaving) {
-        g_hash_table_remove(dispatcher->leaving, server_id);
-    }
-    else if (g_hash_table_size(dispatcher->leaving) < MAX_LEAVING) {
-        g_hash_table_add(dispatcher->leaving, g_strdup(server_id));
-    }
+    EbDirectives_SetLeaving(dispatcher->options.directives, server_id, leaving,
+                            now_us);
     bool changed = false;
     GHashTableIter iter;
     gpointer value;
--- a/src/libebonyhollow/requests/dispatcher_relay.c
+++ b/src/libebonyhollow/requests/dispatcher_relay.c
@@ -6,8 +6,7 @@
 
 #include "dispatcher_private.h"
 
-#define STATUS_MISDIRECTED 421 /* RFC 9110, 15.5.20 */
-#define ANSWER_TIME_GAIN 0.1   /* averages over about ten calls */
+#define ANSWER_TIME_GAIN 0.1 /* averages over about ten calls */
 
 /* Checks the head of an answer to a call that ran. Returns a description of
  * the fault, or NULL when there is none. */
@@ -77,7 +76,7 @@
         EbRequest_DropPreparations(request);
     }
     EbCallResult result = EB_CALL_OVERLOADED;
-    if (event->http_status == STATUS_MISDIRECTED) {
+    if (event->http_status == EB_STATUS_MISDIRECTED) {
         result = EB_CALL_REFUSED;
     }
     else if (event->http_status == 400) {
@@ -90,7 +89,7 @@
 static bool
 promises_not_run(uint16_t status)
 {
-    return status == 408 || status == STATUS_MISDIRECTED || status == 429 ||
+    return status == 408 || status == EB_STATUS_MISDIRECTED || status == 429 ||
            status == 503;
 }
 
@@ -99,7 +98,7 @@
 {
     EbRequest *request = attempt->request;
     uint16_t status = event->http_status;
-    if (event->forward.not_run || status == STATUS_MISDIRECTED) {
+    if (event->forward.not_run || status == EB_STATUS_MISDIRECTED) {
         handle_not_run(attempt, event, now_us);
         return;
     }
--- a/src/libebonyhollow/requests/dispatcher_request.c
+++ b/src/libebonyhollow/requests/dispatcher_request.c
@@ -7,9 +7,6 @@
 #include "dispatcher_private.h"
 
 #define MAX_KEY_BYTES 255
-/* Lower bound for Retry-After when the deadline can't be met; the same as for
- * other refusals, see dispatcher_outcome.c. */
-#define MIN_RETRY_AFTER_US 1000000
 
 static EbRequest *
 create_request(EbDispatcher *dispatcher, const EbSubmission *submission,
@@ -127,6 +124,7 @@
 check_feasibility(EbRequest *request, int64_t now_us)
 {
     int64_t total_us = 0;
+    int64_t limit_delay_us = 0;
     for (uint32_t i = 0; i < request->pipeline->stage_count; i++) {
         EbDispatcherPool *pool = request->pools[i];
         size_t waiting = EbQueue_Count(pool->queue);
@@ -136,6 +134,12 @@
         if (i == 0 && waiting >= pool->queue_max) {
             return EB_REASON_OVERLOADED;
         }
+        int64_t delay_us = EbPool_LimitDelay(pool->pool, waiting, now_us);
+        if (delay_us >= request->deadline_us - now_us) {
+            EbRequest_SetRetryAfter(request, delay_us);
+            return EB_REASON_OVERLOADED;
+        }
+        limit_delay_us += delay_us;
         total_us += EbPool_PredictLatency(pool->pool, waiting, now_us);
         total_us += pool->mean_stream_us;
     }
@@ -145,11 +149,11 @@
         total_us = EbRequest_PredictPreparationTime(request) +
                    EbRequest_PredictAnswerTime(request);
     }
+    total_us += limit_delay_us;
     if (now_us + total_us <= request->deadline_us) {
         return EB_REASON_NONE;
     }
-    request->retry_after_us =
-        MAX(now_us + total_us - request->deadline_us, MIN_RETRY_AFTER_US);
+    EbRequest_SetRetryAfter(request, now_us + total_us - request->deadline_us);
     return EB_REASON_DEADLINE_INFEASIBLE;
 }
 
--- a/src/libebonyhollow/requests/dispatcher_stage.c
+++ b/src/libebonyhollow/requests/dispatcher_stage.c
@@ -102,6 +102,13 @@
         EbRequest_Fail(request, EB_REASON_OVERLOADED, NULL, now_us);
         return;
     }
+    int64_t delay_us =
+        EbPool_LimitDelay(pool->pool, EbQueue_Count(pool->queue), now_us);
+    if (delay_us >= request->deadline_us - now_us) {
+        EbRequest_SetRetryAfter(request, delay_us);
+        EbRequest_Fail(request, EB_REASON_OVERLOADED, NULL, now_us);
+        return;
+    }
     bool plain = EbDispatcher_IsPlain(request->dispatcher);
     EbQueueEntry entry = {
         .id = request->id,
@@ -354,4 +361,7 @@
         assert(request != NULL && request->waiting);
         dispatch(request, now_us);
     }
+    pool->admission_us = EbQueue_Count(pool->queue) > 0
+                             ? EbPool_NextAdmission(pool->pool, now_us)
+                             : INT64_MAX;
 }
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -24,6 +24,7 @@
 #define EB_REQUEST_MAX_ATTEMPTS 3
 #define EB_REQUEST_MAX_TRACE 64   /* trace entries of one request */
 #define EB_REQUEST_MAX_RECENT 256 /* finished requests that are kept */
+#define EB_STATUS_MISDIRECTED 421 /* RFC 9110, 15.5.20 */
 
 /* Moving averages of the time from sending a forwarded call to its answer or
  * first event, and of the absolute deviation from it. */
@@ -47,6 +48,9 @@
     GHashTable *answer_times; /* pipeline name to EbAnswerTime */
     uint32_t live_stages;     /* stages of live requests that use the pool */
     bool current;             /* part of the configuration in force */
+    /* When a server that limits its calls takes one that waits, or INT64_MAX.
+     */
+    int64_t admission_us;
     bool dirty; /* the queue has to be served: an entry was added or a slot
                    may have become free */
 } EbDispatcherPool;
@@ -93,9 +97,10 @@
     bool hedge;
     bool lookup;
     bool echo_checked;
-    bool has_tokens;     /* a token or forwarded event has arrived */
-    bool overdue;        /* a non-idempotent call past its time-out */
-    bool crash_recorded; /* counted by EbAttempt_RecordCrash */
+    bool directive_recorded; /* what the head of the answer asks for */
+    bool has_tokens;         /* a token or forwarded event has arrived */
+    bool overdue;            /* a non-idempotent call past its time-out */
+    bool crash_recorded;     /* counted by EbAttempt_RecordCrash */
     int64_t started_us;
     int64_t first_token_us;
     int64_t timeout_at_us; /* when EbAttempt_TimedOut has to be called */
@@ -208,7 +213,6 @@
     EbConfig *config;
     GHashTable *pools;              /* key to EbDispatcherPool */
     GPtrArray *current_pools;       /* those of `config`, in its order */
-    GHashTable *leaving;            /* ids of leaving servers */
     GHashTable *requests;           /* id to EbRequest */
     GHashTable *attempts;           /* id to EbAttempt */
     GHashTable *claims;             /* claim handle to EbRequest */
@@ -454,6 +458,12 @@
 void EbRequest_Finish(EbRequest *request, EbOutcome outcome, EbReason reason,
                       const char *detail, json_t *body, int64_t now_us);
 
+/* Sets the time after which a request that is refused could be served.
+ *
+ * delay_us: INT64_MAX when it is unknown or only another daemon can serve it.
+ */
+void EbRequest_SetRetryAfter(EbRequest *request, int64_t delay_us);
+
 /* Ends a request that has no result, with EbRequest_CurrentOutcome. */
 void EbRequest_Fail(EbRequest *request, EbReason reason, const char *detail,
                     int64_t now_us);
--- a/src/libebonyhollow/servers/pool.c
+++ b/src/libebonyhollow/servers/pool.c
@@ -162,6 +162,7 @@
     pool->random = options->random;
     pool->daemons = 1;
     pool->events = options->events;
+    pool->directives = options->directives;
     EbPool_SetConfig(pool, options->config, options->pool_index);
     return pool;
 }
@@ -197,6 +198,9 @@
     server->ring[slot] = now_us;
     server->in_flight++;
     server->calls++;
+    if (pool->directives != NULL) {
+        EbDirectives_RecordCall(pool->directives, server->id, now_us);
+    }
     return server->config;
 }
 
@@ -303,20 +307,85 @@
     }
 }
 
+/* Returns whether calls may be sent to the server: it is not leaving, and not
+ * ejected unless all others are as well. */
+static bool
+takes_calls(const EbPoolServer *server, bool has_usable)
+{
+    return !server->leaving && !(server->ejected && has_usable);
+}
+
 bool
 EbPool_HasFreeSlot(const EbPool *pool, int64_t now_us)
 {
     bool has_usable = EbPool_HasUsableServer(pool);
     for (uint32_t i = 0; i < pool->member_count; i++) {
         const EbPoolServer *server = pool->members[i];
-        if (!server->leaving && !(server->ejected && has_usable) &&
-            server->in_flight < EbPool_Slots(server, now_us)) {
+        if (takes_calls(server, has_usable) &&
+            EbPool_HasRoom(pool, server, now_us)) {
             return true;
         }
     }
     return false;
 }
 
+int64_t
+EbPool_LimitDelay(const EbPool *pool, size_t waiting, int64_t now_us)
+{
+    if (pool->directives == NULL) {
+        return 0;
+    }
+    bool has_usable = EbPool_HasUsableServer(pool);
+    double calls_per_s = 0;
+    double free_now = 0;
+    int64_t pause_us = INT64_MAX; /* until a server ends its pause */
+    for (uint32_t i = 0; i < pool->member_count; i++) {
+        const EbPoolServer *server = pool->members[i];
+        double share = 0;
+        if (!takes_calls(server, has_usable)) {
+            continue;
+        }
+        int64_t next_us =
+            EbDirectives_NextAdmission(pool->directives, server->id, now_us);
+        if (EbDirectives_FindShare(pool->directives, server->id, &share,
+                                   now_us)) {
+            calls_per_s += share;
+            free_now += next_us <= now_us;
+        }
+        else {
+            pause_us = MIN(pause_us, next_us - now_us);
+        }
+    }
+    double ahead = (double)waiting + 1 - free_now;
+    if (ahead <= 0) {
+        return 0;
+    }
+    double delay_us = ahead / calls_per_s * G_USEC_PER_SEC;
+    return delay_us < (double)EB_DIRECTIVES_LIMIT_LIFETIME_US
+               ? MIN((int64_t)delay_us, pause_us)
+               : pause_us;
+}
+
+int64_t
+EbPool_NextAdmission(const EbPool *pool, int64_t now_us)
+{
+    bool has_usable = EbPool_HasUsableServer(pool);
+    int64_t next_us = INT64_MAX;
+    for (uint32_t i = 0; i < pool->member_count; i++) {
+        const EbPoolServer *server = pool->members[i];
+        if (pool->directives == NULL || !takes_calls(server, has_usable) ||
+            server->in_flight >= EbPool_Slots(server, now_us)) {
+            continue;
+        }
+        int64_t admission_us =
+            EbDirectives_NextAdmission(pool->directives, server->id, now_us);
+        if (admission_us > now_us) {
+            next_us = MIN(next_us, admission_us);
+        }
+    }
+    return next_us;
+}
+
 bool
 EbPool_HasUsableServer(const EbPool *pool)
 {
@@ -338,7 +407,7 @@
     double slots = 0, busy = 0;
     for (uint32_t i = 0; i < pool->member_count; i++) {
         const EbPoolServer *server = pool->members[i];
-        if (!server->leaving && !(server->ejected && has_usable)) {
+        if (takes_calls(server, has_usable)) {
             uint32_t limit = EbPool_Slots(server, now_us);
             slots += limit;
             busy += MIN(server->in_flight, limit);
--- a/src/libebonyhollow/servers/pool_choice.c
+++ b/src/libebonyhollow/servers/pool_choice.c
@@ -53,17 +53,19 @@
     return slots < 1 ? 1 : MIN((uint32_t)slots, server->connection_share);
 }
 
-static bool
-has_slot(const EbPoolServer *server, int64_t now_us)
+bool
+EbPool_HasRoom(const EbPool *pool, const EbPoolServer *server, int64_t now_us)
 {
-    return server->in_flight < EbPool_Slots(server, now_us);
+    return server->in_flight < EbPool_Slots(server, now_us) &&
+           (pool->directives == NULL ||
+            EbDirectives_Admits(pool->directives, server->id, now_us));
 }
 
 static bool
-is_usable(const EbPoolServer *server, const EbPoolCriteria *criteria,
-          int64_t now_us)
+is_usable(const EbPool *pool, const EbPoolServer *server,
+          const EbPoolCriteria *criteria, int64_t now_us)
 {
-    return !server->ejected && has_slot(server, now_us) &&
+    return !server->ejected && EbPool_HasRoom(pool, server, now_us) &&
            is_eligible(server, criteria);
 }
 
@@ -109,7 +111,7 @@
     for (int i = 0; i < RANDOM_PROBES && pool->member_count > 0; i++) {
         EbPoolServer *server =
             pool->members[EbRandom_Below(pool->random, pool->member_count)];
-        if (server != other && is_usable(server, criteria, now_us)) {
+        if (server != other && is_usable(pool, server, criteria, now_us)) {
             return server;
         }
     }
@@ -117,7 +119,7 @@
     uint64_t seen = 0;
     for (uint32_t i = 0; i < pool->member_count; i++) {
         EbPoolServer *server = pool->members[i];
-        if (server != other && is_usable(server, criteria, now_us) &&
+        if (server != other && is_usable(pool, server, criteria, now_us) &&
             EbRandom_Below(pool->random, ++seen) == 0) {
             drawn = server;
         }
@@ -140,7 +142,7 @@
         if (!server->ejected) {
             return NULL; /* it is full; the call waits for a slot there */
         }
-        if (has_slot(server, now_us) &&
+        if (EbPool_HasRoom(pool, server, now_us) &&
             (best == NULL || server_cost(pool, server, now_us) <
                                  server_cost(pool, best, now_us))) {
             best = server;
@@ -157,7 +159,7 @@
 {
     EbPoolServer *preferred =
         g_hash_table_lookup(pool->by_id, criteria->preferred);
-    if (preferred == NULL || !is_usable(preferred, criteria, now_us)) {
+    if (preferred == NULL || !is_usable(pool, preferred, criteria, now_us)) {
         return NULL;
     }
     for (uint32_t i = 0; i < pool->member_count; i++) {
@@ -191,6 +193,32 @@
                         AFFINE_FREE_CALLS + AFFINE_LOAD_FACTOR * mean_calls;
 }
 
+static bool
+is_limited(const EbPool *pool, const EbPoolServer *server, int64_t now_us)
+{
+    double calls_per_s;
+    return pool->directives != NULL &&
+           EbDirectives_FindShare(pool->directives, server->id, &calls_per_s,
+                                  now_us);
+}
+
+/* Chooses between a server without and one with a limit, each of which may be
+ * NULL. What a limit allows now can't be used later, so the limited server is
+ * chosen while it is not slower, or has fewer calls. */
+static const EbPoolServer *
+choose_by_limit(const EbPool *pool, const EbPoolServer *unlimited,
+                const EbPoolServer *limited, int64_t now_us)
+{
+    if (unlimited == NULL || limited == NULL) {
+        return unlimited != NULL ? unlimited : limited;
+    }
+    return limited->in_flight < unlimited->in_flight ||
+                   EbPool_Latency(pool, limited, now_us) <=
+                       EbPool_Latency(pool, unlimited, now_us)
+               ? limited
+               : unlimited;
+}
+
 const EbConfigBackendServer *
 EbPool_ChooseAffine(const EbPool *pool, const EbPoolCriteria *criteria,
                     uint64_t key, int64_t now_us)
@@ -200,19 +228,22 @@
         calls += pool->members[i]->in_flight;
     }
     double mean_calls = calls / fmax(pool->member_count, 1);
-    const EbPoolServer *best = NULL;
-    uint64_t highest = 0;
+    const EbPoolServer *best[2] = {NULL, NULL}; /* without and with a limit */
+    uint64_t highest[2] = {0, 0};
     for (uint32_t i = 0; i < pool->member_count; i++) {
         const EbPoolServer *server = pool->members[i];
+        bool limited = is_limited(pool, server, now_us);
         uint64_t weight = XXH64(server->id, strlen(server->id), key);
-        if ((best == NULL || weight > highest) &&
-            is_usable(server, criteria, now_us) &&
+        if ((best[limited] == NULL || weight > highest[limited]) &&
+            is_usable(pool, server, criteria, now_us) &&
             is_fit_for_affinity(pool, server, mean_calls, now_us)) {
-            best = server;
-            highest = weight;
+            best[limited] = server;
+            highest[limited] = weight;
         }
     }
-    return best != NULL ? best->config : NULL;
+    const EbPoolServer *chosen =
+        choose_by_limit(pool, best[false], best[true], now_us);
+    return chosen != NULL ? chosen->config : NULL;
 }
 
 static EbPoolServer *
@@ -243,7 +274,7 @@
     for (uint32_t i = 0; i < pool->member_count; i++) {
         EbPoolServer *server =
             pool->members[pool->next_member++ % pool->member_count];
-        if (is_usable(server, criteria, now_us)) {
+        if (is_usable(pool, server, criteria, now_us)) {
             return server;
         }
     }
--- a/src/libebonyhollow/servers/private/pool_state.h
+++ b/src/libebonyhollow/servers/private/pool_state.h
@@ -65,6 +65,7 @@
     char *failure_domain;
     EbRandom *random;
     const EbEventSink *events;
+    EbDirectives *directives; /* may be NULL */
     EbPoolServer **servers;
     uint32_t server_count;
     EbPoolServer **members; /* the subset this daemon uses */
@@ -96,6 +97,11 @@
  * its limit, slow start and share of connections; at least 1. */
 uint32_t EbPool_Slots(const EbPoolServer *server, int64_t now_us);
 
+/* Returns whether the server has a free slot for this daemon and does not ask
+ * for calls to wait. */
+bool EbPool_HasRoom(const EbPool *pool, const EbPoolServer *server,
+                    int64_t now_us);
+
 /* pool_health.c */
 
 /* Returns the expected latency of a server in microseconds. What was measured
--- a/src/libebonyhollow_net/backend_client.c
+++ b/src/libebonyhollow_net/backend_client.c
@@ -89,7 +89,12 @@
         event->echo_attempt = g_ascii_strtoll(value, NULL, 10);
     }
     value = evhttp_find_header(headers, "Eb-Leaving");
-    event->leaving = value != NULL && strcmp(value, "1") == 0;
+    event->directive.leaving = value != NULL && strcmp(value, "1") == 0;
+    EbServerDirective_ReadLimit(&event->directive,
+                                evhttp_find_header(headers, "Eb-Limit"));
+    EbServerDirective_ReadRetryAfter(
+        &event->directive, event->http_status,
+        evhttp_find_header(headers, "Retry-After"));
     value = evhttp_find_header(headers, "Eb-Load");
     if (value != NULL) {
         char *end = NULL;
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -197,6 +197,11 @@
         .instance = settings->instance, .config = &no_config});
     daemon->quarantine =
         EbQuarantine_New(&(EbQuarantineOptions){.events = daemon->events});
+    daemon->directives =
+        EbDirectives_New(&(EbDirectivesOptions){.instance = settings->instance,
+                                                .random = &daemon->random,
+                                                .events = daemon->events,
+                                                .metrics = daemon->metrics});
     daemon->suspects = EbSuspects_New(&(EbSuspectsOptions){
         .random = &daemon->random, .quarantine = daemon->quarantine});
     daemon->config_manager = EbConfigManager_New(
@@ -241,6 +246,7 @@
                                .ledger = daemon->ledger,
                                .limiter = daemon->limiter,
                                .quarantine = daemon->quarantine,
+                               .directives = daemon->directives,
                                .suspects = daemon->suspects,
                                .metrics = daemon->metrics,
                                .ask_owner = EbDaemon_AskOwner,
@@ -426,6 +432,7 @@
     EbLedger_Free(daemon->ledger);
     EbLimiter_Free(daemon->limiter);
     EbSuspects_Free(daemon->suspects);
+    EbDirectives_Free(daemon->directives);
     EbQuarantine_Free(daemon->quarantine);
     EbConfigManager_Free(daemon->config_manager);
     EbMembership_Free(daemon->membership);
--- a/src/libebonyhollow_net/daemon_action.c
+++ b/src/libebonyhollow_net/daemon_action.c
@@ -192,6 +192,7 @@
     EbDispatcher_LedgerResults(daemon->dispatcher, now_us);
     EbDaemon_AnswerOutcomeQueries(daemon, now_us);
     EbDaemon_PublishSuspicions(daemon, now_us);
+    EbDaemon_PublishLimits(daemon, now_us);
     EbDaemon_PublishQuarantine(daemon, now_us);
     EbDaemon_CollectActions(daemon, 0);
 }
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -24,6 +24,26 @@
     return EbDaemon_OnSubmit(daemon, &submission);
 }
 
+/* Handles what the head of the answer to a call with work items asks for. An
+ * instance that refuses the call as misdirected is not the one that was
+ * called.
+ */
+static void
+record_batch_directive(EbDaemon *daemon, const EbAttemptEvent *event,
+                       int64_t now_us)
+{
+    if (event->kind != EB_ATTEMPT_ANSWERED ||
+        (event->http_status != 200 && event->http_status != 503)) {
+        return;
+    }
+    const char *server_id = EbBatcher_RecordDirective(
+        daemon->batcher, event->attempt_id, &event->directive, now_us);
+    if (server_id != NULL && event->directive.leaving) {
+        EbDispatcher_ServerLeaving(daemon->dispatcher, server_id, true,
+                                   "response", now_us);
+    }
+}
+
 static void
 handle_batch_event(EbDaemon *daemon, const EbAttemptEvent *event,
                    int64_t now_us)
@@ -32,6 +52,7 @@
     if (count == 0) {
         return; /* a call that releases results, or an abandoned call */
     }
+    record_batch_directive(daemon, event, now_us);
     if (event->kind != EB_ATTEMPT_ANSWERED) {
         EbBatcher_CallFailed(daemon->batcher, event->attempt_id,
                              event->kind == EB_ATTEMPT_REFUSED
@@ -87,8 +108,10 @@
     daemon->preparations = EbPreparationTable_New();
     daemon->excluded_homes =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    daemon->batcher = EbBatcher_New(&(EbBatcherOptions){
-        .actions = daemon->actions, .events = daemon->events});
+    daemon->batcher =
+        EbBatcher_New(&(EbBatcherOptions){.actions = daemon->actions,
+                                          .events = daemon->events,
+                                          .directives = daemon->directives});
     daemon->forward_client = EbForwardClient_New(
         &(EbForwardClientOptions){.base = daemon->base,
                                   .protocol = daemon->adapter->forward,
--- a/src/libebonyhollow_net/daemon_peer.c
+++ b/src/libebonyhollow_net/daemon_peer.c
@@ -14,6 +14,8 @@
 /* Limit on the deferred writes of one daemon, which applies in a small
  * deployment. */
 #define MAX_DAEMON_WRITES_PER_S 50
+/* Limits of servers that one message carries; the rest follows in the next. */
+#define MAX_LIMIT_REPORTS 64
 
 static void
 send_message(EbDaemon *daemon, const char *peer, const EbMessage *message,
@@ -301,6 +303,24 @@
     EbDaemon_ScheduleActions(daemon);
 }
 
+void
+EbDaemon_PublishLimits(EbDaemon *daemon, int64_t now_us)
+{
+    EbLimitReport reports[MAX_LIMIT_REPORTS];
+    uint32_t count = 0;
+    while (
+        count < MAX_LIMIT_REPORTS &&
+        EbDirectives_NextReport(daemon->directives, &reports[count], now_us)) {
+        count++;
+    }
+    if (count > 0) {
+        EbMessage message = {.kind = EB_MESSAGE_SERVER_LIMITS,
+                             .limits = reports,
+                             .limit_count = count};
+        EbMembership_Flood(daemon->membership, &message, now_us);
+    }
+}
+
 static void
 handle_config_body(EbDaemon *daemon, const char *peer,
                    const EbMessage *message, int64_t now_us)
@@ -367,6 +387,12 @@
                              now_us);
         }
         break;
+    case EB_MESSAGE_SERVER_LIMITS:
+        for (uint32_t i = 0; i < message->limit_count; i++) {
+            EbDirectives_Merge(daemon->directives, &message->limits[i],
+                               now_us);
+        }
+        break;
     case EB_MESSAGE_SERVER_LEAVING:
         EbDispatcher_ServerLeaving(daemon->dispatcher, message->server,
                                    message->leaving, "peer", now_us);
@@ -407,6 +433,9 @@
                               CLAMP(MAX_TOTAL_WRITES_PER_S / (uint32_t)live, 1,
                                     MAX_DAEMON_WRITES_PER_S));
     }
+    EbDirectives_SetMembers(daemon->directives, names, live,
+                            EbMembership_LostCount(daemon->membership),
+                            now_us);
     g_free(names);
     for (size_t i = 0; i < count; i++) {
         EbMemberView view;
--- a/src/libebonyhollow_net/daemon_timer.c
+++ b/src/libebonyhollow_net/daemon_timer.c
@@ -23,6 +23,7 @@
         next_us =
             MIN(next_us, EbConfigManager_NextTimer(daemon->config_manager));
     }
+    next_us = MIN(next_us, EbDirectives_NextTimer(daemon->directives));
     next_us = MIN(next_us, EbSuspects_NextTimer(daemon->suspects));
     next_us = MIN(next_us, EbQuarantine_NextTimer(daemon->quarantine));
     next_us = MIN(next_us, EbDaemon_NextQuarantineWrite(daemon));
--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -114,6 +114,7 @@
     event->http_status =
         connection->response != NULL ? connection->response->status : 0;
     event->forward = connection->reply;
+    event->directive = connection->reply.directive;
     event->has_load = connection->reply.has_load;
     event->load_running = connection->reply.load_running;
     event->load_waiting = connection->reply.load_waiting;
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -16,6 +16,7 @@
 #include "ebonyhollow/caller_server.h"
 #include "ebonyhollow/config_manager.h"
 #include "ebonyhollow/daemon.h"
+#include "ebonyhollow/directives.h"
 #include "ebonyhollow/dispatcher.h"
 #include "ebonyhollow/forward_client.h"
 #include "ebonyhollow/forward_server.h"
@@ -103,6 +104,7 @@
     EbLimiter *limiter;
     EbQuarantine *quarantine;
     EbSuspects *suspects;
+    EbDirectives *directives;
     EbDispatcher *dispatcher;
     EbConfigManager *config_manager;
     EbMembership *membership;
@@ -267,6 +269,9 @@
 /* Sends evidence on what crashes servers to all peers. */
 void EbDaemon_PublishSuspicions(EbDaemon *daemon, int64_t now_us);
 
+/* Sends what was learned of the limits of servers to all peers. */
+void EbDaemon_PublishLimits(EbDaemon *daemon, int64_t now_us);
+
 /* Sends changed quarantine entries to all peers and stores them. */
 void EbDaemon_PublishQuarantine(EbDaemon *daemon, int64_t now_us);
 
--- a/src/test_admin_server/main.c
+++ b/src/test_admin_server/main.c
@@ -27,6 +27,7 @@
     EbLedger *ledger;
     EbLimiter *limiter;
     EbQuarantine *quarantine;
+    EbDirectives *directives;
     EbConfigManager *config_manager;
     EbMembership *membership;
     EbDispatcher *dispatcher;
@@ -214,6 +215,8 @@
                                .changed = ignore_change,
                                .announced = ignore_announcement,
                                .context = fixture});
+    fixture->directives = EbDirectives_New(
+        &(EbDirectivesOptions){.instance = "i-1", .random = &fixture->random});
     fixture->dispatcher = EbDispatcher_New(
         &(EbDispatcherOptions){.instance = "i-1",
                                .failure_domain = "recife",
@@ -222,6 +225,7 @@
                                .ledger = fixture->ledger,
                                .limiter = fixture->limiter,
                                .quarantine = fixture->quarantine,
+                               .directives = fixture->directives,
                                .metrics = fixture->metrics});
     fixture->platform = EbPlatformClient_New(
         &(EbPlatformClientOptions){.base = fixture->base,
@@ -294,6 +298,7 @@
     EbMembership_Free(fixture->membership);
     EbConfigManager_Free(fixture->config_manager);
     EbQuarantine_Free(fixture->quarantine);
+    EbDirectives_Free(fixture->directives);
     EbLimiter_Free(fixture->limiter);
     EbLedger_Free(fixture->ledger);
     EbMetrics_Free(fixture->metrics);
--- a/src/test_backend_client/main.c
+++ b/src/test_backend_client/main.c
@@ -16,7 +16,8 @@
 #define STREAM_HEAD                                                           \
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"                  \
     "Transfer-Encoding: chunked\r\nEb-Request-Id: r-1\r\nEb-Stage: 2\r\n"     \
-    "Eb-Attempt: 7\r\nEb-Load: 3/4\r\nEb-Leaving: 1\r\n\r\n"
+    "Eb-Attempt: 7\r\nEb-Load: 3/4\r\nEb-Leaving: 1\r\n"                      \
+    "Eb-Limit: 2.5\r\n\r\n"
 
 #define CHUNKED_HEAD "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -26,7 +27,7 @@
     uint16_t status;
     uint64_t token_index;
     uint32_t token_count;
-    bool leaving;
+    EbServerDirective directive;
     bool has_body;
 } SeenEvent;
 
@@ -55,7 +56,7 @@
     if (fixture->seen_count < MAX_EVENTS) {
         fixture->seen[fixture->seen_count++] = (SeenEvent){
             event->attempt_id,  event->kind,        event->http_status,
-            event->token_index, event->token_count, event->leaving,
+            event->token_index, event->token_count, event->directive,
             event->body != NULL};
     }
     fixture->ends += event->kind != EB_ATTEMPT_TOKENS;
@@ -322,7 +323,8 @@
     CU_ASSERT_EQUAL(fixture.echo_attempt, 7);
     CU_ASSERT_EQUAL(fixture.load_running, 3);
     CU_ASSERT_EQUAL(fixture.load_waiting, 4);
-    CU_ASSERT_TRUE(fixture.seen[0].leaving);
+    CU_ASSERT_TRUE(fixture.seen[0].directive.leaving);
+    CU_ASSERT_EQUAL(fixture.seen[0].directive.requests_per_s_milli, 2500);
     CU_ASSERT_EQUAL(fixture.server->accepted, 1);
     close_fixture(&fixture);
 }
--- a/src/test_batcher/load.c
+++ b/src/test_batcher/load.c
@@ -50,6 +50,7 @@
     LoadReport *report;
     EbActionQueue *actions;
     EbBatcher *batcher;
+    EbDirectives *directives;
     EbConfig *config;
     EbRandom random;
     int64_t now_us;
@@ -454,6 +455,7 @@
 clear_play(Play *play)
 {
     EbBatcher_Free(play->batcher);
+    EbDirectives_Free(play->directives);
     EbConfig_Unref(play->config);
     for (uint32_t s = 0; s < LOAD_STAGES_MAX; s++) {
         for (uint32_t i = 0; i < SERVERS_MAX; i++) {
@@ -478,8 +480,10 @@
     play->plan = plan;
     play->report = report;
     play->actions = EbActionQueue_New();
-    play->batcher =
-        EbBatcher_New(&(EbBatcherOptions){.actions = play->actions});
+    play->directives = EbDirectives_New(
+        &(EbDirectivesOptions){.instance = "i-1", .random = &play->random});
+    play->batcher = EbBatcher_New(&(EbBatcherOptions){
+        .actions = play->actions, .directives = play->directives});
     play->requests =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_request);
     play->jobs =
--- a/src/test_batcher/main.c
+++ b/src/test_batcher/main.c
@@ -20,6 +20,8 @@
 typedef struct {
     EbActionQueue *actions;
     EbBatcher *batcher;
+    EbDirectives *directives;
+    EbRandom random;
     EbConfig *config;
     int64_t now_us;
     EbAction call; /* the last call sent */
@@ -65,8 +67,10 @@
                          .now_us = SECOND_US,
                          .config = make_config(servers, result_memory_bytes),
                          .released = g_ptr_array_new_with_free_func(g_free)};
-    fixture->batcher =
-        EbBatcher_New(&(EbBatcherOptions){.actions = fixture->actions});
+    fixture->directives = EbDirectives_New(
+        &(EbDirectivesOptions){.instance = "i-1", .random = &fixture->random});
+    fixture->batcher = EbBatcher_New(&(EbBatcherOptions){
+        .actions = fixture->actions, .directives = fixture->directives});
     EbBatcher_SetConfig(fixture->batcher, fixture->config, fixture->now_us);
 }
 
@@ -74,6 +78,7 @@
 clear_fixture(Fixture *fixture)
 {
     EbBatcher_Free(fixture->batcher);
+    EbDirectives_Free(fixture->directives);
     EbAction_Clear(&fixture->call);
     EbActionQueue_Free(fixture->actions);
     EbConfig_Unref(fixture->config);
@@ -733,6 +738,49 @@
     }
 }
 
+/* Guards against calls with work items and releases above the limit of a
+ * server, in its pause, or to one that leaves. */
+static void
+test_directives(void)
+{
+    static const struct {
+        EbServerDirective directive;
+        int64_t next_call_us; /* after the answer */
+    } rows[] = {
+        {{.has_limit = false}, 0},
+        {{.has_limit = true, .requests_per_s_milli = 2000}, 500000},
+        {{.retry_after_us = 700000}, 700000},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Fixture fixture;
+        init_fixture(&fixture, 1, 0);
+        add_job(&fixture, 1, 4, 5 * SECOND_US);
+        add_job(&fixture, 2, 4, 6 * SECOND_US);
+        CU_ASSERT_EQUAL(process_actions(&fixture), 1);
+        const char *server_id = EbBatcher_RecordDirective(
+            fixture.batcher, fixture.call.as.batch.attempt_id,
+            &rows[i].directive, fixture.now_us);
+        CU_ASSERT_STRING_EQUAL(server_id, fixture.call.as.batch.server_id);
+        answer_call(&fixture, EB_WORK_ITEM_DONE);
+        EbBatcher_EndJob(fixture.batcher, "i-1", 1, fixture.now_us);
+        int64_t start_us = fixture.now_us;
+        unsigned calls = process_actions(&fixture);
+        while (calls == 0 && fixture.now_us < start_us + 2 * SECOND_US) {
+            int64_t next_us = EbBatcher_NextTimer(fixture.batcher);
+            fixture.now_us = MAX(next_us, fixture.now_us + 1000);
+            EbBatcher_Tick(fixture.batcher, fixture.now_us);
+            calls = process_actions(&fixture);
+        }
+        CU_ASSERT_EQUAL(calls, 1);
+        CU_ASSERT_TRUE(!rows[i].directive.has_limit ||
+                       fixture.released->len == 0);
+        CU_ASSERT_TRUE(fixture.now_us - start_us >= rows[i].next_call_us);
+        CU_ASSERT_TRUE(fixture.now_us - start_us <=
+                       rows[i].next_call_us + 1000);
+        clear_fixture(&fixture);
+    }
+}
+
 int
 main(void)
 {
@@ -753,6 +801,7 @@
         {"abandon home", test_abandon_home},
         {"local work", test_local_work},
         {"input domain", test_input_domain},
+        {"limits and pauses of servers", test_directives},
         {"burst", test_burst},
     };
     return EbTest_Run("test_batcher", cases, G_N_ELEMENTS(cases));
--- a/src/test_forward/fixture.c
+++ b/src/test_forward/fixture.c
@@ -104,6 +104,8 @@
     fixture->limiter = EbLimiter_New(
         &(EbLimiterOptions){.instance = "i-1", .config = fixture->config});
     fixture->quarantine = EbQuarantine_New(&(EbQuarantineOptions){0});
+    fixture->directives = EbDirectives_New(
+        &(EbDirectivesOptions){.instance = "i-1", .random = &fixture->random});
     fixture->suspects = EbSuspects_New(&(EbSuspectsOptions){
         .random = &fixture->random, .quarantine = fixture->quarantine});
     fixture->dispatcher = EbDispatcher_New(
@@ -114,6 +116,7 @@
                                .ledger = fixture->ledger,
                                .limiter = fixture->limiter,
                                .quarantine = fixture->quarantine,
+                               .directives = fixture->directives,
                                .suspects = fixture->suspects,
                                .metrics = fixture->metrics});
     EbDispatcher_SetConfig(fixture->dispatcher, fixture->config,
@@ -127,6 +130,7 @@
     EbLedger_Free(fixture->ledger);
     EbLimiter_Free(fixture->limiter);
     EbSuspects_Free(fixture->suspects);
+    EbDirectives_Free(fixture->directives);
     EbQuarantine_Free(fixture->quarantine);
     EbMetrics_Free(fixture->metrics);
     EbActionQueue_Free(fixture->actions);
@@ -159,6 +163,7 @@
     fixture->answered = true;
     fixture->outcome = answer->outcome;
     fixture->reason = answer->reason;
+    fixture->retry_after_us = answer->retry_after_us;
     fixture->status = answer->reply != NULL ? answer->reply->status : 0;
 }
 
@@ -255,6 +260,7 @@
             .forward = {.request_id = event->wrong_request_id ? "r-0" : "r-1",
                         .sealed = !event->unsigned_answer,
                         .not_run = event->not_run},
+            .directive = event->directive,
             .event_id = event->event_id,
             .bytes = (const uint8_t *)event->bytes,
             .byte_count = event->bytes != NULL ? strlen(event->bytes) : 0},
--- a/src/test_forward/forward.h
+++ b/src/test_forward/forward.h
@@ -16,6 +16,7 @@
     EbLimiter *limiter;
     EbQuarantine *quarantine;
     EbSuspects *suspects;
+    EbDirectives *directives;
     EbMetrics *metrics;
     EbDispatcher *dispatcher;
     EbConfig *config;
@@ -41,6 +42,7 @@
     bool answered;
     EbOutcome outcome;
     EbReason reason;
+    int64_t retry_after_us;
     uint16_t status; /* of the server's answer that was passed on; 0: none */
 } Fixture;
 
@@ -52,6 +54,7 @@
     bool wrong_request_id;
     int64_t event_id;
     const char *bytes;
+    EbServerDirective directive;
 } Event;
 
 /* fixture.c */
@@ -82,6 +85,14 @@
 void test_prepared_twice(void);
 void test_lost_results(void);
 
+/* directives.c */
+
+void test_limited_servers(void);
+void test_retry_after_from_limit(void);
+void test_foreign_directive(void);
+void test_paused_server(void);
+void test_leaving_server(void);
+
 /* suspects.c */
 
 void test_prompt_part_crashes_servers(void);
--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -423,11 +423,12 @@
         fixture.answered = false;
         fixture.send_count = 0;
         Fixture_Submit(&fixture, "/once/x", TOKEN);
-        Fixture_SendEvent(&fixture, &(Event){.kind = EB_ATTEMPT_STREAMING,
-                                             .status = 200});
-        Fixture_SendEvent(&fixture, &(Event){.kind = EB_ATTEMPT_EVENTS,
-                                             .status = 200,
-                                             .bytes = "a"});
+        CU_ASSERT_EQUAL_FATAL(fixture.send_count, 1);
+        Fixture_SendEvent(
+            &fixture, &(Event){.kind = EB_ATTEMPT_STREAMING, .status = 200});
+        Fixture_SendEvent(
+            &fixture,
+            &(Event){.kind = EB_ATTEMPT_EVENTS, .status = 200, .bytes = "a"});
         Fixture_Advance(&fixture, 11 * SECOND_US / 2);
         Fixture_SendEvent(&fixture,
                           &(Event){.kind = EB_ATTEMPT_ENDED, .status = 200});
@@ -458,6 +459,11 @@
         {"slow streams", test_slow_streams},
         {"deadline", test_deadline},
         {"short calls beside long streams", test_short_calls_beside_streams},
+        {"limited servers", test_limited_servers},
+        {"retry-after from a limit", test_retry_after_from_limit},
+        {"directive of another server", test_foreign_directive},
+        {"paused server", test_paused_server},
+        {"leaving server", test_leaving_server},
         {"preparations", test_preparations},
         {"early preparation", test_early_preparation},
         {"useless preparations", test_useless_preparations},
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -15,6 +15,14 @@
     {"i-1", 7, "10.0.0.1:7000", "recife", EB_MEMBER_LEAVING, 3, 500},
     {"i-2", UINT64_MAX, "", "", EB_MEMBER_ALIVE, 0, 0}};
 static EbMessageShare sample_shares[] = {{"c-1", 1500, 4, UINT64_MAX}};
+static EbLimitReport sample_limits[] = {
+    {.server_id = "s-1",
+     .limited = true,
+     .requests_per_s_milli = 1250,
+     .ago_us = 7},
+    {.server_id = "s-2"},
+};
+
 static EbSuspicion sample_suspicions[] = {
     {.set = {{UINT64_MAX, 1, 5}, 3}, .server = 17, .alone = true, .ago_us = 3},
     {.set = {{1}, 1}, .ago_us = UINT64_MAX},
@@ -103,6 +111,12 @@
      .feed_failing = true,
      .confirmed_ago_us = 17,
      .recovered_ago_us = UINT64_MAX},
+    {.kind = EB_MESSAGE_SERVER_LIMITS,
+     .origin = "instance-a",
+     .origin_incarnation = 1,
+     .sequence = 10,
+     .limits = sample_limits,
+     .limit_count = 2},
     {.kind = EB_MESSAGE_SUSPICIONS,
      .origin = "i-2",
      .origin_incarnation = 5,
@@ -142,6 +156,15 @@
         CU_ASSERT_EQUAL(got->entries[i].remaining_us,
                         sent->entries[i].remaining_us);
     }
+    CU_ASSERT_EQUAL_FATAL(got->limit_count, sent->limit_count);
+    for (uint32_t i = 0; i < got->limit_count; i++) {
+        const EbLimitReport *report = &sent->limits[i];
+        CU_ASSERT_STRING_EQUAL(got->limits[i].server_id, report->server_id);
+        CU_ASSERT_EQUAL(got->limits[i].limited, report->limited);
+        CU_ASSERT_EQUAL(got->limits[i].requests_per_s_milli,
+                        report->requests_per_s_milli);
+        CU_ASSERT_EQUAL(got->limits[i].ago_us, report->ago_us);
+    }
     CU_ASSERT_EQUAL_FATAL(got->suspicion_count, sent->suspicion_count);
     for (uint32_t i = 0; i < got->suspicion_count; i++) {
         const EbSuspectSet *set = &got->suspicions[i].set;
--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -563,6 +563,47 @@
     }
 }
 
+/* Guards against what a server asks of its callers being lost, or read from a
+ * header that is malformed or has no meaning in this answer. */
+static void
+test_directives(void)
+{
+    static const struct {
+        uint16_t status;
+        const char *name;
+        const char *value;
+        EbServerDirective expected;
+    } rows[] = {
+        {200,
+         "Server-Limit",
+         "1.25",
+         {.has_limit = true, .requests_per_s_milli = 1250}},
+        {503, "Server-Limit", "0", {.has_limit = true}},
+        {200,
+         "Server-Limit",
+         "1e300",
+         {.has_limit = true, .requests_per_s_milli = 1000000000}},
+        {200, "Server-Limit", "", {0}},
+        {200, "Server-Limit", "-1", {0}},
+        {200, "Server-Limit", "1,5", {0}},
+        {200, "Server-Limit", "nan", {0}},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        EbHttpMessage *head = EbHttpMessage_NewResponse(rows[i].status);
+        EbHttpMessage_AddHeader(head, rows[i].name, rows[i].value);
+        EbForwardReply reply;
+        EbPlatform_forward_protocol.read_reply(head, &reply);
+        const EbServerDirective *expected = &rows[i].expected;
+        CU_ASSERT_EQUAL(reply.directive.leaving, expected->leaving);
+        CU_ASSERT_EQUAL(reply.directive.has_limit, expected->has_limit);
+        CU_ASSERT_EQUAL(reply.directive.requests_per_s_milli,
+                        expected->requests_per_s_milli);
+        CU_ASSERT_EQUAL(reply.directive.retry_after_us,
+                        expected->retry_after_us);
+        EbHttpMessage_Unref(head);
+    }
+}
+
 int
 main(void)
 {
@@ -572,6 +613,7 @@
         {"servers", test_servers},
         {"call", test_call},
         {"invalid calls", test_invalid_calls},
+        {"directives", test_directives},
         {"work items", test_work_items},
         {"handles", test_handles},
         {"store", test_store},
--- a/src/test_simulation/simulation.h
+++ b/src/test_simulation/simulation.h
@@ -98,6 +98,7 @@
     EbLedger *ledger;
     EbLimiter *limiter;
     EbQuarantine *quarantine;
+    EbDirectives *directives;
     EbMetrics *metrics;
     EbDispatcher *dispatcher;
 } SimulationDaemon;
--- a/src/test_simulation/simulation_backend.c
+++ b/src/test_simulation/simulation_backend.c
@@ -106,7 +106,7 @@
             call->fault == FAULT_WRONG_ECHO ? "another" : call->request_id,
         .echo_stage = call->stage,
         .echo_attempt = call->number,
-        .leaving = call->fault == FAULT_LEAVING,
+        .directive.leaving = call->fault == FAULT_LEAVING,
     };
     return event;
 }
--- a/src/test_simulation/simulation_daemon.c
+++ b/src/test_simulation/simulation_daemon.c
@@ -87,6 +87,8 @@
                          simulation->now_us);
     daemon->quarantine =
         EbQuarantine_New(&(EbQuarantineOptions){.events = &simulation->sink});
+    daemon->directives = EbDirectives_New(&(EbDirectivesOptions){
+        .instance = daemon->name, .random = &daemon->random});
     daemon->metrics = EbMetrics_New();
     daemon->dispatcher = EbDispatcher_New(
         &(EbDispatcherOptions){.instance = daemon->name,
@@ -100,6 +102,7 @@
                                .ledger = daemon->ledger,
                                .limiter = daemon->limiter,
                                .quarantine = daemon->quarantine,
+                               .directives = daemon->directives,
                                .metrics = daemon->metrics,
                                .ask_owner = ask_owner,
                                .context = simulation});
@@ -113,6 +116,7 @@
     EbDispatcher_Free(daemon->dispatcher);
     EbMetrics_Free(daemon->metrics);
     EbQuarantine_Free(daemon->quarantine);
+    EbDirectives_Free(daemon->directives);
     EbLimiter_Free(daemon->limiter);
     EbLedger_Free(daemon->ledger);
     EbActionQueue_Free(daemon->actions);
--- a/test/measure_decisions.c
+++ b/test/measure_decisions.c
@@ -47,6 +47,7 @@
     EbLedger *ledger;
     EbLimiter *limiter;
     EbQuarantine *quarantine;
+    EbDirectives *directives;
     EbMetrics *metrics;
     EbDispatcher *dispatcher;
     GQueue calls; /* of Call, not yet answered */
@@ -268,6 +269,8 @@
         &(EbLimiterOptions){.instance = names[0], .config = daemon->config});
     EbLimiter_SetMembers(daemon->limiter, members, DAEMONS, daemon->now_us);
     daemon->quarantine = EbQuarantine_New(&(EbQuarantineOptions){0});
+    daemon->directives = EbDirectives_New(&(EbDirectivesOptions){
+        .instance = names[0], .random = &daemon->random});
     daemon->metrics = EbMetrics_New();
     daemon->dispatcher = EbDispatcher_New(&(EbDispatcherOptions){
         .instance = names[0],
@@ -279,6 +282,7 @@
         .ledger = daemon->ledger,
         .limiter = daemon->limiter,
         .quarantine = daemon->quarantine,
+        .directives = daemon->directives,
         .metrics = daemon->metrics,
     });
     EbDispatcher_SetConfig(daemon->dispatcher, daemon->config, daemon->now_us);
@@ -299,6 +303,7 @@
     EbDispatcher_Free(daemon->dispatcher);
     EbMetrics_Free(daemon->metrics);
     EbQuarantine_Free(daemon->quarantine);
+    EbDirectives_Free(daemon->directives);
     EbLimiter_Free(daemon->limiter);
     EbLedger_Free(daemon->ledger);
     EbActionQueue_Free(daemon->actions);
