--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -574,6 +574,8 @@
         const char *value;
         EbServerDirective expected;
     } rows[] = {
+        {200, "Server-Leaving", "1", {.leaving = true}},
+        {200, "Server-Leaving", "0", {0}},
         {200,
          "Server-Limit",
          "1.25",
@@ -587,6 +589,11 @@
         {200, "Server-Limit", "-1", {0}},
         {200, "Server-Limit", "1,5", {0}},
         {200, "Server-Limit", "nan", {0}},
+        {503, "Retry-After", "2", {.retry_after_us = 2000000}},
+        {503, "Retry-After", "0.25", {.retry_after_us = 250000}},
+        {429, "Retry-After", "1", {.retry_after_us = 1000000}},
+        {200, "Retry-After", "2", {0}},
+        {503, "Retry-After", "Sat, 05 Dec 2026 14:00:00 GMT", {0}},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         EbHttpMessage *head = EbHttpMessage_NewResponse(rows[i].status);
