--- a/include/actions/ebonyhollow/store_protocol.h
+++ b/include/actions/ebonyhollow/store_protocol.h
@@ -9,12 +9,27 @@
 
 #include "ebonyhollow/action.h"
 
+/* A state of the store. */
+typedef struct {
+    uint64_t era; /* 0: the store has no eras */
+    uint64_t revision;
+} EbStorePosition;
+
+/* Returns a number below, equal to or above 0 as `a` is before, equal to or
+ * after `b`. */
+int EbStorePosition_Compare(const EbStorePosition *a,
+                            const EbStorePosition *b);
+
 /* A table of functions that build requests and convert response bodies to a
  * common form. An object is {"name", "version", "value"}. A list of objects is
  * {"revision", "items"}. Changes are {"revision", "events"}; an event is an
  * object that has "deleted" in addition. The caller frees paths with g_free;
  * JSON results are new references. */
 typedef struct {
+    /* Header of every response with the era of the store, a number. It rises
+     * when the store returns from an older copy of itself. Revisions can be
+     * compared within an era only. */
+    const char *era_header;
     bool creates_with_post; /* objects are created with POST, not with PUT */
     /* Returns the path of a request. */
     char *(*path)(const EbStoreRequest *request);
--- a/include/feed/ebonyhollow/store_feed.h
+++ b/include/feed/ebonyhollow/store_feed.h
@@ -13,10 +13,10 @@
  * A daemon that starts while the store can't be read asks the sources for all
  * they know, and uses it until it can read the store.
  *
- * The objects of one kind are a stream. Their state is that of a revision of
- * the store, which never decreases. Changes apply to a range of revisions and
- * are ignored unless the known revision lies in that range, so that an old
- * message can't bring back an object that was removed.
+ * The objects of one kind are a stream. Their state is that of a position of
+ * the store, its era and revision, which never goes back. Changes apply to a
+ * range of revisions and are ignored unless the known revision lies in that
+ * range, so that an old message can't bring back an object that was removed.
  *
  * Objects are {"name", "value"}, events have "deleted" in addition, as in
  * EbStoreProtocol. Times are in microseconds on the monotonic clock. */
@@ -31,6 +31,7 @@
 
 #include "ebonyhollow/event.h"
 #include "ebonyhollow/message.h"
+#include "ebonyhollow/store_protocol.h"
 
 /* Together with a hop to the source it is below the 2 s within which a change
  * of the store must be in force in the strictest deployment. */
@@ -50,9 +51,12 @@
     bool (*send)(void *context, const char *instance, const EbMessage *message,
                  int64_t now_us);
     /* Called with the objects of a stream that changed, as an array of events
-     * that is valid during the call. */
+     * that is valid during the call.
+     *
+     * restored: they lead to the older copy from which the store returned, so
+     *     that what was written since may be missing. */
     void (*changed)(void *context, EbFeedStream stream, const json_t *events,
-                    int64_t now_us);
+                    bool restored, int64_t now_us);
     void *context;
 } EbStoreFeedOptions;
 
@@ -74,17 +78,22 @@
                             int64_t now_us);
 
 /* Handles a complete list of a stream's objects that the store returned as of
- * `revision`. Ignores a list that is older than the known state. */
+ * `position`. Ignores a list that is older than the known state. */
 void EbStoreFeed_HandleList(EbStoreFeed *feed, EbFeedStream stream,
-                            uint64_t revision, const json_t *items,
-                            int64_t now_us);
+                            const EbStorePosition *position,
+                            const json_t *items, int64_t now_us);
 
 /* Handles the store's response to a watch: all changes after `base_revision`
- * up to `revision`, possibly none. */
+ * up to `position`, in the same era, possibly none. */
 void EbStoreFeed_HandleChanges(EbStoreFeed *feed, EbFeedStream stream,
-                               uint64_t base_revision, uint64_t revision,
+                               uint64_t base_revision,
+                               const EbStorePosition *position,
                                const json_t *events, int64_t now_us);
 
+/* Reports that the store has returned from an older copy. The streams are read
+ * until they were listed in this era. */
+void EbStoreFeed_StartEra(EbStoreFeed *feed, uint64_t era, int64_t now_us);
+
 /* Reports that the store answered a probe after `latency_us`. */
 void EbStoreFeed_HandleProbe(EbStoreFeed *feed, int64_t latency_us,
                              int64_t now_us);
@@ -115,8 +124,12 @@
  * EB_FEED_PROBE_INTERVAL_US, since others ask it. */
 bool EbStoreFeed_MustProbe(const EbStoreFeed *feed);
 
-/* Returns the revision of the known state of a stream, from which a watch
- * continues; 0 when its objects must be listed first. */
-uint64_t EbStoreFeed_Revision(const EbStoreFeed *feed, EbFeedStream stream);
+/* Sets `position` to that of the known state of a stream. Returns whether a
+ * watch can continue from it; if not, its objects must be listed first. */
+bool EbStoreFeed_Position(const EbStoreFeed *feed, EbFeedStream stream,
+                          EbStorePosition *position);
+
+/* Returns whether the objects of a stream were listed, in any era. */
+bool EbStoreFeed_IsKnown(const EbStoreFeed *feed, EbFeedStream stream);
 
 #endif
--- a/include/membership/ebonyhollow/message.h
+++ b/include/membership/ebonyhollow/message.h
@@ -160,21 +160,24 @@
     uint32_t handle_count;
 
     /* FEED_REQUEST, FEED_STATUS: `feed_request` numbers a request and is
-     * repeated in its response. The revisions are those up to which the sender
-     * knows the store's objects, see EbStoreFeed. */
+     * repeated in its response. Eras and revisions are those up to which the
+     * sender knows the store's objects, see EbStoreFeed. */
     uint64_t feed_request;
     uint64_t config_revision;
+    uint64_t config_era;
     uint64_t servers_revision;
+    uint64_t servers_era;
     bool feed_reading; /* FEED_STATUS: the sender reads the store itself */
     bool feed_failing; /* FEED_STATUS: it tries to, and its last read failed */
     /* FEED_STATUS: time since the store last answered the sender */
     uint64_t confirmed_ago_us;
-    /* FEED_CHANGES: the changes after `base_revision` up to `revision`, or all
-     * objects when `base_revision` is 0; `exact_base` when they lead there
-     * from that revision only */
+    /* FEED_CHANGES: the changes after `base_revision` up to `revision` in the
+     * store's `era`, or all objects when `base_revision` is 0; `exact_base`
+     * when they lead there from that revision only */
     uint32_t feed_stream; /* EbFeedStream */
     uint64_t base_revision;
     uint64_t revision;
+    uint64_t era;
     bool exact_base;
     /* FEED_CHANGES, FEED_STATUS: time since the end of the store's last
      * outage; 0: unknown or long ago */
--- a/include/net/ebonyhollow/platform_client.h
+++ b/include/net/ebonyhollow/platform_client.h
@@ -51,13 +51,16 @@
     /* Called with all objects of a kind as of a revision: when its watch
      * starts, after changes may have been missed, and for each periodic
      * listing. `items` is borrowed. May be NULL. */
-    void (*listed)(void *context, const char *kind, uint64_t revision,
-                   json_t *items);
+    void (*listed)(void *context, const char *kind,
+                   const EbStorePosition *position, json_t *items);
     /* Called after each poll of a watched kind, with the changes after
-     * `base_revision` up to `revision`, possibly none. `events` is borrowed.
-     * May be NULL. */
+     * `base_revision` up to `position`, possibly none; both are of one era.
+     * `events` is borrowed. May be NULL. */
     void (*changed)(void *context, const char *kind, uint64_t base_revision,
-                    uint64_t revision, json_t *events);
+                    const EbStorePosition *position, json_t *events);
+    /* Called when a response was of a later era than all before it. Lists and
+     * watches of earlier eras are dropped and begun again. May be NULL. */
+    void (*era_changed)(void *context, uint64_t era);
     /* Called after a list or a poll failed, other than by a gap, which is
      * followed by a list. May be NULL. */
     void (*failed)(void *context, const char *kind);
@@ -84,11 +87,12 @@
  * the kind is watched or listed periodically already. */
 void EbPlatformClient_Watch(EbPlatformClient *client, const char *kind);
 
-/* Watches a kind whose objects are known as of `revision`, without listing
- * them. The first poll is short, so that `changed` soon tells whether that is
- * still so. Does nothing if the kind is watched already. */
+/* Watches a kind whose objects are known as of `position`, without listing
+ * them unless the store's era has changed. The first poll is short, so that
+ * `changed` soon tells whether that is still so. Does nothing if the kind is
+ * watched already. */
 void EbPlatformClient_WatchFrom(EbPlatformClient *client, const char *kind,
-                                uint64_t revision);
+                                const EbStorePosition *position);
 
 /* Lists a kind now and then every `interval_us` without watching it, until
  * EbPlatformClient_Unwatch. The lists may be seconds old. Does nothing if the
@@ -106,6 +110,10 @@
 /* Stops watching a kind or listing it periodically. */
 void EbPlatformClient_Unwatch(EbPlatformClient *client, const char *kind);
 
+/* Returns the latest era of which a response was; 0 when there was none or the
+ * store has no eras. */
+uint64_t EbPlatformClient_Era(const EbPlatformClient *client);
+
 /* Returns false after two consecutive calls failed, until one succeeds. */
 bool EbPlatformClient_IsUp(const EbPlatformClient *client);
 
--- a/include/share/ebonyhollow/event_table.h
+++ b/include/share/ebonyhollow/event_table.h
@@ -122,7 +122,10 @@
     X(SERVER_LISTED, 420, "backend-server-listed", EB_LEVEL_NOTICE,           \
       "The platform's store says that a backend server is ready, leaving or " \
       "gone; lapsed means that its entry disappeared during an outage of "    \
-      "the store and that the server stays in use for two seconds.",          \
+      "the store and that the server stays in use for two seconds, doubted "  \
+      "that the store returned from an older copy in which a server is "      \
+      "ready "                                                                \
+      "that was leaving or gone, which is not used for now.",                 \
       "backend_server,service,state", "None.")                                \
     X(SERVER_EJECTED, 400, "backend-server-ejected", EB_LEVEL_WARNING,        \
       "This daemon sends a backend server no calls until until_us on its "    \
@@ -251,6 +254,19 @@
       "objects, known as of revision, are listed again.",                     \
       "kind,revision,waited_us",                                              \
       "None, unless it is frequent: check the network path to the platform.") \
+    X(STORE_RESTORED, 706, "store-restored", EB_LEVEL_WARNING,                \
+      "The platform's store returned from an older copy of itself: what was " \
+      "written since is gone, and revisions are given out again. All "        \
+      "objects "                                                              \
+      "are listed again.",                                                    \
+      "era",                                                                  \
+      "Check with the platform's operators that this was intended. Entries "  \
+      "of daemons and of the quarantine are written again by themselves.")    \
+    X(STORE_ANSWER_OUTDATED, 707, "store-answer-outdated", EB_LEVEL_INFO,     \
+      "An answer of the platform's store from before it was restored "        \
+      "arrived "                                                              \
+      "late and was not used.",                                               \
+      "era,current", "None.")                                                 \
     X(AUDIT, 800, "audit", EB_LEVEL_NOTICE,                                   \
       "An operator made or attempted a change; result says which.",           \
       "operator,action,object,from_version,result",                           \
--- a/src/libebonyhollow/feed/object_stream.c
+++ b/src/libebonyhollow/feed/object_stream.c
@@ -65,8 +65,8 @@
 log_events(EbObjectStream *stream, uint64_t revision, bool exact_base,
            json_t *events, int64_t now_us)
 {
-    uint64_t base_revision = stream->revision;
-    stream->revision = revision;
+    uint64_t base_revision = stream->position.revision;
+    stream->position.revision = revision;
     if (json_array_size(events) > 0 ||
         (exact_base && revision > base_revision)) {
         Batch *batch = g_new0(Batch, 1);
@@ -160,23 +160,33 @@
     }
 }
 
+static void
+start_era(EbObjectStream *stream, const EbStorePosition *position)
+{
+    g_queue_clear_full(&stream->batches, free_batch);
+    stream->logged_events = 0;
+    stream->listed = true;
+    stream->position = *position;
+    stream->log_revision = position->revision;
+}
+
 json_t *
-EbObjectStream_ApplyList(EbObjectStream *stream, uint64_t revision,
-                         const json_t *items, int64_t now_us)
+EbObjectStream_ApplyList(EbObjectStream *stream,
+                         const EbStorePosition *position, const json_t *items,
+                         int64_t now_us)
 {
-    if (stream->listed && revision < stream->revision) {
+    if (stream->listed &&
+        EbStorePosition_Compare(position, &stream->position) < 0) {
         return NULL;
     }
     json_t *effective = json_array();
     delete_unlisted(stream, items, effective);
     apply_events(stream, items, effective);
-    if (stream->listed) {
-        log_events(stream, revision, true, effective, now_us);
+    if (stream->listed && stream->position.era == position->era) {
+        log_events(stream, position->revision, true, effective, now_us);
     }
     else {
-        stream->listed = true;
-        stream->revision = revision;
-        stream->log_revision = revision;
+        start_era(stream, position);
     }
     return effective;
 }
@@ -185,17 +195,19 @@
 EbObjectStream_ApplyChanges(EbObjectStream *stream,
                             const EbObjectChanges *changes, int64_t now_us)
 {
-    if (!stream->listed || changes->base_revision > stream->revision ||
-        changes->revision <= stream->revision) {
+    if (!stream->listed || changes->position.era != stream->position.era ||
+        changes->base_revision > stream->position.revision ||
+        changes->position.revision <= stream->position.revision) {
         return NULL;
     }
-    if (changes->exact_base && changes->base_revision != stream->revision) {
+    if (changes->exact_base &&
+        changes->base_revision != stream->position.revision) {
         return NULL;
     }
     json_t *effective = json_array();
     apply_events(stream, changes->events, effective);
-    log_events(stream, changes->revision, changes->exact_base, effective,
-               now_us);
+    log_events(stream, changes->position.revision, changes->exact_base,
+               effective, now_us);
     return effective;
 }
 
@@ -233,11 +245,14 @@
 }
 
 char *
-EbObjectStream_WriteChanges(EbObjectStream *stream, uint64_t revision,
-                            size_t max_bytes, bool *exact_base)
+EbObjectStream_WriteChanges(EbObjectStream *stream,
+                            const EbStorePosition *position, size_t max_bytes,
+                            bool *exact_base)
 {
+    uint64_t revision = position->revision;
     *exact_base = false;
-    if (!stream->listed || revision < stream->log_revision) {
+    if (!stream->listed || position->era != stream->position.era ||
+        revision < stream->log_revision) {
         return NULL;
     }
     GString *text = g_string_new(NULL);
--- a/src/libebonyhollow/feed/private/store_feed_state.h
+++ b/src/libebonyhollow/feed/private/store_feed_state.h
@@ -23,15 +23,15 @@
     bool readable;   /* the last read succeeded */
     int64_t read_us; /* time of the last successful read */
     int64_t listed_us;
-    uint32_t failures;        /* of reads, in a row */
-    int64_t pause_until_us;   /* no reads before this time */
-    uint64_t wanted_revision; /* a source knows it, but can't send what led
-                                 there */
+    uint32_t failures;      /* of reads, in a row */
+    int64_t pause_until_us; /* no reads before this time */
+    EbStorePosition wanted; /* a source knows it, but can't send what led
+                               there */
 } EbFeedStreamState;
 
 /* A daemon that gets its changes from this one. */
 typedef struct {
-    uint64_t revisions[EB_FEED_STREAM_COUNT];
+    EbStorePosition positions[EB_FEED_STREAM_COUNT];
     int64_t expires_us;
 } EbFeedSubscriber;
 
@@ -69,11 +69,15 @@
 /* Apply what the store or a source told to the known objects, report the
  * events that change something and pass them on. */
 void EbStoreFeed_ApplyList(EbStoreFeed *feed, EbFeedStream index,
-                           uint64_t revision, const json_t *items,
-                           int64_t now_us);
+                           const EbStorePosition *position,
+                           const json_t *items, int64_t now_us);
 void EbStoreFeed_ApplyChanges(EbStoreFeed *feed, EbFeedStream index,
                               const EbObjectChanges *changes, int64_t now_us);
 
+/* Makes a stream be read from the store until it has reached the position. */
+void EbStoreFeed_Want(EbStoreFeed *feed, EbFeedStream index,
+                      const EbStorePosition *position);
+
 /* Returns whether every stream was listed. */
 bool EbStoreFeed_IsListed(const EbStoreFeed *feed);
 
--- a/src/libebonyhollow/feed/store_feed.c
+++ b/src/libebonyhollow/feed/store_feed.c
@@ -113,27 +113,30 @@
 /* Reports the events that an update of a stream returned and passes them on.
  * Takes over the reference. */
 static void
-publish(EbStoreFeed *feed, EbFeedStream index, json_t *events, int64_t now_us)
+publish(EbStoreFeed *feed, EbFeedStream index, json_t *events, bool restored,
+        int64_t now_us)
 {
     if (json_array_size(events) > 0) {
-        feed->options.changed(feed->options.context, index, events, now_us);
+        feed->options.changed(feed->options.context, index, events, restored,
+                              now_us);
         EbStoreFeed_SendToSubscribers(feed, index, now_us);
     }
     json_decref(events);
 }
 
 void
-EbStoreFeed_ApplyList(EbStoreFeed *feed, EbFeedStream index, uint64_t revision,
-                      const json_t *items, int64_t now_us)
+EbStoreFeed_ApplyList(EbStoreFeed *feed, EbFeedStream index,
+                      const EbStorePosition *position, const json_t *items,
+                      int64_t now_us)
 {
-    EbFeedStreamState *stream = &feed->streams[index];
-    if (!stream->objects.listed) {
-        stream->listed_us = now_us;
+    EbObjectStream *objects = &feed->streams[index].objects;
+    bool restored = objects->listed && position->era > objects->position.era;
+    if (!objects->listed) {
+        feed->streams[index].listed_us = now_us;
     }
-    publish(
-        feed, index,
-        EbObjectStream_ApplyList(&stream->objects, revision, items, now_us),
-        now_us);
+    publish(feed, index,
+            EbObjectStream_ApplyList(objects, position, items, now_us),
+            restored, now_us);
 }
 
 void
@@ -143,7 +146,30 @@
     publish(feed, index,
             EbObjectStream_ApplyChanges(&feed->streams[index].objects, changes,
                                         now_us),
-            now_us);
+            false, now_us);
+}
+
+void
+EbStoreFeed_Want(EbStoreFeed *feed, EbFeedStream index,
+                 const EbStorePosition *position)
+{
+    EbFeedStreamState *stream = &feed->streams[index];
+    if (EbStorePosition_Compare(&stream->wanted, position) < 0) {
+        stream->wanted = *position;
+    }
+}
+
+void
+EbStoreFeed_StartEra(EbStoreFeed *feed, uint64_t era, int64_t now_us)
+{
+    EbStorePosition start = {.era = era};
+    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+        const EbObjectStream *objects = &feed->streams[i].objects;
+        if (objects->listed && objects->position.era < era) {
+            feed->recovered_us = now_us;
+        }
+        EbStoreFeed_Want(feed, (EbFeedStream)i, &start);
+    }
 }
 
 static void
@@ -160,19 +186,21 @@
 
 void
 EbStoreFeed_HandleList(EbStoreFeed *feed, EbFeedStream index,
-                       uint64_t revision, const json_t *items, int64_t now_us)
+                       const EbStorePosition *position, const json_t *items,
+                       int64_t now_us)
 {
     mark_read(feed, &feed->streams[index], now_us);
-    EbStoreFeed_ApplyList(feed, index, revision, items, now_us);
+    EbStoreFeed_ApplyList(feed, index, position, items, now_us);
 }
 
 void
 EbStoreFeed_HandleChanges(EbStoreFeed *feed, EbFeedStream index,
-                          uint64_t base_revision, uint64_t revision,
+                          uint64_t base_revision,
+                          const EbStorePosition *position,
                           const json_t *events, int64_t now_us)
 {
     EbObjectChanges changes = {.base_revision = base_revision,
-                               .revision = revision,
+                               .position = *position,
                                .events = events};
     mark_read(feed, &feed->streams[index], now_us);
     EbStoreFeed_ApplyChanges(feed, index, &changes, now_us);
@@ -260,7 +288,8 @@
     if (now_us < stream->pause_until_us) {
         return NULL;
     }
-    if (stream->objects.revision < stream->wanted_revision) {
+    if (EbStorePosition_Compare(&stream->objects.position, &stream->wanted) <
+        0) {
         return "behind";
     }
     return now_us >= confirmed_until(feed) && !waits_for_other(feed, stream)
@@ -279,10 +308,11 @@
         }
         stream->must_read = cause != NULL;
         stream->readable = false;
-        EB_EMIT(&feed->events, EB_EVENT_STORE_READS,
-                EB_STRING_FIELD("kind", EbStoreFeed_stream_names[i]),
-                EB_STRING_FIELD("cause", cause != NULL ? cause : "confirmed"),
-                EB_INTEGER_FIELD("revision", stream->objects.revision));
+        EB_EMIT(
+            &feed->events, EB_EVENT_STORE_READS,
+            EB_STRING_FIELD("kind", EbStoreFeed_stream_names[i]),
+            EB_STRING_FIELD("cause", cause != NULL ? cause : "confirmed"),
+            EB_INTEGER_FIELD("revision", stream->objects.position.revision));
     }
 }
 
@@ -344,9 +374,17 @@
     return feed->probing;
 }
 
-uint64_t
-EbStoreFeed_Revision(const EbStoreFeed *feed, EbFeedStream stream)
+bool
+EbStoreFeed_Position(const EbStoreFeed *feed, EbFeedStream stream,
+                     EbStorePosition *position)
+{
+    const EbFeedStreamState *state = &feed->streams[stream];
+    *position = state->objects.position;
+    return state->objects.listed && position->era >= state->wanted.era;
+}
+
+bool
+EbStoreFeed_IsKnown(const EbStoreFeed *feed, EbFeedStream stream)
 {
-    const EbObjectStream *objects = &feed->streams[stream].objects;
-    return objects->listed ? objects->revision : 0;
+    return feed->streams[stream].objects.listed;
 }
--- a/src/libebonyhollow/feed/store_feed_ask.c
+++ b/src/libebonyhollow/feed/store_feed_ask.c
@@ -18,8 +18,12 @@
     EbMessage request = {
         .kind = EB_MESSAGE_FEED_REQUEST,
         .feed_request = ++feed->request,
-        .config_revision = feed->streams[EB_FEED_CONFIG].objects.revision,
-        .servers_revision = feed->streams[EB_FEED_SERVERS].objects.revision};
+        .config_revision =
+            feed->streams[EB_FEED_CONFIG].objects.position.revision,
+        .config_era = feed->streams[EB_FEED_CONFIG].objects.position.era,
+        .servers_revision =
+            feed->streams[EB_FEED_SERVERS].objects.position.revision,
+        .servers_era = feed->streams[EB_FEED_SERVERS].objects.position.era};
     guint attempts = MIN(feed->sources->len, EB_FEED_REFUSALS_MAX);
     feed->awaiting_status = false;
     for (guint i = 0; i < attempts && !feed->awaiting_status; i++) {
@@ -78,19 +82,22 @@
     feed->failing_refusals = 0;
     feed->sources_failing = false;
     note_recovery(feed, message, now_us);
-    const uint64_t revisions[EB_FEED_STREAM_COUNT] = {
-        [EB_FEED_CONFIG] = message->config_revision,
-        [EB_FEED_SERVERS] = message->servers_revision};
+    const EbStorePosition positions[EB_FEED_STREAM_COUNT] = {
+        [EB_FEED_CONFIG] = {message->config_era, message->config_revision},
+        [EB_FEED_SERVERS] = {message->servers_era, message->servers_revision}};
     bool complete = true;
     for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
         EbFeedStreamState *stream = &feed->streams[i];
         /* The store is back, if it was away. */
         stream->pause_until_us = 0;
         stream->failures = stream->must_read ? stream->failures : 0;
-        if (stream->objects.revision < revisions[i]) {
-            stream->wanted_revision = revisions[i];
+        if (EbStorePosition_Compare(&stream->objects.position, &positions[i]) <
+            0) {
+            EbStoreFeed_Want(feed, (EbFeedStream)i, &positions[i]);
             complete = false;
         }
+        /* What the source knows may be outdated. */
+        complete = complete && positions[i].era >= stream->wanted.era;
     }
     if (complete) {
         feed->confirmed_us =
@@ -127,13 +134,13 @@
 {
     EbFeedStream index = (EbFeedStream)message->feed_stream;
     EbFeedStreamState *stream = &feed->streams[index];
+    EbStorePosition position = {message->era, message->revision};
     json_t *events = parse_events(message);
     if (events == NULL) {
         EB_EMIT(&feed->events, EB_EVENT_FEED_INVALID,
                 EB_STRING_FIELD("peer", peer),
                 EB_STRING_FIELD("kind", EbStoreFeed_stream_names[index]));
-        stream->wanted_revision =
-            MAX(stream->wanted_revision, message->revision);
+        EbStoreFeed_Want(feed, index, &position);
         return;
     }
     note_recovery(feed, message, now_us);
@@ -141,13 +148,12 @@
         /* All objects, for a daemon without a list. They count as unconfirmed.
          */
         if (!stream->objects.listed) {
-            EbStoreFeed_ApplyList(feed, index, message->revision, events,
-                                  now_us);
+            EbStoreFeed_ApplyList(feed, index, &position, events, now_us);
         }
     }
     else {
         EbObjectChanges changes = {.base_revision = message->base_revision,
-                                   .revision = message->revision,
+                                   .position = position,
                                    .exact_base = message->exact_base,
                                    .events = events};
         EbStoreFeed_ApplyChanges(feed, index, &changes, now_us);
--- a/src/libebonyhollow/feed/store_feed_serve.c
+++ b/src/libebonyhollow/feed/store_feed_serve.c
@@ -17,7 +17,8 @@
 {
     return stream->objects.listed && stream->must_read && stream->readable &&
            stream->failures == 0 &&
-           stream->objects.revision >= stream->wanted_revision;
+           EbStorePosition_Compare(&stream->objects.position,
+                                   &stream->wanted) >= 0;
 }
 
 /* Returns the time since the store last answered, not counting the time that
@@ -62,7 +63,10 @@
             char *text, int64_t now_us)
 {
     message->kind = EB_MESSAGE_FEED_CHANGES;
-    message->revision = feed->streams[message->feed_stream].objects.revision;
+    const EbStorePosition *position =
+        &feed->streams[message->feed_stream].objects.position;
+    message->era = position->era;
+    message->revision = position->revision;
     message->recovered_ago_us = recovered_ago(feed, now_us);
     message->text = text;
     message->text_bytes = strlen(text);
@@ -80,16 +84,16 @@
              EbFeedSubscriber *subscriber, EbFeedStream index, int64_t now_us)
 {
     EbObjectStream *objects = &feed->streams[index].objects;
+    const EbStorePosition *from = &subscriber->positions[index];
     EbMessage message = {.feed_stream = index,
-                         .base_revision = subscriber->revisions[index]};
-    if (message.base_revision >= objects->revision) {
+                         .base_revision = from->revision};
+    if (EbStorePosition_Compare(from, &objects->position) >= 0) {
         return;
     }
-    char *text = EbObjectStream_WriteChanges(objects, message.base_revision,
-                                             EB_FEED_MAX_TEXT_BYTES,
-                                             &message.exact_base);
+    char *text = EbObjectStream_WriteChanges(
+        objects, from, EB_FEED_MAX_TEXT_BYTES, &message.exact_base);
     if (text != NULL && send_events(feed, instance, &message, text, now_us)) {
-        subscriber->revisions[index] = objects->revision;
+        subscriber->positions[index] = objects->position;
     }
 }
 
@@ -138,7 +142,8 @@
  */
 static void
 add_subscriber(EbStoreFeed *feed, const char *peer,
-               const uint64_t revisions[EB_FEED_STREAM_COUNT], int64_t now_us)
+               const EbStorePosition positions[EB_FEED_STREAM_COUNT],
+               int64_t now_us)
 {
     EbFeedSubscriber *subscriber =
         g_hash_table_lookup(feed->subscribers, peer);
@@ -148,7 +153,7 @@
     }
     subscriber->expires_us = now_us + SUBSCRIBER_US;
     for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
-        subscriber->revisions[i] = revisions[i];
+        subscriber->positions[i] = positions[i];
         send_changes(feed, peer, subscriber, (EbFeedStream)i, now_us);
     }
 }
@@ -157,13 +162,13 @@
 EbStoreFeed_AnswerRequest(EbStoreFeed *feed, const char *peer,
                           const EbMessage *request, int64_t now_us)
 {
-    const uint64_t revisions[EB_FEED_STREAM_COUNT] = {
-        [EB_FEED_CONFIG] = request->config_revision,
-        [EB_FEED_SERVERS] = request->servers_revision};
+    const EbStorePosition positions[EB_FEED_STREAM_COUNT] = {
+        [EB_FEED_CONFIG] = {request->config_era, request->config_revision},
+        [EB_FEED_SERVERS] = {request->servers_era, request->servers_revision}};
     bool all_listed_there = true;
     feed->asked_us = now_us;
     for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
-        if (revisions[i] == 0) {
+        if (positions[i].revision == 0) {
             send_all_objects(feed, peer, (EbFeedStream)i, now_us);
             all_listed_there = false;
         }
@@ -175,13 +180,17 @@
                         .recovered_ago_us = recovered_ago(feed, now_us)};
     if (status.feed_reading) {
         status.confirmed_ago_us = (uint64_t)answer_age(feed, now_us);
-        status.config_revision =
-            feed->streams[EB_FEED_CONFIG].objects.revision;
-        status.servers_revision =
-            feed->streams[EB_FEED_SERVERS].objects.revision;
+        const EbStorePosition *config =
+            &feed->streams[EB_FEED_CONFIG].objects.position;
+        const EbStorePosition *servers =
+            &feed->streams[EB_FEED_SERVERS].objects.position;
+        status.config_revision = config->revision;
+        status.config_era = config->era;
+        status.servers_revision = servers->revision;
+        status.servers_era = servers->era;
     }
     if (status.feed_reading && all_listed_there) {
-        add_subscriber(feed, peer, revisions, now_us);
+        add_subscriber(feed, peer, positions, now_us);
     }
     feed->options.send(feed->options.context, peer, &status, now_us);
 }
--- a/src/libebonyhollow/membership/message.c
+++ b/src/libebonyhollow/membership/message.c
@@ -101,6 +101,9 @@
     FIELD(42, UINT64, confirmed_ago_us, BIT(FEED_STATUS), 0, 0),
     FIELD(43, BOOL, feed_failing, BIT(FEED_STATUS), 0, 0),
     FIELD(45, SUSPICIONS, suspicions, BIT(SUSPICIONS), 0, 0),
+    FIELD(47, UINT64, config_era, FEED_POSITIONS, 0, 0),
+    FIELD(48, UINT64, servers_era, FEED_POSITIONS, 0, 0),
+    FIELD(49, UINT64, era, BIT(FEED_CHANGES), 0, 0),
     FIELD(46, LIMITS, limits, BIT(SERVER_LIMITS), 0, 0),
 };
 
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -281,6 +281,7 @@
         .changed = EbDaemon_OnObjectsChanged,
         .failed = EbDaemon_OnReadFailed,
         .probed = EbDaemon_OnProbed,
+        .era_changed = EbDaemon_OnStoreRestored,
         .context = daemon});
 }
 
--- a/src/libebonyhollow_net/daemon_discovery.c
+++ b/src/libebonyhollow_net/daemon_discovery.c
@@ -6,9 +6,6 @@
 
 #include "daemon_internal.h"
 
-/* After an outage of the store, servers whose registrations expired during it
- * have this long to register again. Until then they stay in use. */
-#define REREGISTRATION_GRACE_US 2000000
 #define REGISTRATION_RETRY_US 1000000
 /* The list of daemons is only needed by a daemon that knows no other one; the
  * others learn of each other through their links. */
@@ -21,19 +18,6 @@
  * that start. */
 #define QUARANTINE_LIST_INTERVAL_US 60000000
 
-typedef struct {
-    EbServerRegistration registration;
-    int64_t removal_us; /* when to remove it; INT64_MAX while it is listed */
-} ListedServer;
-
-static void
-free_listed_server(gpointer pointer)
-{
-    ListedServer *server = pointer;
-    EbServerRegistration_Clear(&server->registration);
-    g_free(server);
-}
-
 static const char *
 stream_kind(const EbDaemon *daemon, EbFeedStream stream)
 {
@@ -58,7 +42,8 @@
 }
 
 static void on_feed_changed(void *context, EbFeedStream stream,
-                            const json_t *events, int64_t now_us);
+                            const json_t *events, bool restored,
+                            int64_t now_us);
 
 void
 EbDiscovery_Init(EbDaemon *daemon)
@@ -69,9 +54,7 @@
                                               .send = send_feed_message,
                                               .changed = on_feed_changed,
                                               .context = daemon});
-    discovery->servers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                               free_listed_server);
-    discovery->removal_due_us = INT64_MAX;
+    discovery->registry = EbServerRegistry_New(daemon->events);
     discovery->next_registration_us = INT64_MAX;
 }
 
@@ -79,9 +62,7 @@
 EbDiscovery_Clear(EbDiscovery *discovery)
 {
     EbStoreFeed_Free(discovery->feed);
-    if (discovery->servers != NULL) {
-        g_hash_table_destroy(discovery->servers);
-    }
+    EbServerRegistry_Free(discovery->registry);
     json_decref(discovery->config);
 }
 
@@ -106,21 +87,13 @@
     if (discovery->config == NULL || !discovery->servers_listed) {
         return;
     }
-    guint count = g_hash_table_size(discovery->servers);
-    const EbServerRegistration **registrations =
-        g_new0(const EbServerRegistration *, count + 1);
-    GHashTableIter iter;
-    gpointer server;
-    size_t used = 0;
-    g_hash_table_iter_init(&iter, discovery->servers);
-    while (g_hash_table_iter_next(&iter, NULL, &server)) {
-        registrations[used++] = &((const ListedServer *)server)->registration;
-    }
+    GPtrArray *registrations = EbServerRegistry_List(discovery->registry);
     EbError error = {0};
-    EbConfig *config =
-        daemon->adapter->read_config(discovery->config, daemon->settings->site,
-                                     registrations, used, &error);
-    g_free(registrations);
+    EbConfig *config = daemon->adapter->read_config(
+        discovery->config, daemon->settings->site,
+        (const EbServerRegistration *const *)registrations->pdata,
+        registrations->len, &error);
+    g_ptr_array_unref(registrations);
     if (config == NULL) {
         report_bad_object(daemon, daemon->adapter->config_kind,
                           daemon->adapter->config_name, &error);
@@ -153,85 +126,28 @@
 }
 
 static void
-report_server(const EbDaemon *daemon, const EbServerRegistration *registration,
-              const char *state)
-{
-    EB_EMIT(daemon->events, EB_EVENT_SERVER_LISTED,
-            EB_STRING_FIELD("backend_server", registration->id),
-            EB_STRING_FIELD("service", registration->service),
-            EB_STRING_FIELD("state", state));
-}
-
-static void
-set_server(EbDaemon *daemon, const char *name, const json_t *value)
-{
-    EbDiscovery *discovery = &daemon->discovery;
-    EbServerRegistration registration;
-    EbError error = {0};
-    if (!daemon->adapter->read_server(name, value, &registration, &error)) {
-        EbServerRegistration_Clear(&registration);
-        report_bad_object(daemon, daemon->adapter->servers_kind, name, &error);
-        if (g_hash_table_remove(discovery->servers, name)) {
-            discovery->needs_apply = true;
-        }
-        return;
-    }
-    const ListedServer *known = g_hash_table_lookup(discovery->servers, name);
-    bool same =
-        known != NULL && known->removal_us == INT64_MAX &&
-        known->registration.leaving == registration.leaving &&
-        known->registration.port == registration.port &&
-        strcmp(known->registration.host, registration.host) == 0 &&
-        strcmp(known->registration.service, registration.service) == 0 &&
-        known->registration.slots == registration.slots;
-    if (same) {
-        EbServerRegistration_Clear(&registration);
-        return;
-    }
-    report_server(daemon, &registration,
-                  registration.leaving ? "leaving" : "ready");
-    ListedServer *server = g_new0(ListedServer, 1);
-    server->registration = registration;
-    server->removal_us = INT64_MAX;
-    g_hash_table_replace(discovery->servers, g_strdup(name), server);
-    discovery->needs_apply = true;
-}
-
-/* Removes a server. In the grace time after an outage of the store, the
- * removal is only scheduled, unless the server was leaving. */
-static void
-remove_server(EbDaemon *daemon, const char *name, int64_t now_us)
+handle_server_object(EbDaemon *daemon, const json_t *item, bool restored,
+                     int64_t now_us)
 {
     EbDiscovery *discovery = &daemon->discovery;
-    ListedServer *server = g_hash_table_lookup(discovery->servers, name);
-    if (server == NULL) {
-        return;
-    }
-    int64_t recovered_us = EbStoreFeed_RecoveredAt(discovery->feed);
-    if (recovered_us != INT64_MIN &&
-        now_us < recovered_us + REREGISTRATION_GRACE_US &&
-        !server->registration.leaving) {
-        server->removal_us = recovered_us + REREGISTRATION_GRACE_US;
-        discovery->removal_due_us =
-            MIN(discovery->removal_due_us, server->removal_us);
-        report_server(daemon, &server->registration, "lapsed");
-        return;
-    }
-    report_server(daemon, &server->registration, "gone");
-    g_hash_table_remove(discovery->servers, name);
-    discovery->needs_apply = true;
-}
-
-static void
-handle_server_object(EbDaemon *daemon, const json_t *item, int64_t now_us)
-{
     const char *name = json_string_value(json_object_get(item, "name"));
     if (json_is_true(json_object_get(item, "deleted"))) {
-        remove_server(daemon, name, now_us);
+        EbServerRegistry_Remove(discovery->registry, name,
+                                EbStoreFeed_RecoveredAt(discovery->feed),
+                                now_us);
+        return;
     }
-    else {
-        set_server(daemon, name, json_object_get(item, "value"));
+    EbServerRegistration registration;
+    EbError error = {0};
+    if (daemon->adapter->read_server(name, json_object_get(item, "value"),
+                                     &registration, &error)) {
+        EbServerRegistry_Set(discovery->registry, &registration, restored,
+                             now_us);
+        return;
     }
+    EbServerRegistration_Clear(&registration);
+    report_bad_object(daemon, daemon->adapter->servers_kind, name, &error);
+    EbServerRegistry_Drop(discovery->registry, name, now_us);
 }
 
 /* Registration and listing of daemons */
@@ -310,9 +226,9 @@
 start_read(EbDaemon *daemon, EbFeedStream stream)
 {
     const char *kind = stream_kind(daemon, stream);
-    uint64_t revision = EbStoreFeed_Revision(daemon->discovery.feed, stream);
-    if (revision > 0) {
-        EbPlatformClient_WatchFrom(daemon->platform_client, kind, revision);
+    EbStorePosition position;
+    if (EbStoreFeed_Position(daemon->discovery.feed, stream, &position)) {
+        EbPlatformClient_WatchFrom(daemon->platform_client, kind, &position);
     }
     else {
         EbPlatformClient_Watch(daemon->platform_client, kind);
@@ -413,7 +329,7 @@
 
 static void
 on_feed_changed(void *context, EbFeedStream stream, const json_t *events,
-                int64_t now_us)
+                bool restored, int64_t now_us)
 {
     EbDaemon *daemon = context;
     size_t index;
@@ -424,14 +340,14 @@
             handle_config_object(daemon, event);
         }
         else {
-            handle_server_object(daemon, event, now_us);
+            handle_server_object(daemon, event, restored, now_us);
         }
     }
 }
 
 void
-EbDiscovery_HandleList(EbDaemon *daemon, const char *kind, uint64_t revision,
-                       json_t *items)
+EbDiscovery_HandleList(EbDaemon *daemon, const char *kind,
+                       const EbStorePosition *position, json_t *items)
 {
     int64_t now_us = EbClock_Monotonic();
     if (strcmp(kind, daemon->adapter->daemons_kind) == 0) {
@@ -439,7 +355,7 @@
     }
     else {
         EbStoreFeed_HandleList(daemon->discovery.feed,
-                               kind_stream(daemon, kind), revision, items,
+                               kind_stream(daemon, kind), position, items,
                                now_us);
     }
     EbDaemon_ScheduleActions(daemon);
@@ -447,13 +363,13 @@
 
 void
 EbDiscovery_HandleChanges(EbDaemon *daemon, const char *kind,
-                          uint64_t base_revision, uint64_t revision,
-                          json_t *events)
+                          uint64_t base_revision,
+                          const EbStorePosition *position, json_t *events)
 {
     int64_t now_us = EbClock_Monotonic();
     EbStoreFeed_HandleChanges(daemon->discovery.feed,
                               kind_stream(daemon, kind), base_revision,
-                              revision, events, now_us);
+                              position, events, now_us);
     EbDaemon_ScheduleActions(daemon);
 }
 
@@ -477,27 +393,16 @@
     }
 }
 
-/* Removes the servers whose removal is due. */
-static void
-remove_due_servers(EbDaemon *daemon, int64_t now_us)
+void
+EbDiscovery_StartEra(EbDaemon *daemon, uint64_t era)
 {
     EbDiscovery *discovery = &daemon->discovery;
-    GHashTableIter iter;
-    gpointer value;
-    discovery->removal_due_us = INT64_MAX;
-    g_hash_table_iter_init(&iter, discovery->servers);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const ListedServer *server = value;
-        if (server->removal_us <= now_us) {
-            report_server(daemon, &server->registration, "gone");
-            g_hash_table_iter_remove(&iter);
-            discovery->needs_apply = true;
-        }
-        else {
-            discovery->removal_due_us =
-                MIN(discovery->removal_due_us, server->removal_us);
-        }
-    }
+    EbStoreFeed_StartEra(discovery->feed, era, EbClock_Monotonic());
+    /* The entry of this daemon may be missing. The next list shows it. */
+    discovery->daemons_listed = false;
+    discovery->registration_version = 0;
+    discovery->next_registration_us = INT64_MAX;
+    EbDaemon_ScheduleActions(daemon);
 }
 
 void
@@ -512,11 +417,12 @@
     if (now_us >= discovery->next_registration_us) {
         register_daemon(daemon);
     }
-    if (now_us >= discovery->removal_due_us) {
-        remove_due_servers(daemon, now_us);
+    EbServerRegistry_Tick(discovery->registry, now_us);
+    if (EbServerRegistry_TakeChange(discovery->registry)) {
+        discovery->needs_apply = true;
     }
     if (!discovery->servers_listed &&
-        EbStoreFeed_Revision(discovery->feed, EB_FEED_SERVERS) > 0) {
+        EbStoreFeed_IsKnown(discovery->feed, EB_FEED_SERVERS)) {
         discovery->servers_listed = true;
         discovery->sources_stale = true;
         discovery->needs_apply = true;
@@ -530,8 +436,8 @@
 EbDiscovery_NextTimer(const EbDaemon *daemon)
 {
     const EbDiscovery *discovery = &daemon->discovery;
-    int64_t next_us =
-        MIN(discovery->removal_due_us, discovery->next_registration_us);
+    int64_t next_us = MIN(EbServerRegistry_NextTimer(discovery->registry),
+                          discovery->next_registration_us);
     if (discovery->sources_stale) {
         next_us = MIN(next_us, discovery->sources_due_us);
     }
--- a/src/libebonyhollow_net/daemon_platform.c
+++ b/src/libebonyhollow_net/daemon_platform.c
@@ -113,15 +113,15 @@
 }
 
 void
-EbDaemon_OnObjectsListed(void *context, const char *kind, uint64_t revision,
-                         json_t *items)
+EbDaemon_OnObjectsListed(void *context, const char *kind,
+                         const EbStorePosition *position, json_t *items)
 {
     EbDaemon *daemon = context;
     if (strcmp(kind, EB_QUARANTINE_KIND) == 0) {
         EbDaemon_HandleQuarantineList(daemon, items);
     }
     else if (daemon->adapter != NULL) {
-        EbDiscovery_HandleList(daemon, kind, revision, items);
+        EbDiscovery_HandleList(daemon, kind, position, items);
         return;
     }
     else if (strcmp(kind, EB_INSTANCES_KIND) == 0) {
@@ -143,7 +143,9 @@
 {
     daemon->listings[kind].running = false;
     if (reply->status == EB_STORE_OK) {
-        EbDaemon_OnObjectsListed(daemon, listed_kinds[kind], reply->version,
+        EbStorePosition position = {
+            EbPlatformClient_Era(daemon->platform_client), reply->version};
+        EbDaemon_OnObjectsListed(daemon, listed_kinds[kind], &position,
                                  reply->value);
     }
 }
@@ -209,12 +211,12 @@
 
 void
 EbDaemon_OnObjectsChanged(void *context, const char *kind,
-                          uint64_t base_revision, uint64_t revision,
-                          json_t *events)
+                          uint64_t base_revision,
+                          const EbStorePosition *position, json_t *events)
 {
     EbDaemon *daemon = context;
     if (daemon->adapter != NULL) {
-        EbDiscovery_HandleChanges(daemon, kind, base_revision, revision,
+        EbDiscovery_HandleChanges(daemon, kind, base_revision, position,
                                   events);
         return;
     }
@@ -239,6 +241,15 @@
     }
 }
 
+void
+EbDaemon_OnStoreRestored(void *context, uint64_t era)
+{
+    EbDaemon *daemon = context;
+    if (daemon->adapter != NULL) {
+        EbDiscovery_StartEra(daemon, era);
+    }
+}
+
 void
 EbDaemon_OnProbed(void *context, int64_t latency_us)
 {
--- a/src/libebonyhollow_net/platform_client.c
+++ b/src/libebonyhollow_net/platform_client.c
@@ -152,6 +152,46 @@
     return json_loadb(bytes, length, JSON_DECODE_ANY, NULL);
 }
 
+bool
+EbPlatformClient_CheckEra(EbPlatformClient *client,
+                          struct evhttp_request *request)
+{
+    const char *text =
+        evhttp_find_header(evhttp_request_get_input_headers(request),
+                           client->options.protocol->era_header);
+    uint64_t era = 0;
+    if (text == NULL ||
+        !g_ascii_string_to_unsigned(text, 10, 0, UINT64_MAX, &era, NULL)) {
+        return true; /* the store has no eras */
+    }
+    if (era < client->era) {
+        EB_EMIT(client->options.events, EB_EVENT_STORE_ANSWER_OUTDATED,
+                EB_INTEGER_FIELD("era", era),
+                EB_INTEGER_FIELD("current", client->era));
+        return false;
+    }
+    if (era == client->era) {
+        return true;
+    }
+    uint64_t before = client->era;
+    client->era = era;
+    if (before > 0) {
+        EB_EMIT(client->options.events, EB_EVENT_STORE_RESTORED,
+                EB_INTEGER_FIELD("era", era));
+        EbPlatformWatch_RestartAll(client);
+    }
+    if (client->options.era_changed != NULL) {
+        client->options.era_changed(client->options.context, era);
+    }
+    return true;
+}
+
+uint64_t
+EbPlatformClient_Era(const EbPlatformClient *client)
+{
+    return client->era;
+}
+
 static void
 deliver_reply(EbPlatformClient *client, const Call *call, EbStoreStatus status,
               uint64_t version, json_t *value)
@@ -207,6 +247,10 @@
         fail_call(slot, slot->wrote ? "connection broke" : "connect failed");
         return;
     }
+    if (!EbPlatformClient_CheckEra(slot->client, request)) {
+        fail_call(slot, "answer of an earlier era");
+        return;
+    }
     json_t *body = EbPlatformClient_ParseBody(request);
     bool success = status == 200 || status == 201;
     json_t *result =
--- a/src/libebonyhollow_net/platform_probe.c
+++ b/src/libebonyhollow_net/platform_probe.c
@@ -34,7 +34,8 @@
     int status = request ? evhttp_request_get_response_code(request) : 0;
     EbSocket_SetKeepAlive(
         bufferevent_getfd(evhttp_connection_get_bufferevent(probe->evcon)));
-    bool answered = status == 200 || status == 404;
+    bool answered = (status == 200 || status == 404) &&
+                    EbPlatformClient_CheckEra(client, request);
     EbPlatformClient_RecordCall(
         client, "probe", answered ? "ok" : "unavailable",
         answered || status == 429 ? NULL : "probe failed");
--- a/src/libebonyhollow_net/platform_watch.c
+++ b/src/libebonyhollow_net/platform_watch.c
@@ -34,7 +34,7 @@
     bool confirming; /* the next poll is the first one from a known revision */
     int64_t poll_started_us;
     int64_t wait_us; /* time-out of the poll; 0 for a listing */
-    uint64_t revision;
+    EbStorePosition position;
     uint32_t consecutive_failures;
     json_t *items; /* of an incomplete listing */
     char *after;   /* last name of an incomplete listing */
@@ -152,8 +152,9 @@
     json_t *items = json_object_get(page, "items");
     if (watch->items == NULL) {
         watch->items = json_array();
-        watch->revision =
-            (uint64_t)json_integer_value(json_object_get(page, "revision"));
+        watch->position = (EbStorePosition){
+            client->era,
+            (uint64_t)json_integer_value(json_object_get(page, "revision"))};
     }
     json_array_extend(watch->items, items);
     size_t count = json_array_size(items);
@@ -166,7 +167,7 @@
         watch->listed = true;
         if (client->options.listed != NULL) {
             client->options.listed(client->options.context, watch->kind,
-                                   watch->revision, watch->items);
+                                   &watch->position, watch->items);
         }
         reset_listing(watch);
     }
@@ -183,19 +184,49 @@
         return false;
     }
     json_t *events = json_object_get(changes, "events");
-    uint64_t base_revision = watch->revision;
-    watch->revision =
+    uint64_t base_revision = watch->position.revision;
+    watch->position.revision =
         (uint64_t)json_integer_value(json_object_get(changes, "revision"));
     watch->confirming = false;
     *found_changes = json_array_size(events) > 0;
     if (client->options.changed != NULL) {
         client->options.changed(client->options.context, watch->kind,
-                                base_revision, watch->revision, events);
+                                base_revision, &watch->position, events);
     }
     json_decref(changes);
     return true;
 }
 
+/* Drops what a watch knows and lists its kind again. Its request, if one is
+ * pending, is cancelled. */
+static void
+restart(Watch *watch)
+{
+    if (watch->polling) {
+        evhttp_connection_free(watch->evcon);
+        watch->evcon = NULL;
+        watch->polling = false;
+    }
+    watch->listed = false;
+    watch->confirming = false;
+    reset_listing(watch);
+    schedule(watch, 0);
+}
+
+void
+EbPlatformWatch_RestartAll(EbPlatformClient *client)
+{
+    GHashTableIter iter;
+    gpointer value;
+    client->retrying = NULL;
+    g_hash_table_iter_init(&iter, client->watches);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Watch *watch = value;
+        watch->held = false;
+        restart(watch);
+    }
+}
+
 /* Lists the kinds of all other watches again whose polls have been pending for
  * at least RELIST_MIN_POLL_US. What interrupted one watch, a restart of the
  * store or a loss of its history, may have kept events from the others too. */
@@ -210,12 +241,7 @@
         Watch *other = value;
         if (other != watch && other->polling &&
             now_us - other->poll_started_us >= RELIST_MIN_POLL_US) {
-            evhttp_connection_free(other->evcon);
-            other->evcon = NULL;
-            other->polling = false;
-            other->listed = false;
-            reset_listing(other);
-            schedule(other, 0);
+            restart(other);
         }
     }
 }
@@ -267,7 +293,7 @@
         if (status == 0 && watch->listed) {
             EB_EMIT(client->options.events, EB_EVENT_WATCH_BROKEN,
                     EB_STRING_FIELD("kind", watch->kind),
-                    EB_INTEGER_FIELD("revision", watch->revision),
+                    EB_INTEGER_FIELD("revision", watch->position.revision),
                     EB_INTEGER_FIELD("waited_us", EbClock_Monotonic() -
                                                       watch->poll_started_us));
             /* Events may have been lost with the connection. */
@@ -302,6 +328,14 @@
     }
     EbSocket_SetKeepAlive(
         bufferevent_getfd(evhttp_connection_get_bufferevent(watch->evcon)));
+    if (status != 0 && !EbPlatformClient_CheckEra(watch->client, request)) {
+        status = 0;
+    }
+    bool begun = watch->listed || watch->items != NULL;
+    if (begun && watch->position.era != watch->client->era) {
+        restart(watch);
+        return;
+    }
     json_t *body = status != 0 ? EbPlatformClient_ParseBody(request) : NULL;
     handle_response(watch, status, body);
     json_decref(body);
@@ -323,11 +357,11 @@
     }
     evhttp_connection_set_timeout_tv(watch->evcon, &timeout);
     const EbStoreProtocol *protocol = client->options.protocol;
-    char *path =
-        watch->listed
-            ? protocol->watch_path(watch->kind, watch->revision, poll_us)
-            : protocol->list_path(watch->kind, watch->after,
-                                  watch->relist_interval_us > 0);
+    char *path = watch->listed
+                     ? protocol->watch_path(watch->kind,
+                                            watch->position.revision, poll_us)
+                     : protocol->list_path(watch->kind, watch->after,
+                                           watch->relist_interval_us > 0);
     struct evhttp_request *request =
         EbPlatformClient_NewRequest(client, on_request_done, watch);
     watch->polling = true;
@@ -376,13 +410,13 @@
 
 void
 EbPlatformClient_WatchFrom(EbPlatformClient *client, const char *kind,
-                           uint64_t revision)
+                           const EbStorePosition *position)
 {
     Watch *watch = add_watch(client, kind);
     if (watch != NULL) {
         watch->listed = true;
         watch->confirming = true;
-        watch->revision = revision;
+        watch->position = *position;
     }
 }
 
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -31,6 +31,7 @@
 #include "ebonyhollow/preparation_table.h"
 #include "ebonyhollow/quarantine.h"
 #include "ebonyhollow/random.h"
+#include "ebonyhollow/server_registry.h"
 #include "ebonyhollow/store_feed.h"
 #include "ebonyhollow/suspects.h"
 
@@ -71,11 +72,10 @@
     bool sources_stale;                 /* the members changed */
     int64_t sources_due_us;             /* earliest time to look at them */
     json_t *config;                /* newest configuration object, or NULL */
-    GHashTable *servers;           /* object name -> ListedServer */
+    EbServerRegistry *registry;    /* backend servers */
     bool servers_listed;           /* a complete list was read */
     bool daemons_listed;           /* a complete list was read */
     bool needs_apply;              /* there are changes not yet in force */
-    int64_t removal_due_us;        /* next removal of a server, or INT64_MAX */
     int64_t next_registration_us;  /* next write of this daemon's entry, or
                                       INT64_MAX */
     uint64_t registration_version; /* of that entry; 0 when there is none */
@@ -223,10 +223,12 @@
 
 /* Callbacks of the platform client's watches. */
 void EbDaemon_OnObjectsListed(void *context, const char *kind,
-                              uint64_t revision, json_t *items);
+                              const EbStorePosition *position, json_t *items);
 void EbDaemon_OnObjectsChanged(void *context, const char *kind,
-                               uint64_t base_revision, uint64_t revision,
+                               uint64_t base_revision,
+                               const EbStorePosition *position,
                                json_t *events);
+void EbDaemon_OnStoreRestored(void *context, uint64_t era);
 void EbDaemon_OnReadFailed(void *context, const char *kind);
 void EbDaemon_OnProbed(void *context, int64_t latency_us);
 
@@ -285,13 +287,17 @@
 
 /* Handles a complete list of the objects of a kind; `items` is borrowed. */
 void EbDiscovery_HandleList(EbDaemon *daemon, const char *kind,
-                            uint64_t revision, json_t *items);
+                            const EbStorePosition *position, json_t *items);
 
 /* Handles the response to a watch; `events` is borrowed. */
 void EbDiscovery_HandleChanges(EbDaemon *daemon, const char *kind,
-                               uint64_t base_revision, uint64_t revision,
+                               uint64_t base_revision,
+                               const EbStorePosition *position,
                                json_t *events);
 
+/* Handles that the store has returned from an older copy of itself. */
+void EbDiscovery_StartEra(EbDaemon *daemon, uint64_t era);
+
 /* Handles the store's answer to a probe. */
 void EbDiscovery_HandleProbe(EbDaemon *daemon, int64_t latency_us);
 
--- a/src/libebonyhollow_net/private/platform_internal.h
+++ b/src/libebonyhollow_net/private/platform_internal.h
@@ -22,6 +22,7 @@
     uint32_t consecutive_failures;
     bool up;
     int64_t down_since_us;
+    uint64_t era; /* latest one of a response */
 };
 
 /* Opens a connection with the client's limits, without evhttp's retries. */
@@ -38,6 +39,16 @@
  * body is empty or not valid JSON. */
 json_t *EbPlatformClient_ParseBody(struct evhttp_request *request);
 
+/* Reads the era of a response, and begins all watches again if it is a later
+ * one. Returns false when the response is of an earlier era and must not be
+ * used. */
+bool EbPlatformClient_CheckEra(EbPlatformClient *client,
+                               struct evhttp_request *request);
+
+/* Begins all watches again, since the store has returned from an older copy.
+ */
+void EbPlatformWatch_RestartAll(EbPlatformClient *client);
+
 /* Counts a call in the metrics and updates whether the platform is up. `cause`
  * is the reason why the call failed, or NULL if it does not count as a failure
  * of the platform. */
--- a/src/libebonyhollow_net/store_protocol.c
+++ b/src/libebonyhollow_net/store_protocol.c
@@ -111,6 +111,7 @@
 }
 
 const EbStoreProtocol EbStoreProtocol_native = {
+    .era_header = "Eb-Store-Era",
     .creates_with_post = false,
     .path = build_path,
     .body = build_body,
--- a/src/test_platform_client/main.c
+++ b/src/test_platform_client/main.c
@@ -27,6 +27,8 @@
     unsigned probed, wanted_probed;
     unsigned instance_lists, quarantine_lists;
     uint64_t revision; /* reported last */
+    uint64_t era;      /* the same */
+    unsigned eras;     /* changes of it */
     unsigned events[EB_EVENT_COUNT];
     const char *response; /* raw bytes; NULL: no response */
     bool close_after;
@@ -48,25 +50,27 @@
 }
 
 static void
-on_listed(void *context, const char *kind, uint64_t revision, json_t *items)
+on_listed(void *context, const char *kind, const EbStorePosition *position,
+          json_t *items)
 {
     Fixture *fixture = context;
     CU_ASSERT_STRING_EQUAL(kind, "instances");
     CU_ASSERT_TRUE(json_is_array(items));
-    CU_ASSERT_EQUAL(revision, 7);
-    fixture->revision = revision;
+    CU_ASSERT_EQUAL(position->revision, 7);
+    fixture->revision = position->revision;
+    fixture->era = position->era;
     fixture->listed++;
 }
 
 static void
 on_changed(void *context, const char *kind, uint64_t base_revision,
-           uint64_t revision, json_t *events)
+           const EbStorePosition *position, json_t *events)
 {
     Fixture *fixture = context;
     CU_ASSERT_STRING_EQUAL(kind, "instances");
     CU_ASSERT_EQUAL(base_revision, fixture->revision);
-    CU_ASSERT_TRUE(revision >= base_revision);
-    fixture->revision = revision;
+    CU_ASSERT_TRUE(position->revision >= base_revision);
+    fixture->revision = position->revision;
     if (json_array_size(events) == 0) {
         fixture->unchanged++;
         return;
@@ -90,6 +94,13 @@
     ((Fixture *)context)->probed++;
 }
 
+static void
+on_era_changed(void *context, uint64_t era)
+{
+    (void)era;
+    ((Fixture *)context)->eras++;
+}
+
 static void
 on_log_event(void *context, EbEventId event, const EbEventField *fields,
              size_t field_count)
@@ -140,6 +151,7 @@
                                    .changed = on_changed,
                                    .failed = on_failed,
                                    .probed = on_probed,
+                                   .era_changed = on_era_changed,
                                    .context = fixture});
 }
 
@@ -400,7 +412,8 @@
     Fixture fixture;
     open_fixture(&fixture, respond_to_known_watch, 0);
     fixture.revision = 7;
-    EbPlatformClient_WatchFrom(fixture.client, "instances", 7);
+    EbStorePosition position = {.revision = 7};
+    EbPlatformClient_WatchFrom(fixture.client, "instances", &position);
     fixture.wanted_changed = 1;
     CU_ASSERT_TRUE(Loop_Until(fixture.base, has_watched, &fixture));
     CU_ASSERT_EQUAL(fixture.listed, 0);
@@ -408,6 +421,95 @@
     close_fixture(&fixture);
 }
 
+static void
+send_with_era(RawPeer *peer, const char *era, const char *body)
+{
+    char text[256];
+    g_snprintf(text, sizeof(text),
+               "HTTP/1.1 200 OK\r\nEb-Store-Era: %s\r\n"
+               "Content-Length: %zu\r\n\r\n%s",
+               era, strlen(body), body);
+    RawPeer_Send(peer, text);
+}
+
+/* Answers polls of era 4 as if the store had returned from a copy whose
+ * revisions have reached the watch's. */
+static void
+respond_as_restored(RawPeer *peer, const char *request)
+{
+    Fixture *fixture = peer->server->context;
+    const char *era = fixture->polls > 0 ? "5" : "4";
+    if (strstr(request, "since=") == NULL) {
+        send_with_era(peer, era, "{\"revision\": 7, \"items\": []}");
+        return;
+    }
+    if (++fixture->polls == 1) {
+        send_with_era(peer, "5", "{\"revision\": 9, \"events\": [{}]}");
+    }
+}
+
+/* Guards against a watch that goes on from a revision of before the store
+ * returned from an older copy, although the store gives it out again. */
+static void
+test_restored_store(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, respond_as_restored, 0);
+    EbPlatformClient_Watch(fixture.client, "instances");
+    fixture.wanted_listed = 2;
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_watched, &fixture));
+    CU_ASSERT_EQUAL(fixture.changed, 0);
+    CU_ASSERT_EQUAL(fixture.era, 5);
+    CU_ASSERT_EQUAL(fixture.eras, 2);
+    CU_ASSERT_EQUAL(EbPlatformClient_Era(fixture.client), 5);
+    CU_ASSERT_EQUAL(fixture.events[EB_EVENT_STORE_RESTORED], 1);
+    close_fixture(&fixture);
+}
+
+/* Guards against an answer of before the store returned from an older copy
+ * that arrives late, and against a watch from a position of then. */
+static void
+test_outdated_answer(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, send_scripted_response, 0);
+    static const struct {
+        const char *response;
+        EbStoreStatus status;
+    } rows[] = {
+        {"HTTP/1.1 404 Not Found\r\nEb-Store-Era: 5\r\n"
+         "Content-Length: 0\r\n\r\n",
+         EB_STORE_NOT_FOUND},
+        {"HTTP/1.1 404 Not Found\r\nEb-Store-Era: 4\r\n"
+         "Content-Length: 0\r\n\r\n",
+         EB_STORE_UNAVAILABLE},
+        {"HTTP/1.1 404 Not Found\r\nEb-Store-Era: 5\r\n"
+         "Content-Length: 0\r\n\r\n",
+         EB_STORE_NOT_FOUND},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        fixture.response = rows[i].response;
+        fixture.wanted_replies = (unsigned)i + 1;
+        EbPlatformClient_StartCall(
+            fixture.client, &(EbStoreRequest){.operation_id = i + 1,
+                                              .operation = EB_STORE_GET,
+                                              .kind = (char *)"configuration",
+                                              .name = (char *)"current"});
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_replies, &fixture));
+        CU_ASSERT_EQUAL(fixture.last.status, rows[i].status);
+    }
+    CU_ASSERT_EQUAL(fixture.events[EB_EVENT_STORE_ANSWER_OUTDATED], 1);
+    EbStorePosition position = {.era = 4, .revision = 7};
+    fixture.response = "HTTP/1.1 200 OK\r\nEb-Store-Era: 5\r\n"
+                       "Content-Length: 28\r\n\r\n"
+                       "{\"revision\": 7, \"items\": []}";
+    EbPlatformClient_WatchFrom(fixture.client, "instances", &position);
+    fixture.wanted_listed = 1;
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_watched, &fixture));
+    CU_ASSERT_EQUAL(fixture.era, 5);
+    close_fixture(&fixture);
+}
+
 /* Lists, but leaves every poll without a response on an open connection. */
 static void
 respond_only_to_lists(RawPeer *peer, const char *request)
@@ -607,6 +709,8 @@
         {"silent", test_silent},
         {"watch", test_watch},
         {"watch from a known revision", test_watch_from},
+        {"restored store", test_restored_store},
+        {"outdated answer", test_outdated_answer},
         {"a poll's response is lost", test_lost_response},
         {"the platform is slow", test_slow_platform},
         {"probes", test_probes},
--- a/src/test_store_feed/fleet.c
+++ b/src/test_store_feed/fleet.c
@@ -73,9 +73,10 @@
 
 static void
 on_changed(void *context, EbFeedStream stream, const json_t *events,
-           int64_t now_us)
+           bool restored, int64_t now_us)
 {
     FleetDaemon *daemon = context;
+    (void)restored;
     (void)now_us;
     size_t index;
     const json_t *event;
@@ -95,8 +96,8 @@
 is_listed(uint32_t index)
 {
     const EbStoreFeed *feed = fleet.daemons[index].feed;
-    return EbStoreFeed_Revision(feed, EB_FEED_CONFIG) > 0 &&
-           EbStoreFeed_Revision(feed, EB_FEED_SERVERS) > 0;
+    return EbStoreFeed_IsKnown(feed, EB_FEED_CONFIG) &&
+           EbStoreFeed_IsKnown(feed, EB_FEED_SERVERS);
 }
 
 static void
@@ -189,19 +190,55 @@
 void
 Fleet_Write(EbFeedStream stream, uint32_t object, uint32_t value)
 {
-    if (fleet.revision + 1 >= FLEET_REVISIONS_MAX) {
+    if (fleet.version + 1 >= FLEET_VERSIONS_MAX) {
         return;
     }
-    fleet.revision++;
-    fleet.states[fleet.revision] = fleet.states[fleet.revision - 1];
-    fleet.states[fleet.revision].values[stream][object] = value;
-    fleet.changed_us[fleet.revision] = fleet.now_us;
+    fleet.version++;
+    fleet.states[fleet.version] = fleet.states[fleet.version - 1];
+    fleet.states[fleet.version].values[stream][object] = value;
+    fleet.positions[fleet.version] = fleet.positions[fleet.version - 1];
+    fleet.positions[fleet.version].revision++;
+    fleet.changed_us[fleet.version] = fleet.now_us;
+}
+
+void
+Fleet_Restore(uint64_t lost)
+{
+    if (fleet.version + 1 >= FLEET_VERSIONS_MAX) {
+        return;
+    }
+    uint64_t copy = fleet.version - MIN(lost, fleet.version - 1);
+    uint64_t era = fleet.positions[fleet.version].era + 1;
+    fleet.version++;
+    fleet.states[fleet.version] = fleet.states[copy];
+    fleet.positions[fleet.version] =
+        (EbStorePosition){era, fleet.positions[copy].revision};
+    fleet.changed_us[fleet.version] = fleet.now_us;
+    fleet.oldest_version = fleet.version;
+}
+
+/* Returns the version of the store's state that a daemon knows, 0 when it
+ * knows none. */
+static uint64_t
+known_version(const FleetDaemon *daemon, EbFeedStream stream)
+{
+    EbStorePosition position;
+    EbStoreFeed_Position(daemon->feed, stream, &position);
+    if (!EbStoreFeed_IsKnown(daemon->feed, stream)) {
+        return 0;
+    }
+    for (uint64_t i = fleet.version; i > 0; i--) {
+        if (EbStorePosition_Compare(&fleet.positions[i], &position) == 0) {
+            return i;
+        }
+    }
+    return 0;
 }
 
 void
 Fleet_Compact(void)
 {
-    fleet.oldest_revision = fleet.revision;
+    fleet.oldest_version = fleet.version;
 }
 
 static void
@@ -224,7 +261,7 @@
 {
     json_t *items = json_array();
     for (uint32_t i = 0; i < FLEET_OBJECTS; i++) {
-        uint32_t value = fleet.states[fleet.revision].values[stream][i];
+        uint32_t value = fleet.states[fleet.version].values[stream][i];
         if (value != 0) {
             add_object(items, i, value, false);
         }
@@ -236,11 +273,10 @@
 list_events(EbFeedStream stream, uint64_t base)
 {
     json_t *events = json_array();
-    for (uint64_t revision = base + 1; revision <= fleet.revision;
-         revision++) {
+    for (uint64_t version = base + 1; version <= fleet.version; version++) {
         for (uint32_t i = 0; i < FLEET_OBJECTS; i++) {
-            uint32_t before = fleet.states[revision - 1].values[stream][i];
-            uint32_t after = fleet.states[revision].values[stream][i];
+            uint32_t before = fleet.states[version - 1].values[stream][i];
+            uint32_t after = fleet.states[version].values[stream][i];
             if (before != after) {
                 add_object(events, i, after, true);
             }
@@ -253,30 +289,59 @@
 static void
 start_read(FleetDaemon *daemon, EbFeedStream stream, int64_t poll_us)
 {
-    uint64_t revision = EbStoreFeed_Revision(daemon->feed, stream);
+    EbStorePosition position;
+    bool poll = EbStoreFeed_Position(daemon->feed, stream, &position);
     fleet.reads++;
     daemon->reads[stream].active = true;
-    daemon->reads[stream].poll = revision > 0;
-    daemon->reads[stream].base = revision;
+    daemon->reads[stream].poll = poll;
+    daemon->reads[stream].base = known_version(daemon, stream);
     daemon->reads[stream].sent_us = fleet.now_us;
-    daemon->reads[stream].due_us =
-        fleet.now_us + (revision > 0 ? poll_us : STORE_US);
+    daemon->reads[stream].due_us = fleet.now_us + (poll ? poll_us : STORE_US);
+}
+
+/* Handles the first answer of an era: what was read before it is dropped, and
+ * listed again. A process that had no answer yet only drops what it was to go
+ * on from. Returns whether the answer is dropped as well. */
+static bool
+start_era(FleetDaemon *daemon, uint64_t poll_era)
+{
+    uint64_t era = fleet.positions[fleet.version].era;
+    if (daemon->era == era) {
+        return false;
+    }
+    bool first = daemon->era == 0;
+    daemon->era = era;
+    EbStoreFeed_StartEra(daemon->feed, era, fleet.now_us);
+    if (first) {
+        return poll_era != 0 && poll_era != era;
+    }
+    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+        daemon->reads[i].active = false;
+        daemon->reads[i].due_us = fleet.now_us;
+    }
+    return true;
 }
 
 static void
 finish_read(FleetDaemon *daemon, EbFeedStream stream)
 {
     uint64_t base = daemon->reads[stream].base;
+    const EbStorePosition *position = &fleet.positions[fleet.version];
     daemon->reads[stream].active = false;
-    if (!daemon->reads[stream].poll || base < fleet.oldest_revision) {
+    bool poll = daemon->reads[stream].poll;
+    if (start_era(daemon, poll ? fleet.positions[base].era : 0)) {
+        return;
+    }
+    if (!poll || base < fleet.oldest_version) {
         json_t *items = list_objects(stream);
-        EbStoreFeed_HandleList(daemon->feed, stream, fleet.revision, items,
+        EbStoreFeed_HandleList(daemon->feed, stream, position, items,
                                fleet.now_us);
         json_decref(items);
     }
     else {
         json_t *events = list_events(stream, base);
-        EbStoreFeed_HandleChanges(daemon->feed, stream, base, fleet.revision,
+        EbStoreFeed_HandleChanges(daemon->feed, stream,
+                                  fleet.positions[base].revision, position,
                                   events, fleet.now_us);
         json_decref(events);
     }
@@ -317,7 +382,7 @@
     }
     bool news = daemon->reads[stream].poll &&
                 fleet.now_us >= daemon->reads[stream].sent_us + STORE_US &&
-                fleet.revision > daemon->reads[stream].base;
+                fleet.version > daemon->reads[stream].base;
     if (news || fleet.now_us >= daemon->reads[stream].due_us) {
         finish_read(daemon, stream);
         daemon->reads[stream].due_us = fleet.now_us;
@@ -334,6 +399,7 @@
     daemon->probe_us = fleet.now_us + EB_FEED_PROBE_INTERVAL_US;
     if (fleet.store_up && daemon->store_reachable) {
         fleet.probes++;
+        start_era(daemon, 0);
         EbStoreFeed_HandleProbe(daemon->feed, STORE_US, fleet.now_us);
     }
 }
@@ -369,19 +435,19 @@
     const FleetDaemon *daemon = &fleet.daemons[index];
     fleet.violations++;
     if (fleet.violations <= 5) {
-        printf("at %.2f s: daemon %u, stream %d, revision %u of %u: %s\n",
+        printf("at %.2f s: daemon %u, stream %d, version %u of %u: %s\n",
                (double)fleet.now_us / 1e6, index, (int)stream,
-               (unsigned)daemon->revisions[stream], (unsigned)fleet.revision,
+               (unsigned)daemon->versions[stream], (unsigned)fleet.version,
                what);
     }
 }
 
-/* Returns whether a stream changed after `revision` and no later than a time.
+/* Returns whether a stream changed after a version and no later than a time.
  */
 static bool
-has_missed(EbFeedStream stream, uint64_t revision, int64_t until_us)
+has_missed(EbFeedStream stream, uint64_t version, int64_t until_us)
 {
-    for (uint64_t i = revision + 1; i <= fleet.revision; i++) {
+    for (uint64_t i = version + 1; i <= fleet.version; i++) {
         if (fleet.changed_us[i] <= until_us &&
             memcmp(fleet.states[i].values[stream],
                    fleet.states[i - 1].values[stream],
@@ -398,22 +464,22 @@
     FleetDaemon *daemon = &fleet.daemons[index];
     for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
         EbFeedStream stream = (EbFeedStream)i;
-        uint64_t revision = EbStoreFeed_Revision(daemon->feed, stream);
-        if (revision < daemon->revisions[i]) {
-            report(index, stream, "the revision decreased");
+        uint64_t version = known_version(daemon, stream);
+        if (version < daemon->versions[i]) {
+            report(index, stream, "the position went back");
         }
-        daemon->revisions[i] = revision;
-        if (revision > 0 &&
-            memcmp(daemon->known.values[i], fleet.states[revision].values[i],
+        daemon->versions[i] = version;
+        if (version > 0 &&
+            memcmp(daemon->known.values[i], fleet.states[version].values[i],
                    sizeof(daemon->known.values[i])) != 0) {
-            report(index, stream, "the state isn't that of the revision");
+            report(index, stream, "the state isn't that of the position");
         }
         int64_t since_us =
             MAX(daemon->sound_since_us, daemon->paused_until_us);
         since_us = MAX(since_us, fleet.store_up_since_us);
         bool sound = fleet.store_up && daemon->store_reachable &&
                      fleet.now_us - since_us >= FLEET_CONTACT_US + bound_us;
-        if (sound && has_missed(stream, revision, fleet.now_us - bound_us)) {
+        if (sound && has_missed(stream, version, fleet.now_us - bound_us)) {
             report(index, stream, "a change came too late");
         }
     }
@@ -451,7 +517,7 @@
 {
     for (uint32_t i = 0; i < fleet.count; i++) {
         if (runs(i) &&
-            memcmp(&fleet.daemons[i].known, &fleet.states[fleet.revision],
+            memcmp(&fleet.daemons[i].known, &fleet.states[fleet.version],
                    sizeof(FleetState)) != 0) {
             return false;
         }
@@ -467,8 +533,9 @@
     fleet.source_count = sources;
     fleet.now_us = 1000000;
     fleet.store_up = true;
-    fleet.revision = 1;
-    fleet.oldest_revision = 1;
+    fleet.version = 1;
+    fleet.oldest_version = 1;
+    fleet.positions[1] = (EbStorePosition){.era = 1, .revision = 1};
     EbRandom_Init(&fleet.random, seed);
     g_queue_init(&fleet.messages);
     for (uint32_t i = 0; i < count; i++) {
--- a/src/test_store_feed/fleet.h
+++ b/src/test_store_feed/fleet.h
@@ -15,10 +15,10 @@
 /* After a fault of the store, or of a daemon or its path to the store, bounds
  * hold again from this time on: the strictest contact_ms of a deployment. */
 #define FLEET_CONTACT_US 3000000
-/* Revisions whose state is remembered for comparison. */
-#define FLEET_REVISIONS_MAX 4096
+/* Versions of the store's state that are remembered for comparison. */
+#define FLEET_VERSIONS_MAX 4096
 
-/* The value of each object as of a revision; 0: there is none. */
+/* The value of each object as of a version; 0: there is none. */
 typedef struct {
     uint32_t values[EB_FEED_STREAM_COUNT][FLEET_OBJECTS];
 } FleetState;
@@ -26,7 +26,8 @@
 typedef struct {
     EbStoreFeed *feed; /* NULL while the daemon is stopped */
     FleetState known;  /* as reported by the feed */
-    uint64_t revisions[EB_FEED_STREAM_COUNT];
+    uint64_t versions[EB_FEED_STREAM_COUNT]; /* of the store's state */
+    uint64_t era; /* latest one that the store told this daemon */
     bool store_reachable;
     /* Reads and probes hang while the store can't be reached, instead of
      * failing at once. */
@@ -40,7 +41,7 @@
         int64_t sent_us;
         int64_t due_us; /* of the response */
         bool poll;
-        uint64_t base;
+        uint64_t base; /* version */
     } reads[EB_FEED_STREAM_COUNT];
     bool watching[EB_FEED_STREAM_COUNT];
     int64_t probe_us; /* time of the next probe */
@@ -54,10 +55,13 @@
     EbRandom random;
     bool store_up;
     int64_t store_up_since_us;
-    uint64_t revision;
-    uint64_t oldest_revision; /* a watch from an older one is a gap */
-    FleetState states[FLEET_REVISIONS_MAX];
-    int64_t changed_us[FLEET_REVISIONS_MAX]; /* when a revision was made */
+    /* The store's states, numbered in the order of time, unlike the positions
+     * under which daemons know them. */
+    uint64_t version;
+    uint64_t oldest_version; /* a watch from an older one is a gap */
+    FleetState states[FLEET_VERSIONS_MAX];
+    EbStorePosition positions[FLEET_VERSIONS_MAX];
+    int64_t changed_us[FLEET_VERSIONS_MAX]; /* when a version was made */
     FleetDaemon daemons[FLEET_MAX];
     GQueue messages;        /* of Delivery, in order of their time */
     uint32_t padding_bytes; /* in each value, to exceed limits of messages */
@@ -85,11 +89,14 @@
 /* Sets, or deletes when `value` is 0, an object in the store. */
 void Fleet_Write(EbFeedStream stream, uint32_t object, uint32_t value);
 
+/* Makes the store return from a copy that lacks the last `lost` changes. */
+void Fleet_Restore(uint64_t lost);
+
 /* Drops the store's history. */
 void Fleet_Compact(void);
 
 /* Runs for a time. Counts a violation when a daemon's state isn't that of its
- * revision, when its revision decreases, or when it has run and reached the
+ * position, when its position goes back, or when it has run and reached the
  * store for FLEET_CONTACT_US and then lacks a change for `bound_us`. */
 void Fleet_Run(int64_t time_us, int64_t bound_us);
 
--- a/src/test_store_feed/main.c
+++ b/src/test_store_feed/main.c
@@ -16,6 +16,7 @@
 #define BOUND_US INT64_C(2000000)
 #define SECOND_US INT64_C(1000000)
 #define SEEDS_IN_CI 300
+#define ERA 3 /* of the store in tests with a single feed */
 
 static void
 write_some(uint32_t changes)
@@ -223,7 +224,7 @@
 random_fault(void)
 {
     uint32_t index = (uint32_t)EbRandom_Below(&fleet.random, fleet.count);
-    switch (EbRandom_Below(&fleet.random, 10)) {
+    switch (EbRandom_Below(&fleet.random, 11)) {
     case 0:
         Fleet_KillDaemon(index);
         break;
@@ -257,6 +258,9 @@
     case 8:
         Fleet_SetStoreUp(!fleet.store_up);
         break;
+    case 9:
+        Fleet_Restore(EbRandom_Below(&fleet.random, 30));
+        break;
     default:
         for (uint32_t i = 0; i < fleet.count; i += 2) {
             Fleet_KillDaemon(i);
@@ -308,7 +312,8 @@
 
 /* Guards against a removed object that returns, a state that mixes revisions
  * and changes that come too late, over random orders of relays, losses,
- * restarts, splits, outages and lost histories. */
+ * restarts, splits, outages, lost histories and stores that return from older
+ * copies. */
 static void
 test_random_faults(void)
 {
@@ -319,6 +324,7 @@
     EbMessage sent[8]; /* texts are not kept */
     uint32_t sent_count;
     uint32_t events;
+    uint32_t restored; /* calls with events of an older copy */
     uint32_t log_events[EB_EVENT_COUNT];
 } Recorder;
 
@@ -337,10 +343,11 @@
 
 static void
 record_change(void *context, EbFeedStream stream, const json_t *events,
-              int64_t now_us)
+              bool restored, int64_t now_us)
 {
     (void)stream;
     (void)now_us;
+    ((Recorder *)context)->restored += restored;
     ((Recorder *)context)->events += (uint32_t)json_array_size(events);
 }
 
@@ -363,8 +370,9 @@
                                               .changed = record_change,
                                               .context = recorder});
     json_t *items = json_pack("[{s:s, s:i}]", "name", "a", "value", 1);
-    EbStoreFeed_HandleList(feed, EB_FEED_CONFIG, 10, items, 0);
-    EbStoreFeed_HandleList(feed, EB_FEED_SERVERS, 10, items, 0);
+    EbStorePosition position = {.era = ERA, .revision = 10};
+    EbStoreFeed_HandleList(feed, EB_FEED_CONFIG, &position, items, 0);
+    EbStoreFeed_HandleList(feed, EB_FEED_SERVERS, &position, items, 0);
     json_decref(items);
     recorder->events = 0;
     return feed;
@@ -403,6 +411,7 @@
             .kind = EB_MESSAGE_FEED_CHANGES,
             .feed_stream = EB_FEED_SERVERS,
             .base_revision = rows[i].base,
+            .era = ERA,
             .revision = rows[i].revision,
             .text = (char *)rows[i].text,
             .text_bytes = rows[i].text != NULL ? strlen(rows[i].text) : 0};
@@ -410,8 +419,9 @@
         EbStoreFeed_Receive(feed, "i-1", &message, 100);
         EbStoreFeed_Tick(feed, 100);
         CU_ASSERT_EQUAL(recorder.events, rows[i].events);
-        CU_ASSERT_EQUAL(EbStoreFeed_Revision(feed, EB_FEED_SERVERS),
-                        rows[i].known);
+        EbStorePosition known;
+        EbStoreFeed_Position(feed, EB_FEED_SERVERS, &known);
+        CU_ASSERT_EQUAL(known.revision, rows[i].known);
         CU_ASSERT_EQUAL(recorder.log_events[EB_EVENT_FEED_INVALID],
                         rows[i].invalid);
         CU_ASSERT_EQUAL(EbStoreFeed_MustRead(feed, EB_FEED_SERVERS),
@@ -453,8 +463,9 @@
         EbStoreFeed_Tick(feed, SECOND_US);
         for (int stream = 0; rows[i].read && stream < EB_FEED_STREAM_COUNT;
              stream++) {
-            EbStoreFeed_HandleChanges(feed, (EbFeedStream)stream, 10, 11, none,
-                                      SECOND_US);
+            EbStorePosition position = {.era = ERA, .revision = 11};
+            EbStoreFeed_HandleChanges(feed, (EbFeedStream)stream, 10,
+                                      &position, none, SECOND_US);
         }
         json_decref(none);
         if (rows[i].failed) {
@@ -464,7 +475,9 @@
         EbMessage request = {.kind = EB_MESSAGE_FEED_REQUEST,
                              .feed_request = 5,
                              .config_revision = 11,
-                             .servers_revision = 11};
+                             .config_era = ERA,
+                             .servers_revision = 11,
+                             .servers_era = ERA};
         int64_t asked_us = SECOND_US + rows[i].asked_us;
         if (rows[i].probed_us >= 0) {
             EbStoreFeed_HandleProbe(feed, 5000, asked_us - rows[i].probed_us);
@@ -490,6 +503,7 @@
     EbMessage message = {.kind = EB_MESSAGE_FEED_CHANGES,
                          .feed_stream = EB_FEED_SERVERS,
                          .base_revision = 10,
+                         .era = ERA,
                          .revision = 11,
                          .recovered_ago_us = 300000};
     EbStoreFeed_Receive(feed, "i-1", &message, 9 * SECOND_US);
@@ -497,13 +511,87 @@
     EbStoreFeed_HandleFailure(feed, EB_FEED_SERVERS, 20 * SECOND_US);
     EbStoreFeed_HandleFailure(feed, EB_FEED_SERVERS, 21 * SECOND_US);
     json_t *none = json_array();
-    EbStoreFeed_HandleChanges(feed, EB_FEED_SERVERS, 11, 12, none,
+    EbStorePosition position = {.era = ERA, .revision = 12};
+    EbStoreFeed_HandleChanges(feed, EB_FEED_SERVERS, 11, &position, none,
                               22 * SECOND_US);
     json_decref(none);
     CU_ASSERT_EQUAL(EbStoreFeed_RecoveredAt(feed), 22 * SECOND_US);
     EbStoreFeed_Free(feed);
 }
 
+/* Guards against changes that are ignored, or mixed with others, because a
+ * store that returned from an older copy gives out revisions again. */
+static void
+test_restored_store(void)
+{
+    static const struct {
+        uint32_t sources;
+        int lost;    /* changes that the copy lacks */
+        int written; /* changes after it, before the daemons are checked */
+    } rows[] = {{20, 10, 3}, {20, 10, 25}, {3, 10, 3}, {3, 10, 25}, {6, 0, 1}};
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        Fleet_Start(20, rows[i].sources, i + 1);
+        for (int change = 0; change < 20; change++) {
+            write_some(1);
+            Fleet_Run(SECOND_US / 5, BOUND_US);
+        }
+        Fleet_SetStoreUp(false);
+        Fleet_Run(SECOND_US, BOUND_US);
+        Fleet_Restore((uint64_t)rows[i].lost);
+        Fleet_SetStoreUp(true);
+        for (int change = 0; change < rows[i].written; change++) {
+            write_some(1);
+            Fleet_Run(SECOND_US / 10, BOUND_US);
+        }
+        Fleet_Run(FLEET_CONTACT_US, BOUND_US);
+        CU_ASSERT_TRUE(Fleet_IsCurrent());
+        CU_ASSERT_EQUAL(fleet.violations, 0);
+        Fleet_Stop();
+    }
+}
+
+/* Guards against messages and lists of an earlier era that arrive late, and
+ * against a list of the older copy that is taken for current news. */
+static void
+test_eras(void)
+{
+    Recorder recorder = {0};
+    EbEventSink sink;
+    EbStoreFeed *feed = new_recorded_feed(&recorder, &sink);
+    EbStorePosition known;
+    EbStoreFeed_StartEra(feed, ERA + 1, SECOND_US);
+    CU_ASSERT_FALSE(EbStoreFeed_Position(feed, EB_FEED_SERVERS, &known));
+    EbStoreFeed_Tick(feed, SECOND_US);
+    CU_ASSERT_TRUE(EbStoreFeed_MustRead(feed, EB_FEED_SERVERS));
+    CU_ASSERT_EQUAL(EbStoreFeed_RecoveredAt(feed), SECOND_US);
+
+    json_t *items = json_pack("[{s:s, s:i}]", "name", "a", "value", 2);
+    EbStorePosition copy = {.era = ERA + 1, .revision = 4};
+    EbStoreFeed_HandleList(feed, EB_FEED_SERVERS, &copy, items, SECOND_US);
+    CU_ASSERT_EQUAL(recorder.events, 1);
+    CU_ASSERT_EQUAL(recorder.restored, 1);
+    CU_ASSERT_TRUE(EbStoreFeed_Position(feed, EB_FEED_SERVERS, &known));
+    CU_ASSERT_EQUAL(known.revision, 4);
+
+    EbStorePosition late = {.era = ERA, .revision = 12};
+    EbStoreFeed_HandleList(feed, EB_FEED_SERVERS, &late, items, SECOND_US);
+    EbMessage message = {.kind = EB_MESSAGE_FEED_CHANGES,
+                         .feed_stream = EB_FEED_SERVERS,
+                         .base_revision = 4,
+                         .era = ERA,
+                         .revision = 11,
+                         .text = "[{\"name\":\"a\",\"deleted\":true}]"};
+    message.text_bytes = strlen(message.text);
+    EbStoreFeed_Receive(feed, "i-1", &message, 2 * SECOND_US);
+    CU_ASSERT_EQUAL(recorder.events, 1);
+    message.era = ERA + 1;
+    EbStoreFeed_Receive(feed, "i-1", &message, 2 * SECOND_US);
+    CU_ASSERT_EQUAL(recorder.events, 2);
+    CU_ASSERT_EQUAL(recorder.restored, 1);
+    json_decref(items);
+    EbStoreFeed_Free(feed);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -517,6 +605,8 @@
         {"relayed changes", test_relayed_changes},
         {"answers", test_answers},
         {"recovery is passed on", test_recovery_is_passed_on},
+        {"restored store", test_restored_store},
+        {"eras", test_eras},
     };
     if (argc == 4 && strcmp(argv[1], "--seeds") == 0) {
         uint32_t violations = play_seeds(strtoull(argv[2], NULL, 10),
