platform client: one odd entry does not make a list unreadable

Other operators' report: another writer left an entry that was nested very deeply, or held a number too large, and the machines that read the list stopped following it. It can happen here: jansson refuses a whole text for nesting above 2,048, for numbers out of range and for text that is not UTF-8, so the list of servers failed again and again.

EbJson_LoadLenient parses such a text again with null in place of the values that can't be read; the entry is then ignored like others that are invalid. test_platform_client "odd entries": without the change the list never arrives and the program waited until it was ended after 100 s. An id too long for a message no longer keeps the limits of other servers from being told.

--- a/src/libebonyhollow_net/daemon_peer.c
+++ b/src/libebonyhollow_net/daemon_peer.c
@@ -311,7 +311,10 @@
     while (
         count < MAX_LIMIT_REPORTS &&
         EbDirectives_NextReport(daemon->directives, &reports[count], now_us)) {
-        count++;
+        /* One id that is too long would make the message impossible. */
+        if (strlen(reports[count].server_id) <= EB_MESSAGE_MAX_NAME_BYTES) {
+            count++;
+        }
     }
     if (count > 0) {
         EbMessage message = {.kind = EB_MESSAGE_SERVER_LIMITS,
--- a/src/libebonyhollow_net/platform_client.c
+++ b/src/libebonyhollow_net/platform_client.c
@@ -9,6 +9,7 @@
 #include <event2/bufferevent.h>
 
 #include "clock.h"
+#include "json_lenient.h"
 #include "platform_internal.h"
 
 #define DEFAULT_MAX_CALLS 16
@@ -149,7 +150,7 @@
         return NULL;
     }
     const char *bytes = (const char *)evbuffer_pullup(input, -1);
-    return json_loadb(bytes, length, JSON_DECODE_ANY, NULL);
+    return EbJson_LoadLenient(bytes, length);
 }
 
 bool
--- a/src/test_platform_client/main.c
+++ b/src/test_platform_client/main.c
@@ -22,6 +22,7 @@
     unsigned replies, wanted_replies;
     unsigned statuses[EB_STORE_STATUS_COUNT];
     unsigned listed, wanted_listed;
+    size_t items; /* of the last list */
     unsigned changed, wanted_changed;
     unsigned unchanged, failed;
     unsigned probed, wanted_probed;
@@ -56,6 +57,7 @@
     Fixture *fixture = context;
     CU_ASSERT_STRING_EQUAL(kind, "instances");
     CU_ASSERT_TRUE(json_is_array(items));
+    fixture->items = json_array_size(items);
     CU_ASSERT_EQUAL(position->revision, 7);
     fixture->revision = position->revision;
     fixture->era = position->era;
@@ -421,6 +423,56 @@
     close_fixture(&fixture);
 }
 
+/* A list in which one entry is odd and the next one is sound. */
+static void
+respond_with_odd_entry(RawPeer *peer, const char *request)
+{
+    Fixture *fixture = peer->server->context;
+    if (strstr(request, "since=") != NULL) {
+        return;
+    }
+    GString *body = g_string_new("{\"revision\": 7, \"items\": [{\"name\": "
+                                 "\"odd\", \"value\": ");
+    g_string_append(body, fixture->response);
+    g_string_append(body, "}, {\"name\": \"sound\", \"value\": 1}]}");
+    RawPeer_SendJson(peer, body->str);
+    g_string_free(body, TRUE);
+}
+
+/* Guards against a list that can't be read any more since another writer left
+ * one entry that the JSON library refuses. */
+static void
+test_odd_entries(void)
+{
+    enum { DEPTH = 5000 };
+    char *nested = g_malloc(2 * DEPTH + 1);
+    memset(nested, '[', DEPTH);
+    memset(nested + DEPTH, ']', DEPTH);
+    nested[2 * DEPTH] = '\0';
+    const char *const values[] = {
+        nested,
+        "{\"slots\": 123456789012345678901234567890}",
+        "{\"slots\": 1e999}",
+        "{\"address\": \"10.0.0.1:\xff\xfe\"}",
+        "{\"address\": \"\\u0000\"}",
+        "{\"\\ud800\": \"]}\\\"\"}",
+        "{\"state\": \"line\nbreak\"}",
+        "nonsense",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+        Fixture fixture;
+        open_fixture(&fixture, respond_with_odd_entry, 0);
+        fixture.response = values[i];
+        EbPlatformClient_Watch(fixture.client, "instances");
+        fixture.wanted_listed = 1;
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_watched, &fixture));
+        CU_ASSERT_EQUAL(fixture.items, 2);
+        CU_ASSERT_EQUAL(fixture.failed, 0);
+        close_fixture(&fixture);
+    }
+    g_free(nested);
+}
+
 static void
 send_with_era(RawPeer *peer, const char *era, const char *body)
 {
@@ -709,6 +761,7 @@
         {"silent", test_silent},
         {"watch", test_watch},
         {"watch from a known revision", test_watch_from},
+        {"odd entries", test_odd_entries},
         {"restored store", test_restored_store},
         {"outdated answer", test_outdated_answer},
         {"a poll's response is lost", test_lost_response},
