dispatcher: an answer that is no stream does not end a stream that began

Bytes of the error never reached the stream.

Such an answer now fails the attempt, as statuses from 500 did; the caller's connection is closed without the last chunk. test_forward "resume answered otherwise" failed for these five statuses before.

--- a/src/libebonyhollow/requests/dispatcher_relay.c
+++ b/src/libebonyhollow/requests/dispatcher_relay.c
@@ -108,12 +108,14 @@
         return;
     }
     EbAttempt_RecordAnswered(attempt, now_us);
-    if (status < 500 && !promises_not_run(status)) {
+    /* What is no stream can't be the rest of one that has begun. */
+    bool begun = request->forward->head != NULL;
+    if (status < 500 && !promises_not_run(status) && !begun) {
         complete(attempt, event->reply, now_us);
         return;
     }
     /* Becomes the answer to the caller if no other server succeeds. */
-    if (!promises_not_run(status) && request->forward->head == NULL) {
+    if (!promises_not_run(status) && !begun) {
         EbHttpMessage_Unref(request->forward->reply);
         request->forward->reply = EbHttpMessage_Ref(event->reply);
     }
--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -352,6 +352,37 @@
     Fixture_Close(&fixture);
 }
 
+/* Guards against a stream that looks complete, or contains another answer,
+ * since the server that was to go on with it answered something else. */
+static void
+test_resume_answered(void)
+{
+    static const uint16_t statuses[] = {200, 204, 400, 404, 409, 500, 503};
+    for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+        Fixture fixture;
+        Fixture_Open(&fixture);
+        Fixture_Submit(&fixture, "/resumable/x", TOKEN);
+        Fixture_SendEvent(
+            &fixture, &(Event){.kind = EB_ATTEMPT_STREAMING, .status = 200});
+        Fixture_SendEvent(&fixture, &(Event){.kind = EB_ATTEMPT_EVENTS,
+                                             .status = 200,
+                                             .event_id = 0,
+                                             .bytes = "a"});
+        Fixture_SendEvent(&fixture,
+                          &(Event){.kind = EB_ATTEMPT_BROKEN, .status = 200});
+        Fixture_Advance(&fixture, SECOND_US);
+        CU_ASSERT_EQUAL(fixture.send_count, 2);
+        Fixture_SendEvent(&fixture, &(Event){.kind = EB_ATTEMPT_ANSWERED,
+                                             .status = statuses[i]});
+        Fixture_Advance(&fixture, 7 * SECOND_US);
+        CU_ASSERT_TRUE(fixture.answered);
+        CU_ASSERT_NOT_EQUAL(fixture.outcome, EB_OUTCOME_DONE);
+        CU_ASSERT_NOT_EQUAL(fixture.outcome, EB_OUTCOME_NOT_RUN);
+        CU_ASSERT_STRING_EQUAL(fixture.relayed->str, "a");
+        Fixture_Close(&fixture);
+    }
+}
+
 /* Guards against a resume of a stream whose pipeline allows none. */
 static void
 test_no_resume(void)
@@ -453,6 +484,7 @@
         {"first attempt", test_first_attempt},
         {"max attempts", test_max_attempts},
         {"resume", test_resume},
+        {"resume answered otherwise", test_resume_answered},
         {"no resume", test_no_resume},
         {"caller gone", test_caller_gone},
         {"server missing from the list", test_server_missing},
