dispatcher: a refusal without the request's id may be a copy of an earlier one

Other operators' report: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that a server had run or was running (REFUSED), or they ran twice. But a copy without an id was taken for the refusal of an idempotent call that the server was running: the attempt was taken back, and the caller was told 'not run' in the end.

A refusal without an id now counts only on a connection that carried no earlier call; one with another id never does.

--- a/include/requests/ebonyhollow/dispatcher.h
+++ b/include/requests/ebonyhollow/dispatcher.h
@@ -155,6 +155,7 @@
     /* The members below are for forwarded calls only. */
     EbHttpMessage *reply;   /* ANSWERED: whole answer; of a stream: its head */
     EbForwardReply forward; /* decoded from the head */
+    bool reused_connection; /* it carried an earlier call */
     int64_t event_id;       /* EVENTS; -1: without an id */
     const uint8_t *bytes;   /* EVENTS */
     size_t byte_count;
--- a/src/libebonyhollow/requests/dispatcher_relay.c
+++ b/src/libebonyhollow/requests/dispatcher_relay.c
@@ -93,12 +93,25 @@
            status == 503;
 }
 
+/* Returns whether an answer states that this call has not run. On a connection
+ * that was used before, one without an id may be a copy of an earlier answer.
+ */
+static bool
+states_not_run(const EbRequest *request, const EbAttemptEvent *event)
+{
+    const char *id = event->forward.request_id;
+    bool own = id != NULL ? strcmp(id, request->forward->call->request_id) == 0
+                          : !event->reused_connection;
+    return own && (event->forward.not_run ||
+                   event->http_status == EB_STATUS_MISDIRECTED);
+}
+
 static void
 handle_answer(EbAttempt *attempt, const EbAttemptEvent *event, int64_t now_us)
 {
     EbRequest *request = attempt->request;
     uint16_t status = event->http_status;
-    if (event->forward.not_run || status == EB_STATUS_MISDIRECTED) {
+    if (states_not_run(request, event)) {
         handle_not_run(attempt, event, now_us);
         return;
     }
--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -34,7 +34,8 @@
     uint64_t attempt_id; /* 0: no call */
     char *request_id;
     bool stream;
-    bool wrote; /* bytes of the call may have been sent */
+    bool wrote;  /* bytes of the call may have been sent */
+    bool reused; /* the connection carried an earlier call */
     EbHttpMessage *response;
     EbForwardReply reply;
     bool streaming;        /* the response is an event stream */
@@ -114,6 +115,7 @@
     event->http_status =
         connection->response != NULL ? connection->response->status : 0;
     event->forward = connection->reply;
+    event->reused_connection = connection->reused;
     event->directive = connection->reply.directive;
     event->has_load = connection->reply.has_load;
     event->load_running = connection->reply.load_running;
@@ -469,6 +471,7 @@
         connection = open_connection(client, send);
     }
     connection->attempt_id = send->attempt_id;
+    connection->reused = !opened;
     g_free(connection->request_id);
     connection->request_id = g_strdup(send->request_id);
     connection->stream = send->stream;
--- a/src/test_forward/fixture.c
+++ b/src/test_forward/fixture.c
@@ -250,6 +250,10 @@
 Fixture_SendEvent(Fixture *fixture, const Event *event)
 {
     EbHttpMessage *reply = EbHttpMessage_NewResponse(event->status);
+    const char *request_id = event->wrong_request_id ? "r-0" : "r-1";
+    if (event->no_request_id) {
+        request_id = NULL;
+    }
     EbDispatcher_AttemptEvent(
         fixture->dispatcher,
         &(EbAttemptEvent){
@@ -257,9 +261,10 @@
             .kind = event->kind,
             .http_status = event->status,
             .reply = reply,
-            .forward = {.request_id = event->wrong_request_id ? "r-0" : "r-1",
+            .forward = {.request_id = request_id,
                         .sealed = !event->unsigned_answer,
                         .not_run = event->not_run},
+            .reused_connection = event->reused_connection,
             .directive = event->directive,
             .event_id = event->event_id,
             .bytes = (const uint8_t *)event->bytes,
--- a/src/test_forward/forward.h
+++ b/src/test_forward/forward.h
@@ -52,6 +52,8 @@
     bool not_run;
     bool unsigned_answer;
     bool wrong_request_id;
+    bool no_request_id;
+    bool reused_connection;
     int64_t event_id;
     const char *bytes;
     EbServerDirective directive;
--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -352,6 +352,49 @@
     Fixture_Close(&fixture);
 }
 
+/* Guards against a copy of an earlier refusal, on a connection that is used
+ * again, that is taken for the answer to a call which a server runs: its
+ * caller would be told that it has not run. */
+static void
+test_repeated_refusal(void)
+{
+    static const struct {
+        Event event;
+        EbOutcome outcome;
+    } rows[] = {
+        {{.status = 503, .not_run = true}, EB_OUTCOME_NOT_RUN},
+        {{.status = 503, .not_run = true, .no_request_id = true},
+         EB_OUTCOME_NOT_RUN},
+        {{.status = 503,
+          .not_run = true,
+          .no_request_id = true,
+          .reused_connection = true},
+         EB_OUTCOME_FAILED},
+        {{.status = 421, .no_request_id = true, .reused_connection = true},
+         EB_OUTCOME_FAILED},
+        {{.status = 503, .not_run = true, .wrong_request_id = true},
+         EB_OUTCOME_FAILED},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Fixture fixture;
+        Fixture_Open(&fixture);
+        Fixture_Submit(&fixture, "/read/x", TOKEN);
+        Event event = rows[i].event;
+        event.kind = EB_ATTEMPT_ANSWERED;
+        for (int round = 0; round < 8 && !fixture.answered; round++) {
+            unsigned sent = fixture.send_count;
+            Fixture_SendEvent(&fixture, &event);
+            Fixture_Advance(&fixture, SECOND_US);
+            if (fixture.send_count == sent) {
+                Fixture_Advance(&fixture, 7 * SECOND_US);
+            }
+        }
+        CU_ASSERT_TRUE(fixture.answered);
+        CU_ASSERT_EQUAL(fixture.outcome, rows[i].outcome);
+        Fixture_Close(&fixture);
+    }
+}
+
 /* Guards against a stream that looks complete, or contains another answer,
  * since the server that was to go on with it answered something else. */
 static void
@@ -484,6 +527,7 @@
         {"first attempt", test_first_attempt},
         {"max attempts", test_max_attempts},
         {"resume", test_resume},
+        {"repeated refusal", test_repeated_refusal},
         {"resume answered otherwise", test_resume_answered},
         {"no resume", test_no_resume},
         {"caller gone", test_caller_gone},
