daemon: quarantined fingerprints are stored again after a restore

What was quarantined in the seconds that a restored store lacks was missing for daemons that start later, although all running ones know it. After the era has risen, the first live daemon compares the next list with its own entries and stores those that are missing.

--- a/src/libebonyhollow_net/daemon_platform.c
+++ b/src/libebonyhollow_net/daemon_platform.c
@@ -245,6 +245,7 @@
 EbDaemon_OnStoreRestored(void *context, uint64_t era)
 {
     EbDaemon *daemon = context;
+    daemon->quarantine_outdated = true;
     if (daemon->adapter != NULL) {
         EbDiscovery_StartEra(daemon, era);
     }
--- a/src/libebonyhollow_net/daemon_quarantine.c
+++ b/src/libebonyhollow_net/daemon_quarantine.c
@@ -16,6 +16,8 @@
 #define MAX_WRITE_RETRIES 60
 /* Evidence that one message carries; the rest follows in the next one. */
 #define MAX_SUSPICIONS 64
+/* Entries that are compared with a list; more are not expected. */
+#define MAX_RESTORED_ENTRIES 256
 
 static void
 ignore_reply(void *context, const EbStoreReply *reply)
@@ -24,39 +26,6 @@
     (void)reply;
 }
 
-/* Stored entries give the end of their quarantine as wall clock time, because
- * the monotonic clocks of instances are unrelated. */
-void
-EbDaemon_HandleQuarantineList(EbDaemon *daemon, json_t *items)
-{
-    int64_t now_us = EbClock_Monotonic();
-    int64_t wall_us = EbClock_Wall();
-    size_t index;
-    json_t *item;
-    json_array_foreach(items, index, item)
-    {
-        const char *name = EbDaemon_GetString(item, "name");
-        const json_t *value = json_object_get(item, "value");
-        EbQuarantineEntry entry = {
-            .fingerprint = g_ascii_strtoull(name, NULL, 16),
-            .crashes =
-                (uint32_t)json_integer_value(json_object_get(value, "points")),
-            .state = EB_FINGERPRINT_QUARANTINED,
-            .remaining_us =
-                json_integer_value(json_object_get(value, "until_wall_us")) -
-                wall_us};
-        if (entry.remaining_us > 0) {
-            EbQuarantine_Merge(daemon->quarantine, &entry, now_us);
-        }
-        else if (entry.remaining_us < -EXPIRED_RETENTION_US) {
-            uint64_t version =
-                (uint64_t)json_integer_value(json_object_get(item, "version"));
-            EbDaemon_CallStore(daemon, EB_STORE_DELETE, EB_QUARANTINE_KIND,
-                               name, version, NULL, ignore_reply, NULL);
-        }
-    }
-}
-
 /* A quarantine entry that has to be stored or deleted. */
 typedef struct {
     EbDaemon *daemon;
@@ -211,6 +180,88 @@
     start_write(write);
 }
 
+/* Returns whether this daemon is the one that stores entries again. */
+static bool
+is_first_daemon(const EbDaemon *daemon)
+{
+    const char *first = NULL;
+    return EbMembership_LiveInstances(daemon->membership, &first, 1) > 0 &&
+           strcmp(first, daemon->settings->instance) == 0;
+}
+
+static bool
+is_listed(const json_t *items, const char *name)
+{
+    size_t index;
+    const json_t *item;
+    json_array_foreach(items, index, item)
+    {
+        if (strcmp(EbDaemon_GetString(item, "name"), name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Stores the entries in force that the list lacks after the store returned
+ * from an older copy. One daemon does so for all. */
+static void
+store_missing_entries(EbDaemon *daemon, const json_t *items, int64_t now_us)
+{
+    if (!daemon->quarantine_outdated) {
+        return;
+    }
+    daemon->quarantine_outdated = false;
+    if (!is_first_daemon(daemon)) {
+        return;
+    }
+    EbQuarantineEntry entries[MAX_RESTORED_ENTRIES];
+    size_t count = EbQuarantine_List(daemon->quarantine, entries,
+                                     MAX_RESTORED_ENTRIES, now_us);
+    for (size_t i = 0; i < MIN(count, MAX_RESTORED_ENTRIES); i++) {
+        char name[ENTRY_NAME_BYTES];
+        snprintf(name, sizeof(name), "%016" PRIx64, entries[i].fingerprint);
+        if (entries[i].state == EB_FINGERPRINT_QUARANTINED &&
+            !is_listed(items, name)) {
+            store_quarantine_entry(daemon, &entries[i]);
+        }
+    }
+}
+
+/* Stored entries give the end of their quarantine as wall clock time, because
+ * the monotonic clocks of instances are unrelated. */
+void
+EbDaemon_HandleQuarantineList(EbDaemon *daemon, json_t *items)
+{
+    int64_t now_us = EbClock_Monotonic();
+    int64_t wall_us = EbClock_Wall();
+    size_t index;
+    json_t *item;
+    json_array_foreach(items, index, item)
+    {
+        const char *name = EbDaemon_GetString(item, "name");
+        const json_t *value = json_object_get(item, "value");
+        EbQuarantineEntry entry = {
+            .fingerprint = g_ascii_strtoull(name, NULL, 16),
+            .crashes =
+                (uint32_t)json_integer_value(json_object_get(value, "points")),
+            .state = EB_FINGERPRINT_QUARANTINED,
+            .remaining_us =
+                json_integer_value(json_object_get(value, "until_wall_us")) -
+                wall_us};
+        if (entry.remaining_us > 0) {
+            EbQuarantine_Merge(daemon->quarantine, &entry, now_us);
+        }
+        else if (entry.remaining_us < -EXPIRED_RETENTION_US) {
+            uint64_t version =
+                (uint64_t)json_integer_value(json_object_get(item, "version"));
+            EbDaemon_CallStore(daemon, EB_STORE_DELETE, EB_QUARANTINE_KIND,
+                               name, version, NULL, ignore_reply, NULL);
+        }
+    }
+    store_missing_entries(daemon, items, now_us);
+}
+
 void
 EbDaemon_PublishSuspicions(EbDaemon *daemon, int64_t now_us)
 {
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -103,6 +103,8 @@
     EbLedger *ledger;
     EbLimiter *limiter;
     EbQuarantine *quarantine;
+    bool quarantine_outdated; /* the stored entries, since the store returned
+                                 from an older copy */
     EbSuspects *suspects;
     EbDirectives *directives;
     EbDispatcher *dispatcher;
