soak: stores that return from older copies, servers that name limits

The emulated store keeps its writes for 10 s to undo them, gives out revisions again and sends its era; operator and servers write again 0.4 s later. A server with a limit checks each window of 4 s while no daemon was disturbed.

--- a/test/process/test_soak.sh
+++ b/test/process/test_soak.sh
@@ -6,14 +6,18 @@
 #   store, which kept them open when the path was cut.
 # - 834, within 15 s: SIGTERM reached a daemon before it handled signals.
 #
-# Usage: test/process/test_soak.sh BUILD-DIRECTORY [SECONDS [SEED[:SECONDS]...]]
+# Seeds with a + have the extended faults: stores that return from older copies,
+# and servers that name limits.
+#
+# Usage: test/process/test_soak.sh BUILD-DIRECTORY
+#            [SECONDS [SEED[+][:SECONDS]...]]
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 build=$1
 default_seconds=${2:-6}
 shift $(($# < 2 ? $# : 2))
 seeds=("$@")
-[ ${#seeds[@]} -gt 0 ] || seeds=(1 107 112 132 345 834:15)
+[ ${#seeds[@]} -gt 0 ] || seeds=(1 107 112 132 345 834:15 1+:10 2+:10)
 directory=$(mktemp -d)
 
 status=0
@@ -21,8 +25,10 @@
     seed=${entry%:*}
     seconds=$default_seconds
     [ "$seed" = "$entry" ] || seconds=${entry#*:}
-    if ! "$build/test/soak/soak" --seed "$seed" --seconds "$seconds" \
-        --verbose --program "$build/src/ebonyhollowd/ebonyhollowd" \
+    options=(--verbose)
+    [ "$seed" = "${seed%+}" ] || options+=(--extended)
+    if ! "$build/test/soak/soak" --seed "${seed%+}" --seconds "$seconds" \
+        "${options[@]}" --program "$build/src/ebonyhollowd/ebonyhollowd" \
         --directory "$directory/$seed" >"$directory/$seed.txt" 2>&1; then
         status=1
         cat "$directory/$seed.txt"
--- a/test/soak/emulator.c
+++ b/test/soak/emulator.c
@@ -19,6 +19,27 @@
 /* Within this time after a fault, daemons can read the store again. */
 #define STORE_CONTACT_US 3000000
 
+/* Until what a restored store lacks is written again. */
+#define REWRITE_US 400000
+/* How long the writes of the store are kept to be undone. */
+#define WRITE_AGE_MAX_US 10000000
+/* A limited server takes this many requests a second, and in a window at most
+ * a half more and LIMIT_EXTRA. That is checked from LIMIT_CONTACT_US after the
+ * first answer with the limit or the last disturbance of a daemon. */
+#define LIMIT_PER_S 6
+#define LIMIT_WINDOW_US 4000000
+#define LIMIT_MAX (LIMIT_PER_S * LIMIT_WINDOW_US / 1000000 * 3 / 2)
+#define LIMIT_EXTRA 5
+#define LIMIT_CONTACT_US 3000000
+
+/* A write to the store. */
+typedef struct {
+    char *key;
+    json_t *before; /* the object before it, or NULL */
+    uint64_t revision_before;
+    int64_t at_us;
+} Write;
+
 struct Server {
     Soak *soak;
     struct evhttp *http;
@@ -26,7 +47,10 @@
     char *id;
     char *service;
     ServerFault fault;
+    int64_t fault_since_us;
+    GQueue arrivals;     /* times, while it names a limit */
     int64_t draining_us; /* 0: not draining */
+    bool removed;        /* from the store */
     struct event *removal_timer;
 };
 
@@ -118,12 +142,21 @@
     return items;
 }
 
+static void
+add_era(const Soak *soak, struct evhttp_request *request)
+{
+    char text[24];
+    snprintf(text, sizeof(text), "%u", (unsigned)soak->era);
+    add_header(request, "Store-Era", text);
+}
+
 static void
 finish_watch(Watch *watch, json_t *events)
 {
     g_ptr_array_remove_fast(watch->soak->watches, watch);
     evhttp_connection_set_closecb(
         evhttp_request_get_connection(watch->request), NULL, NULL);
+    add_era(watch->soak, watch->request);
     reply_json(watch->request, 200,
                json_pack("{s:o, s:I}", "events", events, "current_rev",
                          (json_int_t)watch->soak->revision));
@@ -162,10 +195,37 @@
     g_free(watch);
 }
 
+static void
+free_write(gpointer pointer)
+{
+    Write *write = pointer;
+    json_decref(write->before);
+    g_free(write->key);
+    g_free(write);
+}
+
+/* Keeps what a write replaces. Takes over the key. */
+static void
+log_write(Soak *soak, char *key)
+{
+    Write *write = g_new0(Write, 1);
+    json_t *before = g_hash_table_lookup(soak->objects, key);
+    *write = (Write){.key = key,
+                     .before = json_incref(before),
+                     .revision_before = soak->revision,
+                     .at_us = Soak_Now()};
+    g_queue_push_tail(&soak->writes, write);
+    while (((Write *)soak->writes.head->data)->at_us <
+           Soak_Now() - WRITE_AGE_MAX_US) {
+        free_write(g_queue_pop_head(&soak->writes));
+    }
+}
+
 static void
 put_object(Soak *soak, const char *kind, const char *name, json_t *spec,
            bool deleted)
 {
+    log_write(soak, object_key(kind, name));
     json_t *object = json_pack("{s:{s:s, s:I}, s:o, s:b}", "metadata", "name",
                                name, "revision", (json_int_t)++soak->revision,
                                "spec", spec, "deleted", deleted);
@@ -182,6 +242,11 @@
 start_watch(Soak *soak, struct evhttp_request *request, const char *kind,
             uint64_t since, int64_t wait_ms)
 {
+    if (since > soak->revision) {
+        add_era(soak, request);
+        evhttp_send_reply(request, 410, "Gone", NULL);
+        return;
+    }
     json_t *events = list_kind(soak, kind, since);
     Watch *watch = g_new0(Watch, 1);
     *watch = (Watch){.request = request,
@@ -226,6 +291,7 @@
                    json_incref(json_object_get(body, "spec")), false);
         current = g_hash_table_lookup(soak->objects, key);
     }
+    add_era(soak, request);
     reply_json(request, conflict ? 409 : 200, json_incref(current));
     g_free(key);
     json_decref(body);
@@ -252,6 +318,7 @@
                     wait != NULL ? g_ascii_strtoll(wait, NULL, 10) : 1000);
     }
     else {
+        add_era(soak, request);
         reply_json(request, 200,
                    json_pack("{s:o, s:b, s:I}", "items",
                              list_kind(soak, kind, 0), "has_more", 0,
@@ -261,8 +328,8 @@
     g_strfreev(parts);
 }
 
-void
-Emulator_PutConfig(Soak *soak)
+static void
+write_config(Soak *soak)
 {
     static const char routes[] =
         "[{\"name\":\"read\",\"host\":\"h\",\"path_prefix\":\"/read/\","
@@ -287,7 +354,6 @@
         "{\"name\":\"orders\"},{\"name\":\"encode\",\"pieces\":{\"slots\":1,"
         "\"queue\":2,\"batch\":8,\"call_ms\":20,\"item_ms\":1,"
         "\"headroom_mb\":4,\"handle_s\":4}}]";
-    soak->config_version += 1 + EbRandom_Below(&soak->random, 3);
     put_object(soak, "config", "main",
                json_pack("{s:I, s:o, s:o, s:[{s:s, s:[s]}]}", "version",
                          (json_int_t)soak->config_version, "routes",
@@ -297,6 +363,13 @@
                false);
 }
 
+void
+Emulator_PutConfig(Soak *soak)
+{
+    soak->config_version += 1 + EbRandom_Below(&soak->random, 3);
+    write_config(soak);
+}
+
 /* Servers */
 
 static void
@@ -344,6 +417,10 @@
 static void
 add_answer_headers(const Work *work, const char *id)
 {
+    if (work->server->fault == SERVER_LIMITED) {
+        add_header(work->request, "Server-Limit",
+                   G_STRINGIFY(LIMIT_PER_S) ".0");
+    }
     add_header(work->request, "Attempt-Id", id);
     add_header(work->request, "Server-Seal", work->server->id);
 }
@@ -501,6 +578,40 @@
     }
 }
 
+/* Returns the last time at which a daemon was started, stopped or paused. */
+static int64_t
+last_disturbance(const Soak *soak)
+{
+    int64_t last_us = 0;
+    for (uint32_t i = 0; i < soak->daemon_count; i++) {
+        last_us = MAX(last_us, soak->daemons[i].disturbed_us);
+    }
+    return last_us;
+}
+
+static void
+check_limit(Server *server, const char *id)
+{
+    int64_t now_us = Soak_Now();
+    int64_t since_us =
+        MAX(server->fault_since_us, last_disturbance(server->soak));
+    if (server->fault != SERVER_LIMITED ||
+        now_us < since_us + LIMIT_CONTACT_US) {
+        g_queue_clear_full(&server->arrivals, g_free);
+        return;
+    }
+    g_queue_push_tail(&server->arrivals, g_memdup2(&now_us, sizeof(now_us)));
+    while (*(int64_t *)server->arrivals.head->data <
+           now_us - LIMIT_WINDOW_US) {
+        g_free(g_queue_pop_head(&server->arrivals));
+    }
+    if (server->arrivals.length > LIMIT_MAX + LIMIT_EXTRA) {
+        Soak_Violation(server->soak,
+                       "a server gets no more requests than it takes", id,
+                       server->id);
+    }
+}
+
 static void
 start_work(Server *server, struct evhttp_request *request, const char *id)
 {
@@ -558,6 +669,7 @@
     }
     else {
         check_drain(server, id);
+        check_limit(server, id);
         start_work(server, request, id);
     }
 }
@@ -582,9 +694,56 @@
     (void)fd;
     (void)what;
     Server *server = context;
+    server->removed = true;
     put_object(server->soak, "servers", server->id, json_null(), true);
 }
 
+/* Writes again what a restored store may lack. */
+static void
+on_rewrite(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    Soak *soak = context;
+    write_config(soak);
+    for (guint i = 0; i < soak->servers->len; i++) {
+        Server *server = g_ptr_array_index(soak->servers, i);
+        if (server->removed) {
+            put_object(soak, "servers", server->id, json_null(), true);
+        }
+        else {
+            put_registration(server);
+        }
+    }
+    soak->store_disturbed_us = Soak_Now();
+}
+
+void
+Emulator_Restore(Soak *soak, int64_t age_us)
+{
+    int64_t copy_us = Soak_Now() - age_us;
+    Write *write;
+    while ((write = g_queue_peek_tail(&soak->writes)) != NULL &&
+           write->at_us > copy_us) {
+        if (write->before != NULL) {
+            g_hash_table_replace(soak->objects, g_strdup(write->key),
+                                 json_incref(write->before));
+        }
+        else {
+            g_hash_table_remove(soak->objects, write->key);
+        }
+        soak->revision = write->revision_before;
+        free_write(g_queue_pop_tail(&soak->writes));
+    }
+    soak->era++;
+    while (soak->watches->len > 0) {
+        finish_watch(g_ptr_array_index(soak->watches, 0), json_array());
+    }
+    soak->store_disturbed_us = Soak_Now() + REWRITE_US;
+    struct timeval delay = {0, REWRITE_US};
+    event_add(soak->rewrite_timer, &delay);
+}
+
 Server *
 Emulator_AddServer(Soak *soak, const char *service)
 {
@@ -618,6 +777,7 @@
 Server_SetFault(Server *server, ServerFault fault)
 {
     server->fault = fault;
+    server->fault_since_us = Soak_Now();
 }
 
 void
@@ -626,6 +786,9 @@
     static const char *const services[] = {"model",  "model",  "model",
                                            "orders", "orders", "orders",
                                            "encode", "encode"};
+    soak->era = 1;
+    g_queue_init(&soak->writes);
+    soak->rewrite_timer = evtimer_new(soak->base, on_rewrite, soak);
     soak->servers = g_ptr_array_new();
     soak->watches = g_ptr_array_new();
     soak->objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -650,6 +813,7 @@
     for (guint i = 0; i < soak->servers->len; i++) {
         Server *server = g_ptr_array_index(soak->servers, i);
         event_free(server->removal_timer);
+        g_queue_clear_full(&server->arrivals, g_free);
         evhttp_free(server->http);
         g_free(server->id);
         g_free(server->service);
@@ -657,6 +821,8 @@
     }
     g_ptr_array_unref(soak->servers);
     evhttp_free(soak->store);
+    event_free(soak->rewrite_timer);
+    g_queue_clear_full(&soak->writes, free_write);
     g_ptr_array_unref(soak->watches);
     g_hash_table_destroy(soak->objects);
 }
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -20,6 +20,7 @@
 #define RECOVERY_US 16000000
 #define MIN_RECOVERED_PERCENT 95
 #define FINAL_ANSWERS_US 5000000 /* for answers after the last request */
+#define MAX_COPY_AGE_US 8000000
 #define PORT_FIRST 15000
 #define PORT_LAST 31000
 #define PORT_STRIDE 61 /* between processes with consecutive ids */
@@ -35,6 +36,7 @@
     FAULT_SERVER,
     FAULT_DRAIN,
     FAULT_CONFIG,
+    FAULT_RESTORE, /* the store returns from an older copy */
     FAULT_COUNT
 } Fault;
 
@@ -49,6 +51,7 @@
     [FAULT_SERVER] = "server",
     [FAULT_DRAIN] = "drain",
     [FAULT_CONFIG] = "config",
+    [FAULT_RESTORE] = "restore",
 };
 
 /* A fault that ends after some time. */
@@ -184,7 +187,9 @@
         break;
     case FAULT_SERVER:
         Server_SetFault(
-            server, (ServerFault)(1 + below(soak, SERVER_FAULT_COUNT - 1)));
+            server, (ServerFault)(1 + below(soak, soak->extended
+                                                      ? SERVER_FAULT_COUNT - 1
+                                                      : SERVER_LIMITED - 1)));
         schedule_fault_end(soak, server, NULL);
         break;
     case FAULT_DRAIN:
@@ -193,6 +198,9 @@
     case FAULT_CONFIG:
         Emulator_PutConfig(soak);
         break;
+    case FAULT_RESTORE:
+        Emulator_Restore(soak, (int64_t)below(soak, MAX_COPY_AGE_US));
+        break;
     case FAULT_COUNT:
         break;
     }
@@ -215,7 +223,8 @@
     while (Soak_Now() < soak->end_us) {
         /* All daemons are killed at once only rarely; otherwise they would
          * spend most of the time restarting. */
-        Fault fault = (Fault)below(soak, FAULT_COUNT);
+        Fault fault =
+            (Fault)below(soak, soak->extended ? FAULT_COUNT : FAULT_RESTORE);
         if (fault == FAULT_KILL_ALL && below(soak, 6) != 0) {
             fault = FAULT_CONFIG;
         }
@@ -231,12 +240,13 @@
 
 static const char usage[] =
     "Usage: soak --program FILE [--seed N] [--seconds N] [--daemons N]\n"
-    "            [--callers N] [--directory DIR] [--verbose]\n"
+    "            [--callers N] [--directory DIR] [--extended] [--verbose]\n"
     "\n"
     "Runs daemons between callers and an emulated platform, injects faults\n"
     "for the given number of seconds and checks the guarantees. The daemons\n"
-    "write their logs to DIR. The exit status is 0 if no guarantee was\n"
-    "violated.\n";
+    "write their logs to DIR. With --extended the store also returns from\n"
+    "older copies, and servers name limits. The exit status is 0 if no\n"
+    "guarantee was violated.\n";
 
 static const struct option long_options[] = {
     {"program", required_argument, NULL, 'p'},
@@ -245,6 +255,7 @@
     {"daemons", required_argument, NULL, 'd'},
     {"callers", required_argument, NULL, 'c'},
     {"directory", required_argument, NULL, 'o'},
+    {"extended", no_argument, NULL, 'e'},
     {"verbose", no_argument, NULL, 'v'},
     {NULL, 0, NULL, 0},
 };
@@ -298,6 +309,9 @@
         case 'o':
             soak.directory = g_strdup(optarg);
             break;
+        case 'e':
+            soak.extended = true;
+            break;
         case 'v':
             verbose = true;
             break;
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -40,6 +40,7 @@
     SERVER_RESETS,   /* runs it and closes before or during the answer */
     SERVER_SILENT,   /* runs it and does not answer */
     SERVER_WRONG_ID, /* answers with another request's id */
+    SERVER_LIMITED,  /* names a limit of requests */
     SERVER_FAULT_COUNT
 } ServerFault;
 
@@ -92,7 +93,11 @@
     GPtrArray *servers;  /* of Server */
     GHashTable *objects; /* kind and name to json_t */
     GPtrArray *watches;  /* of Watch, see emulator.c */
+    GQueue writes;       /* of Write, oldest first, see emulator.c */
     uint64_t revision;
+    uint64_t era;
+    struct event *rewrite_timer; /* after the store was restored */
+    bool extended; /* with the faults that earlier seeds don't have */
     uint64_t config_version;
     uint16_t store_port;
     struct evhttp *store;
@@ -120,6 +125,10 @@
 void Emulator_Start(Soak *soak);
 void Emulator_Stop(Soak *soak);
 void Emulator_PutConfig(Soak *soak);
+
+/* Makes the store return from a copy of `age_us` ago. The operator and the
+ * servers write what it lacks again a little later. */
+void Emulator_Restore(Soak *soak, int64_t age_us);
 Server *Emulator_AddServer(Soak *soak, const char *service);
 
 /* Marks a server as draining, adds a server that replaces it, and later
