--- a/src/test_directives/fleet.c
+++ b/src/test_directives/fleet.c
@@ -253,7 +253,25 @@
                         }});
 }
 
-/* Sends a request of a caller from a daemon, to a server that admits it. */
+/* Sends a request to a server that admits it, of those from `first` on. */
+static bool
+send_to_any(Fleet *fleet, uint32_t index, uint32_t first, uint32_t count)
+{
+    const Daemon *daemon = &fleet->daemons[index];
+    uint64_t offset = count > 0 ? EbRandom_Below(&fleet->random, count) : 0;
+    for (uint32_t i = 0; i < count; i++) {
+        uint32_t server = first + (uint32_t)((offset + i) % count);
+        if (EbDirectives_Admits(daemon->directives, fleet->servers[server],
+                                fleet->now_us)) {
+            send_call(fleet, index, server);
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Sends a request of a caller from a daemon, to a limited server if one admits
+ * it. */
 static void
 serve_request(Fleet *fleet)
 {
@@ -265,17 +283,10 @@
         return;
     }
     fleet->result->requests++;
-    uint32_t first =
-        (uint32_t)EbRandom_Below(&fleet->random, options->server_count);
-    for (uint32_t i = 0; i < options->server_count; i++) {
-        uint32_t server = (first + i) % options->server_count;
-        if (EbDirectives_Admits(daemon->directives, fleet->servers[server],
-                                fleet->now_us)) {
-            send_call(fleet, index, server);
-            fleet->result->served++;
-            return;
-        }
-    }
+    uint32_t limited = options->limited_servers;
+    fleet->result->served +=
+        send_to_any(fleet, index, 0, limited) ||
+        send_to_any(fleet, index, limited, options->server_count - limited);
 }
 
 static void
