soak: limits last until they are checked, and unchanged entries make no revision

A server's limit lasted at most 2.6 s, but the check begins 3 s after the last disturbance, so it could not fail. Now limits last up to 16 s, into the time without faults. The emulated store gave out a revision for each entry that was written again unchanged, which hid that revisions had gone back.

--- a/test/soak/emulator_store.c
+++ b/test/soak/emulator_store.c
@@ -128,10 +128,27 @@
     }
 }
 
+static bool
+is_unchanged(const Soak *soak, const char *key, const json_t *spec,
+             bool deleted)
+{
+    const json_t *object = g_hash_table_lookup(soak->objects, key);
+    return object != NULL &&
+           json_is_true(json_object_get(object, "deleted")) == deleted &&
+           json_equal(json_object_get(object, "spec"), spec);
+}
+
 void
 Store_Put(Soak *soak, const char *kind, const char *name, json_t *spec,
           bool deleted)
 {
+    char *key = object_key(kind, name);
+    bool unchanged = is_unchanged(soak, key, spec, deleted);
+    g_free(key);
+    if (unchanged) {
+        json_decref(spec);
+        return;
+    }
     log_write(soak, object_key(kind, name));
     json_t *object = json_pack("{s:{s:s, s:I}, s:o, s:b}", "metadata", "name",
                                name, "revision", (json_int_t)++soak->revision,
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -16,6 +16,9 @@
 #define MIN_FAULT_GAP_US 100000
 #define FAULT_GAP_SPREAD_US 900000
 #define MAX_FAULT_US 2500000
+/* Limits are checked only some seconds after the last disturbance of a daemon,
+ * so some of them last into the time without faults. */
+#define MAX_LIMIT_US 16000000
 /* Time without faults at the end; requests in its second half must succeed. */
 #define RECOVERY_US 16000000
 #define MIN_RECOVERED_PERCENT 95
@@ -135,12 +138,12 @@
 }
 
 static void
-schedule_fault_end(Soak *soak, Server *server, Proxy *proxy)
+schedule_fault_end(Soak *soak, Server *server, Proxy *proxy, int64_t max_us)
 {
     TimedFault *timed = g_new0(TimedFault, 1);
     *timed = (TimedFault){.soak = soak, .server = server, .proxy = proxy};
     timed->timer = evtimer_new(soak->base, on_fault_end, timed);
-    int64_t after_us = 100000 + (int64_t)below(soak, MAX_FAULT_US);
+    int64_t after_us = 100000 + (int64_t)below(soak, (uint64_t)max_us);
     struct timeval delay = {after_us / 1000000, after_us % 1000000};
     event_add(timed->timer, &delay);
 }
@@ -150,7 +153,18 @@
 {
     soak->store_disturbed_us = Soak_Now() + MAX_FAULT_US;
     Proxy_SetFault(proxy, (PathFault)(1 + below(soak, PATH_FAULT_COUNT - 1)));
-    schedule_fault_end(soak, NULL, proxy);
+    schedule_fault_end(soak, NULL, proxy, MAX_FAULT_US);
+}
+
+static void
+disturb_server(Soak *soak, Server *server)
+{
+    uint64_t count =
+        soak->extended ? SERVER_FAULT_COUNT - 1 : SERVER_LIMITED - 1;
+    ServerFault fault = (ServerFault)(1 + below(soak, count));
+    Server_SetFault(server, fault);
+    schedule_fault_end(soak, server, NULL,
+                       fault == SERVER_LIMITED ? MAX_LIMIT_US : MAX_FAULT_US);
 }
 
 static void
@@ -186,11 +200,7 @@
         }
         break;
     case FAULT_SERVER:
-        Server_SetFault(
-            server, (ServerFault)(1 + below(soak, soak->extended
-                                                      ? SERVER_FAULT_COUNT - 1
-                                                      : SERVER_LIMITED - 1)));
-        schedule_fault_end(soak, server, NULL);
+        disturb_server(soak, server);
         break;
     case FAULT_DRAIN:
         Emulator_Drain(soak, server);
