--- a/src/test_platform_client/main.c
+++ b/src/test_platform_client/main.c
@@ -445,10 +445,11 @@
 test_odd_entries(void)
 {
     enum { DEPTH = 5000 };
-    char *nested = g_malloc(2 * DEPTH + 1);
-    memset(nested, '[', DEPTH);
-    memset(nested + DEPTH, ']', DEPTH);
-    nested[2 * DEPTH] = '\0';
+    char *opening = g_strnfill(DEPTH, '[');
+    char *closing = g_strnfill(DEPTH, ']');
+    char *nested = g_strconcat(opening, closing, NULL);
+    g_free(opening);
+    g_free(closing);
     const char *const values[] = {
         nested,
         "{\"slots\": 123456789012345678901234567890}",
--- a/test/soak/emulator_store.c
+++ b/test/soak/emulator_store.c
@@ -325,9 +325,12 @@
         free_write(g_queue_pop_tail(&soak->writes));
     }
     soak->era++;
-    while (soak->watches->len > 0) {
-        finish_watch(g_ptr_array_index(soak->watches, 0), json_array());
+    GPtrArray *watches = soak->watches;
+    soak->watches = g_ptr_array_new();
+    for (guint i = 0; i < watches->len; i++) {
+        finish_watch(g_ptr_array_index(watches, i), json_array());
     }
+    g_ptr_array_unref(watches);
     soak->store_disturbed_us = Soak_Now() + REWRITE_US;
     struct timeval delay = {0, REWRITE_US};
     event_add(soak->rewrite_timer, &delay);
