server_registry: the time of the next change is kept, not searched

Likely cause: the timer of each turn of the event loop searched all servers' entries for the next one that is due. The earliest time is now kept, as daemon_discovery did before. Behaviour is the same; test_server_registry passes.

--- a/src/libebonyhollow/deployment/server_registry.c
+++ b/src/libebonyhollow/deployment/server_registry.c
@@ -17,6 +17,7 @@
     GHashTable *servers; /* id to Entry in use */
     GHashTable *doubted; /* id to Entry that may be used later */
     GHashTable *gone;    /* id to the int64_t at which it was removed */
+    int64_t due_us;      /* no entry is due before; INT64_MAX: none is */
     bool changed;
 };
 
@@ -33,6 +34,7 @@
 {
     EbServerRegistry *registry = g_new0(EbServerRegistry, 1);
     registry->events = events;
+    registry->due_us = INT64_MAX;
     registry->servers =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_entry);
     registry->doubted =
@@ -65,9 +67,10 @@
 }
 
 static void
-put_entry(GHashTable *table, EbServerRegistration *registration,
-          int64_t due_us)
+put_entry(EbServerRegistry *registry, GHashTable *table,
+          EbServerRegistration *registration, int64_t due_us)
 {
+    registry->due_us = MIN(registry->due_us, due_us);
     Entry *entry = g_new0(Entry, 1);
     *entry = (Entry){.registration = *registration, .due_us = due_us};
     *registration = (EbServerRegistration){0};
@@ -100,7 +103,7 @@
     }
     report(registry, registration,
            registration->leaving ? "leaving" : "ready");
-    put_entry(registry->servers, registration, INT64_MAX);
+    put_entry(registry, registry->servers, registration, INT64_MAX);
     registry->changed = true;
 }
 
@@ -125,7 +128,7 @@
     g_hash_table_remove(registry->doubted, registration->id);
     if (restored && is_doubtful(registry, registration)) {
         report(registry, registration, "doubted");
-        put_entry(registry->doubted, registration,
+        put_entry(registry, registry->doubted, registration,
                   now_us + EB_REGISTRY_DOUBT_US);
         return;
     }
@@ -161,6 +164,7 @@
                  now_us < store_back_us + EB_REGISTRY_GRACE_US;
     if (grace && !entry->registration.leaving) {
         entry->due_us = store_back_us + EB_REGISTRY_GRACE_US;
+        registry->due_us = MIN(registry->due_us, entry->due_us);
         report(registry, &entry->registration, "lapsed");
         return;
     }
@@ -192,10 +196,23 @@
     return ids;
 }
 
+static int64_t
+earliest_due(GHashTable *table)
+{
+    int64_t due_us = INT64_MAX;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, table);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        due_us = MIN(due_us, ((const Entry *)value)->due_us);
+    }
+    return due_us;
+}
+
 void
 EbServerRegistry_Tick(EbServerRegistry *registry, int64_t now_us)
 {
-    if (EbServerRegistry_NextTimer(registry) > now_us) {
+    if (registry->due_us > now_us) {
         return;
     }
     GPtrArray *removed = list_due(registry->servers, now_us);
@@ -215,26 +232,14 @@
     }
     g_ptr_array_unref(confirmed);
     g_hash_table_foreach_remove(registry->gone, is_forgotten, &now_us);
-}
-
-static int64_t
-earliest_due(GHashTable *table)
-{
-    int64_t due_us = INT64_MAX;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, table);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        due_us = MIN(due_us, ((const Entry *)value)->due_us);
-    }
-    return due_us;
+    registry->due_us =
+        MIN(earliest_due(registry->servers), earliest_due(registry->doubted));
 }
 
 int64_t
 EbServerRegistry_NextTimer(const EbServerRegistry *registry)
 {
-    return MIN(earliest_due(registry->servers),
-               earliest_due(registry->doubted));
+    return registry->due_us;
 }
 
 bool
