--- a/review/2/case.c
+++ b/review/2/case.c
@@ -1,130 +1,91 @@
-/* Orders whose clients have left while a full server kept them waiting. */
-#include <pthread.h>
+/* Anonymous routes after a configuration with another tenant. */
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "../common/harness.h"
 
 #define DAEMONS 3
-#define SERVERS 3
-#define ORDERS 200
-#define LEAVERS_EVERY 4  /* of four clients one leaves: a share of 0.25 */
-#define ORDER_GAP_MS 25
-#define LEAVE_AFTER_MS 100 /* within half the objective, 150 */
-#define QUEUE_WAIT_MS 800 /* in a full server's queue, before it turns it away */
-#define FULL_PERIOD_MS 1000 /* full for the first part of each period */
-#define FULL_PART_MS 200
-#define GONE_MS 500
-#define ALLOWED 3 /* "more than a few" */
+#define BEFORE 30
+#define AFTER 120
+#define APPLY_MS 3500 /* config_apply_ms 2,000, and some more */
 
-static const char config[] =
-    "{\"version\":3,\"routes\":["
-    "{\"name\":\"reorder-post\",\"host\":\"lojas.example\",\"path_prefix\":"
-    "\"/order/\",\"route_kind\":\"non_idempotent\",\"timeout_ms\":1500,"
-    "\"goal_ms\":300,\"priority\":2,\"service\":\"pedidos\",\"max_attempts\":1,"
+static const char config_format[] =
+    "{\"version\":%d,\"routes\":["
+    "{\"name\":\"stock-read\",\"host\":\"lojas.example\",\"path_prefix\":"
+    "\"/public/\",\"route_kind\":\"idempotent\",\"timeout_ms\":1500,"
+    "\"goal_ms\":300,\"priority\":2,\"service\":\"pedidos\",\"max_attempts\":2,"
+    "\"anonymous\":true,\"sticky\":false,\"resumable\":false},"
+    "{\"name\":\"stock-keyed\",\"host\":\"lojas.example\",\"path_prefix\":"
+    "\"/keyed/\",\"route_kind\":\"idempotent\",\"timeout_ms\":1500,"
+    "\"goal_ms\":300,\"priority\":2,\"service\":\"pedidos\",\"max_attempts\":2,"
     "\"anonymous\":false,\"sticky\":false,\"resumable\":false}],"
     "\"services\":[{\"name\":\"pedidos\",\"health_path\":\"/healthz\","
     "\"max_conns\":110,\"protocol\":\"h1\",\"tls\":false}],"
-    "\"tenants\":[{\"name\":\"disco-recife\",\"api_keys\":[\"key-disco\"]}],"
+    "\"tenants\":[%s{\"name\":\"disco-recife\",\"api_keys\":[\"key-disco\"]},"
+    "{\"name\":\"sebo-fortaleza\",\"api_keys\":[\"key-sebo\"]},"
+    "{\"name\":\"vinil-salvador\",\"api_keys\":[\"key-vinil\"]}],"
     "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
     "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
 
 static Daemon daemons[DAEMONS];
-static Server servers[SERVERS];
-static bool trouble;
-static int64_t traffic_ms; /* start of the traffic */
-static int64_t closed_ms[ORDERS]; /* when the client closed, 0: not */
-static int64_t late_ms[ORDERS];   /* arrival at a server after that, 0: none */
-static int ran[ORDERS];
-static int status_of[ORDERS];
-static int finished;
-static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
-
-static bool
-is_full(void)
-{
-    return traffic_ms > 0 &&
-           (now_ms() - traffic_ms) % FULL_PERIOD_MS < FULL_PART_MS;
-}
+static Server servers[3];
 
 static bool
 handle(Server *server, const Message *request, int fd)
 {
-    const char *id = message_header(request, "Attempt-Id");
-    int order = atoi(id + 1);
-    pthread_mutex_lock(&lock);
-    if (closed_ms[order] > 0 && now_ms() > closed_ms[order] + GONE_MS) {
-        late_ms[order] = now_ms() - closed_ms[order];
-    }
-    pthread_mutex_unlock(&lock);
-    if (is_full()) {
-        record("server %s is full, %s waits in its queue", server->id, id);
-        sleep_ms(QUEUE_WAIT_MS);
-        char headers[256];
-        snprintf(headers, sizeof(headers),
-                 "Attempt-Id: %s\r\nNot-Executed: 1\r\n", id);
-        respond(fd, 503, headers, "");
-        record("server %s answers %s: 503, not executed", server->id, id);
-        return true;
-    }
-    record("server %s runs %s%s", server->id, id,
-           closed_ms[order] > 0 ? ", whose client has left" : "");
-    pthread_mutex_lock(&lock);
-    ran[order]++;
-    pthread_mutex_unlock(&lock);
-    sleep_ms(20);
+    record("server %s runs %s %s", server->id,
+           message_header(request, "Attempt-Id"), request->path);
     respond_done(server, request, fd);
     return true;
 }
 
-static void *
-send_order(void *argument)
+static void
+put_config(int version, const char *first_tenant)
+{
+    char spec[4096];
+    snprintf(spec, sizeof(spec), config_format, version, first_tenant);
+    store_put("config", "main", spec);
+    record("configuration %d is acknowledged: %s", version, spec);
+}
+
+/* Sends one request and returns the status of the answer, 0 without one. */
+static int
+ask(int number, const char *path, const char *key)
 {
-    int order = (int)(intptr_t)argument;
-    const Daemon *daemon = &daemons[order % DAEMONS];
+    const Daemon *daemon = &daemons[number % DAEMONS];
     char text[1024];
+    char authorization[128] = "";
     Message response = {0};
+    if (key != NULL) {
+        snprintf(authorization, sizeof(authorization),
+                 "Authorization: Bearer %s\r\n", key);
+    }
     snprintf(text, sizeof(text),
-             "POST /order/%d HTTP/1.1\r\nHost: lojas.example\r\nAttempt-Id: "
-             "o%06d\r\nDeadline-Ms: 1500\r\nAuthorization: Bearer key-disco"
-             "\r\nContent-Length: 5\r\n\r\norder",
-             order, order);
+             "GET %s%d HTTP/1.1\r\nHost: lojas.example\r\nAttempt-Id: a%06d"
+             "\r\nDeadline-Ms: 1500\r\n%s\r\n",
+             path, number, number, authorization);
     int fd = client_connect(daemon->front_port);
-    bool leaves = trouble && order % LEAVERS_EVERY == 0;
-    record("client sends o%06d to %s", order, daemon->name);
-    if (fd < 0 || !client_send(fd, text)) {
-        record("client could not send o%06d", order);
-    }
-    else if (!client_read(fd, &response,
-                          leaves ? LEAVE_AFTER_MS : 1600)) {
+    if (fd < 0 || !client_send(fd, text) ||
+        !client_read(fd, &response, 3000) || !response.complete) {
         response.status = 0;
     }
-    if (response.status == 0 && leaves) {
-        close(fd);
-        pthread_mutex_lock(&lock);
-        closed_ms[order] = now_ms();
-        pthread_mutex_unlock(&lock);
-        record("client of o%06d closes its connection", order);
-    }
-    else {
-        record("client of o%06d gets %d", order, response.status);
+    const char *seal = message_header(&response, "Server-Seal");
+    record("%s answers a%06d GET %s%d%s: %d%s", daemon->name, number, path,
+           number, key != NULL ? " with a key" : " without a key",
+           response.status, seal != NULL ? " sealed" : "");
+    message_clear(&response);
+    if (fd >= 0) {
         close(fd);
     }
-    status_of[order] = response.status;
-    message_clear(&response);
-    pthread_mutex_lock(&lock);
-    finished++;
-    pthread_mutex_unlock(&lock);
-    return NULL;
+    return response.status;
 }
 
 int
 main(void)
 {
-    trouble = harness_start("review/2/record.txt");
-    for (int i = 0; i < SERVERS; i++) {
+    bool trouble = harness_start("review/2/record.txt");
+    for (int i = 0; i < 3; i++) {
         Server *server = &servers[i];
         snprintf(server->id, sizeof(server->id), "i-pedidos-%d", i + 1);
         snprintf(server->zone, sizeof(server->zone), "zone-%d", i + 1);
@@ -134,7 +95,7 @@
         server_listen(server);
         server_register(server, "ready");
     }
-    store_put("config", "main", config);
+    put_config(3, "");
     daemons_prepare(daemons, DAEMONS);
     for (int i = 0; i < DAEMONS; i++) {
         daemon_start(&daemons[i]);
@@ -142,42 +103,39 @@
     for (int i = 0; i < DAEMONS; i++) {
         daemon_await_ready(&daemons[i]);
     }
-    sleep_ms(4000); /* contact_ms and more after the start */
-    pthread_mutex_lock(&lock);
-    traffic_ms = now_ms();
-    pthread_mutex_unlock(&lock);
-    for (int order = 0; order < ORDERS; order++) {
-        pthread_t thread;
-        pthread_create(&thread, NULL, send_order, (void *)(intptr_t)order);
-        pthread_detach(thread);
-        sleep_ms(ORDER_GAP_MS);
-    }
     sleep_ms(3000);
-    int left = 0, late = 0, ran_late = 0, served = 0, twice = 0, stayed = 0;
-    pthread_mutex_lock(&lock);
-    for (int i = 0; i < ORDERS; i++) {
-        left += closed_ms[i] > 0;
-        stayed += closed_ms[i] == 0;
-        late += late_ms[i] > 0;
-        ran_late += late_ms[i] > 0 && ran[i] > 0;
-        served += status_of[i] == 200;
-        twice += ran[i] > 1;
-        if (late_ms[i] > 0) {
-            record("o%06d reached a server %lld ms after its client closed"
-                   "%s",
-                   i, (long long)late_ms[i], ran[i] > 0 ? " and ran" : "");
-        }
+    int number = 0;
+    int served_before = 0;
+    for (int i = 0; i < BEFORE; i++) {
+        served_before += ask(number++, "/public/", NULL) == 200;
     }
-    bool all_sent = finished == ORDERS;
-    pthread_mutex_unlock(&lock);
-    record("%d of %d clients that stayed were served, %d left; %d requests "
-           "reached a server over %d ms after their client had closed, %d of "
-           "them ran; %d ran twice",
-           served, stayed, left, late, GONE_MS, ran_late, twice);
-    printf("late arrivals %d, allowed %d; served %d of %d; left %d\n", late,
-           ALLOWED, served, stayed, left);
-    if (!all_sent || served == 0) {
+    if (served_before < BEFORE) {
+        record("only %d of %d requests were served at first", served_before,
+               BEFORE);
         harness_exit(2);
     }
-    harness_exit(late > ALLOWED ? 1 : 0);
+    if (trouble) {
+        put_config(7, "{\"name\":\"agreste-natal\",\"api_keys\":"
+                      "[\"key-agreste\"]},");
+    }
+    sleep_ms(APPLY_MS);
+    int denied = 0;
+    int served = 0;
+    int keyed = 0;
+    for (int i = 0; i < AFTER; i++) {
+        int status = ask(number++, "/public/", NULL);
+        denied += status == 401 || status == 403 || status == 404;
+        served += status == 200;
+        keyed += ask(number++, "/keyed/",
+                     trouble && i % 2 == 0 ? "key-agreste" : "key-vinil") ==
+                 200;
+        sleep_ms(20);
+    }
+    int sent = number;
+    int allowed = 5 + sent / 500;
+    record("after the change: %d of %d anonymous requests served, %d denied "
+           "(the rule allows %d of %d); %d of %d with a key served",
+           served, AFTER, denied, allowed, sent, keyed, AFTER);
+    printf("denied %d, allowed %d\n", denied, allowed);
+    harness_exit(denied > allowed ? 1 : 0);
 }
