--- a/review/1/case.c
+++ b/review/1/case.c
@@ -26,7 +26,8 @@
     "2,\"anonymous\":false,\"sticky\":false,\"resumable\":false},"
     "{\"name\":\"public-read\",\"host\":\"lojas.example\",\"path_prefix\":"
     "\"/public/\",\"route_kind\":\"idempotent\",\"timeout_ms\":1500,"
-    "\"goal_ms\":300,\"priority\":2,\"service\":\"pedidos\",\"max_attempts\":2,"
+    "\"goal_ms\":300,\"priority\":2,\"service\":\"pedidos\",\"max_attempts\":"
+    "2,"
     "\"anonymous\":true,\"sticky\":false,\"resumable\":false}],"
     "\"services\":[{\"name\":\"pedidos\",\"health_path\":\"/healthz\","
     "\"max_conns\":500,\"protocol\":\"h1\",\"tls\":false}],"
@@ -99,7 +100,7 @@
 static void *
 run_client(void *argument)
 {
-    int client = (int)(intptr_t)argument;
+    int client = *(const int *)argument;
     char id[16];
     snprintf(id, sizeof(id), "c%06d", client);
     int64_t sent_ms = now_ms();
@@ -148,7 +149,7 @@
         Server *server = &servers[i];
         snprintf(server->id, sizeof(server->id), "i-pedidos-%d", i + 1);
         snprintf(server->zone, sizeof(server->zone), "zone-%d", i + 1);
-        strcpy(server->service, "pedidos");
+        snprintf(server->service, sizeof(server->service), "pedidos");
         server->slots = 48;
         server->handler = handle;
         server_listen(server);
@@ -164,8 +165,10 @@
     }
     sleep_ms(4000);
     pthread_t clients[CLIENTS];
+    int numbers[CLIENTS];
     for (int i = 0; i < CLIENTS; i++) {
-        pthread_create(&clients[i], NULL, run_client, (void *)(intptr_t)i);
+        numbers[i] = i;
+        pthread_create(&clients[i], NULL, run_client, &numbers[i]);
     }
     sleep_ms(200);
     int reads = 0;
--- a/review/2/case.c
+++ b/review/2/case.c
@@ -14,11 +14,13 @@
     "{\"version\":%d,\"routes\":["
     "{\"name\":\"stock-read\",\"host\":\"lojas.example\",\"path_prefix\":"
     "\"/public/\",\"route_kind\":\"idempotent\",\"timeout_ms\":1500,"
-    "\"goal_ms\":300,\"priority\":2,\"service\":\"pedidos\",\"max_attempts\":2,"
+    "\"goal_ms\":300,\"priority\":2,\"service\":\"pedidos\",\"max_attempts\":"
+    "2,"
     "\"anonymous\":true,\"sticky\":false,\"resumable\":false},"
     "{\"name\":\"stock-keyed\",\"host\":\"lojas.example\",\"path_prefix\":"
     "\"/keyed/\",\"route_kind\":\"idempotent\",\"timeout_ms\":1500,"
-    "\"goal_ms\":300,\"priority\":2,\"service\":\"pedidos\",\"max_attempts\":2,"
+    "\"goal_ms\":300,\"priority\":2,\"service\":\"pedidos\",\"max_attempts\":"
+    "2,"
     "\"anonymous\":false,\"sticky\":false,\"resumable\":false}],"
     "\"services\":[{\"name\":\"pedidos\",\"health_path\":\"/healthz\","
     "\"max_conns\":110,\"protocol\":\"h1\",\"tls\":false}],"
@@ -89,7 +91,7 @@
         Server *server = &servers[i];
         snprintf(server->id, sizeof(server->id), "i-pedidos-%d", i + 1);
         snprintf(server->zone, sizeof(server->zone), "zone-%d", i + 1);
-        strcpy(server->service, "pedidos");
+        snprintf(server->service, sizeof(server->service), "pedidos");
         server->slots = 6;
         server->handler = handle;
         server_listen(server);
@@ -126,9 +128,9 @@
         int status = ask(number++, "/public/", NULL);
         denied += status == 401 || status == 403 || status == 404;
         served += status == 200;
-        keyed += ask(number++, "/keyed/",
-                     trouble && i % 2 == 0 ? "key-agreste" : "key-vinil") ==
-                 200;
+        keyed +=
+            ask(number++, "/keyed/",
+                trouble && i % 2 == 0 ? "key-agreste" : "key-vinil") == 200;
         sleep_ms(20);
     }
     int sent = number;
--- a/review/4/case.c
+++ b/review/4/case.c
@@ -32,15 +32,31 @@
     "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
     "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
 
-#define STAGE(after) \
+#define STAGE(after)                                                          \
     "{\"service\":\"grafica\",\"after\":[" after "],\"byte_count\":6000}"
 static const char new_route[] =
     ",{\"name\":\"gatefold-run\",\"host\":\"lojas.example\",\"path_prefix\":"
     "\"/gatefold/\",\"route_kind\":\"idempotent\",\"timeout_ms\":6000,"
     "\"goal_ms\":1100,\"priority\":1,\"service\":\"pedidos\",\"max_attempts\":"
-    "2,\"stages\":[" STAGE("") "," STAGE("0") "," STAGE("1") "," STAGE("2") ","
-    STAGE("3") "," STAGE("4") "," STAGE("5") "," STAGE("6") "," STAGE("7")
-    "],\"anonymous\":false,\"sticky\":false,\"resumable\":false}";
+    "2,\"stages\":[" STAGE("") "," STAGE("0") "," STAGE("1") "," STAGE("2") "," STAGE(
+        "3") "," STAGE("4") "," STAGE("5") "," STAGE("6") "," STAGE("7") "],"
+                                                                         "\"an"
+                                                                         "onym"
+                                                                         "ous"
+                                                                         "\":"
+                                                                         "fals"
+                                                                         "e,"
+                                                                         "\"st"
+                                                                         "icky"
+                                                                         "\":"
+                                                                         "fals"
+                                                                         "e,"
+                                                                         "\"re"
+                                                                         "suma"
+                                                                         "ble"
+                                                                         "\":"
+                                                                         "fals"
+                                                                         "e}";
 
 static Daemon daemons[DAEMONS];
 static Server servers[6];
@@ -98,7 +114,8 @@
         Server *server = &servers[i];
         snprintf(server->id, sizeof(server->id), "i-%d", i + 1);
         snprintf(server->zone, sizeof(server->zone), "zone-%d", i % 3 + 1);
-        strcpy(server->service, i < 3 ? "pedidos" : "pedidos-novo");
+        snprintf(server->service, sizeof(server->service), "%s",
+                 i < 3 ? "pedidos" : "pedidos-novo");
         server->slots = 6;
         server->handler = handle;
         server_listen(server);
--- a/review/common/harness.c
+++ b/review/common/harness.c
@@ -14,6 +14,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -272,9 +273,8 @@
 {
     static uint32_t tried;
     for (;;) {
-        struct sockaddr_in address = {.sin_family = AF_INET,
-                                      .sin_addr.s_addr =
-                                          htonl(INADDR_LOOPBACK)};
+        struct sockaddr_in address = {
+            .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
         int port = 15000 + (int)(((uint32_t)getpid() * 61 + tried++) % 16000);
         address.sin_port = htons((uint16_t)port);
         int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -300,7 +300,7 @@
     pthread_attr_t attributes;
     pthread_attr_init(&attributes);
     pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED);
-    pthread_attr_setstacksize(&attributes, 512 * 1024);
+    pthread_attr_setstacksize(&attributes, (size_t)512 * 1024);
     if (pthread_create(&thread, &attributes, run, argument) != 0) {
         fprintf(stderr, "no thread could be started\n");
         exit(2);
@@ -572,8 +572,7 @@
 {
     (void)context;
     Message request;
-    while (read_message(fd, &request, now_ms() + 120000) &&
-           request.complete) {
+    while (read_message(fd, &request, now_ms() + 120000) && request.complete) {
         char *text = NULL;
         size_t bytes = 0;
         FILE *out = open_memstream(&text, &bytes);
@@ -696,6 +695,8 @@
         int output = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2(output, STDOUT_FILENO);
         dup2(output, STDERR_FILENO);
+        /* A daemon must not outlive this program, however it ends. */
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         setenv("EBONYHOLLOW_NODE_FILE", path, 1);
         execl(PROGRAM, PROGRAM, "--platform", (char *)NULL);
         _exit(127);
@@ -727,11 +728,11 @@
     while (now_ms() < until_ms) {
         Message response = {0};
         int fd = client_connect(daemon->ready_port);
-        bool ready =
-            fd >= 0 &&
-            client_send(fd, "GET /readyz HTTP/1.1\r\nHost: ready\r\n"
-                            "Connection: close\r\n\r\n") &&
-            client_read(fd, &response, 1000) && response.status == 200;
+        bool ready = fd >= 0 &&
+                     client_send(fd, "GET /readyz HTTP/1.1\r\nHost: ready\r\n"
+                                     "Connection: close\r\n\r\n") &&
+                     client_read(fd, &response, 1000) &&
+                     response.status == 200;
         message_clear(&response);
         if (fd >= 0) {
             close(fd);
@@ -783,7 +784,7 @@
     start_ms = monotonic_ms();
     signal(SIGPIPE, SIG_IGN);
     record_file = fopen(record_path, "w");
-    strcpy(folder, "/tmp/ebonyhollow-review-XXXXXX");
+    snprintf(folder, sizeof(folder), "/tmp/ebonyhollow-review-XXXXXX");
     if (record_file == NULL || mkdtemp(folder) == NULL ||
         access(PROGRAM, X_OK) != 0) {
         fprintf(stderr, "no record, folder or " PROGRAM "\n");
