config: names are found in lists of any order

Cause: EbConfig_FindCustomer, FindPool, FindPipeline and FindServer did a binary search. The product's own parser fills the lists in the order of names, the platform's adapter in the order of the operator's lists and of a hash table, so whether a name was found depended on the other names.

Change: the names of each list are in a hash table (config_names.c), filled on the first look-up and extended when the list has grown. The order of a list has no meaning any more; of entries with the same name the first is found.

--- a/include/configuration/ebonyhollow/config.h
+++ b/include/configuration/ebonyhollow/config.h
@@ -191,8 +191,12 @@
     uint32_t customer_count;
 } EbConfigOperator;
 
+typedef struct EbConfigNames EbConfigNames;
+
+/* The lists may be in any order. */
 typedef struct EbConfig {
-    uint32_t references; /* private */
+    uint32_t references;  /* private */
+    EbConfigNames *names; /* private: name tables of the lists */
     uint64_t generation;
     char *site;
     EbConfigPool *pools;
--- a/src/libebonyhollow/configuration/config.c
+++ b/src/libebonyhollow/configuration/config.c
@@ -89,6 +89,7 @@
     g_free(config->site);
     json_decref(config->merged);
     json_decref(config->document);
+    EbConfigNames_Free(config->names);
     g_free(config);
 }
 
@@ -97,6 +98,7 @@
 {
     EbConfig *config = g_new0(EbConfig, 1);
     config->references = 1;
+    config->names = EbConfigNames_New();
     config->site = g_strdup(site);
     config->generation = generation;
     return config;
@@ -139,8 +141,7 @@
             .steps = {{.key = "overlays"}, {.key = overlay_name}}, .count = 2};
     }
     reader->roots[reader->root_count++] = base_root;
-    EbConfig *config = g_new0(EbConfig, 1);
-    config->references = 1;
+    EbConfig *config = EbConfig_New(NULL, 0);
     config->merged =
         overlay != NULL ? EbConfig_Merge(base, overlay) : json_incref(base);
     if (config->merged == NULL) {
--- a/src/libebonyhollow/configuration/config_find.c
+++ b/src/libebonyhollow/configuration/config_find.c
@@ -6,77 +6,6 @@
 
 #include "config_private.h"
 
-typedef const char *(*NameOf)(const void *entry);
-
-static const char *
-pool_name(const void *entry)
-{
-    return ((const EbConfigPool *)entry)->name;
-}
-
-static const char *
-server_id(const void *entry)
-{
-    return ((const EbConfigBackendServer *)entry)->id;
-}
-
-static const char *
-pipeline_name(const void *entry)
-{
-    return ((const EbConfigPipeline *)entry)->name;
-}
-
-static const char *
-customer_id(const void *entry)
-{
-    return ((const EbConfigCustomer *)entry)->id;
-}
-
-/* Binary search; the entries are in ascending order of their names. */
-static uint32_t
-find_index(const void *entries, uint32_t count, size_t entry_bytes,
-           NameOf name_of, const char *name)
-{
-    uint32_t low = 0;
-    uint32_t high = count;
-    while (name != NULL && low < high) {
-        uint32_t middle = low + (high - low) / 2;
-        const char *entry = (const char *)entries + middle * entry_bytes;
-        int order = strcmp(name_of(entry), name);
-        if (order == 0) {
-            return middle;
-        }
-        if (order < 0) {
-            low = middle + 1;
-        }
-        else {
-            high = middle;
-        }
-    }
-    return UINT32_MAX;
-}
-
-uint32_t
-EbConfig_PoolIndex(const EbConfig *config, const char *name)
-{
-    return find_index(config->pools, config->pool_count,
-                      sizeof(config->pools[0]), pool_name, name);
-}
-
-uint32_t
-EbConfig_PipelineIndex(const EbConfig *config, const char *name)
-{
-    return find_index(config->pipelines, config->pipeline_count,
-                      sizeof(config->pipelines[0]), pipeline_name, name);
-}
-
-uint32_t
-EbConfig_CustomerIndex(const EbConfig *config, const char *id)
-{
-    return find_index(config->customers, config->customer_count,
-                      sizeof(config->customers[0]), customer_id, id);
-}
-
 const EbConfigPipeline *
 EbConfig_FindPipeline(const EbConfig *config, const char *name)
 {
@@ -101,8 +30,7 @@
 const EbConfigBackendServer *
 EbConfig_FindServer(const EbConfig *config, const char *id)
 {
-    uint32_t index = find_index(config->servers, config->server_count,
-                                sizeof(config->servers[0]), server_id, id);
+    uint32_t index = EbConfig_ServerIndex(config, id);
     return index == UINT32_MAX ? NULL : &config->servers[index];
 }
 
--- a/src/libebonyhollow/configuration/private/config_private.h
+++ b/src/libebonyhollow/configuration/private/config_private.h
@@ -18,9 +18,14 @@
  * that has been read. Returns false with the reader's error set. */
 bool EbConfig_Check(const EbConfig *config, EbSchemaReader *reader);
 
-/* Return the index of the entry with this name, or UINT32_MAX if there is
- * none. The entries must be in ascending order of their names. */
+EbConfigNames *EbConfigNames_New(void);
+void EbConfigNames_Free(EbConfigNames *names);
+
+/* Return the index of the first entry with this name, or UINT32_MAX if there
+ * is none or `name` is NULL. The entries may be in any order, and more may be
+ * appended between two calls. */
 uint32_t EbConfig_PoolIndex(const EbConfig *config, const char *name);
+uint32_t EbConfig_ServerIndex(const EbConfig *config, const char *id);
 uint32_t EbConfig_PipelineIndex(const EbConfig *config, const char *name);
 uint32_t EbConfig_CustomerIndex(const EbConfig *config, const char *id);
 
--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -7,6 +7,7 @@
 #include <glib/gstdio.h>
 
 #include "platform.h"
+#include "test_platform.h"
 #include "test_runner.h"
 
 static const char config_text[] =
@@ -617,6 +618,7 @@
     static const EbTestCase cases[] = {
         {"config", test_config},
         {"invalid config", test_invalid_config},
+        {"names in any order", test_name_order},
         {"servers", test_servers},
         {"call", test_call},
         {"invalid calls", test_invalid_calls},
--- /dev/null
+++ b/src/test_platform/test_platform.h
@@ -0,0 +1,9 @@
+/* Declarations shared by the files of test_platform. */
+#ifndef EB_TEST_PLATFORM_H
+#define EB_TEST_PLATFORM_H
+
+/* config.c */
+
+void test_name_order(void);
+
+#endif
