stages: routes of up to 64 stages, listed in any order

Cause: the stages of a route were held in arrays of eight and in 32-bit masks, and the expected times were computed in the order of the list.

Change: sets of preparations have 64 bits, the state of a request has as many preparations as its pipeline, and EbConfig_PlanForward follows the dependencies and finds cycles. A request may name more stages than that; the counts are checked and left out.

--- a/include/actions/ebonyhollow/forward.h
+++ b/include/actions/ebonyhollow/forward.h
@@ -10,12 +10,12 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "ebonyhollow/config.h"
 #include "ebonyhollow/error.h"
 #include "ebonyhollow/http_message.h"
 #include "ebonyhollow/server_directive.h"
 
-#define EB_FORWARD_MAX_PREPARATIONS 8   /* stages before a forwarded request */
-#define EB_FORWARD_MAX_WORK_ITEMS 256   /* work items of one such stage */
+#define EB_FORWARD_MAX_WORK_ITEMS 256   /* of one preparation */
 #define EB_FORWARD_NO_EVENT INT64_C(-1) /* in place of an event id */
 
 /* A part of a prompt. Prompts that begin with the same parts share a prefix.
@@ -40,7 +40,7 @@
     uint32_t prompt_tokens;
     uint32_t output_tokens; /* upper bound */
     /* Work items of each preparation stage. */
-    uint32_t item_counts[EB_FORWARD_MAX_PREPARATIONS];
+    uint32_t item_counts[EB_CONFIG_MAX_PREPARATIONS];
     uint32_t item_stage_count;
     char *item_key; /* input of the stages that depend on no other stage */
 } EbForwardCall;
--- a/include/configuration/ebonyhollow/config.h
+++ b/include/configuration/ebonyhollow/config.h
@@ -36,6 +36,7 @@
  * attempts that wait at a daemon. */
 #define EB_CONFIG_MAX_QUEUED 65536
 #define EB_TOKEN_DIGEST_BYTES 32
+#define EB_CONFIG_MAX_PREPARATIONS 64 /* of one forwarding pipeline */
 
 typedef enum {
     EB_STAGE_ENCODE,
@@ -105,10 +106,17 @@
     uint32_t weight;     /* share relative to the other splits */
 } EbConfigSplit;
 
-/* A stage whose results a forwarded request needs before it can run. */
+/* A set of the preparations of one pipeline: bit i stands for preparation i.
+ */
+typedef uint64_t EbPreparationSet;
+
+#define EB_PREPARATION_BIT(index) (UINT64_C(1) << (index))
+
+/* A stage whose results a forwarded request needs before it can run. It may be
+ * listed before the ones that it depends on. */
 typedef struct {
-    uint32_t pool_index;   /* into EbConfig.pools */
-    uint32_t dependencies; /* bit i: needs the results of preparation i */
+    uint32_t pool_index;           /* into EbConfig.pools */
+    EbPreparationSet dependencies; /* whose results it needs */
     uint64_t result_bytes; /* approximate size of a work item's result */
     int64_t downstream_us; /* time to allow for the preparations after it */
     int64_t downstream_min_us; /* that they take at least */
@@ -289,7 +297,12 @@
 /* Returns the time in microseconds that a batched call takes at least. */
 int64_t EbConfig_BatchCallMinTime(const EbConfigBatch *batch);
 
-/* Computes the downstream times of all preparations. */
+/* Computes the downstream times of a pipeline's preparations. Returns false if
+ * some of them depend on each other in a cycle, so that none of these can
+ * start. */
+bool EbConfig_PlanForward(const EbConfig *config, EbConfigForward *forward);
+
+/* Computes the downstream times of the preparations of all pipelines. */
 void EbConfig_PlanPreparations(EbConfig *config);
 
 /* Finds the operator with this bearer token, like
--- a/src/libebonyhollow/configuration/config_forward.c
+++ b/src/libebonyhollow/configuration/config_forward.c
@@ -1,5 +1,6 @@
 /* Pipelines that forward requests: look-up by host and path, and the expected
  * time of their preparations. */
+#include <assert.h>
 #include <string.h>
 
 #include <glib.h>
@@ -58,28 +59,67 @@
             next->downstream_min_us + EbConfig_BatchCallMinTime(batch));
 }
 
+/* Returns the preparations that need the results of one. */
+static EbPreparationSet
+find_dependents(const EbConfigForward *forward, uint32_t index)
+{
+    EbPreparationSet dependents = 0;
+    for (uint32_t i = 0; i < forward->preparation_count; i++) {
+        if ((forward->preparations[i].dependencies &
+             EB_PREPARATION_BIT(index)) != 0) {
+            dependents |= EB_PREPARATION_BIT(i);
+        }
+    }
+    return dependents;
+}
+
+/* Sets the downstream times of a preparation from those of its dependents. */
+static void
+plan_preparation(const EbConfig *config, EbConfigForward *forward,
+                 uint32_t index, EbPreparationSet dependents)
+{
+    EbConfigPreparation *preparation = &forward->preparations[index];
+    preparation->downstream_us = 0;
+    preparation->downstream_min_us = 0;
+    for (uint32_t i = 0; i < forward->preparation_count; i++) {
+        if ((dependents & EB_PREPARATION_BIT(i)) != 0) {
+            const EbConfigPreparation *next = &forward->preparations[i];
+            add_path(preparation, next,
+                     &config->pools[next->pool_index].batch);
+        }
+    }
+}
+
+bool
+EbConfig_PlanForward(const EbConfig *config, EbConfigForward *forward)
+{
+    assert(forward->preparation_count <= EB_CONFIG_MAX_PREPARATIONS);
+    EbPreparationSet planned = 0;
+    uint32_t planned_count = 0;
+    bool progress = true;
+    while (progress && planned_count < forward->preparation_count) {
+        progress = false;
+        for (uint32_t i = forward->preparation_count; i-- > 0;) {
+            EbPreparationSet dependents = find_dependents(forward, i);
+            if ((planned & EB_PREPARATION_BIT(i)) == 0 &&
+                (dependents & ~planned) == 0) {
+                plan_preparation(config, forward, i, dependents);
+                planned |= EB_PREPARATION_BIT(i);
+                planned_count++;
+                progress = true;
+            }
+        }
+    }
+    return planned_count == forward->preparation_count;
+}
+
 void
 EbConfig_PlanPreparations(EbConfig *config)
 {
     for (uint32_t i = 0; i < config->pipeline_count; i++) {
         EbConfigForward *forward = config->pipelines[i].forward;
-        if (forward == NULL) {
-            continue;
-        }
-        /* Goes from the last to the first. A preparation comes after those
-         * that it depends on, so the times of its dependents are already
-         * known. */
-        for (uint32_t k = forward->preparation_count; k > 0; k--) {
-            EbConfigPreparation *preparation = &forward->preparations[k - 1];
-            preparation->downstream_us = 0;
-            preparation->downstream_min_us = 0;
-            for (uint32_t n = k; n < forward->preparation_count; n++) {
-                const EbConfigPreparation *next = &forward->preparations[n];
-                if ((next->dependencies & 1U << (k - 1)) != 0) {
-                    add_path(preparation, next,
-                             &config->pools[next->pool_index].batch);
-                }
-            }
+        if (forward != NULL) {
+            EbConfig_PlanForward(config, forward);
         }
     }
 }
--- a/src/libebonyhollow/requests/dispatcher_forward.c
+++ b/src/libebonyhollow/requests/dispatcher_forward.c
@@ -27,11 +27,12 @@
     if (state == NULL) {
         return;
     }
-    for (size_t i = 0; i < EB_FORWARD_MAX_PREPARATIONS; i++) {
+    for (uint32_t i = 0; i < state->preparation_count; i++) {
         if (state->preparations[i].handles != NULL) {
             g_ptr_array_unref(state->preparations[i].handles);
         }
     }
+    g_free(state->preparations);
     EbForwardCall_Unref(state->call);
     EbHttpMessage_Unref(state->head);
     EbHttpMessage_Unref(state->reply);
--- a/src/libebonyhollow/requests/dispatcher_preparation.c
+++ b/src/libebonyhollow/requests/dispatcher_preparation.c
@@ -3,10 +3,10 @@
 
 #include "dispatcher_private.h"
 
-uint32_t
+EbPreparationSet
 EbRequest_IntermediatePreparations(const EbRequest *request)
 {
-    uint32_t required = 0;
+    EbPreparationSet required = 0;
     for (uint32_t i = 0;
          i < EbRequest_ForwardConfig(request)->preparation_count; i++) {
         if (request->forward->preparations[i].needed) {
@@ -28,12 +28,12 @@
 }
 
 GPtrArray *
-EbRequest_CollectHandles(const EbRequest *request, uint32_t bits)
+EbRequest_CollectHandles(const EbRequest *request, EbPreparationSet set)
 {
     GPtrArray *inputs = g_ptr_array_new_with_free_func(g_free);
     for (uint32_t i = 0;
          i < EbRequest_ForwardConfig(request)->preparation_count; i++) {
-        if ((bits & 1U << i) != 0) {
+        if ((set & EB_PREPARATION_BIT(i)) != 0) {
             add_handles(inputs, &request->forward->preparations[i]);
         }
     }
@@ -64,7 +64,7 @@
 void
 EbRequest_EndPreparations(EbRequest *request)
 {
-    for (size_t i = 0; i < EB_FORWARD_MAX_PREPARATIONS; i++) {
+    for (uint32_t i = 0; i < request->forward->preparation_count; i++) {
         EbRequest_EndPreparation(request, &request->forward->preparations[i]);
     }
 }
@@ -73,7 +73,7 @@
 EbRequest_DropPreparations(EbRequest *request)
 {
     EbRequest_EndPreparations(request);
-    for (size_t i = 0; i < EB_FORWARD_MAX_PREPARATIONS; i++) {
+    for (uint32_t i = 0; i < request->forward->preparation_count; i++) {
         EbPreparation *preparation = &request->forward->preparations[i];
         preparation->done = false;
         if (preparation->handles != NULL) {
--- a/src/libebonyhollow/requests/dispatcher_prepare.c
+++ b/src/libebonyhollow/requests/dispatcher_prepare.c
@@ -63,12 +63,12 @@
         preparations[index].job != 0) {
         return false;
     }
-    uint32_t dependencies =
+    EbPreparationSet dependencies =
         EbRequest_ForwardConfig(request)->preparations[index].dependencies;
     for (uint32_t i = 0;
          i < EbRequest_ForwardConfig(request)->preparation_count; i++) {
-        if ((dependencies & 1U << i) != 0 && preparations[i].needed &&
-            !preparations[i].done) {
+        if ((dependencies & EB_PREPARATION_BIT(i)) != 0 &&
+            preparations[i].needed && !preparations[i].done) {
             return false;
         }
     }
@@ -96,7 +96,8 @@
     const EbConfigForward *forward = EbRequest_ForwardConfig(request);
     uint64_t total_bytes = 0;
     for (uint32_t i = 0; i < forward->preparation_count; i++) {
-        if ((forward->preparations[index].dependencies & 1U << i) != 0) {
+        if ((forward->preparations[index].dependencies &
+             EB_PREPARATION_BIT(i)) != 0) {
             total_bytes +=
                 item_count(request, i) * forward->preparations[i].result_bytes;
         }
@@ -112,7 +113,8 @@
     const EbConfigForward *forward = EbRequest_ForwardConfig(request);
     uint32_t count = 0;
     for (uint32_t i = 0; i < forward->preparation_count; i++) {
-        if ((forward->preparations[i].dependencies & 1U << index) != 0) {
+        if ((forward->preparations[i].dependencies &
+             EB_PREPARATION_BIT(index)) != 0) {
             count += item_count(request, i);
         }
     }
@@ -173,11 +175,12 @@
 end_consumed_preparations(EbRequest *request)
 {
     EbPreparation *preparations = request->forward->preparations;
-    uint32_t consumed = 0;
-    uint32_t still_needed = ~EbRequest_IntermediatePreparations(request);
+    EbPreparationSet consumed = 0;
+    EbPreparationSet still_needed =
+        ~EbRequest_IntermediatePreparations(request);
     for (uint32_t i = 0;
          i < EbRequest_ForwardConfig(request)->preparation_count; i++) {
-        uint32_t dependencies =
+        EbPreparationSet dependencies =
             EbRequest_ForwardConfig(request)->preparations[i].dependencies;
         if (preparations[i].needed && preparations[i].done) {
             consumed |= dependencies;
@@ -189,7 +192,7 @@
     for (uint32_t i = 0;
          i < EbRequest_ForwardConfig(request)->preparation_count; i++) {
         if (preparations[i].done &&
-            (consumed & ~still_needed & 1U << i) != 0) {
+            (consumed & ~still_needed & EB_PREPARATION_BIT(i)) != 0) {
             EbRequest_EndPreparation(request, &preparations[i]);
         }
     }
@@ -226,9 +229,12 @@
 void
 EbRequest_PlanPreparations(EbRequest *request)
 {
-    for (uint32_t i = 0;
-         i < EbRequest_ForwardConfig(request)->preparation_count; i++) {
-        request->forward->preparations[i].needed = item_count(request, i) > 0;
+    EbForwardState *state = request->forward;
+    state->preparation_count =
+        EbRequest_ForwardConfig(request)->preparation_count;
+    state->preparations = g_new0(EbPreparation, state->preparation_count);
+    for (uint32_t i = 0; i < state->preparation_count; i++) {
+        state->preparations[i].needed = item_count(request, i) > 0;
     }
 }
 
@@ -251,10 +257,10 @@
 lacks_results(const EbRequest *request)
 {
     const EbPreparation *preparations = request->forward->preparations;
-    uint32_t required = EbRequest_IntermediatePreparations(request);
-    for (size_t i = 0; i < EB_FORWARD_MAX_PREPARATIONS; i++) {
+    EbPreparationSet required = EbRequest_IntermediatePreparations(request);
+    for (uint32_t i = 0; i < request->forward->preparation_count; i++) {
         if (preparations[i].needed && preparations[i].job == 0 &&
-            (required & 1U << i) == 0) {
+            (required & EB_PREPARATION_BIT(i)) == 0) {
             return true;
         }
     }
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -68,7 +68,8 @@
 /* State that only forwarded requests have. */
 typedef struct {
     EbForwardCall *call;
-    EbPreparation preparations[EB_FORWARD_MAX_PREPARATIONS];
+    EbPreparation *preparations; /* those of the pipeline */
+    uint32_t preparation_count;
     uint32_t restarts; /* times that lost results were prepared again */
     /* What may crash servers: the request, and the parts of its prompt that
      * other requests may share. */
@@ -375,11 +376,12 @@
 /* Returns a bit mask of the preparations whose results are inputs of other
  * preparations that the request needs. The call takes the results of all
  * other preparations. */
-uint32_t EbRequest_IntermediatePreparations(const EbRequest *request);
+EbPreparationSet EbRequest_IntermediatePreparations(const EbRequest *request);
 
 /* Returns the handles of the results of the preparations in a bit mask.
  * Release the array with g_ptr_array_unref. */
-GPtrArray *EbRequest_CollectHandles(const EbRequest *request, uint32_t bits);
+GPtrArray *EbRequest_CollectHandles(const EbRequest *request,
+                                    EbPreparationSet set);
 
 /* Returns the handles of the results that the request's call takes as input.
  * Release the array with g_ptr_array_unref. */
--- a/src/test_forward/forward.h
+++ b/src/test_forward/forward.h
@@ -22,6 +22,9 @@
     EbConfig *config;
     EbPromptPart parts[3]; /* of the prompts of submitted requests */
     uint32_t part_count;
+    /* Work items of submitted requests, by preparation. */
+    uint32_t item_counts[EB_CONFIG_MAX_PREPARATIONS];
+    uint32_t item_stage_count;
     unsigned submit_count;
     int64_t now_us;
     uint64_t sends[MAX_SENDS]; /* attempt ids */
@@ -86,6 +89,7 @@
 void test_useless_preparations(void);
 void test_prepared_twice(void);
 void test_lost_results(void);
+void test_long_chain(void);
 
 /* directives.c */
 
--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -545,6 +545,7 @@
         {"useless preparations", test_useless_preparations},
         {"prepared twice", test_prepared_twice},
         {"lost results", test_lost_results},
+        {"long chain", test_long_chain},
     };
     return EbTest_Run("test_forward", cases, G_N_ELEMENTS(cases));
 }
--- a/src/test_forward/preparations.c
+++ b/src/test_forward/preparations.c
@@ -140,3 +140,43 @@
     CU_ASSERT_EQUAL(fixture.send_count, 1);
     Fixture_Close(&fixture);
 }
+
+#define CHAIN_LENGTH 12
+
+/* Guards against a request that waits for its deadline, or is sent without its
+ * inputs, because its pipeline has many preparations or lists them in another
+ * order than that of their dependencies. */
+void
+test_long_chain(void)
+{
+    Fixture fixture;
+    Fixture_Open(&fixture);
+    EbConfigForward *staged = fixture.config->pipelines[4].forward;
+    staged->preparations =
+        g_renew(EbConfigPreparation, staged->preparations, CHAIN_LENGTH);
+    staged->preparation_count = CHAIN_LENGTH;
+    for (unsigned i = 0; i < CHAIN_LENGTH; i++) {
+        staged->preparations[i] =
+            (EbConfigPreparation){.pool_index = 1, .result_bytes = 100};
+        if (i + 1 < CHAIN_LENGTH) {
+            staged->preparations[i].dependencies = EB_PREPARATION_BIT(i + 1);
+        }
+        fixture.item_counts[i] = 1;
+    }
+    fixture.item_stage_count = CHAIN_LENGTH;
+    CU_ASSERT_TRUE(EbConfig_PlanForward(fixture.config, staged));
+    Fixture_Submit(&fixture, "/staged/x", TOKEN);
+    for (unsigned i = 0; i < CHAIN_LENGTH; i++) {
+        CU_ASSERT_EQUAL(fixture.send_count, 0);
+        CU_ASSERT_EQUAL_FATAL(fixture.job_count, i + 1);
+        CU_ASSERT_EQUAL(fixture.job_stages[i], CHAIN_LENGTH - 1 - i);
+        end_preparation(&fixture, i, EB_PREPARED_OK, results_c, 1);
+    }
+    CU_ASSERT_EQUAL_FATAL(fixture.send_count, 1);
+    CU_ASSERT_STRING_EQUAL(fixture.inputs, "c0 ");
+    Fixture_SendEvent(&fixture,
+                      &(Event){.kind = EB_ATTEMPT_ANSWERED, .status = 200});
+    CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_DONE);
+    CU_ASSERT_EQUAL(fixture.ended_count, CHAIN_LENGTH);
+    Fixture_Close(&fixture);
+}
--- a/src/test_platform/config.c
+++ b/src/test_platform/config.c
@@ -1,4 +1,5 @@
-/* Tests of configurations that operators may write: names in any order. */
+/* Tests of configurations that operators may write: names in any order, routes
+ * with many stages. */
 #include <string.h>
 
 #include <glib.h>
@@ -67,3 +68,82 @@
     g_string_free(routes, TRUE);
     g_string_free(tenants, TRUE);
 }
+
+/* Returns a configuration with one route whose stages form a chain. The first
+ * listed stage is the last of the chain. Free it with g_free. */
+static char *
+write_reversed_chain(unsigned count)
+{
+    GString *stages = g_string_new(NULL);
+    for (unsigned i = 0; i < count; i++) {
+        g_string_append_printf(
+            stages, "%s{\"service\":\"s\",\"byte_count\":10,\"after\":[",
+            i > 0 ? "," : "");
+        if (i + 1 < count) {
+            g_string_append_printf(stages, "%u", i + 1);
+        }
+        g_string_append(stages, "]}");
+    }
+    char *text = g_strdup_printf(
+        "{\"version\":7,\"services\":[{\"name\":\"s\",\"pieces\":{"
+        "\"slots\":1,\"batch\":2,\"call_ms\":10,\"item_ms\":1}}],"
+        "\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/r/\","
+        "\"route_kind\":\"idempotent\",\"timeout_ms\":800,\"service\":\"s\","
+        "\"stages\":[%s]}]}",
+        stages->str);
+    g_string_free(stages, TRUE);
+    return text;
+}
+
+/* Guards against a configuration that is refused because a route has many
+ * stages or lists a stage before one that it depends on, and against planned
+ * times that follow the order of the list instead of the dependencies. */
+void
+test_many_stages(void)
+{
+    static const unsigned counts[] = {1, 9, EB_CONFIG_MAX_PREPARATIONS};
+    for (size_t k = 0; k < G_N_ELEMENTS(counts); k++) {
+        unsigned count = counts[k];
+        char *text = write_reversed_chain(count);
+        EbConfig *config = read_text(text);
+        g_free(text);
+        const EbConfigForward *forward = config->pipelines[0].forward;
+        CU_ASSERT_EQUAL_FATAL(forward->preparation_count, count);
+        for (unsigned i = 0; i < count; i++) {
+            const EbConfigPreparation *preparation = &forward->preparations[i];
+            CU_ASSERT_EQUAL(preparation->dependencies,
+                            i + 1 < count ? EB_PREPARATION_BIT(i + 1) : 0);
+            CU_ASSERT_EQUAL(preparation->downstream_min_us,
+                            INT64_C(11000) * i);
+            CU_ASSERT_EQUAL(preparation->downstream_us, INT64_C(20000) * i);
+        }
+        EbConfig_Unref(config);
+    }
+}
+
+/* Guards against 400 for a request to a route with many stages. */
+void
+test_many_counts(void)
+{
+    static const unsigned counts[] = {9, EB_CONFIG_MAX_PREPARATIONS,
+                                      EB_CONFIG_MAX_PREPARATIONS + 1};
+    for (size_t k = 0; k < G_N_ELEMENTS(counts); k++) {
+        GString *text = g_string_new("0");
+        for (unsigned i = 1; i < counts[k]; i++) {
+            g_string_append_printf(text, ",%u", i);
+        }
+        EbHttpMessage *message = EbHttpMessage_NewRequest("GET", "/");
+        EbHttpMessage_AddHeader(message, "Attempt-Id", "9c41");
+        EbHttpMessage_AddHeader(message, "Pieces", text->str);
+        EbError error = {0};
+        EbForwardCall *call =
+            EbPlatform_forward_protocol.read_call(message, &error);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(call);
+        unsigned stored = MIN(counts[k], EB_CONFIG_MAX_PREPARATIONS);
+        CU_ASSERT_EQUAL_FATAL(call->item_stage_count, stored);
+        CU_ASSERT_EQUAL(call->item_counts[stored - 1], stored - 1);
+        EbForwardCall_Unref(call);
+        EbHttpMessage_Unref(message);
+        g_string_free(text, TRUE);
+    }
+}
--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -296,7 +296,7 @@
 {
     static const char *const rows[][2] = {
         {"X", "no id"},   {"Attempt-Id", ""}, {"Pieces", "1,x"},
-        {"Pieces", "-1"}, {"Pieces", "1000"}, {"Pieces", "1,1,1,1,1,1,1,1,1"},
+        {"Pieces", "-1"}, {"Pieces", "1000"}, {"Pieces", "1,1,1,1,1,1,1,1,x"},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         EbHttpMessage *message = EbHttpMessage_NewRequest("GET", "/");
@@ -619,6 +619,8 @@
         {"config", test_config},
         {"invalid config", test_invalid_config},
         {"names in any order", test_name_order},
+        {"many stages", test_many_stages},
+        {"many counts", test_many_counts},
         {"servers", test_servers},
         {"call", test_call},
         {"invalid calls", test_invalid_calls},
--- a/src/test_platform/test_platform.h
+++ b/src/test_platform/test_platform.h
@@ -5,5 +5,7 @@
 /* config.c */
 
 void test_name_order(void);
+void test_many_stages(void);
+void test_many_counts(void);
 
 #endif
