stages: a long chain isn't refused for its allowance for busy servers

On a route with many stages every request was refused with 503 (deadline-infeasible), also while all servers were free.

Cause: the expected time of a chain adds two thirds of a full call for each stage, for servers that are busy. With ten stages of 0.38 s and a deadline of 6 s the sum passes the deadline for every request.

Change: where a pipeline's whole deadline is too short for that allowance, the time that its calls take at least decides.

Evidence: test_forward "feasible chain": the row with twelve calls of 0.4 s was refused before the change and is accepted now; that with 6.6 s of calls is refused at once in both.

--- a/src/libebonyhollow/requests/dispatcher_prepare.c
+++ b/src/libebonyhollow/requests/dispatcher_prepare.c
@@ -38,6 +38,17 @@
            preparation->downstream_us;
 }
 
+/* Returns the time that a preparation and those after it take at least. */
+static int64_t
+min_time_to_call(const EbRequest *request, uint32_t index)
+{
+    const EbConfigPreparation *preparation =
+        &EbRequest_ForwardConfig(request)->preparations[index];
+    return EbConfig_BatchCallMinTime(
+               &request->config->pools[preparation->pool_index].batch) +
+           preparation->downstream_min_us;
+}
+
 /* Returns whether another preparation takes so much longer that the result of
  * this one would only occupy memory, which is scarce at the servers. */
 static bool
@@ -242,13 +253,20 @@
 EbRequest_PredictPreparationTime(const EbRequest *request)
 {
     int64_t longest_us = 0;
+    int64_t longest_min_us = 0;
     for (uint32_t i = 0;
          i < EbRequest_ForwardConfig(request)->preparation_count; i++) {
         if (request->forward->preparations[i].needed) {
             longest_us = MAX(longest_us, time_to_call(request, i));
+            longest_min_us = MAX(longest_min_us, min_time_to_call(request, i));
         }
     }
-    return longest_us;
+    /* The expected time of a long chain allows for busy servers at each of its
+     * stages. Where a whole deadline is too short for that, it would refuse
+     * every request of the pipeline, also while all servers are free. */
+    int64_t available_us =
+        request->pipeline->deadline_us - EbRequest_PredictAnswerTime(request);
+    return longest_us <= available_us ? longest_us : longest_min_us;
 }
 
 /* Returns whether a preparation whose results the call needs has no job: it
--- a/src/test_forward/forward.h
+++ b/src/test_forward/forward.h
@@ -90,6 +90,7 @@
 void test_prepared_twice(void);
 void test_lost_results(void);
 void test_long_chain(void);
+void test_feasible_chain(void);
 
 /* directives.c */
 
--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -549,6 +549,7 @@
         {"prepared twice", test_prepared_twice},
         {"lost results", test_lost_results},
         {"long chain", test_long_chain},
+        {"feasible chain", test_feasible_chain},
     };
     return EbTest_Run("test_forward", cases, G_N_ELEMENTS(cases));
 }
--- a/src/test_forward/preparations.c
+++ b/src/test_forward/preparations.c
@@ -143,15 +143,12 @@
 
 #define CHAIN_LENGTH 12
 
-/* Guards against a request that waits for its deadline, or is sent without its
- * inputs, because its pipeline has many preparations or lists them in another
- * order than that of their dependencies. */
-void
-test_long_chain(void)
+/* Makes the preparations of /staged/ a chain that is listed backwards: the
+ * first of the list is the last of the chain. */
+static void
+make_chain(Fixture *fixture)
 {
-    Fixture fixture;
-    Fixture_Open(&fixture);
-    EbConfigForward *staged = fixture.config->pipelines[4].forward;
+    EbConfigForward *staged = fixture->config->pipelines[4].forward;
     staged->preparations =
         g_renew(EbConfigPreparation, staged->preparations, CHAIN_LENGTH);
     staged->preparation_count = CHAIN_LENGTH;
@@ -161,10 +158,21 @@
         if (i + 1 < CHAIN_LENGTH) {
             staged->preparations[i].dependencies = EB_PREPARATION_BIT(i + 1);
         }
-        fixture.item_counts[i] = 1;
+        fixture->item_counts[i] = 1;
     }
-    fixture.item_stage_count = CHAIN_LENGTH;
-    CU_ASSERT_TRUE(EbConfig_PlanForward(fixture.config, staged));
+    fixture->item_stage_count = CHAIN_LENGTH;
+    CU_ASSERT_TRUE(EbConfig_PlanForward(fixture->config, staged));
+}
+
+/* Guards against a request that waits for its deadline, or is sent without its
+ * inputs, because its pipeline has many preparations or lists them in another
+ * order than that of their dependencies. */
+void
+test_long_chain(void)
+{
+    Fixture fixture;
+    Fixture_Open(&fixture);
+    make_chain(&fixture);
     Fixture_Submit(&fixture, "/staged/x", TOKEN);
     for (unsigned i = 0; i < CHAIN_LENGTH; i++) {
         CU_ASSERT_EQUAL(fixture.send_count, 0);
@@ -180,3 +188,32 @@
     CU_ASSERT_EQUAL(fixture.ended_count, CHAIN_LENGTH);
     Fixture_Close(&fixture);
 }
+
+/* Guards against a pipeline whose requests are all refused because waiting for
+ * busy servers at each of its many stages would take longer than its deadline,
+ * and against accepting one that can't be answered in time by free servers. */
+void
+test_feasible_chain(void)
+{
+    static const struct {
+        int64_t call_us;
+        bool accepted;
+    } rows[] = {
+        {100000, true},  /* 12 calls: 1.2 s */
+        {400000, true},  /* 4.8 s, or 8 s with busy servers; deadline 6 s */
+        {550000, false}, /* 6.6 s */
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Fixture fixture;
+        Fixture_Open(&fixture);
+        fixture.config->pools[1].batch.call_us = rows[i].call_us;
+        make_chain(&fixture);
+        Fixture_Submit(&fixture, "/staged/x", TOKEN);
+        CU_ASSERT_EQUAL(fixture.answered, !rows[i].accepted);
+        CU_ASSERT_EQUAL(fixture.job_count, rows[i].accepted ? 1 : 0);
+        if (fixture.answered) {
+            CU_ASSERT_EQUAL(fixture.reason, EB_REASON_DEADLINE_INFEASIBLE);
+        }
+        Fixture_Close(&fixture);
+    }
+}
