limiter: a customer that is listed twice keeps one entry

Cause: the adapter adds a customer "anonymous" of its own, so the configuration had two customers with one id. EbLimiter_SetConfig inserted an entry for each of them; the second insertion freed the first entry, which was on the list of active customers and whose id is the key that the table keeps.

Change: the first entry of an id holds.

--- a/src/libebonyhollow/limits/limiter.c
+++ b/src/libebonyhollow/limits/limiter.c
@@ -49,6 +49,9 @@
     g_queue_clear(&limiter->rebalance_queue);
     for (uint32_t i = 0; i < config->customer_count; i++) {
         const EbConfigCustomer *row = &config->customers[i];
+        if (g_hash_table_contains(limiter->customers, row->id)) {
+            continue; /* listed twice: the first contract holds */
+        }
         EbLimiterCustomer *customer = NULL;
         if (old != NULL) {
             g_hash_table_steal_extended(old, row->id, NULL,
--- a/src/test_limiter/main.c
+++ b/src/test_limiter/main.c
@@ -290,12 +290,43 @@
     EbLimiter_Free(limiter);
 }
 
+/* Guards against an entry that is freed while it is on the list of active
+ * customers, because a configuration lists its customer twice. */
+static void
+test_repeated_customer(void)
+{
+    EbConfigCustomer customers[] = {
+        {.id = "c", .contract = {.requests_per_s_milli = 8000}},
+        {.id = "c", .contract = {.requests_per_s_milli = 1000}},
+        {.id = "d"},
+    };
+    EbConfig once = {.customers = customers, .customer_count = 1};
+    EbConfig twice = {.customers = customers, .customer_count = 3};
+    EbLimiter *limiter = new_limiter(&once, 4);
+    CU_ASSERT_EQUAL(EbLimiter_Admit(limiter, "c", 0, NULL), EB_REASON_NONE);
+    for (unsigned i = 0; i < 2; i++) {
+        EbLimiter_SetConfig(limiter, &twice);
+        EbLimiterShare share;
+        size_t count = EbLimiter_WriteReport(
+            limiter, EbLimiter_Home(limiter, "c"), &share, 1, SECOND_US);
+        CU_ASSERT_EQUAL(count, i == 0 ? 1 : 0);
+        EbLimiterView view;
+        CU_ASSERT_TRUE(EbLimiter_View(limiter, "c", SECOND_US, &view));
+        CU_ASSERT_EQUAL(view.in_flight, 1);
+        CU_ASSERT_EQUAL(view.share_requests_per_s_milli, 2000);
+        CU_ASSERT_TRUE(EbLimiter_View(limiter, "d", SECOND_US, &view));
+    }
+    EbLimiter_EndRequest(limiter, "c", SECOND_US);
+    EbLimiter_Free(limiter);
+}
+
 int
 main(void)
 {
     static const EbTestCase cases[] = {
         {"inside contract", test_inside_contract},
         {"bounds", test_bounds},
+        {"repeated customer", test_repeated_customer},
         {"sparse", test_sparse},
         {"small contracts", test_small_contracts},
         {"local limits", test_local_limits},
