platform: ids of customers are unique

Cause: the adapter gave the customer of callers without a key the id "anonymous", and read each entry of the tenants as a customer of its own. A tenant with that name, or one that is listed twice, made two customers with one id.

Change: the customer of callers without a key is found by a flag (EbConfig_AnonymousCustomer) and has an id that no tenant has; a tenant that is listed twice is one customer with the keys of both entries.

Evidence: test_platform "customer ids" checks that each id is found at its own entry. It uses the new function and was not run on the adapter before; that both ids stood twice there is read from its code. test_forward "callers" covers a pipeline without tokens, which no test did.

--- a/include/configuration/ebonyhollow/config.h
+++ b/include/configuration/ebonyhollow/config.h
@@ -167,11 +167,9 @@
     uint32_t more_digest_count;
     EbContract contract;
     int16_t priority; /* of its forwarded requests; -1: the pipeline's */
+    bool anonymous;   /* stands for all callers of pipelines without tokens */
 } EbConfigCustomer;
 
-/* Customer of requests to pipelines that need no token. */
-#define EB_CUSTOMER_ANONYMOUS "anonymous"
-
 #define EB_ROUTE_ANY UINT32_MAX
 
 /* Allows a customer to use a pipeline. */
@@ -204,7 +202,7 @@
 
 typedef struct EbConfigNames EbConfigNames;
 
-/* The lists may be in any order. */
+/* The lists may be in any order. Names and ids are unique within a list. */
 typedef struct EbConfig {
     uint32_t references;  /* private */
     EbConfigNames *names; /* private: name tables of the lists */
@@ -273,6 +271,10 @@
 EbConfig_FindServerByAddress(const EbConfig *config, const char *host,
                              uint16_t port);
 
+/* Returns the customer that stands for all callers of pipelines without
+ * tokens, or NULL if there is none. */
+const EbConfigCustomer *EbConfig_AnonymousCustomer(const EbConfig *config);
+
 /* Finds the customer with this bearer token. The token's digest is compared
  * with every configured digest in constant time, so that the time taken
  * reveals nothing about the match. Returns NULL for an unknown, empty or NULL
--- a/src/libebonyhollow/configuration/config_find.c
+++ b/src/libebonyhollow/configuration/config_find.c
@@ -20,6 +20,17 @@
     return index == UINT32_MAX ? NULL : &config->customers[index];
 }
 
+const EbConfigCustomer *
+EbConfig_AnonymousCustomer(const EbConfig *config)
+{
+    for (uint32_t i = 0; i < config->customer_count; i++) {
+        if (config->customers[i].anonymous) {
+            return &config->customers[i];
+        }
+    }
+    return NULL;
+}
+
 const EbConfigPool *
 EbConfig_FindPool(const EbConfig *config, const char *name)
 {
--- a/src/libebonyhollow/requests/dispatcher_forward.c
+++ b/src/libebonyhollow/requests/dispatcher_forward.c
@@ -44,7 +44,7 @@
 {
     const char *token = request->forward->call->token;
     if (request->pipeline->forward->anonymous) {
-        return EbConfig_FindCustomer(request->config, EB_CUSTOMER_ANONYMOUS);
+        return EbConfig_AnonymousCustomer(request->config);
     }
     return token != NULL ? EbConfig_FindCustomerByToken(request->config, token)
                          : NULL;
--- a/src/test_forward/fixture.c
+++ b/src/test_forward/fixture.c
@@ -63,11 +63,15 @@
                                     .failure_domain = g_strdup("recife"),
                                     .capacity = 4};
     }
-    config->customers = g_new0(EbConfigCustomer, 1);
-    config->customer_count = 1;
+    config->customers = g_new0(EbConfigCustomer, 2);
+    config->customer_count = 2;
     config->customers[0] = (EbConfigCustomer){
         .id = g_strdup("c-1"), .contract = {.weight = 1}, .priority = -1};
     EbConfig_DigestToken(TOKEN, config->customers[0].token_digest);
+    config->customers[1] = (EbConfigCustomer){.id = g_strdup("anonymous-2"),
+                                              .contract = {.weight = 1},
+                                              .priority = -1,
+                                              .anonymous = true};
     config->pipelines = g_new0(EbConfigPipeline, 8);
     add_route(config, "read", EB_STAGE_CALL, true, 2);
     add_route(config, "pay", EB_STAGE_CALL, false, 2);
@@ -87,6 +91,8 @@
                               .result_bytes = 5};
     add_route(config, "unusable", EB_STAGE_CALL, true, 2);
     config->pipelines[5].forward->unusable = true;
+    add_route(config, "open", EB_STAGE_CALL, true, 2);
+    config->pipelines[6].forward->anonymous = true;
     return config;
 }
 
@@ -152,6 +158,8 @@
     g_strlcpy(fixture->servers[fixture->send_count], send->server_id,
               sizeof(fixture->servers[0]));
     fixture->resumed_after[fixture->send_count] = send->resume_after;
+    g_strlcpy(fixture->customer, send->customer != NULL ? send->customer : "",
+              sizeof(fixture->customer));
     fixture->sends[fixture->send_count++] = send->attempt_id;
     g_free(fixture->inputs);
     GString *inputs = g_string_new(NULL);
--- a/src/test_forward/forward.h
+++ b/src/test_forward/forward.h
@@ -30,6 +30,7 @@
     uint64_t sends[MAX_SENDS]; /* attempt ids */
     char servers[MAX_SENDS][8];
     int64_t resumed_after[MAX_SENDS];
+    char customer[16]; /* that the last send names; empty: none */
     unsigned send_count;
     unsigned cancel_count;
     uint64_t jobs[MAX_SENDS]; /* preparations that were started */
--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -128,6 +128,32 @@
     }
 }
 
+/* Guards against refusing callers without a token where none is needed, and
+ * against a call that names a customer who is not its caller. */
+static void
+test_callers(void)
+{
+    static const struct {
+        const char *path;
+        const char *token;
+        const char *customer;
+    } rows[] = {
+        {"/read/x", TOKEN, "c-1"},
+        {"/open/x", NULL, ""},
+        {"/open/x", "other", ""},
+        {"/open/x", TOKEN, ""},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Fixture fixture;
+        Fixture_Open(&fixture);
+        Fixture_Submit(&fixture, rows[i].path, rows[i].token);
+        CU_ASSERT_FALSE(fixture.answered);
+        CU_ASSERT_EQUAL_FATAL(fixture.send_count, 1);
+        CU_ASSERT_STRING_EQUAL(fixture.customer, rows[i].customer);
+        Fixture_Close(&fixture);
+    }
+}
+
 typedef struct {
     const char *name;
     const char *path;
@@ -527,6 +553,7 @@
         {"a repeat awaits evidence", test_repeat_awaits_evidence},
         {"single broken call", test_single_broken_call},
         {"refusals", test_refusals},
+        {"callers", test_callers},
         {"first attempt", test_first_attempt},
         {"max attempts", test_max_attempts},
         {"resume", test_resume},
--- a/src/test_platform/config.c
+++ b/src/test_platform/config.c
@@ -168,8 +168,9 @@
         CU_ASSERT_PTR_EQUAL(EbConfig_FindCustomerByToken(config, names[i]),
                             customer);
     }
-    CU_ASSERT_PTR_NOT_NULL(
-        EbConfig_FindCustomer(config, EB_CUSTOMER_ANONYMOUS));
+    CU_ASSERT_PTR_NOT_NULL(EbConfig_FindCustomer(config, "anonymous"));
+    CU_ASSERT_PTR_EQUAL(EbConfig_AnonymousCustomer(config),
+                        EbConfig_FindCustomer(config, "anonymous"));
     CU_ASSERT_PTR_NULL(EbConfig_FindCustomer(config, "unknown"));
     CU_ASSERT_PTR_NULL(EbConfig_FindCustomer(config, NULL));
     EbConfig_Unref(config);
@@ -179,6 +180,44 @@
     g_string_free(tenants, TRUE);
 }
 
+/* Guards against a tenant that shares its id, and with it its place in queues
+ * and limits, with the callers without a key, and against losing the keys of a
+ * tenant that is listed twice. */
+void
+test_customer_ids(void)
+{
+    static const char text[] =
+        "{\"version\":7,\"tenants\":["
+        "{\"name\":\"anonymous\",\"api_keys\":[\"k1\"]},"
+        "{\"name\":\"c\",\"api_keys\":[\"k2\",\"k3\"],\"priority\":3},"
+        "{\"name\":\"anonymous-2\",\"api_keys\":[\"k4\"]},"
+        "{\"name\":\"c\",\"api_keys\":[\"k5\"],\"priority\":4},"
+        "{\"name\":\"\",\"api_keys\":[\"k6\"]}]}";
+    static const struct {
+        const char *key;
+        const char *id;
+    } rows[] = {{"k1", "anonymous"},   {"k2", "c"}, {"k3", "c"},
+                {"k4", "anonymous-2"}, {"k5", "c"}, {"k6", ""}};
+    EbConfig *config = read_text(text);
+    CU_ASSERT_EQUAL(config->customer_count, 5);
+    for (uint32_t i = 0; i < config->customer_count; i++) {
+        const EbConfigCustomer *customer = &config->customers[i];
+        CU_ASSERT_PTR_EQUAL(EbConfig_FindCustomer(config, customer->id),
+                            customer);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        const EbConfigCustomer *customer =
+            EbConfig_FindCustomerByToken(config, rows[i].key);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(customer);
+        CU_ASSERT_STRING_EQUAL(customer->id, rows[i].id);
+        CU_ASSERT_FALSE(customer->anonymous);
+    }
+    CU_ASSERT_EQUAL(EbConfig_FindCustomer(config, "c")->priority, 3);
+    CU_ASSERT_STRING_EQUAL(EbConfig_AnonymousCustomer(config)->id,
+                           "anonymous-3");
+    EbConfig_Unref(config);
+}
+
 /* Returns a configuration with one route whose stages form a chain. The first
  * listed stage is the last of the chain. Free it with g_free. */
 static char *
--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -595,6 +595,7 @@
         {"invalid config", test_invalid_config},
         {"config defects", test_config_defects},
         {"names in any order", test_name_order},
+        {"customer ids", test_customer_ids},
         {"many stages", test_many_stages},
         {"many counts", test_many_counts},
         {"servers", test_servers},
