forward client: incomplete events count towards the common limit

Faulty servers that begin an event on each of 200 streams and never end it took 200 MB on a machine of 160 MB.

Change: incomplete events count towards max_buffered_bytes (32 MiB) as bodies do. Up to 64 KiB are accepted in any case, for bodies too, so that small answers arrive beside those without end.

Evidence: test_forward_net "client endless events" (60 streams of 900 KiB) fails before and passes now; a sound stream beside them is whole. The new rows of "client endless stream" for heads without end (empty lines, status line, header names, values, continued lines, interim responses, chunk sizes, extensions and trailers) passed before the change too.

--- a/include/net/ebonyhollow/forward_client.h
+++ b/include/net/ebonyhollow/forward_client.h
@@ -31,9 +31,10 @@
     int64_t connect_timeout_us; /* 0: 500 ms */
     size_t max_header_bytes;    /* of a response; 0: 32 KiB */
     size_t max_body_bytes;      /* of a response; 0: 8 MiB */
-    /* Of the bodies of all responses that are incomplete. A body may take as
-     * much as the others leave free, so that small ones still arrive beside
-     * several without end. 0: 32 MiB. */
+    /* Of the bodies of all responses that are incomplete, and of incomplete
+     * events of streams. Each may take as much as the others leave free; up to
+     * 64 KiB are always accepted, so that small ones arrive beside several
+     * without end. 0: 32 MiB. */
     size_t max_buffered_bytes;
     /* Called for each event. Pointers in the event are valid only during the
      * call. */
--- a/src/libebonyhollow_net/event_splitter.c
+++ b/src/libebonyhollow_net/event_splitter.c
@@ -41,10 +41,10 @@
     splitter->scanned_bytes = 0;
 }
 
-bool
-EbEventSplitter_IsEmpty(const EbEventSplitter *splitter)
+size_t
+EbEventSplitter_BufferedBytes(const EbEventSplitter *splitter)
 {
-    return splitter->buffer->len == 0;
+    return splitter->buffer->len;
 }
 
 /* Returns the id of an event, or -1 if it has none. */
--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -20,6 +20,9 @@
 #define DEFAULT_MAX_HEADER_BYTES 32768
 #define DEFAULT_MAX_BODY_BYTES ((size_t)8 * 1024 * 1024)
 #define DEFAULT_MAX_BUFFERED_BYTES ((size_t)32 * 1024 * 1024)
+/* A body or an incomplete event of at most this size is accepted also while
+ * others take all of `max_buffered_bytes`. */
+#define SMALL_BYTES ((size_t)64 * 1024)
 /* Of the events of a stream that have no id greater than all before. */
 #define MAX_STALE_EVENT_BYTES 65536
 /* Idle connections are closed this long before the server would close them. */
@@ -44,6 +47,7 @@
     bool late_response; /* the response belongs to an earlier call */
     size_t late_bytes;  /* of the bodies of such responses */
     EbEventSplitter *splitter;
+    size_t event_bytes; /* of an incomplete event, in `buffered_bytes` */
     int64_t idle_since_us;
     int64_t idle_timeout_us;
     bool done; /* the call ended; reuse or free the connection */
@@ -55,7 +59,8 @@
     GHashTable *calls; /* attempt id -> Connection */
     GHashTable *idle;  /* server id -> GQueue of Connection, newest first */
     GHashTable *connections; /* set of Connection */
-    size_t buffered_bytes;   /* of the bodies of incomplete responses */
+    size_t buffered_bytes;   /* of the bodies of incomplete responses and of
+                                incomplete events */
 };
 
 static void
@@ -69,12 +74,31 @@
     connection->response = NULL;
 }
 
+/* Adds to the client's buffered bytes what its incomplete event has grown by.
+ */
+static void
+count_incomplete_event(Connection *connection)
+{
+    size_t bytes = EbEventSplitter_BufferedBytes(connection->splitter);
+    connection->client->buffered_bytes -= connection->event_bytes;
+    connection->client->buffered_bytes += bytes;
+    connection->event_bytes = bytes;
+}
+
+static void
+drop_incomplete_event(Connection *connection)
+{
+    EbEventSplitter_Reset(connection->splitter);
+    count_incomplete_event(connection);
+}
+
 static void
 free_connection(gpointer data)
 {
     Connection *connection = data;
     bufferevent_free(connection->bufev);
     EbHttpReader_Free(connection->reader);
+    drop_incomplete_event(connection);
     EbEventSplitter_Free(connection->splitter);
     drop_response(connection);
     g_free(connection->request_id);
@@ -215,15 +239,23 @@
     report_event(connection, &event);
 }
 
+/* Returns whether a body or an incomplete event may have `total_bytes`, of
+ * which `added_bytes` are not counted yet. */
 static bool
-has_room(const Connection *connection, size_t byte_count)
+has_room(const EbForwardClient *client, size_t total_bytes, size_t added_bytes)
 {
-    const EbForwardClient *client = connection->client;
-    size_t body_bytes = connection->response->body_bytes + byte_count;
-    size_t free_bytes =
-        client->options.max_buffered_bytes -
-        MIN(client->buffered_bytes, client->options.max_buffered_bytes);
-    return body_bytes <= MIN(client->options.max_body_bytes, free_bytes);
+    return total_bytes <= SMALL_BYTES ||
+           client->buffered_bytes + added_bytes <=
+               client->options.max_buffered_bytes;
+}
+
+static bool
+feed_stream(Connection *connection, const uint8_t *bytes, size_t byte_count)
+{
+    bool valid = EbEventSplitter_Feed(connection->splitter, bytes, byte_count);
+    count_incomplete_event(connection);
+    return valid && connection->stale_event_bytes <= MAX_STALE_EVENT_BYTES &&
+           has_room(connection->client, connection->event_bytes, 0);
 }
 
 static bool
@@ -236,13 +268,15 @@
                connection->client->options.max_body_bytes;
     }
     if (connection->streaming) {
-        return EbEventSplitter_Feed(connection->splitter, bytes, byte_count) &&
-               connection->stale_event_bytes <= MAX_STALE_EVENT_BYTES;
+        return feed_stream(connection, bytes, byte_count);
     }
-    if (!has_room(connection, byte_count)) {
+    EbForwardClient *client = connection->client;
+    size_t body_bytes = connection->response->body_bytes + byte_count;
+    if (body_bytes > client->options.max_body_bytes ||
+        !has_room(client, body_bytes, byte_count)) {
         return false;
     }
-    connection->client->buffered_bytes += byte_count;
+    client->buffered_bytes += byte_count;
     EbHttpMessage_AddBody(connection->response, bytes, byte_count);
     return true;
 }
@@ -255,8 +289,9 @@
         return;
     }
     connection->reusable = reusable && connection->request_id != NULL;
-    bool stream_complete = !connection->streaming ||
-                           EbEventSplitter_IsEmpty(connection->splitter);
+    bool stream_complete =
+        !connection->streaming ||
+        EbEventSplitter_BufferedBytes(connection->splitter) == 0;
     if (!stream_complete) {
         end_call(connection, EB_ATTEMPT_BROKEN);
         return;
@@ -481,7 +516,7 @@
     connection->last_event_id = -1;
     connection->stale_event_bytes = 0;
     connection->done = false;
-    EbEventSplitter_Reset(connection->splitter);
+    drop_incomplete_event(connection);
     EbHttpReader_SkipBody(connection->reader,
                           strcmp(message->method, "HEAD") == 0);
     g_hash_table_insert(client->calls, &connection->attempt_id, connection);
--- a/src/libebonyhollow_net/private/event_splitter.h
+++ b/src/libebonyhollow_net/private/event_splitter.h
@@ -34,7 +34,7 @@
 bool EbEventSplitter_Feed(EbEventSplitter *splitter, const uint8_t *bytes,
                           size_t byte_count);
 
-/* Returns true if no incomplete event is buffered. */
-bool EbEventSplitter_IsEmpty(const EbEventSplitter *splitter);
+/* Returns the bytes of the incomplete event that is buffered, or 0. */
+size_t EbEventSplitter_BufferedBytes(const EbEventSplitter *splitter);
 
 #endif
--- a/src/test_forward_net/client.c
+++ b/src/test_forward_net/client.c
@@ -15,6 +15,8 @@
 #define MAX_EVENTS 16
 #define ENDLESS_BODIES 12
 #define ENDLESS_PART_BYTES ((size_t)6 * 1024 * 1024)
+#define ENDLESS_EVENTS 60
+#define ENDLESS_EVENT_BYTES ((size_t)900 * 1024)
 #define MAX_BUFFERED_BYTES ((size_t)32 * 1024 * 1024)
 #define STREAM_HEAD                                                           \
     HEAD "Content-Type: text/event-stream\r\n"                                \
@@ -38,6 +40,7 @@
     GString *events;
     uint16_t status;
     unsigned received; /* calls, at the server */
+    unsigned ended;    /* calls, by an event other than one of a stream */
 } ClientFixture;
 
 static void
@@ -50,6 +53,8 @@
         fixture->kinds[fixture->count] = event->kind;
     }
     fixture->count++;
+    fixture->ended += event->kind != EB_ATTEMPT_STREAMING &&
+                      event->kind != EB_ATTEMPT_EVENTS;
     fixture->status = event->http_status;
     if (event->kind == EB_ATTEMPT_ANSWERED) {
         g_string_append_len(fixture->body, (const char *)event->reply->body,
@@ -302,12 +307,23 @@
     g_string_free(text, TRUE);
 }
 
-/* Guards against reading for ever a stream whose bytes are no answer, and
- * against passing more than a little of it on to the caller. */
+/* Guards against reading for ever a head or a stream whose bytes are no
+ * answer, and against passing more than a little of it on to the caller. */
 void
 test_client_endless_stream(void)
 {
     static const EndlessStream rows[] = {
+        {"", "\r\n"},
+        {"", "aaaaaaaa"},
+        {"HTTP/1.1 200 ", "aaaaaaaa"},
+        {"HTTP/1.1 200 OK\r\n", "aaaaaaaa"},
+        {"HTTP/1.1 200 OK\r\nX: ", "aaaaaaaa"},
+        {"HTTP/1.1 200 OK\r\n", "X: a\r\n"},
+        {"HTTP/1.1 200 OK\r\nX: a\r\n", " a\r\n"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {STREAM_HEAD, "00000000"},
+        {STREAM_HEAD "1;", "aaaaaaaa"},
+        {STREAM_HEAD "0\r\n", "X: a\r\n"},
         {UNFRAMED_STREAM_HEAD, "aaaaaaaa"},
         {UNFRAMED_STREAM_HEAD, "\n"},
         {UNFRAMED_STREAM_HEAD, ":\n\n"},
@@ -383,6 +399,58 @@
     close_client(&fixture);
 }
 
+/* Sends a stream whose first event never ends to all calls but the last, which
+ * gets a whole stream with an event in two parts. */
+static void
+send_endless_events(RawPeer *peer, const char *request)
+{
+    ClientFixture *fixture = peer->server->context;
+    (void)request;
+    RawPeer_Send(peer, UNFRAMED_STREAM_HEAD "id: 1\ndata: ");
+    if (++fixture->received == ENDLESS_EVENTS + 1) {
+        RawPeer_Send(peer, "whole\n\n");
+        return;
+    }
+    char *part = g_strnfill(ENDLESS_EVENT_BYTES, 'a');
+    RawPeer_Send(peer, part);
+    g_free(part);
+}
+
+/* Returns whether so many streams have failed that the incomplete events of
+ * the others fit within the common limit. Each alone stays below its own. */
+static bool
+are_events_limited(void *context)
+{
+    const ClientFixture *fixture = context;
+    return fixture->received >= ENDLESS_EVENTS &&
+           (ENDLESS_EVENTS - fixture->ended) * ENDLESS_EVENT_BYTES <=
+               MAX_BUFFERED_BYTES;
+}
+
+static bool
+has_whole_event(void *context)
+{
+    return strstr(((ClientFixture *)context)->events->str, "whole") != NULL;
+}
+
+/* Guards against events without end in many streams that together take the
+ * memory of the process, and against a sound stream that fails beside them. */
+void
+test_client_endless_events(void)
+{
+    ClientFixture fixture;
+    open_client(&fixture);
+    fixture.unlimited_events = true;
+    fixture.server->handler = send_endless_events;
+    for (uint64_t id = 1; id <= ENDLESS_EVENTS; id++) {
+        send_call(&fixture, id, fixture.server->port, true);
+    }
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, are_events_limited, &fixture));
+    send_call(&fixture, ENDLESS_EVENTS + 1, fixture.server->port, true);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_whole_event, &fixture));
+    close_client(&fixture);
+}
+
 static bool
 has_closed_one(void *context)
 {
--- a/src/test_forward_net/reader.c
+++ b/src/test_forward_net/reader.c
@@ -278,7 +278,7 @@
         CU_ASSERT_EQUAL(seen.last_id, -1);
         CU_ASSERT_EQUAL(seen.text->len, whole_bytes);
         CU_ASSERT_EQUAL(memcmp(seen.text->str, stream, whole_bytes), 0);
-        CU_ASSERT_FALSE(EbEventSplitter_IsEmpty(splitter));
+        CU_ASSERT_TRUE(EbEventSplitter_BufferedBytes(splitter) > 0);
         EbEventSplitter_Free(splitter);
         g_string_free(seen.text, TRUE);
     }
