backend client: responses without end have a common limit

Report of other operators, bytes without end, on the product's own interface: each response was limited to 4 MiB, but not together with the others, so that a few hundred calls to faulty servers could take more memory than the instance has.

Change: the bytes of responses that are kept until their end are counted over all connections (32 MiB); up to 64 KiB each are always accepted. Streams are parsed as they arrive and are not counted.

Evidence: test_backend_client "endless bodies" fails with the limit above what it sends, as it was before, and passes with the limit; 40 small answers arrive beside bodies without end.

--- a/include/net/ebonyhollow/backend_client.h
+++ b/include/net/ebonyhollow/backend_client.h
@@ -29,6 +29,10 @@
     int64_t inactivity_timeout_us; /* longest time without data; 0: 60 s */
     size_t max_header_bytes;       /* of a response; 0: 16 KiB */
     size_t max_body_bytes;         /* of a response or stream; 0: 4 MiB */
+    /* Of all responses that are incomplete, streams excluded. Each may take as
+     * much as the others leave free; up to 64 KiB are always accepted. 0:
+     * 32 MiB. */
+    size_t max_buffered_bytes;
     /* Called for each event. Pointers in the event are valid only during the
      * call. The callback must not call EbBackendClient_Cancel or
      * EbBackendClient_Pause, because evhttp is still using the connection. */
--- a/src/libebonyhollow_net/backend_client.c
+++ b/src/libebonyhollow_net/backend_client.c
@@ -24,6 +24,7 @@
 #define DEFAULT_INACTIVITY_TIMEOUT_US (60LL * 1000 * 1000)
 #define DEFAULT_MAX_HEADER_BYTES 16384
 #define DEFAULT_MAX_BODY_BYTES 4194304
+#define DEFAULT_MAX_BUFFERED_BYTES ((size_t)32 * 1024 * 1024)
 #define MAX_LINE_BYTES 65536
 /* Interval of the events for paused attempts. It is shorter than any sensible
  * time-out between tokens. */
@@ -281,6 +282,7 @@
         attempt->parser =
             EbEventStream_New(MAX_LINE_BYTES, on_data_line, attempt);
         evhttp_request_set_chunked_cb(request, on_chunk);
+        EbBackendConnection_StartStream(connection);
     }
     return 0;
 }
@@ -449,8 +451,7 @@
     attempt->stream = send->stream;
     attempt->text = g_string_new(NULL);
     connection->attempt = attempt;
-    connection->wrote = false;
-    connection->received_bytes = 0;
+    EbBackendConnection_StartCall(connection);
     g_hash_table_insert(client->attempts, &attempt->id, attempt);
     if (opened) {
         struct timeval limit =
@@ -550,6 +551,7 @@
                    DEFAULT_INACTIVITY_TIMEOUT_US);
     EB_SET_DEFAULT(resolved->max_header_bytes, DEFAULT_MAX_HEADER_BYTES);
     EB_SET_DEFAULT(resolved->max_body_bytes, DEFAULT_MAX_BODY_BYTES);
+    EB_SET_DEFAULT(resolved->max_buffered_bytes, DEFAULT_MAX_BUFFERED_BYTES);
     client->attempts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_attempt);
     client->connections = EbBackendConnections_New(resolved, on_overflow);
--- a/src/libebonyhollow_net/backend_connection.c
+++ b/src/libebonyhollow_net/backend_connection.c
@@ -16,6 +16,10 @@
 /* A body may come in chunks of one byte, each with six bytes in all. */
 #define MAX_BYTES_PER_BODY_BYTE 8
 
+/* A response of at most this size is accepted also while others take all of
+ * `max_buffered_bytes`. */
+#define SMALL_BYTES ((size_t)64 * 1024)
+
 typedef struct EbBackendServer {
     char *id;
     char *host;
@@ -30,6 +34,7 @@
     GHashTable *servers;     /* id -> Server */
     GHashTable *connections; /* set of EbBackendConnection */
     GQueue close_pending;    /* of EbBackendConnection */
+    size_t buffered_bytes;   /* of all connections */
     struct event *close_event;
     struct event *sweep_event;
 };
@@ -53,9 +58,33 @@
     }
 }
 
+static void
+drop_buffered_bytes(EbBackendConnection *connection)
+{
+    connection->pool->buffered_bytes -= connection->buffered_bytes;
+    connection->buffered_bytes = 0;
+}
+
+void
+EbBackendConnection_StartCall(EbBackendConnection *connection)
+{
+    drop_buffered_bytes(connection);
+    connection->wrote = false;
+    connection->streams = false;
+    connection->received_bytes = 0;
+}
+
+void
+EbBackendConnection_StartStream(EbBackendConnection *connection)
+{
+    drop_buffered_bytes(connection);
+    connection->streams = true;
+}
+
 void
 EbBackendConnection_Close(EbBackendConnection *connection)
 {
+    drop_buffered_bytes(connection);
     remove_from_idle(connection);
     connection->close_pending = true;
     connection->server->connections--;
@@ -71,6 +100,7 @@
         return;
     }
     remove_from_idle(connection);
+    drop_buffered_bytes(connection);
     connection->close_pending = true;
     connection->attempt = NULL;
     struct bufferevent *bufev =
@@ -138,9 +168,19 @@
     }
 }
 
+/* Returns whether the responses that are incomplete take more memory together
+ * than they may, and this one is not a small one. */
+static bool
+exceeds_buffered(const EbBackendConnection *connection)
+{
+    const EbBackendConnections *pool = connection->pool;
+    return connection->buffered_bytes > SMALL_BYTES &&
+           pool->buffered_bytes > pool->options->max_buffered_bytes;
+}
+
 /* evhttp limits the head and the body of a response, but neither what comes
  * between them, such as interim responses and chunk extensions, nor a line
- * that it waits for the end of. */
+ * that it waits for the end of, nor the responses of several connections. */
 static void
 on_input(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
          void *arg)
@@ -148,6 +188,10 @@
     EbBackendConnection *connection = arg;
     const EbBackendClientOptions *options = connection->pool->options;
     connection->received_bytes += info->n_added;
+    if (connection->attempt != NULL && !connection->streams) {
+        connection->buffered_bytes += info->n_added;
+        connection->pool->buffered_bytes += info->n_added;
+    }
     size_t max_unparsed_bytes =
         options->max_header_bytes + options->max_body_bytes;
     size_t max_received_bytes =
@@ -155,7 +199,8 @@
         MAX_BYTES_PER_BODY_BYTE * options->max_body_bytes;
     if (info->n_added > 0 && connection->attempt != NULL &&
         (evbuffer_get_length(buffer) > max_unparsed_bytes ||
-         connection->received_bytes > max_received_bytes)) {
+         connection->received_bytes > max_received_bytes ||
+         exceeds_buffered(connection))) {
         connection->pool->overflow(connection);
     }
 }
@@ -229,6 +274,7 @@
         EbBackendConnection_CloseLater(connection);
         return;
     }
+    drop_buffered_bytes(connection);
     connection->call_ended_us = EbClock_Monotonic();
     g_queue_push_head(&server->idle, connection);
     connection->idle_link = server->idle.head;
--- a/src/libebonyhollow_net/private/backend_connection.h
+++ b/src/libebonyhollow_net/private/backend_connection.h
@@ -21,6 +21,8 @@
     GList *idle_link; /* in the server's idle queue; NULL while not idle */
     bool wrote;       /* a byte of the current call was written */
     size_t received_bytes; /* in the current call */
+    size_t buffered_bytes; /* of them, those that are kept until its end */
+    bool streams;          /* what is received is parsed and not kept */
     bool closed;           /* evhttp closed the socket */
     bool close_pending;    /* freed in the next iteration of the event loop */
     int64_t call_ended_us;
@@ -50,6 +52,12 @@
 size_t EbBackendConnections_IdleCount(const EbBackendConnections *pool,
                                       const char *server_id);
 
+/* Prepares a connection for the bytes of a new call. */
+void EbBackendConnection_StartCall(EbBackendConnection *connection);
+
+/* States that the rest of the call's response is a stream. */
+void EbBackendConnection_StartStream(EbBackendConnection *connection);
+
 /* Makes a connection idle after its response was read completely, or closes
  * it if it can't be reused. */
 void EbBackendConnection_Release(EbBackendConnection *connection);
--- a/src/test_backend_client/main.c
+++ b/src/test_backend_client/main.c
@@ -13,6 +13,9 @@
 #include "test_runner.h"
 
 #define MAX_EVENTS 256
+#define MAX_BUFFERED_BYTES ((size_t)400000)
+#define ENDLESS_CALLS 12
+#define ENDLESS_PART_BYTES ((size_t)90000)
 #define STREAM_HEAD                                                           \
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"                  \
     "Transfer-Encoding: chunked\r\nEb-Request-Id: r-1\r\nEb-Stage: 2\r\n"     \
@@ -82,6 +85,7 @@
     fixture->client = EbBackendClient_New(
         &(EbBackendClientOptions){.base = fixture->base,
                                   .max_body_bytes = 100000,
+                                  .max_buffered_bytes = MAX_BUFFERED_BYTES,
                                   .idle_timeout_us = 200000,
                                   .event = on_event,
                                   .context = fixture});
@@ -558,6 +562,56 @@
     }
 }
 
+/* Sends a body that never ends to all calls but the last, which gets a whole
+ * answer. */
+static void
+send_endless_bodies(RawPeer *peer, const char *request)
+{
+    Fixture *fixture = peer->server->context;
+    (void)request;
+    if (fixture->server->requests > ENDLESS_CALLS) {
+        RawPeer_Send(peer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+        return;
+    }
+    char *part = g_strnfill(ENDLESS_PART_BYTES, 'a');
+    RawPeer_Send(peer, "HTTP/1.1 200 OK\r\n\r\n");
+    RawPeer_Send(peer, part);
+    g_free(part);
+}
+
+/* Returns whether so many calls have failed that the bodies of the others fit
+ * within the common limit. Each body alone stays below its own. */
+static bool
+are_bodies_limited(void *context)
+{
+    const Fixture *fixture = context;
+    return (ENDLESS_CALLS - fixture->ends) * ENDLESS_PART_BYTES <=
+           MAX_BUFFERED_BYTES;
+}
+
+/* Guards against bodies without end that take the memory of the process
+ * together although each is below its own limit, against small answers that
+ * fail beside them, and against counting what is no longer kept. */
+static void
+test_endless_bodies(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, send_endless_bodies);
+    for (uint64_t id = 1; id <= ENDLESS_CALLS; id++) {
+        send_call(&fixture, id, fixture.server->port, false, true);
+    }
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, are_bodies_limited, &fixture));
+    for (uint64_t id = 1; id <= 40; id++) {
+        fixture.wanted_ends = fixture.ends + 1;
+        send_call(&fixture, ENDLESS_CALLS + id, fixture.server->port, false,
+                  false);
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_ends, &fixture));
+        CU_ASSERT_EQUAL(fixture.seen[fixture.seen_count - 1].kind,
+                        EB_ATTEMPT_ANSWERED);
+    }
+    close_fixture(&fixture);
+}
+
 int
 main(void)
 {
@@ -572,6 +626,7 @@
         {"silent and cancel", test_silent_and_cancel},
         {"pause", test_pause},
         {"endless responses", test_endless_responses},
+        {"endless bodies", test_endless_bodies},
     };
     return EbTest_Run("test_backend_client", cases,
                       sizeof(cases) / sizeof(cases[0]));
