test_forward_net, test_backend_client: responses that are cut at every byte

Report of other operators: a server stopped in the middle of its answer's head and closed, and clients got 200 with an empty or short body. Not so here: both clients begin an answer only with a whole head, and take one with a length or chunks for whole only at its end.

The tests send each of eleven responses cut at every byte and close. They passed at once. That "client cut responses" can fail was shown with a reader that takes the end of the connection for the end of any message: the program failed in "reader" and "client responses" and ended in "client cut responses".

--- a/src/test_backend_client/main.c
+++ b/src/test_backend_client/main.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <sys/socket.h>
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -392,6 +394,58 @@
     g_string_free(long_line, TRUE);
 }
 
+static void
+send_cut_response(RawPeer *peer, const char *request)
+{
+    (void)request;
+    /* Sent directly, because closing discards buffered output. */
+    ssize_t sent = send(bufferevent_getfd(peer->bufev), scripted_response,
+                        strlen(scripted_response), 0);
+    CU_ASSERT_EQUAL(sent, (ssize_t)strlen(scripted_response));
+    RawPeer_Close(peer, false);
+}
+
+/* Guards against a response whose head or body was cut off at any byte and
+ * that counts as whole. */
+static void
+test_cut_responses(void)
+{
+    static const struct {
+        const char *response;
+        bool stream;
+    } rows[] = {
+        {"HTTP/1.1 200 OK\r\nEb-Load: 3/4\r\nContent-Length: 2\r\n\r\n{}",
+         false},
+        {CHUNKED_HEAD "2\r\n{}\r\n0\r\n\r\n", false},
+        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+         "Content-Length: 2\r\n\r\n{}",
+         false},
+        {STREAM_HEAD "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n", true},
+    };
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        /* A stream is whole with its last event. */
+        const char *last = strstr(rows[i].response, "[DONE]\n");
+        size_t whole_bytes = last != NULL ? (size_t)(last - rows[i].response) +
+                                                strlen("[DONE]\n")
+                                          : strlen(rows[i].response);
+        for (size_t length = 0; length < whole_bytes; length++) {
+            char *response = g_strndup(rows[i].response, length);
+            scripted_response = response;
+            Fixture fixture;
+            open_fixture(&fixture, send_cut_response);
+            EbAttemptEventKind kind = run_call(&fixture, 1, rows[i].stream);
+            if (kind == EB_ATTEMPT_ANSWERED || kind == EB_ATTEMPT_ENDED) {
+                printf("row %zu, %zu bytes: kind %d, status %u\n", i, length,
+                       (int)kind, fixture.seen[0].status);
+            }
+            CU_ASSERT_NOT_EQUAL(kind, EB_ATTEMPT_ANSWERED);
+            CU_ASSERT_NOT_EQUAL(kind, EB_ATTEMPT_ENDED);
+            close_fixture(&fixture);
+            g_free(response);
+        }
+    }
+}
+
 /* Guards against calls that are blocked because another server does not
  * respond, and against events for cancelled calls. */
 static void
@@ -623,6 +677,7 @@
         {"connection close", test_connection_close},
         {"stream split", test_stream_split},
         {"bad responses", test_bad_responses},
+        {"cut responses", test_cut_responses},
         {"silent and cancel", test_silent_and_cancel},
         {"pause", test_pause},
         {"endless responses", test_endless_responses},
--- a/src/test_forward_net/client.c
+++ b/src/test_forward_net/client.c
@@ -217,6 +217,67 @@
     }
 }
 
+typedef struct {
+    const char *response;
+    bool stream;
+    const char *open_ended; /* where an unframed body begins, or NULL */
+} CutRow;
+
+/* Returns whether the first `length` bytes of a response are a whole one when
+ * the connection ends behind them. */
+static bool
+is_whole(const CutRow *row, size_t length)
+{
+    if (row->open_ended == NULL) {
+        return length == strlen(row->response);
+    }
+    size_t head_bytes =
+        (size_t)(strstr(row->response, row->open_ended) - row->response);
+    bool in_event = row->stream && length > head_bytes &&
+                    strncmp(row->response + length - 2, "\n\n", 2) != 0;
+    return length >= head_bytes && !in_event;
+}
+
+/* Guards against a response whose head or body was cut off at any byte and
+ * that counts as whole, so that its caller gets a success with an empty or
+ * short body. */
+void
+test_client_cut_responses(void)
+{
+    static const CutRow rows[] = {
+        {HEAD "Content-Length: 2\r\n\r\nab", false, NULL},
+        {HEAD "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", false,
+         NULL},
+        {"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" HEAD
+         "Content-Length: 2\r\n\r\nab",
+         false, NULL},
+        {"HTTP/1.1 200 OK\n" ID ": r-1\nContent-Length: 2\n\nab", false, NULL},
+        {STREAM_HEAD "7\r\nid: 1\n\n\r\n0\r\n\r\n", true, NULL},
+        {HEAD "X: a\r\n\r\nabc", false, "abc"},
+        {UNFRAMED_STREAM_HEAD "id: 1\n\nid: 2\n\n", true, "id: 1\n"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        for (size_t length = 0; length <= strlen(rows[i].response); length++) {
+            char *response = g_strndup(rows[i].response, length);
+            ClientFixture fixture;
+            open_client(&fixture);
+            fixture.response = response;
+            fixture.closes = true;
+            send_call(&fixture, 1, fixture.server->port, rows[i].stream);
+            CU_ASSERT_TRUE(Loop_Until(fixture.base, has_ended, &fixture));
+            bool whole = fixture.last_kind == EB_ATTEMPT_ANSWERED ||
+                         fixture.last_kind == EB_ATTEMPT_ENDED;
+            if (whole != is_whole(&rows[i], length)) {
+                printf("row %zu, %zu bytes: kind %s\n", i, length,
+                       EbAttemptEventKind_names[fixture.last_kind]);
+            }
+            CU_ASSERT_EQUAL(whole, is_whole(&rows[i], length));
+            close_client(&fixture);
+            g_free(response);
+        }
+    }
+}
+
 /* Answers the first request twice: the second copy comes late, when the next
  * request has arrived on the same connection, and before its own answer. */
 static void
--- a/src/test_forward_net/forward_net.h
+++ b/src/test_forward_net/forward_net.h
@@ -20,6 +20,7 @@
 /* client.c: EbForwardClient */
 
 void test_client_responses(void);
+void test_client_cut_responses(void);
 void test_client_late_copy(void);
 void test_client_endless_late_body(void);
 void test_client_endless_stream(void);
--- a/src/test_forward_net/main.c
+++ b/src/test_forward_net/main.c
@@ -15,6 +15,7 @@
         {"small chunks", test_small_chunks},
         {"event splitter", test_event_splitter},
         {"client responses", test_client_responses},
+        {"client cut responses", test_client_cut_responses},
         {"client late copy", test_client_late_copy},
         {"client endless late body", test_client_endless_late_body},
         {"client endless stream", test_client_endless_stream},
