dispatcher: no call begins shortly before the end of a drain

Report of other operators: in a planned stop, requests that came late in the grace were taken and passed on, and cut at its end, among them requests that may not be repeated.

Here a draining daemon refuses new requests with 503. But one that it had taken before and that waited for a server was sent when a slot became free, up to the moment at which all remaining requests are ended; its caller then got 502 instead of a refusal as not run.

Change: while a daemon drains, the end of the drain limits requests in its queues as their deadlines do, so that they are refused (shutdown, 503, not run) as soon as their call would probably not end before.

--- a/include/requests/ebonyhollow/dispatcher.h
+++ b/include/requests/ebonyhollow/dispatcher.h
@@ -244,8 +244,11 @@
  * INT64_MAX. */
 int64_t EbDispatcher_NextTimer(const EbDispatcher *dispatcher);
 
-/* Starts a drain: new requests are refused, live ones continue. */
-void EbDispatcher_Drain(EbDispatcher *dispatcher, int64_t now_us);
+/* Starts a drain: new requests are refused, live ones continue. At `end_us`
+ * the caller will call EbDispatcher_Abort. A request that waits is refused as
+ * soon as its call, if it began then, would probably not end before. */
+void EbDispatcher_Drain(EbDispatcher *dispatcher, int64_t end_us,
+                        int64_t now_us);
 
 /* Ends every live request now. Each is answered with the outcome that is true
  * at this time. New requests are refused. */
--- a/src/libebonyhollow/requests/dispatcher.c
+++ b/src/libebonyhollow/requests/dispatcher.c
@@ -90,6 +90,7 @@
     assert(options->quarantine != NULL && options->metrics != NULL);
     assert(options->directives != NULL);
     EbDispatcher *dispatcher = g_new0(EbDispatcher, 1);
+    dispatcher->drain_end_us = INT64_MAX;
     dispatcher->options = *options;
     dispatcher->daemon_count = 1;
     if (options->max_requests == 0) {
@@ -467,14 +468,32 @@
 
 /* Shutdown */
 
+/* Puts waiting requests into their queues again, now with the end of the drain
+ * as their limit. */
+static void
+requeue_waiting(EbDispatcher *dispatcher, int64_t now_us)
+{
+    GList *requests = g_hash_table_get_values(dispatcher->requests);
+    for (GList *item = requests; item != NULL; item = item->next) {
+        EbRequest *request = item->data;
+        if (request->waiting) {
+            EbQueue_Remove(request->pools[request->stage]->queue, request->id);
+            request->waiting = false;
+            EbRequest_Enqueue(request, now_us);
+        }
+    }
+    g_list_free(requests);
+}
+
 void
-EbDispatcher_Drain(EbDispatcher *dispatcher, int64_t now_us)
+EbDispatcher_Drain(EbDispatcher *dispatcher, int64_t end_us, int64_t now_us)
 {
-    (void)now_us;
     if (dispatcher->draining) {
         return;
     }
     dispatcher->draining = true;
+    dispatcher->drain_end_us = end_us;
+    requeue_waiting(dispatcher, now_us);
     EB_EMIT(
         dispatcher->options.events, EB_EVENT_DRAIN_STARTED,
         EB_STRING_FIELD("instance", dispatcher->instance),
--- a/src/libebonyhollow/requests/dispatcher_stage.c
+++ b/src/libebonyhollow/requests/dispatcher_stage.c
@@ -115,7 +115,8 @@
         .customer = request->customer->id,
         .weight = MAX(request->customer->contract.weight, 1),
         .cost = stage_cost(request),
-        .deadline_us = request->deadline_us,
+        .deadline_us =
+            MIN(request->deadline_us, request->dispatcher->drain_end_us),
         .needed_us = plain ? 0 : predict_remaining(request, now_us),
     };
     if (!EbQueue_Push(pool->queue, &entry, now_us)) {
@@ -352,7 +353,10 @@
             g_hash_table_lookup(dispatcher->requests, &entry.id);
         assert(request != NULL && request->waiting);
         request->waiting = false;
-        EbRequest_Fail(request, EB_REASON_DEADLINE_INFEASIBLE, NULL, now_us);
+        EbReason reason = request->deadline_us > dispatcher->drain_end_us
+                              ? EB_REASON_SHUTDOWN
+                              : EB_REASON_DEADLINE_INFEASIBLE;
+        EbRequest_Fail(request, reason, NULL, now_us);
     }
     while (EbPool_HasFreeSlot(pool->pool, now_us) &&
            EbQueue_Pop(pool->queue, now_us, &entry)) {
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -237,6 +237,7 @@
     int64_t pool_tick_us;  /* next time to call EbPool_Tick */
     int64_t now_us; /* for EbRequest_AcceptsServer, a callback without time */
     bool draining;
+    int64_t drain_end_us; /* when live requests are ended, or INT64_MAX */
 };
 
 /* Makes EbDispatcher_RunPending set the timer of a request again. */
--- a/src/libebonyhollow_net/daemon_drain.c
+++ b/src/libebonyhollow_net/daemon_drain.c
@@ -28,7 +28,7 @@
     else {
         EbCallerServer_StopAccepting(daemon->caller_server);
     }
-    EbDispatcher_Drain(daemon->dispatcher, now_us);
+    EbDispatcher_Drain(daemon->dispatcher, daemon->drain_state_end_us, now_us);
 }
 
 static void
--- a/src/test_fault_matrix/sequences.c
+++ b/src/test_fault_matrix/sequences.c
@@ -77,7 +77,7 @@
         Simulation_Kill(simulation, index);
         break;
     case 1:
-        EbDispatcher_Drain(daemon->dispatcher, simulation->now_us);
+        EbDispatcher_Drain(daemon->dispatcher, INT64_MAX, simulation->now_us);
         EbDispatcher_Abort(daemon->dispatcher, simulation->now_us);
         Simulation_RunActions(simulation, index);
         Simulation_Kill(simulation, index);
--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -154,6 +154,41 @@
     }
 }
 
+/* Guards against a request that is sent shortly before the end of a drain, and
+ * is cut then although it may not be repeated, instead of being refused as not
+ * run, and against taking new requests in a drain. */
+static void
+test_drain(void)
+{
+    Fixture fixture;
+    Fixture_Open(&fixture);
+    unsigned submitted = 0;
+    while (submitted == fixture.send_count) {
+        Fixture_Submit(&fixture, "/pay/x", TOKEN);
+        submitted++;
+    }
+    unsigned sent = fixture.send_count; /* all slots; the last one waits */
+    int64_t end_us = fixture.now_us + 2 * SECOND_US;
+    EbDispatcher_Drain(fixture.dispatcher, end_us, fixture.now_us);
+    Fixture_Advance(&fixture, SECOND_US);
+    CU_ASSERT_FALSE(fixture.answered);
+    Fixture_Advance(&fixture, end_us - fixture.now_us - SECOND_US / 100);
+    CU_ASSERT_TRUE(fixture.answered);
+    CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_NOT_RUN);
+    CU_ASSERT_EQUAL(fixture.reason, EB_REASON_SHUTDOWN);
+    fixture.answered = false;
+    Fixture_SendEvent(&fixture,
+                      &(Event){.kind = EB_ATTEMPT_ANSWERED, .status = 200});
+    CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_DONE);
+    CU_ASSERT_EQUAL(fixture.send_count, sent);
+    fixture.answered = false;
+    Fixture_Submit(&fixture, "/pay/x", TOKEN);
+    CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_NOT_RUN);
+    CU_ASSERT_EQUAL(fixture.reason, EB_REASON_DRAINING);
+    CU_ASSERT_EQUAL(fixture.send_count, sent);
+    Fixture_Close(&fixture);
+}
+
 typedef struct {
     const char *name;
     const char *path;
@@ -554,6 +589,7 @@
         {"single broken call", test_single_broken_call},
         {"refusals", test_refusals},
         {"callers", test_callers},
+        {"drain", test_drain},
         {"first attempt", test_first_attempt},
         {"max attempts", test_max_attempts},
         {"resume", test_resume},
--- a/src/test_simulation/simulation_fault.c
+++ b/src/test_simulation/simulation_fault.c
@@ -135,7 +135,7 @@
         }
         break;
     case FAULT_DRAIN:
-        EbDispatcher_Drain(daemon->dispatcher, simulation->now_us);
+        EbDispatcher_Drain(daemon->dispatcher, INT64_MAX, simulation->now_us);
         break;
     case FAULT_ABORT:
         EbDispatcher_Abort(daemon->dispatcher, simulation->now_us);
