--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -525,6 +525,33 @@
     EbSettings_Free(settings);
 }
 
+/* Guards against a grace time that is spent on waiting for the load balancer,
+ * after which requests that were taken meanwhile are ended at once, and
+ * against a drain that exceeds it. */
+static void
+test_grace_times(void)
+{
+    static const unsigned grace_s[] = {1, 2, 3, 5, 8, 30};
+    for (size_t i = 0; i < G_N_ELEMENTS(grace_s); i++) {
+        char *grace = g_strdup_printf("grace_s: %u\n", grace_s[i]);
+        char **parts = g_strsplit(node_text, "grace_s: 8\n", 2);
+        char *text = g_strjoinv(grace, parts);
+        EbError error = {0};
+        EbSettings *settings = load_settings(text, &error);
+        CU_ASSERT_PTR_NOT_NULL(settings);
+        if (settings != NULL) {
+            int64_t grace_us = INT64_C(1000000) * grace_s[i];
+            int64_t drain_us = settings->drain_limit_us;
+            CU_ASSERT_TRUE(settings->balancer_delay_us + drain_us < grace_us);
+            CU_ASSERT_TRUE(drain_us >= grace_us / 3);
+        }
+        EbSettings_Free(settings);
+        g_free(text);
+        g_strfreev(parts);
+        g_free(grace);
+    }
+}
+
 /* Guards against starting a daemon with invalid settings. */
 static void
 test_invalid_settings(void)
@@ -607,6 +634,7 @@
         {"store", test_store},
         {"store responses", test_store_responses},
         {"settings", test_settings},
+        {"grace times", test_grace_times},
         {"invalid settings", test_invalid_settings},
     };
     return EbTest_Run("test_platform", cases, G_N_ELEMENTS(cases));
