dispatcher: no attempt is started for a caller that has left

Cause: retry() did not look whether a detached request has a caller. Of the two paths to it that a non-idempotent call can take, only that of a refused connection checked it.

Change: retry() checks it, for every path.

--- a/src/libebonyhollow/requests/dispatcher_attempt.c
+++ b/src/libebonyhollow/requests/dispatcher_attempt.c
@@ -66,11 +66,18 @@
     return EbRetryBudget_Take(budget) || request->token_count > 0;
 }
 
+/* Starts another attempt of the stage after a while, or fails the request.
+ * Without a caller none is started: a detached request only waits for the
+ * outcome of the call that it has sent. */
 static void
 retry(EbRequest *request, EbCallResult result, int64_t now_us)
 {
     EbReason reason = result == EB_CALL_REFUSED ? EB_REASON_NO_BACKEND_SERVER
                                                 : EB_REASON_BACKEND_FAILED;
+    if (request->answered) {
+        EbRequest_Fail(request, reason, NULL, now_us);
+        return;
+    }
     EbReason quarantine = EbRequest_CheckQuarantine(request, now_us);
     request->failures++;
     request->deferrals = 0;
@@ -132,12 +139,7 @@
         EbAttempt_Cancel(request->attempts[0], now_us);
     }
     request->retry_at_us = 0;
-    if (request->answered) {
-        EbRequest_Fail(request, EB_REASON_NO_BACKEND_SERVER, NULL, now_us);
-    }
-    else {
-        retry(request, EB_CALL_REFUSED, now_us);
-    }
+    retry(request, EB_CALL_REFUSED, now_us);
 }
 
 static void
--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -189,6 +189,44 @@
     Fixture_Close(&fixture);
 }
 
+/* Guards against another attempt, which places an order, for a caller who has
+ * left, after a server stated that it didn't run the call. */
+static void
+test_detached(void)
+{
+    static const struct {
+        const char *path;
+        Event end; /* of the call that was in progress */
+    } rows[] = {
+        {"/pay/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 503, .not_run = true}},
+        {"/pay/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 421, .not_run = true}},
+        {"/pay/x", {.kind = EB_ATTEMPT_REFUSED}},
+        {"/pay/x", {.kind = EB_ATTEMPT_BROKEN}},
+        {"/pay/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 200}},
+        {"/read/x", {.kind = EB_ATTEMPT_BROKEN}},
+        {"/once/x", {.kind = EB_ATTEMPT_BROKEN}},
+        {"/resumable/x", {.kind = EB_ATTEMPT_BROKEN}},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Fixture fixture;
+        Fixture_Open(&fixture);
+        uint64_t id = Fixture_Submit(&fixture, rows[i].path, TOKEN);
+        CU_ASSERT_EQUAL_FATAL(fixture.send_count, 1);
+        EbDispatcher_CallerGone(fixture.dispatcher, id, fixture.now_us);
+        Fixture_ProcessActions(&fixture);
+        if (fixture.cancel_count == 0) {
+            Fixture_SendEvent(&fixture, &rows[i].end);
+        }
+        Fixture_Advance(&fixture, 7 * SECOND_US);
+        CU_ASSERT_EQUAL(fixture.send_count, 1);
+        CU_ASSERT_FALSE(fixture.answered);
+        CU_ASSERT_EQUAL(EbDispatcher_LiveCount(fixture.dispatcher), 0);
+        Fixture_Close(&fixture);
+    }
+}
+
 typedef struct {
     const char *name;
     const char *path;
@@ -590,6 +628,7 @@
         {"refusals", test_refusals},
         {"callers", test_callers},
         {"drain", test_drain},
+        {"detached", test_detached},
         {"first attempt", test_first_attempt},
         {"max attempts", test_max_attempts},
         {"resume", test_resume},
