--- a/src/test_platform/config.c
+++ b/src/test_platform/config.c
@@ -1,5 +1,6 @@
 /* Tests of configurations that operators may write: names in any order, routes
  * with many stages. */
+#include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
@@ -296,3 +297,38 @@
         g_string_free(text, TRUE);
     }
 }
+
+/* Guards against 401 for callers of a configuration that asks for no keys, and
+ * against serving callers without a key because its list of tenants is empty.
+ */
+void
+test_missing_tenants(void)
+{
+    static const struct {
+        const char *tenants; /* JSON; NULL: the field is missing */
+        bool anonymous;
+    } rows[] = {
+        {NULL, true},
+        {"null", true},
+        {"[]", false},
+        {"[{\"name\":\"c\",\"api_keys\":[]}]", false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        char *text = write_reversed_chain(1);
+        json_t *value = json_loads(text, 0, NULL);
+        g_free(text);
+        if (rows[i].tenants != NULL) {
+            json_object_set_new(
+                value, "tenants",
+                json_loads(rows[i].tenants, JSON_DECODE_ANY, NULL));
+        }
+        text = json_dumps(value, 0);
+        EbConfig *config = read_text(text);
+        CU_ASSERT_EQUAL(config->pipelines[0].forward->anonymous,
+                        rows[i].anonymous);
+        CU_ASSERT_PTR_NOT_NULL(EbConfig_AnonymousCustomer(config));
+        EbConfig_Unref(config);
+        json_decref(value);
+        free(text);
+    }
+}
--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -623,6 +623,7 @@
         {"config defects", test_config_defects},
         {"names in any order", test_name_order},
         {"customer ids", test_customer_ids},
+        {"missing tenants", test_missing_tenants},
         {"many stages", test_many_stages},
         {"many counts", test_many_counts},
         {"servers", test_servers},
--- a/src/test_platform/test_platform.h
+++ b/src/test_platform/test_platform.h
@@ -8,6 +8,7 @@
 void test_config_defects(void);
 void test_name_order(void);
 void test_customer_ids(void);
+void test_missing_tenants(void);
 void test_many_stages(void);
 void test_many_counts(void);
 
