--- a/src/test_dispatcher/main.c
+++ b/src/test_dispatcher/main.c
@@ -374,7 +374,8 @@
     }
     simulation->config_options.servers = 1;
     Simulation_ChangeConfig(simulation);
-    EbDispatcher_Drain(simulation->daemons[0].dispatcher, INT64_MAX, simulation->now_us);
+    EbDispatcher_Drain(simulation->daemons[0].dispatcher, INT64_MAX,
+                       simulation->now_us);
     SimulationRequest *late = submit(simulation, "ask", NULL);
     CU_ASSERT_EQUAL(late->reason, EB_REASON_DRAINING);
     finish(simulation);
