--- a/test/process/test_soak.sh
+++ b/test/process/test_soak.sh
@@ -7,7 +7,7 @@
 # - 834, within 15 s: SIGTERM reached a daemon before it handled signals.
 #
 # Seeds with a + have the extended faults: stores that return from older copies,
-# and servers that name limits.
+# servers that name limits, and configurations of unusual form.
 #
 # Usage: test/process/test_soak.sh BUILD-DIRECTORY
 #            [SECONDS [SEED[+][:SECONDS]...]]
--- a/test/soak/callers.c
+++ b/test/soak/callers.c
@@ -16,10 +16,16 @@
 #define ABANDON_ONE_IN 25 /* requests */
 
 const char *const Route_prefixes[ROUTE_COUNT] = {
-    [ROUTE_READ] = "/read/",
-    [ROUTE_ORDER] = "/order/",
-    [ROUTE_DRAFT] = "/draft/",
-    [ROUTE_ANSWER] = "/answer/",
+    [ROUTE_READ] = "/read/",   [ROUTE_ORDER] = "/order/",
+    [ROUTE_DRAFT] = "/draft/", [ROUTE_ANSWER] = "/answer/",
+    [ROUTE_OPEN] = "/open/",   [ROUTE_CHAIN] = "/chain/",
+};
+
+/* Values of Pieces; NULL: the route has no stages. */
+static const char *const piece_counts[ROUTE_COUNT] = {
+    [ROUTE_DRAFT] = "1,2",
+    [ROUTE_ANSWER] = "1,2",
+    [ROUTE_CHAIN] = "1,1,2,1,1,1,1,1,1,1",
 };
 
 typedef struct {
@@ -49,7 +55,8 @@
 static bool
 is_complete(const Caller *caller, const char *body)
 {
-    if (caller->route == ROUTE_READ || caller->route == ROUTE_ORDER) {
+    if (caller->route == ROUTE_READ || caller->route == ROUTE_ORDER ||
+        caller->route == ROUTE_OPEN) {
         char *expected = Soak_Body(caller->id);
         bool equal = strcmp(body, expected) == 0;
         g_free(expected);
@@ -194,7 +201,8 @@
     Soak *soak = caller->soak;
     caller->daemon =
         (uint32_t)EbRandom_Below(&soak->caller_random, soak->daemon_count);
-    caller->route = (Route)EbRandom_Below(&soak->caller_random, ROUTE_COUNT);
+    caller->route = (Route)EbRandom_Below(
+        &soak->caller_random, soak->extended ? ROUTE_COUNT : ROUTE_OPEN);
     caller->id = g_strdup_printf("r%08u", (unsigned)++soak->next_request);
     caller->sent_us = Soak_Now();
     caller->after_faults = caller->sent_us >= soak->recovered_us;
@@ -219,9 +227,13 @@
     evhttp_add_header(headers, "Host", "h");
     evhttp_add_header(headers, "Attempt-Id", caller->id);
     evhttp_add_header(headers, "Deadline-Ms", deadline);
-    evhttp_add_header(headers, "Authorization", "Bearer " SOAK_KEY);
-    evhttp_add_header(headers, "Pieces", "1,2");
-    evhttp_add_header(headers, "Piece-Key", caller->id);
+    if (caller->route != ROUTE_OPEN) {
+        evhttp_add_header(headers, "Authorization", "Bearer " SOAK_KEY);
+    }
+    if (piece_counts[caller->route] != NULL) {
+        evhttp_add_header(headers, "Pieces", piece_counts[caller->route]);
+        evhttp_add_header(headers, "Piece-Key", caller->id);
+    }
     evbuffer_add_printf(evhttp_request_get_output_buffer(request), "%s",
                         caller->id);
     char *path =
--- a/test/soak/emulator_servers.c
+++ b/test/soak/emulator_servers.c
@@ -228,7 +228,7 @@
         const char *id = json_string_value(json_object_get(item, "id"));
         json_int_t stage = json_integer_value(json_object_get(item, "stage"));
         json_t *inputs = json_object_get(item, "inputs");
-        if (stage == 1) {
+        if (stage == 1 || inputs != NULL) {
             check_inputs(server, id,
                          json_string_value(json_array_get(inputs, 0)));
         }
@@ -301,16 +301,19 @@
     work->request = request;
     work->id = g_strdup(id);
     work->stream = g_str_has_prefix(path, "/draft/") ||
-                   g_str_has_prefix(path, "/answer/");
+                   g_str_has_prefix(path, "/answer/") ||
+                   g_str_has_prefix(path, "/chain/");
     work->next_event_id =
         after != NULL ? g_ascii_strtoll(after, NULL, 10) + 1 : 0;
     work->timer = evtimer_new(server->soak->base, on_work_timer, work);
     if (work->stream) {
         check_inputs(server, id, Emulator_Header(request, "Inputs"));
     }
+    const char *tenant = g_str_has_prefix(path, "/open/") ? NULL : SOAK_TENANT;
     if (Emulator_Header(request, "Authorization") != NULL ||
-        g_strcmp0(Emulator_Header(request, "Tenant"), "c-1") != 0) {
-        Soak_Violation(server->soak, "the caller's API key is not passed on",
+        g_strcmp0(Emulator_Header(request, "Tenant"), tenant) != 0) {
+        Soak_Violation(server->soak,
+                       "the caller's API key is not passed on, but its tenant",
                        id, server->id);
     }
     record_run(work);
--- a/test/soak/emulator_store.c
+++ b/test/soak/emulator_store.c
@@ -253,6 +253,78 @@
     g_strfreev(parts);
 }
 
+/* Returns a route whose stages form a chain that is listed backwards. */
+static json_t *
+make_chain_route(void)
+{
+    json_t *stages = json_array();
+    for (int i = 0; i < SOAK_CHAIN_STAGES; i++) {
+        json_t *after = json_array();
+        if (i + 1 < SOAK_CHAIN_STAGES) {
+            json_array_append_new(after, json_integer(i + 1));
+        }
+        json_array_append_new(stages,
+                              json_pack("{s:s, s:o, s:i}", "service", "encode",
+                                        "after", after, "byte_count", 1000));
+    }
+    return json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:s, s:i, s:b, s:o}",
+                     "name", "chain", "host", "h", "path_prefix", "/chain/",
+                     "route_kind", "streaming", "timeout_ms", 3000, "goal_ms",
+                     900, "service", "model", "max_attempts", 3, "resumable",
+                     1, "stages", stages);
+}
+
+/* Puts an entry at a random place of a list, which it takes over. */
+static void
+insert_anywhere(json_t *list, json_t *entry, EbRandom *random)
+{
+    json_array_insert_new(
+        list, EbRandom_Below(random, json_array_size(list) + 1), entry);
+}
+
+/* Adds routes of unusual form and, in some versions, entries that nobody uses:
+ * tenants whose names sort before others or are words of the product, and
+ * parts that can't be used. None of them may affect a request. */
+static void
+extend_config(json_t *config, uint64_t version)
+{
+    static const char open_route[] =
+        "{\"name\":\"open\",\"host\":\"h\",\"path_prefix\":\"/open/\","
+        "\"route_kind\":\"idempotent\",\"timeout_ms\":3000,\"goal_ms\":300,"
+        "\"service\":\"orders\",\"max_attempts\":3,\"anonymous\":true}";
+    static const struct {
+        const char *list;
+        const char *entry;
+    } extras[] = {
+        {"tenants", "{\"name\":\"anonymous\",\"api_keys\":[\"k-1\"]}"},
+        {"tenants", "{\"name\":\"7-inch\",\"api_keys\":[\"k-2\"]}"},
+        {"tenants", "{\"name\":\"c-1\",\"api_keys\":[\"k-3\"]}"},
+        {"tenants", "{\"api_keys\":[\"k-4\"]}"},
+        {"services", "{\"name\":\"orders\"}"},
+        {"services", "{\"name\":\"Empty\"}"},
+        {"routes", "{\"name\":\"no-service\",\"host\":\"h\","
+                   "\"path_prefix\":\"/read/none/\",\"route_kind\":"
+                   "\"idempotent\",\"timeout_ms\":3000,"
+                   "\"service\":\"none\"}"},
+        {"routes", "{\"name\":\"cycle\",\"host\":\"h\","
+                   "\"path_prefix\":\"/cycle/\",\"route_kind\":"
+                   "\"idempotent\",\"timeout_ms\":3000,"
+                   "\"service\":\"orders\",\"stages\":"
+                   "[{\"service\":\"encode\",\"after\":[0]}]}"},
+    };
+    EbRandom random;
+    EbRandom_Init(&random, version);
+    json_t *routes = json_object_get(config, "routes");
+    insert_anywhere(routes, json_loads(open_route, 0, NULL), &random);
+    insert_anywhere(routes, make_chain_route(), &random);
+    for (size_t i = 0; i < G_N_ELEMENTS(extras); i++) {
+        if (EbRandom_Below(&random, 2) == 0) {
+            insert_anywhere(json_object_get(config, extras[i].list),
+                            json_loads(extras[i].entry, 0, NULL), &random);
+        }
+    }
+}
+
 static void
 write_config(Soak *soak)
 {
@@ -279,13 +351,15 @@
         "{\"name\":\"orders\"},{\"name\":\"encode\",\"pieces\":{\"slots\":1,"
         "\"queue\":2,\"batch\":8,\"call_ms\":20,\"item_ms\":1,"
         "\"headroom_mb\":4,\"handle_s\":4}}]";
-    Store_Put(soak, "config", "main",
-              json_pack("{s:I, s:o, s:o, s:[{s:s, s:[s]}]}", "version",
-                        (json_int_t)soak->config_version, "routes",
-                        json_loads(routes, 0, NULL), "services",
-                        json_loads(services, 0, NULL), "tenants", "name",
-                        "c-1", "api_keys", SOAK_KEY),
-              false);
+    json_t *config = json_pack("{s:I, s:o, s:o, s:[{s:s, s:[s]}]}", "version",
+                               (json_int_t)soak->config_version, "routes",
+                               json_loads(routes, 0, NULL), "services",
+                               json_loads(services, 0, NULL), "tenants",
+                               "name", SOAK_TENANT, "api_keys", SOAK_KEY);
+    if (soak->extended) {
+        extend_config(config, soak->config_version);
+    }
+    Store_Put(soak, "config", "main", config, false);
 }
 
 void
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -255,7 +255,8 @@
     "Runs daemons between callers and an emulated platform, injects faults\n"
     "for the given number of seconds and checks the guarantees. The daemons\n"
     "write their logs to DIR. With --extended the store also returns from\n"
-    "older copies, and servers name limits. The exit status is 0 if no\n"
+    "older copies, servers name limits, and configurations have routes and\n"
+    "entries of unusual form. The exit status is 0 if no\n"
     "guarantee was violated.\n";
 
 static const struct option long_options[] = {
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -21,15 +21,20 @@
 #define SOAK_DEADLINE_MS 3000
 #define SOAK_HOST "127.0.0.1"
 #define SOAK_KEY "caller-key"
+#define SOAK_TENANT "c-1"
 
 typedef enum {
     ROUTE_READ,   /* idempotent */
     ROUTE_ORDER,  /* non-idempotent */
     ROUTE_DRAFT,  /* resumable stream with one preparation stage */
     ROUTE_ANSWER, /* stream that can't be resumed, with two stages */
+    ROUTE_OPEN,   /* idempotent, without a key; extended only */
+    ROUTE_CHAIN,  /* resumable stream with a chain of stages; extended only */
     ROUTE_COUNT
 } Route;
 
+#define SOAK_CHAIN_STAGES 10
+
 extern const char *const Route_prefixes[ROUTE_COUNT];
 
 /* Fault of a backend server. */
