--- a/src/test_forward/forward.h
+++ b/src/test_forward/forward.h
@@ -83,6 +83,13 @@
 /* Passes an event of the latest attempt to the dispatcher. */
 void Fixture_SendEvent(Fixture *fixture, const Event *event);
 
+/* admission.c */
+
+void test_refusals(void);
+void test_callers(void);
+void test_drain(void);
+void test_detached(void);
+
 /* preparations.c */
 
 void test_preparations(void);
--- a/src/test_platform/config.c
+++ b/src/test_platform/config.c
@@ -1,7 +1,6 @@
-/* Tests of configurations that operators may write: names in any order, routes
- * with many stages. */
+/* Tests of the operator's configuration: its translation, and what operators
+ * may write that no site uses, such as names in any order. */
 #include <stdlib.h>
-#include <string.h>
 
 #include <glib.h>
 
@@ -9,6 +8,109 @@
 #include "test_platform.h"
 #include "test_runner.h"
 
+static const char config_text[] =
+    "{\"version\":7,\"routes\":[{\"name\":\"draft\",\"host\":\"H.example\","
+    "\"path_prefix\":\"/d/\",\"route_kind\":\"streaming\","
+    "\"timeout_ms\":6000,\"goal_ms\":1100,\"priority\":1,"
+    "\"split\":[{\"service\":\"model\",\"weight\":90},"
+    "{\"service\":\"orders\",\"weight\":10}],\"max_attempts\":2,"
+    "\"stages\":[{\"service\":\"encode\",\"after\":[],"
+    "\"byte_count\":1500000},{\"service\":\"encode\",\"after\":[0],"
+    "\"byte_count\":10}],\"anonymous\":false,\"sticky\":true,"
+    "\"resumable\":true,\"gap_target_ms\":300},"
+    "{\"name\":\"order\",\"host\":\"h.example\",\"path_prefix\":\"/d/o/\","
+    "\"route_kind\":\"non_idempotent\",\"timeout_ms\":800,"
+    "\"service\":\"orders\",\"max_attempts\":1,\"anonymous\":true},"
+    "{\"name\":\"read\",\"host\":\"h.example\",\"path_prefix\":\"/r/\","
+    "\"route_kind\":\"idempotent\",\"timeout_ms\":800,"
+    "\"service\":\"orders\",\"max_attempts\":2}],"
+    "\"services\":[{\"name\":\"model\",\"engine\":{\"slots\":96}},"
+    "{\"name\":\"encode\",\"pieces\":{\"slots\":1,\"queue\":2,\"batch\":16,"
+    "\"call_ms\":200.0,\"item_ms\":11.5,\"headroom_mb\":36.0,"
+    "\"handle_s\":4.0}},{\"name\":\"orders\"}],"
+    "\"tenants\":[{\"name\":\"c-1\",\"api_keys\":[\"k1\",\"k2\"],"
+    "\"priority\":2}],\"unknown\":{}}";
+
+static EbConfig *
+read_valid_config(const EbServerRegistration *const *registrations,
+                  size_t count)
+{
+    json_t *value = json_loads(config_text, 0, NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(value);
+    EbConfigDefects defects;
+    EbError error = {0};
+    EbConfig *config = EbPlatform_ReadConfig(value, "site", registrations,
+                                             count, &defects, &error);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(config);
+    CU_ASSERT_EQUAL(defects.count, 0);
+    json_decref(value);
+    return config;
+}
+
+/* Guards against wrong translation of kinds, times, keys and stages, against
+ * a wrong choice of the route, and against using a server that is leaving or
+ * whose service is unknown. */
+void
+test_config(void)
+{
+    EbServerRegistration ready = {.id = "s-1",
+                                  .service = "orders",
+                                  .host = "10.0.0.9",
+                                  .port = 8080,
+                                  .failure_domain = "recife",
+                                  .slots = 6};
+    EbServerRegistration leaving = ready;
+    leaving.id = "s-2";
+    leaving.leaving = true;
+    EbServerRegistration unknown_service_server = ready;
+    unknown_service_server.service = "gone";
+    const EbServerRegistration *registrations[] = {&ready, &leaving,
+                                                   &unknown_service_server};
+    EbConfig *config =
+        read_valid_config(registrations, G_N_ELEMENTS(registrations));
+    CU_ASSERT_EQUAL(config->generation, 7);
+    CU_ASSERT_EQUAL(config->server_count, 1);
+    CU_ASSERT_EQUAL(config->servers[0].capacity, 6);
+    const EbConfigPipeline *draft =
+        EbConfig_FindForwardPipeline(config, "h.example", "/d/x");
+    const EbConfigPipeline *order =
+        EbConfig_FindForwardPipeline(config, "h.example", "/d/o/x");
+    const EbConfigPipeline *read =
+        EbConfig_FindForwardPipeline(config, "h.example", "/r/");
+    CU_ASSERT_PTR_NULL(
+        EbConfig_FindForwardPipeline(config, "h.example", "/d"));
+    CU_ASSERT_PTR_NULL(EbConfig_FindForwardPipeline(config, "other", "/d/x"));
+    CU_ASSERT_STRING_EQUAL(draft->name, "draft");
+    CU_ASSERT_TRUE(draft->stages[0].idempotent);
+    CU_ASSERT_EQUAL(draft->stages[0].kind, EB_STAGE_GENERATE);
+    CU_ASSERT_EQUAL(draft->deadline_us, 6000000);
+    CU_ASSERT_EQUAL(draft->forward->latency_goal_us, 1100000);
+    CU_ASSERT_EQUAL(draft->forward->split_count, 2);
+    CU_ASSERT_EQUAL(draft->forward->preparation_count, 2);
+    CU_ASSERT_EQUAL(draft->forward->preparations[1].dependencies, 1);
+    CU_ASSERT_TRUE(draft->forward->preparations[0].downstream_us >
+                   draft->forward->preparations[1].downstream_us);
+    CU_ASSERT_TRUE(draft->forward->preparations[0].downstream_min_us >
+                   draft->forward->preparations[1].downstream_min_us);
+    CU_ASSERT_TRUE(draft->forward->preparations[0].downstream_min_us <
+                   draft->forward->preparations[0].downstream_us);
+    CU_ASSERT_STRING_EQUAL(order->name, "order");
+    CU_ASSERT_FALSE(order->stages[0].idempotent);
+    CU_ASSERT_TRUE(order->forward->anonymous);
+    CU_ASSERT_TRUE(read->stages[0].idempotent);
+    CU_ASSERT_FALSE(read->forward->anonymous);
+    const EbConfigPool *encode = EbConfig_FindPool(config, "encode");
+    CU_ASSERT_EQUAL(encode->batch.max_items, 16);
+    CU_ASSERT_EQUAL(encode->batch.item_us, 11500);
+    CU_ASSERT_EQUAL(encode->batch.result_memory_bytes, 36000000);
+    CU_ASSERT_EQUAL(EbConfig_FindPool(config, "orders")->batch.max_items, 0);
+    CU_ASSERT_STRING_EQUAL(EbConfig_FindCustomerByToken(config, "k2")->id,
+                           "c-1");
+    CU_ASSERT_PTR_NULL(EbConfig_FindCustomerByToken(config, "k3"));
+    CU_ASSERT_PTR_NULL(EbConfig_FindCustomerByToken(config, ""));
+    EbConfig_Unref(config);
+}
+
 static EbConfig *
 read_text(const char *text)
 {
--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -1,120 +1,17 @@
 /* Tests of the adapter for the users' platform: the translation of its wire
  * protocol, stored objects and settings. */
-#include <stdio.h>
 #include <string.h>
 
 #include <glib.h>
-#include <glib/gstdio.h>
 
 #include "platform.h"
 #include "test_platform.h"
 #include "test_runner.h"
 
-static const char config_text[] =
-    "{\"version\":7,\"routes\":[{\"name\":\"draft\",\"host\":\"H.example\","
-    "\"path_prefix\":\"/d/\",\"route_kind\":\"streaming\","
-    "\"timeout_ms\":6000,\"goal_ms\":1100,\"priority\":1,"
-    "\"split\":[{\"service\":\"model\",\"weight\":90},"
-    "{\"service\":\"orders\",\"weight\":10}],\"max_attempts\":2,"
-    "\"stages\":[{\"service\":\"encode\",\"after\":[],"
-    "\"byte_count\":1500000},{\"service\":\"encode\",\"after\":[0],"
-    "\"byte_count\":10}],\"anonymous\":false,\"sticky\":true,"
-    "\"resumable\":true,\"gap_target_ms\":300},"
-    "{\"name\":\"order\",\"host\":\"h.example\",\"path_prefix\":\"/d/o/\","
-    "\"route_kind\":\"non_idempotent\",\"timeout_ms\":800,"
-    "\"service\":\"orders\",\"max_attempts\":1,\"anonymous\":true},"
-    "{\"name\":\"read\",\"host\":\"h.example\",\"path_prefix\":\"/r/\","
-    "\"route_kind\":\"idempotent\",\"timeout_ms\":800,"
-    "\"service\":\"orders\",\"max_attempts\":2}],"
-    "\"services\":[{\"name\":\"model\",\"engine\":{\"slots\":96}},"
-    "{\"name\":\"encode\",\"pieces\":{\"slots\":1,\"queue\":2,\"batch\":16,"
-    "\"call_ms\":200.0,\"item_ms\":11.5,\"headroom_mb\":36.0,"
-    "\"handle_s\":4.0}},{\"name\":\"orders\"}],"
-    "\"tenants\":[{\"name\":\"c-1\",\"api_keys\":[\"k1\",\"k2\"],"
-    "\"priority\":2}],\"unknown\":{}}";
-
 static const char server_text[] =
     "{\"service\":\"orders\",\"address\":\"10.0.0.9:8080\","
     "\"zone\":\"recife\",\"slots\":6,\"state\":\"ready\",\"seq\":4}";
 
-static EbConfig *
-read_config(const EbServerRegistration *const *registrations, size_t count)
-{
-    json_t *value = json_loads(config_text, 0, NULL);
-    CU_ASSERT_PTR_NOT_NULL_FATAL(value);
-    EbConfigDefects defects;
-    EbError error = {0};
-    EbConfig *config = EbPlatform_ReadConfig(value, "site", registrations,
-                                             count, &defects, &error);
-    CU_ASSERT_PTR_NOT_NULL_FATAL(config);
-    CU_ASSERT_EQUAL(defects.count, 0);
-    json_decref(value);
-    return config;
-}
-
-/* Guards against wrong translation of kinds, times, keys and stages, against
- * a wrong choice of the route, and against using a server that is leaving or
- * whose service is unknown. */
-static void
-test_config(void)
-{
-    EbServerRegistration ready = {.id = "s-1",
-                                  .service = "orders",
-                                  .host = "10.0.0.9",
-                                  .port = 8080,
-                                  .failure_domain = "recife",
-                                  .slots = 6};
-    EbServerRegistration leaving = ready;
-    leaving.id = "s-2";
-    leaving.leaving = true;
-    EbServerRegistration unknown_service_server = ready;
-    unknown_service_server.service = "gone";
-    const EbServerRegistration *registrations[] = {&ready, &leaving,
-                                                   &unknown_service_server};
-    EbConfig *config = read_config(registrations, G_N_ELEMENTS(registrations));
-    CU_ASSERT_EQUAL(config->generation, 7);
-    CU_ASSERT_EQUAL(config->server_count, 1);
-    CU_ASSERT_EQUAL(config->servers[0].capacity, 6);
-    const EbConfigPipeline *draft =
-        EbConfig_FindForwardPipeline(config, "h.example", "/d/x");
-    const EbConfigPipeline *order =
-        EbConfig_FindForwardPipeline(config, "h.example", "/d/o/x");
-    const EbConfigPipeline *read =
-        EbConfig_FindForwardPipeline(config, "h.example", "/r/");
-    CU_ASSERT_PTR_NULL(
-        EbConfig_FindForwardPipeline(config, "h.example", "/d"));
-    CU_ASSERT_PTR_NULL(EbConfig_FindForwardPipeline(config, "other", "/d/x"));
-    CU_ASSERT_STRING_EQUAL(draft->name, "draft");
-    CU_ASSERT_TRUE(draft->stages[0].idempotent);
-    CU_ASSERT_EQUAL(draft->stages[0].kind, EB_STAGE_GENERATE);
-    CU_ASSERT_EQUAL(draft->deadline_us, 6000000);
-    CU_ASSERT_EQUAL(draft->forward->latency_goal_us, 1100000);
-    CU_ASSERT_EQUAL(draft->forward->split_count, 2);
-    CU_ASSERT_EQUAL(draft->forward->preparation_count, 2);
-    CU_ASSERT_EQUAL(draft->forward->preparations[1].dependencies, 1);
-    CU_ASSERT_TRUE(draft->forward->preparations[0].downstream_us >
-                   draft->forward->preparations[1].downstream_us);
-    CU_ASSERT_TRUE(draft->forward->preparations[0].downstream_min_us >
-                   draft->forward->preparations[1].downstream_min_us);
-    CU_ASSERT_TRUE(draft->forward->preparations[0].downstream_min_us <
-                   draft->forward->preparations[0].downstream_us);
-    CU_ASSERT_STRING_EQUAL(order->name, "order");
-    CU_ASSERT_FALSE(order->stages[0].idempotent);
-    CU_ASSERT_TRUE(order->forward->anonymous);
-    CU_ASSERT_TRUE(read->stages[0].idempotent);
-    CU_ASSERT_FALSE(read->forward->anonymous);
-    const EbConfigPool *encode = EbConfig_FindPool(config, "encode");
-    CU_ASSERT_EQUAL(encode->batch.max_items, 16);
-    CU_ASSERT_EQUAL(encode->batch.item_us, 11500);
-    CU_ASSERT_EQUAL(encode->batch.result_memory_bytes, 36000000);
-    CU_ASSERT_EQUAL(EbConfig_FindPool(config, "orders")->batch.max_items, 0);
-    CU_ASSERT_STRING_EQUAL(EbConfig_FindCustomerByToken(config, "k2")->id,
-                           "c-1");
-    CU_ASSERT_PTR_NULL(EbConfig_FindCustomerByToken(config, "k3"));
-    CU_ASSERT_PTR_NULL(EbConfig_FindCustomerByToken(config, ""));
-    EbConfig_Unref(config);
-}
-
 /* Guards against using a server whose registration is invalid, for instance
  * because something else wrote the object. */
 static void
@@ -470,102 +367,6 @@
     CU_ASSERT_PTR_NULL(EbPlatform_store_protocol.read(EB_STORE_GET, NULL));
 }
 
-static const char node_text[] =
-    "node: \"front-1\"\nzone: \"recife\"\nregion: \"nordeste\"\n"
-    "listen:\n  front: \"10.1.0.41:8625\"\n  ready: \"10.1.0.41:8621\"\n"
-    "  control: \"10.1.0.41:8628\"\nseeds:\n  - \"10.1.0.41:8628\"\n"
-    "  - \"10.2.0.25:8628\"\nlimits:\n  max_fds: 4100\n"
-    "bounds:\n  contact_ms: 3000\n  grace_s: 8\nplatform:\n  address: "
-    "\"10.200.1.7:8624\"\n"
-    "new_field: [1, {a: b}]\n";
-
-static EbSettings *
-load_settings(const char *text, EbError *error)
-{
-    char *file = NULL;
-    int descriptor = g_file_open_tmp("eb-node-XXXXXX", &file, NULL);
-    CU_ASSERT_TRUE_FATAL(descriptor >= 0);
-    g_close(descriptor, NULL);
-    CU_ASSERT_TRUE(g_file_set_contents(file, text, -1, NULL));
-    EbSettings *settings = EbPlatform_LoadSettings(file, error);
-    g_remove(file);
-    g_free(file);
-    return settings;
-}
-
-/* Longest pause before the store is read again after one lost response, and
- * the time for reading and applying a large configuration. */
-#define FIRST_RETRY_US 100000
-#define READ_US 500000
-
-/* Guards against wrong addresses, against unknown fields that prevent a daemon
- * from starting, against a drain that exceeds the grace time, and against a
- * lost watch that is noticed after contact_ms. */
-static void
-test_settings(void)
-{
-    EbError error = {0};
-    EbSettings *settings = load_settings(node_text, &error);
-    CU_ASSERT_PTR_NOT_NULL_FATAL(settings);
-    if (settings == NULL) {
-        return;
-    }
-    CU_ASSERT_STRING_EQUAL(settings->instance, "front-1");
-    CU_ASSERT_STRING_EQUAL(settings->failure_domain, "recife");
-    CU_ASSERT_STRING_EQUAL(settings->caller.host, "10.1.0.41");
-    CU_ASSERT_EQUAL(settings->caller.port, 8625);
-    CU_ASSERT_EQUAL(settings->admin.port, 8621);
-    CU_ASSERT_EQUAL(settings->peer.port, 8628);
-    CU_ASSERT_EQUAL(settings->platform.port, 8624);
-    CU_ASSERT_EQUAL(settings->seed_count, 1); /* without its own address */
-    CU_ASSERT_TRUE(settings->balancer_delay_us + settings->drain_limit_us <
-                   8000000);
-    CU_ASSERT_TRUE(settings->store_silence_us + FIRST_RETRY_US + READ_US <=
-                   3000000);
-    EbSettings_Free(settings);
-}
-
-/* Guards against a grace time that is spent on waiting for the load balancer,
- * after which requests that were taken meanwhile are ended at once, and
- * against a drain that exceeds it. */
-static void
-test_grace_times(void)
-{
-    static const unsigned grace_s[] = {1, 2, 3, 5, 8, 30};
-    for (size_t i = 0; i < G_N_ELEMENTS(grace_s); i++) {
-        char *grace = g_strdup_printf("grace_s: %u\n", grace_s[i]);
-        char **parts = g_strsplit(node_text, "grace_s: 8\n", 2);
-        char *text = g_strjoinv(grace, parts);
-        EbError error = {0};
-        EbSettings *settings = load_settings(text, &error);
-        CU_ASSERT_PTR_NOT_NULL(settings);
-        if (settings != NULL) {
-            int64_t grace_us = INT64_C(1000000) * grace_s[i];
-            int64_t drain_us = settings->drain_limit_us;
-            CU_ASSERT_TRUE(settings->balancer_delay_us + drain_us < grace_us);
-            CU_ASSERT_TRUE(drain_us >= grace_us / 3);
-        }
-        EbSettings_Free(settings);
-        g_free(text);
-        g_strfreev(parts);
-        g_free(grace);
-    }
-}
-
-/* Guards against starting a daemon with invalid settings. */
-static void
-test_invalid_settings(void)
-{
-    static const char *const texts[] = {
-        "", "- a\n", "a: [", "node: \"x\"\n",
-        "node: \"x\"\nzone: z\nregion: r\nlisten:\n  front: \"nonsense\"\n"};
-    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
-        EbError error = {0};
-        CU_ASSERT_PTR_NULL(load_settings(texts[i], &error));
-        CU_ASSERT_NOT_EQUAL(error.code, EB_ERROR_NONE);
-    }
-}
-
 /* Guards against what a server asks of its callers being lost, or read from a
  * header that is malformed or has no meaning in this answer. */
 static void
--- a/src/test_platform/test_platform.h
+++ b/src/test_platform/test_platform.h
@@ -4,6 +4,7 @@
 
 /* config.c */
 
+void test_config(void);
 void test_invalid_config(void);
 void test_config_defects(void);
 void test_name_order(void);
@@ -12,4 +13,10 @@
 void test_many_stages(void);
 void test_many_counts(void);
 
+/* settings.c */
+
+void test_settings(void);
+void test_grace_times(void);
+void test_invalid_settings(void);
+
 #endif
