soak: daemons with the extended faults have links to each other

Cause, from the daemons' logs: each daemon of the soak knew the store by the address of its own proxy, and the key of the links between daemons is derived from that address. So they refused each other's frames ("peer-bad-frame: authentication failed", in every run that was looked at), and each of them took the whole limit of a server (share_milli 6000). On the platform all daemons have one address. The soak never had links; the check of limits passed since few requests went to model servers.

--- a/test/soak/daemons.c
+++ b/test/soak/daemons.c
@@ -115,6 +115,15 @@
     }
 }
 
+/* Returns whether a daemon has a path of its own to the store. Daemons accept
+ * each other only if they know the store by the same address, so those with
+ * paths of their own have no links. */
+static bool
+has_own_path(const Soak *soak, uint32_t index)
+{
+    return index == 0 || !soak->extended;
+}
+
 void
 Daemons_Start(Soak *soak)
 {
@@ -126,7 +135,9 @@
         daemon->front_port = Soak_FindFreePort();
         daemon->ready_port = Soak_FindFreePort();
         daemon->control_port = Soak_FindFreePort();
-        daemon->store_proxy = Proxy_New(soak->base, soak->store_port);
+        daemon->store_proxy = has_own_path(soak, i)
+                                  ? Proxy_New(soak->base, soak->store_port)
+                                  : soak->daemons[0].store_proxy;
         daemon->timer = evtimer_new(soak->base, on_timer, daemon);
         daemon->node_file =
             g_strdup_printf("%s/%s.yaml", soak->directory, daemon->name);
@@ -208,7 +219,9 @@
             kill(daemon->pid, SIGKILL);
             waitpid(daemon->pid, NULL, 0);
         }
-        Proxy_Free(daemon->store_proxy);
+        if (has_own_path(soak, i)) {
+            Proxy_Free(daemon->store_proxy);
+        }
         event_free(daemon->timer);
         g_free(daemon->name);
         g_free(daemon->node_file);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -69,7 +69,7 @@
     uint16_t front_port;
     uint16_t ready_port;
     uint16_t control_port;
-    Proxy *store_proxy; /* its path to the store */
+    Proxy *store_proxy; /* its path to the store; extended: of all daemons */
     pid_t pid;          /* 0: not running */
     bool paused;
     int64_t disturbed_us; /* last start or signal, except SIGHUP */
