--- a/test/process/test_soak.sh
+++ b/test/process/test_soak.sh
@@ -5,6 +5,8 @@
 # - 345: restarted daemons inherited the other daemons' connections to the
 #   store, which kept them open when the path was cut.
 # - 834, within 15 s: SIGTERM reached a daemon before it handled signals.
+# - 5013+, 5020+ and 5023+: the daemons had no links, since each knew the store
+#   by another address, and each took the whole limit of a server.
 #
 # Seeds with a + have the extended faults: stores that return from older copies,
 # servers that name limits, and configurations of unusual form.
@@ -17,7 +19,8 @@
 default_seconds=${2:-6}
 shift $(($# < 2 ? $# : 2))
 seeds=("$@")
-[ ${#seeds[@]} -gt 0 ] || seeds=(1 107 112 132 345 834:15 1+:10 2+:10)
+[ ${#seeds[@]} -gt 0 ] || seeds=(1 107 112 132 345 834:15 1+:10 2+:10
+    5013+:8 5020+:8 5023+:8)
 directory=$(mktemp -d)
 
 status=0
