membership: a daemon moves past a higher incarnation of its instance

Cause: the incarnation of a daemon is the wall clock at its start. Change: a daemon that receives a record of its own instance with a higher incarnation raises its own above it, at most 16 times, and tells the ledger, the dispatcher and the links of it. Claims of the time before stay attributed to the former incarnation, so that their outcome is reported as unknown.

--- a/include/ledger/ebonyhollow/ledger.h
+++ b/include/ledger/ebonyhollow/ledger.h
@@ -172,6 +172,10 @@
  * and listings of expired claims scale with it. */
 void EbLedger_SetWriteRate(EbLedger *ledger, uint32_t writes_per_s);
 
+/* Sets the incarnation of this daemon that later claims name as their owner.
+ */
+void EbLedger_SetIncarnation(EbLedger *ledger, uint64_t incarnation);
+
 /* Returns the object kind under which the claim on a key is stored. Claims are
  * spread over EB_LEDGER_KIND_COUNT kinds by the first digits of the key's
  * digest, so that a single listing of expired claims stays small. Free the
--- a/include/membership/ebonyhollow/membership.h
+++ b/include/membership/ebonyhollow/membership.h
@@ -48,6 +48,10 @@
     /* Called when a peer announces a newer configuration generation. */
     void (*announced)(void *context, const char *peer, uint64_t generation,
                       int64_t now_us);
+    /* Called when this daemon has raised its own incarnation, since the others
+     * knew a higher one: that of an earlier process of this instance, whose
+     * clock was ahead. May be NULL. */
+    void (*incarnation_raised)(void *context, uint64_t incarnation);
     void *context;
 } EbMembershipOptions;
 
--- a/include/net/ebonyhollow/admin_server.h
+++ b/include/net/ebonyhollow/admin_server.h
@@ -30,7 +30,6 @@
 typedef struct {
     struct event_base *base;
     const EbSettings *settings; /* must outlive the server */
-    uint64_t incarnation;
     const EbEventSink *events;
     EbMetrics *metrics;
     EbDispatcher *dispatcher;
--- a/include/net/ebonyhollow/peer_link.h
+++ b/include/net/ebonyhollow/peer_link.h
@@ -75,6 +75,10 @@
 /* Closes the listener and every link without callbacks. Accepts NULL. */
 void EbPeerLinks_Free(EbPeerLinks *links);
 
+/* Sets the incarnation of this daemon for links that are opened from now on.
+ */
+void EbPeerLinks_SetIncarnation(EbPeerLinks *links, uint64_t incarnation);
+
 /* Dials the address "host:port" or "[host]:port". Does nothing if it is being
  * dialled already or if a peer with this address is linked. */
 void EbPeerLinks_Connect(EbPeerLinks *links, const char *address);
--- a/include/requests/ebonyhollow/dispatcher.h
+++ b/include/requests/ebonyhollow/dispatcher.h
@@ -83,6 +83,11 @@
 void EbDispatcher_SetConfig(EbDispatcher *dispatcher, EbConfig *config,
                             int64_t now_us);
 
+/* Sets the incarnation of this daemon, by which it recognises its own claims.
+ */
+void EbDispatcher_SetIncarnation(EbDispatcher *dispatcher,
+                                 uint64_t incarnation);
+
 /* Sets the number of live daemons, this one included. They share the
  * connections that backend servers accept. */
 void EbDispatcher_SetDaemonCount(EbDispatcher *dispatcher, uint32_t daemons,
--- a/include/share/ebonyhollow/event_table.h
+++ b/include/share/ebonyhollow/event_table.h
@@ -212,6 +212,12 @@
       "address,cause",                                                        \
       "Check that both sides have the same peer_key and version. If the "     \
       "address is not a daemon's, someone else is connecting.")               \
+    X(INCARNATION_RAISED, 507, "incarnation-raised", EB_LEVEL_WARNING,        \
+      "Other daemons know an earlier process of this instance with a later "  \
+      "start, so this one raised its incarnation above it.",                  \
+      "incarnation",                                                          \
+      "Check the clock of the instance, which was probably stepped back. If " \
+      "it repeats, look for two processes with the same instance name.")      \
     X(CONFIGURATION_APPLIED, 600, "configuration-applied", EB_LEVEL_NOTICE,   \
       "A configuration generation is in force.", "generation,source",         \
       "None.")                                                                \
--- a/src/libebonyhollow/ledger/ledger.c
+++ b/src/libebonyhollow/ledger/ledger.c
@@ -470,6 +470,12 @@
         recorded_result(occupant->outcome, occupant->reason, occupant->body));
 }
 
+void
+EbLedger_SetIncarnation(EbLedger *ledger, uint64_t incarnation)
+{
+    ledger->options.incarnation = incarnation;
+}
+
 uint64_t
 EbLedger_Claim(EbLedger *ledger, const char *customer, const char *key,
                const char *body, size_t body_bytes, int64_t deadline_us,
--- a/src/libebonyhollow/membership/membership_record.c
+++ b/src/libebonyhollow/membership/membership_record.c
@@ -255,13 +255,39 @@
     return record->state > member->state;
 }
 
+/* Moves past an incarnation of this instance that others know. Incarnations
+ * are the wall clock at the start, so an earlier process has a higher one if
+ * the clock was stepped back since. The number of times is bounded, since two
+ * processes with the same name would otherwise raise theirs without end. */
+static void
+raise_own_incarnation(EbMembership *membership, uint64_t above, int64_t now_us)
+{
+    EbMember *self = membership->self;
+    if (above == UINT64_MAX ||
+        membership->raises >= EB_MEMBERSHIP_MAX_RAISES) {
+        return;
+    }
+    membership->raises++;
+    self->incarnation = above + 1;
+    EbMembership_RaiseOwnSequence(membership, 0, now_us);
+    EB_EMIT(&membership->events, EB_EVENT_INCARNATION_RAISED,
+            EB_INTEGER_FIELD("incarnation", self->incarnation));
+    if (membership->options.incarnation_raised != NULL) {
+        membership->options.incarnation_raised(membership->options.context,
+                                               self->incarnation);
+    }
+}
+
 static void
 merge_self(EbMembership *membership, const EbMessageMember *record,
            int64_t now_us)
 {
     const EbMember *self = membership->self;
-    if (record->incarnation == self->incarnation &&
-        record->sequence < UINT64_MAX && is_newer(record, self)) {
+    if (record->incarnation > self->incarnation) {
+        raise_own_incarnation(membership, record->incarnation, now_us);
+    }
+    else if (record->incarnation == self->incarnation &&
+             record->sequence < UINT64_MAX && is_newer(record, self)) {
         EbMembership_RaiseOwnSequence(membership, record->sequence, now_us);
     }
 }
--- a/src/libebonyhollow/membership/private/membership_private.h
+++ b/src/libebonyhollow/membership/private/membership_private.h
@@ -15,6 +15,7 @@
 
 #define EB_MEMBERS_MAX 2048
 #define EB_ORIGINS_MAX 4096
+#define EB_MEMBERSHIP_MAX_RAISES 16
 #define EB_FLOOD_WINDOW 1024 /* sequences remembered per origin */
 
 /* An address to dial. It is kept while it is a seed, is on the platform's list
@@ -88,6 +89,7 @@
     uint32_t link_count;
     bool topology_stale;
     bool live_changed;
+    uint32_t raises;    /* of this daemon's own incarnation */
     bool heartbeat_now; /* the next Tick sends heartbeats */
     int64_t digest_changed_us;
     int64_t changes_due_us;    /* when to send changed records, or INT64_MAX */
--- a/src/libebonyhollow/requests/dispatcher.c
+++ b/src/libebonyhollow/requests/dispatcher.c
@@ -167,6 +167,12 @@
     EbDispatcher_RunPending(dispatcher, now_us);
 }
 
+void
+EbDispatcher_SetIncarnation(EbDispatcher *dispatcher, uint64_t incarnation)
+{
+    dispatcher->options.incarnation = incarnation;
+}
+
 void
 EbDispatcher_SetDaemonCount(EbDispatcher *dispatcher, uint32_t daemons,
                             int64_t now_us)
--- a/src/libebonyhollow_net/admin_view.c
+++ b/src/libebonyhollow_net/admin_view.c
@@ -133,9 +133,12 @@
                       requests);
     EbMetrics_ForEach(options->metrics, EB_METRIC_IN_TIME, add_in_time_count,
                       in_time);
+    EbMemberView self = {0};
+    EbMembership_Find(options->membership, settings->instance,
+                      EbClock_Monotonic(), &self);
     json_t *status = json_pack(
         "{s:s, s:I, s:s, s:s, s:I, s:I, s:s, s:s}", "instance",
-        settings->instance, "incarnation", (json_int_t)options->incarnation,
+        settings->instance, "incarnation", (json_int_t)self.incarnation,
         "site", settings->site, "failure_domain", settings->failure_domain,
         "generation",
         (json_int_t)EbConfigManager_Generation(options->config_manager),
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -75,6 +75,16 @@
     EbDaemon_ScheduleActions(daemon);
 }
 
+static void
+on_incarnation_raised(void *context, uint64_t incarnation)
+{
+    EbDaemon *daemon = context;
+    daemon->incarnation = incarnation;
+    EbPeerLinks_SetIncarnation(daemon->peer_links, incarnation);
+    EbLedger_SetIncarnation(daemon->ledger, incarnation);
+    EbDispatcher_SetIncarnation(daemon->dispatcher, incarnation);
+}
+
 static void
 on_link_up(void *context, const char *peer, uint64_t incarnation,
            const char *address)
@@ -222,6 +232,7 @@
                                .deliver = EbDaemon_OnPeerMessage,
                                .changed = EbDaemon_OnMembersChanged,
                                .announced = EbDaemon_OnGenerationAnnounced,
+                               .incarnation_raised = on_incarnation_raised,
                                .context = daemon});
 }
 
@@ -336,7 +347,6 @@
     daemon->admin_server = EbAdminServer_New(
         &(EbAdminServerOptions){.base = daemon->base,
                                 .settings = daemon->settings,
-                                .incarnation = daemon->incarnation,
                                 .events = daemon->events,
                                 .metrics = daemon->metrics,
                                 .dispatcher = daemon->dispatcher,
--- a/src/libebonyhollow_net/peer_link.c
+++ b/src/libebonyhollow_net/peer_link.c
@@ -437,6 +437,12 @@
     }
 }
 
+void
+EbPeerLinks_SetIncarnation(EbPeerLinks *links, uint64_t incarnation)
+{
+    links->options.incarnation = incarnation;
+}
+
 uint16_t
 EbPeerLinks_Port(const EbPeerLinks *links)
 {
--- a/src/test_admin_server/main.c
+++ b/src/test_admin_server/main.c
@@ -253,7 +253,6 @@
     fixture->server = EbAdminServer_New(
         &(EbAdminServerOptions){.base = fixture->base,
                                 .settings = &fixture->settings,
-                                .incarnation = 1,
                                 .events = &fixture->sink,
                                 .metrics = fixture->metrics,
                                 .dispatcher = fixture->dispatcher,
--- a/src/test_membership/main.c
+++ b/src/test_membership/main.c
@@ -316,6 +316,48 @@
     Network_Stop();
 }
 
+/* Guards against daemons that stay dead to the others because their clock was
+ * stepped back before they were restarted. */
+static void
+test_clock_stepped_back(void)
+{
+    enum { QUICK = 5, DEAD = 20, TWICE = 33 };
+    static const uint64_t later = 3600ULL * SECOND_US;
+    static const uint32_t nodes[] = {QUICK, DEAD, TWICE};
+    size = 40;
+    Network_Start(size, SEED);
+    for (size_t i = 0; i < TABLE_COUNT(nodes); i++) {
+        Network_KillNode(nodes[i]);
+        Network_StartIncarnation(nodes[i], later);
+    }
+    Network_Run(10 * SECOND_US);
+    run_until_converged("restarts", 10 * SECOND_US);
+    Network_KillNode(DEAD);
+    run_until_converged("one death", DEATH_MAX_US);
+    Network_StartIncarnation(DEAD, 1);
+    Network_KillNode(QUICK);
+    Network_StartIncarnation(QUICK, 1);
+    Network_KillNode(TWICE);
+    Network_StartIncarnation(TWICE, 2);
+    Network_Run(5 * SECOND_US);
+    run_until_converged("restarts with earlier clocks", 10 * SECOND_US);
+    Network_KillNode(TWICE);
+    Network_StartIncarnation(TWICE, 1);
+    Network_Run(5 * SECOND_US);
+    run_until_converged("another such restart", 10 * SECOND_US);
+    EbMemberView view;
+    for (size_t i = 0; i < TABLE_COUNT(nodes); i++) {
+        char name[16];
+        snprintf(name, sizeof(name), "n%u", nodes[i]);
+        CU_ASSERT_TRUE(EbMembership_Find(network.nodes[0].membership, name,
+                                         network.now_us, &view));
+        CU_ASSERT_EQUAL(view.state, EB_MEMBER_ALIVE);
+        CU_ASSERT_EQUAL(view.incarnation, network.nodes[nodes[i]].incarnation);
+        CU_ASSERT_TRUE(view.incarnation > later);
+    }
+    Network_Stop();
+}
+
 /* Guards against a leaving daemon that still counts as live, and against a
  * restarted daemon that counts as leaving because the platform's list lags. */
 static void
@@ -460,6 +502,7 @@
         {"withdraw capacity", test_withdraw_capacity},
         {"duplicates", test_duplicates},
         {"quarantine after a restart", test_quarantine_after_restart},
+        {"clock stepped back", test_clock_stepped_back},
         {"on-demand links", test_on_demand_links},
     };
     return EbTest_Run("test_membership", cases, TABLE_COUNT(cases));
--- a/src/test_membership/network.c
+++ b/src/test_membership/network.c
@@ -156,7 +156,7 @@
         push_event((Event){.time_us = next_us,
                            .kind = EVENT_TIMER,
                            .to = index,
-                           .epoch = (uint32_t)node->incarnation});
+                           .epoch = node->starts});
     }
 }
 
@@ -211,8 +211,7 @@
     }
     switch (event->kind) {
     case EVENT_TIMER:
-        if (event->time_us == node->timer_us &&
-            event->epoch == (uint32_t)node->incarnation) {
+        if (event->time_us == node->timer_us && event->epoch == node->starts) {
             EbMembership_Tick(node->membership, network.now_us);
             node->timer_us = INT64_MAX;
         }
@@ -271,15 +270,29 @@
     return network.now_us - start_us;
 }
 
+static void
+on_raised(void *context, uint64_t incarnation)
+{
+    Node *node = context;
+    node->incarnation = incarnation;
+}
+
 void
 Network_StartNode(uint32_t index)
+{
+    Network_StartIncarnation(index, network.nodes[index].incarnation + 1);
+}
+
+void
+Network_StartIncarnation(uint32_t index, uint64_t incarnation)
 {
     Node *node = &network.nodes[index];
     char name[16], domain[16];
     snprintf(name, sizeof(name), "n%u", index);
     snprintf(domain, sizeof(domain), "d%u", index % DOMAINS);
     node->actions = EbActionQueue_New();
-    node->incarnation++;
+    node->incarnation = incarnation;
+    node->starts++;
     node->running = true;
     node->timer_us = INT64_MAX;
     node->membership = EbMembership_New(
@@ -293,6 +306,7 @@
                                .deliver = on_deliver,
                                .changed = on_changed,
                                .announced = on_announced,
+                               .incarnation_raised = on_raised,
                                .context = node});
     for (uint32_t i = 0; i < SEEDS; i++) {
         snprintf(name, sizeof(name), "n%u", i);
--- a/src/test_membership/network.h
+++ b/src/test_membership/network.h
@@ -17,6 +17,7 @@
     EbActionQueue *actions;
     EbRandom random;
     uint64_t incarnation;
+    uint32_t starts;
     bool running;
     int side; /* daemons on different sides can't reach each other */
     int64_t timer_us;
@@ -44,6 +45,9 @@
 /* Starts a daemon with its next incarnation. */
 void Network_StartNode(uint32_t index);
 
+/* Starts a daemon with an incarnation that may be below the last one. */
+void Network_StartIncarnation(uint32_t index, uint64_t incarnation);
+
 /* Stops a daemon without notice to its peers. */
 void Network_KillNode(uint32_t index);
 
