--- a/include/actions/ebonyhollow/outcome.h
+++ b/include/actions/ebonyhollow/outcome.h
@@ -46,6 +46,7 @@
     EB_REASON_SHUTDOWN,
     EB_REASON_SUSPECT_QUARANTINED,
     EB_REASON_PIPELINE_UNUSABLE,
+    EB_REASON_EVACUATED, /* every server is in an evacuated failure domain */
     EB_REASON_COUNT
 } EbReason;
 
--- a/include/batching/ebonyhollow/batcher.h
+++ b/include/batching/ebonyhollow/batcher.h
@@ -32,6 +32,8 @@
     EbActionQueue *actions;    /* receives the calls to send; borrowed */
     const EbEventSink *events; /* borrowed; NULL: none */
     EbDirectives *directives;  /* borrowed; must outlive the batcher */
+    const EbEvacuations
+        *evacuations; /* borrowed; NULL: every domain is open */
 } EbBatcherOptions;
 
 /* Creates a batcher without services. Free it with EbBatcher_Free. */
@@ -105,6 +107,15 @@
                                       const EbServerDirective *directive,
                                       int64_t now_us);
 
+/* Handles that failure domains were closed or opened. Items that wait go to
+ * servers in open domains; where a service has none, their jobs fail. Results
+ * in closed domains are not freed: they expire. */
+void EbBatcher_EvacuationsChanged(EbBatcher *batcher, int64_t now_us);
+
+/* Returns the number of calls that run at the servers of a failure domain. */
+uint32_t EbBatcher_CountCalls(const EbBatcher *batcher,
+                              const char *failure_domain);
+
 /* Returns the number of jobs that are not prepared, failed or ended. */
 size_t EbBatcher_PendingJobCount(const EbBatcher *batcher);
 
--- a/include/deployment/ebonyhollow/platform_adapter.h
+++ b/include/deployment/ebonyhollow/platform_adapter.h
@@ -45,6 +45,9 @@
     const char *config_name;  /* its name */
     const char *servers_kind; /* kind of the backend servers' entries */
     const char *daemons_kind; /* kind of the daemons' own entries */
+    /* Kind of the objects each of which orders the evacuation of the failure
+     * domain that it is named after; NULL: there are none. */
+    const char *evacuations_kind;
     /* Reads a server's entry into `registration`, which the caller clears.
      * Returns false with `error` set when the entry does not describe a usable
      * server. */
--- a/include/feed/ebonyhollow/store_feed.h
+++ b/include/feed/ebonyhollow/store_feed.h
@@ -18,6 +18,9 @@
  * range of revisions and are ignored unless the known revision lies in that
  * range, so that an old message can't bring back an object that was removed.
  *
+ * A deployment without evacuations has two streams, and its daemons send no
+ * field of the third. A daemon that follows it passes over sources that don't.
+ *
  * Objects are {"name", "value"}, events have "deleted" in addition, as in
  * EbStoreProtocol. Times are in microseconds on the monotonic clock. */
 #ifndef EBONYHOLLOW_STORE_FEED_H
@@ -47,6 +50,7 @@
 
 typedef struct {
     const EbEventSink *events; /* may be NULL */
+    bool follow_evacuations;   /* EB_FEED_EVACUATIONS is a stream, too */
     /* Sends a message to a daemon. Returns false when it can't be sent. */
     bool (*send)(void *context, const char *instance, const EbMessage *message,
                  int64_t now_us);
--- a/include/membership/ebonyhollow/message.h
+++ b/include/membership/ebonyhollow/message.h
@@ -58,10 +58,14 @@
 
 extern const char *const EbMemberState_names[EB_MEMBER_STATE_COUNT];
 
+/* Streams that daemons without EbMessage.feed_streams know. */
+#define EB_FEED_FIRST_STREAMS 2
+
 /* Kinds of the store's objects that one daemon passes to others. */
 typedef enum {
     EB_FEED_CONFIG,
     EB_FEED_SERVERS,
+    EB_FEED_EVACUATIONS, /* only where the settings ask for it */
     EB_FEED_STREAM_COUNT
 } EbFeedStream;
 
@@ -167,6 +171,12 @@
     uint64_t config_era;
     uint64_t servers_revision;
     uint64_t servers_era;
+    uint64_t evacuations_revision;
+    uint64_t evacuations_era;
+    /* Number of the first streams that the sender knows of and wants; 0: those
+     * of the first version, EB_FEED_FIRST_STREAMS. Changes of a stream are
+     * sent only to daemons that want it, since others refuse the message. */
+    uint32_t feed_streams;
     bool feed_reading; /* FEED_STATUS: the sender reads the store itself */
     bool feed_failing; /* FEED_STATUS: it tries to, and its last read failed */
     /* FEED_STATUS: time since the store last answered the sender */
--- a/include/net/ebonyhollow/admin_server.h
+++ b/include/net/ebonyhollow/admin_server.h
@@ -38,6 +38,7 @@
     EbMembership *membership;
     EbLimiter *limiter;
     EbQuarantine *quarantine;
+    const EbEvacuations *evacuations; /* may be NULL */
     EbPlatformClient *platform;
     /* Whether a graceful shutdown has started. */
     bool (*draining)(void *context);
--- a/include/requests/ebonyhollow/dispatcher.h
+++ b/include/requests/ebonyhollow/dispatcher.h
@@ -20,6 +20,7 @@
 #include "ebonyhollow/action.h"
 #include "ebonyhollow/config.h"
 #include "ebonyhollow/directives.h"
+#include "ebonyhollow/evacuations.h"
 #include "ebonyhollow/event.h"
 #include "ebonyhollow/ledger.h"
 #include "ebonyhollow/limiter.h"
@@ -55,6 +56,7 @@
     EbLimiter *limiter;
     EbQuarantine *quarantine;
     EbDirectives *directives;
+    const EbEvacuations *evacuations; /* NULL: every domain is open */
     EbSuspects *suspects; /* NULL: broken forwarded calls are no evidence */
     EbMetrics *metrics;
     /* Asks the owner of a claim for the outcome of a key. Returns false when
@@ -236,6 +238,14 @@
                                 const char *server_id, bool leaving,
                                 const char *source, int64_t now_us);
 
+/* Handles that failure domains were closed or opened. Requests that wait for
+ * servers of which all are in closed domains are refused. */
+void EbDispatcher_EvacuationsChanged(EbDispatcher *dispatcher, int64_t now_us);
+
+/* Returns the number of calls that run at the servers of a failure domain. */
+uint32_t EbDispatcher_CountCalls(const EbDispatcher *dispatcher,
+                                 const char *failure_domain);
+
 /* Handles deadlines, time-outs, delayed retries and hedges that are due, and
  * serves the queues. */
 void EbDispatcher_Tick(EbDispatcher *dispatcher, int64_t now_us);
--- a/include/servers/ebonyhollow/pool.h
+++ b/include/servers/ebonyhollow/pool.h
@@ -12,6 +12,7 @@
 
 #include "ebonyhollow/config.h"
 #include "ebonyhollow/directives.h"
+#include "ebonyhollow/evacuations.h"
 #include "ebonyhollow/event.h"
 #include "ebonyhollow/random.h"
 
@@ -22,6 +23,7 @@
     EB_SERVER_EJECTED,
     EB_SERVER_SLOW_START,
     EB_SERVER_LEAVING,
+    EB_SERVER_EVACUATED, /* in a failure domain that is closed */
     EB_SERVER_STATE_COUNT
 } EbServerState;
 
@@ -42,6 +44,7 @@
     EbRandom *random;
     const EbEventSink *events;
     EbDirectives *directives; /* NULL: servers don't limit their calls */
+    const EbEvacuations *evacuations; /* NULL: every domain is open */
 } EbPoolOptions;
 
 /* How a call ended, for the pool's statistics. */
@@ -75,8 +78,8 @@
 } EbPoolCriteria;
 
 /* Creates a pool for a daemon that knows of no others. Strings in `options`
- * are copied; `random`, `events` and `directives` are borrowed and must
- * outlive the pool.
+ * are copied; `random`, `events`, `directives` and `evacuations` are borrowed
+ * and must outlive the pool.
  *
  * Returns a pool to be freed with EbPool_Free, or NULL with `error` set when
  * pool_index is out of range. */
@@ -134,6 +137,16 @@
 bool EbPool_SetLeaving(EbPool *pool, const char *server_id, bool leaving,
                        int64_t now_us);
 
+/* Handles that failure domains were closed or opened. */
+void EbPool_EvacuationsChanged(EbPool *pool);
+
+/* Returns whether the pool has servers, and all that don't leave are in
+ * failure domains that are closed. */
+bool EbPool_IsEvacuated(const EbPool *pool);
+
+/* Returns the number of calls in flight to the servers of a failure domain. */
+uint32_t EbPool_CountCalls(const EbPool *pool, const char *failure_domain);
+
 /* Updates ejections and slow start. Call it at least once a second. */
 void EbPool_Tick(EbPool *pool, int64_t now_us);
 
@@ -149,7 +162,8 @@
  * calls takes one from this daemon, or INT64_MAX. */
 int64_t EbPool_NextAdmission(const EbPool *pool, int64_t now_us);
 
-/* Returns whether any server of the subset is neither leaving nor ejected. */
+/* Returns whether any server of the subset is neither leaving nor ejected nor
+ * in a failure domain that is closed. */
 bool EbPool_HasUsableServer(const EbPool *pool);
 
 /* Predicts how long one more call takes in this pool, in microseconds: the
--- a/include/share/ebonyhollow/event_table.h
+++ b/include/share/ebonyhollow/event_table.h
@@ -184,6 +184,14 @@
       "A fingerprint was released from quarantine; cause is expired, "        \
       "operator or peer.",                                                    \
       "fingerprint,cause", "None.")                                           \
+    X(EVACUATION_STATE, 430, "evacuation-state", EB_LEVEL_NOTICE,             \
+      "A failure domain changed from the state before to state: none, "       \
+      "evacuating (nothing new is sent to its servers, calls of this daemon " \
+      "run there), evacuated (none runs there any more) or returning (it is " \
+      "in use again). era and revision are those of the order in the "        \
+      "store, age_us is the time since this daemon learned of it.",           \
+      "failure_domain,state,before,era,revision,age_us,calls",                \
+      "None. See docs/OPERATIONS.md, emptying a failure domain.")             \
     X(PEER_ALIVE, 500, "peer-alive", EB_LEVEL_NOTICE,                         \
       "A daemon is known to be alive.", "peer,incarnation", "None.")          \
     X(PEER_SUSPECTED, 501, "peer-suspected", EB_LEVEL_WARNING,                \
--- a/src/ebonyhollow/view_commands.c
+++ b/src/ebonyhollow/view_commands.c
@@ -65,11 +65,22 @@
                                                   {"CALLS", "calls"},
                                                   {"ATTEMPTS", "attempts"},
                                                   {"SERVER_MS", "server_ms"}};
+    static const EbOutputColumn evacuation_columns[] = {
+        {"DOMAIN", "failure_domain"},
+        {"STATE", "state"},
+        {"CALLS", "calls"},
+        {"AGE_US", "age_us"},
+        {"ERA", "era"},
+        {"REVISION", "revision"}};
     json_t *summary = json_copy(status);
+    json_object_del(summary, "evacuations");
     json_object_del(summary, "attainment");
     json_object_del(summary, "stages");
     EbOutput_Pairs(out, summary);
     json_decref(summary);
+    print_section(out, status, "evacuations",
+                  "evacuated failure domains:", evacuation_columns,
+                  G_N_ELEMENTS(evacuation_columns));
     json_t *attainment = json_object_get(status, "attainment");
     print_section(out, attainment, "requests",
                   "requests answered:", attainment_columns,
--- a/src/libebonyhollow/actions/outcome.c
+++ b/src/libebonyhollow/actions/outcome.c
@@ -68,6 +68,9 @@
     [EB_REASON_PIPELINE_UNUSABLE] =
         {"pipeline-unusable", 503,
          "The configuration of the pipeline can't be used.", 1},
+    [EB_REASON_EVACUATED] =
+        {"evacuated", 503,
+         "Every server for the request is in an evacuated failure domain.", 1},
     [EB_REASON_CALLER_GONE] = {"caller-gone", 499,
                                "The caller closed its connection.", 0},
     [EB_REASON_SHUTDOWN] = {"shutdown", 503,
--- a/src/libebonyhollow/batching/batcher.c
+++ b/src/libebonyhollow/batching/batcher.c
@@ -121,7 +121,8 @@
 }
 
 static void
-update_server(EbBatchService *service, const EbConfigBackendServer *row)
+update_server(const EbBatcher *batcher, EbBatchService *service,
+              const EbConfigBackendServer *row)
 {
     EbBatchServer *server = g_hash_table_lookup(service->servers, row->id);
     if (server == NULL) {
@@ -137,6 +138,7 @@
     server->failure_domain = g_strdup(row->failure_domain);
     server->port = row->port;
     server->current = true;
+    EbBatchServer_CheckEvacuation(batcher, server);
 }
 
 static gboolean
@@ -176,7 +178,8 @@
         EbBatchService *service = get_service(batcher, pool->name);
         service->batch = pool->batch;
         for (uint32_t k = 0; k < pool->server_count; k++) {
-            update_server(service, &config->servers[pool->server_indexes[k]]);
+            update_server(batcher, service,
+                          &config->servers[pool->server_indexes[k]]);
         }
     }
     g_hash_table_iter_init(&iter, batcher->services);
@@ -506,8 +509,18 @@
 
 /* Timers */
 
+/* Forgets what waits to be released at a server. */
+static void
+clear_releases(EbBatchServer *server)
+{
+    g_ptr_array_set_size(server->releases, 0);
+    server->held_bytes -= MIN(server->held_bytes, server->released_bytes);
+    server->released_bytes = 0;
+}
+
 /* Sends what waits to be released. A server that asks for calls to wait gets
- * it later; one that leaves takes its results with it. */
+ * it later; one that leaves takes its results with it; in an evacuated failure
+ * domain, to which nothing is sent, they expire. */
 static void
 release_results(EbBatcher *batcher, int64_t now_us)
 {
@@ -525,6 +538,10 @@
             if (server->releases->len == 0) {
                 continue;
             }
+            if (server->evacuated) {
+                clear_releases(server);
+                continue;
+            }
             int64_t admission_us =
                 EbDirectives_NextAdmission(directives, server->id, now_us);
             if (admission_us > now_us) {
@@ -545,9 +562,7 @@
                                 .handles = server->releases,
                             }});
             server->releases = g_ptr_array_new_with_free_func(g_free);
-            server->held_bytes -=
-                MIN(server->held_bytes, server->released_bytes);
-            server->released_bytes = 0;
+            clear_releases(server);
         }
     }
 }
@@ -611,7 +626,8 @@
     g_hash_table_iter_init(&iter, service->servers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const EbBatchServer *server = value;
-        if (server->current && server->running < service->batch.max_calls) {
+        if (server->current && !server->evacuated &&
+            server->running < service->batch.max_calls) {
             int64_t check_us = MAX(server->blocked_until_us,
                                    server->skipped_us + RECHECK_INTERVAL_US);
             int64_t admission_us = EbDirectives_NextAdmission(
--- a/src/libebonyhollow/batching/batcher_call.c
+++ b/src/libebonyhollow/batching/batcher_call.c
@@ -108,16 +108,21 @@
     return true;
 }
 
-/* Ends the jobs that can no longer be prepared before their deadline. */
+/* Ends the jobs that can no longer be prepared before their deadline, and all
+ * that wait for servers of which none may be called. */
 static void
-expire_jobs(EbBatcher *batcher, EbBatchService *service, int64_t now_us)
+end_hopeless_jobs(EbBatcher *batcher, EbBatchService *service, int64_t now_us)
 {
+    bool evacuated = EbBatchService_IsEvacuated(service);
     GSequenceIter *iter = g_sequence_get_begin_iter(service->queue);
     while (!g_sequence_iter_is_end(iter)) {
         GSequenceIter *next = g_sequence_iter_next(iter);
         EbBatchJob *job = g_sequence_get(iter);
-        if (job->spec.deadline_us <=
-            now_us + EbBatchService_ExpectedTime(service, 1)) {
+        if (evacuated) {
+            EbBatchJob_Report(batcher, job, EB_PREPARED_FAILED, now_us);
+        }
+        else if (job->spec.deadline_us <=
+                 now_us + EbBatchService_ExpectedTime(service, 1)) {
             EbBatchJob_Report(batcher, job, EB_PREPARED_LATE, now_us);
         }
         iter = next;
@@ -128,7 +133,7 @@
 EbBatchService_StartCalls(EbBatcher *batcher, EbBatchService *service,
                           int64_t now_us)
 {
-    expire_jobs(batcher, service, now_us);
+    end_hopeless_jobs(batcher, service, now_us);
     while (service->waiting_count > 0) {
         EbBatchServer *server =
             EbBatchService_ChooseServer(batcher, service, now_us);
--- a/src/libebonyhollow/batching/batcher_choice.c
+++ b/src/libebonyhollow/batching/batcher_choice.c
@@ -48,7 +48,8 @@
 is_free(const EbBatcher *batcher, const EbBatchService *service,
         const EbBatchServer *server, int64_t now_us)
 {
-    return server->current && server->running < service->batch.max_calls &&
+    return server->current && !server->evacuated &&
+           server->running < service->batch.max_calls &&
            server->blocked_until_us <= now_us &&
            server->skipped_us != now_us &&
            has_memory(service, server, now_us) &&
@@ -85,7 +86,7 @@
     g_hash_table_iter_init(&iter, service->servers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         EbBatchServer *server = value;
-        if (server->current && server->failures == 0 &&
+        if (server->current && !server->evacuated && server->failures == 0 &&
             (fastest == 0 || server->slowdown < fastest)) {
             fastest = server->slowdown;
         }
@@ -133,12 +134,13 @@
     }
 }
 
-/* Returns the number of items that all servers take in one call each. */
+/* Returns the number of items that all servers to which calls may be sent take
+ * in one call each. */
 static size_t
 call_capacity(const EbBatchService *service)
 {
     return (size_t)service->batch.max_items *
-           g_hash_table_size(service->servers);
+           EbBatchService_CountOpen(service);
 }
 
 /* Returns whether a job that moves many bytes can wait for a server in its
@@ -158,7 +160,7 @@
     g_hash_table_iter_init(&iter, service->servers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const EbBatchServer *server = value;
-        if (server->current && server->failures == 0 &&
+        if (server->current && !server->evacuated && server->failures == 0 &&
             is_local(job, server)) {
             return true;
         }
--- a/src/libebonyhollow/batching/private/batcher_state.h
+++ b/src/libebonyhollow/batching/private/batcher_state.h
@@ -50,6 +50,7 @@
     uint64_t held_bytes;   /* of results stored or being made there */
     uint64_t released_bytes; /* of the results in `releases` */
     bool current;            /* in the configuration in force */
+    bool evacuated;          /* its failure domain is closed */
     GPtrArray *releases;     /* of char *, handles of results to free */
 } EbBatchServer;
 
@@ -101,6 +102,16 @@
                               EbBatchItem *item, int64_t now_us);
 void EbBatchJob_Free(EbBatcher *batcher, EbBatchJob *job);
 
+/* batcher_evacuation.c */
+
+/* Notes whether a server's failure domain is closed. */
+void EbBatchServer_CheckEvacuation(const EbBatcher *batcher,
+                                   EbBatchServer *server);
+/* Returns the number of servers whose failure domain is open. */
+guint EbBatchService_CountOpen(const EbBatchService *service);
+/* Returns whether the service has servers, all in closed failure domains. */
+bool EbBatchService_IsEvacuated(const EbBatchService *service);
+
 /* batcher_choice.c */
 
 /* Returns how long a call with `items` items takes at a server of usual speed,
--- a/src/libebonyhollow/configuration/settings_fields.c
+++ b/src/libebonyhollow/configuration/settings_fields.c
@@ -61,6 +61,10 @@
         "replaced, since its connection may be lost while it stays open; a "
         "change may be known this much later. Each watch calls the store at "
         "least this often."),
+    ROW("evacuations", BOOLEAN, "", 0, 0, "false", EbSettings, evacuations,
+        "Whether the operator may evacuate failure domains by objects in the "
+        "platform's store. They are then watched like the configuration, and "
+        "no request is served before they are known."),
     CUSTOM_ROW("seeds", ARRAY, "[]", EB_SETTINGS_MAX_SEEDS,
                "Addresses of peers to connect to at start."),
     ROW("seeds[].host", HOST, "", 0, 0, EB_SCHEMA_REQUIRED, EbAddress, host,
--- a/src/libebonyhollow/feed/private/store_feed_state.h
+++ b/src/libebonyhollow/feed/private/store_feed_state.h
@@ -32,6 +32,7 @@
 /* A daemon that gets its changes from this one. */
 typedef struct {
     EbStorePosition positions[EB_FEED_STREAM_COUNT];
+    uint32_t stream_count; /* it wants the first of them */
     int64_t expires_us;
 } EbFeedSubscriber;
 
@@ -39,6 +40,7 @@
     EbStoreFeedOptions options;
     EbEventSink events;
     EbFeedStreamState streams[EB_FEED_STREAM_COUNT];
+    uint32_t stream_count;   /* the first of them are followed */
     GHashTable *subscribers; /* instance -> EbFeedSubscriber */
 
     bool is_source;
@@ -78,10 +80,20 @@
 void EbStoreFeed_Want(EbStoreFeed *feed, EbFeedStream index,
                       const EbStorePosition *position);
 
+/* Sets the fields of a message that tell what this daemon knows of the streams
+ * that it follows. */
+void EbStoreFeed_WritePositions(const EbStoreFeed *feed, EbMessage *message);
+
+/* Reads these fields. Returns the number of streams that the sender follows
+ * too; the positions of the others are zeroed. */
+uint32_t EbStoreFeed_ReadPositions(const EbStoreFeed *feed,
+                                   const EbMessage *message,
+                                   EbStorePosition positions[]);
+
 /* Returns whether every stream was listed. */
 bool EbStoreFeed_IsListed(const EbStoreFeed *feed);
 
-/* Returns whether the last read of a stream failed. */
+/* Returns whether the last read of any stream failed. */
 bool EbStoreFeed_HasFailed(const EbStoreFeed *feed);
 
 /* store_feed_ask.c */
--- a/src/libebonyhollow/feed/store_feed.c
+++ b/src/libebonyhollow/feed/store_feed.c
@@ -24,6 +24,7 @@
 const char *const EbStoreFeed_stream_names[EB_FEED_STREAM_COUNT] = {
     [EB_FEED_CONFIG] = "configuration",
     [EB_FEED_SERVERS] = "servers",
+    [EB_FEED_EVACUATIONS] = "evacuations",
 };
 
 EbStoreFeed *
@@ -34,9 +35,12 @@
     if (options->events != NULL) {
         feed->events = *options->events;
     }
+    feed->stream_count = options->follow_evacuations ? EB_FEED_STREAM_COUNT
+                                                     : EB_FEED_FIRST_STREAMS;
     for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
         feed->streams[i] =
-            (EbFeedStreamState){.must_read = true, .read_us = INT64_MIN};
+            (EbFeedStreamState){.must_read = (uint32_t)i < feed->stream_count,
+                                .read_us = INT64_MIN};
         EbObjectStream_Init(&feed->streams[i].objects);
     }
     feed->subscribers =
@@ -93,7 +97,7 @@
 bool
 EbStoreFeed_IsListed(const EbStoreFeed *feed)
 {
-    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+    for (uint32_t i = 0; i < feed->stream_count; i++) {
         if (!feed->streams[i].objects.listed) {
             return false;
         }
@@ -104,8 +108,46 @@
 bool
 EbStoreFeed_HasFailed(const EbStoreFeed *feed)
 {
-    return feed->streams[EB_FEED_CONFIG].failures > 0 ||
-           feed->streams[EB_FEED_SERVERS].failures > 0;
+    for (uint32_t i = 0; i < feed->stream_count; i++) {
+        if (feed->streams[i].failures > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+EbStoreFeed_WritePositions(const EbStoreFeed *feed, EbMessage *message)
+{
+    const EbStorePosition *config =
+        &feed->streams[EB_FEED_CONFIG].objects.position;
+    const EbStorePosition *servers =
+        &feed->streams[EB_FEED_SERVERS].objects.position;
+    message->config_revision = config->revision;
+    message->config_era = config->era;
+    message->servers_revision = servers->revision;
+    message->servers_era = servers->era;
+    if (feed->stream_count > EB_FEED_FIRST_STREAMS) {
+        const EbStorePosition *evacuations =
+            &feed->streams[EB_FEED_EVACUATIONS].objects.position;
+        message->evacuations_revision = evacuations->revision;
+        message->evacuations_era = evacuations->era;
+        message->feed_streams = feed->stream_count;
+    }
+}
+
+uint32_t
+EbStoreFeed_ReadPositions(const EbStoreFeed *feed, const EbMessage *message,
+                          EbStorePosition positions[])
+{
+    positions[EB_FEED_CONFIG] =
+        (EbStorePosition){message->config_era, message->config_revision};
+    positions[EB_FEED_SERVERS] =
+        (EbStorePosition){message->servers_era, message->servers_revision};
+    positions[EB_FEED_EVACUATIONS] = (EbStorePosition){
+        message->evacuations_era, message->evacuations_revision};
+    return MIN(MAX(message->feed_streams, EB_FEED_FIRST_STREAMS),
+               feed->stream_count);
 }
 
 /* What the store returned */
@@ -163,7 +205,7 @@
 EbStoreFeed_StartEra(EbStoreFeed *feed, uint64_t era, int64_t now_us)
 {
     EbStorePosition start = {.era = era};
-    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+    for (uint32_t i = 0; i < feed->stream_count; i++) {
         const EbObjectStream *objects = &feed->streams[i].objects;
         if (objects->listed && objects->position.era < era) {
             feed->recovered_us = now_us;
@@ -257,7 +299,7 @@
 confirmed_until(const EbStoreFeed *feed)
 {
     int64_t own_us = INT64_MAX;
-    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+    for (uint32_t i = 0; i < feed->stream_count; i++) {
         own_us = MIN(own_us, feed->streams[i].read_us);
     }
     int64_t confirmed_us = MAX(own_us, feed->confirmed_us);
@@ -300,7 +342,7 @@
 static void
 decide_reads(EbStoreFeed *feed, int64_t now_us)
 {
-    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+    for (uint32_t i = 0; i < feed->stream_count; i++) {
         EbFeedStreamState *stream = &feed->streams[i];
         const char *cause = read_cause(feed, stream, now_us);
         if ((cause != NULL) == stream->must_read) {
@@ -348,7 +390,7 @@
     if (!EbStoreFeed_IsListed(feed)) {
         return next_us;
     }
-    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+    for (uint32_t i = 0; i < feed->stream_count; i++) {
         const EbFeedStreamState *stream = &feed->streams[i];
         if (stream->must_read ||
             (!feed->is_source && waits_for_other(feed, stream))) {
--- a/src/libebonyhollow/feed/store_feed_ask.c
+++ b/src/libebonyhollow/feed/store_feed_ask.c
@@ -15,15 +15,9 @@
 static void
 send_request(EbStoreFeed *feed, int64_t now_us)
 {
-    EbMessage request = {
-        .kind = EB_MESSAGE_FEED_REQUEST,
-        .feed_request = ++feed->request,
-        .config_revision =
-            feed->streams[EB_FEED_CONFIG].objects.position.revision,
-        .config_era = feed->streams[EB_FEED_CONFIG].objects.position.era,
-        .servers_revision =
-            feed->streams[EB_FEED_SERVERS].objects.position.revision,
-        .servers_era = feed->streams[EB_FEED_SERVERS].objects.position.era};
+    EbMessage request = {.kind = EB_MESSAGE_FEED_REQUEST,
+                         .feed_request = ++feed->request};
+    EbStoreFeed_WritePositions(feed, &request);
     guint attempts = MIN(feed->sources->len, EB_FEED_REFUSALS_MAX);
     feed->awaiting_status = false;
     for (guint i = 0; i < attempts && !feed->awaiting_status; i++) {
@@ -74,7 +68,9 @@
         return;
     }
     feed->awaiting_status = false;
-    if (!message->feed_reading) {
+    EbStorePosition positions[EB_FEED_STREAM_COUNT];
+    uint32_t shared = EbStoreFeed_ReadPositions(feed, message, positions);
+    if (!message->feed_reading || shared < feed->stream_count) {
         handle_refusal(feed, message->feed_failing, now_us);
         return;
     }
@@ -82,11 +78,8 @@
     feed->failing_refusals = 0;
     feed->sources_failing = false;
     note_recovery(feed, message, now_us);
-    const EbStorePosition positions[EB_FEED_STREAM_COUNT] = {
-        [EB_FEED_CONFIG] = {message->config_era, message->config_revision},
-        [EB_FEED_SERVERS] = {message->servers_era, message->servers_revision}};
     bool complete = true;
-    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+    for (uint32_t i = 0; i < feed->stream_count; i++) {
         EbFeedStreamState *stream = &feed->streams[i];
         /* The store is back, if it was away. */
         stream->pause_until_us = 0;
@@ -135,6 +128,9 @@
     EbFeedStream index = (EbFeedStream)message->feed_stream;
     EbFeedStreamState *stream = &feed->streams[index];
     EbStorePosition position = {message->era, message->revision};
+    if (index >= feed->stream_count) {
+        return;
+    }
     json_t *events = parse_events(message);
     if (events == NULL) {
         EB_EMIT(&feed->events, EB_EVENT_FEED_INVALID,
--- a/src/libebonyhollow/feed/store_feed_serve.c
+++ b/src/libebonyhollow/feed/store_feed_serve.c
@@ -39,7 +39,7 @@
         answer_age(feed, now_us) > ANSWER_AGE_MAX_US) {
         return false;
     }
-    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+    for (uint32_t i = 0; i < feed->stream_count; i++) {
         if (!is_stream_current(&feed->streams[i])) {
             return false;
         }
@@ -134,7 +134,9 @@
     gpointer subscriber;
     g_hash_table_iter_init(&iter, feed->subscribers);
     while (g_hash_table_iter_next(&iter, &instance, &subscriber)) {
-        send_changes(feed, instance, subscriber, index, now_us);
+        if (index < ((const EbFeedSubscriber *)subscriber)->stream_count) {
+            send_changes(feed, instance, subscriber, index, now_us);
+        }
     }
 }
 
@@ -142,7 +144,7 @@
  */
 static void
 add_subscriber(EbStoreFeed *feed, const char *peer,
-               const EbStorePosition positions[EB_FEED_STREAM_COUNT],
+               const EbStorePosition positions[], uint32_t stream_count,
                int64_t now_us)
 {
     EbFeedSubscriber *subscriber =
@@ -152,7 +154,8 @@
         g_hash_table_insert(feed->subscribers, g_strdup(peer), subscriber);
     }
     subscriber->expires_us = now_us + SUBSCRIBER_US;
-    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+    subscriber->stream_count = stream_count;
+    for (uint32_t i = 0; i < stream_count; i++) {
         subscriber->positions[i] = positions[i];
         send_changes(feed, peer, subscriber, (EbFeedStream)i, now_us);
     }
@@ -162,12 +165,11 @@
 EbStoreFeed_AnswerRequest(EbStoreFeed *feed, const char *peer,
                           const EbMessage *request, int64_t now_us)
 {
-    const EbStorePosition positions[EB_FEED_STREAM_COUNT] = {
-        [EB_FEED_CONFIG] = {request->config_era, request->config_revision},
-        [EB_FEED_SERVERS] = {request->servers_era, request->servers_revision}};
+    EbStorePosition positions[EB_FEED_STREAM_COUNT];
+    uint32_t shared = EbStoreFeed_ReadPositions(feed, request, positions);
     bool all_listed_there = true;
     feed->asked_us = now_us;
-    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+    for (uint32_t i = 0; i < shared; i++) {
         if (positions[i].revision == 0) {
             send_all_objects(feed, peer, (EbFeedStream)i, now_us);
             all_listed_there = false;
@@ -180,17 +182,10 @@
                         .recovered_ago_us = recovered_ago(feed, now_us)};
     if (status.feed_reading) {
         status.confirmed_ago_us = (uint64_t)answer_age(feed, now_us);
-        const EbStorePosition *config =
-            &feed->streams[EB_FEED_CONFIG].objects.position;
-        const EbStorePosition *servers =
-            &feed->streams[EB_FEED_SERVERS].objects.position;
-        status.config_revision = config->revision;
-        status.config_era = config->era;
-        status.servers_revision = servers->revision;
-        status.servers_era = servers->era;
+        EbStoreFeed_WritePositions(feed, &status);
     }
     if (status.feed_reading && all_listed_there) {
-        add_subscriber(feed, peer, positions, now_us);
+        add_subscriber(feed, peer, positions, shared, now_us);
     }
     feed->options.send(feed->options.context, peer, &status, now_us);
 }
--- a/src/libebonyhollow/membership/message.c
+++ b/src/libebonyhollow/membership/message.c
@@ -105,6 +105,9 @@
     FIELD(48, UINT64, servers_era, FEED_POSITIONS, 0, 0),
     FIELD(49, UINT64, era, BIT(FEED_CHANGES), 0, 0),
     FIELD(46, LIMITS, limits, BIT(SERVER_LIMITS), 0, 0),
+    FIELD(60, UINT64, evacuations_revision, FEED_POSITIONS, 0, 0),
+    FIELD(61, UINT64, evacuations_era, FEED_POSITIONS, 0, 0),
+    FIELD(62, UINT32, feed_streams, FEED_POSITIONS, 0, UINT8_MAX),
 };
 
 const size_t EbMessage_field_count =
--- a/src/libebonyhollow/metrics/metrics.c
+++ b/src/libebonyhollow/metrics/metrics.c
@@ -160,6 +160,13 @@
                                "Requests refused because they crash servers.",
                                {NULL, NULL, NULL},
                                1},
+    [EB_METRIC_EVACUATION] = {"ebonyhollow_evacuation_state",
+                              EB_METRIC_GAUGE,
+                              "0 while a failure domain is in use, 1 while "
+                              "calls of this daemon still run in an evacuated "
+                              "one, 2 without such calls, 3 while it returns.",
+                              {"failure_domain", NULL, NULL},
+                              SERIES_DEFAULT},
 };
 
 const char *const EbMetricType_names[EB_METRIC_TYPE_COUNT] = {
@@ -280,6 +287,14 @@
     get_series(metrics, metric, NULL, NULL, NULL)->value = value;
 }
 
+void
+EbMetrics_SetLabelled(EbMetrics *metrics, EbMetricId metric, uint64_t value,
+                      const char *label)
+{
+    assert(EbMetrics_table[metric].type == EB_METRIC_GAUGE);
+    get_series(metrics, metric, label, NULL, NULL)->value = value;
+}
+
 uint64_t
 EbMetrics_Read(const EbMetrics *metrics, EbMetricId metric, const char *label1,
                const char *label2, const char *label3)
--- a/src/libebonyhollow/requests/dispatcher.c
+++ b/src/libebonyhollow/requests/dispatcher.c
@@ -466,6 +466,37 @@
     EbDispatcher_RunPending(dispatcher, now_us);
 }
 
+/* Evacuations */
+
+void
+EbDispatcher_EvacuationsChanged(EbDispatcher *dispatcher, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, dispatcher->pools);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        EbDispatcherPool *pool = value;
+        EbPool_EvacuationsChanged(pool->pool);
+        pool->dirty = true;
+    }
+    EbDispatcher_RunPending(dispatcher, now_us);
+}
+
+uint32_t
+EbDispatcher_CountCalls(const EbDispatcher *dispatcher,
+                        const char *failure_domain)
+{
+    uint32_t count = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, dispatcher->pools);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const EbDispatcherPool *pool = value;
+        count += EbPool_CountCalls(pool->pool, failure_domain);
+    }
+    return count;
+}
+
 /* Shutdown */
 
 /* Puts waiting requests into their queues again, now with the end of the drain
--- a/src/libebonyhollow/requests/dispatcher_pool.c
+++ b/src/libebonyhollow/requests/dispatcher_pool.c
@@ -55,6 +55,7 @@
             .random = dispatcher->options.random,
             .events = dispatcher->options.events,
             .directives = dispatcher->options.directives,
+            .evacuations = dispatcher->options.evacuations,
         },
         NULL);
     assert(state->pool != NULL);
--- a/src/libebonyhollow/requests/dispatcher_prepare.c
+++ b/src/libebonyhollow/requests/dispatcher_prepare.c
@@ -215,6 +215,10 @@
     EbPreparation *preparations = request->forward->preparations;
     bool missing = false;
     end_consumed_preparations(request);
+    if (EbRequest_IsEvacuated(request)) {
+        EbRequest_FailEvacuated(request, now_us);
+        return;
+    }
     for (uint32_t i = 0;
          i < EbRequest_ForwardConfig(request)->preparation_count; i++) {
         if (is_startable(request, i)) {
@@ -313,6 +317,10 @@
         }
         return;
     }
+    if (EbRequest_IsEvacuated(request)) {
+        EbRequest_FailEvacuated(request, now_us);
+        return;
+    }
     EbRequest_Fail(request,
                    status == EB_PREPARED_LATE ? EB_REASON_DEADLINE_INFEASIBLE
                                               : EB_REASON_BACKEND_FAILED,
--- a/src/libebonyhollow/requests/dispatcher_request.c
+++ b/src/libebonyhollow/requests/dispatcher_request.c
@@ -125,9 +125,15 @@
 {
     int64_t total_us = 0;
     int64_t limit_delay_us = 0;
+    if (EbRequest_IsEvacuated(request)) {
+        return EB_REASON_EVACUATED;
+    }
     for (uint32_t i = 0; i < request->pipeline->stage_count; i++) {
         EbDispatcherPool *pool = request->pools[i];
         size_t waiting = EbQueue_Count(pool->queue);
+        if (EbPool_IsEvacuated(pool->pool)) {
+            return EB_REASON_EVACUATED;
+        }
         if (!EbPool_HasUsableServer(pool->pool)) {
             return EB_REASON_NO_BACKEND_SERVER;
         }
@@ -255,7 +261,10 @@
     EbError_Clear(&error);
     EbReason reason = check_submission(request, submission, &error, now_us);
     EbRequest_MarkTimerStale(request);
-    if (reason != EB_REASON_NONE) {
+    if (reason == EB_REASON_EVACUATED) {
+        EbRequest_FailEvacuated(request, now_us);
+    }
+    else if (reason != EB_REASON_NONE) {
         char detail[EB_ERROR_MESSAGE_MAX_BYTES + EB_ERROR_PATH_MAX_BYTES];
         EbError_Format(&error, detail, sizeof(detail));
         EbRequest_Fail(request, reason,
--- a/src/libebonyhollow/requests/dispatcher_stage.c
+++ b/src/libebonyhollow/requests/dispatcher_stage.c
@@ -98,6 +98,10 @@
     EbDispatcherPool *pool = request->pools[request->stage];
     EbRequest_MarkTimerStale(request);
     request->summary->state = EB_REQUEST_QUEUED;
+    if (EbRequest_IsEvacuated(request)) {
+        EbRequest_FailEvacuated(request, now_us);
+        return;
+    }
     if (EbQueue_Count(pool->queue) >= pool->queue_max) {
         EbRequest_Fail(request, EB_REASON_OVERLOADED, NULL, now_us);
         return;
@@ -343,27 +347,37 @@
                     &(EbAttemptStart){.body = body, .hedge = true}, now_us);
 }
 
+/* Returns the request of an entry that was removed from the queue. */
+static EbRequest *
+take_request(const EbDispatcher *dispatcher, const EbQueueEntry *entry)
+{
+    EbRequest *request = g_hash_table_lookup(dispatcher->requests, &entry->id);
+    assert(request != NULL && request->waiting);
+    return request;
+}
+
 void
 EbDispatcherPool_ServeQueue(EbDispatcher *dispatcher, EbDispatcherPool *pool,
                             int64_t now_us)
 {
     EbQueueEntry entry;
     while (EbQueue_PopExpired(pool->queue, now_us, &entry)) {
-        EbRequest *request =
-            g_hash_table_lookup(dispatcher->requests, &entry.id);
-        assert(request != NULL && request->waiting);
+        EbRequest *request = take_request(dispatcher, &entry);
         request->waiting = false;
         EbReason reason = request->deadline_us > dispatcher->drain_end_us
                               ? EB_REASON_SHUTDOWN
                               : EB_REASON_DEADLINE_INFEASIBLE;
         EbRequest_Fail(request, reason, NULL, now_us);
     }
+    while (EbPool_IsEvacuated(pool->pool) &&
+           EbQueue_Pop(pool->queue, now_us, &entry)) {
+        EbRequest *request = take_request(dispatcher, &entry);
+        request->waiting = false;
+        EbRequest_FailEvacuated(request, now_us);
+    }
     while (EbPool_HasFreeSlot(pool->pool, now_us) &&
            EbQueue_Pop(pool->queue, now_us, &entry)) {
-        EbRequest *request =
-            g_hash_table_lookup(dispatcher->requests, &entry.id);
-        assert(request != NULL && request->waiting);
-        dispatch(request, now_us);
+        dispatch(take_request(dispatcher, &entry), now_us);
     }
     pool->admission_us = EbQueue_Count(pool->queue) > 0
                              ? EbPool_NextAdmission(pool->pool, now_us)
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -502,6 +502,16 @@
 /* Looks up the outcome at the service, because the holder cannot be asked. */
 void EbRequest_HolderLost(EbRequest *request, int64_t now_us);
 
+/* dispatcher_evacuation.c */
+
+/* Returns whether a request can't be served since all servers of its current
+ * stage, or of a preparation that it still needs, are in failure domains that
+ * are closed. */
+bool EbRequest_IsEvacuated(const EbRequest *request);
+
+/* Ends a request for which EbRequest_IsEvacuated holds. */
+void EbRequest_FailEvacuated(EbRequest *request, int64_t now_us);
+
 /* dispatcher_stage.c */
 
 /* Starts the current stage: resets the state of the stage before it and puts
--- a/src/libebonyhollow/servers/pool.c
+++ b/src/libebonyhollow/servers/pool.c
@@ -20,10 +20,9 @@
 #define SERVICE_GAIN 0.03 /* an average of about 30 calls */
 
 const char *const EbServerState_names[EB_SERVER_STATE_COUNT] = {
-    [EB_SERVER_AVAILABLE] = "available",
-    [EB_SERVER_EJECTED] = "ejected",
-    [EB_SERVER_SLOW_START] = "slow-start",
-    [EB_SERVER_LEAVING] = "leaving",
+    [EB_SERVER_AVAILABLE] = "available",   [EB_SERVER_EJECTED] = "ejected",
+    [EB_SERVER_SLOW_START] = "slow-start", [EB_SERVER_LEAVING] = "leaving",
+    [EB_SERVER_EVACUATED] = "evacuated",
 };
 
 const char *const EbCallResult_names[EB_CALL_RESULT_COUNT] = {
@@ -163,6 +162,7 @@
     pool->daemons = 1;
     pool->events = options->events;
     pool->directives = options->directives;
+    pool->evacuations = options->evacuations;
     EbPool_SetConfig(pool, options->config, options->pool_index);
     return pool;
 }
@@ -293,6 +293,39 @@
     return true;
 }
 
+void
+EbPool_EvacuationsChanged(EbPool *pool)
+{
+    EbPool_BuildSubset(pool);
+}
+
+bool
+EbPool_IsEvacuated(const EbPool *pool)
+{
+    bool closed = false;
+    for (uint32_t i = 0; i < pool->server_count; i++) {
+        const EbPoolServer *server = pool->servers[i];
+        if (!server->leaving && !EbPool_IsClosed(pool, server)) {
+            return false;
+        }
+        closed = closed || !server->leaving;
+    }
+    return closed;
+}
+
+uint32_t
+EbPool_CountCalls(const EbPool *pool, const char *failure_domain)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < pool->server_count; i++) {
+        const EbPoolServer *server = pool->servers[i];
+        if (strcmp(server->config->failure_domain, failure_domain) == 0) {
+            count += server->in_flight;
+        }
+    }
+    return count;
+}
+
 void
 EbPool_Tick(EbPool *pool, int64_t now_us)
 {
@@ -307,12 +340,14 @@
     }
 }
 
-/* Returns whether calls may be sent to the server: it is not leaving, and not
- * ejected unless all others are as well. */
+/* Returns whether calls may be sent to the server: it is not leaving, its
+ * failure domain is open, and it is not ejected unless all others are as well.
+ */
 static bool
-takes_calls(const EbPoolServer *server, bool has_usable)
+takes_calls(const EbPool *pool, const EbPoolServer *server, bool has_usable)
 {
-    return !server->leaving && !(server->ejected && has_usable);
+    return !server->leaving && !EbPool_IsClosed(pool, server) &&
+           !(server->ejected && has_usable);
 }
 
 bool
@@ -321,7 +356,7 @@
     bool has_usable = EbPool_HasUsableServer(pool);
     for (uint32_t i = 0; i < pool->member_count; i++) {
         const EbPoolServer *server = pool->members[i];
-        if (takes_calls(server, has_usable) &&
+        if (takes_calls(pool, server, has_usable) &&
             EbPool_HasRoom(pool, server, now_us)) {
             return true;
         }
@@ -342,7 +377,7 @@
     for (uint32_t i = 0; i < pool->member_count; i++) {
         const EbPoolServer *server = pool->members[i];
         double share = 0;
-        if (!takes_calls(server, has_usable)) {
+        if (!takes_calls(pool, server, has_usable)) {
             continue;
         }
         int64_t next_us =
@@ -373,7 +408,8 @@
     int64_t next_us = INT64_MAX;
     for (uint32_t i = 0; i < pool->member_count; i++) {
         const EbPoolServer *server = pool->members[i];
-        if (pool->directives == NULL || !takes_calls(server, has_usable) ||
+        if (pool->directives == NULL ||
+            !takes_calls(pool, server, has_usable) ||
             server->in_flight >= EbPool_Slots(server, now_us)) {
             continue;
         }
@@ -390,7 +426,9 @@
 EbPool_HasUsableServer(const EbPool *pool)
 {
     for (uint32_t i = 0; i < pool->member_count; i++) {
-        if (!pool->members[i]->leaving && !pool->members[i]->ejected) {
+        const EbPoolServer *server = pool->members[i];
+        if (!server->leaving && !server->ejected &&
+            !EbPool_IsClosed(pool, server)) {
             return true;
         }
     }
@@ -407,7 +445,7 @@
     double slots = 0, busy = 0;
     for (uint32_t i = 0; i < pool->member_count; i++) {
         const EbPoolServer *server = pool->members[i];
-        if (takes_calls(server, has_usable)) {
+        if (takes_calls(pool, server, has_usable)) {
             uint32_t limit = EbPool_Slots(server, now_us);
             slots += limit;
             busy += MIN(server->in_flight, limit);
@@ -444,11 +482,14 @@
 }
 
 static EbServerState
-server_state(const EbPoolServer *server)
+server_state(const EbPool *pool, const EbPoolServer *server)
 {
     if (server->leaving) {
         return EB_SERVER_LEAVING;
     }
+    if (EbPool_IsClosed(pool, server)) {
+        return EB_SERVER_EVACUATED;
+    }
     if (server->ejected) {
         return EB_SERVER_EJECTED;
     }
@@ -462,7 +503,7 @@
     const EbPoolServer *server = pool->members[index];
     *view = (EbServerView){
         .server = server->config,
-        .state = server_state(server),
+        .state = server_state(pool, server),
         .cause = server->cause,
         .in_flight = server->in_flight,
         .limit = (uint32_t)server->limit,
--- a/src/libebonyhollow/servers/pool_choice.c
+++ b/src/libebonyhollow/servers/pool_choice.c
@@ -39,9 +39,11 @@
 /* Returns whether a server may take the call, regardless of ejection and of
  * free slots. */
 static bool
-is_eligible(const EbPoolServer *server, const EbPoolCriteria *criteria)
+is_eligible(const EbPool *pool, const EbPoolServer *server,
+            const EbPoolCriteria *criteria)
 {
-    return !server->leaving && !is_excluded(criteria, server) &&
+    return !server->leaving && !EbPool_IsClosed(pool, server) &&
+           !is_excluded(criteria, server) &&
            (criteria->accept == NULL ||
             criteria->accept(criteria->context, server->id));
 }
@@ -66,7 +68,7 @@
           const EbPoolCriteria *criteria, int64_t now_us)
 {
     return !server->ejected && EbPool_HasRoom(pool, server, now_us) &&
-           is_eligible(server, criteria);
+           is_eligible(pool, server, criteria);
 }
 
 /* Returns the calls at a server: this daemon's calls in flight, and those of
@@ -136,7 +138,7 @@
     EbPoolServer *best = NULL;
     for (uint32_t i = 0; i < pool->member_count; i++) {
         EbPoolServer *server = pool->members[i];
-        if (!is_eligible(server, criteria)) {
+        if (!is_eligible(pool, server, criteria)) {
             continue;
         }
         if (!server->ejected) {
@@ -224,10 +226,14 @@
                     uint64_t key, int64_t now_us)
 {
     double calls = 0;
+    double open = 0;
     for (uint32_t i = 0; i < pool->member_count; i++) {
-        calls += pool->members[i]->in_flight;
+        if (!EbPool_IsClosed(pool, pool->members[i])) {
+            calls += pool->members[i]->in_flight;
+            open++;
+        }
     }
-    double mean_calls = calls / fmax(pool->member_count, 1);
+    double mean_calls = calls / fmax(open, 1);
     const EbPoolServer *best[2] = {NULL, NULL}; /* without and with a limit */
     uint64_t highest[2] = {0, 0};
     for (uint32_t i = 0; i < pool->member_count; i++) {
--- a/src/libebonyhollow/servers/pool_subset.c
+++ b/src/libebonyhollow/servers/pool_subset.c
@@ -29,6 +29,12 @@
     return strcmp(server->config->failure_domain, pool->failure_domain) == 0;
 }
 
+static bool
+takes_new_calls(const EbPool *pool, const EbPoolServer *server)
+{
+    return !server->leaving && !EbPool_IsClosed(pool, server);
+}
+
 /* Divides the size of the subset between this daemon's failure domain and the
  * others. A third comes from the others, so that after the loss of its own
  * domain the daemon still has servers whose latency is known. */
@@ -37,7 +43,7 @@
 {
     uint32_t own_count = 0, other_count = 0;
     for (uint32_t i = 0; i < pool->server_count; i++) {
-        if (!pool->servers[i]->leaving) {
+        if (takes_new_calls(pool, pool->servers[i])) {
             (*(is_in_own_domain(pool, pool->servers[i]) ? &own_count
                                                         : &other_count))++;
         }
@@ -49,9 +55,9 @@
 }
 
 /* Chooses the servers with the highest ranks in each of the two groups.
- * Leaving servers among them stay members for their calls in flight but don't
- * count, so that a leaving server adds one new server and changes nothing
- * else. */
+ * Leaving servers among them, and those in closed failure domains, stay
+ * members for their calls in flight but don't count, so that each of them adds
+ * one new server and changes nothing else. */
 void
 EbPool_BuildSubset(EbPool *pool)
 {
@@ -73,7 +79,7 @@
     for (uint32_t i = 0; i < pool->server_count; i++) {
         uint32_t *remaining = &wanted[is_in_own_domain(pool, ranked[i])];
         if (*remaining > 0) {
-            *remaining -= ranked[i]->leaving ? 0 : 1;
+            *remaining -= takes_new_calls(pool, ranked[i]) ? 1 : 0;
             pool->members[pool->member_count++] = ranked[i];
         }
     }
--- a/src/libebonyhollow/servers/private/pool_state.h
+++ b/src/libebonyhollow/servers/private/pool_state.h
@@ -65,7 +65,8 @@
     char *failure_domain;
     EbRandom *random;
     const EbEventSink *events;
-    EbDirectives *directives; /* may be NULL */
+    EbDirectives *directives;         /* may be NULL */
+    const EbEvacuations *evacuations; /* may be NULL */
     EbPoolServer **servers;
     uint32_t server_count;
     EbPoolServer **members; /* the subset this daemon uses */
@@ -84,6 +85,15 @@
     int64_t rotated_us;
 };
 
+/* Returns whether nothing new may be sent to a server since its failure domain
+ * is closed. */
+static inline bool
+EbPool_IsClosed(const EbPool *pool, const EbPoolServer *server)
+{
+    return EbEvacuations_IsClosed(pool->evacuations,
+                                  server->config->failure_domain);
+}
+
 /* pool_subset.c */
 
 /* Returns the rendezvous hash of a daemon and a server. */
--- a/src/libebonyhollow_net/admin_view.c
+++ b/src/libebonyhollow_net/admin_view.c
@@ -122,6 +122,26 @@
     return stages;
 }
 
+static json_t *
+describe_evacuations(const EbEvacuations *evacuations)
+{
+    json_t *list = json_array();
+    int64_t now_us = EbClock_Monotonic();
+    for (size_t i = 0; i < EbEvacuations_Count(evacuations); i++) {
+        EbEvacuationView view;
+        EbEvacuations_View(evacuations, i, now_us, &view);
+        json_array_append_new(
+            list, json_pack("{s:s, s:s, s:I, s:I, s:I, s:I}", "failure_domain",
+                            view.failure_domain, "state",
+                            EbEvacuationState_names[view.state], "calls",
+                            (json_int_t)view.calls, "age_us",
+                            (json_int_t)view.age_us, "era",
+                            (json_int_t)view.position.era, "revision",
+                            (json_int_t)view.position.revision));
+    }
+    return list;
+}
+
 void
 EbAdmin_GetStatus(const EbAdminCall *call)
 {
@@ -147,6 +167,10 @@
         status, "attainment",
         json_pack("{s:o, s:o}", "requests", requests, "in_time", in_time));
     json_object_set_new(status, "stages", describe_stage_costs(options));
+    if (options->evacuations != NULL) {
+        json_object_set_new(status, "evacuations",
+                            describe_evacuations(options->evacuations));
+    }
     EbAdmin_Reply(call->server, call->request, 200, status);
 }
 
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -180,6 +180,17 @@
     return true;
 }
 
+/* Counts the calls to the servers of a failure domain that run. */
+static uint32_t
+count_calls(void *context, const char *failure_domain)
+{
+    const EbDaemon *daemon = context;
+    return EbDispatcher_CountCalls(daemon->dispatcher, failure_domain) +
+           (daemon->batcher != NULL
+                ? EbBatcher_CountCalls(daemon->batcher, failure_domain)
+                : 0);
+}
+
 static void
 create_state_modules(EbDaemon *daemon)
 {
@@ -202,6 +213,11 @@
                                                 .random = &daemon->random,
                                                 .events = daemon->events,
                                                 .metrics = daemon->metrics});
+    daemon->evacuations =
+        EbEvacuations_New(&(EbEvacuationsOptions){.events = daemon->events,
+                                                  .metrics = daemon->metrics,
+                                                  .count_calls = count_calls,
+                                                  .context = daemon});
     daemon->suspects = EbSuspects_New(&(EbSuspectsOptions){
         .random = &daemon->random, .quarantine = daemon->quarantine});
     daemon->config_manager = EbConfigManager_New(
@@ -247,6 +263,7 @@
                                .limiter = daemon->limiter,
                                .quarantine = daemon->quarantine,
                                .directives = daemon->directives,
+                               .evacuations = daemon->evacuations,
                                .suspects = daemon->suspects,
                                .metrics = daemon->metrics,
                                .ask_owner = EbDaemon_AskOwner,
@@ -344,6 +361,7 @@
                                 .membership = daemon->membership,
                                 .limiter = daemon->limiter,
                                 .quarantine = daemon->quarantine,
+                                .evacuations = daemon->evacuations,
                                 .platform = daemon->platform_client,
                                 .draining = is_draining,
                                 .drain_state = drain_state,
@@ -433,6 +451,7 @@
     EbLedger_Free(daemon->ledger);
     EbLimiter_Free(daemon->limiter);
     EbSuspects_Free(daemon->suspects);
+    EbEvacuations_Free(daemon->evacuations);
     EbDirectives_Free(daemon->directives);
     EbQuarantine_Free(daemon->quarantine);
     EbConfigManager_Free(daemon->config_manager);
--- a/src/libebonyhollow_net/daemon_discovery.c
+++ b/src/libebonyhollow_net/daemon_discovery.c
@@ -1,6 +1,7 @@
-/* Discovery for a platform with an adapter: learns the configuration and the
- * backend servers from the platform's store or from other daemons, and puts
- * them into force together.
+/* Discovery for a platform with an adapter: learns the configuration, the
+ * backend servers and the evacuations from the platform's store or from other
+ * daemons. The configuration and the servers come into force together, once
+ * the evacuations are known; evacuations do at once.
  */
 #include <string.h>
 
@@ -21,15 +22,24 @@
 static const char *
 stream_kind(const EbDaemon *daemon, EbFeedStream stream)
 {
-    return stream == EB_FEED_CONFIG ? daemon->adapter->config_kind
-                                    : daemon->adapter->servers_kind;
+    const EbPlatformAdapter *adapter = daemon->adapter;
+    const char *const kinds[EB_FEED_STREAM_COUNT] = {
+        [EB_FEED_CONFIG] = adapter->config_kind,
+        [EB_FEED_SERVERS] = adapter->servers_kind,
+        [EB_FEED_EVACUATIONS] = adapter->evacuations_kind,
+    };
+    return kinds[stream];
 }
 
 static EbFeedStream
 kind_stream(const EbDaemon *daemon, const char *kind)
 {
-    return strcmp(kind, daemon->adapter->config_kind) == 0 ? EB_FEED_CONFIG
-                                                           : EB_FEED_SERVERS;
+    const EbPlatformAdapter *adapter = daemon->adapter;
+    if (strcmp(kind, adapter->config_kind) == 0) {
+        return EB_FEED_CONFIG;
+    }
+    return strcmp(kind, adapter->servers_kind) == 0 ? EB_FEED_SERVERS
+                                                    : EB_FEED_EVACUATIONS;
 }
 
 static bool
@@ -45,15 +55,23 @@
                             const json_t *events, bool restored,
                             int64_t now_us);
 
+static bool
+has_evacuations(const EbDaemon *daemon)
+{
+    return daemon->settings->evacuations &&
+           daemon->adapter->evacuations_kind != NULL;
+}
+
 void
 EbDiscovery_Init(EbDaemon *daemon)
 {
     EbDiscovery *discovery = &daemon->discovery;
-    discovery->feed =
-        EbStoreFeed_New(&(EbStoreFeedOptions){.events = daemon->events,
-                                              .send = send_feed_message,
-                                              .changed = on_feed_changed,
-                                              .context = daemon});
+    discovery->feed = EbStoreFeed_New(
+        &(EbStoreFeedOptions){.events = daemon->events,
+                              .follow_evacuations = has_evacuations(daemon),
+                              .send = send_feed_message,
+                              .changed = on_feed_changed,
+                              .context = daemon});
     discovery->registry = EbServerRegistry_New(daemon->events);
     discovery->next_registration_us = INT64_MAX;
 }
@@ -124,13 +142,14 @@
 }
 
 /* Puts the newest configuration and the known servers into force, once both
- * were read. */
+ * were read and the evacuations are known. */
 static void
 apply_config(EbDaemon *daemon, int64_t now_us)
 {
     EbDiscovery *discovery = &daemon->discovery;
     discovery->needs_apply = false;
-    if (discovery->config == NULL || !discovery->servers_listed) {
+    if (discovery->config == NULL || !discovery->servers_listed ||
+        !discovery->evacuations_known) {
         return;
     }
     EbConfig *config = read_config(daemon);
@@ -190,6 +209,19 @@
     EbServerRegistry_Drop(discovery->registry, name, now_us);
 }
 
+/* An object of any content orders an evacuation, so that no defect of it lets
+ * requests into the failure domain. */
+static void
+handle_evacuation_object(EbDaemon *daemon, const json_t *item, int64_t now_us)
+{
+    EbStorePosition position;
+    EbStoreFeed_Position(daemon->discovery.feed, EB_FEED_EVACUATIONS,
+                         &position);
+    EbEvacuations_Set(
+        daemon->evacuations, json_string_value(json_object_get(item, "name")),
+        !json_is_true(json_object_get(item, "deleted")), &position, now_us);
+}
+
 /* Registration and listing of daemons */
 
 static void
@@ -282,6 +314,7 @@
     EbDiscovery *discovery = &daemon->discovery;
     for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
         EbFeedStream stream = (EbFeedStream)i;
+        /* Streams that are not followed are never to be read. */
         bool read = EbStoreFeed_MustRead(discovery->feed, stream);
         if (read == discovery->reading[i]) {
             continue;
@@ -376,11 +409,18 @@
     const json_t *event;
     json_array_foreach(events, index, event)
     {
-        if (stream == EB_FEED_CONFIG) {
+        switch (stream) {
+        case EB_FEED_CONFIG:
             handle_config_object(daemon, event);
-        }
-        else {
+            break;
+        case EB_FEED_SERVERS:
             handle_server_object(daemon, event, restored, now_us);
+            break;
+        case EB_FEED_EVACUATIONS:
+            handle_evacuation_object(daemon, event, now_us);
+            break;
+        case EB_FEED_STREAM_COUNT:
+            break;
         }
     }
 }
@@ -467,6 +507,16 @@
         discovery->sources_stale = true;
         discovery->needs_apply = true;
     }
+    if (!discovery->evacuations_known &&
+        (!has_evacuations(daemon) ||
+         EbStoreFeed_IsKnown(discovery->feed, EB_FEED_EVACUATIONS))) {
+        discovery->evacuations_known = true;
+        discovery->needs_apply = true;
+    }
+    if (EbEvacuations_TakeChange(daemon->evacuations)) {
+        EbDispatcher_EvacuationsChanged(daemon->dispatcher, now_us);
+        EbBatcher_EvacuationsChanged(daemon->batcher, now_us);
+    }
     if (discovery->needs_apply) {
         apply_config(daemon, now_us);
     }
--- a/src/libebonyhollow_net/daemon_timer.c
+++ b/src/libebonyhollow_net/daemon_timer.c
@@ -85,6 +85,7 @@
             (uint32_t)EbMembership_LiveInstances(daemon->membership, NULL, 0);
         EbSuspects_SetDaemonCount(daemon->suspects, live_daemons);
         set_gauges(daemon, live_daemons, now_us);
+        EbEvacuations_Tick(daemon->evacuations, now_us);
         EbLog_Tick(daemon->log);
     }
     EbDaemon_StartDueListings(daemon, now_us);
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -18,6 +18,7 @@
 #include "ebonyhollow/daemon.h"
 #include "ebonyhollow/directives.h"
 #include "ebonyhollow/dispatcher.h"
+#include "ebonyhollow/evacuations.h"
 #include "ebonyhollow/forward_client.h"
 #include "ebonyhollow/forward_server.h"
 #include "ebonyhollow/ledger.h"
@@ -64,8 +65,8 @@
     int64_t earliest_us; /* the next listing starts no earlier than this */
 } EbDaemonListing;
 
-/* Configuration, backend servers and daemons as read from the store of a
- * platform with an adapter. */
+/* Configuration, backend servers, evacuations and daemons as read from the
+ * store of a platform with an adapter. */
 typedef struct {
     EbStoreFeed *feed;                  /* from whom changes are learned */
     bool reading[EB_FEED_STREAM_COUNT]; /* the stream's kind is watched */
@@ -76,6 +77,7 @@
     EbServerRegistry *registry;    /* backend servers */
     bool servers_listed;           /* a complete list was read */
     bool daemons_listed;           /* a complete list was read */
+    bool evacuations_known;        /* or the deployment has none */
     bool needs_apply;              /* there are changes not yet in force */
     int64_t next_registration_us;  /* next write of this daemon's entry, or
                                       INT64_MAX */
@@ -108,6 +110,7 @@
                                  from an older copy */
     EbSuspects *suspects;
     EbDirectives *directives;
+    EbEvacuations *evacuations;
     EbDispatcher *dispatcher;
     EbConfigManager *config_manager;
     EbMembership *membership;
