--- a/include/metrics/ebonyhollow/metrics.h
+++ b/include/metrics/ebonyhollow/metrics.h
@@ -31,6 +31,7 @@
     EB_METRIC_PEER_MESSAGES,      /* direction, kind */
     EB_METRIC_EVENTS_SUPPRESSED,  /* event */
     EB_METRIC_DIRECTIVES,         /* kind */
+    EB_METRIC_EVACUATIONS,        /* failure_domain, state */
     EB_METRIC_TOTAL_TIME_US,      /* histogram: customer */
     EB_METRIC_STAGE_TIME_US,      /* histogram: pipeline, stage */
     EB_METRIC_QUEUE_TIME_US,      /* histogram: pipeline, stage */
@@ -43,7 +44,7 @@
     EB_METRIC_UNWRITTEN_OUTCOMES, /* gauge */
     EB_METRIC_LIVE_DAEMONS,       /* gauge */
     EB_METRIC_QUARANTINED,        /* gauge */
-    EB_METRIC_EVACUATION,         /* gauge: failure_domain */
+    EB_METRIC_EVACUATED,          /* gauge */
     EB_METRIC_COUNT
 } EbMetricId;
 
@@ -85,13 +86,9 @@
                        const char *label1, const char *label2,
                        const char *label3);
 
-/* Sets a gauge without labels. */
+/* Sets a gauge. Gauges have no labels. */
 void EbMetrics_Set(EbMetrics *metrics, EbMetricId metric, uint64_t value);
 
-/* Sets a gauge with one label. */
-void EbMetrics_SetLabelled(EbMetrics *metrics, EbMetricId metric,
-                           uint64_t value, const char *label);
-
 /* Returns the value of a counter or gauge, or 0 when the series is absent. */
 uint64_t EbMetrics_Read(const EbMetrics *metrics, EbMetricId metric,
                         const char *label1, const char *label2,
--- a/src/libebonyhollow/metrics/metrics.c
+++ b/src/libebonyhollow/metrics/metrics.c
@@ -95,6 +95,13 @@
                               "leaves.",
                               {"kind", NULL, NULL},
                               SERIES_DEFAULT},
+    [EB_METRIC_EVACUATIONS] = {"ebonyhollow_evacuations_total",
+                               EB_METRIC_COUNTER,
+                               "Changes of a failure domain to a state of its "
+                               "evacuation: none, evacuating, evacuated or "
+                               "returning.",
+                               {"failure_domain", "state", NULL},
+                               SERIES_DEFAULT},
     [EB_METRIC_TOTAL_TIME_US] =
         {"ebonyhollow_request_time_microseconds",
          EB_METRIC_HISTOGRAM,
@@ -160,13 +167,12 @@
                                "Requests refused because they crash servers.",
                                {NULL, NULL, NULL},
                                1},
-    [EB_METRIC_EVACUATION] = {"ebonyhollow_evacuation_state",
-                              EB_METRIC_GAUGE,
-                              "0 while a failure domain is in use, 1 while "
-                              "calls of this daemon still run in an evacuated "
-                              "one, 2 without such calls, 3 while it returns.",
-                              {"failure_domain", NULL, NULL},
-                              SERIES_DEFAULT},
+    [EB_METRIC_EVACUATED] = {"ebonyhollow_evacuated_failure_domains",
+                             EB_METRIC_GAUGE,
+                             "Failure domains to whose servers nothing new is "
+                             "sent by order of the operator.",
+                             {NULL, NULL, NULL},
+                             1},
 };
 
 const char *const EbMetricType_names[EB_METRIC_TYPE_COUNT] = {
@@ -287,14 +293,6 @@
     get_series(metrics, metric, NULL, NULL, NULL)->value = value;
 }
 
-void
-EbMetrics_SetLabelled(EbMetrics *metrics, EbMetricId metric, uint64_t value,
-                      const char *label)
-{
-    assert(EbMetrics_table[metric].type == EB_METRIC_GAUGE);
-    get_series(metrics, metric, label, NULL, NULL)->value = value;
-}
-
 uint64_t
 EbMetrics_Read(const EbMetrics *metrics, EbMetricId metric, const char *label1,
                const char *label2, const char *label3)
--- a/src/libebonyhollow/servers/evacuations.c
+++ b/src/libebonyhollow/servers/evacuations.c
@@ -80,6 +80,23 @@
                : 0;
 }
 
+static void
+report_metrics(const EbEvacuations *evacuations, const Domain *changed)
+{
+    EbMetrics *metrics = evacuations->options.metrics;
+    if (metrics == NULL) {
+        return;
+    }
+    uint64_t closed = 0;
+    for (guint i = 0; i < evacuations->domains->len; i++) {
+        const Domain *domain = g_ptr_array_index(evacuations->domains, i);
+        closed += is_closed(domain->state);
+    }
+    EbMetrics_Set(metrics, EB_METRIC_EVACUATED, closed);
+    EbMetrics_Add(metrics, EB_METRIC_EVACUATIONS, 1, changed->failure_domain,
+                  EbEvacuationState_names[changed->state], NULL);
+}
+
 static void
 set_state(EbEvacuations *evacuations, Domain *domain, EbEvacuationState state,
           int64_t now_us)
@@ -99,11 +116,7 @@
             EB_INTEGER_FIELD("revision", domain->position.revision),
             EB_INTEGER_FIELD("age_us", now_us - domain->learned_us),
             EB_INTEGER_FIELD("calls", domain->calls));
-    if (evacuations->options.metrics != NULL) {
-        EbMetrics_SetLabelled(evacuations->options.metrics,
-                              EB_METRIC_EVACUATION, state,
-                              domain->failure_domain);
-    }
+    report_metrics(evacuations, domain);
 }
 
 /* Adjusts a closed domain to the calls that run there. A call may begin after
--- a/src/test_store_feed/fleet.c
+++ b/src/test_store_feed/fleet.c
@@ -92,12 +92,22 @@
     }
 }
 
+static uint32_t
+stream_count(const FleetDaemon *daemon)
+{
+    return daemon->earlier_version ? EB_FEED_FIRST_STREAMS : fleet.streams;
+}
+
 static bool
 is_listed(uint32_t index)
 {
-    const EbStoreFeed *feed = fleet.daemons[index].feed;
-    return EbStoreFeed_IsKnown(feed, EB_FEED_CONFIG) &&
-           EbStoreFeed_IsKnown(feed, EB_FEED_SERVERS);
+    const FleetDaemon *daemon = &fleet.daemons[index];
+    for (uint32_t i = 0; i < stream_count(daemon); i++) {
+        if (!EbStoreFeed_IsKnown(daemon->feed, (EbFeedStream)i)) {
+            return false;
+        }
+    }
+    return true;
 }
 
 static void
@@ -149,12 +159,17 @@
     int side = daemon->side;
     bool reachable = daemon->store_reachable;
     bool cut_silently = daemon->cut_silently;
+    bool earlier_version = daemon->earlier_version;
     *daemon = (FleetDaemon){.side = side,
+                            .earlier_version = earlier_version,
                             .cut_silently = cut_silently,
                             .store_reachable = reachable,
                             .sound_since_us = fleet.now_us};
     daemon->feed = EbStoreFeed_New(&(EbStoreFeedOptions){
-        .send = send_message, .changed = on_changed, .context = daemon});
+        .follow_evacuations = stream_count(daemon) > EB_FEED_FIRST_STREAMS,
+        .send = send_message,
+        .changed = on_changed,
+        .context = daemon});
     set_all_sources();
 }
 
@@ -315,7 +330,7 @@
     if (first) {
         return poll_era != 0 && poll_era != era;
     }
-    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+    for (uint32_t i = 0; i < stream_count(daemon); i++) {
         daemon->reads[i].active = false;
         daemon->reads[i].due_us = fleet.now_us;
     }
@@ -420,6 +435,8 @@
             }
             EbMessage *message =
                 EbMessage_Decode(delivery->bytes, delivery->byte_count, NULL);
+            /* The decoder of an earlier version refuses such a message. */
+            fleet.violations += message->feed_stream >= stream_count(to);
             char *name = daemon_name(delivery->from);
             EbStoreFeed_Receive(to->feed, name, message, fleet.now_us);
             g_free(name);
@@ -462,7 +479,7 @@
 check_daemon(uint32_t index, int64_t bound_us)
 {
     FleetDaemon *daemon = &fleet.daemons[index];
-    for (int i = 0; i < EB_FEED_STREAM_COUNT; i++) {
+    for (uint32_t i = 0; i < stream_count(daemon); i++) {
         EbFeedStream stream = (EbFeedStream)i;
         uint64_t version = known_version(daemon, stream);
         if (version < daemon->versions[i]) {
@@ -503,8 +520,8 @@
                 set_sources(i);
             }
             EbStoreFeed_Tick(daemon->feed, fleet.now_us);
-            for (int stream = 0; stream < EB_FEED_STREAM_COUNT; stream++) {
-                run_read(daemon, (EbFeedStream)stream);
+            for (uint32_t k = 0; k < stream_count(daemon); k++) {
+                run_read(daemon, (EbFeedStream)k);
             }
             run_probe(daemon);
             check_daemon(i, bound_us);
@@ -515,21 +532,25 @@
 bool
 Fleet_IsCurrent(void)
 {
+    const FleetState *state = &fleet.states[fleet.version];
     for (uint32_t i = 0; i < fleet.count; i++) {
+        const FleetDaemon *daemon = &fleet.daemons[i];
         if (runs(i) &&
-            memcmp(&fleet.daemons[i].known, &fleet.states[fleet.version],
-                   sizeof(FleetState)) != 0) {
+            memcmp(daemon->known.values, state->values,
+                   sizeof(state->values[0]) * stream_count(daemon)) != 0) {
             return false;
         }
     }
     return true;
 }
 
-void
-Fleet_Start(uint32_t count, uint32_t sources, uint64_t seed)
+static void
+start(uint32_t count, uint32_t sources, uint32_t streams, uint32_t earlier,
+      uint64_t seed)
 {
     memset(&fleet, 0, sizeof(fleet));
     fleet.count = count;
+    fleet.streams = streams;
     fleet.source_count = sources;
     fleet.now_us = 1000000;
     fleet.store_up = true;
@@ -540,10 +561,24 @@
     g_queue_init(&fleet.messages);
     for (uint32_t i = 0; i < count; i++) {
         fleet.daemons[i].store_reachable = true;
+        fleet.daemons[i].earlier_version = i < earlier;
         Fleet_StartDaemon(i);
     }
 }
 
+void
+Fleet_Start(uint32_t count, uint32_t sources, uint64_t seed)
+{
+    start(count, sources, EB_FEED_FIRST_STREAMS, 0, seed);
+}
+
+void
+Fleet_StartMixed(uint32_t count, uint32_t sources, uint32_t earlier,
+                 uint64_t seed)
+{
+    start(count, sources, EB_FEED_STREAM_COUNT, earlier, seed);
+}
+
 void
 Fleet_Stop(void)
 {
--- a/src/test_store_feed/fleet.h
+++ b/src/test_store_feed/fleet.h
@@ -25,6 +25,8 @@
 
 typedef struct {
     EbStoreFeed *feed; /* NULL while the daemon is stopped */
+    /* Follows EB_FEED_FIRST_STREAMS and knows of no others. */
+    bool earlier_version;
     FleetState known;  /* as reported by the feed */
     uint64_t versions[EB_FEED_STREAM_COUNT]; /* of the store's state */
     uint64_t era; /* latest one that the store told this daemon */
@@ -50,6 +52,7 @@
 
 typedef struct {
     uint32_t count;
+    uint32_t streams; /* that the store holds and daemons follow */
     uint32_t source_count; /* the first daemons that run are sources */
     int64_t now_us;
     EbRandom random;
@@ -72,7 +75,11 @@
 
 extern Fleet fleet;
 
+/* Starts daemons that follow EB_FEED_FIRST_STREAMS, or with Fleet_StartMixed
+ * all streams, except that the first `earlier` are of an earlier version. */
 void Fleet_Start(uint32_t count, uint32_t sources, uint64_t seed);
+void Fleet_StartMixed(uint32_t count, uint32_t sources, uint32_t earlier,
+                      uint64_t seed);
 void Fleet_Stop(void);
 
 /* Starts or ends the process of a daemon. */
@@ -96,7 +103,8 @@
 void Fleet_Compact(void);
 
 /* Runs for a time. Counts a violation when a daemon's state isn't that of its
- * position, when its position goes back, or when it has run and reached the
+ * position, when its position goes back, when it is sent a stream that it
+ * doesn't know, or when it has run and reached the
  * store for FLEET_CONTACT_US and then lacks a change for `bound_us`. */
 void Fleet_Run(int64_t time_us, int64_t bound_us);
 
--- a/src/test_store_feed/main.c
+++ b/src/test_store_feed/main.c
@@ -1,6 +1,6 @@
 /* Tests of EbStoreFeed: how changes of the store reach daemons that don't
- * watch it. With --seeds FIRST COUNT the program plays random sequences of
- * faults by hand. */
+ * watch it. With --seeds FIRST COUNT [evacuations] the program plays random
+ * sequences of faults by hand. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,6 +16,7 @@
 #define BOUND_US INT64_C(2000000)
 #define SECOND_US INT64_C(1000000)
 #define SEEDS_IN_CI 300
+#define SEEDS_WITH_EVACUATIONS 150
 #define ERA 3 /* of the store in tests with a single feed */
 
 static void
@@ -23,7 +24,7 @@
 {
     for (uint32_t i = 0; i < changes; i++) {
         Fleet_Write(
-            (EbFeedStream)EbRandom_Below(&fleet.random, EB_FEED_STREAM_COUNT),
+            (EbFeedStream)EbRandom_Below(&fleet.random, fleet.streams),
             (uint32_t)EbRandom_Below(&fleet.random, FLEET_OBJECTS),
             (uint32_t)EbRandom_Below(&fleet.random, 4));
     }
@@ -154,7 +155,7 @@
         uint64_t before = fleet.reads;
         Fleet_Run(10 * SECOND_US, BOUND_US);
         uint64_t of_sources =
-            (uint64_t)rows[i].sources * EB_FEED_STREAM_COUNT * 50;
+            (uint64_t)rows[i].sources * EB_FEED_FIRST_STREAMS * 50;
         uint64_t of_others =
             (uint64_t)(20 - rows[i].sources) * rows[i].calls_of_another;
         CU_ASSERT_TRUE(fleet.reads - before <= of_sources + of_others);
@@ -272,9 +273,8 @@
 /* Plays 20 s of random faults and changes, then 6 s of calm. Returns the
  * number of violations. */
 static uint32_t
-play_seed(uint64_t seed)
+play_faults(void)
 {
-    Fleet_Start(18, 1 + (uint32_t)(seed % 5), seed);
     Fleet_Run(SECOND_US, BOUND_US);
     for (int i = 0; i < 60; i++) {
         write_some((uint32_t)EbRandom_Below(&fleet.random, 4));
@@ -296,12 +296,27 @@
     return violations;
 }
 
+/* Plays a deployment without evacuations, or with them, where daemons of an
+ * earlier version run beside the others in every second one. */
 static uint32_t
-play_seeds(uint64_t first, uint64_t count)
+play_seed(uint64_t seed, bool evacuations)
+{
+    uint32_t sources = 1 + (uint32_t)(seed % 5);
+    if (evacuations) {
+        Fleet_StartMixed(18, sources, seed % 2 == 0 ? 5 : 0, seed);
+    }
+    else {
+        Fleet_Start(18, sources, seed);
+    }
+    return play_faults();
+}
+
+static uint32_t
+play_seeds(uint64_t first, uint64_t count, bool evacuations)
 {
     uint32_t violations = 0;
     for (uint64_t seed = first; seed < first + count; seed++) {
-        uint32_t found = play_seed(seed);
+        uint32_t found = play_seed(seed, evacuations);
         if (found > 0) {
             printf("seed %u: %u violations\n", (unsigned)seed, found);
         }
@@ -317,7 +332,52 @@
 static void
 test_random_faults(void)
 {
-    CU_ASSERT_EQUAL(play_seeds(1, SEEDS_IN_CI), 0);
+    CU_ASSERT_EQUAL(play_seeds(1, SEEDS_IN_CI, false), 0);
+}
+
+/* Guards against the same for a third stream, also while an upgrade has
+ * reached only some of the daemons. */
+static void
+test_random_faults_with_evacuations(void)
+{
+    CU_ASSERT_EQUAL(play_seeds(1, SEEDS_WITH_EVACUATIONS, true), 0);
+}
+
+/* Guards against an evacuation that is not in force within the bound at a
+ * daemon that started while the store was down, or whose sources are all of an
+ * earlier version, and against a stream that is sent to a daemon which refuses
+ * the message. */
+static void
+test_evacuations(void)
+{
+    static const struct {
+        uint32_t sources;
+        uint32_t earlier; /* daemons of an earlier version, from the first */
+        bool restart_in_outage;
+    } rows[] = {{3, 0, false}, {3, 0, true},  {20, 0, true}, {3, 2, false},
+                {3, 3, false}, {3, 10, true}, {20, 5, true}};
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        Fleet_StartMixed(20, rows[i].sources, rows[i].earlier, i + 1);
+        write_some(10);
+        Fleet_Run(4 * SECOND_US, BOUND_US);
+        Fleet_Write(EB_FEED_EVACUATIONS, 1, 1);
+        Fleet_Write(EB_FEED_EVACUATIONS, 2, 0);
+        Fleet_Run(SECOND_US, SECOND_US);
+        CU_ASSERT_TRUE(Fleet_IsCurrent());
+        if (rows[i].restart_in_outage) {
+            Fleet_SetStoreUp(false);
+            Fleet_Run(SECOND_US, BOUND_US);
+            Fleet_KillDaemon(12);
+            Fleet_StartDaemon(12);
+            Fleet_Run(3 * SECOND_US, BOUND_US);
+            CU_ASSERT_TRUE(Fleet_IsCurrent());
+        }
+        CU_ASSERT_EQUAL(fleet.violations, 0);
+        if (fleet.violations > 0 || !Fleet_IsCurrent()) {
+            printf("row %zu\n", i);
+        }
+        Fleet_Stop();
+    }
 }
 
 typedef struct {
@@ -378,6 +438,21 @@
     return feed;
 }
 
+/* Guards against a daemon of a deployment without evacuations that reads them
+ * from the store: each watch costs calls. */
+static void
+test_evacuations_not_followed(void)
+{
+    Recorder recorder = {0};
+    EbEventSink sink;
+    EbStoreFeed *feed = new_recorded_feed(&recorder, &sink);
+    EbStoreFeed_SetSources(feed, true, NULL, 0, 0);
+    EbStoreFeed_Tick(feed, SECOND_US);
+    CU_ASSERT_TRUE(EbStoreFeed_MustRead(feed, EB_FEED_SERVERS));
+    CU_ASSERT_FALSE(EbStoreFeed_MustRead(feed, EB_FEED_EVACUATIONS));
+    EbStoreFeed_Free(feed);
+}
+
 /* Guards against relayed changes that bring back what was removed, skip
  * changes or can't be read. */
 static void
@@ -461,7 +536,7 @@
         EbStoreFeed_SetSources(feed, rows[i].is_source, NULL, 0, 0);
         EbStoreFeed_Tick(feed, 0);
         EbStoreFeed_Tick(feed, SECOND_US);
-        for (int stream = 0; rows[i].read && stream < EB_FEED_STREAM_COUNT;
+        for (int stream = 0; rows[i].read && stream < EB_FEED_FIRST_STREAMS;
              stream++) {
             EbStorePosition position = {.era = ERA, .revision = 11};
             EbStoreFeed_HandleChanges(feed, (EbFeedStream)stream, 10,
@@ -602,15 +677,20 @@
         {"large change after an outage", test_large_change_after_outage},
         {"start in an outage", test_start_in_outage},
         {"random faults", test_random_faults},
+        {"random faults with evacuations",
+         test_random_faults_with_evacuations},
+        {"evacuations", test_evacuations},
+        {"evacuations not followed", test_evacuations_not_followed},
         {"relayed changes", test_relayed_changes},
         {"answers", test_answers},
         {"recovery is passed on", test_recovery_is_passed_on},
         {"restored store", test_restored_store},
         {"eras", test_eras},
     };
-    if (argc == 4 && strcmp(argv[1], "--seeds") == 0) {
-        uint32_t violations = play_seeds(strtoull(argv[2], NULL, 10),
-                                         strtoull(argv[3], NULL, 10));
+    if (argc >= 4 && strcmp(argv[1], "--seeds") == 0) {
+        uint32_t violations = play_seeds(
+            strtoull(argv[2], NULL, 10), strtoull(argv[3], NULL, 10),
+            argc == 5 && strcmp(argv[4], "evacuations") == 0);
         printf("%u violations\n", violations);
         return violations > 0;
     }
