--- a/src/test_batcher/fixture.c
+++ b/src/test_batcher/fixture.c
@@ -46,8 +46,11 @@
                   .released = g_ptr_array_new_with_free_func(g_free)};
     fixture->directives = EbDirectives_New(
         &(EbDirectivesOptions){.instance = "i-1", .random = &fixture->random});
-    fixture->batcher = EbBatcher_New(&(EbBatcherOptions){
-        .actions = fixture->actions, .directives = fixture->directives});
+    fixture->evacuations = EbEvacuations_New(&(EbEvacuationsOptions){0});
+    fixture->batcher = EbBatcher_New(
+        &(EbBatcherOptions){.actions = fixture->actions,
+                            .directives = fixture->directives,
+                            .evacuations = fixture->evacuations});
     EbBatcher_SetConfig(fixture->batcher, fixture->config, fixture->now_us);
 }
 
@@ -56,6 +59,7 @@
 {
     EbBatcher_Free(fixture->batcher);
     EbDirectives_Free(fixture->directives);
+    EbEvacuations_Free(fixture->evacuations);
     EbAction_Clear(&fixture->call);
     EbActionQueue_Free(fixture->actions);
     EbConfig_Unref(fixture->config);
--- a/src/test_batcher/fixture.h
+++ b/src/test_batcher/fixture.h
@@ -17,6 +17,7 @@
     EbActionQueue *actions;
     EbBatcher *batcher;
     EbDirectives *directives;
+    EbEvacuations *evacuations;
     EbRandom random;
     EbConfig *config;
     int64_t now_us;
@@ -69,6 +70,11 @@
 void test_job_number_reused(void);
 void test_abandon_home(void);
 
+/* evacuations.c */
+
+void test_evacuated_servers(void);
+void test_evacuated_service(void);
+
 /* places.c */
 
 void test_local_work(void);
--- a/src/test_batcher/main.c
+++ b/src/test_batcher/main.c
@@ -348,6 +348,8 @@
         {"local work", test_local_work},
         {"input domain", test_input_domain},
         {"limits and pauses of servers", test_directives},
+        {"evacuated servers", test_evacuated_servers},
+        {"evacuated service", test_evacuated_service},
         {"burst", test_burst},
     };
     return EbTest_Run("test_batcher", cases, G_N_ELEMENTS(cases));
--- a/src/test_forward/fixture.c
+++ b/src/test_forward/fixture.c
@@ -118,6 +118,7 @@
     fixture->quarantine = EbQuarantine_New(&(EbQuarantineOptions){0});
     fixture->directives = EbDirectives_New(
         &(EbDirectivesOptions){.instance = "i-1", .random = &fixture->random});
+    fixture->evacuations = EbEvacuations_New(&(EbEvacuationsOptions){0});
     fixture->suspects = EbSuspects_New(&(EbSuspectsOptions){
         .random = &fixture->random, .quarantine = fixture->quarantine});
     fixture->dispatcher = EbDispatcher_New(
@@ -129,6 +130,7 @@
                                .limiter = fixture->limiter,
                                .quarantine = fixture->quarantine,
                                .directives = fixture->directives,
+                               .evacuations = fixture->evacuations,
                                .suspects = fixture->suspects,
                                .metrics = fixture->metrics});
     EbDispatcher_SetConfig(fixture->dispatcher, fixture->config,
@@ -143,6 +145,7 @@
     EbLimiter_Free(fixture->limiter);
     EbSuspects_Free(fixture->suspects);
     EbDirectives_Free(fixture->directives);
+    EbEvacuations_Free(fixture->evacuations);
     EbQuarantine_Free(fixture->quarantine);
     EbMetrics_Free(fixture->metrics);
     EbActionQueue_Free(fixture->actions);
--- a/src/test_forward/forward.h
+++ b/src/test_forward/forward.h
@@ -17,6 +17,7 @@
     EbQuarantine *quarantine;
     EbSuspects *suspects;
     EbDirectives *directives;
+    EbEvacuations *evacuations;
     EbMetrics *metrics;
     EbDispatcher *dispatcher;
     EbConfig *config;
@@ -108,6 +109,12 @@
 void test_paused_server(void);
 void test_leaving_server(void);
 
+/* evacuations.c */
+
+void test_evacuated_domain(void);
+void test_everything_evacuated(void);
+void test_evacuated_preparation(void);
+
 /* suspects.c */
 
 void test_prompt_part_crashes_servers(void);
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -94,7 +94,10 @@
     {.kind = EB_MESSAGE_FEED_REQUEST,
      .feed_request = 1,
      .config_revision = 9,
-     .servers_revision = UINT64_MAX},
+     .servers_revision = UINT64_MAX,
+     .evacuations_revision = 11,
+     .evacuations_era = 2,
+     .feed_streams = EB_FEED_STREAM_COUNT},
     {.kind = EB_MESSAGE_FEED_CHANGES,
      .feed_stream = EB_FEED_SERVERS,
      .base_revision = 8,
@@ -204,6 +207,9 @@
     CU_ASSERT_EQUAL(got->feed_request, sent->feed_request);
     CU_ASSERT_EQUAL(got->config_revision, sent->config_revision);
     CU_ASSERT_EQUAL(got->servers_revision, sent->servers_revision);
+    CU_ASSERT_EQUAL(got->evacuations_revision, sent->evacuations_revision);
+    CU_ASSERT_EQUAL(got->evacuations_era, sent->evacuations_era);
+    CU_ASSERT_EQUAL(got->feed_streams, sent->feed_streams);
     CU_ASSERT_EQUAL(got->feed_reading, sent->feed_reading);
     CU_ASSERT_EQUAL(got->feed_failing, sent->feed_failing);
     CU_ASSERT_EQUAL(got->confirmed_ago_us, sent->confirmed_ago_us);
--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -437,6 +437,7 @@
         {"store responses", test_store_responses},
         {"settings", test_settings},
         {"grace times", test_grace_times},
+        {"evacuation setting", test_evacuation_setting},
         {"invalid settings", test_invalid_settings},
     };
     return EbTest_Run("test_platform", cases, G_N_ELEMENTS(cases));
--- a/src/test_platform/settings.c
+++ b/src/test_platform/settings.c
@@ -62,6 +62,30 @@
     EbSettings_Free(settings);
 }
 
+/* Guards against a deployment without evacuations whose daemons watch them at
+ * the store, which costs calls, and against one with them that ignores them.
+ */
+void
+test_evacuation_setting(void)
+{
+    static const struct {
+        const char *bound;
+        bool evacuations;
+    } rows[] = {{"", false}, {"  evacuate_ms: 5000\n", true}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        char **parts = g_strsplit(node_text, "bounds:\n", 2);
+        char *text =
+            g_strconcat(parts[0], "bounds:\n", rows[i].bound, parts[1], NULL);
+        EbError error = {0};
+        EbSettings *settings = load_settings(text, &error);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(settings);
+        CU_ASSERT_EQUAL(settings->evacuations, rows[i].evacuations);
+        EbSettings_Free(settings);
+        g_free(text);
+        g_strfreev(parts);
+    }
+}
+
 /* Guards against a grace time that is spent on waiting for the load balancer,
  * after which requests that were taken meanwhile are ended at once, and
  * against a drain that exceeds it. */
--- a/src/test_platform/test_platform.h
+++ b/src/test_platform/test_platform.h
@@ -17,6 +17,7 @@
 
 void test_settings(void);
 void test_grace_times(void);
+void test_evacuation_setting(void);
 void test_invalid_settings(void);
 
 #endif
--- a/src/test_pool/fixture.c
+++ b/src/test_pool/fixture.c
@@ -41,12 +41,14 @@
 Fixture_NewPool(const Fixture *fixture, const char *instance,
                 EbPoolPolicy policy, EbRandom *random)
 {
-    EbPool *pool = EbPool_New(&(EbPoolOptions){.config = &fixture->config,
-                                               .instance = instance,
-                                               .failure_domain = "d0",
-                                               .policy = policy,
-                                               .random = random},
-                              NULL);
+    EbPool *pool =
+        EbPool_New(&(EbPoolOptions){.config = &fixture->config,
+                                    .instance = instance,
+                                    .failure_domain = "d0",
+                                    .policy = policy,
+                                    .random = random,
+                                    .evacuations = fixture->evacuations},
+                   NULL);
     CU_ASSERT_PTR_NOT_NULL_FATAL(pool);
     return pool;
 }
--- a/src/test_pool/fixture.h
+++ b/src/test_pool/fixture.h
@@ -15,6 +15,7 @@
     char ids[MAX_SERVERS][16];
     char domains[MAX_SERVERS][16];
     EbRandom random; /* used by the pool that Fixture_Open creates */
+    const EbEvacuations *evacuations; /* NULL: none */
 } Fixture;
 
 /* Configures servers s0, s1, ..., which are assigned to the failure domains
--- a/src/test_pool/main.c
+++ b/src/test_pool/main.c
@@ -488,6 +488,75 @@
     EbPool_Free(pool);
 }
 
+/* Guards against a call to a server in a closed failure domain, by whatever
+ * choice: at random, by affinity, since it is preferred, since all others are
+ * full or ejected, in turn, or since the daemon's subset lies in that domain.
+ */
+static void
+test_evacuation(void)
+{
+    static const struct {
+        EbPoolPolicy policy;
+        uint32_t domains; /* of 8 servers; the first is closed */
+        uint32_t subset;
+        bool eject_open; /* every server in an open domain */
+        uint32_t calls;  /* that begin */
+    } rows[] = {
+        {EB_POOL_ADAPTIVE, 2, 0, false, 8},
+        {EB_POOL_ADAPTIVE, 4, 0, false, 12},
+        {EB_POOL_ADAPTIVE, 4, 3, false, 6},
+        {EB_POOL_ADAPTIVE, 2, 0, true, 8},
+        {EB_POOL_ROUND_ROBIN, 2, 0, false, 16},
+        {EB_POOL_ADAPTIVE, 1, 0, false, 0},
+        {EB_POOL_ROUND_ROBIN, 1, 0, false, 0},
+    };
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        Fixture fixture;
+        EbEvacuations *evacuations =
+            EbEvacuations_New(&(EbEvacuationsOptions){0});
+        Fixture_Init(&fixture, 8, rows[i].domains, rows[i].subset, 4);
+        EbRandom_Init(&fixture.random, 1);
+        fixture.evacuations = evacuations;
+        EbPool *pool =
+            Fixture_NewPool(&fixture, "i", rows[i].policy, &fixture.random);
+        for (size_t s = 0; rows[i].eject_open && s < 8; s++) {
+            for (int k = 0; k < 8 && s % rows[i].domains != 0; k++) {
+                EbPool_EndCall(pool, fixture.ids[s], EB_CALL_REFUSED, 1, 1);
+            }
+        }
+        EbEvacuations_Set(evacuations, "d0", true, &(EbStorePosition){0}, 1);
+        EbPool_EvacuationsChanged(pool);
+        CU_ASSERT_EQUAL(EbPool_IsEvacuated(pool), rows[i].domains == 1);
+        CU_ASSERT_EQUAL(EbPool_HasFreeSlot(pool, 1), rows[i].domains > 1);
+        EbPoolCriteria criteria = {.preferred = "s0"};
+        for (uint64_t key = 1; key < 50; key++) {
+            const EbConfigBackendServer *affine =
+                EbPool_ChooseAffine(pool, &criteria, key, 1);
+            CU_ASSERT_TRUE(affine == NULL ||
+                           strcmp(affine->failure_domain, "d0") != 0);
+        }
+        uint32_t calls = 0;
+        const EbConfigBackendServer *server;
+        while ((server = EbPool_BeginCall(pool, &criteria, 1)) != NULL) {
+            CU_ASSERT_STRING_NOT_EQUAL(server->failure_domain, "d0");
+            calls++;
+        }
+        CU_ASSERT_EQUAL(calls, rows[i].calls);
+        CU_ASSERT_EQUAL(EbPool_CountCalls(pool, "d0"), 0);
+        if (rows[i].subset == 0) {
+            CU_ASSERT_EQUAL(find_view(pool, "s0").state, EB_SERVER_EVACUATED);
+        }
+        EbEvacuations_Set(evacuations, "d0", false, &(EbStorePosition){0}, 2);
+        EbPool_EvacuationsChanged(pool);
+        server = EbPool_BeginCall(pool, &no_criteria, 2);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(server);
+        CU_ASSERT_STRING_EQUAL(server->failure_domain, "d0");
+        CU_ASSERT_EQUAL(EbPool_CountCalls(pool, "d0"), 1);
+        EbPool_Free(pool);
+        EbEvacuations_Free(evacuations);
+    }
+}
+
 int
 main(void)
 {
@@ -505,6 +574,7 @@
         {"limit", test_limit},
         {"affinity", test_affinity},
         {"predict", test_predict},
+        {"evacuation", test_evacuation},
     };
     return EbTest_Run("test_pool", cases, TABLE_COUNT(cases));
 }
--- a/src/test_store_feed/fleet.h
+++ b/src/test_store_feed/fleet.h
@@ -27,7 +27,7 @@
     EbStoreFeed *feed; /* NULL while the daemon is stopped */
     /* Follows EB_FEED_FIRST_STREAMS and knows of no others. */
     bool earlier_version;
-    FleetState known;  /* as reported by the feed */
+    FleetState known;                        /* as reported by the feed */
     uint64_t versions[EB_FEED_STREAM_COUNT]; /* of the store's state */
     uint64_t era; /* latest one that the store told this daemon */
     bool store_reachable;
@@ -52,7 +52,7 @@
 
 typedef struct {
     uint32_t count;
-    uint32_t streams; /* that the store holds and daemons follow */
+    uint32_t streams;      /* that the store holds and daemons follow */
     uint32_t source_count; /* the first daemons that run are sources */
     int64_t now_us;
     EbRandom random;
--- a/src/test_store_feed/main.c
+++ b/src/test_store_feed/main.c
@@ -23,10 +23,9 @@
 write_some(uint32_t changes)
 {
     for (uint32_t i = 0; i < changes; i++) {
-        Fleet_Write(
-            (EbFeedStream)EbRandom_Below(&fleet.random, fleet.streams),
-            (uint32_t)EbRandom_Below(&fleet.random, FLEET_OBJECTS),
-            (uint32_t)EbRandom_Below(&fleet.random, 4));
+        Fleet_Write((EbFeedStream)EbRandom_Below(&fleet.random, fleet.streams),
+                    (uint32_t)EbRandom_Below(&fleet.random, FLEET_OBJECTS),
+                    (uint32_t)EbRandom_Below(&fleet.random, 4));
     }
 }
 
