pool: speed of servers, measured by the pace of streams and shared

Cause: the engines of a site differ in speed by 2.4 times and share their machines with others. A daemon has one call in flight at a time, and chose by its own calls and by a mean latency over requests of all lengths. A slow engine got as many prompts as a fast one.

Change: EbServerSpeed learns the usual pace of a server (the shortest time between pieces, so that prompts read in between don't count) and its present slowdown, which is forgotten within a second. Daemons tell each other the usual paces (SERVER_SPEEDS, flooded, every 1.5 to 4.5 s and only what is news). Affinity keys are divided by the square of the speed (weighted rendezvous hashing). Latencies are compared after division by what the kind of request usually takes. A load report counts from the head of the answer, not from each event of the stream.

--- a/include/actions/ebonyhollow/forward.h
+++ b/include/actions/ebonyhollow/forward.h
@@ -76,6 +76,9 @@
     bool has_load;         /* the two members below are valid */
     uint32_t load_running; /* calls that run at the server */
     uint32_t load_waiting; /* calls that wait there */
+    /* Time that work takes there now, in percent of the usual time; 0: not
+     * stated */
+    uint32_t load_work_percent;
     EbServerDirective directive;
 } EbForwardReply;
 
--- a/include/membership/ebonyhollow/message.h
+++ b/include/membership/ebonyhollow/message.h
@@ -17,6 +17,7 @@
 #include "ebonyhollow/forward.h"
 #include "ebonyhollow/outcome.h"
 #include "ebonyhollow/quarantine.h"
+#include "ebonyhollow/server_speed.h"
 #include "ebonyhollow/suspects.h"
 
 #define EB_MESSAGE_VERSION 1
@@ -43,6 +44,7 @@
     EB_MESSAGE_FEED_STATUS,   /* what the reader knows; ends its response */
     EB_MESSAGE_SUSPICIONS,    /* evidence on what crashes servers, flooded */
     EB_MESSAGE_SERVER_LIMITS, /* limits that servers named, flooded */
+    EB_MESSAGE_SERVER_SPEEDS, /* measured paces of servers, flooded */
     EB_MESSAGE_KIND_COUNT
 } EbMessageKind;
 
@@ -134,6 +136,10 @@
     EbLimitReport *limits;
     uint32_t limit_count;
 
+    /* SERVER_SPEEDS */
+    EbSpeedReport *speeds;
+    uint32_t speed_count;
+
     /* SERVER_LEAVING */
     char *server;
     bool leaving;
--- a/include/requests/ebonyhollow/dispatcher.h
+++ b/include/requests/ebonyhollow/dispatcher.h
@@ -152,6 +152,7 @@
     bool has_load; /* the answer carried a load report */
     uint32_t load_running;
     uint32_t load_waiting;
+    uint32_t load_work_percent; /* of the usual time for work; 0: not stated */
     /* The members below are for forwarded calls only. */
     EbHttpMessage *reply;   /* ANSWERED: whole answer; of a stream: its head */
     EbForwardReply forward; /* decoded from the head */
@@ -236,6 +237,16 @@
                                 const char *server_id, bool leaving,
                                 const char *source, int64_t now_us);
 
+/* Adds the measured speed of a server that another daemon told. */
+void EbDispatcher_MergeSpeed(EbDispatcher *dispatcher,
+                             const EbSpeedReport *report);
+
+/* Returns the next speed of a server that the other daemons have to be told.
+ * `report->server_id` is borrowed until the next call of the module. Returns
+ * false when there is none. */
+bool EbDispatcher_NextSpeedReport(EbDispatcher *dispatcher,
+                                  EbSpeedReport *report);
+
 /* Handles deadlines, time-outs, delayed retries and hedges that are due, and
  * serves the queues. */
 void EbDispatcher_Tick(EbDispatcher *dispatcher, int64_t now_us);
--- a/include/servers/ebonyhollow/pool.h
+++ b/include/servers/ebonyhollow/pool.h
@@ -14,6 +14,7 @@
 #include "ebonyhollow/directives.h"
 #include "ebonyhollow/event.h"
 #include "ebonyhollow/random.h"
+#include "ebonyhollow/server_speed.h"
 
 typedef struct EbPool EbPool;
 
@@ -122,6 +123,35 @@
 void EbPool_EndCall(EbPool *pool, const char *server_id, EbCallResult result,
                     int64_t duration_us, int64_t now_us);
 
+/* Like EbPool_EndCall, for a call of a kind whose usual duration is known, so
+ * that servers are compared by calls of any length.
+ *
+ * expected_us: usual duration of such a call; 0: unknown */
+void EbPool_EndCallOfKind(EbPool *pool, const char *server_id,
+                          EbCallResult result, int64_t duration_us,
+                          int64_t expected_us, int64_t now_us);
+
+/* Records the pace of a stream that ended. Unknown ids are ignored.
+ *
+ * pace_us: see EbStreamPace_Result; 0: unknown */
+void EbPool_RecordPace(EbPool *pool, const char *server_id, double pace_us,
+                       int64_t now_us);
+
+/* Records how long work takes at a server now, as it states itself. Unknown
+ * ids are ignored.
+ *
+ * percent: of the usual time; 0: not stated */
+void EbPool_RecordWork(EbPool *pool, const char *server_id, uint32_t percent,
+                       int64_t now_us);
+
+/* Adds what another daemon told. Unknown ids are ignored. */
+void EbPool_MergeSpeed(EbPool *pool, const EbSpeedReport *report);
+
+/* Returns the next speed that other daemons have to be told; each is returned
+ * once. `report->server_id` is borrowed until EbPool_SetConfig. Returns false
+ * when there is none. */
+bool EbPool_NextSpeedReport(EbPool *pool, EbSpeedReport *report);
+
 /* Records a load report: calls running and waiting at the server. Reports
  * older than the last one and unknown ids are ignored. */
 void EbPool_ReportLoad(EbPool *pool, const char *server_id, uint32_t running,
@@ -177,7 +207,8 @@
     uint32_t limit;         /* calls that this daemon may have in flight */
     uint32_t reported_load; /* calls at the server, from all daemons */
     int64_t latency_us;     /* moving average; 0: not measured */
-    int64_t until_us;       /* end of the current ejection, otherwise 0 */
+    int64_t pace_us;  /* usual time between pieces of a stream; 0: unknown */
+    int64_t until_us; /* end of the current ejection, otherwise 0 */
     uint64_t calls;
     uint64_t failures;
 } EbServerView;
--- a/src/libebonyhollow/membership/message.c
+++ b/src/libebonyhollow/membership/message.c
@@ -12,7 +12,7 @@
 #define BIT(kind) (1U << EB_MESSAGE_##kind)
 #define FLOODED                                                               \
     (BIT(QUARANTINE) | BIT(SERVER_LEAVING) | BIT(SUSPICIONS) |                \
-     BIT(SERVER_LIMITS))
+     BIT(SERVER_LIMITS) | BIT(SERVER_SPEEDS))
 #define OUTCOMES (BIT(OUTCOME_QUERY) | BIT(OUTCOME_REPLY))
 #define CONFIGS (BIT(CONFIG_REQUEST) | BIT(CONFIG_BODY))
 #define SHARES (BIT(USAGE) | BIT(GRANT))
@@ -44,6 +44,7 @@
     [EB_MESSAGE_FEED_STATUS] = "feed-status",
     [EB_MESSAGE_SUSPICIONS] = "suspicions",
     [EB_MESSAGE_SERVER_LIMITS] = "server-limits",
+    [EB_MESSAGE_SERVER_SPEEDS] = "server-speeds",
 };
 
 const char *const EbMemberState_names[EB_MEMBER_STATE_COUNT] = {
@@ -105,6 +106,7 @@
     FIELD(48, UINT64, servers_era, FEED_POSITIONS, 0, 0),
     FIELD(49, UINT64, era, BIT(FEED_CHANGES), 0, 0),
     FIELD(46, LIMITS, limits, BIT(SERVER_LIMITS), 0, 0),
+    FIELD(50, SPEEDS, speeds, BIT(SERVER_SPEEDS), 0, 0),
 };
 
 const size_t EbMessage_field_count =
@@ -242,6 +244,17 @@
     }
 }
 
+static void
+pack_speeds(msgpack_packer *packer, const EbMessage *message)
+{
+    msgpack_pack_array(packer, message->speed_count);
+    for (uint32_t i = 0; i < message->speed_count; i++) {
+        msgpack_pack_array(packer, EB_MESSAGE_SPEED_ELEMENTS);
+        pack_name(packer, message->speeds[i].server_id);
+        msgpack_pack_uint32(packer, message->speeds[i].pace_us);
+    }
+}
+
 /* Whether a field is omitted because it has the value that the decoder assumes
  * for an absent one. */
 static bool
@@ -267,6 +280,8 @@
         return message->suspicion_count == 0;
     case EB_MESSAGE_FIELD_LIMITS:
         return message->limit_count == 0;
+    case EB_MESSAGE_FIELD_SPEEDS:
+        return message->speed_count == 0;
     case EB_MESSAGE_FIELD_HANDLES:
         return message->handle_count == 0;
     }
@@ -310,6 +325,9 @@
     case EB_MESSAGE_FIELD_LIMITS:
         pack_limits(packer, message);
         break;
+    case EB_MESSAGE_FIELD_SPEEDS:
+        pack_speeds(packer, message);
+        break;
     case EB_MESSAGE_FIELD_HANDLES:
         pack_handles(packer, message);
         break;
@@ -330,9 +348,15 @@
         message->share_count > EB_MESSAGE_MAX_ELEMENTS ||
         message->entry_count > EB_MESSAGE_MAX_ELEMENTS ||
         message->handle_count > EB_MESSAGE_MAX_ELEMENTS ||
-        message->limit_count > EB_MESSAGE_MAX_ELEMENTS) {
+        message->limit_count > EB_MESSAGE_MAX_ELEMENTS ||
+        message->speed_count > EB_MESSAGE_MAX_ELEMENTS) {
         return false;
     }
+    for (uint32_t i = 0; i < message->speed_count; i++) {
+        if (!is_name_short(message->speeds[i].server_id)) {
+            return false;
+        }
+    }
     for (uint32_t i = 0; i < message->limit_count; i++) {
         if (!is_name_short(message->limits[i].server_id)) {
             return false;
@@ -449,6 +473,10 @@
         g_free(message->limits[i].server_id);
     }
     g_free(message->limits);
+    for (uint32_t i = 0; i < message->speed_count; i++) {
+        g_free(message->speeds[i].server_id);
+    }
+    g_free(message->speeds);
     g_free(message->handles);
     g_free(message->request_id);
     g_free(message->service);
--- a/src/libebonyhollow/membership/message_decode.c
+++ b/src/libebonyhollow/membership/message_decode.c
@@ -191,6 +191,16 @@
     return true;
 }
 
+static bool
+read_speed(const msgpack_object *object, void *target)
+{
+    EbSpeedReport *report = target;
+    const msgpack_object *elements =
+        read_elements(object, EB_MESSAGE_SPEED_ELEMENTS);
+    return elements != NULL && read_name(&elements[0], &report->server_id) &&
+           read_uint32(&elements[1], &report->pace_us);
+}
+
 static bool
 read_handle(const msgpack_object *object, void *target)
 {
@@ -265,6 +275,10 @@
         return read_array(object, sizeof(EbSuspicion),
                           (void **)&message->suspicions,
                           &message->suspicion_count, read_suspicion);
+    case EB_MESSAGE_FIELD_SPEEDS:
+        return read_array(object, sizeof(EbSpeedReport),
+                          (void **)&message->speeds, &message->speed_count,
+                          read_speed);
     case EB_MESSAGE_FIELD_LIMITS:
         return read_array(object, sizeof(EbLimitReport),
                           (void **)&message->limits, &message->limit_count,
--- a/src/libebonyhollow/membership/private/message_fields.h
+++ b/src/libebonyhollow/membership/private/message_fields.h
@@ -14,7 +14,7 @@
 #define EB_MESSAGE_KEY_KIND 1
 
 /* Number of elements in the array that encodes a member, share, entry,
- * suspicion or limit. */
+ * suspicion, limit or speed. */
 #define EB_MESSAGE_MEMBER_ELEMENTS 7
 /* A member without the capacity, which earlier versions do not send. */
 #define EB_MESSAGE_MEMBER_MIN_ELEMENTS 6
@@ -22,6 +22,7 @@
 #define EB_MESSAGE_ENTRY_ELEMENTS 4
 #define EB_MESSAGE_SUSPICION_ELEMENTS 4
 #define EB_MESSAGE_LIMIT_ELEMENTS 4
+#define EB_MESSAGE_SPEED_ELEMENTS 2
 
 typedef enum {
     EB_MESSAGE_FIELD_NAME, /* char *, at most EB_MESSAGE_MAX_NAME_BYTES */
@@ -34,6 +35,7 @@
     EB_MESSAGE_FIELD_ENTRIES,
     EB_MESSAGE_FIELD_SUSPICIONS,
     EB_MESSAGE_FIELD_LIMITS,
+    EB_MESSAGE_FIELD_SPEEDS,
     EB_MESSAGE_FIELD_HANDLES
 } EbMessageFieldType;
 
--- a/src/libebonyhollow/requests/dispatcher.c
+++ b/src/libebonyhollow/requests/dispatcher.c
@@ -466,6 +466,31 @@
     EbDispatcher_RunPending(dispatcher, now_us);
 }
 
+/* Speeds of servers */
+
+void
+EbDispatcher_MergeSpeed(EbDispatcher *dispatcher, const EbSpeedReport *report)
+{
+    for (guint i = 0; i < dispatcher->current_pools->len; i++) {
+        EbDispatcherPool *pool =
+            g_ptr_array_index(dispatcher->current_pools, i);
+        EbPool_MergeSpeed(pool->pool, report);
+    }
+}
+
+bool
+EbDispatcher_NextSpeedReport(EbDispatcher *dispatcher, EbSpeedReport *report)
+{
+    for (guint i = 0; i < dispatcher->current_pools->len; i++) {
+        EbDispatcherPool *pool =
+            g_ptr_array_index(dispatcher->current_pools, i);
+        if (EbPool_NextSpeedReport(pool->pool, report)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Shutdown */
 
 /* Puts waiting requests into their queues again, now with the end of the drain
--- a/src/libebonyhollow/requests/dispatcher_call.c
+++ b/src/libebonyhollow/requests/dispatcher_call.c
@@ -197,10 +197,14 @@
     }
     /* A look-up is quicker than the pool's calls and would distort their
      * latency statistics, so it is reported as cancelled. */
-    EbPool_EndCall(attempt->pool->pool, attempt->server_id,
-                   attempt->lookup && result == EB_CALL_OK ? EB_CALL_CANCELLED
-                                                           : result,
-                   duration_us, now_us);
+    EbPool_EndCallOfKind(
+        attempt->pool->pool, attempt->server_id,
+        attempt->lookup && result == EB_CALL_OK ? EB_CALL_CANCELLED : result,
+        duration_us,
+        request->forward != NULL ? EbRequest_MeanAnswerTime(request) : 0,
+        now_us);
+    EbPool_RecordPace(attempt->pool->pool, attempt->server_id,
+                      EbStreamPace_Result(&attempt->pace), now_us);
     attempt->pool->dirty = true;
     request->runs[attempt->stage].server_us += total_us;
     EbMetrics_Add(metrics, EB_METRIC_ATTEMPTS, 1, pipeline, stage,
--- a/src/libebonyhollow/requests/dispatcher_event.c
+++ b/src/libebonyhollow/requests/dispatcher_event.c
@@ -161,10 +161,14 @@
                       int64_t now_us)
 {
     EbRequest_MarkTimerStale(attempt->request);
-    if (event->has_load) {
+    /* The events of a stream repeat what its head says, which is old then. */
+    if (event->has_load && !attempt->load_recorded) {
+        attempt->load_recorded = true;
         EbPool_ReportLoad(attempt->pool->pool, attempt->server_id,
                           event->load_running, event->load_waiting, now_us,
                           now_us);
+        EbPool_RecordWork(attempt->pool->pool, attempt->server_id,
+                          event->load_work_percent, now_us);
     }
     record_directive(attempt, event, now_us);
     handle_event(attempt, event, now_us);
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -106,6 +106,8 @@
     int64_t first_token_us;
     int64_t timeout_at_us; /* when EbAttempt_TimedOut has to be called */
     bool paused;           /* not being read, because the caller is slow */
+    bool load_recorded;    /* what the head of the answer says of the load */
+    EbStreamPace pace;     /* of a forwarded stream */
 } EbAttempt;
 
 /* Figures of one stage for the `usage` part of the answer. */
--- a/src/libebonyhollow/servers/pool.c
+++ b/src/libebonyhollow/servers/pool.c
@@ -228,9 +228,34 @@
     pool->service_us += gain * ((double)service_us - pool->service_us);
 }
 
+/* Scales the duration of a call to that of a call of average length, so that
+ * a server that happened to get long ones doesn't seem slow. */
+static int64_t
+normalize_duration(EbPool *pool, EbCallResult result, int64_t duration_us,
+                   int64_t expected_us)
+{
+    if (result == EB_CALL_OK) {
+        double gain = pool->mean_duration_us > 0 ? SERVICE_GAIN : 1;
+        pool->mean_duration_us +=
+            gain * ((double)duration_us - pool->mean_duration_us);
+    }
+    if (expected_us <= 0 || pool->mean_duration_us <= 0) {
+        return duration_us;
+    }
+    return (int64_t)((double)duration_us * pool->mean_duration_us /
+                     (double)expected_us);
+}
+
 void
 EbPool_EndCall(EbPool *pool, const char *server_id, EbCallResult result,
                int64_t duration_us, int64_t now_us)
+{
+    EbPool_EndCallOfKind(pool, server_id, result, duration_us, 0, now_us);
+}
+
+void
+EbPool_EndCallOfKind(EbPool *pool, const char *server_id, EbCallResult result,
+                     int64_t duration_us, int64_t expected_us, int64_t now_us)
 {
     assert(result < EB_CALL_RESULT_COUNT);
     EbPoolServer *server = g_hash_table_lookup(pool->by_id, server_id);
@@ -244,8 +269,10 @@
         add_service_time(pool, service_us);
         EbHistogram_Add(&pool->recent, duration_us);
     }
+    int64_t normal_us =
+        normalize_duration(pool, result, duration_us, expected_us);
     if (pool->policy->adapts) {
-        EbPool_RecordCall(pool, server, result, duration_us, at_limit, now_us);
+        EbPool_RecordCall(pool, server, result, normal_us, at_limit, now_us);
     }
     else if (result != EB_CALL_OK && result != EB_CALL_REJECTED &&
              result != EB_CALL_CANCELLED) {
@@ -273,6 +300,51 @@
     }
 }
 
+void
+EbPool_RecordPace(EbPool *pool, const char *server_id, double pace_us,
+                  int64_t now_us)
+{
+    EbPoolServer *server = g_hash_table_lookup(pool->by_id, server_id);
+    if (server != NULL && pace_us > 0) {
+        EbServerSpeed_Observe(&server->speed, pace_us, now_us);
+    }
+}
+
+void
+EbPool_RecordWork(EbPool *pool, const char *server_id, uint32_t percent,
+                  int64_t now_us)
+{
+    EbPoolServer *server = g_hash_table_lookup(pool->by_id, server_id);
+    if (server != NULL && percent > 0) {
+        EbServerSpeed_RecordWork(&server->speed, percent, now_us);
+    }
+}
+
+void
+EbPool_MergeSpeed(EbPool *pool, const EbSpeedReport *report)
+{
+    EbPoolServer *server = g_hash_table_lookup(pool->by_id, report->server_id);
+    if (server != NULL && report->pace_us > 0) {
+        EbServerSpeed_Merge(&server->speed, report->pace_us);
+    }
+}
+
+bool
+EbPool_NextSpeedReport(EbPool *pool, EbSpeedReport *report)
+{
+    for (uint32_t i = 0; i < pool->server_count; i++) {
+        EbPoolServer *server = pool->servers[i];
+        if (EbServerSpeed_TakeReport(&server->speed)) {
+            *report = (EbSpeedReport){
+                .server_id = server->id,
+                .pace_us = (uint32_t)fmax(server->speed.pace_us, 1),
+            };
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 EbPool_SetLeaving(EbPool *pool, const char *server_id, bool leaving,
                   int64_t now_us)
@@ -468,6 +540,7 @@
         .limit = (uint32_t)server->limit,
         .reported_load = server->reported_load,
         .latency_us = server->samples > 0 ? (int64_t)server->latency_us : 0,
+        .pace_us = (int64_t)server->speed.pace_us,
         .until_us = server->ejected_until_us,
         .calls = server->calls,
         .failures = server->failures,
--- a/src/libebonyhollow/servers/pool_choice.c
+++ b/src/libebonyhollow/servers/pool_choice.c
@@ -24,6 +24,11 @@
 #define AFFINE_LOAD_FACTOR 1.5       /* of the mean calls per server */
 #define AFFINE_FREE_CALLS 3          /* allowed in addition */
 #define AFFINE_MAX_LATENCY_RATIO 2.0 /* of the pool's median latency */
+/* Share of the affinity keys that a server gets, as a power of its speed. The
+ * time that a call waits for the work of others grows with their share of the
+ * server's time, so a server of twice the speed gets more than twice the
+ * calls at the same wait. */
+#define AFFINE_SPEED_POWER 2
 
 static bool
 is_excluded(const EbPoolCriteria *criteria, const EbPoolServer *server)
@@ -98,8 +103,8 @@
 {
     double failure_rate =
         fmin(EbPool_FailureRate(server, now_us), MAX_FAILURE_RATE);
-    return utilisation(server, now_us) * EbPool_Latency(pool, server, now_us) /
-           (1 - failure_rate);
+    return utilisation(server, now_us) * EbPool_Latency(pool, server, now_us) *
+           EbPool_PresentCost(pool, server, now_us) / (1 - failure_rate);
 }
 
 /* Draws a usable member other than `other` at random, each with the same
@@ -193,6 +198,20 @@
                         AFFINE_FREE_CALLS + AFFINE_LOAD_FACTOR * mean_calls;
 }
 
+/* Returns the score of a server for a key; the highest one is chosen. This is
+ * weighted rendezvous hashing (Schindelhauer, Schomaker 2005): a server gets a
+ * share of the keys in proportion to its weight, and a change of its weight
+ * moves only keys from or to that server. */
+static double
+affinity_score(const EbPool *pool, const EbPoolServer *server, uint64_t key)
+{
+    uint64_t hash = XXH64(server->id, strlen(server->id), key);
+    double draw = ((double)(hash >> 11) + 0.5) / (double)(UINT64_C(1) << 53);
+    double cost =
+        pow(EbPool_UsualCost(pool, server), AFFINE_SPEED_POWER);
+    return log(draw) * cost;
+}
+
 static bool
 is_limited(const EbPool *pool, const EbPoolServer *server, int64_t now_us)
 {
@@ -229,16 +248,16 @@
     }
     double mean_calls = calls / fmax(pool->member_count, 1);
     const EbPoolServer *best[2] = {NULL, NULL}; /* without and with a limit */
-    uint64_t highest[2] = {0, 0};
+    double highest[2] = {0, 0};
     for (uint32_t i = 0; i < pool->member_count; i++) {
         const EbPoolServer *server = pool->members[i];
         bool limited = is_limited(pool, server, now_us);
-        uint64_t weight = XXH64(server->id, strlen(server->id), key);
-        if ((best[limited] == NULL || weight > highest[limited]) &&
+        double score = affinity_score(pool, server, key);
+        if ((best[limited] == NULL || score > highest[limited]) &&
             is_usable(pool, server, criteria, now_us) &&
             is_fit_for_affinity(pool, server, mean_calls, now_us)) {
             best[limited] = server;
-            highest[limited] = weight;
+            highest[limited] = score;
         }
     }
     const EbPoolServer *chosen =
--- a/src/libebonyhollow/servers/pool_health.c
+++ b/src/libebonyhollow/servers/pool_health.c
@@ -23,6 +23,8 @@
 #define EJECT_MIN_SAMPLES 10
 /* The median of fewer servers is not meaningful. */
 #define EJECT_MIN_MEASURED_SERVERS 3
+/* Servers of known pace that are needed for a typical one. */
+#define MIN_PACES 4
 #define EJECT_MAX_DIVISOR 3 /* at most one server in three is ejected */
 #define EJECT_BASE_US 5000000
 #define EJECT_MAX_US 120000000
@@ -52,6 +54,20 @@
     return fmax(typical + excess * decay(server->measured_us, now_us), 1);
 }
 
+double
+EbPool_UsualCost(const EbPool *pool, const EbPoolServer *server)
+{
+    return EbServerSpeed_UsualCost(&server->speed, pool->typical_pace_us);
+}
+
+double
+EbPool_PresentCost(const EbPool *pool, const EbPoolServer *server,
+                   int64_t now_us)
+{
+    return EbPool_UsualCost(pool, server) *
+           EbServerSpeed_Slowdown(&server->speed, now_us);
+}
+
 double
 EbPool_FailureRate(const EbPoolServer *server, int64_t now_us)
 {
@@ -75,6 +91,28 @@
     return (a > b) - (a < b);
 }
 
+static double
+lower_median(double *values, uint32_t count)
+{
+    qsort(values, count, sizeof(double), compare_doubles);
+    return count > 0 ? values[(count - 1) / 2] : 0;
+}
+
+static void
+update_typical_pace(EbPool *pool)
+{
+    double *paces = g_new(double, pool->member_count + 1);
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < pool->member_count; i++) {
+        if (pool->members[i]->speed.samples > 0) {
+            paces[count++] = pool->members[i]->speed.pace_us;
+        }
+    }
+    pool->typical_pace_us =
+        count >= MIN_PACES ? lower_median(paces, count) : 0;
+    g_free(paces);
+}
+
 /* For an even number of servers the lower of the two middle values is used, so
  * that the faster of two servers is not measured against the slower one. */
 void
@@ -88,10 +126,10 @@
             latencies[count++] = EbPool_Latency(pool, server, now_us);
         }
     }
-    qsort(latencies, count, sizeof(double), compare_doubles);
     pool->measured_count = count;
-    pool->median_us = count > 0 ? latencies[(count - 1) / 2] : 0;
+    pool->median_us = lower_median(latencies, count);
     g_free(latencies);
+    update_typical_pace(pool);
 }
 
 static bool
--- a/src/libebonyhollow/servers/private/pool_state.h
+++ b/src/libebonyhollow/servers/private/pool_state.h
@@ -40,6 +40,8 @@
     int64_t readmitted_us;
     bool slow_start;
 
+    EbServerSpeed speed;
+
     bool has_report;
     uint32_t reported_load; /* calls running and waiting at the server */
     uint32_t reported_waiting;
@@ -76,7 +78,9 @@
     uint32_t ejected_count;
     double median_us; /* median latency of measured members, 0 if none */
     uint32_t measured_count;
-    double service_us; /* moving average from BeginCall to EndCall */
+    double typical_pace_us;  /* median pace of members, 0 if none is known */
+    double mean_duration_us; /* of successful calls, of all kinds */
+    double service_us;       /* moving average from BeginCall to EndCall */
     uint64_t service_samples;
     /* Latencies of the current and the previous interval. */
     EbHistogram recent;
@@ -108,6 +112,13 @@
  * decays towards the median of the pool. */
 double EbPool_Latency(const EbPool *pool, const EbPoolServer *server,
                       int64_t now_us);
+/* Returns the time that work takes at a server relative to a typical one, by
+ * its usual pace: 1 while that is unknown. */
+double EbPool_UsualCost(const EbPool *pool, const EbPoolServer *server);
+/* Returns the time that work takes at a server now, relative to a typical one
+ * at its usual pace. */
+double EbPool_PresentCost(const EbPool *pool, const EbPoolServer *server,
+                          int64_t now_us);
 /* Returns the share of failed calls, 0 to 1, which decays without calls. */
 double EbPool_FailureRate(const EbPoolServer *server, int64_t now_us);
 /* Returns the part of its limit that a server may use: below 1 during slow
--- a/src/libebonyhollow_net/daemon_peer.c
+++ b/src/libebonyhollow_net/daemon_peer.c
@@ -16,6 +16,8 @@
 #define MAX_DAEMON_WRITES_PER_S 50
 /* Limits of servers that one message carries; the rest follows in the next. */
 #define MAX_LIMIT_REPORTS 64
+#define MAX_SPEED_REPORTS 128
+#define SPEED_REPORT_INTERVAL_US 3000000
 
 static void
 send_message(EbDaemon *daemon, const char *peer, const EbMessage *message,
@@ -324,6 +326,34 @@
     }
 }
 
+void
+EbDaemon_PublishSpeeds(EbDaemon *daemon, int64_t now_us)
+{
+    if (now_us < daemon->next_speed_report_us) {
+        return;
+    }
+    /* The daemons report at different times, so that most of them have heard
+     * of a server before they would tell of it. */
+    daemon->next_speed_report_us =
+        now_us + SPEED_REPORT_INTERVAL_US / 2 +
+        (int64_t)EbRandom_Below(&daemon->random, SPEED_REPORT_INTERVAL_US);
+    EbSpeedReport reports[MAX_SPEED_REPORTS];
+    uint32_t count = 0;
+    while (count < MAX_SPEED_REPORTS &&
+           EbDispatcher_NextSpeedReport(daemon->dispatcher, &reports[count])) {
+        /* One id that is too long would make the message impossible. */
+        if (strlen(reports[count].server_id) <= EB_MESSAGE_MAX_NAME_BYTES) {
+            count++;
+        }
+    }
+    if (count > 0) {
+        EbMessage message = {.kind = EB_MESSAGE_SERVER_SPEEDS,
+                             .speeds = reports,
+                             .speed_count = count};
+        EbMembership_Flood(daemon->membership, &message, now_us);
+    }
+}
+
 static void
 handle_config_body(EbDaemon *daemon, const char *peer,
                    const EbMessage *message, int64_t now_us)
@@ -396,6 +426,11 @@
                                now_us);
         }
         break;
+    case EB_MESSAGE_SERVER_SPEEDS:
+        for (uint32_t i = 0; i < message->speed_count; i++) {
+            EbDispatcher_MergeSpeed(daemon->dispatcher, &message->speeds[i]);
+        }
+        break;
     case EB_MESSAGE_SERVER_LEAVING:
         EbDispatcher_ServerLeaving(daemon->dispatcher, message->server,
                                    message->leaving, "peer", now_us);
--- a/src/libebonyhollow_net/daemon_timer.c
+++ b/src/libebonyhollow_net/daemon_timer.c
@@ -81,6 +81,7 @@
     if (now_us >= daemon->next_usage_report_us) {
         daemon->next_usage_report_us = now_us + EB_LIMITER_REPORT_INTERVAL_US;
         EbDaemon_ReportUsage(daemon, now_us);
+        EbDaemon_PublishSpeeds(daemon, now_us);
         uint32_t live_daemons =
             (uint32_t)EbMembership_LiveInstances(daemon->membership, NULL, 0);
         EbSuspects_SetDaemonCount(daemon->suspects, live_daemons);
--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -144,6 +144,7 @@
     event->has_load = connection->reply.has_load;
     event->load_running = connection->reply.load_running;
     event->load_waiting = connection->reply.load_waiting;
+    event->load_work_percent = connection->reply.load_work_percent;
     client->options.event(client->options.context, event);
 }
 
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -139,6 +139,7 @@
                                      have to be stored or deleted */
     uint64_t last_operation_id;
     int64_t next_usage_report_us;
+    int64_t next_speed_report_us;
     int64_t next_watch_check_us;
     int64_t next_poll_us;        /* next listing by a daemon without watches */
     int64_t config_requested_us; /* last request for a configuration */
@@ -277,6 +278,10 @@
 /* Sends what was learned of the limits of servers to all peers. */
 void EbDaemon_PublishLimits(EbDaemon *daemon, int64_t now_us);
 
+/* Sends what was learned of the speed of servers to all peers, once in a few
+ * seconds. */
+void EbDaemon_PublishSpeeds(EbDaemon *daemon, int64_t now_us);
+
 /* Sends changed quarantine entries to all peers and stores them. */
 void EbDaemon_PublishQuarantine(EbDaemon *daemon, int64_t now_us);
 
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -23,6 +23,11 @@
     {.server_id = "s-2"},
 };
 
+static EbSpeedReport sample_speeds[] = {
+    {.server_id = "s-1", .pace_us = UINT32_MAX},
+    {.server_id = "s-2", .pace_us = 1},
+};
+
 static EbSuspicion sample_suspicions[] = {
     {.set = {{UINT64_MAX, 1, 5}, 3}, .server = 17, .alone = true, .ago_us = 3},
     {.set = {{1}, 1}, .ago_us = UINT64_MAX},
@@ -117,6 +122,12 @@
      .sequence = 10,
      .limits = sample_limits,
      .limit_count = 2},
+    {.kind = EB_MESSAGE_SERVER_SPEEDS,
+     .origin = "instance-a",
+     .origin_incarnation = 1,
+     .sequence = 11,
+     .speeds = sample_speeds,
+     .speed_count = 2},
     {.kind = EB_MESSAGE_SUSPICIONS,
      .origin = "i-2",
      .origin_incarnation = 5,
@@ -165,6 +176,12 @@
                         report->requests_per_s_milli);
         CU_ASSERT_EQUAL(got->limits[i].ago_us, report->ago_us);
     }
+    CU_ASSERT_EQUAL_FATAL(got->speed_count, sent->speed_count);
+    for (uint32_t i = 0; i < got->speed_count; i++) {
+        CU_ASSERT_STRING_EQUAL(got->speeds[i].server_id,
+                               sent->speeds[i].server_id);
+        CU_ASSERT_EQUAL(got->speeds[i].pace_us, sent->speeds[i].pace_us);
+    }
     CU_ASSERT_EQUAL_FATAL(got->suspicion_count, sent->suspicion_count);
     for (uint32_t i = 0; i < got->suspicion_count; i++) {
         const EbSuspectSet *set = &got->suspicions[i].set;
--- /dev/null
+++ b/src/test_server_speed/main.c
@@ -0,0 +1,357 @@
+/* Tests of the measured speed of servers. The last one plays engines of uneven
+ * speed, slowed by neighbours, behind many daemons that share what they
+ * measured. */
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "ebonyhollow/pool.h"
+#include "ebonyhollow/server_speed.h"
+#include "test_runner.h"
+
+#define TABLE_COUNT(table) (sizeof(table) / sizeof((table)[0]))
+#define MS INT64_C(1000)
+#define SECOND_US INT64_C(1000000)
+
+/* A delay on the network or a prompt that is read in between must not look
+ * like a slow server. */
+static void
+test_stream_pace(void)
+{
+    EbStreamPace pace = {0};
+    static const int64_t gaps_ms[] = {0, 20, 20, 90, 20, 20, 20, 21, 0, 60};
+    int64_t now_us = SECOND_US;
+    for (size_t i = 0; i < TABLE_COUNT(gaps_ms); i++) {
+        CU_ASSERT_EQUAL(EbStreamPace_Result(&pace) > 0,
+                        i > EB_SERVER_SPEED_SPAN_EVENTS);
+        now_us += gaps_ms[i] * MS;
+        EbStreamPace_AddEvent(&pace, now_us);
+    }
+    CU_ASSERT_DOUBLE_EQUAL(EbStreamPace_Result(&pace), 61000 / 4.0, 1);
+}
+
+/* A neighbour's work slows a server for some hundred milliseconds: the usual
+ * pace stays, the present one shows it and forgets it. */
+static void
+test_two_scales(void)
+{
+    EbServerSpeed speed = {0};
+    for (int i = 0; i < 5; i++) {
+        EbServerSpeed_Observe(&speed, 20000, i * SECOND_US);
+    }
+    int64_t now_us = 10 * SECOND_US;
+    EbServerSpeed_Observe(&speed, 50000, now_us);
+    CU_ASSERT_DOUBLE_EQUAL(speed.pace_us, 20000, 1);
+    CU_ASSERT_DOUBLE_EQUAL(EbServerSpeed_Slowdown(&speed, now_us), 2.5, 0.01);
+    CU_ASSERT_TRUE(EbServerSpeed_Slowdown(&speed, now_us + SECOND_US) < 1.1);
+    /* A server that stays slow gets a new usual pace. */
+    for (int i = 0; i < 5; i++) {
+        EbServerSpeed_Observe(&speed, 50000, now_us);
+    }
+    CU_ASSERT_TRUE(speed.pace_us > 42000);
+}
+
+/* The server's own statement counts while it is fresh, and no longer. */
+static void
+test_stated_work(void)
+{
+    EbServerSpeed speed = {0};
+    CU_ASSERT_EQUAL(EbServerSpeed_Slowdown(&speed, 0), 1);
+    EbServerSpeed_RecordWork(&speed, 250, SECOND_US);
+    CU_ASSERT_DOUBLE_EQUAL(
+        EbServerSpeed_Slowdown(&speed, SECOND_US + 200 * MS), 2.5, 0.01);
+    CU_ASSERT_EQUAL(EbServerSpeed_Slowdown(&speed, SECOND_US + 400 * MS), 1);
+}
+
+/* A report is sent once, and again only when the pace has changed. */
+static void
+test_reports(void)
+{
+    EbServerSpeed first = {0};
+    EbServerSpeed second = {0};
+    CU_ASSERT_FALSE(EbServerSpeed_TakeReport(&first));
+    EbServerSpeed_Observe(&first, 20000, 0);
+    CU_ASSERT_TRUE(EbServerSpeed_TakeReport(&first));
+    CU_ASSERT_FALSE(EbServerSpeed_TakeReport(&first));
+    EbServerSpeed_Merge(&second, 20000);
+    EbServerSpeed_Observe(&second, 21000, SECOND_US);
+    CU_ASSERT_FALSE(EbServerSpeed_TakeReport(&second));
+    EbServerSpeed_Observe(&second, 10000, 61 * SECOND_US);
+    CU_ASSERT_FALSE(EbServerSpeed_TakeReport(&second));
+    EbServerSpeed_Observe(&second, 10000, 62 * SECOND_US);
+    CU_ASSERT_TRUE(EbServerSpeed_TakeReport(&second));
+}
+
+/* Daemons whose measurements differ a little must choose alike. */
+static void
+test_cost_steps(void)
+{
+    static const struct {
+        double pace_us;
+        double cost;
+    } rows[] = {{20000, 1},       {23000, 1},       {17000, 1},
+                {8235, 1 / 2.25}, {9000, 1 / 2.25}, {30000, 1.5},
+                {2000000, 3.375}, {10, 1 / 3.375}};
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        EbServerSpeed speed = {.pace_us = rows[i].pace_us, .samples = 1};
+        CU_ASSERT_DOUBLE_EQUAL(EbServerSpeed_UsualCost(&speed, 20000),
+                               rows[i].cost, 0.001);
+    }
+    EbServerSpeed unknown = {0};
+    CU_ASSERT_EQUAL(EbServerSpeed_UsualCost(&unknown, 20000), 1);
+}
+
+#define SERVERS 90
+#define DAEMONS 82
+#define STREAMS_PER_CLUMP 3
+#define CLUMP_INTERVAL_US (11 * MS) /* 270 streams a second */
+#define DAY_US (30 * SECOND_US)
+#define WARM_UP_US (8 * SECOND_US)
+#define NOISE_INTERVAL_US (600 * MS)
+#define EVENT_US (25 * MS)     /* at speed 1 */
+#define MEAN_READ_US (80 * MS) /* of a prompt at speed 1 */
+#define PROMPTS 2000
+/* Each daemon reports once in REPORT_PHASES intervals. */
+#define REPORT_INTERVAL_US (500 * MS)
+#define REPORT_PHASES 6
+
+typedef struct {
+    char ids[SERVERS][8];
+    EbConfigBackendServer servers[SERVERS];
+    uint32_t indexes[SERVERS];
+    EbConfigPool config_pool;
+    EbConfig config;
+    EbPool *pools[DAEMONS];
+    EbRandom random;
+    double slowdown[SERVERS];
+    int64_t free_us[SERVERS]; /* when the prompts so far have been read */
+    GQueue ends;              /* of End, by time */
+} Fleet;
+
+typedef struct {
+    int64_t end_us;
+    uint32_t daemon;
+    uint32_t server;
+    double pace_us;
+    int64_t first_us;
+} End;
+
+typedef struct {
+    uint64_t calls;
+    uint64_t fast_calls; /* at the third of the servers that is fast */
+    uint64_t late;       /* first event after 250 ms */
+    double mean_first_us;
+    uint64_t reports;
+} Outcome;
+
+static double
+speed_of(uint32_t server)
+{
+    return server % 3 == 2 ? 1.7 : 0.7;
+}
+
+static void
+open_fleet(Fleet *fleet)
+{
+    memset(fleet, 0, sizeof(*fleet));
+    EbRandom_Init(&fleet->random, 4);
+    for (uint32_t i = 0; i < SERVERS; i++) {
+        snprintf(fleet->ids[i], sizeof(fleet->ids[i]), "s%u", i);
+        fleet->indexes[i] = i;
+        fleet->servers[i] = (EbConfigBackendServer){
+            .id = fleet->ids[i], .failure_domain = "d", .capacity = 32};
+    }
+    fleet->config_pool = (EbConfigPool){.name = "engines",
+                                        .server_indexes = fleet->indexes,
+                                        .server_count = SERVERS,
+                                        .service_estimate_us = 100000};
+    fleet->config = (EbConfig){.pools = &fleet->config_pool,
+                               .pool_count = 1,
+                               .servers = fleet->servers,
+                               .server_count = SERVERS};
+    for (uint32_t i = 0; i < DAEMONS; i++) {
+        char name[16];
+        snprintf(name, sizeof(name), "i%u", i);
+        fleet->pools[i] =
+            EbPool_New(&(EbPoolOptions){.config = &fleet->config,
+                                        .instance = name,
+                                        .failure_domain = "d",
+                                        .random = &fleet->random},
+                       NULL);
+    }
+}
+
+static uint32_t
+index_of(const EbConfigBackendServer *server)
+{
+    unsigned index = 0;
+    CU_ASSERT_EQUAL(sscanf(server->id, "s%u", &index), 1);
+    return index;
+}
+
+static gint
+compare_ends(gconstpointer left, gconstpointer right, gpointer data)
+{
+    (void)data;
+    const End *a = left, *b = right;
+    return (a->end_us > b->end_us) - (a->end_us < b->end_us);
+}
+
+static void
+begin_stream(Fleet *fleet, Outcome *outcome, int64_t now_us)
+{
+    uint32_t daemon = (uint32_t)EbRandom_Below(&fleet->random, DAEMONS);
+    uint64_t prompt = 1 + EbRandom_Below(&fleet->random, PROMPTS);
+    EbPool *pool = fleet->pools[daemon];
+    const EbConfigBackendServer *affine =
+        EbPool_ChooseAffine(pool, &(EbPoolCriteria){0}, prompt, now_us);
+    const EbConfigBackendServer *chosen = EbPool_BeginCall(
+        pool,
+        &(EbPoolCriteria){.preferred = affine != NULL ? affine->id : NULL},
+        now_us);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(chosen);
+    uint32_t server = index_of(chosen);
+    double cost = fleet->slowdown[server] / speed_of(server);
+    /* One prompt in twenty is ten times as long as the others. */
+    double length = EbRandom_Below(&fleet->random, 20) == 0 ? 6.9 : 0.69;
+    int64_t read_us = (int64_t)(MEAN_READ_US * length * cost);
+    fleet->free_us[server] = MAX(fleet->free_us[server], now_us) + read_us;
+    End *end = g_new(End, 1);
+    *end = (End){.daemon = daemon,
+                 .server = server,
+                 .pace_us = EVENT_US * cost,
+                 .first_us = fleet->free_us[server] - now_us};
+    end->end_us = fleet->free_us[server] + (int64_t)(12 * end->pace_us);
+    g_queue_insert_sorted(&fleet->ends, end, compare_ends, NULL);
+    if (now_us >= WARM_UP_US) {
+        outcome->calls++;
+        outcome->fast_calls += speed_of(server) > 1;
+        outcome->late += end->first_us > 250 * MS;
+        outcome->mean_first_us += (double)end->first_us;
+    }
+}
+
+static void
+end_streams(Fleet *fleet, bool measured, int64_t now_us)
+{
+    End *end;
+    while ((end = g_queue_peek_head(&fleet->ends)) != NULL &&
+           end->end_us <= now_us) {
+        g_queue_pop_head(&fleet->ends);
+        const char *id = fleet->ids[end->server];
+        EbPool *pool = fleet->pools[end->daemon];
+        EbPool_EndCall(pool, id, EB_CALL_OK, end->first_us, now_us);
+        if (measured) {
+            EbPool_RecordPace(pool, id, end->pace_us, now_us);
+        }
+        g_free(end);
+    }
+}
+
+static void
+share_reports(Fleet *fleet, Outcome *outcome, int64_t now_us)
+{
+    for (uint32_t i = 0; i < DAEMONS; i++) {
+        EbSpeedReport report;
+        bool due = i % REPORT_PHASES ==
+                   (uint32_t)(now_us / REPORT_INTERVAL_US) % REPORT_PHASES;
+        while (due && EbPool_NextSpeedReport(fleet->pools[i], &report)) {
+            outcome->reports++;
+            for (uint32_t k = 0; k < DAEMONS; k++) {
+                if (k != i) {
+                    EbPool_MergeSpeed(fleet->pools[k], &report);
+                }
+            }
+        }
+        EbPool_Tick(fleet->pools[i], now_us);
+    }
+}
+
+/* Returns the share of prompts for which two daemons choose the same server.
+ */
+static double
+agreement(Fleet *fleet, int64_t now_us)
+{
+    uint32_t same = 0;
+    for (uint64_t prompt = 1; prompt <= PROMPTS; prompt++) {
+        same += EbPool_ChooseAffine(fleet->pools[3], &(EbPoolCriteria){0},
+                                    prompt, now_us) ==
+                EbPool_ChooseAffine(fleet->pools[70], &(EbPoolCriteria){0},
+                                    prompt, now_us);
+    }
+    return (double)same / PROMPTS;
+}
+
+static void
+play(bool measured, Outcome *outcome, double *agreed)
+{
+    Fleet *fleet = g_new(Fleet, 1);
+    open_fleet(fleet);
+    *outcome = (Outcome){0};
+    for (int64_t now_us = 0; now_us < DAY_US; now_us += MS) {
+        if (now_us % NOISE_INTERVAL_US == 0) {
+            for (uint32_t i = 0; i < SERVERS; i++) {
+                bool noise = EbRandom_Below(&fleet->random, 100) < 15;
+                fleet->slowdown[i] = noise ? 2.5 : 1;
+            }
+        }
+        end_streams(fleet, measured, now_us);
+        if (now_us % CLUMP_INTERVAL_US == 0) {
+            for (int i = 0; i < STREAMS_PER_CLUMP; i++) {
+                begin_stream(fleet, outcome, now_us);
+            }
+        }
+        if (now_us % REPORT_INTERVAL_US == 0) {
+            share_reports(fleet, outcome, now_us);
+        }
+    }
+    outcome->mean_first_us /= (double)outcome->calls;
+    *agreed = agreement(fleet, DAY_US);
+    g_queue_clear_full(&fleet->ends, g_free);
+    for (uint32_t i = 0; i < DAEMONS; i++) {
+        EbPool_Free(fleet->pools[i]);
+    }
+    g_free(fleet);
+}
+
+/* Bounds, from what callers need: with the measured speeds at least a third
+ * fewer first events are late, the daemons agree on the server of a prompt as
+ * often as without, and no server is told more often than each daemon could
+ * tell once. */
+static void
+test_uneven_engines(void)
+{
+    Outcome before, after;
+    double agreed_before, agreed;
+    play(false, &before, &agreed_before);
+    play(true, &after, &agreed);
+    double late_before = (double)before.late / (double)before.calls;
+    double late = (double)after.late / (double)after.calls;
+    double fast = (double)after.fast_calls / (double)after.calls;
+    printf("  late %.3f, before %.3f; first event %.0f ms, before %.0f ms; "
+           "on fast servers %.2f; agreed %.2f, before %.2f; %u reports\n",
+           late, late_before, after.mean_first_us / 1000,
+           before.mean_first_us / 1000, fast, agreed, agreed_before,
+           (unsigned)after.reports);
+    CU_ASSERT_TRUE(late < late_before * 2 / 3);
+    CU_ASSERT_TRUE(after.mean_first_us < before.mean_first_us);
+    CU_ASSERT_TRUE(fast > 0.6);
+    CU_ASSERT_TRUE(agreed > agreed_before - 0.02);
+    CU_ASSERT_TRUE(after.reports < SERVERS * DAEMONS);
+}
+
+int
+main(void)
+{
+    static const EbTestCase cases[] = {
+        {"stream pace", test_stream_pace},
+        {"two scales", test_two_scales},
+        {"stated work", test_stated_work},
+        {"reports", test_reports},
+        {"cost steps", test_cost_steps},
+        {"uneven engines", test_uneven_engines},
+    };
+    return EbTest_Run("test_server_speed", cases, TABLE_COUNT(cases));
+}
