--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -415,10 +415,47 @@
     }
 }
 
+/* The fourth figure of the load is optional, and a bad one must not be taken
+ * for a server that is infinitely fast. */
+static void
+test_load(void)
+{
+    static const struct {
+        const char *value;
+        bool has_load;
+        uint32_t running;
+        uint32_t waiting;
+        uint32_t work_percent;
+    } rows[] = {
+        {"3,0,8", true, 3, 0, 0},
+        {"3,2,8,250", true, 3, 2, 250},
+        {" 3 , 2 , 8 , 100 ", true, 3, 2, 100},
+        {"3,2,8,250,7", true, 3, 2, 250},
+        {"3,2,8,", true, 3, 2, 0},
+        {"3,2,8,-5", true, 3, 2, 0},
+        {"3,2,8,99999999999", true, 3, 2, 0},
+        {"3,2", true, 3, 2, 0},
+        {"3", false, 0, 0, 0},
+        {"", false, 0, 0, 0},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        EbHttpMessage *head = EbHttpMessage_NewResponse(200);
+        EbHttpMessage_AddHeader(head, "Server-Load", rows[i].value);
+        EbForwardReply reply;
+        EbPlatform_forward_protocol.read_reply(head, &reply);
+        CU_ASSERT_EQUAL(reply.has_load, rows[i].has_load);
+        CU_ASSERT_EQUAL(reply.load_running, rows[i].running);
+        CU_ASSERT_EQUAL(reply.load_waiting, rows[i].waiting);
+        CU_ASSERT_EQUAL(reply.load_work_percent, rows[i].work_percent);
+        EbHttpMessage_Unref(head);
+    }
+}
+
 int
 main(void)
 {
     static const EbTestCase cases[] = {
+        {"load", test_load},
         {"config", test_config},
         {"invalid config", test_invalid_config},
         {"config defects", test_config_defects},
