--- a/include/configuration/ebonyhollow/config.h
+++ b/include/configuration/ebonyhollow/config.h
@@ -57,6 +57,9 @@
     char *failure_domain;
     uint32_t pool_index; /* into EbConfig.pools */
     uint32_t capacity;   /* calls that it runs concurrently */
+    /* Identifies one start of the server; 0: unknown. What is known of a
+     * server by its id holds for one incarnation. */
+    uint64_t incarnation;
 } EbConfigBackendServer;
 
 /* Batching of a pool: calls with work items of several requests. */
@@ -82,7 +85,9 @@
     char *outcome_path;   /* call: path that looks up a key; NULL: none */
     int64_t service_estimate_us; /* call time assumed until one is measured */
     EbConfigBatch batch;         /* zero unless work items are sent to it */
-    uint32_t max_connections; /* per server, from all daemons; 0: no limit */
+    uint32_t max_connections;   /* per server, from all daemons; 0: no limit */
+    int64_t cold_us;            /* how long a server is cold after its start */
+    double cold_requests_per_s; /* that a cold server takes; 0: no limit */
 } EbConfigPool;
 
 typedef struct {
--- a/include/configuration/ebonyhollow/settings.h
+++ b/include/configuration/ebonyhollow/settings.h
@@ -56,6 +56,10 @@
     uint32_t max_connections;  /* from callers */
     uint32_t max_requests;     /* live requests */
     uint32_t max_buffer_bytes; /* unsent output per caller */
+    /* A cold server of a pool with cold_requests_per_s gets at most that rate
+     * times cold_overrun, plus cold_margin calls in a second. */
+    uint32_t cold_overrun_permille;
+    uint32_t cold_margin;
     int64_t header_timeout_us; /* for receiving a request, and while idle */
     char *policy; /* "adaptive" or "plain", the baseline for measurements */
 } EbSettings;
--- a/include/deployment/ebonyhollow/platform_adapter.h
+++ b/include/deployment/ebonyhollow/platform_adapter.h
@@ -27,6 +27,10 @@
     char *failure_domain;
     uint32_t slots; /* calls that it runs at once */
     bool leaving;
+    /* Identifies one start of the server; 0: unknown. A greater number need
+     * not be a later start, since a server's clock may step back. */
+    uint64_t incarnation;
+    int64_t cold_left_us; /* time that it stays cold; -1: unknown */
 } EbServerRegistration;
 
 /* Frees what a registration owns and zeroes it. */
--- a/include/membership/ebonyhollow/membership.h
+++ b/include/membership/ebonyhollow/membership.h
@@ -157,6 +157,11 @@
  * orderly way and are not forgotten yet. They may only be cut off. */
 size_t EbMembership_LostCount(const EbMembership *membership);
 
+/* Writes up to `max` names of these daemons, which are borrowed until the next
+ * change. Returns their number, which may exceed `max`. */
+size_t EbMembership_LostInstances(const EbMembership *membership,
+                                  const char **names, size_t max);
+
 /* Writes the names of up to `max` other live daemons that keep watches open at
  * the platform, those of this daemon's failure domain first. Within and
  * outside of the domain each daemon has an order of its own, so that asking
--- a/include/membership/ebonyhollow/message.h
+++ b/include/membership/ebonyhollow/message.h
@@ -136,6 +136,7 @@
 
     /* SERVER_LEAVING */
     char *server;
+    uint64_t server_incarnation; /* that is leaving; 0: unknown */
     bool leaving;
 
     /* PREPARE, PREPARED, END_PREPARATION; the requester assigns `job`. */
--- a/include/metrics/ebonyhollow/metrics.h
+++ b/include/metrics/ebonyhollow/metrics.h
@@ -31,6 +31,8 @@
     EB_METRIC_PEER_MESSAGES,      /* direction, kind */
     EB_METRIC_EVENTS_SUPPRESSED,  /* event */
     EB_METRIC_DIRECTIVES,         /* kind */
+    EB_METRIC_COLD_CALLS,
+    EB_METRIC_PACE_ENDED,         /* cause */
     EB_METRIC_TOTAL_TIME_US,      /* histogram: customer */
     EB_METRIC_STAGE_TIME_US,      /* histogram: pipeline, stage */
     EB_METRIC_QUEUE_TIME_US,      /* histogram: pipeline, stage */
@@ -43,6 +45,7 @@
     EB_METRIC_UNWRITTEN_OUTCOMES, /* gauge */
     EB_METRIC_LIVE_DAEMONS,       /* gauge */
     EB_METRIC_QUARANTINED,        /* gauge */
+    EB_METRIC_PACED_SERVERS,      /* gauge */
     EB_METRIC_COUNT
 } EbMetricId;
 
--- a/include/requests/ebonyhollow/dispatcher.h
+++ b/include/requests/ebonyhollow/dispatcher.h
@@ -230,11 +230,14 @@
 /* Handles the notice that a backend server is leaving or, with `leaving`
  * false, is back.
  *
+ * incarnation: which start of the server it is about; 0: the present one. A
+ *     notice about another start changes nothing.
  * source: who sent the notice, for the log: "platform", or "peer" for another
  *     daemon. A notice from a peer is not passed on to the others. */
 void EbDispatcher_ServerLeaving(EbDispatcher *dispatcher,
-                                const char *server_id, bool leaving,
-                                const char *source, int64_t now_us);
+                                const char *server_id, uint64_t incarnation,
+                                bool leaving, const char *source,
+                                int64_t now_us);
 
 /* Handles deadlines, time-outs, delayed retries and hedges that are due, and
  * serves the queues. */
--- a/include/servers/ebonyhollow/directives.h
+++ b/include/servers/ebonyhollow/directives.h
@@ -29,8 +29,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "ebonyhollow/config.h"
 #include "ebonyhollow/event.h"
 #include "ebonyhollow/metrics.h"
+#include "ebonyhollow/pace.h"
 #include "ebonyhollow/random.h"
 #include "ebonyhollow/server_directive.h"
 
@@ -43,6 +45,7 @@
     EbRandom *random;
     const EbEventSink *events; /* may be NULL */
     EbMetrics *metrics;        /* may be NULL */
+    EbPace *pace; /* limits calls to cold servers; NULL: none are cold */
 } EbDirectivesOptions;
 
 /* What one daemon tells the others of a server's limit. */
@@ -75,9 +78,30 @@
                                const EbServerDirective *directive,
                                int64_t sent_us, int64_t now_us);
 
-/* Marks a server as leaving, or with false as back. */
+/* Sets the present starts of the servers. What an earlier start of a server
+ * asked for ends. The pace of the servers is updated as well. */
+void EbDirectives_SetConfig(EbDirectives *directives, const EbConfig *config,
+                            int64_t now_us);
+
+/* Returns the incarnation of a server in the configuration, 0 if unknown. */
+uint64_t EbDirectives_Incarnation(const EbDirectives *directives,
+                                  const char *server_id);
+
+/* Returns whether a call that was sent at this time went to the server's
+ * present start. */
+bool EbDirectives_IsPresent(const EbDirectives *directives,
+                            const char *server_id, int64_t sent_us);
+
+/* Returns the pace of the servers; may be NULL. */
+EbPace *EbDirectives_Pace(const EbDirectives *directives);
+
+/* Marks a server as leaving, or with false as back.
+ *
+ * incarnation: which start of the server this is about, 0 for the present one.
+ *     A mark about another start has no effect on the present one. */
 void EbDirectives_SetLeaving(EbDirectives *directives, const char *server_id,
-                             bool leaving, int64_t now_us);
+                             uint64_t incarnation, bool leaving,
+                             int64_t now_us);
 
 bool EbDirectives_IsLeaving(const EbDirectives *directives,
                             const char *server_id);
@@ -91,8 +115,12 @@
 int64_t EbDirectives_NextAdmission(const EbDirectives *directives,
                                    const char *server_id, int64_t now_us);
 
-/* Returns whether a limit of the server is known. If so, `calls_per_s` is set
- * to this daemon's share of it, which may be 0. */
+/* Returns whether the server named a limit that holds. */
+bool EbDirectives_IsLimited(const EbDirectives *directives,
+                            const char *server_id, int64_t now_us);
+
+/* Returns whether the server named a limit or is cold. If so, `calls_per_s` is
+ * set to this daemon's part of its calls, which may be 0. */
 bool EbDirectives_FindShare(const EbDirectives *directives,
                             const char *server_id, double *calls_per_s,
                             int64_t now_us);
@@ -101,6 +129,16 @@
 void EbDirectives_RecordCall(EbDirectives *directives, const char *server_id,
                              int64_t now_us);
 
+/* Passes the result of a call on to the pace of the server, if there is one.
+ */
+void EbDirectives_RecordResult(EbDirectives *directives, const char *server_id,
+                               EbPaceResult result, int64_t now_us);
+
+/* Returns whether it is first the turn of other daemons to use a server on
+ * pace. */
+bool EbDirectives_IsHeld(const EbDirectives *directives, const char *server_id,
+                         int64_t now_us);
+
 /* Adds what another daemon told. */
 void EbDirectives_Merge(EbDirectives *directives, const EbLimitReport *report,
                         int64_t now_us);
--- a/include/servers/ebonyhollow/pool.h
+++ b/include/servers/ebonyhollow/pool.h
@@ -1,8 +1,8 @@
 /* EbPool: this daemon's view of the backend servers of one pool.
  *
  * Keeps for each server the calls in flight, concurrency limit, latency, last
- * load report, ejection, slow start and leaving state. All times are monotonic
- * microseconds. */
+ * load report, ejection and leaving state. What it knows of a server ends when
+ * the server starts anew. All times are monotonic microseconds. */
 #ifndef EBONYHOLLOW_POOL_H
 #define EBONYHOLLOW_POOL_H
 
@@ -42,6 +42,8 @@
     EbRandom *random;
     const EbEventSink *events;
     EbDirectives *directives; /* NULL: servers don't limit their calls */
+    EbPace *pace; /* of servers that start or recover; NULL: all take calls at
+                     once */
 } EbPoolOptions;
 
 /* How a call ended, for the pool's statistics. */
@@ -134,7 +136,7 @@
 bool EbPool_SetLeaving(EbPool *pool, const char *server_id, bool leaving,
                        int64_t now_us);
 
-/* Updates ejections and slow start. Call it at least once a second. */
+/* Updates ejections. Call it at least once a second. */
 void EbPool_Tick(EbPool *pool, int64_t now_us);
 
 /* Returns whether any server could take a call now. */
@@ -172,12 +174,13 @@
 typedef struct {
     const EbConfigBackendServer *server;
     EbServerState state;
-    const char *cause; /* of the current ejection, otherwise "" */
+    const char *cause; /* of the current ejection or pace, otherwise "" */
     uint32_t in_flight;
     uint32_t limit;         /* calls that this daemon may have in flight */
     uint32_t reported_load; /* calls at the server, from all daemons */
     int64_t latency_us;     /* moving average; 0: not measured */
     int64_t until_us;       /* end of the current ejection, otherwise 0 */
+    int64_t cold_left_us;   /* time that it is, or may be, cold */
     uint64_t calls;
     uint64_t failures;
 } EbServerView;
@@ -186,6 +189,7 @@
 size_t EbPool_ServerCount(const EbPool *pool);
 
 /* Describes one server of the subset; index is below EbPool_ServerCount. */
-void EbPool_View(const EbPool *pool, size_t index, EbServerView *view);
+void EbPool_View(const EbPool *pool, size_t index, EbServerView *view,
+                 int64_t now_us);
 
 #endif
--- a/include/share/ebonyhollow/event_table.h
+++ b/include/share/ebonyhollow/event_table.h
@@ -127,6 +127,31 @@
       "ready "                                                                \
       "that was leaving or gone, which is not used for now.",                 \
       "backend_server,service,state", "None.")                                \
+    X(SERVER_STARTED, 435, "backend-server-started", EB_LEVEL_NOTICE,         \
+      "A backend server has started anew under its id. What was known of "    \
+      "its "                                                                  \
+      "earlier start no longer holds.",                                       \
+      "backend_server,incarnation",                                           \
+      "None, unless it is frequent: find out why the server ends.")           \
+    X(SERVER_COLD, 436, "backend-server-cold", EB_LEVEL_NOTICE,               \
+      "A backend server is cold, or may be, and its calls are bounded for "   \
+      "left_us. share_milli is the part of this daemon in thousandths of a "  \
+      "call a second, 0 if other daemons use the server.",                    \
+      "backend_server,left_us,share_milli", "None.")                          \
+    X(SERVER_WARM, 437, "backend-server-warm", EB_LEVEL_NOTICE,               \
+      "A backend server is no longer cold, by its own entry.",                \
+      "backend_server,left_us,share_milli", "None.")                          \
+    X(PACE_BEGUN, 438, "backend-server-pace-begun", EB_LEVEL_INFO,            \
+      "A backend server has started or recovered and gets few calls at "      \
+      "first; cause is started, cold, readmitted or evacuation.",             \
+      "backend_server,cause", "None.")                                        \
+    X(PACE_ENDED, 439, "backend-server-pace-ended", EB_LEVEL_INFO,            \
+      "A backend server gets its full load again: after usual answers, when " \
+      "no answer was unusual for a while (quiet), or after the longest time " \
+      "(time).",                                                              \
+      "backend_server,cause,after_us",                                        \
+      "If cause is often time, compare the server's latency with the "        \
+      "others.")                                                              \
     X(SERVER_EJECTED, 400, "backend-server-ejected", EB_LEVEL_WARNING,        \
       "This daemon sends a backend server no calls until until_us on its "    \
       "monotonic clock; cause is latency, failures or the result of the "     \
--- a/src/libebonyhollow/batching/batcher.c
+++ b/src/libebonyhollow/batching/batcher.c
@@ -121,7 +121,49 @@
 }
 
 static void
-update_server(EbBatchService *service, const EbConfigBackendServer *row)
+forget_results(GHashTable *jobs, const char *server_id)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const EbBatchJob *job = value;
+        for (uint32_t i = 0; i < job->spec.item_count; i++) {
+            if (g_strcmp0(job->items[i].server_id, server_id) == 0) {
+                job->items[i].holds_memory = false;
+            }
+        }
+    }
+}
+
+/* A server that has started anew holds no results, and nothing that was
+ * learned of its speed and failures is known of the new start. */
+static void
+reset_server(EbBatcher *batcher, EbBatchServer *server)
+{
+    forget_results(batcher->jobs, server->id);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, batcher->calls);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const EbBatchCall *call = value;
+        for (guint i = 0; call->server == server && i < call->items->len;
+             i++) {
+            ((EbBatchItem *)g_ptr_array_index(call->items, i))->holds_memory =
+                false;
+        }
+    }
+    g_ptr_array_set_size(server->releases, 0);
+    server->held_bytes = 0;
+    server->released_bytes = 0;
+    server->slowdown = 1;
+    server->failures = 0;
+    server->blocked_until_us = 0;
+}
+
+static void
+update_server(EbBatcher *batcher, EbBatchService *service,
+              const EbConfigBackendServer *row)
 {
     EbBatchServer *server = g_hash_table_lookup(service->servers, row->id);
     if (server == NULL) {
@@ -137,6 +179,11 @@
     server->failure_domain = g_strdup(row->failure_domain);
     server->port = row->port;
     server->current = true;
+    if (server->incarnation != 0 && row->incarnation != 0 &&
+        server->incarnation != row->incarnation) {
+        reset_server(batcher, server);
+    }
+    server->incarnation = row->incarnation;
 }
 
 static gboolean
@@ -176,7 +223,8 @@
         EbBatchService *service = get_service(batcher, pool->name);
         service->batch = pool->batch;
         for (uint32_t k = 0; k < pool->server_count; k++) {
-            update_server(service, &config->servers[pool->server_indexes[k]]);
+            update_server(batcher, service,
+                          &config->servers[pool->server_indexes[k]]);
         }
     }
     g_hash_table_iter_init(&iter, batcher->services);
--- a/src/libebonyhollow/batching/batcher_call.c
+++ b/src/libebonyhollow/batching/batcher_call.c
@@ -16,6 +16,8 @@
 #define BLOCK_MAX_DOUBLINGS 5
 /* A server that has no free slot or memory gets no call for this time. */
 #define BLOCK_FULL_US 50000
+/* A call that takes this many times the expected time is slow. */
+#define PACE_SLOW_FACTOR 2
 #define SLOWDOWN_GAIN 0.3 /* an average of about three calls */
 
 void
@@ -250,6 +252,9 @@
     EbBatchServer *server = call->server;
     double slowdown =
         (double)(now_us - call->started_us) / (double)call->expected_us;
+    EbDirectives_RecordResult(
+        batcher->options.directives, server->id,
+        slowdown > PACE_SLOW_FACTOR ? EB_PACE_SLOW : EB_PACE_USUAL, now_us);
     server->slowdown += SLOWDOWN_GAIN * (slowdown - server->slowdown);
     server->failures = 0;
     for (size_t i = 0; i < count; i++) {
@@ -281,6 +286,9 @@
             EB_STRING_FIELD("service", call->service->name),
             EB_INTEGER_FIELD("pieces", call->items->len),
             EB_STRING_FIELD("cause", cause));
+    EbDirectives_RecordResult(
+        batcher->options.directives, call->server->id,
+        result == EB_CALL_REFUSED ? EB_PACE_REFUSED : EB_PACE_FAILED, now_us);
     bool full = result == EB_CALL_OVERLOADED;
     if (full) {
         block_server(call->server, BLOCK_FULL_US, now_us);
@@ -306,7 +314,10 @@
     }
     EbDirectives_RecordAnswer(batcher->options.directives, call->server->id,
                               directive, call->started_us, now_us);
-    return call->server->id;
+    return EbDirectives_IsPresent(batcher->options.directives,
+                                  call->server->id, call->started_us)
+               ? call->server->id
+               : NULL;
 }
 
 size_t
--- a/src/libebonyhollow/batching/batcher_choice.c
+++ b/src/libebonyhollow/batching/batcher_choice.c
@@ -9,6 +9,7 @@
 /* A server in another failure domain than the one where the results are used
  * is chosen only if the local servers are more than this many times slower. */
 #define CROSS_DOMAIN_COST_FACTOR 1.5
+#define HELD_COST_FACTOR 3
 /* Work that moves at least this many bytes an item is done in its failure
  * domain, as long as a call that starts now would end at least this margin
  * before it is due, and no more items wait than this part of what all servers
@@ -64,12 +65,16 @@
 }
 
 /* Returns the cost of a server for a call that begins with this job: its
- * slowdown, raised when the results would cross failure domains. */
+ * slowdown, raised when the results would cross failure domains and while it
+ * is the turn of other daemons to use the server. */
 static double
-server_cost(const EbBatchJob *job, const EbBatchServer *server)
+server_cost(const EbBatcher *batcher, const EbBatchJob *job,
+            const EbBatchServer *server, int64_t now_us)
 {
-    return is_local(job, server) ? server->slowdown
-                                 : server->slowdown * CROSS_DOMAIN_COST_FACTOR;
+    bool held =
+        EbDirectives_IsHeld(batcher->options.directives, server->id, now_us);
+    double cost = server->slowdown * (held ? HELD_COST_FACTOR : 1);
+    return is_local(job, server) ? cost : cost * CROSS_DOMAIN_COST_FACTOR;
 }
 
 EbBatchServer *
@@ -90,8 +95,8 @@
             fastest = server->slowdown;
         }
         if (is_free(batcher, service, server, now_us) &&
-            (best == NULL ||
-             server_cost(first, server) < server_cost(first, best))) {
+            (best == NULL || server_cost(batcher, first, server, now_us) <
+                                 server_cost(batcher, first, best, now_us))) {
             best = server;
         }
     }
--- a/src/libebonyhollow/batching/private/batcher_state.h
+++ b/src/libebonyhollow/batching/private/batcher_state.h
@@ -41,6 +41,7 @@
     char *host;
     uint16_t port;
     char *failure_domain;
+    uint64_t incarnation;
     uint32_t running;         /* calls in flight */
     uint32_t failures;        /* failed calls since the last success */
     int64_t blocked_until_us; /* gets no call before this time */
--- a/src/libebonyhollow/configuration/settings_fields.c
+++ b/src/libebonyhollow/configuration/settings_fields.c
@@ -104,6 +104,12 @@
         EbSettings, header_timeout_us,
         "The connection of a caller that takes longer to send a request is "
         "closed."),
+    ROW("cold_overrun_permille", UINT32, "thousandths", 1000, 100000, "1000",
+        EbSettings, cold_overrun_permille,
+        "Factor by which calls to a cold server may exceed its rate in a "
+        "second."),
+    ROW("cold_margin", UINT32, "calls", 0, 65536, "0", EbSettings, cold_margin,
+        "Calls to a cold server that are allowed in a second, in addition."),
     CHOICE_ROW("policy", policy_names, G_N_ELEMENTS(policy_names), true,
                "\"adaptive\"", policy,
                "\"plain\" is the baseline for measurements."),
--- a/src/libebonyhollow/deployment/server_registry.c
+++ b/src/libebonyhollow/deployment/server_registry.c
@@ -85,6 +85,7 @@
            other->leaving == registration->leaving &&
            other->port == registration->port &&
            other->slots == registration->slots &&
+           other->incarnation == registration->incarnation &&
            strcmp(other->host, registration->host) == 0 &&
            strcmp(other->service, registration->service) == 0;
 }
@@ -115,8 +116,12 @@
     const Entry *known =
         g_hash_table_lookup(registry->servers, registration->id);
     bool known_leaving = known != NULL && known->registration.leaving;
+    bool other_start =
+        known != NULL && known->registration.incarnation != 0 &&
+        registration->incarnation != 0 &&
+        known->registration.incarnation != registration->incarnation;
     return !registration->leaving &&
-           (known_leaving ||
+           (known_leaving || other_start ||
             g_hash_table_contains(registry->gone, registration->id));
 }
 
--- a/src/libebonyhollow/membership/membership.c
+++ b/src/libebonyhollow/membership/membership.c
@@ -404,16 +404,29 @@
 }
 
 size_t
-EbMembership_LostCount(const EbMembership *membership)
+EbMembership_LostInstances(const EbMembership *membership, const char **names,
+                           size_t max)
 {
     size_t count = 0;
     for (guint i = 0; i < membership->members->len; i++) {
         const EbMember *member = membership->members->pdata[i];
-        count += member->visible == EB_MEMBER_DEAD && !member->left;
+        if (member->visible != EB_MEMBER_DEAD || member->left) {
+            continue;
+        }
+        if (count < max) {
+            names[count] = member->name;
+        }
+        count++;
     }
     return count;
 }
 
+size_t
+EbMembership_LostCount(const EbMembership *membership)
+{
+    return EbMembership_LostInstances(membership, NULL, 0);
+}
+
 bool
 EbMembership_Find(const EbMembership *membership, const char *instance,
                   int64_t now_us, EbMemberView *view)
--- a/src/libebonyhollow/metrics/metrics.c
+++ b/src/libebonyhollow/metrics/metrics.c
@@ -95,6 +95,17 @@
                               "leaves.",
                               {"kind", NULL, NULL},
                               SERIES_DEFAULT},
+    [EB_METRIC_COLD_CALLS] = {"ebonyhollow_cold_calls_total",
+                              EB_METRIC_COUNTER,
+                              "Calls to cold backend servers.",
+                              {NULL, NULL, NULL},
+                              1},
+    [EB_METRIC_PACE_ENDED] = {"ebonyhollow_server_pace_ended_total",
+                              EB_METRIC_COUNTER,
+                              "Backend servers that get their full load "
+                              "again after a start or a recovery.",
+                              {"cause", NULL, NULL},
+                              SERIES_DEFAULT},
     [EB_METRIC_TOTAL_TIME_US] =
         {"ebonyhollow_request_time_microseconds",
          EB_METRIC_HISTOGRAM,
@@ -160,6 +171,13 @@
                                "Requests refused because they crash servers.",
                                {NULL, NULL, NULL},
                                1},
+    [EB_METRIC_PACED_SERVERS] = {"ebonyhollow_paced_servers",
+                                 EB_METRIC_GAUGE,
+                                 "Backend servers whose calls this daemon "
+                                 "raises step by step after a start or a "
+                                 "recovery.",
+                                 {NULL, NULL, NULL},
+                                 1},
 };
 
 const char *const EbMetricType_names[EB_METRIC_TYPE_COUNT] = {
--- a/src/libebonyhollow/requests/dispatcher.c
+++ b/src/libebonyhollow/requests/dispatcher.c
@@ -460,9 +460,11 @@
 
 void
 EbDispatcher_ServerLeaving(EbDispatcher *dispatcher, const char *server_id,
-                           bool leaving, const char *source, int64_t now_us)
+                           uint64_t incarnation, bool leaving,
+                           const char *source, int64_t now_us)
 {
-    EbDispatcher_MarkLeaving(dispatcher, server_id, leaving, source, now_us);
+    EbDispatcher_MarkLeaving(dispatcher, server_id, incarnation, leaving,
+                             source, now_us);
     EbDispatcher_RunPending(dispatcher, now_us);
 }
 
--- a/src/libebonyhollow/requests/dispatcher_event.c
+++ b/src/libebonyhollow/requests/dispatcher_event.c
@@ -150,8 +150,10 @@
     EbDirectives_RecordAnswer(dispatcher->options.directives,
                               attempt->server_id, &event->directive,
                               attempt->started_us, now_us);
-    if (event->directive.leaving) {
-        EbDispatcher_MarkLeaving(dispatcher, attempt->server_id, true,
+    if (event->directive.leaving &&
+        EbDirectives_IsPresent(dispatcher->options.directives,
+                               attempt->server_id, attempt->started_us)) {
+        EbDispatcher_MarkLeaving(dispatcher, attempt->server_id, 0, true,
                                  "response", now_us);
     }
 }
--- a/src/libebonyhollow/requests/dispatcher_pool.c
+++ b/src/libebonyhollow/requests/dispatcher_pool.c
@@ -55,6 +55,7 @@
             .random = dispatcher->options.random,
             .events = dispatcher->options.events,
             .directives = dispatcher->options.directives,
+            .pace = EbDirectives_Pace(dispatcher->options.directives),
         },
         NULL);
     assert(state->pool != NULL);
@@ -99,6 +100,27 @@
     }
 }
 
+/* Forgets the prefixes that servers held before they started anew. */
+static void
+forget_prefixes(const EbDispatcherPool *pool, const EbConfig *config)
+{
+    GHashTable *starts = g_hash_table_new(g_str_hash, g_str_equal);
+    for (uint32_t i = 0; i < pool->config->server_count; i++) {
+        const EbConfigBackendServer *row = &pool->config->servers[i];
+        g_hash_table_insert(starts, row->id, (gpointer)row);
+    }
+    for (uint32_t i = 0; i < config->server_count; i++) {
+        const EbConfigBackendServer *row = &config->servers[i];
+        const EbConfigBackendServer *old =
+            g_hash_table_lookup(starts, row->id);
+        if (old != NULL && old->incarnation != 0 && row->incarnation != 0 &&
+            old->incarnation != row->incarnation) {
+            EbPrefixIndex_RemoveServer(pool->prefixes, row->id);
+        }
+    }
+    g_hash_table_destroy(starts);
+}
+
 static void
 apply_pool(EbDispatcher *dispatcher, EbConfig *config, uint32_t index,
            int64_t now_us)
@@ -110,6 +132,9 @@
     }
     else {
         EbPool_SetConfig(pool->pool, config, index);
+        if (pool->prefixes != NULL) {
+            forget_prefixes(pool, config);
+        }
         EbConfig_Unref(pool->config);
     }
     pool->config = EbConfig_Ref(config);
@@ -155,10 +180,15 @@
 
 void
 EbDispatcher_MarkLeaving(EbDispatcher *dispatcher, const char *server_id,
-                         bool leaving, const char *source, int64_t now_us)
+                         uint64_t incarnation, bool leaving,
+                         const char *source, int64_t now_us)
 {
-    EbDirectives_SetLeaving(dispatcher->options.directives, server_id, leaving,
+    EbDirectives *directives = dispatcher->options.directives;
+    EbDirectives_SetLeaving(directives, server_id, incarnation, leaving,
                             now_us);
+    if (leaving && !EbDirectives_IsLeaving(directives, server_id)) {
+        return; /* the mark is about another start of the server */
+    }
     bool changed = false;
     GHashTableIter iter;
     gpointer value;
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -324,7 +324,8 @@
 /* Marks a server in all pools as leaving or, with false, as back. Tells the
  * other daemons of a leaving server unless `source` is "peer". */
 void EbDispatcher_MarkLeaving(EbDispatcher *dispatcher, const char *server_id,
-                              bool leaving, const char *source,
+                              uint64_t incarnation, bool leaving,
+                              const char *source,
                               int64_t now_us);
 
 /* dispatcher_crash.c */
--- a/src/libebonyhollow/servers/directives.c
+++ b/src/libebonyhollow/servers/directives.c
@@ -4,7 +4,8 @@
 #include <string.h>
 
 #include <glib.h>
-#include <xxhash.h>
+
+#include "ebonyhollow/fleet_share.h"
 
 /* Servers that are kept: more than those of two deployments of the planned
  * size. Further ones are not limited until an entry has expired. */
@@ -20,9 +21,6 @@
 /* The mark of a leaving server is kept for this time at least, by which the
  * server has ended. */
 #define LEAVING_LIFETIME_US (60LL * 60 * 1000 * 1000)
-/* A call takes one token. It may start a little earlier, so that rounding of
- * times does not hold it back again. */
-#define MIN_TOKENS 0.999999
 #define MAX_PAUSE_US (10LL * 60 * 1000 * 1000)
 /* What several daemons may have learned at once is told by the first one: each
  * waits for a random time of up to this much a daemon. */
@@ -35,28 +33,34 @@
 typedef struct {
     char *id;
     bool leaving;
+    uint64_t leaving_incarnation; /* that is leaving; 0: any */
     int64_t leaving_since_us;
     int64_t paused_until_us;
     bool limited;
     double requests_per_s;
-    int64_t heard_us; /* of the answer by which limit or its end is known */
-    double share;     /* of the limit, as requests a second */
-    double tokens;    /* of the share, valid at tokens_us */
-    int64_t tokens_us;
+    int64_t heard_us;    /* of the answer by which limit or its end is known */
+    EbTokenBucket share; /* of the limit */
     double told_requests_per_s; /* last value known to the others; -1: none */
     int64_t told_us;
     int64_t report_us; /* when to tell the others; INT64_MAX: not */
 } Server;
 
+/* The present start of a server. */
+typedef struct {
+    uint64_t incarnation;
+    int64_t known_us; /* since when this daemon knows of it */
+    bool current;     /* in the configuration in force */
+} Start;
+
 struct EbDirectives {
-    char *instance;
     EbRandom *random;
     const EbEventSink *events;
     EbMetrics *metrics;
+    EbPace *pace;        /* may be NULL */
     GHashTable *servers; /* id to Server */
-    GPtrArray *live;     /* names of the live daemons */
-    bool is_member;      /* this daemon is among them */
-    size_t lost;
+    GHashTable *starts;  /* id to Start */
+    EbFleetShare *fleet;
+    size_t lost; /* daemons */
 };
 
 static void
@@ -71,15 +75,15 @@
 EbDirectives_New(const EbDirectivesOptions *options)
 {
     EbDirectives *directives = g_new0(EbDirectives, 1);
-    directives->instance = g_strdup(options->instance);
     directives->random = options->random;
     directives->events = options->events;
     directives->metrics = options->metrics;
     directives->servers =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_server);
-    directives->live = g_ptr_array_new_with_free_func(g_free);
-    g_ptr_array_add(directives->live, g_strdup(options->instance));
-    directives->is_member = true;
+    directives->starts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    directives->fleet = EbFleetShare_New(options->instance);
+    directives->pace = options->pace;
     return directives;
 }
 
@@ -90,8 +94,8 @@
         return;
     }
     g_hash_table_destroy(directives->servers);
-    g_ptr_array_unref(directives->live);
-    g_free(directives->instance);
+    g_hash_table_destroy(directives->starts);
+    EbFleetShare_Free(directives->fleet);
     g_free(directives);
 }
 
@@ -146,86 +150,36 @@
 
 /* Shares */
 
-static uint64_t
-hash_pair(const char *instance, uint64_t server_hash)
-{
-    return XXH64(instance, strlen(instance), server_hash);
-}
-
-/* Returns how many daemons come before this one for a server. */
-static size_t
-find_rank(const EbDirectives *directives, const char *server_id)
-{
-    uint64_t server_hash = XXH64(server_id, strlen(server_id), 0);
-    uint64_t own = hash_pair(directives->instance, server_hash);
-    size_t rank = 0;
-    for (guint i = 0; i < directives->live->len; i++) {
-        rank += hash_pair(g_ptr_array_index(directives->live, i),
-                          server_hash) > own;
-    }
-    return rank;
-}
-
 static double
 compute_share(const EbDirectives *directives, const Server *server)
 {
-    size_t live = directives->live->len;
-    if (!server->limited || !directives->is_member) {
+    size_t live = EbFleetShare_LiveCount(directives->fleet);
+    if (!server->limited || !EbFleetShare_IsMember(directives->fleet)) {
         return 0;
     }
     double wanted = floor(server->requests_per_s / REQUESTS_PER_S_PER_DAEMON);
     size_t users = (size_t)CLAMP(wanted, 1, (double)live);
-    if (find_rank(directives, server->id) >= users) {
+    if (EbFleetShare_LiveRank(directives->fleet, server->id) >= users) {
         return 0;
     }
     double reachable = (double)live / (double)(live + directives->lost);
     return server->requests_per_s * reachable / (double)users;
 }
 
-static double
-max_tokens(const Server *server)
-{
-    return fmax(1, server->share * BURST_S);
-}
-
-static double
-tokens_at(const Server *server, int64_t now_us)
-{
-    int64_t passed_us = MAX(now_us - server->tokens_us, 0);
-    double gained = (double)passed_us / G_USEC_PER_SEC * server->share;
-    return fmin(server->tokens + gained, max_tokens(server));
-}
-
-static void
-refill(Server *server, int64_t now_us)
-{
-    server->tokens = tokens_at(server, now_us);
-    server->tokens_us = MAX(server->tokens_us, now_us);
-}
-
 static void
 update_share(const EbDirectives *directives, Server *server, int64_t now_us)
 {
-    refill(server, now_us);
-    server->share = compute_share(directives, server);
-    if (server->share <= 0) {
-        server->tokens = 0;
-    }
-    server->tokens = fmin(server->tokens, max_tokens(server));
+    double share = compute_share(directives, server);
+    EbTokenBucket_SetRate(&server->share, share, fmax(1, share * BURST_S),
+                          now_us);
 }
 
 void
 EbDirectives_SetMembers(EbDirectives *directives, const char *const *live,
                         size_t live_count, size_t lost, int64_t now_us)
 {
-    g_ptr_array_set_size(directives->live, 0);
-    directives->is_member = false;
     directives->lost = lost;
-    for (size_t i = 0; i < live_count; i++) {
-        g_ptr_array_add(directives->live, g_strdup(live[i]));
-        directives->is_member = directives->is_member ||
-                                strcmp(live[i], directives->instance) == 0;
-    }
+    EbFleetShare_SetMembers(directives->fleet, live, live_count, NULL, 0);
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, directives->servers);
@@ -240,14 +194,15 @@
 report_change(const EbDirectives *directives, const Server *server,
               const char *source)
 {
-    EB_EMIT(directives->events,
-            server->limited ? EB_EVENT_SERVER_LIMITED
-                            : EB_EVENT_SERVER_LIMIT_ENDED,
-            EB_STRING_FIELD("backend_server", server->id),
-            EB_INTEGER_FIELD("requests_per_s_milli",
-                             llround(server->requests_per_s * 1000)),
-            EB_INTEGER_FIELD("share_milli", llround(server->share * 1000)),
-            EB_STRING_FIELD("source", source));
+    EB_EMIT(
+        directives->events,
+        server->limited ? EB_EVENT_SERVER_LIMITED
+                        : EB_EVENT_SERVER_LIMIT_ENDED,
+        EB_STRING_FIELD("backend_server", server->id),
+        EB_INTEGER_FIELD("requests_per_s_milli",
+                         llround(server->requests_per_s * 1000)),
+        EB_INTEGER_FIELD("share_milli", llround(server->share.per_s * 1000)),
+        EB_STRING_FIELD("source", source));
 }
 
 /* Sets or ends the limit. `requests_per_s` is 0 when there is none. */
@@ -264,8 +219,7 @@
         return;
     }
     if (!was_limited) {
-        server->tokens = 0;
-        server->tokens_us = now_us;
+        server->share = (EbTokenBucket){.filled_us = now_us};
     }
     server->limited = limited;
     server->requests_per_s = requests_per_s;
@@ -283,7 +237,7 @@
     }
     return told <= 0 ||
            fabs(server->requests_per_s - told) > REPORT_MIN_CHANGE * told ||
-           (server->share > 0 &&
+           (server->share.per_s > 0 &&
             now_us - server->told_us >= REPORT_INTERVAL_US);
 }
 
@@ -294,7 +248,8 @@
         server->report_us = INT64_MAX;
     }
     else if (server->report_us == INT64_MAX) {
-        uint64_t spread_us = REPORT_SPREAD_US * directives->live->len;
+        uint64_t spread_us =
+            REPORT_SPREAD_US * EbFleetShare_LiveCount(directives->fleet);
         server->report_us =
             now_us +
             (int64_t)EbRandom_Below(directives->random, MAX(spread_us, 1));
@@ -340,6 +295,9 @@
     count_directive(directives, directive->has_limit, "limit");
     count_directive(directives, directive->retry_after_us > 0, "pause");
     count_directive(directives, directive->leaving, "leaving");
+    if (!EbDirectives_IsPresent(directives, server_id, sent_us)) {
+        return;
+    }
     Server *server = asks ? get_server(directives, server_id, now_us)
                           : find_server(directives, server_id);
     if (server == NULL) {
@@ -356,23 +314,139 @@
     }
 }
 
+/* Incarnations */
+
+static const Start *
+find_start(const EbDirectives *directives, const char *server_id)
+{
+    return g_hash_table_lookup(directives->starts, server_id);
+}
+
+uint64_t
+EbDirectives_Incarnation(const EbDirectives *directives, const char *server_id)
+{
+    const Start *start = find_start(directives, server_id);
+    return start != NULL ? start->incarnation : 0;
+}
+
+bool
+EbDirectives_IsPresent(const EbDirectives *directives, const char *server_id,
+                       int64_t sent_us)
+{
+    const Start *start = find_start(directives, server_id);
+    return start == NULL || sent_us >= start->known_us;
+}
+
+/* Ends what an earlier start of a server asked for. Marks of leaving name the
+ * start that they belong to. */
+static void
+reset_server(Server *server, int64_t now_us)
+{
+    server->paused_until_us = 0;
+    server->limited = false;
+    server->requests_per_s = 0;
+    server->heard_us = now_us;
+    server->share = (EbTokenBucket){.filled_us = now_us};
+    server->told_requests_per_s = -1;
+    server->report_us = INT64_MAX;
+}
+
+static void
+set_start(EbDirectives *directives, const EbConfigBackendServer *row,
+          int64_t now_us)
+{
+    Start *start = g_hash_table_lookup(directives->starts, row->id);
+    if (start == NULL) {
+        start = g_new0(Start, 1);
+        start->incarnation = row->incarnation;
+        start->known_us = INT64_MIN;
+        g_hash_table_insert(directives->starts, g_strdup(row->id), start);
+    }
+    start->current = true;
+    if (start->incarnation == row->incarnation) {
+        return;
+    }
+    bool was_known = start->incarnation != 0;
+    start->incarnation = row->incarnation;
+    if (!was_known) {
+        return;
+    }
+    start->known_us = now_us;
+    Server *server = find_server(directives, row->id);
+    if (server != NULL) {
+        reset_server(server, now_us);
+    }
+    EB_EMIT(directives->events, EB_EVENT_SERVER_STARTED,
+            EB_STRING_FIELD("backend_server", row->id),
+            EB_INTEGER_FIELD("incarnation", (int64_t)row->incarnation));
+}
+
+static gboolean
+is_old_start(gpointer key, gpointer value, gpointer context)
+{
+    (void)key;
+    (void)context;
+    return !((const Start *)value)->current;
+}
+
+void
+EbDirectives_SetConfig(EbDirectives *directives, const EbConfig *config,
+                       int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, directives->starts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((Start *)value)->current = false;
+    }
+    for (uint32_t i = 0; i < config->server_count; i++) {
+        set_start(directives, &config->servers[i], now_us);
+    }
+    if (g_hash_table_size(directives->starts) > MAX_SERVERS) {
+        g_hash_table_foreach_remove(directives->starts, is_old_start, NULL);
+    }
+    if (directives->pace != NULL) {
+        EbPace_SetConfig(directives->pace, config, now_us);
+    }
+}
+
+EbPace *
+EbDirectives_Pace(const EbDirectives *directives)
+{
+    return directives != NULL ? directives->pace : NULL;
+}
+
+/* Returns whether a mark of leaving holds for the server's present start. */
+static bool
+mark_holds(const EbDirectives *directives, const Server *server)
+{
+    uint64_t present = EbDirectives_Incarnation(directives, server->id);
+    return server->leaving &&
+           (present == 0 || server->leaving_incarnation == 0 ||
+            server->leaving_incarnation == present);
+}
+
 void
 EbDirectives_SetLeaving(EbDirectives *directives, const char *server_id,
-                        bool leaving, int64_t now_us)
+                        uint64_t incarnation, bool leaving, int64_t now_us)
 {
     Server *server = leaving ? get_server(directives, server_id, now_us)
                              : find_server(directives, server_id);
-    if (server != NULL) {
-        server->leaving = leaving;
-        server->leaving_since_us = now_us;
+    uint64_t present = EbDirectives_Incarnation(directives, server_id);
+    bool other = incarnation != 0 && incarnation != present;
+    if (server == NULL || (other && mark_holds(directives, server))) {
+        return;
     }
+    server->leaving = leaving;
+    server->leaving_incarnation = incarnation != 0 ? incarnation : present;
+    server->leaving_since_us = now_us;
 }
 
 bool
 EbDirectives_IsLeaving(const EbDirectives *directives, const char *server_id)
 {
     const Server *server = find_server(directives, server_id);
-    return server != NULL && server->leaving;
+    return server != NULL && mark_holds(directives, server);
 }
 
 /* Calls */
@@ -383,34 +457,37 @@
     return server->limited && !limit_expired(server, now_us);
 }
 
-int64_t
-EbDirectives_NextAdmission(const EbDirectives *directives,
-                           const char *server_id, int64_t now_us)
+/* Returns when a server's own directives allow a call. */
+static int64_t
+next_allowed(const EbDirectives *directives, const Server *server,
+             int64_t now_us)
 {
-    const Server *server = find_server(directives, server_id);
-    if (server == NULL) {
-        return now_us;
-    }
-    if (server->leaving) {
+    if (mark_holds(directives, server)) {
         return INT64_MAX;
     }
     int64_t next_us = MAX(server->paused_until_us, now_us);
     if (!is_limited(server, now_us)) {
         return next_us;
     }
-    double tokens = tokens_at(server, now_us);
-    if (tokens >= MIN_TOKENS) {
-        return next_us;
-    }
     int64_t expires_us = server->heard_us + EB_DIRECTIVES_LIMIT_LIFETIME_US;
-    if (server->share <= 0) {
-        return MAX(next_us, expires_us);
-    }
-    double wait_us = (1 - tokens) / server->share * G_USEC_PER_SEC;
-    int64_t token_us = now_us + (int64_t)ceil(wait_us);
+    int64_t token_us = EbTokenBucket_NextToken(&server->share, now_us);
     return MAX(next_us, MIN(token_us, expires_us));
 }
 
+int64_t
+EbDirectives_NextAdmission(const EbDirectives *directives,
+                           const char *server_id, int64_t now_us)
+{
+    const Server *server = find_server(directives, server_id);
+    int64_t next_us =
+        server != NULL ? next_allowed(directives, server, now_us) : now_us;
+    if (directives->pace == NULL || next_us == INT64_MAX) {
+        return next_us;
+    }
+    return MAX(next_us,
+               EbPace_NextAdmission(directives->pace, server_id, now_us));
+}
+
 bool
 EbDirectives_Admits(const EbDirectives *directives, const char *server_id,
                     int64_t now_us)
@@ -418,16 +495,32 @@
     return EbDirectives_NextAdmission(directives, server_id, now_us) <= now_us;
 }
 
+bool
+EbDirectives_IsLimited(const EbDirectives *directives, const char *server_id,
+                       int64_t now_us)
+{
+    const Server *server = find_server(directives, server_id);
+    return server != NULL && is_limited(server, now_us);
+}
+
 bool
 EbDirectives_FindShare(const EbDirectives *directives, const char *server_id,
                        double *calls_per_s, int64_t now_us)
 {
     const Server *server = find_server(directives, server_id);
-    if (server == NULL || !is_limited(server, now_us)) {
-        return false;
+    bool limited = server != NULL && is_limited(server, now_us);
+    double cold_calls_per_s = 0;
+    bool cold = directives->pace != NULL &&
+                EbPace_FindShare(directives->pace, server_id,
+                                 &cold_calls_per_s, now_us);
+    if (limited) {
+        *calls_per_s = server->share.per_s;
     }
-    *calls_per_s = server->share;
-    return true;
+    if (cold) {
+        *calls_per_s =
+            limited ? fmin(*calls_per_s, cold_calls_per_s) : cold_calls_per_s;
+    }
+    return limited || cold;
 }
 
 void
@@ -436,11 +529,30 @@
 {
     Server *server = find_server(directives, server_id);
     if (server != NULL && is_limited(server, now_us)) {
-        refill(server, now_us);
-        server->tokens -= 1;
+        EbTokenBucket_Take(&server->share, now_us);
+    }
+    if (directives->pace != NULL) {
+        EbPace_RecordCall(directives->pace, server_id, now_us);
+    }
+}
+
+void
+EbDirectives_RecordResult(EbDirectives *directives, const char *server_id,
+                          EbPaceResult result, int64_t now_us)
+{
+    if (directives->pace != NULL) {
+        EbPace_RecordResult(directives->pace, server_id, result, now_us);
     }
 }
 
+bool
+EbDirectives_IsHeld(const EbDirectives *directives, const char *server_id,
+                    int64_t now_us)
+{
+    return directives->pace != NULL &&
+           EbPace_IsHeld(directives->pace, server_id, now_us);
+}
+
 /* Reports */
 
 static void
--- a/src/libebonyhollow/servers/pool.c
+++ b/src/libebonyhollow/servers/pool.c
@@ -59,6 +59,28 @@
     return server;
 }
 
+/* Returns the server of a new configuration that was in the old one, NULL for
+ * another one. A server that has started anew keeps only its calls in flight:
+ * they end in the same way as others but say nothing of the new start. */
+static EbPoolServer *
+keep_server(EbPool *pool, GHashTable *old_ids,
+            const EbConfigBackendServer *row)
+{
+    EbPoolServer *server =
+        old_ids != NULL ? g_hash_table_lookup(old_ids, row->id) : NULL;
+    if (server == NULL || server->incarnation == 0 || row->incarnation == 0 ||
+        server->incarnation == row->incarnation) {
+        return server;
+    }
+    EbPoolServer *started = new_server(pool, row);
+    started->in_flight = server->in_flight;
+    started->earlier_calls = server->in_flight;
+    started->ring = g_steal_pointer(&server->ring);
+    started->ring_head = server->ring_head;
+    started->ring_size = server->ring_size;
+    return started;
+}
+
 /* Resizes the ring of start times and keeps its content. */
 static void
 resize_ring(EbPoolServer *server, uint32_t size)
@@ -79,6 +101,7 @@
 {
     assert(config->capacity > 0);
     server->config = config;
+    server->incarnation = config->incarnation;
     server->limit = pool->policy->adapts
                         ? fmin(server->limit, config->capacity)
                         : config->capacity;
@@ -120,8 +143,7 @@
     for (uint32_t i = 0; i < pool->server_count; i++) {
         const EbConfigBackendServer *row =
             &config->servers[pool->config->server_indexes[i]];
-        EbPoolServer *server =
-            old_ids != NULL ? g_hash_table_lookup(old_ids, row->id) : NULL;
+        EbPoolServer *server = keep_server(pool, old_ids, row);
         if (server == NULL) {
             server = new_server(pool, row);
         }
@@ -163,6 +185,7 @@
     pool->daemons = 1;
     pool->events = options->events;
     pool->directives = options->directives;
+    pool->pace = options->pace;
     EbPool_SetConfig(pool, options->config, options->pool_index);
     return pool;
 }
@@ -204,6 +227,22 @@
     return server->config;
 }
 
+/* Returns whether the end of a call says nothing of the server's present
+ * start. A failure may be that of a call to an earlier one, as long as such
+ * calls are in flight; they fail when their connections break. */
+static bool
+ends_earlier_call(EbPoolServer *server, EbCallResult result)
+{
+    if (server->earlier_calls == 0) {
+        return false;
+    }
+    if (result == EB_CALL_OK || result == EB_CALL_REJECTED) {
+        return false;
+    }
+    server->earlier_calls--;
+    return true;
+}
+
 /* Removes the start time of the server's oldest call and returns how long that
  * call has run. It need not be the call that ended: the sum over all calls is
  * the same, and only the average is used. */
@@ -238,8 +277,13 @@
     if (server == NULL || server->in_flight == 0) {
         return;
     }
-    bool at_limit = server->in_flight >= EbPool_Slots(server, now_us);
+    bool at_limit = server->in_flight >= EbPool_Slots(pool, server, now_us);
     int64_t service_us = pop_oldest_call(server, now_us);
+    bool earlier = ends_earlier_call(server, result);
+    server->earlier_calls = MIN(server->earlier_calls, server->in_flight);
+    if (earlier) {
+        return;
+    }
     if (result == EB_CALL_OK) {
         add_service_time(pool, service_us);
         EbHistogram_Add(&pool->recent, duration_us);
@@ -374,7 +418,7 @@
     for (uint32_t i = 0; i < pool->member_count; i++) {
         const EbPoolServer *server = pool->members[i];
         if (pool->directives == NULL || !takes_calls(server, has_usable) ||
-            server->in_flight >= EbPool_Slots(server, now_us)) {
+            server->in_flight >= EbPool_Slots(pool, server, now_us)) {
             continue;
         }
         int64_t admission_us =
@@ -408,7 +452,7 @@
     for (uint32_t i = 0; i < pool->member_count; i++) {
         const EbPoolServer *server = pool->members[i];
         if (takes_calls(server, has_usable)) {
-            uint32_t limit = EbPool_Slots(server, now_us);
+            uint32_t limit = EbPool_Slots(pool, server, now_us);
             slots += limit;
             busy += MIN(server->in_flight, limit);
         }
@@ -444,7 +488,7 @@
 }
 
 static EbServerState
-server_state(const EbPoolServer *server)
+server_state(const EbPoolServer *server, bool paced)
 {
     if (server->leaving) {
         return EB_SERVER_LEAVING;
@@ -452,19 +496,25 @@
     if (server->ejected) {
         return EB_SERVER_EJECTED;
     }
-    return server->slow_start ? EB_SERVER_SLOW_START : EB_SERVER_AVAILABLE;
+    return paced ? EB_SERVER_SLOW_START : EB_SERVER_AVAILABLE;
 }
 
 void
-EbPool_View(const EbPool *pool, size_t index, EbServerView *view)
+EbPool_View(const EbPool *pool, size_t index, EbServerView *view,
+            int64_t now_us)
 {
     assert(index < pool->member_count);
     const EbPoolServer *server = pool->members[index];
+    EbPaceView pace = {.cause = ""};
+    if (pool->pace != NULL) {
+        EbPace_View(pool->pace, server->id, &pace, now_us);
+    }
     *view = (EbServerView){
         .server = server->config,
-        .state = server_state(server),
-        .cause = server->cause,
+        .state = server_state(server, pace.paced),
+        .cause = server->ejected ? server->cause : pace.cause,
         .in_flight = server->in_flight,
+        .cold_left_us = pace.cold_left_us,
         .limit = (uint32_t)server->limit,
         .reported_load = server->reported_load,
         .latency_us = server->samples > 0 ? (int64_t)server->latency_us : 0,
--- a/src/libebonyhollow/servers/pool_choice.c
+++ b/src/libebonyhollow/servers/pool_choice.c
@@ -47,16 +47,19 @@
 }
 
 uint32_t
-EbPool_Slots(const EbPoolServer *server, int64_t now_us)
+EbPool_Slots(const EbPool *pool, const EbPoolServer *server, int64_t now_us)
 {
-    double slots = server->limit * EbPool_SlowStartShare(server, now_us);
+    double slots = server->limit;
+    if (pool->pace != NULL) {
+        slots = EbPace_Slots(pool->pace, server->id, slots, now_us);
+    }
     return slots < 1 ? 1 : MIN((uint32_t)slots, server->connection_share);
 }
 
 bool
 EbPool_HasRoom(const EbPool *pool, const EbPoolServer *server, int64_t now_us)
 {
-    return server->in_flight < EbPool_Slots(server, now_us) &&
+    return server->in_flight < EbPool_Slots(pool, server, now_us) &&
            (pool->directives == NULL ||
             EbDirectives_Admits(pool->directives, server->id, now_us));
 }
@@ -69,6 +72,17 @@
            is_eligible(server, criteria);
 }
 
+/* Returns whether a server is usable and it is not first the turn of other
+ * daemons to use it. */
+static bool
+is_preferable(const EbPool *pool, const EbPoolServer *server,
+              const EbPoolCriteria *criteria, int64_t now_us)
+{
+    return is_usable(pool, server, criteria, now_us) &&
+           (pool->pace == NULL ||
+            !EbPace_IsHeld(pool->pace, server->id, now_us));
+}
+
 /* Returns the calls at a server: this daemon's calls in flight, and those of
  * other daemons by the last load report, weighted by its age. */
 static double
@@ -87,8 +101,7 @@
 static double
 utilisation(const EbPoolServer *server, int64_t now_us)
 {
-    return (estimate_load(server, now_us) + 1) / server->config->capacity /
-           EbPool_SlowStartShare(server, now_us);
+    return (estimate_load(server, now_us) + 1) / server->config->capacity;
 }
 
 /* Returns the expected time to a successful answer, up to a constant factor.
@@ -102,7 +115,7 @@
            (1 - failure_rate);
 }
 
-/* Draws a usable member other than `other` at random, each with the same
+/* Draws a preferable member other than `other` at random, each with the same
  * probability: by a few probes, then by a scan of the whole subset. */
 static EbPoolServer *
 draw_server(EbPool *pool, const EbPoolCriteria *criteria,
@@ -111,7 +124,7 @@
     for (int i = 0; i < RANDOM_PROBES && pool->member_count > 0; i++) {
         EbPoolServer *server =
             pool->members[EbRandom_Below(pool->random, pool->member_count)];
-        if (server != other && is_usable(pool, server, criteria, now_us)) {
+        if (server != other && is_preferable(pool, server, criteria, now_us)) {
             return server;
         }
     }
@@ -119,7 +132,7 @@
     uint64_t seen = 0;
     for (uint32_t i = 0; i < pool->member_count; i++) {
         EbPoolServer *server = pool->members[i];
-        if (server != other && is_usable(pool, server, criteria, now_us) &&
+        if (server != other && is_preferable(pool, server, criteria, now_us) &&
             EbRandom_Below(pool->random, ++seen) == 0) {
             drawn = server;
         }
@@ -127,6 +140,22 @@
     return drawn;
 }
 
+/* Returns the usable server with the lowest cost, whosever turn it is. */
+static EbPoolServer *
+choose_held(const EbPool *pool, const EbPoolCriteria *criteria, int64_t now_us)
+{
+    EbPoolServer *best = NULL;
+    for (uint32_t i = 0; i < pool->member_count; i++) {
+        EbPoolServer *server = pool->members[i];
+        if (is_usable(pool, server, criteria, now_us) &&
+            (best == NULL || server_cost(pool, server, now_us) <
+                                 server_cost(pool, best, now_us))) {
+            best = server;
+        }
+    }
+    return best;
+}
+
 /* Returns the ejected server with a free slot and the lowest cost. Returns
  * NULL when there is none, or when an eligible server is not ejected. */
 static EbPoolServer *
@@ -159,7 +188,8 @@
 {
     EbPoolServer *preferred =
         g_hash_table_lookup(pool->by_id, criteria->preferred);
-    if (preferred == NULL || !is_usable(pool, preferred, criteria, now_us)) {
+    if (preferred == NULL ||
+        !is_preferable(pool, preferred, criteria, now_us)) {
         return NULL;
     }
     for (uint32_t i = 0; i < pool->member_count; i++) {
@@ -196,10 +226,8 @@
 static bool
 is_limited(const EbPool *pool, const EbPoolServer *server, int64_t now_us)
 {
-    double calls_per_s;
     return pool->directives != NULL &&
-           EbDirectives_FindShare(pool->directives, server->id, &calls_per_s,
-                                  now_us);
+           EbDirectives_IsLimited(pool->directives, server->id, now_us);
 }
 
 /* Chooses between a server without and one with a limit, each of which may be
@@ -235,7 +263,7 @@
         bool limited = is_limited(pool, server, now_us);
         uint64_t weight = XXH64(server->id, strlen(server->id), key);
         if ((best[limited] == NULL || weight > highest[limited]) &&
-            is_usable(pool, server, criteria, now_us) &&
+            is_preferable(pool, server, criteria, now_us) &&
             is_fit_for_affinity(pool, server, mean_calls, now_us)) {
             best[limited] = server;
             highest[limited] = weight;
@@ -251,7 +279,8 @@
 {
     EbPoolServer *first = draw_server(pool, criteria, NULL, now_us);
     if (first == NULL) {
-        return choose_ejected(pool, criteria, now_us);
+        EbPoolServer *held = choose_held(pool, criteria, now_us);
+        return held != NULL ? held : choose_ejected(pool, criteria, now_us);
     }
     EbPoolServer *second = draw_server(pool, criteria, first, now_us);
     EbPoolServer *best = first;
--- a/src/libebonyhollow/servers/pool_health.c
+++ b/src/libebonyhollow/servers/pool_health.c
@@ -29,8 +29,10 @@
 /* One earlier ejection is forgotten each time that a server has not been
  * ejected for this long. */
 #define EJECT_FORGET_US 60000000
-#define SLOW_START_US 10000000
-#define SLOW_START_INITIAL_SHARE 0.1
+/* An answer of a server on pace that takes this much longer than those of the
+ * other servers is slow. */
+#define PACE_SLOW_FACTOR 2
+#define PACE_SLOW_MIN_US 20000 /* a smaller difference is jitter */
 
 static double
 decay(int64_t since_us, int64_t now_us)
@@ -58,16 +60,6 @@
     return server->failure_rate * decay(server->failure_rate_us, now_us);
 }
 
-double
-EbPool_SlowStartShare(const EbPoolServer *server, int64_t now_us)
-{
-    if (!server->slow_start) {
-        return 1;
-    }
-    double progress = (double)(now_us - server->readmitted_us) / SLOW_START_US;
-    return fmin(fmax(progress, SLOW_START_INITIAL_SHARE), 1);
-}
-
 static int
 compare_doubles(const void *left, const void *right)
 {
@@ -116,7 +108,6 @@
     }
     server->ejections++;
     server->ejected = true;
-    server->slow_start = false;
     server->cause = cause;
     server->ejected_until_us = now_us + duration_us;
     pool->ejected_count++;
@@ -139,9 +130,11 @@
     server->failure_rate = 0;
     server->consecutive_failures = 0;
     server->probation = true;
-    server->slow_start = true;
     server->readmitted_us = now_us;
     pool->ejected_count--;
+    if (pool->pace != NULL) {
+        EbPace_Readmitted(pool->pace, server->id, now_us);
+    }
     EB_EMIT(pool->events, EB_EVENT_SERVER_RETURNED,
             EB_STRING_FIELD("backend_server", server->id),
             EB_STRING_FIELD("pool", pool->config->name));
@@ -243,10 +236,33 @@
     }
 }
 
+/* Compares an answer of a server on pace with those of the other servers. */
+static void
+record_pace(const EbPool *pool, const EbPoolServer *server,
+            EbCallResult result, int64_t duration_us, int64_t now_us)
+{
+    bool slow = pool->median_us > 0 &&
+                (double)duration_us > PACE_SLOW_FACTOR * pool->median_us &&
+                (double)duration_us > pool->median_us + PACE_SLOW_MIN_US;
+    if (pool->pace == NULL || result == EB_CALL_REJECTED ||
+        (result == EB_CALL_CANCELLED && !slow)) {
+        return;
+    }
+    EbPaceResult pace = EB_PACE_FAILED;
+    if (result == EB_CALL_OK || result == EB_CALL_CANCELLED) {
+        pace = slow ? EB_PACE_SLOW : EB_PACE_USUAL;
+    }
+    else if (result == EB_CALL_REFUSED) {
+        pace = EB_PACE_REFUSED;
+    }
+    EbPace_RecordResult(pool->pace, server->id, pace, now_us);
+}
+
 void
 EbPool_RecordCall(EbPool *pool, EbPoolServer *server, EbCallResult result,
                   int64_t duration_us, bool at_limit, int64_t now_us)
 {
+    record_pace(pool, server, result, duration_us, now_us);
     switch (result) {
     case EB_CALL_OK:
         record_success(pool, server, duration_us, at_limit, now_us);
@@ -291,10 +307,6 @@
         }
         return;
     }
-    if (server->slow_start &&
-        now_us - server->readmitted_us >= SLOW_START_US) {
-        server->slow_start = false;
-    }
     if (server->ejections > 0 &&
         now_us - server->readmitted_us >= EJECT_FORGET_US) {
         server->ejections--;
--- a/src/libebonyhollow/servers/private/pool_state.h
+++ b/src/libebonyhollow/servers/private/pool_state.h
@@ -12,11 +12,13 @@
     char *id;
     uint32_t connection_share; /* connections that this daemon may have */
     const EbConfigBackendServer *config;
+    uint64_t incarnation;
     uint64_t rank; /* rendezvous hash of daemon and server */
     bool leaving;
     bool ejected;
 
     uint32_t in_flight;
+    uint32_t earlier_calls; /* of those, begun at an earlier incarnation */
     /* Ring buffer of the start times of calls in flight, oldest first. */
     uint32_t ring_head;
     uint32_t ring_size;
@@ -38,7 +40,6 @@
     int64_t ejected_until_us;
     /* Time of the readmission, moved on when an ejection is forgotten. */
     int64_t readmitted_us;
-    bool slow_start;
 
     bool has_report;
     uint32_t reported_load; /* calls running and waiting at the server */
@@ -66,6 +67,7 @@
     EbRandom *random;
     const EbEventSink *events;
     EbDirectives *directives; /* may be NULL */
+    EbPace *pace;             /* may be NULL */
     EbPoolServer **servers;
     uint32_t server_count;
     EbPoolServer **members; /* the subset this daemon uses */
@@ -94,8 +96,9 @@
 extern const EbPoolPolicyRow EbPool_policies[EB_POOL_POLICY_COUNT];
 
 /* Returns how many calls this daemon may have in flight at a server now, by
- * its limit, slow start and share of connections; at least 1. */
-uint32_t EbPool_Slots(const EbPoolServer *server, int64_t now_us);
+ * its limit, pace and share of connections; at least 1. */
+uint32_t EbPool_Slots(const EbPool *pool, const EbPoolServer *server,
+                      int64_t now_us);
 
 /* Returns whether the server has a free slot for this daemon and does not ask
  * for calls to wait. */
@@ -110,9 +113,6 @@
                       int64_t now_us);
 /* Returns the share of failed calls, 0 to 1, which decays without calls. */
 double EbPool_FailureRate(const EbPoolServer *server, int64_t now_us);
-/* Returns the part of its limit that a server may use: below 1 during slow
- * start. */
-double EbPool_SlowStartShare(const EbPoolServer *server, int64_t now_us);
 /* Updates latency, failure rate, limit and ejection with the result of a call.
  *
  * at_limit: all slots of the server were in use when the call ended. */
--- a/src/libebonyhollow_net/admin_view.c
+++ b/src/libebonyhollow_net/admin_view.c
@@ -157,14 +157,15 @@
     json_t *address =
         json_sprintf("%s:%u", server->host, (unsigned)server->port);
     return json_pack(
-        "{s:s, s:s, s:s, s:o, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I}", "id",
+        "{s:s, s:s, s:s, s:o, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "id",
         server->id, "pool", config->pools[server->pool_index].name,
         "failure_domain", server->failure_domain, "address", address, "state",
         EbServerState_names[view->state], "cause", view->cause, "in_flight",
         (json_int_t)view->in_flight, "limit", (json_int_t)view->limit,
         "reported_load", (json_int_t)view->reported_load, "latency_us",
         (json_int_t)view->latency_us, "calls", (json_int_t)view->calls,
-        "failures", (json_int_t)view->failures);
+        "failures", (json_int_t)view->failures, "cold_left_us",
+        (json_int_t)view->cold_left_us);
 }
 
 void
@@ -178,7 +179,7 @@
         const EbPool *pool = EbDispatcher_Pool(options->dispatcher, i);
         for (size_t j = 0; j < EbPool_ServerCount(pool); j++) {
             EbServerView view;
-            EbPool_View(pool, j, &view);
+            EbPool_View(pool, j, &view, EbClock_Monotonic());
             json_array_append_new(servers, describe_server(config, &view));
         }
     }
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -64,6 +64,7 @@
 {
     EbDaemon *daemon = context;
     EbLimiter_SetConfig(daemon->limiter, config);
+    EbDirectives_SetConfig(daemon->directives, config, now_us);
     EbDispatcher_SetConfig(daemon->dispatcher, config, now_us);
     if (daemon->adapter != NULL) {
         EbBatcher_SetConfig(daemon->batcher, config, now_us);
@@ -197,11 +198,20 @@
         .instance = settings->instance, .config = &no_config});
     daemon->quarantine =
         EbQuarantine_New(&(EbQuarantineOptions){.events = daemon->events});
+    daemon->pace = EbPace_New(&(EbPaceOptions){
+        .instance = settings->instance,
+        .cold_overrun = settings->cold_overrun_permille / 1000.0,
+        .cold_margin = settings->cold_margin,
+        .min_members = (size_t)settings->seed_count + 1,
+        .started_us = EbClock_Monotonic(),
+        .events = daemon->events,
+        .metrics = daemon->metrics});
     daemon->directives =
         EbDirectives_New(&(EbDirectivesOptions){.instance = settings->instance,
                                                 .random = &daemon->random,
                                                 .events = daemon->events,
-                                                .metrics = daemon->metrics});
+                                                .metrics = daemon->metrics,
+                                                .pace = daemon->pace});
     daemon->suspects = EbSuspects_New(&(EbSuspectsOptions){
         .random = &daemon->random, .quarantine = daemon->quarantine});
     daemon->config_manager = EbConfigManager_New(
@@ -434,6 +444,7 @@
     EbLimiter_Free(daemon->limiter);
     EbSuspects_Free(daemon->suspects);
     EbDirectives_Free(daemon->directives);
+    EbPace_Free(daemon->pace);
     EbQuarantine_Free(daemon->quarantine);
     EbConfigManager_Free(daemon->config_manager);
     EbMembership_Free(daemon->membership);
--- a/src/libebonyhollow_net/daemon_discovery.c
+++ b/src/libebonyhollow_net/daemon_discovery.c
@@ -181,6 +181,10 @@
     EbError error = {0};
     if (daemon->adapter->read_server(name, json_object_get(item, "value"),
                                      &registration, &error)) {
+        if (!restored) {
+            EbPace_RecordEntry(daemon->pace, name, registration.incarnation,
+                               registration.cold_left_us, now_us);
+        }
         EbServerRegistry_Set(discovery->registry, &registration, restored,
                              now_us);
         return;
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -39,7 +39,7 @@
     const char *server_id = EbBatcher_RecordDirective(
         daemon->batcher, event->attempt_id, &event->directive, now_us);
     if (server_id != NULL && event->directive.leaving) {
-        EbDispatcher_ServerLeaving(daemon->dispatcher, server_id, true,
+        EbDispatcher_ServerLeaving(daemon->dispatcher, server_id, 0, true,
                                    "response", now_us);
     }
 }
--- a/src/libebonyhollow_net/daemon_peer.c
+++ b/src/libebonyhollow_net/daemon_peer.c
@@ -298,6 +298,8 @@
     EbDaemon *daemon = context;
     EbMessage message = {.kind = EB_MESSAGE_SERVER_LEAVING,
                          .server = (char *)server_id,
+                         .server_incarnation = EbDirectives_Incarnation(
+                             daemon->directives, server_id),
                          .leaving = true};
     EbMembership_Flood(daemon->membership, &message, now_us);
     EbDaemon_ScheduleActions(daemon);
@@ -398,6 +400,7 @@
         break;
     case EB_MESSAGE_SERVER_LEAVING:
         EbDispatcher_ServerLeaving(daemon->dispatcher, message->server,
+                                   message->server_incarnation,
                                    message->leaving, "peer", now_us);
         break;
     case EB_MESSAGE_PREPARE:
@@ -424,6 +427,7 @@
     EbDaemon *daemon = context;
     size_t count = EbMembership_Count(daemon->membership);
     const char **names = g_new0(const char *, count + 1);
+    const char **lost_names = g_new0(const char *, count + 1);
     size_t live =
         EbMembership_LiveInstances(daemon->membership, names, count + 1);
     /* No instance counts as live once this daemon has announced that it
@@ -439,7 +443,11 @@
     EbDirectives_SetMembers(daemon->directives, names, live,
                             EbMembership_LostCount(daemon->membership),
                             now_us);
+    size_t lost =
+        EbMembership_LostInstances(daemon->membership, lost_names, count + 1);
+    EbPace_SetMembers(daemon->pace, names, live, lost_names, lost, now_us);
     g_free(names);
+    g_free(lost_names);
     for (size_t i = 0; i < count; i++) {
         EbMemberView view;
         EbMembership_View(daemon->membership, i, now_us, &view);
--- a/src/libebonyhollow_net/daemon_platform.c
+++ b/src/libebonyhollow_net/daemon_platform.c
@@ -39,7 +39,7 @@
     }
     const EbConfigBackendServer *server = find_server(config, name, address);
     if (server != NULL) {
-        EbDispatcher_ServerLeaving(daemon->dispatcher, server->id, leaving,
+        EbDispatcher_ServerLeaving(daemon->dispatcher, server->id, 0, leaving,
                                    "platform", now_us);
     }
 }
--- a/src/libebonyhollow_net/daemon_timer.c
+++ b/src/libebonyhollow_net/daemon_timer.c
@@ -55,6 +55,8 @@
     EbMetrics_Set(metrics, EB_METRIC_UNWRITTEN_OUTCOMES,
                   EbLedger_UnwrittenCount(daemon->ledger));
     EbMetrics_Set(metrics, EB_METRIC_LIVE_DAEMONS, live_daemons);
+    EbMetrics_Set(metrics, EB_METRIC_PACED_SERVERS,
+                  EbPace_Count(daemon->pace));
     EbMetrics_Set(metrics, EB_METRIC_QUARANTINED,
                   EbQuarantine_Count(daemon->quarantine,
                                      EB_FINGERPRINT_QUARANTINED, now_us));
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -108,6 +108,7 @@
                                  from an older copy */
     EbSuspects *suspects;
     EbDirectives *directives;
+    EbPace *pace;
     EbDispatcher *dispatcher;
     EbConfigManager *config_manager;
     EbMembership *membership;
--- a/src/test_backpressure/main.c
+++ b/src/test_backpressure/main.c
@@ -121,7 +121,7 @@
         const EbPool *pool = EbDispatcher_Pool(fixture->dispatcher, i);
         for (size_t j = 0; j < EbPool_ServerCount(pool); j++) {
             EbServerView view;
-            EbPool_View(pool, j, &view);
+            EbPool_View(pool, j, &view, 0);
             if (strcmp(view.server->id, fixture->server_id) == 0) {
                 return view.failures;
             }
--- a/src/test_directives/main.c
+++ b/src/test_directives/main.c
@@ -138,16 +138,95 @@
 {
     Fixture fixture;
     open_fixture(&fixture);
-    EbDirectives_SetLeaving(fixture.directives, SERVER, true, fixture.now_us);
+    EbDirectives_SetLeaving(fixture.directives, SERVER, 0, true,
+                            fixture.now_us);
     CU_ASSERT_EQUAL(
         EbDirectives_NextAdmission(fixture.directives, SERVER, fixture.now_us),
         INT64_MAX);
-    EbDirectives_SetLeaving(fixture.directives, SERVER, false, fixture.now_us);
+    EbDirectives_SetLeaving(fixture.directives, SERVER, 0, false,
+                            fixture.now_us);
     CU_ASSERT_TRUE(
         EbDirectives_Admits(fixture.directives, SERVER, fixture.now_us));
     EbDirectives_Free(fixture.directives);
 }
 
+static void
+set_incarnation(const Fixture *fixture, uint64_t incarnation)
+{
+    EbConfigBackendServer row = {.id = (char *)SERVER,
+                                 .incarnation = incarnation};
+    EbConfig config = {.servers = &row, .server_count = 1};
+    EbDirectives_SetConfig(fixture->directives, &config, fixture->now_us);
+}
+
+/* Guards against a server that left, started again under its id and is not
+ * used any more, and against marks about another start than the present one.
+ */
+static void
+test_leaving_incarnations(void)
+{
+    static const struct {
+        uint64_t before, marked, after; /* marked 0: the sender knows none */
+        bool leaving_before, leaving_after;
+    } rows[] = {
+        {5, 5, 6, true, false},  {5, 0, 6, true, false},
+        {6, 6, 5, true, false},  /* the server's clock stepped back */
+        {5, 4, 5, false, false}, /* told late */
+        {5, 6, 6, false, true},  /* told before the entry was read */
+        {5, 5, 5, true, true},   {0, 0, 0, true, true},
+        {0, 5, 5, true, true},   {5, 5, 7, true, false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Fixture fixture;
+        open_fixture(&fixture);
+        set_incarnation(&fixture, rows[i].before);
+        EbDirectives_SetLeaving(fixture.directives, SERVER, rows[i].marked,
+                                true, fixture.now_us);
+        CU_ASSERT_EQUAL(EbDirectives_IsLeaving(fixture.directives, SERVER),
+                        rows[i].leaving_before);
+        set_incarnation(&fixture, rows[i].after);
+        CU_ASSERT_EQUAL(EbDirectives_IsLeaving(fixture.directives, SERVER),
+                        rows[i].leaving_after);
+        CU_ASSERT_EQUAL(
+            EbDirectives_Admits(fixture.directives, SERVER, fixture.now_us),
+            !rows[i].leaving_after);
+        EbDirectives_Free(fixture.directives);
+    }
+}
+
+/* Guards against a pause or limit of an earlier start, also one that arrives
+ * late or from a peer, that holds for the present start. */
+static void
+test_limit_incarnations(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture);
+    set_incarnation(&fixture, 5);
+    answer(&fixture, 1000, 60 * SECOND_US);
+    CU_ASSERT_FALSE(
+        EbDirectives_Admits(fixture.directives, SERVER, fixture.now_us));
+    int64_t sent_us = fixture.now_us;
+    fixture.now_us += SECOND_US;
+    set_incarnation(&fixture, 6);
+    CU_ASSERT_TRUE(
+        EbDirectives_Admits(fixture.directives, SERVER, fixture.now_us));
+    EbServerDirective directive = {.has_limit = true,
+                                   .requests_per_s_milli = 100};
+    EbDirectives_RecordAnswer(fixture.directives, SERVER, &directive, sent_us,
+                              fixture.now_us);
+    EbDirectives_Merge(fixture.directives,
+                       &(EbLimitReport){.server_id = (char *)SERVER,
+                                        .limited = true,
+                                        .requests_per_s_milli = 100,
+                                        .ago_us = SECOND_US},
+                       fixture.now_us);
+    CU_ASSERT_TRUE(
+        EbDirectives_Admits(fixture.directives, SERVER, fixture.now_us));
+    CU_ASSERT_FALSE(
+        EbDirectives_IsLimited(fixture.directives, SERVER, fixture.now_us));
+    EbDirectives_Free(fixture.directives);
+}
+
 /* Adds up the shares of `count` daemons that know each other, of which `lost`
  * are dead. */
 static double
@@ -360,10 +439,16 @@
 main(int argc, char **argv)
 {
     static const EbTestCase cases[] = {
-        {"limit", test_limit},     {"end of a limit", test_end_of_limit},
-        {"pause", test_pause},     {"leaving server", test_leaving},
-        {"shares", test_shares},   {"leaving daemon", test_leaving_daemon},
-        {"reports", test_reports}, {"many servers", test_many_servers},
+        {"limit", test_limit},
+        {"end of a limit", test_end_of_limit},
+        {"pause", test_pause},
+        {"leaving server", test_leaving},
+        {"leaving incarnations", test_leaving_incarnations},
+        {"limit incarnations", test_limit_incarnations},
+        {"shares", test_shares},
+        {"leaving daemon", test_leaving_daemon},
+        {"reports", test_reports},
+        {"many servers", test_many_servers},
         {"fleets", test_fleets},
     };
     if (argc == 3 && strcmp(argv[1], "--seeds") == 0) {
--- a/src/test_dispatcher/main.c
+++ b/src/test_dispatcher/main.c
@@ -347,7 +347,7 @@
 test_leaving(void)
 {
     Simulation *simulation = Simulation_New(&(SimulationOptions){.seed = 1});
-    EbDispatcher_ServerLeaving(simulation->daemons[0].dispatcher, "encode0",
+    EbDispatcher_ServerLeaving(simulation->daemons[0].dispatcher, "encode0", 0,
                                true, "peer", simulation->now_us);
     for (int i = 0; i < 20; i++) {
         submit(simulation, "ask", NULL);
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -69,6 +69,7 @@
      .origin_incarnation = 7,
      .sequence = 12,
      .server = "s-1",
+     .server_incarnation = 6,
      .leaving = true},
     {.kind = EB_MESSAGE_PREPARE,
      .job = 3,
--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -24,6 +24,14 @@
     CU_ASSERT_STRING_EQUAL(registration.host, "10.0.0.9");
     CU_ASSERT_EQUAL(registration.port, 8080);
     CU_ASSERT_FALSE(registration.leaving);
+    CU_ASSERT_EQUAL(registration.incarnation, 0);
+    CU_ASSERT_EQUAL(registration.cold_left_us, -1);
+    EbServerRegistration_Clear(&registration);
+    json_object_set_new(value, "born", json_integer(1700000000000));
+    json_object_set_new(value, "cold_left_ms", json_integer(1500));
+    CU_ASSERT_TRUE(EbPlatform_ReadServer("s-1", value, &registration, &error));
+    CU_ASSERT_EQUAL(registration.incarnation, UINT64_C(1700000000000));
+    CU_ASSERT_EQUAL(registration.cold_left_us, 1500000);
     EbServerRegistration_Clear(&registration);
     json_object_set_new(value, "state", json_string("draining"));
     CU_ASSERT_TRUE(EbPlatform_ReadServer("s-1", value, &registration, &error));
--- a/src/test_pool/fixture.c
+++ b/src/test_pool/fixture.c
@@ -45,7 +45,8 @@
                                                .instance = instance,
                                                .failure_domain = "d0",
                                                .policy = policy,
-                                               .random = random},
+                                               .random = random,
+                                               .pace = fixture->pace},
                               NULL);
     CU_ASSERT_PTR_NOT_NULL_FATAL(pool);
     return pool;
@@ -57,9 +58,19 @@
 {
     Fixture_Init(fixture, servers, domains, subset, capacity);
     EbRandom_Init(&fixture->random, 1);
+    fixture->pace = EbPace_New(&(EbPaceOptions){.instance = "i"});
+    EbPace_SetConfig(fixture->pace, &fixture->config, 0);
     return Fixture_NewPool(fixture, "i", EB_POOL_ADAPTIVE, &fixture->random);
 }
 
+void
+Fixture_Close(Fixture *fixture, EbPool *pool)
+{
+    EbPool_Free(pool);
+    EbPace_Free(fixture->pace);
+    fixture->pace = NULL;
+}
+
 typedef struct {
     uint32_t daemon;
     int64_t started_us;
--- a/src/test_pool/fixture.h
+++ b/src/test_pool/fixture.h
@@ -14,6 +14,7 @@
     uint32_t indexes[MAX_SERVERS];
     char ids[MAX_SERVERS][16];
     char domains[MAX_SERVERS][16];
+    EbPace *pace;    /* of that pool */
     EbRandom random; /* used by the pool that Fixture_Open creates */
 } Fixture;
 
@@ -26,11 +27,13 @@
 EbPool *Fixture_NewPool(const Fixture *fixture, const char *instance,
                         EbPoolPolicy policy, EbRandom *random);
 
-/* Initialises the fixture and creates an adaptive pool of the daemon "i"; the
- * caller frees the pool. */
+/* Initialises the fixture and creates an adaptive pool of the daemon "i", which
+ * Fixture_Close frees. */
 EbPool *Fixture_Open(Fixture *fixture, uint32_t servers, uint32_t domains,
                      uint32_t subset, uint32_t capacity);
 
+void Fixture_Close(Fixture *fixture, EbPool *pool);
+
 typedef struct {
     Fixture fixture;
     uint32_t daemons;
--- a/src/test_pool/main.c
+++ b/src/test_pool/main.c
@@ -18,7 +18,7 @@
     uint64_t members = 0;
     for (size_t i = 0; i < EbPool_ServerCount(pool); i++) {
         EbServerView view;
-        EbPool_View(pool, i, &view);
+        EbPool_View(pool, i, &view, 0);
         unsigned index = 0;
         CU_ASSERT_EQUAL(sscanf(view.server->id, "s%u", &index), 1);
         members |= UINT64_C(1) << index;
@@ -27,11 +27,11 @@
 }
 
 static EbServerView
-find_view(const EbPool *pool, const char *id)
+find_view_at(const EbPool *pool, const char *id, int64_t now_us)
 {
     EbServerView view = {0};
     for (size_t i = 0; i < EbPool_ServerCount(pool); i++) {
-        EbPool_View(pool, i, &view);
+        EbPool_View(pool, i, &view, now_us);
         if (strcmp(view.server->id, id) == 0) {
             return view;
         }
@@ -40,6 +40,12 @@
     return view;
 }
 
+static EbServerView
+find_view(const EbPool *pool, const char *id)
+{
+    return find_view_at(pool, id, 0);
+}
+
 /* Begins a call; fails the test when no server can take it. */
 static const EbConfigBackendServer *
 begin_call(EbPool *pool, const EbPoolCriteria *criteria, int64_t now_us)
@@ -122,7 +128,7 @@
                 EbPool_SetConfig(pool, &fixture.config, 0);
                 CU_ASSERT_EQUAL(member_bits(pool), members);
             }
-            EbPool_Free(pool);
+            Fixture_Close(&fixture, pool);
         }
     }
 }
@@ -198,7 +204,7 @@
     }
     CU_ASSERT_FALSE(EbPool_HasFreeSlot(pool, 500));
     CU_ASSERT_PTR_NULL(EbPool_BeginCall(pool, &no_criteria, 500));
-    EbPool_Free(pool);
+    Fixture_Close(&fixture, pool);
 }
 
 /* Guards against a broken server that stays in use, against repeated ejections
@@ -232,15 +238,16 @@
         EbPool_Tick(pool, now_us);
         CU_ASSERT_EQUAL(find_view(pool, "s0").state, EB_SERVER_SLOW_START);
     }
-    int begun = 0; /* slow start begins with one call at a time */
+    int begun = 0; /* pace begins with one call at a time */
     while (EbPool_BeginCall(pool, &no_criteria, now_us) != NULL) {
         begun++;
     }
     CU_ASSERT_TRUE(begun > 0);
     CU_ASSERT_EQUAL(find_view(pool, "s0").in_flight, 1);
     EbPool_Tick(pool, now_us + 10 * SECOND_US);
-    CU_ASSERT_EQUAL(find_view(pool, "s0").state, EB_SERVER_AVAILABLE);
-    EbPool_Free(pool);
+    CU_ASSERT_EQUAL(find_view_at(pool, "s0", now_us + 10 * SECOND_US).state,
+                    EB_SERVER_AVAILABLE);
+    Fixture_Close(&fixture, pool);
 }
 
 /* Guards against the ejection of more than a third of a pool, and against
@@ -271,7 +278,7 @@
     const EbConfigBackendServer *server =
         begin_call(pool, &no_criteria, SECOND_US);
     CU_ASSERT_EQUAL(find_view(pool, server->id).state, EB_SERVER_EJECTED);
-    EbPool_Free(pool);
+    Fixture_Close(&fixture, pool);
 }
 
 /* Guards against a slow server that is not ejected, and against ejections
@@ -303,7 +310,7 @@
         if (view.state == EB_SERVER_EJECTED) {
             CU_ASSERT_STRING_EQUAL(view.cause, "latency");
         }
-        EbPool_Free(pool);
+        Fixture_Close(&fixture, pool);
     }
 }
 
@@ -335,7 +342,7 @@
            dead / 60.0, recovered / 30.0);
     CU_ASSERT_TRUE(dead < 6000 * 0.25 / 2); /* a quarter of its even share */
     CU_ASSERT_TRUE(recovered > 3000 * 0.4);
-    EbPool_Free(pool);
+    Fixture_Close(&fixture, pool);
 }
 
 static bool
@@ -375,7 +382,7 @@
     CU_ASSERT_PTR_NULL(EbPool_BeginCall(pool, &no_criteria, 0));
     CU_ASSERT_TRUE(EbPool_SetLeaving(pool, "s0", false, 0));
     CU_ASSERT_PTR_NOT_NULL(EbPool_BeginCall(pool, &no_criteria, 0));
-    EbPool_Free(pool);
+    Fixture_Close(&fixture, pool);
 }
 
 /* Guards against a new configuration that resets the calls in flight of a
@@ -399,7 +406,7 @@
     CU_ASSERT_FALSE(EbPool_HasFreeSlot(pool, 10));
     EbPool_EndCall(pool, "s0", EB_CALL_OK, 10, 10);
     CU_ASSERT_TRUE(EbPool_HasFreeSlot(pool, 10));
-    EbPool_Free(pool);
+    Fixture_Close(&fixture, pool);
 }
 
 /* Guards against limits below one or above the capacity, and against limits
@@ -432,7 +439,7 @@
     }
     CU_ASSERT_EQUAL(find_view(pool, "s0").limit, 1);
     CU_ASSERT_EQUAL(find_view(pool, "s0").state, EB_SERVER_AVAILABLE);
-    EbPool_Free(pool);
+    Fixture_Close(&fixture, pool);
 }
 
 /* Guards against prefix affinity that overloads a server. */
@@ -454,7 +461,7 @@
     CU_ASSERT_STRING_NOT_EQUAL(begin_call(pool, &criteria, 1000)->id, "s2");
     CU_ASSERT_STRING_EQUAL(begin_call(pool, &criteria, 9 * SECOND_US)->id,
                            "s2");
-    EbPool_Free(pool);
+    Fixture_Close(&fixture, pool);
 }
 
 /* Guards against predictions that use the configured estimate although calls
@@ -485,7 +492,64 @@
     CU_ASSERT_TRUE(service_us > 190000 && service_us <= 200000);
     int64_t quantile_us = EbPool_LatencyP95(pool);
     CU_ASSERT_TRUE(quantile_us >= 200000 && quantile_us < 240000);
-    EbPool_Free(pool);
+    Fixture_Close(&fixture, pool);
+}
+
+/* Guards against statistics of an earlier start of a server that hold for the
+ * present one, also when its clock stepped back, and against failures of calls
+ * to the earlier one that count against it. An unknown start changes nothing.
+ */
+static void
+test_incarnations(void)
+{
+    static const struct {
+        uint64_t before, after;
+        bool reset;
+    } rows[] = {{5, 6, true},
+                {6, 5, true},
+                {5, 5, false},
+                {0, 5, false},
+                {5, 0, false}};
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        Fixture fixture;
+        Fixture_Init(&fixture, 6, 1, 0, 16);
+        fixture.servers[0].incarnation = rows[i].before;
+        EbRandom_Init(&fixture.random, 1);
+        EbPool *pool =
+            Fixture_NewPool(&fixture, "i", EB_POOL_ADAPTIVE, &fixture.random);
+        run_calls(pool, "s0", EB_CALL_BROKEN, 10, 3, SECOND_US);
+        CU_ASSERT_EQUAL(find_view(pool, "s0").state, EB_SERVER_EJECTED);
+        fixture.servers[0].incarnation = rows[i].after;
+        EbPool_SetConfig(pool, &fixture.config, 0);
+        EbServerView view = find_view(pool, "s0");
+        CU_ASSERT_EQUAL(view.state == EB_SERVER_AVAILABLE, rows[i].reset);
+        CU_ASSERT_EQUAL(view.failures == 0, rows[i].reset);
+        Fixture_Close(&fixture, pool);
+    }
+}
+
+/* Guards against calls that were in flight at a server's earlier start, and
+ * whose connections break, that eject the present one. */
+static void
+test_earlier_calls(void)
+{
+    Fixture fixture;
+    EbPool *pool = Fixture_Open(&fixture, 6, 1, 0, 16);
+    fixture.servers[0].incarnation = 1;
+    EbPool_SetConfig(pool, &fixture.config, 0);
+    while (find_view(pool, "s0").in_flight < 4) {
+        EbPool_BeginCall(pool, &no_criteria, SECOND_US);
+    }
+    fixture.servers[0].incarnation = 2;
+    EbPool_SetConfig(pool, &fixture.config, 0);
+    for (int i = 0; i < 4; i++) {
+        EbPool_EndCall(pool, "s0", EB_CALL_BROKEN, 1000, 2 * SECOND_US);
+    }
+    EbServerView view = find_view(pool, "s0");
+    CU_ASSERT_EQUAL(view.state, EB_SERVER_AVAILABLE);
+    CU_ASSERT_EQUAL(view.failures, 0);
+    CU_ASSERT_EQUAL(view.in_flight, 0);
+    Fixture_Close(&fixture, pool);
 }
 
 int
@@ -505,6 +569,8 @@
         {"limit", test_limit},
         {"affinity", test_affinity},
         {"predict", test_predict},
+        {"incarnations", test_incarnations},
+        {"earlier calls", test_earlier_calls},
     };
     return EbTest_Run("test_pool", cases, TABLE_COUNT(cases));
 }
--- a/src/test_server_registry/main.c
+++ b/src/test_server_registry/main.c
@@ -188,12 +188,43 @@
     EbServerRegistry_Free(registry);
 }
 
+/* Guards against a start of a server that is missed, and against a new
+ * configuration for each entry that a server writes. */
+static void
+test_incarnations(void)
+{
+    static const struct {
+        uint64_t before, after;
+        bool restored;
+        bool changed;
+    } rows[] = {
+        {5, 6, false, true}, {6, 5, false, true}, {5, 5, false, false},
+        {0, 5, false, true}, {5, 4, true, false}, /* doubted */
+        {5, 5, true, false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        EbServerRegistry *registry = EbServerRegistry_New(NULL);
+        EbServerRegistration registration = new_registration(false);
+        registration.incarnation = rows[i].before;
+        EbServerRegistry_Set(registry, &registration, false, 1);
+        CU_ASSERT_TRUE(EbServerRegistry_TakeChange(registry));
+        registration = new_registration(false);
+        registration.incarnation = rows[i].after;
+        registration.cold_left_us = SECOND_US;
+        EbServerRegistry_Set(registry, &registration, rows[i].restored, 2);
+        CU_ASSERT_EQUAL(EbServerRegistry_TakeChange(registry),
+                        rows[i].changed);
+        EbServerRegistry_Free(registry);
+    }
+}
+
 int
 main(void)
 {
     static const EbTestCase cases[] = {
         {"sequences", test_sequences},
         {"changes", test_changes},
+        {"incarnations", test_incarnations},
     };
     return EbTest_Run("test_server_registry", cases, G_N_ELEMENTS(cases));
 }
