--- a/include/servers/ebonyhollow/evacuations.h
+++ b/include/servers/ebonyhollow/evacuations.h
@@ -40,6 +40,8 @@
     /* Returns the number of this daemon's calls that run at the servers of a
      * failure domain. */
     uint32_t (*count_calls)(void *context, const char *failure_domain);
+    /* Called when a closed domain is opened; may be NULL. */
+    void (*opened)(void *context, const char *failure_domain, int64_t now_us);
     void *context;
 } EbEvacuationsOptions;
 
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -64,6 +64,7 @@
 {
     EbDaemon *daemon = context;
     EbLimiter_SetConfig(daemon->limiter, config);
+    EbDirectives_SetConfig(daemon->directives, config, now_us);
     EbDispatcher_SetConfig(daemon->dispatcher, config, now_us);
     if (daemon->adapter != NULL) {
         EbBatcher_SetConfig(daemon->batcher, config, now_us);
@@ -201,6 +202,14 @@
                 : 0);
 }
 
+/* The servers of a domain that was evacuated may have been restarted. */
+static void
+on_domain_opened(void *context, const char *failure_domain, int64_t now_us)
+{
+    EbDaemon *daemon = context;
+    EbPace_DomainReturned(daemon->pace, failure_domain, now_us);
+}
+
 static void
 create_state_modules(EbDaemon *daemon)
 {
@@ -218,15 +227,25 @@
         .instance = settings->instance, .config = &no_config});
     daemon->quarantine =
         EbQuarantine_New(&(EbQuarantineOptions){.events = daemon->events});
+    daemon->pace = EbPace_New(&(EbPaceOptions){
+        .instance = settings->instance,
+        .cold_overrun = settings->cold_overrun_permille / 1000.0,
+        .cold_margin = settings->cold_margin,
+        .min_members = (size_t)settings->seed_count + 1,
+        .started_us = EbClock_Monotonic(),
+        .events = daemon->events,
+        .metrics = daemon->metrics});
     daemon->directives =
         EbDirectives_New(&(EbDirectivesOptions){.instance = settings->instance,
                                                 .random = &daemon->random,
                                                 .events = daemon->events,
-                                                .metrics = daemon->metrics});
+                                                .metrics = daemon->metrics,
+                                                .pace = daemon->pace});
     daemon->evacuations =
         EbEvacuations_New(&(EbEvacuationsOptions){.events = daemon->events,
                                                   .metrics = daemon->metrics,
                                                   .count_calls = count_calls,
+                                                  .opened = on_domain_opened,
                                                   .context = daemon});
     daemon->suspects = EbSuspects_New(&(EbSuspectsOptions){
         .random = &daemon->random, .quarantine = daemon->quarantine});
@@ -463,6 +482,7 @@
     EbSuspects_Free(daemon->suspects);
     EbEvacuations_Free(daemon->evacuations);
     EbDirectives_Free(daemon->directives);
+    EbPace_Free(daemon->pace);
     EbQuarantine_Free(daemon->quarantine);
     EbConfigManager_Free(daemon->config_manager);
     EbMembership_Free(daemon->membership);
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -111,6 +111,7 @@
     EbSuspects *suspects;
     EbDirectives *directives;
     EbEvacuations *evacuations;
+    EbPace *pace;
     EbDispatcher *dispatcher;
     EbConfigManager *config_manager;
     EbMembership *membership;
--- a/src/test_evacuations/main.c
+++ b/src/test_evacuations/main.c
@@ -13,6 +13,7 @@
     uint32_t events;
     char state[16]; /* named by the last event */
     int64_t revision;
+    uint32_t opened; /* calls of on_opened */
     EbEventSink sink;
     EbMetrics *metrics;
     EbEvacuations *evacuations;
@@ -24,6 +25,14 @@
     return strcmp(failure_domain, "a") == 0 ? ((Fixture *)context)->calls : 0;
 }
 
+static void
+on_opened(void *context, const char *failure_domain, int64_t now_us)
+{
+    (void)failure_domain;
+    (void)now_us;
+    ((Fixture *)context)->opened++;
+}
+
 static void
 record_event(void *context, EbEventId event, const EbEventField *fields,
              size_t field_count)
@@ -51,6 +60,7 @@
         EbEvacuations_New(&(EbEvacuationsOptions){.events = &fixture->sink,
                                                   .metrics = fixture->metrics,
                                                   .count_calls = count_calls,
+                                                  .opened = on_opened,
                                                   .context = fixture});
 }
 
@@ -113,6 +123,7 @@
                         rows[i].closed);
     }
     CU_ASSERT_EQUAL(EbEvacuations_Count(evacuations), 0);
+    CU_ASSERT_EQUAL(fixture.opened, 2);
     CU_ASSERT_EQUAL(EbMetrics_Read(fixture.metrics, EB_METRIC_EVACUATIONS, "a",
                                    "evacuated", NULL),
                     2);
