pool: settings server_speeds and least_class_permille; event 450; backlog in Retry-After

Cause: what is new has to be off unless settings ask for it, and a receiver of SERVER_SPEEDS took half of a pace that one stream showed while a neighbour slowed its server.

Reports carry the number of streams; a much slower pace counts only with three of them, a faster one is told at once. Event 450 says when the cost of a server changes, and the list of servers has pace_us. A request that is refused because the queue is full, or that expires in it, gets the predicted time of the backlog as Retry-After.

--- a/include/configuration/ebonyhollow/settings.h
+++ b/include/configuration/ebonyhollow/settings.h
@@ -24,6 +24,13 @@
  * max_body_bytes + max_connections x max_buffer_bytes. */
 #define EB_SETTINGS_MAX_BUFFERED_BYTES INT64_C(1073741824)
 
+/* Whether the speed of backend servers is measured and used. */
+typedef enum {
+    EB_SERVER_SPEEDS_OFF,
+    EB_SERVER_SPEEDS_SHARED,
+    EB_SERVER_SPEEDS_COUNT
+} EbServerSpeeds;
+
 typedef struct {
     char *host; /* IP address */
     uint16_t port;
@@ -48,6 +55,8 @@
      * configuration, which defines the operators, is known. All zero: none. */
     uint8_t bootstrap_token_digest[EB_SETTINGS_DIGEST_BYTES];
     EbLevel log_level;
+    EbServerSpeeds server_speeds;
+    uint32_t least_class_permille; /* see EbQueueOptions */
     int64_t balancer_delay_us; /* listeners stay open this long in a drain */
     int64_t drain_limit_us;    /* longest drain after that delay */
     uint32_t capacity; /* weight as a home of work items, in any common unit */
--- a/include/requests/ebonyhollow/dispatcher.h
+++ b/include/requests/ebonyhollow/dispatcher.h
@@ -47,7 +47,9 @@
     uint64_t incarnation;
     const char *failure_domain;
     EbPolicy policy;
-    uint32_t max_requests; /* bound on live requests; 0: 4096 */
+    uint32_t max_requests;         /* bound on live requests; 0: 4096 */
+    bool measure_speeds;           /* of servers, see EbPoolOptions */
+    uint32_t least_class_permille; /* see EbQueueOptions */
     EbActionQueue *actions;
     EbRandom *random;
     const EbEventSink *events;
--- a/include/servers/ebonyhollow/pool.h
+++ b/include/servers/ebonyhollow/pool.h
@@ -43,6 +43,7 @@
     EbRandom *random;
     const EbEventSink *events;
     EbDirectives *directives; /* NULL: servers don't limit their calls */
+    bool measure_speeds; /* false: paces of streams and reports are ignored */
 } EbPoolOptions;
 
 /* How a call ended, for the pool's statistics. */
--- a/include/servers/ebonyhollow/server_speed.h
+++ b/include/servers/ebonyhollow/server_speed.h
@@ -17,6 +17,7 @@
 typedef struct {
     char *server_id;
     uint32_t pace_us;
+    uint32_t streams; /* of the sender that showed it */
 } EbSpeedReport;
 
 typedef struct {
@@ -54,10 +55,11 @@
 void EbServerSpeed_Observe(EbServerSpeed *speed, double pace_us,
                            int64_t now_us);
 
-/* Adds what another daemon told.
+/* Adds what another daemon told. A much slower pace than the known one counts
+ * only when several streams showed it.
  *
- * pace_us: greater than 0 */
-void EbServerSpeed_Merge(EbServerSpeed *speed, double pace_us);
+ * report: its pace_us is greater than 0 */
+void EbServerSpeed_Merge(EbServerSpeed *speed, const EbSpeedReport *report);
 
 /* Records the server's own statement of how long work takes now.
  *
@@ -66,8 +68,10 @@
                               int64_t now_us);
 
 /* Returns whether the usual pace is news to other daemons, and marks it as
- * told. */
-bool EbServerSpeed_TakeReport(EbServerSpeed *speed);
+ * told.
+ *
+ * report: its pace and streams are set */
+bool EbServerSpeed_TakeReport(EbServerSpeed *speed, EbSpeedReport *report);
 
 /* Returns the server's usual time for a piece of work relative to
  * `typical_us`, in steps of a half, so that daemons whose measurements differ
--- a/src/libebonyhollow/configuration/settings_fields.c
+++ b/src/libebonyhollow/configuration/settings_fields.c
@@ -5,6 +5,10 @@
 #include "schema_rows.h"
 
 static const char *const policy_names[] = {"adaptive", "plain"};
+static const char *const server_speeds_names[EB_SERVER_SPEEDS_COUNT] = {
+    [EB_SERVER_SPEEDS_OFF] = "off",
+    [EB_SERVER_SPEEDS_SHARED] = "shared",
+};
 
 #define HOUR_MS 3600000
 #define MIB 1048576LL
@@ -100,6 +104,16 @@
     ROW("max_buffer_bytes", UINT32, "bytes", 4096, 16 * MIB, "131072",
         EbSettings, max_buffer_bytes,
         "Maximum amount of unsent output per caller."),
+    CHOICE_ROW(
+        "server_speeds", server_speeds_names, EB_SERVER_SPEEDS_COUNT, false,
+        "\"off\"", server_speeds,
+        "\"shared\": the speed of backend servers is measured by the "
+        "streams of forwarded calls, told to the other daemons and used "
+        "for the choice of a server."),
+    ROW("least_class_permille", UINT32, "permille", 1, 500, "100", EbSettings,
+        least_class_permille,
+        "Least share of the turns of a full pool for each priority that "
+        "waits; otherwise more urgent calls go first."),
     ROW("header_timeout_ms", MILLISECONDS, "ms", 100, HOUR_MS, "10000",
         EbSettings, header_timeout_us,
         "The connection of a caller that takes longer to send a request is "
--- a/src/libebonyhollow/membership/message.c
+++ b/src/libebonyhollow/membership/message.c
@@ -252,6 +252,7 @@
         msgpack_pack_array(packer, EB_MESSAGE_SPEED_ELEMENTS);
         pack_name(packer, message->speeds[i].server_id);
         msgpack_pack_uint32(packer, message->speeds[i].pace_us);
+        msgpack_pack_uint32(packer, message->speeds[i].streams);
     }
 }
 
--- a/src/libebonyhollow/requests/dispatcher_pool.c
+++ b/src/libebonyhollow/requests/dispatcher_pool.c
@@ -55,6 +55,7 @@
             .random = dispatcher->options.random,
             .events = dispatcher->options.events,
             .directives = dispatcher->options.directives,
+            .measure_speeds = dispatcher->options.measure_speeds,
         },
         NULL);
     assert(state->pool != NULL);
@@ -65,6 +66,7 @@
     state->queue = EbQueue_New(&(EbQueueOptions){
         .order = plain ? EB_QUEUE_FIRST_COME : EB_QUEUE_WEIGHTED_FAIR,
         .max_entries = dispatcher->options.max_requests,
+        .least_class_permille = dispatcher->options.least_class_permille,
     });
     if (config->pools[index].kind == EB_STAGE_GENERATE) {
         state->prefixes = EbPrefixIndex_New(&(EbPrefixIndexOptions){0});
--- a/src/libebonyhollow/requests/dispatcher_stage.c
+++ b/src/libebonyhollow/requests/dispatcher_stage.c
@@ -92,6 +92,17 @@
                         : MAX(stage->max_tokens, 1);
 }
 
+/* Sets the time after which a refused request can return: when the pool has
+ * room behind the requests that wait now. */
+static void
+set_backlog_delay(EbRequest *request, const EbDispatcherPool *pool,
+                  int64_t now_us)
+{
+    EbRequest_SetRetryAfter(
+        request,
+        EbPool_PredictLatency(pool->pool, EbQueue_Count(pool->queue), now_us));
+}
+
 void
 EbRequest_Enqueue(EbRequest *request, int64_t now_us)
 {
@@ -99,6 +110,7 @@
     EbRequest_MarkTimerStale(request);
     request->summary->state = EB_REQUEST_QUEUED;
     if (EbQueue_Count(pool->queue) >= pool->queue_max) {
+        set_backlog_delay(request, pool, now_us);
         EbRequest_Fail(request, EB_REASON_OVERLOADED, NULL, now_us);
         return;
     }
@@ -357,6 +369,9 @@
         EbReason reason = request->deadline_us > dispatcher->drain_end_us
                               ? EB_REASON_SHUTDOWN
                               : EB_REASON_DEADLINE_INFEASIBLE;
+        if (reason == EB_REASON_DEADLINE_INFEASIBLE) {
+            set_backlog_delay(request, pool, now_us);
+        }
         EbRequest_Fail(request, reason, NULL, now_us);
     }
     while (EbPool_HasFreeSlot(pool->pool, now_us) &&
--- a/src/libebonyhollow/servers/pool.c
+++ b/src/libebonyhollow/servers/pool.c
@@ -163,6 +163,7 @@
     pool->daemons = 1;
     pool->events = options->events;
     pool->directives = options->directives;
+    pool->measure_speeds = options->measure_speeds;
     EbPool_SetConfig(pool, options->config, options->pool_index);
     return pool;
 }
@@ -305,7 +306,7 @@
                   int64_t now_us)
 {
     EbPoolServer *server = g_hash_table_lookup(pool->by_id, server_id);
-    if (server != NULL && pace_us > 0) {
+    if (server != NULL && pool->measure_speeds && pace_us > 0) {
         EbServerSpeed_Observe(&server->speed, pace_us, now_us);
     }
 }
@@ -324,8 +325,8 @@
 EbPool_MergeSpeed(EbPool *pool, const EbSpeedReport *report)
 {
     EbPoolServer *server = g_hash_table_lookup(pool->by_id, report->server_id);
-    if (server != NULL && report->pace_us > 0) {
-        EbServerSpeed_Merge(&server->speed, report->pace_us);
+    if (server != NULL && pool->measure_speeds && report->pace_us > 0) {
+        EbServerSpeed_Merge(&server->speed, report);
     }
 }
 
@@ -334,11 +335,8 @@
 {
     for (uint32_t i = 0; i < pool->server_count; i++) {
         EbPoolServer *server = pool->servers[i];
-        if (EbServerSpeed_TakeReport(&server->speed)) {
-            *report = (EbSpeedReport){
-                .server_id = server->id,
-                .pace_us = (uint32_t)fmax(server->speed.pace_us, 1),
-            };
+        if (EbServerSpeed_TakeReport(&server->speed, report)) {
+            report->server_id = server->id;
             return true;
         }
     }
--- a/src/libebonyhollow/servers/pool_choice.c
+++ b/src/libebonyhollow/servers/pool_choice.c
@@ -207,8 +207,7 @@
 {
     uint64_t hash = XXH64(server->id, strlen(server->id), key);
     double draw = ((double)(hash >> 11) + 0.5) / (double)(UINT64_C(1) << 53);
-    double cost =
-        pow(EbPool_UsualCost(pool, server), AFFINE_SPEED_POWER);
+    double cost = pow(EbPool_UsualCost(pool, server), AFFINE_SPEED_POWER);
     return log(draw) * cost;
 }
 
--- a/src/libebonyhollow/servers/pool_health.c
+++ b/src/libebonyhollow/servers/pool_health.c
@@ -25,6 +25,7 @@
 #define EJECT_MIN_MEASURED_SERVERS 3
 /* Servers of known pace that are needed for a typical one. */
 #define MIN_PACES 4
+#define PERMILLE 1000
 #define EJECT_MAX_DIVISOR 3 /* at most one server in three is ejected */
 #define EJECT_BASE_US 5000000
 #define EJECT_MAX_US 120000000
@@ -113,6 +114,27 @@
     g_free(paces);
 }
 
+static void
+report_costs(EbPool *pool)
+{
+    for (uint32_t i = 0; i < pool->member_count; i++) {
+        EbPoolServer *server = pool->members[i];
+        uint32_t before = server->logged_cost_permille != 0
+                              ? server->logged_cost_permille
+                              : PERMILLE;
+        uint32_t cost =
+            (uint32_t)lround(EbPool_UsualCost(pool, server) * PERMILLE);
+        if (cost != before) {
+            server->logged_cost_permille = cost;
+            EB_EMIT(pool->events, EB_EVENT_SERVER_COST_CHANGED,
+                    EB_STRING_FIELD("backend_server", server->id),
+                    EB_STRING_FIELD("pool", pool->config->name),
+                    EB_INTEGER_FIELD("pace_us", server->speed.pace_us),
+                    EB_INTEGER_FIELD("cost_permille", cost));
+        }
+    }
+}
+
 /* For an even number of servers the lower of the two middle values is used, so
  * that the faster of two servers is not measured against the slower one. */
 void
@@ -130,6 +152,7 @@
     pool->median_us = lower_median(latencies, count);
     g_free(latencies);
     update_typical_pace(pool);
+    report_costs(pool);
 }
 
 static bool
--- a/src/libebonyhollow/servers/private/pool_state.h
+++ b/src/libebonyhollow/servers/private/pool_state.h
@@ -41,6 +41,7 @@
     bool slow_start;
 
     EbServerSpeed speed;
+    uint32_t logged_cost_permille; /* 0: none, as the typical server */
 
     bool has_report;
     uint32_t reported_load; /* calls running and waiting at the server */
@@ -73,6 +74,7 @@
     EbPoolServer **members; /* the subset this daemon uses */
     uint32_t member_count;
     GHashTable *by_id;
+    bool measure_speeds;
     uint32_t daemons;     /* live ones, this one included */
     uint32_t next_member; /* round robin */
     uint32_t ejected_count;
--- a/src/libebonyhollow/servers/server_speed.c
+++ b/src/libebonyhollow/servers/server_speed.c
@@ -16,7 +16,7 @@
 #define SLOWDOWN_HALF_LIFE_US 300000
 #define WORK_LIFETIME_US 300000
 /* A change of the usual pace by this factor is told to other daemons, once
- * several own streams show it. */
+ * several own streams show it, or at once when it is faster. */
 #define NEWS_FACTOR 1.5
 #define NEWS_STREAMS 3
 #define COST_STEP 1.5
@@ -77,16 +77,19 @@
 }
 
 void
-EbServerSpeed_Merge(EbServerSpeed *speed, double pace_us)
+EbServerSpeed_Merge(EbServerSpeed *speed, const EbSpeedReport *report)
 {
+    double pace_us = report->pace_us;
     assert(pace_us > 0);
     speed->told_pace_us = pace_us;
     speed->untold_streams = 0;
     if (speed->samples == 0) {
         speed->pace_us = pace_us;
     }
-    else {
-        speed->pace_us += MERGE_GAIN * (pace_us - speed->pace_us);
+    else if (pace_us <= OUTLIER_FACTOR * speed->pace_us ||
+             report->streams >= NEWS_STREAMS) {
+        double gain = is_outlier(speed, pace_us) ? CONFIRMED_GAIN : MERGE_GAIN;
+        speed->pace_us += gain * (pace_us - speed->pace_us);
     }
     speed->samples++;
 }
@@ -101,18 +104,22 @@
 }
 
 bool
-EbServerSpeed_TakeReport(EbServerSpeed *speed)
+EbServerSpeed_TakeReport(EbServerSpeed *speed, EbSpeedReport *report)
 {
-    if (speed->samples == 0) {
+    if (speed->untold_streams == 0) {
         return false;
     }
     if (speed->told_pace_us > 0) {
         double ratio = speed->pace_us / speed->told_pace_us;
-        if ((ratio < NEWS_FACTOR && ratio > 1 / NEWS_FACTOR) ||
-            speed->untold_streams < NEWS_STREAMS) {
+        bool faster = ratio < 1 / NEWS_FACTOR;
+        bool slower =
+            ratio > NEWS_FACTOR && speed->untold_streams >= NEWS_STREAMS;
+        if (!faster && !slower) {
             return false;
         }
     }
+    report->pace_us = (uint32_t)fmax(speed->pace_us, 1);
+    report->streams = speed->untold_streams;
     speed->told_pace_us = speed->pace_us;
     speed->untold_streams = 0;
     return true;
--- a/src/libebonyhollow_net/admin_view.c
+++ b/src/libebonyhollow_net/admin_view.c
@@ -157,14 +157,15 @@
     json_t *address =
         json_sprintf("%s:%u", server->host, (unsigned)server->port);
     return json_pack(
-        "{s:s, s:s, s:s, s:o, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I}", "id",
-        server->id, "pool", config->pools[server->pool_index].name,
+        "{s:s, s:s, s:s, s:o, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I}",
+        "id", server->id, "pool", config->pools[server->pool_index].name,
         "failure_domain", server->failure_domain, "address", address, "state",
         EbServerState_names[view->state], "cause", view->cause, "in_flight",
         (json_int_t)view->in_flight, "limit", (json_int_t)view->limit,
         "reported_load", (json_int_t)view->reported_load, "latency_us",
-        (json_int_t)view->latency_us, "calls", (json_int_t)view->calls,
-        "failures", (json_int_t)view->failures);
+        (json_int_t)view->latency_us, "pace_us", (json_int_t)view->pace_us,
+        "calls", (json_int_t)view->calls, "failures",
+        (json_int_t)view->failures);
 }
 
 void
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -234,24 +234,26 @@
         strcmp(settings->policy, EbPolicy_names[EB_POLICY_PLAIN]) == 0) {
         policy = EB_POLICY_PLAIN;
     }
-    daemon->dispatcher = EbDispatcher_New(
-        &(EbDispatcherOptions){.instance = settings->instance,
-                               .incarnation = daemon->incarnation,
-                               .failure_domain = settings->failure_domain,
-                               .policy = policy,
-                               .max_requests = settings->max_requests,
-                               .actions = daemon->actions,
-                               .random = &daemon->random,
-                               .events = daemon->events,
-                               .ledger = daemon->ledger,
-                               .limiter = daemon->limiter,
-                               .quarantine = daemon->quarantine,
-                               .directives = daemon->directives,
-                               .suspects = daemon->suspects,
-                               .metrics = daemon->metrics,
-                               .ask_owner = EbDaemon_AskOwner,
-                               .server_leaving = EbDaemon_OnServerLeaving,
-                               .context = daemon});
+    daemon->dispatcher = EbDispatcher_New(&(EbDispatcherOptions){
+        .instance = settings->instance,
+        .incarnation = daemon->incarnation,
+        .failure_domain = settings->failure_domain,
+        .policy = policy,
+        .max_requests = settings->max_requests,
+        .measure_speeds = settings->server_speeds == EB_SERVER_SPEEDS_SHARED,
+        .least_class_permille = settings->least_class_permille,
+        .actions = daemon->actions,
+        .random = &daemon->random,
+        .events = daemon->events,
+        .ledger = daemon->ledger,
+        .limiter = daemon->limiter,
+        .quarantine = daemon->quarantine,
+        .directives = daemon->directives,
+        .suspects = daemon->suspects,
+        .metrics = daemon->metrics,
+        .ask_owner = EbDaemon_AskOwner,
+        .server_leaving = EbDaemon_OnServerLeaving,
+        .context = daemon});
 }
 
 static void
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -24,7 +24,7 @@
 };
 
 static EbSpeedReport sample_speeds[] = {
-    {.server_id = "s-1", .pace_us = UINT32_MAX},
+    {.server_id = "s-1", .pace_us = UINT32_MAX, .streams = 7},
     {.server_id = "s-2", .pace_us = 1},
 };
 
@@ -181,6 +181,7 @@
         CU_ASSERT_STRING_EQUAL(got->speeds[i].server_id,
                                sent->speeds[i].server_id);
         CU_ASSERT_EQUAL(got->speeds[i].pace_us, sent->speeds[i].pace_us);
+        CU_ASSERT_EQUAL(got->speeds[i].streams, sent->speeds[i].streams);
     }
     CU_ASSERT_EQUAL_FATAL(got->suspicion_count, sent->suspicion_count);
     for (uint32_t i = 0; i < got->suspicion_count; i++) {
