--- a/include/servers/ebonyhollow/pool.h
+++ b/include/servers/ebonyhollow/pool.h
@@ -48,6 +48,7 @@
     const EbEvacuations *evacuations; /* NULL: every domain is open */
     EbPace *pace; /* of servers that start or recover; NULL: all take calls at
                      once */
+    bool measure_speeds; /* false: paces of streams and reports are ignored */
 } EbPoolOptions;
 
 /* How a call ended, for the pool's statistics. */
--- a/src/libebonyhollow/servers/private/pool_state.h
+++ b/src/libebonyhollow/servers/private/pool_state.h
@@ -42,6 +42,7 @@
     int64_t readmitted_us;
 
     EbServerSpeed speed;
+    uint32_t logged_cost_permille; /* 0: none, as the typical server */
 
     bool has_report;
     uint32_t reported_load; /* calls running and waiting at the server */
@@ -76,6 +77,7 @@
     EbPoolServer **members; /* the subset this daemon uses */
     uint32_t member_count;
     GHashTable *by_id;
+    bool measure_speeds;
     uint32_t daemons;     /* live ones, this one included */
     uint32_t next_member; /* round robin */
     uint32_t ejected_count;
