--- a/src/libebonyhollow/servers/pool.c
+++ b/src/libebonyhollow/servers/pool.c
@@ -501,7 +501,7 @@
             calls_per_s += share;
             free_now += next_us <= now_us;
         }
-        else {
+        if (share <= 0) {
             pause_us = MIN(pause_us, next_us - now_us);
         }
     }
