--- a/src/libebonyhollow/membership/message.c
+++ b/src/libebonyhollow/membership/message.c
@@ -73,7 +73,7 @@
     FIELD(15, SHARES, shares, SHARES, 0, 0),
     FIELD(16, ENTRIES, entries, BIT(QUARANTINE), 0, 0),
     FIELD(17, NAME, server, BIT(SERVER_LEAVING), BIT(SERVER_LEAVING), 0),
-    FIELD(50, UINT64, server_incarnation, BIT(SERVER_LEAVING), 0, 0),
+    FIELD(55, UINT64, server_incarnation, BIT(SERVER_LEAVING), 0, 0),
     FIELD(18, BOOL, leaving, BIT(SERVER_LEAVING), 0, 0),
     FIELD(19, UINT64, job, PREPARATIONS, PREPARATIONS, 0),
     FIELD(20, NAME, request_id, BIT(PREPARE), BIT(PREPARE), 0),
--- a/src/test_batcher/main.c
+++ b/src/test_batcher/main.c
@@ -212,6 +212,33 @@
     Fixture_Close(&fixture);
 }
 
+/* Guards against memory, a failure or a pause that is counted for a server
+ * which has started anew and holds nothing, also when the results of the
+ * earlier start are released afterwards. */
+static void
+test_server_started(void)
+{
+    Fixture fixture;
+    Fixture_Open(&fixture, 1, 300);
+    EbConfig *config = fixture.config;
+    config->servers[0].incarnation = 6;
+    EbBatcher_SetConfig(fixture.batcher, config, fixture.now_us);
+    Fixture_AddJob(&fixture, 1, 3, 5 * SECOND_US);
+    CU_ASSERT_EQUAL(Fixture_ProcessActions(&fixture), 1);
+    Fixture_AnswerCall(&fixture, EB_WORK_ITEM_DONE);
+    Fixture_AddJob(&fixture, 2, 3, 5 * SECOND_US);
+    CU_ASSERT_EQUAL(Fixture_ProcessActions(&fixture), 0); /* memory is full */
+    config->servers[0].incarnation = 5;
+    EbBatcher_SetConfig(fixture.batcher, config, fixture.now_us);
+    CU_ASSERT_EQUAL(Fixture_ProcessActions(&fixture), 1);
+    CU_ASSERT_EQUAL(Fixture_CallItemCount(&fixture), 3);
+    EbBatcher_EndJob(fixture.batcher, "i-1", 1, fixture.now_us);
+    Fixture_AnswerCall(&fixture, EB_WORK_ITEM_DONE);
+    Fixture_AddJob(&fixture, 3, 3, 5 * SECOND_US);
+    CU_ASSERT_EQUAL(Fixture_ProcessActions(&fixture), 0);
+    Fixture_Close(&fixture);
+}
+
 static LoadPlan
 large_site_load(double questions_per_s)
 {
@@ -339,6 +366,7 @@
         {"release", test_release},
         {"result memory", test_result_memory},
         {"server removed", test_server_removed},
+        {"server started", test_server_started},
         {"requester lost", test_requester_lost},
         {"requester linked", test_requester_linked},
         {"results requested again", test_results_requested_again},
