batching: urgent classes first in a shortage of a stage service

The home orders the items that wait by due time while all will be done in time. Otherwise the more urgent class goes first, late items included, and a tenth of the items is kept for each class that waits. Before, an item that was late for the usual speed of its later stages waited behind every item in time, so requests with a long chain were served last.

--- /dev/null
+++ b/include/batching/ebonyhollow/stage_schedule.h
@@ -0,0 +1,82 @@
+/* EbStageSchedule: the order in which the home of a stage service works on the
+ * items that wait there, and which of them it can't do in time any more.
+ *
+ * While all items that wait will be done in time, the earliest due time goes
+ * first. In a shortage the more urgent class goes first, and within a class
+ * those that can still be in time, then those of requests whose earlier stages
+ * are done, then the earliest due time. A share of the items is kept for the
+ * classes that would otherwise get nothing.
+ *
+ * The functions do no I/O and keep no reference to what they are given. All
+ * times are monotonic microseconds. */
+#ifndef EBONYHOLLOW_STAGE_SCHEDULE_H
+#define EBONYHOLLOW_STAGE_SCHEDULE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Classes of urgency that are told apart; less urgent ones count as the last.
+ */
+#define EB_STAGE_CLASSES 8
+
+/* One job that waits. */
+typedef struct {
+    void *job; /* of the caller */
+    uint32_t items;
+    uint8_t priority;    /* 0 is the most urgent */
+    uint32_t stage;      /* of its request */
+    bool remote;         /* its results are used in another failure domain */
+    int64_t due_us;      /* when it has to be done for a request in time */
+    int64_t deadline_us; /* later results are of no use */
+    /* Set by EbStageSchedule_Order. */
+    bool late; /* its request can't be in time any more */
+    /* Set by EbStageSchedule_Project. */
+    int64_t done_us; /* expected; INT64_MAX: not in sight */
+} EbStageEntry;
+
+/* What the servers of a service do. */
+typedef struct {
+    int64_t now_us;
+    int64_t call_us;    /* time of a call with one item */
+    double items_per_s; /* of all servers that can be used */
+    /* Items that arrive a second, by class. */
+    double arrivals_per_s[EB_STAGE_CLASSES];
+    double
+        least_share; /* of the items, for each class that has waiting ones */
+} EbStageCapacity;
+
+/* What the classes have been given. All zeros is the initial state. */
+typedef struct {
+    double owed[EB_STAGE_CLASSES]; /* items by least share, not yet given */
+} EbStageShares;
+
+/* Returns the class of a priority. */
+uint32_t EbStageSchedule_Class(uint8_t priority);
+
+/* Sorts entries in the order in which they are to be done, and sets `late`.
+ * Returns true in a shortage: the servers can't do all of them in time. */
+bool EbStageSchedule_Order(EbStageEntry *entries, size_t count,
+                           const EbStageCapacity *capacity);
+
+/* Sets `done_us` of entries that EbStageSchedule_Order has sorted. An entry
+ * waits for those before it and for the more urgent work that arrives
+ * meanwhile; a late one also for that of its own class. */
+void EbStageSchedule_Project(EbStageEntry *entries, size_t count,
+                             const EbStageCapacity *capacity);
+
+/* Returns the index of the entry whose items go into a call next, `count` when
+ * no entry has items. It is the first one, unless a less urgent class is owed
+ * as many items as its first entry has.
+ *
+ * entries: in order; those with `items` 0 are skipped. */
+size_t EbStageShares_Next(const EbStageShares *shares,
+                          const EbStageEntry *entries, size_t count);
+
+/* Records that items of a class go into a call in a shortage: each other class
+ * with waiting items is owed its least share of them. */
+void EbStageShares_Record(EbStageShares *shares, uint32_t class,
+                          uint32_t items, const EbStageEntry *entries,
+                          size_t count, double least_share);
+
+#endif
--- a/src/libebonyhollow/batching/batcher_choice.c
+++ b/src/libebonyhollow/batching/batcher_choice.c
@@ -20,6 +20,8 @@
  * room for this share of the items that it could take, or after the wait. */
 #define MIN_CALL_SHARE 0.7
 #define MEMORY_WAIT_US 150000
+/* Of the items done in a shortage, kept for each class of urgency. */
+#define LEAST_SHARE 0.1
 
 /* Returns whether the server has memory for the results of the next call. A
  * call costs far more than an item, so the server waits for memory that is
@@ -166,71 +168,80 @@
     return false;
 }
 
-/* A job considered for a call. See compare_candidates for the order. */
-typedef struct {
-    EbBatchJob *job;
-    bool late;   /* its request can't be in time any more */
-    bool remote; /* its results are used in another failure domain */
-    /* The request's priority if the job is late or there is a backlog,
-     * otherwise 0. */
-    int32_t priority;
-    /* Late jobs of later stages go first, since the stages already completed
-     * for them are worth the most. */
-    int32_t stage_order;
-    int64_t due_us;
-} Candidate;
-
-static int
-compare_candidates(gconstpointer left, gconstpointer right)
+/* Returns what the servers of a service do that can be used now. */
+static EbStageCapacity
+measure_capacity(const EbBatchService *service, int64_t now_us)
 {
-    const Candidate *a = left;
-    const Candidate *b = right;
-    if (a->late != b->late) {
-        return a->late ? 1 : -1;
-    }
-    if (a->priority != b->priority) {
-        return a->priority < b->priority ? -1 : 1;
-    }
-    if (a->remote != b->remote) {
-        return a->remote ? 1 : -1;
-    }
-    if (a->stage_order != b->stage_order) {
-        return a->stage_order < b->stage_order ? -1 : 1;
+    EbStageCapacity capacity = {.now_us = now_us,
+                                .call_us =
+                                    EbBatchService_ExpectedTime(service, 1),
+                                .least_share = LEAST_SHARE};
+    double full_call_us =
+        (double)EbBatchService_ExpectedTime(service, service->batch.max_items);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, service->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const EbBatchServer *server = value;
+        if (server->current && server->failures == 0) {
+            capacity.items_per_s += service->batch.max_items * 1e6 /
+                                    (full_call_us * server->slowdown);
+        }
     }
-    return a->due_us < b->due_us ? -1 : a->due_us > b->due_us;
+    return capacity;
 }
 
-void
-EbBatchCall_SelectItems(EbBatchCall *call, int64_t now_us)
+/* Lists the jobs that wait, by due time, for a call to a server. */
+static GArray *
+list_entries(const EbBatchService *service, const EbBatchServer *server,
+             int64_t done_us)
 {
-    EbBatchService *service = call->service;
-    bool backlogged = service->waiting_count > call_capacity(service);
-    int64_t done_us = now_us + EbBatchService_ExpectedTime(service, 1);
-    GArray *candidates = g_array_new(FALSE, FALSE, sizeof(Candidate));
+    GArray *entries = g_array_new(FALSE, FALSE, sizeof(EbStageEntry));
     for (GSequenceIter *iter = g_sequence_get_begin_iter(service->queue);
          !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter)) {
         EbBatchJob *job = g_sequence_get(iter);
-        bool late = job->spec.due_us < done_us;
-        bool remote = !is_local(job, call->server);
+        bool remote = !is_local(job, server);
         if (remote && can_wait_for_local_server(service, job, done_us)) {
             continue;
         }
-        Candidate candidate = {
-            .job = job,
-            .late = late,
-            .remote = !late && remote,
-            .priority = backlogged || late ? job->spec.priority : 0,
-            .stage_order = late ? -(int32_t)job->spec.stage : 0,
-            .due_us = job->spec.due_us,
-        };
-        g_array_append_val(candidates, candidate);
+        EbStageEntry entry = {.job = job,
+                              .items = job->waiting.length,
+                              .priority = job->spec.priority,
+                              .stage = job->spec.stage,
+                              .remote = remote,
+                              .due_us = job->spec.due_us,
+                              .deadline_us = job->spec.deadline_us};
+        g_array_append_val(entries, entry);
+    }
+    return entries;
+}
+
+void
+EbBatchCall_SelectItems(EbBatchCall *call, int64_t now_us)
+{
+    EbBatchService *service = call->service;
+    EbStageCapacity capacity = measure_capacity(service, now_us);
+    GArray *list =
+        list_entries(service, call->server, now_us + capacity.call_us);
+    EbStageEntry *entries = (EbStageEntry *)list->data;
+    bool shortage = EbStageSchedule_Order(entries, list->len, &capacity);
+    if (!shortage) {
+        service->shares = (EbStageShares){0};
     }
-    g_array_sort(candidates, compare_candidates);
-    for (guint i = 0;
-         i < candidates->len && call->items->len < service->batch.max_items;
-         i++) {
-        add_items(call, g_array_index(candidates, Candidate, i).job,
-                  service->batch.max_items);
+    size_t next = 0;
+    while (call->items->len < service->batch.max_items &&
+           (next = EbStageShares_Next(&service->shares, entries, list->len)) <
+               list->len) {
+        EbStageEntry *entry = &entries[next];
+        guint before = call->items->len;
+        add_items(call, entry->job, service->batch.max_items);
+        entry->items = 0;
+        if (shortage) {
+            EbStageShares_Record(&service->shares,
+                                 EbStageSchedule_Class(entry->priority),
+                                 call->items->len - before, entries, list->len,
+                                 capacity.least_share);
+        }
     }
-    g_array_free(candidates, TRUE);
+    g_array_free(list, TRUE);
 }
--- a/src/libebonyhollow/batching/private/batcher_state.h
+++ b/src/libebonyhollow/batching/private/batcher_state.h
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "ebonyhollow/batcher.h"
+#include "ebonyhollow/stage_schedule.h"
 
 typedef struct EbBatchJob EbBatchJob;
 typedef struct EbBatchService EbBatchService;
@@ -60,6 +61,7 @@
     GSequence *queue;       /* of EbBatchJob with waiting items, by due time */
     size_t waiting_count;   /* items in the queue */
     uint64_t waiting_bytes; /* that their results will take */
+    EbStageShares shares;   /* of the classes in a shortage */
 };
 
 typedef struct {
@@ -112,11 +114,9 @@
 EbBatchServer *EbBatchService_ChooseServer(const EbBatcher *batcher,
                                            const EbBatchService *service,
                                            int64_t now_us);
-/* Fills a call with waiting items, in this order: those that can still be in
- * time; higher priority, for late items and while more items wait than the
- * servers take; work that belongs in the server's failure domain; for late
- * items, later stages; earlier due time. Items that move many bytes are left
- * out while they can wait for a server in their failure domain. */
+/* Fills a call with waiting items in the order of EbStageSchedule. Items that
+ * move many bytes are left out while they can wait for a server in their
+ * failure domain. */
 void EbBatchCall_SelectItems(EbBatchCall *call, int64_t now_us);
 
 /* batcher_call.c */
--- /dev/null
+++ b/src/libebonyhollow/batching/stage_schedule.c
@@ -0,0 +1,185 @@
+#include "ebonyhollow/stage_schedule.h"
+
+#include <stdlib.h>
+
+#include <glib.h>
+
+/* A class is owed at most this many items, so that one that returns after a
+ * long time doesn't take whole calls. */
+#define MAX_OWED 32.0
+
+uint32_t
+EbStageSchedule_Class(uint8_t priority)
+{
+    return MIN(priority, EB_STAGE_CLASSES - 1);
+}
+
+static int
+compare_times(int64_t a, int64_t b)
+{
+    return a < b ? -1 : a > b;
+}
+
+static int
+compare_due(const void *left, const void *right)
+{
+    const EbStageEntry *a = left;
+    const EbStageEntry *b = right;
+    return compare_times(a->due_us, b->due_us);
+}
+
+/* Work that belongs in the server's failure domain first. */
+static int
+compare_local(const void *left, const void *right)
+{
+    const EbStageEntry *a = left;
+    const EbStageEntry *b = right;
+    if (a->remote != b->remote) {
+        return a->remote ? 1 : -1;
+    }
+    return compare_times(a->due_us, b->due_us);
+}
+
+static int
+compare_urgency(const void *left, const void *right)
+{
+    const EbStageEntry *a = left;
+    const EbStageEntry *b = right;
+    uint32_t class_a = EbStageSchedule_Class(a->priority);
+    uint32_t class_b = EbStageSchedule_Class(b->priority);
+    if (class_a != class_b) {
+        return class_a < class_b ? -1 : 1;
+    }
+    if (a->late != b->late) {
+        return a->late ? 1 : -1;
+    }
+    if (!a->late && a->remote != b->remote) {
+        return a->remote ? 1 : -1;
+    }
+    if (a->stage != b->stage) {
+        return a->stage > b->stage ? -1 : 1;
+    }
+    return compare_times(a->due_us, b->due_us);
+}
+
+static int64_t
+time_for(double items, double items_per_s)
+{
+    return items_per_s > 0 ? (int64_t)(items / items_per_s * 1e6)
+                           : INT64_MAX / 4;
+}
+
+/* Returns whether the entries, by due time, can't all be done in time. */
+static bool
+is_short(const EbStageEntry *entries, size_t count,
+         const EbStageCapacity *capacity)
+{
+    double items = 0;
+    for (size_t i = 0; i < count; i++) {
+        items += entries[i].items;
+        int64_t done_us = capacity->now_us + capacity->call_us +
+                          time_for(items, capacity->items_per_s);
+        if (done_us > entries[i].due_us) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+EbStageSchedule_Order(EbStageEntry *entries, size_t count,
+                      const EbStageCapacity *capacity)
+{
+    bool any_late = false;
+    for (size_t i = 0; i < count; i++) {
+        entries[i].late =
+            entries[i].due_us < capacity->now_us + capacity->call_us;
+        any_late = any_late || entries[i].late;
+    }
+    if (!any_late) {
+        qsort(entries, count, sizeof(*entries), compare_due);
+    }
+    bool shortage = any_late || is_short(entries, count, capacity);
+    qsort(entries, count, sizeof(*entries),
+          shortage ? compare_urgency : compare_local);
+    return shortage;
+}
+
+/* Returns the items a second that an entry's part of the queue gets. */
+static double
+rate_for(const EbStageEntry *entry, const EbStageCapacity *capacity)
+{
+    uint32_t class = EbStageSchedule_Class(entry->priority);
+    double rate = capacity->items_per_s;
+    for (uint32_t i = 0; i < class + (entry->late ? 1 : 0); i++) {
+        rate -= capacity->arrivals_per_s[i];
+    }
+    return MAX(rate, capacity->least_share * capacity->items_per_s);
+}
+
+void
+EbStageSchedule_Project(EbStageEntry *entries, size_t count,
+                        const EbStageCapacity *capacity)
+{
+    double items = 0;
+    for (size_t i = 0; i < count; i++) {
+        items += entries[i].items;
+        entries[i].done_us = capacity->now_us + capacity->call_us +
+                             time_for(items, rate_for(&entries[i], capacity));
+    }
+}
+
+static size_t
+first_of_class(const EbStageEntry *entries, size_t count, uint32_t class)
+{
+    size_t i = 0;
+    while (i < count &&
+           (entries[i].items == 0 ||
+            EbStageSchedule_Class(entries[i].priority) != class)) {
+        i++;
+    }
+    return i;
+}
+
+size_t
+EbStageShares_Next(const EbStageShares *shares, const EbStageEntry *entries,
+                   size_t count)
+{
+    for (uint32_t class = 0; class < EB_STAGE_CLASSES; class ++) {
+        if (shares->owed[class] >= 1) {
+            size_t i = first_of_class(entries, count, class);
+            if (i < count && shares->owed[class] >= entries[i].items) {
+                return i;
+            }
+        }
+    }
+    size_t next = 0;
+    while (next < count && entries[next].items == 0) {
+        next++;
+    }
+    return next;
+}
+
+void
+EbStageShares_Record(EbStageShares *shares, uint32_t class, uint32_t items,
+                     const EbStageEntry *entries, size_t count,
+                     double least_share)
+{
+    bool waiting[EB_STAGE_CLASSES] = {false};
+    for (size_t i = 0; i < count; i++) {
+        waiting[EbStageSchedule_Class(entries[i].priority)] |=
+            entries[i].items > 0;
+    }
+    for (uint32_t i = 0; i < EB_STAGE_CLASSES; i++) {
+        if (i == class) {
+            shares->owed[i] = MAX(shares->owed[i] - items, 0);
+        }
+        else if (waiting[i]) {
+            shares->owed[i] =
+                MIN(shares->owed[i] + least_share * items, MAX_OWED);
+        }
+        else {
+            shares->owed[i] = 0;
+        }
+    }
+}
--- a/src/test_batcher/load.c
+++ b/src/test_batcher/load.c
@@ -23,6 +23,8 @@
     int64_t arrived_us;
     uint32_t stage; /* that is prepared; stage_count: on the engine */
     uint32_t restarts;
+    uint32_t items[LOAD_STAGES_MAX];
+    int64_t work_us; /* that servers spent on it */
     uint64_t jobs[LOAD_STAGES_MAX];
     GPtrArray *handles[LOAD_STAGES_MAX];
     int64_t done_us; /* on the engine */
@@ -152,6 +154,8 @@
     if (!served) {
         outcome->refused_after_us += took_us;
         outcome->refused++;
+        outcome->refused_early += took_us <= request->class->goal_us / 8;
+        play->report->wasted_us += request->work_us;
     }
     else if (took_us <= request->class->goal_us) {
         outcome->in_goal++;
@@ -179,6 +183,20 @@
     }
 }
 
+/* Draws the number of work items of each stage. */
+static void
+draw_items(Play *play, Request *request)
+{
+    for (uint32_t i = 0; i < request->class->stage_count; i++) {
+        const LoadStage *stage = &request->class->stages[i];
+        request->items[i] = stage->items;
+        if (stage->items_max > stage->items) {
+            request->items[i] += (uint32_t)EbRandom_Below(
+                &play->random, stage->items_max - stage->items + 1);
+        }
+    }
+}
+
 static void
 start_stage(Play *play, Request *request)
 {
@@ -193,7 +211,7 @@
         .request_id = id,
         .service = service,
         .stage = request->stage,
-        .item_count = stage->items,
+        .item_count = request->items[request->stage],
         .priority = class->priority,
         .result_bytes = stage->result_bytes,
     };
@@ -286,6 +304,7 @@
             request->outcome->asked++;
             request->arrived_us = play->now_us;
             g_hash_table_insert(play->requests, &request->id, request);
+            draw_items(play, request);
             start_stage(play, request);
         }
     }
@@ -310,6 +329,35 @@
 
 /* Servers */
 
+/* Returns the request of a work item, NULL when it has ended. */
+static Request *
+find_request(const Play *play, const EbWorkItem *item)
+{
+    uint64_t number = (uint64_t)strtoull(item->request_id + 2, NULL, 10);
+    return g_hash_table_lookup(play->requests, &number);
+}
+
+/* Charges the time of an item to its request; it is wasted if the request is
+ * not served. */
+static int64_t
+charge_item(Play *play, const EbWorkItem *item, const LoadService *service,
+            guint item_count)
+{
+    Request *request = find_request(play, item);
+    double factor =
+        request != NULL ? request->class->stages[item->stage].work_factor : 0;
+    int64_t item_us =
+        (int64_t)((factor > 0 ? factor : 1) * (double)service->item_us);
+    int64_t share_us = item_us + service->call_us / item_count;
+    if (request != NULL) {
+        request->work_us += share_us;
+    }
+    else {
+        play->report->wasted_us += share_us;
+    }
+    return item_us;
+}
+
 static EbWorkItemResult
 make_result(Play *play, uint32_t service, uint32_t index,
             const EbWorkItem *item)
@@ -323,8 +371,7 @@
         }
         input->used = true;
     }
-    uint64_t number = (uint64_t)strtoull(item->request_id + 2, NULL, 10);
-    const Request *request = g_hash_table_lookup(play->requests, &number);
+    const Request *request = find_request(play, item);
     uint64_t bytes =
         request != NULL ? request->class->stages[item->stage].result_bytes : 0;
     if (server->held_bytes + bytes >
@@ -362,10 +409,12 @@
         server->results[i] = make_result(play, service, index,
                                          &g_array_index(items, EbWorkItem, i));
         if (server->results[i].kind == EB_WORK_ITEM_DONE) {
-            work_us += play->plan->services[service].item_us;
+            work_us += charge_item(play, &g_array_index(items, EbWorkItem, i),
+                                   &play->plan->services[service], items->len);
         }
     }
     server->done_us = play->now_us + work_us;
+    play->report->work_us += work_us;
     play->report->calls[service]++;
     play->report->items[service] += items->len;
     if (play->now_us >= play->plan->burst_from_us &&
@@ -529,10 +578,10 @@
 {
     for (uint32_t c = 0; c < plan->class_count; c++) {
         const LoadOutcome *outcome = &report->classes[c];
-        printf("%-8s asked %5u in goal %5u late %5u refused %5u after %.1f "
-               "s\n",
+        printf("%-8s asked %5u in goal %5u late %5u refused %5u (%u early) "
+               "after %.1f s\n",
                plan->classes[c].name, outcome->asked, outcome->in_goal,
-               outcome->late, outcome->refused,
+               outcome->late, outcome->refused, outcome->refused_early,
                (double)outcome->refused_after_us / 1e6);
     }
     for (uint32_t s = 0; s < plan->service_count; s++) {
@@ -543,6 +592,7 @@
                    : 0,
                report->busy_share[s]);
     }
-    printf("no room %u, inputs gone %u, unused %u\n", report->no_room,
-           report->inputs_gone, report->unused_results);
+    printf("no room %u, inputs gone %u, unused %u, wasted %.1f of %.1f s\n",
+           report->no_room, report->inputs_gone, report->unused_results,
+           (double)report->wasted_us / 1e6, (double)report->work_us / 1e6);
 }
--- a/src/test_batcher/load.h
+++ b/src/test_batcher/load.h
@@ -12,7 +12,7 @@
 #include <stdint.h>
 
 #define LOAD_STAGES_MAX 3
-#define LOAD_CLASSES_MAX 3
+#define LOAD_CLASSES_MAX 4
 
 typedef struct {
     uint32_t servers;
@@ -26,6 +26,8 @@
     uint32_t service;
     uint32_t items;
     uint64_t result_bytes;
+    uint32_t items_max; /* above 0: `items` to this many, at random */
+    double work_factor; /* of the time of an item; 0: 1 */
 } LoadStage;
 
 typedef struct {
@@ -56,6 +58,7 @@
     uint32_t in_goal;
     uint32_t late;
     uint32_t refused;
+    uint32_t refused_early; /* within an eighth of the goal */
     int64_t refused_after_us; /* mean time until the refusal */
 } LoadOutcome;
 
@@ -66,6 +69,8 @@
     uint32_t no_room;
     uint32_t inputs_gone;
     uint32_t unused_results;
+    int64_t work_us;   /* of the servers, in all */
+    int64_t wasted_us; /* of it, for requests that were not served */
     double busy_share[LOAD_STAGES_MAX]; /* of the servers, in the burst */
 } LoadReport;
 
--- a/src/test_batcher/main.c
+++ b/src/test_batcher/main.c
@@ -284,6 +284,77 @@
     }
 }
 
+/* The rates of a deployment whose stages run out for seconds in a burst. */
+static LoadPlan
+crowded_load(double drafts_per_s, double rewrites_per_s)
+{
+    return (LoadPlan){
+        .services = {{19, 14, 200000, 12000, 32000000},
+                     {15, 40, 200000, 4300, 5300000},
+                     {15, 56, 200000, 3100, 730000}},
+        .service_count = 3,
+        .classes = {{"rewrite",
+                     86,
+                     rewrites_per_s,
+                     0,
+                     1800000,
+                     6000000,
+                     200000,
+                     3,
+                     {{0, 1, 8000, 0, 0.3},
+                      {1, 6, 60000, 0, 0},
+                      {2, 10, 6000, 0, 0}}},
+                    {"draft",
+                     91,
+                     drafts_per_s,
+                     1,
+                     1100000,
+                     6000000,
+                     200000,
+                     1,
+                     {{0, 1, 1500000, 4, 0}}},
+                    {"chat",
+                     32,
+                     32,
+                     2,
+                     1800000,
+                     20000000,
+                     250000,
+                     3,
+                     {{0, 1, 8000, 0, 0.3},
+                      {1, 6, 60000, 0, 0},
+                      {2, 10, 6000, 0, 0}}},
+                    {"image",
+                     21,
+                     21,
+                     2,
+                     1800000,
+                     20000000,
+                     250000,
+                     1,
+                     {{0, 1, 1500000, 2, 0}}}},
+        .class_count = 4,
+        .burst_from_us = 4 * SECOND_US,
+        .burst_until_us = 9600000,
+        .end_us = 20 * SECOND_US,
+    };
+}
+
+static void
+test_shortage(void)
+{
+    static const double rates[][2] = {
+        {91, 86}, {227, 86}, {290, 133}, {91, 267}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rates); i++) {
+        LoadPlan plan = crowded_load(rates[i][0], rates[i][1]);
+        LoadReport report;
+        plan.seed = 1;
+        Load_Play(&plan, &report);
+        printf("%.0f %.0f\n", rates[i][0], rates[i][1]);
+        Load_Print(&plan, &report);
+    }
+}
+
 /* Guards against calls with work items and releases above the limit of a
  * server, in its pause, or to one that leaves. */
 static void
@@ -349,6 +420,7 @@
         {"input domain", test_input_domain},
         {"limits and pauses of servers", test_directives},
         {"burst", test_burst},
+        {"shortage", test_shortage},
     };
     return EbTest_Run("test_batcher", cases, G_N_ELEMENTS(cases));
 }
