--- a/src/libebonyhollow/batching/batcher_choice.c
+++ b/src/libebonyhollow/batching/batcher_choice.c
@@ -23,6 +23,31 @@
 /* Of the items done in a shortage, kept for each class of urgency. */
 #define LEAST_SHARE 0.1
 
+uint64_t
+EbBatchService_FreeMemory(const EbBatchService *service,
+                          const EbBatchServer *server, int64_t now_us)
+{
+    uint64_t taken_bytes = server->held_bytes;
+    int64_t lifetime_us = service->batch.result_lifetime_us;
+    int64_t left_us = server->foreign_seen_us + lifetime_us - now_us;
+    if (server->foreign_bytes > 0 && left_us > 0) {
+        taken_bytes += (uint64_t)((double)server->foreign_bytes *
+                                  (double)left_us / (double)lifetime_us);
+    }
+    uint64_t memory_bytes = service->batch.result_memory_bytes;
+    return memory_bytes - MIN(taken_bytes, memory_bytes);
+}
+
+void
+EbBatchService_RecordFullMemory(const EbBatchService *service,
+                                EbBatchServer *server, int64_t now_us)
+{
+    uint64_t memory_bytes = service->batch.result_memory_bytes;
+    server->foreign_bytes =
+        memory_bytes - MIN(server->held_bytes, memory_bytes);
+    server->foreign_seen_us = now_us;
+}
+
 /* Returns whether the server has memory for the results of the next call. A
  * call costs far more than an item, so the server waits for memory that is
  * about to be released, unless there is room for most of a call. After
@@ -37,8 +62,8 @@
     }
     uint64_t mean_bytes =
         MAX(service->waiting_bytes / service->waiting_count, 1);
-    uint64_t free_bytes = memory_bytes - MIN(server->held_bytes, memory_bytes);
-    uint64_t room = free_bytes / mean_bytes;
+    uint64_t room =
+        EbBatchService_FreeMemory(service, server, now_us) / mean_bytes;
     uint64_t wanted = MIN(service->waiting_count, service->batch.max_items);
     if (now_us >= server->idle_since_us + MEMORY_WAIT_US) {
         return room >= 1;
@@ -114,14 +139,15 @@
 /* Moves waiting items of one job into a call, up to the batch size and the
  * server's memory. */
 static void
-add_items(EbBatchCall *call, EbBatchJob *job, uint32_t max_items)
+add_items(EbBatchCall *call, EbBatchJob *job, int64_t now_us)
 {
     EbBatchServer *server = call->server;
-    uint64_t result_memory_bytes = job->service->batch.result_memory_bytes;
-    while (
-        call->items->len < max_items && job->waiting.length > 0 &&
-        (result_memory_bytes == 0 ||
-         server->held_bytes + job->spec.result_bytes <= result_memory_bytes)) {
+    const EbBatchService *service = job->service;
+    while (call->items->len < service->batch.max_items &&
+           job->waiting.length > 0 &&
+           (service->batch.result_memory_bytes == 0 ||
+            job->spec.result_bytes <=
+                EbBatchService_FreeMemory(service, server, now_us))) {
         EbBatchItem *item = g_queue_pop_head(&job->waiting);
         job->service->waiting_count--;
         job->service->waiting_bytes -= job->spec.result_bytes;
@@ -234,7 +260,7 @@
                list->len) {
         EbStageEntry *entry = &entries[next];
         guint before = call->items->len;
-        add_items(call, entry->job, service->batch.max_items);
+        add_items(call, entry->job, now_us);
         entry->items = 0;
         if (shortage) {
             EbStageShares_Record(&service->shares,
--- a/src/libebonyhollow/batching/private/batcher_state.h
+++ b/src/libebonyhollow/batching/private/batcher_state.h
@@ -49,6 +49,10 @@
     int64_t idle_since_us; /* end of its last call */
     double slowdown;       /* moving average: call time / expected call time */
     uint64_t held_bytes;   /* of results stored or being made there */
+    /* Taken by results that this home doesn't know, when the server last had
+     * no room for one: those of an earlier home, or of one that was cut off. */
+    uint64_t foreign_bytes;
+    int64_t foreign_seen_us;
     uint64_t released_bytes; /* of the results in `releases` */
     bool current;            /* in the configuration in force */
     GPtrArray *releases;     /* of char *, handles of results to free */
@@ -105,6 +109,16 @@
 
 /* batcher_choice.c */
 
+/* Returns the memory for results that is free at a server. */
+uint64_t EbBatchService_FreeMemory(const EbBatchService *service,
+                                   const EbBatchServer *server,
+                                   int64_t now_us);
+/* Records that a server had no room for a result. Whatever is not taken by
+ * results of this home is taken by those of others, which expire one after
+ * another within the lifetime of a result. */
+void EbBatchService_RecordFullMemory(const EbBatchService *service,
+                                     EbBatchServer *server, int64_t now_us);
+
 /* Returns how long a call with `items` items takes at a server of usual speed,
  * in microseconds. */
 int64_t EbBatchService_ExpectedTime(const EbBatchService *service,
