--- a/include/batching/ebonyhollow/stage_schedule.h
+++ b/include/batching/ebonyhollow/stage_schedule.h
@@ -31,8 +31,8 @@
     int64_t deadline_us; /* later results are of no use */
     /* Set by EbStageSchedule_Order. */
     bool late; /* its request can't be in time any more */
-    /* Set by EbStageSchedule_Project. */
-    int64_t done_us; /* expected; INT64_MAX: not in sight */
+    /* Set by EbStageSchedule_Project: it won't be done before its deadline. */
+    bool hopeless;
 } EbStageEntry;
 
 /* What the servers of a service do. */
@@ -46,6 +46,21 @@
         least_share; /* of the items, for each class that has waiting ones */
 } EbStageCapacity;
 
+/* Moving averages of events a second, by class. All zeros is the initial
+ * state. */
+typedef struct {
+    double per_s[EB_STAGE_CLASSES];
+    int64_t at_us[EB_STAGE_CLASSES];
+} EbStageRates;
+
+/* Counts events of a class. */
+void EbStageRates_Add(EbStageRates *rates, uint32_t class, double count,
+                      int64_t now_us);
+
+/* Returns the rate of a class over about the last second. */
+double EbStageRates_PerSecond(const EbStageRates *rates, uint32_t class,
+                              int64_t now_us);
+
 /* What the classes have been given. All zeros is the initial state. */
 typedef struct {
     double owed[EB_STAGE_CLASSES]; /* items by least share, not yet given */
@@ -59,9 +74,9 @@
 bool EbStageSchedule_Order(EbStageEntry *entries, size_t count,
                            const EbStageCapacity *capacity);
 
-/* Sets `done_us` of entries that EbStageSchedule_Order has sorted. An entry
- * waits for those before it and for the more urgent work that arrives
- * meanwhile; a late one also for that of its own class. */
+/* Sets `hopeless` of entries that EbStageSchedule_Order has sorted. An entry
+ * waits for those before it that are not hopeless, and for the more urgent
+ * work that arrives meanwhile; a late one also for that of its own class. */
 void EbStageSchedule_Project(EbStageEntry *entries, size_t count,
                              const EbStageCapacity *capacity);
 
--- a/include/share/ebonyhollow/event_table.h
+++ b/include/share/ebonyhollow/event_table.h
@@ -74,6 +74,14 @@
       "The work items of one stage of a request have ended, wait_us after "   \
       "the batcher of this daemon received them.",                            \
       "request_id,service,stage,pieces,status,wait_us", "None.")              \
+    X(STAGE_SHORTAGE, 230, "stage-shortage", EB_LEVEL_INFO,                   \
+      "The servers of a stage can't do all items that wait at this home in "  \
+      "time; once a second. busy, blocked and without_memory count servers, " \
+      "items_per_s and done_per_s are what they should do and have done; "    \
+      "mean_bytes is the mean size of the results of items that wait.",       \
+      "service,items,urgent_items,late_items,busy,blocked,without_memory,"    \
+      "held_bytes,foreign_bytes,mean_bytes,items_per_s,done_per_s",           \
+      "Add servers, or memory for results when most are without_memory.")     \
     X(ATTEMPT_STARTED, 209, "attempt-started", EB_LEVEL_INFO,                 \
       "A forwarded request is sent to a backend server. in_flight is the "    \
       "number of this daemon's calls there, left_us the time until its "      \
--- a/src/libebonyhollow/batching/batcher.c
+++ b/src/libebonyhollow/batching/batcher.c
@@ -409,6 +409,9 @@
         job->items[i] = (EbBatchItem){.job = job, .index = i};
         EbBatchJob_EnqueueItem(job, &job->items[i]);
     }
+    EbStageRates_Add(&job->service->arrivals,
+                     EbStageSchedule_Class(spec->priority), spec->item_count,
+                     now_us);
     EbBatchService_StartCalls(batcher, job->service, now_us);
 }
 
--- /dev/null
+++ b/src/libebonyhollow/batching/batcher_admission.c
@@ -0,0 +1,123 @@
+/* Admission: which waiting jobs the servers of a service can't do in time. */
+#include "batcher_state.h"
+
+/* Of the items done in a shortage, kept for each class of urgency. */
+#define LEAST_SHARE 0.1
+/* In a shortage that lasts this long, the rate of the items done is known. */
+#define MEASURED_AFTER_US 1000000
+#define REPORT_INTERVAL_US 1000000
+
+EbStageCapacity
+EbBatchService_Capacity(const EbBatchService *service, int64_t now_us)
+{
+    EbStageCapacity capacity = {.now_us = now_us,
+                                .call_us =
+                                    EbBatchService_ExpectedTime(service, 1),
+                                .least_share = LEAST_SHARE};
+    double full_call_us =
+        (double)EbBatchService_ExpectedTime(service, service->batch.max_items);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, service->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const EbBatchServer *server = value;
+        if (server->current && server->failures == 0) {
+            capacity.items_per_s += service->batch.max_items * 1e6 /
+                                    (full_call_us * server->slowdown);
+        }
+    }
+    /* In a shortage, what is done shows also what memory for results allows.
+     */
+    if (service->short_since_us != 0 &&
+        now_us - service->short_since_us >= MEASURED_AFTER_US) {
+        capacity.items_per_s =
+            MIN(capacity.items_per_s,
+                EbStageRates_PerSecond(&service->done, 0, now_us));
+    }
+    for (uint32_t i = 0; i < EB_STAGE_CLASSES; i++) {
+        capacity.arrivals_per_s[i] =
+            EbStageRates_PerSecond(&service->arrivals, i, now_us);
+    }
+    return capacity;
+}
+
+/* Logs a shortage, once a second. */
+static void
+report_shortage(const EbBatcher *batcher, EbBatchService *service,
+                const EbStageEntry *entries, guint count,
+                const EbStageCapacity *capacity)
+{
+    int64_t now_us = capacity->now_us;
+    if (service->next_report_us > now_us) {
+        return;
+    }
+    service->next_report_us = now_us + REPORT_INTERVAL_US;
+    int64_t urgent_items = 0;
+    int64_t late_items = 0;
+    for (guint i = 0; i < count; i++) {
+        urgent_items += entries[i].priority == 0 ? entries[i].items : 0;
+        late_items += entries[i].late ? entries[i].items : 0;
+    }
+    int64_t busy = 0;
+    int64_t blocked = 0;
+    int64_t without_memory = 0;
+    uint64_t held_bytes = 0;
+    uint64_t foreign_bytes = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, service->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const EbBatchServer *server = value;
+        held_bytes += server->held_bytes;
+        foreign_bytes += server->foreign_bytes;
+        if (server->running > 0) {
+            busy++;
+        }
+        else if (server->blocked_until_us > now_us) {
+            blocked++;
+        }
+        else if (!EbBatchService_HasMemory(service, server, now_us)) {
+            without_memory++;
+        }
+    }
+    EB_EMIT(batcher->options.events, EB_EVENT_STAGE_SHORTAGE,
+            EB_STRING_FIELD("service", service->name),
+            EB_INTEGER_FIELD("items", (int64_t)service->waiting_count),
+            EB_INTEGER_FIELD("urgent_items", urgent_items),
+            EB_INTEGER_FIELD("late_items", late_items),
+            EB_INTEGER_FIELD("busy", busy),
+            EB_INTEGER_FIELD("blocked", blocked),
+            EB_INTEGER_FIELD("without_memory", without_memory),
+            EB_INTEGER_FIELD("held_bytes", (int64_t)held_bytes),
+            EB_INTEGER_FIELD("foreign_bytes", (int64_t)foreign_bytes),
+            EB_INTEGER_FIELD("mean_bytes", (int64_t)(service->waiting_bytes /
+                                                     service->waiting_count)),
+            EB_INTEGER_FIELD("items_per_s", (int64_t)capacity->items_per_s),
+            EB_INTEGER_FIELD("done_per_s", (int64_t)EbStageRates_PerSecond(
+                                               &service->done, 0, now_us)));
+}
+
+void
+EbBatchService_ReviewJobs(EbBatcher *batcher, EbBatchService *service,
+                          int64_t now_us)
+{
+    if (service->next_review_us > now_us || service->waiting_count == 0) {
+        return;
+    }
+    service->next_review_us = now_us + EB_BATCH_REVIEW_US;
+    EbStageCapacity capacity = EbBatchService_Capacity(service, now_us);
+    GArray *list = EbBatchService_ListEntries(service, NULL, now_us);
+    EbStageEntry *entries = (EbStageEntry *)list->data;
+    if (EbStageSchedule_Order(entries, list->len, &capacity)) {
+        report_shortage(batcher, service, entries, list->len, &capacity);
+    }
+    EbStageSchedule_Project(entries, list->len, &capacity);
+    for (guint i = 0; i < list->len; i++) {
+        EbBatchJob *job = entries[i].job;
+        if (entries[i].hopeless && job->running_count == 0 &&
+            job->done_count == 0) {
+            EbBatchJob_Report(batcher, job, EB_PREPARED_LATE, now_us);
+        }
+    }
+    g_array_free(list, TRUE);
+}
--- a/src/libebonyhollow/batching/batcher_call.c
+++ b/src/libebonyhollow/batching/batcher_call.c
@@ -129,6 +129,7 @@
                           int64_t now_us)
 {
     expire_jobs(batcher, service, now_us);
+    EbBatchService_ReviewJobs(batcher, service, now_us);
     while (service->waiting_count > 0) {
         EbBatchServer *server =
             EbBatchService_ChooseServer(batcher, service, now_us);
@@ -208,6 +209,7 @@
     item->server_id = g_strdup(server->id);
     result->handle = NULL;
     job->done_count++;
+    EbStageRates_Add(&job->service->done, 0, 1, now_us);
     if (job->ended) {
         EbBatchJob_ReleaseResult(batcher, job, item, now_us);
     }
--- a/src/libebonyhollow/batching/batcher_choice.c
+++ b/src/libebonyhollow/batching/batcher_choice.c
@@ -20,8 +20,6 @@
  * room for this share of the items that it could take, or after the wait. */
 #define MIN_CALL_SHARE 0.7
 #define MEMORY_WAIT_US 150000
-/* Of the items done in a shortage, kept for each class of urgency. */
-#define LEAST_SHARE 0.1
 
 uint64_t
 EbBatchService_FreeMemory(const EbBatchService *service,
@@ -52,9 +50,9 @@
  * call costs far more than an item, so the server waits for memory that is
  * about to be released, unless there is room for most of a call. After
  * MEMORY_WAIT_US one result is enough. */
-static bool
-has_memory(const EbBatchService *service, const EbBatchServer *server,
-           int64_t now_us)
+bool
+EbBatchService_HasMemory(const EbBatchService *service,
+                         const EbBatchServer *server, int64_t now_us)
 {
     uint64_t memory_bytes = service->batch.result_memory_bytes;
     if (memory_bytes == 0 || service->waiting_count == 0) {
@@ -78,7 +76,7 @@
     return server->current && server->running < service->batch.max_calls &&
            server->blocked_until_us <= now_us &&
            server->skipped_us != now_us &&
-           has_memory(service, server, now_us) &&
+           EbBatchService_HasMemory(service, server, now_us) &&
            EbDirectives_Admits(batcher->options.directives, server->id,
                                now_us);
 }
@@ -194,39 +192,15 @@
     return false;
 }
 
-/* Returns what the servers of a service do that can be used now. */
-static EbStageCapacity
-measure_capacity(const EbBatchService *service, int64_t now_us)
-{
-    EbStageCapacity capacity = {.now_us = now_us,
-                                .call_us =
-                                    EbBatchService_ExpectedTime(service, 1),
-                                .least_share = LEAST_SHARE};
-    double full_call_us =
-        (double)EbBatchService_ExpectedTime(service, service->batch.max_items);
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, service->servers);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const EbBatchServer *server = value;
-        if (server->current && server->failures == 0) {
-            capacity.items_per_s += service->batch.max_items * 1e6 /
-                                    (full_call_us * server->slowdown);
-        }
-    }
-    return capacity;
-}
-
-/* Lists the jobs that wait, by due time, for a call to a server. */
-static GArray *
-list_entries(const EbBatchService *service, const EbBatchServer *server,
-             int64_t done_us)
+GArray *
+EbBatchService_ListEntries(const EbBatchService *service,
+                           const EbBatchServer *server, int64_t done_us)
 {
     GArray *entries = g_array_new(FALSE, FALSE, sizeof(EbStageEntry));
     for (GSequenceIter *iter = g_sequence_get_begin_iter(service->queue);
          !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter)) {
         EbBatchJob *job = g_sequence_get(iter);
-        bool remote = !is_local(job, server);
+        bool remote = server != NULL && !is_local(job, server);
         if (remote && can_wait_for_local_server(service, job, done_us)) {
             continue;
         }
@@ -246,13 +220,17 @@
 EbBatchCall_SelectItems(EbBatchCall *call, int64_t now_us)
 {
     EbBatchService *service = call->service;
-    EbStageCapacity capacity = measure_capacity(service, now_us);
-    GArray *list =
-        list_entries(service, call->server, now_us + capacity.call_us);
+    EbStageCapacity capacity = EbBatchService_Capacity(service, now_us);
+    GArray *list = EbBatchService_ListEntries(service, call->server,
+                                              now_us + capacity.call_us);
     EbStageEntry *entries = (EbStageEntry *)list->data;
     bool shortage = EbStageSchedule_Order(entries, list->len, &capacity);
     if (!shortage) {
         service->shares = (EbStageShares){0};
+        service->short_since_us = 0;
+    }
+    else if (service->short_since_us == 0) {
+        service->short_since_us = now_us;
     }
     size_t next = 0;
     while (call->items->len < service->batch.max_items &&
--- a/src/libebonyhollow/batching/private/batcher_state.h
+++ b/src/libebonyhollow/batching/private/batcher_state.h
@@ -7,6 +7,9 @@
 #include "ebonyhollow/batcher.h"
 #include "ebonyhollow/stage_schedule.h"
 
+/* Waiting jobs are reviewed this often. */
+#define EB_BATCH_REVIEW_US 50000
+
 typedef struct EbBatchJob EbBatchJob;
 typedef struct EbBatchService EbBatchService;
 
@@ -66,6 +69,11 @@
     size_t waiting_count;   /* items in the queue */
     uint64_t waiting_bytes; /* that their results will take */
     EbStageShares shares;   /* of the classes in a shortage */
+    EbStageRates arrivals;  /* of items, by class */
+    EbStageRates done;      /* of items; the first class counts all */
+    int64_t short_since_us; /* 0: no shortage */
+    int64_t next_review_us; /* of the jobs that wait */
+    int64_t next_report_us; /* of a shortage */
 };
 
 typedef struct {
@@ -107,8 +115,22 @@
                               EbBatchItem *item, int64_t now_us);
 void EbBatchJob_Free(EbBatcher *batcher, EbBatchJob *job);
 
+/* batcher_admission.c */
+
+/* Returns what the servers of a service do that can be used now. */
+EbStageCapacity EbBatchService_Capacity(const EbBatchService *service,
+                                        int64_t now_us);
+/* Reports the waiting jobs that can't be done before their deadline in view of
+ * all that goes before them. Does nothing within EB_BATCH_REVIEW_US after the
+ * last time. */
+void EbBatchService_ReviewJobs(EbBatcher *batcher, EbBatchService *service,
+                               int64_t now_us);
+
 /* batcher_choice.c */
 
+/* Returns whether a server has memory for the results of the next call. */
+bool EbBatchService_HasMemory(const EbBatchService *service,
+                              const EbBatchServer *server, int64_t now_us);
 /* Returns the memory for results that is free at a server. */
 uint64_t EbBatchService_FreeMemory(const EbBatchService *service,
                                    const EbBatchServer *server,
@@ -123,6 +145,13 @@
  * in microseconds. */
 int64_t EbBatchService_ExpectedTime(const EbBatchService *service,
                                     size_t items);
+/* Returns an entry for each job that waits and may be sent to a server. The
+ * caller frees the array.
+ *
+ * server: NULL: all jobs. */
+GArray *EbBatchService_ListEntries(const EbBatchService *service,
+                                   const EbBatchServer *server,
+                                   int64_t done_us);
 /* Returns the best free server for the most urgent job, or NULL when none is
  * free or it is so slow that waiting for a faster one is better. */
 EbBatchServer *EbBatchService_ChooseServer(const EbBatcher *batcher,
--- a/src/libebonyhollow/batching/stage_schedule.c
+++ b/src/libebonyhollow/batching/stage_schedule.c
@@ -1,5 +1,6 @@
 #include "ebonyhollow/stage_schedule.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 #include <glib.h>
@@ -8,6 +9,26 @@
  * long time doesn't take whole calls. */
 #define MAX_OWED 32.0
 
+/* Time constant of the rates. */
+#define RATE_TIME_S 1.0
+
+void
+EbStageRates_Add(EbStageRates *rates, uint32_t class, double count,
+                 int64_t now_us)
+{
+    rates->per_s[class] =
+        EbStageRates_PerSecond(rates, class, now_us) + count / RATE_TIME_S;
+    rates->at_us[class] = now_us;
+}
+
+double
+EbStageRates_PerSecond(const EbStageRates *rates, uint32_t class,
+                       int64_t now_us)
+{
+    double passed_s = (double)(now_us - rates->at_us[class]) / 1e6;
+    return rates->per_s[class] * exp(-passed_s / RATE_TIME_S);
+}
+
 uint32_t
 EbStageSchedule_Class(uint8_t priority)
 {
@@ -122,10 +143,17 @@
                         const EbStageCapacity *capacity)
 {
     double items = 0;
+    if (capacity->items_per_s <= 0) {
+        return;
+    }
     for (size_t i = 0; i < count; i++) {
-        items += entries[i].items;
-        entries[i].done_us = capacity->now_us + capacity->call_us +
-                             time_for(items, rate_for(&entries[i], capacity));
+        int64_t done_us = capacity->now_us + capacity->call_us +
+                          time_for(items + entries[i].items,
+                                   rate_for(&entries[i], capacity));
+        entries[i].hopeless = done_us > entries[i].deadline_us;
+        if (!entries[i].hopeless) {
+            items += entries[i].items;
+        }
     }
 }
 
