batching: in time first, then priority, then the route's; messages that can't be sent are errors

A customer's priority decides before that of the route, as the platform demands. EbMembership_Send returns false for a message that can't be encoded, logs and counts it.

--- a/include/actions/ebonyhollow/action.h
+++ b/include/actions/ebonyhollow/action.h
@@ -91,8 +91,11 @@
     char *key;            /* input, if the stage depends on no other */
     GPtrArray *inputs;    /* of char *; otherwise handles of earlier results */
     uint8_t priority;     /* of the request; 0 is the most urgent */
-    int64_t due_us;       /* when it should be done; decides the order */
-    int64_t deadline_us;  /* when the results are of no use any more */
+    /* Of the request's pipeline. Decides between requests of the same
+     * priority, which is the customer's if it has one. */
+    uint8_t route_priority;
+    int64_t due_us;      /* when it should be done; decides the order */
+    int64_t deadline_us; /* when the results are of no use any more */
 } EbPreparationJob;
 
 /* A batched call: work items of several requests for one server. */
--- a/include/batching/ebonyhollow/stage_schedule.h
+++ b/include/batching/ebonyhollow/stage_schedule.h
@@ -2,9 +2,9 @@
  * items that wait there, and which of them it can't do in time any more.
  *
  * While all items that wait will be done in time, the earliest due time goes
- * first. In a shortage the more urgent class goes first, and within a class
- * those that can still be in time, then those of requests whose earlier stages
- * are done, then the earliest due time. A share of the items is kept for the
+ * first. In a shortage those that can still be in time go first, among them
+ * the more urgent class, then requests whose earlier stages are done, then the
+ * earliest due time. A share of the items is kept for the
  * classes that would otherwise get nothing.
  *
  * The functions do no I/O and keep no reference to what they are given. All
@@ -24,10 +24,14 @@
 typedef struct {
     void *job; /* of the caller */
     uint32_t items;
-    uint8_t priority;    /* 0 is the most urgent */
-    uint32_t stage;      /* of its request */
-    bool remote;         /* its results are used in another failure domain */
-    int64_t due_us;      /* when it has to be done for a request in time */
+    uint8_t priority;       /* 0 is the most urgent */
+    uint8_t route_priority; /* decides between equal priorities */
+    uint32_t stage;         /* of its request */
+    bool remote;    /* its results are used in another failure domain */
+    int64_t due_us; /* when it should be done at the usual speed */
+    /* How much later it may be done for a request in time, when the later
+     * stages are faster than usual. */
+    int64_t slack_us;
     int64_t deadline_us; /* later results are of no use */
     /* Set by EbStageSchedule_Order. */
     bool late; /* its request can't be in time any more */
@@ -76,7 +80,7 @@
 
 /* Sets `hopeless` of entries that EbStageSchedule_Order has sorted. An entry
  * waits for those before it that are not hopeless, and for the more urgent
- * work that arrives meanwhile; a late one also for that of its own class. */
+ * work that arrives meanwhile. */
 void EbStageSchedule_Project(EbStageEntry *entries, size_t count,
                              const EbStageCapacity *capacity);
 
--- a/include/membership/ebonyhollow/membership.h
+++ b/include/membership/ebonyhollow/membership.h
@@ -18,6 +18,7 @@
 #include "ebonyhollow/action.h"
 #include "ebonyhollow/event.h"
 #include "ebonyhollow/message.h"
+#include "ebonyhollow/metrics.h"
 #include "ebonyhollow/random.h"
 
 #define EB_MEMBERSHIP_MESH_MAX 16
@@ -39,6 +40,7 @@
     EbActionQueue *actions;
     EbRandom *random;
     const EbEventSink *events;
+    EbMetrics *metrics; /* counts messages that can't be sent; NULL: none */
     /* Called for each message except HEARTBEAT and MEMBERS, and once for each
      * flooded message. */
     void (*deliver)(void *context, const char *peer, const EbMessage *message,
@@ -92,7 +94,7 @@
  * one is opened, for 5 s at most.
  *
  * Returns false when the daemon is unknown, dead or this one, or when the
- * message can't be queued. */
+ * message can't be encoded or queued. */
 bool EbMembership_Send(EbMembership *membership, const char *instance,
                        const EbMessage *message, int64_t now_us);
 
--- a/include/membership/ebonyhollow/message.h
+++ b/include/membership/ebonyhollow/message.h
@@ -154,7 +154,8 @@
     uint64_t due_in_us;
     uint64_t late_us;
     uint64_t left_us;
-    uint32_t prepared; /* EbPreparedStatus */
+    uint32_t route_priority; /* 0 from a daemon that does not send it */
+    uint32_t prepared;       /* EbPreparedStatus */
     /* PREPARE: inputs; PREPARED: results */
     char **handles;
     uint32_t handle_count;
--- a/include/share/ebonyhollow/event_table.h
+++ b/include/share/ebonyhollow/event_table.h
@@ -79,9 +79,14 @@
       "time; once a second. busy, blocked and without_memory count servers, " \
       "items_per_s and done_per_s are what they should do and have done; "    \
       "mean_bytes is the mean size of the results of items that wait.",       \
-      "service,items,urgent_items,late_items,busy,blocked,without_memory,"    \
+      "service,items,by_priority,late_items,busy,blocked,without_memory,"     \
       "held_bytes,foreign_bytes,mean_bytes,items_per_s,done_per_s",           \
       "Add servers, or memory for results when most are without_memory.")     \
+    X(MESSAGE_UNSENT, 231, "message-unsent", EB_LEVEL_ERROR,                  \
+      "A message to another daemon can't be encoded and was not sent; work "  \
+      "that it carries is done here or fails at once.",                       \
+      "peer,kind",                                                            \
+      "Report it; a name in the message is probably longer than 127 bytes.")  \
     X(ATTEMPT_STARTED, 209, "attempt-started", EB_LEVEL_INFO,                 \
       "A forwarded request is sent to a backend server. in_flight is the "    \
       "number of this daemon's calls there, left_us the time until its "      \
--- a/src/libebonyhollow/batching/batcher_admission.c
+++ b/src/libebonyhollow/batching/batcher_admission.c
@@ -33,7 +33,7 @@
         capacity.items_per_s =
             MIN(capacity.items_per_s,
                 EbStageRates_PerSecond(&service->done, 0, now_us));
-    }
+        }
     for (uint32_t i = 0; i < EB_STAGE_CLASSES; i++) {
         capacity.arrivals_per_s[i] =
             EbStageRates_PerSecond(&service->arrivals, i, now_us);
@@ -52,12 +52,19 @@
         return;
     }
     service->next_report_us = now_us + REPORT_INTERVAL_US;
-    int64_t urgent_items = 0;
+    uint32_t by_class[EB_STAGE_CLASSES] = {0};
     int64_t late_items = 0;
     for (guint i = 0; i < count; i++) {
-        urgent_items += entries[i].priority == 0 ? entries[i].items : 0;
+        by_class[EbStageSchedule_Class(entries[i].priority)] +=
+            entries[i].items;
         late_items += entries[i].late ? entries[i].items : 0;
     }
+    GString *by_priority = g_string_new(NULL);
+    for (uint32_t i = 0; i < EB_STAGE_CLASSES; i++) {
+        if (by_class[i] > 0) {
+            g_string_append_printf(by_priority, "%u:%u ", i, by_class[i]);
+        }
+    }
     int64_t busy = 0;
     int64_t blocked = 0;
     int64_t without_memory = 0;
@@ -83,7 +90,7 @@
     EB_EMIT(batcher->options.events, EB_EVENT_STAGE_SHORTAGE,
             EB_STRING_FIELD("service", service->name),
             EB_INTEGER_FIELD("items", (int64_t)service->waiting_count),
-            EB_INTEGER_FIELD("urgent_items", urgent_items),
+            EB_STRING_FIELD("by_priority", by_priority->str),
             EB_INTEGER_FIELD("late_items", late_items),
             EB_INTEGER_FIELD("busy", busy),
             EB_INTEGER_FIELD("blocked", blocked),
@@ -95,6 +102,7 @@
             EB_INTEGER_FIELD("items_per_s", (int64_t)capacity->items_per_s),
             EB_INTEGER_FIELD("done_per_s", (int64_t)EbStageRates_PerSecond(
                                                &service->done, 0, now_us)));
+    g_string_free(by_priority, TRUE);
 }
 
 void
--- a/src/libebonyhollow/batching/stage_schedule.c
+++ b/src/libebonyhollow/batching/stage_schedule.c
@@ -68,11 +68,14 @@
     const EbStageEntry *b = right;
     uint32_t class_a = EbStageSchedule_Class(a->priority);
     uint32_t class_b = EbStageSchedule_Class(b->priority);
+    if (a->late != b->late) {
+        return a->late ? 1 : -1;
+    }
     if (class_a != class_b) {
         return class_a < class_b ? -1 : 1;
     }
-    if (a->late != b->late) {
-        return a->late ? 1 : -1;
+    if (a->route_priority != b->route_priority) {
+        return a->route_priority < b->route_priority ? -1 : 1;
     }
     if (!a->late && a->remote != b->remote) {
         return a->remote ? 1 : -1;
@@ -132,7 +135,7 @@
 {
     uint32_t class = EbStageSchedule_Class(entry->priority);
     double rate = capacity->items_per_s;
-    for (uint32_t i = 0; i < class + (entry->late ? 1 : 0); i++) {
+    for (uint32_t i = 0; i < class; i++) {
         rate -= capacity->arrivals_per_s[i];
     }
     return MAX(rate, capacity->least_share * capacity->items_per_s);
--- a/src/libebonyhollow/membership/membership.c
+++ b/src/libebonyhollow/membership/membership.c
@@ -103,16 +103,38 @@
                                 .byte_count = byte_count}});
 }
 
-void
+/* Encodes a message to a peer. Returns false, logs and counts it when it can't
+ * be encoded, for instance since a name in it is too long. */
+static bool
+encode(const EbMembership *membership, const EbMember *peer,
+       const EbMessage *message, uint8_t **bytes, size_t *byte_count)
+{
+    if (EbMessage_Encode(message, bytes, byte_count)) {
+        return true;
+    }
+    const char *kind = EbMessageKind_names[message->kind];
+    EB_EMIT(membership->options.events, EB_EVENT_MESSAGE_UNSENT,
+            EB_STRING_FIELD("peer", peer->name),
+            EB_STRING_FIELD("kind", kind));
+    if (membership->options.metrics != NULL) {
+        EbMetrics_Add(membership->options.metrics, EB_METRIC_PEER_MESSAGES, 1,
+                      "unsent", kind, NULL);
+    }
+    return false;
+}
+
+bool
 EbMembership_SendMessage(EbMembership *membership, const EbMember *peer,
                          const EbMessage *message)
 {
     uint8_t *bytes;
     size_t byte_count;
-    if (EbMessage_Encode(message, &bytes, &byte_count)) {
-        EbMembership_SendBytes(membership, peer, bytes, byte_count);
-        free(bytes);
+    if (!encode(membership, peer, message, &bytes, &byte_count)) {
+        return false;
     }
+    EbMembership_SendBytes(membership, peer, bytes, byte_count);
+    free(bytes);
+    return true;
 }
 
 static EbMessage
@@ -320,7 +342,7 @@
     uint8_t *bytes;
     size_t byte_count;
     if (member->pending.length >= PENDING_MAX ||
-        !EbMessage_Encode(message, &bytes, &byte_count)) {
+        !encode(membership, member, message, &bytes, &byte_count)) {
         return false;
     }
     EbPendingSend *send = g_new0(EbPendingSend, 1);
@@ -343,8 +365,7 @@
         return queue_send(membership, member, message, now_us);
     }
     member->link.last_use_us = now_us;
-    EbMembership_SendMessage(membership, member, message);
-    return true;
+    return EbMembership_SendMessage(membership, member, message);
 }
 
 void
--- a/src/libebonyhollow/membership/private/membership_private.h
+++ b/src/libebonyhollow/membership/private/membership_private.h
@@ -154,7 +154,9 @@
 /* membership.c */
 void EbMembership_SendBytes(EbMembership *membership, const EbMember *peer,
                             const uint8_t *bytes, size_t byte_count);
-void EbMembership_SendMessage(EbMembership *membership, const EbMember *peer,
+/* Returns false when the message can't be encoded, which is logged and
+ * counted. */
+bool EbMembership_SendMessage(EbMembership *membership, const EbMember *peer,
                               const EbMessage *message);
 void EbMembership_CloseLink(EbMembership *membership, EbMember *member,
                             int64_t now_us);
--- a/src/libebonyhollow/requests/dispatcher_prepare.c
+++ b/src/libebonyhollow/requests/dispatcher_prepare.c
@@ -159,6 +159,7 @@
             .near_inputs = inputs_bytes > outputs_bytes,
             .failure_domain = g_strdup(expected_domain(request, now_us)),
             .priority = EbRequest_Priority(request),
+            .route_priority = EbRequest_ForwardConfig(request)->priority,
             .due_us = request->summary->received_us +
                       EbRequest_ForwardConfig(request)->latency_goal_us -
                       preparation->downstream_us -
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -219,6 +219,7 @@
                                .actions = daemon->actions,
                                .random = &daemon->random,
                                .events = daemon->events,
+                               .metrics = daemon->metrics,
                                .deliver = EbDaemon_OnPeerMessage,
                                .changed = EbDaemon_OnMembersChanged,
                                .announced = EbDaemon_OnGenerationAnnounced,
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -288,6 +288,7 @@
         .stage = spec->stage,
         .piece_count = spec->item_count,
         .priority = spec->priority,
+        .route_priority = spec->route_priority,
         .result_bytes = spec->result_bytes,
         .transfer_bytes = spec->transfer_bytes,
         .failure_domain = spec->failure_domain,
@@ -395,6 +396,7 @@
         .stage = message->stage,
         .item_count = message->piece_count,
         .priority = (uint8_t)message->priority,
+        .route_priority = (uint8_t)message->route_priority,
         .result_bytes = message->result_bytes,
         .transfer_bytes = message->transfer_bytes,
         .failure_domain = message->failure_domain,
@@ -441,6 +443,24 @@
     record_result(daemon, peer, &result, now_us);
 }
 
+/* Sends a result to its requester. If the message can't be sent, the job ends
+ * here and its requester is told that it failed. */
+static void
+send_result(EbDaemon *daemon, const EbBatcherResult *result,
+            const EbMessage *message, int64_t now_us)
+{
+    if (EbMembership_Send(daemon->membership, result->requester, message,
+                          now_us) ||
+        result->handle_count == 0) {
+        return;
+    }
+    EbMessage failure = {.kind = EB_MESSAGE_PREPARED,
+                         .job = result->job,
+                         .prepared = EB_PREPARED_FAILED};
+    EbBatcher_EndJob(daemon->batcher, result->requester, result->job, now_us);
+    EbMembership_Send(daemon->membership, result->requester, &failure, now_us);
+}
+
 void
 EbDaemon_SendPreparationResults(EbDaemon *daemon, int64_t now_us)
 {
@@ -456,8 +476,7 @@
                                  .prepared = result.status,
                                  .handles = result.handles,
                                  .handle_count = result.handle_count};
-            EbMembership_Send(daemon->membership, result.requester, &message,
-                              now_us);
+            send_result(daemon, &result, &message, now_us);
         }
         EbBatcherResult_Clear(&result);
     }
--- a/src/test_membership/main.c
+++ b/src/test_membership/main.c
@@ -446,6 +446,32 @@
     Network_Stop();
 }
 
+/* Guards against a message that is dropped without notice to its sender since
+ * a name in it is too long, with a link and without. */
+static void
+test_unsendable_message(void)
+{
+    size = 2;
+    Network_Start(size, SEED);
+    EbMembership *membership = network.nodes[0].membership;
+    char service[200];
+    memset(service, 'a', sizeof(service));
+    service[sizeof(service) - 1] = '\0';
+    EbMessage message = {.kind = EB_MESSAGE_PREPARE,
+                         .job = 1,
+                         .request_id = (char *)"r-1",
+                         .service = service,
+                         .piece_count = 1,
+                         .piece_key = (char *)"key"};
+    run_until_converged("start", 10 * SECOND_US);
+    CU_ASSERT_FALSE(
+        EbMembership_Send(membership, "n1", &message, network.now_us));
+    message.service = (char *)"encode";
+    CU_ASSERT_TRUE(
+        EbMembership_Send(membership, "n1", &message, network.now_us));
+    Network_Stop();
+}
+
 int
 main(void)
 {
@@ -461,6 +487,7 @@
         {"duplicates", test_duplicates},
         {"quarantine after a restart", test_quarantine_after_restart},
         {"on-demand links", test_on_demand_links},
+        {"unsendable message", test_unsendable_message},
     };
     return EbTest_Run("test_membership", cases, TABLE_COUNT(cases));
 }
