batching: urgency and early answers only where routes of different priority share limited memory

A late job is projected with what the arrivals in time of its class and of more urgent ones leave of the servers' rate. What a server had no room for counts as taken by results of others, instead of all that this home doesn't know. The classes are those of priority and of the route's priority.

--- a/include/batching/ebonyhollow/stage_schedule.h
+++ b/include/batching/ebonyhollow/stage_schedule.h
@@ -16,17 +16,18 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* Classes of urgency that are told apart; less urgent ones count as the last.
- */
-#define EB_STAGE_CLASSES 8
+/* Priorities, and priorities of routes, that are told apart; less urgent ones
+ * count as the last. */
+#define EB_STAGE_PRIORITIES 4
+/* Classes of urgency: a priority and the priority of a route. */
+#define EB_STAGE_CLASSES (EB_STAGE_PRIORITIES * EB_STAGE_PRIORITIES)
 
 /* One job that waits. */
 typedef struct {
     void *job; /* of the caller */
     uint32_t items;
-    uint8_t priority;       /* 0 is the most urgent */
-    uint8_t route_priority; /* decides between equal priorities */
-    uint32_t stage;         /* of its request */
+    uint32_t class; /* see EbStageSchedule_Class */
+    uint32_t stage; /* of its request */
     bool remote;    /* its results are used in another failure domain */
     int64_t due_us; /* when it should be done at the usual speed */
     /* How much later it may be done for a request in time, when the later
@@ -42,12 +43,16 @@
 /* What the servers of a service do. */
 typedef struct {
     int64_t now_us;
+    /* Whether a shortage is judged by due times. Otherwise there is one while
+     * more than `items_at_once` wait, and no class is kept a share. */
+    bool by_urgency;
+    size_t items_at_once; /* that all servers take in one call each */
     int64_t call_us;    /* time of a call with one item */
     double items_per_s; /* of all servers that can be used */
-    /* Items that arrive a second, by class. */
+    /* Items a second, by class, that arrive in time. */
     double arrivals_per_s[EB_STAGE_CLASSES];
-    double
-        least_share; /* of the items, for each class that has waiting ones */
+    /* Of the items, for each class that has waiting ones. */
+    double least_share;
 } EbStageCapacity;
 
 /* Moving averages of events a second, by class. All zeros is the initial
@@ -70,8 +75,8 @@
     double owed[EB_STAGE_CLASSES]; /* items by least share, not yet given */
 } EbStageShares;
 
-/* Returns the class of a priority. */
-uint32_t EbStageSchedule_Class(uint8_t priority);
+/* Returns a class; lower ones are more urgent. */
+uint32_t EbStageSchedule_Class(uint8_t priority, uint8_t route_priority);
 
 /* Sorts entries in the order in which they are to be done, and sets `late`.
  * Returns true in a shortage: the servers can't do all of them in time. */
@@ -79,8 +84,8 @@
                            const EbStageCapacity *capacity);
 
 /* Sets `hopeless` of entries that EbStageSchedule_Order has sorted. An entry
- * waits for those before it that are not hopeless, and for the more urgent
- * work that arrives meanwhile. */
+ * waits for those before it that are not hopeless. A late one is done with
+ * what the arrivals in time of its class and of more urgent ones leave. */
 void EbStageSchedule_Project(EbStageEntry *entries, size_t count,
                              const EbStageCapacity *capacity);
 
--- a/src/libebonyhollow/batching/batcher_admission.c
+++ b/src/libebonyhollow/batching/batcher_admission.c
@@ -33,7 +33,7 @@
         capacity.items_per_s =
             MIN(capacity.items_per_s,
                 EbStageRates_PerSecond(&service->done, 0, now_us));
-        }
+    }
     for (uint32_t i = 0; i < EB_STAGE_CLASSES; i++) {
         capacity.arrivals_per_s[i] =
             EbStageRates_PerSecond(&service->arrivals, i, now_us);
@@ -55,14 +55,15 @@
     uint32_t by_class[EB_STAGE_CLASSES] = {0};
     int64_t late_items = 0;
     for (guint i = 0; i < count; i++) {
-        by_class[EbStageSchedule_Class(entries[i].priority)] +=
-            entries[i].items;
+        by_class[entries[i].class] += entries[i].items;
         late_items += entries[i].late ? entries[i].items : 0;
     }
     GString *by_priority = g_string_new(NULL);
     for (uint32_t i = 0; i < EB_STAGE_CLASSES; i++) {
         if (by_class[i] > 0) {
-            g_string_append_printf(by_priority, "%u:%u ", i, by_class[i]);
+            g_string_append_printf(by_priority, "%u/%u:%u ",
+                                   i / EB_STAGE_PRIORITIES,
+                                   i % EB_STAGE_PRIORITIES, by_class[i]);
         }
     }
     int64_t busy = 0;
@@ -109,7 +110,8 @@
 EbBatchService_ReviewJobs(EbBatcher *batcher, EbBatchService *service,
                           int64_t now_us)
 {
-    if (service->next_review_us > now_us || service->waiting_count == 0) {
+    if (!service->by_urgency || service->next_review_us > now_us ||
+        service->waiting_count == 0) {
         return;
     }
     service->next_review_us = now_us + EB_BATCH_REVIEW_US;
--- a/src/libebonyhollow/batching/batcher_call.c
+++ b/src/libebonyhollow/batching/batcher_call.c
@@ -254,10 +254,12 @@
         (double)(now_us - call->started_us) / (double)call->expected_us;
     server->slowdown += SLOWDOWN_GAIN * (slowdown - server->slowdown);
     server->failures = 0;
-    bool no_room = false;
+    uint64_t missing_bytes = 0;
     for (size_t i = 0; i < count; i++) {
         EbBatchItem *item = g_ptr_array_index(call->items, i);
-        no_room = no_room || results[i].kind == EB_WORK_ITEM_OUT_OF_MEMORY;
+        if (results[i].kind == EB_WORK_ITEM_OUT_OF_MEMORY) {
+            missing_bytes += item->job->spec.result_bytes;
+        }
         if (results[i].kind == EB_WORK_ITEM_DONE) {
             complete_item(batcher, item, server, &results[i], now_us);
         }
@@ -266,9 +268,10 @@
                                  now_us);
         }
     }
-    if (no_room) {
+    if (missing_bytes > 0) {
         block_server(server, BLOCK_FULL_US, now_us);
-        EbBatchService_RecordFullMemory(call->service, server, now_us);
+        EbBatchService_RecordFullMemory(call->service, server, missing_bytes,
+                                        now_us);
     }
     end_call(batcher, call, now_us);
 }
--- a/src/libebonyhollow/batching/batcher_choice.c
+++ b/src/libebonyhollow/batching/batcher_choice.c
@@ -21,28 +21,37 @@
 #define MIN_CALL_SHARE 0.7
 #define MEMORY_WAIT_US 150000
 
+/* Returns the memory that results of others still take at a server. */
+static uint64_t
+foreign_memory(const EbBatchService *service, const EbBatchServer *server,
+               int64_t now_us)
+{
+    int64_t lifetime_us = service->batch.result_lifetime_us;
+    int64_t left_us = server->foreign_seen_us + lifetime_us - now_us;
+    return server->foreign_bytes > 0 && left_us > 0
+               ? (uint64_t)((double)server->foreign_bytes * (double)left_us /
+                            (double)lifetime_us)
+               : 0;
+}
+
 uint64_t
 EbBatchService_FreeMemory(const EbBatchService *service,
                           const EbBatchServer *server, int64_t now_us)
 {
-    uint64_t taken_bytes = server->held_bytes;
-    int64_t lifetime_us = service->batch.result_lifetime_us;
-    int64_t left_us = server->foreign_seen_us + lifetime_us - now_us;
-    if (server->foreign_bytes > 0 && left_us > 0) {
-        taken_bytes += (uint64_t)((double)server->foreign_bytes *
-                                  (double)left_us / (double)lifetime_us);
-    }
+    uint64_t taken_bytes =
+        server->held_bytes + foreign_memory(service, server, now_us);
     uint64_t memory_bytes = service->batch.result_memory_bytes;
     return memory_bytes - MIN(taken_bytes, memory_bytes);
 }
 
 void
 EbBatchService_RecordFullMemory(const EbBatchService *service,
-                                EbBatchServer *server, int64_t now_us)
+                                EbBatchServer *server, uint64_t missing_bytes,
+                                int64_t now_us)
 {
-    uint64_t memory_bytes = service->batch.result_memory_bytes;
     server->foreign_bytes =
-        memory_bytes - MIN(server->held_bytes, memory_bytes);
+        MIN(foreign_memory(service, server, now_us) + missing_bytes,
+            service->batch.result_memory_bytes);
     server->foreign_seen_us = now_us;
 }
 
@@ -159,9 +168,8 @@
     }
 }
 
-/* Returns the number of items that all servers take in one call each. */
-static size_t
-call_capacity(const EbBatchService *service)
+size_t
+EbBatchService_ItemsAtOnce(const EbBatchService *service)
 {
     return (size_t)service->batch.max_items *
            g_hash_table_size(service->servers);
@@ -173,8 +181,8 @@
 can_wait_for_local_server(const EbBatchService *service, const EbBatchJob *job,
                           int64_t done_us)
 {
-    bool busy =
-        service->waiting_count > call_capacity(service) / LOCAL_BUSY_DIVISOR;
+    bool busy = service->waiting_count >
+                EbBatchService_ItemsAtOnce(service) / LOCAL_BUSY_DIVISOR;
     if (busy || job->spec.transfer_bytes < LOCAL_MIN_BYTES ||
         job->spec.due_us - done_us < LOCAL_MARGIN_US) {
         return false;
@@ -204,14 +212,15 @@
         if (remote && can_wait_for_local_server(service, job, done_us)) {
             continue;
         }
-        EbStageEntry entry = {.job = job,
-                              .items = job->waiting.length,
-                              .priority = job->spec.priority,
-                              .route_priority = job->spec.route_priority,
-                              .stage = job->spec.stage,
-                              .remote = remote,
-                              .due_us = job->spec.due_us,
-                              .deadline_us = job->spec.deadline_us};
+        EbStageEntry entry = {
+            .job = job,
+            .items = job->waiting.length,
+            .class = EbStageSchedule_Class(job->spec.priority,
+                                           job->spec.route_priority),
+            .stage = job->spec.stage,
+            .remote = remote,
+            .due_us = job->spec.due_us,
+            .deadline_us = job->spec.deadline_us};
         g_array_append_val(entries, entry);
     }
     return entries;
@@ -242,8 +251,7 @@
         add_items(call, entry->job, now_us);
         entry->items = 0;
         if (shortage) {
-            EbStageShares_Record(&service->shares,
-                                 EbStageSchedule_Class(entry->priority),
+            EbStageShares_Record(&service->shares, entry->class,
                                  call->items->len - before, entries, list->len,
                                  capacity.least_share);
         }
--- a/src/libebonyhollow/batching/private/batcher_state.h
+++ b/src/libebonyhollow/batching/private/batcher_state.h
@@ -53,7 +53,8 @@
     double slowdown;       /* moving average: call time / expected call time */
     uint64_t held_bytes;   /* of results stored or being made there */
     /* Taken by results that this home doesn't know, when the server last had
-     * no room for one: those of an earlier home, or of one that was cut off. */
+     * no room for one: those of an earlier home, or of one that was cut off.
+     */
     uint64_t foreign_bytes;
     int64_t foreign_seen_us;
     uint64_t released_bytes; /* of the results in `releases` */
@@ -68,8 +69,10 @@
     GSequence *queue;       /* of EbBatchJob with waiting items, by due time */
     size_t waiting_count;   /* items in the queue */
     uint64_t waiting_bytes; /* that their results will take */
+    /* Routes of different priority use it, and its memory is limited. */
+    bool by_urgency;
     EbStageShares shares;   /* of the classes in a shortage */
-    EbStageRates arrivals;  /* of items, by class */
+    EbStageRates arrivals;  /* of items in time, by class */
     EbStageRates done;      /* of items; the first class counts all */
     int64_t short_since_us; /* 0: no shortage */
     int64_t next_review_us; /* of the jobs that wait */
@@ -128,6 +131,9 @@
 
 /* batcher_choice.c */
 
+/* Returns the number of items that all servers take in one call each. */
+size_t EbBatchService_ItemsAtOnce(const EbBatchService *service);
+
 /* Returns whether a server has memory for the results of the next call. */
 bool EbBatchService_HasMemory(const EbBatchService *service,
                               const EbBatchServer *server, int64_t now_us);
@@ -135,11 +141,12 @@
 uint64_t EbBatchService_FreeMemory(const EbBatchService *service,
                                    const EbBatchServer *server,
                                    int64_t now_us);
-/* Records that a server had no room for a result. Whatever is not taken by
- * results of this home is taken by those of others, which expire one after
- * another within the lifetime of a result. */
+/* Records that a server had no room for `missing_bytes` of results, although
+ * there should have been: results that this home doesn't know take it. They
+ * expire one after another within the lifetime of a result. */
 void EbBatchService_RecordFullMemory(const EbBatchService *service,
-                                     EbBatchServer *server, int64_t now_us);
+                                     EbBatchServer *server,
+                                     uint64_t missing_bytes, int64_t now_us);
 
 /* Returns how long a call with `items` items takes at a server of usual speed,
  * in microseconds. */
--- a/src/libebonyhollow/batching/stage_schedule.c
+++ b/src/libebonyhollow/batching/stage_schedule.c
@@ -30,9 +30,10 @@
 }
 
 uint32_t
-EbStageSchedule_Class(uint8_t priority)
+EbStageSchedule_Class(uint8_t priority, uint8_t route_priority)
 {
-    return MIN(priority, EB_STAGE_CLASSES - 1);
+    return MIN(priority, EB_STAGE_PRIORITIES - 1) * EB_STAGE_PRIORITIES +
+           MIN(route_priority, EB_STAGE_PRIORITIES - 1);
 }
 
 static int
@@ -49,43 +50,44 @@
     return compare_times(a->due_us, b->due_us);
 }
 
-/* Work that belongs in the server's failure domain first. */
 static int
-compare_local(const void *left, const void *right)
+compare_classes(const EbStageEntry *a, const EbStageEntry *b)
 {
-    const EbStageEntry *a = left;
-    const EbStageEntry *b = right;
-    if (a->remote != b->remote) {
-        return a->remote ? 1 : -1;
-    }
-    return compare_times(a->due_us, b->due_us);
+    return a->class < b->class ? -1 : a->class > b->class;
 }
 
+/* While there is no shortage, the classes of those in time don't matter. */
 static int
-compare_urgency(const void *left, const void *right)
+compare_usual(const void *left, const void *right)
 {
     const EbStageEntry *a = left;
     const EbStageEntry *b = right;
-    uint32_t class_a = EbStageSchedule_Class(a->priority);
-    uint32_t class_b = EbStageSchedule_Class(b->priority);
     if (a->late != b->late) {
         return a->late ? 1 : -1;
     }
-    if (class_a != class_b) {
-        return class_a < class_b ? -1 : 1;
-    }
-    if (a->route_priority != b->route_priority) {
-        return a->route_priority < b->route_priority ? -1 : 1;
+    if (a->late && a->class != b->class) {
+        return compare_classes(a, b);
     }
     if (!a->late && a->remote != b->remote) {
         return a->remote ? 1 : -1;
     }
-    if (a->stage != b->stage) {
+    if (a->late && a->stage != b->stage) {
         return a->stage > b->stage ? -1 : 1;
     }
     return compare_times(a->due_us, b->due_us);
 }
 
+static int
+compare_urgency(const void *left, const void *right)
+{
+    const EbStageEntry *a = left;
+    const EbStageEntry *b = right;
+    if (!a->late && !b->late && a->class != b->class) {
+        return compare_classes(a, b);
+    }
+    return compare_usual(left, right);
+}
+
 static int64_t
 time_for(double items, double items_per_s)
 {
@@ -93,13 +95,17 @@
                            : INT64_MAX / 4;
 }
 
-/* Returns whether the entries, by due time, can't all be done in time. */
+/* Returns whether the entries that are not late, by due time, can't all be
+ * done in time. */
 static bool
 is_short(const EbStageEntry *entries, size_t count,
          const EbStageCapacity *capacity)
 {
     double items = 0;
     for (size_t i = 0; i < count; i++) {
+        if (entries[i].late) {
+            continue;
+        }
         items += entries[i].items;
         int64_t done_us = capacity->now_us + capacity->call_us +
                           time_for(items, capacity->items_per_s);
@@ -115,17 +121,23 @@
                       const EbStageCapacity *capacity)
 {
     bool any_late = false;
+    size_t items = 0;
     for (size_t i = 0; i < count; i++) {
         entries[i].late =
             entries[i].due_us < capacity->now_us + capacity->call_us;
         any_late = any_late || entries[i].late;
+        items += entries[i].items;
     }
-    if (!any_late) {
-        qsort(entries, count, sizeof(*entries), compare_due);
+    if (!capacity->by_urgency) {
+        qsort(entries, count, sizeof(*entries),
+              items > capacity->items_at_once ? compare_urgency
+                                              : compare_usual);
+        return false;
     }
+    qsort(entries, count, sizeof(*entries), compare_due);
     bool shortage = any_late || is_short(entries, count, capacity);
     qsort(entries, count, sizeof(*entries),
-          shortage ? compare_urgency : compare_local);
+          shortage ? compare_urgency : compare_usual);
     return shortage;
 }
 
@@ -133,9 +145,8 @@
 static double
 rate_for(const EbStageEntry *entry, const EbStageCapacity *capacity)
 {
-    uint32_t class = EbStageSchedule_Class(entry->priority);
     double rate = capacity->items_per_s;
-    for (uint32_t i = 0; i < class; i++) {
+    for (uint32_t i = 0; entry->late && i <= entry->class; i++) {
         rate -= capacity->arrivals_per_s[i];
     }
     return MAX(rate, capacity->least_share * capacity->items_per_s);
@@ -160,13 +171,14 @@
     }
 }
 
+/* Returns the first entry of a class that can be in time. Its late ones get no
+ * share, since they would make others late. */
 static size_t
 first_of_class(const EbStageEntry *entries, size_t count, uint32_t class)
 {
     size_t i = 0;
-    while (i < count &&
-           (entries[i].items == 0 ||
-            EbStageSchedule_Class(entries[i].priority) != class)) {
+    while (i < count && (entries[i].items == 0 || entries[i].late ||
+                         entries[i].class != class)) {
         i++;
     }
     return i;
@@ -198,8 +210,7 @@
 {
     bool waiting[EB_STAGE_CLASSES] = {false};
     for (size_t i = 0; i < count; i++) {
-        waiting[EbStageSchedule_Class(entries[i].priority)] |=
-            entries[i].items > 0;
+        waiting[entries[i].class] |= entries[i].items > 0;
     }
     for (uint32_t i = 0; i < EB_STAGE_CLASSES; i++) {
         if (i == class) {
--- a/src/test_batcher/load.c
+++ b/src/test_batcher/load.c
@@ -66,10 +66,33 @@
     double next_arrival[LOAD_CLASSES_MAX];
 } Play;
 
+/* Adds a route for each class. */
+static void
+add_routes(EbConfig *config, const LoadPlan *plan)
+{
+    config->pipelines = g_new0(EbConfigPipeline, plan->class_count);
+    config->pipeline_count = plan->class_count;
+    for (uint32_t c = 0; c < plan->class_count; c++) {
+        const LoadClass *class = &plan->classes[c];
+        EbConfigForward *forward = g_new0(EbConfigForward, 1);
+        forward->priority = class->priority;
+        forward->preparations = g_new0(EbConfigPreparation, LOAD_STAGES_MAX);
+        forward->preparation_count = class->stage_count;
+        for (uint32_t i = 0; i < class->stage_count; i++) {
+            forward->preparations[i].pool_index = class->stages[i].service;
+        }
+        config->pipelines[c].name = g_strdup(class->name);
+        config->pipelines[c].forward = forward;
+    }
+}
+
 static EbConfig *
 make_config(const LoadPlan *plan)
 {
     EbConfig *config = EbConfig_New("site", 1);
+    if (plan->routes) {
+        add_routes(config, plan);
+    }
     config->pools = g_new0(EbConfigPool, plan->service_count);
     config->pool_count = plan->service_count;
     config->servers =
--- a/src/test_batcher/load.h
+++ b/src/test_batcher/load.h
@@ -8,6 +8,7 @@
 #ifndef EB_TEST_LOAD_H
 #define EB_TEST_LOAD_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -51,6 +52,7 @@
     int64_t burst_until_us;
     int64_t end_us; /* of the arrivals */
     uint64_t seed;
+    bool routes; /* the configuration holds the routes with their priorities */
 } LoadPlan;
 
 typedef struct {
--- a/src/test_batcher/main.c
+++ b/src/test_batcher/main.c
@@ -336,6 +336,7 @@
         .class_count = 4,
         .burst_from_us = 4 * SECOND_US,
         .burst_until_us = 9600000,
+        .routes = true,
         .end_us = 20 * SECOND_US,
     };
 }
