--- a/include/batching/ebonyhollow/stage_schedule.h
+++ b/include/batching/ebonyhollow/stage_schedule.h
@@ -36,8 +36,9 @@
     int64_t deadline_us; /* later results are of no use */
     /* Set by EbStageSchedule_Order. */
     bool late; /* its request can't be in time any more */
-    /* Set by EbStageSchedule_Project: it won't be done before its deadline. */
-    bool hopeless;
+    /* Set by EbStageSchedule_Project. */
+    bool in_time;  /* it will be done when it is due */
+    bool hopeless; /* it won't be done before its deadline */
 } EbStageEntry;
 
 /* What the servers of a service do. */
@@ -47,8 +48,8 @@
      * more than `items_at_once` wait, and no class is kept a share. */
     bool by_urgency;
     size_t items_at_once; /* that all servers take in one call each */
-    int64_t call_us;    /* time of a call with one item */
-    double items_per_s; /* of all servers that can be used */
+    int64_t call_us;      /* time of a call with one item */
+    double items_per_s;   /* of all servers that can be used */
     /* Items a second, by class, that arrive in time. */
     double arrivals_per_s[EB_STAGE_CLASSES];
     /* Of the items, for each class that has waiting ones. */
@@ -83,9 +84,10 @@
 bool EbStageSchedule_Order(EbStageEntry *entries, size_t count,
                            const EbStageCapacity *capacity);
 
-/* Sets `hopeless` of entries that EbStageSchedule_Order has sorted. An entry
- * waits for those before it that are not hopeless. A late one is done with
- * what the arrivals in time of its class and of more urgent ones leave. */
+/* Sets `in_time` and `hopeless` of entries that EbStageSchedule_Order has
+ * sorted. One that won't be in time waits for all that will be, and is done
+ * with what the arrivals in time of its class and of more urgent ones leave.
+ */
 void EbStageSchedule_Project(EbStageEntry *entries, size_t count,
                              const EbStageCapacity *capacity);
 
--- a/src/libebonyhollow/batching/stage_schedule.c
+++ b/src/libebonyhollow/batching/stage_schedule.c
@@ -141,15 +141,20 @@
     return shortage;
 }
 
-/* Returns the items a second that an entry's part of the queue gets. */
-static double
-rate_for(const EbStageEntry *entry, const EbStageCapacity *capacity)
+/* Returns when the items before an entry and its own are done. Those of more
+ * urgent classes that arrive meanwhile go before it, and before a late one
+ * those of its own class. */
+static int64_t
+project(const EbStageEntry *entry, double items, bool late,
+        const EbStageCapacity *capacity)
 {
     double rate = capacity->items_per_s;
-    for (uint32_t i = 0; entry->late && i <= entry->class; i++) {
+    for (uint32_t i = 0; i < entry->class + (late ? 1 : 0); i++) {
         rate -= capacity->arrivals_per_s[i];
     }
-    return MAX(rate, capacity->least_share * capacity->items_per_s);
+    rate = MAX(rate, capacity->least_share * capacity->items_per_s);
+    return capacity->now_us + capacity->call_us +
+           time_for(items + entry->items, rate);
 }
 
 void
@@ -157,16 +162,19 @@
                         const EbStageCapacity *capacity)
 {
     double items = 0;
-    if (capacity->items_per_s <= 0) {
-        return;
-    }
     for (size_t i = 0; i < count; i++) {
-        int64_t done_us = capacity->now_us + capacity->call_us +
-                          time_for(items + entries[i].items,
-                                   rate_for(&entries[i], capacity));
-        entries[i].hopeless = done_us > entries[i].deadline_us;
-        if (!entries[i].hopeless) {
-            items += entries[i].items;
+        EbStageEntry *entry = &entries[i];
+        entry->hopeless = false;
+        entry->in_time = !entry->late && project(entry, items, false,
+                                                 capacity) <= entry->due_us;
+        items += entry->in_time ? entry->items : 0;
+    }
+    for (size_t i = 0; i < count && capacity->items_per_s > 0; i++) {
+        EbStageEntry *entry = &entries[i];
+        if (!entry->in_time) {
+            entry->hopeless =
+                project(entry, items, true, capacity) > entry->deadline_us;
+            items += entry->hopeless ? 0 : entry->items;
         }
     }
 }
