--- a/include/batching/ebonyhollow/batcher.h
+++ b/include/batching/ebonyhollow/batcher.h
@@ -118,6 +118,9 @@
     EbPreparedStatus status;
     char **handles; /* one for each work item when the status is ok */
     uint32_t handle_count;
+    /* Of a job that can't be done in time: when the work that waits is done.
+     */
+    int64_t room_in_us;
 } EbBatcherResult;
 
 /* Removes the oldest undelivered result; the caller clears it with
--- a/include/membership/ebonyhollow/message.h
+++ b/include/membership/ebonyhollow/message.h
@@ -156,6 +156,8 @@
     uint64_t left_us;
     uint32_t route_priority; /* 0 from a daemon that does not send it */
     uint32_t prepared;       /* EbPreparedStatus */
+    /* PREPARED, late: when the home's present work is done; 0: not known */
+    uint64_t room_in_us;
     /* PREPARE: inputs; PREPARED: results */
     char **handles;
     uint32_t handle_count;
--- a/include/requests/ebonyhollow/dispatcher.h
+++ b/include/requests/ebonyhollow/dispatcher.h
@@ -177,6 +177,12 @@
 
 extern const char *const EbPreparedStatus_names[EB_PREPARED_STATUS_COUNT];
 
+/* Sets when there will be room for a request whose preparation is about to be
+ * reported as late. Its refusal asks the caller to return then. Unknown jobs
+ * and times that are not positive are ignored. */
+void EbDispatcher_SetRoomIn(EbDispatcher *dispatcher, uint64_t job,
+                            int64_t room_in_us);
+
 /* Handles the end of a preparation.
  *
  * job: number from EB_ACTION_PREPARE. Unknown jobs are ignored.
--- a/src/libebonyhollow/batching/batcher.c
+++ b/src/libebonyhollow/batching/batcher.c
@@ -271,6 +271,7 @@
     result->requester = g_strdup(job->requester);
     result->job = job->spec.job;
     result->status = status;
+    result->room_in_us = job->room_in_us;
     if (status == EB_PREPARED_OK) {
         result->handle_count = job->spec.item_count;
         result->handles = g_new0(char *, result->handle_count);
--- a/src/libebonyhollow/batching/batcher_admission.c
+++ b/src/libebonyhollow/batching/batcher_admission.c
@@ -6,6 +6,9 @@
 /* In a shortage that lasts this long, the rate of the items done is known. */
 #define MEASURED_AFTER_US 1000000
 #define REPORT_INTERVAL_US 1000000
+/* Bound on the time after which refused callers are asked to return: few have
+ * longer deadlines. */
+#define MAX_ROOM_IN_US 3000000
 
 EbStageCapacity
 EbBatchService_Capacity(const EbBatchService *service, int64_t now_us)
@@ -122,10 +125,16 @@
         report_shortage(batcher, service, entries, list->len, &capacity);
     }
     EbStageSchedule_Project(entries, list->len, &capacity);
+    int64_t room_in_us = capacity.items_per_s > 0
+                             ? (int64_t)MIN((double)service->waiting_count *
+                                                1e6 / capacity.items_per_s,
+                                            MAX_ROOM_IN_US)
+                             : 0;
     for (guint i = 0; i < list->len; i++) {
         EbBatchJob *job = entries[i].job;
         if (entries[i].hopeless && job->running_count == 0 &&
             job->done_count == 0) {
+            job->room_in_us = room_in_us;
             EbBatchJob_Report(batcher, job, EB_PREPARED_LATE, now_us);
         }
     }
--- a/src/libebonyhollow/batching/private/batcher_state.h
+++ b/src/libebonyhollow/batching/private/batcher_state.h
@@ -33,6 +33,7 @@
     bool ended; /* its results are not needed; freed when no item runs */
     int64_t added_us;
     int64_t expires_us; /* when its results no longer exist */
+    int64_t room_in_us; /* see EbBatcherResult */
     /* When the job ends unless its requester reconnects; INT64_MAX while the
      * requester is connected. */
     int64_t grace_until_us;
--- a/src/libebonyhollow/membership/message.c
+++ b/src/libebonyhollow/membership/message.c
@@ -84,6 +84,7 @@
     FIELD(26, UINT64, late_us, BIT(PREPARE), 0, 0),
     FIELD(27, UINT64, left_us, BIT(PREPARE), 0, 0),
     FIELD(110, UINT32, route_priority, BIT(PREPARE), 0, UINT8_MAX + 1),
+    FIELD(111, UINT64, room_in_us, BIT(PREPARED), 0, 0),
     FIELD(28, UINT32, prepared, BIT(PREPARED), 0, EB_PREPARED_STATUS_COUNT),
     FIELD(30, UINT64, result_bytes, BIT(PREPARE), 0, 0),
     FIELD(44, UINT64, transfer_bytes, BIT(PREPARE), 0, 0),
--- a/src/libebonyhollow/requests/dispatcher.c
+++ b/src/libebonyhollow/requests/dispatcher.c
@@ -426,6 +426,16 @@
     EbDispatcher_RunPending(dispatcher, now_us);
 }
 
+void
+EbDispatcher_SetRoomIn(EbDispatcher *dispatcher, uint64_t job,
+                       int64_t room_in_us)
+{
+    EbRequest *request = g_hash_table_lookup(dispatcher->jobs, &job);
+    if (request != NULL && room_in_us > 0) {
+        EbRequest_SetRetryAfter(request, room_in_us);
+    }
+}
+
 void
 EbDispatcher_PreparationEnded(EbDispatcher *dispatcher, uint64_t job,
                               EbPreparedStatus status, char *const *handles,
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -426,6 +426,8 @@
     if (EbPreparationTable_RecordResult(
             daemon->preparations, instance, result->job, result->status,
             result->handles, result->handle_count)) {
+        EbDispatcher_SetRoomIn(daemon->dispatcher, result->job,
+                               result->room_in_us);
         EbDispatcher_PreparationEnded(daemon->dispatcher, result->job,
                                       result->status, result->handles,
                                       result->handle_count, now_us);
@@ -438,6 +440,7 @@
 {
     EbBatcherResult result = {.job = message->job,
                               .status = (EbPreparedStatus)message->prepared,
+                              .room_in_us = (int64_t)message->room_in_us,
                               .handles = message->handles,
                               .handle_count = message->handle_count};
     record_result(daemon, peer, &result, now_us);
@@ -474,6 +477,7 @@
             EbMessage message = {.kind = EB_MESSAGE_PREPARED,
                                  .job = result.job,
                                  .prepared = result.status,
+                                 .room_in_us = (uint64_t)result.room_in_us,
                                  .handles = result.handles,
                                  .handle_count = result.handle_count};
             send_result(daemon, &result, &message, now_us);
