--- a/include/metrics/ebonyhollow/metrics.h
+++ b/include/metrics/ebonyhollow/metrics.h
@@ -32,6 +32,7 @@
     EB_METRIC_PEER_MESSAGES,      /* direction, kind */
     EB_METRIC_EVENTS_SUPPRESSED,  /* event */
     EB_METRIC_DIRECTIVES,         /* kind */
+    EB_METRIC_EVACUATIONS,        /* failure_domain, state */
     EB_METRIC_TOTAL_TIME_US,      /* histogram: customer */
     EB_METRIC_STAGE_TIME_US,      /* histogram: pipeline, stage */
     EB_METRIC_QUEUE_TIME_US,      /* histogram: pipeline, stage */
@@ -44,6 +45,7 @@
     EB_METRIC_UNWRITTEN_OUTCOMES, /* gauge */
     EB_METRIC_LIVE_DAEMONS,       /* gauge */
     EB_METRIC_QUARANTINED,        /* gauge */
+    EB_METRIC_EVACUATED,          /* gauge */
     EB_METRIC_COUNT
 } EbMetricId;
 
--- a/include/net/ebonyhollow/admin_server.h
+++ b/include/net/ebonyhollow/admin_server.h
@@ -30,7 +30,6 @@
 typedef struct {
     struct event_base *base;
     const EbSettings *settings; /* must outlive the server */
-    uint64_t incarnation;
     const EbEventSink *events;
     EbMetrics *metrics;
     EbDispatcher *dispatcher;
@@ -38,6 +37,7 @@
     EbMembership *membership;
     EbLimiter *limiter;
     EbQuarantine *quarantine;
+    const EbEvacuations *evacuations; /* may be NULL */
     EbPlatformClient *platform;
     /* Whether a graceful shutdown has started. */
     bool (*draining)(void *context);
--- a/include/requests/ebonyhollow/dispatcher.h
+++ b/include/requests/ebonyhollow/dispatcher.h
@@ -20,6 +20,7 @@
 #include "ebonyhollow/action.h"
 #include "ebonyhollow/config.h"
 #include "ebonyhollow/directives.h"
+#include "ebonyhollow/evacuations.h"
 #include "ebonyhollow/event.h"
 #include "ebonyhollow/ledger.h"
 #include "ebonyhollow/limiter.h"
@@ -55,6 +56,7 @@
     EbLimiter *limiter;
     EbQuarantine *quarantine;
     EbDirectives *directives;
+    const EbEvacuations *evacuations; /* NULL: every domain is open */
     EbSuspects *suspects; /* NULL: broken forwarded calls are no evidence */
     EbMetrics *metrics;
     /* Asks the owner of a claim for the outcome of a key. Returns false when
@@ -83,6 +85,11 @@
 void EbDispatcher_SetConfig(EbDispatcher *dispatcher, EbConfig *config,
                             int64_t now_us);
 
+/* Sets the incarnation of this daemon, by which it recognises its own claims.
+ */
+void EbDispatcher_SetIncarnation(EbDispatcher *dispatcher,
+                                 uint64_t incarnation);
+
 /* Sets the number of live daemons, this one included. They share the
  * connections that backend servers accept. */
 void EbDispatcher_SetDaemonCount(EbDispatcher *dispatcher, uint32_t daemons,
@@ -152,6 +159,7 @@
     bool has_load; /* the answer carried a load report */
     uint32_t load_running;
     uint32_t load_waiting;
+    uint32_t load_work_percent; /* of the usual time for work; 0: not stated */
     /* The members below are for forwarded calls only. */
     EbHttpMessage *reply;   /* ANSWERED: whole answer; of a stream: its head */
     EbForwardReply forward; /* decoded from the head */
@@ -242,6 +250,24 @@
                                 const char *server_id, bool leaving,
                                 const char *source, int64_t now_us);
 
+/* Handles that failure domains were closed or opened. Requests that wait for
+ * servers of which all are in closed domains are refused. */
+void EbDispatcher_EvacuationsChanged(EbDispatcher *dispatcher, int64_t now_us);
+
+/* Returns the number of calls that run at the servers of a failure domain. */
+uint32_t EbDispatcher_CountCalls(const EbDispatcher *dispatcher,
+                                 const char *failure_domain);
+
+/* Adds the measured speed of a server that another daemon told. */
+void EbDispatcher_MergeSpeed(EbDispatcher *dispatcher,
+                             const EbSpeedReport *report);
+
+/* Returns the next speed of a server that the other daemons have to be told.
+ * `report->server_id` is borrowed until the next call of the module. Returns
+ * false when there is none. */
+bool EbDispatcher_NextSpeedReport(EbDispatcher *dispatcher,
+                                  EbSpeedReport *report);
+
 /* Handles deadlines, time-outs, delayed retries and hedges that are due, and
  * serves the queues. */
 void EbDispatcher_Tick(EbDispatcher *dispatcher, int64_t now_us);
--- a/include/servers/ebonyhollow/pool.h
+++ b/include/servers/ebonyhollow/pool.h
@@ -12,8 +12,10 @@
 
 #include "ebonyhollow/config.h"
 #include "ebonyhollow/directives.h"
+#include "ebonyhollow/evacuations.h"
 #include "ebonyhollow/event.h"
 #include "ebonyhollow/random.h"
+#include "ebonyhollow/server_speed.h"
 
 typedef struct EbPool EbPool;
 
@@ -22,6 +24,7 @@
     EB_SERVER_EJECTED,
     EB_SERVER_SLOW_START,
     EB_SERVER_LEAVING,
+    EB_SERVER_EVACUATED, /* in a failure domain that is closed */
     EB_SERVER_STATE_COUNT
 } EbServerState;
 
@@ -42,6 +45,7 @@
     EbRandom *random;
     const EbEventSink *events;
     EbDirectives *directives; /* NULL: servers don't limit their calls */
+    const EbEvacuations *evacuations; /* NULL: every domain is open */
 } EbPoolOptions;
 
 /* How a call ended, for the pool's statistics. */
@@ -75,8 +79,8 @@
 } EbPoolCriteria;
 
 /* Creates a pool for a daemon that knows of no others. Strings in `options`
- * are copied; `random`, `events` and `directives` are borrowed and must
- * outlive the pool.
+ * are copied; `random`, `events`, `directives` and `evacuations` are borrowed
+ * and must outlive the pool.
  *
  * Returns a pool to be freed with EbPool_Free, or NULL with `error` set when
  * pool_index is out of range. */
@@ -122,6 +126,35 @@
 void EbPool_EndCall(EbPool *pool, const char *server_id, EbCallResult result,
                     int64_t duration_us, int64_t now_us);
 
+/* Like EbPool_EndCall, for a call of a kind whose usual duration is known, so
+ * that servers are compared by calls of any length.
+ *
+ * expected_us: usual duration of such a call; 0: unknown */
+void EbPool_EndCallOfKind(EbPool *pool, const char *server_id,
+                          EbCallResult result, int64_t duration_us,
+                          int64_t expected_us, int64_t now_us);
+
+/* Records the pace of a stream that ended. Unknown ids are ignored.
+ *
+ * pace_us: see EbStreamPace_Result; 0: unknown */
+void EbPool_RecordPace(EbPool *pool, const char *server_id, double pace_us,
+                       int64_t now_us);
+
+/* Records how long work takes at a server now, as it states itself. Unknown
+ * ids are ignored.
+ *
+ * percent: of the usual time; 0: not stated */
+void EbPool_RecordWork(EbPool *pool, const char *server_id, uint32_t percent,
+                       int64_t now_us);
+
+/* Adds what another daemon told. Unknown ids are ignored. */
+void EbPool_MergeSpeed(EbPool *pool, const EbSpeedReport *report);
+
+/* Returns the next speed that other daemons have to be told; each is returned
+ * once. `report->server_id` is borrowed until EbPool_SetConfig. Returns false
+ * when there is none. */
+bool EbPool_NextSpeedReport(EbPool *pool, EbSpeedReport *report);
+
 /* Records a load report: calls running and waiting at the server. Reports
  * older than the last one and unknown ids are ignored. */
 void EbPool_ReportLoad(EbPool *pool, const char *server_id, uint32_t running,
@@ -134,6 +167,16 @@
 bool EbPool_SetLeaving(EbPool *pool, const char *server_id, bool leaving,
                        int64_t now_us);
 
+/* Handles that failure domains were closed or opened. */
+void EbPool_EvacuationsChanged(EbPool *pool);
+
+/* Returns whether the pool has servers, and all that don't leave are in
+ * failure domains that are closed. */
+bool EbPool_IsEvacuated(const EbPool *pool);
+
+/* Returns the number of calls in flight to the servers of a failure domain. */
+uint32_t EbPool_CountCalls(const EbPool *pool, const char *failure_domain);
+
 /* Updates ejections and slow start. Call it at least once a second. */
 void EbPool_Tick(EbPool *pool, int64_t now_us);
 
@@ -149,7 +192,8 @@
  * calls takes one from this daemon, or INT64_MAX. */
 int64_t EbPool_NextAdmission(const EbPool *pool, int64_t now_us);
 
-/* Returns whether any server of the subset is neither leaving nor ejected. */
+/* Returns whether any server of the subset is neither leaving nor ejected nor
+ * in a failure domain that is closed. */
 bool EbPool_HasUsableServer(const EbPool *pool);
 
 /* Predicts how long one more call takes in this pool, in microseconds: the
@@ -177,7 +221,8 @@
     uint32_t limit;         /* calls that this daemon may have in flight */
     uint32_t reported_load; /* calls at the server, from all daemons */
     int64_t latency_us;     /* moving average; 0: not measured */
-    int64_t until_us;       /* end of the current ejection, otherwise 0 */
+    int64_t pace_us;  /* usual time between pieces of a stream; 0: unknown */
+    int64_t until_us; /* end of the current ejection, otherwise 0 */
     uint64_t calls;
     uint64_t failures;
 } EbServerView;
--- a/src/libebonyhollow/batching/batcher_admission.c
+++ b/src/libebonyhollow/batching/batcher_admission.c
@@ -26,7 +26,7 @@
     g_hash_table_iter_init(&iter, service->servers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const EbBatchServer *server = value;
-        if (server->current && server->failures == 0) {
+        if (server->current && !server->evacuated && server->failures == 0) {
             capacity.items_per_s += service->batch.max_items * 1e6 /
                                     (full_call_us * server->slowdown);
         }
--- a/src/libebonyhollow/batching/batcher_choice.c
+++ b/src/libebonyhollow/batching/batcher_choice.c
@@ -82,7 +82,8 @@
 is_free(const EbBatcher *batcher, const EbBatchService *service,
         const EbBatchServer *server, int64_t now_us)
 {
-    return server->current && server->running < service->batch.max_calls &&
+    return server->current && !server->evacuated &&
+           server->running < service->batch.max_calls &&
            server->blocked_until_us <= now_us &&
            server->skipped_us != now_us &&
            EbBatchService_HasMemory(service, server, now_us) &&
@@ -119,7 +120,7 @@
     g_hash_table_iter_init(&iter, service->servers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         EbBatchServer *server = value;
-        if (server->current && server->failures == 0 &&
+        if (server->current && !server->evacuated && server->failures == 0 &&
             (fastest == 0 || server->slowdown < fastest)) {
             fastest = server->slowdown;
         }
@@ -172,7 +173,7 @@
 EbBatchService_ItemsAtOnce(const EbBatchService *service)
 {
     return (size_t)service->batch.max_items *
-           g_hash_table_size(service->servers);
+           EbBatchService_CountOpen(service);
 }
 
 /* Returns whether a job that moves many bytes can wait for a server in its
@@ -192,7 +193,7 @@
     g_hash_table_iter_init(&iter, service->servers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const EbBatchServer *server = value;
-        if (server->current && server->failures == 0 &&
+        if (server->current && !server->evacuated && server->failures == 0 &&
             is_local(job, server)) {
             return true;
         }
--- a/src/libebonyhollow/batching/private/batcher_state.h
+++ b/src/libebonyhollow/batching/private/batcher_state.h
@@ -60,6 +60,7 @@
     int64_t foreign_seen_us;
     uint64_t released_bytes; /* of the results in `releases` */
     bool current;            /* in the configuration in force */
+    bool evacuated;          /* its failure domain is closed */
     GPtrArray *releases;     /* of char *, handles of results to free */
 } EbBatchServer;
 
@@ -136,9 +137,20 @@
 void EbBatchService_ReviewJobs(EbBatcher *batcher, EbBatchService *service,
                                int64_t now_us);
 
+/* batcher_evacuation.c */
+
+/* Notes whether a server's failure domain is closed. */
+void EbBatchServer_CheckEvacuation(const EbBatcher *batcher,
+                                   EbBatchServer *server);
+/* Returns the number of servers whose failure domain is open. */
+guint EbBatchService_CountOpen(const EbBatchService *service);
+/* Returns whether the service has servers, all in closed failure domains. */
+bool EbBatchService_IsEvacuated(const EbBatchService *service);
+
 /* batcher_choice.c */
 
-/* Returns the number of items that all servers take in one call each. */
+/* Returns the number of items that all servers to which calls may be sent take
+ * in one call each. */
 size_t EbBatchService_ItemsAtOnce(const EbBatchService *service);
 
 /* Returns whether a server has memory for the results of the next call. */
--- a/src/libebonyhollow/metrics/metrics.c
+++ b/src/libebonyhollow/metrics/metrics.c
@@ -102,6 +102,13 @@
                               "leaves.",
                               {"kind", NULL, NULL},
                               SERIES_DEFAULT},
+    [EB_METRIC_EVACUATIONS] = {"ebonyhollow_evacuations_total",
+                               EB_METRIC_COUNTER,
+                               "Changes of a failure domain to a state of its "
+                               "evacuation: none, evacuating, evacuated or "
+                               "returning.",
+                               {"failure_domain", "state", NULL},
+                               SERIES_DEFAULT},
     [EB_METRIC_TOTAL_TIME_US] =
         {"ebonyhollow_request_time_microseconds",
          EB_METRIC_HISTOGRAM,
@@ -167,6 +174,12 @@
                                "Requests refused because they crash servers.",
                                {NULL, NULL, NULL},
                                1},
+    [EB_METRIC_EVACUATED] = {"ebonyhollow_evacuated_failure_domains",
+                             EB_METRIC_GAUGE,
+                             "Failure domains to whose servers nothing new is "
+                             "sent by order of the operator.",
+                             {NULL, NULL, NULL},
+                             1},
 };
 
 const char *const EbMetricType_names[EB_METRIC_TYPE_COUNT] = {
--- a/src/libebonyhollow/requests/dispatcher.c
+++ b/src/libebonyhollow/requests/dispatcher.c
@@ -167,6 +167,12 @@
     EbDispatcher_RunPending(dispatcher, now_us);
 }
 
+void
+EbDispatcher_SetIncarnation(EbDispatcher *dispatcher, uint64_t incarnation)
+{
+    dispatcher->options.incarnation = incarnation;
+}
+
 void
 EbDispatcher_SetDaemonCount(EbDispatcher *dispatcher, uint32_t daemons,
                             int64_t now_us)
@@ -476,6 +482,62 @@
     EbDispatcher_RunPending(dispatcher, now_us);
 }
 
+/* Evacuations */
+
+void
+EbDispatcher_EvacuationsChanged(EbDispatcher *dispatcher, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, dispatcher->pools);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        EbDispatcherPool *pool = value;
+        EbPool_EvacuationsChanged(pool->pool);
+        pool->dirty = true;
+    }
+    EbDispatcher_RunPending(dispatcher, now_us);
+}
+
+uint32_t
+EbDispatcher_CountCalls(const EbDispatcher *dispatcher,
+                        const char *failure_domain)
+{
+    uint32_t count = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, dispatcher->pools);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const EbDispatcherPool *pool = value;
+        count += EbPool_CountCalls(pool->pool, failure_domain);
+    }
+    return count;
+}
+
+/* Speeds of servers */
+
+void
+EbDispatcher_MergeSpeed(EbDispatcher *dispatcher, const EbSpeedReport *report)
+{
+    for (guint i = 0; i < dispatcher->current_pools->len; i++) {
+        EbDispatcherPool *pool =
+            g_ptr_array_index(dispatcher->current_pools, i);
+        EbPool_MergeSpeed(pool->pool, report);
+    }
+}
+
+bool
+EbDispatcher_NextSpeedReport(EbDispatcher *dispatcher, EbSpeedReport *report)
+{
+    for (guint i = 0; i < dispatcher->current_pools->len; i++) {
+        EbDispatcherPool *pool =
+            g_ptr_array_index(dispatcher->current_pools, i);
+        if (EbPool_NextSpeedReport(pool->pool, report)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Shutdown */
 
 /* Puts waiting requests into their queues again, now with the end of the drain
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -106,6 +106,8 @@
     int64_t first_token_us;
     int64_t timeout_at_us; /* when EbAttempt_TimedOut has to be called */
     bool paused;           /* not being read, because the caller is slow */
+    bool load_recorded;    /* what the head of the answer says of the load */
+    EbStreamPace pace;     /* of a forwarded stream */
 } EbAttempt;
 
 /* Figures of one stage for the `usage` part of the answer. */
@@ -502,6 +504,16 @@
 /* Looks up the outcome at the service, because the holder cannot be asked. */
 void EbRequest_HolderLost(EbRequest *request, int64_t now_us);
 
+/* dispatcher_evacuation.c */
+
+/* Returns whether a request can't be served since all servers of its current
+ * stage, or of a preparation that it still needs, are in failure domains that
+ * are closed. */
+bool EbRequest_IsEvacuated(const EbRequest *request);
+
+/* Ends a request for which EbRequest_IsEvacuated holds. */
+void EbRequest_FailEvacuated(EbRequest *request, int64_t now_us);
+
 /* dispatcher_stage.c */
 
 /* Starts the current stage: resets the state of the stage before it and puts
--- a/src/libebonyhollow/servers/pool.c
+++ b/src/libebonyhollow/servers/pool.c
@@ -20,10 +20,9 @@
 #define SERVICE_GAIN 0.03 /* an average of about 30 calls */
 
 const char *const EbServerState_names[EB_SERVER_STATE_COUNT] = {
-    [EB_SERVER_AVAILABLE] = "available",
-    [EB_SERVER_EJECTED] = "ejected",
-    [EB_SERVER_SLOW_START] = "slow-start",
-    [EB_SERVER_LEAVING] = "leaving",
+    [EB_SERVER_AVAILABLE] = "available",   [EB_SERVER_EJECTED] = "ejected",
+    [EB_SERVER_SLOW_START] = "slow-start", [EB_SERVER_LEAVING] = "leaving",
+    [EB_SERVER_EVACUATED] = "evacuated",
 };
 
 const char *const EbCallResult_names[EB_CALL_RESULT_COUNT] = {
@@ -163,6 +162,7 @@
     pool->daemons = 1;
     pool->events = options->events;
     pool->directives = options->directives;
+    pool->evacuations = options->evacuations;
     EbPool_SetConfig(pool, options->config, options->pool_index);
     return pool;
 }
@@ -228,9 +228,34 @@
     pool->service_us += gain * ((double)service_us - pool->service_us);
 }
 
+/* Scales the duration of a call to that of a call of average length, so that
+ * a server that happened to get long ones doesn't seem slow. */
+static int64_t
+normalize_duration(EbPool *pool, EbCallResult result, int64_t duration_us,
+                   int64_t expected_us)
+{
+    if (result == EB_CALL_OK) {
+        double gain = pool->mean_duration_us > 0 ? SERVICE_GAIN : 1;
+        pool->mean_duration_us +=
+            gain * ((double)duration_us - pool->mean_duration_us);
+    }
+    if (expected_us <= 0 || pool->mean_duration_us <= 0) {
+        return duration_us;
+    }
+    return (int64_t)((double)duration_us * pool->mean_duration_us /
+                     (double)expected_us);
+}
+
 void
 EbPool_EndCall(EbPool *pool, const char *server_id, EbCallResult result,
                int64_t duration_us, int64_t now_us)
+{
+    EbPool_EndCallOfKind(pool, server_id, result, duration_us, 0, now_us);
+}
+
+void
+EbPool_EndCallOfKind(EbPool *pool, const char *server_id, EbCallResult result,
+                     int64_t duration_us, int64_t expected_us, int64_t now_us)
 {
     assert(result < EB_CALL_RESULT_COUNT);
     EbPoolServer *server = g_hash_table_lookup(pool->by_id, server_id);
@@ -244,8 +269,10 @@
         add_service_time(pool, service_us);
         EbHistogram_Add(&pool->recent, duration_us);
     }
+    int64_t normal_us =
+        normalize_duration(pool, result, duration_us, expected_us);
     if (pool->policy->adapts) {
-        EbPool_RecordCall(pool, server, result, duration_us, at_limit, now_us);
+        EbPool_RecordCall(pool, server, result, normal_us, at_limit, now_us);
     }
     else if (result != EB_CALL_OK && result != EB_CALL_REJECTED &&
              result != EB_CALL_CANCELLED) {
@@ -273,6 +300,51 @@
     }
 }
 
+void
+EbPool_RecordPace(EbPool *pool, const char *server_id, double pace_us,
+                  int64_t now_us)
+{
+    EbPoolServer *server = g_hash_table_lookup(pool->by_id, server_id);
+    if (server != NULL && pace_us > 0) {
+        EbServerSpeed_Observe(&server->speed, pace_us, now_us);
+    }
+}
+
+void
+EbPool_RecordWork(EbPool *pool, const char *server_id, uint32_t percent,
+                  int64_t now_us)
+{
+    EbPoolServer *server = g_hash_table_lookup(pool->by_id, server_id);
+    if (server != NULL && percent > 0) {
+        EbServerSpeed_RecordWork(&server->speed, percent, now_us);
+    }
+}
+
+void
+EbPool_MergeSpeed(EbPool *pool, const EbSpeedReport *report)
+{
+    EbPoolServer *server = g_hash_table_lookup(pool->by_id, report->server_id);
+    if (server != NULL && report->pace_us > 0) {
+        EbServerSpeed_Merge(&server->speed, report->pace_us);
+    }
+}
+
+bool
+EbPool_NextSpeedReport(EbPool *pool, EbSpeedReport *report)
+{
+    for (uint32_t i = 0; i < pool->server_count; i++) {
+        EbPoolServer *server = pool->servers[i];
+        if (EbServerSpeed_TakeReport(&server->speed)) {
+            *report = (EbSpeedReport){
+                .server_id = server->id,
+                .pace_us = (uint32_t)fmax(server->speed.pace_us, 1),
+            };
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 EbPool_SetLeaving(EbPool *pool, const char *server_id, bool leaving,
                   int64_t now_us)
@@ -293,6 +365,39 @@
     return true;
 }
 
+void
+EbPool_EvacuationsChanged(EbPool *pool)
+{
+    EbPool_BuildSubset(pool);
+}
+
+bool
+EbPool_IsEvacuated(const EbPool *pool)
+{
+    bool closed = false;
+    for (uint32_t i = 0; i < pool->server_count; i++) {
+        const EbPoolServer *server = pool->servers[i];
+        if (!server->leaving && !EbPool_IsClosed(pool, server)) {
+            return false;
+        }
+        closed = closed || !server->leaving;
+    }
+    return closed;
+}
+
+uint32_t
+EbPool_CountCalls(const EbPool *pool, const char *failure_domain)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < pool->server_count; i++) {
+        const EbPoolServer *server = pool->servers[i];
+        if (strcmp(server->config->failure_domain, failure_domain) == 0) {
+            count += server->in_flight;
+        }
+    }
+    return count;
+}
+
 void
 EbPool_Tick(EbPool *pool, int64_t now_us)
 {
@@ -307,12 +412,14 @@
     }
 }
 
-/* Returns whether calls may be sent to the server: it is not leaving, and not
- * ejected unless all others are as well. */
+/* Returns whether calls may be sent to the server: it is not leaving, its
+ * failure domain is open, and it is not ejected unless all others are as well.
+ */
 static bool
-takes_calls(const EbPoolServer *server, bool has_usable)
+takes_calls(const EbPool *pool, const EbPoolServer *server, bool has_usable)
 {
-    return !server->leaving && !(server->ejected && has_usable);
+    return !server->leaving && !EbPool_IsClosed(pool, server) &&
+           !(server->ejected && has_usable);
 }
 
 bool
@@ -321,7 +428,7 @@
     bool has_usable = EbPool_HasUsableServer(pool);
     for (uint32_t i = 0; i < pool->member_count; i++) {
         const EbPoolServer *server = pool->members[i];
-        if (takes_calls(server, has_usable) &&
+        if (takes_calls(pool, server, has_usable) &&
             EbPool_HasRoom(pool, server, now_us)) {
             return true;
         }
@@ -342,7 +449,7 @@
     for (uint32_t i = 0; i < pool->member_count; i++) {
         const EbPoolServer *server = pool->members[i];
         double share = 0;
-        if (!takes_calls(server, has_usable)) {
+        if (!takes_calls(pool, server, has_usable)) {
             continue;
         }
         int64_t next_us =
@@ -373,7 +480,8 @@
     int64_t next_us = INT64_MAX;
     for (uint32_t i = 0; i < pool->member_count; i++) {
         const EbPoolServer *server = pool->members[i];
-        if (pool->directives == NULL || !takes_calls(server, has_usable) ||
+        if (pool->directives == NULL ||
+            !takes_calls(pool, server, has_usable) ||
             server->in_flight >= EbPool_Slots(server, now_us)) {
             continue;
         }
@@ -390,7 +498,9 @@
 EbPool_HasUsableServer(const EbPool *pool)
 {
     for (uint32_t i = 0; i < pool->member_count; i++) {
-        if (!pool->members[i]->leaving && !pool->members[i]->ejected) {
+        const EbPoolServer *server = pool->members[i];
+        if (!server->leaving && !server->ejected &&
+            !EbPool_IsClosed(pool, server)) {
             return true;
         }
     }
@@ -407,7 +517,7 @@
     double slots = 0, busy = 0;
     for (uint32_t i = 0; i < pool->member_count; i++) {
         const EbPoolServer *server = pool->members[i];
-        if (takes_calls(server, has_usable)) {
+        if (takes_calls(pool, server, has_usable)) {
             uint32_t limit = EbPool_Slots(server, now_us);
             slots += limit;
             busy += MIN(server->in_flight, limit);
@@ -444,11 +554,14 @@
 }
 
 static EbServerState
-server_state(const EbPoolServer *server)
+server_state(const EbPool *pool, const EbPoolServer *server)
 {
     if (server->leaving) {
         return EB_SERVER_LEAVING;
     }
+    if (EbPool_IsClosed(pool, server)) {
+        return EB_SERVER_EVACUATED;
+    }
     if (server->ejected) {
         return EB_SERVER_EJECTED;
     }
@@ -462,12 +575,13 @@
     const EbPoolServer *server = pool->members[index];
     *view = (EbServerView){
         .server = server->config,
-        .state = server_state(server),
+        .state = server_state(pool, server),
         .cause = server->cause,
         .in_flight = server->in_flight,
         .limit = (uint32_t)server->limit,
         .reported_load = server->reported_load,
         .latency_us = server->samples > 0 ? (int64_t)server->latency_us : 0,
+        .pace_us = (int64_t)server->speed.pace_us,
         .until_us = server->ejected_until_us,
         .calls = server->calls,
         .failures = server->failures,
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -75,6 +75,16 @@
     EbDaemon_ScheduleActions(daemon);
 }
 
+static void
+on_incarnation_raised(void *context, uint64_t incarnation)
+{
+    EbDaemon *daemon = context;
+    daemon->incarnation = incarnation;
+    EbPeerLinks_SetIncarnation(daemon->peer_links, incarnation);
+    EbLedger_SetIncarnation(daemon->ledger, incarnation);
+    EbDispatcher_SetIncarnation(daemon->dispatcher, incarnation);
+}
+
 static void
 on_link_up(void *context, const char *peer, uint64_t incarnation,
            const char *address)
@@ -180,6 +190,17 @@
     return true;
 }
 
+/* Counts the calls to the servers of a failure domain that run. */
+static uint32_t
+count_calls(void *context, const char *failure_domain)
+{
+    const EbDaemon *daemon = context;
+    return EbDispatcher_CountCalls(daemon->dispatcher, failure_domain) +
+           (daemon->batcher != NULL
+                ? EbBatcher_CountCalls(daemon->batcher, failure_domain)
+                : 0);
+}
+
 static void
 create_state_modules(EbDaemon *daemon)
 {
@@ -202,6 +223,11 @@
                                                 .random = &daemon->random,
                                                 .events = daemon->events,
                                                 .metrics = daemon->metrics});
+    daemon->evacuations =
+        EbEvacuations_New(&(EbEvacuationsOptions){.events = daemon->events,
+                                                  .metrics = daemon->metrics,
+                                                  .count_calls = count_calls,
+                                                  .context = daemon});
     daemon->suspects = EbSuspects_New(&(EbSuspectsOptions){
         .random = &daemon->random, .quarantine = daemon->quarantine});
     daemon->config_manager = EbConfigManager_New(
@@ -223,6 +249,7 @@
                                .deliver = EbDaemon_OnPeerMessage,
                                .changed = EbDaemon_OnMembersChanged,
                                .announced = EbDaemon_OnGenerationAnnounced,
+                               .incarnation_raised = on_incarnation_raised,
                                .context = daemon});
 }
 
@@ -248,6 +275,7 @@
                                .limiter = daemon->limiter,
                                .quarantine = daemon->quarantine,
                                .directives = daemon->directives,
+                               .evacuations = daemon->evacuations,
                                .suspects = daemon->suspects,
                                .metrics = daemon->metrics,
                                .ask_owner = EbDaemon_AskOwner,
@@ -337,7 +365,6 @@
     daemon->admin_server = EbAdminServer_New(
         &(EbAdminServerOptions){.base = daemon->base,
                                 .settings = daemon->settings,
-                                .incarnation = daemon->incarnation,
                                 .events = daemon->events,
                                 .metrics = daemon->metrics,
                                 .dispatcher = daemon->dispatcher,
@@ -345,6 +372,7 @@
                                 .membership = daemon->membership,
                                 .limiter = daemon->limiter,
                                 .quarantine = daemon->quarantine,
+                                .evacuations = daemon->evacuations,
                                 .platform = daemon->platform_client,
                                 .draining = is_draining,
                                 .drain_state = drain_state,
@@ -434,6 +462,7 @@
     EbLedger_Free(daemon->ledger);
     EbLimiter_Free(daemon->limiter);
     EbSuspects_Free(daemon->suspects);
+    EbEvacuations_Free(daemon->evacuations);
     EbDirectives_Free(daemon->directives);
     EbQuarantine_Free(daemon->quarantine);
     EbConfigManager_Free(daemon->config_manager);
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -112,7 +112,8 @@
         EbBatcher_New(&(EbBatcherOptions){.actions = daemon->actions,
                                           .events = daemon->events,
                                           .directives = daemon->directives,
-                                          .metrics = daemon->metrics});
+                                          .metrics = daemon->metrics,
+                                          .evacuations = daemon->evacuations});
     daemon->forward_client = EbForwardClient_New(
         &(EbForwardClientOptions){.base = daemon->base,
                                   .protocol = daemon->adapter->forward,
--- a/src/libebonyhollow_net/daemon_timer.c
+++ b/src/libebonyhollow_net/daemon_timer.c
@@ -81,10 +81,12 @@
     if (now_us >= daemon->next_usage_report_us) {
         daemon->next_usage_report_us = now_us + EB_LIMITER_REPORT_INTERVAL_US;
         EbDaemon_ReportUsage(daemon, now_us);
+        EbDaemon_PublishSpeeds(daemon, now_us);
         uint32_t live_daemons =
             (uint32_t)EbMembership_LiveInstances(daemon->membership, NULL, 0);
         EbSuspects_SetDaemonCount(daemon->suspects, live_daemons);
         set_gauges(daemon, live_daemons, now_us);
+        EbEvacuations_Tick(daemon->evacuations, now_us);
         EbLog_Tick(daemon->log);
     }
     EbDaemon_StartDueListings(daemon, now_us);
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -18,6 +18,7 @@
 #include "ebonyhollow/daemon.h"
 #include "ebonyhollow/directives.h"
 #include "ebonyhollow/dispatcher.h"
+#include "ebonyhollow/evacuations.h"
 #include "ebonyhollow/forward_client.h"
 #include "ebonyhollow/forward_server.h"
 #include "ebonyhollow/ledger.h"
@@ -64,8 +65,8 @@
     int64_t earliest_us; /* the next listing starts no earlier than this */
 } EbDaemonListing;
 
-/* Configuration, backend servers and daemons as read from the store of a
- * platform with an adapter. */
+/* Configuration, backend servers, evacuations and daemons as read from the
+ * store of a platform with an adapter. */
 typedef struct {
     EbStoreFeed *feed;                  /* from whom changes are learned */
     bool reading[EB_FEED_STREAM_COUNT]; /* the stream's kind is watched */
@@ -76,6 +77,7 @@
     EbServerRegistry *registry;    /* backend servers */
     bool servers_listed;           /* a complete list was read */
     bool daemons_listed;           /* a complete list was read */
+    bool evacuations_known;        /* or the deployment has none */
     bool needs_apply;              /* there are changes not yet in force */
     int64_t next_registration_us;  /* next write of this daemon's entry, or
                                       INT64_MAX */
@@ -108,6 +110,7 @@
                                  from an older copy */
     EbSuspects *suspects;
     EbDirectives *directives;
+    EbEvacuations *evacuations;
     EbDispatcher *dispatcher;
     EbConfigManager *config_manager;
     EbMembership *membership;
@@ -139,6 +142,7 @@
                                      have to be stored or deleted */
     uint64_t last_operation_id;
     int64_t next_usage_report_us;
+    int64_t next_speed_report_us;
     int64_t next_watch_check_us;
     int64_t next_poll_us;        /* next listing by a daemon without watches */
     int64_t config_requested_us; /* last request for a configuration */
@@ -277,6 +281,10 @@
 /* Sends what was learned of the limits of servers to all peers. */
 void EbDaemon_PublishLimits(EbDaemon *daemon, int64_t now_us);
 
+/* Sends what was learned of the speed of servers to all peers, once in a few
+ * seconds. */
+void EbDaemon_PublishSpeeds(EbDaemon *daemon, int64_t now_us);
+
 /* Sends changed quarantine entries to all peers and stores them. */
 void EbDaemon_PublishQuarantine(EbDaemon *daemon, int64_t now_us);
 
