--- a/include/metrics/ebonyhollow/metrics.h
+++ b/include/metrics/ebonyhollow/metrics.h
@@ -16,23 +16,25 @@
 #define EB_METRIC_MAX_LABELS 3
 
 typedef enum {
-    EB_METRIC_REQUESTS,           /* customer, pipeline, outcome */
-    EB_METRIC_IN_TIME,            /* customer, pipeline */
-    EB_METRIC_REFUSALS,           /* reason */
-    EB_METRIC_ATTEMPTS,           /* pipeline, stage, result */
-    EB_METRIC_RETRIES,            /* pipeline, stage */
-    EB_METRIC_HEDGES,             /* pipeline, stage */
-    EB_METRIC_RESUMES,            /* pipeline, stage */
-    EB_METRIC_WASTED_CALLS,       /* pipeline, stage */
-    EB_METRIC_SERVER_TIME_US,     /* customer, pipeline, stage */
-    EB_METRIC_TOKENS,             /* customer, pipeline */
-    EB_METRIC_LATE_STAGE_JOBS,    /* service, cause */
-    EB_METRIC_PLATFORM_CALLS,     /* operation, status */
-    EB_METRIC_PEER_BYTES,         /* direction */
-    EB_METRIC_PEER_MESSAGES,      /* direction, kind */
-    EB_METRIC_EVENTS_SUPPRESSED,  /* event */
-    EB_METRIC_DIRECTIVES,         /* kind */
-    EB_METRIC_EVACUATIONS,        /* failure_domain, state */
+    EB_METRIC_REQUESTS,          /* customer, pipeline, outcome */
+    EB_METRIC_IN_TIME,           /* customer, pipeline */
+    EB_METRIC_REFUSALS,          /* reason */
+    EB_METRIC_ATTEMPTS,          /* pipeline, stage, result */
+    EB_METRIC_RETRIES,           /* pipeline, stage */
+    EB_METRIC_HEDGES,            /* pipeline, stage */
+    EB_METRIC_RESUMES,           /* pipeline, stage */
+    EB_METRIC_WASTED_CALLS,      /* pipeline, stage */
+    EB_METRIC_SERVER_TIME_US,    /* customer, pipeline, stage */
+    EB_METRIC_TOKENS,            /* customer, pipeline */
+    EB_METRIC_LATE_STAGE_JOBS,   /* service, cause */
+    EB_METRIC_PLATFORM_CALLS,    /* operation, status */
+    EB_METRIC_PEER_BYTES,        /* direction */
+    EB_METRIC_PEER_MESSAGES,     /* direction, kind */
+    EB_METRIC_EVENTS_SUPPRESSED, /* event */
+    EB_METRIC_DIRECTIVES,        /* kind */
+    EB_METRIC_EVACUATIONS,       /* failure_domain, state */
+    EB_METRIC_COLD_CALLS,
+    EB_METRIC_PACE_ENDED,         /* cause */
     EB_METRIC_TOTAL_TIME_US,      /* histogram: customer */
     EB_METRIC_STAGE_TIME_US,      /* histogram: pipeline, stage */
     EB_METRIC_QUEUE_TIME_US,      /* histogram: pipeline, stage */
@@ -46,6 +48,7 @@
     EB_METRIC_LIVE_DAEMONS,       /* gauge */
     EB_METRIC_QUARANTINED,        /* gauge */
     EB_METRIC_EVACUATED,          /* gauge */
+    EB_METRIC_PACED_SERVERS,      /* gauge */
     EB_METRIC_COUNT
 } EbMetricId;
 
--- a/src/libebonyhollow/servers/evacuations.c
+++ b/src/libebonyhollow/servers/evacuations.c
@@ -173,6 +173,10 @@
     }
     else if (!evacuate && closed) {
         set_state(evacuations, domain, EB_EVACUATION_RETURNING, now_us);
+        if (evacuations->options.opened != NULL) {
+            evacuations->options.opened(evacuations->options.context,
+                                        domain->failure_domain, now_us);
+        }
     }
 }
 
