--- a/include/batching/ebonyhollow/batcher.h
+++ b/include/batching/ebonyhollow/batcher.h
@@ -21,6 +21,7 @@
 #include "ebonyhollow/dispatcher.h"
 #include "ebonyhollow/event.h"
 #include "ebonyhollow/forward.h"
+#include "ebonyhollow/metrics.h"
 
 /* Results are freed when the link to their requester has been down for this
  * long. */
@@ -32,6 +33,7 @@
     EbActionQueue *actions;    /* receives the calls to send; borrowed */
     const EbEventSink *events; /* borrowed; NULL: none */
     EbDirectives *directives;  /* borrowed; must outlive the batcher */
+    EbMetrics *metrics;        /* borrowed; NULL: none */
     const EbEvacuations
         *evacuations; /* borrowed; NULL: every domain is open */
 } EbBatcherOptions;
@@ -129,6 +131,9 @@
     EbPreparedStatus status;
     char **handles; /* one for each work item when the status is ok */
     uint32_t handle_count;
+    /* Of a job that can't be done in time: when the work that waits is done.
+     */
+    int64_t room_in_us;
 } EbBatcherResult;
 
 /* Removes the oldest undelivered result; the caller clears it with
--- a/src/libebonyhollow/batching/batcher_call.c
+++ b/src/libebonyhollow/batching/batcher_call.c
@@ -125,7 +125,7 @@
         }
         else if (job->spec.deadline_us <=
                  now_us + EbBatchService_ExpectedTime(service, 1)) {
-            EbBatchJob_Report(batcher, job, EB_PREPARED_LATE, now_us);
+            EbBatchJob_ReportLate(batcher, job, "expired", now_us);
         }
         iter = next;
     }
@@ -136,6 +136,7 @@
                           int64_t now_us)
 {
     end_hopeless_jobs(batcher, service, now_us);
+    EbBatchService_ReviewJobs(batcher, service, now_us);
     while (service->waiting_count > 0) {
         EbBatchServer *server =
             EbBatchService_ChooseServer(batcher, service, now_us);
@@ -215,6 +216,7 @@
     item->server_id = g_strdup(server->id);
     result->handle = NULL;
     job->done_count++;
+    EbStageRates_Add(&job->service->done, 0, 1, now_us);
     if (job->ended) {
         EbBatchJob_ReleaseResult(batcher, job, item, now_us);
     }
@@ -262,8 +264,12 @@
         slowdown > PACE_SLOW_FACTOR ? EB_PACE_SLOW : EB_PACE_USUAL, now_us);
     server->slowdown += SLOWDOWN_GAIN * (slowdown - server->slowdown);
     server->failures = 0;
+    uint64_t missing_bytes = 0;
     for (size_t i = 0; i < count; i++) {
         EbBatchItem *item = g_ptr_array_index(call->items, i);
+        if (results[i].kind == EB_WORK_ITEM_OUT_OF_MEMORY) {
+            missing_bytes += item->job->spec.result_bytes;
+        }
         if (results[i].kind == EB_WORK_ITEM_DONE) {
             complete_item(batcher, item, server, &results[i], now_us);
         }
@@ -271,9 +277,11 @@
             requeue_or_fail_item(batcher, item, server, results[i].kind,
                                  now_us);
         }
-        if (results[i].kind == EB_WORK_ITEM_OUT_OF_MEMORY) {
-            block_server(server, BLOCK_FULL_US, now_us);
-        }
+    }
+    if (missing_bytes > 0) {
+        block_server(server, BLOCK_FULL_US, now_us);
+        EbBatchService_RecordFullMemory(call->service, server, missing_bytes,
+                                        now_us);
     }
     end_call(batcher, call, now_us);
 }
--- a/src/libebonyhollow/batching/batcher_choice.c
+++ b/src/libebonyhollow/batching/batcher_choice.c
@@ -22,13 +22,47 @@
 #define MIN_CALL_SHARE 0.7
 #define MEMORY_WAIT_US 150000
 
+/* Returns the memory that results of others still take at a server. */
+static uint64_t
+foreign_memory(const EbBatchService *service, const EbBatchServer *server,
+               int64_t now_us)
+{
+    int64_t lifetime_us = service->batch.result_lifetime_us;
+    int64_t left_us = server->foreign_seen_us + lifetime_us - now_us;
+    return server->foreign_bytes > 0 && left_us > 0
+               ? (uint64_t)((double)server->foreign_bytes * (double)left_us /
+                            (double)lifetime_us)
+               : 0;
+}
+
+uint64_t
+EbBatchService_FreeMemory(const EbBatchService *service,
+                          const EbBatchServer *server, int64_t now_us)
+{
+    uint64_t taken_bytes =
+        server->held_bytes + foreign_memory(service, server, now_us);
+    uint64_t memory_bytes = service->batch.result_memory_bytes;
+    return memory_bytes - MIN(taken_bytes, memory_bytes);
+}
+
+void
+EbBatchService_RecordFullMemory(const EbBatchService *service,
+                                EbBatchServer *server, uint64_t missing_bytes,
+                                int64_t now_us)
+{
+    server->foreign_bytes =
+        MIN(foreign_memory(service, server, now_us) + missing_bytes,
+            service->batch.result_memory_bytes);
+    server->foreign_seen_us = now_us;
+}
+
 /* Returns whether the server has memory for the results of the next call. A
  * call costs far more than an item, so the server waits for memory that is
  * about to be released, unless there is room for most of a call. After
  * MEMORY_WAIT_US one result is enough. */
-static bool
-has_memory(const EbBatchService *service, const EbBatchServer *server,
-           int64_t now_us)
+bool
+EbBatchService_HasMemory(const EbBatchService *service,
+                         const EbBatchServer *server, int64_t now_us)
 {
     uint64_t memory_bytes = service->batch.result_memory_bytes;
     if (memory_bytes == 0 || service->waiting_count == 0) {
@@ -36,8 +70,8 @@
     }
     uint64_t mean_bytes =
         MAX(service->waiting_bytes / service->waiting_count, 1);
-    uint64_t free_bytes = memory_bytes - MIN(server->held_bytes, memory_bytes);
-    uint64_t room = free_bytes / mean_bytes;
+    uint64_t room =
+        EbBatchService_FreeMemory(service, server, now_us) / mean_bytes;
     uint64_t wanted = MIN(service->waiting_count, service->batch.max_items);
     if (now_us >= server->idle_since_us + MEMORY_WAIT_US) {
         return room >= 1;
@@ -53,7 +87,7 @@
            server->running < service->batch.max_calls &&
            server->blocked_until_us <= now_us &&
            server->skipped_us != now_us &&
-           has_memory(service, server, now_us) &&
+           EbBatchService_HasMemory(service, server, now_us) &&
            EbDirectives_Admits(batcher->options.directives, server->id,
                                now_us);
 }
@@ -118,14 +152,15 @@
 /* Moves waiting items of one job into a call, up to the batch size and the
  * server's memory. */
 static void
-add_items(EbBatchCall *call, EbBatchJob *job, uint32_t max_items)
+add_items(EbBatchCall *call, EbBatchJob *job, int64_t now_us)
 {
     EbBatchServer *server = call->server;
-    uint64_t result_memory_bytes = job->service->batch.result_memory_bytes;
-    while (
-        call->items->len < max_items && job->waiting.length > 0 &&
-        (result_memory_bytes == 0 ||
-         server->held_bytes + job->spec.result_bytes <= result_memory_bytes)) {
+    const EbBatchService *service = job->service;
+    while (call->items->len < service->batch.max_items &&
+           job->waiting.length > 0 &&
+           (service->batch.result_memory_bytes == 0 ||
+            job->spec.result_bytes <=
+                EbBatchService_FreeMemory(service, server, now_us))) {
         EbBatchItem *item = g_queue_pop_head(&job->waiting);
         job->service->waiting_count--;
         job->service->waiting_bytes -= job->spec.result_bytes;
@@ -139,10 +174,8 @@
     }
 }
 
-/* Returns the number of items that all servers to which calls may be sent take
- * in one call each. */
-static size_t
-call_capacity(const EbBatchService *service)
+size_t
+EbBatchService_ItemsAtOnce(const EbBatchService *service)
 {
     return (size_t)service->batch.max_items *
            EbBatchService_CountOpen(service);
@@ -154,8 +187,8 @@
 can_wait_for_local_server(const EbBatchService *service, const EbBatchJob *job,
                           int64_t done_us)
 {
-    bool busy =
-        service->waiting_count > call_capacity(service) / LOCAL_BUSY_DIVISOR;
+    bool busy = service->waiting_count >
+                EbBatchService_ItemsAtOnce(service) / LOCAL_BUSY_DIVISOR;
     if (busy || job->spec.transfer_bytes < LOCAL_MIN_BYTES ||
         job->spec.due_us - done_us < LOCAL_MARGIN_US) {
         return false;
@@ -173,71 +206,61 @@
     return false;
 }
 
-/* A job considered for a call. See compare_candidates for the order. */
-typedef struct {
-    EbBatchJob *job;
-    bool late;   /* its request can't be in time any more */
-    bool remote; /* its results are used in another failure domain */
-    /* The request's priority if the job is late or there is a backlog,
-     * otherwise 0. */
-    int32_t priority;
-    /* Late jobs of later stages go first, since the stages already completed
-     * for them are worth the most. */
-    int32_t stage_order;
-    int64_t due_us;
-} Candidate;
-
-static int
-compare_candidates(gconstpointer left, gconstpointer right)
+GArray *
+EbBatchService_ListEntries(const EbBatchService *service,
+                           const EbBatchServer *server, int64_t done_us)
 {
-    const Candidate *a = left;
-    const Candidate *b = right;
-    if (a->late != b->late) {
-        return a->late ? 1 : -1;
-    }
-    if (a->priority != b->priority) {
-        return a->priority < b->priority ? -1 : 1;
-    }
-    if (a->remote != b->remote) {
-        return a->remote ? 1 : -1;
-    }
-    if (a->stage_order != b->stage_order) {
-        return a->stage_order < b->stage_order ? -1 : 1;
-    }
-    return a->due_us < b->due_us ? -1 : a->due_us > b->due_us;
-}
-
-void
-EbBatchCall_SelectItems(EbBatchCall *call, int64_t now_us)
-{
-    EbBatchService *service = call->service;
-    bool backlogged = service->waiting_count > call_capacity(service);
-    int64_t done_us = now_us + EbBatchService_ExpectedTime(service, 1);
-    GArray *candidates = g_array_new(FALSE, FALSE, sizeof(Candidate));
+    GArray *entries = g_array_new(FALSE, FALSE, sizeof(EbStageEntry));
     for (GSequenceIter *iter = g_sequence_get_begin_iter(service->queue);
          !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter)) {
         EbBatchJob *job = g_sequence_get(iter);
-        bool late = job->spec.due_us < done_us;
-        bool remote = !is_local(job, call->server);
+        bool remote = server != NULL && !is_local(job, server);
         if (remote && can_wait_for_local_server(service, job, done_us)) {
             continue;
         }
-        Candidate candidate = {
+        EbStageEntry entry = {
             .job = job,
-            .late = late,
-            .remote = !late && remote,
-            .priority = backlogged || late ? job->spec.priority : 0,
-            .stage_order = late ? -(int32_t)job->spec.stage : 0,
+            .items = job->waiting.length,
+            .class = EbStageSchedule_Class(job->spec.priority,
+                                           job->spec.route_priority),
+            .stage = job->spec.stage,
+            .remote = remote,
             .due_us = job->spec.due_us,
-        };
-        g_array_append_val(candidates, candidate);
+            .deadline_us = job->spec.deadline_us};
+        g_array_append_val(entries, entry);
     }
-    g_array_sort(candidates, compare_candidates);
-    for (guint i = 0;
-         i < candidates->len && call->items->len < service->batch.max_items;
-         i++) {
-        add_items(call, g_array_index(candidates, Candidate, i).job,
-                  service->batch.max_items);
+    return entries;
+}
+
+void
+EbBatchCall_SelectItems(EbBatchCall *call, int64_t now_us)
+{
+    EbBatchService *service = call->service;
+    EbStageCapacity capacity = EbBatchService_Capacity(service, now_us);
+    GArray *list = EbBatchService_ListEntries(service, call->server,
+                                              now_us + capacity.call_us);
+    EbStageEntry *entries = (EbStageEntry *)list->data;
+    bool shortage = EbStageSchedule_Order(entries, list->len, &capacity);
+    if (!shortage) {
+        service->shares = (EbStageShares){0};
+        service->short_since_us = 0;
+    }
+    else if (service->short_since_us == 0) {
+        service->short_since_us = now_us;
+    }
+    size_t next = 0;
+    while (call->items->len < service->batch.max_items &&
+           (next = EbStageShares_Next(&service->shares, entries, list->len)) <
+               list->len) {
+        EbStageEntry *entry = &entries[next];
+        guint before = call->items->len;
+        add_items(call, entry->job, now_us);
+        entry->items = 0;
+        if (shortage) {
+            EbStageShares_Record(&service->shares, entry->class,
+                                 call->items->len - before, entries, list->len,
+                                 capacity.least_share);
+        }
     }
-    g_array_free(candidates, TRUE);
+    g_array_free(list, TRUE);
 }
--- a/src/libebonyhollow/batching/private/batcher_state.h
+++ b/src/libebonyhollow/batching/private/batcher_state.h
@@ -5,6 +5,10 @@
 #include <glib.h>
 
 #include "ebonyhollow/batcher.h"
+#include "ebonyhollow/stage_schedule.h"
+
+/* Waiting jobs are reviewed this often. */
+#define EB_BATCH_REVIEW_US 50000
 
 typedef struct EbBatchJob EbBatchJob;
 typedef struct EbBatchService EbBatchService;
@@ -29,6 +33,7 @@
     bool ended; /* its results are not needed; freed when no item runs */
     int64_t added_us;
     int64_t expires_us; /* when its results no longer exist */
+    int64_t room_in_us; /* see EbBatcherResult */
     /* When the job ends unless its requester reconnects; INT64_MAX while the
      * requester is connected. */
     int64_t grace_until_us;
@@ -49,6 +54,11 @@
     int64_t idle_since_us; /* end of its last call */
     double slowdown;       /* moving average: call time / expected call time */
     uint64_t held_bytes;   /* of results stored or being made there */
+    /* Taken by results that this home doesn't know, when the server last had
+     * no room for one: those of an earlier home, or of one that was cut off.
+     */
+    uint64_t foreign_bytes;
+    int64_t foreign_seen_us;
     uint64_t released_bytes; /* of the results in `releases` */
     bool current;            /* in the configuration in force */
     bool evacuated;          /* its failure domain is closed */
@@ -62,6 +72,14 @@
     GSequence *queue;       /* of EbBatchJob with waiting items, by due time */
     size_t waiting_count;   /* items in the queue */
     uint64_t waiting_bytes; /* that their results will take */
+    /* Routes of different priority use it, and its memory is limited. */
+    bool by_urgency;
+    EbStageShares shares;   /* of the classes in a shortage */
+    EbStageRates arrivals;  /* of items in time, by class */
+    EbStageRates done;      /* of items; the first class counts all */
+    int64_t short_since_us; /* 0: no shortage */
+    int64_t next_review_us; /* of the jobs that wait */
+    int64_t next_report_us; /* of a shortage */
 };
 
 typedef struct {
@@ -103,6 +121,23 @@
                               EbBatchItem *item, int64_t now_us);
 void EbBatchJob_Free(EbBatcher *batcher, EbBatchJob *job);
 
+/* batcher_admission.c */
+
+/* Reports a job that can't be done before its deadline, and counts it.
+ *
+ * cause: "projected" or "expired". */
+void EbBatchJob_ReportLate(EbBatcher *batcher, EbBatchJob *job,
+                           const char *cause, int64_t now_us);
+
+/* Returns what the servers of a service do that can be used now. */
+EbStageCapacity EbBatchService_Capacity(const EbBatchService *service,
+                                        int64_t now_us);
+/* Reports the waiting jobs that can't be done before their deadline in view of
+ * all that goes before them. Does nothing within EB_BATCH_REVIEW_US after the
+ * last time. */
+void EbBatchService_ReviewJobs(EbBatcher *batcher, EbBatchService *service,
+                               int64_t now_us);
+
 /* batcher_evacuation.c */
 
 /* Notes whether a server's failure domain is closed. */
@@ -115,20 +150,43 @@
 
 /* batcher_choice.c */
 
+/* Returns the number of items that all servers to which calls may be sent take
+ * in one call each. */
+size_t EbBatchService_ItemsAtOnce(const EbBatchService *service);
+
+/* Returns whether a server has memory for the results of the next call. */
+bool EbBatchService_HasMemory(const EbBatchService *service,
+                              const EbBatchServer *server, int64_t now_us);
+/* Returns the memory for results that is free at a server. */
+uint64_t EbBatchService_FreeMemory(const EbBatchService *service,
+                                   const EbBatchServer *server,
+                                   int64_t now_us);
+/* Records that a server had no room for `missing_bytes` of results, although
+ * there should have been: results that this home doesn't know take it. They
+ * expire one after another within the lifetime of a result. */
+void EbBatchService_RecordFullMemory(const EbBatchService *service,
+                                     EbBatchServer *server,
+                                     uint64_t missing_bytes, int64_t now_us);
+
 /* Returns how long a call with `items` items takes at a server of usual speed,
  * in microseconds. */
 int64_t EbBatchService_ExpectedTime(const EbBatchService *service,
                                     size_t items);
+/* Returns an entry for each job that waits and may be sent to a server. The
+ * caller frees the array.
+ *
+ * server: NULL: all jobs. */
+GArray *EbBatchService_ListEntries(const EbBatchService *service,
+                                   const EbBatchServer *server,
+                                   int64_t done_us);
 /* Returns the best free server for the most urgent job, or NULL when none is
  * free or it is so slow that waiting for a faster one is better. */
 EbBatchServer *EbBatchService_ChooseServer(const EbBatcher *batcher,
                                            const EbBatchService *service,
                                            int64_t now_us);
-/* Fills a call with waiting items, in this order: those that can still be in
- * time; higher priority, for late items and while more items wait than the
- * servers take; work that belongs in the server's failure domain; for late
- * items, later stages; earlier due time. Items that move many bytes are left
- * out while they can wait for a server in their failure domain. */
+/* Fills a call with waiting items in the order of EbStageSchedule. Items that
+ * move many bytes are left out while they can wait for a server in their
+ * failure domain. */
 void EbBatchCall_SelectItems(EbBatchCall *call, int64_t now_us);
 
 /* batcher_call.c */
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -112,6 +112,7 @@
         EbBatcher_New(&(EbBatcherOptions){.actions = daemon->actions,
                                           .events = daemon->events,
                                           .directives = daemon->directives,
+                                          .metrics = daemon->metrics,
                                           .evacuations = daemon->evacuations});
     daemon->forward_client = EbForwardClient_New(
         &(EbForwardClientOptions){.base = daemon->base,
@@ -289,6 +290,7 @@
         .stage = spec->stage,
         .piece_count = spec->item_count,
         .priority = spec->priority,
+        .route_priority = spec->route_priority,
         .result_bytes = spec->result_bytes,
         .transfer_bytes = spec->transfer_bytes,
         .failure_domain = spec->failure_domain,
@@ -396,6 +398,7 @@
         .stage = message->stage,
         .item_count = message->piece_count,
         .priority = (uint8_t)message->priority,
+        .route_priority = (uint8_t)message->route_priority,
         .result_bytes = message->result_bytes,
         .transfer_bytes = message->transfer_bytes,
         .failure_domain = message->failure_domain,
@@ -425,6 +428,8 @@
     if (EbPreparationTable_RecordResult(
             daemon->preparations, instance, result->job, result->status,
             result->handles, result->handle_count)) {
+        EbDispatcher_SetRoomIn(daemon->dispatcher, result->job,
+                               result->room_in_us);
         EbDispatcher_PreparationEnded(daemon->dispatcher, result->job,
                                       result->status, result->handles,
                                       result->handle_count, now_us);
@@ -437,11 +442,30 @@
 {
     EbBatcherResult result = {.job = message->job,
                               .status = (EbPreparedStatus)message->prepared,
+                              .room_in_us = (int64_t)message->room_in_us,
                               .handles = message->handles,
                               .handle_count = message->handle_count};
     record_result(daemon, peer, &result, now_us);
 }
 
+/* Sends a result to its requester. If the message can't be sent, the job ends
+ * here and its requester is told that it failed. */
+static void
+send_result(EbDaemon *daemon, const EbBatcherResult *result,
+            const EbMessage *message, int64_t now_us)
+{
+    if (EbMembership_Send(daemon->membership, result->requester, message,
+                          now_us) ||
+        result->handle_count == 0) {
+        return;
+    }
+    EbMessage failure = {.kind = EB_MESSAGE_PREPARED,
+                         .job = result->job,
+                         .prepared = EB_PREPARED_FAILED};
+    EbBatcher_EndJob(daemon->batcher, result->requester, result->job, now_us);
+    EbMembership_Send(daemon->membership, result->requester, &failure, now_us);
+}
+
 void
 EbDaemon_SendPreparationResults(EbDaemon *daemon, int64_t now_us)
 {
@@ -455,10 +479,10 @@
             EbMessage message = {.kind = EB_MESSAGE_PREPARED,
                                  .job = result.job,
                                  .prepared = result.status,
+                                 .room_in_us = (uint64_t)result.room_in_us,
                                  .handles = result.handles,
                                  .handle_count = result.handle_count};
-            EbMembership_Send(daemon->membership, result.requester, &message,
-                              now_us);
+            send_result(daemon, &result, &message, now_us);
         }
         EbBatcherResult_Clear(&result);
     }
--- a/src/test_batcher/main.c
+++ b/src/test_batcher/main.c
@@ -311,6 +311,105 @@
     }
 }
 
+/* The rates of a deployment whose stages run out for seconds in a burst. */
+static LoadPlan
+crowded_load(double drafts_per_s, double rewrites_per_s)
+{
+    return (LoadPlan){
+        .services = {{19, 14, 200000, 12000, 32000000},
+                     {15, 40, 200000, 4300, 5300000},
+                     {15, 56, 200000, 3100, 730000}},
+        .service_count = 3,
+        .classes = {{"rewrite",
+                     86,
+                     rewrites_per_s,
+                     0,
+                     1800000,
+                     6000000,
+                     200000,
+                     3,
+                     {{0, 1, 8000, 0, 0.3},
+                      {1, 6, 60000, 0, 0},
+                      {2, 10, 6000, 0, 0}}},
+                    {"draft",
+                     91,
+                     drafts_per_s,
+                     1,
+                     1100000,
+                     6000000,
+                     200000,
+                     1,
+                     {{0, 1, 1500000, 4, 0}}},
+                    {"chat",
+                     32,
+                     32,
+                     2,
+                     1800000,
+                     20000000,
+                     250000,
+                     3,
+                     {{0, 1, 8000, 0, 0.3},
+                      {1, 6, 60000, 0, 0},
+                      {2, 10, 6000, 0, 0}}},
+                    {"image",
+                     21,
+                     21,
+                     2,
+                     1800000,
+                     20000000,
+                     250000,
+                     1,
+                     {{0, 1, 1500000, 2, 0}}}},
+        .class_count = 4,
+        .burst_from_us = 4 * SECOND_US,
+        .burst_until_us = 9600000,
+        .routes = true,
+        .end_us = 20 * SECOND_US,
+    };
+}
+
+/* Guards against a burst in which the most urgent class is served worse than
+ * others of the same service, against callers that learn only after most of
+ * their time that they are refused, and against work for requests that are
+ * refused later: one hundredth of it at most, which is the room that the
+ * servers have beyond a usual second. */
+static void
+test_shortage(void)
+{
+    static const struct {
+        double drafts_per_s;
+        double rewrites_per_s;
+        double in_goal; /* part of the rewrites, at least */
+        double refused; /* part of all requests, at most */
+    } rows[] = {{91, 86, 0.99, 0},
+                {227, 86, 0.99, 0.02},
+                {290, 133, 0.99, 0.08},
+                {91, 267, 0.8, 0.06}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        LoadPlan plan =
+            crowded_load(rows[i].drafts_per_s, rows[i].rewrites_per_s);
+        LoadReport report;
+        plan.seed = 1;
+        Load_Play(&plan, &report);
+        printf("%.0f drafts, %.0f rewrites a second:\n", rows[i].drafts_per_s,
+               rows[i].rewrites_per_s);
+        Load_Print(&plan, &report);
+        const LoadOutcome *rewrites = &report.classes[0];
+        double asked = 0;
+        double refused = 0;
+        for (uint32_t c = 0; c < plan.class_count; c++) {
+            const LoadOutcome *outcome = &report.classes[c];
+            asked += outcome->asked;
+            refused += outcome->refused;
+            CU_ASSERT_TRUE(outcome->refused_after_us <= SECOND_US);
+            CU_ASSERT_TRUE(outcome->refused * 5 <= outcome->asked);
+        }
+        CU_ASSERT_TRUE(rewrites->in_goal >= rows[i].in_goal * rewrites->asked);
+        CU_ASSERT_TRUE(refused <= rows[i].refused * asked);
+        CU_ASSERT_TRUE(report.wasted_us * 100 <= report.work_us);
+    }
+}
+
 /* Guards against calls with work items and releases above the limit of a
  * server, in its pause, or to one that leaves. */
 static void
@@ -379,6 +478,7 @@
         {"evacuated servers", test_evacuated_servers},
         {"evacuated service", test_evacuated_service},
         {"burst", test_burst},
+        {"shortage", test_shortage},
     };
     return EbTest_Run("test_batcher", cases, G_N_ELEMENTS(cases));
 }
