--- a/include/metrics/ebonyhollow/metrics.h
+++ b/include/metrics/ebonyhollow/metrics.h
@@ -48,6 +48,7 @@
     EB_METRIC_LIVE_DAEMONS,       /* gauge */
     EB_METRIC_QUARANTINED,        /* gauge */
     EB_METRIC_EVACUATED,          /* gauge */
+    EB_METRIC_EVACUATED_CALLS,    /* gauge */
     EB_METRIC_PACED_SERVERS,      /* gauge */
     EB_METRIC_COUNT
 } EbMetricId;
--- a/src/libebonyhollow/metrics/metrics.c
+++ b/src/libebonyhollow/metrics/metrics.c
@@ -191,6 +191,12 @@
                              "sent by order of the operator.",
                              {NULL, NULL, NULL},
                              1},
+    [EB_METRIC_EVACUATED_CALLS] = {"ebonyhollow_evacuated_calls",
+                                   EB_METRIC_GAUGE,
+                                   "Calls of this daemon that still run in "
+                                   "these domains.",
+                                   {NULL, NULL, NULL},
+                                   1},
     [EB_METRIC_PACED_SERVERS] = {"ebonyhollow_paced_servers",
                                  EB_METRIC_GAUGE,
                                  "Backend servers whose calls this daemon "
--- a/src/libebonyhollow/servers/evacuations.c
+++ b/src/libebonyhollow/servers/evacuations.c
@@ -81,20 +81,20 @@
 }
 
 static void
-report_metrics(const EbEvacuations *evacuations, const Domain *changed)
+set_gauges(const EbEvacuations *evacuations)
 {
     EbMetrics *metrics = evacuations->options.metrics;
-    if (metrics == NULL) {
-        return;
-    }
     uint64_t closed = 0;
+    uint64_t calls = 0;
     for (guint i = 0; i < evacuations->domains->len; i++) {
         const Domain *domain = g_ptr_array_index(evacuations->domains, i);
         closed += is_closed(domain->state);
+        calls += is_closed(domain->state) ? domain->calls : 0;
+    }
+    if (metrics != NULL) {
+        EbMetrics_Set(metrics, EB_METRIC_EVACUATED, closed);
+        EbMetrics_Set(metrics, EB_METRIC_EVACUATED_CALLS, calls);
     }
-    EbMetrics_Set(metrics, EB_METRIC_EVACUATED, closed);
-    EbMetrics_Add(metrics, EB_METRIC_EVACUATIONS, 1, changed->failure_domain,
-                  EbEvacuationState_names[changed->state], NULL);
 }
 
 static void
@@ -116,7 +116,11 @@
             EB_INTEGER_FIELD("revision", domain->position.revision),
             EB_INTEGER_FIELD("age_us", now_us - domain->learned_us),
             EB_INTEGER_FIELD("calls", domain->calls));
-    report_metrics(evacuations, domain);
+    if (evacuations->options.metrics != NULL) {
+        EbMetrics_Add(evacuations->options.metrics, EB_METRIC_EVACUATIONS, 1,
+                      domain->failure_domain, EbEvacuationState_names[state],
+                      NULL);
+    }
 }
 
 /* Adjusts a closed domain to the calls that run there. A call may begin after
@@ -178,6 +182,7 @@
                                         domain->failure_domain, now_us);
         }
     }
+    set_gauges(evacuations);
 }
 
 bool
@@ -211,6 +216,7 @@
             g_ptr_array_remove_index(evacuations->domains, i - 1);
         }
     }
+    set_gauges(evacuations);
 }
 
 bool
--- a/src/test_evacuations/main.c
+++ b/src/test_evacuations/main.c
@@ -121,6 +121,10 @@
         CU_ASSERT_EQUAL(EbMetrics_Read(fixture.metrics, EB_METRIC_EVACUATED,
                                        NULL, NULL, NULL),
                         rows[i].closed);
+        CU_ASSERT_EQUAL(EbMetrics_Read(fixture.metrics,
+                                       EB_METRIC_EVACUATED_CALLS, NULL, NULL,
+                                       NULL),
+                        rows[i].closed ? rows[i].calls : 0);
     }
     CU_ASSERT_EQUAL(EbEvacuations_Count(evacuations), 0);
     CU_ASSERT_EQUAL(fixture.opened, 2);
