--- a/include/servers/ebonyhollow/pool.h
+++ b/include/servers/ebonyhollow/pool.h
@@ -14,6 +14,7 @@
 #include "ebonyhollow/directives.h"
 #include "ebonyhollow/evacuations.h"
 #include "ebonyhollow/event.h"
+#include "ebonyhollow/home_regions.h"
 #include "ebonyhollow/random.h"
 #include "ebonyhollow/server_speed.h"
 
@@ -79,6 +80,7 @@
     /* Returns whether a server may be chosen; NULL: all may. */
     bool (*accept)(void *context, const char *server_id);
     void *context;
+    const EbHomeRegions *homes; /* NULL: servers of any region */
 } EbPoolCriteria;
 
 /* Creates a pool for a daemon that knows of no others. Strings in `options`
--- a/src/libebonyhollow/servers/pool_choice.c
+++ b/src/libebonyhollow/servers/pool_choice.c
@@ -49,6 +49,8 @@
 {
     return !server->leaving && !EbPool_IsClosed(pool, server) &&
            !is_excluded(criteria, server) &&
+           EbHomeRegions_Allow(criteria->homes,
+                               server->config->failure_domain) &&
            (criteria->accept == NULL ||
             criteria->accept(criteria->context, server->id));
 }
--- a/src/test_pool/main.c
+++ b/src/test_pool/main.c
@@ -621,6 +621,47 @@
     }
 }
 
+/* Guards against a call to a server outside the home regions of a request, or
+ * in a failure domain of which the region isn't known, however it is chosen.
+ */
+static void
+test_home_regions(void)
+{
+    static const char *const north[] = {"north"};
+    static const char *const both[] = {"south", "north"};
+    static const EbDomainRegion domains[] = {{"d0", "south"}, {"d1", "north"}};
+    static const struct {
+        EbRegionList pipeline;
+        EbRegionList customer;
+        bool allowed[3]; /* in d0, d1, d2 */
+    } rows[] = {
+        {{NULL, 0}, {NULL, 0}, {true, true, true}},
+        {{north, 1}, {NULL, 0}, {false, true, false}},
+        {{NULL, 0}, {north, 1}, {false, true, false}},
+        {{both, 2}, {NULL, 0}, {true, true, false}},
+        {{both, 2}, {north, 1}, {false, true, false}},
+        {{both, 1}, {north, 1}, {false, false, false}},
+    };
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        Fixture fixture;
+        EbPool *pool = Fixture_Open(&fixture, 6, 3, 0, 4);
+        EbHomeRegions homes = {.pipeline = rows[i].pipeline,
+                               .customer = rows[i].customer,
+                               .domains = domains,
+                               .domain_count = TABLE_COUNT(domains)};
+        EbPoolCriteria criteria = {.preferred = "s0", .homes = &homes};
+        uint32_t calls[3] = {0};
+        const EbConfigBackendServer *server;
+        while ((server = EbPool_BeginCall(pool, &criteria, 0)) != NULL) {
+            calls[server->failure_domain[1] - '0']++;
+        }
+        for (size_t domain = 0; domain < 3; domain++) {
+            CU_ASSERT_EQUAL(calls[domain] > 0, rows[i].allowed[domain]);
+        }
+        EbPool_Free(pool);
+    }
+}
+
 int
 main(void)
 {
@@ -641,6 +682,7 @@
         {"evacuation", test_evacuation},
         {"incarnations", test_incarnations},
         {"earlier calls", test_earlier_calls},
+        {"home regions", test_home_regions},
     };
     return EbTest_Run("test_pool", cases, TABLE_COUNT(cases));
 }
