stage schedule: nothing to order is no call of qsort

Cause: qsort was called without entries; the undefined-behaviour sanitizer ended test_batcher (null pointer passed as argument 1). Change: EbStageSchedule_Order returns at once.

--- a/src/libebonyhollow/batching/stage_schedule.c
+++ b/src/libebonyhollow/batching/stage_schedule.c
@@ -120,6 +120,9 @@
 EbStageSchedule_Order(EbStageEntry *entries, size_t count,
                       const EbStageCapacity *capacity)
 {
+    if (count == 0) {
+        return false;
+    }
     bool any_late = false;
     size_t items = 0;
     for (size_t i = 0; i < count; i++) {
