test/clients, test_clients_front, test_clients_own: crowds that misbehave, red

Cause: nothing bounds what a daemon holds for clients that don't keep to the pages' limits, or keep to them many at once.

Change: crowd plays one form of misbehaviour on many connections; platform_standin is a store and a server that records what ran. Two process tests play each form at the callers', the operators' and the ready address, at paths with and without a route, and check that the process lives, that its memory and descriptors stay under a bound, that an ordinary request and the probe are answered beside the crowd and after it, and that nothing that was refused has run. The bounds are those of the machine that the test's settings name: 64 MB less 16 for the program, 300 descriptors less a third; on the own interface 32 MiB for clients (the new setting client_memory_bytes, which is read and has no effect yet) and half as much for copies.

Conclusion: red, to be mended; crowd and bounds stay.

--- a/include/configuration/ebonyhollow/settings.h
+++ b/include/configuration/ebonyhollow/settings.h
@@ -61,11 +61,12 @@
     int64_t balancer_delay_us; /* listeners stay open this long in a drain */
     int64_t drain_limit_us;    /* longest drain after that delay */
     uint32_t capacity; /* weight as a home of work items, in any common unit */
-    uint32_t max_body_bytes;   /* of a request */
-    uint32_t max_header_bytes; /* of a request */
-    uint32_t max_connections;  /* from callers */
-    uint32_t max_requests;     /* live requests */
-    uint32_t max_buffer_bytes; /* unsent output per caller */
+    uint32_t max_body_bytes;      /* of a request */
+    uint32_t max_header_bytes;    /* of a request */
+    uint32_t client_memory_bytes; /* for what is held for all clients */
+    uint32_t max_connections;     /* from callers */
+    uint32_t max_requests;        /* live requests */
+    uint32_t max_buffer_bytes;    /* unsent output per caller */
     /* A cold server of a pool with cold_requests_per_s gets at most that rate
      * times cold_overrun, plus cold_margin calls in a second. */
     uint32_t cold_overrun_permille;
--- a/src/libebonyhollow/configuration/settings_fields.c
+++ b/src/libebonyhollow/configuration/settings_fields.c
@@ -101,6 +101,10 @@
         EbSettings, max_body_bytes, "Largest body of a request."),
     ROW("max_header_bytes", UINT32, "bytes", 1024, MIB, "16384", EbSettings,
         max_header_bytes, "Largest header of a request."),
+    ROW("client_memory_bytes", UINT32, "bytes", MIB, 4095 * MIB, "134217728",
+        EbSettings, client_memory_bytes,
+        "Memory for what is held for callers and operators: unread requests, "
+        "requests in progress and unsent answers."),
     ROW("max_connections", UINT32, "connections", 1, 65536, "1024", EbSettings,
         max_connections, "Maximum number of open connections from callers."),
     ROW("max_requests", UINT32, "requests", 1, 65536, "512", EbSettings,
--- /dev/null
+++ b/test/process/clients_lib.sh
@@ -0,0 +1,88 @@
+# Functions for the tests with clients that misbehave; to be sourced after
+# lib.sh.
+#
+# The bounds come from the target that the settings name, not from a measured
+# figure. The sanitizer's own memory is in the process's size at rest, so the
+# bound is on the growth from there; what it keeps after a free is limited.
+export ASAN_OPTIONS="${ASAN_OPTIONS:+$ASAN_OPTIONS:}quarantine_size_mb=1"
+ASAN_OPTIONS+=":thread_local_quarantine_size_kb=64"
+ASAN_OPTIONS+=":allocator_release_to_os_interval_ms=100"
+
+# cl_kb FIELD: prints a size of the daemon from /proc.
+cl_kb() { awk -v f="$1:" '$1 == f { print $2 }' "/proc/$cl_pid/status"; }
+
+cl_descriptors() { ls "/proc/$cl_pid/fd" 2>/dev/null | wc -l; }
+
+cl_lives() { kill -0 "$cl_pid" 2>/dev/null && [ -n "$(cl_kb VmRSS)" ]; }
+
+# cl_rest: takes the daemon's size at rest, after one ordinary request.
+cl_rest() {
+    cl_ordinary || echo "no ordinary request before the crowds"
+    cl_rest_kb=$(cl_kb VmRSS)
+    echo "at rest: $cl_rest_kb kB, $(cl_descriptors) descriptors"
+}
+
+# cl_served COMMAND...: repeats an ordinary request, as callers do after a
+# refusal, until it is answered.
+cl_served() {
+    local i
+    for i in $(seq 12); do
+        "$@" && return 0
+        sleep 1
+    done
+    return 1
+}
+
+# cl_none_ran FILE: tells whether no request that was refused has run, by the
+# stand-in's own record.
+cl_none_ran() {
+    cl_runs >"$eb_work/runs"
+    ! sed -n 's/^refused //p' "$1" | grep -qxFf "$eb_work/runs"
+}
+
+# cl_play NAME ADDRESS FORM PATH COUNT: plays one crowd and checks the daemon
+# while the crowd holds its connections, and after it has ended.
+cl_play() {
+    local name=$1 address=$2 form=$3 path=$4 count=$5
+    local out=$eb_work/crowd.out before=$eb_failures peak fds
+    rm -f "$out" "$eb_work/input"
+    mkfifo "$eb_work/input"
+    echo 5 2>/dev/null >"/proc/$cl_pid/clear_refs"
+    "$eb_build/test/clients/crowd" "$address" "$form" "$path" "$count" \
+        <"$eb_work/input" >"$out" &
+    local crowd=$!
+    eb_pids+=("$crowd")
+    exec 9>"$eb_work/input"
+    eb_wait 900 grep -q held "$out"
+    cl_lives && cl_served cl_ordinary
+    local during=$?
+    peak=$(cl_kb VmHWM) fds=$(cl_descriptors)
+    exec 9>&-
+    wait "$crowd"
+    cl_lives && cl_served cl_ordinary
+    local after=$?
+    local growth=$((${peak:-0} - cl_rest_kb))
+    echo "$name: $growth kB more (bound $cl_growth_kb), $fds descriptors" \
+        "(bound $cl_max_fds); $(grep -c refused "$out") refused;" \
+        "$(grep answer "$out" | sort | uniq -c | tr -s ' \n' ' ')"
+    eb_check "$name: the process lives" cl_lives
+    eb_check "$name: memory stays under the bound" \
+        [ "$growth" -le "$cl_growth_kb" ]
+    eb_check "$name: descriptors stay under the bound" \
+        [ "$fds" -le "$cl_max_fds" ]
+    eb_check "$name: an ordinary request is answered beside the crowd" \
+        [ "$during" -eq 0 ]
+    eb_check "$name: an ordinary request is answered afterwards" \
+        [ "$after" -eq 0 ]
+    eb_check "$name: nothing that was refused has run" cl_none_ran "$out"
+    if [ "$eb_failures" -ne "$before" ]; then
+        cl_restart # so that the next form starts from rest
+    fi
+}
+
+# cl_stop: ends the daemon in order.
+cl_stop() {
+    kill -TERM "$cl_pid"
+    wait "$cl_pid"
+    eb_check "the daemon stops with status 0" [ $? -eq 0 ]
+}
--- /dev/null
+++ b/test/process/test_clients_front.sh
@@ -0,0 +1,110 @@
+#!/usr/bin/env bash
+# Guards against a process that ends, hangs or outgrows its memory, and against
+# ordinary callers who are no longer served, when clients of forwarded requests
+# misbehave: crowds of unfinished bodies, very many fields, requests ahead,
+# answers that are not read, and connections without requests.
+#
+# Usage: test_clients_front.sh BUILD-DIRECTORY [FORM]
+set -uo pipefail
+. "$(dirname "$0")/lib.sh"
+. "$(dirname "$0")/clients_lib.sh"
+eb_begin "$1" capas
+only=${2:-}
+
+# The target: the machine has 64 MB, of which 16 are for the program at rest,
+# and 300 descriptors, of which a third is left for what isn't a client.
+memory_mb=64
+max_fds=300
+cl_growth_kb=$(((memory_mb - 16) * 1024))
+cl_max_fds=$((max_fds * 2 / 3))
+
+host=127.0.0.1
+port=$((15000 + $$ * 61 % 15000))
+store=$port server=$((port + 1))
+front=$host:$((port + 2)) ready=$host:$((port + 3)) peer=$host:$((port + 4))
+cat >"$eb_work/node.yaml" <<YAML
+node: "front-1"
+zone: "z0"
+region: "r"
+listen:
+  front: "$front"
+  ready: "$ready"
+  control: "$peer"
+seeds:
+  - "$peer"
+limits:
+  cpu_share: 1.0
+  cores: 1
+  memory_mb: $memory_mb
+  max_fds: $max_fds
+  link_mbps: 1000
+bounds:
+  grace_s: 8
+platform:
+  address: "$host:$store"
+YAML
+"$eb_build/test/clients/platform_standin" "$store" "$server" \
+    >"$eb_work/standin.log" 2>&1 &
+eb_pids+=($!)
+
+cl_runs() { curl -fsS --max-time 5 "http://$host:$server/runs"; }
+number=0
+cl_ordinary() {
+    number=$((number + 1))
+    curl -fsS --max-time 10 -o /dev/null -H 'Host: h' \
+        -H "Attempt-Id: ordinary-$number" -H 'Deadline-Ms: 8000' \
+        -H 'Authorization: Bearer k-1' --data-binary '{}' \
+        "http://$front/order/a" 2>>"$eb_work/ordinary.log" &&
+        curl -fsS --max-time 10 -o /dev/null \
+            "http://$ready/readyz" 2>>"$eb_work/ordinary.log"
+}
+start() {
+    (
+        ulimit -n "$max_fds"
+        exec env EBONYHOLLOW_NODE_FILE="$eb_work/node.yaml" \
+            "$eb_build/src/ebonyhollowd/ebonyhollowd" --platform
+    ) >>"$eb_work/front.log" 2>&1 &
+    cl_pid=$!
+    eb_pids+=("$cl_pid")
+    cl_served cl_ordinary || exit 1
+    cl_rest
+}
+cl_restart() {
+    kill -KILL "$cl_pid" 2>/dev/null
+    wait "$cl_pid" 2>/dev/null
+    start
+}
+play() { # address path count form...
+    local address=$1 path=$2 count=$3 form
+    shift 3
+    for form in "$@"; do
+        [ -z "$only" ] || [ "$only" = "$form" ] || continue
+        cl_play "$form at $path" "$address" "$form" "$path" "$count"
+    done
+}
+
+start
+bodies=(short-body short-body-in-pieces chunks whole-body half-close)
+echo "== a path with a route"
+play "$front" /order/a 24 "${bodies[@]}" large-body endless-chunks \
+    absurd-length expectation
+play "$front" /order/a 6 small-chunks
+play "$front" /order/a 200 fields whole-fields
+play "$front" /order/a 60 head-by-bytes trailers requests-ahead
+play "$front" /order/a 200 silent opened-and-closed
+play "$front" /order/big 24 answer-unread answer-read-slowly requests-ahead
+play "$front" /order/stream/a 24 answer-unread answer-read-slowly
+echo "== a path without a route"
+play "$front" /none 24 "${bodies[@]}" large-body
+play "$front" /none 200 fields whole-fields
+play "$front" /none 60 requests-ahead
+echo "== the path that says ready, at the callers' address and at its own"
+play "$front" /readyz 24 short-body chunks whole-body
+play "$ready" /readyz 100 short-document "${bodies[@]}" large-body \
+    endless-chunks absurd-length expectation
+play "$ready" /readyz 200 fields head-by-bytes trailers \
+    requests-ahead
+play "$ready" /readyz 300 silent opened-and-closed
+play "$ready" /metrics 60 requests-ahead
+cl_stop
+eb_finish
