intake: one account of what a daemon holds for its clients

Cause: bodies, heads, answers and silent connections were bounded one by one or not at all, so crowds of legal ones outgrew the machine.

Change: EbIntake (decisions, no I/O) keeps an account for each connection and chooses what ends when the sum exceeds the limit: stalled, the largest unfinished request, the largest unread answer; never a request in progress. EbClientGuard connects it to the loop, the log and the metrics. The forward server, evhttp's listeners and the operators' listener keep accounts. The headers of a message lie in few blocks; a body grows by half instead of by each piece, and is sent by reference.

--- a/include/actions/ebonyhollow/http_message.h
+++ b/include/actions/ebonyhollow/http_message.h
@@ -13,6 +13,10 @@
     char *value;
 } EbHttpHeader;
 
+/* Memory of a header besides its text: its entry, and the room that the list
+ * has for more. */
+#define EB_HTTP_HEADER_COST_BYTES 40
+
 typedef struct {
     uint32_t references;
     char *method;    /* of a request */
@@ -22,6 +26,9 @@
     uint32_t header_count;
     uint8_t *body; /* NULL when empty */
     size_t body_bytes;
+    uint32_t header_capacity; /* private */
+    struct EbHttpTextBlock *text_blocks; /* private: names and values */
+    size_t body_capacity;     /* private */
 } EbHttpMessage;
 
 /* Create a request or a response with one reference. The strings are copied.
@@ -46,10 +53,17 @@
 const char *EbHttpMessage_FindHeader(const EbHttpMessage *message,
                                      const char *name);
 
+/* Makes room for a body of this size. */
+void EbHttpMessage_ReserveBody(EbHttpMessage *message, size_t byte_count);
+
 /* Appends a copy of the bytes to the body. */
 void EbHttpMessage_AddBody(EbHttpMessage *message, const void *bytes,
                            size_t byte_count);
 
+/* Returns the memory that a message takes, the cost of each header included.
+ */
+size_t EbHttpMessage_HeldBytes(const EbHttpMessage *message);
+
 /* Returns whether a header of this name applies to one connection only and
  * must not be forwarded (RFC 9110, section 7.6.1): the headers that describe
  * the connection or the message framing, and those that the message lists in
--- a/include/configuration/ebonyhollow/config.h
+++ b/include/configuration/ebonyhollow/config.h
@@ -175,6 +175,14 @@
     bool anonymous;   /* stands for all callers of pipelines without tokens */
 } EbConfigCustomer;
 
+/* Limits on the requests of clients. 0: not given, the earlier one stays. */
+typedef struct {
+    uint32_t max_header_bytes;
+    uint32_t max_body_bytes;
+    int64_t header_timeout_us; /* to receive a header section */
+    int64_t idle_timeout_us;   /* between two requests of a connection */
+} EbConfigLimits;
+
 #define EB_ROUTE_ANY UINT32_MAX
 
 /* Allows a customer to use a pipeline. */
@@ -225,6 +233,7 @@
     uint32_t route_count;
     EbConfigOperator *operators;
     uint32_t operator_count;
+    EbConfigLimits limits;
     json_t *merged;   /* merged JSON of the site */
     json_t *document; /* the whole document */
 } EbConfig;
--- a/include/metrics/ebonyhollow/metrics.h
+++ b/include/metrics/ebonyhollow/metrics.h
@@ -35,6 +35,7 @@
     EB_METRIC_EVACUATIONS,       /* failure_domain, state */
     EB_METRIC_COLD_CALLS,
     EB_METRIC_PACE_ENDED,         /* cause */
+    EB_METRIC_CLIENTS_ENDED,      /* reason */
     EB_METRIC_TOTAL_TIME_US,      /* histogram: customer */
     EB_METRIC_STAGE_TIME_US,      /* histogram: pipeline, stage */
     EB_METRIC_QUEUE_TIME_US,      /* histogram: pipeline, stage */
--- a/include/net/ebonyhollow/admin_server.h
+++ b/include/net/ebonyhollow/admin_server.h
@@ -20,6 +20,7 @@
 #include "ebonyhollow/settings.h"
 
 struct event_base;
+struct EbClientGuard;
 
 typedef struct EbAdminServer EbAdminServer;
 
@@ -30,6 +31,9 @@
 typedef struct {
     struct event_base *base;
     const EbSettings *settings; /* must outlive the server */
+    /* Accounts of the clients' memory, shared with other listeners and
+     * borrowed. NULL: none are kept. */
+    struct EbClientGuard *guard;
     const EbEventSink *events;
     EbMetrics *metrics;
     EbDispatcher *dispatcher;
--- a/include/net/ebonyhollow/caller_server.h
+++ b/include/net/ebonyhollow/caller_server.h
@@ -17,6 +17,7 @@
 #include "ebonyhollow/settings.h"
 
 struct event_base;
+struct EbClientGuard;
 
 typedef struct EbCallerServer EbCallerServer;
 
@@ -24,6 +25,9 @@
     struct event_base *base;
     /* Address and limits; must outlive the server. */
     const EbSettings *settings;
+    /* Accounts of the clients' memory, shared with other listeners and
+     * borrowed. NULL: none are kept. */
+    struct EbClientGuard *guard;
     /* Submits a request and returns its handle, which is never 0. The
      * callback must not call EbCallerServer_Answer for this request. */
     uint64_t (*submit)(void *context, const EbSubmission *submission);
--- a/include/net/ebonyhollow/forward_server.h
+++ b/include/net/ebonyhollow/forward_server.h
@@ -12,12 +12,14 @@
 #include <stdint.h>
 
 #include "ebonyhollow/action.h"
+#include "ebonyhollow/config.h"
 #include "ebonyhollow/error.h"
 #include "ebonyhollow/event.h"
 #include "ebonyhollow/forward.h"
 #include "ebonyhollow/settings.h"
 
 struct event_base;
+struct EbClientGuard;
 
 typedef struct EbForwardServer EbForwardServer;
 
@@ -27,6 +29,9 @@
     const EbSettings *settings;
     const EbForwardProtocol *protocol;
     const EbEventSink *events;
+    /* Accounts of the clients' memory, shared with other listeners and
+     * borrowed. NULL: the server has its own. */
+    struct EbClientGuard *guard;
     /* Submits a request and returns its handle, which is never 0. `call` is
      * borrowed. The callback must not call EbForwardServer_Answer for this
      * request. */
@@ -51,6 +56,13 @@
  * Accepts NULL. */
 void EbForwardServer_Free(EbForwardServer *server);
 
+/* Applies the limits of a configuration to each request that begins from now
+ * on, and to connections that are idle. The sizes are capped at what the
+ * memory for clients allows. Before the first call, the limits of the settings
+ * apply. */
+void EbForwardServer_SetLimits(EbForwardServer *server,
+                               const EbConfigLimits *limits);
+
 /* Returns the port on which the server listens. */
 uint16_t EbForwardServer_Port(const EbForwardServer *server);
 
--- a/include/share/ebonyhollow/event_table.h
+++ b/include/share/ebonyhollow/event_table.h
@@ -108,6 +108,18 @@
       "request_id,attempt,backend_server,parts",                              \
       "None, unless one part dominates: see docs/OPERATIONS.md, poison "      \
       "request.")                                                             \
+    X(CLIENTS_ENDED, 220, "clients-ended", EB_LEVEL_WARNING,                  \
+      "Clients were refused, or their connections ended, to protect this "    \
+      "daemon; at most one line a second for each reason. client_bytes is "   \
+      "what it holds for all clients.",                                       \
+      "reason,count,client_bytes",                                            \
+      "See docs/OPERATIONS.md, clients that misbehave.")                      \
+    X(LIMIT_CAPPED, 221, "limit-capped", EB_LEVEL_WARNING,                    \
+      "The configuration asks for a limit on requests that is above what "    \
+      "the memory of this daemon allows; the lower one is in force.",         \
+      "limit,wanted,in_force",                                                \
+      "Lower the limit in the configuration, or give the daemon more "        \
+      "memory.")                                                              \
     X(CLAIM_SETTLED, 300, "claim-settled", EB_LEVEL_NOTICE,                   \
       "The result of a claim write was uncertain and has been resolved by "   \
       "reading the store; result is owned, written or changed.",              \
--- a/src/libebonyhollow/actions/http_message.c
+++ b/src/libebonyhollow/actions/http_message.c
@@ -12,6 +12,49 @@
     "Upgrade",    "Transfer-Encoding", "Content-Length",   "Expect",
 };
 
+#define MIN_HEADER_CAPACITY 8
+
+#define TEXT_BLOCK_BYTES 1000
+
+/* Holds names and values of headers: a message may have thousands of them, and
+ * allocations of their own would take several times their length. */
+typedef struct EbHttpTextBlock {
+    struct EbHttpTextBlock *next;
+    size_t used_bytes;
+    size_t size_bytes;
+    char bytes[];
+} TextBlock;
+
+static void
+free_blocks(TextBlock *block)
+{
+    while (block != NULL) {
+        TextBlock *next = block->next;
+        g_free(block);
+        block = next;
+    }
+}
+
+/* Copies a string into the blocks of a message. */
+static char *
+add_text(EbHttpMessage *message, const char *text)
+{
+    size_t bytes = strlen(text) + 1;
+    TextBlock *block = message->text_blocks;
+    if (block == NULL || block->size_bytes - block->used_bytes < bytes) {
+        size_t size = MAX(bytes, TEXT_BLOCK_BYTES);
+        block = g_malloc(sizeof(*block) + size);
+        block->next = message->text_blocks;
+        block->used_bytes = 0;
+        block->size_bytes = size;
+        message->text_blocks = block;
+    }
+    char *copy = block->bytes + block->used_bytes;
+    memcpy(copy, text, bytes);
+    block->used_bytes += bytes;
+    return copy;
+}
+
 static EbHttpMessage *
 new_message(void)
 {
@@ -51,10 +94,7 @@
     if (message == NULL || --message->references > 0) {
         return;
     }
-    for (uint32_t i = 0; i < message->header_count; i++) {
-        g_free(message->headers[i].name);
-        g_free(message->headers[i].value);
-    }
+    free_blocks(message->text_blocks);
     g_free(message->headers);
     g_free(message->method);
     g_free(message->target);
@@ -66,10 +106,16 @@
 EbHttpMessage_AddHeader(EbHttpMessage *message, const char *name,
                         const char *value)
 {
-    message->headers = g_renew(EbHttpHeader, message->headers,
-                               (size_t)message->header_count + 1);
+    if (message->header_count == message->header_capacity) {
+        message->header_capacity =
+            MAX(MIN_HEADER_CAPACITY, message->header_capacity / 2 * 3);
+        message->headers =
+            g_renew(EbHttpHeader, message->headers, message->header_capacity);
+    }
+    char *name_copy = add_text(message, name);
+    char *value_copy = add_text(message, value);
     message->headers[message->header_count++] =
-        (EbHttpHeader){g_strdup(name), g_strdup(value)};
+        (EbHttpHeader){name_copy, value_copy};
 }
 
 const char *
@@ -83,6 +129,24 @@
     return NULL;
 }
 
+/* Grows by half, so that a body that comes in many small pieces isn't copied
+ * for each of them. */
+static void
+reserve_body(EbHttpMessage *message, size_t byte_count)
+{
+    if (byte_count > message->body_capacity) {
+        message->body_capacity =
+            MAX(byte_count, message->body_capacity / 2 * 3);
+        message->body = g_realloc(message->body, message->body_capacity);
+    }
+}
+
+void
+EbHttpMessage_ReserveBody(EbHttpMessage *message, size_t byte_count)
+{
+    reserve_body(message, byte_count);
+}
+
 void
 EbHttpMessage_AddBody(EbHttpMessage *message, const void *bytes,
                       size_t byte_count)
@@ -90,11 +154,22 @@
     if (byte_count == 0) {
         return;
     }
-    message->body = g_realloc(message->body, message->body_bytes + byte_count);
+    reserve_body(message, message->body_bytes + byte_count);
     memcpy(message->body + message->body_bytes, bytes, byte_count);
     message->body_bytes += byte_count;
 }
 
+size_t
+EbHttpMessage_HeldBytes(const EbHttpMessage *message)
+{
+    size_t bytes = sizeof(*message) + message->body_bytes;
+    for (uint32_t i = 0; i < message->header_count; i++) {
+        bytes += EB_HTTP_HEADER_COST_BYTES + strlen(message->headers[i].name) +
+                 strlen(message->headers[i].value);
+    }
+    return bytes;
+}
+
 static bool
 is_listed(const char *list, const char *name)
 {
--- a/src/libebonyhollow/metrics/metrics.c
+++ b/src/libebonyhollow/metrics/metrics.c
@@ -120,6 +120,12 @@
                               "again after a start or a recovery.",
                               {"cause", NULL, NULL},
                               SERIES_DEFAULT},
+    [EB_METRIC_CLIENTS_ENDED] = {"ebonyhollow_clients_ended_total",
+                                 EB_METRIC_COUNTER,
+                                 "Clients refused, or their connections "
+                                 "ended, to protect the daemon.",
+                                 {"reason", NULL, NULL},
+                                 SERIES_DEFAULT},
     [EB_METRIC_TOTAL_TIME_US] =
         {"ebonyhollow_request_time_microseconds",
          EB_METRIC_HISTOGRAM,
--- a/src/libebonyhollow_net/admin_server.c
+++ b/src/libebonyhollow_net/admin_server.c
@@ -12,6 +12,8 @@
 #include "clock.h"
 
 #define MAX_BODY_BYTES (EB_CONFIG_MAX_BYTES + 65536)
+/* At most half as many as callers may open. */
+#define MIN_CONNECTIONS 16
 #define MAX_CONNECTIONS 256
 #define PROBLEM_TYPE "application/problem+json"
 
@@ -405,8 +407,10 @@
         .address = &options->settings->admin,
         .max_body_bytes = MAX_BODY_BYTES,
         .max_header_bytes = options->settings->max_header_bytes,
-        .max_connections = MAX_CONNECTIONS,
+        .max_connections = CLAMP(options->settings->max_connections / 2,
+                                 MIN_CONNECTIONS, MAX_CONNECTIONS),
         .header_timeout_us = options->settings->header_timeout_us,
+        .guard = options->guard,
         .request = on_request,
         .closed = on_connection_closed,
         .context = server};
--- a/src/libebonyhollow_net/caller_server.c
+++ b/src/libebonyhollow_net/caller_server.c
@@ -590,6 +590,7 @@
         .max_connections = settings->max_connections,
         .send_buffer_bytes = settings->max_buffer_bytes,
         .header_timeout_us = settings->header_timeout_us,
+        .guard = options->guard,
         .request = on_request,
         .closed = on_connection_closed,
         .context = server};
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -68,6 +68,7 @@
     EbDispatcher_SetConfig(daemon->dispatcher, config, now_us);
     if (daemon->adapter != NULL) {
         EbBatcher_SetConfig(daemon->batcher, config, now_us);
+        EbForwardServer_SetLimits(daemon->forward_server, &config->limits);
     }
     else {
         EbMembership_SetGeneration(daemon->membership, config->generation);
@@ -365,6 +366,11 @@
 static bool
 create_servers(EbDaemon *daemon, EbError *error)
 {
+    daemon->client_guard = EbClientGuard_New(&(EbClientGuardOptions){
+        .base = daemon->base,
+        .max_bytes = daemon->settings->client_memory_bytes,
+        .events = daemon->events,
+        .metrics = daemon->metrics});
     if (daemon->adapter != NULL) {
         if (!EbDaemon_CreateForward(daemon, error)) {
             return false;
@@ -374,6 +380,7 @@
         daemon->caller_server = EbCallerServer_New(
             &(EbCallerServerOptions){.base = daemon->base,
                                      .settings = daemon->settings,
+                                     .guard = daemon->client_guard,
                                      .submit = EbDaemon_OnSubmit,
                                      .caller_gone = EbDaemon_OnCallerGone,
                                      .flow_control = EbDaemon_OnFlowControl,
@@ -386,6 +393,7 @@
     daemon->admin_server = EbAdminServer_New(
         &(EbAdminServerOptions){.base = daemon->base,
                                 .settings = daemon->settings,
+                                .guard = daemon->client_guard,
                                 .events = daemon->events,
                                 .metrics = daemon->metrics,
                                 .dispatcher = daemon->dispatcher,
@@ -500,6 +508,7 @@
     EbAdminServer_Free(daemon->admin_server);
     EbCallerServer_Free(daemon->caller_server);
     EbDaemon_FreeForward(daemon);
+    EbClientGuard_Free(daemon->client_guard);
     EbPeerLinks_Free(daemon->peer_links);
     EbBackendClient_Free(daemon->backend_client);
     EbPlatformClient_Free(daemon->platform_client);
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -13,6 +13,9 @@
 /* If the link to a newly chosen home does not come up within this time,
  * another home is chosen. */
 #define LINK_TIMEOUT_US 700000
+/* Limit on the memory for incomplete responses of backend servers. */
+#define RESPONSE_DIVISOR 2 /* of the memory for clients */
+#define MAX_RESPONSE_BYTES ((size_t)32 * 1024 * 1024)
 
 static uint64_t
 on_submit(void *context, EbForwardCall *call)
@@ -114,16 +117,20 @@
                                           .directives = daemon->directives,
                                           .metrics = daemon->metrics,
                                           .evacuations = daemon->evacuations});
-    daemon->forward_client = EbForwardClient_New(
-        &(EbForwardClientOptions){.base = daemon->base,
-                                  .protocol = daemon->adapter->forward,
-                                  .event = on_event,
-                                  .context = daemon});
+    daemon->forward_client = EbForwardClient_New(&(EbForwardClientOptions){
+        .base = daemon->base,
+        .protocol = daemon->adapter->forward,
+        .max_buffered_bytes = MIN(
+            (size_t)daemon->settings->client_memory_bytes / RESPONSE_DIVISOR,
+            MAX_RESPONSE_BYTES),
+        .event = on_event,
+        .context = daemon});
     daemon->forward_server = EbForwardServer_New(
         &(EbForwardServerOptions){.base = daemon->base,
                                   .settings = daemon->settings,
                                   .protocol = daemon->adapter->forward,
                                   .events = daemon->events,
+                                  .guard = daemon->client_guard,
                                   .submit = on_submit,
                                   .caller_gone = EbDaemon_OnCallerGone,
                                   .flow_control = EbDaemon_OnFlowControl,
--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -184,6 +184,18 @@
     }
 }
 
+/* Makes room for a body of declared length, which then isn't copied as it
+ * grows. */
+static void
+reserve_body(const Connection *connection, EbHttpMessage *message)
+{
+    const char *value = EbHttpMessage_FindHeader(message, "Content-Length");
+    uint64_t bytes = value != NULL ? g_ascii_strtoull(value, NULL, 10) : 0;
+    if (bytes <= connection->client->options.max_body_bytes) {
+        EbHttpMessage_ReserveBody(message, bytes);
+    }
+}
+
 static bool
 on_head(void *context, EbHttpMessage *message)
 {
@@ -201,6 +213,9 @@
     }
     read_keep_alive(connection, message);
     connection->streaming = connection->stream && is_event_stream(message);
+    if (!connection->streaming) {
+        reserve_body(connection, message);
+    }
     if (connection->streaming) {
         EbAttemptEvent event = {.kind = EB_ATTEMPT_STREAMING};
         report_event(connection, &event);
@@ -463,9 +478,17 @@
     return true;
 }
 
+static void
+release_message(const void *bytes, size_t byte_count, void *message)
+{
+    (void)bytes;
+    (void)byte_count;
+    EbHttpMessage_Unref(message);
+}
+
 static void
 write_call(Connection *connection, const EbForwardSend *send,
-           const EbHttpMessage *message)
+           EbHttpMessage *message)
 {
     struct evbuffer *output = bufferevent_get_output(connection->bufev);
     evbuffer_add_printf(output, "%s %s HTTP/1.1\r\n", message->method,
@@ -487,7 +510,8 @@
     }
     evbuffer_add(output, "\r\n", 2);
     if (message->body_bytes > 0) {
-        evbuffer_add(output, message->body, message->body_bytes);
+        evbuffer_add_reference(output, message->body, message->body_bytes,
+                               release_message, EbHttpMessage_Ref(message));
     }
 }
 
--- a/src/libebonyhollow_net/http_reader.c
+++ b/src/libebonyhollow_net/http_reader.c
@@ -283,6 +283,19 @@
     return reader->in_message;
 }
 
+size_t
+EbHttpReader_HeldBytes(const EbHttpReader *reader)
+{
+    size_t count = reader->message != NULL ? reader->message->header_count : 0;
+    return reader->header_bytes + count * EB_HTTP_HEADER_COST_BYTES;
+}
+
+void
+EbHttpReader_SetMaxHeaderBytes(EbHttpReader *reader, size_t max_header_bytes)
+{
+    reader->options.max_header_bytes = max_header_bytes;
+}
+
 void
 EbHttpReader_SkipBody(EbHttpReader *reader, bool skip)
 {
--- a/src/libebonyhollow_net/http_server.c
+++ b/src/libebonyhollow_net/http_server.c
@@ -22,6 +22,11 @@
  * bodies with its own error page. */
 #define BODY_MARGIN_BYTES 65536
 #define LISTEN_BACKLOG 1024
+/* Memory that evhttp takes for each byte of a header section that consists of
+ * the shortest fields: three allocations for each of them. */
+#define HEADER_COST_FACTOR 24
+/* A request in progress is kept as it was read and as it was parsed. */
+#define RUNNING_COPIES 2
 
 /* An accepted connection. evhttp does not report when it closes a connection
  * that never sent a request, and the descriptor may then be reused for another
@@ -33,6 +38,12 @@
     struct evhttp_connection *evcon; /* NULL until the first request */
     bool busy;                       /* a request has no response yet */
     int64_t deadline_us; /* to receive the next request; ignored while busy */
+    EbHttpServer *server;
+    EbIntakeAccount *account; /* NULL once the connection was shut down */
+    struct bufferevent *bufev;
+    struct evbuffer_cb_entry *input_callback;
+    struct evbuffer_cb_entry *output_callback;
+    size_t received_bytes; /* of the request being read or answered */
 } Connection;
 
 struct EbHttpServer {
@@ -72,6 +83,108 @@
     return connection->evcon == NULL && !is_open(connection);
 }
 
+static void
+free_connection(gpointer data)
+{
+    Connection *connection = data;
+    EbIntake_Close(connection->account);
+    g_free(connection);
+}
+
+/* Updates the account of a connection. Its head is counted as if it consisted
+ * of the shortest fields. */
+static void
+update(Connection *connection)
+{
+    const EbHttpServerOptions *options = &connection->server->options;
+    if (connection->account == NULL) {
+        return;
+    }
+    size_t received = connection->received_bytes;
+    size_t unsent =
+        evbuffer_get_length(bufferevent_get_output(connection->bufev));
+    uint64_t bytes =
+        received + HEADER_COST_FACTOR *
+                       (uint64_t)MIN(received, options->max_header_bytes);
+    EbIntakePhase phase = connection->busy ? EB_INTAKE_RUNNING
+                          : unsent > 0     ? EB_INTAKE_ANSWERING
+                          : received > 0   ? EB_INTAKE_READING
+                                           : EB_INTAKE_IDLE;
+    if (connection->busy) {
+        bytes *= RUNNING_COPIES;
+    }
+    EbClientGuard_Update(options->guard, connection->account, phase,
+                         bytes + unsent);
+}
+
+static void
+on_input_changed(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+                 void *context)
+{
+    (void)buffer;
+    Connection *connection = context;
+    if (info->n_added > 0) {
+        connection->received_bytes += info->n_added;
+        update(connection);
+    }
+}
+
+static void
+on_output_changed(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+                  void *context)
+{
+    (void)buffer;
+    (void)info;
+    update(context);
+}
+
+/* Called by the guard. evhttp then reads the end of the input and frees the
+ * connection. */
+static void
+on_end(void *context, EbIntakeReason reason)
+{
+    Connection *connection = context;
+    EbClientGuard_Count(connection->server->options.guard, reason);
+    EbIntake_Close(connection->account);
+    connection->account = NULL;
+    if (is_open(connection)) {
+        shutdown(connection->fd, SHUT_RDWR);
+    }
+}
+
+static void
+open_account(Connection *connection, struct bufferevent *bufev)
+{
+    EbHttpServer *server = connection->server;
+    if (server->options.guard == NULL) {
+        return;
+    }
+    connection->bufev = bufev;
+    connection->account = EbIntake_Open(
+        EbClientGuard_Intake(server->options.guard),
+        &(EbIntakeClient){
+            .end = on_end, .context = connection, .group = server},
+        EbClock_Monotonic());
+    connection->input_callback = evbuffer_add_cb(bufferevent_get_input(bufev),
+                                                 on_input_changed, connection);
+    connection->output_callback = evbuffer_add_cb(
+        bufferevent_get_output(bufev), on_output_changed, connection);
+}
+
+/* Must be called before a connection is removed while its bufferevent still
+ * exists. */
+static void
+remove_callbacks(Connection *connection)
+{
+    if (connection->input_callback != NULL) {
+        evbuffer_remove_cb_entry(bufferevent_get_input(connection->bufev),
+                                 connection->input_callback);
+        evbuffer_remove_cb_entry(bufferevent_get_output(connection->bufev),
+                                 connection->output_callback);
+        connection->input_callback = NULL;
+    }
+}
+
 /* Removes connections that evhttp closed without a callback, at most once per
  * sweep interval. */
 static void
@@ -84,6 +197,15 @@
     }
 }
 
+/* Ends a connection without a request, so that another one can be served. */
+static bool
+make_room(EbHttpServer *server)
+{
+    return server->options.guard != NULL &&
+           EbIntake_EndIdle(EbClientGuard_Intake(server->options.guard),
+                            server, EbClock_Monotonic());
+}
+
 static void
 register_connection(EbHttpServer *server, struct bufferevent *bufev)
 {
@@ -96,7 +218,8 @@
     if (g_hash_table_size(server->connections) >= limit) {
         remove_stale(server);
     }
-    if (g_hash_table_size(server->connections) >= limit) {
+    if (g_hash_table_size(server->connections) >= limit &&
+        !make_room(server)) {
         shutdown(fd, SHUT_RDWR);
         return;
     }
@@ -105,10 +228,12 @@
         setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
     }
     Connection *connection = g_new0(Connection, 1);
+    connection->server = server;
     connection->fd = fd;
     connection->cookie = cookie;
     connection->deadline_us =
         EbClock_Monotonic() + server->options.header_timeout_us;
+    open_account(connection, bufev);
     g_hash_table_replace(server->connections, GINT_TO_POINTER(fd), connection);
 }
 
@@ -178,7 +303,12 @@
 has_evcon(gpointer key, gpointer value, gpointer evcon)
 {
     (void)key;
-    return ((const Connection *)value)->evcon == evcon;
+    Connection *connection = value;
+    if (connection->evcon != evcon) {
+        return FALSE;
+    }
+    remove_callbacks(connection);
+    return TRUE;
 }
 
 static void
@@ -190,6 +320,7 @@
     }
     Connection *connection = find_connection(server, evcon);
     if (connection != NULL && connection->evcon == evcon) {
+        remove_callbacks(connection);
         g_hash_table_remove(server->connections,
                             GINT_TO_POINTER(connection->fd));
     }
@@ -210,6 +341,7 @@
     if (connection != NULL) {
         connection->evcon = evcon;
         connection->busy = true;
+        update(connection);
     }
     evhttp_connection_set_closecb(evcon, on_closed, server);
     server->options.request(request, server->options.context);
@@ -223,6 +355,9 @@
     Connection *connection = evcon ? find_connection(server, evcon) : NULL;
     if (connection != NULL) {
         connection->busy = false;
+        connection->received_bytes = evbuffer_get_length(
+            bufferevent_get_input(evhttp_connection_get_bufferevent(evcon)));
+        update(connection);
         connection->deadline_us =
             EbClock_Monotonic() + server->options.header_timeout_us;
     }
@@ -347,7 +482,8 @@
     assert(options->base != NULL && options->request != NULL);
     EbHttpServer *server = g_new0(EbHttpServer, 1);
     server->options = *options;
-    server->connections = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    server->connections =
+        g_hash_table_new_full(NULL, NULL, NULL, free_connection);
     g_queue_init(&server->accepted);
     server->http = evhttp_new(options->base);
     assert(server->http != NULL);
@@ -379,6 +515,14 @@
         return;
     }
     server->freeing = true;
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, server->connections);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (is_open(value)) {
+            remove_callbacks(value);
+        }
+    }
     event_free(server->register_event);
     event_free(server->sweep_event);
     evhttp_free(server->http);
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -8,6 +8,7 @@
 #include <event2/event.h>
 #include <glib.h>
 
+#include "client_guard.h"
 #include "clock.h"
 #include "ebonyhollow/action.h"
 #include "ebonyhollow/admin_server.h"
@@ -118,6 +119,7 @@
 
     EbBackendClient *backend_client;
     EbPlatformClient *platform_client;
+    EbClientGuard *client_guard; /* of all listeners but the peers' */
     EbCallerServer *caller_server;
     EbAdminServer *admin_server;
     EbPeerLinks *peer_links;
--- a/src/libebonyhollow_net/private/http_reader.h
+++ b/src/libebonyhollow_net/private/http_reader.h
@@ -60,6 +60,13 @@
 /* Returns true if a message has begun and is not complete. */
 bool EbHttpReader_IsInMessage(const EbHttpReader *reader);
 
+/* Returns the memory that the header section being read takes. */
+size_t EbHttpReader_HeldBytes(const EbHttpReader *reader);
+
+/* Sets the limit for the messages that have not begun. */
+void EbHttpReader_SetMaxHeaderBytes(EbHttpReader *reader,
+                                    size_t max_header_bytes);
+
 /* Sets whether the following responses have no body, like a response to HEAD.
  */
 void EbHttpReader_SkipBody(EbHttpReader *reader, bool skip);
--- a/src/libebonyhollow_net/private/http_server.h
+++ b/src/libebonyhollow_net/private/http_server.h
@@ -14,6 +14,7 @@
 #include <event2/http.h>
 #include <jansson.h>
 
+#include "client_guard.h"
 #include "ebonyhollow/error.h"
 #include "ebonyhollow/settings.h"
 
@@ -30,6 +31,9 @@
      * in addition to the process's own buffer. */
     uint32_t send_buffer_bytes;
     int64_t header_timeout_us; /* to receive a request, or while idle */
+    /* Accounts of the clients' memory, shared with other listeners and
+     * borrowed. NULL: none are kept. */
+    EbClientGuard *guard;
     void (*request)(struct evhttp_request *request, void *context);
     /* Called when a connection on which a request arrived is being closed. May
      * be NULL. */
--- a/src/libebonyhollow_net/private/socket.h
+++ b/src/libebonyhollow_net/private/socket.h
@@ -38,4 +38,7 @@
  * negative socket is ignored. */
 void EbSocket_SetKeepAlive(evutil_socket_t socket);
 
+/* Returns a hash of an IP address without its port; 0 for NULL. */
+uint64_t EbSocket_HashAddress(const struct sockaddr *address, int length);
+
 #endif
--- a/src/libebonyhollow_net/socket.c
+++ b/src/libebonyhollow_net/socket.c
@@ -7,6 +7,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <xxhash.h>
+
 #define KEEPALIVE_IDLE_S 1
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 2
@@ -55,6 +57,20 @@
                      : ((struct sockaddr_in *)&storage)->sin_port);
 }
 
+uint64_t
+EbSocket_HashAddress(const struct sockaddr *address, int length)
+{
+    if (address == NULL || length <= 0) {
+        return 0;
+    }
+    if (address->sa_family == AF_INET6) {
+        const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)address;
+        return XXH3_64bits(&v6->sin6_addr, sizeof(v6->sin6_addr));
+    }
+    const struct sockaddr_in *v4 = (const struct sockaddr_in *)address;
+    return XXH3_64bits(&v4->sin_addr, sizeof(v4->sin_addr));
+}
+
 void
 EbSocket_SetNoDelay(evutil_socket_t socket)
 {
