--- a/src/ebonyhollowd/main.c
+++ b/src/ebonyhollowd/main.c
@@ -1,5 +1,6 @@
 /* ebonyhollowd: the daemon between callers and backend servers. */
 #include <getopt.h>
+#include <malloc.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -13,6 +14,10 @@
 /* Holds the longest text that EbError_Format writes: file, position, path and
  * message. */
 #define ERROR_TEXT_BYTES 1100
+/* Larger blocks, such as the bodies of requests, are returned to the system
+ * when they are freed. By default glibc raises the threshold with the largest
+ * block freed and then keeps such memory in fragments. */
+#define MMAP_THRESHOLD_BYTES 524288
 
 typedef struct {
     const char *settings_path;
@@ -155,6 +160,7 @@
 int
 main(int argc, char **argv)
 {
+    mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
     EbDaemon_BlockSignals();
     Arguments arguments = {0};
     if (!parse_arguments(argc, argv, &arguments)) {
--- a/src/libebonyhollow/limits/intake.c
+++ b/src/libebonyhollow/limits/intake.c
@@ -5,9 +5,8 @@
 #include <glib.h>
 
 #define DEFAULT_STALL_US 1000000
-/* Smaller requests that stall go by their size: to end them frees little, and
- * their clients may only be slow. */
-#define MIN_STALLED_BYTES 16384
+/* Connections that hold less go after all others: to end them frees little. */
+#define SMALL_BYTES 16384
 #define LOG_INTERVAL_US 1000000
 /* A second for each kilobyte is below the rate of any line in use. */
 #define SLOWEST_BYTES_PER_S 1024
@@ -179,8 +178,8 @@
     return false;
 }
 
-/* Returns why a connection may be ended: EB_INTAKE_REASON_COUNT if it may not.
- * A smaller reason goes first. */
+/* Returns why a connection may be ended, or EB_INTAKE_REASON_COUNT if it may
+ * not. */
 static EbIntakeReason
 find_reason(const EbIntake *intake, const EbIntakeAccount *account,
             int64_t now_us)
@@ -188,21 +187,29 @@
     if (account->phase == EB_INTAKE_RUNNING || account->bytes == 0) {
         return EB_INTAKE_REASON_COUNT;
     }
-    if (now_us - account->progress_us >= intake->options.stall_us &&
-        account->bytes >= MIN_STALLED_BYTES) {
+    if (now_us - account->progress_us >= intake->options.stall_us) {
         return EB_INTAKE_STALLED;
     }
     return account->phase == EB_INTAKE_ANSWERING ? EB_INTAKE_UNREAD
                                                  : EB_INTAKE_LARGEST;
 }
 
+/* Returns the rank of a connection that may be ended; a smaller one goes
+ * first. */
+static uint32_t
+rank(EbIntakeReason reason, const EbIntakeAccount *account)
+{
+    return (uint32_t)reason +
+           (account->bytes < SMALL_BYTES ? EB_INTAKE_REASON_COUNT : 0);
+}
+
 /* Chooses the connection to be ended next, or NULL. */
 static EbIntakeAccount *
 choose(const EbIntake *intake, int64_t now_us, EbIntakeReason *reason)
 {
     bool all = intake->bytes > intake->options.max_bytes;
     EbIntakeAccount *chosen = NULL;
-    *reason = EB_INTAKE_REASON_COUNT;
+    uint32_t lowest = UINT32_MAX;
     for (guint i = 0; i < intake->accounts->len; i++) {
         EbIntakeAccount *account = g_ptr_array_index(intake->accounts, i);
         EbIntakeReason own = find_reason(intake, account, now_us);
@@ -210,9 +217,11 @@
             (!all && !address_is_over(intake, account))) {
             continue;
         }
-        if (own < *reason ||
-            (own == *reason && account->bytes > chosen->bytes)) {
+        uint32_t own_rank = rank(own, account);
+        if (own_rank < lowest ||
+            (own_rank == lowest && account->bytes > chosen->bytes)) {
             chosen = account;
+            lowest = own_rank;
             *reason = own;
         }
     }
--- a/src/libebonyhollow_net/forward_server.c
+++ b/src/libebonyhollow_net/forward_server.c
@@ -332,6 +332,8 @@
     }
     write_response(connection, response);
     EbHttpMessage_Unref(response);
+    EbHttpMessage_Unref(connection->message);
+    connection->message = NULL;
     if (closes_after_response(connection)) {
         linger(connection);
     }
--- a/src/test_forward_net/server.c
+++ b/src/test_forward_net/server.c
@@ -251,6 +251,163 @@
     close_server(&fixture);
 }
 
+/* Guards against requests that are run while the caller reads none of their
+ * answers, which then fill the memory. */
+void
+test_server_unread_answers(void)
+{
+    enum { ANSWER_BYTES = 16 * 1024 * 1024 };
+    ServerFixture fixture;
+    open_server(&fixture);
+    int on = 1;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &on, sizeof(on));
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+        .sin_port = htons(EbForwardServer_Port(fixture.server))};
+    CU_ASSERT_EQUAL(connect(fd, (struct sockaddr *)&address, sizeof(address)),
+                    0);
+    static const char requests[] = REQUEST "Content-Length: 0\r\n\r\n" REQUEST
+                                           "Content-Length: 0\r\n\r\n";
+    CU_ASSERT_EQUAL(write(fd, requests, sizeof(requests) - 1),
+                    (ssize_t)sizeof(requests) - 1);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, is_submitted, &fixture));
+    EbHttpMessage *reply = EbHttpMessage_NewResponse(200);
+    char *body = g_strnfill(ANSWER_BYTES, 'a');
+    EbHttpMessage_AddBody(reply, body, ANSWER_BYTES);
+    answer(&fixture, EB_OUTCOME_DONE, EB_REASON_NONE, reply);
+    EbHttpMessage_Unref(reply);
+    g_free(body);
+    Loop_For(fixture.base, 50000);
+    CU_ASSERT_EQUAL(fixture.submitted, 1);
+    close(fd);
+    close_server(&fixture);
+}
+
+/* Guards against limits of the configuration that are not applied to an open
+ * connection from its next request on, and against applying odd ones. */
+void
+test_server_limits(void)
+{
+    static const struct {
+        EbConfigLimits limits;
+        const char *status; /* NULL: the request is submitted */
+    } rows[] = {
+        {{.max_body_bytes = 8}, "HTTP/1.1 413 "},
+        {{.max_body_bytes = 16}, NULL},
+        {{0}, NULL},
+        {{.max_header_bytes = 20}, "HTTP/1.1 431 "},
+        {{.max_header_bytes = 4096, .max_body_bytes = 12}, NULL},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        ServerFixture fixture;
+        open_server(&fixture);
+        RawClient_Send(fixture.client, REQUEST "Content-Length: 2\r\n\r\nab");
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, is_submitted, &fixture));
+        answer(&fixture, EB_OUTCOME_NOT_RUN, EB_REASON_OVERLOADED, NULL);
+        EbForwardServer_SetLimits(fixture.server, &rows[i].limits);
+        fixture.submitted = 0;
+        RawClient_Send(fixture.client,
+                       REQUEST "Content-Length: 12\r\n\r\n012345678901");
+        fixture.wanted = rows[i].status;
+        CU_ASSERT_TRUE(Loop_Until(
+            fixture.base, rows[i].status != NULL ? has_text : is_submitted,
+            &fixture));
+        CU_ASSERT_EQUAL(fixture.submitted, rows[i].status == NULL);
+        close_server(&fixture);
+    }
+}
+
+/* Guards against closing a connection before it has been idle for as long as
+ * the configuration allows, and against keeping it. */
+void
+test_server_idle_timeout(void)
+{
+    ServerFixture fixture;
+    open_server(&fixture);
+    Loop_For(fixture.base, 10000);
+    EbForwardServer_SetLimits(fixture.server,
+                              &(EbConfigLimits){.header_timeout_us = 50000,
+                                                .idle_timeout_us = 400000});
+    Loop_For(fixture.base, 200000);
+    CU_ASSERT_FALSE(fixture.client->closed);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, is_closed, &fixture));
+    close_server(&fixture);
+}
+
+/* Guards against waiting for a head that comes a byte at a time. */
+void
+test_server_slow_head(void)
+{
+    ServerFixture fixture;
+    open_server(&fixture);
+    EbForwardServer_SetLimits(fixture.server,
+                              &(EbConfigLimits){.header_timeout_us = 100000});
+    for (int i = 0; i < 20 && !fixture.client->closed; i++) {
+        RawClient_Send(fixture.client, i == 0 ? "POST /" : "a");
+        Loop_For(fixture.base, 20000);
+    }
+    fixture.wanted = "HTTP/1.1 408 ";
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_text, &fixture));
+    close_server(&fixture);
+}
+
+/* Guards against a request that is refused for want of memory and submitted
+ * nevertheless, or refused without saying when to come back. */
+void
+test_server_memory(void)
+{
+    ServerFixture fixture;
+    open_server(&fixture);
+    EbForwardServer_Free(fixture.server);
+    fixture.settings.client_memory_bytes = 20000;
+    fixture.settings.max_body_bytes = 100000;
+    fixture.server = EbForwardServer_New(
+        &(EbForwardServerOptions){.base = fixture.base,
+                                  .settings = &fixture.settings,
+                                  .protocol = &test_protocol,
+                                  .submit = on_submit,
+                                  .caller_gone = on_caller_gone,
+                                  .flow_control = on_flow_control,
+                                  .context = &fixture},
+        NULL);
+    RawClient_Free(fixture.client);
+    fixture.client =
+        RawClient_New(fixture.base, EbForwardServer_Port(fixture.server));
+    RawClient_Send(fixture.client, REQUEST "Content-Length: 60000\r\n\r\n");
+    fixture.wanted = "HTTP/1.1 503 ";
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_text, &fixture));
+    CU_ASSERT_PTR_NOT_NULL(strstr(fixture.client->text, "Retry-After: 1\r\n"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(fixture.client->text, ID ": r-1\r\n"));
+    CU_ASSERT_EQUAL(fixture.submitted, 0);
+    close_server(&fixture);
+}
+
+/* Guards against connections without requests that keep others out. */
+void
+test_server_connections(void)
+{
+    enum { SILENT = 8 }; /* twice max_connections */
+    ServerFixture fixture;
+    open_server(&fixture);
+    RawClient *silent[SILENT];
+    for (int i = 0; i < SILENT; i++) {
+        silent[i] =
+            RawClient_New(fixture.base, EbForwardServer_Port(fixture.server));
+        Loop_For(fixture.base, 1000);
+    }
+    RawClient_Free(fixture.client);
+    fixture.client =
+        RawClient_New(fixture.base, EbForwardServer_Port(fixture.server));
+    RawClient_Send(fixture.client, REQUEST "Content-Length: 0\r\n\r\n");
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, is_submitted, &fixture));
+    for (int i = 0; i < SILENT; i++) {
+        RawClient_Free(silent[i]);
+    }
+    close_server(&fixture);
+}
+
 /* Guards against working for a caller that disconnected before its answer. */
 void
 test_server_caller_gone(void)
--- a/src/test_platform/config.c
+++ b/src/test_platform/config.c
@@ -321,6 +321,43 @@
     EbConfig_Unref(config);
 }
 
+/* Guards against limits that are not read, and against an odd one that is
+ * taken for a limit or costs the others. */
+void
+test_limits(void)
+{
+    static const struct {
+        const char *limits;
+        EbConfigLimits expected;
+    } rows[] = {
+        {"{\"max_header_bytes\":32768,\"max_body_bytes\":8388608,"
+         "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}",
+         {32768, 8388608, 3000000, 15000000}},
+        {"{\"max_header_bytes\":-1,\"max_body_bytes\":\"8\","
+         "\"header_timeout_ms\":0,\"idle_timeout_ms\":15000,\"new\":1}",
+         {.idle_timeout_us = 15000000}},
+        {"{\"max_body_bytes\":99999999999}", {0}},
+        {"[]", {0}},
+        {"null", {0}},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        char *text =
+            g_strdup_printf("{\"version\":7,\"limits\":%s}", rows[i].limits);
+        EbConfig *config = read_text(text);
+        const EbConfigLimits *limits = &config->limits;
+        CU_ASSERT_EQUAL(limits->max_header_bytes,
+                        rows[i].expected.max_header_bytes);
+        CU_ASSERT_EQUAL(limits->max_body_bytes,
+                        rows[i].expected.max_body_bytes);
+        CU_ASSERT_EQUAL(limits->header_timeout_us,
+                        rows[i].expected.header_timeout_us);
+        CU_ASSERT_EQUAL(limits->idle_timeout_us,
+                        rows[i].expected.idle_timeout_us);
+        EbConfig_Unref(config);
+        g_free(text);
+    }
+}
+
 /* Returns a configuration with one route whose stages form a chain. The first
  * listed stage is the last of the chain. Free it with g_free. */
 static char *
--- a/src/test_platform/settings.c
+++ b/src/test_platform/settings.c
@@ -86,6 +86,39 @@
     }
 }
 
+/* Guards against memory for clients in which the largest body and its copy
+ * don't fit, and against more than the machine has. */
+void
+test_client_memory(void)
+{
+    static const struct {
+        const char *memory;
+        uint32_t mebibytes;
+    } rows[] = {{"memory_mb: 260\n", 52},  {"memory_mb: 120\n", 24},
+                {"memory_mb: 20\n", 12},   {"memory_mb: 99999999\n", 1024},
+                {"memory_mb: none\n", 12}, {"", 102}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        char *limits = g_strdup_printf("limits:\n  cores: 1\n%s%s",
+                                       rows[i].memory[0] != '\0' ? "  " : "",
+                                       rows[i].memory);
+        char **parts = g_strsplit(node_text, "limits:\n", 2);
+        char *text = g_strjoinv(limits, parts);
+        EbError error = {0};
+        EbSettings *settings = load_settings(text, &error);
+        CU_ASSERT_PTR_NOT_NULL(settings);
+        if (settings != NULL) {
+            CU_ASSERT_EQUAL(settings->client_memory_bytes / 1048576,
+                            rows[i].mebibytes);
+            CU_ASSERT_TRUE(settings->client_memory_bytes >=
+                           2 * settings->max_body_bytes);
+        }
+        EbSettings_Free(settings);
+        g_free(text);
+        g_strfreev(parts);
+        g_free(limits);
+    }
+}
+
 /* Guards against a grace time that is spent on waiting for the load balancer,
  * after which requests that were taken meanwhile are ended at once, and
  * against a drain that exceeds it. */
--- a/src/test_platform/test_platform.h
+++ b/src/test_platform/test_platform.h
@@ -9,6 +9,7 @@
 void test_config_defects(void);
 void test_name_order(void);
 void test_customer_ids(void);
+void test_limits(void);
 void test_missing_tenants(void);
 void test_many_stages(void);
 void test_many_counts(void);
@@ -16,6 +17,7 @@
 /* settings.c */
 
 void test_settings(void);
+void test_client_memory(void);
 void test_grace_times(void);
 void test_evacuation_setting(void);
 void test_invalid_settings(void);
