--- a/src/libebonyhollow_net/caller_server.c
+++ b/src/libebonyhollow_net/caller_server.c
@@ -20,6 +20,7 @@
 #define KEY_MAX_BYTES 255
 #define TRACEPARENT_MAX_BYTES 128
 #define GENERATED_ID_BYTES 16
+#define OVERLOAD_RETRY_AFTER_US 1000000
 #define PROBLEM_TYPE "application/problem+json"
 
 /* A request without an answer yet. */
@@ -440,10 +441,12 @@
        const char *request_id, EbReason reason, const char *detail)
 {
     bool keyed = EbHttp_Header(request, "Idempotency-Key") != NULL;
-    EbAnswer answer = {.outcome =
-                           keyed ? EB_OUTCOME_UNKNOWN : EB_OUTCOME_NOT_RUN,
-                       .reason = reason,
-                       .detail = (char *)detail};
+    EbAnswer answer = {
+        .outcome = keyed ? EB_OUTCOME_UNKNOWN : EB_OUTCOME_NOT_RUN,
+        .reason = reason,
+        .retry_after_us =
+            reason == EB_REASON_OVERLOADED ? OVERLOAD_RETRY_AFTER_US : 0,
+        .detail = (char *)detail};
     send_problem(server, request, request_id, &answer);
 }
 
@@ -510,6 +513,15 @@
     g_free(key);
 }
 
+/* Returns whether the requests in progress, with the one that has just
+ * arrived, fit into the memory for clients. */
+static bool
+has_memory(const EbCallerServer *server)
+{
+    EbClientGuard *guard = server->options.guard;
+    return guard == NULL || EbIntake_Admits(EbClientGuard_Intake(guard), 0);
+}
+
 static void
 on_request(struct evhttp_request *request, void *context)
 {
@@ -531,6 +543,11 @@
     else if (length > server->options.settings->max_body_bytes) {
         reject(server, request, request_id, EB_REASON_BODY_TOO_LARGE, NULL);
     }
+    else if (!has_memory(server)) {
+        EbClientGuard_Count(server->options.guard, EB_INTAKE_NO_MEMORY);
+        reject(server, request, request_id, EB_REASON_OVERLOADED,
+               "the memory for clients is taken by requests in progress");
+    }
     else {
         char *pipeline = evhttp_uridecode(path + strlen(PATH_PREFIX), 0, NULL);
         submit_request(server, request, pipeline ? pipeline : "", request_id);
--- a/src/libebonyhollow_net/http_server.c
+++ b/src/libebonyhollow_net/http_server.c
@@ -25,8 +25,8 @@
 /* Memory that evhttp takes for each byte of a header section that consists of
  * the shortest fields: three allocations for each of them. */
 #define HEADER_COST_FACTOR 24
-/* A request in progress is kept as it was read and as it was parsed. */
-#define RUNNING_COPIES 2
+/* A request in progress is kept as it was read, in one piece, and parsed. */
+#define RUNNING_COPIES 3
 
 /* An accepted connection. evhttp does not report when it closes a connection
  * that never sent a request, and the descriptor may then be reused for another
