--- a/src/test_pool/main.c
+++ b/src/test_pool/main.c
@@ -658,7 +658,7 @@
         for (size_t domain = 0; domain < 3; domain++) {
             CU_ASSERT_EQUAL(calls[domain] > 0, rows[i].allowed[domain]);
         }
-        EbPool_Free(pool);
+        Fixture_Close(&fixture, pool);
     }
 }
 
