server_speed: lower quartile of the pace; cost changes by whole steps only

The least span of a stream is also shortened by one delayed event.

Change: the pace is the lower quartile of the spans; the cost of a server changes only when its pace is a whole step away.

--- a/include/servers/ebonyhollow/server_speed.h
+++ b/include/servers/ebonyhollow/server_speed.h
@@ -12,6 +12,7 @@
 
 /* Events of a stream over which one pace is measured. */
 #define EB_SERVER_SPEED_SPAN_EVENTS 4
+#define EB_SERVER_SPEED_MAX_SPANS 32 /* of one stream, the latest ones */
 
 /* What one daemon tells the others of a server's usual pace. */
 typedef struct {
@@ -26,6 +27,7 @@
     uint32_t outliers;
     double slowdown; /* present pace divided by the usual one */
     int64_t slowdown_us;
+    int32_t cost_step;       /* see EbServerSpeed_UpdateCost */
     double told_pace_us;     /* last value told to or by other daemons */
     uint32_t untold_streams; /* own ones since then */
     uint32_t work_percent;   /* as the server states it; 0: never */
@@ -36,15 +38,17 @@
 typedef struct {
     int64_t event_us[EB_SERVER_SPEED_SPAN_EVENTS + 1]; /* a ring */
     uint32_t event_count;
-    int64_t least_us; /* shortest time of SPAN_EVENTS events; 0: unknown */
+    uint32_t span_count;
+    uint32_t span_us[EB_SERVER_SPEED_MAX_SPANS]; /* a ring */
 } EbStreamPace;
 
 /* Counts an event of a stream. */
 void EbStreamPace_AddEvent(EbStreamPace *pace, int64_t now_us);
 
 /* Returns the stream's pace in microseconds, or 0 when it had too few events.
- * It is the shortest over a few successive events, so that neither prompts
- * that the server read in between nor delays on the network count. */
+ * It is the lower quartile of the times of a few successive events: prompts
+ * that the server reads in between lengthen some of them, and an event that
+ * was delayed on its way shortens those after it. */
 double EbStreamPace_Result(const EbStreamPace *pace);
 
 /* Adds the pace of one of this daemon's streams. A single pace that differs
@@ -73,10 +77,14 @@
  * report: its pace and streams are set */
 bool EbServerSpeed_TakeReport(EbServerSpeed *speed, EbSpeedReport *report);
 
-/* Returns the server's usual time for a piece of work relative to
- * `typical_us`, in steps of a half, so that daemons whose measurements differ
- * a little agree: 1 while either is unknown, less for a faster server. */
-double EbServerSpeed_UsualCost(const EbServerSpeed *speed, double typical_us);
+/* Updates the usual cost, for a pool whose typical pace is `typical_us`; 0:
+ * unknown. It changes in steps of a half, and only when the pace is a whole
+ * step away, so that daemons whose measurements differ a little agree. */
+void EbServerSpeed_UpdateCost(EbServerSpeed *speed, double typical_us);
+
+/* Returns the server's usual time for a piece of work relative to a typical
+ * server of its pool: 1 while it is unknown, less for a faster server. */
+double EbServerSpeed_UsualCost(const EbServerSpeed *speed);
 
 /* Returns the present time for a piece of work relative to the usual one: the
  * server's own statement if it is fresh, otherwise what streams showed. */
--- a/src/libebonyhollow/servers/pool_choice.c
+++ b/src/libebonyhollow/servers/pool_choice.c
@@ -104,7 +104,7 @@
     double failure_rate =
         fmin(EbPool_FailureRate(server, now_us), MAX_FAILURE_RATE);
     return utilisation(server, now_us) * EbPool_Latency(pool, server, now_us) *
-           EbPool_PresentCost(pool, server, now_us) / (1 - failure_rate);
+           EbPool_PresentCost(server, now_us) / (1 - failure_rate);
 }
 
 /* Draws a usable member other than `other` at random, each with the same
@@ -203,11 +203,11 @@
  * share of the keys in proportion to its weight, and a change of its weight
  * moves only keys from or to that server. */
 static double
-affinity_score(const EbPool *pool, const EbPoolServer *server, uint64_t key)
+affinity_score(const EbPoolServer *server, uint64_t key)
 {
     uint64_t hash = XXH64(server->id, strlen(server->id), key);
     double draw = ((double)(hash >> 11) + 0.5) / (double)(UINT64_C(1) << 53);
-    double cost = pow(EbPool_UsualCost(pool, server), AFFINE_SPEED_POWER);
+    double cost = pow(EbPool_UsualCost(server), AFFINE_SPEED_POWER);
     return log(draw) * cost;
 }
 
@@ -251,7 +251,7 @@
     for (uint32_t i = 0; i < pool->member_count; i++) {
         const EbPoolServer *server = pool->members[i];
         bool limited = is_limited(pool, server, now_us);
-        double score = affinity_score(pool, server, key);
+        double score = affinity_score(server, key);
         if ((best[limited] == NULL || score > highest[limited]) &&
             is_usable(pool, server, criteria, now_us) &&
             is_fit_for_affinity(pool, server, mean_calls, now_us)) {
--- a/src/libebonyhollow/servers/pool_health.c
+++ b/src/libebonyhollow/servers/pool_health.c
@@ -56,16 +56,15 @@
 }
 
 double
-EbPool_UsualCost(const EbPool *pool, const EbPoolServer *server)
+EbPool_UsualCost(const EbPoolServer *server)
 {
-    return EbServerSpeed_UsualCost(&server->speed, pool->typical_pace_us);
+    return EbServerSpeed_UsualCost(&server->speed);
 }
 
 double
-EbPool_PresentCost(const EbPool *pool, const EbPoolServer *server,
-                   int64_t now_us)
+EbPool_PresentCost(const EbPoolServer *server, int64_t now_us)
 {
-    return EbPool_UsualCost(pool, server) *
+    return EbPool_UsualCost(server) *
            EbServerSpeed_Slowdown(&server->speed, now_us);
 }
 
@@ -115,15 +114,15 @@
 }
 
 static void
-report_costs(EbPool *pool)
+update_costs(EbPool *pool)
 {
     for (uint32_t i = 0; i < pool->member_count; i++) {
         EbPoolServer *server = pool->members[i];
+        EbServerSpeed_UpdateCost(&server->speed, pool->typical_pace_us);
         uint32_t before = server->logged_cost_permille != 0
                               ? server->logged_cost_permille
                               : PERMILLE;
-        uint32_t cost =
-            (uint32_t)lround(EbPool_UsualCost(pool, server) * PERMILLE);
+        uint32_t cost = (uint32_t)lround(EbPool_UsualCost(server) * PERMILLE);
         if (cost != before) {
             server->logged_cost_permille = cost;
             EB_EMIT(pool->events, EB_EVENT_SERVER_COST_CHANGED,
@@ -152,7 +151,7 @@
     pool->median_us = lower_median(latencies, count);
     g_free(latencies);
     update_typical_pace(pool);
-    report_costs(pool);
+    update_costs(pool);
 }
 
 static bool
--- a/src/libebonyhollow/servers/private/pool_state.h
+++ b/src/libebonyhollow/servers/private/pool_state.h
@@ -116,11 +116,10 @@
                       int64_t now_us);
 /* Returns the time that work takes at a server relative to a typical one, by
  * its usual pace: 1 while that is unknown. */
-double EbPool_UsualCost(const EbPool *pool, const EbPoolServer *server);
+double EbPool_UsualCost(const EbPoolServer *server);
 /* Returns the time that work takes at a server now, relative to a typical one
  * at its usual pace. */
-double EbPool_PresentCost(const EbPool *pool, const EbPoolServer *server,
-                          int64_t now_us);
+double EbPool_PresentCost(const EbPoolServer *server, int64_t now_us);
 /* Returns the share of failed calls, 0 to 1, which decays without calls. */
 double EbPool_FailureRate(const EbPoolServer *server, int64_t now_us);
 /* Returns the part of its limit that a server may use: below 1 during slow
--- a/src/libebonyhollow/servers/server_speed.c
+++ b/src/libebonyhollow/servers/server_speed.c
@@ -2,6 +2,8 @@
 
 #include <assert.h>
 #include <math.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include <glib.h>
 
@@ -32,15 +34,29 @@
         return;
     }
     int64_t span_us = now_us - pace->event_us[pace->event_count % size];
-    if (span_us > 0 && (pace->least_us == 0 || span_us < pace->least_us)) {
-        pace->least_us = span_us;
-    }
+    pace->span_us[pace->span_count++ % EB_SERVER_SPEED_MAX_SPANS] =
+        (uint32_t)CLAMP(span_us, 0, UINT32_MAX);
+}
+
+static int
+compare_spans(const void *left, const void *right)
+{
+    uint32_t a = *(const uint32_t *)left, b = *(const uint32_t *)right;
+    return (a > b) - (a < b);
 }
 
 double
 EbStreamPace_Result(const EbStreamPace *pace)
 {
-    return (double)pace->least_us / EB_SERVER_SPEED_SPAN_EVENTS;
+    uint32_t spans[EB_SERVER_SPEED_MAX_SPANS];
+    uint32_t count = MIN(pace->span_count, EB_SERVER_SPEED_MAX_SPANS);
+    if (count == 0) {
+        return 0;
+    }
+    memcpy(spans, pace->span_us, count * sizeof(spans[0]));
+    qsort(spans, count, sizeof(spans[0]), compare_spans);
+    uint32_t quartile_us = spans[count / 4];
+    return (double)quartile_us / EB_SERVER_SPEED_SPAN_EVENTS;
 }
 
 static bool
@@ -125,14 +141,23 @@
     return true;
 }
 
-double
-EbServerSpeed_UsualCost(const EbServerSpeed *speed, double typical_us)
+void
+EbServerSpeed_UpdateCost(EbServerSpeed *speed, double typical_us)
 {
     if (speed->samples == 0 || typical_us <= 0) {
-        return 1;
+        return;
     }
-    double steps = round(log(speed->pace_us / typical_us) / log(COST_STEP));
-    return pow(COST_STEP, fmax(-COST_MAX_STEPS, fmin(steps, COST_MAX_STEPS)));
+    double steps = log(speed->pace_us / typical_us) / log(COST_STEP);
+    if (fabs(steps - speed->cost_step) >= 1) {
+        speed->cost_step =
+            (int32_t)fmax(-COST_MAX_STEPS, fmin(round(steps), COST_MAX_STEPS));
+    }
+}
+
+double
+EbServerSpeed_UsualCost(const EbServerSpeed *speed)
+{
+    return pow(COST_STEP, speed->cost_step);
 }
 
 double
--- a/src/test_queue/main.c
+++ b/src/test_queue/main.c
@@ -294,7 +294,8 @@
     for (int64_t now_us = 0; now_us < 60000000; now_us += 1000) {
         for (uint32_t i = 0; i < 3; i++) {
             if (now_us % intervals_us[i] == 0) {
-                EbQueueEntry entry = {.id = ++id,
+                id++;
+                EbQueueEntry entry = {.id = id,
                                       .customer = id % 3 == 0 ? "a" : "b",
                                       .weight = 1,
                                       .cost = 1,
