--- a/src/test_batcher/main.c
+++ b/src/test_batcher/main.c
@@ -368,48 +368,62 @@
     };
 }
 
-/* Guards against a burst in which the most urgent class is served worse than
- * others of the same service, against callers that learn only after most of
- * their time that they are refused, and against work for requests that are
- * refused later: one hundredth of it at most, which is the room that the
- * servers have beyond a usual second. */
+typedef struct {
+    double drafts_per_s;   /* in the burst */
+    double rewrites_per_s; /* in the burst */
+    double in_goal;        /* part of the rewrites, at least */
+    double refused;        /* part of all requests, at most */
+} ShortageRow;
+
+static void
+play_shortage(const ShortageRow *row)
+{
+    LoadPlan plan = crowded_load(row->drafts_per_s, row->rewrites_per_s);
+    LoadReport report;
+    plan.seed = 1;
+    Load_Play(&plan, &report);
+    printf("%.0f drafts, %.0f rewrites a second:\n", row->drafts_per_s,
+           row->rewrites_per_s);
+    Load_Print(&plan, &report);
+    const LoadOutcome *rewrites = &report.classes[0];
+    double asked = 0;
+    double refused = 0;
+    for (uint32_t c = 0; c < plan.class_count; c++) {
+        const LoadOutcome *outcome = &report.classes[c];
+        asked += outcome->asked;
+        refused += outcome->refused;
+        CU_ASSERT_TRUE(outcome->refused_after_us <= SECOND_US);
+        CU_ASSERT_TRUE(outcome->refused * 5 <= outcome->asked);
+    }
+    CU_ASSERT_TRUE(rewrites->in_goal >= row->in_goal * rewrites->asked);
+    CU_ASSERT_TRUE(refused <= row->refused * asked);
+    CU_ASSERT_TRUE(report.wasted_us * 100 <= report.work_us);
+}
+
+/* Guards against a burst of less urgent requests in which the most urgent
+ * class is served worse than others of the same service, against callers that
+ * learn only after most of their time that they are refused, and against work
+ * for requests that are refused later: one hundredth of it at most, which is
+ * the room that the servers have beyond a usual second. */
 static void
 test_shortage(void)
 {
-    static const struct {
-        double drafts_per_s;
-        double rewrites_per_s;
-        double in_goal; /* part of the rewrites, at least */
-        double refused; /* part of all requests, at most */
-    } rows[] = {{91, 86, 0.99, 0},
-                {227, 86, 0.99, 0.02},
-                {290, 133, 0.99, 0.08},
-                {91, 267, 0.8, 0.06}};
+    static const ShortageRow rows[] = {
+        {91, 86, 0.99, 0}, {227, 86, 0.99, 0.01}, {290, 133, 0.99, 0.08}};
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-        LoadPlan plan =
-            crowded_load(rows[i].drafts_per_s, rows[i].rewrites_per_s);
-        LoadReport report;
-        plan.seed = 1;
-        Load_Play(&plan, &report);
-        printf("%.0f drafts, %.0f rewrites a second:\n", rows[i].drafts_per_s,
-               rows[i].rewrites_per_s);
-        Load_Print(&plan, &report);
-        const LoadOutcome *rewrites = &report.classes[0];
-        double asked = 0;
-        double refused = 0;
-        for (uint32_t c = 0; c < plan.class_count; c++) {
-            const LoadOutcome *outcome = &report.classes[c];
-            asked += outcome->asked;
-            refused += outcome->refused;
-            CU_ASSERT_TRUE(outcome->refused_after_us <= SECOND_US);
-            CU_ASSERT_TRUE(outcome->refused * 5 <= outcome->asked);
-        }
-        CU_ASSERT_TRUE(rewrites->in_goal >= rows[i].in_goal * rewrites->asked);
-        CU_ASSERT_TRUE(refused <= rows[i].refused * asked);
-        CU_ASSERT_TRUE(report.wasted_us * 100 <= report.work_us);
+        play_shortage(&rows[i]);
     }
 }
 
+/* Guards against the same in a burst of the most urgent class itself, at its
+ * second stage. The servers make 1,613 items a second there and 1,794 are
+ * asked for in 5.6 s, so that about 170 of 2,670 rewrites are too many. */
+static void
+test_urgent_burst(void)
+{
+    play_shortage(&(ShortageRow){91, 267, 0.85, 0.04});
+}
+
 /* Guards against calls with work items and releases above the limit of a
  * server, in its pause, or to one that leaves. */
 static void
@@ -479,6 +493,7 @@
         {"evacuated service", test_evacuated_service},
         {"burst", test_burst},
         {"shortage", test_shortage},
+        {"urgent burst", test_urgent_burst},
     };
     return EbTest_Run("test_batcher", cases, G_N_ELEMENTS(cases));
 }
--- a/src/test_server_speed/main.c
+++ b/src/test_server_speed/main.c
@@ -1,6 +1,7 @@
 /* Tests of the measured speed of servers. The last one plays engines of uneven
  * speed, slowed by neighbours, behind many daemons that share what they
  * measured. */
+#include <assert.h>
 #include <math.h>
 #include <stdio.h>
 #include <string.h>
@@ -207,6 +208,7 @@
 index_of(const EbConfigBackendServer *server)
 {
     unsigned index = 0;
+    assert(server != NULL);
     CU_ASSERT_EQUAL(sscanf(server->id, "s%u", &index), 1);
     return index;
 }
