--- a/include/actions/ebonyhollow/http_message.h
+++ b/include/actions/ebonyhollow/http_message.h
@@ -26,9 +26,9 @@
     uint32_t header_count;
     uint8_t *body; /* NULL when empty */
     size_t body_bytes;
-    uint32_t header_capacity; /* private */
+    uint32_t header_capacity;            /* private */
     struct EbHttpTextBlock *text_blocks; /* private: names and values */
-    size_t body_capacity;     /* private */
+    size_t body_capacity;                /* private */
 } EbHttpMessage;
 
 /* Create a request or a response with one reference. The strings are copied.
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -327,8 +327,7 @@
  * other daemons of a leaving server unless `source` is "peer". */
 void EbDispatcher_MarkLeaving(EbDispatcher *dispatcher, const char *server_id,
                               uint64_t incarnation, bool leaving,
-                              const char *source,
-                              int64_t now_us);
+                              const char *source, int64_t now_us);
 
 /* dispatcher_crash.c */
 
--- /dev/null
+++ b/src/libebonyhollow_net/forward_response.c
@@ -0,0 +1,124 @@
+#include "forward_response.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <glib.h>
+
+static const char *
+reason_phrase(uint16_t status)
+{
+    static const struct {
+        uint16_t status;
+        const char *phrase;
+    } phrases[] = {
+        {200, "OK"},
+        {400, "Bad Request"},
+        {401, "Unauthorized"},
+        {404, "Not Found"},
+        {408, "Request Timeout"},
+        {413, "Content Too Large"},
+        {429, "Too Many Requests"},
+        {431, "Request Header Fields Too Large"},
+        {500, "Internal Server Error"},
+        {502, "Bad Gateway"},
+        {503, "Service Unavailable"},
+        {504, "Gateway Timeout"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(phrases); i++) {
+        if (phrases[i].status == status) {
+            return phrases[i].phrase;
+        }
+    }
+    return "Status";
+}
+
+static void
+write_head(struct evbuffer *output, const EbHttpMessage *response, bool close,
+           const char *framing)
+{
+    evbuffer_add_printf(output, "HTTP/1.1 %u %s\r\n",
+                        (unsigned)response->status,
+                        reason_phrase(response->status));
+    for (uint32_t i = 0; i < response->header_count; i++) {
+        const EbHttpHeader *header = &response->headers[i];
+        if (!EbHttpMessage_IsConnectionHeader(response, header->name)) {
+            evbuffer_add_printf(output, "%s: %s\r\n", header->name,
+                                header->value);
+        }
+    }
+    if (close) {
+        evbuffer_add_printf(output, "Connection: close\r\n");
+    }
+    evbuffer_add_printf(output, "%s\r\n", framing);
+}
+
+static void
+release_message(const void *bytes, size_t byte_count, void *message)
+{
+    (void)bytes;
+    (void)byte_count;
+    EbHttpMessage_Unref(message);
+}
+
+void
+EbForwardResponse_Write(struct evbuffer *output, const EbHttpMessage *response,
+                        bool close)
+{
+    char framing[64];
+    snprintf(framing, sizeof(framing), "Content-Length: %zu\r\n",
+             response->body_bytes);
+    write_head(output, response, close, framing);
+    if (response->body_bytes > 0) {
+        EbHttpMessage *reference =
+            EbHttpMessage_Ref((EbHttpMessage *)response);
+        evbuffer_add_reference(output, response->body, response->body_bytes,
+                               release_message, reference);
+    }
+}
+
+void
+EbForwardResponse_WriteStreamHead(struct evbuffer *output,
+                                  const EbHttpMessage *head, bool close)
+{
+    write_head(output, head, close, "Transfer-Encoding: chunked\r\n");
+}
+
+void
+EbForwardResponse_WriteChunk(struct evbuffer *output, const uint8_t *bytes,
+                             size_t byte_count)
+{
+    evbuffer_add_printf(output, "%zx\r\n", byte_count);
+    evbuffer_add(output, bytes, byte_count);
+    evbuffer_add(output, "\r\n", 2);
+}
+
+EbHttpMessage *
+EbForwardResponse_New(const EbForwardProtocol *protocol,
+                      const char *request_id, const EbAnswer *answer)
+{
+    const EbReasonInfo *info = &EbReason_table[answer->reason];
+    uint16_t status = info->http_status;
+    bool may_have_run = answer->outcome != EB_OUTCOME_NOT_RUN;
+    /* Status 429 and 503 guarantee that the request has not run. */
+    if (may_have_run && (status == 429 || status == 503)) {
+        status = 502;
+    }
+    else if (!may_have_run && status >= 500) {
+        status = 503;
+    }
+    EbHttpMessage *message = EbHttpMessage_NewResponse(status);
+    EbHttpMessage_AddHeader(message, protocol->request_id_header, request_id);
+    if (answer->retry_after_us > 0 && !may_have_run) {
+        char seconds[32];
+        g_snprintf(seconds, sizeof(seconds), "%" PRId64 ".%03" PRId64,
+                   answer->retry_after_us / 1000000,
+                   answer->retry_after_us / 1000 % 1000);
+        EbHttpMessage_AddHeader(message, "Retry-After", seconds);
+    }
+    EbHttpMessage_AddHeader(message, "Content-Type", "text/plain");
+    EbHttpMessage_AddBody(message, info->title, strlen(info->title));
+    return message;
+}
--- a/src/libebonyhollow_net/forward_server.c
+++ b/src/libebonyhollow_net/forward_server.c
@@ -1,9 +1,5 @@
 #include "ebonyhollow/forward_server.h"
 
-#include <inttypes.h>
-#include <stdio.h>
-#include <string.h>
-
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -15,6 +11,7 @@
 
 #include "client_guard.h"
 #include "clock.h"
+#include "forward_response.h"
 #include "http_reader.h"
 #include "socket.h"
 
@@ -114,34 +111,6 @@
     }
 }
 
-static const char *
-reason_phrase(uint16_t status)
-{
-    static const struct {
-        uint16_t status;
-        const char *phrase;
-    } phrases[] = {
-        {200, "OK"},
-        {400, "Bad Request"},
-        {401, "Unauthorized"},
-        {404, "Not Found"},
-        {408, "Request Timeout"},
-        {413, "Content Too Large"},
-        {429, "Too Many Requests"},
-        {431, "Request Header Fields Too Large"},
-        {500, "Internal Server Error"},
-        {502, "Bad Gateway"},
-        {503, "Service Unavailable"},
-        {504, "Gateway Timeout"},
-    };
-    for (size_t i = 0; i < G_N_ELEMENTS(phrases); i++) {
-        if (phrases[i].status == status) {
-            return phrases[i].phrase;
-        }
-    }
-    return "Status";
-}
-
 static bool
 closes_after_response(const Connection *connection)
 {
@@ -149,49 +118,11 @@
            connection->server->stopped;
 }
 
-static void
-write_head(Connection *connection, const EbHttpMessage *response,
-           const char *framing)
-{
-    struct evbuffer *output = bufferevent_get_output(connection->bufev);
-    evbuffer_add_printf(output, "HTTP/1.1 %u %s\r\n",
-                        (unsigned)response->status,
-                        reason_phrase(response->status));
-    for (uint32_t i = 0; i < response->header_count; i++) {
-        const EbHttpHeader *header = &response->headers[i];
-        if (!EbHttpMessage_IsConnectionHeader(response, header->name)) {
-            evbuffer_add_printf(output, "%s: %s\r\n", header->name,
-                                header->value);
-        }
-    }
-    if (closes_after_response(connection)) {
-        evbuffer_add_printf(output, "Connection: close\r\n");
-    }
-    evbuffer_add_printf(output, "%s\r\n", framing);
-}
-
-static void
-release_message(const void *bytes, size_t byte_count, void *message)
-{
-    (void)bytes;
-    (void)byte_count;
-    EbHttpMessage_Unref(message);
-}
-
 static void
 write_response(Connection *connection, const EbHttpMessage *response)
 {
-    char framing[64];
-    snprintf(framing, sizeof(framing), "Content-Length: %zu\r\n",
-             response->body_bytes);
-    write_head(connection, response, framing);
-    if (response->body_bytes > 0) {
-        EbHttpMessage *reference =
-            EbHttpMessage_Ref((EbHttpMessage *)response);
-        evbuffer_add_reference(bufferevent_get_output(connection->bufev),
-                               response->body, response->body_bytes,
-                               release_message, reference);
-    }
+    EbForwardResponse_Write(bufferevent_get_output(connection->bufev),
+                            response, closes_after_response(connection));
 }
 
 static size_t
@@ -527,8 +458,8 @@
 }
 
 /* Reads while no request is running and at most max_buffer_bytes of earlier
- * answers are unsent. The
- * connection may be freed when this function returns. */
+ * answers are unsent. The connection may be freed when this function returns.
+ */
 static void
 read_requests(Connection *connection)
 {
@@ -776,15 +707,6 @@
     return server->port;
 }
 
-static void
-write_chunk(Connection *connection, const uint8_t *bytes, size_t byte_count)
-{
-    struct evbuffer *output = bufferevent_get_output(connection->bufev);
-    evbuffer_add_printf(output, "%zx\r\n", byte_count);
-    evbuffer_add(output, bytes, byte_count);
-    evbuffer_add(output, "\r\n", 2);
-}
-
 static void
 pause_if_full(Connection *connection)
 {
@@ -805,47 +727,19 @@
     if (connection == NULL) {
         return;
     }
+    struct evbuffer *output = bufferevent_get_output(connection->bufev);
     if (relay->head != NULL && !connection->head_sent) {
         connection->head_sent = true;
-        write_head(connection, relay->head, "Transfer-Encoding: chunked\r\n");
+        EbForwardResponse_WriteStreamHead(output, relay->head,
+                                          closes_after_response(connection));
     }
     if (relay->byte_count > 0) {
-        write_chunk(connection, relay->bytes, relay->byte_count);
+        EbForwardResponse_WriteChunk(output, relay->bytes, relay->byte_count);
         pause_if_full(connection);
     }
     update(connection);
 }
 
-/* Builds the response to a request that no backend server answered. */
-static EbHttpMessage *
-build_response(const Connection *connection, const EbAnswer *answer)
-{
-    const EbReasonInfo *info = &EbReason_table[answer->reason];
-    uint16_t status = info->http_status;
-    bool may_have_run = answer->outcome != EB_OUTCOME_NOT_RUN;
-    /* Status 429 and 503 guarantee that the request has not run. */
-    if (may_have_run && (status == 429 || status == 503)) {
-        status = 502;
-    }
-    else if (!may_have_run && status >= 500) {
-        status = 503;
-    }
-    EbHttpMessage *message = EbHttpMessage_NewResponse(status);
-    EbHttpMessage_AddHeader(
-        message, connection->server->options.protocol->request_id_header,
-        connection->request_id);
-    if (answer->retry_after_us > 0 && !may_have_run) {
-        char seconds[32];
-        g_snprintf(seconds, sizeof(seconds), "%" PRId64 ".%03" PRId64,
-                   answer->retry_after_us / 1000000,
-                   answer->retry_after_us / 1000 % 1000);
-        EbHttpMessage_AddHeader(message, "Retry-After", seconds);
-    }
-    EbHttpMessage_AddHeader(message, "Content-Type", "text/plain");
-    EbHttpMessage_AddBody(message, info->title, strlen(info->title));
-    return message;
-}
-
 void
 EbForwardServer_Answer(EbForwardServer *server, const EbAnswer *answer)
 {
@@ -866,7 +760,8 @@
         write_response(connection, answer->reply);
     }
     else {
-        EbHttpMessage *response = build_response(connection, answer);
+        EbHttpMessage *response = EbForwardResponse_New(
+            server->options.protocol, connection->request_id, answer);
         write_response(connection, response);
         EbHttpMessage_Unref(response);
     }
--- a/src/test_batcher/load.h
+++ b/src/test_batcher/load.h
@@ -60,7 +60,7 @@
     uint32_t in_goal;
     uint32_t late;
     uint32_t refused;
-    uint32_t refused_early; /* within an eighth of the goal */
+    uint32_t refused_early;   /* within an eighth of the goal */
     int64_t refused_after_us; /* mean time until the refusal */
 } LoadOutcome;
 
--- a/src/test_fault_matrix/sequences.c
+++ b/src/test_fault_matrix/sequences.c
@@ -103,8 +103,8 @@
     snprintf(server, sizeof(server), "%s%u",
              EbStageKind_names[random_below(simulation, EB_STAGE_KIND_COUNT)],
              (unsigned)random_below(simulation, 3));
-    EbDispatcher_ServerLeaving(simulation->daemons[index].dispatcher, server, 0,
-                               random_below(simulation, 2) == 0, "platform",
+    EbDispatcher_ServerLeaving(simulation->daemons[index].dispatcher, server,
+                               0, random_below(simulation, 2) == 0, "platform",
                                simulation->now_us);
     Simulation_RunActions(simulation, index);
 }
--- a/src/test_pool/fixture.h
+++ b/src/test_pool/fixture.h
@@ -28,8 +28,8 @@
 EbPool *Fixture_NewPool(const Fixture *fixture, const char *instance,
                         EbPoolPolicy policy, EbRandom *random);
 
-/* Initialises the fixture and creates an adaptive pool of the daemon "i", which
- * Fixture_Close frees. */
+/* Initialises the fixture and creates an adaptive pool of the daemon "i",
+ * which Fixture_Close frees. */
 EbPool *Fixture_Open(Fixture *fixture, uint32_t servers, uint32_t domains,
                      uint32_t subset, uint32_t capacity);
 
