--- a/src/libebonyhollow/servers/pace.c
+++ b/src/libebonyhollow/servers/pace.c
@@ -17,13 +17,13 @@
  * most that many in any second. */
 #define RATE_MARGIN_PER_S 0.05
 /* A daemon that just started knows only some of the others. */
-#define START_HOLD_US (3 * G_USEC_PER_SEC)
+#define START_HOLD_US INT64_C(3000000)
 /* An entry that arrives sooner after an event may have been written before it.
  */
-#define ENTRY_DELAY_US (G_USEC_PER_SEC / 2)
+#define ENTRY_DELAY_US INT64_C(500000)
 /* Without an entry, a server that may be cold counts as cold for this time, in
  * addition to that of its pool. */
-#define DOUBT_US (10 * G_USEC_PER_SEC)
+#define DOUBT_US INT64_C(10000000)
 
 #define INITIAL_CAPACITY_SHARE 0.25
 /* The number of daemons that use the server doubles in this time. With a
@@ -31,8 +31,8 @@
  * after 2.5 s. */
 #define TURN_DOUBLING_US 400000.0
 #define USUAL_ANSWERS 8
-#define QUIET_US (4 * G_USEC_PER_SEC)
-#define MAX_PACE_US (30 * G_USEC_PER_SEC)
+#define QUIET_US INT64_C(4000000)
+#define MAX_PACE_US INT64_C(30000000)
 
 typedef struct {
     char *id;
--- a/test/clients/forms.c
+++ b/test/clients/forms.c
@@ -10,7 +10,7 @@
 #define BODY_BYTES 4194304
 #define DOCUMENT_BYTES 1000000 /* below the operators' limit */
 #define FIELD_BYTES 15500      /* with the other fields below 16 KiB */
-#define TOO_LARGE_BYTES (3 * BODY_BYTES)
+#define TOO_LARGE_BYTES ((size_t)3 * BODY_BYTES)
 #define CHUNK_BYTES 16384
 #define SMALL_CHUNKS 50000
 #define REQUESTS_AHEAD 200
--- a/test/clients/platform_standin.c
+++ b/test/clients/platform_standin.c
@@ -98,7 +98,7 @@
     Watch *watch = g_new0(Watch, 1);
     watch->request = request;
     watch->timer = evtimer_new(standin->base, on_watch_timeout, watch);
-    struct timeval wait = {wait_ms / 1000, wait_ms % 1000 * 1000};
+    struct timeval wait = {wait_ms / 1000, wait_ms % 1000 * 1000L};
     event_add(watch->timer, &wait);
     evhttp_connection_set_closecb(evhttp_request_get_connection(request),
                                   on_watch_closed, watch);
