pool: speeds of servers count only where their paces differ twofold

All engines there are alike, but those that were cold work 1.6 times slower for a while; their keys moved, shared parts were read again and results crossed failure domains. Change: paces count in a pool whose second and eighth tenths differ twofold; otherwise the choice is the one without speeds. A server's own statement of its present speed counts always. Test: test_pool 'uneven paces'.

--- a/src/libebonyhollow/servers/pool_choice.c
+++ b/src/libebonyhollow/servers/pool_choice.c
@@ -121,7 +121,7 @@
     double failure_rate =
         fmin(EbPool_FailureRate(server, now_us), MAX_FAILURE_RATE);
     return utilisation(server, now_us) * EbPool_Latency(pool, server, now_us) *
-           EbPool_PresentCost(server, now_us) / (1 - failure_rate);
+           EbPool_PresentCost(pool, server, now_us) / (1 - failure_rate);
 }
 
 /* Draws a preferable member other than `other` at random, each with the same
--- a/src/libebonyhollow/servers/pool_health.c
+++ b/src/libebonyhollow/servers/pool_health.c
@@ -25,6 +25,11 @@
 #define EJECT_MIN_MEASURED_SERVERS 3
 /* Servers of known pace that are needed for a typical one. */
 #define MIN_PACES 4
+/* Paces of servers count in a pool whose paces differ by this ratio, apart
+ * from a fifth of the servers at either end. */
+#define UNEVEN_ENTER_RATIO 2.0
+#define UNEVEN_LEAVE_RATIO 1.6
+#define UNEVEN_OUTER_DIVISOR 5
 #define PERMILLE 1000
 #define EJECT_MAX_DIVISOR 3 /* at most one server in three is ejected */
 #define EJECT_BASE_US 5000000
@@ -64,10 +69,13 @@
 }
 
 double
-EbPool_PresentCost(const EbPoolServer *server, int64_t now_us)
+EbPool_PresentCost(const EbPool *pool, const EbPoolServer *server,
+                   int64_t now_us)
 {
-    return EbPool_UsualCost(server) *
-           EbServerSpeed_Slowdown(&server->speed, now_us);
+    bool known = pool->uneven || server->speed.work_percent > 0;
+    return known ? EbPool_UsualCost(server) *
+                       EbServerSpeed_Slowdown(&server->speed, now_us)
+                 : 1;
 }
 
 double
@@ -90,6 +98,19 @@
     return count > 0 ? values[(count - 1) / 2] : 0;
 }
 
+/* Returns whether the slower servers differ so much from the faster ones that
+ * it outweighs the prompts that are read again when keys move. Servers that
+ * were cold lately are slower, but not by that much.
+ *
+ * paces: sorted */
+static bool
+is_uneven(const EbPool *pool, const double *paces, uint32_t count)
+{
+    uint32_t outer = count / UNEVEN_OUTER_DIVISOR;
+    double ratio = paces[count - 1 - outer] / paces[outer];
+    return ratio >= (pool->uneven ? UNEVEN_LEAVE_RATIO : UNEVEN_ENTER_RATIO);
+}
+
 static void
 update_typical_pace(EbPool *pool)
 {
@@ -100,8 +121,9 @@
             paces[count++] = pool->members[i]->speed.pace_us;
         }
     }
-    pool->typical_pace_us =
-        count >= MIN_PACES ? lower_median(paces, count) : 0;
+    double median_us = lower_median(paces, count);
+    pool->uneven = count >= MIN_PACES && is_uneven(pool, paces, count);
+    pool->typical_pace_us = pool->uneven ? median_us : 0;
     g_free(paces);
 }
 
--- a/src/libebonyhollow/servers/private/pool_state.h
+++ b/src/libebonyhollow/servers/private/pool_state.h
@@ -83,7 +83,8 @@
     uint32_t ejected_count;
     double median_us; /* median latency of measured members, 0 if none */
     uint32_t measured_count;
-    double typical_pace_us;  /* median pace of members, 0 if none is known */
+    bool uneven;             /* the paces of its servers differ much */
+    double typical_pace_us;  /* median pace of members, 0 unless `uneven` */
     double mean_duration_us; /* of successful calls, of all kinds */
     double service_us;       /* moving average from BeginCall to EndCall */
     uint64_t service_samples;
@@ -132,7 +133,8 @@
 double EbPool_UsualCost(const EbPoolServer *server);
 /* Returns the time that work takes at a server now, relative to a typical one
  * at its usual pace. */
-double EbPool_PresentCost(const EbPoolServer *server, int64_t now_us);
+double EbPool_PresentCost(const EbPool *pool, const EbPoolServer *server,
+                          int64_t now_us);
 /* Returns the share of failed calls, 0 to 1, which decays without calls. */
 double EbPool_FailureRate(const EbPoolServer *server, int64_t now_us);
 /* Updates latency, failure rate, limit and ejection with the result of a call.
--- a/src/libebonyhollow/servers/server_speed.c
+++ b/src/libebonyhollow/servers/server_speed.c
@@ -145,6 +145,7 @@
 EbServerSpeed_UpdateCost(EbServerSpeed *speed, double typical_us)
 {
     if (speed->samples == 0 || typical_us <= 0) {
+        speed->cost_step = 0;
         return;
     }
     double steps = log(speed->pace_us / typical_us) / log(COST_STEP);
--- a/src/test_pool/fixture.c
+++ b/src/test_pool/fixture.c
@@ -48,7 +48,8 @@
                                     .policy = policy,
                                     .random = random,
                                     .evacuations = fixture->evacuations,
-                                    .pace = fixture->pace},
+                                    .pace = fixture->pace,
+                                    .measure_speeds = true},
                    NULL);
     CU_ASSERT_PTR_NOT_NULL_FATAL(pool);
     return pool;
--- a/src/test_pool/main.c
+++ b/src/test_pool/main.c
@@ -662,6 +662,41 @@
     }
 }
 
+/* Guards against keys that move from server to server, and content that is
+ * read again, for differences of speed that are not worth it: those of servers
+ * that were cold lately. */
+static void
+test_uneven_paces(void)
+{
+    static const struct {
+        double slow; /* pace of half of the servers, that of the others is 1 */
+        bool moves;
+    } rows[] = {{1.0, false}, {1.6, false}, {2.4, true}};
+    enum { SERVERS = 12, KEYS = 200 };
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        Fixture fixture;
+        EbPool *pool = Fixture_Open(&fixture, SERVERS, 1, 0, 16);
+        const EbConfigBackendServer *before[KEYS];
+        for (uint64_t key = 0; key < KEYS; key++) {
+            before[key] =
+                EbPool_ChooseAffine(pool, &no_criteria, key, SECOND_US);
+        }
+        for (uint32_t s = 0; s < SERVERS; s++) {
+            EbPool_RecordPace(pool, fixture.ids[s],
+                              10000 * (s % 2 == 0 ? 1 : rows[i].slow),
+                              SECOND_US);
+        }
+        EbPool_Tick(pool, 2 * SECOND_US);
+        uint32_t moved = 0;
+        for (uint64_t key = 0; key < KEYS; key++) {
+            moved += EbPool_ChooseAffine(pool, &no_criteria, key,
+                                         2 * SECOND_US) != before[key];
+        }
+        CU_ASSERT_EQUAL(moved > 0, rows[i].moves);
+        Fixture_Close(&fixture, pool);
+    }
+}
+
 int
 main(void)
 {
@@ -680,6 +715,7 @@
         {"affinity", test_affinity},
         {"predict", test_predict},
         {"evacuation", test_evacuation},
+        {"uneven paces", test_uneven_paces},
         {"incarnations", test_incarnations},
         {"earlier calls", test_earlier_calls},
         {"home regions", test_home_regions},
