stages: each class gets half of what others get in a shortage

Change: the least share of a class is a half instead of a tenth. The rate that projections expect at least stays a tenth, else refusals come late.

--- a/include/batching/ebonyhollow/stage_schedule.h
+++ b/include/batching/ebonyhollow/stage_schedule.h
@@ -53,6 +53,8 @@
     double arrivals_per_s[EB_STAGE_CLASSES];
     /* Of the items, for each class that has waiting ones. */
     double least_share;
+    /* Of items_per_s, which a class is expected to get at least. */
+    double least_rate_share;
 } EbStageCapacity;
 
 /* Moving averages of events a second, by class. All zeros is the initial
--- a/src/libebonyhollow/batching/batcher_admission.c
+++ b/src/libebonyhollow/batching/batcher_admission.c
@@ -1,8 +1,13 @@
 /* Admission: which waiting jobs the servers of a service can't do in time. */
 #include "batcher_state.h"
 
-/* Of the items done in a shortage, kept for each class of urgency. */
-#define LEAST_SHARE 0.1
+/* Of the items done in a shortage, kept for each class of urgency. With a
+ * tenth the least urgent class pays for a shortage with most of its service.
+ */
+#define LEAST_SHARE 0.5
+/* Of the rate of a service, which a class is expected to get at least. More
+ * would promise room to jobs that are refused late. */
+#define LEAST_RATE_SHARE 0.1
 /* In a shortage that lasts this long, the rate of the items done is known. */
 #define MEASURED_AFTER_US 2500000
 #define REPORT_INTERVAL_US 1000000
@@ -18,7 +23,8 @@
         .by_urgency = service->by_urgency,
         .items_at_once = EbBatchService_ItemsAtOnce(service),
         .call_us = EbBatchService_ExpectedTime(service, 1),
-        .least_share = LEAST_SHARE};
+        .least_share = LEAST_SHARE,
+        .least_rate_share = LEAST_RATE_SHARE};
     double full_call_us =
         (double)EbBatchService_ExpectedTime(service, service->batch.max_items);
     GHashTableIter iter;
--- a/src/libebonyhollow/batching/stage_schedule.c
+++ b/src/libebonyhollow/batching/stage_schedule.c
@@ -154,7 +154,7 @@
     for (uint32_t i = 0; i < entry->class + (late ? 1 : 0); i++) {
         rate -= capacity->arrivals_per_s[i];
     }
-    rate = MAX(rate, capacity->least_share * capacity->items_per_s);
+    rate = MAX(rate, capacity->least_rate_share * capacity->items_per_s);
     return capacity->now_us + capacity->call_us +
            time_for(items + entry->items, rate);
 }
--- a/src/test_stage_schedule/main.c
+++ b/src/test_stage_schedule/main.c
@@ -11,7 +11,8 @@
                                          .items_at_once = 10,
                                          .call_us = 100 * MS,
                                          .items_per_s = 100,
-                                         .least_share = 0.1};
+                                         .least_share = 0.1,
+                                         .least_rate_share = 0.1};
 
 static EbStageEntry
 make_entry(uint8_t priority, uint8_t route_priority, uint32_t items,
