--- a/src/libebonyhollow/batching/batcher_admission.c
+++ b/src/libebonyhollow/batching/batcher_admission.c
@@ -5,9 +5,10 @@
  * tenth the least urgent class pays for a shortage with most of its service.
  */
 #define LEAST_SHARE 0.5
-/* Of the rate of a service, which a class is expected to get at least. More
- * would promise room to jobs that are refused late. */
-#define LEAST_RATE_SHARE 0.1
+/* Of the rate of a service, which a class is expected to get at least. With
+ * less, jobs are refused that would be served; with more, jobs wait that are
+ * refused in the end. */
+#define LEAST_RATE_SHARE 0.5
 /* In a shortage that lasts this long, the rate of the items done is known. */
 #define MEASURED_AFTER_US 2500000
 #define REPORT_INTERVAL_US 1000000
