--- a/test/process/clients_lib.sh
+++ b/test/process/clients_lib.sh
@@ -86,3 +86,21 @@
     wait "$cl_pid"
     eb_check "the daemon stops with status 0" [ $? -eq 0 ]
 }
+
+# cl_restart: kills the daemon and starts it again with the script's `start`.
+cl_restart() {
+    kill -KILL "$cl_pid" 2>/dev/null
+    wait "$cl_pid" 2>/dev/null
+    start
+}
+
+# cl_play_forms ADDRESS PATH COUNT FORM...: plays each form, or only the one that
+# `only` names.
+cl_play_forms() {
+    local address=$1 path=$2 count=$3 form
+    shift 3
+    for form in "$@"; do
+        [ -z "$only" ] || [ "$only" = "$form" ] || continue
+        cl_play "$form at $path" "$address" "$form" "$path" "$count"
+    done
+}
--- a/test/process/test_clients_front.sh
+++ b/test/process/test_clients_front.sh
@@ -69,42 +69,29 @@
     cl_served cl_ordinary || exit 1
     cl_rest
 }
-cl_restart() {
-    kill -KILL "$cl_pid" 2>/dev/null
-    wait "$cl_pid" 2>/dev/null
-    start
-}
-play() { # address path count form...
-    local address=$1 path=$2 count=$3 form
-    shift 3
-    for form in "$@"; do
-        [ -z "$only" ] || [ "$only" = "$form" ] || continue
-        cl_play "$form at $path" "$address" "$form" "$path" "$count"
-    done
-}
 
 start
 bodies=(short-body short-body-in-pieces chunks whole-body half-close)
 echo "== a path with a route"
-play "$front" /order/a 24 "${bodies[@]}" large-body endless-chunks \
+cl_play_forms "$front" /order/a 24 "${bodies[@]}" large-body endless-chunks \
     absurd-length expectation
-play "$front" /order/a 6 small-chunks
-play "$front" /order/a 200 fields whole-fields
-play "$front" /order/a 60 head-by-bytes trailers requests-ahead
-play "$front" /order/a 200 silent opened-and-closed
-play "$front" /order/big 24 answer-unread answer-read-slowly requests-ahead
-play "$front" /order/stream/a 24 answer-unread answer-read-slowly
+cl_play_forms "$front" /order/a 6 small-chunks
+cl_play_forms "$front" /order/a 200 fields whole-fields
+cl_play_forms "$front" /order/a 60 head-by-bytes trailers requests-ahead
+cl_play_forms "$front" /order/a 200 silent opened-and-closed
+cl_play_forms "$front" /order/big 24 answer-unread answer-read-slowly requests-ahead
+cl_play_forms "$front" /order/stream/a 24 answer-unread answer-read-slowly
 echo "== a path without a route"
-play "$front" /none 24 "${bodies[@]}" large-body
-play "$front" /none 200 fields whole-fields
-play "$front" /none 60 requests-ahead
+cl_play_forms "$front" /none 24 "${bodies[@]}" large-body
+cl_play_forms "$front" /none 200 fields whole-fields
+cl_play_forms "$front" /none 60 requests-ahead
 echo "== the path that says ready, at the callers' address and at its own"
-play "$front" /readyz 24 short-body chunks whole-body
-play "$ready" /readyz 100 short-document "${bodies[@]}" large-body \
+cl_play_forms "$front" /readyz 24 short-body chunks whole-body
+cl_play_forms "$ready" /readyz 100 short-document "${bodies[@]}" large-body \
     endless-chunks absurd-length expectation
-play "$ready" /readyz 200 fields head-by-bytes trailers \
+cl_play_forms "$ready" /readyz 200 fields head-by-bytes trailers \
     requests-ahead
-play "$ready" /readyz 300 silent opened-and-closed
-play "$ready" /metrics 60 requests-ahead
+cl_play_forms "$ready" /readyz 300 silent opened-and-closed
+cl_play_forms "$ready" /metrics 60 requests-ahead
 cl_stop
 eb_finish
--- a/test/process/test_clients_own.sh
+++ b/test/process/test_clients_own.sh
@@ -41,19 +41,6 @@
     eb_ready recife 1
     cl_rest
 }
-cl_restart() {
-    kill -KILL "$cl_pid" 2>/dev/null
-    wait "$cl_pid" 2>/dev/null
-    start
-}
-play() { # address path count form...
-    local address=$1 path=$2 count=$3 form
-    shift 3
-    for form in "$@"; do
-        [ -z "$only" ] || [ "$only" = "$form" ] || continue
-        cl_play "$form at $path" "$address" "$form" "$path" "$count"
-    done
-}
 
 customer=$(jq -r '.base.customers | keys[0]' "$eb_work/configuration.json")
 pipeline=catalogue-question
@@ -64,20 +51,20 @@
 path=/v1/pipelines/$pipeline
 bodies=(short-body short-body-in-pieces chunks whole-body half-close)
 echo "== the callers' address"
-play "$caller" "$path" 24 "${bodies[@]}" large-body endless-chunks \
+cl_play_forms "$caller" "$path" 24 "${bodies[@]}" large-body endless-chunks \
     absurd-length expectation
-play "$caller" "$path" 6 small-chunks
-play "$caller" "$path" 200 fields whole-fields
-play "$caller" "$path" 60 head-by-bytes trailers requests-ahead
-play "$caller" "$path" 200 silent opened-and-closed
-play "$caller" "$path" 60 answer-unread
+cl_play_forms "$caller" "$path" 6 small-chunks
+cl_play_forms "$caller" "$path" 200 fields whole-fields
+cl_play_forms "$caller" "$path" 60 head-by-bytes trailers requests-ahead
+cl_play_forms "$caller" "$path" 200 silent opened-and-closed
+cl_play_forms "$caller" "$path" 60 answer-unread
 echo "== paths that do not exist"
-play "$caller" /none 24 "${bodies[@]}"
-play "$caller" /none 60 requests-ahead fields
+cl_play_forms "$caller" /none 24 "${bodies[@]}"
+cl_play_forms "$caller" /none 60 requests-ahead fields
 echo "== the operators' address"
-play "$admin" /readyz 100 short-document "${bodies[@]}" large-body endless-chunks
-play "$admin" /v1/config 100 short-document whole-body
-play "$admin" /metrics 200 fields head-by-bytes trailers requests-ahead
-play "$admin" /metrics 300 silent opened-and-closed
+cl_play_forms "$admin" /readyz 100 short-document "${bodies[@]}" large-body endless-chunks
+cl_play_forms "$admin" /v1/config 100 short-document whole-body
+cl_play_forms "$admin" /metrics 200 fields head-by-bytes trailers requests-ahead
+cl_play_forms "$admin" /metrics 300 silent opened-and-closed
 cl_stop
 eb_finish
