test_pool: a server that comes back under load

Cause: nothing tested how long a sound server stays on pace when answers differ as much as they do in service (prompts tenfold, one call in fifty 6 to 14 times as long), or whether a slow one is held.

--- a/src/test_pool/main.c
+++ b/src/test_pool/main.c
@@ -5,6 +5,7 @@
 
 #include "ebonyhollow/error.h"
 #include "fixture.h"
+#include "returning.h"
 #include "test_runner.h"
 
 #define TABLE_COUNT(table) (sizeof(table) / sizeof((table)[0]))
@@ -716,6 +717,7 @@
         {"predict", test_predict},
         {"evacuation", test_evacuation},
         {"uneven paces", test_uneven_paces},
+        {"returning server", test_returning_server},
         {"incarnations", test_incarnations},
         {"earlier calls", test_earlier_calls},
         {"home regions", test_home_regions},
