servers: the pace of a server follows a sequential test of its answers

Cause: a single answer over twice the pool's median counted as slow, halved the calls of the server and began the count of eight usual answers anew. Prompts differ tenfold, so a sound server met that by chance; a failure, of which all servers have some, began again with one call. A slow server ended its pace by chance too, when it had no answer for 4 s. Change: EbAnswerTimes compares the logarithms of the times of answers with those of the pool's other servers by a sequential probability ratio test (like the others, or three times as slow); the spread and the share of failures are those of the pool, so no constant depends on a deployment. The calls double in a round trip until the test finds the server slow, which halves them once in a round trip; then they grow by one. Pace ends when the test finds the server usual and this daemon has its part of the capacity.

--- a/include/servers/ebonyhollow/directives.h
+++ b/include/servers/ebonyhollow/directives.h
@@ -132,7 +132,7 @@
 /* Passes the result of a call on to the pace of the server, if there is one.
  */
 void EbDirectives_RecordResult(EbDirectives *directives, const char *server_id,
-                               EbPaceResult result, int64_t now_us);
+                               const EbPaceCall *call, int64_t now_us);
 
 /* Returns whether it is first the turn of other daemons to use a server on
  * pace. */
--- a/include/servers/ebonyhollow/pace.h
+++ b/include/servers/ebonyhollow/pace.h
@@ -11,12 +11,14 @@
  * daemon that just started, or that just gained a part, has no tokens.
  * - The learned pace, for servers of any pool. It begins with a quarter of the
  *   server's capacity, divided among daemons in the order of EbFleetShare; the
- *   number of daemons that use the server doubles in a fixed time. Each of
- * them raises its number of concurrent calls with each answer that takes the
- * usual time, halves it with a slow one and begins again after a failure. Pace
- * ends after a number of usual answers, or when none was unusual for a while.
- *   It is a preference: a daemon whose turn it isn't yet uses the server if it
- *   has no other one.
+ *   number of daemons that use the server doubles in a fixed time. The number
+ *   of concurrent calls of each of them doubles in each round trip until
+ *   EbAnswerTimes finds the server slow, which halves it; from then on it
+ * grows by one in each round trip (slow start, additive increase and
+ * multiplicative decrease). Pace ends when the server answers like the others
+ * of its pool and the daemon has its part of the capacity, or when the server
+ * was not slow for a while. It is a preference: a daemon whose turn it isn't
+ * yet uses the server if it has no other one.
  *
  * A server is cold for the time that its entry states; where none is stated,
  * for the pool's cold_us after its start. It may be cold, and counts as such
@@ -51,12 +53,18 @@
 
 /* How a call ended, for the pace of its server. */
 typedef enum {
-    EB_PACE_USUAL, /* an answer in about the time of the other servers */
-    EB_PACE_SLOW,
+    EB_PACE_ANSWERED,
+    EB_PACE_GIVEN_UP, /* by the daemon, e.g. in favour of its hedge */
     EB_PACE_FAILED,
     EB_PACE_REFUSED /* the connection was refused: no process listens */
 } EbPaceResult;
 
+typedef struct {
+    EbPaceResult result;
+    double time; /* that it took, see EbAnswerTimes; 0: unknown */
+    int64_t started_us;
+} EbPaceCall;
+
 /* Creates a module that knows only this daemon. `events` and `metrics` are
  * borrowed and must outlive it. Free it with EbPace_Free. */
 EbPace *EbPace_New(const EbPaceOptions *options);
@@ -91,8 +99,10 @@
 /* Counts a call that is sent to a server, of any kind. */
 void EbPace_RecordCall(EbPace *pace, const char *server_id, int64_t now_us);
 
+/* Handles the end of a call to a server. Those of servers that are not on pace
+ * are the reference for the others of their pool. */
 void EbPace_RecordResult(EbPace *pace, const char *server_id,
-                         EbPaceResult result, int64_t now_us);
+                         const EbPaceCall *call, int64_t now_us);
 
 /* Returns the earliest time at which the bound allows a call, `now_us` if it
  * does now. */
--- a/src/libebonyhollow/batching/batcher_call.c
+++ b/src/libebonyhollow/batching/batcher_call.c
@@ -16,8 +16,6 @@
 #define BLOCK_MAX_DOUBLINGS 5
 /* A server that has no free slot or memory gets no call for this time. */
 #define BLOCK_FULL_US 50000
-/* A call that takes this many times the expected time is slow. */
-#define PACE_SLOW_FACTOR 2
 #define SLOWDOWN_GAIN 0.3 /* an average of about three calls */
 
 void
@@ -259,9 +257,11 @@
     EbBatchServer *server = call->server;
     double slowdown =
         (double)(now_us - call->started_us) / (double)call->expected_us;
-    EbDirectives_RecordResult(
-        batcher->options.directives, server->id,
-        slowdown > PACE_SLOW_FACTOR ? EB_PACE_SLOW : EB_PACE_USUAL, now_us);
+    EbDirectives_RecordResult(batcher->options.directives, server->id,
+                              &(EbPaceCall){.result = EB_PACE_ANSWERED,
+                                            .time = slowdown,
+                                            .started_us = call->started_us},
+                              now_us);
     server->slowdown += SLOWDOWN_GAIN * (slowdown - server->slowdown);
     server->failures = 0;
     uint64_t missing_bytes = 0;
@@ -299,9 +299,11 @@
             EB_STRING_FIELD("service", call->service->name),
             EB_INTEGER_FIELD("pieces", call->items->len),
             EB_STRING_FIELD("cause", cause));
-    EbDirectives_RecordResult(
-        batcher->options.directives, call->server->id,
-        result == EB_CALL_REFUSED ? EB_PACE_REFUSED : EB_PACE_FAILED, now_us);
+    EbPaceCall failed = {.result = result == EB_CALL_REFUSED ? EB_PACE_REFUSED
+                                                             : EB_PACE_FAILED,
+                         .started_us = call->started_us};
+    EbDirectives_RecordResult(batcher->options.directives, call->server->id,
+                              &failed, now_us);
     bool full = result == EB_CALL_OVERLOADED;
     if (full) {
         block_server(call->server, BLOCK_FULL_US, now_us);
--- a/src/libebonyhollow/servers/directives.c
+++ b/src/libebonyhollow/servers/directives.c
@@ -538,10 +538,10 @@
 
 void
 EbDirectives_RecordResult(EbDirectives *directives, const char *server_id,
-                          EbPaceResult result, int64_t now_us)
+                          const EbPaceCall *call, int64_t now_us)
 {
     if (directives->pace != NULL) {
-        EbPace_RecordResult(directives->pace, server_id, result, now_us);
+        EbPace_RecordResult(directives->pace, server_id, call, now_us);
     }
 }
 
--- a/src/libebonyhollow/servers/pace.c
+++ b/src/libebonyhollow/servers/pace.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 #include <xxhash.h>
 
+#include "ebonyhollow/answer_times.h"
 #include "ebonyhollow/fleet_share.h"
 
 /* Servers that are kept, those of earlier configurations included. */
@@ -30,7 +31,6 @@
  * quarter of 16 slots at the start, 66 daemons use it after 1.6 s and 300
  * after 2.5 s. */
 #define TURN_DOUBLING_US 400000.0
-#define USUAL_ANSWERS 8
 #define QUIET_US INT64_C(4000000)
 #define MAX_PACE_US INT64_C(30000000)
 
@@ -52,17 +52,20 @@
     bool by_turns; /* all daemons began at about the same time */
     const char *cause;
     int64_t since_us;
-    int64_t unusual_us; /* last unusual answer */
     size_t rank;
     double slots;
-    uint32_t usual; /* answers without an unusual one between them */
+    bool probing;    /* slots double in each round trip: it was not slow yet */
+    int64_t slow_us; /* when it was found slow, or pace began */
+    EbAnswerTest answers;
+    EbAnswerReference *reference; /* of its pool; NULL: unknown */
 } Server;
 
 struct EbPace {
     EbPaceOptions options;
     char *instance;
     EbFleetShare *fleet;
-    GHashTable *servers; /* id to Server */
+    GHashTable *servers;    /* id to Server */
+    GHashTable *references; /* name of a pool to EbAnswerReference */
     bool configured;
     int64_t cold_end_us; /* no server is cold from then on */
     uint32_t paced_count;
@@ -87,6 +90,8 @@
     pace->fleet = EbFleetShare_New(options->instance);
     pace->servers =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_server);
+    pace->references =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return pace;
 }
 
@@ -97,6 +102,7 @@
         return;
     }
     g_hash_table_destroy(pace->servers);
+    g_hash_table_destroy(pace->references);
     EbFleetShare_Free(pace->fleet);
     g_free(pace->instance);
     g_free(pace);
@@ -267,27 +273,37 @@
 
 /* The learned pace */
 
+/* Returns the calls of all daemons with which pace begins. */
 static double
 initial_calls(const Server *server)
 {
     return fmax(server->capacity * INITIAL_CAPACITY_SHARE, 1);
 }
 
+/* Returns the calls that each daemon has when they use the server alike. */
+static double
+fair_calls(const EbPace *pace, const Server *server)
+{
+    double daemons = (double)EbFleetShare_LiveCount(pace->fleet);
+    return fmax(server->capacity / fmax(daemons, 1), 1);
+}
+
 static void
 begin_pace(EbPace *pace, Server *server, const char *cause, bool by_turns,
            int64_t now_us)
 {
-    double daemons = (double)EbFleetShare_LiveCount(pace->fleet);
     pace->paced_count += !server->paced;
     server->paced = true;
     server->by_turns = by_turns;
     server->cause = cause;
     server->since_us = now_us;
-    server->unusual_us = now_us;
     server->rank = EbFleetShare_LiveRank(pace->fleet, server->id);
     server->slots =
-        by_turns ? fmax(initial_calls(server) / fmax(daemons, 1), 1) : 1;
-    server->usual = 0;
+        by_turns ? fmax(fair_calls(pace, server) * INITIAL_CAPACITY_SHARE, 1)
+                 : 1;
+    server->probing = true;
+    server->slow_us = now_us;
+    server->answers = (EbAnswerTest){0};
     EB_EMIT(pace->options.events, EB_EVENT_PACE_BEGUN,
             EB_STRING_FIELD("backend_server", server->id),
             EB_STRING_FIELD("cause", cause));
@@ -330,9 +346,10 @@
     if (server == NULL || !server->paced) {
         return NULL;
     }
-    int64_t quiet_us = MAX(turn_begins(server), server->unusual_us) + QUIET_US;
+    int64_t quiet_us = MAX(turn_begins(server), server->slow_us) + QUIET_US;
     bool old = now_us >= server->since_us + MAX_PACE_US;
-    if (now_us < cold_end(server) || (now_us < quiet_us && !old)) {
+    bool quiet = now_us >= quiet_us && server->answers.evidence <= 0;
+    if (now_us < cold_end(server) || (!quiet && !old)) {
         return server;
     }
     end_pace(pace, server, old ? "time" : "quiet", now_us);
@@ -354,36 +371,101 @@
 }
 
 static void
-record_usual(EbPace *pace, Server *server, int64_t now_us)
+raise_slots(Server *server)
+{
+    double raise = server->probing ? 1 : 1 / server->slots;
+    server->slots = fmin(server->slots + raise, fmax(server->capacity, 1));
+}
+
+/* Calls that began before count no more, so a round trip lowers the slots
+ * once. */
+static void
+lower_slots(Server *server, double slots, int64_t now_us)
+{
+    server->slots = fmax(slots, 1);
+    server->probing = false;
+    server->slow_us = now_us;
+    server->answers = (EbAnswerTest){0};
+}
+
+/* Adds a call of a server that is not on pace to the reference of its pool. */
+static void
+add_reference(EbAnswerReference *reference, const EbPaceCall *call)
+{
+    if (call->result == EB_PACE_ANSWERED && call->time > 0) {
+        EbAnswerReference_AddAnswer(reference, call->time);
+    }
+    else if (call->result == EB_PACE_FAILED) {
+        EbAnswerReference_AddFailure(reference);
+    }
+}
+
+/* Compares a call of a server on pace with those of the others. */
+static EbAnswerVerdict
+judge_call(Server *server, const EbPaceCall *call)
+{
+    static const EbAnswerReference unknown = {0};
+    const EbAnswerReference *reference =
+        server->reference != NULL ? server->reference : &unknown;
+    if (call->result == EB_PACE_FAILED) {
+        return EbAnswerTest_AddFailure(&server->answers, reference);
+    }
+    if (call->time <= 0) {
+        return EB_ANSWERS_UNDECIDED;
+    }
+    return call->result == EB_PACE_ANSWERED
+               ? EbAnswerTest_AddAnswer(&server->answers, reference,
+                                        call->time)
+               : EbAnswerTest_AddGivenUp(&server->answers, reference,
+                                         call->time);
+}
+
+static void
+record_paced_call(EbPace *pace, Server *server, const EbPaceCall *call,
+                  int64_t now_us)
 {
-    server->usual++;
-    server->slots = fmin(server->slots + 1, fmax(server->capacity, 1));
-    if (server->usual >= USUAL_ANSWERS && now_us >= cold_end(server)) {
+    if (call->result == EB_PACE_REFUSED) {
+        lower_slots(server, 1, now_us);
+        return;
+    }
+    if (call->started_us < server->slow_us) {
+        return;
+    }
+    EbAnswerVerdict verdict = judge_call(server, call);
+    if (verdict == EB_ANSWERS_SLOW) {
+        lower_slots(server, server->slots / 2, now_us);
+        return;
+    }
+    if (call->result == EB_PACE_ANSWERED) {
+        raise_slots(server);
+    }
+    if (verdict != EB_ANSWERS_USUAL) {
+        return;
+    }
+    server->probing = true;
+    if (server->slots >= fair_calls(pace, server) &&
+        now_us >= cold_end(server)) {
         end_pace(pace, server, "answers", now_us);
     }
 }
 
 void
-EbPace_RecordResult(EbPace *pace, const char *server_id, EbPaceResult result,
-                    int64_t now_us)
+EbPace_RecordResult(EbPace *pace, const char *server_id,
+                    const EbPaceCall *call, int64_t now_us)
 {
-    if (result == EB_PACE_REFUSED) {
-        Server *refusing = find_server(pace, server_id);
-        if (refusing != NULL && refusing->cold_per_s > 0) {
-            doubt_server(pace, refusing, now_us);
-        }
-    }
-    Server *server = find_paced(pace, server_id, now_us);
+    Server *server = find_server(pace, server_id);
     if (server == NULL) {
         return;
     }
-    if (result == EB_PACE_USUAL) {
-        record_usual(pace, server, now_us);
-        return;
+    if (call->result == EB_PACE_REFUSED && server->cold_per_s > 0) {
+        doubt_server(pace, server, now_us);
+    }
+    if (find_paced(pace, server_id, now_us) != NULL) {
+        record_paced_call(pace, server, call, now_us);
+    }
+    else if (server->reference != NULL) {
+        add_reference(server->reference, call);
     }
-    server->usual = 0;
-    server->unusual_us = now_us;
-    server->slots = result == EB_PACE_SLOW ? fmax(server->slots / 2, 1) : 1;
 }
 
 void
@@ -483,6 +565,17 @@
     }
 }
 
+static EbAnswerReference *
+get_reference(EbPace *pace, const char *pool)
+{
+    EbAnswerReference *reference = g_hash_table_lookup(pace->references, pool);
+    if (reference == NULL) {
+        reference = g_new0(EbAnswerReference, 1);
+        g_hash_table_insert(pace->references, g_strdup(pool), reference);
+    }
+    return reference;
+}
+
 static void
 set_server(EbPace *pace, const EbConfigPool *pool,
            const EbConfigBackendServer *row, int64_t now_us)
@@ -498,6 +591,7 @@
     bool was_cold = now_us < cold_end(server);
     server->current = true;
     server->capacity = row->capacity;
+    server->reference = get_reference(pace, pool->name);
     server->cold_per_s = pool->cold_requests_per_s;
     server->pool_cold_us = pool->cold_us;
     if (g_strcmp0(server->failure_domain, row->failure_domain) != 0) {
--- a/src/libebonyhollow/servers/pool.c
+++ b/src/libebonyhollow/servers/pool.c
@@ -317,7 +317,8 @@
     int64_t normal_us =
         normalize_duration(pool, result, duration_us, expected_us);
     if (pool->policy->adapts) {
-        EbPool_RecordCall(pool, server, result, normal_us, at_limit, now_us);
+        EbPool_RecordCall(pool, server, result, normal_us,
+                          now_us - duration_us, at_limit, now_us);
     }
     else if (result != EB_CALL_OK && result != EB_CALL_REJECTED &&
              result != EB_CALL_CANCELLED) {
--- a/src/libebonyhollow/servers/pool_health.c
+++ b/src/libebonyhollow/servers/pool_health.c
@@ -37,10 +37,6 @@
 /* One earlier ejection is forgotten each time that a server has not been
  * ejected for this long. */
 #define EJECT_FORGET_US 60000000
-/* An answer of a server on pace that takes this much longer than those of the
- * other servers is slow. */
-#define PACE_SLOW_FACTOR 2
-#define PACE_SLOW_MIN_US 20000 /* a smaller difference is jitter */
 
 static double
 decay(int64_t since_us, int64_t now_us)
@@ -318,33 +314,34 @@
     }
 }
 
-/* Compares an answer of a server on pace with those of the other servers. */
 static void
 record_pace(const EbPool *pool, const EbPoolServer *server,
-            EbCallResult result, int64_t duration_us, int64_t now_us)
+            EbCallResult result, int64_t duration_us, int64_t started_us,
+            int64_t now_us)
 {
-    bool slow = pool->median_us > 0 &&
-                (double)duration_us > PACE_SLOW_FACTOR * pool->median_us &&
-                (double)duration_us > pool->median_us + PACE_SLOW_MIN_US;
-    if (pool->pace == NULL || result == EB_CALL_REJECTED ||
-        (result == EB_CALL_CANCELLED && !slow)) {
-        return;
-    }
-    EbPaceResult pace = EB_PACE_FAILED;
-    if (result == EB_CALL_OK || result == EB_CALL_CANCELLED) {
-        pace = slow ? EB_PACE_SLOW : EB_PACE_USUAL;
-    }
-    else if (result == EB_CALL_REFUSED) {
-        pace = EB_PACE_REFUSED;
+    static const EbPaceResult results[EB_CALL_RESULT_COUNT] = {
+        [EB_CALL_OK] = EB_PACE_ANSWERED,
+        [EB_CALL_REFUSED] = EB_PACE_REFUSED,
+        [EB_CALL_OVERLOADED] = EB_PACE_FAILED,
+        [EB_CALL_ERROR] = EB_PACE_FAILED,
+        [EB_CALL_BROKEN] = EB_PACE_FAILED,
+        [EB_CALL_SILENT] = EB_PACE_FAILED,
+        [EB_CALL_CANCELLED] = EB_PACE_GIVEN_UP,
+    };
+    if (pool->pace != NULL && result != EB_CALL_REJECTED) {
+        EbPaceCall call = {.result = results[result],
+                           .time = fmax((double)duration_us, 1),
+                           .started_us = started_us};
+        EbPace_RecordResult(pool->pace, server->id, &call, now_us);
     }
-    EbPace_RecordResult(pool->pace, server->id, pace, now_us);
 }
 
 void
 EbPool_RecordCall(EbPool *pool, EbPoolServer *server, EbCallResult result,
-                  int64_t duration_us, bool at_limit, int64_t now_us)
+                  int64_t duration_us, int64_t started_us, bool at_limit,
+                  int64_t now_us)
 {
-    record_pace(pool, server, result, duration_us, now_us);
+    record_pace(pool, server, result, duration_us, started_us, now_us);
     switch (result) {
     case EB_CALL_OK:
         record_success(pool, server, duration_us, at_limit, now_us);
--- a/src/libebonyhollow/servers/private/pool_state.h
+++ b/src/libebonyhollow/servers/private/pool_state.h
@@ -139,9 +139,11 @@
 double EbPool_FailureRate(const EbPoolServer *server, int64_t now_us);
 /* Updates latency, failure rate, limit and ejection with the result of a call.
  *
+ * duration_us: as long as a call of average length would have taken.
  * at_limit: all slots of the server were in use when the call ended. */
 void EbPool_RecordCall(EbPool *pool, EbPoolServer *server, EbCallResult result,
-                       int64_t duration_us, bool at_limit, int64_t now_us);
+                       int64_t duration_us, int64_t started_us, bool at_limit,
+                       int64_t now_us);
 void EbPool_RecordLoadReport(EbPoolServer *server, int64_t now_us);
 void EbPool_UpdateMedian(EbPool *pool, int64_t now_us);
 void EbPool_UpdateHealth(EbPool *pool, int64_t now_us);
--- a/src/test_pool/returning.c
+++ b/src/test_pool/returning.c
@@ -12,6 +12,7 @@
 #define SECOND_US INT64_C(1000000)
 #define SERVERS 12
 #define CAPACITY 16
+#define GONE_US (10 * SECOND_US)
 #define RETURN_US (20 * SECOND_US)
 #define WATCHED_US (10 * SECOND_US)
 #define SHORTEST_US 60000.0
@@ -21,11 +22,11 @@
 
 typedef struct {
     const char *name;
-    bool readmitted;          /* after an ejection; otherwise it restarted */
-    double slowness;          /* of the server that returns */
-    uint32_t error_permille;  /* of the calls at all servers */
-    double max_full_s;        /* until it has as many calls as the others */
-    double min_use, max_use;  /* of what the others have, over 10 s */
+    bool readmitted;         /* after an ejection; otherwise it restarted */
+    double slowness;         /* of the server that returns */
+    uint32_t error_permille; /* of the calls at all servers */
+    double max_full_s;       /* until it has as many calls as the others */
+    double min_use, max_use; /* of what the others have, over 10 s */
 } Row;
 
 typedef struct {
@@ -91,19 +92,20 @@
 static void
 begin_calls(Play *play, int64_t now_us)
 {
+    bool is_gone = now_us >= GONE_US && now_us < RETURN_US;
+    EbPoolCriteria criteria = {.excluded = {"s0"}, .excluded_count = is_gone};
     const EbConfigBackendServer *chosen;
-    while ((chosen = EbPool_BeginCall(play->pool, &(EbPoolCriteria){0},
-                                      now_us)) != NULL) {
+    while ((chosen = EbPool_BeginCall(play->pool, &criteria, now_us)) !=
+           NULL) {
         Call *call = g_new0(Call, 1);
         call->server = (uint32_t)(chosen - play->fixture.servers);
         call->started_us = now_us;
-        double slowness = call->server == 0 && now_us >= RETURN_US
-                              ? play->row->slowness
-                              : 1;
+        double slowness =
+            call->server == 0 && now_us >= RETURN_US ? play->row->slowness : 1;
         call->end_us =
             now_us + (int64_t)(slowness * (double)draw_duration(play));
-        call->fails = EbRandom_Below(&play->random, 1000) <
-                      play->row->error_permille;
+        call->fails =
+            EbRandom_Below(&play->random, 1000) < play->row->error_permille;
         g_queue_push_tail(&play->calls, call);
         play->in_flight[call->server]++;
     }
