server_speed: piece interval in place of pace

Cause: pace named two things, the learned pace of servers that start (EbPace) and the time between two pieces of a stream. Change: the latter is the piece interval, in code, event 450 and /v1/servers (pace_us is piece_interval_us there). The message SERVER_SPEEDS holds no names, so it is the same.

--- a/include/servers/ebonyhollow/pool.h
+++ b/include/servers/ebonyhollow/pool.h
@@ -49,7 +49,7 @@
     const EbEvacuations *evacuations; /* NULL: every domain is open */
     EbPace *pace; /* of servers that start or recover; NULL: all take calls at
                      once */
-    bool measure_speeds; /* false: paces of streams and reports are ignored */
+    bool measure_speeds; /* false: piece intervals are ignored */
 } EbPoolOptions;
 
 /* How a call ended, for the pool's statistics. */
@@ -139,11 +139,11 @@
                           EbCallResult result, int64_t duration_us,
                           int64_t expected_us, int64_t now_us);
 
-/* Records the pace of a stream that ended. Unknown ids are ignored.
+/* Records the piece interval of a stream that ended. Unknown ids are ignored.
  *
- * pace_us: see EbStreamPace_Result; 0: unknown */
-void EbPool_RecordPace(EbPool *pool, const char *server_id, double pace_us,
-                       int64_t now_us);
+ * piece_interval_us: see EbPieceIntervals_Result; 0: unknown */
+void EbPool_RecordPieceInterval(EbPool *pool, const char *server_id,
+                                double piece_interval_us, int64_t now_us);
 
 /* Records how long work takes at a server now, as it states itself. Unknown
  * ids are ignored.
@@ -223,12 +223,13 @@
     EbServerState state;
     const char *cause; /* of the current ejection or pace, otherwise "" */
     uint32_t in_flight;
-    uint32_t limit;         /* calls that this daemon may have in flight */
-    uint32_t reported_load; /* calls at the server, from all daemons */
-    int64_t latency_us;     /* moving average; 0: not measured */
-    int64_t pace_us;  /* usual time between pieces of a stream; 0: unknown */
-    int64_t until_us; /* end of the current ejection, otherwise 0 */
-    int64_t cold_left_us; /* time that it is, or may be, cold */
+    uint32_t limit;            /* calls that this daemon may have in flight */
+    uint32_t reported_load;    /* calls at the server, from all daemons */
+    int64_t latency_us;        /* moving average; 0: not measured */
+    int64_t piece_interval_us; /* usual time between pieces of a stream; 0:
+                                  unknown */
+    int64_t until_us;          /* end of the current ejection, otherwise 0 */
+    int64_t cold_left_us;      /* time that it is, or may be, cold */
     uint64_t calls;
     uint64_t failures;
 } EbServerView;
--- a/include/servers/ebonyhollow/server_speed.h
+++ b/include/servers/ebonyhollow/server_speed.h
@@ -1,68 +1,69 @@
 /* EbServerSpeed: how fast one backend server of a pool works, on two scales:
- * its usual pace, learned over minutes, and its present slowdown, which is
- * forgotten within a second.
+ * its usual piece interval, learned over minutes, and its present slowdown,
+ * which is forgotten within a second.
  *
- * A pace is the time between two pieces of a stream in microseconds. All times
- * are monotonic microseconds. A zeroed EbServerSpeed knows nothing. */
+ * A piece interval is the time between two pieces of a stream in microseconds.
+ * All times are monotonic microseconds. A zeroed EbServerSpeed knows nothing.
+ */
 #ifndef EBONYHOLLOW_SERVER_SPEED_H
 #define EBONYHOLLOW_SERVER_SPEED_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Events of a stream over which one pace is measured. */
+/* Pieces of a stream over which one interval is measured. */
 #define EB_SERVER_SPEED_SPAN_EVENTS 4
 #define EB_SERVER_SPEED_MAX_SPANS 32 /* of one stream, the latest ones */
 
-/* What one daemon tells the others of a server's usual pace. */
+/* What one daemon tells the others of a server's usual piece interval. */
 typedef struct {
     char *server_id;
-    uint32_t pace_us;
+    uint32_t piece_interval_us;
     uint32_t streams; /* of the sender that showed it */
 } EbSpeedReport;
 
 typedef struct {
-    double pace_us;   /* usual pace; 0: unknown */
-    uint32_t samples; /* own streams and reports of others */
+    double piece_interval_us; /* usual piece interval; 0: unknown */
+    uint32_t samples;         /* own streams and reports of others */
     uint32_t outliers;
-    double slowdown; /* present pace divided by the usual one */
+    double slowdown; /* present piece interval divided by the usual one */
     int64_t slowdown_us;
     int32_t cost_step;       /* see EbServerSpeed_UpdateCost */
-    double told_pace_us;     /* last value told to or by other daemons */
+    double told_interval_us; /* last value told to or by other daemons */
     uint32_t untold_streams; /* own ones since then */
     uint32_t work_percent;   /* as the server states it; 0: never */
     int64_t work_us;
 } EbServerSpeed;
 
-/* The pace of one stream so far. A zeroed one has seen no event. */
+/* The piece intervals of one stream so far. A zeroed one has seen no event. */
 typedef struct {
     int64_t event_us[EB_SERVER_SPEED_SPAN_EVENTS + 1]; /* a ring */
     uint32_t event_count;
     uint32_t span_count;
     uint32_t span_us[EB_SERVER_SPEED_MAX_SPANS]; /* a ring */
-} EbStreamPace;
+} EbPieceIntervals;
 
-/* Counts an event of a stream. */
-void EbStreamPace_AddEvent(EbStreamPace *pace, int64_t now_us);
+/* Counts a piece of a stream. */
+void EbPieceIntervals_AddPiece(EbPieceIntervals *intervals, int64_t now_us);
 
-/* Returns the stream's pace in microseconds, or 0 when it had too few events.
- * It is the lower quartile of the times of a few successive events: prompts
- * that the server reads in between lengthen some of them, and an event that
- * was delayed on its way shortens those after it. */
-double EbStreamPace_Result(const EbStreamPace *pace);
+/* Returns the stream's piece interval in microseconds, or 0 when it had too
+ * few events. It is the lower quartile of the times of a few successive
+ * events: prompts that the server reads in between lengthen some of them, and
+ * an event that was delayed on its way shortens those after it. */
+double EbPieceIntervals_Result(const EbPieceIntervals *intervals);
 
-/* Adds the pace of one of this daemon's streams. A single pace that differs
- * much from the usual one changes the present slowdown, and the usual pace
- * only when further ones confirm it.
+/* Adds the piece interval of one of this daemon's streams. A single one that
+ * differs much from the usual one changes the present slowdown, and the usual
+ * one only when further ones confirm it.
  *
- * pace_us: greater than 0 */
-void EbServerSpeed_Observe(EbServerSpeed *speed, double pace_us,
+ * piece_interval_us: greater than 0 */
+void EbServerSpeed_Observe(EbServerSpeed *speed, double piece_interval_us,
                            int64_t now_us);
 
-/* Adds what another daemon told. A much slower pace than the known one counts
- * only when several streams showed it.
+/* Adds what another daemon told. A much slower piece interval than the known
+ * one counts only when several streams showed it.
  *
- * report: its pace_us is greater than 0 */
+ * report: its piece_interval_us is greater than 0 */
 void EbServerSpeed_Merge(EbServerSpeed *speed, const EbSpeedReport *report);
 
 /* Records the server's own statement of how long work takes now.
@@ -71,15 +72,16 @@
 void EbServerSpeed_RecordWork(EbServerSpeed *speed, uint32_t percent,
                               int64_t now_us);
 
-/* Returns whether the usual pace is news to other daemons, and marks it as
- * told.
+/* Returns whether the usual piece interval is news to other daemons, and marks
+ * it as told.
  *
- * report: its pace and streams are set */
+ * report: its piece interval and streams are set */
 bool EbServerSpeed_TakeReport(EbServerSpeed *speed, EbSpeedReport *report);
 
-/* Updates the usual cost, for a pool whose typical pace is `typical_us`; 0:
- * unknown. It changes in steps of a half, and only when the pace is a whole
- * step away, so that daemons whose measurements differ a little agree. */
+/* Updates the usual cost, for a pool whose typical piece interval is
+ * `typical_us`; 0: unknown. It changes in steps of a half, and only when the
+ * piece interval is a whole step away, so that daemons whose measurements
+ * differ a little agree. */
 void EbServerSpeed_UpdateCost(EbServerSpeed *speed, double typical_us);
 
 /* Returns the server's usual time for a piece of work relative to a typical
--- a/include/share/ebonyhollow/event_table.h
+++ b/include/share/ebonyhollow/event_table.h
@@ -198,11 +198,11 @@
       "If it is frequent for one server, check the server and the "           \
       "network path; if for all, check the time-outs of the stage.")          \
     X(SERVER_COST_CHANGED, 450, "backend-server-cost-changed", EB_LEVEL_INFO, \
-      "The usual pace of a backend server, as this daemon measured it or "    \
-      "was told, makes work there cost cost_permille of the pool's typical "  \
-      "server; it gets calls accordingly. pace_us is the time between two "   \
-      "pieces of a stream.",                                                  \
-      "backend_server,pool,pace_us,cost_permille",                            \
+      "The usual piece interval of a backend server, as this daemon "         \
+      "measured it or was told, makes work there cost cost_permille of "      \
+      "the pool's typical server; it gets calls accordingly. "                \
+      "piece_interval_us is the time between two pieces of a stream.",        \
+      "backend_server,pool,piece_interval_us,cost_permille",                  \
       "None, unless the server should be as fast as the others.")             \
     X(SERVER_CRASHED, 404, "backend-server-crashed", EB_LEVEL_ERROR,          \
       "Connections to a backend server broke while it had in_flight calls "   \
--- a/src/libebonyhollow/membership/message.c
+++ b/src/libebonyhollow/membership/message.c
@@ -257,7 +257,7 @@
     for (uint32_t i = 0; i < message->speed_count; i++) {
         msgpack_pack_array(packer, EB_MESSAGE_SPEED_ELEMENTS);
         pack_name(packer, message->speeds[i].server_id);
-        msgpack_pack_uint32(packer, message->speeds[i].pace_us);
+        msgpack_pack_uint32(packer, message->speeds[i].piece_interval_us);
         msgpack_pack_uint32(packer, message->speeds[i].streams);
     }
 }
--- a/src/libebonyhollow/membership/message_decode.c
+++ b/src/libebonyhollow/membership/message_decode.c
@@ -198,7 +198,7 @@
     const msgpack_object *elements =
         read_elements(object, EB_MESSAGE_SPEED_ELEMENTS);
     return elements != NULL && read_name(&elements[0], &report->server_id) &&
-           read_uint32(&elements[1], &report->pace_us) &&
+           read_uint32(&elements[1], &report->piece_interval_us) &&
            read_uint32(&elements[2], &report->streams);
 }
 
--- a/src/libebonyhollow/requests/dispatcher_call.c
+++ b/src/libebonyhollow/requests/dispatcher_call.c
@@ -203,8 +203,9 @@
         duration_us,
         request->forward != NULL ? EbRequest_MeanAnswerTime(request) : 0,
         now_us);
-    EbPool_RecordPace(attempt->pool->pool, attempt->server_id,
-                      EbStreamPace_Result(&attempt->pace), now_us);
+    EbPool_RecordPieceInterval(
+        attempt->pool->pool, attempt->server_id,
+        EbPieceIntervals_Result(&attempt->piece_intervals), now_us);
     attempt->pool->dirty = true;
     request->runs[attempt->stage].server_us += total_us;
     EbMetrics_Add(metrics, EB_METRIC_ATTEMPTS, 1, pipeline, stage,
--- a/src/libebonyhollow/requests/dispatcher_relay.c
+++ b/src/libebonyhollow/requests/dispatcher_relay.c
@@ -197,7 +197,7 @@
         observe_first_event(request, now_us);
     }
     EbAttempt_RecordProgress(attempt, now_us);
-    EbStreamPace_AddEvent(&attempt->pace, now_us);
+    EbPieceIntervals_AddPiece(&attempt->piece_intervals, now_us);
     if (event->event_id >= 0 && event->event_id <= state->last_event_id) {
         return; /* relayed before the resume */
     }
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -107,7 +107,7 @@
     int64_t timeout_at_us; /* when EbAttempt_TimedOut has to be called */
     bool paused;           /* not being read, because the caller is slow */
     bool load_recorded;    /* what the head of the answer says of the load */
-    EbStreamPace pace;     /* of a forwarded stream */
+    EbPieceIntervals piece_intervals; /* of a forwarded stream */
 } EbAttempt;
 
 /* Figures of one stage for the `usage` part of the answer. */
--- a/src/libebonyhollow/servers/pool.c
+++ b/src/libebonyhollow/servers/pool.c
@@ -347,12 +347,12 @@
 }
 
 void
-EbPool_RecordPace(EbPool *pool, const char *server_id, double pace_us,
-                  int64_t now_us)
+EbPool_RecordPieceInterval(EbPool *pool, const char *server_id,
+                           double piece_interval_us, int64_t now_us)
 {
     EbPoolServer *server = g_hash_table_lookup(pool->by_id, server_id);
-    if (server != NULL && pool->measure_speeds && pace_us > 0) {
-        EbServerSpeed_Observe(&server->speed, pace_us, now_us);
+    if (server != NULL && pool->measure_speeds && piece_interval_us > 0) {
+        EbServerSpeed_Observe(&server->speed, piece_interval_us, now_us);
     }
 }
 
@@ -370,7 +370,8 @@
 EbPool_MergeSpeed(EbPool *pool, const EbSpeedReport *report)
 {
     EbPoolServer *server = g_hash_table_lookup(pool->by_id, report->server_id);
-    if (server != NULL && pool->measure_speeds && report->pace_us > 0) {
+    if (server != NULL && pool->measure_speeds &&
+        report->piece_interval_us > 0) {
         EbServerSpeed_Merge(&server->speed, report);
     }
 }
@@ -630,7 +631,7 @@
         .limit = (uint32_t)server->limit,
         .reported_load = server->reported_load,
         .latency_us = server->samples > 0 ? (int64_t)server->latency_us : 0,
-        .pace_us = (int64_t)server->speed.pace_us,
+        .piece_interval_us = (int64_t)server->speed.piece_interval_us,
         .until_us = server->ejected_until_us,
         .calls = server->calls,
         .failures = server->failures,
--- a/src/libebonyhollow/servers/pool_health.c
+++ b/src/libebonyhollow/servers/pool_health.c
@@ -23,10 +23,10 @@
 #define EJECT_MIN_SAMPLES 10
 /* The median of fewer servers is not meaningful. */
 #define EJECT_MIN_MEASURED_SERVERS 3
-/* Servers of known pace that are needed for a typical one. */
-#define MIN_PACES 4
-/* Paces of servers count in a pool whose paces differ by this ratio, apart
- * from a fifth of the servers at either end. */
+/* Servers of known piece interval that are needed for a typical one. */
+#define MIN_INTERVALS 4
+/* Piece intervals of servers count in a pool in which they differ by this
+ * ratio, apart from a fifth of the servers at either end. */
 #define UNEVEN_ENTER_RATIO 2.0
 #define UNEVEN_LEAVE_RATIO 1.6
 #define UNEVEN_OUTER_DIVISOR 5
@@ -98,29 +98,29 @@
  * it outweighs the prompts that are read again when keys move. Servers that
  * were cold lately are slower, but not by that much.
  *
- * paces: sorted */
+ * intervals: sorted */
 static bool
-is_uneven(const EbPool *pool, const double *paces, uint32_t count)
+is_uneven(const EbPool *pool, const double *intervals, uint32_t count)
 {
     uint32_t outer = count / UNEVEN_OUTER_DIVISOR;
-    double ratio = paces[count - 1 - outer] / paces[outer];
+    double ratio = intervals[count - 1 - outer] / intervals[outer];
     return ratio >= (pool->uneven ? UNEVEN_LEAVE_RATIO : UNEVEN_ENTER_RATIO);
 }
 
 static void
-update_typical_pace(EbPool *pool)
+update_typical_interval(EbPool *pool)
 {
-    double *paces = g_new(double, pool->member_count + 1);
+    double *intervals = g_new(double, pool->member_count + 1);
     uint32_t count = 0;
     for (uint32_t i = 0; i < pool->member_count; i++) {
         if (pool->members[i]->speed.samples > 0) {
-            paces[count++] = pool->members[i]->speed.pace_us;
+            intervals[count++] = pool->members[i]->speed.piece_interval_us;
         }
     }
-    double median_us = lower_median(paces, count);
-    pool->uneven = count >= MIN_PACES && is_uneven(pool, paces, count);
-    pool->typical_pace_us = pool->uneven ? median_us : 0;
-    g_free(paces);
+    double median_us = lower_median(intervals, count);
+    pool->uneven = count >= MIN_INTERVALS && is_uneven(pool, intervals, count);
+    pool->typical_interval_us = pool->uneven ? median_us : 0;
+    g_free(intervals);
 }
 
 static void
@@ -128,7 +128,7 @@
 {
     for (uint32_t i = 0; i < pool->member_count; i++) {
         EbPoolServer *server = pool->members[i];
-        EbServerSpeed_UpdateCost(&server->speed, pool->typical_pace_us);
+        EbServerSpeed_UpdateCost(&server->speed, pool->typical_interval_us);
         uint32_t before = server->logged_cost_permille != 0
                               ? server->logged_cost_permille
                               : PERMILLE;
@@ -138,7 +138,8 @@
             EB_EMIT(pool->events, EB_EVENT_SERVER_COST_CHANGED,
                     EB_STRING_FIELD("backend_server", server->id),
                     EB_STRING_FIELD("pool", pool->config->name),
-                    EB_INTEGER_FIELD("pace_us", server->speed.pace_us),
+                    EB_INTEGER_FIELD("piece_interval_us",
+                                     server->speed.piece_interval_us),
                     EB_INTEGER_FIELD("cost_permille", cost));
         }
     }
@@ -160,7 +161,7 @@
     pool->measured_count = count;
     pool->median_us = lower_median(latencies, count);
     g_free(latencies);
-    update_typical_pace(pool);
+    update_typical_interval(pool);
     update_costs(pool);
 }
 
--- a/src/libebonyhollow/servers/private/pool_state.h
+++ b/src/libebonyhollow/servers/private/pool_state.h
@@ -83,10 +83,10 @@
     uint32_t ejected_count;
     double median_us; /* median latency of measured members, 0 if none */
     uint32_t measured_count;
-    bool uneven;             /* the paces of its servers differ much */
-    double typical_pace_us;  /* median pace of members, 0 unless `uneven` */
-    double mean_duration_us; /* of successful calls, of all kinds */
-    double service_us;       /* moving average from BeginCall to EndCall */
+    bool uneven; /* piece intervals of its servers differ much */
+    double typical_interval_us; /* median of members, 0 unless `uneven` */
+    double mean_duration_us;    /* of successful calls, of all kinds */
+    double service_us;          /* moving average from BeginCall to EndCall */
     uint64_t service_samples;
     /* Latencies of the current and the previous interval. */
     EbHistogram recent;
@@ -129,10 +129,10 @@
 double EbPool_Latency(const EbPool *pool, const EbPoolServer *server,
                       int64_t now_us);
 /* Returns the time that work takes at a server relative to a typical one, by
- * its usual pace: 1 while that is unknown. */
+ * its usual piece interval: 1 while that is unknown. */
 double EbPool_UsualCost(const EbPoolServer *server);
 /* Returns the time that work takes at a server now, relative to a typical one
- * at its usual pace. */
+ * at its usual piece interval. */
 double EbPool_PresentCost(const EbPool *pool, const EbPoolServer *server,
                           int64_t now_us);
 /* Returns the share of failed calls, 0 to 1, which decays without calls. */
--- a/src/libebonyhollow/servers/server_speed.c
+++ b/src/libebonyhollow/servers/server_speed.c
@@ -7,34 +7,36 @@
 
 #include <glib.h>
 
-/* A pace that differs by more than this factor is an outlier: the server
- * shares its machine with others, which slow it for some hundred
+/* A piece interval that differs by more than this factor is an outlier: the
+ * server shares its machine with others, which slow it for some hundred
  * milliseconds. */
 #define OUTLIER_FACTOR 1.6
-#define CONFIRMING_OUTLIERS 3 /* in succession change the usual pace */
-#define USUAL_GAIN 0.05       /* an average of about 20 streams */
+#define CONFIRMING_OUTLIERS                                                   \
+    3                   /* in succession change the usual piece interval */
+#define USUAL_GAIN 0.05 /* an average of about 20 streams */
 #define CONFIRMED_GAIN 0.8
 #define MERGE_GAIN 0.5
 #define SLOWDOWN_HALF_LIFE_US 300000
 #define WORK_LIFETIME_US 300000
-/* A change of the usual pace by this factor is told to other daemons, once
- * several own streams show it, or at once when it is faster. */
+/* A change of the usual piece interval by this factor is told to other
+ * daemons, once several own streams show it, or at once when it is faster. */
 #define NEWS_FACTOR 1.5
 #define NEWS_STREAMS 3
 #define COST_STEP 1.5
 #define COST_MAX_STEPS 3
 
 void
-EbStreamPace_AddEvent(EbStreamPace *pace, int64_t now_us)
+EbPieceIntervals_AddPiece(EbPieceIntervals *intervals, int64_t now_us)
 {
     const uint32_t size = EB_SERVER_SPEED_SPAN_EVENTS + 1;
-    pace->event_us[pace->event_count % size] = now_us;
-    pace->event_count++;
-    if (pace->event_count < size) {
+    intervals->event_us[intervals->event_count % size] = now_us;
+    intervals->event_count++;
+    if (intervals->event_count < size) {
         return;
     }
-    int64_t span_us = now_us - pace->event_us[pace->event_count % size];
-    pace->span_us[pace->span_count++ % EB_SERVER_SPEED_MAX_SPANS] =
+    int64_t span_us =
+        now_us - intervals->event_us[intervals->event_count % size];
+    intervals->span_us[intervals->span_count++ % EB_SERVER_SPEED_MAX_SPANS] =
         (uint32_t)CLAMP(span_us, 0, UINT32_MAX);
 }
 
@@ -46,66 +48,71 @@
 }
 
 double
-EbStreamPace_Result(const EbStreamPace *pace)
+EbPieceIntervals_Result(const EbPieceIntervals *intervals)
 {
     uint32_t spans[EB_SERVER_SPEED_MAX_SPANS];
-    uint32_t count = MIN(pace->span_count, EB_SERVER_SPEED_MAX_SPANS);
+    uint32_t count = MIN(intervals->span_count, EB_SERVER_SPEED_MAX_SPANS);
     if (count == 0) {
         return 0;
     }
-    memcpy(spans, pace->span_us, count * sizeof(spans[0]));
+    memcpy(spans, intervals->span_us, count * sizeof(spans[0]));
     qsort(spans, count, sizeof(spans[0]), compare_spans);
     uint32_t quartile_us = spans[count / 4];
     return (double)quartile_us / EB_SERVER_SPEED_SPAN_EVENTS;
 }
 
 static bool
-is_outlier(const EbServerSpeed *speed, double pace_us)
+is_outlier(const EbServerSpeed *speed, double piece_interval_us)
 {
-    return pace_us > OUTLIER_FACTOR * speed->pace_us ||
-           pace_us < speed->pace_us / OUTLIER_FACTOR;
+    return piece_interval_us > OUTLIER_FACTOR * speed->piece_interval_us ||
+           piece_interval_us < speed->piece_interval_us / OUTLIER_FACTOR;
 }
 
 void
-EbServerSpeed_Observe(EbServerSpeed *speed, double pace_us, int64_t now_us)
+EbServerSpeed_Observe(EbServerSpeed *speed, double piece_interval_us,
+                      int64_t now_us)
 {
-    assert(pace_us > 0);
+    assert(piece_interval_us > 0);
     speed->untold_streams++;
     if (speed->samples == 0) {
-        speed->pace_us = pace_us;
+        speed->piece_interval_us = piece_interval_us;
         speed->samples = 1;
         return;
     }
-    speed->slowdown = pace_us / speed->pace_us;
+    speed->slowdown = piece_interval_us / speed->piece_interval_us;
     speed->slowdown_us = now_us;
-    bool outlier = is_outlier(speed, pace_us);
+    bool outlier = is_outlier(speed, piece_interval_us);
     speed->outliers = outlier ? speed->outliers + 1 : 0;
-    /* Neighbours only slow a server, so a faster pace counts at once. */
-    bool confirmed =
-        pace_us < speed->pace_us || speed->outliers >= CONFIRMING_OUTLIERS;
+    /* Neighbours only slow a server, so a faster piece interval counts at
+     * once. */
+    bool confirmed = piece_interval_us < speed->piece_interval_us ||
+                     speed->outliers >= CONFIRMING_OUTLIERS;
     if (outlier && !confirmed) {
         return;
     }
     speed->samples++;
     double gain =
         outlier ? CONFIRMED_GAIN : fmax(USUAL_GAIN, 1.0 / speed->samples);
-    speed->pace_us += gain * (pace_us - speed->pace_us);
+    speed->piece_interval_us +=
+        gain * (piece_interval_us - speed->piece_interval_us);
 }
 
 void
 EbServerSpeed_Merge(EbServerSpeed *speed, const EbSpeedReport *report)
 {
-    double pace_us = report->pace_us;
-    assert(pace_us > 0);
-    speed->told_pace_us = pace_us;
+    double piece_interval_us = report->piece_interval_us;
+    assert(piece_interval_us > 0);
+    speed->told_interval_us = piece_interval_us;
     speed->untold_streams = 0;
     if (speed->samples == 0) {
-        speed->pace_us = pace_us;
+        speed->piece_interval_us = piece_interval_us;
     }
-    else if (pace_us <= OUTLIER_FACTOR * speed->pace_us ||
+    else if (piece_interval_us <= OUTLIER_FACTOR * speed->piece_interval_us ||
              report->streams >= NEWS_STREAMS) {
-        double gain = is_outlier(speed, pace_us) ? CONFIRMED_GAIN : MERGE_GAIN;
-        speed->pace_us += gain * (pace_us - speed->pace_us);
+        double gain =
+            is_outlier(speed, piece_interval_us) ? CONFIRMED_GAIN : MERGE_GAIN;
+        speed->piece_interval_us +=
+            gain * (piece_interval_us - speed->piece_interval_us);
     }
     speed->samples++;
 }
@@ -125,8 +132,8 @@
     if (speed->untold_streams == 0) {
         return false;
     }
-    if (speed->told_pace_us > 0) {
-        double ratio = speed->pace_us / speed->told_pace_us;
+    if (speed->told_interval_us > 0) {
+        double ratio = speed->piece_interval_us / speed->told_interval_us;
         bool faster = ratio < 1 / NEWS_FACTOR;
         bool slower =
             ratio > NEWS_FACTOR && speed->untold_streams >= NEWS_STREAMS;
@@ -134,9 +141,9 @@
             return false;
         }
     }
-    report->pace_us = (uint32_t)fmax(speed->pace_us, 1);
+    report->piece_interval_us = (uint32_t)fmax(speed->piece_interval_us, 1);
     report->streams = speed->untold_streams;
-    speed->told_pace_us = speed->pace_us;
+    speed->told_interval_us = speed->piece_interval_us;
     speed->untold_streams = 0;
     return true;
 }
@@ -148,7 +155,7 @@
         speed->cost_step = 0;
         return;
     }
-    double steps = log(speed->pace_us / typical_us) / log(COST_STEP);
+    double steps = log(speed->piece_interval_us / typical_us) / log(COST_STEP);
     if (fabs(steps - speed->cost_step) >= 1) {
         speed->cost_step =
             (int32_t)fmax(-COST_MAX_STEPS, fmin(round(steps), COST_MAX_STEPS));
--- a/src/libebonyhollow_net/admin_view.c
+++ b/src/libebonyhollow_net/admin_view.c
@@ -191,9 +191,9 @@
         EbServerState_names[view->state], "cause", view->cause, "in_flight",
         (json_int_t)view->in_flight, "limit", (json_int_t)view->limit,
         "reported_load", (json_int_t)view->reported_load, "latency_us",
-        (json_int_t)view->latency_us, "pace_us", (json_int_t)view->pace_us,
-        "calls", (json_int_t)view->calls, "failures",
-        (json_int_t)view->failures, "cold_left_us",
+        (json_int_t)view->latency_us, "piece_interval_us",
+        (json_int_t)view->piece_interval_us, "calls", (json_int_t)view->calls,
+        "failures", (json_int_t)view->failures, "cold_left_us",
         (json_int_t)view->cold_left_us);
 }
 
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -24,8 +24,8 @@
 };
 
 static EbSpeedReport sample_speeds[] = {
-    {.server_id = "s-1", .pace_us = UINT32_MAX, .streams = 7},
-    {.server_id = "s-2", .pace_us = 1},
+    {.server_id = "s-1", .piece_interval_us = UINT32_MAX, .streams = 7},
+    {.server_id = "s-2", .piece_interval_us = 1},
 };
 
 static EbSuspicion sample_suspicions[] = {
@@ -184,7 +184,8 @@
     for (uint32_t i = 0; i < got->speed_count; i++) {
         CU_ASSERT_STRING_EQUAL(got->speeds[i].server_id,
                                sent->speeds[i].server_id);
-        CU_ASSERT_EQUAL(got->speeds[i].pace_us, sent->speeds[i].pace_us);
+        CU_ASSERT_EQUAL(got->speeds[i].piece_interval_us,
+                        sent->speeds[i].piece_interval_us);
         CU_ASSERT_EQUAL(got->speeds[i].streams, sent->speeds[i].streams);
     }
     CU_ASSERT_EQUAL_FATAL(got->suspicion_count, sent->suspicion_count);
--- a/src/test_pool/main.c
+++ b/src/test_pool/main.c
@@ -667,10 +667,10 @@
  * read again, for differences of speed that are not worth it: those of servers
  * that were cold lately. */
 static void
-test_uneven_paces(void)
+test_uneven_speeds(void)
 {
     static const struct {
-        double slow; /* pace of half of the servers, that of the others is 1 */
+        double slow; /* interval of half of the servers; 1: the others */
         bool moves;
     } rows[] = {{1.0, false}, {1.6, false}, {2.4, true}};
     enum { SERVERS = 12, KEYS = 200 };
@@ -683,9 +683,9 @@
                 EbPool_ChooseAffine(pool, &no_criteria, key, SECOND_US);
         }
         for (uint32_t s = 0; s < SERVERS; s++) {
-            EbPool_RecordPace(pool, fixture.ids[s],
-                              10000 * (s % 2 == 0 ? 1 : rows[i].slow),
-                              SECOND_US);
+            EbPool_RecordPieceInterval(pool, fixture.ids[s],
+                                       10000 * (s % 2 == 0 ? 1 : rows[i].slow),
+                                       SECOND_US);
         }
         EbPool_Tick(pool, 2 * SECOND_US);
         uint32_t moved = 0;
@@ -716,7 +716,7 @@
         {"affinity", test_affinity},
         {"predict", test_predict},
         {"evacuation", test_evacuation},
-        {"uneven paces", test_uneven_paces},
+        {"uneven speeds", test_uneven_speeds},
         {"returning server", test_returning_server},
         {"incarnations", test_incarnations},
         {"earlier calls", test_earlier_calls},
--- a/src/test_server_speed/main.c
+++ b/src/test_server_speed/main.c
@@ -17,25 +17,25 @@
 #define SECOND_US INT64_C(1000000)
 
 /* Neither a prompt that is read in between nor an event that is late, which
- * makes the time to the next ones short, may change the pace. */
+ * makes the time to the next ones short, may change the interval. */
 static void
-test_stream_pace(void)
+test_piece_intervals(void)
 {
     static const int64_t gaps_ms[] = {0, 20, 20, 90, 20, 20, 20, 20, 20, 60,
                                       1, 1,  20, 20, 20, 20, 20, 20, 20, 20};
-    EbStreamPace pace = {0};
+    EbPieceIntervals intervals = {0};
     int64_t now_us = SECOND_US;
     for (size_t i = 0; i < TABLE_COUNT(gaps_ms); i++) {
-        CU_ASSERT_EQUAL(EbStreamPace_Result(&pace) > 0,
+        CU_ASSERT_EQUAL(EbPieceIntervals_Result(&intervals) > 0,
                         i > EB_SERVER_SPEED_SPAN_EVENTS);
         now_us += gaps_ms[i] * MS;
-        EbStreamPace_AddEvent(&pace, now_us);
+        EbPieceIntervals_AddPiece(&intervals, now_us);
     }
-    CU_ASSERT_DOUBLE_EQUAL(EbStreamPace_Result(&pace), 20000, 1);
+    CU_ASSERT_DOUBLE_EQUAL(EbPieceIntervals_Result(&intervals), 20000, 1);
 }
 
 /* A neighbour's work slows a server for some hundred milliseconds: the usual
- * pace stays, the present one shows it and forgets it. */
+ * piece interval stays, the present one shows it and forgets it. */
 static void
 test_two_scales(void)
 {
@@ -45,14 +45,14 @@
     }
     int64_t now_us = 10 * SECOND_US;
     EbServerSpeed_Observe(&speed, 50000, now_us);
-    CU_ASSERT_DOUBLE_EQUAL(speed.pace_us, 20000, 1);
+    CU_ASSERT_DOUBLE_EQUAL(speed.piece_interval_us, 20000, 1);
     CU_ASSERT_DOUBLE_EQUAL(EbServerSpeed_Slowdown(&speed, now_us), 2.5, 0.01);
     CU_ASSERT_TRUE(EbServerSpeed_Slowdown(&speed, now_us + SECOND_US) < 1.1);
-    /* A server that stays slow gets a new usual pace. */
+    /* A server that stays slow gets a new usual interval. */
     for (int i = 0; i < 5; i++) {
         EbServerSpeed_Observe(&speed, 50000, now_us);
     }
-    CU_ASSERT_TRUE(speed.pace_us > 42000);
+    CU_ASSERT_TRUE(speed.piece_interval_us > 42000);
 }
 
 /* The server's own statement counts while it is fresh, and no longer. */
@@ -67,8 +67,9 @@
     CU_ASSERT_EQUAL(EbServerSpeed_Slowdown(&speed, SECOND_US + 400 * MS), 1);
 }
 
-/* A report is sent once, and again only when the pace has changed: at once
- * when it is faster, and when several streams show that it is slower. */
+/* A report is sent once, and again only when the piece interval has changed:
+ * at once when it is faster, and when several streams show that it is slower.
+ */
 static void
 test_reports(void)
 {
@@ -78,7 +79,7 @@
     CU_ASSERT_FALSE(EbServerSpeed_TakeReport(&first, &report));
     EbServerSpeed_Observe(&first, 20000, 0);
     CU_ASSERT_TRUE(EbServerSpeed_TakeReport(&first, &report));
-    CU_ASSERT_EQUAL(report.pace_us, 20000);
+    CU_ASSERT_EQUAL(report.piece_interval_us, 20000);
     CU_ASSERT_FALSE(EbServerSpeed_TakeReport(&first, &report));
     EbServerSpeed_Merge(&second, &report);
     EbServerSpeed_Observe(&second, 21000, SECOND_US);
@@ -91,21 +92,21 @@
     }
     CU_ASSERT_TRUE(EbServerSpeed_TakeReport(&second, &report));
     /* One stream of another daemon doesn't make a server slow, three do. */
-    EbServerSpeed_Merge(&first,
-                        &(EbSpeedReport){.pace_us = 50000, .streams = 1});
-    CU_ASSERT_EQUAL(first.pace_us, 20000);
-    EbServerSpeed_Merge(&first,
-                        &(EbSpeedReport){.pace_us = 50000, .streams = 3});
-    CU_ASSERT_TRUE(first.pace_us > 40000);
+    EbServerSpeed_Merge(
+        &first, &(EbSpeedReport){.piece_interval_us = 50000, .streams = 1});
+    CU_ASSERT_EQUAL(first.piece_interval_us, 20000);
+    EbServerSpeed_Merge(
+        &first, &(EbSpeedReport){.piece_interval_us = 50000, .streams = 3});
+    CU_ASSERT_TRUE(first.piece_interval_us > 40000);
 }
 
 /* Daemons whose measurements differ a little must choose alike: the cost stays
- * until the pace is a whole step away from it. */
+ * until the piece interval is a whole step away from it. */
 static void
 test_cost_steps(void)
 {
     static const struct {
-        double pace_us;
+        double piece_interval_us;
         double cost;
     } rows[] = {{20000, 1},        {15400, 1},       {28000, 1},
                 {14000, 1},        {8235, 1 / 2.25}, {6500, 1 / 2.25},
@@ -115,7 +116,7 @@
     EbServerSpeed_UpdateCost(&speed, 0);
     CU_ASSERT_EQUAL(EbServerSpeed_UsualCost(&speed), 1);
     for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
-        speed.pace_us = rows[i].pace_us;
+        speed.piece_interval_us = rows[i].piece_interval_us;
         EbServerSpeed_UpdateCost(&speed, 20000);
         CU_ASSERT_DOUBLE_EQUAL(EbServerSpeed_UsualCost(&speed), rows[i].cost,
                                0.001);
@@ -153,7 +154,7 @@
     int64_t end_us;
     uint32_t daemon;
     uint32_t server;
-    double pace_us;
+    double piece_interval_us;
     int64_t first_us;
     int64_t expected_us; /* usual time to the first event of such a prompt */
 } End;
@@ -246,10 +247,11 @@
     End *end = g_new(End, 1);
     *end = (End){.daemon = daemon,
                  .server = server,
-                 .pace_us = EVENT_US * cost,
+                 .piece_interval_us = EVENT_US * cost,
                  .first_us = fleet->free_us[server] - now_us,
                  .expected_us = (int64_t)(MEAN_READ_US * (1 + length))};
-    end->end_us = fleet->free_us[server] + (int64_t)(12 * end->pace_us);
+    end->end_us =
+        fleet->free_us[server] + (int64_t)(12 * end->piece_interval_us);
     g_queue_insert_sorted(&fleet->ends, end, compare_ends, NULL);
     if (now_us >= WARM_UP_US) {
         outcome->calls++;
@@ -271,7 +273,8 @@
         EbPool_EndCallOfKind(pool, id, EB_CALL_OK, end->first_us,
                              end->expected_us, now_us);
         if (measured) {
-            EbPool_RecordPace(pool, id, end->pace_us, now_us);
+            EbPool_RecordPieceInterval(pool, id, end->piece_interval_us,
+                                       now_us);
         }
         g_free(end);
     }
@@ -373,7 +376,7 @@
 main(void)
 {
     static const EbTestCase cases[] = {
-        {"stream pace", test_stream_pace},
+        {"piece intervals", test_piece_intervals},
         {"two scales", test_two_scales},
         {"stated work", test_stated_work},
         {"reports", test_reports},
