servers: one function for the change of a server's incarnation

Cause: that both incarnations of a server are known and differ stood in pool, pace, directives, batcher and dispatcher_pool, in five wordings. Change: EbIncarnation_HasChanged in incarnation.h of the servers package; the five places use it. The same comparison in deployment/server_registry stays: that package doesn't link servers.

--- a/src/libebonyhollow/batching/batcher.c
+++ b/src/libebonyhollow/batching/batcher.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "batcher_state.h"
+#include "ebonyhollow/incarnation.h"
 
 /* Releases are collected for this long, so that one message to a server frees
  * several results. */
@@ -179,8 +180,7 @@
     server->failure_domain = g_strdup(row->failure_domain);
     server->port = row->port;
     server->current = true;
-    if (server->incarnation != 0 && row->incarnation != 0 &&
-        server->incarnation != row->incarnation) {
+    if (EbIncarnation_HasChanged(server->incarnation, row->incarnation)) {
         reset_server(batcher, server);
     }
     server->incarnation = row->incarnation;
--- a/src/libebonyhollow/requests/dispatcher_pool.c
+++ b/src/libebonyhollow/requests/dispatcher_pool.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "dispatcher_private.h"
+#include "ebonyhollow/incarnation.h"
 
 void
 EbDispatcherPool_Free(gpointer pointer)
@@ -116,8 +117,8 @@
         const EbConfigBackendServer *row = &config->servers[i];
         const EbConfigBackendServer *old =
             g_hash_table_lookup(starts, row->id);
-        if (old != NULL && old->incarnation != 0 && row->incarnation != 0 &&
-            old->incarnation != row->incarnation) {
+        if (old != NULL &&
+            EbIncarnation_HasChanged(old->incarnation, row->incarnation)) {
             EbPrefixIndex_RemoveServer(pool->prefixes, row->id);
         }
     }
--- a/src/libebonyhollow/servers/directives.c
+++ b/src/libebonyhollow/servers/directives.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "ebonyhollow/fleet_share.h"
+#include "ebonyhollow/incarnation.h"
 
 /* Servers that are kept: more than those of two deployments of the planned
  * size. Further ones are not limited until an entry has expired. */
@@ -422,8 +423,7 @@
 {
     uint64_t present = EbDirectives_Incarnation(directives, server->id);
     return server->leaving &&
-           (present == 0 || server->leaving_incarnation == 0 ||
-            server->leaving_incarnation == present);
+           !EbIncarnation_HasChanged(server->leaving_incarnation, present);
 }
 
 void
--- a/src/libebonyhollow/servers/pace.c
+++ b/src/libebonyhollow/servers/pace.c
@@ -8,6 +8,7 @@
 
 #include "ebonyhollow/answer_times.h"
 #include "ebonyhollow/fleet_share.h"
+#include "ebonyhollow/incarnation.h"
 
 /* Servers that are kept, those of earlier configurations included. */
 #define MAX_SERVERS 4096
@@ -529,8 +530,8 @@
         server->incarnation = incarnation;
     }
     if (pace->configured &&
-        (is_new || (incarnation != 0 && server->incarnation != 0 &&
-                    incarnation != server->incarnation))) {
+        (is_new ||
+         EbIncarnation_HasChanged(server->incarnation, incarnation))) {
         record_start(pace, server, incarnation, cold_left_us, now_us);
         return;
     }
--- a/src/libebonyhollow/servers/pool.c
+++ b/src/libebonyhollow/servers/pool.c
@@ -4,6 +4,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "ebonyhollow/incarnation.h"
 #include "pool_state.h"
 
 #define QUANTILE_PERMILLE 950
@@ -67,8 +68,8 @@
 {
     EbPoolServer *server =
         old_ids != NULL ? g_hash_table_lookup(old_ids, row->id) : NULL;
-    if (server == NULL || server->incarnation == 0 || row->incarnation == 0 ||
-        server->incarnation == row->incarnation) {
+    if (server == NULL ||
+        !EbIncarnation_HasChanged(server->incarnation, row->incarnation)) {
         return server;
     }
     EbPoolServer *started = new_server(pool, row);
