--- a/include/share/ebonyhollow/event_table.h
+++ b/include/share/ebonyhollow/event_table.h
@@ -171,9 +171,9 @@
       "first; cause is started, cold, readmitted or evacuation.",             \
       "backend_server,cause", "None.")                                        \
     X(PACE_ENDED, 439, "backend-server-pace-ended", EB_LEVEL_INFO,            \
-      "A backend server gets its full load again: after usual answers, when " \
-      "no answer was unusual for a while (quiet), or after the longest time " \
-      "(time).",                                                              \
+      "A backend server gets its full load again: when it answers like "      \
+      "the others (answers), when it was not found slow for a while "         \
+      "(quiet), or after the longest time (time).",                           \
       "backend_server,cause,after_us",                                        \
       "If cause is often time, compare the server's latency with the "        \
       "others.")                                                              \
