batcher, test_pool: what cppcheck and clang-tidy named

Cause: cppcheck can't read a compound literal whose field has the name of a parameter; clang-tidy named a division of integers. Change: a local variable, a cast. No behaviour changes.

--- a/src/libebonyhollow/batching/batcher_call.c
+++ b/src/libebonyhollow/batching/batcher_call.c
@@ -257,10 +257,10 @@
     EbBatchServer *server = call->server;
     double slowdown =
         (double)(now_us - call->started_us) / (double)call->expected_us;
-    EbDirectives_RecordResult(batcher->options.directives, server->id,
-                              &(EbPaceCall){.result = EB_PACE_ANSWERED,
-                                            .time = slowdown,
-                                            .started_us = call->started_us},
+    EbPaceCall ended = {.result = EB_PACE_ANSWERED,
+                        .time = slowdown,
+                        .started_us = call->started_us};
+    EbDirectives_RecordResult(batcher->options.directives, server->id, &ended,
                               now_us);
     server->slowdown += SLOWDOWN_GAIN * (slowdown - server->slowdown);
     server->failures = 0;
--- a/src/test_pool/returning.c
+++ b/src/test_pool/returning.c
@@ -141,7 +141,7 @@
     Play play = {.row = row};
     play.pool = Fixture_Open(&play.fixture, SERVERS, 1, 0, CAPACITY);
     EbRandom_Init(&play.random, seed);
-    *full_s = WATCHED_US / SECOND_US;
+    *full_s = (double)WATCHED_US / SECOND_US;
     *use = 0;
     double recent = 0; /* average of about a second */
     for (int64_t now_us = 0; now_us < RETURN_US + WATCHED_US;
