pace: references of pools that left the configuration are freed

Cause: a reference was kept for each name of a pool that was ever configured. Change: EbPace_SetConfig frees those of other pools; servers that left have none.

--- a/src/libebonyhollow/servers/pace.c
+++ b/src/libebonyhollow/servers/pace.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "ebonyhollow/incarnation.h"
 #include "pace_state.h"
 
@@ -214,6 +216,19 @@
     }
 }
 
+static gboolean
+is_unknown_pool(gpointer name, gpointer reference, gpointer context)
+{
+    (void)reference;
+    const EbConfig *config = context;
+    for (uint32_t i = 0; i < config->pool_count; i++) {
+        if (strcmp(config->pools[i].name, name) == 0) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
 void
 EbPace_SetConfig(EbPace *pace, const EbConfig *config, int64_t now_us)
 {
@@ -221,12 +236,16 @@
     gpointer value;
     g_hash_table_iter_init(&iter, pace->servers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        ((EbPaceServer *)value)->current = false;
+        EbPaceServer *server = value;
+        server->current = false;
+        server->reference = NULL;
     }
     for (uint32_t i = 0; i < config->server_count; i++) {
         const EbConfigBackendServer *row = &config->servers[i];
         set_server(pace, &config->pools[row->pool_index], row, now_us);
     }
+    g_hash_table_foreach_remove(pace->references, is_unknown_pool,
+                                (gpointer)config);
     pace->configured = true;
 }
 
