pace: one slow answer keeps a server on pace for 4 s at most

Cause: a daemon of a large fleet has one call at a server in many seconds, so the test stays undecided after one slow answer, and pace went on for up to 30 s. Change: pace ends 4 s after calls last spoke against the server.

--- a/src/libebonyhollow/servers/pace_learned.c
+++ b/src/libebonyhollow/servers/pace_learned.c
@@ -40,6 +40,7 @@
                  : 1;
     server->probing = true;
     server->slow_us = now_us;
+    server->suspected_us = now_us;
     server->answers = (EbAnswerTest){0};
     EB_EMIT(pace->options.events, EB_EVENT_PACE_BEGUN,
             EB_STRING_FIELD("backend_server", server->id),
@@ -82,10 +83,10 @@
     if (server == NULL || !server->paced) {
         return NULL;
     }
-    int64_t quiet_us = MAX(turn_begins(server), server->slow_us) + QUIET_US;
+    int64_t quiet_us =
+        MAX(turn_begins(server), server->suspected_us) + QUIET_US;
     bool old = now_us >= server->since_us + MAX_PACE_US;
-    bool quiet = now_us >= quiet_us && server->answers.evidence <= 0;
-    if (now_us < EbPace_ColdEnd(server) || (!quiet && !old)) {
+    if (now_us < EbPace_ColdEnd(server) || (now_us < quiet_us && !old)) {
         return server;
     }
     end_pace(pace, server, old ? "time" : "quiet", now_us);
@@ -121,6 +122,7 @@
     server->slots = fmax(slots, 1);
     server->probing = false;
     server->slow_us = now_us;
+    server->suspected_us = now_us;
     server->answers = (EbAnswerTest){0};
 }
 
@@ -172,6 +174,9 @@
         lower_slots(server, server->slots / 2, now_us);
         return;
     }
+    if (server->answers.evidence > 0) {
+        server->suspected_us = now_us;
+    }
     if (call->result == EB_PACE_ANSWERED) {
         raise_slots(server);
     }
--- a/src/libebonyhollow/servers/private/pace_state.h
+++ b/src/libebonyhollow/servers/private/pace_state.h
@@ -30,6 +30,7 @@
     double slots;
     bool probing;    /* slots double in each round trip: it was not slow yet */
     int64_t slow_us; /* when it was found slow, or pace began */
+    int64_t suspected_us; /* when calls last spoke against it, or pace began */
     EbAnswerTest answers;
     EbAnswerReference *reference; /* of its pool; NULL: unknown */
 } EbPaceServer;
--- a/src/test_pace/main.c
+++ b/src/test_pace/main.c
@@ -428,10 +428,17 @@
     CU_ASSERT_EQUAL(EbPace_Count(pace), 1);
     EbPace_Slots(pace, SERVER, 16, 17 * SECOND_US);
     CU_ASSERT_EQUAL(EbPace_Count(pace), 0);
+    /* A daemon with few calls doesn't wait long for a second opinion. */
+    EbPace_Readmitted(pace, SERVER, 18 * SECOND_US);
+    end_calls(pace, 1, EB_PACE_ANSWERED, 1000, 18 * SECOND_US, 19 * SECOND_US);
+    EbPace_Slots(pace, SERVER, 16, 22 * SECOND_US);
+    CU_ASSERT_EQUAL(EbPace_Count(pace), 1);
+    EbPace_Slots(pace, SERVER, 16, 23 * SECOND_US);
+    CU_ASSERT_EQUAL(EbPace_Count(pace), 0);
     /* A refused connection begins again with one call. */
-    EbPace_RecordEntry(pace, SERVER, 3, -1, 20 * SECOND_US);
-    end_calls(pace, 1, EB_PACE_REFUSED, 0, 20 * SECOND_US, 20 * SECOND_US);
-    CU_ASSERT_EQUAL(EbPace_Slots(pace, SERVER, 16, 20 * SECOND_US), 1);
+    EbPace_RecordEntry(pace, SERVER, 3, -1, 30 * SECOND_US);
+    end_calls(pace, 1, EB_PACE_REFUSED, 0, 30 * SECOND_US, 30 * SECOND_US);
+    CU_ASSERT_EQUAL(EbPace_Slots(pace, SERVER, 16, 30 * SECOND_US), 1);
     EbPace_Free(pace);
 }
 
