discovery: a daemon that starts on a restored store learns the newer configuration from its peers

Cause: a daemon that started after the store had come back from an older copy, and before the operator had written again, put the copy's configuration into force, although the running daemons kept a newer one. On the users' platform daemons told each other neither the version nor the object.

Change: a daemon whose configuration is newer than the one that a restored store lists announces its version in heartbeats, and answers a request for it with the object as the platform wrote it. EbRestoredConfig decides; in the first era, or without eras, nothing is announced and nothing waits. The messages are those that the own interface uses. A configuration that a peer sent is read like one of the store; if it can't be read, the last readable one stays.

What remains: a copy that is met by no daemon with the newer version is used.

--- a/src/libebonyhollow_net/daemon_discovery.c
+++ b/src/libebonyhollow_net/daemon_discovery.c
@@ -152,6 +152,11 @@
         !discovery->evacuations_known) {
         return;
     }
+    if (EbConfigManager_Generation(daemon->config_manager) == 0 &&
+        EbRestoredConfig_MustWait(&discovery->restored_config, now_us)) {
+        discovery->needs_apply = true;
+        return;
+    }
     EbConfig *config = read_config(daemon);
     if (config == NULL) {
         return;
@@ -164,7 +169,15 @@
 }
 
 static void
-handle_config_object(EbDaemon *daemon, const json_t *item)
+use_config(EbDiscovery *discovery, json_t *value)
+{
+    json_decref(discovery->config);
+    discovery->config = json_incref(value);
+    discovery->needs_apply = true;
+}
+
+static void
+handle_config_object(EbDaemon *daemon, const json_t *item, int64_t now_us)
 {
     EbDiscovery *discovery = &daemon->discovery;
     json_t *value = json_object_get(item, "value");
@@ -173,15 +186,38 @@
         json_is_true(json_object_get(item, "deleted"))) {
         return;
     }
-    uint64_t version = daemon->adapter->config_version(value);
-    uint64_t known = discovery->config != NULL
-                         ? daemon->adapter->config_version(discovery->config)
-                         : 0;
-    if (version > known) {
-        json_decref(discovery->config);
-        discovery->config = json_incref(value);
-        discovery->needs_apply = true;
+    EbStorePosition position;
+    EbStoreFeed_Position(discovery->feed, EB_FEED_CONFIG, &position);
+    if (EbRestoredConfig_RecordStored(&discovery->restored_config,
+                                      daemon->adapter->config_version(value),
+                                      &position, now_us)) {
+        use_config(discovery, value);
     }
+    EbMembership_SetGeneration(daemon->membership,
+                               discovery->restored_config.announced);
+}
+
+const json_t *
+EbDiscovery_Config(const EbDaemon *daemon, uint64_t *version)
+{
+    const json_t *config = daemon->discovery.readable_config;
+    *version = config != NULL ? daemon->adapter->config_version(config) : 0;
+    return config;
+}
+
+void
+EbDiscovery_OfferConfig(EbDaemon *daemon, const char *text, size_t text_bytes)
+{
+    EbDiscovery *discovery = &daemon->discovery;
+    json_t *value = json_loadb(text, text_bytes, JSON_REJECT_DUPLICATES, NULL);
+    if (value != NULL &&
+        EbRestoredConfig_RecordTold(&discovery->restored_config,
+                                    daemon->adapter->config_version(value))) {
+        use_config(discovery, value);
+        EbMembership_SetGeneration(daemon->membership,
+                                   discovery->restored_config.announced);
+    }
+    json_decref(value);
 }
 
 static void
@@ -415,7 +451,7 @@
     {
         switch (stream) {
         case EB_FEED_CONFIG:
-            handle_config_object(daemon, event);
+            handle_config_object(daemon, event, now_us);
             break;
         case EB_FEED_SERVERS:
             handle_server_object(daemon, event, restored, now_us);
@@ -532,6 +568,9 @@
     const EbDiscovery *discovery = &daemon->discovery;
     int64_t next_us = MIN(EbServerRegistry_NextTimer(discovery->registry),
                           discovery->next_registration_us);
+    next_us =
+        MIN(next_us, EbRestoredConfig_NextTimer(&discovery->restored_config,
+                                                EbClock_Monotonic()));
     if (discovery->sources_stale) {
         next_us = MIN(next_us, discovery->sources_due_us);
     }
--- a/src/libebonyhollow_net/daemon_peer.c
+++ b/src/libebonyhollow_net/daemon_peer.c
@@ -27,12 +27,22 @@
     EbDaemon_ScheduleActions(daemon);
 }
 
+/* Returns the version of the configuration that this daemon uses or is about
+ * to use. */
+static uint64_t
+known_generation(const EbDaemon *daemon)
+{
+    return daemon->adapter != NULL
+               ? daemon->discovery.restored_config.version
+               : EbConfigManager_Generation(daemon->config_manager);
+}
+
 void
 EbDaemon_OnGenerationAnnounced(void *context, const char *peer,
                                uint64_t generation, int64_t now_us)
 {
     EbDaemon *daemon = context;
-    if (generation <= EbConfigManager_Generation(daemon->config_manager) ||
+    if (generation <= known_generation(daemon) ||
         now_us - daemon->config_requested_us < CONFIG_REQUEST_INTERVAL_US) {
         return;
     }
@@ -42,9 +52,28 @@
     send_message(daemon, peer, &message, now_us);
 }
 
+/* Sends the platform's configuration object. */
+static void
+send_config_object(EbDaemon *daemon, const char *peer, int64_t now_us)
+{
+    EbMessage message = {.kind = EB_MESSAGE_CONFIG_BODY};
+    const json_t *config = EbDiscovery_Config(daemon, &message.generation);
+    char *text = config != NULL ? json_dumps(config, JSON_COMPACT) : NULL;
+    if (text != NULL) {
+        message.text = text;
+        message.text_bytes = strlen(text);
+        send_message(daemon, peer, &message, now_us);
+        free(text);
+    }
+}
+
 static void
 send_config(EbDaemon *daemon, const char *peer, int64_t now_us)
 {
+    if (daemon->adapter != NULL) {
+        send_config_object(daemon, peer, now_us);
+        return;
+    }
     EbMessage message = {
         .kind = EB_MESSAGE_CONFIG_BODY,
         .generation = EbConfigManager_Generation(daemon->config_manager)};
@@ -360,6 +389,10 @@
 handle_config_body(EbDaemon *daemon, const char *peer,
                    const EbMessage *message, int64_t now_us)
 {
+    if (daemon->adapter != NULL) {
+        EbDiscovery_OfferConfig(daemon, message->text, message->text_bytes);
+        return;
+    }
     EbError error = {0};
     EbConfigManager_OfferDocument(daemon->config_manager, message->text,
                                   message->text_bytes, 0, peer, &error,
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -33,6 +33,7 @@
 #include "ebonyhollow/preparation_table.h"
 #include "ebonyhollow/quarantine.h"
 #include "ebonyhollow/random.h"
+#include "ebonyhollow/restored_config.h"
 #include "ebonyhollow/server_registry.h"
 #include "ebonyhollow/store_feed.h"
 #include "ebonyhollow/suspects.h"
@@ -73,7 +74,8 @@
     bool reading[EB_FEED_STREAM_COUNT]; /* the stream's kind is watched */
     bool sources_stale;                 /* the members changed */
     int64_t sources_due_us;             /* earliest time to look at them */
-    json_t *config;                /* newest configuration object, or NULL */
+    json_t *config; /* newest configuration object, or NULL */
+    EbRestoredConfig restored_config; /* its version, and whether it waits */
     json_t *readable_config;       /* the newest that could be read, or NULL */
     EbServerRegistry *registry;    /* backend servers */
     bool servers_listed;           /* a complete list was read */
@@ -333,6 +335,14 @@
  * INT64_MAX. */
 int64_t EbDiscovery_NextTimer(const EbDaemon *daemon);
 
+/* Returns the configuration object that is used, borrowed, or NULL, and sets
+ * its version. */
+const json_t *EbDiscovery_Config(const EbDaemon *daemon, uint64_t *version);
+
+/* Takes over a configuration object that a peer sent, if it is newer. */
+void EbDiscovery_OfferConfig(EbDaemon *daemon, const char *text,
+                             size_t text_bytes);
+
 /* Forwarded requests and their preparations: daemon_forward.c */
 
 /* Creates the modules that serve requests on a platform with an adapter.
--- a/test/clients/platform_standin.c
+++ b/test/clients/platform_standin.c
@@ -1,11 +1,12 @@
 /* Stand-in for the users' platform with one backend server, for the tests with
- * clients that misbehave.
+ * clients that misbehave and the one with a restored store.
  *
  * Usage: platform_standin STORE-PORT SERVER-PORT
  *
  * The server answers a request for /order/big with 4 MiB and one for
  * /order/stream with events without end; GET /runs answers with the ids of
- * all requests that ran. */
+ * all requests that ran, and after GET /restore the store holds an older
+ * configuration, without the routes below /order/. */
 #include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -27,6 +28,7 @@
     struct event_base *base;
     char *server_entry;
     GString *runs;
+    unsigned era;
 } Standin;
 
 typedef struct {
@@ -52,6 +54,14 @@
     "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
     "\"header_timeout_ms\":60000,\"idle_timeout_ms\":60000}}";
 
+static const char restored_config[] =
+    "{\"version\":2,\"routes\":["
+    "{\"name\":\"former\",\"host\":\"h\",\"path_prefix\":\"/former/\","
+    "\"route_kind\":\"non_idempotent\",\"timeout_ms\":20000,\"goal_ms\":300,"
+    "\"service\":\"orders\",\"max_attempts\":1}],"
+    "\"services\":[{\"name\":\"orders\"}],"
+    "\"tenants\":[{\"name\":\"c-1\",\"api_keys\":[\"k-1\"]}]}";
+
 static void
 reply(struct evhttp_request *request, const char *text)
 {
@@ -118,7 +128,9 @@
               "\"current_rev\":9}"
             : "{\"items\":[],\"has_more\":false,\"current_rev\":9}",
         is_config ? "main" : "s-1",
-        is_config ? config : standin->server_entry);
+        !is_config          ? standin->server_entry
+        : standin->era == 1 ? config
+                            : restored_config);
     reply(request, text);
     g_free(text);
 }
@@ -132,6 +144,10 @@
     struct evkeyvalq fields = {0};
     evhttp_parse_query_str(query != NULL ? query : "", &fields);
     const char *wait = evhttp_find_header(&fields, "wait_ms");
+    char era[16];
+    g_snprintf(era, sizeof(era), "%u", standin->era);
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Store-Era",
+                      era);
     if (evhttp_request_get_command(request) != EVHTTP_REQ_GET) {
         reply(request, "{\"metadata\":{\"name\":\"x\",\"revision\":9},"
                        "\"spec\":{},\"status\":null}");
@@ -202,6 +218,9 @@
         reply(request, standin->runs->str);
         return;
     }
+    if (strcmp(path, "/restore") == 0) {
+        standin->era++;
+    }
     if (id == NULL) {
         reply(request, "{}");
         return;
@@ -235,7 +254,8 @@
         return 2;
     }
     signal(SIGPIPE, SIG_IGN);
-    Standin standin = {.base = event_base_new(), .runs = g_string_new(NULL)};
+    Standin standin = {
+        .base = event_base_new(), .runs = g_string_new(NULL), .era = 1};
     standin.server_entry = g_strdup_printf(
         "{\"service\":\"orders\",\"address\":\"" HOST ":%s\",\"zone\":\"z0\","
         "\"slots\":64,\"state\":\"ready\",\"seq\":1,\"born\":1}",
