forward client: calls that free results have a time-out and two connections for each server

Cause: a call that tells a server to free results (stage-free) had no time-out and a connection of its own, so a stage server that takes such calls and never answers kept one connection for each, without end.

Change: EbForwardSend has a time-out, which these calls set to 2 s. EbReleaseCalls lets at most two run for each server; what is to be freed meanwhile goes with the next call, up to 4,096 handles. Further ones are not told and logged as results-not-released.

test_forward_net (sanitizers): 30 passed, 0 failed. With the bound and the time-out taken out of the code, 'client timeout' and 'release calls' fail (60 calls run at once and none ends), 28 passed, 2 failed.

Not part of this: Retry-After in the answers to these calls.

--- a/include/net/ebonyhollow/forward_client.h
+++ b/include/net/ebonyhollow/forward_client.h
@@ -63,6 +63,9 @@
     /* Largest number of connections to the server, including this one. Idle
      * connections are closed to stay within it. 0: no limit. */
     uint32_t max_connections;
+    /* The call is broken when it has not ended by then. 0: no limit; whoever
+     * sent it cancels it. */
+    int64_t timeout_us;
 } EbForwardSend;
 
 /* Starts a call. `send` and `message` are borrowed for the duration of this
--- a/include/share/ebonyhollow/event_table.h
+++ b/include/share/ebonyhollow/event_table.h
@@ -224,6 +224,11 @@
       "A backend server rejected a call and asked this daemon for a pause.",  \
       "backend_server,pause_us",                                              \
       "None, unless it is frequent: the service needs more capacity.")        \
+    X(RESULTS_NOT_RELEASED, 408, "results-not-released", EB_LEVEL_WARNING,    \
+      "A server of a stage doesn't answer the calls that tell it to free "    \
+      "results, or is slow with them: so many more are not told. They stay "  \
+      "there until the server discards them itself.",                         \
+      "backend_server,handles", "Check the server and its memory.")           \
     X(REQUEST_SUSPECTED, 410, "request-suspected", EB_LEVEL_WARNING,          \
       "A request was in flight on a backend server that crashed. crashes "    \
       "counts such servers.",                                                 \
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -53,7 +53,9 @@
 {
     size_t count = EbBatcher_CallItemCount(daemon->batcher, event->attempt_id);
     if (count == 0) {
-        return; /* a call that releases results, or an abandoned call */
+        /* A call that releases results, or an abandoned call. */
+        EbReleaseCalls_RecordEnd(daemon->release_calls, event->attempt_id);
+        return;
     }
     record_batch_directive(daemon, event, now_us);
     if (event->kind != EB_ATTEMPT_ANSWERED) {
@@ -104,6 +106,31 @@
     EbDaemon_ScheduleActions(daemon);
 }
 
+/* Sends a call to a server and drops the reference to its message. */
+static void
+send_message(EbDaemon *daemon, const EbForwardSend *call,
+             EbHttpMessage *message)
+{
+    EbForwardClient_Send(daemon->forward_client, call, message);
+    EbHttpMessage_Unref(message);
+}
+
+static void
+send_release(void *context, const EbReleaseResults *release)
+{
+    EbDaemon *daemon = context;
+    EbForwardSend call = {0};
+    call.attempt_id = release->attempt_id;
+    call.server_id = release->server_id;
+    call.host = release->host;
+    call.port = release->port;
+    call.timeout_us = EB_RELEASE_CALLS_TIMEOUT_US;
+    send_message(daemon, &call,
+                 daemon->adapter->forward->write_release(
+                     (const char *const *)release->handles->pdata,
+                     release->handles->len));
+}
+
 bool
 EbDaemon_CreateForward(EbDaemon *daemon, EbError *error)
 {
@@ -117,6 +144,8 @@
                                           .directives = daemon->directives,
                                           .metrics = daemon->metrics,
                                           .evacuations = daemon->evacuations});
+    daemon->release_calls =
+        EbReleaseCalls_New(send_release, daemon, daemon->events);
     daemon->forward_client = EbForwardClient_New(&(EbForwardClientOptions){
         .base = daemon->base,
         .protocol = daemon->adapter->forward,
@@ -144,6 +173,7 @@
 {
     EbForwardServer_Free(daemon->forward_server);
     EbForwardClient_Free(daemon->forward_client);
+    EbReleaseCalls_Free(daemon->release_calls);
     EbBatcher_Free(daemon->batcher);
     EbPreparationTable_Free(daemon->preparations);
     if (daemon->excluded_homes != NULL) {
@@ -154,15 +184,6 @@
 
 /* Actions */
 
-/* Sends a call to a server and drops the reference to its message. */
-static void
-send_message(EbDaemon *daemon, const EbForwardSend *call,
-             EbHttpMessage *message)
-{
-    EbForwardClient_Send(daemon->forward_client, call, message);
-    EbHttpMessage_Unref(message);
-}
-
 void
 EbDaemon_SendForward(EbDaemon *daemon, const EbSendAttempt *send)
 {
@@ -217,11 +238,7 @@
 void
 EbDaemon_ReleaseResults(EbDaemon *daemon, const EbReleaseResults *release)
 {
-    send_preparation_call(daemon, release->attempt_id, release->server_id,
-                          release->host, release->port,
-                          daemon->adapter->forward->write_release(
-                              (const char *const *)release->handles->pdata,
-                              release->handles->len));
+    EbReleaseCalls_Add(daemon->release_calls, release);
 }
 
 /* Preparations */
--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -50,7 +50,8 @@
     size_t event_bytes; /* of an incomplete event, in `buffered_bytes` */
     int64_t idle_since_us;
     int64_t idle_timeout_us;
-    bool done; /* the call ended; reuse or free the connection */
+    struct event *timeout; /* of the call; NULL: none */
+    bool done;             /* the call ended; reuse or free the connection */
     bool reusable;
 } Connection;
 
@@ -92,10 +93,20 @@
     count_incomplete_event(connection);
 }
 
+static void
+clear_timeout(Connection *connection)
+{
+    if (connection->timeout != NULL) {
+        event_free(connection->timeout);
+        connection->timeout = NULL;
+    }
+}
+
 static void
 free_connection(gpointer data)
 {
     Connection *connection = data;
+    clear_timeout(connection);
     bufferevent_free(connection->bufev);
     EbHttpReader_Free(connection->reader);
     drop_incomplete_event(connection);
@@ -155,6 +166,7 @@
     if (connection->attempt_id == 0) {
         return;
     }
+    clear_timeout(connection);
     EbAttemptEvent event = {.kind = kind};
     report_event(connection, &event);
     g_hash_table_remove(connection->client->calls, &connection->attempt_id);
@@ -464,6 +476,26 @@
     return connection;
 }
 
+static void
+on_timeout(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    Connection *connection = context;
+    end_call(connection,
+             connection->wrote ? EB_ATTEMPT_BROKEN : EB_ATTEMPT_REFUSED);
+    close_connection(connection);
+}
+
+static void
+start_timeout(Connection *connection, int64_t timeout_us)
+{
+    struct timeval limit = EbClock_Timeval(timeout_us);
+    connection->timeout =
+        evtimer_new(connection->client->options.base, on_timeout, connection);
+    event_add(connection->timeout, &limit);
+}
+
 static bool
 start_connect(const Connection *connection, const EbForwardSend *send)
 {
@@ -550,6 +582,9 @@
         close_connection(connection);
         return;
     }
+    if (send->timeout_us > 0) {
+        start_timeout(connection, send->timeout_us);
+    }
     write_call(connection, send, message);
     bufferevent_enable(connection->bufev, EV_READ | EV_WRITE);
 }
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -37,6 +37,7 @@
 #include "ebonyhollow/server_registry.h"
 #include "ebonyhollow/store_feed.h"
 #include "ebonyhollow/suspects.h"
+#include "release_calls.h"
 
 #define EB_DAEMON_SIGNALS 3 /* SIGTERM, SIGINT, SIGHUP */
 #define EB_INSTANCES_KIND "instances"
@@ -129,6 +130,7 @@
     /* Used with an adapter. The forward server and client replace
      * `caller_server` and `backend_client`. */
     EbDiscovery discovery;
+    EbReleaseCalls *release_calls;
     EbForwardServer *forward_server;
     EbForwardClient *forward_client;
     EbBatcher *batcher;
--- a/src/test_forward_net/forward_net.h
+++ b/src/test_forward_net/forward_net.h
@@ -29,6 +29,8 @@
 void test_client_connection_limit(void);
 void test_client_refused(void);
 void test_client_cancel(void);
+void test_client_timeout(void);
+void test_release_calls(void);
 
 /* server.c: EbForwardServer */
 
--- a/src/test_forward_net/main.c
+++ b/src/test_forward_net/main.c
@@ -24,6 +24,8 @@
         {"client connection limit", test_client_connection_limit},
         {"client refused", test_client_refused},
         {"client cancel", test_client_cancel},
+        {"client timeout", test_client_timeout},
+        {"release calls", test_release_calls},
         {"server rejects", test_server_rejects},
         {"server error responses", test_server_error_responses},
         {"server stream", test_server_stream},
