limiter: EbLimiter_Check decides without admitting

EbLimiter_Admit refills the buckets and counts; the check does so on a copy of the customer. The view says how long the grant is still valid, so that its age can be told. EbLimiter_Admit is unchanged.

--- a/include/limits/ebonyhollow/limiter.h
+++ b/include/limits/ebonyhollow/limiter.h
@@ -84,6 +84,12 @@
 EbReason EbLimiter_Admit(EbLimiter *limiter, const char *customer,
                          int64_t now_us, int64_t *retry_after_us);
 
+/* Decides like EbLimiter_Admit and changes nothing: no request is admitted or
+ * counted. The parameters and the result are those of EbLimiter_Admit, but
+ * `retry_after_us` is required. */
+EbReason EbLimiter_Check(const EbLimiter *limiter, const char *customer,
+                         int64_t now_us, int64_t *retry_after_us);
+
 /* Charges generated tokens as they are relayed. The token bucket may go below
  * zero; if it is too low, new requests are refused until it has recovered. */
 void EbLimiter_ChargeTokens(EbLimiter *limiter, const char *customer,
@@ -148,7 +154,9 @@
     uint64_t share_requests_per_s_milli;
     uint32_t share_concurrent_requests;
     uint64_t share_tokens_per_s;
-    bool granted; /* false: the equal share is in use */
+    bool granted;          /* false: the equal share is in use */
+    int64_t grant_left_us; /* of EB_LIMITER_GRANT_VALIDITY_US; 0: not granted
+                            */
     uint64_t refused;
 } EbLimiterView;
 
--- a/src/libebonyhollow/limits/limiter.c
+++ b/src/libebonyhollow/limits/limiter.c
@@ -317,6 +317,20 @@
     return EB_REASON_NONE;
 }
 
+EbReason
+EbLimiter_Check(const EbLimiter *limiter, const char *customer_id,
+                int64_t now_us, int64_t *retry_after_us)
+{
+    *retry_after_us = 0;
+    const EbLimiterCustomer *customer = find_customer(limiter, customer_id);
+    if (customer == NULL) {
+        return EB_REASON_FORBIDDEN;
+    }
+    EbLimiterCustomer copy = *customer;
+    EbLimiter_Refill(limiter, &copy, now_us);
+    return check_limits(limiter, &copy, now_us, retry_after_us);
+}
+
 EbReason
 EbLimiter_Admit(EbLimiter *limiter, const char *customer_id, int64_t now_us,
                 int64_t *retry_after_us)
@@ -427,6 +441,7 @@
         .share_concurrent_requests = (uint32_t)shares[EB_LIMIT_CONCURRENT],
         .share_tokens_per_s = (uint64_t)shares[EB_LIMIT_TOKENS],
         .granted = now_us < customer->grant_until_us,
+        .grant_left_us = MAX(customer->grant_until_us - now_us, 0),
         .refused = customer->refused,
     };
     return true;
