--- a/include/servers/ebonyhollow/pace.h
+++ b/include/servers/ebonyhollow/pace.h
@@ -61,6 +61,11 @@
  * borrowed and must outlive it. Free it with EbPace_Free. */
 EbPace *EbPace_New(const EbPaceOptions *options);
 
+/* Copies what is known of the servers, for questions that must not end the
+ * pace of one here. The copy has no events and metrics and knows no other
+ * daemon. Free it with EbPace_Free. */
+EbPace *EbPace_Copy(const EbPace *pace);
+
 /* Accepts NULL. */
 void EbPace_Free(EbPace *pace);
 
--- a/src/libebonyhollow/servers/pace.c
+++ b/src/libebonyhollow/servers/pace.c
@@ -102,6 +102,28 @@
     g_free(pace);
 }
 
+EbPace *
+EbPace_Copy(const EbPace *pace)
+{
+    EbPaceOptions options = pace->options;
+    options.events = NULL;
+    options.metrics = NULL;
+    EbPace *copy = EbPace_New(&options);
+    copy->configured = pace->configured;
+    copy->cold_end_us = pace->cold_end_us;
+    copy->paced_count = pace->paced_count;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, pace->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Server *server = g_memdup2(value, sizeof(*server));
+        server->id = g_strdup(server->id);
+        server->failure_domain = g_strdup(server->failure_domain);
+        g_hash_table_insert(copy->servers, server->id, server);
+    }
+    return copy;
+}
+
 static Server *
 find_server(const EbPace *pace, const char *id)
 {
--- a/src/libebonyhollow/servers/pool_choice.c
+++ b/src/libebonyhollow/servers/pool_choice.c
@@ -92,6 +92,31 @@
             !EbPace_IsHeld(pool->pace, server->id, now_us));
 }
 
+uint32_t
+EbPool_FindObjections(const EbPool *pool, const EbPoolServer *server,
+                      const EbPoolCriteria *criteria, int64_t now_us)
+{
+    bool found[EB_OBJECTION_COUNT] = {
+        [EB_OBJECTION_LEAVING] = server->leaving,
+        [EB_OBJECTION_EVACUATED] = EbPool_IsClosed(pool, server),
+        [EB_OBJECTION_EJECTED] = server->ejected,
+        [EB_OBJECTION_NO_FREE_SLOT] =
+            server->in_flight >= EbPool_Slots(pool, server, now_us),
+        [EB_OBJECTION_ASKED_TO_WAIT] =
+            pool->directives != NULL &&
+            !EbDirectives_Admits(pool->directives, server->id, now_us),
+        [EB_OBJECTION_TURN_OF_OTHERS] =
+            pool->pace != NULL &&
+            EbPace_IsHeld(pool->pace, server->id, now_us),
+        [EB_OBJECTION_NOT_ELIGIBLE] = !is_eligible(pool, server, criteria),
+    };
+    uint32_t objections = 0;
+    for (uint32_t i = 0; i < EB_OBJECTION_COUNT; i++) {
+        objections |= found[i] ? EB_OBJECTION_BIT(i) : 0;
+    }
+    return objections;
+}
+
 /* Returns the calls at a server: this daemon's calls in flight, and those of
  * other daemons by the last load report, weighted by its age. */
 static double
@@ -124,6 +149,17 @@
            EbPool_PresentCost(pool, server, now_us) / (1 - failure_rate);
 }
 
+void
+EbPool_Weigh(const EbPool *pool, const EbPoolServer *server, int64_t now_us,
+             EbPoolCandidate *candidate)
+{
+    candidate->load = estimate_load(server, now_us);
+    candidate->latency_us = EbPool_Latency(pool, server, now_us);
+    candidate->failure_rate = EbPool_FailureRate(server, now_us);
+    candidate->work_factor = EbPool_PresentCost(pool, server, now_us);
+    candidate->cost_us = server_cost(pool, server, now_us);
+}
+
 /* Draws a preferable member other than `other` at random, each with the same
  * probability: by a few probes, then by a scan of the whole subset. */
 static EbPoolServer *
--- a/src/libebonyhollow/servers/private/pool_state.h
+++ b/src/libebonyhollow/servers/private/pool_state.h
@@ -6,6 +6,7 @@
 
 #include "ebonyhollow/histogram.h"
 #include "ebonyhollow/pool.h"
+#include "ebonyhollow/pool_explain.h"
 
 /* One backend server as this daemon sees it. */
 typedef struct {
@@ -122,6 +123,16 @@
 bool EbPool_HasRoom(const EbPool *pool, const EbPoolServer *server,
                     int64_t now_us);
 
+/* Returns what speaks against sending a call to a server now, as a mask of
+ * EB_OBJECTION_BIT. Without any, the server is among those that the policy
+ * draws from. */
+uint32_t EbPool_FindObjections(const EbPool *pool, const EbPoolServer *server,
+                               const EbPoolCriteria *criteria, int64_t now_us);
+
+/* Sets the members of a candidate by which servers are compared. */
+void EbPool_Weigh(const EbPool *pool, const EbPoolServer *server,
+                  int64_t now_us, EbPoolCandidate *candidate);
+
 /* pool_health.c */
 
 /* Returns the expected latency of a server in microseconds. What was measured
