--- a/src/libebonyhollow/requests/dispatcher_forward.c
+++ b/src/libebonyhollow/requests/dispatcher_forward.c
@@ -51,23 +51,33 @@
 }
 
 EbReason
-EbRequest_AuthorizeForward(EbRequest *request)
+EbRequest_CheckForward(const EbRequest *request)
 {
     if (request->pipeline == NULL) {
         return EB_REASON_UNKNOWN_PIPELINE;
     }
-    g_free(request->summary->pipeline);
-    request->summary->pipeline = g_strdup(request->pipeline->name);
-    request->customer = find_customer(request);
     if (request->customer == NULL) {
         return EB_REASON_UNAUTHENTICATED;
     }
-    g_free(request->summary->customer);
-    request->summary->customer = g_strdup(request->customer->id);
     return request->pipeline->forward->unusable ? EB_REASON_PIPELINE_UNUSABLE
                                                 : EB_REASON_NONE;
 }
 
+EbReason
+EbRequest_AuthorizeForward(EbRequest *request)
+{
+    if (request->pipeline != NULL) {
+        g_free(request->summary->pipeline);
+        request->summary->pipeline = g_strdup(request->pipeline->name);
+        request->customer = find_customer(request);
+    }
+    if (request->customer != NULL) {
+        g_free(request->summary->customer);
+        request->summary->customer = g_strdup(request->customer->id);
+    }
+    return EbRequest_CheckForward(request);
+}
+
 uint32_t
 EbRequest_ChooseForwardPool(const EbRequest *request)
 {
--- a/src/libebonyhollow/requests/dispatcher_request.c
+++ b/src/libebonyhollow/requests/dispatcher_request.c
@@ -45,6 +45,27 @@
     return request;
 }
 
+EbReason
+EbRequest_CheckCaller(const EbRequest *request)
+{
+    if (request->forward != NULL) {
+        return EbRequest_CheckForward(request);
+    }
+    if (request->customer == NULL) {
+        return EB_REASON_UNAUTHENTICATED;
+    }
+    if (request->pipeline == NULL) {
+        return EB_REASON_UNKNOWN_PIPELINE;
+    }
+    if (!EbConfig_Allows(request->config, request->customer,
+                         request->pipeline)) {
+        return EB_REASON_FORBIDDEN;
+    }
+    return request->pipeline->needs_key && request->key == NULL
+               ? EB_REASON_KEY_REQUIRED
+               : EB_REASON_NONE;
+}
+
 /* Checks the customer, the pipeline and whether the one may use the other. */
 static EbReason
 authorize(EbRequest *request, const EbSubmission *submission)
@@ -63,22 +84,11 @@
         request->customer =
             EbConfig_FindCustomerByToken(request->config, submission->token);
     }
-    if (request->customer == NULL) {
-        return EB_REASON_UNAUTHENTICATED;
-    }
-    g_free(request->summary->customer);
-    request->summary->customer = g_strdup(request->customer->id);
-    if (request->pipeline == NULL) {
-        return EB_REASON_UNKNOWN_PIPELINE;
-    }
-    if (!EbConfig_Allows(request->config, request->customer,
-                         request->pipeline)) {
-        return EB_REASON_FORBIDDEN;
+    if (request->customer != NULL) {
+        g_free(request->summary->customer);
+        request->summary->customer = g_strdup(request->customer->id);
     }
-    if (request->pipeline->needs_key && request->key == NULL) {
-        return EB_REASON_KEY_REQUIRED;
-    }
-    return EB_REASON_NONE;
+    return EbRequest_CheckCaller(request);
 }
 
 static EbReason
@@ -104,13 +114,19 @@
     return EB_REASON_NONE;
 }
 
+uint32_t
+EbRequest_ChoosePool(const EbRequest *request, uint32_t stage)
+{
+    return request->forward != NULL
+               ? EbRequest_ChooseForwardPool(request)
+               : request->pipeline->stages[stage].pool_index;
+}
+
 static void
 bind_pools(EbRequest *request)
 {
     for (uint32_t i = 0; i < request->pipeline->stage_count; i++) {
-        uint32_t index = request->forward != NULL
-                             ? EbRequest_ChooseForwardPool(request)
-                             : request->pipeline->stages[i].pool_index;
+        uint32_t index = EbRequest_ChoosePool(request, i);
         request->pools[i] = EbDispatcher_FindPool(
             request->dispatcher, &request->config->pools[index]);
         assert(request->pools[i] != NULL);
@@ -118,10 +134,8 @@
     }
 }
 
-/* Checks whether the request can probably pass all its stages before its
- * deadline. */
-static EbReason
-check_feasibility(EbRequest *request, int64_t now_us)
+EbReason
+EbRequest_CheckFeasibility(EbRequest *request, int64_t now_us)
 {
     int64_t total_us = 0;
     int64_t limit_delay_us = 0;
@@ -184,7 +198,7 @@
     request->admitted = true;
     return EbDispatcher_IsPlain(dispatcher)
                ? EB_REASON_NONE
-               : check_feasibility(request, now_us);
+               : EbRequest_CheckFeasibility(request, now_us);
 }
 
 /* Sets the fingerprint and, for a request with a key, the text and digest of
@@ -233,14 +247,11 @@
     if (reason != EB_REASON_NONE) {
         return reason;
     }
-    int64_t timeout_us = request->pipeline->deadline_us;
-    int64_t requested_us = request->forward != NULL
-                               ? request->forward->call->timeout_us
-                               : submission->timeout_us;
-    if (requested_us > 0) {
-        timeout_us = MIN(timeout_us, requested_us);
-    }
-    request->deadline_us = now_us + timeout_us;
+    request->deadline_us =
+        now_us +
+        EbRequest_TimeLimit(request, request->forward != NULL
+                                         ? request->forward->call->timeout_us
+                                         : submission->timeout_us);
     set_identity(request, submission);
     bind_pools(request);
     if (request->forward != NULL) {
--- a/src/libebonyhollow/requests/dispatcher_stage.c
+++ b/src/libebonyhollow/requests/dispatcher_stage.c
@@ -103,26 +103,39 @@
         EbPool_PredictLatency(pool->pool, EbQueue_Count(pool->queue), now_us));
 }
 
-void
-EbRequest_Enqueue(EbRequest *request, int64_t now_us)
+EbReason
+EbRequest_CheckQueue(EbRequest *request, int64_t now_us)
 {
-    EbDispatcherPool *pool = request->pools[request->stage];
-    EbRequest_MarkTimerStale(request);
-    request->summary->state = EB_REQUEST_QUEUED;
+    const EbDispatcherPool *pool = request->pools[request->stage];
     if (EbRequest_IsEvacuated(request)) {
-        EbRequest_FailEvacuated(request, now_us);
-        return;
+        return EB_REASON_EVACUATED;
     }
     if (EbQueue_Count(pool->queue) >= pool->queue_max) {
         set_backlog_delay(request, pool, now_us);
-        EbRequest_Fail(request, EB_REASON_OVERLOADED, NULL, now_us);
-        return;
+        return EB_REASON_OVERLOADED;
     }
     int64_t delay_us =
         EbPool_LimitDelay(pool->pool, EbQueue_Count(pool->queue), now_us);
     if (delay_us >= request->deadline_us - now_us) {
         EbRequest_SetRetryAfter(request, delay_us);
-        EbRequest_Fail(request, EB_REASON_OVERLOADED, NULL, now_us);
+        return EB_REASON_OVERLOADED;
+    }
+    return EB_REASON_NONE;
+}
+
+void
+EbRequest_Enqueue(EbRequest *request, int64_t now_us)
+{
+    EbDispatcherPool *pool = request->pools[request->stage];
+    EbRequest_MarkTimerStale(request);
+    request->summary->state = EB_REQUEST_QUEUED;
+    EbReason reason = EbRequest_CheckQueue(request, now_us);
+    if (reason == EB_REASON_EVACUATED) {
+        EbRequest_FailEvacuated(request, now_us);
+        return;
+    }
+    if (reason != EB_REASON_NONE) {
+        EbRequest_Fail(request, reason, NULL, now_us);
         return;
     }
     bool plain = EbDispatcher_IsPlain(request->dispatcher);
@@ -194,21 +207,28 @@
         EB_INTEGER_FIELD("left_us", request->deadline_us - now_us));
 }
 
-/* Chooses a server. Prefers the one to which all daemons send requests whose
- * prompts begin alike, so that it has their common prefix cached. */
-static const EbConfigBackendServer *
-choose_for_forward(EbRequest *request, EbPoolCriteria *criteria,
-                   int64_t now_us)
+const EbConfigBackendServer *
+EbRequest_PreferAffine(const EbRequest *request, EbPoolCriteria *criteria,
+                       int64_t now_us)
 {
-    EbPool *pool = request->pools[request->stage]->pool;
+    const EbPool *pool = request->pools[request->stage]->pool;
     uint64_t key = EbForwardCall_PromptKey(request->forward->call);
     const EbConfigBackendServer *affine =
         key != 0 ? EbPool_ChooseAffine(pool, criteria, key, now_us) : NULL;
     if (affine != NULL) {
         criteria->preferred = affine->id;
     }
-    const EbConfigBackendServer *server =
-        EbPool_BeginCall(pool, criteria, now_us);
+    return affine;
+}
+
+static const EbConfigBackendServer *
+choose_for_forward(EbRequest *request, EbPoolCriteria *criteria,
+                   int64_t now_us)
+{
+    const EbConfigBackendServer *affine =
+        EbRequest_PreferAffine(request, criteria, now_us);
+    const EbConfigBackendServer *server = EbPool_BeginCall(
+        request->pools[request->stage]->pool, criteria, now_us);
     if (server != NULL) {
         report_choice(request, server, server == affine, now_us);
     }
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -258,6 +258,16 @@
     return dispatcher->options.policy == EB_POLICY_PLAIN;
 }
 
+/* Returns the time from the arrival of a request to its deadline.
+ *
+ * requested_us: the caller's time limit; 0: none */
+static inline int64_t
+EbRequest_TimeLimit(const EbRequest *request, int64_t requested_us)
+{
+    int64_t limit_us = request->pipeline->deadline_us;
+    return requested_us > 0 ? MIN(limit_us, requested_us) : limit_us;
+}
+
 static inline const EbConfigStage *
 EbRequest_Stage(const EbRequest *request)
 {
@@ -403,8 +413,13 @@
 EbForwardState *EbForwardState_New(EbForwardCall *call);
 void EbForwardState_Free(EbForwardState *state);
 
-/* Checks the pipeline and the customer of a forwarded request. Returns
- * EB_REASON_NONE or the reason to refuse it. */
+/* Checks the pipeline and the customer of a forwarded request, which are NULL
+ * where they were not found. Returns EB_REASON_NONE or the reason to refuse
+ * it. */
+EbReason EbRequest_CheckForward(const EbRequest *request);
+
+/* Finds the customer of a forwarded request and checks the request like
+ * EbRequest_CheckForward. */
 EbReason EbRequest_AuthorizeForward(EbRequest *request);
 
 /* Chooses the pool of a forwarded request at random by the weights of its
@@ -520,6 +535,16 @@
  * the request into the queue. */
 void EbRequest_StartStage(EbRequest *request, int64_t now_us);
 
+/* Returns why the queue of its stage's pool doesn't take the request now, or
+ * EB_REASON_NONE. Changes only the request's time to come back. */
+EbReason EbRequest_CheckQueue(EbRequest *request, int64_t now_us);
+
+/* Prefers the server to which all daemons send requests whose prompts begin
+ * alike, so that it has their common prefix cached. Returns it, or NULL. */
+const EbConfigBackendServer *EbRequest_PreferAffine(const EbRequest *request,
+                                                    EbPoolCriteria *criteria,
+                                                    int64_t now_us);
+
 /* Puts the request into the queue of its stage's pool. */
 void EbRequest_Enqueue(EbRequest *request, int64_t now_us);
 
@@ -576,6 +601,18 @@
 
 /* dispatcher_request.c */
 
+/* Returns why the customer may not use the pipeline, each of which is NULL if
+ * it was not found, or EB_REASON_NONE. */
+EbReason EbRequest_CheckCaller(const EbRequest *request);
+
+/* Returns the index of a stage's pool in the configuration. That of a
+ * forwarded request is drawn at random. */
+uint32_t EbRequest_ChoosePool(const EbRequest *request, uint32_t stage);
+
+/* Checks whether the request can probably pass all its stages before its
+ * deadline. Changes only the request's time to come back. */
+EbReason EbRequest_CheckFeasibility(EbRequest *request, int64_t now_us);
+
 /* Starts or refuses a request. Returns its id. */
 uint64_t EbRequest_Submit(EbDispatcher *dispatcher,
                           const EbSubmission *submission, int64_t now_us);
