admin_server: GET /v1/explain

Renders EbDispatcher_Explain as JSON, with the home of each stage. Viewers may ask. The home's function is public within the daemon; it is unchanged.

--- a/include/net/ebonyhollow/admin_server.h
+++ b/include/net/ebonyhollow/admin_server.h
@@ -54,6 +54,9 @@
     void (*call_store)(void *context, EbStoreOperation operation,
                        const char *kind, const char *name,
                        EbAdminStoreDone done, void *done_context);
+    /* Returns the daemon that batches the work items of a stage service now,
+     * a borrowed string. NULL: there are no such services. */
+    const char *(*stage_home)(void *context, const char *service);
     /* Schedules the actions that an API call queued in the modules. */
     void (*schedule_actions)(void *context);
     void *context;
--- a/include/net/ebonyhollow/caller_server.h
+++ b/include/net/ebonyhollow/caller_server.h
@@ -19,6 +19,9 @@
 struct event_base;
 struct EbClientGuard;
 
+/* Path of the requests to a pipeline, before its name. */
+#define EB_CALLER_PATH_PREFIX "/v1/pipelines/"
+
 typedef struct EbCallerServer EbCallerServer;
 
 typedef struct {
--- a/src/libebonyhollow_net/admin_server.c
+++ b/src/libebonyhollow_net/admin_server.c
@@ -250,6 +250,8 @@
      EbAdmin_ListCustomers},
     {EVHTTP_REQ_GET, "/v1/requests", false, ACCESS_VIEWER, false,
      EbAdmin_ListRequests},
+    {EVHTTP_REQ_GET, "/v1/explain", false, ACCESS_VIEWER, true,
+     EbAdmin_Explain},
     {EVHTTP_REQ_GET, "/v1/quarantine", false, ACCESS_VIEWER, false,
      EbAdmin_ListQuarantine},
     {EVHTTP_REQ_DELETE, "/v1/quarantine/", true, ACCESS_OPERATOR, false,
--- a/src/libebonyhollow_net/caller_server.c
+++ b/src/libebonyhollow_net/caller_server.c
@@ -15,7 +15,6 @@
 
 #include "http_server.h"
 
-#define PATH_PREFIX "/v1/pipelines/"
 #define REQUEST_ID_MAX_BYTES 64
 #define KEY_MAX_BYTES 255
 #define TRACEPARENT_MAX_BYTES 128
@@ -532,10 +531,12 @@
     const char *problem = check_request(request);
     size_t length =
         evbuffer_get_length(evhttp_request_get_input_buffer(request));
-    if (path == NULL || strncmp(path, PATH_PREFIX, strlen(PATH_PREFIX)) != 0 ||
-        path[strlen(PATH_PREFIX)] == '\0') {
+    if (path == NULL ||
+        strncmp(path, EB_CALLER_PATH_PREFIX, strlen(EB_CALLER_PATH_PREFIX)) !=
+            0 ||
+        path[strlen(EB_CALLER_PATH_PREFIX)] == '\0') {
         reject(server, request, request_id, EB_REASON_UNKNOWN_PIPELINE,
-               "the path must be " PATH_PREFIX "{pipeline}");
+               "the path must be " EB_CALLER_PATH_PREFIX "{pipeline}");
     }
     else if (problem != NULL) {
         reject(server, request, request_id, EB_REASON_BAD_REQUEST, problem);
@@ -549,7 +550,8 @@
                "the memory for clients is taken by requests in progress");
     }
     else {
-        char *pipeline = evhttp_uridecode(path + strlen(PATH_PREFIX), 0, NULL);
+        char *pipeline =
+            evhttp_uridecode(path + strlen(EB_CALLER_PATH_PREFIX), 0, NULL);
         submit_request(server, request, pipeline ? pipeline : "", request_id);
         free(pipeline);
     }
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -363,6 +363,12 @@
                        done_context);
 }
 
+static const char *
+stage_home(void *context, const char *service)
+{
+    return EbDaemon_FindHome(context, service, EbClock_Monotonic());
+}
+
 static bool
 create_servers(EbDaemon *daemon, EbError *error)
 {
@@ -391,24 +397,26 @@
         }
     }
     daemon->admin_server = EbAdminServer_New(
-        &(EbAdminServerOptions){.base = daemon->base,
-                                .settings = daemon->settings,
-                                .guard = daemon->client_guard,
-                                .events = daemon->events,
-                                .metrics = daemon->metrics,
-                                .dispatcher = daemon->dispatcher,
-                                .config_manager = daemon->config_manager,
-                                .membership = daemon->membership,
-                                .limiter = daemon->limiter,
-                                .quarantine = daemon->quarantine,
-                                .evacuations = daemon->evacuations,
-                                .platform = daemon->platform_client,
-                                .draining = is_draining,
-                                .drain_state = drain_state,
-                                .start_drain = EbDaemon_StartDrain,
-                                .call_store = call_store_for_admin,
-                                .schedule_actions = schedule_actions,
-                                .context = daemon},
+        &(EbAdminServerOptions){
+            .base = daemon->base,
+            .settings = daemon->settings,
+            .guard = daemon->client_guard,
+            .events = daemon->events,
+            .metrics = daemon->metrics,
+            .dispatcher = daemon->dispatcher,
+            .config_manager = daemon->config_manager,
+            .membership = daemon->membership,
+            .limiter = daemon->limiter,
+            .quarantine = daemon->quarantine,
+            .evacuations = daemon->evacuations,
+            .platform = daemon->platform_client,
+            .draining = is_draining,
+            .drain_state = drain_state,
+            .start_drain = EbDaemon_StartDrain,
+            .call_store = call_store_for_admin,
+            .stage_home = daemon->adapter != NULL ? stage_home : NULL,
+            .schedule_actions = schedule_actions,
+            .context = daemon},
         error);
     return daemon->admin_server != NULL;
 }
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -245,12 +245,12 @@
            is_eligible_home(daemon, view->instance, now_us);
 }
 
-/* Returns the home of a service, the daemon that batches its work items. It is
- * chosen by rendezvous hashing (Thaler, Ravishankar 1998) among the eligible
- * daemons that have at least half of the largest capacity. If there are none,
- * this daemon is the home. A daemon that is shutting down has no capacity. */
-static const char *
-find_home(const EbDaemon *daemon, const char *service, int64_t now_us)
+/* The home is chosen by rendezvous hashing (Thaler, Ravishankar 1998) among
+ * the eligible daemons that have at least half of the largest capacity. If
+ * there are none, this daemon is the home. A daemon that is shutting down has
+ * no capacity. */
+const char *
+EbDaemon_FindHome(const EbDaemon *daemon, const char *service, int64_t now_us)
 {
     const char *home = daemon->settings->instance;
     uint64_t seed = XXH64(service, strlen(service), 0);
@@ -317,7 +317,7 @@
 place_job(EbDaemon *daemon, EbPlacedPreparation *job, int64_t now_us)
 {
     EbPlacedPreparation_SetHome(
-        job, find_home(daemon, job->spec.service, now_us), now_us);
+        job, EbDaemon_FindHome(daemon, job->spec.service, now_us), now_us);
     if (!is_own_instance(daemon, job->home) &&
         !send_prepare(daemon, job, now_us)) {
         EbPlacedPreparation_SetHome(job, daemon->settings->instance, now_us);
--- a/src/libebonyhollow_net/private/admin_internal.h
+++ b/src/libebonyhollow_net/private/admin_internal.h
@@ -74,6 +74,9 @@
 void EbAdmin_ListQuarantine(const EbAdminCall *call);
 void EbAdmin_GetOutcome(const EbAdminCall *call);
 
+/* Handler of the explanation of a request: admin_explain.c */
+void EbAdmin_Explain(const EbAdminCall *call);
+
 /* Handlers of the configuration: admin_config.c */
 void EbAdmin_GetConfig(const EbAdminCall *call);
 void EbAdmin_GetMergedConfig(const EbAdminCall *call);
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -340,6 +340,11 @@
 bool EbDaemon_CreateForward(EbDaemon *daemon, EbError *error);
 void EbDaemon_FreeForward(EbDaemon *daemon);
 
+/* Returns the home of a service, the daemon that batches its work items; valid
+ * until the membership changes. */
+const char *EbDaemon_FindHome(const EbDaemon *daemon, const char *service,
+                              int64_t now_us);
+
 /* Each of these performs the action of the same name. */
 void EbDaemon_SendForward(EbDaemon *daemon, const EbSendAttempt *send);
 void EbDaemon_SendBatch(EbDaemon *daemon, const EbSendBatch *send);
