--- a/src/ebonyhollow/command.c
+++ b/src/ebonyhollow/command.c
@@ -44,6 +44,11 @@
      "list customers, contracts and shares"},
     {"requests", NULL, "[--id ID]", 0, 0, EB_OPTION_ID, EbCommand_Requests,
      "list live and recent requests, or show one with its trace"},
+    {"explain", NULL,
+     "--host HOST --path PATH [--customer ID] [--tokens IN,OUT] "
+     "[--items N,...] [--parts ID,...] [--json]",
+     0, 0, EB_OPTION_EXPLAIN, EbCommand_Explain,
+     "show where a request would go now and why, without sending it"},
     {"quarantine", "list", "", 0, 0, 0, EbCommand_QuarantineList,
      "list suspected and quarantined fingerprints"},
     {"quarantine", "release", "FINGERPRINT", 1, 1, 0,
@@ -83,7 +88,10 @@
     OPTION_BODY,
     OPTION_KEY,
     OPTION_STREAM,
-    OPTION_TIMEOUT_MS
+    OPTION_TIMEOUT_MS,
+    OPTION_JSON,
+    /* The options of explain, in the order of EbExplainOption. */
+    OPTION_EXPLAIN
 };
 
 static const struct {
@@ -109,6 +117,20 @@
     {{"stream", no_argument, NULL, OPTION_STREAM}, EB_OPTION_SUBMIT},
     {{"timeout-ms", required_argument, NULL, OPTION_TIMEOUT_MS},
      EB_OPTION_SUBMIT},
+    {{"json", no_argument, NULL, OPTION_JSON}, EB_OPTION_EXPLAIN},
+    {{"host", required_argument, NULL, OPTION_EXPLAIN + EB_EXPLAIN_HOST},
+     EB_OPTION_EXPLAIN},
+    {{"path", required_argument, NULL, OPTION_EXPLAIN + EB_EXPLAIN_PATH},
+     EB_OPTION_EXPLAIN},
+    {{"customer", required_argument, NULL,
+      OPTION_EXPLAIN + EB_EXPLAIN_CUSTOMER},
+     EB_OPTION_EXPLAIN},
+    {{"tokens", required_argument, NULL, OPTION_EXPLAIN + EB_EXPLAIN_TOKENS},
+     EB_OPTION_EXPLAIN},
+    {{"items", required_argument, NULL, OPTION_EXPLAIN + EB_EXPLAIN_ITEMS},
+     EB_OPTION_EXPLAIN},
+    {{"parts", required_argument, NULL, OPTION_EXPLAIN + EB_EXPLAIN_PARTS},
+     EB_OPTION_EXPLAIN},
 };
 
 void
@@ -255,7 +277,14 @@
     case OPTION_STREAM:
         invocation->stream = true;
         return true;
+    case OPTION_JSON:
+        invocation->json = true;
+        return true;
     default:
+        if (option >= OPTION_EXPLAIN) {
+            invocation->explain[option - OPTION_EXPLAIN] = argument;
+            return true;
+        }
         return set_checked_option(invocation, option, argument);
     }
 }
--- a/src/ebonyhollow/private/command.h
+++ b/src/ebonyhollow/private/command.h
@@ -32,6 +32,17 @@
 #define EB_COMMAND_MAX_PEERS 64
 #define EB_COMMAND_TOKEN_MAX_BYTES 4096
 
+/* What `explain` asks about. */
+typedef enum {
+    EB_EXPLAIN_HOST,
+    EB_EXPLAIN_PATH,
+    EB_EXPLAIN_CUSTOMER,
+    EB_EXPLAIN_TOKENS,
+    EB_EXPLAIN_ITEMS,
+    EB_EXPLAIN_PARTS,
+    EB_EXPLAIN_COUNT
+} EbExplainOption;
+
 struct EbCommand;
 
 /* One run of the command. The strings are borrowed from the argument vector,
@@ -56,6 +67,7 @@
     const char *key;
     bool stream;
     int64_t caller_timeout_ms; /* --timeout-ms; 0: the pipeline's deadline */
+    const char *explain[EB_EXPLAIN_COUNT]; /* NULL: not given */
     bool help;
     bool version;
     char *token; /* NULL until it is read; wiped at the end */
@@ -87,8 +99,9 @@
 #define EB_OPTION_MERGED 1U
 #define EB_OPTION_WAIT_COUNT 2U /* --wait N and --peer */
 #define EB_OPTION_ID 4U
-#define EB_OPTION_WAIT 8U    /* --wait without an argument */
-#define EB_OPTION_SUBMIT 16U /* the options of submit */
+#define EB_OPTION_WAIT 8U     /* --wait without an argument */
+#define EB_OPTION_SUBMIT 16U  /* the options of submit */
+#define EB_OPTION_EXPLAIN 32U /* the options of explain */
 
 extern const EbCommand EbCommand_table[];
 extern const size_t EbCommand_count;
@@ -126,6 +139,7 @@
 EbExit EbCommand_Peers(EbInvocation *invocation);
 EbExit EbCommand_Customers(EbInvocation *invocation);
 EbExit EbCommand_Requests(EbInvocation *invocation);
+EbExit EbCommand_Explain(EbInvocation *invocation);
 EbExit EbCommand_QuarantineList(EbInvocation *invocation);
 EbExit EbCommand_QuarantineRelease(EbInvocation *invocation);
 EbExit EbCommand_Drain(EbInvocation *invocation);
--- a/src/test_command/main.c
+++ b/src/test_command/main.c
@@ -276,6 +276,17 @@
         {"requests --id r1 --output json",
          REPEAT(OK("{\"requests\":[{\"id\":\"r1\",\"trace\":[]}]}")), 0,
          "{\"id\": \"r1\"", "", ""},
+        {"explain --host n --path /a+n --items 1,2",
+         REPEAT(OK("{\"admission\":\"waits\",\"stages\":[{\"stage\":0,"
+                   "\"after\":[1,2],\"home\":\"i-2\"}],\"servers\":[{\"id\":"
+                   "\"g-1\",\"against\":[\"ejected\",\"no-free-slot\"]}]}")),
+         0, "ejected,no-free-slot", "",
+         "GET /v1/explain?host=n&path=%2Fa%20n&items=1%2C2"},
+        {"explain --host h --path / --json",
+         REPEAT(OK("{\"choice\":\"g-1\"}")), 0, "{\"choice\": \"g-1\"}", "",
+         ""},
+        {"explain --host h --path /", REPEAT(STATUS(400, "{}")), 2, "", "",
+         ""},
         {"quarantine", REPEAT(OK("{\"quarantine\":[]}")), 0, "FINGERPRINT", "",
          "GET /v1/quarantine"},
         {"quarantine release 00ff", REPEAT(OK("")), 0, "released", "",
--- a/test/process/test_daemon.sh
+++ b/test/process/test_daemon.sh
@@ -42,6 +42,29 @@
 eb_check "an address in use ends the start" \
     exits_with 1 "$daemon" --config "$settings"
 
+echo "== explain answers without sending anything"
+records() { curl -fsS "http://$eb_control/records" | jq -S .; }
+explained() { # jq filter
+    eb_command recife 1 explain --host h --customer vinil-boa-viagem --json \
+        --path "/v1/pipelines/$1" >"$eb_work/explain.json" &&
+        jq -e "$2" "$eb_work/explain.json" >/dev/null ||
+        { cat "$eb_work/explain.json"; return 1; }
+}
+records >"$eb_work/records.before"
+eb_check "a request would go to a server" explained catalogue-question \
+    '.admission == "goes" and .choice != null
+     and (.servers | map(select(.chosen)) | length) == 1
+     and (.stages | length) >= 3
+     and all(.stages[]; .home == "capas-recife-1")'
+eb_check "a request with a key would claim it first" explained reorder-note \
+    '.admission == "waits" and .waits_for == "claim"'
+eb_check "an unknown pipeline is refused" explained none \
+    '.admission == "refused" and .reason == "unknown-pipeline"'
+eb_check "no backend server was called" \
+    cmp "$eb_work/records.before" <(records)
+eb_check "the daemon counted no request" [ "$(eb_command recife 1 status \
+    --output json | jq '[.attainment.requests[], .stages[]] | length')" = 0 ]
+
 draining() {
     curl -s "http://$(eb_address recife 1 admin)/readyz" | grep -q draining
 }
