daemon: SIGHUP reads the settings file again

Cause: SIGHUP only wrote a log line; every changed setting, also the log level, needed a restart, and nothing said that a changed file was invalid.

Change: log_level, balancer_delay_ms and drain_limit_ms are taken over at once. settings-reloaded names them, and in 'restart' every other setting that differs from the running one. An invalid file changes nothing; settings-refused gives its cause. The others stay for a restart, since limits of memory and descriptors, addresses and identities are given to modules when they are created.

--- a/include/configuration/ebonyhollow/settings.h
+++ b/include/configuration/ebonyhollow/settings.h
@@ -94,6 +94,21 @@
 /* Overwrites the secrets and frees the settings. Accepts NULL. */
 void EbSettings_Free(EbSettings *settings);
 
+/* Names of settings, separated by spaces. */
+typedef struct {
+    char *applied; /* taken over */
+    char *restart; /* differ too, but need a restart */
+} EbSettingsChange;
+
+/* Takes over from `newer` those settings that a running process can change:
+ * log_level, balancer_delay_ms and drain_limit_ms. The others keep their
+ * values. Sets `change`, to be cleared with EbSettingsChange_Clear, to the
+ * names of the settings that differed. */
+void EbSettings_TakeOver(EbSettings *settings, const EbSettings *newer,
+                         EbSettingsChange *change);
+
+void EbSettingsChange_Clear(EbSettingsChange *change);
+
 /* The field table; public for the documentation test. */
 extern const EbSchemaField EbSettings_fields[];
 extern const size_t EbSettings_field_count;
--- a/include/net/ebonyhollow/daemon.h
+++ b/include/net/ebonyhollow/daemon.h
@@ -32,7 +32,7 @@
 /* Binds the listeners and starts every module. Ignores SIGPIPE in the whole
  * process.
  *
- * settings: must outlive the daemon.
+ * settings: must outlive the daemon. Only EbDaemonReload changes them.
  * adapter: translates the protocols of the deployment's platform and must
  *     outlive the daemon. NULL selects those of docs/protocols.md and
  *     docs/api.md.
@@ -42,6 +42,19 @@
 EbDaemon *EbDaemon_New(const EbSettings *settings,
                        const EbPlatformAdapter *adapter, EbError *error);
 
+/* How SIGHUP reads the settings again. */
+typedef struct {
+    EbSettings *settings; /* those of the daemon, to be changed */
+    /* Returns the settings as they are now, to be freed with EbSettings_Free,
+     * or NULL with `error` set. */
+    EbSettings *(*load)(void *context, EbError *error);
+    void *context;
+} EbDaemonReload;
+
+/* Makes SIGHUP read the settings again; otherwise it only writes a log line.
+ * `reload` is copied. To be called before EbDaemon_Run. */
+void EbDaemon_SetReload(EbDaemon *daemon, const EbDaemonReload *reload);
+
 /* Closes all connections immediately, without a graceful shutdown, and frees
  * the daemon. Accepts NULL. */
 void EbDaemon_Free(EbDaemon *daemon);
--- a/include/share/ebonyhollow/event_table.h
+++ b/include/share/ebonyhollow/event_table.h
@@ -28,8 +28,16 @@
       "suppressed_event,count",                                               \
       "Look the event up here and at ebonyhollow_events_suppressed_total.")   \
     X(RELOAD_REQUESTED, 104, "reload-requested", EB_LEVEL_NOTICE,             \
-      "SIGHUP was received. Settings are read only when a process starts.",   \
-      "instance", "Restart the daemon to apply changed settings.")            \
+      "SIGHUP was received. The settings file is read again.", "instance",    \
+      "None. settings-reloaded or settings-refused follows.")                 \
+    X(SETTINGS_RELOADED, 105, "settings-reloaded", EB_LEVEL_NOTICE,           \
+      "The settings file was read again. applied names the settings that "    \
+      "changed and are in force, restart those that changed and are not.",    \
+      "applied,restart", "Restart the daemon if restart names any setting.")  \
+    X(SETTINGS_REFUSED, 106, "settings-refused", EB_LEVEL_ERROR,              \
+      "The settings file that was read again is invalid. The daemon keeps "   \
+      "all settings that it runs with.",                                      \
+      "cause", "Correct the file; the daemon would not start with it.")       \
     X(REQUEST_FINISHED, 200, "request-finished", EB_LEVEL_INFO,               \
       "A request was answered, or its caller disconnected. generation is "    \
       "that of the configuration it was handled under, sent the number of "   \
--- a/src/ebonyhollowd/main.c
+++ b/src/ebonyhollowd/main.c
@@ -52,6 +52,7 @@
     "  --version          print the version and exit\n"
     "  --help             print this text and exit\n"
     "\n"
+    "SIGHUP reads the settings again; a log line says which need a restart.\n"
     "SIGTERM or SIGINT starts a graceful shutdown. A second signal ends the\n"
     "requests that still run.\n"
     "\n"
@@ -102,6 +103,12 @@
             return false;
         }
     }
+    if (arguments->log_level != NULL &&
+        EbLevel_Parse(arguments->log_level) == EB_LEVEL_COUNT) {
+        fprintf(stderr, "ebonyhollowd: unknown log level '%s'\n",
+                arguments->log_level);
+        return false;
+    }
     if (arguments->settings_path == NULL && !arguments->version &&
         !arguments->help) {
         fprintf(stderr, "ebonyhollowd: --config or --platform is required\n");
@@ -118,40 +125,36 @@
     fprintf(stderr, "ebonyhollowd: %s\n", text);
 }
 
+/* Reads the settings file, at the start and for a reload. The level of the
+ * command line overrides the file's each time. */
 static EbSettings *
-load_settings(const Arguments *arguments)
+load_settings(void *context, EbError *error)
 {
-    EbError error = {0};
+    const Arguments *arguments = context;
     EbSettings *settings =
         arguments->platform
-            ? EbPlatform_LoadSettings(arguments->settings_path, &error)
-            : EbSettings_Load(arguments->settings_path, &error);
-    if (settings == NULL) {
-        print_error(&error);
-        return NULL;
-    }
-    if (arguments->log_level != NULL) {
-        EbLevel level = EbLevel_Parse(arguments->log_level);
-        if (level == EB_LEVEL_COUNT) {
-            fprintf(stderr, "ebonyhollowd: unknown log level '%s'\n",
-                    arguments->log_level);
-            EbSettings_Free(settings);
-            return NULL;
-        }
-        settings->log_level = level;
+            ? EbPlatform_LoadSettings(arguments->settings_path, error)
+            : EbSettings_Load(arguments->settings_path, error);
+    if (settings != NULL && arguments->log_level != NULL) {
+        settings->log_level = EbLevel_Parse(arguments->log_level);
     }
     return settings;
 }
 
 static EbExitStatus
-serve(const EbSettings *settings, const EbPlatformAdapter *adapter)
+serve(EbSettings *settings, Arguments *arguments)
 {
+    const EbPlatformAdapter *adapter =
+        arguments->platform ? &EbPlatform_adapter : NULL;
     EbError error = {0};
     EbDaemon *daemon = EbDaemon_New(settings, adapter, &error);
     if (daemon == NULL) {
         print_error(&error);
         return EB_EXIT_FAILURE;
     }
+    EbDaemon_SetReload(daemon, &(EbDaemonReload){.settings = settings,
+                                                 .load = load_settings,
+                                                 .context = arguments});
     EbExitStatus status = EbDaemon_Run(daemon);
     EbDaemon_Free(daemon);
     return status;
@@ -175,8 +178,10 @@
         puts("ebonyhollowd " EB_DAEMON_VERSION);
         return EB_EXIT_OK;
     }
-    EbSettings *settings = load_settings(&arguments);
+    EbError error = {0};
+    EbSettings *settings = load_settings(&arguments, &error);
     if (settings == NULL) {
+        print_error(&error);
         return EB_EXIT_USAGE;
     }
     EbExitStatus status = EB_EXIT_OK;
@@ -184,8 +189,7 @@
         printf("%s: valid\n", arguments.settings_path);
     }
     else {
-        status =
-            serve(settings, arguments.platform ? &EbPlatform_adapter : NULL);
+        status = serve(settings, &arguments);
     }
     EbSettings_Free(settings);
     return status;
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -474,6 +474,12 @@
     return daemon;
 }
 
+void
+EbDaemon_SetReload(EbDaemon *daemon, const EbDaemonReload *reload)
+{
+    daemon->reload = *reload;
+}
+
 EbExitStatus
 EbDaemon_Run(EbDaemon *daemon)
 {
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -90,6 +90,7 @@
 
 struct EbDaemon {
     const EbSettings *settings;
+    EbDaemonReload reload;
     /* NULL: the protocols of docs/protocols.md and docs/api.md are used. */
     const EbPlatformAdapter *adapter;
     uint64_t incarnation;
--- a/src/test_settings/main.c
+++ b/src/test_settings/main.c
@@ -14,6 +14,8 @@
 #include "test_runner.h"
 
 #define TABLE_COUNT(table) (sizeof(table) / sizeof((table)[0]))
+#define KEY_2                                                                 \
+    "1123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
 #define KEY "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
 
 static const char valid_settings[] =
@@ -215,6 +217,53 @@
     CU_ASSERT_TRUE(accepted > 0 && accepted < 6000);
 }
 
+/* Guards against a changed setting that a reload neither puts into force nor
+ * names, and against one that is changed under a running process. */
+static void
+test_take_over(void)
+{
+    static const struct {
+        const char *patch, *applied, *restart;
+    } rows[] = {
+        {"{}", "", ""},
+        {"{\"log_level\": \"debug\"}", "log_level", ""},
+        {"{\"drain_limit_ms\": 5, \"balancer_delay_ms\": 6}",
+         "balancer_delay_ms drain_limit_ms", ""},
+        {"{\"instance\": \"i-2\", \"log_level\": \"error\"}", "log_level",
+         "instance"},
+        {"{\"caller\": {\"port\": 90}}", "", "caller.port"},
+        {"{\"admin\": {\"host\": \"127.0.0.2\"}}", "", "admin.host"},
+        {"{\"seeds\": []}", "", "seeds"},
+        {"{\"seeds\": [{\"host\": \"10.0.0.2\", \"port\": 83}]}", "", "seeds"},
+        {"{\"peer_key\": \"" KEY_2 "\"}", "", "peer_key"},
+        {"{\"platform_token\": \"t\"}", "", "platform_token"},
+        {"{\"bootstrap_token_digest\": \"" KEY "\"}", "",
+         "bootstrap_token_digest"},
+        {"{\"evacuations\": true, \"policy\": \"plain\"}", "",
+         "evacuations policy"},
+        {"{\"server_speeds\": \"shared\"}", "", "server_speeds"},
+        {"{\"store_silence_ms\": 5000, \"max_requests\": 7}", "",
+         "store_silence_ms max_requests"},
+    };
+    for (size_t i = 0; i < TABLE_COUNT(rows); i++) {
+        EbError error;
+        EbSettings *settings = parse_patched("{}", &error);
+        EbSettings *newer = parse_patched(rows[i].patch, &error);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(newer);
+        EbSettingsChange change;
+        EbSettings_TakeOver(settings, newer, &change);
+        CU_ASSERT_STRING_EQUAL(change.applied, rows[i].applied);
+        CU_ASSERT_STRING_EQUAL(change.restart, rows[i].restart);
+        CU_ASSERT_EQUAL(settings->log_level, newer->log_level);
+        CU_ASSERT_EQUAL(settings->drain_limit_us, newer->drain_limit_us);
+        CU_ASSERT_STRING_EQUAL(settings->instance, "i-1");
+        CU_ASSERT_EQUAL(settings->caller.port, 80);
+        EbSettingsChange_Clear(&change);
+        EbSettings_Free(newer);
+        EbSettings_Free(settings);
+    }
+}
+
 /* Guards against documentation that differs from the field table, and against
  * a manual page that lacks a field. */
 static void
@@ -233,6 +282,7 @@
         {"secret files", test_secret_files},
         {"syntax error hides secret", test_syntax_error_hides_secret},
         {"malformed text", test_malformed_text},
+        {"take over", test_take_over},
         {"documentation", test_documentation},
     };
     return EbTest_Run("test_settings", cases, TABLE_COUNT(cases));
--- a/test/process/test_daemon.sh
+++ b/test/process/test_daemon.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Guards against wrong exit statuses and messages of the daemon's command line,
 # requests that are cut by a graceful shutdown, a second signal that does not
-# end the wait, and a signal during the start that ends the process.
+# end the wait, a signal during the start that ends the process, and settings
+# that a reload ignores without a word.
 #
 # Usage: test_daemon.sh BUILD-DIRECTORY
 set -uo pipefail
@@ -42,6 +43,26 @@
 eb_check "an address in use ends the start" \
     exits_with 1 "$daemon" --config "$settings"
 
+echo "== SIGHUP reads the settings again"
+log=$eb_work/recife-1.log
+logged() { # number of lines, pattern
+    [ "$(grep -cE "$2" "$log")" -ge "$1" ]
+}
+cp "$settings" "$eb_work/settings.json"
+jq '.log_level = "debug" | .max_requests = 99' "$eb_work/settings.json" \
+    >"$settings"
+kill -HUP "$(eb_pid recife 1)"
+eb_check "the level is in force, the other setting is named" eb_wait 50 logged \
+    1 'settings-reloaded.*"applied":"log_level","restart":"max_requests"'
+echo '{' >"$settings"
+kill -HUP "$(eb_pid recife 1)"
+eb_check "an invalid file is refused with its cause" \
+    eb_wait 50 logged 1 'settings-refused.*"cause":".*recife-1.json'
+cp "$eb_work/settings.json" "$settings"
+kill -HUP "$(eb_pid recife 1)"
+eb_check "a later valid file is in force" eb_wait 50 logged 1 \
+    'settings-reloaded.*"applied":"log_level","restart":""'
+
 draining() {
     curl -s "http://$(eb_address recife 1 admin)/readyz" | grep -q draining
 }
