client guard: relief runs after the callback that exceeded the limit

Cause: relief was an event like all others, so it ran at the end of an iteration, after every connection had been read once more. With 200 connections of the shortest fields, 4 KB of each take 28 times as much: 22 MB over the limit.

Change: the event loop has two priorities; the relief has the higher one and runs before the next callback, still never within a read.

--- a/src/libebonyhollow_net/client_guard.c
+++ b/src/libebonyhollow_net/client_guard.c
@@ -31,6 +31,7 @@
         .max_bytes =
             options->max_bytes > 0 ? options->max_bytes : DEFAULT_MAX_BYTES});
     guard->relieve_event = event_new(options->base, -1, 0, on_relieve, guard);
+    event_priority_set(guard->relieve_event, 0);
     return guard;
 }
 
--- a/src/libebonyhollow_net/private/socket.h
+++ b/src/libebonyhollow_net/private/socket.h
@@ -9,7 +9,8 @@
 
 /* Creates an event loop whose timers are accurate to the millisecond. By
  * default libevent reads a coarse clock that advances every 4 ms on common
- * kernels, which is longer than a fast stage takes. */
+ * kernels, which is longer than a fast stage takes. Events have the lower of
+ * two priorities; those with priority 0 run before all others. */
 struct event_base *EbSocket_NewEventBase(void);
 
 /* Fills in the socket address for an IP address and a port.
--- a/src/libebonyhollow_net/socket.c
+++ b/src/libebonyhollow_net/socket.c
@@ -13,6 +13,8 @@
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 2
 #define USER_TIMEOUT_MS 1000
+/* Events have the lower one unless it is set; see EbClientGuard. */
+#define EVENT_PRIORITIES 2
 
 struct event_base *
 EbSocket_NewEventBase(void)
@@ -23,6 +25,7 @@
     struct event_base *base = event_base_new_with_config(config);
     event_config_free(config);
     assert(base != NULL);
+    event_base_priority_init(base, EVENT_PRIORITIES);
     return base;
 }
 
