forward server: an answer counts as a whole until it is sent

Cause: the body of an answer is referenced by the output and freed after its last byte, but only its unsent bytes were counted, so 4 MiB of which 100 KB were unsent counted as 100 KB. libevent frees the output of a closed connection at the end of the iteration only.

Change: bodies count until all output is sent; the next request of the connection is read while they are below max_buffer_bytes; output is dropped when a connection is closed.

--- a/src/libebonyhollow_net/forward_server.c
+++ b/src/libebonyhollow_net/forward_server.c
@@ -56,6 +56,7 @@
     int64_t begin_us;       /* of the message being read */
     size_t head_held_bytes; /* of `message` while its body is read */
     size_t running_bytes;   /* of the running request and its copies */
+    size_t answer_bytes;    /* of answers, kept until all output is sent */
     EbHttpReader *reader;
     EbHttpMessage *message;    /* being read */
     bool used;                 /* a request came on it */
@@ -85,11 +86,22 @@
 static void read_requests(Connection *connection);
 static EbHttpReader *new_reader(Connection *connection);
 
+/* libevent frees a bufferevent and its output at the end of the iteration
+ * only; answers are freed at once. */
+static void
+drop_output(struct bufferevent *bufev)
+{
+    struct evbuffer *output = bufferevent_get_output(bufev);
+    evbuffer_unfreeze(output, 1);
+    evbuffer_drain(output, evbuffer_get_length(output));
+}
+
 static void
 free_connection(gpointer data)
 {
     Connection *connection = data;
     EbIntake_Close(connection->account);
+    drop_output(connection->bufev);
     bufferevent_free(connection->bufev);
     EbHttpReader_Free(connection->reader);
     EbHttpMessage_Unref(connection->message);
@@ -121,6 +133,7 @@
 static void
 write_response(Connection *connection, const EbHttpMessage *response)
 {
+    connection->answer_bytes += response->body_bytes;
     EbForwardResponse_Write(bufferevent_get_output(connection->bufev),
                             response, closes_after_response(connection));
 }
@@ -131,6 +144,18 @@
     return evbuffer_get_length(bufferevent_get_output(connection->bufev));
 }
 
+/* Returns what the unsent output takes: an answer whose body is referenced is
+ * held as a whole until its last byte is sent. */
+static size_t
+output_bytes(Connection *connection)
+{
+    size_t unsent = unsent_bytes(connection);
+    if (unsent == 0) {
+        connection->answer_bytes = 0;
+    }
+    return MAX(unsent, connection->answer_bytes);
+}
+
 /* Sets the time-out of what the connection waits for. */
 static void
 set_wait(Connection *connection, Wait wait)
@@ -165,7 +190,8 @@
         connection->message != NULL
             ? connection->head_held_bytes + connection->message->body_bytes
             : 0;
-    size_t bytes = input + output + message + connection->running_bytes;
+    size_t bytes =
+        input + output_bytes(connection) + message + connection->running_bytes;
     if (reading && message == 0) {
         bytes += EbHttpReader_HeldBytes(connection->reader);
     }
@@ -457,15 +483,14 @@
     }
 }
 
-/* Reads while no request is running and at most max_buffer_bytes of earlier
- * answers are unsent. The connection may be freed when this function returns.
- */
+/* Reads while no request is running and at most max_buffer_bytes are held of
+ * earlier answers. The connection may be freed when this function returns. */
 static void
 read_requests(Connection *connection)
 {
     struct evbuffer *input = bufferevent_get_input(connection->bufev);
     while (connection->request == 0 && !connection->closing &&
-           unsent_bytes(connection) <=
+           output_bytes(connection) <=
                connection->server->options.settings->max_buffer_bytes &&
            evbuffer_get_length(input) > 0) {
         if (!feed_reader(connection)) {
