http server: chains and the size of reads are as they were; tests

Cause: gave as a cause that evhttp keeps the chain of each read, so that bodies take twice what is counted. That holds for evbuffer_remove_buffer after each read, which evhttp doesn't do: it leaves a body or a chunk in the input until it is whole, and the chains there are filled.

Change: the count of chains and READ_BYTES are taken out. Tests: an ended connection leaves no bytes in the account and no entry; an answer of 16 MiB, partly unsent, counts as a whole (the assertion was not run against the former code).

--- a/src/libebonyhollow_net/http_server.c
+++ b/src/libebonyhollow_net/http_server.c
@@ -25,13 +25,6 @@
 /* Memory that evhttp takes for each byte of a header section that consists of
  * the shortest fields: three allocations for each of them. */
 #define HEADER_COST_FACTOR 28
-/* A chain of an evbuffer takes a power of two. */
-#define SMALLEST_CHAIN_BYTES 1024
-#define CHAIN_HEADER_BYTES 48
-/* Bytes that one read takes. evhttp keeps the chain that each read fills, and
- * libevent rounds a chain with its header up to a power of two: 4096 bytes at
- * a time, its default, are kept in 8192. */
-#define READ_BYTES 4000
 /* A request in progress is kept as it was read, in one piece, and parsed. */
 #define RUNNING_COPIES 3
 
@@ -51,7 +44,6 @@
     struct evbuffer_cb_entry *input_callback;
     struct evbuffer_cb_entry *output_callback;
     size_t received_bytes; /* of the request being read or answered */
-    size_t chain_bytes;    /* memory of the chains that they came in */
 } Connection;
 
 struct EbHttpServer {
@@ -111,9 +103,9 @@
     size_t received = connection->received_bytes;
     size_t unsent =
         evbuffer_get_length(bufferevent_get_output(connection->bufev));
-    uint64_t bytes = connection->chain_bytes +
-                     HEADER_COST_FACTOR *
-                         (uint64_t)MIN(received, options->max_header_bytes);
+    uint64_t bytes =
+        received + HEADER_COST_FACTOR *
+                       (uint64_t)MIN(received, options->max_header_bytes);
     EbIntakePhase phase = connection->busy ? EB_INTAKE_RUNNING
                           : unsent > 0     ? EB_INTAKE_ANSWERING
                           : received > 0   ? EB_INTAKE_READING
@@ -125,19 +117,6 @@
                          bytes + unsent);
 }
 
-/* Returns the memory of a new chain of an evbuffer that holds `byte_count`
- * bytes. evhttp keeps it as it is, so a body that comes in single bytes takes
- * the smallest chain for each of them. */
-static size_t
-chain_size(size_t byte_count)
-{
-    size_t size = SMALLEST_CHAIN_BYTES;
-    while (size < byte_count + CHAIN_HEADER_BYTES) {
-        size *= 2;
-    }
-    return size;
-}
-
 static void
 on_input_changed(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
                  void *context)
@@ -146,8 +125,6 @@
     Connection *connection = context;
     if (info->n_added > 0) {
         connection->received_bytes += info->n_added;
-        connection->chain_bytes +=
-            info->orig_size > 0 ? info->n_added : chain_size(info->n_added);
         update(connection);
     }
 }
@@ -214,7 +191,6 @@
         return;
     }
     connection->bufev = bufev;
-    bufferevent_set_max_single_read(bufev, READ_BYTES);
     connection->account = EbIntake_Open(
         EbClientGuard_Intake(server->options.guard),
         &(EbIntakeClient){
@@ -398,7 +374,6 @@
         connection->busy = false;
         connection->received_bytes = evbuffer_get_length(
             bufferevent_get_input(evhttp_connection_get_bufferevent(evcon)));
-        connection->chain_bytes = connection->received_bytes;
         update(connection);
         connection->deadline_us =
             EbClock_Monotonic() + server->options.header_timeout_us;
--- a/src/test_caller_server/main.c
+++ b/src/test_caller_server/main.c
@@ -6,16 +6,19 @@
 #include <event2/event.h>
 #include <glib.h>
 
+#include "client_guard.h"
 #include "ebonyhollow/caller_server.h"
 #include "net_fixture.h"
 #include "test_runner.h"
 
 #define IDLE_CONNECTIONS 1000
 #define MAX_CONNECTIONS 1200
+#define GUARD_BYTES 100000
 
 typedef struct {
     struct event_base *base;
     EbSettings settings;
+    EbClientGuard *guard;
     EbCallerServer *server;
     uint64_t last_handle;
     unsigned submitted, gone, pauses, resumes;
@@ -80,10 +83,13 @@
                                      .max_connections = MAX_CONNECTIONS,
                                      .max_buffer_bytes = 65536,
                                      .header_timeout_us = 500000};
+    fixture->guard = EbClientGuard_New(&(EbClientGuardOptions){
+        .base = fixture->base, .max_bytes = GUARD_BYTES});
     EbError error = {0};
     fixture->server = EbCallerServer_New(
         &(EbCallerServerOptions){.base = fixture->base,
                                  .settings = &fixture->settings,
+                                 .guard = fixture->guard,
                                  .submit = on_submit,
                                  .caller_gone = on_caller_gone,
                                  .flow_control = on_flow_control,
@@ -96,6 +102,7 @@
 close_fixture(Fixture *fixture)
 {
     EbCallerServer_Free(fixture->server);
+    EbClientGuard_Free(fixture->guard);
     event_base_free(fixture->base);
 }
 
@@ -577,6 +584,27 @@
     close_fixture(&fixture);
 }
 
+/* Guards against a connection that evhttp goes on reading, and keeps, after it
+ * was ended for want of memory. */
+static void
+test_ended_at_once(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture);
+    RawClient *client =
+        RawClient_New(fixture.base, EbCallerServer_Port(fixture.server));
+    char *value = g_strnfill(4000, 'a'); /* counts 28 times */
+    RawClient_Send(client, "POST /v1/pipelines/p HTTP/1.1\r\nCookie: ");
+    RawClient_Send(client, value);
+    g_free(value);
+    fixture.client = client;
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, is_closed, &fixture));
+    CU_ASSERT_EQUAL(EbIntake_Bytes(EbClientGuard_Intake(fixture.guard)), 0);
+    CU_ASSERT_EQUAL(EbCallerServer_ConnectionCount(fixture.server), 0);
+    RawClient_Free(client);
+    close_fixture(&fixture);
+}
+
 int
 main(void)
 {
@@ -592,6 +620,7 @@
         {"idle connections", test_idle_connections},
         {"connection limit", test_connection_limit},
         {"stop accepting", test_stop_accepting},
+        {"ended at once", test_ended_at_once},
     };
     return EbTest_Run("test_caller_server", cases,
                       sizeof(cases) / sizeof(cases[0]));
--- a/src/test_forward_net/server.c
+++ b/src/test_forward_net/server.c
@@ -10,6 +10,7 @@
 #include <event2/event.h>
 #include <glib.h>
 
+#include "client_guard.h"
 #include "ebonyhollow/forward_server.h"
 #include "forward_net.h"
 #include "net_fixture.h"
@@ -18,6 +19,7 @@
 typedef struct {
     struct event_base *base;
     EbSettings settings;
+    EbClientGuard *guard;
     EbForwardServer *server;
     RawClient *client;
     unsigned submitted, wanted_submitted;
@@ -62,10 +64,13 @@
                      .max_connections = 4,
                      .max_buffer_bytes = 1000,
                      .header_timeout_us = 5000000}};
+    fixture->guard =
+        EbClientGuard_New(&(EbClientGuardOptions){.base = fixture->base});
     fixture->server = EbForwardServer_New(
         &(EbForwardServerOptions){.base = fixture->base,
                                   .settings = &fixture->settings,
                                   .protocol = &test_protocol,
+                                  .guard = fixture->guard,
                                   .submit = on_submit,
                                   .caller_gone = on_caller_gone,
                                   .flow_control = on_flow_control,
@@ -81,6 +86,7 @@
 {
     RawClient_Free(fixture->client);
     EbForwardServer_Free(fixture->server);
+    EbClientGuard_Free(fixture->guard);
     g_free(fixture->body);
     event_base_free(fixture->base);
 }
@@ -252,7 +258,8 @@
 }
 
 /* Guards against requests that are run while the caller reads none of their
- * answers, which then fill the memory. */
+ * answers, which then fill the memory, and against counting only the unsent
+ * part of an answer that is held as a whole. */
 void
 test_server_unread_answers(void)
 {
@@ -281,6 +288,8 @@
     g_free(body);
     Loop_For(fixture.base, 50000);
     CU_ASSERT_EQUAL(fixture.submitted, 1);
+    CU_ASSERT_TRUE(EbIntake_Bytes(EbClientGuard_Intake(fixture.guard)) >=
+                   ANSWER_BYTES);
     close(fd);
     close_server(&fixture);
 }
