--- a/test/process/clients_lib.sh
+++ b/test/process/clients_lib.sh
@@ -3,8 +3,8 @@
 #
 # The bounds come from the target that the settings name, not from a measured
 # figure; the bound of memory is on the growth from the size at rest. The
-# sanitizer keeps much of what is freed, so the memory of a sanitizer build says
-# little about what the daemon holds: there, a second pass plays all crowds
+# sanitizer keeps much of what is freed, so the memory of a sanitizer build
+# says little about what the daemon holds: there, a second pass plays all crowds
 # against a plain build and repeats all checks, with that of memory.
 export ASAN_OPTIONS="${ASAN_OPTIONS:+$ASAN_OPTIONS:}quarantine_size_mb=1"
 ASAN_OPTIONS+=":thread_local_quarantine_size_kb=64"
