--- a/src/libebonyhollow_net/http_server.c
+++ b/src/libebonyhollow_net/http_server.c
@@ -24,7 +24,7 @@
 #define LISTEN_BACKLOG 1024
 /* Memory that evhttp takes for each byte of a header section that consists of
  * the shortest fields: three allocations for each of them. */
-#define HEADER_COST_FACTOR 24
+#define HEADER_COST_FACTOR 28
 /* A request in progress is kept as it was read, in one piece, and parsed. */
 #define RUNNING_COPIES 3
 
@@ -138,17 +138,48 @@
     update(context);
 }
 
-/* Called by the guard. evhttp then reads the end of the input and frees the
- * connection. */
+/* Must be called before a connection is removed while its bufferevent still
+ * exists. */
+static void
+remove_callbacks(Connection *connection)
+{
+    if (connection->input_callback != NULL) {
+        evbuffer_remove_cb_entry(bufferevent_get_input(connection->bufev),
+                                 connection->input_callback);
+        evbuffer_remove_cb_entry(bufferevent_get_output(connection->bufev),
+                                 connection->output_callback);
+        connection->input_callback = NULL;
+    }
+}
+
+/* Lets evhttp free a connection at once, as at the end of its input. After a
+ * shutdown alone it would first read all that the kernel still holds. Calls
+ * on_closed if a request came on the connection. */
+static void
+abort_connection(const Connection *connection)
+{
+    struct bufferevent *bufev = connection->bufev;
+    struct evbuffer *input = bufferevent_get_input(bufev);
+    evbuffer_drain(input, evbuffer_get_length(input));
+    bufferevent_trigger_event(bufev, BEV_EVENT_READING | BEV_EVENT_EOF, 0);
+}
+
+/* Called by the guard, never while a connection is being read. */
 static void
 on_end(void *context, EbIntakeReason reason)
 {
     Connection *connection = context;
+    GHashTable *connections = connection->server->connections;
     EbClientGuard_Count(connection->server->options.guard, reason);
     EbIntake_Close(connection->account);
     connection->account = NULL;
+    bool unknown = connection->evcon == NULL;
     if (is_open(connection)) {
-        shutdown(connection->fd, SHUT_RDWR);
+        remove_callbacks(connection);
+        abort_connection(connection);
+    }
+    if (unknown) { /* evhttp doesn't report its end */
+        g_hash_table_remove(connections, GINT_TO_POINTER(connection->fd));
     }
 }
 
@@ -171,20 +202,6 @@
         bufferevent_get_output(bufev), on_output_changed, connection);
 }
 
-/* Must be called before a connection is removed while its bufferevent still
- * exists. */
-static void
-remove_callbacks(Connection *connection)
-{
-    if (connection->input_callback != NULL) {
-        evbuffer_remove_cb_entry(bufferevent_get_input(connection->bufev),
-                                 connection->input_callback);
-        evbuffer_remove_cb_entry(bufferevent_get_output(connection->bufev),
-                                 connection->output_callback);
-        connection->input_callback = NULL;
-    }
-}
-
 /* Removes connections that evhttp closed without a callback, at most once per
  * sweep interval. */
 static void
