--- a/src/libebonyhollow/requests/dispatcher_explain.c
+++ b/src/libebonyhollow/requests/dispatcher_explain.c
@@ -259,6 +259,7 @@
     EbRequest *request = &trial.request;
     trial_init(&trial, dispatcher, query, now_us);
     *explanation = (EbExplanation){
+        .admission = EB_ADMISSION_REFUSED,
         .pipeline = request->pipeline,
         .customer = request->customer,
         .reason = check_arrival(dispatcher, request),
@@ -278,15 +279,14 @@
                        now_us, &explanation->limits);
         describe_stages(request, explanation, now_us);
         describe_pool(request, explanation, now_us);
+        if (explanation->reason == EB_REASON_NONE) {
+            explanation->waits_for = find_wait(request, explanation, now_us);
+            explanation->admission = explanation->waits_for != NULL
+                                         ? EB_ADMISSION_WAITS
+                                         : EB_ADMISSION_GOES;
+        }
     }
     explanation->retry_after_us = request->retry_after_us;
-    explanation->admission = EB_ADMISSION_REFUSED;
-    if (explanation->reason == EB_REASON_NONE) {
-        explanation->waits_for = find_wait(request, explanation, now_us);
-        explanation->admission = explanation->waits_for != NULL
-                                     ? EB_ADMISSION_WAITS
-                                     : EB_ADMISSION_GOES;
-    }
     trial_clear(&trial);
 }
 
