ebonyhollowd: a reload doesn't open a pipe again

test_daemon.sh gives the settings by a pipe and sends SIGHUP during the start; reading it again would wait for a writer and stop the event loop. A reload of what is no regular file is refused with settings-refused. By hand: with a pipe and SIGHUP before it is written, the daemon answers /readyz and logs the refusal.

--- a/src/ebonyhollowd/main.c
+++ b/src/ebonyhollowd/main.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <sys/stat.h>
+
 #include "ebonyhollow/daemon.h"
 #include "ebonyhollow/log.h"
 #include "ebonyhollow/settings.h"
@@ -141,6 +143,21 @@
     return settings;
 }
 
+/* A pipe can be read only once: opening it again would wait for a writer. */
+static EbSettings *
+reload_settings(void *context, EbError *error)
+{
+    const Arguments *arguments = context;
+    struct stat status;
+    if (stat(arguments->settings_path, &status) == 0 &&
+        !S_ISREG(status.st_mode)) {
+        EbError_Set(error, EB_ERROR_IO, "%s is not a regular file",
+                    arguments->settings_path);
+        return NULL;
+    }
+    return load_settings(context, error);
+}
+
 static EbExitStatus
 serve(EbSettings *settings, Arguments *arguments)
 {
@@ -153,7 +170,7 @@
         return EB_EXIT_FAILURE;
     }
     EbDaemon_SetReload(daemon, &(EbDaemonReload){.settings = settings,
-                                                 .load = load_settings,
+                                                 .load = reload_settings,
                                                  .context = arguments});
     EbExitStatus status = EbDaemon_Run(daemon);
     EbDaemon_Free(daemon);
