stages: the report of a shortage in short functions

Cause: report_shortage was 56 lines long. slack_us of EbStageEntry was read by nothing. Change: counting of servers, of classes and of late items stand apart; the unused field is gone. No change of what is logged.

--- a/include/batching/ebonyhollow/stage_schedule.h
+++ b/include/batching/ebonyhollow/stage_schedule.h
@@ -25,13 +25,10 @@
 typedef struct {
     void *job; /* of the caller */
     uint32_t items;
-    uint32_t class; /* see EbStageSchedule_Class */
-    uint32_t stage; /* of its request */
-    bool remote;    /* its results are used in another failure domain */
-    int64_t due_us; /* when it should be done at the usual speed */
-    /* How much later it may be done for a request in time, when the later
-     * stages are faster than usual. */
-    int64_t slack_us;
+    uint32_t class;      /* see EbStageSchedule_Class */
+    uint32_t stage;      /* of its request */
+    bool remote;         /* its results are used in another failure domain */
+    int64_t due_us;      /* when it should be done at the usual speed */
     int64_t deadline_us; /* later results are of no use */
     /* Set by EbStageSchedule_Order. */
     bool late; /* its request can't be in time any more */
--- a/src/libebonyhollow/batching/batcher_admission.c
+++ b/src/libebonyhollow/batching/batcher_admission.c
@@ -53,68 +53,96 @@
     return capacity;
 }
 
-/* Logs a shortage, once a second. */
-static void
-report_shortage(const EbBatcher *batcher, EbBatchService *service,
-                const EbStageEntry *entries, guint count,
-                const EbStageCapacity *capacity)
+typedef struct {
+    int64_t busy;
+    int64_t blocked;
+    int64_t without_memory;
+    uint64_t held_bytes;
+    uint64_t foreign_bytes;
+} ServerCounts;
+
+static ServerCounts
+count_servers(const EbBatchService *service, int64_t now_us)
 {
-    int64_t now_us = capacity->now_us;
-    if (service->next_report_us > now_us) {
-        return;
-    }
-    service->next_report_us = now_us + REPORT_INTERVAL_US;
-    uint32_t by_class[EB_STAGE_CLASSES] = {0};
-    int64_t late_items = 0;
-    for (guint i = 0; i < count; i++) {
-        by_class[entries[i].class] += entries[i].items;
-        late_items += entries[i].late ? entries[i].items : 0;
-    }
-    GString *by_priority = g_string_new(NULL);
-    for (uint32_t i = 0; i < EB_STAGE_CLASSES; i++) {
-        if (by_class[i] > 0) {
-            g_string_append_printf(by_priority, "%u/%u:%u ",
-                                   i / EB_STAGE_PRIORITIES,
-                                   i % EB_STAGE_PRIORITIES, by_class[i]);
-        }
-    }
-    int64_t busy = 0;
-    int64_t blocked = 0;
-    int64_t without_memory = 0;
-    uint64_t held_bytes = 0;
-    uint64_t foreign_bytes = 0;
+    ServerCounts counts = {0};
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, service->servers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const EbBatchServer *server = value;
-        held_bytes += server->held_bytes;
-        foreign_bytes += server->foreign_bytes;
+        counts.held_bytes += server->held_bytes;
+        counts.foreign_bytes += server->foreign_bytes;
         if (server->running > 0) {
-            busy++;
+            counts.busy++;
         }
         else if (server->blocked_until_us > now_us) {
-            blocked++;
+            counts.blocked++;
         }
         else if (!EbBatchService_HasMemory(service, server, now_us)) {
-            without_memory++;
+            counts.without_memory++;
+        }
+    }
+    return counts;
+}
+
+/* Returns the number of waiting items of each class, "priority/priority of the
+ * route:items ". */
+static GString *
+format_classes(const EbStageEntry *entries, guint count)
+{
+    uint32_t by_class[EB_STAGE_CLASSES] = {0};
+    for (guint i = 0; i < count; i++) {
+        by_class[entries[i].class] += entries[i].items;
+    }
+    GString *text = g_string_new(NULL);
+    for (uint32_t i = 0; i < EB_STAGE_CLASSES; i++) {
+        if (by_class[i] > 0) {
+            g_string_append_printf(text, "%u/%u:%u ", i / EB_STAGE_PRIORITIES,
+                                   i % EB_STAGE_PRIORITIES, by_class[i]);
         }
     }
+    return text;
+}
+
+static int64_t
+count_late_items(const EbStageEntry *entries, guint count)
+{
+    int64_t items = 0;
+    for (guint i = 0; i < count; i++) {
+        items += entries[i].late ? entries[i].items : 0;
+    }
+    return items;
+}
+
+/* Logs a shortage, once a second. */
+static void
+report_shortage(const EbBatcher *batcher, EbBatchService *service,
+                const EbStageEntry *entries, guint count,
+                const EbStageCapacity *capacity)
+{
+    int64_t now_us = capacity->now_us;
+    if (service->next_report_us > now_us) {
+        return;
+    }
+    service->next_report_us = now_us + REPORT_INTERVAL_US;
+    ServerCounts servers = count_servers(service, now_us);
+    int64_t mean_bytes =
+        (int64_t)(service->waiting_bytes / service->waiting_count);
+    double done_per_s = EbStageRates_PerSecond(&service->done, 0, now_us);
+    GString *by_priority = format_classes(entries, count);
     EB_EMIT(batcher->options.events, EB_EVENT_STAGE_SHORTAGE,
             EB_STRING_FIELD("service", service->name),
             EB_INTEGER_FIELD("items", (int64_t)service->waiting_count),
             EB_STRING_FIELD("by_priority", by_priority->str),
-            EB_INTEGER_FIELD("late_items", late_items),
-            EB_INTEGER_FIELD("busy", busy),
-            EB_INTEGER_FIELD("blocked", blocked),
-            EB_INTEGER_FIELD("without_memory", without_memory),
-            EB_INTEGER_FIELD("held_bytes", (int64_t)held_bytes),
-            EB_INTEGER_FIELD("foreign_bytes", (int64_t)foreign_bytes),
-            EB_INTEGER_FIELD("mean_bytes", (int64_t)(service->waiting_bytes /
-                                                     service->waiting_count)),
+            EB_INTEGER_FIELD("late_items", count_late_items(entries, count)),
+            EB_INTEGER_FIELD("busy", servers.busy),
+            EB_INTEGER_FIELD("blocked", servers.blocked),
+            EB_INTEGER_FIELD("without_memory", servers.without_memory),
+            EB_INTEGER_FIELD("held_bytes", (int64_t)servers.held_bytes),
+            EB_INTEGER_FIELD("foreign_bytes", (int64_t)servers.foreign_bytes),
+            EB_INTEGER_FIELD("mean_bytes", mean_bytes),
             EB_INTEGER_FIELD("items_per_s", (int64_t)capacity->items_per_s),
-            EB_INTEGER_FIELD("done_per_s", (int64_t)EbStageRates_PerSecond(
-                                               &service->done, 0, now_us)));
+            EB_INTEGER_FIELD("done_per_s", (int64_t)done_per_s));
     g_string_free(by_priority, TRUE);
 }
 
