batching: what is done at a time has a file of its own

Change: EbBatcher_Tick, EbBatcher_NextTimer and what they use move to batcher_timer.c, unchanged but for the names of three functions that both files need. No change of behaviour.

--- a/src/libebonyhollow/batching/batcher.c
+++ b/src/libebonyhollow/batching/batcher.c
@@ -9,9 +9,6 @@
 /* Releases are collected for this long, so that one message to a server frees
  * several results. */
 #define RELEASE_INTERVAL_US 15000
-/* A free server that no waiting item suited is considered again after this
- * time. */
-#define RECHECK_INTERVAL_US 20000
 
 static char *
 job_key(const char *requester, uint64_t job)
@@ -297,8 +294,8 @@
     }
 }
 
-static void
-drop_waiting(EbBatchJob *job)
+void
+EbBatchJob_DropWaiting(EbBatchJob *job)
 {
     job->service->waiting_count -= job->waiting.length;
     job->service->waiting_bytes -=
@@ -338,7 +335,7 @@
                   int64_t now_us)
 {
     job->finished = true;
-    drop_waiting(job);
+    EbBatchJob_DropWaiting(job);
     EB_EMIT(batcher->options.events, EB_EVENT_PREPARATION_ENDED,
             EB_STRING_FIELD("request_id", job->spec.request_id),
             EB_STRING_FIELD("service", job->spec.service),
@@ -361,10 +358,8 @@
     return true;
 }
 
-/* Returns the server that made an item's result, or NULL when there is no
- * result or the server is no longer configured. */
-static EbBatchServer *
-find_item_server(const EbBatchJob *job, const EbBatchItem *item)
+EbBatchServer *
+EbBatchJob_FindItemServer(const EbBatchJob *job, const EbBatchItem *item)
 {
     return item->server_id != NULL
                ? g_hash_table_lookup(job->service->servers, item->server_id)
@@ -394,7 +389,7 @@
 EbBatchJob_ReleaseResult(EbBatcher *batcher, const EbBatchJob *job,
                          EbBatchItem *item, int64_t now_us)
 {
-    EbBatchServer *server = find_item_server(job, item);
+    EbBatchServer *server = EbBatchJob_FindItemServer(job, item);
     if (server != NULL && item->handle != NULL) {
         queue_release(batcher, server, item->handle, now_us);
         if (item->holds_memory) {
@@ -415,15 +410,15 @@
     g_free(key);
 }
 
-static void
-end_job(EbBatcher *batcher, EbBatchJob *job, int64_t now_us)
+void
+EbBatchJob_End(EbBatcher *batcher, EbBatchJob *job, int64_t now_us)
 {
     if (job->ended) {
         return;
     }
     job->finished = true;
     job->ended = true;
-    drop_waiting(job);
+    EbBatchJob_DropWaiting(job);
     for (uint32_t i = 0; i < job->spec.item_count; i++) {
         if (job->items[i].handle != NULL) {
             EbBatchJob_ReleaseResult(batcher, job, &job->items[i], now_us);
@@ -468,7 +463,7 @@
         return;
     }
     if (job != NULL) {
-        end_job(batcher, job, now_us);
+        EbBatchJob_End(batcher, job, now_us);
     }
     job = g_new0(EbBatchJob, 1);
     job->requester = g_strdup(requester);
@@ -503,7 +498,7 @@
     EbBatchJob *job = g_hash_table_lookup(batcher->jobs, key);
     g_free(key);
     if (job != NULL) {
-        end_job(batcher, job, now_us);
+        EbBatchJob_End(batcher, job, now_us);
     }
 }
 
@@ -521,7 +516,7 @@
             job->grace_until_us = now_us + EB_BATCHER_REQUESTER_GRACE_US;
         }
         else {
-            end_job(batcher, job, now_us);
+            EbBatchJob_End(batcher, job, now_us);
         }
     }
     g_list_free(jobs);
@@ -541,7 +536,7 @@
             continue;
         }
         if (restarted) {
-            end_job(batcher, job, now_us);
+            EbBatchJob_End(batcher, job, now_us);
         }
         else {
             job->grace_until_us = INT64_MAX;
@@ -586,154 +581,3 @@
     }
     return count;
 }
-
-/* Timers */
-
-/* Forgets what waits to be released at a server. */
-static void
-clear_releases(EbBatchServer *server)
-{
-    g_ptr_array_set_size(server->releases, 0);
-    server->held_bytes -= MIN(server->held_bytes, server->released_bytes);
-    server->released_bytes = 0;
-}
-
-/* Sends what waits to be released. A server that asks for calls to wait gets
- * it later; one that leaves takes its results with it; in an evacuated failure
- * domain, to which nothing is sent, they expire. */
-static void
-release_results(EbBatcher *batcher, int64_t now_us)
-{
-    EbDirectives *directives = batcher->options.directives;
-    GHashTableIter services;
-    GHashTableIter servers;
-    gpointer service;
-    gpointer value;
-    batcher->next_release_us = INT64_MAX;
-    g_hash_table_iter_init(&services, batcher->services);
-    while (g_hash_table_iter_next(&services, NULL, &service)) {
-        g_hash_table_iter_init(&servers, ((EbBatchService *)service)->servers);
-        while (g_hash_table_iter_next(&servers, NULL, &value)) {
-            EbBatchServer *server = value;
-            if (server->releases->len == 0) {
-                continue;
-            }
-            if (server->evacuated) {
-                clear_releases(server);
-                continue;
-            }
-            int64_t admission_us =
-                EbDirectives_NextAdmission(directives, server->id, now_us);
-            if (admission_us > now_us) {
-                batcher->next_release_us =
-                    MIN(batcher->next_release_us, admission_us);
-                continue;
-            }
-            EbDirectives_RecordCall(directives, server->id, now_us);
-            EbActionQueue_Push(
-                batcher->options.actions,
-                &(EbAction){.kind = EB_ACTION_RELEASE_RESULTS,
-                            .as.release = {
-                                .attempt_id = ++batcher->last_attempt_id |
-                                              EB_BATCH_ATTEMPT_BIT,
-                                .server_id = g_strdup(server->id),
-                                .host = g_strdup(server->host),
-                                .port = server->port,
-                                .handles = server->releases,
-                            }});
-            server->releases = g_ptr_array_new_with_free_func(g_free);
-            clear_releases(server);
-        }
-    }
-}
-
-static void
-free_job_result_memory(EbBatchJob *job)
-{
-    for (uint32_t i = 0; i < job->spec.item_count; i++) {
-        EbBatchItem *item = &job->items[i];
-        EbBatchServer *server = find_item_server(job, item);
-        if (server != NULL) {
-            EbBatchJob_FreeResultMemory(job, item, server);
-        }
-    }
-}
-
-/* Ends the jobs of requesters that did not reconnect, and removes those whose
- * results no longer exist. */
-static void
-remove_expired_jobs(EbBatcher *batcher, int64_t now_us)
-{
-    GList *jobs = g_hash_table_get_values(batcher->jobs);
-    for (GList *item = jobs; item != NULL; item = item->next) {
-        EbBatchJob *job = item->data;
-        if (job->grace_until_us <= now_us) {
-            end_job(batcher, job, now_us);
-        }
-        else if (job->expires_us <= now_us && job->running_count == 0) {
-            drop_waiting(job);
-            free_job_result_memory(job);
-            EbBatchJob_Free(batcher, job);
-        }
-    }
-    g_list_free(jobs);
-}
-
-void
-EbBatcher_Tick(EbBatcher *batcher, int64_t now_us)
-{
-    EbBatcher_TimeOutCalls(batcher, now_us);
-    remove_expired_jobs(batcher, now_us);
-    /* Before the releases, which may otherwise use up what a server's limit
-     * allows. */
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, batcher->services);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        EbBatchService_StartCalls(batcher, value, now_us);
-    }
-    if (batcher->next_release_us <= now_us) {
-        release_results(batcher, now_us);
-    }
-}
-
-static int64_t
-next_server_check(const EbBatcher *batcher, const EbBatchService *service)
-{
-    int64_t next_us = INT64_MAX;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, service->servers);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const EbBatchServer *server = value;
-        if (server->current && !server->evacuated &&
-            server->running < service->batch.max_calls) {
-            int64_t check_us = MAX(server->blocked_until_us,
-                                   server->skipped_us + RECHECK_INTERVAL_US);
-            int64_t admission_us = EbDirectives_NextAdmission(
-                batcher->options.directives, server->id, check_us);
-            next_us = MIN(next_us, MAX(check_us, admission_us));
-        }
-    }
-    return next_us;
-}
-
-int64_t
-EbBatcher_NextTimer(const EbBatcher *batcher)
-{
-    int64_t next_us = batcher->next_release_us;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, batcher->calls);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        next_us = MIN(next_us, ((const EbBatchCall *)value)->timeout_at_us);
-    }
-    g_hash_table_iter_init(&iter, batcher->services);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const EbBatchService *service = value;
-        if (service->waiting_count > 0) {
-            next_us = MIN(next_us, next_server_check(batcher, service));
-        }
-    }
-    return next_us;
-}
--- a/src/libebonyhollow/batching/private/batcher_state.h
+++ b/src/libebonyhollow/batching/private/batcher_state.h
@@ -109,6 +109,12 @@
 /* Removes a job that has no waiting items from its service's queue. */
 void EbBatchJob_Dequeue(EbBatchJob *job);
 void EbBatchJob_EnqueueItem(EbBatchJob *job, EbBatchItem *item);
+/* Takes a job's waiting items out of its service's queue. */
+void EbBatchJob_DropWaiting(EbBatchJob *job);
+/* Returns the server that made an item's result, or NULL when there is no
+ * result or the server is no longer configured. */
+EbBatchServer *EbBatchJob_FindItemServer(const EbBatchJob *job,
+                                         const EbBatchItem *item);
 /* Queues the outcome of a job for its requester and drops its waiting items.
  */
 void EbBatchJob_Report(EbBatcher *batcher, EbBatchJob *job,
@@ -120,6 +126,9 @@
 void EbBatchJob_ReleaseResult(EbBatcher *batcher, const EbBatchJob *job,
                               EbBatchItem *item, int64_t now_us);
 void EbBatchJob_Free(EbBatcher *batcher, EbBatchJob *job);
+/* Ends a job whose results are not needed any more, and frees it when none of
+ * its items runs. */
+void EbBatchJob_End(EbBatcher *batcher, EbBatchJob *job, int64_t now_us);
 
 /* batcher_admission.c */
 
