--- a/include/servers/ebonyhollow/pace.h
+++ b/include/servers/ebonyhollow/pace.h
@@ -6,19 +6,20 @@
  * - The bound. A cold server of a pool with cold_requests_per_s gets at most
  *   cold_requests_per_s x cold_overrun + cold_margin calls in any second from
  *   all daemons together. Its calls are divided by EbFleetShare, with the
- * daemons that are lost keeping their place, so that the sides of a partition
- * use the same parts. A daemon without a part sends nothing to the server. A
- * daemon that just started, or that just gained a part, has no tokens.
+ *   daemons that are lost keeping their place, so that the sides of a
+ *   partition use the same parts. A daemon without a part sends nothing to the
+ *   server. A daemon that just started, or that just gained a part, has no
+ *   tokens.
  * - The learned pace, for servers of any pool. It begins with a quarter of the
  *   server's capacity, divided among daemons in the order of EbFleetShare; the
  *   number of daemons that use the server doubles in a fixed time. The number
  *   of concurrent calls of each of them doubles in each round trip until
  *   EbAnswerTimes finds the server slow, which halves it; from then on it
- * grows by one in each round trip (slow start, additive increase and
- * multiplicative decrease). Pace ends when the server answers like the others
- * of its pool and the daemon has its part of the capacity, or when the server
- * was not slow for a while. It is a preference: a daemon whose turn it isn't
- * yet uses the server if it has no other one.
+ *   grows by one in each round trip (slow start, additive increase and
+ *   multiplicative decrease). Pace ends when the server answers like the
+ *   others of its pool and the daemon has its part of the capacity, or when
+ *   the server was not slow for a while. It is a preference: a daemon whose
+ *   turn it isn't yet uses the server if it has no other one.
  *
  * A server is cold for the time that its entry states; where none is stated,
  * for the pool's cold_us after its start. It may be cold, and counts as such
