actions: EbReleaseResults_Clear, used by the calls that free results

Cause: release_calls freed the members of a release in two places, beside the function of action.c that does so. Change: that function is public and resets the release; release_calls calls it.

--- a/include/actions/ebonyhollow/action.h
+++ b/include/actions/ebonyhollow/action.h
@@ -244,6 +244,9 @@
 /* Frees what a preparation job owns and zeroes it. */
 void EbPreparationJob_Clear(EbPreparationJob *preparation);
 
+/* Frees the members of a release and resets it. */
+void EbReleaseResults_Clear(EbReleaseResults *release);
+
 /* Frees what an action owns and resets it. */
 void EbAction_Clear(EbAction *action);
 
--- a/src/libebonyhollow/actions/action.c
+++ b/src/libebonyhollow/actions/action.c
@@ -141,12 +141,13 @@
     clear_strings(batch->strings);
 }
 
-static void
-clear_release(EbReleaseResults *release)
+void
+EbReleaseResults_Clear(EbReleaseResults *release)
 {
     g_free(release->server_id);
     g_free(release->host);
     clear_strings(release->handles);
+    *release = (EbReleaseResults){0};
 }
 
 static void
@@ -184,7 +185,7 @@
         clear_batch(&action->as.batch);
         break;
     case EB_ACTION_RELEASE_RESULTS:
-        clear_release(&action->as.release);
+        EbReleaseResults_Clear(&action->as.release);
         break;
     case EB_ACTION_STORE:
         g_free(action->as.store.kind);
--- a/src/libebonyhollow_net/release_calls.c
+++ b/src/libebonyhollow_net/release_calls.c
@@ -19,9 +19,7 @@
 free_server(gpointer pointer)
 {
     Server *server = pointer;
-    g_free(server->waiting.server_id);
-    g_free(server->waiting.host);
-    g_ptr_array_unref(server->waiting.handles);
+    EbReleaseResults_Clear(&server->waiting);
     g_free(server);
 }
 
@@ -129,9 +127,7 @@
         server->waiting = (EbReleaseResults){
             .handles = g_ptr_array_new_with_free_func(g_free)};
         start_call(calls, server, &next);
-        g_free(next.server_id);
-        g_free(next.host);
-        g_ptr_array_unref(next.handles);
+        EbReleaseResults_Clear(&next);
         return;
     }
     if (server->running == 0) {
