share: EbIncarnation, also used by the registry of servers

Cause: the header stood in the servers package, which the registry doesn't link, so the comparison stood there once more. Change: it moves to share; the registry calls EbIncarnation_HasChanged.

--- a/src/libebonyhollow/deployment/server_registry.c
+++ b/src/libebonyhollow/deployment/server_registry.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "ebonyhollow/incarnation.h"
+
 /* How long it is remembered that a server has gone: longer than a copy of the
  * store is old and the entries in it are doubted. */
 #define GONE_LIFETIME_US 120000000
@@ -117,9 +119,9 @@
         g_hash_table_lookup(registry->servers, registration->id);
     bool known_leaving = known != NULL && known->registration.leaving;
     bool other_start =
-        known != NULL && known->registration.incarnation != 0 &&
-        registration->incarnation != 0 &&
-        known->registration.incarnation != registration->incarnation;
+        known != NULL &&
+        EbIncarnation_HasChanged(known->registration.incarnation,
+                                 registration->incarnation);
     return !registration->leaving &&
            (known_leaving || other_start ||
             g_hash_table_contains(registry->gone, registration->id));
