settings: what a reload takes over is listed once

Cause: the names of the settings that a running process takes over stood in a list, and their assignments beside it. Change: the members are copied by their row of the field table.

--- a/src/libebonyhollow/configuration/settings_change.c
+++ b/src/libebonyhollow/configuration/settings_change.c
@@ -4,7 +4,7 @@
 
 #include "ebonyhollow/settings.h"
 
-/* Settings that a running process takes over. */
+/* Settings that a running process takes over; all of a fixed size. */
 static const char *const changeable[] = {"log_level", "balancer_delay_ms",
                                          "drain_limit_ms"};
 
@@ -105,14 +105,17 @@
     GString *restart = g_string_new(NULL);
     for (size_t i = 0; i < EbSettings_field_count; i++) {
         const EbSchemaField *field = &EbSettings_fields[i];
-        if (!is_equal(field, settings, newer)) {
-            append_name(is_changeable(field->path) ? applied : restart,
-                        field->path);
+        if (is_equal(field, settings, newer)) {
+            continue;
+        }
+        bool taken = is_changeable(field->path);
+        append_name(taken ? applied : restart, field->path);
+        if (taken) {
+            memcpy((uint8_t *)settings + field->offset,
+                   (const uint8_t *)newer + field->offset,
+                   member_bytes(field->type));
         }
     }
-    settings->log_level = newer->log_level;
-    settings->balancer_delay_us = newer->balancer_delay_us;
-    settings->drain_limit_us = newer->drain_limit_us;
     change->applied = g_string_free(applied, FALSE);
     change->restart = g_string_free(restart, FALSE);
 }
