--- a/src/libebonyhollow/deployment/server_registry.c
+++ b/src/libebonyhollow/deployment/server_registry.c
@@ -118,10 +118,9 @@
     const Entry *known =
         g_hash_table_lookup(registry->servers, registration->id);
     bool known_leaving = known != NULL && known->registration.leaving;
-    bool other_start =
-        known != NULL &&
-        EbIncarnation_HasChanged(known->registration.incarnation,
-                                 registration->incarnation);
+    bool other_start = known != NULL && EbIncarnation_HasChanged(
+                                            known->registration.incarnation,
+                                            registration->incarnation);
     return !registration->leaving &&
            (known_leaving || other_start ||
             g_hash_table_contains(registry->gone, registration->id));
