dispatcher: a stream has to begin before its caller leaves

Stages, queue and admission worked towards the deadline.

Change: EbConfigForward.abandon_us, from the route's own goal_ms and gap_target_ms. EbRequest_BeginDeadline replaces the deadline wherever the first event has not been relayed: admission, jobs of stages, queue, retries. The servers still get the whole deadline.

--- a/include/configuration/ebonyhollow/config.h
+++ b/include/configuration/ebonyhollow/config.h
@@ -139,6 +139,9 @@
     uint8_t priority; /* 0 is the most urgent */
     uint32_t max_attempts;
     int64_t latency_goal_us; /* an answer within this time is in time */
+    /* Callers leave a stream that gives them no event for this long; 0: not
+     * known, or no stream. */
+    int64_t abandon_us;
     EbConfigSplit *splits;
     uint32_t split_count;
     EbConfigPreparation *preparations;
--- a/src/libebonyhollow/requests/dispatcher_attempt.c
+++ b/src/libebonyhollow/requests/dispatcher_attempt.c
@@ -98,7 +98,7 @@
     }
     else if (request->failures >= MAX_FAILURES ||
              EbRequest_AttemptsExhausted(request) ||
-             now_us + delay_us >= request->deadline_us) {
+             now_us + delay_us >= EbRequest_BeginDeadline(request)) {
         EbRequest_Fail(request, reason, NULL, now_us);
     }
     else if (!prepare_resume(request)) {
--- a/src/libebonyhollow/requests/dispatcher_explain.c
+++ b/src/libebonyhollow/requests/dispatcher_explain.c
@@ -71,8 +71,7 @@
         request->customer =
             EbConfig_FindCustomer(request->config, query->customer);
     }
-    request->deadline_us =
-        now_us + EbRequest_TimeLimit(request, query->call->timeout_us);
+    EbRequest_SetDeadline(request, query->call->timeout_us, now_us);
 }
 
 /* Chooses the pool of a forwarded request, or binds those of all stages. */
--- a/src/libebonyhollow/requests/dispatcher_prepare.c
+++ b/src/libebonyhollow/requests/dispatcher_prepare.c
@@ -165,7 +165,7 @@
                       preparation->downstream_us -
                       EbRequest_PredictAnswerTime(request),
             /* Later results can't lead to an answer in time. */
-            .deadline_us = request->deadline_us -
+            .deadline_us = EbRequest_BeginDeadline(request) -
                            preparation->downstream_min_us -
                            EbRequest_MeanAnswerTime(request),
         }};
@@ -270,7 +270,8 @@
      * stages. Where a whole deadline is too short for that, it would refuse
      * every request of the pipeline, also while all servers are free. */
     int64_t available_us =
-        request->pipeline->deadline_us - EbRequest_PredictAnswerTime(request);
+        MIN(request->pipeline->deadline_us, EbRequest_AbandonTime(request)) -
+        EbRequest_PredictAnswerTime(request);
     return longest_us <= available_us ? longest_us : longest_min_us;
 }
 
--- a/src/libebonyhollow/requests/dispatcher_request.c
+++ b/src/libebonyhollow/requests/dispatcher_request.c
@@ -21,6 +21,7 @@
     request->stream = submission->stream;
     request->timer_us = INT64_MAX;
     request->deadline_us = INT64_MAX;
+    request->begin_deadline_us = INT64_MAX;
     request->waiters = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     g_queue_init(&request->outcome_queries);
     request->text = g_string_new(NULL);
@@ -137,6 +138,7 @@
 EbReason
 EbRequest_CheckFeasibility(EbRequest *request, int64_t now_us)
 {
+    int64_t deadline_us = EbRequest_BeginDeadline(request);
     int64_t total_us = 0;
     int64_t limit_delay_us = 0;
     if (EbRequest_IsEvacuated(request)) {
@@ -155,7 +157,7 @@
             return EB_REASON_OVERLOADED;
         }
         int64_t delay_us = EbPool_LimitDelay(pool->pool, waiting, now_us);
-        if (delay_us >= request->deadline_us - now_us) {
+        if (delay_us >= deadline_us - now_us) {
             EbRequest_SetRetryAfter(request, delay_us);
             return EB_REASON_OVERLOADED;
         }
@@ -170,10 +172,10 @@
                    EbRequest_PredictAnswerTime(request);
     }
     total_us += limit_delay_us;
-    if (now_us + total_us <= request->deadline_us) {
+    if (now_us + total_us <= deadline_us) {
         return EB_REASON_NONE;
     }
-    EbRequest_SetRetryAfter(request, now_us + total_us - request->deadline_us);
+    EbRequest_SetRetryAfter(request, now_us + total_us - deadline_us);
     return EB_REASON_DEADLINE_INFEASIBLE;
 }
 
@@ -247,11 +249,11 @@
     if (reason != EB_REASON_NONE) {
         return reason;
     }
-    request->deadline_us =
-        now_us +
-        EbRequest_TimeLimit(request, request->forward != NULL
-                                         ? request->forward->call->timeout_us
-                                         : submission->timeout_us);
+    EbRequest_SetDeadline(request,
+                          request->forward != NULL
+                              ? request->forward->call->timeout_us
+                              : submission->timeout_us,
+                          now_us);
     set_identity(request, submission);
     bind_pools(request);
     if (request->forward != NULL) {
--- a/src/libebonyhollow/requests/dispatcher_stage.c
+++ b/src/libebonyhollow/requests/dispatcher_stage.c
@@ -116,7 +116,7 @@
     }
     int64_t delay_us =
         EbPool_LimitDelay(pool->pool, EbQueue_Count(pool->queue), now_us);
-    if (delay_us >= request->deadline_us - now_us) {
+    if (delay_us >= EbRequest_BeginDeadline(request) - now_us) {
         EbRequest_SetRetryAfter(request, delay_us);
         return EB_REASON_OVERLOADED;
     }
@@ -144,8 +144,8 @@
         .customer = request->customer->id,
         .weight = MAX(request->customer->contract.weight, 1),
         .cost = stage_cost(request),
-        .deadline_us =
-            MIN(request->deadline_us, request->dispatcher->drain_end_us),
+        .deadline_us = MIN(EbRequest_BeginDeadline(request),
+                           request->dispatcher->drain_end_us),
         .needed_us = plain ? 0 : predict_remaining(request, now_us),
         .urgency = request->forward != NULL ? EbRequest_Priority(request) : 0,
     };
@@ -284,8 +284,12 @@
 may_dispatch(EbRequest *request, int64_t now_us)
 {
     EbDispatcher *dispatcher = request->dispatcher;
-    if (request->deadline_us <= now_us) {
-        EbRequest_Fail(request, EB_REASON_DEADLINE_EXCEEDED, NULL, now_us);
+    if (EbRequest_BeginDeadline(request) <= now_us) {
+        EbRequest_Fail(request,
+                       request->deadline_us <= now_us
+                           ? EB_REASON_DEADLINE_EXCEEDED
+                           : EB_REASON_DEADLINE_INFEASIBLE,
+                       NULL, now_us);
         return false;
     }
     EbReason quarantine = EbRequest_CheckQuarantine(request, now_us);
@@ -397,9 +401,10 @@
     while (EbQueue_PopExpired(pool->queue, now_us, &entry)) {
         EbRequest *request = take_request(dispatcher, &entry);
         request->waiting = false;
-        EbReason reason = request->deadline_us > dispatcher->drain_end_us
-                              ? EB_REASON_SHUTDOWN
-                              : EB_REASON_DEADLINE_INFEASIBLE;
+        EbReason reason =
+            EbRequest_BeginDeadline(request) > dispatcher->drain_end_us
+                ? EB_REASON_SHUTDOWN
+                : EB_REASON_DEADLINE_INFEASIBLE;
         if (reason == EB_REASON_DEADLINE_INFEASIBLE) {
             set_backlog_delay(request, pool, now_us);
         }
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -156,6 +156,7 @@
     size_t claim_text_bytes;
     EbFingerprint fingerprint;
     int64_t deadline_us;
+    int64_t begin_deadline_us; /* see EbRequest_BeginDeadline */
     bool stream;
 
     int64_t retry_after_us; /* lower bound for the answer; 0: the default */
@@ -258,14 +259,38 @@
     return dispatcher->options.policy == EB_POLICY_PLAIN;
 }
 
-/* Returns the time from the arrival of a request to its deadline.
+/* Returns how long a caller waits at most for its answer to begin; INT64_MAX:
+ * as long as for its end. */
+static inline int64_t
+EbRequest_AbandonTime(const EbRequest *request)
+{
+    const EbConfigForward *forward = request->pipeline->forward;
+    return forward != NULL && forward->abandon_us > 0 ? forward->abandon_us
+                                                      : INT64_MAX;
+}
+
+/* Sets the times by which a request that arrives now has to be answered.
  *
  * requested_us: the caller's time limit; 0: none */
-static inline int64_t
-EbRequest_TimeLimit(const EbRequest *request, int64_t requested_us)
+static inline void
+EbRequest_SetDeadline(EbRequest *request, int64_t requested_us, int64_t now_us)
 {
     int64_t limit_us = request->pipeline->deadline_us;
-    return requested_us > 0 ? MIN(limit_us, requested_us) : limit_us;
+    if (requested_us > 0) {
+        limit_us = MIN(limit_us, requested_us);
+    }
+    request->deadline_us = now_us + limit_us;
+    request->begin_deadline_us =
+        now_us + MIN(limit_us, EbRequest_AbandonTime(request));
+}
+
+/* Returns when the answer must have begun to reach the caller: the deadline,
+ * or the earlier time at which callers leave a stream without events. */
+static inline int64_t
+EbRequest_BeginDeadline(const EbRequest *request)
+{
+    return request->relayed_count > 0 ? request->deadline_us
+                                      : request->begin_deadline_us;
 }
 
 static inline const EbConfigStage *
--- a/src/test_forward/forward.h
+++ b/src/test_forward/forward.h
@@ -96,6 +96,7 @@
 void test_preparations(void);
 void test_early_preparation(void);
 void test_useless_preparations(void);
+void test_abandoned_streams(void);
 void test_prepared_twice(void);
 void test_lost_results(void);
 void test_long_chain(void);
--- a/src/test_forward/preparations.c
+++ b/src/test_forward/preparations.c
@@ -164,6 +164,48 @@
     CU_ASSERT_TRUE(EbConfig_PlanForward(fixture->config, staged));
 }
 
+/* Guards against preparing a stream whose caller will have left before its
+ * first event, and against a refusal at the end of the deadline instead of at
+ * once. */
+void
+test_abandoned_streams(void)
+{
+    static const struct {
+        int64_t abandon_us;
+        int64_t preparation_us; /* at least */
+        bool refused;
+    } rows[] = {
+        {0, 300000, false},
+        {4 * SECOND_US, 300000, false},
+        {60 * SECOND_US, 300000, false},
+        {2 * SECOND_US, 2 * SECOND_US, true},
+        {0, 2 * SECOND_US, false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Fixture fixture;
+        Fixture_Open(&fixture);
+        EbConfigForward *staged = fixture.config->pipelines[4].forward;
+        staged->abandon_us = rows[i].abandon_us;
+        fixture.config->pools[1].batch.call_us = rows[i].preparation_us;
+        EbConfig_PlanForward(fixture.config, staged);
+        Fixture_Submit(&fixture, "/staged/x", TOKEN);
+        CU_ASSERT_EQUAL(fixture.answered, rows[i].refused);
+        if (rows[i].refused) {
+            CU_ASSERT_EQUAL(fixture.reason, EB_REASON_DEADLINE_INFEASIBLE);
+            CU_ASSERT_EQUAL(fixture.outcome, EB_OUTCOME_NOT_RUN);
+            Fixture_Close(&fixture);
+            continue;
+        }
+        int64_t limit_us =
+            rows[i].abandon_us > 0 ? rows[i].abandon_us : INT64_MAX;
+        CU_ASSERT_EQUAL(
+            fixture.job_deadlines_us[0],
+            fixture.now_us + MIN(limit_us, 6 * SECOND_US) -
+                staged->preparations[fixture.job_stages[0]].downstream_min_us);
+        Fixture_Close(&fixture);
+    }
+}
+
 /* Guards against a request that waits for its deadline, or is sent without its
  * inputs, because its pipeline has many preparations or lists them in another
  * order than that of their dependencies. */
--- a/src/test_platform/config.c
+++ b/src/test_platform/config.c
@@ -47,6 +47,44 @@
     return config;
 }
 
+/* Guards against a wrong time at which callers leave a stream, and against one
+ * that is assumed where the route doesn't declare what it depends on. */
+void
+test_abandon_times(void)
+{
+    static const struct {
+        const char *kind;
+        const char *times;
+        int64_t abandon_us;
+    } rows[] = {
+        {"streaming", "\"goal_ms\":1800,\"gap_target_ms\":300", 7200000},
+        {"streaming", "\"goal_ms\":300,\"gap_target_ms\":200", 2000000},
+        {"streaming", "\"goal_ms\":1000,\"gap_target_ms\":700", 5600000},
+        {"streaming", "\"goal_ms\":1800", 0},
+        {"streaming", "\"gap_target_ms\":300", 0},
+        {"idempotent", "\"goal_ms\":1800,\"gap_target_ms\":300", 0},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        char *text = g_strdup_printf(
+            "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+            "\"path_prefix\":\"/\",\"route_kind\":\"%s\","
+            "\"timeout_ms\":20000,\"service\":\"s\",\"max_attempts\":1,%s}],"
+            "\"services\":[{\"name\":\"s\"}]}",
+            rows[i].kind, rows[i].times);
+        json_t *value = json_loads(text, 0, NULL);
+        g_free(text);
+        EbConfigDefects defects;
+        EbError error = {0};
+        EbConfig *config =
+            EbPlatform_ReadConfig(value, "site", NULL, 0, &defects, &error);
+        json_decref(value);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(config);
+        CU_ASSERT_EQUAL(config->pipelines[0].forward->abandon_us,
+                        rows[i].abandon_us);
+        EbConfig_Unref(config);
+    }
+}
+
 /* Guards against wrong translation of kinds, times, keys and stages, against
  * a wrong choice of the route, and against using a server that is leaving or
  * whose service is unknown. */
@@ -85,6 +123,8 @@
     CU_ASSERT_EQUAL(draft->stages[0].kind, EB_STAGE_GENERATE);
     CU_ASSERT_EQUAL(draft->deadline_us, 6000000);
     CU_ASSERT_EQUAL(draft->forward->latency_goal_us, 1100000);
+    CU_ASSERT_EQUAL(draft->forward->abandon_us, 4400000);
+    CU_ASSERT_EQUAL(order->forward->abandon_us, 0);
     CU_ASSERT_EQUAL(draft->forward->split_count, 2);
     CU_ASSERT_EQUAL(draft->forward->preparation_count, 2);
     CU_ASSERT_EQUAL(draft->forward->preparations[1].dependencies, 1);
--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -465,6 +465,7 @@
     static const EbTestCase cases[] = {
         {"load", test_load},
         {"config", test_config},
+        {"abandon times", test_abandon_times},
         {"invalid config", test_invalid_config},
         {"config defects", test_config_defects},
         {"names in any order", test_name_order},
--- a/src/test_platform/test_platform.h
+++ b/src/test_platform/test_platform.h
@@ -4,6 +4,7 @@
 
 /* config.c */
 
+void test_abandon_times(void);
 void test_config(void);
 void test_invalid_config(void);
 void test_config_defects(void);
