stages: the newest late work goes first, after what was started

Cause: late work waited in the order of its due times, so what was done was always the oldest: its results were ready when its caller was about to leave, or after that. Items of a job whose other items were done already could wait behind it, and the work done for the job was wasted.

Change: of late work of one class, jobs with items that run or are done go first, then the later stage, then the later due time (compare_late).

--- a/include/batching/ebonyhollow/stage_schedule.h
+++ b/include/batching/ebonyhollow/stage_schedule.h
@@ -27,6 +27,7 @@
     uint32_t items;
     uint32_t class;      /* see EbStageSchedule_Class */
     uint32_t stage;      /* of its request */
+    bool started;        /* some of its items run or are done */
     bool remote;         /* its results are used in another failure domain */
     int64_t due_us;      /* when it should be done at the usual speed */
     int64_t deadline_us; /* later results are of no use */
--- a/src/libebonyhollow/batching/batcher_choice.c
+++ b/src/libebonyhollow/batching/batcher_choice.c
@@ -225,6 +225,7 @@
                                            job->spec.route_priority),
             .stage = job->spec.stage,
             .remote = remote,
+            .started = job->running_count > 0 || job->done_count > 0,
             .due_us = job->spec.due_us,
             .deadline_us = job->spec.deadline_us};
         g_array_append_val(entries, entry);
--- a/src/libebonyhollow/batching/stage_schedule.c
+++ b/src/libebonyhollow/batching/stage_schedule.c
@@ -56,6 +56,24 @@
     return a->class < b->class ? -1 : a->class > b->class;
 }
 
+/* Of late work the newest goes first: the oldest would mostly end at its
+ * deadline. What was started goes before it, so that its calls are not wasted.
+ */
+static int
+compare_late(const EbStageEntry *a, const EbStageEntry *b)
+{
+    if (a->class != b->class) {
+        return compare_classes(a, b);
+    }
+    if (a->started != b->started) {
+        return a->started ? -1 : 1;
+    }
+    if (a->stage != b->stage) {
+        return a->stage > b->stage ? -1 : 1;
+    }
+    return compare_times(b->due_us, a->due_us);
+}
+
 /* While there is no shortage, the classes of those in time don't matter. */
 static int
 compare_usual(const void *left, const void *right)
@@ -65,15 +83,12 @@
     if (a->late != b->late) {
         return a->late ? 1 : -1;
     }
-    if (a->late && a->class != b->class) {
-        return compare_classes(a, b);
+    if (a->late) {
+        return compare_late(a, b);
     }
-    if (!a->late && a->remote != b->remote) {
+    if (a->remote != b->remote) {
         return a->remote ? 1 : -1;
     }
-    if (a->late && a->stage != b->stage) {
-        return a->stage > b->stage ? -1 : 1;
-    }
     return compare_times(a->due_us, b->due_us);
 }
 
--- a/src/test_stage_schedule/main.c
+++ b/src/test_stage_schedule/main.c
@@ -52,6 +52,23 @@
     }
 }
 
+/* Guards against late work that is done at the end of its deadline while newer
+ * work becomes as late, and against work that was started and then displaced.
+ */
+static void
+test_late_order(void)
+{
+    EbStageEntry entries[] = {
+        make_entry(0, 0, 1, 10 * MS), make_entry(0, 0, 1, 30 * MS),
+        make_entry(0, 0, 1, 20 * MS), make_entry(0, 0, 1, 5 * MS)};
+    entries[3].started = true;
+    EbStageSchedule_Order(entries, 4, &capacity);
+    static const int64_t due_us[] = {5 * MS, 30 * MS, 20 * MS, 10 * MS};
+    for (size_t i = 0; i < 4; i++) {
+        CU_ASSERT_EQUAL(entries[i].due_us, due_us[i]);
+    }
+}
+
 /* Guards against jobs that wait until their deadline has passed although they
  * can't be done before it, and against others refused with them. */
 static void
@@ -98,6 +115,7 @@
 {
     static const EbTestCase cases[] = {
         {"order", test_order},
+        {"late order", test_late_order},
         {"projection", test_projection},
         {"shares", test_shares},
     };
