--- a/src/libebonyhollow/batching/batcher_call.c
+++ b/src/libebonyhollow/batching/batcher_call.c
@@ -114,6 +114,9 @@
 end_hopeless_jobs(EbBatcher *batcher, EbBatchService *service, int64_t now_us)
 {
     bool evacuated = EbBatchService_IsEvacuated(service);
+    /* While many items wait, an item is done with a full call. */
+    size_t items = MIN(service->waiting_count, service->batch.max_items);
+    int64_t call_us = EbBatchService_ExpectedTime(service, (uint32_t)items);
     GSequenceIter *iter = g_sequence_get_begin_iter(service->queue);
     while (!g_sequence_iter_is_end(iter)) {
         GSequenceIter *next = g_sequence_iter_next(iter);
@@ -121,8 +124,7 @@
         if (evacuated) {
             EbBatchJob_Report(batcher, job, EB_PREPARED_FAILED, now_us);
         }
-        else if (job->spec.deadline_us <=
-                 now_us + EbBatchService_ExpectedTime(service, 1)) {
+        else if (job->spec.deadline_us <= now_us + call_us) {
             EbBatchJob_ReportLate(batcher, job, "expired", now_us);
         }
         iter = next;
--- a/src/test_batcher/main.c
+++ b/src/test_batcher/main.c
@@ -64,6 +64,30 @@
     Fixture_Close(&fixture);
 }
 
+/* Guards against a requester that isn't told when the deadline of its job
+ * passes while the job's items are in a call. */
+static void
+test_deadlines(void)
+{
+    Fixture fixture;
+    Fixture_Open(&fixture, 1, 0);
+    /* Before the call's time-out. */
+    int64_t deadline_us = fixture.now_us + SECOND_US;
+    EbPreparationJob job = {.job = 1,
+                            .request_id = (char *)"r-1",
+                            .service = (char *)SERVICE,
+                            .item_count = 1,
+                            .due_us = deadline_us,
+                            .deadline_us = deadline_us};
+    EbBatcher_AddJob(fixture.batcher, "i-1", &job, fixture.now_us);
+    CU_ASSERT_EQUAL(Fixture_ProcessActions(&fixture), 1);
+    CU_ASSERT_EQUAL(EbBatcher_NextTimer(fixture.batcher), deadline_us);
+    fixture.now_us = deadline_us;
+    EbBatcher_Tick(fixture.batcher, fixture.now_us);
+    CU_ASSERT_EQUAL(Fixture_ExpectStatus(&fixture, 1), EB_PREPARED_LATE);
+    Fixture_Close(&fixture);
+}
+
 /* Guards against items that are lost when their call fails, and against items
  * that are sent again although no server can complete them. */
 static void
@@ -473,6 +497,7 @@
     static const EbTestCase cases[] = {
         {"batching", test_batching},
         {"late items last", test_late_items_last},
+        {"deadlines", test_deadlines},
         {"failures", test_failures},
         {"attempts bounded", test_attempts_bounded},
         {"silent server", test_silent_server},
