batcher: unfinished jobs are ordered by their deadline

Cause: the next timer looked at every job, and a home keeps jobs until their results are released, some thousand on a large deployment.

Change: a sequence of the unfinished jobs by deadline; the timer and the check look at its first. No change in what is decided.

--- a/src/libebonyhollow/batching/batcher.c
+++ b/src/libebonyhollow/batching/batcher.c
@@ -62,6 +62,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
     batcher->jobs =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_job);
+    batcher->unfinished = g_sequence_new(NULL);
     batcher->ended_jobs = g_hash_table_new_full(NULL, NULL, free_job, NULL);
     batcher->requesters =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -96,6 +97,7 @@
     g_hash_table_destroy(batcher->calls);
     g_hash_table_destroy(batcher->jobs);
     g_hash_table_destroy(batcher->ended_jobs);
+    g_sequence_free(batcher->unfinished);
     g_hash_table_destroy(batcher->requesters);
     g_hash_table_destroy(batcher->services);
     g_free(batcher);
@@ -330,11 +332,21 @@
 
 /* Results */
 
+static void
+finish(EbBatchJob *job)
+{
+    job->finished = true;
+    if (job->deadline_position != NULL) {
+        g_sequence_remove(job->deadline_position);
+        job->deadline_position = NULL;
+    }
+}
+
 void
 EbBatchJob_Report(EbBatcher *batcher, EbBatchJob *job, EbPreparedStatus status,
                   int64_t now_us)
 {
-    job->finished = true;
+    finish(job);
     EbBatchJob_DropWaiting(job);
     EB_EMIT(batcher->options.events, EB_EVENT_PREPARATION_ENDED,
             EB_STRING_FIELD("request_id", job->spec.request_id),
@@ -416,7 +428,7 @@
     if (job->ended) {
         return;
     }
-    job->finished = true;
+    finish(job);
     job->ended = true;
     EbBatchJob_DropWaiting(job);
     for (uint32_t i = 0; i < job->spec.item_count; i++) {
@@ -447,6 +459,15 @@
     return a->stage == b->stage && strcmp(a->request_id, b->request_id) == 0;
 }
 
+static int
+compare_deadlines(gconstpointer left, gconstpointer right, gpointer unused)
+{
+    (void)unused;
+    int64_t a = ((const EbBatchJob *)left)->spec.deadline_us;
+    int64_t b = ((const EbBatchJob *)right)->spec.deadline_us;
+    return a < b ? -1 : a > b;
+}
+
 void
 EbBatcher_AddJob(EbBatcher *batcher, const char *requester,
                  const EbPreparationJob *spec, int64_t now_us)
@@ -474,6 +495,8 @@
     job->grace_until_us = INT64_MAX;
     job->expires_us =
         spec->deadline_us + job->service->batch.result_lifetime_us;
+    job->deadline_position = g_sequence_insert_sorted(batcher->unfinished, job,
+                                                      compare_deadlines, NULL);
     g_queue_init(&job->waiting);
     g_hash_table_insert(batcher->jobs, key, job);
     for (uint32_t i = 0; i < spec->item_count; i++) {
--- a/src/libebonyhollow/batching/batcher_timer.c
+++ b/src/libebonyhollow/batching/batcher_timer.c
@@ -76,11 +76,29 @@
     }
 }
 
-/* Ends the jobs of requesters that did not reconnect, reports those whose
- * deadline passes while their items run, and removes those whose results no
- * longer exist. */
+/* Returns the unfinished job with the earliest deadline, or NULL. */
+static EbBatchJob *
+first_unfinished(const EbBatcher *batcher)
+{
+    GSequenceIter *first = g_sequence_get_begin_iter(batcher->unfinished);
+    return g_sequence_iter_is_end(first) ? NULL : g_sequence_get(first);
+}
+
+/* Reports the jobs whose deadline passes while their items run. */
 static void
-expire_jobs(EbBatcher *batcher, int64_t now_us)
+report_expired_jobs(EbBatcher *batcher, int64_t now_us)
+{
+    EbBatchJob *job = first_unfinished(batcher);
+    while (job != NULL && job->spec.deadline_us <= now_us) {
+        EbBatchJob_ReportLate(batcher, job, "expired", now_us);
+        job = first_unfinished(batcher);
+    }
+}
+
+/* Ends the jobs of requesters that did not reconnect, and removes those whose
+ * results no longer exist. */
+static void
+remove_expired_jobs(EbBatcher *batcher, int64_t now_us)
 {
     GList *jobs = g_hash_table_get_values(batcher->jobs);
     for (GList *item = jobs; item != NULL; item = item->next) {
@@ -88,9 +106,6 @@
         if (job->grace_until_us <= now_us) {
             EbBatchJob_End(batcher, job, now_us);
         }
-        else if (!job->finished && job->spec.deadline_us <= now_us) {
-            EbBatchJob_ReportLate(batcher, job, "expired", now_us);
-        }
         else if (job->expires_us <= now_us && job->running_count == 0) {
             EbBatchJob_DropWaiting(job);
             free_job_result_memory(job);
@@ -104,7 +119,8 @@
 EbBatcher_Tick(EbBatcher *batcher, int64_t now_us)
 {
     EbBatcher_TimeOutCalls(batcher, now_us);
-    expire_jobs(batcher, now_us);
+    report_expired_jobs(batcher, now_us);
+    remove_expired_jobs(batcher, now_us);
     /* Before the releases, which may otherwise use up what a server's limit
      * allows. */
     GHashTableIter iter;
@@ -143,19 +159,16 @@
 EbBatcher_NextTimer(const EbBatcher *batcher)
 {
     int64_t next_us = batcher->next_release_us;
+    const EbBatchJob *expiring = first_unfinished(batcher);
+    if (expiring != NULL) {
+        next_us = MIN(next_us, expiring->spec.deadline_us);
+    }
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, batcher->calls);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         next_us = MIN(next_us, ((const EbBatchCall *)value)->timeout_at_us);
     }
-    g_hash_table_iter_init(&iter, batcher->jobs);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const EbBatchJob *job = value;
-        if (!job->finished) {
-            next_us = MIN(next_us, job->spec.deadline_us);
-        }
-    }
     g_hash_table_iter_init(&iter, batcher->services);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const EbBatchService *service = value;
--- a/src/libebonyhollow/batching/private/batcher_state.h
+++ b/src/libebonyhollow/batching/private/batcher_state.h
@@ -38,7 +38,8 @@
      * requester is connected. */
     int64_t grace_until_us;
     EbBatchService *service;
-    GSequenceIter *queue_position; /* in the service's queue, or NULL */
+    GSequenceIter *queue_position;    /* in the service's queue, or NULL */
+    GSequenceIter *deadline_position; /* in `unfinished`; NULL: finished */
 };
 
 typedef struct {
@@ -96,6 +97,7 @@
     EbBatcherOptions options;
     GHashTable *services;   /* name to EbBatchService */
     GHashTable *jobs;       /* requester and number to EbBatchJob */
+    GSequence *unfinished;  /* of EbBatchJob, by deadline */
     GHashTable *ended_jobs; /* set of EbBatchJob whose items still run */
     GHashTable *calls;      /* attempt id to EbBatchCall */
     GHashTable *requesters; /* instance to the incarnation of its last link */
