--- a/include/configuration/ebonyhollow/settings.h
+++ b/include/configuration/ebonyhollow/settings.h
@@ -55,6 +55,9 @@
     /* Digest of a token that acts as an operator with role admin until a
      * configuration, which defines the operators, is known. All zero: none. */
     uint8_t bootstrap_token_digest[EB_SETTINGS_DIGEST_BYTES];
+    /* Digest of a token that acts as an operator with role viewer while no
+     * operators are configured. All zero: none. */
+    uint8_t viewer_token_digest[EB_SETTINGS_DIGEST_BYTES];
     EbLevel log_level;
     EbServerSpeeds server_speeds;
     uint32_t least_class_permille; /* see EbQueueOptions */
--- a/src/ebonyhollowd/main.c
+++ b/src/ebonyhollowd/main.c
@@ -6,9 +6,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <glib.h>
+#include <sodium.h>
 #include <sys/stat.h>
 
+#include "ebonyhollow/config.h"
 #include "ebonyhollow/daemon.h"
+#include "ebonyhollow/file.h"
 #include "ebonyhollow/log.h"
 #include "ebonyhollow/settings.h"
 #include "platform.h"
@@ -20,9 +24,11 @@
  * when they are freed. By default glibc raises the threshold with the largest
  * block freed and then keeps such memory in fragments. */
 #define MMAP_THRESHOLD_BYTES 524288
+#define MAX_TOKEN_BYTES 4096
 
 typedef struct {
     const char *settings_path;
+    const char *viewer_token_path; /* NULL: none */
     bool platform;
     const char *log_level;
     bool check_only;
@@ -33,6 +39,7 @@
 static const struct option long_options[] = {
     {"config", required_argument, NULL, 'c'},
     {"platform", no_argument, NULL, 'p'},
+    {"viewer-token-file", required_argument, NULL, 't'},
     {"check", no_argument, NULL, 'k'},
     {"log-level", required_argument, NULL, 'l'},
     {"version", no_argument, NULL, 'v'},
@@ -42,12 +49,16 @@
 
 static const char usage[] =
     "Usage: ebonyhollowd --config FILE [--check] [--log-level LEVEL]\n"
-    "       ebonyhollowd --platform [--check] [--log-level LEVEL]\n"
+    "       ebonyhollowd --platform [--viewer-token-file FILE] [--check]\n"
+    "                    [--log-level LEVEL]\n"
     "       ebonyhollowd --version | --help\n"
     "\n"
     "  --config FILE      read the settings of this process from a JSON file\n"
     "  --platform         run on the users' platform, with the settings file\n"
     "                     named by " EB_PLATFORM_FILE_VARIABLE "\n"
+    "  --viewer-token-file FILE\n"
+    "                     a token with which operators may look, where the\n"
+    "                     configuration names none\n"
     "  --check            check the settings and exit\n"
     "  --log-level LEVEL  error, warning, notice, info or debug; overrides\n"
     "                     the settings\n"
@@ -76,6 +87,9 @@
         case 'p':
             arguments->platform = true;
             break;
+        case 't':
+            arguments->viewer_token_path = optarg;
+            break;
         case 'k':
             arguments->check_only = true;
             break;
@@ -127,6 +141,29 @@
     fprintf(stderr, "ebonyhollowd: %s\n", text);
 }
 
+/* Reads a token like the operators' command, without the white space around
+ * it. Returns false with `error` set if there is none. */
+static bool
+load_viewer_token(const char *path, EbSettings *settings, EbError *error)
+{
+    size_t bytes = 0;
+    char *token = EbFile_Read(path, MAX_TOKEN_BYTES, &bytes, error);
+    if (token == NULL) {
+        return false;
+    }
+    g_strstrip(token);
+    bool given = token[0] != '\0';
+    if (given) {
+        EbConfig_DigestToken(token, settings->viewer_token_digest);
+    }
+    else {
+        EbError_Set(error, EB_ERROR_IO, "%s contains no token", path);
+    }
+    sodium_memzero(token, bytes);
+    g_free(token);
+    return given;
+}
+
 /* Reads the settings file, at the start and for a reload. The level of the
  * command line overrides the file's each time. */
 static EbSettings *
@@ -140,6 +177,11 @@
     if (settings != NULL && arguments->log_level != NULL) {
         settings->log_level = EbLevel_Parse(arguments->log_level);
     }
+    if (settings != NULL && arguments->viewer_token_path != NULL &&
+        !load_viewer_token(arguments->viewer_token_path, settings, error)) {
+        EbSettings_Free(settings);
+        return NULL;
+    }
     return settings;
 }
 
--- a/src/libebonyhollow/configuration/settings_fields.c
+++ b/src/libebonyhollow/configuration/settings_fields.c
@@ -82,6 +82,10 @@
         bootstrap_token_digest,
         "BLAKE2b-256 of a token that acts as admin until a configuration is "
         "in force, 64 hex digits."),
+    ROW("viewer_token_digest", DIGEST, "", 0, 0, EB_SCHEMA_NONE, EbSettings,
+        viewer_token_digest,
+        "BLAKE2b-256 of a token that acts as viewer while no operators are "
+        "configured, 64 hex digits."),
     CHOICE_ROW("log_level", EbLevel_names, EB_LEVEL_COUNT, false, "\"info\"",
                log_level, "Least severe level that is logged."),
     ROW("balancer_delay_ms", MILLISECONDS, "ms", 0, HOUR_MS, "10000",
--- a/src/libebonyhollow_net/admin_server.c
+++ b/src/libebonyhollow_net/admin_server.c
@@ -279,24 +279,46 @@
     return NULL;
 }
 
-/* Returns the bootstrap operator, which has the role admin, if the token is
- * the bootstrap token of the settings; otherwise NULL. Only used while no
- * configuration is in force, because no other operator is known then. */
+/* Returns whether a token has a digest of the settings. */
+static bool
+has_digest(const char *token, const uint8_t expected[EB_TOKEN_DIGEST_BYTES])
+{
+    uint8_t digest[EB_TOKEN_DIGEST_BYTES];
+    EbConfig_DigestToken(token, digest);
+    return !sodium_is_zero(expected, EB_TOKEN_DIGEST_BYTES) &&
+           sodium_memcmp(digest, expected, sizeof(digest)) == 0;
+}
+
+/* Returns the operator that a token of the settings acts as, or NULL. Once a
+ * configuration is in force, it alone decides who may change anything; who may
+ * look is left to the settings while it names no operators, as the users'
+ * platform's never does. */
 static const EbConfigOperator *
-find_bootstrap_operator(const EbSettings *settings, const char *token)
+find_settings_operator(const EbSettings *settings, const EbConfig *config,
+                       const char *token)
 {
     static const EbConfigOperator bootstrap = {.id = (char *)"bootstrap",
                                                .role = EB_ROLE_ADMIN};
-    uint8_t digest[EB_TOKEN_DIGEST_BYTES];
-    if (sodium_is_zero(settings->bootstrap_token_digest,
-                       sizeof(settings->bootstrap_token_digest))) {
-        return NULL;
+    static const EbConfigOperator viewer = {.id = (char *)"viewer",
+                                            .role = EB_ROLE_VIEWER};
+    if (config == NULL &&
+        has_digest(token, settings->bootstrap_token_digest)) {
+        return &bootstrap;
     }
-    EbConfig_DigestToken(token, digest);
-    return sodium_memcmp(digest, settings->bootstrap_token_digest,
-                         sizeof(digest)) == 0
-               ? &bootstrap
-               : NULL;
+    bool none = config == NULL || config->operator_count == 0;
+    return none && has_digest(token, settings->viewer_token_digest) ? &viewer
+                                                                    : NULL;
+}
+
+static const EbConfigOperator *
+find_operator(const EbAdminServer *server, const EbConfig *config,
+              const char *token)
+{
+    const EbConfigOperator *configured =
+        config != NULL ? EbConfig_FindOperatorByToken(config, token) : NULL;
+    return configured != NULL ? configured
+                              : find_settings_operator(
+                                    server->options.settings, config, token);
 }
 
 /* Authenticates the operator and checks the role that the route requires. If
@@ -311,10 +333,7 @@
         EbConfigManager_Current(call->server->options.config_manager);
     const char *token = EbHttp_BearerToken(call->request);
     if (token != NULL) {
-        call->principal = config != NULL
-                              ? EbConfig_FindOperatorByToken(config, token)
-                              : find_bootstrap_operator(
-                                    call->server->options.settings, token);
+        call->principal = find_operator(call->server, config, token);
     }
     if (call->principal == NULL) {
         emit_denied(call);
--- a/src/test_admin_server/main.c
+++ b/src/test_admin_server/main.c
@@ -551,6 +551,35 @@
     close_fixture(&fixture);
 }
 
+/* Guards against operators who can't look at a daemon of the users' platform,
+ * whose configuration names none, and against a token of the settings that may
+ * change anything or remains valid beside configured operators. */
+static void
+test_viewer_token(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture);
+    EbConfig_DigestToken("look", fixture.settings.viewer_token_digest);
+    CU_ASSERT_EQUAL(call(&fixture, "GET", "/v1/status", "look", "", NULL),
+                    200);
+    CU_ASSERT_EQUAL(call(&fixture, "GET", "/v1/status", "other", "", NULL),
+                    401);
+    CU_ASSERT_EQUAL(call(&fixture, "POST", "/v1/drain", "look", "", NULL),
+                    403);
+    json_object_set_new(fixture.document, "generation", json_integer(2));
+    EbConfig *config = EbConfig_New("site", 1);
+    CU_ASSERT_EQUAL(EbConfigManager_OfferConfig(fixture.config_manager, config,
+                                                "test", 0),
+                    EB_CONFIG_APPLIED);
+    EbConfig_Unref(config);
+    CU_ASSERT_EQUAL(call(&fixture, "GET", "/v1/status", "look", "", NULL),
+                    200);
+    apply_document(&fixture);
+    CU_ASSERT_EQUAL(call(&fixture, "GET", "/v1/status", "look", "", NULL),
+                    401);
+    close_fixture(&fixture);
+}
+
 /* Guards against a release from quarantine that does not reach the module, an
  * outcome read under a wrong object name, and a late reply of the store that
  * is sent to a closed connection. */
@@ -609,6 +638,7 @@
         {"configuration change", test_config_change},
         {"configuration check", test_config_check},
         {"bootstrap token", test_bootstrap_token},
+        {"viewer token", test_viewer_token},
         {"quarantine and outcome", test_quarantine_and_outcome},
     };
     if (sodium_init() < 0) {
--- a/src/test_settings/main.c
+++ b/src/test_settings/main.c
@@ -239,6 +239,7 @@
         {"{\"platform_token\": \"t\"}", "", "platform_token"},
         {"{\"bootstrap_token_digest\": \"" KEY "\"}", "",
          "bootstrap_token_digest"},
+        {"{\"viewer_token_digest\": \"" KEY "\"}", "", "viewer_token_digest"},
         {"{\"evacuations\": true, \"policy\": \"plain\"}", "",
          "evacuations policy"},
         {"{\"server_speeds\": \"shared\"}", "", "server_speeds"},
