membership: a daemon may name any capacity to its peers

Cause: only 0 could be named after the start, when a daemon shuts down. A daemon that loses its room for homes of work items for a while has to name less, and its full capacity again later.

Change: EbMembership_SetCapacity in place of EbMembership_WithdrawCapacity. The record is flooded as before; no message changes.

Its test of the withdrawal now also checks a quarter and the full capacity (0 as before).

--- a/include/membership/ebonyhollow/membership.h
+++ b/include/membership/ebonyhollow/membership.h
@@ -111,9 +111,10 @@
  * is not higher than the last. */
 void EbMembership_SetGeneration(EbMembership *membership, uint64_t generation);
 
-/* Sets this daemon's capacity to 0 and announces it, so that the daemon is no
- * longer chosen as a home of work items. */
-void EbMembership_WithdrawCapacity(EbMembership *membership, int64_t now_us);
+/* Sets this daemon's capacity and announces it. With capacity 0 the daemon is
+ * no longer chosen as a home of work items. */
+void EbMembership_SetCapacity(EbMembership *membership, uint32_t capacity,
+                              int64_t now_us);
 
 /* Announces to all daemons that this one is leaving. */
 void EbMembership_Leave(EbMembership *membership, int64_t now_us);
--- a/src/libebonyhollow/membership/membership.c
+++ b/src/libebonyhollow/membership/membership.c
@@ -378,9 +378,10 @@
 }
 
 void
-EbMembership_WithdrawCapacity(EbMembership *membership, int64_t now_us)
+EbMembership_SetCapacity(EbMembership *membership, uint32_t capacity,
+                         int64_t now_us)
 {
-    membership->self->capacity = 0;
+    membership->self->capacity = capacity;
     EbMembership_RaiseOwnSequence(membership, 0, now_us);
     EbMembership_SendChangedRecords(membership);
     EbMembership_PublishChanges(membership, now_us);
--- a/src/libebonyhollow_net/daemon_drain.c
+++ b/src/libebonyhollow_net/daemon_drain.c
@@ -69,7 +69,7 @@
     if (daemon->forward_server != NULL) {
         EbForwardServer_AnnounceClose(daemon->forward_server);
     }
-    EbMembership_WithdrawCapacity(daemon->membership, EbClock_Monotonic());
+    EbMembership_SetCapacity(daemon->membership, 0, EbClock_Monotonic());
     EbDaemon_ScheduleActions(daemon);
 }
 
--- a/src/test_membership/main.c
+++ b/src/test_membership/main.c
@@ -293,25 +293,31 @@
     Network_Stop();
 }
 
-/* Guards against a daemon that shuts down and is still chosen as a home,
- * because the others do not learn that its capacity is 0. */
+/* Guards against a daemon that shuts down or is full and is still chosen as a
+ * home, because the others do not learn its capacity, and against one that
+ * gets no home again. */
 static void
-test_withdraw_capacity(void)
+test_capacity(void)
 {
+    static const uint32_t capacities[] = {0, NETWORK_CAPACITY / 4,
+                                          NETWORK_CAPACITY};
     Network_Start(8, SEED);
     Network_Run(2 * SECOND_US);
     EbMemberView view;
     CU_ASSERT_TRUE(EbMembership_Find(network.nodes[0].membership, "n3",
                                      network.now_us, &view));
     CU_ASSERT_EQUAL(view.capacity, NETWORK_CAPACITY);
-    EbMembership_WithdrawCapacity(network.nodes[3].membership, network.now_us);
-    Network_Drain(3);
-    Network_Run(SECOND_US / 10);
-    for (uint32_t i = 0; i < 8; i++) {
-        CU_ASSERT_TRUE(EbMembership_Find(network.nodes[i].membership, "n3",
-                                         network.now_us, &view));
-        CU_ASSERT_EQUAL(view.capacity, 0);
-        CU_ASSERT_EQUAL(view.state, EB_MEMBER_ALIVE);
+    for (size_t row = 0; row < G_N_ELEMENTS(capacities); row++) {
+        EbMembership_SetCapacity(network.nodes[3].membership, capacities[row],
+                                 network.now_us);
+        Network_Drain(3);
+        Network_Run(SECOND_US / 10);
+        for (uint32_t i = 0; i < 8; i++) {
+            CU_ASSERT_TRUE(EbMembership_Find(network.nodes[i].membership, "n3",
+                                             network.now_us, &view));
+            CU_ASSERT_EQUAL(view.capacity, capacities[row]);
+            CU_ASSERT_EQUAL(view.state, EB_MEMBER_ALIVE);
+        }
     }
     Network_Stop();
 }
@@ -524,8 +530,8 @@
         {"large ring", test_large_ring},
         {"refutation", test_refutation},
         {"leaving", test_leaving},
-        {"withdraw capacity", test_withdraw_capacity},
-        {"withdraw capacity", test_withdraw_capacity},
+        {"capacity", test_capacity},
+        {"capacity", test_capacity},
         {"duplicates", test_duplicates},
         {"quarantine after a restart", test_quarantine_after_restart},
         {"clock stepped back", test_clock_stepped_back},
