daemon_load: homes move away from a daemon whose event loop is late

Change: EbDaemonLoad. After three timers 25 ms late over 300 ms, without a gap of 200 ms, a daemon is full and names a quarter of its capacity until 30 s have passed without a late timer; the hold doubles up to 8 minutes when it is full again. The rule that chooses a home is unchanged and moves into the module. Setting yield_homes (off; the platform's settings turn it on), event capacity-changed, gauge ebonyhollow_full. No message changes, so earlier versions follow.

Early refusal and readiness by load, unsent bytes, relays and permits: not built; no daemon was seen at these limits.

--- a/include/configuration/ebonyhollow/settings.h
+++ b/include/configuration/ebonyhollow/settings.h
@@ -49,6 +49,7 @@
     int64_t store_silence_us; /* a watch of the platform's store without a
                                  response for this long is replaced */
     bool evacuations;         /* the operator may evacuate failure domains */
+    bool yield_homes;         /* homes move while the event loop is late */
     EbAddress *seeds;         /* peers to connect to at start */
     uint32_t seed_count;
     uint8_t peer_key[EB_PEER_KEY_BYTES]; /* shared key of the peer links */
--- a/include/metrics/ebonyhollow/metrics.h
+++ b/include/metrics/ebonyhollow/metrics.h
@@ -51,6 +51,7 @@
     EB_METRIC_EVACUATED,          /* gauge */
     EB_METRIC_EVACUATED_CALLS,    /* gauge */
     EB_METRIC_PACED_SERVERS,      /* gauge */
+    EB_METRIC_FULL,               /* gauge */
     EB_METRIC_COUNT
 } EbMetricId;
 
--- a/include/share/ebonyhollow/event_table.h
+++ b/include/share/ebonyhollow/event_table.h
@@ -95,6 +95,12 @@
       "that it carries is done here or fails at once.",                       \
       "peer,kind",                                                            \
       "Report it; a name in the message is probably longer than 127 bytes.")  \
+    X(CAPACITY_CHANGED, 232, "capacity-changed", EB_LEVEL_NOTICE,             \
+      "The event loop of this daemon stays late by delay_us (state full) or " \
+      "was in time for hold_us (calm): it names capacity to its peers, by "   \
+      "which homes of work items are chosen.",                                \
+      "state,capacity,delay_us,hold_us",                                      \
+      "None, unless it is frequent: give the instance more processor time.")  \
     X(ATTEMPT_STARTED, 209, "attempt-started", EB_LEVEL_INFO,                 \
       "A forwarded request is sent to a backend server. in_flight is the "    \
       "number of this daemon's calls there, left_us the time until its "      \
--- a/src/libebonyhollow/configuration/settings_fields.c
+++ b/src/libebonyhollow/configuration/settings_fields.c
@@ -69,6 +69,10 @@
         "Whether the operator may evacuate failure domains by objects in the "
         "platform's store. They are then watched like the configuration, and "
         "no request is served before they are known."),
+    ROW("yield_homes", BOOLEAN, "", 0, 0, "false", EbSettings, yield_homes,
+        "Whether this instance names a quarter of its capacity to its peers "
+        "while its event loop is late, so that the homes of work items move "
+        "to others."),
     CUSTOM_ROW("seeds", ARRAY, "[]", EB_SETTINGS_MAX_SEEDS,
                "Addresses of peers to connect to at start."),
     ROW("seeds[].host", HOST, "", 0, 0, EB_SCHEMA_REQUIRED, EbAddress, host,
--- a/src/libebonyhollow/metrics/metrics.c
+++ b/src/libebonyhollow/metrics/metrics.c
@@ -210,6 +210,12 @@
                                  "recovery.",
                                  {NULL, NULL, NULL},
                                  1},
+    [EB_METRIC_FULL] = {"ebonyhollow_full",
+                        EB_METRIC_GAUGE,
+                        "1 while the event loop is late and the daemon names "
+                        "a quarter of its capacity, so that homes move.",
+                        {NULL, NULL, NULL},
+                        1},
 };
 
 const char *const EbMetricType_names[EB_METRIC_TYPE_COUNT] = {
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -262,37 +262,24 @@
            is_eligible_home(daemon, view->instance, now_us);
 }
 
-/* The home is chosen by rendezvous hashing (Thaler, Ravishankar 1998) among
- * the eligible daemons that have at least half of the largest capacity. If
- * there are none, this daemon is the home. A daemon that is shutting down has
- * no capacity. */
+/* If there are no candidates, this daemon is the home. */
 const char *
 EbDaemon_FindHome(const EbDaemon *daemon, const char *service, int64_t now_us)
 {
-    const char *home = daemon->settings->instance;
-    uint64_t seed = XXH64(service, strlen(service), 0);
-    uint64_t highest = 0;
-    uint32_t max_capacity = 0;
+    GArray *candidates = g_array_new(false, false, sizeof(EbHomeCandidate));
     EbMemberView view;
     size_t count = EbMembership_Count(daemon->membership);
     for (size_t i = 0; i < count; i++) {
         if (read_home_candidate(daemon, i, now_us, &view)) {
-            max_capacity = MAX(max_capacity, view.capacity);
+            EbHomeCandidate candidate = {.instance = view.instance,
+                                         .capacity = view.capacity};
+            g_array_append_val(candidates, candidate);
         }
     }
-    uint32_t min_capacity = max_capacity > 0 ? MAX(max_capacity / 2, 1) : 0;
-    for (size_t i = 0; i < count; i++) {
-        if (!read_home_candidate(daemon, i, now_us, &view) ||
-            view.capacity < min_capacity) {
-            continue;
-        }
-        uint64_t weight = XXH64(view.instance, strlen(view.instance), seed);
-        if (weight > highest) {
-            highest = weight;
-            home = view.instance;
-        }
-    }
-    return home;
+    const char *home = EbDaemonLoad_ChooseHome(
+        (const EbHomeCandidate *)candidates->data, candidates->len, service);
+    g_array_unref(candidates);
+    return home != NULL ? home : daemon->settings->instance;
 }
 
 static bool
--- a/src/libebonyhollow_net/daemon_timer.c
+++ b/src/libebonyhollow_net/daemon_timer.c
@@ -35,6 +35,7 @@
 {
     int64_t wait_us = next_timer(daemon) - EbClock_Monotonic();
     wait_us = CLAMP(wait_us, MIN_WAIT_US, MAX_WAIT_US);
+    daemon->timer_due_us = EbClock_Monotonic() + wait_us;
     struct timeval wait = {0, wait_us};
     event_add(daemon->timer, &wait);
 }
@@ -62,6 +63,29 @@
                                      EB_FINGERPRINT_QUARANTINED, now_us));
 }
 
+/* Names less capacity to the peers while the event loop is late. A daemon that
+ * is shutting down keeps capacity 0. */
+static void
+measure_load(EbDaemon *daemon, int64_t now_us)
+{
+    int64_t delay_us = MAX(now_us - daemon->timer_due_us, 0);
+    if (!daemon->settings->yield_homes ||
+        daemon->drain_state != EB_DRAIN_NONE ||
+        !EbDaemonLoad_AddDelay(&daemon->load, delay_us, now_us)) {
+        return;
+    }
+    uint32_t capacity =
+        EbDaemonLoad_Capacity(&daemon->load, daemon->settings->capacity);
+    EbMembership_SetCapacity(daemon->membership, capacity, now_us);
+    bool full = daemon->load.state == EB_DAEMON_LOAD_FULL;
+    EbMetrics_Set(daemon->metrics, EB_METRIC_FULL, full);
+    EB_EMIT(daemon->events, EB_EVENT_CAPACITY_CHANGED,
+            EB_STRING_FIELD("state", full ? "full" : "calm"),
+            EB_INTEGER_FIELD("capacity", capacity),
+            EB_INTEGER_FIELD("delay_us", delay_us),
+            EB_INTEGER_FIELD("hold_us", daemon->load.hold_us));
+}
+
 void
 EbDaemon_OnTimer(evutil_socket_t fd, short what, void *arg)
 {
@@ -69,6 +93,7 @@
     (void)what;
     EbDaemon *daemon = arg;
     int64_t now_us = EbClock_Monotonic();
+    measure_load(daemon, now_us);
     EbLedger_Tick(daemon->ledger, now_us);
     EbDispatcher_LedgerResults(daemon->dispatcher, now_us);
     EbDispatcher_Tick(daemon->dispatcher, now_us);
--- a/src/libebonyhollow_net/private/daemon_internal.h
+++ b/src/libebonyhollow_net/private/daemon_internal.h
@@ -17,6 +17,7 @@
 #include "ebonyhollow/caller_server.h"
 #include "ebonyhollow/config_manager.h"
 #include "ebonyhollow/daemon.h"
+#include "ebonyhollow/daemon_load.h"
 #include "ebonyhollow/directives.h"
 #include "ebonyhollow/dispatcher.h"
 #include "ebonyhollow/evacuations.h"
@@ -107,6 +108,8 @@
                                    with the attempt that caused it */
     struct event *action_event; /* performs the pending actions */
     struct event *timer;
+    int64_t timer_due_us; /* when `timer` should fire */
+    EbDaemonLoad load;
 
     EbLedger *ledger;
     EbLimiter *limiter;
--- a/src/test_platform/settings.c
+++ b/src/test_platform/settings.c
@@ -36,8 +36,9 @@
 #define READ_US 500000
 
 /* Guards against wrong addresses, against unknown fields that prevent a daemon
- * from starting, against a drain that exceeds the grace time, and against a
- * lost watch that is noticed after contact_ms. */
+ * from starting, against a drain that exceeds the grace time, against a lost
+ * watch that is noticed after contact_ms, and against homes that stay on a
+ * slow daemon. */
 void
 test_settings(void)
 {
@@ -59,6 +60,7 @@
                    8000000);
     CU_ASSERT_TRUE(settings->store_silence_us + FIRST_RETRY_US + READ_US <=
                    3000000);
+    CU_ASSERT_TRUE(settings->yield_homes);
     EbSettings_Free(settings);
 }
 
