speeds of servers: news to four neighbours instead of a flood on all links

Cause: each SERVER_SPEEDS report was flooded on all links, also on those that homes open on demand, so it reached a daemon 16 times and more, and the reports of a fleet grow with its servers. In the in-memory network 300 daemons that learn 3,000 servers moved 430 kB/s each, and the one with links to all 3,652, in the first 10 s. Change: each daemon tells what is news to it once, every 0.5 to 1.5 s, to four ring neighbours chosen at random, at most 100 reports a message; a receiver passes on only what is news to it. The budget is 1% of a link of 10 Mbit/s in each direction, 12,500 bytes/s, at any size.

--- a/include/membership/ebonyhollow/membership.h
+++ b/include/membership/ebonyhollow/membership.h
@@ -107,6 +107,17 @@
 void EbMembership_Flood(EbMembership *membership, EbMessage *message,
                         int64_t now_us);
 
+/* Sends a message of a flooded kind to up to `max_links` linked neighbours
+ * that are chosen at random. For SERVER_SPEEDS, which the receivers don't pass
+ * on unchanged: they tell what was news to them in messages of their own, so
+ * that the traffic of a daemon doesn't grow with the links and the daemons.
+ * Fills in what EbMembership_Flood does.
+ *
+ * Returns the number of daemons it was sent to. */
+uint32_t EbMembership_SendToNeighbours(EbMembership *membership,
+                                       EbMessage *message, uint32_t max_links,
+                                       int64_t now_us);
+
 /* Sets the configuration generation that heartbeats announce. Ignores one that
  * is not higher than the last. */
 void EbMembership_SetGeneration(EbMembership *membership, uint64_t generation);
--- a/include/membership/ebonyhollow/message.h
+++ b/include/membership/ebonyhollow/message.h
@@ -44,7 +44,8 @@
     EB_MESSAGE_FEED_STATUS,   /* what the reader knows; ends its response */
     EB_MESSAGE_SUSPICIONS,    /* evidence on what crashes servers, flooded */
     EB_MESSAGE_SERVER_LIMITS, /* limits that servers named, flooded */
-    EB_MESSAGE_SERVER_SPEEDS, /* measured speeds of servers, flooded */
+    EB_MESSAGE_SERVER_SPEEDS, /* measured speeds of servers, passed on as news
+                               */
     EB_MESSAGE_KIND_COUNT
 } EbMessageKind;
 
--- a/include/requests/ebonyhollow/dispatcher.h
+++ b/include/requests/ebonyhollow/dispatcher.h
@@ -265,13 +265,14 @@
 
 /* Adds the measured speed of a server that another daemon told. */
 void EbDispatcher_MergeSpeed(EbDispatcher *dispatcher,
-                             const EbSpeedReport *report);
-
-/* Returns the next speed of a server that the other daemons have to be told.
- * `report->server_id` is borrowed until the next call of the module. Returns
- * false when there is none. */
-bool EbDispatcher_NextSpeedReport(EbDispatcher *dispatcher,
-                                  EbSpeedReport *report);
+                             const EbSpeedReport *report, int64_t now_us);
+
+/* Writes up to `max` speeds of servers that other daemons have to be told.
+ * Their `server_id` is borrowed until the next call of the module. Returns
+ * their number. */
+uint32_t EbDispatcher_TakeSpeedReports(EbDispatcher *dispatcher,
+                                       EbSpeedReport *reports, uint32_t max,
+                                       int64_t now_us);
 
 /* Handles deadlines, time-outs, delayed retries and hedges that are due, and
  * serves the queues. */
--- a/include/servers/ebonyhollow/pool.h
+++ b/include/servers/ebonyhollow/pool.h
@@ -153,12 +153,14 @@
                        int64_t now_us);
 
 /* Adds what another daemon told. Unknown ids are ignored. */
-void EbPool_MergeSpeed(EbPool *pool, const EbSpeedReport *report);
+void EbPool_MergeSpeed(EbPool *pool, const EbSpeedReport *report,
+                       int64_t now_us);
 
-/* Returns the next speed that other daemons have to be told; each is returned
- * once. `report->server_id` is borrowed until EbPool_SetConfig. Returns false
- * when there is none. */
-bool EbPool_NextSpeedReport(EbPool *pool, EbSpeedReport *report);
+/* Writes up to `max` speeds that other daemons have to be told, each once.
+ * Their `server_id` is borrowed until EbPool_SetConfig. Returns their number.
+ */
+uint32_t EbPool_TakeSpeedReports(EbPool *pool, EbSpeedReport *reports,
+                                 uint32_t max, int64_t now_us);
 
 /* Records a load report: calls running and waiting at the server. Reports
  * older than the last one and unknown ids are ignored. */
--- a/include/servers/ebonyhollow/server_speed.h
+++ b/include/servers/ebonyhollow/server_speed.h
@@ -15,11 +15,24 @@
 #define EB_SERVER_SPEED_SPAN_EVENTS 4
 #define EB_SERVER_SPEED_MAX_SPANS 32 /* of one stream, the latest ones */
 
+/* How daemons tell each other of speeds. Each one sends what is news to it at
+ * most once in an interval, to a few neighbours, which pass on what is news to
+ * them. At 10 Mbit/s a daemon may spend 1% of its link in each direction on
+ * it, 12,500 bytes/s: four messages of 110 bytes and 100 reports of 27 bytes a
+ * second are 11,200. Four neighbours chosen at random reach 98% of the daemons
+ * (1 - 1/e^4); the others measure by themselves. */
+#define EB_SPEED_REPORT_INTERVAL_US 1000000 /* mean; 0.5 to 1.5 times it */
+#define EB_SPEED_REPORT_LINKS 4
+#define EB_SPEED_REPORTS_MAX 100 /* of one message; the rest follows */
+/* A report that is older is ignored and not passed on. */
+#define EB_SPEED_REPORT_MAX_AGE_US 60000000
+
 /* What one daemon tells the others of a server's usual piece interval. */
 typedef struct {
     char *server_id;
     uint32_t piece_interval_us;
-    uint32_t streams; /* of the sender that showed it */
+    uint32_t streams; /* of the daemon that measured it, which showed it */
+    uint32_t ago_ms;  /* since it was measured */
 } EbSpeedReport;
 
 typedef struct {
@@ -29,8 +42,11 @@
     double slowdown; /* present piece interval divided by the usual one */
     int64_t slowdown_us;
     int32_t cost_step;       /* see EbServerSpeed_UpdateCost */
-    double told_interval_us; /* last value told to or by other daemons */
-    uint32_t untold_streams; /* own ones since then */
+    double told_interval_us; /* last news told to or by other daemons */
+    int64_t told_us;         /* when that was measured */
+    uint32_t relay_streams;  /* of news to pass on; 0: none */
+    uint32_t untold_streams; /* own ones since the last news */
+    int64_t own_us;          /* end of the last own stream */
     uint32_t work_percent;   /* as the server states it; 0: never */
     int64_t work_us;
 } EbServerSpeed;
@@ -60,11 +76,13 @@
 void EbServerSpeed_Observe(EbServerSpeed *speed, double piece_interval_us,
                            int64_t now_us);
 
-/* Adds what another daemon told. A much slower piece interval than the known
- * one counts only when several streams showed it.
+/* Adds what another daemon told. A report that isn't newer than the last news
+ * is ignored, so that one that goes round counts once. A much slower piece
+ * interval than the known one counts only when several streams showed it.
  *
  * report: its piece_interval_us is greater than 0 */
-void EbServerSpeed_Merge(EbServerSpeed *speed, const EbSpeedReport *report);
+void EbServerSpeed_Merge(EbServerSpeed *speed, const EbSpeedReport *report,
+                         int64_t now_us);
 
 /* Records the server's own statement of how long work takes now.
  *
@@ -72,11 +90,12 @@
 void EbServerSpeed_RecordWork(EbServerSpeed *speed, uint32_t percent,
                               int64_t now_us);
 
-/* Returns whether the usual piece interval is news to other daemons, and marks
- * it as told.
+/* Returns whether there is news for other daemons, own or to be passed on, and
+ * marks it as told.
  *
- * report: its piece interval and streams are set */
-bool EbServerSpeed_TakeReport(EbServerSpeed *speed, EbSpeedReport *report);
+ * report: its piece interval, streams and age are set */
+bool EbServerSpeed_TakeReport(EbServerSpeed *speed, EbSpeedReport *report,
+                              int64_t now_us);
 
 /* Updates the usual cost, for a pool whose typical piece interval is
  * `typical_us`; 0: unknown. It changes in steps of a half, and only when the
--- a/src/libebonyhollow/membership/membership_flood.c
+++ b/src/libebonyhollow/membership/membership_flood.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
@@ -206,19 +207,65 @@
     if (own || !mark_seen(find_origin(membership, message, now_us), message)) {
         return;
     }
-    propagate_flood(membership, peer, message, now_us);
+    if (message->kind != EB_MESSAGE_SERVER_SPEEDS) {
+        propagate_flood(membership, peer, message, now_us);
+    }
     membership->options.deliver(membership->options.context, peer->name,
                                 message, now_us);
 }
 
+static void
+set_origin(EbMembership *membership, EbMessage *message)
+{
+    message->origin = membership->self->name;
+    message->origin_incarnation = membership->self->incarnation;
+    message->sequence = ++membership->flood_sequence;
+}
+
+uint32_t
+EbMembership_SendToNeighbours(EbMembership *membership, EbMessage *message,
+                              uint32_t max_links, int64_t now_us)
+{
+    (void)now_us;
+    char *caller_origin = message->origin;
+    set_origin(membership, message);
+    uint8_t *bytes;
+    size_t byte_count;
+    bool encoded = EbMessage_Encode(message, &bytes, &byte_count);
+    message->origin = caller_origin;
+    if (!encoded) {
+        return 0;
+    }
+    uint32_t candidates = 0;
+    for (guint i = 0; i < membership->members->len; i++) {
+        const EbMember *peer = membership->members->pdata[i];
+        candidates += peer->neighbour && peer->link.up;
+    }
+    uint32_t wanted = MIN(max_links, candidates);
+    uint32_t sent = 0;
+    for (guint i = 0; sent < wanted; i++) {
+        const EbMember *peer = membership->members->pdata[i];
+        if (!peer->neighbour || !peer->link.up) {
+            continue;
+        }
+        /* Each set of `wanted` candidates is equally likely. */
+        if (EbRandom_Below(membership->options.random, candidates) <
+            wanted - sent) {
+            EbMembership_SendBytes(membership, peer, bytes, byte_count);
+            sent++;
+        }
+        candidates--;
+    }
+    free(bytes);
+    return sent;
+}
+
 void
 EbMembership_Flood(EbMembership *membership, EbMessage *message,
                    int64_t now_us)
 {
     char *caller_origin = message->origin;
-    message->origin = membership->self->name;
-    message->origin_incarnation = membership->self->incarnation;
-    message->sequence = ++membership->flood_sequence;
+    set_origin(membership, message);
     propagate_flood(membership, NULL, message, now_us);
     message->origin = caller_origin;
 }
--- a/src/libebonyhollow/membership/message.c
+++ b/src/libebonyhollow/membership/message.c
@@ -259,6 +259,7 @@
         pack_name(packer, message->speeds[i].server_id);
         msgpack_pack_uint32(packer, message->speeds[i].piece_interval_us);
         msgpack_pack_uint32(packer, message->speeds[i].streams);
+        msgpack_pack_uint32(packer, message->speeds[i].ago_ms);
     }
 }
 
--- a/src/libebonyhollow/membership/message_decode.c
+++ b/src/libebonyhollow/membership/message_decode.c
@@ -196,10 +196,15 @@
 {
     EbSpeedReport *report = target;
     const msgpack_object *elements =
-        read_elements(object, EB_MESSAGE_SPEED_ELEMENTS);
-    return elements != NULL && read_name(&elements[0], &report->server_id) &&
-           read_uint32(&elements[1], &report->piece_interval_us) &&
-           read_uint32(&elements[2], &report->streams);
+        read_elements(object, EB_MESSAGE_SPEED_MIN_ELEMENTS);
+    if (elements == NULL || !read_name(&elements[0], &report->server_id) ||
+        !read_uint32(&elements[1], &report->piece_interval_us) ||
+        !read_uint32(&elements[2], &report->streams)) {
+        return false;
+    }
+    return object->via.array.size < EB_MESSAGE_SPEED_ELEMENTS ||
+           read_uint32(&elements[EB_MESSAGE_SPEED_MIN_ELEMENTS],
+                       &report->ago_ms);
 }
 
 static bool
--- a/src/libebonyhollow/requests/dispatcher.c
+++ b/src/libebonyhollow/requests/dispatcher.c
@@ -518,26 +518,28 @@
 /* Speeds of servers */
 
 void
-EbDispatcher_MergeSpeed(EbDispatcher *dispatcher, const EbSpeedReport *report)
+EbDispatcher_MergeSpeed(EbDispatcher *dispatcher, const EbSpeedReport *report,
+                        int64_t now_us)
 {
     for (guint i = 0; i < dispatcher->current_pools->len; i++) {
         EbDispatcherPool *pool =
             g_ptr_array_index(dispatcher->current_pools, i);
-        EbPool_MergeSpeed(pool->pool, report);
+        EbPool_MergeSpeed(pool->pool, report, now_us);
     }
 }
 
-bool
-EbDispatcher_NextSpeedReport(EbDispatcher *dispatcher, EbSpeedReport *report)
+uint32_t
+EbDispatcher_TakeSpeedReports(EbDispatcher *dispatcher, EbSpeedReport *reports,
+                              uint32_t max, int64_t now_us)
 {
+    uint32_t count = 0;
     for (guint i = 0; i < dispatcher->current_pools->len; i++) {
         EbDispatcherPool *pool =
             g_ptr_array_index(dispatcher->current_pools, i);
-        if (EbPool_NextSpeedReport(pool->pool, report)) {
-            return true;
-        }
+        count += EbPool_TakeSpeedReports(pool->pool, &reports[count],
+                                         max - count, now_us);
     }
-    return false;
+    return count;
 }
 
 /* Shutdown */
--- a/src/libebonyhollow/servers/pool.c
+++ b/src/libebonyhollow/servers/pool.c
@@ -368,26 +368,28 @@
 }
 
 void
-EbPool_MergeSpeed(EbPool *pool, const EbSpeedReport *report)
+EbPool_MergeSpeed(EbPool *pool, const EbSpeedReport *report, int64_t now_us)
 {
     EbPoolServer *server = g_hash_table_lookup(pool->by_id, report->server_id);
     if (server != NULL && pool->measure_speeds &&
         report->piece_interval_us > 0) {
-        EbServerSpeed_Merge(&server->speed, report);
+        EbServerSpeed_Merge(&server->speed, report, now_us);
     }
 }
 
-bool
-EbPool_NextSpeedReport(EbPool *pool, EbSpeedReport *report)
+uint32_t
+EbPool_TakeSpeedReports(EbPool *pool, EbSpeedReport *reports, uint32_t max,
+                        int64_t now_us)
 {
-    for (uint32_t i = 0; i < pool->server_count; i++) {
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < pool->server_count && count < max; i++) {
         EbPoolServer *server = pool->servers[i];
-        if (EbServerSpeed_TakeReport(&server->speed, report)) {
-            report->server_id = server->id;
-            return true;
+        if (EbServerSpeed_TakeReport(&server->speed, &reports[count],
+                                     now_us)) {
+            reports[count++].server_id = server->id;
         }
     }
-    return false;
+    return count;
 }
 
 bool
--- a/src/libebonyhollow/servers/server_speed.c
+++ b/src/libebonyhollow/servers/server_speed.c
@@ -22,6 +22,10 @@
  * daemons, once several own streams show it, or at once when it is faster. */
 #define NEWS_FACTOR 1.5
 #define NEWS_STREAMS 3
+/* A report counts as newer than the last news when it was measured this much
+ * later: its age doesn't contain the time on its way, and so grows too slowly
+ * while it is passed on. */
+#define NEWS_AGE_TOLERANCE_US 1000000
 #define COST_STEP 1.5
 #define COST_MAX_STEPS 3
 
@@ -74,6 +78,7 @@
 {
     assert(piece_interval_us > 0);
     speed->untold_streams++;
+    speed->own_us = now_us;
     if (speed->samples == 0) {
         speed->piece_interval_us = piece_interval_us;
         speed->samples = 1;
@@ -97,13 +102,39 @@
         gain * (piece_interval_us - speed->piece_interval_us);
 }
 
+/* Returns whether a measurement is newer than the last news. */
+static bool
+is_newer(const EbServerSpeed *speed, int64_t measured_us)
+{
+    return speed->told_interval_us <= 0 ||
+           measured_us > speed->told_us + NEWS_AGE_TOLERANCE_US;
+}
+
+static bool
+differs_from_news(const EbServerSpeed *speed, double piece_interval_us)
+{
+    return speed->told_interval_us <= 0 ||
+           piece_interval_us > NEWS_FACTOR * speed->told_interval_us ||
+           piece_interval_us < speed->told_interval_us / NEWS_FACTOR;
+}
+
 void
-EbServerSpeed_Merge(EbServerSpeed *speed, const EbSpeedReport *report)
+EbServerSpeed_Merge(EbServerSpeed *speed, const EbSpeedReport *report,
+                    int64_t now_us)
 {
     double piece_interval_us = report->piece_interval_us;
     assert(piece_interval_us > 0);
-    speed->told_interval_us = piece_interval_us;
-    speed->untold_streams = 0;
+    int64_t age_us = (int64_t)report->ago_ms * 1000;
+    if (age_us > EB_SPEED_REPORT_MAX_AGE_US ||
+        !is_newer(speed, now_us - age_us)) {
+        return;
+    }
+    if (differs_from_news(speed, piece_interval_us)) {
+        speed->told_interval_us = piece_interval_us;
+        speed->told_us = now_us - age_us;
+        speed->relay_streams = MAX(report->streams, 1);
+        speed->untold_streams = 0;
+    }
     if (speed->samples == 0) {
         speed->piece_interval_us = piece_interval_us;
     }
@@ -126,25 +157,40 @@
     speed->work_us = now_us;
 }
 
+/* Returns whether this daemon's own streams show what others don't know. */
+static bool
+has_own_news(const EbServerSpeed *speed, int64_t now_us)
+{
+    if (speed->untold_streams == 0 || !is_newer(speed, speed->own_us) ||
+        now_us - speed->own_us > EB_SPEED_REPORT_MAX_AGE_US ||
+        !differs_from_news(speed, speed->piece_interval_us)) {
+        return false;
+    }
+    return speed->piece_interval_us < speed->told_interval_us ||
+           speed->told_interval_us <= 0 ||
+           speed->untold_streams >= NEWS_STREAMS;
+}
+
 bool
-EbServerSpeed_TakeReport(EbServerSpeed *speed, EbSpeedReport *report)
+EbServerSpeed_TakeReport(EbServerSpeed *speed, EbSpeedReport *report,
+                         int64_t now_us)
 {
-    if (speed->untold_streams == 0) {
+    if (has_own_news(speed, now_us)) {
+        speed->told_interval_us = speed->piece_interval_us;
+        speed->told_us = speed->own_us;
+        report->streams = speed->untold_streams;
+        speed->untold_streams = 0;
+    }
+    else {
+        report->streams = speed->relay_streams;
+    }
+    speed->relay_streams = 0;
+    int64_t age_us = MAX(now_us - speed->told_us, 0);
+    if (report->streams == 0 || age_us > EB_SPEED_REPORT_MAX_AGE_US) {
         return false;
     }
-    if (speed->told_interval_us > 0) {
-        double ratio = speed->piece_interval_us / speed->told_interval_us;
-        bool faster = ratio < 1 / NEWS_FACTOR;
-        bool slower =
-            ratio > NEWS_FACTOR && speed->untold_streams >= NEWS_STREAMS;
-        if (!faster && !slower) {
-            return false;
-        }
-    }
-    report->piece_interval_us = (uint32_t)fmax(speed->piece_interval_us, 1);
-    report->streams = speed->untold_streams;
-    speed->told_interval_us = speed->piece_interval_us;
-    speed->untold_streams = 0;
+    report->piece_interval_us = (uint32_t)fmax(speed->told_interval_us, 1);
+    report->ago_ms = (uint32_t)(age_us / 1000);
     return true;
 }
 
--- a/src/libebonyhollow_net/daemon_peer.c
+++ b/src/libebonyhollow_net/daemon_peer.c
@@ -16,8 +16,6 @@
 #define MAX_DAEMON_WRITES_PER_S 50
 /* Limits of servers that one message carries; the rest follows in the next. */
 #define MAX_LIMIT_REPORTS 64
-#define MAX_SPEED_REPORTS 128
-#define SPEED_REPORT_INTERVAL_US 3000000
 
 static void
 send_message(EbDaemon *daemon, const char *peer, const EbMessage *message,
@@ -363,25 +361,27 @@
     if (now_us < daemon->next_speed_report_us) {
         return;
     }
-    /* The daemons report at different times, so that most of them have heard
+    /* The daemons report at different times, so that many of them have heard
      * of a server before they would tell of it. */
     daemon->next_speed_report_us =
-        now_us + SPEED_REPORT_INTERVAL_US / 2 +
-        (int64_t)EbRandom_Below(&daemon->random, SPEED_REPORT_INTERVAL_US);
-    EbSpeedReport reports[MAX_SPEED_REPORTS];
+        now_us + EB_SPEED_REPORT_INTERVAL_US / 2 +
+        (int64_t)EbRandom_Below(&daemon->random, EB_SPEED_REPORT_INTERVAL_US);
+    EbSpeedReport reports[EB_SPEED_REPORTS_MAX];
+    uint32_t taken = EbDispatcher_TakeSpeedReports(
+        daemon->dispatcher, reports, EB_SPEED_REPORTS_MAX, now_us);
     uint32_t count = 0;
-    while (count < MAX_SPEED_REPORTS &&
-           EbDispatcher_NextSpeedReport(daemon->dispatcher, &reports[count])) {
+    for (uint32_t i = 0; i < taken; i++) {
         /* One id that is too long would make the message impossible. */
-        if (strlen(reports[count].server_id) <= EB_MESSAGE_MAX_NAME_BYTES) {
-            count++;
+        if (strlen(reports[i].server_id) <= EB_MESSAGE_MAX_NAME_BYTES) {
+            reports[count++] = reports[i];
         }
     }
     if (count > 0) {
         EbMessage message = {.kind = EB_MESSAGE_SERVER_SPEEDS,
                              .speeds = reports,
                              .speed_count = count};
-        EbMembership_Flood(daemon->membership, &message, now_us);
+        EbMembership_SendToNeighbours(daemon->membership, &message,
+                                      EB_SPEED_REPORT_LINKS, now_us);
     }
 }
 
@@ -463,7 +463,8 @@
         break;
     case EB_MESSAGE_SERVER_SPEEDS:
         for (uint32_t i = 0; i < message->speed_count; i++) {
-            EbDispatcher_MergeSpeed(daemon->dispatcher, &message->speeds[i]);
+            EbDispatcher_MergeSpeed(daemon->dispatcher, &message->speeds[i],
+                                    now_us);
         }
         break;
     case EB_MESSAGE_SERVER_LEAVING:
--- a/src/test_membership/main.c
+++ b/src/test_membership/main.c
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "network.h"
+#include "speeds.h"
 #include "test_runner.h"
 
 #define TABLE_COUNT(table) (sizeof(table) / sizeof((table)[0]))
@@ -15,6 +16,9 @@
 #define SECOND_US 1000000LL
 /* Limit on the control traffic of each daemon, from the project's brief. */
 #define BYTES_PER_S_MAX 13000
+/* Time in which a server's new speed has to be known, as docs/design/
+ * server-choice.md states it. */
+#define SPEED_NEWS_US (10 * SECOND_US)
 /* Longest time until all daemons see a death: four missed heartbeats, noticed
  * within two more intervals, a second to reconnect, the time from suspicion to
  * death, and two seconds to spread the record. */
@@ -488,6 +492,82 @@
     Network_Stop();
 }
 
+/* Opens links between a daemon and all others, as a home of work items has
+ * them. */
+static void
+link_with_all(uint32_t hub)
+{
+    EbMessage message = {.kind = EB_MESSAGE_CONFIG_REQUEST, .generation = 3};
+    for (uint32_t i = 0; i < network.count; i++) {
+        char name[16];
+        snprintf(name, sizeof(name), "n%u", i);
+        EbMembership_Send(network.nodes[hub].membership, name, &message,
+                          network.now_us);
+        Network_Drain(hub);
+    }
+    Network_Run(SECOND_US);
+}
+
+/* Writes how many bytes a daemon has sent and received. */
+static void
+read_bytes(uint64_t *bytes)
+{
+    for (uint32_t i = 0; i < network.count; i++) {
+        bytes[i] = network.nodes[i].bytes;
+    }
+}
+
+/* Prints and returns the most bytes per second that a daemon spends on speeds
+ * while the fleet learns those of twice as many servers. */
+static double
+measure_speeds(void)
+{
+    static uint64_t start[NETWORK_MAX], rest[NETWORK_MAX], end[NETWORK_MAX];
+    link_with_all(0);
+    read_bytes(start);
+    Network_Run(10 * SECOND_US);
+    read_bytes(rest);
+    Speeds_Start(2 * size, 3, SEED);
+    Speeds_Run(10 * SECOND_US);
+    read_bytes(end);
+    double sum = 0, most = 0;
+    for (uint32_t i = 0; i < size; i++) {
+        double bytes_per_s =
+            ((double)(end[i] - rest[i]) - (double)(rest[i] - start[i])) / 10;
+        sum += bytes_per_s;
+        most = MAX(most, bytes_per_s);
+    }
+    printf("  %u daemons: %.0f bytes/s, at most %.0f\n", size, sum / size,
+           most);
+    return most;
+}
+
+/* Guards against traffic of SERVER_SPEEDS that grows with the daemons, or with
+ * the links of a home, beyond 1% of 10 Mbit/s sent and as much received, and
+ * against news that reaches the fleet late or not at all. */
+static void
+test_speeds(void)
+{
+    static const uint32_t sizes[] = {5, 30, 100, 300};
+    for (size_t i = 0; i < TABLE_COUNT(sizes); i++) {
+        size = sizes[i];
+        Network_Start(size, SEED);
+        run_until_converged("start", 20 * SECOND_US);
+        Network_Run(40 * SECOND_US);
+        CU_ASSERT_TRUE(measure_speeds() < 2 * 12500);
+        Speeds_Run(10 * SECOND_US);
+        double known = Speeds_Known();
+        Speeds_Change(size - 1, 0);
+        Speeds_Run(SPEED_NEWS_US);
+        printf("  known %.3f, a change after %d s %.3f\n", known,
+               (int)(SPEED_NEWS_US / SECOND_US), Speeds_KnownOf(0));
+        CU_ASSERT_TRUE(known > 0.95);
+        CU_ASSERT_TRUE(Speeds_KnownOf(0) > 0.95);
+        Speeds_Stop();
+        Network_Stop();
+    }
+}
+
 /* Guards against a message that is dropped without notice to its sender since
  * a name in it is too long, with a link and without. */
 static void
@@ -531,6 +611,7 @@
         {"clock stepped back", test_clock_stepped_back},
         {"on-demand links", test_on_demand_links},
         {"unsendable message", test_unsendable_message},
+        {"speeds", test_speeds},
     };
     return EbTest_Run("test_membership", cases, TABLE_COUNT(cases));
 }
--- a/src/test_membership/network.c
+++ b/src/test_membership/network.c
@@ -72,10 +72,15 @@
            int64_t now_us)
 {
     (void)peer;
-    (void)now_us;
     if (message->kind == EB_MESSAGE_SERVER_LEAVING) {
         ((Node *)context)->floods[parse_index(message->server)]++;
     }
+    else if (message->kind == EB_MESSAGE_SERVER_SPEEDS) {
+        if (network.on_speeds != NULL) {
+            network.on_speeds((uint32_t)((Node *)context - network.nodes),
+                              message, now_us);
+        }
+    }
     else if (message->kind == EB_MESSAGE_QUARANTINE) {
         ((Node *)context)->quarantines++;
     }
--- a/src/test_membership/network.h
+++ b/src/test_membership/network.h
@@ -34,6 +34,10 @@
     uint32_t count;
     int64_t now_us;
     Node nodes[NETWORK_MAX];
+    /* Called for each SERVER_SPEEDS message that a daemon receives, or NULL.
+     */
+    void (*on_speeds)(uint32_t index, const EbMessage *message,
+                      int64_t now_us);
 } Network;
 
 extern Network network;
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -24,7 +24,10 @@
 };
 
 static EbSpeedReport sample_speeds[] = {
-    {.server_id = "s-1", .piece_interval_us = UINT32_MAX, .streams = 7},
+    {.server_id = "s-1",
+     .piece_interval_us = UINT32_MAX,
+     .streams = 7,
+     .ago_ms = 9},
     {.server_id = "s-2", .piece_interval_us = 1},
 };
 
@@ -187,6 +190,7 @@
         CU_ASSERT_EQUAL(got->speeds[i].piece_interval_us,
                         sent->speeds[i].piece_interval_us);
         CU_ASSERT_EQUAL(got->speeds[i].streams, sent->speeds[i].streams);
+        CU_ASSERT_EQUAL(got->speeds[i].ago_ms, sent->speeds[i].ago_ms);
     }
     CU_ASSERT_EQUAL_FATAL(got->suspicion_count, sent->suspicion_count);
     for (uint32_t i = 0; i < got->suspicion_count; i++) {
--- a/test/measure_membership.c
+++ b/test/measure_membership.c
@@ -9,10 +9,13 @@
  *
  * Usage: measure_membership [DAEMONS...]
  *        measure_membership --reports DAEMONS REPORTS
+ *        measure_membership --speeds DAEMONS SERVERS CALLS
  *
  * In the second form each daemon sends REPORTS usage reports per second to
  * home daemons chosen at random, each answered by a grant. This is the traffic
- * of customers whose requests are spread over all daemons. */
+ * of customers whose requests are spread over all daemons. In the third form
+ * each daemon measures the speeds of servers by CALLS calls per second, and
+ * tells others what is news; the first daemon has links to all others. */
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -20,6 +23,7 @@
 #include <time.h>
 
 #include "network.h"
+#include "speeds.h"
 
 #define SECOND_US 1000000LL
 #define REST_S 10
@@ -28,6 +32,8 @@
 #define RUNS 3
 #define REPORT_WARM_UP_S 40 /* longer than idle links stay open */
 #define REPORT_S 3
+#define SPEEDS_S 10
+#define SPEEDS_PERIODS 4
 #define STEP_US 10000
 #define CALIBRATION_READINGS 100000
 #define ANNOUNCED_GENERATION 9 /* any number above 0 */
@@ -315,6 +321,49 @@
     Network_Stop();
 }
 
+/* Opens links between a daemon and all others, as a home of work items has
+ * them. */
+static void
+link_with_all(uint32_t hub)
+{
+    for (uint32_t i = 0; i < daemon_count; i++) {
+        if (i != hub) {
+            send_share(hub, i, EB_MESSAGE_USAGE);
+        }
+    }
+    Network_Run(SECOND_US);
+}
+
+static void
+measure_speeds(uint32_t servers, double calls_per_s)
+{
+    Network_Start(daemon_count, 20260402);
+    Network_RunUntil(Network_IsConverged, 60 * SECOND_US);
+    Network_Run(40 * SECOND_US);
+    link_with_all(0);
+    reset();
+    Network_Run(SPEEDS_S * SECOND_US);
+    print_use("without speeds", SPEEDS_S);
+    Speeds_Start(servers, calls_per_s, 20260402);
+    for (int i = 0; i < SPEEDS_PERIODS; i++) {
+        link_with_all(0);
+        reset();
+        Speeds_Run(SPEEDS_S * SECOND_US);
+        char step[64];
+        snprintf(step, sizeof(step), "speeds of %u servers, %d s", servers,
+                 (i + 1) * SPEEDS_S);
+        print_use(step, SPEEDS_S);
+        printf("%u daemons, speeds known: %.3f\n", daemon_count,
+               Speeds_Known());
+    }
+    Speeds_Change(1, 0);
+    Speeds_Run(SPEEDS_S * SECOND_US);
+    printf("%u daemons, a change known after %d s: %.3f\n", daemon_count,
+           SPEEDS_S, Speeds_KnownOf(0));
+    Speeds_Stop();
+    Network_Stop();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -327,6 +376,12 @@
         measure_reports(strtod(argv[3], NULL));
         return 0;
     }
+    if (argc == 5 && strcmp(argv[1], "--speeds") == 0) {
+        daemon_count = (uint32_t)strtoul(argv[2], NULL, 10);
+        measure_speeds((uint32_t)strtoul(argv[3], NULL, 10),
+                       strtod(argv[4], NULL));
+        return 0;
+    }
     for (int run = 0; run < RUNS; run++) {
         for (int i = 0; i < (argc > 1 ? argc - 1 : 4); i++) {
             daemon_count =
