test_message: reports of speeds with and without their age

Cause: daemons of the former version send reports of three elements while a deployment is exchanged; no test had one. Change: two fixed inputs: three elements are accepted, a fourth that isn't a number is refused.

--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -322,6 +322,11 @@
          "a\0\x0b\xa0",
          11, EB_ERROR_TYPE},
         {"\x83\x00\x01\x01\x09\x12\x2a", 7, EB_ERROR_MISSING_FIELD},
+        /* A speed without its age, as the former version sends it. */
+        {"\x84\x00\x01\x01\x12\x02\xa1x\x32\x91\x93\xa1s\x14\x01", 15,
+         EB_ERROR_NONE},
+        {"\x84\x00\x01\x01\x12\x02\xa1x\x32\x91\x94\xa1s\x14\x01\xc0", 16,
+         EB_ERROR_TYPE},
         {"\x91\xc1", 2, EB_ERROR_SYNTAX},
         {"\xdd\xff\xff\xff\xff", 5, EB_ERROR_LIMIT},
         {"\xdf\x00\x00\x0f\xff\x00", 6, EB_ERROR_SYNTAX},
