--- a/include/membership/ebonyhollow/membership.h
+++ b/include/membership/ebonyhollow/membership.h
@@ -115,8 +115,7 @@
  *
  * Returns the number of daemons it was sent to. */
 uint32_t EbMembership_SendToNeighbours(EbMembership *membership,
-                                       EbMessage *message, uint32_t max_links,
-                                       int64_t now_us);
+                                       EbMessage *message, uint32_t max_links);
 
 /* Sets the configuration generation that heartbeats announce. Ignores one that
  * is not higher than the last. */
--- a/src/libebonyhollow/membership/membership_flood.c
+++ b/src/libebonyhollow/membership/membership_flood.c
@@ -224,9 +224,8 @@
 
 uint32_t
 EbMembership_SendToNeighbours(EbMembership *membership, EbMessage *message,
-                              uint32_t max_links, int64_t now_us)
+                              uint32_t max_links)
 {
-    (void)now_us;
     char *caller_origin = message->origin;
     set_origin(membership, message);
     uint8_t *bytes;
--- a/src/libebonyhollow_net/daemon_peer.c
+++ b/src/libebonyhollow_net/daemon_peer.c
@@ -381,7 +381,7 @@
                              .speeds = reports,
                              .speed_count = count};
         EbMembership_SendToNeighbours(daemon->membership, &message,
-                                      EB_SPEED_REPORT_LINKS, now_us);
+                                      EB_SPEED_REPORT_LINKS);
     }
 }
 
--- a/src/test_membership/speeds.c
+++ b/src/test_membership/speeds.c
@@ -89,7 +89,7 @@
                          .speeds = reports,
                          .speed_count = count};
     EbMembership_SendToNeighbours(network.nodes[daemon].membership, &message,
-                                  EB_SPEED_REPORT_LINKS, network.now_us);
+                                  EB_SPEED_REPORT_LINKS);
     Network_Drain(daemon);
 }
 
