--- a/src/test_admin_server/main.c
+++ b/src/test_admin_server/main.c
@@ -568,9 +568,9 @@
                     403);
     json_object_set_new(fixture.document, "generation", json_integer(2));
     EbConfig *config = EbConfig_New("site", 1);
-    CU_ASSERT_EQUAL(EbConfigManager_OfferConfig(fixture.config_manager, config,
-                                                "test", 0),
-                    EB_CONFIG_APPLIED);
+    CU_ASSERT_EQUAL(
+        EbConfigManager_OfferConfig(fixture.config_manager, config, "test", 0),
+        EB_CONFIG_APPLIED);
     EbConfig_Unref(config);
     CU_ASSERT_EQUAL(call(&fixture, "GET", "/v1/status", "look", "", NULL),
                     200);
