Clients never take the last descriptors; accept errors pause the listener

Cause: without an error callback libevent tries accept again at once when no descriptor is left, so the process uses a whole processor and writes a line to stderr each time; and max_connections was not compared with RLIMIT_NOFILE (the default 1024 is the usual soft limit), so callers could take all of it.

Change: callers get at most 375 of a thousand descriptors and operators 125, read at start.

--- a/include/limits/ebonyhollow/intake.h
+++ b/include/limits/ebonyhollow/intake.h
@@ -33,6 +33,7 @@
     EB_INTAKE_NO_MEMORY,   /* the request was refused before it was read */
     EB_INTAKE_CONNECTIONS, /* too many connections; it had no request */
     EB_INTAKE_SLOW,        /* its request took too long to arrive */
+    EB_INTAKE_DESCRIPTORS, /* no descriptor is left; it had no request */
     EB_INTAKE_REASON_COUNT
 } EbIntakeReason;
 
@@ -93,6 +94,11 @@
  * none. */
 bool EbIntake_EndIdle(EbIntake *intake, const void *group, int64_t now_us);
 
+/* Ends one connection of any group that has no request in progress, in the
+ * same order, when the process has no descriptor left. Returns false if there
+ * is none. */
+bool EbIntake_FreeDescriptor(EbIntake *intake);
+
 /* Returns the bytes held for all clients. */
 uint64_t EbIntake_Bytes(const EbIntake *intake);
 
--- a/include/share/ebonyhollow/event_table.h
+++ b/include/share/ebonyhollow/event_table.h
@@ -123,11 +123,10 @@
       "reason,count,client_bytes",                                            \
       "See docs/OPERATIONS.md, clients that misbehave.")                      \
     X(LIMIT_CAPPED, 221, "limit-capped", EB_LEVEL_WARNING,                    \
-      "The configuration asks for a limit on requests that is above what "    \
-      "the memory of this daemon allows; the lower one is in force.",         \
+      "A limit is above what the memory of this daemon or its descriptors "   \
+      "(max_connections) allow; the lower one is in force.",                  \
       "limit,wanted,in_force",                                                \
-      "Lower the limit in the configuration, or give the daemon more "        \
-      "memory.")                                                              \
+      "Lower the limit, or give the daemon more memory or descriptors.")      \
     X(CLAIM_SETTLED, 300, "claim-settled", EB_LEVEL_NOTICE,                   \
       "The result of a claim write was uncertain and has been resolved by "   \
       "reading the store; result is owned, written or changed.",              \
--- a/src/libebonyhollow/limits/intake.c
+++ b/src/libebonyhollow/limits/intake.c
@@ -42,6 +42,7 @@
     [EB_INTAKE_NO_MEMORY] = "no-memory",
     [EB_INTAKE_CONNECTIONS] = "connections",
     [EB_INTAKE_SLOW] = "slow",
+    [EB_INTAKE_DESCRIPTORS] = "descriptors",
 };
 
 EbIntake *
@@ -258,14 +259,14 @@
     return left->progress_us < right->progress_us;
 }
 
-bool
-EbIntake_EndIdle(EbIntake *intake, const void *group, int64_t now_us)
+/* Ends a connection without a request, of one group or, with NULL, of any. */
+static bool
+end_idle(const EbIntake *intake, const void *group, EbIntakeReason reason)
 {
-    (void)now_us;
     EbIntakeAccount *chosen = NULL;
     for (guint i = 0; i < intake->accounts->len; i++) {
         EbIntakeAccount *account = g_ptr_array_index(intake->accounts, i);
-        if (account->client.group != group ||
+        if ((group != NULL && account->client.group != group) ||
             account->phase == EB_INTAKE_RUNNING ||
             account->phase == EB_INTAKE_ANSWERING) {
             continue;
@@ -275,11 +276,24 @@
         }
     }
     if (chosen != NULL) {
-        chosen->client.end(chosen->client.context, EB_INTAKE_CONNECTIONS);
+        chosen->client.end(chosen->client.context, reason);
     }
     return chosen != NULL;
 }
 
+bool
+EbIntake_EndIdle(EbIntake *intake, const void *group, int64_t now_us)
+{
+    (void)now_us;
+    return group != NULL && end_idle(intake, group, EB_INTAKE_CONNECTIONS);
+}
+
+bool
+EbIntake_FreeDescriptor(EbIntake *intake)
+{
+    return end_idle(intake, NULL, EB_INTAKE_DESCRIPTORS);
+}
+
 uint64_t
 EbIntake_Bytes(const EbIntake *intake)
 {
--- a/src/libebonyhollow_net/admin_server.c
+++ b/src/libebonyhollow_net/admin_server.c
@@ -411,6 +411,7 @@
         .max_header_bytes = options->settings->max_header_bytes,
         .max_connections = CLAMP(options->settings->max_connections / 2,
                                  MIN_CONNECTIONS, MAX_CONNECTIONS),
+        .descriptors_permille = EB_OPERATOR_DESCRIPTORS_PERMILLE,
         .header_timeout_us = options->settings->header_timeout_us,
         .guard = options->guard,
         .request = on_request,
--- a/src/libebonyhollow_net/caller_server.c
+++ b/src/libebonyhollow_net/caller_server.c
@@ -607,6 +607,7 @@
         .max_body_bytes = settings->max_body_bytes,
         .max_header_bytes = settings->max_header_bytes,
         .max_connections = settings->max_connections,
+        .descriptors_permille = EB_CALLER_DESCRIPTORS_PERMILLE,
         .send_buffer_bytes = settings->max_buffer_bytes,
         .header_timeout_us = settings->header_timeout_us,
         .guard = options->guard,
--- a/src/libebonyhollow_net/client_guard.c
+++ b/src/libebonyhollow_net/client_guard.c
@@ -1,6 +1,11 @@
 #include "client_guard.h"
 
+#include <fcntl.h>
 #include <malloc.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <sys/resource.h>
 
 #include <event2/event.h>
 #include <glib.h>
@@ -68,6 +73,49 @@
     return guard->intake;
 }
 
+uint32_t
+EbClientGuard_CapConnections(EbClientGuard *guard, uint32_t wanted,
+                             uint32_t permille)
+{
+    struct rlimit limit;
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+        limit.rlim_cur == RLIM_INFINITY) {
+        return wanted;
+    }
+    uint64_t largest = MAX((uint64_t)limit.rlim_cur * permille / 1000, 1);
+    if (wanted <= largest) {
+        return wanted;
+    }
+    if (guard->options.events != NULL) {
+        EB_EMIT(guard->options.events, EB_EVENT_LIMIT_CAPPED,
+                EB_STRING_FIELD("limit", "max_connections"),
+                EB_INTEGER_FIELD("wanted", wanted),
+                EB_INTEGER_FIELD("in_force", (int64_t)largest));
+    }
+    return (uint32_t)largest;
+}
+
+/* Returns whether the process may open another descriptor. */
+static bool
+has_descriptor(void)
+{
+    int fd = open("/dev/null", O_RDONLY | O_CLOEXEC);
+    if (fd >= 0) {
+        close(fd);
+    }
+    return fd >= 0;
+}
+
+void
+EbClientGuard_HandleAcceptError(EbClientGuard *guard, int listener_fd)
+{
+    struct pollfd waiting = {.fd = listener_fd, .events = POLLIN};
+    if (poll(&waiting, 1, 0) > 0 && !has_descriptor() &&
+        !EbIntake_FreeDescriptor(guard->intake)) {
+        EbClientGuard_Count(guard, EB_INTAKE_DESCRIPTORS);
+    }
+}
+
 void
 EbClientGuard_Update(EbClientGuard *guard, EbIntakeAccount *account,
                      EbIntakePhase phase, uint64_t bytes)
--- a/src/libebonyhollow_net/forward_server.c
+++ b/src/libebonyhollow_net/forward_server.c
@@ -25,8 +25,7 @@
 static bool
 make_room(EbForwardServer *server)
 {
-    uint32_t limit = server->options.settings->max_connections;
-    return g_hash_table_size(server->connections) < limit ||
+    return g_hash_table_size(server->connections) < server->max_connections ||
            EbIntake_EndIdle(EbClientGuard_Intake(server->guard), server,
                             EbClock_Monotonic());
 }
@@ -36,11 +35,9 @@
           struct sockaddr *address, int length, void *context)
 {
     EbForwardServer *server = context;
-    const EbSettings *settings = server->options.settings;
     if (!make_room(server)) {
-        EB_EMIT(
-            server->options.events, EB_EVENT_CONNECTION_REFUSED,
-            EB_INTEGER_FIELD("max_connections", settings->max_connections));
+        EB_EMIT(server->options.events, EB_EVENT_CONNECTION_REFUSED,
+                EB_INTEGER_FIELD("max_connections", server->max_connections));
         evutil_closesocket(socket);
         return;
     }
@@ -49,6 +46,29 @@
                              EbSocket_HashAddress(address, length));
 }
 
+/* Pauses the listener: the connection that waits keeps it readable. */
+static void
+on_accept_error(struct evconnlistener *listener, void *context)
+{
+    EbForwardServer *server = context;
+    struct timeval pause = EbClock_Timeval(EB_ACCEPT_PAUSE_US);
+    evconnlistener_disable(listener);
+    event_add(server->accept_event, &pause);
+    EbClientGuard_HandleAcceptError(server->guard,
+                                    evconnlistener_get_fd(listener));
+}
+
+static void
+on_accept_retry(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    EbForwardServer *server = context;
+    if (server->listener != NULL) {
+        evconnlistener_enable(server->listener);
+    }
+}
+
 static uint32_t
 cap_limit(const EbForwardServer *server, const char *name, uint32_t wanted,
           uint64_t largest)
@@ -118,6 +138,10 @@
                   .base = options->base,
                   .max_bytes = options->settings->client_memory_bytes,
                   .events = options->events});
+    server->max_connections = EbClientGuard_CapConnections(
+        server->guard, options->settings->max_connections,
+        EB_CALLER_DESCRIPTORS_PERMILLE);
+    server->accept_event = evtimer_new(options->base, on_accept_retry, server);
     server->connections =
         g_hash_table_new_full(NULL, NULL, EbForwardConnection_Free, NULL);
     server->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -133,6 +157,7 @@
         EbForwardServer_Free(server);
         return NULL;
     }
+    evconnlistener_set_error_cb(server->listener, on_accept_error);
     server->port = EbSocket_Port(evconnlistener_get_fd(server->listener));
     return server;
 }
@@ -146,6 +171,7 @@
     if (server->listener != NULL) {
         evconnlistener_free(server->listener);
     }
+    event_free(server->accept_event);
     g_hash_table_destroy(server->requests);
     g_hash_table_destroy(server->connections);
     if (server->owns_guard) {
--- a/src/libebonyhollow_net/http_server.c
+++ b/src/libebonyhollow_net/http_server.c
@@ -280,6 +280,32 @@
     return bufev;
 }
 
+/* Pauses the listener until the next sweep: the connection that waits keeps it
+ * readable. `context` is evhttp's. */
+static void
+on_accept_error(struct evconnlistener *listener, void *context)
+{
+    (void)context;
+    evconnlistener_disable(listener);
+}
+
+/* Ends the pause of the listener. If a connection waits and no descriptor is
+ * left, one is freed first. */
+static void
+resume_accepting(const EbHttpServer *server)
+{
+    if (server->bound == NULL) {
+        return;
+    }
+    struct evconnlistener *listener =
+        evhttp_bound_socket_get_listener(server->bound);
+    if (server->options.guard != NULL) {
+        EbClientGuard_HandleAcceptError(server->options.guard,
+                                        evconnlistener_get_fd(listener));
+    }
+    evconnlistener_enable(listener);
+}
+
 /* Shuts down connections whose request did not arrive in time. evhttp then
  * reads the end of the input and frees them. */
 static void
@@ -289,6 +315,7 @@
     (void)what;
     EbHttpServer *server = arg;
     int64_t now_us = EbClock_Monotonic();
+    resume_accepting(server);
     GHashTableIter iter;
     void *value;
     g_hash_table_iter_init(&iter, server->connections);
@@ -488,6 +515,7 @@
     }
     EbSocket_SetNoDelay(evconnlistener_get_fd(listener));
     server->port = EbSocket_Port(evconnlistener_get_fd(listener));
+    evconnlistener_set_error_cb(listener, on_accept_error);
     server->bound = evhttp_bind_listener(server->http, listener);
     assert(server->bound != NULL);
     return true;
@@ -499,6 +527,11 @@
     assert(options->base != NULL && options->request != NULL);
     EbHttpServer *server = g_new0(EbHttpServer, 1);
     server->options = *options;
+    if (options->guard != NULL && options->descriptors_permille > 0) {
+        server->options.max_connections = EbClientGuard_CapConnections(
+            options->guard, options->max_connections,
+            options->descriptors_permille);
+    }
     server->connections =
         g_hash_table_new_full(NULL, NULL, NULL, free_connection);
     g_queue_init(&server->accepted);
--- a/src/libebonyhollow_net/private/client_guard.h
+++ b/src/libebonyhollow_net/private/client_guard.h
@@ -12,6 +12,15 @@
 
 struct event_base;
 
+/* Of the descriptors of the process, these parts may be connections of callers
+ * and of operators and probes. A request needs up to one connection to a
+ * server besides the caller's, so half is left. */
+#define EB_CALLER_DESCRIPTORS_PERMILLE 375
+#define EB_OPERATOR_DESCRIPTORS_PERMILLE 125
+/* Time until the callers' listener tries again after it could not accept; long
+ * enough not to use a processor. */
+#define EB_ACCEPT_PAUSE_US 50000
+
 typedef struct EbClientGuard EbClientGuard;
 
 typedef struct {
@@ -29,6 +38,19 @@
 
 EbIntake *EbClientGuard_Intake(EbClientGuard *guard);
 
+/* Returns how many of the `wanted` connections of a listener may be open: at
+ * most `permille` of the descriptors that the process may have. What all
+ * listeners together leave is for servers, the store and peers. If the limit
+ * is lowered, that is logged. */
+uint32_t EbClientGuard_CapConnections(EbClientGuard *guard, uint32_t wanted,
+                                      uint32_t permille);
+
+/* To be called when a connection can't be accepted: ends a connection without
+ * a request if another one waits at `listener_fd` and the process has no
+ * descriptor left; accept fails then also if none waits. The listener must
+ * pause, since the connection that waits keeps it readable. */
+void EbClientGuard_HandleAcceptError(EbClientGuard *guard, int listener_fd);
+
 /* Updates an account. If the limit is exceeded, connections are ended after
  * the current callback of the event loop, before another connection is read.
  */
--- a/src/libebonyhollow_net/private/forward_server_connection.h
+++ b/src/libebonyhollow_net/private/forward_server_connection.h
@@ -44,6 +44,8 @@
 struct EbForwardServer {
     EbForwardServerOptions options;
     struct evconnlistener *listener; /* NULL after the server was stopped */
+    struct event *accept_event;      /* the listener pauses until then */
+    uint32_t max_connections;        /* within the descriptors */
     uint16_t port;
     struct EbClientGuard *guard;
     bool owns_guard;
--- a/src/libebonyhollow_net/private/http_server.h
+++ b/src/libebonyhollow_net/private/http_server.h
@@ -26,6 +26,9 @@
     uint32_t max_body_bytes;
     uint32_t max_header_bytes;
     uint32_t max_connections;
+    /* Part of the descriptors of the process that its connections may have;
+     * used with a guard. 0: no limit. */
+    uint32_t descriptors_permille;
     /* Size of the kernel's send buffer for each connection; 0: the system's
      * default. A caller that does not read can occupy this much kernel memory
      * in addition to the process's own buffer. */
--- a/src/test_caller_server/main.c
+++ b/src/test_caller_server/main.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include <event2/event.h>
 #include <glib.h>
@@ -562,6 +563,33 @@
     close_fixture(&fixture);
 }
 
+/* Guards against a listener that uses a processor while no descriptor is left,
+ * and against a caller, or a probe, that isn't served although another
+ * connection is silent. */
+static void
+test_descriptors(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture);
+    fixture.wanted_submitted = 1;
+    RawClient *silent = connect_client(&fixture);
+    Loop_For(fixture.base, 20000);
+    RawClient *late = connect_client(&fixture);
+    RawClient_Send(late, "POST /v1/pipelines/p HTTP/1.1\r\nHost: x\r\n"
+                         "Content-Type: application/json\r\n"
+                         "Content-Length: 2\r\n\r\n{}");
+    uint64_t limit = Descriptors_Exhaust();
+    clock_t begin = clock();
+    Loop_For(fixture.base, 400000);
+    CU_ASSERT_TRUE(clock() - begin < CLOCKS_PER_SEC / 5);
+    CU_ASSERT_EQUAL(fixture.submitted, 1);
+    Descriptors_Restore(limit);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_submitted, &fixture));
+    RawClient_Free(silent);
+    RawClient_Free(late);
+    close_fixture(&fixture);
+}
+
 /* Guards against a drain that interrupts a request or accepts connections. */
 static void
 test_stop_accepting(void)
@@ -619,6 +647,7 @@
         {"slow headers", test_slow_headers},
         {"idle connections", test_idle_connections},
         {"connection limit", test_connection_limit},
+        {"descriptors", test_descriptors},
         {"stop accepting", test_stop_accepting},
         {"ended at once", test_ended_at_once},
     };
--- a/src/test_forward_net/forward_net.h
+++ b/src/test_forward_net/forward_net.h
@@ -44,6 +44,8 @@
 void test_server_slow_head(void);
 void test_server_memory(void);
 void test_server_connections(void);
+void test_server_descriptors(void);
+void test_server_descriptor_limit(void);
 void test_server_caller_gone(void);
 void test_server_drain(void);
 void test_server_drain_arrived(void);
--- a/src/test_forward_net/main.c
+++ b/src/test_forward_net/main.c
@@ -36,6 +36,8 @@
         {"server slow head", test_server_slow_head},
         {"server memory", test_server_memory},
         {"server connections", test_server_connections},
+        {"server descriptors", test_server_descriptors},
+        {"server descriptor limit", test_server_descriptor_limit},
         {"server caller gone", test_server_caller_gone},
         {"server drain", test_server_drain},
         {"server drain, requests that just arrived",
--- a/src/test_forward_net/server.c
+++ b/src/test_forward_net/server.c
@@ -1,9 +1,11 @@
 /* Tests of EbForwardServer. */
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include <event2/bufferevent.h>
@@ -419,6 +421,60 @@
     close_server(&fixture);
 }
 
+/* Guards against a listener that uses a processor while no descriptor is left,
+ * or that doesn't serve a caller although another one is silent. */
+void
+test_server_descriptors(void)
+{
+    for (int silent = 0; silent < 2; silent++) {
+        ServerFixture fixture;
+        open_server(&fixture);
+        if (!silent) {
+            RawClient_Free(fixture.client);
+        }
+        Loop_For(fixture.base, 20000);
+        RawClient *late =
+            RawClient_New(fixture.base, EbForwardServer_Port(fixture.server));
+        RawClient_Send(late, REQUEST "Content-Length: 0\r\n\r\n");
+        uint64_t limit = Descriptors_Exhaust();
+        clock_t begin = clock();
+        Loop_For(fixture.base, 400000);
+        CU_ASSERT_TRUE(clock() - begin < CLOCKS_PER_SEC / 5);
+        CU_ASSERT_EQUAL(fixture.submitted, (unsigned)silent);
+        Descriptors_Restore(limit);
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, is_submitted, &fixture));
+        if (!silent) {
+            fixture.client = RawClient_New(
+                fixture.base, EbForwardServer_Port(fixture.server));
+        }
+        RawClient_Free(late);
+        close_server(&fixture);
+    }
+}
+
+/* Guards against connections of callers that take the descriptors needed for
+ * servers, the store and peers. */
+void
+test_server_descriptor_limit(void)
+{
+    struct event_base *base = event_base_new();
+    EbClientGuard *guard =
+        EbClientGuard_New(&(EbClientGuardOptions){.base = base});
+    struct rlimit before;
+    getrlimit(RLIMIT_NOFILE, &before);
+    struct rlimit lowered = {.rlim_cur = 400, .rlim_max = before.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &lowered);
+    CU_ASSERT_EQUAL(EbClientGuard_CapConnections(
+                        guard, 1024, EB_CALLER_DESCRIPTORS_PERMILLE),
+                    150);
+    CU_ASSERT_EQUAL(EbClientGuard_CapConnections(
+                        guard, 16, EB_OPERATOR_DESCRIPTORS_PERMILLE),
+                    16);
+    setrlimit(RLIMIT_NOFILE, &before);
+    EbClientGuard_Free(guard);
+    event_base_free(base);
+}
+
 /* Guards against working for a caller that disconnected before its answer. */
 void
 test_server_caller_gone(void)
--- a/src/test_net_support/net_fixture.c
+++ b/src/test_net_support/net_fixture.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -282,3 +283,25 @@
     close(fd);
     return port;
 }
+
+uint64_t
+Descriptors_Exhaust(void)
+{
+    struct rlimit limit;
+    getrlimit(RLIMIT_NOFILE, &limit);
+    uint64_t before = limit.rlim_cur;
+    int lowest_free = dup(0);
+    close(lowest_free);
+    limit.rlim_cur = (rlim_t)lowest_free;
+    setrlimit(RLIMIT_NOFILE, &limit);
+    return before;
+}
+
+void
+Descriptors_Restore(uint64_t limit)
+{
+    struct rlimit restored;
+    getrlimit(RLIMIT_NOFILE, &restored);
+    restored.rlim_cur = limit;
+    setrlimit(RLIMIT_NOFILE, &restored);
+}
--- a/src/test_net_support/net_fixture.h
+++ b/src/test_net_support/net_fixture.h
@@ -73,6 +73,11 @@
 /* Runs the loop for a fixed time, to check that something does not happen. */
 void Loop_For(struct event_base *base, int64_t time_us);
 
+/* Lowers the limit on descriptors until the process can't open another one.
+ * Returns the limit for Descriptors_Restore. */
+uint64_t Descriptors_Exhaust(void);
+void Descriptors_Restore(uint64_t limit);
+
 /* Returns a port on which nothing listens. */
 uint16_t Port_FindUnused(void);
 
