forward_server: a client that takes a part of its answer makes progress

Cause: an answer is counted as a whole until its last byte is sent, so the account did not change when the client took a part, and a slow but sound reader was ended as 'stalled' before one that took nothing.

Change: EbIntake_Progress, called when the output shrinks.

--- a/include/limits/ebonyhollow/intake.h
+++ b/include/limits/ebonyhollow/intake.h
@@ -77,6 +77,10 @@
 void EbIntake_Update(EbIntakeAccount *account, EbIntakePhase phase,
                      uint64_t bytes, int64_t now_us);
 
+/* Records that a connection made progress, sent or took a part, although what
+ * is held for it stays the same. */
+void EbIntake_Progress(EbIntakeAccount *account, int64_t now_us);
+
 /* Returns whether a request of `bytes` may be read or passed on: whether it
  * fits beside those that were passed on already. */
 bool EbIntake_Admits(const EbIntake *intake, uint64_t bytes);
@@ -102,9 +106,9 @@
 /* Returns the bytes held for all clients. */
 uint64_t EbIntake_Bytes(const EbIntake *intake);
 
-/* Returns whether a request that began `elapsed_us` ago and of which `bytes`
- * have arrived is slower than any sound client: it has `grace_us`, and a
- * second more for every kilobyte that arrived. */
+/* Returns whether a request or an answer that began `elapsed_us` ago and of
+ * which `bytes` have passed is slower than with any sound client: it has
+ * `grace_us`, and a second more for every kilobyte that has passed. */
 bool EbIntake_IsTooSlow(int64_t elapsed_us, uint64_t bytes, int64_t grace_us);
 
 /* Counts a client that was refused or ended. Returns the number since the last
--- a/src/libebonyhollow/limits/intake.c
+++ b/src/libebonyhollow/limits/intake.c
@@ -146,6 +146,12 @@
     set_bytes(account, phase, bytes);
 }
 
+void
+EbIntake_Progress(EbIntakeAccount *account, int64_t now_us)
+{
+    account->progress_us = now_us;
+}
+
 bool
 EbIntake_Admits(const EbIntake *intake, uint64_t bytes)
 {
--- a/src/libebonyhollow_net/forward_server_connection.c
+++ b/src/libebonyhollow_net/forward_server_connection.c
@@ -39,10 +39,25 @@
     evbuffer_drain(output, evbuffer_get_length(output));
 }
 
+/* An answer is counted as a whole until its last byte is sent, so that the
+ * account doesn't change when the client takes a part of it. */
+static void
+on_output_changed(struct evbuffer *output, const struct evbuffer_cb_info *info,
+                  void *context)
+{
+    (void)output;
+    const EbForwardConnection *connection = context;
+    if (info->n_deleted > 0) {
+        EbIntake_Progress(connection->account, EbClock_Monotonic());
+    }
+}
+
 void
 EbForwardConnection_Free(gpointer data)
 {
     EbForwardConnection *connection = data;
+    evbuffer_remove_cb(bufferevent_get_output(connection->bufev),
+                       on_output_changed, connection);
     EbIntake_Close(connection->account);
     drop_output(connection->bufev);
     bufferevent_free(connection->bufev);
@@ -526,6 +541,8 @@
     connection->reader = new_reader(connection);
     bufferevent_setcb(connection->bufev, on_read, on_written, on_event,
                       connection);
+    evbuffer_add_cb(bufferevent_get_output(connection->bufev),
+                    on_output_changed, connection);
     bufferevent_setwatermark(connection->bufev, EV_READ, 0,
                              MAX_READ_AHEAD_BYTES);
     EbForwardConnection_SetWait(connection, EB_FORWARD_WAIT_REQUEST);
--- a/src/test_forward_net/forward_net.h
+++ b/src/test_forward_net/forward_net.h
@@ -39,6 +39,7 @@
 void test_server_stream(void);
 void test_server_pipelined(void);
 void test_server_unread_answers(void);
+void test_server_slow_reader(void);
 void test_server_limits(void);
 void test_server_idle_timeout(void);
 void test_server_slow_head(void);
--- a/src/test_forward_net/main.c
+++ b/src/test_forward_net/main.c
@@ -42,6 +42,7 @@
         {"server drain", test_server_drain},
         {"server drain, requests that just arrived",
          test_server_drain_arrived},
+        {"server slow reader", test_server_slow_reader},
     };
     return EbTest_Run("test_forward_net", cases, G_N_ELEMENTS(cases));
 }
--- a/src/test_forward_net/server.c
+++ b/src/test_forward_net/server.c
@@ -56,7 +56,7 @@
 }
 
 static void
-open_server(ServerFixture *fixture)
+open_limited_server(ServerFixture *fixture, uint64_t max_bytes)
 {
     *fixture = (ServerFixture){
         .base = event_base_new(),
@@ -66,8 +66,8 @@
                      .max_connections = 4,
                      .max_buffer_bytes = 1000,
                      .header_timeout_us = 5000000}};
-    fixture->guard =
-        EbClientGuard_New(&(EbClientGuardOptions){.base = fixture->base});
+    fixture->guard = EbClientGuard_New(&(EbClientGuardOptions){
+        .base = fixture->base, .max_bytes = max_bytes});
     fixture->server = EbForwardServer_New(
         &(EbForwardServerOptions){.base = fixture->base,
                                   .settings = &fixture->settings,
@@ -83,6 +83,12 @@
         RawClient_New(fixture->base, EbForwardServer_Port(fixture->server));
 }
 
+static void
+open_server(ServerFixture *fixture)
+{
+    open_limited_server(fixture, 0);
+}
+
 static void
 close_server(ServerFixture *fixture)
 {
@@ -259,6 +265,36 @@
     close_server(&fixture);
 }
 
+/* Connects a socket that accepts few bytes before it is read, and sends a
+ * request on it. */
+static int
+connect_slow_reader(const ServerFixture *fixture, int buffer_bytes,
+                    const char *requests)
+{
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof(buffer_bytes));
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+        .sin_port = htons(EbForwardServer_Port(fixture->server))};
+    CU_ASSERT_EQUAL(connect(fd, (struct sockaddr *)&address, sizeof(address)),
+                    0);
+    CU_ASSERT_EQUAL(write(fd, requests, strlen(requests)),
+                    (ssize_t)strlen(requests));
+    return fd;
+}
+
+static void
+answer_large(ServerFixture *fixture, size_t body_bytes)
+{
+    EbHttpMessage *reply = EbHttpMessage_NewResponse(200);
+    char *body = g_strnfill(body_bytes, 'a');
+    EbHttpMessage_AddBody(reply, body, body_bytes);
+    answer(fixture, EB_OUTCOME_DONE, EB_REASON_NONE, reply);
+    EbHttpMessage_Unref(reply);
+    g_free(body);
+}
+
 /* Guards against requests that are run while the caller reads none of their
  * answers, which then fill the memory, and against counting only the unsent
  * part of an answer that is held as a whole. */
@@ -268,26 +304,11 @@
     enum { ANSWER_BYTES = 16 * 1024 * 1024 };
     ServerFixture fixture;
     open_server(&fixture);
-    int on = 1;
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &on, sizeof(on));
-    struct sockaddr_in address = {
-        .sin_family = AF_INET,
-        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-        .sin_port = htons(EbForwardServer_Port(fixture.server))};
-    CU_ASSERT_EQUAL(connect(fd, (struct sockaddr *)&address, sizeof(address)),
-                    0);
     static const char requests[] = REQUEST "Content-Length: 0\r\n\r\n" REQUEST
                                            "Content-Length: 0\r\n\r\n";
-    CU_ASSERT_EQUAL(write(fd, requests, sizeof(requests) - 1),
-                    (ssize_t)sizeof(requests) - 1);
+    int fd = connect_slow_reader(&fixture, 1, requests);
     CU_ASSERT_TRUE(Loop_Until(fixture.base, is_submitted, &fixture));
-    EbHttpMessage *reply = EbHttpMessage_NewResponse(200);
-    char *body = g_strnfill(ANSWER_BYTES, 'a');
-    EbHttpMessage_AddBody(reply, body, ANSWER_BYTES);
-    answer(&fixture, EB_OUTCOME_DONE, EB_REASON_NONE, reply);
-    EbHttpMessage_Unref(reply);
-    g_free(body);
+    answer_large(&fixture, ANSWER_BYTES);
     Loop_For(fixture.base, 50000);
     CU_ASSERT_EQUAL(fixture.submitted, 1);
     CU_ASSERT_EQUAL(write(fd, "P", 1), 1); /* the account is updated */
@@ -592,3 +613,35 @@
         close_server(&fixture);
     }
 }
+
+/* Guards against ending, when memory is short, a client that takes a part of
+ * its answer now and then before one that takes nothing. */
+void
+test_server_slow_reader(void)
+{
+    enum { MIB = 1024 * 1024, STEP_US = 100000, STEPS = 15, CLIENTS = 3 };
+    /* The first client reads. */
+    static const size_t answer_mib[CLIENTS] = {48, 24, 20};
+    static char part[2 * MIB];
+    ServerFixture fixture;
+    open_limited_server(&fixture, 80 * MIB);
+    int fds[CLIENTS];
+    for (int i = 0; i < CLIENTS; i++) {
+        for (int step = 0; i == 2 && step < STEPS; step++) {
+            CU_ASSERT_TRUE(recv(fds[0], part, sizeof(part), MSG_DONTWAIT) > 0);
+            Loop_For(fixture.base, STEP_US);
+        }
+        fds[i] = connect_slow_reader(&fixture, i == 0 ? MIB : 1,
+                                     REQUEST "Content-Length: 0\r\n\r\n");
+        fixture.wanted_submitted = (unsigned)i + 1;
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_all_submitted, &fixture));
+        answer_large(&fixture, answer_mib[i] * MIB);
+    }
+    Loop_For(fixture.base, STEP_US);
+    CU_ASSERT_EQUAL(EbIntake_Bytes(EbClientGuard_Intake(fixture.guard)) / MIB,
+                    48 + 20);
+    for (int i = 0; i < CLIENTS; i++) {
+        close(fds[i]);
+    }
+    close_server(&fixture);
+}
