forward_client: memory for a response is counted before it is taken

Cause: room for a body of declared length was reserved when its head arrived and counted only as its bytes came, so servers that announce bodies and send none of them took memory beyond max_buffered_bytes.

Change: a declared length counts as a whole from the head on, and a response that doesn't fit is given up then. HEAD and 304 have no body to reserve.

--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -27,6 +27,8 @@
 #define MAX_STALE_EVENT_BYTES 65536
 /* Idle connections are closed this long before the server would close them. */
 #define IDLE_MARGIN_US 500000
+/* Such a response has no body; its length is that of another one. */
+#define STATUS_NOT_MODIFIED 304
 
 typedef struct {
     EbForwardClient *client;
@@ -37,9 +39,11 @@
     uint64_t attempt_id; /* 0: no call */
     char *request_id;
     bool stream;
+    bool head;   /* its response has no body, whatever its length says */
     bool wrote;  /* bytes of the call may have been sent */
     bool reused; /* the connection carried an earlier call */
     EbHttpMessage *response;
+    size_t body_bytes; /* of its body, in `buffered_bytes` */
     EbForwardReply reply;
     bool streaming;        /* the response is an event stream */
     int64_t last_event_id; /* greatest of the stream, -1: none */
@@ -70,7 +74,8 @@
     if (connection->response == NULL) {
         return;
     }
-    connection->client->buffered_bytes -= connection->response->body_bytes;
+    connection->client->buffered_bytes -= connection->body_bytes;
+    connection->body_bytes = 0;
     EbHttpMessage_Unref(connection->response);
     connection->response = NULL;
 }
@@ -196,16 +201,52 @@
     }
 }
 
+/* Returns whether a body or an incomplete event may have `total_bytes`, of
+ * which `added_bytes` are not counted yet. */
+static bool
+has_room(const EbForwardClient *client, size_t total_bytes, size_t added_bytes)
+{
+    return total_bytes <= SMALL_BYTES ||
+           client->buffered_bytes + added_bytes <=
+               client->options.max_buffered_bytes;
+}
+
+/* Counts a body of this size, before memory is taken for it. Returns false if
+ * it is too large. */
+static bool
+count_body(Connection *connection, uint64_t total_bytes)
+{
+    EbForwardClient *client = connection->client;
+    if (total_bytes <= connection->body_bytes) {
+        return true;
+    }
+    if (total_bytes > client->options.max_body_bytes) {
+        return false;
+    }
+    size_t added_bytes = (size_t)total_bytes - connection->body_bytes;
+    if (!has_room(client, (size_t)total_bytes, added_bytes)) {
+        return false;
+    }
+    client->buffered_bytes += added_bytes;
+    connection->body_bytes += added_bytes;
+    return true;
+}
+
 /* Makes room for a body of declared length, which then isn't copied as it
- * grows. */
-static void
-reserve_body(const Connection *connection, EbHttpMessage *message)
+ * grows. Returns false if it is too large. */
+static bool
+reserve_body(Connection *connection, EbHttpMessage *message)
 {
     const char *value = EbHttpMessage_FindHeader(message, "Content-Length");
     uint64_t bytes = value != NULL ? g_ascii_strtoull(value, NULL, 10) : 0;
-    if (bytes <= connection->client->options.max_body_bytes) {
-        EbHttpMessage_ReserveBody(message, bytes);
+    if (connection->head || message->status == STATUS_NOT_MODIFIED) {
+        return true;
     }
+    if (!count_body(connection, bytes)) {
+        return false;
+    }
+    EbHttpMessage_ReserveBody(message, (size_t)bytes);
+    return true;
 }
 
 static bool
@@ -225,8 +266,8 @@
     }
     read_keep_alive(connection, message);
     connection->streaming = connection->stream && is_event_stream(message);
-    if (!connection->streaming) {
-        reserve_body(connection, message);
+    if (!connection->streaming && !reserve_body(connection, message)) {
+        return false;
     }
     if (connection->streaming) {
         EbAttemptEvent event = {.kind = EB_ATTEMPT_STREAMING};
@@ -267,16 +308,6 @@
     report_event(connection, &event);
 }
 
-/* Returns whether a body or an incomplete event may have `total_bytes`, of
- * which `added_bytes` are not counted yet. */
-static bool
-has_room(const EbForwardClient *client, size_t total_bytes, size_t added_bytes)
-{
-    return total_bytes <= SMALL_BYTES ||
-           client->buffered_bytes + added_bytes <=
-               client->options.max_buffered_bytes;
-}
-
 static bool
 feed_stream(Connection *connection, const uint8_t *bytes, size_t byte_count)
 {
@@ -298,13 +329,10 @@
     if (connection->streaming) {
         return feed_stream(connection, bytes, byte_count);
     }
-    EbForwardClient *client = connection->client;
-    size_t body_bytes = connection->response->body_bytes + byte_count;
-    if (body_bytes > client->options.max_body_bytes ||
-        !has_room(client, body_bytes, byte_count)) {
+    if (!count_body(connection,
+                    connection->response->body_bytes + byte_count)) {
         return false;
     }
-    client->buffered_bytes += byte_count;
     EbHttpMessage_AddBody(connection->response, bytes, byte_count);
     return true;
 }
@@ -574,8 +602,8 @@
     connection->stale_event_bytes = 0;
     connection->done = false;
     drop_incomplete_event(connection);
-    EbHttpReader_SkipBody(connection->reader,
-                          strcmp(message->method, "HEAD") == 0);
+    connection->head = strcmp(message->method, "HEAD") == 0;
+    EbHttpReader_SkipBody(connection->reader, connection->head);
     g_hash_table_insert(client->calls, &connection->attempt_id, connection);
     if (opened && !start_connect(connection, send)) {
         end_call(connection, EB_ATTEMPT_REFUSED);
--- a/src/test_forward_net/client.c
+++ b/src/test_forward_net/client.c
@@ -460,6 +460,40 @@
     close_client(&fixture);
 }
 
+/* Announces a large body and sends none of it. */
+static void
+send_announcement(RawPeer *peer, const char *request)
+{
+    (void)request;
+    char *text = g_strdup_printf(HEAD "Content-Length: %zu\r\n\r\n",
+                                 ENDLESS_PART_BYTES);
+    RawPeer_Send(peer, text);
+    g_free(text);
+}
+
+/* Guards against taking memory for bodies that were only announced, beyond the
+ * common limit. */
+void
+test_client_announced_bodies(void)
+{
+    ClientFixture fixture;
+    open_client(&fixture);
+    fixture.server->handler = send_announcement;
+    for (uint64_t id = 1; id <= ENDLESS_BODIES; id++) {
+        send_call(&fixture, id, fixture.server->port, false);
+    }
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, are_bodies_limited, &fixture));
+    CU_ASSERT_EQUAL(fixture.last_kind, EB_ATTEMPT_MALFORMED);
+    for (uint64_t id = 1; id <= ENDLESS_BODIES; id++) {
+        EbForwardClient_Cancel(fixture.client, id);
+    }
+    fixture.server->handler = send_response;
+    fixture.response = HEAD "Content-Length: 2\r\n\r\nab";
+    send_call(&fixture, ENDLESS_BODIES + 1, fixture.server->port, false);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_answer, &fixture));
+    close_client(&fixture);
+}
+
 /* Sends a stream whose first event never ends to all calls but the last, which
  * gets a whole stream with an event in two parts. */
 static void
--- a/src/test_forward_net/forward_net.h
+++ b/src/test_forward_net/forward_net.h
@@ -25,6 +25,7 @@
 void test_client_endless_late_body(void);
 void test_client_endless_stream(void);
 void test_client_endless_bodies(void);
+void test_client_announced_bodies(void);
 void test_client_endless_events(void);
 void test_client_connection_limit(void);
 void test_client_refused(void);
--- a/src/test_forward_net/main.c
+++ b/src/test_forward_net/main.c
@@ -20,6 +20,7 @@
         {"client endless late body", test_client_endless_late_body},
         {"client endless stream", test_client_endless_stream},
         {"client endless bodies", test_client_endless_bodies},
+        {"client announced bodies", test_client_announced_bodies},
         {"client endless events", test_client_endless_events},
         {"client connection limit", test_client_connection_limit},
         {"client refused", test_client_refused},
