http_server: a least rate instead of one deadline for request and answer

Cause: the connection had header_timeout_ms from the end of the last answer for the wait, the next request and, while its answer was sent, for taking it; besides, evhttp's time-out for reading ran while an answer was sent. A sound client on a slow line was cut off in the middle of its body or its answer.

Change: each phase (idle, reading, answering) has header_timeout_ms of its own, the last two a second more for each kilobyte that has passed (as the front door has for bodies). Connections that are too slow are counted with reason 'slow'. The test program ignores SIGPIPE, as the daemon does: the old code ended it.

--- a/src/libebonyhollow_net/http_server.c
+++ b/src/libebonyhollow_net/http_server.c
@@ -37,7 +37,9 @@
     uint64_t cookie;
     struct evhttp_connection *evcon; /* NULL until the first request */
     bool busy;                       /* a request has no response yet */
-    int64_t deadline_us; /* to receive the next request; ignored while busy */
+    EbIntakePhase phase;
+    int64_t since_us;   /* when the phase began */
+    size_t taken_bytes; /* by the client, of the answer being sent */
     EbHttpServer *server;
     EbIntakeAccount *account; /* NULL once the connection was shut down */
     struct bufferevent *bufev;
@@ -83,6 +85,26 @@
     return connection->evcon == NULL && !is_open(connection);
 }
 
+/* Starts the time of a phase. While an answer is sent, a client need not send
+ * anything; evhttp would close the connection after its time-out. */
+static void
+set_phase(Connection *connection, EbIntakePhase phase)
+{
+    if (phase == connection->phase) {
+        return;
+    }
+    bool answering = phase == EB_INTAKE_ANSWERING;
+    if (answering || connection->phase == EB_INTAKE_ANSWERING) {
+        struct timeval timeout =
+            EbClock_Timeval(connection->server->options.header_timeout_us);
+        bufferevent_set_timeouts(connection->bufev,
+                                 answering ? NULL : &timeout, &timeout);
+    }
+    connection->phase = phase;
+    connection->since_us = EbClock_Monotonic();
+    connection->taken_bytes = 0;
+}
+
 static void
 free_connection(gpointer data)
 {
@@ -110,6 +132,7 @@
                           : unsent > 0     ? EB_INTAKE_ANSWERING
                           : received > 0   ? EB_INTAKE_READING
                                            : EB_INTAKE_IDLE;
+    set_phase(connection, phase);
     if (connection->busy) {
         bytes *= RUNNING_COPIES;
     }
@@ -134,8 +157,9 @@
                   void *context)
 {
     (void)buffer;
-    (void)info;
-    update(context);
+    Connection *connection = context;
+    connection->taken_bytes += info->n_deleted;
+    update(connection);
 }
 
 /* Must be called before a connection is removed while its bufferevent still
@@ -248,8 +272,7 @@
     connection->server = server;
     connection->fd = fd;
     connection->cookie = cookie;
-    connection->deadline_us =
-        EbClock_Monotonic() + server->options.header_timeout_us;
+    connection->since_us = EbClock_Monotonic();
     open_account(connection, bufev);
     g_hash_table_replace(server->connections, GINT_TO_POINTER(fd), connection);
 }
@@ -306,8 +329,22 @@
     evconnlistener_enable(listener);
 }
 
-/* Shuts down connections whose request did not arrive in time. evhttp then
- * reads the end of the input and frees them. */
+/* Returns whether a connection is idle for too long, or its request arrives or
+ * its answer is taken at less than any sound client's rate. */
+static bool
+is_too_slow(const Connection *connection, int64_t now_us)
+{
+    size_t passed =
+        connection->phase == EB_INTAKE_READING     ? connection->received_bytes
+        : connection->phase == EB_INTAKE_ANSWERING ? connection->taken_bytes
+                                                   : 0;
+    return !connection->busy &&
+           EbIntake_IsTooSlow(now_us - connection->since_us, passed,
+                              connection->server->options.header_timeout_us);
+}
+
+/* Shuts down connections whose client is too slow. evhttp then reads the end
+ * of the input and frees them. */
 static void
 on_sweep(evutil_socket_t fd, short what, void *arg)
 {
@@ -321,13 +358,15 @@
     g_hash_table_iter_init(&iter, server->connections);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         Connection *connection = value;
-        if (connection->busy || now_us < connection->deadline_us) {
+        if (!is_too_slow(connection, now_us)) {
             continue;
         }
         if (is_open(connection)) {
+            if (connection->phase != EB_INTAKE_IDLE) {
+                EbClientGuard_Count(server->options.guard, EB_INTAKE_SLOW);
+            }
             shutdown(connection->fd, SHUT_RDWR);
-            connection->deadline_us =
-                now_us + server->options.header_timeout_us;
+            connection->since_us = now_us;
         }
         else if (connection->evcon == NULL) {
             g_hash_table_iter_remove(&iter);
@@ -401,9 +440,9 @@
         connection->busy = false;
         connection->received_bytes = evbuffer_get_length(
             bufferevent_get_input(evhttp_connection_get_bufferevent(evcon)));
+        connection->since_us = EbClock_Monotonic();
+        connection->taken_bytes = 0;
         update(connection);
-        connection->deadline_us =
-            EbClock_Monotonic() + server->options.header_timeout_us;
     }
     if (server->bound == NULL) {
         struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
--- a/src/libebonyhollow_net/private/http_server.h
+++ b/src/libebonyhollow_net/private/http_server.h
@@ -1,8 +1,9 @@
 /* EbHttpServer: evhttp with additional limits.
  *
- * Adds a limit on connections and a deadline for receiving a whole request.
- * evhttp restarts its own time-out with each byte, so it would never close the
- * connection of a caller that sends one byte at a time. */
+ * Adds a limit on connections and a least rate for receiving a request and for
+ * taking an answer. evhttp restarts its own time-out with each byte, so it
+ * would never close the connection of a caller that sends or takes one byte at
+ * a time. */
 #ifndef EB_HTTP_SERVER_H
 #define EB_HTTP_SERVER_H
 
@@ -33,7 +34,10 @@
      * default. A caller that does not read can occupy this much kernel memory
      * in addition to the process's own buffer. */
     uint32_t send_buffer_bytes;
-    int64_t header_timeout_us; /* to receive a request, or while idle */
+    /* Longest time while idle, to receive a request and for a client to take
+     * its answer; the last two get a second more for each kilobyte that has
+     * passed. Without a guard, all three together without more. */
+    int64_t header_timeout_us;
     /* Accounts of the clients' memory, shared with other listeners and
      * borrowed. NULL: none are kept. */
     EbClientGuard *guard;
--- a/src/test_caller_server/main.c
+++ b/src/test_caller_server/main.c
@@ -1,9 +1,13 @@
 /* Tests of EbCallerServer with raw sockets. */
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
 
+#include <sys/socket.h>
+
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <glib.h>
 
@@ -74,7 +78,7 @@
 }
 
 static void
-open_fixture(Fixture *fixture)
+open_limited_fixture(Fixture *fixture, uint64_t max_bytes)
 {
     memset(fixture, 0, sizeof(*fixture));
     fixture->base = event_base_new();
@@ -85,7 +89,7 @@
                                      .max_buffer_bytes = 65536,
                                      .header_timeout_us = 500000};
     fixture->guard = EbClientGuard_New(&(EbClientGuardOptions){
-        .base = fixture->base, .max_bytes = GUARD_BYTES});
+        .base = fixture->base, .max_bytes = max_bytes});
     EbError error = {0};
     fixture->server = EbCallerServer_New(
         &(EbCallerServerOptions){.base = fixture->base,
@@ -99,6 +103,12 @@
     CU_ASSERT_PTR_NOT_NULL_FATAL(fixture->server);
 }
 
+static void
+open_fixture(Fixture *fixture)
+{
+    open_limited_fixture(fixture, GUARD_BYTES);
+}
+
 static void
 close_fixture(Fixture *fixture)
 {
@@ -518,6 +528,49 @@
     return EbCallerServer_ConnectionCount(fixture->server) == 0;
 }
 
+/* Guards against closing the connection of a slow but sound client before its
+ * request has arrived or its answer is taken, and against waiting for one that
+ * takes a byte now and then. */
+static void
+test_slow_clients(void)
+{
+    enum { BODY_BYTES = 900, PARTS = 9, STEP_US = 100000, STEPS = 15 };
+    enum { MIB = 1024 * 1024 };
+    static char part[MIB];
+    Fixture fixture;
+    open_limited_fixture(&fixture, (uint64_t)64 * MIB);
+    RawClient *client = connect_client(&fixture);
+    RawClient_Send(client, "POST /v1/pipelines/p HTTP/1.1\r\nHost: x\r\n"
+                           "Content-Type: application/json\r\n"
+                           "Content-Length: 900\r\n\r\n");
+    char *piece = g_strnfill(BODY_BYTES / PARTS, ' ');
+    for (int i = 0; i < PARTS; i++) {
+        Loop_For(fixture.base, STEP_US);
+        RawClient_Send(client, piece);
+    }
+    g_free(piece);
+    fixture.wanted_submitted = 1;
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_submitted, &fixture));
+    bufferevent_disable(client->bufev, EV_READ | EV_WRITE);
+    char *text = g_strnfill((gsize)24 * MIB, 'a');
+    json_t *body = json_pack("{s:{s:s}}", "answer", "text", text);
+    EbCallerServer_Answer(fixture.server,
+                          &(EbAnswer){.request = fixture.last_handle,
+                                      .outcome = EB_OUTCOME_DONE,
+                                      .body = body});
+    json_decref(body);
+    g_free(text);
+    evutil_socket_t fd = bufferevent_getfd(client->bufev);
+    for (int i = 0; i < STEPS; i++) {
+        Loop_For(fixture.base, STEP_US);
+        CU_ASSERT_TRUE(recv(fd, part, sizeof(part), MSG_DONTWAIT) > 0);
+    }
+    CU_ASSERT_EQUAL(EbCallerServer_ConnectionCount(fixture.server), 1);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_no_connections, &fixture));
+    RawClient_Free(client);
+    close_fixture(&fixture);
+}
+
 /* Guards against idle connections that block other callers or are never
  * closed. */
 static void
@@ -636,6 +689,7 @@
 int
 main(void)
 {
+    signal(SIGPIPE, SIG_IGN); /* as in the daemon */
     static const EbTestCase cases[] = {
         {"json answer", test_json_answer},
         {"refused", test_refused},
@@ -645,6 +699,7 @@
         {"blocked reader", test_blocked_reader},
         {"bad requests", test_bad_requests},
         {"slow headers", test_slow_headers},
+        {"slow clients", test_slow_clients},
         {"idle connections", test_idle_connections},
         {"connection limit", test_connection_limit},
         {"descriptors", test_descriptors},
