--- a/src/test_forward_net/server.c
+++ b/src/test_forward_net/server.c
@@ -624,7 +624,7 @@
     static const size_t answer_mib[CLIENTS] = {48, 24, 20};
     static char part[2 * MIB];
     ServerFixture fixture;
-    open_limited_server(&fixture, 80 * MIB);
+    open_limited_server(&fixture, (uint64_t)80 * MIB);
     int fds[CLIENTS];
     for (int i = 0; i < CLIENTS; i++) {
         for (int step = 0; i == 2 && step < STEPS; step++) {
