--- a/src/test_forward_net/main.c
+++ b/src/test_forward_net/main.c
@@ -20,6 +20,7 @@
         {"client endless late body", test_client_endless_late_body},
         {"client endless stream", test_client_endless_stream},
         {"client endless bodies", test_client_endless_bodies},
+        {"client announced bodies", test_client_announced_bodies},
         {"client endless events", test_client_endless_events},
         {"client connection limit", test_client_connection_limit},
         {"client refused", test_client_refused},
@@ -36,10 +37,13 @@
         {"server slow head", test_server_slow_head},
         {"server memory", test_server_memory},
         {"server connections", test_server_connections},
+        {"server descriptors", test_server_descriptors},
+        {"server descriptor limit", test_server_descriptor_limit},
         {"server caller gone", test_server_caller_gone},
         {"server drain", test_server_drain},
         {"server drain, requests that just arrived",
          test_server_drain_arrived},
+        {"server slow reader", test_server_slow_reader},
     };
     return EbTest_Run("test_forward_net", cases, G_N_ELEMENTS(cases));
 }
