directives: lost daemons keep their places among a server's users

A daemon chose the users of a limit among the daemons that it sees as live, and scaled the parts by live / (live + lost).

The users are now the first of all known daemons, lost ones included, as EbPace does. Then the sum never passes the limit, whoever is seen as lost. A server with a limit below the number of daemons may have all its users among the lost ones.

Tests: "shares" asked for each side's proportion (0.65 of 1.3 with 4 of 8 lost), which no longer holds for a single server. It now asks that both sides together have exactly the limit, and no side more; two rows with 300 daemons are new. "ended daemons" is new: a quarter of the processes ends, the others learn of it within 3 s, and use what was used before again from 5 s after the end. Its bound of 0.9 lies between 0.75, where parts stay unused, and 1.

--- a/include/servers/ebonyhollow/directives.h
+++ b/include/servers/ebonyhollow/directives.h
@@ -14,7 +14,8 @@
  *
  * - A daemon that gets a share, or learns of a limit, begins without tokens.
  * - Dead daemons keep their part of each limit until they are forgotten, as
- *   they may only be cut off. Those that left in an orderly way don't.
+ *   they may only be cut off. Those that left in an orderly way, or whose
+ *   process is known to have ended, don't.
  *
  * A limit is known from the answers to calls of this daemon and from reports
  * of others. It ends when a call that was sent after the last answer which
@@ -67,9 +68,11 @@
  *
  * live: names of the live daemons; copied. Without this daemon among them it
  *     has no share of any limit, as while it shuts down.
- * lost: how many daemons died without leaving and may only be cut off. */
+ * lost: names of daemons that died without leaving and may only be cut off;
+ *     copied. They keep their part of each limit. */
 void EbDirectives_SetMembers(EbDirectives *directives, const char *const *live,
-                             size_t live_count, size_t lost, int64_t now_us);
+                             size_t live_count, const char *const *lost,
+                             size_t lost_count, int64_t now_us);
 
 /* Handles what the head of a server's answer says.
  *
--- a/src/libebonyhollow/servers/directives.c
+++ b/src/libebonyhollow/servers/directives.c
@@ -61,7 +61,6 @@
     GHashTable *servers; /* id to Server */
     GHashTable *starts;  /* id to Start */
     EbFleetShare *fleet;
-    size_t lost; /* daemons */
 };
 
 static void
@@ -154,17 +153,18 @@
 static double
 compute_share(const EbDirectives *directives, const Server *server)
 {
-    size_t live = EbFleetShare_LiveCount(directives->fleet);
     if (!server->limited || !EbFleetShare_IsMember(directives->fleet)) {
         return 0;
     }
+    /* Lost daemons keep their places: daemons that disagree on who is lost, as
+     * at the start of a partition, still choose the same users. */
+    double known = (double)EbFleetShare_KnownCount(directives->fleet);
     double wanted = floor(server->requests_per_s / REQUESTS_PER_S_PER_DAEMON);
-    size_t users = (size_t)CLAMP(wanted, 1, (double)live);
-    if (EbFleetShare_LiveRank(directives->fleet, server->id) >= users) {
+    size_t users = (size_t)CLAMP(wanted, 1, known);
+    if (EbFleetShare_KnownRank(directives->fleet, server->id) >= users) {
         return 0;
     }
-    double reachable = (double)live / (double)(live + directives->lost);
-    return server->requests_per_s * reachable / (double)users;
+    return server->requests_per_s / (double)users;
 }
 
 static void
@@ -177,10 +177,11 @@
 
 void
 EbDirectives_SetMembers(EbDirectives *directives, const char *const *live,
-                        size_t live_count, size_t lost, int64_t now_us)
+                        size_t live_count, const char *const *lost,
+                        size_t lost_count, int64_t now_us)
 {
-    directives->lost = lost;
-    EbFleetShare_SetMembers(directives->fleet, live, live_count, NULL, 0);
+    EbFleetShare_SetMembers(directives->fleet, live, live_count, lost,
+                            lost_count);
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, directives->servers);
--- a/src/libebonyhollow_net/daemon_peer.c
+++ b/src/libebonyhollow_net/daemon_peer.c
@@ -508,11 +508,10 @@
                               CLAMP(MAX_TOTAL_WRITES_PER_S / (uint32_t)live, 1,
                                     MAX_DAEMON_WRITES_PER_S));
     }
-    EbDirectives_SetMembers(daemon->directives, names, live,
-                            EbMembership_LostCount(daemon->membership),
-                            now_us);
     size_t lost =
         EbMembership_LostInstances(daemon->membership, lost_names, count + 1);
+    EbDirectives_SetMembers(daemon->directives, names, live, lost_names, lost,
+                            now_us);
     EbPace_SetMembers(daemon->pace, names, live, lost_names, lost, now_us);
     g_free(names);
     g_free(lost_names);
--- a/src/test_directives/fleet.c
+++ b/src/test_directives/fleet.c
@@ -10,11 +10,11 @@
 #define STEP_US 5000
 #define WINDOW_US (4 * SECOND_US)
 /* What callers of this system demand: calls of WINDOW_US as a multiple of the
- * limit, and in addition, counted from CONTACT_US after the limit was named.
+ * limit, and in addition, counted from FLEET_CONTACT_US after the limit was
+ * named.
  */
 #define BOUND_FACTOR 1.5
 #define BOUND_CALLS 5
-#define CONTACT_US (3 * SECOND_US)
 /* A daemon counts once it knew of the limit for this time. */
 #define KNOWN_US 500000
 #define ANSWER_US 30000
@@ -23,6 +23,9 @@
 /* Until the others know that a daemon started, left, or is dead. */
 #define JOIN_SEEN_MAX_US 600000
 #define LEAVE_SEEN_MAX_US 300000
+/* Until they know that it has ended, if its machine refuses connections. */
+#define END_SEEN_MIN_US 500000
+#define END_SEEN_MAX_US 3000000
 #define DEAD_SEEN_MIN_US 5000000
 #define DEAD_SEEN_MAX_US 8000000
 #define HASH_TRIES 3 /* servers that a daemon tries for a request */
@@ -91,16 +94,19 @@
 {
     Daemon *daemon = &fleet->daemons[index];
     const char *live[FLEET_MAX_DAEMONS];
+    const char *lost[FLEET_MAX_DAEMONS];
     size_t count = 0;
-    size_t lost = 0;
+    size_t lost_count = 0;
     for (uint32_t i = 0; i < fleet->options->daemon_count; i++) {
         bool self = i == index;
         if ((self && !daemon->leaving) || (!self && daemon->sees[i])) {
             live[count++] = fleet->names[i];
         }
-        lost += daemon->lost[i];
+        if (daemon->lost[i]) {
+            lost[lost_count++] = fleet->names[i];
+        }
     }
-    EbDirectives_SetMembers(daemon->directives, live, count, lost,
+    EbDirectives_SetMembers(daemon->directives, live, count, lost, lost_count,
                             fleet->now_us);
 }
 
@@ -190,7 +196,12 @@
     if (happens_now(fleet, options->kill_us)) {
         for (uint32_t i = quarter + 1; i < 2 * quarter + 1; i++) {
             stop_daemon(fleet, i);
-            announce(fleet, i, DEAD_SEEN_MIN_US, DEAD_SEEN_MAX_US);
+            /* What has ended is not lost, as if it had left. */
+            fleet->daemons[i].leaving = options->kill_refuses;
+            announce(
+                fleet, i,
+                options->kill_refuses ? END_SEEN_MIN_US : DEAD_SEEN_MIN_US,
+                options->kill_refuses ? END_SEEN_MAX_US : DEAD_SEEN_MAX_US);
         }
     }
     if (happens_now(fleet, options->partition_us)) {
@@ -200,6 +211,25 @@
     }
 }
 
+/* Adds a call to the use before or after daemons were killed. */
+static void
+count_use(const Fleet *fleet)
+{
+    const FleetOptions *options = fleet->options;
+    int64_t from_us = options->limit_from_us + FLEET_CONTACT_US;
+    int64_t after_us = options->kill_us + FLEET_RETURN_US;
+    double per_us =
+        options->limit_per_s * options->limited_servers / SECOND_US;
+    if (fleet->now_us >= from_us && fleet->now_us < options->kill_us) {
+        fleet->result->used_before +=
+            1 / (per_us * (double)(options->kill_us - from_us));
+    }
+    else if (options->kill_us > 0 && fleet->now_us >= after_us) {
+        fleet->result->used_after +=
+            1 / (per_us * (double)(options->limit_until_us - after_us));
+    }
+}
+
 /* Counts a call and checks the window that it ends. */
 static void
 count_call(Fleet *fleet, uint32_t server, bool known)
@@ -212,7 +242,8 @@
         return;
     }
     result->calls++;
-    if (!known || fleet->now_us < options->limit_from_us + CONTACT_US) {
+    count_use(fleet);
+    if (!known || fleet->now_us < options->limit_from_us + FLEET_CONTACT_US) {
         return;
     }
     GQueue *calls = fleet->calls[server];
@@ -278,6 +309,11 @@
     const FleetOptions *options = fleet->options;
     uint32_t index =
         (uint32_t)EbRandom_Below(&fleet->random, options->daemon_count);
+    /* A caller whose connection is refused tries another daemon. */
+    while (options->kill_refuses && !fleet->daemons[index].running) {
+        index =
+            (uint32_t)EbRandom_Below(&fleet->random, options->daemon_count);
+    }
     const Daemon *daemon = &fleet->daemons[index];
     if (!daemon->running || daemon->leaving) {
         return;
--- a/src/test_directives/fleet.h
+++ b/src/test_directives/fleet.h
@@ -8,6 +8,8 @@
 
 #define FLEET_MAX_DAEMONS 300
 #define FLEET_MAX_SERVERS 32
+#define FLEET_CONTACT_US INT64_C(3000000)
+#define FLEET_RETURN_US INT64_C(5000000)
 
 typedef struct {
     uint64_t seed;
@@ -22,6 +24,7 @@
     int64_t join_us;      /* a quarter of the daemons starts only now */
     int64_t leave_us;     /* a daemon announces that it leaves, and stops */
     int64_t kill_us;      /* a quarter of the daemons is killed */
+    bool kill_refuses;    /* and their machines refuse connections */
     int64_t partition_us; /* half of the daemons loses the other half */
     int64_t end_us;
 } FleetOptions;
@@ -32,6 +35,10 @@
                              knew of its limit */
     double allowed_calls; /* in that time, see FLEET_BOUND_FACTOR */
     uint32_t breaches;    /* windows with more calls than allowed */
+    /* Parts of the limits that were used from FLEET_CONTACT_US after they were
+     * named until daemons were killed, and from FLEET_RETURN_US after that. */
+    double used_before;
+    double used_after;
     uint32_t requests;
     uint32_t served;
     uint32_t calls_after_end; /* to servers that were limited before */
--- a/src/test_directives/main.c
+++ b/src/test_directives/main.c
@@ -227,25 +227,28 @@
     EbDirectives_Free(fixture.directives);
 }
 
-/* Adds up the shares of `count` daemons that know each other, of which `lost`
- * are dead. */
+/* Adds up the shares of the daemons from `first` on that know each other, of
+ * all `count`, while the others are lost. */
 static double
-sum_shares(uint32_t count, uint32_t lost, uint32_t limit_milli)
+sum_side(uint32_t first, uint32_t size, uint32_t count, uint32_t limit_milli)
 {
     char names[FLEET_MAX_DAEMONS][16];
     const char *live[FLEET_MAX_DAEMONS];
+    const char *lost[FLEET_MAX_DAEMONS];
     for (uint32_t i = 0; i < count; i++) {
-        g_snprintf(names[i], sizeof(names[i]), "i-%u", i);
+        uint32_t index = (first + i) % count;
+        g_snprintf(names[i], sizeof(names[i]), "i-%u", index);
         live[i] = names[i];
+        lost[i] = names[i];
     }
     double sum = 0;
-    for (uint32_t i = 0; i < count - lost; i++) {
+    for (uint32_t i = 0; i < size; i++) {
         EbRandom random;
         EbRandom_Init(&random, 1);
         EbDirectives *directives = EbDirectives_New(
             &(EbDirectivesOptions){.instance = names[i], .random = &random});
-        EbDirectives_SetMembers(directives, live, count - lost, lost,
-                                SECOND_US);
+        EbDirectives_SetMembers(directives, live, size, lost + size,
+                                count - size, SECOND_US);
         EbServerDirective directive = {.has_limit = true,
                                        .requests_per_s_milli = limit_milli};
         EbDirectives_RecordAnswer(directives, SERVER, &directive, SECOND_US,
@@ -260,7 +263,8 @@
 }
 
 /* Guards against shares that add up to more than the limit, or to less while
- * no daemon is missing. */
+ * no daemon is missing, and against sides of a partition that use each other's
+ * shares or leave some unused. */
 static void
 test_shares(void)
 {
@@ -268,13 +272,19 @@
         uint32_t daemons, lost, limit_milli;
         double sum;
     } rows[] = {
-        {1, 0, 2000, 2},         {8, 0, 300, 0.3},   {8, 0, 1300, 1.3},
-        {8, 0, 5500, 5.5},       {8, 0, 80000, 80},  {300, 0, 1600, 1.6},
-        {300, 0, 2000000, 2000}, {8, 4, 1300, 0.65}, {8, 4, 80000, 40},
+        {1, 0, 2000, 2},         {8, 0, 300, 0.3},      {8, 0, 1300, 1.3},
+        {8, 0, 5500, 5.5},       {8, 0, 80000, 80},     {300, 0, 1600, 1.6},
+        {300, 0, 2000000, 2000}, {8, 4, 1300, 1.3},     {8, 4, 80000, 80},
+        {300, 1, 200000, 200},   {300, 100, 1600, 1.6},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-        double sum =
-            sum_shares(rows[i].daemons, rows[i].lost, rows[i].limit_milli);
+        uint32_t live = rows[i].daemons - rows[i].lost;
+        double sum = sum_side(0, live, rows[i].daemons, rows[i].limit_milli);
+        if (rows[i].lost > 0) {
+            CU_ASSERT_TRUE(sum <= rows[i].sum + 0.001);
+            sum += sum_side(live, rows[i].lost, rows[i].daemons,
+                            rows[i].limit_milli);
+        }
         CU_ASSERT_DOUBLE_EQUAL(sum, rows[i].sum, 0.001);
     }
 }
@@ -287,7 +297,8 @@
     Fixture fixture;
     open_fixture(&fixture);
     answer(&fixture, 2000, 0);
-    EbDirectives_SetMembers(fixture.directives, NULL, 0, 0, fixture.now_us);
+    EbDirectives_SetMembers(fixture.directives, NULL, 0, NULL, 0,
+                            fixture.now_us);
     CU_ASSERT_EQUAL(send_for(&fixture, 10 * SECOND_US), 0);
     EbDirectives_Free(fixture.directives);
 }
@@ -435,6 +446,41 @@
     }
 }
 
+/* Guards against parts of killed daemons that the others do not use although
+ * they know that the processes have ended, and against parts that are used
+ * twice meanwhile. */
+static void
+test_ended_daemons(void)
+{
+    static const uint32_t sizes[] = {8, 30, 300};
+    for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        for (uint64_t seed = 1; seed <= fleet_seeds; seed++) {
+            FleetOptions options = {.seed = seed,
+                                    .daemon_count = sizes[i],
+                                    .server_count = 32,
+                                    .limited_servers = 22,
+                                    .limit_per_s = 12,
+                                    .requests_per_s = 800,
+                                    .limit_from_us = 4 * SECOND_US,
+                                    .kill_us = 11 * SECOND_US,
+                                    .kill_refuses = true,
+                                    .limit_until_us = 22 * SECOND_US,
+                                    .end_us = 22 * SECOND_US};
+            FleetResult result;
+            Fleet_Play(&options, &result);
+            CU_ASSERT_EQUAL(result.breaches, 0);
+            CU_ASSERT_TRUE(result.used_after >= 0.9 * result.used_before);
+            if (print_fleets) {
+                printf("%u daemons, seed %" G_GUINT64_FORMAT
+                       ": a quarter ended, %.0f%% of the limit used before, "
+                       "%.0f%% from 5 s after\n",
+                       sizes[i], seed, 100 * result.used_before,
+                       100 * result.used_after);
+            }
+        }
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -450,6 +496,7 @@
         {"reports", test_reports},
         {"many servers", test_many_servers},
         {"fleets", test_fleets},
+        {"ended daemons", test_ended_daemons},
     };
     if (argc == 3 && strcmp(argv[1], "--seeds") == 0) {
         fleet_seeds = strtoull(argv[2], NULL, 10);
--- a/src/test_explain/world.c
+++ b/src/test_explain/world.c
@@ -159,7 +159,8 @@
                                                 .pace = world->pace});
     /* With others, it is not always first this daemon's turn. */
     static const char *const live[] = {"i-1", "i-2", "i-3", "i-4"};
-    EbDirectives_SetMembers(world->directives, live, 1, 0, world->now_us);
+    EbDirectives_SetMembers(world->directives, live, 1, NULL, 0,
+                            world->now_us);
     EbPace_SetMembers(world->pace, live, G_N_ELEMENTS(live), NULL, 0,
                       world->now_us);
     world->evacuations = EbEvacuations_New(&(EbEvacuationsOptions){0});
