membership: a refused connection shows that a daemon has ended

The part of a server's limit that a dead daemon held stayed unused for 10 minutes, as the daemon might only be cut off. A port without a listener refuses connections, whereas a frozen process accepts them in the kernel and one without power or behind a cut does not answer. So a refusal proves the end.

Daemons that were known at an address before a dial that was refused, and have no link, now count as leaving; the record is passed on, and one that runs refutes it. Daemons that time out stay lost for 10 minutes as before.

"cut-off daemons", "daemons without power": the sum of the parts never passes the limit; a time-out is no proof.

Machines that lose power give no evidence: their parts still stay unused.

--- a/include/membership/ebonyhollow/membership.h
+++ b/include/membership/ebonyhollow/membership.h
@@ -85,9 +85,13 @@
 void EbMembership_LinkDown(EbMembership *membership, const char *peer,
                            int64_t now_us);
 
-/* Reports that dialling an address failed. */
+/* Reports that dialling an address failed.
+ *
+ * refused: whether the connection was refused, so that no process listens
+ *     there. Daemons without a link that were known at this address before the
+ *     dial have ended then: they count as leaving, which they can refute. */
 void EbMembership_DialFailed(EbMembership *membership, const char *address,
-                             int64_t now_us);
+                             bool refused, int64_t now_us);
 
 /* Handles a message that arrived on a link. Ignores it when the peer has no
  * link. */
@@ -160,7 +164,8 @@
                                   const char **names, size_t max);
 
 /* Returns the number of daemons that count as dead, did not leave in an
- * orderly way and are not forgotten yet. They may only be cut off. */
+ * orderly way and are not forgotten yet. They may only be cut off. Those whose
+ * process is known to have ended, see EbMembership_DialFailed, don't count. */
 size_t EbMembership_LostCount(const EbMembership *membership);
 
 /* Writes up to `max` names of these daemons, which are borrowed until the next
--- a/include/net/ebonyhollow/peer_link.h
+++ b/include/net/ebonyhollow/peer_link.h
@@ -57,8 +57,9 @@
      * EbPeerLinks_Close. */
     void (*link_down)(void *context, const char *peer);
     /* Called when a dial ended without a link, possibly from within
-     * EbPeerLinks_Connect. */
-    void (*dial_failed)(void *context, const char *address);
+     * EbPeerLinks_Connect. `refused` tells that the connection was refused, so
+     * that nothing listens at the address. */
+    void (*dial_failed)(void *context, const char *address, bool refused);
     /* Called for each message. `message` is valid only during the call. */
     void (*message)(void *context, const char *peer, const EbMessage *message);
     void *context;
--- a/include/share/ebonyhollow/event_table.h
+++ b/include/share/ebonyhollow/event_table.h
@@ -277,8 +277,9 @@
       "Check the instance and replace it. Many at once: see "                 \
       "docs/OPERATIONS.md, partition.")                                       \
     X(PEER_LEAVING, 503, "peer-leaving", EB_LEVEL_NOTICE,                     \
-      "A daemon announced its shutdown or is listed as leaving.", "peer",     \
-      "None.")                                                                \
+      "A daemon announced its shutdown, is listed as leaving, or has ended: " \
+      "its address refuses connections.",                                     \
+      "peer", "None, unless the daemon was not to end: check the instance.")  \
     X(PEER_LINK_UP, 504, "peer-link-up", EB_LEVEL_INFO,                       \
       "A link to a daemon is authenticated.", "peer,address", "None.")        \
     X(PEER_LINK_DOWN, 505, "peer-link-down", EB_LEVEL_INFO,                   \
--- a/src/libebonyhollow/membership/membership.c
+++ b/src/libebonyhollow/membership/membership.c
@@ -236,8 +236,10 @@
         EbMembership_SetAddress(membership, member, address);
         membership->live_changed = true;
         member->incarnation = incarnation;
+        member->known_us = now_us;
         member->sequence = 0;
         member->state = EB_MEMBER_ALIVE;
+        member->left = false;
         member->state_since_us = now_us;
         EbMembership_UpdateMember(membership, member, now_us);
     }
--- a/src/libebonyhollow/membership/membership_dial.c
+++ b/src/libebonyhollow/membership/membership_dial.c
@@ -65,6 +65,7 @@
         return;
     }
     dial->pending_until_us = now_us + DIAL_TIMEOUT_US;
+    dial->started_us = now_us;
     dial->next_us = now_us + backoff_us(membership, dial->failures);
     EbActionQueue_Push(
         membership->options.actions,
@@ -73,9 +74,29 @@
                                 .address = g_strdup(dial->address)}});
 }
 
+/* Handles a refused connection. A daemon opens its listener before it dials,
+ * so one that was known before this dial no longer runs. Once it has refuted
+ * that, further refusals are ignored: something on the path refuses. */
+static void
+set_ended(EbMembership *membership, EbMember *member, int64_t now_us)
+{
+    if (member->link.up || member->known_us > member->dial->started_us ||
+        member->ended == member->incarnation || member->left) {
+        return;
+    }
+    member->ended = member->incarnation;
+    if (member->state == EB_MEMBER_DEAD) {
+        member->left = true;
+        membership->live_changed = true;
+    }
+    else {
+        EbMembership_SetState(membership, member, EB_MEMBER_LEAVING, now_us);
+    }
+}
+
 void
 EbMembership_DialFailed(EbMembership *membership, const char *address,
-                        int64_t now_us)
+                        bool refused, int64_t now_us)
 {
     EbDial *dial = g_hash_table_lookup(membership->dials, address);
     if (dial == NULL) {
@@ -84,6 +105,15 @@
     dial->pending_until_us = 0;
     dial->failures += dial->failures < UINT32_MAX;
     dial->next_us = now_us + backoff_us(membership, dial->failures);
+    for (guint i = 0; refused && i < membership->members->len; i++) {
+        EbMember *member = membership->members->pdata[i];
+        if (member->dial == dial) {
+            set_ended(membership, member, now_us);
+        }
+    }
+    if (refused) {
+        EbMembership_PublishChanges(membership, now_us);
+    }
 }
 
 void
--- a/src/libebonyhollow/membership/membership_record.c
+++ b/src/libebonyhollow/membership/membership_record.c
@@ -91,6 +91,7 @@
     member->ring_position = XXH3_64bits(name, strlen(name));
     member->failure_domain = g_strdup("");
     member->state_since_us = now_us;
+    member->known_us = now_us;
     member->suspect_due_us = INT64_MAX;
     member->visible = EB_MEMBER_DEAD;
     g_queue_init(&member->pending);
@@ -301,6 +302,7 @@
                        record->incarnation == member->incarnation;
     if (record->incarnation != member->incarnation) {
         membership->live_changed = true;
+        member->known_us = now_us;
     }
     EbMembership_SetAddress(membership, member, record->address);
     g_free(member->failure_domain);
--- a/src/libebonyhollow/membership/private/membership_private.h
+++ b/src/libebonyhollow/membership/private/membership_private.h
@@ -29,6 +29,7 @@
     uint32_t failures;        /* consecutive */
     int64_t next_us;          /* earliest time of the next dial */
     int64_t pending_until_us; /* time-out of the dial in progress, or 0 */
+    int64_t started_us;       /* when the last dial started */
 } EbDial;
 
 typedef struct {
@@ -50,7 +51,9 @@
     uint64_t sequence;
     EbMemberState state;   /* of the record, as sent to peers */
     EbMemberState visible; /* as seen by the application */
-    bool left;             /* it announced that it leaves */
+    bool left;             /* it announced that it leaves, or has ended */
+    int64_t known_us;      /* when its incarnation became known */
+    uint64_t ended;        /* incarnation whose address refused a connection */
     int64_t state_since_us;
     int64_t dead_from_us; /* a state of DEAD becomes visible at this time */
     uint64_t digest;      /* of this record, combined into the table's */
--- a/src/libebonyhollow_net/daemon.c
+++ b/src/libebonyhollow_net/daemon.c
@@ -109,10 +109,11 @@
 }
 
 static void
-on_dial_failed(void *context, const char *address)
+on_dial_failed(void *context, const char *address, bool refused)
 {
     EbDaemon *daemon = context;
-    EbMembership_DialFailed(daemon->membership, address, EbClock_Monotonic());
+    EbMembership_DialFailed(daemon->membership, address, refused,
+                            EbClock_Monotonic());
     EbDaemon_ScheduleActions(daemon);
 }
 
--- a/src/libebonyhollow_net/peer_link.c
+++ b/src/libebonyhollow_net/peer_link.c
@@ -102,7 +102,8 @@
         options->link_down(options->context, link->peer.instance);
     }
     else if (link->dialled) {
-        options->dial_failed(options->context, link->dial_address);
+        options->dial_failed(options->context, link->dial_address,
+                             link->refused);
     }
 }
 
@@ -405,16 +406,20 @@
                                         BEV_OPT_CLOSE_ON_FREE);
     }
     if (stream == NULL) {
-        links->options.dial_failed(links->options.context, address);
+        links->options.dial_failed(links->options.context, address, false);
         return;
     }
     EbPeerLink *link = new_link(links, address, address);
     EbPeerLink_Start(link, stream);
+    EVUTIL_SET_SOCKET_ERROR(0);
     if (bufferevent_socket_connect(stream, (struct sockaddr *)&target,
                                    target_bytes) != 0) {
         EbPeerLink_Close(link, "connect failed", false);
     }
     else if (link->state != EB_LINK_CLOSED) {
+        /* A refusal within the call is reported by an event, which comes
+         * without the socket's error. */
+        link->refused = EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
         EbSocket_SetNoDelay(bufferevent_getfd(stream));
         EbSocket_SetUserTimeout(bufferevent_getfd(stream));
     }
--- a/src/libebonyhollow_net/peer_stream.c
+++ b/src/libebonyhollow_net/peer_stream.c
@@ -273,6 +273,9 @@
         EbPeerLink_SendHello(link);
     }
     else if (link->state == EB_LINK_CONNECTING) {
+        link->refused =
+            link->refused || ((what & BEV_EVENT_ERROR) != 0 &&
+                              EVUTIL_SOCKET_ERROR() == ECONNREFUSED);
         EbPeerLink_Close(link, "connection refused or unreachable", false);
     }
     else {
--- a/src/libebonyhollow_net/private/peer_link_internal.h
+++ b/src/libebonyhollow_net/private/peer_link_internal.h
@@ -79,6 +79,7 @@
     EbPeerLinks *owner;
     EbPeerLinkState state;
     bool dialled;
+    bool refused;         /* the connection, when it was dialled */
     char *dial_address;   /* NULL if accepted */
     char *remote_address; /* for logs */
     struct bufferevent *stream;
--- a/src/test_membership/main.c
+++ b/src/test_membership/main.c
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "limit_shares.h"
 #include "network.h"
 #include "test_runner.h"
 
@@ -530,6 +531,10 @@
         {"quarantine after a restart", test_quarantine_after_restart},
         {"clock stepped back", test_clock_stepped_back},
         {"on-demand links", test_on_demand_links},
+        {"ended daemons", LimitShares_TestEnded},
+        {"daemons without power", LimitShares_TestPowerLoss},
+        {"cut-off daemons", LimitShares_TestPartition},
+        {"wrong refusal", LimitShares_TestWrongRefusal},
         {"unsendable message", test_unsendable_message},
     };
     return EbTest_Run("test_membership", cases, TABLE_COUNT(cases));
--- a/src/test_membership/network.c
+++ b/src/test_membership/network.c
@@ -25,6 +25,7 @@
     uint32_t epoch;
     uint8_t *bytes;
     size_t byte_count;
+    bool refused;
 } Event;
 
 Network network;
@@ -122,6 +123,8 @@
     if (action->kind == EB_ACTION_PEER_CONNECT) {
         event.kind = network.nodes[to].running && reachable ? EVENT_CONNECT
                                                             : EVENT_FAIL;
+        event.refused = reachable && !network.nodes[to].running &&
+                        network.nodes[to].refuses;
         event.time_us += reachable ? HOP_US : CONNECT_TIMEOUT_US;
         push_event(event);
     }
@@ -224,7 +227,7 @@
         break;
     case EVENT_FAIL:
         EbMembership_DialFailed(network.nodes[index].membership, name,
-                                network.now_us);
+                                event->refused, network.now_us);
         break;
     case EVENT_MESSAGE:
         deliver_message(event);
--- a/src/test_membership/network.h
+++ b/src/test_membership/network.h
@@ -19,7 +19,8 @@
     uint64_t incarnation;
     uint32_t starts;
     bool running;
-    int side; /* daemons on different sides can't reach each other */
+    int side;     /* daemons on different sides can't reach each other */
+    bool refuses; /* dials, while it is not running: its machine answers */
     int64_t timer_us;
     uint32_t changed;
     uint64_t announced;
--- a/src/test_peer_link/main.c
+++ b/src/test_peer_link/main.c
@@ -24,7 +24,7 @@
     char peer[64]; /* peer of the last link that was established */
     uint64_t peer_incarnation;
     char peer_address[64];
-    int up, down, failed_dials, messages, bad_frames;
+    int up, down, failed_dials, refused_dials, messages, bad_frames;
     uint64_t generation; /* of the last message */
     size_t text_bytes;   /* of the last message */
 } Endpoint;
@@ -74,10 +74,11 @@
 }
 
 static void
-on_dial_failed(void *context, const char *address)
+on_dial_failed(void *context, const char *address, bool refused)
 {
     (void)address;
     ((Endpoint *)context)->failed_dials++;
+    ((Endpoint *)context)->refused_dials += refused;
 }
 
 static void
@@ -345,8 +346,11 @@
     close_endpoint(&b);
     EbPeerLinks_Connect(a.links, address); /* nothing listens there */
     CU_ASSERT_TRUE(wait_for(&a.failed_dials, 1));
+    CU_ASSERT_EQUAL(a.refused_dials, 1);
     EbPeerLinks_Connect(a.links, "no address");
     CU_ASSERT_EQUAL(a.failed_dials, 2);
+    CU_ASSERT_EQUAL(a.refused_dials + b.refused_dials + namesake.refused_dials,
+                    1);
     CU_ASSERT_EQUAL(a.up + namesake.up, 0);
     g_free(address);
     close_endpoint(&a);
