dispatcher: one function decides whether a further call may be sent

Whether a request still has a caller was asked in retry() alone. The other paths to a call (the end of the wait in a queue, a hedge, the next stage of the own interface) relied on the request having been ended when its caller left, which each new path would have to know.

EbRequest_MayStartAttempt is asked on all of them, also for requests with idempotency keys, whose key is released so that a repeat starts anew. Calls that it holds back are counted in ebonyhollow_saved_calls_total (pipeline, stage).

test_forward: "detached" asks for the count: 1 for each of three rows that end with "not run" or a refused connection, else 0. Not covered: a hedge and a key on the own interface have no row of their own; late arrivals are not counted.

--- a/include/metrics/ebonyhollow/metrics.h
+++ b/include/metrics/ebonyhollow/metrics.h
@@ -24,6 +24,7 @@
     EB_METRIC_HEDGES,            /* pipeline, stage */
     EB_METRIC_RESUMES,           /* pipeline, stage */
     EB_METRIC_WASTED_CALLS,      /* pipeline, stage */
+    EB_METRIC_SAVED_CALLS,       /* pipeline, stage */
     EB_METRIC_SERVER_TIME_US,    /* customer, pipeline, stage */
     EB_METRIC_TOKENS,            /* customer, pipeline */
     EB_METRIC_LATE_STAGE_JOBS,   /* service, cause */
--- a/src/libebonyhollow/metrics/metrics.c
+++ b/src/libebonyhollow/metrics/metrics.c
@@ -56,6 +56,12 @@
                                 "cancelled ones included.",
                                 {"pipeline", "stage", NULL},
                                 SERIES_DEFAULT},
+    [EB_METRIC_SAVED_CALLS] = {"ebonyhollow_saved_calls_total",
+                               EB_METRIC_COUNTER,
+                               "Further calls that were not sent, since the "
+                               "client had gone or had its answer.",
+                               {"pipeline", "stage", NULL},
+                               SERIES_DEFAULT},
     [EB_METRIC_SERVER_TIME_US] =
         {"ebonyhollow_server_time_microseconds_total",
          EB_METRIC_COUNTER,
--- a/src/libebonyhollow/requests/dispatcher_attempt.c
+++ b/src/libebonyhollow/requests/dispatcher_attempt.c
@@ -66,15 +66,13 @@
     return EbRetryBudget_Take(budget) || request->token_count > 0;
 }
 
-/* Starts another attempt of the stage after a while, or fails the request.
- * Without a caller none is started: a detached request only waits for the
- * outcome of the call that it has sent. */
+/* Starts another attempt of the stage after a while, or fails the request. */
 static void
 retry(EbRequest *request, EbCallResult result, int64_t now_us)
 {
     EbReason reason = result == EB_CALL_REFUSED ? EB_REASON_NO_BACKEND_SERVER
                                                 : EB_REASON_BACKEND_FAILED;
-    if (request->answered) {
+    if (!EbRequest_MayStartAttempt(request)) {
         EbRequest_Fail(request, reason, NULL, now_us);
         return;
     }
@@ -314,11 +312,14 @@
     request->results[request->stage] = result;
     request->retry_at_us = 0;
     request->hedge_at_us = 0;
-    if (++request->stage < request->pipeline->stage_count) {
+    if (++request->stage >= request->pipeline->stage_count) {
+        EbRequest_Complete(request, now_us);
+    }
+    else if (EbRequest_MayStartAttempt(request)) {
         EbRequest_StartStage(request, now_us);
     }
     else {
-        EbRequest_Complete(request, now_us);
+        EbRequest_Fail(request, EB_REASON_CALLER_GONE, NULL, now_us);
     }
 }
 
--- a/src/libebonyhollow/requests/dispatcher_call.c
+++ b/src/libebonyhollow/requests/dispatcher_call.c
@@ -138,6 +138,18 @@
     return now_us + timeout_us;
 }
 
+bool
+EbRequest_MayStartAttempt(const EbRequest *request)
+{
+    if (!request->answered) {
+        return true;
+    }
+    EbMetrics_Add(request->dispatcher->options.metrics, EB_METRIC_SAVED_CALLS,
+                  1, request->pipeline->name, EbRequest_Stage(request)->name,
+                  NULL);
+    return false;
+}
+
 EbAttempt *
 EbAttempt_Start(EbRequest *request, const EbConfigBackendServer *server,
                 const EbAttemptStart *start, int64_t now_us)
--- a/src/libebonyhollow/requests/dispatcher_stage.c
+++ b/src/libebonyhollow/requests/dispatcher_stage.c
@@ -284,6 +284,10 @@
 may_dispatch(EbRequest *request, int64_t now_us)
 {
     EbDispatcher *dispatcher = request->dispatcher;
+    if (!EbRequest_MayStartAttempt(request)) {
+        EbRequest_Fail(request, EB_REASON_CALLER_GONE, NULL, now_us);
+        return false;
+    }
     if (request->deadline_us <= now_us) {
         EbRequest_Fail(request, EB_REASON_DEADLINE_EXCEEDED, NULL, now_us);
         return false;
@@ -352,6 +356,7 @@
     if (request->attempt_count != 1 || request->hedged ||
         EbRequest_AttemptsExhausted(request) ||
         EbRequest_IsSuspected(request, now_us) ||
+        !EbRequest_MayStartAttempt(request) ||
         !EbRetryBudget_Take(&pool->retry_budget)) {
         return;
     }
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -461,6 +461,12 @@
 /* Closes the connection of an attempt and ends the attempt. */
 void EbAttempt_Cancel(EbAttempt *attempt, int64_t now_us);
 
+/* Returns whether a call, other than a look-up, may be sent for a request. If
+ * not, counts it: nobody waits for its answer. A detached request only waits
+ * for the outcome of the call that it has sent. All paths to a call ask this,
+ * also for requests with idempotency keys. */
+bool EbRequest_MayStartAttempt(const EbRequest *request);
+
 /* Closes the connection of an attempt. */
 void EbAttempt_PushCancel(const EbAttempt *attempt);
 
--- a/src/test_forward/admission.c
+++ b/src/test_forward/admission.c
@@ -104,17 +104,20 @@
     static const struct {
         const char *path;
         Event end; /* of the call that was in progress */
+        uint64_t saved;
     } rows[] = {
         {"/pay/x",
-         {.kind = EB_ATTEMPT_ANSWERED, .status = 503, .not_run = true}},
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 503, .not_run = true},
+         1},
         {"/pay/x",
-         {.kind = EB_ATTEMPT_ANSWERED, .status = 421, .not_run = true}},
-        {"/pay/x", {.kind = EB_ATTEMPT_REFUSED}},
-        {"/pay/x", {.kind = EB_ATTEMPT_BROKEN}},
-        {"/pay/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 200}},
-        {"/read/x", {.kind = EB_ATTEMPT_BROKEN}},
-        {"/once/x", {.kind = EB_ATTEMPT_BROKEN}},
-        {"/resumable/x", {.kind = EB_ATTEMPT_BROKEN}},
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 421, .not_run = true},
+         1},
+        {"/pay/x", {.kind = EB_ATTEMPT_REFUSED}, 1},
+        {"/pay/x", {.kind = EB_ATTEMPT_BROKEN}, 0},
+        {"/pay/x", {.kind = EB_ATTEMPT_ANSWERED, .status = 200}, 0},
+        {"/read/x", {.kind = EB_ATTEMPT_BROKEN}, 0},
+        {"/once/x", {.kind = EB_ATTEMPT_BROKEN}, 0},
+        {"/resumable/x", {.kind = EB_ATTEMPT_BROKEN}, 0},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         Fixture fixture;
@@ -129,7 +132,73 @@
         Fixture_Advance(&fixture, 7 * SECOND_US);
         CU_ASSERT_EQUAL(fixture.send_count, 1);
         CU_ASSERT_FALSE(fixture.answered);
+        CU_ASSERT_EQUAL(EbMetrics_Read(fixture.metrics, EB_METRIC_SAVED_CALLS,
+                                       "pay", "forward", NULL),
+                        rows[i].saved);
         CU_ASSERT_EQUAL(EbDispatcher_LiveCount(fixture.dispatcher), 0);
         Fixture_Close(&fixture);
     }
 }
+
+/* Guards against an attempt for a caller who left between two attempts. */
+void
+test_left_between_attempts(void)
+{
+    static const struct {
+        const char *path;
+        Event end; /* of the first attempt */
+    } rows[] = {
+        {"/read/x", {.kind = EB_ATTEMPT_BROKEN}},
+        {"/read/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 503, .not_run = true}},
+        {"/resumable/x", {.kind = EB_ATTEMPT_BROKEN}},
+        {"/pay/x",
+         {.kind = EB_ATTEMPT_ANSWERED, .status = 503, .not_run = true}},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Fixture fixture;
+        Fixture_Open(&fixture);
+        uint64_t id = Fixture_Submit(&fixture, rows[i].path, TOKEN);
+        Fixture_SendEvent(&fixture, &rows[i].end);
+        CU_ASSERT_EQUAL(EbDispatcher_LiveCount(fixture.dispatcher), 1);
+        unsigned sent = fixture.send_count;
+        if (sent == 1) {
+            EbDispatcher_CallerGone(fixture.dispatcher, id, fixture.now_us);
+            Fixture_Advance(&fixture, 7 * SECOND_US);
+        }
+        CU_ASSERT_EQUAL(fixture.send_count, 1);
+        CU_ASSERT_FALSE(fixture.answered);
+        CU_ASSERT_EQUAL(EbDispatcher_LiveCount(fixture.dispatcher), 0);
+        Fixture_Close(&fixture);
+    }
+}
+
+/* Guards against a call for a caller who left while the request waited for a
+ * free server, or for the results of its stages at a home. */
+void
+test_left_while_waiting(void)
+{
+    Fixture fixture;
+    Fixture_Open(&fixture);
+    unsigned submitted = 0;
+    uint64_t id = 0;
+    while (submitted == fixture.send_count) {
+        id = Fixture_Submit(&fixture, "/pay/x", TOKEN);
+        submitted++;
+    }
+    unsigned sent = fixture.send_count;
+    EbDispatcher_CallerGone(fixture.dispatcher, id, fixture.now_us);
+    Fixture_SendEvent(&fixture,
+                      &(Event){.kind = EB_ATTEMPT_ANSWERED, .status = 200});
+    Fixture_Advance(&fixture, SECOND_US);
+    CU_ASSERT_EQUAL(fixture.send_count, sent);
+    id = Fixture_Submit(&fixture, "/staged/x", TOKEN);
+    CU_ASSERT_TRUE(fixture.job_count > 0);
+    unsigned started = fixture.job_count;
+    EbDispatcher_CallerGone(fixture.dispatcher, id, fixture.now_us);
+    Fixture_Advance(&fixture, SECOND_US);
+    CU_ASSERT_EQUAL(fixture.ended_count, started);
+    CU_ASSERT_EQUAL(fixture.job_count, started);
+    CU_ASSERT_EQUAL(fixture.send_count, sent);
+    Fixture_Close(&fixture);
+}
--- a/src/test_forward/forward.h
+++ b/src/test_forward/forward.h
@@ -90,6 +90,8 @@
 void test_callers(void);
 void test_drain(void);
 void test_detached(void);
+void test_left_between_attempts(void);
+void test_left_while_waiting(void);
 
 /* preparations.c */
 
--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -500,6 +500,8 @@
         {"callers", test_callers},
         {"drain", test_drain},
         {"detached", test_detached},
+        {"left between attempts", test_left_between_attempts},
+        {"left while waiting", test_left_while_waiting},
         {"first attempt", test_first_attempt},
         {"max attempts", test_max_attempts},
         {"resume", test_resume},
