--- a/src/libebonyhollow/requests/dispatcher_stage.c
+++ b/src/libebonyhollow/requests/dispatcher_stage.c
@@ -284,6 +284,10 @@
 may_dispatch(EbRequest *request, int64_t now_us)
 {
     EbDispatcher *dispatcher = request->dispatcher;
+    if (!EbRequest_MayStartAttempt(request)) {
+        EbRequest_Fail(request, EB_REASON_CALLER_GONE, NULL, now_us);
+        return false;
+    }
     if (EbRequest_BeginDeadline(request) <= now_us) {
         EbRequest_Fail(request,
                        request->deadline_us <= now_us
@@ -356,6 +360,7 @@
     if (request->attempt_count != 1 || request->hedged ||
         EbRequest_AttemptsExhausted(request) ||
         EbRequest_IsSuspected(request, now_us) ||
+        !EbRequest_MayStartAttempt(request) ||
         !EbRetryBudget_Take(&pool->retry_budget)) {
         return;
     }
