batcher: jobs of equal due time wait in order of arrival

Cause: compare_jobs broke ties by the address of the job, so that two runs of test_batcher, and two homes with the same jobs, could order them differently. Change: EbBatchJob has a sequence number of its arrival, which breaks ties.

--- a/src/libebonyhollow/batching/batcher.c
+++ b/src/libebonyhollow/batching/batcher.c
@@ -270,7 +270,7 @@
     if (a->spec.due_us != b->spec.due_us) {
         return a->spec.due_us < b->spec.due_us ? -1 : 1;
     }
-    return a < b ? -1 : a > b;
+    return a->sequence < b->sequence ? -1 : a->sequence > b->sequence;
 }
 
 void
@@ -467,6 +467,7 @@
     }
     job = g_new0(EbBatchJob, 1);
     job->requester = g_strdup(requester);
+    job->sequence = ++batcher->last_sequence;
     job->spec = EbPreparationJob_Copy(spec);
     job->service = get_service(batcher, spec->service);
     job->items = g_new0(EbBatchItem, spec->item_count);
--- a/src/libebonyhollow/batching/private/batcher_state.h
+++ b/src/libebonyhollow/batching/private/batcher_state.h
@@ -24,6 +24,7 @@
 
 struct EbBatchJob {
     char *requester;
+    uint64_t sequence;     /* of arrival at this home */
     EbPreparationJob spec; /* owned copy */
     EbBatchItem *items;
     GQueue waiting; /* of EbBatchItem */
@@ -100,6 +101,7 @@
     GHashTable *calls;      /* attempt id to EbBatchCall */
     GHashTable *requesters; /* instance to the incarnation of its last link */
     GQueue results;         /* of EbBatcherResult */
+    uint64_t last_sequence; /* of EbBatchJob */
     uint64_t last_attempt_id; /* without EB_BATCH_ATTEMPT_BIT */
     int64_t next_release_us;  /* or INT64_MAX */
 };
