test_batcher: callers that return after a refusal

That refused callers return and displace others was suspected; the load of test_batcher never asked again. Change: LoadPlan.callers_return lets a refused caller ask once more after Retry-After (the room of the home, at least 1 s, and up to the same again; at most a third of the time that it has left, as PROTOCOL.md has it). Returns draw from a random source of their own, so that the other arrivals are the same. The test 'callers that return' compares both modes. A caller that returns is late already, but looks as if it were in time and goes before those that are; the earlier the refusal, the more return.

--- a/src/test_batcher/load.c
+++ b/src/test_batcher/load.c
@@ -14,13 +14,19 @@
 #define FETCH_US 5000
 #define LIFETIME_US 4000000
 #define MAX_RESTARTS 2 /* after lost inputs, as in the dispatcher */
+/* As the dispatcher chooses Retry-After. */
+#define MIN_RETRY_AFTER_US 1000000
+/* Callers wait for this part of the time that they have left, at most. */
+#define MAX_WAIT_DIVISOR 3
 #define SERVERS_MAX 64
 
 typedef struct {
     uint64_t id;
     const LoadClass *class;
     LoadOutcome *outcome;
+    int64_t asked_us; /* when its caller asked first */
     int64_t arrived_us;
+    bool returned;  /* it was refused before */
     uint32_t stage; /* that is prepared; stage_count: on the engine */
     uint32_t restarts;
     uint32_t items[LOAD_STAGES_MAX];
@@ -30,6 +36,14 @@
     int64_t done_us; /* on the engine */
 } Request;
 
+/* A refused caller that waits. */
+typedef struct {
+    const LoadClass *class;
+    LoadOutcome *outcome;
+    int64_t asked_us;
+    int64_t return_us;
+} Return;
+
 typedef struct {
     char *handle;
     uint32_t service;
@@ -55,6 +69,7 @@
     EbDirectives *directives;
     EbConfig *config;
     EbRandom random;
+    EbRandom return_random; /* so that arrivals don't depend on returns */
     int64_t now_us;
     uint64_t last_id;
     uint64_t last_job;
@@ -64,6 +79,7 @@
     Server servers[LOAD_STAGES_MAX][SERVERS_MAX];
     int64_t busy_us[LOAD_STAGES_MAX];
     double next_arrival[LOAD_CLASSES_MAX];
+    GArray *returns; /* of Return */
 } Play;
 
 /* Adds a route for each class. */
@@ -166,25 +182,57 @@
     }
 }
 
+static int64_t
+time_left(const Play *play, const Request *request)
+{
+    return request->asked_us + request->class->deadline_us - play->now_us;
+}
+
+/* Lets the caller of a refused request wait and ask once more. Returns false
+ * if it doesn't. */
+static bool
+schedule_return(Play *play, const Request *request, int64_t room_in_us)
+{
+    if (!play->plan->callers_return || request->returned ||
+        time_left(play, request) <= 0) {
+        return false;
+    }
+    int64_t base_us = MAX(room_in_us, MIN_RETRY_AFTER_US);
+    int64_t wait_us = base_us + (int64_t)EbRandom_Below(&play->return_random,
+                                                        (uint64_t)base_us);
+    Return caller = {.class = request->class,
+                     .outcome = request->outcome,
+                     .asked_us = request->asked_us,
+                     .return_us =
+                         play->now_us + MIN(wait_us, time_left(play, request) /
+                                                         MAX_WAIT_DIVISOR)};
+    g_array_append_val(play->returns, caller);
+    request->outcome->returned++;
+    return true;
+}
+
 static void
-finish(Play *play, Request *request, bool served)
+finish(Play *play, Request *request, bool served, int64_t room_in_us)
 {
-    int64_t took_us = play->now_us - request->arrived_us;
+    int64_t took_us = play->now_us - request->asked_us;
     LoadOutcome *outcome = request->outcome;
     for (uint32_t i = 0; i < LOAD_STAGES_MAX; i++) {
         end_job(play, request, i);
     }
     if (!served) {
-        outcome->refused_after_us += took_us;
-        outcome->refused++;
-        outcome->refused_early += took_us <= request->class->goal_us / 8;
         play->report->wasted_us += request->work_us;
+        if (!schedule_return(play, request, room_in_us)) {
+            outcome->refused_after_us += took_us;
+            outcome->refused++;
+            outcome->refused_early += took_us <= request->class->goal_us / 8;
+        }
     }
     else if (took_us <= request->class->goal_us) {
         outcome->in_goal++;
     }
     else {
         outcome->late++;
+        outcome->returned_late += request->returned;
     }
     g_hash_table_remove(play->requests, &request->id);
 }
@@ -197,7 +245,7 @@
     const LoadClass *class = request->class;
     job->due_us = request->arrived_us + class->goal_us - class->engine_us;
     job->deadline_us =
-        request->arrived_us + class->deadline_us - class->engine_us;
+        request->asked_us + class->deadline_us - class->engine_us;
     for (uint32_t i = request->stage + 1; i < class->stage_count; i++) {
         const EbConfigBatch *batch =
             &play->config->pools[class->stages[i].service].batch;
@@ -210,12 +258,14 @@
 static void
 draw_items(Play *play, Request *request)
 {
+    EbRandom *random =
+        request->returned ? &play->return_random : &play->random;
     for (uint32_t i = 0; i < request->class->stage_count; i++) {
         const LoadStage *stage = &request->class->stages[i];
         request->items[i] = stage->items;
         if (stage->items_max > stage->items) {
             request->items[i] += (uint32_t)EbRandom_Below(
-                &play->random, stage->items_max - stage->items + 1);
+                random, stage->items_max - stage->items + 1);
         }
     }
 }
@@ -255,7 +305,7 @@
 restart(Play *play, Request *request)
 {
     if (++request->restarts > MAX_RESTARTS) {
-        finish(play, request, false);
+        finish(play, request, false, 0);
         return;
     }
     for (uint32_t i = 0; i < LOAD_STAGES_MAX; i++) {
@@ -300,12 +350,45 @@
             restart(play, request);
         }
         else if (request != NULL) {
-            finish(play, request, false);
+            finish(play, request, false, result.room_in_us);
         }
         EbBatcherResult_Clear(&result);
     }
 }
 
+/* Adds the request of a caller that asked first at `asked_us`. */
+static void
+add_request(Play *play, const LoadClass *class, LoadOutcome *outcome,
+            int64_t asked_us)
+{
+    Request *request = g_new0(Request, 1);
+    request->id = ++play->last_id;
+    request->class = class;
+    request->outcome = outcome;
+    request->asked_us = asked_us;
+    request->returned = asked_us < play->now_us;
+    request->arrived_us = play->now_us;
+    g_hash_table_insert(play->requests, &request->id, request);
+    draw_items(play, request);
+    start_stage(play, request);
+}
+
+static void
+add_returns(Play *play)
+{
+    guint i = 0;
+    while (i < play->returns->len) {
+        Return caller = g_array_index(play->returns, Return, i);
+        if (caller.return_us <= play->now_us) {
+            g_array_remove_index(play->returns, i);
+            add_request(play, caller.class, caller.outcome, caller.asked_us);
+        }
+        else {
+            i++;
+        }
+    }
+}
+
 static void
 add_arrivals(Play *play)
 {
@@ -320,15 +403,9 @@
             double uniform =
                 ((double)EbRandom_Below(&play->random, 1000000) + 1) / 1e6;
             play->next_arrival[c] += -log(uniform) / per_us;
-            Request *request = g_new0(Request, 1);
-            request->id = ++play->last_id;
-            request->class = class;
-            request->outcome = &play->report->classes[c];
-            request->outcome->asked++;
-            request->arrived_us = play->now_us;
-            g_hash_table_insert(play->requests, &request->id, request);
-            draw_items(play, request);
-            start_stage(play, request);
+            LoadOutcome *outcome = &play->report->classes[c];
+            outcome->asked++;
+            add_request(play, class, outcome, play->now_us);
         }
     }
 }
@@ -340,11 +417,10 @@
     for (GList *item = requests; item != NULL; item = item->next) {
         Request *request = item->data;
         if (request->done_us > 0 && request->done_us <= play->now_us) {
-            finish(play, request, true);
+            finish(play, request, true, 0);
         }
-        else if (play->now_us - request->arrived_us >=
-                 request->class->deadline_us) {
-            finish(play, request, false);
+        else if (time_left(play, request) <= 0) {
+            finish(play, request, false, 0);
         }
     }
     g_list_free(requests);
@@ -541,6 +617,7 @@
     g_hash_table_destroy(play->jobs);
     g_hash_table_destroy(play->requests);
     g_hash_table_destroy(play->results);
+    g_array_free(play->returns, TRUE);
     g_free(play);
 }
 
@@ -562,16 +639,19 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     play->results =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_result);
+    play->returns = g_array_new(FALSE, FALSE, sizeof(Return));
     EbRandom_Init(&play->random, plan->seed);
+    EbRandom_Init(&play->return_random, plan->seed + 1);
     play->config = make_config(plan);
     EbBatcher_SetConfig(play->batcher, play->config, 0);
     while (play->now_us < plan->end_us ||
-           g_hash_table_size(play->requests) > 0) {
+           g_hash_table_size(play->requests) > 0 || play->returns->len > 0) {
         play->now_us += STEP_US;
         run_servers(play);
         deliver_results(play);
         end_engine_runs(play);
         add_arrivals(play);
+        add_returns(play);
         if (EbBatcher_NextTimer(play->batcher) <= play->now_us) {
             EbBatcher_Tick(play->batcher, play->now_us);
             deliver_results(play);
@@ -602,10 +682,11 @@
     for (uint32_t c = 0; c < plan->class_count; c++) {
         const LoadOutcome *outcome = &report->classes[c];
         printf("%-8s asked %5u in goal %5u late %5u refused %5u (%u early) "
-               "after %.1f s\n",
+               "after %.1f s, returned %u (%u served late)\n",
                plan->classes[c].name, outcome->asked, outcome->in_goal,
                outcome->late, outcome->refused, outcome->refused_early,
-               (double)outcome->refused_after_us / 1e6);
+               (double)outcome->refused_after_us / 1e6, outcome->returned,
+               outcome->returned_late);
     }
     for (uint32_t s = 0; s < plan->service_count; s++) {
         printf("service %u: %u calls, %.1f items a call, busy %.2f\n", s,
--- a/src/test_batcher/load.h
+++ b/src/test_batcher/load.h
@@ -53,6 +53,9 @@
     int64_t end_us; /* of the arrivals */
     uint64_t seed;
     bool routes; /* the configuration holds the routes with their priorities */
+    /* Refused callers ask once more after Retry-After, bounded by a third of
+     * the time that they have left; their goal counts from the first time. */
+    bool callers_return;
 } LoadPlan;
 
 typedef struct {
@@ -61,7 +64,9 @@
     uint32_t late;
     uint32_t refused;
     uint32_t refused_early;   /* within an eighth of the goal */
-    int64_t refused_after_us; /* mean time until the refusal */
+    int64_t refused_after_us; /* mean time until the last refusal */
+    uint32_t returned;        /* refused once, and asked again */
+    uint32_t returned_late;   /* of these, served late */
 } LoadOutcome;
 
 typedef struct {
--- a/src/test_batcher/main.c
+++ b/src/test_batcher/main.c
@@ -424,6 +424,33 @@
     play_shortage(&(ShortageRow){91, 267, 0.85, 0.04});
 }
 
+/* Guards against refused callers that return, and are served late for them, in
+ * the place of callers that could be served within their goal: a hundredth of
+ * a class at most, in the shortages above. */
+static void
+test_returns(void)
+{
+    static const double rows[][2] = {{227, 86}, {290, 133}, {91, 267}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        LoadPlan plan = crowded_load(rows[i][0], rows[i][1]);
+        LoadReport once;
+        LoadReport again;
+        plan.seed = 1;
+        Load_Play(&plan, &once);
+        plan.callers_return = true;
+        Load_Play(&plan, &again);
+        printf("%.0f drafts, %.0f rewrites a second, with returns:\n",
+               rows[i][0], rows[i][1]);
+        Load_Print(&plan, &again);
+        for (uint32_t c = 0; c < plan.class_count; c++) {
+            CU_ASSERT_EQUAL(again.classes[c].asked, once.classes[c].asked);
+            CU_ASSERT_TRUE(again.classes[c].in_goal * 100 +
+                               again.classes[c].asked >=
+                           once.classes[c].in_goal * 100);
+        }
+    }
+}
+
 /* Guards against calls with work items and releases above the limit of a
  * server, in its pause, or to one that leaves. */
 static void
@@ -494,6 +521,7 @@
         {"burst", test_burst},
         {"shortage", test_shortage},
         {"urgent burst", test_urgent_burst},
+        {"callers that return", test_returns},
     };
     return EbTest_Run("test_batcher", cases, G_N_ELEMENTS(cases));
 }
