test_batcher: plays of one seed end alike

Cause: ties in the queue were broken by addresses, so that the load of test_batcher gave other figures in each process. Change: the test 'repeatable' plays one seed twice and compares the reports.

--- a/src/test_batcher/main.c
+++ b/src/test_batcher/main.c
@@ -424,6 +424,22 @@
     play_shortage(&(ShortageRow){91, 267, 0.85, 0.04});
 }
 
+/* Guards against decisions that depend on addresses in memory: two plays of
+ * one seed must end alike. */
+static void
+test_repeatable(void)
+{
+    LoadPlan plan = crowded_load(290, 133);
+    LoadReport reports[2];
+    plan.seed = 1;
+    plan.callers_return = true;
+    Load_Play(&plan, &reports[0]);
+    void *moves_later_allocations = g_malloc(1000003);
+    Load_Play(&plan, &reports[1]);
+    g_free(moves_later_allocations);
+    CU_ASSERT_EQUAL(memcmp(&reports[0], &reports[1], sizeof(reports[0])), 0);
+}
+
 /* Guards against refused callers that return, and are served late for them, in
  * the place of callers that could be served within their goal: a hundredth of
  * a class at most, in the shortages above. */
@@ -522,6 +538,7 @@
         {"shortage", test_shortage},
         {"urgent burst", test_urgent_burst},
         {"callers that return", test_returns},
+        {"repeatable", test_repeatable},
     };
     return EbTest_Run("test_batcher", cases, G_N_ELEMENTS(cases));
 }
