stages: late callers are told early, and repeated requests go after those in time

Cause: a caller that can't be served in time waited for 4 to 7 s, was refused and came back with too little time. Change, at services whose items are done by urgency only: a job with inputs waits for the lifetime of a result at most; one of whose request nothing is done yet, or that is late on arrival, for three tenths of the time to its deadline. The requester's daemon learns how much time callers of a route usually leave; a request that leaves less than three quarters of it counts its due times from when its caller asked first. is_by_urgency is EbConfig_PreparesByUrgency. Tests: 'repeated request' (test_forward) is new. The load of test_batcher counts due times from the first attempt, as the dispatcher does now; 'callers that return' also bounds the items sent with expired inputs.

--- a/include/configuration/ebonyhollow/config.h
+++ b/include/configuration/ebonyhollow/config.h
@@ -321,6 +321,10 @@
  * start. */
 bool EbConfig_PlanForward(const EbConfig *config, EbConfigForward *forward);
 
+/* Returns whether routes of different priority prepare at a pool with limited
+ * memory for results, whose items are then done by urgency. */
+bool EbConfig_PreparesByUrgency(const EbConfig *config, uint32_t pool_index);
+
 /* Finds the operator with this bearer token, like
  * EbConfig_FindCustomerByToken. */
 const EbConfigOperator *EbConfig_FindOperatorByToken(const EbConfig *config,
--- a/src/libebonyhollow/batching/batcher.c
+++ b/src/libebonyhollow/batching/batcher.c
@@ -204,31 +204,6 @@
     }
 }
 
-/* Returns whether routes of different priority prepare at a pool with limited
- * memory for results. */
-static bool
-is_by_urgency(const EbConfig *config, uint32_t pool_index)
-{
-    int lowest = -1;
-    if (config->pools[pool_index].batch.result_memory_bytes == 0) {
-        return false;
-    }
-    for (uint32_t i = 0; i < config->pipeline_count; i++) {
-        const EbConfigForward *forward = config->pipelines[i].forward;
-        for (uint32_t k = 0; forward != NULL && k < forward->preparation_count;
-             k++) {
-            if (forward->preparations[k].pool_index != pool_index) {
-                continue;
-            }
-            if (lowest >= 0 && lowest != forward->priority) {
-                return true;
-            }
-            lowest = forward->priority;
-        }
-    }
-    return false;
-}
-
 void
 EbBatcher_SetConfig(EbBatcher *batcher, EbConfig *config, int64_t now_us)
 {
@@ -245,7 +220,7 @@
         }
         EbBatchService *service = get_service(batcher, pool->name);
         service->batch = pool->batch;
-        service->by_urgency = is_by_urgency(config, i);
+        service->by_urgency = EbConfig_PreparesByUrgency(config, i);
         for (uint32_t k = 0; k < pool->server_count; k++) {
             update_server(batcher, service,
                           &config->servers[pool->server_indexes[k]]);
--- a/src/libebonyhollow/batching/batcher_admission.c
+++ b/src/libebonyhollow/batching/batcher_admission.c
@@ -12,6 +12,10 @@
 /* In a shortage that lasts this long, the rate of the items done is known. */
 #define MEASURED_AFTER_US 2500000
 #define REPORT_INTERVAL_US 1000000
+/* Of the time to its deadline, for which a job waits of whose request nothing
+ * is done yet, or that is late on arrival. Its caller learns while it can
+ * still come back; one that came back late isn't held in vain. */
+#define LATE_WAIT_SHARE 0.3
 /* Bound on the time after which refused callers are asked to return: few have
  * longer deadlines. */
 #define MAX_ROOM_IN_US 3000000
@@ -157,6 +161,25 @@
     EbBatchJob_Report(batcher, job, EB_PREPARED_LATE, now_us);
 }
 
+/* Returns until when a job may wait. Inputs are lost after the lifetime of a
+ * result, and the stages before would have to run again. */
+static int64_t
+wait_end(const EbBatchService *service, const EbBatchJob *job)
+{
+    int64_t end_us = job->spec.deadline_us;
+    int64_t lifetime_us = service->batch.result_lifetime_us;
+    bool first = job->spec.inputs == NULL;
+    if (!first && lifetime_us > 0) {
+        end_us = MIN(end_us, job->added_us + lifetime_us);
+    }
+    int64_t call_us = EbBatchService_ExpectedTime(service, 1);
+    if (!first && job->spec.due_us >= job->added_us + call_us) {
+        return end_us;
+    }
+    double wait_us = (double)(end_us - job->added_us);
+    return job->added_us + (int64_t)(LATE_WAIT_SHARE * wait_us);
+}
+
 void
 EbBatchService_ReviewJobs(EbBatcher *batcher, EbBatchService *service,
                           int64_t now_us)
@@ -169,6 +192,9 @@
     EbStageCapacity capacity = EbBatchService_Capacity(service, now_us);
     GArray *list = EbBatchService_ListEntries(service, NULL, now_us);
     EbStageEntry *entries = (EbStageEntry *)list->data;
+    for (guint i = 0; i < list->len; i++) {
+        entries[i].deadline_us = wait_end(service, entries[i].job);
+    }
     if (EbStageSchedule_Order(entries, list->len, &capacity)) {
         report_shortage(batcher, service, entries, list->len, &capacity);
     }
--- a/src/libebonyhollow/configuration/config_forward.c
+++ b/src/libebonyhollow/configuration/config_forward.c
@@ -112,3 +112,26 @@
     }
     return planned_count == forward->preparation_count;
 }
+
+bool
+EbConfig_PreparesByUrgency(const EbConfig *config, uint32_t pool_index)
+{
+    int lowest = -1;
+    if (config->pools[pool_index].batch.result_memory_bytes == 0) {
+        return false;
+    }
+    for (uint32_t i = 0; i < config->pipeline_count; i++) {
+        const EbConfigForward *forward = config->pipelines[i].forward;
+        for (uint32_t k = 0; forward != NULL && k < forward->preparation_count;
+             k++) {
+            if (forward->preparations[k].pool_index != pool_index) {
+                continue;
+            }
+            if (lowest >= 0 && lowest != forward->priority) {
+                return true;
+            }
+            lowest = forward->priority;
+        }
+    }
+    return false;
+}
--- a/src/libebonyhollow/requests/dispatcher_pool.c
+++ b/src/libebonyhollow/requests/dispatcher_pool.c
@@ -15,6 +15,7 @@
     EbQueue_Free(pool->queue);
     g_hash_table_destroy(pool->mean_tokens);
     g_hash_table_destroy(pool->answer_times);
+    g_hash_table_destroy(pool->caller_times);
     if (pool->prefixes != NULL) {
         EbPrefixIndex_Free(pool->prefixes);
     }
@@ -78,6 +79,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     state->answer_times =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    state->caller_times =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     EbRetryBudget_Init(&state->retry_budget, &(EbRetryBudgetOptions){0});
     g_hash_table_insert(dispatcher->pools, state->key, state);
     return state;
--- a/src/libebonyhollow/requests/dispatcher_prepare.c
+++ b/src/libebonyhollow/requests/dispatcher_prepare.c
@@ -132,6 +132,21 @@
     return MAX(count, 1);
 }
 
+/* Returns when the time of the latency goal began. At a service whose items
+ * are done by urgency, a caller that was refused and returns is late already;
+ * as if it were in time it would go before those that are. */
+static int64_t
+goal_start(const EbRequest *request, const EbConfigPreparation *preparation)
+{
+    int64_t received_us = request->summary->received_us;
+    int64_t asked_us = EbRequest_AskedAt(request);
+    return asked_us != received_us &&
+                   EbConfig_PreparesByUrgency(request->config,
+                                              preparation->pool_index)
+               ? asked_us
+               : received_us;
+}
+
 static void
 start_preparation(EbRequest *request, uint32_t index, int64_t now_us)
 {
@@ -160,7 +175,7 @@
             .failure_domain = g_strdup(expected_domain(request, now_us)),
             .priority = EbRequest_Priority(request),
             .route_priority = EbRequest_ForwardConfig(request)->priority,
-            .due_us = request->summary->received_us +
+            .due_us = goal_start(request, preparation) +
                       EbRequest_ForwardConfig(request)->latency_goal_us -
                       preparation->downstream_us -
                       EbRequest_PredictAnswerTime(request),
--- a/src/libebonyhollow/requests/dispatcher_request.c
+++ b/src/libebonyhollow/requests/dispatcher_request.c
@@ -256,6 +256,7 @@
     bind_pools(request);
     if (request->forward != NULL) {
         EbRequest_PlanPreparations(request);
+        EbRequest_RecordCallerTime(request);
     }
     return admit(request, now_us);
 }
--- a/src/libebonyhollow/requests/private/dispatcher_private.h
+++ b/src/libebonyhollow/requests/private/dispatcher_private.h
@@ -46,6 +46,8 @@
     int64_t mean_stream_us;   /* moving average from first token to end */
     GHashTable *mean_tokens;  /* pipeline name to double: tokens generated */
     GHashTable *answer_times; /* pipeline name to EbAnswerTime */
+    GHashTable *caller_times; /* pipeline name to double: see
+                                 EbRequest_RecordCallerTime */
     uint32_t live_stages;     /* stages of live requests that use the pool */
     bool current;             /* part of the configuration in force */
     /* When a server that limits its calls takes one that waits, or INT64_MAX.
@@ -441,6 +443,15 @@
 /* Returns the mean of that time, 0 before it was measured. */
 int64_t EbRequest_MeanAnswerTime(const EbRequest *request);
 
+/* dispatcher_repeat.c */
+
+/* Learns the time that callers of a request's pipeline usually leave. */
+void EbRequest_RecordCallerTime(const EbRequest *request);
+/* Returns when the caller of a request asked first, as far as the time that it
+ * leaves tells: the time of arrival, or an earlier one if much less is left
+ * than usual, since the caller was refused before. */
+int64_t EbRequest_AskedAt(const EbRequest *request);
+
 /* dispatcher_call.c */
 
 typedef struct {
--- a/src/test_batcher/load.c
+++ b/src/test_batcher/load.c
@@ -25,9 +25,8 @@
     const LoadClass *class;
     LoadOutcome *outcome;
     int64_t asked_us; /* when its caller asked first */
-    int64_t arrived_us;
-    bool returned;  /* it was refused before */
-    uint32_t stage; /* that is prepared; stage_count: on the engine */
+    bool returned;    /* it was refused before */
+    uint32_t stage;   /* that is prepared; stage_count: on the engine */
     uint32_t restarts;
     uint32_t items[LOAD_STAGES_MAX];
     int64_t work_us; /* that servers spent on it */
@@ -243,7 +242,7 @@
 set_times(const Play *play, const Request *request, EbPreparationJob *job)
 {
     const LoadClass *class = request->class;
-    job->due_us = request->arrived_us + class->goal_us - class->engine_us;
+    job->due_us = request->asked_us + class->goal_us - class->engine_us;
     job->deadline_us =
         request->asked_us + class->deadline_us - class->engine_us;
     for (uint32_t i = request->stage + 1; i < class->stage_count; i++) {
@@ -367,7 +366,6 @@
     request->outcome = outcome;
     request->asked_us = asked_us;
     request->returned = asked_us < play->now_us;
-    request->arrived_us = play->now_us;
     g_hash_table_insert(play->requests, &request->id, request);
     draw_items(play, request);
     start_stage(play, request);
--- a/src/test_batcher/load.h
+++ b/src/test_batcher/load.h
@@ -54,7 +54,8 @@
     uint64_t seed;
     bool routes; /* the configuration holds the routes with their priorities */
     /* Refused callers ask once more after Retry-After, bounded by a third of
-     * the time that they have left; their goal counts from the first time. */
+     * the time that they have left. Their goal counts from the first time, and
+     * so do due times, as in the dispatcher. */
     bool callers_return;
 } LoadPlan;
 
--- a/src/test_batcher/main.c
+++ b/src/test_batcher/main.c
@@ -437,12 +437,22 @@
     void *moves_later_allocations = g_malloc(1000003);
     Load_Play(&plan, &reports[1]);
     g_free(moves_later_allocations);
-    CU_ASSERT_EQUAL(memcmp(&reports[0], &reports[1], sizeof(reports[0])), 0);
+    for (uint32_t c = 0; c < plan.class_count; c++) {
+        const LoadOutcome *a = &reports[0].classes[c];
+        const LoadOutcome *b = &reports[1].classes[c];
+        CU_ASSERT_EQUAL(a->in_goal, b->in_goal);
+        CU_ASSERT_EQUAL(a->late, b->late);
+        CU_ASSERT_EQUAL(a->refused, b->refused);
+        CU_ASSERT_EQUAL(a->refused_after_us, b->refused_after_us);
+    }
+    CU_ASSERT_EQUAL(reports[0].work_us, reports[1].work_us);
+    CU_ASSERT_EQUAL(reports[0].wasted_us, reports[1].wasted_us);
 }
 
 /* Guards against refused callers that return, and are served late for them, in
  * the place of callers that could be served within their goal: a hundredth of
- * a class at most, in the shortages above. */
+ * a class at most, in the shortages above. Guards also against items that are
+ * sent when their inputs have expired: a hundredth of those with inputs. */
 static void
 test_returns(void)
 {
@@ -458,6 +468,8 @@
         printf("%.0f drafts, %.0f rewrites a second, with returns:\n",
                rows[i][0], rows[i][1]);
         Load_Print(&plan, &again);
+        CU_ASSERT_TRUE(again.inputs_gone * 100 <=
+                       again.items[1] + again.items[2]);
         for (uint32_t c = 0; c < plan.class_count; c++) {
             CU_ASSERT_EQUAL(again.classes[c].asked, once.classes[c].asked);
             CU_ASSERT_TRUE(again.classes[c].in_goal * 100 +
--- a/src/test_forward/fixture.c
+++ b/src/test_forward/fixture.c
@@ -211,6 +211,7 @@
                 action.as.prepare.transfer_bytes;
             fixture->job_near_inputs[fixture->job_count] =
                 action.as.prepare.near_inputs;
+            fixture->job_due_us[fixture->job_count] = action.as.prepare.due_us;
             fixture->job_deadlines_us[fixture->job_count] =
                 action.as.prepare.deadline_us;
             fixture->jobs[fixture->job_count++] = action.as.prepare.job;
@@ -236,6 +237,7 @@
     call->host = g_strdup("h.example");
     call->path = g_strdup(path);
     call->last_event_id = EB_FORWARD_NO_EVENT;
+    call->timeout_us = fixture->caller_timeout_us;
     call->parts =
         g_memdup2(fixture->parts, sizeof(EbPromptPart) * fixture->part_count);
     call->part_count = fixture->part_count;
--- a/src/test_forward/forward.h
+++ b/src/test_forward/forward.h
@@ -38,7 +38,9 @@
     uint32_t job_stages[MAX_SENDS];
     uint64_t job_bytes[MAX_SENDS]; /* that a work item moves */
     bool job_near_inputs[MAX_SENDS];
+    int64_t job_due_us[MAX_SENDS];
     int64_t job_deadlines_us[MAX_SENDS];
+    int64_t caller_timeout_us; /* of the next requests; 0: the route's */
     unsigned job_count;
     unsigned ended_count; /* preparations that were ended */
     char *inputs;         /* of the last send, each followed by a blank */
@@ -96,6 +98,7 @@
 void test_preparations(void);
 void test_early_preparation(void);
 void test_useless_preparations(void);
+void test_repeated_request(void);
 void test_prepared_twice(void);
 void test_lost_results(void);
 void test_long_chain(void);
--- a/src/test_forward/main.c
+++ b/src/test_forward/main.c
@@ -522,6 +522,7 @@
         {"preparations", test_preparations},
         {"early preparation", test_early_preparation},
         {"useless preparations", test_useless_preparations},
+        {"repeated request", test_repeated_request},
         {"prepared twice", test_prepared_twice},
         {"lost results", test_lost_results},
         {"long chain", test_long_chain},
--- a/src/test_forward/preparations.c
+++ b/src/test_forward/preparations.c
@@ -1,4 +1,6 @@
 /* Tests of requests whose inputs are prepared in stages. */
+#include <stdlib.h>
+
 #include <glib.h>
 
 #include "forward.h"
@@ -96,6 +98,54 @@
     Fixture_Close(&fixture);
 }
 
+/* Lets another route of other priority prepare at the service of /staged/,
+ * whose memory for results is limited, so that its items are done by urgency.
+ */
+static void
+order_by_urgency(EbConfig *config)
+{
+    EbConfigForward *other = config->pipelines[3].forward;
+    other->preparations = g_new0(EbConfigPreparation, 1);
+    other->preparations[0].pool_index = 1;
+    other->preparation_count = 1;
+    other->priority = 2;
+    config->pools[1].batch.result_memory_bytes = 1000000;
+}
+
+/* Guards against a caller that was refused, comes back when its goal has
+ * passed and goes before those that can be in time, and against a caller that
+ * leaves a little less time than others and is taken for one. */
+void
+test_repeated_request(void)
+{
+    static const struct {
+        bool by_urgency;
+        int64_t left_us;
+        int64_t earlier_us; /* its results are due, about */
+    } rows[] = {{true, 6 * SECOND_US, 0},
+                {true, 5 * SECOND_US, 0},
+                {true, 3 * SECOND_US, 3 * SECOND_US},
+                {false, 3 * SECOND_US, 0}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Fixture fixture;
+        Fixture_Open(&fixture);
+        if (rows[i].by_urgency) {
+            order_by_urgency(fixture.config);
+        }
+        Fixture_Submit(&fixture, "/staged/x", TOKEN);
+        unsigned first_count = fixture.job_count;
+        CU_ASSERT_TRUE_FATAL(first_count > 0);
+        fixture.caller_timeout_us = rows[i].left_us;
+        Fixture_Submit(&fixture, "/staged/x", TOKEN);
+        CU_ASSERT_EQUAL_FATAL(fixture.job_count, 2 * first_count);
+        int64_t earlier_us =
+            fixture.job_due_us[0] - fixture.job_due_us[first_count];
+        CU_ASSERT_TRUE(llabs(earlier_us - rows[i].earlier_us) <=
+                       SECOND_US / 10);
+        Fixture_Close(&fixture);
+    }
+}
+
 /* Guards against a second call when a home reports the end of a preparation
  * twice, before and after its link broke. */
 void
