stages: a class is expected to get a fifth of the rate

Cause: with half of the rate, jobs that arrive after more urgent ones wait for room that they don't get, and are refused late.

Change: LEAST_RATE_SHARE 0.5 to 0.2.

--- a/src/libebonyhollow/batching/batcher_admission.c
+++ b/src/libebonyhollow/batching/batcher_admission.c
@@ -8,7 +8,7 @@
 /* Of the rate of a service, which a class is expected to get at least. With
  * less, jobs are refused that would be served; with more, jobs wait that are
  * refused in the end. */
-#define LEAST_RATE_SHARE 0.5
+#define LEAST_RATE_SHARE 0.2
 /* In a shortage that lasts this long, the rate of the items done is known. */
 #define MEASURED_AFTER_US 2500000
 #define REPORT_INTERVAL_US 1000000
