net: one function lowers limits and logs it; the timer reads the clock once

EbClientGuard_CapConnections had written again what cap_limit of forward_server did; EbClientGuard_CapLimit serves both. EbDaemon_ArmTimer, which runs in each turn of the event loop, asked for the time twice. Behaviour is the same.

Lint and the unit programs platform, admin_server, forward_net, caller_server, settings and backpressure pass, and the process tests explain, restored_start and daemon.

--- a/src/libebonyhollow_net/admin_server.c
+++ b/src/libebonyhollow_net/admin_server.c
@@ -305,9 +305,10 @@
         has_digest(token, settings->bootstrap_token_digest)) {
         return &bootstrap;
     }
-    bool none = config == NULL || config->operator_count == 0;
-    return none && has_digest(token, settings->viewer_token_digest) ? &viewer
-                                                                    : NULL;
+    bool has_operators = config != NULL && config->operator_count > 0;
+    return !has_operators && has_digest(token, settings->viewer_token_digest)
+               ? &viewer
+               : NULL;
 }
 
 static const EbConfigOperator *
--- a/src/libebonyhollow_net/client_guard.c
+++ b/src/libebonyhollow_net/client_guard.c
@@ -74,27 +74,34 @@
 }
 
 uint32_t
-EbClientGuard_CapConnections(EbClientGuard *guard, uint32_t wanted,
-                             uint32_t permille)
+EbClientGuard_CapLimit(const EbClientGuard *guard, const char *name,
+                       uint32_t wanted, uint64_t largest)
 {
-    struct rlimit limit;
-    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
-        limit.rlim_cur == RLIM_INFINITY) {
-        return wanted;
-    }
-    uint64_t largest = MAX((uint64_t)limit.rlim_cur * permille / 1000, 1);
     if (wanted <= largest) {
         return wanted;
     }
     if (guard->options.events != NULL) {
         EB_EMIT(guard->options.events, EB_EVENT_LIMIT_CAPPED,
-                EB_STRING_FIELD("limit", "max_connections"),
+                EB_STRING_FIELD("limit", name),
                 EB_INTEGER_FIELD("wanted", wanted),
                 EB_INTEGER_FIELD("in_force", (int64_t)largest));
     }
     return (uint32_t)largest;
 }
 
+uint32_t
+EbClientGuard_CapConnections(const EbClientGuard *guard, uint32_t wanted,
+                             uint32_t permille)
+{
+    struct rlimit limit;
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+        limit.rlim_cur == RLIM_INFINITY) {
+        return wanted;
+    }
+    uint64_t largest = MAX((uint64_t)limit.rlim_cur * permille / 1000, 1);
+    return EbClientGuard_CapLimit(guard, "max_connections", wanted, largest);
+}
+
 /* Returns whether the process may open another descriptor. */
 static bool
 has_descriptor(void)
--- a/src/libebonyhollow_net/daemon_timer.c
+++ b/src/libebonyhollow_net/daemon_timer.c
@@ -33,9 +33,10 @@
 void
 EbDaemon_ArmTimer(EbDaemon *daemon)
 {
-    int64_t wait_us = next_timer(daemon) - EbClock_Monotonic();
-    wait_us = CLAMP(wait_us, MIN_WAIT_US, MAX_WAIT_US);
-    daemon->timer_due_us = EbClock_Monotonic() + wait_us;
+    int64_t timer_us = next_timer(daemon);
+    int64_t now_us = EbClock_Monotonic();
+    int64_t wait_us = CLAMP(timer_us - now_us, MIN_WAIT_US, MAX_WAIT_US);
+    daemon->timer_due_us = now_us + wait_us;
     struct timeval wait = {0, wait_us};
     event_add(daemon->timer, &wait);
 }
--- a/src/libebonyhollow_net/forward_server.c
+++ b/src/libebonyhollow_net/forward_server.c
@@ -69,19 +69,6 @@
     }
 }
 
-static uint32_t
-cap_limit(const EbForwardServer *server, const char *name, uint32_t wanted,
-          uint64_t largest)
-{
-    if (wanted <= largest) {
-        return wanted;
-    }
-    EB_EMIT(server->options.events, EB_EVENT_LIMIT_CAPPED,
-            EB_STRING_FIELD("limit", name), EB_INTEGER_FIELD("wanted", wanted),
-            EB_INTEGER_FIELD("in_force", (int64_t)largest));
-    return (uint32_t)largest;
-}
-
 void
 EbForwardServer_SetLimits(EbForwardServer *server,
                           const EbConfigLimits *limits)
@@ -89,15 +76,15 @@
     const EbSettings *settings = server->options.settings;
     EbConfigLimits *in_force = &server->limits;
     if (limits->max_header_bytes > 0) {
-        in_force->max_header_bytes =
-            cap_limit(server, "max_header_bytes", limits->max_header_bytes,
-                      MAX(settings->max_header_bytes, LARGEST_HEADER_BYTES));
+        in_force->max_header_bytes = EbClientGuard_CapLimit(
+            server->guard, "max_header_bytes", limits->max_header_bytes,
+            MAX(settings->max_header_bytes, LARGEST_HEADER_BYTES));
     }
     if (limits->max_body_bytes > 0) {
-        in_force->max_body_bytes =
-            cap_limit(server, "max_body_bytes", limits->max_body_bytes,
-                      MAX(settings->max_body_bytes,
-                          settings->client_memory_bytes / BODY_SHARE_DIVISOR));
+        in_force->max_body_bytes = EbClientGuard_CapLimit(
+            server->guard, "max_body_bytes", limits->max_body_bytes,
+            MAX(settings->max_body_bytes,
+                settings->client_memory_bytes / BODY_SHARE_DIVISOR));
     }
     if (limits->header_timeout_us > 0) {
         in_force->header_timeout_us = limits->header_timeout_us;
--- a/src/libebonyhollow_net/private/client_guard.h
+++ b/src/libebonyhollow_net/private/client_guard.h
@@ -38,12 +38,17 @@
 
 EbIntake *EbClientGuard_Intake(EbClientGuard *guard);
 
+/* Returns `wanted`, or `largest` if that is less. A limit that is lowered so
+ * is logged under its name. */
+uint32_t EbClientGuard_CapLimit(const EbClientGuard *guard, const char *name,
+                                uint32_t wanted, uint64_t largest);
+
 /* Returns how many of the `wanted` connections of a listener may be open: at
  * most `permille` of the descriptors that the process may have. What all
  * listeners together leave is for servers, the store and peers. If the limit
  * is lowered, that is logged. */
-uint32_t EbClientGuard_CapConnections(EbClientGuard *guard, uint32_t wanted,
-                                      uint32_t permille);
+uint32_t EbClientGuard_CapConnections(const EbClientGuard *guard,
+                                      uint32_t wanted, uint32_t permille);
 
 /* To be called when a connection can't be accepted: ends a connection without
  * a request if another one waits at `listener_fd` and the process has no
