--- a/src/test_platform/config.c
+++ b/src/test_platform/config.c
@@ -47,6 +47,21 @@
     return config;
 }
 
+static EbConfig *
+read_text(const char *text)
+{
+    json_t *value = json_loads(text, 0, NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(value);
+    EbConfigDefects defects;
+    EbError error = {0};
+    EbConfig *config =
+        EbPlatform_ReadConfig(value, "site", NULL, 0, &defects, &error);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(config);
+    CU_ASSERT_EQUAL(defects.count, 0);
+    json_decref(value);
+    return config;
+}
+
 /* Guards against a wrong time at which callers leave a stream, and against one
  * that is assumed where the route doesn't declare what it depends on. */
 void
@@ -71,14 +86,8 @@
             "\"timeout_ms\":20000,\"service\":\"s\",\"max_attempts\":1,%s}],"
             "\"services\":[{\"name\":\"s\"}]}",
             rows[i].kind, rows[i].times);
-        json_t *value = json_loads(text, 0, NULL);
+        EbConfig *config = read_text(text);
         g_free(text);
-        EbConfigDefects defects;
-        EbError error = {0};
-        EbConfig *config =
-            EbPlatform_ReadConfig(value, "site", NULL, 0, &defects, &error);
-        json_decref(value);
-        CU_ASSERT_PTR_NOT_NULL_FATAL(config);
         CU_ASSERT_EQUAL(config->pipelines[0].forward->abandon_us,
                         rows[i].abandon_us);
         EbConfig_Unref(config);
@@ -151,21 +160,6 @@
     EbConfig_Unref(config);
 }
 
-static EbConfig *
-read_text(const char *text)
-{
-    json_t *value = json_loads(text, 0, NULL);
-    CU_ASSERT_PTR_NOT_NULL_FATAL(value);
-    EbConfigDefects defects;
-    EbError error = {0};
-    EbConfig *config =
-        EbPlatform_ReadConfig(value, "site", NULL, 0, &defects, &error);
-    CU_ASSERT_PTR_NOT_NULL_FATAL(config);
-    CU_ASSERT_EQUAL(defects.count, 0);
-    json_decref(value);
-    return config;
-}
-
 /* Guards against accepting an object that is no configuration, which would
  * replace a valid one. */
 void
--- a/test/process/lib.sh
+++ b/test/process/lib.sh
@@ -259,3 +259,52 @@
         exit 1
     fi
 }
+
+# eb_platform: starts the stand-in of the users' platform, with one server. Sets
+# eb_platform_port, which daemons use as a base of theirs, and eb_server_port.
+eb_platform() {
+    eb_host=127.0.0.1
+    eb_platform_port=$((15000 + $$ * 61 % 15000))
+    eb_server_port=$((eb_platform_port + 1))
+    "$eb_build/test/clients/platform_standin" "$eb_platform_port" \
+        "$eb_server_port" >"$eb_work/standin.log" 2>&1 &
+    eb_pids+=($!)
+}
+
+# eb_platform_address NUMBER front|ready|control: prints the address of a
+# listener of daemon 1 or 2 on the users' platform.
+eb_platform_address() {
+    local offset
+    case $2 in
+    front) offset=0 ;;
+    ready) offset=1 ;;
+    control) offset=2 ;;
+    esac
+    echo "$eb_host:$((eb_platform_port + 3 * $1 + offset))"
+}
+
+# eb_platform_daemon NUMBER OPTIONS...: starts daemon 1 or 2 on the users'
+# platform. Both have the same seed, daemon 1.
+eb_platform_daemon() {
+    local number=$1
+    shift
+    cat >"$eb_work/node-$number.yaml" <<YAML
+node: "front-$number"
+zone: "z0"
+region: "r"
+listen:
+  front: "$(eb_platform_address "$number" front)"
+  ready: "$(eb_platform_address "$number" ready)"
+  control: "$(eb_platform_address "$number" control)"
+seeds:
+  - "$(eb_platform_address 1 control)"
+limits: {cpu_share: 1.0, cores: 1, memory_mb: 64, max_fds: 300, link_mbps: 1000}
+bounds: {grace_s: 8}
+platform:
+  address: "$eb_host:$eb_platform_port"
+YAML
+    EBONYHOLLOW_NODE_FILE="$eb_work/node-$number.yaml" \
+        "$eb_build/src/ebonyhollowd/ebonyhollowd" --platform "$@" \
+        >"$eb_work/front-$number.log" 2>&1 &
+    eb_pids+=($!)
+}
