membership: EbMembership_LostCount is removed

Only a test still called it since the parts of limits follow from the names of lost daemons; it calls EbMembership_LostInstances, which counted for it anyway. test_membership 18, test_directives 12, test_pace 6 and test_suspects 13 pass; lint is clean.

--- a/include/membership/ebonyhollow/membership.h
+++ b/include/membership/ebonyhollow/membership.h
@@ -174,13 +174,13 @@
 size_t EbMembership_LiveInstances(const EbMembership *membership,
                                   const char **names, size_t max);
 
-/* Returns the number of daemons that count as dead, did not leave in an
+/* Writes up to `max` names of daemons that count as dead, did not leave in an
  * orderly way and are not forgotten yet. They may only be cut off. Those whose
- * process is known to have ended, see EbMembership_DialFailed, don't count. */
-size_t EbMembership_LostCount(const EbMembership *membership);
-
-/* Writes up to `max` names of these daemons, which are borrowed until the next
- * change. Returns their number, which may exceed `max`. */
+ * process is known to have ended, see EbMembership_DialFailed, don't count.
+ *
+ * names: borrowed until the next change; may be NULL if `max` is 0
+ *
+ * Returns the number of these daemons, which may exceed `max`. */
 size_t EbMembership_LostInstances(const EbMembership *membership,
                                   const char **names, size_t max);
 
--- a/src/libebonyhollow/membership/membership.c
+++ b/src/libebonyhollow/membership/membership.c
@@ -445,12 +445,6 @@
     return count;
 }
 
-size_t
-EbMembership_LostCount(const EbMembership *membership)
-{
-    return EbMembership_LostInstances(membership, NULL, 0);
-}
-
 bool
 EbMembership_Find(const EbMembership *membership, const char *instance,
                   int64_t now_us, EbMemberView *view)
--- a/src/test_membership/limit_shares.c
+++ b/src/test_membership/limit_shares.c
@@ -112,8 +112,8 @@
     size_t lost = 0;
     for (uint32_t i = 0; i < network.count; i++) {
         if (network.nodes[i].running) {
-            lost =
-                MAX(lost, EbMembership_LostCount(network.nodes[i].membership));
+            lost = MAX(lost, EbMembership_LostInstances(
+                                 network.nodes[i].membership, NULL, 0));
         }
     }
     return lost;
