http_reader: a trailer field is discarded with its message

Cause: the reader collected a trailer field like a header field and added it to a message when the next message began, while it had none: the head had been handed over. Evidence: the sanitizer's report in EbHttpMessage_AddHeader, called by on_begin.

Change: the part of a message that is being read is one value in place of four flags. A field ends with its message, and only a field of the head is added to it. A trailer field's name is checked; its bytes count as before.

Before: test_forward_net ends in "message trailers", without it in "client responses", without that in "server trailers" (null member access each time). The same rows at the own interface passed before (test_caller_server, test_backend_client).

--- a/src/libebonyhollow_net/http_reader.c
+++ b/src/libebonyhollow_net/http_reader.c
@@ -12,10 +12,20 @@
 /* Bytes that each chunk may take in addition for its size and extensions. */
 #define CHUNK_FRAMING_BYTES 64
 
+/* The part of a message that is being read. */
+typedef enum {
+    PART_NONE,    /* no message has begun */
+    PART_HEAD,    /* start line and header fields */
+    PART_INTERIM, /* behind the head of an interim response */
+    PART_BODY     /* behind the head of another message: its body, then the
+                     trailer fields */
+} MessagePart;
+
 struct EbHttpReader {
     EbHttpReaderOptions options;
     http_parser parser;
-    EbHttpMessage *message; /* while its header section is read */
+    MessagePart part;
+    EbHttpMessage *message; /* in PART_HEAD, otherwise NULL */
     GString *target;
     GString *name;
     GString *value;
@@ -25,18 +35,15 @@
                              before this message included */
     size_t chunk_count;
     bool in_value;
-    bool in_message;
-    bool headers_complete;
-    bool interim;
     bool complete;
     bool too_large;
-    bool bad_name; /* a header name is not a token */
+    bool bad_name; /* the name of a field is not a token */
     bool skip_body;
 };
 
-/* Checks that a header name is a token (RFC 9110, section 5.6.2). The parser
- * accepts spaces in a name, so the next recipient might interpret a header
- * like "Length :" differently. */
+/* Checks that the name of a field is a token (RFC 9110, section 5.6.2). The
+ * parser accepts spaces in a name, so the next recipient might interpret a
+ * field like "Length :" differently. */
 static bool
 is_token(const char *name)
 {
@@ -49,13 +56,17 @@
     return true;
 }
 
+/* Adds a field to the head that is being read. Trailer fields are discarded,
+ * as RFC 9110, section 6.5.1, allows. */
 static void
-finish_header(EbHttpReader *reader)
+finish_field(EbHttpReader *reader)
 {
-    reader->bad_name = reader->bad_name || !is_token(reader->name->str);
-    if (reader->name->len > 0 && !reader->headers_complete) {
-        EbHttpMessage_AddHeader(reader->message, reader->name->str,
-                                reader->value->str);
+    if (reader->name->len > 0) {
+        reader->bad_name = reader->bad_name || !is_token(reader->name->str);
+        if (reader->part == PART_HEAD) {
+            EbHttpMessage_AddHeader(reader->message, reader->name->str,
+                                    reader->value->str);
+        }
     }
     g_string_truncate(reader->name, 0);
     g_string_truncate(reader->value, 0);
@@ -75,13 +86,10 @@
 on_begin(http_parser *parser)
 {
     EbHttpReader *reader = parser->data;
-    reader->in_message = true;
-    reader->headers_complete = false;
-    reader->interim = false;
+    reader->part = PART_HEAD;
     reader->bad_name = false;
     reader->header_bytes = 0;
     g_string_truncate(reader->target, 0);
-    finish_header(reader);
     EbHttpMessage_Unref(reader->message);
     /* on_headers_complete fills in the status, or the method and target. */
     reader->message = EbHttpMessage_NewResponse(0);
@@ -101,7 +109,7 @@
 {
     EbHttpReader *reader = parser->data;
     if (reader->in_value) {
-        finish_header(reader);
+        finish_field(reader);
     }
     g_string_append_len(reader->name, at, (gssize)length);
     return count_header_bytes(reader, length);
@@ -120,13 +128,15 @@
 on_headers_complete(http_parser *parser)
 {
     EbHttpReader *reader = parser->data;
-    finish_header(reader);
+    finish_field(reader);
     EbHttpMessage *message = reader->message;
-    reader->headers_complete = true;
     reader->message = NULL;
+    reader->part = PART_BODY;
     if (reader->options.kind == EB_HTTP_RESPONSES) {
         message->status = (uint16_t)parser->status_code;
-        reader->interim = message->status < FIRST_FINAL_STATUS;
+        if (message->status < FIRST_FINAL_STATUS) {
+            reader->part = PART_INTERIM;
+        }
     }
     else {
         message->method =
@@ -137,7 +147,7 @@
         EbHttpMessage_Unref(message);
         return -1;
     }
-    if (reader->interim) {
+    if (reader->part == PART_INTERIM) {
         EbHttpMessage_Unref(message);
         return 0;
     }
@@ -170,8 +180,13 @@
 on_message_complete(http_parser *parser)
 {
     EbHttpReader *reader = parser->data;
-    reader->in_message = false;
-    if (reader->interim) {
+    bool interim = reader->part == PART_INTERIM;
+    finish_field(reader);
+    reader->part = PART_NONE;
+    if (reader->bad_name) {
+        return -1;
+    }
+    if (interim) {
         return 0;
     }
     reader->complete = true;
@@ -270,7 +285,7 @@
 bool
 EbHttpReader_HandleEof(EbHttpReader *reader)
 {
-    if (!reader->in_message || !reader->headers_complete) {
+    if (reader->part != PART_BODY) {
         return false;
     }
     http_parser_execute(&reader->parser, &callbacks, NULL, 0);
@@ -280,7 +295,7 @@
 bool
 EbHttpReader_IsInMessage(const EbHttpReader *reader)
 {
-    return reader->in_message;
+    return reader->part != PART_NONE;
 }
 
 size_t
--- a/src/test_backend_client/main.c
+++ b/src/test_backend_client/main.c
@@ -394,6 +394,47 @@
     g_string_free(long_line, TRUE);
 }
 
+/* Answers the first call with the scripted response and later ones soundly. */
+static void
+send_scripted_response_first(RawPeer *peer, const char *request)
+{
+    if (peer->server->requests == 1) {
+        send_scripted_response(peer, request);
+    }
+    else {
+        RawPeer_SendJson(peer, "{}");
+    }
+}
+
+/* Guards against an odd response that ends the process, and against one whose
+ * bytes are taken for the response to the next call. */
+static void
+test_odd_responses(void)
+{
+    static const struct {
+        const char *response;
+        EbAttemptEventKind kind;
+        unsigned connections; /* opened by this call and the next one */
+    } rows[] = {
+        {CHUNKED_HEAD "2\r\n{}\r\n0\r\nSum: 1\r\n\r\n", EB_ATTEMPT_ANSWERED,
+         1},
+    };
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        Fixture fixture;
+        open_fixture(&fixture, send_scripted_response_first);
+        scripted_response = rows[i].response;
+        EbAttemptEventKind kind = run_call(&fixture, 1, false);
+        if (kind != rows[i].kind) {
+            printf("row %zu: %s\n", i, EbAttemptEventKind_names[kind]);
+        }
+        CU_ASSERT_EQUAL(kind, rows[i].kind);
+        CU_ASSERT_EQUAL(run_call(&fixture, 2, false), EB_ATTEMPT_ANSWERED);
+        CU_ASSERT_EQUAL(fixture.seen[1].status, 200);
+        CU_ASSERT_EQUAL(fixture.server->accepted, rows[i].connections);
+        close_fixture(&fixture);
+    }
+}
+
 static void
 send_cut_response(RawPeer *peer, const char *request)
 {
@@ -677,6 +718,7 @@
         {"connection close", test_connection_close},
         {"stream split", test_stream_split},
         {"bad responses", test_bad_responses},
+        {"odd responses", test_odd_responses},
         {"cut responses", test_cut_responses},
         {"silent and cancel", test_silent_and_cancel},
         {"pause", test_pause},
--- a/src/test_caller_server/main.c
+++ b/src/test_caller_server/main.c
@@ -234,6 +234,31 @@
     close_fixture(&fixture);
 }
 
+/* Guards against a trailer field (RFC 9112, section 7.1.2) that ends the
+ * process or is lost with the next request on its connection. */
+static void
+test_trailers(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture);
+    RawClient *client = connect_client(&fixture);
+    for (unsigned i = 1; i <= 3; i++) {
+        fixture.wanted_submitted = i;
+        RawClient_Send(client,
+                       "POST /v1/pipelines/catalogue HTTP/1.1\r\nHost: x\r\n"
+                       "Authorization: Bearer t-1\r\n"
+                       "Content-Type: application/json\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n"
+                       "d\r\n{\"input\":\"a\"}\r\n0\r\nSum: 1\r\n\r\n");
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_submitted, &fixture));
+        CU_ASSERT_STRING_EQUAL(fixture.body, "{\"input\":\"a\"}");
+        answer_done(&fixture);
+    }
+    CU_ASSERT_FALSE(client->closed);
+    RawClient_Free(client);
+    close_fixture(&fixture);
+}
+
 /* Guards against submitting invalid requests, and against answering not-run to
  * an invalid request with an idempotency key, since an earlier request with
  * that key may have run. */
@@ -692,6 +717,7 @@
     signal(SIGPIPE, SIG_IGN); /* as in the daemon */
     static const EbTestCase cases[] = {
         {"json answer", test_json_answer},
+        {"trailers", test_trailers},
         {"refused", test_refused},
         {"stream", test_stream},
         {"gone", test_gone},
--- a/src/test_forward_net/client.c
+++ b/src/test_forward_net/client.c
@@ -152,6 +152,10 @@
     static const ClientRow rows[] = {
         {"whole response", HEAD "Content-Length: 2\r\n\r\nab", false, false,
          false, EB_ATTEMPT_ANSWERED, "ab", "", 1},
+        {"trailer fields",
+         HEAD "Transfer-Encoding: chunked\r\n\r\n"
+              "2\r\nab\r\n0\r\nSum: 1\r\n\r\n",
+         false, false, false, EB_ATTEMPT_ANSWERED, "ab", "", 1},
         {"close announced",
          HEAD "Connection: close\r\nContent-Length: 2\r\n\r\nab", false, true,
          false, EB_ATTEMPT_ANSWERED, "ab", "", 2},
--- a/src/test_forward_net/forward_net.h
+++ b/src/test_forward_net/forward_net.h
@@ -17,6 +17,10 @@
 void test_small_chunks(void);
 void test_event_splitter(void);
 
+/* messages.c: EbHttpReader, several messages on a connection */
+
+void test_message_trailers(void);
+
 /* client.c: EbForwardClient */
 
 void test_client_responses(void);
@@ -39,6 +43,7 @@
 void test_server_error_responses(void);
 void test_server_stream(void);
 void test_server_pipelined(void);
+void test_server_trailers(void);
 void test_server_unread_answers(void);
 void test_server_slow_reader(void);
 void test_server_limits(void);
--- /dev/null
+++ b/src/test_forward_net/messages.c
@@ -0,0 +1,145 @@
+/* Tests of EbHttpReader with several messages on one connection. Each row is
+ * read as a whole and cut in two at every byte, with the same result. */
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "forward_net.h"
+#include "http_reader.h"
+#include "test_runner.h"
+
+#define MAX_HEADER_BYTES 4096
+
+typedef struct {
+    const char *name;
+    EbHttpReaderKind kind;
+    const char *bytes;
+    /* What the callbacks and the reader report, in this order. A head is
+     * "(200 Name=value ...)" or "(POST /target Name=value ...)", a body its
+     * bytes, the end of a message "." if another one may follow on the
+     * connection, or "|". The last is "!" for invalid bytes and "#" for too
+     * many, behind which nothing is read. */
+    const char *transcript;
+} MessageRow;
+
+static bool
+on_head(void *context, EbHttpMessage *message)
+{
+    GString *transcript = context;
+    if (message->method != NULL) {
+        g_string_append_printf(transcript, "(%s %s", message->method,
+                               message->target);
+    }
+    else {
+        g_string_append_printf(transcript, "(%u", (unsigned)message->status);
+    }
+    for (uint32_t i = 0; i < message->header_count; i++) {
+        g_string_append_printf(transcript, " %s=%s", message->headers[i].name,
+                               message->headers[i].value);
+    }
+    g_string_append_c(transcript, ')');
+    EbHttpMessage_Unref(message);
+    return true;
+}
+
+static bool
+on_body(void *context, const uint8_t *bytes, size_t byte_count)
+{
+    g_string_append_len(context, (const char *)bytes, (gssize)byte_count);
+    return true;
+}
+
+static void
+on_complete(void *context, bool reusable)
+{
+    g_string_append_c(context, reusable ? '.' : '|');
+}
+
+/* Feeds bytes until they are used up. Returns false after an error. */
+static bool
+feed(EbHttpReader *reader, GString *transcript, const char *bytes,
+     size_t length)
+{
+    while (length > 0) {
+        size_t consumed = 0;
+        EbHttpReadResult result = EbHttpReader_Feed(
+            reader, (const uint8_t *)bytes, length, &consumed);
+        if (result == EB_HTTP_READ_INVALID ||
+            result == EB_HTTP_READ_TOO_LARGE) {
+            g_string_append_c(transcript,
+                              result == EB_HTTP_READ_INVALID ? '!' : '#');
+            return false;
+        }
+        bytes += consumed;
+        length -= consumed;
+    }
+    return true;
+}
+
+static void
+check_cut(const MessageRow *row, size_t cut)
+{
+    GString *transcript = g_string_new(NULL);
+    EbHttpReader *reader = EbHttpReader_New(
+        &(EbHttpReaderOptions){.kind = row->kind,
+                               .max_header_bytes = MAX_HEADER_BYTES,
+                               .head = on_head,
+                               .body = on_body,
+                               .complete = on_complete,
+                               .context = transcript});
+    if (feed(reader, transcript, row->bytes, cut) &&
+        feed(reader, transcript, row->bytes + cut, strlen(row->bytes) - cut)) {
+        EbHttpReader_HandleEof(reader);
+    }
+    if (strcmp(transcript->str, row->transcript) != 0) {
+        printf("%s, cut at %zu: %s\n", row->name, cut, transcript->str);
+    }
+    CU_ASSERT_STRING_EQUAL(transcript->str, row->transcript);
+    EbHttpReader_Free(reader);
+    g_string_free(transcript, TRUE);
+}
+
+static void
+check_rows(const MessageRow *rows, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        for (size_t cut = 0; cut <= strlen(rows[i].bytes); cut++) {
+            check_cut(&rows[i], cut);
+        }
+    }
+}
+
+#define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
+
+/* Guards against a trailer field (RFC 9112, section 7.1.2) that is added to
+ * the next message on the connection, or to one that was handed over. */
+void
+test_message_trailers(void)
+{
+    static const MessageRow rows[] = {
+        {"two requests with a trailer field", EB_HTTP_REQUESTS,
+         "POST /a HTTP/1.1\r\n" CHUNKED "1\r\nx\r\n0\r\nSum: 1\r\n\r\n"
+         "POST /b HTTP/1.1\r\n" CHUNKED "1\r\ny\r\n0\r\nSum: 2\r\n\r\n",
+         "(POST /a Transfer-Encoding=chunked)x."
+         "(POST /b Transfer-Encoding=chunked)y."},
+        {"two responses with trailer fields", EB_HTTP_RESPONSES,
+         "HTTP/1.1 200 OK\r\n" CHUNKED "1\r\nx\r\n0\r\nA: 1\r\nB: 2\r\n\r\n"
+         "HTTP/1.1 201 Created\r\nContent-Length: 1\r\n\r\ny",
+         "(200 Transfer-Encoding=chunked)x.(201 Content-Length=1)y."},
+        {"a trailer field without a value", EB_HTTP_REQUESTS,
+         "POST /a HTTP/1.1\r\n" CHUNKED "0\r\nSum:\r\n\r\n"
+         "GET /b HTTP/1.1\r\n\r\n",
+         "(POST /a Transfer-Encoding=chunked).(GET /b)."},
+        {"trailer fields that name another length", EB_HTTP_REQUESTS,
+         "POST /a HTTP/1.1\r\n" CHUNKED
+         "0\r\nContent-Length: 9\r\nTransfer-Encoding: gzip\r\n\r\n"
+         "GET /b HTTP/1.1\r\n\r\n",
+         "(POST /a Transfer-Encoding=chunked).(GET /b)."},
+        {"a trailer field whose name is no token", EB_HTTP_REQUESTS,
+         "POST /a HTTP/1.1\r\n" CHUNKED "0\r\nBad Name: 1\r\n\r\n"
+         "GET /b HTTP/1.1\r\n\r\n",
+         "(POST /a Transfer-Encoding=chunked)!"},
+    };
+    check_rows(rows, G_N_ELEMENTS(rows));
+}
--- a/src/test_forward_net/server.c
+++ b/src/test_forward_net/server.c
@@ -118,6 +118,13 @@
     return ((ServerFixture *)context)->submitted > 0;
 }
 
+static bool
+has_all_submitted(void *context)
+{
+    const ServerFixture *fixture = context;
+    return fixture->submitted >= fixture->wanted_submitted;
+}
+
 static bool
 is_caller_gone(void *context)
 {
@@ -265,6 +272,28 @@
     close_server(&fixture);
 }
 
+/* Guards against a trailer field (RFC 9112, section 7.1.2) that ends the
+ * process when the next request arrives on its connection. */
+void
+test_server_trailers(void)
+{
+    static const char request[] = REQUEST "Transfer-Encoding: chunked\r\n\r\n"
+                                          "2\r\nab\r\n0\r\nSum: 1\r\n\r\n";
+    ServerFixture fixture;
+    open_server(&fixture);
+    EbHttpMessage *reply = EbHttpMessage_NewResponse(200);
+    for (unsigned i = 1; i <= 3; i++) {
+        fixture.wanted_submitted = i;
+        RawClient_Send(fixture.client, request);
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_all_submitted, &fixture));
+        CU_ASSERT_STRING_EQUAL(fixture.body, "ab");
+        answer(&fixture, EB_OUTCOME_DONE, EB_REASON_NONE, reply);
+    }
+    CU_ASSERT_FALSE(fixture.client->closed);
+    EbHttpMessage_Unref(reply);
+    close_server(&fixture);
+}
+
 /* Connects a socket that accepts few bytes before it is read, and sends a
  * request on it. */
 static int
@@ -573,13 +602,6 @@
     return count > 0 && strncmp(text, "HTTP/1.1 200 ", 13) == 0;
 }
 
-static bool
-has_all_submitted(void *context)
-{
-    const ServerFixture *fixture = context;
-    return fixture->submitted >= fixture->wanted_submitted;
-}
-
 /* Guards against a planned stop that cuts off requests that have just arrived:
  * on a connection that is not accepted yet, and on a kept connection whose
  * bytes are not read yet. */
