http_reader: an interim response ends with its header section

Cause: http-parser reads a body of the length that an interim response names; the reader skipped the head but passed the bytes on, and the forward client added them to a response that it didn't have. Evidence: in "message interim" the bytes appear in front of the final response.

Change: the parser is told that there is no body (RFC 9112, section 6.3). What follows is read as the next response, so such an answer counts as broken off. A body is passed on only behind a head that was handed over.

--- a/src/libebonyhollow_net/http_reader.c
+++ b/src/libebonyhollow_net/http_reader.c
@@ -6,6 +6,10 @@
 #include <http_parser.h>
 
 #define FIRST_FINAL_STATUS 200
+/* What on_headers_complete returns to the parser. */
+#define HEAD_READ 0
+#define HEAD_READ_NO_BODY 1
+#define HEAD_REJECTED (-1)
 /* Bytes of a message outside of its body, as a multiple of the limit on names
  * and values: separators, empty lines and interim responses count too. */
 #define FRAMING_FACTOR 2
@@ -145,22 +149,27 @@
     }
     if (parser->upgrade != 0 || reader->bad_name) {
         EbHttpMessage_Unref(message);
-        return -1;
+        return HEAD_REJECTED;
     }
     if (reader->part == PART_INTERIM) {
+        /* It ends with its header section, whatever length it names (RFC 9112,
+         * section 6.3). */
         EbHttpMessage_Unref(message);
-        return 0;
+        return HEAD_READ_NO_BODY;
     }
     if (!reader->options.head(reader->options.context, message)) {
-        return -1;
+        return HEAD_REJECTED;
     }
-    return reader->skip_body ? 1 : 0;
+    return reader->skip_body ? HEAD_READ_NO_BODY : HEAD_READ;
 }
 
 static int
 on_body(http_parser *parser, const char *at, size_t length)
 {
     EbHttpReader *reader = parser->data;
+    if (reader->part != PART_BODY) {
+        return -1;
+    }
     reader->body_bytes += length;
     return reader->options.body(reader->options.context, (const uint8_t *)at,
                                 length)
--- a/src/test_backend_client/main.c
+++ b/src/test_backend_client/main.c
@@ -418,6 +418,10 @@
     } rows[] = {
         {CHUNKED_HEAD "2\r\n{}\r\n0\r\nSum: 1\r\n\r\n", EB_ATTEMPT_ANSWERED,
          1},
+        {"HTTP/1.1 102 Processing\r\nContent-Length: 4\r\n\r\nbody",
+         EB_ATTEMPT_MALFORMED, 2},
+        {"HTTP/1.1 100 Continue\r\nContent-Length: 6\r\n\r\nbody\r\n",
+         EB_ATTEMPT_BROKEN, 2},
     };
     for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
         Fixture fixture;
--- a/src/test_forward_net/client.c
+++ b/src/test_forward_net/client.c
@@ -156,6 +156,18 @@
          HEAD "Transfer-Encoding: chunked\r\n\r\n"
               "2\r\nab\r\n0\r\nSum: 1\r\n\r\n",
          false, false, false, EB_ATTEMPT_ANSWERED, "ab", "", 1},
+        {"interim response with a body",
+         "HTTP/1.1 102 Processing\r\nContent-Length: 4\r\n\r\nbody" HEAD
+         "Content-Length: 2\r\n\r\nab",
+         false, false, false, EB_ATTEMPT_MALFORMED, "", "", 2},
+        {"interim response with a body, then a stream",
+         "HTTP/1.1 102 Processing\r\nContent-Length: 4\r\n\r\nbody" STREAM_HEAD
+         "7\r\nid: 1\n\n\r\n0\r\n\r\n",
+         true, false, false, EB_ATTEMPT_MALFORMED, "", "", 2},
+        {"interim response with a length only",
+         "HTTP/1.1 102 Processing\r\nContent-Length: 4\r\n\r\n" HEAD
+         "Content-Length: 2\r\n\r\nab",
+         false, false, false, EB_ATTEMPT_ANSWERED, "ab", "", 1},
         {"close announced",
          HEAD "Connection: close\r\nContent-Length: 2\r\n\r\nab", false, true,
          false, EB_ATTEMPT_ANSWERED, "ab", "", 2},
--- a/src/test_forward_net/forward_net.h
+++ b/src/test_forward_net/forward_net.h
@@ -20,6 +20,7 @@
 /* messages.c: EbHttpReader, several messages on a connection */
 
 void test_message_trailers(void);
+void test_message_interim(void);
 
 /* client.c: EbForwardClient */
 
--- a/src/test_forward_net/main.c
+++ b/src/test_forward_net/main.c
@@ -15,6 +15,7 @@
         {"small chunks", test_small_chunks},
         {"event splitter", test_event_splitter},
         {"message trailers", test_message_trailers},
+        {"message interim", test_message_interim},
         {"client responses", test_client_responses},
         {"client cut responses", test_client_cut_responses},
         {"client late copy", test_client_late_copy},
--- a/src/test_forward_net/messages.c
+++ b/src/test_forward_net/messages.c
@@ -143,3 +143,34 @@
     };
     check_rows(rows, G_N_ELEMENTS(rows));
 }
+
+#define FINAL "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
+
+/* Guards against an interim response with a body, which it can't have (RFC
+ * 9110, section 15.2): its bytes must neither reach a callback nor count as a
+ * part of the final response. */
+void
+test_message_interim(void)
+{
+    static const MessageRow rows[] = {
+        {"bytes behind an interim response", EB_HTTP_RESPONSES,
+         "HTTP/1.1 102 Processing\r\nContent-Length: 4\r\n\r\nbody" FINAL,
+         "!"},
+        {"chunks behind an interim response", EB_HTTP_RESPONSES,
+         "HTTP/1.1 102 Processing\r\n" CHUNKED "1\r\nx\r\n0\r\n\r\n" FINAL,
+         "!"},
+        {"a length without bytes", EB_HTTP_RESPONSES,
+         "HTTP/1.1 102 Processing\r\nContent-Length: 40\r\n\r\n" FINAL,
+         "(200 Content-Length=1)a."},
+        {"chunks that are only announced", EB_HTTP_RESPONSES,
+         "HTTP/1.1 103 Early Hints\r\n" CHUNKED FINAL,
+         "(200 Content-Length=1)a."},
+        {"two, one of which closes", EB_HTTP_RESPONSES,
+         "HTTP/1.1 103 Early Hints\r\nConnection: close\r\n\r\n"
+         "HTTP/1.1 100 Continue\r\n\r\n" FINAL,
+         "(200 Content-Length=1)a."},
+        {"the end of the connection behind one", EB_HTTP_RESPONSES,
+         "HTTP/1.1 103 Early Hints\r\nA: 1\r\n\r\n", ""},
+    };
+    check_rows(rows, G_N_ELEMENTS(rows));
+}
