platform_client: a connection ends with an interim response

Cause: evhttp reports an interim response other than 100 like a final one. The connection was kept, so that the final response to one call was read as the response to the next call, or poll, on it.

Change: after such a response the connection is closed and the call counts as one without a response: a write may have taken effect, a watch lists again.

Before: test_platform_client "interim response" reports another call's version as a success, "interim response to a watch" misses a revision.

--- a/src/libebonyhollow_net/platform_client.c
+++ b/src/libebonyhollow_net/platform_client.c
@@ -141,6 +141,19 @@
     return request;
 }
 
+int
+EbPlatformClient_ReadStatus(struct evhttp_request *request,
+                            struct evhttp_connection **evcon)
+{
+    int status = request ? evhttp_request_get_response_code(request) : 0;
+    if (status == 0 || status >= HTTP_OK) {
+        return status;
+    }
+    evhttp_connection_free(*evcon);
+    *evcon = NULL;
+    return 0;
+}
+
 json_t *
 EbPlatformClient_ParseBody(struct evhttp_request *request)
 {
@@ -243,7 +256,7 @@
     if (slot->call == NULL) {
         return;
     }
-    int status = request ? evhttp_request_get_response_code(request) : 0;
+    int status = EbPlatformClient_ReadStatus(request, &slot->evcon);
     if (status == 0) {
         fail_call(slot, slot->wrote ? "connection broke" : "connect failed");
         return;
--- a/src/libebonyhollow_net/platform_probe.c
+++ b/src/libebonyhollow_net/platform_probe.c
@@ -11,7 +11,7 @@
 
 typedef struct {
     EbPlatformClient *client;
-    struct evhttp_connection *evcon;
+    struct evhttp_connection *evcon; /* NULL until a probe opens one */
     struct event *timer;
     char *path;
     int64_t interval_us;
@@ -31,9 +31,11 @@
     Probe *probe = arg;
     EbPlatformClient *client = probe->client;
     int64_t now_us = EbClock_Monotonic();
-    int status = request ? evhttp_request_get_response_code(request) : 0;
-    EbSocket_SetKeepAlive(
-        bufferevent_getfd(evhttp_connection_get_bufferevent(probe->evcon)));
+    int status = EbPlatformClient_ReadStatus(request, &probe->evcon);
+    if (probe->evcon != NULL) {
+        EbSocket_SetKeepAlive(bufferevent_getfd(
+            evhttp_connection_get_bufferevent(probe->evcon)));
+    }
     bool answered = (status == 200 || status == 404) &&
                     EbPlatformClient_CheckEra(client, request);
     EbPlatformClient_RecordCall(
@@ -55,6 +57,10 @@
     struct evhttp_request *request =
         EbPlatformClient_NewRequest(probe->client, on_answer, probe);
     probe->sent_us = EbClock_Monotonic();
+    if (probe->evcon == NULL) {
+        probe->evcon =
+            EbPlatformClient_OpenConnection(probe->client, PROBE_TIMEOUT_US);
+    }
     struct timeval timeout =
         EbClock_Timeval(PROBE_TIMEOUT_US + probe->client->watch_latency_us);
     evhttp_connection_set_timeout_tv(probe->evcon, &timeout);
@@ -75,7 +81,6 @@
     probe->client = client;
     probe->path = client->options.protocol->probe_path(kind, name);
     probe->interval_us = interval_us;
-    probe->evcon = EbPlatformClient_OpenConnection(client, PROBE_TIMEOUT_US);
     probe->timer = evtimer_new(client->options.base, send_probe, probe);
     client->probe = probe;
     schedule(probe, 0);
@@ -89,7 +94,9 @@
         return;
     }
     client->probe = NULL;
-    evhttp_connection_free(probe->evcon);
+    if (probe->evcon != NULL) {
+        evhttp_connection_free(probe->evcon);
+    }
     event_free(probe->timer);
     g_free(probe->path);
     g_free(probe);
--- a/src/libebonyhollow_net/platform_watch.c
+++ b/src/libebonyhollow_net/platform_watch.c
@@ -321,13 +321,15 @@
 on_request_done(struct evhttp_request *request, void *arg)
 {
     Watch *watch = arg;
-    int status = request ? evhttp_request_get_response_code(request) : 0;
+    int status = EbPlatformClient_ReadStatus(request, &watch->evcon);
     watch->polling = false;
     if (status != 0) {
         observe_latency(watch);
     }
-    EbSocket_SetKeepAlive(
-        bufferevent_getfd(evhttp_connection_get_bufferevent(watch->evcon)));
+    if (watch->evcon != NULL) {
+        EbSocket_SetKeepAlive(bufferevent_getfd(
+            evhttp_connection_get_bufferevent(watch->evcon)));
+    }
     if (status != 0 && !EbPlatformClient_CheckEra(watch->client, request)) {
         status = 0;
     }
--- a/src/libebonyhollow_net/private/platform_internal.h
+++ b/src/libebonyhollow_net/private/platform_internal.h
@@ -35,6 +35,19 @@
                             void (*done)(struct evhttp_request *, void *),
                             void *arg);
 
+/* Reads the status of a response.
+ *
+ * evhttp reports an interim response other than 100 like a final one, and
+ * would read the final one as the response to the next request. After such a
+ * response the connection is closed.
+ *
+ * request: the response; NULL if there is none
+ * evcon: its connection, set to NULL if it was closed
+ *
+ * Returns the status, or 0 if there is no final response. */
+int EbPlatformClient_ReadStatus(struct evhttp_request *request,
+                                struct evhttp_connection **evcon);
+
 /* Parses the JSON body of a response. Returns a new reference, or NULL if the
  * body is empty or not valid JSON. */
 json_t *EbPlatformClient_ParseBody(struct evhttp_request *request);
--- a/src/test_platform_client/main.c
+++ b/src/test_platform_client/main.c
@@ -21,6 +21,7 @@
     char *last_value;
     unsigned replies, wanted_replies;
     unsigned statuses[EB_STORE_STATUS_COUNT];
+    unsigned mixed; /* successes whose version isn't the operation's id */
     unsigned listed, wanted_listed;
     size_t items; /* of the last list */
     unsigned changed, wanted_changed;
@@ -47,6 +48,8 @@
         reply->value ? json_dumps(reply->value, JSON_COMPACT) : NULL;
     fixture->last.value = NULL;
     fixture->statuses[reply->status]++;
+    fixture->mixed +=
+        reply->status == EB_STORE_OK && reply->version != reply->operation_id;
     fixture->replies++;
 }
 
@@ -261,6 +264,48 @@
     }
 }
 
+/* Answers the first request with an interim response before the final one, as
+ * any server may. The version in each answer is the number in the name. */
+static void
+respond_after_interim(RawPeer *peer, const char *request)
+{
+    const char *name = strstr(request, "/claims/c-");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(name);
+    if (peer->server->requests == 1) {
+        RawPeer_Send(peer, "HTTP/1.1 103 Early Hints\r\nA: 1\r\n\r\n");
+    }
+    char *body = g_strdup_printf("{\"version\": %d, \"value\": 1}",
+                                 atoi(name + strlen("/claims/c-")));
+    RawPeer_SendJson(peer, body);
+    g_free(body);
+}
+
+/* Guards against taking the final response to one call, which evhttp reads
+ * behind an interim response, for the response to the next call. */
+static void
+test_interim_response(void)
+{
+    enum { CALLS = 5 };
+    Fixture fixture;
+    open_fixture(&fixture, respond_after_interim, 0);
+    fixture.wanted_replies = CALLS;
+    for (uint64_t id = 1; id <= CALLS; id++) {
+        char name[16];
+        snprintf(name, sizeof(name), "c-%u", (unsigned)id);
+        EbPlatformClient_StartCall(
+            fixture.client, &(EbStoreRequest){.owner = EB_STORE_OWNER_LEDGER,
+                                              .operation_id = id,
+                                              .operation = EB_STORE_GET,
+                                              .kind = "claims",
+                                              .name = name});
+    }
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_replies, &fixture));
+    CU_ASSERT_EQUAL(fixture.mixed, 0);
+    CU_ASSERT_EQUAL(fixture.statuses[EB_STORE_OK], CALLS - 1);
+    CU_ASSERT_EQUAL(fixture.statuses[EB_STORE_UNAVAILABLE], 1);
+    close_fixture(&fixture);
+}
+
 /* Guards against reporting a call as lost although its connection was refused,
  * and against an outage that is not logged exactly once. */
 static void
@@ -386,6 +431,41 @@
     close_fixture(&fixture);
 }
 
+/* Answers the first poll with an interim response before the final one. */
+static void
+respond_to_interim_watch(RawPeer *peer, const char *request)
+{
+    Fixture *fixture = peer->server->context;
+    if (strncmp(request, "GET /v1/objects/instances ", 26) == 0) {
+        RawPeer_SendJson(peer, "{\"revision\": 7, \"items\": []}");
+        return;
+    }
+    if (++fixture->polls == 1) {
+        RawPeer_Send(peer, "HTTP/1.1 102 Processing\r\n\r\n");
+        RawPeer_SendJson(peer, "{\"revision\": 8, \"events\": [{}]}");
+    }
+    else if (fixture->polls == 2) {
+        RawPeer_SendJson(peer, "{\"revision\": 9, \"events\": [{}]}");
+    }
+}
+
+/* Guards against taking the final response to one poll for that to the next
+ * one: the kind must be listed again, and the next poll go on from there. */
+static void
+test_watch_interim_response(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, respond_to_interim_watch, 0);
+    EbPlatformClient_Watch(fixture.client, "instances");
+    fixture.wanted_listed = 2;
+    fixture.wanted_changed = 1;
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_watched, &fixture));
+    CU_ASSERT_EQUAL(fixture.listed, 2);
+    CU_ASSERT_EQUAL(fixture.changed, 1);
+    CU_ASSERT_EQUAL(fixture.revision, 9);
+    close_fixture(&fixture);
+}
+
 /* The first poll must come at once, be short and continue from the given
  * revision, the second one must have the usual time-out. */
 static void
@@ -676,6 +756,31 @@
     close_fixture(&fixture);
 }
 
+/* Answers the first probe with an interim response before the final one. */
+static void
+respond_to_interim_probe(RawPeer *peer, const char *request)
+{
+    (void)request;
+    if (peer->server->requests == 1) {
+        RawPeer_Send(peer, "HTTP/1.1 102 Processing\r\n\r\n");
+    }
+    RawPeer_Send(peer, HEAD("404", "0"));
+}
+
+/* Guards against probes that end after an interim response. */
+static void
+test_probe_interim_response(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture, respond_to_interim_probe, 0);
+    EbPlatformClient_StartProbes(fixture.client, "instances", "i-1", 20000);
+    fixture.wanted_probed = 2;
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_probed, &fixture));
+    CU_ASSERT_EQUAL(fixture.server->requests, 3);
+    CU_ASSERT_EQUAL(fixture.server->accepted, 2);
+    close_fixture(&fixture);
+}
+
 /* Leaves the first probe without a response on an open connection. */
 static void
 respond_to_second_probe(RawPeer *peer, const char *request)
@@ -758,9 +863,11 @@
 {
     static const EbTestCase cases[] = {
         {"statuses", test_statuses},
+        {"interim response", test_interim_response},
         {"refused", test_refused},
         {"silent", test_silent},
         {"watch", test_watch},
+        {"interim response to a watch", test_watch_interim_response},
         {"watch from a known revision", test_watch_from},
         {"odd entries", test_odd_entries},
         {"restored store", test_restored_store},
@@ -768,6 +875,7 @@
         {"a poll's response is lost", test_lost_response},
         {"the platform is slow", test_slow_platform},
         {"probes", test_probes},
+        {"interim response to a probe", test_probe_interim_response},
         {"a probe's response is lost", test_lost_probe},
         {"one watch retries", test_one_watch_retries},
         {"the watch that retries is stopped", test_stopped_retry},
