http_message: a field that would change its message is refused

Cause: the adapter took any string for a handle and joined it into the header Inputs; nothing between there and the socket looked at names and values.

Change: EbHttpMessage refuses names that are no token and values with control characters and is invalid then; the forward client doesn't send such a message. The adapter reads only handles with an address, a name and characters that their messages can carry; another one is an error of its server. Handles from peers are checked. Of the class: the name of a server's entry, and a tenant's name, whose requests get 503 at once.

--- a/include/actions/ebonyhollow/forward.h
+++ b/include/actions/ebonyhollow/forward.h
@@ -82,6 +82,9 @@
     EbServerDirective directive;
 } EbForwardReply;
 
+/* Handles pass between daemons as names, see EB_MESSAGE_MAX_NAME_BYTES. */
+#define EB_FORWARD_MAX_HANDLE_BYTES 127
+
 /* A work item of a preparation, as it is sent to a server of its stage. */
 typedef struct {
     const char *request_id;
@@ -129,14 +132,15 @@
     /* Builds a call that frees results. */
     EbHttpMessage *(*write_release)(const char *const *handles, size_t count);
     /* Reads the response to a batched call into `results`: one for each item,
-     * in the same order. Returns false with `error` set when the response is
-     * malformed. */
+     * in the same order. An item with an invalid handle has no result. Returns
+     * false with `error` set when the response is malformed. */
     bool (*read_batch_reply)(const EbHttpMessage *answer,
                              EbWorkItemResult *results, size_t count,
                              EbError *error);
     /* Reads from a handle the address of the server that holds the result. The
-     * caller frees `host` with g_free. Returns false when the handle has no
-     * address. */
+     * caller frees `host` with g_free. Returns false when the handle is
+     * invalid: it has no address, or characters or a length that the messages
+     * which carry it can't have. */
     bool (*read_handle)(const char *handle, char **host, uint16_t *port);
 } EbForwardProtocol;
 
--- a/include/actions/ebonyhollow/http_message.h
+++ b/include/actions/ebonyhollow/http_message.h
@@ -26,13 +26,15 @@
     uint32_t header_count;
     uint8_t *body; /* NULL when empty */
     size_t body_bytes;
+    bool invalid; /* a part of it was refused; it must not be sent */
     uint32_t header_capacity;            /* private */
     struct EbHttpTextBlock *text_blocks; /* private: names and values */
     size_t body_capacity;                /* private */
 } EbHttpMessage;
 
 /* Create a request or a response with one reference. The strings are copied.
- */
+ * A request is marked as invalid if its method is no token or its target has
+ * control characters or spaces. */
 EbHttpMessage *EbHttpMessage_NewRequest(const char *method,
                                         const char *target);
 EbHttpMessage *EbHttpMessage_NewResponse(uint16_t status);
@@ -43,8 +45,20 @@
 /* Drops a reference and frees the message with the last one. Accepts NULL. */
 void EbHttpMessage_Unref(EbHttpMessage *message);
 
-/* Adds a header; both strings are copied. */
-void EbHttpMessage_AddHeader(EbHttpMessage *message, const char *name,
+/* Returns whether `name` can be the name of a field: a token (RFC 9110,
+ * section 5.6.2). */
+bool EbHttpMessage_IsFieldName(const char *name);
+
+/* Returns whether `value` can be the value of a field (RFC 9110, section 5.5):
+ * it has no control characters besides the tab. A line end would begin another
+ * field or end the header section. */
+bool EbHttpMessage_IsFieldValue(const char *value);
+
+/* Adds a header; both strings are copied.
+ *
+ * Returns false, with the message unchanged but marked as invalid, if the name
+ * or the value can't be one of a field. */
+bool EbHttpMessage_AddHeader(EbHttpMessage *message, const char *name,
                              const char *value);
 
 /* Finds a header by name, ignoring case (RFC 9110, section 5.1).
--- a/include/configuration/ebonyhollow/config.h
+++ b/include/configuration/ebonyhollow/config.h
@@ -176,6 +176,7 @@
     EbContract contract;
     int16_t priority; /* of its forwarded requests; -1: the pipeline's */
     bool anonymous;   /* stands for all callers of pipelines without tokens */
+    bool unusable;    /* its id can't be sent; its requests are refused */
 } EbConfigCustomer;
 
 /* Limits on the requests of clients. 0: not given, the earlier one stays. */
--- a/src/libebonyhollow/actions/http_message.c
+++ b/src/libebonyhollow/actions/http_message.c
@@ -55,6 +55,39 @@
     return copy;
 }
 
+bool
+EbHttpMessage_IsFieldName(const char *name)
+{
+    static const char symbols[] = "!#$%&'*+-.^_`|~";
+    if (name[0] == '\0') {
+        return false;
+    }
+    for (; *name != '\0'; name++) {
+        if (!g_ascii_isalnum(*name) && strchr(symbols, *name) == NULL) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+EbHttpMessage_IsFieldValue(const char *value)
+{
+    for (; *value != '\0'; value++) {
+        if (g_ascii_iscntrl(*value) && *value != '\t') {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+is_target(const char *target)
+{
+    return EbHttpMessage_IsFieldValue(target) && target[0] != '\0' &&
+           strpbrk(target, " \t") == NULL;
+}
+
 static EbHttpMessage *
 new_message(void)
 {
@@ -69,6 +102,8 @@
     EbHttpMessage *message = new_message();
     message->method = g_strdup(method);
     message->target = g_strdup(target);
+    message->invalid =
+        !EbHttpMessage_IsFieldName(method) || !is_target(target);
     return message;
 }
 
@@ -102,10 +137,15 @@
     g_free(message);
 }
 
-void
+bool
 EbHttpMessage_AddHeader(EbHttpMessage *message, const char *name,
                         const char *value)
 {
+    if (!EbHttpMessage_IsFieldName(name) ||
+        !EbHttpMessage_IsFieldValue(value)) {
+        message->invalid = true;
+        return false;
+    }
     if (message->header_count == message->header_capacity) {
         message->header_capacity =
             MAX(MIN_HEADER_CAPACITY, message->header_capacity / 2 * 3);
@@ -116,6 +156,7 @@
     char *value_copy = add_text(message, value);
     message->headers[message->header_count++] =
         (EbHttpHeader){name_copy, value_copy};
+    return true;
 }
 
 const char *
--- a/src/libebonyhollow/actions/outcome.c
+++ b/src/libebonyhollow/actions/outcome.c
@@ -67,7 +67,7 @@
          "The request or a part of its prompt crashed backend servers.", 1},
     [EB_REASON_PIPELINE_UNUSABLE] =
         {"pipeline-unusable", 503,
-         "The configuration of the pipeline can't be used.", 1},
+         "The configuration of the pipeline or customer can't be used.", 1},
     [EB_REASON_EVACUATED] =
         {"evacuated", 503,
          "Every server for the request is in an evacuated failure domain.", 1},
--- a/src/libebonyhollow/requests/dispatcher_forward.c
+++ b/src/libebonyhollow/requests/dispatcher_forward.c
@@ -59,8 +59,9 @@
     if (request->customer == NULL) {
         return EB_REASON_UNAUTHENTICATED;
     }
-    return request->pipeline->forward->unusable ? EB_REASON_PIPELINE_UNUSABLE
-                                                : EB_REASON_NONE;
+    bool usable =
+        !request->pipeline->forward->unusable && !request->customer->unusable;
+    return usable ? EB_REASON_NONE : EB_REASON_PIPELINE_UNUSABLE;
 }
 
 EbReason
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -447,6 +447,22 @@
     }
 }
 
+/* Returns whether all handles that a peer passed on can go into a request. A
+ * peer of an earlier version doesn't check those that it gets from servers. */
+static bool
+are_valid_handles(const EbDaemon *daemon, char *const *handles, uint32_t count)
+{
+    bool valid = true;
+    for (uint32_t i = 0; i < count && valid; i++) {
+        char *host = NULL;
+        uint16_t port = 0;
+        valid =
+            daemon->adapter->forward->read_handle(handles[i], &host, &port);
+        g_free(host);
+    }
+    return valid;
+}
+
 void
 EbDaemon_HandlePrepared(EbDaemon *daemon, const char *peer,
                         const EbMessage *message, int64_t now_us)
@@ -456,6 +472,10 @@
                               .room_in_us = (int64_t)message->room_in_us,
                               .handles = message->handles,
                               .handle_count = message->handle_count};
+    if (!are_valid_handles(daemon, message->handles, message->handle_count)) {
+        result = (EbBatcherResult){.job = message->job,
+                                   .status = EB_PREPARED_FAILED};
+    }
     record_result(daemon, peer, &result, now_us);
 }
 
--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -579,6 +579,13 @@
 EbForwardClient_Send(EbForwardClient *client, const EbForwardSend *send,
                      EbHttpMessage *message)
 {
+    if (message->invalid) {
+        client->options.event(
+            client->options.context,
+            &(EbAttemptEvent){.kind = EB_ATTEMPT_REFUSED,
+                              .attempt_id = send->attempt_id});
+        return;
+    }
     /* Without an id a late second copy of an earlier response could not be
      * told from the response to this call. */
     bool fresh = send->fresh_connection || send->request_id == NULL;
--- a/src/libebonyhollow_net/http_reader.c
+++ b/src/libebonyhollow_net/http_reader.c
@@ -41,36 +41,26 @@
     bool in_value;
     bool complete;
     bool too_large;
-    bool bad_name; /* the name of a field is not a token */
+    bool bad_field; /* a field has an invalid name or value */
     bool skip_body;
 };
 
-/* Checks that the name of a field is a token (RFC 9110, section 5.6.2). The
- * parser accepts spaces in a name, so the next recipient might interpret a
- * field like "Length :" differently. */
-static bool
-is_token(const char *name)
-{
-    static const char symbols[] = "!#$%&'*+-.^_`|~";
-    for (; *name != '\0'; name++) {
-        if (!g_ascii_isalnum(*name) && strchr(symbols, *name) == NULL) {
-            return false;
-        }
-    }
-    return true;
-}
-
 /* Adds a field to the head that is being read. Trailer fields are discarded,
- * as RFC 9110, section 6.5.1, allows. */
+ * as RFC 9110, section 6.5.1, allows.
+ *
+ * The parser accepts spaces in a name, so the next recipient might interpret a
+ * field like "Length :" differently; such a field makes the message invalid.
+ */
 static void
 finish_field(EbHttpReader *reader)
 {
+    const char *name = reader->name->str;
     if (reader->name->len > 0) {
-        reader->bad_name = reader->bad_name || !is_token(reader->name->str);
-        if (reader->part == PART_HEAD) {
-            EbHttpMessage_AddHeader(reader->message, reader->name->str,
-                                    reader->value->str);
-        }
+        bool valid = reader->part == PART_HEAD
+                         ? EbHttpMessage_AddHeader(reader->message, name,
+                                                   reader->value->str)
+                         : EbHttpMessage_IsFieldName(name);
+        reader->bad_field = reader->bad_field || !valid;
     }
     g_string_truncate(reader->name, 0);
     g_string_truncate(reader->value, 0);
@@ -91,7 +81,7 @@
 {
     EbHttpReader *reader = parser->data;
     reader->part = PART_HEAD;
-    reader->bad_name = false;
+    reader->bad_field = false;
     reader->header_bytes = 0;
     g_string_truncate(reader->target, 0);
     EbHttpMessage_Unref(reader->message);
@@ -147,7 +137,7 @@
             g_strdup(http_method_str((enum http_method)parser->method));
         message->target = g_strdup(reader->target->str);
     }
-    if (parser->upgrade != 0 || reader->bad_name) {
+    if (parser->upgrade != 0 || reader->bad_field) {
         EbHttpMessage_Unref(message);
         return HEAD_REJECTED;
     }
@@ -192,7 +182,7 @@
     bool interim = reader->part == PART_INTERIM;
     finish_field(reader);
     reader->part = PART_NONE;
-    if (reader->bad_name) {
+    if (reader->bad_field) {
         return -1;
     }
     if (interim) {
--- a/src/test_forward/admission.c
+++ b/src/test_forward/admission.c
@@ -6,8 +6,8 @@
 #include "test_runner.h"
 
 /* Guards against a request that is accepted without a pipeline or a valid
- * token, or waits at a pipeline that can't be used, and against a refused
- * request that is sent to a server. */
+ * token, or waits at a pipeline or of a customer that can't be used, and
+ * against a refused request that is sent to a server. */
 void
 test_refusals(void)
 {
@@ -22,6 +22,7 @@
         {"/read/x", "other", EB_REASON_UNAUTHENTICATED},
         {"/unusable/x", "other", EB_REASON_UNAUTHENTICATED},
         {"/unusable/x", TOKEN, EB_REASON_PIPELINE_UNUSABLE},
+        {"/read/x", UNUSABLE_TOKEN, EB_REASON_PIPELINE_UNUSABLE},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         Fixture fixture;
--- a/src/test_forward/fixture.c
+++ b/src/test_forward/fixture.c
@@ -63,8 +63,8 @@
                                     .failure_domain = g_strdup("recife"),
                                     .capacity = 4};
     }
-    config->customers = g_new0(EbConfigCustomer, 2);
-    config->customer_count = 2;
+    config->customers = g_new0(EbConfigCustomer, 3);
+    config->customer_count = 3;
     config->customers[0] = (EbConfigCustomer){
         .id = g_strdup("c-1"), .contract = {.weight = 1}, .priority = -1};
     EbConfig_DigestToken(TOKEN, config->customers[0].token_digest);
@@ -72,6 +72,11 @@
                                               .contract = {.weight = 1},
                                               .priority = -1,
                                               .anonymous = true};
+    config->customers[2] = (EbConfigCustomer){.id = g_strdup("c-3\r\n"),
+                                              .contract = {.weight = 1},
+                                              .priority = -1,
+                                              .unusable = true};
+    EbConfig_DigestToken(UNUSABLE_TOKEN, config->customers[2].token_digest);
     config->pipelines = g_new0(EbConfigPipeline, 8);
     add_route(config, "read", EB_STAGE_CALL, true, 2);
     add_route(config, "pay", EB_STAGE_CALL, false, 2);
--- a/src/test_forward/forward.h
+++ b/src/test_forward/forward.h
@@ -7,6 +7,7 @@
 
 #define SECOND_US INT64_C(1000000)
 #define TOKEN "caller-token"
+#define UNUSABLE_TOKEN "t-3"
 #define MAX_SENDS 16
 
 typedef struct {
--- a/src/test_forward_net/client.c
+++ b/src/test_forward_net/client.c
@@ -609,6 +609,30 @@
     close_client(&fixture);
 }
 
+/* Guards against sending a message of which a part was refused, since the rest
+ * of it may mean something else to the server. */
+void
+test_client_invalid(void)
+{
+    ClientFixture fixture;
+    open_client(&fixture);
+    fixture.response = HEAD "Content-Length: 2\r\n\r\nab";
+    EbHttpMessage *message = EbHttpMessage_NewRequest("POST", "/");
+    EbHttpMessage_AddHeader(message, "Inputs", "a\r\n\r\n");
+    EbForwardClient_Send(fixture.client,
+                         &(EbForwardSend){.attempt_id = 1,
+                                          .server_id = "s-1",
+                                          .host = "127.0.0.1",
+                                          .port = fixture.server->port},
+                         message);
+    EbHttpMessage_Unref(message);
+    CU_ASSERT_EQUAL(fixture.count, 1);
+    CU_ASSERT_EQUAL(fixture.kinds[0], EB_ATTEMPT_REFUSED);
+    Loop_For(fixture.base, 20000);
+    CU_ASSERT_EQUAL(fixture.server->accepted, 0);
+    close_client(&fixture);
+}
+
 static bool
 peer_closed(void *context)
 {
--- a/src/test_forward_net/main.c
+++ b/src/test_forward_net/main.c
@@ -26,6 +26,7 @@
         {"client endless events", test_client_endless_events},
         {"client connection limit", test_client_connection_limit},
         {"client refused", test_client_refused},
+        {"client invalid message", test_client_invalid},
         {"client cancel", test_client_cancel},
         {"client timeout", test_client_timeout},
         {"release calls", test_release_calls},
--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -197,7 +197,9 @@
 static void
 test_handles(void)
 {
-    static const struct {
+    char *name = g_strnfill(EB_FORWARD_MAX_HANDLE_BYTES, 'a');
+    char *long_handle = g_strconcat("10.1.64.7:8080/", name, NULL);
+    const struct {
         const char *handle;
         const char *host; /* NULL: invalid handle */
         uint16_t port;
@@ -209,6 +211,13 @@
         {":8080/91bd", NULL, 0},
         {"10.1.64.7:/91bd", NULL, 0},
         {"10.1.64.7:70000/91bd", NULL, 0},
+        {"10.1.64.7:8080/", NULL, 0},
+        {"10.1.64.7:8080/91bd\r\n\r\n", NULL, 0},
+        {"10.1.64.7:8080/91bd\nTenant: x", NULL, 0},
+        {"10.1.64.7:8080/91bd,10.1.64.7:8080/92bd", NULL, 0},
+        {"10.1.64.7:8080/91 bd", NULL, 0},
+        {"10.1.64.7:8080/\xc3\xa9", NULL, 0},
+        {long_handle, NULL, 0},
         {"", NULL, 0},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
@@ -223,6 +232,71 @@
         CU_ASSERT_EQUAL(port, rows[i].port);
         g_free(host);
     }
+    g_free(long_handle);
+    g_free(name);
+}
+
+/* Guards against a handle of a faulty server that changes the requests which
+ * carry it: line ends would end their header section, a comma add an input. */
+static void
+test_spoiled_handles(void)
+{
+    static const char *const handles[] = {"10.0.0.1:1/a\\r\\n\\r\\n",
+                                          "10.0.0.1:1/a\\nTenant: x",
+                                          "10.0.0.1:1/a,10.0.0.1:1/b",
+                                          "10.0.0.1:1/",
+                                          "a",
+                                          "",
+                                          "\\u0001"};
+    for (size_t i = 0; i < G_N_ELEMENTS(handles); i++) {
+        char *text = g_strdup_printf(
+            "{\"items\":[{\"handle\":\"%s\",\"reason\":\"gone\"},"
+            "{\"handle\":\"10.0.0.1:1/z\"}]}",
+            handles[i]);
+        EbHttpMessage *response = EbHttpMessage_NewResponse(200);
+        EbHttpMessage_AddBody(response, text, strlen(text));
+        EbWorkItemResult results[2] = {0};
+        EbError error = {0};
+        CU_ASSERT_TRUE(EbPlatform_forward_protocol.read_batch_reply(
+            response, results, 2, &error));
+        CU_ASSERT_EQUAL(results[0].kind, EB_WORK_ITEM_ERROR);
+        CU_ASSERT_PTR_NULL(results[0].handle);
+        CU_ASSERT_EQUAL(results[1].kind, EB_WORK_ITEM_DONE);
+        g_free(results[0].handle);
+        g_free(results[1].handle);
+        EbHttpMessage_Unref(response);
+        g_free(text);
+    }
+}
+
+/* Guards against a name in the store that changes the requests which carry it,
+ * and against withdrawing the keys of a customer that has such a name. */
+static void
+test_spoiled_names(void)
+{
+    EbServerRegistration registration;
+    EbError error = {0};
+    json_t *server = json_pack("{s:s, s:s, s:s, s:i}", "service", "a", "state",
+                               "ready", "address", "10.0.0.1:1", "slots", 1);
+    CU_ASSERT_TRUE(
+        EbPlatform_ReadServer("s-1", server, &registration, &error));
+    EbServerRegistration_Clear(&registration);
+    CU_ASSERT_FALSE(EbPlatform_ReadServer("s-1\r\nTenant: x", server,
+                                          &registration, &error));
+    EbServerRegistration_Clear(&registration);
+    json_decref(server);
+    json_t *value = json_pack("{s:i, s:[{s:s, s:[s]}, {s:s, s:[s]}]}",
+                              "version", 1, "tenants", "name", "a", "api_keys",
+                              "k-1", "name", "b\r\nX", "api_keys", "k-2");
+    EbConfigDefects defects;
+    EbConfig *config =
+        EbPlatform_ReadConfig(value, "site", NULL, 0, &defects, &error);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(config);
+    CU_ASSERT_EQUAL(defects.count, 1);
+    CU_ASSERT_FALSE(EbConfig_FindCustomer(config, "a")->unusable);
+    CU_ASSERT_TRUE(EbConfig_FindCustomerByToken(config, "k-2")->unusable);
+    EbConfig_Unref(config);
+    json_decref(value);
 }
 
 /* Guards against assigning results to the wrong work items. */
@@ -478,6 +552,8 @@
         {"call", test_call},
         {"invalid calls", test_invalid_calls},
         {"directives", test_directives},
+        {"spoiled handles", test_spoiled_handles},
+        {"spoiled names", test_spoiled_names},
         {"work items", test_work_items},
         {"handles", test_handles},
         {"store", test_store},
