forward_client: a response may end only after its call is written

Reported (MIXED): a server answers a long upload with a 200 without a length, sends a part and resets the connection while the upload is being written; the part passes for a complete answer.

Here a plain reset was recognized at both interfaces. An end of the output that is followed by a reset was not: the forward client took the end for that of the body although the call was still being written.

Change: the rest of the call is written before such a response counts. A reset ends it as broken off; after a second without progress it is given up.

Before: test_forward_net "client reset upload" fails in 12 of its 24 resets, all with an end of the output first.

--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -27,6 +27,9 @@
 #define MAX_STALE_EVENT_BYTES 65536
 /* Idle connections are closed this long before the server would close them. */
 #define IDLE_MARGIN_US 500000
+/* A server that has ended its output must go on taking the rest of the call:
+ * after this time without progress the call is given up. */
+#define REST_OF_CALL_TIMEOUT_US 1000000
 /* Such a response has no body; its length is that of another one. */
 #define STATUS_NOT_MODIFIED 304
 
@@ -386,6 +389,8 @@
     g_queue_push_head(idle, connection);
 }
 
+static void on_event(struct bufferevent *bufev, short what, void *context);
+
 static void
 on_read(struct bufferevent *bufev, void *context)
 {
@@ -415,20 +420,53 @@
     }
 }
 
+/* Ends a call whose server has ended its output: its response may be complete
+ * with that. */
 static void
-on_event(struct bufferevent *bufev, short what, void *context)
+end_input(Connection *connection)
+{
+    if (!EbHttpReader_HandleEof(connection->reader)) {
+        end_call(connection, EB_ATTEMPT_BROKEN);
+    }
+    close_connection(connection);
+}
+
+static void
+on_rest_written(struct bufferevent *bufev, void *context)
 {
     (void)bufev;
+    end_input(context);
+}
+
+/* Writes the rest of a call before its response counts as complete: if the
+ * server, or its instance, ended on the way, the connection is reset. */
+static void
+write_rest(Connection *connection)
+{
+    struct timeval limit = EbClock_Timeval(REST_OF_CALL_TIMEOUT_US);
+    bufferevent_setcb(connection->bufev, NULL, on_rest_written, on_event,
+                      connection);
+    bufferevent_set_timeouts(connection->bufev, NULL, &limit);
+}
+
+static void
+on_event(struct bufferevent *bufev, short what, void *context)
+{
     Connection *connection = context;
     if ((what & BEV_EVENT_CONNECTED) != 0) {
         connection->wrote = true;
         bufferevent_set_timeouts(connection->bufev, NULL, NULL);
         return;
     }
-    if (connection->attempt_id != 0 && (what & BEV_EVENT_EOF) != 0 &&
-        EbHttpReader_HandleEof(connection->reader)) {
-        /* The end of the connection completed the response. */
-        close_connection(connection);
+    bool input_ended = connection->attempt_id != 0 && connection->wrote &&
+                       (what & BEV_EVENT_EOF) != 0;
+    if (input_ended && EbHttpReader_EndsWithEof(connection->reader) &&
+        evbuffer_get_length(bufferevent_get_output(bufev)) > 0) {
+        write_rest(connection);
+        return;
+    }
+    if (input_ended) {
+        end_input(connection);
         return;
     }
     end_call(connection,
--- a/src/libebonyhollow_net/http_reader.c
+++ b/src/libebonyhollow_net/http_reader.c
@@ -10,6 +10,8 @@
 #define HEAD_READ 0
 #define HEAD_READ_NO_BODY 1
 #define HEAD_REJECTED (-1)
+/* What the parser states as the length of a body that has none. */
+#define LENGTH_UNKNOWN UINT64_MAX
 /* Bytes of a message outside of its body, as a multiple of the limit on names
  * and values: separators, empty lines and interim responses count too. */
 #define FRAMING_FACTOR 2
@@ -39,6 +41,7 @@
                              before this message included */
     size_t chunk_count;
     bool in_value;
+    bool open_ended; /* the body ends with the input */
     bool complete;
     bool too_large;
     bool bad_field; /* a field has an invalid name or value */
@@ -127,6 +130,8 @@
     reader->message = NULL;
     reader->part = PART_BODY;
     if (reader->options.kind == EB_HTTP_RESPONSES) {
+        reader->open_ended = (parser->flags & F_CHUNKED) == 0 &&
+                             parser->content_length == LENGTH_UNKNOWN;
         message->status = (uint16_t)parser->status_code;
         if (message->status < FIRST_FINAL_STATUS) {
             reader->part = PART_INTERIM;
@@ -291,6 +296,12 @@
     return report_complete(reader);
 }
 
+bool
+EbHttpReader_EndsWithEof(const EbHttpReader *reader)
+{
+    return reader->part == PART_BODY && reader->open_ended;
+}
+
 bool
 EbHttpReader_IsInMessage(const EbHttpReader *reader)
 {
--- a/src/libebonyhollow_net/private/http_reader.h
+++ b/src/libebonyhollow_net/private/http_reader.h
@@ -57,6 +57,10 @@
  * `complete` callback and returns true; otherwise returns false. */
 bool EbHttpReader_HandleEof(EbHttpReader *reader);
 
+/* Returns whether the end of the input would complete the message: a response
+ * without a length whose head has been read. */
+bool EbHttpReader_EndsWithEof(const EbHttpReader *reader);
+
 /* Returns true if a message has begun and is not complete. */
 bool EbHttpReader_IsInMessage(const EbHttpReader *reader);
 
--- a/src/test_backend_client/main.c
+++ b/src/test_backend_client/main.c
@@ -1,4 +1,5 @@
 /* Tests of EbBackendClient, and of the behaviour of evhttp it depends on. */
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,6 +13,7 @@
 
 #include "ebonyhollow/backend_client.h"
 #include "net_fixture.h"
+#include "resetting_server.h"
 #include "test_runner.h"
 
 #define MAX_EVENTS 256
@@ -394,6 +396,42 @@
     g_string_free(long_line, TRUE);
 }
 
+/* Guards against a response without a length that counts as complete although
+ * its connection was reset while the call was still being written. */
+static void
+test_reset_upload(void)
+{
+    enum { INPUT_BYTES = 16 * 1024 * 1024 };
+    static const int64_t delays_us[] = {0, 1000, 20000};
+    char *input = g_strnfill(INPUT_BYTES, 'u');
+    json_t *body = json_pack("{s:s}", "input", input);
+    for (unsigned i = 0; i < 4 * G_N_ELEMENTS(delays_us); i++) {
+        Fixture fixture;
+        open_fixture(&fixture, NULL);
+        ResettingServer server = {.response =
+                                      "HTTP/1.1 200 OK\r\n\r\n{\"a\":1}",
+                                  .reset_delay_us = delays_us[i / 4],
+                                  .reads_first = i % 2 != 0,
+                                  .half_closes = i / 2 % 2 != 0};
+        ResettingServer_Open(&server, fixture.base);
+        fixture.wanted_ends = 1;
+        EbBackendClient_Send(fixture.client,
+                             &(EbSendAttempt){.attempt_id = 1,
+                                              .request_id = "r-1",
+                                              .server_id = "s-1",
+                                              .host = "127.0.0.1",
+                                              .port = server.port,
+                                              .path = "/v1/x",
+                                              .body = body});
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_ends, &fixture));
+        CU_ASSERT_EQUAL(fixture.seen[0].kind, EB_ATTEMPT_BROKEN);
+        ResettingServer_Close(&server);
+        close_fixture(&fixture);
+    }
+    json_decref(body);
+    g_free(input);
+}
+
 /* Answers the first call with the scripted response and later ones soundly. */
 static void
 send_scripted_response_first(RawPeer *peer, const char *request)
@@ -723,12 +761,14 @@
         {"stream split", test_stream_split},
         {"bad responses", test_bad_responses},
         {"odd responses", test_odd_responses},
+        {"reset upload", test_reset_upload},
         {"cut responses", test_cut_responses},
         {"silent and cancel", test_silent_and_cancel},
         {"pause", test_pause},
         {"endless responses", test_endless_responses},
         {"endless bodies", test_endless_bodies},
     };
+    signal(SIGPIPE, SIG_IGN); /* as in the daemon */
     return EbTest_Run("test_backend_client", cases,
                       sizeof(cases) / sizeof(cases[0]));
 }
--- a/src/test_forward_net/client.c
+++ b/src/test_forward_net/client.c
@@ -10,6 +10,7 @@
 #include "ebonyhollow/forward_client.h"
 #include "forward_net.h"
 #include "net_fixture.h"
+#include "resetting_server.h"
 #include "test_runner.h"
 
 #define MAX_EVENTS 16
@@ -609,6 +610,67 @@
     close_client(&fixture);
 }
 
+#define UPLOAD_BYTES ((size_t)16 * 1024 * 1024)
+
+static void
+check_reset_upload(ResettingServer server, bool stream)
+{
+    ClientFixture fixture;
+    open_client(&fixture);
+    ResettingServer_Open(&server, fixture.base);
+    EbHttpMessage *message = EbHttpMessage_NewRequest("POST", "/x");
+    char *body = g_strnfill(UPLOAD_BYTES, 'u');
+    EbHttpMessage_AddBody(message, body, UPLOAD_BYTES);
+    g_free(body);
+    EbForwardClient_Send(fixture.client,
+                         &(EbForwardSend){.attempt_id = 1,
+                                          .server_id = "s-1",
+                                          .host = "127.0.0.1",
+                                          .port = server.port,
+                                          .request_id = "r-1",
+                                          .stream = stream},
+                         message);
+    EbHttpMessage_Unref(message);
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_ended, &fixture));
+    EbAttemptEventKind kind = !server.sound ? EB_ATTEMPT_BROKEN
+                              : stream      ? EB_ATTEMPT_ENDED
+                                            : EB_ATTEMPT_ANSWERED;
+    if (fixture.last_kind != kind) {
+        printf("%s after %d us, half close %d: kind %s\n", server.response,
+               (int)server.reset_delay_us, server.half_closes,
+               EbAttemptEventKind_names[fixture.last_kind]);
+    }
+    CU_ASSERT_EQUAL(fixture.last_kind, kind);
+    ResettingServer_Close(&server);
+    close_client(&fixture);
+}
+
+/* Guards against a response without a length that counts as complete although
+ * its connection was reset while the call was still being written, and against
+ * giving up the response of a server that ends its output and takes the rest
+ * of the call. */
+void
+test_client_reset_upload(void)
+{
+    static const int64_t delays_us[] = {0, 1000, 20000};
+    for (size_t i = 0; i < G_N_ELEMENTS(delays_us); i++) {
+        for (int variant = 0; variant < 4; variant++) {
+            ResettingServer server = {.response = HEAD "\r\npart of it",
+                                      .reset_delay_us = delays_us[i],
+                                      .reads_first = variant % 2 != 0,
+                                      .half_closes = variant / 2 != 0};
+            check_reset_upload(server, false);
+            server.response = UNFRAMED_STREAM_HEAD "id: 1\n\n";
+            check_reset_upload(server, true);
+        }
+    }
+    ResettingServer sound = {
+        .response = HEAD "\r\nall of it", .half_closes = true, .sound = true};
+    check_reset_upload(sound, false);
+    sound.response = UNFRAMED_STREAM_HEAD "id: 1\n\n";
+    check_reset_upload(sound, true);
+}
+
 /* Guards against sending a message of which a part was refused, since the rest
  * of it may mean something else to the server. */
 void
--- a/src/test_forward_net/forward_net.h
+++ b/src/test_forward_net/forward_net.h
@@ -34,6 +34,7 @@
 void test_client_endless_events(void);
 void test_client_connection_limit(void);
 void test_client_refused(void);
+void test_client_reset_upload(void);
 void test_client_invalid(void);
 void test_client_cancel(void);
 void test_client_timeout(void);
--- a/src/test_forward_net/main.c
+++ b/src/test_forward_net/main.c
@@ -1,5 +1,7 @@
 /* Tests of the network code for forwarded requests: EbHttpReader,
  * EbEventSplitter, EbForwardClient and EbForwardServer. */
+#include <signal.h>
+
 #include <glib.h>
 
 #include "forward_net.h"
@@ -26,6 +28,7 @@
         {"client endless events", test_client_endless_events},
         {"client connection limit", test_client_connection_limit},
         {"client refused", test_client_refused},
+        {"client reset upload", test_client_reset_upload},
         {"client invalid message", test_client_invalid},
         {"client cancel", test_client_cancel},
         {"client timeout", test_client_timeout},
@@ -49,5 +52,6 @@
          test_server_drain_arrived},
         {"server slow reader", test_server_slow_reader},
     };
+    signal(SIGPIPE, SIG_IGN); /* as in the daemon */
     return EbTest_Run("test_forward_net", cases, G_N_ELEMENTS(cases));
 }
