http_reader, backend_client: a status outside 100 to 599 is no answer

Reported (MIXED): a server in trouble sends an answer with status 000, which passes for an answer.

Here the forward client took 000 for an interim status: without a body the call waited for its deadline. 600 to 999 were relayed. At the own interface evhttp refuses 000 but accepts 600 and more, which passed for answers.

Change: such a response is not valid (RFC 9110, section 15) and counts as broken off; its connection is closed.

Before: test_forward_net "message status" and two rows of test_backend_client "odd responses" fail.

--- a/src/libebonyhollow_net/backend_client.c
+++ b/src/libebonyhollow_net/backend_client.c
@@ -26,6 +26,7 @@
 #define DEFAULT_MAX_BODY_BYTES 4194304
 #define DEFAULT_MAX_BUFFERED_BYTES ((size_t)32 * 1024 * 1024)
 #define MAX_LINE_BYTES 65536
+#define MAX_STATUS 599
 /* Interval of the events for paused attempts. It is shorter than any sensible
  * time-out between tokens. */
 #define PAUSED_EVENT_INTERVAL_US 100000
@@ -287,11 +288,14 @@
     return 0;
 }
 
-/* evhttp waits for the final response after status 100 only. */
+/* Returns whether a response has the status of a final one. evhttp waits for
+ * the final response after status 100 only, and accepts status codes that
+ * don't exist (RFC 9110, section 15). */
 static bool
-is_interim(struct evhttp_request *request)
+has_final_status(struct evhttp_request *request)
 {
-    return evhttp_request_get_response_code(request) < HTTP_OK;
+    int status = evhttp_request_get_response_code(request);
+    return status >= HTTP_OK && status <= MAX_STATUS;
 }
 
 /* Ends an attempt whose response was received completely. */
@@ -303,7 +307,7 @@
         finish_attempt(attempt, EB_ATTEMPT_BROKEN, NULL);
         return;
     }
-    if (is_interim(request)) {
+    if (!has_final_status(request)) {
         finish_attempt(attempt, EB_ATTEMPT_MALFORMED, NULL);
         return;
     }
@@ -349,7 +353,7 @@
         EbBackendConnection_CloseLater(connection);
         return;
     }
-    bool reusable = attempt->parser == NULL && !is_interim(request);
+    bool reusable = attempt->parser == NULL && has_final_status(request);
     finish_response(attempt, request);
     if (reusable) {
         EbBackendConnection_Release(connection);
--- a/src/libebonyhollow_net/http_reader.c
+++ b/src/libebonyhollow_net/http_reader.c
@@ -5,7 +5,10 @@
 #include <glib.h>
 #include <http_parser.h>
 
+/* Status codes (RFC 9110, section 15). */
+#define MIN_STATUS 100
 #define FIRST_FINAL_STATUS 200
+#define MAX_STATUS 599
 /* What on_headers_complete returns to the parser. */
 #define HEAD_READ 0
 #define HEAD_READ_NO_BODY 1
@@ -121,6 +124,14 @@
     return count_header_bytes(reader, length);
 }
 
+static bool
+has_valid_status(const EbHttpReader *reader)
+{
+    unsigned status = reader->parser.status_code;
+    return reader->options.kind == EB_HTTP_REQUESTS ||
+           (status >= MIN_STATUS && status <= MAX_STATUS);
+}
+
 static int
 on_headers_complete(http_parser *parser)
 {
@@ -142,7 +153,8 @@
             g_strdup(http_method_str((enum http_method)parser->method));
         message->target = g_strdup(reader->target->str);
     }
-    if (parser->upgrade != 0 || reader->bad_field) {
+    if (parser->upgrade != 0 || reader->bad_field ||
+        !has_valid_status(reader)) {
         EbHttpMessage_Unref(message);
         return HEAD_REJECTED;
     }
--- a/src/test_backend_client/main.c
+++ b/src/test_backend_client/main.c
@@ -460,6 +460,14 @@
          EB_ATTEMPT_MALFORMED, 2},
         {"HTTP/1.1 100 Continue\r\nContent-Length: 6\r\n\r\nbody\r\n",
          EB_ATTEMPT_BROKEN, 2},
+        {"HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\n{}",
+         EB_ATTEMPT_BROKEN, 2},
+        {"HTTP/1.1 099 Trouble\r\nContent-Length: 2\r\n\r\n{}",
+         EB_ATTEMPT_MALFORMED, 2},
+        {"HTTP/1.1 600 Trouble\r\nContent-Length: 2\r\n\r\n{}",
+         EB_ATTEMPT_MALFORMED, 2},
+        {"HTTP/1.1 1200 Trouble\r\nContent-Length: 2\r\n\r\n{}",
+         EB_ATTEMPT_MALFORMED, 2},
     };
     for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
         Fixture fixture;
--- a/src/test_forward_net/client.c
+++ b/src/test_forward_net/client.c
@@ -169,6 +169,9 @@
          "HTTP/1.1 102 Processing\r\nContent-Length: 4\r\n\r\n" HEAD
          "Content-Length: 2\r\n\r\nab",
          false, false, false, EB_ATTEMPT_ANSWERED, "ab", "", 1},
+        {"status 000",
+         "HTTP/1.1 000 Trouble\r\n" ID ": r-1\r\nContent-Length: 2\r\n\r\nab",
+         false, false, false, EB_ATTEMPT_MALFORMED, "", "", 2},
         {"close announced",
          HEAD "Connection: close\r\nContent-Length: 2\r\n\r\nab", false, true,
          false, EB_ATTEMPT_ANSWERED, "ab", "", 2},
--- a/src/test_forward_net/forward_net.h
+++ b/src/test_forward_net/forward_net.h
@@ -21,6 +21,7 @@
 
 void test_message_trailers(void);
 void test_message_interim(void);
+void test_message_status(void);
 
 /* client.c: EbForwardClient */
 
--- a/src/test_forward_net/main.c
+++ b/src/test_forward_net/main.c
@@ -18,6 +18,7 @@
         {"event splitter", test_event_splitter},
         {"message trailers", test_message_trailers},
         {"message interim", test_message_interim},
+        {"message status", test_message_status},
         {"client responses", test_client_responses},
         {"client cut responses", test_client_cut_responses},
         {"client late copy", test_client_late_copy},
--- a/src/test_forward_net/messages.c
+++ b/src/test_forward_net/messages.c
@@ -174,3 +174,27 @@
     };
     check_rows(rows, G_N_ELEMENTS(rows));
 }
+
+/* Guards against taking a response with a status that doesn't exist (RFC 9110,
+ * section 15) for an answer, or skipping it as an interim one. */
+void
+test_message_status(void)
+{
+    static const MessageRow rows[] = {
+        {"000", EB_HTTP_RESPONSES,
+         "HTTP/1.1 000 Trouble\r\nContent-Length: 1\r\n\r\na", "!"},
+        {"000 before a final response", EB_HTTP_RESPONSES,
+         "HTTP/1.1 000 Trouble\r\n\r\n" FINAL, "!"},
+        {"one digit", EB_HTTP_RESPONSES, "HTTP/1.1 2 OK\r\n\r\na", "!"},
+        {"099", EB_HTTP_RESPONSES, "HTTP/1.1 099 Trouble\r\n\r\n" FINAL, "!"},
+        {"600", EB_HTTP_RESPONSES,
+         "HTTP/1.1 600 Trouble\r\nContent-Length: 1\r\n\r\na", "!"},
+        {"999", EB_HTTP_RESPONSES, "HTTP/1.1 999 Trouble\r\n\r\na", "!"},
+        {"four digits", EB_HTTP_RESPONSES, "HTTP/1.1 2000 OK\r\n\r\na", "!"},
+        {"no digits", EB_HTTP_RESPONSES, "HTTP/1.1 OK\r\n\r\na", "!"},
+        {"599", EB_HTTP_RESPONSES,
+         "HTTP/1.1 599 Own\r\nContent-Length: 1\r\n\r\na",
+         "(599 Content-Length=1)a."},
+    };
+    check_rows(rows, G_N_ELEMENTS(rows));
+}
