forward_response, http_reader: some responses have no body

Servers' 204 with a length were relayed with the bytes behind them, and a 304 with the length of the whole answer was waited for until the deadline.

Cause: the forward server didn't keep the method, and http-parser reads a body behind 204 and 304. evhttp sends what it is given.

Change: EbHttpMessage_StatusAllowsBody decides by status; a caller's connection keeps whether its request is HEAD; evhttp listeners answer through one function that leaves the body out.

--- a/include/actions/ebonyhollow/http_message.h
+++ b/include/actions/ebonyhollow/http_message.h
@@ -67,6 +67,10 @@
 const char *EbHttpMessage_FindHeader(const EbHttpMessage *message,
                                      const char *name);
 
+/* Returns whether a response with this status has a body: not an interim one,
+ * 204 and 304 (RFC 9112, section 6.3), whatever length they name. */
+bool EbHttpMessage_StatusAllowsBody(uint16_t status);
+
 /* Makes room for a body of this size. */
 void EbHttpMessage_ReserveBody(EbHttpMessage *message, size_t byte_count);
 
--- a/src/libebonyhollow_net/admin_server.c
+++ b/src/libebonyhollow_net/admin_server.c
@@ -174,14 +174,9 @@
 {
     size_t length;
     char *text = EbMetrics_Format(call->server->options.metrics, &length);
-    struct evbuffer *body = evbuffer_new();
-    evbuffer_add(body, text, length);
+    EbHttpServer_Send(call->server->http, call->request, HTTP_OK,
+                      "text/plain; version=0.0.4", text, length);
     free(text);
-    evhttp_add_header(evhttp_request_get_output_headers(call->request),
-                      "Content-Type", "text/plain; version=0.0.4");
-    EbHttpServer_ResponseComplete(call->server->http, call->request);
-    evhttp_send_reply(call->request, 200, NULL, body);
-    evbuffer_free(body);
 }
 
 /* A fingerprint does not say which customer it belongs to, so an operator
--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -30,8 +30,6 @@
 /* A server that has ended its output must go on taking the rest of the call:
  * after this time without progress the call is given up. */
 #define REST_OF_CALL_TIMEOUT_US 1000000
-/* Such a response has no body; its length is that of another one. */
-#define STATUS_NOT_MODIFIED 304
 
 typedef struct {
     EbForwardClient *client;
@@ -242,7 +240,7 @@
 {
     const char *value = EbHttpMessage_FindHeader(message, "Content-Length");
     uint64_t bytes = value != NULL ? g_ascii_strtoull(value, NULL, 10) : 0;
-    if (connection->head || message->status == STATUS_NOT_MODIFIED) {
+    if (connection->head || !EbHttpMessage_StatusAllowsBody(message->status)) {
         return true;
     }
     if (!count_body(connection, bytes)) {
--- a/src/libebonyhollow_net/forward_response.c
+++ b/src/libebonyhollow_net/forward_response.c
@@ -1,12 +1,13 @@
 #include "forward_response.h"
 
 #include <inttypes.h>
-#include <stdio.h>
 #include <string.h>
 
 #include <event2/buffer.h>
 #include <glib.h>
 
+#define STATUS_NO_CONTENT 204
+
 static const char *
 reason_phrase(uint16_t status)
 {
@@ -15,6 +16,8 @@
         const char *phrase;
     } phrases[] = {
         {200, "OK"},
+        {204, "No Content"},
+        {304, "Not Modified"},
         {400, "Bad Request"},
         {401, "Unauthorized"},
         {404, "Not Found"},
@@ -66,15 +69,41 @@
     EbHttpMessage_Unref(message);
 }
 
+/* Writes the header that states the length of a response without a body: that
+ * of the response to GET, if the server has named it. */
+static void
+write_absent_length(char *framing, size_t framing_bytes,
+                    const EbHttpMessage *response)
+{
+    const char *length = EbHttpMessage_FindHeader(response, "Content-Length");
+    uint64_t bytes = response->body_bytes;
+    bool known =
+        bytes > 0 ||
+        (length != NULL &&
+         g_ascii_string_to_unsigned(length, 10, 0, UINT64_MAX, &bytes, NULL));
+    framing[0] = '\0';
+    if (known && response->status != STATUS_NO_CONTENT) {
+        g_snprintf(framing, framing_bytes, "Content-Length: %" PRIu64 "\r\n",
+                   bytes);
+    }
+}
+
 void
 EbForwardResponse_Write(struct evbuffer *output, const EbHttpMessage *response,
-                        bool close)
+                        bool head_request, bool close)
 {
     char framing[64];
-    snprintf(framing, sizeof(framing), "Content-Length: %zu\r\n",
-             response->body_bytes);
+    bool has_body =
+        !head_request && EbHttpMessage_StatusAllowsBody(response->status);
+    if (has_body) {
+        g_snprintf(framing, sizeof(framing), "Content-Length: %zu\r\n",
+                   response->body_bytes);
+    }
+    else {
+        write_absent_length(framing, sizeof(framing), response);
+    }
     write_head(output, response, close, framing);
-    if (response->body_bytes > 0) {
+    if (has_body && response->body_bytes > 0) {
         EbHttpMessage *reference =
             EbHttpMessage_Ref((EbHttpMessage *)response);
         evbuffer_add_reference(output, response->body, response->body_bytes,
--- a/src/libebonyhollow_net/forward_server.c
+++ b/src/libebonyhollow_net/forward_server.c
@@ -200,13 +200,26 @@
             output, relay->head,
             EbForwardConnection_ClosesAfterResponse(connection));
     }
-    if (relay->byte_count > 0) {
+    if (relay->byte_count > 0 && !connection->head_request) {
         EbForwardResponse_WriteChunk(output, relay->bytes, relay->byte_count);
         pause_if_full(connection);
     }
     EbForwardConnection_Update(connection);
 }
 
+/* Ends a response whose head has been sent. Without the last chunk the caller
+ * knows that it is incomplete. A response to HEAD has ended with its head. */
+static void
+end_stream(EbForwardConnection *connection, bool whole)
+{
+    if (!whole) {
+        connection->reusable = false;
+    }
+    else if (!connection->head_request) {
+        bufferevent_write(connection->bufev, "0\r\n\r\n", 5);
+    }
+}
+
 void
 EbForwardServer_Answer(EbForwardServer *server, const EbAnswer *answer)
 {
@@ -215,13 +228,8 @@
     if (connection == NULL) {
         return;
     }
-    if (connection->head_sent && answer->outcome == EB_OUTCOME_DONE) {
-        bufferevent_write(connection->bufev, "0\r\n\r\n", 5);
-    }
-    else if (connection->head_sent) {
-        /* Without the last chunk the caller knows that the stream is
-         * incomplete. */
-        connection->reusable = false;
+    if (connection->head_sent) {
+        end_stream(connection, answer->outcome == EB_OUTCOME_DONE);
     }
     else if (answer->reply != NULL) {
         EbForwardConnection_WriteResponse(connection, answer->reply);
--- a/src/libebonyhollow_net/forward_server_connection.c
+++ b/src/libebonyhollow_net/forward_server_connection.c
@@ -2,6 +2,8 @@
  * and the callbacks of the event loop. */
 #include "forward_server_connection.h"
 
+#include <string.h>
+
 #include <sys/socket.h>
 
 #include <event2/buffer.h>
@@ -95,6 +97,7 @@
     connection->answer_bytes += response->body_bytes;
     EbForwardResponse_Write(
         bufferevent_get_output(connection->bufev), response,
+        connection->head_request,
         EbForwardConnection_ClosesAfterResponse(connection));
 }
 
@@ -308,6 +311,7 @@
     EbHttpMessage_Unref(connection->message);
     connection->message = message;
     connection->head_held_bytes = EbHttpMessage_HeldBytes(message);
+    connection->head_request = strcmp(message->method, "HEAD") == 0;
     if (!check_declared(connection, message)) {
         return false;
     }
@@ -409,6 +413,7 @@
     size_t consumed = 0;
     connection->rejection_status = 0;
     if (!EbHttpReader_IsInMessage(connection->reader)) {
+        connection->head_request = false;
         connection->begin_us = EbClock_Monotonic();
         EbHttpReader_SetMaxHeaderBytes(
             connection->reader, connection->server->limits.max_header_bytes);
--- a/src/libebonyhollow_net/http_reader.c
+++ b/src/libebonyhollow_net/http_reader.c
@@ -164,10 +164,12 @@
         EbHttpMessage_Unref(message);
         return HEAD_READ_NO_BODY;
     }
+    bool has_body = reader->options.kind == EB_HTTP_REQUESTS ||
+                    EbHttpMessage_StatusAllowsBody(message->status);
     if (!reader->options.head(reader->options.context, message)) {
         return HEAD_REJECTED;
     }
-    return reader->skip_body ? HEAD_READ_NO_BODY : HEAD_READ;
+    return reader->skip_body || !has_body ? HEAD_READ_NO_BODY : HEAD_READ;
 }
 
 static int
--- a/src/libebonyhollow_net/http_server.c
+++ b/src/libebonyhollow_net/http_server.c
@@ -471,24 +471,48 @@
     return false;
 }
 
+/* Leaves out the body of a response to HEAD (RFC 9110, section 9.3.2). evhttp
+ * would send it, and the client read it as the next response. */
+static void
+drop_head_body(struct evhttp_request *request, struct evbuffer *body)
+{
+    if (evhttp_request_get_command(request) != EVHTTP_REQ_HEAD) {
+        return;
+    }
+    char length[24];
+    snprintf(length, sizeof(length), "%zu", evbuffer_get_length(body));
+    evhttp_add_header(evhttp_request_get_output_headers(request),
+                      "Content-Length", length);
+    evbuffer_drain(body, evbuffer_get_length(body));
+}
+
 void
-EbHttpServer_SendJson(EbHttpServer *server, struct evhttp_request *request,
-                      int status, const char *content_type,
-                      const json_t *document)
+EbHttpServer_Send(EbHttpServer *server, struct evhttp_request *request,
+                  int status, const char *content_type, const char *text,
+                  size_t text_bytes)
 {
     evhttp_add_header(evhttp_request_get_output_headers(request),
                       "Content-Type", content_type);
     struct evbuffer *body = evbuffer_new();
-    char *text = json_dumps(document, JSON_COMPACT | JSON_ENCODE_ANY);
-    if (text != NULL) {
-        evbuffer_add(body, text, strlen(text));
-        free(text);
-    }
+    evbuffer_add(body, text, text_bytes);
+    drop_head_body(request, body);
     EbHttpServer_ResponseComplete(server, request);
     evhttp_send_reply(request, status, NULL, body);
     evbuffer_free(body);
 }
 
+void
+EbHttpServer_SendJson(EbHttpServer *server, struct evhttp_request *request,
+                      int status, const char *content_type,
+                      const json_t *document)
+{
+    char *text = json_dumps(document, JSON_COMPACT | JSON_ENCODE_ANY);
+    EbHttpServer_Send(server, request, status, content_type,
+                      text != NULL ? text : "",
+                      text != NULL ? strlen(text) : 0);
+    free(text);
+}
+
 const char *
 EbHttp_Header(struct evhttp_request *request, const char *name)
 {
--- a/src/libebonyhollow_net/private/forward_response.h
+++ b/src/libebonyhollow_net/private/forward_response.h
@@ -23,9 +23,15 @@
 /* Appends a whole response. Its body is not copied: a reference to the
  * response is kept until the body has been sent.
  *
+ * A response to HEAD and one whose status allows no body (RFC 9112, section
+ * 6.3) ends with its head. The head then has the length that the response
+ * itself names, if it may have one (RFC 9110, section 8.6).
+ *
+ * head_request: it answers a HEAD request.
  * close: the connection is closed after it. */
 void EbForwardResponse_Write(struct evbuffer *output,
-                             const EbHttpMessage *response, bool close);
+                             const EbHttpMessage *response, bool head_request,
+                             bool close);
 
 /* Appends the head of a response whose body follows in chunks. */
 void EbForwardResponse_WriteStreamHead(struct evbuffer *output,
--- a/src/libebonyhollow_net/private/forward_server_connection.h
+++ b/src/libebonyhollow_net/private/forward_server_connection.h
@@ -33,6 +33,7 @@
     bool used;                 /* a request came on it */
     uint64_t request;          /* handle; 0: none is running */
     char *request_id;          /* of the running request */
+    bool head_request;         /* the response has no body */
     bool head_sent;            /* of a stream */
     bool reusable;             /* the caller may send another request */
     bool paused;               /* reading from the backend server is paused */
--- a/src/libebonyhollow_net/private/http_server.h
+++ b/src/libebonyhollow_net/private/http_server.h
@@ -73,6 +73,12 @@
 /* Returns true if a connection still has output to send. */
 bool EbHttpServer_HasUnsent(const EbHttpServer *server);
 
+/* Sends a response and ends the request. A response to HEAD has the length of
+ * the text and no body. */
+void EbHttpServer_Send(EbHttpServer *server, struct evhttp_request *request,
+                       int status, const char *content_type, const char *text,
+                       size_t text_bytes);
+
 /* Sends a response with a JSON body and ends the request. */
 void EbHttpServer_SendJson(EbHttpServer *server,
                            struct evhttp_request *request, int status,
--- a/src/test_caller_server/main.c
+++ b/src/test_caller_server/main.c
@@ -259,6 +259,26 @@
     close_fixture(&fixture);
 }
 
+/* Guards against a body behind an answer to HEAD, which the client would read
+ * as the beginning of the next answer. */
+static void
+test_head(void)
+{
+    Fixture fixture;
+    open_fixture(&fixture);
+    RawClient *client = connect_client(&fixture);
+    RawClient_Send(client, "HEAD /v1/other HTTP/1.1\r\nHost: x\r\n\r\n");
+    CU_ASSERT_TRUE(wait_for_text(&fixture, client, "\r\n\r\n"));
+    Loop_For(fixture.base, 20000);
+    CU_ASSERT_EQUAL(strncmp(client->text, "HTTP/1.1 404 ", 13), 0);
+    CU_ASSERT_PTR_NOT_NULL(strstr(client->text, "Content-Length: "));
+    CU_ASSERT_EQUAL(strlen(strstr(client->text, "\r\n\r\n")), 4);
+    RawClient_Send(client, "GET /v1/other HTTP/1.1\r\nHost: x\r\n\r\n");
+    CU_ASSERT_TRUE(wait_for_text(&fixture, client, "\r\n\r\nHTTP/1.1 404 "));
+    RawClient_Free(client);
+    close_fixture(&fixture);
+}
+
 /* Guards against submitting invalid requests, and against answering not-run to
  * an invalid request with an idempotency key, since an earlier request with
  * that key may have run. */
@@ -718,6 +738,7 @@
     static const EbTestCase cases[] = {
         {"json answer", test_json_answer},
         {"trailers", test_trailers},
+        {"head", test_head},
         {"refused", test_refused},
         {"stream", test_stream},
         {"gone", test_gone},
--- a/src/test_forward_net/client.c
+++ b/src/test_forward_net/client.c
@@ -169,6 +169,14 @@
          "HTTP/1.1 102 Processing\r\nContent-Length: 4\r\n\r\n" HEAD
          "Content-Length: 2\r\n\r\nab",
          false, false, false, EB_ATTEMPT_ANSWERED, "ab", "", 1},
+        {"304 with a length",
+         "HTTP/1.1 304 Not Modified\r\n" ID ": r-1\r\n"
+         "Content-Length: 2\r\n\r\n",
+         false, false, false, EB_ATTEMPT_ANSWERED, "", "", 1},
+        {"bytes behind 204",
+         "HTTP/1.1 204 No Content\r\n" ID ": r-1\r\n"
+         "Content-Length: 2\r\n\r\nab",
+         false, false, false, EB_ATTEMPT_ANSWERED, "", "", 2},
         {"status 000",
          "HTTP/1.1 000 Trouble\r\n" ID ": r-1\r\nContent-Length: 2\r\n\r\nab",
          false, false, false, EB_ATTEMPT_MALFORMED, "", "", 2},
--- a/src/test_forward_net/forward_net.h
+++ b/src/test_forward_net/forward_net.h
@@ -22,6 +22,7 @@
 void test_message_trailers(void);
 void test_message_interim(void);
 void test_message_status(void);
+void test_message_no_body(void);
 
 /* client.c: EbForwardClient */
 
@@ -46,6 +47,8 @@
 void test_server_rejects(void);
 void test_server_error_responses(void);
 void test_server_stream(void);
+void test_server_no_body(void);
+void test_server_stream_head(void);
 void test_server_pipelined(void);
 void test_server_trailers(void);
 void test_server_unread_answers(void);
--- a/src/test_forward_net/messages.c
+++ b/src/test_forward_net/messages.c
@@ -198,3 +198,25 @@
     };
     check_rows(rows, G_N_ELEMENTS(rows));
 }
+
+/* Guards against reading a body behind a response that can't have one (RFC
+ * 9112, section 6.3), or waiting for it. */
+void
+test_message_no_body(void)
+{
+    static const MessageRow rows[] = {
+        {"204 with bytes behind it", EB_HTTP_RESPONSES,
+         "HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\n{}",
+         "(204 Content-Length=2).!"},
+        {"304 with the length of the whole", EB_HTTP_RESPONSES,
+         "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n" FINAL,
+         "(304 Content-Length=9).(200 Content-Length=1)a."},
+        {"304 in chunks", EB_HTTP_RESPONSES,
+         "HTTP/1.1 304 Not Modified\r\n" CHUNKED FINAL,
+         "(304 Transfer-Encoding=chunked).(200 Content-Length=1)a."},
+        {"204 without a length", EB_HTTP_RESPONSES,
+         "HTTP/1.1 204 No Content\r\n\r\n" FINAL,
+         "(204).(200 Content-Length=1)a."},
+    };
+    check_rows(rows, G_N_ELEMENTS(rows));
+}
--- a/src/test_forward_net/server.c
+++ b/src/test_forward_net/server.c
@@ -252,6 +252,97 @@
     }
 }
 
+#define HEAD_REQUEST "HEAD /a HTTP/1.1\r\nHost: h\r\n" ID ": r-1\r\n\r\n"
+
+/* Returns a server's response as EbForwardClient reports it. */
+static EbHttpMessage *
+new_reply(uint16_t status, const char *length)
+{
+    EbHttpMessage *reply = EbHttpMessage_NewResponse(status);
+    EbHttpMessage_AddHeader(reply, "Seal", "s");
+    if (length != NULL) {
+        EbHttpMessage_AddHeader(reply, "Content-Length", length);
+    }
+    return reply;
+}
+
+/* Guards against a response whose status or request allows no body but that
+ * has one, or names a length that isn't its own (RFC 9110, section 8.6): the
+ * caller would read the body as the beginning of the next response. */
+void
+test_server_no_body(void)
+{
+    static const struct {
+        const char *request;
+        uint16_t status;    /* of the server's response; 0: the daemon's own */
+        const char *length; /* that the server names */
+        const char *sent;   /* the length in the response; NULL: none */
+    } rows[] = {
+        {HEAD_REQUEST, 0, NULL, "39"},
+        {HEAD_REQUEST, 200, "5", "5"},
+        {HEAD_REQUEST, 200, NULL, NULL},
+        {HEAD_REQUEST, 204, "5", NULL},
+        {REQUEST "Content-Length: 0\r\n\r\n", 204, "5", NULL},
+        {REQUEST "Content-Length: 0\r\n\r\n", 304, "5", "5"},
+        {REQUEST "Content-Length: 0\r\n\r\n", 304, NULL, NULL},
+        {REQUEST "Content-Length: 0\r\n\r\n", 200, NULL, "0"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        ServerFixture fixture;
+        open_server(&fixture);
+        RawClient_Send(fixture.client, rows[i].request);
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, is_submitted, &fixture));
+        EbHttpMessage *reply = rows[i].status != 0
+                                   ? new_reply(rows[i].status, rows[i].length)
+                                   : NULL;
+        answer(&fixture, reply != NULL ? EB_OUTCOME_DONE : EB_OUTCOME_NOT_RUN,
+               reply != NULL ? EB_REASON_NONE : EB_REASON_NO_BACKEND_SERVER,
+               reply);
+        EbHttpMessage_Unref(reply);
+        fixture.wanted = "\r\n\r\n";
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_text, &fixture));
+        Loop_For(fixture.base, 20000);
+        const char *text = fixture.client->text;
+        CU_ASSERT_EQUAL(strlen(strstr(text, "\r\n\r\n")), 4);
+        char *length =
+            g_strdup_printf("Content-Length: %s\r\n",
+                            rows[i].sent != NULL ? rows[i].sent : "");
+        bool expected = rows[i].sent != NULL
+                            ? strstr(text, length) != NULL
+                            : strstr(text, "Content-Length") == NULL;
+        if (!expected) {
+            printf("row %zu: %s", i, text);
+        }
+        CU_ASSERT_TRUE(expected);
+        g_free(length);
+        close_server(&fixture);
+    }
+}
+
+/* Guards against chunks, or the end of chunks, behind the head of a stream
+ * that answers HEAD. */
+void
+test_server_stream_head(void)
+{
+    ServerFixture fixture;
+    open_server(&fixture);
+    for (unsigned i = 1; i <= 2; i++) {
+        fixture.wanted_submitted = i;
+        RawClient_Send(fixture.client, HEAD_REQUEST);
+        CU_ASSERT_TRUE(Loop_Until(fixture.base, has_all_submitted, &fixture));
+        EbHttpMessage *head = new_reply(200, NULL);
+        relay(&fixture, head, "id: 1\n\n");
+        EbHttpMessage_Unref(head);
+        answer(&fixture, EB_OUTCOME_DONE, EB_REASON_NONE, NULL);
+    }
+    fixture.wanted = "chunked\r\n\r\nHTTP/1.1 200 OK\r\n";
+    CU_ASSERT_TRUE(Loop_Until(fixture.base, has_text, &fixture));
+    Loop_For(fixture.base, 20000);
+    CU_ASSERT_TRUE(g_str_has_suffix(fixture.client->text, "chunked\r\n\r\n"));
+    CU_ASSERT_FALSE(fixture.client->closed);
+    close_server(&fixture);
+}
+
 /* Guards against a pipelined request that is submitted before the first one is
  * answered, and against losing it. */
 void
