--- a/src/libebonyhollow/membership/message.c
+++ b/src/libebonyhollow/membership/message.c
@@ -342,11 +342,14 @@
     }
 }
 
+/* Returns whether the receiver accepts a name. It ends the link at a message
+ * that it can't read, with all that others have sent on it. */
 static bool
-is_name_short(const char *name)
+is_name_valid(const char *name)
 {
-    return name == NULL || strnlen(name, EB_MESSAGE_MAX_NAME_BYTES + 1) <=
-                               EB_MESSAGE_MAX_NAME_BYTES;
+    return name == NULL || (strnlen(name, EB_MESSAGE_MAX_NAME_BYTES + 1) <=
+                                EB_MESSAGE_MAX_NAME_BYTES &&
+                            g_utf8_validate(name, -1, NULL));
 }
 
 static bool
@@ -361,30 +364,30 @@
         return false;
     }
     for (uint32_t i = 0; i < message->speed_count; i++) {
-        if (!is_name_short(message->speeds[i].server_id)) {
+        if (!is_name_valid(message->speeds[i].server_id)) {
             return false;
         }
     }
     for (uint32_t i = 0; i < message->limit_count; i++) {
-        if (!is_name_short(message->limits[i].server_id)) {
+        if (!is_name_valid(message->limits[i].server_id)) {
             return false;
         }
     }
     for (uint32_t i = 0; i < message->handle_count; i++) {
-        if (!is_name_short(message->handles[i])) {
+        if (!is_name_valid(message->handles[i])) {
             return false;
         }
     }
     for (uint32_t i = 0; i < message->member_count; i++) {
         const EbMessageMember *member = &message->members[i];
-        if (!is_name_short(member->instance) ||
-            !is_name_short(member->address) ||
-            !is_name_short(member->failure_domain)) {
+        if (!is_name_valid(member->instance) ||
+            !is_name_valid(member->address) ||
+            !is_name_valid(member->failure_domain)) {
             return false;
         }
     }
     for (uint32_t i = 0; i < message->share_count; i++) {
-        if (!is_name_short(message->shares[i].customer)) {
+        if (!is_name_valid(message->shares[i].customer)) {
             return false;
         }
     }
@@ -407,7 +410,7 @@
             return false;
         }
         if (field->type == EB_MESSAGE_FIELD_NAME &&
-            !is_name_short(field_string(message, field))) {
+            !is_name_valid(field_string(message, field))) {
             return false;
         }
         *count += !absent;
--- a/src/test_message/main.c
+++ b/src/test_message/main.c
@@ -431,6 +431,8 @@
     CU_ASSERT_TRUE_FATAL(EbMessage_Encode(&leaving, &encoded, &encoded_count));
     free(encoded);
     free(bytes);
+    leaving.server = "s-\xff"; /* the receiver would end the link */
+    CU_ASSERT_FALSE(EbMessage_Encode(&leaving, &encoded, &encoded_count));
 }
 
 /* Guards against decoder limits that reject a message with the largest allowed
--- a/src/test_platform/main.c
+++ b/src/test_platform/main.c
@@ -192,6 +192,37 @@
     }
 }
 
+/* Guards against a caller's text that can't be carried to the servers of its
+ * stages and spoils the calls that it shares with others. */
+static void
+test_item_texts(void)
+{
+    static const struct {
+        const char *id;
+        const char *counts; /* NULL: no stages */
+        const char *key;
+        bool valid;
+    } rows[] = {
+        {"9c41", "1", "7c1e", true},    {"9c\xc3\xa9", "1", "\xc3\xa9", true},
+        {"9c\xff", "1", "7c1e", false}, {"9c41", "1", "7c\xff", false},
+        {"9c\xff", NULL, "7c", true},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        EbHttpMessage *message = EbHttpMessage_NewRequest("POST", "/");
+        EbHttpMessage_AddHeader(message, "Attempt-Id", rows[i].id);
+        EbHttpMessage_AddHeader(message, "Piece-Key", rows[i].key);
+        if (rows[i].counts != NULL) {
+            EbHttpMessage_AddHeader(message, "Pieces", rows[i].counts);
+        }
+        EbError error = {0};
+        EbForwardCall *call =
+            EbPlatform_forward_protocol.read_call(message, &error);
+        CU_ASSERT_EQUAL(call != NULL, rows[i].valid);
+        EbForwardCall_Unref(call);
+        EbHttpMessage_Unref(message);
+    }
+}
+
 /* Guards against releasing a result at a server that did not make it, and
  * against reading beyond the end of a handle. */
 static void
@@ -552,6 +583,7 @@
         {"call", test_call},
         {"invalid calls", test_invalid_calls},
         {"directives", test_directives},
+        {"item texts", test_item_texts},
         {"spoiled handles", test_spoiled_handles},
         {"spoiled names", test_spoiled_names},
         {"work items", test_work_items},
