http_reader: a request that offers another protocol is served

Cause: a request with "Upgrade: h2c", which some clients send first, got 400: the reader refused every message after which the parser expects another protocol.

Change: the offer is ignored, as RFC 9110, section 7.8, allows. CONNECT and unasked responses with 101 are refused as before.

Before: test_forward_net "message upgrade" fails in three of its five rows.

--- a/src/libebonyhollow_net/http_reader.c
+++ b/src/libebonyhollow_net/http_reader.c
@@ -124,6 +124,18 @@
     return count_header_bytes(reader, length);
 }
 
+/* Returns whether another protocol follows on the connection. A request to
+ * change to one is ignored (RFC 9110, section 7.8), but not CONNECT; a
+ * response that changes it was not asked for. */
+static bool
+changes_protocol(const EbHttpReader *reader)
+{
+    const http_parser *parser = &reader->parser;
+    return parser->upgrade != 0 &&
+           (reader->options.kind == EB_HTTP_RESPONSES ||
+            parser->method == HTTP_CONNECT);
+}
+
 static bool
 has_valid_status(const EbHttpReader *reader)
 {
@@ -153,7 +165,7 @@
             g_strdup(http_method_str((enum http_method)parser->method));
         message->target = g_strdup(reader->target->str);
     }
-    if (parser->upgrade != 0 || reader->bad_field ||
+    if (changes_protocol(reader) || reader->bad_field ||
         !has_valid_status(reader)) {
         EbHttpMessage_Unref(message);
         return HEAD_REJECTED;
--- a/src/test_forward_net/forward_net.h
+++ b/src/test_forward_net/forward_net.h
@@ -23,6 +23,7 @@
 void test_message_interim(void);
 void test_message_status(void);
 void test_message_no_body(void);
+void test_message_upgrade(void);
 
 /* client.c: EbForwardClient */
 
--- a/src/test_forward_net/main.c
+++ b/src/test_forward_net/main.c
@@ -20,6 +20,7 @@
         {"message interim", test_message_interim},
         {"message status", test_message_status},
         {"message no body", test_message_no_body},
+        {"message upgrade", test_message_upgrade},
         {"client responses", test_client_responses},
         {"client cut responses", test_client_cut_responses},
         {"client late copy", test_client_late_copy},
--- a/src/test_forward_net/messages.c
+++ b/src/test_forward_net/messages.c
@@ -220,3 +220,33 @@
     };
     check_rows(rows, G_N_ELEMENTS(rows));
 }
+
+/* Guards against refusing a request that offers another protocol, and against
+ * reading what follows it, or a tunnel, as something else. */
+void
+test_message_upgrade(void)
+{
+    static const MessageRow rows[] = {
+        {"h2c without a body", EB_HTTP_REQUESTS,
+         "GET /a HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+         "GET /b HTTP/1.1\r\n\r\n",
+         "(GET /a Connection=Upgrade Upgrade=h2c).(GET /b)."},
+        {"h2c with a body", EB_HTTP_REQUESTS,
+         "POST /a HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
+         "Content-Length: 2\r\n\r\nabGET /b HTTP/1.1\r\n\r\n",
+         "(POST /a Connection=Upgrade Upgrade=h2c Content-Length=2)ab."
+         "(GET /b)."},
+        {"h2c with a body in chunks", EB_HTTP_REQUESTS,
+         "POST /a HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n" CHUNKED
+         "1\r\nx\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n",
+         "(POST /a Connection=Upgrade Upgrade=h2c Transfer-Encoding=chunked)x."
+         "(GET /b)."},
+        {"a tunnel", EB_HTTP_REQUESTS,
+         "CONNECT h:1 HTTP/1.1\r\nHost: h:1\r\n\r\nGET", "!"},
+        {"a response that changes the protocol", EB_HTTP_RESPONSES,
+         "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n"
+         "Upgrade: h2c\r\n\r\n" FINAL,
+         "!"},
+    };
+    check_rows(rows, G_N_ELEMENTS(rows));
+}
