--- a/include/actions/ebonyhollow/http_message.h
+++ b/include/actions/ebonyhollow/http_message.h
@@ -13,6 +13,14 @@
     char *value;
 } EbHttpHeader;
 
+/* Status codes (RFC 9110, section 15) that the treatment of a message depends
+ * on. */
+#define EB_HTTP_MIN_STATUS 100
+#define EB_HTTP_FIRST_FINAL_STATUS 200
+#define EB_HTTP_NO_CONTENT 204
+#define EB_HTTP_NOT_MODIFIED 304
+#define EB_HTTP_MAX_STATUS 599
+
 /* Memory of a header besides its text: its entry, and the room that the list
  * has for more. */
 #define EB_HTTP_HEADER_COST_BYTES 40
--- a/src/libebonyhollow/actions/http_message.c
+++ b/src/libebonyhollow/actions/http_message.c
@@ -13,10 +13,6 @@
     "Upgrade",    "Transfer-Encoding", "Content-Length",   "Expect",
 };
 
-#define FIRST_FINAL_STATUS 200
-#define STATUS_NO_CONTENT 204
-#define STATUS_NOT_MODIFIED 304
-
 #define MIN_HEADER_CAPACITY 8
 
 #define TEXT_BLOCK_BYTES 1000
@@ -178,8 +174,8 @@
 bool
 EbHttpMessage_StatusAllowsBody(uint16_t status)
 {
-    return status >= FIRST_FINAL_STATUS && status != STATUS_NO_CONTENT &&
-           status != STATUS_NOT_MODIFIED;
+    return status >= EB_HTTP_FIRST_FINAL_STATUS &&
+           status != EB_HTTP_NO_CONTENT && status != EB_HTTP_NOT_MODIFIED;
 }
 
 /* Grows by half, so that a body that comes in many small pieces isn't copied
--- a/src/libebonyhollow_net/backend_client.c
+++ b/src/libebonyhollow_net/backend_client.c
@@ -14,6 +14,7 @@
 
 #include "backend_connection.h"
 #include "clock.h"
+#include "ebonyhollow/http_message.h"
 #include "event_stream.h"
 #include "options.h"
 #include "socket.h"
@@ -26,7 +27,6 @@
 #define DEFAULT_MAX_BODY_BYTES 4194304
 #define DEFAULT_MAX_BUFFERED_BYTES ((size_t)32 * 1024 * 1024)
 #define MAX_LINE_BYTES 65536
-#define MAX_STATUS 599
 /* Interval of the events for paused attempts. It is shorter than any sensible
  * time-out between tokens. */
 #define PAUSED_EVENT_INTERVAL_US 100000
@@ -295,7 +295,8 @@
 has_final_status(struct evhttp_request *request)
 {
     int status = evhttp_request_get_response_code(request);
-    return status >= HTTP_OK && status <= MAX_STATUS;
+    return status >= EB_HTTP_FIRST_FINAL_STATUS &&
+           status <= EB_HTTP_MAX_STATUS;
 }
 
 /* Ends an attempt whose response was received completely. */
--- a/src/libebonyhollow_net/forward_response.c
+++ b/src/libebonyhollow_net/forward_response.c
@@ -6,8 +6,6 @@
 #include <event2/buffer.h>
 #include <glib.h>
 
-#define STATUS_NO_CONTENT 204
-
 static const char *
 reason_phrase(uint16_t status)
 {
@@ -82,7 +80,7 @@
         (length != NULL &&
          g_ascii_string_to_unsigned(length, 10, 0, UINT64_MAX, &bytes, NULL));
     framing[0] = '\0';
-    if (known && response->status != STATUS_NO_CONTENT) {
+    if (known && response->status != EB_HTTP_NO_CONTENT) {
         g_snprintf(framing, framing_bytes, "Content-Length: %" PRIu64 "\r\n",
                    bytes);
     }
--- a/src/libebonyhollow_net/http_reader.c
+++ b/src/libebonyhollow_net/http_reader.c
@@ -5,10 +5,6 @@
 #include <glib.h>
 #include <http_parser.h>
 
-/* Status codes (RFC 9110, section 15). */
-#define MIN_STATUS 100
-#define FIRST_FINAL_STATUS 200
-#define MAX_STATUS 599
 /* What on_headers_complete returns to the parser. */
 #define HEAD_READ 0
 #define HEAD_READ_NO_BODY 1
@@ -141,7 +137,7 @@
 {
     unsigned status = reader->parser.status_code;
     return reader->options.kind == EB_HTTP_REQUESTS ||
-           (status >= MIN_STATUS && status <= MAX_STATUS);
+           (status >= EB_HTTP_MIN_STATUS && status <= EB_HTTP_MAX_STATUS);
 }
 
 static int
@@ -156,7 +152,7 @@
         reader->open_ended = (parser->flags & F_CHUNKED) == 0 &&
                              parser->content_length == LENGTH_UNKNOWN;
         message->status = (uint16_t)parser->status_code;
-        if (message->status < FIRST_FINAL_STATUS) {
+        if (message->status < EB_HTTP_FIRST_FINAL_STATUS) {
             reader->part = PART_INTERIM;
         }
     }
