--- a/include/actions/ebonyhollow/forward.h
+++ b/include/actions/ebonyhollow/forward.h
@@ -142,6 +142,8 @@
      * invalid: it has no address, or characters or a length that the messages
      * which carry it can't have. */
     bool (*read_handle)(const char *handle, char **host, uint16_t *port);
+    /* Returns whether `read_handle` would accept a text. */
+    bool (*is_handle)(const char *text);
 } EbForwardProtocol;
 
 #endif
--- a/src/libebonyhollow_net/daemon_forward.c
+++ b/src/libebonyhollow_net/daemon_forward.c
@@ -17,6 +17,9 @@
 #define RESPONSE_DIVISOR 2 /* of the memory for clients */
 #define MAX_RESPONSE_BYTES ((size_t)32 * 1024 * 1024)
 
+_Static_assert(EB_FORWARD_MAX_HANDLE_BYTES <= EB_MESSAGE_MAX_NAME_BYTES,
+               "a message between daemons carries every handle");
+
 static uint64_t
 on_submit(void *context, EbForwardCall *call)
 {
@@ -454,11 +457,7 @@
 {
     bool valid = true;
     for (uint32_t i = 0; i < count && valid; i++) {
-        char *host = NULL;
-        uint16_t port = 0;
-        valid =
-            daemon->adapter->forward->read_handle(handles[i], &host, &port);
-        g_free(host);
+        valid = daemon->adapter->forward->is_handle(handles[i]);
     }
     return valid;
 }
--- a/src/libebonyhollow_net/forward_client.c
+++ b/src/libebonyhollow_net/forward_client.c
@@ -23,6 +23,9 @@
  * after this time without progress the call is given up. */
 #define REST_OF_CALL_TIMEOUT_US 1000000
 
+static void end_input(EbForwardClientConnection *connection);
+static void on_event(struct bufferevent *bufev, short what, void *context);
+
 static void
 free_connection(gpointer data)
 {
@@ -92,8 +95,6 @@
     g_queue_push_head(idle, connection);
 }
 
-static void on_event(struct bufferevent *bufev, short what, void *context);
-
 static void
 on_read(struct bufferevent *bufev, void *context)
 {
@@ -123,17 +124,6 @@
     }
 }
 
-/* Ends a call whose server has ended its output: its response may be complete
- * with that. */
-static void
-end_input(EbForwardClientConnection *connection)
-{
-    if (!EbHttpReader_HandleEof(connection->reader)) {
-        EbForwardClientCall_End(connection, EB_ATTEMPT_BROKEN);
-    }
-    close_connection(connection);
-}
-
 static void
 on_rest_written(struct bufferevent *bufev, void *context)
 {
@@ -152,23 +142,35 @@
     bufferevent_set_timeouts(connection->bufev, NULL, &limit);
 }
 
+/* Ends a call whose server has ended its output: its response may be complete
+ * with that. */
+static void
+end_input(EbForwardClientConnection *connection)
+{
+    struct evbuffer *output = bufferevent_get_output(connection->bufev);
+    if (EbHttpReader_EndsWithEof(connection->reader) &&
+        evbuffer_get_length(output) > 0) {
+        write_rest(connection);
+        return;
+    }
+    if (!EbHttpReader_HandleEof(connection->reader)) {
+        EbForwardClientCall_End(connection, EB_ATTEMPT_BROKEN);
+    }
+    close_connection(connection);
+}
+
 static void
 on_event(struct bufferevent *bufev, short what, void *context)
 {
+    (void)bufev;
     EbForwardClientConnection *connection = context;
     if ((what & BEV_EVENT_CONNECTED) != 0) {
         connection->wrote = true;
         bufferevent_set_timeouts(connection->bufev, NULL, NULL);
         return;
     }
-    bool input_ended = connection->attempt_id != 0 && connection->wrote &&
-                       (what & BEV_EVENT_EOF) != 0;
-    if (input_ended && EbHttpReader_EndsWithEof(connection->reader) &&
-        evbuffer_get_length(bufferevent_get_output(bufev)) > 0) {
-        write_rest(connection);
-        return;
-    }
-    if (input_ended) {
+    if (connection->attempt_id != 0 && connection->wrote &&
+        (what & BEV_EVENT_EOF) != 0) {
         end_input(connection);
         return;
     }
@@ -349,8 +351,8 @@
     connection->stale_event_bytes = 0;
     connection->done = false;
     EbForwardClientCall_DropEvent(connection);
-    connection->head = strcmp(message->method, "HEAD") == 0;
-    EbHttpReader_SkipBody(connection->reader, connection->head);
+    connection->head_request = strcmp(message->method, "HEAD") == 0;
+    EbHttpReader_SkipBody(connection->reader, connection->head_request);
     g_hash_table_insert(client->calls, &connection->attempt_id, connection);
     if (opened && !start_connect(connection, send)) {
         EbForwardClientCall_End(connection, EB_ATTEMPT_REFUSED);
--- a/src/libebonyhollow_net/forward_client_call.c
+++ b/src/libebonyhollow_net/forward_client_call.c
@@ -146,7 +146,8 @@
 {
     const char *value = EbHttpMessage_FindHeader(message, "Content-Length");
     uint64_t bytes = value != NULL ? g_ascii_strtoull(value, NULL, 10) : 0;
-    if (connection->head || !EbHttpMessage_StatusAllowsBody(message->status)) {
+    if (connection->head_request ||
+        !EbHttpMessage_StatusAllowsBody(message->status)) {
         return true;
     }
     if (!count_body(connection, bytes)) {
--- a/src/libebonyhollow_net/http_server.c
+++ b/src/libebonyhollow_net/http_server.c
@@ -471,19 +471,21 @@
     return false;
 }
 
-/* Leaves out the body of a response to HEAD (RFC 9110, section 9.3.2). evhttp
- * would send it, and the client read it as the next response. */
+/* Adds a body to a response. That to HEAD has only its length (RFC 9110,
+ * section 9.3.2): evhttp would send the body, and the client read it as the
+ * next response. */
 static void
-drop_head_body(struct evhttp_request *request, struct evbuffer *body)
+add_body(struct evhttp_request *request, struct evbuffer *body,
+         const char *text, size_t text_bytes)
 {
     if (evhttp_request_get_command(request) != EVHTTP_REQ_HEAD) {
+        evbuffer_add(body, text, text_bytes);
         return;
     }
     char length[24];
-    snprintf(length, sizeof(length), "%zu", evbuffer_get_length(body));
+    snprintf(length, sizeof(length), "%zu", text_bytes);
     evhttp_add_header(evhttp_request_get_output_headers(request),
                       "Content-Length", length);
-    evbuffer_drain(body, evbuffer_get_length(body));
 }
 
 void
@@ -494,8 +496,7 @@
     evhttp_add_header(evhttp_request_get_output_headers(request),
                       "Content-Type", content_type);
     struct evbuffer *body = evbuffer_new();
-    evbuffer_add(body, text, text_bytes);
-    drop_head_body(request, body);
+    add_body(request, body, text, text_bytes);
     EbHttpServer_ResponseComplete(server, request);
     evhttp_send_reply(request, status, NULL, body);
     evbuffer_free(body);
--- a/src/libebonyhollow_net/platform_client.c
+++ b/src/libebonyhollow_net/platform_client.c
@@ -11,6 +11,7 @@
 #include "clock.h"
 #include "json_lenient.h"
 #include "platform_internal.h"
+#include "socket.h"
 
 #define DEFAULT_MAX_CALLS 16
 #define DEFAULT_MAX_WAITING 256
@@ -154,6 +155,15 @@
     return 0;
 }
 
+void
+EbPlatformClient_SetKeepAlive(struct evhttp_connection *evcon)
+{
+    if (evcon != NULL) {
+        EbSocket_SetKeepAlive(
+            bufferevent_getfd(evhttp_connection_get_bufferevent(evcon)));
+    }
+}
+
 json_t *
 EbPlatformClient_ParseBody(struct evhttp_request *request)
 {
--- a/src/libebonyhollow_net/platform_probe.c
+++ b/src/libebonyhollow_net/platform_probe.c
@@ -1,9 +1,6 @@
 /* Probes of the platform client: cheap reads that show whether it answers. */
-#include <event2/bufferevent.h>
-
 #include "clock.h"
 #include "platform_internal.h"
-#include "socket.h"
 
 /* A probe whose answer takes longer, beyond the latency of the watches, is
  * repeated on another connection. */
@@ -32,10 +29,7 @@
     EbPlatformClient *client = probe->client;
     int64_t now_us = EbClock_Monotonic();
     int status = EbPlatformClient_ReadStatus(request, &probe->evcon);
-    if (probe->evcon != NULL) {
-        EbSocket_SetKeepAlive(bufferevent_getfd(
-            evhttp_connection_get_bufferevent(probe->evcon)));
-    }
+    EbPlatformClient_SetKeepAlive(probe->evcon);
     bool answered = (status == 200 || status == 404) &&
                     EbPlatformClient_CheckEra(client, request);
     EbPlatformClient_RecordCall(
--- a/src/libebonyhollow_net/platform_watch.c
+++ b/src/libebonyhollow_net/platform_watch.c
@@ -1,11 +1,8 @@
 /* Watches of the platform client: a listing, then long polls. */
 #include <assert.h>
 
-#include <event2/bufferevent.h>
-
 #include "clock.h"
 #include "platform_internal.h"
-#include "socket.h"
 
 /* Largest latency that is allowed for in addition to the grace time. */
 #define LATENCY_MAX_US 2000000
@@ -326,10 +323,7 @@
     if (status != 0) {
         observe_latency(watch);
     }
-    if (watch->evcon != NULL) {
-        EbSocket_SetKeepAlive(bufferevent_getfd(
-            evhttp_connection_get_bufferevent(watch->evcon)));
-    }
+    EbPlatformClient_SetKeepAlive(watch->evcon);
     if (status != 0 && !EbPlatformClient_CheckEra(watch->client, request)) {
         status = 0;
     }
--- a/src/libebonyhollow_net/private/forward_client_connection.h
+++ b/src/libebonyhollow_net/private/forward_client_connection.h
@@ -19,9 +19,9 @@
     uint64_t attempt_id; /* 0: no call */
     char *request_id;
     bool stream;
-    bool head;   /* its response has no body, whatever its length says */
-    bool wrote;  /* bytes of the call may have been sent */
-    bool reused; /* the connection carried an earlier call */
+    bool head_request; /* the response has no body */
+    bool wrote;        /* bytes of the call may have been sent */
+    bool reused;       /* the connection carried an earlier call */
     EbHttpMessage *response;
     size_t body_bytes; /* of its body, in `buffered_bytes` */
     EbForwardReply reply;
--- a/src/libebonyhollow_net/private/platform_internal.h
+++ b/src/libebonyhollow_net/private/platform_internal.h
@@ -48,6 +48,9 @@
 int EbPlatformClient_ReadStatus(struct evhttp_request *request,
                                 struct evhttp_connection **evcon);
 
+/* Turns on keep-alive probes for an established connection. Accepts NULL. */
+void EbPlatformClient_SetKeepAlive(struct evhttp_connection *evcon);
+
 /* Parses the JSON body of a response. Returns a new reference, or NULL if the
  * body is empty or not valid JSON. */
 json_t *EbPlatformClient_ParseBody(struct evhttp_request *request);
--- a/src/test_platform_client/main.c
+++ b/src/test_platform_client/main.c
@@ -359,14 +359,24 @@
     close_fixture(&fixture);
 }
 
+/* Responds to a listing. Returns false if the request is another one. */
+static bool
+respond_to_listing(RawPeer *peer, const char *request)
+{
+    if (strncmp(request, "GET /v1/objects/instances ", 26) != 0) {
+        return false;
+    }
+    RawPeer_SendJson(peer, "{\"revision\": 7, \"items\": []}");
+    return true;
+}
+
 /* Responds to listings. Responds to the polls with a change, no change, a gap,
  * an error, a reset, silence and another change. */
 static void
 respond_to_watch(RawPeer *peer, const char *request)
 {
     Fixture *fixture = peer->server->context;
-    if (strncmp(request, "GET /v1/objects/instances ", 26) == 0) {
-        RawPeer_SendJson(peer, "{\"revision\": 7, \"items\": []}");
+    if (respond_to_listing(peer, request)) {
         return;
     }
     switch (++fixture->polls) {
@@ -440,8 +450,7 @@
 respond_to_interim_watch(RawPeer *peer, const char *request)
 {
     Fixture *fixture = peer->server->context;
-    if (strncmp(request, "GET /v1/objects/instances ", 26) == 0) {
-        RawPeer_SendJson(peer, "{\"revision\": 7, \"items\": []}");
+    if (respond_to_listing(peer, request)) {
         return;
     }
     if (++fixture->polls == 1) {
@@ -652,8 +661,7 @@
 respond_only_to_lists(RawPeer *peer, const char *request)
 {
     Fixture *fixture = peer->server->context;
-    if (strncmp(request, "GET /v1/objects/instances ", 26) == 0) {
-        RawPeer_SendJson(peer, "{\"revision\": 7, \"items\": []}");
+    if (respond_to_listing(peer, request)) {
         return;
     }
     fixture->polls++;
